--- /dev/null
+++ b/crates/adapters/src/lib.rs
@@ -0,0 +1,4 @@
+//! Adapters that meet the outside interfaces over HTTP.
+
+#![forbid(unsafe_code)]
+#![warn(missing_docs)]
--- /dev/null
+++ b/crates/ctl/src/lib.rs
@@ -0,0 +1,4 @@
+//! The operators' command.
+
+#![forbid(unsafe_code)]
+#![warn(missing_docs)]
--- /dev/null
+++ b/crates/node/src/lib.rs
@@ -0,0 +1,4 @@
+//! The daemon: feeds the decision crates with events and carries out their actions.
+
+#![forbid(unsafe_code)]
+#![warn(missing_docs)]
--- /dev/null
+++ b/crates/telemetry/src/lib.rs
@@ -0,0 +1,4 @@
+//! Structured logs and metrics.
+
+#![forbid(unsafe_code)]
+#![warn(missing_docs)]
