--- /dev/null
+++ b/Makefile
@@ -0,0 +1,42 @@
+# What a developer runs. `make setup` first, once a machine.
+
+CARGO ?= cargo
+TARGET_DIR := $(or $(CARGO_TARGET_DIR),target)
+BIN_DIR := $(TARGET_DIR)/debug
+
+# Arguments for the test programs, such as `--exact --skip NAME`.
+TEST_ARGS ?=
+
+.PHONY: setup build test demo up scenarios lint policy slopes bench
+
+setup:
+	scripts/setup
+
+build:
+	$(CARGO) build --workspace --bins --locked
+
+# The scenarios start the programs, so these are built first.
+test: build
+	$(CARGO) test --workspace --locked --no-fail-fast -- $(TEST_ARGS)
+
+demo: build
+	$(BIN_DIR)/launcher demo
+
+up: build
+	@exec $(BIN_DIR)/launcher up
+
+scenarios: build
+	$(BIN_DIR)/scenario run scenarios/*.scenario
+
+lint:
+	$(CARGO) fmt --all --check
+	$(CARGO) clippy --workspace --all-targets --locked -- -D warnings
+
+policy:
+	$(CARGO) run --release --locked -p apricotdale-policy-replay
+
+slopes:
+	$(CARGO) run --release --locked -p apricotdale-policy-replay --bin slopes
+
+bench:
+	$(CARGO) bench --workspace --locked
