--- /dev/null
+++ b/crates/node/src/appender.rs
@@ -0,0 +1,210 @@
+//! Appends this process's control records, one at a time and in order.
+
+use std::sync::Arc;
+use std::sync::atomic::AtomicBool;
+use std::sync::atomic::AtomicU64;
+use std::sync::atomic::Ordering;
+use std::thread;
+use std::time::Duration;
+
+use crossbeam_channel::Receiver;
+use crossbeam_channel::RecvTimeoutError;
+use crossbeam_channel::Sender;
+use log::warn;
+
+use apricotdale_core::Error;
+use apricotdale_core::control::ControlRecord;
+use apricotdale_core::control::Proposer;
+use apricotdale_core::log::LogClient;
+use apricotdale_core::names::StreamName;
+use apricotdale_core::names::VmName;
+use apricotdale_core::numbers::Epoch;
+use apricotdale_core::numbers::Offset;
+use apricotdale_core::serving::Clock;
+
+use crate::log_health::LogHealth;
+
+/// The pause between two tries of an append.
+const RETRY_PAUSE: Duration = Duration::from_millis(100);
+
+/// How often an append of unknown outcome is repeated before a proposal is dropped. A repeated
+/// record has the same sequence, so replay counts it once.
+const UNKNOWN_TRIES: u32 = 20;
+
+/// How often the thread looks whether it should stop.
+const STOP_CHECK: Duration = Duration::from_millis(200);
+
+/// `Persistence` is what happens to a proposal while the log is down.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Persistence {
+    /// The proposal is dropped: whoever made it would decide anew.
+    Drop,
+    /// The append is repeated until it works: the record tells a fact that must not be lost.
+    Keep,
+}
+
+/// `Appended` is the outcome of a proposal's append.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub enum Appended {
+    /// The record stands at this offset.
+    At(Offset),
+    /// The record is not on the log and will not be.
+    Not(Error),
+    /// The record may be on the log; replay will show it.
+    Unknown(Error),
+}
+
+type Build = Box<dyn Fn(Proposer) -> ControlRecord + Send>;
+type Done = Box<dyn FnOnce(Appended) + Send>;
+
+struct Proposal {
+    build: Build,
+    persistence: Persistence,
+    done: Done,
+}
+
+/// `Appender` appends control records in the order in which they are proposed.
+///
+/// All records of a process go through one thread, because replay drops a record whose sequence is
+/// not above the last one: two threads could append theirs in the wrong order, and one of the two
+/// would be lost without a trace.
+#[derive(Clone)]
+pub struct Appender {
+    queue: Sender<Proposal>,
+    epoch: Arc<EpochCell>,
+}
+
+/// `EpochCell` holds the epoch of this process once it is known.
+#[derive(Debug, Default)]
+pub struct EpochCell(AtomicU64, AtomicBool);
+
+impl EpochCell {
+    /// Sets the epoch.
+    pub fn set(&self, epoch: Epoch) {
+        self.0.store(epoch.0, Ordering::Release);
+        self.1.store(true, Ordering::Release);
+    }
+
+    /// Returns the epoch, or none if this process has not joined.
+    pub fn get(&self) -> Option<Epoch> {
+        self.1.load(Ordering::Acquire).then(|| Epoch(self.0.load(Ordering::Acquire)))
+    }
+}
+
+/// `AppenderParts` is what an appender works with.
+pub struct AppenderParts {
+    /// This VM.
+    pub vm: VmName,
+    /// The control stream.
+    pub stream: StreamName,
+    /// The log.
+    pub log: Arc<dyn LogClient>,
+    /// Takes in the outcomes.
+    pub health: Arc<LogHealth>,
+    /// The clock.
+    pub clock: Arc<dyn Clock>,
+    /// Set when the daemon stops.
+    pub stop: Arc<AtomicBool>,
+    /// Holds the epoch once this process has joined.
+    pub epoch: Arc<EpochCell>,
+}
+
+impl Appender {
+    /// Starts the appending thread.
+    pub fn start(parts: AppenderParts) -> (Self, thread::JoinHandle<()>) {
+        let (queue, proposals) = crossbeam_channel::unbounded();
+        let epoch = Arc::clone(&parts.epoch);
+        let handle = thread::Builder::new()
+            .name("control-appender".into())
+            .spawn(move || Worker { parts, sequence: 0 }.run(&proposals))
+            .expect("the daemon needs its appender thread");
+        (Self { queue, epoch }, handle)
+    }
+
+    /// Returns whether this process has joined and so may propose.
+    pub fn has_joined(&self) -> bool {
+        self.epoch.get().is_some()
+    }
+
+    /// Queues a proposal. `done` is called with the outcome of its append.
+    pub fn propose(
+        &self,
+        persistence: Persistence,
+        build: impl Fn(Proposer) -> ControlRecord + Send + 'static,
+        done: impl FnOnce(Appended) + Send + 'static,
+    ) {
+        let proposal = Proposal { build: Box::new(build), persistence, done: Box::new(done) };
+        if let Err(unsent) = self.queue.send(proposal) {
+            (unsent.into_inner().done)(Appended::Not(Error::unavailable("the daemon stops")));
+        }
+    }
+}
+
+struct Worker {
+    parts: AppenderParts,
+    sequence: u64,
+}
+
+impl Worker {
+    fn run(mut self, proposals: &Receiver<Proposal>) {
+        loop {
+            match proposals.recv_timeout(STOP_CHECK) {
+                Ok(proposal) => self.append(proposal),
+                Err(RecvTimeoutError::Timeout) if self.stopped() => return,
+                Err(RecvTimeoutError::Timeout) => {}
+                Err(RecvTimeoutError::Disconnected) => return,
+            }
+        }
+    }
+
+    fn append(&mut self, proposal: Proposal) {
+        let Some(epoch) = self.await_epoch(proposal.persistence) else {
+            let error = Error::unavailable("this process has not joined");
+            return (proposal.done)(Appended::Not(error));
+        };
+        self.sequence += 1;
+        let proposer = Proposer { vm: self.parts.vm.clone(), epoch, sequence: self.sequence };
+        let payload = (proposal.build)(proposer).encode();
+        let outcome = self.append_until_clear(&payload, proposal.persistence);
+        (proposal.done)(outcome);
+    }
+
+    fn await_epoch(&self, persistence: Persistence) -> Option<Epoch> {
+        loop {
+            match self.parts.epoch.get() {
+                Some(epoch) => return Some(epoch),
+                None if persistence == Persistence::Drop || self.stopped() => return None,
+                None => thread::sleep(RETRY_PAUSE),
+            }
+        }
+    }
+
+    /// Appends a payload, repeating as the persistence says.
+    fn append_until_clear(&self, payload: &[u8], persistence: Persistence) -> Appended {
+        let mut unknown_tries = 0;
+        loop {
+            let outcome = self.parts.log.append(&self.parts.stream, payload);
+            self.parts.health.note_append(self.parts.clock.monotonic_ms(), outcome.is_ok());
+            let error = match outcome {
+                Ok(offset) => return Appended::At(offset),
+                Err(error) => error,
+            };
+            warn!("append to the control stream failed: {error}");
+            let certain = matches!(error, Error::Unavailable(_) | Error::Rejected(_));
+            unknown_tries += u32::from(!certain);
+            match persistence {
+                _ if self.stopped() && unknown_tries > 0 => return Appended::Unknown(error),
+                _ if self.stopped() => return Appended::Not(error),
+                Persistence::Drop if certain && unknown_tries == 0 => return Appended::Not(error),
+                Persistence::Drop if unknown_tries >= UNKNOWN_TRIES || certain => {
+                    return Appended::Unknown(error);
+                }
+                Persistence::Drop | Persistence::Keep => thread::sleep(RETRY_PAUSE),
+            }
+        }
+    }
+
+    fn stopped(&self) -> bool {
+        self.parts.stop.load(Ordering::Relaxed)
+    }
+}
--- /dev/null
+++ b/crates/node/src/demand.rs
@@ -0,0 +1,188 @@
+//! The demand for each model: what waits and runs here, and what other VMs told.
+
+use std::collections::BTreeMap;
+
+use parking_lot::Mutex;
+
+use apricotdale_core::names::ModelName;
+use apricotdale_core::names::UpstreamName;
+use apricotdale_core::names::VmName;
+use apricotdale_core::peer::ModelDemand;
+use apricotdale_core::policy::Ticket;
+use apricotdale_core::serving::DemandEvent;
+use apricotdale_core::serving::DemandSink;
+
+/// How long another VM's report counts when no newer one comes.
+const REPORT_LIFETIME_MS: u64 = 3_000;
+
+/// `TotalDemand` is the demand for one model over all VMs, as far as this VM knows.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+pub struct TotalDemand {
+    /// Requests that wait for a replica.
+    pub waiting: u32,
+    /// Requests that wait at this VM.
+    pub waiting_here: u32,
+    /// Requests in progress.
+    pub running: u32,
+    /// The shortest time left among the waiting ones.
+    pub tightest_ms: Option<u64>,
+    /// When the oldest request that waits here arrived, on the monotonic clock.
+    pub waiting_since_ms: Option<u64>,
+}
+
+#[derive(Debug)]
+struct LocalRequest {
+    model: ModelName,
+    deadline_ms: u64,
+    arrived_ms: u64,
+    started: bool,
+}
+
+#[derive(Debug, Default)]
+struct Tables {
+    requests: BTreeMap<Ticket, LocalRequest>,
+    arrived: BTreeMap<ModelName, u32>,
+    remote: BTreeMap<(VmName, ModelName), (u64, ModelDemand)>,
+    remote_arrivals: Vec<ModelName>,
+    missing: Vec<(ModelName, UpstreamName)>,
+}
+
+/// `DemandTable` counts the demand for each model.
+#[derive(Debug, Default)]
+pub struct DemandTable {
+    tables: Mutex<Tables>,
+}
+
+impl DemandTable {
+    /// Returns an empty table.
+    pub fn new() -> Self {
+        Self::default()
+    }
+
+    /// Takes in another VM's report.
+    pub fn note_remote(&self, now_ms: u64, vm: &VmName, models: Vec<ModelDemand>) {
+        let mut tables = self.tables.lock();
+        for demand in models {
+            for _ in 0..demand.arrived {
+                tables.remote_arrivals.push(demand.model.clone());
+            }
+            tables.remote.insert((vm.clone(), demand.model.clone()), (now_ms, demand));
+        }
+    }
+
+    /// Returns the demand here, one line a model that has any or had arrivals since the last call.
+    pub fn take_report(&self, now_ms: u64) -> Vec<ModelDemand> {
+        let mut tables = self.tables.lock();
+        let mut report: BTreeMap<ModelName, ModelDemand> = BTreeMap::new();
+        for (model, arrived) in std::mem::take(&mut tables.arrived) {
+            line(&mut report, &model).arrived = arrived;
+        }
+        for request in tables.requests.values() {
+            let line = line(&mut report, &request.model);
+            if request.started {
+                line.running += 1;
+                continue;
+            }
+            line.waiting += 1;
+            let left_ms = request.deadline_ms.saturating_sub(now_ms);
+            line.tightest_ms = Some(line.tightest_ms.map_or(left_ms, |left| left.min(left_ms)));
+        }
+        report.into_values().collect()
+    }
+
+    /// Returns the arrivals that other VMs told of since the last call.
+    pub fn take_remote_arrivals(&self) -> Vec<ModelName> {
+        std::mem::take(&mut self.tables.lock().remote_arrivals)
+    }
+
+    /// Returns the replicas that engines said they don't hold, since the last call.
+    pub fn take_missing(&self) -> Vec<(ModelName, UpstreamName)> {
+        std::mem::take(&mut self.tables.lock().missing)
+    }
+
+    /// Returns the demand over all VMs, one entry a model.
+    pub fn totals(&self, now_ms: u64) -> BTreeMap<ModelName, TotalDemand> {
+        let mut tables = self.tables.lock();
+        tables.remote.retain(|_, (at_ms, _)| now_ms.saturating_sub(*at_ms) < REPORT_LIFETIME_MS);
+        let mut totals: BTreeMap<ModelName, TotalDemand> = BTreeMap::new();
+        for request in tables.requests.values() {
+            let total = totals.entry(request.model.clone()).or_default();
+            if request.started {
+                total.running += 1;
+                continue;
+            }
+            total.waiting += 1;
+            total.waiting_here += 1;
+            tighten(total, Some(request.deadline_ms.saturating_sub(now_ms)));
+            let since_ms = total.waiting_since_ms.unwrap_or(request.arrived_ms);
+            total.waiting_since_ms = Some(since_ms.min(request.arrived_ms));
+        }
+        for (at_ms, demand) in tables.remote.values() {
+            let total = totals.entry(demand.model.clone()).or_default();
+            total.waiting += demand.waiting;
+            total.running += demand.running;
+            let age_ms = now_ms.saturating_sub(*at_ms);
+            tighten(total, demand.tightest_ms.map(|left_ms| left_ms.saturating_sub(age_ms)));
+        }
+        totals
+    }
+}
+
+fn line<'a>(
+    report: &'a mut BTreeMap<ModelName, ModelDemand>,
+    model: &ModelName,
+) -> &'a mut ModelDemand {
+    report.entry(model.clone()).or_insert_with(|| ModelDemand {
+        model: model.clone(),
+        arrived: 0,
+        waiting: 0,
+        running: 0,
+        tightest_ms: None,
+    })
+}
+
+fn tighten(total: &mut TotalDemand, left_ms: Option<u64>) {
+    total.tightest_ms = match (total.tightest_ms, left_ms) {
+        (Some(one), Some(other)) => Some(one.min(other)),
+        (one, other) => one.or(other),
+    };
+}
+
+/// `DemandInbox` feeds a [`DemandTable`] from the gateway and wakes the placement loop.
+pub struct DemandInbox {
+    /// The table.
+    pub table: std::sync::Arc<DemandTable>,
+    /// Called when a request arrives that may need a load.
+    pub wake: Box<dyn Fn() + Send + Sync>,
+    /// Called with the model of each request that arrives.
+    pub arrived: Box<dyn Fn(u64, &ModelName) + Send + Sync>,
+}
+
+impl DemandSink for DemandInbox {
+    fn note(&self, now_ms: u64, event: DemandEvent) {
+        match event {
+            DemandEvent::Arrived { ticket, model, deadline_ms } => {
+                (self.arrived)(now_ms, &model);
+                let mut tables = self.table.tables.lock();
+                *tables.arrived.entry(model.clone()).or_default() += 1;
+                let request =
+                    LocalRequest { model, deadline_ms, arrived_ms: now_ms, started: false };
+                tables.requests.insert(ticket, request);
+                drop(tables);
+                (self.wake)();
+            }
+            DemandEvent::Started { ticket } => {
+                if let Some(request) = self.table.tables.lock().requests.get_mut(&ticket) {
+                    request.started = true;
+                }
+            }
+            DemandEvent::Ended { ticket } => {
+                self.table.tables.lock().requests.remove(&ticket);
+            }
+            DemandEvent::Missing { model, upstream } => {
+                self.table.tables.lock().missing.push((model, upstream));
+                (self.wake)();
+            }
+        }
+    }
+}
