Launcher: child processes, stand-ins' paths and a caller

The demonstration and the scenarios drive real processes from the outside. The library starts the programs that lie beside it, waits for their ready lines without holding them, signals them by id, and ends them all on drop. A caller follows each answer event by event, so that a fault can be set in the middle of a stream, and tells whole, refused, cut and crossed answers apart.

--- a/crates/launcher/src/lib.rs
+++ b/crates/launcher/src/lib.rs
@@ -1,4 +1,20 @@
-//! Starts stand-ins and VMs on loopback, for the demonstration and for scenarios.
+//! Starts stand-ins and VMs as child processes on loopback, and drives them from the outside.
+//!
+//! The launcher is a tool for demonstrations and tests. The system itself starts no processes.
 
 #![forbid(unsafe_code)]
 #![warn(missing_docs)]
+
+pub mod answer;
+pub mod caller;
+pub mod errors;
+pub mod interrupts;
+pub mod poll;
+pub mod process;
+pub mod processes;
+pub mod programs;
+pub mod ready;
+pub mod standin;
+
+pub use errors::Error;
+pub use errors::Result;
--- /dev/null
+++ b/crates/launcher/src/main.rs
@@ -0,0 +1,3 @@
+//! The `launcher` program.
+
+fn main() {}
