Telemetry: JSON lines and metrics

Cause: every part of the daemon logs and counts, so the crate comes early.

Changed: JsonLogger is a SharedLogger of simplelog, which has no JSON format of its own; it takes request_id, reason and other keys from log's key-values. A thread of its own writes the lines, so that a log reader that stalls costs log lines and no request. Metrics implements ServingObserver; series start at zero, and only configured classes and groups become labels.

--- a/crates/telemetry/src/lib.rs
+++ b/crates/telemetry/src/lib.rs
@@ -1,4 +1,33 @@
-//! Structured logs and metrics.
+//! Structured logs and metrics of a daemon.
+//!
+//! Logs are JSON lines ([`init_logs`]). Metrics are counted in [`Metrics`] and rendered in the
+//! OpenMetrics text format. No label ever carries a caller, a request or a model, so the number of
+//! series is bounded by the configuration.
 
 #![forbid(unsafe_code)]
 #![warn(missing_docs)]
+
+mod errors;
+mod json_log;
+mod labels;
+mod line_writer;
+mod metrics;
+mod names;
+mod node_metrics;
+mod serving_metrics;
+
+pub use errors::Error;
+pub use errors::Result;
+pub use json_log::JsonLogger;
+pub use json_log::LogOptions;
+pub use json_log::init_logs;
+pub use json_log::open_log;
+pub use labels::AppendOutcome;
+pub use labels::OrderKind;
+pub use labels::OrderOutcome;
+pub use labels::ReplicaGauge;
+pub use labels::StreamKind;
+pub use line_writer::LineWriter;
+pub use log::LevelFilter;
+pub use metrics::Metrics;
+pub use node_metrics::NodeMetrics;
--- /dev/null
+++ b/crates/telemetry/src/line_writer.rs
@@ -0,0 +1,93 @@
+//! Writing lines without making the writers of lines wait.
+
+use std::io::Write;
+use std::sync::Arc;
+use std::sync::atomic::AtomicU64;
+use std::sync::atomic::Ordering;
+use std::sync::mpsc;
+use std::sync::mpsc::Receiver;
+use std::sync::mpsc::SyncSender;
+use std::sync::mpsc::TrySendError;
+use std::thread;
+use std::time::Duration;
+
+use crate::errors::Error;
+use crate::errors::Result;
+
+/// The longest time that a flush waits.
+const FLUSH_TIMEOUT: Duration = Duration::from_secs(2);
+
+enum Order {
+    Write(Vec<u8>),
+    Flush(SyncSender<()>),
+}
+
+/// `LineWriter` writes lines by a thread of its own.
+///
+/// If whoever reads the log stalls, a write blocks. Written by the serving threads themselves,
+/// that would stop every request at its next log line: one would notice deadlines missed on a VM
+/// whose upstreams are well. Here the queue fills instead, and lines are dropped and counted.
+pub struct LineWriter {
+    orders: SyncSender<Order>,
+    dropped: Arc<AtomicU64>,
+}
+
+impl LineWriter {
+    /// Starts the writing thread with room for some lines in its queue.
+    ///
+    /// # Errors
+    ///
+    /// `Error::Thread` if the thread can't be started.
+    pub fn start(writer: Box<dyn Write + Send>, queued_lines: usize) -> Result<Self> {
+        let (orders, queue) = mpsc::sync_channel(queued_lines.max(1));
+        thread::Builder::new()
+            .name("log".to_owned())
+            .spawn(move || write_all(writer, &queue))
+            .map_err(Error::Thread)?;
+        Ok(Self {
+            orders,
+            dropped: Arc::default(),
+        })
+    }
+
+    /// Queues a line, which holds its own newline. Returns at once.
+    pub fn write(&self, line: Vec<u8>) {
+        match self.orders.try_send(Order::Write(line)) {
+            Ok(()) => {}
+            Err(TrySendError::Full(_) | TrySendError::Disconnected(_)) => {
+                self.dropped.fetch_add(1, Ordering::Relaxed);
+            }
+        }
+    }
+
+    /// Waits, for a bounded time, until the lines queued so far are written.
+    pub fn flush(&self) {
+        let (done, written) = mpsc::sync_channel(1);
+        if self.orders.try_send(Order::Flush(done)).is_err() {
+            return;
+        }
+        // A timeout means that the log's reader stalls; a stop must not wait for it.
+        let _ = written.recv_timeout(FLUSH_TIMEOUT);
+    }
+
+    /// Returns the count of lines dropped so far, which grows while the log is used.
+    pub fn dropped(&self) -> Arc<AtomicU64> {
+        Arc::clone(&self.dropped)
+    }
+}
+
+fn write_all(mut writer: Box<dyn Write + Send>, queue: &Receiver<Order>) {
+    for order in queue {
+        // A failed write can't be logged. The next line is tried all the same, since a full file
+        // system or a reader that was replaced may recover.
+        match order {
+            Order::Write(line) => {
+                let _ = writer.write_all(&line);
+            }
+            Order::Flush(done) => {
+                let _ = writer.flush();
+                let _ = done.send(());
+            }
+        }
+    }
+}
--- /dev/null
+++ b/crates/telemetry/src/serving_metrics.rs
@@ -0,0 +1,243 @@
+//! What is counted and measured of requests.
+
+use std::sync::Arc;
+
+use apricotdale_core::names::ClassName;
+use apricotdale_core::names::GroupName;
+use apricotdale_core::policy::RetryDecision;
+use apricotdale_core::refusal::Ran;
+use apricotdale_core::refusal::Refusal;
+use apricotdale_core::refusal::RefusalReason;
+use apricotdale_core::serving::ServingEvent;
+use prometheus_client::metrics::counter::Counter;
+use prometheus_client::metrics::family::Family;
+use prometheus_client::metrics::histogram::Histogram;
+use prometheus_client::registry::Registry;
+use prometheus_client::registry::Unit;
+
+use crate::labels::AnsweredLabels;
+use crate::labels::ClassLabels;
+use crate::labels::RETRY_DECISIONS;
+use crate::labels::RefusalLabels;
+use crate::labels::RetryLabels;
+use crate::labels::retry_word;
+use crate::names::KnownNames;
+
+/// The label value of a request whose class is not known.
+const NO_CLASS: &str = "none";
+
+/// The most classes that get series of their own.
+const MAX_CLASSES: usize = 32;
+
+/// The most groups that get series of their own.
+const MAX_GROUPS: usize = 64;
+
+/// Upper bounds of the histograms of whole requests, in seconds. 1.3 s is the project's target for
+/// the first token.
+const REQUEST_BOUNDS_S: [f64; 16] = [
+    0.02, 0.05, 0.1, 0.2, 0.4, 0.7, 1.0, 1.3, 2.0, 3.0, 5.0, 10.0, 20.0, 40.0, 80.0, 160.0,
+];
+
+/// Upper bounds of the histogram of the time between tokens, in seconds. 62 ms is the project's
+/// target.
+const INTER_TOKEN_BOUNDS_S: [f64; 13] = [
+    0.005, 0.01, 0.02, 0.03, 0.04, 0.05, 0.062, 0.08, 0.12, 0.25, 0.5, 1.0, 2.0,
+];
+
+const MS_PER_S: f64 = 1_000.0;
+const US_PER_S: f64 = 1_000_000.0;
+
+type ClassHistograms = Family<ClassLabels, Histogram>;
+
+/// `ServingMetrics` counts and measures requests.
+pub(crate) struct ServingMetrics {
+    classes: KnownNames,
+    groups: KnownNames,
+    refusals: Family<RefusalLabels, Counter>,
+    retries: Family<RetryLabels, Counter>,
+    answered: Family<AnsweredLabels, Counter>,
+    first_answer: ClassHistograms,
+    total: ClassHistograms,
+    queue_wait: ClassHistograms,
+    cold_start: ClassHistograms,
+    inter_token: Histogram,
+}
+
+fn request_histogram() -> Histogram {
+    Histogram::new(REQUEST_BOUNDS_S)
+}
+
+impl ServingMetrics {
+    /// Returns the metrics, registered and at zero.
+    pub(crate) fn new(registry: &mut Registry) -> Self {
+        let metrics = Self {
+            classes: KnownNames::new(MAX_CLASSES),
+            groups: KnownNames::new(MAX_GROUPS),
+            refusals: Family::default(),
+            retries: Family::default(),
+            answered: Family::default(),
+            first_answer: Family::new_with_constructor(request_histogram),
+            total: Family::new_with_constructor(request_histogram),
+            queue_wait: Family::new_with_constructor(request_histogram),
+            cold_start: Family::new_with_constructor(request_histogram),
+            inter_token: Histogram::new(INTER_TOKEN_BOUNDS_S),
+        };
+        metrics.register(registry);
+        metrics.start_refusals(&Arc::from(NO_CLASS));
+        for reason in RefusalReason::ALL {
+            metrics.refusal_counter(*reason, Ran::Ran, Arc::from(NO_CLASS));
+            metrics.refusal_counter(*reason, Ran::Unknown, Arc::from(NO_CLASS));
+        }
+        metrics
+    }
+
+    fn register(&self, registry: &mut Registry) {
+        registry.register(
+            "refusals",
+            "Requests refused, by reason and by whether they ran",
+            self.refusals.clone(),
+        );
+        registry.register(
+            "retry_decisions",
+            "Failed tries at an upstream, by what was decided and by whether the try ran",
+            self.retries.clone(),
+        );
+        registry.register(
+            "answered",
+            "Requests answered in whole, by whether the class's target was met",
+            self.answered.clone(),
+        );
+        registry.register_with_unit(
+            "first_answer",
+            "Time from arrival to the first token, or to the whole answer where it is no stream",
+            Unit::Seconds,
+            self.first_answer.clone(),
+        );
+        registry.register_with_unit(
+            "answer",
+            "Time from arrival to the end of the answer",
+            Unit::Seconds,
+            self.total.clone(),
+        );
+        registry.register_with_unit(
+            "queue_wait",
+            "Time that a request waited for admission",
+            Unit::Seconds,
+            self.queue_wait.clone(),
+        );
+        registry.register_with_unit(
+            "cold_start",
+            "Time that a request waited for a load",
+            Unit::Seconds,
+            self.cold_start.clone(),
+        );
+        registry.register_with_unit(
+            "inter_token",
+            "Time between two events of a stream",
+            Unit::Seconds,
+            self.inter_token.clone(),
+        );
+    }
+
+    /// Makes a class known and starts its series at zero.
+    pub(crate) fn add_class(&self, class: &ClassName) {
+        let label = self.classes.add(class.as_str());
+        self.start_refusals(&label);
+        for target in ["met", "missed"] {
+            drop(self.answered.get_or_create(&AnsweredLabels {
+                class: Arc::clone(&label),
+                target,
+            }));
+        }
+    }
+
+    /// Makes a group known and starts its series at zero.
+    pub(crate) fn add_group(&self, group: &GroupName) {
+        let label = self.groups.add(group.as_str());
+        for decision in RETRY_DECISIONS {
+            for ran in [Ran::NotRun, Ran::Ran, Ran::Unknown] {
+                drop(self.retries.get_or_create(&RetryLabels {
+                    decision,
+                    ran: ran.as_str(),
+                    group: Arc::clone(&label),
+                }));
+            }
+        }
+    }
+
+    /// Takes in an event.
+    pub(crate) fn observe(&self, event: &ServingEvent) {
+        match event {
+            ServingEvent::Refused { class, refusal } => self.refused(class.as_ref(), refusal),
+            ServingEvent::Retry {
+                group,
+                decision,
+                ran,
+            } => self.retried(group, *decision, *ran),
+            ServingEvent::Answered {
+                class,
+                first_answer_ms,
+                total_ms,
+                met,
+            } => self.answered(class, *first_answer_ms, *total_ms, *met),
+            ServingEvent::QueueWait { class, wait_ms } => {
+                self.measure(&self.queue_wait, class, *wait_ms);
+            }
+            ServingEvent::ColdStart { class, wait_ms } => {
+                self.measure(&self.cold_start, class, *wait_ms);
+            }
+            ServingEvent::InterToken { gap_us } => {
+                self.inter_token.observe(*gap_us as f64 / US_PER_S);
+            }
+        }
+    }
+
+    fn refused(&self, class: Option<&ClassName>, refusal: &Refusal) {
+        let label = match class {
+            Some(class) => self.classes.label(class.as_str()),
+            None => Arc::from(NO_CLASS),
+        };
+        self.refusal_counter(refusal.reason, refusal.ran, label)
+            .inc();
+    }
+
+    fn retried(&self, group: &GroupName, decision: RetryDecision, ran: Ran) {
+        let labels = RetryLabels {
+            decision: retry_word(decision),
+            ran: ran.as_str(),
+            group: self.groups.label(group.as_str()),
+        };
+        self.retries.get_or_create(&labels).inc();
+    }
+
+    fn answered(&self, class: &ClassName, first_answer_ms: u64, total_ms: u64, met: bool) {
+        let labels = AnsweredLabels {
+            class: self.classes.label(class.as_str()),
+            target: if met { "met" } else { "missed" },
+        };
+        self.answered.get_or_create(&labels).inc();
+        self.measure(&self.first_answer, class, first_answer_ms);
+        self.measure(&self.total, class, total_ms);
+    }
+
+    fn measure(&self, histograms: &ClassHistograms, class: &ClassName, took_ms: u64) {
+        let class = self.classes.label(class.as_str());
+        histograms
+            .get_or_create(&ClassLabels { class })
+            .observe(took_ms as f64 / MS_PER_S);
+    }
+
+    fn start_refusals(&self, class: &Arc<str>) {
+        for reason in RefusalReason::ALL {
+            self.refusal_counter(*reason, Ran::NotRun, Arc::clone(class));
+        }
+    }
+
+    fn refusal_counter(&self, reason: RefusalReason, ran: Ran, class: Arc<str>) -> Counter {
+        self.refusals.get_or_create_owned(&RefusalLabels {
+            reason: reason.as_str(),
+            ran: ran.as_str(),
+            class,
+        })
+    }
+}
