Routing and admission: plain baselines behind a registry

Thin working version, so that the node and the gateway can be built against it. Nothing is measured yet and no test exists yet.

--- a/crates/admission/src/lib.rs
+++ b/crates/admission/src/lib.rs
@@ -1,4 +1,21 @@
 //! Admission policies: which requests start, wait or are refused, by class target.
+//!
+//! [`admission_policy`] builds a policy by its name. One policy serves one VM with all its targets
+//! and classes. All policies are pure: the time and the events come in, actions go out.
 
 #![forbid(unsafe_code)]
 #![warn(missing_docs)]
+
+mod errors;
+mod first_come;
+mod options;
+mod registry;
+mod shares;
+
+pub use errors::Error;
+pub use errors::Result;
+pub use first_come::FirstCome;
+pub use options::Options;
+pub use registry::ADMISSION_POLICIES;
+pub use registry::admission_policy;
+pub use shares::share_of_slots;
--- /dev/null
+++ b/crates/admission/src/registry.rs
@@ -0,0 +1,23 @@
+//! Policies by name.
+
+use apricotdale_core::policy::AdmissionPolicy;
+
+use crate::errors::Error;
+use crate::errors::Result;
+use crate::first_come::FirstCome;
+use crate::options::Options;
+
+/// The names that [`admission_policy`] knows.
+pub const ADMISSION_POLICIES: &[&str] = &["first_come"];
+
+/// Returns the admission policy of the given name.
+///
+/// # Errors
+///
+/// [`Error::UnknownPolicy`] if the name is not one of [`ADMISSION_POLICIES`].
+pub fn admission_policy(name: &str, options: Options) -> Result<Box<dyn AdmissionPolicy>> {
+    match name {
+        "first_come" => Ok(Box::new(FirstCome::new(options))),
+        _ => Err(Error::unknown_policy(name, ADMISSION_POLICIES)),
+    }
+}
--- /dev/null
+++ b/crates/routing/src/retry.rs
@@ -0,0 +1,46 @@
+//! Retry policies.
+
+use apricotdale_core::names::GroupName;
+use apricotdale_core::policy::RetryDecision;
+use apricotdale_core::policy::RetryPolicy;
+use apricotdale_core::policy::RetryRequest;
+
+use crate::options::RetryOptions;
+
+/// Returns why a retry is out of the question, or none if it may be considered.
+pub(crate) fn forbidden(request: &RetryRequest, options: &RetryOptions) -> Option<RetryDecision> {
+    let may_repeat = request.idempotent || request.certainly_not_run;
+    match request {
+        _ if request.answer_begun => Some(RetryDecision::AnswerBegun),
+        _ if !may_repeat => Some(RetryDecision::MayHaveRun),
+        _ if request.tries >= options.max_tries => Some(RetryDecision::TooManyTries),
+        _ if request.left_ms < options.min_left_ms => Some(RetryDecision::NoTimeLeft),
+        _ => None,
+    }
+}
+
+/// `FixedRetry` is the plain baseline: it repeats what may be repeated after a fixed pause and
+/// knows no budget. It is kept for comparison.
+#[derive(Debug)]
+pub struct FixedRetry {
+    options: RetryOptions,
+}
+
+impl FixedRetry {
+    /// Returns the policy.
+    pub fn new(options: RetryOptions) -> Self {
+        Self { options }
+    }
+}
+
+impl RetryPolicy for FixedRetry {
+    fn first_try(&mut self, _now_ms: u64, _group: &GroupName) {}
+
+    fn decide(&mut self, _now_ms: u64, request: &RetryRequest) -> RetryDecision {
+        if let Some(decision) = forbidden(request, &self.options) {
+            return decision;
+        }
+        let longest_ms = request.left_ms - self.options.min_left_ms;
+        RetryDecision::RetryAfterMs(self.options.base_pause_ms.min(longest_ms))
+    }
+}
