Stand-ins for the log, the weight store, the list of VMs and plain services

Tests and demonstrations need something that answers the platform's wire formats. The usual server libraries were ruled out for two reasons: they can't close a connection without an answer, which the lost-answer faults need, and they hold chunked bodies back until some kilobytes are there. The stand-ins therefore share one small server, with httparse and chunked_transfer for the format.

--- /dev/null
+++ b/crates/standins/src/http/reply.rs
@@ -0,0 +1,161 @@
+//! Writing answers.
+
+use std::io;
+use std::io::Write;
+use std::net::Shutdown;
+use std::net::TcpStream;
+
+use chunked_transfer::Encoder;
+use serde::Serialize;
+
+/// `Reply` is what becomes of a request.
+pub enum Reply {
+    /// A whole answer.
+    Whole(Whole),
+    /// No answer: the connection is closed.
+    Lost,
+    /// A stream of server-sent events.
+    Stream(Stream),
+}
+
+/// `Whole` is an answer whose body is known in advance.
+#[derive(Clone, Debug)]
+pub struct Whole {
+    /// The HTTP status.
+    pub status: u16,
+    /// Headers besides the content type and length.
+    pub headers: Vec<(String, String)>,
+    /// The JSON body.
+    pub body: Vec<u8>,
+}
+
+/// `Stream` is an answer that is sent event by event.
+pub struct Stream {
+    /// Headers besides the content type.
+    pub headers: Vec<(String, String)>,
+    /// Sends the events. It runs on the connection's thread after the head was sent.
+    pub produce: Box<dyn FnOnce(&mut EventWriter) -> StreamEnd + Send>,
+}
+
+/// `StreamEnd` is how a stream ended.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum StreamEnd {
+    /// The body is closed properly.
+    Closed,
+    /// The connection breaks without an end of the body.
+    Broken,
+}
+
+/// `EventWriter` sends server-sent events, each as one chunk that goes out at once.
+pub struct EventWriter {
+    encoder: Encoder<TcpStream>,
+}
+
+impl EventWriter {
+    /// Sends one event with the given data.
+    ///
+    /// # Errors
+    ///
+    /// Any of the connection: the client is gone.
+    pub fn send(&mut self, data: &str) -> io::Result<()> {
+        let event = format!("data: {data}\n\n");
+        self.encoder.write_all(event.as_bytes())
+    }
+}
+
+impl Reply {
+    /// Returns a whole answer with a JSON body.
+    pub fn json(status: u16, body: &impl Serialize) -> Self {
+        Self::Whole(Whole {
+            status,
+            headers: Vec::new(),
+            body: serde_json::to_vec(body).expect("answers hold only strings, numbers and lists"),
+        })
+    }
+
+    /// Returns a whole answer with an empty JSON object.
+    pub fn ok() -> Self {
+        Self::json(200, &serde_json::json!({}))
+    }
+
+    /// Returns the answer to an unknown path.
+    pub fn not_found() -> Self {
+        Self::json(404, &serde_json::json!({"error": {"code": "unknown_path"}}))
+    }
+
+    /// Returns this answer with one more header.
+    pub fn with_header(mut self, name: &str, value: &str) -> Self {
+        let header = (name.to_owned(), value.to_owned());
+        match &mut self {
+            Self::Whole(whole) => whole.headers.push(header),
+            Self::Stream(stream) => stream.headers.push(header),
+            Self::Lost => {}
+        }
+        self
+    }
+
+    /// Sends the answer and returns whether the connection can take another request.
+    pub(crate) fn send(self, connection: &TcpStream, is_head: bool) -> io::Result<bool> {
+        match self {
+            Self::Whole(whole) => whole.send(connection, is_head),
+            Self::Stream(stream) => stream.send(connection),
+            Self::Lost => Ok(false),
+        }
+    }
+}
+
+impl Whole {
+    fn send(self, mut connection: &TcpStream, is_head: bool) -> io::Result<bool> {
+        let mut answer = head(self.status, "application/json", &self.headers);
+        answer.extend_from_slice(format!("Content-Length: {}\r\n\r\n", self.body.len()).as_bytes());
+        if !is_head {
+            answer.extend_from_slice(&self.body);
+        }
+        connection.write_all(&answer)?;
+        Ok(true)
+    }
+}
+
+impl Stream {
+    fn send(self, mut connection: &TcpStream) -> io::Result<bool> {
+        let mut answer = head(200, "text/event-stream", &self.headers);
+        answer.extend_from_slice(b"Transfer-Encoding: chunked\r\n\r\n");
+        connection.write_all(&answer)?;
+        let mut writer = EventWriter {
+            encoder: Encoder::with_flush_after_write(connection.try_clone()?),
+        };
+        let end = (self.produce)(&mut writer);
+        if end == StreamEnd::Broken {
+            // Dropping the encoder writes the chunk that ends the body, which would make a broken
+            // stream look closed to its reader. The socket must be shut down before that.
+            connection.shutdown(Shutdown::Both)?;
+        }
+        Ok(end == StreamEnd::Closed)
+    }
+}
+
+fn head(status: u16, content_type: &str, headers: &[(String, String)]) -> Vec<u8> {
+    let mut head = format!(
+        "HTTP/1.1 {status} {}\r\nContent-Type: {content_type}\r\n",
+        reason(status)
+    );
+    for (name, value) in headers {
+        head.push_str(&format!("{name}: {value}\r\n"));
+    }
+    head.into_bytes()
+}
+
+fn reason(status: u16) -> &'static str {
+    match status {
+        200 => "OK",
+        201 => "Created",
+        400 => "Bad Request",
+        404 => "Not Found",
+        409 => "Conflict",
+        410 => "Gone",
+        422 => "Unprocessable Content",
+        429 => "Too Many Requests",
+        503 => "Service Unavailable",
+        _ => "Status",
+    }
+}
--- /dev/null
+++ b/crates/standins/src/http/server.rs
@@ -0,0 +1,157 @@
+//! Accepting connections.
+
+use std::collections::BTreeMap;
+use std::io;
+use std::io::BufReader;
+use std::net::Shutdown;
+use std::net::SocketAddr;
+use std::net::TcpListener;
+use std::net::TcpStream;
+use std::sync::Arc;
+use std::thread;
+use std::thread::JoinHandle;
+
+use parking_lot::Mutex;
+
+use crate::http::reply::Reply;
+use crate::http::request::Request;
+
+const STACK_BYTES: usize = 256 * 1024;
+
+/// `Handler` answers requests. Its calls run on many threads at once and may block.
+pub trait Handler: Send + Sync {
+    /// Returns what becomes of a request.
+    fn handle(self: Arc<Self>, request: &Request) -> Reply;
+}
+
+/// `Server` accepts connections on one address until it is stopped.
+pub struct Server {
+    address: SocketAddr,
+    connections: Arc<Connections>,
+    accepting: JoinHandle<()>,
+}
+
+/// `Connections` are the open connections, kept so that a stopped server can break them.
+#[derive(Default)]
+struct Connections {
+    open: Mutex<Open>,
+}
+
+#[derive(Default)]
+struct Open {
+    stopped: bool,
+    next_id: u64,
+    streams: BTreeMap<u64, TcpStream>,
+}
+
+impl Server {
+    /// Listens on an address and serves from threads of its own.
+    ///
+    /// # Errors
+    ///
+    /// Any of listening.
+    pub fn start(listen: SocketAddr, handler: Arc<dyn Handler>) -> io::Result<Self> {
+        let listener = TcpListener::bind(listen)?;
+        let address = listener.local_addr()?;
+        let connections = Arc::new(Connections::default());
+        let accepted = connections.clone();
+        let accepting = thread::Builder::new()
+            .name("accept".to_owned())
+            .spawn(move || accept(&listener, &handler, &accepted))?;
+        Ok(Self {
+            address,
+            connections,
+            accepting,
+        })
+    }
+
+    /// Returns the address that the server listens on.
+    pub fn address(&self) -> SocketAddr {
+        self.address
+    }
+
+    /// Waits until the server is stopped.
+    pub fn wait(self) {
+        // A panic in the accepting thread has already been printed by that thread.
+        let _ = self.accepting.join();
+    }
+
+    /// Stops accepting and breaks every connection, as the death of the process would.
+    pub fn stop(self) {
+        let streams = {
+            let mut open = self.connections.open.lock();
+            open.stopped = true;
+            std::mem::take(&mut open.streams)
+        };
+        for stream in streams.values() {
+            // A connection that the client closed first can't be shut down any more.
+            let _ = stream.shutdown(Shutdown::Both);
+        }
+        // The accepting thread notices the stop only when a connection arrives.
+        let _ = TcpStream::connect(self.address);
+        self.wait();
+    }
+}
+
+impl Connections {
+    /// Notes a connection and returns its number, or none once the server is stopped.
+    fn add(&self, stream: &TcpStream) -> Option<u64> {
+        let mut open = self.open.lock();
+        if open.stopped {
+            return None;
+        }
+        let id = open.next_id;
+        open.next_id += 1;
+        open.streams.insert(id, stream.try_clone().ok()?);
+        Some(id)
+    }
+
+    fn remove(&self, id: u64) {
+        self.open.lock().streams.remove(&id);
+    }
+
+    fn is_stopped(&self) -> bool {
+        self.open.lock().stopped
+    }
+}
+
+fn accept(listener: &TcpListener, handler: &Arc<dyn Handler>, connections: &Arc<Connections>) {
+    for stream in listener.incoming() {
+        if connections.is_stopped() {
+            return;
+        }
+        // A client that is gone before it was accepted is no concern of the server.
+        let Ok(stream) = stream else { continue };
+        let Some(id) = connections.add(&stream) else {
+            continue;
+        };
+        let handler = handler.clone();
+        let served = connections.clone();
+        let spawned = thread::Builder::new()
+            .name("connection".to_owned())
+            .stack_size(STACK_BYTES)
+            .spawn(move || {
+                // An error means that the client is gone or that it sent no HTTP; either way the
+                // connection ends.
+                let _ = serve(&stream, &handler);
+                served.remove(id);
+                let _ = stream.shutdown(Shutdown::Both);
+            });
+        if spawned.is_err() {
+            connections.remove(id);
+        }
+    }
+}
+
+fn serve(stream: &TcpStream, handler: &Arc<dyn Handler>) -> io::Result<()> {
+    stream.set_nodelay(true)?;
+    let mut reader = BufReader::new(stream.try_clone()?);
+    while let Some(request) = Request::read(&mut reader)? {
+        let reply = handler.clone().handle(&request);
+        let reusable = reply.send(stream, request.method == "HEAD")?;
+        if !reusable || !request.keeps_alive() {
+            return Ok(());
+        }
+    }
+    Ok(())
+}
--- /dev/null
+++ b/crates/standins/src/lagged.rs
@@ -0,0 +1,55 @@
+//! Values that are published with a lag.
+
+use std::collections::VecDeque;
+
+/// `Lagged` publishes a value as it was some time ago.
+#[derive(Clone, Debug)]
+pub struct Lagged<T> {
+    lag_ms: u64,
+    history: VecDeque<(u64, T)>,
+}
+
+impl<T: Clone> Lagged<T> {
+    /// Returns a value that is published `lag_ms` milliseconds late and was always `initial`.
+    pub fn new(lag_ms: u64, initial: T) -> Self {
+        Self {
+            lag_ms,
+            history: VecDeque::from([(0, initial)]),
+        }
+    }
+
+    /// Returns the lag in milliseconds.
+    pub fn lag_ms(&self) -> u64 {
+        self.lag_ms
+    }
+
+    /// Notes the value from now on.
+    pub fn record(&mut self, now_ms: u64, value: T) {
+        self.history.push_back((now_ms, value));
+        self.forget(now_ms);
+    }
+
+    /// Returns the newest value, which is not published yet.
+    pub fn newest(&self) -> &T {
+        let (_, value) = self.history.back().expect("the history is never empty");
+        value
+    }
+
+    /// Returns the value as it was a lag ago.
+    pub fn published(&mut self, now_ms: u64) -> &T {
+        self.forget(now_ms);
+        let (_, value) = self.history.front().expect("the history is never empty");
+        value
+    }
+
+    /// Drops what was replaced more than a lag ago. The front is then what is published.
+    fn forget(&mut self, now_ms: u64) {
+        while self
+            .history
+            .get(1)
+            .is_some_and(|(since_ms, _)| since_ms.saturating_add(self.lag_ms) <= now_ms)
+        {
+            self.history.pop_front();
+        }
+    }
+}
--- /dev/null
+++ b/crates/standins/src/log/options.rs
@@ -0,0 +1,46 @@
+//! Settings of the log stand-in.
+
+use bpaf::Bpaf;
+
+use crate::log::streams::Retention;
+
+const DEFAULT_APPENDS_PER_S: u32 = 300;
+
+/// `Options` are the settings of the log stand-in.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Bpaf)]
+#[bpaf(generate(options))]
+pub struct Options {
+    /// Appends that are accepted within any second; the others get 429
+    #[bpaf(argument("N"), fallback(DEFAULT_APPENDS_PER_S), display_fallback)]
+    pub appends_per_s: u32,
+    /// Age in milliseconds after which records expire
+    #[bpaf(argument("MS"))]
+    pub retention_ms: Option<u64>,
+    /// Records that a stream keeps
+    #[bpaf(argument("N"))]
+    pub retention_records: Option<usize>,
+    /// Delay of every call in milliseconds
+    #[bpaf(argument("MS"), fallback(0), display_fallback)]
+    pub slow_ms: u64,
+}
+
+impl Default for Options {
+    fn default() -> Self {
+        Self {
+            appends_per_s: DEFAULT_APPENDS_PER_S,
+            retention_ms: None,
+            retention_records: None,
+            slow_ms: 0,
+        }
+    }
+}
+
+impl Options {
+    /// Returns how long records are kept.
+    pub fn retention(&self) -> Retention {
+        Retention {
+            age_ms: self.retention_ms,
+            records: self.retention_records,
+        }
+    }
+}
--- /dev/null
+++ b/crates/standins/src/log/streams.rs
@@ -0,0 +1,93 @@
+//! The records of one stream.
+
+use std::collections::VecDeque;
+
+use apricotdale_core::log::LogRecord;
+use apricotdale_core::numbers::Offset;
+
+/// `Retention` says how long records are kept.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+pub struct Retention {
+    /// The age after which a record expires, in milliseconds.
+    pub age_ms: Option<u64>,
+    /// The number of records that are kept.
+    pub records: Option<usize>,
+}
+
+/// `StreamRecords` holds the records of one stream that have not expired.
+#[derive(Clone, Debug, Default)]
+pub struct StreamRecords {
+    first: u64,
+    records: VecDeque<LogRecord>,
+    last_appended_ms: u64,
+    bytes_kept: u64,
+}
+
+impl StreamRecords {
+    /// Returns the first offset that is kept.
+    pub fn first(&self) -> Offset {
+        Offset(self.first)
+    }
+
+    /// Returns the offset that the next append will get.
+    pub fn end(&self) -> Offset {
+        Offset(self.first + self.records.len() as u64)
+    }
+
+    /// Returns the bytes of the payloads that are kept.
+    pub fn bytes_kept(&self) -> u64 {
+        self.bytes_kept
+    }
+
+    /// Appends a record and returns its offset. The time of a record is never before that of the
+    /// record in front of it, whatever the clock does.
+    pub fn append(&mut self, now_ms: u64, payload: Vec<u8>) -> Offset {
+        let offset = self.end();
+        self.last_appended_ms = self.last_appended_ms.max(now_ms);
+        self.bytes_kept += payload.len() as u64;
+        self.records.push_back(LogRecord {
+            offset,
+            appended_ms: self.last_appended_ms,
+            payload,
+        });
+        offset
+    }
+
+    /// Returns the records from an offset on, at most `max_records` of them, or none if the offset
+    /// has expired.
+    pub fn read(&self, from: Offset, max_records: usize) -> Option<Vec<LogRecord>> {
+        let skipped = from.0.checked_sub(self.first)?;
+        let skipped = usize::try_from(skipped).unwrap_or(usize::MAX);
+        let records = self.records.iter().skip(skipped).take(max_records);
+        Some(records.cloned().collect())
+    }
+
+    /// Drops the records before an offset.
+    pub fn trim(&mut self, before: Offset) {
+        while self.first < before.0 && !self.records.is_empty() {
+            self.drop_first();
+        }
+    }
+
+    /// Drops the records that the retention does not keep.
+    pub fn expire(&mut self, now_ms: u64, retention: Retention) {
+        let most = retention.records.unwrap_or(usize::MAX);
+        while self.records.len() > most || self.first_is_older(now_ms, retention.age_ms) {
+            self.drop_first();
+        }
+    }
+
+    fn first_is_older(&self, now_ms: u64, age_ms: Option<u64>) -> bool {
+        let Some((record, age_ms)) = self.records.front().zip(age_ms) else {
+            return false;
+        };
+        record.appended_ms.saturating_add(age_ms) <= now_ms
+    }
+
+    fn drop_first(&mut self) {
+        if let Some(record) = self.records.pop_front() {
+            self.first += 1;
+            self.bytes_kept -= record.payload.len() as u64;
+        }
+    }
+}
--- /dev/null
+++ b/crates/standins/src/service.rs
@@ -0,0 +1,157 @@
+//! The stand-in of one instance of a plain service.
+
+use std::collections::BTreeMap;
+use std::sync::Arc;
+use std::time::Duration;
+use std::time::Instant;
+
+use parking_lot::Condvar;
+use parking_lot::Mutex;
+use parking_lot::MutexGuard;
+use serde::Deserialize;
+use serde::Serialize;
+use serde_json::json;
+
+use crate::clock::after_ms;
+use crate::fault::FaultOrder;
+use crate::fault::FaultSwitch;
+use crate::http::Handler;
+use crate::http::Reply;
+use crate::http::Request;
+
+/// How often a call that hangs looks whether its caller is still there.
+const CALLER_POLL: Duration = Duration::from_millis(50);
+
+/// `Mode` is how the service stand-in behaves.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq, Deserialize)]
+#[serde(rename_all = "snake_case")]
+pub enum Mode {
+    /// Works.
+    #[default]
+    Up,
+    /// Answers every call with 503, without an effect.
+    Refuse,
+    /// Takes effect, then closes the connection without an answer.
+    LostAnswer,
+    /// Takes effect, then does not answer until the mode is set anew.
+    Hang,
+    /// Takes effect only after a delay.
+    Slow,
+}
+
+/// `ServiceStandin` answers any call and counts it.
+#[derive(Default)]
+pub struct ServiceStandin {
+    state: Mutex<State>,
+    changed: Condvar,
+}
+
+#[derive(Default)]
+struct State {
+    fault: FaultSwitch<Mode>,
+    effects: Effects,
+}
+
+#[derive(Default, Serialize)]
+struct Effects {
+    calls: BTreeMap<String, u64>,
+    keys: BTreeMap<String, u64>,
+    requests: BTreeMap<String, u64>,
+}
+
+impl ServiceStandin {
+    /// Returns a service without effects so far.
+    pub fn new() -> Self {
+        Self::default()
+    }
+
+    fn call(&self, request: &Request) -> Reply {
+        let mut state = self.state.lock();
+        let mode = state.fault.mode();
+        let delay_ms = state.fault.delay_ms();
+        state.fault.consume();
+        match mode {
+            Mode::Up => state.effects.count(request),
+            Mode::Refuse => Reply::json(503, &json!({"error": {"code": "refused"}})),
+            Mode::LostAnswer => {
+                state.effects.count(request);
+                Reply::Lost
+            }
+            Mode::Hang => {
+                let reply = state.effects.count(request);
+                self.hold(&mut state, request, None);
+                reply
+            }
+            Mode::Slow => {
+                let deadline = after_ms(delay_ms);
+                self.hold(&mut state, request, Some(deadline));
+                state.effects.count(request)
+            }
+        }
+    }
+
+    /// Holds a call until a deadline or until the mode is set anew. A call without a deadline ends
+    /// with its caller, so that its thread does not stay for ever.
+    fn hold(
+        &self,
+        state: &mut MutexGuard<'_, State>,
+        request: &Request,
+        deadline: Option<Instant>,
+    ) {
+        let generation = state.fault.generation();
+        while state.fault.generation() == generation {
+            let expired = match deadline {
+                Some(deadline) => Instant::now() >= deadline,
+                None => request.caller.is_gone(),
+            };
+            if expired {
+                return;
+            }
+            let poll = Instant::now() + CALLER_POLL;
+            self.changed.wait_until(state, deadline.unwrap_or(poll));
+        }
+    }
+
+    fn set_fault(&self, request: &Request) -> Reply {
+        let order: FaultOrder<Mode> = match request.json() {
+            Ok(order) => order,
+            Err(reply) => return reply,
+        };
+        self.state.lock().fault.set(order);
+        self.changed.notify_all();
+        Reply::ok()
+    }
+}
+
+impl Handler for ServiceStandin {
+    fn handle(self: Arc<Self>, request: &Request) -> Reply {
+        match (request.method.as_str(), request.path.as_str()) {
+            ("POST", "/standin/fault") => self.set_fault(request),
+            ("GET", "/standin/effects") => Reply::json(200, &self.state.lock().effects),
+            (_, path) if path.starts_with("/standin/") => Reply::not_found(),
+            _ => self.call(request),
+        }
+    }
+}
+
+impl Effects {
+    /// Counts a call that takes effect and returns its answer.
+    fn count(&mut self, request: &Request) -> Reply {
+        let call = format!("{} {}", request.method, request.path);
+        let calls = self.calls.entry(call.clone()).or_default();
+        *calls += 1;
+        let count = *calls;
+        if let Some(key) = request.header("Idempotency-Key") {
+            *self.keys.entry(key.to_owned()).or_default() += 1;
+        }
+        let id = request.header("X-Request-Id");
+        if let Some(id) = id {
+            *self.requests.entry(id.to_owned()).or_default() += 1;
+        }
+        let reply = Reply::json(200, &json!({"call": call, "count": count}));
+        match id {
+            Some(id) => reply.with_header("X-Request-Id", id),
+            None => reply,
+        }
+    }
+}
--- /dev/null
+++ b/crates/standins/src/vm_list.rs
@@ -0,0 +1,132 @@
+//! The stand-in of the platform's lagging list of VMs.
+
+use std::sync::Arc;
+
+use apricotdale_core::serving::Clock;
+use apricotdale_core::vm_list::VmEntry;
+use apricotdale_core::vm_list::VmListing;
+use apricotdale_core::vm_list::VmState;
+use bpaf::Bpaf;
+use parking_lot::Mutex;
+use serde::Deserialize;
+use serde_json::json;
+
+use crate::clock::SystemClock;
+use crate::fault::FaultOrder;
+use crate::fault::FaultSwitch;
+use crate::http::Handler;
+use crate::http::Reply;
+use crate::http::Request;
+use crate::lagged::Lagged;
+
+/// `Options` are the settings of the list stand-in.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq, Bpaf)]
+#[bpaf(generate(options))]
+pub struct Options {
+    /// Time in milliseconds after which a change shows
+    #[bpaf(argument("MS"), fallback(0), display_fallback)]
+    pub lag_ms: u64,
+}
+
+/// `Mode` is how the list stand-in behaves.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq, Deserialize)]
+#[serde(rename_all = "snake_case")]
+pub enum Mode {
+    /// Works.
+    #[default]
+    Up,
+    /// Answers every reading with 503.
+    Down,
+}
+
+/// `VmListStandin` publishes the entries it was given, with a lag.
+pub struct VmListStandin {
+    clock: SystemClock,
+    state: Mutex<State>,
+}
+
+struct State {
+    entries: Lagged<Vec<VmEntry>>,
+    fault: FaultSwitch<Mode>,
+}
+
+#[derive(Deserialize)]
+struct StateChange {
+    name: String,
+    state: VmState,
+}
+
+impl VmListStandin {
+    /// Returns an empty list.
+    pub fn new(options: Options) -> Self {
+        Self {
+            clock: SystemClock::new(),
+            state: Mutex::new(State {
+                entries: Lagged::new(options.lag_ms, Vec::new()),
+                fault: FaultSwitch::new(),
+            }),
+        }
+    }
+
+    fn list(&self) -> Reply {
+        let now_ms = self.clock.monotonic_ms();
+        let unix_ms = self.clock.unix_ms();
+        let mut state = self.state.lock();
+        if state.fault.mode() == Mode::Down {
+            state.fault.consume();
+            return Reply::json(503, &json!({"error": {"code": "down"}}));
+        }
+        let listing = VmListing {
+            as_of_ms: unix_ms.saturating_sub(state.entries.lag_ms()),
+            entries: state.entries.published(now_ms).clone(),
+        };
+        Reply::json(200, &listing)
+    }
+
+    fn replace(&self, request: &Request) -> Reply {
+        let entries: Vec<VmEntry> = match request.json() {
+            Ok(entries) => entries,
+            Err(reply) => return reply,
+        };
+        let now_ms = self.clock.monotonic_ms();
+        self.state.lock().entries.record(now_ms, entries);
+        Reply::ok()
+    }
+
+    fn change(&self, request: &Request) -> Reply {
+        let change: StateChange = match request.json() {
+            Ok(change) => change,
+            Err(reply) => return reply,
+        };
+        let now_ms = self.clock.monotonic_ms();
+        let mut state = self.state.lock();
+        let mut entries = state.entries.newest().clone();
+        let Some(entry) = entries.iter_mut().find(|entry| entry.name == change.name) else {
+            return Reply::json(404, &json!({"error": {"code": "unknown_vm"}}));
+        };
+        entry.state = change.state;
+        state.entries.record(now_ms, entries);
+        Reply::ok()
+    }
+
+    fn set_fault(&self, request: &Request) -> Reply {
+        let order: FaultOrder<Mode> = match request.json() {
+            Ok(order) => order,
+            Err(reply) => return reply,
+        };
+        self.state.lock().fault.set(order);
+        Reply::ok()
+    }
+}
+
+impl Handler for VmListStandin {
+    fn handle(self: Arc<Self>, request: &Request) -> Reply {
+        match (request.method.as_str(), request.path.as_str()) {
+            ("GET", "/vms") => self.list(),
+            ("POST", "/standin/vms") => self.replace(request),
+            ("POST", "/standin/state") => self.change(request),
+            ("POST", "/standin/fault") => self.set_fault(request),
+            _ => Reply::not_found(),
+        }
+    }
+}
