Adapters over HTTP: first working version

The daemon needs one adapter for each outside interface. A call whose effect counts (append, order, service call, serving request) gets a connection of its own, and a connector that refuses a second one, so that the HTTP library can't send it again. Until that connection stands the outcome is Unavailable, from then on Unknown. Reads share kept connections.

Ruled out: one pooled agent for everything, because a connection that the other side closed shows only after the request was written. Tests so far cover appends; the others follow.

--- /dev/null
+++ b/crates/adapters/src/answer.rs
@@ -0,0 +1,75 @@
+//! Whole bodies, and how one that was cut shows.
+
+use std::io;
+use std::io::Read;
+
+use apricotdale_core::errors::Error;
+use apricotdale_core::errors::Result;
+use ureq::Body;
+use ureq::http::HeaderMap;
+use ureq::http::HeaderName;
+use ureq::http::Response;
+use ureq::http::header::CONTENT_LENGTH;
+use ureq::http::header::CONTENT_TYPE;
+use ureq::http::header::TRANSFER_ENCODING;
+
+/// Returns a header's text, or an empty text if it is absent or not plain ASCII.
+pub(crate) fn header(headers: &HeaderMap, name: HeaderName) -> &str {
+    headers
+        .get(name)
+        .and_then(|value| value.to_str().ok())
+        .unwrap_or_default()
+}
+
+/// Returns the content type of an answer.
+pub(crate) fn content_type(response: &Response<Body>) -> String {
+    header(response.headers(), CONTENT_TYPE).to_owned()
+}
+
+/// Returns the whole body of an answer.
+///
+/// A body that ends when the connection closes may have been cut there, and nothing would show it:
+/// half of a slot list would pass for the whole. So a body counts as whole only if its length was
+/// announced or its last chunk came.
+///
+/// # Errors
+///
+/// `Error::Unknown` if the body was cut or late, `Error::Malformed` if it is above the limit or not
+/// framed as announced.
+pub(crate) fn read_whole(response: Response<Body>, limit_bytes: usize) -> Result<Vec<u8>> {
+    let announced = response.body().content_length();
+    if announced.is_some_and(|length| length > limit_bytes as u64) {
+        return Err(too_large(limit_bytes));
+    }
+    let marked = announced.is_some()
+        || response.headers().contains_key(CONTENT_LENGTH)
+        || response.headers().contains_key(TRANSFER_ENCODING);
+    let mut reader = response
+        .into_body()
+        .into_reader()
+        .take(limit_bytes as u64 + 1);
+    let mut body = Vec::new();
+    reader.read_to_end(&mut body).map_err(read_failed)?;
+    match body.len() {
+        length if length > limit_bytes => Err(too_large(limit_bytes)),
+        length if length > 0 && !marked => {
+            Err(Error::unknown("the answer does not tell where it ends"))
+        }
+        _ => Ok(body),
+    }
+}
+
+/// Returns the error of a body that could not be read on.
+pub(crate) fn read_failed(error: io::Error) -> Error {
+    let inner = error
+        .get_ref()
+        .and_then(|inner| inner.downcast_ref::<ureq::Error>());
+    match inner {
+        Some(ureq::Error::Protocol(inner)) => Error::malformed(inner.to_string()),
+        _ => Error::unknown(format!("answer cut: {error}")),
+    }
+}
+
+fn too_large(limit_bytes: usize) -> Error {
+    Error::malformed(format!("answer above {limit_bytes} bytes"))
+}
--- /dev/null
+++ b/crates/adapters/src/connection.rs
@@ -0,0 +1,178 @@
+//! The one connection of an exchange, and what is known of it.
+
+use std::fmt;
+use std::net::SocketAddr;
+use std::sync::Arc;
+use std::sync::Mutex;
+use std::sync::PoisonError;
+use std::sync::atomic::AtomicBool;
+use std::sync::atomic::Ordering;
+use std::time::Instant;
+
+use ureq::Error;
+use ureq::Timeout;
+use ureq::config::Config;
+use ureq::http::Uri;
+use ureq::unversioned::resolver::ResolvedSocketAddrs;
+use ureq::unversioned::resolver::Resolver;
+use ureq::unversioned::transport::Buffers;
+use ureq::unversioned::transport::ConnectionDetails;
+use ureq::unversioned::transport::Connector;
+use ureq::unversioned::transport::NextTimeout;
+use ureq::unversioned::transport::TcpConnector;
+use ureq::unversioned::transport::Transport;
+use ureq::unversioned::transport::time::Duration;
+
+/// `Watch` is what an exchange knows of its connection. The exchange and the connection share it.
+#[derive(Debug)]
+pub(crate) struct Watch {
+    taken: AtomicBool,
+    connected: AtomicBool,
+    deadline: Mutex<Instant>,
+}
+
+impl Watch {
+    /// Returns the watch of a connection that is not yet there.
+    pub(crate) fn new(deadline: Instant) -> Arc<Self> {
+        Arc::new(Self {
+            taken: AtomicBool::new(false),
+            connected: AtomicBool::new(false),
+            deadline: Mutex::new(deadline),
+        })
+    }
+
+    /// Returns whether the connection was ever established. Until then nothing was sent.
+    pub(crate) fn connected(&self) -> bool {
+        self.connected.load(Ordering::SeqCst)
+    }
+
+    /// Returns the moment at which a pending read or write fails.
+    pub(crate) fn deadline(&self) -> Instant {
+        *self.deadline.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+
+    /// Moves the moment at which a pending read or write fails.
+    pub(crate) fn set_deadline(&self, deadline: Instant) {
+        *self.deadline.lock().unwrap_or_else(PoisonError::into_inner) = deadline;
+    }
+
+    /// Returns the timeout shortened to the deadline, or the error of a deadline that has passed.
+    fn clamp(&self, timeout: NextTimeout, reason: Timeout) -> Result<NextTimeout, Error> {
+        let left = self.deadline().saturating_duration_since(Instant::now());
+        if left.is_zero() {
+            return Err(Error::Timeout(reason));
+        }
+        let shorter = timeout.after.is_not_happening() || left < *timeout.after;
+        match shorter {
+            true => Ok(NextTimeout {
+                after: Duration::Exact(left),
+                reason,
+                ..timeout
+            }),
+            false => Ok(timeout),
+        }
+    }
+}
+
+/// `SingleConnector` establishes one connection and no second one.
+///
+/// An HTTP client that reconnects and sends again turns a lost answer into a second run. One would
+/// notice by a doubled booking or an order obeyed twice. With this connector a second attempt fails
+/// instead, whatever the library does.
+#[derive(Debug)]
+pub(crate) struct SingleConnector {
+    watch: Arc<Watch>,
+    tcp: TcpConnector,
+}
+
+impl SingleConnector {
+    /// Returns a connector whose only connection is watched.
+    pub(crate) fn new(watch: Arc<Watch>) -> Self {
+        Self {
+            watch,
+            tcp: TcpConnector::default(),
+        }
+    }
+}
+
+impl Connector for SingleConnector {
+    type Out = WatchedTransport;
+
+    fn connect(
+        &self,
+        details: &ConnectionDetails,
+        _chained: Option<()>,
+    ) -> Result<Option<Self::Out>, Error> {
+        if self.watch.taken.swap(true, Ordering::SeqCst) {
+            return Err(Error::ConnectionFailed);
+        }
+        let transport = self.tcp.connect(details, None::<()>)?;
+        let Some(transport) = transport else {
+            return Ok(None);
+        };
+        self.watch.connected.store(true, Ordering::SeqCst);
+        Ok(Some(WatchedTransport {
+            inner: Box::new(transport),
+            watch: self.watch.clone(),
+        }))
+    }
+}
+
+/// `WatchedTransport` is a connection whose reads and writes end at the watch's deadline. The
+/// library fixes its own timeouts when a call begins; the deadline of a stream moves with each
+/// event.
+#[derive(Debug)]
+pub(crate) struct WatchedTransport {
+    inner: Box<dyn Transport>,
+    watch: Arc<Watch>,
+}
+
+impl Transport for WatchedTransport {
+    fn buffers(&mut self) -> &mut dyn Buffers {
+        self.inner.buffers()
+    }
+
+    fn transmit_output(&mut self, amount: usize, timeout: NextTimeout) -> Result<(), Error> {
+        let timeout = self.watch.clamp(timeout, Timeout::SendRequest)?;
+        self.inner.transmit_output(amount, timeout)
+    }
+
+    fn await_input(&mut self, timeout: NextTimeout) -> Result<bool, Error> {
+        let timeout = self.watch.clamp(timeout, Timeout::RecvResponse)?;
+        self.inner.await_input(timeout)
+    }
+
+    fn is_open(&mut self) -> bool {
+        self.inner.is_open()
+    }
+}
+
+/// `AddressResolver` takes the address from the URL as it is. The library's own resolver starts a
+/// thread for every call that has a timeout.
+#[derive(Clone, Copy)]
+pub(crate) struct AddressResolver;
+
+impl fmt::Debug for AddressResolver {
+    fn fmt(&self, formatter: &mut fmt::Formatter<'_>) -> fmt::Result {
+        formatter.write_str("AddressResolver")
+    }
+}
+
+impl Resolver for AddressResolver {
+    fn resolve(
+        &self,
+        uri: &Uri,
+        _config: &Config,
+        _timeout: NextTimeout,
+    ) -> Result<ResolvedSocketAddrs, Error> {
+        let address: Option<SocketAddr> = uri
+            .authority()
+            .and_then(|authority| authority.as_str().parse().ok());
+        let Some(address) = address else {
+            return Err(Error::HostNotFound);
+        };
+        let mut addresses = self.empty();
+        addresses.push(address);
+        Ok(addresses)
+    }
+}
--- /dev/null
+++ b/crates/adapters/src/events.rs
@@ -0,0 +1,129 @@
+//! Splitting a stream of server-sent events into whole events.
+
+use apricotdale_core::errors::Error;
+use apricotdale_core::errors::Result;
+
+const DONE: &[u8] = b"[DONE]";
+const DATA_FIELD: &[u8] = b"data:";
+const COMMENT: u8 = b':';
+
+/// `Event` is one whole event with its closing blank line.
+#[derive(Debug, PartialEq, Eq)]
+pub(crate) struct Event {
+    /// The bytes as they came.
+    pub(crate) bytes: Vec<u8>,
+    /// Whether this event says that the stream is whole.
+    pub(crate) done: bool,
+    /// Whether the event only holds comments, which engines send to keep a connection open.
+    pub(crate) comment: bool,
+}
+
+/// `EventSplitter` cuts a stream at the blank lines between events.
+#[derive(Debug)]
+pub(crate) struct EventSplitter {
+    buffer: Vec<u8>,
+    line_start: usize,
+    scanned: usize,
+    limit_bytes: usize,
+    has_field: bool,
+    has_comment: bool,
+    done: bool,
+}
+
+impl EventSplitter {
+    /// Returns a splitter for events up to the given size.
+    pub(crate) fn new(limit_bytes: usize) -> Self {
+        Self {
+            buffer: Vec::new(),
+            line_start: 0,
+            scanned: 0,
+            limit_bytes,
+            has_field: false,
+            has_comment: false,
+            done: false,
+        }
+    }
+
+    /// Takes in bytes of the stream.
+    pub(crate) fn push(&mut self, bytes: &[u8]) {
+        self.buffer.extend_from_slice(bytes);
+    }
+
+    /// Returns the next whole event, or none if more bytes are needed.
+    ///
+    /// # Errors
+    ///
+    /// `Error::Malformed` if an event is above the limit.
+    pub(crate) fn next_event(&mut self) -> Result<Option<Event>> {
+        while let Some(line_end) = self.find_line_end() {
+            let blank = self.scanned == self.line_start;
+            let next_line = line_end;
+            match blank {
+                true if self.has_field || self.has_comment => {
+                    return self.cut(next_line).map(Some);
+                }
+                true => {}
+                false => self.note_line(),
+            }
+            self.line_start = next_line;
+            self.scanned = next_line;
+        }
+        match self.buffer.len() {
+            length if length > self.limit_bytes => Err(self.too_large()),
+            _ => Ok(None),
+        }
+    }
+
+    /// Moves `scanned` to the end of the current line's text and returns where the next line
+    /// starts. A carriage return at the end of the bytes may be the first half of a line end, so it
+    /// waits for the next byte.
+    fn find_line_end(&mut self) -> Option<usize> {
+        let found = self.buffer[self.scanned..]
+            .iter()
+            .position(|byte| matches!(byte, b'\n' | b'\r'));
+        let Some(found) = found else {
+            self.scanned = self.buffer.len();
+            return None;
+        };
+        self.scanned += found;
+        match (self.buffer[self.scanned], self.buffer.get(self.scanned + 1)) {
+            (b'\n', _) => Some(self.scanned + 1),
+            (_, Some(b'\n')) => Some(self.scanned + 2),
+            (_, Some(_)) => Some(self.scanned + 1),
+            (_, None) => None,
+        }
+    }
+
+    fn note_line(&mut self) {
+        let line = &self.buffer[self.line_start..self.scanned];
+        match line.strip_prefix(DATA_FIELD) {
+            Some(data) => {
+                self.has_field = true;
+                self.done |= data.trim_ascii() == DONE;
+            }
+            None if line[0] == COMMENT => self.has_comment = true,
+            None => self.has_field = true,
+        }
+    }
+
+    fn cut(&mut self, end: usize) -> Result<Event> {
+        if end > self.limit_bytes {
+            return Err(self.too_large());
+        }
+        let rest = self.buffer.split_off(end);
+        let event = Event {
+            bytes: std::mem::replace(&mut self.buffer, rest),
+            done: self.done,
+            comment: !self.has_field,
+        };
+        *self = Self {
+            buffer: std::mem::take(&mut self.buffer),
+            ..Self::new(self.limit_bytes)
+        };
+        Ok(event)
+    }
+
+    fn too_large(&self) -> Error {
+        Error::malformed(format!("event above {} bytes", self.limit_bytes))
+    }
+}
--- /dev/null
+++ b/crates/adapters/src/exchange.rs
@@ -0,0 +1,129 @@
+//! Calls whose effect counts: each is sent at most once.
+//!
+//! An exchange has a connection of its own. A kept connection may have been closed by the other
+//! side, which shows only after the request was written; whether the request was read is then not
+//! known, and an HTTP client that sends it again on a new connection may run it twice. A new
+//! connection for each call costs one round trip and makes the outcome plain: until the connection
+//! stands, nothing was sent (`Error::Unavailable`); from then on it may have been received
+//! (`Error::Unknown`).
+
+use std::net::SocketAddr;
+use std::sync::Arc;
+use std::time::Duration;
+use std::time::Instant;
+
+use apricotdale_core::errors::Error;
+use apricotdale_core::errors::Result;
+use ureq::Agent;
+use ureq::Body;
+use ureq::config::Config;
+use ureq::http::Method;
+use ureq::http::Request;
+use ureq::http::Response;
+use ureq::http::header::CONTENT_TYPE;
+use ureq::http::request::Builder;
+
+use crate::connection::AddressResolver;
+use crate::connection::SingleConnector;
+use crate::connection::Watch;
+use crate::options::HttpOptions;
+
+/// The content type of what the adapters themselves send.
+pub(crate) const JSON: &str = "application/json";
+
+/// `Outgoing` is one call that is to be sent at most once.
+pub(crate) struct Outgoing<'a> {
+    /// Where to.
+    pub(crate) address: SocketAddr,
+    /// The HTTP method.
+    pub(crate) method: Method,
+    /// The path, with its query.
+    pub(crate) path: &'a str,
+    /// The content type of the body.
+    pub(crate) content_type: &'a str,
+    /// Further headers.
+    pub(crate) headers: Vec<(&'static str, String)>,
+    /// The body, or none for a call without one.
+    pub(crate) body: Option<&'a [u8]>,
+    /// When the answer's head must have come.
+    pub(crate) deadline: Instant,
+}
+
+/// `Incoming` is an answer whose head has come.
+pub(crate) struct Incoming {
+    /// The head and the body still to be read.
+    pub(crate) response: Response<Body>,
+    /// The watch of the connection, whose deadline covers the body as well until it is moved.
+    pub(crate) watch: Arc<Watch>,
+}
+
+/// Returns the deadline that many milliseconds from now.
+pub(crate) fn deadline_in(timeout_ms: u64) -> Instant {
+    Instant::now() + Duration::from_millis(timeout_ms)
+}
+
+/// Sends a call and returns when the head of its answer has come.
+///
+/// # Errors
+///
+/// `Error::Rejected` for a call that can't be written as HTTP, `Error::Unavailable` if no
+/// connection was established, `Error::Unknown` for everything that fails later.
+pub(crate) fn send(options: &HttpOptions, outgoing: Outgoing<'_>) -> Result<Incoming> {
+    let watch = Watch::new(outgoing.deadline);
+    let connector = SingleConnector::new(watch.clone());
+    let config = config(options, outgoing.deadline);
+    let agent = Agent::with_parts(config, connector, AddressResolver);
+    let sent = match outgoing.body {
+        Some(body) => agent.run(request(&outgoing)?.body(body).map_err(unwritable)?),
+        None => agent.run(request(&outgoing)?.body(()).map_err(unwritable)?),
+    };
+    match sent {
+        Ok(response) => Ok(Incoming { response, watch }),
+        Err(error) if watch.connected() => Err(Error::unknown(error.to_string())),
+        Err(error) => Err(Error::unavailable(error.to_string())),
+    }
+}
+
+fn request(outgoing: &Outgoing<'_>) -> Result<Builder> {
+    // Without its slash, a path could change the address before it.
+    if !outgoing.path.starts_with('/') {
+        return Err(Error::rejected("the call's path has no leading slash"));
+    }
+    let url = format!("http://{}{}", outgoing.address, outgoing.path);
+    let mut builder = Request::builder().method(outgoing.method.clone()).uri(url);
+    if outgoing.body.is_some() {
+        builder = builder.header(CONTENT_TYPE, outgoing.content_type);
+    }
+    for (name, value) in &outgoing.headers {
+        builder = builder.header(*name, value);
+    }
+    match builder.headers_ref() {
+        Some(_) => Ok(builder),
+        None => Err(Error::rejected(
+            "the call's method, path or headers can't be sent",
+        )),
+    }
+}
+
+fn unwritable(error: ureq::http::Error) -> Error {
+    Error::rejected(error.to_string())
+}
+
+fn config(options: &HttpOptions, deadline: Instant) -> Config {
+    let left = deadline.saturating_duration_since(Instant::now());
+    let connect_timeout = left.min(Duration::from_millis(options.connect_timeout_ms));
+    Config::builder()
+        .http_status_as_error(false)
+        .proxy(None)
+        .no_delay(true)
+        .max_redirects(0)
+        .max_redirects_will_error(false)
+        .allow_non_standard_methods(true)
+        .max_idle_connections(0)
+        .max_idle_connections_per_host(0)
+        .max_response_header_size(options.head_limit_bytes)
+        .input_buffer_size(options.buffer_bytes)
+        .output_buffer_size(options.buffer_bytes)
+        .timeout_connect(Some(connect_timeout))
+        .build()
+}
--- a/crates/adapters/src/lib.rs
+++ b/crates/adapters/src/lib.rs
@@ -1,4 +1,43 @@
 //! Adapters that meet the outside interfaces over HTTP.
+//!
+//! Each adapter implements traits of `apricotdale-core`. The rest of the system holds them as trait
+//! objects in [`Adapters`], so another protocol means another adapter and no other change.
+//!
+//! What matters most here is to tell a call that certainly had no effect (`Error::Unavailable`)
+//! from one that may have had (`Error::Unknown`). Module `exchange` draws that line: a call whose
+//! effect counts gets one connection of its own and is sent on it at most once.
 
 #![forbid(unsafe_code)]
 #![warn(missing_docs)]
+
+mod answer;
+mod clock;
+mod connection;
+mod engine;
+mod events;
+mod exchange;
+mod log;
+mod options;
+mod paths;
+mod reading;
+mod registry;
+mod service;
+mod serving;
+mod vm_list;
+mod weights;
+
+pub use clock::SystemClock;
+pub use engine::HttpEngine;
+pub use log::HttpLog;
+pub use options::EngineOptions;
+pub use options::HttpOptions;
+pub use options::LogOptions;
+pub use options::Options;
+pub use options::ServiceOptions;
+pub use options::VmListOptions;
+pub use options::WeightsOptions;
+pub use registry::Adapters;
+pub use registry::http_adapters;
+pub use service::HttpService;
+pub use vm_list::HttpVmList;
+pub use weights::HttpWeights;
--- /dev/null
+++ b/crates/adapters/src/log.rs
@@ -0,0 +1,168 @@
+//! The append-only log over HTTP.
+
+use apricotdale_core::errors::Error;
+use apricotdale_core::errors::Result;
+use apricotdale_core::log::LogBatch;
+use apricotdale_core::log::LogClient;
+use apricotdale_core::log::LogRecord;
+use apricotdale_core::names::StreamName;
+use apricotdale_core::numbers::Offset;
+use base64::Engine;
+use base64::engine::general_purpose::STANDARD;
+use serde::Deserialize;
+use ureq::http::Method;
+
+use crate::answer;
+use crate::exchange;
+use crate::exchange::Incoming;
+use crate::exchange::Outgoing;
+use crate::exchange::deadline_in;
+use crate::options::HttpOptions;
+use crate::options::LogOptions;
+use crate::paths::segment;
+use crate::reading::OK;
+use crate::reading::Reader;
+use crate::reading::parse;
+
+const APPENDED: u16 = 201;
+const EXPIRED: u16 = 410;
+const TOO_MANY: u16 = 429;
+const DOWN: u16 = 503;
+const RECORD_TYPE: &str = "application/octet-stream";
+const APPEND_ANSWER_LIMIT_BYTES: usize = 64 * 1024;
+
+/// `HttpLog` is the platform's log over HTTP.
+#[derive(Clone, Debug)]
+pub struct HttpLog {
+    http: HttpOptions,
+    options: LogOptions,
+    reader: Reader,
+}
+
+#[derive(Deserialize)]
+struct AppendAnswer {
+    offset: Offset,
+}
+
+#[derive(Deserialize)]
+struct ExpiredAnswer {
+    first: Offset,
+}
+
+#[derive(Deserialize)]
+struct ReadAnswer {
+    first: Offset,
+    end: Offset,
+    records: Vec<ReadRecord>,
+}
+
+#[derive(Deserialize)]
+struct ReadRecord {
+    offset: Offset,
+    appended_ms: u64,
+    payload: String,
+}
+
+impl HttpLog {
+    /// Returns an adapter for the log at the address in the options.
+    pub fn new(http: &HttpOptions, options: &LogOptions) -> Self {
+        Self {
+            http: http.clone(),
+            options: options.clone(),
+            reader: Reader::new(http, options.answer_limit_bytes),
+        }
+    }
+}
+
+impl LogClient for HttpLog {
+    fn append(&self, stream: &StreamName, payload: &[u8]) -> Result<Offset> {
+        let outgoing = Outgoing {
+            address: self.options.address,
+            method: Method::POST,
+            path: &format!("/streams/{}/records", segment(stream.as_str())),
+            content_type: RECORD_TYPE,
+            headers: Vec::new(),
+            body: Some(payload),
+            deadline: deadline_in(self.options.append_timeout_ms),
+        };
+        let incoming = exchange::send(&self.http, outgoing)?;
+        read_append(incoming)
+    }
+
+    fn read(
+        &self,
+        stream: &StreamName,
+        from: Offset,
+        max_records: usize,
+        wait_ms: u64,
+    ) -> Result<LogBatch> {
+        let stream = segment(stream.as_str());
+        let path =
+            format!("/streams/{stream}/records?from={from}&max={max_records}&wait_ms={wait_ms}");
+        let timeout_ms = self.options.read_timeout_ms.saturating_add(wait_ms);
+        let page = self.reader.get(self.options.address, &path, timeout_ms)?;
+        match page.status {
+            OK => batch(parse(&page.body)?, from),
+            EXPIRED => Err(expired(parse(&page.body)?)),
+            status => Err(Error::unavailable(format!("the log answered {status}"))),
+        }
+    }
+}
+
+/// Returns the outcome of an append. Only the two refusals say that the record is not there; any
+/// other answer than an offset leaves that open.
+fn read_append(incoming: Incoming) -> Result<Offset> {
+    match incoming.response.status().as_u16() {
+        TOO_MANY => Err(Error::unavailable("the log takes no more appends now")),
+        DOWN => Err(Error::unavailable("the log is down")),
+        APPENDED => {
+            let answer = answer::read_whole(incoming.response, APPEND_ANSWER_LIMIT_BYTES)
+                .and_then(|body| parse::<AppendAnswer>(&body));
+            match answer {
+                Ok(answer) => Ok(answer.offset),
+                Err(error) => Err(Error::unknown(format!("append's answer: {error}"))),
+            }
+        }
+        status => Err(Error::unknown(format!("the log answered {status}"))),
+    }
+}
+
+fn expired(answer: ExpiredAnswer) -> Error {
+    Error::Expired {
+        first: answer.first,
+    }
+}
+
+/// Returns a read answer as a batch.
+///
+/// Replay counts on records that follow each other without a gap. A record that is missing or
+/// stands twice would make this VM's state differ from that of the others, so an answer in which
+/// the offsets do not grow by one from the one asked for is refused.
+fn batch(answer: ReadAnswer, from: Offset) -> Result<LogBatch> {
+    let mut records = Vec::with_capacity(answer.records.len());
+    let mut expected = from;
+    for record in answer.records {
+        if record.offset != expected {
+            let detail = format!("record {} in place of {expected}", record.offset);
+            return Err(Error::malformed(detail));
+        }
+        expected = expected.next();
+        records.push(decode(record)?);
+    }
+    Ok(LogBatch {
+        records,
+        first: answer.first,
+        end: answer.end,
+    })
+}
+
+fn decode(record: ReadRecord) -> Result<LogRecord> {
+    let payload = STANDARD
+        .decode(record.payload)
+        .map_err(|error| Error::malformed(error.to_string()))?;
+    Ok(LogRecord {
+        offset: record.offset,
+        appended_ms: record.appended_ms,
+        payload,
+    })
+}
--- /dev/null
+++ b/crates/adapters/src/registry.rs
@@ -0,0 +1,64 @@
+//! The adapters that a daemon runs with, as trait objects.
+
+use std::fmt;
+use std::sync::Arc;
+
+use apricotdale_core::engine::EngineOrders;
+use apricotdale_core::engine::EngineReports;
+use apricotdale_core::engine::EngineServing;
+use apricotdale_core::log::LogClient;
+use apricotdale_core::service::PlainService;
+use apricotdale_core::serving::Clock;
+use apricotdale_core::vm_list::VmList;
+use apricotdale_core::weights::WeightStore;
+
+use crate::clock::SystemClock;
+use crate::engine::HttpEngine;
+use crate::log::HttpLog;
+use crate::options::Options;
+use crate::service::HttpService;
+use crate::vm_list::HttpVmList;
+use crate::weights::HttpWeights;
+
+/// `Adapters` is one adapter for each outside interface. Another protocol takes the place of one
+/// of them.
+#[derive(Clone)]
+pub struct Adapters {
+    /// The platform's log.
+    pub log: Arc<dyn LogClient>,
+    /// Orders to engines.
+    pub orders: Arc<dyn EngineOrders>,
+    /// What engines report.
+    pub reports: Arc<dyn EngineReports>,
+    /// Requests to engines.
+    pub serving: Arc<dyn EngineServing>,
+    /// Calls to plain services.
+    pub service: Arc<dyn PlainService>,
+    /// The weight store.
+    pub weights: Arc<dyn WeightStore>,
+    /// The list of VMs.
+    pub vm_list: Arc<dyn VmList>,
+    /// The clock.
+    pub clock: Arc<dyn Clock>,
+}
+
+impl fmt::Debug for Adapters {
+    fn fmt(&self, formatter: &mut fmt::Formatter<'_>) -> fmt::Result {
+        formatter.write_str("Adapters")
+    }
+}
+
+/// Returns adapters that speak HTTP to everything outside, and the machine's clock.
+pub fn http_adapters(options: &Options) -> Adapters {
+    let engine = Arc::new(HttpEngine::new(&options.http, &options.engine));
+    Adapters {
+        log: Arc::new(HttpLog::new(&options.http, &options.log)),
+        orders: engine.clone(),
+        reports: engine.clone(),
+        serving: engine,
+        service: Arc::new(HttpService::new(&options.http, &options.service)),
+        weights: Arc::new(HttpWeights::new(&options.http, &options.weights)),
+        vm_list: Arc::new(HttpVmList::new(&options.http, &options.vm_list)),
+        clock: Arc::new(SystemClock::new()),
+    }
+}
--- /dev/null
+++ b/crates/adapters/tests/support/mod.rs
@@ -0,0 +1,117 @@
+//! Tiny TCP servers that answer by script, for the tests of the adapters.
+
+#![allow(dead_code)]
+
+use std::io::Read;
+use std::io::Write;
+use std::net::Ipv4Addr;
+use std::net::SocketAddr;
+use std::net::TcpListener;
+use std::net::TcpStream;
+use std::sync::mpsc;
+use std::sync::mpsc::Receiver;
+use std::thread;
+
+use apricotdale_adapters::Adapters;
+use apricotdale_adapters::Options;
+use apricotdale_adapters::http_adapters;
+
+/// Returns a listener on a port from the OS.
+pub fn listener() -> TcpListener {
+    TcpListener::bind((Ipv4Addr::LOCALHOST, 0)).expect("a loopback port")
+}
+
+/// Returns an address on which nothing listens.
+pub fn closed_port() -> SocketAddr {
+    listener().local_addr().expect("a bound listener")
+}
+
+/// Returns all adapters, each of them for the same address, with timeouts that no test waits for
+/// unless it shortens them.
+pub fn adapters_at(address: SocketAddr) -> Adapters {
+    http_adapters(&options_at(address))
+}
+
+/// Returns options with long timeouts.
+pub fn options_at(address: SocketAddr) -> Options {
+    let mut options = Options::at(address, address, address);
+    options.http.connect_timeout_ms = 30_000;
+    options.log.append_timeout_ms = 30_000;
+    options.log.read_timeout_ms = 30_000;
+    options.engine.fence_timeout_ms = 30_000;
+    options.engine.report_timeout_ms = 30_000;
+    options.engine.cancel_timeout_ms = 30_000;
+    options.weights.timeout_ms = 30_000;
+    options.vm_list.timeout_ms = 30_000;
+    options
+}
+
+/// `Server` answers each connection with one script and hands the requests it read to the test.
+pub struct Server {
+    /// Where it listens.
+    pub address: SocketAddr,
+    /// The requests, as text, in order of arrival.
+    pub requests: Receiver<String>,
+}
+
+/// Starts a server that runs the script on every connection after reading one request.
+pub fn serve(script: impl Fn(&mut TcpStream) + Send + 'static) -> Server {
+    let listener = listener();
+    let address = listener.local_addr().expect("a bound listener");
+    let (sender, requests) = mpsc::channel();
+    thread::spawn(move || {
+        for stream in listener.incoming() {
+            let Ok(mut stream) = stream else { return };
+            let request = read_request(&mut stream);
+            if sender.send(request).is_err() {
+                return;
+            }
+            script(&mut stream);
+        }
+    });
+    Server { address, requests }
+}
+
+/// Starts a server that answers every request with the same bytes and closes the connection.
+pub fn answering(answer: impl Into<Vec<u8>>) -> Server {
+    let answer = answer.into();
+    serve(move |stream| {
+        stream.write_all(&answer).ok();
+    })
+}
+
+/// Returns a whole answer with its length announced.
+pub fn answer(status: &str, content_type: &str, body: &str) -> Vec<u8> {
+    let length = body.len();
+    format!(
+        "HTTP/1.1 {status}\r\nContent-Type: {content_type}\r\nContent-Length: {length}\r\n\r\n{body}"
+    )
+    .into_bytes()
+}
+
+/// Returns a whole JSON answer.
+pub fn json(status: &str, body: &str) -> Vec<u8> {
+    answer(status, "application/json", body)
+}
+
+/// Reads one request with its body.
+pub fn read_request(stream: &mut TcpStream) -> String {
+    let mut bytes = Vec::new();
+    let mut byte = [0; 1];
+    while !bytes.ends_with(b"\r\n\r\n") {
+        match stream.read(&mut byte) {
+            Ok(1) => bytes.push(byte[0]),
+            _ => return String::from_utf8_lossy(&bytes).into_owned(),
+        }
+    }
+    let head = String::from_utf8_lossy(&bytes).to_lowercase();
+    let length = head
+        .lines()
+        .find_map(|line| line.strip_prefix("content-length: "))
+        .and_then(|length| length.trim().parse::<usize>().ok())
+        .unwrap_or(0);
+    let mut body = vec![0; length];
+    stream.read_exact(&mut body).ok();
+    bytes.extend_from_slice(&body);
+    String::from_utf8_lossy(&bytes).into_owned()
+}
