HTTP server with limits on all a caller can send

Cause: rouille holds streamed pieces back until about 8 KB and limits neither slow heads nor connection counts, so the callers' interface needs a loop of its own over httparse. Ruled out: chunked_transfer's encoder, since its drop ends the body and would pass a cut answer off as whole; peeking for hang-ups, which is blind behind a pipelined request.

--- /dev/null
+++ b/crates/http/src/accept.rs
@@ -0,0 +1,166 @@
+//! Accepting connections.
+
+use std::collections::VecDeque;
+use std::io;
+use std::io::Read;
+use std::io::Write;
+use std::net::Shutdown;
+use std::net::TcpListener;
+use std::net::TcpStream;
+use std::sync::Arc;
+use std::thread;
+use std::time::Duration;
+use std::time::Instant;
+
+use rustix::event::PollFd;
+use rustix::event::PollFlags;
+use rustix::event::Timespec;
+
+use crate::connection::Connection;
+use crate::protocol::ProtocolError;
+use crate::server::Shared;
+
+/// The most connections that were turned away and still linger.
+const MAX_LINGERING: usize = 128;
+
+/// The pause after a failed accept, such as for want of descriptors. Without it the thread would
+/// spin, since the listener stays readable.
+const ACCEPT_PAUSE: Duration = Duration::from_millis(10);
+
+const DISCARD_BYTES: usize = 64 * 1024;
+
+/// `Readiness` is what a wait ended with.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub(crate) enum Readiness {
+    /// The socket can be read or accepted from.
+    Ready,
+    /// The server stops, and the socket has nothing.
+    Stopping,
+    /// The time passed.
+    TimedOut,
+}
+
+/// Waits until a socket is readable, the server stops, or the time has passed. A socket that is
+/// ready goes before a stop, so that a request that has arrived is served.
+pub(crate) fn wait_readable(
+    socket: &impl std::os::fd::AsFd,
+    shared: &Shared,
+    timeout: Duration,
+) -> Readiness {
+    let deadline = Instant::now() + timeout;
+    loop {
+        let left = deadline.saturating_duration_since(Instant::now());
+        let mut descriptors = [
+            PollFd::new(socket, PollFlags::IN),
+            PollFd::new(&shared.stop_event, PollFlags::IN),
+        ];
+        let polled = rustix::event::poll(&mut descriptors, Some(&timespec(left)));
+        let [socket_events, stop_events] = descriptors.map(|descriptor| descriptor.revents());
+        match polled {
+            Err(_) if left.is_zero() => return Readiness::TimedOut,
+            Err(_) => {}
+            Ok(_) if !socket_events.is_empty() => return Readiness::Ready,
+            Ok(_) if !stop_events.is_empty() => return Readiness::Stopping,
+            Ok(_) if left.is_zero() => return Readiness::TimedOut,
+            Ok(_) => {}
+        }
+    }
+}
+
+fn timespec(duration: Duration) -> Timespec {
+    Timespec {
+        tv_sec: i64::try_from(duration.as_secs()).unwrap_or(i64::MAX),
+        tv_nsec: i64::from(duration.subsec_nanos()),
+    }
+}
+
+/// Accepts connections until the server stops.
+pub(crate) fn run(shared: &Arc<Shared>, listener: TcpListener) {
+    let mut turned_away = TurnedAway::default();
+    while !shared.is_stopping() {
+        if wait_readable(&listener, shared, turned_away.wait()) == Readiness::Stopping {
+            return;
+        }
+        turned_away.close_expired();
+        match listener.accept() {
+            Ok((socket, _)) => open(shared, socket, &mut turned_away),
+            Err(error) if error.kind() == io::ErrorKind::WouldBlock => {}
+            Err(error) => {
+                log::warn!("could not accept a connection: {error}");
+                thread::sleep(ACCEPT_PAUSE);
+            }
+        }
+    }
+}
+
+fn open(shared: &Arc<Shared>, socket: TcpStream, turned_away: &mut TurnedAway) {
+    let Some(place) = shared.take_place() else {
+        turned_away.answer(shared, socket);
+        return;
+    };
+    let spare = socket.try_clone();
+    let spawned = thread::Builder::new()
+        .name("http-connection".to_owned())
+        .stack_size(shared.options.thread_stack_bytes)
+        .spawn(move || Connection::serve(place, socket));
+    match (spawned, spare) {
+        (Ok(_), _) => {}
+        (Err(error), Ok(socket)) => {
+            log::warn!("could not start a connection's thread: {error}");
+            turned_away.answer(shared, socket);
+        }
+        (Err(error), Err(_)) => log::warn!("could not start a connection's thread: {error}"),
+    }
+}
+
+/// `TurnedAway` holds connections above the limit that have got their error answer.
+///
+/// A connection closed while bytes of the client are unread is reset, and the reset can overtake
+/// the answer, so that the client sees a broken connection in place of a reason. So it stays open
+/// for a moment, without a thread, and what the client sent is discarded before the close.
+#[derive(Default)]
+struct TurnedAway {
+    sockets: VecDeque<(TcpStream, Instant)>,
+}
+
+impl TurnedAway {
+    fn answer(&mut self, shared: &Shared, mut socket: TcpStream) {
+        let response = shared.errors.render(&ProtocolError::TooManyConnections);
+        let framing = [
+            ("Connection", "close".to_owned()),
+            ("Content-Length", response.body.len().to_string()),
+        ];
+        let mut bytes = response.head.encode(&framing);
+        bytes.extend_from_slice(&response.body);
+        // A fresh connection's send buffer takes the answer at once; the accepting thread must
+        // not wait for a client.
+        let written = socket
+            .set_nonblocking(true)
+            .and_then(|()| socket.write(&bytes))
+            .and_then(|_| socket.shutdown(Shutdown::Write));
+        if written.is_err() {
+            return;
+        }
+        if self.sockets.len() >= MAX_LINGERING {
+            self.sockets.pop_front();
+        }
+        let expires = Instant::now() + shared.options.linger_timeout;
+        self.sockets.push_back((socket, expires));
+    }
+
+    /// Returns how long the accepting thread may wait.
+    fn wait(&self) -> Duration {
+        match self.sockets.front() {
+            Some((_, expires)) => expires.saturating_duration_since(Instant::now()),
+            None => Duration::from_secs(3600),
+        }
+    }
+
+    fn close_expired(&mut self) {
+        let now = Instant::now();
+        while let Some((mut socket, _)) = self.sockets.pop_front_if(|(_, expires)| *expires <= now)
+        {
+            let _ = socket.read(&mut [0; DISCARD_BYTES]);
+        }
+    }
+}
--- /dev/null
+++ b/crates/http/src/exchange.rs
@@ -0,0 +1,205 @@
+//! Answering one request.
+
+use std::io;
+use std::io::Write;
+use std::net::Shutdown;
+use std::net::TcpStream;
+use std::sync::Arc;
+use std::time::Duration;
+use std::time::Instant;
+
+use socket2::SockRef;
+
+use crate::errors::Error;
+use crate::errors::Result;
+use crate::reader::is_timeout;
+use crate::response::Response;
+use crate::response::ResponseHead;
+
+const LAST_CHUNK: &[u8] = b"0\r\n\r\n";
+
+/// `AnswerState` is how far the answer to a request is.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub(crate) enum AnswerState {
+    /// Nothing has gone out.
+    Nothing,
+    /// Part of the answer has gone out.
+    Begun,
+    /// All of the answer has gone out.
+    Whole,
+}
+
+/// `Exchange` is the answering side of one request.
+pub(crate) struct Exchange {
+    pub(crate) socket: Arc<TcpStream>,
+    pub(crate) write_timeout: Duration,
+    pub(crate) is_head: bool,
+    pub(crate) is_http_10: bool,
+    pub(crate) keeps_alive: bool,
+    pub(crate) state: AnswerState,
+}
+
+impl Exchange {
+    pub(crate) fn send(&mut self, response: &Response) -> Result<()> {
+        let mut framing = vec![("Connection", self.connection_word())];
+        if !response.head.is_bodiless() {
+            framing.push(("Content-Length", response.body.len().to_string()));
+        }
+        let mut bytes = response.head.encode(&framing);
+        if !self.is_head && !response.head.is_bodiless() {
+            bytes.extend_from_slice(&response.body);
+        }
+        self.write(&bytes)?;
+        self.state = AnswerState::Whole;
+        Ok(())
+    }
+
+    fn start(&mut self, head: &ResponseHead) -> Result<()> {
+        // A stream to an HTTP/1.0 client ends with its connection.
+        self.keeps_alive &= !self.is_http_10;
+        let mut framing = vec![("Connection", self.connection_word())];
+        if !self.is_http_10 {
+            framing.push(("Transfer-Encoding", "chunked".to_owned()));
+        }
+        self.write(&head.encode(&framing))
+    }
+
+    fn send_piece(&mut self, piece: &[u8]) -> Result<()> {
+        match self {
+            // An empty chunk would end the stream.
+            _ if piece.is_empty() => Ok(()),
+            Self { is_head: true, .. } => Ok(()),
+            Self {
+                is_http_10: true, ..
+            } => self.write(piece),
+            _ => {
+                let mut chunk = format!("{:x}\r\n", piece.len()).into_bytes();
+                chunk.extend_from_slice(piece);
+                chunk.extend_from_slice(b"\r\n");
+                self.write(&chunk)
+            }
+        }
+    }
+
+    fn finish(&mut self) -> Result<()> {
+        if !self.is_head && !self.is_http_10 {
+            self.write(LAST_CHUNK)?;
+        }
+        self.state = AnswerState::Whole;
+        Ok(())
+    }
+
+    /// Closes the connection of an answer that must not pass for whole.
+    ///
+    /// The missing last chunk tells an HTTP/1.1 client that the answer was cut. An HTTP/1.0
+    /// client takes an orderly close for the end of the answer, so it gets a reset.
+    pub(crate) fn abort(&mut self) {
+        if self.is_http_10 {
+            let _ = SockRef::from(&*self.socket).set_linger(Some(Duration::ZERO));
+            return;
+        }
+        let _ = self.socket.shutdown(Shutdown::Write);
+    }
+
+    fn write(&mut self, bytes: &[u8]) -> Result<()> {
+        self.state = AnswerState::Begun;
+        let outcome = write_by(&self.socket, bytes, Instant::now() + self.write_timeout);
+        if outcome.is_err() {
+            self.keeps_alive = false;
+        }
+        outcome
+    }
+
+    fn connection_word(&self) -> String {
+        match self.keeps_alive {
+            true => "keep-alive".to_owned(),
+            false => "close".to_owned(),
+        }
+    }
+}
+
+/// Writes all bytes by the deadline. The deadline is in total: a client that takes a byte now and
+/// then can't hold the thread longer.
+pub(crate) fn write_by(socket: &TcpStream, mut bytes: &[u8], deadline: Instant) -> Result<()> {
+    while !bytes.is_empty() {
+        let left = deadline.saturating_duration_since(Instant::now());
+        if left.is_zero() {
+            return Err(Error::WriteTimeout);
+        }
+        socket
+            .set_write_timeout(Some(left))
+            .map_err(Error::ClientGone)?;
+        match (&*socket).write(bytes) {
+            Ok(0) => return Err(Error::ClientGone(io::ErrorKind::WriteZero.into())),
+            Ok(count) => bytes = &bytes[count..],
+            Err(error) if is_timeout(&error) || error.kind() == io::ErrorKind::Interrupted => {}
+            Err(error) => return Err(Error::ClientGone(error)),
+        }
+    }
+    Ok(())
+}
+
+/// `Responder` answers one request, once.
+///
+/// It borrows from the connection, so the answer ends before the handler returns. A handler that
+/// drops it unused makes the server answer with
+/// [`ProtocolError::HandlerFailed`](crate::ProtocolError::HandlerFailed).
+pub struct Responder<'a> {
+    exchange: &'a mut Exchange,
+}
+
+impl<'a> Responder<'a> {
+    pub(crate) fn new(exchange: &'a mut Exchange) -> Self {
+        Self { exchange }
+    }
+
+    /// Sends one whole answer.
+    ///
+    /// # Errors
+    ///
+    /// [`Error::ClientGone`] or [`Error::WriteTimeout`]; the connection is closed then.
+    pub fn send(self, response: Response) -> Result<()> {
+        self.exchange.send(&response)
+    }
+
+    /// Sends the head of a stream, whose pieces follow.
+    ///
+    /// # Errors
+    ///
+    /// As for [`Responder::send`].
+    pub fn start(self, head: ResponseHead) -> Result<ResponseStream<'a>> {
+        self.exchange.start(&head)?;
+        Ok(ResponseStream {
+            exchange: self.exchange,
+        })
+    }
+}
+
+/// `ResponseStream` sends the pieces of a stream. Dropped before [`ResponseStream::finish`], it
+/// closes the connection in a way that shows the client that the answer is not whole.
+///
+/// `chunked_transfer`'s encoder ends the body when it is dropped, which would pass a cut answer
+/// off as whole; the chunks are written here instead.
+pub struct ResponseStream<'a> {
+    exchange: &'a mut Exchange,
+}
+
+impl ResponseStream<'_> {
+    /// Sends a piece, which leaves at once.
+    ///
+    /// # Errors
+    ///
+    /// As for [`Responder::send`].
+    pub fn send_piece(&mut self, piece: &[u8]) -> Result<()> {
+        self.exchange.send_piece(piece)
+    }
+
+    /// Ends the stream as whole.
+    ///
+    /// # Errors
+    ///
+    /// As for [`Responder::send`].
+    pub fn finish(self) -> Result<()> {
+        self.exchange.finish()
+    }
+}
--- /dev/null
+++ b/crates/http/src/head.rs
@@ -0,0 +1,172 @@
+//! Request heads: finding their end, parsing them, and what they say of the framing.
+
+use crate::options::Options;
+use crate::protocol::ProtocolError;
+
+/// `Framing` is how a request's body is delimited.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub(crate) enum Framing {
+    /// The body has as many bytes.
+    Length(usize),
+    /// The body comes in chunks.
+    Chunked,
+}
+
+/// `Head` is a parsed request head.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub(crate) struct Head {
+    pub(crate) method: String,
+    pub(crate) target: String,
+    pub(crate) is_http_10: bool,
+    pub(crate) headers: Vec<(String, String)>,
+}
+
+/// `EndFinder` finds the end of a head in a buffer that grows. It looks at each byte once, so a
+/// head that comes byte by byte costs no more than one that comes at once.
+#[derive(Default)]
+pub(crate) struct EndFinder {
+    scanned: usize,
+}
+
+impl EndFinder {
+    /// Returns whether nothing of the head has been seen.
+    pub(crate) fn is_fresh(&self) -> bool {
+        self.scanned == 0
+    }
+
+    /// Returns the length of the head, closing empty line included, if the buffer holds all of it.
+    pub(crate) fn find(&mut self, buffer: &[u8]) -> Option<usize> {
+        while let Some(found) = buffer[self.scanned..]
+            .iter()
+            .position(|byte| *byte == b'\n')
+        {
+            let line_end = self.scanned + found;
+            match &buffer[line_end + 1..] {
+                [b'\n', ..] => return Some(line_end + 2),
+                [b'\r', b'\n', ..] => return Some(line_end + 3),
+                [] | [b'\r'] => {
+                    self.scanned = line_end;
+                    return None;
+                }
+                _ => self.scanned = line_end + 1,
+            }
+        }
+        self.scanned = buffer.len();
+        None
+    }
+}
+
+/// Returns the number of line ends before the request line, which clients may send.
+pub(crate) fn leading_line_ends(buffer: &[u8]) -> usize {
+    buffer
+        .iter()
+        .take_while(|byte| matches!(byte, b'\r' | b'\n'))
+        .count()
+}
+
+impl Head {
+    /// Returns the head of a whole head's bytes.
+    pub(crate) fn parse(bytes: &[u8], options: &Options) -> Result<Self, ProtocolError> {
+        let mut lines = vec![httparse::EMPTY_HEADER; options.max_header_count];
+        let mut parsed = httparse::Request::new(&mut lines);
+        match parsed.parse(bytes) {
+            Ok(httparse::Status::Complete(_)) => {}
+            Ok(httparse::Status::Partial) => return Err(bad("the head is not complete")),
+            Err(httparse::Error::TooManyHeaders) => {
+                return Err(ProtocolError::TooManyHeaders {
+                    limit: options.max_header_count,
+                });
+            }
+            Err(error) => return Err(bad(error.to_string())),
+        }
+        let head = Self {
+            method: parsed.method.unwrap_or_default().to_owned(),
+            target: parsed.path.unwrap_or_default().to_owned(),
+            is_http_10: parsed.version == Some(0),
+            headers: parsed
+                .headers
+                .iter()
+                .map(owned_header)
+                .collect::<Result<_, _>>()?,
+        };
+        head.check_host()?;
+        Ok(head)
+    }
+
+    /// Returns every value of a header.
+    pub(crate) fn values<'a>(&'a self, name: &'a str) -> impl Iterator<Item = &'a str> {
+        self.headers
+            .iter()
+            .filter(move |(known, _)| known.eq_ignore_ascii_case(name))
+            .map(|(_, value)| value.as_str())
+    }
+
+    /// Returns how the body is delimited.
+    ///
+    /// A head with both a length and a coding, or with two lengths, may be read otherwise by a
+    /// balancer in front, and the rest of its body would then pass as another caller's request.
+    /// Such heads are rejected.
+    pub(crate) fn framing(&self) -> Result<Framing, ProtocolError> {
+        let lengths: Vec<&str> = self.values("content-length").collect();
+        let codings: Vec<&str> = self.values("transfer-encoding").collect();
+        match (lengths.as_slice(), codings.as_slice()) {
+            ([], []) => Ok(Framing::Length(0)),
+            ([length], []) => parse_length(length).map(Framing::Length),
+            ([], [coding]) if self.is_http_10 => Err(bad(format!("HTTP/1.0 with {coding:?}"))),
+            ([], [coding]) if coding.eq_ignore_ascii_case("chunked") => Ok(Framing::Chunked),
+            ([], _) => Err(bad("the transfer encoding is not supported")),
+            (_, []) => Err(bad("more than one content length")),
+            _ => Err(bad("both a content length and a transfer encoding")),
+        }
+    }
+
+    /// Returns whether the client lets the connection be used again.
+    pub(crate) fn keeps_alive(&self) -> bool {
+        let says = |word: &str| {
+            self.values("connection")
+                .flat_map(|value| value.split(','))
+                .any(|token| token.trim().eq_ignore_ascii_case(word))
+        };
+        match self.is_http_10 {
+            true => says("keep-alive") && !says("close"),
+            false => !says("close"),
+        }
+    }
+
+    /// Returns whether the client waits for a go-ahead before it sends the body.
+    pub(crate) fn expects_continue(&self) -> Result<bool, ProtocolError> {
+        match self.values("expect").next() {
+            None => Ok(false),
+            Some(_) if self.is_http_10 => Ok(false),
+            Some(value) if value.eq_ignore_ascii_case("100-continue") => Ok(true),
+            Some(value) => Err(ProtocolError::ExpectationFailed(value.to_owned())),
+        }
+    }
+
+    fn check_host(&self) -> Result<(), ProtocolError> {
+        match self.values("host").count() {
+            1 => Ok(()),
+            0 if self.is_http_10 => Ok(()),
+            0 => Err(bad("no host header")),
+            _ => Err(bad("more than one host header")),
+        }
+    }
+}
+
+fn owned_header(header: &httparse::Header<'_>) -> Result<(String, String), ProtocolError> {
+    let value = std::str::from_utf8(header.value)
+        .map_err(|_| bad(format!("header {} is not UTF-8", header.name)))?;
+    Ok((header.name.to_owned(), value.trim().to_owned()))
+}
+
+fn parse_length(text: &str) -> Result<usize, ProtocolError> {
+    let digits = !text.is_empty() && text.bytes().all(|byte| byte.is_ascii_digit());
+    match text.parse() {
+        Ok(length) if digits => Ok(length),
+        _ => Err(bad("the content length is not a number")),
+    }
+}
+
+fn bad(detail: impl Into<String>) -> ProtocolError {
+    ProtocolError::BadRequest(detail.into())
+}
--- /dev/null
+++ b/crates/http/src/server.rs
@@ -0,0 +1,163 @@
+//! The server: its handler border, its start, and its graceful stop.
+
+use std::net::SocketAddr;
+use std::net::TcpListener;
+use std::os::fd::OwnedFd;
+use std::sync::Arc;
+use std::sync::Condvar;
+use std::sync::Mutex;
+use std::sync::MutexGuard;
+use std::sync::PoisonError;
+use std::sync::atomic::AtomicBool;
+use std::sync::atomic::Ordering;
+use std::thread;
+use std::time::Duration;
+
+use rustix::event::EventfdFlags;
+
+use crate::accept;
+use crate::errors::Error;
+use crate::errors::Result;
+use crate::exchange::Responder;
+use crate::options::Options;
+use crate::protocol::ErrorRenderer;
+use crate::request::Request;
+
+/// `Handler` answers requests. It runs on the connection's thread.
+pub trait Handler: Send + Sync {
+    /// Answers one request.
+    fn handle(&self, request: Request, responder: Responder<'_>);
+}
+
+/// `Shared` is what the accepting thread, the connections and the server's owner share.
+pub(crate) struct Shared {
+    pub(crate) options: Options,
+    pub(crate) handler: Arc<dyn Handler>,
+    pub(crate) errors: Arc<dyn ErrorRenderer>,
+    /// Becomes readable, for good, when the server stops. Waiting connections poll it together
+    /// with their socket, so a stop never races with a request that has just arrived.
+    pub(crate) stop_event: OwnedFd,
+    stopping: AtomicBool,
+    connections: Mutex<usize>,
+    all_ended: Condvar,
+}
+
+impl Shared {
+    pub(crate) fn is_stopping(&self) -> bool {
+        self.stopping.load(Ordering::Acquire)
+    }
+
+    /// Takes a place for one more connection, unless all are taken.
+    pub(crate) fn take_place(self: &Arc<Self>) -> Option<Place> {
+        let mut connections = self.lock_connections();
+        if *connections >= self.options.max_connections {
+            return None;
+        }
+        *connections += 1;
+        Some(Place {
+            shared: self.clone(),
+        })
+    }
+
+    fn lock_connections(&self) -> MutexGuard<'_, usize> {
+        self.connections
+            .lock()
+            .unwrap_or_else(PoisonError::into_inner)
+    }
+}
+
+/// `Place` is one connection's place among the allowed ones. It is freed when dropped, also when
+/// the connection's thread panics.
+pub(crate) struct Place {
+    pub(crate) shared: Arc<Shared>,
+}
+
+impl Drop for Place {
+    fn drop(&mut self) {
+        let mut connections = self.shared.lock_connections();
+        *connections -= 1;
+        if *connections == 0 {
+            self.shared.all_ended.notify_all();
+        }
+    }
+}
+
+/// `Server` serves HTTP on one listening socket until it is stopped.
+pub struct Server {
+    shared: Arc<Shared>,
+    address: SocketAddr,
+}
+
+impl Server {
+    /// Starts to serve on a listening socket.
+    ///
+    /// # Errors
+    ///
+    /// [`Error::System`] if the system refuses a descriptor or the accepting thread.
+    pub fn start(
+        listener: TcpListener,
+        options: Options,
+        handler: Arc<dyn Handler>,
+        errors: Arc<dyn ErrorRenderer>,
+    ) -> Result<Self> {
+        let address = listener
+            .local_addr()
+            .map_err(|error| Error::system("read the listening address", error))?;
+        listener
+            .set_nonblocking(true)
+            .map_err(|error| Error::system("make the listener non-blocking", error))?;
+        let stop_event = rustix::event::eventfd(0, EventfdFlags::CLOEXEC | EventfdFlags::NONBLOCK)
+            .map_err(|error| Error::system("create the stop event", error))?;
+        let shared = Arc::new(Shared {
+            options,
+            handler,
+            errors,
+            stop_event,
+            stopping: AtomicBool::new(false),
+            connections: Mutex::new(0),
+            all_ended: Condvar::new(),
+        });
+        let accepting = shared.clone();
+        thread::Builder::new()
+            .name("http-accept".to_owned())
+            .spawn(move || accept::run(&accepting, listener))
+            .map_err(|error| Error::system("start the accepting thread", error))?;
+        Ok(Self { shared, address })
+    }
+
+    /// Returns the address on which the server listens.
+    pub fn address(&self) -> SocketAddr {
+        self.address
+    }
+
+    /// Returns how many connections are open.
+    pub fn connections(&self) -> usize {
+        *self.shared.lock_connections()
+    }
+
+    /// Stops gracefully: no connection is accepted any more, idle ones are closed, and those with
+    /// a request in progress are closed after its answer. Returns at once.
+    pub fn stop(&self) {
+        self.shared.stopping.store(true, Ordering::Release);
+        if let Err(error) = rustix::io::write(&self.shared.stop_event, &1_u64.to_ne_bytes()) {
+            log::error!("could not signal the server's stop: {error}");
+        }
+    }
+
+    /// Waits until no connection is open, and returns whether that came within the time.
+    pub fn wait_idle(&self, timeout: Duration) -> bool {
+        let connections = self.shared.lock_connections();
+        let (connections, _) = self
+            .shared
+            .all_ended
+            .wait_timeout_while(connections, timeout, |open| *open > 0)
+            .unwrap_or_else(PoisonError::into_inner);
+        *connections == 0
+    }
+}
+
+impl Drop for Server {
+    fn drop(&mut self) {
+        self.stop();
+    }
+}
