Settings: one INI file, checked as a whole

Cause: a daemon must not start on settings that can't work, and an operator should learn of every mistake at once.

Changed: a table of keys gives kind, default and meaning; each value is checked against it, then the combinations (shared listeners, keep-alive below the head's timeout, a stop that is shorter than the longest request, streams of one name). rust-ini keeps no line numbers and stops at the first bad line, so a scan of the lines comes before it.

Ruled out: quotes, escapes and comments behind a value; a cluster key or a number with a trailing remark would be read as something else than what stands there. The shared secret is never repeated in a message.

--- /dev/null
+++ b/crates/settings/src/checks.rs
@@ -0,0 +1,220 @@
+//! Combinations of values that can't work, though each value by itself is allowed.
+
+use std::net::SocketAddr;
+
+use crate::problem::Problem;
+use crate::values::Values;
+
+type Place = (&'static str, &'static str);
+
+const LISTENERS: [Place; 3] = [
+    ("listen", "callers"),
+    ("listen", "peers"),
+    ("listen", "admin"),
+];
+
+const REMOTES: [Place; 3] = [
+    ("platform", "log"),
+    ("platform", "weights"),
+    ("platform", "vm_list"),
+];
+
+/// Heartbeats that may be lost before a peer is suspected.
+const HEARTBEATS_TO_SUSPECT: u64 = 3;
+
+/// `AtLeast` says that one value must not be below another, times a factor, and why.
+struct AtLeast {
+    high: Place,
+    low: Place,
+    factor: u64,
+    reason: &'static str,
+}
+
+const AT_LEAST: &[AtLeast] = &[
+    AtLeast {
+        high: ("callers", "idle_timeout_ms"),
+        low: ("callers", "head_timeout_ms"),
+        factor: 1,
+        reason: "or a kept connection is closed while its next request arrives",
+    },
+    AtLeast {
+        high: ("callers", "body_timeout_ms"),
+        low: ("callers", "head_timeout_ms"),
+        factor: 1,
+        reason: "or a body has less time than its head",
+    },
+    AtLeast {
+        high: ("callers", "max_body_bytes"),
+        low: ("callers", "max_head_bytes"),
+        factor: 1,
+        reason: "or a head may be larger than a body",
+    },
+    AtLeast {
+        high: ("peers", "heartbeat_interval_ms"),
+        low: ("peers", "timeout_ms"),
+        factor: 1,
+        reason: "or heartbeats to a silent peer pile up",
+    },
+    AtLeast {
+        high: ("peers", "suspect_after_ms"),
+        low: ("peers", "heartbeat_interval_ms"),
+        factor: HEARTBEATS_TO_SUSPECT,
+        reason: "or a single lost heartbeat makes a peer suspected",
+    },
+    AtLeast {
+        high: ("upstreams", "first_byte_timeout_ms"),
+        low: ("upstreams", "connect_timeout_ms"),
+        factor: 1,
+        reason: "or connecting alone may take all the time of the answer",
+    },
+    AtLeast {
+        high: ("upstreams", "load_timeout_ms"),
+        low: ("upstreams", "report_interval_ms"),
+        factor: 1,
+        reason: "or an order is given up before the engine's next report",
+    },
+    AtLeast {
+        high: ("drain", "grace_ms"),
+        low: ("callers", "max_timeout_ms"),
+        factor: 1,
+        reason: "or a planned stop cuts off a request in progress",
+    },
+];
+
+/// Returns the combinations that can't work.
+pub(crate) fn check(values: &Values) -> Vec<Problem> {
+    let mut problems = Vec::new();
+    check_listeners(values, &mut problems);
+    check_remotes(values, &mut problems);
+    check_streams(values, &mut problems);
+    for rule in AT_LEAST {
+        check_at_least(values, rule, &mut problems);
+    }
+    problems
+}
+
+fn check_listeners(values: &Values, problems: &mut Vec<Problem>) {
+    for (index, place) in LISTENERS.iter().enumerate() {
+        for earlier in &LISTENERS[..index] {
+            let addresses = (address(values, *place), address(values, *earlier));
+            match addresses {
+                (Some(one), Some(other)) if overlap(one, other) => {
+                    let allowed = format!("listens where {} does", earlier.1);
+                    problems.push(address_problem(values, *place, one, allowed));
+                }
+                _ => {}
+            }
+        }
+    }
+}
+
+fn check_remotes(values: &Values, problems: &mut Vec<Problem>) {
+    for place in REMOTES {
+        for listener in LISTENERS {
+            let addresses = (address(values, place), address(values, listener));
+            match addresses {
+                (Some(remote), Some(own)) if remote == own => {
+                    let allowed = format!("is where this daemon itself listens ({})", listener.1);
+                    problems.push(address_problem(values, place, remote, allowed));
+                }
+                _ => {}
+            }
+        }
+    }
+}
+
+/// Checks that no two streams have one name: claims would be replayed as decisions.
+fn check_streams(values: &Values, problems: &mut Vec<Problem>) {
+    let control = values.text("platform", "control_stream");
+    let snapshots = values.text("platform", "snapshot_stream");
+    if control.is_some() && control == snapshots {
+        problems.push(stream_problem(
+            values,
+            "snapshot_stream",
+            "must differ from control_stream",
+        ));
+    }
+    let Some(prefix) = values.text("platform", "claim_stream_prefix") else {
+        return;
+    };
+    for name in ["control_stream", "snapshot_stream"] {
+        match values.text("platform", name) {
+            Some(stream) if is_claim_stream(stream, prefix) => problems.push(stream_problem(
+                values,
+                name,
+                "must not be named as a stream of claims is (claim_stream_prefix)",
+            )),
+            _ => {}
+        }
+    }
+}
+
+fn is_claim_stream(stream: &str, prefix: &str) -> bool {
+    let number = stream
+        .strip_prefix(prefix)
+        .and_then(|rest| rest.strip_prefix('-'));
+    number.is_some_and(|number| number.bytes().all(|byte| byte.is_ascii_digit()))
+}
+
+fn check_at_least(values: &Values, rule: &AtLeast, problems: &mut Vec<Problem>) {
+    let numbers = (
+        values.number(rule.high.0, rule.high.1),
+        values.number(rule.low.0, rule.low.1),
+    );
+    let (Some(high), Some(low)) = numbers else {
+        return;
+    };
+    if high >= low.saturating_mul(rule.factor) {
+        return;
+    }
+    let times = match rule.factor {
+        1 => String::new(),
+        factor => format!("{factor} times "),
+    };
+    let (section, name) = rule.low;
+    problems.push(Problem::of_key(
+        rule.high.0,
+        rule.high.1,
+        Some(&high.to_string()),
+        // Where the higher value is a default, the line of the lower one is what was written.
+        values
+            .line(rule.high.0, rule.high.1)
+            .or_else(|| values.line(section, name)),
+        format!(
+            "must be at least {times}[{section}] {name} = {low}, {}",
+            rule.reason
+        ),
+    ));
+}
+
+fn address(values: &Values, place: Place) -> Option<SocketAddr> {
+    values.address(place.0, place.1)
+}
+
+/// Returns whether two listeners would want the same socket. Port 0 takes any free one.
+fn overlap(one: SocketAddr, other: SocketAddr) -> bool {
+    if one.port() == 0 || one.port() != other.port() {
+        return false;
+    }
+    one.ip() == other.ip() || one.ip().is_unspecified() || other.ip().is_unspecified()
+}
+
+fn address_problem(values: &Values, place: Place, address: SocketAddr, allowed: String) -> Problem {
+    Problem::of_key(
+        place.0,
+        place.1,
+        Some(&address.to_string()),
+        values.line(place.0, place.1),
+        allowed,
+    )
+}
+
+fn stream_problem(values: &Values, name: &'static str, allowed: &str) -> Problem {
+    Problem::of_key(
+        "platform",
+        name,
+        values.text("platform", name),
+        values.line("platform", name),
+        allowed,
+    )
+}
--- /dev/null
+++ b/crates/settings/src/cluster_key.rs
@@ -0,0 +1,45 @@
+//! The key that the daemons of one deployment share.
+
+use std::fmt;
+use std::sync::Arc;
+
+/// The shortest key.
+pub(crate) const MIN_KEY_BYTES: usize = 32;
+
+/// `ClusterKey` is the key with which daemons authenticate their messages to each other. It is
+/// never shown.
+#[derive(Clone, PartialEq, Eq)]
+pub struct ClusterKey(Arc<[u8]>);
+
+impl ClusterKey {
+    /// Returns the key that a text of hexadecimal digits stands for, or none if it is too short,
+    /// no such text, or one byte repeated.
+    pub fn from_hex(text: &str) -> Option<Self> {
+        let digits: Vec<u8> = text
+            .chars()
+            .map(|digit| digit.to_digit(16).map(|value| value as u8))
+            .collect::<Option<_>>()?;
+        if !digits.len().is_multiple_of(2) || digits.len() < 2 * MIN_KEY_BYTES {
+            return None;
+        }
+        let bytes: Vec<u8> = digits
+            .chunks(2)
+            .map(|pair| pair[0] << 4 | pair[1])
+            .collect();
+        if bytes.iter().all(|byte| *byte == bytes[0]) {
+            return None;
+        }
+        Some(Self(Arc::from(bytes)))
+    }
+
+    /// Returns the key's bytes.
+    pub fn as_bytes(&self) -> &[u8] {
+        &self.0
+    }
+}
+
+impl fmt::Debug for ClusterKey {
+    fn fmt(&self, formatter: &mut fmt::Formatter<'_>) -> fmt::Result {
+        formatter.write_str("ClusterKey(hidden)")
+    }
+}
--- /dev/null
+++ b/crates/settings/src/document.rs
@@ -0,0 +1,171 @@
+//! Reading an INI file with the line of each entry.
+//!
+//! `rust-ini` reads the values. It stops at the first line that it can't read and keeps no line
+//! numbers, so a scan of the lines comes first: it finds the lines that are no INI, which are
+//! reported and blanked out, and the line of each entry.
+
+use std::collections::HashMap;
+
+use ini::Ini;
+use ini::ParseOption;
+
+use crate::problem::Problem;
+
+/// What some editors write at the beginning of a file.
+const BYTE_ORDER_MARK: char = '\u{feff}';
+
+/// `Entry` is one `key = value` of a file.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct Entry {
+    /// The key.
+    pub key: String,
+    /// The value, without the spaces around it.
+    pub value: String,
+    /// The line, from one.
+    pub line: usize,
+}
+
+/// `Section` is one section of a file.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct Section {
+    /// The name, empty for entries before the first section.
+    pub name: String,
+    /// The line of its head, from one.
+    pub line: usize,
+    /// Its entries, in order.
+    pub entries: Vec<Entry>,
+}
+
+/// `Document` is an INI file.
+#[derive(Clone, Debug, Default, PartialEq, Eq)]
+pub struct Document {
+    /// The sections, in order. Sections of the same name stand one by one.
+    pub sections: Vec<Section>,
+}
+
+#[derive(Default)]
+struct Scan {
+    readable: String,
+    section_lines: HashMap<String, Vec<usize>>,
+    entry_lines: HashMap<(String, usize, String), Vec<usize>>,
+    problems: Vec<Problem>,
+}
+
+impl Document {
+    /// Returns a file's sections, and a problem for each line that is no INI.
+    ///
+    /// A value runs to the end of its line: there are no quotes, no escapes and no comments behind
+    /// a value.
+    pub fn read(text: &str) -> (Self, Vec<Problem>) {
+        let mut scan = Scan::of(text);
+        let options = ParseOption {
+            enabled_quote: false,
+            enabled_escape: false,
+            ..ParseOption::default()
+        };
+        match Ini::load_from_str_opt(&scan.readable, options) {
+            Ok(ini) => (scan.document(&ini), scan.problems),
+            Err(error) => {
+                let detail = error.msg.to_string();
+                let problem = Problem::of_section("", Some(error.line), detail);
+                scan.problems.push(problem);
+                (Self::default(), scan.problems)
+            }
+        }
+    }
+}
+
+impl Scan {
+    fn of(text: &str) -> Self {
+        let mut scan = Self::default();
+        let mut section = String::new();
+        let mut heads = 0;
+        let text = text.trim_start_matches(BYTE_ORDER_MARK);
+        for (index, line) in text.lines().enumerate() {
+            let number = index + 1;
+            let line = line.trim();
+            match line.split_once(['=', ':']) {
+                _ if line.is_empty() || line.starts_with([';', '#']) => scan.blank(),
+                _ if line.starts_with('[') && line.ends_with(']') => {
+                    section = line[1..line.len() - 1].trim().to_owned();
+                    let lines = scan.section_lines.entry(section.clone()).or_default();
+                    lines.push(number);
+                    heads = lines.len();
+                    scan.keep(line);
+                }
+                Some((key, _)) if !key.trim().is_empty() && !line.starts_with('[') => {
+                    let key = key.trim().to_owned();
+                    scan.entry_lines
+                        .entry((section.clone(), heads, key))
+                        .or_default()
+                        .push(number);
+                    scan.keep(line);
+                }
+                _ => scan.unreadable(&section, number, line),
+            }
+        }
+        scan
+    }
+
+    fn keep(&mut self, line: &str) {
+        self.readable.push_str(line);
+        self.readable.push('\n');
+    }
+
+    fn blank(&mut self) {
+        self.readable.push('\n');
+    }
+
+    fn unreadable(&mut self, section: &str, number: usize, line: &str) {
+        let allowed = format!("{line:?} is neither a comment, a [section] nor key = value");
+        let problem = Problem::of_section(section, Some(number), allowed);
+        self.problems.push(problem);
+        self.blank();
+    }
+
+    fn document(&self, ini: &Ini) -> Document {
+        let mut sections = Vec::new();
+        let mut seen: HashMap<&str, usize> = HashMap::new();
+        for (name, properties) in ini.iter() {
+            let name = name.unwrap_or_default();
+            let heads = seen.entry(name).or_default();
+            if !name.is_empty() {
+                *heads += 1;
+            }
+            let entries: Vec<Entry> = self.entries(name, *heads, properties);
+            if name.is_empty() && entries.is_empty() {
+                continue;
+            }
+            let line = match self.section_lines.get(name) {
+                Some(lines) if *heads > 0 => lines[*heads - 1],
+                _ => 1,
+            };
+            sections.push(Section {
+                name: name.to_owned(),
+                line,
+                entries,
+            });
+        }
+        sections.sort_by_key(|section| section.line);
+        Document { sections }
+    }
+
+    fn entries(&self, section: &str, heads: usize, properties: &ini::Properties) -> Vec<Entry> {
+        let mut seen: HashMap<&str, usize> = HashMap::new();
+        let mut entries = Vec::new();
+        for (key, value) in properties.iter() {
+            let count = seen.entry(key).or_default();
+            let place = (section.to_owned(), heads, key.to_owned());
+            let lines = self.entry_lines.get(&place);
+            let line = lines.and_then(|lines| lines.get(*count)).copied();
+            *count += 1;
+            entries.push(Entry {
+                key: key.to_owned(),
+                value: value.trim().to_owned(),
+                line: line.unwrap_or_default(),
+            });
+        }
+        entries.sort_by_key(|entry| entry.line);
+        entries
+    }
+}
--- /dev/null
+++ b/crates/settings/tests/bad_settings.rs
@@ -0,0 +1,231 @@
+//! Settings that must not start a daemon, and all that is said of them at once.
+
+use apricotdale_settings::Settings;
+use rstest::rstest;
+
+const GOOD: &str = "\
+[vm]
+name = entry-1
+region = dk-east
+availability_zone = hall-a
+[listen]
+callers = 10.0.0.1:8080
+peers = 10.0.0.1:7080
+admin = 10.0.0.1:9080
+[platform]
+log = 10.0.9.1:80
+weights = 10.0.9.2:80
+vm_list = 10.0.9.3:80
+[peers]
+cluster_key = 000102030405060708090a0b0c0d0e0f101112131415161718191a1b1c1d1e1f
+[callers]
+default_class = quick
+";
+
+/// Returns the problems of a text, each as an operator reads it.
+fn problems(text: &str) -> Vec<String> {
+    let problems = Settings::from_text(text).expect_err("the settings are bad");
+    problems.iter().map(ToString::to_string).collect()
+}
+
+#[test]
+fn minimal_settings_are_accepted() {
+    let settings = Settings::from_text(GOOD).expect("the settings are good");
+    assert_eq!(settings.vm.name.as_str(), "entry-1");
+    assert_eq!(settings.platform.claim_streams.len(), 4);
+    assert_eq!(settings.platform.claim_streams[3].as_str(), "claims-3");
+    assert_eq!(settings.policies.seed, None);
+}
+
+/// Symptom: an operator mends one setting, starts the daemon, and learns of the next one only
+/// then. Sequence: a file with several mistakes. Cause: checking stops at the first.
+#[test]
+fn every_problem_is_told_at_once() {
+    let text = "\
+[vm]
+name = entry 1
+availability_zone = hall-a
+[listen]
+callers = localhost:8080
+peers = 10.0.0.1:9080
+admin = 10.0.0.1:9080
+nonsense
+[platform]
+log = 10.0.9.1:80
+weights = 10.0.9.2:0
+control_stream = claims-2
+[peers]
+cluster_key = 0001
+heartbeat_interval_s = 1
+[callers]
+default_class = quick
+head_timeout_ms = 10s
+max_connections = 0
+max_connections = 5
+[routing]
+weight = 3
+";
+    let expected = [
+        "line 2: [vm] name = \"entry 1\": allowed is a name",
+        "line 5: [listen] callers = \"localhost:8080\": allowed is an IP number",
+        "line 7: [listen] admin = \"10.0.0.1:9080\": listens where peers does",
+        "line 8: [listen]: \"nonsense\" is neither a comment, a [section] nor key = value",
+        "line 11: [platform] weights = \"10.0.9.2:0\": allowed is an IP number",
+        "line 12: [platform] control_stream = \"claims-2\": must not be named as",
+        "line 14: [peers] cluster_key = \"(hidden)\": allowed is at least 64 hexadecimal",
+        "line 15: [peers] heartbeat_interval_s: unknown key; allowed are cluster_key,",
+        "line 18: [callers] head_timeout_ms = \"10s\": allowed is a whole number of milliseconds",
+        "line 19: [callers] max_connections = \"0\": allowed is a whole number from 1",
+        "line 20: [callers] max_connections = \"5\": the key stands already at line 19",
+        "line 21: [routing]: unknown section; allowed are vm, listen,",
+        "[vm] region: missing; allowed is a name",
+        "[platform] vm_list: missing; allowed is an IP number",
+    ];
+    let told = problems(text);
+    assert_eq!(told.len(), expected.len(), "{told:#?}");
+    for (told, expected) in told.iter().zip(expected) {
+        assert!(told.starts_with(expected), "{told:?} is not {expected:?}");
+    }
+}
+
+#[rstest]
+#[case::host_name(
+    "listen",
+    "callers = entry-1.example:8080",
+    "callers",
+    "not a host name"
+)]
+#[case::no_port("platform", "log = 10.0.9.1", "log", "and a port")]
+#[case::any_address("platform", "log = 0.0.0.0:80", "log", "other than 0.0.0.0")]
+#[case::unit_in_value(
+    "upstreams",
+    "load_timeout_ms = 30s",
+    "load_timeout_ms",
+    "without a unit"
+)]
+#[case::signed(
+    "upstreams",
+    "load_timeout_ms = +5000",
+    "load_timeout_ms",
+    "milliseconds"
+)]
+#[case::fraction(
+    "upstreams",
+    "load_timeout_ms = 1e5",
+    "load_timeout_ms",
+    "milliseconds"
+)]
+#[case::unit_in_key("upstreams", "load_timeout_s = 30", "load_timeout_s", "unknown key")]
+#[case::comment_behind("drain", "grace_ms = 700000 ; slow", "grace_ms", "milliseconds")]
+#[case::zero_limit("callers", "max_headers = 0", "max_headers", "from 8 to 1024")]
+#[case::policy("policies", "routing = random", "routing", "one of least_reported")]
+#[case::level("log", "level = loud", "level", "one of error, warn")]
+#[case::empty_path("log", "file =", "file", "a path")]
+#[case::short_key("peers", "cluster_key = 00ff", "cluster_key", "at least 64")]
+#[case::weight("policies", "weight = 3", "weight", "unknown key")]
+fn value_is_rejected(
+    #[case] section: &str,
+    #[case] line: &str,
+    #[case] key: &str,
+    #[case] allowed: &str,
+) {
+    let told = problems(&with_line(section, line));
+    assert_eq!(told.len(), 1, "{told:#?}");
+    assert!(told[0].contains(&format!("[{section}] {key}")), "{told:?}");
+    assert!(told[0].contains(allowed), "{told:?}");
+}
+
+#[rstest]
+#[case::keep_alive("callers", "idle_timeout_ms = 9000", "head_timeout_ms = 10000")]
+#[case::body("callers", "body_timeout_ms = 9000", "head_timeout_ms = 10000")]
+#[case::sizes("callers", "max_body_bytes = 8192", "max_head_bytes = 16384")]
+#[case::heartbeat("peers", "timeout_ms = 501", "timeout_ms = 501")]
+#[case::suspicion(
+    "peers",
+    "suspect_after_ms = 1499",
+    "3 times [peers] heartbeat_interval_ms"
+)]
+#[case::answer(
+    "upstreams",
+    "first_byte_timeout_ms = 900",
+    "connect_timeout_ms = 1000"
+)]
+#[case::order(
+    "upstreams",
+    "report_interval_ms = 60000\nload_timeout_ms = 1000",
+    "60000"
+)]
+#[case::drain("drain", "grace_ms = 599999", "max_timeout_ms = 600000")]
+fn combination_is_rejected(#[case] section: &str, #[case] lines: &str, #[case] low: &str) {
+    let told = problems(&with_line(section, lines));
+    assert_eq!(told.len(), 1, "{told:#?}");
+    assert!(told[0].contains("must be at least"), "{told:?}");
+    assert!(told[0].contains(low), "{told:?}");
+}
+
+#[rstest]
+#[case::same("10.0.0.1:8080", false)]
+#[case::any_address("0.0.0.0:8080", false)]
+#[case::other_port("10.0.0.1:8081", true)]
+#[case::other_address("10.0.0.2:8080", true)]
+fn listeners_share_no_socket(#[case] peers: &str, #[case] accepted: bool) {
+    let text = GOOD.replace("10.0.0.1:7080", peers);
+    assert_eq!(Settings::from_text(&text).is_ok(), accepted);
+}
+
+#[test]
+fn listeners_may_all_take_any_free_port() {
+    let text = GOOD
+        .replace("10.0.0.1:8080", "127.0.0.1:0")
+        .replace("10.0.0.1:7080", "127.0.0.1:0")
+        .replace("10.0.0.1:9080", "127.0.0.1:0");
+    assert!(Settings::from_text(&text).is_ok());
+}
+
+/// Symptom: the secret shared by all daemons stands in a log or on a terminal. Sequence: the key
+/// has one digit too few, or its name a slip, and the problem is printed. Cause: a problem repeats
+/// the value that was written.
+#[rstest]
+#[case::bad_value("cluster_key = c0ffee", "c0ffee")]
+#[case::bad_name("cluster-key = c0ffee", "c0ffee")]
+fn secret_is_never_repeated(#[case] line: &str, #[case] secret: &str) {
+    let told = problems(&with_line("peers", line)).join("\n");
+    assert!(!told.contains(secret), "{told}");
+}
+
+#[test]
+fn repeated_section_is_rejected() {
+    let told = problems(&format!("{GOOD}[vm]\n"));
+    assert_eq!(told.len(), 1, "{told:#?}");
+    assert!(told[0].starts_with("line 17: [vm]: the section stands already at line 1"));
+}
+
+#[test]
+fn missing_file_is_one_problem() {
+    let path = std::path::Path::new("no-such-folder/daemon.ini");
+    let told = Settings::from_file(path).expect_err("there is no file");
+    assert_eq!(told.len(), 1);
+    assert!(told[0].to_string().contains("no-such-folder"));
+}
+
+/// Returns good settings with a line that stands first in its section and replaces the line of the
+/// same key, if there is one.
+fn with_line(section: &str, line: &str) -> String {
+    let key = line.split('=').next().unwrap_or_default().trim();
+    let head = format!("[{section}]");
+    let kept = GOOD
+        .lines()
+        .scan(String::new(), |current, text| {
+            if text.starts_with('[') {
+                *current = text.to_owned();
+            }
+            let replaced = *current == head && text.split('=').next().unwrap().trim() == key;
+            Some((!replaced).then_some(text))
+        })
+        .flatten();
+    let text: String = kept.map(|text| format!("{text}\n")).collect();
+    match text.contains(&head) {
+        true => text.replace(&head, &format!("{head}\n{line}")),
+        false => format!("{text}{head}\n{line}\n"),
+    }
+}
