--- /dev/null
+++ b/crates/scenario/src/main.rs
@@ -0,0 +1,3 @@
+//! The `scenario` program.
+
+fn main() {}
