Routing: corrected load, outlier ejection and budgeted retries

The baseline believes the last report, so all VMs that read it send to the same upstream until the next one. CorrectedLoad counts this VM's own requests onto the report, draws two candidates of the own availability zone and two of the others, and takes the one of lowest cost; a prompt prefix goes where it is probably cached unless that upstream is much busier. Upstreams that fail or are slow compared with their group are ejected, at most a third at a time, and return by single probes and a ramp. BudgetedRetry bounds retries by a bucket of tokens a group.

--- a/crates/routing/src/retry.rs
+++ b/crates/routing/src/fixed_retry.rs
@@ -1,4 +1,4 @@
-//! Retry policies.
+//! The plain baseline of retries.
 
 use apricotdale_core::names::GroupName;
 use apricotdale_core::policy::RetryDecision;
--- /dev/null
+++ b/crates/routing/src/outcomes.rs
@@ -0,0 +1,95 @@
+//! An upstream's outcomes, with older ones weighing less.
+
+use apricotdale_core::policy::UpstreamOutcome;
+
+use crate::options::OutlierOptions;
+
+/// `Outcomes` sums up the outcomes of one upstream.
+#[derive(Clone, Debug, Default)]
+pub(crate) struct Outcomes {
+    at_ms: u64,
+    good: f64,
+    bad: f64,
+    first_bytes: f64,
+    first_byte_sum_ms: f64,
+    failures_in_a_row: u32,
+}
+
+impl Outcomes {
+    /// Takes in one outcome. One that the caller ended says nothing and changes nothing.
+    pub(crate) fn learn(
+        &mut self,
+        now_ms: u64,
+        outcome: UpstreamOutcome,
+        first_byte_ms: Option<u64>,
+        options: &OutlierOptions,
+    ) {
+        if outcome == UpstreamOutcome::Cancelled {
+            return;
+        }
+        self.fade(now_ms, options);
+        match outcome {
+            UpstreamOutcome::Answered => {
+                self.good += 1.0;
+                self.failures_in_a_row = 0;
+            }
+            // A refusal may be right, as of a model that was just unloaded, so it weighs less and
+            // does not count among the failures in a row.
+            UpstreamOutcome::Refused => self.bad += options.refusal_weight,
+            UpstreamOutcome::Unreachable | UpstreamOutcome::Lost => {
+                self.bad += 1.0;
+                self.failures_in_a_row = self.failures_in_a_row.saturating_add(1);
+            }
+            UpstreamOutcome::Cancelled => {}
+        }
+        if let Some(first_byte_ms) = first_byte_ms {
+            self.first_bytes += 1.0;
+            self.first_byte_sum_ms += first_byte_ms as f64;
+        }
+    }
+
+    /// Returns the weight of all outcomes.
+    pub(crate) fn weight(&self) -> f64 {
+        self.good + self.bad
+    }
+
+    /// Returns the weight of the failures.
+    pub(crate) fn bad(&self) -> f64 {
+        self.bad
+    }
+
+    /// Returns the share of failures, zero without outcomes.
+    pub(crate) fn failure_share(&self) -> f64 {
+        share(self.bad, self.weight())
+    }
+
+    /// Returns how many of the last outcomes were failures without a good one in between.
+    pub(crate) fn failures_in_a_row(&self) -> u32 {
+        self.failures_in_a_row
+    }
+
+    /// Returns the mean time to the first byte, or none before there is enough to tell.
+    pub(crate) fn first_byte_ms(&self, options: &OutlierOptions) -> Option<f64> {
+        let enough = self.first_bytes >= options.min_weight / 2.0;
+        enough.then(|| self.first_byte_sum_ms / self.first_bytes)
+    }
+
+    /// Lets the weight of what is known fade up to a moment.
+    pub(crate) fn fade(&mut self, now_ms: u64, options: &OutlierOptions) {
+        let elapsed_ms = now_ms.saturating_sub(self.at_ms) as f64;
+        let factor = 0.5_f64.powf(elapsed_ms / options.half_life_ms.max(1) as f64);
+        self.at_ms = self.at_ms.max(now_ms);
+        self.good *= factor;
+        self.bad *= factor;
+        self.first_bytes *= factor;
+        self.first_byte_sum_ms *= factor;
+    }
+}
+
+/// Returns a share, zero of nothing.
+pub(crate) fn share(part: f64, whole: f64) -> f64 {
+    if whole <= f64::EPSILON {
+        return 0.0;
+    }
+    part / whole
+}
--- a/crates/routing/src/registry.rs
+++ b/crates/routing/src/registry.rs
@@ -3,26 +3,29 @@
 use apricotdale_core::policy::RetryPolicy;
 use apricotdale_core::policy::RoutingPolicy;
 
+use crate::budgeted_retry::BudgetedRetry;
+use crate::corrected_load::CorrectedLoad;
 use crate::errors::Error;
 use crate::errors::Result;
+use crate::fixed_retry::FixedRetry;
 use crate::least_reported::LeastReported;
 use crate::options::Options;
 use crate::options::RetryOptions;
-use crate::retry::FixedRetry;
 
 /// The names that [`routing_policy`] knows.
-pub const ROUTING_POLICIES: &[&str] = &["least_reported"];
+pub const ROUTING_POLICIES: &[&str] = &["corrected_load", "least_reported"];
 
 /// The names that [`retry_policy`] knows.
-pub const RETRY_POLICIES: &[&str] = &["fixed"];
+pub const RETRY_POLICIES: &[&str] = &["budgeted", "fixed"];
 
 /// Returns the routing policy of the given name.
 ///
 /// # Errors
 ///
 /// [`Error::UnknownPolicy`] if the name is not one of [`ROUTING_POLICIES`].
-pub fn routing_policy(name: &str, _options: Options) -> Result<Box<dyn RoutingPolicy>> {
+pub fn routing_policy(name: &str, options: Options) -> Result<Box<dyn RoutingPolicy>> {
     match name {
+        "corrected_load" => Ok(Box::new(CorrectedLoad::new(options))),
         "least_reported" => Ok(Box::new(LeastReported::default())),
         _ => Err(Error::unknown_policy(name, ROUTING_POLICIES)),
     }
@@ -35,6 +38,7 @@
 /// [`Error::UnknownPolicy`] if the name is not one of [`RETRY_POLICIES`].
 pub fn retry_policy(name: &str, options: RetryOptions) -> Result<Box<dyn RetryPolicy>> {
     match name {
+        "budgeted" => Ok(Box::new(BudgetedRetry::new(options))),
         "fixed" => Ok(Box::new(FixedRetry::new(options))),
         _ => Err(Error::unknown_policy(name, RETRY_POLICIES)),
     }
