State crate: thin replay of the control and claim streams

Cause: the daemon needs the replicated decision state with its read interface before anything else can be wired.

--- /dev/null
+++ b/crates/state/src/intents.rs
@@ -0,0 +1,245 @@
+//! Rules of the records that start something: loads, unloads and takeovers.
+
+use apricotdale_core::control::LoadIntent;
+use apricotdale_core::control::Proposer;
+use apricotdale_core::control::TakeOver;
+use apricotdale_core::control::UnloadIntent;
+use apricotdale_core::names::ModelName;
+use apricotdale_core::names::UpstreamName;
+use apricotdale_core::numbers::Offset;
+
+use crate::configuration::ConfiguredModel;
+use crate::control_state::ControlState;
+use crate::control_state::Decision;
+use crate::control_state::Moment;
+use crate::engines::Engine;
+use crate::replicas::Owner;
+use crate::replicas::Progress;
+use crate::replicas::Replica;
+use crate::replicas::Stage;
+use crate::replicas::UnloadTask;
+use crate::verdict::Accepted;
+use crate::verdict::RejectReason;
+
+impl ControlState {
+    /// Decides on a load.
+    pub(crate) fn load(&mut self, moment: Moment, intent: &LoadIntent) -> Decision {
+        let model = self
+            .config
+            .model(&intent.model)
+            .ok_or(RejectReason::UnknownModel)?;
+        let engine = self
+            .engines
+            .get(&intent.engine)
+            .ok_or(RejectReason::UnknownEngine)?;
+        check_engine(intent, model, engine)?;
+        self.check_replicas(intent, model, engine)?;
+        self.check_memory(&intent.engine, engine, model.bytes)?;
+        let replica = Replica {
+            load: moment.offset,
+            model: intent.model.clone(),
+            base: model.base.clone(),
+            engine: intent.engine.clone(),
+            bytes: model.bytes,
+            model_version: model.version,
+            progress: Progress::Ordered,
+            since_ms: moment.appended_ms,
+            sender: intent.proposer.epoch,
+            owner: owner(&intent.proposer, moment),
+            quiet_since: None,
+            last_boot: None,
+            refused_by: None,
+            shown: None,
+            unload: None,
+            engine_unloads: false,
+        };
+        self.replicas.insert(replica);
+        Ok(Accepted::LoadReserved)
+    }
+
+    fn check_replicas(
+        &self,
+        intent: &LoadIntent,
+        model: &ConfiguredModel,
+        engine: &Engine,
+    ) -> Result<(), RejectReason> {
+        if self.replica_count(&intent.model) != intent.expected_replicas {
+            return Err(RejectReason::ReplicaCountChanged);
+        }
+        // An engine names its models, so it can't tell two replicas of one model apart: an unload
+        // of the one would be an unload of both.
+        let boot = engine.boot();
+        let is_same = |replica: &Replica| replica.model == intent.model && replica.can_hold(boot);
+        if engine.undecided.contains_key(&intent.model)
+            || self.replicas.of_engine(&intent.engine).any(is_same)
+        {
+            return Err(RejectReason::AlreadyOnEngine);
+        }
+        match &model.base {
+            Some(base) if !self.is_loaded_on(base, &intent.engine) => {
+                Err(RejectReason::BaseNotLoaded)
+            }
+            _ => Ok(()),
+        }
+    }
+
+    fn is_loaded_on(&self, model: &ModelName, engine: &UpstreamName) -> bool {
+        let mut replicas = self.replicas.of_engine(engine);
+        replicas.any(|replica| replica.model == *model && replica.stage() == Stage::Loaded)
+    }
+
+    /// Checks that an engine's memory holds some more bytes, now and if it restarts.
+    ///
+    /// A restart frees what is loaded, but every order that has not yet been seen to take effect
+    /// can still reach the new run, and so can an order which the present run refuses, since a
+    /// restarted engine forgets the numbers it has seen. Both sums must fit, or a restart at the
+    /// wrong moment would overcommit the memory before anyone could know of it.
+    fn check_memory(
+        &self,
+        name: &UpstreamName,
+        engine: &Engine,
+        bytes: u64,
+    ) -> Result<(), RejectReason> {
+        if self.held_bytes(name, engine).saturating_add(bytes) > engine.capacity_bytes {
+            return Err(RejectReason::NoMemory);
+        }
+        if self
+            .held_after_restart_bytes(name, engine)
+            .saturating_add(bytes)
+            > engine.capacity_bytes
+        {
+            return Err(RejectReason::NoMemoryAfterRestart);
+        }
+        Ok(())
+    }
+
+    /// Returns the memory that is taken or may become taken in an engine's present run.
+    pub(crate) fn held_bytes(&self, name: &UpstreamName, engine: &Engine) -> u64 {
+        let boot = engine.boot();
+        let holding = self
+            .replicas
+            .of_engine(name)
+            .filter(|replica| replica.can_hold(boot));
+        let decided: u64 = holding.map(|replica| replica.bytes).sum();
+        decided.saturating_add(engine.undecided_bytes())
+    }
+
+    /// Returns the memory that may become taken in a later run of an engine by orders already
+    /// given.
+    pub(crate) fn held_after_restart_bytes(&self, name: &UpstreamName, engine: &Engine) -> u64 {
+        let boot = engine.boot();
+        let holding = self
+            .replicas
+            .of_engine(name)
+            .filter(|replica| replica.can_hold_after(boot));
+        holding.map(|replica| replica.bytes).sum()
+    }
+
+    /// Decides on an unload.
+    pub(crate) fn unload(&mut self, moment: Moment, intent: &UnloadIntent) -> Decision {
+        let task = UnloadTask {
+            model: intent.model.clone(),
+            engine: intent.engine.clone(),
+            load: intent.load,
+            sender: intent.proposer.epoch,
+            owner: owner(&intent.proposer, moment),
+        };
+        match self.replicas.get(intent.load) {
+            Some(replica) => {
+                self.check_unload(replica, intent)?;
+                let replica = self.replicas.get_mut(intent.load);
+                replica.expect("the replica was there a line above").unload = Some(moment.offset);
+            }
+            None => self.unload_undecided(moment.offset, intent)?,
+        }
+        self.unloads.insert(moment.offset, task);
+        Ok(Accepted::UnloadStarted)
+    }
+
+    fn check_unload(&self, replica: &Replica, intent: &UnloadIntent) -> Result<(), RejectReason> {
+        if replica.model != intent.model || replica.engine != intent.engine {
+            return Err(RejectReason::UnknownReplica);
+        }
+        if replica.progress != Progress::Loaded || replica.unload.is_some() {
+            return Err(RejectReason::NotLoaded);
+        }
+        self.check_no_adapters(intent)
+    }
+
+    fn check_no_adapters(&self, intent: &UnloadIntent) -> Result<(), RejectReason> {
+        let mut replicas = self.replicas.of_engine(&intent.engine);
+        match replicas.any(|replica| replica.base.as_ref() == Some(&intent.model)) {
+            true => Err(RejectReason::HasAdapters),
+            false => Ok(()),
+        }
+    }
+
+    fn unload_undecided(
+        &mut self,
+        offset: Offset,
+        intent: &UnloadIntent,
+    ) -> Result<(), RejectReason> {
+        self.check_no_adapters(intent)?;
+        let engine = self
+            .engines
+            .get_mut(&intent.engine)
+            .ok_or(RejectReason::UnknownReplica)?;
+        match engine.undecided.get_mut(&intent.model) {
+            Some(resident) if resident.fence.0 != intent.load.0 => {
+                Err(RejectReason::UnknownReplica)
+            }
+            Some(resident) if resident.unload.is_some() => Err(RejectReason::NotLoaded),
+            Some(resident) => {
+                resident.unload = Some(offset);
+                Ok(())
+            }
+            None => Err(RejectReason::UnknownReplica),
+        }
+    }
+
+    /// Decides on a takeover.
+    pub(crate) fn take_over(&mut self, moment: Moment, takeover: &TakeOver) -> Decision {
+        let owner = owner(&takeover.proposer, moment);
+        if let Some(task) = self.unloads.get_mut(&takeover.intent) {
+            task.owner = owner;
+            return Ok(Accepted::TakenOver);
+        }
+        let replica = self
+            .replicas
+            .get_mut(takeover.intent)
+            .ok_or(RejectReason::UnknownIntent)?;
+        if replica.progress == Progress::Loaded {
+            return Err(RejectReason::UnknownIntent);
+        }
+        // A sender that takes its own intent over says that its attempt is over and that it will
+        // not send the order again.
+        if replica.sender == owner.epoch {
+            replica.quiet_since.get_or_insert(moment.offset);
+        }
+        replica.owner = owner;
+        Ok(Accepted::TakenOver)
+    }
+}
+
+fn check_engine(
+    intent: &LoadIntent,
+    model: &ConfiguredModel,
+    engine: &Engine,
+) -> Result<(), RejectReason> {
+    match engine {
+        _ if model.version != intent.model_version => Err(RejectReason::ModelChanged),
+        _ if engine.is_gone() => Err(RejectReason::EngineGone),
+        _ if engine.boot() != intent.boot => Err(RejectReason::EngineRestarted),
+        _ if engine.floor.boot != intent.boot => Err(RejectReason::EngineRestarted),
+        _ if engine.group != model.group => Err(RejectReason::WrongGroup),
+        _ => Ok(()),
+    }
+}
+
+fn owner(proposer: &Proposer, moment: Moment) -> Owner {
+    Owner {
+        vm: proposer.vm.clone(),
+        epoch: proposer.epoch,
+        since: moment.offset,
+    }
+}
--- a/crates/state/src/lib.rs
+++ b/crates/state/src/lib.rs
@@ -1,4 +1,42 @@
 //! Replicated decision state: deterministic replay of the control and claim streams.
+//!
+//! Every VM replays the same streams with the state machines of this crate and so comes to the same
+//! decisions without a leader:
+//!
+//! - [`ControlState`] replays the control stream: configuration, members, engines and replicas;
+//! - [`ClaimTable`] replays one claim stream, so that a call under an idempotency key runs at most
+//!   once;
+//! - [`snapshot`] carries either state to a VM that starts after the log has dropped old records.
+//!
+//! Nothing here reads a clock, opens a socket, starts a thread or uses randomness. The only time is
+//! that at which the log took a record, which is the same for all readers.
 
 #![forbid(unsafe_code)]
 #![warn(missing_docs)]
+
+pub mod claim_table;
+pub mod config_rules;
+pub mod configuration;
+pub mod control_state;
+pub mod counters;
+pub mod engines;
+pub mod errors;
+pub mod history;
+pub mod members;
+pub mod replicas;
+pub mod snapshot;
+pub mod verdict;
+pub mod view;
+
+mod intents;
+mod observations;
+mod settlements;
+
+pub use claim_table::ClaimTable;
+pub use control_state::ControlState;
+pub use errors::Error;
+pub use errors::Result;
+pub use verdict::Accepted;
+pub use verdict::IgnoreReason;
+pub use verdict::RejectReason;
+pub use verdict::Verdict;
