Operators' command: publish, set-class, views, drain, check-settings

Cause: operators steer by class targets alone and need a command that publishes them.

Changed: apricotctl compares an INI file with the configuration in force and publishes the difference under the version it read, so that operators who race are told so. An answer that was lost is reported as unknown, with an exit code of its own; since edits are computed anew each time, running the command again is safe.

Ruled out: removing by default what a file lacks; two teams with a file each would remove each other's models.

--- a/crates/admin/src/client.rs
+++ b/crates/admin/src/client.rs
@@ -161,7 +161,12 @@
     fn get<T: DeserializeOwned>(&self, path: &str) -> Result<T> {
         let url = format!("{}{path}", self.base_url);
         let answer = self.agent.get(&url).call();
-        self.read(answer.map_err(|error| Error::Unreachable(error.to_string()))?)
+        let answer = answer.map_err(|error| Error::Unreachable(error.to_string()))?;
+        match self.read(answer) {
+            // A call that changes nothing has no outcome that could be unknown.
+            Err(Error::OutcomeUnknown(detail)) => Err(Error::Unreachable(detail)),
+            answer => answer,
+        }
     }
 
     fn read<T: DeserializeOwned>(&self, mut answer: Response<Body>) -> Result<T> {
--- /dev/null
+++ b/crates/ctl/src/config_file.rs
@@ -0,0 +1,205 @@
+//! Files of classes, models and services.
+
+use std::collections::BTreeMap;
+
+use apricotdale_core::config::ClassTarget;
+use apricotdale_core::config::ModelSpec;
+use apricotdale_core::config::ServiceSpec;
+use apricotdale_core::names::ClassName;
+use apricotdale_core::names::GroupName;
+use apricotdale_core::names::ModelName;
+use apricotdale_settings::Document;
+use apricotdale_settings::Problem;
+use apricotdale_settings::Section;
+
+const HEADS: &str = "allowed are [class NAME], [model NAME] and [service NAME]";
+const POSITIVE: &str = "a whole number above 0, without a unit";
+
+/// `ConfigFile` is a file of classes, models and services, in order of name.
+#[derive(Clone, Debug, Default, PartialEq, Eq)]
+pub struct ConfigFile {
+    /// Classes of work and their targets.
+    pub classes: BTreeMap<ClassName, ClassTarget>,
+    /// Models and adapters.
+    pub models: BTreeMap<ModelName, ModelSpec>,
+    /// Plain services.
+    pub services: BTreeMap<GroupName, ServiceSpec>,
+}
+
+impl ConfigFile {
+    /// Returns what an INI text holds.
+    ///
+    /// # Errors
+    ///
+    /// Every problem of the text, in order of line.
+    pub fn from_text(text: &str) -> Result<Self, Vec<Problem>> {
+        let (document, mut problems) = Document::read(text);
+        let mut file = Self::default();
+        for section in &document.sections {
+            file.take_section(section, &mut problems);
+        }
+        if problems.is_empty() {
+            return Ok(file);
+        }
+        problems.sort_by_key(|problem| problem.line.unwrap_or(usize::MAX));
+        Err(problems)
+    }
+
+    fn take_section(&mut self, section: &Section, problems: &mut Vec<Problem>) {
+        let head = section.name.split_once(' ');
+        let (kind, name) = head.unwrap_or((&section.name, ""));
+        let name = name.trim();
+        if name.is_empty() || !["class", "model", "service"].contains(&kind) {
+            problems.push(of_section(section, HEADS));
+            return;
+        }
+        let mut fields = Fields::of(section, problems);
+        let is_new = match kind {
+            "class" => self.take_class(name, &mut fields),
+            "model" => self.take_model(name, &mut fields),
+            _ => self.take_service(name, &mut fields),
+        };
+        fields.reject_others();
+        if !is_new {
+            problems.push(of_section(section, "the section stands twice"));
+        }
+    }
+
+    fn take_class(&mut self, name: &str, fields: &mut Fields<'_>) -> bool {
+        let class = ClassName::new(name);
+        let target = ClassTarget {
+            class: class.clone(),
+            answer_within_ms: fields.number("answer_within_ms"),
+        };
+        self.classes.insert(class, target).is_none()
+    }
+
+    fn take_model(&mut self, name: &str, fields: &mut Fields<'_>) -> bool {
+        let model = ModelName::new(name);
+        let spec = ModelSpec {
+            model: model.clone(),
+            base: fields.optional("base").map(ModelName::from),
+            group: GroupName::new(fields.required("group")),
+            bytes: fields.number("bytes"),
+        };
+        self.models.insert(model, spec).is_none()
+    }
+
+    fn take_service(&mut self, name: &str, fields: &mut Fields<'_>) -> bool {
+        let service = GroupName::new(name);
+        let spec = ServiceSpec {
+            service: service.clone(),
+            idempotent_paths: fields.paths("idempotent_paths"),
+        };
+        self.services.insert(service, spec).is_none()
+    }
+}
+
+/// `Fields` reads the entries of one section and notes what is wrong with them.
+struct Fields<'a> {
+    section: &'a Section,
+    problems: &'a mut Vec<Problem>,
+    known: Vec<&'static str>,
+}
+
+impl<'a> Fields<'a> {
+    fn of(section: &'a Section, problems: &'a mut Vec<Problem>) -> Self {
+        Self {
+            section,
+            problems,
+            known: Vec::new(),
+        }
+    }
+
+    fn optional(&mut self, key: &'static str) -> Option<&'a str> {
+        self.known.push(key);
+        let section = self.section;
+        let mut entries = section.entries.iter().filter(|entry| entry.key == key);
+        let first = entries.next()?;
+        for again in entries {
+            let allowed = format!("the key stands already at line {}", first.line);
+            self.reject(key, Some(&again.value), Some(again.line), allowed);
+        }
+        if first.value.is_empty() {
+            self.reject(key, Some(""), Some(first.line), "must not be empty");
+        }
+        Some(&first.value)
+    }
+
+    fn required(&mut self, key: &'static str) -> &'a str {
+        let Some(value) = self.optional(key) else {
+            self.reject(key, None, Some(self.section.line), "missing");
+            return "";
+        };
+        value
+    }
+
+    fn number(&mut self, key: &'static str) -> u64 {
+        let text = self.required(key);
+        if text.is_empty() {
+            return 0;
+        }
+        let is_digits = text.bytes().all(|byte| byte.is_ascii_digit());
+        match text.parse() {
+            Ok(number) if is_digits && number > 0 => number,
+            _ => {
+                self.reject(
+                    key,
+                    Some(text),
+                    self.line(key),
+                    format!("allowed is {POSITIVE}"),
+                );
+                0
+            }
+        }
+    }
+
+    fn paths(&mut self, key: &'static str) -> Vec<String> {
+        let Some(text) = self.optional(key) else {
+            return Vec::new();
+        };
+        let paths: Vec<String> = text.split(',').map(|path| path.trim().to_owned()).collect();
+        if paths.iter().any(|path| !path.starts_with('/')) {
+            let allowed = "allowed are paths that begin with /, separated by commas";
+            self.reject(key, Some(text), self.line(key), allowed);
+        }
+        paths
+    }
+
+    fn reject_others(&mut self) {
+        for entry in &self.section.entries {
+            if self.known.contains(&entry.key.as_str()) {
+                continue;
+            }
+            let allowed = format!("unknown key; allowed are {}", self.known.join(", "));
+            self.problems.push(Problem::of_key(
+                &self.section.name,
+                &entry.key,
+                Some(&entry.value),
+                Some(entry.line),
+                allowed,
+            ));
+        }
+    }
+
+    fn line(&self, key: &str) -> Option<usize> {
+        let entries = &self.section.entries;
+        let entry = entries.iter().find(|entry| entry.key == key);
+        entry.map(|entry| entry.line)
+    }
+
+    fn reject(
+        &mut self,
+        key: &str,
+        value: Option<&str>,
+        line: Option<usize>,
+        allowed: impl Into<String>,
+    ) {
+        let problem = Problem::of_key(&self.section.name, key, value, line, allowed);
+        self.problems.push(problem);
+    }
+}
+
+fn of_section(section: &Section, allowed: &str) -> Problem {
+    Problem::of_section(&section.name, Some(section.line), allowed)
+}
--- /dev/null
+++ b/crates/ctl/src/errors.rs
@@ -0,0 +1,49 @@
+//! Errors of the operators' command.
+
+use std::io;
+
+use apricotdale_settings::Problem;
+use thiserror::Error;
+
+use crate::exit::ExitStatus;
+
+/// `Result` is the result of a command.
+pub type Result<T> = std::result::Result<T, Error>;
+
+/// `Error` is what a command can fail with.
+#[derive(Debug, Error)]
+pub enum Error {
+    /// The daemon, or the way to it.
+    #[error(transparent)]
+    Admin(#[from] apricotdale_admin::Error),
+    /// A file has problems.
+    #[error("{}", problem_lines(.0))]
+    BadFile(Vec<Problem>),
+    /// The output could not be written.
+    #[error("the output can't be written: {0}")]
+    Output(#[from] io::Error),
+}
+
+impl Error {
+    /// Returns how the command ends after this error.
+    pub fn exit_status(&self) -> ExitStatus {
+        use apricotdale_admin::Error as Admin;
+        match self {
+            Self::BadFile(_) => ExitStatus::BadFile,
+            Self::Output(_) => ExitStatus::OutputFailed,
+            Self::Admin(Admin::OutcomeUnknown(_)) => ExitStatus::OutcomeUnknown,
+            Self::Admin(
+                Admin::NotFound(_)
+                | Admin::BadRequest(_)
+                | Admin::MethodNotAllowed(_)
+                | Admin::BodyTooLarge(_),
+            ) => ExitStatus::Refused,
+            Self::Admin(_) => ExitStatus::Unavailable,
+        }
+    }
+}
+
+fn problem_lines(problems: &[Problem]) -> String {
+    let lines: Vec<String> = problems.iter().map(ToString::to_string).collect();
+    lines.join("\n")
+}
--- /dev/null
+++ b/crates/ctl/src/table.rs
@@ -0,0 +1,47 @@
+//! Tables of text with aligned columns.
+
+/// The space between two columns.
+const GAP: &str = "  ";
+
+/// `Table` is a head and rows of the same length.
+pub(crate) struct Table {
+    rows: Vec<Vec<String>>,
+}
+
+impl Table {
+    /// Returns a table without rows.
+    pub(crate) fn new(head: &[&str]) -> Self {
+        let head = head.iter().map(|cell| (*cell).to_owned()).collect();
+        Self { rows: vec![head] }
+    }
+
+    /// Adds a row.
+    pub(crate) fn row<const N: usize>(&mut self, cells: [String; N]) {
+        self.rows.push(cells.into());
+    }
+
+    /// Returns the table as lines.
+    pub(crate) fn render(&self) -> String {
+        let widths = self.widths();
+        let mut text = String::new();
+        for row in &self.rows {
+            let cells: Vec<String> = row
+                .iter()
+                .zip(&widths)
+                .map(|(cell, width)| format!("{cell:<width$}"))
+                .collect();
+            text.push_str(cells.join(GAP).trim_end());
+            text.push('\n');
+        }
+        text
+    }
+
+    fn widths(&self) -> Vec<usize> {
+        let columns = self.rows[0].len();
+        let width = |column: usize| {
+            let cells = self.rows.iter().map(|row| row[column].chars().count());
+            cells.max().unwrap_or_default()
+        };
+        (0..columns).map(width).collect()
+    }
+}
