--- a/crates/ctl/src/commands.rs
+++ b/crates/ctl/src/commands.rs
@@ -44,7 +44,8 @@
         Ok(arguments) => arguments,
         Err(failure) => return tell_failure(failure, output, errors),
     };
-    match Session { output }.run(arguments.command) {
+    let mut session = Session { output };
+    match session.run(arguments.command) {
         Ok(status) => status,
         Err(error) => {
             // There is nowhere left to tell that standard error can't be written.
