Launcher: the cluster, its settings files and the list of VMs

A scenario needs the platform's stand-ins, upstreams and VMs at once. Every process listens on a port of the system's choice and tells it in its ready line; the list of VMs is posted once all daemons have told theirs, so no port has to be known beforehand. A freeze waits until the system shows every thread as stopped: SIGSTOP is delivered later than it is sent, and what happens in between would look like the act of a frozen process. 21 launcher tests pass; the start of daemons is not run yet, as there is no daemon.

--- a/crates/launcher/src/answer.rs
+++ b/crates/launcher/src/answer.rs
@@ -2,6 +2,7 @@
 
 use std::fmt;
 
+use serde::Deserialize;
 use serde_json::Value;
 
 /// The beginning of a line of an event's data.
@@ -10,6 +11,10 @@
 /// The data of the last event of a whole stream.
 const STREAM_END: &str = "[DONE]";
 
+/// The beginning of the type of a problem document that is a refusal of the system's own. Upstreams
+/// may send problem documents, too.
+const REFUSAL_TYPE: &str = "urn:apricotdale:refusal:";
+
 /// `AnswerHead` is the beginning of an answer.
 #[derive(Clone, Debug, Default, PartialEq, Eq)]
 pub struct AnswerHead {
@@ -30,6 +35,14 @@
     pub ran: String,
 }
 
+#[derive(Deserialize)]
+struct Problem {
+    #[serde(rename = "type")]
+    kind: String,
+    reason: String,
+    ran: String,
+}
+
 /// `Outcome` is how a request ended for its caller.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub enum Outcome {
@@ -154,11 +167,10 @@
 impl RefusedAnswer {
     /// Returns the refusal that a body is, or none if it is another answer.
     pub fn parse(body: &str) -> Option<Self> {
-        let value: Value = serde_json::from_str(body).ok()?;
-        let error = value.get("error")?;
-        Some(Self {
-            reason: error.get("code")?.as_str()?.to_owned(),
-            ran: error.get("ran")?.as_str()?.to_owned(),
+        let problem: Problem = serde_json::from_str(body).ok()?;
+        problem.kind.starts_with(REFUSAL_TYPE).then_some(Self {
+            reason: problem.reason,
+            ran: problem.ran,
         })
     }
 }
--- /dev/null
+++ b/crates/launcher/src/cluster/records.rs
@@ -0,0 +1,103 @@
+//! Reading the streams of the log's stand-in.
+
+use apricotdale_core::control::ControlRecord;
+use apricotdale_core::control::LoadIntent;
+use base64::Engine;
+use base64::engine::general_purpose::STANDARD;
+use serde::Deserialize;
+
+use crate::errors::Error;
+use crate::errors::Result;
+use crate::standin::StandinClient;
+
+/// The stream of decisions and configuration.
+pub const CONTROL_STREAM: &str = "control";
+
+/// The most records that one read asks for.
+const READ_RECORDS: usize = 500;
+
+/// `StoredRecord` is one record of a stream.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct StoredRecord {
+    /// Its position.
+    pub offset: u64,
+    /// When the log took it, in milliseconds of Unix time.
+    pub appended_ms: u64,
+    /// Its bytes.
+    pub payload: Vec<u8>,
+}
+
+#[derive(Deserialize)]
+struct ReadAnswer {
+    end: u64,
+    records: Vec<ReadRecord>,
+}
+
+#[derive(Deserialize)]
+struct ReadRecord {
+    offset: u64,
+    appended_ms: u64,
+    payload: String,
+}
+
+/// Returns all records that a stream still keeps, and the offset that the next append will get.
+///
+/// # Errors
+///
+/// `Error::Failed` if the stand-in can't be reached, as in an outage that a scenario sets.
+pub fn read_stream(log: &StandinClient, stream: &str) -> Result<(Vec<StoredRecord>, u64)> {
+    let mut records = Vec::new();
+    let mut from = first_offset(log, stream)?;
+    loop {
+        let path = format!("/streams/{stream}/records?from={from}&max={READ_RECORDS}&wait_ms=0");
+        let answer: ReadAnswer = log.get(&path)?;
+        for record in answer.records {
+            from = record.offset + 1;
+            records.push(StoredRecord::decode(record)?);
+        }
+        if from >= answer.end {
+            return Ok((records, answer.end));
+        }
+    }
+}
+
+/// Returns the load intents on the control stream, in order, with their offsets.
+///
+/// # Errors
+///
+/// As for [`read_stream`].
+pub fn load_intents(log: &StandinClient) -> Result<Vec<(u64, LoadIntent)>> {
+    let (records, _) = read_stream(log, CONTROL_STREAM)?;
+    let intents =
+        records
+            .into_iter()
+            .filter_map(|record| match ControlRecord::decode(&record.payload) {
+                Some(ControlRecord::Load(intent)) => Some((record.offset, intent)),
+                _ => None,
+            });
+    Ok(intents.collect())
+}
+
+/// Returns the first offset that a stream still keeps.
+fn first_offset(log: &StandinClient, stream: &str) -> Result<u64> {
+    #[derive(Deserialize)]
+    struct First {
+        first: u64,
+    }
+    let path = format!("/streams/{stream}/records?from=0&max=1&wait_ms=0");
+    let first: First = log.get_any_status(&path)?;
+    Ok(first.first)
+}
+
+impl StoredRecord {
+    fn decode(record: ReadRecord) -> Result<Self> {
+        let payload = STANDARD
+            .decode(record.payload)
+            .map_err(|error| Error::failed("reading a record", error))?;
+        Ok(Self {
+            offset: record.offset,
+            appended_ms: record.appended_ms,
+            payload,
+        })
+    }
+}
--- a/crates/launcher/src/lib.rs
+++ b/crates/launcher/src/lib.rs
@@ -7,7 +7,9 @@
 
 pub mod answer;
 pub mod caller;
+pub mod cluster;
 pub mod errors;
+pub mod health;
 pub mod interrupts;
 pub mod poll;
 pub mod process;
--- a/crates/launcher/src/processes.rs
+++ b/crates/launcher/src/processes.rs
@@ -2,6 +2,7 @@
 
 use std::collections::BTreeMap;
 use std::ffi::OsString;
+use std::fs;
 use std::path::PathBuf;
 use std::sync::Arc;
 use std::sync::Mutex;
@@ -12,12 +13,17 @@
 
 use crate::errors::Error;
 use crate::errors::Result;
+use crate::poll::POLL_LIMIT;
+use crate::poll::poll_until;
 use crate::process::Exit;
 use crate::process::Launch;
 use crate::process::Process;
 use crate::programs::Program;
 use crate::ready::ReadyLine;
 
+/// What the operating system shows as the state of a thread that a signal stopped.
+const STOPPED_STATE: char = 'T';
+
 /// `Processes` is the child processes of one launcher, by name. Clones share the same processes, so
 /// that a signal's thread can end them while another thread starts more.
 #[derive(Clone, Debug)]
@@ -88,6 +94,25 @@
         lock(&*self.find(name)?).signal(signal)
     }
 
+    /// Stops the time of a process and waits until it stands still.
+    ///
+    /// # Errors
+    ///
+    /// As for [`Process::signal`]; `Error::GaveUp` if the process does not stop.
+    pub fn freeze(&self, name: &str) -> Result<()> {
+        let id = {
+            let process = self.find(name)?;
+            let mut process = lock(&process);
+            process.signal(Signal::SIGSTOP)?;
+            process.id()
+        };
+        // The signal is delivered later than it is sent. What the process does in between would
+        // look as if it had been done by a frozen process.
+        poll_until(&format!("{name} stands still"), POLL_LIMIT, || {
+            Ok(stands_still(id)?.then_some(()))
+        })
+    }
+
     /// Kills a process, frozen or not, and waits for its end.
     ///
     /// # Errors
@@ -150,6 +175,22 @@
     }
 }
 
+/// Returns whether the operating system shows every thread of a process as stopped.
+fn stands_still(id: u32) -> Result<bool> {
+    for task in fs::read_dir(format!("/proc/{id}/task"))? {
+        let stat = fs::read_to_string(task?.path().join("stat"))?;
+        // The state follows the program's name, which is in brackets and may hold any character.
+        let state = stat
+            .rsplit(") ")
+            .next()
+            .and_then(|rest| rest.chars().next());
+        if state != Some(STOPPED_STATE) {
+            return Ok(false);
+        }
+    }
+    Ok(true)
+}
+
 /// Locks a mutex, also after a thread panicked while it held it: the processes must be ended then,
 /// too.
 fn lock<T>(mutex: &Mutex<T>) -> MutexGuard<'_, T> {
--- a/crates/launcher/src/programs.rs
+++ b/crates/launcher/src/programs.rs
@@ -8,7 +8,7 @@
 use crate::errors::Result;
 
 /// `Program` is one of the programs that the launcher starts.
-#[derive(Clone, Copy, Debug, PartialEq, Eq, Hash)]
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, Hash)]
 pub enum Program {
     /// The daemon.
     Daemon,
--- a/crates/launcher/src/standin.rs
+++ b/crates/launcher/src/standin.rs
@@ -158,6 +158,19 @@
         answer.map_err(|error| Error::failed(format!("GET {url}"), error))
     }
 
+    /// Gets a path and reads the answer's body, also that of a refusal.
+    ///
+    /// # Errors
+    ///
+    /// As for `get`.
+    pub fn get_any_status<T: DeserializeOwned>(&self, path: &str) -> Result<T> {
+        let url = self.url(path);
+        let request = self.agent.get(&url).config();
+        let answer = request.http_status_as_error(false).build().call();
+        let answer = answer.and_then(|mut answer| answer.body_mut().read_json());
+        answer.map_err(|error| Error::failed(format!("GET {url}"), error))
+    }
+
     /// Posts JSON to a path.
     ///
     /// # Errors
