Admission: earliest deadline within class and caller shares

The baseline lets everything wait until its deadline. EarliestDeadline plays the dispatch forward and lets a request wait only while it will start in time; a class may fill what the measured needs of the others leave, the heaviest caller of an overfull class gives way, and slots are kept free for classes that can't wait for a long run to end.

--- a/crates/admission/src/lib.rs
+++ b/crates/admission/src/lib.rs
@@ -6,12 +6,23 @@
 #![forbid(unsafe_code)]
 #![warn(missing_docs)]
 
+mod callers;
+mod class_queue;
+mod earliest_deadline;
 mod errors;
 mod first_come;
+mod forecast;
+mod lanes;
+mod need;
 mod options;
+mod rates;
+mod refusals;
 mod registry;
+mod run_estimate;
 mod shares;
+mod target;
 
+pub use earliest_deadline::EarliestDeadline;
 pub use errors::Error;
 pub use errors::Result;
 pub use first_come::FirstCome;
--- a/crates/admission/src/registry.rs
+++ b/crates/admission/src/registry.rs
@@ -2,13 +2,14 @@
 
 use apricotdale_core::policy::AdmissionPolicy;
 
+use crate::earliest_deadline::EarliestDeadline;
 use crate::errors::Error;
 use crate::errors::Result;
 use crate::first_come::FirstCome;
 use crate::options::Options;
 
 /// The names that [`admission_policy`] knows.
-pub const ADMISSION_POLICIES: &[&str] = &["first_come"];
+pub const ADMISSION_POLICIES: &[&str] = &["earliest_deadline", "first_come"];
 
 /// Returns the admission policy of the given name.
 ///
@@ -17,6 +18,7 @@
 /// [`Error::UnknownPolicy`] if the name is not one of [`ADMISSION_POLICIES`].
 pub fn admission_policy(name: &str, options: Options) -> Result<Box<dyn AdmissionPolicy>> {
     match name {
+        "earliest_deadline" => Ok(Box::new(EarliestDeadline::new(options))),
         "first_come" => Ok(Box::new(FirstCome::new(options))),
         _ => Err(Error::unknown_policy(name, ADMISSION_POLICIES)),
     }
