--- /dev/null
+++ b/crates/standins/src/engine/completion.rs
@@ -0,0 +1,186 @@
+//! Requests for completions and the bodies of their answers, in OpenAI's format.
+
+use apricotdale_core::names::ModelName;
+use apricotdale_core::names::RequestId;
+use serde::Deserialize;
+use serde_json::Value;
+use serde_json::json;
+use xxhash_rust::xxh3::xxh3_64;
+
+/// The bytes of a prompt that make up its prefix.
+pub const PREFIX_BYTES: usize = 256;
+
+const DEFAULT_MAX_TOKENS: u32 = 16;
+
+/// Returns the hash of a prompt's prefix, which is its first [`PREFIX_BYTES`] bytes.
+pub fn prefix_hash(prompt: &str) -> u64 {
+    let prefix = prompt.as_bytes();
+    xxh3_64(&prefix[..prefix.len().min(PREFIX_BYTES)])
+}
+
+/// Returns the text of a request's token with the given number, from zero. It names the request,
+/// so that a test sees whose answer it got.
+pub fn token(id: &RequestId, number: u32) -> String {
+    format!("tok-{id}-{number} ")
+}
+
+/// `Format` is one of the two published formats.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub(crate) enum Format {
+    /// `POST /v1/completions`.
+    Text,
+    /// `POST /v1/chat/completions`.
+    Chat,
+}
+
+/// `CompletionBody` is the body of a request.
+#[derive(Clone, Debug, Deserialize)]
+pub(crate) struct CompletionBody {
+    pub(crate) model: ModelName,
+    #[serde(default)]
+    pub(crate) stream: bool,
+    prompt: Option<Prompt>,
+    #[serde(default)]
+    messages: Vec<Message>,
+    max_tokens: Option<u32>,
+    max_completion_tokens: Option<u32>,
+    #[serde(default)]
+    stream_options: StreamOptions,
+}
+
+#[derive(Clone, Debug, Deserialize)]
+#[serde(untagged)]
+enum Prompt {
+    One(String),
+    Many(Vec<String>),
+}
+
+#[derive(Clone, Debug, Deserialize)]
+struct Message {
+    #[serde(default)]
+    content: Value,
+}
+
+#[derive(Clone, Copy, Debug, Default, Deserialize)]
+struct StreamOptions {
+    #[serde(default)]
+    include_usage: bool,
+}
+
+/// `Answer` writes the bodies of one request's answer.
+#[derive(Clone, Debug)]
+pub(crate) struct Answer {
+    pub(crate) id: RequestId,
+    pub(crate) format: Format,
+    pub(crate) model: ModelName,
+    pub(crate) engine: String,
+    pub(crate) created_s: u64,
+}
+
+impl CompletionBody {
+    /// Returns the number of tokens to generate, at least one.
+    pub(crate) fn max_tokens(&self) -> u32 {
+        let asked = self.max_completion_tokens.or(self.max_tokens);
+        asked.unwrap_or(DEFAULT_MAX_TOKENS).max(1)
+    }
+
+    /// Returns whether a stream ends with an event that tells the usage.
+    pub(crate) fn includes_usage(&self) -> bool {
+        self.stream_options.include_usage
+    }
+
+    /// Returns the text of the prompt or of all messages.
+    pub(crate) fn prompt_text(&self) -> String {
+        match &self.prompt {
+            Some(Prompt::One(text)) => text.clone(),
+            Some(Prompt::Many(texts)) => texts.concat(),
+            None => self.messages.iter().map(Message::text).collect(),
+        }
+    }
+
+    /// Returns the usage when so many tokens were generated. Each word of the prompt counts as one
+    /// token.
+    pub(crate) fn usage(&self, generated: u32) -> Value {
+        let prompt = self.prompt_text().split_whitespace().count();
+        json!({
+            "prompt_tokens": prompt,
+            "completion_tokens": generated,
+            "total_tokens": prompt + generated as usize,
+        })
+    }
+}
+
+impl Message {
+    fn text(&self) -> String {
+        match &self.content {
+            Value::String(text) => text.clone(),
+            other => other.to_string(),
+        }
+    }
+}
+
+impl Answer {
+    /// Returns the data of the event that carries one token.
+    pub(crate) fn token_event(&self, number: u32, is_last: bool) -> String {
+        let text = token(&self.id, number);
+        let finish = is_last.then_some("length");
+        let choice = match self.format {
+            Format::Text => json!({"index": 0, "text": text, "finish_reason": finish}),
+            Format::Chat => {
+                json!({"index": 0, "delta": {"content": text}, "finish_reason": finish})
+            }
+        };
+        self.body(self.chunk_object(), json!([choice])).to_string()
+    }
+
+    /// Returns the data of the event that tells the usage.
+    pub(crate) fn usage_event(&self, usage: Value) -> String {
+        let mut body = self.body(self.chunk_object(), json!([]));
+        body["usage"] = usage;
+        body.to_string()
+    }
+
+    /// Returns the body of an answer that is no stream.
+    pub(crate) fn whole(&self, tokens: u32, usage: Value) -> Value {
+        let text: String = (0..tokens).map(|number| token(&self.id, number)).collect();
+        let (object, choice) = match self.format {
+            Format::Text => (
+                "text_completion",
+                json!({"index": 0, "text": text, "finish_reason": "length"}),
+            ),
+            Format::Chat => (
+                "chat.completion",
+                json!({
+                    "index": 0,
+                    "message": {"role": "assistant", "content": text},
+                    "finish_reason": "length",
+                }),
+            ),
+        };
+        let mut body = self.body(object, json!([choice]));
+        body["usage"] = usage;
+        body
+    }
+
+    fn chunk_object(&self) -> &'static str {
+        match self.format {
+            Format::Text => "text_completion",
+            Format::Chat => "chat.completion.chunk",
+        }
+    }
+
+    fn body(&self, object: &str, choices: Value) -> Value {
+        let prefix = match self.format {
+            Format::Text => "cmpl",
+            Format::Chat => "chatcmpl",
+        };
+        json!({
+            "id": format!("{prefix}-{}", self.id),
+            "object": object,
+            "created": self.created_s,
+            "model": self.model,
+            "system_fingerprint": self.engine,
+            "choices": choices,
+        })
+    }
+}
--- a/crates/standins/src/http/reply.rs
+++ b/crates/standins/src/http/reply.rs
@@ -8,6 +8,8 @@
 use chunked_transfer::Encoder;
 use serde::Serialize;
 
+use crate::http::caller::Caller;
+
 /// `Reply` is what becomes of a request.
 pub enum Reply {
     /// A whole answer.
@@ -49,6 +51,7 @@
 /// `EventWriter` sends server-sent events, each as one chunk that goes out at once.
 pub struct EventWriter {
     encoder: Encoder<TcpStream>,
+    caller: Caller,
 }
 
 impl EventWriter {
@@ -61,6 +64,11 @@
         let event = format!("data: {data}\n\n");
         self.encoder.write_all(event.as_bytes())
     }
+
+    /// Returns the client.
+    pub fn caller(&self) -> &Caller {
+        &self.caller
+    }
 }
 
 impl Reply {
@@ -123,6 +131,7 @@
         connection.write_all(&answer)?;
         let mut writer = EventWriter {
             encoder: Encoder::with_flush_after_write(connection.try_clone()?),
+            caller: Caller::new(connection.try_clone()?),
         };
         let end = (self.produce)(&mut writer);
         if end == StreamEnd::Broken {
--- a/crates/standins/src/lib.rs
+++ b/crates/standins/src/lib.rs
@@ -6,6 +6,7 @@
 //! process: build one, pass it to [`http::Server::start`] and read the address.
 //!
 //! - [`log`] is the append-only log service,
+//! - [`engine`] is a model engine,
 //! - [`service`] is one instance of a plain service,
 //! - [`weights`] is the weight store,
 //! - [`vm_list`] is the lagging list of VMs.
@@ -14,6 +15,7 @@
 #![warn(missing_docs)]
 
 pub mod clock;
+pub mod engine;
 pub mod errors;
 pub mod fault;
 pub mod http;
--- a/crates/standins/src/log/options.rs
+++ b/crates/standins/src/log/options.rs
@@ -8,7 +8,7 @@
 
 /// `Options` are the settings of the log stand-in.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, Bpaf)]
-#[bpaf(generate(options))]
+#[bpaf(generate(options), ignore_rustdoc)]
 pub struct Options {
     /// Appends that are accepted within any second; the others get 429
     #[bpaf(argument("N"), fallback(DEFAULT_APPENDS_PER_S), display_fallback)]
--- a/crates/standins/src/vm_list.rs
+++ b/crates/standins/src/vm_list.rs
@@ -21,7 +21,7 @@
 
 /// `Options` are the settings of the list stand-in.
 #[derive(Clone, Copy, Debug, Default, PartialEq, Eq, Bpaf)]
-#[bpaf(generate(options))]
+#[bpaf(generate(options), ignore_rustdoc)]
 pub struct Options {
     /// Time in milliseconds after which a change shows
     #[bpaf(argument("MS"), fallback(0), display_fallback)]
--- a/crates/standins/src/weights/options.rs
+++ b/crates/standins/src/weights/options.rs
@@ -10,7 +10,7 @@
 
 /// `Options` are the settings of the weight store stand-in.
 #[derive(Clone, Debug, PartialEq, Eq, Bpaf)]
-#[bpaf(generate(options))]
+#[bpaf(generate(options), ignore_rustdoc)]
 pub struct Options {
     /// Loads that may begin within any second; the others get 429
     #[bpaf(argument("N"), fallback(DEFAULT_LOADS_PER_S), display_fallback)]
