--- /dev/null
+++ b/crates/gateway/src/answer.rs
@@ -0,0 +1,126 @@
+//! The answer to one caller.
+
+use std::mem;
+
+use apricotdale_core::names::RequestId;
+use apricotdale_core::refusal::Refusal;
+use apricotdale_core::refusal::RefusalReason;
+use apricotdale_http::Responder;
+use apricotdale_http::Response;
+use apricotdale_http::ResponseHead;
+use apricotdale_http::ResponseStream;
+
+use crate::problem;
+
+/// `CallerLost` says that the caller can't be written to any more.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub(crate) struct CallerLost;
+
+enum Sending<'a> {
+    Nothing(Responder<'a>),
+    Stream(ResponseStream<'a>),
+    Ended,
+}
+
+/// `Answer` sends one answer: a whole one, a stream, or a refusal.
+pub(crate) struct Answer<'a> {
+    id: RequestId,
+    correlation: Option<String>,
+    sending: Sending<'a>,
+}
+
+impl<'a> Answer<'a> {
+    pub(crate) fn new(
+        id: RequestId,
+        correlation: Option<String>,
+        responder: Responder<'a>,
+    ) -> Self {
+        Self {
+            id,
+            correlation,
+            sending: Sending::Nothing(responder),
+        }
+    }
+
+    /// Returns whether part of the answer has gone to the caller.
+    pub(crate) fn has_begun(&self) -> bool {
+        !matches!(self.sending, Sending::Nothing(_))
+    }
+
+    /// Sends a whole answer.
+    pub(crate) fn send(&mut self, mut response: Response) -> Result<(), CallerLost> {
+        let Sending::Nothing(responder) = mem::replace(&mut self.sending, Sending::Ended) else {
+            panic!("a request is answered once");
+        };
+        response.head = self.identify(response.head);
+        responder.send(response).map_err(|_| CallerLost)
+    }
+
+    /// Sends one event of a stream, after the stream's head if it is the first.
+    pub(crate) fn send_event(
+        &mut self,
+        content_type: &str,
+        event: &[u8],
+    ) -> Result<(), CallerLost> {
+        let mut stream = match mem::replace(&mut self.sending, Sending::Ended) {
+            Sending::Stream(stream) => stream,
+            Sending::Nothing(responder) => {
+                let head = ResponseHead::new(200)
+                    .header("Content-Type", content_type)
+                    .header("Cache-Control", "no-cache");
+                let head = self.identify(head);
+                responder.start(head).map_err(|_| CallerLost)?
+            }
+            Sending::Ended => return Err(CallerLost),
+        };
+        stream.send_piece(event).map_err(|_| CallerLost)?;
+        self.sending = Sending::Stream(stream);
+        Ok(())
+    }
+
+    /// Ends a stream as whole.
+    pub(crate) fn finish(&mut self) -> Result<(), CallerLost> {
+        match mem::replace(&mut self.sending, Sending::Ended) {
+            Sending::Stream(stream) => stream.finish().map_err(|_| CallerLost),
+            Sending::Nothing(_) | Sending::Ended => Err(CallerLost),
+        }
+    }
+
+    /// Sends a refusal, at once. Within a stream it goes out as an event, and the stream is then
+    /// cut, so that the caller can't take what it has for a whole answer.
+    pub(crate) fn refuse(&mut self, refusal: &Refusal, allow: Option<&str>) {
+        let sending = mem::replace(&mut self.sending, Sending::Ended);
+        let is_gone = refusal.reason == RefusalReason::CallerGone;
+        let sent = match sending {
+            Sending::Ended => Ok(()),
+            Sending::Stream(_) if is_gone => Ok(()),
+            Sending::Nothing(responder) if is_gone => {
+                responder.close();
+                Ok(())
+            }
+            Sending::Stream(mut stream) => stream.send_piece(&problem::event(&self.id, refusal)),
+            Sending::Nothing(responder) => {
+                let mut response = problem::response(&self.id, refusal);
+                response.head = self.identify(response.head);
+                responder.send(match allow {
+                    Some(methods) => response.header("Allow", methods),
+                    None => response,
+                })
+            }
+        };
+        if let Err(error) = sent {
+            log::debug!(
+                "request {}: the refusal was not delivered: {error}",
+                self.id
+            );
+        }
+    }
+
+    fn identify(&self, head: ResponseHead) -> ResponseHead {
+        let head = head.header("X-Request-Id", self.id.as_str());
+        match &self.correlation {
+            Some(correlation) => head.header("X-Correlation-Id", correlation),
+            None => head,
+        }
+    }
+}
--- /dev/null
+++ b/crates/gateway/src/desk.rs
@@ -0,0 +1,201 @@
+//! The admission desk: the policy, the requests that wait for it, and its clock.
+
+use std::collections::HashMap;
+use std::sync::Arc;
+use std::sync::atomic::AtomicU64;
+use std::sync::atomic::Ordering;
+use std::time::Duration;
+
+use apricotdale_core::names::ModelName;
+use apricotdale_core::policy::AdmissionAction;
+use apricotdale_core::policy::AdmissionEvent;
+use apricotdale_core::policy::AdmissionPolicy;
+use apricotdale_core::policy::Arrival;
+use apricotdale_core::policy::Ticket;
+use apricotdale_core::refusal::Refusal;
+use apricotdale_core::serving::Clock;
+use crossbeam_channel::Sender;
+use parking_lot::Condvar;
+use parking_lot::Mutex;
+use parking_lot::MutexGuard;
+
+use crate::context::Control;
+
+/// The least time between two ticks. A policy whose next tick is always due would otherwise keep a
+/// core busy.
+const MIN_TICK: Duration = Duration::from_millis(1);
+
+/// `Desk` runs the admission policy and tells each waiting request what was decided.
+pub(crate) struct Desk {
+    state: Mutex<State>,
+    tick_changed: Condvar,
+    next_ticket: AtomicU64,
+    clock: Arc<dyn Clock>,
+}
+
+struct State {
+    policy: Box<dyn AdmissionPolicy>,
+    waiting: HashMap<Ticket, Waiting>,
+    stopped: bool,
+}
+
+struct Waiting {
+    target: ModelName,
+    control: Sender<Control>,
+}
+
+impl Desk {
+    pub(crate) fn new(policy: Box<dyn AdmissionPolicy>, clock: Arc<dyn Clock>) -> Self {
+        Self {
+            state: Mutex::new(State {
+                policy,
+                waiting: HashMap::new(),
+                stopped: false,
+            }),
+            tick_changed: Condvar::new(),
+            next_ticket: AtomicU64::new(1),
+            clock,
+        }
+    }
+
+    /// Returns a ticket for a request.
+    pub(crate) fn next_ticket(&self) -> Ticket {
+        Ticket(self.next_ticket.fetch_add(1, Ordering::Relaxed))
+    }
+
+    /// Lets a request wait. What is decided goes to its control channel.
+    pub(crate) fn arrive(&self, arrival: Arrival, control: Sender<Control>) {
+        let mut state = self.state.lock();
+        let waiting = Waiting {
+            target: arrival.target.clone(),
+            control,
+        };
+        state.waiting.insert(arrival.ticket, waiting);
+        self.handle(state, AdmissionEvent::Arrived(arrival));
+    }
+
+    /// Takes a waiting request back. Returns false if its decision is already on its way.
+    pub(crate) fn withdraw(&self, ticket: Ticket) -> bool {
+        let mut state = self.state.lock();
+        if state.waiting.remove(&ticket).is_none() {
+            return false;
+        }
+        self.handle(state, AdmissionEvent::Withdrawn { ticket });
+        true
+    }
+
+    /// Notes that a started request ended.
+    pub(crate) fn ended(&self, ticket: Ticket, ran_ms: u64) {
+        self.handle(self.state.lock(), AdmissionEvent::Ended { ticket, ran_ms });
+    }
+
+    /// Notes a target's capacity.
+    pub(crate) fn capacity(&self, target: ModelName, slots: u32, ready_at_ms: Option<u64>) {
+        let event = AdmissionEvent::Capacity {
+            target,
+            slots,
+            ready_at_ms,
+        };
+        self.handle(self.state.lock(), event);
+    }
+
+    /// Refuses all requests that wait for a target, and returns how many.
+    pub(crate) fn refuse_target(&self, target: &ModelName, refusal: &Refusal) -> usize {
+        let mut refused = 0;
+        let tickets: Vec<Ticket> = {
+            let state = self.state.lock();
+            let waits = state.waiting.iter();
+            waits
+                .filter(|(_, waiting)| waiting.target == *target)
+                .map(|(ticket, _)| *ticket)
+                .collect()
+        };
+        for ticket in tickets {
+            let mut state = self.state.lock();
+            let Some(waiting) = state.waiting.remove(&ticket) else {
+                continue;
+            };
+            waiting.send(Control::Refused(refusal.clone()));
+            self.handle(state, AdmissionEvent::Withdrawn { ticket });
+            refused += 1;
+        }
+        refused
+    }
+
+    /// Runs the policy's clock until the desk is stopped.
+    pub(crate) fn run_ticks(&self) {
+        let mut state = self.state.lock();
+        while !state.stopped {
+            let now_ms = self.clock.monotonic_ms();
+            match state.policy.next_tick_ms() {
+                None => self.tick_changed.wait(&mut state),
+                Some(due_ms) if due_ms > now_ms => {
+                    let wait = Duration::from_millis(due_ms - now_ms);
+                    self.tick_changed.wait_for(&mut state, wait);
+                }
+                Some(_) => {
+                    let actions = state.policy.handle(now_ms, AdmissionEvent::Tick);
+                    state.apply(now_ms, actions);
+                    self.tick_changed.wait_for(&mut state, MIN_TICK);
+                }
+            }
+        }
+    }
+
+    /// Ends the policy's clock.
+    pub(crate) fn stop(&self) {
+        self.state.lock().stopped = true;
+        self.tick_changed.notify_all();
+    }
+
+    fn handle(&self, mut state: MutexGuard<'_, State>, event: AdmissionEvent) {
+        let now_ms = self.clock.monotonic_ms();
+        let due_before = state.policy.next_tick_ms();
+        let actions = state.policy.handle(now_ms, event);
+        state.apply(now_ms, actions);
+        if state.policy.next_tick_ms() != due_before {
+            self.tick_changed.notify_all();
+        }
+    }
+}
+
+impl State {
+    fn apply(&mut self, now_ms: u64, actions: Vec<AdmissionAction>) {
+        let mut pending = actions;
+        while !pending.is_empty() {
+            let mut next = Vec::new();
+            for action in pending {
+                next.extend(self.apply_one(now_ms, action));
+            }
+            pending = next;
+        }
+    }
+
+    fn apply_one(&mut self, now_ms: u64, action: AdmissionAction) -> Vec<AdmissionAction> {
+        match action {
+            AdmissionAction::Start(ticket) => match self.waiting.remove(&ticket) {
+                Some(waiting) => waiting.send(Control::Admitted),
+                // The request is no longer there. Its place must be given back, or the target
+                // would lose it for good.
+                None => {
+                    log::error!("admission started ticket {} which does not wait", ticket.0);
+                    let ended = AdmissionEvent::Ended { ticket, ran_ms: 0 };
+                    return self.policy.handle(now_ms, ended);
+                }
+            },
+            AdmissionAction::Refuse(ticket, refusal) => {
+                if let Some(waiting) = self.waiting.remove(&ticket) {
+                    waiting.send(Control::Refused(refusal));
+                }
+            }
+        }
+        Vec::new()
+    }
+}
+
+impl Waiting {
+    fn send(self, control: Control) {
+        // A request that is gone takes itself back; nothing is lost with its message.
+        let _ = self.control.send(control);
+    }
+}
--- /dev/null
+++ b/crates/gateway/src/events.rs
@@ -0,0 +1,78 @@
+//! Whose event it is: the identity check on each event of a stream and on whole answers.
+
+use apricotdale_core::names::RequestId;
+use serde::Deserialize;
+use serde::de::IgnoredAny;
+
+const DONE: &str = "[DONE]";
+
+/// `EventKind` is what an engine's event is.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub(crate) enum EventKind {
+    /// A part of the request's own answer.
+    Part,
+    /// The end of the answer.
+    Done,
+    /// No event but a comment, sent to keep the connection open.
+    Comment,
+    /// Part of another request's answer, or of none.
+    Foreign,
+    /// The engine tells of a fault.
+    Fault,
+    /// Not of the announced format.
+    Malformed,
+}
+
+#[derive(Deserialize)]
+struct Identified {
+    id: Option<String>,
+    error: Option<IgnoredAny>,
+}
+
+/// Returns what an event of a stream is.
+///
+/// An engine that mixes up its batch sends a piece of one caller's answer to another. The event's
+/// `id` shows it, and the check keeps the foreign text from the caller.
+pub(crate) fn classify(event: &[u8], id: &RequestId) -> EventKind {
+    let Ok(text) = std::str::from_utf8(event) else {
+        return EventKind::Malformed;
+    };
+    let data: Vec<&str> = field_values(text, "data").collect();
+    let event_id = field_values(text, "id").last();
+    if data.is_empty() {
+        return EventKind::Comment;
+    }
+    let data = data.join("\n");
+    if data.trim() == DONE {
+        return EventKind::Done;
+    }
+    let Ok(identified) = serde_json::from_str::<Identified>(&data) else {
+        return EventKind::Malformed;
+    };
+    let ids = [identified.id.as_deref(), event_id];
+    let mut known = ids.iter().flatten().peekable();
+    match identified.error {
+        Some(_) => EventKind::Fault,
+        None if known.peek().is_none() => EventKind::Foreign,
+        None if known.all(|known| known.ends_with(id.as_str())) => EventKind::Part,
+        None => EventKind::Foreign,
+    }
+}
+
+/// Returns whether the body of a whole answer names another request. A body without an identity
+/// is vouched for by the answer's head.
+pub(crate) fn is_foreign_body(body: &[u8], id: &RequestId) -> bool {
+    match serde_json::from_slice::<Identified>(body) {
+        Ok(Identified {
+            id: Some(named), ..
+        }) => !named.ends_with(id.as_str()),
+        _ => false,
+    }
+}
+
+fn field_values<'a>(text: &'a str, field: &'a str) -> impl Iterator<Item = &'a str> {
+    text.lines().filter_map(move |line| {
+        let value = line.strip_prefix(field)?.strip_prefix(':')?;
+        Some(value.strip_prefix(' ').unwrap_or(value))
+    })
+}
--- /dev/null
+++ b/crates/gateway/src/identity.rs
@@ -0,0 +1,125 @@
+//! Who asks, for what class of work, and until when.
+
+use std::sync::atomic::AtomicU64;
+use std::sync::atomic::Ordering;
+
+use apricotdale_core::config::ClassTarget;
+use apricotdale_core::names::CallerName;
+use apricotdale_core::names::ClassName;
+use apricotdale_core::names::RequestId;
+use apricotdale_core::refusal::Refusal;
+use apricotdale_core::refusal::RefusalReason;
+use apricotdale_core::serving::Directory;
+use apricotdale_http::Request;
+use sha2::Digest;
+use sha2::Sha256;
+
+use crate::options::Options;
+
+const MAX_CORRELATION_CHARS: usize = 128;
+const MAX_CALLER_CHARS: usize = 64;
+const ANONYMOUS: &str = "anonymous";
+const TOKEN_HASH_BYTES: usize = 8;
+
+/// `RequestIds` makes request identities. All have the same length, so that none is the end of
+/// another, by which answers are told apart.
+pub(crate) struct RequestIds {
+    process_id: u64,
+    next: AtomicU64,
+}
+
+impl RequestIds {
+    pub(crate) fn new(process_id: u64) -> Self {
+        Self {
+            process_id,
+            next: AtomicU64::new(1),
+        }
+    }
+
+    /// Returns a new identity.
+    pub(crate) fn next(&self) -> RequestId {
+        let number = self.next.fetch_add(1, Ordering::Relaxed);
+        RequestId::new(format!("req-{:016x}-{number:012x}", self.process_id))
+    }
+}
+
+/// Returns the identity that the caller gave, if it can be logged and answered as it is.
+pub(crate) fn correlation(request: &Request) -> Option<String> {
+    let text = request.header("x-request-id")?;
+    is_plain(text, MAX_CORRELATION_CHARS).then(|| text.to_owned())
+}
+
+/// Returns the name under which the caller's share is counted. A bearer token goes before a name
+/// that the caller gives itself, and only its hash is kept.
+pub(crate) fn caller(request: &Request) -> CallerName {
+    let bearer = request
+        .header("authorization")
+        .and_then(|value| value.split_once(' '))
+        .filter(|(scheme, _)| scheme.eq_ignore_ascii_case("bearer"))
+        .map(|(_, token)| token.trim());
+    let named = request
+        .header("x-caller")
+        .filter(|name| is_plain(name, MAX_CALLER_CHARS));
+    match (bearer, named) {
+        (Some(token), _) if !token.is_empty() => CallerName::from(hash_token(token)),
+        (_, Some(name)) => CallerName::new(name),
+        _ => CallerName::new(ANONYMOUS),
+    }
+}
+
+fn hash_token(token: &str) -> String {
+    let digest = Sha256::digest(token.as_bytes());
+    let hex: String = digest[..TOKEN_HASH_BYTES]
+        .iter()
+        .map(|byte| format!("{byte:02x}"))
+        .collect();
+    format!("bearer-{hex}")
+}
+
+fn is_plain(text: &str, max_chars: usize) -> bool {
+    let plain = |byte: u8| byte.is_ascii_alphanumeric() || b"._:-@/".contains(&byte);
+    !text.is_empty() && text.len() <= max_chars && text.bytes().all(plain)
+}
+
+/// Returns the request's class.
+pub(crate) fn class(
+    request: &Request,
+    directory: &dyn Directory,
+    options: &Options,
+) -> Result<ClassTarget, Refusal> {
+    let named = request.header("x-request-class").map(ClassName::new);
+    let class = match named.or_else(|| options.default_class.clone()) {
+        Some(class) => class,
+        None => return tightest(directory),
+    };
+    directory.class(&class).ok_or_else(|| {
+        let detail = format!("no class {class} is configured");
+        Refusal::not_run(RefusalReason::UnknownClass, detail)
+    })
+}
+
+fn tightest(directory: &dyn Directory) -> Result<ClassTarget, Refusal> {
+    let classes = directory.classes().into_iter();
+    classes
+        .min_by_key(|target| (target.answer_within_ms, target.class.clone()))
+        .ok_or_else(|| Refusal::not_run(RefusalReason::UnknownClass, "no class is configured"))
+}
+
+/// Returns the time that the request has until its answer must have begun.
+pub(crate) fn timeout_ms(
+    request: &Request,
+    class: &ClassTarget,
+    options: &Options,
+) -> Result<u64, Refusal> {
+    let asked_ms = match request.header("x-request-timeout-ms") {
+        None => return Ok(class.answer_within_ms),
+        Some(text) => text.parse::<u64>().ok().filter(|asked_ms| *asked_ms > 0),
+    };
+    match asked_ms {
+        Some(asked_ms) => Ok(asked_ms.min(options.max_timeout_ms)),
+        None => {
+            let detail = "X-Request-Timeout-Ms is not a positive number of milliseconds";
+            Err(Refusal::not_run(RefusalReason::BadRequest, detail))
+        }
+    }
+}
--- /dev/null
+++ b/crates/gateway/src/model_try.rs
@@ -0,0 +1,220 @@
+//! One try at one engine: a thread that reads the engine, and the relay to the caller.
+
+use std::sync::Arc;
+use std::thread;
+use std::time::Duration;
+use std::time::Instant;
+
+use apricotdale_core::engine::ServeHead;
+use apricotdale_core::engine::ServeRequest;
+use apricotdale_core::errors::Error;
+use apricotdale_core::policy::Candidate;
+use apricotdale_core::policy::RoutingEvent;
+use apricotdale_core::policy::UpstreamOutcome;
+use apricotdale_core::refusal::Ran;
+use apricotdale_core::refusal::Refusal;
+use apricotdale_core::refusal::RefusalReason;
+use crossbeam_channel::Receiver;
+use crossbeam_channel::Sender;
+use crossbeam_channel::select;
+
+use crate::admission;
+use crate::answer::Answer;
+use crate::attempt::Attempt;
+use crate::context::Context;
+use crate::core::Core;
+use crate::model_flow::ModelCall;
+use crate::model_flow::TryFailure;
+use crate::relay::Relay;
+use crate::relay::Relayed;
+
+/// How much later than the gateway the adapter gives up. The gateway's own clock ends a request at
+/// its deadline; the adapter's only frees the thread.
+const ADAPTER_MARGIN_MS: u64 = 500;
+
+/// `TryEnd` is how a try ended.
+pub(crate) enum TryEnd {
+    /// The caller has its whole answer.
+    Answered,
+    /// The try failed and may be retried.
+    Failed(TryFailure),
+    /// The request ends here.
+    Stopped(Refusal),
+}
+
+/// `UpstreamEvent` is what the reading thread tells.
+pub(crate) enum UpstreamEvent {
+    /// The answer began.
+    Begun(ServeHead),
+    /// A piece came.
+    Piece(Vec<u8>),
+    /// The answer is whole.
+    Whole,
+    /// The answer failed.
+    Failed(Error),
+}
+
+/// Tries an engine once.
+pub(crate) fn run(
+    core: &Arc<Core>,
+    context: &Context,
+    call: &ModelCall,
+    candidate: &Candidate,
+    attempt: &Arc<Attempt>,
+    answer: &mut Answer<'_>,
+) -> TryEnd {
+    let sent_ms = core.now_ms();
+    let events = match start_reading(core, context, call, candidate, attempt) {
+        Ok(events) => events,
+        Err(error) => {
+            let detail = format!("no thread for the request: {error}");
+            return TryEnd::Stopped(Refusal::not_run(RefusalReason::Internal, detail));
+        }
+    };
+    core.learn_routing(RoutingEvent::Sent {
+        upstream: candidate.upstream.clone(),
+        prefix_hash: call.parsed.prefix_hash,
+    });
+    let mut relay = Relay::new(core, context, answer);
+    let end = follow(core, context, &events, &mut relay);
+    let first_byte_ms = relay
+        .first_byte_ms()
+        .map(|first| first.saturating_sub(sent_ms));
+    let (ran, outcome) = match &end {
+        TryEnd::Answered => (Ran::Ran, UpstreamOutcome::Answered),
+        TryEnd::Failed(failure) => (failure.ran, failure.outcome),
+        TryEnd::Stopped(refusal) => (relay.give_up(attempt), stopped_outcome(refusal)),
+    };
+    if matches!(end, TryEnd::Stopped(_)) && ran != Ran::NotRun {
+        core.cancels.send(candidate.address, &context.id);
+    }
+    attempt.settle(ran);
+    core.learn_routing(RoutingEvent::Ended {
+        upstream: candidate.upstream.clone(),
+        outcome,
+        first_byte_ms,
+    });
+    end
+}
+
+fn stopped_outcome(refusal: &Refusal) -> UpstreamOutcome {
+    match refusal.reason {
+        RefusalReason::CallerGone => UpstreamOutcome::Cancelled,
+        _ => UpstreamOutcome::Lost,
+    }
+}
+
+/// Relays what the engine sends until the answer is whole, the try fails, or the request is
+/// stopped.
+fn follow(
+    core: &Core,
+    context: &Context,
+    events: &Receiver<UpstreamEvent>,
+    relay: &mut Relay<'_, '_>,
+) -> TryEnd {
+    let idle = Duration::from_millis(core.options.stream_idle_timeout_ms);
+    let mut idle_deadline = Instant::now() + idle;
+    loop {
+        let wait = match relay.has_begun() {
+            true => idle_deadline.saturating_duration_since(Instant::now()),
+            false => core.left(context.deadline_ms),
+        };
+        select! {
+            recv(events) -> event => {
+                let event = event.unwrap_or_else(|_| UpstreamEvent::Failed(thread_ended()));
+                match relay.take(event) {
+                    Relayed::More => idle_deadline = Instant::now() + idle,
+                    Relayed::Nothing => {}
+                    Relayed::End(end) => return end,
+                }
+            }
+            recv(context.inbox.receiver) -> _ => return TryEnd::Stopped(admission::caller_gone()),
+            default(wait) => return TryEnd::Stopped(out_of_time(relay.has_begun())),
+        }
+    }
+}
+
+fn thread_ended() -> Error {
+    Error::unknown("the thread that read the answer ended")
+}
+
+fn out_of_time(has_begun: bool) -> Refusal {
+    match has_begun {
+        true => Refusal::ran(
+            RefusalReason::UpstreamTimeout,
+            "the engine stopped sending in the middle of its answer",
+        ),
+        false => admission::deadline_passed("the answer did not begin in time"),
+    }
+}
+
+/// Starts the thread that sends the request and reads its answer.
+fn start_reading(
+    core: &Arc<Core>,
+    context: &Context,
+    call: &ModelCall,
+    candidate: &Candidate,
+    attempt: &Arc<Attempt>,
+) -> std::io::Result<Receiver<UpstreamEvent>> {
+    let left = core.left(context.deadline_ms);
+    let left_ms = u64::try_from(left.as_millis()).unwrap_or(u64::MAX);
+    let request = ServeRequest {
+        id: context.id.clone(),
+        path: call.path.to_owned(),
+        body: call.body.clone(),
+        stream: call.parsed.stream,
+        first_byte_timeout_ms: left_ms.saturating_add(ADAPTER_MARGIN_MS),
+        idle_timeout_ms: core.options.stream_idle_timeout_ms + ADAPTER_MARGIN_MS,
+        priority: u32::try_from(context.class.answer_within_ms).unwrap_or(u32::MAX),
+    };
+    let (sender, receiver) = crossbeam_channel::bounded(core.options.piece_queue);
+    let reading = Reading {
+        core: core.clone(),
+        engine: candidate.address,
+        request,
+        attempt: attempt.clone(),
+        events: sender,
+    };
+    thread::Builder::new()
+        .name("gateway-engine".to_owned())
+        .stack_size(core.options.thread_stack_bytes)
+        .spawn(move || reading.run())?;
+    Ok(receiver)
+}
+
+/// `Reading` is the engine's side of a try. It ends when the answer ends or when nobody listens
+/// any more; its connection to the engine closes then.
+struct Reading {
+    core: Arc<Core>,
+    engine: std::net::SocketAddr,
+    request: ServeRequest,
+    attempt: Arc<Attempt>,
+    events: Sender<UpstreamEvent>,
+}
+
+impl Reading {
+    fn run(self) {
+        if !self.attempt.begin_send() {
+            return;
+        }
+        let mut answer = match self.core.serving.serve(self.engine, &self.request) {
+            Ok(answer) => answer,
+            Err(error) => {
+                let _ = self.events.send(UpstreamEvent::Failed(error));
+                return;
+            }
+        };
+        let mut event = UpstreamEvent::Begun(answer.head().clone());
+        while self.events.send(event).is_ok() {
+            event = match answer.next_piece() {
+                Ok(Some(piece)) => UpstreamEvent::Piece(piece),
+                Ok(None) => UpstreamEvent::Whole,
+                Err(error) => UpstreamEvent::Failed(error),
+            };
+            if let UpstreamEvent::Whole | UpstreamEvent::Failed(_) = event {
+                let _ = self.events.send(event);
+                return;
+            }
+        }
+    }
+}
--- /dev/null
+++ b/crates/gateway/src/relay.rs
@@ -0,0 +1,281 @@
+//! Relaying an engine's answer to the caller, piece by piece, each checked before it goes out.
+
+use std::time::Instant;
+
+use apricotdale_core::engine::ServeHead;
+use apricotdale_core::errors::Error;
+use apricotdale_core::policy::UpstreamOutcome;
+use apricotdale_core::refusal::Ran;
+use apricotdale_core::refusal::RefusalReason;
+use apricotdale_core::serving::ServingEvent;
+use apricotdale_http::Response;
+use serde::Deserialize;
+
+use crate::admission;
+use crate::answer::Answer;
+use crate::answer::CallerLost;
+use crate::attempt::Attempt;
+use crate::context::Context;
+use crate::core::Core;
+use crate::events;
+use crate::events::EventKind;
+use crate::model_flow::TryFailure;
+use crate::model_try::TryEnd;
+use crate::model_try::UpstreamEvent;
+use crate::trace::Step;
+
+const EVENT_STREAM: &str = "text/event-stream";
+const MODEL_NOT_LOADED: &str = "model_not_loaded";
+
+/// `Relayed` is what follows from an event of the engine.
+pub(crate) enum Relayed {
+    /// More is to come.
+    More,
+    /// More is to come, and what came does not count as a sign of life.
+    Nothing,
+    /// The try ended.
+    End(TryEnd),
+}
+
+/// `Shape` is how the engine's answer is taken.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+enum Shape {
+    /// Event by event.
+    Stream,
+    /// As one body, passed on.
+    Whole,
+    /// As one body that tells why the engine did not run the request.
+    NotRun,
+}
+
+/// `Relay` passes the answer of one try on to the caller.
+pub(crate) struct Relay<'a, 'b> {
+    core: &'a Core,
+    context: &'a Context,
+    answer: &'a mut Answer<'b>,
+    head: Option<(ServeHead, Shape)>,
+    first_byte_ms: Option<u64>,
+    first_event_ms: Option<u64>,
+    last_event: Option<Instant>,
+}
+
+impl<'a, 'b> Relay<'a, 'b> {
+    pub(crate) fn new(core: &'a Core, context: &'a Context, answer: &'a mut Answer<'b>) -> Self {
+        Self {
+            core,
+            context,
+            answer,
+            head: None,
+            first_byte_ms: None,
+            first_event_ms: None,
+            last_event: None,
+        }
+    }
+
+    /// Returns whether part of the answer has gone to the caller.
+    pub(crate) fn has_begun(&self) -> bool {
+        self.answer.has_begun()
+    }
+
+    /// Returns when the engine's answer began.
+    pub(crate) fn first_byte_ms(&self) -> Option<u64> {
+        self.first_byte_ms
+    }
+
+    /// Gives up a request that is stopped now, and returns whether it ran.
+    pub(crate) fn give_up(&self, attempt: &Attempt) -> Ran {
+        match self.has_begun() {
+            true => Ran::Ran,
+            false => attempt.give_up(),
+        }
+    }
+
+    /// Takes in an event of the engine.
+    pub(crate) fn take(&mut self, event: UpstreamEvent) -> Relayed {
+        match event {
+            UpstreamEvent::Begun(head) => self.begin(head),
+            UpstreamEvent::Piece(piece) => self.piece(&piece),
+            UpstreamEvent::Whole => self.cut("the answer ended before it was whole"),
+            UpstreamEvent::Failed(error) => self.failed(&error),
+        }
+    }
+
+    fn begin(&mut self, head: ServeHead) -> Relayed {
+        self.first_byte_ms = Some(self.core.now_ms());
+        let shape = match head.status {
+            404 | 503 => Shape::NotRun,
+            408 | 429 | 500.. => {
+                let detail = format!("the engine answered {}", head.status);
+                return self.fail(RefusalReason::UpstreamBadAnswer, Ran::Unknown, detail);
+            }
+            200 if head.content_type.starts_with(EVENT_STREAM) => Shape::Stream,
+            _ => Shape::Whole,
+        };
+        let is_own = match &head.id {
+            Some(id) => *id == self.context.id,
+            None => shape == Shape::NotRun,
+        };
+        if !is_own {
+            return self.crossed();
+        }
+        self.head = Some((head, shape));
+        Relayed::More
+    }
+
+    fn piece(&mut self, piece: &[u8]) -> Relayed {
+        let Some((head, shape)) = self.head.clone() else {
+            return self.cut("the answer has no beginning");
+        };
+        match shape {
+            Shape::Stream => self.event(&head, piece),
+            Shape::Whole => self.whole(&head, piece),
+            Shape::NotRun => self.not_run(&head, piece),
+        }
+    }
+
+    fn event(&mut self, head: &ServeHead, event: &[u8]) -> Relayed {
+        let sent = match events::classify(event, &self.context.id) {
+            EventKind::Comment => return Relayed::Nothing,
+            EventKind::Foreign => return self.crossed(),
+            EventKind::Fault => return self.cut("the engine told of a fault in its answer"),
+            EventKind::Malformed => return self.cut("an event of the answer is malformed"),
+            EventKind::Part => {
+                let sent = self.answer.send_event(&head.content_type, event);
+                self.note_event();
+                sent.map(|()| Relayed::More)
+            }
+            EventKind::Done => self
+                .answer
+                .send_event(&head.content_type, event)
+                .and_then(|()| self.answer.finish())
+                .map(|()| self.answered(head.status)),
+        };
+        sent.unwrap_or_else(|lost| self.caller_lost(lost))
+    }
+
+    fn whole(&mut self, head: &ServeHead, body: &[u8]) -> Relayed {
+        if events::is_foreign_body(body, &self.context.id) {
+            return self.crossed();
+        }
+        let response = Response::new(head.status)
+            .header("Content-Type", head.content_type.as_str())
+            .body(body);
+        match self.answer.send(response) {
+            Ok(()) => self.answered(head.status),
+            Err(lost) => self.caller_lost(lost),
+        }
+    }
+
+    fn not_run(&mut self, head: &ServeHead, body: &[u8]) -> Relayed {
+        let missing = head.status == 404 && says_not_loaded(body);
+        let detail = match (head.status, missing) {
+            (404, false) if head.id.is_none() => return self.crossed(),
+            (404, false) => return self.whole(head, body),
+            (_, true) => "the engine does not hold the model",
+            (_, false) => "the engine takes no request now",
+        };
+        Relayed::End(TryEnd::Failed(TryFailure {
+            reason: RefusalReason::UpstreamRefused,
+            ran: Ran::NotRun,
+            outcome: UpstreamOutcome::Refused,
+            missing,
+            detail: detail.to_owned(),
+        }))
+    }
+
+    fn answered(&mut self, status: u16) -> Relayed {
+        let first_ms = self.first_event_ms.unwrap_or_else(|| self.core.now_ms());
+        self.core.note_answered(self.context, first_ms, status);
+        Relayed::End(TryEnd::Answered)
+    }
+
+    fn note_event(&mut self) {
+        let now = Instant::now();
+        if let Some(last) = self.last_event.replace(now) {
+            let gap_us = u64::try_from((now - last).as_micros()).unwrap_or(u64::MAX);
+            self.core
+                .observer
+                .observe(&ServingEvent::InterToken { gap_us });
+            return;
+        }
+        let now_ms = self.core.now_ms();
+        self.first_event_ms = Some(now_ms);
+        self.context.trace.note(now_ms, Step::AnswerBegun);
+    }
+
+    fn failed(&mut self, error: &Error) -> Relayed {
+        let detail = error.to_string();
+        match error {
+            Error::Unavailable(_) | Error::Expired { .. } => {
+                Relayed::End(TryEnd::Failed(TryFailure {
+                    reason: RefusalReason::UpstreamUnavailable,
+                    ran: Ran::NotRun,
+                    outcome: UpstreamOutcome::Unreachable,
+                    missing: false,
+                    detail,
+                }))
+            }
+            Error::Rejected(_) | Error::StaleFence { .. } => {
+                Relayed::End(TryEnd::Failed(TryFailure {
+                    reason: RefusalReason::UpstreamRefused,
+                    ran: Ran::NotRun,
+                    outcome: UpstreamOutcome::Refused,
+                    missing: false,
+                    detail,
+                }))
+            }
+            Error::Unknown(_) => self.fail(RefusalReason::UpstreamLost, Ran::Unknown, detail),
+            Error::Malformed(_) => {
+                self.fail(RefusalReason::UpstreamBadAnswer, Ran::Unknown, detail)
+            }
+        }
+    }
+
+    /// Ends a try whose answer belongs to another request. Nothing of it has gone to the caller.
+    fn crossed(&mut self) -> Relayed {
+        let detail = "the engine's answer belongs to another request".to_owned();
+        self.fail(RefusalReason::UpstreamBadAnswer, Ran::Unknown, detail)
+    }
+
+    fn cut(&mut self, detail: &str) -> Relayed {
+        self.fail(
+            RefusalReason::UpstreamBadAnswer,
+            Ran::Unknown,
+            detail.to_owned(),
+        )
+    }
+
+    fn fail(&mut self, reason: RefusalReason, ran: Ran, detail: String) -> Relayed {
+        // What the caller has seen a part of has run, in part at least.
+        let ran = match self.has_begun() {
+            true => Ran::Ran,
+            false => ran,
+        };
+        Relayed::End(TryEnd::Failed(TryFailure {
+            reason,
+            ran,
+            outcome: UpstreamOutcome::Lost,
+            missing: false,
+            detail,
+        }))
+    }
+
+    fn caller_lost(&mut self, _lost: CallerLost) -> Relayed {
+        Relayed::End(TryEnd::Stopped(admission::caller_gone()))
+    }
+}
+
+#[derive(Deserialize)]
+struct ErrorBody {
+    error: ErrorCode,
+}
+
+#[derive(Deserialize)]
+struct ErrorCode {
+    code: String,
+}
+
+fn says_not_loaded(body: &[u8]) -> bool {
+    serde_json::from_slice::<ErrorBody>(body)
+        .is_ok_and(|answer| answer.error.code == MODEL_NOT_LOADED)
+}
--- /dev/null
+++ b/crates/gateway/src/run_times.rs
@@ -0,0 +1,41 @@
+//! How long answers of each target take.
+
+use std::collections::HashMap;
+
+use apricotdale_core::names::ModelName;
+use parking_lot::Mutex;
+
+/// One new run moves the mean by this part of its distance.
+const WEIGHT_DIVISOR: i64 = 8;
+
+/// `RunTimes` keeps a moving mean of the run times of each target.
+pub(crate) struct RunTimes {
+    first_guess_ms: u64,
+    means_ms: Mutex<HashMap<ModelName, i64>>,
+}
+
+impl RunTimes {
+    pub(crate) fn new(first_guess_ms: u64) -> Self {
+        Self {
+            first_guess_ms,
+            means_ms: Mutex::new(HashMap::new()),
+        }
+    }
+
+    /// Takes in the run time of an answered request.
+    pub(crate) fn note(&self, target: &ModelName, ran_ms: u64) {
+        let ran_ms = i64::try_from(ran_ms).unwrap_or(i64::MAX / WEIGHT_DIVISOR);
+        let mut means_ms = self.means_ms.lock();
+        let mean_ms = means_ms.entry(target.clone()).or_insert(ran_ms);
+        *mean_ms += (ran_ms - *mean_ms) / WEIGHT_DIVISOR;
+    }
+
+    /// Returns how long an answer of the target is expected to take.
+    pub(crate) fn expected_ms(&self, target: &ModelName) -> u64 {
+        self.means_ms
+            .lock()
+            .get(target)
+            .and_then(|mean_ms| u64::try_from(*mean_ms).ok())
+            .unwrap_or(self.first_guess_ms)
+    }
+}
--- /dev/null
+++ b/crates/gateway/src/service_flow.rs
@@ -0,0 +1,191 @@
+//! A call to a plain service, as the caller's thread sees it.
+
+use std::sync::Arc;
+use std::thread;
+
+use apricotdale_core::config::ServiceSpec;
+use apricotdale_core::names::GroupName;
+use apricotdale_core::names::IdempotencyKey;
+use apricotdale_core::names::ModelName;
+use apricotdale_core::refusal::Refusal;
+use apricotdale_core::refusal::RefusalReason;
+use apricotdale_core::service::ServiceCall;
+use apricotdale_http::Request;
+use apricotdale_http::Response;
+use crossbeam_channel::select;
+use xxhash_rust::xxh3::Xxh3;
+
+use crate::admission;
+use crate::admission::Queue;
+use crate::answer::Answer;
+use crate::attempt::Attempt;
+use crate::context::Context;
+use crate::core::Core;
+use crate::service_job::JobEnd;
+use crate::service_job::Repetition;
+use crate::service_job::ServiceJob;
+
+const TARGET_PREFIX: &str = "service:";
+const MAX_KEY_CHARS: usize = 255;
+const RETRY_WITHOUT_INSTANCE_MS: u64 = 1_000;
+
+/// Returns the name under which a service's capacity is counted, which no model can have by
+/// accident.
+pub fn service_target(service: &GroupName) -> ModelName {
+    ModelName::from(format!("{TARGET_PREFIX}{service}"))
+}
+
+/// Serves a call to a plain service.
+pub(crate) fn serve(
+    core: &Arc<Core>,
+    context: &Context,
+    spec: ServiceSpec,
+    path: &str,
+    request: &mut Request,
+    answer: &mut Answer<'_>,
+) -> Result<(), Refusal> {
+    let repetition = repetition(context, &spec, path, request)?;
+    let queue = Queue {
+        target: service_target(&spec.service),
+        is_model: false,
+        upstreams: core.directory.instances(&spec.service).len(),
+    };
+    if queue.upstreams == 0 {
+        let detail = format!("no instance of {} is there", spec.service);
+        let refusal = Refusal::not_run(RefusalReason::UpstreamUnavailable, detail);
+        return Err(refusal.retry_after(RETRY_WITHOUT_INSTANCE_MS));
+    }
+    let admitted = admission::admit(core, context, &queue)?;
+    let attempt = Arc::new(Attempt::new());
+    let (sender, receiver) = crossbeam_channel::bounded(1);
+    let job = ServiceJob {
+        core: core.clone(),
+        call: service_call(context, path, request),
+        spec,
+        repetition,
+        deadline_ms: context.deadline_ms,
+        attempt: attempt.clone(),
+        trace: context.trace.clone(),
+        admitted,
+        in_progress: core.in_progress.enter(),
+        end: sender,
+    };
+    let spawned = thread::Builder::new()
+        .name("gateway-service".to_owned())
+        .stack_size(core.options.thread_stack_bytes)
+        .spawn(move || job.run());
+    if let Err(error) = spawned {
+        let detail = format!("no thread for the request: {error}");
+        return Err(Refusal::not_run(RefusalReason::Internal, detail));
+    }
+    let mut stopped = select! {
+        recv(receiver) -> end => match end {
+            Ok(end) => return deliver(core, context, end, answer),
+            Err(_) => Refusal::not_run(RefusalReason::Internal, "the call's thread ended"),
+        },
+        recv(context.inbox.receiver) -> _ => admission::caller_gone(),
+        default(core.left(context.deadline_ms)) => {
+            admission::deadline_passed("the answer did not come in time")
+        }
+    };
+    stopped.ran = attempt.give_up();
+    Err(stopped)
+}
+
+fn deliver(
+    core: &Core,
+    context: &Context,
+    end: JobEnd,
+    answer: &mut Answer<'_>,
+) -> Result<(), Refusal> {
+    let (service_answer, replayed) = match end {
+        JobEnd::Refused(refusal) => return Err(refusal),
+        JobEnd::Answered(service_answer) => (service_answer, false),
+        JobEnd::Replayed(service_answer) => (service_answer, true),
+    };
+    let status = service_answer.status;
+    let mut response = Response::new(status).body(service_answer.body);
+    if !service_answer.content_type.is_empty() {
+        response = response.header("Content-Type", service_answer.content_type);
+    }
+    if replayed {
+        response = response.header("Idempotency-Replayed", "true");
+    }
+    match answer.send(response) {
+        Ok(()) => {
+            core.note_answered(context, core.now_ms(), status);
+            Ok(())
+        }
+        Err(_) => Err(Refusal::ran(
+            RefusalReason::CallerGone,
+            "the caller closed its connection",
+        )),
+    }
+}
+
+fn service_call(context: &Context, path: &str, request: &mut Request) -> ServiceCall {
+    let content_type = request
+        .header("content-type")
+        .unwrap_or_default()
+        .to_owned();
+    ServiceCall {
+        id: context.id.clone(),
+        method: request.method().to_owned(),
+        path: match request.query() {
+            Some(query) => format!("{path}?{query}"),
+            None => path.to_owned(),
+        },
+        content_type,
+        key: request.header("idempotency-key").map(IdempotencyKey::new),
+        body: request.take_body(),
+        timeout_ms: 0,
+    }
+}
+
+/// Returns how often a call may be sent.
+fn repetition(
+    context: &Context,
+    spec: &ServiceSpec,
+    path: &str,
+    request: &Request,
+) -> Result<Repetition, Refusal> {
+    let is_listed = spec
+        .idempotent_paths
+        .iter()
+        .any(|known| known.trim_start_matches('/') == path.trim_start_matches('/'));
+    let key = request.header("idempotency-key");
+    match (request.method(), key) {
+        ("GET" | "HEAD", _) => Ok(Repetition::Repeatable),
+        _ if is_listed => Ok(Repetition::Repeatable),
+        (_, None) => Ok(Repetition::Once),
+        (_, Some(key)) if key.is_empty() || key.len() > MAX_KEY_CHARS => {
+            let detail = format!("Idempotency-Key has no characters or above {MAX_KEY_CHARS}");
+            Err(Refusal::not_run(RefusalReason::BadRequest, detail))
+        }
+        (_, Some(key)) => Ok(Repetition::Keyed {
+            key: scoped_key(context, spec, key),
+            call_hash: call_hash(path, request),
+        }),
+    }
+}
+
+/// Returns the key within its service and caller. Two callers that choose the same key must not
+/// get each other's kept answers.
+fn scoped_key(context: &Context, spec: &ServiceSpec, key: &str) -> IdempotencyKey {
+    IdempotencyKey::from(format!("{}/{}/{key}", spec.service, context.caller))
+}
+
+fn call_hash(path: &str, request: &Request) -> u64 {
+    let mut hasher = Xxh3::new();
+    let parts = [
+        request.method().as_bytes(),
+        path.as_bytes(),
+        request.query().unwrap_or_default().as_bytes(),
+        request.body(),
+    ];
+    for part in parts {
+        hasher.update(&(part.len() as u64).to_le_bytes());
+        hasher.update(part);
+    }
+    hasher.digest()
+}
--- /dev/null
+++ b/crates/gateway/src/service_job.rs
@@ -0,0 +1,297 @@
+//! A call to a plain service, as the thread sees it that claims, sends and settles it.
+//!
+//! The job outlives a caller that goes away or runs out of time: once a call under a key has been
+//! sent, its outcome must still be put on record, so that the caller finds it under the same key.
+
+use std::sync::Arc;
+use std::time::Duration;
+
+use apricotdale_core::claims::KeptAnswer;
+use apricotdale_core::config::ServiceSpec;
+use apricotdale_core::errors::Error;
+use apricotdale_core::names::IdempotencyKey;
+use apricotdale_core::names::UpstreamName;
+use apricotdale_core::policy::Candidate;
+use apricotdale_core::policy::RetryRequest;
+use apricotdale_core::policy::RouteRequest;
+use apricotdale_core::policy::RoutingEvent;
+use apricotdale_core::policy::UpstreamOutcome;
+use apricotdale_core::refusal::Ran;
+use apricotdale_core::refusal::Refusal;
+use apricotdale_core::refusal::RefusalReason;
+use apricotdale_core::service::ServiceAnswer;
+use apricotdale_core::service::ServiceCall;
+use apricotdale_core::serving::ClaimAsk;
+use apricotdale_core::serving::ClaimDecision;
+use crossbeam_channel::Sender;
+
+use crate::admission;
+use crate::admission::Admitted;
+use crate::attempt::Attempt;
+use crate::core::Core;
+use crate::in_progress::InProgressGuard;
+use crate::trace::Step;
+use crate::trace::TraceLog;
+
+/// How much later than the gateway the adapter gives up.
+const ADAPTER_MARGIN_MS: u64 = 500;
+
+/// `Repetition` says how often a call may run.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub(crate) enum Repetition {
+    /// It may run again.
+    Repeatable,
+    /// It runs at most once over all VMs and repeats under its key.
+    Keyed {
+        /// The key, scoped by service and caller.
+        key: IdempotencyKey,
+        /// The hash of the call.
+        call_hash: u64,
+    },
+    /// It is sent at most once.
+    Once,
+}
+
+/// `JobEnd` is how a job ended.
+pub(crate) enum JobEnd {
+    /// The service answered.
+    Answered(ServiceAnswer),
+    /// The service had answered an earlier call under the key.
+    Replayed(ServiceAnswer),
+    /// The call is refused.
+    Refused(Refusal),
+}
+
+/// `ServiceJob` claims, sends and settles one call.
+pub(crate) struct ServiceJob {
+    pub(crate) core: Arc<Core>,
+    pub(crate) call: ServiceCall,
+    pub(crate) spec: ServiceSpec,
+    pub(crate) repetition: Repetition,
+    pub(crate) deadline_ms: u64,
+    pub(crate) attempt: Arc<Attempt>,
+    pub(crate) trace: Arc<TraceLog>,
+    pub(crate) admitted: Admitted,
+    pub(crate) in_progress: InProgressGuard,
+    pub(crate) end: Sender<JobEnd>,
+}
+
+/// `CallFailure` is why a try failed.
+struct CallFailure {
+    reason: RefusalReason,
+    ran: Ran,
+    outcome: UpstreamOutcome,
+    detail: String,
+    /// The service's own answer, if it gave one.
+    answer: Option<ServiceAnswer>,
+}
+
+impl ServiceJob {
+    /// Runs the job to its end.
+    pub(crate) fn run(mut self) {
+        let end = match self.repetition.clone() {
+            Repetition::Keyed { key, call_hash } => self.run_claimed(key, call_hash),
+            Repetition::Repeatable | Repetition::Once => self.run_tries(),
+        };
+        if matches!(end, JobEnd::Answered(_)) {
+            self.admitted.answered();
+        }
+        let Self {
+            admitted,
+            in_progress,
+            end: sender,
+            ..
+        } = self;
+        // The place is free before the caller hears of the end: its next request may need it.
+        drop(admitted);
+        let _ = sender.send(end);
+        drop(in_progress);
+    }
+
+    fn run_claimed(&mut self, key: IdempotencyKey, call_hash: u64) -> JobEnd {
+        let ask = ClaimAsk {
+            key: key.clone(),
+            call_hash,
+            request: self.call.id.clone(),
+            deadline_ms: self.deadline_ms,
+        };
+        match self.core.claims.claim(&ask) {
+            ClaimDecision::Run => {}
+            ClaimDecision::Answer(kept) => {
+                return JobEnd::Replayed(ServiceAnswer {
+                    status: kept.status,
+                    content_type: kept.content_type,
+                    body: kept.body,
+                });
+            }
+            ClaimDecision::Refuse(refusal) => return JobEnd::Refused(refusal),
+        }
+        let end = self.run_tries();
+        let kept = match &end {
+            JobEnd::Answered(answer) => self.kept(answer),
+            JobEnd::Replayed(_) | JobEnd::Refused(_) => None,
+        };
+        let ran = self.attempt.ran();
+        self.core.claims.finish(&key, &self.call.id, ran, kept);
+        end
+    }
+
+    fn kept(&self, answer: &ServiceAnswer) -> Option<KeptAnswer> {
+        let fits = answer.body.len() <= self.core.options.max_kept_answer_bytes;
+        fits.then(|| KeptAnswer {
+            status: answer.status,
+            content_type: answer.content_type.clone(),
+            body: answer.body.clone(),
+        })
+    }
+
+    fn run_tries(&mut self) -> JobEnd {
+        let mut tried: Vec<UpstreamName> = Vec::new();
+        let mut tries = 0;
+        loop {
+            let candidates = self.core.directory.instances(&self.spec.service);
+            let request = RouteRequest {
+                prefix_hash: None,
+                tried: tried.clone(),
+            };
+            let chosen = self.core.choose(&request, &candidates, &self.trace);
+            tries += 1;
+            if tries == 1 {
+                self.core.note_first_try(&self.spec.service);
+            }
+            let failure = match &chosen {
+                None => CallFailure::no_instance(),
+                Some(_) if !self.attempt.begin_send() => return self.given_up(),
+                Some(candidate) => match self.try_at(candidate) {
+                    Ok(answer) => return JobEnd::Answered(answer),
+                    Err(failure) => failure,
+                },
+            };
+            self.note_failure(&chosen, &failure);
+            let Some(pause) = self.decide_retry(tries, &failure) else {
+                return self.final_failure(failure);
+            };
+            if !self.attempt.pause(pause) {
+                return self.given_up();
+            }
+            tried.extend(chosen.map(|candidate| candidate.upstream));
+        }
+    }
+
+    /// Makes the call once.
+    fn try_at(&mut self, candidate: &Candidate) -> Result<ServiceAnswer, CallFailure> {
+        let sent_ms = self.core.now_ms();
+        self.core.learn_routing(RoutingEvent::Sent {
+            upstream: candidate.upstream.clone(),
+            prefix_hash: None,
+        });
+        let left = self.core.left(self.deadline_ms);
+        let left_ms = u64::try_from(left.as_millis()).unwrap_or(u64::MAX);
+        self.call.timeout_ms = left_ms.saturating_add(ADAPTER_MARGIN_MS);
+        let result = self
+            .core
+            .service
+            .call(candidate.address, &self.call)
+            .map_err(CallFailure::from_error)
+            .and_then(|answer| self.check_answer(answer));
+        let (ran, outcome) = match &result {
+            Ok(_) => (Ran::Ran, UpstreamOutcome::Answered),
+            Err(failure) => (failure.ran, failure.outcome),
+        };
+        self.attempt.settle(ran);
+        let took_ms = self.core.now_ms().saturating_sub(sent_ms);
+        self.core.learn_routing(RoutingEvent::Ended {
+            upstream: candidate.upstream.clone(),
+            outcome,
+            first_byte_ms: result.is_ok().then_some(took_ms),
+        });
+        result
+    }
+
+    /// Takes an answer that tells of an instance in trouble for a failure, where the call may be
+    /// repeated at another. For every other call the answer is the answer: nobody can tell from
+    /// the status alone that the call had no effect.
+    fn check_answer(&self, answer: ServiceAnswer) -> Result<ServiceAnswer, CallFailure> {
+        match (&self.repetition, answer.status) {
+            (Repetition::Repeatable, 502..=504) => Err(CallFailure {
+                reason: RefusalReason::UpstreamBadAnswer,
+                ran: Ran::Unknown,
+                outcome: UpstreamOutcome::Refused,
+                detail: format!("the service answered {}", answer.status),
+                answer: Some(answer),
+            }),
+            _ => Ok(answer),
+        }
+    }
+
+    fn decide_retry(&self, tries: u32, failure: &CallFailure) -> Option<Duration> {
+        let left = self.core.left(self.deadline_ms);
+        let request = RetryRequest {
+            group: self.spec.service.clone(),
+            idempotent: self.repetition == Repetition::Repeatable,
+            certainly_not_run: failure.ran == Ran::NotRun,
+            answer_begun: false,
+            tries,
+            left_ms: u64::try_from(left.as_millis()).unwrap_or(u64::MAX),
+        };
+        self.core.decide_retry(&request, failure.ran, &self.trace)
+    }
+
+    fn note_failure(&self, chosen: &Option<Candidate>, failure: &CallFailure) {
+        let step = Step::TryFailed {
+            upstream: chosen.as_ref().map(|known| known.upstream.to_string()),
+            reason: failure.reason.as_str().to_owned(),
+            ran: failure.ran.as_str().to_owned(),
+            detail: failure.detail.clone(),
+        };
+        self.trace.note(self.core.now_ms(), step);
+    }
+
+    fn final_failure(&self, failure: CallFailure) -> JobEnd {
+        if let Some(answer) = failure.answer {
+            return JobEnd::Answered(answer);
+        }
+        let mut refusal = Refusal::not_run(failure.reason, failure.detail);
+        refusal.ran = self.attempt.ran();
+        JobEnd::Refused(refusal)
+    }
+
+    /// Returns the end of a call that was given up. Nobody listens any more; the caller's thread
+    /// has refused it.
+    fn given_up(&self) -> JobEnd {
+        JobEnd::Refused(admission::caller_gone())
+    }
+}
+
+impl CallFailure {
+    fn no_instance() -> Self {
+        Self {
+            reason: RefusalReason::UpstreamUnavailable,
+            ran: Ran::NotRun,
+            outcome: UpstreamOutcome::Unreachable,
+            detail: "no instance of the service can be used now".to_owned(),
+            answer: None,
+        }
+    }
+
+    fn from_error(error: Error) -> Self {
+        let (reason, outcome) = match &error {
+            Error::Unavailable(_) | Error::Expired { .. } => (
+                RefusalReason::UpstreamUnavailable,
+                UpstreamOutcome::Unreachable,
+            ),
+            Error::Rejected(_) | Error::StaleFence { .. } => {
+                (RefusalReason::UpstreamRefused, UpstreamOutcome::Refused)
+            }
+            Error::Unknown(_) => (RefusalReason::UpstreamLost, UpstreamOutcome::Lost),
+            Error::Malformed(_) => (RefusalReason::UpstreamBadAnswer, UpstreamOutcome::Lost),
+        };
+        Self {
+            reason,
+            ran: error.ran(),
+            outcome,
+            detail: error.to_string(),
+            answer: None,
+        }
+    }
+}
--- /dev/null
+++ b/crates/gateway/tests/support/engine.rs
@@ -0,0 +1,197 @@
+//! An engine that does what each test's script says.
+
+use std::collections::VecDeque;
+use std::net::SocketAddr;
+
+use apricotdale_core::Error;
+use apricotdale_core::Result;
+use apricotdale_core::engine::EngineServing;
+use apricotdale_core::engine::ServeAnswer;
+use apricotdale_core::engine::ServeHead;
+use apricotdale_core::engine::ServeRequest;
+use apricotdale_core::names::RequestId;
+use crossbeam_channel::Receiver;
+use crossbeam_channel::Sender;
+use parking_lot::Mutex;
+
+use super::PATIENCE;
+
+/// `Act` is one step of an engine's answer. `{id}` stands for the request's identity.
+#[derive(Clone, Debug)]
+pub enum Act {
+    /// Fails before the answer begins.
+    Fail(Error),
+    /// Begins the answer: status, content type, identity.
+    Head(u16, &'static str, Option<&'static str>),
+    /// Sends one piece.
+    Piece(String),
+    /// Waits until the test lets it go on, or the request is cancelled.
+    Hold,
+    /// Breaks the answer off.
+    Cut,
+    /// Panics.
+    Panic,
+}
+
+pub fn event(text: &str) -> Act {
+    Act::Piece(format!(
+        "data: {{\"id\":\"cmpl-{{id}}\",\"text\":\"{text}\"}}\n\n"
+    ))
+}
+
+pub fn done() -> Act {
+    Act::Piece("data: [DONE]\n\n".to_owned())
+}
+
+pub fn stream_head() -> Act {
+    Act::Head(200, "text/event-stream", Some("{id}"))
+}
+
+pub fn json_answer() -> Vec<Act> {
+    vec![
+        Act::Head(200, "application/json", Some("{id}")),
+        Act::Piece(r#"{"id":"cmpl-{id}","choices":[]}"#.to_owned()),
+    ]
+}
+
+pub fn not_loaded() -> Vec<Act> {
+    let body = r#"{"error":{"code":"model_not_loaded"}}"#.to_owned();
+    vec![
+        Act::Head(404, "application/json", Some("{id}")),
+        Act::Piece(body),
+    ]
+}
+
+pub struct FakeEngine {
+    scripts: Mutex<VecDeque<Vec<Act>>>,
+    pub served: Mutex<Vec<(SocketAddr, ServeRequest)>>,
+    pub cancelled: (Sender<RequestId>, Receiver<RequestId>),
+    /// A message lets one [`Act::Hold`] go on.
+    pub release: (Sender<()>, Receiver<()>),
+    /// Tells of each [`Act::Hold`] that is reached.
+    pub holding: (Sender<RequestId>, Receiver<RequestId>),
+    /// Tells of each answer that the gateway has let go.
+    pub dropped: (Sender<RequestId>, Receiver<RequestId>),
+}
+
+impl Default for FakeEngine {
+    fn default() -> Self {
+        Self {
+            scripts: Mutex::default(),
+            served: Mutex::default(),
+            cancelled: crossbeam_channel::unbounded(),
+            release: crossbeam_channel::unbounded(),
+            holding: crossbeam_channel::unbounded(),
+            dropped: crossbeam_channel::unbounded(),
+        }
+    }
+}
+
+impl FakeEngine {
+    /// Adds the script of one more request; requests take scripts in order of their arrival.
+    pub fn script(&self, acts: Vec<Act>) {
+        self.scripts.lock().push_back(acts);
+    }
+
+    pub fn served_count(&self) -> usize {
+        self.served.lock().len()
+    }
+
+    /// Waits until a request reaches its hold.
+    pub fn wait_held(&self) -> RequestId {
+        self.holding
+            .1
+            .recv_timeout(PATIENCE)
+            .expect("a held request")
+    }
+
+    pub fn wait_cancelled(&self) -> RequestId {
+        self.cancelled
+            .1
+            .recv_timeout(PATIENCE)
+            .expect("a cancelled request")
+    }
+
+    fn hold(&self, id: &RequestId) {
+        self.holding.0.send(id.clone()).expect("the test listens");
+        let _ = self.release.1.recv_timeout(PATIENCE);
+    }
+}
+
+struct FakeAnswer {
+    id: RequestId,
+    head: ServeHead,
+    acts: VecDeque<Act>,
+    release: Receiver<()>,
+    holding: Sender<RequestId>,
+    dropped: Sender<RequestId>,
+}
+
+impl ServeAnswer for FakeAnswer {
+    fn head(&self) -> &ServeHead {
+        &self.head
+    }
+
+    fn next_piece(&mut self) -> Result<Option<Vec<u8>>> {
+        loop {
+            match self.acts.pop_front() {
+                None => return Ok(None),
+                Some(Act::Piece(text)) => {
+                    return Ok(Some(text.replace("{id}", self.id.as_str()).into_bytes()));
+                }
+                Some(Act::Hold) => {
+                    self.holding
+                        .send(self.id.clone())
+                        .expect("the test listens");
+                    let _ = self.release.recv_timeout(PATIENCE);
+                }
+                Some(Act::Cut) => return Err(Error::unknown("cut")),
+                Some(Act::Fail(error)) => return Err(error),
+                Some(Act::Panic) => panic!("a scripted panic"),
+                Some(Act::Head(..)) => panic!("an answer has one head"),
+            }
+        }
+    }
+}
+
+impl Drop for FakeAnswer {
+    fn drop(&mut self) {
+        let _ = self.dropped.send(self.id.clone());
+    }
+}
+
+impl EngineServing for FakeEngine {
+    fn serve(&self, engine: SocketAddr, request: &ServeRequest) -> Result<Box<dyn ServeAnswer>> {
+        self.served.lock().push((engine, request.clone()));
+        let script = self.scripts.lock().pop_front();
+        let mut acts = VecDeque::from(script.unwrap_or_else(json_answer));
+        loop {
+            match acts.pop_front().expect("a script has a head or a failure") {
+                Act::Fail(error) => return Err(error),
+                Act::Hold => self.hold(&request.id),
+                Act::Panic => panic!("a scripted panic"),
+                Act::Cut | Act::Piece(_) => panic!("a script begins with a head"),
+                Act::Head(status, content_type, id) => {
+                    let id = id.map(|text| text.replace("{id}", request.id.as_str()));
+                    return Ok(Box::new(FakeAnswer {
+                        id: request.id.clone(),
+                        head: ServeHead {
+                            status,
+                            content_type: content_type.to_owned(),
+                            id: id.map(RequestId::from),
+                        },
+                        acts,
+                        release: self.release.1.clone(),
+                        holding: self.holding.0.clone(),
+                        dropped: self.dropped.0.clone(),
+                    }));
+                }
+            }
+        }
+    }
+
+    fn cancel(&self, _engine: SocketAddr, id: &RequestId) -> Result<()> {
+        self.cancelled.0.send(id.clone()).expect("the test listens");
+        Ok(())
+    }
+}
--- /dev/null
+++ b/crates/gateway/tests/support/policies.rs
@@ -0,0 +1,117 @@
+//! The simplest policies that let the gateway's own behaviour be seen.
+
+use std::collections::HashMap;
+use std::collections::VecDeque;
+
+use apricotdale_core::names::GroupName;
+use apricotdale_core::names::ModelName;
+use apricotdale_core::policy::AdmissionAction;
+use apricotdale_core::policy::AdmissionEvent;
+use apricotdale_core::policy::AdmissionPolicy;
+use apricotdale_core::policy::Arrival;
+use apricotdale_core::policy::Candidate;
+use apricotdale_core::policy::RetryDecision;
+use apricotdale_core::policy::RetryPolicy;
+use apricotdale_core::policy::RetryRequest;
+use apricotdale_core::policy::RouteRequest;
+use apricotdale_core::policy::RoutingEvent;
+use apricotdale_core::policy::RoutingPolicy;
+use apricotdale_core::policy::Ticket;
+use apricotdale_core::refusal::Refusal;
+use apricotdale_core::refusal::RefusalReason;
+
+/// The caller that [`CapacityAdmission`] refuses.
+pub const GREEDY: &str = "greedy";
+
+/// `FirstUntried` chooses the first candidate that was not tried, or else the first.
+pub struct FirstUntried;
+
+impl RoutingPolicy for FirstUntried {
+    fn learn(&mut self, _now_ms: u64, _event: RoutingEvent) {}
+
+    fn choose(
+        &mut self,
+        _now_ms: u64,
+        request: &RouteRequest,
+        candidates: &[Candidate],
+    ) -> Option<usize> {
+        let untried = |candidate: &Candidate| !request.tried.contains(&candidate.upstream);
+        let first = candidates.first().map(|_| 0);
+        candidates.iter().position(untried).or(first)
+    }
+}
+
+/// `CountedRetries` retries at once, a number of times, what may run again.
+pub struct CountedRetries {
+    pub max_tries: u32,
+}
+
+impl RetryPolicy for CountedRetries {
+    fn first_try(&mut self, _now_ms: u64, _group: &GroupName) {}
+
+    fn decide(&mut self, _now_ms: u64, request: &RetryRequest) -> RetryDecision {
+        match request {
+            _ if request.answer_begun => RetryDecision::AnswerBegun,
+            _ if !request.idempotent && !request.certainly_not_run => RetryDecision::MayHaveRun,
+            _ if request.tries >= self.max_tries => RetryDecision::TooManyTries,
+            _ if request.left_ms == 0 => RetryDecision::NoTimeLeft,
+            _ => RetryDecision::RetryAfterMs(0),
+        }
+    }
+}
+
+/// `CapacityAdmission` starts requests in order as long as there is room, and refuses one caller.
+#[derive(Default)]
+pub struct CapacityAdmission {
+    slots: HashMap<ModelName, u32>,
+    running: HashMap<Ticket, ModelName>,
+    waiting: VecDeque<Arrival>,
+}
+
+impl CapacityAdmission {
+    fn start(&mut self) -> Vec<AdmissionAction> {
+        let mut actions = Vec::new();
+        let mut still_waiting = VecDeque::new();
+        for arrival in std::mem::take(&mut self.waiting) {
+            let used = self.running.values();
+            let used = used.filter(|target| **target == arrival.target).count();
+            let slots = self.slots.get(&arrival.target).copied().unwrap_or(0);
+            if used < slots as usize {
+                self.running.insert(arrival.ticket, arrival.target.clone());
+                actions.push(AdmissionAction::Start(arrival.ticket));
+            } else {
+                still_waiting.push_back(arrival);
+            }
+        }
+        self.waiting = still_waiting;
+        actions
+    }
+}
+
+impl AdmissionPolicy for CapacityAdmission {
+    fn handle(&mut self, _now_ms: u64, event: AdmissionEvent) -> Vec<AdmissionAction> {
+        match event {
+            AdmissionEvent::Arrived(arrival) if arrival.caller.as_str() == GREEDY => {
+                let refusal = Refusal::not_run(RefusalReason::CallerOverShare, "others wait");
+                let refusal = refusal.retry_after(2_300);
+                return vec![AdmissionAction::Refuse(arrival.ticket, refusal)];
+            }
+            AdmissionEvent::Arrived(arrival) => self.waiting.push_back(arrival),
+            AdmissionEvent::Ended { ticket, .. } => {
+                self.running.remove(&ticket).expect("a running request");
+            }
+            AdmissionEvent::Withdrawn { ticket } => {
+                self.waiting.retain(|arrival| arrival.ticket != ticket);
+            }
+            AdmissionEvent::Capacity { target, slots, .. } => {
+                self.slots.insert(target, slots);
+            }
+            AdmissionEvent::Tick => {}
+        }
+        self.start()
+    }
+
+    fn next_tick_ms(&self) -> Option<u64> {
+        None
+    }
+}
--- /dev/null
+++ b/crates/gateway/tests/support/recorders.rs
@@ -0,0 +1,114 @@
+//! Fakes that record what the gateway tells them.
+
+use apricotdale_core::claims::KeptAnswer;
+use apricotdale_core::names::IdempotencyKey;
+use apricotdale_core::names::RequestId;
+use apricotdale_core::refusal::Ran;
+use apricotdale_core::serving::ClaimAsk;
+use apricotdale_core::serving::ClaimDecision;
+use apricotdale_core::serving::ClaimKeeper;
+use apricotdale_core::serving::DemandEvent;
+use apricotdale_core::serving::DemandSink;
+use apricotdale_core::serving::ServingEvent;
+use apricotdale_core::serving::ServingObserver;
+use parking_lot::Condvar;
+use parking_lot::Mutex;
+
+use super::PATIENCE;
+
+/// `Recorder` records events and lets a test wait for one.
+pub struct Recorder<T> {
+    events: Mutex<Vec<T>>,
+    grown: Condvar,
+}
+
+impl<T> Default for Recorder<T> {
+    fn default() -> Self {
+        Self {
+            events: Mutex::default(),
+            grown: Condvar::new(),
+        }
+    }
+}
+
+impl<T: Clone> Recorder<T> {
+    pub fn push(&self, event: T) {
+        self.events.lock().push(event);
+        self.grown.notify_all();
+    }
+
+    pub fn all(&self) -> Vec<T> {
+        self.events.lock().clone()
+    }
+
+    /// Waits until an event is there and returns it.
+    pub fn wait_for(&self, matches: impl Fn(&T) -> bool) -> T {
+        let mut events = self.events.lock();
+        loop {
+            if let Some(event) = events.iter().find(|event| matches(event)) {
+                return event.clone();
+            }
+            let waited = self.grown.wait_for(&mut events, PATIENCE);
+            assert!(!waited.timed_out(), "the event never came");
+        }
+    }
+}
+
+#[derive(Default)]
+pub struct Demand(pub Recorder<DemandEvent>);
+
+impl DemandSink for Demand {
+    fn note(&self, _now_ms: u64, event: DemandEvent) {
+        self.0.push(event);
+    }
+}
+
+#[derive(Default)]
+pub struct Observer(pub Recorder<ServingEvent>);
+
+impl ServingObserver for Observer {
+    fn observe(&self, event: &ServingEvent) {
+        self.0.push(event.clone());
+    }
+}
+
+impl Observer {
+    /// Returns the reason and `ran` of each refusal.
+    pub fn refusals(&self) -> Vec<(String, Ran)> {
+        let events = self.0.all().into_iter();
+        events
+            .filter_map(|event| match event {
+                ServingEvent::Refused { refusal, .. } => {
+                    Some((refusal.reason.to_string(), refusal.ran))
+                }
+                _ => None,
+            })
+            .collect()
+    }
+}
+
+/// `Claims` lets a call run unless the test has decided otherwise.
+#[derive(Default)]
+pub struct Claims {
+    pub decision: Mutex<Option<ClaimDecision>>,
+    pub asked: Recorder<ClaimAsk>,
+    pub finished: Recorder<(IdempotencyKey, Ran, Option<KeptAnswer>)>,
+}
+
+impl ClaimKeeper for Claims {
+    fn claim(&self, ask: &ClaimAsk) -> ClaimDecision {
+        self.asked.push(ask.clone());
+        let decision = self.decision.lock().clone();
+        decision.unwrap_or(ClaimDecision::Run)
+    }
+
+    fn finish(
+        &self,
+        key: &IdempotencyKey,
+        _request: &RequestId,
+        ran: Ran,
+        answer: Option<KeptAnswer>,
+    ) {
+        self.finished.push((key.clone(), ran, answer));
+    }
+}
--- a/crates/http/src/exchange.rs
+++ b/crates/http/src/exchange.rs
@@ -42,7 +42,9 @@
 impl Exchange {
     pub(crate) fn send(&mut self, response: &Response) -> Result<()> {
         let mut framing = vec![("Connection", self.connection_word())];
-        if !response.head.is_bodiless() {
+        // A handler that has no body for a HEAD request doesn't know the length of the answer to GET.
+        let is_length_known = !self.is_head || !response.body.is_empty();
+        if is_length_known && !response.head.is_bodiless() {
             framing.push(("Content-Length", response.body.len().to_string()));
         }
         let mut bytes = response.head.encode(&framing);
@@ -162,6 +164,12 @@
         self.exchange.send(&response)
     }
 
+    /// Closes the connection without an answer, for a client that is gone.
+    pub fn close(self) {
+        self.exchange.keeps_alive = false;
+        self.exchange.state = AnswerState::Begun;
+    }
+
     /// Sends the head of a stream, whose pieces follow.
     ///
     /// # Errors
