--- a/crates/admission/src/earliest_deadline.rs
+++ b/crates/admission/src/earliest_deadline.rs
@@ -54,6 +54,11 @@
     }
 
     fn arrive(&mut self, now_ms: u64, arrival: &Arrival, actions: &mut Vec<AdmissionAction>) {
+        // The gateway gives each request its own ticket. A ticket that came twice would make one
+        // request's end free the slot of another.
+        if self.tickets.contains_key(&arrival.ticket) {
+            return;
+        }
         // The gateway gives each request its own ticket. A ticket that came twice would make one
         // request's end free the slot of another.
         if self.tickets.contains_key(&arrival.ticket) {
@@ -89,14 +94,8 @@
         actions: &mut Vec<AdmissionAction>,
     ) {
         let options = self.options;
-        while let Some(target) = self
-            .targets
-            .get(name)
-            .filter(|target| target.is_waiting(place))
-        {
-            let Some((victim, refusal)) = unfit(now_ms, target, place, &options) else {
-                break;
-            };
+        let unfit = |target: &Target| unfit(now_ms, target, place, &options);
+        while let Some((victim, refusal)) = self.targets.get(name).and_then(unfit) {
             self.refuse(name, victim, refusal, actions);
         }
         self.trim(now_ms, name, actions);
@@ -105,21 +104,8 @@
     /// Refuses what some class has waiting beyond its capacity, as when that capacity has shrunk.
     fn trim(&mut self, now_ms: u64, name: &ModelName, actions: &mut Vec<AdmissionAction>) {
         let options = self.options;
-        while let Some(target) = self
-            .targets
-            .get(name)
-            .filter(|target| !target.is_undecided())
-        {
-            let overfull = target.class_places().find_map(|class| {
-                let excess_ms = target.excess_ms(now_ms, class, options.overfill, &options)?;
-                Some((class, excess_ms))
-            });
-            let Some((class, excess_ms)) = overfull else {
-                break;
-            };
-            let Some((victim, refusal)) = heaviest(target, class, excess_ms) else {
-                break;
-            };
+        let overfull = |target: &Target| overfull(now_ms, target, &options);
+        while let Some((victim, refusal)) = self.targets.get(name).and_then(overfull) {
             self.refuse(name, victim, refusal, actions);
         }
     }
@@ -127,26 +113,17 @@
     /// Refuses what can no longer be started in time.
     fn recheck(&mut self, now_ms: u64, name: &ModelName, actions: &mut Vec<AdmissionAction>) {
         let options = self.options;
-        let Some(target) = self.targets.get_mut(name) else {
+        let Some(target) = self.targets.get(name) else {
             return;
         };
-        for ticket in target.expire(now_ms) {
-            self.forget_waiting(&ticket);
-            actions.push(AdmissionAction::Refuse(ticket, refusals::passed()));
-        }
-        let Some(target) = self
-            .targets
-            .get(name)
-            .filter(|target| !target.is_undecided())
-        else {
-            return self.note_waiting(name);
-        };
-        for place in target.late(now_ms, &options) {
-            let wait_ms = place.key.start_by_ms.saturating_sub(now_ms);
-            self.refuse(name, place, refusals::too_short(wait_ms), actions);
+        for late in target.late(now_ms, &options) {
+            let victim = Place {
+                class: late.class,
+                key: late.key,
+            };
+            self.refuse(name, victim, refusals::too_short(late.late_ms), actions);
         }
         self.trim(now_ms, name, actions);
-        self.note_waiting(name);
     }
 
     /// Refuses the requests whose time ran out and starts those that may start. The order matters:
@@ -225,6 +202,9 @@
     options: &Options,
 ) -> Option<(Place, Refusal)> {
     let start_by_ms = place.key.start_by_ms;
+    if !target.is_waiting(place) {
+        return None;
+    }
     if target.waiting() > options.max_waiting_per_target {
         return heaviest(target, place.class, options.fallback_retry_ms);
     }
@@ -242,6 +222,14 @@
     Some(ahead_of(target, place, late_ms).unwrap_or((place, refusals::too_short(late_ms))))
 }
 
+/// Returns a request that has to go because its class has more waiting than its capacity bears.
+fn overfull(now_ms: u64, target: &Target, options: &Options) -> Option<(Place, Refusal)> {
+    target.class_places().find_map(|class| {
+        let excess_ms = target.excess_ms(now_ms, class, options.overfill, options)?;
+        heaviest(target, class, excess_ms)
+    })
+}
+
 /// Returns the last request of a class's heaviest caller, and why it goes.
 fn heaviest(target: &Target, class: usize, excess_ms: u64) -> Option<(Place, Refusal)> {
     let callers = &target.class(class).callers;
--- a/crates/admission/src/target.rs
+++ b/crates/admission/src/target.rs
@@ -159,15 +159,15 @@
 
     /// Returns the waiting requests that will miss their deadlines even if all run in the hoped
     /// part of the expected time.
-    pub(crate) fn late(&self, now_ms: u64, options: &Options) -> Vec<Place> {
-        let late = self.forecast(now_ms, options.hope, options).late();
-        late.into_iter()
-            .map(|(class, key)| Place { class, key })
-            .collect()
+    pub(crate) fn late(&self, now_ms: u64, options: &Options) -> Vec<Late> {
+        if self.is_undecided() {
+            return Vec::new();
+        }
+        self.forecast(now_ms, options.hope, options).late()
     }
 
     /// Returns how long a class would need to work off what it has waiting beyond its capacity, or
-    /// none if it has no more than that. `fill` is the part of its capacity that may be filled.
+    /// none if it has no more than that or if the capacity is undecided. `fill` is the part of its capacity that may be filled.
     pub(crate) fn excess_ms(
         &self,
         now_ms: u64,
@@ -175,6 +175,9 @@
         fill: f64,
         options: &Options,
     ) -> Option<u64> {
+        if self.is_undecided() {
+            return None;
+        }
         let (tail, before_ms) = self.classes[class].tail()?;
         let begin_ms = self.begin_ms(now_ms);
         let horizon_ms = tail.start_by_ms.saturating_sub(begin_ms);
