Scenario runner, demonstration and launcher up

The runner carries out a checked scenario on a cluster, waits only on events and conditions, and measures effects at the stand-ins, the control stream and the operators' interface. Decisions are counted by replaying the control stream with the system's own state machine, so that loads can be compared with what was decided. The demonstration and launcher up share one sample cluster.

--- a/crates/launcher/src/caller.rs
+++ b/crates/launcher/src/caller.rs
@@ -12,7 +12,6 @@
 use std::time::Duration;
 use std::time::Instant;
 
-use ureq::Agent;
 use ureq::Body;
 use ureq::http::Response;
 
@@ -21,6 +20,7 @@
 use crate::answer::StreamReading;
 use crate::errors::Error;
 use crate::errors::Result;
+use crate::http::agent;
 
 /// The longest time that a caller waits for the end of any answer. It is far above every target and
 /// only ends a hanging test.
@@ -208,15 +208,7 @@
     vm: SocketAddr,
     request: &CallerRequest,
 ) -> std::result::Result<Response<Body>, ureq::Error> {
-    let agent: Agent = Agent::config_builder()
-        .http_status_as_error(false)
-        .proxy(None)
-        .timeout_global(Some(ANSWER_LIMIT))
-        // Each request has a connection of its own, as behind a balancer, so that a VM's end is
-        // seen by the requests in progress there and by no other.
-        .max_idle_connections(0)
-        .build()
-        .into();
+    let agent = agent(ANSWER_LIMIT);
     let mut builder = ureq::http::Request::builder()
         .method(request.method.as_str())
         .uri(format!("http://{vm}{}", request.path));
--- a/crates/launcher/src/cluster/records.rs
+++ b/crates/launcher/src/cluster/records.rs
@@ -1,7 +1,10 @@
 //! Reading the streams of the log's stand-in.
 
+use std::collections::BTreeSet;
+
 use apricotdale_core::control::ControlRecord;
 use apricotdale_core::control::LoadIntent;
+use apricotdale_core::numbers::Offset;
 use base64::Engine;
 use base64::engine::general_purpose::STANDARD;
 use serde::Deserialize;
@@ -9,6 +12,9 @@
 use crate::errors::Error;
 use crate::errors::Result;
 use crate::standin::StandinClient;
+use apricotdale_state::Accepted;
+use apricotdale_state::ControlState;
+use apricotdale_state::Verdict;
 
 /// The stream of decisions and configuration.
 pub const CONTROL_STREAM: &str = "control";
@@ -78,6 +84,29 @@
     Ok(intents.collect())
 }
 
+/// Returns the offsets of the load intents that replay accepted, in order.
+///
+/// # Errors
+///
+/// As for [`read_stream`]; `Error::Failed` once the stream was trimmed, because replay needs all
+/// records from the first one on.
+pub fn decided_loads(log: &StandinClient) -> Result<BTreeSet<u64>> {
+    let (records, _) = read_stream(log, CONTROL_STREAM)?;
+    if records.first().is_some_and(|record| record.offset > 0) {
+        return Err(Error::failed(
+            "counting decisions",
+            "the stream was trimmed",
+        ));
+    }
+    let mut state = ControlState::new();
+    let decided = records.into_iter().filter(|record| {
+        let offset = Offset(record.offset);
+        let verdict = state.apply(offset, record.appended_ms, &record.payload);
+        verdict == Verdict::Accepted(Accepted::LoadReserved)
+    });
+    Ok(decided.map(|record| record.offset).collect())
+}
+
 /// Returns the first offset that a stream still keeps.
 fn first_offset(log: &StandinClient, stream: &str) -> Result<u64> {
     #[derive(Deserialize)]
--- /dev/null
+++ b/crates/launcher/src/demo.rs
@@ -0,0 +1,281 @@
+//! The demonstration: the main promises on real requests, step by step.
+
+use std::collections::BTreeMap;
+use std::io::Write;
+use std::time::Duration;
+
+use apricotdale_admin::PublishOutcome;
+use nix::libc::SIGKILL;
+
+use crate::answer::Outcome;
+use crate::caller;
+use crate::caller::CallerRequest;
+use crate::caller::PendingAnswer;
+use crate::cluster::Cluster;
+use crate::cluster::LOG;
+use crate::cluster::Vm;
+use crate::cluster::records;
+use crate::errors::Error;
+use crate::errors::Result;
+use crate::poll::POLL_LIMIT;
+use crate::poll::poll_until;
+use crate::process::Exit;
+use crate::sample;
+use crate::standin::EngineEffects;
+use crate::standin::ServiceEffects;
+
+/// The longest wait for an answer. It is a limit for failures only.
+const ANSWER_LIMIT: Duration = Duration::from_secs(120);
+
+/// The requests of the cold burst at each VM.
+const BURST: usize = 5;
+/// The length of a short answer.
+const SHORT_TOKENS: u32 = 8;
+/// The length of an answer that is still under way while VMs stop.
+const LONG_TOKENS: u32 = 200;
+
+/// `Demo` runs the demonstration and keeps what did not hold.
+pub struct Demo<'a> {
+    cluster: Cluster,
+    out: &'a mut dyn Write,
+    held: usize,
+    broken: Vec<String>,
+}
+
+impl<'a> Demo<'a> {
+    /// Returns the demonstration on a cluster of at least three VMs.
+    pub fn new(cluster: Cluster, out: &'a mut dyn Write) -> Self {
+        Self {
+            cluster,
+            out,
+            held: 0,
+            broken: Vec::new(),
+        }
+    }
+
+    /// Runs all steps, stops the cluster and returns whether everything held.
+    ///
+    /// # Errors
+    ///
+    /// Any of the launcher, when a step can't be carried out at all.
+    pub fn run(mut self) -> Result<bool> {
+        self.configure()?;
+        self.cold_burst(sample::SLOT_PLANNER)?;
+        self.cold_burst(sample::WEAR_REVIEW)?;
+        self.streams()?;
+        self.repeated_call()?;
+        self.drain_and_kill()?;
+        self.memory()?;
+        self.step("Stopping all processes")?;
+        self.cluster.stop();
+        writeln!(
+            self.out,
+            "\n{} checks held, {} did not",
+            self.held,
+            self.broken.len()
+        )?;
+        for broken in &self.broken {
+            writeln!(self.out, "  did not hold: {broken}")?;
+        }
+        Ok(self.broken.is_empty())
+    }
+
+    fn configure(&mut self) -> Result<()> {
+        self.step("Publishing classes, models and a service at one VM")?;
+        let vms = self.cluster.vm_names();
+        let outcome = self.cluster.publish(&vms[0], sample::edits())?;
+        let PublishOutcome::Accepted { version } = outcome else {
+            return Err(Error::failed("publishing", format!("{outcome:?}")));
+        };
+        let in_force = poll_until(
+            "the configuration is in force on all VMs",
+            POLL_LIMIT,
+            || {
+                let mut versions = Vec::new();
+                for vm in &vms {
+                    let config = self.cluster.admin(vm)?.config();
+                    versions.push(
+                        config
+                            .map_err(|error| Error::failed("reading", error))?
+                            .version,
+                    );
+                }
+                Ok(versions.iter().all(|found| *found == version).then_some(()))
+            },
+        );
+        self.check(
+            format!("version {version} is in force on all VMs"),
+            in_force.is_ok(),
+        )
+    }
+
+    fn cold_burst(&mut self, model: &str) -> Result<()> {
+        self.step(&format!(
+            "A burst of requests at all VMs for {model}, which is not loaded"
+        ))?;
+        let vms = self.running();
+        let request = CallerRequest::completion(model, SHORT_TOKENS, false);
+        let request = request.header("X-Request-Class", sample::REPLAN);
+        let answers: Vec<PendingAnswer> = vms
+            .iter()
+            .flat_map(|vm| std::iter::repeat_n(vm.addresses.callers, BURST))
+            .map(|address| caller::send(address, request.clone()))
+            .collect();
+        let whole = self.count_whole(&answers)?;
+        let sent = answers.len();
+        self.check(
+            format!("{whole} of {sent} requests answered whole"),
+            whole == sent,
+        )?;
+        let loads = self.loads(model)?;
+        let decided = self.decided(model)?;
+        self.check(
+            format!("{decided} loads decided, {loads} carried out by the engines"),
+            loads == decided && decided > 0,
+        )
+    }
+
+    fn streams(&mut self) -> Result<()> {
+        self.step("A streamed answer through each VM")?;
+        for vm in self.running() {
+            let request = CallerRequest::completion(sample::SLOT_PLANNER, SHORT_TOKENS, true);
+            let outcome = caller::send(vm.addresses.callers, request).wait_end(ANSWER_LIMIT)?;
+            self.check(
+                format!("through {}: {outcome}", vm.name),
+                is_whole_stream(&outcome),
+            )?;
+        }
+        Ok(())
+    }
+
+    fn repeated_call(&mut self) -> Result<()> {
+        self.step("A booking sent twice, at two VMs, under one idempotency key")?;
+        let vms = self.running();
+        let body = Some("{\"lathe\":\"hall-b\"}".to_owned());
+        let request = CallerRequest::service_call(sample::BOOKING, "POST", "/book", body);
+        let request = request.header("Idempotency-Key", "booking-1");
+        let first = caller::send(vms[0].addresses.callers, request.clone());
+        let second = caller::send(vms[1].addresses.callers, request);
+        let outcomes = [
+            first.wait_end(ANSWER_LIMIT)?,
+            second.wait_end(ANSWER_LIMIT)?,
+        ];
+        for (vm, outcome) in vms.iter().zip(&outcomes) {
+            writeln!(self.out, "      at {}: {outcome}", vm.name)?;
+        }
+        let answered = outcomes.iter().any(Outcome::is_whole);
+        let calls = self.calls("POST /book")?;
+        self.check(format!("{calls} booking made"), calls == 1 && answered)
+    }
+
+    fn drain_and_kill(&mut self) -> Result<()> {
+        self.step("One VM stops as planned and one is killed, with streams under way on both")?;
+        let vms = self.running();
+        let [drained, killed, other] = [&vms[1], &vms[2], &vms[0]];
+        let request = CallerRequest::completion(sample::SLOT_PLANNER, LONG_TOKENS, true);
+        let on_drained = caller::send(drained.addresses.callers, request.clone());
+        let on_killed = caller::send(killed.addresses.callers, request);
+        let begun = on_drained.wait_events(1, ANSWER_LIMIT)? > 0
+            && on_killed.wait_events(1, ANSWER_LIMIT)? > 0;
+        self.check("both streams have begun".to_owned(), begun)?;
+        self.cluster.terminate(&drained.name)?;
+        self.cluster.kill(&killed.name)?;
+        let cut = on_killed.wait_end(ANSWER_LIMIT)?;
+        self.check(
+            format!("the killed VM's stream: {cut}"),
+            matches!(cut, Outcome::Cut { .. }),
+        )?;
+        let request = CallerRequest::completion(sample::SLOT_PLANNER, SHORT_TOKENS, false);
+        let elsewhere = caller::call(other.addresses.callers, &request);
+        self.check(
+            format!("a request at {}: {elsewhere}", other.name),
+            elsewhere.is_whole(),
+        )?;
+        let whole = on_drained.wait_end(ANSWER_LIMIT)?;
+        self.check(
+            format!("the stopping VM's stream: {whole}"),
+            is_whole_stream(&whole),
+        )?;
+        let exit = self.cluster.wait_exit(&drained.name, POLL_LIMIT)?;
+        self.check(
+            format!("{} ended with {exit:?}", drained.name),
+            exit == Exit::Code(0),
+        )?;
+        let exit = self.cluster.poll_exit(&killed.name)?;
+        self.check(
+            format!("{} was killed", killed.name),
+            exit == Some(Exit::Killed(SIGKILL)),
+        )
+    }
+
+    fn memory(&mut self) -> Result<()> {
+        self.step("The engines' own counts")?;
+        let mut overcommitted = 0;
+        for (_, engine) in self.cluster.engines() {
+            overcommitted += engine.effects::<EngineEffects>()?.overcommitted;
+        }
+        self.check(
+            format!("memory overcommitted {overcommitted} times"),
+            overcommitted == 0,
+        )
+    }
+
+    fn running(&self) -> Vec<Vm> {
+        self.cluster.running_vms().into_iter().cloned().collect()
+    }
+
+    fn count_whole(&self, answers: &[PendingAnswer]) -> Result<usize> {
+        let mut kinds: BTreeMap<bool, usize> = BTreeMap::new();
+        for answer in answers {
+            let outcome = answer.wait_end(ANSWER_LIMIT)?;
+            *kinds.entry(outcome.is_whole()).or_default() += 1;
+        }
+        Ok(kinds.get(&true).copied().unwrap_or_default())
+    }
+
+    fn loads(&self, model: &str) -> Result<usize> {
+        let mut loads = 0;
+        for (_, engine) in self.cluster.engines() {
+            let effects: EngineEffects = engine.effects()?;
+            loads += effects.loads.get(model).copied().unwrap_or_default();
+        }
+        Ok(usize::try_from(loads).unwrap_or(usize::MAX))
+    }
+
+    fn decided(&self, model: &str) -> Result<usize> {
+        let log = self.cluster.standin(LOG)?;
+        let decided = records::decided_loads(log)?;
+        let intents = records::load_intents(log)?.into_iter();
+        let of_model = intents
+            .filter(|(offset, intent)| intent.model.as_str() == model && decided.contains(offset));
+        Ok(of_model.count())
+    }
+
+    fn calls(&self, call: &str) -> Result<u64> {
+        let mut calls = 0;
+        for (_, service) in self.cluster.services() {
+            let effects: ServiceEffects = service.effects()?;
+            calls += effects.calls.get(call).copied().unwrap_or_default();
+        }
+        Ok(calls)
+    }
+
+    fn step(&mut self, text: &str) -> Result<()> {
+        writeln!(self.out, "\n{text}")?;
+        Ok(())
+    }
+
+    fn check(&mut self, text: String, holds: bool) -> Result<()> {
+        let word = if holds { "ok  " } else { "FAIL" };
+        writeln!(self.out, "  {word} {text}")?;
+        match holds {
+            true => self.held += 1,
+            false => self.broken.push(text),
+        }
+        Ok(())
+    }
+}
+
+fn is_whole_stream(outcome: &Outcome) -> bool {
+    outcome.is_whole() && matches!(outcome, Outcome::Whole { events, .. } if *events > 0)
+}
--- a/crates/launcher/src/health.rs
+++ b/crates/launcher/src/health.rs
@@ -3,7 +3,7 @@
 use std::net::SocketAddr;
 use std::time::Duration;
 
-use ureq::Agent;
+use crate::http::agent;
 
 /// The path of the health check.
 const READY_PATH: &str = "/health/ready";
@@ -13,14 +13,8 @@
 
 /// Returns whether the VM whose callers' interface is at an address says that it takes requests.
 pub fn is_ready(callers: SocketAddr) -> bool {
-    let agent: Agent = Agent::config_builder()
-        .proxy(None)
-        .max_idle_connections(0)
-        .timeout_global(Some(CHECK_LIMIT))
-        .build()
-        .into();
-    agent
+    let answer = agent(CHECK_LIMIT)
         .get(format!("http://{callers}{READY_PATH}"))
-        .call()
-        .is_ok()
+        .call();
+    answer.is_ok_and(|answer| answer.status().is_success())
 }
--- a/crates/launcher/src/interrupts.rs
+++ b/crates/launcher/src/interrupts.rs
@@ -1,6 +1,9 @@
 //! Ending on SIGINT and SIGTERM.
 
 use std::process;
+use std::sync::Arc;
+use std::sync::Mutex;
+use std::sync::MutexGuard;
 use std::thread;
 
 use signal_hook::consts::SIGINT;
@@ -13,29 +16,43 @@
 /// What a shell adds to a signal's number in the code of a program that the signal ended.
 const SIGNAL_CODE_BASE: i32 = 128;
 
-/// Waits for SIGINT or SIGTERM in a thread of its own, and then ends the processes and this
-/// program.
-///
-/// # Errors
-///
-/// `Error::Io` if the signals can't be handled.
-pub fn end_on_signal(processes: Processes) -> Result<()> {
-    let mut signals = Signals::new([SIGINT, SIGTERM])?;
-    thread::spawn(move || {
-        let signal = signals.forever().next().unwrap_or(SIGTERM);
-        processes.close();
-        process::exit(SIGNAL_CODE_BASE + signal);
-    });
-    Ok(())
+/// `Interrupts` ends all watched processes and then this program when SIGINT or SIGTERM comes.
+#[derive(Clone, Debug)]
+pub struct Interrupts {
+    watched: Arc<Mutex<Vec<Processes>>>,
 }
 
-/// Blocks until SIGINT or SIGTERM comes.
-///
-/// # Errors
-///
-/// `Error::Io` if the signals can't be handled.
-pub fn wait_for_signal() -> Result<()> {
-    let mut signals = Signals::new([SIGINT, SIGTERM])?;
-    signals.forever().next();
-    Ok(())
+impl Interrupts {
+    /// Handles the signals from now on, in a thread of its own. The program then ends with the
+    /// given code, or with the one that a shell shows for the signal.
+    ///
+    /// # Errors
+    ///
+    /// `Error::Io` if the signals can't be handled.
+    pub fn install(code: Option<i32>) -> Result<Self> {
+        let mut signals = Signals::new([SIGINT, SIGTERM])?;
+        let interrupts = Self {
+            watched: Arc::default(),
+        };
+        let handler = interrupts.clone();
+        thread::spawn(move || {
+            let signal = signals.forever().next().unwrap_or(SIGTERM);
+            for processes in handler.watched().iter() {
+                processes.close();
+            }
+            process::exit(code.unwrap_or(SIGNAL_CODE_BASE + signal));
+        });
+        Ok(interrupts)
+    }
+
+    /// Ends these processes, too, when a signal comes.
+    pub fn watch(&self, processes: &Processes) {
+        self.watched().push(processes.clone());
+    }
+
+    fn watched(&self) -> MutexGuard<'_, Vec<Processes>> {
+        self.watched
+            .lock()
+            .unwrap_or_else(|poisoned| poisoned.into_inner())
+    }
 }
--- a/crates/launcher/src/lib.rs
+++ b/crates/launcher/src/lib.rs
@@ -8,15 +8,20 @@
 pub mod answer;
 pub mod caller;
 pub mod cluster;
+pub mod demo;
 pub mod errors;
 pub mod health;
 pub mod interrupts;
+pub mod metrics;
 pub mod poll;
 pub mod process;
 pub mod processes;
 pub mod programs;
 pub mod ready;
+pub mod sample;
 pub mod standin;
 
+mod http;
+
 pub use errors::Error;
 pub use errors::Result;
--- a/crates/launcher/src/main.rs
+++ b/crates/launcher/src/main.rs
@@ -1,3 +1,98 @@
-//! The `launcher` program.
+//! The `launcher` program: the demonstration, and a cluster to try things on.
 
-fn main() {}
+#![forbid(unsafe_code)]
+
+use std::io;
+use std::io::Write;
+use std::path::PathBuf;
+use std::process::ExitCode;
+use std::thread;
+
+use bpaf::Bpaf;
+
+use apricotdale_admin::PublishOutcome;
+use apricotdale_launcher::Error;
+use apricotdale_launcher::Result;
+use apricotdale_launcher::cluster::Cluster;
+use apricotdale_launcher::cluster::options::ClusterOptions;
+use apricotdale_launcher::demo::Demo;
+use apricotdale_launcher::interrupts::Interrupts;
+use apricotdale_launcher::sample;
+
+/// The fewest VMs with which the demonstration can drain one, kill one and go on.
+const DEMO_VMS: usize = 3;
+
+/// Starts stand-ins and VMs on loopback
+#[derive(Clone, Debug, Bpaf)]
+#[bpaf(options)]
+enum Command {
+    /// Show the main promises on real requests, step by step
+    #[bpaf(command("demo"))]
+    Demo {
+        /// Directory for the processes' output
+        #[bpaf(argument("DIR"))]
+        logs: Option<PathBuf>,
+    },
+    /// Start a cluster and leave it running until SIGINT or SIGTERM
+    #[bpaf(command("up"))]
+    Up {
+        /// Directory for the processes' output
+        #[bpaf(argument("DIR"))]
+        logs: Option<PathBuf>,
+        /// Number of VMs
+        #[bpaf(argument("N"), fallback(DEMO_VMS), display_fallback)]
+        vms: usize,
+    },
+}
+
+fn main() -> ExitCode {
+    let result = match command().run() {
+        Command::Demo { logs } => demo(logs),
+        Command::Up { logs, vms } => up(logs, vms).map(|()| true),
+    };
+    match result {
+        Ok(true) => ExitCode::SUCCESS,
+        Ok(false) => ExitCode::FAILURE,
+        Err(error) => {
+            eprintln!("{error}");
+            ExitCode::FAILURE
+        }
+    }
+}
+
+fn demo(log_dir: Option<PathBuf>) -> Result<bool> {
+    println!("Starting the platform's stand-ins, four engines, a service and {DEMO_VMS} VMs");
+    let options = ClusterOptions {
+        log_dir,
+        ..sample::options(DEMO_VMS)
+    };
+    let cluster = start(options, None)?;
+    Demo::new(cluster, &mut io::stdout()).run()
+}
+
+fn up(log_dir: Option<PathBuf>, vms: usize) -> Result<()> {
+    let options = ClusterOptions {
+        log_dir,
+        ..sample::options(vms)
+    };
+    let cluster = start(options, Some(0))?;
+    let first = cluster.running_vms()[0].name.clone();
+    match cluster.publish(&first, sample::edits())? {
+        PublishOutcome::Accepted { .. } => {}
+        other => return Err(Error::failed("publishing", format!("{other:?}"))),
+    }
+    let mut out = io::stdout();
+    for vm in cluster.running_vms() {
+        writeln!(out, "ready http://{}", vm.addresses.callers)?;
+    }
+    out.flush()?;
+    loop {
+        // The signals' thread ends the processes and this program.
+        thread::park();
+    }
+}
+
+fn start(options: ClusterOptions, code: Option<i32>) -> Result<Cluster> {
+    let interrupts = Interrupts::install(code)?;
+    Cluster::start(options, |processes| interrupts.watch(processes))
+}
--- a/crates/launcher/src/standin.rs
+++ b/crates/launcher/src/standin.rs
@@ -10,9 +10,12 @@
 use serde::de::DeserializeOwned;
 use serde_json::Value;
 use ureq::Agent;
+use ureq::Body;
+use ureq::http::Response;
 
 use crate::errors::Error;
 use crate::errors::Result;
+use crate::http::agent;
 
 /// The longest time that one call to a stand-in may take.
 const CALL_LIMIT: Duration = Duration::from_secs(10);
@@ -104,13 +107,9 @@
 impl StandinClient {
     /// Returns a client for the stand-in at an address.
     pub fn new(address: SocketAddr) -> Self {
-        let config = Agent::config_builder()
-            .proxy(None)
-            .timeout_global(Some(CALL_LIMIT))
-            .build();
         Self {
             address,
-            agent: config.into(),
+            agent: agent(CALL_LIMIT),
         }
     }
 
@@ -150,12 +149,11 @@
     ///
     /// # Errors
     ///
-    /// `Error::Failed` if the stand-in can't be reached or answers with something else.
+    /// `Error::Failed` if the stand-in refuses, can't be reached or answers with something else.
     pub fn get<T: DeserializeOwned>(&self, path: &str) -> Result<T> {
         let url = self.url(path);
         let answer = self.agent.get(&url).call();
-        let answer = answer.and_then(|mut answer| answer.body_mut().read_json());
-        answer.map_err(|error| Error::failed(format!("GET {url}"), error))
+        read(check(answer, "GET", &url)?, &url)
     }
 
     /// Gets a path and reads the answer's body, also that of a refusal.
@@ -165,10 +163,9 @@
     /// As for `get`.
     pub fn get_any_status<T: DeserializeOwned>(&self, path: &str) -> Result<T> {
         let url = self.url(path);
-        let request = self.agent.get(&url).config();
-        let answer = request.http_status_as_error(false).build().call();
-        let answer = answer.and_then(|mut answer| answer.body_mut().read_json());
-        answer.map_err(|error| Error::failed(format!("GET {url}"), error))
+        let answer = self.agent.get(&url).call();
+        let answer = answer.map_err(|error| Error::failed(format!("GET {url}"), error))?;
+        read(answer, &url)
     }
 
     /// Posts JSON to a path.
@@ -179,12 +176,28 @@
     pub fn post<T: Serialize>(&self, path: &str, body: &T) -> Result<()> {
         let url = self.url(path);
         let answer = self.agent.post(&url).send_json(body);
-        answer
-            .map(|_| ())
-            .map_err(|error| Error::failed(format!("POST {url}"), error))
+        check(answer, "POST", &url).map(|_| ())
     }
 
     fn url(&self, path: &str) -> String {
         format!("http://{}{path}", self.address)
     }
 }
+
+/// Returns an answer of success.
+fn check(
+    answer: std::result::Result<Response<Body>, ureq::Error>,
+    method: &str,
+    url: &str,
+) -> Result<Response<Body>> {
+    match answer {
+        Ok(answer) if answer.status().is_success() => Ok(answer),
+        Ok(answer) => Err(Error::failed(format!("{method} {url}"), answer.status())),
+        Err(error) => Err(Error::failed(format!("{method} {url}"), error)),
+    }
+}
+
+fn read<T: DeserializeOwned>(mut answer: Response<Body>, url: &str) -> Result<T> {
+    let body = answer.body_mut().read_json();
+    body.map_err(|error| Error::failed(format!("reading {url}"), error))
+}
--- a/crates/scenario/src/lib.rs
+++ b/crates/scenario/src/lib.rs
@@ -12,6 +12,7 @@
 pub mod fault;
 pub mod layout;
 pub mod parser;
+pub mod run;
 
 pub use errors::Error;
 pub use errors::Result;
--- /dev/null
+++ b/crates/scenario/src/run/actions.rs
@@ -0,0 +1,245 @@
+//! Statements that do something.
+
+use std::thread;
+use std::time::Duration;
+
+use apricotdale_admin::AdminClient;
+use apricotdale_admin::PublishOutcome;
+use apricotdale_admin::PublishRequest;
+use apricotdale_core::config::ConfigEdit;
+use apricotdale_core::numbers::ConfigVersion;
+use apricotdale_core::vm_list::VmState;
+use apricotdale_launcher::caller;
+use apricotdale_launcher::caller::CallerRequest;
+use apricotdale_launcher::cluster::LOG;
+use apricotdale_launcher::cluster::records;
+use apricotdale_launcher::poll::POLL_LIMIT;
+use apricotdale_launcher::poll::poll_until;
+use apricotdale_launcher::process::Exit;
+use serde_json::json;
+
+use crate::ast::Alias;
+use crate::ast::AliasRole;
+use crate::ast::Ending;
+use crate::ast::ListedState;
+use crate::ast::Place;
+use crate::ast::ProcessVerb;
+use crate::ast::Publication;
+use crate::ast::Send;
+use crate::ast::StandinKind;
+use crate::ast::Work;
+use crate::errors::Error;
+use crate::errors::Result;
+use crate::fault::fault_body;
+use crate::layout;
+use crate::run::endings;
+use crate::run::world::Sent;
+use crate::run::world::World;
+
+/// The longest wait for an answer. It is a limit for failures only.
+const ANSWER_LIMIT: Duration = Duration::from_secs(120);
+
+/// The operators of a race.
+const RACE_OPERATORS: [&str; 2] = ["left", "right"];
+
+impl World {
+    pub(super) fn publish(&mut self, publication: &Publication) -> Result<Option<String>> {
+        let vm = self.one_vm(&publication.place)?;
+        let outcome = self
+            .cluster()
+            .publish(&vm, vec![publication.edit.clone()])?;
+        match outcome {
+            PublishOutcome::Accepted { version } => Ok(Some(format!("version {version}"))),
+            other => Err(Error::failed(format!(
+                "the change was not accepted: {other:?}"
+            ))),
+        }
+    }
+
+    pub(super) fn race(
+        &mut self,
+        left: &Publication,
+        right: &Publication,
+    ) -> Result<Option<String>> {
+        let left_admin = self.cluster().admin(&self.one_vm(&left.place)?)?;
+        let right_admin = self.cluster().admin(&self.one_vm(&right.place)?)?;
+        let base_version = left_admin.config()?.version;
+        let (left, right) = thread::scope(|scope| {
+            let left = scope.spawn(|| race_one(&left_admin, 0, base_version, &left.edit));
+            let right = scope.spawn(|| race_one(&right_admin, 1, base_version, &right.edit));
+            (join(left), join(right))
+        });
+        self.race = vec![left?, right?];
+        Ok(Some(format!("{:?}", self.race)))
+    }
+
+    pub(super) fn alias(&mut self, alias: &Alias) -> Result<Option<String>> {
+        let condition = format!("a load of {} is proposed", alias.model);
+        let log = self.cluster().standin(LOG)?;
+        let intent = poll_until(&condition, POLL_LIMIT, || {
+            let intents = records::load_intents(log)?;
+            let mut of_model = intents
+                .into_iter()
+                .filter(|(_, intent)| intent.model.as_str() == alias.model);
+            Ok(of_model.next_back().map(|(_, intent)| intent))
+        })?;
+        let real = match alias.role {
+            AliasRole::Proposer => intent.proposer.vm.to_string(),
+            AliasRole::Engine => intent.engine.to_string(),
+        };
+        let note = format!("{} is {real}", alias.name);
+        self.aliases.insert(alias.name.clone(), real);
+        Ok(Some(note))
+    }
+
+    pub(super) fn send(&mut self, send: &Send) -> Result<Option<String>> {
+        let request = caller_request(send);
+        let mut sent = Vec::new();
+        for vm in self.vms_of(&send.place)? {
+            for _ in 0..send.count {
+                sent.push(Sent {
+                    vm: vm.name.clone(),
+                    answer: caller::send(vm.addresses.callers, request.clone()),
+                });
+            }
+        }
+        let note = match send.place {
+            Place::Vm(_) => None,
+            _ => Some(format!("{} requests", sent.len())),
+        };
+        self.requests.insert(send.name.clone(), sent);
+        Ok(note)
+    }
+
+    pub(super) fn await_begun(&mut self, name: &str) -> Result<Option<String>> {
+        for sent in self.sent(name) {
+            if sent.answer.wait_events(1, ANSWER_LIMIT)? == 0 {
+                let outcome = sent.answer.wait_end(ANSWER_LIMIT)?;
+                return Err(Error::failed(format!("{name} at {} {outcome}", sent.vm)));
+            }
+        }
+        Ok(None)
+    }
+
+    pub(super) fn await_end(&mut self, name: &str, ending: &Ending) -> Result<Option<String>> {
+        let mut notes = Vec::new();
+        for sent in self.sent(name) {
+            let outcome = sent.answer.wait_end(ANSWER_LIMIT)?;
+            if !endings::is_as_told(&outcome, ending) {
+                return Err(Error::failed(format!("{name} at {}: {outcome}", sent.vm)));
+            }
+            notes.push(outcome.to_string());
+        }
+        notes.sort();
+        notes.dedup();
+        Ok(Some(notes.join("; ")))
+    }
+
+    pub(super) fn await_exit(&mut self, name: &str, code: i32) -> Result<Option<String>> {
+        let vm = self.resolve(name);
+        match self.cluster().wait_exit(&vm, POLL_LIMIT)? {
+            Exit::Code(found) if found == code => Ok(None),
+            other => Err(Error::failed(format!("{vm} ended with {other:?}"))),
+        }
+    }
+
+    pub(super) fn fault(&mut self, target: &str, words: &[String]) -> Result<Option<String>> {
+        let name = self.resolve(target);
+        let body = fault_body(kind_of(&name), words).map_err(Error::failed)?;
+        self.cluster().standin(&name)?.fault(&body)?;
+        Ok(None)
+    }
+
+    pub(super) fn trim(&mut self, stream: &str) -> Result<Option<String>> {
+        let log = self.cluster().standin(LOG)?;
+        let (_, end) = records::read_stream(log, stream)?;
+        log.post("/standin/trim", &json!({"stream": stream, "before": end}))?;
+        Ok(Some(format!("records before {end} have expired")))
+    }
+
+    pub(super) fn process(&mut self, verb: ProcessVerb, name: &str) -> Result<Option<String>> {
+        let real = self.resolve(name);
+        let cluster = self.cluster_mut();
+        match verb {
+            ProcessVerb::Kill => cluster.kill(&real)?,
+            ProcessVerb::Freeze => cluster.freeze(&real)?,
+            ProcessVerb::Wake => cluster.wake(&real)?,
+            ProcessVerb::Terminate => cluster.terminate(&real)?,
+            ProcessVerb::Restart => cluster.restart(&real)?,
+        }
+        Ok(None)
+    }
+
+    pub(super) fn list(&mut self, name: &str, state: ListedState) -> Result<Option<String>> {
+        let real = self.resolve(name);
+        let state = match state {
+            ListedState::Live => VmState::Live,
+            ListedState::Leaving => VmState::Leaving,
+            ListedState::Gone => VmState::Gone,
+        };
+        self.cluster_mut().list_state(&real, state)?;
+        Ok(None)
+    }
+
+    fn one_vm(&self, place: &Place) -> Result<String> {
+        let vms = self.vms_of(place)?;
+        let first = vms.first().ok_or_else(|| Error::failed("no VM runs"))?;
+        Ok(first.name.clone())
+    }
+}
+
+fn race_one(
+    admin: &AdminClient,
+    side: usize,
+    base_version: ConfigVersion,
+    edit: &ConfigEdit,
+) -> Result<PublishOutcome> {
+    let request = PublishRequest {
+        operator: RACE_OPERATORS[side].to_owned(),
+        change_id: None,
+        base_version,
+        edits: vec![edit.clone()],
+    };
+    Ok(admin.publish(&request)?)
+}
+
+fn join<T>(handle: thread::ScopedJoinHandle<'_, Result<T>>) -> Result<T> {
+    handle
+        .join()
+        .unwrap_or_else(|_| Err(Error::failed("a publisher panicked")))
+}
+
+fn caller_request(send: &Send) -> CallerRequest {
+    let mut request = match &send.work {
+        Work::Completion {
+            model,
+            tokens,
+            stream,
+        } => CallerRequest::completion(model, *tokens, *stream),
+        Work::Call {
+            service,
+            method,
+            path,
+        } => CallerRequest::service_call(service, method, path, send.body.clone()),
+    };
+    if let Some(class) = &send.class {
+        request = request.header("X-Request-Class", class);
+    }
+    if let Some(timeout_ms) = send.timeout_ms {
+        request = request.header("X-Request-Timeout-Ms", timeout_ms.to_string());
+    }
+    if let Some(key) = &send.key {
+        request = request.header("Idempotency-Key", key);
+    }
+    request
+}
+
+fn kind_of(name: &str) -> StandinKind {
+    match name {
+        layout::LOG => StandinKind::Log,
+        layout::WEIGHTS => StandinKind::Weights,
+        layout::VM_LIST => StandinKind::VmList,
+        _ if name.starts_with("engine") => StandinKind::Engine,
+        _ => StandinKind::Service,
+    }
+}
--- /dev/null
+++ b/crates/scenario/src/run/world.rs
@@ -0,0 +1,155 @@
+//! What a run knows: the cluster, the requests under way, and second names.
+
+use std::collections::BTreeMap;
+use std::io::Write;
+
+use apricotdale_admin::PublishOutcome;
+use apricotdale_launcher::caller::PendingAnswer;
+use apricotdale_launcher::cluster::Cluster;
+use apricotdale_launcher::cluster::Vm;
+use apricotdale_launcher::cluster::options::ClusterOptions;
+use apricotdale_launcher::processes::Processes;
+use apricotdale_launcher::standin::EngineEffects;
+
+use crate::ast::Place;
+use crate::ast::Statement;
+use crate::errors::Error;
+use crate::errors::Result;
+use crate::run::Options;
+use crate::run::setup::add_setup;
+
+/// `Sent` is a request that was sent.
+#[derive(Clone, Debug)]
+pub(super) struct Sent {
+    /// The VM to which it went.
+    pub(super) vm: String,
+    /// Its answer.
+    pub(super) answer: PendingAnswer,
+}
+
+/// `World` is what a run knows.
+pub(super) struct World {
+    options: ClusterOptions,
+    cluster: Option<Cluster>,
+    pub(super) requests: BTreeMap<String, Vec<Sent>>,
+    pub(super) aliases: BTreeMap<String, String>,
+    pub(super) race: Vec<PublishOutcome>,
+}
+
+impl World {
+    pub(super) fn new(options: Options) -> Self {
+        let cluster_options = ClusterOptions {
+            log_dir: options.log_dir,
+            ..ClusterOptions::default()
+        };
+        Self {
+            options: cluster_options,
+            cluster: None,
+            requests: BTreeMap::new(),
+            aliases: BTreeMap::new(),
+            race: Vec::new(),
+        }
+    }
+
+    /// Does what a statement says and returns a note for the transcript, if there is something to
+    /// note.
+    pub(super) fn step(
+        &mut self,
+        statement: &Statement,
+        prepare: &impl Fn(&Processes),
+    ) -> Result<Option<String>> {
+        match statement {
+            Statement::Setup(setup) => {
+                add_setup(&mut self.options, setup);
+                Ok(None)
+            }
+            Statement::Start => {
+                self.cluster = Some(Cluster::start(self.options.clone(), prepare)?);
+                Ok(None)
+            }
+            Statement::Publish(publication) => self.publish(publication),
+            Statement::Race(left, right) => self.race(left, right),
+            Statement::Alias(alias) => self.alias(alias),
+            Statement::Send(send) => self.send(send),
+            Statement::AwaitBegun(name) => self.await_begun(name),
+            Statement::AwaitExit(name, code) => self.await_exit(name, *code),
+            Statement::AwaitEnd(name, ending) => self.await_end(name, ending),
+            Statement::Fault(target, words) => self.fault(target, words),
+            Statement::Trim(stream) => self.trim(stream),
+            Statement::Process(verb, name) => self.process(*verb, name),
+            Statement::List(name, state) => self.list(name, *state),
+            Statement::Expect(condition) => self.expect(condition),
+            Statement::Eventually(condition, limit) => self.eventually(condition, *limit),
+            Statement::Always(condition, polls) => self.always(condition, *polls),
+        }
+    }
+
+    /// Writes what helps to find the cause of a failed step.
+    pub(super) fn describe(&self, transcript: &mut dyn Write) -> Result<()> {
+        let Some(cluster) = &self.cluster else {
+            return Ok(());
+        };
+        for (name, requests) in &self.requests {
+            for sent in requests {
+                let outcome = sent.answer.outcome();
+                let outcome = outcome.map_or("under way".to_owned(), |outcome| outcome.to_string());
+                writeln!(transcript, "      request {name} at {}: {outcome}", sent.vm)?;
+            }
+        }
+        for (name, engine) in cluster.engines() {
+            match engine.effects::<EngineEffects>() {
+                Ok(effects) => writeln!(transcript, "      {name}: {effects:?}")?,
+                Err(error) => writeln!(transcript, "      {name}: {error}")?,
+            }
+        }
+        for name in cluster.vm_names() {
+            let log = cluster.processes().log_tail(&name)?;
+            writeln!(transcript, "      log of {name}:")?;
+            for line in log.lines() {
+                writeln!(transcript, "        {line}")?;
+            }
+        }
+        Ok(())
+    }
+
+    pub(super) fn cluster(&self) -> &Cluster {
+        self.cluster
+            .as_ref()
+            .expect("the check lets nothing else come before the start")
+    }
+
+    pub(super) fn cluster_mut(&mut self) -> &mut Cluster {
+        self.cluster
+            .as_mut()
+            .expect("the check lets nothing else come before the start")
+    }
+
+    /// Returns the process that a name or a second name stands for.
+    pub(super) fn resolve(&self, name: &str) -> String {
+        let real = self.aliases.get(name);
+        real.map_or_else(|| name.to_owned(), Clone::clone)
+    }
+
+    /// Returns the VMs of a place.
+    pub(super) fn vms_of(&self, place: &Place) -> Result<Vec<Vm>> {
+        let running = self.cluster().running_vms();
+        match place {
+            Place::All if running.is_empty() => Err(Error::failed("no VM runs")),
+            Place::All => Ok(running.into_iter().cloned().collect()),
+            Place::Vm(name) => Ok(vec![self.cluster().vm(&self.resolve(name))?.clone()]),
+            Place::Not(name) => {
+                let excluded = self.resolve(name);
+                let other = running.into_iter().find(|vm| vm.name != excluded);
+                let other = other.ok_or_else(|| Error::failed("no other VM runs"))?;
+                Ok(vec![other.clone()])
+            }
+        }
+    }
+
+    /// Returns the requests of a name.
+    pub(super) fn sent(&self, name: &str) -> &[Sent] {
+        self.requests
+            .get(name)
+            .expect("the check lets no unknown request be named")
+    }
+}
