--- a/crates/state/src/claim_table.rs
+++ b/crates/state/src/claim_table.rs
@@ -1,8 +1,8 @@
 //! The state machine of one claim stream.
 
+use std::cmp::Ordering;
 use std::collections::BTreeMap;
 use std::collections::BTreeSet;
-use std::collections::VecDeque;
 
 use serde::Deserialize;
 use serde::Serialize;
@@ -15,134 +15,44 @@
 use apricotdale_core::claims::KeptAnswer;
 use apricotdale_core::names::IdempotencyKey;
 use apricotdale_core::names::RequestId;
-use apricotdale_core::names::VmName;
 use apricotdale_core::numbers::Offset;
 use apricotdale_core::refusal::Ran;
 
+use crate::claims::ClaimEntry;
+use crate::claims::ClaimOptions;
+use crate::claims::ClaimState;
+use crate::claims::ClaimVerdict;
+use crate::claims::DecidedClaim;
+use crate::claims::answer_bytes;
+use crate::counters::Counters;
+use crate::snapshot::encode;
 use crate::verdict::IgnoreReason;
 
-/// `ClaimOptions` are the limits of a claim table. They are part of the state: all VMs must use the
-/// same.
-#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
-pub struct ClaimOptions {
-    /// How long a key whose call has ended is remembered, in milliseconds of the log's time.
-    pub remember_ms: u64,
-    /// The most keys remembered. A claim of one more key is rejected.
-    pub max_keys: usize,
-    /// The largest answer kept, in bytes.
-    pub max_answer_bytes: usize,
-    /// The most bytes of answers kept; the oldest are dropped first.
-    pub max_kept_bytes: usize,
-}
-
-impl Default for ClaimOptions {
-    fn default() -> Self {
-        Self {
-            remember_ms: 6 * 3_600_000,
-            max_keys: 20_000,
-            max_answer_bytes: 16 * 1024,
-            max_kept_bytes: 4 * 1024 * 1024,
-        }
-    }
-}
-
-/// `ClaimState` is what became of the call under a key.
-#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
-pub enum ClaimState {
-    /// The winner may be running the call.
-    Running,
-    /// The call ran. Its answer may be kept.
-    Finished(Option<KeptAnswer>),
-    /// The call may have run; nobody will know.
-    OutcomeUnknown,
-    /// The call did not run; the key is free.
-    Free,
+/// `Blindness` is what a table that has lost its records does not know.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
+enum Blindness {
+    /// Nothing was lost, or long enough ago.
+    None,
+    /// Records were lost; the first one since has yet to come.
+    UntilFirstRecord,
+    /// Records were lost; until then, a key that looks new may have been used.
+    UntilMs(u64),
 }
 
-/// `ClaimEntry` is what is remembered of one key.
+/// `ClaimTable` is what a VM knows from one claim stream up to an offset. Two VMs that have
+/// replayed the same records have the same table.
 #[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
-pub struct ClaimEntry {
-    /// The hash of the call.
-    pub call_hash: u64,
-    /// The request that holds or held the claim.
-    pub request: RequestId,
-    /// The winner's VM.
-    pub vm: VmName,
-    /// The winner's process.
-    pub process_id: u64,
-    /// The record that won.
-    pub won_at: Offset,
-    /// When the log took the last record that counted, in milliseconds of Unix time.
-    pub changed_ms: u64,
-    /// What became of the call.
-    pub state: ClaimState,
-    /// Requests that held the claim before and freed it.
-    pub past: BTreeSet<RequestId>,
-}
-
-/// `ClaimVerdict` is what replay makes of one entry of a claim batch.
-#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
-pub enum ClaimVerdict {
-    /// The request may run the call, once.
-    Won,
-    /// Another request runs the call.
-    AlreadyRunning,
-    /// The call has run; its answer, if it is kept.
-    Finished(Option<KeptAnswer>),
-    /// The call may have run and will not be run again.
-    OutcomeUnknown,
-    /// The key was used with another call.
-    KeyReused,
-    /// The request held the claim before. The record is a late repetition, and gives no right to
-    /// run.
-    Repeated,
-    /// As many keys are remembered as may be.
-    TableFull,
-    /// A finish counted.
-    Ended,
-    /// A finish did not count: the request does not hold the claim.
-    NotHolder,
-}
-
-impl ClaimVerdict {
-    /// Returns the code under which the verdict is counted.
-    pub fn as_str(&self) -> &'static str {
-        match self {
-            Self::Won => "won",
-            Self::AlreadyRunning => "already_running",
-            Self::Finished(_) => "finished",
-            Self::OutcomeUnknown => "outcome_unknown",
-            Self::KeyReused => "key_reused",
-            Self::Repeated => "repeated",
-            Self::TableFull => "table_full",
-            Self::Ended => "ended",
-            Self::NotHolder => "not_holder",
-        }
-    }
-}
-
-/// `DecidedClaim` is the verdict on one entry.
-#[derive(Clone, Debug, PartialEq, Eq)]
-pub struct DecidedClaim {
-    /// The key.
-    pub key: IdempotencyKey,
-    /// The request that the entry names.
-    pub request: RequestId,
-    /// What became of it.
-    pub verdict: ClaimVerdict,
-}
-
-/// `ClaimTable` is what a VM knows from one claim stream up to an offset.
-#[derive(Clone, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
 pub struct ClaimTable {
     options: ClaimOptions,
     next: Offset,
     now_ms: u64,
+    blindness: Blindness,
     entries: BTreeMap<IdempotencyKey, ClaimEntry>,
     expiring: BTreeSet<(u64, IdempotencyKey)>,
-    answers: VecDeque<(IdempotencyKey, Offset, usize)>,
+    answers: BTreeMap<u64, IdempotencyKey>,
+    next_serial: u64,
     kept_bytes: usize,
-    counts: BTreeMap<String, u64>,
+    counters: Counters,
 }
 
 impl ClaimTable {
@@ -150,7 +60,27 @@
     pub fn new(options: ClaimOptions) -> Self {
         Self {
             options,
-            ..Self::default()
+            next: Offset(0),
+            now_ms: 0,
+            blindness: Blindness::None,
+            entries: BTreeMap::new(),
+            expiring: BTreeSet::new(),
+            answers: BTreeMap::new(),
+            next_serial: 0,
+            kept_bytes: 0,
+            counters: Counters::default(),
+        }
+    }
+
+    /// Returns the table to start afresh from when the records before an offset are lost for good.
+    ///
+    /// A key that looks new may then have been used before the loss, and its call may have run. So
+    /// every claim is answered with an unknown outcome until the time to remember has passed.
+    pub fn after_loss(next: Offset, options: ClaimOptions) -> Self {
+        Self {
+            next,
+            blindness: Blindness::UntilFirstRecord,
+            ..Self::new(options)
         }
     }
 
@@ -174,21 +104,14 @@
         self.entries.is_empty()
     }
 
-    /// Returns the counts of verdicts by code.
-    pub fn counts(&self) -> impl Iterator<Item = (&str, u64)> {
-        self.counts
-            .iter()
-            .map(|(code, count)| (code.as_str(), *count))
+    /// Returns the bytes of the answers kept.
+    pub fn kept_bytes(&self) -> usize {
+        self.kept_bytes
     }
 
-    /// Returns the keys that are running under the claim of a process.
-    pub fn running_of(
-        &self,
-        process_id: u64,
-    ) -> impl Iterator<Item = (&IdempotencyKey, &ClaimEntry)> {
-        self.entries.iter().filter(move |(_, entry)| {
-            entry.process_id == process_id && entry.state == ClaimState::Running
-        })
+    /// Returns the counts of verdicts.
+    pub fn counters(&self) -> &Counters {
+        &self.counters
     }
 
     /// Returns the digest of the present state.
@@ -196,12 +119,34 @@
         xxh3_64(&self.canonical())
     }
 
+    /// Returns the canonical encoding of the table.
     pub(crate) fn canonical(&self) -> Vec<u8> {
-        postcard::to_allocvec(self).expect("the table holds only strings, numbers and lists")
+        encode(self)
+    }
+
+    /// Returns the claims that are held by processes which are over, as the finishes that make
+    /// their outcome known as unknown. Any VM may append them; only the first counts. A finish that
+    /// the winner itself appended while it ran still counts when it comes later.
+    pub fn finishes_of_ended(&self, is_over: impl Fn(u64) -> bool) -> Vec<Finish> {
+        let running = self
+            .entries
+            .iter()
+            .filter(|(_, entry)| entry.state == ClaimState::Running);
+        let ended = running.filter(|(_, entry)| is_over(entry.process_id));
+        let finish = |(key, entry): (&IdempotencyKey, &ClaimEntry)| Finish {
+            key: key.clone(),
+            request: entry.request.clone(),
+            ran: Ran::Unknown,
+            answer: None,
+        };
+        ended.map(finish).collect()
     }
 
     /// Replays one record and returns the verdicts on its entries, in order.
     ///
+    /// `appended_ms` is the time at which the log took it, in milliseconds of Unix time. Records
+    /// must come in order without gaps.
+    ///
     /// # Errors
     ///
     /// Why the record was ignored as a whole.
@@ -212,15 +157,14 @@
         payload: &[u8],
     ) -> Result<Vec<DecidedClaim>, IgnoreReason> {
         match offset.cmp(&self.next) {
-            std::cmp::Ordering::Less => return Err(IgnoreReason::AlreadyReplayed),
-            std::cmp::Ordering::Greater => return Err(IgnoreReason::Gap),
-            std::cmp::Ordering::Equal => {}
+            Ordering::Less => return Err(IgnoreReason::AlreadyReplayed),
+            Ordering::Greater => return Err(IgnoreReason::Gap),
+            Ordering::Equal => {}
         }
         self.next = offset.next();
-        self.now_ms = self.now_ms.max(appended_ms);
-        self.expire();
+        self.advance(appended_ms);
         let Some(batch) = ClaimBatch::decode(payload) else {
-            self.count(IgnoreReason::Undecodable.as_str());
+            self.counters.add(IgnoreReason::Undecodable.as_str());
             return Err(IgnoreReason::Undecodable);
         };
         Ok(batch
@@ -230,36 +174,42 @@
             .collect())
     }
 
+    /// Moves the table's time on. The log's clock may step back; the table's does not.
+    fn advance(&mut self, appended_ms: u64) {
+        self.now_ms = self.now_ms.max(appended_ms);
+        self.blindness = match self.blindness {
+            Blindness::UntilFirstRecord => {
+                Blindness::UntilMs(self.now_ms.saturating_add(self.options.remember_ms))
+            }
+            Blindness::UntilMs(until_ms) if self.now_ms > until_ms => Blindness::None,
+            blindness => blindness,
+        };
+        self.expire();
+    }
+
     fn decide(&mut self, offset: Offset, record: &ClaimRecord) -> DecidedClaim {
-        let (key, request, verdict) = match record {
-            ClaimRecord::Claim(claim) => (&claim.key, &claim.request, self.claim(offset, claim)),
+        let (key, request, process_id, verdict) = match record {
+            ClaimRecord::Claim(claim) => {
+                let verdict = self.claim(offset, claim);
+                (&claim.key, &claim.request, Some(claim.process_id), verdict)
+            }
             ClaimRecord::Finish(finish) => {
-                (&finish.key, &finish.request, self.finish(offset, finish))
+                (&finish.key, &finish.request, None, self.finish(finish))
             }
         };
-        self.count(verdict.as_str());
+        self.counters.add(verdict.as_str());
         DecidedClaim {
             key: key.clone(),
             request: request.clone(),
+            process_id,
             verdict,
         }
     }
 
     fn claim(&mut self, offset: Offset, claim: &Claim) -> ClaimVerdict {
-        let is_full = self.entries.len() >= self.options.max_keys;
-        let past = match self.entries.get(&claim.key) {
-            None if is_full => return ClaimVerdict::TableFull,
-            None => BTreeSet::new(),
-            // A request claims a key once. A batch that was appended twice would otherwise win
-            // again after the first win was freed, and hold the key for nobody.
-            Some(entry) if entry.knows(&claim.request) => return ClaimVerdict::Repeated,
-            Some(entry) => match &entry.state {
-                ClaimState::Free => entry.past.clone(),
-                _ if entry.call_hash != claim.call_hash => return ClaimVerdict::KeyReused,
-                ClaimState::Running => return ClaimVerdict::AlreadyRunning,
-                ClaimState::Finished(answer) => return ClaimVerdict::Finished(answer.clone()),
-                ClaimState::OutcomeUnknown => return ClaimVerdict::OutcomeUnknown,
-            },
+        let past = match self.past_of(claim) {
+            Ok(past) => past,
+            Err(verdict) => return verdict,
         };
         let entry = ClaimEntry {
             call_hash: claim.call_hash,
@@ -270,12 +220,40 @@
             changed_ms: self.now_ms,
             state: ClaimState::Running,
             past,
+            answer_serial: None,
         };
-        self.replace(&claim.key, entry);
+        self.put(&claim.key, entry);
         ClaimVerdict::Won
     }
 
-    fn finish(&mut self, offset: Offset, finish: &Finish) -> ClaimVerdict {
+    /// Returns the requests that have freed the key before, or the verdict if the key is not free.
+    fn past_of(&self, claim: &Claim) -> Result<BTreeSet<RequestId>, ClaimVerdict> {
+        let Some(entry) = self.entries.get(&claim.key) else {
+            return match self.blindness {
+                Blindness::None if self.entries.len() < self.options.max_keys => {
+                    Ok(BTreeSet::new())
+                }
+                Blindness::None => Err(ClaimVerdict::TableFull),
+                _ => Err(ClaimVerdict::OutcomeUnknown),
+            };
+        };
+        // A request claims a key once. A batch that was appended twice would otherwise win again
+        // after its first win was freed: it would hold the key for nobody, and a late repetition of
+        // the first win's finish would free the key while a second run is in progress.
+        match &entry.state {
+            _ if entry.is_repeated_by(claim) => Err(ClaimVerdict::Repeated),
+            ClaimState::Free if entry.past.len() >= self.options.max_tries => {
+                Err(ClaimVerdict::TooManyTries)
+            }
+            ClaimState::Free => Ok(entry.past.clone()),
+            _ if entry.call_hash != claim.call_hash => Err(ClaimVerdict::KeyReused),
+            ClaimState::Running => Err(ClaimVerdict::AlreadyRunning),
+            ClaimState::Finished(answer) => Err(ClaimVerdict::Finished(answer.clone())),
+            ClaimState::OutcomeUnknown => Err(ClaimVerdict::OutcomeUnknown),
+        }
+    }
+
+    fn finish(&mut self, finish: &Finish) -> ClaimVerdict {
         let Some(entry) = self.entries.get(&finish.key) else {
             return ClaimVerdict::NotHolder;
         };
@@ -296,13 +274,8 @@
         if entry.state == ClaimState::Free {
             entry.past.insert(finish.request.clone());
         }
-        if let ClaimState::Finished(Some(answer)) = &entry.state {
-            let size = answer_bytes(answer);
-            self.kept_bytes += size;
-            self.answers.push_back((finish.key.clone(), offset, size));
-        }
-        self.replace(&finish.key, entry);
-        self.drop_answers();
+        self.put(&finish.key, entry);
+        self.drop_oldest_answers();
         ClaimVerdict::Ended
     }
 
@@ -312,57 +285,53 @@
             .cloned()
     }
 
-    fn replace(&mut self, key: &IdempotencyKey, entry: ClaimEntry) {
-        if let Some(old) = self.entries.get(key) {
-            self.expiring.remove(&(old.changed_ms, key.clone()));
-        }
-        // A call that is running is remembered until it ends, however long that takes.
+    fn put(&mut self, key: &IdempotencyKey, mut entry: ClaimEntry) {
+        self.take(key);
+        // A call that is running is remembered until it ends, however long that takes: its winner
+        // may be paused and send it yet.
         if entry.state != ClaimState::Running {
             self.expiring.insert((entry.changed_ms, key.clone()));
         }
+        if entry.kept_bytes() > 0 {
+            entry.answer_serial = Some(self.next_serial);
+            self.answers.insert(self.next_serial, key.clone());
+            self.next_serial += 1;
+            self.kept_bytes += entry.kept_bytes();
+        }
         self.entries.insert(key.clone(), entry);
     }
 
+    fn take(&mut self, key: &IdempotencyKey) {
+        let Some(entry) = self.entries.remove(key) else {
+            return;
+        };
+        self.expiring.remove(&(entry.changed_ms, key.clone()));
+        self.kept_bytes -= entry.kept_bytes();
+        entry
+            .answer_serial
+            .and_then(|serial| self.answers.remove(&serial));
+    }
+
     fn expire(&mut self) {
         let horizon_ms = self.now_ms.saturating_sub(self.options.remember_ms);
         while let Some((changed_ms, key)) = self.expiring.first().cloned() {
             if changed_ms >= horizon_ms {
                 return;
             }
-            self.expiring.pop_first();
-            self.entries.remove(&key);
+            self.take(&key);
         }
     }
 
-    fn drop_answers(&mut self) {
+    fn drop_oldest_answers(&mut self) {
         while self.kept_bytes > self.options.max_kept_bytes {
-            let Some((key, _, size)) = self.answers.pop_front() else {
+            let Some((_, key)) = self.answers.pop_first() else {
                 return;
             };
-            self.kept_bytes -= size;
-            if let Some(entry) = self.entries.get_mut(&key) {
-                entry.drop_answer();
-            }
-        }
-    }
-
-    fn count(&mut self, code: &str) {
-        *self.counts.entry(code.to_owned()).or_default() += 1;
-    }
-}
-
-impl ClaimEntry {
-    fn knows(&self, request: &RequestId) -> bool {
-        self.past.contains(request) || self.request == *request
-    }
-
-    fn drop_answer(&mut self) {
-        if let ClaimState::Finished(answer) = &mut self.state {
-            *answer = None;
+            let Some(entry) = self.entries.get_mut(&key) else {
+                continue;
+            };
+            self.kept_bytes -= entry.kept_bytes();
+            entry.drop_answer();
         }
     }
 }
-
-fn answer_bytes(answer: &KeptAnswer) -> usize {
-    answer.body.len() + answer.content_type.len()
-}
--- a/crates/state/src/control_state.rs
+++ b/crates/state/src/control_state.rs
@@ -1,5 +1,6 @@
 //! The state machine of the control stream.
 
+use std::cmp::Ordering;
 use std::collections::BTreeMap;
 use std::collections::VecDeque;
 
@@ -25,6 +26,7 @@
 use crate::members::Members;
 use crate::replicas::Replicas;
 use crate::replicas::UnloadTask;
+use crate::snapshot::encode;
 use crate::verdict::Accepted;
 use crate::verdict::IgnoreReason;
 use crate::verdict::RejectReason;
@@ -79,12 +81,18 @@
         Self::default()
     }
 
-    /// Returns the state of a stream whose records before an offset are lost for good. All that
-    /// they said is forgotten: the configuration must be published anew, and every model that
-    /// engines hold is undecided.
-    pub fn starting_at(next: Offset) -> Self {
+    /// Returns the state to start afresh from when the records before an offset are lost for good.
+    ///
+    /// `outdated` is the newest state that is left, from before the gap; its configuration stays in
+    /// force. All else is forgotten: processes join anew, engines are observed anew, and what they
+    /// hold counts as undecided.
+    pub fn after_loss(next: Offset, outdated: Option<&Self>) -> Self {
+        let config = outdated
+            .map(|outdated| outdated.config.clone())
+            .unwrap_or_default();
         Self {
             next,
+            config,
             ..Self::default()
         }
     }
@@ -96,9 +104,9 @@
     /// is ignored, without a trace in the state.
     pub fn apply(&mut self, offset: Offset, appended_ms: u64, payload: &[u8]) -> Verdict {
         match offset.cmp(&self.next) {
-            std::cmp::Ordering::Less => return Verdict::Ignored(IgnoreReason::AlreadyReplayed),
-            std::cmp::Ordering::Greater => return Verdict::Ignored(IgnoreReason::Gap),
-            std::cmp::Ordering::Equal => {}
+            Ordering::Less => return Verdict::Ignored(IgnoreReason::AlreadyReplayed),
+            Ordering::Greater => return Verdict::Ignored(IgnoreReason::Gap),
+            Ordering::Equal => {}
         }
         let moment = Moment {
             offset,
@@ -108,7 +116,7 @@
             Some(record) => self.decide(moment, &record),
             None => Verdict::Ignored(IgnoreReason::Undecodable),
         };
-        self.counters.note(&verdict);
+        self.counters.add(verdict.as_str());
         self.history.note_verdict(offset, verdict.clone());
         self.next = offset.next();
         self.take_digest();
@@ -255,6 +263,6 @@
 
     /// Returns the canonical encoding of the state.
     pub(crate) fn canonical(&self) -> Vec<u8> {
-        postcard::to_allocvec(self).expect("the state holds only strings, numbers and lists")
+        encode(self)
     }
 }
--- a/crates/state/src/counters.rs
+++ b/crates/state/src/counters.rs
@@ -5,8 +5,6 @@
 use serde::Deserialize;
 use serde::Serialize;
 
-use crate::verdict::Verdict;
-
 /// `Counters` count the verdicts since the start of the stream by their codes.
 #[derive(Clone, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
 pub struct Counters {
@@ -26,8 +24,8 @@
             .map(|(code, count)| (code.as_str(), *count))
     }
 
-    pub(crate) fn note(&mut self, verdict: &Verdict) {
-        let code = verdict.as_str();
+    /// Counts a verdict of a code.
+    pub(crate) fn add(&mut self, code: &str) {
         match self.counts.get_mut(code) {
             Some(count) => *count += 1,
             None => drop(self.counts.insert(code.to_owned(), 1)),
--- a/crates/state/src/engines.rs
+++ b/crates/state/src/engines.rs
@@ -75,7 +75,8 @@
 
     /// Returns the memory that undecided models take.
     pub fn undecided_bytes(&self) -> u64 {
-        self.undecided.values().map(|resident| resident.bytes).sum()
+        let sizes = self.undecided.values().map(|resident| resident.bytes);
+        sizes.fold(0, u64::saturating_add)
     }
 
     /// Notes a status of which only a part is known.
--- a/crates/state/src/intents.rs
+++ b/crates/state/src/intents.rs
@@ -120,8 +120,7 @@
             .replicas
             .of_engine(name)
             .filter(|replica| replica.can_hold(boot));
-        let decided: u64 = holding.map(|replica| replica.bytes).sum();
-        decided.saturating_add(engine.undecided_bytes())
+        holding.fold(engine.undecided_bytes(), add_bytes)
     }
 
     /// Returns the memory that may become taken in a later run of an engine by orders already
@@ -132,7 +131,7 @@
             .replicas
             .of_engine(name)
             .filter(|replica| replica.can_hold_after(boot));
-        holding.map(|replica| replica.bytes).sum()
+        holding.fold(0, add_bytes)
     }
 
     /// Decides on an unload.
@@ -236,6 +235,11 @@
     }
 }
 
+/// Adds without overflow: engines report sizes, and a wild one must not stop the process.
+fn add_bytes(sum: u64, replica: &Replica) -> u64 {
+    sum.saturating_add(replica.bytes)
+}
+
 fn owner(proposer: &Proposer, moment: Moment) -> Owner {
     Owner {
         vm: proposer.vm.clone(),
--- a/crates/state/src/lib.rs
+++ b/crates/state/src/lib.rs
@@ -6,7 +6,8 @@
 //! - [`ControlState`] replays the control stream: configuration, members, engines and replicas;
 //! - [`ClaimTable`] replays one claim stream, so that a call under an idempotency key runs at most
 //!   once;
-//! - [`snapshot`] carries either state to a VM that starts after the log has dropped old records.
+//! - [`snapshot`] carries either state to a VM that starts after the log has dropped old records;
+//! - [`catch_up`] decides where a VM gets its state from when it starts or has fallen behind.
 //!
 //! Nothing here reads a clock, opens a socket, starts a thread or uses randomness. The only time is
 //! that at which the log took a record, which is the same for all readers.
@@ -14,7 +15,9 @@
 #![forbid(unsafe_code)]
 #![warn(missing_docs)]
 
+pub mod catch_up;
 pub mod claim_table;
+pub mod claims;
 pub mod config_rules;
 pub mod configuration;
 pub mod control_state;
@@ -23,6 +26,7 @@
 pub mod errors;
 pub mod history;
 pub mod members;
+pub mod parts;
 pub mod replicas;
 pub mod snapshot;
 pub mod verdict;
--- a/crates/state/src/observations.rs
+++ b/crates/state/src/observations.rs
@@ -22,6 +22,9 @@
 use crate::verdict::Accepted;
 use crate::verdict::RejectReason;
 
+/// The most engines that are remembered after they are gone.
+const MAX_GONE_ENGINES: usize = 1024;
+
 impl ControlState {
     /// Takes in an engine's whole status.
     pub(crate) fn observe(&mut self, moment: Moment, observation: &Observation) -> Decision {
@@ -148,8 +151,25 @@
         engine.resident_fences.clear();
         self.drop_stray_unloads(&gone.engine);
         self.sweep(&gone.engine);
+        self.forget_oldest_gone();
         Ok(Accepted::UpstreamRemoved)
     }
+
+    /// Bounds the memory of engines that are gone. They are kept so that a reading which comes late
+    /// does not bring them back.
+    fn forget_oldest_gone(&mut self) {
+        let gone = self
+            .engines
+            .iter()
+            .filter_map(|(name, engine)| Some((engine.gone_at?, name)));
+        let gone: BTreeMap<Offset, &UpstreamName> = gone.collect();
+        let is_free = |name: &&UpstreamName| self.replicas.of_engine(name).next().is_none();
+        let oldest = gone.values().copied().find(is_free).cloned();
+        match oldest {
+            Some(oldest) if gone.len() > MAX_GONE_ENGINES => drop(self.engines.remove(&oldest)),
+            _ => {}
+        }
+    }
 }
 
 /// Returns whether an observation says nothing new: a VM that was paused can append its reading
@@ -178,9 +198,11 @@
     }
 }
 
-/// Notes that an engine's present run refuses an order which has had no effect on it.
+/// Notes whether an engine's present run refuses an order which has had no effect on it. A run that
+/// has refused once refuses for good; a new run has forgotten the numbers that the old one saw.
 fn note_refusal(replica: &mut Replica, observation: &Observation) {
     let refuses =
         observation.checks_fence && observation.highest_fence > FencingNumber::from(replica.load);
-    replica.refused_by = refuses.then_some(observation.boot);
+    let refused_before = replica.refused_by == Some(observation.boot);
+    replica.refused_by = (refuses || refused_before).then_some(observation.boot);
 }
--- a/crates/state/src/settlements.rs
+++ b/crates/state/src/settlements.rs
@@ -195,7 +195,8 @@
         replica.refused_by = Some(reading.boot);
     }
     if quiet_before {
-        replica.last_boot = Some(reading.boot);
+        let last_boot = replica.last_boot.unwrap_or(reading.boot);
+        replica.last_boot = Some(last_boot.min(reading.boot));
     }
     Ok(())
 }
