--- a/crates/standins/src/log/server.rs
+++ b/crates/standins/src/log/server.rs
@@ -64,6 +64,7 @@
     appends: u64,
     reads: u64,
     bytes_kept: u64,
+    held: u64,
 }
 
 #[derive(Deserialize)]
@@ -177,9 +178,11 @@
     fn delay(&self, state: &mut MutexGuard<'_, State>, delay_ms: u64) {
         let generation = state.fault.generation();
         let deadline = after_ms(delay_ms);
+        state.effects.held += 1;
         while state.fault.generation() == generation && Instant::now() < deadline {
             self.changed.wait_until(state, deadline);
         }
+        state.effects.held -= 1;
     }
 
     fn set_fault(&self, request: &Request) -> Reply {
--- a/crates/standins/src/service.rs
+++ b/crates/standins/src/service.rs
@@ -57,6 +57,7 @@
     calls: BTreeMap<String, u64>,
     keys: BTreeMap<String, u64>,
     requests: BTreeMap<String, u64>,
+    held: u64,
 }
 
 impl ServiceStandin {
@@ -99,17 +100,19 @@
         deadline: Option<Instant>,
     ) {
         let generation = state.fault.generation();
+        state.effects.held += 1;
         while state.fault.generation() == generation {
             let expired = match deadline {
                 Some(deadline) => Instant::now() >= deadline,
                 None => request.caller.is_gone(),
             };
             if expired {
-                return;
+                break;
             }
             let poll = Instant::now() + CALLER_POLL;
             self.changed.wait_until(state, deadline.unwrap_or(poll));
         }
+        state.effects.held -= 1;
     }
 
     fn set_fault(&self, request: &Request) -> Reply {
--- /dev/null
+++ b/crates/standins/tests/support/mod.rs
@@ -0,0 +1,238 @@
+//! Starts stand-ins within the test's process and talks to them.
+
+// Each test file uses only a part of this module.
+#![allow(dead_code)]
+
+use std::io::BufRead;
+use std::io::BufReader;
+use std::net::SocketAddr;
+use std::sync::Arc;
+use std::thread;
+use std::thread::JoinHandle;
+use std::time::Duration;
+use std::time::Instant;
+
+use serde_json::Value;
+use serde_json::json;
+use ureq::Agent;
+use ureq::Body;
+use ureq::http::Response;
+
+use apricotdale_standins::engine;
+use apricotdale_standins::engine::EngineStandin;
+use apricotdale_standins::http::Handler;
+use apricotdale_standins::http::Server;
+
+/// A test that waits this long has failed. It only keeps a failed test from hanging.
+const GIVE_UP: Duration = Duration::from_secs(60);
+
+/// `Standin` is a running stand-in.
+pub struct Standin {
+    server: Server,
+}
+
+/// `Answer` is a whole answer.
+#[derive(Debug, PartialEq)]
+pub struct Answer {
+    pub status: u16,
+    pub body: Value,
+}
+
+/// `Events` reads the events of a stream. Dropping it closes the connection.
+pub struct Events {
+    lines: BufReader<ureq::BodyReader<'static>>,
+}
+
+/// Starts a stand-in on a port of the system's choice.
+pub fn start(handler: impl Handler + 'static) -> Standin {
+    let listen = "127.0.0.1:0".parse().unwrap();
+    let server = Server::start(listen, Arc::new(handler)).unwrap();
+    Standin { server }
+}
+
+/// Starts an engine on which the given models are loaded.
+pub fn engine_with(options: engine::Options, models: &[&str]) -> Standin {
+    let engine = start(EngineStandin::new(options));
+    for model in models {
+        assert_eq!(engine.post("/orders/load", &load(model, 0)).status, 200);
+    }
+    engine
+}
+
+/// Returns a load order for ten bytes.
+pub fn load(model: &str, fence: u64) -> Value {
+    json!({"model": model, "base": null, "bytes": 10, "fence": fence})
+}
+
+/// Returns an unload order.
+pub fn unload(model: &str, fence: u64) -> Value {
+    json!({"model": model, "fence": fence})
+}
+
+/// Waits until a condition on other threads holds.
+pub fn wait_until(mut holds: impl FnMut() -> bool) {
+    let begun = Instant::now();
+    while !holds() {
+        assert!(
+            begun.elapsed() < GIVE_UP,
+            "the condition never came to hold"
+        );
+        thread::yield_now();
+    }
+}
+
+impl Standin {
+    /// Returns where the stand-in listens.
+    pub fn address(&self) -> SocketAddr {
+        self.server.address()
+    }
+
+    /// Sends a GET.
+    pub fn get(&self, path: &str) -> Answer {
+        let answer = agent().get(self.url(path)).call();
+        whole(answer).expect("an answer")
+    }
+
+    /// Sends a POST whose answer must come.
+    pub fn post(&self, path: &str, body: &Value) -> Answer {
+        self.try_post(path, body).expect("an answer")
+    }
+
+    /// Sends a POST and returns its answer, or none if it was lost.
+    pub fn try_post(&self, path: &str, body: &Value) -> Option<Answer> {
+        self.try_post_with(path, body, &[])
+    }
+
+    /// Sends a POST with headers.
+    pub fn try_post_with(
+        &self,
+        path: &str,
+        body: &Value,
+        headers: &[(&str, &str)],
+    ) -> Option<Answer> {
+        whole(self.send(path, body, headers))
+    }
+
+    /// Sends a POST from a thread of its own.
+    pub fn post_aside(&self, path: &str, body: &Value) -> JoinHandle<Option<Answer>> {
+        let url = self.url(path);
+        let body = body.clone();
+        thread::spawn(move || whole(agent().post(url).send_json(body)))
+    }
+
+    /// Arms a fault.
+    pub fn fault(&self, fault: &Value) {
+        assert_eq!(self.post("/standin/fault", fault).status, 200);
+    }
+
+    /// Returns the effects.
+    pub fn effects(&self) -> Value {
+        self.get("/standin/effects").body
+    }
+
+    /// Returns the state of a request at an engine, or null.
+    pub fn request_state(&self, id: &str) -> Value {
+        self.effects()["requests"][id]["state"].clone()
+    }
+
+    /// Begins a stream of an engine and returns its events.
+    pub fn stream(&self, id: &str, model: &str, tokens: u32) -> Events {
+        let answer = self.send_stream(id, model, tokens, 0);
+        let answer = answer.expect("a stream");
+        assert_eq!(answer.status(), 200);
+        Events::new(answer)
+    }
+
+    /// Begins a stream from a thread of its own, which returns its events to the end.
+    pub fn stream_aside(&self, id: &str, model: &str, priority: u32) -> JoinHandle<Vec<String>> {
+        let url = self.url("/v1/completions");
+        let (id, body) = (id.to_owned(), completion(model, 1, true));
+        thread::spawn(move || {
+            let request = agent().post(url).header("X-Request-Id", id);
+            let request = request.header("X-Priority", priority.to_string());
+            request
+                .send_json(body)
+                .map_or_else(|_| Vec::new(), |answer| Events::new(answer).collect())
+        })
+    }
+
+    fn send_stream(
+        &self,
+        id: &str,
+        model: &str,
+        tokens: u32,
+        priority: u32,
+    ) -> Result<Response<Body>, ureq::Error> {
+        let priority = priority.to_string();
+        let headers = [("X-Request-Id", id), ("X-Priority", priority.as_str())];
+        self.send(
+            "/v1/completions",
+            &completion(model, tokens, true),
+            &headers,
+        )
+    }
+
+    fn send(
+        &self,
+        path: &str,
+        body: &Value,
+        headers: &[(&str, &str)],
+    ) -> Result<Response<Body>, ureq::Error> {
+        let mut request = agent().post(self.url(path));
+        for (name, value) in headers {
+            request = request.header(*name, *value);
+        }
+        request.send_json(body)
+    }
+
+    fn url(&self, path: &str) -> String {
+        format!("http://{}{path}", self.address())
+    }
+}
+
+/// Returns the body of a request for a completion.
+pub fn completion(model: &str, tokens: u32, stream: bool) -> Value {
+    json!({"model": model, "prompt": "a b c", "max_tokens": tokens, "stream": stream})
+}
+
+impl Events {
+    fn new(answer: Response<Body>) -> Self {
+        let reader = answer.into_body().into_reader();
+        Self {
+            lines: BufReader::new(reader),
+        }
+    }
+}
+
+impl Iterator for Events {
+    type Item = String;
+
+    /// Returns the data of the next event, or none at the end of the stream, broken or not.
+    fn next(&mut self) -> Option<String> {
+        let mut line = String::new();
+        loop {
+            line.clear();
+            if self.lines.read_line(&mut line).ok()? == 0 {
+                return None;
+            }
+            if let Some(data) = line.trim_end().strip_prefix("data: ") {
+                return Some(data.to_owned());
+            }
+        }
+    }
+}
+
+fn agent() -> Agent {
+    let config = Agent::config_builder()
+        .http_status_as_error(false)
+        .proxy(None);
+    config.build().into()
+}
+
+fn whole(answer: Result<Response<Body>, ureq::Error>) -> Option<Answer> {
+    let mut answer = answer.ok()?;
+    Some(Answer {
+        status: answer.status().as_u16(),
+        body: answer.body_mut().read_json().ok()?,
+    })
+}
--- /dev/null
+++ b/crates/standins/tests/vm_list.rs
@@ -0,0 +1,57 @@
+//! The list of VMs.
+
+mod support;
+
+use rstest::rstest;
+use serde_json::Value;
+use serde_json::json;
+
+use apricotdale_standins::vm_list::Options;
+use apricotdale_standins::vm_list::VmListStandin;
+
+const AN_HOUR_MS: u64 = 3_600_000;
+
+fn entry(name: &str, state: &str) -> Value {
+    json!({
+        "name": name, "role": "engine", "group": "planner-lm", "zone": "hall-a",
+        "address": "127.0.0.1:9", "peer_address": null, "state": state,
+    })
+}
+
+#[test]
+fn entries_are_replaced_and_change_their_state() {
+    let list = support::start(VmListStandin::new(Options::default()));
+    assert_eq!(list.get("/vms").body["entries"], json!([]));
+    list.post(
+        "/standin/vms",
+        &json!([entry("a", "live"), entry("b", "live")]),
+    );
+    let change = json!({"name": "b", "state": "leaving"});
+    assert_eq!(list.post("/standin/state", &change).status, 200);
+    let entries = &list.get("/vms").body["entries"];
+    assert_eq!(*entries, json!([entry("a", "live"), entry("b", "leaving")]));
+    let unknown = json!({"name": "c", "state": "gone"});
+    assert_eq!(list.post("/standin/state", &unknown).status, 404);
+}
+
+/// Symptom: new work goes to a VM that is already gone.
+/// Sequence: a VM is listed as live, it goes, the list is read.
+/// Cause: the list lags, so it still shows what was.
+#[rstest]
+#[case::at_once(0, 1)]
+#[case::late(AN_HOUR_MS, 0)]
+fn changes_show_after_the_lag(#[case] lag_ms: u64, #[case] shown: usize) {
+    let list = support::start(VmListStandin::new(Options { lag_ms }));
+    list.post("/standin/vms", &json!([entry("a", "live")]));
+    let listing = list.get("/vms").body;
+    assert_eq!(listing["entries"].as_array().unwrap().len(), shown);
+}
+
+#[test]
+fn a_list_that_is_down_answers_503() {
+    let list = support::start(VmListStandin::new(Options::default()));
+    list.fault(&json!({"mode": "down"}));
+    assert_eq!(list.get("/vms").status, 503);
+    list.fault(&json!({"mode": "up"}));
+    assert_eq!(list.get("/vms").status, 200);
+}
