HTTP server: tests of request forms, slow clients, cut answers, hang-ups, graceful stop

Cause: the server's promises towards the gateway had only their first tests. Change: 28 more tests, one file a feature; waits are on events, timeouts in tests are limits of the server and no thresholds.

--- /dev/null
+++ b/crates/http/tests/client_hangup.rs
@@ -0,0 +1,99 @@
+//! A client that closes while its request is in progress is noticed.
+
+mod support;
+
+use std::io::Write;
+use std::net::TcpStream;
+use std::sync::Arc;
+use std::sync::mpsc;
+use std::sync::mpsc::Receiver;
+use std::sync::mpsc::Sender;
+
+use apricotdale_http::HangupWatcher;
+use apricotdale_http::Options;
+use apricotdale_http::Request;
+use apricotdale_http::Responder;
+use apricotdale_http::Response;
+use apricotdale_http::Server;
+use rstest::rstest;
+use support::Calls;
+use support::PATIENCE;
+use support::connect;
+use support::start;
+
+/// `Told` is what the handler tells the test.
+#[derive(Debug, PartialEq, Eq)]
+enum Told {
+    Watching,
+    HungUp,
+}
+
+/// Starts a server whose handler answers only once its client has gone.
+fn start_watching() -> (Server, Receiver<Told>) {
+    let (told, tells): (Sender<Told>, Receiver<Told>) = mpsc::channel();
+    let watcher = Arc::new(HangupWatcher::start().expect("a watcher"));
+    let handler = move |request: Request, responder: Responder<'_>| {
+        let (hung_up, has_hung_up) = mpsc::channel();
+        let guard = watcher.watch(request.socket(), move || {
+            hung_up.send(()).expect("the handler waits");
+        });
+        told.send(Told::Watching).expect("the test waits");
+        has_hung_up.recv_timeout(PATIENCE).expect("a hang-up");
+        // The callback is gone after its one call, and with it the sender.
+        assert!(has_hung_up.recv().is_err());
+        drop(guard);
+        told.send(Told::HungUp).expect("the test waits");
+        let _ = responder.send(Response::new(200));
+    };
+    (start(Options::default(), Calls(handler)), tells)
+}
+
+/// Symptom: an engine works on for a caller that is gone. Sequence: the caller closes while the
+/// request is in progress, in one case after it has sent a further request ahead. Cause: a watch
+/// that peeks for the end of input can't see it behind unread bytes.
+#[rstest]
+#[case::plain("")]
+#[case::behind_a_request("GET /next HTTP/1.1\r\nHost: a\r\n\r\n")]
+fn a_close_is_noticed(#[case] sent_ahead: &str) {
+    let (server, tells) = start_watching();
+    let mut client: TcpStream = connect(&server);
+    let request = format!("GET / HTTP/1.1\r\nHost: a\r\n\r\n{sent_ahead}");
+    client.write_all(request.as_bytes()).expect("sent");
+    assert_eq!(tells.recv_timeout(PATIENCE), Ok(Told::Watching));
+    drop(client);
+    assert_eq!(tells.recv_timeout(PATIENCE), Ok(Told::HungUp));
+}
+
+/// Symptom: only the first request of a connection is watched. Sequence: two requests on one
+/// connection, and the client closes during the second. Cause: a watch that is not taken back, so
+/// that the next one fails.
+#[test]
+fn each_request_of_a_connection_is_watched_anew() {
+    let (told, tells) = mpsc::channel();
+    let watcher = Arc::new(HangupWatcher::start().expect("a watcher"));
+    let server = start(
+        Options::default(),
+        Calls(move |request: Request, responder: Responder<'_>| {
+            let (hung_up, has_hung_up) = mpsc::channel();
+            let watched = watcher.watch(request.socket(), move || {
+                hung_up.send(()).expect("the handler waits");
+            });
+            let _guard = watched.expect("a connection that is not watched");
+            // A second watch fails and leaves the first one be.
+            assert!(watcher.watch(request.socket(), || {}).is_err());
+            let _ = responder.send(Response::new(200).body("ok"));
+            if request.path() == "/2" {
+                told.send(has_hung_up.recv_timeout(PATIENCE))
+                    .expect("the test waits");
+            }
+        }),
+    );
+    let mut client = connect(&server);
+    for path in ["/1", "/2"] {
+        let request = format!("GET {path} HTTP/1.1\r\nHost: a\r\n\r\n");
+        client.write_all(request.as_bytes()).expect("sent");
+        support::read_until(&mut client, "ok");
+    }
+    drop(client);
+    assert_eq!(tells.recv_timeout(PATIENCE), Ok(Ok(())));
+}
--- /dev/null
+++ b/crates/http/tests/cut_answers.rs
@@ -0,0 +1,80 @@
+//! An answer that is not whole never looks whole.
+
+mod support;
+
+use std::io::Read;
+use std::io::Write;
+use std::sync::atomic::AtomicBool;
+use std::sync::atomic::Ordering;
+
+use apricotdale_http::Options;
+use apricotdale_http::Request;
+use apricotdale_http::Responder;
+use apricotdale_http::ResponseHead;
+use rstest::rstest;
+use support::Calls;
+use support::connect;
+use support::exchange;
+use support::start;
+
+fn half_a_stream(_: Request, responder: Responder<'_>) {
+    let mut stream = responder.start(ResponseHead::new(200)).expect("a stream");
+    stream.send_piece(b"half").expect("a piece");
+}
+
+fn half_then_panic(request: Request, responder: Responder<'_>) {
+    let mut stream = responder.start(ResponseHead::new(200)).expect("a stream");
+    stream.send_piece(b"half").expect("a piece");
+    panic!("a scripted panic in {}", request.path());
+}
+
+/// Symptom: a caller acts on half an answer. Sequence: the handler gives a stream up in the
+/// middle, or panics. Cause: an encoder that ends the body when it is dropped.
+#[rstest]
+#[case::dropped(half_a_stream)]
+#[case::panic(half_then_panic)]
+fn a_stream_that_was_given_up_has_no_last_chunk(#[case] handler: fn(Request, Responder<'_>)) {
+    let server = start(Options::default(), Calls(handler));
+    let answer = exchange(&server, b"GET / HTTP/1.1\r\nHost: a\r\n\r\n");
+    assert!(answer.ends_with("4\r\nhalf\r\n"), "{answer}");
+}
+
+/// Symptom: as above, for a client to whom the connection's end is the answer's end.
+#[test]
+fn a_given_up_stream_is_reset_for_an_old_client() {
+    let server = start(Options::default(), Calls(half_a_stream));
+    let mut client = connect(&server);
+    client.write_all(b"GET / HTTP/1.0\r\n\r\n").expect("sent");
+    let read = client.read_to_end(&mut Vec::new());
+    assert!(read.is_err(), "the answer looked whole: {read:?}");
+}
+
+fn no_answer(_: Request, _: Responder<'_>) {}
+
+fn panics(request: Request, _: Responder<'_>) {
+    panic!("a scripted panic in {}", request.path());
+}
+
+#[rstest]
+#[case::unused(no_answer)]
+#[case::panic(panics)]
+fn a_request_without_an_answer_gets_an_error(#[case] handler: fn(Request, Responder<'_>)) {
+    let server = start(Options::default(), Calls(handler));
+    let request = b"GET / HTTP/1.1\r\nHost: a\r\nConnection: close\r\n\r\n";
+    let answer = exchange(&server, request);
+    assert!(answer.starts_with("HTTP/1.1 500 "), "{answer}");
+}
+
+#[test]
+fn a_closed_responder_says_nothing() {
+    let called = AtomicBool::new(false);
+    let server = start(
+        Options::default(),
+        Calls(move |_, responder: Responder<'_>| {
+            called.store(true, Ordering::Relaxed);
+            responder.close();
+        }),
+    );
+    let answer = exchange(&server, b"GET / HTTP/1.1\r\nHost: a\r\n\r\n");
+    assert_eq!(answer, "");
+}
--- /dev/null
+++ b/crates/http/tests/graceful_stop.rs
@@ -0,0 +1,63 @@
+//! A stop cuts off no request in progress.
+
+mod support;
+
+use std::io::Write;
+use std::net::TcpStream;
+use std::sync::Mutex;
+use std::sync::mpsc;
+use std::time::Duration;
+
+use apricotdale_http::Options;
+use apricotdale_http::Responder;
+use apricotdale_http::ResponseHead;
+use support::Calls;
+use support::Echo;
+use support::PATIENCE;
+use support::connect;
+use support::read_to_close;
+use support::read_until;
+use support::start;
+
+/// Symptom: a planned stop cuts answers off. Sequence: a stream is in its middle when the server
+/// is stopped. Cause: a stop that closes connections without regard to their requests.
+#[test]
+fn a_stream_in_progress_ends_whole() {
+    let (go_on, may_go_on) = mpsc::channel::<()>();
+    let may_go_on = Mutex::new(may_go_on);
+    let server = start(
+        Options::default(),
+        Calls(move |_, responder: Responder<'_>| {
+            let mut stream = responder.start(ResponseHead::new(200)).expect("a stream");
+            stream.send_piece(b"first").expect("a piece");
+            let _ = may_go_on.lock().expect("no panic").recv_timeout(PATIENCE);
+            stream.send_piece(b"second").expect("a piece");
+            stream.finish().expect("an end");
+        }),
+    );
+    let mut client = connect(&server);
+    client
+        .write_all(b"GET / HTTP/1.1\r\nHost: a\r\n\r\n")
+        .expect("sent");
+    read_until(&mut client, "first\r\n");
+    server.stop();
+    assert!(!server.wait_idle(Duration::ZERO), "the request is over");
+    go_on.send(()).expect("the handler waits");
+    assert_eq!(read_to_close(&mut client), "6\r\nsecond\r\n0\r\n\r\n");
+    assert!(server.wait_idle(PATIENCE));
+    assert_eq!(server.connections(), 0);
+}
+
+#[test]
+fn idle_connections_are_closed_and_new_ones_refused() {
+    let server = start(Options::default(), Echo);
+    let mut idle = connect(&server);
+    idle.write_all(b"GET /1 HTTP/1.1\r\nHost: a\r\n\r\n")
+        .expect("sent");
+    read_until(&mut idle, "GET /1 ");
+    server.stop();
+    assert_eq!(read_to_close(&mut idle), "");
+    assert!(server.wait_idle(PATIENCE));
+    // The listener is closed by the accepting thread, a moment after the stop.
+    while TcpStream::connect(server.address()).is_ok() {}
+}
--- /dev/null
+++ b/crates/http/tests/request_forms.rs
@@ -0,0 +1,89 @@
+//! The forms in which requests may come.
+
+mod support;
+
+use std::io::Write;
+use std::net::Shutdown;
+
+use apricotdale_http::Options;
+use rstest::rstest;
+use support::Echo;
+use support::connect;
+use support::exchange;
+use support::read_to_close;
+use support::read_until;
+use support::start;
+
+#[rstest]
+#[case::length(
+    "POST /a HTTP/1.1\r\nHost: a\r\nContent-Length: 3\r\n\r\nabc",
+    "POST /a abc"
+)]
+#[case::chunks(
+    "POST /a?q=1 HTTP/1.1\r\nHost: a\r\nTransfer-Encoding: chunked\r\n\r\n1\r\na\r\n2;x=y\r\nbc\r\n0\r\n\r\n",
+    "POST /a abc"
+)]
+#[case::leading_line_ends("\r\n\r\nGET /b HTTP/1.1\r\nHost: a\r\n\r\n", "GET /b ")]
+#[case::bare_line_ends("GET /c HTTP/1.1\nHost: a\n\n", "GET /c ")]
+#[case::http_10("GET /d HTTP/1.0\r\n\r\n", "GET /d ")]
+fn a_request_is_read_whole(#[case] request: &str, #[case] echo: &str) {
+    let server = start(Options::default(), Echo);
+    let mut client = connect(&server);
+    client.write_all(request.as_bytes()).expect("sent");
+    client
+        .shutdown(Shutdown::Write)
+        .expect("closed for sending");
+    let answer = read_to_close(&mut client);
+    assert!(answer.starts_with("HTTP/1.1 200 OK\r\n"), "{answer}");
+    assert!(answer.ends_with(&format!("\r\n\r\n{echo}")), "{answer}");
+}
+
+#[test]
+fn requests_sent_ahead_are_answered_in_order_on_one_connection() {
+    let server = start(Options::default(), Echo);
+    let first = "POST /1 HTTP/1.1\r\nHost: a\r\nContent-Length: 2\r\n\r\nhi";
+    let second = "GET /2 HTTP/1.1\r\nHost: a\r\nConnection: close\r\n\r\n";
+    let answers = exchange(&server, format!("{first}{second}").as_bytes());
+    assert_eq!(answers.matches("HTTP/1.1 200 OK").count(), 2, "{answers}");
+    let first = answers.find("POST /1 hi").expect("the first answer");
+    let second = answers.find("GET /2 ").expect("the second answer");
+    assert!(first < second, "{answers}");
+}
+
+#[test]
+fn an_answer_to_head_has_a_length_and_no_body() {
+    let server = start(Options::default(), Echo);
+    let request = b"HEAD /x HTTP/1.1\r\nHost: a\r\nConnection: close\r\n\r\n";
+    let answer = exchange(&server, request);
+    assert!(answer.contains("Content-Length: 8\r\n"), "{answer}");
+    assert!(answer.ends_with("\r\n\r\n"), "{answer}");
+}
+
+#[test]
+fn a_client_that_waits_for_the_go_ahead_gets_it() {
+    let server = start(Options::default(), Echo);
+    let mut client = connect(&server);
+    let head = "POST / HTTP/1.1\r\nHost: a\r\nExpect: 100-continue\r\nContent-Length: 2\r\n\r\n";
+    client.write_all(head.as_bytes()).expect("sent");
+    let go_ahead = read_until(&mut client, "\r\n\r\n");
+    assert!(go_ahead.starts_with("HTTP/1.1 100 "), "{go_ahead}");
+    client.write_all(b"ok").expect("sent");
+    assert!(read_until(&mut client, "POST / ok").starts_with("HTTP/1.1 200 "));
+}
+
+/// Symptom: a service gets half a body as if it were the whole. Sequence: the client breaks off
+/// within a chunk. Cause: the chunk decoder takes an end of input for the end of the body.
+#[rstest]
+#[case::chunk("Transfer-Encoding: chunked\r\n\r\n5\r\nab")]
+#[case::between_chunks("Transfer-Encoding: chunked\r\n\r\n2\r\nab\r\n")]
+#[case::length("Content-Length: 5\r\n\r\nab")]
+fn a_body_that_was_cut_reaches_no_handler(#[case] rest: &str) {
+    let server = start(Options::default(), Echo);
+    let mut client = connect(&server);
+    let request = format!("POST / HTTP/1.1\r\nHost: a\r\n{rest}");
+    client.write_all(request.as_bytes()).expect("sent");
+    client
+        .shutdown(Shutdown::Write)
+        .expect("closed for sending");
+    assert_eq!(read_to_close(&mut client), "");
+}
--- /dev/null
+++ b/crates/http/tests/slow_clients.rs
@@ -0,0 +1,127 @@
+//! Clients that take their time, or too many places.
+
+mod support;
+
+use std::io::ErrorKind;
+use std::io::Read;
+use std::io::Write;
+use std::net::TcpStream;
+use std::sync::mpsc;
+use std::time::Duration;
+use std::time::Instant;
+
+use apricotdale_http::Error;
+use apricotdale_http::Options;
+use apricotdale_http::Responder;
+use apricotdale_http::ResponseHead;
+use rstest::rstest;
+use support::Calls;
+use support::Echo;
+use support::PATIENCE;
+use support::connect;
+use support::exchange;
+use support::read_to_close;
+use support::start;
+
+const SHORT: Duration = Duration::from_millis(50);
+const TRICKLE: Duration = Duration::from_millis(5);
+
+/// Sends one byte after the other, with a short wait for an answer between them.
+fn trickle(client: &mut TcpStream, start: &str) -> String {
+    client.write_all(start.as_bytes()).expect("sent");
+    client.set_read_timeout(Some(TRICKLE)).expect("a timeout");
+    let began = Instant::now();
+    let mut answer = Vec::new();
+    while began.elapsed() < PATIENCE {
+        match client.read_to_end(&mut answer) {
+            Ok(_) => return String::from_utf8(answer).expect("text"),
+            Err(error) if error.kind() == ErrorKind::WouldBlock => {}
+            Err(error) => panic!("the connection broke: {error}"),
+        }
+        // A write after the answer may fail; the answer is read all the same.
+        let _ = client.write_all(b"x");
+    }
+    panic!("the server waits for ever");
+}
+
+/// Symptom: all connections are taken and no caller gets in. Sequence: clients send a byte now
+/// and then, each before the server's patience with one read ends. Cause: a timeout that starts
+/// anew with each read.
+#[rstest]
+#[case::head("GET / HTTP/1.1\r\nHost: a\r\nX-Slow: ")]
+#[case::body("POST / HTTP/1.1\r\nHost: a\r\nContent-Length: 1000000\r\n\r\n")]
+#[case::chunk("POST / HTTP/1.1\r\nHost: a\r\nTransfer-Encoding: chunked\r\n\r\nfffff\r\n")]
+fn a_trickling_client_is_answered_408(#[case] request: &str) {
+    let options = Options {
+        head_timeout: SHORT,
+        body_timeout: SHORT,
+        max_head_bytes: 1_000_000,
+        ..Options::default()
+    };
+    let server = start(options, Echo);
+    let answer = trickle(&mut connect(&server), request);
+    assert!(answer.starts_with("HTTP/1.1 408 "), "{answer}");
+}
+
+#[test]
+fn a_silent_connection_is_closed_without_a_word() {
+    let options = Options {
+        idle_timeout: SHORT,
+        ..Options::default()
+    };
+    let server = start(options, Echo);
+    assert_eq!(read_to_close(&mut connect(&server)), "");
+}
+
+/// Symptom: threads pile up behind clients that do not read. Sequence: a client asks for a stream
+/// and reads nothing; the buffers between fill up. Cause: a write without a limit.
+#[test]
+fn a_client_that_does_not_read_ends_its_stream() {
+    let (ended, has_ended) = mpsc::channel();
+    let options = Options {
+        write_timeout: SHORT,
+        ..Options::default()
+    };
+    let server = start(
+        options,
+        Calls(move |_, responder: Responder<'_>| {
+            let mut stream = responder.start(ResponseHead::new(200)).expect("a stream");
+            let piece = vec![b'x'; 1 << 20];
+            let failure = loop {
+                if let Err(error) = stream.send_piece(&piece) {
+                    break error;
+                }
+            };
+            ended.send(failure).expect("the test waits");
+        }),
+    );
+    let mut client = connect(&server);
+    client
+        .write_all(b"GET / HTTP/1.1\r\nHost: a\r\n\r\n")
+        .expect("sent");
+    let failure = has_ended.recv_timeout(PATIENCE).expect("an end");
+    assert!(matches!(failure, Error::WriteTimeout), "{failure}");
+}
+
+/// Symptom: callers hang while all places are taken. Sequence: one client holds the only place,
+/// another connects. Cause: a server that lets it wait in place of an answer at once.
+#[test]
+fn a_connection_above_the_limit_is_answered_at_once() {
+    let options = Options {
+        max_connections: 1,
+        ..Options::default()
+    };
+    let server = start(options, Echo);
+    let mut holder = connect(&server);
+    holder
+        .write_all(b"GET /1 HTTP/1.1\r\nHost: a\r\n\r\n")
+        .expect("sent");
+    support::read_until(&mut holder, "GET /1 ");
+    let answer = exchange(&server, b"GET /2 HTTP/1.1\r\nHost: a\r\n\r\n");
+    assert!(answer.starts_with("HTTP/1.1 503 "), "{answer}");
+    assert!(answer.contains("Connection: close\r\n"), "{answer}");
+    holder
+        .write_all(b"GET /3 HTTP/1.1\r\nHost: a\r\n\r\n")
+        .expect("sent");
+    support::read_until(&mut holder, "GET /3 ");
+}
