Contract tests of the engine stand-in and of the five programs

The tests cover orders, fencing numbers, held orders, failed and hanging loads, lost answers, restarts, whole and cut answers, the batch and the caches.

--- /dev/null
+++ b/crates/standins/tests/batch_order.rs
@@ -0,0 +1,76 @@
+//! Which sequences generate and which wait.
+
+mod support;
+
+use rstest::rstest;
+use serde_json::json;
+
+use apricotdale_standins::engine::Batch;
+use apricotdale_standins::engine::Entry;
+use apricotdale_standins::engine::Options;
+use apricotdale_standins::engine::SequenceId;
+
+fn id(entry: Entry) -> SequenceId {
+    match entry {
+        Entry::Running(id) | Entry::Waiting(id) => id,
+        Entry::Full => panic!("the batch is full"),
+    }
+}
+
+#[rstest]
+#[case::by_arrival(&[0, 0, 0], &[0, 1, 2])]
+#[case::by_priority(&[2, 0, 1], &[1, 2, 0])]
+#[case::priority_before_arrival(&[1, 0, 1], &[1, 0, 2])]
+fn waiting_sequences_follow_by_priority(#[case] priorities: &[u32], #[case] order: &[usize]) {
+    let mut batch = Batch::new(1, 9);
+    let mut running = id(batch.enter(9));
+    let waiting: Vec<SequenceId> = priorities.iter().map(|it| id(batch.enter(*it))).collect();
+    for next in order {
+        running = batch.leave(running).unwrap();
+        assert_eq!(running, waiting[*next]);
+        assert_eq!(batch.running(), 1);
+    }
+    assert_eq!(batch.leave(running), None);
+}
+
+#[test]
+fn a_sequence_that_leaves_the_queue_gives_no_slot_away() {
+    let mut batch = Batch::new(1, 1);
+    batch.enter(0);
+    let waiting = id(batch.enter(0));
+    assert_eq!(batch.enter(0), Entry::Full);
+    assert_eq!(batch.leave(waiting), None);
+    assert_eq!((batch.running(), batch.waiting()), (1, 0));
+}
+
+#[test]
+fn an_engine_serves_waiting_requests_by_priority_and_refuses_more() {
+    let options = Options {
+        slots: 1,
+        queue: 2,
+        ..Options::default()
+    };
+    let engine = support::engine_with(options, &["m"]);
+    let mut events = engine.stream("r", "m", 1_000_000);
+    events.next().unwrap();
+    let later = engine.stream_aside("later", "m", 1, 5);
+    support::wait_until(|| engine.request_state("later") == "running");
+    let sooner = engine.stream_aside("sooner", "m", 1_000_000, 1);
+    support::wait_until(|| engine.request_state("sooner") == "running");
+    let report = engine.get("/load").body;
+    assert_eq!(
+        (&report["running"], &report["waiting"], &report["slots"]),
+        (&json!(1), &json!(2), &json!(1)),
+    );
+    let refused = engine.post("/v1/completions", &support::completion("m", 1, false));
+    assert_eq!(refused.status, 503);
+    engine.post("/v1/cancel/r", &json!({}));
+    assert!(sooner.recv().unwrap().contains("tok-sooner-0"));
+    assert_eq!(
+        engine.request_state("later"),
+        "running",
+        "it has not had its turn"
+    );
+    engine.post("/v1/cancel/sooner", &json!({}));
+    assert_eq!(later.iter().last().unwrap(), "[DONE]");
+}
--- /dev/null
+++ b/crates/standins/tests/load_faults.rs
@@ -0,0 +1,187 @@
+//! Loads that go wrong.
+
+mod support;
+
+use std::io::Write;
+use std::net::TcpStream;
+
+use apricotdale_core::names::ModelName;
+use rstest::rstest;
+use serde_json::json;
+
+use apricotdale_standins::engine::EngineStandin;
+use apricotdale_standins::engine::Options;
+use apricotdale_standins::weights;
+use apricotdale_standins::weights::ModelSizes;
+use apricotdale_standins::weights::WeightsStandin;
+
+use support::Standin;
+use support::load;
+use support::unload;
+
+fn engine() -> Standin {
+    support::start(EngineStandin::new(Options {
+        boot: Some(1),
+        ..Options::default()
+    }))
+}
+
+fn residency(engine: &Standin) -> serde_json::Value {
+    engine.get("/status").body["residents"][0]["residency"].clone()
+}
+
+/// Symptom: a load is refused after its memory was taken for a while.
+/// Sequence: the load begins, fails midway, and is ordered once more.
+/// Cause: the engine could not load the weights. The memory is free again and the next load works.
+#[test]
+fn a_load_that_fails_midway_frees_its_memory() {
+    let engine = engine();
+    engine.fault(&json!({"load": "die"}));
+    let failed = engine.post("/orders/load", &load("m", 1));
+    assert_eq!(
+        (failed.status, &failed.body["reason"]),
+        (422, &json!("weights_failed"))
+    );
+    assert_eq!(engine.get("/status").body["residents"], json!([]));
+    assert_eq!(engine.effects()["most_bytes_held"], 10);
+    assert_eq!(engine.post("/orders/load", &load("m", 1)).status, 200);
+    assert_eq!(engine.effects()["loads"], json!({"m": 1}));
+}
+
+#[test]
+fn orders_for_a_model_wait_while_its_load_hangs() {
+    let engine = engine();
+    engine.fault(&json!({"load": "hang"}));
+    let orders = [
+        engine.post_aside("/orders/load", &load("m", 1)),
+        engine.post_aside("/orders/load", &load("m", 1)),
+    ];
+    support::wait_until(|| engine.effects()["load_orders"] == 2);
+    support::wait_until(|| residency(&engine) == "loading");
+    assert!(orders.iter().all(|order| !order.is_finished()));
+    engine.fault(&json!({"load": "finish"}));
+    for order in orders {
+        assert_eq!(order.join().unwrap().unwrap().status, 200);
+    }
+    assert_eq!(engine.effects()["loads"], json!({"m": 1}));
+}
+
+/// Symptom: the proposer of a load dies, and the model is loaded all the same.
+/// Sequence: a load begins, the connection that ordered it closes, the load ends.
+/// Cause: the engine does not look at the connection while it loads.
+#[test]
+fn a_load_goes_on_without_its_caller() {
+    let engine = engine();
+    engine.fault(&json!({"load": "hang"}));
+    let body = load("m", 1).to_string();
+    let mut caller = TcpStream::connect(engine.address()).unwrap();
+    let head = format!(
+        "POST /orders/load HTTP/1.1\r\nContent-Length: {}\r\n\r\n",
+        body.len()
+    );
+    caller.write_all((head + &body).as_bytes()).unwrap();
+    support::wait_until(|| residency(&engine) == "loading");
+    drop(caller);
+    engine.fault(&json!({"load": "finish"}));
+    support::wait_until(|| residency(&engine) == "loaded");
+}
+
+/// Symptom: an order's outcome is unknown to the one who gave it.
+/// Sequence: the order takes effect, the connection closes without an answer.
+/// Cause: the answer was lost. The same order once more finds the work done.
+#[rstest]
+#[case::load("load", 1)]
+#[case::unload("unload", 0)]
+fn an_order_whose_answer_is_lost_took_effect(#[case] kind: &str, #[case] residents: usize) {
+    let engine = engine();
+    let order = match kind {
+        "load" => load("m", 1),
+        _ => unload("m", 1),
+    };
+    if kind == "unload" {
+        engine.post("/orders/load", &load("m", 1));
+    }
+    engine.fault(&json!({"answer_lost": kind}));
+    let path = format!("/orders/{kind}");
+    assert_eq!(engine.try_post(&path, &order), None);
+    let status = engine.get("/status").body;
+    assert_eq!(status["residents"].as_array().unwrap().len(), residents);
+    assert_eq!(engine.post(&path, &order).status, 200);
+}
+
+/// Symptom: an engine forgets what was loaded on it, and orders on their way to it vanish.
+/// Sequence: one model is loaded, one load hangs, one order is held up, the engine restarts.
+/// Cause: the process died. Connections break, and the boot number shows the new process.
+#[test]
+fn a_restart_forgets_models_and_breaks_orders() {
+    let engine = engine();
+    engine.post("/orders/load", &load("m", 5));
+    engine.fault(&json!({"load": "hang"}));
+    let hanging = engine.post_aside("/orders/load", &load("n", 5));
+    support::wait_until(|| engine.get("/status").body["residents"][1] != json!(null));
+    engine.fault(&json!({"hold_orders": true}));
+    let held = engine.post_aside("/orders/unload", &unload("m", 5));
+    support::wait_until(|| engine.effects()["unload_orders"] == 1);
+    engine.fault(&json!({"restart": true, "hold_orders": false}));
+    assert_eq!(
+        (hanging.join().unwrap(), held.join().unwrap()),
+        (None, None)
+    );
+    let status = engine.get("/status").body;
+    assert_eq!(
+        (&status["boot"], &status["residents"]),
+        (&json!(2), &json!([]))
+    );
+    assert_eq!(status["highest_fence"], 0);
+    assert_eq!(engine.post("/orders/load", &load("n", 1)).status, 200);
+    assert_eq!(engine.effects()["loads"], json!({"m": 1, "n": 1}));
+}
+
+/// Symptom: a load fails although the engine is well.
+/// Sequence: the weight store does not give the weights, a load is ordered.
+/// Cause: the store is down, above its rate, unreachable, or does not hold the model.
+#[rstest]
+#[case::down(10, "down", "m", "weights_failed")]
+#[case::above_the_rate(0, "up", "m", "weights_failed")]
+#[case::not_held(10, "up", "x", "unknown")]
+fn a_load_without_weights_is_refused(
+    #[case] loads_per_s: u32,
+    #[case] mode: &str,
+    #[case] model: &str,
+    #[case] reason: &str,
+) {
+    let options = weights::Options {
+        loads_per_s,
+        ..weights::Options::default()
+    };
+    let sizes = ModelSizes::listed([(ModelName::new("m"), 10)]);
+    let store = support::start(WeightsStandin::with_sizes(options, sizes));
+    store.fault(&json!({"mode": mode}));
+    let engine = support::start(EngineStandin::new(Options {
+        weights: Some(store.address()),
+        ..Options::default()
+    }));
+    let refused = engine.post("/orders/load", &load(model, 1));
+    assert_eq!(
+        (refused.status, &refused.body["reason"]),
+        (422, &json!(reason))
+    );
+    assert_eq!(engine.get("/status").body["residents"], json!([]));
+}
+
+#[test]
+fn a_checkpoint_on_the_host_is_not_fetched_again() {
+    let store = support::start(WeightsStandin::new(weights::Options::default()).unwrap());
+    let engine = support::start(EngineStandin::new(Options {
+        weights: Some(store.address()),
+        disk_cache_bytes: 10,
+        ..Options::default()
+    }));
+    for _ in 0..2 {
+        assert_eq!(engine.post("/orders/load", &load("m", 1)).status, 200);
+        assert_eq!(engine.post("/orders/unload", &unload("m", 1)).status, 200);
+    }
+    assert_eq!(store.effects()["loads"], 1);
+    let held = json!([{"model": "m", "tier": "disk"}]);
+    assert_eq!(engine.get("/load").body["checkpoints"], held);
+}
--- a/crates/standins/tests/support/mod.rs
+++ b/crates/standins/tests/support/mod.rs
@@ -7,6 +7,8 @@
 use std::io::BufReader;
 use std::net::SocketAddr;
 use std::sync::Arc;
+use std::sync::mpsc;
+use std::sync::mpsc::Receiver;
 use std::thread;
 use std::thread::JoinHandle;
 use std::time::Duration;
@@ -137,39 +139,34 @@
 
     /// Begins a stream of an engine and returns its events.
     pub fn stream(&self, id: &str, model: &str, tokens: u32) -> Events {
-        let answer = self.send_stream(id, model, tokens, 0);
+        let body = completion(model, tokens, true);
+        let answer = self.send("/v1/completions", &body, &[("X-Request-Id", id)]);
         let answer = answer.expect("a stream");
         assert_eq!(answer.status(), 200);
         Events::new(answer)
     }
 
-    /// Begins a stream from a thread of its own, which returns its events to the end.
-    pub fn stream_aside(&self, id: &str, model: &str, priority: u32) -> JoinHandle<Vec<String>> {
-        let url = self.url("/v1/completions");
-        let (id, body) = (id.to_owned(), completion(model, 1, true));
-        thread::spawn(move || {
-            let request = agent().post(url).header("X-Request-Id", id);
-            let request = request.header("X-Priority", priority.to_string());
-            request
-                .send_json(body)
-                .map_or_else(|_| Vec::new(), |answer| Events::new(answer).collect())
-        })
-    }
-
-    fn send_stream(
+    /// Begins a stream from a thread of its own and returns its events as they come.
+    pub fn stream_aside(
         &self,
         id: &str,
         model: &str,
         tokens: u32,
         priority: u32,
-    ) -> Result<Response<Body>, ureq::Error> {
-        let priority = priority.to_string();
-        let headers = [("X-Request-Id", id), ("X-Priority", priority.as_str())];
-        self.send(
-            "/v1/completions",
-            &completion(model, tokens, true),
-            &headers,
-        )
+    ) -> Receiver<String> {
+        let (sender, receiver) = mpsc::channel();
+        let url = self.url("/v1/completions");
+        let (id, body) = (id.to_owned(), completion(model, tokens, true));
+        thread::spawn(move || {
+            let request = agent().post(url).header("X-Request-Id", id);
+            let request = request.header("X-Priority", priority.to_string());
+            let events = request.send_json(body).map(Events::new);
+            for data in events.into_iter().flatten() {
+                // A test that is over does not listen any more.
+                let _ = sender.send(data);
+            }
+        });
+        receiver
     }
 
     fn send(
