--- /dev/null
+++ b/crates/node/src/claims/keeper.rs
@@ -0,0 +1,243 @@
+//! The gateway's way to claims.
+
+use std::sync::Arc;
+use std::sync::atomic::AtomicBool;
+use std::thread;
+use std::thread::JoinHandle;
+use std::time::Duration;
+
+use xxhash_rust::xxh3::xxh3_64;
+
+use apricotdale_core::claims::Claim;
+use apricotdale_core::claims::ClaimRecord;
+use apricotdale_core::claims::Finish;
+use apricotdale_core::claims::KeptAnswer;
+use apricotdale_core::log::LogClient;
+use apricotdale_core::names::IdempotencyKey;
+use apricotdale_core::names::RequestId;
+use apricotdale_core::names::StreamName;
+use apricotdale_core::names::VmName;
+use apricotdale_core::refusal::Ran;
+use apricotdale_core::refusal::Refusal;
+use apricotdale_core::refusal::RefusalReason;
+use apricotdale_core::serving::ClaimAsk;
+use apricotdale_core::serving::ClaimDecision;
+use apricotdale_core::serving::ClaimKeeper;
+use apricotdale_core::serving::Clock;
+use apricotdale_state::claims::ClaimEntry;
+use apricotdale_state::claims::ClaimState;
+use apricotdale_state::claims::ClaimVerdict;
+use apricotdale_telemetry::Metrics;
+
+use super::claim_stream::ClaimStream;
+use super::claim_stream::Wait;
+use super::claim_tail::ClaimTail;
+use super::claim_writer::ClaimWriter;
+use crate::errors::Error;
+use crate::errors::Result;
+use crate::replayed::Replayed;
+
+/// The longest wait for a claim. A log that does not answer for so long is down, and the caller is
+/// told at once rather than near its deadline.
+const CLAIM_WAIT_MS: u64 = 5_000;
+
+/// The part of the remaining time that is left for the call itself.
+const CALL_SHARE: u64 = 2;
+
+/// When a caller should come back while the log is down.
+const LOG_RETRY_MS: u64 = 5_000;
+
+/// When a caller should come back while its call runs.
+const RUNNING_RETRY_MS: u64 = 1_000;
+
+/// `ClaimParts` is what a claim keeper works with.
+pub struct ClaimParts {
+    /// This VM.
+    pub vm: VmName,
+    /// This process.
+    pub process_id: u64,
+    /// The claim streams. All VMs must have the same ones in the same order.
+    pub streams: Vec<StreamName>,
+    /// How long a read waits for a first record.
+    pub wait_ms: u64,
+    /// The log.
+    pub log: Arc<dyn LogClient>,
+    /// The clock.
+    pub clock: Arc<dyn Clock>,
+    /// The replayed control state, which tells which processes are over.
+    pub replayed: Arc<Replayed>,
+    /// The metrics.
+    pub metrics: Arc<Metrics>,
+    /// Set when the daemon stops.
+    pub stop: Arc<AtomicBool>,
+}
+
+/// `NodeClaimKeeper` makes sure that a call under a key runs at most once over all VMs.
+pub struct NodeClaimKeeper {
+    vm: VmName,
+    process_id: u64,
+    clock: Arc<dyn Clock>,
+    replayed: Arc<Replayed>,
+    streams: Vec<Arc<ClaimStream>>,
+}
+
+impl NodeClaimKeeper {
+    /// Starts the threads of all claim streams.
+    ///
+    /// # Errors
+    ///
+    /// [`Error::System`] if the system refuses a thread.
+    pub fn start(parts: ClaimParts) -> Result<(Self, Vec<JoinHandle<()>>)> {
+        let mut handles = Vec::new();
+        let mut streams = Vec::new();
+        for name in &parts.streams {
+            let stream = Arc::new(ClaimStream::new(name.clone()));
+            let tail = ClaimTail {
+                stream: Arc::clone(&stream),
+                log: Arc::clone(&parts.log),
+                wait_ms: parts.wait_ms,
+                process_id: parts.process_id,
+                stop: Arc::clone(&parts.stop),
+            };
+            let writer = ClaimWriter {
+                stream: Arc::clone(&stream),
+                log: Arc::clone(&parts.log),
+                metrics: Arc::clone(&parts.metrics),
+                stop: Arc::clone(&parts.stop),
+            };
+            handles.push(spawn("claim-tail", move || tail.run())?);
+            handles.push(spawn("claim-writer", move || writer.run())?);
+            streams.push(stream);
+        }
+        let keeper = Self {
+            vm: parts.vm,
+            process_id: parts.process_id,
+            clock: parts.clock,
+            replayed: parts.replayed,
+            streams,
+        };
+        Ok((keeper, handles))
+    }
+
+    fn stream(&self, key: &IdempotencyKey) -> &Arc<ClaimStream> {
+        let hash = xxh3_64(key.as_str().as_bytes());
+        let index = hash % self.streams.len() as u64;
+        &self.streams[index as usize]
+    }
+
+    /// Decides from what is already known, without a record. A key that is known to be taken stays
+    /// taken, so a repetition is answered while the log is down, too.
+    fn decide_known(&self, ask: &ClaimAsk, entry: &ClaimEntry) -> Option<ClaimDecision> {
+        match &entry.state {
+            ClaimState::Free => None,
+            _ if entry.call_hash != ask.call_hash => Some(key_reused()),
+            ClaimState::Running => Some(self.running(entry)),
+            ClaimState::Finished(answer) => Some(finished(answer.clone())),
+            ClaimState::OutcomeUnknown => Some(outcome_unknown()),
+        }
+    }
+
+    /// Returns what a repetition is told while the first call runs, or ran on a process that is
+    /// over and can't tell any more.
+    fn running(&self, entry: &ClaimEntry) -> ClaimDecision {
+        let runs = self.replayed.read(|state| state.members().has_process(entry.process_id));
+        if !runs {
+            return outcome_unknown();
+        }
+        let detail = "the call under this key is in progress";
+        let refusal = Refusal::unknown(RefusalReason::KeyInProgress, detail);
+        ClaimDecision::Refuse(refusal.retry_after(RUNNING_RETRY_MS))
+    }
+
+    fn decide(&self, ask: &ClaimAsk, verdict: ClaimVerdict) -> ClaimDecision {
+        match verdict {
+            ClaimVerdict::Won => ClaimDecision::Run,
+            ClaimVerdict::Finished(answer) => finished(answer),
+            ClaimVerdict::OutcomeUnknown => outcome_unknown(),
+            ClaimVerdict::KeyReused => key_reused(),
+            ClaimVerdict::AlreadyRunning => match self.stream(&ask.key).entry(&ask.key) {
+                Some(entry) => self.running(&entry),
+                None => outcome_unknown(),
+            },
+            ClaimVerdict::TableFull => overloaded("as many keys are remembered as may be"),
+            ClaimVerdict::TooManyTries => overloaded("too many requests claimed this key in vain"),
+            ClaimVerdict::Repeated | ClaimVerdict::Ended | ClaimVerdict::NotHolder => {
+                let detail = "the claim was decided for another record of the same request";
+                ClaimDecision::Refuse(Refusal::not_run(RefusalReason::Internal, detail))
+            }
+        }
+    }
+}
+
+impl ClaimKeeper for NodeClaimKeeper {
+    fn claim(&self, ask: &ClaimAsk) -> ClaimDecision {
+        let stream = self.stream(&ask.key);
+        let known = stream.entry(&ask.key).and_then(|entry| self.decide_known(ask, &entry));
+        if let Some(decision) = known {
+            return decision;
+        }
+        let left_ms = ask.deadline_ms.saturating_sub(self.clock.monotonic_ms());
+        let wait_ms = (left_ms / CALL_SHARE).min(CLAIM_WAIT_MS);
+        stream.begin_wait(&ask.request);
+        stream.queue(ClaimRecord::Claim(Claim {
+            key: ask.key.clone(),
+            call_hash: ask.call_hash,
+            request: ask.request.clone(),
+            vm: self.vm.clone(),
+            process_id: self.process_id,
+        }));
+        match stream.wait(&ask.request, Duration::from_millis(wait_ms)) {
+            Wait::Decided(verdict) => self.decide(ask, verdict),
+            Wait::NotAppended => log_unavailable("the log refused the claim"),
+            Wait::TimedOut => {
+                stream.free(&ask.key, &ask.request);
+                log_unavailable("the log did not decide the claim in time")
+            }
+        }
+    }
+
+    fn finish(
+        &self,
+        key: &IdempotencyKey,
+        request: &RequestId,
+        ran: Ran,
+        answer: Option<KeptAnswer>,
+    ) {
+        let finish = Finish { key: key.clone(), request: request.clone(), ran, answer };
+        self.stream(key).finish(finish);
+    }
+}
+
+fn spawn(name: &str, run: impl FnOnce() + Send + 'static) -> Result<JoinHandle<()>> {
+    thread::Builder::new().name(name.into()).spawn(run).map_err(Error::system)
+}
+
+fn finished(answer: Option<KeptAnswer>) -> ClaimDecision {
+    match answer {
+        Some(answer) => ClaimDecision::Answer(answer),
+        None => {
+            let detail = "the call under this key has run; its answer is not kept";
+            ClaimDecision::Refuse(Refusal::ran(RefusalReason::KeyAlreadyRan, detail))
+        }
+    }
+}
+
+fn outcome_unknown() -> ClaimDecision {
+    let detail = "the call under this key may have run and will not be run again";
+    ClaimDecision::Refuse(Refusal::unknown(RefusalReason::KeyOutcomeUnknown, detail))
+}
+
+fn key_reused() -> ClaimDecision {
+    let detail = "the key was used with another call";
+    ClaimDecision::Refuse(Refusal::not_run(RefusalReason::KeyReused, detail))
+}
+
+fn overloaded(detail: &str) -> ClaimDecision {
+    let refusal = Refusal::not_run(RefusalReason::Overloaded, detail);
+    ClaimDecision::Refuse(refusal.retry_after(LOG_RETRY_MS))
+}
+
+fn log_unavailable(detail: &str) -> ClaimDecision {
+    let refusal = Refusal::not_run(RefusalReason::LogUnavailable, detail);
+    ClaimDecision::Refuse(refusal.retry_after(LOG_RETRY_MS))
+}
--- /dev/null
+++ b/crates/node/src/engine_reports.rs
@@ -0,0 +1,99 @@
+//! What this VM last read or was told of each engine.
+
+use std::collections::BTreeMap;
+
+use parking_lot::Mutex;
+
+use apricotdale_core::engine::EngineStatus;
+use apricotdale_core::engine::LoadReport;
+use apricotdale_core::names::UpstreamName;
+use apricotdale_core::peer::ReplicaLoad;
+
+/// `KnownReport` is a load report with the time at which this VM got it.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct KnownReport {
+    /// The report.
+    pub report: LoadReport,
+    /// When it was got, on the monotonic clock.
+    pub at_ms: u64,
+    /// Whether this VM read it itself, or else was told by a peer.
+    pub own: bool,
+}
+
+/// `EngineReports` holds the last report and status of each engine.
+#[derive(Debug, Default)]
+pub struct ReportTable {
+    reports: Mutex<BTreeMap<UpstreamName, KnownReport>>,
+    statuses: Mutex<BTreeMap<UpstreamName, EngineStatus>>,
+}
+
+impl ReportTable {
+    /// Returns an empty table.
+    pub fn new() -> Self {
+        Self::default()
+    }
+
+    /// Takes in a report that this VM read itself.
+    pub fn note_read(&self, now_ms: u64, engine: &UpstreamName, report: LoadReport) {
+        let known = KnownReport { report, at_ms: now_ms, own: true };
+        self.reports.lock().insert(engine.clone(), known);
+    }
+
+    /// Takes in what a peer told, unless this VM knows something newer. Returns the report as it
+    /// was taken in.
+    pub fn note_told(
+        &self,
+        now_ms: u64,
+        unix_ms: u64,
+        load: &ReplicaLoad,
+    ) -> Option<LoadReport> {
+        let report = LoadReport {
+            as_of_ms: unix_ms.saturating_sub(load.age_ms),
+            running: load.running,
+            waiting: load.waiting,
+            slots: load.slots,
+            checkpoints: Vec::new(),
+        };
+        let mut reports = self.reports.lock();
+        let is_newer = reports
+            .get(&load.engine)
+            .is_none_or(|known| known.report.as_of_ms < report.as_of_ms);
+        if !is_newer {
+            return None;
+        }
+        let known = KnownReport { report: report.clone(), at_ms: now_ms, own: false };
+        reports.insert(load.engine.clone(), known);
+        Some(report)
+    }
+
+    /// Takes in a status.
+    pub fn note_status(&self, engine: &UpstreamName, status: EngineStatus) {
+        self.statuses.lock().insert(engine.clone(), status);
+    }
+
+    /// Returns the last report of an engine.
+    pub fn report(&self, engine: &UpstreamName) -> Option<KnownReport> {
+        self.reports.lock().get(engine).cloned()
+    }
+
+    /// Returns the last status of an engine that this VM read itself.
+    pub fn status(&self, engine: &UpstreamName) -> Option<EngineStatus> {
+        self.statuses.lock().get(engine).cloned()
+    }
+
+    /// Returns the loads of the given engines that this VM read itself, for a peer.
+    pub fn loads(&self, unix_ms: u64, engines: &[UpstreamName]) -> Vec<ReplicaLoad> {
+        let reports = self.reports.lock();
+        let known = engines.iter().filter_map(|engine| Some((engine, reports.get(engine)?)));
+        known
+            .filter(|(_, known)| known.own)
+            .map(|(engine, known)| ReplicaLoad {
+                engine: engine.clone(),
+                running: known.report.running,
+                waiting: known.report.waiting,
+                slots: known.report.slots,
+                age_ms: unix_ms.saturating_sub(known.report.as_of_ms),
+            })
+            .collect()
+    }
+}
--- a/crates/node/src/lib.rs
+++ b/crates/node/src/lib.rs
@@ -1,4 +1,32 @@
 //! The daemon: feeds the decision crates with events and carries out their actions.
+//!
+//! Everything that decides is in the pure crates. The modules here read sockets and clocks, hand
+//! what they read to those crates, and do what they are told. [`Daemon`] puts them together.
 
 #![forbid(unsafe_code)]
 #![warn(missing_docs)]
+
+mod appender;
+mod claims;
+mod control_tail;
+mod daemon;
+mod demand;
+mod directory;
+mod engine_reports;
+mod engine_watch;
+mod errors;
+mod grouped_routing;
+mod joining;
+mod log_health;
+mod membership_loop;
+mod membership_view;
+mod operating;
+mod peer_answers;
+mod placing;
+mod policies;
+mod replayed;
+mod settling;
+
+pub use daemon::Daemon;
+pub use errors::Error;
+pub use errors::Result;
--- a/crates/node/src/log_health.rs
+++ b/crates/node/src/log_health.rs
@@ -3,6 +3,9 @@
 use std::sync::atomic::AtomicU64;
 use std::sync::atomic::Ordering;
 
+/// How long a failed append counts as a sign that the next one would fail, too.
+const APPEND_FAILURE_COUNTS_MS: u64 = 1_000;
+
 /// `LogHealth` remembers the last outcome of appends and reads. All times are on the monotonic
 /// clock, in milliseconds.
 #[derive(Debug, Default)]
@@ -26,9 +29,13 @@
         cell.store(now_ms.max(1), Ordering::Relaxed);
     }
 
-    /// Returns whether the last append failed.
-    pub fn appends_fail(&self) -> bool {
-        self.append_failed_ms.load(Ordering::Relaxed) > self.append_ok_ms.load(Ordering::Relaxed)
+    /// Returns whether a decision can't be had from the log now: the last read failed, or the last
+    /// append did a moment ago. An older failed append says little, so the next proposal tries anew.
+    pub fn is_down(&self, now_ms: u64) -> bool {
+        let failed_ms = self.append_failed_ms.load(Ordering::Relaxed);
+        let appends_fail = failed_ms > self.append_ok_ms.load(Ordering::Relaxed);
+        let recent = now_ms.saturating_sub(failed_ms) < APPEND_FAILURE_COUNTS_MS;
+        (appends_fail && recent) || self.reads_fail()
     }
 
     /// Returns whether the last read failed.
@@ -36,8 +43,11 @@
         self.read_failed_ms.load(Ordering::Relaxed) > self.read_ok_ms.load(Ordering::Relaxed)
     }
 
-    /// Returns whether a decision can't be had from the log now.
-    pub fn is_down(&self) -> bool {
-        self.appends_fail() || self.reads_fail()
+    /// Returns the time of the last read that worked, or none before the first.
+    pub fn last_read_ms(&self) -> Option<u64> {
+        match self.read_ok_ms.load(Ordering::Relaxed) {
+            0 => None,
+            at_ms => Some(at_ms),
+        }
     }
 }
--- /dev/null
+++ b/crates/node/src/membership_loop.rs
@@ -0,0 +1,196 @@
+//! Feeds membership and carries out what it asks for.
+
+use std::net::SocketAddr;
+use std::sync::Arc;
+use std::sync::atomic::AtomicBool;
+use std::sync::atomic::Ordering;
+use std::thread;
+use std::time::Duration;
+
+use log::info;
+use log::warn;
+
+use apricotdale_core::control::ControlRecord;
+use apricotdale_core::control::Depart;
+use apricotdale_core::control::UpstreamGone;
+use apricotdale_core::names::UpstreamName;
+use apricotdale_core::names::VmName;
+use apricotdale_core::numbers::Epoch;
+use apricotdale_core::peer::Heartbeat;
+use apricotdale_core::peer::PeerLink;
+use apricotdale_core::peer::PeerReply;
+use apricotdale_core::peer::PeerRequest;
+use apricotdale_core::policy::RoutingEvent;
+use apricotdale_core::serving::Clock;
+use apricotdale_core::vm_list::VmList;
+use apricotdale_gateway::Gateway;
+use apricotdale_membership::MembershipAction;
+use apricotdale_membership::MembershipEvent;
+
+use crate::appender::Appender;
+use crate::appender::Persistence;
+use crate::membership_view::SharedMembership;
+use crate::peer_answers::HeartbeatSource;
+use crate::peer_answers::sign_of;
+use crate::replayed::Replayed;
+
+/// How often membership's clock moves.
+const TICK: Duration = Duration::from_millis(100);
+
+/// `MembershipLoop` is what the loop works with.
+pub struct MembershipLoop {
+    /// The membership.
+    pub membership: Arc<SharedMembership>,
+    /// The platform's list.
+    pub vm_list: Arc<dyn VmList>,
+    /// How often the list is read.
+    pub list_interval_ms: u64,
+    /// The way to peers.
+    pub link: Arc<dyn PeerLink>,
+    /// How long a peer may take to answer.
+    pub peer_timeout_ms: u64,
+    /// Makes this VM's heartbeats.
+    pub heartbeats: Arc<HeartbeatSource>,
+    /// The replayed state.
+    pub replayed: Arc<Replayed>,
+    /// Appends departures.
+    pub appender: Appender,
+    /// Lets routing forget upstreams.
+    pub gateway: Arc<Gateway>,
+    /// Called when the platform takes this VM away.
+    pub leaving: Box<dyn Fn() + Send + Sync>,
+    /// The clock.
+    pub clock: Arc<dyn Clock>,
+    /// Set when the daemon stops.
+    pub stop: Arc<AtomicBool>,
+}
+
+impl MembershipLoop {
+    /// Runs until the daemon stops.
+    pub fn run(self) {
+        let this = Arc::new(self);
+        let reader = Arc::clone(&this);
+        // The list is read on a thread of its own: a platform that answers slowly must not hold up
+        // heartbeats, or peers would be suspected because of it.
+        let reading = thread::Builder::new().name("vm-list".into()).spawn(move || reader.read_list());
+        while !this.stopped() {
+            this.take_in(MembershipEvent::Tick);
+            thread::sleep(TICK);
+        }
+        match reading {
+            Ok(reading) => drop(reading.join()),
+            Err(error) => warn!("no thread to read the list of VMs: {error}"),
+        }
+    }
+
+    fn stopped(&self) -> bool {
+        self.stop.load(Ordering::Relaxed)
+    }
+
+    fn read_list(self: &Arc<Self>) {
+        let mut next_ms = 0;
+        while !self.stopped() {
+            let now_ms = self.clock.monotonic_ms();
+            if now_ms >= next_ms {
+                next_ms = now_ms + self.list_interval_ms;
+                match self.vm_list.list() {
+                    Ok(listing) => self.take_in(MembershipEvent::ListingRead(listing)),
+                    Err(error) => {
+                        warn!("the list of VMs can't be read: {error}");
+                        self.take_in(MembershipEvent::ListingFailed);
+                    }
+                }
+            }
+            thread::sleep(TICK);
+        }
+    }
+
+    fn take_in(self: &Arc<Self>, event: MembershipEvent) {
+        for action in self.membership.handle(event) {
+            self.carry_out(action);
+        }
+    }
+
+    fn carry_out(self: &Arc<Self>, action: MembershipAction) {
+        match action {
+            MembershipAction::Heartbeat { vm, address } => {
+                let this = Arc::clone(self);
+                let beat = move || this.beat(&vm, address);
+                if let Err(error) = thread::Builder::new().name("heartbeat".into()).spawn(beat) {
+                    warn!("no thread for a heartbeat: {error}");
+                }
+            }
+            MembershipAction::ProposeDepart { vm, as_of_ms } => self.propose_depart(vm, as_of_ms),
+            MembershipAction::ProposeUpstreamGone { upstream, as_of_ms } => {
+                self.propose_gone(upstream, as_of_ms);
+            }
+            MembershipAction::PeerRestarted { vm, process_id } => {
+                info!("{vm} runs a new process {process_id:x}");
+            }
+            MembershipAction::OwnVmLeaving => (self.leaving)(),
+            MembershipAction::ViewChanged => {}
+        }
+    }
+
+    fn beat(self: &Arc<Self>, vm: &VmName, address: SocketAddr) {
+        let request = PeerRequest::Heartbeat(self.heartbeats.heartbeat());
+        let event = match self.link.ask(address, &request, self.peer_timeout_ms) {
+            Ok(PeerReply::Heartbeat(beat)) => {
+                self.check_digest(&beat);
+                MembershipEvent::HeartbeatAnswered(sign_of(&beat))
+            }
+            Ok(_) | Err(_) => MembershipEvent::HeartbeatMissed { vm: vm.clone() },
+        };
+        self.take_in(event);
+    }
+
+    /// Two VMs that replayed the same records have the same digest. A difference means that a VM
+    /// runs another program version with other rules, or has a fault in its memory.
+    fn check_digest(&self, beat: &Heartbeat) {
+        if self.heartbeats.note_peer(beat) {
+            warn!("{} has another state than this VM at offset {}", beat.vm, beat.digest_at);
+        }
+    }
+
+    fn propose_depart(&self, vm: VmName, as_of_ms: u64) {
+        let epoch: Option<Epoch> = self.replayed.read(|state| {
+            let mut newest = state.members().newest();
+            newest.find(|(name, _)| **name == vm).map(|(_, member)| member.epoch)
+        });
+        let Some(epoch) = epoch else {
+            self.membership.handle(MembershipEvent::Departed { vm });
+            return;
+        };
+        info!("the list of {as_of_ms} says that {vm} is gone; its process {epoch} departs");
+        let name = vm.clone();
+        self.appender.propose(
+            Persistence::Drop,
+            move |proposer| ControlRecord::Depart(Depart { proposer, vm: name.clone(), epoch }),
+            |_| {},
+        );
+    }
+
+    fn propose_gone(&self, upstream: UpstreamName, as_of_ms: u64) {
+        self.gateway.learn_routing(RoutingEvent::Removed { upstream: upstream.clone() });
+        let boot = self.replayed.read(|state| {
+            let engine = state.engine(&upstream).filter(|engine| !engine.is_gone());
+            engine.map(|engine| engine.boot())
+        });
+        let Some(boot) = boot else {
+            self.membership.handle(MembershipEvent::UpstreamDeparted { upstream });
+            return;
+        };
+        info!("the list of {as_of_ms} says that {upstream} is gone");
+        self.appender.propose(
+            Persistence::Drop,
+            move |proposer| {
+                ControlRecord::UpstreamGone(UpstreamGone {
+                    proposer,
+                    engine: upstream.clone(),
+                    boot,
+                })
+            },
+            |_| {},
+        );
+    }
+}
--- /dev/null
+++ b/crates/node/src/operating/admin_source.rs
@@ -0,0 +1,244 @@
+//! The daemon as its operators see it.
+
+use std::collections::BTreeSet;
+use std::sync::Arc;
+use std::sync::atomic::AtomicBool;
+use std::sync::atomic::Ordering;
+
+use serde_json::Value;
+
+use apricotdale_admin::AdminSource;
+use apricotdale_admin::ConfigView;
+use apricotdale_admin::DrainView;
+use apricotdale_admin::Error;
+use apricotdale_admin::Explanation;
+use apricotdale_admin::ExplanationStep;
+use apricotdale_admin::MembersView;
+use apricotdale_admin::ModelsView;
+use apricotdale_admin::PublishOutcome;
+use apricotdale_admin::PublishRequest;
+use apricotdale_admin::Result;
+use apricotdale_admin::Status;
+use apricotdale_admin::UpstreamsView;
+use apricotdale_core::names::RegionName;
+use apricotdale_core::names::RequestId;
+use apricotdale_core::names::UpstreamName;
+use apricotdale_core::names::VmName;
+use apricotdale_core::names::ZoneName;
+use apricotdale_core::serving::Clock;
+use apricotdale_core::serving::Directory;
+use apricotdale_gateway::Gateway;
+use apricotdale_gateway::Step;
+use apricotdale_gateway::TracedStep;
+
+use super::publisher::Publisher;
+use super::views;
+use crate::demand::DemandTable;
+use crate::directory::NodeDirectory;
+use crate::engine_reports::ReportTable;
+use crate::log_health::LogHealth;
+use crate::membership_view::SharedMembership;
+use crate::peer_answers::HeartbeatSource;
+use crate::replayed::Replayed;
+
+/// `AdminParts` is what the operators' views are built from.
+pub struct AdminParts {
+    /// This VM.
+    pub vm: VmName,
+    /// Its region.
+    pub region: RegionName,
+    /// Its availability zone.
+    pub zone: ZoneName,
+    /// This process.
+    pub process_id: u64,
+    /// When it started, on the monotonic clock.
+    pub started_ms: u64,
+    /// How long a planned stop waits.
+    pub grace_ms: u64,
+    /// The replayed state.
+    pub replayed: Arc<Replayed>,
+    /// The membership.
+    pub membership: Arc<SharedMembership>,
+    /// The last load reports.
+    pub reports: Arc<ReportTable>,
+    /// The demand.
+    pub demand: Arc<DemandTable>,
+    /// What the gateway knows.
+    pub directory: Arc<NodeDirectory>,
+    /// The callers' interface.
+    pub gateway: Arc<Gateway>,
+    /// What peers said.
+    pub heartbeats: Arc<HeartbeatSource>,
+    /// Whether the log works.
+    pub health: Arc<LogHealth>,
+    /// Publishes changes.
+    pub publisher: Publisher,
+    /// Begins a planned stop.
+    pub drain: Box<dyn Fn() + Send + Sync>,
+    /// Set once the daemon is stopping.
+    pub draining: Arc<AtomicBool>,
+    /// The clock.
+    pub clock: Arc<dyn Clock>,
+}
+
+/// `NodeAdmin` answers operators.
+pub struct NodeAdmin {
+    parts: AdminParts,
+}
+
+impl NodeAdmin {
+    /// Returns the operators' view over the given parts.
+    pub fn new(parts: AdminParts) -> Self {
+        Self { parts }
+    }
+
+    fn check_ready(&self) -> Result<()> {
+        match self.parts.replayed.is_caught_up() {
+            true => Ok(()),
+            false => Err(Error::not_ready("the control stream has not been replayed yet")),
+        }
+    }
+
+    fn list_age_ms(&self) -> Option<u64> {
+        let as_of_ms = self.parts.membership.view().as_of_ms?;
+        Some(self.parts.clock.unix_ms().saturating_sub(as_of_ms))
+    }
+}
+
+impl AdminSource for NodeAdmin {
+    fn status(&self) -> Status {
+        let parts = &self.parts;
+        let now_ms = parts.clock.monotonic_ms();
+        let closed = parts.directory.closed();
+        Status {
+            vm: parts.vm.clone(),
+            region: parts.region.clone(),
+            zone: parts.zone.clone(),
+            program_version: env!("CARGO_PKG_VERSION").into(),
+            process_id: parts.process_id,
+            uptime_ms: now_ms.saturating_sub(parts.started_ms),
+            ready: closed.is_none(),
+            not_ready_because: closed.map(|refusal| refusal.detail),
+            draining: parts.draining.load(Ordering::Relaxed),
+            in_progress: parts.gateway.in_progress() as u64,
+            replayed: parts.replayed.next_offset(),
+            config_version: parts.replayed.read(|state| state.config().version()),
+            log_read_age_ms: parts.health.last_read_ms().map(|at_ms| now_ms.saturating_sub(at_ms)),
+        }
+    }
+
+    fn config(&self) -> Result<ConfigView> {
+        self.check_ready()?;
+        let classes = self.parts.directory.classes();
+        Ok(self.parts.replayed.read(|state| {
+            let config = state.config();
+            ConfigView {
+                version: config.version(),
+                replayed: state.next_offset(),
+                classes,
+                models: config
+                    .models()
+                    .filter_map(|(model, _)| config.model_spec(model))
+                    .collect(),
+                services: config.services().collect(),
+            }
+        }))
+    }
+
+    fn models(&self) -> Result<ModelsView> {
+        self.check_ready()?;
+        let totals = self.parts.demand.totals(self.parts.clock.monotonic_ms());
+        let specs = self.parts.directory.models();
+        Ok(self.parts.replayed.read(|state| {
+            let lines = specs.into_iter().map(|spec| {
+                let demand = totals.get(&spec.model).copied().unwrap_or_default();
+                views::model_line(state, spec, demand)
+            });
+            ModelsView { replayed: state.next_offset(), models: lines.collect() }
+        }))
+    }
+
+    fn upstreams(&self) -> Result<UpstreamsView> {
+        self.check_ready()?;
+        let view = self.parts.membership.view();
+        let now_ms = self.parts.clock.monotonic_ms();
+        let lines = self.parts.replayed.read(|state| {
+            let upstreams = view.upstreams.iter();
+            upstreams
+                .map(|(name, upstream)| {
+                    let report = self.parts.reports.report(name);
+                    views::upstream_line(state, upstream, report.as_ref(), now_ms)
+                })
+                .collect()
+        });
+        Ok(UpstreamsView { list_age_ms: self.list_age_ms(), upstreams: lines })
+    }
+
+    fn members(&self) -> Result<MembersView> {
+        self.check_ready()?;
+        let parts = &self.parts;
+        let view = parts.membership.view();
+        let now_ms = parts.clock.monotonic_ms();
+        let draining = parts.draining.load(Ordering::Relaxed);
+        let own = (&parts.vm, &parts.zone, draining);
+        let members = parts.replayed.read(|state| {
+            let newest: Vec<_> = state.members().newest().collect();
+            let joined = newest.iter().map(|(vm, _)| (*vm).clone());
+            let names: BTreeSet<VmName> = joined.chain([parts.vm.clone()]).collect();
+            let lines = names.iter().filter_map(|vm| {
+                let member = newest.iter().find(|(name, _)| *name == vm).map(|(_, one)| *one);
+                let heard = parts.heartbeats.peer(vm);
+                views::member_line(vm, own, member, &view, heard.as_ref(), now_ms)
+            });
+            lines.collect()
+        });
+        Ok(MembersView { list_age_ms: self.list_age_ms(), members })
+    }
+
+    fn explain(&self, request: &RequestId) -> Result<Explanation> {
+        let trace = self.parts.gateway.explain(request);
+        let trace = trace.ok_or_else(|| {
+            Error::not_found(format!("{request} was not served here, or is forgotten"))
+        })?;
+        let class = trace.steps.iter().find_map(|traced| match &traced.step {
+            Step::Classified { class, .. } => Some(class.as_str().into()),
+            _ => None,
+        });
+        Ok(Explanation {
+            request: trace.request_id,
+            vm: self.parts.vm.clone(),
+            class,
+            arrived_unix_ms: trace.arrived_unix_ms,
+            steps: trace.steps.iter().map(explained).collect(),
+        })
+    }
+
+    fn publish(&self, request: &PublishRequest) -> PublishOutcome {
+        self.parts.publisher.publish(request)
+    }
+
+    fn drain(&self) -> DrainView {
+        let was_draining = self.parts.draining.load(Ordering::Relaxed);
+        (self.parts.drain)();
+        DrainView {
+            was_draining,
+            in_progress: self.parts.gateway.in_progress() as u64,
+            grace_ms: self.parts.grace_ms,
+        }
+    }
+}
+
+/// Returns a step in the operators' form: the fields of the traced step become one sentence.
+fn explained(traced: &TracedStep) -> ExplanationStep {
+    let fields = serde_json::to_value(&traced.step).unwrap_or(Value::Null);
+    let text = |name: &str| fields.get(name).and_then(Value::as_str).map(str::to_owned);
+    let details = fields.as_object().into_iter().flatten();
+    let details = details.filter(|(name, value)| name.as_str() != "step" && !value.is_null());
+    let details: Vec<String> = details.map(|(name, value)| format!("{name}={value}")).collect();
+    ExplanationStep {
+        after_ms: traced.after_ms,
+        step: text("step").unwrap_or_default(),
+        upstream: text("upstream").map(UpstreamName::from),
+        detail: details.join(" "),
+    }
+}
--- /dev/null
+++ b/crates/node/src/operating/views.rs
@@ -0,0 +1,125 @@
+//! Builds the operators' views.
+
+use apricotdale_admin::EngineLine;
+use apricotdale_admin::MemberLine;
+use apricotdale_admin::MemberState;
+use apricotdale_admin::ModelLine;
+use apricotdale_admin::ReplicaLine;
+use apricotdale_admin::ReplicaState;
+use apricotdale_admin::UpstreamLine;
+use apricotdale_core::config::ModelSpec;
+use apricotdale_core::names::UpstreamName;
+use apricotdale_core::names::VmName;
+use apricotdale_core::names::ZoneName;
+use apricotdale_core::numbers::FencingNumber;
+use apricotdale_membership::UpstreamView;
+use apricotdale_membership::View;
+use apricotdale_state::ControlState;
+use apricotdale_state::members::Member;
+use apricotdale_state::replicas::Replica;
+use apricotdale_state::replicas::Stage;
+
+use crate::demand::TotalDemand;
+use crate::engine_reports::KnownReport;
+use crate::peer_answers::KnownPeer;
+
+/// Returns the line of a model.
+pub fn model_line(state: &ControlState, spec: ModelSpec, demand: TotalDemand) -> ModelLine {
+    let replicas = state.replicas_of(&spec.model).map(replica_line).collect();
+    ModelLine {
+        model: spec.model,
+        base: spec.base,
+        group: spec.group,
+        bytes: spec.bytes,
+        waiting: demand.waiting,
+        running: demand.running,
+        replicas,
+    }
+}
+
+fn replica_line(replica: &Replica) -> ReplicaLine {
+    let state = match replica.stage() {
+        Stage::Loaded => ReplicaState::Loaded,
+        Stage::Unloading => ReplicaState::Unloading,
+        Stage::Reserved | Stage::Loading | Stage::Revoked | Stage::Lingering => {
+            ReplicaState::Loading
+        }
+    };
+    ReplicaLine {
+        engine: replica.engine.clone(),
+        state,
+        fence: FencingNumber::from(replica.load),
+        owner: (state != ReplicaState::Loaded).then(|| replica.owner.vm.clone()),
+        since_unix_ms: replica.since_ms,
+    }
+}
+
+/// Returns the line of an upstream.
+pub fn upstream_line(
+    state: &ControlState,
+    view: &UpstreamView,
+    report: Option<&KnownReport>,
+    now_ms: u64,
+) -> UpstreamLine {
+    let name = UpstreamName::new(&view.entry.name);
+    let engine = state.engine(&name).map(|engine| {
+        let memory = state.memory(&name).unwrap_or_default();
+        EngineLine {
+            boot: engine.boot(),
+            capacity_bytes: engine.capacity_bytes,
+            used_bytes: memory.held_bytes,
+            checks_fence: engine.checks_fence,
+            highest_fence: engine.highest_fence,
+            running: report.map_or(0, |known| known.report.running),
+            waiting: report.map_or(0, |known| known.report.waiting),
+            slots: report.map_or(0, |known| known.report.slots),
+            report_age_ms: report.map(|known| now_ms.saturating_sub(known.at_ms)),
+        }
+    });
+    UpstreamLine {
+        upstream: name,
+        role: view.entry.role,
+        group: view.entry.group.clone(),
+        zone: view.entry.zone.clone(),
+        address: view.entry.address,
+        state: view.entry.state,
+        accepts: view.accepts,
+        engine,
+    }
+}
+
+/// Returns the line of a VM, or none if nothing tells its availability zone.
+pub fn member_line(
+    vm: &VmName,
+    own: (&VmName, &ZoneName, bool),
+    member: Option<&Member>,
+    view: &View,
+    heard: Option<&KnownPeer>,
+    now_ms: u64,
+) -> Option<MemberLine> {
+    let (own_vm, own_zone, own_draining) = own;
+    let is_own = vm == own_vm;
+    let zone = match member {
+        Some(member) => member.zone.clone(),
+        None if is_own => own_zone.clone(),
+        None => return None,
+    };
+    let seen = view.vms.get(vm);
+    let state = match seen {
+        _ if is_own && own_draining => MemberState::Draining,
+        _ if is_own => MemberState::Alive,
+        Some(seen) if seen.live => MemberState::Alive,
+        Some(_) => MemberState::Suspected,
+        None => MemberState::Gone,
+    };
+    Some(MemberLine {
+        vm: vm.clone(),
+        zone,
+        state,
+        listed: None,
+        epoch: member.map(|member| member.epoch),
+        replayed: heard.map(|heard| heard.replayed),
+        heard_age_ms: heard.map(|heard| now_ms.saturating_sub(heard.at_ms)),
+        diverged: heard.is_some_and(|heard| heard.diverged),
+    })
+}
--- /dev/null
+++ b/crates/node/src/placing/fleet.rs
@@ -0,0 +1,164 @@
+//! Builds placement's view of the fleet.
+
+use std::collections::BTreeMap;
+use std::sync::Arc;
+
+use parking_lot::Mutex;
+
+use apricotdale_core::engine::CacheTier;
+use apricotdale_core::names::ModelName;
+use apricotdale_core::policy::EngineView;
+use apricotdale_core::policy::FleetView;
+use apricotdale_core::policy::ModelView;
+use apricotdale_core::policy::ReplicaView;
+use apricotdale_core::weights::WeightsStatus;
+use apricotdale_membership::View;
+use apricotdale_state::ControlState;
+use apricotdale_state::configuration::ConfiguredModel;
+use apricotdale_state::replicas::Stage;
+
+use crate::demand::DemandTable;
+use crate::demand::TotalDemand;
+use crate::engine_reports::ReportTable;
+use crate::membership_view::SharedMembership;
+use crate::replayed::Replayed;
+
+/// Loads at once at full speed that are assumed while the weight store is silent.
+const ASSUMED_FULL_SPEED_LOADS: u32 = 4;
+
+/// Places in an engine's batch that are assumed before its first report.
+pub const ASSUMED_SLOTS: u32 = 8;
+
+/// `FleetSource` is what the fleet's view is built from.
+pub struct FleetSource {
+    /// The replayed state.
+    pub replayed: Arc<Replayed>,
+    /// The membership.
+    pub membership: Arc<SharedMembership>,
+    /// The last load reports.
+    pub reports: Arc<ReportTable>,
+    /// The demand.
+    pub demand: Arc<DemandTable>,
+    /// The last status of the weight store.
+    pub weights: Arc<Mutex<Option<WeightsStatus>>>,
+}
+
+impl FleetSource {
+    /// Returns the fleet as this VM sees it.
+    pub fn fleet(&self, now_ms: u64, unix_ms: u64) -> FleetView {
+        let view = self.membership.view();
+        let totals = self.demand.totals(now_ms);
+        let weights = *self.weights.lock();
+        self.replayed.read(|state| FleetView {
+            engines: self.engines(state, &view),
+            replicas: replicas(state, now_ms, unix_ms),
+            models: models(state, &view, &totals, now_ms),
+            store_active_loads: weights.map_or(0, |status| status.active_loads),
+            store_full_speed_loads: weights
+                .map_or(ASSUMED_FULL_SPEED_LOADS, |status| status.full_speed_loads),
+            tightest_target_ms: tightest_target_ms(state),
+        })
+    }
+
+    fn engines(&self, state: &ControlState, view: &View) -> Vec<EngineView> {
+        let engines = state.engines();
+        engines
+            .map(|(name, engine)| {
+                let known = self.reports.report(name);
+                let report = known.as_ref().map(|known| &known.report);
+                let memory = state.memory(name).unwrap_or_default();
+                EngineView {
+                    engine: name.clone(),
+                    group: engine.group.clone(),
+                    zone: engine.zone.clone(),
+                    capacity_bytes: engine.capacity_bytes,
+                    free_bytes: memory.free_bytes(),
+                    accepts: view.accepts(name),
+                    busy: report.map_or(0, |report| report.running + report.waiting),
+                    slots: report.map_or(ASSUMED_SLOTS, |report| report.slots),
+                    loading: loading_on(state, name),
+                    checkpoints: report.map_or_else(Vec::new, |report| {
+                        let held = report.checkpoints.iter();
+                        held.map(|one| (one.model.clone(), one.tier)).collect()
+                    }),
+                }
+            })
+            .collect()
+    }
+
+    /// Returns where an engine's host holds a model's checkpoint, as last reported.
+    pub fn tier(
+        &self,
+        engine: &apricotdale_core::names::UpstreamName,
+        model: &ModelName,
+    ) -> CacheTier {
+        let known = self.reports.report(engine);
+        let held = known.and_then(|known| {
+            let mut checkpoints = known.report.checkpoints.into_iter();
+            checkpoints.find(|one| one.model == *model).map(|one| one.tier)
+        });
+        held.unwrap_or(CacheTier::Remote)
+    }
+}
+
+fn loading_on(state: &ControlState, engine: &apricotdale_core::names::UpstreamName) -> u32 {
+    let replicas = state.replicas_on(engine);
+    let loading =
+        replicas.filter(|replica| matches!(replica.stage(), Stage::Reserved | Stage::Loading));
+    u32::try_from(loading.count()).unwrap_or(u32::MAX)
+}
+
+fn replicas(state: &ControlState, now_ms: u64, unix_ms: u64) -> Vec<ReplicaView> {
+    let to_monotonic = |since_ms: u64| now_ms.saturating_sub(unix_ms.saturating_sub(since_ms));
+    let decided = state.replicas().map(|replica| ReplicaView {
+        model: replica.model.clone(),
+        engine: replica.engine.clone(),
+        loaded: replica.stage() == Stage::Loaded,
+        bytes: replica.bytes,
+        since_ms: to_monotonic(replica.since_ms),
+    });
+    decided.collect()
+}
+
+fn models(
+    state: &ControlState,
+    view: &View,
+    totals: &BTreeMap<ModelName, TotalDemand>,
+    now_ms: u64,
+) -> Vec<ModelView> {
+    let models = state.config().models();
+    let wanted = models.filter(|(model, _)| {
+        totals.contains_key(*model) || state.replicas_of(model).next().is_some()
+    });
+    wanted
+        .map(|(model, configured)| {
+            let demand = totals.get(model).copied().unwrap_or_default();
+            model_view(model, configured, demand, view, now_ms)
+        })
+        .collect()
+}
+
+fn model_view(
+    model: &ModelName,
+    configured: &ConfiguredModel,
+    demand: TotalDemand,
+    view: &View,
+    now_ms: u64,
+) -> ModelView {
+    let waited_ms = demand.waiting_since_ms.map_or(0, |since_ms| now_ms.saturating_sub(since_ms));
+    ModelView {
+        model: model.clone(),
+        base: configured.base.clone(),
+        group: configured.group.clone(),
+        bytes: configured.bytes,
+        waiting: demand.waiting,
+        running: demand.running,
+        tightest_ms: demand.tightest_ms,
+        preferred_here: view.may_propose(model, waited_ms),
+    }
+}
+
+fn tightest_target_ms(state: &ControlState) -> u64 {
+    let classes = state.config().classes();
+    classes.map(|(_, class)| class.answer_within_ms).min().unwrap_or(0)
+}
--- /dev/null
+++ b/crates/node/src/placing/mod.rs
@@ -0,0 +1,12 @@
+//! Placement: from demand to intents on the control stream, and from replicas to admission's slots.
+
+mod capacity;
+mod demand_reporter;
+mod fleet;
+mod placement_loop;
+
+pub use capacity::CapacityFeed;
+pub use demand_reporter::DemandReporter;
+pub use fleet::FleetSource;
+pub use placement_loop::PlacementLoop;
+pub use placement_loop::PlacementParts;
--- /dev/null
+++ b/crates/node/src/placing/placement_loop.rs
@@ -0,0 +1,259 @@
+//! Asks the placement policy what to load and unload, and proposes it.
+
+use std::collections::BTreeMap;
+use std::collections::BTreeSet;
+use std::sync::Arc;
+use std::sync::atomic::AtomicBool;
+use std::sync::atomic::Ordering;
+use std::time::Duration;
+
+use crossbeam_channel::Receiver;
+use log::info;
+use parking_lot::Mutex;
+
+use apricotdale_core::control::ControlRecord;
+use apricotdale_core::control::LoadIntent;
+use apricotdale_core::control::Proposer;
+use apricotdale_core::control::UnloadIntent;
+use apricotdale_core::names::ModelName;
+use apricotdale_core::names::UpstreamName;
+use apricotdale_core::numbers::Offset;
+use apricotdale_core::policy::PlacementAction;
+use apricotdale_core::policy::PlacementPolicy;
+use apricotdale_core::refusal::Refusal;
+use apricotdale_core::refusal::RefusalReason;
+use apricotdale_core::serving::Clock;
+use apricotdale_gateway::Gateway;
+use apricotdale_state::replicas::Stage;
+
+use super::capacity::CapacityFeed;
+use super::fleet::FleetSource;
+use crate::appender::Appended;
+use crate::appender::Appender;
+use crate::appender::Persistence;
+use crate::log_health::LogHealth;
+
+/// How often placement plans when nothing happens.
+const TICK: Duration = Duration::from_millis(250);
+
+/// How long a proposal of unknown outcome keeps its model from being proposed again.
+const UNKNOWN_HOLD_MS: u64 = 3_000;
+
+/// When a caller should come back while the log is down.
+const LOG_RETRY_MS: u64 = 5_000;
+
+/// `PlacementParts` is what the loop works with.
+pub struct PlacementParts {
+    /// Builds the policy's view.
+    pub source: Arc<FleetSource>,
+    /// The policy, which the gateway's arrivals feed as well.
+    pub policy: Arc<Mutex<Box<dyn PlacementPolicy>>>,
+    /// Appends the proposals.
+    pub appender: Appender,
+    /// Whether the log works.
+    pub health: Arc<LogHealth>,
+    /// Where waiting requests are refused.
+    pub gateway: Arc<Gateway>,
+    /// Tells the gateway of slots.
+    pub capacity: CapacityFeed,
+    /// The clock.
+    pub clock: Arc<dyn Clock>,
+    /// Woken when demand or replicas change.
+    pub wake: Receiver<()>,
+    /// Set when the daemon stops.
+    pub stop: Arc<AtomicBool>,
+}
+
+/// `Held` is why a model is not proposed again now.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+enum Held {
+    /// The proposal waits for its append.
+    Queued,
+    /// The proposal stands at this offset and waits for replay.
+    Appended(Offset),
+    /// The proposal may come onto the stream until this time.
+    Until(u64),
+}
+
+type HeldModels = Arc<Mutex<BTreeMap<ModelName, Held>>>;
+
+/// `PlacementLoop` carries out the placement policy.
+pub struct PlacementLoop {
+    parts: PlacementParts,
+    held: HeldModels,
+    ready_at_ms: BTreeMap<ModelName, u64>,
+}
+
+impl PlacementLoop {
+    /// Returns a loop that has proposed nothing yet.
+    pub fn new(parts: PlacementParts) -> Self {
+        Self { parts, held: HeldModels::default(), ready_at_ms: BTreeMap::new() }
+    }
+
+    /// Runs until the daemon stops.
+    pub fn run(mut self) {
+        while !self.parts.stop.load(Ordering::Relaxed) {
+            // A disconnected sender means that the daemon is going down; the flag tells.
+            let _ = self.parts.wake.recv_timeout(TICK);
+            self.step();
+        }
+    }
+
+    fn step(&mut self) {
+        let now_ms = self.parts.clock.monotonic_ms();
+        self.release(now_ms);
+        self.feed_arrivals(now_ms);
+        let fleet = self.parts.source.fleet(now_ms, self.parts.clock.unix_ms());
+        let actions = self.parts.policy.lock().plan(now_ms, &fleet);
+        for action in actions {
+            self.carry_out(action);
+        }
+        self.refuse_undecidable();
+        self.forget_ready();
+        let view = self.parts.source.membership.view();
+        self.parts.capacity.update(&view, &self.ready_at_ms);
+    }
+
+    fn feed_arrivals(&self, now_ms: u64) {
+        let arrivals = self.parts.source.demand.take_remote_arrivals();
+        let mut policy = self.parts.policy.lock();
+        for model in arrivals {
+            policy.arrived(now_ms, &model);
+        }
+    }
+
+    fn carry_out(&mut self, action: PlacementAction) {
+        match action {
+            PlacementAction::Load { model, engine, ready_at_ms } => {
+                self.ready_at_ms.insert(model.clone(), ready_at_ms);
+                self.propose_load(&model, &engine);
+            }
+            PlacementAction::Unload { model, engine } => self.propose_unload(&model, &engine),
+            PlacementAction::Hopeless { model, refusal } => {
+                self.parts.gateway.hopeless(&model, &refusal);
+            }
+        }
+    }
+
+    fn propose_load(&self, model: &ModelName, engine: &UpstreamName) {
+        let based_on = self.parts.source.replayed.read(|state| {
+            let boot = state.engine(engine)?.boot();
+            let version = state.config().model(model)?.version;
+            Some((boot, version, state.replica_count(model)))
+        });
+        let Some((boot, model_version, expected_replicas)) = based_on else { return };
+        info!("proposing to load {model} on {engine}, {expected_replicas} replicas so far");
+        let (name, engine) = (model.clone(), engine.clone());
+        self.propose(model, move |proposer| {
+            ControlRecord::Load(LoadIntent {
+                proposer,
+                model: name.clone(),
+                engine: engine.clone(),
+                boot,
+                expected_replicas,
+                model_version,
+            })
+        });
+    }
+
+    fn propose_unload(&self, model: &ModelName, engine: &UpstreamName) {
+        let load = self.parts.source.replayed.read(|state| {
+            let mut replicas = state.replicas_of(model);
+            let loaded =
+                replicas.find(|one| one.engine == *engine && one.stage() == Stage::Loaded);
+            loaded.map(|replica| replica.load)
+        });
+        let Some(load) = load else { return };
+        info!("proposing to unload {model} from {engine}");
+        let (name, engine) = (model.clone(), engine.clone());
+        self.propose(model, move |proposer| {
+            ControlRecord::Unload(UnloadIntent {
+                proposer,
+                model: name.clone(),
+                engine: engine.clone(),
+                load,
+            })
+        });
+    }
+
+    /// Proposes a record for a model, unless an earlier proposal is still on its way.
+    fn propose(
+        &self,
+        model: &ModelName,
+        build: impl Fn(Proposer) -> ControlRecord + Send + 'static,
+    ) {
+        if self.held.lock().contains_key(model) {
+            return;
+        }
+        self.held.lock().insert(model.clone(), Held::Queued);
+        let held = Arc::clone(&self.held);
+        let clock = Arc::clone(&self.parts.clock);
+        let model = model.clone();
+        self.parts.appender.propose(Persistence::Drop, build, move |appended| {
+            let mut held = held.lock();
+            match appended {
+                Appended::At(offset) => held.insert(model, Held::Appended(offset)),
+                Appended::Not(_) => held.remove(&model),
+                Appended::Unknown(_) => {
+                    held.insert(model, Held::Until(clock.monotonic_ms() + UNKNOWN_HOLD_MS))
+                }
+            };
+        });
+    }
+
+    /// Lets models be proposed again whose proposals have been replayed.
+    fn release(&self, now_ms: u64) {
+        let next = self.parts.source.replayed.next_offset();
+        self.held.lock().retain(|_, held| match held {
+            Held::Queued => true,
+            Held::Appended(offset) => *offset >= next,
+            Held::Until(until_ms) => now_ms < *until_ms,
+        });
+    }
+
+    /// Refuses the requests that wait for a model without any replica while no decision can be had.
+    ///
+    /// Holding them until the log comes back would let them pass their deadlines in silence; a
+    /// caller that is told at once can go elsewhere.
+    fn refuse_undecidable(&self) {
+        let now_ms = self.parts.clock.monotonic_ms();
+        if !self.parts.health.is_down(now_ms) && self.parts.appender.has_joined() {
+            return;
+        }
+        let waiting: BTreeSet<ModelName> = self.waiting_models();
+        for model in waiting {
+            let reserved = self
+                .parts
+                .source
+                .replayed
+                .read(|state| state.replicas_of(&model).any(|one| is_coming(one.stage())));
+            if !reserved {
+                let detail = "the model is not loaded, and no load can be decided now";
+                let refusal = Refusal::not_run(RefusalReason::LogUnavailable, detail);
+                self.parts.gateway.hopeless(&model, &refusal.retry_after(LOG_RETRY_MS));
+            }
+        }
+    }
+
+    fn waiting_models(&self) -> BTreeSet<ModelName> {
+        let totals = self.parts.source.demand.totals(self.parts.clock.monotonic_ms());
+        let waiting = totals.into_iter().filter(|(_, demand)| demand.waiting_here > 0);
+        waiting.map(|(model, _)| model).collect()
+    }
+
+    /// Forgets when models were expected that have a replica, or have no load under way, now.
+    fn forget_ready(&mut self) {
+        let held = self.held.lock();
+        self.ready_at_ms.retain(|model, _| {
+            held.contains_key(model)
+                || self.parts.source.replayed.read(|state| {
+                    let mut replicas = state.replicas_of(model);
+                    replicas.any(|one| matches!(one.stage(), Stage::Reserved | Stage::Loading))
+                })
+        });
+    }
+}
+
+fn is_coming(stage: Stage) -> bool {
+    matches!(stage, Stage::Reserved | Stage::Loading | Stage::Loaded)
+}
--- /dev/null
+++ b/crates/node/src/replayed.rs
@@ -0,0 +1,101 @@
+//! The replayed control state, shared by all threads of the daemon.
+
+use std::time::Duration;
+use std::time::Instant;
+
+use parking_lot::Condvar;
+use parking_lot::Mutex;
+
+use apricotdale_core::log::LogRecord;
+use apricotdale_core::numbers::Offset;
+use apricotdale_state::ControlState;
+use apricotdale_state::Verdict;
+
+/// `Replayed` holds the control state and wakes those that wait for it to move on.
+#[derive(Debug, Default)]
+pub struct Replayed {
+    inner: Mutex<Inner>,
+    moved: Condvar,
+}
+
+#[derive(Debug, Default)]
+struct Inner {
+    state: ControlState,
+    /// Whether the state has been replayed to the stream's end at least once.
+    caught_up: bool,
+}
+
+impl Replayed {
+    /// Returns the state before the first record.
+    pub fn new() -> Self {
+        Self::default()
+    }
+
+    /// Reads something from the state.
+    pub fn read<T>(&self, read: impl FnOnce(&ControlState) -> T) -> T {
+        read(&self.inner.lock().state)
+    }
+
+    /// Returns the offset of the next record to replay.
+    pub fn next_offset(&self) -> Offset {
+        self.inner.lock().state.next_offset()
+    }
+
+    /// Returns whether the state has been replayed to the stream's end, or taken from a peer, at
+    /// least once.
+    pub fn is_caught_up(&self) -> bool {
+        self.inner.lock().caught_up
+    }
+
+    /// Notes that the state is as new as can be had.
+    pub fn note_caught_up(&self) {
+        self.inner.lock().caught_up = true;
+        self.moved.notify_all();
+    }
+
+    /// Replays records and returns the verdict on each.
+    pub fn apply(&self, records: &[LogRecord]) -> Vec<(Offset, Verdict)> {
+        let mut inner = self.inner.lock();
+        let verdicts = records
+            .iter()
+            .map(|record| {
+                let verdict =
+                    inner.state.apply(record.offset, record.appended_ms, &record.payload);
+                (record.offset, verdict)
+            })
+            .collect();
+        drop(inner);
+        self.moved.notify_all();
+        verdicts
+    }
+
+    /// Puts a state from a snapshot in the place of this one, if it is newer.
+    pub fn install(&self, state: ControlState) -> bool {
+        let mut inner = self.inner.lock();
+        let is_newer = state.next_offset() > inner.state.next_offset();
+        if is_newer {
+            inner.state = state;
+        }
+        drop(inner);
+        self.moved.notify_all();
+        is_newer
+    }
+
+    /// Waits until the condition gives a value, and returns none if it did not within the timeout.
+    pub fn wait_for<T>(
+        &self,
+        timeout: Duration,
+        mut condition: impl FnMut(&ControlState) -> Option<T>,
+    ) -> Option<T> {
+        let deadline = Instant::now() + timeout;
+        let mut inner = self.inner.lock();
+        loop {
+            if let Some(value) = condition(&inner.state) {
+                return Some(value);
+            }
+            if self.moved.wait_until(&mut inner, deadline).timed_out() {
+                return condition(&inner.state);
+            }
+        }
+    }
+}
--- /dev/null
+++ b/crates/node/src/settling/outcome.rs
@@ -0,0 +1,75 @@
+//! What an engine's status says of an intent.
+
+use apricotdale_core::control::ControlRecord;
+use apricotdale_core::control::Observation;
+use apricotdale_core::control::Proposer;
+use apricotdale_core::control::SettledAs;
+use apricotdale_core::control::Settlement;
+use apricotdale_core::engine::EngineStatus;
+use apricotdale_core::engine::Residency;
+use apricotdale_core::names::GroupName;
+use apricotdale_core::names::UpstreamName;
+use apricotdale_core::names::ZoneName;
+use apricotdale_core::numbers::FencingNumber;
+use apricotdale_core::numbers::Offset;
+use apricotdale_state::view::IntentKind;
+use apricotdale_state::view::IntentView;
+
+/// Returns how far the replica of a load is, by a status, or none if it is not there.
+pub fn residency(status: &EngineStatus, intent: &IntentView) -> Option<Residency> {
+    let fence = FencingNumber::from(intent.load);
+    let mut residents = status.residents.iter();
+    let resident = residents.find(|one| one.fence == fence && one.model == intent.model);
+    resident.map(|resident| resident.residency)
+}
+
+/// Returns the record that settles an intent.
+pub fn settlement(
+    kind: IntentKind,
+    intent: Offset,
+    outcome: SettledAs,
+    status: Option<&EngineStatus>,
+) -> impl Fn(Proposer) -> ControlRecord + Send + 'static {
+    let boot = status.map(|status| status.boot);
+    let sequence = status.map(|status| status.sequence);
+    move |proposer| {
+        let settlement =
+            Settlement { proposer, intent, outcome: outcome.clone(), boot, sequence };
+        match kind {
+            IntentKind::Load => ControlRecord::LoadSettled(settlement),
+            IntentKind::Unload => ControlRecord::UnloadSettled(settlement),
+        }
+    }
+}
+
+/// `EnginePlace` is where an engine belongs, as the platform's list says.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct EnginePlace {
+    /// The engine.
+    pub engine: UpstreamName,
+    /// Its group.
+    pub group: GroupName,
+    /// Its availability zone.
+    pub zone: ZoneName,
+}
+
+/// Returns the record that tells an engine's status.
+pub fn observation(
+    place: EnginePlace,
+    status: EngineStatus,
+) -> impl Fn(Proposer) -> ControlRecord + Send + 'static {
+    move |proposer| {
+        ControlRecord::Observed(Observation {
+            proposer,
+            engine: place.engine.clone(),
+            group: place.group.clone(),
+            zone: place.zone.clone(),
+            boot: status.boot,
+            sequence: status.sequence,
+            capacity_bytes: status.capacity_bytes,
+            checks_fence: status.checks_fence,
+            highest_fence: status.highest_fence,
+            residents: status.residents.clone(),
+        })
+    }
+}
--- /dev/null
+++ b/crates/node/src/settling/runner.rs
@@ -0,0 +1,195 @@
+//! Finds the intents on which this process has to act.
+
+use std::collections::BTreeMap;
+use std::collections::BTreeSet;
+use std::sync::Arc;
+use std::sync::atomic::AtomicBool;
+use std::sync::atomic::Ordering;
+use std::thread;
+use std::time::Duration;
+
+use crossbeam_channel::Receiver;
+use log::info;
+use log::warn;
+
+use apricotdale_core::control::ControlRecord;
+use apricotdale_core::control::TakeOver;
+use apricotdale_core::engine::EngineOrders;
+use apricotdale_core::engine::EngineReports;
+use apricotdale_core::numbers::Offset;
+use apricotdale_core::serving::Clock;
+use apricotdale_state::view::IntentKind;
+use apricotdale_state::view::IntentView;
+use apricotdale_telemetry::Metrics;
+
+use super::freshness::Freshness;
+use super::sender::OrderSender;
+use super::settler::IntentSettler;
+use crate::appender::Appender;
+use crate::appender::EpochCell;
+use crate::appender::Persistence;
+use crate::membership_view::SharedMembership;
+use crate::replayed::Replayed;
+
+/// How often the intents are looked at when nothing happens.
+const TICK: Duration = Duration::from_millis(200);
+
+/// How long after a takeover was proposed it is proposed again.
+const REPROPOSE_MS: u64 = 3_000;
+
+/// Called with a load that this process has carried out, and how long it took.
+pub type Loaded = Box<dyn Fn(&IntentView, u64) + Send + Sync>;
+
+/// `RunnerParts` is what the runner and its workers work with.
+pub struct RunnerParts {
+    /// The replayed state.
+    pub replayed: Arc<Replayed>,
+    /// The membership.
+    pub membership: Arc<SharedMembership>,
+    /// Orders to engines.
+    pub orders: Arc<dyn EngineOrders>,
+    /// What engines report.
+    pub reports: Arc<dyn EngineReports>,
+    /// Appends the outcomes.
+    pub appender: Appender,
+    /// The epoch of this process.
+    pub epoch: Arc<EpochCell>,
+    /// Whether the process may act on what it believes.
+    pub freshness: Freshness,
+    /// The clock.
+    pub clock: Arc<dyn Clock>,
+    /// The metrics.
+    pub metrics: Arc<Metrics>,
+    /// Called after each load.
+    pub loaded: Loaded,
+    /// How long an order may take until its outcome counts as unknown.
+    pub load_timeout_ms: u64,
+    /// Set when the daemon stops.
+    pub stop: Arc<AtomicBool>,
+}
+
+impl RunnerParts {
+    /// Returns whether the daemon stops.
+    pub fn stopped(&self) -> bool {
+        self.stop.load(Ordering::Relaxed)
+    }
+}
+
+/// `IntentRunner` starts a worker for each intent on which this process has to act.
+pub struct IntentRunner {
+    parts: Arc<RunnerParts>,
+    wake: Receiver<()>,
+    /// Intents, with the record that made this process their owner, on which a worker was started.
+    /// An order is sent at most once because its intent is never taken out of here while it is
+    /// unsettled.
+    started: BTreeSet<(Offset, Offset)>,
+    first_seen_ms: BTreeMap<Offset, u64>,
+    proposed_ms: BTreeMap<Offset, u64>,
+}
+
+impl IntentRunner {
+    /// Returns a runner that is woken by the given receiver.
+    pub fn new(parts: RunnerParts, wake: Receiver<()>) -> Self {
+        Self {
+            parts: Arc::new(parts),
+            wake,
+            started: BTreeSet::new(),
+            first_seen_ms: BTreeMap::new(),
+            proposed_ms: BTreeMap::new(),
+        }
+    }
+
+    /// Runs until the daemon stops.
+    pub fn run(mut self) {
+        while !self.parts.stopped() {
+            // A disconnected sender means that the daemon is going down; the flag tells.
+            let _ = self.wake.recv_timeout(TICK);
+            self.parts.freshness.tick();
+            self.look();
+        }
+    }
+
+    fn look(&mut self) {
+        let Some(epoch) = self.parts.epoch.get() else { return };
+        let intents: Vec<IntentView> =
+            self.parts.replayed.read(|state| state.unsettled().collect());
+        let unsettled: BTreeSet<Offset> = intents.iter().map(|intent| intent.intent).collect();
+        self.started.retain(|(intent, _)| unsettled.contains(intent));
+        self.first_seen_ms.retain(|intent, _| unsettled.contains(intent));
+        self.proposed_ms.retain(|intent, _| unsettled.contains(intent));
+        for intent in intents {
+            match intent.owner.epoch == epoch && !self.wants_newer_take_over(&intent) {
+                true => self.act(intent),
+                false => self.consider_take_over(&intent),
+            }
+        }
+    }
+
+    /// Starts a worker for an intent that this process owns.
+    fn act(&mut self, intent: IntentView) {
+        if !self.started.insert((intent.intent, intent.owner.since)) {
+            return;
+        }
+        let parts = Arc::clone(&self.parts);
+        let is_own = intent.owner.since == intent.intent;
+        let work: Box<dyn FnOnce() + Send> = match is_own {
+            true => Box::new(move || OrderSender { parts, intent }.run()),
+            false => Box::new(move || IntentSettler { parts, intent }.run()),
+        };
+        if let Err(error) = thread::Builder::new().name("intent".into()).spawn(work) {
+            // The intent stays in `started`: had the thread half started, a second one could send
+            // the order again. Others take the intent over.
+            warn!("no thread for an intent: {error}");
+        }
+    }
+
+    /// Takes over an intent that its owner does not settle.
+    ///
+    /// An owner that is over leaves it at once. One that only stays silent may be paused; its
+    /// intent is taken over where the engine checks fencing numbers, and otherwise left alone,
+    /// because its order could still take effect.
+    fn consider_take_over(&mut self, intent: &IntentView) {
+        let now_ms = self.parts.clock.monotonic_ms();
+        let first_ms = *self.first_seen_ms.entry(intent.intent).or_insert(now_ms);
+        let waited_ms = now_ms.saturating_sub(first_ms);
+        let is_due = match intent {
+            intent if intent.wants_take_over => Some(waited_ms),
+            intent if self.checks_fence(intent) => {
+                waited_ms.checked_sub(self.parts.load_timeout_ms)
+            }
+            _ => None,
+        };
+        let view = self.parts.membership.view();
+        let may = is_due.is_some_and(|due_ms| view.may_propose(&intent.intent, due_ms));
+        let recently = self.proposed_ms.get(&intent.intent);
+        let recently = recently.is_some_and(|at_ms| now_ms.saturating_sub(*at_ms) < REPROPOSE_MS);
+        if !may || recently {
+            return;
+        }
+        info!("taking over the intent at {} for {}", intent.intent, intent.model);
+        self.proposed_ms.insert(intent.intent, now_ms);
+        let offset = intent.intent;
+        self.parts.appender.propose(
+            Persistence::Drop,
+            move |proposer| ControlRecord::TakeOver(TakeOver { proposer, intent: offset }),
+            |_| {},
+        );
+    }
+
+    /// Returns whether the intent's sender came to its end only after the intent was taken over. The
+    /// takeover then proves less than one made now.
+    fn wants_newer_take_over(&self, intent: &IntentView) -> bool {
+        self.parts.replayed.read(|state| {
+            let replica = state.replica(intent.load);
+            let quiet_since = replica.and_then(|replica| replica.quiet_since);
+            intent.wants_take_over && quiet_since.is_some_and(|since| since > intent.owner.since)
+        })
+    }
+
+    fn checks_fence(&self, intent: &IntentView) -> bool {
+        intent.kind == IntentKind::Load
+            && self.parts.replayed.read(|state| {
+                state.engine(&intent.engine).is_some_and(|engine| engine.checks_fence)
+            })
+    }
+}
--- /dev/null
+++ b/crates/node/src/settling/settler.rs
@@ -0,0 +1,111 @@
+//! Settles an intent that was taken over, by what its engine shows.
+
+use std::sync::Arc;
+use std::thread;
+use std::time::Duration;
+
+use log::warn;
+
+use apricotdale_core::control::SettledAs;
+use apricotdale_core::engine::EngineStatus;
+use apricotdale_core::engine::Residency;
+use apricotdale_core::numbers::FencingNumber;
+use apricotdale_state::view::IntentKind;
+use apricotdale_state::view::IntentView;
+
+use super::outcome;
+use super::outcome::EnginePlace;
+use super::runner::RunnerParts;
+use crate::appender::Persistence;
+
+/// The pause between two readings of an engine that is not done, or not reached.
+const READ_PAUSE: Duration = Duration::from_millis(250);
+
+/// `IntentSettler` settles one intent that this process took over.
+pub struct IntentSettler {
+    /// What it works with.
+    pub parts: Arc<RunnerParts>,
+    /// The intent.
+    pub intent: IntentView,
+}
+
+impl IntentSettler {
+    /// Reads the engine until the intent can be settled, is settled otherwise, or belongs to
+    /// another process.
+    pub fn run(self) {
+        while self.is_still_mine() && !self.parts.stopped() {
+            let Some(status) = self.read() else {
+                thread::sleep(READ_PAUSE);
+                continue;
+            };
+            let Some(outcome) = self.outcome(&status) else {
+                thread::sleep(READ_PAUSE);
+                continue;
+            };
+            return self.settle(outcome, status);
+        }
+    }
+
+    fn is_still_mine(&self) -> bool {
+        self.parts.replayed.read(|state| {
+            let mut unsettled = state.unsettled_of(self.intent.owner.epoch);
+            unsettled.any(|intent| {
+                intent.intent == self.intent.intent
+                    && intent.owner.since == self.intent.owner.since
+            })
+        })
+    }
+
+    /// Raises the engine's fence to the takeover's number, so that an engine which checks numbers
+    /// refuses the order if it is still on its way, and returns what the engine shows after that.
+    fn read(&self) -> Option<EngineStatus> {
+        let view = self.parts.membership.view();
+        let address = view.upstreams.get(&self.intent.engine)?.entry.address;
+        let fence = FencingNumber::from(self.intent.owner.since);
+        match self.parts.orders.raise_fence(address, fence) {
+            Ok(status) => Some(status),
+            Err(error) => {
+                warn!("raising the fence of {} failed: {error}", self.intent.engine);
+                self.parts.reports.status(address).ok()
+            }
+        }
+    }
+
+    fn outcome(&self, status: &EngineStatus) -> Option<SettledAs> {
+        let residency = outcome::residency(status, &self.intent);
+        match (self.intent.kind, residency) {
+            (IntentKind::Load, Some(Residency::Loaded)) => Some(SettledAs::Done),
+            (IntentKind::Load, None) => Some(SettledAs::Failed("the engine lacks it".into())),
+            (IntentKind::Unload, None) => Some(SettledAs::Done),
+            (IntentKind::Unload, Some(Residency::Loaded)) => {
+                Some(SettledAs::Failed("the engine still holds it".into()))
+            }
+            (_, Some(Residency::Loading | Residency::Unloading)) => None,
+        }
+    }
+
+    fn settle(&self, outcome: SettledAs, status: EngineStatus) {
+        let record = outcome::settlement(
+            self.intent.kind,
+            self.intent.intent,
+            outcome,
+            Some(&status),
+        );
+        // Replay takes a reading of an engine's run only after it has seen that run.
+        if let Some(place) = self.place() {
+            let observation = outcome::observation(place, status);
+            self.parts.appender.propose(Persistence::Keep, observation, |_| {});
+        }
+        self.parts.appender.propose(Persistence::Keep, record, |_| {});
+    }
+
+    fn place(&self) -> Option<EnginePlace> {
+        let view = self.parts.membership.view();
+        let entry = &view.upstreams.get(&self.intent.engine)?.entry;
+        Some(EnginePlace {
+            engine: self.intent.engine.clone(),
+            group: entry.group.clone(),
+            zone: entry.zone.clone(),
+        })
+    }
+}
