Gateway: tests of relay, refusals, retries, hang-ups, services, drain, traces

Cause: the gateway had one test. Change: 96 tests against fakes at its borders behind the real HTTP server. A first run showed two faults of the tests themselves, not of the gateway: one limit of 50 ms for all kinds of cut streams let a backtrace win a race, and the count of requests in progress was compared while an answered one was leaving. The limit is now that of the silent case alone, the count a lower bound.

--- /dev/null
+++ b/crates/gateway/tests/caller_hangup.rs
@@ -0,0 +1,75 @@
+//! A caller that hangs up ends its request at once, wherever it stands.
+
+mod support;
+
+use apricotdale_core::refusal::Ran;
+use apricotdale_core::serving::DemandEvent;
+use support::Bench;
+use support::caller::Piece;
+use support::engine::Act;
+use support::engine::event;
+use support::engine::stream_head;
+
+#[test]
+fn a_waiting_request_is_withdrawn() {
+    let bench = Bench::cold();
+    let mut caller = bench.caller();
+    caller.send_completion(&[]);
+    bench
+        .demand
+        .0
+        .wait_for(|event| matches!(event, DemandEvent::Arrived { .. }));
+    drop(caller);
+    bench
+        .demand
+        .0
+        .wait_for(|event| matches!(event, DemandEvent::Ended { .. }));
+    bench.settle();
+    let gone = ("caller_gone".to_owned(), Ran::NotRun);
+    assert_eq!(bench.observer.refusals(), [gone]);
+    bench.load("engine-1", 1);
+    assert_eq!(bench.caller().complete(&[]).status, 200);
+    assert_eq!(
+        bench.engine.served_count(),
+        1,
+        "a withdrawn request was sent"
+    );
+}
+
+/// Symptom: engines work for callers that are gone, and their places stay taken. Sequence: the
+/// caller closes while the engine has not answered; the engine goes on to say nothing. Cause: a
+/// hang-up that is noticed only at the next write.
+#[test]
+fn a_request_at_a_silent_engine_is_cancelled_and_ends() {
+    let bench = Bench::warm();
+    bench.engine.script(vec![Act::Hold, Act::Cut]);
+    let mut caller = bench.caller();
+    caller.send_completion(&[]);
+    let held = bench.engine.wait_held();
+    drop(caller);
+    assert_eq!(bench.engine.wait_cancelled(), held);
+    bench.settle();
+    let gone = ("caller_gone".to_owned(), Ran::Unknown);
+    assert_eq!(bench.observer.refusals(), [gone]);
+}
+
+#[test]
+fn a_stream_is_cancelled_and_its_connection_let_go() {
+    let bench = Bench::warm();
+    bench
+        .engine
+        .script(vec![stream_head(), event("a"), Act::Hold, event("b")]);
+    let mut caller = bench.caller();
+    caller.stream(&[]);
+    caller.head();
+    assert!(matches!(caller.piece(), Piece::Data(_)));
+    let held = bench.engine.wait_held();
+    drop(caller);
+    assert_eq!(bench.engine.wait_cancelled(), held);
+    bench.settle();
+    bench.engine.release.0.send(()).expect("the engine holds");
+    let dropped = bench.engine.dropped.1.recv_timeout(support::PATIENCE);
+    assert_eq!(dropped, Ok(held));
+    let gone = ("caller_gone".to_owned(), Ran::Ran);
+    assert_eq!(bench.observer.refusals(), [gone]);
+}
--- /dev/null
+++ b/crates/gateway/tests/engine_retries.rs
@@ -0,0 +1,85 @@
+//! Calls to models run again elsewhere only while the caller has seen nothing.
+
+mod support;
+
+use apricotdale_core::Error;
+use apricotdale_core::policy::RetryDecision;
+use apricotdale_core::serving::DemandEvent;
+use apricotdale_core::serving::ServingEvent;
+use rstest::rstest;
+use support::Bench;
+use support::engine::Act;
+use support::engine::not_loaded;
+
+fn head(status: u16) -> Vec<Act> {
+    let body = Act::Piece("{}".to_owned());
+    vec![Act::Head(status, "application/json", Some("{id}")), body]
+}
+
+#[rstest]
+#[case::unavailable(vec![Act::Fail(Error::unavailable("refused"))])]
+#[case::lost(vec![Act::Fail(Error::unknown("reset"))])]
+#[case::not_loaded(not_loaded())]
+#[case::busy(head(503))]
+#[case::fault(head(500))]
+#[case::body_lost(vec![Act::Head(200, "application/json", Some("{id}")), Act::Cut])]
+#[case::no_body(vec![Act::Head(200, "application/json", Some("{id}"))])]
+fn a_failed_try_is_repeated_at_another_engine(#[case] acts: Vec<Act>) {
+    let bench = Bench::warm();
+    bench.load("engine-2", 2);
+    bench.engine.script(acts);
+    let answer = bench.caller().complete(&[]);
+    assert_eq!(answer.status, 200, "{answer:?}");
+    let served = bench.engine.served.lock().clone();
+    let ports: Vec<u16> = served.iter().map(|(address, _)| address.port()).collect();
+    assert_eq!(ports, [1, 2]);
+    assert_eq!(served[0].1.id, served[1].1.id);
+    let again = RetryDecision::RetryAfterMs(0);
+    bench.observer.0.wait_for(
+        |event| matches!(event, ServingEvent::Retry { decision, .. } if *decision == again),
+    );
+}
+
+/// Symptom: a caller's own mistake is run three times. Sequence: the engine answers that the
+/// request is wrong. Cause: a retry on every status but 200.
+#[rstest]
+#[case::wrong(400)]
+#[case::unknown_option(422)]
+#[case::other_404(404)]
+fn an_engines_answer_to_a_wrong_request_is_passed_on(#[case] status: u16) {
+    let bench = Bench::warm();
+    bench.engine.script(head(status));
+    let answer = bench.caller().complete(&[]);
+    assert_eq!((answer.status, answer.body.as_str()), (status, "{}"));
+    assert_eq!(bench.engine.served_count(), 1);
+}
+
+/// Symptom: a request is refused though its model is about to be loaded. Sequence: the only engine
+/// has unloaded the model, which the directory does not know yet. Cause: a retry that looks only
+/// at other engines.
+#[test]
+fn a_request_waits_for_a_load_when_no_engine_holds_its_model() {
+    let bench = Bench::warm();
+    bench.gateway.capacity(support::MODEL.into(), 1, None);
+    bench.engine.script(vec![
+        Act::Hold,
+        not_loaded()[0].clone(),
+        not_loaded()[1].clone(),
+    ]);
+    let mut caller = bench.caller();
+    caller.send_completion(&[]);
+    bench.engine.wait_held();
+    bench.directory.replicas.lock().clear();
+    bench.gateway.capacity(support::MODEL.into(), 0, None);
+    bench.engine.release.0.send(()).expect("the engine holds");
+    let missing = |event: &DemandEvent| matches!(event, DemandEvent::Missing { .. });
+    let DemandEvent::Missing { upstream, .. } = bench.demand.0.wait_for(missing) else {
+        panic!("no other event was asked for");
+    };
+    assert_eq!(upstream.as_str(), "engine-1");
+    let arrived = |event: &DemandEvent| matches!(event, DemandEvent::Arrived { .. });
+    bench.demand.0.wait_for_nth(2, arrived);
+    bench.load("engine-2", 2);
+    assert_eq!(caller.answer().status, 200);
+    assert_eq!(bench.engine.served.lock()[1].0.port(), 2);
+}
--- /dev/null
+++ b/crates/gateway/tests/refusal_answers.rs
@@ -0,0 +1,217 @@
+//! What callers are told when they are refused.
+
+mod support;
+
+use apricotdale_core::Error;
+use apricotdale_core::refusal::Ran;
+use rstest::rstest;
+use std::sync::atomic::Ordering;
+use std::time::Duration;
+use support::Bench;
+use support::MODEL;
+use support::caller::Answer;
+use support::engine::Act;
+use support::policies::GREEDY;
+
+const COMPLETIONS: &str = "/v1/completions";
+
+fn call_body() -> String {
+    format!(r#"{{"model":"{MODEL}","prompt":"x"}}"#)
+}
+
+/// Checks that a refusal is complete, consistent, and counted once.
+fn check(bench: &Bench, answer: &Answer, status: u16, reason: &str, ran: &str) {
+    let told = (status, reason.to_owned(), ran.to_owned());
+    assert_eq!(answer.refusal(), told, "{answer:?}");
+    assert_eq!(
+        answer.header("content-type"),
+        Some("application/problem+json")
+    );
+    let problem = answer.json();
+    assert_eq!(problem["status"], status);
+    assert_eq!(problem["type"], format!("urn:apricotdale:refusal:{reason}"));
+    assert_eq!(
+        problem["request_id"],
+        answer.header("x-request-id").expect("an identity")
+    );
+    assert_eq!(problem["error"]["code"], reason);
+    assert_eq!(problem["error"]["message"], problem["detail"]);
+    let counted = bench.observer.refusals();
+    assert_eq!(counted.len(), 1, "{counted:?}");
+    assert_eq!(counted[0].0, reason);
+    assert_eq!(counted[0].1.as_str(), ran);
+}
+
+#[rstest]
+#[case::not_json("POST", COMPLETIONS, &[], "{", 400, "bad_request")]
+#[case::no_model("POST", COMPLETIONS, &[], r#"{"prompt":"x"}"#, 400, "bad_request")]
+#[case::bad_timeout("POST", COMPLETIONS, &[("X-Request-Timeout-Ms", "-5")], &call_body(), 400, "bad_request")]
+#[case::zero_timeout("POST", COMPLETIONS, &[("X-Request-Timeout-Ms", "0")], &call_body(), 400, "bad_request")]
+#[case::unknown_class("POST", COMPLETIONS, &[("X-Request-Class", "gold")], &call_body(), 400, "unknown_class")]
+#[case::unknown_model("POST", COMPLETIONS, &[], r#"{"model":"nobody"}"#, 404, "unknown_model")]
+#[case::unknown_listed_model("GET", "/v1/models/nobody", &[], "", 404, "unknown_model")]
+#[case::unknown_service("GET", "/services/nobody/x", &[], "", 404, "unknown_service")]
+#[case::unknown_path("GET", "/v2/models", &[], "", 404, "unknown_path")]
+#[case::wrong_method("GET", COMPLETIONS, &[], "", 405, "method_not_allowed")]
+#[case::over_share("POST", COMPLETIONS, &[("X-Caller", GREEDY)], &call_body(), 429, "caller_over_share")]
+#[case::empty_key("POST", "/services/booking-app/book", &[("Idempotency-Key", "")], "", 400, "bad_request")]
+fn a_request_that_never_ran_says_so(
+    #[case] method: &str,
+    #[case] path: &str,
+    #[case] headers: &[(&str, &str)],
+    #[case] body: &str,
+    #[case] status: u16,
+    #[case] reason: &str,
+) {
+    let bench = Bench::warm();
+    let answer = bench.caller().call(method, path, headers, body);
+    check(&bench, &answer, status, reason, "not_run");
+    assert_eq!(bench.engine.served_count() + bench.service.call_count(), 0);
+    let methods = (status == 405).then_some("POST");
+    assert_eq!(answer.header("allow"), methods);
+}
+
+#[rstest]
+#[case::unavailable(Error::unavailable("refused"), 502, "upstream_unavailable", "not_run")]
+#[case::rejected(Error::rejected("no"), 502, "upstream_refused", "not_run")]
+#[case::lost(Error::unknown("reset"), 502, "upstream_lost", "unknown")]
+#[case::malformed(Error::malformed("what"), 502, "upstream_bad_answer", "unknown")]
+fn a_failed_engine_call_tells_whether_it_ran(
+    #[case] error: Error,
+    #[case] status: u16,
+    #[case] reason: &str,
+    #[case] ran: &str,
+) {
+    let bench = Bench::warm();
+    for _ in 0..3 {
+        bench.engine.script(vec![Act::Fail(error.clone())]);
+    }
+    let answer = bench.caller().complete(&[]);
+    check(&bench, &answer, status, reason, ran);
+    assert_eq!(answer.header("x-should-retry"), Some("false"));
+}
+
+/// Symptom: a caller repeats a call that was answered "not run", and it runs twice. Sequence: the
+/// first try is lost after it was sent, the second is certainly not received. Cause: a refusal
+/// that speaks of the last try alone.
+#[test]
+fn a_refusal_speaks_of_all_tries() {
+    let bench = Bench::warm();
+    bench
+        .engine
+        .script(vec![Act::Fail(Error::unknown("reset"))]);
+    for _ in 0..2 {
+        bench
+            .engine
+            .script(vec![Act::Fail(Error::unavailable("refused"))]);
+    }
+    let answer = bench.caller().complete(&[]);
+    check(&bench, &answer, 502, "upstream_unavailable", "unknown");
+}
+
+#[test]
+fn a_time_to_come_back_is_rounded_up() {
+    let bench = Bench::warm();
+    let answer = bench.caller().complete(&[("X-Caller", GREEDY)]);
+    assert_eq!(answer.header("retry-after"), Some("3"));
+    assert_eq!(answer.header("x-should-retry"), Some("true"));
+    assert_eq!(answer.json()["retry_after_ms"], 2_300);
+}
+
+#[test]
+fn a_vm_that_is_not_ready_refuses_and_shows_it_to_the_balancer() {
+    let bench = Bench::warm();
+    bench.directory.is_closed.store(true, Ordering::Release);
+    let ready = bench.caller().call("GET", "/health/ready", &[], "");
+    assert_eq!(
+        (ready.status, ready.json()["reason"].as_str()),
+        (503, Some("not_ready"))
+    );
+    assert_eq!(
+        bench.caller().call("GET", "/health/live", &[], "").status,
+        200
+    );
+    let answer = bench.caller().complete(&[]);
+    check(&bench, &answer, 503, "not_ready", "not_run");
+}
+
+/// Symptom: a request is answered long after its time, or never. Sequence: the model is not
+/// loaded, or the engine stays silent, beyond the deadline. Cause: a thread that waits on the
+/// upstream and not on its deadline.
+#[rstest]
+#[case::waiting(false, "not_run")]
+#[case::sent(true, "unknown")]
+fn a_request_without_an_answer_is_refused_at_its_deadline(#[case] loaded: bool, #[case] ran: &str) {
+    let bench = Bench::cold();
+    if loaded {
+        bench.load("engine-1", 1);
+        bench.engine.script(vec![
+            Act::Hold,
+            Act::Head(200, "application/json", Some("{id}")),
+        ]);
+    }
+    let answer = bench.caller().complete(&[("X-Request-Timeout-Ms", "60")]);
+    check(&bench, &answer, 504, "deadline_passed", ran);
+    if loaded {
+        let id = bench.engine.wait_cancelled();
+        assert_eq!(Some(id.as_str()), answer.header("x-request-id"));
+    }
+    bench.settle();
+    assert_eq!(bench.observer.refusals().len(), 1);
+}
+
+#[test]
+fn a_panic_is_answered_and_counted() {
+    let bench = Bench::warm();
+    for _ in 0..3 {
+        bench.engine.script(vec![Act::Panic]);
+    }
+    let answer = bench.caller().complete(&[]);
+    check(&bench, &answer, 502, "upstream_lost", "unknown");
+}
+
+#[rstest]
+#[case::head("GET / HTTP/1.1\r\n\r\n", 400, "bad_request")]
+#[case::long_head(&format!("GET /{} HTTP/1.1\r\n", "a".repeat(600)), 431, "head_too_large")]
+#[case::long_body(
+    "POST / HTTP/1.1\r\nHost: a\r\nContent-Length: 101\r\n\r\n",
+    413,
+    "body_too_large"
+)]
+#[case::slow("GET / HTTP/1.1\r\nHost: ", 408, "request_timeout")]
+fn protocol_errors_are_refusals_too(
+    #[case] bytes: &str,
+    #[case] status: u16,
+    #[case] reason: &str,
+) {
+    let limits = apricotdale_http::Options {
+        max_head_bytes: 512,
+        max_body_bytes: 100,
+        head_timeout: Duration::from_millis(50),
+        ..apricotdale_http::Options::default()
+    };
+    let bench = Bench::with(apricotdale_gateway::Options::default(), limits);
+    let mut caller = bench.caller();
+    caller.send_raw(bytes);
+    check(&bench, &caller.answer(), status, reason, "not_run");
+}
+
+#[test]
+fn a_connection_above_the_limit_is_refused() {
+    let limits = apricotdale_http::Options {
+        max_connections: 1,
+        ..apricotdale_http::Options::default()
+    };
+    let bench = Bench::with(apricotdale_gateway::Options::default(), limits);
+    let mut holder = bench.caller();
+    assert_eq!(holder.call("GET", "/health/live", &[], "").status, 200);
+    let answer = bench.caller().answer();
+    check(
+        &bench,
+        &answer,
+        503,
+        "too_many_connections",
+        Ran::NotRun.as_str(),
+    );
+    assert_eq!(answer.header("retry-after"), Some("1"));
+}
