--- a/crates/node/src/appender.rs
+++ b/crates/node/src/appender.rs
@@ -87,7 +87,9 @@
 
     /// Returns the epoch, or none if this process has not joined.
     pub fn get(&self) -> Option<Epoch> {
-        self.1.load(Ordering::Acquire).then(|| Epoch(self.0.load(Ordering::Acquire)))
+        self.1
+            .load(Ordering::Acquire)
+            .then(|| Epoch(self.0.load(Ordering::Acquire)))
     }
 }
 
@@ -133,7 +135,11 @@
         build: impl Fn(Proposer) -> ControlRecord + Send + 'static,
         done: impl FnOnce(Appended) + Send + 'static,
     ) {
-        let proposal = Proposal { build: Box::new(build), persistence, done: Box::new(done) };
+        let proposal = Proposal {
+            build: Box::new(build),
+            persistence,
+            done: Box::new(done),
+        };
         if let Err(unsent) = self.queue.send(proposal) {
             (unsent.into_inner().done)(Appended::Not(Error::unavailable("the daemon stops")));
         }
@@ -163,7 +169,11 @@
             return (proposal.done)(Appended::Not(error));
         };
         self.sequence += 1;
-        let proposer = Proposer { vm: self.parts.vm.clone(), epoch, sequence: self.sequence };
+        let proposer = Proposer {
+            vm: self.parts.vm.clone(),
+            epoch,
+            sequence: self.sequence,
+        };
         let payload = (proposal.build)(proposer).encode();
         let outcome = self.append_until_clear(&payload, proposal.persistence);
         (proposal.done)(outcome);
@@ -184,7 +194,9 @@
         let mut unknown_tries = 0;
         loop {
             let outcome = self.parts.log.append(&self.parts.stream, payload);
-            self.parts.health.note_append(self.parts.clock.monotonic_ms(), outcome.is_ok());
+            self.parts
+                .health
+                .note_append(self.parts.clock.monotonic_ms(), outcome.is_ok());
             let error = match outcome {
                 Ok(offset) => return Appended::At(offset),
                 Err(error) => error,
--- a/crates/node/src/bin/apricotdaled.rs
+++ b/crates/node/src/bin/apricotdaled.rs
@@ -60,11 +60,13 @@
         signal_hook::consts::SIGTERM,
         signal_hook::consts::SIGINT,
     ])?;
-    std::thread::Builder::new().name("signals".into()).spawn(move || {
-        for _ in signals.forever() {
-            drain.store(true, Ordering::Release);
-        }
-    })?;
+    std::thread::Builder::new()
+        .name("signals".into())
+        .spawn(move || {
+            for _ in signals.forever() {
+                drain.store(true, Ordering::Release);
+            }
+        })?;
     println!(
         "listening callers={} peers={} admin={}",
         daemon.callers_address(),
--- a/crates/node/src/claims/claim_stream.rs
+++ b/crates/node/src/claims/claim_stream.rs
@@ -75,7 +75,9 @@
 
     /// Queues a record.
     pub fn queue(&self, record: ClaimRecord) {
-        self.queue.send(record).expect("the stream holds the receiver too");
+        self.queue
+            .send(record)
+            .expect("the stream holds the receiver too");
     }
 
     /// Returns the records to append, in order.
@@ -119,7 +121,9 @@
     /// Tells the waiting request of its verdict. Returns whether anyone waited.
     pub fn decide(&self, request: &RequestId, verdict: &ClaimVerdict) -> bool {
         let mut slots = self.slots.lock();
-        let Some(slot) = slots.get_mut(request) else { return false };
+        let Some(slot) = slots.get_mut(request) else {
+            return false;
+        };
         // The first verdict counts; a batch that was appended twice brings a second one.
         if *slot == Slot::Waiting {
             *slot = Slot::Decided(verdict.clone());
--- a/crates/node/src/claims/claim_tail.rs
+++ b/crates/node/src/claims/claim_tail.rs
@@ -40,7 +40,10 @@
     pub fn run(self) {
         while !self.stop.load(Ordering::Relaxed) {
             let from = self.stream.with_table(|table| table.next_offset());
-            match self.log.read(&self.stream.name, from, READ_RECORDS, self.wait_ms) {
+            match self
+                .log
+                .read(&self.stream.name, from, READ_RECORDS, self.wait_ms)
+            {
                 Ok(batch) => batch.records.iter().for_each(|record| self.replay(record)),
                 Err(error) => {
                     warn!("reading {} failed: {error}", self.stream.name);
@@ -56,7 +59,11 @@
             .with_table(|table| table.apply(record.offset, record.appended_ms, &record.payload));
         match decided {
             Ok(decided) => decided.iter().for_each(|claim| self.tell(claim)),
-            Err(reason) => warn!("claim record {} was ignored: {}", record.offset, reason.as_str()),
+            Err(reason) => warn!(
+                "claim record {} was ignored: {}",
+                record.offset,
+                reason.as_str()
+            ),
         }
     }
 
--- a/crates/node/src/claims/claim_writer.rs
+++ b/crates/node/src/claims/claim_writer.rs
@@ -80,7 +80,10 @@
     fn append(&self, mut batch: Vec<ClaimRecord>) {
         let mut unknown_tries = 0;
         while !batch.is_empty() {
-            let payload = ClaimBatch { entries: batch.clone() }.encode();
+            let payload = ClaimBatch {
+                entries: batch.clone(),
+            }
+            .encode();
             let outcome = self.log.append(&self.stream.name, &payload);
             self.count(&outcome);
             let error = match outcome {
--- a/crates/node/src/claims/keeper.rs
+++ b/crates/node/src/claims/keeper.rs
@@ -140,7 +140,9 @@
     /// Returns what a repetition is told while the first call runs, or ran on a process that is
     /// over and can't tell any more.
     fn running(&self, entry: &ClaimEntry) -> ClaimDecision {
-        let runs = self.replayed.read(|state| state.members().has_process(entry.process_id));
+        let runs = self
+            .replayed
+            .read(|state| state.members().has_process(entry.process_id));
         if !runs {
             return outcome_unknown();
         }
@@ -172,7 +174,9 @@
 impl ClaimKeeper for NodeClaimKeeper {
     fn claim(&self, ask: &ClaimAsk) -> ClaimDecision {
         let stream = self.stream(&ask.key);
-        let known = stream.entry(&ask.key).and_then(|entry| self.decide_known(ask, &entry));
+        let known = stream
+            .entry(&ask.key)
+            .and_then(|entry| self.decide_known(ask, &entry));
         if let Some(decision) = known {
             return decision;
         }
@@ -203,13 +207,21 @@
         ran: Ran,
         answer: Option<KeptAnswer>,
     ) {
-        let finish = Finish { key: key.clone(), request: request.clone(), ran, answer };
+        let finish = Finish {
+            key: key.clone(),
+            request: request.clone(),
+            ran,
+            answer,
+        };
         self.stream(key).finish(finish);
     }
 }
 
 fn spawn(name: &str, run: impl FnOnce() + Send + 'static) -> Result<JoinHandle<()>> {
-    thread::Builder::new().name(name.into()).spawn(run).map_err(Error::system)
+    thread::Builder::new()
+        .name(name.into())
+        .spawn(run)
+        .map_err(Error::system)
 }
 
 fn finished(answer: Option<KeptAnswer>) -> ClaimDecision {
--- a/crates/node/src/control_tail.rs
+++ b/crates/node/src/control_tail.rs
@@ -70,7 +70,11 @@
     /// Reads one batch and returns whether that worked.
     fn step(&self) -> bool {
         let from = self.replayed.next_offset();
-        let wait_ms = if self.replayed.is_caught_up() { self.wait_ms } else { 0 };
+        let wait_ms = if self.replayed.is_caught_up() {
+            self.wait_ms
+        } else {
+            0
+        };
         let batch = self.log.read(&self.stream, from, READ_RECORDS, wait_ms);
         let reached = matches!(batch, Ok(_) | Err(Error::Expired { .. }));
         self.health.note_read(self.clock.monotonic_ms(), reached);
@@ -107,11 +111,16 @@
             match verdict {
                 Verdict::Accepted(_) => {}
                 Verdict::Rejected(_) | Verdict::Ignored(_) => {
-                    info!("control record {offset} had no effect: {}", verdict.as_str());
+                    info!(
+                        "control record {offset} had no effect: {}",
+                        verdict.as_str()
+                    );
                 }
             }
         }
-        self.metrics.node().set_replayed(self.replayed.next_offset());
+        self.metrics
+            .node()
+            .set_replayed(self.replayed.next_offset());
         let version = self.replayed.read(|state| state.config().version());
         self.metrics.node().set_config_version(version);
         (self.moved)();
--- a/crates/node/src/daemon.rs
+++ b/crates/node/src/daemon.rs
@@ -269,7 +269,10 @@
         self.membership.handle(MembershipEvent::DrainBegun);
         self.gateway.drain();
         if !self.gateway.wait_idle(self.grace) {
-            warn!("the grace time is over with {} requests in progress", self.gateway.in_progress());
+            warn!(
+                "the grace time is over with {} requests in progress",
+                self.gateway.in_progress()
+            );
         }
         self.callers.stop();
         self.callers.wait_idle(CLOSE_WAIT);
@@ -365,8 +368,7 @@
             ..Default::default()
         };
         let policy = Arc::clone(policy);
-        let (placement_wake, report_wake) =
-            (self.placement_wake.clone(), self.report_wake.clone());
+        let (placement_wake, report_wake) = (self.placement_wake.clone(), self.report_wake.clone());
         let demand = DemandInbox {
             table: Arc::clone(&self.demand),
             wake: Box::new(move || {
@@ -421,7 +423,10 @@
             clock: Arc::clone(&self.adapters.clock),
         };
         let address = self.settings.listen.peers;
-        let options = ServerOptions { listen: address, ..Default::default() };
+        let options = ServerOptions {
+            listen: address,
+            ..Default::default()
+        };
         let key = self.cluster_key()?;
         PeerServer::start(&options, key, Arc::new(answers), Arc::clone(counters))
             .map_err(|error| Error::listen(address, error))
@@ -438,8 +443,7 @@
     }
 
     fn tail(&self) -> ControlTail {
-        let (placement_wake, settle_wake) =
-            (self.placement_wake.clone(), self.settle_wake.clone());
+        let (placement_wake, settle_wake) = (self.placement_wake.clone(), self.settle_wake.clone());
         ControlTail {
             stream: self.settings.platform.control_stream.clone(),
             wait_ms: self.settings.platform.log_wait_ms,
@@ -483,7 +487,9 @@
         let loaded = move |intent: &IntentView, took_ms: u64| {
             let tier = fleet.tier(&intent.engine, &intent.model);
             metrics.node().loaded(tier, took_ms);
-            policy.lock().loaded(clock.monotonic_ms(), &intent.model, tier, took_ms);
+            policy
+                .lock()
+                .loaded(clock.monotonic_ms(), &intent.model, tier, took_ms);
         };
         let parts = RunnerParts {
             replayed: Arc::clone(&self.replayed),
@@ -521,8 +527,7 @@
             ..Default::default()
         };
         let address = self.settings.listen.callers;
-        let listener =
-            TcpListener::bind(address).map_err(|error| Error::listen(address, error))?;
+        let listener = TcpListener::bind(address).map_err(|error| Error::listen(address, error))?;
         Server::start(listener, options, gateway.clone(), gateway.clone())
             .map_err(|error| Error::listen(address, error))
     }
@@ -564,12 +569,19 @@
         let _ = counters;
         let render = move || {
             metrics.node().set_in_progress(gateway.in_progress() as u64);
-            metrics.node().set_draining(draining.load(Ordering::Relaxed));
+            metrics
+                .node()
+                .set_draining(draining.load(Ordering::Relaxed));
             metrics.render()
         };
         let address = self.settings.listen.admin;
-        apricotdale_admin::serve(address, Arc::new(source), Arc::new(render), Default::default())
-            .map_err(|error| Error::listen(address, error))
+        apricotdale_admin::serve(
+            address,
+            Arc::new(source),
+            Arc::new(render),
+            Default::default(),
+        )
+        .map_err(|error| Error::listen(address, error))
     }
 }
 
@@ -583,5 +595,8 @@
 }
 
 fn spawn(name: &str, run: impl FnOnce() + Send + 'static) -> Result<JoinHandle<()>> {
-    thread::Builder::new().name(name.into()).spawn(run).map_err(Error::system)
+    thread::Builder::new()
+        .name(name.into())
+        .spawn(run)
+        .map_err(Error::system)
 }
--- a/crates/node/src/demand.rs
+++ b/crates/node/src/demand.rs
@@ -66,7 +66,9 @@
             for _ in 0..demand.arrived {
                 tables.remote_arrivals.push(demand.model.clone());
             }
-            tables.remote.insert((vm.clone(), demand.model.clone()), (now_ms, demand));
+            tables
+                .remote
+                .insert((vm.clone(), demand.model.clone()), (now_ms, demand));
         }
     }
 
@@ -103,7 +105,9 @@
     /// Returns the demand over all VMs, one entry a model.
     pub fn totals(&self, now_ms: u64) -> BTreeMap<ModelName, TotalDemand> {
         let mut tables = self.tables.lock();
-        tables.remote.retain(|_, (at_ms, _)| now_ms.saturating_sub(*at_ms) < REPORT_LIFETIME_MS);
+        tables
+            .remote
+            .retain(|_, (at_ms, _)| now_ms.saturating_sub(*at_ms) < REPORT_LIFETIME_MS);
         let mut totals: BTreeMap<ModelName, TotalDemand> = BTreeMap::new();
         for request in tables.requests.values() {
             let total = totals.entry(request.model.clone()).or_default();
@@ -122,7 +126,12 @@
             total.waiting += demand.waiting;
             total.running += demand.running;
             let age_ms = now_ms.saturating_sub(*at_ms);
-            tighten(total, demand.tightest_ms.map(|left_ms| left_ms.saturating_sub(age_ms)));
+            tighten(
+                total,
+                demand
+                    .tightest_ms
+                    .map(|left_ms| left_ms.saturating_sub(age_ms)),
+            );
         }
         totals
     }
@@ -161,12 +170,20 @@
 impl DemandSink for DemandInbox {
     fn note(&self, now_ms: u64, event: DemandEvent) {
         match event {
-            DemandEvent::Arrived { ticket, model, deadline_ms } => {
+            DemandEvent::Arrived {
+                ticket,
+                model,
+                deadline_ms,
+            } => {
                 (self.arrived)(now_ms, &model);
                 let mut tables = self.table.tables.lock();
                 *tables.arrived.entry(model.clone()).or_default() += 1;
-                let request =
-                    LocalRequest { model, deadline_ms, arrived_ms: now_ms, started: false };
+                let request = LocalRequest {
+                    model,
+                    deadline_ms,
+                    arrived_ms: now_ms,
+                    started: false,
+                };
                 tables.requests.insert(ticket, request);
                 drop(tables);
                 (self.wake)();
--- a/crates/node/src/directory.rs
+++ b/crates/node/src/directory.rs
@@ -53,7 +53,10 @@
     fn models(&self) -> Vec<ModelSpec> {
         self.replayed.read(|state| {
             let config = state.config();
-            config.models().filter_map(|(model, _)| config.model_spec(model)).collect()
+            config
+                .models()
+                .filter_map(|(model, _)| config.model_spec(model))
+                .collect()
         })
     }
 
@@ -68,7 +71,9 @@
     fn replicas(&self, model: &ModelName) -> Vec<Candidate> {
         let view = self.membership.view();
         let engines: Vec<_> = self.replayed.read(|state| {
-            let loaded = state.replicas_of(model).filter(|one| one.stage() == Stage::Loaded);
+            let loaded = state
+                .replicas_of(model)
+                .filter(|one| one.stage() == Stage::Loaded);
             loaded.map(|replica| replica.engine.clone()).collect()
         });
         engines
--- a/crates/node/src/engine_reports.rs
+++ b/crates/node/src/engine_reports.rs
@@ -35,18 +35,17 @@
 
     /// Takes in a report that this VM read itself.
     pub fn note_read(&self, now_ms: u64, engine: &UpstreamName, report: LoadReport) {
-        let known = KnownReport { report, at_ms: now_ms, own: true };
+        let known = KnownReport {
+            report,
+            at_ms: now_ms,
+            own: true,
+        };
         self.reports.lock().insert(engine.clone(), known);
     }
 
     /// Takes in what a peer told, unless this VM knows something newer. Returns the report as it
     /// was taken in.
-    pub fn note_told(
-        &self,
-        now_ms: u64,
-        unix_ms: u64,
-        load: &ReplicaLoad,
-    ) -> Option<LoadReport> {
+    pub fn note_told(&self, now_ms: u64, unix_ms: u64, load: &ReplicaLoad) -> Option<LoadReport> {
         let report = LoadReport {
             as_of_ms: unix_ms.saturating_sub(load.age_ms),
             running: load.running,
@@ -61,7 +60,11 @@
         if !is_newer {
             return None;
         }
-        let known = KnownReport { report: report.clone(), at_ms: now_ms, own: false };
+        let known = KnownReport {
+            report: report.clone(),
+            at_ms: now_ms,
+            own: false,
+        };
         reports.insert(load.engine.clone(), known);
         Some(report)
     }
@@ -84,7 +87,9 @@
     /// Returns the loads of the given engines that this VM read itself, for a peer.
     pub fn loads(&self, unix_ms: u64, engines: &[UpstreamName]) -> Vec<ReplicaLoad> {
         let reports = self.reports.lock();
-        let known = engines.iter().filter_map(|engine| Some((engine, reports.get(engine)?)));
+        let known = engines
+            .iter()
+            .filter_map(|engine| Some((engine, reports.get(engine)?)));
         known
             .filter(|(_, known)| known.own)
             .map(|(engine, known)| ReplicaLoad {
--- a/crates/node/src/engine_watch.rs
+++ b/crates/node/src/engine_watch.rs
@@ -109,9 +109,12 @@
         let address = engine.entry.address;
         match self.reports.load_report(address) {
             Ok(report) => {
-                let event =
-                    RoutingEvent::Reported { upstream: name.clone(), report: report.clone() };
-                self.table.note_read(self.clock.monotonic_ms(), &name, report);
+                let event = RoutingEvent::Reported {
+                    upstream: name.clone(),
+                    report: report.clone(),
+                };
+                self.table
+                    .note_read(self.clock.monotonic_ms(), &name, report);
                 self.gateway.learn_routing(event);
             }
             Err(error) => warn!("load report of {name}: {error}"),
@@ -125,8 +128,9 @@
     /// Appends an observation if the status says something that replay does not know.
     fn compare(&self, engine: &UpstreamView, name: &UpstreamName, status: EngineStatus) {
         let unix_ms = self.clock.unix_ms();
-        let is_new =
-            self.replayed.read(|state| says_something_new(state, name, &status, unix_ms));
+        let is_new = self
+            .replayed
+            .read(|state| says_something_new(state, name, &status, unix_ms));
         self.table.note_status(name, status.clone());
         if !is_new {
             return;
@@ -136,7 +140,8 @@
             group: engine.entry.group.clone(),
             zone: engine.entry.zone.clone(),
         };
-        self.appender.propose(Persistence::Drop, observation(place, status), |_| {});
+        self.appender
+            .propose(Persistence::Drop, observation(place, status), |_| {});
     }
 
     /// Asks the VMs that read the other engines which this VM may use.
@@ -157,8 +162,11 @@
     }
 
     fn is_used(&self, engine: &UpstreamName) -> bool {
-        self.replayed
-            .read(|state| state.replicas_on(engine).any(|one| one.stage() == Stage::Loaded))
+        self.replayed.read(|state| {
+            state
+                .replicas_on(engine)
+                .any(|one| one.stage() == Stage::Loaded)
+        })
     }
 
     fn ask_peer(&self, address: SocketAddr, engines: Vec<UpstreamName>) {
@@ -170,7 +178,10 @@
         for load in loads {
             let (now_ms, unix_ms) = (self.clock.monotonic_ms(), self.clock.unix_ms());
             if let Some(report) = self.table.note_told(now_ms, unix_ms, &load) {
-                let event = RoutingEvent::Reported { upstream: load.engine, report };
+                let event = RoutingEvent::Reported {
+                    upstream: load.engine,
+                    report,
+                };
                 self.gateway.learn_routing(event);
             }
         }
@@ -178,7 +189,9 @@
 }
 
 fn engines(view: &View) -> impl Iterator<Item = &UpstreamView> {
-    view.upstreams.values().filter(|upstream| upstream.entry.role == VmRole::Engine)
+    view.upstreams
+        .values()
+        .filter(|upstream| upstream.entry.role == VmRole::Engine)
 }
 
 /// Returns whether a status differs from the replayed state in a way that its orders' owners will
@@ -189,25 +202,41 @@
     status: &EngineStatus,
     unix_ms: u64,
 ) -> bool {
-    let Some(engine) = state.engine(name).filter(|engine| !engine.is_gone()) else { return true };
+    let Some(engine) = state.engine(name).filter(|engine| !engine.is_gone()) else {
+        return true;
+    };
     if engine.boot() != status.boot {
         return engine.boot() < status.boot;
     }
     let is_known = |fence: FencingNumber| {
-        state.replicas_on(name).any(|one| FencingNumber::from(one.load) == fence)
+        state
+            .replicas_on(name)
+            .any(|one| FencingNumber::from(one.load) == fence)
             || engine.undecided.values().any(|one| one.fence == fence)
     };
-    let strange = status.residents.iter().any(|resident| !is_known(resident.fence));
-    let gone = engine
-        .undecided
-        .values()
-        .any(|one| !status.residents.iter().any(|resident| resident.fence == one.fence));
-    strange || gone || state.replicas_on(name).any(|one| differs(one, status, unix_ms))
+    let strange = status
+        .residents
+        .iter()
+        .any(|resident| !is_known(resident.fence));
+    let gone = engine.undecided.values().any(|one| {
+        !status
+            .residents
+            .iter()
+            .any(|resident| resident.fence == one.fence)
+    });
+    strange
+        || gone
+        || state
+            .replicas_on(name)
+            .any(|one| differs(one, status, unix_ms))
 }
 
 fn differs(replica: &Replica, status: &EngineStatus, unix_ms: u64) -> bool {
     let fence = FencingNumber::from(replica.load);
-    let resident = status.residents.iter().find(|resident| resident.fence == fence);
+    let resident = status
+        .residents
+        .iter()
+        .find(|resident| resident.fence == fence);
     let residency = resident.map(|resident| resident.residency);
     let is_settling = unix_ms.saturating_sub(replica.since_ms) < SETTLING_TIME_MS;
     match (replica.stage(), residency) {
--- a/crates/node/src/errors.rs
+++ b/crates/node/src/errors.rs
@@ -29,7 +29,10 @@
 impl Error {
     /// Returns an [`Error::Listen`].
     pub fn listen(address: SocketAddr, detail: impl ToString) -> Self {
-        Self::Listen { address, detail: detail.to_string() }
+        Self::Listen {
+            address,
+            detail: detail.to_string(),
+        }
     }
 
     /// Returns an [`Error::UnknownPolicy`].
--- a/crates/node/src/grouped_routing.rs
+++ b/crates/node/src/grouped_routing.rs
@@ -27,7 +27,12 @@
 impl GroupedRouting {
     /// Returns routing without any group yet.
     pub fn new(group_of: GroupOf, new_policy: NewPolicy) -> Self {
-        Self { group_of, new_policy, policies: BTreeMap::new(), known: BTreeMap::new() }
+        Self {
+            group_of,
+            new_policy,
+            policies: BTreeMap::new(),
+            known: BTreeMap::new(),
+        }
     }
 
     fn policy(&mut self, upstream: &UpstreamName) -> Option<&mut Box<dyn RoutingPolicy>> {
@@ -60,6 +65,7 @@
         candidates: &[Candidate],
     ) -> Option<usize> {
         let first = candidates.first()?;
-        self.policy(&first.upstream)?.choose(now_ms, request, candidates)
+        self.policy(&first.upstream)?
+            .choose(now_ms, request, candidates)
     }
 }
--- a/crates/node/src/joining.rs
+++ b/crates/node/src/joining.rs
@@ -26,6 +26,9 @@
 /// How long to wait for an appended join to be replayed before it is appended again.
 const REPLAY_WAIT: Duration = Duration::from_secs(2);
 
+/// How often to look whether the state has caught up.
+const CATCH_UP_PAUSE: Duration = Duration::from_millis(20);
+
 /// The pause after an append that failed.
 const RETRY_PAUSE: Duration = Duration::from_millis(300);
 
@@ -54,13 +57,17 @@
 impl Joining {
     /// Joins, trying until it works or the daemon stops.
     pub fn run(self) {
-        let join = Join { vm: self.vm.clone(), zone: self.zone.clone(), process_id: self.process_id };
+        let join = Join {
+            vm: self.vm.clone(),
+            zone: self.zone.clone(),
+            process_id: self.process_id,
+        };
         let payload = ControlRecord::Join(join).encode();
         let mut appended = false;
         let mut earlier = None;
         while !self.stop.load(Ordering::Relaxed) {
             if !self.replayed.is_caught_up() {
-                thread::sleep(RETRY_PAUSE);
+                thread::sleep(CATCH_UP_PAUSE);
                 continue;
             }
             earlier = earlier.or_else(|| self.earlier_epoch());
@@ -83,15 +90,22 @@
     /// Returns this process's epoch once its join is replayed. Before a join was appended there is
     /// nothing to wait for.
     fn find_epoch(&self, appended: bool) -> Option<Epoch> {
-        let timeout = if appended { REPLAY_WAIT } else { Duration::ZERO };
-        self.replayed.wait_for(timeout, |state| state.epoch_of(&self.vm, self.process_id))
+        let timeout = if appended {
+            REPLAY_WAIT
+        } else {
+            Duration::ZERO
+        };
+        self.replayed
+            .wait_for(timeout, |state| state.epoch_of(&self.vm, self.process_id))
     }
 
     /// Returns the epoch of the process that ran on this VM before.
     fn earlier_epoch(&self) -> Option<Epoch> {
         self.replayed.read(|state| {
             let mut newest = state.members().newest();
-            let member = newest.find(|(vm, _)| **vm == self.vm).map(|(_, member)| member)?;
+            let member = newest
+                .find(|(vm, _)| **vm == self.vm)
+                .map(|(_, member)| member)?;
             (member.process_id != self.process_id).then_some(member.epoch)
         })
     }
@@ -104,7 +118,13 @@
         let vm = self.vm.clone();
         self.appender.propose(
             Persistence::Keep,
-            move |proposer| ControlRecord::Depart(Depart { proposer, vm: vm.clone(), epoch }),
+            move |proposer| {
+                ControlRecord::Depart(Depart {
+                    proposer,
+                    vm: vm.clone(),
+                    epoch,
+                })
+            },
             |_| {},
         );
     }
--- a/crates/node/src/log_health.rs
+++ b/crates/node/src/log_health.rs
@@ -19,13 +19,21 @@
 impl LogHealth {
     /// Notes the outcome of an append.
     pub fn note_append(&self, now_ms: u64, worked: bool) {
-        let cell = if worked { &self.append_ok_ms } else { &self.append_failed_ms };
+        let cell = if worked {
+            &self.append_ok_ms
+        } else {
+            &self.append_failed_ms
+        };
         cell.store(now_ms.max(1), Ordering::Relaxed);
     }
 
     /// Notes the outcome of a read.
     pub fn note_read(&self, now_ms: u64, worked: bool) {
-        let cell = if worked { &self.read_ok_ms } else { &self.read_failed_ms };
+        let cell = if worked {
+            &self.read_ok_ms
+        } else {
+            &self.read_failed_ms
+        };
         cell.store(now_ms.max(1), Ordering::Relaxed);
     }
 
--- a/crates/node/src/membership_loop.rs
+++ b/crates/node/src/membership_loop.rs
@@ -72,7 +72,9 @@
         let reader = Arc::clone(&this);
         // The list is read on a thread of its own: a platform that answers slowly must not hold up
         // heartbeats, or peers would be suspected because of it.
-        let reading = thread::Builder::new().name("vm-list".into()).spawn(move || reader.read_list());
+        let reading = thread::Builder::new()
+            .name("vm-list".into())
+            .spawn(move || reader.read_list());
         while !this.stopped() {
             this.take_in(MembershipEvent::Tick);
             thread::sleep(TICK);
@@ -148,14 +150,19 @@
     /// runs another program version with other rules, or has a fault in its memory.
     fn check_digest(&self, beat: &Heartbeat) {
         if self.heartbeats.note_peer(beat) {
-            warn!("{} has another state than this VM at offset {}", beat.vm, beat.digest_at);
+            warn!(
+                "{} has another state than this VM at offset {}",
+                beat.vm, beat.digest_at
+            );
         }
     }
 
     fn propose_depart(&self, vm: VmName, as_of_ms: u64) {
         let epoch: Option<Epoch> = self.replayed.read(|state| {
             let mut newest = state.members().newest();
-            newest.find(|(name, _)| **name == vm).map(|(_, member)| member.epoch)
+            newest
+                .find(|(name, _)| **name == vm)
+                .map(|(_, member)| member.epoch)
         });
         let Some(epoch) = epoch else {
             self.membership.handle(MembershipEvent::Departed { vm });
@@ -165,19 +172,28 @@
         let name = vm.clone();
         self.appender.propose(
             Persistence::Drop,
-            move |proposer| ControlRecord::Depart(Depart { proposer, vm: name.clone(), epoch }),
+            move |proposer| {
+                ControlRecord::Depart(Depart {
+                    proposer,
+                    vm: name.clone(),
+                    epoch,
+                })
+            },
             |_| {},
         );
     }
 
     fn propose_gone(&self, upstream: UpstreamName, as_of_ms: u64) {
-        self.gateway.learn_routing(RoutingEvent::Removed { upstream: upstream.clone() });
+        self.gateway.learn_routing(RoutingEvent::Removed {
+            upstream: upstream.clone(),
+        });
         let boot = self.replayed.read(|state| {
             let engine = state.engine(&upstream).filter(|engine| !engine.is_gone());
             engine.map(|engine| engine.boot())
         });
         let Some(boot) = boot else {
-            self.membership.handle(MembershipEvent::UpstreamDeparted { upstream });
+            self.membership
+                .handle(MembershipEvent::UpstreamDeparted { upstream });
             return;
         };
         info!("the list of {as_of_ms} says that {upstream} is gone");
--- a/crates/node/src/membership_view.rs
+++ b/crates/node/src/membership_view.rs
@@ -20,7 +20,10 @@
 impl SharedMembership {
     /// Returns shared membership.
     pub fn new(membership: Membership, clock: Arc<dyn Clock>) -> Self {
-        Self { membership: Mutex::new(membership), clock }
+        Self {
+            membership: Mutex::new(membership),
+            clock,
+        }
     }
 
     /// Returns the present view.
@@ -37,5 +40,8 @@
 
 /// Returns a reading of both clocks.
 pub fn moment(clock: &dyn Clock) -> Moment {
-    Moment { monotonic_ms: clock.monotonic_ms(), unix_ms: clock.unix_ms() }
+    Moment {
+        monotonic_ms: clock.monotonic_ms(),
+        unix_ms: clock.unix_ms(),
+    }
 }
--- a/crates/node/src/operating/admin_source.rs
+++ b/crates/node/src/operating/admin_source.rs
@@ -95,7 +95,9 @@
     fn check_ready(&self) -> Result<()> {
         match self.parts.replayed.is_caught_up() {
             true => Ok(()),
-            false => Err(Error::not_ready("the control stream has not been replayed yet")),
+            false => Err(Error::not_ready(
+                "the control stream has not been replayed yet",
+            )),
         }
     }
 
@@ -123,7 +125,10 @@
             in_progress: parts.gateway.in_progress() as u64,
             replayed: parts.replayed.next_offset(),
             config_version: parts.replayed.read(|state| state.config().version()),
-            log_read_age_ms: parts.health.last_read_ms().map(|at_ms| now_ms.saturating_sub(at_ms)),
+            log_read_age_ms: parts
+                .health
+                .last_read_ms()
+                .map(|at_ms| now_ms.saturating_sub(at_ms)),
         }
     }
 
@@ -154,7 +159,10 @@
                 let demand = totals.get(&spec.model).copied().unwrap_or_default();
                 views::model_line(state, spec, demand)
             });
-            ModelsView { replayed: state.next_offset(), models: lines.collect() }
+            ModelsView {
+                replayed: state.next_offset(),
+                models: lines.collect(),
+            }
         }))
     }
 
@@ -171,7 +179,10 @@
                 })
                 .collect()
         });
-        Ok(UpstreamsView { list_age_ms: self.list_age_ms(), upstreams: lines })
+        Ok(UpstreamsView {
+            list_age_ms: self.list_age_ms(),
+            upstreams: lines,
+        })
     }
 
     fn members(&self) -> Result<MembersView> {
@@ -186,13 +197,19 @@
             let joined = newest.iter().map(|(vm, _)| (*vm).clone());
             let names: BTreeSet<VmName> = joined.chain([parts.vm.clone()]).collect();
             let lines = names.iter().filter_map(|vm| {
-                let member = newest.iter().find(|(name, _)| *name == vm).map(|(_, one)| *one);
+                let member = newest
+                    .iter()
+                    .find(|(name, _)| *name == vm)
+                    .map(|(_, one)| *one);
                 let heard = parts.heartbeats.peer(vm);
                 views::member_line(vm, own, member, &view, heard.as_ref(), now_ms)
             });
             lines.collect()
         });
-        Ok(MembersView { list_age_ms: self.list_age_ms(), members })
+        Ok(MembersView {
+            list_age_ms: self.list_age_ms(),
+            members,
+        })
     }
 
     fn explain(&self, request: &RequestId) -> Result<Explanation> {
@@ -234,7 +251,9 @@
     let text = |name: &str| fields.get(name).and_then(Value::as_str).map(str::to_owned);
     let details = fields.as_object().into_iter().flatten();
     let details = details.filter(|(name, value)| name.as_str() != "step" && !value.is_null());
-    let details: Vec<String> = details.map(|(name, value)| format!("{name}={value}")).collect();
+    let details: Vec<String> = details
+        .map(|(name, value)| format!("{name}={value}"))
+        .collect();
     ExplanationStep {
         after_ms: traced.after_ms,
         step: text("step").unwrap_or_default(),
--- a/crates/node/src/operating/publisher.rs
+++ b/crates/node/src/operating/publisher.rs
@@ -11,6 +11,7 @@
 use apricotdale_core::log::LogClient;
 use apricotdale_core::names::StreamName;
 use apricotdale_core::numbers::ConfigVersion;
+use apricotdale_core::numbers::Offset;
 use apricotdale_state::Accepted;
 use apricotdale_state::IgnoreReason;
 use apricotdale_state::RejectReason;
@@ -46,6 +47,7 @@
         if let Some(rejected) = self.check(&change) {
             return rejected;
         }
+        self.await_first_record();
         let change_id = change.change_id;
         let payload = ControlRecord::Config(change).encode();
         match self.log.append(&self.stream, &payload) {
@@ -75,8 +77,9 @@
                 detail: "this VM has not yet learned the configuration in force".into(),
             });
         }
-        let (version, fault) =
-            self.replayed.read(|state| (state.config().version(), state.config().validate(change)));
+        let (version, fault) = self
+            .replayed
+            .read(|state| (state.config().version(), state.config().validate(change)));
         match fault {
             _ if version > change.base_version => Some(stale(version)),
             Some(fault) => Some(PublishOutcome::Rejected {
@@ -87,8 +90,17 @@
         }
     }
 
+    /// Waits until the stream has a first record. Version zero stands for "nothing published", so
+    /// replay rejects a change at offset zero; the joins of the VMs come before it.
+    fn await_first_record(&self) {
+        self.replayed.wait_for(REPLAY_WAIT, |state| {
+            (state.next_offset() > Offset(0)).then_some(())
+        });
+    }
+
     fn verdict(&self, change_id: u64) -> Option<Verdict> {
-        self.replayed.read(|state| state.change(change_id).map(|change| change.verdict.clone()))
+        self.replayed
+            .read(|state| state.change(change_id).map(|change| change.verdict.clone()))
     }
 
     fn await_verdict(&self, change_id: u64) -> PublishOutcome {
@@ -119,7 +131,10 @@
             detail: fault.to_string(),
         },
         Verdict::Ignored(IgnoreReason::RepeatedChange) | Verdict::Accepted(_) => {
-            PublishOutcome::Unknown { change_id, detail: "the change was decided before".into() }
+            PublishOutcome::Unknown {
+                change_id,
+                detail: "the change was decided before".into(),
+            }
         }
         Verdict::Rejected(_) | Verdict::Ignored(_) => PublishOutcome::Rejected {
             reason: verdict.as_str().into(),
--- a/crates/node/src/peer_answers.rs
+++ b/crates/node/src/peer_answers.rs
@@ -57,13 +57,21 @@
         replayed: Arc<Replayed>,
         clock: Arc<dyn Clock>,
     ) -> Self {
-        Self { vm, process_id, draining, replayed, clock, peers: Mutex::default() }
+        Self {
+            vm,
+            process_id,
+            draining,
+            replayed,
+            clock,
+            peers: Mutex::default(),
+        }
     }
 
     /// Returns this VM's heartbeat.
     pub fn heartbeat(&self) -> Heartbeat {
-        let (replayed, digest) =
-            self.replayed.read(|state| (state.next_offset(), state.digest().unwrap_or_default()));
+        let (replayed, digest) = self
+            .replayed
+            .read(|state| (state.next_offset(), state.digest().unwrap_or_default()));
         Heartbeat {
             vm: self.vm.clone(),
             process_id: self.process_id,
@@ -95,7 +103,11 @@
 
 /// Returns what a heartbeat says of its sender's process.
 pub fn sign_of(beat: &Heartbeat) -> PeerSign {
-    PeerSign { vm: beat.vm.clone(), process_id: beat.process_id, draining: beat.draining }
+    PeerSign {
+        vm: beat.vm.clone(),
+        process_id: beat.process_id,
+        draining: beat.draining,
+    }
 }
 
 /// `PeerAnswers` answers this VM's peers.
@@ -119,7 +131,8 @@
         match request {
             PeerRequest::Heartbeat(beat) => {
                 self.heartbeats.note_peer(&beat);
-                self.membership.handle(MembershipEvent::HeartbeatHeard(sign_of(&beat)));
+                self.membership
+                    .handle(MembershipEvent::HeartbeatHeard(sign_of(&beat)));
                 PeerReply::Heartbeat(self.heartbeats.heartbeat())
             }
             PeerRequest::Demand(demand) => {
--- a/crates/node/src/placing/capacity.rs
+++ b/crates/node/src/placing/capacity.rs
@@ -37,7 +37,12 @@
         reports: Arc<ReportTable>,
         gateway: Arc<Gateway>,
     ) -> Self {
-        Self { directory, reports, gateway, told: BTreeMap::new() }
+        Self {
+            directory,
+            reports,
+            gateway,
+            told: BTreeMap::new(),
+        }
     }
 
     /// Tells the gateway what has changed. `ready_at_ms` gives the time at which a model without
@@ -50,14 +55,24 @@
         }
         for service in self.services() {
             let instances = self.directory.instances(&service).len();
-            let total = u32::try_from(instances).unwrap_or(u32::MAX).saturating_mul(SERVICE_SLOTS);
-            self.tell(service_target(&service), own_share(total, &service, view), None);
+            let total = u32::try_from(instances)
+                .unwrap_or(u32::MAX)
+                .saturating_mul(SERVICE_SLOTS);
+            self.tell(
+                service_target(&service),
+                own_share(total, &service, view),
+                None,
+            );
         }
     }
 
     fn services(&self) -> Vec<GroupName> {
         self.directory.replayed.read(|state| {
-            state.config().services().map(|service| service.service).collect()
+            state
+                .config()
+                .services()
+                .map(|service| service.service)
+                .collect()
         })
     }
 
--- a/crates/node/src/placing/demand_reporter.rs
+++ b/crates/node/src/placing/demand_reporter.rs
@@ -67,11 +67,17 @@
             }
         }
         for (vm, models) in by_vm {
-            let Some(address) = view.peer_address(&vm) else { continue };
-            let request = PeerRequest::Demand(Demand { vm: self.vm.clone(), models });
+            let Some(address) = view.peer_address(&vm) else {
+                continue;
+            };
+            let request = PeerRequest::Demand(Demand {
+                vm: self.vm.clone(),
+                models,
+            });
             // A lost report costs a step of waiting: this VM then proposes by itself.
             if self.link.ask(address, &request, self.timeout_ms).is_err() {
-                self.membership.handle(MembershipEvent::HeartbeatMissed { vm });
+                self.membership
+                    .handle(MembershipEvent::HeartbeatMissed { vm });
             }
         }
     }
--- a/crates/node/src/placing/fleet.rs
+++ b/crates/node/src/placing/fleet.rs
@@ -95,7 +95,9 @@
         let known = self.reports.report(engine);
         let held = known.and_then(|known| {
             let mut checkpoints = known.report.checkpoints.into_iter();
-            checkpoints.find(|one| one.model == *model).map(|one| one.tier)
+            checkpoints
+                .find(|one| one.model == *model)
+                .map(|one| one.tier)
         });
         held.unwrap_or(CacheTier::Remote)
     }
@@ -145,7 +147,9 @@
     view: &View,
     now_ms: u64,
 ) -> ModelView {
-    let waited_ms = demand.waiting_since_ms.map_or(0, |since_ms| now_ms.saturating_sub(since_ms));
+    let waited_ms = demand
+        .waiting_since_ms
+        .map_or(0, |since_ms| now_ms.saturating_sub(since_ms));
     ModelView {
         model: model.clone(),
         base: configured.base.clone(),
@@ -160,5 +164,8 @@
 
 fn tightest_target_ms(state: &ControlState) -> u64 {
     let classes = state.config().classes();
-    classes.map(|(_, class)| class.answer_within_ms).min().unwrap_or(0)
+    classes
+        .map(|(_, class)| class.answer_within_ms)
+        .min()
+        .unwrap_or(0)
 }
--- a/crates/node/src/placing/placement_loop.rs
+++ b/crates/node/src/placing/placement_loop.rs
@@ -87,7 +87,11 @@
 impl PlacementLoop {
     /// Returns a loop that has proposed nothing yet.
     pub fn new(parts: PlacementParts) -> Self {
-        Self { parts, held: HeldModels::default(), ready_at_ms: BTreeMap::new() }
+        Self {
+            parts,
+            held: HeldModels::default(),
+            ready_at_ms: BTreeMap::new(),
+        }
     }
 
     /// Runs until the daemon stops.
@@ -124,7 +128,11 @@
 
     fn carry_out(&mut self, action: PlacementAction) {
         match action {
-            PlacementAction::Load { model, engine, ready_at_ms } => {
+            PlacementAction::Load {
+                model,
+                engine,
+                ready_at_ms,
+            } => {
                 self.ready_at_ms.insert(model.clone(), ready_at_ms);
                 self.propose_load(&model, &engine);
             }
@@ -141,7 +149,9 @@
             let version = state.config().model(model)?.version;
             Some((boot, version, state.replica_count(model)))
         });
-        let Some((boot, model_version, expected_replicas)) = based_on else { return };
+        let Some((boot, model_version, expected_replicas)) = based_on else {
+            return;
+        };
         info!("proposing to load {model} on {engine}, {expected_replicas} replicas so far");
         let (name, engine) = (model.clone(), engine.clone());
         self.propose(model, move |proposer| {
@@ -159,8 +169,7 @@
     fn propose_unload(&self, model: &ModelName, engine: &UpstreamName) {
         let load = self.parts.source.replayed.read(|state| {
             let mut replicas = state.replicas_of(model);
-            let loaded =
-                replicas.find(|one| one.engine == *engine && one.stage() == Stage::Loaded);
+            let loaded = replicas.find(|one| one.engine == *engine && one.stage() == Stage::Loaded);
             loaded.map(|replica| replica.load)
         });
         let Some(load) = load else { return };
@@ -189,16 +198,18 @@
         let held = Arc::clone(&self.held);
         let clock = Arc::clone(&self.parts.clock);
         let model = model.clone();
-        self.parts.appender.propose(Persistence::Drop, build, move |appended| {
-            let mut held = held.lock();
-            match appended {
-                Appended::At(offset) => held.insert(model, Held::Appended(offset)),
-                Appended::Not(_) => held.remove(&model),
-                Appended::Unknown(_) => {
-                    held.insert(model, Held::Until(clock.monotonic_ms() + UNKNOWN_HOLD_MS))
-                }
-            };
-        });
+        self.parts
+            .appender
+            .propose(Persistence::Drop, build, move |appended| {
+                let mut held = held.lock();
+                match appended {
+                    Appended::At(offset) => held.insert(model, Held::Appended(offset)),
+                    Appended::Not(_) => held.remove(&model),
+                    Appended::Unknown(_) => {
+                        held.insert(model, Held::Until(clock.monotonic_ms() + UNKNOWN_HOLD_MS))
+                    }
+                };
+            });
     }
 
     /// Lets models be proposed again whose proposals have been replayed.
@@ -230,14 +241,22 @@
             if !reserved {
                 let detail = "the model is not loaded, and no load can be decided now";
                 let refusal = Refusal::not_run(RefusalReason::LogUnavailable, detail);
-                self.parts.gateway.hopeless(&model, &refusal.retry_after(LOG_RETRY_MS));
+                self.parts
+                    .gateway
+                    .hopeless(&model, &refusal.retry_after(LOG_RETRY_MS));
             }
         }
     }
 
     fn waiting_models(&self) -> BTreeSet<ModelName> {
-        let totals = self.parts.source.demand.totals(self.parts.clock.monotonic_ms());
-        let waiting = totals.into_iter().filter(|(_, demand)| demand.waiting_here > 0);
+        let totals = self
+            .parts
+            .source
+            .demand
+            .totals(self.parts.clock.monotonic_ms());
+        let waiting = totals
+            .into_iter()
+            .filter(|(_, demand)| demand.waiting_here > 0);
         waiting.map(|(model, _)| model).collect()
     }
 
--- a/crates/node/src/policies.rs
+++ b/crates/node/src/policies.rs
@@ -39,17 +39,24 @@
     routing_policy(&name, options.clone()).map_err(Error::unknown_policy)?;
     let group_of = move |upstream: &UpstreamName| -> Option<GroupName> {
         let view = membership.view();
-        view.upstreams.get(upstream).map(|view| view.entry.group.clone())
+        view.upstreams
+            .get(upstream)
+            .map(|view| view.entry.group.clone())
     };
-    let new_policy = move || {
-        routing_policy(&name, options.clone()).expect("the name was known a moment ago")
-    };
-    Ok(Box::new(GroupedRouting::new(Box::new(group_of), Box::new(new_policy))))
+    let new_policy =
+        move || routing_policy(&name, options.clone()).expect("the name was known a moment ago");
+    Ok(Box::new(GroupedRouting::new(
+        Box::new(group_of),
+        Box::new(new_policy),
+    )))
 }
 
 /// Returns the retry policy.
 pub fn retry(settings: &Settings, seed: u64) -> Result<Box<dyn RetryPolicy>> {
-    let options = RetryOptions { seed, ..Default::default() };
+    let options = RetryOptions {
+        seed,
+        ..Default::default()
+    };
     retry_policy(&settings.policies.retry, options).map_err(Error::unknown_policy)
 }
 
--- a/crates/node/src/replayed.rs
+++ b/crates/node/src/replayed.rs
@@ -59,8 +59,9 @@
         let verdicts = records
             .iter()
             .map(|record| {
-                let verdict =
-                    inner.state.apply(record.offset, record.appended_ms, &record.payload);
+                let verdict = inner
+                    .state
+                    .apply(record.offset, record.appended_ms, &record.payload);
                 (record.offset, verdict)
             })
             .collect();
--- a/crates/node/src/settling/freshness.rs
+++ b/crates/node/src/settling/freshness.rs
@@ -47,7 +47,13 @@
         clock: Arc<dyn Clock>,
     ) -> Self {
         let detector = Mutex::new(PauseDetector::new(FREEZE_LIMIT_MS));
-        Self { log, stream, replayed, clock, detector }
+        Self {
+            log,
+            stream,
+            replayed,
+            clock,
+            detector,
+        }
     }
 
     /// Takes in that the daemon's loop runs. Called at each tick.
@@ -65,7 +71,9 @@
     pub fn confirm(&self) -> bool {
         let began = moment(&*self.clock);
         let from = self.replayed.next_offset();
-        let Ok(batch) = self.log.read(&self.stream, from, 1, 0) else { return false };
+        let Ok(batch) = self.log.read(&self.stream, from, 1, 0) else {
+            return false;
+        };
         let reached = self.replayed.wait_for(REPLAY_WAIT, |state| {
             (state.next_offset() >= batch.end).then_some(())
         });
--- a/crates/node/src/settling/outcome.rs
+++ b/crates/node/src/settling/outcome.rs
@@ -33,8 +33,13 @@
     let boot = status.map(|status| status.boot);
     let sequence = status.map(|status| status.sequence);
     move |proposer| {
-        let settlement =
-            Settlement { proposer, intent, outcome: outcome.clone(), boot, sequence };
+        let settlement = Settlement {
+            proposer,
+            intent,
+            outcome: outcome.clone(),
+            boot,
+            sequence,
+        };
         match kind {
             IntentKind::Load => ControlRecord::LoadSettled(settlement),
             IntentKind::Unload => ControlRecord::UnloadSettled(settlement),
--- a/crates/node/src/settling/runner.rs
+++ b/crates/node/src/settling/runner.rs
@@ -110,13 +110,20 @@
     }
 
     fn look(&mut self) {
-        let Some(epoch) = self.parts.epoch.get() else { return };
-        let intents: Vec<IntentView> =
-            self.parts.replayed.read(|state| state.unsettled().collect());
+        let Some(epoch) = self.parts.epoch.get() else {
+            return;
+        };
+        let intents: Vec<IntentView> = self
+            .parts
+            .replayed
+            .read(|state| state.unsettled().collect());
         let unsettled: BTreeSet<Offset> = intents.iter().map(|intent| intent.intent).collect();
-        self.started.retain(|(intent, _)| unsettled.contains(intent));
-        self.first_seen_ms.retain(|intent, _| unsettled.contains(intent));
-        self.proposed_ms.retain(|intent, _| unsettled.contains(intent));
+        self.started
+            .retain(|(intent, _)| unsettled.contains(intent));
+        self.first_seen_ms
+            .retain(|intent, _| unsettled.contains(intent));
+        self.proposed_ms
+            .retain(|intent, _| unsettled.contains(intent));
         for intent in intents {
             match intent.owner.epoch == epoch && !self.wants_newer_take_over(&intent) {
                 true => self.act(intent),
@@ -166,12 +173,20 @@
         if !may || recently {
             return;
         }
-        info!("taking over the intent at {} for {}", intent.intent, intent.model);
+        info!(
+            "taking over the intent at {} for {}",
+            intent.intent, intent.model
+        );
         self.proposed_ms.insert(intent.intent, now_ms);
         let offset = intent.intent;
         self.parts.appender.propose(
             Persistence::Drop,
-            move |proposer| ControlRecord::TakeOver(TakeOver { proposer, intent: offset }),
+            move |proposer| {
+                ControlRecord::TakeOver(TakeOver {
+                    proposer,
+                    intent: offset,
+                })
+            },
             |_| {},
         );
     }
@@ -189,7 +204,9 @@
     fn checks_fence(&self, intent: &IntentView) -> bool {
         intent.kind == IntentKind::Load
             && self.parts.replayed.read(|state| {
-                state.engine(&intent.engine).is_some_and(|engine| engine.checks_fence)
+                state
+                    .engine(&intent.engine)
+                    .is_some_and(|engine| engine.checks_fence)
             })
     }
 }
--- a/crates/node/src/settling/sender.rs
+++ b/crates/node/src/settling/sender.rs
@@ -132,13 +132,18 @@
 
     fn settle(&self, settled: SettledAs, status: Option<&EngineStatus>) {
         let record = outcome::settlement(self.intent.kind, self.intent.intent, settled, status);
-        self.parts.appender.propose(Persistence::Keep, record, |_| {});
+        self.parts
+            .appender
+            .propose(Persistence::Keep, record, |_| {});
     }
 
     /// The order's effect is unknown. Taking the own intent over says that the order will not be
     /// sent again; what it did is then read from the engine.
     fn take_own_over(&self, reason: &str) {
-        warn!("outcome of the order for {} is unknown: {reason}", self.intent.model);
+        warn!(
+            "outcome of the order for {} is unknown: {reason}",
+            self.intent.model
+        );
         let intent = self.intent.intent;
         self.parts.appender.propose(
             Persistence::Keep,
--- a/crates/node/src/settling/settler.rs
+++ b/crates/node/src/settling/settler.rs
@@ -50,8 +50,7 @@
         self.parts.replayed.read(|state| {
             let mut unsettled = state.unsettled_of(self.intent.owner.epoch);
             unsettled.any(|intent| {
-                intent.intent == self.intent.intent
-                    && intent.owner.since == self.intent.owner.since
+                intent.intent == self.intent.intent && intent.owner.since == self.intent.owner.since
             })
         })
     }
@@ -65,7 +64,10 @@
         match self.parts.orders.raise_fence(address, fence) {
             Ok(status) => Some(status),
             Err(error) => {
-                warn!("raising the fence of {} failed: {error}", self.intent.engine);
+                warn!(
+                    "raising the fence of {} failed: {error}",
+                    self.intent.engine
+                );
                 self.parts.reports.status(address).ok()
             }
         }
@@ -85,18 +87,18 @@
     }
 
     fn settle(&self, outcome: SettledAs, status: EngineStatus) {
-        let record = outcome::settlement(
-            self.intent.kind,
-            self.intent.intent,
-            outcome,
-            Some(&status),
-        );
+        let record =
+            outcome::settlement(self.intent.kind, self.intent.intent, outcome, Some(&status));
         // Replay takes a reading of an engine's run only after it has seen that run.
         if let Some(place) = self.place() {
             let observation = outcome::observation(place, status);
-            self.parts.appender.propose(Persistence::Keep, observation, |_| {});
+            self.parts
+                .appender
+                .propose(Persistence::Keep, observation, |_| {});
         }
-        self.parts.appender.propose(Persistence::Keep, record, |_| {});
+        self.parts
+            .appender
+            .propose(Persistence::Keep, record, |_| {});
     }
 
     fn place(&self) -> Option<EnginePlace> {
