--- a/crates/launcher/src/cluster/mod.rs
+++ b/crates/launcher/src/cluster/mod.rs
@@ -11,13 +11,6 @@
 use std::net::SocketAddr;
 use std::path::PathBuf;
 
-use apricotdale_admin::AdminClient;
-use apricotdale_admin::ClientOptions;
-use apricotdale_admin::PublishOutcome;
-use apricotdale_admin::PublishRequest;
-use apricotdale_core::config::ConfigEdit;
-use apricotdale_core::vm_list::VmEntry;
-use apricotdale_core::vm_list::VmState;
 use nix::sys::signal::Signal;
 use serde_json::json;
 use tempfile::TempDir;
@@ -31,6 +24,13 @@
 use crate::processes::Processes;
 use crate::ready::DaemonAddresses;
 use crate::standin::StandinClient;
+use apricotdale_admin::AdminClient;
+use apricotdale_admin::ClientOptions;
+use apricotdale_admin::PublishOutcome;
+use apricotdale_admin::PublishRequest;
+use apricotdale_core::config::ConfigEdit;
+use apricotdale_core::vm_list::VmEntry;
+use apricotdale_core::vm_list::VmState;
 
 /// The name of the log's stand-in.
 pub const LOG: &str = "log";
--- a/crates/launcher/src/cluster/records.rs
+++ b/crates/launcher/src/cluster/records.rs
@@ -2,9 +2,6 @@
 
 use std::collections::BTreeSet;
 
-use apricotdale_core::control::ControlRecord;
-use apricotdale_core::control::LoadIntent;
-use apricotdale_core::numbers::Offset;
 use base64::Engine;
 use base64::engine::general_purpose::STANDARD;
 use serde::Deserialize;
@@ -12,6 +9,9 @@
 use crate::errors::Error;
 use crate::errors::Result;
 use crate::standin::StandinClient;
+use apricotdale_core::control::ControlRecord;
+use apricotdale_core::control::LoadIntent;
+use apricotdale_core::numbers::Offset;
 use apricotdale_state::Accepted;
 use apricotdale_state::ControlState;
 use apricotdale_state::Verdict;
@@ -84,27 +84,35 @@
     Ok(intents.collect())
 }
 
-/// Returns the offsets of the load intents that replay accepted, in order.
+/// Returns what replay makes of each record of the control stream, in order, with its offset.
 ///
 /// # Errors
 ///
 /// As for [`read_stream`]; `Error::Failed` once the stream was trimmed, because replay needs all
 /// records from the first one on.
-pub fn decided_loads(log: &StandinClient) -> Result<BTreeSet<u64>> {
+pub fn verdicts(log: &StandinClient) -> Result<Vec<(u64, Verdict)>> {
     let (records, _) = read_stream(log, CONTROL_STREAM)?;
     if records.first().is_some_and(|record| record.offset > 0) {
-        return Err(Error::failed(
-            "counting decisions",
-            "the stream was trimmed",
-        ));
+        return Err(Error::failed("replaying", "the stream was trimmed"));
     }
     let mut state = ControlState::new();
-    let decided = records.into_iter().filter(|record| {
-        let offset = Offset(record.offset);
-        let verdict = state.apply(offset, record.appended_ms, &record.payload);
-        verdict == Verdict::Accepted(Accepted::LoadReserved)
+    let verdicts = records.into_iter().map(|record| {
+        let verdict = state.apply(Offset(record.offset), record.appended_ms, &record.payload);
+        (record.offset, verdict)
     });
-    Ok(decided.map(|record| record.offset).collect())
+    Ok(verdicts.collect())
+}
+
+/// Returns the offsets of the load intents that replay accepted, in order.
+///
+/// # Errors
+///
+/// As for [`verdicts`].
+pub fn decided_loads(log: &StandinClient) -> Result<BTreeSet<u64>> {
+    let reserved = Verdict::Accepted(Accepted::LoadReserved);
+    let verdicts = verdicts(log)?.into_iter();
+    let decided = verdicts.filter(|(_, verdict)| *verdict == reserved);
+    Ok(decided.map(|(offset, _)| offset).collect())
 }
 
 /// Returns the first offset that a stream still keeps.
--- a/crates/launcher/src/cluster/start.rs
+++ b/crates/launcher/src/cluster/start.rs
@@ -6,11 +6,6 @@
 use std::net::SocketAddr;
 use std::time::Duration;
 
-use apricotdale_core::names::GroupName;
-use apricotdale_core::names::ZoneName;
-use apricotdale_core::vm_list::VmEntry;
-use apricotdale_core::vm_list::VmRole;
-use apricotdale_core::vm_list::VmState;
 use rand::RngExt;
 use tempfile::TempDir;
 
@@ -35,6 +30,11 @@
 use crate::ready::DaemonAddresses;
 use crate::ready::ReadyLine;
 use crate::standin::StandinClient;
+use apricotdale_core::names::GroupName;
+use apricotdale_core::names::ZoneName;
+use apricotdale_core::vm_list::VmEntry;
+use apricotdale_core::vm_list::VmRole;
+use apricotdale_core::vm_list::VmState;
 
 /// The beginning of the VMs' names.
 pub(super) const VM_PREFIX: &str = "vm";
--- a/crates/launcher/src/demo.rs
+++ b/crates/launcher/src/demo.rs
@@ -4,7 +4,6 @@
 use std::io::Write;
 use std::time::Duration;
 
-use apricotdale_admin::PublishOutcome;
 use nix::libc::SIGKILL;
 
 use crate::answer::Outcome;
@@ -23,6 +22,7 @@
 use crate::sample;
 use crate::standin::EngineEffects;
 use crate::standin::ServiceEffects;
+use apricotdale_admin::PublishOutcome;
 
 /// The longest wait for an answer. It is a limit for failures only.
 const ANSWER_LIMIT: Duration = Duration::from_secs(120);
@@ -224,13 +224,19 @@
         self.cluster.running_vms().into_iter().cloned().collect()
     }
 
-    fn count_whole(&self, answers: &[PendingAnswer]) -> Result<usize> {
-        let mut kinds: BTreeMap<bool, usize> = BTreeMap::new();
+    /// Waits for all answers, shows how many there are of each kind and returns how many are whole.
+    fn count_whole(&mut self, answers: &[PendingAnswer]) -> Result<usize> {
+        let mut kinds: BTreeMap<String, usize> = BTreeMap::new();
+        let mut whole = 0;
         for answer in answers {
             let outcome = answer.wait_end(ANSWER_LIMIT)?;
-            *kinds.entry(outcome.is_whole()).or_default() += 1;
+            whole += usize::from(outcome.is_whole());
+            *kinds.entry(outcome.to_string()).or_default() += 1;
+        }
+        for (kind, count) in kinds {
+            writeln!(self.out, "      {count} x {kind}")?;
         }
-        Ok(kinds.get(&true).copied().unwrap_or_default())
+        Ok(whole)
     }
 
     fn loads(&self, model: &str) -> Result<usize> {
--- a/crates/launcher/src/sample.rs
+++ b/crates/launcher/src/sample.rs
@@ -2,6 +2,10 @@
 
 use std::collections::BTreeMap;
 
+use crate::cluster::options::ClusterOptions;
+use crate::cluster::options::Flag;
+use crate::cluster::options::UpstreamGroup;
+use crate::programs::Program;
 use apricotdale_core::config::ClassTarget;
 use apricotdale_core::config::ConfigEdit;
 use apricotdale_core::config::ModelSpec;
@@ -10,11 +14,6 @@
 use apricotdale_core::names::GroupName;
 use apricotdale_core::names::ModelName;
 
-use crate::cluster::options::ClusterOptions;
-use crate::cluster::options::Flag;
-use crate::cluster::options::UpstreamGroup;
-use crate::programs::Program;
-
 /// The class of quick answers, which is also that of requests that name none.
 pub const QUICK: &str = "quick";
 /// The class of careful work that may wait.
--- a/crates/launcher/src/standin.rs
+++ b/crates/launcher/src/standin.rs
@@ -4,7 +4,6 @@
 use std::net::SocketAddr;
 use std::time::Duration;
 
-use apricotdale_core::engine::EngineStatus;
 use serde::Deserialize;
 use serde::Serialize;
 use serde::de::DeserializeOwned;
@@ -16,6 +15,7 @@
 use crate::errors::Error;
 use crate::errors::Result;
 use crate::http::agent;
+use apricotdale_core::engine::EngineStatus;
 
 /// The longest time that one call to a stand-in may take.
 const CALL_LIMIT: Duration = Duration::from_secs(10);
@@ -48,6 +48,8 @@
     pub model: String,
     /// How far it came.
     pub state: RequestState,
+    /// How often it was accepted.
+    pub runs: u64,
 }
 
 /// `RequestState` is how far a request came at a stand-in engine.
--- a/crates/launcher/tests/answer_kinds.rs
+++ b/crates/launcher/tests/answer_kinds.rs
@@ -1,11 +1,11 @@
 //! How a caller tells whole, refused, cut and crossed answers apart.
 
+use rstest::rstest;
+
 use apricotdale_launcher::answer::AnswerHead;
 use apricotdale_launcher::answer::Outcome;
 use apricotdale_launcher::answer::StreamReading;
 
-use rstest::rstest;
-
 const REFUSAL: &str = r#"{"type":"urn:apricotdale:refusal:upstream_lost","reason":"upstream_lost","ran":"unknown","error":{"code":"upstream_lost"}}"#;
 
 fn head() -> AnswerHead {
--- a/crates/launcher/tests/child_processes.rs
+++ b/crates/launcher/tests/child_processes.rs
@@ -4,14 +4,14 @@
 use std::path::Path;
 use std::time::Duration;
 
+use nix::sys::signal::Signal;
+use tempfile::TempDir;
+
 use apricotdale_launcher::Error;
 use apricotdale_launcher::process::Exit;
 use apricotdale_launcher::processes::Processes;
 use apricotdale_launcher::programs::Program;
 
-use nix::sys::signal::Signal;
-use tempfile::TempDir;
-
 /// A limit for failures only.
 const LIMIT: Duration = Duration::from_secs(30);
 
--- a/crates/launcher/tests/ready_lines.rs
+++ b/crates/launcher/tests/ready_lines.rs
@@ -1,10 +1,10 @@
 //! Which lines say that a process is ready.
 
+use rstest::rstest;
+
 use apricotdale_launcher::ready::DaemonAddresses;
 use apricotdale_launcher::ready::ReadyLine;
 
-use rstest::rstest;
-
 fn address(text: &str) -> std::net::SocketAddr {
     text.parse().expect("the test's address is right")
 }
--- a/crates/scenario/src/ast.rs
+++ b/crates/scenario/src/ast.rs
@@ -1,5 +1,6 @@
 //! What a scenario file says, as typed values.
 
+use apricotdale_admin::MemberState;
 use apricotdale_core::config::ConfigEdit;
 
 /// `Scenario` is one scenario file.
@@ -304,6 +305,10 @@
     Received(String),
     /// The VMs that take requests.
     Ready,
+    /// The VMs that see another one in a state.
+    Seen(String, MemberState),
+    /// The records of the control stream on which replay came to a verdict, by its code.
+    Verdicts(String),
     /// The value of a metric of one VM.
     Metric(String, String),
 }
--- a/crates/scenario/src/fault.rs
+++ b/crates/scenario/src/fault.rs
@@ -37,7 +37,7 @@
 
 fn engine_fault(key: &str, value: &str) -> Result<Value, String> {
     match (key, value) {
-        ("load", "die" | "hang") | ("answer-lost", "load" | "unload") => {
+        ("load", "die" | "hang" | "finish") | ("answer-lost", "load" | "unload") => {
             Ok(json!({ json_key(key): value }))
         }
         ("hold-orders", "true" | "false") | ("crossed" | "restart", "true") => {
--- a/crates/scenario/src/parser/conditions.rs
+++ b/crates/scenario/src/parser/conditions.rs
@@ -15,6 +15,7 @@
 use crate::parser::words::Children;
 use crate::parser::words::inner_number;
 use crate::parser::words::inner_text;
+use apricotdale_admin::MemberState;
 
 pub(super) fn statement(pair: Pair<'_, Rule>) -> Result<Statement> {
     let rule = pair.as_rule();
@@ -80,6 +81,11 @@
         Rule::accepting => Measure::Accepting(children.text()),
         Rule::received => Measure::Received(children.text()),
         Rule::ready => Measure::Ready,
+        Rule::seen => {
+            let vm = children.text();
+            Measure::Seen(vm, member_state(&children.text()))
+        }
+        Rule::verdicts => Measure::Verdicts(children.text()),
         _ => {
             let name = children.text();
             Measure::Metric(name, inner_text(children.next()))
@@ -88,6 +94,15 @@
     Ok(measure)
 }
 
+fn member_state(word: &str) -> MemberState {
+    match word {
+        "alive" => MemberState::Alive,
+        "suspected" => MemberState::Suspected,
+        "draining" => MemberState::Draining,
+        _ => MemberState::Gone,
+    }
+}
+
 fn engine_measure(word: &str) -> EngineMeasure {
     match word {
         "load-orders" => EngineMeasure::LoadOrders,
--- a/crates/scenario/src/parser/setup.rs
+++ b/crates/scenario/src/parser/setup.rs
@@ -1,12 +1,5 @@
 //! Statements about the cluster and its configuration.
 
-use apricotdale_core::config::ClassTarget;
-use apricotdale_core::config::ConfigEdit;
-use apricotdale_core::config::ModelSpec;
-use apricotdale_core::config::ServiceSpec;
-use apricotdale_core::names::ClassName;
-use apricotdale_core::names::GroupName;
-use apricotdale_core::names::ModelName;
 use pest::iterators::Pair;
 
 use crate::ast::EngineGroup;
@@ -21,6 +14,13 @@
 use crate::parser::words::Children;
 use crate::parser::words::inner_number;
 use crate::parser::words::inner_text;
+use apricotdale_core::config::ClassTarget;
+use apricotdale_core::config::ConfigEdit;
+use apricotdale_core::config::ModelSpec;
+use apricotdale_core::config::ServiceSpec;
+use apricotdale_core::names::ClassName;
+use apricotdale_core::names::GroupName;
+use apricotdale_core::names::ModelName;
 
 pub(super) fn setup(pair: Pair<'_, Rule>) -> Result<Setup> {
     let rule = pair.as_rule();
--- a/crates/scenario/src/run/actions.rs
+++ b/crates/scenario/src/run/actions.rs
@@ -3,19 +3,6 @@
 use std::thread;
 use std::time::Duration;
 
-use apricotdale_admin::AdminClient;
-use apricotdale_admin::PublishOutcome;
-use apricotdale_admin::PublishRequest;
-use apricotdale_core::config::ConfigEdit;
-use apricotdale_core::numbers::ConfigVersion;
-use apricotdale_core::vm_list::VmState;
-use apricotdale_launcher::caller;
-use apricotdale_launcher::caller::CallerRequest;
-use apricotdale_launcher::cluster::LOG;
-use apricotdale_launcher::cluster::records;
-use apricotdale_launcher::poll::POLL_LIMIT;
-use apricotdale_launcher::poll::poll_until;
-use apricotdale_launcher::process::Exit;
 use serde_json::json;
 
 use crate::ast::Alias;
@@ -35,6 +22,19 @@
 use crate::run::endings;
 use crate::run::world::Sent;
 use crate::run::world::World;
+use apricotdale_admin::AdminClient;
+use apricotdale_admin::PublishOutcome;
+use apricotdale_admin::PublishRequest;
+use apricotdale_core::config::ConfigEdit;
+use apricotdale_core::numbers::ConfigVersion;
+use apricotdale_core::vm_list::VmState;
+use apricotdale_launcher::caller;
+use apricotdale_launcher::caller::CallerRequest;
+use apricotdale_launcher::cluster::LOG;
+use apricotdale_launcher::cluster::records;
+use apricotdale_launcher::poll::POLL_LIMIT;
+use apricotdale_launcher::poll::poll_until;
+use apricotdale_launcher::process::Exit;
 
 /// The longest wait for an answer. It is a limit for failures only.
 const ANSWER_LIMIT: Duration = Duration::from_secs(120);
--- a/crates/scenario/src/run/conditions.rs
+++ b/crates/scenario/src/run/conditions.rs
@@ -2,14 +2,13 @@
 
 use std::thread;
 
-use apricotdale_launcher::poll::POLL_LIMIT;
-use apricotdale_launcher::poll::POLL_PAUSE;
-
 use crate::ast::Comparison;
 use crate::ast::Condition;
 use crate::errors::Error;
 use crate::errors::Result;
 use crate::run::world::World;
+use apricotdale_launcher::poll::POLL_LIMIT;
+use apricotdale_launcher::poll::POLL_PAUSE;
 
 impl World {
     pub(super) fn expect(&mut self, condition: &Condition) -> Result<Option<String>> {
--- a/crates/scenario/src/run/endings.rs
+++ b/crates/scenario/src/run/endings.rs
@@ -1,10 +1,9 @@
 //! Whether a request ended as told.
 
-use apricotdale_launcher::answer::Outcome;
-use apricotdale_launcher::answer::RefusedAnswer;
-
 use crate::ast::Ending;
 use crate::ast::RefusalPattern;
+use apricotdale_launcher::answer::Outcome;
+use apricotdale_launcher::answer::RefusedAnswer;
 
 /// Returns whether a request ended as told.
 pub(super) fn is_as_told(outcome: &Outcome, ending: &Ending) -> bool {
--- a/crates/scenario/src/run/measures.rs
+++ b/crates/scenario/src/run/measures.rs
@@ -2,7 +2,16 @@
 
 use std::collections::BTreeSet;
 
+use crate::ast::Ending;
+use crate::ast::EngineMeasure;
+use crate::ast::Measure;
+use crate::ast::ModelMeasure;
+use crate::errors::Error;
+use crate::errors::Result;
+use crate::run::endings;
+use crate::run::world::World;
 use apricotdale_admin::ConfigView;
+use apricotdale_admin::MemberState;
 use apricotdale_admin::PublishOutcome;
 use apricotdale_admin::ReplicaState;
 use apricotdale_core::config::ConfigEdit;
@@ -16,15 +25,6 @@
 use apricotdale_launcher::standin::ServiceEffects;
 use apricotdale_launcher::standin::StandinClient;
 
-use crate::ast::Ending;
-use crate::ast::EngineMeasure;
-use crate::ast::Measure;
-use crate::ast::ModelMeasure;
-use crate::errors::Error;
-use crate::errors::Result;
-use crate::run::endings;
-use crate::run::world::World;
-
 impl World {
     /// Returns the number that a measure has now.
     pub(super) fn measure(&self, measure: &Measure) -> Result<u64> {
@@ -45,6 +45,8 @@
             Measure::Accepting(upstream) => self.accepting(&self.resolve(upstream)),
             Measure::Received(upstream) => self.received(&self.resolve(upstream)),
             Measure::Ready => Ok(self.ready()),
+            Measure::Seen(vm, state) => self.seen(&self.resolve(vm), *state),
+            Measure::Verdicts(code) => self.verdicts(code),
             Measure::Metric(name, vm) => self.metric(name, &self.resolve(vm)),
         }
     }
@@ -170,11 +172,11 @@
         }
         let ours = |identity: &String| identities.contains(identity);
         let engines = self.sum_engines(None, |effects| {
-            effects
-                .requests
-                .keys()
-                .filter(|identity| ours(identity))
-                .count() as u64
+            let requests = effects.requests.iter();
+            requests
+                .filter(|(identity, _)| ours(identity))
+                .map(|(_, request)| request.runs)
+                .sum()
         })?;
         let services = self.sum_services(|effects| {
             let calls = effects.requests.iter();
@@ -222,6 +224,29 @@
         Ok(diverged)
     }
 
+    /// Returns how many other VMs see a VM in a state.
+    fn seen(&self, vm: &str, state: MemberState) -> Result<u64> {
+        let mut vms = 0;
+        for other in self.cluster().running_vms() {
+            if other.name == vm {
+                continue;
+            }
+            let view = self.cluster().admin(&other.name)?.members()?;
+            let mut members = view.members.iter();
+            let is_seen = members.any(|line| line.vm.as_str() == vm && line.state == state);
+            vms += u64::from(is_seen);
+        }
+        Ok(vms)
+    }
+
+    fn verdicts(&self, code: &str) -> Result<u64> {
+        let verdicts = records::verdicts(self.cluster().standin(LOG)?)?;
+        Ok(verdicts
+            .iter()
+            .filter(|(_, verdict)| verdict.as_str() == code)
+            .count() as u64)
+    }
+
     fn accepting(&self, upstream: &str) -> Result<u64> {
         let mut vms = 0;
         for vm in self.cluster().running_vms() {
--- a/crates/scenario/src/run/mod.rs
+++ b/crates/scenario/src/run/mod.rs
@@ -10,14 +10,13 @@
 use std::io::Write;
 use std::path::PathBuf;
 
-use apricotdale_launcher::processes::Processes;
-
 use crate::ast::Scenario;
 use crate::ast::Step;
 use crate::check::check;
 use crate::errors::Error;
 use crate::errors::Result;
 use crate::run::world::World;
+use apricotdale_launcher::processes::Processes;
 
 /// `Options` are the tunables of a run.
 #[derive(Clone, Debug, Default, PartialEq, Eq)]
--- a/crates/scenario/src/run/setup.rs
+++ b/crates/scenario/src/run/setup.rs
@@ -1,15 +1,14 @@
 //! From the lines about the cluster to the launcher's options.
 
+use crate::ast::EngineGroup;
+use crate::ast::Setup;
+use crate::ast::StandinKind;
 use apricotdale_launcher::cluster::options::ClusterOptions;
 use apricotdale_launcher::cluster::options::Flag;
 use apricotdale_launcher::cluster::options::Setting;
 use apricotdale_launcher::cluster::options::UpstreamGroup;
 use apricotdale_launcher::programs::Program;
 
-use crate::ast::EngineGroup;
-use crate::ast::Setup;
-use crate::ast::StandinKind;
-
 /// Takes a line about the cluster into its options.
 pub(super) fn add_setup(options: &mut ClusterOptions, setup: &Setup) {
     match setup {
--- a/crates/scenario/src/run/world.rs
+++ b/crates/scenario/src/run/world.rs
@@ -3,6 +3,12 @@
 use std::collections::BTreeMap;
 use std::io::Write;
 
+use crate::ast::Place;
+use crate::ast::Statement;
+use crate::errors::Error;
+use crate::errors::Result;
+use crate::run::Options;
+use crate::run::setup::add_setup;
 use apricotdale_admin::PublishOutcome;
 use apricotdale_launcher::caller::PendingAnswer;
 use apricotdale_launcher::cluster::Cluster;
@@ -11,13 +17,6 @@
 use apricotdale_launcher::processes::Processes;
 use apricotdale_launcher::standin::EngineEffects;
 
-use crate::ast::Place;
-use crate::ast::Statement;
-use crate::errors::Error;
-use crate::errors::Result;
-use crate::run::Options;
-use crate::run::setup::add_setup;
-
 /// `Sent` is a request that was sent.
 #[derive(Clone, Debug)]
 pub(super) struct Sent {
--- a/crates/scenario/tests/parse_errors.rs
+++ b/crates/scenario/tests/parse_errors.rs
@@ -1,11 +1,11 @@
 //! What the parser and the check say of faulty files.
 
+use rstest::rstest;
+
 use apricotdale_scenario::Error;
 use apricotdale_scenario::check::check;
 use apricotdale_scenario::parser::parse;
 
-use rstest::rstest;
-
 const HEAD: &str = "scenario \"t\"\nvms 2\nengines planner-lm 1\nservice booking-app 1\nstart\n";
 
 fn fault_of(statement: &str) -> String {
--- a/crates/scenario/tests/parse_statements.rs
+++ b/crates/scenario/tests/parse_statements.rs
@@ -1,5 +1,7 @@
 //! What statements mean.
 
+use rstest::rstest;
+
 use apricotdale_core::config::ClassTarget;
 use apricotdale_core::config::ConfigEdit;
 use apricotdale_scenario::ast::Comparison;
@@ -16,8 +18,6 @@
 use apricotdale_scenario::fault::fault_body;
 use apricotdale_scenario::parser::parse;
 
-use rstest::rstest;
-
 fn statement(text: &str) -> Statement {
     let file = format!("scenario \"t\"\n# A comment.\n\n{text} # another\n");
     let mut scenario = parse(&file).expect("the statement is right");
