Gateway: a model that is gone costs time and no tries

Cause: an engine that had just unloaded a model used up the tries and the retry budget of every request that the lagging directory still sent there, and they were refused although their model would have been loaded for them. Ruled out: leaving the engine out until the directory forgets it, since the request may not be there to see the moment. Change: when no other engine holds the model, the request gives its place back, pauses (50 ms, doubling up to 2 s) and asks for admission again, until its deadline. Retries elsewhere still go through the retry policy.

--- a/crates/gateway/src/model_flow.rs
+++ b/crates/gateway/src/model_flow.rs
@@ -26,6 +26,9 @@
 use crate::model_try::TryEnd;
 use crate::trace::Step;
 
+/// The longest pause before a request whose model was gone asks for admission again.
+const MAX_RELOAD_PAUSE: Duration = Duration::from_secs(2);
+
 /// `ModelCall` is a call to a model.
 pub(crate) struct ModelCall {
     /// The engine's path.
@@ -54,14 +57,14 @@
 }
 
 impl TryFailure {
-    /// Returns the failure of a request for which no upstream could be chosen.
-    fn no_upstream() -> Self {
+    /// Returns the failure of a request for which no engine could be chosen.
+    fn no_engine(candidates: &[Candidate]) -> Self {
         Self {
             reason: RefusalReason::UpstreamUnavailable,
             ran: Ran::NotRun,
             outcome: UpstreamOutcome::Unreachable,
-            missing: true,
-            detail: "no upstream holds the model now".to_owned(),
+            missing: candidates.is_empty(),
+            detail: "no engine that holds the model can be used now".to_owned(),
         }
     }
 
@@ -87,7 +90,9 @@
     call: &'a ModelCall,
     answer: &'a mut Answer<'b>,
     attempt: Arc<Attempt>,
+    /// Tries within the present pass.
     tries: u32,
+    first_try_noted: bool,
 }
 
 /// Serves a call to a model. A refusal that comes back says of all tries together whether the call
@@ -106,6 +111,7 @@
         answer,
         attempt: attempt.clone(),
         tries: 0,
+        first_try_noted: false,
     };
     flow.run().map_err(|mut refusal| {
         refusal.ran = attempt.give_up();
@@ -115,6 +121,7 @@
 
 impl ModelFlow<'_, '_> {
     fn run(&mut self) -> Result<(), Refusal> {
+        let mut pause = Duration::from_millis(self.core.options.reload_pause_ms);
         loop {
             let model = &self.call.spec.model;
             let queue = Queue {
@@ -130,41 +137,44 @@
                 }
                 Pass::WaitForLoad => {}
             }
+            // The directory lags behind the engine and may send the request there again at once.
+            drop(admitted);
+            self.pause(pause)?;
+            pause = pause.saturating_mul(2).min(MAX_RELOAD_PAUSE);
         }
     }
 
     fn pass(&mut self) -> Result<Pass, Refusal> {
         let mut missing: Vec<UpstreamName> = Vec::new();
         let mut tried: Vec<UpstreamName> = Vec::new();
+        self.tries = 0;
         loop {
             let candidates = self.candidates(&missing);
             let chosen = self.choose(&candidates, &tried);
+            self.tries += 1;
             let failure = match &chosen {
+                None => TryFailure::no_engine(&candidates),
                 Some(candidate) => match self.try_at(candidate)? {
                     None => return Ok(Pass::Answered),
                     Some(failure) => failure,
                 },
-                None => {
-                    self.tries += 1;
-                    TryFailure::no_upstream()
-                }
             };
             self.note_failure(&chosen, &failure);
-            let pause = self.decide_retry(&failure);
-            let Some(pause) = pause else {
-                self.cancel(&chosen, &failure);
-                return Err(failure.refusal());
-            };
-            self.pause(pause)?;
-            if let Some(candidate) = chosen {
-                match failure.missing {
-                    true => missing.push(candidate.upstream),
-                    false => tried.push(candidate.upstream),
-                }
+            if let Some(candidate) = &chosen {
+                tried.push(candidate.upstream.clone());
+                missing.extend(failure.missing.then(|| candidate.upstream.clone()));
             }
             if failure.missing && self.candidates(&missing).is_empty() {
                 return Ok(Pass::WaitForLoad);
             }
+            match self.decide_retry(&failure) {
+                Some(pause) => self.pause(pause)?,
+                None if failure.missing => return Ok(Pass::WaitForLoad),
+                None => {
+                    self.cancel(&chosen, &failure);
+                    return Err(failure.refusal());
+                }
+            }
         }
     }
 
@@ -186,8 +196,8 @@
 
     /// Tries an engine, and returns why that failed if it did.
     fn try_at(&mut self, candidate: &Candidate) -> Result<Option<TryFailure>, Refusal> {
-        self.tries += 1;
-        if self.tries == 1 {
+        if !self.first_try_noted {
+            self.first_try_noted = true;
             self.core.note_first_try(&self.call.spec.group);
         }
         let end = model_try::run(
--- a/crates/gateway/src/options.rs
+++ b/crates/gateway/src/options.rs
@@ -13,6 +13,9 @@
     pub stream_idle_timeout_ms: u64,
     /// How long an answer is expected to take before one has been seen.
     pub expected_run_ms: u64,
+    /// The first pause before a request whose model was gone asks for admission again. Each further
+    /// pause is twice as long.
+    pub reload_pause_ms: u64,
     /// The largest answer that is kept for repeated calls under one key.
     pub max_kept_answer_bytes: usize,
     /// How much of a prompt is hashed for routing by prefix.
@@ -40,6 +43,7 @@
             max_timeout_ms: 600_000,
             stream_idle_timeout_ms: 30_000,
             expected_run_ms: 1_000,
+            reload_pause_ms: 50,
             max_kept_answer_bytes: 16 * 1024,
             prefix_bytes: 256,
             trace_requests: 1_024,
--- a/crates/gateway/tests/engine_retries.rs
+++ b/crates/gateway/tests/engine_retries.rs
@@ -6,6 +6,7 @@
 use apricotdale_core::policy::RetryDecision;
 use apricotdale_core::serving::DemandEvent;
 use apricotdale_core::serving::ServingEvent;
+use apricotdale_gateway::Options;
 use rstest::rstest;
 use support::Bench;
 use support::engine::Act;
@@ -83,3 +84,30 @@
     assert_eq!(caller.answer().status, 200);
     assert_eq!(bench.engine.served.lock()[1].0.port(), 2);
 }
+
+/// Symptom: requests are refused because an engine has unloaded their model a moment ago.
+/// Sequence: the directory lags and sends each of them to that engine again and again. Cause: a
+/// wait for a load that is counted against the tries.
+#[rstest]
+#[case::loaded_again(5, 200)]
+#[case::never_loaded(1_000, 504)]
+fn a_stale_directory_costs_time_and_no_tries(#[case] missing: usize, #[case] status: u16) {
+    let options = Options {
+        reload_pause_ms: 1,
+        ..Options::default()
+    };
+    let bench = Bench::with(options, apricotdale_http::Options::default());
+    bench.load("engine-1", 1);
+    for _ in 0..missing {
+        bench.engine.script(not_loaded());
+    }
+    let timeout = if status == 504 { "200" } else { "20000" };
+    let answer = bench
+        .caller()
+        .complete(&[("X-Request-Timeout-Ms", timeout)]);
+    assert_eq!(answer.status, status, "{answer:?}");
+    if status == 504 {
+        let refusal = (504, "deadline_passed".to_owned(), "not_run".to_owned());
+        assert_eq!(answer.refusal(), refusal);
+    }
+}
