State crate: searches over interleavings of decisions and of claims

Cause: the safety of decisions rests on rules whose gaps show only in rare interleavings.

Found on the way: a reading taken before a failed load ended could be appended after its settlement and showed the load's order as undecided until the next reading. It only held memory too long; a sender that settles with a reading now closes that. How sharp the searches are is for the planted faults to say.

--- a/crates/state/src/settlements.rs
+++ b/crates/state/src/settlements.rs
@@ -72,6 +72,12 @@
         if settlement.outcome == SettledAs::Abandoned && replica.shown.is_some() {
             return Err(RejectReason::OrderTookEffect);
         }
+        // With a reading, an older one that comes late can't show the order's effect once more.
+        if let (Some(engine), Some(reading)) =
+            (self.engines.get_mut(&replica.engine), reading(settlement))
+        {
+            engine.note_reading(reading);
+        }
         self.forget(settlement.intent);
         Ok(Accepted::LoadFreed)
     }
--- /dev/null
+++ b/crates/state/tests/decision_search/engine.rs
@@ -0,0 +1,174 @@
+//! A small model of an engine: what it holds, what waits in its connections, and what it answers.
+
+use std::collections::BTreeMap;
+
+use apricotdale_core::engine::Residency;
+use apricotdale_core::engine::Resident;
+use apricotdale_core::names::ModelName;
+use apricotdale_core::numbers::FencingNumber;
+use apricotdale_core::numbers::Offset;
+
+/// `Order` is an order on its way to an engine.
+#[derive(Clone, Debug)]
+pub struct Order {
+    /// The sender's process.
+    pub process_id: u64,
+    /// The intent it carries out.
+    pub intent: Offset,
+    /// The model.
+    pub model: ModelName,
+    /// The model's base.
+    pub base: Option<ModelName>,
+    /// The memory it takes, or none for an unload.
+    pub bytes: Option<u64>,
+    /// The order's number.
+    pub fence: FencingNumber,
+}
+
+/// `Answer` is what an engine says of an order.
+#[derive(Clone, Copy, Debug)]
+pub enum Answer {
+    /// It took effect, seen at this run and sequence.
+    Done(u64, u64),
+    /// It had and will have no effect.
+    Refused,
+}
+
+/// `FakeEngine` is one engine. It obeys every order that its fence lets through, even beyond its
+/// memory, so that an overcommitment shows.
+#[derive(Clone, Debug)]
+pub struct FakeEngine {
+    pub checks_fence: bool,
+    pub capacity_bytes: u64,
+    pub boot: u64,
+    pub sequence: u64,
+    pub highest: u64,
+    pub residents: BTreeMap<ModelName, (Resident, Option<Order>)>,
+    /// Orders received and not yet acted on. They end with the run.
+    pub inbox: Vec<Order>,
+}
+
+impl FakeEngine {
+    pub fn new(checks_fence: bool, capacity_bytes: u64) -> Self {
+        Self {
+            checks_fence,
+            capacity_bytes,
+            boot: 1,
+            sequence: 0,
+            highest: 0,
+            residents: BTreeMap::new(),
+            inbox: Vec::new(),
+        }
+    }
+
+    pub fn held_bytes(&self) -> u64 {
+        self.residents
+            .values()
+            .map(|(resident, _)| resident.bytes)
+            .sum()
+    }
+
+    pub fn resident_list(&self) -> Vec<Resident> {
+        self.residents
+            .values()
+            .map(|(resident, _)| resident.clone())
+            .collect()
+    }
+
+    pub fn is_busy(&self) -> bool {
+        let mut residents = self.residents.values();
+        residents.any(|(resident, _)| resident.residency != Residency::Loaded)
+    }
+
+    pub fn raise_fence(&mut self, fence: u64) {
+        self.highest = self.highest.max(fence);
+    }
+
+    pub fn restart(&mut self) {
+        self.boot += 1;
+        self.sequence = 0;
+        self.highest = 0;
+        self.residents.clear();
+        self.inbox.clear();
+    }
+
+    /// Acts on one received order and returns it with the answer, if that comes at once.
+    pub fn act(&mut self, index: usize) -> Option<(Order, Answer)> {
+        if self.inbox.is_empty() {
+            return None;
+        }
+        let order = self.inbox.remove(index % self.inbox.len());
+        if self.checks_fence && order.fence.0 < self.highest {
+            return Some((order, Answer::Refused));
+        }
+        self.raise_fence(order.fence.0);
+        match order.bytes {
+            Some(bytes) => self.begin_load(order, bytes),
+            None => self.begin_unload(order),
+        }
+    }
+
+    fn begin_load(&mut self, order: Order, bytes: u64) -> Option<(Order, Answer)> {
+        let is_base_missing = order
+            .base
+            .as_ref()
+            .is_some_and(|base| !self.residents.contains_key(base));
+        if is_base_missing || self.residents.contains_key(&order.model) {
+            return Some((order, Answer::Refused));
+        }
+        let resident = Resident {
+            model: order.model.clone(),
+            residency: Residency::Loading,
+            bytes,
+            fence: order.fence,
+        };
+        self.sequence += 1;
+        self.residents
+            .insert(order.model.clone(), (resident, Some(order)));
+        None
+    }
+
+    fn begin_unload(&mut self, order: Order) -> Option<(Order, Answer)> {
+        let Some((resident, waiting)) = self.residents.get_mut(&order.model) else {
+            return Some((order, Answer::Done(self.boot, self.sequence)));
+        };
+        self.sequence += 1;
+        resident.residency = Residency::Unloading;
+        let load = waiting.replace(order);
+        load.filter(|load| load.bytes.is_some())
+            .map(|load| (load, Answer::Refused))
+    }
+
+    /// Ends what is under way for one resident, well or badly, and returns the order's answer.
+    pub fn finish(&mut self, index: usize, well: bool) -> Option<(Order, Answer)> {
+        let busy = self.residents.values().filter(|(resident, _)| {
+            matches!(
+                resident.residency,
+                Residency::Loading | Residency::Unloading
+            )
+        });
+        let busy: Vec<ModelName> = busy.map(|(resident, _)| resident.model.clone()).collect();
+        let model = busy.get(index % busy.len().max(1))?;
+        let (resident, order) = self.residents.get_mut(model)?;
+        self.sequence += 1;
+        let order = order.take();
+        if resident.residency == Residency::Loading && well {
+            resident.residency = Residency::Loaded;
+            return Some((order?, Answer::Done(self.boot, self.sequence)));
+        }
+        let is_unload = resident.residency == Residency::Unloading;
+        self.residents.remove(model);
+        match is_unload {
+            true => Some((order?, Answer::Done(self.boot, self.sequence))),
+            false => Some((order?, Answer::Refused)),
+        }
+    }
+
+    /// Does the next thing there is to do, or returns none if there is nothing.
+    pub fn work_off(&mut self) -> Option<Option<(Order, Answer)>> {
+        if !self.inbox.is_empty() {
+            return Some(self.act(0));
+        }
+        self.finish(0, true).map(Some)
+    }
+}
--- /dev/null
+++ b/crates/state/tests/decision_search/process.rs
@@ -0,0 +1,125 @@
+//! A daemon process as the rules of the control stream want it to behave.
+
+use std::collections::BTreeMap;
+use std::collections::BTreeSet;
+
+use apricotdale_core::control::Observation;
+use apricotdale_core::control::SettledAs;
+use apricotdale_core::numbers::BootId;
+use apricotdale_core::numbers::Epoch;
+use apricotdale_core::numbers::Offset;
+
+use apricotdale_state::ControlState;
+use apricotdale_state::replicas::Progress;
+use apricotdale_state::view::IntentKind;
+use apricotdale_state::view::IntentView;
+
+use crate::engine::Order;
+
+/// `Outcome` is what a process knows of how an intent ended.
+#[derive(Clone, Debug)]
+pub struct Outcome {
+    pub kind: IntentKind,
+    pub settled_as: SettledAs,
+    pub reading: Option<(u64, u64)>,
+}
+
+/// `Process` is one daemon process.
+#[derive(Clone, Debug)]
+pub struct Process {
+    pub vm: String,
+    pub process_id: u64,
+    pub sequence: u64,
+    pub state: ControlState,
+    /// Loads that the process has taken up or given up, so that it sends none of them twice.
+    pub picked: BTreeSet<Offset>,
+    /// Orders past their last check, which a pause may hold for any length of time.
+    pub hands: Vec<(usize, Order)>,
+    /// Orders sent and not yet answered.
+    pub waiting: BTreeSet<Offset>,
+    /// What the process knows and has not yet seen settled.
+    pub outcomes: BTreeMap<Offset, Outcome>,
+    /// Readings that the process has not yet appended.
+    pub readings: Vec<Observation>,
+}
+
+impl Process {
+    pub fn new(vm: String, process_id: u64, state: ControlState) -> Self {
+        Self {
+            vm,
+            process_id,
+            sequence: 0,
+            state,
+            picked: BTreeSet::new(),
+            hands: Vec::new(),
+            waiting: BTreeSet::new(),
+            outcomes: BTreeMap::new(),
+            readings: Vec::new(),
+        }
+    }
+
+    pub fn epoch(&self) -> Option<Epoch> {
+        self.state
+            .epoch_of(&self.vm.as_str().into(), self.process_id)
+    }
+
+    /// Returns the loads that the process may still take up: its own, and seen as accepted.
+    pub fn to_pick(&self) -> Vec<Offset> {
+        let Some(epoch) = self.epoch() else {
+            return Vec::new();
+        };
+        let own = self.state.replicas().filter(|replica| {
+            replica.sender == epoch
+                && replica.progress == Progress::Ordered
+                && !self.picked.contains(&replica.load)
+        });
+        own.map(|replica| replica.load).collect()
+    }
+
+    /// Returns the intents that the process may take over. Of its own loads those whose attempt is
+    /// over, or that it will not take up any more.
+    pub fn to_take_over(&self) -> Vec<IntentView> {
+        let Some(epoch) = self.epoch() else {
+            return Vec::new();
+        };
+        let is_trying = |intent: &IntentView| {
+            intent.kind == IntentKind::Load
+                && intent.sender == epoch
+                && (self.waiting.contains(&intent.intent)
+                    || self
+                        .hands
+                        .iter()
+                        .any(|(_, order)| order.intent == intent.intent))
+        };
+        self.state
+            .unsettled()
+            .filter(|intent| !is_trying(intent))
+            .collect()
+    }
+
+    /// Returns the intents that the process has taken over and can now ask the engine about.
+    pub fn to_resolve(&self) -> Vec<IntentView> {
+        let Some(epoch) = self.epoch() else {
+            return Vec::new();
+        };
+        let owned = self.state.unsettled_of(epoch);
+        owned
+            .filter(|intent| intent.owner.since != intent.intent)
+            .collect()
+    }
+
+    /// Returns the unloads that the process may order.
+    pub fn to_unload(&self) -> Vec<IntentView> {
+        let Some(epoch) = self.epoch() else {
+            return Vec::new();
+        };
+        let owned = self.state.unsettled_of(epoch);
+        owned
+            .filter(|intent| intent.kind == IntentKind::Unload)
+            .collect()
+    }
+
+    pub fn boot_of(reading: Option<(u64, u64)>) -> Option<BootId> {
+        reading.map(|(boot, _)| BootId(boot))
+    }
+}
