--- a/crates/routing/src/affinity.rs
+++ b/crates/routing/src/affinity.rs
@@ -1,26 +1,35 @@
-//! Which upstream has probably cached a prompt prefix.
+//! Which upstreams have probably cached a prompt prefix.
 
 use std::collections::BTreeMap;
 use std::collections::HashMap;
 
 use apricotdale_core::names::UpstreamName;
 
-/// `PrefixMemory` remembers where this VM last sent each prompt prefix, within a fixed number of
-/// prefixes.
+/// The upstreams that are remembered for one prefix. One that is asked for often spreads over as
+/// many and is then balanced among them like any other request.
+const UPSTREAMS_PER_PREFIX: usize = 16;
+
+/// `PrefixMemory` remembers where this VM sent each prompt prefix, within a fixed number of
+/// prefixes. The engines' own cache events come late and with gaps; this needs none of them.
 #[derive(Debug)]
 pub(crate) struct PrefixMemory {
     entries: usize,
     ttl_ms: u64,
-    by_prefix: HashMap<u64, Sent>,
+    by_prefix: HashMap<u64, Remembered>,
     by_age: BTreeMap<u64, u64>,
     next_age: u64,
 }
 
+#[derive(Debug, Default)]
+struct Remembered {
+    age: Option<u64>,
+    sent: Vec<Sent>,
+}
+
 #[derive(Debug)]
 struct Sent {
     upstream: UpstreamName,
     at_ms: u64,
-    age: u64,
 }
 
 impl PrefixMemory {
@@ -37,16 +46,14 @@
 
     /// Notes that a request with the prefix was sent to an upstream.
     pub(crate) fn sent(&mut self, now_ms: u64, prefix_hash: u64, upstream: UpstreamName) {
-        let sent = Sent {
-            upstream,
-            at_ms: now_ms,
-            age: self.next_age,
-        };
-        self.by_age.insert(self.next_age, prefix_hash);
+        let age = self.next_age;
         self.next_age += 1;
-        if let Some(before) = self.by_prefix.insert(prefix_hash, sent) {
-            self.by_age.remove(&before.age);
+        let remembered = self.by_prefix.entry(prefix_hash).or_default();
+        if let Some(before) = remembered.age.replace(age) {
+            self.by_age.remove(&before);
         }
+        self.by_age.insert(age, prefix_hash);
+        remembered.sent(now_ms, upstream);
         if self.by_prefix.len() <= self.entries {
             return;
         }
@@ -55,10 +62,30 @@
         }
     }
 
-    /// Returns where the prefix was last sent, if that is recent enough for it to be cached still.
-    pub(crate) fn last(&self, now_ms: u64, prefix_hash: u64) -> Option<&UpstreamName> {
-        let sent = self.by_prefix.get(&prefix_hash)?;
-        let recent = now_ms.saturating_sub(sent.at_ms) < self.ttl_ms;
-        recent.then_some(&sent.upstream)
+    /// Returns where the prefix was sent recently enough for it to be cached still.
+    pub(crate) fn recent(
+        &self,
+        now_ms: u64,
+        prefix_hash: u64,
+    ) -> impl Iterator<Item = &UpstreamName> {
+        let remembered = self.by_prefix.get(&prefix_hash);
+        let sent = remembered
+            .into_iter()
+            .flat_map(|remembered| &remembered.sent);
+        sent.filter(move |sent| now_ms.saturating_sub(sent.at_ms) < self.ttl_ms)
+            .map(|sent| &sent.upstream)
+    }
+}
+
+impl Remembered {
+    fn sent(&mut self, now_ms: u64, upstream: UpstreamName) {
+        self.sent.retain(|sent| sent.upstream != upstream);
+        if self.sent.len() >= UPSTREAMS_PER_PREFIX {
+            self.sent.remove(0);
+        }
+        self.sent.push(Sent {
+            upstream,
+            at_ms: now_ms,
+        });
     }
 }
--- a/crates/routing/src/corrected_load.rs
+++ b/crates/routing/src/corrected_load.rs
@@ -2,7 +2,6 @@
 
 use rand::RngExt;
 use rand::SeedableRng;
-use rand::seq::index;
 use rand_chacha::ChaCha8Rng;
 
 use apricotdale_core::names::UpstreamName;
@@ -45,35 +44,27 @@
         }
     }
 
-    /// Returns the indices of the candidates that may be used, best standing first: not tried and
-    /// in service, else not tried, else in service, else all. With nobody in good standing a
-    /// request to one in bad standing may still be answered; a refusal never is.
-    fn usable(
-        &mut self,
-        now_ms: u64,
-        request: &RouteRequest,
-        candidates: &[Candidate],
-    ) -> Vec<usize> {
-        let outliers = &self.options.outliers;
+    /// Returns the places of the candidates that may be used, best standing first: not tried and in
+    /// service, else not tried, else in service, else all. With nobody in good standing a request
+    /// to one in bad standing may still be answered; a refusal never is.
+    fn usable(&self, request: &RouteRequest, candidates: &[Candidate]) -> Vec<usize> {
         let mut classes = [const { Vec::new() }; 4];
-        for (index, candidate) in candidates.iter().enumerate() {
-            let upstream = self.group.upstream(now_ms, &candidate.upstream);
-            upstream.standing.advance(now_ms, outliers);
+        for (place, candidate) in candidates.iter().enumerate() {
             let tried = request.tried.contains(&candidate.upstream);
-            let class = match (tried, upstream.standing.in_service()) {
+            let class = match (tried, self.group.in_service(&candidate.upstream)) {
                 (false, true) => 0,
                 (false, false) => 1,
                 (true, true) => 2,
                 (true, false) => 3,
             };
-            classes[class].push(index);
+            classes[class].push(place);
         }
         let usable = classes.into_iter().find(|class| !class.is_empty());
         usable.unwrap_or_default()
     }
 
-    /// Returns a candidate that is due for a probe. A retried request is no probe: it has already
-    /// met one bad upstream.
+    /// Returns the place of a candidate that is due for a probe. A retried request is no probe: it
+    /// has already met one bad upstream.
     fn probe(
         &mut self,
         now_ms: u64,
@@ -83,14 +74,14 @@
         if !request.tried.is_empty() {
             return None;
         }
-        let outliers = &self.options.outliers;
-        let due = candidates.iter().position(|candidate| {
-            let upstream = self.group.upstream(now_ms, &candidate.upstream);
-            upstream.standing.wants_probe(now_ms, outliers)
-        })?;
-        let upstream = self.group.upstream(now_ms, &candidates[due].upstream);
-        upstream.standing.probe_offered(now_ms, outliers);
-        Some(due)
+        let place_of = |name: &UpstreamName| {
+            let mut candidates = candidates.iter();
+            candidates.position(|candidate| candidate.upstream == *name)
+        };
+        let due = self
+            .group
+            .next_probe(now_ms, |name| place_of(name).is_some())?;
+        place_of(&due)
     }
 
     fn is_near(&self, candidate: &Candidate) -> bool {
@@ -98,81 +89,108 @@
         own_zone.is_none_or(|own_zone| candidate.zone == *own_zone)
     }
 
-    /// Draws some candidates of the own availability zone and as many of the others.
-    fn draw(&mut self, candidates: &[Candidate], usable: &[usize]) -> Vec<usize> {
-        let (near, far): (Vec<usize>, Vec<usize>) = usable
-            .iter()
-            .partition(|&&index| self.is_near(&candidates[index]));
-        let mut drawn = Vec::with_capacity(2 * self.options.choices);
-        for part in [near, far] {
-            let count = self.options.choices.max(1).min(part.len());
-            let picked = index::sample(&mut self.random, part.len(), count);
-            drawn.extend(picked.iter().map(|place| part[place]));
+    /// Returns how often each usable candidate is to be drawn.
+    fn weigh(&self, now_ms: u64, candidates: &[Candidate], usable: &[usize]) -> Vec<Weighed> {
+        let load = self.group.load();
+        let weigh = |&place: &usize| {
+            let candidate = &candidates[place];
+            let zone = match self.is_near(candidate) {
+                true => 1.0,
+                false => self.options.other_zone_weight,
+            };
+            let weight = self.group.weight(now_ms, &candidate.upstream, load);
+            Weighed {
+                place,
+                weight,
+                odds: weight * zone,
+            }
+        };
+        usable.iter().map(weigh).collect()
+    }
+
+    /// Draws some candidates, in the order in which they were drawn.
+    fn draw(&mut self, mut weighed: Vec<Weighed>) -> Vec<Weighed> {
+        let mut all: f64 = weighed.iter().map(|candidate| candidate.odds).sum();
+        let mut drawn = Vec::with_capacity(self.options.choices);
+        while drawn.len() < self.options.choices.max(1) && !weighed.is_empty() {
+            let mut point = self.random.random_range(0.0..=all.max(f64::EPSILON));
+            let hit = weighed.iter().position(|candidate| {
+                point -= candidate.odds;
+                point <= 0.0
+            });
+            let picked = weighed.swap_remove(hit.unwrap_or(0));
+            all -= picked.odds;
+            drawn.push(picked);
         }
         drawn
     }
 
-    fn cost(&self, now_ms: u64, candidate: &Candidate, mean: f64) -> f64 {
-        let pressure = self.group.pressure(now_ms, &candidate.upstream, Some(mean));
-        let slot = 1.0 / f64::from(self.options.default_slots.max(1));
-        let zone = match self.is_near(candidate) {
-            true => 0.0,
-            false => self.options.other_zone_pressure,
+    /// Returns the drawn candidate with the fewest requests of this VM for its weight. Only these
+    /// are known as they are now. Candidates with equally many are told apart by the draw's order,
+    /// which follows the weights.
+    fn least_used(&self, candidates: &[Candidate], drawn: &[Weighed]) -> Option<usize> {
+        let used = |candidate: &&Weighed| {
+            let upstream = &candidates[candidate.place];
+            let zone = match self.is_near(upstream) {
+                true => 0.0,
+                false => self.options.other_zone_pressure,
+            };
+            f64::from(self.group.own(&upstream.upstream)) / candidate.weight + zone
         };
-        (pressure + slot) * self.group.cost_factor(now_ms, &candidate.upstream) + zone
-    }
-
-    fn mean_pressure(&self, now_ms: u64, candidates: &[Candidate], usable: &[usize]) -> f64 {
-        let pressures = usable.iter().map(|&index| {
-            self.group
-                .pressure(now_ms, &candidates[index].upstream, None)
-        });
-        pressures.sum::<f64>() / usable.len().max(1) as f64
+        let least = drawn
+            .iter()
+            .min_by(|left, right| used(left).total_cmp(&used(right)));
+        least.map(|candidate| candidate.place)
     }
 
-    /// Returns the usable candidates that have probably cached the prefix: the one this VM last
-    /// sent it to, and the one that all VMs prefer for it.
+    /// Returns the usable candidates that have probably cached the prefix: those that this VM sent
+    /// it to, or else the one that all VMs prefer for it.
     fn cached_at(
         &self,
         now_ms: u64,
         prefix_hash: u64,
         candidates: &[Candidate],
-        usable: &[usize],
-    ) -> Vec<usize> {
-        let names = usable.iter().map(|&index| &candidates[index].upstream);
-        let last = self.prefixes.last(now_ms, prefix_hash);
-        let home = rendezvous::preferred(names, &prefix_hash);
-        let index_of = |name: &UpstreamName| {
-            let mut usable = usable.iter();
-            usable.find(|&&index| candidates[index].upstream == *name)
-        };
-        let cached = [last, home].into_iter().flatten();
-        cached.filter_map(index_of).copied().collect()
+        weighed: &[Weighed],
+    ) -> Vec<Weighed> {
+        let name_of = |candidate: &Weighed| &candidates[candidate.place].upstream;
+        let recent: Vec<&UpstreamName> = self.prefixes.recent(now_ms, prefix_hash).collect();
+        let cached = weighed
+            .iter()
+            .filter(|candidate| recent.contains(&name_of(candidate)));
+        let cached: Vec<Weighed> = cached.copied().collect();
+        if !cached.is_empty() {
+            return cached;
+        }
+        let home = rendezvous::preferred(weighed.iter().map(name_of), &prefix_hash);
+        let is_home = |candidate: &&Weighed| Some(name_of(candidate)) == home;
+        weighed.iter().find(is_home).copied().into_iter().collect()
     }
 
-    fn lowest_cost(
-        &mut self,
-        now_ms: u64,
-        candidates: &[Candidate],
-        drawn: &[usize],
-        mean: f64,
-    ) -> Option<(usize, f64)> {
-        let mut lowest: Option<(usize, f64)> = None;
-        for &index in drawn {
-            let cost = self.cost(now_ms, &candidates[index], mean);
-            let lower = match lowest {
-                None => true,
-                Some((_, least)) if cost == least => self.random.random_bool(0.5),
-                Some((_, least)) => cost < least,
-            };
-            if lower {
-                lowest = Some((index, cost));
-            }
+    /// Returns the candidate that takes a request with a prefix: `best` if it has the prefix cached
+    /// or if those that have are too busy, else the least used of these.
+    fn cached_or(&self, best: usize, cached: Vec<Weighed>, candidates: &[Candidate]) -> usize {
+        if cached.iter().any(|candidate| candidate.place == best) {
+            return best;
         }
-        lowest
+        let load = self.group.load();
+        let pressure = |place: usize| self.group.pressure(&candidates[place].upstream, load);
+        let most = pressure(best) + self.options.affinity_pressure;
+        let bearable = cached
+            .into_iter()
+            .filter(|candidate| pressure(candidate.place) <= most);
+        let bearable: Vec<Weighed> = bearable.collect();
+        self.least_used(candidates, &bearable).unwrap_or(best)
     }
 }
 
+/// `Weighed` is a candidate with how often it is to be drawn.
+#[derive(Clone, Copy, Debug)]
+struct Weighed {
+    place: usize,
+    weight: f64,
+    odds: f64,
+}
+
 impl RoutingPolicy for CorrectedLoad {
     fn learn(&mut self, now_ms: u64, event: RoutingEvent) {
         match event {
@@ -203,19 +221,17 @@
         request: &RouteRequest,
         candidates: &[Candidate],
     ) -> Option<usize> {
-        let usable = self.usable(now_ms, request, candidates);
         if let Some(probe) = self.probe(now_ms, request, candidates) {
             return Some(probe);
         }
-        let mean = self.mean_pressure(now_ms, candidates, &usable);
-        let drawn = self.draw(candidates, &usable);
-        let (best, least) = self.lowest_cost(now_ms, candidates, &drawn, mean)?;
+        let usable = self.usable(request, candidates);
+        let weighed = self.weigh(now_ms, candidates, &usable);
+        let drawn = self.draw(weighed.clone());
+        let best = self.least_used(candidates, &drawn)?;
         let Some(prefix_hash) = request.prefix_hash else {
             return Some(best);
         };
-        let most = least + self.options.affinity_pressure;
-        let cached = self.cached_at(now_ms, prefix_hash, candidates, &usable);
-        let near_enough = |index: &usize| self.cost(now_ms, &candidates[*index], mean) <= most;
-        cached.into_iter().find(near_enough).or(Some(best))
+        let cached = self.cached_at(now_ms, prefix_hash, candidates, &weighed);
+        Some(self.cached_or(best, cached, candidates))
     }
 }
--- a/crates/routing/src/group.rs
+++ b/crates/routing/src/group.rs
@@ -1,81 +1,84 @@
 //! The upstreams of one group, judged against each other.
 
-use std::collections::BTreeMap;
+use std::collections::BTreeSet;
+use std::collections::HashMap;
 
 use apricotdale_core::engine::LoadReport;
 use apricotdale_core::names::UpstreamName;
 use apricotdale_core::policy::UpstreamOutcome;
 
-use crate::in_flight::InFlight;
+use crate::load_estimate::GroupLoad;
+use crate::load_estimate::LoadEstimate;
 use crate::options::Options;
 use crate::options::OutlierOptions;
 use crate::outcomes::Outcomes;
 use crate::outcomes::share;
+use crate::residence::Residence;
 use crate::standing::Standing;
 
+/// The time for which the group's median is used before it is worked out again.
+const MEDIAN_VALID_MS: u64 = 500;
+
 /// `Upstream` is what this VM knows of one upstream.
 #[derive(Debug)]
-pub(crate) struct Upstream {
-    in_flight: InFlight,
-    report: Option<Report>,
+struct Upstream {
+    load: LoadEstimate,
     outcomes: Outcomes,
-    pub(crate) standing: Standing,
+    standing: Standing,
 }
 
-#[derive(Clone, Copy, Debug)]
-struct Report {
-    /// The time of which the report speaks, as the engine gave it.
-    as_of_ms: u64,
-    /// The same time on this VM's clock.
-    placed_ms: u64,
-    read_at_ms: u64,
-    load: u32,
-    slots: u32,
+impl Upstream {
+    fn new(now_ms: u64) -> Self {
+        Self {
+            load: LoadEstimate::new(),
+            outcomes: Outcomes::default(),
+            standing: Standing::new(now_ms),
+        }
+    }
 }
 
 /// `Group` is what this VM knows of a group of equal upstreams.
 #[derive(Debug)]
 pub(crate) struct Group {
     options: Options,
-    upstreams: BTreeMap<UpstreamName, Upstream>,
+    upstreams: HashMap<UpstreamName, Upstream>,
+    out_of_service: BTreeSet<UpstreamName>,
+    residence: Residence,
+    reported: u32,
+    sum_total: f64,
     median_first_byte_ms: Option<f64>,
+    median_valid_to_ms: u64,
 }
 
 impl Group {
     /// Returns a group without upstreams.
     pub(crate) fn new(options: Options) -> Self {
         Self {
+            residence: Residence::new(options.assumed_run_ms, options.outliers.half_life_ms),
             options,
-            upstreams: BTreeMap::new(),
+            upstreams: HashMap::new(),
+            out_of_service: BTreeSet::new(),
+            reported: 0,
+            sum_total: 0.0,
             median_first_byte_ms: None,
+            median_valid_to_ms: 0,
         }
     }
 
-    /// Returns the upstream, as a new one in service if it was not known.
-    pub(crate) fn upstream(&mut self, now_ms: u64, name: &UpstreamName) -> &mut Upstream {
-        if !self.upstreams.contains_key(name) {
-            let upstream = Upstream {
-                in_flight: InFlight::default(),
-                report: None,
-                outcomes: Outcomes::default(),
-                standing: Standing::new(now_ms),
-            };
-            self.upstreams.insert(name.clone(), upstream);
-        }
-        let upstream = self.upstreams.get_mut(name);
-        upstream.expect("the upstream was inserted if it was missing")
-    }
-
     /// Forgets an upstream.
     pub(crate) fn remove(&mut self, name: &UpstreamName) {
-        self.upstreams.remove(name);
+        self.out_of_service.remove(name);
+        let removed = self.upstreams.remove(name);
+        let total = removed.and_then(|upstream| upstream.load.total());
+        self.count_total(total, None);
     }
 
     /// Notes that a request was sent.
     pub(crate) fn sent(&mut self, now_ms: u64, name: &UpstreamName) {
         let horizon_ms = self.options.max_lag_ms;
+        self.residence.sent(now_ms);
         let upstream = self.upstream(now_ms, name);
-        upstream.in_flight.sent(now_ms, horizon_ms);
+        upstream.load.own.sent(now_ms, horizon_ms);
         upstream.standing.sent(now_ms);
     }
 
@@ -87,13 +90,13 @@
         outcome: UpstreamOutcome,
         first_byte_ms: Option<u64>,
     ) {
-        let horizon_ms = self.options.max_lag_ms;
         let options = self.options.outliers;
+        self.residence.ended(now_ms);
         // A request may end after its upstream was removed; that must not bring it back.
         let Some(upstream) = self.upstreams.get_mut(name) else {
             return;
         };
-        upstream.in_flight.ended(now_ms, horizon_ms);
+        upstream.load.own.ended(now_ms, self.options.max_lag_ms);
         if outcome == UpstreamOutcome::Cancelled {
             upstream.standing.cancelled();
             return;
@@ -104,76 +107,96 @@
         let good = outcome == UpstreamOutcome::Answered;
         if upstream.standing.ended(now_ms, good, &options) {
             upstream.outcomes = Outcomes::default();
+            self.out_of_service.remove(name);
         }
-        self.fade(now_ms, &options);
-        self.median_first_byte_ms = self.median_first_byte();
+        self.refresh_median(now_ms);
         self.judge(now_ms, name, &options);
     }
 
-    /// Takes in a load report. One that is older than the last is ignored, unless none has come for
-    /// so long that the engine's clock must have been set back.
+    /// Takes in a load report.
     pub(crate) fn reported(&mut self, now_ms: u64, name: &UpstreamName, report: &LoadReport) {
-        let placed_ms = self.placed_ms(now_ms, report.as_of_ms);
-        let max_lag_ms = self.options.max_lag_ms;
+        let options = self.options.clone();
+        let group = self.load();
         let upstream = self.upstream(now_ms, name);
-        let older = upstream.report.is_some_and(|last| {
-            report.as_of_ms < last.as_of_ms && now_ms.saturating_sub(last.read_at_ms) < max_lag_ms
-        });
-        if older {
-            return;
+        let before = upstream.load.total();
+        if upstream.load.reported(now_ms, report, group, &options) {
+            let after = upstream.load.total();
+            self.count_total(before, after);
         }
-        upstream.report = Some(Report {
-            as_of_ms: report.as_of_ms,
-            placed_ms,
-            read_at_ms: now_ms,
-            load: report.running.saturating_add(report.waiting),
-            slots: report.slots,
-        });
     }
 
-    /// Returns an upstream's requests now as a share of its places: what it reported, corrected by
-    /// what this VM has sent and seen ended since, and drawn towards `mean` by the report's age.
-    pub(crate) fn pressure(&self, now_ms: u64, name: &UpstreamName, mean: Option<f64>) -> f64 {
-        let default_slots = f64::from(self.options.default_slots.max(1));
-        let Some(upstream) = self.upstreams.get(name) else {
-            return 0.0;
-        };
-        let own = f64::from(upstream.in_flight.now());
-        let Some(report) = upstream.report else {
-            return (own / default_slots).max(mean.unwrap_or_default());
-        };
-        let slots = match report.slots {
-            0 => default_slots,
-            slots => f64::from(slots),
-        };
-        let grown = upstream.in_flight.growth_since(report.placed_ms) as f64;
-        let corrected = (f64::from(report.load) + grown).max(own) / slots;
-        let Some(mean) = mean else {
-            return corrected;
-        };
-        let age_ms = now_ms.saturating_sub(report.placed_ms) as f64;
-        let weight = 0.5_f64.powf(age_ms / self.options.report_half_life_ms.max(1) as f64);
-        (mean + weight * (corrected - mean)).max(own / slots)
+    /// Returns whether an upstream takes a share of the work. One that is not yet known does.
+    pub(crate) fn in_service(&self, name: &UpstreamName) -> bool {
+        !self.out_of_service.contains(name)
     }
 
-    /// Returns the factor by which slowness and a return raise an upstream's cost.
-    pub(crate) fn cost_factor(&self, now_ms: u64, name: &UpstreamName) -> f64 {
-        let options = &self.options.outliers;
+    /// Returns what the reports of the group say together.
+    pub(crate) fn load(&self) -> GroupLoad {
+        GroupLoad {
+            mean_total: self.sum_total.max(0.0) / f64::from(self.reported.max(1)),
+            residence_ms: self.residence.mean_ms(),
+        }
+    }
+
+    /// Returns how often an upstream is to be drawn, compared with others: less while its reports
+    /// show it busier, while it is slow compared with its group, and while it returns.
+    pub(crate) fn weight(&self, now_ms: u64, name: &UpstreamName, load: GroupLoad) -> f64 {
         let Some(upstream) = self.upstreams.get(name) else {
-            return 1.0;
+            return f64::from(self.options.default_slots.max(1));
         };
+        let options = &self.options.outliers;
         let slowness = self.slowness(&upstream.outcomes, options);
         let slowness = slowness.clamp(1.0, options.max_slowness.max(1.0));
-        slowness * upstream.standing.cost_factor(now_ms, options)
+        let factor = slowness * upstream.standing.cost_factor(now_ms, options);
+        upstream.load.weight(now_ms, load, &self.options) / factor
+    }
+
+    /// Returns this VM's own requests at an upstream.
+    pub(crate) fn own(&self, name: &UpstreamName) -> u32 {
+        let upstream = self.upstreams.get(name);
+        upstream.map_or(0, |upstream| upstream.load.own.now())
     }
 
-    /// Returns an engine's time on this VM's clock. A time that lies ahead of this clock is of
-    /// another clock, so the usual lag is assumed.
-    fn placed_ms(&self, now_ms: u64, as_of_ms: u64) -> u64 {
-        if as_of_ms > now_ms {
-            return now_ms.saturating_sub(self.options.assumed_lag_ms);
+    /// Returns an upstream's requests as a share of its places, as far as this VM can tell.
+    pub(crate) fn pressure(&self, name: &UpstreamName, load: GroupLoad) -> f64 {
+        let upstream = self.upstreams.get(name);
+        upstream.map_or(load.mean_total, |upstream| {
+            upstream.load.pressure(load.mean_total, &self.options)
+        })
+    }
+
+    /// Returns an upstream out of service that is due for a probe, and counts the probe as handed
+    /// out.
+    pub(crate) fn next_probe(
+        &mut self,
+        now_ms: u64,
+        may_probe: impl Fn(&UpstreamName) -> bool,
+    ) -> Option<UpstreamName> {
+        let options = &self.options.outliers;
+        for name in &self.out_of_service {
+            let Some(upstream) = self.upstreams.get_mut(name) else {
+                continue;
+            };
+            upstream.standing.advance(now_ms, options);
+            if upstream.standing.wants_probe(now_ms, options) && may_probe(name) {
+                upstream.standing.probe_offered(now_ms, options);
+                return Some(name.clone());
+            }
         }
-        as_of_ms.max(now_ms.saturating_sub(self.options.max_lag_ms))
+        None
+    }
+
+    fn upstream(&mut self, now_ms: u64, name: &UpstreamName) -> &mut Upstream {
+        if !self.upstreams.contains_key(name) {
+            self.upstreams.insert(name.clone(), Upstream::new(now_ms));
+        }
+        let upstream = self.upstreams.get_mut(name);
+        upstream.expect("the upstream was inserted if it was missing")
+    }
+
+    fn count_total(&mut self, before: Option<f64>, after: Option<f64>) {
+        self.reported = self.reported + u32::from(after.is_some()) - u32::from(before.is_some());
+        self.sum_total += after.unwrap_or(0.0) - before.unwrap_or(0.0);
     }
 
     fn slowness(&self, outcomes: &Outcomes, options: &OutlierOptions) -> f64 {
@@ -187,6 +210,14 @@
         own_ms / median_ms.max(1.0)
     }
 
+    fn refresh_median(&mut self, now_ms: u64) {
+        if now_ms < self.median_valid_to_ms && self.median_first_byte_ms.is_some() {
+            return;
+        }
+        self.median_valid_to_ms = now_ms + MEDIAN_VALID_MS;
+        self.median_first_byte_ms = self.median_first_byte();
+    }
+
     fn median_first_byte(&self) -> Option<f64> {
         let options = &self.options.outliers;
         let upstreams = self.upstreams.values();
@@ -199,33 +230,32 @@
         Some(*median_ms)
     }
 
-    /// Lets all outcomes fade to the same moment, so that they can be compared.
-    fn fade(&mut self, now_ms: u64, options: &OutlierOptions) {
-        for upstream in self.upstreams.values_mut() {
-            upstream.outcomes.fade(now_ms, options);
-        }
-    }
-
     fn judge(&mut self, now_ms: u64, name: &UpstreamName, options: &OutlierOptions) {
         let upstream = &self.upstreams[name];
         let stands_out = upstream.standing.in_service()
-            && (self.fails_alone(name, options) || self.is_too_slow(&upstream.outcomes, options));
+            && (self.fails_alone(now_ms, name, options)
+                || self.is_too_slow(&upstream.outcomes, options));
         if !stands_out || !self.may_eject(options) {
             return;
         }
+        self.out_of_service.insert(name.clone());
         let upstream = self.upstream(now_ms, name);
         upstream.outcomes = Outcomes::default();
+        upstream.standing.advance(now_ms, options);
         upstream.standing.eject(now_ms, options);
     }
 
-    fn fails_alone(&self, name: &UpstreamName, options: &OutlierOptions) -> bool {
+    fn fails_alone(&self, now_ms: u64, name: &UpstreamName, options: &OutlierOptions) -> bool {
         let outcomes = &self.upstreams[name].outcomes;
-        let others = self.failure_share_of_others(name);
-        let in_a_row = outcomes.failures_in_a_row() >= options.failures_in_a_row
-            && others < options.common_failure;
+        let in_a_row = outcomes.failures_in_a_row() >= options.failures_in_a_row;
         let by_share = outcomes.weight() >= options.min_weight
-            && outcomes.failure_share() > others + options.failure_margin;
-        in_a_row || by_share
+            && outcomes.failure_share() > options.failure_margin;
+        if !in_a_row && !by_share {
+            return false;
+        }
+        let others = self.failure_share_of_others(now_ms, name, options);
+        (in_a_row && others < options.common_failure)
+            || (by_share && outcomes.failure_share() > others + options.failure_margin)
     }
 
     fn is_too_slow(&self, outcomes: &Outcomes, options: &OutlierOptions) -> bool {
@@ -235,23 +265,28 @@
 
     /// Returns the share of failures among the others in service. When all fail, the cause lies
     /// elsewhere, such as in this VM's own network, and nobody stands out.
-    fn failure_share_of_others(&self, name: &UpstreamName) -> f64 {
-        let others = self
-            .upstreams
-            .iter()
-            .filter(|(other, upstream)| *other != name && upstream.standing.in_service());
-        let (bad, weight) = others.fold((0.0, 0.0), |(bad, weight), (_, upstream)| {
-            let outcomes = &upstream.outcomes;
-            (bad + outcomes.bad(), weight + outcomes.weight())
-        });
+    fn failure_share_of_others(
+        &self,
+        now_ms: u64,
+        name: &UpstreamName,
+        options: &OutlierOptions,
+    ) -> f64 {
+        let mut bad = 0.0;
+        let mut weight = 0.0;
+        for (other, upstream) in &self.upstreams {
+            if other == name || !upstream.standing.in_service() {
+                continue;
+            }
+            let faded = upstream.outcomes.faded(now_ms, options);
+            bad += faded.bad();
+            weight += faded.weight();
+        }
         share(bad, weight)
     }
 
     fn may_eject(&self, options: &OutlierOptions) -> bool {
         let count = self.upstreams.len();
-        let out = |upstream: &&Upstream| !upstream.standing.in_service();
-        let ejected = self.upstreams.values().filter(out).count();
         let allowed = (options.max_ejected_share * count as f64) as usize;
-        count >= 2 && ejected < allowed.max(1)
+        count >= 2 && self.out_of_service.len() < allowed.max(1)
     }
 }
--- a/crates/routing/src/in_flight.rs
+++ b/crates/routing/src/in_flight.rs
@@ -6,7 +6,7 @@
 const STEP_MS: u64 = 50;
 
 /// `InFlight` counts the requests that this VM has in flight at one upstream and remembers how the
-/// count changed, so that a report about the past can be corrected.
+/// count changed, so that its own part of a report about the past can be told.
 #[derive(Debug, Default)]
 pub(crate) struct InFlight {
     now: u32,
@@ -15,7 +15,7 @@
 
 #[derive(Debug)]
 struct Change {
-    step_ms: u64,
+    step: u64,
     difference: i64,
 }
 
@@ -25,47 +25,45 @@
         self.now
     }
 
+    /// Returns the requests that were in flight at a past moment, within the horizon and to the
+    /// nearest step.
+    pub(crate) fn at(&self, then_ms: u64) -> u32 {
+        let then = then_ms / STEP_MS;
+        let since = self.changes.iter().rev();
+        let grown: i64 = since
+            .take_while(|change| change.step > then)
+            .map(|change| change.difference)
+            .sum();
+        (i64::from(self.now) - grown).max(0) as u32
+    }
+
     /// Notes that a request was sent.
     pub(crate) fn sent(&mut self, now_ms: u64, horizon_ms: u64) {
         self.now = self.now.saturating_add(1);
         self.change(now_ms, 1, horizon_ms);
     }
 
-    /// Notes that a request ended.
-    pub(crate) fn ended(&mut self, now_ms: u64, horizon_ms: u64) {
+    /// Notes that a request ended. Returns whether it was known.
+    pub(crate) fn ended(&mut self, now_ms: u64, horizon_ms: u64) -> bool {
         if self.now == 0 {
-            return;
+            return false;
         }
         self.now -= 1;
         self.change(now_ms, -1, horizon_ms);
-    }
-
-    /// Returns by how much the count has grown since a past moment.
-    pub(crate) fn growth_since(&self, then_ms: u64) -> i64 {
-        let since = self.changes.iter().rev();
-        since
-            .take_while(|change| change.step_ms > then_ms)
-            .map(|change| change.difference)
-            .sum()
+        true
     }
 
     fn change(&mut self, now_ms: u64, difference: i64, horizon_ms: u64) {
-        // A step carries the time of its end, so a change counts as later than the report when
-        // both fall into one step. Counting a request twice for a moment only makes the upstream
-        // look busier; not counting it at all would draw all VMs to it.
-        let step_ms = (now_ms / STEP_MS + 1) * STEP_MS;
+        let step = now_ms / STEP_MS;
         match self.changes.back_mut() {
-            Some(last) if last.step_ms >= step_ms => last.difference += difference,
-            _ => self.changes.push_back(Change {
-                step_ms,
-                difference,
-            }),
+            Some(last) if last.step >= step => last.difference += difference,
+            _ => self.changes.push_back(Change { step, difference }),
         }
-        let oldest_ms = now_ms.saturating_sub(horizon_ms);
+        let oldest = now_ms.saturating_sub(horizon_ms) / STEP_MS;
         while self
             .changes
             .front()
-            .is_some_and(|change| change.step_ms < oldest_ms)
+            .is_some_and(|change| change.step < oldest)
         {
             self.changes.pop_front();
         }
--- a/crates/routing/src/lib.rs
+++ b/crates/routing/src/lib.rs
@@ -16,9 +16,11 @@
 mod group;
 mod in_flight;
 mod least_reported;
+mod load_estimate;
 mod options;
 mod outcomes;
 mod registry;
+mod residence;
 mod standing;
 
 pub use budgeted_retry::BudgetedRetry;
--- a/crates/routing/src/options.rs
+++ b/crates/routing/src/options.rs
@@ -10,10 +10,12 @@
     pub seed: u64,
     /// The availability zone of this VM, or none to ignore zones.
     pub own_zone: Option<ZoneName>,
-    /// Upstreams drawn from the own availability zone, and as many from the others, of which the
-    /// one with the lowest cost is taken.
+    /// Upstreams drawn at random, of which the one with the fewest requests of this VM is taken.
     pub choices: usize,
-    /// The pressure by which the own availability zone may be busier and is still preferred.
+    /// How often an upstream of another availability zone is drawn, compared with one of the own.
+    pub other_zone_weight: f64,
+    /// The pressure of this VM's own requests by which an upstream of the own availability zone may
+    /// be busier than one of another and is still taken.
     pub other_zone_pressure: f64,
     /// The pressure by which an upstream may be busier and is still taken for the prompt prefix
     /// that it has cached.
@@ -28,8 +30,17 @@
     pub assumed_lag_ms: u64,
     /// The longest lag of a report that is corrected for.
     pub max_lag_ms: u64,
-    /// The age at which a report counts half and the group's mean the other half.
-    pub report_half_life_ms: u64,
+    /// How strongly an upstream's weight follows its reports, over the time that it takes for a
+    /// change of weight to show in them. Above one, all VMs together swing to and fro.
+    pub weight_gain: f64,
+    /// The time in which a weight loses half of its distance to one.
+    pub weight_half_life_ms: u64,
+    /// The most by which a weight differs from one, as a factor.
+    pub max_weight: f64,
+    /// How strongly a report that is still true at its age shifts the draw. Zero ignores it.
+    pub fresh_gain: f64,
+    /// The time for which requests are taken to stay at an upstream until it has been measured.
+    pub assumed_run_ms: u64,
     /// How upstreams are judged by their outcomes.
     pub outliers: OutlierOptions,
 }
@@ -39,15 +50,20 @@
         Self {
             seed: 0,
             own_zone: None,
-            choices: 2,
+            choices: 6,
+            other_zone_weight: 0.15,
             other_zone_pressure: 0.15,
-            affinity_pressure: 0.25,
+            affinity_pressure: 0.5,
             prefix_entries: 4_096,
             prefix_ttl_ms: 120_000,
             default_slots: 8,
             assumed_lag_ms: 2_000,
             max_lag_ms: 30_000,
-            report_half_life_ms: 4_000,
+            weight_gain: 0.3,
+            weight_half_life_ms: 60_000,
+            max_weight: 10.0,
+            fresh_gain: 1.0,
+            assumed_run_ms: 2_000,
             outliers: OutlierOptions::default(),
         }
     }
--- a/crates/routing/src/outcomes.rs
+++ b/crates/routing/src/outcomes.rs
@@ -27,7 +27,7 @@
         if outcome == UpstreamOutcome::Cancelled {
             return;
         }
-        self.fade(now_ms, options);
+        *self = self.faded(now_ms, options);
         match outcome {
             UpstreamOutcome::Answered => {
                 self.good += 1.0;
@@ -74,15 +74,18 @@
         enough.then(|| self.first_byte_sum_ms / self.first_bytes)
     }
 
-    /// Lets the weight of what is known fade up to a moment.
-    pub(crate) fn fade(&mut self, now_ms: u64, options: &OutlierOptions) {
+    /// Returns the outcomes as they weigh at a later moment.
+    pub(crate) fn faded(&self, now_ms: u64, options: &OutlierOptions) -> Self {
         let elapsed_ms = now_ms.saturating_sub(self.at_ms) as f64;
         let factor = 0.5_f64.powf(elapsed_ms / options.half_life_ms.max(1) as f64);
-        self.at_ms = self.at_ms.max(now_ms);
-        self.good *= factor;
-        self.bad *= factor;
-        self.first_bytes *= factor;
-        self.first_byte_sum_ms *= factor;
+        Self {
+            at_ms: self.at_ms.max(now_ms),
+            good: self.good * factor,
+            bad: self.bad * factor,
+            first_bytes: self.first_bytes * factor,
+            first_byte_sum_ms: self.first_byte_sum_ms * factor,
+            failures_in_a_row: self.failures_in_a_row,
+        }
     }
 }
 
--- /dev/null
+++ b/crates/routing/tests/grey_failure.rs
@@ -0,0 +1,287 @@
+//! Upstreams that are slow, lose requests or refuse them, while they look well.
+
+use rstest::rstest;
+
+use apricotdale_core::policy::Candidate;
+use apricotdale_core::policy::RouteRequest;
+use apricotdale_core::policy::RoutingEvent;
+use apricotdale_core::policy::RoutingPolicy;
+use apricotdale_core::policy::UpstreamOutcome;
+use apricotdale_routing::CorrectedLoad;
+use apricotdale_routing::Options;
+use apricotdale_routing::OutlierOptions;
+
+mod support;
+
+use support::Fault;
+use support::Fleet;
+use support::candidates;
+use support::play;
+
+struct Group {
+    policy: CorrectedLoad,
+    candidates: Vec<Candidate>,
+    now_ms: u64,
+}
+
+impl Group {
+    fn new(count: usize) -> Self {
+        Self {
+            policy: CorrectedLoad::new(Options::default()),
+            candidates: candidates(count, 1),
+            now_ms: 0,
+        }
+    }
+
+    fn choose(&mut self) -> usize {
+        let chosen = self
+            .policy
+            .choose(self.now_ms, &RouteRequest::default(), &self.candidates);
+        chosen.expect("a candidate")
+    }
+
+    fn send(&mut self, place: usize) {
+        let sent = RoutingEvent::Sent {
+            upstream: self.candidates[place].upstream.clone(),
+            prefix_hash: None,
+        };
+        self.policy.learn(self.now_ms, sent);
+    }
+
+    fn end(&mut self, place: usize, outcome: UpstreamOutcome) {
+        let ended = RoutingEvent::Ended {
+            upstream: self.candidates[place].upstream.clone(),
+            outcome,
+            first_byte_ms: (outcome == UpstreamOutcome::Answered).then_some(100),
+        };
+        self.policy.learn(self.now_ms, ended);
+    }
+
+    fn round_trip(&mut self, place: usize, outcome: UpstreamOutcome) {
+        self.send(place);
+        self.end(place, outcome);
+    }
+
+    /// Lets all upstreams answer some requests.
+    fn warm_up(&mut self) {
+        for place in 0..self.candidates.len() {
+            for _ in 0..10 {
+                self.round_trip(place, UpstreamOutcome::Answered);
+            }
+        }
+    }
+
+    /// Returns how often each upstream is chosen, with every request ended at once.
+    fn chosen(&mut self, requests: usize) -> Vec<usize> {
+        let mut chosen = vec![0; self.candidates.len()];
+        for _ in 0..requests {
+            let place = self.choose();
+            chosen[place] += 1;
+            self.round_trip(place, UpstreamOutcome::Answered);
+        }
+        chosen
+    }
+}
+
+fn ejection_ms() -> u64 {
+    OutlierOptions::default().ejection_ms
+}
+
+/// Symptom: a share of all requests is slow or lost for as long as one engine is ill.
+/// Sequence: the engine accepts connections and reports a low load, but answers badly.
+/// Cause: only the load is looked at, and an engine that fails fast always looks idle.
+#[rstest]
+#[case::slow(Fault::Slow(10.0), 0.01)]
+#[case::refuses_at_once(Fault::Refuses, 0.03)]
+#[case::loses_half(Fault::Loses(0.5), 0.02)]
+#[case::loses_all(Fault::Loses(1.0), 0.02)]
+fn an_ill_engine_loses_its_share(#[case] fault: Fault, #[case] most_failed: f64) {
+    let fleet = Fleet {
+        load: 0.6,
+        faults: vec![(3, fault)],
+        ..Fleet::default()
+    };
+    let figures = play(&fleet);
+    let failed = f64::from(figures.failed) / f64::from(figures.requests());
+    assert!(failed <= most_failed, "{failed}");
+    let late: u32 = figures.sent_late.iter().sum();
+    let share = f64::from(figures.sent_late[3]) / f64::from(late);
+    assert!(share < 0.02, "{share}");
+}
+
+#[test]
+fn an_engine_that_recovers_gets_its_share_back() {
+    let fleet = Fleet {
+        load: 0.6,
+        faults: vec![(3, Fault::Loses(1.0))],
+        faults_end_ms: 30_000,
+        length_ms: 240_000,
+        ..Fleet::default()
+    };
+    let figures = play(&fleet);
+    let late: u32 = figures.sent_late.iter().sum();
+    let share = f64::from(figures.sent_late[3]) / f64::from(late);
+    assert!(share > 0.5 / 18.0, "{share}");
+}
+
+/// Symptom: a VM whose own network is cut ejects all upstreams one after another.
+/// Sequence: every request fails, wherever it is sent.
+/// Cause: upstreams are judged by themselves and not by comparison with their group.
+#[test]
+fn when_all_fail_nobody_is_ejected() {
+    let mut group = Group::new(6);
+    for _ in 0..20 {
+        for place in 0..6 {
+            group.round_trip(place, UpstreamOutcome::Lost);
+        }
+    }
+    let chosen = group.chosen(600);
+    let in_use = chosen.iter().filter(|count| **count > 0).count();
+    assert!(in_use >= 4, "{chosen:?}");
+}
+
+/// Symptom: half of a group is ejected and the other half collapses under the load.
+/// Sequence: several upstreams fail one after another.
+/// Cause: nothing caps the share of the group that is out of service.
+#[rstest]
+#[case(18, 6)]
+#[case(6, 2)]
+#[case(3, 1)]
+#[case(2, 1)]
+#[case(1, 0)]
+fn at_most_a_third_is_ejected(#[case] count: usize, #[case] most_ejected: usize) {
+    let mut group = Group::new(count);
+    group.warm_up();
+    for place in 0..count.div_ceil(2) {
+        for _ in 0..5 {
+            group.round_trip(place, UpstreamOutcome::Lost);
+        }
+    }
+    let chosen = group.chosen(count * 100);
+    let unused = chosen.iter().filter(|count| **count == 0).count();
+    assert_eq!(unused, most_ejected, "{chosen:?}");
+}
+
+/// Symptom: an upstream is ejected because its callers hang up.
+/// Sequence: callers cancel their requests, as shoppers who leave a page do.
+/// Cause: an end that the caller caused counts as the upstream's failure.
+#[test]
+fn cancelled_requests_say_nothing() {
+    let mut group = Group::new(3);
+    group.warm_up();
+    for _ in 0..50 {
+        group.round_trip(0, UpstreamOutcome::Cancelled);
+    }
+    let chosen = group.chosen(300);
+    assert!(chosen[0] >= 50, "{chosen:?}");
+}
+
+/// Symptom: every few seconds many requests are lost at once at the same engine.
+/// Sequence: the engine is still ill when its ejection ends and it gets its full share again.
+/// Cause: an upstream returns with a full share and not by single probes.
+#[test]
+fn an_ejected_upstream_returns_by_single_probes_and_a_ramp() {
+    let mut group = Group::new(4);
+    group.warm_up();
+    for _ in 0..3 {
+        group.round_trip(0, UpstreamOutcome::Lost);
+    }
+    assert_eq!(group.chosen(200)[0], 0, "ejected");
+
+    group.now_ms += ejection_ms();
+    assert_eq!(group.choose(), 0, "the probe");
+    group.send(0);
+    for _ in 0..200 {
+        assert_ne!(group.choose(), 0, "a second probe beside the first");
+    }
+    group.end(0, UpstreamOutcome::Lost);
+
+    group.now_ms += ejection_ms();
+    assert_eq!(group.chosen(200)[0], 0, "ejected for twice as long");
+    group.now_ms += ejection_ms();
+    for _ in 0..OutlierOptions::default().probes_to_return {
+        assert_eq!(group.choose(), 0, "a probe");
+        group.round_trip(0, UpstreamOutcome::Answered);
+        assert_ne!(group.choose(), 0, "probes keep their distance");
+        group.now_ms += OutlierOptions::default().probe_interval_ms;
+    }
+    let during = group.chosen(1_000)[0];
+    assert!(
+        (1..150).contains(&during),
+        "{during} at the start of the ramp"
+    );
+    group.now_ms += OutlierOptions::default().ramp_ms;
+    let after = group.chosen(1_000)[0];
+    assert!((150..350).contains(&after), "{after} after the ramp");
+}
+
+#[test]
+fn a_cancelled_probe_is_followed_by_another() {
+    let mut group = Group::new(4);
+    group.warm_up();
+    for _ in 0..3 {
+        group.round_trip(0, UpstreamOutcome::Unreachable);
+    }
+    group.now_ms += ejection_ms();
+    assert_eq!(group.choose(), 0);
+    group.round_trip(0, UpstreamOutcome::Cancelled);
+    group.now_ms += OutlierOptions::default().probe_interval_ms;
+    assert_eq!(group.choose(), 0);
+}
+
+#[rstest]
+#[case::one_tried(&[0], &[1, 2])]
+#[case::two_tried(&[0, 2], &[1])]
+#[case::all_tried(&[0, 1, 2], &[0, 1, 2])]
+fn tried_upstreams_come_last(#[case] tried: &[usize], #[case] expected: &[usize]) {
+    let mut group = Group::new(3);
+    let request = RouteRequest {
+        prefix_hash: Some(7),
+        tried: tried
+            .iter()
+            .map(|place| group.candidates[*place].upstream.clone())
+            .collect(),
+    };
+    for _ in 0..50 {
+        let chosen = group.policy.choose(0, &request, &group.candidates);
+        assert!(
+            chosen.is_some_and(|place| expected.contains(&place)),
+            "{chosen:?}"
+        );
+    }
+}
+
+/// Symptom: a model's requests are refused although its only engine answers some of them.
+/// Sequence: the engine is ejected, and no other holds the model.
+/// Cause: an ejection counts as a ban and not as a preference.
+#[test]
+fn the_only_replica_is_used_even_when_ejected() {
+    let mut group = Group::new(4);
+    group.warm_up();
+    for _ in 0..3 {
+        group.round_trip(0, UpstreamOutcome::Lost);
+    }
+    let only = [group.candidates[0].clone()];
+    assert_eq!(
+        group.policy.choose(0, &RouteRequest::default(), &only),
+        Some(0)
+    );
+}
+
+/// Symptom: an upstream that came back under its old name never gets work.
+/// Sequence: it is ejected, then removed from the list, then listed again.
+/// Cause: what was known of the earlier one is kept.
+#[test]
+fn a_removed_upstream_starts_afresh() {
+    let mut group = Group::new(3);
+    group.warm_up();
+    group.send(0);
+    for _ in 0..3 {
+        group.round_trip(0, UpstreamOutcome::Lost);
+    }
+    let upstream = group.candidates[0].upstream.clone();
+    group.policy.learn(0, RoutingEvent::Removed { upstream });
+    group.end(0, UpstreamOutcome::Lost);
+    let chosen = group.chosen(300);
+    assert!(chosen[0] >= 50, "{chosen:?}");
+}
--- /dev/null
+++ b/crates/routing/tests/lagging_reports.rs
@@ -0,0 +1,186 @@
+//! Choices by reports that lag, in a model of many VMs and by single events.
+
+use rstest::rstest;
+
+use apricotdale_core::engine::LoadReport;
+use apricotdale_core::policy::Candidate;
+use apricotdale_core::policy::RouteRequest;
+use apricotdale_core::policy::RoutingEvent;
+use apricotdale_core::policy::RoutingPolicy;
+use apricotdale_routing::CorrectedLoad;
+use apricotdale_routing::Options;
+
+mod support;
+
+use support::Fleet;
+use support::candidates;
+use support::play;
+
+fn report(policy: &mut CorrectedLoad, now_ms: u64, to: &Candidate, as_of_ms: u64, running: u32) {
+    let report = LoadReport {
+        as_of_ms,
+        running,
+        waiting: 0,
+        slots: 8,
+        checkpoints: Vec::new(),
+    };
+    let upstream = to.upstream.clone();
+    policy.learn(now_ms, RoutingEvent::Reported { upstream, report });
+}
+
+fn send(policy: &mut CorrectedLoad, now_ms: u64, candidates: &[Candidate]) -> usize {
+    let chosen = policy.choose(now_ms, &RouteRequest::default(), candidates);
+    let chosen = chosen.expect("a candidate");
+    let sent = RoutingEvent::Sent {
+        upstream: candidates[chosen].upstream.clone(),
+        prefix_hash: None,
+    };
+    policy.learn(now_ms, sent);
+    chosen
+}
+
+fn share_of_first(policy: &mut CorrectedLoad, now_ms: u64, candidates: &[Candidate]) -> f64 {
+    let choices = (0..400).map(|_| policy.choose(now_ms, &RouteRequest::default(), candidates));
+    choices.filter(|chosen| *chosen == Some(0)).count() as f64 / 400.0
+}
+
+/// Symptom: one engine's queue grows for seconds while its neighbours idle, then the next one's.
+/// Sequence: many VMs read the same report and send all they have to the engine that looks best.
+/// Cause: the report is believed until the next one, and every VM draws the same conclusion.
+#[rstest]
+#[case::few_vms(7, 2_000)]
+#[case::many_vms(50, 2_000)]
+#[case::late_reports(7, 20_000)]
+#[case::many_vms_late_reports(50, 10_000)]
+fn many_vms_do_not_herd(#[case] vms: usize, #[case] report_lag_ms: u64) {
+    let fleet = Fleet {
+        vms,
+        report_lag_ms,
+        ..Fleet::default()
+    };
+    let figures = play(&fleet);
+    assert!(
+        figures.longest_queue <= 3 * fleet.slots as usize,
+        "{}",
+        figures.longest_queue
+    );
+    assert!(figures.wait_ms(99) <= 1_200, "{} ms", figures.wait_ms(99));
+    let baseline = play(&Fleet {
+        policy: "least_reported",
+        ..fleet
+    });
+    assert!(baseline.longest_queue > 10 * figures.longest_queue);
+}
+
+/// Symptom: engines that other systems keep busy get as much as idle ones, and their queues grow.
+/// Sequence: a third of the engines has other work all the time; each VM has few requests of its
+/// own, too few to notice.
+/// Cause: the reports are mistrusted altogether.
+#[test]
+fn load_that_lasts_is_avoided() {
+    let background = (0..6).map(|engine| (engine, 0.6)).collect();
+    let fleet = Fleet {
+        vms: 50,
+        load: 0.7,
+        background,
+        ..Fleet::default()
+    };
+    let figures = play(&fleet);
+    assert!(figures.wait_ms(95) <= 1_800, "{} ms", figures.wait_ms(95));
+    let busy: u32 = figures.sent[..6].iter().sum();
+    assert!(
+        f64::from(busy) < 0.25 * f64::from(figures.requests()),
+        "{busy}"
+    );
+}
+
+#[test]
+fn own_requests_count_before_the_next_report() {
+    let candidates = candidates(4, 1);
+    let mut policy = CorrectedLoad::new(Options::default());
+    for candidate in &candidates {
+        report(&mut policy, 1_000, candidate, 900, 0);
+    }
+    let mut sent = [0; 4];
+    for _ in 0..20 {
+        sent[send(&mut policy, 1_000, &candidates)] += 1;
+    }
+    assert_eq!(sent, [5; 4]);
+}
+
+#[test]
+fn a_report_that_stays_high_lowers_the_share_step_by_step() {
+    let candidates = candidates(4, 1);
+    let mut policy = CorrectedLoad::new(Options::default());
+    let mut shares = Vec::new();
+    for second in 1..=20 {
+        let now_ms = second * 1_000;
+        for (place, candidate) in candidates.iter().enumerate() {
+            let running = if place == 0 { 16 } else { 2 };
+            report(&mut policy, now_ms + 5_000, candidate, now_ms, running);
+        }
+        shares.push(share_of_first(&mut policy, now_ms + 60_000, &candidates));
+    }
+    assert!((0.15..0.35).contains(&shares[0]), "{shares:?}");
+    assert!(shares[19] < 0.12, "{shares:?}");
+}
+
+#[rstest]
+#[case::older_than_the_last(10_100, 9_000, 10_000)]
+#[case::same_reading_again(10_100, 10_000, 10_000)]
+fn a_stale_report_changes_nothing(
+    #[case] now_ms: u64,
+    #[case] as_of_ms: u64,
+    #[case] last_as_of_ms: u64,
+) {
+    let candidates = candidates(2, 1);
+    let options = Options {
+        fresh_gain: 10.0,
+        ..Options::default()
+    };
+    let mut policy = CorrectedLoad::new(options);
+    for candidate in &candidates {
+        report(&mut policy, last_as_of_ms, candidate, last_as_of_ms, 0);
+    }
+    report(&mut policy, now_ms, &candidates[0], as_of_ms, 0);
+    let share = share_of_first(&mut policy, now_ms, &candidates);
+    assert!((0.4..0.6).contains(&share), "{share}");
+}
+
+/// Symptom: an engine that restarted with its clock set back gets no share, or all, for hours.
+/// Sequence: its reports carry earlier times than the last one before the restart.
+/// Cause: reports are ordered by their own time alone.
+#[test]
+fn reports_of_a_clock_set_back_are_taken_after_a_silence() {
+    let candidates = candidates(2, 1);
+    let options = Options {
+        fresh_gain: 10.0,
+        max_lag_ms: 30_000,
+        ..Options::default()
+    };
+    let mut policy = CorrectedLoad::new(options);
+    report(&mut policy, 100_000, &candidates[0], 100_000, 16);
+    report(&mut policy, 100_000, &candidates[1], 100_000, 0);
+    report(&mut policy, 140_000, &candidates[0], 99_900, 0);
+    report(&mut policy, 140_000, &candidates[1], 140_000, 0);
+    let share = share_of_first(&mut policy, 140_000, &candidates);
+    assert!((0.4..0.6).contains(&share), "{share}");
+}
+
+/// Symptom: every engine counts as busy by what this VM sent in the last half minute.
+/// Sequence: the daemon passes Unix times where the policy expects its monotonic clock.
+/// Cause: a report's time that lies ahead is compared as if it were of the same clock.
+#[test]
+fn reports_on_another_clock_are_taken_with_the_usual_lag() {
+    let candidates = candidates(2, 1);
+    let mut policy = CorrectedLoad::new(Options::default());
+    for second in 1..=10 {
+        for candidate in &candidates {
+            let unix_ms = 1_790_000_000_000 + second * 1_000;
+            report(&mut policy, second * 1_000, candidate, unix_ms, 1);
+        }
+        send(&mut policy, second * 1_000, &candidates);
+    }
+    let share = share_of_first(&mut policy, 10_000, &candidates);
+    assert!((0.3..0.7).contains(&share), "{share}");
+}
--- /dev/null
+++ b/crates/routing/tests/retry_budget.rs
@@ -0,0 +1,188 @@
+//! Which failed tries are repeated, when, and how many.
+
+use std::collections::BTreeSet;
+
+use rstest::rstest;
+
+use apricotdale_core::names::GroupName;
+use apricotdale_core::policy::RetryDecision;
+use apricotdale_core::policy::RetryPolicy;
+use apricotdale_core::policy::RetryRequest;
+use apricotdale_routing::BudgetedRetry;
+use apricotdale_routing::Error;
+use apricotdale_routing::Options;
+use apricotdale_routing::RETRY_POLICIES;
+use apricotdale_routing::ROUTING_POLICIES;
+use apricotdale_routing::RetryOptions;
+use apricotdale_routing::retry_policy;
+use apricotdale_routing::routing_policy;
+
+fn request() -> RetryRequest {
+    RetryRequest {
+        group: GroupName::new("planner-lm"),
+        idempotent: true,
+        certainly_not_run: false,
+        answer_begun: false,
+        tries: 1,
+        left_ms: 10_000,
+    }
+}
+
+fn retries(policy: &mut dyn RetryPolicy, now_ms: u64, request: &RetryRequest) -> bool {
+    matches!(
+        policy.decide(now_ms, request),
+        RetryDecision::RetryAfterMs(_)
+    )
+}
+
+#[rstest]
+#[case::idempotent(request(), None)]
+#[case::not_run(
+    RetryRequest { idempotent: false, certainly_not_run: true, ..request() },
+    None
+)]
+#[case::may_have_run(
+    RetryRequest { idempotent: false, ..request() },
+    Some(RetryDecision::MayHaveRun)
+)]
+#[case::answer_begun(
+    RetryRequest { answer_begun: true, certainly_not_run: true, ..request() },
+    Some(RetryDecision::AnswerBegun)
+)]
+#[case::last_allowed_try(RetryRequest { tries: 2, ..request() }, None)]
+#[case::too_many_tries(RetryRequest { tries: 3, ..request() }, Some(RetryDecision::TooManyTries))]
+#[case::no_time_left(RetryRequest { left_ms: 49, ..request() }, Some(RetryDecision::NoTimeLeft))]
+#[case::just_enough_time(RetryRequest { left_ms: 50, ..request() }, None)]
+fn only_safe_retries_are_made(
+    #[case] request: RetryRequest,
+    #[case] expected: Option<RetryDecision>,
+    #[values("budgeted", "fixed")] name: &str,
+) {
+    let mut policy = retry_policy(name, RetryOptions::default()).expect("a known policy");
+    let decision = policy.decide(0, &request);
+    match expected {
+        Some(expected) => assert_eq!(decision, expected),
+        None => assert!(
+            matches!(decision, RetryDecision::RetryAfterMs(_)),
+            "{decision:?}"
+        ),
+    }
+}
+
+/// Symptom: an outage of a group turns into three times the load, and the group can't come back.
+/// Sequence: every request fails, and every failed one is repeated.
+/// Cause: retries are limited for each request, but not for the group.
+#[test]
+fn an_outage_does_not_multiply_the_load() {
+    let mut policy = BudgetedRetry::new(RetryOptions::default());
+    let mut retried = 0;
+    for first in 0..10_000 {
+        policy.first_try(first, &request().group);
+        retried += u32::from(retries(&mut policy, first, &request()));
+    }
+    assert!((1_000..=1_020).contains(&retried), "{retried}");
+    assert_eq!(
+        policy.decide(10_000, &request()),
+        RetryDecision::BudgetSpent
+    );
+}
+
+#[test]
+fn a_rarely_called_group_may_still_retry() {
+    let mut policy = BudgetedRetry::new(RetryOptions::default());
+    while retries(&mut policy, 0, &request()) {}
+    assert!(!retries(&mut policy, 5_000, &request()));
+    assert!(retries(&mut policy, 15_000, &request()));
+    let spent_after_long_idle = (0..10).filter(|_| retries(&mut policy, 10_000_000, &request()));
+    assert_eq!(spent_after_long_idle.count(), 2);
+}
+
+#[test]
+fn groups_do_not_share_a_budget() {
+    let mut policy = BudgetedRetry::new(RetryOptions::default());
+    while retries(&mut policy, 0, &request()) {}
+    let other = RetryRequest {
+        group: GroupName::new("booking-app"),
+        ..request()
+    };
+    assert!(retries(&mut policy, 0, &other));
+}
+
+#[test]
+fn a_forbidden_retry_spends_nothing() {
+    let mut policy = BudgetedRetry::new(RetryOptions::default());
+    let forbidden = RetryRequest {
+        tries: 3,
+        ..request()
+    };
+    for _ in 0..100 {
+        policy.decide(0, &forbidden);
+    }
+    assert!(retries(&mut policy, 0, &request()));
+}
+
+fn pauses_ms(seed: u64, tries: u32, left_ms: u64) -> Vec<u64> {
+    let options = RetryOptions {
+        seed,
+        max_tries: 10,
+        max_saved: 1_000.0,
+        ..RetryOptions::default()
+    };
+    let mut policy = BudgetedRetry::new(options);
+    let request = RetryRequest {
+        tries,
+        left_ms,
+        ..request()
+    };
+    let decisions = (0..500).map(|_| policy.decide(0, &request));
+    let pause = |decision| match decision {
+        RetryDecision::RetryAfterMs(pause_ms) => pause_ms,
+        other => panic!("{other:?}"),
+    };
+    decisions.map(pause).collect()
+}
+
+/// Symptom: failed requests come back in waves.
+/// Sequence: many requests fail at one moment and are repeated after the same pause.
+/// Cause: the pause is the same for all, or only slightly varied.
+#[rstest]
+#[case::first(1, 10_000, 25)]
+#[case::second(2, 10_000, 50)]
+#[case::third(3, 10_000, 100)]
+#[case::bounded(9, 10_000, 1_000)]
+#[case::little_time_left(9, 90, 40)]
+fn pauses_are_spread_over_the_whole_bound(
+    #[case] tries: u32,
+    #[case] left_ms: u64,
+    #[case] bound_ms: u64,
+) {
+    let pauses = pauses_ms(1, tries, left_ms);
+    assert!(pauses.iter().all(|pause_ms| *pause_ms <= bound_ms));
+    let lower = pauses
+        .iter()
+        .filter(|pause_ms| **pause_ms < bound_ms / 2)
+        .count();
+    assert!(
+        (150..350).contains(&lower),
+        "{lower} of 500 in the lower half"
+    );
+    let distinct: BTreeSet<u64> = pauses.iter().copied().collect();
+    assert!(distinct.len() as u64 > bound_ms / 4);
+    assert_eq!(pauses, pauses_ms(1, tries, left_ms));
+    assert_ne!(pauses, pauses_ms(2, tries, left_ms));
+}
+
+#[test]
+fn policies_are_found_by_name() {
+    for name in ROUTING_POLICIES {
+        assert!(routing_policy(name, Options::default()).is_ok());
+    }
+    for name in RETRY_POLICIES {
+        assert!(retry_policy(name, RetryOptions::default()).is_ok());
+    }
+    let unknown = routing_policy("fastest", Options::default()).err();
+    assert_eq!(
+        unknown,
+        Some(Error::unknown_policy("fastest", ROUTING_POLICIES))
+    );
+}
