State crate: a lagging list may not end a process or engine that is newer than it

Cause: the platform's list lags. A VM or engine that was replaced under its old name can still be shown as gone while its successor runs; a departure or removal proposed from such a listing with the successor's epoch or run would free the memory of orders that can still be sent. The crate now says which epochs and runs a listing of a given time can mean, by the platform's own times and a margin of 30 s. An engine that was wrongly said to be gone comes back with its next newer reading. Ruled out: a check in replay itself, since the records carry no listing time.

--- a/crates/state/src/control_state.rs
+++ b/crates/state/src/control_state.rs
@@ -186,7 +186,7 @@
 
     fn join(&mut self, moment: Moment, join: &Join) -> Verdict {
         let epoch = Epoch(moment.offset.0);
-        match self.members.join(join, epoch) {
+        match self.members.join(join, epoch, moment.appended_ms) {
             Ok(()) => Verdict::Accepted(Accepted::Joined(epoch)),
             Err(reason) => Verdict::Ignored(reason),
         }
--- a/crates/state/src/members.rs
+++ b/crates/state/src/members.rs
@@ -17,6 +17,10 @@
 /// The most processes of one VM that have joined and not yet appended a record.
 const MAX_UNCONFIRMED: usize = 8;
 
+/// How much older than the time of a listing something must be for the listing to speak of it, in
+/// milliseconds. It covers the difference between the clocks of the platform's services.
+pub const LIST_MARGIN_MS: u64 = 30_000;
+
 /// `Member` is one daemon process.
 #[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub struct Member {
@@ -26,6 +30,8 @@
     pub zone: ZoneName,
     /// Its random identity.
     pub process_id: u64,
+    /// When the log took its join, in milliseconds of Unix time.
+    pub joined_ms: u64,
     /// The sequence of its last record, or none before the first.
     pub last_sequence: Option<u64>,
 }
@@ -86,6 +92,20 @@
         current.any(|member| member.epoch == epoch)
     }
 
+    /// Returns the processes of a VM that the platform's list, speaking of the time `as_of_ms`,
+    /// shows as gone, as far as the list can mean them. Only these may be said to have departed.
+    ///
+    /// The list lags, and a VM that was replaced under its old name may still be shown as gone
+    /// while its new process runs. To end that process would free the memory of orders that it may
+    /// still send. The list's time and the log's time are both the platform's; a join later than
+    /// [`LIST_MARGIN_MS`] before the list's time is not held against the process.
+    pub fn departable(&self, vm: &VmName, as_of_ms: u64) -> Vec<Epoch> {
+        let joined_before_ms = as_of_ms.saturating_sub(LIST_MARGIN_MS);
+        let members = self.vms.get(vm).into_iter().flat_map(VmMembers::all);
+        let departable = members.filter(|member| member.joined_ms < joined_before_ms);
+        departable.map(|member| member.epoch).collect()
+    }
+
     /// Returns whether a process has joined and is not over.
     pub fn has_process(&self, process_id: u64) -> bool {
         let mut all = self.vms.values().flat_map(VmMembers::all);
@@ -93,7 +113,12 @@
     }
 
     /// Takes in a join.
-    pub(crate) fn join(&mut self, join: &Join, epoch: Epoch) -> Result<(), IgnoreReason> {
+    pub(crate) fn join(
+        &mut self,
+        join: &Join,
+        epoch: Epoch,
+        joined_ms: u64,
+    ) -> Result<(), IgnoreReason> {
         let members = self.vms.entry(join.vm.clone()).or_default();
         // A join that was appended twice must not give its process a second epoch: the orders of
         // the first epoch would count as those of a process that is over, while it still sends.
@@ -107,6 +132,7 @@
             epoch,
             zone: join.zone.clone(),
             process_id: join.process_id,
+            joined_ms,
             last_sequence: None,
         };
         members.add(member);
--- a/crates/state/src/observations.rs
+++ b/crates/state/src/observations.rs
@@ -46,9 +46,12 @@
         let undecided = self.undecided_of(observation);
         let old = self.engines.get(name);
         let floor = old.map_or(reading, |old| old.floor.max(reading));
+        let same_run = old.filter(|old| old.boot() == reading.boot && !old.is_gone());
+        let run_since_ms = same_run.map_or(moment.appended_ms, |old| old.run_since_ms);
         let engine = Engine {
             group: observation.group.clone(),
             zone: observation.zone.clone(),
+            run_since_ms,
             reading,
             floor,
             capacity_bytes: observation.capacity_bytes,
@@ -128,7 +131,8 @@
         });
     }
 
-    /// Takes in that an engine is gone for good.
+    /// Takes in that an engine is gone for good. If the list was wrong, a later reading brings the
+    /// engine back, with all that it shows as undecided.
     pub(crate) fn remove_upstream(&mut self, moment: Moment, gone: &UpstreamGone) -> Decision {
         let engine = self
             .engines
@@ -143,10 +147,6 @@
             return Err(RejectReason::EngineRestarted);
         }
         engine.gone_at = Some(moment.offset);
-        engine.floor = engine.floor.max(Reading {
-            boot: gone.boot,
-            sequence: u64::MAX,
-        });
         engine.undecided.clear();
         engine.resident_fences.clear();
         self.drop_stray_unloads(&gone.engine);
--- a/crates/state/src/view.rs
+++ b/crates/state/src/view.rs
@@ -3,6 +3,7 @@
 use apricotdale_core::names::ModelName;
 use apricotdale_core::names::UpstreamName;
 use apricotdale_core::names::VmName;
+use apricotdale_core::numbers::BootId;
 use apricotdale_core::numbers::Epoch;
 use apricotdale_core::numbers::Offset;
 
@@ -12,6 +13,7 @@
 use crate::counters::Counters;
 use crate::engines::Engine;
 use crate::history::DecidedChange;
+use crate::members::LIST_MARGIN_MS;
 use crate::members::Members;
 use crate::replicas::Owner;
 use crate::replicas::Progress;
@@ -120,6 +122,19 @@
         self.engines.get(engine)
     }
 
+    /// Returns the present run of an engine that the platform's list, speaking of the time
+    /// `as_of_ms`, shows as gone, if the list can mean that run. Only then may the engine be said to
+    /// be gone: a lagging list can still show the end of an engine whose successor of the same name
+    /// runs already.
+    pub fn removable(&self, engine: &UpstreamName, as_of_ms: u64) -> Option<BootId> {
+        let engine = self
+            .engines
+            .get(engine)
+            .filter(|engine| !engine.is_gone())?;
+        let is_meant = engine.run_since_ms.saturating_add(LIST_MARGIN_MS) < as_of_ms;
+        is_meant.then_some(engine.boot())
+    }
+
     /// Returns how an engine's memory is taken.
     pub fn memory(&self, name: &UpstreamName) -> Option<EngineMemory> {
         let engine = self.engines.get(name)?;
