State crate: only an observed fence frees the memory of a fenced order

Cause: a takeover's settlement was taken as proof that the taker-over had raised the engine's fence. Raising the fence can fail where reading the status does not; the settlement then freed memory that the paused sender's order could still take. Replay takes only an observation that shows a higher fence as proof. A settlement without it leaves the order lingering if its sender is over, and is rejected if not. Ruled out: trusting the settlement and fixing the daemon alone, since a rule that is proved by a record of the engine's own status needs no trust. Conclusion: one real hole closed; the daemon must append the observation before the settlement.

--- a/crates/state/src/settlements.rs
+++ b/crates/state/src/settlements.rs
@@ -184,27 +184,25 @@
     engine: &Engine,
     reading: Reading,
 ) -> Result<(), RejectReason> {
-    // The owner has raised the engine's fence to its takeover's offset before it took the reading,
-    // so an engine that checks fences refuses the order for the rest of this run.
-    let is_refused = engine.checks_fence && reading.boot == engine.boot();
+    // The owner should have raised the engine's fence before it took the reading. Only an
+    // observation proves that it did: raising the fence can fail where reading the status does not.
+    // Without the proof the order could take effect after its memory was given away.
+    let is_refused = replica.refused_by == Some(engine.boot()) && reading.boot == engine.boot();
     // The owner took the reading after its takeover. If the sender had ended before that, no later
     // run of the engine has ever had a connection from the sender.
     let quiet_before = replica
         .quiet_since
         .is_some_and(|quiet| replica.owner.since >= quiet);
-    match (is_refused, quiet_before, replica.quiet_since) {
-        (false, false, None) => return Err(RejectReason::SenderMayAct),
-        (false, false, Some(_)) => return Err(RejectReason::TakeOverTooOld),
-        _ => {}
-    }
-    if is_refused {
-        replica.refused_by = Some(reading.boot);
-    }
-    if quiet_before {
-        let last_boot = replica.last_boot.unwrap_or(reading.boot);
-        replica.last_boot = Some(last_boot.min(reading.boot));
+    match replica.quiet_since {
+        _ if quiet_before => {
+            let last_boot = replica.last_boot.unwrap_or(reading.boot);
+            replica.last_boot = Some(last_boot.min(reading.boot));
+            Ok(())
+        }
+        _ if is_refused => Ok(()),
+        None => Err(RejectReason::SenderMayAct),
+        Some(_) => Err(RejectReason::TakeOverTooOld),
     }
-    Ok(())
 }
 
 fn may_settle(replica: &Replica, epoch: Epoch) -> bool {
--- a/crates/state/tests/decision_search/main.rs
+++ b/crates/state/tests/decision_search/main.rs
@@ -26,7 +26,7 @@
 /// The cases that CI looks at, unless `STATE_SEARCH_CASES` names another number.
 const CASES: u32 = 1_500;
 /// The most steps of a case.
-const STEPS: usize = 160;
+const STEPS: usize = 240;
 
 /// `Step` is one step of a case: what happens, to whom, and how.
 type Step = (u8, u8, u8, u8);
@@ -38,8 +38,12 @@
     match what % 64 {
         0 => world.start(vm, how),
         1 => world.remove_vm(vm),
-        2..=4 => world.depart(vm, index % VMS, how),
-        5..=14 => world.propose_load(vm, index, usize::from(how) % world.engines.len(), how / 2),
+        2..=5 => world.depart(
+            vm,
+            world.gone.iter().position(|gone| *gone).unwrap_or(0),
+            how,
+        ),
+        6..=13 => world.propose_load(vm, index, usize::from(how) % world.engines.len(), how / 2),
         15..=19 => world.pick(
             world.vm_with(vm, |process| !process.to_pick().is_empty()),
             index,
@@ -69,8 +73,15 @@
             let vm = world.vm_with(vm, |process| !process.readings.is_empty());
             world.append_reading(vm, index, how);
         }
-        45 | 46 => world.take_over(vm, index, how),
-        47..=49 => world.resolve(world.vm_with(vm, |p| !p.to_resolve().is_empty()), index),
+        14 | 45 | 46 => {
+            let vm = world.vm_with(vm, |process| !process.to_take_over().is_empty());
+            world.take_over(vm, index, how);
+        }
+        47..=49 => {
+            let vm = world.vm_with(vm, |process| !process.to_resolve().is_empty());
+            world.resolve(vm, index, how % 4 != 0);
+            world.read(vm, engine);
+        }
         50..=53 => world.settle(world.vm_with(vm, |p| !p.outcomes.is_empty()), index, how),
         54 | 55 => world.propose_unload(vm, index, how),
         56 | 57 => world.pick_unload(world.vm_with(vm, |p| !p.to_unload().is_empty()), index),
@@ -153,12 +164,16 @@
         }
     }
     for index in 0..count {
-        world.resolve(0, index);
+        world.resolve(0, index, true);
     }
-    for index in 0..count {
+    observe_all(world);
+    for index in (0..count).rev() {
         world.settle(0, index, 7);
     }
-    world.replay(0, usize::MAX);
+    observe_all(world);
+}
+
+fn observe_all(world: &mut World) {
     for engine in 0..world.engines.len() {
         world.read(0, engine);
         world.append_reading(0, 0, 7);
@@ -188,10 +203,11 @@
         for step in steps {
             take_step(&mut world, step);
         }
+        let counted = world.verdicts.clone();
         clear_up(&mut world);
         world.check_replays();
         let mut verdicts = verdicts.lock().expect("no case panics while it counts");
-        for (code, count) in &world.verdicts {
+        for (code, count) in &counted {
             *verdicts.entry(code).or_default() += count;
         }
         Ok(())
--- a/crates/state/tests/decision_search/steps.rs
+++ b/crates/state/tests/decision_search/steps.rs
@@ -268,8 +268,9 @@
         });
     }
 
-    /// A process asks an engine about an intent that it has taken over.
-    pub fn resolve(&mut self, vm: usize, index: usize) {
+    /// A process asks an engine about an intent that it has taken over. Raising the fence can fail
+    /// where reading the status does not.
+    pub fn resolve(&mut self, vm: usize, index: usize, raises: bool) {
         let Some(process) = &mut self.processes[vm] else {
             return;
         };
@@ -280,7 +281,7 @@
         let mut names = (0..self.engines.len()).map(World::engine_name);
         let engine = names.position(|name| name == intent.engine);
         let engine = &mut self.engines[engine.expect("engines are not renamed")];
-        if engine.checks_fence {
+        if engine.checks_fence && raises {
             engine.raise_fence(intent.owner.since.0);
         }
         let resident = engine
@@ -344,8 +345,10 @@
     }
 }
 
-/// Returns whether an intent only waits for its engine's next run.
+/// Returns whether an intent only waits for the next run of an engine that obeys every order.
 pub fn lingers(world: &World, intent: &IntentView) -> bool {
     let replica = world.reference.replica(intent.intent);
+    let engine = world.reference.engine(&intent.engine);
     replica.is_some_and(|replica| replica.stage() == Stage::Lingering)
+        && engine.is_some_and(|engine| !engine.checks_fence)
 }
--- a/crates/state/tests/lost_senders.rs
+++ b/crates/state/tests/lost_senders.rs
@@ -30,6 +30,34 @@
     (stream, a, b, load)
 }
 
+/// Takes a load over, raises the fence of `e1` to the takeover's offset and observes the engine. An
+/// engine that obeys all takes no notice of the number.
+fn raise_fence(stream: &mut Stream, by: Epoch, load: Offset) {
+    stream.take_over(by, load);
+    let fence = stream.last().0;
+    let engine = stream.state.engine(&"e1".into());
+    let checks_fence = engine.expect("the engine was observed").checks_fence;
+    stream.observe(by, "e1", checks_fence, 1, 0, fence, &[]);
+}
+
+/// Symptom: an order takes effect after it was settled as absent on an engine that checks.
+/// Sequence: the sender is paused; another VM takes the load over; its call to raise the fence
+/// fails, but it reads the status, which does not show the model; the sender wakes up.
+/// Cause: the settlement was taken as proof that the fence was raised.
+#[rstest]
+#[case::paused_sender(false, Verdict::Rejected(RejectReason::SenderMayAct))]
+#[case::dead_sender(true, Verdict::Accepted(Accepted::LoadLingers))]
+fn only_an_observed_fence_frees_memory(#[case] is_over: bool, #[case] expected: Verdict) {
+    let (mut stream, a, b, load) = with_load(true);
+    if is_over {
+        stream.depart(b, "a", a);
+    }
+    stream.take_over(b, load);
+    let verdict = stream.settle_load(b, load, failed(), Some((1, 0)));
+    assert_eq!(verdict, expected);
+    assert_eq!(stream.held("e1"), 60);
+}
+
 /// Symptom: an engine's memory is overcommitted by an order that comes minutes late.
 /// Sequence: the sender is paused before it sends; another VM takes the load over, does not see it
 /// on the engine and settles it; its memory is given to another load; the sender wakes up.
@@ -53,7 +81,7 @@
 #[test]
 fn a_raised_fence_frees_memory_until_the_engine_restarts() {
     let (mut stream, a, b, load) = with_load(true);
-    stream.take_over(b, load);
+    raise_fence(&mut stream, b, load);
     let verdict = stream.settle_load(b, load, failed(), Some((1, 0)));
     assert_eq!(verdict, Verdict::Accepted(Accepted::LoadRevoked));
     assert_eq!(stream.stage(load), Some(Stage::Revoked));
@@ -103,7 +131,7 @@
 fn an_order_of_a_dead_sender_is_over_once_a_fence_is_raised() {
     let (mut stream, a, b, load) = with_load(true);
     stream.depart(b, "a", a);
-    stream.take_over(b, load);
+    raise_fence(&mut stream, b, load);
     let verdict = stream.settle_load(b, load, failed(), Some((1, 0)));
     assert_eq!(verdict, Verdict::Accepted(Accepted::LoadFreed));
     assert_eq!(stream.state.replica_count(&"m1".into()), 0);
@@ -132,7 +160,7 @@
     stream.take_over(b, load);
     let verdict = stream.settle_load(b, load, failed(), Some((2, 0)));
     assert_eq!(verdict, Verdict::Rejected(RejectReason::RunNotObserved));
-    stream.observe(b, "e1", true, 2, 0, 0, &[]);
+    stream.observe(b, "e1", true, 2, 0, load.0 + 1, &[]);
     let verdict = stream.settle_load(b, load, failed(), Some((2, 0)));
     assert_eq!(verdict, Verdict::Accepted(Accepted::LoadFreed));
 }
@@ -148,7 +176,7 @@
     #[case] held_bytes: u64,
 ) {
     let (mut stream, a, _, load) = with_load(checks_fence);
-    stream.take_over(a, load);
+    raise_fence(&mut stream, a, load);
     let verdict = stream.settle_load(a, load, failed(), Some((1, 0)));
     assert_eq!(verdict, Verdict::Accepted(accepted));
     assert_eq!(stream.held("e1"), held_bytes);
@@ -189,7 +217,7 @@
 #[test]
 fn what_could_follow_a_restart_fits_the_memory() {
     let (mut stream, _, b, load) = with_load(true);
-    stream.take_over(b, load);
+    raise_fence(&mut stream, b, load);
     stream.settle_load(b, load, failed(), Some((1, 0)));
     stream.configure(vec![
         common::model("m3", None, 41),
