--- a/crates/node/src/appender.rs
+++ b/crates/node/src/appender.rs
@@ -20,7 +20,11 @@
 use apricotdale_core::names::VmName;
 use apricotdale_core::numbers::Epoch;
 use apricotdale_core::numbers::Offset;
+use apricotdale_core::refusal::Ran;
 use apricotdale_core::serving::Clock;
+use apricotdale_telemetry::AppendOutcome;
+use apricotdale_telemetry::Metrics;
+use apricotdale_telemetry::StreamKind;
 
 use crate::log_health::LogHealth;
 
@@ -71,7 +75,6 @@
 #[derive(Clone)]
 pub struct Appender {
     queue: Sender<Proposal>,
-    epoch: Arc<EpochCell>,
 }
 
 /// `EpochCell` holds the epoch of this process once it is known.
@@ -85,6 +88,11 @@
         self.1.store(true, Ordering::Release);
     }
 
+    /// Forgets the epoch: this process may decide nothing any more.
+    pub fn clear(&self) {
+        self.1.store(false, Ordering::Release);
+    }
+
     /// Returns the epoch, or none if this process has not joined.
     pub fn get(&self) -> Option<Epoch> {
         self.1
@@ -103,6 +111,8 @@
     pub log: Arc<dyn LogClient>,
     /// Takes in the outcomes.
     pub health: Arc<LogHealth>,
+    /// The metrics.
+    pub metrics: Arc<Metrics>,
     /// The clock.
     pub clock: Arc<dyn Clock>,
     /// Set when the daemon stops.
@@ -115,17 +125,11 @@
     /// Starts the appending thread.
     pub fn start(parts: AppenderParts) -> (Self, thread::JoinHandle<()>) {
         let (queue, proposals) = crossbeam_channel::unbounded();
-        let epoch = Arc::clone(&parts.epoch);
         let handle = thread::Builder::new()
             .name("control-appender".into())
             .spawn(move || Worker { parts, sequence: 0 }.run(&proposals))
             .expect("the daemon needs its appender thread");
-        (Self { queue, epoch }, handle)
-    }
-
-    /// Returns whether this process has joined and so may propose.
-    pub fn has_joined(&self) -> bool {
-        self.epoch.get().is_some()
+        (Self { queue }, handle)
     }
 
     /// Queues a proposal. `done` is called with the outcome of its append.
@@ -197,6 +201,7 @@
             self.parts
                 .health
                 .note_append(self.parts.clock.monotonic_ms(), outcome.is_ok());
+            self.count(&outcome);
             let error = match outcome {
                 Ok(offset) => return Appended::At(offset),
                 Err(error) => error,
@@ -216,7 +221,24 @@
         }
     }
 
+    fn count(&self, outcome: &Result<Offset, Error>) {
+        let outcome = append_outcome(outcome);
+        self.parts
+            .metrics
+            .node()
+            .appended(StreamKind::Control, outcome);
+    }
+
     fn stopped(&self) -> bool {
         self.parts.stop.load(Ordering::Relaxed)
     }
 }
+
+/// Returns under which outcome an append is counted.
+pub fn append_outcome(outcome: &Result<Offset, Error>) -> AppendOutcome {
+    match outcome {
+        Ok(_) => AppendOutcome::Appended,
+        Err(error) if error.ran() == Ran::NotRun => AppendOutcome::NotAppended,
+        Err(_) => AppendOutcome::Unknown,
+    }
+}
--- /dev/null
+++ b/crates/node/src/assembly/deciding.rs
@@ -0,0 +1,310 @@
+//! The parts that replay, decide and carry out.
+
+use std::sync::Arc;
+use std::thread;
+use std::thread::JoinHandle;
+use std::time::Duration;
+
+use parking_lot::Mutex;
+
+use apricotdale_core::weights::WeightsStatus;
+use apricotdale_state::view::IntentView;
+
+use super::common::Common;
+use super::serving::Serving;
+use crate::appender::Appender;
+use crate::appender::AppenderParts;
+use crate::claims::ClaimSweeper;
+use crate::claims::ClaimWriter;
+use crate::engine_watch::EngineWatch;
+use crate::errors::Error;
+use crate::errors::Result;
+use crate::gauges::Gauges;
+use crate::joining::Joining;
+use crate::membership_loop::MembershipLoop;
+use crate::placing::CapacityFeed;
+use crate::placing::DemandReporter;
+use crate::placing::FleetSource;
+use crate::placing::PlacementLoop;
+use crate::placing::PlacementParts;
+use crate::settling::Freshness;
+use crate::settling::IntentRunner;
+use crate::settling::RunnerParts;
+use crate::streams::CatchUp;
+use crate::streams::PeerSnapshots;
+use crate::streams::SnapshotReader;
+use crate::streams::SnapshotWriter;
+use crate::streams::StreamState;
+use crate::streams::StreamTail;
+
+/// `Deciding` is the part of a daemon that replays, decides and carries out: one thread a role.
+pub struct Deciding<'a> {
+    common: &'a Common,
+    serving: &'a Serving,
+    appender: Appender,
+    fleet: Arc<FleetSource>,
+    weights: Arc<Mutex<Option<WeightsStatus>>>,
+    threads: Vec<JoinHandle<()>>,
+}
+
+impl<'a> Deciding<'a> {
+    /// Starts all roles and returns their threads, which end once the stop flag is set.
+    ///
+    /// # Errors
+    ///
+    /// `Error::System` if the system refuses a thread.
+    pub fn start(common: &'a Common, serving: &'a Serving) -> Result<Vec<JoinHandle<()>>> {
+        let (appender, thread) = Appender::start(appender_parts(common));
+        let weights = Arc::new(Mutex::new(None));
+        let fleet = FleetSource {
+            replayed: Arc::clone(&common.replayed),
+            membership: Arc::clone(&common.membership),
+            reports: Arc::clone(&common.reports),
+            demand: Arc::clone(&common.demand),
+            weights: Arc::clone(&weights),
+        };
+        let mut deciding = Self {
+            common,
+            serving,
+            appender,
+            fleet: Arc::new(fleet),
+            weights,
+            threads: vec![thread],
+        };
+        deciding.start_streams()?;
+        deciding.start_claims()?;
+        deciding.start_membership()?;
+        deciding.start_placement()?;
+        deciding.start_engines()?;
+        deciding.start_gauges()?;
+        Ok(deciding.threads)
+    }
+
+    fn spawn(&mut self, name: &str, run: impl FnOnce() + Send + 'static) -> Result<()> {
+        let thread = thread::Builder::new()
+            .name(name.into())
+            .spawn(run)
+            .map_err(Error::system)?;
+        self.threads.push(thread);
+        Ok(())
+    }
+
+    fn start_streams(&mut self) -> Result<()> {
+        let common = self.common;
+        let snapshots = Arc::new(SnapshotReader::new(
+            common.settings.platform.snapshot_stream.clone(),
+            Arc::clone(&common.adapters.log),
+        ));
+        let peers = Arc::new(PeerSnapshots {
+            link: Arc::clone(&self.serving.link),
+            timeout_ms: common.settings.peers.timeout_ms,
+        });
+        for (index, state) in common.states.iter().enumerate() {
+            let tail = self.tail(state, index == 0, &snapshots, &peers);
+            self.spawn("stream-tail", move || tail.run())?;
+        }
+        let writer = SnapshotWriter {
+            stream: common.settings.platform.snapshot_stream.clone(),
+            log: Arc::clone(&common.adapters.log),
+            states: common.states.clone(),
+            membership: Arc::clone(&common.membership),
+            metrics: Arc::clone(&common.metrics),
+            clock: common.clock(),
+            stop: Arc::clone(&common.stop),
+        };
+        self.spawn("snapshots", move || writer.run())?;
+        let joining = Joining {
+            vm: common.vm(),
+            zone: common.settings.vm.zone.clone(),
+            process_id: common.process_id,
+            stream: common.settings.platform.control_stream.clone(),
+            log: Arc::clone(&common.adapters.log),
+            replayed: Arc::clone(&common.replayed),
+            epoch: Arc::clone(&common.epoch),
+            appender: self.appender.clone(),
+            stop: Arc::clone(&common.stop),
+        };
+        self.spawn("joining", move || joining.run())
+    }
+
+    fn tail(
+        &self,
+        state: &Arc<dyn StreamState>,
+        tells_health: bool,
+        snapshots: &Arc<SnapshotReader>,
+        peers: &Arc<PeerSnapshots>,
+    ) -> StreamTail {
+        let common = self.common;
+        StreamTail {
+            state: Arc::clone(state),
+            log: Arc::clone(&common.adapters.log),
+            wait_ms: common.settings.platform.log_wait_ms,
+            catch_up: CatchUp {
+                state: Arc::clone(state),
+                log: Arc::clone(&common.adapters.log),
+                snapshots: Arc::clone(snapshots),
+                peers: Arc::clone(peers),
+                membership: Arc::clone(&common.membership),
+                restart: common.give_up(),
+            },
+            health: tells_health.then(|| Arc::clone(&common.health)),
+            clock: common.clock(),
+            stop: Arc::clone(&common.stop),
+        }
+    }
+
+    fn start_claims(&mut self) -> Result<()> {
+        let common = self.common;
+        for stream in &common.claim_streams {
+            let writer = ClaimWriter {
+                stream: Arc::clone(stream),
+                log: Arc::clone(&common.adapters.log),
+                metrics: Arc::clone(&common.metrics),
+                stop: Arc::clone(&common.stop),
+            };
+            self.spawn("claim-writer", move || writer.run())?;
+        }
+        let sweeper = ClaimSweeper {
+            streams: common.claim_streams.clone(),
+            replayed: Arc::clone(&common.replayed),
+            membership: Arc::clone(&common.membership),
+            stop: Arc::clone(&common.stop),
+        };
+        self.spawn("claim-sweeper", move || sweeper.run())
+    }
+
+    fn start_membership(&mut self) -> Result<()> {
+        let common = self.common;
+        let members = MembershipLoop {
+            membership: Arc::clone(&common.membership),
+            vm_list: Arc::clone(&common.adapters.vm_list),
+            list_interval_ms: common.settings.platform.vm_list_interval_ms,
+            link: Arc::clone(&self.serving.link),
+            peer_timeout_ms: common.settings.peers.timeout_ms,
+            heartbeats: Arc::clone(&common.heartbeats),
+            replayed: Arc::clone(&common.replayed),
+            appender: self.appender.clone(),
+            gateway: Arc::clone(&self.serving.gateway),
+            leaving: common.drain(),
+            clock: common.clock(),
+            stop: Arc::clone(&common.stop),
+        };
+        self.spawn("membership", move || members.run())
+    }
+
+    fn start_placement(&mut self) -> Result<()> {
+        let common = self.common;
+        let capacity = CapacityFeed::new(
+            Arc::clone(&common.directory),
+            Arc::clone(&common.reports),
+            Arc::clone(&self.serving.gateway),
+        );
+        let placement = PlacementLoop::new(PlacementParts {
+            source: Arc::clone(&self.fleet),
+            policy: Arc::clone(&common.placement),
+            appender: self.appender.clone(),
+            health: Arc::clone(&common.health),
+            gateway: Arc::clone(&self.serving.gateway),
+            capacity,
+            clock: common.clock(),
+            wake: common.placement_wake.receiver(),
+            stop: Arc::clone(&common.stop),
+        });
+        self.spawn("placement", move || placement.run())?;
+        let reporter = DemandReporter {
+            vm: common.vm(),
+            demand: Arc::clone(&common.demand),
+            membership: Arc::clone(&common.membership),
+            link: Arc::clone(&self.serving.link),
+            timeout_ms: common.settings.peers.timeout_ms,
+            clock: common.clock(),
+            wake: common.report_wake.receiver(),
+            stop: Arc::clone(&common.stop),
+        };
+        self.spawn("demand-reporter", move || reporter.run())
+    }
+
+    fn start_engines(&mut self) -> Result<()> {
+        let common = self.common;
+        let runner = IntentRunner::new(self.runner_parts(), common.settle_wake.receiver());
+        self.spawn("settling", move || runner.run())?;
+        let watch = EngineWatch {
+            vm: common.vm(),
+            replayed: Arc::clone(&common.replayed),
+            membership: Arc::clone(&common.membership),
+            reports: Arc::clone(&common.adapters.reports),
+            weights: Arc::clone(&common.adapters.weights),
+            table: Arc::clone(&common.reports),
+            weights_status: Arc::clone(&self.weights),
+            demand: Arc::clone(&common.demand),
+            appender: self.appender.clone(),
+            gateway: Arc::clone(&self.serving.gateway),
+            link: Arc::clone(&self.serving.link),
+            peer_timeout_ms: common.settings.peers.timeout_ms,
+            clock: common.clock(),
+            interval: Duration::from_millis(common.settings.upstreams.report_interval_ms),
+            stop: Arc::clone(&common.stop),
+        };
+        self.spawn("engine-watch", move || watch.run())
+    }
+
+    fn runner_parts(&self) -> RunnerParts {
+        let common = self.common;
+        let (fleet, policy) = (Arc::clone(&self.fleet), Arc::clone(&common.placement));
+        let (clock, metrics) = (common.clock(), Arc::clone(&common.metrics));
+        let loaded = move |intent: &IntentView, took_ms: u64| {
+            let tier = fleet.tier(&intent.engine, &intent.model);
+            metrics.node().loaded(tier, took_ms);
+            policy
+                .lock()
+                .loaded(clock.monotonic_ms(), &intent.model, tier, took_ms);
+        };
+        RunnerParts {
+            replayed: Arc::clone(&common.replayed),
+            membership: Arc::clone(&common.membership),
+            orders: Arc::clone(&common.adapters.orders),
+            reports: Arc::clone(&common.adapters.reports),
+            appender: self.appender.clone(),
+            epoch: Arc::clone(&common.epoch),
+            freshness: Freshness::new(
+                Arc::clone(&common.adapters.log),
+                common.settings.platform.control_stream.clone(),
+                Arc::clone(&common.replayed),
+                common.clock(),
+            ),
+            clock: common.clock(),
+            metrics: Arc::clone(&common.metrics),
+            loaded: Box::new(loaded),
+            load_timeout_ms: common.settings.upstreams.load_timeout_ms,
+            stop: Arc::clone(&common.stop),
+        }
+    }
+
+    fn start_gauges(&mut self) -> Result<()> {
+        let common = self.common;
+        let gauges = Gauges {
+            metrics: Arc::clone(&common.metrics),
+            directory: Arc::clone(&common.directory),
+            reports: Arc::clone(&common.reports),
+            peers: Arc::clone(&self.serving.peer_counters),
+            health: Arc::clone(&common.health),
+            clock: common.clock(),
+            stop: Arc::clone(&common.stop),
+            rejected: Default::default(),
+        };
+        self.spawn("gauges", move || gauges.run())
+    }
+}
+
+fn appender_parts(common: &Common) -> AppenderParts {
+    AppenderParts {
+        vm: common.vm(),
+        stream: common.settings.platform.control_stream.clone(),
+        log: Arc::clone(&common.adapters.log),
+        health: Arc::clone(&common.health),
+        metrics: Arc::clone(&common.metrics),
+        clock: common.clock(),
+        stop: Arc::clone(&common.stop),
+        epoch: Arc::clone(&common.epoch),
+    }
+}
--- /dev/null
+++ b/crates/node/src/assembly/mod.rs
@@ -0,0 +1,9 @@
+//! Builds the parts of a daemon from its settings.
+
+mod common;
+mod deciding;
+mod serving;
+
+pub use common::Common;
+pub use deciding::Deciding;
+pub use serving::Serving;
--- a/crates/node/src/claims/claim_writer.rs
+++ b/crates/node/src/claims/claim_writer.rs
@@ -13,11 +13,11 @@
 use apricotdale_core::claims::ClaimBatch;
 use apricotdale_core::claims::ClaimRecord;
 use apricotdale_core::log::LogClient;
-use apricotdale_telemetry::AppendOutcome;
 use apricotdale_telemetry::Metrics;
 use apricotdale_telemetry::StreamKind;
 
 use super::claim_stream::ClaimStream;
+use crate::appender::append_outcome;
 
 /// How long the first record of a batch waits for others. The log takes several hundred appends a
 /// second in all, so claims have to share them.
@@ -85,7 +85,8 @@
             }
             .encode();
             let outcome = self.log.append(&self.stream.name, &payload);
-            self.count(&outcome);
+            let counted = append_outcome(&outcome);
+            self.metrics.node().appended(StreamKind::Claims, counted);
             let error = match outcome {
                 Ok(_) => return,
                 Err(error) => error,
@@ -116,15 +117,6 @@
         drop_claims(batch);
     }
 
-    fn count(&self, outcome: &Result<apricotdale_core::numbers::Offset, Error>) {
-        let outcome = match outcome {
-            Ok(_) => AppendOutcome::Appended,
-            Err(Error::Unknown(_) | Error::Malformed(_)) => AppendOutcome::Unknown,
-            Err(_) => AppendOutcome::NotAppended,
-        };
-        self.metrics.node().appended(StreamKind::Claims, outcome);
-    }
-
     fn stopped(&self) -> bool {
         self.stop.load(Ordering::Relaxed)
     }
--- a/crates/node/src/claims/keeper.rs
+++ b/crates/node/src/claims/keeper.rs
@@ -1,9 +1,6 @@
 //! The gateway's way to claims.
 
 use std::sync::Arc;
-use std::sync::atomic::AtomicBool;
-use std::thread;
-use std::thread::JoinHandle;
 use std::time::Duration;
 
 use xxhash_rust::xxh3::xxh3_64;
@@ -12,10 +9,8 @@
 use apricotdale_core::claims::ClaimRecord;
 use apricotdale_core::claims::Finish;
 use apricotdale_core::claims::KeptAnswer;
-use apricotdale_core::log::LogClient;
 use apricotdale_core::names::IdempotencyKey;
 use apricotdale_core::names::RequestId;
-use apricotdale_core::names::StreamName;
 use apricotdale_core::names::VmName;
 use apricotdale_core::refusal::Ran;
 use apricotdale_core::refusal::Refusal;
@@ -27,14 +22,10 @@
 use apricotdale_state::claims::ClaimEntry;
 use apricotdale_state::claims::ClaimState;
 use apricotdale_state::claims::ClaimVerdict;
-use apricotdale_telemetry::Metrics;
 
 use super::claim_stream::ClaimStream;
 use super::claim_stream::Wait;
-use super::claim_tail::ClaimTail;
-use super::claim_writer::ClaimWriter;
-use crate::errors::Error;
-use crate::errors::Result;
+use crate::appender::EpochCell;
 use crate::replayed::Replayed;
 
 /// The longest wait for a claim. A log that does not answer for so long is down, and the caller is
@@ -50,75 +41,24 @@
 /// When a caller should come back while its call runs.
 const RUNNING_RETRY_MS: u64 = 1_000;
 
-/// `ClaimParts` is what a claim keeper works with.
-pub struct ClaimParts {
+/// `NodeClaimKeeper` makes sure that a call under a key runs at most once over all VMs.
+pub struct NodeClaimKeeper {
     /// This VM.
     pub vm: VmName,
     /// This process.
     pub process_id: u64,
     /// The claim streams. All VMs must have the same ones in the same order.
-    pub streams: Vec<StreamName>,
-    /// How long a read waits for a first record.
-    pub wait_ms: u64,
-    /// The log.
-    pub log: Arc<dyn LogClient>,
+    pub streams: Vec<Arc<ClaimStream>>,
     /// The clock.
     pub clock: Arc<dyn Clock>,
     /// The replayed control state, which tells which processes are over.
     pub replayed: Arc<Replayed>,
-    /// The metrics.
-    pub metrics: Arc<Metrics>,
-    /// Set when the daemon stops.
-    pub stop: Arc<AtomicBool>,
-}
-
-/// `NodeClaimKeeper` makes sure that a call under a key runs at most once over all VMs.
-pub struct NodeClaimKeeper {
-    vm: VmName,
-    process_id: u64,
-    clock: Arc<dyn Clock>,
-    replayed: Arc<Replayed>,
-    streams: Vec<Arc<ClaimStream>>,
+    /// Whether this process has joined. Until then others would take its claims for those of a
+    /// process that is over.
+    pub epoch: Arc<EpochCell>,
 }
 
 impl NodeClaimKeeper {
-    /// Starts the threads of all claim streams.
-    ///
-    /// # Errors
-    ///
-    /// [`Error::System`] if the system refuses a thread.
-    pub fn start(parts: ClaimParts) -> Result<(Self, Vec<JoinHandle<()>>)> {
-        let mut handles = Vec::new();
-        let mut streams = Vec::new();
-        for name in &parts.streams {
-            let stream = Arc::new(ClaimStream::new(name.clone()));
-            let tail = ClaimTail {
-                stream: Arc::clone(&stream),
-                log: Arc::clone(&parts.log),
-                wait_ms: parts.wait_ms,
-                process_id: parts.process_id,
-                stop: Arc::clone(&parts.stop),
-            };
-            let writer = ClaimWriter {
-                stream: Arc::clone(&stream),
-                log: Arc::clone(&parts.log),
-                metrics: Arc::clone(&parts.metrics),
-                stop: Arc::clone(&parts.stop),
-            };
-            handles.push(spawn("claim-tail", move || tail.run())?);
-            handles.push(spawn("claim-writer", move || writer.run())?);
-            streams.push(stream);
-        }
-        let keeper = Self {
-            vm: parts.vm,
-            process_id: parts.process_id,
-            clock: parts.clock,
-            replayed: parts.replayed,
-            streams,
-        };
-        Ok((keeper, handles))
-    }
-
     fn stream(&self, key: &IdempotencyKey) -> &Arc<ClaimStream> {
         let hash = xxh3_64(key.as_str().as_bytes());
         let index = hash % self.streams.len() as u64;
@@ -180,6 +120,9 @@
         if let Some(decision) = known {
             return decision;
         }
+        if self.epoch.get().is_none() {
+            return log_unavailable("this VM has not joined, so its claims would not count");
+        }
         let left_ms = ask.deadline_ms.saturating_sub(self.clock.monotonic_ms());
         let wait_ms = (left_ms / CALL_SHARE).min(CLAIM_WAIT_MS);
         stream.begin_wait(&ask.request);
@@ -217,13 +160,6 @@
     }
 }
 
-fn spawn(name: &str, run: impl FnOnce() + Send + 'static) -> Result<JoinHandle<()>> {
-    thread::Builder::new()
-        .name(name.into())
-        .spawn(run)
-        .map_err(Error::system)
-}
-
 fn finished(answer: Option<KeptAnswer>) -> ClaimDecision {
     match answer {
         Some(answer) => ClaimDecision::Answer(answer),
--- a/crates/node/src/demand.rs
+++ b/crates/node/src/demand.rs
@@ -1,6 +1,7 @@
 //! The demand for each model: what waits and runs here, and what other VMs told.
 
 use std::collections::BTreeMap;
+use std::sync::Arc;
 
 use parking_lot::Mutex;
 
@@ -157,14 +158,17 @@
     };
 }
 
+/// Called with the time, on the monotonic clock, and the model of each request that arrives.
+pub type ArrivalNote = Box<dyn Fn(u64, &ModelName) + Send + Sync>;
+
 /// `DemandInbox` feeds a [`DemandTable`] from the gateway and wakes the placement loop.
 pub struct DemandInbox {
     /// The table.
-    pub table: std::sync::Arc<DemandTable>,
+    pub table: Arc<DemandTable>,
     /// Called when a request arrives that may need a load.
     pub wake: Box<dyn Fn() + Send + Sync>,
-    /// Called with the model of each request that arrives.
-    pub arrived: Box<dyn Fn(u64, &ModelName) + Send + Sync>,
+    /// Called for each request that arrives.
+    pub arrived: ArrivalNote,
 }
 
 impl DemandSink for DemandInbox {
--- a/crates/node/src/directory.rs
+++ b/crates/node/src/directory.rs
@@ -13,10 +13,13 @@
 use apricotdale_core::policy::Candidate;
 use apricotdale_core::refusal::Refusal;
 use apricotdale_core::refusal::RefusalReason;
+use apricotdale_core::serving::Clock;
 use apricotdale_core::serving::Directory;
 use apricotdale_membership::UpstreamView;
 use apricotdale_state::replicas::Stage;
 
+use crate::appender::EpochCell;
+use crate::log_health::LogHealth;
 use crate::membership_view::SharedMembership;
 use crate::replayed::Replayed;
 
@@ -29,10 +32,22 @@
     pub replayed: Arc<Replayed>,
     /// The membership.
     pub membership: Arc<SharedMembership>,
+    /// Whether the log works.
+    pub health: Arc<LogHealth>,
+    /// The epoch of this process.
+    pub epoch: Arc<EpochCell>,
+    /// The clock.
+    pub clock: Arc<dyn Clock>,
     /// Set once the daemon is stopping.
     pub draining: Arc<AtomicBool>,
 }
 
+impl NodeDirectory {
+    fn is_log_down(&self) -> bool {
+        self.health.is_down(self.clock.monotonic_ms())
+    }
+}
+
 impl Directory for NodeDirectory {
     fn class(&self, class: &ClassName) -> Option<ClassTarget> {
         self.replayed.read(|state| state.config().class(class))
@@ -94,11 +109,16 @@
             let refusal = Refusal::not_run(RefusalReason::Draining, detail);
             return Some(refusal.retry_after(RETRY_ELSEWHERE_MS));
         }
-        if !self.replayed.is_caught_up() {
-            let detail = "this VM has not yet learned the configuration";
-            let refusal = Refusal::not_run(RefusalReason::NotReady, detail);
-            return Some(refusal.retry_after(RETRY_ELSEWHERE_MS));
-        }
-        None
+        let missing = match self.replayed.is_caught_up() {
+            false => "this VM has not yet learned the configuration",
+            // While the log is down a VM serves what is loaded, though it has not joined. Else it
+            // is about to join, and could decide on no load before that.
+            true if self.epoch.get().is_none() && !self.is_log_down() => {
+                "this VM has not yet joined"
+            }
+            true => return None,
+        };
+        let refusal = Refusal::not_run(RefusalReason::NotReady, missing);
+        Some(refusal.retry_after(RETRY_ELSEWHERE_MS))
     }
 }
--- a/crates/node/src/engine_reports.rs
+++ b/crates/node/src/engine_reports.rs
@@ -1,10 +1,9 @@
-//! What this VM last read or was told of each engine.
+//! The last load report of each engine that this VM read or was told of.
 
 use std::collections::BTreeMap;
 
 use parking_lot::Mutex;
 
-use apricotdale_core::engine::EngineStatus;
 use apricotdale_core::engine::LoadReport;
 use apricotdale_core::names::UpstreamName;
 use apricotdale_core::peer::ReplicaLoad;
@@ -20,11 +19,10 @@
     pub own: bool,
 }
 
-/// `EngineReports` holds the last report and status of each engine.
+/// `ReportTable` holds the last report of each engine.
 #[derive(Debug, Default)]
 pub struct ReportTable {
     reports: Mutex<BTreeMap<UpstreamName, KnownReport>>,
-    statuses: Mutex<BTreeMap<UpstreamName, EngineStatus>>,
 }
 
 impl ReportTable {
@@ -69,21 +67,11 @@
         Some(report)
     }
 
-    /// Takes in a status.
-    pub fn note_status(&self, engine: &UpstreamName, status: EngineStatus) {
-        self.statuses.lock().insert(engine.clone(), status);
-    }
-
     /// Returns the last report of an engine.
     pub fn report(&self, engine: &UpstreamName) -> Option<KnownReport> {
         self.reports.lock().get(engine).cloned()
     }
 
-    /// Returns the last status of an engine that this VM read itself.
-    pub fn status(&self, engine: &UpstreamName) -> Option<EngineStatus> {
-        self.statuses.lock().get(engine).cloned()
-    }
-
     /// Returns the loads of the given engines that this VM read itself, for a peer.
     pub fn loads(&self, unix_ms: u64, engines: &[UpstreamName]) -> Vec<ReplicaLoad> {
         let reports = self.reports.lock();
--- a/crates/node/src/engine_watch.rs
+++ b/crates/node/src/engine_watch.rs
@@ -1,6 +1,7 @@
 //! Reads the engines for which this VM is preferred, and asks peers about the others it uses.
 
 use std::collections::BTreeMap;
+use std::collections::BTreeSet;
 use std::net::SocketAddr;
 use std::sync::Arc;
 use std::sync::atomic::AtomicBool;
@@ -35,6 +36,7 @@
 
 use crate::appender::Appender;
 use crate::appender::Persistence;
+use crate::demand::DemandTable;
 use crate::engine_reports::ReportTable;
 use crate::membership_view::SharedMembership;
 use crate::replayed::Replayed;
@@ -65,6 +67,8 @@
     pub table: Arc<ReportTable>,
     /// Takes the weight store's status.
     pub weights_status: Arc<Mutex<Option<WeightsStatus>>>,
+    /// Tells which replicas engines said they lack.
+    pub demand: Arc<DemandTable>,
     /// Appends observations.
     pub appender: Appender,
     /// Lets routing learn of reports.
@@ -86,10 +90,8 @@
     pub fn run(self) {
         while !self.stop.load(Ordering::Relaxed) {
             let view = self.membership.view();
-            let preferred: Vec<&UpstreamView> = engines(&view)
-                .filter(|engine| view.is_preferred(engine.entry.name.as_str()))
-                .collect();
-            for some in preferred.chunks(READ_AT_ONCE) {
+            let due = self.due(&view);
+            for some in due.chunks(READ_AT_ONCE) {
                 thread::scope(|scope| {
                     for engine in some {
                         scope.spawn(|| self.read(engine));
@@ -104,6 +106,23 @@
         }
     }
 
+    /// Returns the engines to read now: those for which this VM is preferred, and those that told a
+    /// request they lack a model which replay shows there.
+    fn due<'a>(&self, view: &'a View) -> Vec<&'a UpstreamView> {
+        let missing: BTreeSet<UpstreamName> = self
+            .demand
+            .take_missing()
+            .into_iter()
+            .map(|(_, engine)| engine)
+            .collect();
+        engines(view)
+            .filter(|engine| {
+                let name = engine.entry.name.as_str();
+                view.is_preferred(name) || missing.contains(&UpstreamName::new(name))
+            })
+            .collect()
+    }
+
     fn read(&self, engine: &UpstreamView) {
         let name = UpstreamName::new(&engine.entry.name);
         let address = engine.entry.address;
@@ -131,7 +150,6 @@
         let is_new = self
             .replayed
             .read(|state| says_something_new(state, name, &status, unix_ms));
-        self.table.note_status(name, status.clone());
         if !is_new {
             return;
         }
--- a/crates/node/src/lib.rs
+++ b/crates/node/src/lib.rs
@@ -7,14 +7,15 @@
 #![warn(missing_docs)]
 
 mod appender;
+mod assembly;
 mod claims;
-mod control_tail;
 mod daemon;
 mod demand;
 mod directory;
 mod engine_reports;
 mod engine_watch;
 mod errors;
+mod gauges;
 mod grouped_routing;
 mod joining;
 mod log_health;
@@ -26,6 +27,8 @@
 mod policies;
 mod replayed;
 mod settling;
+mod signal;
+mod streams;
 
 pub use daemon::Daemon;
 pub use errors::Error;
--- a/crates/node/src/peer_answers.rs
+++ b/crates/node/src/peer_answers.rs
@@ -21,6 +21,7 @@
 use crate::engine_reports::ReportTable;
 use crate::membership_view::SharedMembership;
 use crate::replayed::Replayed;
+use crate::streams::SnapshotServer;
 
 /// `KnownPeer` is what a peer said last.
 #[derive(Clone, Debug, PartialEq, Eq)]
@@ -122,6 +123,8 @@
     pub wake: Box<dyn Fn() + Send + Sync>,
     /// The last load reports.
     pub reports: Arc<ReportTable>,
+    /// Hands out this daemon's state.
+    pub snapshots: SnapshotServer,
     /// The clock.
     pub clock: Arc<dyn Clock>,
 }
@@ -144,7 +147,10 @@
             PeerRequest::Replicas(query) => {
                 PeerReply::Replicas(self.reports.loads(self.clock.unix_ms(), &query.engines))
             }
-            PeerRequest::Snapshot(_) => PeerReply::Declined("no snapshot is kept".into()),
+            PeerRequest::Snapshot(query) => match self.snapshots.part(&query) {
+                Ok(part) => PeerReply::Snapshot(part),
+                Err(error) => PeerReply::Declined(error.to_string()),
+            },
         }
     }
 }
--- a/crates/node/src/placing/placement_loop.rs
+++ b/crates/node/src/placing/placement_loop.rs
@@ -112,6 +112,7 @@
         for action in actions {
             self.carry_out(action);
         }
+        self.unload_strays();
         self.refuse_undecidable();
         self.forget_ready();
         let view = self.parts.source.membership.view();
@@ -166,6 +167,28 @@
         });
     }
 
+    /// Proposes to unload what engines hold although no accepted load put it there: the late effect
+    /// of an order whose intent was settled long ago. It takes memory and nobody routes to it.
+    fn unload_strays(&self) {
+        let view = self.parts.source.membership.view();
+        let strays: Vec<(ModelName, UpstreamName, Offset)> =
+            self.parts.source.replayed.read(|state| {
+                let engines = state
+                    .engines()
+                    .filter(|(name, _)| view.is_preferred(name.as_str()));
+                let strays = engines.flat_map(|(name, engine)| {
+                    let undecided = engine.undecided.iter();
+                    let idle = undecided.filter(|(_, stray)| stray.unload.is_none());
+                    idle.map(|(model, stray)| (model.clone(), name.clone(), Offset(stray.fence.0)))
+                });
+                strays.collect()
+            });
+        for (model, engine, load) in strays {
+            info!("{engine} holds {model}, which no decision put there");
+            self.propose_unload_of(&model, &engine, load);
+        }
+    }
+
     fn propose_unload(&self, model: &ModelName, engine: &UpstreamName) {
         let load = self.parts.source.replayed.read(|state| {
             let mut replicas = state.replicas_of(model);
@@ -174,6 +197,10 @@
         });
         let Some(load) = load else { return };
         info!("proposing to unload {model} from {engine}");
+        self.propose_unload_of(model, engine, load);
+    }
+
+    fn propose_unload_of(&self, model: &ModelName, engine: &UpstreamName, load: Offset) {
         let (name, engine) = (model.clone(), engine.clone());
         self.propose(model, move |proposer| {
             ControlRecord::Unload(UnloadIntent {
@@ -228,7 +255,7 @@
     /// caller that is told at once can go elsewhere.
     fn refuse_undecidable(&self) {
         let now_ms = self.parts.clock.monotonic_ms();
-        if !self.parts.health.is_down(now_ms) && self.parts.appender.has_joined() {
+        if !self.parts.health.is_down(now_ms) {
             return;
         }
         let waiting: BTreeSet<ModelName> = self.waiting_models();
--- /dev/null
+++ b/crates/node/src/streams/mod.rs
@@ -0,0 +1,23 @@
+//! Following the log's streams: replay, catching up, snapshots.
+//!
+//! A [`StreamTail`] keeps one [`StreamState`] as new as its stream. Where the stream no longer has
+//! the records that are needed, a [`CatchUp`] finds a state to go on from: on the snapshot stream
+//! or at a peer. A [`SnapshotWriter`] puts states onto the snapshot stream before the log drops the
+//! records they come from.
+
+mod catch_up;
+mod control_stream;
+mod peer_snapshots;
+mod snapshot_reader;
+mod snapshot_writer;
+mod stream_state;
+mod stream_tail;
+
+pub use catch_up::CatchUp;
+pub use control_stream::ControlStream;
+pub use peer_snapshots::PeerSnapshots;
+pub use peer_snapshots::SnapshotServer;
+pub use snapshot_reader::SnapshotReader;
+pub use snapshot_writer::SnapshotWriter;
+pub use stream_state::StreamState;
+pub use stream_tail::StreamTail;
--- /dev/null
+++ b/crates/node/src/streams/peer_snapshots.rs
@@ -0,0 +1,147 @@
+//! Snapshots between daemons.
+
+use std::net::SocketAddr;
+use std::sync::Arc;
+
+use log::warn;
+use parking_lot::Mutex;
+
+use apricotdale_core::Error;
+use apricotdale_core::numbers::Offset;
+use apricotdale_core::peer::PeerLink;
+use apricotdale_core::peer::PeerReply;
+use apricotdale_core::peer::PeerRequest;
+use apricotdale_core::peer::SnapshotPart;
+use apricotdale_core::peer::SnapshotQuery;
+use apricotdale_core::serving::Clock;
+use apricotdale_state::snapshot::PART_BYTES;
+use apricotdale_state::snapshot::Snapshot;
+
+use super::stream_state::StreamState;
+
+/// How long a prepared snapshot is handed out before a newer one is prepared. When all VMs of an
+/// availability zone restart at once, they are all served from one.
+const PREPARED_LIFETIME_MS: u64 = 5_000;
+
+/// The most parts that a peer's snapshot may have.
+const MAX_PARTS: u32 = 2_048;
+
+/// `Fetched` is what became of asking a peer for its state.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub enum Fetched {
+    /// The peer does not answer.
+    Silent,
+    /// The peer has no state.
+    NoState,
+    /// The peer's state.
+    State(Snapshot),
+}
+
+/// `PeerSnapshots` fetches the state of other daemons.
+pub struct PeerSnapshots {
+    /// The way to peers.
+    pub link: Arc<dyn PeerLink>,
+    /// How long a peer may take to answer.
+    pub timeout_ms: u64,
+}
+
+impl PeerSnapshots {
+    /// Returns a peer's state.
+    pub fn fetch(&self, peer: SocketAddr) -> Fetched {
+        let mut parts: Vec<SnapshotPart> = Vec::new();
+        loop {
+            let at = parts.first().map(|part| part.at);
+            let query = SnapshotQuery {
+                at,
+                part: parts.len() as u32,
+            };
+            let reply = self
+                .link
+                .ask(peer, &PeerRequest::Snapshot(query), self.timeout_ms);
+            match reply {
+                Ok(PeerReply::Snapshot(part)) if part.parts <= MAX_PARTS => parts.push(part),
+                Ok(_) if parts.is_empty() => return Fetched::NoState,
+                Ok(_) => return Fetched::Silent,
+                Err(error) => {
+                    warn!("no snapshot from {peer}: {error}");
+                    return Fetched::Silent;
+                }
+            }
+            if parts.len() as u32 >= parts[0].parts {
+                return whole(&parts);
+            }
+        }
+    }
+}
+
+fn whole(parts: &[SnapshotPart]) -> Fetched {
+    match Snapshot::from_parts(parts) {
+        Ok(snapshot) => Fetched::State(snapshot),
+        Err(error) => {
+            warn!("a peer's snapshot can't be read: {error}");
+            Fetched::Silent
+        }
+    }
+}
+
+/// `SnapshotServer` hands out this daemon's state.
+pub struct SnapshotServer {
+    states: Vec<Arc<dyn StreamState>>,
+    clock: Arc<dyn Clock>,
+    prepared: Mutex<Option<Prepared>>,
+}
+
+struct Prepared {
+    at: Offset,
+    made_ms: u64,
+    parts: Vec<SnapshotPart>,
+}
+
+impl SnapshotServer {
+    /// Returns a server of the given states, of which the first is the control stream's.
+    pub fn new(states: Vec<Arc<dyn StreamState>>, clock: Arc<dyn Clock>) -> Self {
+        Self {
+            states,
+            clock,
+            prepared: Mutex::new(None),
+        }
+    }
+
+    /// Returns the part that a peer asks for.
+    ///
+    /// # Errors
+    ///
+    /// `Error::Rejected` if there is no state, or none of the offset that the peer asks for.
+    pub fn part(&self, query: &SnapshotQuery) -> Result<SnapshotPart, Error> {
+        let mut prepared = self.prepared.lock();
+        let now_ms = self.clock.monotonic_ms();
+        let is_old = |one: &Prepared| now_ms.saturating_sub(one.made_ms) > PREPARED_LIFETIME_MS;
+        if query.at.is_none() && prepared.as_ref().is_none_or(is_old) {
+            *prepared = Some(self.prepare(now_ms)?);
+        }
+        let known = prepared
+            .as_ref()
+            .filter(|one| query.at.is_none_or(|at| at == one.at));
+        let known = known.ok_or_else(|| Error::rejected("another snapshot is handed out now"))?;
+        let part = known.parts.get(query.part as usize).cloned();
+        part.ok_or_else(|| Error::rejected("the snapshot has no such part"))
+    }
+
+    fn prepare(&self, now_ms: u64) -> Result<Prepared, Error> {
+        let control = self.states.first().and_then(|state| state.position());
+        let at = control
+            .ok_or_else(|| Error::rejected("this daemon has no state"))?
+            .next;
+        let mut snapshot = Snapshot::default();
+        for state in &self.states {
+            if let Some(section) = state.section() {
+                snapshot.sections.insert(state.stream().clone(), section);
+            }
+        }
+        Ok(Prepared {
+            at,
+            made_ms: now_ms,
+            parts: snapshot.to_parts(at, PART_BYTES),
+        })
+    }
+}
--- /dev/null
+++ b/crates/node/src/streams/snapshot_reader.rs
@@ -0,0 +1,80 @@
+//! Reads the snapshot stream.
+
+use std::sync::Arc;
+
+use log::warn;
+use parking_lot::Mutex;
+
+use apricotdale_core::Error;
+use apricotdale_core::log::LogClient;
+use apricotdale_core::names::StreamName;
+use apricotdale_core::numbers::Offset;
+use apricotdale_state::parts::Catalog;
+use apricotdale_state::snapshot::Lineage;
+use apricotdale_state::snapshot::Section;
+
+/// The most records asked for in one read. A record is a part of up to 64 KiB.
+const READ_RECORDS: usize = 64;
+
+/// `SnapshotReader` knows the newest whole section of each stream, as far as it has read.
+pub struct SnapshotReader {
+    stream: StreamName,
+    log: Arc<dyn LogClient>,
+    catalog: Mutex<Catalog>,
+}
+
+impl SnapshotReader {
+    /// Returns a reader that has read nothing.
+    pub fn new(stream: StreamName, log: Arc<dyn LogClient>) -> Self {
+        Self {
+            stream,
+            log,
+            catalog: Mutex::new(Catalog::new(Offset(0))),
+        }
+    }
+
+    /// Returns the snapshot stream.
+    pub fn stream(&self) -> &StreamName {
+        &self.stream
+    }
+
+    /// Reads to the end of the stream. Returns whether that worked.
+    pub fn read_to_end(&self) -> bool {
+        let mut catalog = self.catalog.lock();
+        loop {
+            let from = catalog.next_offset();
+            match self.log.read(&self.stream, from, READ_RECORDS, 0) {
+                Ok(batch) => {
+                    for record in &batch.records {
+                        if let Err(error) = catalog.apply(record.offset, &record.payload) {
+                            warn!("snapshot record {}: {error}", record.offset);
+                        }
+                    }
+                    if catalog.next_offset() >= batch.end {
+                        return true;
+                    }
+                }
+                Err(Error::Expired { first }) => *catalog = Catalog::new(first),
+                Err(error) => {
+                    warn!("reading the snapshot stream failed: {error}");
+                    return false;
+                }
+            }
+        }
+    }
+
+    /// Returns the newest whole section of a stream that has been read.
+    pub fn newest(&self, stream: &StreamName) -> Option<Section> {
+        self.catalog.lock().newest(stream).cloned()
+    }
+
+    /// Returns a stream's unbroken history as far as it has been read.
+    pub fn lineage(&self, stream: &StreamName) -> Lineage {
+        self.catalog.lock().lineage(stream)
+    }
+
+    /// Returns the offset of the next record to read.
+    pub fn next_offset(&self) -> Offset {
+        self.catalog.lock().next_offset()
+    }
+}
--- /dev/null
+++ b/crates/node/src/streams/stream_tail.rs
@@ -0,0 +1,117 @@
+//! Keeps a state as new as its stream.
+
+use std::sync::Arc;
+use std::sync::atomic::AtomicBool;
+use std::sync::atomic::Ordering;
+use std::thread;
+use std::time::Duration;
+
+use log::warn;
+
+use apricotdale_core::Error;
+use apricotdale_core::log::LogClient;
+use apricotdale_core::serving::Clock;
+
+use super::catch_up::CatchUp;
+use super::catch_up::CaughtUp;
+use super::stream_state::StreamState;
+use crate::log_health::LogHealth;
+
+/// The most records asked for in one read.
+const READ_RECORDS: usize = 1_000;
+
+/// The pause after a read that failed, or after catching up came to nothing.
+const RETRY_PAUSE: Duration = Duration::from_millis(200);
+
+/// `StreamTail` is what a tail works with.
+pub struct StreamTail {
+    /// The stream's state.
+    pub state: Arc<dyn StreamState>,
+    /// The log.
+    pub log: Arc<dyn LogClient>,
+    /// How long a read waits for a first record.
+    pub wait_ms: u64,
+    /// Finds a state to go on from.
+    pub catch_up: CatchUp,
+    /// Takes in the outcomes of reads, for the stream whose reads tell whether the log works.
+    pub health: Option<Arc<LogHealth>>,
+    /// The clock.
+    pub clock: Arc<dyn Clock>,
+    /// Set when the daemon stops.
+    pub stop: Arc<AtomicBool>,
+}
+
+impl StreamTail {
+    /// Follows the stream until the daemon stops.
+    pub fn run(self) {
+        let mut follows = false;
+        while !self.stop.load(Ordering::Relaxed) {
+            follows = match follows {
+                true => self.follow(self.wait_ms),
+                false => self.catch_up(),
+            };
+            if !follows {
+                thread::sleep(RETRY_PAUSE);
+            }
+        }
+    }
+
+    fn catch_up(&self) -> bool {
+        let outcome = self.catch_up.run();
+        self.note_read(outcome == CaughtUp::Follow);
+        // The first read does not wait: a stream without further records is caught up with at once.
+        outcome == CaughtUp::Follow && self.follow(0)
+    }
+
+    /// Reads and replays one batch, waiting up to `wait_ms` for its first record. Returns whether the stream can be followed further without
+    /// looking for another state.
+    fn follow(&self, wait_ms: u64) -> bool {
+        let Some(position) = self.state.position() else {
+            return false;
+        };
+        let from = position.next;
+        match self
+            .log
+            .read(self.state.stream(), from, READ_RECORDS, wait_ms)
+        {
+            Ok(batch) if batch.end >= from => {
+                if !batch.records.is_empty() {
+                    self.state.replay(&batch.records);
+                }
+                let reaches = self.state.position().map(|position| position.next);
+                if reaches >= Some(batch.end) {
+                    self.state.note_caught_up();
+                }
+                self.note_read(true);
+                true
+            }
+            Ok(batch) => {
+                warn!(
+                    "{} ends at {}, but {from} was read",
+                    self.state.stream(),
+                    batch.end
+                );
+                self.note_read(false);
+                false
+            }
+            Err(Error::Expired { first }) => {
+                warn!(
+                    "{}: offset {from} has expired, {first} is kept",
+                    self.state.stream()
+                );
+                false
+            }
+            Err(error) => {
+                warn!("reading {} failed: {error}", self.state.stream());
+                self.note_read(false);
+                false
+            }
+        }
+    }
+
+    fn note_read(&self, worked: bool) {
+        if let Some(health) = &self.health {
+            health.note_read(self.clock.monotonic_ms(), worked);
+        }
+    }
+}
