Telemetry and operators' interface: tests, and what they showed

Cause: both crates had landed without tests.

Changed: a flush of the log found no room in a full queue and returned at once, so a stop lost the last lines; it now waits for room, for a bounded time, and says whether the lines are written. The words of verdicts and of rejected peer messages are static strings, so they need no list of known ones: the daemon did not give that list, and every verdict was counted as other. Classes and groups that are known already cost one look-up. A class limit of 64 is that of the configuration.

On a scratch copy each of these made a test fail: a lost answer told as a failure; no limit on the body, on waiting changes; unknown fields let through; redirects followed; a server that does not stop (the test hangs); any class as a label; no limit on classes; no series at zero, for the daemon, for no class, for a class; no level; keys laid flat into the line. A log that is written with a long timeout in place of at once still passes: the test has no clock, and only a write that waits for ever makes it hang.

Not run: anything under load.

--- a/crates/admin/src/publish.rs
+++ b/crates/admin/src/publish.rs
@@ -33,7 +33,7 @@
     },
     /// The change is not in force and will not be.
     Rejected {
-        /// The machine-readable reason, such as `stale_base_version`.
+        /// The machine-readable reason, such as `version_conflict`.
         reason: String,
         /// A sentence for a person.
         detail: String,
--- a/crates/telemetry/src/json_log.rs
+++ b/crates/telemetry/src/json_log.rs
@@ -140,7 +140,8 @@
     }
 
     fn flush(&self) {
-        self.lines.flush();
+        // `Log` has no way to tell that the lines could not be written.
+        let _ = self.lines.flush();
     }
 }
 
--- a/crates/telemetry/src/labels.rs
+++ b/crates/telemetry/src/labels.rs
@@ -129,12 +129,12 @@
 
 #[derive(Clone, Debug, PartialEq, Eq, Hash, EncodeLabelSet)]
 pub(crate) struct VerdictLabels {
-    pub(crate) verdict: Arc<str>,
+    pub(crate) verdict: &'static str,
 }
 
 #[derive(Clone, Debug, PartialEq, Eq, Hash, EncodeLabelSet)]
 pub(crate) struct ReasonLabels {
-    pub(crate) reason: Arc<str>,
+    pub(crate) reason: &'static str,
 }
 
 #[derive(Clone, Debug, PartialEq, Eq, Hash, EncodeLabelSet)]
--- a/crates/telemetry/src/line_writer.rs
+++ b/crates/telemetry/src/line_writer.rs
@@ -4,22 +4,21 @@
 use std::sync::Arc;
 use std::sync::atomic::AtomicU64;
 use std::sync::atomic::Ordering;
-use std::sync::mpsc;
-use std::sync::mpsc::Receiver;
-use std::sync::mpsc::SyncSender;
-use std::sync::mpsc::TrySendError;
 use std::thread;
 use std::time::Duration;
 
+use crossbeam_channel::Receiver;
+use crossbeam_channel::Sender;
+
 use crate::errors::Error;
 use crate::errors::Result;
 
-/// The longest time that a flush waits.
+/// The longest time that a flush waits for room in the queue, and again for the lines.
 const FLUSH_TIMEOUT: Duration = Duration::from_secs(2);
 
 enum Order {
     Write(Vec<u8>),
-    Flush(SyncSender<()>),
+    Flush(Sender<()>),
 }
 
 /// `LineWriter` writes lines by a thread of its own.
@@ -28,7 +27,7 @@
 /// that would stop every request at its next log line: one would notice deadlines missed on a VM
 /// whose upstreams are well. Here the queue fills instead, and lines are dropped and counted.
 pub struct LineWriter {
-    orders: SyncSender<Order>,
+    orders: Sender<Order>,
     dropped: Arc<AtomicU64>,
 }
 
@@ -39,7 +38,7 @@
     ///
     /// `Error::Thread` if the thread can't be started.
     pub fn start(writer: Box<dyn Write + Send>, queued_lines: usize) -> Result<Self> {
-        let (orders, queue) = mpsc::sync_channel(queued_lines.max(1));
+        let (orders, queue) = crossbeam_channel::bounded(queued_lines.max(1));
         thread::Builder::new()
             .name("log".to_owned())
             .spawn(move || write_all(writer, &queue))
@@ -52,22 +51,17 @@
 
     /// Queues a line, which holds its own newline. Returns at once.
     pub fn write(&self, line: Vec<u8>) {
-        match self.orders.try_send(Order::Write(line)) {
-            Ok(()) => {}
-            Err(TrySendError::Full(_) | TrySendError::Disconnected(_)) => {
-                self.dropped.fetch_add(1, Ordering::Relaxed);
-            }
+        if self.orders.try_send(Order::Write(line)).is_err() {
+            self.dropped.fetch_add(1, Ordering::Relaxed);
         }
     }
 
-    /// Waits, for a bounded time, until the lines queued so far are written.
-    pub fn flush(&self) {
-        let (done, written) = mpsc::sync_channel(1);
-        if self.orders.try_send(Order::Flush(done)).is_err() {
-            return;
-        }
-        // A timeout means that the log's reader stalls; a stop must not wait for it.
-        let _ = written.recv_timeout(FLUSH_TIMEOUT);
+    /// Waits, for a bounded time, until the lines queued so far are written. Returns whether they
+    /// are; where the log's reader stalls they are not, and a stop must not wait for it.
+    pub fn flush(&self) -> bool {
+        let (done, written) = crossbeam_channel::bounded(1);
+        let asked = self.orders.send_timeout(Order::Flush(done), FLUSH_TIMEOUT);
+        asked.is_ok() && written.recv_timeout(FLUSH_TIMEOUT).is_ok()
     }
 
     /// Returns the count of lines dropped so far, which grows while the log is used.
--- a/crates/telemetry/src/names.rs
+++ b/crates/telemetry/src/names.rs
@@ -28,18 +28,19 @@
         }
     }
 
-    /// Adds a name and returns its label value: the name itself, or `other` if the set is full.
-    pub(crate) fn add(&self, name: &str) -> Arc<str> {
-        if let Some(known) = self.known(name) {
-            return known;
+    /// Adds a name and returns its label value, or none if it is known already. The label value is
+    /// the name itself, or `other` if the set is full.
+    pub(crate) fn add(&self, name: &str) -> Option<Arc<str>> {
+        if self.known(name).is_some() {
+            return None;
         }
         let mut names = self.names.write().expect("no holder of the lock panics");
         if names.len() >= self.limit {
-            return Arc::clone(&self.other);
+            return Some(Arc::clone(&self.other));
         }
         let name: Arc<str> = Arc::from(name);
         names.insert(Arc::clone(&name));
-        name
+        Some(name)
     }
 
     /// Returns a name's label value: the name itself, or `other` if it was not added.
--- a/crates/telemetry/src/node_metrics.rs
+++ b/crates/telemetry/src/node_metrics.rs
@@ -24,11 +24,6 @@
 use crate::labels::TierLabels;
 use crate::labels::VerdictLabels;
 use crate::labels::tier_word;
-use crate::names::KnownNames;
-
-/// The most verdicts, and the most reasons of rejected peer messages, that get series of their
-/// own.
-const MAX_WORDS: usize = 64;
 
 /// Upper bounds of the histogram of loads, in seconds.
 const LOAD_BOUNDS_S: [f64; 14] = [
@@ -55,12 +50,10 @@
     replicas: Family<StateLabels, Gauge>,
     idle_accelerator: FloatCounter,
     records: Family<VerdictLabels, Counter>,
-    verdicts: KnownNames,
     appends: Family<AppendLabels, Counter>,
     orders: Family<OrderLabels, Counter>,
     loads: Family<TierLabels, Histogram>,
     peer_rejections: Family<ReasonLabels, Counter>,
-    peer_reasons: KnownNames,
     log_lines_dropped: Counter,
 }
 
@@ -77,12 +70,10 @@
             replicas: Family::default(),
             idle_accelerator: FloatCounter::default(),
             records: Family::default(),
-            verdicts: KnownNames::new(MAX_WORDS),
             appends: Family::default(),
             orders: Family::default(),
             loads: Family::new_with_constructor(load_histogram),
             peer_rejections: Family::default(),
-            peer_reasons: KnownNames::new(MAX_WORDS),
             log_lines_dropped: Counter::default(),
         };
         metrics.register_state(registry);
@@ -187,20 +178,16 @@
         }
     }
 
-    /// Makes the verdicts of replay known, and starts their series at zero. A verdict that is not
-    /// known is counted as `other`.
-    pub fn set_verdicts<'a>(&self, verdicts: impl IntoIterator<Item = &'a str>) {
+    /// Starts the series of the verdicts of replay at zero.
+    pub fn set_verdicts(&self, verdicts: impl IntoIterator<Item = &'static str>) {
         for verdict in verdicts {
-            let verdict = self.verdicts.add(verdict);
             drop(self.records.get_or_create(&VerdictLabels { verdict }));
         }
     }
 
-    /// Makes the reasons for which peer messages are rejected known, and starts their series at
-    /// zero. A reason that is not known is counted as `other`.
-    pub fn set_peer_rejections<'a>(&self, reasons: impl IntoIterator<Item = &'a str>) {
+    /// Starts the series of the reasons for which peer messages are rejected at zero.
+    pub fn set_peer_rejections(&self, reasons: impl IntoIterator<Item = &'static str>) {
         for reason in reasons {
-            let reason = self.peer_reasons.add(reason);
             drop(self.peer_rejections.get_or_create(&ReasonLabels { reason }));
         }
     }
@@ -250,8 +237,7 @@
     }
 
     /// Counts a replayed record by its verdict.
-    pub fn record_replayed(&self, verdict: &str) {
-        let verdict = self.verdicts.label(verdict);
+    pub fn record_replayed(&self, verdict: &'static str) {
         self.records.get_or_create(&VerdictLabels { verdict }).inc();
     }
 
@@ -274,8 +260,7 @@
     }
 
     /// Counts a message of a peer that was not accepted.
-    pub fn peer_rejected(&self, reason: &str) {
-        let reason = self.peer_reasons.label(reason);
+    pub fn peer_rejected(&self, reason: &'static str) {
         self.peer_rejections
             .get_or_create(&ReasonLabels { reason })
             .inc();
--- a/crates/telemetry/src/serving_metrics.rs
+++ b/crates/telemetry/src/serving_metrics.rs
@@ -26,8 +26,8 @@
 /// The label value of a request whose class is not known.
 const NO_CLASS: &str = "none";
 
-/// The most classes that get series of their own.
-const MAX_CLASSES: usize = 32;
+/// The most classes that get series of their own. No configuration has more.
+const MAX_CLASSES: usize = 64;
 
 /// The most groups that get series of their own.
 const MAX_GROUPS: usize = 64;
@@ -141,7 +141,9 @@
 
     /// Makes a class known and starts its series at zero.
     pub(crate) fn add_class(&self, class: &ClassName) {
-        let label = self.classes.add(class.as_str());
+        let Some(label) = self.classes.add(class.as_str()) else {
+            return;
+        };
         self.start_refusals(&label);
         for target in ["met", "missed"] {
             drop(self.answered.get_or_create(&AnsweredLabels {
@@ -153,7 +155,9 @@
 
     /// Makes a group known and starts its series at zero.
     pub(crate) fn add_group(&self, group: &GroupName) {
-        let label = self.groups.add(group.as_str());
+        let Some(label) = self.groups.add(group.as_str()) else {
+            return;
+        };
         for decision in RETRY_DECISIONS {
             for ran in [Ran::NotRun, Ran::Ran, Ran::Unknown] {
                 drop(self.retries.get_or_create(&RetryLabels {
