Daemon: ready only with an upstream in sight; one lost append answer is not an outage

Cause, found by scenarios: (1) a VM was ready before the lagging list showed an upstream, so the first calls were refused upstream_unavailable; (2) placement refused a model while its engines were listed but not yet observed; (3) one append of unknown outcome counted as a log outage and refused a cold request that the next try would have decided; (4) a VM that started under the name of one that was taken away found itself listed as gone and stopped; (5) peers' draining was not shown. Ruled out: longer waits in the scenarios, since callers would meet the same refusals.

--- a/crates/node/src/appender.rs
+++ b/crates/node/src/appender.rs
@@ -35,6 +35,10 @@
 /// record has the same sequence, so replay counts it once.
 const UNKNOWN_TRIES: u32 = 20;
 
+/// Appends of unknown outcome in a row after which the log counts as down. One lost answer says
+/// little, and the next try follows at once.
+const UNKNOWN_MEANS_DOWN: u32 = 3;
+
 /// How often the thread looks whether it should stop.
 const STOP_CHECK: Duration = Duration::from_millis(200);
 
@@ -203,12 +207,22 @@
                 .note_append(self.parts.clock.monotonic_ms(), outcome.is_ok());
             self.count(&outcome);
             let error = match outcome {
-                Ok(offset) => return Appended::At(offset),
+                Ok(offset) => {
+                    self.parts
+                        .health
+                        .note_append(self.parts.clock.monotonic_ms(), true);
+                    return Appended::At(offset);
+                }
                 Err(error) => error,
             };
             warn!("append to the control stream failed: {error}");
             let certain = matches!(error, Error::Unavailable(_) | Error::Rejected(_));
             unknown_tries += u32::from(!certain);
+            if certain || unknown_tries >= UNKNOWN_MEANS_DOWN {
+                self.parts
+                    .health
+                    .note_append(self.parts.clock.monotonic_ms(), false);
+            }
             match persistence {
                 _ if self.stopped() && unknown_tries > 0 => return Appended::Unknown(error),
                 _ if self.stopped() => return Appended::Not(error),
--- a/crates/node/src/assembly/deciding.rs
+++ b/crates/node/src/assembly/deciding.rs
@@ -186,6 +186,7 @@
             appender: self.appender.clone(),
             gateway: Arc::clone(&self.serving.gateway),
             leaving: common.drain(),
+            started_unix_ms: common.adapters.clock.unix_ms(),
             clock: common.clock(),
             stop: Arc::clone(&common.stop),
         };
--- a/crates/node/src/directory.rs
+++ b/crates/node/src/directory.rs
@@ -116,6 +116,10 @@
             true if self.epoch.get().is_none() && !self.is_log_down() => {
                 "this VM has not yet joined"
             }
+            // Every request would be refused for want of an upstream.
+            true if self.membership.view().upstreams.is_empty() => {
+                "this VM has not yet seen an upstream on the list of VMs"
+            }
             true => return None,
         };
         let refusal = Refusal::not_run(RefusalReason::NotReady, missing);
--- a/crates/node/src/engine_watch.rs
+++ b/crates/node/src/engine_watch.rs
@@ -47,6 +47,9 @@
 /// timeout.
 const READ_AT_ONCE: usize = 8;
 
+/// How often engines are read until replay knows them.
+const FIRST_INTERVAL: Duration = Duration::from_millis(100);
+
 /// How long an intent may stay unsettled before an observation of its effect is appended. Its owner
 /// settles it before that, with one record less.
 const SETTLING_TIME_MS: u64 = 5_000;
@@ -102,7 +105,20 @@
             if let Ok(status) = self.weights.status() {
                 *self.weights_status.lock() = Some(status);
             }
-            thread::sleep(self.interval);
+            thread::sleep(self.pause(&view));
+        }
+    }
+
+    /// Returns how long to wait for the next reading. An engine that replay does not know can take
+    /// no model, so new ones are read at once.
+    fn pause(&self, view: &View) -> Duration {
+        let unknown = self.replayed.read(|state| {
+            let mut names = engines(view).map(|engine| engine.entry.name.as_str());
+            names.any(|name| view.is_preferred(name) && state.engine(&name.into()).is_none())
+        });
+        match unknown || view.upstreams.is_empty() {
+            true => self.interval.min(FIRST_INTERVAL),
+            false => self.interval,
         }
     }
 
--- a/crates/node/src/membership_loop.rs
+++ b/crates/node/src/membership_loop.rs
@@ -23,6 +23,9 @@
 use apricotdale_core::policy::RoutingEvent;
 use apricotdale_core::serving::Clock;
 use apricotdale_core::vm_list::VmList;
+use apricotdale_core::vm_list::VmListing;
+use apricotdale_core::vm_list::VmRole;
+use apricotdale_core::vm_list::VmState;
 use apricotdale_gateway::Gateway;
 use apricotdale_membership::MembershipAction;
 use apricotdale_membership::MembershipEvent;
@@ -37,6 +40,9 @@
 /// How often membership's clock moves.
 const TICK: Duration = Duration::from_millis(100);
 
+/// How often the list is read until it shows an upstream.
+const FIRST_LIST_INTERVAL_MS: u64 = 200;
+
 /// `MembershipLoop` is what the loop works with.
 pub struct MembershipLoop {
     /// The membership.
@@ -61,6 +67,8 @@
     pub leaving: Box<dyn Fn() + Send + Sync>,
     /// The clock.
     pub clock: Arc<dyn Clock>,
+    /// When this process started, in milliseconds of Unix time.
+    pub started_unix_ms: u64,
     /// Set when the daemon stops.
     pub stop: Arc<AtomicBool>,
 }
@@ -94,9 +102,9 @@
         while !self.stopped() {
             let now_ms = self.clock.monotonic_ms();
             if now_ms >= next_ms {
-                next_ms = now_ms + self.list_interval_ms;
+                next_ms = now_ms + self.list_pause_ms();
                 match self.vm_list.list() {
-                    Ok(listing) => self.take_in(MembershipEvent::ListingRead(listing)),
+                    Ok(listing) => self.take_in_listing(listing),
                     Err(error) => {
                         warn!("the list of VMs can't be read: {error}");
                         self.take_in(MembershipEvent::ListingFailed);
@@ -107,6 +115,32 @@
         }
     }
 
+    /// Returns how long to wait for the next reading. Until an upstream is known there is nobody to
+    /// send a request to, so the list is read more often.
+    fn list_pause_ms(&self) -> u64 {
+        match self.membership.view().upstreams.is_empty() {
+            true => self.list_interval_ms.min(FIRST_LIST_INTERVAL_MS),
+            false => self.list_interval_ms,
+        }
+    }
+
+    /// Takes in a reading of the list, without what it says of an earlier VM of this VM's name.
+    ///
+    /// The list lags: a VM that starts under the name of one that was taken away finds itself
+    /// listed as gone, or as leaving at a time before its own start, and would stop at once.
+    fn take_in_listing(self: &Arc<Self>, mut listing: VmListing) {
+        let is_of_earlier = |state: VmState| match state {
+            VmState::Live => false,
+            VmState::Leaving => listing.as_of_ms < self.started_unix_ms,
+            VmState::Gone => true,
+        };
+        let own = self.heartbeats.vm.as_str();
+        listing.entries.retain(|entry| {
+            entry.role != VmRole::Entry || entry.name != own || !is_of_earlier(entry.state)
+        });
+        self.take_in(MembershipEvent::ListingRead(listing));
+    }
+
     fn take_in(self: &Arc<Self>, event: MembershipEvent) {
         for action in self.membership.handle(event) {
             self.carry_out(action);
--- a/crates/node/src/operating/views.rs
+++ b/crates/node/src/operating/views.rs
@@ -108,6 +108,7 @@
     let state = match seen {
         _ if is_own && own_draining => MemberState::Draining,
         _ if is_own => MemberState::Alive,
+        Some(_) if heard.is_some_and(|heard| heard.draining) => MemberState::Draining,
         Some(seen) if seen.live => MemberState::Alive,
         Some(_) => MemberState::Suspected,
         None => MemberState::Gone,
--- a/crates/node/src/peer_answers.rs
+++ b/crates/node/src/peer_answers.rs
@@ -30,6 +30,8 @@
     pub replayed: Offset,
     /// When it was heard, on the monotonic clock.
     pub at_ms: u64,
+    /// Whether it said that it is stopping.
+    pub draining: bool,
     /// Whether its digest differed from ours at the same offset.
     pub diverged: bool,
 }
@@ -90,6 +92,7 @@
         let known = KnownPeer {
             replayed: beat.replayed,
             at_ms: self.clock.monotonic_ms(),
+            draining: beat.draining,
             diverged,
         };
         self.peers.lock().insert(beat.vm.clone(), known);
--- a/crates/node/src/placing/placement_loop.rs
+++ b/crates/node/src/placing/placement_loop.rs
@@ -138,12 +138,28 @@
                 self.propose_load(&model, &engine);
             }
             PlacementAction::Unload { model, engine } => self.propose_unload(&model, &engine),
+            PlacementAction::Hopeless { model, .. } if self.may_find_engine(&model) => {}
             PlacementAction::Hopeless { model, refusal } => {
                 self.parts.gateway.hopeless(&model, &refusal);
             }
         }
     }
 
+    /// Returns whether an engine of the model's group is listed that replay does not know yet. The
+    /// policy can't see it, and would refuse a request that the engine may serve in a moment.
+    fn may_find_engine(&self, model: &ModelName) -> bool {
+        let view = self.parts.source.membership.view();
+        self.parts.source.replayed.read(|state| {
+            let Some(configured) = state.config().model(model) else {
+                return false;
+            };
+            let candidates = view.candidates(&configured.group);
+            candidates
+                .iter()
+                .any(|engine| state.engine(&engine.upstream).is_none())
+        })
+    }
+
     fn propose_load(&self, model: &ModelName, engine: &UpstreamName) {
         let based_on = self.parts.source.replayed.read(|state| {
             let boot = state.engine(engine)?.boot();
