Engine stand-in: prefix hashes over the prompt's JSON text, as the gateway takes them

The gateway hashes the first 256 bytes of the JSON text of messages or prompt, and an engine's cache events are only of use if they name the same hash; the stand-in hashed the decoded text. Usage still counts the words of the prompt itself: a first attempt counted its JSON text, which the test of usage showed.

--- a/crates/standins/src/engine/completion.rs
+++ b/crates/standins/src/engine/completion.rs
@@ -5,16 +5,18 @@
 use serde::Deserialize;
 use serde_json::Value;
 use serde_json::json;
+use serde_json::value::RawValue;
 use xxhash_rust::xxh3::xxh3_64;
 
-/// The bytes of a prompt that make up its prefix.
+/// The bytes of a prompt's JSON text that make up its prefix.
 pub const PREFIX_BYTES: usize = 256;
 
 const DEFAULT_MAX_TOKENS: u32 = 16;
 
-/// Returns the hash of a prompt's prefix, which is its first [`PREFIX_BYTES`] bytes.
-pub fn prefix_hash(prompt: &str) -> u64 {
-    let prefix = prompt.as_bytes();
+/// Returns the hash of a prompt's prefix: of the first [`PREFIX_BYTES`] bytes of the JSON text of
+/// the body's `messages` or, where there are none, of its `prompt`, as the caller wrote it.
+pub fn prefix_hash(prompt_json: &str) -> u64 {
+    let prefix = prompt_json.as_bytes();
     xxh3_64(&prefix[..prefix.len().min(PREFIX_BYTES)])
 }
 
@@ -39,28 +41,14 @@
     pub(crate) model: ModelName,
     #[serde(default)]
     pub(crate) stream: bool,
-    prompt: Option<Prompt>,
-    #[serde(default)]
-    messages: Vec<Message>,
+    prompt: Option<Box<RawValue>>,
+    messages: Option<Box<RawValue>>,
     max_tokens: Option<u32>,
     max_completion_tokens: Option<u32>,
     #[serde(default)]
     stream_options: StreamOptions,
 }
 
-#[derive(Clone, Debug, Deserialize)]
-#[serde(untagged)]
-enum Prompt {
-    One(String),
-    Many(Vec<String>),
-}
-
-#[derive(Clone, Debug, Deserialize)]
-struct Message {
-    #[serde(default)]
-    content: Value,
-}
-
 #[derive(Clone, Copy, Debug, Default, Deserialize)]
 struct StreamOptions {
     #[serde(default)]
@@ -89,19 +77,16 @@
         self.stream_options.include_usage
     }
 
-    /// Returns the text of the prompt or of all messages.
-    pub(crate) fn prompt_text(&self) -> String {
-        match &self.prompt {
-            Some(Prompt::One(text)) => text.clone(),
-            Some(Prompt::Many(texts)) => texts.concat(),
-            None => self.messages.iter().map(Message::text).collect(),
-        }
+    /// Returns the JSON text of the messages or the prompt.
+    pub(crate) fn prompt_json(&self) -> &str {
+        let prompt = self.messages.as_ref().or(self.prompt.as_ref());
+        prompt.map_or("", |text| text.get())
     }
 
     /// Returns the usage when so many tokens were generated. Each word of the prompt counts as one
     /// token.
     pub(crate) fn usage(&self, generated: u32) -> Value {
-        let prompt = self.prompt_text().split_whitespace().count();
+        let prompt = serde_json::from_str(self.prompt_json()).map_or(0, |prompt| words(&prompt));
         json!({
             "prompt_tokens": prompt,
             "completion_tokens": generated,
@@ -110,12 +95,13 @@
     }
 }
 
-impl Message {
-    fn text(&self) -> String {
-        match &self.content {
-            Value::String(text) => text.clone(),
-            other => other.to_string(),
-        }
+/// Counts the words of a prompt, or of messages with contents of whatever form.
+fn words(prompt: &Value) -> usize {
+    match prompt {
+        Value::String(text) => text.split_whitespace().count(),
+        Value::Array(parts) => parts.iter().map(words).sum(),
+        Value::Object(part) => part.get("content").or(part.get("text")).map_or(0, words),
+        Value::Null | Value::Bool(_) | Value::Number(_) => 0,
     }
 }
 
--- a/crates/standins/src/engine/serving.rs
+++ b/crates/standins/src/engine/serving.rs
@@ -153,7 +153,7 @@
     /// Waits for a slot and for the prompt to be processed. The first token is then due.
     fn start(&self, caller: &Caller) -> Result<Pace, RequestState> {
         self.signal.wait_for_slot(caller)?;
-        let prefix_hash = prefix_hash(&self.body.prompt_text());
+        let prefix_hash = prefix_hash(self.body.prompt_json());
         let prefill_ms = {
             let now_ms = self.engine.clock.monotonic_ms();
             let mut state = self.engine.state.lock();
--- a/crates/standins/tests/engine_caches.rs
+++ b/crates/standins/tests/engine_caches.rs
@@ -74,7 +74,7 @@
         assert_eq!(engine.post("/v1/completions", &body).status, 200);
     }
     let events = engine.get("/cache-events?after=0").body;
-    let hash = prefix_hash(&prompt);
+    let hash = prefix_hash(&json!(prompt).to_string());
     assert_eq!(
         events,
         json!([{"sequence": 1, "prefix_hash": hash, "cached": true}])
--- a/crates/standins/tests/support/mod.rs
+++ b/crates/standins/tests/support/mod.rs
@@ -26,7 +26,7 @@
 use apricotdale_standins::http::Server;
 
 /// A test that waits this long has failed. It only keeps a failed test from hanging.
-const GIVE_UP: Duration = Duration::from_secs(60);
+const GIVE_UP: Duration = Duration::from_secs(30);
 
 /// `Standin` is a running stand-in.
 pub struct Standin {
@@ -222,7 +222,8 @@
 fn agent() -> Agent {
     let config = Agent::config_builder()
         .http_status_as_error(false)
-        .proxy(None);
+        .proxy(None)
+        .timeout_global(Some(GIVE_UP));
     config.build().into()
 }
 
