--- a/crates/gateway/src/cancels.rs
+++ b/crates/gateway/src/cancels.rs
@@ -4,23 +4,30 @@
 use std::sync::Arc;
 use std::sync::atomic::AtomicUsize;
 use std::sync::atomic::Ordering;
-use std::thread;
 
 use apricotdale_core::engine::EngineServing;
 use apricotdale_core::names::RequestId;
 
+use crate::workers::Workers;
+
 /// `Cancels` sends cancellations, each on a thread of its own, so that the request that is given
 /// up never waits for an engine that does not answer.
 pub(crate) struct Cancels {
     serving: Arc<dyn EngineServing>,
+    workers: Arc<Workers>,
     max_at_once: usize,
     at_once: Arc<AtomicUsize>,
 }
 
 impl Cancels {
-    pub(crate) fn new(serving: Arc<dyn EngineServing>, max_at_once: usize) -> Self {
+    pub(crate) fn new(
+        serving: Arc<dyn EngineServing>,
+        workers: Arc<Workers>,
+        max_at_once: usize,
+    ) -> Self {
         Self {
             serving,
+            workers,
             max_at_once,
             at_once: Arc::new(AtomicUsize::new(0)),
         }
@@ -35,15 +42,13 @@
         }
         let serving = self.serving.clone();
         let cancelled = id.clone();
-        let spawned = thread::Builder::new()
-            .name("gateway-cancel".to_owned())
-            .spawn(move || {
-                let _place = place;
-                if let Err(error) = serving.cancel(engine, &cancelled) {
-                    log::info!("request {cancelled}: the engine took no cancellation: {error}");
-                }
-            });
-        if let Err(error) = spawned {
+        let started = self.workers.run(move || {
+            let _place = place;
+            if let Err(error) = serving.cancel(engine, &cancelled) {
+                log::info!("request {cancelled}: the engine took no cancellation: {error}");
+            }
+        });
+        if let Err(error) = started {
             log::warn!("request {id}: not cancelled: {error}");
         }
     }
--- a/crates/gateway/src/core.rs
+++ b/crates/gateway/src/core.rs
@@ -41,6 +41,7 @@
 use crate::trace::Step;
 use crate::trace::TraceLog;
 use crate::trace::Traces;
+use crate::workers::Workers;
 
 /// `Core` is what all requests share.
 pub(crate) struct Core {
@@ -53,6 +54,7 @@
     pub(crate) serving: Arc<dyn EngineServing>,
     pub(crate) service: Arc<dyn PlainService>,
     pub(crate) desk: Desk,
+    pub(crate) workers: Arc<Workers>,
     pub(crate) cancels: Cancels,
     pub(crate) hangups: HangupWatcher,
     pub(crate) ids: RequestIds,
@@ -74,9 +76,11 @@
 
 impl Core {
     pub(crate) fn new(options: Options, parts: Parts) -> Result<Self> {
+        let workers = Arc::new(Workers::new(options.thread_stack_bytes));
         Ok(Self {
             desk: Desk::new(parts.admission, parts.clock.clone()),
-            cancels: Cancels::new(parts.serving.clone(), options.max_cancels),
+            cancels: Cancels::new(parts.serving.clone(), workers.clone(), options.max_cancels),
+            workers,
             hangups: HangupWatcher::start()?,
             ids: RequestIds::new(parts.process_id),
             in_progress: Arc::new(InProgress::default()),
--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -37,6 +37,7 @@
 mod service_flow;
 mod service_job;
 mod trace;
+mod workers;
 
 pub use errors::Error;
 pub use errors::Result;
--- a/crates/gateway/src/model_try.rs
+++ b/crates/gateway/src/model_try.rs
@@ -1,7 +1,6 @@
 //! One try at one engine: a thread that reads the engine, and the relay to the caller.
 
 use std::sync::Arc;
-use std::thread;
 use std::time::Duration;
 use std::time::Instant;
 
@@ -175,10 +174,7 @@
         attempt: attempt.clone(),
         events: sender,
     };
-    thread::Builder::new()
-        .name("gateway-engine".to_owned())
-        .stack_size(core.options.thread_stack_bytes)
-        .spawn(move || reading.run())?;
+    core.workers.run(move || reading.run())?;
     Ok(receiver)
 }
 
--- a/crates/gateway/src/service_flow.rs
+++ b/crates/gateway/src/service_flow.rs
@@ -1,7 +1,6 @@
 //! A call to a plain service, as the caller's thread sees it.
 
 use std::sync::Arc;
-use std::thread;
 
 use apricotdale_core::config::ServiceSpec;
 use apricotdale_core::names::GroupName;
@@ -70,11 +69,7 @@
         in_progress: core.in_progress.enter(),
         end: sender,
     };
-    let spawned = thread::Builder::new()
-        .name("gateway-service".to_owned())
-        .stack_size(core.options.thread_stack_bytes)
-        .spawn(move || job.run());
-    if let Err(error) = spawned {
+    if let Err(error) = core.workers.run(move || job.run()) {
         let detail = format!("no thread for the request: {error}");
         return Err(Refusal::not_run(RefusalReason::Internal, detail));
     }
