--- a/crates/standins/src/engine/orders.rs
+++ b/crates/standins/src/engine/orders.rs
@@ -62,9 +62,10 @@
         let mut state = self.state.lock();
         state.effects.load_orders += 1;
         let boot = state.models.boot();
-        let end = match self.pass_gate(&mut state, boot) {
-            true => self.load(&mut state, boot, &order),
-            false => OrderEnd::Restarted,
+        let end = if self.pass_gate(&mut state, boot) {
+            self.load(&mut state, boot, &order)
+        } else {
+            OrderEnd::Restarted
         };
         answer(&mut state, Some(OrderKind::Load), end)
     }
@@ -77,9 +78,10 @@
         let mut state = self.state.lock();
         state.effects.unload_orders += 1;
         let boot = state.models.boot();
-        let end = match self.pass_gate(&mut state, boot) {
-            true => self.unload(&mut state, boot, &order),
-            false => OrderEnd::Restarted,
+        let end = if self.pass_gate(&mut state, boot) {
+            self.unload(&mut state, boot, &order)
+        } else {
+            OrderEnd::Restarted
         };
         answer(&mut state, Some(OrderKind::Unload), end)
     }
@@ -254,9 +256,10 @@
         while !state.models.has_ended(number) {
             self.orders_changed.wait(state);
         }
-        match state.models.boot() == boot {
-            true => OrderEnd::Done,
-            false => OrderEnd::Restarted,
+        if state.models.boot() == boot {
+            OrderEnd::Done
+        } else {
+            OrderEnd::Restarted
         }
     }
 }
--- a/crates/standins/src/engine/serving.rs
+++ b/crates/standins/src/engine/serving.rs
@@ -113,10 +113,10 @@
         };
         state.sequences.insert(id, listed);
         state.effects.accepted(&request, &body.model);
-        let cut_after = match body.stream {
-            true => state.faults.cut_stream_after.take(),
-            false => None,
-        };
+        let mut cut_after = None;
+        if body.stream {
+            cut_after = state.faults.cut_stream_after.take();
+        }
         self.note_load(&mut state);
         Ok(Sequence {
             engine: self.clone(),
@@ -159,9 +159,10 @@
             let mut state = self.engine.state.lock();
             let cached = state.prefixes.touch(now_ms, &self.body.model, prefix_hash);
             let factor = state.faults.slow_factor;
-            match cached {
-                true => 0.0,
-                false => self.engine.options.prefill_ms as f64 * factor,
+            if cached {
+                0.0
+            } else {
+                self.engine.options.prefill_ms as f64 * factor
             }
         };
         let pace = Pace {
@@ -175,9 +176,10 @@
     fn answer(&self, format: Format) -> Answer {
         let mut state = self.engine.state.lock();
         let crossed = std::mem::take(&mut state.faults.crossed);
-        let id = match crossed {
-            true => state.effects.other_request(&self.request),
-            false => self.request.clone(),
+        let id = if crossed {
+            state.effects.other_request(&self.request)
+        } else {
+            self.request.clone()
         };
         Answer {
             id,
