--- a/crates/ctl/src/arguments.rs
+++ b/crates/ctl/src/arguments.rs
@@ -77,18 +77,18 @@
 
 #[derive(Clone, Debug, Bpaf)]
 pub(crate) enum Command {
-    /// Publish a file of classes, models and services
+    /// Publish files of classes, models and services as one change
     #[bpaf(command)]
     Publish {
         #[bpaf(external)]
         target: Target,
         #[bpaf(external)]
         publication: Publication,
-        /// Remove what is in force and not in the file
+        /// Remove what is in force and in none of the files
         remove_missing: bool,
-        /// The INI file
-        #[bpaf(positional("FILE"))]
-        file: PathBuf,
+        /// The INI files
+        #[bpaf(positional("FILE"), some("give at least one file"))]
+        files: Vec<PathBuf>,
     },
     /// Set how soon requests of a class must be answered
     #[bpaf(command("set-class"))]
--- a/crates/ctl/src/commands.rs
+++ b/crates/ctl/src/commands.rs
@@ -3,6 +3,7 @@
 use std::fs;
 use std::io::Write;
 use std::path::Path;
+use std::path::PathBuf;
 
 use apricotdale_admin::AdminClient;
 use apricotdale_admin::ClientOptions;
@@ -30,6 +31,7 @@
 use crate::edits::MissingEntries;
 use crate::edits::edits_between;
 use crate::errors::Error;
+use crate::errors::FileProblem;
 use crate::errors::Result;
 use crate::exit::ExitStatus;
 use crate::text::AsText;
@@ -94,9 +96,9 @@
                 target,
                 publication,
                 remove_missing,
-                file,
+                files,
             } => {
-                let file = read_config(&file)?;
+                let file = read_config(&files)?;
                 let missing = match remove_missing {
                     true => MissingEntries::Remove,
                     false => MissingEntries::Keep,
@@ -200,7 +202,8 @@
     }
 
     fn check_settings(&mut self, file: &Path) -> Result<ExitStatus> {
-        let settings = Settings::from_file(file).map_err(Error::BadFile)?;
+        let settings = Settings::from_file(file)
+            .map_err(|problems| Error::BadFile(in_file(file, problems)))?;
         writeln!(self.output, "the settings of {} are good", settings.vm.name)?;
         Ok(ExitStatus::Done)
     }
@@ -248,10 +251,29 @@
     AdminClient::new(target.vm, ClientOptions::default())
 }
 
-fn read_config(path: &Path) -> Result<ConfigFile> {
-    let text = fs::read_to_string(path).map_err(|error| {
-        let detail = format!("{} can't be read: {error}", path.display());
-        Error::BadFile(vec![Problem::of_section("", None, detail)])
-    })?;
-    ConfigFile::from_text(&text).map_err(Error::BadFile)
+fn read_config(files: &[PathBuf]) -> Result<ConfigFile> {
+    let mut all = ConfigFile::default();
+    let mut problems = Vec::new();
+    for file in files {
+        let added = match fs::read_to_string(file) {
+            Ok(text) => all.add_text(&text),
+            Err(error) => {
+                let detail = format!("can't be read: {error}");
+                vec![Problem::of_section("", None, detail)]
+            }
+        };
+        problems.extend(in_file(file, added));
+    }
+    match problems.is_empty() {
+        true => Ok(all),
+        false => Err(Error::BadFile(problems)),
+    }
+}
+
+fn in_file(file: &Path, problems: Vec<Problem>) -> Vec<FileProblem> {
+    let place = |problem| FileProblem {
+        file: file.to_owned(),
+        problem,
+    };
+    problems.into_iter().map(place).collect()
 }
--- a/crates/ctl/src/config_file.rs
+++ b/crates/ctl/src/config_file.rs
@@ -33,16 +33,23 @@
     ///
     /// Every problem of the text, in order of line.
     pub fn from_text(text: &str) -> Result<Self, Vec<Problem>> {
-        let (document, mut problems) = Document::read(text);
         let mut file = Self::default();
-        for section in &document.sections {
-            file.take_section(section, &mut problems);
+        let problems = file.add_text(text);
+        match problems.is_empty() {
+            true => Ok(file),
+            false => Err(problems),
         }
-        if problems.is_empty() {
-            return Ok(file);
+    }
+
+    /// Adds what another INI text holds, and returns every problem of it, in order of line. A
+    /// class, model or service that is there already is a problem.
+    pub fn add_text(&mut self, text: &str) -> Vec<Problem> {
+        let (document, mut problems) = Document::read(text);
+        for section in &document.sections {
+            self.take_section(section, &mut problems);
         }
         problems.sort_by_key(|problem| problem.line.unwrap_or(usize::MAX));
-        Err(problems)
+        problems
     }
 
     fn take_section(&mut self, section: &Section, problems: &mut Vec<Problem>) {
@@ -61,7 +68,10 @@
         };
         fields.reject_others();
         if !is_new {
-            problems.push(of_section(section, "the section stands twice"));
+            problems.push(of_section(
+                section,
+                "stands already, above or in another file",
+            ));
         }
     }
 
--- a/crates/ctl/src/errors.rs
+++ b/crates/ctl/src/errors.rs
@@ -1,6 +1,8 @@
 //! Errors of the operators' command.
 
+use std::fmt;
 use std::io;
+use std::path::PathBuf;
 
 use apricotdale_settings::Problem;
 use thiserror::Error;
@@ -10,15 +12,30 @@
 /// `Result` is the result of a command.
 pub type Result<T> = std::result::Result<T, Error>;
 
+/// `FileProblem` is a problem of one file.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct FileProblem {
+    /// The file.
+    pub file: PathBuf,
+    /// The problem.
+    pub problem: Problem,
+}
+
+impl fmt::Display for FileProblem {
+    fn fmt(&self, formatter: &mut fmt::Formatter<'_>) -> fmt::Result {
+        write!(formatter, "{}: {}", self.file.display(), self.problem)
+    }
+}
+
 /// `Error` is what a command can fail with.
 #[derive(Debug, Error)]
 pub enum Error {
     /// The daemon, or the way to it.
     #[error(transparent)]
     Admin(#[from] apricotdale_admin::Error),
-    /// A file has problems.
+    /// Files have problems.
     #[error("{}", problem_lines(.0))]
-    BadFile(Vec<Problem>),
+    BadFile(Vec<FileProblem>),
     /// The output could not be written.
     #[error("the output can't be written: {0}")]
     Output(#[from] io::Error),
@@ -43,7 +60,7 @@
     }
 }
 
-fn problem_lines(problems: &[Problem]) -> String {
+fn problem_lines(problems: &[FileProblem]) -> String {
     let lines: Vec<String> = problems.iter().map(ToString::to_string).collect();
     lines.join("\n")
 }
--- a/crates/ctl/src/lib.rs
+++ b/crates/ctl/src/lib.rs
@@ -24,5 +24,6 @@
 pub use edits::MissingEntries;
 pub use edits::edits_between;
 pub use errors::Error;
+pub use errors::FileProblem;
 pub use errors::Result;
 pub use exit::ExitStatus;
--- /dev/null
+++ b/crates/ctl/tests/config_problems.rs
@@ -0,0 +1,48 @@
+//! Files of classes, models and services that are not published.
+
+use apricotdale_ctl::ConfigFile;
+use rstest::rstest;
+
+fn problems(text: &str) -> Vec<String> {
+    let problems = ConfigFile::from_text(text).expect_err("the file is bad");
+    problems.iter().map(ToString::to_string).collect()
+}
+
+#[rstest]
+#[case::weight(
+    "[class quick]\nanswer_within_ms = 5\nweight = 3",
+    "unknown key; allowed are answer"
+)]
+#[case::unit("[class quick]\nanswer_within_ms = 5s", "a whole number above 0")]
+#[case::zero("[class quick]\nanswer_within_ms = 0", "a whole number above 0")]
+#[case::sign("[class quick]\nanswer_within_ms = +5", "a whole number above 0")]
+#[case::no_target("[class quick]", "answer_within_ms: missing")]
+#[case::no_name("[class]\nanswer_within_ms = 5", "allowed are [class NAME]")]
+#[case::other_kind("[vm entry-1]", "allowed are [class NAME]")]
+#[case::before_heads("bytes = 5", "allowed are [class NAME]")]
+#[case::no_group("[model m]\nbytes = 5", "group: missing")]
+#[case::address("[model m]\ngroup = g\nbytes = 5\nengine = 10.0.0.1:80", "unknown key")]
+#[case::empty_base("[model m]\ngroup = g\nbytes = 5\nbase =", "must not be empty")]
+#[case::path("[service s]\nidempotent_paths = /a, b", "paths that begin with /")]
+#[case::key_twice(
+    "[model m]\ngroup = g\ngroup = h\nbytes = 5",
+    "stands already at line 2"
+)]
+#[case::section_twice("[service s]\n[service s]", "stands already")]
+#[case::no_ini("[service s]\nnonsense", "neither a comment")]
+fn bad_entry_is_told(#[case] text: &str, #[case] expected: &str) {
+    let told = problems(text);
+    assert_eq!(told.len(), 1, "{told:#?}");
+    assert!(told[0].contains(expected), "{told:?}");
+}
+
+#[test]
+fn every_problem_is_told_at_once_in_order_of_line() {
+    let text = "[class quick]\nanswer_within_ms = x\n[model m]\nsize = 5\n[service s]\nzzz\n";
+    let told = problems(text);
+    let lines: Vec<&str> = told
+        .iter()
+        .map(|line| line.split(':').next().unwrap())
+        .collect();
+    assert_eq!(lines, ["line 2", "line 3", "line 3", "line 4", "line 6"]);
+}
--- a/crates/settings/src/keys.rs
+++ b/crates/settings/src/keys.rs
@@ -140,9 +140,9 @@
     key("log", "level", Kind::Word(LOG_LEVELS), Text("info"), "The least severe level that is logged"),
     key("log", "file", Kind::Path, Unset, "The file to which log lines are appended; standard error if unset"),
 
-    key("policies", "routing", Kind::Word(ROUTING_POLICIES), Text("least_reported"), "How an upstream is chosen for a request"),
-    key("policies", "retry", Kind::Word(RETRY_POLICIES), Text("fixed"), "Whether a failed try is repeated"),
-    key("policies", "admission", Kind::Word(ADMISSION_POLICIES), Text("first_come"), "Which requests start, wait or are refused"),
+    key("policies", "routing", Kind::Word(ROUTING_POLICIES), Text("corrected_load"), "How an upstream is chosen for a request"),
+    key("policies", "retry", Kind::Word(RETRY_POLICIES), Text("budgeted"), "Whether a failed try is repeated"),
+    key("policies", "admission", Kind::Word(ADMISSION_POLICIES), Text("earliest_deadline"), "Which requests start, wait or are refused"),
     key("policies", "placement", Kind::Word(PLACEMENT_POLICIES), Text("learned"), "Where models are loaded and when they are unloaded"),
     key("policies", "seed", Kind::Seed, Unset, "The seed of the policies' random choices; chosen at each start if unset"),
 ];
--- a/crates/settings/src/settings.rs
+++ b/crates/settings/src/settings.rs
@@ -196,7 +196,7 @@
     /// As for `from_text`; one problem if the file can't be read.
     pub fn from_file(path: &Path) -> Result<Self, Vec<Problem>> {
         let text = fs::read_to_string(path).map_err(|error| {
-            let detail = format!("{} can't be read: {error}", path.display());
+            let detail = format!("the file can't be read: {error}");
             vec![Problem::of_section("", None, detail)]
         })?;
         Self::from_text(&text)
--- /dev/null
+++ b/crates/settings/tests/settings_page.rs
@@ -0,0 +1,39 @@
+//! The page of the settings names every key.
+
+use std::fs;
+use std::path::Path;
+
+use apricotdale_settings::KEYS;
+
+fn page() -> String {
+    let path = Path::new(env!("CARGO_MANIFEST_DIR")).join("../../docs/SETTINGS.md");
+    fs::read_to_string(path).expect("the page is there")
+}
+
+#[test]
+fn page_has_the_row_of_every_key_in_its_section() {
+    let page = page();
+    let mut missing = Vec::new();
+    for key in KEYS {
+        let head = format!("## [{}]\n", key.section());
+        let section = page.split(&head).nth(1).unwrap_or_default();
+        let section = section.split("\n## ").next().unwrap_or_default();
+        if !section.contains(&key.row()) {
+            missing.push(format!("[{}] {}", key.section(), key.row()));
+        }
+    }
+    assert!(
+        missing.is_empty(),
+        "add these rows:\n{}",
+        missing.join("\n")
+    );
+}
+
+#[test]
+fn page_has_no_row_of_a_key_that_is_gone() {
+    let rows = page()
+        .lines()
+        .filter(|line| line.starts_with("| `"))
+        .count();
+    assert_eq!(rows, KEYS.len());
+}
