Gateway: refusals as fields of the log's lines; shared state named so

Cause: the JSON logger takes the request's identity and the reason as keys, and the gateway wrote them as text. The module core beside the crate apricotdale-core needed explaining. Change: log lines carry keys; core.rs is shared.rs.

--- a/crates/gateway/src/admission.rs
+++ b/crates/gateway/src/admission.rs
@@ -12,7 +12,7 @@
 
 use crate::context::Context;
 use crate::context::Control;
-use crate::core::Core;
+use crate::shared::Shared;
 use crate::trace::Step;
 
 /// `Queue` is what a request queues for.
@@ -41,18 +41,18 @@
 
 impl Drop for Admitted {
     fn drop(&mut self) {
-        let core = &self.place.core;
-        let ran_ms = core.now_ms().saturating_sub(self.started_ms);
+        let shared = &self.place.shared;
+        let ran_ms = shared.now_ms().saturating_sub(self.started_ms);
         if self.answered {
-            core.run_times.note(&self.place.target, ran_ms);
+            shared.run_times.note(&self.place.target, ran_ms);
         }
-        core.desk.ended(self.place.ticket, ran_ms);
+        shared.desk.ended(self.place.ticket, ran_ms);
     }
 }
 
 /// `Place` tells the demand sink of a request's end, when dropped.
 struct Place {
-    core: Arc<Core>,
+    shared: Arc<Shared>,
     ticket: Ticket,
     target: ModelName,
     is_model: bool,
@@ -61,7 +61,7 @@
 impl Place {
     fn note(&self, event: DemandEvent) {
         if self.is_model {
-            self.core.demand.note(self.core.now_ms(), event);
+            self.shared.demand.note(self.shared.now_ms(), event);
         }
     }
 }
@@ -76,14 +76,14 @@
 
 /// Waits until a request is started, or returns why it is not.
 pub(crate) fn admit(
-    core: &Arc<Core>,
+    shared: &Arc<Shared>,
     context: &Context,
     queue: &Queue,
 ) -> Result<Admitted, Refusal> {
-    let ticket = core.desk.next_ticket();
-    let queued_ms = core.now_ms();
+    let ticket = shared.desk.next_ticket();
+    let queued_ms = shared.now_ms();
     let place = Place {
-        core: core.clone(),
+        shared: shared.clone(),
         ticket,
         target: queue.target.clone(),
         is_model: queue.is_model,
@@ -105,15 +105,15 @@
         class: context.class.class.clone(),
         caller: context.caller.clone(),
         deadline_ms: context.deadline_ms,
-        expected_run_ms: core.run_times.expected_ms(&queue.target),
+        expected_run_ms: shared.run_times.expected_ms(&queue.target),
     };
-    core.desk.arrive(arrival, context.inbox.sender.clone());
-    wait(core, context, ticket)?;
-    let started_ms = core.now_ms();
+    shared.desk.arrive(arrival, context.inbox.sender.clone());
+    wait(shared, context, ticket)?;
+    let started_ms = shared.now_ms();
     let wait_ms = started_ms.saturating_sub(queued_ms);
     place.note(DemandEvent::Started { ticket });
     context.trace.note(started_ms, Step::Admitted { wait_ms });
-    core.observer.observe(&waited(context, queue, wait_ms));
+    shared.observer.observe(&waited(context, queue, wait_ms));
     Ok(Admitted {
         place,
         started_ms,
@@ -121,29 +121,29 @@
     })
 }
 
-fn wait(core: &Core, context: &Context, ticket: Ticket) -> Result<(), Refusal> {
-    let left = core.left(context.deadline_ms);
+fn wait(shared: &Shared, context: &Context, ticket: Ticket) -> Result<(), Refusal> {
+    let left = shared.left(context.deadline_ms);
     let refusal = match context.inbox.receiver.recv_timeout(left) {
         Ok(Control::Admitted) => return Ok(()),
         Ok(Control::Refused(refusal)) => return Err(refusal),
         Ok(Control::CallerGone) => caller_gone(),
         Err(_) => deadline_passed("the request was not started in time"),
     };
-    if !core.desk.withdraw(ticket) {
-        give_back(core, context, ticket);
+    if !shared.desk.withdraw(ticket) {
+        give_back(shared, context, ticket);
     }
     Err(refusal)
 }
 
 /// Gives back the place of a request that was started while it was being withdrawn. The decision
 /// is in the inbox already, because it was sent under the lock that the withdrawal took.
-fn give_back(core: &Core, context: &Context, ticket: Ticket) {
+fn give_back(shared: &Shared, context: &Context, ticket: Ticket) {
     let decisions = context.inbox.receiver.try_iter();
     if decisions
         .into_iter()
         .any(|control| control == Control::Admitted)
     {
-        core.desk.ended(ticket, 0);
+        shared.desk.ended(ticket, 0);
     }
 }
 
--- a/crates/gateway/src/answer.rs
+++ b/crates/gateway/src/answer.rs
@@ -109,10 +109,7 @@
             }
         };
         if let Err(error) = sent {
-            log::debug!(
-                "request {}: the refusal was not delivered: {error}",
-                self.id
-            );
+            log::debug!(request_id = self.id.as_str(); "the refusal was not delivered: {error}");
         }
     }
 
--- a/crates/gateway/src/cancels.rs
+++ b/crates/gateway/src/cancels.rs
@@ -37,7 +37,7 @@
     pub(crate) fn send(&self, engine: SocketAddr, id: &RequestId) {
         let place = Place::take(&self.at_once);
         if place.before >= self.max_at_once {
-            log::warn!("request {id}: not cancelled, too many cancellations are on their way");
+            log::warn!(request_id = id.as_str(); "not cancelled: too many are on their way");
             return;
         }
         let serving = self.serving.clone();
@@ -45,11 +45,11 @@
         let started = self.workers.run(move || {
             let _place = place;
             if let Err(error) = serving.cancel(engine, &cancelled) {
-                log::info!("request {cancelled}: the engine took no cancellation: {error}");
+                log::info!(request_id = cancelled.as_str(); "the engine took no cancellation: {error}");
             }
         });
         if let Err(error) = started {
-            log::warn!("request {id}: not cancelled: {error}");
+            log::warn!(request_id = id.as_str(); "not cancelled: {error}");
         }
     }
 }
--- a/crates/gateway/src/gateway.rs
+++ b/crates/gateway/src/gateway.rs
@@ -27,8 +27,6 @@
 use crate::context::Context;
 use crate::context::Control;
 use crate::context::Inbox;
-use crate::core::Core;
-use crate::core::RefusedRequest;
 use crate::endpoint::Endpoint;
 use crate::errors::Result;
 use crate::identity;
@@ -39,6 +37,8 @@
 use crate::parts::Parts;
 use crate::problem;
 use crate::service_flow;
+use crate::shared::RefusedRequest;
+use crate::shared::Shared;
 use crate::trace::Step;
 use crate::trace::Trace;
 use crate::trace::TraceLog;
@@ -50,7 +50,7 @@
 
 /// `Gateway` serves callers. It is the handler and the error renderer of the HTTP server.
 pub struct Gateway {
-    core: Arc<Core>,
+    shared: Arc<Shared>,
 }
 
 /// `Arrived` is what is known of a request before it is classified.
@@ -75,50 +75,50 @@
     ///
     /// If the system refuses a thread or a descriptor.
     pub fn new(options: Options, parts: Parts) -> Result<Self> {
-        let core = Arc::new(Core::new(options, parts)?);
-        let ticking = core.clone();
+        let shared = Arc::new(Shared::new(options, parts)?);
+        let ticking = shared.clone();
         thread::Builder::new()
             .name("gateway-admission".to_owned())
             .spawn(move || ticking.desk.run_ticks())?;
-        Ok(Self { core })
+        Ok(Self { shared })
     }
 
     /// Takes in how many requests this VM may have in progress at a target, and when the first
     /// place is expected if there is none. The target is a model, or a service by way of
     /// [`service_target`](crate::service_target).
     pub fn capacity(&self, target: ModelName, slots: u32, ready_at_ms: Option<u64>) {
-        self.core.desk.capacity(target, slots, ready_at_ms);
+        self.shared.desk.capacity(target, slots, ready_at_ms);
     }
 
     /// Refuses all requests that wait for a model, at once, and returns how many.
     pub fn hopeless(&self, model: &ModelName, refusal: &Refusal) -> usize {
-        self.core.desk.refuse_target(model, refusal)
+        self.shared.desk.refuse_target(model, refusal)
     }
 
     /// Lets routing learn what the node reads of upstreams.
     pub fn learn_routing(&self, event: RoutingEvent) {
-        self.core.learn_routing(event);
+        self.shared.learn_routing(event);
     }
 
     /// Returns how many requests are in progress, those included whose outcome is still awaited
     /// though their caller has gone.
     pub fn in_progress(&self) -> usize {
-        self.core.in_progress.count()
+        self.shared.in_progress.count()
     }
 
     /// Refuses all new requests from now on. Those in progress, and those that wait, go on.
     pub fn drain(&self) {
-        self.core.draining.store(true, Ordering::Release);
+        self.shared.draining.store(true, Ordering::Release);
     }
 
     /// Waits until no request is in progress, and returns whether that came within the time.
     pub fn wait_idle(&self, timeout: Duration) -> bool {
-        self.core.in_progress.wait_idle(timeout)
+        self.shared.in_progress.wait_idle(timeout)
     }
 
     /// Returns what became of a request, if it is one of the last.
     pub fn explain(&self, id: &RequestId) -> Option<Trace> {
-        self.core.traces.find(id)
+        self.shared.traces.find(id)
     }
 
     fn serve(
@@ -128,23 +128,23 @@
         mut request: Request,
         answer: &mut Answer<'_>,
     ) -> std::result::Result<(), Refusal> {
-        let core = &self.core;
+        let shared = &self.shared;
         match Endpoint::parse(request.method(), request.path())? {
             Endpoint::Live => send(answer, listing::health(None)),
             Endpoint::Ready => {
-                let closed = core.closed();
+                let closed = shared.closed();
                 let reason = closed.as_ref().map(|refusal| refusal.reason.as_str());
                 send(answer, listing::health(reason))
             }
-            Endpoint::Models => send(answer, listing::models(&core.directory.models())),
-            Endpoint::Model(model) => match core.directory.model(&model) {
+            Endpoint::Models => send(answer, listing::models(&shared.directory.models())),
+            Endpoint::Model(model) => match shared.directory.model(&model) {
                 Some(spec) => send(answer, listing::model(&spec)),
                 None => Err(unknown_model(&model)),
             },
             Endpoint::ModelCall(path) => {
                 let context = self.classify(arrived, known, &request)?;
-                let parsed = CallBody::parse(request.body(), core.options.prefix_bytes)?;
-                let spec = core.directory.model(&parsed.model);
+                let parsed = CallBody::parse(request.body(), shared.options.prefix_bytes)?;
+                let spec = shared.directory.model(&parsed.model);
                 let call = ModelCall {
                     path,
                     spec: spec.ok_or_else(|| unknown_model(&parsed.model))?,
@@ -152,16 +152,16 @@
                     body: request.take_body(),
                 };
                 let _watch = self.watch(&context, &request);
-                model_flow::serve(core, &context, &call, answer)
+                model_flow::serve(shared, &context, &call, answer)
             }
             Endpoint::Service { service, path } => {
                 let context = self.classify(arrived, known, &request)?;
-                let spec = core.directory.service(&service).ok_or_else(|| {
+                let spec = shared.directory.service(&service).ok_or_else(|| {
                     let detail = format!("no service {service} is configured");
                     Refusal::not_run(RefusalReason::UnknownService, detail)
                 })?;
                 let _watch = self.watch(&context, &request);
-                service_flow::serve(core, &context, spec, &path, &mut request, answer)
+                service_flow::serve(shared, &context, spec, &path, &mut request, answer)
             }
         }
     }
@@ -172,20 +172,20 @@
         known: &mut Known,
         request: &Request,
     ) -> std::result::Result<Context, Refusal> {
-        let core = &self.core;
-        if let Some(refusal) = core.closed() {
+        let shared = &self.shared;
+        if let Some(refusal) = shared.closed() {
             return Err(refusal);
         }
-        let class = identity::class(request, &*core.directory, &core.options)?;
+        let class = identity::class(request, &*shared.directory, &shared.options)?;
         known.class = Some(class.clone());
-        let timeout_ms = identity::timeout_ms(request, &class, &core.options)?;
+        let timeout_ms = identity::timeout_ms(request, &class, &shared.options)?;
         let caller = identity::caller(request);
         let step = Step::Classified {
             class: class.class.to_string(),
             caller: caller.to_string(),
             timeout_ms,
         };
-        arrived.trace.note(core.now_ms(), step);
+        arrived.trace.note(shared.now_ms(), step);
         Ok(Context {
             id: arrived.id.clone(),
             class,
@@ -199,27 +199,27 @@
 
     fn watch(&self, context: &Context, request: &Request) -> Option<HangupGuard> {
         let control = context.inbox.sender.clone();
-        let watched = self.core.hangups.watch(request.socket(), move || {
+        let watched = self.shared.hangups.watch(request.socket(), move || {
             let _ = control.send(Control::CallerGone);
         });
         match watched {
             Ok(guard) => Some(guard),
             Err(error) => {
-                log::warn!("request {}: the caller is not watched: {error}", context.id);
+                log::warn!(request_id = context.id.as_str(); "the caller is not watched: {error}");
                 None
             }
         }
     }
 
     fn arrive(&self, request: &Request) -> Arrived {
-        let core = &self.core;
-        let id = core.ids.next();
-        let arrived_ms = core.now_ms();
+        let shared = &self.shared;
+        let id = shared.ids.next();
+        let arrived_ms = shared.now_ms();
         let correlation = identity::correlation(request);
-        let trace = core.traces.open(&id, arrived_ms, core.clock.unix_ms());
+        let trace = shared.traces.open(&id, arrived_ms, shared.clock.unix_ms());
         // Probes come every second and would crowd out the requests.
         if !request.path().starts_with(HEALTH_PREFIX) {
-            core.traces.remember(&id, &trace);
+            shared.traces.remember(&id, &trace);
         }
         let step = Step::Arrived {
             method: request.method().to_owned(),
@@ -238,7 +238,7 @@
 
 impl Handler for Gateway {
     fn handle(&self, request: Request, responder: Responder<'_>) {
-        let _in_progress = self.core.in_progress.enter();
+        let _in_progress = self.shared.in_progress.enter();
         let arrived = self.arrive(&request);
         let allow = Endpoint::allowed(request.path());
         let mut known = Known::default();
@@ -258,7 +258,7 @@
             class: known.class.map(|target| target.class),
             trace: Some(&arrived.trace),
         };
-        self.core.note_refusal(&request, &refusal);
+        self.shared.note_refusal(&request, &refusal);
         let allow = allow.filter(|_| refusal.reason == RefusalReason::MethodNotAllowed);
         answer.refuse(&refusal, allow);
     }
@@ -266,7 +266,7 @@
 
 impl ErrorRenderer for Gateway {
     fn render(&self, error: &ProtocolError) -> Response {
-        let id = self.core.ids.next();
+        let id = self.shared.ids.next();
         let refusal = protocol_refusal(error);
         let request = RefusedRequest {
             id: &id,
@@ -274,14 +274,14 @@
             class: None,
             trace: None,
         };
-        self.core.note_refusal(&request, &refusal);
+        self.shared.note_refusal(&request, &refusal);
         problem::response(&id, &refusal).header("X-Request-Id", id.as_str())
     }
 }
 
 impl Drop for Gateway {
     fn drop(&mut self) {
-        self.core.desk.stop();
+        self.shared.desk.stop();
     }
 }
 
--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -18,7 +18,6 @@
 mod call_body;
 mod cancels;
 mod context;
-mod core;
 mod desk;
 mod endpoint;
 mod errors;
@@ -36,6 +35,7 @@
 mod run_times;
 mod service_flow;
 mod service_job;
+mod shared;
 mod trace;
 mod workers;
 
--- a/crates/gateway/src/model_flow.rs
+++ b/crates/gateway/src/model_flow.rs
@@ -21,9 +21,9 @@
 use crate::call_body::CallBody;
 use crate::context::Context;
 use crate::context::Control;
-use crate::core::Core;
 use crate::model_try;
 use crate::model_try::TryEnd;
+use crate::shared::Shared;
 use crate::trace::Step;
 
 /// The longest pause before a request whose model was gone asks for admission again.
@@ -85,7 +85,7 @@
 
 /// `ModelFlow` carries one call to a model.
 struct ModelFlow<'a, 'b> {
-    core: &'a Arc<Core>,
+    shared: &'a Arc<Shared>,
     context: &'a Context,
     call: &'a ModelCall,
     answer: &'a mut Answer<'b>,
@@ -98,14 +98,14 @@
 /// Serves a call to a model. A refusal that comes back says of all tries together whether the call
 /// ran.
 pub(crate) fn serve(
-    core: &Arc<Core>,
+    shared: &Arc<Shared>,
     context: &Context,
     call: &ModelCall,
     answer: &mut Answer<'_>,
 ) -> Result<(), Refusal> {
     let attempt = Arc::new(Attempt::new());
     let mut flow = ModelFlow {
-        core,
+        shared,
         context,
         call,
         answer,
@@ -121,15 +121,15 @@
 
 impl ModelFlow<'_, '_> {
     fn run(&mut self) -> Result<(), Refusal> {
-        let mut pause = Duration::from_millis(self.core.options.reload_pause_ms);
+        let mut pause = Duration::from_millis(self.shared.options.reload_pause_ms);
         loop {
             let model = &self.call.spec.model;
             let queue = Queue {
                 target: model.clone(),
                 is_model: true,
-                upstreams: self.core.directory.replicas(model).len(),
+                upstreams: self.shared.directory.replicas(model).len(),
             };
-            let mut admitted = admission::admit(self.core, self.context, &queue)?;
+            let mut admitted = admission::admit(self.shared, self.context, &queue)?;
             match self.pass()? {
                 Pass::Answered => {
                     admitted.answered();
@@ -179,7 +179,7 @@
     }
 
     fn candidates(&self, missing: &[UpstreamName]) -> Vec<Candidate> {
-        let replicas = self.core.directory.replicas(&self.call.spec.model);
+        let replicas = self.shared.directory.replicas(&self.call.spec.model);
         replicas
             .into_iter()
             .filter(|candidate| !missing.contains(&candidate.upstream))
@@ -191,17 +191,18 @@
             prefix_hash: self.call.parsed.prefix_hash,
             tried: tried.to_vec(),
         };
-        self.core.choose(&request, candidates, &self.context.trace)
+        self.shared
+            .choose(&request, candidates, &self.context.trace)
     }
 
     /// Tries an engine, and returns why that failed if it did.
     fn try_at(&mut self, candidate: &Candidate) -> Result<Option<TryFailure>, Refusal> {
         if !self.first_try_noted {
             self.first_try_noted = true;
-            self.core.note_first_try(&self.call.spec.group);
+            self.shared.note_first_try(&self.call.spec.group);
         }
         let end = model_try::run(
-            self.core,
+            self.shared,
             self.context,
             self.call,
             candidate,
@@ -216,7 +217,7 @@
     }
 
     fn note_failure(&self, chosen: &Option<Candidate>, failure: &TryFailure) {
-        let now_ms = self.core.now_ms();
+        let now_ms = self.shared.now_ms();
         let step = Step::TryFailed {
             upstream: chosen.as_ref().map(|known| known.upstream.to_string()),
             reason: failure.reason.as_str().to_owned(),
@@ -229,14 +230,14 @@
                 model: self.call.spec.model.clone(),
                 upstream: candidate.upstream.clone(),
             };
-            self.core.demand.note(now_ms, event);
+            self.shared.demand.note(now_ms, event);
         }
     }
 
     /// Asks for a retry. Generation has no side effect, so a call to a model may run twice as long
     /// as the caller has seen nothing of the first run.
     fn decide_retry(&self, failure: &TryFailure) -> Option<Duration> {
-        let left = self.core.left(self.context.deadline_ms);
+        let left = self.shared.left(self.context.deadline_ms);
         let request = RetryRequest {
             group: self.call.spec.group.clone(),
             idempotent: true,
@@ -245,7 +246,7 @@
             tries: self.tries,
             left_ms: u64::try_from(left.as_millis()).unwrap_or(u64::MAX),
         };
-        self.core
+        self.shared
             .decide_retry(&request, failure.ran, &self.context.trace)
     }
 
@@ -254,14 +255,16 @@
     fn cancel(&self, chosen: &Option<Candidate>, failure: &TryFailure) {
         match chosen {
             Some(candidate) if failure.ran != Ran::NotRun => {
-                self.core.cancels.send(candidate.address, &self.context.id);
+                self.shared
+                    .cancels
+                    .send(candidate.address, &self.context.id);
             }
             _ => {}
         }
     }
 
     fn pause(&self, pause: Duration) -> Result<(), Refusal> {
-        let left = self.core.left(self.context.deadline_ms);
+        let left = self.shared.left(self.context.deadline_ms);
         match self.context.inbox.receiver.recv_timeout(pause.min(left)) {
             Ok(Control::CallerGone) => Err(admission::caller_gone()),
             Ok(Control::Refused(refusal)) => Err(refusal),
--- a/crates/gateway/src/model_try.rs
+++ b/crates/gateway/src/model_try.rs
@@ -21,11 +21,11 @@
 use crate::answer::Answer;
 use crate::attempt::Attempt;
 use crate::context::Context;
-use crate::core::Core;
 use crate::model_flow::ModelCall;
 use crate::model_flow::TryFailure;
 use crate::relay::Relay;
 use crate::relay::Relayed;
+use crate::shared::Shared;
 
 /// How much later than the gateway the adapter gives up. The gateway's own clock ends a request at
 /// its deadline; the adapter's only frees the thread.
@@ -55,27 +55,27 @@
 
 /// Tries an engine once.
 pub(crate) fn run(
-    core: &Arc<Core>,
+    shared: &Arc<Shared>,
     context: &Context,
     call: &ModelCall,
     candidate: &Candidate,
     attempt: &Arc<Attempt>,
     answer: &mut Answer<'_>,
 ) -> TryEnd {
-    let sent_ms = core.now_ms();
-    let events = match start_reading(core, context, call, candidate, attempt) {
+    let sent_ms = shared.now_ms();
+    let events = match start_reading(shared, context, call, candidate, attempt) {
         Ok(events) => events,
         Err(error) => {
             let detail = format!("no thread for the request: {error}");
             return TryEnd::Stopped(Refusal::not_run(RefusalReason::Internal, detail));
         }
     };
-    core.learn_routing(RoutingEvent::Sent {
+    shared.learn_routing(RoutingEvent::Sent {
         upstream: candidate.upstream.clone(),
         prefix_hash: call.parsed.prefix_hash,
     });
-    let mut relay = Relay::new(core, context, answer);
-    let end = follow(core, context, &events, &mut relay);
+    let mut relay = Relay::new(shared, context, answer);
+    let end = follow(shared, context, &events, &mut relay);
     let first_byte_ms = relay
         .first_byte_ms()
         .map(|first| first.saturating_sub(sent_ms));
@@ -85,10 +85,10 @@
         TryEnd::Stopped(refusal) => (relay.give_up(attempt), stopped_outcome(refusal)),
     };
     if matches!(end, TryEnd::Stopped(_)) && ran != Ran::NotRun {
-        core.cancels.send(candidate.address, &context.id);
+        shared.cancels.send(candidate.address, &context.id);
     }
     attempt.settle(ran);
-    core.learn_routing(RoutingEvent::Ended {
+    shared.learn_routing(RoutingEvent::Ended {
         upstream: candidate.upstream.clone(),
         outcome,
         first_byte_ms,
@@ -106,17 +106,17 @@
 /// Relays what the engine sends until the answer is whole, the try fails, or the request is
 /// stopped.
 fn follow(
-    core: &Core,
+    shared: &Shared,
     context: &Context,
     events: &Receiver<UpstreamEvent>,
     relay: &mut Relay<'_, '_>,
 ) -> TryEnd {
-    let idle = Duration::from_millis(core.options.stream_idle_timeout_ms);
+    let idle = Duration::from_millis(shared.options.stream_idle_timeout_ms);
     let mut idle_deadline = Instant::now() + idle;
     loop {
         let wait = match relay.has_begun() {
             true => idle_deadline.saturating_duration_since(Instant::now()),
-            false => core.left(context.deadline_ms),
+            false => shared.left(context.deadline_ms),
         };
         select! {
             recv(events) -> event => {
@@ -149,13 +149,13 @@
 
 /// Starts the thread that sends the request and reads its answer.
 fn start_reading(
-    core: &Arc<Core>,
+    shared: &Arc<Shared>,
     context: &Context,
     call: &ModelCall,
     candidate: &Candidate,
     attempt: &Arc<Attempt>,
 ) -> std::io::Result<Receiver<UpstreamEvent>> {
-    let left = core.left(context.deadline_ms);
+    let left = shared.left(context.deadline_ms);
     let left_ms = u64::try_from(left.as_millis()).unwrap_or(u64::MAX);
     let request = ServeRequest {
         id: context.id.clone(),
@@ -163,25 +163,25 @@
         body: call.body.clone(),
         stream: call.parsed.stream,
         first_byte_timeout_ms: left_ms.saturating_add(ADAPTER_MARGIN_MS),
-        idle_timeout_ms: core.options.stream_idle_timeout_ms + ADAPTER_MARGIN_MS,
+        idle_timeout_ms: shared.options.stream_idle_timeout_ms + ADAPTER_MARGIN_MS,
         priority: u32::try_from(context.class.answer_within_ms).unwrap_or(u32::MAX),
     };
-    let (sender, receiver) = crossbeam_channel::bounded(core.options.piece_queue);
+    let (sender, receiver) = crossbeam_channel::bounded(shared.options.piece_queue);
     let reading = Reading {
-        core: core.clone(),
+        shared: shared.clone(),
         engine: candidate.address,
         request,
         attempt: attempt.clone(),
         events: sender,
     };
-    core.workers.run(move || reading.run())?;
+    shared.workers.run(move || reading.run())?;
     Ok(receiver)
 }
 
 /// `Reading` is the engine's side of a try. It ends when the answer ends or when nobody listens
 /// any more; its connection to the engine closes then.
 struct Reading {
-    core: Arc<Core>,
+    shared: Arc<Shared>,
     engine: std::net::SocketAddr,
     request: ServeRequest,
     attempt: Arc<Attempt>,
@@ -193,7 +193,7 @@
         if !self.attempt.begin_send() {
             return;
         }
-        let mut answer = match self.core.serving.serve(self.engine, &self.request) {
+        let mut answer = match self.shared.serving.serve(self.engine, &self.request) {
             Ok(answer) => answer,
             Err(error) => {
                 let _ = self.events.send(UpstreamEvent::Failed(error));
--- a/crates/gateway/src/relay.rs
+++ b/crates/gateway/src/relay.rs
@@ -16,12 +16,12 @@
 use crate::answer::CallerLost;
 use crate::attempt::Attempt;
 use crate::context::Context;
-use crate::core::Core;
 use crate::events;
 use crate::events::EventKind;
 use crate::model_flow::TryFailure;
 use crate::model_try::TryEnd;
 use crate::model_try::UpstreamEvent;
+use crate::shared::Shared;
 use crate::trace::Step;
 
 const EVENT_STREAM: &str = "text/event-stream";
@@ -50,7 +50,7 @@
 
 /// `Relay` passes the answer of one try on to the caller.
 pub(crate) struct Relay<'a, 'b> {
-    core: &'a Core,
+    shared: &'a Shared,
     context: &'a Context,
     answer: &'a mut Answer<'b>,
     head: Option<(ServeHead, Shape)>,
@@ -60,9 +60,13 @@
 }
 
 impl<'a, 'b> Relay<'a, 'b> {
-    pub(crate) fn new(core: &'a Core, context: &'a Context, answer: &'a mut Answer<'b>) -> Self {
+    pub(crate) fn new(
+        shared: &'a Shared,
+        context: &'a Context,
+        answer: &'a mut Answer<'b>,
+    ) -> Self {
         Self {
-            core,
+            shared,
             context,
             answer,
             head: None,
@@ -101,7 +105,7 @@
     }
 
     fn begin(&mut self, head: ServeHead) -> Relayed {
-        self.first_byte_ms = Some(self.core.now_ms());
+        self.first_byte_ms = Some(self.shared.now_ms());
         let shape = match head.status {
             404 | 503 => Shape::NotRun,
             408 | 429 | 500.. => {
@@ -184,8 +188,8 @@
     }
 
     fn answered(&mut self, status: u16) -> Relayed {
-        let first_ms = self.first_event_ms.unwrap_or_else(|| self.core.now_ms());
-        self.core.note_answered(self.context, first_ms, status);
+        let first_ms = self.first_event_ms.unwrap_or_else(|| self.shared.now_ms());
+        self.shared.note_answered(self.context, first_ms, status);
         Relayed::End(TryEnd::Answered)
     }
 
@@ -193,12 +197,12 @@
         let now = Instant::now();
         if let Some(last) = self.last_event.replace(now) {
             let gap_us = u64::try_from((now - last).as_micros()).unwrap_or(u64::MAX);
-            self.core
+            self.shared
                 .observer
                 .observe(&ServingEvent::InterToken { gap_us });
             return;
         }
-        let now_ms = self.core.now_ms();
+        let now_ms = self.shared.now_ms();
         self.first_event_ms = Some(now_ms);
         self.context.trace.note(now_ms, Step::AnswerBegun);
     }
--- a/crates/gateway/src/service_flow.rs
+++ b/crates/gateway/src/service_flow.rs
@@ -19,10 +19,10 @@
 use crate::answer::Answer;
 use crate::attempt::Attempt;
 use crate::context::Context;
-use crate::core::Core;
 use crate::service_job::JobEnd;
 use crate::service_job::Repetition;
 use crate::service_job::ServiceJob;
+use crate::shared::Shared;
 
 const TARGET_PREFIX: &str = "service:";
 const MAX_KEY_CHARS: usize = 255;
@@ -36,7 +36,7 @@
 
 /// Serves a call to a plain service.
 pub(crate) fn serve(
-    core: &Arc<Core>,
+    shared: &Arc<Shared>,
     context: &Context,
     spec: ServiceSpec,
     path: &str,
@@ -47,18 +47,18 @@
     let queue = Queue {
         target: service_target(&spec.service),
         is_model: false,
-        upstreams: core.directory.instances(&spec.service).len(),
+        upstreams: shared.directory.instances(&spec.service).len(),
     };
     if queue.upstreams == 0 {
         let detail = format!("no instance of {} is there", spec.service);
         let refusal = Refusal::not_run(RefusalReason::UpstreamUnavailable, detail);
         return Err(refusal.retry_after(RETRY_WITHOUT_INSTANCE_MS));
     }
-    let admitted = admission::admit(core, context, &queue)?;
+    let admitted = admission::admit(shared, context, &queue)?;
     let attempt = Arc::new(Attempt::new());
     let (sender, receiver) = crossbeam_channel::bounded(1);
     let job = ServiceJob {
-        core: core.clone(),
+        shared: shared.clone(),
         call: service_call(context, path, request),
         spec,
         repetition,
@@ -66,20 +66,20 @@
         attempt: attempt.clone(),
         trace: context.trace.clone(),
         admitted,
-        in_progress: core.in_progress.enter(),
+        in_progress: shared.in_progress.enter(),
         end: sender,
     };
-    if let Err(error) = core.workers.run(move || job.run()) {
+    if let Err(error) = shared.workers.run(move || job.run()) {
         let detail = format!("no thread for the request: {error}");
         return Err(Refusal::not_run(RefusalReason::Internal, detail));
     }
     let mut stopped = select! {
         recv(receiver) -> end => match end {
-            Ok(end) => return deliver(core, context, end, answer),
+            Ok(end) => return deliver(shared, context, end, answer),
             Err(_) => Refusal::not_run(RefusalReason::Internal, "the call's thread ended"),
         },
         recv(context.inbox.receiver) -> _ => admission::caller_gone(),
-        default(core.left(context.deadline_ms)) => {
+        default(shared.left(context.deadline_ms)) => {
             admission::deadline_passed("the answer did not come in time")
         }
     };
@@ -88,7 +88,7 @@
 }
 
 fn deliver(
-    core: &Core,
+    shared: &Shared,
     context: &Context,
     end: JobEnd,
     answer: &mut Answer<'_>,
@@ -108,7 +108,7 @@
     }
     match answer.send(response) {
         Ok(()) => {
-            core.note_answered(context, core.now_ms(), status);
+            shared.note_answered(context, shared.now_ms(), status);
             Ok(())
         }
         Err(_) => Err(Refusal::ran(
--- a/crates/gateway/src/service_job.rs
+++ b/crates/gateway/src/service_job.rs
@@ -28,8 +28,8 @@
 use crate::admission;
 use crate::admission::Admitted;
 use crate::attempt::Attempt;
-use crate::core::Core;
 use crate::in_progress::InProgressGuard;
+use crate::shared::Shared;
 use crate::trace::Step;
 use crate::trace::TraceLog;
 
@@ -64,7 +64,7 @@
 
 /// `ServiceJob` claims, sends and settles one call.
 pub(crate) struct ServiceJob {
-    pub(crate) core: Arc<Core>,
+    pub(crate) shared: Arc<Shared>,
     pub(crate) call: ServiceCall,
     pub(crate) spec: ServiceSpec,
     pub(crate) repetition: Repetition,
@@ -115,7 +115,7 @@
             request: self.call.id.clone(),
             deadline_ms: self.deadline_ms,
         };
-        match self.core.claims.claim(&ask) {
+        match self.shared.claims.claim(&ask) {
             ClaimDecision::Run => {}
             ClaimDecision::Answer(kept) => {
                 return JobEnd::Replayed(ServiceAnswer {
@@ -132,12 +132,12 @@
             JobEnd::Replayed(_) | JobEnd::Refused(_) => None,
         };
         let ran = self.attempt.ran();
-        self.core.claims.finish(&key, &self.call.id, ran, kept);
+        self.shared.claims.finish(&key, &self.call.id, ran, kept);
         end
     }
 
     fn kept(&self, answer: &ServiceAnswer) -> Option<KeptAnswer> {
-        let fits = answer.body.len() <= self.core.options.max_kept_answer_bytes;
+        let fits = answer.body.len() <= self.shared.options.max_kept_answer_bytes;
         fits.then(|| KeptAnswer {
             status: answer.status,
             content_type: answer.content_type.clone(),
@@ -149,15 +149,15 @@
         let mut tried: Vec<UpstreamName> = Vec::new();
         let mut tries = 0;
         loop {
-            let candidates = self.core.directory.instances(&self.spec.service);
+            let candidates = self.shared.directory.instances(&self.spec.service);
             let request = RouteRequest {
                 prefix_hash: None,
                 tried: tried.clone(),
             };
-            let chosen = self.core.choose(&request, &candidates, &self.trace);
+            let chosen = self.shared.choose(&request, &candidates, &self.trace);
             tries += 1;
             if tries == 1 {
-                self.core.note_first_try(&self.spec.service);
+                self.shared.note_first_try(&self.spec.service);
             }
             let failure = match &chosen {
                 None => CallFailure::no_instance(),
@@ -180,16 +180,16 @@
 
     /// Makes the call once.
     fn try_at(&mut self, candidate: &Candidate) -> Result<ServiceAnswer, CallFailure> {
-        let sent_ms = self.core.now_ms();
-        self.core.learn_routing(RoutingEvent::Sent {
+        let sent_ms = self.shared.now_ms();
+        self.shared.learn_routing(RoutingEvent::Sent {
             upstream: candidate.upstream.clone(),
             prefix_hash: None,
         });
-        let left = self.core.left(self.deadline_ms);
+        let left = self.shared.left(self.deadline_ms);
         let left_ms = u64::try_from(left.as_millis()).unwrap_or(u64::MAX);
         self.call.timeout_ms = left_ms.saturating_add(ADAPTER_MARGIN_MS);
         let result = self
-            .core
+            .shared
             .service
             .call(candidate.address, &self.call)
             .map_err(CallFailure::from_error)
@@ -199,8 +199,8 @@
             Err(failure) => (failure.ran, failure.outcome),
         };
         self.attempt.settle(ran);
-        let took_ms = self.core.now_ms().saturating_sub(sent_ms);
-        self.core.learn_routing(RoutingEvent::Ended {
+        let took_ms = self.shared.now_ms().saturating_sub(sent_ms);
+        self.shared.learn_routing(RoutingEvent::Ended {
             upstream: candidate.upstream.clone(),
             outcome,
             first_byte_ms: result.is_ok().then_some(took_ms),
@@ -225,7 +225,7 @@
     }
 
     fn decide_retry(&self, tries: u32, failure: &CallFailure) -> Option<Duration> {
-        let left = self.core.left(self.deadline_ms);
+        let left = self.shared.left(self.deadline_ms);
         let request = RetryRequest {
             group: self.spec.service.clone(),
             idempotent: self.repetition == Repetition::Repeatable,
@@ -234,7 +234,7 @@
             tries,
             left_ms: u64::try_from(left.as_millis()).unwrap_or(u64::MAX),
         };
-        self.core.decide_retry(&request, failure.ran, &self.trace)
+        self.shared.decide_retry(&request, failure.ran, &self.trace)
     }
 
     fn note_failure(&self, chosen: &Option<Candidate>, failure: &CallFailure) {
@@ -244,7 +244,7 @@
             ran: failure.ran.as_str().to_owned(),
             detail: failure.detail.clone(),
         };
-        self.trace.note(self.core.now_ms(), step);
+        self.trace.note(self.shared.now_ms(), step);
     }
 
     fn final_failure(&self, failure: CallFailure) -> JobEnd {
--- a/crates/gateway/src/core.rs
+++ b/crates/gateway/src/shared.rs
@@ -43,8 +43,8 @@
 use crate::trace::Traces;
 use crate::workers::Workers;
 
-/// `Core` is what all requests share.
-pub(crate) struct Core {
+/// `Shared` is what all requests share.
+pub(crate) struct Shared {
     pub(crate) options: Options,
     pub(crate) directory: Arc<dyn Directory>,
     pub(crate) demand: Arc<dyn DemandSink>,
@@ -74,7 +74,7 @@
     pub(crate) trace: Option<&'a TraceLog>,
 }
 
-impl Core {
+impl Shared {
     pub(crate) fn new(options: Options, parts: Parts) -> Result<Self> {
         let workers = Arc::new(Workers::new(options.thread_stack_bytes));
         Ok(Self {
@@ -121,14 +121,15 @@
 
     /// Counts, logs and traces a refusal. Every refusal passes here, once.
     pub(crate) fn note_refusal(&self, request: &RefusedRequest<'_>, refusal: &Refusal) {
-        let class = request.class.as_ref().map_or("-", ClassName::as_str);
+        let class = request.class.as_ref().map_or("", ClassName::as_str);
         log::warn!(
-            "refused request_id={} correlation={} class={class} reason={} ran={} detail={:?}",
-            request.id,
-            request.correlation.unwrap_or("-"),
-            refusal.reason,
-            refusal.ran.as_str(),
-            refusal.detail,
+            request_id = request.id.as_str(),
+            correlation_id = request.correlation.unwrap_or_default(),
+            class = class,
+            reason = refusal.reason.as_str(),
+            ran = refusal.ran.as_str(),
+            detail = refusal.detail.as_str();
+            "refused"
         );
         self.observer.observe(&ServingEvent::Refused {
             class: request.class.clone(),
