Settings that nothing read are gone; the process's own use is measured

Cause: a trial against the started daemon showed which settings it reads. Three did nothing: the interval of the weight store (it is read with the engines), the time until an upstream's first byte (the request's own time is the limit), and the time after which a peer is suspected (membership counts missed heartbeats). An operator who changed them would have waited for an effect in vain.

Changed: the first two are removed, the third is suspect_after_missed, as membership counts; the daemon does not yet pass it on. Their two checks of combinations went with them; a check of the lowest count came.

--- a/crates/ctl/src/text.rs
+++ b/crates/ctl/src/text.rs
@@ -34,7 +34,8 @@
         row("region", self.region.to_string());
         row("availability zone", self.zone.to_string());
         row("program version", self.program_version.clone());
-        row("process", self.process_id.to_string());
+        // Requests that this process served begin with this number.
+        row("process", format!("{:016x}", self.process_id));
         row("uptime ms", self.uptime_ms.to_string());
         row("ready", yes_or_no(self.ready));
         row("not ready because", optional(&self.not_ready_because));
@@ -233,6 +234,10 @@
     fn as_text(&self) -> String {
         match self {
             Self::Accepted { version } => format!("accepted: version {version} is in force\n"),
+            // Some details begin with the reason.
+            Self::Rejected { reason, detail } if detail.starts_with(reason.as_str()) => {
+                format!("rejected: {detail}\n")
+            }
             Self::Rejected { reason, detail } => format!("rejected: {reason}: {detail}\n"),
             Self::Unknown { change_id, detail } => format!(
                 "unknown: change {change_id} may be in force: {detail}\nRun the same command \
--- a/crates/settings/src/checks.rs
+++ b/crates/settings/src/checks.rs
@@ -19,14 +19,10 @@
     ("platform", "vm_list"),
 ];
 
-/// Heartbeats that may be lost before a peer is suspected.
-const HEARTBEATS_TO_SUSPECT: u64 = 3;
-
-/// `AtLeast` says that one value must not be below another, times a factor, and why.
+/// `AtLeast` says that one value must not be below another, and why.
 struct AtLeast {
     high: Place,
     low: Place,
-    factor: u64,
     reason: &'static str,
 }
 
@@ -34,49 +30,31 @@
     AtLeast {
         high: ("callers", "idle_timeout_ms"),
         low: ("callers", "head_timeout_ms"),
-        factor: 1,
         reason: "or a kept connection is closed while its next request arrives",
     },
     AtLeast {
         high: ("callers", "body_timeout_ms"),
         low: ("callers", "head_timeout_ms"),
-        factor: 1,
         reason: "or a body has less time than its head",
     },
     AtLeast {
         high: ("callers", "max_body_bytes"),
         low: ("callers", "max_head_bytes"),
-        factor: 1,
         reason: "or a head may be larger than a body",
     },
     AtLeast {
         high: ("peers", "heartbeat_interval_ms"),
         low: ("peers", "timeout_ms"),
-        factor: 1,
         reason: "or heartbeats to a silent peer pile up",
     },
-    AtLeast {
-        high: ("peers", "suspect_after_ms"),
-        low: ("peers", "heartbeat_interval_ms"),
-        factor: HEARTBEATS_TO_SUSPECT,
-        reason: "or a single lost heartbeat makes a peer suspected",
-    },
-    AtLeast {
-        high: ("upstreams", "first_byte_timeout_ms"),
-        low: ("upstreams", "connect_timeout_ms"),
-        factor: 1,
-        reason: "or connecting alone may take all the time of the answer",
-    },
     AtLeast {
         high: ("upstreams", "load_timeout_ms"),
         low: ("upstreams", "report_interval_ms"),
-        factor: 1,
         reason: "or an order is given up before the engine's next report",
     },
     AtLeast {
         high: ("drain", "grace_ms"),
         low: ("callers", "max_timeout_ms"),
-        factor: 1,
         reason: "or a planned stop cuts off a request in progress",
     },
 ];
@@ -164,13 +142,9 @@
     let (Some(high), Some(low)) = numbers else {
         return;
     };
-    if high >= low.saturating_mul(rule.factor) {
+    if high >= low {
         return;
     }
-    let times = match rule.factor {
-        1 => String::new(),
-        factor => format!("{factor} times "),
-    };
     let (section, name) = rule.low;
     problems.push(Problem::of_key(
         rule.high.0,
@@ -181,7 +155,7 @@
             .line(rule.high.0, rule.high.1)
             .or_else(|| values.line(section, name)),
         format!(
-            "must be at least {times}[{section}] {name} = {low}, {}",
+            "must be at least [{section}] {name} = {low}, {}",
             rule.reason
         ),
     ));
--- a/crates/settings/src/keys.rs
+++ b/crates/settings/src/keys.rs
@@ -111,12 +111,11 @@
     key("platform", "log_wait_ms", milliseconds(50, 30_000), Text("1000"), "How long a read of the log waits for a first record"),
     key("platform", "log_timeout_ms", milliseconds(100, 60_000), Text("3000"), "How long an append to the log, or a read beyond its wait, may take"),
     key("platform", "vm_list_interval_ms", milliseconds(100, MINUTE_MS), Text("1000"), "How often the list of VMs is read"),
-    key("platform", "weights_interval_ms", milliseconds(100, MINUTE_MS), Text("2000"), "How often the weight store's use is read"),
 
     key("peers", "cluster_key", Kind::ClusterKey, Required, "The secret that all daemons of the deployment share; the same on every VM"),
     key("peers", "heartbeat_interval_ms", milliseconds(50, MINUTE_MS), Text("500"), "How often each peer is asked for a heartbeat"),
     key("peers", "timeout_ms", milliseconds(20, MINUTE_MS), Text("400"), "How long a peer's reply may take"),
-    key("peers", "suspect_after_ms", milliseconds(200, HOUR_MS), Text("2500"), "How long after its last heartbeat a peer is suspected"),
+    key("peers", "suspect_after_missed", count(2, 100), Text("3"), "After how many missed heartbeats in a row a peer is suspected"),
 
     key("callers", "max_connections", count(1, 100_000), Text("2048"), "Connections of callers at once"),
     key("callers", "max_head_bytes", bytes(1024, MIB), Text("16384"), "The largest request head"),
@@ -130,10 +129,9 @@
     key("callers", "max_timeout_ms", milliseconds(100, 24 * HOUR_MS), Text("600000"), "The longest time within which a request may ask to be answered"),
 
     key("upstreams", "connect_timeout_ms", milliseconds(10, MINUTE_MS), Text("1000"), "How long connecting to an upstream may take"),
-    key("upstreams", "first_byte_timeout_ms", milliseconds(100, HOUR_MS), Text("120000"), "How long an upstream's answer may take to begin, where the request's own time is longer"),
     key("upstreams", "idle_timeout_ms", milliseconds(100, HOUR_MS), Text("20000"), "How long an upstream's stream may pause between two events"),
     key("upstreams", "load_timeout_ms", milliseconds(1000, 4 * HOUR_MS), Text("300000"), "How long an order to load or unload may take until its outcome counts as unknown"),
-    key("upstreams", "report_interval_ms", milliseconds(100, MINUTE_MS), Text("1000"), "How often an engine's status and load are read"),
+    key("upstreams", "report_interval_ms", milliseconds(100, MINUTE_MS), Text("1000"), "How often the engines' status and load, and the weight store's use, are read"),
 
     key("drain", "grace_ms", milliseconds(1000, 24 * HOUR_MS), Text("660000"), "How long a planned stop waits for the requests in progress"),
 
--- a/crates/settings/src/settings.rs
+++ b/crates/settings/src/settings.rs
@@ -83,8 +83,6 @@
     pub log_timeout_ms: u64,
     /// How often the list of VMs is read.
     pub vm_list_interval_ms: u64,
-    /// How often the weight store's use is read.
-    pub weights_interval_ms: u64,
 }
 
 /// `PeerSettings` say how the daemons deal with each other.
@@ -96,8 +94,8 @@
     pub heartbeat_interval_ms: u64,
     /// How long a peer's reply may take.
     pub timeout_ms: u64,
-    /// How long after its last heartbeat a peer is suspected.
-    pub suspect_after_ms: u64,
+    /// After how many missed heartbeats in a row a peer is suspected.
+    pub suspect_after_missed: u32,
 }
 
 /// `CallerSettings` are the limits towards callers.
@@ -130,13 +128,11 @@
 pub struct UpstreamSettings {
     /// How long connecting may take.
     pub connect_timeout_ms: u64,
-    /// How long an answer may take to begin, where the request's own time is longer.
-    pub first_byte_timeout_ms: u64,
     /// How long a stream may pause between two events.
     pub idle_timeout_ms: u64,
     /// How long an order to load or unload may take until its outcome counts as unknown.
     pub load_timeout_ms: u64,
-    /// How often an engine's status and load are read.
+    /// How often the engines' status and load, and the weight store's use, are read.
     pub report_interval_ms: u64,
 }
 
@@ -246,7 +242,6 @@
             log_wait_ms: number(values, "platform", "log_wait_ms"),
             log_timeout_ms: number(values, "platform", "log_timeout_ms"),
             vm_list_interval_ms: number(values, "platform", "vm_list_interval_ms"),
-            weights_interval_ms: number(values, "platform", "weights_interval_ms"),
         }
     }
 }
@@ -258,7 +253,7 @@
             cluster_key: key.clone(),
             heartbeat_interval_ms: number(values, "peers", "heartbeat_interval_ms"),
             timeout_ms: number(values, "peers", "timeout_ms"),
-            suspect_after_ms: number(values, "peers", "suspect_after_ms"),
+            suspect_after_missed: small(values, "peers", "suspect_after_missed"),
         }
     }
 }
@@ -284,7 +279,6 @@
     fn of(values: &Values) -> Self {
         Self {
             connect_timeout_ms: number(values, "upstreams", "connect_timeout_ms"),
-            first_byte_timeout_ms: number(values, "upstreams", "first_byte_timeout_ms"),
             idle_timeout_ms: number(values, "upstreams", "idle_timeout_ms"),
             load_timeout_ms: number(values, "upstreams", "load_timeout_ms"),
             report_interval_ms: number(values, "upstreams", "report_interval_ms"),
@@ -312,6 +306,10 @@
         .expect("a number with a default was read")
 }
 
+fn small(values: &Values, section: &'static str, name: &'static str) -> u32 {
+    u32::try_from(number(values, section, name)).expect("small counts are below 32 bits")
+}
+
 fn size(values: &Values, section: &'static str, name: &'static str) -> usize {
     usize::try_from(number(values, section, name)).expect("sizes are below 32 bits")
 }
--- a/crates/telemetry/src/lib.rs
+++ b/crates/telemetry/src/lib.rs
@@ -14,6 +14,7 @@
 mod metrics;
 mod names;
 mod node_metrics;
+mod process_metrics;
 mod serving_metrics;
 
 pub use errors::Error;
--- a/crates/telemetry/src/metrics.rs
+++ b/crates/telemetry/src/metrics.rs
@@ -8,6 +8,7 @@
 use prometheus_client::registry::Registry;
 
 use crate::node_metrics::NodeMetrics;
+use crate::process_metrics::ProcessMetrics;
 use crate::serving_metrics::ServingMetrics;
 
 /// The prefix of each metric's name.
@@ -26,6 +27,7 @@
         let mut registry = Registry::with_prefix(PREFIX);
         let serving = ServingMetrics::new(&mut registry);
         let node = NodeMetrics::new(&mut registry);
+        registry.register_collector(Box::new(ProcessMetrics));
         Self {
             registry,
             serving,
