--- a/crates/ctl/tests/exit_codes.rs
+++ b/crates/ctl/tests/exit_codes.rs
@@ -216,7 +216,8 @@
     let vm = listener.local_addr().unwrap();
     let daemon = thread::spawn(move || {
         let (mut connection, _) = listener.accept().unwrap();
-        connection.read(&mut [0; 1024]).unwrap();
+        let read = connection.read(&mut [0; 1024]).unwrap();
+        assert!(read > 0);
     });
     assert_eq!(code(&ask(vm, &["drain"])), 5);
     daemon.join().unwrap();
