Stand-ins: tests of the order gate and of the body's end

Breaking each mechanism on a scratch copy showed two that no test held: held orders may have acted in any sequence, since the threads happened to wake in the right one, and a cut stream may have ended its body properly.

--- a/crates/standins/src/engine/gate.rs
+++ b/crates/standins/src/engine/gate.rs
@@ -4,11 +4,11 @@
 
 /// `OrderTicket` is an order's place in the row of those received.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
-pub(crate) struct OrderTicket(u64);
+pub struct OrderTicket(u64);
 
 /// `OrderGate` lets orders pass in the sequence of their arrival, and none while it is closed.
 #[derive(Debug, Default)]
-pub(crate) struct OrderGate {
+pub struct OrderGate {
     closed: bool,
     next: u64,
     row: VecDeque<OrderTicket>,
@@ -16,12 +16,12 @@
 
 impl OrderGate {
     /// Opens or closes the gate.
-    pub(crate) fn set_closed(&mut self, closed: bool) {
+    pub fn set_closed(&mut self, closed: bool) {
         self.closed = closed;
     }
 
     /// Notes an order that was received.
-    pub(crate) fn arrive(&mut self) -> OrderTicket {
+    pub fn arrive(&mut self) -> OrderTicket {
         let ticket = OrderTicket(self.next);
         self.next += 1;
         self.row.push_back(ticket);
@@ -29,7 +29,7 @@
     }
 
     /// Returns whether an order passes now, and if so takes it out of the row.
-    pub(crate) fn pass(&mut self, ticket: OrderTicket) -> bool {
+    pub fn pass(&mut self, ticket: OrderTicket) -> bool {
         if self.closed || self.row.front() != Some(&ticket) {
             return false;
         }
@@ -38,7 +38,7 @@
     }
 
     /// Forgets the orders that have not passed.
-    pub(crate) fn clear(&mut self) {
+    pub fn clear(&mut self) {
         self.row.clear();
     }
 }
--- a/crates/standins/src/engine/mod.rs
+++ b/crates/standins/src/engine/mod.rs
@@ -1,8 +1,8 @@
 //! The stand-in of a model engine.
 //!
 //! The parts that decide something are pure and know neither time nor threads: [`Models`] decides
-//! on orders and memory, [`Batch`] on which sequence generates next, [`HostCache`] and
-//! [`PrefixCache`] on what is cached. [`EngineStandin`] joins them with threads and the clock.
+//! on orders and memory, [`OrderGate`] on which order acts next, [`Batch`] on which sequence generates next,
+//! [`HostCache`] and [`PrefixCache`] on what is cached. [`EngineStandin`] joins them with threads and the clock.
 
 mod batch;
 mod completion;
@@ -24,6 +24,8 @@
 pub use completion::PREFIX_BYTES;
 pub use completion::prefix_hash;
 pub use completion::token;
+pub use gate::OrderGate;
+pub use gate::OrderTicket;
 pub use host_cache::HostCache;
 pub use models::LoadStep;
 pub use models::Models;
--- a/crates/standins/tests/cut_answers.rs
+++ b/crates/standins/tests/cut_answers.rs
@@ -22,7 +22,7 @@
 
 /// Symptom: a caller gets half an answer.
 /// Sequence: a stream begins, its connection breaks after some events.
-/// Cause: the engine's end of the connection died. Only the missing `[DONE]` shows it.
+/// Cause: the engine's end of the connection died. The body has no end and `[DONE]` is missing.
 #[rstest]
 #[case::after_the_head(0, 0)]
 #[case::midway(2, 2)]
@@ -30,7 +30,9 @@
 fn a_stream_is_cut_after_so_many_events(#[case] after: u64, #[case] events: usize) {
     let engine = engine(1);
     engine.fault(&json!({"cut_stream_after": after}));
-    assert_eq!(engine.stream("r", "m", 4).count(), events);
+    let mut cut = engine.stream("r", "m", 4);
+    assert_eq!(cut.by_ref().count(), events);
+    assert!(cut.broken);
     assert_eq!(engine.request_state("r"), "cut");
     assert_eq!(
         engine.stream("s", "m", 4).last().unwrap(),
@@ -63,6 +65,10 @@
     events.next().unwrap();
     assert_eq!(engine.post("/v1/cancel/r", &json!({})).status, 200);
     assert!(events.all(|data| data != "[DONE]"));
+    assert!(
+        !events.broken,
+        "only the missing end shows that it is short"
+    );
     assert_eq!(engine.request_state("r"), "cancelled");
     assert_eq!(engine.stream("s", "m", 1).last().unwrap(), "[DONE]");
 }
--- a/crates/standins/tests/stale_fence.rs
+++ b/crates/standins/tests/stale_fence.rs
@@ -8,6 +8,7 @@
 
 use apricotdale_standins::engine::EngineStandin;
 use apricotdale_standins::engine::Options;
+use apricotdale_standins::engine::OrderGate;
 
 use support::Standin;
 use support::load;
@@ -91,6 +92,18 @@
 
 #[test]
 fn held_orders_act_in_the_sequence_of_their_arrival() {
+    let mut gate = OrderGate::default();
+    gate.set_closed(true);
+    let [first, second] = [gate.arrive(), gate.arrive()];
+    assert!(!gate.pass(first));
+    gate.set_closed(false);
+    assert!(!gate.pass(second), "the first order has not passed");
+    assert!(gate.pass(first));
+    assert!(gate.pass(second));
+}
+
+#[test]
+fn a_held_order_of_a_row_meets_the_fence_of_the_one_before() {
     let engine = engine(true);
     engine.fault(&json!({"hold_orders": true}));
     let load = engine.post_aside("/orders/load", &load("a", 2));
--- a/crates/standins/tests/support/mod.rs
+++ b/crates/standins/tests/support/mod.rs
@@ -43,6 +43,8 @@
 /// `Events` reads the events of a stream. Dropping it closes the connection.
 pub struct Events {
     lines: BufReader<ureq::BodyReader<'static>>,
+    /// Whether the connection broke before the end of the body.
+    pub broken: bool,
 }
 
 /// Starts a stand-in on a port of the system's choice.
@@ -197,6 +199,7 @@
         let reader = answer.into_body().into_reader();
         Self {
             lines: BufReader::new(reader),
+            broken: false,
         }
     }
 }
@@ -209,7 +212,9 @@
         let mut line = String::new();
         loop {
             line.clear();
-            if self.lines.read_line(&mut line).ok()? == 0 {
+            let read = self.lines.read_line(&mut line);
+            self.broken = read.is_err();
+            if read.unwrap_or(0) == 0 {
                 return None;
             }
             if let Some(data) = line.trim_end().strip_prefix("data: ") {
