Gateway: tests of late claims, ticks, starts in vain and callers that do not read

Cause: "not run" under a claim that is won too late, admission's clock, a start for a request that is gone, and a caller that reads nothing had no test.

--- /dev/null
+++ b/crates/gateway/tests/admission_clock.rs
@@ -0,0 +1,96 @@
+//! Admission gets its ticks, and is told of what it started in vain.
+
+mod support;
+
+use std::collections::HashSet;
+use std::sync::mpsc;
+use std::sync::mpsc::Sender;
+
+use apricotdale_core::policy::AdmissionAction;
+use apricotdale_core::policy::AdmissionEvent;
+use apricotdale_core::policy::AdmissionPolicy;
+use apricotdale_core::policy::Ticket;
+use apricotdale_core::refusal::Refusal;
+use apricotdale_core::refusal::RefusalReason;
+use apricotdale_gateway::Options;
+use support::Bench;
+use support::PATIENCE;
+
+/// `RefuseAtTick` refuses each request at the first tick after its arrival.
+#[derive(Default)]
+struct RefuseAtTick {
+    waiting: HashSet<Ticket>,
+    due_ms: Option<u64>,
+}
+
+impl AdmissionPolicy for RefuseAtTick {
+    fn handle(&mut self, now_ms: u64, event: AdmissionEvent) -> Vec<AdmissionAction> {
+        match event {
+            AdmissionEvent::Arrived(arrival) => {
+                self.waiting.insert(arrival.ticket);
+                self.due_ms = Some(now_ms + 10);
+                Vec::new()
+            }
+            AdmissionEvent::Tick => {
+                self.due_ms = None;
+                let refusal = Refusal::not_run(RefusalReason::DeadlineTooShort, "predicted");
+                let refuse = |ticket| AdmissionAction::Refuse(ticket, refusal.clone());
+                self.waiting.drain().map(refuse).collect()
+            }
+            _ => Vec::new(),
+        }
+    }
+
+    fn next_tick_ms(&self) -> Option<u64> {
+        self.due_ms
+    }
+}
+
+/// Symptom: requests wait out their time although admission has given them up. Sequence: nothing
+/// happens between an arrival and the tick that the policy asked for. Cause: a policy that is only
+/// asked when something else happens.
+#[test]
+fn a_tick_comes_though_nothing_else_happens() {
+    let admission = Box::<RefuseAtTick>::default();
+    let http = apricotdale_http::Options::default();
+    let bench = Bench::with_admission(Options::default(), http, admission);
+    for _ in 0..3 {
+        let told = bench.caller().complete(&[]).refusal();
+        let expected = (503, "deadline_too_short".to_owned(), "not_run".to_owned());
+        assert_eq!(told, expected);
+    }
+}
+
+/// `StartWithdrawn` starts requests only once they are withdrawn.
+struct StartWithdrawn(Sender<Ticket>);
+
+impl AdmissionPolicy for StartWithdrawn {
+    fn handle(&mut self, _now_ms: u64, event: AdmissionEvent) -> Vec<AdmissionAction> {
+        match event {
+            AdmissionEvent::Withdrawn { ticket } => vec![AdmissionAction::Start(ticket)],
+            AdmissionEvent::Ended { ticket, .. } => {
+                self.0.send(ticket).expect("the test waits");
+                Vec::new()
+            }
+            _ => Vec::new(),
+        }
+    }
+
+    fn next_tick_ms(&self) -> Option<u64> {
+        None
+    }
+}
+
+/// Symptom: a target loses a place for good. Sequence: a policy starts a request that has just been
+/// withdrawn. Cause: a start without a request, of whose end the policy is never told.
+#[test]
+fn a_start_in_vain_is_given_back() {
+    let (ended, has_ended) = mpsc::channel();
+    let admission = Box::new(StartWithdrawn(ended));
+    let http = apricotdale_http::Options::default();
+    let bench = Bench::with_admission(Options::default(), http, admission);
+    let told = bench.caller().complete(&[("X-Request-Timeout-Ms", "50")]);
+    assert_eq!(told.status, 504);
+    assert_eq!(has_ended.recv_timeout(PATIENCE), Ok(Ticket(1)));
+    assert_eq!(bench.engine.served_count(), 0);
+}
--- a/crates/gateway/tests/caller_hangup.rs
+++ b/crates/gateway/tests/caller_hangup.rs
@@ -2,6 +2,8 @@
 
 mod support;
 
+use std::time::Duration;
+
 use apricotdale_core::refusal::Ran;
 use apricotdale_core::serving::DemandEvent;
 use support::Bench;
@@ -73,3 +75,25 @@
     let gone = ("caller_gone".to_owned(), Ran::Ran);
     assert_eq!(bench.observer.refusals(), [gone]);
 }
+
+/// Symptom: an engine's place is held by a caller that keeps its connection and reads nothing.
+/// Sequence: the buffers between fill up. Cause: a relay that waits for the caller without limit.
+#[test]
+fn a_caller_that_does_not_read_is_given_up() {
+    let limits = apricotdale_http::Options {
+        write_timeout: Duration::from_millis(100),
+        ..apricotdale_http::Options::default()
+    };
+    let bench = Bench::with(apricotdale_gateway::Options::default(), limits);
+    bench.load("engine-1", 1);
+    let mut acts = vec![stream_head()];
+    let long = "x".repeat(256 * 1024);
+    acts.extend((0..100).map(|_| event(&long)));
+    bench.engine.script(acts);
+    let mut caller = bench.caller();
+    caller.stream(&[]);
+    bench.engine.wait_cancelled();
+    bench.settle();
+    let gone = ("caller_gone".to_owned(), Ran::Ran);
+    assert_eq!(bench.observer.refusals(), [gone]);
+}
--- a/crates/gateway/tests/service_once.rs
+++ b/crates/gateway/tests/service_once.rs
@@ -8,6 +8,7 @@
 use apricotdale_core::refusal::Refusal;
 use apricotdale_core::refusal::RefusalReason;
 use apricotdale_core::serving::ClaimDecision;
+use apricotdale_core::serving::ServingEvent;
 use rstest::rstest;
 use support::Bench;
 use support::service::answer;
@@ -183,12 +184,7 @@
             );
         }
     }
-    let refused = |event: &_| {
-        matches!(
-            event,
-            apricotdale_core::serving::ServingEvent::Refused { .. }
-        )
-    };
+    let refused = |event: &_| matches!(event, ServingEvent::Refused { .. });
     bench.observer.0.wait_for(refused);
     assert!(bench.gateway.in_progress() > 0, "the call is still awaited");
     bench.service.release.0.send(()).expect("the service holds");
@@ -208,3 +204,37 @@
     assert_eq!(told.refusal(), expected);
     assert_eq!(told.header("retry-after"), Some("1"));
 }
+
+/// Symptom: a booking answered "not run" is made all the same, and the caller books again.
+/// Sequence: the claim takes so long that the request's time passes; then the claim is won. Cause:
+/// a sender that does not ask whether its request has been given up.
+#[rstest]
+#[case::out_of_time(false)]
+#[case::hung_up(true)]
+fn a_call_given_up_before_its_claim_is_won_is_not_sent(#[case] hangs_up: bool) {
+    let bench = Bench::warm();
+    let hold = bench.claims.hold.lock();
+    let mut caller = bench.caller();
+    let mut headers = KEY.to_vec();
+    headers.push((
+        "X-Request-Timeout-Ms",
+        if hangs_up { "20000" } else { "500" },
+    ));
+    caller.send("POST", BOOK, &headers, "{}");
+    bench.claims.asked.wait_for(|_| true);
+    if hangs_up {
+        drop(caller);
+    }
+    let refused = |event: &_| matches!(event, ServingEvent::Refused { .. });
+    bench.observer.0.wait_for(refused);
+    assert_eq!(bench.observer.refusals()[0].1, Ran::NotRun);
+    drop(hold);
+    bench.settle();
+    assert_eq!(
+        bench.service.call_count(),
+        0,
+        "a call that was told not to have run"
+    );
+    let (_, ran, kept) = bench.claims.finished.wait_for(|_| true);
+    assert_eq!((ran, kept), (Ran::NotRun, None));
+}
--- a/crates/gateway/tests/support/mod.rs
+++ b/crates/gateway/tests/support/mod.rs
@@ -24,6 +24,7 @@
 use apricotdale_core::names::ModelName;
 use apricotdale_core::names::UpstreamName;
 use apricotdale_core::names::ZoneName;
+use apricotdale_core::policy::AdmissionPolicy;
 use apricotdale_core::policy::Candidate;
 use apricotdale_core::refusal::Refusal;
 use apricotdale_core::refusal::RefusalReason;
@@ -159,6 +160,14 @@
     }
 
     pub fn with(options: Options, http: apricotdale_http::Options) -> Self {
+        Self::with_admission(options, http, Box::<CapacityAdmission>::default())
+    }
+
+    pub fn with_admission(
+        options: Options,
+        http: apricotdale_http::Options,
+        admission: Box<dyn AdmissionPolicy>,
+    ) -> Self {
         let directory = Arc::new(FakeDirectory::default());
         let engine = Arc::new(FakeEngine::default());
         let service = Arc::new(FakeService::default());
@@ -175,7 +184,7 @@
             serving: engine.clone(),
             service: service.clone(),
             routing: Box::new(FirstUntried),
-            admission: Box::<CapacityAdmission>::default(),
+            admission,
             retry: Box::new(CountedRetries { max_tries: 3 }),
         };
         let gateway = Arc::new(Gateway::new(options, parts).expect("a gateway"));
--- a/crates/gateway/tests/support/recorders.rs
+++ b/crates/gateway/tests/support/recorders.rs
@@ -97,12 +97,15 @@
 pub struct Claims {
     pub decision: Mutex<Option<ClaimDecision>>,
     pub asked: Recorder<ClaimAsk>,
+    /// A claim waits until this is free.
+    pub hold: Mutex<()>,
     pub finished: Recorder<(IdempotencyKey, Ran, Option<KeptAnswer>)>,
 }
 
 impl ClaimKeeper for Claims {
     fn claim(&self, ask: &ClaimAsk) -> ClaimDecision {
         self.asked.push(ask.clone());
+        let _free = self.hold.lock();
         let decision = self.decision.lock().clone();
         decision.unwrap_or(ClaimDecision::Run)
     }
