--- /dev/null
+++ b/crates/load-tool/src/bin/fleet-slopes.rs
@@ -0,0 +1,88 @@
+//! `fleet-slopes` measures what a daemon's control work costs in fleets of growing size.
+
+use std::process::ExitCode;
+use std::time::Duration;
+
+use bpaf::Bpaf;
+
+use apricotdale_load_tool::fleet;
+use apricotdale_load_tool::fleet::FleetPoint;
+use apricotdale_load_tool::line_fit::LineFit;
+
+/// One measured figure of a fleet.
+type Figure = fn(&FleetPoint) -> f64;
+
+/// The figures through which a line is fitted, by name.
+const FIGURES: &[(&str, Figure)] = &[
+    ("cpu_percent_of_core", |point| point.cpu_percent),
+    ("resident_mb", |point| point.resident_mb),
+    ("threads", |point| point.threads),
+    ("bytes_per_s", |point| point.bytes_per_s),
+    ("log_reads_per_s", |point| point.log_reads_per_s),
+    ("log_appends_per_s_of_fleet", |point| {
+        point.log_appends_per_s
+    }),
+];
+
+/// Starts fleets of daemons without callers, one after the other, and fits lines through what a
+/// daemon costs.
+#[derive(Clone, Debug, Bpaf)]
+#[bpaf(options, version)]
+struct Arguments {
+    /// The numbers of VMs, separated by commas.
+    #[bpaf(argument("N,N,…"), fallback("3,6,12,24,48".to_owned()))]
+    vms: String,
+    /// How long each fleet is measured.
+    #[bpaf(argument("SECONDS"), fallback(20))]
+    seconds: u64,
+    /// The size to which the lines are drawn out.
+    #[bpaf(argument("N"), fallback(410))]
+    target: u32,
+}
+
+fn main() -> ExitCode {
+    let arguments = arguments().run();
+    match run(&arguments) {
+        Ok(()) => ExitCode::SUCCESS,
+        Err(error) => {
+            eprintln!("fleet-slopes: {error}");
+            ExitCode::FAILURE
+        }
+    }
+}
+
+fn run(arguments: &Arguments) -> Result<(), Box<dyn std::error::Error>> {
+    let mut points = Vec::new();
+    for vms in arguments.vms.split(',') {
+        let point = fleet::measure(vms.trim().parse()?, Duration::from_secs(arguments.seconds))?;
+        println!(
+            "fleet vms={} cpu_percent_of_core={:.2} resident_mb={:.1} threads={:.0} \
+             bytes_per_s={:.0} log_reads_per_s={:.2} log_appends_per_s_of_fleet={:.2}",
+            point.vms,
+            point.cpu_percent,
+            point.resident_mb,
+            point.threads,
+            point.bytes_per_s,
+            point.log_reads_per_s,
+            point.log_appends_per_s,
+        );
+        points.push(point);
+    }
+    for (name, figure) in FIGURES {
+        let xy: Vec<(f64, f64)> = points
+            .iter()
+            .map(|point| (point.vms as f64, figure(point)))
+            .collect();
+        if let Some(line) = LineFit::through(&xy) {
+            println!(
+                "slope={name} per=vm value={:.4} intercept={:.4} r2={:.3} at_{}={:.2}",
+                line.slope,
+                line.intercept,
+                line.r2,
+                arguments.target,
+                line.at(f64::from(arguments.target)),
+            );
+        }
+    }
+    Ok(())
+}
--- /dev/null
+++ b/crates/load-tool/src/fleet.rs
@@ -0,0 +1,101 @@
+//! What a daemon's control work costs in fleets of growing size.
+
+use std::thread;
+use std::time::Duration;
+use std::time::Instant;
+
+use apricotdale_launcher::cluster::Cluster;
+use apricotdale_launcher::cluster::options::ClusterOptions;
+use apricotdale_launcher::sample;
+use apricotdale_launcher::standin::LogEffects;
+
+use crate::errors::Error;
+use crate::errors::Result;
+use crate::process_cost::ProcessCost;
+use crate::process_cost::loopback_bytes;
+use crate::process_cost::process_cost;
+
+/// How long a fleet runs before it is measured, so that heartbeats and reports have settled.
+const SETTLE: Duration = Duration::from_secs(8);
+
+/// `FleetPoint` is what was measured of one fleet, as means over its VMs.
+#[derive(Clone, Copy, Debug, PartialEq)]
+pub struct FleetPoint {
+    /// VMs.
+    pub vms: usize,
+    /// Processor time of a daemon, in percent of a core.
+    pub cpu_percent: f64,
+    /// Resident memory of a daemon, in MB.
+    pub resident_mb: f64,
+    /// Threads of a daemon.
+    pub threads: f64,
+    /// Bytes a second over the loopback interface, divided by the VMs.
+    pub bytes_per_s: f64,
+    /// Reads of the log a second, divided by the VMs.
+    pub log_reads_per_s: f64,
+    /// Appends to the log a second by the whole fleet.
+    pub log_appends_per_s: f64,
+}
+
+/// `Accounts` is one reading of all accounts.
+struct Accounts {
+    at: Instant,
+    costs: Vec<ProcessCost>,
+    loopback_bytes: u64,
+    log: LogEffects,
+}
+
+/// Starts a fleet without callers, measures it for a time, and stops it.
+///
+/// # Errors
+///
+/// If the fleet can't be started or a daemon ends.
+pub fn measure(vms: usize, duration: Duration) -> Result<FleetPoint> {
+    let options = ClusterOptions {
+        vms,
+        ..sample::options(vms)
+    };
+    let cluster = Cluster::start(options, |_| {})?;
+    let names = cluster.vm_names();
+    let first = names
+        .first()
+        .ok_or_else(|| Error::failed("a fleet needs a VM"))?;
+    cluster.publish(first, sample::edits())?;
+    thread::sleep(SETTLE);
+    let before = read(&cluster, &names)?;
+    thread::sleep(duration);
+    let after = read(&cluster, &names)?;
+    cluster.stop();
+    Ok(point(vms, &before, &after))
+}
+
+fn read(cluster: &Cluster, names: &[String]) -> Result<Accounts> {
+    let mut costs = Vec::new();
+    for name in names {
+        costs.push(process_cost(cluster.processes().id(name)?)?);
+    }
+    Ok(Accounts {
+        at: Instant::now(),
+        costs,
+        loopback_bytes: loopback_bytes()?,
+        log: cluster.standin("log")?.effects()?,
+    })
+}
+
+fn point(vms: usize, before: &Accounts, after: &Accounts) -> FleetPoint {
+    let passed_s = (after.at - before.at).as_secs_f64();
+    let count = vms as f64;
+    let cpu_s: f64 = after.costs.iter().map(|cost| cost.cpu_s).sum::<f64>()
+        - before.costs.iter().map(|cost| cost.cpu_s).sum::<f64>();
+    let resident: u64 = after.costs.iter().map(|cost| cost.resident_bytes).sum();
+    let threads: i64 = after.costs.iter().map(|cost| cost.threads).sum();
+    FleetPoint {
+        vms,
+        cpu_percent: cpu_s / passed_s / count * 100.0,
+        resident_mb: resident as f64 / count / 1e6,
+        threads: threads as f64 / count,
+        bytes_per_s: (after.loopback_bytes - before.loopback_bytes) as f64 / passed_s / count,
+        log_reads_per_s: (after.log.reads - before.log.reads) as f64 / passed_s / count,
+        log_appends_per_s: (after.log.appends - before.log.appends) as f64 / passed_s,
+    }
+}
--- /dev/null
+++ b/crates/load-tool/src/lib.rs
@@ -0,0 +1,16 @@
+//! Measures real processes: fleets of growing size, overhead, and load.
+//!
+//! Every measurement starts its own stand-ins and daemons on loopback through the launcher crate,
+//! is bounded in time and number of processes, and stops all it started.
+
+#![forbid(unsafe_code)]
+#![warn(missing_docs)]
+
+pub mod errors;
+pub mod fleet;
+pub mod line_fit;
+pub mod overhead;
+pub mod process_cost;
+
+pub use errors::Error;
+pub use errors::Result;
--- /dev/null
+++ b/crates/load-tool/src/line_fit.rs
@@ -0,0 +1,51 @@
+//! A straight line through measured points.
+
+/// `LineFit` is the least-squares line through some points.
+#[derive(Clone, Copy, Debug, PartialEq)]
+pub struct LineFit {
+    /// The growth per unit of x.
+    pub slope: f64,
+    /// The value at x = 0.
+    pub intercept: f64,
+    /// The share of the variance that the line explains, from 0 to 1.
+    pub r2: f64,
+}
+
+impl LineFit {
+    /// Returns the line through the points, or none with fewer than two different x.
+    pub fn through(points: &[(f64, f64)]) -> Option<Self> {
+        let count = points.len() as f64;
+        let mean_x = points.iter().map(|(x, _)| x).sum::<f64>() / count;
+        let mean_y = points.iter().map(|(_, y)| y).sum::<f64>() / count;
+        let spread_x: f64 = points.iter().map(|(x, _)| (x - mean_x).powi(2)).sum();
+        if points.len() < 2 || spread_x == 0.0 {
+            return None;
+        }
+        let together: f64 = points
+            .iter()
+            .map(|(x, y)| (x - mean_x) * (y - mean_y))
+            .sum();
+        let slope = together / spread_x;
+        let intercept = mean_y - slope * mean_x;
+        let spread_y: f64 = points.iter().map(|(_, y)| (y - mean_y).powi(2)).sum();
+        let left: f64 = points
+            .iter()
+            .map(|(x, y)| (y - intercept - slope * x).powi(2))
+            .sum();
+        let r2 = if spread_y == 0.0 {
+            1.0
+        } else {
+            1.0 - left / spread_y
+        };
+        Some(Self {
+            slope,
+            intercept,
+            r2,
+        })
+    }
+
+    /// Returns the line's value.
+    pub fn at(&self, x: f64) -> f64 {
+        self.intercept + self.slope * x
+    }
+}
--- /dev/null
+++ b/crates/load-tool/src/overhead.rs
@@ -0,0 +1,117 @@
+//! What a VM adds to a request and to a streamed event, against the same engine asked directly.
+
+use std::io::BufRead;
+use std::io::BufReader;
+use std::net::SocketAddr;
+use std::time::Duration;
+use std::time::Instant;
+
+use hdrhistogram::Histogram;
+use ureq::Agent;
+
+use crate::errors::Error;
+use crate::errors::Result;
+
+/// The longest time that is told apart, in microseconds.
+const MOST_US: u64 = 60_000_000;
+
+/// How long one request may take.
+const REQUEST_LIMIT: Duration = Duration::from_secs(30);
+
+/// `Timings` are the times of one way to the engine, in microseconds.
+pub struct Timings {
+    /// From sending a whole (not streamed) request to its whole answer.
+    pub whole_us: Histogram<u64>,
+    /// From sending a streamed request to its first event.
+    pub first_event_us: Histogram<u64>,
+    /// Between two events of a stream.
+    pub gap_us: Histogram<u64>,
+}
+
+/// `Way` is one way to the engine.
+pub struct Way {
+    agent: Agent,
+    url: String,
+    model: String,
+    /// What was measured.
+    pub timings: Timings,
+}
+
+impl Way {
+    /// Returns a way to the given address.
+    pub fn new(address: SocketAddr, model: &str) -> Self {
+        let config = Agent::config_builder()
+            .timeout_global(Some(REQUEST_LIMIT))
+            .http_status_as_error(true)
+            .no_delay(true)
+            .build();
+        let histogram = || Histogram::new_with_max(MOST_US, 3).expect("the bounds are constants");
+        Self {
+            agent: config.into(),
+            url: format!("http://{address}/v1/completions"),
+            model: model.to_owned(),
+            timings: Timings {
+                whole_us: histogram(),
+                first_event_us: histogram(),
+                gap_us: histogram(),
+            },
+        }
+    }
+
+    /// Sends one whole request and one streamed one and notes their times.
+    ///
+    /// # Errors
+    ///
+    /// If one of them is not answered whole.
+    pub fn measure(&mut self, tokens: u32) -> Result<()> {
+        self.measure_whole(tokens)?;
+        self.measure_stream(tokens)
+    }
+
+    fn body(&self, tokens: u32, stream: bool) -> serde_json::Value {
+        serde_json::json!({
+            "model": self.model, "prompt": "overhead", "max_tokens": tokens, "stream": stream,
+        })
+    }
+
+    fn measure_whole(&mut self, tokens: u32) -> Result<()> {
+        let began = Instant::now();
+        let answer = self
+            .agent
+            .post(&self.url)
+            .send_json(self.body(tokens, false));
+        let body = answer.and_then(|mut answer| answer.body_mut().read_to_string());
+        body.map_err(|error| Error::failed(format!("whole request: {error}")))?;
+        note(&mut self.timings.whole_us, began);
+        Ok(())
+    }
+
+    fn measure_stream(&mut self, tokens: u32) -> Result<()> {
+        let mut last = Instant::now();
+        let answer = self
+            .agent
+            .post(&self.url)
+            .send_json(self.body(tokens, true));
+        let answer = answer.map_err(|error| Error::failed(format!("stream: {error}")))?;
+        let mut events = 0;
+        for line in BufReader::new(answer.into_body().into_reader()).lines() {
+            let line = line.map_err(|error| Error::failed(format!("stream: {error}")))?;
+            match line.strip_prefix("data: ") {
+                Some("[DONE]") => return Ok(()),
+                Some(_) if events == 0 => note(&mut self.timings.first_event_us, last),
+                Some(_) => note(&mut self.timings.gap_us, last),
+                None => continue,
+            }
+            events += 1;
+            last = Instant::now();
+        }
+        Err(Error::failed(format!(
+            "the stream was cut after {events} events"
+        )))
+    }
+}
+
+fn note(histogram: &mut Histogram<u64>, since: Instant) {
+    let us = u64::try_from(since.elapsed().as_micros()).unwrap_or(MOST_US);
+    histogram.saturating_record(us);
+}
