Graceful stop: orders on their way are settled, and the process departs by itself

Cause: a planned stop ended while an order was on its way, so another VM had to take the intent over; nobody knew of the departure until the platform's list told. Ruled out: departing with open intents, since replay would free what a late order could still take. Change: after the last request no further order starts; the stop waits for the open ones within the grace time, and only then appends the departure.

--- a/crates/node/src/assembly/common.rs
+++ b/crates/node/src/assembly/common.rs
@@ -70,6 +70,8 @@
     pub epoch: Arc<EpochCell>,
     /// Set once the daemon is stopping.
     pub draining: Arc<AtomicBool>,
+    /// Set once this process sends no further orders.
+    pub retired: Arc<AtomicBool>,
     /// Set when the daemon's threads are to end.
     pub stop: Arc<AtomicBool>,
     /// Wakes placement.
@@ -145,6 +147,7 @@
             placement,
             epoch,
             draining,
+            retired: Arc::default(),
             stop: Arc::default(),
             placement_wake,
             report_wake: Signal::new(),
@@ -184,6 +187,7 @@
     let options = apricotdale_membership::Options {
         seed,
         round_ms: settings.peers.heartbeat_interval_ms,
+        suspect_after_missed: settings.peers.suspect_after_missed,
         ..Default::default()
     };
     SharedMembership::new(Membership::new(settings.vm.name.clone(), options), clock)
--- a/crates/node/src/assembly/deciding.rs
+++ b/crates/node/src/assembly/deciding.rs
@@ -48,12 +48,16 @@
 }
 
 impl<'a> Deciding<'a> {
-    /// Starts all roles and returns their threads, which end once the stop flag is set.
+    /// Starts all roles. Returns their threads, which end once the stop flag is set, and the way to
+    /// append a last record before that.
     ///
     /// # Errors
     ///
     /// `Error::System` if the system refuses a thread.
-    pub fn start(common: &'a Common, serving: &'a Serving) -> Result<Vec<JoinHandle<()>>> {
+    pub fn start(
+        common: &'a Common,
+        serving: &'a Serving,
+    ) -> Result<(Vec<JoinHandle<()>>, Appender)> {
         let (appender, thread) = Appender::start(appender_parts(common));
         let weights = Arc::new(Mutex::new(None));
         let fleet = FleetSource {
@@ -77,7 +81,7 @@
         deciding.start_placement()?;
         deciding.start_engines()?;
         deciding.start_gauges()?;
-        Ok(deciding.threads)
+        Ok((deciding.threads, deciding.appender))
     }
 
     fn spawn(&mut self, name: &str, run: impl FnOnce() + Send + 'static) -> Result<()> {
@@ -277,6 +281,7 @@
             metrics: Arc::clone(&common.metrics),
             loaded: Box::new(loaded),
             load_timeout_ms: common.settings.upstreams.load_timeout_ms,
+            retired: Arc::clone(&common.retired),
             stop: Arc::clone(&common.stop),
         }
     }
--- a/crates/node/src/daemon.rs
+++ b/crates/node/src/daemon.rs
@@ -7,15 +7,21 @@
 use std::thread;
 use std::thread::JoinHandle;
 use std::time::Duration;
+use std::time::Instant;
 
 use log::info;
 use log::warn;
 
 use apricotdale_adapters::Adapters;
+use apricotdale_core::control::ControlRecord;
+use apricotdale_core::control::Depart;
 use apricotdale_membership::MembershipEvent;
 use apricotdale_settings::Settings;
+use apricotdale_state::view::IntentView;
 use apricotdale_telemetry::Metrics;
 
+use crate::appender::Appender;
+use crate::appender::Persistence;
 use crate::assembly::Common;
 use crate::assembly::Deciding;
 use crate::assembly::Serving;
@@ -24,6 +30,9 @@
 /// How long connections may take to close after the last request of a planned stop has ended.
 const CLOSE_WAIT: Duration = Duration::from_secs(2);
 
+/// How long the last record may take.
+const DEPART_WAIT: Duration = Duration::from_secs(1);
+
 /// How often the waiting for a stop looks at the flag.
 const STOP_POLL: Duration = Duration::from_millis(20);
 
@@ -31,6 +40,7 @@
 pub struct Daemon {
     common: Common,
     serving: Serving,
+    appender: Appender,
     threads: Vec<JoinHandle<()>>,
 }
 
@@ -44,10 +54,11 @@
     pub fn start(settings: Settings, adapters: Adapters, metrics: Arc<Metrics>) -> Result<Self> {
         let common = Common::new(settings, adapters, metrics)?;
         let serving = Serving::start(&common)?;
-        let threads = Deciding::start(&common, &serving)?;
+        let (threads, appender) = Deciding::start(&common, &serving)?;
         Ok(Self {
             common,
             serving,
+            appender,
             threads,
         })
     }
@@ -74,18 +85,18 @@
 
     /// Waits for a planned stop, carries it out, and returns once everything has ended.
     ///
-    /// New requests are refused at once; those in progress go on for the grace time. The deciding
-    /// threads end last, so that the outcomes of orders on their way are still told.
+    /// New requests are refused at once; those in progress, and the orders on their way, have the
+    /// grace time to end. The deciding threads end last, so that outcomes are still told.
     pub fn wait(self) {
         while !self.common.draining.load(Ordering::Acquire) {
             thread::sleep(STOP_POLL);
         }
         info!("stopping: no new work is taken");
+        let deadline = Instant::now() + Duration::from_millis(self.common.settings.drain.grace_ms);
         self.common.membership.handle(MembershipEvent::DrainBegun);
         let gateway = &self.serving.gateway;
         gateway.drain();
-        let grace = Duration::from_millis(self.common.settings.drain.grace_ms);
-        if !gateway.wait_idle(grace) {
+        if !gateway.wait_idle(left(deadline)) {
             warn!(
                 "the grace time is over with {} requests in progress",
                 gateway.in_progress()
@@ -93,6 +104,10 @@
         }
         self.serving.callers.stop();
         self.serving.callers.wait_idle(CLOSE_WAIT);
+        self.common.retired.store(true, Ordering::Release);
+        if self.settle_intents(left(deadline)) {
+            self.depart();
+        }
         self.common.stop.store(true, Ordering::Release);
         for thread in self.threads {
             // A panic of a thread has already been reported by the panic hook.
@@ -101,4 +116,49 @@
         self.serving.admin.stop();
         info!("stopped");
     }
+
+    /// Waits until the intents of this process are settled, and returns whether they are. Others
+    /// would have to find out from the engines what became of them.
+    fn settle_intents(&self, timeout: Duration) -> bool {
+        let Some(epoch) = self.common.epoch.get() else {
+            return false;
+        };
+        let settled = self.common.replayed.wait_for(timeout, |state| {
+            let mut unsettled = state.unsettled();
+            let is_own = |intent: IntentView| [intent.owner.epoch, intent.sender].contains(&epoch);
+            (!unsettled.any(is_own)).then_some(())
+        });
+        if settled.is_none() {
+            warn!("stopping with intents that are not settled; others take them over");
+        }
+        settled.is_some()
+    }
+
+    /// Says on the control stream that this process is over, so that nobody waits for it. It is said
+    /// only once no order of this process can be sent any more: replay frees what such an order
+    /// could still take.
+    fn depart(&self) {
+        let Some(epoch) = self.common.epoch.get() else {
+            return;
+        };
+        let vm = self.common.vm();
+        let (done, appended) = crossbeam_channel::bounded(1);
+        self.appender.propose(
+            Persistence::Drop,
+            move |proposer| {
+                ControlRecord::Depart(Depart {
+                    proposer,
+                    vm: vm.clone(),
+                    epoch,
+                })
+            },
+            move |_| drop(done.send(())),
+        );
+        // While the log is down the platform's list tells in its place.
+        let _ = appended.recv_timeout(DEPART_WAIT);
+    }
+}
+
+fn left(deadline: Instant) -> Duration {
+    deadline.saturating_duration_since(Instant::now())
 }
--- a/crates/node/src/settling/runner.rs
+++ b/crates/node/src/settling/runner.rs
@@ -64,11 +64,18 @@
     pub loaded: Loaded,
     /// How long an order may take until its outcome counts as unknown.
     pub load_timeout_ms: u64,
+    /// Set once this process sends no further orders.
+    pub retired: Arc<AtomicBool>,
     /// Set when the daemon stops.
     pub stop: Arc<AtomicBool>,
 }
 
 impl RunnerParts {
+    /// Returns whether this process sends no further orders.
+    pub fn retired(&self) -> bool {
+        self.retired.load(Ordering::Acquire)
+    }
+
     /// Returns whether the daemon stops.
     pub fn stopped(&self) -> bool {
         self.stop.load(Ordering::Relaxed)
@@ -126,6 +133,7 @@
             .retain(|intent, _| unsettled.contains(intent));
         for intent in intents {
             match intent.owner.epoch == epoch && !self.wants_newer_take_over(&intent) {
+                true if self.parts.retired() => {}
                 true => self.act(intent),
                 false => self.consider_take_over(&intent),
             }
--- a/crates/node/src/settling/sender.rs
+++ b/crates/node/src/settling/sender.rs
@@ -87,6 +87,9 @@
     }
 
     fn is_still_mine(&self) -> bool {
+        if self.parts.retired() {
+            return false;
+        }
         self.parts.replayed.read(|state| {
             let mut unsettled = state.unsettled_of(self.intent.owner.epoch);
             unsettled.any(|intent| intent == self.intent)
