--- a/crates/state/tests/decision_search/main.rs
+++ b/crates/state/tests/decision_search/main.rs
@@ -24,7 +24,7 @@
 /// `STATE_SEARCH_SEED` names another.
 const SEED: u64 = 20_260_101;
 /// The cases that CI looks at, unless `STATE_SEARCH_CASES` names another number.
-const CASES: u32 = 1_500;
+const CASES: u32 = 2_500;
 /// The most steps of a case.
 const STEPS: usize = 240;
 
