--- a/crates/node/src/appender.rs
+++ b/crates/node/src/appender.rs
@@ -27,6 +27,7 @@
 use apricotdale_telemetry::StreamKind;
 
 use crate::log_health::LogHealth;
+use crate::streams::Pace;
 
 /// The pause between two tries of an append.
 const RETRY_PAUSE: Duration = Duration::from_millis(100);
@@ -123,6 +124,8 @@
     pub stop: Arc<AtomicBool>,
     /// Holds the epoch once this process has joined.
     pub epoch: Arc<EpochCell>,
+    /// How often the control stream is read.
+    pub pace: Pace,
 }
 
 impl Appender {
@@ -201,10 +204,8 @@
     fn append_until_clear(&self, payload: &[u8], persistence: Persistence) -> Appended {
         let mut unknown_tries = 0;
         loop {
+            self.parts.pace.follow_closely();
             let outcome = self.parts.log.append(&self.parts.stream, payload);
-            self.parts
-                .health
-                .note_append(self.parts.clock.monotonic_ms(), outcome.is_ok());
             self.count(&outcome);
             let error = match outcome {
                 Ok(offset) => {
--- a/crates/node/src/assembly/common.rs
+++ b/crates/node/src/assembly/common.rs
@@ -29,6 +29,7 @@
 use crate::replayed::Replayed;
 use crate::signal::Signal;
 use crate::streams::ControlStream;
+use crate::streams::Pace;
 use crate::streams::StreamState;
 
 /// The placement policy, which the gateway's arrivals and the placement loop both feed.
@@ -48,6 +49,8 @@
     pub seed: u64,
     /// The replayed control state.
     pub replayed: Arc<Replayed>,
+    /// How often the control stream is read.
+    pub control_pace: Pace,
     /// The state of every stream, the control stream's first.
     pub states: Vec<Arc<dyn StreamState>>,
     /// The claim streams.
@@ -90,6 +93,7 @@
     /// `Error::UnknownPolicy` for a placement policy that is not there.
     pub fn new(settings: Settings, adapters: Adapters, metrics: Arc<Metrics>) -> Result<Self> {
         let process_id = rand::random();
+        let clock = Arc::clone(&adapters.clock);
         let seed = settings.policies.seed.unwrap_or_else(rand::random);
         let replayed = Arc::new(Replayed::new());
         let membership = Arc::new(membership(&settings, seed, Arc::clone(&adapters.clock)));
@@ -107,7 +111,12 @@
             .platform
             .claim_streams
             .iter()
-            .map(|name| Arc::new(ClaimStream::new(name.clone())))
+            .map(|name| {
+                Arc::new(ClaimStream::new(
+                    name.clone(),
+                    Pace::new(Arc::clone(&clock)),
+                ))
+            })
             .collect();
         let mut states: Vec<Arc<dyn StreamState>> = vec![Arc::new(control)];
         for stream in &claim_streams {
@@ -136,6 +145,7 @@
             process_id,
             seed,
             replayed,
+            control_pace: Pace::new(Arc::clone(&clock)),
             states,
             claim_streams,
             membership,
--- a/crates/node/src/assembly/deciding.rs
+++ b/crates/node/src/assembly/deciding.rs
@@ -1,5 +1,6 @@
 //! The parts that replay, decide and carry out.
 
+use std::iter;
 use std::sync::Arc;
 use std::thread;
 use std::thread::JoinHandle;
@@ -31,6 +32,7 @@
 use crate::settling::IntentRunner;
 use crate::settling::RunnerParts;
 use crate::streams::CatchUp;
+use crate::streams::Pace;
 use crate::streams::PeerSnapshots;
 use crate::streams::SnapshotReader;
 use crate::streams::SnapshotWriter;
@@ -85,10 +87,7 @@
     }
 
     fn spawn(&mut self, name: &str, run: impl FnOnce() + Send + 'static) -> Result<()> {
-        let thread = thread::Builder::new()
-            .name(name.into())
-            .spawn(run)
-            .map_err(Error::system)?;
+        let thread = spawn_thread(name, run)?;
         self.threads.push(thread);
         Ok(())
     }
@@ -103,9 +102,15 @@
             link: Arc::clone(&self.serving.link),
             timeout_ms: common.settings.peers.timeout_ms,
         });
-        for (index, state) in common.states.iter().enumerate() {
-            let tail = self.tail(state, index == 0, &snapshots, &peers);
-            self.spawn("stream-tail", move || tail.run())?;
+        let claims = common
+            .claim_streams
+            .iter()
+            .map(|stream| stream.pace.clone());
+        let paces = iter::once(common.control_pace.clone()).chain(claims);
+        for (state, pace) in common.states.iter().zip(paces) {
+            let tail = self.tail(state, pace, &snapshots, &peers);
+            // Nobody waits for a tail to end: it may be in a read that waits for a record.
+            let _ = spawn_thread("stream-tail", move || tail.run())?;
         }
         let writer = SnapshotWriter {
             stream: common.settings.platform.snapshot_stream.clone(),
@@ -126,6 +131,7 @@
             replayed: Arc::clone(&common.replayed),
             epoch: Arc::clone(&common.epoch),
             appender: self.appender.clone(),
+            pace: common.control_pace.clone(),
             stop: Arc::clone(&common.stop),
         };
         self.spawn("joining", move || joining.run())
@@ -134,11 +140,12 @@
     fn tail(
         &self,
         state: &Arc<dyn StreamState>,
-        tells_health: bool,
+        pace: Pace,
         snapshots: &Arc<SnapshotReader>,
         peers: &Arc<PeerSnapshots>,
     ) -> StreamTail {
         let common = self.common;
+        let is_control = state.stream() == &common.settings.platform.control_stream;
         StreamTail {
             state: Arc::clone(state),
             log: Arc::clone(&common.adapters.log),
@@ -151,7 +158,9 @@
                 membership: Arc::clone(&common.membership),
                 restart: common.give_up(),
             },
-            health: tells_health.then(|| Arc::clone(&common.health)),
+            pace,
+            membership: Arc::clone(&common.membership),
+            health: is_control.then(|| Arc::clone(&common.health)),
             clock: common.clock(),
             stop: Arc::clone(&common.stop),
         }
@@ -211,6 +220,7 @@
             health: Arc::clone(&common.health),
             gateway: Arc::clone(&self.serving.gateway),
             capacity,
+            pace: common.control_pace.clone(),
             clock: common.clock(),
             wake: common.placement_wake.receiver(),
             stop: Arc::clone(&common.stop),
@@ -302,6 +312,13 @@
     }
 }
 
+fn spawn_thread(name: &str, run: impl FnOnce() + Send + 'static) -> Result<JoinHandle<()>> {
+    thread::Builder::new()
+        .name(name.into())
+        .spawn(run)
+        .map_err(Error::system)
+}
+
 fn appender_parts(common: &Common) -> AppenderParts {
     AppenderParts {
         vm: common.vm(),
@@ -312,5 +329,6 @@
         clock: common.clock(),
         stop: Arc::clone(&common.stop),
         epoch: Arc::clone(&common.epoch),
+        pace: common.control_pace.clone(),
     }
 }
--- a/crates/node/src/assembly/serving.rs
+++ b/crates/node/src/assembly/serving.rs
@@ -176,6 +176,7 @@
             stream: common.settings.platform.control_stream.clone(),
             log: Arc::clone(&common.adapters.log),
             replayed: Arc::clone(&common.replayed),
+            pace: common.control_pace.clone(),
         },
         drain: common.drain(),
         draining: Arc::clone(&common.draining),
--- a/crates/node/src/claims/claim_stream.rs
+++ b/crates/node/src/claims/claim_stream.rs
@@ -20,6 +20,8 @@
 use apricotdale_state::claims::ClaimOptions;
 use apricotdale_state::claims::ClaimVerdict;
 
+use crate::streams::Pace;
+
 /// `Wait` is how a wait for a claim ended.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub enum Wait {
@@ -42,6 +44,8 @@
 pub struct ClaimStream {
     /// The stream.
     pub name: StreamName,
+    /// How often the stream is read.
+    pub pace: Pace,
     table: Mutex<ClaimTable>,
     slots: Mutex<HashMap<RequestId, Slot>>,
     moved: Condvar,
@@ -51,10 +55,11 @@
 
 impl ClaimStream {
     /// Returns a stream of which nothing has been read yet.
-    pub fn new(name: StreamName) -> Self {
+    pub fn new(name: StreamName, pace: Pace) -> Self {
         let (queue, queued) = crossbeam_channel::unbounded();
         Self {
             name,
+            pace,
             table: Mutex::new(ClaimTable::new(ClaimOptions::default())),
             slots: Mutex::new(HashMap::new()),
             moved: Condvar::new(),
@@ -75,6 +80,7 @@
 
     /// Queues a record.
     pub fn queue(&self, record: ClaimRecord) {
+        self.pace.follow_closely();
         self.queue
             .send(record)
             .expect("the stream holds the receiver too");
--- a/crates/node/src/daemon.rs
+++ b/crates/node/src/daemon.rs
@@ -152,7 +152,10 @@
                     epoch,
                 })
             },
-            move |_| drop(done.send(())),
+            move |_| {
+                // The stop may have given up waiting.
+                let _ = done.send(());
+            },
         );
         // While the log is down the platform's list tells in its place.
         let _ = appended.recv_timeout(DEPART_WAIT);
--- a/crates/node/src/demand.rs
+++ b/crates/node/src/demand.rs
@@ -1,6 +1,7 @@
 //! The demand for each model: what waits and runs here, and what other VMs told.
 
 use std::collections::BTreeMap;
+use std::collections::BTreeSet;
 use std::sync::Arc;
 
 use parking_lot::Mutex;
@@ -16,6 +17,9 @@
 /// How long another VM's report counts when no newer one comes.
 const REPORT_LIFETIME_MS: u64 = 3_000;
 
+/// How long a model counts as used here after its last request.
+const RECENT_MS: u64 = 30_000;
+
 /// `TotalDemand` is the demand for one model over all VMs, as far as this VM knows.
 #[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
 pub struct TotalDemand {
@@ -44,6 +48,7 @@
     requests: BTreeMap<Ticket, LocalRequest>,
     arrived: BTreeMap<ModelName, u32>,
     remote: BTreeMap<(VmName, ModelName), (u64, ModelDemand)>,
+    last_arrival_ms: BTreeMap<ModelName, u64>,
     remote_arrivals: Vec<ModelName>,
     missing: Vec<(ModelName, UpstreamName)>,
 }
@@ -98,6 +103,15 @@
         std::mem::take(&mut self.tables.lock().remote_arrivals)
     }
 
+    /// Returns the models for which a request arrived here within the last while.
+    pub fn recent(&self, now_ms: u64) -> BTreeSet<ModelName> {
+        let mut tables = self.tables.lock();
+        tables
+            .last_arrival_ms
+            .retain(|_, at_ms| now_ms.saturating_sub(*at_ms) < RECENT_MS);
+        tables.last_arrival_ms.keys().cloned().collect()
+    }
+
     /// Returns the replicas that engines said they don't hold, since the last call.
     pub fn take_missing(&self) -> Vec<(ModelName, UpstreamName)> {
         std::mem::take(&mut self.tables.lock().missing)
@@ -182,6 +196,7 @@
                 (self.arrived)(now_ms, &model);
                 let mut tables = self.table.tables.lock();
                 *tables.arrived.entry(model.clone()).or_default() += 1;
+                tables.last_arrival_ms.insert(model.clone(), now_ms);
                 let request = LocalRequest {
                     model,
                     deadline_ms,
--- a/crates/node/src/engine_watch.rs
+++ b/crates/node/src/engine_watch.rs
@@ -47,6 +47,9 @@
 /// timeout.
 const READ_AT_ONCE: usize = 8;
 
+/// Peers asked in one round.
+const PEERS_A_ROUND: usize = 8;
+
 /// How often engines are read until replay knows them.
 const FIRST_INTERVAL: Duration = Duration::from_millis(100);
 
@@ -91,6 +94,7 @@
 impl EngineWatch {
     /// Watches until the daemon stops.
     pub fn run(self) {
+        let mut round = 0;
         while !self.stop.load(Ordering::Relaxed) {
             let view = self.membership.view();
             let due = self.due(&view);
@@ -101,7 +105,8 @@
                     }
                 });
             }
-            self.ask_peers(&view);
+            self.ask_peers(&view, round);
+            round += 1;
             if let Ok(status) = self.weights.status() {
                 *self.weights_status.lock() = Some(status);
             }
@@ -178,28 +183,37 @@
             .propose(Persistence::Drop, observation(place, status), |_| {});
     }
 
-    /// Asks the VMs that read the other engines which this VM may use.
-    fn ask_peers(&self, view: &View) {
+    /// Asks the VMs that read the other engines which this VM uses, a few at a time. In a large
+    /// fleet that keeps the messages of a VM the same; what a VM does not hear, routing makes up for
+    /// with the requests that this VM itself has under way.
+    fn ask_peers(&self, view: &View, round: usize) {
         let mut by_vm: BTreeMap<VmName, Vec<UpstreamName>> = BTreeMap::new();
-        for engine in engines(view) {
-            let name = UpstreamName::new(&engine.entry.name);
-            let vm = view.preferred(name.as_str()).filter(|vm| **vm != self.vm);
-            if let Some(vm) = vm.filter(|_| self.is_used(&name)) {
-                by_vm.entry(vm.clone()).or_default().push(name);
+        for engine in self.used_engines() {
+            let reader = view.preferred(engine.as_str()).filter(|vm| **vm != self.vm);
+            if let Some(vm) = reader {
+                by_vm.entry(vm.clone()).or_default().push(engine);
             }
         }
-        for (vm, engines) in by_vm {
-            if let Some(address) = view.peer_address(&vm) {
-                self.ask_peer(address, engines);
+        let skipped = (round * PEERS_A_ROUND) % by_vm.len().max(1);
+        let peers = by_vm
+            .iter()
+            .cycle()
+            .skip(skipped)
+            .take(PEERS_A_ROUND.min(by_vm.len()));
+        for (vm, engines) in peers {
+            if let Some(address) = view.peer_address(vm) {
+                self.ask_peer(address, engines.clone());
             }
         }
     }
 
-    fn is_used(&self, engine: &UpstreamName) -> bool {
+    /// Returns the engines that hold a model which callers of this VM use.
+    fn used_engines(&self) -> BTreeSet<UpstreamName> {
+        let models = self.demand.recent(self.clock.monotonic_ms());
         self.replayed.read(|state| {
-            state
-                .replicas_on(engine)
-                .any(|one| one.stage() == Stage::Loaded)
+            let replicas = models.iter().flat_map(|model| state.replicas_of(model));
+            let loaded = replicas.filter(|replica| replica.stage() == Stage::Loaded);
+            loaded.map(|replica| replica.engine.clone()).collect()
         })
     }
 
--- a/crates/node/src/joining.rs
+++ b/crates/node/src/joining.rs
@@ -22,6 +22,7 @@
 use crate::appender::EpochCell;
 use crate::appender::Persistence;
 use crate::replayed::Replayed;
+use crate::streams::Pace;
 
 /// How long to wait for an appended join to be replayed before it is appended again.
 const REPLAY_WAIT: Duration = Duration::from_secs(2);
@@ -50,6 +51,8 @@
     pub epoch: Arc<EpochCell>,
     /// Appends the first record of the new epoch.
     pub appender: Appender,
+    /// How often the control stream is read.
+    pub pace: Pace,
     /// Set when the daemon stops.
     pub stop: Arc<AtomicBool>,
 }
@@ -77,6 +80,7 @@
                 self.confirm(earlier);
                 return;
             }
+            self.pace.follow_closely();
             match self.log.append(&self.stream, &payload) {
                 Ok(_) => appended = true,
                 Err(error) => {
--- a/crates/node/src/operating/publisher.rs
+++ b/crates/node/src/operating/publisher.rs
@@ -18,6 +18,7 @@
 use apricotdale_state::Verdict;
 
 use crate::replayed::Replayed;
+use crate::streams::Pace;
 
 /// How long to wait for a change to be replayed: configuration has to be in force within seconds.
 const REPLAY_WAIT: Duration = Duration::from_secs(5);
@@ -30,6 +31,8 @@
     pub log: Arc<dyn LogClient>,
     /// The replayed state.
     pub replayed: Arc<Replayed>,
+    /// How often the control stream is read.
+    pub pace: Pace,
 }
 
 impl Publisher {
@@ -50,6 +53,7 @@
         self.await_first_record();
         let change_id = change.change_id;
         let payload = ControlRecord::Config(change).encode();
+        self.pace.follow_closely();
         match self.log.append(&self.stream, &payload) {
             Ok(_) => self.await_verdict(change_id),
             Err(error @ (Error::Unknown(_) | Error::Malformed(_))) => {
--- a/crates/node/src/placing/placement_loop.rs
+++ b/crates/node/src/placing/placement_loop.rs
@@ -32,6 +32,7 @@
 use crate::appender::Appender;
 use crate::appender::Persistence;
 use crate::log_health::LogHealth;
+use crate::streams::Pace;
 
 /// How often placement plans when nothing happens.
 const TICK: Duration = Duration::from_millis(250);
@@ -56,6 +57,8 @@
     pub gateway: Arc<Gateway>,
     /// Tells the gateway of slots.
     pub capacity: CapacityFeed,
+    /// How often the control stream is read.
+    pub pace: Pace,
     /// The clock.
     pub clock: Arc<dyn Clock>,
     /// Woken when demand or replicas change.
@@ -108,6 +111,9 @@
         self.release(now_ms);
         self.feed_arrivals(now_ms);
         let fleet = self.parts.source.fleet(now_ms, self.parts.clock.unix_ms());
+        if !self.waiting_models().is_empty() {
+            self.parts.pace.follow_closely();
+        }
         let actions = self.parts.policy.lock().plan(now_ms, &fleet);
         for action in actions {
             self.carry_out(action);
--- a/crates/node/src/streams/mod.rs
+++ b/crates/node/src/streams/mod.rs
@@ -7,6 +7,7 @@
 
 mod catch_up;
 mod control_stream;
+mod pace;
 mod peer_snapshots;
 mod snapshot_reader;
 mod snapshot_writer;
@@ -15,6 +16,7 @@
 
 pub use catch_up::CatchUp;
 pub use control_stream::ControlStream;
+pub use pace::Pace;
 pub use peer_snapshots::PeerSnapshots;
 pub use peer_snapshots::SnapshotServer;
 pub use snapshot_reader::SnapshotReader;
--- a/crates/node/src/streams/stream_tail.rs
+++ b/crates/node/src/streams/stream_tail.rs
@@ -14,8 +14,10 @@
 
 use super::catch_up::CatchUp;
 use super::catch_up::CaughtUp;
+use super::pace::Pace;
 use super::stream_state::StreamState;
 use crate::log_health::LogHealth;
+use crate::membership_view::SharedMembership;
 
 /// The most records asked for in one read.
 const READ_RECORDS: usize = 1_000;
@@ -31,6 +33,10 @@
     pub log: Arc<dyn LogClient>,
     /// How long a read waits for a first record.
     pub wait_ms: u64,
+    /// How often the stream is read.
+    pub pace: Pace,
+    /// The membership, whose size sets the pace.
+    pub membership: Arc<SharedMembership>,
     /// Finds a state to go on from.
     pub catch_up: CatchUp,
     /// Takes in the outcomes of reads, for the stream whose reads tell whether the log works.
@@ -47,7 +53,7 @@
         let mut follows = false;
         while !self.stop.load(Ordering::Relaxed) {
             follows = match follows {
-                true => self.follow(self.wait_ms),
+                true => self.follow_on(),
                 false => self.catch_up(),
             };
             if !follows {
@@ -63,6 +69,11 @@
         outcome == CaughtUp::Follow && self.follow(0)
     }
 
+    fn follow_on(&self) -> bool {
+        self.pace.pause(self.membership.view().vms.len());
+        self.follow(self.wait_ms)
+    }
+
     /// Reads and replays one batch, waiting up to `wait_ms` for its first record. Returns whether the stream can be followed further without
     /// looking for another state.
     fn follow(&self, wait_ms: u64) -> bool {
