Daemon: every VM learns load times from the control stream; a guess refuses nobody

Only the VM that carried a load out learned how long it took. Change: load times come from the log's times of the decision and the settlement, so all VMs learn the same from every load; until one was seen, predictions neither refuse nor are passed to admission.

--- a/crates/node/src/assembly/common.rs
+++ b/crates/node/src/assembly/common.rs
@@ -22,6 +22,7 @@
 use crate::directory::NodeDirectory;
 use crate::engine_reports::ReportTable;
 use crate::errors::Result;
+use crate::load_history::LoadHistory;
 use crate::log_health::LogHealth;
 use crate::membership_view::SharedMembership;
 use crate::peer_answers::HeartbeatSource;
@@ -49,6 +50,8 @@
     pub seed: u64,
     /// The replayed control state.
     pub replayed: Arc<Replayed>,
+    /// How long loads took.
+    pub loads: Arc<LoadHistory>,
     /// How often the control stream is read.
     pub control_pace: Pace,
     /// The state of every stream, the control stream's first.
@@ -96,6 +99,7 @@
         let clock = Arc::clone(&adapters.clock);
         let seed = settings.policies.seed.unwrap_or_else(rand::random);
         let replayed = Arc::new(Replayed::new());
+        let loads = Arc::new(LoadHistory::new());
         let membership = Arc::new(membership(&settings, seed, Arc::clone(&adapters.clock)));
         let draining = Arc::new(AtomicBool::new(false));
         let (health, epoch): (Arc<LogHealth>, Arc<EpochCell>) = Default::default();
@@ -104,6 +108,7 @@
         let control = ControlStream::new(
             settings.platform.control_stream.clone(),
             Arc::clone(&replayed),
+            Arc::clone(&loads),
             Arc::clone(&metrics),
             moved,
         );
@@ -145,6 +150,7 @@
             process_id,
             seed,
             replayed,
+            loads,
             control_pace: Pace::new(Arc::clone(&clock)),
             states,
             claim_streams,
--- a/crates/node/src/assembly/deciding.rs
+++ b/crates/node/src/assembly/deciding.rs
@@ -216,6 +216,7 @@
         let placement = PlacementLoop::new(PlacementParts {
             source: Arc::clone(&self.fleet),
             policy: Arc::clone(&common.placement),
+            loads: Arc::clone(&common.loads),
             appender: self.appender.clone(),
             health: Arc::clone(&common.health),
             gateway: Arc::clone(&self.serving.gateway),
@@ -265,14 +266,11 @@
 
     fn runner_parts(&self) -> RunnerParts {
         let common = self.common;
-        let (fleet, policy) = (Arc::clone(&self.fleet), Arc::clone(&common.placement));
-        let (clock, metrics) = (common.clock(), Arc::clone(&common.metrics));
+        let (fleet, metrics) = (Arc::clone(&self.fleet), Arc::clone(&common.metrics));
         let loaded = move |intent: &IntentView, took_ms: u64| {
-            let tier = fleet.tier(&intent.engine, &intent.model);
-            metrics.node().loaded(tier, took_ms);
-            policy
-                .lock()
-                .loaded(clock.monotonic_ms(), &intent.model, tier, took_ms);
+            metrics
+                .node()
+                .loaded(fleet.tier(&intent.engine, &intent.model), took_ms);
         };
         RunnerParts {
             replayed: Arc::clone(&common.replayed),
--- a/crates/node/src/lib.rs
+++ b/crates/node/src/lib.rs
@@ -18,6 +18,7 @@
 mod gauges;
 mod grouped_routing;
 mod joining;
+mod load_history;
 mod log_health;
 mod membership_loop;
 mod membership_view;
--- /dev/null
+++ b/crates/node/src/load_history.rs
@@ -0,0 +1,86 @@
+//! How long loads took, as the control stream tells.
+
+use std::collections::BTreeMap;
+
+use parking_lot::Mutex;
+
+use apricotdale_core::names::ModelName;
+use apricotdale_core::names::UpstreamName;
+use apricotdale_core::numbers::Offset;
+use apricotdale_state::ControlState;
+use apricotdale_state::replicas::Stage;
+
+/// `SeenLoad` is a load that was carried out by some VM.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct SeenLoad {
+    /// The model or adapter.
+    pub model: ModelName,
+    /// The engine.
+    pub engine: UpstreamName,
+    /// From the decision to the settlement, by the log's times.
+    pub took_ms: u64,
+}
+
+/// `LoadHistory` finds the loads that were settled since the last look. Every VM learns from every
+/// load in this way, whoever carried it out, and a VM that starts learns from the records it
+/// replays.
+#[derive(Debug, Default)]
+pub struct LoadHistory {
+    inner: Mutex<Inner>,
+}
+
+#[derive(Debug, Default)]
+struct Inner {
+    /// When each open load was decided, in milliseconds of Unix time.
+    open_ms: BTreeMap<Offset, u64>,
+    seen: Vec<SeenLoad>,
+    any_seen: bool,
+}
+
+impl LoadHistory {
+    /// Returns a history without loads.
+    pub fn new() -> Self {
+        Self::default()
+    }
+
+    /// Looks at the state after a record was replayed.
+    pub fn look(&self, state: &ControlState) {
+        let mut inner = self.inner.lock();
+        let Inner {
+            open_ms,
+            seen,
+            any_seen,
+        } = &mut *inner;
+        open_ms.retain(|load, _| state.replica(*load).is_some());
+        for replica in state.replicas() {
+            match replica.stage() {
+                Stage::Reserved => {
+                    open_ms.entry(replica.load).or_insert(replica.since_ms);
+                }
+                Stage::Loaded => {
+                    let Some(decided_ms) = open_ms.remove(&replica.load) else {
+                        continue;
+                    };
+                    *any_seen = true;
+                    seen.push(SeenLoad {
+                        model: replica.model.clone(),
+                        engine: replica.engine.clone(),
+                        took_ms: replica.since_ms.saturating_sub(decided_ms),
+                    });
+                }
+                _ => {}
+            }
+        }
+    }
+
+    /// Returns the loads seen since the last call.
+    pub fn take(&self) -> Vec<SeenLoad> {
+        std::mem::take(&mut self.inner.lock().seen)
+    }
+
+    /// Returns whether any load was ever seen. Before that, a predicted load time is a guess, and a
+    /// guess refuses nobody.
+    pub fn has_evidence(&self) -> bool {
+        self.inner.lock().any_seen
+    }
+}
--- a/crates/node/src/placing/placement_loop.rs
+++ b/crates/node/src/placing/placement_loop.rs
@@ -31,6 +31,7 @@
 use crate::appender::Appended;
 use crate::appender::Appender;
 use crate::appender::Persistence;
+use crate::load_history::LoadHistory;
 use crate::log_health::LogHealth;
 use crate::streams::Pace;
 
@@ -49,6 +50,8 @@
     pub source: Arc<FleetSource>,
     /// The policy, which the gateway's arrivals feed as well.
     pub policy: Arc<Mutex<Box<dyn PlacementPolicy>>>,
+    /// How long loads took.
+    pub loads: Arc<LoadHistory>,
     /// Appends the proposals.
     pub appender: Appender,
     /// Whether the log works.
@@ -109,7 +112,7 @@
     fn step(&mut self) {
         let now_ms = self.parts.clock.monotonic_ms();
         self.release(now_ms);
-        self.feed_arrivals(now_ms);
+        self.feed(now_ms);
         let fleet = self.parts.source.fleet(now_ms, self.parts.clock.unix_ms());
         if !self.waiting_models().is_empty() {
             self.parts.pace.follow_closely();
@@ -125,12 +128,17 @@
         self.parts.capacity.update(&view, &self.ready_at_ms);
     }
 
-    fn feed_arrivals(&self, now_ms: u64) {
+    /// Lets the policy learn what happened since the last plan.
+    fn feed(&self, now_ms: u64) {
         let arrivals = self.parts.source.demand.take_remote_arrivals();
         let mut policy = self.parts.policy.lock();
         for model in arrivals {
             policy.arrived(now_ms, &model);
         }
+        for load in self.parts.loads.take() {
+            let tier = self.parts.source.tier(&load.engine, &load.model);
+            policy.loaded(now_ms, &load.model, tier, load.took_ms);
+        }
     }
 
     fn carry_out(&mut self, action: PlacementAction) {
@@ -140,11 +148,16 @@
                 engine,
                 ready_at_ms,
             } => {
-                self.ready_at_ms.insert(model.clone(), ready_at_ms);
+                if self.parts.loads.has_evidence() {
+                    self.ready_at_ms.insert(model.clone(), ready_at_ms);
+                }
                 self.propose_load(&model, &engine);
             }
             PlacementAction::Unload { model, engine } => self.propose_unload(&model, &engine),
             PlacementAction::Hopeless { model, .. } if self.may_find_engine(&model) => {}
+            PlacementAction::Hopeless { refusal, .. }
+                if refusal.reason == RefusalReason::DeadlineTooShort
+                    && !self.parts.loads.has_evidence() => {}
             PlacementAction::Hopeless { model, refusal } => {
                 self.parts.gateway.hopeless(&model, &refusal);
             }
--- a/crates/node/src/replayed.rs
+++ b/crates/node/src/replayed.rs
@@ -53,8 +53,13 @@
         self.moved.notify_all();
     }
 
-    /// Replays records and returns the verdict on each.
-    pub fn apply(&self, records: &[LogRecord]) -> Vec<(Offset, Verdict)> {
+    /// Replays records and returns the verdict on each. `look` sees the state after each record that
+    /// was accepted.
+    pub fn apply(
+        &self,
+        records: &[LogRecord],
+        look: impl Fn(&ControlState),
+    ) -> Vec<(Offset, Verdict)> {
         let mut inner = self.inner.lock();
         let verdicts = records
             .iter()
@@ -62,6 +67,9 @@
                 let verdict = inner
                     .state
                     .apply(record.offset, record.appended_ms, &record.payload);
+                if verdict.is_accepted() {
+                    look(&inner.state);
+                }
                 (record.offset, verdict)
             })
             .collect();
--- a/crates/node/src/streams/control_stream.rs
+++ b/crates/node/src/streams/control_stream.rs
@@ -17,12 +17,14 @@
 use apricotdale_telemetry::Metrics;
 
 use super::stream_state::StreamState;
+use crate::load_history::LoadHistory;
 use crate::replayed::Replayed;
 
 /// `ControlStream` feeds the replayed control state.
 pub struct ControlStream {
     stream: StreamName,
     replayed: Arc<Replayed>,
+    loads: Arc<LoadHistory>,
     metrics: Arc<Metrics>,
     moved: Box<dyn Fn() + Send + Sync>,
     lineage: Mutex<Option<Lineage>>,
@@ -33,12 +35,14 @@
     pub fn new(
         stream: StreamName,
         replayed: Arc<Replayed>,
+        loads: Arc<LoadHistory>,
         metrics: Arc<Metrics>,
         moved: Box<dyn Fn() + Send + Sync>,
     ) -> Self {
         Self {
             stream,
             replayed,
+            loads,
             metrics,
             moved,
             lineage: Mutex::new(None),
@@ -73,7 +77,7 @@
     }
 
     fn replay(&self, records: &[LogRecord]) {
-        for (offset, verdict) in self.replayed.apply(records) {
+        for (offset, verdict) in self.replayed.apply(records, |state| self.loads.look(state)) {
             self.metrics.node().record_replayed(verdict.as_str());
             match verdict {
                 Verdict::Accepted(_) => {}
