Daemon: in-memory fakes for fault tests; of proposals at once one order goes out

The daemon had no test of its own: its faults were seen only by scenarios against real processes, where the moment of a fault can't be chosen. The fakes stand at every border that `Adapters` names: a log with appends that are refused, lost, late, held or freeze their daemon; engines that check or obey, die, lose an order or its answer, hold orders; serving with streams held in their midst; a plain service that counts effects; a list that tells single VMs other states; clocks that a test moves on. A freeze is a switch at which all calls of one daemon's adapters wait, its clock included. Peers talk over real nng on loopback.

First two tests, on one and three daemons: of three proposals for three engines one order goes out, and the order waits for its intent and bears its offset.

--- /dev/null
+++ b/crates/node/tests/one_order.rs
@@ -0,0 +1,99 @@
+//! From an accepted intent to one order.
+
+mod support;
+
+use std::collections::BTreeSet;
+
+use apricotdale_core::control::ControlRecord;
+use apricotdale_core::vm_list::VmState;
+
+use support::log_fault::AppendFault;
+use support::wait_until;
+use support::world::Cluster;
+use support::world::engine_address;
+use support::world::engine_name;
+
+fn each_sees_one_engine(cluster: &Cluster) {
+    for (number, node) in cluster.nodes.iter().enumerate() {
+        for engine in (0..3).filter(|engine| *engine != number) {
+            let name = engine_name(engine);
+            let list = &cluster.world.vm_list;
+            list.tell(&node.vm, &name, VmState::Leaving);
+            node.wait_listed(&name, VmState::Leaving);
+        }
+    }
+}
+
+fn all_see_all_engines(cluster: &Cluster) {
+    cluster.world.vm_list.tell_all_alike();
+    for node in &cluster.nodes {
+        (0..3).for_each(|engine| node.wait_listed(&engine_name(engine), VmState::Live));
+    }
+    // An upstream that was leaving gets no work before it has been listed as live for some time.
+    cluster.world.time.advance(20_000);
+}
+
+/// Symptom: a model is loaded as often as there are VMs. Sequence: a burst of cold requests reaches
+/// all VMs at once, and each proposes a load on another engine before it has read the others'
+/// proposals. Cause: the order is sent for a proposal rather than for an accepted intent, or replay
+/// accepts a proposal that was based on another number of replicas.
+#[test]
+fn of_three_proposals_at_once_one_order_reaches_the_engines() {
+    let cluster = Cluster::start(3, 3, true);
+    let world = &cluster.world;
+    let model = cluster.model_preferring(0);
+    each_sees_one_engine(&cluster);
+    let held = world
+        .log
+        .fault_appends(AppendFault::Hold, usize::MAX, |append| append.is_load());
+    let calls: Vec<_> = cluster
+        .nodes
+        .iter()
+        .map(|node| node.caller.begin_complete(&model))
+        .collect();
+    held.wait_hits(3);
+    world.log.release(&held);
+    wait_until("one load to settle", || world.loaded(&model) == 1);
+    all_see_all_engines(&cluster);
+    for call in calls {
+        call.reply().expect_whole();
+    }
+    let decided = world.decided();
+    let loads = decided.iter().filter(|one| one.is_load_of(&model));
+    let engines = loads.filter_map(|one| match &one.record {
+        ControlRecord::Load(load) => Some(load.engine.clone()),
+        _ => None,
+    });
+    assert_eq!(engines.collect::<BTreeSet<_>>().len(), 3);
+    (0..3).for_each(|node| cluster.wait_looked(node));
+    assert_eq!(world.accepted_loads(&model).len(), 1);
+    assert_eq!(world.load_orders(&model), 1);
+    assert_eq!(world.holders(&model), 1);
+}
+
+/// Symptom: an engine loads a model that nobody decided on. Sequence: the proposal's append waits in
+/// the log, and its VM sends the order meanwhile, under a number that no record has. Cause: the
+/// order does not wait for replay.
+#[test]
+fn the_order_waits_for_its_intent_and_bears_its_offset() {
+    let cluster = Cluster::start(1, 1, true);
+    let model = cluster.model_preferring(0);
+    let held = cluster
+        .world
+        .log
+        .fault_appends(AppendFault::Hold, usize::MAX, |append| append.is_load());
+    let call = cluster.nodes[0].caller.begin_complete(&model);
+    held.wait_hits(1);
+    assert_eq!(cluster.world.load_orders(&model), 0);
+    cluster.world.log.release(&held);
+    call.reply().expect_whole();
+    wait_until("the load to settle", || cluster.world.loaded(&model) == 1);
+    let load = cluster.world.wait_load(&model);
+    let fences = cluster
+        .world
+        .engines
+        .with(engine_address(0), |engine| -> Vec<u64> {
+            engine.orders.iter().map(|order| order.fence.0).collect()
+        });
+    assert_eq!(fences, [load.offset.0]);
+}
--- /dev/null
+++ b/crates/node/tests/support/clock.rs
@@ -0,0 +1,86 @@
+//! Time that a test can move on.
+
+use std::sync::Arc;
+use std::sync::atomic::AtomicU64;
+use std::sync::atomic::Ordering;
+use std::time::Instant;
+
+use apricotdale_core::serving::Clock;
+
+use super::switch::Switch;
+
+/// Unix time at the beginning of each test, in milliseconds.
+const UNIX_START_MS: u64 = 1_790_000_000_000;
+
+/// Monotonic time at the beginning of each test, since zero stands for "never" in some places.
+const MONOTONIC_START_MS: u64 = 1_000;
+
+/// `WorldTime` is the time of the platform, from which all clocks run.
+#[derive(Debug)]
+pub struct WorldTime {
+    start: Instant,
+    advanced_ms: AtomicU64,
+}
+
+impl Default for WorldTime {
+    fn default() -> Self {
+        Self {
+            start: Instant::now(),
+            advanced_ms: AtomicU64::new(0),
+        }
+    }
+}
+
+impl WorldTime {
+    /// Moves the platform's clock and those of all daemons on.
+    pub fn advance(&self, ms: u64) {
+        self.advanced_ms.fetch_add(ms, Ordering::SeqCst);
+    }
+
+    pub fn elapsed_ms(&self) -> u64 {
+        let real_ms = u64::try_from(self.start.elapsed().as_millis()).expect("a short test");
+        real_ms + self.advanced_ms.load(Ordering::SeqCst)
+    }
+
+    pub fn unix_ms(&self) -> u64 {
+        UNIX_START_MS + self.elapsed_ms()
+    }
+}
+
+/// `TestClock` is the clock of one daemon.
+#[derive(Debug)]
+pub struct TestClock {
+    pub world: Arc<WorldTime>,
+    pub switch: Arc<Switch>,
+    pub jumped_ms: AtomicU64,
+}
+
+impl TestClock {
+    pub fn new(world: &Arc<WorldTime>, switch: &Arc<Switch>) -> Self {
+        Self {
+            world: Arc::clone(world),
+            switch: Arc::clone(switch),
+            jumped_ms: AtomicU64::new(0),
+        }
+    }
+
+    /// Lets this clock alone jump, as one does over a freeze.
+    pub fn jump(&self, ms: u64) {
+        self.jumped_ms.fetch_add(ms, Ordering::SeqCst);
+    }
+
+    fn elapsed_ms(&self) -> u64 {
+        self.switch.pass();
+        self.world.elapsed_ms() + self.jumped_ms.load(Ordering::SeqCst)
+    }
+}
+
+impl Clock for TestClock {
+    fn monotonic_ms(&self) -> u64 {
+        MONOTONIC_START_MS + self.elapsed_ms()
+    }
+
+    fn unix_ms(&self) -> u64 {
+        UNIX_START_MS + self.elapsed_ms()
+    }
+}
--- /dev/null
+++ b/crates/node/tests/support/log.rs
@@ -0,0 +1,330 @@
+//! The platform's log, in memory, with faults.
+
+use std::collections::BTreeMap;
+use std::sync::Arc;
+use std::time::Duration;
+use std::time::Instant;
+
+use parking_lot::Condvar;
+use parking_lot::Mutex;
+use parking_lot::MutexGuard;
+
+use apricotdale_core::Error;
+use apricotdale_core::Result;
+use apricotdale_core::log::LogBatch;
+use apricotdale_core::log::LogClient;
+use apricotdale_core::log::LogRecord;
+use apricotdale_core::names::StreamName;
+use apricotdale_core::names::VmName;
+use apricotdale_core::numbers::Offset;
+
+use super::clock::WorldTime;
+use super::log_fault::Append;
+use super::log_fault::AppendFault;
+use super::log_fault::AppendRule;
+use super::log_fault::Faulted;
+use super::log_fault::Read;
+use super::log_fault::ReadRule;
+use super::switch::Switch;
+
+#[derive(Debug, Default)]
+struct Stream {
+    /// Every record, those included that have expired.
+    records: Vec<LogRecord>,
+    first: usize,
+}
+
+#[derive(Default)]
+struct Inner {
+    streams: BTreeMap<StreamName, Stream>,
+    append_rules: Vec<AppendRule>,
+    read_rules: Vec<ReadRule>,
+    is_down: bool,
+    tried_appends: BTreeMap<(VmName, StreamName), usize>,
+}
+
+/// `FakeLog` is the log service.
+pub struct FakeLog {
+    inner: Mutex<Inner>,
+    changed: Condvar,
+    time: Arc<WorldTime>,
+}
+
+impl FakeLog {
+    pub fn new(time: &Arc<WorldTime>) -> Self {
+        Self {
+            inner: Mutex::default(),
+            changed: Condvar::new(),
+            time: Arc::clone(time),
+        }
+    }
+
+    /// Begins or ends an outage: nothing is appended or read during it.
+    pub fn set_down(&self, is_down: bool) {
+        self.inner.lock().is_down = is_down;
+        self.changed.notify_all();
+    }
+
+    /// Drops the records of a stream before an offset.
+    pub fn trim(&self, stream: &str, before: u64) {
+        let mut inner = self.inner.lock();
+        let stream = inner.streams.entry(stream.into()).or_default();
+        assert!(before as usize <= stream.records.len());
+        stream.first = stream.first.max(before as usize);
+    }
+
+    /// Drops every record of a stream, and returns the offset of the next one.
+    pub fn trim_all(&self, stream: &str) -> u64 {
+        let end = self.records(stream).len() as u64;
+        self.trim(stream, end);
+        end
+    }
+
+    /// Puts a fault in the way of the next appends that match, as many as `times`.
+    pub fn fault_appends(
+        &self,
+        fault: AppendFault,
+        times: usize,
+        matches: impl Fn(&Append<'_>) -> bool + Send + 'static,
+    ) -> Arc<Faulted> {
+        let faulted = Arc::new(Faulted::default());
+        let rule = AppendRule {
+            fault,
+            times,
+            matches: Box::new(matches),
+            faulted: Arc::clone(&faulted),
+        };
+        self.inner.lock().append_rules.push(rule);
+        faulted
+    }
+
+    /// Refuses the reads that match until the fault is released.
+    pub fn refuse_reads(
+        &self,
+        matches: impl Fn(&Read<'_>) -> bool + Send + 'static,
+    ) -> Arc<Faulted> {
+        self.fault_reads(matches, false)
+    }
+
+    /// Freezes the first daemon whose read matches, right before the read.
+    pub fn freeze_at_read(
+        &self,
+        matches: impl Fn(&Read<'_>) -> bool + Send + 'static,
+    ) -> Arc<Faulted> {
+        self.fault_reads(matches, true)
+    }
+
+    fn fault_reads(
+        &self,
+        matches: impl Fn(&Read<'_>) -> bool + Send + 'static,
+        freezes: bool,
+    ) -> Arc<Faulted> {
+        let faulted = Arc::new(Faulted::default());
+        let rule = ReadRule {
+            matches: Box::new(matches),
+            freezes,
+            faulted: Arc::clone(&faulted),
+        };
+        self.inner.lock().read_rules.push(rule);
+        faulted
+    }
+
+    /// Ends every fault.
+    pub fn open(&self) {
+        let mut inner = self.inner.lock();
+        inner.is_down = false;
+        for rule in &inner.append_rules {
+            drop(rule.faulted.release());
+        }
+        for rule in &inner.read_rules {
+            drop(rule.faulted.release());
+        }
+        drop(inner);
+        self.changed.notify_all();
+    }
+
+    /// Lets the records that a fault holds go on to the stream.
+    pub fn release(&self, faulted: &Faulted) {
+        let late = faulted.release();
+        let mut inner = self.inner.lock();
+        for (stream, payload) in late {
+            self.push(&mut inner, &stream, &payload);
+        }
+        drop(inner);
+        self.changed.notify_all();
+    }
+
+    /// Appends a record as nobody's.
+    pub fn append_raw(&self, stream: &str, payload: &[u8]) -> Offset {
+        self.push(&mut self.inner.lock(), &stream.into(), payload)
+    }
+
+    /// Returns every record of a stream, those included that have expired.
+    pub fn records(&self, stream: &str) -> Vec<LogRecord> {
+        let inner = self.inner.lock();
+        let stream = inner.streams.get(&StreamName::new(stream));
+        stream.map_or_else(Vec::new, |stream| stream.records.clone())
+    }
+
+    /// Returns how many appends a VM has tried, whatever became of them.
+    pub fn tried_appends(&self, vm: &VmName) -> usize {
+        let inner = self.inner.lock();
+        let tried = inner.tried_appends.iter();
+        tried
+            .filter(|((by, _), _)| by == vm)
+            .map(|(_, count)| count)
+            .sum()
+    }
+
+    /// Returns the log as one VM reaches it.
+    pub fn client(self: &Arc<Self>, vm: &VmName, switch: &Arc<Switch>) -> LogOfVm {
+        LogOfVm {
+            log: Arc::clone(self),
+            vm: vm.clone(),
+            switch: Arc::clone(switch),
+        }
+    }
+
+    fn push(&self, inner: &mut Inner, stream: &StreamName, payload: &[u8]) -> Offset {
+        let records = &mut inner.streams.entry(stream.clone()).or_default().records;
+        let offset = Offset(records.len() as u64);
+        records.push(LogRecord {
+            offset,
+            appended_ms: self.time.unix_ms(),
+            payload: payload.to_vec(),
+        });
+        self.changed.notify_all();
+        offset
+    }
+
+    fn append(&self, by: &LogOfVm, stream: &StreamName, payload: &[u8]) -> Result<Offset> {
+        let mut inner = self.inner.lock();
+        let tried = (by.vm.clone(), stream.clone());
+        *inner.tried_appends.entry(tried).or_default() += 1;
+        if inner.is_down {
+            return Err(Error::unavailable("the log is down"));
+        }
+        let append = Append {
+            vm: &by.vm,
+            stream,
+            payload,
+        };
+        let mut rules = inner.append_rules.iter_mut();
+        let Some(rule) = rules.find(|rule| rule.applies(&append)) else {
+            return Ok(self.push(&mut inner, stream, payload));
+        };
+        rule.times -= 1;
+        let (fault, faulted) = (rule.fault, Arc::clone(&rule.faulted));
+        faulted.hit();
+        match fault {
+            AppendFault::Refuse => Err(Error::unavailable("refused by the test")),
+            AppendFault::LoseRecord => Err(Error::unknown("the record was lost")),
+            AppendFault::LoseAnswer => {
+                self.push(&mut inner, stream, payload);
+                Err(Error::unknown("the answer was lost"))
+            }
+            AppendFault::Delay => {
+                faulted.delay(stream, payload);
+                Err(Error::unknown("the record is late"))
+            }
+            AppendFault::Hold => {
+                while !faulted.is_released() {
+                    self.changed.wait(&mut inner);
+                }
+                Ok(self.push(&mut inner, stream, payload))
+            }
+            AppendFault::Freeze => {
+                by.switch.freeze();
+                Ok(self.push(&mut inner, stream, payload))
+            }
+        }
+    }
+
+    fn read(
+        &self,
+        by: &LogOfVm,
+        stream: &StreamName,
+        from: Offset,
+        max_records: usize,
+        wait_ms: u64,
+    ) -> Result<LogBatch> {
+        let deadline = Instant::now() + Duration::from_millis(wait_ms);
+        let mut inner = self.inner.lock();
+        let read = Read {
+            vm: &by.vm,
+            stream,
+            max_records,
+        };
+        if let Some(rule) = inner.read_rules.iter().find(|rule| rule.applies(&read)) {
+            rule.faulted.hit();
+            if !rule.freezes {
+                return Err(Error::unavailable("refused by the test"));
+            }
+            rule.faulted.release();
+            by.switch.freeze();
+            drop(inner);
+            by.switch.pass();
+            inner = self.inner.lock();
+        }
+        loop {
+            let batch = batch(&inner, stream, from, max_records)?;
+            let is_due = !batch.records.is_empty() || Instant::now() >= deadline;
+            if is_due || batch.end < from {
+                return Ok(batch);
+            }
+            self.changed.wait_until(&mut inner, deadline);
+        }
+    }
+}
+
+fn batch(
+    inner: &MutexGuard<'_, Inner>,
+    stream: &StreamName,
+    from: Offset,
+    max_records: usize,
+) -> Result<LogBatch> {
+    if inner.is_down {
+        return Err(Error::unavailable("the log is down"));
+    }
+    let empty = Stream::default();
+    let stream = inner.streams.get(stream).unwrap_or(&empty);
+    let first = Offset(stream.first as u64);
+    if from < first {
+        return Err(Error::Expired { first });
+    }
+    let records = stream.records.iter().skip(from.0 as usize);
+    Ok(LogBatch {
+        records: records.take(max_records).cloned().collect(),
+        first,
+        end: Offset(stream.records.len() as u64),
+    })
+}
+
+/// `LogOfVm` is the log as one daemon reaches it.
+pub struct LogOfVm {
+    log: Arc<FakeLog>,
+    vm: VmName,
+    switch: Arc<Switch>,
+}
+
+impl LogClient for LogOfVm {
+    fn append(&self, stream: &StreamName, payload: &[u8]) -> Result<Offset> {
+        self.switch.pass();
+        let outcome = self.log.append(self, stream, payload);
+        self.switch.pass();
+        outcome
+    }
+
+    fn read(
+        &self,
+        stream: &StreamName,
+        from: Offset,
+        max_records: usize,
+        wait_ms: u64,
+    ) -> Result<LogBatch> {
+        self.switch.pass();
+        let batch = self.log.read(self, stream, from, max_records, wait_ms);
+        self.switch.pass();
+        batch
+    }
+}
--- /dev/null
+++ b/crates/node/tests/support/log_fault.rs
@@ -0,0 +1,155 @@
+//! Faults of the log.
+
+use std::sync::Arc;
+use std::sync::atomic::AtomicBool;
+use std::sync::atomic::AtomicUsize;
+use std::sync::atomic::Ordering;
+
+use parking_lot::Mutex;
+
+use apricotdale_core::claims::ClaimBatch;
+use apricotdale_core::claims::ClaimRecord;
+use apricotdale_core::control::ControlRecord;
+use apricotdale_core::names::StreamName;
+use apricotdale_core::names::VmName;
+
+use super::wait_until;
+
+/// `AppendFault` is what becomes of an append.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum AppendFault {
+    /// Nothing is appended, and the answer says so.
+    Refuse,
+    /// Nothing is appended, and no answer comes.
+    LoseRecord,
+    /// The record is appended, and no answer comes.
+    LoseAnswer,
+    /// No answer comes, and the record is appended once the test releases it.
+    Delay,
+    /// Both record and answer wait until the test releases them.
+    Hold,
+    /// The record is appended, and the daemon freezes before it hears of that.
+    Freeze,
+}
+
+/// `Append` is an append that a daemon tries.
+pub struct Append<'a> {
+    pub vm: &'a VmName,
+    pub stream: &'a StreamName,
+    pub payload: &'a [u8],
+}
+
+impl Append<'_> {
+    pub fn is_by(&self, vm: &str) -> bool {
+        self.vm.as_str() == vm
+    }
+
+    pub fn control(&self) -> Option<ControlRecord> {
+        match self.stream.as_str() {
+            "control" => ControlRecord::decode(self.payload),
+            _ => None,
+        }
+    }
+
+    pub fn is_load(&self) -> bool {
+        matches!(self.control(), Some(ControlRecord::Load(_)))
+    }
+
+    pub fn is_load_settled(&self) -> bool {
+        matches!(self.control(), Some(ControlRecord::LoadSettled(_)))
+    }
+
+    /// Returns the entries of a claim batch, or none for another record.
+    pub fn claims(&self) -> Vec<ClaimRecord> {
+        match self.stream.as_str().starts_with("claims-") {
+            true => ClaimBatch::decode(self.payload).map_or_else(Vec::new, |batch| batch.entries),
+            false => Vec::new(),
+        }
+    }
+
+    pub fn has_claim(&self) -> bool {
+        let claims = self.claims();
+        claims
+            .iter()
+            .any(|entry| matches!(entry, ClaimRecord::Claim(_)))
+    }
+}
+
+/// `Read` is a read that a daemon tries.
+pub struct Read<'a> {
+    pub vm: &'a VmName,
+    pub stream: &'a StreamName,
+    pub max_records: usize,
+}
+
+impl Read<'_> {
+    pub fn is_by(&self, vm: &str) -> bool {
+        self.vm.as_str() == vm
+    }
+
+    /// Returns whether the read only asks how far the control stream goes.
+    pub fn is_of_end(&self) -> bool {
+        self.stream.as_str() == "control" && self.max_records == 1
+    }
+}
+
+/// `Faulted` tells how often a fault has struck, and ends it.
+#[derive(Debug, Default)]
+pub struct Faulted {
+    hits: AtomicUsize,
+    released: AtomicBool,
+    late: Mutex<Vec<(StreamName, Vec<u8>)>>,
+}
+
+impl Faulted {
+    pub fn hits(&self) -> usize {
+        self.hits.load(Ordering::SeqCst)
+    }
+
+    /// Waits until the fault has struck as often.
+    pub fn wait_hits(&self, hits: usize) {
+        wait_until("the fault to strike", || self.hits() >= hits);
+    }
+
+    pub fn is_released(&self) -> bool {
+        self.released.load(Ordering::SeqCst)
+    }
+
+    pub(super) fn hit(&self) {
+        self.hits.fetch_add(1, Ordering::SeqCst);
+    }
+
+    pub(super) fn delay(&self, stream: &StreamName, payload: &[u8]) {
+        self.late.lock().push((stream.clone(), payload.to_vec()));
+    }
+
+    pub(super) fn release(&self) -> Vec<(StreamName, Vec<u8>)> {
+        self.released.store(true, Ordering::SeqCst);
+        std::mem::take(&mut self.late.lock())
+    }
+}
+
+pub(super) struct AppendRule {
+    pub fault: AppendFault,
+    pub times: usize,
+    pub matches: Box<dyn Fn(&Append<'_>) -> bool + Send>,
+    pub faulted: Arc<Faulted>,
+}
+
+impl AppendRule {
+    pub fn applies(&self, append: &Append<'_>) -> bool {
+        self.times > 0 && !self.faulted.is_released() && (self.matches)(append)
+    }
+}
+
+pub(super) struct ReadRule {
+    pub matches: Box<dyn Fn(&Read<'_>) -> bool + Send>,
+    pub freezes: bool,
+    pub faulted: Arc<Faulted>,
+}
+
+impl ReadRule {
+    pub fn applies(&self, read: &Read<'_>) -> bool {
+        !self.faulted.is_released() && (self.matches)(read)
+    }
+}
--- /dev/null
+++ b/crates/node/tests/support/mod.rs
@@ -0,0 +1,40 @@
+//! Daemons in this process, with an in-memory fake at each of their borders.
+//!
+//! Time passes as on the machine's clock; a test can move it on at once. Daemons talk to each other
+//! over nng on loopback, and to callers and operators over HTTP.
+
+#![allow(dead_code)]
+
+pub mod caller;
+pub mod clock;
+pub mod engine;
+pub mod log;
+pub mod log_fault;
+pub mod node;
+pub mod platform;
+pub mod service;
+pub mod serving;
+pub mod switch;
+pub mod world;
+
+use std::thread;
+use std::time::Duration;
+use std::time::Instant;
+
+pub use world::SERVICE;
+
+/// A bound on waits that ends a broken test; no assertion depends on its length.
+pub const PATIENCE: Duration = Duration::from_secs(30);
+
+/// The pause between two looks at a condition.
+const POLL_PAUSE: Duration = Duration::from_millis(5);
+
+/// Waits until a condition holds.
+#[track_caller]
+pub fn wait_until(what: &str, condition: impl Fn() -> bool) {
+    let deadline = Instant::now() + PATIENCE;
+    while !condition() {
+        assert!(Instant::now() < deadline, "waited in vain for {what}");
+        thread::sleep(POLL_PAUSE);
+    }
+}
--- /dev/null
+++ b/crates/node/tests/support/node.rs
@@ -0,0 +1,184 @@
+//! One daemon, in this process.
+
+use std::net::SocketAddr;
+use std::sync::Arc;
+use std::sync::atomic::AtomicBool;
+use std::sync::atomic::Ordering;
+use std::thread;
+use std::thread::JoinHandle;
+
+use apricotdale_adapters::Adapters;
+use apricotdale_admin::AdminClient;
+use apricotdale_admin::ClientOptions;
+use apricotdale_admin::PublishOutcome;
+use apricotdale_admin::PublishRequest;
+use apricotdale_admin::Status;
+use apricotdale_core::config::ConfigEdit;
+use apricotdale_core::names::VmName;
+use apricotdale_core::numbers::ConfigVersion;
+use apricotdale_core::vm_list::VmRole;
+use apricotdale_core::vm_list::VmState;
+use apricotdale_node::Daemon;
+use apricotdale_settings::Settings;
+use apricotdale_telemetry::Metrics;
+
+use super::caller::Caller;
+use super::clock::TestClock;
+use super::engine::EnginesOfVm;
+use super::platform::IdleWeightStore;
+use super::serving::ServingOfVm;
+use super::switch::Switch;
+use super::wait_until;
+use super::world::ENTRY_GROUP;
+use super::world::World;
+
+/// `Node` is a daemon with its VM.
+pub struct Node {
+    pub vm: VmName,
+    pub switch: Arc<Switch>,
+    pub clock: Arc<TestClock>,
+    pub caller: Caller,
+    admin: SocketAddr,
+    drain: Arc<AtomicBool>,
+    ended: Option<JoinHandle<()>>,
+}
+
+impl Node {
+    /// Starts a daemon and puts its VM onto the list.
+    pub fn start(world: &World, vm: &str, extra_settings: &str) -> Self {
+        let switch = Arc::new(Switch::default());
+        let clock = Arc::new(TestClock::new(&world.time, &switch));
+        let name = VmName::new(vm);
+        let settings = settings(vm, extra_settings);
+        let adapters = adapters(world, &name, &switch, &clock);
+        let daemon = Daemon::start(settings, adapters, Arc::new(Metrics::new()));
+        let daemon = daemon.expect("a daemon");
+        let callers = daemon.callers_address();
+        let peers = Some(daemon.peers_address());
+        world
+            .vm_list
+            .put(vm, VmRole::Entry, ENTRY_GROUP, callers, peers);
+        Self {
+            vm: name,
+            switch,
+            clock,
+            caller: Caller::new(callers),
+            admin: daemon.admin_address(),
+            drain: daemon.drain_flag(),
+            ended: Some(thread::spawn(move || daemon.wait())),
+        }
+    }
+
+    pub fn admin(&self) -> AdminClient {
+        AdminClient::new(self.admin, ClientOptions::default())
+    }
+
+    pub fn status(&self) -> Status {
+        self.admin().status().expect("the daemon's status")
+    }
+
+    pub fn wait_ready(&self) {
+        wait_until("the daemon to be ready", || self.caller.is_ready());
+    }
+
+    /// Waits until a configuration is in force here.
+    pub fn wait_version(&self, version: ConfigVersion) {
+        wait_until("the configuration to be in force", || {
+            self.status().config_version >= version
+        });
+    }
+
+    /// Waits until this daemon has read from the list that an upstream is in a state.
+    pub fn wait_listed(&self, upstream: &str, state: VmState) {
+        wait_until("the list to be read", || {
+            let view = self.admin().upstreams().expect("the upstreams");
+            let mut lines = view.upstreams.iter();
+            lines.any(|line| line.upstream.as_str() == upstream && line.state == state)
+        });
+    }
+
+    /// Publishes edits on top of a version.
+    pub fn publish(&self, base_version: ConfigVersion, edits: Vec<ConfigEdit>) -> PublishOutcome {
+        let request = PublishRequest {
+            operator: "test".into(),
+            change_id: None,
+            base_version,
+            edits,
+        };
+        self.admin().publish(&request).expect("an outcome")
+    }
+
+    /// Begins a planned stop.
+    pub fn begin_stop(&self) {
+        self.drain.store(true, Ordering::Release);
+    }
+
+    /// Returns whether the daemon has ended.
+    pub fn has_ended(&self) -> bool {
+        self.ended.as_ref().is_none_or(JoinHandle::is_finished)
+    }
+
+    /// Waits until the daemon has ended.
+    pub fn wait_ended(&self) {
+        wait_until("the daemon to end", || self.has_ended());
+    }
+}
+
+impl Drop for Node {
+    /// Lets the daemon end by itself. A test does not wait for that.
+    fn drop(&mut self) {
+        self.begin_stop();
+        self.switch.thaw();
+        drop(self.ended.take());
+    }
+}
+
+fn adapters(world: &World, vm: &VmName, switch: &Arc<Switch>, clock: &Arc<TestClock>) -> Adapters {
+    let engines = || -> EnginesOfVm { world.engines.client(vm, switch) };
+    Adapters {
+        log: Arc::new(world.log.client(vm, switch)),
+        orders: Arc::new(engines()),
+        reports: Arc::new(engines()),
+        serving: Arc::new(ServingOfVm {
+            engines: engines(),
+            gate: Arc::clone(&world.streams),
+        }),
+        service: Arc::new(world.service.client(vm, switch)),
+        weights: Arc::new(IdleWeightStore),
+        vm_list: Arc::new(world.vm_list.client(vm, switch)),
+        clock: Arc::clone(clock) as _,
+    }
+}
+
+fn settings(vm: &str, extra: &str) -> Settings {
+    let text = format!(
+        "[vm]
+name = {vm}
+region = dk-east
+availability_zone = hall-a
+[listen]
+callers = 127.0.0.1:0
+peers = 127.0.0.1:0
+admin = 127.0.0.1:0
+[platform]
+log = 127.0.0.1:1
+weights = 127.0.0.1:1
+vm_list = 127.0.0.1:1
+claim_streams = 1
+log_wait_ms = 100
+vm_list_interval_ms = 100
+[peers]
+cluster_key = 4f1c2a9be07d53c86611f0ad92b7e3485d0a7c6e19f4832bb1c5d96e07a8243f
+heartbeat_interval_ms = 200
+timeout_ms = 200
+[callers]
+default_class = quick
+[upstreams]
+report_interval_ms = 100
+[policies]
+placement = fixed_timeout
+seed = 7
+{extra}"
+    );
+    Settings::from_text(&text).expect("settings without a problem")
+}
--- /dev/null
+++ b/crates/node/tests/support/platform.rs
@@ -0,0 +1,137 @@
+//! The rest of the platform: the list of VMs and the weight store.
+
+use std::collections::BTreeMap;
+use std::net::SocketAddr;
+use std::sync::Arc;
+
+use parking_lot::Mutex;
+
+use apricotdale_core::Error;
+use apricotdale_core::Result;
+use apricotdale_core::names::ModelName;
+use apricotdale_core::names::VmName;
+use apricotdale_core::vm_list::VmEntry;
+use apricotdale_core::vm_list::VmList;
+use apricotdale_core::vm_list::VmListing;
+use apricotdale_core::vm_list::VmRole;
+use apricotdale_core::vm_list::VmState;
+use apricotdale_core::weights::WeightStore;
+use apricotdale_core::weights::WeightsStatus;
+
+use super::clock::WorldTime;
+use super::switch::Switch;
+
+/// How far the list lags, in milliseconds.
+const LAG_MS: u64 = 20;
+
+/// `FakeVmList` is the list of VMs.
+pub struct FakeVmList {
+    entries: Mutex<Vec<VmEntry>>,
+    /// What single VMs are told of an entry, since the list lags more for some than for others.
+    told: Mutex<BTreeMap<(VmName, String), VmState>>,
+    time: Arc<WorldTime>,
+}
+
+impl FakeVmList {
+    pub fn new(time: &Arc<WorldTime>) -> Self {
+        Self {
+            entries: Mutex::default(),
+            told: Mutex::default(),
+            time: Arc::clone(time),
+        }
+    }
+
+    /// Adds an upstream, or an entry VM once its addresses are known.
+    pub fn put(
+        &self,
+        name: &str,
+        role: VmRole,
+        group: &str,
+        address: SocketAddr,
+        peer_address: Option<SocketAddr>,
+    ) {
+        let entry = VmEntry {
+            name: name.into(),
+            role,
+            group: group.into(),
+            zone: "hall-a".into(),
+            address,
+            peer_address,
+            state: VmState::Live,
+        };
+        let mut entries = self.entries.lock();
+        entries.retain(|known| known.name != name);
+        entries.push(entry);
+    }
+
+    pub fn set_state(&self, name: &str, state: VmState) {
+        let mut entries = self.entries.lock();
+        let entry = entries.iter_mut().find(|entry| entry.name == name);
+        entry.expect("a listed VM").state = state;
+    }
+
+    /// Tells one VM another state of an entry than all others.
+    pub fn tell(&self, vm: &VmName, name: &str, state: VmState) {
+        let told = (vm.clone(), name.to_owned());
+        self.told.lock().insert(told, state);
+    }
+
+    /// Tells all VMs the same again.
+    pub fn tell_all_alike(&self) {
+        self.told.lock().clear();
+    }
+
+    fn entries_for(&self, vm: &VmName) -> Vec<VmEntry> {
+        let (mut entries, told) = (self.entries.lock().clone(), self.told.lock());
+        for entry in &mut entries {
+            let told = told.get(&(vm.clone(), entry.name.clone()));
+            entry.state = told.copied().unwrap_or(entry.state);
+        }
+        entries
+    }
+
+    /// Returns the list as one VM reaches it.
+    pub fn client(self: &Arc<Self>, vm: &VmName, switch: &Arc<Switch>) -> VmListOfVm {
+        VmListOfVm {
+            list: Arc::clone(self),
+            vm: vm.clone(),
+            switch: Arc::clone(switch),
+        }
+    }
+}
+
+/// `VmListOfVm` is the list as one daemon reaches it.
+pub struct VmListOfVm {
+    list: Arc<FakeVmList>,
+    vm: VmName,
+    switch: Arc<Switch>,
+}
+
+impl VmList for VmListOfVm {
+    fn list(&self) -> Result<VmListing> {
+        self.switch.pass();
+        let listing = VmListing {
+            as_of_ms: self.list.time.unix_ms() - LAG_MS,
+            entries: self.list.entries_for(&self.vm),
+        };
+        self.switch.pass();
+        Ok(listing)
+    }
+}
+
+/// `IdleWeightStore` is a weight store that nobody uses.
+pub struct IdleWeightStore;
+
+impl WeightStore for IdleWeightStore {
+    fn status(&self) -> Result<WeightsStatus> {
+        Ok(WeightsStatus {
+            active_loads: 0,
+            full_speed_loads: 4,
+            loads_per_s: 15,
+        })
+    }
+
+    fn size_bytes(&self, _model: &ModelName) -> Result<u64> {
+        Err(Error::rejected("the daemon asks for no size"))
+    }
+}
--- /dev/null
+++ b/crates/node/tests/support/service.rs
@@ -0,0 +1,120 @@
+//! A plain service, in memory, with faults.
+
+use std::collections::VecDeque;
+use std::net::SocketAddr;
+use std::sync::Arc;
+
+use parking_lot::Condvar;
+use parking_lot::Mutex;
+
+use apricotdale_core::Error;
+use apricotdale_core::Result;
+use apricotdale_core::names::IdempotencyKey;
+use apricotdale_core::names::VmName;
+use apricotdale_core::service::PlainService;
+use apricotdale_core::service::ServiceAnswer;
+use apricotdale_core::service::ServiceCall;
+
+use super::switch::Switch;
+use super::wait_until;
+
+/// `CallFault` is what becomes of a call.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum CallFault {
+    /// The call runs, and no answer comes.
+    LoseAnswer,
+    /// The call runs, and the daemon that made it freezes before the answer comes.
+    Freeze,
+}
+
+/// `Effect` is a call that ran.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct Effect {
+    pub vm: VmName,
+    pub path: String,
+    pub key: Option<IdempotencyKey>,
+}
+
+#[derive(Default)]
+struct Inner {
+    effects: Vec<Effect>,
+    faults: VecDeque<CallFault>,
+    is_held: bool,
+}
+
+/// `FakeService` is every instance of the service.
+#[derive(Default)]
+pub struct FakeService {
+    inner: Mutex<Inner>,
+    changed: Condvar,
+}
+
+impl FakeService {
+    /// Puts a fault in the way of the next call.
+    pub fn fault(&self, fault: CallFault) {
+        self.inner.lock().faults.push_back(fault);
+    }
+
+    /// Lets calls that have run wait with their answers, or lets them go on.
+    pub fn hold(&self, is_held: bool) {
+        self.inner.lock().is_held = is_held;
+        self.changed.notify_all();
+    }
+
+    /// Returns how often calls under a key ran.
+    pub fn effects_of(&self, key: &str) -> usize {
+        let inner = self.inner.lock();
+        let keys = inner.effects.iter().filter_map(|one| one.key.as_ref());
+        keys.filter(|known| known.as_str() == key).count()
+    }
+
+    /// Waits until a call under a key has run.
+    pub fn wait_effect_of(&self, key: &str) {
+        wait_until("the call to run", || self.effects_of(key) > 0);
+    }
+
+    /// Returns the service as one VM reaches it.
+    pub fn client(self: &Arc<Self>, vm: &VmName, switch: &Arc<Switch>) -> ServiceOfVm {
+        ServiceOfVm {
+            service: Arc::clone(self),
+            vm: vm.clone(),
+            switch: Arc::clone(switch),
+        }
+    }
+}
+
+/// `ServiceOfVm` is the service as one daemon reaches it.
+pub struct ServiceOfVm {
+    service: Arc<FakeService>,
+    vm: VmName,
+    switch: Arc<Switch>,
+}
+
+impl PlainService for ServiceOfVm {
+    fn call(&self, _instance: SocketAddr, call: &ServiceCall) -> Result<ServiceAnswer> {
+        self.switch.pass();
+        let mut inner = self.service.inner.lock();
+        inner.effects.push(Effect {
+            vm: self.vm.clone(),
+            path: call.path.clone(),
+            key: call.key.clone(),
+        });
+        let number = inner.effects.len();
+        let fault = inner.faults.pop_front();
+        while inner.is_held {
+            self.service.changed.wait(&mut inner);
+        }
+        drop(inner);
+        match fault {
+            Some(CallFault::LoseAnswer) => return Err(Error::unknown("the answer was lost")),
+            Some(CallFault::Freeze) => self.switch.freeze(),
+            None => {}
+        }
+        self.switch.pass();
+        Ok(ServiceAnswer {
+            status: 200,
+            content_type: "application/json".into(),
+            body: format!(r#"{{"effect":{number}}}"#).into_bytes(),
+        })
+    }
+}
--- /dev/null
+++ b/crates/node/tests/support/world.rs
@@ -0,0 +1,291 @@
+//! Everything around the daemons, and the daemons themselves.
+
+use std::net::SocketAddr;
+use std::sync::Arc;
+
+use apricotdale_admin::PublishOutcome;
+use apricotdale_core::config::ClassTarget;
+use apricotdale_core::config::ConfigEdit;
+use apricotdale_core::config::ModelSpec;
+use apricotdale_core::config::ServiceSpec;
+use apricotdale_core::control::ControlRecord;
+use apricotdale_core::names::ModelName;
+use apricotdale_core::names::VmName;
+use apricotdale_core::numbers::ConfigVersion;
+use apricotdale_core::numbers::Offset;
+use apricotdale_core::rendezvous;
+use apricotdale_core::vm_list::VmRole;
+use apricotdale_core::vm_list::VmState;
+use apricotdale_state::ControlState;
+use apricotdale_state::Verdict;
+use apricotdale_state::replicas::Stage;
+
+use super::clock::WorldTime;
+use super::engine::FakeEngines;
+use super::log::FakeLog;
+use super::node::Node;
+use super::platform::FakeVmList;
+use super::service::FakeService;
+use super::serving::StreamGate;
+use super::wait_until;
+
+/// The group of the entry VMs on the list.
+pub const ENTRY_GROUP: &str = "entry";
+
+/// The group of the engines.
+pub const ENGINE_GROUP: &str = "planner-lm";
+
+/// The service, which is the group of its instances too.
+pub const SERVICE: &str = "booking-app";
+
+/// The memory that each model takes. Two fit on an engine.
+pub const MODEL_BYTES: u64 = 40;
+
+/// How many models are configured, so that each of a few VMs is the preferred one of some.
+const MODELS: usize = 24;
+
+/// The class of all requests.
+const CLASS: &str = "quick";
+
+/// How soon a request must be answered, in milliseconds.
+const ANSWER_WITHIN_MS: u64 = 300_000;
+
+/// `World` is everything around the daemons.
+pub struct World {
+    pub time: Arc<WorldTime>,
+    pub log: Arc<FakeLog>,
+    pub engines: Arc<FakeEngines>,
+    pub streams: Arc<StreamGate>,
+    pub service: Arc<FakeService>,
+    pub vm_list: Arc<FakeVmList>,
+}
+
+/// `Decided` is a control record with replay's verdict on it.
+#[derive(Clone, Debug, PartialEq)]
+pub struct Decided {
+    pub offset: Offset,
+    pub record: ControlRecord,
+    pub verdict: Verdict,
+}
+
+impl Decided {
+    pub fn is_accepted(&self) -> bool {
+        matches!(self.verdict, Verdict::Accepted(_))
+    }
+
+    pub fn is_load_of(&self, model: &str) -> bool {
+        matches!(&self.record, ControlRecord::Load(load) if load.model.as_str() == model)
+    }
+}
+
+impl World {
+    /// Returns a world with as many engines, and one instance of the service.
+    pub fn new(engines: usize, checks_fence: bool) -> Self {
+        let time = Arc::new(WorldTime::default());
+        let world = Self {
+            log: Arc::new(FakeLog::new(&time)),
+            engines: Arc::new(FakeEngines::new(&time)),
+            streams: Arc::default(),
+            service: Arc::default(),
+            vm_list: Arc::new(FakeVmList::new(&time)),
+            time,
+        };
+        for number in 0..engines {
+            let address = engine_address(number);
+            let name = engine_name(number);
+            world.engines.add(address, checks_fence);
+            world
+                .vm_list
+                .put(&name, VmRole::Engine, ENGINE_GROUP, address, None);
+        }
+        let instance = SocketAddr::from(([127, 0, 0, 1], 3));
+        world
+            .vm_list
+            .put("booking-1", VmRole::Service, SERVICE, instance, None);
+        world
+    }
+
+    /// Returns every control record that can be read, with replay's verdict on it.
+    pub fn decided(&self) -> Vec<Decided> {
+        let mut state = ControlState::new();
+        let records = self.log.records("control").into_iter();
+        let decided = records.filter_map(|record| {
+            let verdict = state.apply(record.offset, record.appended_ms, &record.payload);
+            Some(Decided {
+                offset: record.offset,
+                record: ControlRecord::decode(&record.payload)?,
+                verdict,
+            })
+        });
+        decided.collect()
+    }
+
+    /// Returns the state at the end of the control stream.
+    pub fn state(&self) -> ControlState {
+        let mut state = ControlState::new();
+        for record in self.log.records("control") {
+            state.apply(record.offset, record.appended_ms, &record.payload);
+        }
+        state
+    }
+
+    /// Returns the accepted loads of a model.
+    pub fn accepted_loads(&self, model: &str) -> Vec<Decided> {
+        let decided = self.decided().into_iter();
+        let loads = decided.filter(|one| one.is_load_of(model) && one.is_accepted());
+        loads.collect()
+    }
+
+    /// Waits until a load of a model is accepted, and returns it.
+    pub fn wait_load(&self, model: &str) -> Decided {
+        wait_until("a load to be accepted", || {
+            !self.accepted_loads(model).is_empty()
+        });
+        self.accepted_loads(model).remove(0)
+    }
+
+    /// Returns how many replicas of a model can serve.
+    pub fn loaded(&self, model: &str) -> usize {
+        let (state, model) = (self.state(), ModelName::new(model));
+        let replicas = state.replicas_of(&model);
+        replicas.filter(|one| one.stage() == Stage::Loaded).count()
+    }
+
+    /// Returns how many loads of a model the engines have received.
+    pub fn load_orders(&self, model: &str) -> usize {
+        self.engines.sum(|engine| engine.loads_of(model))
+    }
+
+    /// Returns on how many engines a model is loaded.
+    pub fn holders(&self, model: &str) -> usize {
+        self.engines.sum(|engine| usize::from(engine.holds(model)))
+    }
+}
+
+pub fn engine_address(number: usize) -> SocketAddr {
+    SocketAddr::from(([127, 0, 0, 1], 10 + number as u16))
+}
+
+pub fn engine_name(number: usize) -> String {
+    format!("engine-{number}")
+}
+
+/// `Cluster` is a world with daemons in it.
+pub struct Cluster {
+    pub world: World,
+    pub nodes: Vec<Node>,
+    pub version: ConfigVersion,
+}
+
+impl Cluster {
+    /// Starts daemons that know the configuration.
+    pub fn start(vms: usize, engines: usize, checks_fence: bool) -> Self {
+        Self::start_with(vms, engines, checks_fence, "")
+    }
+
+    /// Starts daemons with some more settings.
+    pub fn start_with(vms: usize, engines: usize, checks_fence: bool, settings: &str) -> Self {
+        let mut cluster = Self {
+            world: World::new(engines, checks_fence),
+            nodes: Vec::new(),
+            version: ConfigVersion::default(),
+        };
+        for number in 0..vms {
+            cluster.add(&format!("vm-{number}"), settings);
+        }
+        cluster.nodes.iter().for_each(Node::wait_ready);
+        let outcome = cluster.nodes[0].publish(ConfigVersion(0), configuration());
+        let PublishOutcome::Accepted { version } = outcome else {
+            panic!("the configuration was not accepted: {outcome:?}");
+        };
+        cluster.version = version;
+        cluster
+            .nodes
+            .iter()
+            .for_each(|node| node.wait_version(version));
+        cluster.wait_engines_known(engines);
+        cluster
+    }
+
+    /// Starts one more daemon.
+    pub fn add(&mut self, vm: &str, settings: &str) -> &Node {
+        let node = Node::start(&self.world, vm, settings);
+        self.nodes.push(node);
+        self.nodes.last().expect("the node was added a line above")
+    }
+
+    fn wait_engines_known(&self, engines: usize) {
+        wait_until("the engines to be observed", || {
+            self.world.state().engines().count() == engines
+        });
+        let end = self.world.state().next_offset();
+        for node in &self.nodes {
+            wait_until("all to be replayed", || node.status().replayed >= end);
+        }
+    }
+
+    /// Returns a model for which a daemon is the preferred one among all.
+    pub fn model_preferring(&self, node: usize) -> String {
+        let vms: Vec<&VmName> = self.nodes.iter().map(|node| &node.vm).collect();
+        let mut models = (0..MODELS).map(model_name);
+        let preferring = models.find(|model| {
+            let key = ModelName::new(model);
+            rendezvous::preferred(vms.iter().copied(), &key) == Some(vms[node])
+        });
+        preferring.expect("a model for each VM")
+    }
+
+    /// Waits until a daemon has looked at all that was replayed before. It has loaded a model then
+    /// that nobody asked for yet.
+    pub fn wait_looked(&self, node: usize) {
+        let fresh = (0..MODELS).map(model_name);
+        let mut fresh =
+            fresh.filter(|model| !self.world.decided().iter().any(|one| one.is_load_of(model)));
+        let model = fresh.next().expect("a model that was not loaded");
+        self.nodes[node].caller.complete(&model).expect_whole();
+    }
+
+    /// Lets the list say that a VM is gone, and time pass until that is believed.
+    pub fn list_as_gone(&self, node: usize) {
+        let vm = &self.nodes[node].vm;
+        self.world.vm_list.set_state(vm.as_str(), VmState::Gone);
+        self.world.time.advance(60_000);
+    }
+}
+
+impl Drop for Cluster {
+    /// Lets whatever still waits in a fake go on, so that the daemons can end.
+    fn drop(&mut self) {
+        self.world.log.open();
+        self.world.engines.open();
+        self.world.streams.open();
+        self.world.service.hold(false);
+    }
+}
+
+pub fn model_name(number: usize) -> String {
+    format!("model-{number}")
+}
+
+pub fn model_spec(model: &str) -> ModelSpec {
+    ModelSpec {
+        model: ModelName::new(model),
+        base: None,
+        group: ENGINE_GROUP.into(),
+        bytes: MODEL_BYTES,
+    }
+}
+
+fn configuration() -> Vec<ConfigEdit> {
+    let class = ClassTarget {
+        class: CLASS.into(),
+        answer_within_ms: ANSWER_WITHIN_MS,
+    };
+    let service = ServiceSpec {
+        service: SERVICE.into(),
+        idempotent_paths: Vec::new(),
+    };
+    let models = (0..MODELS).map(|number| ConfigEdit::PutModel(model_spec(&model_name(number))));
+    let others = [ConfigEdit::PutClass(class), ConfigEdit::PutService(service)];
+    others.into_iter().chain(models).collect()
+}
