--- a/crates/launcher/src/cluster/start.rs
+++ b/crates/launcher/src/cluster/start.rs
@@ -156,7 +156,7 @@
         for (index, (name, group)) in services.iter().enumerate() {
             self.enter_upstream(name, VmRole::Service, &group.group, index)?;
         }
-        Ok(())
+        self.post_listing()
     }
 
     fn start_vms(&mut self) -> Result<()> {
--- a/crates/launcher/src/process.rs
+++ b/crates/launcher/src/process.rs
@@ -44,6 +44,8 @@
     pub arguments: Vec<OsString>,
     /// The directory into which its output is written.
     pub log_dir: PathBuf,
+    /// Whether its output follows that of an earlier process of the name, or else replaces it.
+    pub keeps_log: bool,
 }
 
 /// `Process` is a running child process. Dropping it kills the process and waits for its end.
@@ -75,6 +77,9 @@
     pub fn start(launch: &Launch) -> Result<Self> {
         let path = launch.program.path()?;
         let log_path = launch.log_dir.join(format!("{}.log", launch.name));
+        if !launch.keeps_log {
+            File::create(&log_path)?;
+        }
         let log = File::options().create(true).append(true).open(&log_path)?;
         let mut child = Command::new(path)
             .args(&launch.arguments)
--- a/crates/launcher/src/processes.rs
+++ b/crates/launcher/src/processes.rs
@@ -53,12 +53,6 @@
     ///
     /// As for [`Process::start`]; `Error::Failed` if the name is in use or the set is closed.
     pub fn start(&self, name: &str, program: Program, arguments: Vec<OsString>) -> Result<()> {
-        let launch = Launch {
-            name: name.to_owned(),
-            program,
-            arguments,
-            log_dir: self.log_dir.clone(),
-        };
         // The table stays locked over the start. A process started while another thread closes the
         // set would not be seen by it and would outlive the launcher.
         let mut table = self.table();
@@ -70,6 +64,13 @@
         {
             return Err(Error::failed(format!("starting {name}"), "it runs already"));
         }
+        let launch = Launch {
+            name: name.to_owned(),
+            program,
+            arguments,
+            log_dir: self.log_dir.clone(),
+            keeps_log: table.processes.contains_key(name),
+        };
         let process = Arc::new(Mutex::new(Process::start(&launch)?));
         table.processes.insert(name.to_owned(), process);
         Ok(())
--- a/crates/scenario/src/ast.rs
+++ b/crates/scenario/src/ast.rs
@@ -47,6 +47,8 @@
     Alias(Alias),
     /// Sends requests and goes on.
     Send(Send),
+    /// Sends a request, and again as long as it is refused as not run, until the whole answer came.
+    Insist(Send),
     /// Waits until the answer of a request has begun.
     AwaitBegun(String),
     /// Waits until a VM's process has ended by itself with a code.
--- a/crates/scenario/src/check.rs
+++ b/crates/scenario/src/check.rs
@@ -84,7 +84,7 @@
                 self.publication(right)
             }
             Statement::Alias(alias) => self.alias(alias),
-            Statement::Send(send) => self.send(send),
+            Statement::Send(send) | Statement::Insist(send) => self.send(send),
             Statement::AwaitBegun(name) | Statement::AwaitEnd(name, _) => self.request(name),
             Statement::AwaitExit(name, _) => self.vm(name),
             Statement::Fault(target, words) => self.fault(target, words),
--- a/crates/scenario/src/parser/requests.rs
+++ b/crates/scenario/src/parser/requests.rs
@@ -14,7 +14,7 @@
 use crate::parser::words::inner_number;
 use crate::parser::words::inner_text;
 
-pub(super) fn send(pair: Pair<'_, Rule>) -> Result<Statement> {
+pub(super) fn send(pair: Pair<'_, Rule>) -> Result<Send> {
     let is_burst = pair.as_rule() == Rule::burst;
     let mut children = Children::of(pair);
     let name = children.text();
@@ -38,7 +38,7 @@
             _ => send.body = Some(inner_text(option)),
         }
     }
-    Ok(Statement::Send(send))
+    Ok(send)
 }
 
 /// Returns the place that an `at` tells.
--- a/crates/scenario/src/run/actions.rs
+++ b/crates/scenario/src/run/actions.rs
@@ -12,6 +12,7 @@
 use crate::ast::Place;
 use crate::ast::ProcessVerb;
 use crate::ast::Publication;
+use crate::ast::RefusalPattern;
 use crate::ast::Send;
 use crate::ast::StandinKind;
 use crate::ast::Work;
@@ -27,12 +28,14 @@
 use apricotdale_admin::PublishRequest;
 use apricotdale_core::config::ConfigEdit;
 use apricotdale_core::numbers::ConfigVersion;
+use apricotdale_core::refusal::Ran;
 use apricotdale_core::vm_list::VmState;
 use apricotdale_launcher::caller;
 use apricotdale_launcher::caller::CallerRequest;
 use apricotdale_launcher::cluster::LOG;
 use apricotdale_launcher::cluster::records;
 use apricotdale_launcher::poll::POLL_LIMIT;
+use apricotdale_launcher::poll::POLL_PAUSE;
 use apricotdale_launcher::poll::poll_until;
 use apricotdale_launcher::process::Exit;
 
@@ -111,6 +114,29 @@
         Ok(note)
     }
 
+    pub(super) fn insist(&mut self, send: &Send) -> Result<Option<String>> {
+        for tries in 1..=POLL_LIMIT {
+            self.send(send)?;
+            let mut refused = false;
+            for sent in self.sent(&send.name) {
+                let outcome = sent.answer.wait_end(ANSWER_LIMIT)?;
+                refused |= endings::is_as_told(&outcome, &not_run());
+                if !refused && !outcome.is_whole() {
+                    let detail = format!("{} at {}: {outcome}", send.name, sent.vm);
+                    return Err(Error::failed(detail));
+                }
+            }
+            if !refused {
+                return Ok(Some(format!("whole at try {tries}")));
+            }
+            thread::sleep(POLL_PAUSE);
+        }
+        Err(Error::failed(format!(
+            "{} was refused at every try",
+            send.name
+        )))
+    }
+
     pub(super) fn await_begun(&mut self, name: &str) -> Result<Option<String>> {
         for sent in self.sent(name) {
             if sent.answer.wait_events(1, ANSWER_LIMIT)? == 0 {
@@ -234,6 +260,14 @@
     request
 }
 
+/// Returns how a request ends that its caller may send again.
+fn not_run() -> Ending {
+    Ending::Refused(RefusalPattern {
+        reason: None,
+        ran: Some(Ran::NotRun.as_str().to_owned()),
+    })
+}
+
 fn kind_of(name: &str) -> StandinKind {
     match name {
         layout::LOG => StandinKind::Log,
--- a/crates/scenario/src/run/world.rs
+++ b/crates/scenario/src/run/world.rs
@@ -70,6 +70,7 @@
             Statement::Race(left, right) => self.race(left, right),
             Statement::Alias(alias) => self.alias(alias),
             Statement::Send(send) => self.send(send),
+            Statement::Insist(send) => self.insist(send),
             Statement::AwaitBegun(name) => self.await_begun(name),
             Statement::AwaitExit(name, code) => self.await_exit(name, *code),
             Statement::AwaitEnd(name, ending) => self.await_end(name, ending),
--- /dev/null
+++ b/crates/scenario/tests/scenario_files.rs
@@ -0,0 +1,54 @@
+//! Every file in `scenarios/`, run against the real processes.
+
+use std::fs;
+use std::path::Path;
+use std::path::PathBuf;
+use std::sync::Mutex;
+use std::sync::PoisonError;
+
+use rstest::rstest;
+
+use apricotdale_launcher::programs::Program;
+use apricotdale_scenario::parser::parse;
+use apricotdale_scenario::run::Options;
+use apricotdale_scenario::run::Verdict;
+use apricotdale_scenario::run::run;
+
+/// Holds all but one scenario back. Each starts a dozen processes, and the processor time of many
+/// at once would decide how long anything takes.
+static ONE_AT_A_TIME: Mutex<()> = Mutex::new(());
+
+#[test]
+fn daemon_is_built() {
+    let path = Program::Daemon.path();
+    assert!(path.is_ok(), "{path:?}");
+}
+
+#[rstest]
+fn scenario_holds(#[files("../../scenarios/*.scenario")] file: PathBuf) {
+    let _turn = ONE_AT_A_TIME.lock().unwrap_or_else(PoisonError::into_inner);
+    let verdict = run_file(&file);
+    if let Err(report) = verdict {
+        panic!("{report}");
+    }
+}
+
+/// Returns the whole transcript and the reason if the scenario does not hold.
+fn run_file(file: &Path) -> Result<(), String> {
+    let text = fs::read_to_string(file).map_err(|error| error.to_string())?;
+    let scenario = parse(&text).map_err(|error| error.to_string())?;
+    let mut transcript = Vec::new();
+    let verdict = run(&scenario, &Options::default(), &mut transcript, |_| {});
+    let transcript = String::from_utf8_lossy(&transcript);
+    match verdict {
+        Ok(Verdict::Passed { .. }) => Ok(()),
+        Ok(Verdict::Failed { step, detail }) => {
+            let line = step.position.line;
+            Err(format!(
+                "line {line}: {}: {detail}\n{transcript}",
+                step.text
+            ))
+        }
+        Err(error) => Err(format!("{error}\n{transcript}")),
+    }
+}
