State crate: ended keys make room after an hour; sizes measured

Cause: a table with room for six hours of keys refused new calls once it was full, and a larger one would not fit the memory that a node may spend on control (10.2 MB for 20000 keys in one table). A key that has ended is still remembered for six hours, but makes room for a new one after one hour, which is what callers may rely on. After a loss claims are held back for that hour, not for six. Ruled out: refusing by the clock of the VM, since all must forget alike.

--- a/crates/state/src/claim_table.rs
+++ b/crates/state/src/claim_table.rs
@@ -75,7 +75,7 @@
     /// Returns the table to start afresh from when the records before an offset are lost for good.
     ///
     /// A key that looks new may then have been used before the loss, and its call may have run. So
-    /// every claim is answered with an unknown outcome until the time to remember has passed.
+    /// every claim is answered with an unknown outcome until the least time to remember has passed.
     pub fn after_loss(next: Offset, options: ClaimOptions) -> Self {
         Self {
             next,
@@ -179,7 +179,7 @@
         self.now_ms = self.now_ms.max(appended_ms);
         self.blindness = match self.blindness {
             Blindness::UntilFirstRecord => {
-                Blindness::UntilMs(self.now_ms.saturating_add(self.options.remember_ms))
+                Blindness::UntilMs(self.now_ms.saturating_add(self.options.least_ms))
             }
             Blindness::UntilMs(until_ms) if self.now_ms > until_ms => Blindness::None,
             blindness => blindness,
@@ -207,6 +207,7 @@
     }
 
     fn claim(&mut self, offset: Offset, claim: &Claim) -> ClaimVerdict {
+        self.make_room(claim);
         let past = match self.past_of(claim) {
             Ok(past) => past,
             Err(verdict) => return verdict,
@@ -313,12 +314,27 @@
     }
 
     fn expire(&mut self) {
-        let horizon_ms = self.now_ms.saturating_sub(self.options.remember_ms);
-        while let Some((changed_ms, key)) = self.expiring.first().cloned() {
-            if changed_ms >= horizon_ms {
-                return;
+        while self.take_oldest(self.options.remember_ms) {}
+    }
+
+    /// Makes room for one more key in a full table.
+    fn make_room(&mut self, claim: &Claim) {
+        let is_new = !self.entries.contains_key(&claim.key);
+        if is_new && self.entries.len() >= self.options.max_keys {
+            self.take_oldest(self.options.least_ms);
+        }
+    }
+
+    /// Forgets the key that ended first if that is longer ago than `age_ms`, and returns whether it
+    /// did.
+    fn take_oldest(&mut self, age_ms: u64) -> bool {
+        let horizon_ms = self.now_ms.saturating_sub(age_ms);
+        match self.expiring.first().cloned() {
+            Some((changed_ms, key)) if changed_ms < horizon_ms => {
+                self.take(&key);
+                true
             }
-            self.take(&key);
+            _ => false,
         }
     }
 
--- a/crates/state/src/claims.rs
+++ b/crates/state/src/claims.rs
@@ -18,7 +18,10 @@
 pub struct ClaimOptions {
     /// How long a key whose call has ended is remembered, in milliseconds of the log's time.
     pub remember_ms: u64,
-    /// The most keys remembered. A claim of one more key is rejected.
+    /// How long it is remembered even if its place is needed. This is what callers may rely on.
+    pub least_ms: u64,
+    /// The most keys remembered. For one more, the key that ended first goes if its least time has
+    /// passed; else the claim is rejected.
     pub max_keys: usize,
     /// The most requests that may have claimed one key without running the call.
     pub max_tries: usize,
@@ -32,10 +35,11 @@
     fn default() -> Self {
         Self {
             remember_ms: 6 * 3_600_000,
+            least_ms: 3_600_000,
             max_keys: 20_000,
             max_tries: 64,
             max_answer_bytes: 16 * 1024,
-            max_kept_bytes: 4 * 1024 * 1024,
+            max_kept_bytes: 2 * 1024 * 1024,
         }
     }
 }
