Daemon: tests of orders whose answer does not come

An answer that is lost after the effect leaves one replica, one order and a takeover, on checking and on obeying engines; an order that is lost, or an engine that dies midway, is decided anew under a later intent.

Left out until the daemon is mended: the second test on obeying engines, where the model is not loaded elsewhere (told to the lead).

--- /dev/null
+++ b/crates/node/tests/lost_orders.rs
@@ -0,0 +1,53 @@
+//! Orders whose answer does not come.
+
+mod support;
+
+use rstest::rstest;
+
+use apricotdale_core::control::ControlRecord;
+
+use support::engine::OrderFault;
+use support::wait_until;
+use support::world::Cluster;
+
+fn take_overs(cluster: &Cluster) -> usize {
+    let decided = cluster.world.decided();
+    let records = decided.iter().filter(|one| one.is_accepted());
+    let take_overs = records.filter(|one| matches!(one.record, ControlRecord::TakeOver(_)));
+    take_overs.count()
+}
+
+/// Symptom: a model is loaded twice. Sequence: the engine loads it, and its answer is lost. Cause:
+/// the sender takes a lost answer for a lost order.
+#[rstest]
+fn a_load_whose_answer_is_lost_is_read_from_the_engine(#[values(true, false)] checks_fence: bool) {
+    let cluster = Cluster::start(1, 2, checks_fence);
+    let world = &cluster.world;
+    let model = cluster.model_preferring(0);
+    world.engines.fault(OrderFault::LoseAnswer);
+    cluster.nodes[0].caller.complete(&model).expect_whole();
+    cluster.wait_looked(0);
+    assert_eq!(take_overs(&cluster), 1);
+    assert_eq!(world.accepted_loads(&model).len(), 1);
+    assert_eq!(world.load_orders(&model), 1);
+    assert_eq!((world.holders(&model), world.loaded(&model)), (1, 1));
+}
+
+/// Symptom: a request waits for a load that nobody carries out. Sequence: the order, or the engine
+/// with it, is lost. Cause: the intent stays open, or counts as a replica that is on its way.
+#[rstest]
+fn a_load_that_is_lost_is_decided_anew(
+    #[values(OrderFault::LoseOrder, OrderFault::Die)] fault: OrderFault,
+    #[values(true)] checks_fence: bool,
+) {
+    let cluster = Cluster::start(1, 2, checks_fence);
+    let world = &cluster.world;
+    let model = cluster.model_preferring(0);
+    world.engines.fault(fault);
+    cluster.nodes[0].caller.complete(&model).expect_whole();
+    wait_until("the load to settle", || world.loaded(&model) == 1);
+    let loads = world.accepted_loads(&model);
+    assert_eq!(loads.len(), 2);
+    assert!(loads[0].offset < loads[1].offset);
+    assert_eq!(world.holders(&model), 1);
+}
