State crate: orders at large outlive their engine

Cause: the removal of an engine forgot the loads whose senders were over. If the engine was replaced under its name, such an order may have been sent to the successor and be acted on later, in memory that was given away by then. Such a load now stays counted, out of the list of unsettled intents, until the successor is observed; then it is settled like any other. The search removes and replaces engines now. A load whose settlement comes after its engine's removal no longer counts as loaded.

--- a/crates/state/src/control_state.rs
+++ b/crates/state/src/control_state.rs
@@ -215,11 +215,10 @@
             let Some(replica) = self.replicas.get(load) else {
                 continue;
             };
-            let keep = match is_gone {
-                true => replica.sender_may_act(),
-                false => replica.can_hold(boot) || replica.can_hold_after(boot),
-            };
-            if !keep {
+            // An order that can still be sent, or that may have been sent to a successor of the engine
+            // under the same name, outlives the engine.
+            let holds_now = !is_gone && replica.can_hold(boot);
+            if !holds_now && !replica.can_hold_after(boot) {
                 self.forget(load);
             }
         }
--- a/crates/state/src/observations.rs
+++ b/crates/state/src/observations.rs
@@ -156,19 +156,23 @@
     }
 
     /// Bounds the memory of engines that are gone. They are kept so that a reading which comes late
-    /// does not bring them back.
+    /// does not bring them back, and so that orders at large are remembered if they do come back.
     fn forget_oldest_gone(&mut self) {
         let gone = self
             .engines
             .iter()
             .filter_map(|(name, engine)| Some((engine.gone_at?, name)));
         let gone: BTreeMap<Offset, &UpstreamName> = gone.collect();
-        let is_free = |name: &&UpstreamName| self.replicas.of_engine(name).next().is_none();
-        let oldest = gone.values().copied().find(is_free).cloned();
-        match oldest {
-            Some(oldest) if gone.len() > MAX_GONE_ENGINES => drop(self.engines.remove(&oldest)),
-            _ => {}
+        if gone.len() <= MAX_GONE_ENGINES {
+            return;
+        }
+        let Some(oldest) = gone.into_values().next().cloned() else {
+            return;
+        };
+        for load in self.replicas.loads_of_engine(&oldest) {
+            self.forget(load);
         }
+        self.engines.remove(&oldest);
     }
 }
 
--- a/crates/state/src/settlements.rs
+++ b/crates/state/src/settlements.rs
@@ -218,7 +218,8 @@
 /// Returns whether an engine has shown since a reading that a load's effect is gone again.
 fn is_over(engine: &Engine, reading: Reading, load: Offset) -> bool {
     let later = engine.reading.boot == reading.boot && engine.reading > reading;
-    engine.floor.boot > reading.boot || (later && !shows(engine, load))
+    let is_gone = engine.is_gone() && reading.boot <= engine.boot();
+    is_gone || engine.floor.boot > reading.boot || (later && !shows(engine, load))
 }
 
 fn shows(engine: &Engine, load: Offset) -> bool {
--- a/crates/state/src/view.rs
+++ b/crates/state/src/view.rs
@@ -176,12 +176,15 @@
         u32::try_from(decided + undecided).unwrap_or(u32::MAX)
     }
 
-    /// Returns every accepted intent that is not settled, loads first.
+    /// Returns every accepted intent that is not settled, loads first. A load whose sender is over
+    /// and whose engine is gone is left out, since nobody can settle it unless the engine comes
+    /// back.
     pub fn unsettled(&self) -> impl Iterator<Item = IntentView> + '_ {
         let loads = self
             .replicas
             .iter()
-            .filter(|replica| replica.progress != Progress::Loaded);
+            .filter(|replica| replica.progress != Progress::Loaded)
+            .filter(|replica| replica.sender_may_act() || !self.is_gone(&replica.engine));
         let loads = loads.map(|replica| IntentView {
             intent: replica.load,
             kind: IntentKind::Load,
@@ -207,6 +210,10 @@
         loads.chain(unloads)
     }
 
+    fn is_gone(&self, engine: &UpstreamName) -> bool {
+        self.engines.get(engine).is_some_and(Engine::is_gone)
+    }
+
     /// Returns the unsettled intents that a process owns.
     pub fn unsettled_of(&self, epoch: Epoch) -> impl Iterator<Item = IntentView> + '_ {
         self.unsettled()
--- a/crates/state/tests/decision_search/main.rs
+++ b/crates/state/tests/decision_search/main.rs
@@ -85,6 +85,7 @@
         50..=53 => world.settle(world.vm_with(vm, |p| !p.outcomes.is_empty()), index, how),
         54 | 55 => world.propose_unload(vm, index, how),
         56 | 57 => world.pick_unload(world.vm_with(vm, |p| !p.to_unload().is_empty()), index),
+        58 if how % 2 == 0 => world.remove_engine(vm, engine, how / 2),
         58 => world.take_snapshot(vm),
         59 | 60 => world.land_delayed(index),
         61 => world.change_model(index),
--- a/crates/state/tests/decision_search/steps.rs
+++ b/crates/state/tests/decision_search/steps.rs
@@ -9,6 +9,7 @@
 use apricotdale_core::control::Settlement;
 use apricotdale_core::control::TakeOver;
 use apricotdale_core::control::UnloadIntent;
+use apricotdale_core::control::UpstreamGone;
 use apricotdale_core::engine::Residency;
 use apricotdale_core::names::ModelName;
 use apricotdale_core::numbers::BootId;
@@ -321,6 +322,22 @@
         });
     }
 
+    /// A process proposes that an engine is gone whose present run, as the process knows it, is over.
+    /// The engine's successor bears the same name.
+    pub fn remove_engine(&mut self, vm: usize, engine: usize, how: u8) {
+        let boot = self.engines[engine].boot;
+        self.propose(vm, how, |process, proposer| {
+            let engine = World::engine_name(engine);
+            let known = process.state.engine(&engine)?.boot();
+            let gone = UpstreamGone {
+                proposer,
+                engine,
+                boot: known,
+            };
+            (known.0 < boot).then_some(ControlRecord::UpstreamGone(gone))
+        });
+    }
+
     /// The platform takes a VM away.
     pub fn remove_vm(&mut self, vm: usize) {
         self.processes[vm] = None;
--- a/crates/state/tests/engine_readings.rs
+++ b/crates/state/tests/engine_readings.rs
@@ -100,6 +100,15 @@
     assert_eq!(stream.held("e1"), 0);
 }
 
+#[test]
+fn a_load_done_on_an_engine_that_is_gone_is_gone() {
+    let (mut stream, a, b) = Stream::ready(true);
+    let (load, _) = stream.load(a, "m1", "e1");
+    stream.gone(b, "e1", 1);
+    let verdict = stream.settle_load(a, load, SettledAs::Done, Some((1, 2)));
+    assert_eq!(verdict, Verdict::Accepted(Accepted::LoadFreed));
+}
+
 #[test]
 fn a_load_done_in_a_run_not_yet_observed_counts_there() {
     let (mut stream, a, b) = Stream::ready(true);
@@ -185,6 +194,45 @@
     assert_eq!(verdict, Verdict::Rejected(RejectReason::EngineRestarted));
 }
 
+/// Symptom: an engine's successor under the same name is overcommitted.
+/// Sequence: the sender is paused; the engine is replaced; the sender sends to the successor and
+/// dies; the engine is said to be gone, its sender to have departed; the successor is observed, its
+/// memory given away; the order is acted on.
+/// Cause: the order had been forgotten with the engine.
+#[test]
+fn an_order_of_a_dead_sender_outlives_its_engine() {
+    let (mut stream, a, b) = Stream::ready(false);
+    let (load, _) = stream.load(a, "m1", "e1");
+    assert!(stream.gone(b, "e1", 1).is_accepted());
+    assert_eq!(stream.state.unsettled().count(), 1);
+    stream.depart(b, "a", a);
+    assert_eq!(stream.state.unsettled().count(), 0, "nobody can settle it");
+    stream.observe(b, "e1", false, 2, 0, 0, &[]);
+    assert_eq!(stream.held("e1"), 60);
+    assert_eq!(stream.state.unsettled().count(), 1);
+    stream.take_over(b, load);
+    let failed = SettledAs::Failed("not there".to_owned());
+    stream.settle_load(b, load, failed, Some((2, 0)));
+    assert_eq!(stream.stage(load), Some(Stage::Lingering));
+    assert!(stream.gone(b, "e1", 2).is_accepted());
+    assert_eq!(stream.stage(load), None);
+}
+
+#[test]
+fn only_so_many_gone_engines_are_remembered() {
+    let (mut stream, a, _) = Stream::ready(false);
+    let (load, _) = stream.load(a, "m1", "e1");
+    stream.gone(a, "e1", 1);
+    for index in 0..1_024 {
+        let name = format!("late-{index}");
+        stream.observe(a, &name, false, 1, 0, 0, &[]);
+        assert!(stream.gone(a, &name, 1).is_accepted());
+    }
+    assert!(stream.state.engine(&"e1".into()).is_none());
+    assert_eq!(stream.stage(load), None);
+    assert!(stream.state.engine(&"late-0".into()).is_some());
+}
+
 /// Symptom: an engine that runs is out of use for good, and its replicas count as none.
 /// Sequence: the lagging list shows the end of an engine's earlier machine; the engine is said to be
 /// gone; the engine answers.
