Placement: replicas that nobody expects to come up keep no model from being loaded elsewhere

Cause, found by the in-process tests: a load lost at an engine that obeys every order leaves its memory reserved (right), but the fleet's view showed it as coming, so the request waited to its deadline. Change: revoked and lingering replicas are not shown; if the policy chooses the very engine that holds one, another engine of the group takes the load, and without one the waiting requests are refused at once with no_capacity.

--- a/crates/node/src/placing/fleet.rs
+++ b/crates/node/src/placing/fleet.rs
@@ -112,7 +112,12 @@
 
 fn replicas(state: &ControlState, now_ms: u64, unix_ms: u64) -> Vec<ReplicaView> {
     let to_monotonic = |since_ms: u64| now_ms.saturating_sub(unix_ms.saturating_sub(since_ms));
-    let decided = state.replicas().map(|replica| ReplicaView {
+    // Nobody expects a revoked or lingering replica to come up. Shown as coming it would keep its
+    // model from ever being loaded elsewhere; its memory is not free in the engine's view anyway.
+    let expected = state
+        .replicas()
+        .filter(|one| !matches!(one.stage(), Stage::Revoked | Stage::Lingering));
+    let decided = expected.map(|replica| ReplicaView {
         model: replica.model.clone(),
         engine: replica.engine.clone(),
         loaded: replica.stage() == Stage::Loaded,
--- a/crates/node/src/placing/placement_loop.rs
+++ b/crates/node/src/placing/placement_loop.rs
@@ -44,6 +44,9 @@
 /// When a caller should come back while the log is down.
 const LOG_RETRY_MS: u64 = 5_000;
 
+/// When a caller should come back while an order for its model may yet take effect.
+const BLOCKED_RETRY_MS: u64 = 5_000;
+
 /// `PlacementParts` is what the loop works with.
 pub struct PlacementParts {
     /// Builds the policy's view.
@@ -151,7 +154,7 @@
                 if self.parts.loads.has_evidence() {
                     self.ready_at_ms.insert(model.clone(), ready_at_ms);
                 }
-                self.propose_load(&model, &engine);
+                self.propose_load_near(&model, engine);
             }
             PlacementAction::Unload { model, engine } => self.propose_unload(&model, &engine),
             PlacementAction::Hopeless { model, .. } if self.may_find_engine(&model) => {}
@@ -179,6 +182,37 @@
         })
     }
 
+    /// Proposes a load on the engine that the policy chose, or on another one of its group where an
+    /// order for the model that may yet take effect stands in the way: replay rejects a second
+    /// replica of a model on one engine. Without another engine the waiting requests are refused.
+    fn propose_load_near(&self, model: &ModelName, chosen: UpstreamName) {
+        let view = self.parts.source.membership.view();
+        let engine = self.parts.source.replayed.read(|state| {
+            let is_free =
+                |name: &UpstreamName| state.replicas_on(name).all(|one| one.model != *model);
+            if is_free(&chosen) {
+                return Some(chosen.clone());
+            }
+            let configured = state.config().model(model)?;
+            let others = view.candidates(&configured.group).into_iter();
+            let free = others.filter_map(|engine| {
+                let free_bytes = state.memory(&engine.upstream)?.free_bytes();
+                let fits = free_bytes >= configured.bytes && is_free(&engine.upstream);
+                fits.then_some((free_bytes, engine.upstream))
+            });
+            free.max().map(|(_, engine)| engine)
+        });
+        match engine {
+            Some(engine) => self.propose_load(model, &engine),
+            None => {
+                let detail = "an earlier order for the model may yet take effect";
+                let refusal = Refusal::not_run(RefusalReason::NoCapacity, detail);
+                let refusal = refusal.retry_after(BLOCKED_RETRY_MS);
+                self.parts.gateway.hopeless(model, &refusal);
+            }
+        }
+    }
+
     fn propose_load(&self, model: &ModelName, engine: &UpstreamName) {
         let based_on = self.parts.source.replayed.read(|state| {
             let boot = state.engine(engine)?.boot();
