Stand-ins: tests that a departed caller is noticed and a restart breaks answers

Breaking each mechanism on a scratch copy left two more that no test held. A stream's departed caller was found out by a failing write, so the engine's own look at the connection was untested; now a request without a stream is left. A restart that ended no sequence passed, since the test took its own timeout for the break; timeouts now fail a test. The first form of the new test failed for a fault of its own: with two slots the next request does not wait for the one that was left, so it waits for that one's state instead, which is as strict.

--- a/crates/standins/tests/cut_answers.rs
+++ b/crates/standins/tests/cut_answers.rs
@@ -87,14 +87,25 @@
     assert_eq!(engine.request_state("r"), "cancelled");
 }
 
-#[test]
-fn a_caller_that_goes_away_frees_its_slot() {
-    let engine = engine(1);
-    let mut events = engine.stream("r", "m", ENDLESS);
+/// Symptom: an engine works for callers that are no longer there.
+/// Sequence: a request generates or waits for a slot, its caller closes the connection.
+/// Cause: nothing is written to such a connection for long, so no write fails. The engine has to
+/// look.
+#[rstest]
+#[case::generates(2)]
+#[case::waits(1)]
+fn a_caller_that_goes_away_ends_its_request(#[case] slots: usize) {
+    let engine = engine(slots);
+    let mut events = engine.stream("other", "m", ENDLESS);
     events.next().unwrap();
+    let path = "/v1/completions";
+    let caller = engine.send_only(path, "r", &completion("m", ENDLESS, false));
+    support::wait_until(|| engine.request_state("r") == "running");
+    drop(caller);
+    support::wait_until(|| engine.request_state("r") == "cancelled");
     drop(events);
+    support::wait_until(|| engine.request_state("other") == "cancelled");
     assert_eq!(engine.stream("s", "m", 1).last().unwrap(), "[DONE]");
-    assert_eq!(engine.request_state("r"), "cancelled");
 }
 
 /// Symptom: all answers in progress break at once.
@@ -109,6 +120,7 @@
     support::wait_until(|| engine.request_state("s") == "running");
     engine.fault(&json!({"restart": true}));
     assert!(events.all(|data| data != "[DONE]"));
+    assert!(events.broken);
     assert_eq!(waiting.iter().count(), 0);
     assert_eq!(
         (engine.request_state("r"), engine.request_state("s")),
--- a/crates/standins/tests/load_faults.rs
+++ b/crates/standins/tests/load_faults.rs
@@ -2,9 +2,6 @@
 
 mod support;
 
-use std::io::Write;
-use std::net::TcpStream;
-
 use apricotdale_core::names::ModelName;
 use rstest::rstest;
 use serde_json::json;
@@ -73,13 +70,7 @@
 fn a_load_goes_on_without_its_caller() {
     let engine = engine();
     engine.fault(&json!({"load": "hang"}));
-    let body = load("m", 1).to_string();
-    let mut caller = TcpStream::connect(engine.address()).unwrap();
-    let head = format!(
-        "POST /orders/load HTTP/1.1\r\nContent-Length: {}\r\n\r\n",
-        body.len()
-    );
-    caller.write_all((head + &body).as_bytes()).unwrap();
+    let caller = engine.send_only("/orders/load", "r", &load("m", 1));
     support::wait_until(|| residency(&engine) == "loading");
     drop(caller);
     engine.fault(&json!({"load": "finish"}));
--- a/crates/standins/tests/support/mod.rs
+++ b/crates/standins/tests/support/mod.rs
@@ -3,9 +3,12 @@
 // Each test file uses only a part of this module.
 #![allow(dead_code)]
 
+use std::io;
 use std::io::BufRead;
 use std::io::BufReader;
+use std::io::Write;
 use std::net::SocketAddr;
+use std::net::TcpStream;
 use std::sync::Arc;
 use std::sync::mpsc;
 use std::sync::mpsc::Receiver;
@@ -107,6 +110,19 @@
         self.try_post_with(path, body, &[])
     }
 
+    /// Sends a POST on a connection and leaves its answer unread. Dropping the connection closes
+    /// it.
+    pub fn send_only(&self, path: &str, id: &str, body: &Value) -> TcpStream {
+        let body = body.to_string();
+        let length = body.len();
+        let head = format!(
+            "POST {path} HTTP/1.1\r\nX-Request-Id: {id}\r\nContent-Length: {length}\r\n\r\n"
+        );
+        let mut connection = TcpStream::connect(self.address()).unwrap();
+        connection.write_all((head + &body).as_bytes()).unwrap();
+        connection
+    }
+
     /// Sends a POST with headers.
     pub fn try_post_with(
         &self,
@@ -213,6 +229,8 @@
         loop {
             line.clear();
             let read = self.lines.read_line(&mut line);
+            let late = read.as_ref().is_err_and(is_timeout);
+            assert!(!late, "neither an event nor an end of the stream came");
             self.broken = read.is_err();
             if read.unwrap_or(0) == 0 {
                 return None;
@@ -224,6 +242,12 @@
     }
 }
 
+/// Returns whether reading a body ended because the test has waited long enough.
+fn is_timeout(error: &io::Error) -> bool {
+    let cause = error.get_ref().and_then(|cause| cause.downcast_ref());
+    matches!(cause, Some(ureq::Error::Timeout(_)))
+}
+
 fn agent() -> Agent {
     let config = Agent::config_builder()
         .http_status_as_error(false)
@@ -232,7 +256,11 @@
     config.build().into()
 }
 
+/// Reads a whole answer, or returns none if the connection closed before that.
 fn whole(answer: Result<Response<Body>, ureq::Error>) -> Option<Answer> {
+    if let Err(ureq::Error::Timeout(_)) = answer {
+        panic!("neither an answer nor an end of the connection came");
+    }
     let mut answer = answer.ok()?;
     Some(Answer {
         status: answer.status().as_u16(),
