Placement: a proposal is based on the state of its plan, not on a later one

Ruled out: the policy itself, which had asked for one replica of none. Change: counts, versions and boots are read in one look with the fleet's view.

--- a/crates/node/src/placing/fleet.rs
+++ b/crates/node/src/placing/fleet.rs
@@ -7,6 +7,9 @@
 
 use apricotdale_core::engine::CacheTier;
 use apricotdale_core::names::ModelName;
+use apricotdale_core::names::UpstreamName;
+use apricotdale_core::numbers::BootId;
+use apricotdale_core::numbers::ConfigVersion;
 use apricotdale_core::policy::EngineView;
 use apricotdale_core::policy::FleetView;
 use apricotdale_core::policy::ModelView;
@@ -29,6 +32,41 @@
 /// Places in an engine's batch that are assumed before its first report.
 pub const ASSUMED_SLOTS: u32 = 8;
 
+/// `Basis` is the part of the state on which proposals from one plan are based.
+///
+/// It is read together with the fleet's view. Were it read when a proposal is made, a load that was
+/// decided in between would be counted in, and the proposal would ask for a second replica that no
+/// policy wanted. One would notice by two loads after one burst.
+#[derive(Clone, Debug, Default, PartialEq, Eq)]
+pub struct Basis {
+    /// The replicas of each model in the fleet's view, in whatever stage.
+    pub replicas: BTreeMap<ModelName, u32>,
+    /// The last change of each of these models.
+    pub versions: BTreeMap<ModelName, ConfigVersion>,
+    /// The run of each engine.
+    pub boots: BTreeMap<UpstreamName, BootId>,
+}
+
+impl Basis {
+    fn of(state: &ControlState, fleet: &FleetView) -> Self {
+        let models = || fleet.models.iter().map(|view| &view.model);
+        let version = |model: &ModelName| {
+            let configured = state.config().model(model)?;
+            Some((model.clone(), configured.version))
+        };
+        Self {
+            replicas: models()
+                .map(|model| (model.clone(), state.replica_count(model)))
+                .collect(),
+            versions: models().filter_map(version).collect(),
+            boots: state
+                .engines()
+                .map(|(name, engine)| (name.clone(), engine.boot()))
+                .collect(),
+        }
+    }
+}
+
 /// `FleetSource` is what the fleet's view is built from.
 pub struct FleetSource {
     /// The replayed state.
@@ -44,19 +82,23 @@
 }
 
 impl FleetSource {
-    /// Returns the fleet as this VM sees it.
-    pub fn fleet(&self, now_ms: u64, unix_ms: u64) -> FleetView {
+    /// Returns the fleet as this VM sees it, and what a proposal made from it is based on.
+    pub fn fleet(&self, now_ms: u64, unix_ms: u64) -> (FleetView, Basis) {
         let view = self.membership.view();
         let totals = self.demand.totals(now_ms);
         let weights = *self.weights.lock();
-        self.replayed.read(|state| FleetView {
-            engines: self.engines(state, &view),
-            replicas: replicas(state, now_ms, unix_ms),
-            models: models(state, &view, &totals, now_ms),
-            store_active_loads: weights.map_or(0, |status| status.active_loads),
-            store_full_speed_loads: weights
-                .map_or(ASSUMED_FULL_SPEED_LOADS, |status| status.full_speed_loads),
-            tightest_target_ms: tightest_target_ms(state),
+        self.replayed.read(|state| {
+            let fleet = FleetView {
+                engines: self.engines(state, &view),
+                replicas: replicas(state, now_ms, unix_ms),
+                models: models(state, &view, &totals, now_ms),
+                store_active_loads: weights.map_or(0, |status| status.active_loads),
+                store_full_speed_loads: weights
+                    .map_or(ASSUMED_FULL_SPEED_LOADS, |status| status.full_speed_loads),
+                tightest_target_ms: tightest_target_ms(state),
+            };
+            let basis = Basis::of(state, &fleet);
+            (fleet, basis)
         })
     }
 
@@ -87,11 +129,7 @@
     }
 
     /// Returns where an engine's host holds a model's checkpoint, as last reported.
-    pub fn tier(
-        &self,
-        engine: &apricotdale_core::names::UpstreamName,
-        model: &ModelName,
-    ) -> CacheTier {
+    pub fn tier(&self, engine: &UpstreamName, model: &ModelName) -> CacheTier {
         let known = self.reports.report(engine);
         let held = known.and_then(|known| {
             let mut checkpoints = known.report.checkpoints.into_iter();
@@ -103,7 +141,7 @@
     }
 }
 
-fn loading_on(state: &ControlState, engine: &apricotdale_core::names::UpstreamName) -> u32 {
+fn loading_on(state: &ControlState, engine: &UpstreamName) -> u32 {
     let replicas = state.replicas_on(engine);
     let loading =
         replicas.filter(|replica| matches!(replica.stage(), Stage::Reserved | Stage::Loading));
--- a/crates/node/src/placing/placement_loop.rs
+++ b/crates/node/src/placing/placement_loop.rs
@@ -27,6 +27,7 @@
 use apricotdale_state::replicas::Stage;
 
 use super::capacity::CapacityFeed;
+use super::fleet::Basis;
 use super::fleet::FleetSource;
 use crate::appender::Appended;
 use crate::appender::Appender;
@@ -91,6 +92,7 @@
     parts: PlacementParts,
     held: HeldModels,
     ready_at_ms: BTreeMap<ModelName, u64>,
+    basis: Basis,
 }
 
 impl PlacementLoop {
@@ -100,6 +102,7 @@
             parts,
             held: HeldModels::default(),
             ready_at_ms: BTreeMap::new(),
+            basis: Basis::default(),
         }
     }
 
@@ -116,11 +119,12 @@
         let now_ms = self.parts.clock.monotonic_ms();
         self.release(now_ms);
         self.feed(now_ms);
-        let fleet = self.parts.source.fleet(now_ms, self.parts.clock.unix_ms());
+        let (fleet, basis) = self.parts.source.fleet(now_ms, self.parts.clock.unix_ms());
         if !self.waiting_models().is_empty() {
             self.parts.pace.follow_closely();
         }
         let actions = self.parts.policy.lock().plan(now_ms, &fleet);
+        self.basis = basis;
         for action in actions {
             self.carry_out(action);
         }
@@ -214,12 +218,12 @@
     }
 
     fn propose_load(&self, model: &ModelName, engine: &UpstreamName) {
-        let based_on = self.parts.source.replayed.read(|state| {
-            let boot = state.engine(engine)?.boot();
-            let version = state.config().model(model)?.version;
-            Some((boot, version, state.replica_count(model)))
-        });
-        let Some((boot, model_version, expected_replicas)) = based_on else {
+        let boot = self.basis.boots.get(engine).copied();
+        let model_version = self.basis.versions.get(model).copied();
+        let expected_replicas = self.basis.replicas.get(model).copied();
+        let (Some(boot), Some(model_version), Some(expected_replicas)) =
+            (boot, model_version, expected_replicas)
+        else {
             return;
         };
         info!("proposing to load {model} on {engine}, {expected_replicas} replicas so far");
