Daemon: tests of stopped proposers and of frozen daemons that wake

A proposer stops after its intent, right before its order, or after the order took effect; the list says that it is gone or goes on to show it. What has taken effect is read from the engine, on checking and obeying engines; an intent of a VM that is gone is taken over on checking engines; one that an obeying engine may still get from a VM listed as live is left alone; the memory of an order that may still arrive stays reserved. A frozen daemon that wakes gives up an intent that was taken over, also when its last reading of the log's end is from before the freeze; after a jump of its clock alone it sends no order before the log is read.

--- a/crates/node/tests/support/log.rs
+++ b/crates/node/tests/support/log.rs
@@ -24,6 +24,7 @@
 use super::log_fault::AppendRule;
 use super::log_fault::Faulted;
 use super::log_fault::Read;
+use super::log_fault::ReadFault;
 use super::log_fault::ReadRule;
 use super::switch::Switch;
 
@@ -98,31 +99,16 @@
         faulted
     }
 
-    /// Refuses the reads that match until the fault is released.
-    pub fn refuse_reads(
+    /// Puts a fault in the way of the reads that match, until the test releases it.
+    pub fn fault_reads(
         &self,
+        fault: ReadFault,
         matches: impl Fn(&Read<'_>) -> bool + Send + 'static,
-    ) -> Arc<Faulted> {
-        self.fault_reads(matches, false)
-    }
-
-    /// Freezes the first daemon whose read matches, right before the read.
-    pub fn freeze_at_read(
-        &self,
-        matches: impl Fn(&Read<'_>) -> bool + Send + 'static,
-    ) -> Arc<Faulted> {
-        self.fault_reads(matches, true)
-    }
-
-    fn fault_reads(
-        &self,
-        matches: impl Fn(&Read<'_>) -> bool + Send + 'static,
-        freezes: bool,
     ) -> Arc<Faulted> {
         let faulted = Arc::new(Faulted::default());
         let rule = ReadRule {
+            fault,
             matches: Box::new(matches),
-            freezes,
             faulted: Arc::clone(&faulted),
         };
         self.inner.lock().read_rules.push(rule);
@@ -240,61 +226,66 @@
         }
     }
 
-    fn read(
-        &self,
-        by: &LogOfVm,
-        stream: &StreamName,
-        from: Offset,
-        max_records: usize,
-        wait_ms: u64,
-    ) -> Result<LogBatch> {
+    fn read(&self, by: &LogOfVm, read: &Read<'_>, from: Offset, wait_ms: u64) -> Result<LogBatch> {
         let deadline = Instant::now() + Duration::from_millis(wait_ms);
         let mut inner = self.inner.lock();
-        let read = Read {
-            vm: &by.vm,
-            stream,
-            max_records,
-        };
-        if let Some(rule) = inner.read_rules.iter().find(|rule| rule.applies(&read)) {
-            rule.faulted.hit();
-            if !rule.freezes {
-                return Err(Error::unavailable("refused by the test"));
+        let fault = inner.read_fault(read);
+        match fault {
+            Some(ReadFault::Refuse) => return Err(Error::unavailable("refused by the test")),
+            Some(ReadFault::FreezeBefore) => {
+                by.switch.freeze();
+                MutexGuard::unlocked(&mut inner, || by.switch.pass());
             }
-            rule.faulted.release();
-            by.switch.freeze();
-            drop(inner);
-            by.switch.pass();
-            inner = self.inner.lock();
+            _ => {}
         }
         loop {
-            let batch = batch(&inner, stream, from, max_records)?;
+            while inner.holds(read) {
+                self.changed.wait(&mut inner);
+            }
+            let batch = batch(&inner, read, from)?;
             let is_due = !batch.records.is_empty() || Instant::now() >= deadline;
-            if is_due || batch.end < from {
-                return Ok(batch);
+            if !is_due && batch.end >= from {
+                self.changed.wait_until(&mut inner, deadline);
+                continue;
+            }
+            if fault == Some(ReadFault::FreezeAfter) {
+                by.switch.freeze();
             }
-            self.changed.wait_until(&mut inner, deadline);
+            return Ok(batch);
         }
     }
 }
 
-fn batch(
-    inner: &MutexGuard<'_, Inner>,
-    stream: &StreamName,
-    from: Offset,
-    max_records: usize,
-) -> Result<LogBatch> {
+impl Inner {
+    /// Returns the fault in the way of a read.
+    fn read_fault(&self, read: &Read<'_>) -> Option<ReadFault> {
+        let rule = self.read_rules.iter().find(|rule| rule.applies(read))?;
+        rule.faulted.hit();
+        if let ReadFault::FreezeBefore | ReadFault::FreezeAfter = rule.fault {
+            drop(rule.faulted.release());
+        }
+        Some(rule.fault)
+    }
+
+    fn holds(&self, read: &Read<'_>) -> bool {
+        let mut rules = self.read_rules.iter();
+        rules.any(|rule| rule.fault == ReadFault::Hold && rule.applies(read))
+    }
+}
+
+fn batch(inner: &Inner, read: &Read<'_>, from: Offset) -> Result<LogBatch> {
     if inner.is_down {
         return Err(Error::unavailable("the log is down"));
     }
     let empty = Stream::default();
-    let stream = inner.streams.get(stream).unwrap_or(&empty);
+    let stream = inner.streams.get(read.stream).unwrap_or(&empty);
     let first = Offset(stream.first as u64);
     if from < first {
         return Err(Error::Expired { first });
     }
     let records = stream.records.iter().skip(from.0 as usize);
     Ok(LogBatch {
-        records: records.take(max_records).cloned().collect(),
+        records: records.take(read.max_records).cloned().collect(),
         first,
         end: Offset(stream.records.len() as u64),
     })
@@ -322,8 +313,13 @@
         max_records: usize,
         wait_ms: u64,
     ) -> Result<LogBatch> {
+        let read = Read {
+            vm: &self.vm,
+            stream,
+            max_records,
+        };
         self.switch.pass();
-        let batch = self.log.read(self, stream, from, max_records, wait_ms);
+        let batch = self.log.read(self, &read, from, wait_ms);
         self.switch.pass();
         batch
     }
--- a/crates/node/tests/support/log_fault.rs
+++ b/crates/node/tests/support/log_fault.rs
@@ -32,6 +32,19 @@
     Freeze,
 }
 
+/// `ReadFault` is what becomes of a read.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum ReadFault {
+    /// Nothing is read, and the answer says so.
+    Refuse,
+    /// The answer waits until the test releases it.
+    Hold,
+    /// The daemon freezes before the read, once.
+    FreezeBefore,
+    /// The daemon freezes after the read and before it hears of what was read, once.
+    FreezeAfter,
+}
+
 /// `Append` is an append that a daemon tries.
 pub struct Append<'a> {
     pub vm: &'a VmName,
@@ -40,8 +53,8 @@
 }
 
 impl Append<'_> {
-    pub fn is_by(&self, vm: &str) -> bool {
-        self.vm.as_str() == vm
+    pub fn is_by(&self, vm: &VmName) -> bool {
+        self.vm == vm
     }
 
     pub fn control(&self) -> Option<ControlRecord> {
@@ -83,13 +96,22 @@
 }
 
 impl Read<'_> {
-    pub fn is_by(&self, vm: &str) -> bool {
-        self.vm.as_str() == vm
+    pub fn is_by(&self, vm: &VmName) -> bool {
+        self.vm == vm
     }
 
     /// Returns whether the read only asks how far the control stream goes.
     pub fn is_of_end(&self) -> bool {
-        self.stream.as_str() == "control" && self.max_records == 1
+        self.is_of_control() && self.max_records == 1
+    }
+
+    /// Returns whether the read follows the control stream.
+    pub fn follows_control(&self) -> bool {
+        self.is_of_control() && self.max_records > 1
+    }
+
+    fn is_of_control(&self) -> bool {
+        self.stream.as_str() == "control"
     }
 }
 
@@ -143,8 +165,8 @@
 }
 
 pub(super) struct ReadRule {
+    pub fault: ReadFault,
     pub matches: Box<dyn Fn(&Read<'_>) -> bool + Send>,
-    pub freezes: bool,
     pub faulted: Arc<Faulted>,
 }
 
--- a/crates/node/tests/support/node.rs
+++ b/crates/node/tests/support/node.rs
@@ -32,6 +32,9 @@
 use super::world::ENTRY_GROUP;
 use super::world::World;
 
+/// How long an order may go without an outcome before others take it over where they may.
+pub const LOAD_TIMEOUT_MS: u64 = 5_000;
+
 /// `Node` is a daemon with its VM.
 pub struct Node {
     pub vm: VmName,
@@ -175,6 +178,7 @@
 default_class = quick
 [upstreams]
 report_interval_ms = 100
+load_timeout_ms = {LOAD_TIMEOUT_MS}
 [policies]
 placement = fixed_timeout
 seed = 7
--- a/crates/node/tests/support/world.rs
+++ b/crates/node/tests/support/world.rs
@@ -21,8 +21,13 @@
 use apricotdale_state::replicas::Stage;
 
 use super::clock::WorldTime;
+use super::engine::CAPACITY_BYTES;
 use super::engine::FakeEngines;
+use super::engine::Order;
+use super::engine::OrderFault;
 use super::log::FakeLog;
+use super::log_fault::Append;
+use super::log_fault::AppendFault;
 use super::node::Node;
 use super::platform::FakeVmList;
 use super::service::FakeService;
@@ -60,6 +65,17 @@
     pub vm_list: Arc<FakeVmList>,
 }
 
+/// `StopAt` is where in a load a daemon stops.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum StopAt {
+    /// The intent is on the log. The daemon has not heard of that.
+    Intent,
+    /// The daemon is about to send the order.
+    Order,
+    /// The order has taken effect. The daemon has not heard of that.
+    Effect,
+}
+
 /// `Decided` is a control record with replay's verdict on it.
 #[derive(Clone, Debug, PartialEq)]
 pub struct Decided {
@@ -156,6 +172,22 @@
         self.engines.sum(|engine| engine.loads_of(model))
     }
 
+    /// Returns how many loads of a model took effect by a VM's orders.
+    pub fn effects_of(&self, vm: &VmName, model: &str) -> usize {
+        let by_vm = |order: &&Order| {
+            order.is_load && order.done && order.vm == *vm && order.model.as_str() == model
+        };
+        self.engines
+            .sum(|engine| engine.orders.iter().filter(by_vm).count())
+    }
+
+    /// Returns whether the memory of each engine has always held what was loaded.
+    pub fn memory_held(&self) -> bool {
+        self.engines
+            .sum(|engine| usize::from(engine.most_bytes_held > CAPACITY_BYTES))
+            == 0
+    }
+
     /// Returns on how many engines a model is loaded.
     pub fn holders(&self, model: &str) -> usize {
         self.engines.sum(|engine| usize::from(engine.holds(model)))
@@ -218,10 +250,7 @@
         wait_until("the engines to be observed", || {
             self.world.state().engines().count() == engines
         });
-        let end = self.world.state().next_offset();
-        for node in &self.nodes {
-            wait_until("all to be replayed", || node.status().replayed >= end);
-        }
+        (0..self.nodes.len()).for_each(|node| self.wait_replayed(node));
     }
 
     /// Returns a model for which a daemon is the preferred one among all.
@@ -235,6 +264,14 @@
         preferring.expect("a model for each VM")
     }
 
+    /// Waits until a daemon has replayed what is on the control stream now.
+    pub fn wait_replayed(&self, node: usize) {
+        let end = self.world.state().next_offset();
+        wait_until("all to be replayed", || {
+            self.nodes[node].status().replayed >= end
+        });
+    }
+
     /// Waits until a daemon has looked at all that was replayed before. It has loaded a model then
     /// that nobody asked for yet.
     pub fn wait_looked(&self, node: usize) {
@@ -245,6 +282,26 @@
         self.nodes[node].caller.complete(&model).expect_whole();
     }
 
+    /// Starts a load through a daemon that stops in the midst of it, and waits until it has stopped.
+    /// The call that asked for the load is not answered.
+    pub fn stop_in_load(&self, node: usize, stop: StopAt, model: &str) {
+        let node = &self.nodes[node];
+        let vm = node.vm.clone();
+        match stop {
+            StopAt::Intent => {
+                let matches = move |append: &Append<'_>| append.is_by(&vm) && append.is_load();
+                self.world
+                    .log
+                    .fault_appends(AppendFault::Freeze, 1, matches);
+            }
+            StopAt::Order => self.world.engines.fault(OrderFault::FreezeBefore),
+            StopAt::Effect => self.world.engines.fault(OrderFault::FreezeSender),
+        }
+        drop(node.caller.begin_complete(model));
+        wait_until("the daemon to stop", || node.switch.is_frozen());
+        self.world.wait_load(model);
+    }
+
     /// Lets the list say that a VM is gone, and time pass until that is believed.
     pub fn list_as_gone(&self, node: usize) {
         let vm = &self.nodes[node].vm;
