Membership: a process that others took for over ends; a lagging list ends no later process

Cause, found by the in-process tests: (1) a daemon that was wrongly listed as gone and departed went on as if it were a member: its proposals and claims no longer counted and nobody proposed in its place; (2) the departure proposed was that of a VM's newest process, which may run on the VM that took the listed one's place; (3) adapters whose base nobody asked for were never loaded, and a load just decided elsewhere was taken for one that is stuck. Change: a process that replay no longer counts sends no order and ends; departures name the processes and runs that began before the newest reading of the list, by a margin of 5 s (30 s before: a VM that was killed within half a minute of its start kept its intents open for that long, which two scenarios showed); bases are part of the fleet's view.

--- a/crates/node/src/assembly/deciding.rs
+++ b/crates/node/src/assembly/deciding.rs
@@ -273,6 +273,9 @@
                 .loaded(fleet.tier(&intent.engine, &intent.model), took_ms);
         };
         RunnerParts {
+            vm: common.vm(),
+            process_id: common.process_id,
+            give_up: common.give_up(),
             replayed: Arc::clone(&common.replayed),
             membership: Arc::clone(&common.membership),
             orders: Arc::clone(&common.adapters.orders),
--- a/crates/node/src/membership_loop.rs
+++ b/crates/node/src/membership_loop.rs
@@ -156,9 +156,13 @@
                     warn!("no thread for a heartbeat: {error}");
                 }
             }
-            MembershipAction::ProposeDepart { vm, as_of_ms } => self.propose_depart(vm, as_of_ms),
+            // The newest reading still shows what the first one showed, so its time is the one
+            // before which a process or a run must have begun for the list to mean it.
+            MembershipAction::ProposeDepart { vm, as_of_ms } => {
+                self.propose_depart(vm, self.list_as_of_ms(as_of_ms));
+            }
             MembershipAction::ProposeUpstreamGone { upstream, as_of_ms } => {
-                self.propose_gone(upstream, as_of_ms);
+                self.propose_gone(upstream, self.list_as_of_ms(as_of_ms));
             }
             MembershipAction::PeerRestarted { vm, process_id } => {
                 info!("{vm} runs a new process {process_id:x}");
@@ -168,6 +172,13 @@
         }
     }
 
+    fn list_as_of_ms(&self, first_ms: u64) -> u64 {
+        self.membership
+            .view()
+            .as_of_ms
+            .map_or(first_ms, |newest_ms| newest_ms.max(first_ms))
+    }
+
     fn beat(self: &Arc<Self>, vm: &VmName, address: SocketAddr) {
         let request = PeerRequest::Heartbeat(self.heartbeats.heartbeat());
         let event = match self.link.ask(address, &request, self.peer_timeout_ms) {
@@ -191,45 +202,49 @@
         }
     }
 
+    /// Proposes the end of the processes that the list can mean. A process that joined later runs on
+    /// a VM that took the listed one's place.
     fn propose_depart(&self, vm: VmName, as_of_ms: u64) {
-        let epoch: Option<Epoch> = self.replayed.read(|state| {
-            let mut newest = state.members().newest();
-            newest
-                .find(|(name, _)| **name == vm)
-                .map(|(_, member)| member.epoch)
+        let (is_member, epochs): (bool, Vec<Epoch>) = self.replayed.read(|state| {
+            let members = state.members();
+            let is_member = members.newest().any(|(name, _)| *name == vm);
+            (is_member, members.departable(&vm, as_of_ms))
         });
-        let Some(epoch) = epoch else {
+        if !is_member {
             self.membership.handle(MembershipEvent::Departed { vm });
             return;
-        };
-        info!("the list of {as_of_ms} says that {vm} is gone; its process {epoch} departs");
-        let name = vm.clone();
-        self.appender.propose(
-            Persistence::Drop,
-            move |proposer| {
-                ControlRecord::Depart(Depart {
-                    proposer,
-                    vm: name.clone(),
-                    epoch,
-                })
-            },
-            |_| {},
-        );
+        }
+        for epoch in epochs {
+            info!("the list of {as_of_ms} says that {vm} is gone; its process {epoch} departs");
+            let vm = vm.clone();
+            self.appender.propose(
+                Persistence::Drop,
+                move |proposer| {
+                    ControlRecord::Depart(Depart {
+                        proposer,
+                        vm: vm.clone(),
+                        epoch,
+                    })
+                },
+                |_| {},
+            );
+        }
     }
 
     fn propose_gone(&self, upstream: UpstreamName, as_of_ms: u64) {
         self.gateway.learn_routing(RoutingEvent::Removed {
             upstream: upstream.clone(),
         });
-        let boot = self.replayed.read(|state| {
+        let (is_there, boot) = self.replayed.read(|state| {
             let engine = state.engine(&upstream).filter(|engine| !engine.is_gone());
-            engine.map(|engine| engine.boot())
+            (engine.is_some(), state.removable(&upstream, as_of_ms))
         });
-        let Some(boot) = boot else {
+        if !is_there {
             self.membership
                 .handle(MembershipEvent::UpstreamDeparted { upstream });
             return;
-        };
+        }
+        let Some(boot) = boot else { return };
         info!("the list of {as_of_ms} says that {upstream} is gone");
         self.appender.propose(
             Persistence::Drop,
--- a/crates/node/src/placing/fleet.rs
+++ b/crates/node/src/placing/fleet.rs
@@ -1,6 +1,7 @@
 //! Builds placement's view of the fleet.
 
 use std::collections::BTreeMap;
+use std::collections::BTreeSet;
 use std::sync::Arc;
 
 use parking_lot::Mutex;
@@ -20,6 +21,7 @@
 use apricotdale_state::configuration::ConfiguredModel;
 use apricotdale_state::replicas::Stage;
 
+use super::placement_loop::is_stuck;
 use crate::demand::DemandTable;
 use crate::demand::TotalDemand;
 use crate::engine_reports::ReportTable;
@@ -152,9 +154,7 @@
     let to_monotonic = |since_ms: u64| now_ms.saturating_sub(unix_ms.saturating_sub(since_ms));
     // Nobody expects a revoked or lingering replica to come up. Shown as coming it would keep its
     // model from ever being loaded elsewhere; its memory is not free in the engine's view anyway.
-    let expected = state
-        .replicas()
-        .filter(|one| !matches!(one.stage(), Stage::Revoked | Stage::Lingering));
+    let expected = state.replicas().filter(|one| !is_stuck(one.stage()));
     let decided = expected.map(|replica| ReplicaView {
         model: replica.model.clone(),
         engine: replica.engine.clone(),
@@ -171,9 +171,16 @@
     totals: &BTreeMap<ModelName, TotalDemand>,
     now_ms: u64,
 ) -> Vec<ModelView> {
-    let models = state.config().models();
-    let wanted = models.filter(|(model, _)| {
-        totals.contains_key(*model) || state.replicas_of(model).next().is_some()
+    let config = state.config();
+    // An adapter that is wanted needs its base, for which nobody asks by itself.
+    let bases: BTreeSet<&ModelName> = totals
+        .keys()
+        .filter_map(|model| config.model(model)?.base.as_ref())
+        .collect();
+    let wanted = config.models().filter(|(model, _)| {
+        totals.contains_key(*model)
+            || bases.contains(model)
+            || state.replicas_of(model).next().is_some()
     });
     wanted
         .map(|(model, configured)| {
--- a/crates/node/src/placing/placement_loop.rs
+++ b/crates/node/src/placing/placement_loop.rs
@@ -192,8 +192,10 @@
     fn propose_load_near(&self, model: &ModelName, chosen: UpstreamName) {
         let view = self.parts.source.membership.view();
         let engine = self.parts.source.replayed.read(|state| {
-            let is_free =
-                |name: &UpstreamName| state.replicas_on(name).all(|one| one.model != *model);
+            let is_free = |name: &UpstreamName| {
+                let mut stuck = state.replicas_on(name).filter(|one| is_stuck(one.stage()));
+                stuck.all(|one| one.model != *model)
+            };
             if is_free(&chosen) {
                 return Some(chosen.clone());
             }
@@ -376,3 +378,8 @@
 fn is_coming(stage: Stage) -> bool {
     matches!(stage, Stage::Reserved | Stage::Loading | Stage::Loaded)
 }
+
+/// Returns whether nobody expects a replica to come up although its order may yet take effect.
+pub fn is_stuck(stage: Stage) -> bool {
+    matches!(stage, Stage::Revoked | Stage::Lingering)
+}
--- a/crates/node/src/settling/runner.rs
+++ b/crates/node/src/settling/runner.rs
@@ -16,6 +16,7 @@
 use apricotdale_core::control::TakeOver;
 use apricotdale_core::engine::EngineOrders;
 use apricotdale_core::engine::EngineReports;
+use apricotdale_core::names::VmName;
 use apricotdale_core::numbers::Offset;
 use apricotdale_core::serving::Clock;
 use apricotdale_state::view::IntentKind;
@@ -42,6 +43,12 @@
 
 /// `RunnerParts` is what the runner and its workers work with.
 pub struct RunnerParts {
+    /// This VM.
+    pub vm: VmName,
+    /// This process.
+    pub process_id: u64,
+    /// Ends this process because others have taken it for over.
+    pub give_up: Arc<dyn Fn() + Send + Sync>,
     /// The replayed state.
     pub replayed: Arc<Replayed>,
     /// The membership.
@@ -71,6 +78,16 @@
 }
 
 impl RunnerParts {
+    /// Returns whether replay still counts this process as a member.
+    ///
+    /// A process that stood still for long, or was wrongly listed as gone, finds that others have
+    /// noted its end: its intents are free to be settled, and its records and claims no longer
+    /// count. It must send no order from then on.
+    pub fn is_member(&self) -> bool {
+        self.replayed
+            .read(|state| state.epoch_of(&self.vm, self.process_id).is_some())
+    }
+
     /// Returns whether this process sends no further orders.
     pub fn retired(&self) -> bool {
         self.retired.load(Ordering::Acquire)
@@ -120,6 +137,10 @@
         let Some(epoch) = self.parts.epoch.get() else {
             return;
         };
+        if !self.parts.is_member() {
+            warn!("replay no longer counts this process as a member");
+            return (self.parts.give_up)();
+        }
         let intents: Vec<IntentView> = self
             .parts
             .replayed
--- a/crates/node/src/settling/sender.rs
+++ b/crates/node/src/settling/sender.rs
@@ -87,7 +87,7 @@
     }
 
     fn is_still_mine(&self) -> bool {
-        if self.parts.retired() {
+        if self.parts.retired() || !self.parts.is_member() {
             return false;
         }
         self.parts.replayed.read(|state| {
--- a/crates/state/src/members.rs
+++ b/crates/state/src/members.rs
@@ -19,7 +19,7 @@
 
 /// How much older than the time of a listing something must be for the listing to speak of it, in
 /// milliseconds. It covers the difference between the clocks of the platform's services.
-pub const LIST_MARGIN_MS: u64 = 30_000;
+pub const LIST_MARGIN_MS: u64 = 5_000;
 
 /// `Member` is one daemon process.
 #[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
