--- a/crates/membership/src/membership.rs
+++ b/crates/membership/src/membership.rs
@@ -137,6 +137,11 @@
         }
         let known: BTreeSet<VmName> = self.listed_vms().map(|(vm, _)| vm).collect();
         self.peers.retain(&known);
+        let listing = &self.listing;
+        self.unreached.retain(|upstream, _| {
+            let key = EntryKey::Upstream(upstream.to_string());
+            listing.get(&key).is_some()
+        });
         actions.extend(self.own_leaving());
     }
 
@@ -164,6 +169,13 @@
 
     fn tick(&mut self, now_ms: u64, actions: &mut Vec<MembershipAction>) {
         let view = self.view();
+        if self.peers.is_round_due(now_ms) {
+            self.visit_peers(now_ms, &view, actions);
+        }
+        self.propose_departures(now_ms, &view, actions);
+    }
+
+    fn visit_peers(&mut self, now_ms: u64, view: &View, actions: &mut Vec<MembershipAction>) {
         let visitable: Vec<VmName> = view
             .vms
             .iter()
@@ -174,7 +186,6 @@
             let address = view.peer_address(&vm);
             actions.extend(address.map(|address| MembershipAction::Heartbeat { vm, address }));
         }
-        self.propose_departures(now_ms, &view, actions);
     }
 
     fn propose_departures(
--- a/crates/membership/src/peers.rs
+++ b/crates/membership/src/peers.rs
@@ -147,16 +147,18 @@
         self.peers.retain(|vm, _| known.contains(vm));
     }
 
-    /// Returns the peers to visit now, or none if the next round is not yet due.
+    /// Returns whether the next round of visits is due.
+    pub(crate) fn is_round_due(&self, now_ms: u64) -> bool {
+        now_ms >= self.next_round_ms
+    }
+
+    /// Returns the peers to visit in the round that is due now.
     pub(crate) fn next_round(
         &mut self,
         now_ms: u64,
         visitable: &[VmName],
         options: &Options,
     ) -> Vec<VmName> {
-        if now_ms < self.next_round_ms {
-            return Vec::new();
-        }
         if visitable.len() <= options.peers_per_round {
             self.next_round_ms = now_ms + options.round_ms;
             return visitable.to_vec();
--- a/crates/membership/src/view.rs
+++ b/crates/membership/src/view.rs
@@ -66,8 +66,8 @@
 
     /// Returns this VM's rank for a key, zero for the preferred one, or none if it is not live.
     pub fn rank<K: Hash + ?Sized>(&self, key: &K) -> Option<usize> {
-        let ranked = rendezvous::ranked(self.live_vms(), key);
-        ranked.iter().position(|vm| **vm == self.own)
+        let own = self.live_vms().find(|vm| **vm == self.own)?;
+        Some(rank_among(own, self.live_vms(), key))
     }
 
     /// Returns whether this VM may propose for a key whose demand has waited for `waited_ms`
@@ -75,17 +75,20 @@
     /// preferred VM that is down, or that this view knows wrongly, delays the proposal and does not
     /// prevent it. Two VMs that propose at the same time are told apart by replay.
     pub fn may_propose<K: Hash + ?Sized>(&self, key: &K, waited_ms: u64) -> bool {
-        let step_ms = self.propose_step_ms;
+        // Most questions are of fresh demand, for which only the preferred VM counts.
+        if waited_ms < self.propose_step_ms {
+            return self.is_preferred(key);
+        }
         let rank = self.rank(key).map(|rank| rank as u64);
-        rank.is_some_and(|rank| waited_ms >= rank.saturating_mul(step_ms))
+        rank.is_some_and(|rank| waited_ms >= rank.saturating_mul(self.propose_step_ms))
     }
 
     /// Returns this VM's rank for a key among all listed VMs and their number, or none if this VM
     /// is stopping. Suspected VMs count, because they may run and use their share of a limit.
     pub fn share_rank<K: Hash + ?Sized>(&self, key: &K) -> Option<(u32, u32)> {
-        let ranked = rendezvous::ranked(self.vms.keys(), key);
-        let rank = ranked.iter().position(|vm| **vm == self.own)?;
-        Some((rank as u32, ranked.len() as u32))
+        let (own, _) = self.vms.get_key_value(&self.own)?;
+        let rank = rank_among(own, self.vms.keys(), key);
+        Some((rank as u32, self.vms.len() as u32))
     }
 
     /// Returns where a VM's daemon listens for its peers.
@@ -120,3 +123,14 @@
         }
     }
 }
+
+/// Returns how many of the VMs the key prefers to this one. It compares pairs, because sorting all
+/// VMs for each key costs ten times as much among hundreds of them.
+fn rank_among<'a, K: Hash + ?Sized>(
+    own: &VmName,
+    vms: impl Iterator<Item = &'a VmName>,
+    key: &K,
+) -> usize {
+    let is_preferred = |vm: &&VmName| rendezvous::preferred([own, *vm], key) != Some(own);
+    vms.filter(is_preferred).count()
+}
