--- a/crates/admission/tests/arrival_check.rs
+++ b/crates/admission/tests/arrival_check.rs
@@ -128,7 +128,10 @@
     policy.handle(0, AdmissionEvent::Arrived(arrival(1, 1_300, 500)));
     let mut actions = Vec::new();
     let mut now_ms = 0;
-    while let Some(tick_ms) = policy.next_tick_ms() {
+    for _ in 0..1_000 {
+        let Some(tick_ms) = policy.next_tick_ms() else {
+            break;
+        };
         now_ms = tick_ms;
         actions.extend(policy.handle(now_ms, AdmissionEvent::Tick));
     }
--- a/crates/admission/tests/support/mod.rs
+++ b/crates/admission/tests/support/mod.rs
@@ -21,6 +21,9 @@
 use apricotdale_core::refusal::Refusal;
 use apricotdale_core::refusal::RefusalReason;
 
+/// The model's time after which something must have gone wrong.
+const LONGEST_RUN_MS: u64 = 3_600_000;
+
 pub const MODEL: &str = "planner-lm";
 
 /// `Source` is a steady source of requests.
@@ -167,6 +170,7 @@
             let Some(now_ms) = times.into_iter().flatten().min() else {
                 break;
             };
+            assert!(now_ms < LONGEST_RUN_MS, "requests wait without an end");
             if capacity_at == Some(now_ms) {
                 let (_, slots, ready_at_ms) = *capacities.next().expect("peeked");
                 model.handle(now_ms, capacity(slots, ready_at_ms));
--- a/crates/routing/tests/retry_budget.rs
+++ b/crates/routing/tests/retry_budget.rs
@@ -35,6 +35,14 @@
     )
 }
 
+/// Spends a group's whole budget.
+fn exhaust(policy: &mut dyn RetryPolicy, request: &RetryRequest) {
+    let spent = (0..1_000)
+        .take_while(|_| retries(policy, 0, request))
+        .count();
+    assert!(spent < 1_000, "the budget has no end");
+}
+
 #[rstest]
 #[case::idempotent(request(), None)]
 #[case::not_run(
@@ -90,7 +98,7 @@
 #[test]
 fn a_rarely_called_group_may_still_retry() {
     let mut policy = BudgetedRetry::new(RetryOptions::default());
-    while retries(&mut policy, 0, &request()) {}
+    exhaust(&mut policy, &request());
     assert!(!retries(&mut policy, 5_000, &request()));
     assert!(retries(&mut policy, 15_000, &request()));
     let spent_after_long_idle = (0..10).filter(|_| retries(&mut policy, 10_000_000, &request()));
@@ -100,7 +108,7 @@
 #[test]
 fn groups_do_not_share_a_budget() {
     let mut policy = BudgetedRetry::new(RetryOptions::default());
-    while retries(&mut policy, 0, &request()) {}
+    exhaust(&mut policy, &request());
     let other = RetryRequest {
         group: GroupName::new("booking-app"),
         ..request()
