List of VMs read only when it changed; longer waits at the log; slots from fresh reports

Cause: a fleet of 12 to 48 idle VMs showed about 16 KB a second and VM on loopback (machine busy, other processes' traffic counted in), against a budget of 4 KB: the whole list every second, five reads of the log a second, the weight store's status every second. Change: If-None-Match on the list; log_wait_ms 10 s by default; the weight store every fifth round; slots by vm_slots with reports of at most 5 s; an engine that obeys every order is observed while it loads for more than 5 s, so that its sender's death leaves nothing lingering.

--- a/crates/adapters/src/reading.rs
+++ b/crates/adapters/src/reading.rs
@@ -8,6 +8,8 @@
 use serde::de::DeserializeOwned;
 use ureq::Agent;
 use ureq::config::Config;
+use ureq::http::HeaderMap;
+use ureq::http::header::IF_NONE_MATCH;
 use ureq::unversioned::transport::DefaultConnector;
 
 use crate::answer;
@@ -18,6 +20,9 @@
 /// The status of an answer with what was asked for.
 pub(crate) const OK: u16 = 200;
 
+/// The status of an answer without a body: what the reader holds is still right.
+pub(crate) const NOT_MODIFIED: u16 = 304;
+
 /// `Reader` reads JSON from one side of the platform or from upstreams.
 #[derive(Clone, Debug)]
 pub(crate) struct Reader {
@@ -29,11 +34,18 @@
 pub(crate) struct Page {
     /// The HTTP status.
     pub(crate) status: u16,
+    /// The headers.
+    pub(crate) headers: HeaderMap,
     /// The whole body.
     pub(crate) body: Vec<u8>,
 }
 
 impl Page {
+    /// Returns the value of a header.
+    pub(crate) fn header(&self, name: &str) -> Option<&str> {
+        self.headers.get(name)?.to_str().ok()
+    }
+
     /// Returns the body as the JSON form of a type.
     ///
     /// # Errors
@@ -88,17 +100,39 @@
     /// `Error::Unavailable` if it could not be read in time, whatever the cause: a read has no
     /// effect that could be unknown. `Error::Malformed` if the answer is no HTTP or too large.
     pub(crate) fn get(&self, address: SocketAddr, path: &str, timeout_ms: u64) -> Result<Page> {
-        let response = self
-            .agent
-            .get(format!("http://{address}{path}"))
+        self.get_unless(address, path, None, timeout_ms)
+    }
+
+    /// Returns what is at a path, or a page with [`NOT_MODIFIED`] if it still has the given tag.
+    ///
+    /// # Errors
+    ///
+    /// As for [`get`](Self::get).
+    pub(crate) fn get_unless(
+        &self,
+        address: SocketAddr,
+        path: &str,
+        tag: Option<&str>,
+        timeout_ms: u64,
+    ) -> Result<Page> {
+        let mut request = self.agent.get(format!("http://{address}{path}"));
+        if let Some(tag) = tag {
+            request = request.header(IF_NONE_MATCH, tag);
+        }
+        let response = request
             .config()
             .timeout_global(Some(Duration::from_millis(timeout_ms)))
             .build()
             .call()
             .map_err(unread)?;
         let status = response.status().as_u16();
+        let headers = response.headers().clone();
         let body = answer::read_whole(response, self.limit_bytes).map_err(without_effect)?;
-        Ok(Page { status, body })
+        Ok(Page {
+            status,
+            headers,
+            body,
+        })
     }
 }
 
--- /dev/null
+++ b/crates/adapters/tests/vm_list.rs
@@ -0,0 +1,69 @@
+//! Readings of the list of VMs.
+
+mod support;
+
+use std::io::Write;
+
+use apricotdale_core::errors::Error;
+use apricotdale_core::vm_list::VmState;
+
+use support::adapters_at;
+use support::serve;
+
+const ENTRY: &str = r#"{"name":"e1","role":"engine","group":"planner-lm","zone":"hall-a",
+    "address":"127.0.0.1:9","state":"live"}"#;
+
+fn whole(as_of_ms: u64) -> String {
+    let body = format!(r#"{{"as_of_ms":{as_of_ms},"entries":[{ENTRY}]}}"#);
+    let length = body.len();
+    format!(
+        "HTTP/1.1 200 OK\r\nConnection: close\r\nETag: \"t1\"\r\nContent-Length: {length}\r\n\r\n{body}"
+    )
+}
+
+fn unchanged(more: &str) -> String {
+    format!(
+        "HTTP/1.1 304 Not Modified\r\nConnection: close\r\nETag: \"t1\"\r\nContent-Length: 0\r\n{more}\r\n"
+    )
+}
+
+/// Symptom: a VM reads a list of a thousand entries every second, though it hardly ever changes.
+/// Sequence: the list is read twice and is the same.
+/// Cause: the second reading does not say what is known already.
+#[test]
+fn unchanged_list_is_kept_with_its_new_time() {
+    let mut answers = vec![unchanged("X-As-Of-Ms: 9000\r\n"), whole(5_000)];
+    let server = serve(move |stream| {
+        let answer = answers.pop().expect("two readings");
+        let _ = stream.write_all(answer.as_bytes());
+    });
+    let list = adapters_at(server.address).vm_list;
+    let first = list.list().expect("a list");
+    let second = list.list().expect("the same list");
+    let asks_for_change = |request: String| request.to_ascii_lowercase().contains("if-none-match");
+    let asked: Vec<bool> = server
+        .requests
+        .iter()
+        .take(2)
+        .map(asks_for_change)
+        .collect();
+    assert_eq!(asked, [false, true]);
+    assert_eq!((first.as_of_ms, second.as_of_ms), (5_000, 9_000));
+    assert_eq!(first.entries, second.entries);
+    assert_eq!(second.entries[0].state, VmState::Live);
+}
+
+/// Symptom: a VM takes an old list for new, and ends processes that began after it.
+/// Sequence: the list is unchanged, but the answer does not tell its time.
+/// Cause: a list without a time of its own is given one.
+#[test]
+fn unchanged_list_without_time_is_malformed() {
+    let mut answers = vec![unchanged(""), whole(5_000)];
+    let server = serve(move |stream| {
+        let answer = answers.pop().expect("two readings");
+        let _ = stream.write_all(answer.as_bytes());
+    });
+    let list = adapters_at(server.address).vm_list;
+    list.list().expect("a list");
+    assert!(matches!(list.list(), Err(Error::Malformed(_))));
+}
--- a/crates/node/src/assembly/deciding.rs
+++ b/crates/node/src/assembly/deciding.rs
@@ -211,6 +211,7 @@
         let capacity = CapacityFeed::new(
             Arc::clone(&common.directory),
             Arc::clone(&common.reports),
+            Arc::clone(&common.demand),
             Arc::clone(&self.serving.gateway),
         );
         let placement = PlacementLoop::new(PlacementParts {
--- a/crates/node/src/demand.rs
+++ b/crates/node/src/demand.rs
@@ -103,6 +103,16 @@
         std::mem::take(&mut self.tables.lock().remote_arrivals)
     }
 
+    /// Returns the requests that this VM has in progress, by model.
+    pub fn started_here(&self) -> BTreeMap<ModelName, u32> {
+        let mut started = BTreeMap::new();
+        let tables = self.tables.lock();
+        for request in tables.requests.values().filter(|request| request.started) {
+            *started.entry(request.model.clone()).or_default() += 1;
+        }
+        started
+    }
+
     /// Returns the models for which a request arrived here within the last while.
     pub fn recent(&self, now_ms: u64) -> BTreeSet<ModelName> {
         let mut tables = self.tables.lock();
--- a/crates/node/src/engine_watch.rs
+++ b/crates/node/src/engine_watch.rs
@@ -50,6 +50,9 @@
 /// Peers asked in one round.
 const PEERS_A_ROUND: usize = 8;
 
+/// Rounds between two readings of the weight store.
+const WEIGHTS_ROUNDS: usize = 5;
+
 /// How often engines are read until replay knows them.
 const FIRST_INTERVAL: Duration = Duration::from_millis(100);
 
@@ -107,13 +110,20 @@
             }
             self.ask_peers(&view, round);
             round += 1;
-            if let Ok(status) = self.weights.status() {
-                *self.weights_status.lock() = Some(status);
+            if (round - 1) % WEIGHTS_ROUNDS == 0 {
+                self.read_weights();
             }
             thread::sleep(self.pause(&view));
         }
     }
 
+    fn read_weights(&self) {
+        match self.weights.status() {
+            Ok(status) => *self.weights_status.lock() = Some(status),
+            Err(error) => warn!("status of the weight store: {error}"),
+        }
+    }
+
     /// Returns how long to wait for the next reading. An engine that replay does not know can take
     /// no model, so new ones are read at once.
     fn pause(&self, view: &View) -> Duration {
@@ -280,6 +290,9 @@
 }
 
 fn differs(replica: &Replica, status: &EngineStatus, unix_ms: u64) -> bool {
+    // An order that has shown its effect can have no other. Without this record, the death of its
+    // sender in the middle of a long load would leave its memory reserved at an engine that obeys
+    // every order, until that engine restarts.
     let fence = FencingNumber::from(replica.load);
     let resident = status
         .residents
@@ -293,6 +306,7 @@
         (Stage::Unloading, None) => !is_settling,
         (Stage::Unloading, Some(_)) => false,
         (_, Some(Residency::Loaded)) => !is_settling,
+        (Stage::Reserved, Some(Residency::Loading)) => !is_settling && !status.checks_fence,
         (_, Some(_) | None) => false,
     }
 }
--- a/crates/node/src/placing/capacity.rs
+++ b/crates/node/src/placing/capacity.rs
@@ -1,9 +1,12 @@
 //! Tells the gateway how many requests this VM may have in progress at each target.
 
 use std::collections::BTreeMap;
+use std::hash::Hash;
 use std::sync::Arc;
 
-use apricotdale_admission::share_of_slots;
+use apricotdale_admission::SlotReport;
+use apricotdale_admission::SlotView;
+use apricotdale_admission::vm_slots;
 use apricotdale_core::names::GroupName;
 use apricotdale_core::names::ModelName;
 use apricotdale_core::serving::Directory;
@@ -12,12 +15,13 @@
 use apricotdale_membership::View;
 
 use super::fleet::ASSUMED_SLOTS;
+use crate::demand::DemandTable;
 use crate::directory::NodeDirectory;
+use crate::engine_reports::KnownReport;
 use crate::engine_reports::ReportTable;
 
-/// How many times the slots of a target the shares of all VMs add up to. Demand is never even over
-/// the VMs; the engines' own queues take the excess of one VM while another is idle.
-const OVERCOMMIT: u32 = 2;
+/// The age up to which a load report tells which slots the other VMs leave unused.
+const FRESH_MS: u64 = 5_000;
 
 /// Calls at once that one instance of a plain service is trusted with.
 const SERVICE_SLOTS: u32 = 64;
@@ -26,6 +30,7 @@
 pub struct CapacityFeed {
     directory: Arc<NodeDirectory>,
     reports: Arc<ReportTable>,
+    demand: Arc<DemandTable>,
     gateway: Arc<Gateway>,
     told: BTreeMap<ModelName, (u32, Option<u64>)>,
 }
@@ -35,11 +40,13 @@
     pub fn new(
         directory: Arc<NodeDirectory>,
         reports: Arc<ReportTable>,
+        demand: Arc<DemandTable>,
         gateway: Arc<Gateway>,
     ) -> Self {
         Self {
             directory,
             reports,
+            demand,
             gateway,
             told: BTreeMap::new(),
         }
@@ -47,9 +54,11 @@
 
     /// Tells the gateway what has changed. `ready_at_ms` gives the time at which a model without
     /// replicas is expected to have one.
-    pub fn update(&mut self, view: &View, ready_at_ms: &BTreeMap<ModelName, u64>) {
+    pub fn update(&mut self, now_ms: u64, view: &View, ready_at_ms: &BTreeMap<ModelName, u64>) {
+        let started = self.demand.started_here();
         for spec in self.directory.models() {
-            let slots = self.model_slots(&spec.model, view);
+            let own = started.get(&spec.model).copied().unwrap_or_default();
+            let slots = self.model_slots(&spec.model, view, own, now_ms);
             let ready = ready_at_ms.get(&spec.model).copied().filter(|_| slots == 0);
             self.tell(spec.model, slots, ready);
         }
@@ -60,7 +69,7 @@
                 .saturating_mul(SERVICE_SLOTS);
             self.tell(
                 service_target(&service),
-                own_share(total, &service, view),
+                own_slots(total, None, &service, view),
                 None,
             );
         }
@@ -76,13 +85,30 @@
         })
     }
 
-    fn model_slots(&self, model: &ModelName, view: &View) -> u32 {
+    fn model_slots(&self, model: &ModelName, view: &View, own: u32, now_ms: u64) -> u32 {
         let replicas = self.directory.replicas(model);
-        let slots = replicas.iter().map(|replica| {
-            let known = self.reports.report(&replica.upstream);
-            known.map_or(ASSUMED_SLOTS, |known| known.report.slots)
+        let known: Vec<Option<KnownReport>> = replicas
+            .iter()
+            .map(|replica| self.reports.report(&replica.upstream))
+            .collect();
+        let slots = |known: &Option<KnownReport>| {
+            known
+                .as_ref()
+                .map_or(ASSUMED_SLOTS, |known| known.report.slots)
+        };
+        let total_slots = known.iter().map(slots).sum();
+        let fresh: Option<Vec<&KnownReport>> = known
+            .iter()
+            .map(|known| known.as_ref().filter(|known| is_fresh(known, now_ms)))
+            .collect();
+        let report = fresh.map(|fresh| SlotReport {
+            busy: fresh
+                .iter()
+                .map(|known| known.report.running + known.report.waiting)
+                .sum(),
+            own,
         });
-        own_share(slots.sum(), model, view)
+        own_slots(total_slots, report, model, view)
     }
 
     fn tell(&mut self, target: ModelName, slots: u32, ready_at_ms: Option<u64>) {
@@ -95,15 +121,23 @@
     }
 }
 
-/// Returns this VM's share of a target's slots. A target that serves at all gives every VM at least
-/// one, because a request can't move to another VM.
-fn own_share<K: std::hash::Hash + ?Sized>(total: u32, key: &K, view: &View) -> u32 {
-    if total == 0 {
-        return 0;
-    }
-    let share = match view.share_rank(key) {
-        Some((rank, count)) => share_of_slots(total.saturating_mul(OVERCOMMIT), rank, count),
-        None => total,
-    };
-    share.max(1)
+/// Returns how many requests this VM may have in progress at a target.
+fn own_slots<K: Hash + ?Sized>(
+    total_slots: u32,
+    report: Option<SlotReport>,
+    key: &K,
+    view: &View,
+) -> u32 {
+    // A VM that is stopping has no rank any more, and goes on with what it has.
+    let (vm_rank, vm_count) = view.share_rank(key).unwrap_or((0, 1));
+    vm_slots(&SlotView {
+        total_slots,
+        vm_rank,
+        vm_count,
+        report,
+    })
+}
+
+fn is_fresh(known: &KnownReport, now_ms: u64) -> bool {
+    now_ms.saturating_sub(known.at_ms) <= FRESH_MS
 }
--- a/crates/node/src/placing/placement_loop.rs
+++ b/crates/node/src/placing/placement_loop.rs
@@ -132,7 +132,7 @@
         self.refuse_undecidable();
         self.forget_ready();
         let view = self.parts.source.membership.view();
-        self.parts.capacity.update(&view, &self.ready_at_ms);
+        self.parts.capacity.update(now_ms, &view, &self.ready_at_ms);
     }
 
     /// Lets the policy learn what happened since the last plan.
--- a/crates/settings/src/keys.rs
+++ b/crates/settings/src/keys.rs
@@ -181,7 +181,7 @@
         "platform",
         "log_wait_ms",
         milliseconds(50, 30_000),
-        Text("1000"),
+        Text("10000"),
         "How long a read of the log waits for a first record",
     ),
     key(
--- a/crates/standins/src/http/reply.rs
+++ b/crates/standins/src/http/reply.rs
@@ -86,6 +86,15 @@
         Self::json(200, &serde_json::json!({}))
     }
 
+    /// Returns the answer that what the client knows is still right.
+    pub fn not_modified() -> Self {
+        Self::Whole(Whole {
+            status: 304,
+            headers: Vec::new(),
+            body: Vec::new(),
+        })
+    }
+
     /// Returns the answer to an unknown path.
     pub fn not_found() -> Self {
         Self::json(404, &serde_json::json!({"error": {"code": "unknown_path"}}))
--- a/crates/standins/src/vm_list.rs
+++ b/crates/standins/src/vm_list.rs
@@ -10,6 +10,7 @@
 use parking_lot::Mutex;
 use serde::Deserialize;
 use serde_json::json;
+use xxhash_rust::xxh3::xxh3_64;
 
 use crate::clock::SystemClock;
 use crate::fault::FaultOrder;
@@ -68,7 +69,7 @@
         }
     }
 
-    fn list(&self) -> Reply {
+    fn list(&self, request: &Request) -> Reply {
         let now_ms = self.clock.monotonic_ms();
         let unix_ms = self.clock.unix_ms();
         let mut state = self.state.lock();
@@ -80,7 +81,16 @@
             as_of_ms: unix_ms.saturating_sub(state.entries.lag_ms()),
             entries: state.entries.published(now_ms).clone(),
         };
-        Reply::json(200, &listing)
+        let entries = serde_json::to_vec(&listing.entries).expect("entries hold only strings");
+        let tag = format!("\"{:016x}\"", xxh3_64(&entries));
+        let as_of_ms = listing.as_of_ms.to_string();
+        let reply = match request.header("if-none-match") {
+            Some(known) if known == tag => Reply::not_modified(),
+            _ => Reply::json(200, &listing),
+        };
+        reply
+            .with_header("ETag", &tag)
+            .with_header("X-As-Of-Ms", &as_of_ms)
     }
 
     fn replace(&self, request: &Request) -> Reply {
@@ -122,7 +132,7 @@
 impl Handler for VmListStandin {
     fn handle(self: Arc<Self>, request: &Request) -> Reply {
         match (request.method.as_str(), request.path.as_str()) {
-            ("GET", "/vms") => self.list(),
+            ("GET", "/vms") => self.list(request),
             ("POST", "/standin/vms") => self.replace(request),
             ("POST", "/standin/state") => self.change(request),
             ("POST", "/standin/fault") => self.set_fault(request),
--- a/crates/standins/tests/vm_list.rs
+++ b/crates/standins/tests/vm_list.rs
@@ -55,3 +55,25 @@
     list.fault(&json!({"mode": "up"}));
     assert_eq!(list.get("/vms").status, 200);
 }
+
+/// Symptom: every VM reads the whole list every second, though it hardly ever changes.
+/// Sequence: the list is read, read again unchanged, and read once more after a change.
+/// Cause: the list can't be asked whether it has changed.
+#[test]
+fn unchanged_lists_are_not_sent_again() {
+    let list = support::start(VmListStandin::new(Options::default()));
+    list.post("/standin/vms", &json!([entry("a", "live")]));
+    let read = |tag: &str| {
+        let url = format!("http://{}/vms", list.address());
+        let answer = ureq::get(url).header("If-None-Match", tag).call();
+        let answer = answer.expect("an answer");
+        let tag = answer.headers()["ETag"].to_str().expect("a text");
+        assert!(answer.headers().contains_key("X-As-Of-Ms"));
+        (answer.status().as_u16(), tag.to_owned())
+    };
+    let (status, tag) = read("none");
+    assert_eq!(status, 200);
+    assert_eq!(read(&tag), (304, tag.clone()));
+    list.post("/standin/state", &json!({"name": "a", "state": "leaving"}));
+    assert_eq!(read(&tag).0, 200);
+}
