Loads that fail are held back and told; the end of a demand is told

Found by the in-process tests: the VM that decides believed for 3 s in a demand that had ended. Change: after a failed load its model pauses, 0.5 s doubling to 30 s; from the second failure in a row on the waiting requests are refused load_failed with the time to come back; a report tells zeros once.

--- a/crates/node/src/demand.rs
+++ b/crates/node/src/demand.rs
@@ -48,6 +48,8 @@
     requests: BTreeMap<Ticket, LocalRequest>,
     arrived: BTreeMap<ModelName, u32>,
     remote: BTreeMap<(VmName, ModelName), (u64, ModelDemand)>,
+    /// The models whose last report told of demand.
+    reported: BTreeSet<ModelName>,
     last_arrival_ms: BTreeMap<ModelName, u64>,
     remote_arrivals: Vec<ModelName>,
     missing: Vec<(ModelName, UpstreamName)>,
@@ -78,7 +80,8 @@
         }
     }
 
-    /// Returns the demand here, one line a model that has any or had arrivals since the last call.
+    /// Returns the demand here, one line a model that has any, had any at the last call, or had
+    /// arrivals since.
     pub fn take_report(&self, now_ms: u64) -> Vec<ModelDemand> {
         let mut tables = self.tables.lock();
         let mut report: BTreeMap<ModelName, ModelDemand> = BTreeMap::new();
@@ -95,6 +98,15 @@
             let left_ms = request.deadline_ms.saturating_sub(now_ms);
             line.tightest_ms = Some(line.tightest_ms.map_or(left_ms, |left| left.min(left_ms)));
         }
+        // The end of a demand is told, too: whoever decides would otherwise believe in it for as
+        // long as a report counts, and load a model that nobody waits for any more.
+        for model in std::mem::take(&mut tables.reported) {
+            line(&mut report, &model);
+        }
+        let lasting = report
+            .values()
+            .filter(|line| line.waiting + line.running > 0);
+        tables.reported = lasting.map(|line| line.model.clone()).collect();
         report.into_values().collect()
     }
 
--- a/crates/node/src/load_history.rs
+++ b/crates/node/src/load_history.rs
@@ -10,6 +10,8 @@
 use apricotdale_state::ControlState;
 use apricotdale_state::replicas::Stage;
 
+use crate::placing::is_stuck;
+
 /// `SeenLoad` is a load that was carried out by some VM.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub struct SeenLoad {
@@ -29,11 +31,18 @@
     inner: Mutex<Inner>,
 }
 
+#[derive(Clone, Debug)]
+struct OpenLoad {
+    model: ModelName,
+    /// When it was decided, in milliseconds of Unix time.
+    decided_ms: u64,
+}
+
 #[derive(Debug, Default)]
 struct Inner {
-    /// When each open load was decided, in milliseconds of Unix time.
-    open_ms: BTreeMap<Offset, u64>,
+    open: BTreeMap<Offset, OpenLoad>,
     seen: Vec<SeenLoad>,
+    failed: Vec<ModelName>,
     any_seen: bool,
 }
 
@@ -47,25 +56,38 @@
     pub fn look(&self, state: &ControlState) {
         let mut inner = self.inner.lock();
         let Inner {
-            open_ms,
+            open,
             seen,
+            failed,
             any_seen,
         } = &mut *inner;
-        open_ms.retain(|load, _| state.replica(*load).is_some());
+        open.retain(|load, ended| {
+            let is_coming = state
+                .replica(*load)
+                .is_some_and(|one| !is_stuck(one.stage()));
+            if !is_coming {
+                failed.push(ended.model.clone());
+            }
+            is_coming
+        });
         for replica in state.replicas() {
             match replica.stage() {
                 Stage::Reserved => {
-                    open_ms.entry(replica.load).or_insert(replica.since_ms);
+                    let load = OpenLoad {
+                        model: replica.model.clone(),
+                        decided_ms: replica.since_ms,
+                    };
+                    open.entry(replica.load).or_insert(load);
                 }
                 Stage::Loaded => {
-                    let Some(decided_ms) = open_ms.remove(&replica.load) else {
+                    let Some(load) = open.remove(&replica.load) else {
                         continue;
                     };
                     *any_seen = true;
                     seen.push(SeenLoad {
                         model: replica.model.clone(),
                         engine: replica.engine.clone(),
-                        took_ms: replica.since_ms.saturating_sub(decided_ms),
+                        took_ms: replica.since_ms.saturating_sub(load.decided_ms),
                     });
                 }
                 _ => {}
@@ -73,6 +95,11 @@
         }
     }
 
+    /// Returns the models of the loads that came to nothing since the last call.
+    pub fn take_failed(&self) -> Vec<ModelName> {
+        std::mem::take(&mut self.inner.lock().failed)
+    }
+
     /// Returns the loads seen since the last call.
     pub fn take(&self) -> Vec<SeenLoad> {
         std::mem::take(&mut self.inner.lock().seen)
--- a/crates/node/src/placing/mod.rs
+++ b/crates/node/src/placing/mod.rs
@@ -3,6 +3,7 @@
 mod capacity;
 mod demand_reporter;
 mod fleet;
+mod load_failures;
 mod placement_loop;
 
 pub use capacity::CapacityFeed;
@@ -10,3 +11,4 @@
 pub use fleet::FleetSource;
 pub use placement_loop::PlacementLoop;
 pub use placement_loop::PlacementParts;
+pub use placement_loop::is_stuck;
--- a/crates/node/src/placing/placement_loop.rs
+++ b/crates/node/src/placing/placement_loop.rs
@@ -29,6 +29,7 @@
 use super::capacity::CapacityFeed;
 use super::fleet::Basis;
 use super::fleet::FleetSource;
+use super::load_failures::LoadFailures;
 use crate::appender::Appended;
 use crate::appender::Appender;
 use crate::appender::Persistence;
@@ -93,6 +94,7 @@
     held: HeldModels,
     ready_at_ms: BTreeMap<ModelName, u64>,
     basis: Basis,
+    failures: LoadFailures,
 }
 
 impl PlacementLoop {
@@ -103,6 +105,7 @@
             held: HeldModels::default(),
             ready_at_ms: BTreeMap::new(),
             basis: Basis::default(),
+            failures: LoadFailures::default(),
         }
     }
 
@@ -128,6 +131,9 @@
         for action in actions {
             self.carry_out(action);
         }
+        for (model, refusal) in self.failures.given_up(now_ms) {
+            self.parts.gateway.hopeless(&model, &refusal);
+        }
         self.unload_strays();
         self.refuse_undecidable();
         self.forget_ready();
@@ -136,8 +142,11 @@
     }
 
     /// Lets the policy learn what happened since the last plan.
-    fn feed(&self, now_ms: u64) {
+    fn feed(&mut self, now_ms: u64) {
         let arrivals = self.parts.source.demand.take_remote_arrivals();
+        for model in self.parts.loads.take_failed() {
+            self.failures.failed(now_ms, &model);
+        }
         let mut policy = self.parts.policy.lock();
         for model in arrivals {
             policy.arrived(now_ms, &model);
@@ -145,11 +154,13 @@
         for load in self.parts.loads.take() {
             let tier = self.parts.source.tier(&load.engine, &load.model);
             policy.loaded(now_ms, &load.model, tier, load.took_ms);
+            self.failures.worked(&load.model);
         }
     }
 
     fn carry_out(&mut self, action: PlacementAction) {
         match action {
+            PlacementAction::Load { model, .. } if !self.may_load(&model) => {}
             PlacementAction::Load {
                 model,
                 engine,
@@ -171,6 +182,11 @@
         }
     }
 
+    fn may_load(&self, model: &ModelName) -> bool {
+        self.failures
+            .may_load(self.parts.clock.monotonic_ms(), model)
+    }
+
     /// Returns whether an engine of the model's group is listed that replay does not know yet. The
     /// policy can't see it, and would refuse a request that the engine may serve in a moment.
     fn may_find_engine(&self, model: &ModelName) -> bool {
