--- a/crates/launcher/src/cluster/mod.rs
+++ b/crates/launcher/src/cluster/mod.rs
@@ -29,6 +29,7 @@
 use apricotdale_admin::PublishOutcome;
 use apricotdale_admin::PublishRequest;
 use apricotdale_core::config::ConfigEdit;
+use apricotdale_core::numbers::ConfigVersion;
 use apricotdale_core::vm_list::VmEntry;
 use apricotdale_core::vm_list::VmState;
 
@@ -157,6 +158,25 @@
         admin.publish(&request).map_err(failed)
     }
 
+    /// Waits until every running VM has replayed a version of the configuration.
+    ///
+    /// # Errors
+    ///
+    /// `Error::GaveUp` if one has not.
+    pub fn wait_in_force(&self, version: ConfigVersion) -> Result<()> {
+        let condition = format!("version {version} is in force on all VMs");
+        poll_until(&condition, POLL_LIMIT, || {
+            for vm in self.running_vms() {
+                let config = self.admin(&vm.name)?.config();
+                let in_force = config.is_ok_and(|config| config.version >= version);
+                if !in_force {
+                    return Ok(None);
+                }
+            }
+            Ok(Some(()))
+        })
+    }
+
     /// Kills a process, frozen or not, and waits for its end.
     ///
     /// # Errors
--- a/crates/launcher/src/demo.rs
+++ b/crates/launcher/src/demo.rs
@@ -17,7 +17,6 @@
 use crate::errors::Error;
 use crate::errors::Result;
 use crate::poll::POLL_LIMIT;
-use crate::poll::poll_until;
 use crate::process::Exit;
 use crate::sample;
 use crate::standin::EngineEffects;
@@ -87,22 +86,7 @@
         let PublishOutcome::Accepted { version } = outcome else {
             return Err(Error::failed("publishing", format!("{outcome:?}")));
         };
-        let in_force = poll_until(
-            "the configuration is in force on all VMs",
-            POLL_LIMIT,
-            || {
-                let mut versions = Vec::new();
-                for vm in &vms {
-                    let config = self.cluster.admin(vm)?.config();
-                    versions.push(
-                        config
-                            .map_err(|error| Error::failed("reading", error))?
-                            .version,
-                    );
-                }
-                Ok(versions.iter().all(|found| *found == version).then_some(()))
-            },
-        );
+        let in_force = self.cluster.wait_in_force(version);
         self.check(
             format!("version {version} is in force on all VMs"),
             in_force.is_ok(),
--- a/crates/launcher/src/main.rs
+++ b/crates/launcher/src/main.rs
@@ -78,7 +78,7 @@
     let cluster = start(options, Some(0))?;
     let first = cluster.running_vms()[0].name.clone();
     match cluster.publish(&first, sample::edits())? {
-        PublishOutcome::Accepted { .. } => {}
+        PublishOutcome::Accepted { version } => cluster.wait_in_force(version)?,
         other => return Err(Error::failed("publishing", format!("{other:?}"))),
     }
     let mut out = io::stdout();
