Placement's view without hashing every VM for every model; a woken process looks for a fresh start

Cause: worked out from the membership crate's figure of 30 us for a rank among 410 VMs: some 900 models with replicas, four plans a second, would be a tenth of a core for ranks alone; slots were computed for all 2,890 models at each plan. Found by the in-process tests: a process that was frozen while others agreed on a fresh start went on in the history that was given up, since its own position looked right.

--- a/crates/node/src/assembly/deciding.rs
+++ b/crates/node/src/assembly/deciding.rs
@@ -9,6 +9,7 @@
 use parking_lot::Mutex;
 
 use apricotdale_core::weights::WeightsStatus;
+use apricotdale_membership::PauseDetector;
 use apricotdale_state::view::IntentView;
 
 use super::common::Common;
@@ -34,6 +35,7 @@
 use crate::streams::CatchUp;
 use crate::streams::Pace;
 use crate::streams::PeerSnapshots;
+use crate::streams::READ_SLACK_MS;
 use crate::streams::SnapshotReader;
 use crate::streams::SnapshotWriter;
 use crate::streams::StreamState;
@@ -68,6 +70,7 @@
             reports: Arc::clone(&common.reports),
             demand: Arc::clone(&common.demand),
             weights: Arc::clone(&weights),
+            ranks: Mutex::default(),
         };
         let mut deciding = Self {
             common,
@@ -163,6 +166,7 @@
             health: is_control.then(|| Arc::clone(&common.health)),
             clock: common.clock(),
             stop: Arc::clone(&common.stop),
+            pauses: PauseDetector::new(common.settings.platform.log_wait_ms + READ_SLACK_MS),
         }
     }
 
--- a/crates/node/src/placing/capacity.rs
+++ b/crates/node/src/placing/capacity.rs
@@ -1,6 +1,7 @@
 //! Tells the gateway how many requests this VM may have in progress at each target.
 
 use std::collections::BTreeMap;
+use std::collections::BTreeSet;
 use std::hash::Hash;
 use std::sync::Arc;
 
@@ -52,15 +53,24 @@
         }
     }
 
-    /// Tells the gateway what has changed. `ready_at_ms` gives the time at which a model without
+    /// Tells the gateway what has changed of the models that are wanted or loaded, and of those told
+    /// of before. `ready_at_ms` gives the time at which a model without
     /// replicas is expected to have one.
-    pub fn update(&mut self, now_ms: u64, view: &View, ready_at_ms: &BTreeMap<ModelName, u64>) {
+    pub fn update(
+        &mut self,
+        now_ms: u64,
+        view: &View,
+        wanted: &[ModelName],
+        ready_at_ms: &BTreeMap<ModelName, u64>,
+    ) {
         let started = self.demand.started_here();
-        for spec in self.directory.models() {
-            let own = started.get(&spec.model).copied().unwrap_or_default();
-            let slots = self.model_slots(&spec.model, view, own, now_ms);
-            let ready = ready_at_ms.get(&spec.model).copied().filter(|_| slots == 0);
-            self.tell(spec.model, slots, ready);
+        let known = self.told.keys().filter(|target| self.is_model(target));
+        let models: BTreeSet<ModelName> = wanted.iter().chain(known).cloned().collect();
+        for model in models {
+            let own = started.get(&model).copied().unwrap_or_default();
+            let slots = self.model_slots(&model, view, own, now_ms);
+            let ready = ready_at_ms.get(&model).copied().filter(|_| slots == 0);
+            self.tell(model, slots, ready);
         }
         for service in self.services() {
             let instances = self.directory.instances(&service).len();
@@ -75,6 +85,12 @@
         }
     }
 
+    fn is_model(&self, target: &ModelName) -> bool {
+        self.directory
+            .replayed
+            .read(|state| state.config().model(target).is_some())
+    }
+
     fn services(&self) -> Vec<GroupName> {
         self.directory.replayed.read(|state| {
             state
--- a/crates/node/src/placing/fleet.rs
+++ b/crates/node/src/placing/fleet.rs
@@ -22,6 +22,7 @@
 use apricotdale_state::replicas::Stage;
 
 use super::placement_loop::is_stuck;
+use super::rank_cache::RankCache;
 use crate::demand::DemandTable;
 use crate::demand::TotalDemand;
 use crate::engine_reports::ReportTable;
@@ -81,6 +82,8 @@
     pub demand: Arc<DemandTable>,
     /// The last status of the weight store.
     pub weights: Arc<Mutex<Option<WeightsStatus>>>,
+    /// This VM's rank for each model.
+    pub ranks: Mutex<RankCache>,
 }
 
 impl FleetSource {
@@ -89,11 +92,13 @@
         let view = self.membership.view();
         let totals = self.demand.totals(now_ms);
         let weights = *self.weights.lock();
+        let mut ranks = self.ranks.lock();
+        ranks.refresh(&view);
         self.replayed.read(|state| {
             let fleet = FleetView {
                 engines: self.engines(state, &view),
                 replicas: replicas(state, now_ms, unix_ms),
-                models: models(state, &view, &totals, now_ms),
+                models: models(state, &view, &mut ranks, &totals, now_ms),
                 store_active_loads: weights.map_or(0, |status| status.active_loads),
                 store_full_speed_loads: weights
                     .map_or(ASSUMED_FULL_SPEED_LOADS, |status| status.full_speed_loads),
@@ -168,6 +173,7 @@
 fn models(
     state: &ControlState,
     view: &View,
+    ranks: &mut RankCache,
     totals: &BTreeMap<ModelName, TotalDemand>,
     now_ms: u64,
 ) -> Vec<ModelView> {
@@ -185,7 +191,11 @@
     wanted
         .map(|(model, configured)| {
             let demand = totals.get(model).copied().unwrap_or_default();
-            model_view(model, configured, demand, view, now_ms)
+            let waited_ms = demand
+                .waiting_since_ms
+                .map_or(0, |since_ms| now_ms.saturating_sub(since_ms));
+            let preferred_here = ranks.may_propose(view, model, waited_ms);
+            model_view(model, configured, demand, preferred_here)
         })
         .collect()
 }
@@ -194,12 +204,8 @@
     model: &ModelName,
     configured: &ConfiguredModel,
     demand: TotalDemand,
-    view: &View,
-    now_ms: u64,
+    preferred_here: bool,
 ) -> ModelView {
-    let waited_ms = demand
-        .waiting_since_ms
-        .map_or(0, |since_ms| now_ms.saturating_sub(since_ms));
     ModelView {
         model: model.clone(),
         base: configured.base.clone(),
@@ -208,7 +214,7 @@
         waiting: demand.waiting,
         running: demand.running,
         tightest_ms: demand.tightest_ms,
-        preferred_here: view.may_propose(model, waited_ms),
+        preferred_here,
     }
 }
 
--- a/crates/node/src/placing/mod.rs
+++ b/crates/node/src/placing/mod.rs
@@ -5,6 +5,7 @@
 mod fleet;
 mod load_failures;
 mod placement_loop;
+mod rank_cache;
 
 pub use capacity::CapacityFeed;
 pub use demand_reporter::DemandReporter;
--- a/crates/node/src/placing/placement_loop.rs
+++ b/crates/node/src/placing/placement_loop.rs
@@ -126,6 +126,7 @@
         if !self.waiting_models().is_empty() {
             self.parts.pace.follow_closely();
         }
+        let wanted: Vec<ModelName> = fleet.models.iter().map(|view| view.model.clone()).collect();
         let actions = self.parts.policy.lock().plan(now_ms, &fleet);
         self.basis = basis;
         for action in actions {
@@ -138,7 +139,9 @@
         self.refuse_undecidable();
         self.forget_ready();
         let view = self.parts.source.membership.view();
-        self.parts.capacity.update(now_ms, &view, &self.ready_at_ms);
+        self.parts
+            .capacity
+            .update(now_ms, &view, &wanted, &self.ready_at_ms);
     }
 
     /// Lets the policy learn what happened since the last plan.
--- a/crates/node/src/streams/catch_up.rs
+++ b/crates/node/src/streams/catch_up.rs
@@ -70,6 +70,12 @@
 impl CatchUp {
     /// Does what the plan says until the stream can be followed or nothing more can be done now.
     pub fn run(&self) -> CaughtUp {
+        // While this process did not follow, others may have agreed on a fresh start and given up
+        // the history that it holds. Its own position can look right all the same; only the snapshot
+        // stream tells. It can't be read while the log is down, but then nothing is decided.
+        if self.state.position().is_some() {
+            self.snapshots.read_to_end();
+        }
         let mut episode = self.begin();
         for _ in 0..MAX_ACTIONS {
             let action = plan(&episode.knowledge);
--- a/crates/node/src/streams/mod.rs
+++ b/crates/node/src/streams/mod.rs
@@ -22,4 +22,5 @@
 pub use snapshot_reader::SnapshotReader;
 pub use snapshot_writer::SnapshotWriter;
 pub use stream_state::StreamState;
+pub use stream_tail::READ_SLACK_MS;
 pub use stream_tail::StreamTail;
--- a/crates/node/src/streams/stream_tail.rs
+++ b/crates/node/src/streams/stream_tail.rs
@@ -11,6 +11,8 @@
 use apricotdale_core::Error;
 use apricotdale_core::log::LogClient;
 use apricotdale_core::serving::Clock;
+use apricotdale_membership::PauseDetector;
+use apricotdale_membership::PauseVerdict;
 
 use super::catch_up::CatchUp;
 use super::catch_up::CaughtUp;
@@ -18,6 +20,7 @@
 use super::stream_state::StreamState;
 use crate::log_health::LogHealth;
 use crate::membership_view::SharedMembership;
+use crate::membership_view::moment;
 
 /// The most records asked for in one read.
 const READ_RECORDS: usize = 1_000;
@@ -45,14 +48,20 @@
     pub clock: Arc<dyn Clock>,
     /// Set when the daemon stops.
     pub stop: Arc<AtomicBool>,
+    /// Notices that the process was frozen, by gaps between two reads.
+    pub pauses: PauseDetector,
 }
 
+/// How much longer than its wait a read may take before the process counts as frozen.
+pub const READ_SLACK_MS: u64 = 5_000;
+
 impl StreamTail {
     /// Follows the stream until the daemon stops.
-    pub fn run(self) {
+    pub fn run(mut self) {
         let mut follows = false;
         while !self.stop.load(Ordering::Relaxed) {
             follows = match follows {
+                true if self.was_frozen() => self.catch_up(),
                 true => self.follow_on(),
                 false => self.catch_up(),
             };
@@ -69,6 +78,11 @@
         outcome == CaughtUp::Follow && self.follow(0)
     }
 
+    fn was_frozen(&mut self) -> bool {
+        let verdict = self.pauses.observe(moment(&*self.clock));
+        matches!(verdict, PauseVerdict::Frozen { .. })
+    }
+
     fn follow_on(&self) -> bool {
         self.pace.pause(self.membership.view().vms.len());
         self.follow(self.wait_ms)
