Makefile: slopes and overhead by the load tool

The measurements have programs of their own now. They start the daemon and the stand-ins that lie beside them, so all programs are built optimised first. Not run by me.

--- a/Makefile
+++ b/Makefile
@@ -7,7 +7,7 @@
 # Arguments for the test programs, such as `--exact --skip NAME`.
 TEST_ARGS ?=
 
-.PHONY: setup build test demo up scenarios lint policy slopes bench
+.PHONY: setup build release test demo up scenarios lint policy slopes bench
 
 setup:
 	scripts/setup
@@ -35,8 +35,12 @@
 policy:
 	$(CARGO) run --release --locked -p apricotdale-policy-replay
 
-slopes:
-	$(CARGO) run --release --locked -p apricotdale-policy-replay --bin slopes
+# The measurements start the other programs, which must lie beside them.
+release:
+	$(CARGO) build --release --workspace --bins --locked
 
-bench:
-	$(CARGO) bench --workspace --locked
+slopes: release
+	$(TARGET_DIR)/release/fleet-slopes
+
+bench: release
+	$(TARGET_DIR)/release/overhead
