--- a/crates/node/src/demand.rs
+++ b/crates/node/src/demand.rs
@@ -15,7 +15,7 @@
 use apricotdale_core::serving::DemandSink;
 
 /// How long another VM's report counts when no newer one comes.
-const REPORT_LIFETIME_MS: u64 = 3_000;
+const REPORT_LIFETIME_MS: u64 = 1_500;
 
 /// How long a model counts as used here after its last request.
 const RECENT_MS: u64 = 30_000;
