--- a/crates/node/tests/support/log_fault.rs
+++ b/crates/node/tests/support/log_fault.rs
@@ -12,6 +12,8 @@
 use apricotdale_core::control::ControlRecord;
 use apricotdale_core::names::StreamName;
 use apricotdale_core::names::VmName;
+use apricotdale_state::parts::SnapshotBody;
+use apricotdale_state::parts::SnapshotRecord;
 
 use super::wait_until;
 
@@ -72,6 +74,10 @@
         matches!(self.control(), Some(ControlRecord::LoadSettled(_)))
     }
 
+    pub fn is_snapshot(&self) -> bool {
+        self.stream.as_str() == "snapshots"
+    }
+
     /// Returns the entries of a claim batch, or none for another record.
     pub fn claims(&self) -> Vec<ClaimRecord> {
         match self.stream.as_str().starts_with("claims-") {
@@ -88,6 +94,14 @@
     }
 }
 
+/// Returns whether a record of the snapshot stream proposes a fresh start of a stream.
+pub fn is_fresh_start(payload: &[u8], stream: &str) -> bool {
+    let Ok(record) = SnapshotRecord::decode(payload) else {
+        return false;
+    };
+    matches!(record.body, SnapshotBody::Fresh(_)) && record.stream.as_str() == stream
+}
+
 /// `Read` is a read that a daemon tries.
 pub struct Read<'a> {
     pub vm: &'a VmName,
--- a/crates/node/tests/support/world.rs
+++ b/crates/node/tests/support/world.rs
@@ -358,7 +358,7 @@
     }
 }
 
-fn configuration() -> Vec<ConfigEdit> {
+pub fn configuration() -> Vec<ConfigEdit> {
     let class = ClassTarget {
         class: CLASS.into(),
         answer_within_ms: ANSWER_WITHIN_MS,
