--- a/crates/placement/src/lib.rs
+++ b/crates/placement/src/lib.rs
@@ -11,11 +11,23 @@
 #![warn(missing_docs)]
 
 mod fixed_timeout;
+mod flights;
+mod gap_histogram;
+mod keeping;
 mod learned;
+mod load_times;
+mod loading;
 mod options;
 mod pending;
+mod record;
 mod registry;
+mod restoring;
+mod rhythm;
+mod site;
 mod sketch;
+mod store_queue;
+mod target_mix;
+mod want;
 mod watch;
 
 pub use fixed_timeout::FixedTimeout;
--- a/crates/placement/src/options.rs
+++ b/crates/placement/src/options.rs
@@ -7,6 +7,9 @@
     pub idle_timeout_ms: u64,
     /// How long a proposal may go unseen in the view before it counts as lost.
     pub proposal_timeout_ms: u64,
+    /// How long one accelerator may idle for one request that is answered in time for it. It
+    /// turns missed class targets and idle memory into one measure.
+    pub idle_ms_per_miss: f64,
 }
 
 impl Default for Options {
@@ -14,6 +17,7 @@
         Self {
             idle_timeout_ms: 600_000,
             proposal_timeout_ms: 10_000,
+            idle_ms_per_miss: 300_000.0,
         }
     }
 }
--- a/crates/placement/src/sketch.rs
+++ b/crates/placement/src/sketch.rs
@@ -1,7 +1,6 @@
 //! The fleet as it will be once everything proposed has happened.
 
 use std::collections::BTreeMap;
-use std::collections::BTreeSet;
 
 use apricotdale_core::engine::CacheTier;
 use apricotdale_core::names::ModelName;
@@ -9,8 +8,10 @@
 use apricotdale_core::policy::EngineView;
 use apricotdale_core::policy::FleetView;
 use apricotdale_core::policy::ModelView;
+use apricotdale_core::policy::PlacementAction;
 
 use crate::pending::Pending;
+use crate::watch::Watch;
 
 /// `Phase` is how far a replica is.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
@@ -25,11 +26,16 @@
 
 /// `ReplicaSketch` is one replica on an engine.
 #[derive(Clone, Debug)]
-pub(crate) struct ReplicaSketch<'a> {
-    pub(crate) model: &'a ModelName,
+pub(crate) struct ReplicaSketch {
+    pub(crate) model: ModelName,
+    pub(crate) base: Option<ModelName>,
     pub(crate) bytes: u64,
     pub(crate) phase: Phase,
     pub(crate) since_ms: u64,
+    /// Whether requests run on or wait for the model, as far as this VM knows.
+    pub(crate) in_use: bool,
+    /// Whether this VM is the model's preferred proposer, and so knows its whole demand.
+    pub(crate) mine: bool,
 }
 
 /// `EngineSketch` is one engine with its replicas and the memory left.
@@ -37,22 +43,37 @@
 pub(crate) struct EngineSketch<'a> {
     pub(crate) view: &'a EngineView,
     pub(crate) free_bytes: u64,
-    pub(crate) replicas: Vec<ReplicaSketch<'a>>,
+    pub(crate) replicas: Vec<ReplicaSketch>,
 }
 
-impl<'a> EngineSketch<'a> {
+impl EngineSketch<'_> {
     /// Returns the replica of the model on this engine.
-    pub(crate) fn replica(&self, model: &ModelName) -> Option<&ReplicaSketch<'a>> {
-        self.replicas.iter().find(|replica| replica.model == model)
+    pub(crate) fn replica(&self, model: &ModelName) -> Option<&ReplicaSketch> {
+        self.replicas.iter().find(|replica| replica.model == *model)
     }
 
-    /// Returns the memory that unloads under way will free.
-    pub(crate) fn leaving_bytes(&self) -> u64 {
-        self.replicas
+    /// Returns whether the engine holds the model in the given phase.
+    pub(crate) fn holds(&self, model: &ModelName, phase: Phase) -> bool {
+        self.replica(model).is_some_and(|held| held.phase == phase)
+    }
+
+    /// Returns whether an adapter can be loaded here: its base is loaded. Any model can.
+    pub(crate) fn has_base_of(&self, model: &ModelView) -> bool {
+        match &model.base {
+            Some(base) => self.holds(base, Phase::Loaded),
+            None => true,
+        }
+    }
+
+    /// Returns the memory that is free or being freed.
+    pub(crate) fn room_bytes(&self) -> u64 {
+        let leaving: u64 = self
+            .replicas
             .iter()
             .filter(|replica| replica.phase == Phase::Leaving)
             .map(|replica| replica.bytes)
-            .sum()
+            .sum();
+        self.free_bytes + leaving
     }
 
     /// Returns where the engine's host holds the model's checkpoint.
@@ -70,176 +91,175 @@
     pub(crate) fn has_free_slot(&self) -> bool {
         self.view.busy < self.view.slots
     }
+
+    /// Returns whether an adapter of the model is on the engine or on its way there.
+    pub(crate) fn has_adapter(&self, model: &ModelName) -> bool {
+        self.replicas
+            .iter()
+            .any(|held| held.phase != Phase::Leaving && held.base.as_ref() == Some(model))
+    }
+
+    /// Returns whether the replica may be in use. Other VMs tell their demand for a model to its
+    /// preferred proposer only, so for a model of another VM the engine's report decides: a
+    /// replica taken for idle while another VM uses it would be evicted under its callers.
+    pub(crate) fn may_be_in_use(&self, replica: &ReplicaSketch) -> bool {
+        replica.in_use || (!replica.mine && self.view.busy > 0)
+    }
+
+    /// Returns what could be evicted: every loaded idle replica together with the adapters that
+    /// stand on it, adapters first. A base is never evicted from under an adapter.
+    pub(crate) fn evictable(&self) -> Vec<Vec<&ReplicaSketch>> {
+        self.replicas
+            .iter()
+            .filter(|replica| replica.phase == Phase::Loaded)
+            .filter_map(|replica| self.unit(replica))
+            .collect()
+    }
+
+    fn unit<'s>(&'s self, replica: &'s ReplicaSketch) -> Option<Vec<&'s ReplicaSketch>> {
+        let mut unit: Vec<&ReplicaSketch> = self
+            .replicas
+            .iter()
+            .filter(|held| held.phase != Phase::Leaving)
+            .filter(|held| held.base.as_ref() == Some(&replica.model))
+            .collect();
+        unit.push(replica);
+        let is_idle =
+            |held: &&ReplicaSketch| held.phase == Phase::Loaded && !self.may_be_in_use(held);
+        unit.iter().all(is_idle).then_some(unit)
+    }
 }
 
 /// `Sketch` is the fleet as it will be once everything proposed has happened.
 #[derive(Debug)]
 pub(crate) struct Sketch<'a> {
-    pub(crate) engines: BTreeMap<&'a UpstreamName, EngineSketch<'a>>,
+    /// The engines, in the view's order.
+    pub(crate) engines: Vec<EngineSketch<'a>>,
+    /// The models that the view shows.
     pub(crate) models: BTreeMap<&'a ModelName, &'a ModelView>,
+    indexes: BTreeMap<&'a UpstreamName, usize>,
 }
 
 impl<'a> Sketch<'a> {
     /// Returns the sketch of a view, with the proposals that the view does not show yet and the
     /// replicas known to be unloading.
-    pub(crate) fn new(
-        fleet: &'a FleetView,
-        pending: &'a Pending,
-        unloading: &BTreeSet<(ModelName, UpstreamName)>,
-    ) -> Self {
-        let models: BTreeMap<&ModelName, &ModelView> = fleet
-            .models
-            .iter()
-            .map(|model| (&model.model, model))
-            .collect();
+    pub(crate) fn new(fleet: &'a FleetView, pending: &Pending, watch: &Watch) -> Self {
+        let engines = fleet.engines.iter().map(|view| EngineSketch {
+            view,
+            free_bytes: view.free_bytes,
+            replicas: Vec::new(),
+        });
         let mut sketch = Self {
-            engines: fleet.engines.iter().map(engine_sketch).collect(),
-            models,
+            engines: engines.collect(),
+            models: fleet
+                .models
+                .iter()
+                .map(|view| (&view.model, view))
+                .collect(),
+            indexes: fleet
+                .engines
+                .iter()
+                .map(|view| &view.engine)
+                .zip(0..)
+                .collect(),
         };
         for replica in &fleet.replicas {
-            let Some(engine) = sketch.engines.get_mut(&replica.engine) else {
-                continue;
-            };
-            let leaves = unloading.contains(&(replica.model.clone(), replica.engine.clone()));
             let phase = match replica.loaded {
-                _ if leaves => Phase::Leaving,
                 true => Phase::Loaded,
+                false if watch.is_unloading(&replica.model, &replica.engine) => Phase::Leaving,
                 false => Phase::Coming,
             };
-            engine.replicas.push(ReplicaSketch {
-                model: &replica.model,
+            let shown = ReplicaSketch {
                 bytes: replica.bytes,
                 phase,
                 since_ms: replica.since_ms,
-            });
+                ..sketch.replica_of(&replica.model)
+            };
+            if let Some(engine) = sketch.engine_mut(&replica.engine) {
+                engine.replicas.push(shown);
+            }
         }
         for (model, engine) in pending.unloads() {
             sketch.leave(model, engine);
         }
         for (model, engine) in pending.loads() {
-            let bytes = sketch.models.get(model).map_or(0, |view| view.bytes);
-            sketch.come(model, engine, bytes);
+            sketch.come(model, engine);
         }
         sketch
     }
 
+    fn replica_of(&self, model: &ModelName) -> ReplicaSketch {
+        let view = self.models.get(model);
+        ReplicaSketch {
+            model: model.clone(),
+            base: view.and_then(|view| view.base.clone()),
+            bytes: view.map_or(0, |view| view.bytes),
+            phase: Phase::Coming,
+            since_ms: 0,
+            in_use: view.is_some_and(|view| view.running > 0 || view.waiting > 0),
+            mine: view.is_some_and(|view| view.preferred_here),
+        }
+    }
+
+    fn engine_mut(&mut self, name: &UpstreamName) -> Option<&mut EngineSketch<'a>> {
+        self.indexes
+            .get(name)
+            .map(|index| &mut self.engines[*index])
+    }
+
     /// Adds a replica that was proposed to be loaded.
-    pub(crate) fn come(&mut self, model: &'a ModelName, engine: &UpstreamName, bytes: u64) {
-        let Some(engine) = self.engines.get_mut(engine) else {
+    fn come(&mut self, model: &ModelName, engine: &UpstreamName) {
+        let replica = self.replica_of(model);
+        let Some(engine) = self.engine_mut(engine) else {
             return;
         };
         if engine.replica(model).is_some() {
             return;
         }
-        engine.free_bytes = engine.free_bytes.saturating_sub(bytes);
-        engine.replicas.push(ReplicaSketch {
-            model,
-            bytes,
-            phase: Phase::Coming,
-            since_ms: 0,
-        });
+        engine.free_bytes = engine.free_bytes.saturating_sub(replica.bytes);
+        engine.replicas.push(replica);
     }
 
-    /// Marks a replica that was proposed to be unloaded.
-    pub(crate) fn leave(&mut self, model: &ModelName, engine: &UpstreamName) {
-        let Some(engine) = self.engines.get_mut(engine) else {
+    fn leave(&mut self, model: &ModelName, engine: &UpstreamName) {
+        let Some(engine) = self.engine_mut(engine) else {
             return;
         };
         for replica in &mut engine.replicas {
-            if replica.model == model {
+            if replica.model == *model {
                 replica.phase = Phase::Leaving;
             }
         }
     }
 
-    /// Returns the engines of a model's group that may receive new work.
+    /// Takes in what is proposed now.
+    pub(crate) fn apply(&mut self, actions: &[PlacementAction]) {
+        for action in actions {
+            match action {
+                PlacementAction::Load { model, engine, .. } => self.come(model, engine),
+                PlacementAction::Unload { model, engine } => self.leave(model, engine),
+                PlacementAction::Hopeless { .. } => {}
+            }
+        }
+    }
+
+    /// Returns the engines of a group that may receive new work.
     pub(crate) fn open_engines<'s>(
         &'s self,
         model: &'s ModelView,
     ) -> impl Iterator<Item = &'s EngineSketch<'a>> + 's {
         self.engines
-            .values()
+            .iter()
             .filter(move |engine| engine.view.accepts && engine.view.group == model.group)
     }
 
-    /// Returns the engines that hold the model in the given phase.
-    pub(crate) fn holders(&self, model: &ModelName, phase: Phase) -> Vec<&'a UpstreamName> {
+    /// Returns the engines that hold the model in the given phase and may receive new work.
+    pub(crate) fn holders<'s>(
+        &'s self,
+        model: &'s ModelName,
+        phase: Phase,
+    ) -> impl Iterator<Item = &'s EngineSketch<'a>> + 's {
         self.engines
             .iter()
-            .filter(|(_, engine)| {
-                engine
-                    .replica(model)
-                    .is_some_and(|held| held.phase == phase)
-            })
-            .map(|(name, _)| *name)
-            .collect()
-    }
-
-    /// Returns whether requests run on or wait for the model anywhere.
-    pub(crate) fn in_use(&self, model: &ModelName) -> bool {
-        self.models
-            .get(model)
-            .is_some_and(|view| view.running > 0 || view.waiting > 0)
-    }
-
-    /// Returns what could be evicted from an engine: every loaded replica together with the
-    /// adapters that stand on it, adapters first. A base is never evicted from under an adapter.
-    pub(crate) fn evictable(&self, engine: &EngineSketch<'a>) -> Vec<Vec<ReplicaSketch<'a>>> {
-        let loaded = engine
-            .replicas
-            .iter()
-            .filter(|replica| replica.phase == Phase::Loaded);
-        loaded
-            .filter_map(|replica| self.with_adapters(engine, replica))
-            .collect()
-    }
-
-    fn with_adapters(
-        &self,
-        engine: &EngineSketch<'a>,
-        replica: &ReplicaSketch<'a>,
-    ) -> Option<Vec<ReplicaSketch<'a>>> {
-        let mut unit: Vec<ReplicaSketch<'a>> = engine
-            .replicas
-            .iter()
-            .filter(|held| held.phase != Phase::Leaving)
-            .filter(|held| self.base_of(held.model) == Some(replica.model))
-            .cloned()
-            .collect();
-        unit.push(replica.clone());
-        let is_whole = unit.iter().all(|held| held.phase == Phase::Loaded);
-        is_whole.then_some(unit)
-    }
-
-    /// Returns whether this VM is the model's preferred proposer.
-    pub(crate) fn is_mine(&self, model: &ModelName) -> bool {
-        self.models
-            .get(model)
-            .is_some_and(|view| view.preferred_here)
+            .filter(move |engine| engine.view.accepts && engine.holds(model, phase))
     }
-
-    /// Returns the model that an adapter belongs to.
-    pub(crate) fn base_of(&self, model: &ModelName) -> Option<&'a ModelName> {
-        self.models.get(model).and_then(|view| view.base.as_ref())
-    }
-
-    /// Returns whether an adapter of the model is on the engine.
-    pub(crate) fn has_adapter(&self, model: &ModelName, engine: &UpstreamName) -> bool {
-        let Some(engine) = self.engines.get(engine) else {
-            return false;
-        };
-        engine
-            .replicas
-            .iter()
-            .any(|replica| self.base_of(replica.model) == Some(model))
-    }
-}
-
-fn engine_sketch(view: &EngineView) -> (&UpstreamName, EngineSketch<'_>) {
-    let sketch = EngineSketch {
-        view,
-        free_bytes: view.free_bytes,
-        replicas: Vec::new(),
-    };
-    (&view.engine, sketch)
 }
--- a/crates/placement/src/watch.rs
+++ b/crates/placement/src/watch.rs
@@ -6,8 +6,6 @@
 use apricotdale_core::names::UpstreamName;
 use apricotdale_core::policy::FleetView;
 
-type Place = (ModelName, UpstreamName);
-
 /// `Watch` tells replicas that are unloading from those that are loading.
 ///
 /// The view shows both as not loaded. Taken for one that loads, a replica on its way out would
@@ -15,8 +13,8 @@
 /// is no longer is unloading until it is gone from the view.
 #[derive(Debug, Default)]
 pub(crate) struct Watch {
-    loaded: BTreeSet<Place>,
-    unloading: BTreeSet<Place>,
+    loaded: BTreeSet<(ModelName, UpstreamName)>,
+    unloading: BTreeSet<(ModelName, UpstreamName)>,
 }
 
 impl Watch {
@@ -26,23 +24,20 @@
         let mut unloading = BTreeSet::new();
         for replica in &fleet.replicas {
             let place = (replica.model.clone(), replica.engine.clone());
-            let was_there = self.loaded.contains(&place) || self.unloading.contains(&place);
-            match replica.loaded {
-                true => {
-                    loaded.insert(place);
-                }
-                false if was_there => {
-                    unloading.insert(place);
-                }
-                false => {}
+            if replica.loaded {
+                loaded.insert(place);
+                continue;
+            }
+            if self.loaded.contains(&place) || self.unloading.contains(&place) {
+                unloading.insert(place);
             }
         }
         self.loaded = loaded;
         self.unloading = unloading;
     }
 
-    /// Returns the replicas that are unloading.
-    pub(crate) fn unloading(&self) -> &BTreeSet<Place> {
-        &self.unloading
+    /// Returns whether a replica that is not loaded is unloading.
+    pub(crate) fn is_unloading(&self, model: &ModelName, engine: &UpstreamName) -> bool {
+        !self.unloading.is_empty() && self.unloading.contains(&(model.clone(), engine.clone()))
     }
 }
--- /dev/null
+++ b/crates/policy-replay/src/compare.rs
@@ -0,0 +1,243 @@
+//! Runs the baseline and the policies in use, and compares them.
+
+use std::sync::Mutex;
+use std::sync::atomic::AtomicUsize;
+use std::sync::atomic::Ordering;
+
+use crate::case::Case;
+use crate::deployment::Deployment;
+use crate::errors::Result;
+use crate::floors;
+use crate::measures::Results;
+use crate::policies::PolicySet;
+use crate::trace::Trace;
+use crate::trace::trace;
+use crate::world::World;
+
+const MINUTE_MS: u64 = 60_000;
+
+/// The fixed idle timeouts that the baseline is tried with.
+pub const TIMEOUTS_MS: [u64; 8] = [
+    MINUTE_MS,
+    2 * MINUTE_MS,
+    5 * MINUTE_MS,
+    10 * MINUTE_MS,
+    20 * MINUTE_MS,
+    30 * MINUTE_MS,
+    60 * MINUTE_MS,
+    180 * MINUTE_MS,
+];
+
+/// `Comparison` is what was measured in one case of one deployment.
+#[derive(Clone, Debug)]
+pub struct Comparison {
+    /// The deployment.
+    pub deployment: String,
+    /// The case.
+    pub case: Case,
+    /// The baseline for each timeout that was tried.
+    pub baselines: Vec<(u64, Results)>,
+    /// The policies in use.
+    pub chosen: Results,
+    /// The least idle accelerator hours with which any policy can serve every request without a
+    /// request ever waiting for anything but the fastest load.
+    pub idle_floor_hours: f64,
+}
+
+/// `Line` compares one measure.
+#[derive(Clone, Debug)]
+pub struct Line {
+    /// The measure.
+    pub measure: String,
+    /// The timeout of the baseline that it is compared with.
+    pub timeout_ms: u64,
+    /// The baseline's value.
+    pub baseline: f64,
+    /// The value of the policies in use.
+    pub chosen: f64,
+}
+
+impl Line {
+    /// Returns the chosen value as a multiple of the baseline's.
+    pub fn ratio(&self) -> f64 {
+        match self.baseline {
+            0.0 if self.chosen == 0.0 => 1.0,
+            baseline => self.chosen / baseline,
+        }
+    }
+}
+
+/// Returns whether more of a measure is better.
+fn is_better_high(measure: &str) -> bool {
+    measure.starts_with("met_share") || measure == "goodput_share"
+}
+
+impl Comparison {
+    /// Returns one line for each measure, each against the timeout that is strongest in it.
+    pub fn lines(&self) -> Vec<Line> {
+        self.chosen
+            .entries()
+            .map(|(measure, chosen)| {
+                let (timeout_ms, baseline) = self.strongest(measure);
+                Line {
+                    measure: measure.to_owned(),
+                    timeout_ms,
+                    baseline,
+                    chosen,
+                }
+            })
+            .collect()
+    }
+
+    /// Returns the strongest baseline in a measure.
+    ///
+    /// Idle hours alone would be won by the shortest timeout, which misses the most targets. They
+    /// are compared with the timeout that needs the fewest while it meets as many targets as the
+    /// policies in use, or with the one that meets the most targets if none meets as many.
+    fn strongest(&self, measure: &str) -> (u64, f64) {
+        let met = self.chosen.get("met_share");
+        let reaches = |results: &Results| results.get("met_share") >= met;
+        let enough: Vec<&(u64, Results)> = match measure {
+            "idle_accelerator_hours" => self
+                .baselines
+                .iter()
+                .filter(|(_, results)| reaches(results))
+                .collect(),
+            _ => self.baselines.iter().collect(),
+        };
+        let best_by = |candidates: &[&(u64, Results)], measure: &str| {
+            let sign = if is_better_high(measure) { -1.0 } else { 1.0 };
+            let best = candidates.iter().min_by(|left, right| {
+                let (left, right) = (left.1.get(measure), right.1.get(measure));
+                (sign * left).total_cmp(&(sign * right))
+            });
+            best.map(|(timeout_ms, _)| *timeout_ms)
+        };
+        let all: Vec<&(u64, Results)> = self.baselines.iter().collect();
+        let timeout_ms = best_by(&enough, measure)
+            .or_else(|| best_by(&all, "met_share"))
+            .unwrap_or(0);
+        let results = self
+            .baselines
+            .iter()
+            .find(|(tried_ms, _)| *tried_ms == timeout_ms);
+        (
+            timeout_ms,
+            results.map_or(0.0, |(_, results)| results.get(measure)),
+        )
+    }
+}
+
+/// `Options` are the tunables of a comparison.
+#[derive(Clone, Debug)]
+pub struct Options {
+    /// The timeouts that the baseline is tried with.
+    pub timeouts_ms: Vec<u64>,
+    /// The seed of the traces and of the policies that draw.
+    pub seed: u64,
+    /// Runs at once; each takes one core.
+    pub workers: usize,
+    /// Whether the routing in use ignores how fast an engine begins its answers.
+    pub ignore_speeds: bool,
+}
+
+impl Default for Options {
+    fn default() -> Self {
+        Self {
+            timeouts_ms: TIMEOUTS_MS.to_vec(),
+            seed: 1,
+            workers: 1,
+            ignore_speeds: false,
+        }
+    }
+}
+
+/// `Job` is one run.
+struct Job {
+    place: usize,
+    set: PolicySet,
+}
+
+/// Runs all cases of all deployments, the baseline once for each timeout, and returns the comparisons in order.
+///
+/// # Errors
+///
+/// `Error::UnknownPolicy` if a policy is missing.
+pub fn compare(
+    deployments: &[Deployment],
+    cases: &[Case],
+    options: &Options,
+) -> Result<Vec<Comparison>> {
+    let places: Vec<(&Deployment, Case, Trace)> = deployments
+        .iter()
+        .flat_map(|deployment| cases.iter().map(move |case| (deployment, *case)))
+        .map(|(deployment, case)| {
+            let trace = trace(
+                deployment,
+                options.seed,
+                case.until_ms(),
+                case.crowd(deployment),
+            );
+            (deployment, case, trace)
+        })
+        .collect();
+    let jobs: Vec<Job> = (0..places.len())
+        .flat_map(|place| {
+            let chosen = std::iter::once(PolicySet::chosen(options.seed, options.ignore_speeds));
+            let baselines = options
+                .timeouts_ms
+                .iter()
+                .map(|timeout_ms| PolicySet::baseline(*timeout_ms, options.seed));
+            let sets: Vec<PolicySet> = chosen.chain(baselines).collect();
+            sets.into_iter().map(move |set| Job { place, set })
+        })
+        .collect();
+    let results = run(&places, &jobs, options.workers)?;
+    let mut results = results.into_iter();
+    let mut take = || results.next().expect("each job has one result");
+    Ok(places
+        .iter()
+        .map(|(deployment, case, trace)| Comparison {
+            deployment: deployment.name.clone(),
+            case: *case,
+            chosen: take(),
+            baselines: options
+                .timeouts_ms
+                .iter()
+                .map(|timeout_ms| (*timeout_ms, take()))
+                .collect(),
+            idle_floor_hours: floors::idle_hours(deployment, trace, *case),
+        })
+        .collect())
+}
+
+fn run(
+    places: &[(&Deployment, Case, Trace)],
+    jobs: &[Job],
+    workers: usize,
+) -> Result<Vec<Results>> {
+    let next = AtomicUsize::new(0);
+    let done: Mutex<Vec<Option<Result<Results>>>> = Mutex::new(jobs.iter().map(|_| None).collect());
+    std::thread::scope(|scope| {
+        for _ in 0..workers.max(1) {
+            scope.spawn(|| {
+                while let Some((index, job)) = take_job(&next, jobs) {
+                    let (deployment, case, trace) = &places[job.place];
+                    let world = World::new(deployment, trace, *case, job.set.clone());
+                    let results = world.map(|world| world.run().results());
+                    done.lock().expect("no worker panics with the lock")[index] = Some(results);
+                }
+            });
+        }
+    });
+    done.into_inner()
+        .expect("no worker panics with the lock")
+        .into_iter()
+        .map(|result| result.expect("every job was taken"))
+        .collect()
+}
+
+fn take_job<'a>(next: &AtomicUsize, jobs: &'a [Job]) -> Option<(usize, &'a Job)> {
+    let index = next.fetch_add(1, Ordering::Relaxed);
+    jobs.get(index).map(|job| (index, job))
+}
--- /dev/null
+++ b/crates/policy-replay/src/deployment.rs
@@ -0,0 +1,319 @@
+//! A deployment: its sizes, load times and mix of work, read from an INI file.
+
+use std::path::Path;
+use std::str::FromStr;
+
+use ini::Ini;
+
+use apricotdale_core::engine::CacheTier;
+use apricotdale_core::names::ClassName;
+use apricotdale_core::names::GroupName;
+use apricotdale_core::names::ZoneName;
+
+use crate::errors::Error;
+use crate::errors::Result;
+
+/// Bytes of a gigabyte as the files count them.
+pub const GIGABYTE: u64 = 1_000_000_000;
+
+const CLASS_PREFIX: &str = "class.";
+
+/// `Deployment` is what a deployment's file says.
+#[derive(Clone, Debug)]
+pub struct Deployment {
+    /// Its name in the results.
+    pub name: String,
+    /// Its availability zones.
+    pub zones: Vec<ZoneName>,
+    /// Its model engines.
+    pub engines: EngineTable,
+    /// Its plain service.
+    pub service: ServiceTable,
+    /// The weight store's limits.
+    pub store: StoreTable,
+    /// How long a load takes.
+    pub load_times: LoadTimes,
+    /// Its models and adapters.
+    pub models: ModelTable,
+    /// How models are called.
+    pub activity: ActivityTable,
+    /// The classes of work, tightest target first.
+    pub classes: Vec<ClassTable>,
+}
+
+/// `EngineTable` describes the model engines, which are all alike.
+#[derive(Clone, Debug)]
+pub struct EngineTable {
+    /// Their group.
+    pub group: GroupName,
+    /// How many there are.
+    pub count: usize,
+    /// Accelerator memory of one.
+    pub capacity_bytes: u64,
+    /// Places in the batch of one.
+    pub slots: u32,
+    /// Checkpoints that the memory of one host holds.
+    pub host_memory_bytes: u64,
+    /// Checkpoints that the disk of one host holds.
+    pub host_disk_bytes: u64,
+}
+
+/// `ServiceTable` describes the plain service.
+#[derive(Clone, Debug)]
+pub struct ServiceTable {
+    /// Its group.
+    pub group: GroupName,
+    /// How many instances there are.
+    pub instances: usize,
+    /// Calls that one instance runs at once.
+    pub slots: u32,
+    /// How long a call takes.
+    pub run_ms: u64,
+    /// Calls a second, on average.
+    pub requests_per_s: f64,
+}
+
+/// `StoreTable` describes the weight store.
+#[derive(Clone, Copy, Debug)]
+pub struct StoreTable {
+    /// Loads that may be started in a second.
+    pub loads_per_s: u32,
+    /// Loads that may run at once at full speed.
+    pub full_speed_loads: u32,
+}
+
+/// `LoadTimes` is how long a load takes from each tier.
+#[derive(Clone, Copy, Debug)]
+pub struct LoadTimes {
+    memory: TierTime,
+    disk: TierTime,
+    remote: TierTime,
+}
+
+#[derive(Clone, Copy, Debug)]
+struct TierTime {
+    fixed_ms: f64,
+    ms_per_gb: f64,
+}
+
+/// `ModelTable` describes the models and adapters.
+#[derive(Clone, Debug)]
+pub struct ModelTable {
+    /// Models.
+    pub count: usize,
+    /// Sizes, dealt out in turn.
+    pub sizes_bytes: Vec<u64>,
+    /// Adapters.
+    pub adapters: usize,
+    /// Size of an adapter.
+    pub adapter_bytes: u64,
+    /// Models that have adapters.
+    pub adapter_bases: usize,
+    /// Share of the models that no host has cached at the start.
+    pub remote_only_share: f64,
+}
+
+/// `ActivityTable` describes how models are called.
+#[derive(Clone, Copy, Debug)]
+pub struct ActivityTable {
+    /// Share of the models that wake up or fall idle within an hour.
+    pub change_share_per_hour: f64,
+    /// Share of the models that are awake on average.
+    pub active_share: f64,
+    /// Share of the models that are always awake.
+    pub hot_share: f64,
+    /// Share of the models that are called by a schedule.
+    pub regular_share: f64,
+    /// Median over models of the mean time between two requests to a model that is awake.
+    pub gap_median_ms: f64,
+    /// The same for models that are always awake.
+    pub hot_gap_median_ms: f64,
+    /// Most requests of the burst with which a model wakes up.
+    pub burst_most: u32,
+    /// Callers.
+    pub callers: u32,
+}
+
+/// `ClassTable` describes one class of work.
+#[derive(Clone, Debug)]
+pub struct ClassTable {
+    /// Its name.
+    pub class: ClassName,
+    /// Its target.
+    pub answer_within_ms: u64,
+    /// Its share of the requests.
+    pub share: f64,
+    /// Time to the first token on an empty engine without a cached prefix.
+    pub first_token_ms: u64,
+    /// Mean time to the whole answer on an empty engine.
+    pub run_ms: u64,
+    /// Whether its requests may run twice.
+    pub idempotent: bool,
+}
+
+impl LoadTimes {
+    /// Returns how long a load from a tier takes, split into the fixed part and the part that
+    /// grows with the size. The store's speed applies to the second part of a remote load.
+    pub fn parts_ms(&self, tier: CacheTier, bytes: u64) -> (f64, f64) {
+        let time = match tier {
+            CacheTier::Memory => self.memory,
+            CacheTier::Disk => self.disk,
+            CacheTier::Remote => self.remote,
+        };
+        let gigabytes = bytes as f64 / GIGABYTE as f64;
+        (time.fixed_ms, time.ms_per_gb * gigabytes)
+    }
+
+    /// Returns how long an undisturbed load from a tier takes.
+    pub fn whole_ms(&self, tier: CacheTier, bytes: u64) -> u64 {
+        let (fixed_ms, sized_ms) = self.parts_ms(tier, bytes);
+        (fixed_ms + sized_ms) as u64
+    }
+}
+
+impl Deployment {
+    /// Returns the deployment that a file describes.
+    ///
+    /// # Errors
+    ///
+    /// `Error::Unreadable` for a file that is no INI file, `Error::Key` for a missing or bad key.
+    pub fn read(path: &Path) -> Result<Self> {
+        let ini = Ini::load_from_file(path).map_err(|error| Error::Unreadable {
+            path: path.to_owned(),
+            detail: error.to_string(),
+        })?;
+        Self::from_ini(&ini)
+    }
+
+    fn from_ini(ini: &Ini) -> Result<Self> {
+        let mut classes = class_names(ini)
+            .map(|class| class_table(ini, class))
+            .collect::<Result<Vec<ClassTable>>>()?;
+        classes.sort_by_key(|class| class.answer_within_ms);
+        Ok(Self {
+            name: value(ini, "deployment", "name")?,
+            zones: list::<String>(ini, "deployment", "zones")?
+                .into_iter()
+                .map(ZoneName::from)
+                .collect(),
+            engines: EngineTable {
+                group: GroupName::from(value::<String>(ini, "engines", "group")?),
+                count: value(ini, "engines", "count")?,
+                capacity_bytes: gigabytes(ini, "engines", "capacity_gb")?,
+                slots: value(ini, "engines", "slots")?,
+                host_memory_bytes: gigabytes(ini, "engines", "host_memory_gb")?,
+                host_disk_bytes: gigabytes(ini, "engines", "host_disk_gb")?,
+            },
+            service: ServiceTable {
+                group: GroupName::from(value::<String>(ini, "service", "group")?),
+                instances: value(ini, "service", "instances")?,
+                slots: value(ini, "service", "slots")?,
+                run_ms: value(ini, "service", "run_ms")?,
+                requests_per_s: value(ini, "service", "requests_per_s")?,
+            },
+            store: StoreTable {
+                loads_per_s: value(ini, "store", "loads_per_s")?,
+                full_speed_loads: value(ini, "store", "full_speed_loads")?,
+            },
+            load_times: LoadTimes {
+                memory: tier_time(ini, "memory_fixed_ms", "memory_ms_per_gb")?,
+                disk: tier_time(ini, "disk_fixed_ms", "disk_ms_per_gb")?,
+                remote: tier_time(ini, "remote_fixed_ms", "remote_ms_per_gb")?,
+            },
+            models: model_table(ini)?,
+            activity: activity_table(ini)?,
+            classes,
+        })
+    }
+
+    /// Returns the tightest class target.
+    pub fn tightest_target_ms(&self) -> u64 {
+        self.classes
+            .first()
+            .map_or(0, |class| class.answer_within_ms)
+    }
+}
+
+fn class_names(ini: &Ini) -> impl Iterator<Item = &str> {
+    ini.sections()
+        .flatten()
+        .filter_map(|section| section.strip_prefix(CLASS_PREFIX))
+}
+
+fn class_table(ini: &Ini, class: &str) -> Result<ClassTable> {
+    let section = format!("{CLASS_PREFIX}{class}");
+    Ok(ClassTable {
+        class: ClassName::from(class),
+        answer_within_ms: value(ini, &section, "answer_within_ms")?,
+        share: value(ini, &section, "share")?,
+        first_token_ms: value(ini, &section, "first_token_ms")?,
+        run_ms: value(ini, &section, "run_ms")?,
+        idempotent: value(ini, &section, "idempotent")?,
+    })
+}
+
+fn model_table(ini: &Ini) -> Result<ModelTable> {
+    let sizes: Vec<f64> = list(ini, "models", "sizes_gb")?;
+    if sizes.is_empty() {
+        return Err(Error::key("models", "sizes_gb", "lists no size"));
+    }
+    let adapter_mb: u64 = value(ini, "models", "adapter_mb")?;
+    Ok(ModelTable {
+        count: value(ini, "models", "count")?,
+        sizes_bytes: sizes
+            .into_iter()
+            .map(|size| (size * GIGABYTE as f64) as u64)
+            .collect(),
+        adapters: value(ini, "models", "adapters")?,
+        adapter_bytes: adapter_mb * (GIGABYTE / 1_000),
+        adapter_bases: value(ini, "models", "adapter_bases")?,
+        remote_only_share: value(ini, "models", "remote_only_share")?,
+    })
+}
+
+fn activity_table(ini: &Ini) -> Result<ActivityTable> {
+    Ok(ActivityTable {
+        change_share_per_hour: value(ini, "activity", "change_share_per_hour")?,
+        active_share: value(ini, "activity", "active_share")?,
+        hot_share: value(ini, "activity", "hot_share")?,
+        regular_share: value(ini, "activity", "regular_share")?,
+        gap_median_ms: value(ini, "activity", "gap_median_ms")?,
+        hot_gap_median_ms: value(ini, "activity", "hot_gap_median_ms")?,
+        burst_most: value(ini, "activity", "burst_most")?,
+        callers: value(ini, "activity", "callers")?,
+    })
+}
+
+fn tier_time(ini: &Ini, fixed: &str, per_gb: &str) -> Result<TierTime> {
+    Ok(TierTime {
+        fixed_ms: value(ini, "load_times", fixed)?,
+        ms_per_gb: value(ini, "load_times", per_gb)?,
+    })
+}
+
+fn gigabytes(ini: &Ini, section: &str, key: &str) -> Result<u64> {
+    let size: f64 = value(ini, section, key)?;
+    Ok((size * GIGABYTE as f64) as u64)
+}
+
+fn text<'a>(ini: &'a Ini, section: &str, key: &str) -> Result<&'a str> {
+    ini.get_from(Some(section), key)
+        .ok_or_else(|| Error::key(section, key, "is missing"))
+}
+
+fn value<T: FromStr>(ini: &Ini, section: &str, key: &str) -> Result<T> {
+    let text = text(ini, section, key)?;
+    text.parse()
+        .map_err(|_| Error::key(section, key, format!("{text:?} can't be understood")))
+}
+
+fn list<T: FromStr>(ini: &Ini, section: &str, key: &str) -> Result<Vec<T>> {
+    text(ini, section, key)?
+        .split(',')
+        .map(|item| {
+            let item = item.trim();
+            item.parse()
+                .map_err(|_| Error::key(section, key, format!("{item:?} can't be understood")))
+        })
+        .collect()
+}
--- /dev/null
+++ b/crates/policy-replay/src/trace.rs
@@ -0,0 +1,369 @@
+//! Seeded arrival traces.
+//!
+//! Time starts at midnight. A model is always awake, called by a schedule, or alternates between
+//! awake and idle; the alternating ones change over at the share per hour that the deployment
+//! gives. A model that wakes up does so with a burst of requests.
+
+use rand::RngExt;
+use rand::SeedableRng;
+use rand_chacha::ChaCha8Rng;
+
+use apricotdale_core::names::ModelName;
+
+use crate::deployment::Deployment;
+use crate::draw;
+
+const HOUR_MS: f64 = 3_600_000.0;
+const DAY_MS: f64 = 24.0 * HOUR_MS;
+
+/// The hour of the day with the least work.
+const QUIET_HOUR: f64 = 2.0;
+
+/// How far the work of a day swings around its mean.
+const DIURNAL_SWING: f64 = 0.8;
+
+/// Spread of the mean gap over models, as the deviation of its logarithm.
+const GAP_SPREAD: f64 = 1.2;
+const LEAST_GAP_MS: f64 = 2_000.0;
+const MOST_GAP_MS: f64 = 900_000.0;
+
+/// Within how long the burst of a waking model arrives.
+const BURST_MS: f64 = 2_000.0;
+
+/// Periods of scheduled callers.
+const PERIODS_MS: [f64; 6] = [
+    0.25 * HOUR_MS,
+    0.5 * HOUR_MS,
+    HOUR_MS,
+    2.0 * HOUR_MS,
+    6.0 * HOUR_MS,
+    DAY_MS,
+];
+
+/// Deviation of a scheduled call from its time.
+const SCHEDULE_JITTER_MS: f64 = 10_000.0;
+
+/// Share of a model's requests that belong to its main class.
+const MAIN_CLASS_SHARE: f64 = 0.8;
+
+/// Prompt prefixes in use at one model.
+const PREFIXES: u64 = 6;
+
+/// Models that a crowd calls.
+const CROWD_MODELS: usize = 10;
+
+/// `Habit` is how a model is called.
+#[derive(Clone, Copy, Debug, PartialEq)]
+pub enum Habit {
+    /// Awake all the time.
+    Hot,
+    /// Called at fixed times.
+    Regular {
+        /// The time between two calls.
+        period_ms: u64,
+    },
+    /// Alternates between awake and idle.
+    Alternating,
+}
+
+/// `TraceModel` is a model or adapter of the trace.
+#[derive(Clone, Debug)]
+pub struct TraceModel {
+    /// Its name.
+    pub model: ModelName,
+    /// The index of an adapter's base.
+    pub base: Option<usize>,
+    /// Memory it takes.
+    pub bytes: u64,
+    /// How it is called.
+    pub habit: Habit,
+    /// The mean time between two requests while it is awake.
+    pub gap_ms: f64,
+    /// The index of its main class.
+    pub main_class: usize,
+    /// Whether no host has it cached at the start.
+    pub remote_only: bool,
+}
+
+/// `Target` is what a request asks for.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Target {
+    /// A model, by index.
+    Model(usize),
+    /// The plain service.
+    Service,
+}
+
+/// `TraceRequest` is one request of the trace.
+#[derive(Clone, Debug, PartialEq)]
+pub struct TraceRequest {
+    /// When it arrives.
+    pub at_ms: u64,
+    /// What it asks for.
+    pub target: Target,
+    /// The index of its class.
+    pub class: usize,
+    /// Its caller.
+    pub caller: u32,
+    /// The hash of its prompt's prefix.
+    pub prefix_hash: u64,
+    /// Time to the first token on an empty engine without a cached prefix.
+    pub first_token_ms: u64,
+    /// Time to the whole answer on an empty engine.
+    pub run_ms: u64,
+}
+
+/// `Crowd` is a stretch of time in which the work exceeds what the engines can do.
+#[derive(Clone, Copy, Debug)]
+pub struct Crowd {
+    /// When it starts.
+    pub from_ms: u64,
+    /// When it ends.
+    pub to_ms: u64,
+    /// The work that it adds: milliseconds of run time on empty engines for each millisecond.
+    pub work_rate: f64,
+}
+
+/// `Trace` is the models and the requests to them, in order of time.
+#[derive(Clone, Debug)]
+pub struct Trace {
+    /// Models, then adapters.
+    pub models: Vec<TraceModel>,
+    /// Requests.
+    pub requests: Vec<TraceRequest>,
+}
+
+/// Returns the trace of a deployment from midnight to `until_ms`.
+pub fn trace(deployment: &Deployment, seed: u64, until_ms: u64, crowd: Option<Crowd>) -> Trace {
+    let mut source = ChaCha8Rng::seed_from_u64(seed);
+    let models = models(deployment, &mut source);
+    let mut requests = Vec::new();
+    for (index, model) in models.iter().enumerate() {
+        // A source of its own for each model keeps the others' requests as they are when one
+        // model changes.
+        let mut own = ChaCha8Rng::seed_from_u64(seed ^ ((index as u64 + 1) << 20));
+        let times = arrival_times(deployment, model, until_ms as f64, &mut own);
+        requests.extend(
+            times
+                .into_iter()
+                .map(|at_ms| request(deployment, index, model, at_ms, &mut own)),
+        );
+    }
+    requests.extend(service_requests(deployment, seed, until_ms as f64));
+    if let Some(crowd) = crowd {
+        requests.extend(crowd_requests(deployment, &models, seed, crowd));
+    }
+    requests.retain(|request| request.at_ms < until_ms);
+    requests.sort_by_key(|request| request.at_ms);
+    Trace { models, requests }
+}
+
+fn models(deployment: &Deployment, source: &mut ChaCha8Rng) -> Vec<TraceModel> {
+    let table = &deployment.models;
+    let plain = (0..table.count).map(|index| (index, None));
+    let adapters = (0..table.adapters).map(|index| (index, Some(index % table.adapter_bases)));
+    plain
+        .chain(adapters)
+        .map(|(index, base)| {
+            let habit = habit(deployment, source);
+            let median_ms = match habit {
+                Habit::Hot => deployment.activity.hot_gap_median_ms,
+                _ => deployment.activity.gap_median_ms,
+            };
+            let gap_ms = median_ms * (GAP_SPREAD * draw::normal(source)).exp();
+            let kind = if base.is_some() { "adapter" } else { "model" };
+            TraceModel {
+                model: ModelName::from(format!("{kind}-{index:03}")),
+                base,
+                bytes: match base {
+                    Some(_) => table.adapter_bytes,
+                    None => table.sizes_bytes[index % table.sizes_bytes.len()],
+                },
+                habit,
+                gap_ms: gap_ms.clamp(LEAST_GAP_MS, MOST_GAP_MS),
+                main_class: class(deployment, source),
+                remote_only: source.random_bool(table.remote_only_share),
+            }
+        })
+        .collect()
+}
+
+fn habit(deployment: &Deployment, source: &mut ChaCha8Rng) -> Habit {
+    let activity = &deployment.activity;
+    let drawn: f64 = source.random();
+    let period = source.random_range(0..PERIODS_MS.len());
+    match drawn {
+        _ if drawn < activity.hot_share => Habit::Hot,
+        _ if drawn < activity.hot_share + activity.regular_share => Habit::Regular {
+            period_ms: PERIODS_MS[period] as u64,
+        },
+        _ => Habit::Alternating,
+    }
+}
+
+fn class(deployment: &Deployment, source: &mut ChaCha8Rng) -> usize {
+    let total: f64 = deployment.classes.iter().map(|class| class.share).sum();
+    let mut left = source.random::<f64>() * total;
+    for (index, class) in deployment.classes.iter().enumerate() {
+        left -= class.share;
+        if left < 0.0 {
+            return index;
+        }
+    }
+    deployment.classes.len() - 1
+}
+
+/// Returns how busy the time of day is, around a mean of one.
+fn diurnal(at_ms: f64) -> f64 {
+    let hour = (at_ms / HOUR_MS - QUIET_HOUR) / 24.0;
+    1.0 - DIURNAL_SWING * (hour * std::f64::consts::TAU).cos()
+}
+
+fn arrival_times(
+    deployment: &Deployment,
+    model: &TraceModel,
+    until_ms: f64,
+    source: &mut ChaCha8Rng,
+) -> Vec<f64> {
+    match model.habit {
+        Habit::Hot => stretch(model.gap_ms, 0.0, until_ms, source),
+        Habit::Regular { period_ms } => scheduled(deployment, period_ms as f64, until_ms, source),
+        Habit::Alternating => alternating(deployment, model, until_ms, source),
+    }
+}
+
+/// Returns the arrivals at a model that is awake, thinned by the time of day.
+fn stretch(gap_ms: f64, from_ms: f64, to_ms: f64, source: &mut ChaCha8Rng) -> Vec<f64> {
+    let most = 1.0 + DIURNAL_SWING;
+    let mut times = Vec::new();
+    let mut at_ms = from_ms + draw::exponential(source, gap_ms / most);
+    while at_ms < to_ms {
+        if source.random::<f64>() * most < diurnal(at_ms) {
+            times.push(at_ms);
+        }
+        at_ms += draw::exponential(source, gap_ms / most);
+    }
+    times
+}
+
+fn scheduled(
+    deployment: &Deployment,
+    period_ms: f64,
+    until_ms: f64,
+    source: &mut ChaCha8Rng,
+) -> Vec<f64> {
+    let phase_ms = source.random::<f64>() * period_ms;
+    let size = source.random_range(1..=deployment.activity.burst_most);
+    let mut times = Vec::new();
+    let mut at_ms = phase_ms;
+    while at_ms < until_ms {
+        let start_ms = (at_ms + SCHEDULE_JITTER_MS * draw::normal(source)).max(0.0);
+        times.extend((0..size).map(|_| start_ms + source.random::<f64>() * BURST_MS));
+        at_ms += period_ms;
+    }
+    times
+}
+
+fn alternating(
+    deployment: &Deployment,
+    model: &TraceModel,
+    until_ms: f64,
+    source: &mut ChaCha8Rng,
+) -> Vec<f64> {
+    let activity = &deployment.activity;
+    // In the long run as many models wake up as fall idle, each half of the changes.
+    let changes_per_hour = activity.change_share_per_hour / 2.0;
+    let awake_ms = activity.active_share / changes_per_hour * HOUR_MS;
+    let idle_ms = (1.0 - activity.active_share) / changes_per_hour * HOUR_MS;
+    let most = 1.0 + DIURNAL_SWING;
+    let mut times = Vec::new();
+    let mut at_ms = 0.0;
+    let mut is_awake = source.random_bool(activity.active_share);
+    while at_ms < until_ms {
+        if is_awake {
+            let end_ms = at_ms + draw::exponential(source, awake_ms);
+            let size = source.random_range(1..=activity.burst_most);
+            times.extend((0..size).map(|_| at_ms + source.random::<f64>() * BURST_MS));
+            times.extend(stretch(model.gap_ms, at_ms, end_ms.min(until_ms), source));
+            at_ms = end_ms;
+            is_awake = false;
+            continue;
+        }
+        at_ms += draw::exponential(source, idle_ms / most);
+        is_awake = source.random::<f64>() * most < diurnal(at_ms);
+    }
+    times
+}
+
+fn request(
+    deployment: &Deployment,
+    index: usize,
+    model: &TraceModel,
+    at_ms: f64,
+    source: &mut ChaCha8Rng,
+) -> TraceRequest {
+    let class = if source.random_bool(MAIN_CLASS_SHARE) {
+        model.main_class
+    } else {
+        class(deployment, source)
+    };
+    let table = &deployment.classes[class];
+    TraceRequest {
+        at_ms: at_ms as u64,
+        target: Target::Model(index),
+        class,
+        caller: source.random_range(0..deployment.activity.callers),
+        prefix_hash: ((index as u64) << 8) | source.random_range(0..PREFIXES),
+        first_token_ms: draw::around(source, table.first_token_ms),
+        run_ms: draw::around(source, table.run_ms),
+    }
+}
+
+fn service_requests(deployment: &Deployment, seed: u64, until_ms: f64) -> Vec<TraceRequest> {
+    let mut source = ChaCha8Rng::seed_from_u64(seed ^ 0x5e71);
+    let gap_ms = 1_000.0 / deployment.service.requests_per_s;
+    stretch(gap_ms, 0.0, until_ms, &mut source)
+        .into_iter()
+        .map(|at_ms| {
+            let run_ms = draw::around(&mut source, deployment.service.run_ms);
+            TraceRequest {
+                at_ms: at_ms as u64,
+                target: Target::Service,
+                class: 0,
+                caller: source.random_range(0..deployment.activity.callers),
+                prefix_hash: 0,
+                first_token_ms: run_ms,
+                run_ms,
+            }
+        })
+        .collect()
+}
+
+fn crowd_requests(
+    deployment: &Deployment,
+    models: &[TraceModel],
+    seed: u64,
+    crowd: Crowd,
+) -> Vec<TraceRequest> {
+    let mut source = ChaCha8Rng::seed_from_u64(seed ^ 0xc20d);
+    let share: f64 = deployment.classes.iter().map(|class| class.share).sum();
+    let work_ms: f64 = deployment
+        .classes
+        .iter()
+        .map(|class| class.share / share * class.run_ms as f64)
+        .sum();
+    let gap_ms = work_ms / crowd.work_rate;
+    let mut requests = Vec::new();
+    let mut at_ms = crowd.from_ms as f64;
+    while at_ms < crowd.to_ms as f64 {
+        let called = source.random_range(0..CROWD_MODELS.min(models.len()));
+        let mut made = request(deployment, called, &models[called], at_ms, &mut source);
+        made.class = class(deployment, &mut source);
+        let table = &deployment.classes[made.class];
+        made.first_token_ms = draw::around(&mut source, table.first_token_ms);
+        made.run_ms = draw::around(&mut source, table.run_ms);
+        requests.push(made);
+        at_ms += draw::exponential(&mut source, gap_ms);
+    }
+    requests
+}
--- /dev/null
+++ b/crates/policy-replay/src/world/mod.rs
@@ -0,0 +1,378 @@
+//! The world that the policies decide about: events in virtual time.
+//!
+//! One instance of each policy decides for all VMs, with what one VM would know: load reports lag,
+//! a decision takes a round over the log. There is no network and no second VM.
+
+mod faults;
+mod placing;
+mod serving;
+
+use std::cmp::Reverse;
+use std::collections::BTreeSet;
+use std::collections::BinaryHeap;
+use std::collections::HashMap;
+
+use rand::RngExt;
+use rand::SeedableRng;
+use rand_chacha::ChaCha8Rng;
+
+use apricotdale_core::engine::CacheTier;
+use apricotdale_core::names::ModelName;
+use apricotdale_core::names::UpstreamName;
+use apricotdale_core::policy::PlacementAction;
+
+use crate::case::Case;
+use crate::case::Fault;
+use crate::deployment::Deployment;
+use crate::errors::Result;
+use crate::fleet::Engine;
+use crate::fleet::Phase;
+use crate::fleet::Replica;
+use crate::measures::Measures;
+use crate::policies::Policies;
+use crate::policies::PolicySet;
+use crate::store::Store;
+use crate::trace::Trace;
+
+/// From the proposal of a decision until it is in force.
+const LOG_ROUND_MS: u64 = 30;
+
+/// Between two reports of an engine's load.
+const REPORT_MS: u64 = 2_000;
+
+/// From demand without a replica until placement is asked.
+const PLAN_DELAY_MS: u64 = 50;
+
+/// Between two plans while something waits, and while nothing does.
+const BUSY_PLAN_MS: u64 = 500;
+const QUIET_PLAN_MS: u64 = 2_000;
+
+#[derive(Clone, Debug, PartialEq, Eq)]
+enum Event {
+    Arrival(u64),
+    AdmissionTick,
+    Plan,
+    Report,
+    Accept {
+        action: PlacementAction,
+        expected_replicas: usize,
+    },
+    StoreStart(usize),
+    StoreEnd,
+    LoadDone(usize),
+    LoadFailed(usize),
+    Settled(usize),
+    Unloaded(usize),
+    FirstToken {
+        ticket: u64,
+        attempt: u32,
+    },
+    End {
+        ticket: u64,
+        attempt: u32,
+    },
+    Retry(u64),
+    Fault(Fault),
+}
+
+#[derive(Debug, PartialEq, Eq)]
+struct Scheduled {
+    at_ms: u64,
+    sequence: u64,
+    event: Event,
+}
+
+impl Ord for Scheduled {
+    fn cmp(&self, other: &Self) -> std::cmp::Ordering {
+        (self.at_ms, self.sequence).cmp(&(other.at_ms, other.sequence))
+    }
+}
+
+impl PartialOrd for Scheduled {
+    fn partial_cmp(&self, other: &Self) -> Option<std::cmp::Ordering> {
+        Some(self.cmp(other))
+    }
+}
+
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+enum State {
+    Waiting,
+    /// Started by admission, by the process of this generation.
+    Started {
+        generation: u32,
+    },
+    Done,
+}
+
+/// `Request` is one request in the world. Its ticket is its index.
+#[derive(Clone, Debug)]
+struct Request {
+    target: usize,
+    class: usize,
+    caller: u32,
+    prefix_hash: u64,
+    first_token_ms: u64,
+    run_ms: u64,
+    at_ms: u64,
+    deadline_ms: u64,
+    /// Whether it is one of the trace, not one that came back.
+    is_original: bool,
+    state: State,
+    tries: u32,
+    tried: Vec<UpstreamName>,
+    engine: usize,
+    begun_ms: u64,
+    answered_ms: Option<u64>,
+}
+
+/// `Load` is one load that was decided.
+#[derive(Clone, Debug)]
+struct Load {
+    engine: usize,
+    model: usize,
+    started_ms: u64,
+    tier: CacheTier,
+    sized_ms: f64,
+}
+
+/// `World` is one run: a deployment, a case and a set of policies.
+pub struct World<'a> {
+    deployment: &'a Deployment,
+    trace: &'a Trace,
+    case: Case,
+    set: PolicySet,
+    policies: Policies,
+    generation: u32,
+    now_ms: u64,
+    sequence: u64,
+    events: BinaryHeap<Reverse<Scheduled>>,
+    requests: Vec<Request>,
+    /// Model engines first, then the instances of the plain service.
+    engines: Vec<Engine>,
+    loads: Vec<Load>,
+    store: Store,
+    store_end_ms: Option<u64>,
+    log_is_up: bool,
+    /// Loads that ended and can't be settled while the log is down.
+    unsettled: Vec<usize>,
+    indexes: HashMap<ModelName, usize>,
+    plan_ms: Option<u64>,
+    tick_ms: Option<u64>,
+    waiting: Vec<BTreeSet<u64>>,
+    started: Vec<u32>,
+    running: Vec<u32>,
+    cold: Vec<Vec<(u64, u64)>>,
+    /// The capacity last told to admission for each target.
+    told: Vec<Option<(u32, Option<u64>)>>,
+    targets: Vec<ModelName>,
+    idle_shares: Vec<(u64, f64)>,
+    measures: Measures,
+}
+
+impl<'a> World<'a> {
+    /// Returns a world at midnight.
+    ///
+    /// # Errors
+    ///
+    /// `Error::UnknownPolicy` for a policy that no crate knows.
+    pub fn new(
+        deployment: &'a Deployment,
+        trace: &'a Trace,
+        case: Case,
+        set: PolicySet,
+    ) -> Result<Self> {
+        let policies = set.build()?;
+        let mut targets: Vec<ModelName> = trace
+            .models
+            .iter()
+            .map(|model| model.model.clone())
+            .collect();
+        targets.push(ModelName::new(deployment.service.group.as_str()));
+        let engines = engines(deployment, trace, set.seed);
+        let mut world = Self {
+            deployment,
+            trace,
+            case,
+            policies,
+            generation: 0,
+            now_ms: 0,
+            sequence: 0,
+            events: BinaryHeap::new(),
+            requests: Vec::with_capacity(trace.requests.len()),
+            idle_shares: vec![(0, 0.0); engines.len()],
+            engines,
+            loads: Vec::new(),
+            store: Store::new(
+                deployment.store.loads_per_s,
+                deployment.store.full_speed_loads,
+            ),
+            store_end_ms: None,
+            log_is_up: true,
+            unsettled: Vec::new(),
+            indexes: targets.iter().cloned().zip(0..).collect(),
+            plan_ms: None,
+            tick_ms: None,
+            waiting: vec![BTreeSet::new(); targets.len()],
+            started: vec![0; targets.len()],
+            running: vec![0; targets.len()],
+            cold: vec![Vec::new(); targets.len()],
+            told: vec![None; targets.len()],
+            targets,
+            measures: Measures::new(deployment, case.measured_from_ms()),
+            set,
+        };
+        world.prepare();
+        Ok(world)
+    }
+
+    /// Runs to the end of the case and returns what was measured.
+    pub fn run(mut self) -> Measures {
+        while let Some(Reverse(scheduled)) = self.events.pop() {
+            if scheduled.at_ms >= self.case.until_ms() {
+                break;
+            }
+            self.now_ms = scheduled.at_ms;
+            self.handle(scheduled.event);
+        }
+        self.now_ms = self.case.until_ms();
+        self.finish();
+        self.measures
+    }
+
+    fn prepare(&mut self) {
+        if let Some(crowd) = self.case.crowd(self.deployment) {
+            let table = &self.deployment.engines;
+            let places = table.count as u64 * u64::from(table.slots);
+            self.measures
+                .watch_goodput(crowd.from_ms, crowd.to_ms, places);
+        }
+        for request in &self.trace.requests {
+            let ticket = self.requests.len() as u64;
+            self.requests
+                .push(serving::from_trace(self.deployment, self.trace, request));
+            self.schedule(request.at_ms, Event::Arrival(ticket));
+        }
+        for (at_ms, fault) in self.case.faults() {
+            self.schedule(at_ms, Event::Fault(fault));
+        }
+        self.schedule(0, Event::Report);
+        self.plan_by(0);
+    }
+
+    fn handle(&mut self, event: Event) {
+        match event {
+            Event::Arrival(ticket) => self.arrive(ticket),
+            Event::AdmissionTick => self.admission_tick(),
+            Event::Plan => self.plan(),
+            Event::Report => self.report(),
+            Event::Accept {
+                action,
+                expected_replicas,
+            } => self.accept(&action, expected_replicas),
+            Event::StoreStart(load) => self.store_start(load),
+            Event::StoreEnd => self.store_end(),
+            Event::LoadDone(load) => self.load_done(load),
+            Event::LoadFailed(load) => self.load_failed(load),
+            Event::Settled(load) => self.settled(load),
+            Event::Unloaded(load) => self.unloaded(load),
+            Event::FirstToken { ticket, attempt } => self.first_token(ticket, attempt),
+            Event::End { ticket, attempt } => self.end(ticket, attempt),
+            Event::Retry(ticket) => self.dispatch(ticket),
+            Event::Fault(fault) => self.fault(fault),
+        }
+    }
+
+    fn schedule(&mut self, at_ms: u64, event: Event) {
+        self.sequence += 1;
+        self.events.push(Reverse(Scheduled {
+            at_ms,
+            sequence: self.sequence,
+            event,
+        }));
+    }
+
+    /// Asks placement at the given time, unless it is asked earlier.
+    fn plan_by(&mut self, at_ms: u64) {
+        if self.plan_ms.is_some_and(|planned_ms| planned_ms <= at_ms) {
+            return;
+        }
+        self.plan_ms = Some(at_ms);
+        self.schedule(at_ms, Event::Plan);
+    }
+
+    /// Accounts for the time since an engine last changed.
+    fn changed(&mut self, engine: usize) {
+        let (since_ms, share) = self.idle_shares[engine];
+        self.measures.idle(since_ms, self.now_ms, share);
+        self.idle_shares[engine] = (self.now_ms, self.engines[engine].idle_share());
+    }
+
+    fn finish(&mut self) {
+        for engine in 0..self.engines.len() {
+            self.changed(engine);
+        }
+        for target in 0..self.targets.len() {
+            self.warm(target);
+        }
+    }
+
+    /// Ends the cold starts that waited for a replica of a model.
+    fn warm(&mut self, target: usize) {
+        for (arrived_ms, floor_ms) in std::mem::take(&mut self.cold[target]) {
+            if self.measures.counts(arrived_ms) {
+                self.measures.cold_start(self.now_ms - arrived_ms, floor_ms);
+            }
+        }
+    }
+
+    fn serving(&self, target: usize) -> impl Iterator<Item = usize> + '_ {
+        (0..self.engines.len()).filter(move |engine| self.engines[*engine].serves(target))
+    }
+}
+
+/// Returns the engines with an uneven cache, and the instances of the plain service.
+fn engines(deployment: &Deployment, trace: &Trace, seed: u64) -> Vec<Engine> {
+    let mut source = ChaCha8Rng::seed_from_u64(seed ^ 0xcac4e);
+    let table = &deployment.engines;
+    let mut engines: Vec<Engine> = (0..table.count)
+        .map(|index| {
+            let name = UpstreamName::from(format!("{}-{index:02}", table.group));
+            let zone = deployment.zones[index % deployment.zones.len()].clone();
+            Engine::new(name, zone, table)
+        })
+        .collect();
+    for (index, model) in trace
+        .models
+        .iter()
+        .enumerate()
+        .filter(|(_, model)| !model.remote_only)
+    {
+        let host = source.random_range(0..table.count);
+        engines[host].cache.put_on_disk(index, model.bytes);
+    }
+    let service = trace.models.len();
+    let mut batch = table.clone();
+    batch.slots = deployment.service.slots;
+    engines.extend((0..deployment.service.instances).map(|index| {
+        let name = UpstreamName::from(format!("{}-{index:02}", deployment.service.group));
+        let zone = deployment.zones[index % deployment.zones.len()].clone();
+        let mut instance = Engine::new(name, zone, &batch);
+        instance.replicas.push(service_replica(service));
+        instance
+    }));
+    engines
+}
+
+/// Returns the stand-in by which an instance of the plain service counts as loaded.
+fn service_replica(service: usize) -> Replica {
+    Replica {
+        model: service,
+        base: None,
+        bytes: 0,
+        phase: Phase::Loaded,
+        load: usize::MAX,
+        since_ms: 0,
+        ready_at_ms: 0,
+        requests: 0,
+    }
+}
