Graceful stop waits for the ends of calls; the demonstration waits for the last decided load

Cause, found by the in-process tests: a stop dropped the ends of calls that the log did not take at that moment, so a booking that ran was told as of unknown outcome for ever. The demonstration compared loads decided and carried out while a second replica for the burst was still being loaded. Change: the stop waits within its grace time until all ends are on their streams, and departs only then. The demonstration waits until as many loads are carried out as were decided, and still fails on more.

--- a/crates/launcher/src/demo.rs
+++ b/crates/launcher/src/demo.rs
@@ -17,6 +17,7 @@
 use crate::errors::Error;
 use crate::errors::Result;
 use crate::poll::POLL_LIMIT;
+use crate::poll::poll_until;
 use crate::process::Exit;
 use crate::sample;
 use crate::standin::EngineEffects;
@@ -111,8 +112,7 @@
             format!("{whole} of {sent} requests answered whole"),
             whole == sent,
         )?;
-        let loads = self.loads(model)?;
-        let decided = self.decided(model)?;
+        let (decided, loads) = self.settled_loads(model)?;
         self.check(
             format!("{decided} loads decided, {loads} carried out by the engines"),
             loads == decided && decided > 0,
@@ -223,6 +223,18 @@
         Ok(whole)
     }
 
+    /// Returns the loads that were decided and those carried out, once the last one decided is
+    /// carried out. A burst may lead to a second replica, which is still being loaded when the first
+    /// one has answered all. More loads than decided are returned at once.
+    fn settled_loads(&self, model: &str) -> Result<(usize, usize)> {
+        poll_until("every load decided is carried out", POLL_LIMIT, || {
+            // The engines are asked first: a load decided in between does not count as carried out.
+            let loads = self.loads(model)?;
+            let decided = self.decided(model)?;
+            Ok((loads >= decided && decided > 0).then_some((decided, loads)))
+        })
+    }
+
     fn loads(&self, model: &str) -> Result<usize> {
         let mut loads = 0;
         for (_, engine) in self.cluster.engines() {
--- a/crates/node/src/claims/claim_stream.rs
+++ b/crates/node/src/claims/claim_stream.rs
@@ -1,6 +1,8 @@
 //! One claim stream: its table, what waits for it, and what is to be appended.
 
 use std::collections::HashMap;
+use std::sync::atomic::AtomicUsize;
+use std::sync::atomic::Ordering;
 use std::time::Duration;
 use std::time::Instant;
 
@@ -51,6 +53,7 @@
     moved: Condvar,
     queue: Sender<ClaimRecord>,
     queued: Receiver<ClaimRecord>,
+    open_ends: AtomicUsize,
 }
 
 impl ClaimStream {
@@ -65,6 +68,7 @@
             moved: Condvar::new(),
             queue,
             queued,
+            open_ends: AtomicUsize::new(0),
         }
     }
 
@@ -152,9 +156,20 @@
 
     /// Queues the end of a call.
     pub fn finish(&self, finish: Finish) {
+        self.open_ends.fetch_add(1, Ordering::AcqRel);
         self.queue(ClaimRecord::Finish(finish));
     }
 
+    /// Notes that some ends are on the stream.
+    pub fn note_ends_appended(&self, ends: usize) {
+        self.open_ends.fetch_sub(ends, Ordering::AcqRel);
+    }
+
+    /// Returns whether every end that was queued is on the stream.
+    pub fn has_no_open_ends(&self) -> bool {
+        self.open_ends.load(Ordering::Acquire) == 0
+    }
+
     /// Queues the end of a claim under which nothing will run.
     pub fn free(&self, key: &IdempotencyKey, request: &RequestId) {
         self.finish(Finish {
--- a/crates/node/src/claims/claim_writer.rs
+++ b/crates/node/src/claims/claim_writer.rs
@@ -88,7 +88,10 @@
             let counted = append_outcome(&outcome);
             self.metrics.node().appended(StreamKind::Claims, counted);
             let error = match outcome {
-                Ok(_) => return,
+                Ok(_) => {
+                    drop_claims(&mut batch);
+                    return self.stream.note_ends_appended(batch.len());
+                }
                 Err(error) => error,
             };
             warn!("append to {} failed: {error}", self.stream.name);
--- a/crates/node/src/daemon.rs
+++ b/crates/node/src/daemon.rs
@@ -105,7 +105,8 @@
         self.serving.callers.stop();
         self.serving.callers.wait_idle(CLOSE_WAIT);
         self.common.retired.store(true, Ordering::Release);
-        if self.settle_intents(left(deadline)) {
+        let told = self.await_ends_of_calls(deadline);
+        if self.settle_intents(left(deadline)) && told {
             self.depart();
         }
         self.common.stop.store(true, Ordering::Release);
@@ -117,6 +118,20 @@
         info!("stopped");
     }
 
+    /// Waits until the ends of all calls under claims are on their streams, and returns whether they
+    /// are. Otherwise the keys of calls that ran would be told as of unknown outcome for ever.
+    fn await_ends_of_calls(&self, deadline: Instant) -> bool {
+        let streams = &self.common.claim_streams;
+        while !streams.iter().all(|stream| stream.has_no_open_ends()) {
+            if left(deadline).is_zero() {
+                warn!("stopping with ends of calls that the log has not taken");
+                return false;
+            }
+            thread::sleep(STOP_POLL);
+        }
+        true
+    }
+
     /// Waits until the intents of this process are settled, and returns whether they are. Others
     /// would have to find out from the engines what became of them.
     fn settle_intents(&self, timeout: Duration) -> bool {
