--- a/crates/load-tool/src/bin/fleet-slopes.rs
+++ b/crates/load-tool/src/bin/fleet-slopes.rs
@@ -5,9 +5,12 @@
 
 use bpaf::Bpaf;
 
+use apricotdale_launcher::interrupts::Interrupts;
+use apricotdale_launcher::processes::Processes;
 use apricotdale_load_tool::fleet;
 use apricotdale_load_tool::fleet::FleetPoint;
 use apricotdale_load_tool::line_fit::LineFit;
+use apricotdale_load_tool::process_cost::load_average;
 
 /// One measured figure of a fleet.
 type Figure = fn(&FleetPoint) -> f64;
@@ -52,12 +55,16 @@
 }
 
 fn run(arguments: &Arguments) -> Result<(), Box<dyn std::error::Error>> {
+    let interrupts = Interrupts::install(None)?;
     let mut points = Vec::new();
     for vms in arguments.vms.split(',') {
-        let point = fleet::measure(vms.trim().parse()?, Duration::from_secs(arguments.seconds))?;
+        let duration = Duration::from_secs(arguments.seconds);
+        let watch = |processes: &Processes| interrupts.watch(processes);
+        let point = fleet::measure(vms.trim().parse()?, duration, watch)?;
         println!(
             "fleet vms={} cpu_percent_of_core={:.2} resident_mb={:.1} threads={:.0} \
-             bytes_per_s={:.0} log_reads_per_s={:.2} log_appends_per_s_of_fleet={:.2}",
+             bytes_per_s={:.0} log_reads_per_s={:.2} log_appends_per_s_of_fleet={:.2} \
+             load_average={:.2}",
             point.vms,
             point.cpu_percent,
             point.resident_mb,
@@ -65,6 +72,7 @@
             point.bytes_per_s,
             point.log_reads_per_s,
             point.log_appends_per_s,
+            load_average()?,
         );
         points.push(point);
     }
--- /dev/null
+++ b/crates/load-tool/src/bin/load-run.rs
@@ -0,0 +1,132 @@
+//! `load-run` drives a deployment's size on real processes, with the baseline policies and with
+//! those in use, and compares them.
+
+#![forbid(unsafe_code)]
+
+use std::path::PathBuf;
+use std::process::ExitCode;
+use std::time::Duration;
+
+use bpaf::Bpaf;
+
+use apricotdale_launcher::interrupts::Interrupts;
+use apricotdale_load_tool::Error;
+use apricotdale_load_tool::Result;
+use apricotdale_load_tool::load::case::Case;
+use apricotdale_load_tool::load::cluster_options::PolicyChoice;
+use apricotdale_load_tool::load::measures::in_ms;
+use apricotdale_load_tool::load::options::LoadOptions;
+use apricotdale_load_tool::load::report;
+use apricotdale_load_tool::load::run::Run;
+use apricotdale_load_tool::load::run::RunReport;
+use apricotdale_policy_replay::deployment::Deployment;
+
+const BYTES_PER_MB: f64 = 1e6;
+
+/// Drives real processes by a seeded schedule, once with each set of policies
+#[derive(Clone, Debug, Bpaf)]
+#[bpaf(options, version)]
+struct Arguments {
+    /// INI file of the deployment
+    #[bpaf(
+        argument("FILE"),
+        fallback(PathBuf::from("crates/policy-replay/deployments/scaravilli.ini"))
+    )]
+    deployment: PathBuf,
+    /// Cases: usual, overload, vm-killed, log-outage; all of them if none is given
+    #[bpaf(argument("NAME"), many)]
+    case: Vec<Case>,
+    /// Seed of the trace, the schedule and the policies
+    #[bpaf(argument("N"), fallback(LoadOptions::default().seed), display_fallback)]
+    seed: u64,
+    /// Entry VMs
+    #[bpaf(argument("N"), fallback(LoadOptions::default().vms), display_fallback)]
+    vms: usize,
+    /// By how much all that a request takes is shorter than in the deployment
+    #[bpaf(argument("X"), fallback(LoadOptions::default().speed), display_fallback)]
+    speed: f64,
+    /// By how much more often requests arrive besides
+    #[bpaf(argument("X"), fallback(LoadOptions::default().compression), display_fallback)]
+    compression: f64,
+    /// Seconds before the measured ones
+    #[bpaf(argument("S"), fallback(LoadOptions::default().warm_up.as_secs()), display_fallback)]
+    warm_up: u64,
+    /// Seconds that are measured
+    #[bpaf(argument("S"), fallback(LoadOptions::default().measured.as_secs()), display_fallback)]
+    seconds: u64,
+    /// Most requests in progress at once
+    #[bpaf(argument("N"), fallback(LoadOptions::default().client_threads), display_fallback)]
+    clients: usize,
+}
+
+fn main() -> ExitCode {
+    let arguments = arguments().run();
+    match compare(&arguments) {
+        Ok(true) => ExitCode::SUCCESS,
+        Ok(false) => ExitCode::FAILURE,
+        Err(error) => {
+            eprintln!("load-run: {error}");
+            ExitCode::FAILURE
+        }
+    }
+}
+
+/// Runs all cases and returns whether what must never happen did not happen.
+fn compare(arguments: &Arguments) -> Result<bool> {
+    let deployment = Deployment::read(&arguments.deployment);
+    let deployment = deployment.map_err(|error| Error::failed(error.to_string()))?;
+    let options = LoadOptions {
+        seed: arguments.seed,
+        vms: arguments.vms,
+        speed: arguments.speed,
+        compression: arguments.compression,
+        warm_up: Duration::from_secs(arguments.warm_up),
+        measured: Duration::from_secs(arguments.seconds),
+        client_threads: arguments.clients,
+    };
+    let interrupts = Interrupts::install(None)?;
+    let cases = match arguments.case.as_slice() {
+        [] => Case::ALL.to_vec(),
+        cases => cases.to_vec(),
+    };
+    let mut held = true;
+    for case in cases {
+        let run = Run::new(&deployment, &options, case);
+        let carry_out = |policies: PolicyChoice| {
+            let report = run.carry_out(policies, |processes| interrupts.watch(processes))?;
+            print_run(&deployment.name, case, policies, &report);
+            Ok::<_, Error>(report)
+        };
+        let baseline = carry_out(PolicyChoice::Baseline)?;
+        let chosen = carry_out(PolicyChoice::Chosen)?;
+        for line in report::comparison(&deployment.name, case, &baseline, &chosen) {
+            println!("{line}");
+        }
+        held &= baseline.violations.none() && chosen.violations.none();
+    }
+    println!("effects={}", if held { "none" } else { "VIOLATED" });
+    Ok(held)
+}
+
+fn print_run(deployment: &str, case: Case, policies: PolicyChoice, report: &RunReport) {
+    println!(
+        "run={} deployment={deployment} case={} sent={} late={} largest_delay_ms={:.1} \
+         processes={} resident_mb={:.0} load_average_before={:.2} load_average_after={:.2}",
+        policies.as_str(),
+        case.as_str(),
+        report.sent,
+        report.lateness.late,
+        in_ms(report.lateness.largest),
+        report.most_processes,
+        report.most_resident_bytes as f64 / BYTES_PER_MB,
+        report.load_average.0,
+        report.load_average.1,
+    );
+    for ending in &report.bad_endings {
+        println!("ending run={} {ending}", policies.as_str());
+    }
+    for (model, requests) in &report.never_loaded {
+        let run = policies.as_str();
+        println!("never_loaded run={run} model={model} requests={requests}");
+    }
+}
--- a/crates/load-tool/src/bin/overhead.rs
+++ b/crates/load-tool/src/bin/overhead.rs
@@ -9,8 +9,10 @@
 use apricotdale_launcher::caller::CallerRequest;
 use apricotdale_launcher::caller::call;
 use apricotdale_launcher::cluster::Cluster;
+use apricotdale_launcher::interrupts::Interrupts;
 use apricotdale_launcher::sample;
 use apricotdale_load_tool::overhead::Way;
+use apricotdale_load_tool::process_cost::load_average;
 
 /// How long the first request may take, which waits for the model's load.
 const WARM_UP_MS: u64 = 60_000;
@@ -41,7 +43,8 @@
 }
 
 fn run(arguments: &Arguments) -> Result<(), Box<dyn std::error::Error>> {
-    let cluster = Cluster::start(sample::options(1), |_| {})?;
+    let interrupts = Interrupts::install(None)?;
+    let cluster = Cluster::start(sample::options(1), |processes| interrupts.watch(processes))?;
     cluster.publish("vm1", sample::edits())?;
     let callers = cluster.vm("vm1")?.addresses.callers;
     let warm = CallerRequest::completion(sample::SLOT_PLANNER, 1, false);
@@ -78,6 +81,7 @@
     );
     report("event_gap", &direct.gap_us, &through.gap_us);
     cluster.stop();
+    println!("load_average={:.2}", load_average()?);
     Ok(())
 }
 
--- a/crates/load-tool/src/fleet.rs
+++ b/crates/load-tool/src/fleet.rs
@@ -6,6 +6,7 @@
 
 use apricotdale_launcher::cluster::Cluster;
 use apricotdale_launcher::cluster::options::ClusterOptions;
+use apricotdale_launcher::processes::Processes;
 use apricotdale_launcher::sample;
 use apricotdale_launcher::standin::LogEffects;
 
@@ -45,17 +46,22 @@
     log: LogEffects,
 }
 
-/// Starts a fleet without callers, measures it for a time, and stops it.
+/// Starts a fleet without callers, measures it for a time, and stops it. The processes are shown to
+/// `prepare` before they start.
 ///
 /// # Errors
 ///
 /// If the fleet can't be started or a daemon ends.
-pub fn measure(vms: usize, duration: Duration) -> Result<FleetPoint> {
+pub fn measure(
+    vms: usize,
+    duration: Duration,
+    prepare: impl FnOnce(&Processes),
+) -> Result<FleetPoint> {
     let options = ClusterOptions {
         vms,
         ..sample::options(vms)
     };
-    let cluster = Cluster::start(options, |_| {})?;
+    let cluster = Cluster::start(options, prepare)?;
     let names = cluster.vm_names();
     let first = names
         .first()
--- a/crates/load-tool/src/lib.rs
+++ b/crates/load-tool/src/lib.rs
@@ -9,6 +9,7 @@
 pub mod errors;
 pub mod fleet;
 pub mod line_fit;
+pub mod load;
 pub mod overhead;
 pub mod process_cost;
 
--- /dev/null
+++ b/crates/load-tool/src/load/client.rs
@@ -0,0 +1,326 @@
+//! One caller's request: sent to a VM, its answer read, timed and checked.
+
+use std::io::BufRead;
+use std::io::BufReader;
+use std::io::ErrorKind;
+use std::io::Read;
+use std::net::SocketAddr;
+use std::sync::Arc;
+use std::thread;
+use std::time::Duration;
+
+use ureq::Agent;
+use ureq::Body;
+use ureq::http::Response;
+
+use apricotdale_launcher::answer::AnswerHead;
+use apricotdale_launcher::answer::Outcome;
+use apricotdale_launcher::answer::StreamReading;
+
+use crate::load::answer_check::TokenCheck;
+use crate::load::answer_check::check_call;
+use crate::load::balancer::Balancer;
+use crate::load::clock::RunClock;
+use crate::load::cluster_options::SHELF;
+use crate::load::record::Ending;
+use crate::load::record::Record;
+use crate::load::schedule::Planned;
+use crate::load::schedule::Work;
+
+/// The longest time that a caller waits for the end of an answer. It is far above every target and
+/// only ends a hanging run.
+const ANSWER_LIMIT: Duration = Duration::from_secs(120);
+
+/// How often a caller sends a cut order again whose answer was lost, and the pause before that.
+const MOST_REPEATS: u32 = 100;
+const REPEAT_PAUSE: Duration = Duration::from_millis(100);
+
+/// The length of the prompts' common beginnings, which is beyond what engines cache.
+const PREFIX_LENGTH: usize = 300;
+
+const EVENT_STREAM: &str = "text/event-stream";
+
+/// `Catalog` is the names that requests carry, by index.
+#[derive(Clone, Debug)]
+pub struct Catalog {
+    /// The models.
+    pub models: Vec<String>,
+    /// The classes.
+    pub classes: Vec<String>,
+    /// The plain service.
+    pub service: String,
+}
+
+/// `Client` sends requests. Each has a connection of its own, so that the end of a VM is seen by
+/// the requests that are in progress there and by no other.
+#[derive(Clone, Debug)]
+pub struct Client {
+    agent: Agent,
+    balancer: Arc<Balancer>,
+    clock: RunClock,
+    catalog: Arc<Catalog>,
+}
+
+type Sent = Result<Response<Body>, ureq::Error>;
+
+impl Client {
+    /// Returns a client.
+    pub fn new(balancer: Arc<Balancer>, clock: RunClock, catalog: Arc<Catalog>) -> Self {
+        let agent = Agent::config_builder()
+            .proxy(None)
+            .max_idle_connections(0)
+            .http_status_as_error(false)
+            .no_delay(true)
+            .timeout_global(Some(ANSWER_LIMIT))
+            .build()
+            .into();
+        Self {
+            agent,
+            balancer,
+            clock,
+            catalog,
+        }
+    }
+
+    /// Sends a request and returns what became of it. A cut order under a key whose answer was lost
+    /// is sent again under its key, as its caller would.
+    pub fn send(&self, index: usize, planned: &Planned) -> Record {
+        let mut record = self.send_once(index, planned, planned.vm);
+        while must_repeat(planned, &record) {
+            thread::sleep(REPEAT_PAUSE);
+            let again = self.send_once(index, planned, record.vm + 1);
+            record = Record {
+                sent: record.sent,
+                repeats: record.repeats + 1,
+                ..again
+            };
+        }
+        record
+    }
+
+    fn send_once(&self, index: usize, planned: &Planned, first_vm: usize) -> Record {
+        let mut record = Record {
+            planned: index,
+            vm: first_vm,
+            sent: self.clock.now(),
+            first: None,
+            ended: Duration::ZERO,
+            gaps_us: Vec::new(),
+            identity: String::new(),
+            engine: None,
+            repeats: 0,
+            ending: Ending::NoAnswer("no VM accepts connections".to_owned()),
+        };
+        for (vm, address) in self.balancer.route(first_vm) {
+            record.vm = vm;
+            match self.start(address, planned) {
+                Err(error) if never_connected(&error) => continue,
+                Err(error) => record.ending = Ending::NoAnswer(error.to_string()),
+                Ok(response) => self.read(response, planned, &mut record),
+            }
+            break;
+        }
+        record.ended = self.clock.now();
+        record
+    }
+
+    fn start(&self, vm: SocketAddr, planned: &Planned) -> Sent {
+        let class = &self.catalog.classes[planned.class];
+        let service = &self.catalog.service;
+        let url = |path: &str| format!("http://{vm}{path}");
+        let caller = format!("caller-{}", planned.caller);
+        match &planned.work {
+            Work::Completion {
+                model,
+                prefix,
+                tokens,
+                stream,
+            } => {
+                let body = serde_json::json!({
+                    "model": self.catalog.models[*model],
+                    "prompt": format!("{prefix:0>PREFIX_LENGTH$} {caller}"),
+                    "max_tokens": tokens,
+                    "stream": stream,
+                });
+                let request = self.agent.post(url("/v1/completions"));
+                let request = request.header("X-Request-Class", class);
+                request.header("X-Caller", caller).send_json(body)
+            }
+            Work::Look { .. } => {
+                let path = format!("/services/{service}{}", call_path(&planned.work));
+                let request = self.agent.get(url(&path));
+                let request = request.header("X-Request-Class", class);
+                request.header("X-Caller", caller).call()
+            }
+            Work::CutOrder { order, keyed } => {
+                let path = format!("/services/{service}{}", call_path(&planned.work));
+                let request = self.agent.post(url(&path));
+                let request = request.header("X-Request-Class", class);
+                let request = match keyed {
+                    true => request.header("Idempotency-Key", idempotency_key(*order)),
+                    false => request,
+                };
+                let body = serde_json::json!({"order": order});
+                request.header("X-Caller", caller).send_json(body)
+            }
+        }
+    }
+
+    fn read(&self, response: Response<Body>, planned: &Planned, record: &mut Record) {
+        let head = AnswerHead {
+            status: response.status().as_u16(),
+            content_type: header(&response, "content-type"),
+            request: header(&response, "x-request-id"),
+        };
+        record.identity = head.request.clone();
+        let body = BufReader::new(response.into_body().into_reader());
+        record.ending = if head.content_type.starts_with(EVENT_STREAM) {
+            self.read_stream(head, body, planned, record)
+        } else {
+            self.read_whole(head, body, planned, record)
+        };
+    }
+
+    fn read_stream(
+        &self,
+        head: AnswerHead,
+        mut body: impl BufRead,
+        planned: &Planned,
+        record: &mut Record,
+    ) -> Ending {
+        let mut check = TokenCheck::new(&head.request);
+        let mut reading = StreamReading::new(head);
+        let mut wrong = None;
+        let mut last = None;
+        let mut line = String::new();
+        let outcome = loop {
+            line.clear();
+            match body.read_line(&mut line) {
+                Ok(0) => break reading.end(None),
+                Err(error) => break reading.end(Some(error.to_string())),
+                Ok(_) if !reading.take_line(line.trim_end()) => continue,
+                Ok(_) => {}
+            }
+            let now = self.clock.now();
+            match last {
+                None => record.first = Some(now),
+                Some(last) => record.gaps_us.push(micros(now - last)),
+            }
+            last = Some(now);
+            let data = line.trim_start_matches("data:").trim();
+            wrong = wrong.or(check.take(data).err());
+        };
+        record.engine = check.engine().map(str::to_owned);
+        ending_of(outcome, wrong, || check.end(tokens(&planned.work)))
+    }
+
+    fn read_whole(
+        &self,
+        head: AnswerHead,
+        mut body: impl Read,
+        planned: &Planned,
+        record: &mut Record,
+    ) -> Ending {
+        let mut bytes = Vec::new();
+        if let Err(error) = body.read_to_end(&mut bytes) {
+            return Ending::Cut(error.to_string());
+        }
+        let text = String::from_utf8_lossy(&bytes);
+        let mut check = TokenCheck::new(&head.request);
+        let outcome = Outcome::of_body(head, &text);
+        if outcome.is_whole() {
+            record.first = Some(self.clock.now());
+        }
+        let checked = || match &planned.work {
+            Work::Completion { tokens, .. } => check.take(&text).and_then(|()| check.end(*tokens)),
+            work => check_call(&call_name(work), &text),
+        };
+        let ending = ending_of(outcome, None, checked);
+        record.engine = check.engine().map(str::to_owned);
+        ending
+    }
+}
+
+/// Returns how a request ended, after what its answer looks like and what its content says.
+fn ending_of(
+    outcome: Outcome,
+    wrong: Option<String>,
+    end_check: impl FnOnce() -> Result<(), String>,
+) -> Ending {
+    match outcome {
+        Outcome::Crossed { found, .. } => Ending::Foreign(format!("identity {found}")),
+        _ if wrong.is_some() => Ending::Foreign(wrong.unwrap_or_default()),
+        Outcome::Refused { refusal, .. } => Ending::Refused(refusal),
+        Outcome::Cut {
+            refusal: Some(refusal),
+            ..
+        } => Ending::Cut(refusal.to_string()),
+        Outcome::Cut { detail, .. } => Ending::Cut(detail),
+        Outcome::NoAnswer(detail) => Ending::NoAnswer(detail),
+        Outcome::Whole { head, .. } if !(200..300).contains(&head.status) => {
+            Ending::Strange(head.status)
+        }
+        Outcome::Whole { .. } => match end_check() {
+            Ok(()) => Ending::Whole,
+            Err(detail) => Ending::Foreign(detail),
+        },
+    }
+}
+
+/// Returns the path of a call to the service, below it.
+fn call_path(work: &Work) -> String {
+    match work {
+        Work::Completion { .. } => String::new(),
+        Work::Look { bundle } => format!("{SHELF}?bundle={bundle}"),
+        Work::CutOrder { order, .. } => format!("/cut-orders/{order}"),
+    }
+}
+
+/// Returns the name under which a stand-in service counts a call.
+pub fn call_name(work: &Work) -> String {
+    match work {
+        Work::Completion { .. } => String::new(),
+        Work::Look { .. } => format!("GET {SHELF}"),
+        Work::CutOrder { .. } => format!("POST {}", call_path(work)),
+    }
+}
+
+/// Returns the idempotency key of a cut order.
+pub fn idempotency_key(order: u64) -> String {
+    format!("cut-order-{order}")
+}
+
+fn tokens(work: &Work) -> u32 {
+    match work {
+        Work::Completion { tokens, .. } => *tokens,
+        Work::Look { .. } | Work::CutOrder { .. } => 0,
+    }
+}
+
+fn must_repeat(planned: &Planned, record: &Record) -> bool {
+    if !matches!(planned.work, Work::CutOrder { keyed: true, .. }) {
+        return false;
+    }
+    let refusal = record.ending.refusal();
+    let still_runs = refusal.is_some_and(|refusal| refusal.reason == "key_in_progress");
+    record.repeats < MOST_REPEATS && (record.ending.is_lost() || (record.repeats > 0 && still_runs))
+}
+
+/// Returns whether a request certainly reached nobody.
+fn never_connected(error: &ureq::Error) -> bool {
+    match error {
+        ureq::Error::Io(error) => error.kind() == ErrorKind::ConnectionRefused,
+        ureq::Error::ConnectionFailed => true,
+        _ => false,
+    }
+}
+
+fn micros(time: Duration) -> u32 {
+    u32::try_from(time.as_micros()).unwrap_or(u32::MAX)
+}
+
+fn header(response: &Response<Body>, name: &str) -> String {
+    let value = response.headers().get(name);
+    let text = value.and_then(|value| value.to_str().ok());
+    text.unwrap_or_default().to_owned()
+}
--- /dev/null
+++ b/crates/load-tool/src/load/effects.rs
@@ -0,0 +1,233 @@
+//! What must never happen, counted from the stand-ins' side and the callers'.
+
+use std::collections::BTreeMap;
+use std::collections::BTreeSet;
+use std::time::Duration;
+
+use apricotdale_launcher::cluster::Cluster;
+use apricotdale_launcher::cluster::LOG;
+use apricotdale_launcher::cluster::records;
+use apricotdale_launcher::standin::EngineEffects;
+use apricotdale_launcher::standin::ServiceEffects;
+
+use crate::errors::Result;
+use crate::load::client::call_name;
+use crate::load::client::idempotency_key;
+use crate::load::record::Ending;
+use crate::load::record::Record;
+use crate::load::schedule::Planned;
+use crate::load::schedule::Work;
+
+/// What a refusal says of a request that did not run.
+const NOT_RUN: &str = "not_run";
+
+/// `Effects` is what the stand-ins count at the end of a run.
+#[derive(Clone, Debug, Default, PartialEq, Eq)]
+pub struct Effects {
+    /// Those of each engine.
+    pub engines: Vec<EngineEffects>,
+    /// Those of each instance of the service.
+    pub services: Vec<ServiceEffects>,
+    /// Loads that the tool itself ordered before the run, by model.
+    pub loads_before: BTreeMap<String, u64>,
+    /// Loads that replay of the control stream accepted, by model.
+    pub decided: BTreeMap<String, u64>,
+}
+
+/// `KilledVm` is a VM that was killed during the run.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct KilledVm {
+    /// Its index.
+    pub vm: usize,
+    /// When it still ran.
+    pub from: Duration,
+    /// When it had ended.
+    pub to: Duration,
+}
+
+/// `Violations` counts what must never happen.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+pub struct Violations {
+    /// Cut orders that ran more than once.
+    pub calls_run_again: u64,
+    /// Loads that were begun without room for them.
+    pub overcommitted: u64,
+    /// Loads that engines carried out beyond those decided.
+    pub loads_above_decided: u64,
+    /// Answers that began and were not whole.
+    pub answers_cut: u64,
+    /// Answers with a part that is not the request's own.
+    pub answers_foreign: u64,
+    /// Requests that ended without an answer or a refusal.
+    pub answers_missing: u64,
+    /// Requests refused as not run that ran.
+    pub untrue_refusals: u64,
+    /// Answers that are neither successes nor refusals, though no upstream sends such ones.
+    pub answers_strange: u64,
+}
+
+impl Effects {
+    /// Reads what the stand-ins of a cluster count.
+    ///
+    /// # Errors
+    ///
+    /// If a stand-in can't be reached.
+    pub fn read(cluster: &Cluster, loads_before: BTreeMap<String, u64>) -> Result<Self> {
+        let engines = engine_effects(cluster)?;
+        let services = cluster
+            .services()
+            .into_iter()
+            .map(|(_, service)| service.effects())
+            .collect::<apricotdale_launcher::Result<Vec<ServiceEffects>>>()?;
+        Ok(Self {
+            engines,
+            services,
+            loads_before,
+            decided: decided(cluster)?,
+        })
+    }
+
+    /// Returns the loads that were decided.
+    pub fn decided_loads(&self) -> u64 {
+        self.decided.values().sum()
+    }
+
+    fn loads(&self) -> BTreeMap<String, u64> {
+        sums(self.engines.iter().flat_map(|engine| &engine.loads))
+    }
+}
+
+impl Violations {
+    /// Counts the violations of a run.
+    pub fn count(
+        effects: &Effects,
+        schedule: &[Planned],
+        records: &[Record],
+        killed: Option<KilledVm>,
+    ) -> Self {
+        let mut counted = Self {
+            calls_run_again: calls_run_again(effects, schedule),
+            overcommitted: effects.engines.iter().map(|one| one.overcommitted).sum(),
+            loads_above_decided: loads_above_decided(effects),
+            untrue_refusals: untrue_refusals(effects, records),
+            ..Self::default()
+        };
+        for record in records {
+            match &record.ending {
+                _ if is_lost_with(record, killed) => {}
+                Ending::Cut(_) => counted.answers_cut += 1,
+                Ending::Foreign(_) => counted.answers_foreign += 1,
+                Ending::NoAnswer(_) => counted.answers_missing += 1,
+                Ending::Strange(_) => counted.answers_strange += 1,
+                Ending::Whole | Ending::Refused(_) => {}
+            }
+        }
+        counted
+    }
+
+    /// Returns each count with its name.
+    pub fn entries(&self) -> [(&'static str, u64); 8] {
+        [
+            ("calls_run_again", self.calls_run_again),
+            ("overcommitted", self.overcommitted),
+            ("loads_above_decided", self.loads_above_decided),
+            ("answers_cut", self.answers_cut),
+            ("answers_foreign", self.answers_foreign),
+            ("answers_missing", self.answers_missing),
+            ("untrue_refusals", self.untrue_refusals),
+            ("answers_strange", self.answers_strange),
+        ]
+    }
+
+    /// Returns whether nothing was counted.
+    pub fn none(&self) -> bool {
+        self.entries().iter().all(|(_, count)| *count == 0)
+    }
+}
+
+/// Returns whether the VM that was killed took a request's answer with it, which no VM can prevent.
+pub fn is_lost_with(record: &Record, killed: Option<KilledVm>) -> bool {
+    let was_there = |killed: KilledVm| {
+        record.vm == killed.vm && record.sent <= killed.to && record.ended >= killed.from
+    };
+    record.ending.is_lost() && killed.is_some_and(was_there)
+}
+
+/// Returns the loads that each engine carried out so far, by model.
+///
+/// # Errors
+///
+/// If an engine can't be reached.
+pub fn loads_so_far(cluster: &Cluster) -> Result<BTreeMap<String, u64>> {
+    let engines = engine_effects(cluster)?;
+    Ok(sums(engines.iter().flat_map(|engine| &engine.loads)))
+}
+
+fn engine_effects(cluster: &Cluster) -> Result<Vec<EngineEffects>> {
+    let mut effects = Vec::new();
+    for (_, engine) in cluster.engines() {
+        effects.push(engine.effects()?);
+    }
+    Ok(effects)
+}
+
+fn decided(cluster: &Cluster) -> Result<BTreeMap<String, u64>> {
+    let log = cluster.standin(LOG)?;
+    let decided = records::decided_loads(log)?;
+    let mut counts = BTreeMap::new();
+    for (offset, intent) in records::load_intents(log)? {
+        if decided.contains(&offset) {
+            *counts.entry(intent.model.to_string()).or_default() += 1;
+        }
+    }
+    Ok(counts)
+}
+
+fn calls_run_again(effects: &Effects, schedule: &[Planned]) -> u64 {
+    let by_call = sums(effects.services.iter().flat_map(|one| &one.calls));
+    let by_key = sums(effects.services.iter().flat_map(|one| &one.keys));
+    let mut calls = BTreeSet::new();
+    for planned in schedule {
+        let Work::CutOrder { order, keyed } = planned.work else {
+            continue;
+        };
+        let ran = count(&by_call, &call_name(&planned.work));
+        let ran_under_key = count(&by_key, &idempotency_key(order));
+        if ran > 1 || (keyed && ran_under_key > 1) {
+            calls.insert(order);
+        }
+    }
+    calls.len() as u64
+}
+
+fn loads_above_decided(effects: &Effects) -> u64 {
+    let loads = effects.loads();
+    let above = loads.iter().map(|(model, loads)| {
+        let known = count(&effects.loads_before, model) + count(&effects.decided, model);
+        loads.saturating_sub(known)
+    });
+    above.sum()
+}
+
+fn untrue_refusals(effects: &Effects, records: &[Record]) -> u64 {
+    let at_engines = effects.engines.iter().flat_map(|one| one.requests.keys());
+    let at_services = effects.services.iter().flat_map(|one| one.requests.keys());
+    let ran: BTreeSet<&String> = at_engines.chain(at_services).collect();
+    let untrue = records.iter().filter(|record| {
+        let refusal = record.ending.refusal();
+        refusal.is_some_and(|refusal| refusal.ran == NOT_RUN) && ran.contains(&record.identity)
+    });
+    untrue.count() as u64
+}
+
+fn sums<'a>(counts: impl Iterator<Item = (&'a String, &'a u64)>) -> BTreeMap<String, u64> {
+    let mut sums = BTreeMap::new();
+    for (name, count) in counts {
+        *sums.entry(name.clone()).or_default() += count;
+    }
+    sums
+}
+
+fn count(counts: &BTreeMap<String, u64>, name: &str) -> u64 {
+    counts.get(name).copied().unwrap_or_default()
+}
--- /dev/null
+++ b/crates/load-tool/src/load/report.rs
@@ -0,0 +1,64 @@
+//! The lines that are printed.
+
+use apricotdale_policy_replay::compare::Line;
+
+use crate::load::case::Case;
+use crate::load::measures::Results;
+use crate::load::run::RunReport;
+
+/// Returns a line for each measure of a case, each for both sets of policies.
+pub fn comparison(
+    deployment: &str,
+    case: Case,
+    baseline: &RunReport,
+    chosen: &RunReport,
+) -> Vec<String> {
+    let (before, after) = (with_effects(baseline), with_effects(chosen));
+    names(&before, &after)
+        .into_iter()
+        .map(|name| {
+            let line = Line {
+                baseline: value(&before, &name),
+                chosen: value(&after, &name),
+                measure: name,
+                timeout_ms: 0,
+            };
+            format!(
+                "measure={} deployment={deployment} case={} baseline={:.4} chosen={:.4} \
+                 ratio={:.3}",
+                line.measure,
+                case.as_str(),
+                line.baseline,
+                line.chosen,
+                line.ratio(),
+            )
+        })
+        .collect()
+}
+
+/// Returns the results with the counts of what must never happen behind them.
+fn with_effects(report: &RunReport) -> Results {
+    let effects = report.violations.entries().into_iter();
+    let effects = effects.map(|(name, count)| (format!("effects.{name}"), count as f64));
+    report.results.iter().cloned().chain(effects).collect()
+}
+
+/// Returns the names of two sets of results, in the order of the first as far as it goes. A reason
+/// of refusals may be in one of them only.
+fn names(before: &Results, after: &Results) -> Vec<String> {
+    let mut names: Vec<String> = before.iter().map(|(name, _)| name.clone()).collect();
+    for (index, (name, _)) in after.iter().enumerate() {
+        if names.contains(name) {
+            continue;
+        }
+        let previous = index.checked_sub(1).map(|previous| &after[previous].0);
+        let place = previous.and_then(|previous| names.iter().position(|name| name == previous));
+        names.insert(place.map_or(0, |place| place + 1), name.clone());
+    }
+    names
+}
+
+fn value(results: &Results, name: &str) -> f64 {
+    let found = results.iter().find(|(known, _)| known == name);
+    found.map_or(0.0, |(_, value)| *value)
+}
--- /dev/null
+++ b/crates/load-tool/src/load/run.rs
@@ -0,0 +1,353 @@
+//! One run: starts the processes, sends the schedule, sets the faults, measures.
+
+use std::collections::BTreeMap;
+use std::sync::Arc;
+use std::sync::atomic::AtomicBool;
+use std::sync::atomic::Ordering;
+use std::thread;
+use std::time::Duration;
+
+use serde_json::json;
+
+use apricotdale_admin::PublishOutcome;
+use apricotdale_launcher::cluster::Cluster;
+use apricotdale_launcher::cluster::LOG;
+use apricotdale_launcher::poll::POLL_LIMIT;
+use apricotdale_launcher::poll::poll_until;
+use apricotdale_launcher::processes::Processes;
+use apricotdale_policy_replay::deployment::Deployment;
+use apricotdale_policy_replay::trace::Trace;
+use apricotdale_policy_replay::trace::trace;
+
+use crate::errors::Error;
+use crate::errors::Result;
+use crate::load::balancer::Balancer;
+use crate::load::case::Case;
+use crate::load::case::Fault;
+use crate::load::client::Catalog;
+use crate::load::client::Client;
+use crate::load::clock::RunClock;
+use crate::load::cluster_options::PolicyChoice;
+use crate::load::cluster_options::cluster_options;
+use crate::load::cluster_options::edits;
+use crate::load::daemon_counts::DaemonCounts;
+use crate::load::drive::Lateness;
+use crate::load::drive::drive;
+use crate::load::drive::lateness;
+use crate::load::effects::Effects;
+use crate::load::effects::KilledVm;
+use crate::load::effects::Violations;
+use crate::load::effects::loads_so_far;
+use crate::load::host_caches;
+use crate::load::measures::Measuring;
+use crate::load::measures::Results;
+use crate::load::measures::RunData;
+use crate::load::options::LoadOptions;
+use crate::load::record::Ending;
+use crate::load::record::Record;
+use crate::load::scale::Scale;
+use crate::load::schedule::Planned;
+use crate::load::schedule::schedule;
+use crate::load::watch::Watch;
+use crate::load::watch::WatchParts;
+use crate::load::watch::Watched;
+use crate::process_cost::load_average;
+
+/// The VM that is killed in the case of that name.
+const KILLED_VM: usize = 1;
+
+/// A request that is sent later than this counts as late.
+const TOLERATED_DELAY: Duration = Duration::from_millis(20);
+
+/// How many bad endings a report shows.
+const SHOWN_ENDINGS: usize = 5;
+
+/// `RunReport` is what a run gave.
+#[derive(Clone, Debug)]
+pub struct RunReport {
+    /// What was measured.
+    pub results: Results,
+    /// What must never happen.
+    pub violations: Violations,
+    /// Some of the endings that count among the violations.
+    pub bad_endings: Vec<String>,
+    /// The models that were asked for and never loaded, with the requests that waited in vain.
+    pub never_loaded: BTreeMap<String, u32>,
+    /// How far the tool fell behind its schedule.
+    pub lateness: Lateness,
+    /// Requests sent, the warm-up's included.
+    pub sent: usize,
+    /// The machine's load average over one minute, before the run and at its end.
+    pub load_average: (f32, f32),
+    /// What was seen of the processes.
+    pub most_resident_bytes: u64,
+    /// The most processes at once.
+    pub most_processes: usize,
+}
+
+/// `Run` is one run of a case.
+#[derive(Debug)]
+pub struct Run<'a> {
+    deployment: &'a Deployment,
+    options: &'a LoadOptions,
+    case: Case,
+    scale: Scale,
+    trace: Trace,
+    schedule: Arc<Vec<Planned>>,
+}
+
+/// `Happened` is what the faults' side of a run brings.
+#[derive(Debug, Default)]
+struct Happened {
+    counts: DaemonCounts,
+    killed: Option<KilledVm>,
+}
+
+/// `Step` is what the faults' side does at a moment.
+#[derive(Clone, Copy, Debug)]
+enum Step {
+    BeginMeasuring,
+    Fault(Fault),
+    EndMeasuring,
+}
+
+impl<'a> Run<'a> {
+    /// Returns a run whose requests are drawn and not sent yet.
+    pub fn new(deployment: &'a Deployment, options: &'a LoadOptions, case: Case) -> Self {
+        let scale = Scale::new(options);
+        let until_ms = scale.trace_at_ms(1.0) as u64;
+        let crowd = case.crowd(deployment, &scale);
+        let trace = trace(deployment, options.seed, until_ms, crowd);
+        let schedule = Arc::new(schedule(&trace, &scale, options));
+        Self {
+            deployment,
+            options,
+            case,
+            scale,
+            trace,
+            schedule,
+        }
+    }
+
+    /// Carries out the run with a set of policies. The processes are shown to `prepare` before they
+    /// start.
+    ///
+    /// # Errors
+    ///
+    /// If the processes can't be started or read, or take too much memory.
+    pub fn carry_out(
+        &self,
+        policies: PolicyChoice,
+        prepare: impl FnOnce(&Processes),
+    ) -> Result<RunReport> {
+        let load_before = load_average()?;
+        let options = cluster_options(self.deployment, &self.scale, self.options, policies);
+        let mut cluster = Cluster::start(options, prepare)?;
+        host_caches::fill(&cluster, &self.trace, self.options.seed)?;
+        self.set_service_times(&cluster)?;
+        self.publish(&cluster)?;
+        let loads_before = loads_so_far(&cluster)?;
+        let too_much = Arc::new(AtomicBool::new(false));
+        let clock = RunClock::start();
+        let watch = Watch::start(watch_parts(&cluster, clock, &too_much))?;
+        let (records, happened) = self.send_and_disturb(&mut cluster, clock, &too_much)?;
+        let watched = watch.end()?;
+        if too_much.load(Ordering::Relaxed) {
+            return Err(Error::failed("the processes took half of the memory"));
+        }
+        let load_after = load_average()?;
+        let effects = Effects::read(&cluster, loads_before)?;
+        cluster.stop();
+        Ok(self.report(
+            records,
+            happened,
+            effects,
+            watched,
+            (load_before, load_after),
+        ))
+    }
+
+    fn report(
+        &self,
+        records: Vec<Record>,
+        happened: Happened,
+        effects: Effects,
+        watched: Watched,
+        load_average: (f32, f32),
+    ) -> RunReport {
+        let data = RunData {
+            schedule: self.schedule.to_vec(),
+            records,
+            timeline: watched.timeline,
+            effects,
+            counts: happened.counts,
+            killed: happened.killed,
+        };
+        let measuring = Measuring::new(self.deployment, &self.trace, &self.scale, &data);
+        RunReport {
+            results: measuring.results(),
+            violations: measuring.violations(),
+            bad_endings: bad_endings(&data.records),
+            never_loaded: measuring
+                .never_loaded()
+                .into_iter()
+                .map(|(model, requests)| (model.to_owned(), requests))
+                .collect(),
+            lateness: lateness(&data.schedule, &data.records, TOLERATED_DELAY),
+            sent: data.records.len(),
+            load_average,
+            most_resident_bytes: watched.most_resident_bytes,
+            most_processes: watched.most_processes,
+        }
+    }
+
+    fn set_service_times(&self, cluster: &Cluster) -> Result<()> {
+        let delay_ms = self.scale.time_ms(self.deployment.service.run_ms);
+        let slow = json!({"mode": "slow", "count": null, "delay_ms": delay_ms});
+        for (_, service) in cluster.services() {
+            service.fault(&slow)?;
+        }
+        Ok(())
+    }
+
+    fn publish(&self, cluster: &Cluster) -> Result<()> {
+        let vms = cluster.vm_names();
+        let edits = edits(self.deployment, &self.trace, &self.scale);
+        let outcome = cluster.publish(&vms[0], edits)?;
+        let PublishOutcome::Accepted { version } = outcome else {
+            return Err(Error::failed(format!("publishing: {outcome:?}")));
+        };
+        let condition = "the configuration is in force on all VMs";
+        let in_force = poll_until(condition, POLL_LIMIT, || {
+            for vm in &vms {
+                let config = cluster.admin(vm)?.config();
+                if config.is_ok_and(|config| config.version == version) {
+                    continue;
+                }
+                return Ok(None);
+            }
+            Ok(Some(()))
+        });
+        Ok(in_force?)
+    }
+
+    /// Sends the schedule, and sets the faults beside that.
+    fn send_and_disturb(
+        &self,
+        cluster: &mut Cluster,
+        clock: RunClock,
+        too_much: &AtomicBool,
+    ) -> Result<(Vec<Record>, Happened)> {
+        let mut addresses = Vec::new();
+        for vm in cluster.vm_names() {
+            addresses.push(cluster.vm(&vm)?.addresses.callers);
+        }
+        let balancer = Arc::new(Balancer::new(addresses));
+        let client = Client::new(Arc::clone(&balancer), clock, Arc::new(self.catalog()));
+        let threads = self.options.client_threads;
+        thread::scope(|scope| {
+            let driver = scope.spawn(|| drive(&client, clock, &self.schedule, threads, too_much));
+            let happened = self.disturb(cluster, clock, &balancer);
+            let records = driver.join();
+            let records = records.map_err(|_| Error::failed("the driver panicked"))?;
+            Ok((records?, happened?))
+        })
+    }
+
+    fn catalog(&self) -> Catalog {
+        let models = self.trace.models.iter().map(|one| one.model.to_string());
+        let classes = self.deployment.classes.iter();
+        Catalog {
+            models: models.collect(),
+            classes: classes.map(|class| class.class.to_string()).collect(),
+            service: self.deployment.service.group.to_string(),
+        }
+    }
+
+    fn disturb(
+        &self,
+        cluster: &mut Cluster,
+        clock: RunClock,
+        balancer: &Balancer,
+    ) -> Result<Happened> {
+        let mut steps = vec![
+            (self.scale.moment(0.0), Step::BeginMeasuring),
+            (self.scale.moment(1.0), Step::EndMeasuring),
+        ];
+        let faults = self.case.faults(&self.scale).into_iter();
+        steps.extend(faults.map(|(at, fault)| (at, Step::Fault(fault))));
+        steps.sort_by_key(|(at, _)| *at);
+        let mut happened = Happened::default();
+        let mut before = DaemonCounts::default();
+        for (at, step) in steps {
+            clock.wait_until(at);
+            match step {
+                Step::BeginMeasuring => before = DaemonCounts::read_all(cluster)?,
+                Step::EndMeasuring => happened.counts += DaemonCounts::read_all(cluster)?,
+                Step::Fault(fault) => self.set(fault, cluster, clock, balancer, &mut happened)?,
+            }
+        }
+        happened.counts.retries -= before.retries;
+        happened.counts.idle_engine_s -= before.idle_engine_s;
+        Ok(happened)
+    }
+
+    fn set(
+        &self,
+        fault: Fault,
+        cluster: &mut Cluster,
+        clock: RunClock,
+        balancer: &Balancer,
+        happened: &mut Happened,
+    ) -> Result<()> {
+        let names = cluster.vm_names();
+        let vm = &names[KILLED_VM % names.len()];
+        match fault {
+            Fault::KillVm => {
+                // What the killed process has counted ends with it.
+                happened.counts += DaemonCounts::read(cluster, vm)?;
+                let from = clock.now();
+                cluster.kill(vm)?;
+                happened.killed = Some(KilledVm {
+                    vm: KILLED_VM % names.len(),
+                    from,
+                    to: clock.now(),
+                });
+            }
+            Fault::RestartVm => {
+                cluster.restart(vm)?;
+                let address = cluster.vm(vm)?.addresses.callers;
+                balancer.replace(KILLED_VM % names.len(), address);
+            }
+            Fault::LogDown => cluster.standin(LOG)?.fault(&json!({"mode": "down"}))?,
+            Fault::LogUp => cluster.standin(LOG)?.fault(&json!({"mode": "up"}))?,
+        }
+        Ok(())
+    }
+}
+
+fn watch_parts(cluster: &Cluster, clock: RunClock, too_much: &Arc<AtomicBool>) -> WatchParts {
+    let engines = cluster.engines().into_iter();
+    WatchParts {
+        engines: engines
+            .map(|(name, engine)| (name.to_owned(), engine.clone()))
+            .collect(),
+        processes: cluster.processes().clone(),
+        clock,
+        too_much: Arc::clone(too_much),
+    }
+}
+
+/// Returns some of the endings that are neither whole answers nor refusals, each with its number.
+fn bad_endings(records: &[Record]) -> Vec<String> {
+    let mut counts: BTreeMap<String, u32> = BTreeMap::new();
+    for record in records {
+        if !matches!(record.ending, Ending::Whole | Ending::Refused(_)) {
+            *counts.entry(format!("{:?}", record.ending)).or_default() += 1;
+        }
+    }
+    let shown = counts.into_iter().take(SHOWN_ENDINGS);
+    shown
+        .map(|(ending, count)| format!("{count} x {ending}"))
+        .collect()
+}
--- a/crates/load-tool/src/process_cost.rs
+++ b/crates/load-tool/src/process_cost.rs
@@ -1,5 +1,7 @@
 //! What the system says that processes and the loopback interface have used.
 
+use procfs::Current;
+use procfs::LoadAverage;
 use procfs::process::Process;
 
 use crate::errors::Result;
@@ -43,3 +45,12 @@
     let devices = procfs::net::dev_status()?;
     Ok(devices.get(LOOPBACK).map_or(0, |device| device.recv_bytes))
 }
+
+/// Returns the machine's load average over one minute, which belongs beside each figure.
+///
+/// # Errors
+///
+/// If the system's accounts can't be read.
+pub fn load_average() -> Result<f32> {
+    Ok(LoadAverage::current()?.one)
+}
--- /dev/null
+++ b/crates/load-tool/tests/load_schedule.rs
@@ -0,0 +1,137 @@
+//! The requests that a run sends, before any is sent.
+
+use std::collections::BTreeMap;
+use std::path::Path;
+use std::time::Duration;
+
+use apricotdale_load_tool::load::case::Case;
+use apricotdale_load_tool::load::options::LoadOptions;
+use apricotdale_load_tool::load::scale::Scale;
+use apricotdale_load_tool::load::schedule::Planned;
+use apricotdale_load_tool::load::schedule::Work;
+use apricotdale_load_tool::load::schedule::schedule;
+use apricotdale_policy_replay::deployment::Deployment;
+use apricotdale_policy_replay::trace::trace;
+
+fn deployment() -> Deployment {
+    let folder = Path::new(env!("CARGO_MANIFEST_DIR"));
+    Deployment::read(&folder.join("../policy-replay/deployments/scaravilli.ini"))
+        .expect("the deployment can be read")
+}
+
+fn planned(case: Case, seed: u64) -> Vec<Planned> {
+    let deployment = deployment();
+    let options = LoadOptions {
+        seed,
+        ..LoadOptions::default()
+    };
+    let scale = Scale::new(&options);
+    let crowd = case.crowd(&deployment, &scale);
+    let until_ms = scale.trace_at_ms(1.0) as u64;
+    let trace = trace(&deployment, seed, until_ms, crowd);
+    schedule(&trace, &scale, &options)
+}
+
+#[test]
+fn a_seed_gives_the_same_requests_each_time() {
+    assert_eq!(planned(Case::Usual, 1), planned(Case::Usual, 1));
+    assert_ne!(planned(Case::Usual, 1), planned(Case::Usual, 2));
+}
+
+#[test]
+fn requests_of_all_kinds_go_to_all_vms_in_order_of_time() {
+    let options = LoadOptions::default();
+    let planned = planned(Case::Usual, 1);
+    assert!(planned.is_sorted_by_key(|one| one.at));
+    for vm in 0..options.vms {
+        let of_vm = || planned.iter().filter(|one| one.vm == vm);
+        let is = |kind: fn(&Work) -> bool| of_vm().any(|one| kind(&one.work));
+        assert!(is(|work| matches!(
+            work,
+            Work::Completion { stream: true, .. }
+        )));
+        assert!(is(|work| matches!(
+            work,
+            Work::Completion { stream: false, .. }
+        )));
+        assert!(is(|work| matches!(work, Work::Look { .. })));
+        assert!(is(|work| matches!(
+            work,
+            Work::CutOrder { keyed: true, .. }
+        )));
+        assert!(is(|work| matches!(
+            work,
+            Work::CutOrder { keyed: false, .. }
+        )));
+    }
+}
+
+#[test]
+fn an_order_is_repeated_only_under_its_key_by_its_caller_at_another_vm() {
+    let planned = planned(Case::Usual, 1);
+    let mut orders: BTreeMap<u64, Vec<&Planned>> = BTreeMap::new();
+    for one in &planned {
+        if let Work::CutOrder { order, .. } = one.work {
+            orders.entry(order).or_default().push(one);
+        }
+    }
+    let repeated: Vec<_> = orders.values().filter(|sent| sent.len() > 1).collect();
+    assert!(!repeated.is_empty());
+    for sent in repeated {
+        let [first, second] = sent[..] else {
+            panic!("an order is sent {} times", sent.len());
+        };
+        assert!(matches!(first.work, Work::CutOrder { keyed: true, .. }));
+        assert_eq!(first.work, second.work);
+        assert_eq!(first.caller, second.caller);
+        assert_ne!(first.vm, second.vm);
+        assert!(!first.is_repetition && second.is_repetition);
+    }
+}
+
+#[test]
+fn the_crowd_asks_for_twice_what_the_engines_can_do_beside_the_usual() {
+    let deployment = deployment();
+    let options = LoadOptions::default();
+    let scale = Scale::new(&options);
+    let token_s = scale.time_ms(50) as f64 / 1_000.0;
+    let (from, to) = (scale.moment(1.0 / 3.0), scale.moment(2.0 / 3.0));
+    let work_s = |case: Case| -> f64 {
+        let planned = planned(case, 1);
+        let inside = planned.iter().filter(|one| one.at >= from && one.at < to);
+        inside
+            .map(|one| match one.work {
+                Work::Completion { tokens, .. } => f64::from(tokens) * token_s,
+                Work::Look { .. } | Work::CutOrder { .. } => 0.0,
+            })
+            .sum()
+    };
+    let places = deployment.engines.count as f64 * f64::from(deployment.engines.slots);
+    let added = (work_s(Case::Overload) - work_s(Case::Usual)) / (to - from).as_secs_f64();
+    // The trace draws each request's time, so that the sum is near the mean only.
+    let times = added / places;
+    assert!((1.6..2.4).contains(&times), "{times} times the places");
+}
+
+#[test]
+fn times_of_requests_are_divided_alike() {
+    let options = LoadOptions {
+        speed: 4.0,
+        compression: 5.0,
+        warm_up: Duration::from_secs(10),
+        measured: Duration::from_secs(50),
+        ..LoadOptions::default()
+    };
+    let scale = Scale::new(&options);
+    assert_eq!(scale.time_ms(2_500), 625);
+    assert_eq!(scale.rate(8.0), 32.0);
+    let begin_ms = scale.trace_from_ms() as u64;
+    assert_eq!(scale.arrival(begin_ms), Some(Duration::ZERO));
+    assert_eq!(
+        scale.arrival(begin_ms + 20_000),
+        Some(Duration::from_secs(1))
+    );
+    assert_eq!(scale.arrival(begin_ms - 1), None);
+    assert_eq!(scale.arrival(begin_ms + 60 * 20_000), None);
+    assert_eq!(scale.moment(0.5), Duration::from_secs(35));
+}
--- /dev/null
+++ b/crates/load-tool/tests/model_timeline.rs
@@ -0,0 +1,82 @@
+//! What engines held over a run: cold starts and idle accelerators.
+
+use std::time::Duration;
+
+use rstest::rstest;
+
+use apricotdale_load_tool::load::timeline::Held;
+use apricotdale_load_tool::load::timeline::Timeline;
+use apricotdale_load_tool::load::timeline::Use;
+
+const CAPACITY: u64 = 40;
+
+fn at(seconds: u64) -> Duration {
+    Duration::from_secs(seconds)
+}
+
+fn held(model: &str, loaded: bool) -> Held {
+    Held {
+        model: model.to_owned(),
+        loaded,
+        bytes: 10,
+    }
+}
+
+/// Engine e1 loads m1 from 10 s on, holds it from 20 s to 60 s; e2 holds m1 from 40 s on.
+fn timeline() -> Timeline {
+    let mut timeline = Timeline::default();
+    timeline.note(at(0), "e1", Vec::new());
+    timeline.note(at(10), "e1", vec![held("m1", false)]);
+    timeline.note(at(20), "e1", vec![held("m1", true)]);
+    timeline.note(at(30), "e1", vec![held("m1", true)]);
+    timeline.note(at(60), "e1", Vec::new());
+    timeline.note(at(0), "e2", Vec::new());
+    timeline.note(at(40), "e2", vec![held("m1", true)]);
+    timeline.note(at(80), "e2", vec![held("m1", true)]);
+    timeline
+}
+
+fn used(engine: &str, models: &[&str], from: u64, to: u64) -> Use {
+    Use {
+        engine: engine.to_owned(),
+        models: models.iter().map(|model| (*model).to_owned()).collect(),
+        from: at(from),
+        to: at(to),
+    }
+}
+
+#[rstest]
+#[case::before_the_load("m1", 5, Some(20))]
+#[case::while_it_loads("m1", 15, Some(20))]
+#[case::while_it_is_held("m1", 25, Some(25))]
+#[case::on_another_engine("m1", 70, Some(70))]
+#[case::after_the_end("m1", 80, None)]
+#[case::another_model("m2", 5, None)]
+fn a_cold_start_lasts_until_some_engine_can_serve(
+    #[case] model: &str,
+    #[case] from: u64,
+    #[case] expected: Option<u64>,
+) {
+    assert_eq!(timeline().first_loaded(model, at(from)), expected.map(at));
+}
+
+/// m1 takes a quarter of an accelerator for 50 s on e1, its load included, and for 40 s on e2.
+#[rstest]
+#[case::never_used(&[], 90)]
+#[case::used_for_a_while(&[used("e1", &["m1"], 20, 30)], 80)]
+#[case::two_requests_at_once(&[used("e1", &["m1"], 20, 30), used("e1", &["m1"], 25, 35)], 75)]
+#[case::one_request_within_another(&[used("e1", &["m1"], 20, 40), used("e1", &["m1"], 25, 35)], 70)]
+#[case::longer_than_it_is_held(&[used("e1", &["m1"], 50, 70)], 80)]
+#[case::by_an_adapter(&[used("e1", &["a1", "m1"], 20, 30)], 80)]
+#[case::another_model(&[used("e1", &["m2"], 20, 30)], 90)]
+#[case::on_another_engine(&[used("e3", &["m1"], 20, 30)], 90)]
+fn memory_is_idle_while_no_request_is_on_the_model(#[case] uses: &[Use], #[case] held_s: u64) {
+    let idle = timeline().idle(uses, CAPACITY, at(0), at(80));
+    assert_eq!(idle, at(held_s) / 4);
+}
+
+#[test]
+fn idle_time_counts_between_two_moments_only() {
+    let idle = timeline().idle(&[], CAPACITY, at(50), at(70));
+    assert_eq!(idle, (at(10) + at(20)) / 4);
+}
--- /dev/null
+++ b/crates/load-tool/tests/token_check.rs
@@ -0,0 +1,51 @@
+//! Whether a caller sees that an answer is not whole or not its own.
+
+use rstest::rstest;
+use serde_json::json;
+
+use apricotdale_load_tool::load::answer_check::TokenCheck;
+use apricotdale_load_tool::load::answer_check::check_call;
+
+const IDENTITY: &str = "req-7";
+
+fn event(text: &str) -> String {
+    json!({"id": "cmpl-req-7", "system_fingerprint": "e1", "choices": [{"text": text}]}).to_string()
+}
+
+/// Returns whether three tokens were accepted as the answer to a request for three.
+fn accepted(texts: &[&str]) -> bool {
+    let mut check = TokenCheck::new(IDENTITY);
+    let taken = texts.iter().all(|text| check.take(&event(text)).is_ok());
+    taken && check.end(3).is_ok()
+}
+
+#[rstest]
+#[case::one_by_one(&["tok-req-7-0 ", "tok-req-7-1 ", "tok-req-7-2 "], true)]
+#[case::all_at_once(&["tok-req-7-0 tok-req-7-1 tok-req-7-2 "], true)]
+#[case::last_one_missing(&["tok-req-7-0 ", "tok-req-7-1 "], false)]
+#[case::one_left_out(&["tok-req-7-0 ", "tok-req-7-2 "], false)]
+#[case::one_twice(&["tok-req-7-0 ", "tok-req-7-0 ", "tok-req-7-1 "], false)]
+#[case::one_too_many(&["tok-req-7-0 tok-req-7-1 tok-req-7-2 tok-req-7-3 "], false)]
+#[case::of_another_request(&["tok-req-7-0 ", "tok-req-8-1 ", "tok-req-7-2 "], false)]
+#[case::cut_within_a_token(&["tok-req-7-0 ", "tok-req-7-1 ", "tok-req-"], false)]
+#[case::nothing(&[], false)]
+fn only_all_own_tokens_in_order_are_whole(#[case] texts: &[&str], #[case] expected: bool) {
+    assert_eq!(accepted(texts), expected);
+}
+
+#[test]
+fn the_answer_names_its_engine() {
+    let mut check = TokenCheck::new(IDENTITY);
+    assert_eq!(check.engine(), None);
+    check.take(&event("tok-req-7-0 ")).expect("its own token");
+    assert_eq!(check.engine(), Some("e1"));
+}
+
+#[rstest]
+#[case::its_own(r#"{"call":"POST /cut-orders/1","count":1}"#, true)]
+#[case::of_another_call(r#"{"call":"POST /cut-orders/2","count":1}"#, false)]
+#[case::no_answer_of_a_service("{}", false)]
+#[case::cut(r#"{"call":"POST /cut-ord"#, false)]
+fn a_service_answers_the_call_that_was_made(#[case] body: &str, #[case] expected: bool) {
+    assert_eq!(check_call("POST /cut-orders/1", body).is_ok(), expected);
+}
