Slopes: what one more item costs, part by part

Cause: docs/CAPACITY.md lacks measured slopes of peer messages, of calls to the log and to engines, and of the records' codecs, and estimates their bytes.

Ruled out: wall time, which the busy machine's other processes stretch; processor time of the thread counts, of the process where nng's threads take part, the least of five rounds. Memory is the growth of the resident set in one process, nothing freed between sizes.

--- /dev/null
+++ b/crates/slopes/src/claims.rs
@@ -0,0 +1,133 @@
+//! Claim batches and the table of claims.
+
+use std::hint::black_box;
+
+use apricotdale_core::claims::Claim;
+use apricotdale_core::claims::ClaimBatch;
+use apricotdale_core::claims::ClaimRecord;
+use apricotdale_core::claims::Finish;
+use apricotdale_core::refusal::Ran;
+use apricotdale_state::ClaimTable;
+use apricotdale_state::claims::ClaimOptions;
+
+use crate::errors::Result;
+use crate::meter::thread_once_us;
+use crate::meter::thread_us;
+use crate::slope::Slope;
+use crate::slope::Unit;
+
+const BATCH: &[usize] = &[1, 4, 16, 64];
+const KEYS: &[usize] = &[2_500, 5_000, 10_000, 20_000];
+const CODED: usize = 200;
+
+/// The entries of the batches by which tables are filled.
+pub const BATCH_ENTRIES: usize = 8;
+
+/// Measures batches by their entries, and the table by its keys.
+///
+/// # Errors
+///
+/// Any of a measure.
+pub fn claims() -> Result<Vec<Slope>> {
+    Ok(vec![
+        Slope::measure("claim_batch_size", Unit::Bytes, "entry", BATCH, |entries| {
+            Ok(batch(0, entries).encode().len() as f64)
+        })?,
+        Slope::measure(
+            "claim_batch_encode",
+            Unit::CpuMicroseconds,
+            "entry",
+            BATCH,
+            |entries| {
+                let batch = batch(0, entries);
+                Ok(each_us(|| {
+                    black_box(black_box(&batch).encode());
+                }))
+            },
+        )?,
+        Slope::measure(
+            "claim_batch_decode",
+            Unit::CpuMicroseconds,
+            "entry",
+            BATCH,
+            |entries| {
+                let payload = batch(0, entries).encode();
+                Ok(each_us(|| {
+                    black_box(ClaimBatch::decode(black_box(&payload)));
+                }))
+            },
+        )?,
+        Slope::measure("claim_replay", Unit::CpuMicroseconds, "key", KEYS, |keys| {
+            let payloads = payloads(keys);
+            let mut least_us = f64::INFINITY;
+            for _ in 0..3 {
+                let mut table = ClaimTable::new(ClaimOptions::default());
+                least_us = least_us.min(thread_once_us(|| fill(&mut table, &payloads)));
+            }
+            Ok(least_us)
+        })?,
+    ])
+}
+
+/// Applies batches at the end of a table.
+pub fn fill(table: &mut ClaimTable, payloads: &[Vec<u8>]) {
+    for payload in payloads {
+        let offset = table.next_offset();
+        let verdicts = table.apply(offset, 1_000 + offset.0, payload);
+        black_box(verdicts.expect("the payload is a batch and the next one"));
+    }
+}
+
+/// Returns the batches that claim so many keys.
+pub fn claim_payloads(keys: usize) -> Vec<Vec<u8>> {
+    let batches = 0..keys / BATCH_ENTRIES;
+    batches
+        .map(|number| batch(number, BATCH_ENTRIES).encode())
+        .collect()
+}
+
+/// Returns the batches that claim and then finish so many keys.
+fn payloads(keys: usize) -> Vec<Vec<u8>> {
+    let finished = (0..keys / BATCH_ENTRIES).map(|number| finishes(number).encode());
+    claim_payloads(keys).into_iter().chain(finished).collect()
+}
+
+fn batch(number: usize, entries: usize) -> ClaimBatch {
+    let claim = |entry: usize| {
+        let key = number * entries + entry;
+        ClaimRecord::Claim(Claim {
+            key: format!("till/confirmation-{key:08}").into(),
+            call_hash: key as u64,
+            request: format!("hall-a-0-request-{key:012}").into(),
+            vm: "vm-hall-a-0".into(),
+            process_id: 1,
+        })
+    };
+    ClaimBatch {
+        entries: (0..entries).map(claim).collect(),
+    }
+}
+
+fn finishes(number: usize) -> ClaimBatch {
+    let finish = |entry: usize| {
+        let key = number * BATCH_ENTRIES + entry;
+        ClaimRecord::Finish(Finish {
+            key: format!("till/confirmation-{key:08}").into(),
+            request: format!("hall-a-0-request-{key:012}").into(),
+            ran: Ran::Ran,
+            answer: None,
+        })
+    };
+    ClaimBatch {
+        entries: (0..BATCH_ENTRIES).map(finish).collect(),
+    }
+}
+
+fn each_us(mut work: impl FnMut()) -> f64 {
+    let all_us = thread_us(|| {
+        for _ in 0..CODED {
+            work();
+        }
+    });
+    all_us / CODED as f64
+}
--- /dev/null
+++ b/crates/slopes/src/memory.rs
@@ -0,0 +1,89 @@
+//! Memory by engines, models, replicas, keys and connections to peers.
+//!
+//! What a series has freed would hide the growth of the next one, so each keeps what it built until
+//! the process ends, and this part is the first of the catalogue.
+
+use apricotdale_state::ClaimTable;
+use apricotdale_state::claims::ClaimOptions;
+
+use crate::claims;
+use crate::errors::Result;
+use crate::fleet::Fleet;
+use crate::meter::resident_bytes;
+use crate::slope::Slope;
+use crate::slope::Unit;
+
+const ENGINES: &[usize] = &[600, 1_200, 2_400, 4_800];
+const MODELS: &[usize] = &[720, 1_445, 2_890, 5_780];
+const REPLICAS: &[usize] = &[1_200, 2_400, 4_800, 9_600];
+const KEYS: &[usize] = &[5_000, 10_000, 20_000, 40_000];
+
+/// Measures memory.
+///
+/// # Errors
+///
+/// Any of a measure.
+pub fn memory() -> Result<Vec<Slope>> {
+    Ok(vec![engines()?, models()?, replicas()?, keys()?])
+}
+
+fn engines() -> Result<Slope> {
+    let mut fleet = Fleet::default();
+    let slope = grow("engine_memory", "engine", ENGINES, |engines| {
+        fleet.grow_engines(engines);
+    });
+    std::mem::forget(fleet);
+    slope
+}
+
+fn models() -> Result<Slope> {
+    let mut fleet = Fleet::default();
+    let slope = grow("model_memory", "model", MODELS, |models| {
+        fleet.grow_models(models);
+    });
+    std::mem::forget(fleet);
+    slope
+}
+
+fn replicas() -> Result<Slope> {
+    let mut fleet = Fleet::default();
+    fleet.grow_models(360);
+    fleet.grow_engines(600);
+    let mut loaded = 0;
+    let slope = grow("replica_memory", "replica", REPLICAS, |replicas| {
+        for number in loaded..replicas {
+            fleet.load(number);
+        }
+        loaded = replicas;
+    });
+    std::mem::forget(fleet);
+    slope
+}
+
+fn keys() -> Result<Slope> {
+    let mut table = ClaimTable::new(ClaimOptions {
+        max_keys: usize::MAX,
+        ..ClaimOptions::default()
+    });
+    let payloads = claims::claim_payloads(40_000);
+    let mut filled = 0;
+    let slope = grow("claim_key_memory", "key", KEYS, |keys| {
+        let batches = keys / claims::BATCH_ENTRIES;
+        claims::fill(&mut table, &payloads[filled..batches]);
+        filled = batches;
+    });
+    std::mem::forget(table);
+    slope
+}
+
+fn grow(
+    name: &'static str,
+    per: &'static str,
+    sizes: &[usize],
+    mut to: impl FnMut(usize),
+) -> Result<Slope> {
+    Slope::measure(name, Unit::Bytes, per, sizes, |size| {
+        to(size);
+        resident_bytes()
+    })
+}
--- /dev/null
+++ b/crates/slopes/src/meter.rs
@@ -0,0 +1,60 @@
+//! Reading what the process used.
+
+use cpu_time::ProcessTime;
+use cpu_time::ThreadTime;
+use procfs::process::Process;
+
+use crate::errors::Result;
+
+/// How many times each point is measured. The least counts.
+const ROUNDS: usize = 5;
+
+/// Returns the least processor time of this thread that a piece of work took, in microseconds.
+pub fn thread_us(mut work: impl FnMut()) -> f64 {
+    least(|| {
+        let begun = ThreadTime::now();
+        work();
+        begun.elapsed().as_secs_f64()
+    })
+}
+
+/// Returns the processor time of this thread that a piece of work took, in microseconds, for work
+/// that can't be done twice alike.
+pub fn thread_once_us(work: impl FnOnce()) -> f64 {
+    let begun = ThreadTime::now();
+    work();
+    begun.elapsed().as_secs_f64() * 1e6
+}
+
+/// Returns the least processor time of the process that a piece of work took, in microseconds.
+///
+/// # Errors
+///
+/// The work's error.
+pub fn process_us(mut work: impl FnMut() -> Result<()>) -> Result<f64> {
+    let mut outcome = Ok(());
+    let us = least(|| {
+        let begun = ProcessTime::now();
+        let worked = work();
+        if worked.is_err() {
+            outcome = worked;
+        }
+        begun.elapsed().as_secs_f64()
+    });
+    outcome.map(|()| us)
+}
+
+/// Returns the resident memory of the process, in bytes.
+///
+/// # Errors
+///
+/// [`Error::Memory`](crate::Error::Memory) if the system does not tell.
+pub fn resident_bytes() -> Result<f64> {
+    let pages = Process::myself()?.statm()?.resident;
+    Ok((pages * procfs::page_size()) as f64)
+}
+
+fn least(mut seconds: impl FnMut() -> f64) -> f64 {
+    let rounds = (0..ROUNDS).map(|_| seconds() * 1e6);
+    rounds.fold(f64::INFINITY, f64::min)
+}
