Takeovers: what is settled as far as it can be is left alone

Change: an intent is taken over from an owner that is over, after a sender's late end, or from a silent owner once the load's time has passed; never once its load is revoked or lingering. An engine is blocked for a model only if the old order can still take effect in its present run.

--- a/crates/node/src/placing/placement_loop.rs
+++ b/crates/node/src/placing/placement_loop.rs
@@ -212,8 +212,12 @@
         let view = self.parts.source.membership.view();
         let engine = self.parts.source.replayed.read(|state| {
             let is_free = |name: &UpstreamName| {
-                let mut stuck = state.replicas_on(name).filter(|one| is_stuck(one.stage()));
-                stuck.all(|one| one.model != *model)
+                let boot = state.engine(name).map(|engine| engine.boot());
+                let mut replicas = state.replicas_on(name);
+                !replicas.any(|one| {
+                    let may_come = boot.is_some_and(|boot| one.can_hold(boot));
+                    one.model == *model && is_stuck(one.stage()) && may_come
+                })
             };
             if is_free(&chosen) {
                 return Some(chosen.clone());
--- a/crates/node/src/settling/runner.rs
+++ b/crates/node/src/settling/runner.rs
@@ -30,6 +30,7 @@
 use crate::appender::EpochCell;
 use crate::appender::Persistence;
 use crate::membership_view::SharedMembership;
+use crate::placing::is_stuck;
 use crate::replayed::Replayed;
 
 /// How often the intents are looked at when nothing happens.
@@ -99,6 +100,17 @@
     }
 }
 
+/// `Standing` is how an intent stands.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+enum Standing {
+    /// Its owner is expected to settle it.
+    Open,
+    /// Its owner can't settle it, or not as far as another could now.
+    Abandoned,
+    /// It is settled as far as it can be for now.
+    Settled,
+}
+
 /// `IntentRunner` starts a worker for each intent on which this process has to act.
 pub struct IntentRunner {
     parts: Arc<RunnerParts>,
@@ -107,7 +119,9 @@
     /// An order is sent at most once because its intent is never taken out of here while it is
     /// unsettled.
     started: BTreeSet<(Offset, Offset)>,
-    first_seen_ms: BTreeMap<Offset, u64>,
+    /// When each intent was first seen with its present owner, by the intent and the record that
+    /// made the owner.
+    first_seen_ms: BTreeMap<(Offset, Offset), u64>,
     proposed_ms: BTreeMap<Offset, u64>,
 }
 
@@ -149,7 +163,7 @@
         self.started
             .retain(|(intent, _)| unsettled.contains(intent));
         self.first_seen_ms
-            .retain(|intent, _| unsettled.contains(intent));
+            .retain(|(intent, _), _| unsettled.contains(intent));
         self.proposed_ms
             .retain(|intent, _| unsettled.contains(intent));
         for intent in intents {
@@ -181,19 +195,23 @@
 
     /// Takes over an intent that its owner does not settle.
     ///
-    /// An owner that is over leaves it at once. One that only stays silent may be paused; its
-    /// intent is taken over where the engine checks fencing numbers, and otherwise left alone,
-    /// because its order could still take effect.
+    /// An owner that is over, or a takeover that came before its sender's end, leaves it at once. An
+    /// owner that only stays silent may be paused: what a takeover has begun may be gone on with,
+    /// and so may a load at an engine that checks fencing numbers; else the intent is left alone,
+    /// because its order could still take effect. What was settled as far as it can be is left alone
+    /// as well, or two VMs would take it from each other for ever.
     fn consider_take_over(&mut self, intent: &IntentView) {
         let now_ms = self.parts.clock.monotonic_ms();
-        let first_ms = *self.first_seen_ms.entry(intent.intent).or_insert(now_ms);
+        let ownership = (intent.intent, intent.owner.since);
+        let first_ms = *self.first_seen_ms.entry(ownership).or_insert(now_ms);
         let waited_ms = now_ms.saturating_sub(first_ms);
-        let is_due = match intent {
-            intent if intent.wants_take_over => Some(waited_ms),
-            intent if self.checks_fence(intent) => {
+        let is_due = match self.standing(intent) {
+            Standing::Abandoned => Some(waited_ms),
+            Standing::Settled => None,
+            Standing::Open if self.may_pass_by_owner(intent) => {
                 waited_ms.checked_sub(self.parts.load_timeout_ms)
             }
-            _ => None,
+            Standing::Open => None,
         };
         let view = self.parts.membership.view();
         let may = is_due.is_some_and(|due_ms| view.may_propose(&intent.intent, due_ms));
@@ -220,16 +238,34 @@
         );
     }
 
-    /// Returns whether the intent's sender came to its end only after the intent was taken over. The
-    /// takeover then proves less than one made now.
-    fn wants_newer_take_over(&self, intent: &IntentView) -> bool {
+    /// Returns how an intent stands, as far as others than its owner are concerned.
+    fn standing(&self, intent: &IntentView) -> Standing {
         self.parts.replayed.read(|state| {
-            let replica = state.replica(intent.load);
+            let replica = state
+                .replica(intent.load)
+                .filter(|_| intent.kind == IntentKind::Load);
             let quiet_since = replica.and_then(|replica| replica.quiet_since);
-            intent.wants_take_over && quiet_since.is_some_and(|since| since > intent.owner.since)
+            match replica {
+                _ if !state.is_current(intent.owner.epoch) => Standing::Abandoned,
+                _ if quiet_since.is_some_and(|since| since > intent.owner.since) => {
+                    Standing::Abandoned
+                }
+                Some(replica) if is_stuck(replica.stage()) => Standing::Settled,
+                _ => Standing::Open,
+            }
         })
     }
 
+    /// Returns whether the sender came to its end only after the intent was taken over. The takeover
+    /// then proves less than one made now.
+    fn wants_newer_take_over(&self, intent: &IntentView) -> bool {
+        intent.owner.since > intent.intent && self.standing(intent) == Standing::Abandoned
+    }
+
+    fn may_pass_by_owner(&self, intent: &IntentView) -> bool {
+        intent.owner.since > intent.intent || self.checks_fence(intent)
+    }
+
     fn checks_fence(&self, intent: &IntentView) -> bool {
         intent.kind == IntentKind::Load
             && self.parts.replayed.read(|state| {
