--- /dev/null
+++ b/crates/placement/tests/no_room.rs
@@ -0,0 +1,48 @@
+//! Refusals where no engine can take a load.
+
+mod support;
+
+use apricotdale_core::policy::PlacementPolicy;
+
+use support::GB;
+use support::engine;
+use support::fleet;
+use support::learned;
+use support::model;
+use support::refusals;
+use support::replica;
+use support::waiting;
+
+fn full_of_used_models(left_ms: u64) -> Vec<(String, &'static str, Option<u64>)> {
+    let mut policy = learned();
+    let mut used = model("used");
+    used.running = 1;
+    let mut held = replica("used", "e1", true);
+    held.bytes = 75 * GB;
+    let models = vec![used, waiting("m", 1, left_ms)];
+    refusals(&policy.plan(0, &fleet(vec![engine("e1")], models, vec![held])))
+}
+
+#[test]
+fn memory_in_use_refuses_whom_no_load_could_help() {
+    let refused = full_of_used_models(1_000);
+    assert_eq!(refused, [("m".to_owned(), "no_capacity", Some(5_000))]);
+}
+
+#[test]
+fn request_with_time_waits_for_memory() {
+    assert_eq!(full_of_used_models(60_000), []);
+}
+
+#[test]
+fn group_without_engines_refuses_at_once() {
+    let mut policy = learned();
+    let mut leaving = engine("e1");
+    leaving.accepts = false;
+    let view = fleet(vec![leaving], vec![waiting("m", 1, 60_000)], Vec::new());
+    let refused = refusals(&policy.plan(0, &view));
+    assert_eq!(
+        refused,
+        [("m".to_owned(), "upstream_unavailable", Some(5_000))]
+    );
+}
--- a/crates/policy-replay/src/case.rs
+++ b/crates/policy-replay/src/case.rs
@@ -7,6 +7,9 @@
 const MINUTE_MS: u64 = 60_000;
 const HOUR_MS: u64 = 60 * MINUTE_MS;
 
+/// When what a case is about begins: noon, the policies having learned since midnight.
+const FAULT_MS: u64 = 12 * HOUR_MS;
+
 /// How much slower the weight store is in the case of that name.
 pub const SLOW_STORE_FACTOR: f64 = 5.0;
 
@@ -77,16 +80,16 @@
     /// Returns when measuring starts. The time before lets the policies learn.
     pub fn measured_from_ms(self) -> u64 {
         match self {
-            Self::Usual => 24 * HOUR_MS,
-            _ => 13 * HOUR_MS,
+            Self::Usual => 12 * HOUR_MS,
+            _ => FAULT_MS - HOUR_MS,
         }
     }
 
     /// Returns when the case ends.
     pub fn until_ms(self) -> u64 {
         match self {
-            Self::Usual => 48 * HOUR_MS,
-            _ => 17 * HOUR_MS,
+            Self::Usual => 36 * HOUR_MS,
+            _ => FAULT_MS + 3 * HOUR_MS,
         }
     }
 
@@ -94,8 +97,8 @@
     pub fn crowd(self, deployment: &Deployment) -> Option<Crowd> {
         match self {
             Self::Overload => Some(Crowd {
-                from_ms: 14 * HOUR_MS,
-                to_ms: 14 * HOUR_MS + 30 * MINUTE_MS,
+                from_ms: FAULT_MS,
+                to_ms: FAULT_MS + 30 * MINUTE_MS,
                 work_rate: OVERLOAD_FACTOR * full_rate(&deployment.engines),
             }),
             _ => None,
@@ -104,7 +107,7 @@
 
     /// Returns the faults of the case and when they come.
     pub fn faults(self) -> Vec<(u64, Fault)> {
-        let start_ms = 14 * HOUR_MS;
+        let start_ms = FAULT_MS;
         match self {
             Self::Usual | Self::Overload => Vec::new(),
             Self::SlowStore => vec![
--- a/crates/policy-replay/src/compare.rs
+++ b/crates/policy-replay/src/compare.rs
@@ -16,10 +16,9 @@
 
 const MINUTE_MS: u64 = 60_000;
 
-/// The fixed idle timeouts that the baseline is tried with.
-pub const TIMEOUTS_MS: [u64; 8] = [
+/// The fixed idle timeouts that the baseline is tried with in the usual case.
+pub const TIMEOUTS_MS: [u64; 7] = [
     MINUTE_MS,
-    2 * MINUTE_MS,
     5 * MINUTE_MS,
     10 * MINUTE_MS,
     20 * MINUTE_MS,
@@ -28,6 +27,14 @@
     180 * MINUTE_MS,
 ];
 
+/// The fixed idle timeouts that the baseline is tried with in the other cases.
+pub const FAULT_TIMEOUTS_MS: [u64; 4] = [
+    5 * MINUTE_MS,
+    20 * MINUTE_MS,
+    60 * MINUTE_MS,
+    180 * MINUTE_MS,
+];
+
 /// `Comparison` is what was measured in one case of one deployment.
 #[derive(Clone, Debug)]
 pub struct Comparison {
@@ -131,8 +138,8 @@
 /// `Options` are the tunables of a comparison.
 #[derive(Clone, Debug)]
 pub struct Options {
-    /// The timeouts that the baseline is tried with.
-    pub timeouts_ms: Vec<u64>,
+    /// Whether the baseline runs too.
+    pub with_baseline: bool,
     /// The seed of the traces and of the policies that draw.
     pub seed: u64,
     /// Runs at once; each takes one core.
@@ -141,10 +148,21 @@
     pub ignore_speeds: bool,
 }
 
+impl Options {
+    /// Returns the timeouts that the baseline is tried with in a case.
+    fn timeouts_ms(&self, case: Case) -> &'static [u64] {
+        match case {
+            _ if !self.with_baseline => &[],
+            Case::Usual => &TIMEOUTS_MS,
+            _ => &FAULT_TIMEOUTS_MS,
+        }
+    }
+}
+
 impl Default for Options {
     fn default() -> Self {
         Self {
-            timeouts_ms: TIMEOUTS_MS.to_vec(),
+            with_baseline: true,
             seed: 1,
             workers: 1,
             ignore_speeds: false,
@@ -181,11 +199,13 @@
             (deployment, case, trace)
         })
         .collect();
-    let jobs: Vec<Job> = (0..places.len())
-        .flat_map(|place| {
+    let jobs: Vec<Job> = places
+        .iter()
+        .enumerate()
+        .flat_map(|(place, (_, case, _))| {
             let chosen = std::iter::once(PolicySet::chosen(options.seed, options.ignore_speeds));
             let baselines = options
-                .timeouts_ms
+                .timeouts_ms(*case)
                 .iter()
                 .map(|timeout_ms| PolicySet::baseline(*timeout_ms, options.seed));
             let sets: Vec<PolicySet> = chosen.chain(baselines).collect();
@@ -202,7 +222,7 @@
             case: *case,
             chosen: take(),
             baselines: options
-                .timeouts_ms
+                .timeouts_ms(*case)
                 .iter()
                 .map(|timeout_ms| (*timeout_ms, take()))
                 .collect(),
--- a/crates/policy-replay/src/main.rs
+++ b/crates/policy-replay/src/main.rs
@@ -9,7 +9,6 @@
 use apricotdale_policy_replay::Result;
 use apricotdale_policy_replay::case::Case;
 use apricotdale_policy_replay::compare::Options;
-use apricotdale_policy_replay::compare::TIMEOUTS_MS;
 use apricotdale_policy_replay::compare::compare;
 use apricotdale_policy_replay::deployment::Deployment;
 use apricotdale_policy_replay::errors::Error;
@@ -74,10 +73,7 @@
     let workers = available_parallelism().map_or(1, |cores| cores.get() / 2);
     let workers = workers.clamp(1, arguments.workers.max(1));
     let options = Options {
-        timeouts_ms: match arguments.chosen_only {
-            true => Vec::new(),
-            false => TIMEOUTS_MS.to_vec(),
-        },
+        with_baseline: !arguments.chosen_only,
         seed: arguments.seed,
         workers,
         ignore_speeds: arguments.ignore_speeds,
--- a/crates/policy-replay/src/measures.rs
+++ b/crates/policy-replay/src/measures.rs
@@ -20,6 +20,11 @@
 }
 
 impl Results {
+    /// Returns results with the given entries.
+    pub fn new(entries: Vec<(String, f64)>) -> Self {
+        Self { entries }
+    }
+
     /// Returns the results in order.
     pub fn entries(&self) -> impl Iterator<Item = (&str, f64)> {
         self.entries
@@ -188,7 +193,7 @@
         self.idle_engine_ms += counted_ms as f64 * share;
     }
 
-    /// Returns the results.
+    /// Returns the results by name.
     pub fn results(&self) -> Results {
         let share = |part: u64, whole: u64| part as f64 / whole.max(1) as f64;
         let at =
@@ -211,6 +216,10 @@
         }
         let met: u64 = self.classes.iter().map(|class| class.met).sum();
         results.add("met_share", share(met, self.arrived));
+        results.add(
+            "answered_share",
+            share(self.first_tokens.len(), self.arrived),
+        );
         results.add("refused_share", share(self.refused, self.arrived));
         results.add("failed_share", share(self.failed, self.arrived));
         results.add(
--- a/crates/policy-replay/src/world/serving.rs
+++ b/crates/policy-replay/src/world/serving.rs
@@ -390,7 +390,9 @@
             self.started[target] -= 1;
             // Told first, so that the end does not start a request on a place that is taken by
             // now.
-            self.tell_capacity(target);
+            if !self.waiting[target].is_empty() {
+                self.tell_capacity(target);
+            }
             let ticket = Ticket(ticket);
             self.ask_admission(AdmissionEvent::Ended { ticket, ran_ms });
         }
--- /dev/null
+++ b/crates/policy-replay/tests/arrival_traces.rs
@@ -0,0 +1,61 @@
+//! The traces have the shape that the brief gives.
+
+mod support;
+
+use apricotdale_policy_replay::trace::Habit;
+use apricotdale_policy_replay::trace::Target;
+use apricotdale_policy_replay::trace::trace;
+
+use support::deployment;
+use support::small;
+
+const HOUR_MS: u64 = 3_600_000;
+
+#[test]
+fn same_seed_gives_the_same_trace() {
+    let deployment = small();
+    let first = trace(&deployment, 7, 6 * HOUR_MS, None);
+    let second = trace(&deployment, 7, 6 * HOUR_MS, None);
+    let other = trace(&deployment, 8, 6 * HOUR_MS, None);
+    assert_eq!(first.requests, second.requests);
+    assert_ne!(first.requests, other.requests);
+}
+
+#[test]
+fn about_as_many_models_change_as_the_brief_says() {
+    let deployment = deployment("hjulvaerk");
+    let hours = 48;
+    let trace = trace(&deployment, 1, hours * HOUR_MS, None);
+    let alternating: Vec<usize> = (0..trace.models.len())
+        .filter(|model| trace.models[*model].habit == Habit::Alternating)
+        .collect();
+    // A model that is awake or not in one hour and the other way round in the next has changed.
+    let mut awake = vec![vec![false; hours as usize]; trace.models.len()];
+    for request in &trace.requests {
+        if let Target::Model(model) = request.target {
+            awake[model][(request.at_ms / HOUR_MS) as usize] = true;
+        }
+    }
+    let changes: usize = alternating
+        .iter()
+        .map(|model| {
+            awake[*model]
+                .windows(2)
+                .filter(|pair| pair[0] != pair[1])
+                .count()
+        })
+        .sum();
+    let share = changes as f64 / alternating.len() as f64 / (hours - 1) as f64;
+    assert!((0.15..0.40).contains(&share), "{share}");
+    let idle = alternating
+        .iter()
+        .map(|model| awake[*model].iter().filter(|awake| !**awake).count());
+    let idle_share = idle.sum::<usize>() as f64 / alternating.len() as f64 / hours as f64;
+    assert!(idle_share > 0.5, "{idle_share}");
+}
+
+#[test]
+fn requests_are_in_order_of_time() {
+    let trace = trace(&small(), 3, 6 * HOUR_MS, None);
+    assert!(trace.requests.is_sorted_by_key(|request| request.at_ms));
+}
--- /dev/null
+++ b/crates/policy-replay/tests/same_run.rs
@@ -0,0 +1,64 @@
+//! One run of the world.
+
+mod support;
+
+use rstest::rstest;
+
+use apricotdale_policy_replay::case::Case;
+use apricotdale_policy_replay::deployment::Deployment;
+use apricotdale_policy_replay::floors;
+use apricotdale_policy_replay::measures::Results;
+use apricotdale_policy_replay::policies::PolicySet;
+use apricotdale_policy_replay::trace::trace;
+use apricotdale_policy_replay::world::World;
+
+use support::small;
+
+fn run(deployment: &Deployment, case: Case, set: PolicySet) -> Results {
+    let trace = trace(deployment, 1, case.until_ms(), case.crowd(deployment));
+    let world = World::new(deployment, &trace, case, set).unwrap();
+    world.run().results()
+}
+
+#[test]
+fn same_seed_gives_the_same_results() {
+    let deployment = small();
+    let first = run(&deployment, Case::Restart, PolicySet::chosen(1, false));
+    let second = run(&deployment, Case::Restart, PolicySet::chosen(1, false));
+    assert_eq!(first, second);
+}
+
+#[rstest]
+fn every_request_is_answered_or_refused(
+    #[values(Case::ZoneLost, Case::SlowStore, Case::LogOutage, Case::Restart)] case: Case,
+    #[values(PolicySet::baseline(600_000, 1), PolicySet::chosen(1, true))] set: PolicySet,
+) {
+    let results = run(&small(), case, set);
+    let ended = ["answered_share", "refused_share", "failed_share"].map(|name| results.get(name));
+    let sum: f64 = ended.iter().sum();
+    // A few requests are still in progress when the run ends.
+    assert!((0.995..=1.0 + 1e-9).contains(&sum), "{ended:?}");
+}
+
+#[test]
+fn no_policy_beats_the_floor_of_idle_hours() {
+    let deployment = small();
+    let case = Case::LogOutage;
+    let arrivals = trace(&deployment, 1, case.until_ms(), None);
+    let floor = floors::idle_hours(&deployment, &arrivals, case);
+    for set in [PolicySet::baseline(60_000, 1), PolicySet::chosen(1, true)] {
+        let idle = run(&deployment, case, set).get("idle_accelerator_hours");
+        assert!(idle > floor, "{idle} against {floor}");
+    }
+}
+
+#[test]
+fn unknown_policy_stops_the_run() {
+    let deployment = small();
+    let arrivals = trace(&deployment, 1, 1_000, None);
+    let set = PolicySet {
+        placement: "best",
+        ..PolicySet::chosen(1, false)
+    };
+    assert!(World::new(&deployment, &arrivals, Case::Usual, set).is_err());
+}
