--- a/crates/launcher/src/cluster/records.rs
+++ b/crates/launcher/src/cluster/records.rs
@@ -11,14 +11,19 @@
 use crate::standin::StandinClient;
 use apricotdale_core::control::ControlRecord;
 use apricotdale_core::control::LoadIntent;
+use apricotdale_core::names::StreamName;
 use apricotdale_core::numbers::Offset;
 use apricotdale_state::Accepted;
 use apricotdale_state::ControlState;
 use apricotdale_state::Verdict;
+use apricotdale_state::parts::Catalog;
 
 /// The stream of decisions and configuration.
 pub const CONTROL_STREAM: &str = "control";
 
+/// The stream of snapshots.
+pub const SNAPSHOT_STREAM: &str = "snapshots";
+
 /// The most records that one read asks for.
 const READ_RECORDS: usize = 500;
 
@@ -115,6 +120,24 @@
     Ok(decided.map(|(offset, _)| offset).collect())
 }
 
+/// Returns how many of a stream's records, at its end, are in no whole snapshot on the log.
+///
+/// # Errors
+///
+/// As for [`read_stream`].
+pub fn unsnapshotted(log: &StandinClient, stream: &str) -> Result<u64> {
+    let (records, _) = read_stream(log, SNAPSHOT_STREAM)?;
+    let first = records.first().map_or(0, |record| record.offset);
+    let mut catalog = Catalog::new(Offset(first));
+    for record in &records {
+        // A record that is no part of a snapshot leaves those that were read as they are.
+        let _ = catalog.apply(Offset(record.offset), &record.payload);
+    }
+    let (_, end) = read_stream(log, stream)?;
+    let section = catalog.newest(&StreamName::new(stream));
+    Ok(end.saturating_sub(section.map_or(0, |section| section.next.0)))
+}
+
 /// Returns the first offset that a stream still keeps.
 fn first_offset(log: &StandinClient, stream: &str) -> Result<u64> {
     #[derive(Deserialize)]
--- a/crates/scenario/src/check.rs
+++ b/crates/scenario/src/check.rs
@@ -156,6 +156,7 @@
             | Measure::ConfigVersions
             | Measure::Diverged
             | Measure::Verdicts(_)
+            | Measure::Unsnapshotted(_)
             | Measure::Ready => Ok(()),
         }
     }
--- a/crates/scenario/src/parser/conditions.rs
+++ b/crates/scenario/src/parser/conditions.rs
@@ -86,6 +86,7 @@
             Measure::Seen(vm, member_state(&children.text()))
         }
         Rule::verdicts => Measure::Verdicts(children.text()),
+        Rule::unsnapshotted => Measure::Unsnapshotted(children.text()),
         _ => {
             let name = children.text();
             Measure::Metric(name, inner_text(children.next()))
