--- a/crates/adapters/tests/whole_answers.rs
+++ b/crates/adapters/tests/whole_answers.rs
@@ -60,6 +60,7 @@
 
 #[rstest]
 #[case::head("HEAD", "200 OK\r\nContent-Length: 44")]
+#[case::head_without_length("HEAD", "200 OK")]
 #[case::no_content("POST", "204 No Content")]
 #[case::not_modified("GET", "304 Not Modified")]
 fn answers_without_a_body_are_whole(#[case] method: &str, #[case] status: &str) {
