--- /dev/null
+++ b/crates/node/tests/config_race.rs
@@ -0,0 +1,182 @@
+//! Configuration: publishers that race, answers that are lost, records that can't be used.
+
+mod support;
+
+use rstest::rstest;
+
+use apricotdale_admin::ConfigView;
+use apricotdale_admin::PublishOutcome;
+use apricotdale_admin::PublishRequest;
+use apricotdale_core::config::ClassTarget;
+use apricotdale_core::config::ConfigChange;
+use apricotdale_core::config::ConfigEdit;
+use apricotdale_core::control::ControlRecord;
+use apricotdale_core::numbers::ConfigVersion;
+use apricotdale_core::numbers::Offset;
+
+use support::log_fault::Append;
+use support::log_fault::AppendFault;
+use support::log_fault::ReadFault;
+use support::node::Node;
+use support::wait_until;
+use support::world::Cluster;
+
+fn put_class(class: &str, answer_within_ms: u64) -> ConfigEdit {
+    ConfigEdit::PutClass(ClassTarget {
+        class: class.into(),
+        answer_within_ms,
+    })
+}
+
+fn is_config(append: &Append<'_>) -> bool {
+    matches!(append.control(), Some(ControlRecord::Config(_)))
+}
+
+/// Returns a daemon's configuration without how far the daemon has replayed.
+fn config_of(node: &Node) -> ConfigView {
+    let mut config = node.admin().config().expect("a configuration");
+    config.replayed = Offset(0);
+    config
+}
+
+fn has_class(node: &Node, class: &str) -> bool {
+    let config = config_of(node);
+    config.classes.iter().any(|one| one.class.as_str() == class)
+}
+
+fn accepted(outcome: &PublishOutcome) -> Option<ConfigVersion> {
+    match outcome {
+        PublishOutcome::Accepted { version } => Some(*version),
+        _ => None,
+    }
+}
+
+/// Symptom: one operator's change takes back another's without anyone having decided that, or VMs
+/// have different ones in force. Sequence: two operators read one version, and publish at two VMs at
+/// once. Cause: the second change is taken although it was based on what is no longer in force.
+#[test]
+fn of_two_changes_on_one_version_one_is_in_force_everywhere() {
+    let cluster = Cluster::start(3, 0, true);
+    let held = cluster
+        .world
+        .log
+        .fault_appends(AppendFault::Hold, usize::MAX, is_config);
+    let outcomes: Vec<PublishOutcome> = std::thread::scope(|scope| {
+        let publish = |node: usize| {
+            let (node, base) = (&cluster.nodes[node], cluster.version);
+            scope.spawn(move || node.publish(base, vec![put_class(&format!("by-{}", node.vm), 5)]))
+        };
+        let publishers = [publish(0), publish(1)];
+        held.wait_hits(2);
+        cluster.world.log.release(&held);
+        let outcomes = publishers
+            .into_iter()
+            .map(|one| one.join().expect("an outcome"));
+        outcomes.collect()
+    });
+    let versions: Vec<ConfigVersion> = outcomes.iter().filter_map(accepted).collect();
+    assert_eq!(versions.len(), 1, "{outcomes:?}");
+    let is_conflict = |one: &PublishOutcome| matches!(one, PublishOutcome::Rejected { reason, .. } if reason == "version_conflict");
+    assert_eq!(outcomes.iter().filter(|one| is_conflict(one)).count(), 1);
+    let winner = outcomes.iter().position(|one| accepted(one).is_some());
+    for node in &cluster.nodes {
+        node.wait_version(versions[0]);
+        assert_eq!(node.status().config_version, versions[0]);
+        for (number, publisher) in cluster.nodes[..2].iter().enumerate() {
+            let class = format!("by-{}", publisher.vm);
+            assert_eq!(has_class(node, &class), Some(number) == winner);
+        }
+    }
+}
+
+/// Symptom: an accepted change is gone, or in force twice. Sequence: the append's answer is lost, and
+/// the operator's command repeats the request. Cause: the record is not looked for on the stream, or
+/// its repetition is taken for another change.
+#[rstest]
+#[case(AppendFault::LoseAnswer, true)]
+#[case(AppendFault::LoseRecord, false)]
+fn a_change_whose_answer_is_lost_is_looked_for(#[case] fault: AppendFault, #[case] stands: bool) {
+    let cluster = Cluster::start(2, 0, true);
+    cluster.world.log.fault_appends(fault, 1, is_config);
+    let request = PublishRequest {
+        operator: "test".into(),
+        change_id: Some(7),
+        base_version: cluster.version,
+        edits: vec![put_class("review", 60_000)],
+    };
+    let first = cluster.nodes[0]
+        .admin()
+        .publish(&request)
+        .expect("an outcome");
+    assert_eq!(accepted(&first).is_some(), stands, "{first:?}");
+    assert!(stands || matches!(first, PublishOutcome::Unknown { change_id: 7, .. }));
+    let again = cluster.nodes[1]
+        .admin()
+        .publish(&request)
+        .expect("an outcome");
+    let version = accepted(&again).expect("an accepted change");
+    assert!(accepted(&first).is_none_or(|first| first == version));
+    for node in &cluster.nodes {
+        node.wait_version(version);
+        assert_eq!(node.status().config_version, version);
+    }
+}
+
+/// Symptom: after a restart of all VMs an older configuration is in force. Sequence: every daemon is
+/// killed and started anew, and the log answers slowly. Cause: a daemon takes requests before it has
+/// replayed all changes.
+#[test]
+fn a_restart_of_all_daemons_reverts_nothing() {
+    let mut cluster = Cluster::start(2, 1, true);
+    let outcome = cluster.nodes[0].publish(cluster.version, vec![put_class("review", 60_000)]);
+    let version = accepted(&outcome).expect("an accepted change");
+    cluster.nodes.iter().for_each(|node| node.switch.freeze());
+    let slow = cluster
+        .world
+        .log
+        .fault_reads(ReadFault::Hold, |read| read.follows_control());
+    for vm in ["vm-0", "vm-1"] {
+        let before = slow.hits();
+        let node = cluster.add(vm);
+        slow.wait_hits(before + 1);
+        assert!(!node.caller.is_ready());
+    }
+    cluster.world.log.release(&slow);
+    for node in &cluster.nodes[2..] {
+        node.wait_ready();
+        assert_eq!(node.status().config_version, version);
+        assert!(has_class(node, "review"));
+    }
+    cluster.wait_looked(2);
+}
+
+/// Symptom: VMs stop at a record, or have different configurations after it. Sequence: a record that
+/// can't be decoded and a change that breaks a rule are on the stream. Cause: not all skip it alike.
+#[test]
+fn records_that_cannot_be_used_are_skipped_by_all_alike() {
+    let mut cluster = Cluster::start(2, 1, true);
+    let world = &cluster.world;
+    let bad_change = ConfigChange {
+        change_id: 7,
+        operator: "test".into(),
+        base_version: cluster.version,
+        edits: vec![put_class("review", 60_000), put_class("never", 0)],
+    };
+    world.log.append_raw("control", b"\xff no record");
+    world
+        .log
+        .append_raw("control", &ControlRecord::Config(bad_change).encode());
+    world
+        .log
+        .append_raw("control", br#"{"config":{"unknown":1}}"#);
+    let outcome = cluster.nodes[1].publish(cluster.version, vec![put_class("quickest", 5)]);
+    let version = accepted(&outcome).expect("an accepted change");
+    cluster.add("vm-2").wait_ready();
+    let expected = config_of(&cluster.nodes[1]);
+    for node in &cluster.nodes {
+        node.wait_version(version);
+        wait_until("the same configuration", || config_of(node) == expected);
+        assert!(has_class(node, "quickest") && !has_class(node, "review"));
+    }
+    cluster.wait_looked(2);
+}
--- /dev/null
+++ b/crates/node/tests/graceful_stop.rs
@@ -0,0 +1,152 @@
+//! The planned stop.
+
+mod support;
+
+use rstest::rstest;
+
+use apricotdale_core::control::ControlRecord;
+use apricotdale_core::vm_list::VmState;
+
+use support::log_fault::AppendFault;
+use support::wait_until;
+use support::world::Cluster;
+use support::world::engine_address;
+
+/// How long a request waits for a load in vain, in milliseconds.
+const TIMEOUT_MS: u64 = 1_000;
+
+/// How many calls of each kind are made while a stream keeps a stopping daemon from its end.
+const REFUSED_CALLS: usize = 20;
+
+/// How many changes of the configuration are made while an order does so.
+const CHANGES: usize = 20;
+
+const DRAINING: (&str, &str) = ("draining", "not_run");
+
+/// Who tells a daemon to stop.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+enum Teller {
+    Signal,
+    Operator,
+    List,
+}
+
+fn tell(cluster: &Cluster, teller: Teller) {
+    let node = &cluster.nodes[0];
+    match teller {
+        Teller::Signal => node.begin_stop(),
+        Teller::Operator => drop(node.admin().drain().expect("an answer")),
+        Teller::List => {
+            let list = &cluster.world.vm_list;
+            list.set_state(node.vm.as_str(), VmState::Leaving);
+        }
+    }
+    wait_until("the daemon to stop", || node.status().draining);
+}
+
+/// Symptom: a planned stop cuts off an answer, or never ends. Sequence: a stream is in progress; the
+/// stop is told twice, with the log up or down. Cause: the second telling is taken for an urgent one,
+/// or the stop waits for the log.
+#[rstest]
+fn a_stop_told_twice_cuts_off_no_stream(
+    #[values(Teller::Signal, Teller::Operator, Teller::List)] first: Teller,
+    #[values(true, false)] log_is_down: bool,
+) {
+    let cluster = Cluster::start(2, 1, true);
+    let (world, stopping) = (&cluster.world, &cluster.nodes[0]);
+    let model = cluster.model_preferring(0);
+    stopping.caller.complete(&model).expect_whole();
+    world.streams.close();
+    let stream = stopping.caller.stream(&model);
+    world.log.set_down(log_is_down);
+    tell(&cluster, first);
+    tell(&cluster, Teller::Operator);
+    for _ in 0..REFUSED_CALLS {
+        assert_eq!(stopping.caller.complete(&model).refusal(), DRAINING);
+        assert_eq!(stopping.caller.book("key").refusal(), DRAINING);
+    }
+    world.streams.open();
+    assert!(stream.ends_whole());
+    stopping.wait_ended();
+    let departed = world.departed(&stopping.vm).len();
+    assert_eq!(departed, usize::from(!log_is_down));
+    cluster.nodes[1].caller.complete(&model).expect_whole();
+    assert_eq!(world.load_orders(&model), 1);
+}
+
+/// Symptom: a request that waits for its model is cut off by a stop. Sequence: the stop is told while
+/// the order is on its way. Cause: only requests that run count as in progress.
+#[test]
+fn a_stop_waits_for_a_request_that_waits_for_its_model() {
+    let cluster = Cluster::start(2, 1, true);
+    let (world, stopping) = (&cluster.world, &cluster.nodes[0]);
+    let model = cluster.model_preferring(0);
+    world.engines.hold_orders(engine_address(0), true);
+    let call = stopping.caller.begin_complete(&model);
+    wait_until("the order to arrive", || world.load_orders(&model) == 1);
+    tell(&cluster, Teller::Signal);
+    assert!(!call.is_answered());
+    world.engines.hold_orders(engine_address(0), false);
+    call.reply().expect_whole();
+    stopping.wait_ended();
+}
+
+/// Symptom: after a stop others have to find out from an engine what became of an order. Sequence:
+/// the order is on its way, and the request that asked for it has ended, when the stop is told.
+/// Cause: the stop waits for requests only.
+#[test]
+fn a_stop_waits_for_an_order_that_nobody_waits_for() {
+    let cluster = Cluster::start(2, 1, true);
+    let (world, stopping) = (&cluster.world, &cluster.nodes[0]);
+    let model = cluster.model_preferring(0);
+    world.engines.hold_orders(engine_address(0), true);
+    let refused = stopping.caller.complete_within(&model, TIMEOUT_MS);
+    assert_eq!(refused.refusal().1, "not_run", "{refused:?}");
+    assert_eq!(world.load_orders(&model), 1);
+    tell(&cluster, Teller::Signal);
+    wait_until("callers to be let go", || !stopping.caller.is_served());
+    let mut version = cluster.version;
+    for _ in 0..CHANGES {
+        version = cluster.nodes[1].publish_again(version);
+    }
+    assert!(world.departed(&stopping.vm).is_empty());
+    world.engines.hold_orders(engine_address(0), false);
+    stopping.wait_ended();
+    assert_eq!(world.departed(&stopping.vm).len(), 1);
+    let settled = world.decided().into_iter().any(|one| match &one.record {
+        ControlRecord::LoadSettled(settled) => {
+            settled.proposer.vm == stopping.vm && one.is_accepted()
+        }
+        _ => false,
+    });
+    assert!(settled);
+    cluster.nodes[1].caller.complete(&model).expect_whole();
+    assert_eq!(world.load_orders(&model), 1);
+}
+
+/// Symptom: a booking that was made is told as of unknown outcome for ever. Sequence: the booking
+/// runs while the log can't be appended to; the VM is told to stop, and the log comes back within the
+/// grace time. Cause: the stop drops the booking's end.
+#[test]
+fn a_stop_waits_for_the_ends_of_calls() {
+    let cluster = Cluster::start(2, 1, true);
+    let (world, stopping) = (&cluster.world, &cluster.nodes[0]);
+    let vm = stopping.vm.clone();
+    let refused = world
+        .log
+        .fault_appends(AppendFault::Refuse, usize::MAX, move |append| {
+            append.is_by(&vm) && append.has_finish()
+        });
+    stopping.caller.book("key").expect_whole();
+    refused.wait_hits(1);
+    tell(&cluster, Teller::Signal);
+    let hits = refused.hits();
+    wait_until("the end to be tried again, or the stop to be over", || {
+        refused.hits() > hits + 3 || stopping.has_ended()
+    });
+    world.log.release(&refused);
+    stopping.wait_ended();
+    let elsewhere = &cluster.nodes[1].caller;
+    wait_until("the booking to be known", || elsewhere.book("key").replayed);
+    assert_eq!(world.service.effects_of("key"), 1);
+}
--- a/crates/node/tests/support/caller.rs
+++ b/crates/node/tests/support/caller.rs
@@ -72,6 +72,12 @@
         }
     }
 
+    /// Returns whether anything is answered at all.
+    pub fn is_served(&self) -> bool {
+        let answer = self.agent.get(format!("{}/health/live", self.url)).call();
+        answer.is_ok()
+    }
+
     pub fn is_ready(&self) -> bool {
         let answer = self.agent.get(format!("{}/health/ready", self.url)).call();
         answer.is_ok_and(|answer| answer.status() == 200)
@@ -104,6 +110,12 @@
         self.post(&path, Some(key), TIMEOUT_MS, &json!({"crew": crew}))
     }
 
+    /// Calls the service without a key.
+    pub fn book_once(&self) -> Reply {
+        let path = format!("/services/{SERVICE}/bookings");
+        self.post(&path, None, TIMEOUT_MS, &json!({"crew": "two"}))
+    }
+
     /// Calls the service on a thread of its own.
     pub fn begin_book(&self, key: &str) -> Waiting {
         let (caller, key) = (self.clone(), key.to_owned());
--- a/crates/node/tests/support/log_fault.rs
+++ b/crates/node/tests/support/log_fault.rs
@@ -86,6 +86,13 @@
         }
     }
 
+    pub fn has_finish(&self) -> bool {
+        let claims = self.claims();
+        claims
+            .iter()
+            .any(|entry| matches!(entry, ClaimRecord::Finish(_)))
+    }
+
     pub fn has_claim(&self) -> bool {
         let claims = self.claims();
         claims
