--- a/crates/node/tests/support/node.rs
+++ b/crates/node/tests/support/node.rs
@@ -33,6 +33,11 @@
 use super::world::World;
 use super::world::configuration;
 
+/// The placement by a fixed timeout. The policy in use moves and repeats loads that seem overdue and
+/// unloads idle replicas soon, as they seem to be when a test moves the clock on; what most tests are
+/// about is what becomes of one decision.
+const PLACEMENT: &str = "placement = fixed_timeout";
+
 /// How long an order may go without an outcome before others take it over where they may.
 pub const LOAD_TIMEOUT_MS: u64 = 5_000;
 
