Scenarios: the proposer is the VM whose intent was accepted

Several VMs may propose a load at once, and the second name proposer took the last of them, accepted or not. So the scenarios of killed and frozen proposers often hit a VM that had sent no order, and passed with takeovers disabled in the daemon.

--- a/crates/scenario/src/ast.rs
+++ b/crates/scenario/src/ast.rs
@@ -134,16 +134,16 @@
     pub name: String,
     /// What it stands for.
     pub role: AliasRole,
-    /// The model whose last load intent tells it.
+    /// The model whose last decided load tells it.
     pub model: String,
 }
 
 /// `AliasRole` is what an alias stands for.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum AliasRole {
-    /// The VM that proposed the model's last load.
+    /// The VM that proposed the model's last decided load, and so sends its order.
     Proposer,
-    /// The engine on which the model's last load was proposed.
+    /// The engine of the model's last decided load.
     Engine,
 }
 
--- a/crates/scenario/src/run/actions.rs
+++ b/crates/scenario/src/run/actions.rs
@@ -78,13 +78,16 @@
     }
 
     pub(super) fn alias(&mut self, alias: &Alias) -> Result<Option<String>> {
-        let condition = format!("a load of {} is proposed", alias.model);
+        let condition = format!("a load of {} is decided", alias.model);
         let log = self.cluster().standin(LOG)?;
         let intent = poll_until(&condition, POLL_LIMIT, || {
-            let intents = records::load_intents(log)?;
-            let mut of_model = intents
+            // Several VMs may propose at once. Only the one whose intent was accepted has sent an
+            // order.
+            let decided = records::decided_loads(log)?;
+            let mut of_model = records::load_intents(log)?
                 .into_iter()
-                .filter(|(_, intent)| intent.model.as_str() == alias.model);
+                .filter(|(_, intent)| intent.model.as_str() == alias.model)
+                .filter(|(offset, _)| decided.contains(offset));
             Ok(of_model.next_back().map(|(_, intent)| intent))
         })?;
         let real = match alias.role {
