--- a/crates/load-tool/src/bin/load-run.rs
+++ b/crates/load-tool/src/bin/load-run.rs
@@ -57,6 +57,9 @@
     /// Most requests in progress at once
     #[bpaf(argument("N"), fallback(LoadOptions::default().client_threads), display_fallback)]
     clients: usize,
+    /// Directory for the processes' output
+    #[bpaf(argument("DIR"))]
+    logs: Option<PathBuf>,
 }
 
 fn main() -> ExitCode {
@@ -83,6 +86,7 @@
         warm_up: Duration::from_secs(arguments.warm_up),
         measured: Duration::from_secs(arguments.seconds),
         client_threads: arguments.clients,
+        log_dir: arguments.logs.clone(),
     };
     let interrupts = Interrupts::install(None)?;
     let cases = match arguments.case.as_slice() {
--- a/crates/load-tool/src/load/effects.rs
+++ b/crates/load-tool/src/load/effects.rs
@@ -92,6 +92,12 @@
         self.decided.values().sum()
     }
 
+    /// Returns the loads that engines carried out during the run.
+    pub fn loads_done(&self) -> u64 {
+        let before: u64 = self.loads_before.values().sum();
+        self.loads().values().sum::<u64>().saturating_sub(before)
+    }
+
     fn loads(&self) -> BTreeMap<String, u64> {
         sums(self.engines.iter().flat_map(|engine| &engine.loads))
     }
--- a/crates/load-tool/src/load/measures.rs
+++ b/crates/load-tool/src/load/measures.rs
@@ -100,6 +100,8 @@
             "loads_decided",
             self.data.effects.decided_loads() as f64,
         );
+        let done = self.data.effects.loads_done();
+        add(&mut results, "loads_done", done as f64);
         add(&mut results, "requests", requests as f64);
         results
     }
--- a/crates/load-tool/src/load/options.rs
+++ b/crates/load-tool/src/load/options.rs
@@ -1,5 +1,6 @@
 //! What a load run is made of.
 
+use std::path::PathBuf;
 use std::time::Duration;
 
 /// `LoadOptions` are the tunables of a load run.
@@ -20,6 +21,9 @@
     pub measured: Duration,
     /// The most requests that the clients have in progress at once, each in a thread.
     pub client_threads: usize,
+    /// The directory for the processes' output, below it one for each run, or none for one that
+    /// goes away with the run.
+    pub log_dir: Option<PathBuf>,
 }
 
 impl Default for LoadOptions {
@@ -32,6 +36,7 @@
             warm_up: Duration::from_secs(10),
             measured: Duration::from_secs(50),
             client_threads: 1_200,
+            log_dir: None,
         }
     }
 }
--- a/crates/load-tool/src/load/run.rs
+++ b/crates/load-tool/src/load/run.rs
@@ -12,6 +12,7 @@
 use apricotdale_admin::PublishOutcome;
 use apricotdale_launcher::cluster::Cluster;
 use apricotdale_launcher::cluster::LOG;
+use apricotdale_launcher::cluster::options::ClusterOptions;
 use apricotdale_launcher::poll::POLL_LIMIT;
 use apricotdale_launcher::poll::poll_until;
 use apricotdale_launcher::processes::Processes;
@@ -141,7 +142,11 @@
         prepare: impl FnOnce(&Processes),
     ) -> Result<RunReport> {
         let load_before = load_average()?;
-        let options = cluster_options(self.deployment, &self.scale, self.options, policies);
+        let log_dir = self.options.log_dir.as_ref();
+        let options = ClusterOptions {
+            log_dir: log_dir.map(|dir| dir.join(self.case.as_str()).join(policies.as_str())),
+            ..cluster_options(self.deployment, &self.scale, self.options, policies)
+        };
         let mut cluster = Cluster::start(options, prepare)?;
         host_caches::fill(&cluster, &self.trace, self.options.seed)?;
         self.set_service_times(&cluster)?;
--- a/crates/load-tool/tests/run_effects.rs
+++ b/crates/load-tool/tests/run_effects.rs
@@ -209,3 +209,13 @@
     let found = Violations::count(&Effects::default(), &schedule, &records, Some(killed));
     assert_eq!(found.answers_cut + found.answers_foreign, expected);
 }
+
+#[test]
+fn loads_of_the_filling_of_caches_are_not_loads_of_the_run() {
+    let effects = Effects {
+        engines: vec![engine(&[("m1", 2)], 0), engine(&[("m1", 1), ("m2", 4)], 0)],
+        loads_before: counts(&[("m1", 1), ("m2", 1)]),
+        ..Effects::default()
+    };
+    assert_eq!(effects.loads_done(), 5);
+}
