--- /dev/null
+++ b/crates/node/tests/double_faults.rs
@@ -0,0 +1,156 @@
+//! Faults that come together, or twice.
+
+mod support;
+
+use rstest::rstest;
+
+use apricotdale_core::control::ControlRecord;
+use apricotdale_core::vm_list::VmState;
+
+use support::engine::OrderFault;
+use support::log_fault::AppendFault;
+use support::node::LOAD_TIMEOUT_MS;
+use support::wait_until;
+use support::world::Cluster;
+use support::world::MODEL_BYTES;
+use support::world::StopAt;
+use support::world::engine_address;
+use support::world::engine_name;
+
+/// Symptom: a model is loaded a second time, or never served. Sequence: the order is on its way when
+/// the log goes down; it takes effect, or its answer is lost too; the log comes back. Cause: the
+/// outcome is dropped because it can't be told at once.
+#[rstest]
+fn an_outcome_in_an_outage_is_told_after_it(
+    #[values(None, Some(OrderFault::LoseAnswer))] fault: Option<OrderFault>,
+    #[values(true, false)] checks_fence: bool,
+) {
+    let cluster = Cluster::start(2, 2, checks_fence);
+    let world = &cluster.world;
+    let model = cluster.model_preferring(0);
+    fault
+        .into_iter()
+        .for_each(|fault| world.engines.fault(fault));
+    let hold_orders = |holds| {
+        for engine in [0, 1] {
+            world.engines.hold_orders(engine_address(engine), holds);
+        }
+    };
+    hold_orders(true);
+    let call = cluster.nodes[0].caller.begin_complete(&model);
+    wait_until("the order to arrive", || world.load_orders(&model) == 1);
+    world.log.set_down(true);
+    hold_orders(false);
+    wait_until("the order to take effect", || world.holders(&model) == 1);
+    world.log.set_down(false);
+    let reply = call.reply();
+    assert!(
+        reply.status == 200 || reply.refusal().1 == "not_run",
+        "{reply:?}"
+    );
+    wait_until("the outcome to be told", || {
+        let decided = world.decided();
+        let mut accepted = decided.iter().filter(|one| one.is_accepted());
+        accepted.any(|one| match &one.record {
+            ControlRecord::LoadSettled(_) => fault.is_none(),
+            ControlRecord::TakeOver(_) => fault.is_some(),
+            _ => false,
+        })
+    });
+    wait_until("the load to settle", || world.loaded(&model) == 1);
+    for node in 0..2 {
+        cluster.wait_recovered(node);
+        cluster.nodes[node].caller.complete(&model).expect_whole();
+    }
+    assert_eq!(world.load_orders(&model), 1);
+}
+
+/// Symptom: an intent stays open when the VM that took it over stops, too. Sequence: the proposer
+/// stops; the VM that takes over stops right after; both are listed as gone. Cause: an intent is taken
+/// over once only, or for its proposer's end only.
+#[rstest]
+fn an_intent_is_taken_over_twice(#[values(true, false)] checks_fence: bool) {
+    let cluster = Cluster::start(3, 2, checks_fence);
+    let world = &cluster.world;
+    let model = cluster.model_preferring(0);
+    cluster.stop_in_load(0, StopAt::Intent, &model);
+    let second_stop = world.log.fault_appends(AppendFault::Freeze, 1, |append| {
+        matches!(append.control(), Some(ControlRecord::TakeOver(_)))
+    });
+    cluster.list_as_gone(0);
+    second_stop.wait_hits(1);
+    let is_second = |node: &usize| cluster.nodes[*node].switch.is_frozen();
+    let second = (1..3).find(is_second).expect("a second stopped VM");
+    let call = cluster.nodes[3 - second].caller.begin_complete(&model);
+    cluster.list_as_gone(second);
+    call.reply().expect_whole();
+    wait_until("the load to settle", || world.loaded(&model) == 1);
+    assert_eq!(world.holders(&model), 1);
+    assert!(world.memory_held());
+}
+
+/// Symptom: an engine that was told of a takeover obeys the late order after all, beside what was
+/// loaded since. Sequence: the proposer freezes when it is about to send the order; others take over
+/// and raise the engine's fence; the engine restarts, and forgets the fence; the order arrives, and
+/// others fill the engine. Cause: the memory of an order was given away because one run of the engine
+/// refuses it.
+#[test]
+fn a_restart_forgets_the_fence_and_the_memory_still_holds() {
+    let cluster = Cluster::start(3, 1, true);
+    let world = &cluster.world;
+    let model = cluster.model_preferring(0);
+    cluster.stop_in_load(0, StopAt::Order, &model);
+    let call = cluster.nodes[1].caller.begin_complete(&model);
+    world.time.advance(2 * LOAD_TIMEOUT_MS);
+    call.reply().expect_whole();
+    world.engines.restart(engine_address(0));
+    wait_until("the restart to be noted", || world.loaded(&model) == 0);
+    let memory = world.state().memory(&engine_name(0).into());
+    let reserved_bytes = memory.expect("a known engine").held_bytes;
+    assert_eq!(reserved_bytes, MODEL_BYTES);
+    cluster.nodes[0].switch.thaw();
+    wait_until("the late order to arrive", || {
+        world.effects_of(&cluster.nodes[0].vm, &model) == 1
+    });
+    for preferred in [1, 2] {
+        let other = cluster.model_preferring(preferred);
+        cluster.nodes[preferred]
+            .caller
+            .complete(&other)
+            .expect_whole();
+    }
+    assert!(world.memory_held());
+}
+
+/// Symptom: a booking is made again. Sequence: the VM that made it stops before it could tell, and the
+/// log goes down; the caller repeats the booking elsewhere, during the outage and after it; the first
+/// VM wakes up. Cause: a claim that can't be looked up is taken for none.
+#[test]
+fn a_call_of_a_stopped_daemon_is_not_repeated_in_an_outage() {
+    let cluster = Cluster::start(2, 1, true);
+    let world = &cluster.world;
+    let (stopped, other) = (&cluster.nodes[0], &cluster.nodes[1].caller);
+    world.service.hold(true);
+    let first = stopped.caller.begin_book("key");
+    world.service.wait_effect_of("key");
+    wait_until("the claim to be known", || {
+        other.book("key").refusal() == ("key_in_progress", "unknown")
+    });
+    stopped.switch.freeze();
+    world.service.hold(false);
+    world.log.set_down(true);
+    assert_eq!(other.book("key").refusal(), ("key_in_progress", "unknown"));
+    world.log.set_down(false);
+    cluster.list_as_gone(0);
+    wait_until("the outcome to be known as unknown", || {
+        other.book("key").refusal() == ("key_outcome_unknown", "unknown")
+    });
+    world.vm_list.set_state(stopped.vm.as_str(), VmState::Live);
+    stopped.switch.thaw();
+    let reply = first.reply();
+    assert!(
+        reply.status == 200 || reply.refusal().1 != "not_run",
+        "{reply:?}"
+    );
+    assert_eq!(world.service.effects_of("key"), 1);
+}
--- a/crates/node/tests/frozen_wake.rs
+++ b/crates/node/tests/frozen_wake.rs
@@ -129,3 +129,37 @@
     assert!(stream.ends_whole());
     frozen.wait_ended();
 }
+
+/// Symptom: an engine that obeys every order gets one from a process that another has replaced.
+/// Sequence: a VM's process freezes right before an order; a new one starts under the VM's name and
+/// has the model loaded; the first one wakes up. Cause: the first process takes its VM's name for its
+/// own membership.
+#[test]
+fn a_process_that_was_replaced_sends_no_order() {
+    let mut cluster = Cluster::start(2, 2, false);
+    let model = cluster.model_preferring(0);
+    let vm = cluster.nodes[0].vm.clone();
+    let first = cluster.nodes[0].epoch();
+    let frozen_vm = vm.clone();
+    cluster
+        .world
+        .log
+        .fault_reads(ReadFault::FreezeBefore, move |read| {
+            read.is_by(&frozen_vm) && read.is_of_end()
+        });
+    drop(cluster.nodes[0].caller.begin_complete(&model));
+    wait_until("the process to freeze", || {
+        cluster.nodes[0].switch.is_frozen()
+    });
+    cluster.add(vm.as_str()).wait_ready();
+    let world = &cluster.world;
+    wait_until("the first process to be over", || {
+        !world.state().is_current(first)
+    });
+    cluster.nodes[2].caller.complete(&model).expect_whole();
+    assert_eq!(world.load_orders(&model), 1);
+    cluster.nodes[0].switch.thaw();
+    cluster.nodes[0].wait_ended();
+    assert_eq!(world.load_orders(&model), 1);
+    assert_eq!((world.holders(&model), world.loaded(&model)), (1, 1));
+}
--- a/crates/node/tests/lagging_list.rs
+++ b/crates/node/tests/lagging_list.rs
@@ -27,9 +27,7 @@
     cluster.world.time.advance(2 * LAG_MS);
     let successor = cluster.add(replaced.as_str());
     successor.wait_ready();
-    let epoch = successor.admin().members().expect("the members").members;
-    let epoch = epoch.iter().find(|line| line.vm == replaced);
-    let epoch = epoch.and_then(|line| line.epoch).expect("an epoch");
+    let epoch = successor.epoch();
     successor.switch.freeze();
     let world = &cluster.world;
     world.vm_list.set_state(replaced.as_str(), VmState::Gone);
--- a/crates/node/tests/log_outage.rs
+++ b/crates/node/tests/log_outage.rs
@@ -2,9 +2,12 @@
 
 mod support;
 
+use rstest::rstest;
+
 use apricotdale_core::claims::ClaimBatch;
 use apricotdale_core::claims::ClaimRecord;
 
+use support::log_fault::AppendFault;
 use support::wait_until;
 use support::world::Cluster;
 use support::world::LEARNED;
@@ -38,6 +41,22 @@
     assert_eq!(cluster.world.load_orders(&loaded), 1);
 }
 
+/// Symptom: a cold request waits to its deadline. Sequence: the log takes no append, or answers none,
+/// while it can be read. Cause: only reads that fail are taken for an outage.
+#[rstest]
+fn a_log_that_takes_no_append_is_down(
+    #[values(AppendFault::Refuse, AppendFault::LoseRecord)] fault: AppendFault,
+) {
+    let cluster = Cluster::start(2, 2, true);
+    let cold = cluster.model_preferring(0);
+    let faulted = cluster.world.log.fault_appends(fault, usize::MAX, |_| true);
+    for node in &cluster.nodes {
+        assert_eq!(node.caller.complete(&cold).refusal(), LOG_UNAVAILABLE);
+    }
+    cluster.world.log.release(&faulted);
+    cluster.wait_recovered(0);
+}
+
 /// Symptom: a caller that repeats a booking during an outage books twice, or a refusal that says
 /// "not run" is false. Sequence: one key is used before the outage and one during it; both are
 /// repeated. Cause: a key is forgotten, or a claim that was refused still runs its call later.
--- a/crates/node/tests/one_order.rs
+++ b/crates/node/tests/one_order.rs
@@ -99,3 +99,33 @@
         });
     assert_eq!(fences, [load.offset.0]);
 }
+
+/// Symptom: an engine is told to load more than its memory holds. Sequence: three VMs propose to load
+/// three models on one engine at once, and each alone would fit. Cause: a proposal is accepted by what
+/// its proposer knew of the memory.
+#[test]
+fn of_three_models_at_once_those_that_fit_are_ordered() {
+    let cluster = Cluster::start(3, 1, false);
+    let world = &cluster.world;
+    let held = world
+        .log
+        .fault_appends(AppendFault::Hold, usize::MAX, |append| append.is_load());
+    let models = [0, 1, 2].map(|node| cluster.model_preferring(node));
+    let callers = cluster.nodes.iter().map(|node| &node.caller);
+    let calls: Vec<_> = callers
+        .zip(&models)
+        .map(|(caller, model)| caller.begin_complete(model))
+        .collect();
+    held.wait_hits(3);
+    world.log.release(&held);
+    for call in calls {
+        call.reply().expect_whole();
+    }
+    let decided = world.decided();
+    let loads = decided
+        .iter()
+        .filter(|one| models.iter().any(|model| one.is_load_of(model)));
+    let refused = loads.filter(|one| !one.is_accepted());
+    assert!(refused.count() >= 1);
+    assert!(world.memory_held());
+}
--- a/crates/node/tests/support/node.rs
+++ b/crates/node/tests/support/node.rs
@@ -16,6 +16,7 @@
 use apricotdale_core::config::ConfigEdit;
 use apricotdale_core::names::VmName;
 use apricotdale_core::numbers::ConfigVersion;
+use apricotdale_core::numbers::Epoch;
 use apricotdale_core::vm_list::VmRole;
 use apricotdale_core::vm_list::VmState;
 use apricotdale_node::Daemon;
@@ -33,11 +34,6 @@
 use super::world::World;
 use super::world::configuration;
 
-/// The placement by a fixed timeout. The policy in use moves and repeats loads that seem overdue and
-/// unloads idle replicas soon, as they seem to be when a test moves the clock on; what most tests are
-/// about is what becomes of one decision.
-const PLACEMENT: &str = "placement = fixed_timeout";
-
 /// How long an order may go without an outcome before others take it over where they may.
 pub const LOAD_TIMEOUT_MS: u64 = 5_000;
 
@@ -86,6 +82,14 @@
         self.admin().status().expect("the daemon's status")
     }
 
+    /// Returns the epoch of this daemon's process, or of the one that took its place.
+    pub fn epoch(&self) -> Epoch {
+        let view = self.admin().members().expect("the members");
+        let mut lines = view.members.iter();
+        let line = lines.find(|line| line.vm == self.vm);
+        line.and_then(|line| line.epoch).expect("an epoch")
+    }
+
     /// Returns how many requests wait for a model, as far as this daemon knows.
     pub fn waiting_for(&self, model: &str) -> u32 {
         let view = self.admin().models().expect("the models");
--- a/crates/node/tests/taken_over.rs
+++ b/crates/node/tests/taken_over.rs
@@ -11,6 +11,9 @@
 use support::world::Cluster;
 use support::world::StopAt;
 
+/// How often the VMs look at an intent after it was settled.
+const LOOKS: usize = 4;
+
 /// What the platform's list says of the VM that stopped.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 enum Listed {
@@ -128,3 +131,45 @@
     });
     assert!(world.memory_held());
 }
+
+/// Symptom: two engines load a model that was decided on once. Sequence: a VM stops when it is about to
+/// send an order to an engine that checks numbers, and is still listed as live; others take the intent
+/// over and load elsewhere; the VM wakes up and sends the order. Cause: the engine was not told of the
+/// takeover's number, or the number of the order is not that of its intent.
+#[test]
+fn a_late_order_is_refused_by_its_number() {
+    let cluster = Cluster::start(3, 2, true);
+    let world = &cluster.world;
+    let model = cluster.model_preferring(0);
+    cluster.stop_in_load(0, StopAt::Order, &model);
+    let call = cluster.nodes[1].caller.begin_complete(&model);
+    let_others_notice(&cluster, Listed::Live);
+    call.reply().expect_whole();
+    cluster.nodes[0].switch.thaw();
+    wait_until("the late order to arrive", || {
+        world.load_orders(&model) == 2
+    });
+    cluster.wait_looked(0);
+    assert_eq!(world.effects_of(&cluster.nodes[0].vm, &model), 0);
+    assert_eq!((world.holders(&model), world.loaded(&model)), (1, 1));
+}
+
+/// Symptom: the log fills with records of two VMs that take one intent from each other. Sequence: the
+/// proposer stays frozen for long; its intent was taken over and settled as far as it can be. Cause:
+/// each look finds it unsettled.
+#[test]
+fn a_settled_intent_is_not_taken_over_again() {
+    let cluster = Cluster::start(3, 2, true);
+    let model = cluster.model_preferring(0);
+    cluster.stop_in_load(0, StopAt::Order, &model);
+    let call = cluster.nodes[1].caller.begin_complete(&model);
+    let_others_notice(&cluster, Listed::Live);
+    call.reply().expect_whole();
+    let before = take_overs(&cluster);
+    for _ in 0..LOOKS {
+        cluster.world.time.advance(2 * LOAD_TIMEOUT_MS);
+        cluster.wait_looked(1);
+        cluster.wait_looked(2);
+    }
+    assert_eq!(take_overs(&cluster), before);
+}
