Daemon: the test of a second takeover sees a second takeover

Now one of the two is asleep until the other has taken over and stopped. Seen to fail on a scratch copy with both rules off that bring a second takeover about (an owner that is over, an owner that lets the load's time pass); with either alone it passes, since the other does the same later.

--- a/crates/node/tests/double_faults.rs
+++ b/crates/node/tests/double_faults.rs
@@ -77,12 +77,14 @@
     let second_stop = world.log.fault_appends(AppendFault::Freeze, 1, |append| {
         matches!(append.control(), Some(ControlRecord::TakeOver(_)))
     });
+    // The third one is asleep meanwhile, or it would take over at the same moment.
+    cluster.nodes[2].switch.freeze();
     cluster.list_as_gone(0);
     second_stop.wait_hits(1);
-    let is_second = |node: &usize| cluster.nodes[*node].switch.is_frozen();
-    let second = (1..3).find(is_second).expect("a second stopped VM");
-    let call = cluster.nodes[3 - second].caller.begin_complete(&model);
-    cluster.list_as_gone(second);
+    assert!(cluster.nodes[1].switch.is_frozen());
+    cluster.nodes[2].switch.thaw();
+    let call = cluster.nodes[2].caller.begin_complete(&model);
+    cluster.list_as_gone(1);
     call.reply().expect_whole();
     wait_until("the load to settle", || world.loaded(&model) == 1);
     assert_eq!(world.holders(&model), 1);
