--- a/crates/policy-replay/src/compare.rs
+++ b/crates/policy-replay/src/compare.rs
@@ -144,8 +144,8 @@
     pub seed: u64,
     /// Runs at once; each takes one core.
     pub workers: usize,
-    /// Whether the routing in use ignores how fast an engine begins its answers.
-    pub ignore_speeds: bool,
+    /// Whether the routing in use is mild; see [`PolicySet::mild_routing`].
+    pub mild_routing: bool,
 }
 
 impl Options {
@@ -165,7 +165,7 @@
             with_baseline: true,
             seed: 1,
             workers: 1,
-            ignore_speeds: false,
+            mild_routing: false,
         }
     }
 }
@@ -203,7 +203,7 @@
         .iter()
         .enumerate()
         .flat_map(|(place, (_, case, _))| {
-            let chosen = std::iter::once(PolicySet::chosen(options.seed, options.ignore_speeds));
+            let chosen = std::iter::once(PolicySet::chosen(options.seed, options.mild_routing));
             let baselines = options
                 .timeouts_ms(*case)
                 .iter()
--- a/crates/policy-replay/src/main.rs
+++ b/crates/policy-replay/src/main.rs
@@ -38,8 +38,8 @@
     case: Option<String>,
     /// Leave out the baseline.
     chosen_only: bool,
-    /// Let the routing in use ignore how fast an engine begins its answers.
-    ignore_speeds: bool,
+    /// Trial: let the routing in use ignore engines' speeds and timeouts in their queues.
+    mild_routing: bool,
     /// Most runs at once; each takes one core.
     #[bpaf(argument("NUMBER"), fallback(MOST_WORKERS))]
     workers: usize,
@@ -76,7 +76,7 @@
         with_baseline: !arguments.chosen_only,
         seed: arguments.seed,
         workers,
-        ignore_speeds: arguments.ignore_speeds,
+        mild_routing: arguments.mild_routing,
     };
     let comparisons = compare(&deployments, &cases, &options)?;
     std::fs::create_dir_all(&arguments.out).map_err(unwritable)?;
--- a/crates/policy-replay/src/measures.rs
+++ b/crates/policy-replay/src/measures.rs
@@ -62,6 +62,7 @@
     useless_work_ms: f64,
     window: Option<Window>,
     loads: u64,
+    stuck: u64,
 }
 
 /// `Window` counts the time that the batches spend on answers that are in time.
@@ -112,6 +113,7 @@
             useless_work_ms: 0.0,
             window: None,
             loads: 0,
+            stuck: 0,
         }
     }
 
@@ -171,6 +173,11 @@
         *self.refusals.entry(reason).or_default() += 1;
     }
 
+    /// Counts a request that is neither answered nor refused although its deadline is long past.
+    pub fn stuck(&mut self) {
+        self.stuck += 1;
+    }
+
     /// Counts a request that ended without an answer.
     pub fn failed(&mut self) {
         self.failed += 1;
@@ -233,6 +240,7 @@
                 window.useful_ms / window.achievable_ms.max(1.0),
             );
         }
+        results.add("stuck_requests", self.stuck as f64);
         results.add("loads", self.loads as f64);
         results.add("requests", self.arrived as f64);
         for (reason, count) in &self.refusals {
--- a/crates/policy-replay/src/policies.rs
+++ b/crates/policy-replay/src/policies.rs
@@ -22,9 +22,10 @@
     pub retry: &'static str,
     /// Admission.
     pub admission: &'static str,
-    /// Whether routing ignores how fast an engine begins its answers. By default it compares the
-    /// engines of a group, which here run different models.
-    pub ignore_speeds: bool,
+    /// Whether routing ignores what by default it holds against an engine although it may be no
+    /// fault of its own: answers that begin later than those of other engines, which here run
+    /// other models, and requests that time out in its queue.
+    pub mild_routing: bool,
     /// The seed of the policies that draw.
     pub seed: u64,
 }
@@ -52,20 +53,20 @@
             routing: "least_reported",
             retry: "fixed",
             admission: "first_come",
-            ignore_speeds: false,
+            mild_routing: false,
             seed,
         }
     }
 
     /// Returns the policies in use.
-    pub fn chosen(seed: u64, ignore_speeds: bool) -> Self {
+    pub fn chosen(seed: u64, mild_routing: bool) -> Self {
         Self {
             placement: "learned",
             idle_timeout_ms: 0,
             routing: "corrected_load",
             retry: "budgeted",
             admission: "earliest_deadline",
-            ignore_speeds,
+            mild_routing,
             seed,
         }
     }
@@ -103,7 +104,7 @@
             seed: self.seed,
             ..Default::default()
         };
-        if self.ignore_speeds {
+        if self.mild_routing {
             options.outliers.eject_slowness = f64::INFINITY;
             options.outliers.max_slowness = 1.0;
         }
