--- a/crates/load-tool/src/load/client.rs
+++ b/crates/load-tool/src/load/client.rs
@@ -9,6 +9,7 @@
 use std::thread;
 use std::time::Duration;
 
+use serde_json::Value;
 use ureq::Agent;
 use ureq::Body;
 use ureq::http::Response;
@@ -109,6 +110,8 @@
             identity: String::new(),
             engine: None,
             repeats: 0,
+            retry_after: None,
+            is_return: false,
             ending: Ending::NoAnswer("no VM accepts connections".to_owned()),
         };
         for (vm, address) in self.balancer.route(first_vm) {
@@ -226,6 +229,7 @@
             return Ending::Cut(error.to_string());
         }
         let text = String::from_utf8_lossy(&bytes);
+        record.retry_after = retry_after(&text);
         let mut check = TokenCheck::new(&head.request);
         let outcome = Outcome::of_body(head, &text);
         if outcome.is_whole() {
@@ -271,7 +275,7 @@
 fn call_path(work: &Work) -> String {
     match work {
         Work::Completion { .. } => String::new(),
-        Work::Look { bundle } => format!("{SHELF}?bundle={bundle}"),
+        Work::Look { bundle } => format!("{SHELF}/{bundle}"),
         Work::CutOrder { order, .. } => format!("/cut-orders/{order}"),
     }
 }
@@ -280,7 +284,7 @@
 pub fn call_name(work: &Work) -> String {
     match work {
         Work::Completion { .. } => String::new(),
-        Work::Look { .. } => format!("GET {SHELF}"),
+        Work::Look { .. } => format!("GET {}", call_path(work)),
         Work::CutOrder { .. } => format!("POST {}", call_path(work)),
     }
 }
@@ -315,6 +319,13 @@
     }
 }
 
+/// Returns when a refusal says to come back.
+fn retry_after(body: &str) -> Option<Duration> {
+    let problem: Value = serde_json::from_str(body).ok()?;
+    let after_ms = problem["retry_after_ms"].as_u64()?;
+    Some(Duration::from_millis(after_ms))
+}
+
 fn micros(time: Duration) -> u32 {
     u32::try_from(time.as_micros()).unwrap_or(u32::MAX)
 }
--- a/crates/load-tool/src/load/drive.rs
+++ b/crates/load-tool/src/load/drive.rs
@@ -15,6 +15,7 @@
 use crate::load::client::Client;
 use crate::load::clock::RunClock;
 use crate::load::record::Record;
+use crate::load::returning::Returning;
 use crate::load::schedule::Planned;
 
 /// The stack of a client's thread.
@@ -31,12 +32,21 @@
     client: &Client,
     clock: RunClock,
     schedule: &Arc<Vec<Planned>>,
+    returning: Returning,
     threads: usize,
     stop: &AtomicBool,
 ) -> Result<Vec<Record>> {
     let (sender, receiver) = unbounded();
     let workers = (0..threads)
-        .map(|_| start_worker(client.clone(), Arc::clone(schedule), receiver.clone()))
+        .map(|_| {
+            let worker = Worker {
+                client: client.clone(),
+                clock,
+                schedule: Arc::clone(schedule),
+                returning,
+            };
+            worker.start(receiver.clone())
+        })
         .collect::<Result<Vec<_>>>()?;
     for (index, planned) in schedule.iter().enumerate() {
         clock.wait_until(planned.at);
@@ -55,17 +65,35 @@
     Ok(records)
 }
 
-fn start_worker(
+/// `Worker` is what one thread of the clients works with.
+struct Worker {
     client: Client,
+    clock: RunClock,
     schedule: Arc<Vec<Planned>>,
-    due: Receiver<usize>,
-) -> Result<JoinHandle<Vec<Record>>> {
-    let work = move || {
-        let send = |index: usize| client.send(index, &schedule[index]);
-        due.iter().map(send).collect()
-    };
-    let started = thread::Builder::new().stack_size(STACK_BYTES).spawn(work);
-    started.map_err(|error| Error::failed(format!("starting a client: {error}")))
+    returning: Returning,
+}
+
+impl Worker {
+    fn start(self, due: Receiver<usize>) -> Result<JoinHandle<Vec<Record>>> {
+        let work = move || due.iter().flat_map(|index| self.send(index)).collect();
+        let started = thread::Builder::new().stack_size(STACK_BYTES).spawn(work);
+        started.map_err(|error| Error::failed(format!("starting a client: {error}")))
+    }
+
+    /// Sends a request, and once more if its caller comes back.
+    fn send(&self, index: usize) -> Vec<Record> {
+        let planned = &self.schedule[index];
+        let first = self.client.send(index, planned);
+        let Some(moment) = self.returning.moment(&first) else {
+            return vec![first];
+        };
+        self.clock.wait_until(moment);
+        let second = Record {
+            is_return: true,
+            ..self.client.send(index, planned)
+        };
+        vec![first, second]
+    }
 }
 
 /// `Lateness` is by how much the tool itself fell behind its schedule.
@@ -80,7 +108,7 @@
 /// Returns by how much requests were sent after their times.
 pub fn lateness(schedule: &[Planned], records: &[Record], tolerated: Duration) -> Lateness {
     let mut lateness = Lateness::default();
-    for record in records {
+    for record in records.iter().filter(|record| !record.is_return) {
         let delay = record.sent.saturating_sub(schedule[record.planned].at);
         lateness.largest = lateness.largest.max(delay);
         lateness.late += usize::from(delay > tolerated);
--- a/crates/load-tool/src/load/effects.rs
+++ b/crates/load-tool/src/load/effects.rs
@@ -15,12 +15,10 @@
 use crate::load::client::idempotency_key;
 use crate::load::record::Ending;
 use crate::load::record::Record;
+use crate::load::returning::NOT_RUN;
 use crate::load::schedule::Planned;
 use crate::load::schedule::Work;
 
-/// What a refusal says of a request that did not run.
-const NOT_RUN: &str = "not_run";
-
 /// `Effects` is what the stand-ins count at the end of a run.
 #[derive(Clone, Debug, Default, PartialEq, Eq)]
 pub struct Effects {
--- a/crates/load-tool/src/load/measures.rs
+++ b/crates/load-tool/src/load/measures.rs
@@ -106,13 +106,15 @@
         results
     }
 
-    /// Returns the records of the measured requests, without repetitions by their callers.
+    /// Returns the records of the measured requests, without their callers' second tries.
     fn measured(&self) -> impl Iterator<Item = (&Planned, &Record)> {
         let from = self.scale.moment(0.0);
         let records = self.data.records.iter();
         records
             .map(|record| (&self.data.schedule[record.planned], record))
-            .filter(move |(planned, _)| planned.at >= from && !planned.is_repetition)
+            .filter(move |(planned, record)| {
+                planned.at >= from && !planned.is_repetition && !record.is_return
+            })
     }
 
     /// Returns the models that were asked for and not loaded before the end, and how many requests
--- a/crates/load-tool/src/load/mod.rs
+++ b/crates/load-tool/src/load/mod.rs
@@ -19,6 +19,7 @@
 pub mod options;
 pub mod record;
 pub mod report;
+pub mod returning;
 pub mod run;
 pub mod scale;
 pub mod schedule;
--- a/crates/load-tool/src/load/record.rs
+++ b/crates/load-tool/src/load/record.rs
@@ -25,6 +25,10 @@
     pub engine: Option<String>,
     /// How often it was sent again by its caller, after an answer that was lost.
     pub repeats: u32,
+    /// When a refusal said to come back.
+    pub retry_after: Option<Duration>,
+    /// Whether its caller had been refused before and came back.
+    pub is_return: bool,
     /// How it ended.
     pub ending: Ending,
 }
--- a/crates/load-tool/src/load/run.rs
+++ b/crates/load-tool/src/load/run.rs
@@ -46,6 +46,7 @@
 use crate::load::options::LoadOptions;
 use crate::load::record::Ending;
 use crate::load::record::Record;
+use crate::load::returning::Returning;
 use crate::load::scale::Scale;
 use crate::load::schedule::Planned;
 use crate::load::schedule::schedule;
@@ -250,8 +251,10 @@
         let balancer = Arc::new(Balancer::new(addresses));
         let client = Client::new(Arc::clone(&balancer), clock, Arc::new(self.catalog()));
         let threads = self.options.client_threads;
+        let returning = Returning::new(&self.scale);
         thread::scope(|scope| {
-            let driver = scope.spawn(|| drive(&client, clock, &self.schedule, threads, too_much));
+            let driver =
+                scope.spawn(|| drive(&client, clock, &self.schedule, returning, threads, too_much));
             let happened = self.disturb(cluster, clock, &balancer);
             let records = driver.join();
             let records = records.map_err(|_| Error::failed("the driver panicked"))?;
--- a/crates/load-tool/tests/open_loop.rs
+++ b/crates/load-tool/tests/open_loop.rs
@@ -20,8 +20,11 @@
 use apricotdale_load_tool::load::clock::RunClock;
 use apricotdale_load_tool::load::drive::drive;
 use apricotdale_load_tool::load::drive::lateness;
+use apricotdale_load_tool::load::options::LoadOptions;
 use apricotdale_load_tool::load::record::Ending;
 use apricotdale_load_tool::load::record::Record;
+use apricotdale_load_tool::load::returning::Returning;
+use apricotdale_load_tool::load::scale::Scale;
 use apricotdale_load_tool::load::schedule::Planned;
 use apricotdale_load_tool::load::schedule::Work;
 
@@ -93,6 +96,27 @@
     }
 }
 
+/// Symptom: a shop page shows another bundle's stock. Sequence: two looks at the shelf, whose answers
+/// come crossed. Cause: a service's answer carries no identity but the call that it answers.
+#[test]
+fn the_answer_to_another_look_is_foreign() {
+    let clock = RunClock::start();
+    let crossing =
+        start_vm(|_, connection| answer_call("GET /services/bancone/shelf/2", connection));
+    let client = client(vec![crossing], clock);
+    let look = |bundle| Planned {
+        work: Work::Look { bundle },
+        ..order(0, false, Duration::ZERO)
+    };
+    let other = client.send(0, &look(1));
+    assert!(
+        matches!(other.ending, Ending::Foreign(_)),
+        "{:?}",
+        other.ending
+    );
+    assert_eq!(client.send(0, &look(2)).ending, Ending::Whole);
+}
+
 /// Returns an address at which nobody listens.
 fn nobody() -> SocketAddr {
     let listener = TcpListener::bind("127.0.0.1:0").expect("a port is free");
@@ -113,7 +137,9 @@
     let schedule = (0..REQUESTS).map(|number| order(number as u64, false, Duration::ZERO));
     let schedule = Arc::new(schedule.collect::<Vec<_>>());
     let stop = AtomicBool::new(false);
-    let records = drive(&client(vec![vm], clock), clock, &schedule, REQUESTS, &stop);
+    let returning = Returning::new(&Scale::new(&LoadOptions::default()));
+    let client = client(vec![vm], clock);
+    let records = drive(&client, clock, &schedule, returning, REQUESTS, &stop);
     let records = records.expect("the clients work");
     assert_eq!(records.len(), REQUESTS);
     assert!(records.iter().all(|record| record.ending == Ending::Whole));
@@ -132,6 +158,8 @@
         identity: String::new(),
         engine: None,
         repeats: 0,
+        retry_after: None,
+        is_return: false,
         ending: Ending::Whole,
     };
     let late = |tolerated_ms| {
--- /dev/null
+++ b/crates/load-tool/tests/refused_callers.rs
@@ -0,0 +1,150 @@
+//! Refused callers that come back.
+
+use std::io::BufRead;
+use std::io::BufReader;
+use std::io::Read;
+use std::io::Write;
+use std::net::SocketAddr;
+use std::net::TcpListener;
+use std::sync::Arc;
+use std::sync::atomic::AtomicBool;
+use std::thread;
+use std::time::Duration;
+
+use rstest::rstest;
+
+use apricotdale_launcher::answer::RefusedAnswer;
+use apricotdale_load_tool::load::balancer::Balancer;
+use apricotdale_load_tool::load::client::Catalog;
+use apricotdale_load_tool::load::client::Client;
+use apricotdale_load_tool::load::clock::RunClock;
+use apricotdale_load_tool::load::drive::drive;
+use apricotdale_load_tool::load::options::LoadOptions;
+use apricotdale_load_tool::load::record::Ending;
+use apricotdale_load_tool::load::record::Record;
+use apricotdale_load_tool::load::returning::Returning;
+use apricotdale_load_tool::load::scale::Scale;
+use apricotdale_load_tool::load::schedule::Planned;
+use apricotdale_load_tool::load::schedule::Work;
+
+const REFUSAL: &str = r#"{"type":"urn:apricotdale:refusal:overloaded","reason":"overloaded","ran":"not_run","retry_after_ms":10}"#;
+
+fn returning() -> Returning {
+    Returning::new(&Scale::new(&LoadOptions {
+        speed: 4.0,
+        warm_up: Duration::from_secs(10),
+        measured: Duration::from_secs(50),
+        ..LoadOptions::default()
+    }))
+}
+
+fn refused(planned: usize, ended_ms: u64, ran: &str, retry_after_ms: Option<u64>) -> Record {
+    Record {
+        planned,
+        vm: 0,
+        sent: Duration::ZERO,
+        first: None,
+        ended: Duration::from_millis(ended_ms),
+        gaps_us: Vec::new(),
+        identity: String::new(),
+        engine: None,
+        repeats: 0,
+        retry_after: retry_after_ms.map(Duration::from_millis),
+        is_return: false,
+        ending: Ending::Refused(RefusedAnswer {
+            reason: "overloaded".to_owned(),
+            ran: ran.to_owned(),
+        }),
+    }
+}
+
+#[rstest]
+#[case::when_the_refusal_says(2, 1_000, "not_run", Some(300), Some(1_300))]
+#[case::after_a_while_if_it_does_not_say(2, 1_000, "not_run", None, Some(2_250))]
+#[case::every_other_one_only(3, 1_000, "not_run", Some(300), None)]
+#[case::not_if_it_may_have_run(2, 1_000, "unknown", Some(300), None)]
+#[case::not_after_the_end(2, 59_900, "not_run", Some(300), None)]
+fn a_refused_caller_comes_back(
+    #[case] planned: usize,
+    #[case] ended_ms: u64,
+    #[case] ran: &str,
+    #[case] retry_after_ms: Option<u64>,
+    #[case] expected_ms: Option<u64>,
+) {
+    let record = refused(planned, ended_ms, ran, retry_after_ms);
+    let expected = expected_ms.map(Duration::from_millis);
+    assert_eq!(returning().moment(&record), expected);
+}
+
+#[test]
+fn an_answered_caller_does_not_come_back() {
+    let record = Record {
+        ending: Ending::Whole,
+        ..refused(2, 1_000, "not_run", Some(300))
+    };
+    assert_eq!(returning().moment(&record), None);
+}
+
+/// Starts a VM that refuses its first request and answers every later one.
+fn start_vm() -> SocketAddr {
+    let listener = TcpListener::bind("127.0.0.1:0").expect("a port is free");
+    let address = listener.local_addr().expect("it is bound");
+    thread::spawn(move || {
+        let mut bodies = [REFUSAL].into_iter();
+        for connection in listener.incoming() {
+            let mut connection = connection.expect("the listener works");
+            let mut reader = BufReader::new(&connection);
+            let mut head = String::new();
+            while !head.ends_with("\r\n\r\n") {
+                reader.read_line(&mut head).expect("the head comes");
+            }
+            let mut body = vec![0; r#"{"order":1}"#.len()];
+            reader.read_exact(&mut body).expect("the body comes");
+            let (status, body) = match bodies.next() {
+                Some(refusal) => ("429 Too Many Requests", refusal),
+                None => ("200 OK", r#"{"call":"POST /cut-orders/1","count":1}"#),
+            };
+            let length = body.len();
+            write!(
+                connection,
+                "HTTP/1.1 {status}\r\nContent-Length: {length}\r\n\r\n{body}"
+            )
+            .expect("the caller is there");
+        }
+    });
+    address
+}
+
+#[test]
+fn the_second_try_is_recorded_beside_the_first() {
+    let clock = RunClock::start();
+    let catalog = Catalog {
+        models: Vec::new(),
+        classes: vec!["quick".to_owned()],
+        service: "bancone".to_owned(),
+    };
+    let balancer = Arc::new(Balancer::new(vec![start_vm()]));
+    let client = Client::new(balancer, clock, Arc::new(catalog));
+    let planned = Planned {
+        at: Duration::ZERO,
+        vm: 0,
+        class: 0,
+        caller: 0,
+        work: Work::CutOrder {
+            order: 1,
+            keyed: false,
+        },
+        is_repetition: false,
+    };
+    let stop = AtomicBool::new(false);
+    let schedule = Arc::new(vec![planned]);
+    let records = drive(&client, clock, &schedule, returning(), 1, &stop);
+    let records = records.expect("the client works");
+    let [first, second] = &records[..] else {
+        panic!("{} records", records.len());
+    };
+    assert_eq!(first.retry_after, Some(Duration::from_millis(10)));
+    assert!(first.ending.refusal().is_some() && !first.is_return);
+    assert_eq!(second.ending, Ending::Whole);
+    assert!(second.is_return);
+}
--- a/crates/load-tool/tests/run_effects.rs
+++ b/crates/load-tool/tests/run_effects.rs
@@ -50,6 +50,8 @@
         identity: "req-1".to_owned(),
         engine: None,
         repeats: 0,
+        retry_after: None,
+        is_return: false,
         ending,
     }
 }
@@ -106,7 +108,7 @@
     1
 )]
 #[case::under_one_key(&[service(&[], &[("cut-order-1", 2)])], 1)]
-#[case::a_look_at_the_shelf(&[service(&[("GET /shelf", 9)], &[])], 0)]
+#[case::a_look_at_the_shelf(&[service(&[("GET /shelf/1", 9)], &[])], 0)]
 fn an_order_that_ran_more_than_once_is_counted(
     #[case] services: &[ServiceEffects],
     #[case] expected: u64,
