Daemon: a test of orders that take effect after the model was loaded elsewhere

The answer to an order does not come, and the engine acts on the order only after its intent was taken over and the model loaded on another engine. An engine that checks numbers refuses it; at one that obeys, its effect is counted as the replica that was decided first, in memory that was kept for it.

--- a/crates/node/tests/support/engine.rs
+++ b/crates/node/tests/support/engine.rs
@@ -42,6 +42,8 @@
     LoseOrder,
     /// The order takes effect, and no answer comes.
     LoseAnswer,
+    /// No answer comes, and the order is acted on once the test releases it.
+    Delay,
     /// The engine dies while it carries the order out, and starts anew without any model.
     Die,
     /// The order takes effect, and the daemon that sent it freezes before the answer comes.
@@ -113,7 +115,28 @@
         Ok(())
     }
 
-    /// Loads a model, as an order does.
+    /// Acts on an order, if this is still the run that received it.
+    fn act(&mut self, order: LateOrder) -> Result<()> {
+        if self.status.boot != order.boot {
+            return Err(Error::unknown("the engine restarted"));
+        }
+        self.check_fence(order.fence)?;
+        (order.effect)(self)?;
+        self.orders[order.index].done = true;
+        Ok(())
+    }
+
+    fn load(&mut self, order: &LoadOrder) -> Result<()> {
+        match &order.base {
+            Some(base) if !self.holds(base.as_str()) => Err(Error::rejected("base_missing")),
+            _ => {
+                self.put(order);
+                Ok(())
+            }
+        }
+    }
+
+    /// Puts a model into the memory.
     pub fn put(&mut self, order: &LoadOrder) {
         let residents = &mut self.status.residents;
         if residents.iter().any(|one| one.model == order.model) {
@@ -143,10 +166,22 @@
     }
 }
 
+type Effect = Box<dyn FnOnce(&mut Engine) -> Result<()> + Send>;
+
+/// `LateOrder` is an order that its engine has received and not yet acted on.
+struct LateOrder {
+    address: SocketAddr,
+    boot: BootId,
+    fence: FencingNumber,
+    index: usize,
+    effect: Effect,
+}
+
 /// `FakeEngines` are all engines.
 pub struct FakeEngines {
     engines: Mutex<BTreeMap<SocketAddr, Engine>>,
     faults: Mutex<VecDeque<OrderFault>>,
+    late: Mutex<Vec<LateOrder>>,
     pub(super) changed: Condvar,
     time: Arc<WorldTime>,
 }
@@ -158,6 +193,7 @@
         Self {
             engines: Mutex::default(),
             faults: Mutex::default(),
+            late: Mutex::default(),
             changed: Condvar::new(),
             time: Arc::clone(time),
         }
@@ -192,6 +228,15 @@
         self.with(address, |engine| engine.holds_orders = holds);
     }
 
+    /// Lets the engines act on the orders that are late.
+    pub fn release_late(&self) {
+        for late in std::mem::take(&mut *self.late.lock()) {
+            let address = late.address;
+            // A refusal goes to a sender that has long stopped listening.
+            let _ = self.with(address, |engine| engine.act(late));
+        }
+    }
+
     /// Lets all orders go on.
     pub fn open(&self) {
         let mut engines = self.engines.lock();
@@ -242,12 +287,7 @@
 
 impl EnginesOfVm {
     /// Takes an order to its engine, with the faults on the way.
-    fn order(
-        &self,
-        address: SocketAddr,
-        order: Order,
-        effect: impl FnOnce(&mut Engine),
-    ) -> Result<EngineStatus> {
+    fn order(&self, address: SocketAddr, order: Order, effect: Effect) -> Result<EngineStatus> {
         self.switch.pass();
         let fault = self.engines.faults.lock().pop_front();
         if fault == Some(OrderFault::FreezeBefore) {
@@ -262,20 +302,25 @@
         let (boot, fence, index) = (engine.status.boot, order.fence, engine.orders.len());
         engine.orders.push(order);
         self.engines.changed.notify_all();
+        let order = LateOrder {
+            address,
+            boot,
+            fence,
+            index,
+            effect,
+        };
+        if fault == Some(OrderFault::Delay) {
+            self.engines.late.lock().push(order);
+            return Err(Error::unknown("the order is late"));
+        }
         while engines[&address].holds_orders && engines[&address].status.boot == boot {
             self.engines.changed.wait(&mut engines);
         }
         let engine = engines.get_mut(&address).expect("a known engine");
-        if engine.status.boot != boot {
-            return Err(Error::unknown("the engine restarted"));
-        }
-        engine.check_fence(fence)?;
         if fault == Some(OrderFault::Die) {
             engine.restart();
-            return Err(Error::unknown("the engine died"));
         }
-        effect(engine);
-        engine.orders[index].done = true;
+        engine.act(order)?;
         let status = engine.status.clone();
         self.engines.changed.notify_all();
         drop(engines);
@@ -303,7 +348,9 @@
             is_load: true,
             done: false,
         };
-        self.order(engine, received, |engine| engine.put(order))
+        let order = order.clone();
+        let effect = move |engine: &mut Engine| engine.load(&order);
+        self.order(engine, received, Box::new(effect))
     }
 
     fn unload(
@@ -319,7 +366,12 @@
             is_load: false,
             done: false,
         };
-        self.order(engine, received, |engine| engine.remove(&order.model))
+        let model = order.model.clone();
+        let effect = move |engine: &mut Engine| {
+            engine.remove(&model);
+            Ok(())
+        };
+        self.order(engine, received, Box::new(effect))
     }
 
     fn raise_fence(&self, engine: SocketAddr, fence: FencingNumber) -> Result<EngineStatus> {
--- a/crates/node/tests/support/log_fault.rs
+++ b/crates/node/tests/support/log_fault.rs
@@ -70,6 +70,13 @@
         matches!(self.control(), Some(ControlRecord::Load(_)))
     }
 
+    pub fn is_unload_of(&self, model: &str) -> bool {
+        match self.control() {
+            Some(ControlRecord::Unload(unload)) => unload.model.as_str() == model,
+            _ => false,
+        }
+    }
+
     pub fn is_load_settled(&self) -> bool {
         matches!(self.control(), Some(ControlRecord::LoadSettled(_)))
     }
--- a/crates/node/tests/support/node.rs
+++ b/crates/node/tests/support/node.rs
@@ -90,6 +90,12 @@
         line.and_then(|line| line.epoch).expect("an epoch")
     }
 
+    /// Returns whether a model is configured here.
+    pub fn knows(&self, model: &str) -> bool {
+        let view = self.admin().models().expect("the models");
+        view.models.iter().any(|line| line.model.as_str() == model)
+    }
+
     /// Returns how many requests wait for a model, as far as this daemon knows.
     pub fn waiting_for(&self, model: &str) -> u32 {
         let view = self.admin().models().expect("the models");
--- a/crates/node/tests/support/world.rs
+++ b/crates/node/tests/support/world.rs
@@ -294,15 +294,20 @@
 
     /// Returns a model for which a daemon is the preferred one among all.
     pub fn model_preferring(&self, node: usize) -> String {
-        let vms: Vec<&VmName> = self.nodes.iter().map(|node| &node.vm).collect();
         let mut models = (0..MODELS).map(model_name);
-        let preferring = models.find(|model| {
-            let key = ModelName::new(model);
-            rendezvous::preferred(vms.iter().copied(), &key) == Some(vms[node])
-        });
+        let preferring = models.find(|model| self.preferred(model) == node);
         preferring.expect("a model for each VM")
     }
 
+    /// Returns the daemon that is the preferred one for a model among all.
+    pub fn preferred(&self, model: &str) -> usize {
+        let vms = self.nodes.iter().map(|node| &node.vm);
+        let preferred = rendezvous::preferred(vms, &ModelName::new(model));
+        let mut nodes = self.nodes.iter();
+        let node = nodes.position(|node| Some(&node.vm) == preferred);
+        node.expect("a preferred VM")
+    }
+
     /// Waits until a daemon has replayed what is on the control stream now.
     pub fn wait_replayed(&self, node: usize) {
         let end = self.world.state().next_offset();
