Placement: the wait of a whole burst counts when an engine is chosen

The slowest cold starts of the replay were loads from the weight store of models whose checkpoint was on a disk: the engine that held it was full, and evicting something idle seemed to cost more than 25 s of waiting. The decision counted one caller, the first of a burst, and took every late answer for equally late. It now counts the burst that the model usually wakes up with, and an answer twice as late as worse.

--- a/crates/placement/src/loading.rs
+++ b/crates/placement/src/loading.rs
@@ -9,6 +9,7 @@
 
 use crate::flights::Flight;
 use crate::learned::LearnedPlacement;
+use crate::record::Record;
 use crate::site::Site;
 use crate::site::Sites;
 use crate::sketch::EngineSketch;
@@ -283,15 +284,17 @@
             times: &self.times,
             harm_ms: &harm_ms,
         };
-        let waiting = f64::from(want.asked_by.waiting.max(1));
+        let record = self.records.get(&want.asked_by.model);
+        let burst = record.map_or(1.0, Record::burst);
+        let callers = f64::from(want.asked_by.waiting).max(burst);
         let wait_cost_ms = |ready_ms: f64| {
-            let is_late = DECISION_MS + ready_ms > want.left_ms;
-            let late_ms = if is_late {
-                self.options.idle_ms_per_miss
-            } else {
-                0.0
+            let lateness = (DECISION_MS + ready_ms) / want.left_ms.max(1.0);
+            // An answer twice as late is worse, though not twice as bad.
+            let late_ms = match lateness {
+                _ if lateness > 1.0 => self.options.idle_ms_per_miss * (1.0 + lateness.log2()),
+                _ => 0.0,
             };
-            waiting * (ready_ms + late_ms)
+            callers * (ready_ms + late_ms)
         };
         let usable = |engine: &EngineSketch<'_>| match want.need {
             Need::ScaleOut => engine.has_free_slot(),
