--- /dev/null
+++ b/crates/dispatch/src/dispatcher.rs
@@ -0,0 +1,358 @@
+//! The decisions of one VM on its requests.
+
+use std::collections::HashMap;
+
+use apricotdale_core::engine::LoadReport;
+use apricotdale_core::names::GroupName;
+use apricotdale_core::names::ModelName;
+use apricotdale_core::names::UpstreamName;
+use apricotdale_core::names::ZoneName;
+use apricotdale_core::policy::Candidate;
+use apricotdale_core::policy::RetryDecision;
+use apricotdale_core::policy::RetryPolicy;
+use apricotdale_core::policy::RetryRequest;
+use apricotdale_core::policy::RouteRequest;
+use apricotdale_core::policy::RoutingEvent;
+use apricotdale_core::policy::RoutingPolicy;
+use apricotdale_core::policy::UpstreamOutcome;
+use apricotdale_core::refusal::Ran;
+use apricotdale_core::refusal::Refusal;
+use apricotdale_core::refusal::RefusalReason;
+use apricotdale_fleet::Directory;
+use apricotdale_fleet::Upstream;
+use apricotdale_routing::BudgetedRetry;
+use apricotdale_routing::CorrectedLoad;
+use apricotdale_routing::Options as RoutingOptions;
+use apricotdale_routing::OutlierOptions;
+use apricotdale_routing::RetryOptions;
+
+use crate::crowding::Crowding;
+use crate::crowding::LoadSample;
+use crate::forecast::Forecasts;
+use crate::forecast::LoadForecast;
+use crate::job::Attempt;
+use crate::job::FailedTry;
+use crate::job::Job;
+use crate::job::Verdict;
+use crate::job::WaitReason;
+
+/// `DispatcherOptions` are the dispatcher's limits.
+#[derive(Clone, Debug, PartialEq)]
+pub struct DispatcherOptions {
+    /// The seed of random choices; each VM needs its own.
+    pub seed: u64,
+    /// This VM's availability zone.
+    pub own_zone: ZoneName,
+    /// Repeats that all VMs together may add to each request of a service.
+    pub repeats_per_request: f64,
+    /// Repeats that all VMs together may add beyond that within the window.
+    pub spare_repeats: f64,
+    /// VMs among which the repeats are shared.
+    pub vms: u32,
+    /// How much of an engine's places requests may take before more wait at the VM. Above one,
+    /// requests wait at the engine, where they can't be sent elsewhere any more.
+    pub engine_fill: f64,
+    /// The same for plain services, whose requests are short.
+    pub service_fill: f64,
+    /// The time that must be left for a request to be worth sending at all.
+    pub least_left_ms: u64,
+}
+
+impl DispatcherOptions {
+    /// Returns the options of a VM.
+    pub fn new(seed: u64, own_zone: ZoneName) -> Self {
+        Self {
+            seed,
+            own_zone,
+            repeats_per_request: 0.2,
+            spare_repeats: 50.0,
+            vms: 9,
+            engine_fill: 1.0,
+            service_fill: 1.6,
+            least_left_ms: 60,
+        }
+    }
+}
+
+/// `Dispatcher` decides for one VM where requests go.
+pub struct Dispatcher {
+    options: DispatcherOptions,
+    routing: HashMap<GroupName, CorrectedLoad>,
+    retries: BudgetedRetry,
+    crowding: HashMap<UpstreamName, Crowding>,
+    forecasts: Forecasts,
+}
+
+impl Dispatcher {
+    /// Returns a dispatcher that knows nothing of the upstreams yet.
+    pub fn new(options: DispatcherOptions) -> Self {
+        let vms = f64::from(options.vms.max(1));
+        let retries = BudgetedRetry::new(RetryOptions {
+            seed: options.seed,
+            max_tries: 6,
+            base_pause_ms: 8,
+            max_pause_ms: 100,
+            min_left_ms: options.least_left_ms,
+            // Three quarters of what the operators allow: the VMs do not count together.
+            earned_per_first_try: options.repeats_per_request * 0.75,
+            max_saved: (options.spare_repeats * 0.6 / vms).max(2.0),
+            earned_per_s: 0.5,
+            idle_saved: 2.0,
+        });
+        Self {
+            options,
+            routing: HashMap::new(),
+            retries,
+            crowding: HashMap::new(),
+            forecasts: Forecasts::default(),
+        }
+    }
+
+    /// Notes that a request asks to be sent for the first time.
+    pub fn arrived(&mut self, now_ms: u64, job: &Job) {
+        self.retries.first_try(now_ms, &job.service);
+    }
+
+    /// Decides what happens with a request now.
+    pub fn decide(&mut self, now_ms: u64, directory: &Directory, job: &Job) -> Verdict {
+        let left_ms = job.deadline_ms.saturating_sub(now_ms);
+        if left_ms < self.options.least_left_ms {
+            return Verdict::Refuse(self.late(job));
+        }
+        let able: Vec<&Upstream> = directory
+            .serving(&job.service)
+            .filter(|upstream| can_run(upstream, job))
+            .collect();
+        if able.is_empty() {
+            return self.without_upstream(now_ms, directory, job);
+        }
+        let free: Vec<Candidate> = able
+            .iter()
+            .filter(|upstream| self.has_room(now_ms, directory, upstream))
+            .map(|upstream| candidate(upstream))
+            .collect();
+        if free.is_empty() {
+            return Verdict::Wait(WaitReason::Crowded);
+        }
+        let request = RouteRequest {
+            prefix_hash: job.prefix_hash,
+            tried: job.tried.clone(),
+        };
+        let chosen = self.policy(&job.service).choose(now_ms, &request, &free);
+        match chosen {
+            Some(place) => Verdict::Send(free[place].upstream.clone()),
+            None => Verdict::Wait(WaitReason::Crowded),
+        }
+    }
+
+    /// Notes that a request was sent.
+    pub fn sent(&mut self, now_ms: u64, job: &Job, upstream: &UpstreamName) {
+        self.crowding.entry(upstream.clone()).or_default().sent();
+        let event = RoutingEvent::Sent {
+            upstream: upstream.clone(),
+            prefix_hash: job.prefix_hash,
+        };
+        self.policy(&job.service).learn(now_ms, event);
+    }
+
+    /// Notes that a sent request ended.
+    pub fn ended(
+        &mut self,
+        now_ms: u64,
+        service: &GroupName,
+        upstream: &UpstreamName,
+        outcome: UpstreamOutcome,
+        first_byte_ms: Option<u64>,
+    ) {
+        if let Some(crowding) = self.crowding.get_mut(upstream) {
+            crowding.ended();
+        }
+        let event = RoutingEvent::Ended {
+            upstream: upstream.clone(),
+            outcome,
+            first_byte_ms,
+        };
+        self.policy(service).learn(now_ms, event);
+    }
+
+    /// Notes what an upstream says of its load.
+    pub fn reported(
+        &mut self,
+        now_ms: u64,
+        service: &GroupName,
+        upstream: &UpstreamName,
+        sample: LoadSample,
+    ) {
+        self.crowding
+            .entry(upstream.clone())
+            .or_default()
+            .reported(now_ms, sample);
+        let report = LoadReport {
+            as_of_ms: now_ms,
+            running: sample.running,
+            waiting: sample.waiting,
+            slots: sample.slots,
+            checkpoints: Vec::new(),
+        };
+        let event = RoutingEvent::Reported {
+            upstream: upstream.clone(),
+            report,
+        };
+        self.policy(service).learn(now_ms, event);
+    }
+
+    /// Notes that an upstream is gone.
+    pub fn removed(&mut self, now_ms: u64, upstream: &UpstreamName) {
+        self.crowding.remove(upstream);
+        for policy in self.routing.values_mut() {
+            policy.learn(
+                now_ms,
+                RoutingEvent::Removed {
+                    upstream: upstream.clone(),
+                },
+            );
+        }
+    }
+
+    /// Notes when a missing model will be there.
+    pub fn note_forecast(&mut self, now_ms: u64, model: ModelName, forecast: LoadForecast) {
+        self.forecasts.note(now_ms, model, forecast);
+    }
+
+    /// Returns this VM's own requests at an upstream.
+    pub fn own_requests(&self, upstream: &UpstreamName) -> u32 {
+        self.crowding.get(upstream).map_or(0, Crowding::own)
+    }
+
+    /// Decides whether a request is sent again after a failed send.
+    pub fn after_failure(
+        &mut self,
+        now_ms: u64,
+        job: &Job,
+        failed: FailedTry,
+        answer_begun: bool,
+    ) -> Attempt {
+        if !failed.is_not_run() && job.runs >= job.attempts {
+            return Attempt::GiveUp;
+        }
+        let decision = self.retries.decide(
+            now_ms,
+            &RetryRequest {
+                group: job.service.clone(),
+                idempotent: job.kind.is_repeatable(),
+                certainly_not_run: failed.is_not_run() && job.runs == 0,
+                answer_begun: answer_begun && !job.kind.is_repeatable(),
+                tries: job.tried.len() as u32,
+                left_ms: job.deadline_ms.saturating_sub(now_ms),
+            },
+        );
+        match decision {
+            RetryDecision::RetryAfterMs(pause_ms) => Attempt::AgainAfterMs(pause_ms),
+            _ => Attempt::GiveUp,
+        }
+    }
+
+    fn without_upstream(&self, now_ms: u64, directory: &Directory, job: &Job) -> Verdict {
+        let Some(wanted) = &job.wanted else {
+            return Verdict::Wait(WaitReason::Crowded);
+        };
+        let known = directory
+            .service(&job.service)
+            .and_then(|service| service.engine.as_ref())
+            .is_some_and(|engine| engine.models.contains_key(&wanted.model));
+        if !known {
+            let detail = format!("no model {} is configured", wanted.model);
+            let mut refusal = Refusal::not_run(RefusalReason::NoCapacity, detail);
+            refusal.retry_after_ms = None;
+            return Verdict::Refuse(refusal);
+        }
+        let start_by_ms = job.deadline_ms.saturating_sub(job.expected_run_ms);
+        match self
+            .forecasts
+            .get(now_ms, &wanted.model)
+            .and_then(|forecast| forecast.ready_ms)
+        {
+            Some(ready_ms) if ready_ms > start_by_ms => Verdict::Refuse(self.too_late(job)),
+            _ if now_ms > start_by_ms => Verdict::Refuse(self.too_late(job)),
+            _ => Verdict::Wait(WaitReason::Missing),
+        }
+    }
+
+    fn has_room(&self, now_ms: u64, directory: &Directory, upstream: &Upstream) -> bool {
+        let requests = self
+            .crowding
+            .get(&upstream.name)
+            .map_or(0, |it| it.requests(now_ms));
+        let service = directory.service(&upstream.service);
+        let fill = match service.is_some_and(|service| service.engine.is_some()) {
+            true => self.options.engine_fill,
+            false => self.options.service_fill,
+        };
+        f64::from(requests) < f64::from(upstream.slots.max(1)) * fill
+    }
+
+    fn policy(&mut self, service: &GroupName) -> &mut CorrectedLoad {
+        let options = &self.options;
+        self.routing
+            .entry(service.clone())
+            .or_insert_with(|| CorrectedLoad::new(routing_options(options)))
+    }
+
+    fn too_late(&self, job: &Job) -> Refusal {
+        let model = job
+            .wanted
+            .as_ref()
+            .map_or("", |wanted| wanted.model.as_str());
+        let detail = format!("{model} can't be loaded in time");
+        Refusal::not_run(RefusalReason::DeadlineTooShort, detail)
+    }
+
+    fn late(&self, job: &Job) -> Refusal {
+        let detail = "no upstream was free in time".to_owned();
+        let mut refusal = Refusal::not_run(RefusalReason::DeadlineTooShort, detail);
+        if job.runs > 0 {
+            refusal.ran = Ran::Unknown;
+        }
+        refusal
+    }
+}
+
+/// Deployments change within seconds here, so outcomes weigh for seconds and ejections are short.
+fn routing_options(options: &DispatcherOptions) -> RoutingOptions {
+    RoutingOptions {
+        seed: options.seed,
+        own_zone: Some(options.own_zone.clone()),
+        assumed_lag_ms: 50,
+        max_lag_ms: 2_000,
+        assumed_run_ms: 400,
+        weight_half_life_ms: 3_000,
+        outliers: OutlierOptions {
+            half_life_ms: 4_000,
+            min_weight: 5.0,
+            ejection_ms: 1_500,
+            max_ejection_ms: 8_000,
+            probe_interval_ms: 500,
+            probe_timeout_ms: 2_000,
+            probes_to_return: 2,
+            ramp_ms: 1_500,
+            forgive_after_ms: 10_000,
+            ..OutlierOptions::default()
+        },
+        ..RoutingOptions::default()
+    }
+}
+
+fn can_run(upstream: &Upstream, job: &Job) -> bool {
+    match &job.wanted {
+        Some(wanted) => upstream.residence.serves(wanted),
+        None => true,
+    }
+}
+
+fn candidate(upstream: &Upstream) -> Candidate {
+    Candidate {
+        upstream: upstream.name.clone(),
+        address: upstream.address,
+        zone: upstream.zone.clone(),
+    }
+}
--- /dev/null
+++ b/crates/entry/src/active.rs
@@ -0,0 +1,141 @@
+//! Requests in progress.
+
+use std::collections::BTreeSet;
+use std::collections::HashMap;
+use std::sync::Arc;
+
+use apricotdale_core::names::UpstreamName;
+use apricotdale_dispatch::Job;
+use apricotdale_dispatch::WaitReason;
+use apricotdale_fleet::Route;
+use apricotdale_fleet::ServingRequest;
+use apricotdale_http1::RequestHead;
+use apricotdale_http1::ResponseHead;
+use mio::Token;
+
+use crate::events::EventSplitter;
+
+/// `Phase` is how far a request is.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub(crate) enum Phase {
+    /// It waits until it can be sent.
+    Waiting(WaitReason),
+    /// It is sent again after a pause.
+    Pausing {
+        /// Until when.
+        until_ms: u64,
+    },
+    /// It was sent.
+    Sent {
+        /// On which connection.
+        connection: Token,
+        /// To which upstream.
+        upstream: UpstreamName,
+        /// When.
+        at_ms: u64,
+        /// When its answer began.
+        first_byte_ms: Option<u64>,
+    },
+}
+
+/// `Active` is a request in progress.
+#[derive(Debug)]
+pub(crate) struct Active {
+    /// The caller's connection; none once the caller has left.
+    pub caller: Option<Token>,
+    pub head: RequestHead,
+    pub body: Vec<u8>,
+    pub serving: ServingRequest,
+    pub route: Arc<Route>,
+    pub job: Job,
+    pub phase: Phase,
+    /// The head of the answer in progress.
+    pub answer: Option<ResponseHead>,
+    /// Bytes of the answer that are held back until it is whole.
+    pub held: Vec<u8>,
+    /// Events of a stream.
+    pub events: EventSplitter,
+    /// Whether part of the answer has gone to the caller.
+    pub begun: bool,
+    /// When the first part of the answer went to the caller.
+    pub first_answer_ms: Option<u64>,
+}
+
+/// `ActiveRequests` holds the requests in progress by key, and when each wants attention.
+#[derive(Debug, Default)]
+pub(crate) struct ActiveRequests {
+    requests: HashMap<u64, Active>,
+    alarms: BTreeSet<(u64, u64)>,
+    next_key: u64,
+}
+
+impl ActiveRequests {
+    /// Adds a request and returns its key.
+    pub fn insert(&mut self, request: Active) -> u64 {
+        let key = self.next_key;
+        self.next_key += 1;
+        self.alarms.insert((request.job.deadline_ms, key));
+        self.requests.insert(key, request);
+        key
+    }
+
+    /// Returns a request.
+    pub fn get(&self, key: u64) -> Option<&Active> {
+        self.requests.get(&key)
+    }
+
+    /// Returns a request to change it.
+    pub fn get_mut(&mut self, key: u64) -> Option<&mut Active> {
+        self.requests.get_mut(&key)
+    }
+
+    /// Takes a request out.
+    pub fn remove(&mut self, key: u64) -> Option<Active> {
+        let request = self.requests.remove(&key)?;
+        self.alarms.remove(&(request.job.deadline_ms, key));
+        Some(request)
+    }
+
+    /// Wakes a request up at a time, beside its deadline.
+    pub fn wake_at(&mut self, at_ms: u64, key: u64) {
+        self.alarms.insert((at_ms, key));
+    }
+
+    /// Returns the requests whose time has come.
+    pub fn due(&mut self, now_ms: u64) -> Vec<u64> {
+        let later = self.alarms.split_off(&(now_ms + 1, 0));
+        let due = std::mem::replace(&mut self.alarms, later);
+        due.into_iter()
+            .map(|(_, key)| key)
+            .filter(|key| self.requests.contains_key(key))
+            .collect()
+    }
+
+    /// Returns when the next request wants attention.
+    pub fn next_ms(&self) -> Option<u64> {
+        self.alarms.first().map(|(at_ms, _)| *at_ms)
+    }
+
+    /// Returns the waiting requests, the most urgent first: by rank, then by when the answer should
+    /// have begun.
+    pub fn waiting(&self) -> Vec<u64> {
+        let mut waiting: Vec<(u32, u64, u64)> = self
+            .requests
+            .iter()
+            .filter(|(_, request)| matches!(request.phase, Phase::Waiting(_)))
+            .map(|(key, request)| (request.job.rank, request.job.target_ms, *key))
+            .collect();
+        waiting.sort_unstable();
+        waiting.into_iter().map(|(_, _, key)| key).collect()
+    }
+
+    /// Returns every request.
+    pub fn iter(&self) -> impl Iterator<Item = (&u64, &Active)> {
+        self.requests.iter()
+    }
+
+    /// Returns how many requests are in progress.
+    pub fn len(&self) -> usize {
+        self.requests.len()
+    }
+}
--- /dev/null
+++ b/crates/entry/src/caller.rs
@@ -0,0 +1,233 @@
+//! Connections of callers, of the balancer's checks and of metrics readers.
+
+use apricotdale_fleet::CallerLimits;
+use apricotdale_http1::BodyDecoder;
+use apricotdale_http1::BodyLength;
+use apricotdale_http1::Error as HttpError;
+use apricotdale_http1::RequestHead;
+use apricotdale_http1::parse_request_head;
+
+use crate::stream::ReadEnd;
+use crate::stream::Stream;
+
+/// How much is read ahead while a request is answered: enough to see that the caller has left.
+const READ_AHEAD_BYTES: usize = 64 * 1024;
+
+/// How long the rest of a refused request is read before the connection is closed. Closing with
+/// unread bytes resets the connection, and the refusal could be lost with it.
+const LINGER_MS: u64 = 1_000;
+
+/// `CallerKind` is what a connection may ask for.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub(crate) enum CallerKind {
+    /// Serving requests.
+    Serving,
+    /// Whether this VM takes callers.
+    Ready,
+    /// Metrics.
+    Metrics,
+}
+
+#[derive(Debug)]
+enum Phase {
+    /// A head is awaited.
+    Head,
+    /// A body is awaited.
+    Body {
+        head: RequestHead,
+        decoder: BodyDecoder,
+        body: Vec<u8>,
+    },
+    /// A request is answered.
+    Busy(Option<u64>),
+    /// The connection ends once everything is written.
+    Closing { until_ms: u64, shut: bool },
+}
+
+/// `Received` is what has come from a caller.
+#[derive(Debug)]
+pub(crate) enum Received {
+    /// A whole request.
+    Request { head: RequestHead, body: Vec<u8> },
+    /// Bytes that are no request that may be answered on this connection.
+    Refused(HttpError),
+    /// Nothing yet.
+    Nothing,
+    /// The caller has left.
+    Left,
+}
+
+/// `Caller` is one accepted connection.
+#[derive(Debug)]
+pub(crate) struct Caller {
+    pub stream: Stream,
+    pub kind: CallerKind,
+    input: Vec<u8>,
+    phase: Phase,
+    /// Whether the connection ends after the answer in progress.
+    pub close_after: bool,
+    /// When the connection was last used, or when the head in progress began.
+    since_ms: u64,
+    ended: Option<ReadEnd>,
+}
+
+impl Caller {
+    /// Returns a new connection.
+    pub fn new(now_ms: u64, stream: Stream, kind: CallerKind) -> Self {
+        Self {
+            stream,
+            kind,
+            input: Vec::new(),
+            phase: Phase::Head,
+            close_after: false,
+            since_ms: now_ms,
+            ended: None,
+        }
+    }
+
+    /// Reads what is there and returns what has come.
+    pub fn receive(&mut self, now_ms: u64, limits: &CallerLimits) -> Received {
+        loop {
+            let room_bytes = match &self.phase {
+                Phase::Head => limits.head_bytes + READ_AHEAD_BYTES,
+                _ => READ_AHEAD_BYTES,
+            };
+            let was_empty = self.input.is_empty();
+            let end = match self.ended {
+                None => self.stream.read(&mut self.input, room_bytes),
+                Some(end) => end,
+            };
+            if matches!(end, ReadEnd::Closed | ReadEnd::Broken) {
+                self.ended = Some(end);
+            }
+            if was_empty && !self.input.is_empty() && matches!(self.phase, Phase::Head) {
+                self.since_ms = now_ms;
+            }
+            match self.advance(limits) {
+                Received::Nothing if end == ReadEnd::Limit && self.input.len() < room_bytes => {}
+                Received::Nothing if self.ended.is_some() => return Received::Left,
+                received => return received,
+            }
+        }
+    }
+
+    fn advance(&mut self, limits: &CallerLimits) -> Received {
+        if let Phase::Head = &self.phase {
+            match parse_request_head(&self.input, limits.head_bytes) {
+                Ok(None) => return Received::Nothing,
+                Err(error) => return Received::Refused(error),
+                Ok(Some((head, length))) => {
+                    self.input.drain(..length);
+                    if matches!(head.body, BodyLength::Bytes(bytes) if bytes > limits.body_bytes) {
+                        return Received::Refused(HttpError::BodyTooLarge);
+                    }
+                    if head.expects_continue {
+                        self.stream.queue(b"HTTP/1.1 100 Continue\r\n\r\n");
+                        self.stream.flush();
+                    }
+                    let decoder = BodyDecoder::new(head.body);
+                    self.phase = Phase::Body {
+                        head,
+                        decoder,
+                        body: Vec::new(),
+                    };
+                }
+            }
+        }
+        match &mut self.phase {
+            Phase::Body { decoder, body, .. } => {
+                let progress = match decoder.decode(&self.input, body) {
+                    Ok(progress) => progress,
+                    Err(error) => return Received::Refused(error),
+                };
+                self.input.drain(..progress.consumed);
+                if body.len() as u64 > limits.body_bytes {
+                    return Received::Refused(HttpError::BodyTooLarge);
+                }
+                if !progress.whole {
+                    return Received::Nothing;
+                }
+                self.take_request()
+            }
+            Phase::Closing { .. } => {
+                self.input.clear();
+                Received::Nothing
+            }
+            _ => Received::Nothing,
+        }
+    }
+
+    fn take_request(&mut self) -> Received {
+        match std::mem::replace(&mut self.phase, Phase::Busy(None)) {
+            Phase::Body { head, body, .. } => {
+                self.close_after |= head.close;
+                Received::Request { head, body }
+            }
+            other => {
+                self.phase = other;
+                Received::Nothing
+            }
+        }
+    }
+
+    /// Notes which request is answered on this connection.
+    pub fn answer_for(&mut self, key: u64) {
+        self.phase = Phase::Busy(Some(key));
+    }
+
+    /// Returns the request that is answered on this connection.
+    pub fn request(&self) -> Option<u64> {
+        match self.phase {
+            Phase::Busy(key) => key,
+            _ => None,
+        }
+    }
+
+    /// Ends the answer in progress. Returns whether another request may follow.
+    pub fn answered(&mut self, now_ms: u64) -> bool {
+        self.since_ms = now_ms;
+        if self.close_after || self.ended.is_some() {
+            self.begin_close(now_ms);
+            return false;
+        }
+        self.phase = Phase::Head;
+        true
+    }
+
+    /// Begins to end the connection.
+    pub fn begin_close(&mut self, now_ms: u64) {
+        self.phase = Phase::Closing {
+            until_ms: now_ms + LINGER_MS,
+            shut: false,
+        };
+    }
+
+    /// Writes what can be written. Returns whether the connection should be dropped now.
+    pub fn flush(&mut self) -> bool {
+        if !self.stream.flush() {
+            return true;
+        }
+        let written = self.stream.unwritten_bytes() == 0;
+        match &mut self.phase {
+            Phase::Closing { shut, .. } if written && !*shut => {
+                *shut = true;
+                self.stream.shut_write();
+                self.ended.is_some()
+            }
+            Phase::Closing { shut: true, .. } => self.ended.is_some(),
+            _ => false,
+        }
+    }
+
+    /// Returns whether the connection's time is over.
+    pub fn is_over(&self, now_ms: u64, limits: &CallerLimits) -> bool {
+        let age_ms = now_ms.saturating_sub(self.since_ms);
+        match &self.phase {
+            Phase::Head if self.input.is_empty() => age_ms > limits.idle_timeout_ms,
+            Phase::Head => age_ms > limits.head_timeout_ms,
+            Phase::Body { .. } => age_ms > limits.head_timeout_ms + limits.idle_timeout_ms,
+            Phase::Busy(_) => false,
+            Phase::Closing { until_ms, .. } => now_ms > *until_ms,
+        }
+    }
+}
--- /dev/null
+++ b/crates/entry/src/calling.rs
@@ -0,0 +1,213 @@
+//! Calls of this VM's own: to the store and to the engines' operating interface.
+
+use std::net::SocketAddr;
+
+use apricotdale_core::names::UpstreamName;
+use apricotdale_holder::OrderKind;
+use apricotdale_http1::ResponseHead;
+use mio::Token;
+
+use crate::daemon::Daemon;
+use crate::outbound::Part;
+use crate::outbound::Peer;
+use crate::outbound::Purpose;
+
+/// The largest answer to a call. The platform's largest page is 1 MB before it is encoded.
+const ANSWER_LIMIT_BYTES: usize = 8 * 1024 * 1024;
+
+/// `CallTag` says what a call is for.
+#[derive(Clone, Debug, PartialEq, Eq, Hash)]
+pub(crate) enum CallTag {
+    /// The newest configuration.
+    ConfigurationNewest,
+    /// Changes of the configuration.
+    ConfigurationRead,
+    /// A page of upstreams.
+    UpstreamsNewest,
+    /// Changes of upstreams.
+    UpstreamsRead,
+    /// This VM's own entry.
+    VmAppend,
+    /// The other VMs' entries.
+    VmsNewest,
+    /// A read of the lease.
+    LeaseRead,
+    /// An append to the lease.
+    LeaseAppend,
+    /// An order to an engine.
+    Order(UpstreamName, OrderKind),
+    /// An engine's report.
+    Report(UpstreamName),
+}
+
+impl CallTag {
+    /// Returns the word for logs and metrics.
+    pub fn as_str(&self) -> &'static str {
+        match self {
+            Self::ConfigurationNewest => "configuration_newest",
+            Self::ConfigurationRead => "configuration_read",
+            Self::UpstreamsNewest => "upstreams_newest",
+            Self::UpstreamsRead => "upstreams_read",
+            Self::VmAppend => "vm_append",
+            Self::VmsNewest => "vms_newest",
+            Self::LeaseRead => "lease_read",
+            Self::LeaseAppend => "lease_append",
+            Self::Order(..) => "order",
+            Self::Report(_) => "report",
+        }
+    }
+}
+
+/// `CallOutcome` is how a call ended.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub(crate) enum CallOutcome {
+    /// It was answered.
+    Answered {
+        /// The status.
+        status: u16,
+        /// The body.
+        body: Vec<u8>,
+    },
+    /// It was certainly not received.
+    NotSent,
+    /// It may have been received.
+    Unknown,
+}
+
+impl CallOutcome {
+    /// Returns the word for metrics.
+    pub fn as_str(&self) -> &'static str {
+        match self {
+            Self::Answered {
+                status: 200..=299, ..
+            } => "done",
+            Self::Answered { status: 429, .. } => "limited",
+            Self::Answered {
+                status: 500..=599, ..
+            } => "unavailable",
+            Self::Answered { .. } => "rejected",
+            Self::NotSent => "not_sent",
+            Self::Unknown => "unknown",
+        }
+    }
+}
+
+impl Daemon {
+    /// Begins a call. Its outcome comes to [`Daemon::call_ended`], at the latest after the timeout.
+    pub(crate) fn call(
+        &mut self,
+        peer: Peer,
+        address: SocketAddr,
+        tag: CallTag,
+        bytes: &[u8],
+        timeout_ms: u64,
+    ) {
+        let now_ms = self.now_ms;
+        let Some(token) = self.connect(&peer, address) else {
+            self.call_ended(tag, CallOutcome::NotSent);
+            return;
+        };
+        let Some(connection) = self.outbound.get_mut(token) else {
+            return;
+        };
+        connection.begin(Purpose::Call(tag), bytes, false);
+        connection.call_until_ms = Some(now_ms + timeout_ms);
+        self.call_alarm_ms = self.call_alarm_ms.min(now_ms + timeout_ms);
+        if !connection.stream.flush() {
+            self.call_broken(token);
+        }
+    }
+
+    /// Returns a connection to a peer that is ready for a request, or none if none can be opened.
+    pub(crate) fn connect(&mut self, peer: &Peer, address: SocketAddr) -> Option<Token> {
+        if let Some(token) = self.outbound.take_idle(self.now_ms, peer) {
+            return Some(token);
+        }
+        let token = self.new_token();
+        let opened = self
+            .outbound
+            .open(peer.clone(), address, self.poll.registry(), token);
+        opened.ok().map(|()| token)
+    }
+
+    /// Goes on with the answer to a call.
+    pub(crate) fn advance_call(&mut self, token: Token) {
+        loop {
+            let Some(connection) = self.outbound.get_mut(token) else {
+                return;
+            };
+            match connection.next_part() {
+                Part::Head(head) => {
+                    self.note_idle(token, &head);
+                    self.call_answers.insert(token, (head.status, Vec::new()));
+                }
+                Part::Body(bytes) => {
+                    let body = self.call_answers.get_mut(&token).map(|(_, body)| body);
+                    let too_large = body.is_none_or(|body| {
+                        body.extend_from_slice(&bytes);
+                        body.len() > ANSWER_LIMIT_BYTES
+                    });
+                    if too_large {
+                        self.call_broken(token);
+                        return;
+                    }
+                }
+                Part::End => {
+                    let purpose = connection.purpose.clone();
+                    let answer = self.call_answers.remove(&token);
+                    self.outbound
+                        .release(self.now_ms, token, self.poll.registry());
+                    if let (Purpose::Call(tag), Some((status, body))) = (purpose, answer) {
+                        self.call_ended(tag, CallOutcome::Answered { status, body });
+                    }
+                    return;
+                }
+                Part::Wait => return,
+                Part::Failed => {
+                    self.call_broken(token);
+                    return;
+                }
+            }
+        }
+    }
+
+    /// Ends a call whose connection failed or whose time is over.
+    pub(crate) fn call_broken(&mut self, token: Token) {
+        self.call_answers.remove(&token);
+        let Some(connection) = self.outbound.get_mut(token) else {
+            return;
+        };
+        let sent = connection.stream.sent_bytes > 0;
+        let peer = connection.peer.clone();
+        let purpose = self.outbound.close(token, self.poll.registry());
+        // Connections can fall silent without a reset, several at once: the next call must not
+        // wait on another silent one.
+        self.outbound.close_idle(&peer, self.poll.registry());
+        if let Some(Purpose::Call(tag)) = purpose {
+            let outcome = match sent {
+                true => CallOutcome::Unknown,
+                false => CallOutcome::NotSent,
+            };
+            self.call_ended(tag, outcome);
+        }
+    }
+
+    /// Notes how long the other end keeps the connection.
+    pub(crate) fn note_idle(&mut self, token: Token, head: &ResponseHead) {
+        let fields = self.codecs.callers.answer(head);
+        if let (Some(idle_ms), Some(connection)) = (fields.idle_ms, self.outbound.get_mut(token)) {
+            connection.note_idle_ms(idle_ms);
+        }
+    }
+
+    /// Hands a call's outcome to whoever made it.
+    fn call_ended(&mut self, tag: CallTag, outcome: CallOutcome) {
+        self.metrics.call(tag.as_str(), outcome.as_str());
+        match tag {
+            CallTag::Order(engine, kind) => self.order_ended(&engine, &kind, outcome),
+            CallTag::Report(engine) => self.report_ended(&engine, outcome),
+            CallTag::LeaseRead | CallTag::LeaseAppend => self.lease_call_ended(&tag, outcome),
+            _ => self.feed_call_ended(&tag, outcome),
+        }
+    }
+}
--- /dev/null
+++ b/crates/entry/src/daemon.rs
@@ -0,0 +1,365 @@
+//! The readiness loop.
+
+use std::collections::HashMap;
+use std::io;
+use std::io::Read;
+use std::net::SocketAddr;
+use std::os::unix::net::UnixStream as StdUnixStream;
+use std::time::Duration;
+
+use apricotdale_core::names::VmName;
+use apricotdale_dispatch::Dispatcher;
+use apricotdale_dispatch::DispatcherOptions;
+use apricotdale_fleet::Directory;
+use apricotdale_fleet::DirectoryOptions;
+use mio::Events;
+use mio::Interest;
+use mio::Poll;
+use mio::Token;
+use mio::net::TcpListener;
+use mio::net::UdpSocket;
+use mio::net::UnixStream;
+use signal_hook::consts::SIGHUP;
+use signal_hook::consts::SIGINT;
+use signal_hook::consts::SIGTERM;
+
+use crate::active::ActiveRequests;
+use crate::caller::Caller;
+use crate::caller::CallerKind;
+use crate::clock::now_ms;
+use crate::codec::Codecs;
+use crate::errors::Error;
+use crate::errors::Result;
+use crate::feeds::Feeds;
+use crate::lines::LineBudget;
+use crate::metrics::EntryMetrics;
+use crate::news::NewsBoard;
+use crate::ordering::Ordering;
+use crate::outbound::OutboundPool;
+use crate::outbound::Purpose;
+use crate::peers::Peers;
+use crate::settings::Settings;
+use crate::stopping::Stopping;
+use crate::stream::Stream;
+
+const CALLERS: Token = Token(0);
+const READY: Token = Token(1);
+const METRICS: Token = Token(2);
+const PEERS: Token = Token(3);
+const STOP: Token = Token(4);
+const HANGUP: Token = Token(5);
+const FIRST_CONNECTION: usize = 16;
+
+/// Events handled at a time.
+const EVENTS: usize = 512;
+
+/// The longest time without a look at connections whose time may be over.
+const SWEEP_MS: u64 = 250;
+
+/// The longest sleep of the loop.
+const MAX_SLEEP_MS: u64 = 250;
+
+/// Callers' connections at the most, beside those to upstreams. A VM has 3,900 descriptors for
+/// sockets.
+const MAX_CALLERS: usize = 3_000;
+
+/// `Daemon` is the daemon of an entry VM.
+pub struct Daemon {
+    pub(crate) settings: Settings,
+    pub(crate) codecs: Codecs,
+    pub(crate) poll: Poll,
+    pub(crate) now_ms: u64,
+    /// A number of this run of the process, so that what an earlier run sent is told apart.
+    pub(crate) run: u64,
+    listeners: HashMap<Token, (TcpListener, CallerKind)>,
+    stop_signals: UnixStream,
+    hangup_signals: UnixStream,
+    next_token: usize,
+    pub(crate) callers: HashMap<Token, Caller>,
+    pub(crate) outbound: OutboundPool,
+    pub(crate) active: ActiveRequests,
+    pub(crate) directory: Directory,
+    pub(crate) dispatcher: Dispatcher,
+    pub(crate) news: NewsBoard,
+    pub(crate) feeds: Feeds,
+    pub(crate) ordering: Ordering,
+    pub(crate) peers: Peers,
+    pub(crate) stopping: Stopping,
+    pub(crate) metrics: EntryMetrics,
+    pub(crate) lines: LineBudget,
+    pub(crate) call_answers: HashMap<Token, (u16, Vec<u8>)>,
+    pub(crate) call_alarm_ms: u64,
+    /// Callers' connections whose next request may already have come.
+    pub(crate) answered: Vec<Token>,
+    /// Whether waiting requests should be looked at again.
+    pub(crate) look_again: bool,
+    next_sweep_ms: u64,
+}
+
+impl Daemon {
+    /// Opens the sockets. Nothing is served before [`Daemon::run`].
+    ///
+    /// # Errors
+    ///
+    /// [`Error::Listen`] for an address that can't be had, [`Error::Loop`] otherwise.
+    pub fn new(settings: Settings, codecs: Codecs) -> Result<Self> {
+        let poll = Poll::new()?;
+        let now_ms = now_ms();
+        let run = random_number();
+        let mut listeners = HashMap::new();
+        let addresses = [
+            (CALLERS, settings.callers, CallerKind::Serving),
+            (READY, settings.ready, CallerKind::Ready),
+            (METRICS, settings.metrics, CallerKind::Metrics),
+        ];
+        for (token, address, kind) in addresses {
+            let mut listener = listen(address)?;
+            poll.registry()
+                .register(&mut listener, token, Interest::READABLE)?;
+            listeners.insert(token, (listener, kind));
+        }
+        let listen_error = |source| Error::Listen {
+            address: settings.peers,
+            source,
+        };
+        let mut socket = UdpSocket::bind(settings.peers).map_err(listen_error)?;
+        poll.registry()
+            .register(&mut socket, PEERS, Interest::READABLE)?;
+        let stop_signals = signal_pipe(&poll, STOP, &[SIGTERM, SIGINT])?;
+        let hangup_signals = signal_pipe(&poll, HANGUP, &[SIGHUP])?;
+        let mut options = DispatcherOptions::new(run, settings.zone.clone());
+        options.repeats_per_request = settings.repeats_per_request;
+        options.spare_repeats = settings.spare_repeats;
+        Ok(Self {
+            ordering: Ordering::new(&settings, run),
+            peers: Peers::new(settings.vm.clone(), settings.peers, run, socket),
+            poll,
+            now_ms,
+            run,
+            listeners,
+            stop_signals,
+            hangup_signals,
+            next_token: FIRST_CONNECTION,
+            callers: HashMap::new(),
+            outbound: OutboundPool::default(),
+            active: ActiveRequests::default(),
+            directory: Directory::new(DirectoryOptions::default()),
+            dispatcher: Dispatcher::new(options),
+            news: NewsBoard::default(),
+            feeds: Feeds::default(),
+            stopping: Stopping::default(),
+            metrics: EntryMetrics::default(),
+            lines: LineBudget::default(),
+            call_answers: HashMap::new(),
+            call_alarm_ms: u64::MAX,
+            answered: Vec::new(),
+            look_again: false,
+            next_sweep_ms: now_ms,
+            settings,
+            codecs,
+        })
+    }
+
+    /// Returns this VM's name.
+    pub fn vm(&self) -> &VmName {
+        &self.settings.vm
+    }
+
+    /// Serves until a planned stop is done.
+    ///
+    /// # Errors
+    ///
+    /// [`Error::Loop`] if the kernel's readiness interface fails.
+    pub fn run(mut self) -> Result<()> {
+        self.log_start();
+        let mut events = Events::with_capacity(EVENTS);
+        while !self.stopping.is_done(self.now_ms, self.active.len()) {
+            let sleep_ms = self.sleep_ms();
+            match self
+                .poll
+                .poll(&mut events, Some(Duration::from_millis(sleep_ms)))
+            {
+                Ok(()) => {}
+                Err(error) if error.kind() == io::ErrorKind::Interrupted => {}
+                Err(error) => return Err(error.into()),
+            }
+            self.now_ms = now_ms();
+            let ready: Vec<(Token, bool)> = events
+                .iter()
+                .map(|event| (event.token(), event.is_writable()))
+                .collect();
+            for (token, writable) in ready {
+                self.handle(token, writable);
+            }
+            self.work();
+        }
+        self.log_end();
+        Ok(())
+    }
+
+    /// Does what is due, whether or not something was received.
+    fn work(&mut self) {
+        self.due_requests();
+        for token in std::mem::take(&mut self.answered) {
+            self.serve_caller(token);
+        }
+        self.advance_feeds();
+        self.advance_ordering();
+        self.advance_peers();
+        if self.now_ms >= self.next_sweep_ms || self.now_ms >= self.call_alarm_ms {
+            self.sweep();
+        }
+        if std::mem::take(&mut self.look_again) {
+            self.dispatch_waiting();
+        }
+    }
+
+    fn sleep_ms(&self) -> u64 {
+        if !self.answered.is_empty() || self.look_again {
+            return 0;
+        }
+        let next_ms = [
+            self.active.next_ms().unwrap_or(u64::MAX),
+            self.next_sweep_ms,
+            self.call_alarm_ms,
+            self.feeds.next_ms(),
+            self.ordering.next_ms(),
+            self.peers.next_ms(),
+        ]
+        .into_iter()
+        .min()
+        .unwrap_or(u64::MAX);
+        next_ms.saturating_sub(self.now_ms).clamp(1, MAX_SLEEP_MS)
+    }
+
+    fn handle(&mut self, token: Token, writable: bool) {
+        match token {
+            CALLERS | READY | METRICS => self.accept(token),
+            PEERS => self.receive_peers(),
+            STOP if drain_pipe(&mut self.stop_signals) => self.begin_stop(),
+            HANGUP if drain_pipe(&mut self.hangup_signals) => self.reload(),
+            STOP | HANGUP => {}
+            token if self.callers.contains_key(&token) => self.serve_caller(token),
+            token => self.advance_outbound(token, writable),
+        }
+    }
+
+    fn accept(&mut self, token: Token) {
+        loop {
+            let Some((listener, kind)) = self.listeners.get(&token) else {
+                return;
+            };
+            let kind = *kind;
+            match listener.accept() {
+                Ok((socket, _)) if self.callers.len() < MAX_CALLERS => {
+                    let token = self.new_token();
+                    match Stream::accepted(socket, self.poll.registry(), token) {
+                        Ok(stream) => {
+                            self.callers
+                                .insert(token, Caller::new(self.now_ms, stream, kind));
+                            self.serve_caller(token);
+                        }
+                        Err(error) => log::warn!(reason = error.to_string(); "connection lost"),
+                    }
+                }
+                // Closed without having read a request, so that the caller goes elsewhere.
+                Ok(_) => self.metrics.refused("too_many_connections"),
+                Err(error) if error.kind() == io::ErrorKind::WouldBlock => return,
+                Err(error) if error.kind() == io::ErrorKind::Interrupted => {}
+                Err(error) => {
+                    log::warn!(reason = error.to_string(); "connection not accepted");
+                    return;
+                }
+            }
+        }
+    }
+
+    pub(crate) fn new_token(&mut self) -> Token {
+        let token = Token(self.next_token);
+        self.next_token += 1;
+        token
+    }
+
+    /// Goes on with a connection that this VM opened.
+    fn advance_outbound(&mut self, token: Token, writable: bool) {
+        let Some(connection) = self.outbound.get_mut(token) else {
+            return;
+        };
+        let stands = !writable || connection.stream.flush();
+        if !connection.paused {
+            connection.read();
+        }
+        match connection.purpose.clone() {
+            Purpose::Idle => {
+                // An idle connection that can be read has ended or sends bytes of no request.
+                if connection.next_idle_is_bad() {
+                    self.outbound.close(token, self.poll.registry());
+                }
+            }
+            Purpose::Call(_) if !stands => self.call_broken(token),
+            Purpose::Call(_) => self.advance_call(token),
+            Purpose::Relay(key) => self.advance_relay(token, key, stands),
+            Purpose::Drain => self.advance_drain(token),
+        }
+    }
+
+    /// Drops connections whose time is over.
+    fn sweep(&mut self) {
+        self.next_sweep_ms = self.now_ms + SWEEP_MS;
+        self.call_alarm_ms = u64::MAX;
+        for token in self.outbound.sweep(self.now_ms, self.poll.registry()) {
+            self.call_broken(token);
+        }
+        self.call_alarm_ms = self.outbound.next_call_until_ms().unwrap_or(u64::MAX);
+        let limits = self.directory.configuration().limits;
+        let over: Vec<Token> = self
+            .callers
+            .iter()
+            .filter(|(_, caller)| caller.is_over(self.now_ms, &limits))
+            .map(|(token, _)| *token)
+            .collect();
+        for token in over {
+            self.drop_caller(token, false);
+        }
+        for name in self.directory.expire(self.now_ms) {
+            self.upstream_left(&name, "lapsed");
+        }
+    }
+}
+
+fn listen(address: SocketAddr) -> Result<TcpListener> {
+    TcpListener::bind(address).map_err(|source| Error::Listen { address, source })
+}
+
+/// Returns a pipe into which a byte is written for each signal, so that the loop wakes up.
+fn signal_pipe(poll: &Poll, token: Token, signals: &[i32]) -> Result<UnixStream> {
+    let (read, write) = StdUnixStream::pair()?;
+    read.set_nonblocking(true)?;
+    write.set_nonblocking(true)?;
+    for signal in signals {
+        signal_hook::low_level::pipe::register(*signal, write.try_clone()?)?;
+    }
+    let mut read = UnixStream::from_std(read);
+    poll.registry()
+        .register(&mut read, token, Interest::READABLE)?;
+    Ok(read)
+}
+
+/// Empties a pipe and returns whether there was something in it.
+fn drain_pipe(pipe: &mut UnixStream) -> bool {
+    let mut bytes = [0_u8; 64];
+    let mut any = false;
+    while matches!(pipe.read(&mut bytes), Ok(1..)) {
+        any = true;
+    }
+    any
+}
+
+/// Returns a number that other runs do not have.
+fn random_number() -> u64 {
+    use std::hash::BuildHasher;
+    use std::hash::Hasher;
+    std::collections::hash_map::RandomState::new()
+        .build_hasher()
+        .finish()
+}
--- /dev/null
+++ b/crates/entry/src/lib.rs
@@ -0,0 +1,51 @@
+//! The daemon of an entry VM.
+//!
+//! One thread serves everything over one readiness loop: callers, upstreams, the platform's store
+//! and the other VMs. Nothing in it blocks, and the number of threads does not grow with the
+//! connections. The decisions are made by other crates: `apricotdale-dispatch` for requests and
+//! `apricotdale-holder` for orders to engines. What is said on each connection is decided by the
+//! codecs ([`CallerCodec`], [`StoreCodec`], [`EngineCodec`]), one set for each platform.
+
+#![forbid(unsafe_code)]
+#![warn(missing_docs)]
+
+mod active;
+mod answering;
+mod caller;
+mod calling;
+mod clock;
+mod codec;
+mod daemon;
+mod errors;
+mod events;
+mod feeds;
+mod lines;
+mod metrics;
+mod news;
+mod ordering;
+mod outbound;
+mod peers;
+mod serving;
+mod settings;
+mod stopping;
+mod stream;
+
+pub use apricotdale_dispatch::LoadSample;
+pub use codec::AnswerFields;
+pub use codec::CallerCodec;
+pub use codec::Codecs;
+pub use codec::DecodeError;
+pub use codec::EngineCodec;
+pub use codec::ForwardFields;
+pub use codec::KeyedPage;
+pub use codec::KeyedRecord;
+pub use codec::LogRead;
+pub use codec::StoreCodec;
+pub use codec::StoreOutcome;
+pub use codec::Topic;
+pub use daemon::Daemon;
+pub use errors::Error;
+pub use errors::Result;
+pub use settings::LogLevel;
+pub use settings::Settings;
+pub use stopping::start_log;
--- /dev/null
+++ b/crates/entry/src/metrics.rs
@@ -0,0 +1,194 @@
+//! Counters and latency histograms.
+
+use prometheus_client::encoding::EncodeLabelSet;
+use prometheus_client::encoding::text::encode;
+use prometheus_client::metrics::counter::Counter;
+use prometheus_client::metrics::family::Family;
+use prometheus_client::metrics::gauge::Gauge;
+use prometheus_client::metrics::histogram::Histogram;
+use prometheus_client::registry::Registry;
+
+#[derive(Clone, Debug, PartialEq, Eq, Hash, EncodeLabelSet)]
+struct Reason {
+    reason: String,
+}
+
+#[derive(Clone, Debug, PartialEq, Eq, Hash, EncodeLabelSet)]
+struct CallLabels {
+    call: String,
+    outcome: String,
+}
+
+/// `EntryMetrics` are the metrics of an entry VM. No label carries a request or a caller.
+#[derive(Debug)]
+pub(crate) struct EntryMetrics {
+    registry: Registry,
+    requests: Family<Reason, Counter>,
+    refusals: Family<Reason, Counter>,
+    failed_tries: Family<Reason, Counter>,
+    calls: Family<CallLabels, Counter>,
+    orders: Family<CallLabels, Counter>,
+    takeovers: Counter,
+    first_answer_ms: Histogram,
+    wait_ms: Histogram,
+    pub active: Gauge,
+    pub callers: Gauge,
+    pub outbound: Gauge,
+    pub dropped_lines: Gauge,
+}
+
+impl Default for EntryMetrics {
+    fn default() -> Self {
+        let buckets = || {
+            [
+                5.0, 10.0, 20.0, 50.0, 100.0, 200.0, 400.0, 800.0, 1_600.0, 3_200.0, 6_400.0,
+            ]
+        };
+        let mut metrics = Self {
+            registry: Registry::with_prefix("apricotdale"),
+            requests: Family::default(),
+            refusals: Family::default(),
+            failed_tries: Family::default(),
+            calls: Family::default(),
+            orders: Family::default(),
+            takeovers: Counter::default(),
+            first_answer_ms: Histogram::new(buckets()),
+            wait_ms: Histogram::new(buckets()),
+            active: Gauge::default(),
+            callers: Gauge::default(),
+            outbound: Gauge::default(),
+            dropped_lines: Gauge::default(),
+        };
+        metrics.register();
+        metrics
+    }
+}
+
+impl EntryMetrics {
+    fn register(&mut self) {
+        let registry = &mut self.registry;
+        registry.register(
+            "requests",
+            "Requests by how they ended",
+            self.requests.clone(),
+        );
+        registry.register("refusals", "Refusals by reason", self.refusals.clone());
+        registry.register(
+            "failed_tries",
+            "Sends without an answer",
+            self.failed_tries.clone(),
+        );
+        registry.register(
+            "calls",
+            "Calls to the store and engines",
+            self.calls.clone(),
+        );
+        registry.register(
+            "orders",
+            "Orders to engines by outcome",
+            self.orders.clone(),
+        );
+        registry.register(
+            "takeovers",
+            "Leases taken by this VM",
+            self.takeovers.clone(),
+        );
+        registry.register(
+            "first_answer_ms",
+            "From arrival to the first part of the answer",
+            self.first_answer_ms.clone(),
+        );
+        registry.register(
+            "wait_ms",
+            "From arrival to the first send",
+            self.wait_ms.clone(),
+        );
+        registry.register(
+            "active_requests",
+            "Requests in progress",
+            self.active.clone(),
+        );
+        registry.register(
+            "caller_connections",
+            "Callers' connections",
+            self.callers.clone(),
+        );
+        registry.register(
+            "outbound_connections",
+            "Opened connections",
+            self.outbound.clone(),
+        );
+        registry.register(
+            "dropped_log_lines",
+            "Lines not written",
+            self.dropped_lines.clone(),
+        );
+    }
+
+    /// Counts a request that ended.
+    pub fn ended(&self, how: &str) {
+        self.requests
+            .get_or_create(&Reason {
+                reason: how.to_owned(),
+            })
+            .inc();
+    }
+
+    /// Counts a refusal.
+    pub fn refused(&self, reason: &str) {
+        self.refusals
+            .get_or_create(&Reason {
+                reason: reason.to_owned(),
+            })
+            .inc();
+    }
+
+    /// Counts a send that brought no answer.
+    pub fn failed_try(&self, reason: &str) {
+        self.failed_tries
+            .get_or_create(&Reason {
+                reason: reason.to_owned(),
+            })
+            .inc();
+    }
+
+    /// Counts a call.
+    pub fn call(&self, call: &str, outcome: &str) {
+        let labels = CallLabels {
+            call: call.to_owned(),
+            outcome: outcome.to_owned(),
+        };
+        self.calls.get_or_create(&labels).inc();
+    }
+
+    /// Counts an order.
+    pub fn order(&self, kind: &str, outcome: &str) {
+        let labels = CallLabels {
+            call: kind.to_owned(),
+            outcome: outcome.to_owned(),
+        };
+        self.orders.get_or_create(&labels).inc();
+    }
+
+    /// Counts a lease that this VM took.
+    pub fn takeover(&self) {
+        self.takeovers.inc();
+    }
+
+    /// Notes the time to the first part of an answer.
+    pub fn first_answer(&self, took_ms: u64) {
+        self.first_answer_ms.observe(took_ms as f64);
+    }
+
+    /// Notes the time to the first send.
+    pub fn waited(&self, took_ms: u64) {
+        self.wait_ms.observe(took_ms as f64);
+    }
+
+    /// Returns the metrics in the OpenMetrics text format.
+    pub fn render(&self) -> String {
+        let mut text = String::new();
+        encode(&mut text, &self.registry).expect("a string takes any text");
+        text
+    }
+}
--- /dev/null
+++ b/crates/entry/src/news.rs
@@ -0,0 +1,84 @@
+//! What engines hold, before the list tells it.
+
+use apricotdale_core::names::UpstreamName;
+use apricotdale_fleet::Directory;
+use apricotdale_fleet::WantedModel;
+use apricotdale_holder::ResidenceNews;
+
+/// How long news go before the list. An entry takes up to 1.2 s to be written and is read about
+/// once a second.
+const NEWS_GOOD_MS: u64 = 2_600;
+
+/// How long a model or adapter is taken as missing where an engine said so.
+const MISSING_GOOD_MS: u64 = 600;
+
+/// `NewsBoard` keeps recent news and lays them over each entry of the list that may be older.
+#[derive(Debug, Default)]
+pub(crate) struct NewsBoard {
+    news: Vec<(ResidenceNews, u64)>,
+}
+
+impl NewsBoard {
+    /// Takes in news. Returns whether they are new.
+    pub fn note(&mut self, now_ms: u64, directory: &mut Directory, news: ResidenceNews) -> bool {
+        self.insert(now_ms, directory, news, NEWS_GOOD_MS)
+    }
+
+    /// Takes in that an engine turned a request away because it does not hold the model.
+    pub fn note_missing(
+        &mut self,
+        now_ms: u64,
+        directory: &mut Directory,
+        engine: &UpstreamName,
+        wanted: &WantedModel,
+    ) {
+        let news = ResidenceNews {
+            engine: engine.clone(),
+            model: wanted.model.clone(),
+            adapter: wanted.adapter.clone(),
+            present: false,
+        };
+        self.insert(now_ms, directory, news, MISSING_GOOD_MS);
+    }
+
+    /// Lays the news of an engine over a fresh entry of the list.
+    pub fn lay_over(&mut self, now_ms: u64, directory: &mut Directory, engine: &UpstreamName) {
+        self.news.retain(|(_, until_ms)| *until_ms > now_ms);
+        for (news, _) in self.news.iter().filter(|(news, _)| &news.engine == engine) {
+            apply(directory, news);
+        }
+    }
+
+    fn insert(
+        &mut self,
+        now_ms: u64,
+        directory: &mut Directory,
+        news: ResidenceNews,
+        good_ms: u64,
+    ) -> bool {
+        self.news.retain(|(_, until_ms)| *until_ms > now_ms);
+        let same_thing = |other: &ResidenceNews| {
+            other.engine == news.engine
+                && other.model == news.model
+                && other.adapter == news.adapter
+        };
+        let known = self.news.iter().any(|(other, _)| *other == news);
+        self.news.retain(|(other, _)| !same_thing(other));
+        apply(directory, &news);
+        self.news.push((news, now_ms + good_ms));
+        !known
+    }
+}
+
+fn apply(directory: &mut Directory, news: &ResidenceNews) {
+    let Some(upstream) = directory.upstream_mut(&news.engine) else {
+        return;
+    };
+    let residence = &mut upstream.residence;
+    match (&news.adapter, news.present) {
+        (None, true) => residence.note_loaded(&news.model),
+        (None, false) => residence.note_unloaded(&news.model),
+        (Some(adapter), true) => residence.note_adapter(&news.model, adapter),
+        (Some(adapter), false) => residence.note_adapter_gone(&news.model, adapter),
+    }
+}
--- /dev/null
+++ b/crates/entry/src/ordering.rs
@@ -0,0 +1,368 @@
+//! Giving orders to engines, while this VM holds the lease for it.
+
+use std::collections::HashMap;
+
+use apricotdale_core::names::GroupName;
+use apricotdale_core::names::UpstreamName;
+use apricotdale_core::names::VmName;
+use apricotdale_holder::DemandBook;
+use apricotdale_holder::DemandRow;
+use apricotdale_holder::Lease;
+use apricotdale_holder::LeaseAction;
+use apricotdale_holder::LeaseAnswer;
+use apricotdale_holder::LeaseOptions;
+use apricotdale_holder::LeaseRecord;
+use apricotdale_holder::Order;
+use apricotdale_holder::OrderKind;
+use apricotdale_holder::OrderOutcome;
+use apricotdale_holder::Planner;
+use apricotdale_holder::PlannerAction;
+use apricotdale_holder::PlannerOptions;
+
+use crate::calling::CallOutcome;
+use crate::calling::CallTag;
+use crate::codec::LogRead;
+use crate::codec::StoreOutcome;
+use crate::codec::Topic;
+use crate::daemon::Daemon;
+use crate::outbound::Peer;
+use crate::peers::ForecastRow;
+use crate::settings::Settings;
+
+/// How long an order's answer is awaited.
+const ORDER_TIMEOUT_MS: u64 = 700;
+
+/// How long an engine's report is awaited.
+const REPORT_TIMEOUT_MS: u64 = 500;
+
+/// How long a call on the lease is awaited.
+const LEASE_TIMEOUT_MS: u64 = 700;
+
+/// The longest time between two plans: demand that faded is seen then.
+const PLAN_EVERY_MS: u64 = 100;
+
+/// `Ordering` is this VM's part in giving orders.
+#[derive(Debug)]
+pub(crate) struct Ordering {
+    lease: Lease,
+    demand: DemandBook,
+    /// One planner for each service of engines, while this VM gives orders.
+    planners: HashMap<GroupName, Planner>,
+    fence: Option<u64>,
+    next_plan_ms: u64,
+}
+
+impl Ordering {
+    pub fn new(settings: &Settings, run: u64) -> Self {
+        let options = LeaseOptions {
+            pause_ms: settings.order_pause_ms,
+            ..LeaseOptions::default()
+        };
+        Self {
+            lease: Lease::new(options, settings.vm.clone(), run),
+            demand: DemandBook::default(),
+            planners: HashMap::new(),
+            fence: None,
+            next_plan_ms: 0,
+        }
+    }
+
+    /// Takes in the demand of a VM. Only the holder of the lease gets any.
+    pub fn note_demand(&mut self, now_ms: u64, vm: &VmName, run: u64, rows: Vec<DemandRow>) {
+        let urgent = rows.iter().any(|row| row.missing > 0);
+        self.demand.note(now_ms, vm, run, rows);
+        if urgent {
+            self.next_plan_ms = self.next_plan_ms.min(now_ms);
+        }
+    }
+
+    /// Takes in the lease's end as its holder tells it.
+    pub fn note_lease_end(&mut self, now_ms: u64, end: u64) {
+        self.lease.note_end(now_ms, end, false);
+    }
+
+    /// Returns the lease's end, if this VM holds the lease.
+    pub fn held_lease_end(&self, now_ms: u64) -> Option<u64> {
+        self.lease.end().filter(|_| self.lease.is_held(now_ms))
+    }
+
+    /// Returns when missing models are expected.
+    pub fn forecasts(&self, now_ms: u64) -> Vec<ForecastRow> {
+        self.planners
+            .values()
+            .flat_map(|planner| planner.forecasts(now_ms, &self.demand))
+            .map(|(model, ready_ms)| ForecastRow {
+                model,
+                ready_in_ms: ready_ms.map(|ready_ms| ready_ms.saturating_sub(now_ms)),
+            })
+            .collect()
+    }
+
+    /// Returns when something is due.
+    pub fn next_ms(&self) -> u64 {
+        let plan_ms = if self.fence.is_some() {
+            self.next_plan_ms
+        } else {
+            u64::MAX
+        };
+        self.lease.next_ms().min(plan_ms)
+    }
+}
+
+impl Daemon {
+    /// Goes on with the lease and, under it, with orders.
+    pub(crate) fn advance_ordering(&mut self) {
+        let now_ms = self.now_ms;
+        if !self.stopping.has_begun() && now_ms >= self.ordering.lease.next_ms() {
+            let place = self.peers.place(now_ms);
+            self.ordering.lease.set_place(place);
+            if let Some(action) = self.ordering.lease.act(now_ms) {
+                self.call_lease(&action);
+            }
+        }
+        self.note_fence();
+        if self.ordering.fence.is_some() && now_ms >= self.ordering.next_plan_ms {
+            self.plan();
+        }
+    }
+
+    fn call_lease(&mut self, action: &LeaseAction) {
+        match action {
+            LeaseAction::Read { from } => {
+                let bytes = self.codecs.store.read(Topic::Lease, *from, 0);
+                self.call_store(CallTag::LeaseRead, &bytes, LEASE_TIMEOUT_MS);
+            }
+            LeaseAction::Append { at, record } => {
+                let record =
+                    postcard::to_stdvec(record).expect("a record of our own can be encoded");
+                let bytes = self.codecs.store.append(Topic::Lease, Some(*at), &record);
+                self.call_store(CallTag::LeaseAppend, &bytes, LEASE_TIMEOUT_MS);
+            }
+        }
+    }
+
+    /// Takes in the outcome of a call on the lease.
+    pub(crate) fn lease_call_ended(&mut self, tag: &CallTag, outcome: CallOutcome) {
+        let answer = match (tag, outcome) {
+            (_, CallOutcome::NotSent) => LeaseAnswer::NotDone,
+            (_, CallOutcome::Unknown) => LeaseAnswer::Unknown,
+            (CallTag::LeaseRead, CallOutcome::Answered { status, body }) => {
+                self.lease_read(status, &body)
+            }
+            (_, CallOutcome::Answered { status, body }) => {
+                match self.codecs.store.append_answer(status, &body) {
+                    Ok(StoreOutcome::Done { offset }) => LeaseAnswer::Appended { offset },
+                    Ok(StoreOutcome::EndedElsewhere { end }) => LeaseAnswer::EndedElsewhere { end },
+                    Ok(StoreOutcome::NotDone) => LeaseAnswer::NotDone,
+                    Err(_) => LeaseAnswer::Unknown,
+                }
+            }
+        };
+        self.ordering.lease.answered(self.now_ms, answer);
+        self.note_fence();
+    }
+
+    fn lease_read(&self, status: u16, body: &[u8]) -> LeaseAnswer {
+        match self.codecs.store.read_answer(status, body) {
+            Ok(LogRead::Records { end, records }) => {
+                let newest = records
+                    .last()
+                    .and_then(|record| postcard::from_bytes::<LeaseRecord>(record).ok());
+                LeaseAnswer::Read { end, newest }
+            }
+            Ok(LogRead::Expired { first }) => LeaseAnswer::Read {
+                end: first,
+                newest: None,
+            },
+            Err(_) => LeaseAnswer::NotDone,
+        }
+    }
+
+    /// Begins or ends giving orders as the lease says.
+    fn note_fence(&mut self) {
+        let fence = self.ordering.lease.fence(self.now_ms);
+        if fence == self.ordering.fence {
+            return;
+        }
+        match fence {
+            Some(fence) => {
+                self.metrics.takeover();
+                log::info!(fence, lease_end = self.ordering.lease.end(); "this VM gives orders");
+            }
+            None => log::info!("this VM gives no more orders"),
+        }
+        self.ordering.fence = fence;
+        self.ordering.planners.clear();
+        self.ordering.next_plan_ms = self.now_ms;
+    }
+
+    /// Gives the lease back at a planned stop.
+    pub(crate) fn release_lease(&mut self) {
+        if let Some(action) = self.ordering.lease.release(self.now_ms) {
+            self.call_lease(&action);
+        }
+        self.note_fence();
+    }
+
+    fn plan(&mut self) {
+        let now_ms = self.now_ms;
+        self.sync_planners();
+        let mut actions = Vec::new();
+        let mut next_ms = now_ms + PLAN_EVERY_MS;
+        for planner in self.ordering.planners.values_mut() {
+            actions.extend(planner.plan(now_ms, &self.ordering.demand));
+            if let Some(due_ms) = planner.next_ms() {
+                next_ms = next_ms.min(due_ms);
+            }
+        }
+        self.ordering.next_plan_ms = next_ms.max(now_ms + 1);
+        self.carry_out(actions);
+    }
+
+    fn sync_planners(&mut self) {
+        let directory = &self.directory;
+        let planners = &mut self.ordering.planners;
+        planners.retain(|service, _| directory.service(service).is_some());
+        for (name, service) in &directory.configuration().services {
+            if let Some(spec) = &service.engine {
+                planners
+                    .entry(name.clone())
+                    .or_insert_with(|| {
+                        Planner::new(PlannerOptions::default(), name.clone(), spec.clone())
+                    })
+                    .sync(directory);
+            }
+        }
+    }
+
+    fn carry_out(&mut self, actions: Vec<PlannerAction>) {
+        let mut news = Vec::new();
+        for action in actions {
+            match action {
+                PlannerAction::Order {
+                    engine,
+                    kind,
+                    orders_before,
+                } => {
+                    self.give_order(engine, kind, orders_before);
+                }
+                PlannerAction::Report { engine } => self.read_report(engine),
+                PlannerAction::Tell(told) => news.push(told),
+            }
+        }
+        if !news.is_empty() {
+            self.peers.send_news(&news);
+            self.take_news(news);
+        }
+    }
+
+    fn give_order(&mut self, engine: UpstreamName, kind: OrderKind, orders_before: u64) {
+        let fence = self.ordering.lease.fence(self.now_ms);
+        let upstream = self.directory.upstream(&engine);
+        let (Some(fence), Some(upstream)) = (fence, upstream) else {
+            self.planner_told(&engine, OrderOutcome::NotSent);
+            return;
+        };
+        let address = upstream.address;
+        log::info!(
+            engine = engine.to_string(), order = kind.as_str(), model = kind.model().to_string(),
+            fence, orders_before;
+            "order given"
+        );
+        let order = Order {
+            engine: engine.clone(),
+            address,
+            kind: kind.clone(),
+            holder: self.settings.vm.clone(),
+            fence,
+            orders_before,
+        };
+        let bytes = self.codecs.engines.order(&order);
+        let peer = Peer::Upstream(engine.clone());
+        self.call(
+            peer,
+            address,
+            CallTag::Order(engine, kind),
+            &bytes,
+            ORDER_TIMEOUT_MS,
+        );
+    }
+
+    fn read_report(&mut self, engine: UpstreamName) {
+        let Some(address) = self
+            .directory
+            .upstream(&engine)
+            .map(|upstream| upstream.address)
+        else {
+            self.report_ended(&engine, CallOutcome::NotSent);
+            return;
+        };
+        let bytes = self.codecs.engines.report(&engine);
+        let peer = Peer::Upstream(engine.clone());
+        self.call(
+            peer,
+            address,
+            CallTag::Report(engine),
+            &bytes,
+            REPORT_TIMEOUT_MS,
+        );
+    }
+
+    /// Takes in the outcome of an order.
+    pub(crate) fn order_ended(
+        &mut self,
+        engine: &UpstreamName,
+        kind: &OrderKind,
+        outcome: CallOutcome,
+    ) {
+        let outcome = match outcome {
+            CallOutcome::Answered { status, body } => {
+                self.codecs.engines.order_answer(kind, status, &body)
+            }
+            CallOutcome::NotSent => OrderOutcome::NotSent,
+            CallOutcome::Unknown => OrderOutcome::Unknown,
+        };
+        self.metrics.order(kind.as_str(), outcome.as_str());
+        log::info!(
+            engine = engine.to_string(), order = kind.as_str(), outcome = outcome.as_str();
+            "order ended"
+        );
+        self.planner_told(engine, outcome);
+    }
+
+    fn planner_told(&mut self, engine: &UpstreamName, outcome: OrderOutcome) {
+        let now_ms = self.now_ms;
+        let mut actions = Vec::new();
+        for planner in self.ordering.planners.values_mut() {
+            actions.extend(planner.order_ended(now_ms, engine, outcome));
+        }
+        self.ordering.next_plan_ms = now_ms;
+        self.carry_out(actions);
+    }
+
+    /// Takes in an engine's report.
+    pub(crate) fn report_ended(&mut self, engine: &UpstreamName, outcome: CallOutcome) {
+        let now_ms = self.now_ms;
+        let report = match outcome {
+            CallOutcome::Answered { status, body } => {
+                match self.codecs.engines.report_answer(status, &body) {
+                    Ok(report) => Some(report),
+                    Err(error) => {
+                        log::warn!(
+                            engine = engine.to_string(), reason = error.detail;
+                            "report not understood"
+                        );
+                        None
+                    }
+                }
+            }
+            _ => None,
+        };
+        let mut actions = Vec::new();
+        for planner in self.ordering.planners.values_mut() {
+            actions.extend(planner.report_ended(now_ms, engine, report.clone()));
+        }
+        self.ordering.next_plan_ms = now_ms;
+        self.carry_out(actions);
+    }
+}
--- /dev/null
+++ b/crates/entry/src/outbound.rs
@@ -0,0 +1,318 @@
+//! Connections that this VM opens, to upstreams and to the store.
+
+use std::collections::HashMap;
+use std::io;
+use std::net::SocketAddr;
+
+use apricotdale_core::names::UpstreamName;
+use apricotdale_http1::BodyDecoder;
+use apricotdale_http1::ResponseHead;
+use apricotdale_http1::parse_response_head;
+use mio::Registry;
+use mio::Token;
+
+use crate::calling::CallTag;
+use crate::stream::ReadEnd;
+use crate::stream::Stream;
+
+/// The largest head of an answer.
+const HEAD_LIMIT_BYTES: usize = 64 * 1024;
+
+/// How many bytes of an answer are read before they are handled.
+const READ_LIMIT_BYTES: usize = 128 * 1024;
+
+/// How long a connection stays idle if the other end does not say. Short: a request that is sent
+/// on a connection which the other end closes at the same moment may be lost.
+const DEFAULT_IDLE_MS: u64 = 4_000;
+
+/// How much earlier than the other end this VM closes an idle connection.
+const IDLE_MARGIN_MS: u64 = 1_000;
+
+/// `Peer` is whom a connection leads to.
+#[derive(Clone, Debug, PartialEq, Eq, Hash)]
+pub(crate) enum Peer {
+    /// The platform's store.
+    Store,
+    /// One run of an upstream.
+    Upstream(UpstreamName),
+}
+
+/// `Purpose` is what a connection is used for now.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub(crate) enum Purpose {
+    /// Nothing.
+    Idle,
+    /// A caller's request, by its key.
+    Relay(u64),
+    /// A call of this VM's own.
+    Call(CallTag),
+    /// An answer that nobody waits for any more is read to its end.
+    Drain,
+}
+
+#[derive(Debug)]
+enum Parse {
+    Head,
+    Body(BodyDecoder),
+    Whole,
+}
+
+/// `Part` is the next part of an answer.
+#[derive(Debug)]
+pub(crate) enum Part {
+    /// The head.
+    Head(ResponseHead),
+    /// Bytes of the body.
+    Body(Vec<u8>),
+    /// The end of a whole answer.
+    End,
+    /// More bytes are needed.
+    Wait,
+    /// The connection ended or sent bytes that are no answer.
+    Failed,
+}
+
+/// `Outbound` is one connection that this VM opened.
+#[derive(Debug)]
+pub(crate) struct Outbound {
+    pub stream: Stream,
+    pub peer: Peer,
+    pub purpose: Purpose,
+    /// Whether reading waits until the caller has taken what was read.
+    pub paused: bool,
+    input: Vec<u8>,
+    parse: Parse,
+    to_head: bool,
+    keeps: bool,
+    ended: Option<ReadEnd>,
+    idle_ms: u64,
+    idle_until_ms: u64,
+    /// When the call in progress is given up; callers' requests have deadlines of their own.
+    pub call_until_ms: Option<u64>,
+}
+
+impl Outbound {
+    /// Begins an exchange: writes a whole request.
+    pub fn begin(&mut self, purpose: Purpose, bytes: &[u8], to_head: bool) {
+        self.purpose = purpose;
+        self.parse = Parse::Head;
+        self.to_head = to_head;
+        self.keeps = true;
+        self.stream.sent_bytes = 0;
+        self.stream.queue(bytes);
+    }
+
+    /// Reads what is there.
+    pub fn read(&mut self) {
+        if self.ended.is_none() {
+            let end = self.stream.read(&mut self.input, READ_LIMIT_BYTES);
+            if matches!(end, ReadEnd::Closed | ReadEnd::Broken) {
+                self.ended = Some(end);
+            }
+        }
+    }
+
+    /// Returns whether reading stopped because the buffer is full.
+    pub fn is_full(&self) -> bool {
+        self.input.len() >= READ_LIMIT_BYTES
+    }
+
+    /// Returns the next part of the answer.
+    pub fn next_part(&mut self) -> Part {
+        match &mut self.parse {
+            Parse::Head => self.next_head(),
+            Parse::Body(decoder) => {
+                let mut body = Vec::new();
+                let Ok(progress) = decoder.decode(&self.input, &mut body) else {
+                    return Part::Failed;
+                };
+                self.input.drain(..progress.consumed);
+                let at_close = decoder.is_whole_at_close();
+                match self.ended {
+                    _ if !body.is_empty() => Part::Body(body),
+                    _ if progress.whole => self.end(),
+                    Some(ReadEnd::Closed) if at_close => self.end(),
+                    Some(_) => Part::Failed,
+                    None => Part::Wait,
+                }
+            }
+            Parse::Whole => Part::Wait,
+        }
+    }
+
+    fn next_head(&mut self) -> Part {
+        match parse_response_head(&self.input, HEAD_LIMIT_BYTES, self.to_head) {
+            Ok(Some((head, length))) => {
+                self.input.drain(..length);
+                // An interim answer comes before the answer.
+                if head.status < 200 {
+                    return self.next_head();
+                }
+                self.keeps = !head.close;
+                self.parse = Parse::Body(BodyDecoder::new(head.body));
+                Part::Head(head)
+            }
+            Ok(None) if self.ended.is_some() => Part::Failed,
+            Ok(None) => Part::Wait,
+            Err(_) => Part::Failed,
+        }
+    }
+
+    fn end(&mut self) -> Part {
+        self.parse = Parse::Whole;
+        Part::End
+    }
+
+    /// Returns whether an idle connection has ended or was sent bytes that belong to no request.
+    pub fn next_idle_is_bad(&self) -> bool {
+        self.ended.is_some() || !self.input.is_empty()
+    }
+
+    /// Waits for another answer: the one before belonged to another request.
+    pub fn expect_another(&mut self) {
+        self.parse = Parse::Head;
+    }
+
+    /// Notes how long the other end keeps an idle connection.
+    pub fn note_idle_ms(&mut self, idle_ms: u64) {
+        self.idle_ms = idle_ms.saturating_sub(IDLE_MARGIN_MS);
+    }
+
+    /// Returns whether another request may be sent on this connection after a whole answer. Bytes
+    /// that follow the answer would be taken for the next one; a request that was answered before
+    /// it was written would go on in the next one.
+    fn is_reusable(&self) -> bool {
+        self.keeps
+            && self.ended.is_none()
+            && self.input.is_empty()
+            && self.stream.unwritten_bytes() == 0
+            && matches!(self.parse, Parse::Whole)
+    }
+}
+
+/// `OutboundPool` holds the connections that this VM opened.
+#[derive(Debug, Default)]
+pub(crate) struct OutboundPool {
+    connections: HashMap<Token, Outbound>,
+    idle: HashMap<Peer, Vec<Token>>,
+    /// Connections opened so far.
+    pub opened: u64,
+}
+
+impl OutboundPool {
+    /// Returns a connection.
+    pub fn get_mut(&mut self, token: Token) -> Option<&mut Outbound> {
+        self.connections.get_mut(&token)
+    }
+
+    /// Returns an idle connection to a peer, if one is fit for another request.
+    pub fn take_idle(&mut self, now_ms: u64, peer: &Peer) -> Option<Token> {
+        let idle = self.idle.get_mut(peer)?;
+        while let Some(token) = idle.pop() {
+            let fit = self
+                .connections
+                .get(&token)
+                .is_some_and(|it| it.ended.is_none() && it.idle_until_ms > now_ms);
+            if fit {
+                return Some(token);
+            }
+        }
+        None
+    }
+
+    /// Opens a connection.
+    pub fn open(
+        &mut self,
+        peer: Peer,
+        address: SocketAddr,
+        registry: &Registry,
+        token: Token,
+    ) -> io::Result<()> {
+        let stream = Stream::connect(address, registry, token)?;
+        self.opened += 1;
+        let connection = Outbound {
+            stream,
+            peer,
+            purpose: Purpose::Idle,
+            paused: false,
+            input: Vec::new(),
+            parse: Parse::Whole,
+            to_head: false,
+            keeps: true,
+            ended: None,
+            idle_ms: DEFAULT_IDLE_MS,
+            idle_until_ms: 0,
+            call_until_ms: None,
+        };
+        self.connections.insert(token, connection);
+        Ok(())
+    }
+
+    /// Takes back a connection after a whole answer: keeps it if it is fit, else closes it.
+    pub fn release(&mut self, now_ms: u64, token: Token, registry: &Registry) {
+        let Some(connection) = self.connections.get_mut(&token) else {
+            return;
+        };
+        connection.call_until_ms = None;
+        connection.paused = false;
+        if !connection.is_reusable() {
+            self.close(token, registry);
+            return;
+        }
+        connection.purpose = Purpose::Idle;
+        connection.idle_until_ms = now_ms + connection.idle_ms;
+        self.idle
+            .entry(connection.peer.clone())
+            .or_default()
+            .push(token);
+    }
+
+    /// Closes a connection.
+    pub fn close(&mut self, token: Token, registry: &Registry) -> Option<Purpose> {
+        let connection = self.connections.remove(&token)?;
+        if let Some(idle) = self.idle.get_mut(&connection.peer) {
+            idle.retain(|idle| *idle != token);
+        }
+        connection.stream.close(registry, false);
+        Some(connection.purpose)
+    }
+
+    /// Closes the idle connections to a peer that is gone.
+    pub fn close_idle(&mut self, peer: &Peer, registry: &Registry) {
+        for token in self.idle.remove(peer).unwrap_or_default() {
+            self.close(token, registry);
+        }
+    }
+
+    /// Closes connections that have been idle for too long and returns the calls whose time is
+    /// over.
+    pub fn sweep(&mut self, now_ms: u64, registry: &Registry) -> Vec<Token> {
+        let idle_over: Vec<Token> = self
+            .connections
+            .iter()
+            .filter(|(_, it)| it.purpose == Purpose::Idle && it.idle_until_ms <= now_ms)
+            .map(|(token, _)| *token)
+            .collect();
+        for token in idle_over {
+            self.close(token, registry);
+        }
+        self.connections
+            .iter()
+            .filter(|(_, it)| it.call_until_ms.is_some_and(|until_ms| until_ms <= now_ms))
+            .map(|(token, _)| *token)
+            .collect()
+    }
+
+    /// Returns when the first call in progress is given up.
+    pub fn next_call_until_ms(&self) -> Option<u64> {
+        self.connections
+            .values()
+            .filter_map(|it| it.call_until_ms)
+            .min()
+    }
+
+    /// Returns how many connections are open.
+    pub fn len(&self) -> usize {
+        self.connections.len()
+    }
+}
--- /dev/null
+++ b/crates/entry/src/stopping.rs
@@ -0,0 +1,112 @@
+//! Start, reload and planned stop.
+
+use std::path::PathBuf;
+
+use apricotdale_telemetry::LogOptions;
+
+use crate::daemon::Daemon;
+use crate::errors::Result;
+use crate::settings::Settings;
+
+/// How long a stopping VM still takes connections. The balancer asks once a second and sends no
+/// new ones after two refusals.
+const STILL_SERVING_MS: u64 = 2_600;
+
+/// How much of the time for a stop is kept in hand, so that the process ends by itself.
+const STOP_MARGIN_MS: u64 = 700;
+
+/// Starts the log on the standard output.
+///
+/// # Errors
+///
+/// [`crate::Error::Log`] if its thread can't be started.
+pub fn start_log(settings: &Settings) -> Result<()> {
+    let mut options = LogOptions::new(settings.vm.clone(), settings.zone.clone());
+    options.level = settings.log_level;
+    apricotdale_telemetry::init_logs(options, Box::new(std::io::stdout()))?;
+    Ok(())
+}
+
+/// `Stopping` is the state of a planned stop.
+#[derive(Clone, Copy, Debug, Default)]
+pub(crate) struct Stopping {
+    since_ms: Option<u64>,
+    stop_ms: u64,
+}
+
+impl Stopping {
+    /// Returns whether a planned stop has begun.
+    pub fn has_begun(self) -> bool {
+        self.since_ms.is_some()
+    }
+
+    /// Returns whether the process may end now.
+    pub fn is_done(self, now_ms: u64, requests: usize) -> bool {
+        self.since_ms.is_some_and(|since_ms| {
+            let age_ms = now_ms.saturating_sub(since_ms);
+            let is_empty = requests == 0 && age_ms >= STILL_SERVING_MS;
+            is_empty || age_ms >= self.stop_ms.saturating_sub(STOP_MARGIN_MS)
+        })
+    }
+}
+
+impl Daemon {
+    /// Begins a planned stop: the balancer is told at once, requests in progress and those that
+    /// still come are answered.
+    pub(crate) fn begin_stop(&mut self) {
+        if self.stopping.has_begun() {
+            return;
+        }
+        self.stopping.since_ms = Some(self.now_ms);
+        self.stopping.stop_ms = self.settings.stop_ms;
+        log::info!(requests = self.active.len(); "planned stop begins");
+        self.release_lease();
+        self.peers.say_goodbye();
+    }
+
+    /// Reads the settings again and takes over what can change while the daemon runs.
+    pub(crate) fn reload(&mut self) {
+        let Some(path) = settings_path() else {
+            return;
+        };
+        match Settings::read(&path) {
+            Ok(settings) => {
+                let changed = settings != self.settings;
+                self.settings.stop_ms = settings.stop_ms;
+                self.settings.store = settings.store;
+                self.settings.log_level = settings.log_level;
+                log::set_max_level(settings.log_level);
+                log::info!(changed; "settings read again");
+            }
+            Err(error) => {
+                log::error!(reason = error.to_string(); "settings not taken over");
+            }
+        }
+    }
+
+    pub(crate) fn log_start(&self) {
+        log::info!(
+            run = self.run,
+            callers = self.settings.callers.to_string(),
+            peers = self.settings.peers.to_string(),
+            store = self.settings.store.to_string();
+            "entry VM starts"
+        );
+    }
+
+    pub(crate) fn log_end(&self) {
+        log::info!(
+            requests = self.active.len(),
+            dropped_lines = self.lines.dropped,
+            connections_opened = self.outbound.opened;
+            "entry VM ends"
+        );
+    }
+}
+
+/// The environment variable that names the settings file.
+pub(crate) const SETTINGS_VARIABLE: &str = "APRICOTDALE_SETTINGS";
+
+fn settings_path() -> Option<PathBuf> {
+    std::env::var_os(SETTINGS_VARIABLE).map(PathBuf::from)
+}
--- /dev/null
+++ b/crates/fleet/src/directory.rs
@@ -0,0 +1,252 @@
+//! The newest configuration and the upstreams.
+
+use std::collections::HashMap;
+use std::collections::HashSet;
+use std::sync::Arc;
+
+use apricotdale_core::names::GroupName;
+use apricotdale_core::names::UpstreamName;
+
+use crate::configuration::Configuration;
+use crate::configuration::Route;
+use crate::configuration::Service;
+use crate::errors::Error;
+use crate::errors::Result;
+use crate::routes::RouteTable;
+use crate::upstream::Upstream;
+use crate::upstream::UpstreamPhase;
+
+/// `DirectoryOptions` are the directory's times.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct DirectoryOptions {
+    /// How long an upstream whose entry vanished around an outage of the list is still used. The
+    /// platform writes entries that lapsed during an outage again within about two seconds.
+    pub lapse_grace_ms: u64,
+}
+
+impl Default for DirectoryOptions {
+    fn default() -> Self {
+        Self {
+            lapse_grace_ms: 2_000,
+        }
+    }
+}
+
+/// `DirectoryChange` is what a fact changed.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum DirectoryChange {
+    /// Nothing that matters.
+    None,
+    /// An upstream came.
+    Came,
+    /// An upstream no longer takes new work, or is gone.
+    Left,
+    /// What an upstream holds has changed.
+    Residence,
+}
+
+/// `Directory` keeps the newest configuration and the upstreams.
+///
+/// It never goes back: an older configuration, and an older entry of an upstream, change nothing.
+#[derive(Debug, Default)]
+pub struct Directory {
+    options: DirectoryOptions,
+    configuration: Configuration,
+    routes: RouteTable,
+    upstreams: HashMap<UpstreamName, Upstream>,
+    /// Upstreams whose entries vanished around an outage, with the time until which they are used.
+    lapsed: HashMap<UpstreamName, u64>,
+    /// The last revision of each upstream that is gone. An entry that was written before the end
+    /// can still be read later; it must not bring the upstream back.
+    gone: HashMap<UpstreamName, u64>,
+    listed: bool,
+}
+
+impl Directory {
+    /// Returns an empty directory.
+    pub fn new(options: DirectoryOptions) -> Self {
+        Self {
+            options,
+            ..Self::default()
+        }
+    }
+
+    /// Returns the version of the configuration in force; 0 before the first.
+    pub fn version(&self) -> u64 {
+        self.configuration.version
+    }
+
+    /// Returns the configuration in force.
+    pub fn configuration(&self) -> &Configuration {
+        &self.configuration
+    }
+
+    /// Returns whether a configuration and a list of upstreams are known, so that requests can be
+    /// served.
+    pub fn is_complete(&self) -> bool {
+        self.configuration.version > 0 && self.listed
+    }
+
+    /// Puts a configuration in force.
+    ///
+    /// # Errors
+    ///
+    /// [`Error::OlderVersion`] and [`Error::UnknownService`]; the one in force then stays.
+    pub fn configure(&mut self, configuration: Configuration) -> Result<()> {
+        if configuration.version < self.configuration.version {
+            return Err(Error::OlderVersion {
+                offered: configuration.version,
+                in_force: self.configuration.version,
+            });
+        }
+        for route in &configuration.routes {
+            for share in &route.shares {
+                if !configuration.services.contains_key(&share.service) {
+                    return Err(Error::UnknownService {
+                        route: route.name.to_string(),
+                        service: share.service.to_string(),
+                    });
+                }
+            }
+        }
+        self.routes = RouteTable::new(&configuration.routes);
+        self.configuration = configuration;
+        Ok(())
+    }
+
+    /// Returns the route of a request.
+    pub fn route(&self, host: &str, target: &str) -> Option<&Arc<Route>> {
+        self.routes.find(host, target)
+    }
+
+    /// Returns a service.
+    pub fn service(&self, name: &GroupName) -> Option<&Arc<Service>> {
+        self.configuration.services.get(name)
+    }
+
+    /// Takes in an entry of the list.
+    pub fn note_entry(&mut self, entry: Upstream) -> DirectoryChange {
+        match self.gone.get(&entry.name) {
+            Some(last) if entry.revision <= *last => return DirectoryChange::None,
+            _ => self.gone.remove(&entry.name),
+        };
+        self.lapsed.remove(&entry.name);
+        let Some(known) = self.upstreams.get_mut(&entry.name) else {
+            self.upstreams.insert(entry.name.clone(), entry);
+            return DirectoryChange::Came;
+        };
+        if entry.revision < known.revision {
+            return DirectoryChange::None;
+        }
+        let change = match () {
+            _ if known.phase == UpstreamPhase::Serving && entry.phase == UpstreamPhase::Leaving => {
+                DirectoryChange::Left
+            }
+            _ if known.residence != entry.residence => DirectoryChange::Residence,
+            _ => DirectoryChange::None,
+        };
+        // A notice is not taken back: an entry that was written before it may be read after it.
+        let phase = match known.phase {
+            UpstreamPhase::Leaving => UpstreamPhase::Leaving,
+            UpstreamPhase::Serving => entry.phase,
+        };
+        *known = Upstream { phase, ..entry };
+        change
+    }
+
+    /// Takes in that an upstream's entry is no longer there. Around an outage of the list
+    /// (`outage`) a live upstream's entry may have lapsed only because its heartbeats found no one;
+    /// it is then used for a short time more, in which the entry can come back.
+    pub fn note_vanished(
+        &mut self,
+        now_ms: u64,
+        name: &UpstreamName,
+        outage: bool,
+    ) -> DirectoryChange {
+        match self.upstreams.get(name) {
+            None => DirectoryChange::None,
+            Some(known) if outage && known.phase == UpstreamPhase::Serving => {
+                let until_ms = now_ms + self.options.lapse_grace_ms;
+                self.lapsed.entry(name.clone()).or_insert(until_ms);
+                DirectoryChange::None
+            }
+            Some(_) => {
+                self.remove(name);
+                DirectoryChange::Left
+            }
+        }
+    }
+
+    /// Takes in a whole list. Upstreams that it does not name have vanished.
+    pub fn note_listing(
+        &mut self,
+        now_ms: u64,
+        entries: Vec<Upstream>,
+        outage: bool,
+    ) -> Vec<UpstreamName> {
+        let named: HashSet<UpstreamName> = entries.iter().map(|entry| entry.name.clone()).collect();
+        let missing: Vec<UpstreamName> = self
+            .upstreams
+            .keys()
+            .filter(|name| !named.contains(name))
+            .cloned()
+            .collect();
+        let mut left = Vec::new();
+        for name in missing {
+            if self.note_vanished(now_ms, &name, outage) == DirectoryChange::Left {
+                left.push(name);
+            }
+        }
+        for entry in entries {
+            let name = entry.name.clone();
+            if self.note_entry(entry) == DirectoryChange::Left {
+                left.push(name);
+            }
+        }
+        self.listed = true;
+        left
+    }
+
+    /// Drops the upstreams whose time after a lapse is over, and returns them.
+    pub fn expire(&mut self, now_ms: u64) -> Vec<UpstreamName> {
+        let over: Vec<UpstreamName> = self
+            .lapsed
+            .iter()
+            .filter(|(_, until_ms)| **until_ms <= now_ms)
+            .map(|(name, _)| name.clone())
+            .collect();
+        for name in &over {
+            self.remove(name);
+        }
+        over
+    }
+
+    /// Returns an upstream.
+    pub fn upstream(&self, name: &UpstreamName) -> Option<&Upstream> {
+        self.upstreams.get(name)
+    }
+
+    /// Returns an upstream to note what it holds.
+    pub fn upstream_mut(&mut self, name: &UpstreamName) -> Option<&mut Upstream> {
+        self.upstreams.get_mut(name)
+    }
+
+    /// Returns every known upstream.
+    pub fn upstreams(&self) -> impl Iterator<Item = &Upstream> {
+        self.upstreams.values()
+    }
+
+    /// Returns the upstreams of a service that take new work.
+    pub fn serving<'a>(&'a self, service: &'a GroupName) -> impl Iterator<Item = &'a Upstream> {
+        self.upstreams.values().filter(move |upstream| {
+            &upstream.service == service && upstream.phase == UpstreamPhase::Serving
+        })
+    }
+
+    fn remove(&mut self, name: &UpstreamName) {
+        self.lapsed.remove(name);
+        if let Some(known) = self.upstreams.remove(name) {
+            self.gone.insert(name.clone(), known.revision);
+        }
+    }
+}
--- /dev/null
+++ b/crates/fleet/src/lib.rs
@@ -0,0 +1,40 @@
+//! What a VM knows of its configuration and its upstreams.
+//!
+//! [`Configuration`] is one version of the operators' configuration, [`RouteTable`] finds the route
+//! of a request in it, and [`Directory`] keeps the newest configuration and the upstreams as the
+//! platform's list tells them. All of it is plain state: facts go in with the time at which they
+//! were learned, and nothing here opens a socket or reads a clock.
+
+#![forbid(unsafe_code)]
+#![warn(missing_docs)]
+
+mod configuration;
+mod directory;
+mod errors;
+mod request;
+mod residence;
+mod routes;
+mod upstream;
+
+pub use configuration::CallerLimits;
+pub use configuration::Configuration;
+pub use configuration::EngineSpec;
+pub use configuration::ModelSpec;
+pub use configuration::Route;
+pub use configuration::RouteKind;
+pub use configuration::Service;
+pub use configuration::SplitShare;
+pub use directory::Directory;
+pub use directory::DirectoryChange;
+pub use directory::DirectoryOptions;
+pub use errors::Error;
+pub use errors::Result;
+pub use request::PromptPart;
+pub use request::ServingRequest;
+pub use request::WantedModel;
+pub use residence::Residence;
+pub use residence::ResidentModel;
+pub use residence::Tier;
+pub use routes::RouteTable;
+pub use upstream::Upstream;
+pub use upstream::UpstreamPhase;
--- /dev/null
+++ b/crates/holder/src/lease.rs
@@ -0,0 +1,300 @@
+//! Which VM gives orders.
+//!
+//! The lease is a topic of the store. A VM takes or renews the lease by appending a record on the
+//! condition that the topic ends where the VM last saw its end, so of several VMs that try at the
+//! same end one succeeds. The offset of the record with which a VM took the lease is the fencing
+//! token of all its orders; offsets only grow.
+//!
+//! What can go wrong, and what prevents it:
+//!
+//! - The holder is frozen or cut off and still believes that it holds the lease. Its lease ends, by
+//!   a clock that goes on while the VM is suspended, one duration after it *sent* its last renewal
+//!   that was acknowledged. Others take over no sooner than one duration after they *saw* the end
+//!   of the topic that this renewal made, which is later.
+//! - The answer to an append is lost. The VM then knows nothing and reads the topic: a record with
+//!   its own run number says that the append was done.
+//! - The new holder's order overtakes one of the old holder's that is still under way. The new
+//!   holder waits for a pause before its first order.
+
+use apricotdale_core::names::VmName;
+use serde::Deserialize;
+use serde::Serialize;
+
+/// `LeaseOptions` are the lease's times.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct LeaseOptions {
+    /// How long a renewal is good for. Shorter means a quicker takeover, longer means that a slow
+    /// store costs no lease: 2 s is over eight times the slowest store answer seen (240 ms).
+    pub duration_ms: u64,
+    /// The time between two renewals: two may fail before the lease ends.
+    pub renew_every_ms: u64,
+    /// How long a new holder waits before its first order, so that no order of the holder before
+    /// is still under way. The platform's bound for two holders that take turns.
+    pub pause_ms: u64,
+    /// What each place in the order of takeover adds to the wait, so that one VM tries first.
+    pub stagger_ms: u64,
+    /// How long a call to the store may take before its outcome counts as unknown.
+    pub call_timeout_ms: u64,
+}
+
+impl Default for LeaseOptions {
+    fn default() -> Self {
+        Self {
+            duration_ms: 2_000,
+            renew_every_ms: 600,
+            pause_ms: 3_000,
+            stagger_ms: 150,
+            call_timeout_ms: 900,
+        }
+    }
+}
+
+/// `LeaseRecord` is one record of the lease's topic.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct LeaseRecord {
+    /// The VM that appended it.
+    pub holder: VmName,
+    /// A random number of this run of the VM's process.
+    pub run: u64,
+    /// Whether the holder gives the lease back.
+    pub released: bool,
+}
+
+/// `LeaseAction` is the call that the lease wants made at the store. One is under way at a time.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub enum LeaseAction {
+    /// Read the topic from this offset.
+    Read {
+        /// The first offset that is wanted.
+        from: u64,
+    },
+    /// Append a record if the topic ends here.
+    Append {
+        /// The end on which the append depends.
+        at: u64,
+        /// The record.
+        record: LeaseRecord,
+    },
+}
+
+/// `LeaseAnswer` is how such a call ended.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub enum LeaseAnswer {
+    /// The topic's end, and the newest record if it is still kept.
+    Read {
+        /// The offset after the newest record.
+        end: u64,
+        /// The newest record.
+        newest: Option<LeaseRecord>,
+    },
+    /// The record was appended at this offset.
+    Appended {
+        /// Its offset.
+        offset: u64,
+    },
+    /// The topic ended elsewhere; nothing was done.
+    EndedElsewhere {
+        /// The offset after the newest record.
+        end: u64,
+    },
+    /// Certainly nothing was done.
+    NotDone,
+    /// It may have been done, or be done later.
+    Unknown,
+}
+
+/// A term is the time from taking the lease to losing it to another VM.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+struct Term {
+    fence: u64,
+    orders_from_ms: u64,
+}
+
+/// `Lease` decides whether this VM gives orders.
+#[derive(Debug)]
+pub struct Lease {
+    options: LeaseOptions,
+    vm: VmName,
+    run: u64,
+    /// This VM's place in the order of takeover.
+    place: u64,
+    /// The topic's end as last seen, and when it was first seen to end there.
+    end: Option<(u64, u64)>,
+    /// Whether the lease is free as far as the newest record tells.
+    released: bool,
+    /// The term of this VM. It outlives a lease that ran out while nobody else took it: the VM may
+    /// then go on with the same fencing token.
+    term: Option<Term>,
+    /// Until when the last renewal is good.
+    good_until_ms: u64,
+    call_sent_ms: Option<u64>,
+    next_call_ms: u64,
+    must_read: bool,
+}
+
+impl Lease {
+    /// Returns the lease as a VM sees it at its start.
+    pub fn new(options: LeaseOptions, vm: VmName, run: u64) -> Self {
+        Self {
+            options,
+            vm,
+            run,
+            place: 0,
+            end: None,
+            released: false,
+            term: None,
+            good_until_ms: 0,
+            call_sent_ms: None,
+            next_call_ms: 0,
+            must_read: true,
+        }
+    }
+
+    /// Sets this VM's place among the VMs that would take over.
+    pub fn set_place(&mut self, place: u64) {
+        self.place = place;
+    }
+
+    /// Returns the fencing token under which this VM may give orders now, or none.
+    pub fn fence(&self, now_ms: u64) -> Option<u64> {
+        let term = self.term.filter(|term| now_ms >= term.orders_from_ms)?;
+        (now_ms < self.good_until_ms).then_some(term.fence)
+    }
+
+    /// Returns whether this VM holds the lease now, though it may not give orders yet.
+    pub fn is_held(&self, now_ms: u64) -> bool {
+        self.term.is_some() && now_ms < self.good_until_ms
+    }
+
+    /// Returns the end of the topic as last seen, for other VMs.
+    pub fn end(&self) -> Option<u64> {
+        self.end.map(|(end, _)| end)
+    }
+
+    /// Takes in the end of the topic that another VM told of. A record before that end had reached
+    /// the store when the other VM sent this.
+    pub fn note_end(&mut self, now_ms: u64, end: u64, released: bool) {
+        if self.end.is_none_or(|(known, _)| end > known) {
+            self.end = Some((end, now_ms));
+            self.released = released;
+            self.must_read = false;
+            self.lose();
+        }
+    }
+
+    /// Returns when the lease next wants to act.
+    pub fn next_ms(&self) -> u64 {
+        match self.end {
+            _ if self.call_sent_ms.is_some() => u64::MAX,
+            Some((end, seen_ms)) if !self.must_read && self.term.is_none() && end > 0 => {
+                self.takeover_ms(seen_ms).max(self.next_call_ms)
+            }
+            _ => self.next_call_ms,
+        }
+    }
+
+    /// Returns the call to make now, if any. Its end must be told to [`Lease::answered`].
+    pub fn act(&mut self, now_ms: u64) -> Option<LeaseAction> {
+        if now_ms < self.next_ms() {
+            return None;
+        }
+        self.call_sent_ms = Some(now_ms);
+        let action = match self.end {
+            Some((end, _)) if !self.must_read => LeaseAction::Append {
+                at: end,
+                record: self.record(false),
+            },
+            Some((end, _)) => LeaseAction::Read {
+                from: end.saturating_sub(1),
+            },
+            None => LeaseAction::Read { from: 0 },
+        };
+        Some(action)
+    }
+
+    /// Returns the call that gives the lease back, if this VM holds it and no call is under way.
+    pub fn release(&mut self, now_ms: u64) -> Option<LeaseAction> {
+        let (end, _) = self
+            .end
+            .filter(|_| self.is_held(now_ms) && self.call_sent_ms.is_none())?;
+        self.lose();
+        self.call_sent_ms = Some(now_ms);
+        Some(LeaseAction::Append {
+            at: end,
+            record: self.record(true),
+        })
+    }
+
+    /// Takes in how the call ended.
+    pub fn answered(&mut self, now_ms: u64, answer: LeaseAnswer) {
+        let sent_ms = self.call_sent_ms.take().unwrap_or(now_ms);
+        self.next_call_ms = now_ms + self.options.renew_every_ms / 2;
+        match answer {
+            LeaseAnswer::Appended { offset } => self.appended(now_ms, sent_ms, offset),
+            LeaseAnswer::Read { end, newest } => self.read(now_ms, end, newest),
+            LeaseAnswer::EndedElsewhere { .. } => {
+                self.must_read = true;
+                self.next_call_ms = now_ms;
+            }
+            LeaseAnswer::NotDone => {}
+            LeaseAnswer::Unknown => self.must_read = true,
+        }
+    }
+
+    fn appended(&mut self, now_ms: u64, sent_ms: u64, offset: u64) {
+        let term = self.term.unwrap_or(Term {
+            fence: offset + 1,
+            // Before the first record nobody has given an order that could still be under way.
+            orders_from_ms: if offset == 0 {
+                now_ms
+            } else {
+                now_ms + self.options.pause_ms
+            },
+        });
+        self.term = Some(term);
+        self.good_until_ms = sent_ms + self.options.duration_ms;
+        self.end = Some((offset + 1, now_ms));
+        self.released = false;
+        self.next_call_ms = now_ms + self.options.renew_every_ms;
+    }
+
+    fn read(&mut self, now_ms: u64, end: u64, newest: Option<LeaseRecord>) {
+        self.must_read = false;
+        let own = newest
+            .as_ref()
+            .is_some_and(|record| record.run == self.run && record.holder == self.vm);
+        if self.end.is_none_or(|(known, _)| end > known) {
+            self.end = Some((end, now_ms));
+        }
+        self.released = newest.is_some_and(|record| record.released);
+        if own {
+            // The append whose answer was lost was done. When it was sent is no longer known, so
+            // the lease is good only from the next one.
+            self.next_call_ms = now_ms;
+        } else if end > 0 {
+            self.lose();
+        }
+    }
+
+    fn lose(&mut self) {
+        self.term = None;
+        self.good_until_ms = 0;
+    }
+
+    /// Returns when this VM may take the lease over from another.
+    fn takeover_ms(&self, seen_ms: u64) -> u64 {
+        let stagger_ms = self.place * self.options.stagger_ms;
+        match self.released {
+            true => seen_ms + stagger_ms,
+            false => seen_ms + self.options.duration_ms + stagger_ms,
+        }
+    }
+
+    fn record(&self, released: bool) -> LeaseRecord {
+        LeaseRecord {
+            holder: self.vm.clone(),
+            run: self.run,
+            released,
+        }
+    }
+}
--- /dev/null
+++ b/crates/holder/src/ledger.rs
@@ -0,0 +1,193 @@
+//! What the holder knows of one engine.
+
+use std::collections::VecDeque;
+
+use apricotdale_core::names::ModelName;
+use apricotdale_core::names::UpstreamName;
+use apricotdale_fleet::EngineSpec;
+use apricotdale_fleet::Residence;
+use apricotdale_fleet::Tier;
+
+use crate::orders::OrderKind;
+
+/// An order that an engine carries out.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub(crate) struct InProgress {
+    /// What it is.
+    pub kind: OrderKind,
+    /// Where the weights come from, for a load of a model.
+    pub tier: Tier,
+    /// When it was accepted.
+    pub since_ms: u64,
+    /// When it is expected to be done.
+    pub done_ms: u64,
+}
+
+/// `EngineLedger` is what the holder knows of one engine: what it holds, what it was told to do and
+/// what it will be told next.
+#[derive(Clone, Debug)]
+pub struct EngineLedger {
+    /// The engine.
+    pub name: UpstreamName,
+    /// What it holds, as far as reports and accepted orders tell.
+    pub residence: Residence,
+    /// How many orders it has taken; none until a report told.
+    pub(crate) orders_taken: Option<u64>,
+    /// How many orders it had taken at least. A report with fewer is from before the last order.
+    pub(crate) orders_at_least: u64,
+    /// The order that it carries out.
+    pub(crate) in_progress: Option<InProgress>,
+    /// Orders that follow, in order.
+    pub(crate) next: VecDeque<OrderKind>,
+    /// Whether an order's answer is awaited.
+    pub(crate) awaiting: Option<OrderKind>,
+    /// When its report is to be read next.
+    pub(crate) report_due_ms: Option<u64>,
+    /// Whether a report is awaited.
+    pub(crate) reading: bool,
+    /// Consecutive reports that failed.
+    pub(crate) failed_reports: u32,
+    /// Whether it takes new work.
+    pub(crate) serving: bool,
+    /// Adapters in the order of their last use, the latest last.
+    pub(crate) adapter_uses: Vec<(ModelName, ModelName)>,
+}
+
+impl EngineLedger {
+    /// Returns the ledger of an engine of which nothing but its list entry is known.
+    pub fn new(name: UpstreamName, residence: Residence) -> Self {
+        Self {
+            name,
+            residence,
+            orders_taken: None,
+            orders_at_least: 0,
+            in_progress: None,
+            next: VecDeque::new(),
+            awaiting: None,
+            report_due_ms: Some(0),
+            reading: false,
+            failed_reports: 0,
+            serving: true,
+            adapter_uses: Vec::new(),
+        }
+    }
+
+    /// Returns whether the engine can be told something new about its models.
+    pub(crate) fn is_idle(&self) -> bool {
+        self.serving
+            && self.orders_taken.is_some()
+            && self.in_progress.is_none()
+            && self.awaiting.is_none()
+            && self.next.is_empty()
+    }
+
+    /// Returns whether an adapter order can be given now.
+    pub(crate) fn takes_adapters(&self) -> bool {
+        self.serving
+            && self.orders_taken.is_some()
+            && self.in_progress.is_none()
+            && self.awaiting.is_none()
+    }
+
+    /// Returns whether a load of this model is in progress or planned here.
+    pub(crate) fn will_hold(&self, model: &ModelName) -> bool {
+        let load = OrderKind::LoadModel(model.clone());
+        self.in_progress
+            .as_ref()
+            .is_some_and(|order| order.kind == load)
+            || self.awaiting.as_ref() == Some(&load)
+            || self.next.contains(&load)
+    }
+
+    /// Returns whether an unload of this model is in progress or planned here.
+    pub(crate) fn will_drop(&self, model: &ModelName) -> bool {
+        let unload = OrderKind::UnloadModel(model.clone());
+        self.in_progress
+            .as_ref()
+            .is_some_and(|order| order.kind == unload)
+            || self.awaiting.as_ref() == Some(&unload)
+            || self.next.contains(&unload)
+    }
+
+    /// Returns whether a load from the weight store is in progress or planned here.
+    pub(crate) fn loads_from_store(&self) -> bool {
+        self.in_progress
+            .as_ref()
+            .is_some_and(|order| order.tier == Tier::Store && is_load(&order.kind))
+            || self
+                .next
+                .iter()
+                .chain(&self.awaiting)
+                .any(|kind| is_load(kind) && self.residence.tier(kind.model()) == Tier::Store)
+    }
+
+    /// Returns the memory that models and adapters take now. What is being unloaded counts until it
+    /// is gone.
+    fn resident_mb(&self, spec: &EngineSpec) -> f64 {
+        self.residence
+            .models
+            .iter()
+            .map(|resident| {
+                let model = spec.models.get(&resident.model);
+                let size_mb = model.map_or(spec.memory_mb, |model| model.size_mb);
+                let adapter_mb = model.map_or(0.0, |model| model.adapter_mb);
+                size_mb + adapter_mb * resident.adapters.len() as f64
+            })
+            .sum()
+    }
+
+    /// Returns the memory that models and adapters take, with what is being loaded.
+    pub(crate) fn used_mb(&self, spec: &EngineSpec) -> f64 {
+        let coming: f64 = self
+            .in_progress
+            .iter()
+            .map(|order| &order.kind)
+            .chain(&self.awaiting)
+            .chain(&self.next)
+            .filter(|kind| is_load(kind) && self.residence.model(kind.model()).is_none())
+            .filter_map(|kind| spec.models.get(kind.model()))
+            .map(|model| model.size_mb)
+            .sum();
+        self.resident_mb(spec) + coming
+    }
+
+    /// Returns whether a model's weights fit beside what is here now.
+    pub(crate) fn fits(&self, spec: &EngineSpec, model: &ModelName) -> bool {
+        let size_mb = spec
+            .models
+            .get(model)
+            .map_or(f64::INFINITY, |model| model.size_mb);
+        self.resident_mb(spec) + size_mb <= spec.memory_mb
+    }
+
+    /// Returns the memory that is neither taken nor promised.
+    pub(crate) fn free_mb(&self, spec: &EngineSpec) -> f64 {
+        spec.memory_mb - self.used_mb(spec) - self.adapter_reserve_mb(spec)
+    }
+
+    /// Memory kept free for adapters of the models here: the largest adapter for each place that is
+    /// not taken. Without it a later adapter order would overcommit the engine, which then crashes.
+    fn adapter_reserve_mb(&self, spec: &EngineSpec) -> f64 {
+        let largest_mb = self
+            .residence
+            .models
+            .iter()
+            .filter_map(|resident| spec.models.get(&resident.model))
+            .filter(|model| model.adapters > 0)
+            .map(|model| model.adapter_mb)
+            .fold(0.0, f64::max);
+        let places = (spec.adapter_slots as usize).saturating_sub(self.residence.adapters());
+        largest_mb * places as f64
+    }
+
+    /// Notes that an adapter was used, for choosing which one gives way.
+    pub(crate) fn note_adapter_use(&mut self, model: &ModelName, adapter: &ModelName) {
+        let used = (model.clone(), adapter.clone());
+        self.adapter_uses.retain(|other| other != &used);
+        self.adapter_uses.push(used);
+    }
+}
+
+pub(crate) fn is_load(kind: &OrderKind) -> bool {
+    matches!(kind, OrderKind::LoadModel(_))
+}
--- /dev/null
+++ b/crates/holder/src/lib.rs
@@ -0,0 +1,35 @@
+//! Who gives orders to engines, and which.
+//!
+//! One VM at a time gives orders to the engines. [`Lease`] decides which: the VM whose record is
+//! the newest of a topic of the platform's store, for as long as it renews it. [`Planner`] is what
+//! the holder of the lease runs: it keeps what each engine holds, gathers the demand of all VMs and
+//! decides on loads and unloads. Both are pure: facts and time go in, actions come out.
+
+#![forbid(unsafe_code)]
+#![warn(missing_docs)]
+
+mod adapters;
+mod demand;
+mod lease;
+mod ledger;
+mod orders;
+mod placing;
+mod planner;
+
+pub use demand::DemandBook;
+pub use demand::DemandRow;
+pub use demand::ModelDemand;
+pub use lease::Lease;
+pub use lease::LeaseAction;
+pub use lease::LeaseAnswer;
+pub use lease::LeaseOptions;
+pub use lease::LeaseRecord;
+pub use ledger::EngineLedger;
+pub use orders::EngineReport;
+pub use orders::Order;
+pub use orders::OrderKind;
+pub use orders::OrderOutcome;
+pub use planner::Planner;
+pub use planner::PlannerAction;
+pub use planner::PlannerOptions;
+pub use planner::ResidenceNews;
--- /dev/null
+++ b/crates/holder/src/placing.rs
@@ -0,0 +1,213 @@
+//! Which model is loaded on which engine, and what gives way to it.
+
+use std::collections::HashMap;
+
+use apricotdale_core::names::ModelName;
+use apricotdale_fleet::EngineSpec;
+use apricotdale_fleet::Tier;
+use apricotdale_fleet::WantedModel;
+
+use crate::demand::ModelDemand;
+use crate::ledger::EngineLedger;
+use crate::orders::OrderKind;
+
+/// Requests a second above which a model should be on a second engine, so that the loss of one
+/// engine does not leave it without.
+const SECOND_REPLICA_PER_S: f64 = 2.0;
+
+/// The part of an engine's places that one model's requests may take before another replica is
+/// wanted. Above about half, tokens come slower and prompts wait for each other.
+const REPLICA_FILL: f64 = 0.4;
+
+/// What a running request of a model adds to its value against being unloaded. Its unload would
+/// wait for the request, and the engine would stay busy.
+const RUNNING_VALUE: f64 = 1.0;
+
+/// What a waiting request is worth against one that may come: it is certain, and late soon.
+const WAITING_VALUE: f64 = 4.0;
+
+/// `Placement` is what one engine should do for a model.
+#[derive(Clone, Debug, PartialEq)]
+pub(crate) struct Placement {
+    /// The index of the engine's ledger.
+    pub engine: usize,
+    /// Models that give way, then the load.
+    pub steps: Vec<OrderKind>,
+}
+
+/// `Placer` is one look at the fleet, from which placements are chosen.
+pub(crate) struct Placer<'a> {
+    spec: &'a EngineSpec,
+    engines: &'a [EngineLedger],
+    by_model: HashMap<ModelName, ModelDemand>,
+    replicas: HashMap<ModelName, u32>,
+}
+
+impl<'a> Placer<'a> {
+    /// Returns a look at the fleet.
+    pub fn new(
+        spec: &'a EngineSpec,
+        engines: &'a [EngineLedger],
+        totals: &HashMap<WantedModel, ModelDemand>,
+    ) -> Self {
+        let mut by_model: HashMap<ModelName, ModelDemand> = HashMap::new();
+        for (wanted, demand) in totals {
+            let sum = by_model.entry(wanted.model.clone()).or_default();
+            if wanted.adapter.is_none() {
+                sum.missing += demand.missing;
+            }
+            sum.crowded += demand.crowded;
+            sum.running += demand.running;
+            sum.per_s += demand.per_s;
+            sum.last_ms = sum.last_ms.max(demand.last_ms);
+        }
+        let mut replicas: HashMap<ModelName, u32> = HashMap::new();
+        for engine in engines.iter().filter(|engine| engine.serving) {
+            for resident in &engine.residence.models {
+                if !engine.will_drop(&resident.model) {
+                    *replicas.entry(resident.model.clone()).or_default() += 1;
+                }
+            }
+            for model in spec.models.keys().filter(|model| engine.will_hold(model)) {
+                *replicas.entry(model.clone()).or_default() += 1;
+            }
+        }
+        Self {
+            spec,
+            engines,
+            by_model,
+            replicas,
+        }
+    }
+
+    /// Returns the demand for a model with its adapters.
+    pub fn demand(&self, model: &ModelName) -> ModelDemand {
+        self.by_model.get(model).copied().unwrap_or_default()
+    }
+
+    /// Returns how many engines hold a model or will.
+    pub fn replicas(&self, model: &ModelName) -> u32 {
+        self.replicas.get(model).copied().unwrap_or_default()
+    }
+
+    /// Returns how many engines should hold a model.
+    pub fn wanted_replicas(&self, model: &ModelName) -> u32 {
+        let demand = self.demand(model);
+        let busy = f64::from(demand.running + demand.crowded);
+        let by_load = (busy / (f64::from(self.spec.slots) * REPLICA_FILL)).ceil() as u32;
+        let spare = u32::from(demand.per_s > SECOND_REPLICA_PER_S);
+        by_load.max(1 + spare).min(self.engines.len() as u32)
+    }
+
+    /// Returns how many loads from the weight store are in progress or planned.
+    pub fn store_loads(&self) -> usize {
+        self.engines
+            .iter()
+            .filter(|engine| engine.loads_from_store())
+            .count()
+    }
+
+    /// Returns whether some engine has a copy of the model's weights.
+    pub fn is_at_hand(&self, model: &ModelName) -> bool {
+        self.engines
+            .iter()
+            .any(|engine| engine.serving && engine.residence.tier(model) != Tier::Store)
+    }
+
+    /// Chooses the engine for a load: the one that is done soonest, and of these the one that gives
+    /// up least for it. `most_value` bounds what may be given up.
+    pub fn place(&self, model: &ModelName, from_store: bool, most_value: f64) -> Option<Placement> {
+        let size_mb = self.spec.models.get(model)?.size_mb;
+        self.engines
+            .iter()
+            .enumerate()
+            .filter(|(_, engine)| engine.is_idle() && engine.residence.model(model).is_none())
+            .filter(|(_, engine)| (engine.residence.tier(model) == Tier::Store) == from_store)
+            .filter_map(|(index, engine)| {
+                let (victims, value) = self.victims(engine, size_mb)?;
+                (value <= most_value).then_some((index, engine, victims, value))
+            })
+            .min_by(|left, right| {
+                let cost = |(_, engine, victims, value): &(usize, &EngineLedger, Vec<_>, f64)| {
+                    value
+                        + 0.05 * victims.len() as f64
+                        + 0.02 * self.adapter_demand(engine)
+                        + if engine.residence.tier(model) == Tier::Memory {
+                            0.0
+                        } else {
+                            0.01
+                        }
+                };
+                cost(left).total_cmp(&cost(right))
+            })
+            .map(|(engine, _, victims, _)| Placement {
+                engine,
+                steps: victims
+                    .into_iter()
+                    .map(OrderKind::UnloadModel)
+                    .chain([OrderKind::LoadModel(model.clone())])
+                    .collect(),
+            })
+    }
+
+    /// Requests a second for models with adapters on an engine. Adapters can't be loaded while the
+    /// engine loads a model, so such engines are kept free of long loads where others can be had.
+    fn adapter_demand(&self, engine: &EngineLedger) -> f64 {
+        engine
+            .residence
+            .models
+            .iter()
+            .filter(|resident| {
+                self.spec
+                    .models
+                    .get(&resident.model)
+                    .is_some_and(|model| model.adapters > 0)
+            })
+            .map(|resident| self.demand(&resident.model).per_s)
+            .sum()
+    }
+
+    /// Returns which models would give way to one of this size, and what they are worth.
+    fn victims(&self, engine: &EngineLedger, size_mb: f64) -> Option<(Vec<ModelName>, f64)> {
+        let mut free_mb = engine.free_mb(self.spec);
+        let mut residents: Vec<(&ModelName, f64, f64)> = engine
+            .residence
+            .models
+            .iter()
+            .filter_map(|resident| {
+                let size_mb = self.spec.models.get(&resident.model)?.size_mb;
+                Some((&resident.model, self.value(&resident.model), size_mb))
+            })
+            .collect();
+        residents.sort_by(|left, right| left.1.total_cmp(&right.1));
+        let mut victims = Vec::new();
+        let mut value = 0.0;
+        for (model, worth, freed_mb) in residents {
+            if free_mb >= size_mb {
+                break;
+            }
+            victims.push(model.clone());
+            value += worth;
+            free_mb += freed_mb;
+        }
+        (free_mb >= size_mb).then_some((victims, value))
+    }
+
+    /// Returns what one replica of a model is worth: the requests a second that would miss it.
+    pub fn value(&self, model: &ModelName) -> f64 {
+        let demand = self.demand(model);
+        let replicas = self.replicas(model).max(1);
+        if replicas > self.wanted_replicas(model) {
+            return 0.01 * demand.per_s / f64::from(replicas);
+        }
+        demand.per_s
+            + RUNNING_VALUE * f64::from(demand.running)
+            + WAITING_VALUE * f64::from(demand.missing + demand.crowded)
+    }
+
+    /// Returns what a load of a model that is missing is worth.
+    pub fn missing_value(&self, model: &ModelName) -> f64 {
+        let demand = self.demand(model);
+        demand.per_s + WAITING_VALUE * f64::from(demand.missing)
+    }
+}
--- /dev/null
+++ b/crates/holder/src/planner.rs
@@ -0,0 +1,558 @@
+//! Decides on orders, and follows them.
+
+use std::collections::HashMap;
+
+use apricotdale_core::names::GroupName;
+use apricotdale_core::names::ModelName;
+use apricotdale_core::names::UpstreamName;
+use apricotdale_fleet::Directory;
+use apricotdale_fleet::EngineSpec;
+use apricotdale_fleet::Tier;
+use apricotdale_fleet::WantedModel;
+use serde::Deserialize;
+use serde::Serialize;
+
+use crate::adapters::adapter_order;
+use crate::demand::DemandBook;
+use crate::demand::ModelDemand;
+use crate::ledger::EngineLedger;
+use crate::ledger::InProgress;
+use crate::ledger::is_load;
+use crate::orders::EngineReport;
+use crate::orders::OrderKind;
+use crate::orders::OrderOutcome;
+use crate::placing::Placer;
+
+/// How long a model is not loaded again after an engine could not load it.
+const HELD_BACK_MS: u64 = 2_000;
+
+/// `PlannerOptions` are the planner's limits and times.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct PlannerOptions {
+    /// Loads from the weight store at once. Beyond four each takes longer in proportion, so that
+    /// more at once only delay the first.
+    pub store_loads: usize,
+    /// How long an unload takes at least before the engine is asked whether it is done.
+    pub unload_check_ms: u64,
+    /// The time between two reports while an order is late.
+    pub report_every_ms: u64,
+    /// How far a report lags behind.
+    pub report_lag_ms: u64,
+    /// How long an adapter takes to be there after its order was accepted.
+    pub adapter_ms: u64,
+}
+
+impl Default for PlannerOptions {
+    fn default() -> Self {
+        Self {
+            store_loads: 4,
+            unload_check_ms: 40,
+            report_every_ms: 150,
+            report_lag_ms: 250,
+            adapter_ms: 12,
+        }
+    }
+}
+
+/// `ResidenceNews` tells the other VMs what an engine holds before the list does.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct ResidenceNews {
+    /// The engine.
+    pub engine: UpstreamName,
+    /// The model.
+    pub model: ModelName,
+    /// The adapter, if the news is of one.
+    pub adapter: Option<ModelName>,
+    /// Whether it can run there now.
+    pub present: bool,
+}
+
+/// `PlannerAction` is what the planner wants done.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub enum PlannerAction {
+    /// Give an order, and tell its outcome.
+    Order {
+        /// The engine.
+        engine: UpstreamName,
+        /// What to do.
+        kind: OrderKind,
+        /// How many orders the engine has taken.
+        orders_before: u64,
+    },
+    /// Read the engine's report, and tell it.
+    Report {
+        /// The engine.
+        engine: UpstreamName,
+    },
+    /// Tell the other VMs.
+    Tell(ResidenceNews),
+}
+
+/// `Planner` is what the holder of the lease runs. A VM that takes the lease starts an empty one,
+/// which reads a report of every engine before it gives the engine an order.
+#[derive(Debug)]
+pub struct Planner {
+    options: PlannerOptions,
+    service: GroupName,
+    spec: EngineSpec,
+    engines: Vec<EngineLedger>,
+    /// Models for which a load failed, with the time until which it is not tried again.
+    held_back: HashMap<ModelName, u64>,
+}
+
+impl Planner {
+    /// Returns a planner for the engines of one service.
+    pub fn new(options: PlannerOptions, service: GroupName, spec: EngineSpec) -> Self {
+        Self {
+            options,
+            service,
+            spec,
+            engines: Vec::new(),
+            held_back: HashMap::new(),
+        }
+    }
+
+    /// Returns the service whose engines it plans for.
+    pub fn service(&self) -> &GroupName {
+        &self.service
+    }
+
+    /// Returns what is known of the engines.
+    pub fn engines(&self) -> &[EngineLedger] {
+        &self.engines
+    }
+
+    /// Takes in the directory and a changed catalogue.
+    pub fn sync(&mut self, directory: &Directory) {
+        let spec = directory
+            .service(&self.service)
+            .and_then(|service| service.engine.as_ref());
+        match spec {
+            Some(spec) if *spec != self.spec => self.spec = spec.clone(),
+            _ => {}
+        }
+        let serving: HashMap<&UpstreamName, _> = directory
+            .serving(&self.service)
+            .map(|engine| (&engine.name, engine))
+            .collect();
+        self.engines
+            .retain(|engine| directory.upstream(&engine.name).is_some());
+        for engine in &mut self.engines {
+            engine.serving = serving.contains_key(&engine.name);
+            if let Some(entry) = serving.get(&engine.name) {
+                engine
+                    .residence
+                    .in_memory
+                    .clone_from(&entry.residence.in_memory);
+                engine
+                    .residence
+                    .on_disk
+                    .extend(entry.residence.on_disk.iter().cloned());
+            }
+        }
+        for (name, entry) in serving {
+            if !self.engines.iter().any(|engine| &engine.name == name) {
+                self.engines
+                    .push(EngineLedger::new(name.clone(), entry.residence.clone()));
+            }
+        }
+    }
+
+    /// Returns what to do now.
+    pub fn plan(&mut self, now_ms: u64, demand: &DemandBook) -> Vec<PlannerAction> {
+        let totals = demand.totals(now_ms);
+        let mut actions = Vec::new();
+        self.finish_orders(now_ms, &mut actions);
+        self.read_reports(now_ms, &mut actions);
+        self.plan_adapters(&totals, &mut actions);
+        self.plan_models(now_ms, &totals);
+        self.give_next(&mut actions);
+        actions
+    }
+
+    /// Returns when to plan again though nothing new was learned.
+    pub fn next_ms(&self) -> Option<u64> {
+        let done = self
+            .engines
+            .iter()
+            .filter_map(|engine| engine.in_progress.as_ref());
+        let reports = self.engines.iter().filter(|engine| !engine.reading);
+        done.map(|order| order.done_ms)
+            .chain(reports.filter_map(|engine| engine.report_due_ms))
+            .min()
+    }
+
+    /// Returns when each model that requests wait for can run; none where its load has no date.
+    pub fn forecasts(&self, now_ms: u64, demand: &DemandBook) -> Vec<(ModelName, Option<u64>)> {
+        let totals = demand.totals(now_ms);
+        let placer = Placer::new(&self.spec, &self.engines, &totals);
+        self.spec
+            .models
+            .keys()
+            .filter(|model| placer.demand(model).missing > 0)
+            .map(|model| (model.clone(), self.ready_ms(now_ms, model)))
+            .collect()
+    }
+
+    /// Returns when a load of a model that is in progress or planned will be done.
+    fn ready_ms(&self, now_ms: u64, model: &ModelName) -> Option<u64> {
+        self.engines
+            .iter()
+            .filter(|engine| engine.will_hold(model))
+            .map(|engine| match &engine.in_progress {
+                Some(order) if is_load(&order.kind) && order.kind.model() == model => order.done_ms,
+                _ => {
+                    let kind = OrderKind::LoadModel(model.clone());
+                    let tier = engine.residence.tier(model);
+                    now_ms + expected_ms(&self.options, &self.spec, &kind, tier)
+                }
+            })
+            .min()
+    }
+
+    /// Takes in the outcome of an order.
+    pub fn order_ended(
+        &mut self,
+        now_ms: u64,
+        name: &UpstreamName,
+        outcome: OrderOutcome,
+    ) -> Vec<PlannerAction> {
+        let options = self.options;
+        let Some(engine) = self.engines.iter_mut().find(|engine| &engine.name == name) else {
+            return Vec::new();
+        };
+        let Some(kind) = engine.awaiting.take() else {
+            return Vec::new();
+        };
+        let mut actions = Vec::new();
+        match outcome {
+            OrderOutcome::Accepted => {
+                engine.orders_taken = engine.orders_taken.map(|taken| taken + 1);
+                engine.orders_at_least = engine.orders_taken.unwrap_or(engine.orders_at_least);
+                let tier = engine.residence.tier(kind.model());
+                let done_ms = now_ms + expected_ms(&options, &self.spec, &kind, tier);
+                engine.in_progress = Some(InProgress {
+                    kind,
+                    tier,
+                    since_ms: now_ms,
+                    done_ms,
+                });
+            }
+            OrderOutcome::AlreadySo => actions.push(note_done(engine, &kind)),
+            OrderOutcome::DoneAtOnce => {
+                engine.orders_taken = engine.orders_taken.map(|taken| taken + 1);
+                engine.orders_at_least = engine.orders_taken.unwrap_or(engine.orders_at_least);
+                actions.push(note_done(engine, &kind));
+            }
+            // An unload before this order may still wait for its last requests; a report tells
+            // when the engine is free, and the order is then given again.
+            OrderOutcome::Conflict => {
+                engine.next.push_front(kind);
+                engine.orders_taken = None;
+                engine.report_due_ms = Some(now_ms + options.report_every_ms);
+            }
+            OrderOutcome::NotSent | OrderOutcome::Unknown => {
+                engine.next.clear();
+                engine.orders_taken = None;
+                engine.report_due_ms = Some(now_ms + options.report_lag_ms);
+            }
+            OrderOutcome::Refused => {
+                engine.next.clear();
+                engine.orders_taken = None;
+                engine.report_due_ms = Some(now_ms + options.report_lag_ms);
+                self.held_back
+                    .insert(kind.model().clone(), now_ms + HELD_BACK_MS);
+            }
+            OrderOutcome::StaleFence | OrderOutcome::OtherEngine => {
+                engine.next.clear();
+                engine.serving = false;
+            }
+        }
+        actions
+    }
+
+    /// Takes in a report, or that none could be had.
+    pub fn report_ended(
+        &mut self,
+        now_ms: u64,
+        name: &UpstreamName,
+        report: Option<EngineReport>,
+    ) -> Vec<PlannerAction> {
+        let options = self.options;
+        let Some(engine) = self.engines.iter_mut().find(|engine| &engine.name == name) else {
+            return Vec::new();
+        };
+        engine.reading = false;
+        let Some(report) = report else {
+            engine.failed_reports += 1;
+            let pause_ms = options.report_every_ms << engine.failed_reports.min(4);
+            engine.report_due_ms = Some(now_ms + pause_ms);
+            return Vec::new();
+        };
+        engine.failed_reports = 0;
+        engine.report_due_ms = None;
+        // A report from before the last order tells nothing of it.
+        let is_stale = report.orders_taken < engine.orders_at_least;
+        if is_stale || report.busy {
+            engine.report_due_ms = Some(now_ms + options.report_every_ms);
+        }
+        if is_stale || engine.awaiting.is_some() {
+            return Vec::new();
+        }
+        engine.orders_taken = (!report.busy).then_some(report.orders_taken);
+        engine.orders_at_least = report.orders_taken;
+        let mut residence = report.residence;
+        residence.on_disk.extend(engine.residence.on_disk.drain());
+        for (model, adapter) in &report.coming {
+            residence.note_adapter(model, adapter);
+        }
+        let mut actions = differences(&engine.name, &engine.residence.models, &residence.models);
+        engine.residence = residence;
+        let done = engine.in_progress.take_if(|_| !report.busy);
+        match done {
+            Some(order)
+                if is_load(&order.kind) && engine.residence.model(order.kind.model()).is_none() =>
+            {
+                engine.next.clear();
+                self.held_back
+                    .insert(order.kind.model().clone(), now_ms + HELD_BACK_MS);
+            }
+            _ => {}
+        }
+        actions.dedup();
+        actions
+    }
+
+    /// Orders whose time is over: an adapter and a load are taken as done, and so told, because a
+    /// request that comes too early is only turned away; a report confirms it later.
+    fn finish_orders(&mut self, now_ms: u64, actions: &mut Vec<PlannerAction>) {
+        for engine in &mut self.engines {
+            let Some(order) = engine.in_progress.take_if(|order| order.done_ms <= now_ms) else {
+                continue;
+            };
+            actions.push(note_done(engine, &order.kind));
+            if order.kind.is_of_model() {
+                engine.report_due_ms = Some(now_ms + self.options.report_lag_ms);
+            }
+        }
+    }
+
+    fn read_reports(&mut self, now_ms: u64, actions: &mut Vec<PlannerAction>) {
+        for engine in &mut self.engines {
+            let due = engine.report_due_ms.is_some_and(|due_ms| due_ms <= now_ms);
+            if due && !engine.reading && engine.awaiting.is_none() {
+                engine.reading = true;
+                engine.report_due_ms = None;
+                actions.push(PlannerAction::Report {
+                    engine: engine.name.clone(),
+                });
+            }
+        }
+    }
+
+    fn plan_adapters(
+        &mut self,
+        totals: &HashMap<WantedModel, ModelDemand>,
+        actions: &mut Vec<PlannerAction>,
+    ) {
+        for (wanted, demand) in totals {
+            let Some(adapter) = &wanted.adapter else {
+                continue;
+            };
+            if demand.running + demand.missing > 0 {
+                for engine in self
+                    .engines
+                    .iter_mut()
+                    .filter(|it| it.residence.serves(wanted))
+                {
+                    engine.note_adapter_use(&wanted.model, adapter);
+                }
+            }
+            if demand.missing == 0 {
+                continue;
+            }
+            let order = adapter_order(&self.spec, &self.engines, totals, &wanted.model, adapter);
+            if let Some((index, kind)) = order {
+                give(&mut self.engines[index], kind, actions);
+            }
+        }
+    }
+
+    fn plan_models(&mut self, now_ms: u64, totals: &HashMap<WantedModel, ModelDemand>) {
+        self.held_back.retain(|_, until_ms| *until_ms > now_ms);
+        // Each placement changes what the next one may use, so the look is taken anew.
+        while let Some((index, steps)) = self.next_placement(totals) {
+            self.engines[index].next.extend(steps);
+        }
+    }
+
+    fn next_placement(
+        &self,
+        totals: &HashMap<WantedModel, ModelDemand>,
+    ) -> Option<(usize, Vec<OrderKind>)> {
+        let placer = Placer::new(&self.spec, &self.engines, totals);
+        let mut wanted: Vec<(&ModelName, f64)> = self
+            .spec
+            .models
+            .keys()
+            .filter(|model| !self.held_back.contains_key(*model))
+            .filter(|model| {
+                let demand = placer.demand(model);
+                demand.missing + demand.crowded > 0 || demand.per_s > 0.0
+            })
+            .filter(|model| placer.replicas(model) < placer.wanted_replicas(model))
+            .map(|model| (model, placer.missing_value(model)))
+            .collect();
+        wanted.sort_by(|left, right| right.1.total_cmp(&left.1).then_with(|| left.0.cmp(right.0)));
+        let store_is_free = placer.store_loads() < self.options.store_loads;
+        wanted
+            .iter()
+            .filter(|(model, value)| {
+                placer.replicas(model) > 0 || *value > 1.0 || placer.is_at_hand(model)
+            })
+            .find_map(|(model, value)| placer.place(model, false, value * 0.8))
+            .or_else(|| {
+                let mut missing = wanted.iter().filter(|(model, _)| !placer.is_at_hand(model));
+                missing
+                    .find_map(|(model, value)| placer.place(model, true, value * 0.8))
+                    .filter(|_| store_is_free)
+            })
+            .or_else(|| self.prefetch(&placer).filter(|_| store_is_free))
+            .map(|placement| (placement.engine, placement.steps))
+    }
+
+    /// Chooses a model that nobody has asked for yet: a first load takes too long to begin it only
+    /// when the first request waits. Only room that nothing else uses is given to it.
+    fn prefetch(&self, placer: &Placer<'_>) -> Option<crate::placing::Placement> {
+        let mut unseen: Vec<&ModelName> = self
+            .spec
+            .models
+            .keys()
+            .filter(|model| placer.replicas(model) == 0 && !placer.is_at_hand(model))
+            .filter(|model| !self.held_back.contains_key(*model))
+            .collect();
+        unseen.sort_by(|left, right| {
+            let size_mb = |model: &ModelName| self.spec.models[model].size_mb;
+            size_mb(left)
+                .total_cmp(&size_mb(right))
+                .then_with(|| left.cmp(right))
+        });
+        unseen
+            .into_iter()
+            .find_map(|model| placer.place(model, true, 0.0))
+    }
+
+    fn give_next(&mut self, actions: &mut Vec<PlannerAction>) {
+        for engine in &mut self.engines {
+            let free = engine.in_progress.is_none() && engine.awaiting.is_none();
+            if !free || !engine.serving || engine.orders_taken.is_none() {
+                continue;
+            }
+            match engine.next.pop_front() {
+                // What is there may have changed since the steps were planned: an order whose
+                // answer was lost may have been carried out late. An engine that is told to load
+                // more than it can hold crashes, so the steps are planned anew.
+                Some(OrderKind::LoadModel(model)) if !engine.fits(&self.spec, &model) => {
+                    engine.next.clear();
+                }
+                Some(kind) => give(engine, kind, actions),
+                None => {}
+            }
+        }
+    }
+}
+
+fn give(engine: &mut EngineLedger, kind: OrderKind, actions: &mut Vec<PlannerAction>) {
+    let Some(orders_before) = engine.orders_taken else {
+        return;
+    };
+    if let OrderKind::UnloadModel(model) = &kind {
+        // Requests that are sent there from now on would be turned away.
+        actions.push(PlannerAction::Tell(ResidenceNews {
+            engine: engine.name.clone(),
+            model: model.clone(),
+            adapter: None,
+            present: false,
+        }));
+    }
+    engine.awaiting = Some(kind.clone());
+    actions.push(PlannerAction::Order {
+        engine: engine.name.clone(),
+        kind,
+        orders_before,
+    });
+}
+
+/// Notes in the ledger that an order is done and returns the news of it.
+fn note_done(engine: &mut EngineLedger, kind: &OrderKind) -> PlannerAction {
+    let (model, adapter, present) = match kind {
+        OrderKind::LoadModel(model) => {
+            engine.residence.note_loaded(model);
+            (model, None, true)
+        }
+        OrderKind::UnloadModel(model) => {
+            engine.residence.note_unloaded(model);
+            (model, None, false)
+        }
+        OrderKind::LoadAdapter { model, adapter } => {
+            engine.residence.note_adapter(model, adapter);
+            engine.note_adapter_use(model, adapter);
+            (model, Some(adapter.clone()), true)
+        }
+        OrderKind::UnloadAdapter { model, adapter } => {
+            engine.residence.note_adapter_gone(model, adapter);
+            (model, Some(adapter.clone()), false)
+        }
+    };
+    PlannerAction::Tell(ResidenceNews {
+        engine: engine.name.clone(),
+        model: model.clone(),
+        adapter,
+        present,
+    })
+}
+
+/// Returns the news by which one residence becomes another.
+fn differences(
+    engine: &UpstreamName,
+    before: &[apricotdale_fleet::ResidentModel],
+    after: &[apricotdale_fleet::ResidentModel],
+) -> Vec<PlannerAction> {
+    let news = |model: &ModelName, present| {
+        PlannerAction::Tell(ResidenceNews {
+            engine: engine.clone(),
+            model: model.clone(),
+            adapter: None,
+            present,
+        })
+    };
+    let has = |list: &[apricotdale_fleet::ResidentModel], model: &ModelName| {
+        list.iter().any(|resident| &resident.model == model)
+    };
+    let gone = before
+        .iter()
+        .filter(|it| !has(after, &it.model))
+        .map(|it| news(&it.model, false));
+    let came = after
+        .iter()
+        .filter(|it| !has(before, &it.model))
+        .map(|it| news(&it.model, true));
+    gone.chain(came).collect()
+}
+
+fn expected_ms(options: &PlannerOptions, spec: &EngineSpec, kind: &OrderKind, tier: Tier) -> u64 {
+    let load_ms = |model: &ModelName| {
+        spec.models
+            .get(model)
+            .map_or(options.report_every_ms, |model| match tier {
+                Tier::Memory => model.memory_load_ms,
+                Tier::Disk => model.disk_load_ms,
+                Tier::Store => model.store_load_ms,
+            })
+    };
+    match kind {
+        OrderKind::LoadModel(model) => load_ms(model) + 10,
+        OrderKind::UnloadModel(_) => options.unload_check_ms,
+        OrderKind::LoadAdapter { .. } | OrderKind::UnloadAdapter { .. } => options.adapter_ms,
+    }
+}
--- /dev/null
+++ b/crates/http1/src/body.rs
@@ -0,0 +1,156 @@
+//! Bodies as they arrive.
+
+use crate::errors::Error;
+use crate::errors::Result;
+use crate::head::BodyLength;
+
+/// The longest line of a chunk's length or of a trailer, in bytes.
+const MAX_LINE_BYTES: usize = 1024;
+
+/// The most trailer lines that are read and dropped.
+const MAX_TRAILERS: u32 = 32;
+
+/// `BodyProgress` is what one call of [`BodyDecoder::decode`] has done.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct BodyProgress {
+    /// Bytes of the input that belong to the body and have been taken.
+    pub consumed: usize,
+    /// Whether the body is whole.
+    pub whole: bool,
+}
+
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+enum State {
+    Bytes(u64),
+    ChunkLength,
+    ChunkBytes(u64),
+    ChunkEnd,
+    Trailers(u32),
+    UntilClose,
+    Whole,
+}
+
+/// `BodyDecoder` finds the bytes of one body.
+#[derive(Clone, Debug)]
+pub struct BodyDecoder {
+    state: State,
+}
+
+impl BodyDecoder {
+    /// Returns a decoder for a body of the given length.
+    pub fn new(length: BodyLength) -> Self {
+        let state = match length {
+            BodyLength::Bytes(0) => State::Whole,
+            BodyLength::Bytes(bytes) => State::Bytes(bytes),
+            BodyLength::Chunked => State::ChunkLength,
+            BodyLength::UntilClose => State::UntilClose,
+        };
+        Self { state }
+    }
+
+    /// Returns whether the body is whole.
+    pub fn is_whole(&self) -> bool {
+        self.state == State::Whole
+    }
+
+    /// Returns whether the body is whole when the connection ends now in an orderly way.
+    pub fn is_whole_at_close(&self) -> bool {
+        matches!(self.state, State::Whole | State::UntilClose)
+    }
+
+    /// Takes bytes from the input and appends the body's to `output`.
+    ///
+    /// # Errors
+    ///
+    /// [`Error::MalformedChunk`] where the chunks' framing is broken.
+    pub fn decode(&mut self, input: &[u8], output: &mut Vec<u8>) -> Result<BodyProgress> {
+        let mut consumed = 0;
+        while let Some(step) = self.step(&input[consumed..], output)? {
+            consumed += step;
+            if self.is_whole() {
+                break;
+            }
+        }
+        Ok(BodyProgress {
+            consumed,
+            whole: self.is_whole(),
+        })
+    }
+
+    /// Takes one step and returns how many bytes it took, or none where more bytes are needed.
+    fn step(&mut self, input: &[u8], output: &mut Vec<u8>) -> Result<Option<usize>> {
+        if input.is_empty() && self.state != State::Whole {
+            return Ok(None);
+        }
+        match self.state {
+            State::Whole => Ok(None),
+            State::UntilClose => {
+                output.extend_from_slice(input);
+                Ok(Some(input.len()))
+            }
+            State::Bytes(left) => {
+                let taken = take(left, input, output);
+                self.state = match left - taken as u64 {
+                    0 => State::Whole,
+                    left => State::Bytes(left),
+                };
+                Ok(Some(taken))
+            }
+            State::ChunkBytes(left) => {
+                let taken = take(left, input, output);
+                self.state = match left - taken as u64 {
+                    0 => State::ChunkEnd,
+                    left => State::ChunkBytes(left),
+                };
+                Ok(Some(taken))
+            }
+            State::ChunkLength => self.chunk_length(input),
+            State::ChunkEnd => match input {
+                [b'\r', b'\n', ..] => {
+                    self.state = State::ChunkLength;
+                    Ok(Some(2))
+                }
+                [b'\r'] => Ok(None),
+                _ => Err(Error::MalformedChunk),
+            },
+            State::Trailers(count) => self.trailer(input, count),
+        }
+    }
+
+    fn chunk_length(&mut self, input: &[u8]) -> Result<Option<usize>> {
+        match httparse::parse_chunk_size(input) {
+            Ok(httparse::Status::Complete((length, bytes))) => {
+                self.state = match bytes {
+                    0 => State::Trailers(0),
+                    bytes => State::ChunkBytes(bytes),
+                };
+                Ok(Some(length))
+            }
+            Ok(httparse::Status::Partial) if input.len() <= MAX_LINE_BYTES => Ok(None),
+            _ => Err(Error::MalformedChunk),
+        }
+    }
+
+    /// Drops one trailer line; an empty line ends the body.
+    fn trailer(&mut self, input: &[u8], count: u32) -> Result<Option<usize>> {
+        let end = input.windows(2).position(|pair| pair == b"\r\n");
+        match end {
+            Some(0) => {
+                self.state = State::Whole;
+                Ok(Some(2))
+            }
+            Some(end) if end <= MAX_LINE_BYTES && count < MAX_TRAILERS => {
+                self.state = State::Trailers(count + 1);
+                Ok(Some(end + 2))
+            }
+            None if input.len() <= MAX_LINE_BYTES => Ok(None),
+            _ => Err(Error::MalformedChunk),
+        }
+    }
+}
+
+fn take(left: u64, input: &[u8], output: &mut Vec<u8>) -> usize {
+    let taken = usize::try_from(left).unwrap_or(usize::MAX).min(input.len());
+    output.extend_from_slice(&input[..taken]);
+    taken
+}
--- /dev/null
+++ b/crates/http1/src/head.rs
@@ -0,0 +1,175 @@
+//! Heads of requests and responses.
+
+use crate::errors::Error;
+use crate::errors::Result;
+use crate::headers::Headers;
+
+/// The most fields of one head; a head with more is refused as too large.
+const MAX_FIELDS: usize = 100;
+
+/// `BodyLength` is how the end of a body is found.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum BodyLength {
+    /// So many bytes; none for a message without a body.
+    Bytes(u64),
+    /// Chunks up to one of length zero.
+    Chunked,
+    /// The body ends with the connection.
+    UntilClose,
+}
+
+/// `RequestHead` is the head of a request.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct RequestHead {
+    /// The method.
+    pub method: String,
+    /// The target as it was sent.
+    pub target: String,
+    /// The fields.
+    pub headers: Headers,
+    /// How the body ends.
+    pub body: BodyLength,
+    /// Whether the connection ends after the answer.
+    pub close: bool,
+    /// Whether the sender waits for `100 Continue` before it sends the body.
+    pub expects_continue: bool,
+}
+
+/// `ResponseHead` is the head of a response.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct ResponseHead {
+    /// The status.
+    pub status: u16,
+    /// The fields.
+    pub headers: Headers,
+    /// How the body ends.
+    pub body: BodyLength,
+    /// Whether the connection ends after the answer.
+    pub close: bool,
+}
+
+/// Parses a request's head from the beginning of `input`. Returns the head and its length in
+/// bytes, or none where more bytes are needed.
+///
+/// # Errors
+///
+/// [`Error::MalformedHead`], [`Error::HeadTooLarge`] above `limit_bytes`, and
+/// [`Error::AmbiguousLength`].
+pub fn parse_request_head(
+    input: &[u8],
+    limit_bytes: usize,
+) -> Result<Option<(RequestHead, usize)>> {
+    let mut fields = [httparse::EMPTY_HEADER; MAX_FIELDS];
+    let mut request = httparse::Request::new(&mut fields);
+    let Some(length) = head_length(request.parse(input), input, limit_bytes)? else {
+        return Ok(None);
+    };
+    let headers = copy_fields(request.headers);
+    let version = request.version.unwrap_or(1);
+    let body = match framing(&headers)? {
+        Some(BodyLength::Chunked) if version == 0 => return Err(Error::AmbiguousLength),
+        Some(body) => body,
+        None => BodyLength::Bytes(0),
+    };
+    let head = RequestHead {
+        method: request.method.unwrap_or_default().to_owned(),
+        target: request.path.unwrap_or_default().to_owned(),
+        close: closes(&headers, version),
+        expects_continue: headers.has_token("expect", "100-continue"),
+        headers,
+        body,
+    };
+    Ok(Some((head, length)))
+}
+
+/// Parses a response's head from the beginning of `input`, as [`parse_request_head`] does. A
+/// response to `HEAD` has no body, whatever its fields say.
+///
+/// # Errors
+///
+/// As for [`parse_request_head`].
+pub fn parse_response_head(
+    input: &[u8],
+    limit_bytes: usize,
+    to_head: bool,
+) -> Result<Option<(ResponseHead, usize)>> {
+    let mut fields = [httparse::EMPTY_HEADER; MAX_FIELDS];
+    let mut response = httparse::Response::new(&mut fields);
+    let Some(length) = head_length(response.parse(input), input, limit_bytes)? else {
+        return Ok(None);
+    };
+    let headers = copy_fields(response.headers);
+    let status = response.code.unwrap_or_default();
+    let version = response.version.unwrap_or(1);
+    let framing = framing(&headers)?;
+    let body = match framing {
+        _ if to_head || status == 204 || status == 304 || status < 200 => BodyLength::Bytes(0),
+        Some(body) => body,
+        None => BodyLength::UntilClose,
+    };
+    let close = closes(&headers, version) || body == BodyLength::UntilClose;
+    Ok(Some((
+        ResponseHead {
+            status,
+            headers,
+            body,
+            close,
+        },
+        length,
+    )))
+}
+
+fn head_length(
+    parsed: httparse::Result<usize>,
+    input: &[u8],
+    limit_bytes: usize,
+) -> Result<Option<usize>> {
+    match parsed {
+        Ok(httparse::Status::Complete(length)) if length > limit_bytes => Err(Error::HeadTooLarge),
+        Ok(httparse::Status::Complete(length)) => Ok(Some(length)),
+        Ok(httparse::Status::Partial) if input.len() > limit_bytes => Err(Error::HeadTooLarge),
+        Ok(httparse::Status::Partial) => Ok(None),
+        Err(httparse::Error::TooManyHeaders) => Err(Error::HeadTooLarge),
+        Err(_) => Err(Error::MalformedHead),
+    }
+}
+
+fn copy_fields(fields: &[httparse::Header<'_>]) -> Headers {
+    let mut headers = Headers::default();
+    for field in fields {
+        headers.push(field.name, field.value);
+    }
+    headers
+}
+
+fn closes(headers: &Headers, version: u8) -> bool {
+    headers.has_token("connection", "close")
+        || (version == 0 && !headers.has_token("connection", "keep-alive"))
+}
+
+/// Finds how the body ends. Two lengths, or a length beside chunks, would let two programs see two
+/// different bodies: what one takes for the body's rest, the other takes for a second request. A
+/// message that allows this is refused.
+fn framing(headers: &Headers) -> Result<Option<BodyLength>> {
+    let mut codings = headers.all("transfer-encoding");
+    let lengths: Vec<&[u8]> = headers.all("content-length").collect();
+    match (codings.next(), codings.next(), lengths.as_slice()) {
+        (None, _, []) => Ok(None),
+        (None, _, [length]) => parse_length(length).map(|length| Some(BodyLength::Bytes(length))),
+        (Some(coding), None, []) if coding.trim_ascii().eq_ignore_ascii_case(b"chunked") => {
+            Ok(Some(BodyLength::Chunked))
+        }
+        _ => Err(Error::AmbiguousLength),
+    }
+}
+
+fn parse_length(value: &[u8]) -> Result<u64> {
+    let digits = value.trim_ascii();
+    if digits.is_empty() || !digits.iter().all(u8::is_ascii_digit) {
+        return Err(Error::AmbiguousLength);
+    }
+    std::str::from_utf8(digits)
+        .ok()
+        .and_then(|digits| digits.parse().ok())
+        .ok_or(Error::AmbiguousLength)
+}
