Planned stop: callers' idle connections are closed after 1.2 s

Ruled out: the final 300 ms (the requests came 5 to 7 s after SIGTERM). Change: idle connections are closed from 1.2 s on, the listener at 2.6 s.

--- a/crates/entry/src/caller.rs
+++ b/crates/entry/src/caller.rs
@@ -183,6 +183,11 @@
         }
     }
 
+    /// Returns whether the connection waits for a request of which nothing has come.
+    pub fn is_idle(&self) -> bool {
+        matches!(self.phase, Phase::Head) && self.input.is_empty()
+    }
+
     /// Ends the answer in progress. Returns whether another request may follow.
     pub fn answered(&mut self, now_ms: u64) -> bool {
         self.since_ms = now_ms;
--- a/crates/entry/src/daemon.rs
+++ b/crates/entry/src/daemon.rs
@@ -315,12 +315,18 @@
         let over: Vec<Token> = self
             .callers
             .iter()
-            .filter(|(_, caller)| caller.is_over(self.now_ms, &limits))
+            .filter(|(_, caller)| {
+                let stops = caller.is_idle() && self.stopping.closes_idle(self.now_ms);
+                stops || caller.is_over(self.now_ms, &limits)
+            })
             .map(|(token, _)| *token)
             .collect();
         for token in over {
             self.drop_caller(token, false);
         }
+        if self.stopping.takes_nobody(self.now_ms) {
+            self.listeners.remove(&CALLERS);
+        }
         for name in self.directory.expire(self.now_ms) {
             self.upstream_left(&name, "lapsed");
         }
--- a/crates/entry/src/stopping.rs
+++ b/crates/entry/src/stopping.rs
@@ -12,8 +12,13 @@
 /// new ones after two refusals.
 const STILL_SERVING_MS: u64 = 2_600;
 
+/// How long callers may go on with connections that they keep. After that an idle one is closed,
+/// so that its next request goes to another VM: a caller that reuses its connection every second
+/// would otherwise still send requests when the process has to end.
+const KEPT_CONNECTIONS_MS: u64 = 1_200;
+
 /// How much of the time for a stop is kept in hand, so that the process ends by itself.
-const STOP_MARGIN_MS: u64 = 700;
+const STOP_MARGIN_MS: u64 = 300;
 
 /// Starts the log on the standard output.
 ///
@@ -40,10 +45,26 @@
         self.since_ms.is_some()
     }
 
+    /// Returns whether idle connections of callers are closed now.
+    pub fn closes_idle(self, now_ms: u64) -> bool {
+        self.age_ms(now_ms)
+            .is_some_and(|age_ms| age_ms >= KEPT_CONNECTIONS_MS)
+    }
+
+    /// Returns whether no new connections are taken any more.
+    pub fn takes_nobody(self, now_ms: u64) -> bool {
+        self.age_ms(now_ms)
+            .is_some_and(|age_ms| age_ms >= STILL_SERVING_MS)
+    }
+
+    fn age_ms(self, now_ms: u64) -> Option<u64> {
+        self.since_ms
+            .map(|since_ms| now_ms.saturating_sub(since_ms))
+    }
+
     /// Returns whether the process may end now.
     pub fn is_done(self, now_ms: u64, requests: usize) -> bool {
-        self.since_ms.is_some_and(|since_ms| {
-            let age_ms = now_ms.saturating_sub(since_ms);
+        self.age_ms(now_ms).is_some_and(|age_ms| {
             let is_empty = requests == 0 && age_ms >= STILL_SERVING_MS;
             is_empty || age_ms >= self.stop_ms.saturating_sub(STOP_MARGIN_MS)
         })
