Orders: a report counts only when asked for long enough after the last order

Asked for right after adapter orders, it showed the adapters from before them with the newest count, and the ledger then let one adapter too many be ordered; the engine crashed. Change: the residence of a report is taken only if the report was asked for 250 ms after the last order; a conflict is retried after 60 ms without one.

--- a/crates/holder/src/adapters.rs
+++ b/crates/holder/src/adapters.rs
@@ -42,7 +42,7 @@
     let (index, engine) = engines
         .iter()
         .enumerate()
-        .filter(|(_, engine)| engine.takes_adapters())
+        .filter(|(_, engine)| engine.takes_orders())
         .filter(|(_, engine)| engine.residence.model(model).is_some() && !engine.will_drop(model))
         .min_by_key(|(_, engine)| (engine.residence.adapters(), engine.residence.models.len()))?;
     let adapter_mb = spec.models.get(model)?.adapter_mb;
--- /dev/null
+++ b/crates/holder/src/following.rs
@@ -0,0 +1,173 @@
+//! What orders and reports change in the ledger of an engine.
+
+use apricotdale_core::names::ModelName;
+use apricotdale_fleet::Tier;
+
+use crate::ledger::EngineLedger;
+use crate::ledger::InProgress;
+use crate::ledger::is_load;
+use crate::orders::EngineReport;
+use crate::orders::OrderKind;
+use crate::orders::OrderOutcome;
+use crate::planner::PlannerAction;
+use crate::planner::PlannerOptions;
+use crate::planner::ResidenceNews;
+
+impl EngineLedger {
+    /// Takes in the outcome of an order. Returns what to tell the other VMs.
+    pub(crate) fn note_outcome(
+        &mut self,
+        now_ms: u64,
+        options: &PlannerOptions,
+        kind: OrderKind,
+        outcome: OrderOutcome,
+        expected_ms: impl Fn(&OrderKind, Tier) -> u64,
+    ) -> Option<PlannerAction> {
+        if outcome != OrderOutcome::Conflict {
+            self.conflicts = 0;
+        }
+        match outcome {
+            OrderOutcome::Accepted => {
+                self.count_order(now_ms);
+                let tier = self.residence.tier(kind.model());
+                let done_ms = now_ms + expected_ms(&kind, tier);
+                self.in_progress = Some(InProgress {
+                    kind,
+                    tier,
+                    since_ms: now_ms,
+                    done_ms,
+                });
+                None
+            }
+            OrderOutcome::DoneAtOnce => {
+                self.count_order(now_ms);
+                Some(self.note_done(&kind))
+            }
+            OrderOutcome::AlreadySo => Some(self.note_done(&kind)),
+            OrderOutcome::Conflict => {
+                self.note_conflict(now_ms, options, kind);
+                None
+            }
+            OrderOutcome::NotSent | OrderOutcome::Unknown | OrderOutcome::Refused => {
+                self.next.clear();
+                self.last_order_ms = now_ms;
+                self.ask_again(now_ms + options.report_lag_ms);
+                None
+            }
+            OrderOutcome::StaleFence | OrderOutcome::OtherEngine => {
+                self.next.clear();
+                self.outranked = true;
+                None
+            }
+        }
+    }
+
+    fn count_order(&mut self, now_ms: u64) {
+        self.orders_taken = self.orders_taken.map(|taken| taken + 1);
+        self.last_order_ms = now_ms;
+    }
+
+    /// An order met another one in progress, or the engine has taken another number of orders. The
+    /// first passes, so the order is given again soon; the second is found by a report.
+    fn note_conflict(&mut self, now_ms: u64, options: &PlannerOptions, kind: OrderKind) {
+        self.conflicts += 1;
+        self.hold_until_ms = now_ms + options.conflict_pause_ms;
+        self.on_hold = true;
+        if self.conflicts >= options.max_conflicts {
+            self.conflicts = 0;
+            self.next.clear();
+            self.ask_again(now_ms);
+        } else if kind.is_of_model() {
+            self.next.push_front(kind);
+        }
+    }
+
+    /// Gives no more orders until a report has told what the engine holds.
+    fn ask_again(&mut self, at_ms: u64) {
+        self.orders_taken = None;
+        self.report_due_ms = Some(at_ms);
+    }
+
+    /// Takes in a report, or that none could be had. Returns a model whose load failed.
+    ///
+    /// A report lags. One that was asked for too soon after an order may show the adapters from
+    /// before that order; taken for the truth, it would let the next orders overcommit the engine,
+    /// which then crashes.
+    pub(crate) fn note_report(
+        &mut self,
+        now_ms: u64,
+        options: &PlannerOptions,
+        report: Option<EngineReport>,
+    ) -> Option<ModelName> {
+        let asked_ms = self.reading_since_ms.take().unwrap_or(now_ms);
+        let Some(report) = report else {
+            self.failed_reports += 1;
+            let pause_ms = options.report_every_ms << self.failed_reports.min(4);
+            self.report_due_ms = Some(now_ms + pause_ms);
+            return None;
+        };
+        self.failed_reports = 0;
+        self.report_due_ms = None;
+        let good_from_ms = self.last_order_ms + options.report_lag_ms;
+        let must_know = self.orders_taken.is_none();
+        if self.awaiting.is_some() || asked_ms < good_from_ms {
+            self.report_due_ms = must_know.then_some(good_from_ms.max(now_ms));
+            return None;
+        }
+        if report.busy {
+            self.orders_taken = None;
+            self.report_due_ms = Some(now_ms + options.report_every_ms);
+            return None;
+        }
+        self.orders_taken = Some(report.orders_taken);
+        self.take_residence(&report);
+        let failed = self
+            .in_progress
+            .take()
+            .map(|order| order.kind)
+            .filter(|kind| is_load(kind) && self.residence.model(kind.model()).is_none())
+            .map(|kind| kind.model().clone());
+        if failed.is_some() {
+            self.next.clear();
+        }
+        failed
+    }
+
+    fn take_residence(&mut self, report: &EngineReport) {
+        let mut residence = report.residence.clone();
+        residence.on_disk.extend(self.residence.on_disk.drain());
+        for (model, adapter) in &report.coming {
+            residence.note_adapter(model, adapter);
+        }
+        self.residence = residence;
+    }
+
+    /// Notes that an order is done and returns the news of it.
+    pub(crate) fn note_done(&mut self, kind: &OrderKind) -> PlannerAction {
+        let (model, adapter, present) = match kind {
+            OrderKind::LoadModel(model) => {
+                self.residence.note_loaded(model);
+                (model, None, true)
+            }
+            OrderKind::UnloadModel(model) => {
+                self.residence.note_unloaded(model);
+                (model, None, false)
+            }
+            OrderKind::LoadAdapter { model, adapter } => {
+                self.residence.note_adapter(model, adapter);
+                self.note_adapter_use(model, adapter);
+                (model, Some(adapter.clone()), true)
+            }
+            OrderKind::UnloadAdapter { model, adapter } => {
+                self.residence.note_adapter_gone(model, adapter);
+                (model, Some(adapter.clone()), false)
+            }
+        };
+        PlannerAction::Tell(ResidenceNews {
+            engine: self.name.clone(),
+            model: model.clone(),
+            adapter,
+            present,
+        })
+    }
+}
--- a/crates/holder/src/ledger.rs
+++ b/crates/holder/src/ledger.rs
@@ -33,8 +33,6 @@
     pub residence: Residence,
     /// How many orders it has taken; none until a report told.
     pub(crate) orders_taken: Option<u64>,
-    /// How many orders it had taken at least. A report with fewer is from before the last order.
-    pub(crate) orders_at_least: u64,
     /// The order that it carries out.
     pub(crate) in_progress: Option<InProgress>,
     /// Orders that follow, in order.
@@ -43,8 +41,18 @@
     pub(crate) awaiting: Option<OrderKind>,
     /// When its report is to be read next.
     pub(crate) report_due_ms: Option<u64>,
-    /// Whether a report is awaited.
-    pub(crate) reading: bool,
+    /// When the report that is awaited was asked for.
+    pub(crate) reading_since_ms: Option<u64>,
+    /// When it was last told something that it may have carried out.
+    pub(crate) last_order_ms: u64,
+    /// Conflicts in a row.
+    pub(crate) conflicts: u32,
+    /// Until when it is told nothing after a conflict.
+    pub(crate) hold_until_ms: u64,
+    /// Whether it is told nothing now for that reason.
+    pub(crate) on_hold: bool,
+    /// Whether it has seen a higher fencing token: another VM gives orders.
+    pub(crate) outranked: bool,
     /// Consecutive reports that failed.
     pub(crate) failed_reports: u32,
     /// Whether it takes new work.
@@ -60,12 +68,16 @@
             name,
             residence,
             orders_taken: None,
-            orders_at_least: 0,
             in_progress: None,
             next: VecDeque::new(),
             awaiting: None,
             report_due_ms: Some(0),
-            reading: false,
+            reading_since_ms: None,
+            last_order_ms: 0,
+            conflicts: 0,
+            hold_until_ms: 0,
+            on_hold: false,
+            outranked: false,
             failed_reports: 0,
             serving: true,
             adapter_uses: Vec::new(),
@@ -74,16 +86,14 @@
 
     /// Returns whether the engine can be told something new about its models.
     pub(crate) fn is_idle(&self) -> bool {
-        self.serving
-            && self.orders_taken.is_some()
-            && self.in_progress.is_none()
-            && self.awaiting.is_none()
-            && self.next.is_empty()
+        self.takes_orders() && self.next.is_empty()
     }
 
-    /// Returns whether an adapter order can be given now.
-    pub(crate) fn takes_adapters(&self) -> bool {
+    /// Returns whether an order can be given now.
+    pub(crate) fn takes_orders(&self) -> bool {
         self.serving
+            && !self.outranked
+            && !self.on_hold
             && self.orders_taken.is_some()
             && self.in_progress.is_none()
             && self.awaiting.is_none()
--- a/crates/holder/src/lib.rs
+++ b/crates/holder/src/lib.rs
@@ -10,6 +10,7 @@
 
 mod adapters;
 mod demand;
+mod following;
 mod lease;
 mod ledger;
 mod orders;
--- a/crates/holder/src/planner.rs
+++ b/crates/holder/src/planner.rs
@@ -16,7 +16,6 @@
 use crate::demand::DemandBook;
 use crate::demand::ModelDemand;
 use crate::ledger::EngineLedger;
-use crate::ledger::InProgress;
 use crate::ledger::is_load;
 use crate::orders::EngineReport;
 use crate::orders::OrderKind;
@@ -34,6 +33,12 @@
     pub store_loads: usize,
     /// How long an unload takes at least before the engine is asked whether it is done.
     pub unload_check_ms: u64,
+    /// The pause after an order that met another one in progress. An unload takes until the last
+    /// request on its model has ended.
+    pub conflict_pause_ms: u64,
+    /// Conflicts in a row after which the engine's report is read: another holder's order, or one
+    /// that was carried out late, has changed the number of orders that it has taken.
+    pub max_conflicts: u32,
     /// The time between two reports while an order is late.
     pub report_every_ms: u64,
     /// How far a report lags behind.
@@ -47,6 +52,8 @@
         Self {
             store_loads: 4,
             unload_check_ms: 40,
+            conflict_pause_ms: 60,
+            max_conflicts: 12,
             report_every_ms: 150,
             report_lag_ms: 250,
             adapter_ms: 12,
@@ -162,6 +169,9 @@
     pub fn plan(&mut self, now_ms: u64, demand: &DemandBook) -> Vec<PlannerAction> {
         let totals = demand.totals(now_ms);
         let mut actions = Vec::new();
+        for engine in &mut self.engines {
+            engine.on_hold = engine.hold_until_ms > now_ms;
+        }
         self.finish_orders(now_ms, &mut actions);
         self.read_reports(now_ms, &mut actions);
         self.plan_adapters(&totals, &mut actions);
@@ -176,9 +186,14 @@
             .engines
             .iter()
             .filter_map(|engine| engine.in_progress.as_ref());
-        let reports = self.engines.iter().filter(|engine| !engine.reading);
+        let reports = self
+            .engines
+            .iter()
+            .filter(|engine| engine.reading_since_ms.is_none());
+        let holds = self.engines.iter().filter(|engine| engine.on_hold);
         done.map(|order| order.done_ms)
             .chain(reports.filter_map(|engine| engine.report_due_ms))
+            .chain(holds.map(|engine| engine.hold_until_ms))
             .min()
     }
 
@@ -218,57 +233,23 @@
         outcome: OrderOutcome,
     ) -> Vec<PlannerAction> {
         let options = self.options;
+        let spec = &self.spec;
         let Some(engine) = self.engines.iter_mut().find(|engine| &engine.name == name) else {
             return Vec::new();
         };
         let Some(kind) = engine.awaiting.take() else {
             return Vec::new();
         };
-        let mut actions = Vec::new();
-        match outcome {
-            OrderOutcome::Accepted => {
-                engine.orders_taken = engine.orders_taken.map(|taken| taken + 1);
-                engine.orders_at_least = engine.orders_taken.unwrap_or(engine.orders_at_least);
-                let tier = engine.residence.tier(kind.model());
-                let done_ms = now_ms + expected_ms(&options, &self.spec, &kind, tier);
-                engine.in_progress = Some(InProgress {
-                    kind,
-                    tier,
-                    since_ms: now_ms,
-                    done_ms,
-                });
-            }
-            OrderOutcome::AlreadySo => actions.push(note_done(engine, &kind)),
-            OrderOutcome::DoneAtOnce => {
-                engine.orders_taken = engine.orders_taken.map(|taken| taken + 1);
-                engine.orders_at_least = engine.orders_taken.unwrap_or(engine.orders_at_least);
-                actions.push(note_done(engine, &kind));
-            }
-            // An unload before this order may still wait for its last requests; a report tells
-            // when the engine is free, and the order is then given again.
-            OrderOutcome::Conflict => {
-                engine.next.push_front(kind);
-                engine.orders_taken = None;
-                engine.report_due_ms = Some(now_ms + options.report_every_ms);
-            }
-            OrderOutcome::NotSent | OrderOutcome::Unknown => {
-                engine.next.clear();
-                engine.orders_taken = None;
-                engine.report_due_ms = Some(now_ms + options.report_lag_ms);
-            }
-            OrderOutcome::Refused => {
-                engine.next.clear();
-                engine.orders_taken = None;
-                engine.report_due_ms = Some(now_ms + options.report_lag_ms);
-                self.held_back
-                    .insert(kind.model().clone(), now_ms + HELD_BACK_MS);
-            }
-            OrderOutcome::StaleFence | OrderOutcome::OtherEngine => {
-                engine.next.clear();
-                engine.serving = false;
-            }
+        if outcome == OrderOutcome::Refused {
+            self.held_back
+                .insert(kind.model().clone(), now_ms + HELD_BACK_MS);
         }
-        actions
+        engine
+            .note_outcome(now_ms, &options, kind, outcome, |kind, tier| {
+                expected_ms(&options, spec, kind, tier)
+            })
+            .into_iter()
+            .collect()
     }
 
     /// Takes in a report, or that none could be had.
@@ -282,45 +263,11 @@
         let Some(engine) = self.engines.iter_mut().find(|engine| &engine.name == name) else {
             return Vec::new();
         };
-        engine.reading = false;
-        let Some(report) = report else {
-            engine.failed_reports += 1;
-            let pause_ms = options.report_every_ms << engine.failed_reports.min(4);
-            engine.report_due_ms = Some(now_ms + pause_ms);
-            return Vec::new();
-        };
-        engine.failed_reports = 0;
-        engine.report_due_ms = None;
-        // A report from before the last order tells nothing of it.
-        let is_stale = report.orders_taken < engine.orders_at_least;
-        if is_stale || report.busy {
-            engine.report_due_ms = Some(now_ms + options.report_every_ms);
-        }
-        if is_stale || engine.awaiting.is_some() {
-            return Vec::new();
-        }
-        engine.orders_taken = (!report.busy).then_some(report.orders_taken);
-        engine.orders_at_least = report.orders_taken;
-        let mut residence = report.residence;
-        residence.on_disk.extend(engine.residence.on_disk.drain());
-        for (model, adapter) in &report.coming {
-            residence.note_adapter(model, adapter);
+        let before = engine.residence.models.clone();
+        if let Some(failed) = engine.note_report(now_ms, &options, report) {
+            self.held_back.insert(failed, now_ms + HELD_BACK_MS);
         }
-        let mut actions = differences(&engine.name, &engine.residence.models, &residence.models);
-        engine.residence = residence;
-        let done = engine.in_progress.take_if(|_| !report.busy);
-        match done {
-            Some(order)
-                if is_load(&order.kind) && engine.residence.model(order.kind.model()).is_none() =>
-            {
-                engine.next.clear();
-                self.held_back
-                    .insert(order.kind.model().clone(), now_ms + HELD_BACK_MS);
-            }
-            _ => {}
-        }
-        actions.dedup();
-        actions
+        differences(&engine.name, &before, &engine.residence.models)
     }
 
     /// Orders whose time is over: an adapter and a load are taken as done, and so told, because a
@@ -330,7 +277,7 @@
             let Some(order) = engine.in_progress.take_if(|order| order.done_ms <= now_ms) else {
                 continue;
             };
-            actions.push(note_done(engine, &order.kind));
+            actions.push(engine.note_done(&order.kind));
             if order.kind.is_of_model() {
                 engine.report_due_ms = Some(now_ms + self.options.report_lag_ms);
             }
@@ -340,8 +287,8 @@
     fn read_reports(&mut self, now_ms: u64, actions: &mut Vec<PlannerAction>) {
         for engine in &mut self.engines {
             let due = engine.report_due_ms.is_some_and(|due_ms| due_ms <= now_ms);
-            if due && !engine.reading && engine.awaiting.is_none() {
-                engine.reading = true;
+            if due && engine.reading_since_ms.is_none() && engine.awaiting.is_none() {
+                engine.reading_since_ms = Some(now_ms);
                 engine.report_due_ms = None;
                 actions.push(PlannerAction::Report {
                     engine: engine.name.clone(),
@@ -444,8 +391,7 @@
 
     fn give_next(&mut self, actions: &mut Vec<PlannerAction>) {
         for engine in &mut self.engines {
-            let free = engine.in_progress.is_none() && engine.awaiting.is_none();
-            if !free || !engine.serving || engine.orders_taken.is_none() {
+            if !engine.takes_orders() {
                 continue;
             }
             match engine.next.pop_front() {
@@ -483,35 +429,6 @@
     });
 }
 
-/// Notes in the ledger that an order is done and returns the news of it.
-fn note_done(engine: &mut EngineLedger, kind: &OrderKind) -> PlannerAction {
-    let (model, adapter, present) = match kind {
-        OrderKind::LoadModel(model) => {
-            engine.residence.note_loaded(model);
-            (model, None, true)
-        }
-        OrderKind::UnloadModel(model) => {
-            engine.residence.note_unloaded(model);
-            (model, None, false)
-        }
-        OrderKind::LoadAdapter { model, adapter } => {
-            engine.residence.note_adapter(model, adapter);
-            engine.note_adapter_use(model, adapter);
-            (model, Some(adapter.clone()), true)
-        }
-        OrderKind::UnloadAdapter { model, adapter } => {
-            engine.residence.note_adapter_gone(model, adapter);
-            (model, Some(adapter.clone()), false)
-        }
-    };
-    PlannerAction::Tell(ResidenceNews {
-        engine: engine.name.clone(),
-        model: model.clone(),
-        adapter,
-        present,
-    })
-}
-
 /// Returns the news by which one residence becomes another.
 fn differences(
     engine: &UpstreamName,
