Planned stop: requests that still wait are handed back before the process ends

Change: 1.5 s before the process must end, requests that have run nowhere are refused with a time to come back.

--- a/crates/entry/src/active.rs
+++ b/crates/entry/src/active.rs
@@ -129,6 +129,16 @@
         waiting.into_iter().map(|(_, _, key)| key).collect()
     }
 
+    /// Returns the requests that have not run anywhere and are not under way.
+    pub fn unsent(&self) -> Vec<u64> {
+        self.requests
+            .iter()
+            .filter(|(_, request)| !matches!(request.phase, Phase::Sent { .. }))
+            .filter(|(_, request)| request.job.runs == 0 && !request.begun)
+            .map(|(key, _)| *key)
+            .collect()
+    }
+
     /// Returns every request.
     pub fn iter(&self) -> impl Iterator<Item = (&u64, &Active)> {
         self.requests.iter()
--- a/crates/entry/src/daemon.rs
+++ b/crates/entry/src/daemon.rs
@@ -200,6 +200,7 @@
     /// Does what is due, whether or not something was received.
     fn work(&mut self) {
         self.due_requests();
+        self.hand_back_waiting();
         for token in std::mem::take(&mut self.answered) {
             self.serve_caller(token);
         }
--- a/crates/entry/src/stopping.rs
+++ b/crates/entry/src/stopping.rs
@@ -2,6 +2,8 @@
 
 use std::path::PathBuf;
 
+use apricotdale_core::refusal::Refusal;
+use apricotdale_core::refusal::RefusalReason;
 use apricotdale_telemetry::LogOptions;
 
 use crate::daemon::Daemon;
@@ -32,6 +34,13 @@
     Ok(())
 }
 
+/// How long before the process must end requests that still wait are handed back, so that their
+/// callers can go to another VM.
+const HAND_BACK_MS: u64 = 1_500;
+
+/// When such a caller should come back.
+const HAND_BACK_RETRY_MS: u64 = 50;
+
 /// `Stopping` is the state of a planned stop.
 #[derive(Clone, Copy, Debug, Default)]
 pub(crate) struct Stopping {
@@ -57,6 +66,12 @@
             .is_some_and(|age_ms| age_ms >= STILL_SERVING_MS)
     }
 
+    /// Returns whether requests that wait are handed back now.
+    fn hands_back(self, now_ms: u64) -> bool {
+        let at_ms = self.stop_ms.saturating_sub(HAND_BACK_MS);
+        self.age_ms(now_ms).is_some_and(|age_ms| age_ms >= at_ms)
+    }
+
     fn age_ms(self, now_ms: u64) -> Option<u64> {
         self.since_ms
             .map(|since_ms| now_ms.saturating_sub(since_ms))
@@ -85,6 +100,19 @@
         self.peers.say_goodbye();
     }
 
+    /// Refuses the requests that still wait when a stopping process has little time left. Without
+    /// this they would end with the process, unanswered.
+    pub(crate) fn hand_back_waiting(&mut self) {
+        if !self.stopping.hands_back(self.now_ms) {
+            return;
+        }
+        for key in self.active.unsent() {
+            let refusal = Refusal::not_run(RefusalReason::Draining, "this VM stops")
+                .retry_after(HAND_BACK_RETRY_MS);
+            self.refuse(key, &refusal);
+        }
+    }
+
     /// Reads the settings again and takes over what can change while the daemon runs.
     pub(crate) fn reload(&mut self) {
         let Some(path) = settings_path() else {
