--- a/crates/entry/src/active.rs
+++ b/crates/entry/src/active.rs
@@ -9,12 +9,11 @@
 use apricotdale_dispatch::WaitReason;
 use apricotdale_fleet::Route;
 use apricotdale_fleet::ServingRequest;
+use apricotdale_http1::EventSplitter;
 use apricotdale_http1::RequestHead;
 use apricotdale_http1::ResponseHead;
 use mio::Token;
 
-use crate::events::EventSplitter;
-
 /// `Phase` is how far a request is.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub(crate) enum Phase {
--- a/crates/entry/src/daemon.rs
+++ b/crates/entry/src/daemon.rs
@@ -102,27 +102,32 @@
     /// # Errors
     ///
     /// [`Error::Listen`] for an address that can't be had, [`Error::Loop`] otherwise.
-    pub fn new(settings: Settings, codecs: Codecs) -> Result<Self> {
+    pub fn new(mut settings: Settings, codecs: Codecs) -> Result<Self> {
         let poll = Poll::new()?;
         let now_ms = now_ms();
         let run = random_number();
         let mut listeners = HashMap::new();
+        // A port that the system chose replaces the 0 in the settings, so that the log and the
+        // other VMs are told the address at which this VM can be reached.
         let addresses = [
-            (CALLERS, settings.callers, CallerKind::Serving),
-            (READY, settings.ready, CallerKind::Ready),
-            (METRICS, settings.metrics, CallerKind::Metrics),
+            (CALLERS, &mut settings.callers, CallerKind::Serving),
+            (READY, &mut settings.ready, CallerKind::Ready),
+            (METRICS, &mut settings.metrics, CallerKind::Metrics),
         ];
         for (token, address, kind) in addresses {
-            let mut listener = listen(address)?;
+            let mut listener = listen(*address)?;
+            *address = listener.local_addr()?;
             poll.registry()
                 .register(&mut listener, token, Interest::READABLE)?;
             listeners.insert(token, (listener, kind));
         }
+        let peers = settings.peers;
         let listen_error = |source| Error::Listen {
-            address: settings.peers,
+            address: peers,
             source,
         };
-        let mut socket = UdpSocket::bind(settings.peers).map_err(listen_error)?;
+        let mut socket = UdpSocket::bind(peers).map_err(listen_error)?;
+        settings.peers = socket.local_addr()?;
         poll.registry()
             .register(&mut socket, PEERS, Interest::READABLE)?;
         let stop_signals = signal_pipe(&poll, STOP, &[SIGTERM, SIGINT])?;
--- a/crates/entry/src/lib.rs
+++ b/crates/entry/src/lib.rs
@@ -17,7 +17,6 @@
 mod codec;
 mod daemon;
 mod errors;
-mod events;
 mod feeds;
 mod lines;
 mod metrics;
--- a/crates/entry/src/serving.rs
+++ b/crates/entry/src/serving.rs
@@ -14,6 +14,7 @@
 use apricotdale_fleet::Route;
 use apricotdale_fleet::ServingRequest;
 use apricotdale_http1::Error as HttpError;
+use apricotdale_http1::EventSplitter;
 use apricotdale_http1::RequestHead;
 use apricotdale_http1::append_head_end;
 use apricotdale_http1::append_header;
@@ -26,7 +27,6 @@
 use crate::caller::Received;
 use crate::codec::ForwardFields;
 use crate::daemon::Daemon;
-use crate::events::EventSplitter;
 use crate::outbound::Peer;
 use crate::outbound::Purpose;
 
--- a/crates/entry/src/settings.rs
+++ b/crates/entry/src/settings.rs
@@ -18,6 +18,8 @@
 /// `Settings` are the settings of an entry VM, read from an INI file.
 #[derive(Clone, Debug, PartialEq)]
 pub struct Settings {
+    /// The file that they were read from, which is read again on request.
+    pub path: PathBuf,
     /// The VM's name.
     pub vm: VmName,
     /// Its availability zone.
@@ -57,13 +59,14 @@
         };
         let text = std::fs::read_to_string(path).map_err(|error| file_error(error.to_string()))?;
         let ini = Ini::load_from_str(&text).map_err(|error| file_error(error.to_string()))?;
-        Self::from_ini(&ini)
+        Self::from_ini(path, &ini)
     }
 
     /// Takes the settings from a parsed file. Unknown sections and keys are left alone, so that an
     /// older daemon can read a newer file.
-    fn from_ini(ini: &Ini) -> Result<Self> {
+    fn from_ini(path: &Path, ini: &Ini) -> Result<Self> {
         Ok(Self {
+            path: path.to_owned(),
             vm: VmName::from(text(ini, "vm", "name")?),
             zone: ZoneName::from(text(ini, "vm", "availability_zone")?),
             callers: address(ini, "callers", "listen")?,
--- a/crates/entry/src/stopping.rs
+++ b/crates/entry/src/stopping.rs
@@ -1,7 +1,5 @@
 //! Start, reload and planned stop.
 
-use std::path::PathBuf;
-
 use apricotdale_core::refusal::Refusal;
 use apricotdale_core::refusal::RefusalReason;
 use apricotdale_telemetry::LogOptions;
@@ -115,10 +113,7 @@
 
     /// Reads the settings again and takes over what can change while the daemon runs.
     pub(crate) fn reload(&mut self) {
-        let Some(path) = settings_path() else {
-            return;
-        };
-        match Settings::read(&path) {
+        match Settings::read(&self.settings.path) {
             Ok(settings) => {
                 let changed = settings != self.settings;
                 self.settings.stop_ms = settings.stop_ms;
@@ -137,6 +132,8 @@
         log::info!(
             run = self.run,
             callers = self.settings.callers.to_string(),
+            ready = self.settings.ready.to_string(),
+            metrics = self.settings.metrics.to_string(),
             peers = self.settings.peers.to_string(),
             store = self.settings.store.to_string();
             "entry VM starts"
@@ -152,10 +149,3 @@
         );
     }
 }
-
-/// The environment variable that names the settings file.
-pub(crate) const SETTINGS_VARIABLE: &str = "APRICOTDALE_SETTINGS";
-
-fn settings_path() -> Option<PathBuf> {
-    std::env::var_os(SETTINGS_VARIABLE).map(PathBuf::from)
-}
--- a/crates/entry/src/events.rs
+++ b/crates/http1/src/events.rs
@@ -6,7 +6,7 @@
 /// `EventSplitter` finds whole events in a stream. An upstream that ends in the middle of an event
 /// has then sent the caller no part of it, and another upstream can go on behind the last one.
 #[derive(Debug, Default)]
-pub(crate) struct EventSplitter {
+pub struct EventSplitter {
     pending: Vec<u8>,
     last_id: Option<u64>,
     /// Whether bytes of an unfinished event were passed on because it was too large.
--- a/crates/standins/src/http/caller.rs
+++ b/crates/standins/src/http/caller.rs
@@ -15,6 +15,12 @@
         Self { stream }
     }
 
+    /// Waits until the client closes the connection or sends more.
+    pub fn wait_gone(&self) {
+        // Whatever comes, an end or bytes, the wait is over.
+        let _ = self.stream.peek(&mut [0]);
+    }
+
     /// Returns whether the client has closed the connection.
     pub fn is_gone(&self) -> bool {
         if self.stream.set_nonblocking(true).is_err() {
--- a/crates/standins/src/http/mod.rs
+++ b/crates/standins/src/http/mod.rs
@@ -12,6 +12,7 @@
 
 pub use caller::Caller;
 pub use reply::EventWriter;
+pub use reply::Raw;
 pub use reply::Reply;
 pub use reply::Stream;
 pub use reply::StreamEnd;
--- a/crates/standins/src/http/reply.rs
+++ b/crates/standins/src/http/reply.rs
@@ -18,6 +18,17 @@
     Lost,
     /// A stream of server-sent events.
     Stream(Stream),
+    /// Bytes as they are, which need not be an answer.
+    Raw(Raw),
+}
+
+/// `Raw` are bytes that are sent as they are.
+#[derive(Clone, Debug)]
+pub struct Raw {
+    /// The bytes.
+    pub bytes: Vec<u8>,
+    /// Whether the connection stays open.
+    pub keeps: bool,
 }
 
 /// `Whole` is an answer whose body is known in advance.
@@ -65,6 +76,15 @@
         self.encoder.write_all(event.as_bytes())
     }
 
+    /// Sends bytes of the body as they are, such as a part of an event.
+    ///
+    /// # Errors
+    ///
+    /// As for [`EventWriter::send`].
+    pub fn send_bytes(&mut self, bytes: &[u8]) -> io::Result<()> {
+        self.encoder.write_all(bytes)
+    }
+
     /// Returns the client.
     pub fn caller(&self) -> &Caller {
         &self.caller
@@ -106,7 +126,7 @@
         match &mut self {
             Self::Whole(whole) => whole.headers.push(header),
             Self::Stream(stream) => stream.headers.push(header),
-            Self::Lost => {}
+            Self::Lost | Self::Raw(_) => {}
         }
         self
     }
@@ -117,6 +137,11 @@
             Self::Whole(whole) => whole.send(connection, is_head),
             Self::Stream(stream) => stream.send(connection),
             Self::Lost => Ok(false),
+            Self::Raw(raw) => {
+                let mut connection = connection;
+                connection.write_all(&raw.bytes)?;
+                Ok(raw.keeps)
+            }
         }
     }
 }
--- a/crates/standins/src/http/request.rs
+++ b/crates/standins/src/http/request.rs
@@ -68,6 +68,28 @@
             .and_then(|(_, value)| value.parse().ok())
     }
 
+    /// Returns the decoded text that a query parameter holds.
+    pub fn query_text(&self, name: &str) -> Option<Cow<'_, str>> {
+        self.query
+            .split('&')
+            .filter_map(|pair| pair.split_once('='))
+            .find(|(candidate, _)| *candidate == name)
+            .map(|(_, value)| decode(value))
+    }
+
+    /// Returns every header in order.
+    pub fn headers(&self) -> &[(String, String)] {
+        &self.headers
+    }
+
+    /// Returns the path with the query, as it was sent.
+    pub fn target(&self) -> String {
+        match self.query.as_str() {
+            "" => self.path.clone(),
+            query => format!("{}?{query}", self.path),
+        }
+    }
+
     /// Returns the decoded segments of the path.
     pub fn segments(&self) -> Vec<Cow<'_, str>> {
         self.path
--- a/crates/standins/src/lib.rs
+++ b/crates/standins/src/lib.rs
@@ -9,7 +9,8 @@
 //! - [`engine`] is a model engine,
 //! - [`service`] is one instance of a plain service,
 //! - [`weights`] is the weight store,
-//! - [`vm_list`] is the lagging list of VMs.
+//! - [`vm_list`] is the lagging list of VMs,
+//! - [`platform`] is the users' platform: its store, its engines and its plain services.
 
 #![forbid(unsafe_code)]
 #![warn(missing_docs)]
@@ -21,6 +22,7 @@
 pub mod http;
 pub mod lagged;
 pub mod log;
+pub mod platform;
 pub mod program;
 pub mod rate_limit;
 pub mod service;
--- /dev/null
+++ b/crates/standins/src/platform/engine.rs
@@ -0,0 +1,249 @@
+//! A model engine of the platform.
+
+use std::collections::HashMap;
+use std::collections::VecDeque;
+use std::net::SocketAddr;
+use std::sync::Arc;
+use std::thread;
+use std::time::Duration;
+
+use parking_lot::Mutex;
+use serde_json::json;
+
+use crate::http::Handler;
+use crate::http::Reply;
+use crate::http::Request;
+use crate::platform::orders::Holdings;
+use crate::platform::orders::OrderFault;
+use crate::platform::orders::WireOrder;
+use crate::platform::serving::AnswerFault;
+use crate::platform::serving::Answers;
+use crate::platform::serving::RunSeen;
+use crate::platform::store::PlatformStore;
+
+/// `EngineOptions` is what an engine is like.
+#[derive(Clone, Debug)]
+pub struct EngineOptions {
+    /// The run's identity.
+    pub instance: String,
+    /// The service.
+    pub service: String,
+    /// The availability zone.
+    pub zone: String,
+    /// Models that it holds at its start.
+    pub models: Vec<String>,
+    /// Models of which it has copies on its disk.
+    pub on_disk: Vec<String>,
+    /// Models that fit at once.
+    pub model_places: usize,
+    /// Adapters that fit at once.
+    pub adapter_places: usize,
+    /// A load from the weight store.
+    pub store_load_ms: u64,
+    /// A load from the disk.
+    pub disk_load_ms: u64,
+    /// An unload.
+    pub unload_ms: u64,
+    /// Events of a whole stream.
+    pub events: u64,
+    /// The time between two events.
+    pub gap_ms: u64,
+}
+
+impl Default for EngineOptions {
+    fn default() -> Self {
+        Self {
+            instance: "i-0".to_owned(),
+            service: "llm".to_owned(),
+            zone: "zone-a".to_owned(),
+            models: Vec::new(),
+            on_disk: Vec::new(),
+            model_places: 3,
+            adapter_places: 4,
+            store_load_ms: 400,
+            disk_load_ms: 60,
+            unload_ms: 20,
+            events: 6,
+            gap_ms: 2,
+        }
+    }
+}
+
+/// `EngineEffects` is what an engine was told and did.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct EngineEffects {
+    /// Loads that ended.
+    pub loads: u64,
+    /// Orders that were refused.
+    pub refused: u64,
+    /// Orders for which there was no room; a real engine crashes.
+    pub overcommitted: u64,
+    /// Fence and holder of each order that was taken, in order.
+    pub holders: Vec<(u64, String)>,
+}
+
+/// `PlatformEngine` is one run of a model engine.
+pub struct PlatformEngine {
+    options: EngineOptions,
+    holdings: Mutex<Holdings>,
+    answers: Answers,
+    order_faults: Mutex<VecDeque<OrderFault>>,
+    store: PlatformStore,
+    entry: Mutex<Entry>,
+}
+
+#[derive(Default)]
+struct Entry {
+    address: Option<SocketAddr>,
+    revision: u64,
+    draining: bool,
+    gone: bool,
+}
+
+impl PlatformEngine {
+    /// Returns an engine that writes its entry into a store.
+    pub fn new(options: EngineOptions, store: PlatformStore) -> Self {
+        Self {
+            holdings: Mutex::new(Holdings::new(options.clone())),
+            answers: Answers::new(&options.instance),
+            order_faults: Mutex::default(),
+            entry: Mutex::default(),
+            store,
+            options,
+        }
+    }
+
+    /// Writes the engine's entry, at its start with its address.
+    pub fn announce(&self, address: Option<SocketAddr>) {
+        let mut entry = self.entry.lock();
+        entry.address = address.or(entry.address);
+        entry.revision += 1;
+        let Some(address) = entry.address.filter(|_| !entry.gone) else {
+            return;
+        };
+        let mut value = self.holdings.lock().describe();
+        value["service"] = json!(self.options.service);
+        value["address"] = json!(address.to_string());
+        value["zone"] = json!(self.options.zone);
+        value["version"] = json!("v1");
+        value["slots"] = json!(8);
+        value["state"] = json!(if entry.draining { "draining" } else { "ready" });
+        value["cold_remaining_ms"] = json!(0);
+        value["sequence"] = json!(entry.revision);
+        let bytes = value.to_string().into_bytes();
+        self.store
+            .put("keyed.servers", &self.options.instance, &bytes);
+    }
+
+    /// Reports that the engine leaves.
+    pub fn drain(&self) {
+        self.entry.lock().draining = true;
+        self.announce(None);
+    }
+
+    /// Removes the engine's entry for good.
+    pub fn withdraw(&self) {
+        self.entry.lock().gone = true;
+        self.store.put("keyed.servers", &self.options.instance, b"");
+    }
+
+    /// Spoils the next answer.
+    pub fn push_fault(&self, fault: AnswerFault) {
+        self.answers.push_fault(fault);
+    }
+
+    /// Spoils the next order.
+    pub fn push_order_fault(&self, fault: OrderFault) {
+        self.order_faults.lock().push_back(fault);
+    }
+
+    /// Returns the requests that ran, in order.
+    pub fn runs(&self) -> Vec<RunSeen> {
+        self.answers.runs.lock().clone()
+    }
+
+    /// Returns how often each request ran.
+    pub fn run_counts(&self) -> HashMap<String, usize> {
+        self.answers.run_counts()
+    }
+
+    /// Returns the requests whose client left while they ran without an answer.
+    pub fn left(&self) -> Vec<String> {
+        self.answers.left.lock().clone()
+    }
+
+    /// Returns what the engine was told and did.
+    pub fn effects(&self) -> EngineEffects {
+        let holdings = self.holdings.lock();
+        EngineEffects {
+            loads: holdings.loads,
+            refused: holdings.refused,
+            overcommitted: holdings.overcommitted,
+            holders: holdings.holders.clone(),
+        }
+    }
+
+    /// Returns whether the engine can run a model, or an adapter after a slash.
+    pub fn serves(&self, wanted: &str) -> bool {
+        let mut holdings = self.holdings.lock();
+        holdings.advance();
+        holdings.serves(wanted)
+    }
+
+    fn advance(&self) {
+        let changed = self.holdings.lock().advance();
+        if changed {
+            self.announce(None);
+        }
+    }
+
+    fn take_order(self: &Arc<Self>, request: &Request) -> Reply {
+        let order: WireOrder = match request.json() {
+            Ok(order) => order,
+            Err(reply) => return reply,
+        };
+        let fault = self.order_faults.lock().pop_front();
+        match fault {
+            None => {
+                let status = self.holdings.lock().take(&order);
+                Reply::json(status, &json!({}))
+            }
+            Some(OrderFault::LostAnswer) => {
+                self.holdings.lock().take(&order);
+                Reply::Lost
+            }
+            Some(OrderFault::Late { after_ms }) => {
+                let engine = self.clone();
+                thread::spawn(move || {
+                    thread::sleep(Duration::from_millis(after_ms));
+                    engine.holdings.lock().take(&order);
+                });
+                Reply::Lost
+            }
+        }
+    }
+
+    fn serve(&self, request: &Request) -> Reply {
+        let wanted = request.header("Apricotdale-Model").unwrap_or_default();
+        if !self.holdings.lock().serves(wanted) {
+            return self.answers.not_run(request, 421);
+        }
+        let fault = self.answers.begin(request);
+        self.answers
+            .events(request, fault, self.options.events, self.options.gap_ms)
+    }
+}
+
+impl Handler for PlatformEngine {
+    fn handle(self: Arc<Self>, request: &Request) -> Reply {
+        self.advance();
+        if let Some(reply) = self.answers.misdirected(request) {
+            return reply;
+        }
+        match (request.method.as_str(), request.path.as_str()) {
+            ("GET", "/api/report") => Reply::json(200, &self.holdings.lock().describe()),
+            ("POST", "/api/order") => self.take_order(request),
+            _ => self.serve(request),
+        }
+    }
+}
--- /dev/null
+++ b/crates/standins/src/platform/orders.rs
@@ -0,0 +1,216 @@
+//! Orders to an engine, and what it holds.
+
+use std::collections::HashMap;
+use std::collections::HashSet;
+use std::time::Duration;
+use std::time::Instant;
+
+use serde::Deserialize;
+use serde_json::Value;
+use serde_json::json;
+
+use crate::platform::engine::EngineOptions;
+
+/// `OrderFault` is how the next order goes.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum OrderFault {
+    /// It is carried out, its answer is lost.
+    LostAnswer,
+    /// It is carried out after a time, with no answer.
+    Late {
+        /// The time.
+        after_ms: u64,
+    },
+}
+
+/// `WireOrder` is an order as it comes.
+#[derive(Clone, Debug, Deserialize)]
+pub(crate) struct WireOrder {
+    pub operation: String,
+    pub model: String,
+    pub adapter: Option<String>,
+    /// The number of orders that must have been taken.
+    pub precondition: Option<u64>,
+    pub holder: String,
+    pub fencing_token: u64,
+}
+
+#[derive(Clone, Debug)]
+struct Running {
+    load: bool,
+    model: String,
+    until: Instant,
+}
+
+/// `Holdings` is what an engine holds and has been told.
+#[derive(Debug)]
+pub(crate) struct Holdings {
+    options: EngineOptions,
+    /// Models that can run, with their adapters.
+    pub models: HashMap<String, HashSet<String>>,
+    on_disk: HashSet<String>,
+    running: Option<Running>,
+    taken: u64,
+    highest_fence: u64,
+    pub refused: u64,
+    pub overcommitted: u64,
+    pub loads: u64,
+    /// Fence and holder of each order that was taken, in order.
+    pub holders: Vec<(u64, String)>,
+}
+
+impl Holdings {
+    pub fn new(options: EngineOptions) -> Self {
+        Self {
+            models: options
+                .models
+                .iter()
+                .map(|model| (model.clone(), HashSet::new()))
+                .collect(),
+            on_disk: options
+                .on_disk
+                .iter()
+                .chain(&options.models)
+                .cloned()
+                .collect(),
+            options,
+            running: None,
+            taken: 0,
+            highest_fence: 0,
+            refused: 0,
+            overcommitted: 0,
+            loads: 0,
+            holders: Vec::new(),
+        }
+    }
+
+    /// Finishes an order whose time is over. Returns whether something changed.
+    pub fn advance(&mut self) -> bool {
+        let Some(done) = self
+            .running
+            .take_if(|running| running.until <= Instant::now())
+        else {
+            return false;
+        };
+        if done.load {
+            self.loads += 1;
+            self.on_disk.insert(done.model.clone());
+            self.models.insert(done.model, HashSet::new());
+        } else {
+            self.models.remove(&done.model);
+        }
+        true
+    }
+
+    /// Takes an order and returns the status of its answer.
+    pub fn take(&mut self, order: &WireOrder) -> u16 {
+        self.advance();
+        if order.fencing_token < self.highest_fence {
+            self.refused += 1;
+            return 412;
+        }
+        self.highest_fence = order.fencing_token;
+        if self.running.is_some() || order.precondition.is_some_and(|count| count != self.taken) {
+            self.refused += 1;
+            return 409;
+        }
+        let status = match (order.operation.as_str(), &order.adapter) {
+            ("load", None) => self.load(&order.model),
+            ("unload", None) => self.unload(&order.model),
+            ("load", Some(adapter)) => self.load_adapter(&order.model, adapter),
+            ("unload", Some(adapter)) => self.unload_adapter(&order.model, adapter),
+            _ => 400,
+        };
+        if status == 202 || (status == 200 && order.operation == "unload") {
+            self.taken += 1;
+            self.holders
+                .push((order.fencing_token, order.holder.clone()));
+        }
+        status
+    }
+
+    fn load(&mut self, model: &str) -> u16 {
+        if self.models.contains_key(model) {
+            return 200;
+        }
+        if self.models.len() >= self.options.model_places {
+            self.overcommitted += 1;
+        }
+        let took_ms = match self.on_disk.contains(model) {
+            true => self.options.disk_load_ms,
+            false => self.options.store_load_ms,
+        };
+        self.run(true, model, took_ms);
+        202
+    }
+
+    fn unload(&mut self, model: &str) -> u16 {
+        if !self.models.contains_key(model) {
+            return 200;
+        }
+        self.run(false, model, self.options.unload_ms);
+        202
+    }
+
+    fn run(&mut self, load: bool, model: &str, took_ms: u64) {
+        let until = Instant::now() + Duration::from_millis(took_ms);
+        self.running = Some(Running {
+            load,
+            model: model.to_owned(),
+            until,
+        });
+    }
+
+    fn load_adapter(&mut self, model: &str, adapter: &str) -> u16 {
+        let held: usize = self.models.values().map(HashSet::len).sum();
+        let Some(adapters) = self.models.get_mut(model) else {
+            return 400;
+        };
+        if !adapters.insert(adapter.to_owned()) {
+            return 200;
+        }
+        if held >= self.options.adapter_places {
+            self.overcommitted += 1;
+        }
+        202
+    }
+
+    fn unload_adapter(&mut self, model: &str, adapter: &str) -> u16 {
+        if let Some(adapters) = self.models.get_mut(model) {
+            adapters.remove(adapter);
+        }
+        200
+    }
+
+    /// Returns whether a request for a model, or for an adapter after a slash, can run.
+    pub fn serves(&self, wanted: &str) -> bool {
+        match wanted.split_once('/') {
+            Some((model, adapter)) => self
+                .models
+                .get(model)
+                .is_some_and(|adapters| adapters.contains(adapter)),
+            None => self.models.contains_key(wanted),
+        }
+    }
+
+    /// Returns the report, or the part of a list entry that tells what is held.
+    pub fn describe(&self) -> Value {
+        let models: Vec<Value> = self
+            .models
+            .iter()
+            .map(|(name, adapters)| json!({"name": name, "version": 1, "adapters": adapters}))
+            .collect();
+        json!({
+            "stage": "both",
+            "models": models,
+            "busy": self.running.is_some(),
+            "sequence": self.taken,
+            "waiting": 0,
+            "running": 0,
+            "kv_used": 0,
+            "kv_total": 1,
+            "handles": 0,
+            "at_hand": {"in_memory": [], "on_disk": self.on_disk},
+        })
+    }
+}
--- /dev/null
+++ b/crates/standins/src/platform/service.rs
@@ -0,0 +1,79 @@
+//! One instance of a plain service.
+
+use std::collections::HashMap;
+use std::net::SocketAddr;
+use std::sync::Arc;
+
+use serde_json::json;
+
+use crate::http::Handler;
+use crate::http::Reply;
+use crate::http::Request;
+use crate::platform::serving::AnswerFault;
+use crate::platform::serving::Answers;
+use crate::platform::serving::RunSeen;
+use crate::platform::store::PlatformStore;
+
+/// `PlatformService` is one run of a plain service's instance.
+pub struct PlatformService {
+    instance: String,
+    service: String,
+    answers: Answers,
+    store: PlatformStore,
+}
+
+impl PlatformService {
+    /// Returns an instance that writes its entry into a store.
+    pub fn new(instance: &str, service: &str, store: PlatformStore) -> Self {
+        Self {
+            instance: instance.to_owned(),
+            service: service.to_owned(),
+            answers: Answers::new(instance),
+            store,
+        }
+    }
+
+    /// Writes the instance's entry.
+    pub fn announce(&self, address: SocketAddr) {
+        let entry = json!({
+            "service": self.service, "address": address.to_string(), "zone": "zone-a",
+            "version": "v1", "slots": 6, "state": "ready", "cold_remaining_ms": 0, "sequence": 1,
+        });
+        self.store.put(
+            "keyed.servers",
+            &self.instance,
+            entry.to_string().as_bytes(),
+        );
+    }
+
+    /// Spoils the next answer.
+    pub fn push_fault(&self, fault: AnswerFault) {
+        self.answers.push_fault(fault);
+    }
+
+    /// Returns the requests that ran, in order.
+    pub fn runs(&self) -> Vec<RunSeen> {
+        self.answers.runs.lock().clone()
+    }
+
+    /// Returns how often each request ran.
+    pub fn run_counts(&self) -> HashMap<String, usize> {
+        self.answers.run_counts()
+    }
+
+    /// Returns the requests whose client left while they ran without an answer.
+    pub fn left(&self) -> Vec<String> {
+        self.answers.left.lock().clone()
+    }
+}
+
+impl Handler for PlatformService {
+    fn handle(self: Arc<Self>, request: &Request) -> Reply {
+        if let Some(reply) = self.answers.misdirected(request) {
+            return reply;
+        }
+        let fault = self.answers.begin(request);
+        let body = format!("{} {}", request.method, request.target());
+        self.answers.whole(request, fault, &body)
+    }
+}
--- /dev/null
+++ b/crates/standins/src/platform/serving.rs
@@ -0,0 +1,245 @@
+//! Answers to requests, good and bad.
+
+use std::collections::HashMap;
+use std::collections::VecDeque;
+use std::thread;
+use std::time::Duration;
+
+use parking_lot::Mutex;
+use serde_json::json;
+
+use crate::http::EventWriter;
+use crate::http::Raw;
+use crate::http::Reply;
+use crate::http::Request;
+use crate::http::Stream;
+use crate::http::StreamEnd;
+
+pub(crate) const ID: &str = "Apricotdale-Request-Id";
+const SIGNATURE: &str = "Apricotdale-Response-Signature";
+const NOT_RUN: &str = "Apricotdale-Not-Executed";
+const INSTANCE: &str = "Apricotdale-Instance-Id";
+const MEANT: &str = "Apricotdale-Expect-Instance";
+const LOAD: &str = "Apricotdale-Server-Load";
+
+/// `AnswerFault` is how an answer is spoiled.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum AnswerFault {
+    /// The request is turned away, not run.
+    TurnedAway,
+    /// The request runs and fails.
+    Failed,
+    /// The request runs, its answer is lost.
+    LostAnswer,
+    /// The request runs, nothing is ever answered.
+    Mute,
+    /// The stream breaks after some events, in the middle of the next.
+    CutAfter {
+        /// Whole events before the break.
+        events: u64,
+    },
+    /// The answer lacks its signature.
+    Unsigned,
+    /// Another request's answer comes first.
+    CrossedFirst,
+    /// Another answer follows the whole one.
+    ExtraAfter,
+    /// The answer has no length and ends with its connection.
+    Unframed,
+    /// The answer has no length, and its connection is reset before its end.
+    UnframedCut,
+    /// The bytes are no answer.
+    Garbage,
+    /// The body is encoded.
+    Encoded,
+}
+
+/// `RunSeen` is a request as the upstream got it.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct RunSeen {
+    /// The request's identity.
+    pub id: String,
+    /// The method.
+    pub method: String,
+    /// The path with the query.
+    pub target: String,
+    /// The headers.
+    pub headers: Vec<(String, String)>,
+    /// The body.
+    pub body: Vec<u8>,
+}
+
+impl RunSeen {
+    /// Returns the value of a header.
+    pub fn header(&self, name: &str) -> Option<&str> {
+        self.headers
+            .iter()
+            .find(|(field, _)| field.eq_ignore_ascii_case(name))
+            .map(|(_, value)| value.as_str())
+    }
+}
+
+/// `Answers` gives the answers of one upstream and remembers what ran.
+#[derive(Debug)]
+pub(crate) struct Answers {
+    instance: String,
+    faults: Mutex<VecDeque<AnswerFault>>,
+    /// Requests that ran, in order.
+    pub runs: Mutex<Vec<RunSeen>>,
+    /// Requests whose client left while they ran.
+    pub left: Mutex<Vec<String>>,
+}
+
+impl Answers {
+    pub fn new(instance: &str) -> Self {
+        Self {
+            instance: instance.to_owned(),
+            faults: Mutex::default(),
+            runs: Mutex::default(),
+            left: Mutex::default(),
+        }
+    }
+
+    pub fn push_fault(&self, fault: AnswerFault) {
+        self.faults.lock().push_back(fault);
+    }
+
+    /// Returns the answer that refuses a request which is not for this upstream.
+    pub fn misdirected(&self, request: &Request) -> Option<Reply> {
+        let meant = request.header(MEANT)?;
+        (meant != self.instance).then(|| self.not_run(request, 421))
+    }
+
+    /// Returns an answer that says the request was not run.
+    pub fn not_run(&self, request: &Request, status: u16) -> Reply {
+        Reply::json(status, &json!({}))
+            .with_header(ID, id_of(request))
+            .with_header(NOT_RUN, "1")
+            .with_header(INSTANCE, &self.instance)
+    }
+
+    /// Returns the next fault, and notes the run unless the fault is that there is none.
+    pub fn begin(&self, request: &Request) -> Option<AnswerFault> {
+        let fault = self.faults.lock().pop_front();
+        if fault != Some(AnswerFault::TurnedAway) {
+            self.runs.lock().push(RunSeen {
+                id: id_of(request).to_owned(),
+                method: request.method.clone(),
+                target: request.target(),
+                headers: request.headers().to_vec(),
+                body: request.body.clone(),
+            });
+        }
+        fault
+    }
+
+    /// Returns the answer to a plain request.
+    pub fn whole(&self, request: &Request, fault: Option<AnswerFault>, body: &str) -> Reply {
+        let id = id_of(request);
+        let head = |status: u16, fields: &str| {
+            format!(
+                "HTTP/1.1 {status} Status\r\n{ID}: {id}\r\n{SIGNATURE}: s.{}\r\n{LOAD}: 1,0,8\r\n\
+                 {fields}",
+                self.instance
+            )
+        };
+        let framed = |status: u16, fields: &str| {
+            format!(
+                "{}Content-Length: {}\r\n\r\n{body}",
+                head(status, fields),
+                body.len()
+            )
+        };
+        let other = format!(
+            "HTTP/1.1 200 OK\r\n{ID}: other-{id}\r\n{SIGNATURE}: s\r\nContent-Length: 5\r\n\r\nother"
+        );
+        let raw = |text: String, keeps| {
+            Reply::Raw(Raw {
+                bytes: text.into_bytes(),
+                keeps,
+            })
+        };
+        match fault {
+            None | Some(AnswerFault::CutAfter { .. }) => raw(framed(200, ""), true),
+            Some(AnswerFault::TurnedAway) => self.not_run(request, 503),
+            Some(AnswerFault::Failed) => raw(framed(500, ""), true),
+            Some(AnswerFault::LostAnswer) => Reply::Lost,
+            Some(AnswerFault::Mute) => {
+                request.caller.wait_gone();
+                self.left.lock().push(id.to_owned());
+                Reply::Lost
+            }
+            Some(AnswerFault::Unsigned) => {
+                let length = body.len();
+                let text = format!(
+                    "HTTP/1.1 200 OK\r\n{ID}: {id}\r\nContent-Length: {length}\r\n\r\n{body}"
+                );
+                raw(text, true)
+            }
+            Some(AnswerFault::CrossedFirst) => raw(other + &framed(200, ""), true),
+            Some(AnswerFault::ExtraAfter) => raw(framed(200, "") + &other, true),
+            Some(AnswerFault::Unframed) => raw(head(200, "\r\n") + body, false),
+            Some(AnswerFault::UnframedCut) => raw(
+                format!("{}Content-Length: 9999\r\n\r\n{body}", head(200, "")),
+                false,
+            ),
+            Some(AnswerFault::Garbage) => raw("\u{1}\u{2}garbage\r\n\r\n".to_owned(), false),
+            Some(AnswerFault::Encoded) => raw(framed(200, "Content-Encoding: gzip\r\n"), true),
+        }
+    }
+
+    /// Returns the answer to a streaming request: events from one after the last that the client
+    /// has, up to a count.
+    pub fn events(
+        &self,
+        request: &Request,
+        fault: Option<AnswerFault>,
+        count: u64,
+        gap_ms: u64,
+    ) -> Reply {
+        let first = request
+            .header("Last-Event-Id")
+            .and_then(|id| id.parse().ok())
+            .unwrap_or(0)
+            + 1;
+        let cut_after = match fault {
+            None => None,
+            Some(AnswerFault::CutAfter { events }) => Some(events),
+            Some(fault) => return self.whole(request, Some(fault), "data: x\n\n"),
+        };
+        let produce = move |writer: &mut EventWriter| {
+            for (sent, event) in (first..=count).enumerate() {
+                if cut_after == Some(sent as u64) {
+                    let _ = writer.send_bytes(format!("id: {event}\nda").as_bytes());
+                    return StreamEnd::Broken;
+                }
+                let text = format!("id: {event}\ndata: piece {event}\n\n");
+                if writer.send_bytes(text.as_bytes()).is_err() || writer.caller().is_gone() {
+                    return StreamEnd::Broken;
+                }
+                thread::sleep(Duration::from_millis(gap_ms));
+            }
+            StreamEnd::Closed
+        };
+        Reply::Stream(Stream {
+            headers: Vec::new(),
+            produce: Box::new(produce),
+        })
+        .with_header(ID, id_of(request))
+        .with_header(SIGNATURE, &format!("s.{}", self.instance))
+        .with_header(LOAD, "1,0,8")
+    }
+
+    /// Returns how often each request ran.
+    pub fn run_counts(&self) -> HashMap<String, usize> {
+        let mut counts = HashMap::new();
+        for run in self.runs.lock().iter() {
+            *counts.entry(run.id.clone()).or_default() += 1;
+        }
+        counts
+    }
+}
+
+fn id_of(request: &Request) -> &str {
+    request.header(ID).unwrap_or_default()
+}
--- /dev/null
+++ b/crates/standins/src/platform/store.rs
@@ -0,0 +1,300 @@
+//! The platform's store.
+
+use std::collections::HashMap;
+use std::sync::Arc;
+use std::thread;
+use std::time::Duration;
+use std::time::Instant;
+
+use base64::Engine as _;
+use base64::engine::general_purpose::STANDARD;
+use parking_lot::Condvar;
+use parking_lot::Mutex;
+use serde_json::json;
+
+use crate::http::Handler;
+use crate::http::Raw;
+use crate::http::Reply;
+use crate::http::Request;
+use crate::platform::topics::Appended;
+use crate::platform::topics::Condition;
+use crate::platform::topics::Partition;
+
+/// Items of one page of newest records.
+const PAGE_ITEMS: usize = 500;
+
+/// `StoreFault` is how the store treats the calls that come through one door.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+pub enum StoreFault {
+    /// It serves them.
+    #[default]
+    None,
+    /// It answers 503.
+    Busy,
+    /// It answers 429.
+    Limited,
+    /// It closes the connection without an answer and does nothing.
+    Reset,
+    /// It does not answer and does nothing.
+    Silent,
+    /// It does what is asked and closes the connection without an answer.
+    LostAnswer,
+    /// Appends are done after a time, with no answer.
+    Late {
+        /// The time.
+        after_ms: u64,
+    },
+    /// It answers after a time.
+    Slow {
+        /// The time.
+        by_ms: u64,
+    },
+}
+
+#[derive(Default)]
+struct Shared {
+    topics: Mutex<HashMap<(String, u64), Partition>>,
+    changed: Condvar,
+}
+
+/// `PlatformStore` is one door to a store. Doors share the topics, and each has a fault of its own,
+/// so that the store can turn one VM away and serve another.
+#[derive(Clone, Default)]
+pub struct PlatformStore {
+    shared: Arc<Shared>,
+    fault: Arc<Mutex<StoreFault>>,
+    calls: Arc<Mutex<HashMap<String, u64>>>,
+}
+
+impl PlatformStore {
+    /// Returns another door to the same topics.
+    pub fn door(&self) -> Self {
+        Self {
+            shared: self.shared.clone(),
+            ..Self::default()
+        }
+    }
+
+    /// Sets the fault of this door.
+    pub fn set_fault(&self, fault: StoreFault) {
+        *self.fault.lock() = fault;
+    }
+
+    /// Returns how many calls to a path came through this door.
+    pub fn calls(&self, path: &str) -> u64 {
+        self.calls.lock().get(path).copied().unwrap_or_default()
+    }
+
+    /// Writes a record with a key, as an operator or an engine does. An empty value drops the key.
+    pub fn put(&self, topic: &str, key: &str, value: &[u8]) {
+        let mut record = vec![key.len() as u8];
+        record.extend_from_slice(key.as_bytes());
+        record.extend_from_slice(value);
+        self.append(topic, 0, &[record], &Condition::default());
+    }
+
+    /// Returns the newest value of a key.
+    pub fn newest(&self, topic: &str, key: &str) -> Option<Vec<u8>> {
+        let topics = self.shared.topics.lock();
+        let partition = topics.get(&(topic.to_owned(), 0))?;
+        partition
+            .newest(None)
+            .find(|(name, _)| *name == key)
+            .map(|(_, (_, value))| value.clone())
+    }
+
+    /// Returns the records of a topic that are kept.
+    pub fn records(&self, topic: &str) -> Vec<Vec<u8>> {
+        let topics = self.shared.topics.lock();
+        topics
+            .get(&(topic.to_owned(), 0))
+            .and_then(|partition| partition.read(partition.first()))
+            .map(<[Vec<u8>]>::to_vec)
+            .unwrap_or_default()
+    }
+
+    /// Deletes every record of a topic. The newest of each key is kept.
+    pub fn forget(&self, topic: &str) {
+        let mut topics = self.shared.topics.lock();
+        if let Some(partition) = topics.get_mut(&(topic.to_owned(), 0)) {
+            let end = partition.end();
+            partition.trim(end);
+        }
+        self.shared.changed.notify_all();
+    }
+
+    fn append(
+        &self,
+        topic: &str,
+        part: u64,
+        records: &[Vec<u8>],
+        condition: &Condition,
+    ) -> (Appended, u64) {
+        let mut topics = self.shared.topics.lock();
+        let partition = topics.entry((topic.to_owned(), part)).or_default();
+        let appended = partition.append(topic, records, condition);
+        let end = partition.end();
+        self.shared.changed.notify_all();
+        (appended, end)
+    }
+
+    fn serve(&self, request: &Request) -> Reply {
+        match (request.method.as_str(), request.path.as_str()) {
+            ("POST", "/api/log-append") => self.serve_append(request),
+            ("GET", "/api/log-read") => self.serve_read(request),
+            ("GET", "/api/log-newest") => self.serve_newest(request),
+            ("POST", "/api/log-trim") => self.serve_trim(request),
+            _ => Reply::not_found(),
+        }
+    }
+
+    fn serve_append(&self, request: &Request) -> Reply {
+        let (topic, part) = place(request);
+        if ["keyed.op", "keyed.servers"].contains(&topic.as_str()) {
+            return Reply::json(403, &json!({}));
+        }
+        let Some(records) = split_records(&request.body) else {
+            return Reply::json(400, &json!({}));
+        };
+        let (appended, end) = self.append(&topic, part, &records, &condition(request));
+        match appended {
+            Appended::Done { offset } => Reply::json(200, &json!({"offset": offset, "end": end})),
+            Appended::EndedElsewhere => Reply::json(412, &json!({"end": end})),
+            Appended::Fenced => Reply::json(409, &json!({"why": "fenced"})),
+            Appended::WrongSequence { expected } => {
+                Reply::json(409, &json!({"why": "seq", "sequence": expected}))
+            }
+        }
+    }
+
+    fn serve_read(&self, request: &Request) -> Reply {
+        let (topic, part) = place(request);
+        let from = request.query_number("from").unwrap_or_default();
+        let wait_ms = request.query_number("wait_ms").unwrap_or_default();
+        let until = Instant::now() + Duration::from_millis(wait_ms);
+        let mut topics = self.shared.topics.lock();
+        loop {
+            let partition = topics.entry((topic.clone(), part)).or_default();
+            let Some(records) = partition.read(from) else {
+                return Reply::json(410, &json!({"first": partition.first()}));
+            };
+            if !records.is_empty() || Instant::now() >= until {
+                return read_reply(partition, records);
+            }
+            self.shared.changed.wait_until(&mut topics, until);
+        }
+    }
+
+    fn serve_newest(&self, request: &Request) -> Reply {
+        let (topic, part) = place(request);
+        let after = request.query_text("after");
+        let topics = self.shared.topics.lock();
+        let Some(partition) = topics.get(&(topic, part)) else {
+            return Reply::json(200, &json!({"items": [], "more": false, "end": 0}));
+        };
+        let found: Vec<_> = partition.newest(after.as_deref()).collect();
+        let items: Vec<_> = found
+            .iter()
+            .take(PAGE_ITEMS)
+            .map(|(key, (offset, value))| {
+                json!({"key": key, "value": STANDARD.encode(value), "offset": offset})
+            })
+            .collect();
+        let more = found.len() > PAGE_ITEMS;
+        Reply::json(
+            200,
+            &json!({"items": items, "more": more, "end": partition.end()}),
+        )
+    }
+
+    fn serve_trim(&self, request: &Request) -> Reply {
+        let (topic, part) = place(request);
+        let before = request.query_number("before").unwrap_or_default();
+        self.shared
+            .topics
+            .lock()
+            .entry((topic, part))
+            .or_default()
+            .trim(before);
+        Reply::ok()
+    }
+}
+
+impl Handler for PlatformStore {
+    fn handle(self: Arc<Self>, request: &Request) -> Reply {
+        *self.calls.lock().entry(request.path.clone()).or_default() += 1;
+        let fault = *self.fault.lock();
+        match fault {
+            StoreFault::None => self.serve(request),
+            StoreFault::Busy => Reply::json(503, &json!({})),
+            StoreFault::Limited => Reply::json(429, &json!({})),
+            StoreFault::Reset => Reply::Lost,
+            StoreFault::Silent => {
+                request.caller.wait_gone();
+                Reply::Lost
+            }
+            StoreFault::LostAnswer => {
+                self.serve(request);
+                Reply::Lost
+            }
+            StoreFault::Late { after_ms } if request.method == "POST" => {
+                thread::sleep(Duration::from_millis(after_ms));
+                self.serve(request);
+                Reply::Lost
+            }
+            StoreFault::Late { .. } => self.serve(request),
+            StoreFault::Slow { by_ms } => {
+                thread::sleep(Duration::from_millis(by_ms));
+                self.serve(request)
+            }
+        }
+    }
+}
+
+fn place(request: &Request) -> (String, u64) {
+    let topic = request.query_text("topic").unwrap_or_default().into_owned();
+    (topic, request.query_number("part").unwrap_or_default())
+}
+
+fn condition(request: &Request) -> Condition {
+    let producer = request.query_text("producer").map(|name| {
+        let epoch = request.query_number("epoch").unwrap_or_default();
+        (
+            name.into_owned(),
+            epoch,
+            request.query_number("sequence").unwrap_or_default(),
+        )
+    });
+    Condition {
+        at: request.query_number("at"),
+        producer,
+    }
+}
+
+fn split_records(mut body: &[u8]) -> Option<Vec<Vec<u8>>> {
+    let mut records = Vec::new();
+    while !body.is_empty() {
+        let (length, rest) = body.split_at_checked(4)?;
+        let length = u32::from_be_bytes(length.try_into().ok()?) as usize;
+        let (record, rest) = rest.split_at_checked(length)?;
+        records.push(record.to_vec());
+        body = rest;
+    }
+    Some(records)
+}
+
+fn read_reply(partition: &Partition, records: &[Vec<u8>]) -> Reply {
+    let mut body = partition.end().to_be_bytes().to_vec();
+    body.extend_from_slice(&partition.first().to_be_bytes());
+    for record in records {
+        body.extend_from_slice(&(record.len() as u32).to_be_bytes());
+        body.extend_from_slice(record);
+    }
+    let mut bytes = format!(
+        "HTTP/1.1 200 OK\r\nContent-Type: application/octet-stream\r\nContent-Length: {}\r\n\r\n",
+        body.len()
+    )
+    .into_bytes();
+    bytes.extend_from_slice(&body);
+    Reply::Raw(Raw { bytes, keeps: true })
+}
--- /dev/null
+++ b/crates/standins/src/platform/topics.rs
@@ -0,0 +1,122 @@
+//! The topics of the store: records by offset, and the newest record of each key.
+
+use std::collections::BTreeMap;
+use std::collections::HashMap;
+
+/// The beginning of the names of topics that keep the newest record of each key.
+const KEYED: &str = "keyed.";
+
+/// `Partition` is one partition of a topic.
+#[derive(Debug, Default)]
+pub(crate) struct Partition {
+    first: u64,
+    records: Vec<Vec<u8>>,
+    newest: BTreeMap<String, (u64, Vec<u8>)>,
+    producers: HashMap<String, Producer>,
+}
+
+#[derive(Clone, Copy, Debug)]
+struct Producer {
+    epoch: u64,
+    next_sequence: u64,
+    last_offset: u64,
+}
+
+/// `Appended` is how an append ended.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub(crate) enum Appended {
+    Done { offset: u64 },
+    EndedElsewhere,
+    Fenced,
+    WrongSequence { expected: u64 },
+}
+
+/// `Condition` is what an append depends on.
+#[derive(Clone, Debug, Default)]
+pub(crate) struct Condition {
+    /// The end of the partition.
+    pub at: Option<u64>,
+    /// The producer's name, epoch and sequence number.
+    pub producer: Option<(String, u64, u64)>,
+}
+
+impl Partition {
+    pub fn end(&self) -> u64 {
+        self.first + self.records.len() as u64
+    }
+
+    pub fn first(&self) -> u64 {
+        self.first
+    }
+
+    pub fn append(&mut self, topic: &str, records: &[Vec<u8>], condition: &Condition) -> Appended {
+        if condition.at.is_some_and(|at| at != self.end()) {
+            return Appended::EndedElsewhere;
+        }
+        if let Some((name, epoch, sequence)) = &condition.producer {
+            let known = self.producers.get(name).copied();
+            match known {
+                Some(known) if *epoch < known.epoch => return Appended::Fenced,
+                Some(known) if *epoch == known.epoch && *sequence + 1 == known.next_sequence => {
+                    return Appended::Done {
+                        offset: known.last_offset,
+                    };
+                }
+                Some(known) if *epoch == known.epoch && *sequence != known.next_sequence => {
+                    return Appended::WrongSequence {
+                        expected: known.next_sequence,
+                    };
+                }
+                _ => {}
+            }
+            let producer = Producer {
+                epoch: *epoch,
+                next_sequence: sequence + 1,
+                last_offset: self.end(),
+            };
+            self.producers.insert(name.clone(), producer);
+        }
+        let offset = self.end();
+        for record in records {
+            if topic.starts_with(KEYED) {
+                self.keep_newest(record);
+            }
+            self.records.push(record.clone());
+        }
+        Appended::Done { offset }
+    }
+
+    fn keep_newest(&mut self, record: &[u8]) {
+        let Some((length, rest)) = record.split_first() else {
+            return;
+        };
+        let (key, value) = rest.split_at(usize::from(*length).min(rest.len()));
+        let key = String::from_utf8_lossy(key).into_owned();
+        if value.is_empty() {
+            self.newest.remove(&key);
+        } else {
+            self.newest.insert(key, (self.end(), value.to_vec()));
+        }
+    }
+
+    /// Returns the records from an offset, or none if they are no longer kept.
+    pub fn read(&self, from: u64) -> Option<&[Vec<u8>]> {
+        let skip = from.checked_sub(self.first)? as usize;
+        Some(&self.records[skip.min(self.records.len())..])
+    }
+
+    /// Deletes the records before an offset.
+    pub fn trim(&mut self, before: u64) {
+        let count = before
+            .saturating_sub(self.first)
+            .min(self.records.len() as u64);
+        self.records.drain(..count as usize);
+        self.first += count;
+    }
+
+    /// Returns the newest records after a key.
+    pub fn newest(&self, after: Option<&str>) -> impl Iterator<Item = (&String, &(u64, Vec<u8>))> {
+        let after = after.unwrap_or_default().to_owned();
+        self.newest.iter().filter(move |(key, _)| **key > after)
+    }
+}
