--- a/Makefile
+++ b/Makefile
@@ -1,4 +1,4 @@
-# What a developer runs. `make setup` first, once a machine.
+# What a developer runs. Each command installs what the build needs and is missing.
 
 CARGO ?= cargo
 TARGET_DIR := $(or $(CARGO_TARGET_DIR),target)
@@ -12,14 +12,14 @@
 setup:
 	scripts/setup
 
-build:
+build: setup
 	$(CARGO) build --workspace --bins --locked
 
 # The scenarios start the programs, so these are built first.
-test: build
+test: setup build
 	$(CARGO) test --workspace --locked --no-fail-fast -- $(TEST_ARGS)
 
-demo: build
+demo: setup build
 	$(BIN_DIR)/launcher demo
 
 up: build
@@ -29,6 +29,7 @@
 	$(BIN_DIR)/scenario run scenarios/*.scenario
 
 lint:
+	scripts/wire-names
 	$(CARGO) fmt --all --check
 	$(CARGO) clippy --workspace --all-targets --locked -- -D warnings
 
@@ -36,7 +37,7 @@
 	$(CARGO) run --release --locked -p apricotdale-policy-replay
 
 # The measurements start the other programs, which must lie beside them.
-release:
+release: setup
 	$(CARGO) build --release --workspace --bins --locked
 
 slopes: release
--- a/crates/ctl/src/arguments.rs
+++ b/crates/ctl/src/arguments.rs
@@ -143,6 +143,16 @@
         #[bpaf(positional("REQUEST_ID"))]
         request: String,
     },
+    /// Print a request's story from the log lines of entry VMs
+    #[bpaf(command)]
+    Story {
+        /// The request's identity
+        #[bpaf(positional("REQUEST_ID"))]
+        request: String,
+        /// Files with log lines; - is the standard input
+        #[bpaf(positional("FILE"), some("at least one file is needed"))]
+        files: Vec<PathBuf>,
+    },
     /// Stop the VM's daemon once its requests in progress are answered
     #[bpaf(command)]
     Drain {
--- a/crates/ctl/src/commands.rs
+++ b/crates/ctl/src/commands.rs
@@ -34,6 +34,7 @@
 use crate::errors::FileProblem;
 use crate::errors::Result;
 use crate::exit::ExitStatus;
+use crate::story;
 use crate::text::AsText;
 use crate::text::edit_line;
 
@@ -133,6 +134,13 @@
                 let request = RequestId::from(request);
                 self.show(target.format, &client(target).explain(&request)?)
             }
+            Command::Story { request, files } => {
+                let lines = story::tell(&request, &files, self.output)?;
+                Ok(match lines {
+                    0 => ExitStatus::Refused,
+                    _ => ExitStatus::Done,
+                })
+            }
             Command::Drain { target } => {
                 let drained = client(target).drain().map_err(change_error)?;
                 self.show(target.format, &drained)
--- a/crates/ctl/src/errors.rs
+++ b/crates/ctl/src/errors.rs
@@ -36,6 +36,14 @@
     /// Files have problems.
     #[error("{}", problem_lines(.0))]
     BadFile(Vec<FileProblem>),
+    /// A file with log lines can't be read.
+    #[error("{file} can't be read: {source}", file = .file.display())]
+    LogFile {
+        /// The file.
+        file: PathBuf,
+        /// Why.
+        source: io::Error,
+    },
     /// The output could not be written.
     #[error("the output can't be written: {0}")]
     Output(#[from] io::Error),
@@ -46,7 +54,7 @@
     pub fn exit_status(&self) -> ExitStatus {
         use apricotdale_admin::Error as Admin;
         match self {
-            Self::BadFile(_) => ExitStatus::BadFile,
+            Self::BadFile(_) | Self::LogFile { .. } => ExitStatus::BadFile,
             Self::Output(_) => ExitStatus::OutputFailed,
             Self::Admin(Admin::OutcomeUnknown(_)) => ExitStatus::OutcomeUnknown,
             Self::Admin(
--- a/crates/ctl/src/lib.rs
+++ b/crates/ctl/src/lib.rs
@@ -16,6 +16,7 @@
 mod edits;
 mod errors;
 mod exit;
+mod story;
 mod table;
 mod text;
 
--- /dev/null
+++ b/crates/ctl/src/story.rs
@@ -0,0 +1,93 @@
+//! A request's story, read from the log lines of entry VMs.
+
+use std::fs::File;
+use std::io;
+use std::io::BufRead;
+use std::io::BufReader;
+use std::io::Write;
+use std::path::Path;
+use std::path::PathBuf;
+
+use serde::Deserialize;
+use serde_json::Map;
+use serde_json::Value;
+
+use crate::errors::Error;
+use crate::errors::Result;
+
+/// The name by which the standard input is named in place of a file.
+const STANDARD_INPUT: &str = "-";
+
+/// `Line` is what is used of a log line.
+#[derive(Debug, Deserialize)]
+struct Line {
+    time: String,
+    vm: String,
+    #[serde(default)]
+    request_id: Option<String>,
+    #[serde(default)]
+    reason: Option<String>,
+    message: String,
+    #[serde(default)]
+    fields: Map<String, Value>,
+}
+
+/// Writes the lines about a request, of all files together and in the order of their times.
+/// Returns how many there are. Lines that are not JSON, such as another program's, are passed over.
+///
+/// # Errors
+///
+/// [`Error::LogFile`] for a file that can't be read, [`Error::Output`] if the story can't be
+/// written.
+pub(crate) fn tell(request: &str, files: &[PathBuf], output: &mut dyn Write) -> Result<usize> {
+    let mut lines = Vec::new();
+    for file in files {
+        read(request, file, &mut lines).map_err(|source| Error::LogFile {
+            file: file.clone(),
+            source,
+        })?;
+    }
+    // Times of one VM are in order; those of two are as good as their clocks.
+    lines.sort_by(|left, right| left.time.cmp(&right.time));
+    for line in &lines {
+        let reason = line.reason.as_deref().unwrap_or_default();
+        let fields: Vec<String> = line
+            .fields
+            .iter()
+            .map(|(name, value)| format!("{name}={}", plain(value)))
+            .collect();
+        writeln!(
+            output,
+            "{}  {}  {}: {reason}  {}",
+            line.time,
+            line.vm,
+            line.message,
+            fields.join(" ")
+        )?;
+    }
+    Ok(lines.len())
+}
+
+fn read(request: &str, file: &Path, lines: &mut Vec<Line>) -> io::Result<()> {
+    let reader: Box<dyn BufRead> = match file.to_str() {
+        Some(STANDARD_INPUT) => Box::new(BufReader::new(io::stdin())),
+        _ => Box::new(BufReader::new(File::open(file)?)),
+    };
+    for text in reader.lines() {
+        let text = text?;
+        // A quick look first: a day's log has millions of lines, and few are about one request.
+        let Some(start) = text.find('{').filter(|_| text.contains(request)) else {
+            continue;
+        };
+        let line: Option<Line> = serde_json::from_str(&text[start..]).ok();
+        lines.extend(line.filter(|line| line.request_id.as_deref() == Some(request)));
+    }
+    Ok(())
+}
+
+fn plain(value: &Value) -> String {
+    match value {
+        Value::String(text) => text.clone(),
+        other => other.to_string(),
+    }
+}
--- a/crates/dispatch/src/dispatcher.rs
+++ b/crates/dispatch/src/dispatcher.rs
@@ -219,6 +219,15 @@
         self.forecasts.note(now_ms, model, forecast);
     }
 
+    /// Returns in how many milliseconds a request's missing model is expected, if that is known.
+    pub fn forecast_in_ms(&self, now_ms: u64, job: &Job) -> Option<u64> {
+        let wanted = job.wanted.as_ref()?;
+        let forecast = self.forecasts.get(now_ms, &wanted.model)?;
+        forecast
+            .ready_ms
+            .map(|ready_ms| ready_ms.saturating_sub(now_ms))
+    }
+
     /// Returns this VM's own requests at an upstream.
     pub fn own_requests(&self, upstream: &UpstreamName) -> u32 {
         self.crowding.get(upstream).map_or(0, Crowding::own)
--- /dev/null
+++ b/crates/dispatch/tests/send_choice.rs
@@ -0,0 +1,180 @@
+//! Where a request is sent, when it waits and when it is refused.
+
+mod support;
+
+use apricotdale_core::names::ModelName;
+use apricotdale_core::names::UpstreamName;
+use apricotdale_core::policy::UpstreamOutcome;
+use apricotdale_core::refusal::Ran;
+use apricotdale_dispatch::LoadForecast;
+use apricotdale_dispatch::LoadSample;
+use apricotdale_dispatch::Verdict;
+use apricotdale_dispatch::WaitReason;
+use apricotdale_fleet::RouteKind;
+use apricotdale_fleet::WantedModel;
+use rstest::rstest;
+
+use support::SLOTS;
+use support::call;
+use support::directory;
+use support::dispatcher;
+use support::stream;
+
+#[test]
+fn engine_that_holds_the_model() {
+    let directory = directory(&[("e0", "a", &["m0"]), ("e1", "a", &["m1"])]);
+    let mut dispatcher = dispatcher();
+    for _ in 0..20 {
+        let verdict = dispatcher.decide(1_000, &directory, &stream("m1", false));
+        assert_eq!(verdict, Verdict::Send(UpstreamName::from("e1")));
+    }
+}
+
+#[test]
+fn adapter_that_is_missing() {
+    let mut directory = directory(&[("e0", "a", &["m0"])]);
+    let mut job = stream("m0", false);
+    let adapter = ModelName::from("a1");
+    job.wanted = Some(WantedModel {
+        model: ModelName::from("m0"),
+        adapter: Some(adapter.clone()),
+    });
+    let mut dispatcher = dispatcher();
+    let verdict = dispatcher.decide(1_000, &directory, &job);
+    assert_eq!(verdict, Verdict::Wait(WaitReason::Missing));
+    let engine = directory
+        .upstream_mut(&UpstreamName::from("e0"))
+        .expect("listed");
+    engine
+        .residence
+        .note_adapter(&ModelName::from("m0"), &adapter);
+    let verdict = dispatcher.decide(1_000, &directory, &job);
+    assert_eq!(verdict, Verdict::Send(UpstreamName::from("e0")));
+}
+
+/// Symptom: requests wait at an engine that is full while another has places. The VM sends no more
+/// than the places, and takes what the other VMs sent from the engine's report.
+#[rstest]
+#[case::own_requests(SLOTS, 0)]
+#[case::reported(0, SLOTS)]
+#[case::both(1, SLOTS - 1)]
+fn full_engine(#[case] own: u32, #[case] others: u32) {
+    let directory = directory(&[("e0", "a", &["m0"])]);
+    let mut dispatcher = dispatcher();
+    let job = stream("m0", false);
+    let engine = UpstreamName::from("e0");
+    if others > 0 {
+        let sample = LoadSample {
+            running: others,
+            waiting: 0,
+            slots: SLOTS,
+        };
+        dispatcher.reported(1_000, &job.service, &engine, sample);
+    }
+    for _ in 0..own {
+        dispatcher.sent(1_000, &job, &engine);
+    }
+    let full = Verdict::Wait(WaitReason::Crowded);
+    assert_eq!(dispatcher.decide(1_001, &directory, &job), full);
+    if own > 0 {
+        dispatcher.ended(
+            1_002,
+            &job.service,
+            &engine,
+            UpstreamOutcome::Answered,
+            Some(5),
+        );
+        assert_eq!(
+            dispatcher.decide(1_003, &directory, &job),
+            Verdict::Send(engine)
+        );
+    }
+}
+
+/// A report that is older than the requests it counted must not hold work back.
+#[test]
+fn old_report_is_forgotten() {
+    let directory = directory(&[("e0", "a", &["m0"])]);
+    let mut dispatcher = dispatcher();
+    let job = stream("m0", false);
+    let engine = UpstreamName::from("e0");
+    let sample = LoadSample {
+        running: SLOTS,
+        waiting: 9,
+        slots: SLOTS,
+    };
+    dispatcher.reported(1_000, &job.service, &engine, sample);
+    assert_eq!(
+        dispatcher.decide(1_100, &directory, &job),
+        Verdict::Wait(WaitReason::Crowded)
+    );
+    assert_eq!(
+        dispatcher.decide(2_600, &directory, &job),
+        Verdict::Send(engine)
+    );
+}
+
+#[test]
+fn missing_model_waits() {
+    let directory = directory(&[("e0", "a", &["m0"])]);
+    let mut dispatcher = dispatcher();
+    let verdict = dispatcher.decide(1_000, &directory, &stream("m2", false));
+    assert_eq!(verdict, Verdict::Wait(WaitReason::Missing));
+}
+
+/// A request whose model can't be there in time is refused at once and not held until its
+/// deadline.
+#[test]
+fn model_that_comes_too_late() {
+    let directory = directory(&[("e0", "a", &["m0"])]);
+    let mut dispatcher = dispatcher();
+    let forecast = LoadForecast {
+        ready_ms: Some(5_900),
+    };
+    dispatcher.note_forecast(1_000, ModelName::from("m2"), forecast);
+    match dispatcher.decide(1_000, &directory, &stream("m2", false)) {
+        Verdict::Refuse(refusal) => assert_eq!(refusal.ran, Ran::NotRun),
+        other => panic!("{other:?}"),
+    }
+}
+
+#[test]
+fn model_that_comes_in_time() {
+    let directory = directory(&[("e0", "a", &["m0"])]);
+    let mut dispatcher = dispatcher();
+    let forecast = LoadForecast {
+        ready_ms: Some(4_000),
+    };
+    dispatcher.note_forecast(1_000, ModelName::from("m2"), forecast);
+    let verdict = dispatcher.decide(1_000, &directory, &stream("m2", false));
+    assert_eq!(verdict, Verdict::Wait(WaitReason::Missing));
+}
+
+#[test]
+fn model_of_no_catalogue() {
+    let directory = directory(&[("e0", "a", &["m0"])]);
+    let verdict = dispatcher().decide(1_000, &directory, &stream("other", false));
+    assert!(matches!(verdict, Verdict::Refuse(refusal) if refusal.retry_after_ms.is_none()));
+}
+
+#[test]
+fn no_time_left() {
+    let directory = directory(&[("e0", "a", &["m0"])]);
+    let verdict = dispatcher().decide(5_990, &directory, &stream("m0", false));
+    assert!(matches!(verdict, Verdict::Refuse(refusal) if refusal.ran == Ran::NotRun));
+}
+
+#[test]
+fn both_instances_get_calls() {
+    let directory = directory(&[]);
+    let mut dispatcher = dispatcher();
+    let job = call(RouteKind::Idempotent);
+    let mut chosen = std::collections::BTreeSet::new();
+    for _ in 0..4 {
+        if let Verdict::Send(upstream) = dispatcher.decide(1_000, &directory, &job) {
+            dispatcher.sent(1_000, &job, &upstream);
+            chosen.insert(upstream.to_string());
+        }
+    }
+    assert_eq!(chosen.len(), 2);
+}
--- a/crates/entry/src/answering.rs
+++ b/crates/entry/src/answering.rs
@@ -16,6 +16,8 @@
 use crate::active::Phase;
 use crate::codec::AnswerFields;
 use crate::daemon::Daemon;
+use crate::ending::model_text;
+use crate::ending::upstream_text;
 use crate::outbound::Part;
 use crate::outbound::Peer;
 use crate::outbound::Purpose;
@@ -397,8 +399,8 @@
         log::info!(
             request_id = request.serving.id.to_string(),
             reason = failed.as_str(),
-            upstream = request.job.tried.last().map(ToString::to_string),
-            model = request.job.wanted.as_ref().map(|wanted| wanted.model.to_string()),
+            upstream = upstream_text(&request.job),
+            model = model_text(&request.job),
             tries = request.job.tried.len(),
             begun = request.begun,
             age_ms = self.now_ms - request.job.arrived_ms;
--- /dev/null
+++ b/crates/entry/src/connections.rs
@@ -0,0 +1,174 @@
+//! Callers' connections: what comes from them, and how they end.
+
+use apricotdale_core::refusal::Refusal;
+use apricotdale_core::refusal::RefusalReason;
+use apricotdale_http1::Error as HttpError;
+use apricotdale_http1::RequestHead;
+use apricotdale_http1::append_head_end;
+use apricotdale_http1::append_header;
+use apricotdale_http1::append_status_line;
+use mio::Token;
+
+use crate::active::Phase;
+use crate::caller::CallerKind;
+use crate::caller::Received;
+use crate::daemon::Daemon;
+
+impl Daemon {
+    /// Goes on with a caller's connection.
+    pub(crate) fn serve_caller(&mut self, token: Token) {
+        loop {
+            let limits = self.directory.configuration().limits;
+            let now_ms = self.now_ms;
+            let Some(caller) = self.callers.get_mut(&token) else {
+                return;
+            };
+            if caller.flush() {
+                self.drop_caller(token, false);
+                return;
+            }
+            self.resume_reading(token);
+            let Some(caller) = self.callers.get_mut(&token) else {
+                return;
+            };
+            match caller.receive(now_ms, &limits) {
+                Received::Request { head, body } => self.take_request(token, head, body),
+                Received::Refused(error) => self.refuse_bytes(token, error),
+                Received::Left => {
+                    self.drop_caller(token, true);
+                    return;
+                }
+                Received::Nothing => return,
+            }
+        }
+    }
+
+    /// Lets an upstream's connection be read again once the caller has taken what was read.
+    fn resume_reading(&mut self, token: Token) {
+        let Some(key) = self.callers.get(&token).and_then(|caller| caller.request()) else {
+            return;
+        };
+        let Some(Phase::Sent { connection, .. }) = self.active.get(key).map(|it| &it.phase) else {
+            return;
+        };
+        let connection = *connection;
+        let was_paused = self
+            .outbound
+            .get_mut(connection)
+            .is_some_and(|it| std::mem::take(&mut it.paused));
+        if was_paused {
+            self.advance_relay(connection, key, true);
+        }
+    }
+
+    /// Drops a caller's connection. A request that may be repeated, or a stream, is given up with
+    /// it; one that may run only once is left to end.
+    pub(crate) fn drop_caller(&mut self, token: Token, left: bool) {
+        let Some(caller) = self.callers.remove(&token) else {
+            return;
+        };
+        let request = caller.request();
+        caller.stream.close(self.poll.registry(), false);
+        if let Some(key) = request {
+            self.caller_left(key, left);
+        }
+    }
+
+    fn caller_left(&mut self, key: u64, left: bool) {
+        let Some(request) = self.active.get_mut(key) else {
+            return;
+        };
+        request.caller = None;
+        let may_be_cut = request.job.kind.is_repeatable() || request.job.kind.is_stream();
+        let is_sent = matches!(request.phase, Phase::Sent { .. });
+        if !is_sent || may_be_cut {
+            self.cancel_try(key);
+            self.end_request(
+                key,
+                if left {
+                    "caller_left"
+                } else {
+                    "caller_dropped"
+                },
+            );
+        }
+    }
+
+    fn refuse_bytes(&mut self, token: Token, error: HttpError) {
+        let reason = match error {
+            HttpError::HeadTooLarge => RefusalReason::HeadTooLarge,
+            HttpError::BodyTooLarge => RefusalReason::BodyTooLarge,
+            _ => RefusalReason::BadRequest,
+        };
+        self.refuse_connection(token, Refusal::not_run(reason, error.to_string()));
+    }
+
+    /// Answers with a refusal and ends the connection, whose further bytes can't be trusted.
+    fn refuse_connection(&mut self, token: Token, refusal: Refusal) {
+        self.metrics.refused(refusal.reason.as_str());
+        let now_ms = self.now_ms;
+        let bytes = self.codecs.callers.refusal(&refusal, None, true);
+        if let Some(caller) = self.callers.get_mut(&token) {
+            caller.stream.queue(&bytes);
+            caller.begin_close(now_ms);
+        }
+    }
+
+    fn take_request(&mut self, token: Token, head: RequestHead, body: Vec<u8>) {
+        match self.callers.get(&token).map(|caller| caller.kind) {
+            Some(CallerKind::Serving) => self.take_serving(token, head, body),
+            Some(CallerKind::Ready) => self.answer_ready(token),
+            Some(CallerKind::Metrics) => self.answer_metrics(token),
+            None => {}
+        }
+    }
+
+    fn answer_ready(&mut self, token: Token) {
+        let ready = self.directory.is_complete() && !self.stopping.has_begun();
+        self.answer_text(token, if ready { 200 } else { 503 }, "");
+    }
+
+    fn answer_metrics(&mut self, token: Token) {
+        self.metrics.active.set(self.active.len() as i64);
+        self.metrics.callers.set(self.callers.len() as i64);
+        self.metrics.outbound.set(self.outbound.len() as i64);
+        self.metrics.dropped_lines.set(self.lines.dropped as i64);
+        let text = self.metrics.render();
+        self.answer_text(token, 200, &text);
+    }
+
+    fn answer_text(&mut self, token: Token, status: u16, text: &str) {
+        let mut bytes = Vec::new();
+        append_status_line(&mut bytes, status);
+        append_header(&mut bytes, "Content-Type", b"text/plain; charset=utf-8");
+        append_header(
+            &mut bytes,
+            "Content-Length",
+            text.len().to_string().as_bytes(),
+        );
+        append_head_end(&mut bytes);
+        bytes.extend_from_slice(text.as_bytes());
+        self.write_to_caller(token, &bytes);
+        self.finish_answer(token);
+    }
+
+    /// Writes to a caller without handling what that shows of the connection.
+    pub(crate) fn write_to_caller(&mut self, token: Token, bytes: &[u8]) {
+        if let Some(caller) = self.callers.get_mut(&token) {
+            caller.stream.queue(bytes);
+            caller.stream.flush();
+        }
+    }
+
+    /// Ends an answer on a caller's connection.
+    pub(crate) fn finish_answer(&mut self, token: Token) {
+        let now_ms = self.now_ms;
+        let stops = self.stopping.has_begun();
+        if let Some(caller) = self.callers.get_mut(&token) {
+            caller.close_after |= stops && caller.kind == CallerKind::Serving;
+            caller.answered(now_ms);
+            caller.flush();
+            self.answered.push(token);
+        }
+    }
+}
--- /dev/null
+++ b/crates/entry/src/ending.rs
@@ -0,0 +1,144 @@
+//! How requests end that are not answered by an upstream.
+
+use apricotdale_core::names::UpstreamName;
+use apricotdale_core::refusal::Ran;
+use apricotdale_core::refusal::Refusal;
+use apricotdale_core::refusal::RefusalReason;
+use apricotdale_dispatch::Job;
+use apricotdale_dispatch::WaitReason;
+use apricotdale_fleet::WantedModel;
+use mio::Token;
+
+use crate::active::Phase;
+use crate::daemon::Daemon;
+
+impl Daemon {
+    /// Refuses an active request.
+    pub(crate) fn refuse(&mut self, key: u64, refusal: &Refusal) {
+        self.metrics.refused(refusal.reason.as_str());
+        let Some(request) = self.active.get(key) else {
+            return;
+        };
+        if self.lines.take(self.now_ms, false) {
+            let job = &request.job;
+            log::info!(
+                request_id = request.serving.id.to_string(),
+                reason = refusal.reason.as_str(),
+                ran = refusal.ran.as_str(),
+                detail = refusal.detail,
+                route = request.route.name.to_string(),
+                model = model_text(job),
+                age_ms = self.now_ms - job.arrived_ms,
+                tries = job.tried.len(),
+                config_version = self.directory.version(),
+                list_age_ms = self.feeds.list_age_ms(self.now_ms),
+                orders_by = self.peers.holder_text(),
+                forecast_in_ms = self.dispatcher.forecast_in_ms(self.now_ms, job);
+                "request refused"
+            );
+        }
+        if let Some(token) = request.caller {
+            if request.begun {
+                self.abort_caller(token);
+            } else {
+                let close = self.closes_after(token);
+                let id = request.serving.id.clone();
+                let bytes = self.codecs.callers.refusal(refusal, Some(&id), close);
+                self.write_to_caller(token, &bytes);
+                self.finish_answer(token);
+            }
+        }
+        self.end_request(key, refusal.reason.as_str());
+        self.serve_again();
+    }
+
+    /// Breaks a caller's connection, so that an answer that stopped midway does not look whole.
+    pub(crate) fn abort_caller(&mut self, token: Token) {
+        if let Some(caller) = self.callers.remove(&token) {
+            caller.stream.close(self.poll.registry(), true);
+        }
+    }
+
+    fn serve_again(&mut self) {
+        self.look_again = true;
+    }
+
+    /// Forgets a request that has its final answer.
+    pub(crate) fn end_request(&mut self, key: u64, how: &str) {
+        let Some(request) = self.active.remove(key) else {
+            return;
+        };
+        self.metrics.ended(how);
+        let job = &request.job;
+        let good = how == "answered";
+        if self.lines.take(self.now_ms, good) {
+            log::info!(
+                request_id = request.serving.id.to_string(),
+                reason = how,
+                route = request.route.name.to_string(),
+                tries = job.tried.len(),
+                upstream = upstream_text(job),
+                model = model_text(job),
+                first_answer_ms = request.first_answer_ms.map_or(0, |at_ms| at_ms - job.arrived_ms),
+                took_ms = self.now_ms - job.arrived_ms;
+                "request ended"
+            );
+        }
+    }
+
+    /// Looks after requests whose deadline has come or whose pause is over.
+    pub(crate) fn due_requests(&mut self) {
+        for key in self.active.due(self.now_ms) {
+            let Some(request) = self.active.get_mut(key) else {
+                continue;
+            };
+            if self.now_ms >= request.job.deadline_ms {
+                self.deadline_passed(key);
+                continue;
+            }
+            if matches!(request.phase, Phase::Pausing { until_ms } if until_ms <= self.now_ms) {
+                request.phase = Phase::Waiting(WaitReason::Crowded);
+                self.dispatch(key);
+            }
+        }
+    }
+
+    fn deadline_passed(&mut self, key: u64) {
+        let Some(request) = self.active.get(key) else {
+            return;
+        };
+        let is_sent = matches!(request.phase, Phase::Sent { .. });
+        let ran = match is_sent || request.job.runs > 0 {
+            true => Ran::Unknown,
+            false => Ran::NotRun,
+        };
+        let reason = match is_sent {
+            true => RefusalReason::UpstreamTimeout,
+            false => RefusalReason::DeadlineTooShort,
+        };
+        let mut refusal = Refusal::not_run(reason, "the time is over");
+        refusal.ran = ran;
+        self.cancel_try(key);
+        self.refuse(key, &refusal);
+    }
+}
+
+/// Returns the model and adapter that a request names, for logs.
+pub(crate) fn model_text(job: &Job) -> String {
+    match &job.wanted {
+        Some(WantedModel {
+            model,
+            adapter: Some(adapter),
+        }) => format!("{model}/{adapter}"),
+        Some(WantedModel {
+            model,
+            adapter: None,
+        }) => model.to_string(),
+        None => String::new(),
+    }
+}
+
+/// Returns the upstream to which a request was sent last, for logs.
+pub(crate) fn upstream_text(job: &Job) -> &str {
+    job.tried.last().map_or("", UpstreamName::as_str)
+}
--- a/crates/entry/src/feeds.rs
+++ b/crates/entry/src/feeds.rs
@@ -94,6 +94,11 @@
 }
 
 impl Feeds {
+    /// Returns how long ago the list was read; none before the first time.
+    pub fn list_age_ms(&self, now_ms: u64) -> Option<u64> {
+        self.upstreams.read_ms.map(|at_ms| now_ms - at_ms)
+    }
+
     /// Returns when the next call is due.
     pub fn next_ms(&self) -> u64 {
         [&self.configuration, &self.upstreams, &self.vms]
--- a/crates/entry/src/peers.rs
+++ b/crates/entry/src/peers.rs
@@ -122,6 +122,11 @@
         }
     }
 
+    /// Returns the VM that gives orders as far as this one knows, for logs.
+    pub fn holder_text(&self) -> &str {
+        self.holder.as_ref().map_or("", |(vm, ..)| vm.as_str())
+    }
+
     /// Returns this VM's entry for the store.
     pub fn own_record(&self) -> &VmRecord {
         &self.own
@@ -341,7 +346,7 @@
             }
             return;
         };
-        self.peers.holder = None;
+        self.peers.holder = Some((self.peers.own.vm.clone(), self.peers.own.address, now_ms));
         let rows = self.ordering.forecasts(now_ms);
         let from = self.peers.own.clone();
         let mut parts: Vec<Vec<ForecastRow>> = rows
--- a/crates/holder/tests/support/mod.rs
+++ b/crates/holder/tests/support/mod.rs
@@ -80,6 +80,14 @@
     done_ms: u64,
 }
 
+/// What a report would have shown at a time.
+struct Past {
+    at_ms: u64,
+    residence: Residence,
+    busy: bool,
+    coming: Vec<(ModelName, ModelName)>,
+}
+
 /// `FakeEngine` is an engine as it really is.
 pub struct FakeEngine {
     pub residence: Residence,
@@ -90,7 +98,7 @@
     running: Option<Running>,
     coming: Vec<(ModelName, ModelName, u64)>,
     late: Vec<(u64, OrderKind, u64)>,
-    history: VecDeque<(u64, Residence, bool, Vec<(ModelName, ModelName)>)>,
+    history: VecDeque<Past>,
     /// Loads that ended, with whether the weights came from the weight store.
     pub loads: Vec<(ModelName, bool)>,
 }
@@ -137,13 +145,13 @@
             .iter()
             .map(|(model, it, _)| (model.clone(), it.clone()))
             .collect();
-        self.history.push_back((
-            now_ms,
-            self.residence.clone(),
-            self.running.is_some(),
+        self.history.push_back(Past {
+            at_ms: now_ms,
+            residence: self.residence.clone(),
+            busy: self.running.is_some(),
             coming,
-        ));
-        while self.history.len() > 1 && self.history[1].0 + REPORT_LAG_MS <= now_ms {
+        });
+        while self.history.len() > 1 && self.history[1].at_ms + REPORT_LAG_MS <= now_ms {
             self.history.pop_front();
         }
     }
@@ -252,11 +260,11 @@
     }
 
     fn report(&self) -> EngineReport {
-        let (_, residence, busy, coming) = self.history.front().expect("it has been advanced");
+        let past = self.history.front().expect("it has been advanced");
         EngineReport {
-            residence: residence.clone(),
-            coming: coming.clone(),
-            busy: *busy,
+            residence: past.residence.clone(),
+            coming: past.coming.clone(),
+            busy: past.busy,
             orders_taken: self.orders_taken,
             waiting: 0,
             running: 0,
@@ -391,7 +399,7 @@
                 };
                 self.carry_out(actions);
             }
-            if self.now_ms % 10 == 0 {
+            if self.now_ms.is_multiple_of(10) {
                 self.planner.sync(&self.directory);
                 let actions = self.planner.plan(self.now_ms, &self.demand);
                 self.carry_out(actions);
