--- a/crates/holder/tests/lease_takeover.rs
+++ b/crates/holder/tests/lease_takeover.rs
@@ -58,13 +58,11 @@
 #[test]
 fn renewals_keep_the_fence() {
     let mut lease = first_holder();
-    let mut offset = 1;
-    for _ in 0..20 {
+    for offset in 1..=20 {
         let now_ms = lease.next_ms();
         assert_eq!(append_at(&mut lease, now_ms), Some(offset));
         lease.answered(now_ms, LeaseAnswer::Appended { offset });
         assert_eq!(lease.fence(now_ms), Some(1));
-        offset += 1;
     }
 }
 
