Orders: with engines that check fences, no pause for a new holder, and orders outlast an outage

Change: where engines check fencing tokens, a new holder starts at once, and the holder goes on past its lease for up to 12 s while its renewals fail without an answer that another has taken it.

--- a/crates/entry/src/ordering.rs
+++ b/crates/entry/src/ordering.rs
@@ -35,6 +35,10 @@
 /// How long an engine's report is awaited.
 const REPORT_TIMEOUT_MS: u64 = 500;
 
+/// How long orders go on past the lease while the store can't be reached. The longest outages of
+/// the store in the users' deployments last 9 to 12 s.
+const OUTLAST_MS: u64 = 12_000;
+
 /// How long a call on the lease is awaited.
 const LEASE_TIMEOUT_MS: u64 = 700;
 
@@ -54,9 +58,17 @@
 
 impl Ordering {
     pub fn new(settings: &Settings, run: u64) -> Self {
+        let defaults = LeaseOptions::default();
+        // An engine that checks fencing tokens turns the former holder's orders away by itself, so
+        // a new holder need not wait until they can no longer be under way.
+        let (pause_ms, outlast_ms) = match settings.engines_check_fences {
+            true => (0, OUTLAST_MS),
+            false => (settings.order_pause_ms, 0),
+        };
         let options = LeaseOptions {
-            pause_ms: settings.order_pause_ms,
-            ..LeaseOptions::default()
+            pause_ms,
+            outlast_ms,
+            ..defaults
         };
         Self {
             lease: Lease::new(options, settings.vm.clone(), run),
@@ -81,6 +93,11 @@
         self.lease.note_end(now_ms, end, false);
     }
 
+    /// Returns whether another VM's beat is of an older lease than the newest that is known.
+    pub fn is_outdated(&self, lease_end: u64) -> bool {
+        self.lease.end().is_some_and(|end| lease_end < end)
+    }
+
     /// Returns the lease's end, if this VM holds the lease.
     pub fn held_lease_end(&self, now_ms: u64) -> Option<u64> {
         self.lease.end().filter(|_| self.lease.is_held(now_ms))
--- a/crates/entry/src/peers.rs
+++ b/crates/entry/src/peers.rs
@@ -284,6 +284,9 @@
                 forecasts,
             } => {
                 self.peers.note_heard(now_ms, &from);
+                if self.ordering.is_outdated(lease_end) {
+                    return;
+                }
                 self.ordering.note_lease_end(now_ms, lease_end);
                 if self
                     .peers
--- a/crates/entry/src/settings.rs
+++ b/crates/entry/src/settings.rs
@@ -36,7 +36,9 @@
     pub store: SocketAddr,
     /// How long a planned stop may take.
     pub stop_ms: u64,
-    /// How long a new giver of orders waits before its first order.
+    /// Whether all engines refuse an order with a lower fencing token than they have seen.
+    pub engines_check_fences: bool,
+    /// How long a new giver of orders waits before its first order, where engines do not.
     pub order_pause_ms: u64,
     /// Repeats that all VMs together may add to each request of a service.
     pub repeats_per_request: f64,
@@ -75,6 +77,7 @@
             metrics: address(ini, "metrics", "listen")?,
             store: address(ini, "store", "address")?,
             stop_ms: number(ini, "bounds", "stop_ms", 1_000..=600_000)?,
+            engines_check_fences: parsed(ini, "bounds", "engines_check_fences", "true or false")?,
             order_pause_ms: number(ini, "bounds", "order_pause_ms", 0..=60_000)?,
             repeats_per_request: share(ini, "bounds", "repeats_per_request")?,
             spare_repeats: number(ini, "bounds", "spare_repeats", 0..=100_000)? as f64,
--- a/crates/entry/tests/bad_settings.rs
+++ b/crates/entry/tests/bad_settings.rs
@@ -11,7 +11,7 @@
     [callers]\nlisten = 127.0.0.1:1\nready = 127.0.0.1:2\n\
     [peers]\nlisten = 127.0.0.1:3\n[metrics]\nlisten = 127.0.0.1:4\n\
     [store]\naddress = 127.0.0.1:5\n\
-    [bounds]\nstop_ms = 8000\norder_pause_ms = 3000\nrepeats_per_request = 0.2\n\
+    [bounds]\nstop_ms = 8000\nengines_check_fences = true\norder_pause_ms = 3000\nrepeats_per_request = 0.2\n\
     spare_repeats = 58\n[log]\nlevel = info\n";
 
 fn read(text: &str) -> apricotdale_entry::Result<Settings> {
@@ -53,6 +53,7 @@
 #[case::too_short("stop_ms = 8000", "stop_ms = 10")]
 #[case::share_above_one("repeats_per_request = 0.2", "repeats_per_request = 1.5")]
 #[case::negative_share("repeats_per_request = 0.2", "repeats_per_request = -0.1")]
+#[case::not_a_truth("engines_check_fences = true", "engines_check_fences = maybe")]
 #[case::not_a_level("level = info", "level = loud")]
 fn bad_setting(#[case] from: &str, #[case] to: &str) {
     let error = read(&GOOD.replace(from, to));
--- a/crates/holder/src/lease.rs
+++ b/crates/holder/src/lease.rs
@@ -11,6 +11,10 @@
 //!   a clock that goes on while the VM is suspended, one duration after it *sent* its last renewal
 //!   that was acknowledged. Others take over no sooner than one duration after they *saw* the end
 //!   of the topic that this renewal made, which is later.
+//! - The store is away for everybody. Nobody can renew or take over, and without orders callers of
+//!   models that are not resident wait for the whole outage. Where engines check fencing tokens the
+//!   holder goes on, for a bounded time, while its renewals fail without an answer that another has
+//!   taken the lease; a VM that was frozen has first to see a renewal fail.
 //! - The answer to an append is lost. The VM then knows nothing and reads the topic: a record with
 //!   its own run number says that the append was done.
 //! - The new holder's order overtakes one of the old holder's that is still under way. The new
@@ -33,6 +37,10 @@
     pub pause_ms: u64,
     /// What each place in the order of takeover adds to the wait, so that one VM tries first.
     pub stagger_ms: u64,
+    /// How long orders go on past the lease while the store can't be reached. Only for engines that
+    /// check fencing tokens: they turn the orders away as soon as another holder has given one, so
+    /// two holders can't undo each other's work. For others 0.
+    pub outlast_ms: u64,
     /// How long a call to the store may take before its outcome counts as unknown.
     pub call_timeout_ms: u64,
 }
@@ -44,6 +52,7 @@
             renew_every_ms: 600,
             pause_ms: 3_000,
             stagger_ms: 150,
+            outlast_ms: 0,
             call_timeout_ms: 900,
         }
     }
@@ -137,6 +146,8 @@
     term: Option<Term>,
     /// Until when the last renewal is good.
     good_until_ms: u64,
+    /// When a renewal last failed because the store could not be reached.
+    unreached_ms: Option<u64>,
     call_sent_ms: Option<u64>,
     next_call_ms: u64,
     must_read: bool,
@@ -154,6 +165,7 @@
             newest: Newest::Others,
             term: None,
             good_until_ms: 0,
+            unreached_ms: None,
             call_sent_ms: None,
             next_call_ms: 0,
             must_read: true,
@@ -168,12 +180,21 @@
     /// Returns the fencing token under which this VM may give orders now, or none.
     pub fn fence(&self, now_ms: u64) -> Option<u64> {
         let term = self.term.filter(|term| now_ms >= term.orders_from_ms)?;
-        (now_ms < self.good_until_ms).then_some(term.fence)
+        self.is_held(now_ms).then_some(term.fence)
     }
 
     /// Returns whether this VM holds the lease now, though it may not give orders yet.
     pub fn is_held(&self, now_ms: u64) -> bool {
-        self.term.is_some() && now_ms < self.good_until_ms
+        self.term.is_some() && (now_ms < self.good_until_ms || self.outlasts(now_ms))
+    }
+
+    /// Returns whether orders may go on past the lease.
+    fn outlasts(&self, now_ms: u64) -> bool {
+        let fresh_ms = self.options.renew_every_ms + self.options.call_timeout_ms;
+        let is_fresh = self
+            .unreached_ms
+            .is_some_and(|at_ms| now_ms.saturating_sub(at_ms) <= fresh_ms);
+        is_fresh && now_ms < self.good_until_ms + self.options.outlast_ms
     }
 
     /// Returns the end of the topic as last seen, for other VMs.
@@ -250,8 +271,11 @@
                 self.must_read = true;
                 self.next_call_ms = now_ms;
             }
-            LeaseAnswer::NotDone => {}
-            LeaseAnswer::Unknown => self.must_read = true,
+            LeaseAnswer::NotDone => self.unreached_ms = Some(now_ms),
+            LeaseAnswer::Unknown => {
+                self.unreached_ms = Some(now_ms);
+                self.must_read = true;
+            }
         }
     }
 
@@ -267,6 +291,7 @@
         });
         self.term = Some(term);
         self.good_until_ms = sent_ms + self.options.duration_ms;
+        self.unreached_ms = None;
         self.end = Some((offset + 1, now_ms));
         self.newest = Newest::Own;
         self.next_call_ms = now_ms + self.options.renew_every_ms;
@@ -294,6 +319,7 @@
     fn lose(&mut self) {
         self.term = None;
         self.good_until_ms = 0;
+        self.unreached_ms = None;
     }
 
     /// Returns when this VM may take the lease over from another.
--- a/crates/holder/tests/lease_takeover.rs
+++ b/crates/holder/tests/lease_takeover.rs
@@ -12,6 +12,7 @@
     renew_every_ms: 600,
     pause_ms: 3_000,
     stagger_ms: 150,
+    outlast_ms: 0,
     call_timeout_ms: 900,
 };
 
@@ -251,3 +252,59 @@
     assert!(lease.act(0).is_some());
     assert_eq!(lease.act(10_000), None);
 }
+
+const OUTLASTING: LeaseOptions = LeaseOptions {
+    outlast_ms: 5_000,
+    ..OPTIONS
+};
+
+/// Returns a holder whose engines check fences, and lets its renewals fail until a time.
+fn unreached_holder(until_ms: u64) -> (Lease, u64) {
+    let mut lease = Lease::new(OUTLASTING, VmName::from("a"), 1);
+    read(&mut lease, 0, 0, None);
+    let mut now_ms = lease.next_ms();
+    append_at(&mut lease, now_ms);
+    lease.answered(now_ms, LeaseAnswer::Appended { offset: 0 });
+    while lease.next_ms() < until_ms {
+        now_ms = lease.next_ms();
+        append_at(&mut lease, now_ms);
+        lease.answered(now_ms, LeaseAnswer::NotDone);
+    }
+    (lease, now_ms)
+}
+
+/// Symptom: for the whole of an outage of the store nobody loads a model. Sequence: the store is
+/// away for everybody; the lease runs out and nobody can take it. Cause: the holder stopped though
+/// engines would have turned its orders away had there been another.
+#[test]
+fn orders_outlast_an_outage() {
+    let (lease, now_ms) = unreached_holder(6_000);
+    assert_eq!(lease.fence(now_ms), Some(1));
+}
+
+#[test]
+fn orders_do_not_outlast_for_ever() {
+    let (lease, now_ms) = unreached_holder(20_000);
+    assert_eq!(lease.fence(now_ms), None);
+}
+
+/// A VM that was frozen has first to see that the store can't be reached: another may hold the
+/// lease long since.
+#[test]
+fn frozen_holder_looks_first() {
+    let (mut lease, now_ms) = unreached_holder(3_000);
+    assert!(lease.fence(now_ms).is_some());
+    let woken_ms = now_ms + 2_500;
+    assert_eq!(lease.fence(woken_ms), None);
+    append_at(&mut lease, woken_ms);
+    lease.answered(woken_ms, LeaseAnswer::EndedElsewhere { end: 7 });
+    read(&mut lease, woken_ms, 7, Some(record("b", 2)));
+    assert_eq!(lease.fence(woken_ms), None);
+}
+
+#[test]
+fn other_holder_heard_of_during_an_outage() {
+    let (mut lease, now_ms) = unreached_holder(4_000);
+    lease.note_end(now_ms, 9, false);
+    assert_eq!(lease.fence(now_ms), None);
+}
