Recovery: an earlier run of this VM holds no lease; a silent store holds a start up for less

Change: the VM that held the lease takes it again at once after its restart; first reads are given up after 0.9 s and tried again every 0.4 s.

--- a/crates/entry/src/feeds.rs
+++ b/crates/entry/src/feeds.rs
@@ -25,14 +25,15 @@
 /// How long a call to the store may take beyond its wait.
 const CALL_TIMEOUT_MS: u64 = 800;
 
-/// The same for a whole list, which is larger.
-const NEWEST_TIMEOUT_MS: u64 = 2_000;
+/// The same for a whole list, which is larger. A VM that starts can't serve before it has one, so
+/// a call that a silent store swallowed must not hold it up for long.
+const NEWEST_TIMEOUT_MS: u64 = 900;
 
 /// The pause after a call that failed, doubled with each further one.
 const RETRY_MS: u64 = 100;
 
 /// The longest such pause. The store must be read again soon after it comes back.
-const MAX_RETRY_MS: u64 = 800;
+const MAX_RETRY_MS: u64 = 400;
 
 /// How long after a failed read entries that vanished may be those of live upstreams.
 const OUTAGE_MS: u64 = 3_500;
--- a/crates/holder/src/lease.rs
+++ b/crates/holder/src/lease.rs
@@ -121,6 +121,8 @@
     Released,
     /// This run's own, whose append was not acknowledged.
     Own,
+    /// An earlier run's of this VM. Its process has ended, or this one would not run.
+    EarlierRun,
 }
 
 /// A term is the time from taking the lease to losing it to another VM.
@@ -302,6 +304,7 @@
         self.newest = match &newest {
             Some(record) if record.run == self.run && record.holder == self.vm => Newest::Own,
             Some(record) if record.released => Newest::Released,
+            Some(record) if record.holder == self.vm => Newest::EarlierRun,
             _ => Newest::Others,
         };
         if self.end.is_none_or(|(known, _)| end > known) {
@@ -326,7 +329,7 @@
     fn takeover_ms(&self, seen_ms: u64) -> u64 {
         let stagger_ms = self.place * self.options.stagger_ms;
         match self.newest {
-            Newest::Own => seen_ms,
+            Newest::Own | Newest::EarlierRun => seen_ms,
             Newest::Released => seen_ms + stagger_ms,
             Newest::Others => seen_ms + self.options.duration_ms + stagger_ms,
         }
