Reads of the store: the giver of orders tells the others what it has read

Change: beats tell the version in force, the age of the giver's reads, which upstreams left and whether some came. A VM that hears fresh beats reads a topic only when told, and each 5 s; it reads for itself again 0.9 s after the last beat, or when the giver's list is older than 1.3 s. A VM that says a model is missing which the giver knows in place is told again. Greetings are answered to their sender only.

--- a/crates/entry/src/daemon.rs
+++ b/crates/entry/src/daemon.rs
@@ -39,6 +39,7 @@
 use crate::outbound::Purpose;
 use crate::peers::Peers;
 use crate::settings::Settings;
+use crate::sharing::Sharing;
 use crate::stopping::Stopping;
 use crate::stream::Stream;
 
@@ -84,6 +85,7 @@
     pub(crate) feeds: Feeds,
     pub(crate) ordering: Ordering,
     pub(crate) peers: Peers,
+    pub(crate) sharing: Sharing,
     pub(crate) stopping: Stopping,
     pub(crate) metrics: EntryMetrics,
     pub(crate) lines: LineBudget,
@@ -152,6 +154,7 @@
             dispatcher: Dispatcher::new(options),
             news: NewsBoard::default(),
             feeds: Feeds::default(),
+            sharing: Sharing::default(),
             stopping: Stopping::default(),
             metrics: EntryMetrics::default(),
             lines: LineBudget::default(),
@@ -228,7 +231,7 @@
             self.active.next_ms().unwrap_or(u64::MAX),
             self.next_sweep_ms,
             self.call_alarm_ms,
-            self.feeds.next_ms(),
+            self.feeds.next_ms(self.now_ms, &self.sharing),
             self.ordering.next_ms(),
             self.peers.next_ms(),
         ]
--- a/crates/entry/src/feeds.rs
+++ b/crates/entry/src/feeds.rs
@@ -13,6 +13,7 @@
 use crate::daemon::Daemon;
 use crate::outbound::Peer;
 use crate::peers::VmRecord;
+use crate::sharing::Sharing;
 
 /// How long a read of the configuration waits for a change. A connection that has fallen silent is
 /// noticed after that and a little more, within the time in which a change must be in force.
@@ -22,6 +23,9 @@
 /// 2 s after it said so.
 const UPSTREAMS_EVERY_MS: u64 = 900;
 
+/// The time between two reads of what the giver of orders already tells the changes of.
+const FOLLOWING_EVERY_MS: u64 = 5_000;
+
 /// How long a call to the store may take beyond its wait.
 const CALL_TIMEOUT_MS: u64 = 800;
 
@@ -62,10 +66,21 @@
         self.next_ms = now_ms + pause_ms;
     }
 
-    fn succeeded(&mut self, now_ms: u64, every_ms: u64) {
+    fn succeeded(&mut self, now_ms: u64, pause_ms: u64) {
         self.failures = 0;
         self.read_ms = Some(now_ms);
-        self.next_ms = now_ms + every_ms;
+        self.next_ms = now_ms + pause_ms;
+    }
+
+    /// Returns when the next read is due, if nothing is told to have changed. While the giver of
+    /// orders tells of changes, a topic that was read well is left alone for longer.
+    fn due_ms(&self, now_ms: u64, sharing: &Sharing) -> u64 {
+        match self.read_ms {
+            Some(read_ms) if self.failures == 0 && sharing.follows(now_ms) => {
+                self.next_ms.max(read_ms + FOLLOWING_EVERY_MS)
+            }
+            _ => self.next_ms,
+        }
     }
 
     /// Returns whether the list could not be read a moment ago.
@@ -95,17 +110,44 @@
 }
 
 impl Feeds {
+    /// Returns how long ago the configuration was read; none before the first time.
+    pub fn configuration_age_ms(&self, now_ms: u64) -> Option<u64> {
+        self.configuration.read_ms.map(|at_ms| now_ms - at_ms)
+    }
+
+    /// Has the list read as soon as the store may be called again.
+    pub fn read_list_soon(&mut self, now_ms: u64) {
+        if self.upstreams.failures == 0 {
+            self.upstreams.next_ms = self.upstreams.next_ms.min(now_ms);
+            self.upstreams.read_ms = self
+                .upstreams
+                .read_ms
+                .map(|read_ms| read_ms.min(now_ms.saturating_sub(FOLLOWING_EVERY_MS)));
+        }
+    }
+
     /// Returns how long ago the list was read; none before the first time.
     pub fn list_age_ms(&self, now_ms: u64) -> Option<u64> {
         self.upstreams.read_ms.map(|at_ms| now_ms - at_ms)
     }
 
     /// Returns when the next call is due.
-    pub fn next_ms(&self) -> u64 {
-        [&self.configuration, &self.upstreams, &self.vms]
+    pub fn next_ms(&self, now_ms: u64, sharing: &Sharing) -> u64 {
+        let ends_ms = match sharing.follows(now_ms) {
+            true => sharing.followed_until_ms(),
+            false => u64::MAX,
+        };
+        let followed = [&self.configuration, &self.upstreams]
+            .into_iter()
+            .filter(|feed| !feed.calling)
+            .map(|feed| feed.due_ms(now_ms, sharing));
+        let own = [&self.vms]
             .into_iter()
             .filter(|feed| !feed.calling)
-            .map(|feed| feed.next_ms)
+            .map(|feed| feed.next_ms);
+        followed
+            .chain(own)
+            .chain([ends_ms])
             .min()
             .unwrap_or(u64::MAX)
     }
@@ -115,13 +157,26 @@
     /// Makes the calls that are due.
     pub(crate) fn advance_feeds(&mut self) {
         let now_ms = self.now_ms;
-        if is_due(&self.feeds.configuration, now_ms) {
+        let feeds = &self.feeds;
+        let told = self.sharing.told_version() > self.directory.version();
+        let is_due = |feed: &Feed, told: bool| {
+            let due_ms = if told {
+                feed.next_ms
+            } else {
+                feed.due_ms(now_ms, &self.sharing)
+            };
+            !feed.calling && due_ms <= now_ms
+        };
+        let configuration = is_due(&feeds.configuration, told);
+        let upstreams = is_due(&feeds.upstreams, false);
+        let vms = !feeds.vms.calling && feeds.vms.next_ms <= now_ms;
+        if configuration {
             self.read_configuration();
         }
-        if is_due(&self.feeds.upstreams, now_ms) {
+        if upstreams {
             self.read_upstreams();
         }
-        if is_due(&self.feeds.vms, now_ms) {
+        if vms {
             self.read_vms();
         }
     }
@@ -134,7 +189,11 @@
                 self.call_store(CallTag::ConfigurationNewest, &bytes, NEWEST_TIMEOUT_MS);
             }
             Some(from) => {
-                let wait_ms = CONFIGURATION_WAIT_MS;
+                // A VM that is told of changes has no read waiting, so that it makes none in vain.
+                let wait_ms = match self.sharing.follows(self.now_ms) {
+                    true => 0,
+                    false => CONFIGURATION_WAIT_MS,
+                };
                 let bytes = self.codecs.store.read(Topic::Configuration, from, wait_ms);
                 self.call_store(
                     CallTag::ConfigurationRead,
@@ -307,6 +366,7 @@
             match self.directory.configure(configuration) {
                 Ok(()) if version != before => {
                     log::info!(version, before; "configuration in force");
+                    self.peers.beat_soon();
                     self.look_again = true;
                 }
                 Ok(()) => {}
@@ -392,6 +452,8 @@
             DirectoryChange::None => {}
             DirectoryChange::Left => self.upstream_left(&name, "leaving"),
             DirectoryChange::Came => {
+                self.sharing.note_came();
+                self.peers.beat_soon();
                 log::info!(upstream = name.to_string(); "upstream came");
                 self.look_again = true;
             }
@@ -401,6 +463,8 @@
 
     /// Stops sending to an upstream. Requests in progress there go on.
     pub(crate) fn upstream_left(&mut self, name: &UpstreamName, reason: &str) {
+        self.sharing.note_left(self.now_ms, name);
+        self.peers.beat_soon();
         log::info!(upstream = name.to_string(), reason; "upstream takes no new work");
         self.outbound
             .close_idle(&Peer::Upstream(name.clone()), self.poll.registry());
@@ -410,7 +474,3 @@
         self.look_again = true;
     }
 }
-
-fn is_due(feed: &Feed, now_ms: u64) -> bool {
-    !feed.calling && feed.next_ms <= now_ms
-}
--- a/crates/entry/src/lib.rs
+++ b/crates/entry/src/lib.rs
@@ -28,6 +28,7 @@
 mod peers;
 mod serving;
 mod settings;
+mod sharing;
 mod stopping;
 mod stream;
 
--- a/crates/entry/src/ordering.rs
+++ b/crates/entry/src/ordering.rs
@@ -5,6 +5,7 @@
 use apricotdale_core::names::GroupName;
 use apricotdale_core::names::UpstreamName;
 use apricotdale_core::names::VmName;
+use apricotdale_fleet::WantedModel;
 use apricotdale_holder::DemandBook;
 use apricotdale_holder::DemandRow;
 use apricotdale_holder::Lease;
@@ -18,6 +19,7 @@
 use apricotdale_holder::Planner;
 use apricotdale_holder::PlannerAction;
 use apricotdale_holder::PlannerOptions;
+use apricotdale_holder::ResidenceNews;
 
 use crate::calling::CallOutcome;
 use crate::calling::CallTag;
@@ -88,6 +90,21 @@
         }
     }
 
+    /// Returns the news that a VM has missed, by what it says is missing.
+    pub fn missed_news(&self, rows: &[DemandRow]) -> Vec<ResidenceNews> {
+        rows.iter()
+            .filter(|row| row.missing > 0)
+            .flat_map(|row| {
+                let wanted = WantedModel {
+                    model: row.model.clone(),
+                    adapter: row.adapter.clone(),
+                };
+                let planners = self.planners.values();
+                planners.flat_map(move |planner| planner.known_places(&wanted))
+            })
+            .collect()
+    }
+
     /// Takes in the lease's end as its holder tells it.
     pub fn note_lease_end(&mut self, now_ms: u64, end: u64) {
         self.lease.note_end(now_ms, end, false);
--- a/crates/entry/src/peers.rs
+++ b/crates/entry/src/peers.rs
@@ -12,6 +12,9 @@
 use apricotdale_core::names::ModelName;
 use apricotdale_core::names::VmName;
 use apricotdale_dispatch::LoadForecast;
+use apricotdale_dispatch::WaitReason;
+use apricotdale_fleet::DirectoryChange;
+use apricotdale_fleet::WantedModel;
 use apricotdale_holder::DemandRow;
 use apricotdale_holder::ResidenceNews;
 use mio::net::UdpSocket;
@@ -20,8 +23,7 @@
 
 use crate::active::Phase;
 use crate::daemon::Daemon;
-use apricotdale_dispatch::WaitReason;
-use apricotdale_fleet::WantedModel;
+use crate::sharing::Freshness;
 
 /// The largest datagram that is sent, below what a packet carries everywhere.
 const DATAGRAM_BYTES: usize = 1_200;
@@ -81,6 +83,7 @@
         from: VmRecord,
         lease_end: u64,
         forecasts: Vec<ForecastRow>,
+        fresh: Freshness,
     },
     /// What engines hold.
     News(Vec<ResidenceNews>),
@@ -189,6 +192,18 @@
         }
     }
 
+    /// Sends a message to one VM.
+    fn send(&self, address: SocketAddr, message: &PeerMessage) {
+        if let Some(bytes) = encode(message) {
+            let _ = self.socket.send_to(&bytes, address);
+        }
+    }
+
+    /// Has the next beat sent at once: something has changed that others should know.
+    pub fn beat_soon(&mut self) {
+        self.next_beat_ms = 0;
+    }
+
     /// Sends news, in as many datagrams as they take.
     pub fn send_news(&self, news: &[ResidenceNews]) {
         for part in news.chunks(ROWS_A_DATAGRAM / 2) {
@@ -207,7 +222,7 @@
         };
         let before = self.known.insert(record.vm.clone(), known);
         if before.is_none_or(|before| before.run != record.run) {
-            log::info!(peer = record.vm.to_string(), run = record.run; "VM heard of");
+            log::debug!(peer = record.vm.to_string(), run = record.run; "VM heard of");
         }
     }
 }
@@ -255,7 +270,8 @@
                 let is_new = !self.peers.known.contains_key(&record.vm);
                 self.peers.note_heard(now_ms, &record);
                 if is_new {
-                    self.peers.next_greeting_ms = now_ms;
+                    let greeting = PeerMessage::Greeting(self.peers.own.clone());
+                    self.peers.send(record.address, &greeting);
                 }
             }
             PeerMessage::Goodbye(vm) => {
@@ -276,12 +292,16 @@
                     run,
                 };
                 self.peers.note_heard(now_ms, &record);
+                for part in self.ordering.missed_news(&rows).chunks(ROWS_A_DATAGRAM / 2) {
+                    self.peers.send(from, &PeerMessage::News(part.to_vec()));
+                }
                 self.ordering.note_demand(now_ms, &vm, run, rows);
             }
             PeerMessage::Beat {
                 from,
                 lease_end,
                 forecasts,
+                fresh,
             } => {
                 self.peers.note_heard(now_ms, &from);
                 if self.ordering.is_outdated(lease_end) {
@@ -296,6 +316,7 @@
                 {
                     log::info!(holder = from.vm.to_string(), lease_end; "another VM gives orders");
                 }
+                self.take_freshness(&from, &fresh);
                 self.peers.holder = Some((from.vm, from.address, now_ms));
                 self.take_forecasts(forecasts);
             }
@@ -303,6 +324,31 @@
         }
     }
 
+    /// Takes in what the giver of orders has read.
+    fn take_freshness(&mut self, giver: &VmRecord, fresh: &Freshness) {
+        let now_ms = self.now_ms;
+        if self.sharing.hear(now_ms, &giver.vm, giver.run, fresh) {
+            self.feeds.read_list_soon(now_ms);
+        }
+        for name in &fresh.left {
+            if self.directory.note_leaving(name) == DirectoryChange::Left {
+                self.upstream_left(name, "told_by_another_vm");
+            }
+        }
+    }
+
+    /// Returns what this VM has read, for the others.
+    fn freshness(&mut self) -> Freshness {
+        let now_ms = self.now_ms;
+        Freshness {
+            configuration: self.directory.version(),
+            configuration_age_ms: self.feeds.configuration_age_ms(now_ms),
+            list_age_ms: self.feeds.list_age_ms(now_ms),
+            came: self.sharing.came(),
+            left: self.sharing.left(now_ms),
+        }
+    }
+
     fn take_forecasts(&mut self, forecasts: Vec<ForecastRow>) {
         let now_ms = self.now_ms;
         for row in forecasts {
@@ -359,11 +405,14 @@
         if parts.is_empty() {
             parts.push(Vec::new());
         }
+        self.sharing.lead();
+        let fresh = self.freshness();
         for forecasts in parts {
             let beat = PeerMessage::Beat {
                 from: from.clone(),
                 lease_end,
                 forecasts,
+                fresh: fresh.clone(),
             };
             self.peers.send_all(&beat);
         }
--- /dev/null
+++ b/crates/entry/src/sharing.rs
@@ -0,0 +1,118 @@
+//! What the giver of orders has read, shared with the other VMs.
+//!
+//! Each VM could read the configuration and the list by itself, at some 1.6 calls a second. The
+//! giver reads them anyway, and tells in its beats how fresh they are, which version is in force,
+//! which upstreams have left and whether new ones came. A VM that hears such beats reads only what
+//! it is told has changed, and once in a while the whole. When the beats stop, or what the giver
+//! knows grows old, every VM reads for itself again, soon enough for the bounds on configuration
+//! and on leaving upstreams.
+
+use apricotdale_core::names::UpstreamName;
+use apricotdale_core::names::VmName;
+use serde::Deserialize;
+use serde::Serialize;
+
+/// How old the giver's list may be for others to go without reading it. The giver reads it each
+/// 0.9 s.
+const FRESH_LIST_MS: u64 = 1_300;
+
+/// How old the giver's configuration may be. Its reads wait up to 2 s for a change and end then.
+const FRESH_CONFIGURATION_MS: u64 = 2_300;
+
+/// How long a beat counts. Beats come each 0.4 s, so one may be lost.
+const BEAT_GOOD_MS: u64 = 900;
+
+/// How long the giver repeats that an upstream has left.
+const LEFT_REPEATED_MS: u64 = 2_500;
+
+/// `Freshness` is what a beat tells of the giver's reads.
+#[derive(Clone, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
+pub(crate) struct Freshness {
+    /// The version of the configuration in force.
+    pub configuration: u64,
+    /// How long ago the configuration was read; none if it was not.
+    pub configuration_age_ms: Option<u64>,
+    /// How long ago the list was read; none if it was not.
+    pub list_age_ms: Option<u64>,
+    /// How many upstreams have come in this run.
+    pub came: u64,
+    /// Upstreams that left within the last seconds.
+    pub left: Vec<UpstreamName>,
+}
+
+impl Freshness {
+    fn is_good(&self) -> bool {
+        self.list_age_ms
+            .is_some_and(|age_ms| age_ms <= FRESH_LIST_MS)
+            && self
+                .configuration_age_ms
+                .is_some_and(|age_ms| age_ms <= FRESH_CONFIGURATION_MS)
+    }
+}
+
+/// `Sharing` is what this VM shares, as the giver, or takes from the giver.
+#[derive(Debug, Default)]
+pub(crate) struct Sharing {
+    came: u64,
+    left: Vec<(UpstreamName, u64)>,
+    followed: Option<(VmName, u64, u64)>,
+    followed_until_ms: u64,
+    /// The newest version that a giver told of.
+    told_version: u64,
+}
+
+impl Sharing {
+    /// Notes that an upstream came.
+    pub fn note_came(&mut self) {
+        self.came += 1;
+    }
+
+    /// Notes that an upstream left.
+    pub fn note_left(&mut self, now_ms: u64, name: &UpstreamName) {
+        self.left.push((name.clone(), now_ms + LEFT_REPEATED_MS));
+    }
+
+    /// Returns how many upstreams have come.
+    pub fn came(&self) -> u64 {
+        self.came
+    }
+
+    /// Returns the upstreams that left within the last seconds.
+    pub fn left(&mut self, now_ms: u64) -> Vec<UpstreamName> {
+        self.left.retain(|(_, until_ms)| *until_ms > now_ms);
+        self.left.iter().map(|(name, _)| name.clone()).collect()
+    }
+
+    /// Takes in a beat of the giver. Returns whether the list should be read now.
+    pub fn hear(&mut self, now_ms: u64, giver: &VmName, run: u64, fresh: &Freshness) -> bool {
+        self.told_version = self.told_version.max(fresh.configuration);
+        if !fresh.is_good() {
+            self.followed_until_ms = 0;
+            return false;
+        }
+        self.followed_until_ms = now_ms + BEAT_GOOD_MS;
+        let before = self.followed.replace((giver.clone(), run, fresh.came));
+        before != self.followed
+    }
+
+    /// Ends following: this VM is the giver itself.
+    pub fn lead(&mut self) {
+        self.followed_until_ms = 0;
+        self.followed = None;
+    }
+
+    /// Returns whether this VM takes what the giver tells in place of its own reads.
+    pub fn follows(&self, now_ms: u64) -> bool {
+        now_ms < self.followed_until_ms
+    }
+
+    /// Returns until when it does.
+    pub fn followed_until_ms(&self) -> u64 {
+        self.followed_until_ms
+    }
+
+    /// Returns the newest version that a giver told of.
+    pub fn told_version(&self) -> u64 {
+        self.told_version
+    }
+}
--- a/crates/fleet/src/directory.rs
+++ b/crates/fleet/src/directory.rs
@@ -154,6 +154,17 @@
         change
     }
 
+    /// Takes in that an upstream takes no new work any more, as another VM has read.
+    pub fn note_leaving(&mut self, name: &UpstreamName) -> DirectoryChange {
+        match self.upstreams.get_mut(name) {
+            Some(known) if known.phase == UpstreamPhase::Serving => {
+                known.phase = UpstreamPhase::Leaving;
+                DirectoryChange::Left
+            }
+            _ => DirectoryChange::None,
+        }
+    }
+
     /// Takes in that an upstream's entry is no longer there. Around an outage of the list
     /// (`outage`) a live upstream's entry may have lapsed only because its heartbeats found no one;
     /// it is then used for a short time more, in which the entry can come back.
--- a/crates/holder/src/planner.rs
+++ b/crates/holder/src/planner.rs
@@ -230,6 +230,21 @@
             .min()
     }
 
+    /// Returns which engines can run what a VM says is missing: the VM has not heard of it.
+    pub fn known_places(&self, wanted: &WantedModel) -> Vec<ResidenceNews> {
+        self.engines
+            .iter()
+            .filter(|engine| engine.serving && engine.residence.serves(wanted))
+            .filter(|engine| !engine.will_drop(&wanted.model))
+            .map(|engine| ResidenceNews {
+                engine: engine.name.clone(),
+                model: wanted.model.clone(),
+                adapter: wanted.adapter.clone(),
+                present: true,
+            })
+            .collect()
+    }
+
     /// Takes in the outcome of an order.
     pub fn order_ended(
         &mut self,
