--- a/crates/entry/src/active.rs
+++ b/crates/entry/src/active.rs
@@ -56,6 +56,12 @@
     pub events: EventSplitter,
     /// Whether part of the answer has gone to the caller.
     pub begun: bool,
+    /// When it was first sent.
+    pub first_sent_ms: Option<u64>,
+    /// When the last part of the answer went to the caller.
+    pub last_part_ms: u64,
+    /// The longest pause between two parts.
+    pub longest_gap_ms: u64,
     /// When the first part of the answer went to the caller.
     pub first_answer_ms: Option<u64>,
 }
--- a/crates/entry/src/answering.rs
+++ b/crates/entry/src/answering.rs
@@ -204,6 +204,12 @@
         let Some(caller) = request.caller else {
             return;
         };
+        if request.begun {
+            let gap_ms = self.now_ms - request.last_part_ms;
+            request.longest_gap_ms = request.longest_gap_ms.max(gap_ms);
+            self.metrics.gap(gap_ms);
+        }
+        request.last_part_ms = self.now_ms;
         let mut out = Vec::with_capacity(bytes.len() + 512);
         if !request.begun {
             request.begun = true;
--- a/crates/entry/src/ending.rs
+++ b/crates/entry/src/ending.rs
@@ -79,6 +79,9 @@
                 tries = job.tried.len(),
                 upstream = upstream_text(job),
                 model = model_text(job),
+                prompt_tokens = request.serving.prompt_tokens,
+                longest_gap_ms = request.longest_gap_ms,
+                wait_ms = request.first_sent_ms.map_or(0, |at_ms| at_ms - job.arrived_ms),
                 first_answer_ms = request.first_answer_ms.map_or(0, |at_ms| at_ms - job.arrived_ms),
                 took_ms = self.now_ms - job.arrived_ms;
                 "request ended"
--- a/crates/entry/src/metrics.rs
+++ b/crates/entry/src/metrics.rs
@@ -31,6 +31,7 @@
     takeovers: Counter,
     first_answer_ms: Histogram,
     wait_ms: Histogram,
+    gap_ms: Histogram,
     pub active: Gauge,
     pub callers: Gauge,
     pub outbound: Gauge,
@@ -54,6 +55,7 @@
             takeovers: Counter::default(),
             first_answer_ms: Histogram::new(buckets()),
             wait_ms: Histogram::new(buckets()),
+            gap_ms: Histogram::new(buckets()),
             active: Gauge::default(),
             callers: Gauge::default(),
             outbound: Gauge::default(),
@@ -185,6 +187,11 @@
         self.wait_ms.observe(took_ms as f64);
     }
 
+    /// Notes the time between two parts of a stream.
+    pub fn gap(&self, gap_ms: u64) {
+        self.gap_ms.observe(gap_ms as f64);
+    }
+
     /// Returns the metrics in the OpenMetrics text format.
     pub fn render(&self) -> String {
         let mut text = String::new();
--- a/crates/entry/src/serving.rs
+++ b/crates/entry/src/serving.rs
@@ -96,6 +96,9 @@
             held: Vec::new(),
             events,
             begun: false,
+            first_sent_ms: None,
+            last_part_ms: 0,
+            longest_gap_ms: 0,
             first_answer_ms: None,
         });
         if let Some(caller) = self.callers.get_mut(&token) {
@@ -203,6 +206,7 @@
             return;
         };
         if request.job.tried.is_empty() {
+            request.first_sent_ms = Some(now_ms);
             self.metrics.waited(now_ms - request.job.arrived_ms);
         }
         let fields = ForwardFields {
--- a/crates/holder/src/placing.rs
+++ b/crates/holder/src/placing.rs
@@ -116,11 +116,12 @@
             .count()
     }
 
-    /// Returns whether some engine has a copy of the model's weights.
+    /// Returns whether an engine that does not hold the model has a copy of its weights.
     pub fn is_at_hand(&self, model: &ModelName) -> bool {
-        self.engines
-            .iter()
-            .any(|engine| engine.serving && engine.residence.tier(model) != Tier::Store)
+        self.engines.iter().any(|engine| {
+            let holds = engine.residence.model(model).is_some() || engine.will_hold(model);
+            engine.serving && !holds && engine.residence.tier(model) != Tier::Store
+        })
     }
 
     /// Chooses the engine for a load: the one that is done soonest, and of these the one that gives
--- a/crates/holder/tests/model_placement.rs
+++ b/crates/holder/tests/model_placement.rs
@@ -208,3 +208,19 @@
     }
     assert_eq!(world.replicas("m2"), 2);
 }
+
+/// Symptom: requests for a busy model wait for seconds though engines stand idle. Sequence: demand
+/// moves to a model that only its two engines have copies of; a third replica is wanted. Cause: the
+/// model was taken as at hand, because the engines that already hold it have copies, and so was
+/// never loaded from the weight store.
+#[test]
+fn busy_model_without_further_copies() {
+    let mut world = World::new(6, &[&["m2"], &["m3"]]);
+    world.run(20);
+    for _ in 0..60 {
+        world.want("m2", None, 0);
+        world.demand_running("m2", 7);
+        world.run(200);
+    }
+    assert_eq!(world.replicas("m2"), 2);
+}
