Unreachable engines: what refuses connections, or does not answer them, holds nothing

Change: an upstream that refuses a connection, or does not answer one within 0.6 s, gets nothing for 0.5 s, doubling to 4 s; a model that only it holds counts as missing. The giver of orders looks at engines that others miss, and plans without those that it can't reach. A reset connection does not count: engines reset those above their limit.

--- a/crates/dispatch/src/dispatcher.rs
+++ b/crates/dispatch/src/dispatcher.rs
@@ -35,6 +35,7 @@
 use crate::job::Job;
 use crate::job::Verdict;
 use crate::job::WaitReason;
+use crate::suspension::Suspensions;
 
 /// `DispatcherOptions` are the dispatcher's limits.
 #[derive(Clone, Debug, PartialEq)]
@@ -81,6 +82,7 @@
     retries: BudgetedRetry,
     crowding: HashMap<UpstreamName, Crowding>,
     forecasts: Forecasts,
+    suspensions: Suspensions,
 }
 
 impl Dispatcher {
@@ -105,6 +107,7 @@
             retries,
             crowding: HashMap::new(),
             forecasts: Forecasts::default(),
+            suspensions: Suspensions::default(),
         }
     }
 
@@ -123,6 +126,17 @@
             .serving(&job.service)
             .filter(|upstream| can_run(upstream, job))
             .collect();
+        let reachable: Vec<&Upstream> = able
+            .iter()
+            .filter(|upstream| !self.suspensions.holds(now_ms, &upstream.name))
+            .copied()
+            .collect();
+        // A plain service without a reachable instance is tried all the same: nobody can bring
+        // another one. A model can be loaded elsewhere.
+        let able = match reachable.is_empty() && job.wanted.is_none() {
+            true => able,
+            false => reachable,
+        };
         if able.is_empty() {
             return self.without_upstream(now_ms, directory, job);
         }
@@ -167,6 +181,9 @@
         if let Some(crowding) = self.crowding.get_mut(upstream) {
             crowding.ended();
         }
+        if outcome == UpstreamOutcome::Answered {
+            self.suspensions.forget(upstream);
+        }
         let event = RoutingEvent::Ended {
             upstream: upstream.clone(),
             outcome,
@@ -204,6 +221,7 @@
     /// Notes that an upstream is gone.
     pub fn removed(&mut self, now_ms: u64, upstream: &UpstreamName) {
         self.crowding.remove(upstream);
+        self.suspensions.forget(upstream);
         for policy in self.routing.values_mut() {
             policy.learn(
                 now_ms,
@@ -214,6 +232,16 @@
         }
     }
 
+    /// Notes that an upstream could not be reached. Returns whether that is news.
+    pub fn note_unreachable(&mut self, now_ms: u64, upstream: &UpstreamName) -> bool {
+        self.suspensions.note_unreachable(now_ms, upstream)
+    }
+
+    /// Returns whether an upstream can't be reached now, as far as this VM knows.
+    pub fn is_unreachable(&self, now_ms: u64, upstream: &UpstreamName) -> bool {
+        self.suspensions.holds(now_ms, upstream)
+    }
+
     /// Notes when a missing model will be there.
     pub fn note_forecast(&mut self, now_ms: u64, model: ModelName, forecast: LoadForecast) {
         self.forecasts.note(now_ms, model, forecast);
--- a/crates/dispatch/src/lib.rs
+++ b/crates/dispatch/src/lib.rs
@@ -12,6 +12,7 @@
 mod dispatcher;
 mod forecast;
 mod job;
+mod suspension;
 
 pub use crowding::LoadSample;
 pub use dispatcher::Dispatcher;
--- a/crates/dispatch/tests/send_choice.rs
+++ b/crates/dispatch/tests/send_choice.rs
@@ -178,3 +178,47 @@
     }
     assert_eq!(chosen.len(), 2);
 }
+
+/// Symptom: all requests for a model are refused for seconds after an engine crashed. Sequence: the
+/// engine stays on the list; each try is refused a connection at once; after some tries the request
+/// is given up. Cause: an engine that refuses connections was still taken as one that holds the
+/// model, so nobody loaded it elsewhere.
+#[test]
+fn unreachable_engine_holds_nothing() {
+    let directory = directory(&[("e0", "a", &["m0"])]);
+    let mut dispatcher = dispatcher();
+    let engine = UpstreamName::from("e0");
+    assert!(dispatcher.note_unreachable(1_000, &engine));
+    assert!(!dispatcher.note_unreachable(1_001, &engine));
+    let job = stream("m0", false);
+    let missing = Verdict::Wait(WaitReason::Missing);
+    assert_eq!(dispatcher.decide(1_100, &directory, &job), missing);
+    assert_eq!(
+        dispatcher.decide(1_500, &directory, &job),
+        Verdict::Send(engine.clone())
+    );
+    dispatcher.note_unreachable(1_500, &engine);
+    assert_eq!(dispatcher.decide(2_400, &directory, &job), missing);
+    dispatcher.ended(
+        2_400,
+        &job.service,
+        &engine,
+        UpstreamOutcome::Answered,
+        None,
+    );
+    assert_eq!(
+        dispatcher.decide(2_401, &directory, &job),
+        Verdict::Send(engine)
+    );
+}
+
+#[test]
+fn unreachable_instances_are_tried() {
+    let directory = directory(&[]);
+    let mut dispatcher = dispatcher();
+    for name in ["p0", "p1"] {
+        dispatcher.note_unreachable(1_000, &UpstreamName::from(name));
+    }
+    let verdict = dispatcher.decide(1_001, &directory, &call(RouteKind::Idempotent));
+    assert!(matches!(verdict, Verdict::Send(_)));
+}
--- a/crates/entry/src/answering.rs
+++ b/crates/entry/src/answering.rs
@@ -1,5 +1,6 @@
 //! Upstreams' answers, and what becomes of requests without one.
 
+use apricotdale_core::names::UpstreamName;
 use apricotdale_core::policy::UpstreamOutcome;
 use apricotdale_core::refusal::Refusal;
 use apricotdale_core::refusal::RefusalReason;
@@ -344,11 +345,16 @@
         self.look_again = true;
     }
 
-    fn connection_failed(&mut self, token: Token, key: u64) {
+    pub(crate) fn connection_failed(&mut self, token: Token, key: u64) {
         let sent = self
             .outbound
             .get_mut(token)
             .is_some_and(|it| it.stream.sent_bytes > 0);
+        let now_ms = self.now_ms;
+        let unreached = self
+            .outbound
+            .get_mut(token)
+            .is_some_and(|it| it.is_unreached(now_ms));
         let failed = if sent {
             FailedTry::Lost
         } else {
@@ -356,9 +362,12 @@
         };
         if let Some(peer) = self.outbound.get_mut(token).map(|it| it.peer.clone()) {
             self.outbound.close(token, self.poll.registry());
-            if let Peer::Upstream(_) = peer {
+            if let Peer::Upstream(upstream) = &peer {
                 // Other idle connections to it have probably failed with this one.
                 self.outbound.close_idle(&peer, self.poll.registry());
+                if unreached {
+                    self.upstream_unreachable(upstream);
+                }
             }
         }
         self.try_failed(key, failed);
@@ -395,6 +404,14 @@
         }
     }
 
+    /// Takes in that an upstream refused a connection or did not take one in time.
+    pub(crate) fn upstream_unreachable(&mut self, upstream: &UpstreamName) {
+        if self.dispatcher.note_unreachable(self.now_ms, upstream) {
+            log::info!(upstream = upstream.to_string(); "upstream not reached");
+            self.look_again = true;
+        }
+    }
+
     fn log_failed_try(&mut self, key: u64, failed: FailedTry) {
         if !self.lines.take(self.now_ms, false) {
             return;
--- a/crates/entry/src/calling.rs
+++ b/crates/entry/src/calling.rs
@@ -124,9 +124,11 @@
             return Some(token);
         }
         let token = self.new_token();
+        let now_ms = self.now_ms;
+        let registry = self.poll.registry();
         let opened = self
             .outbound
-            .open(peer.clone(), address, self.poll.registry(), token);
+            .open(now_ms, peer.clone(), address, registry, token);
         opened.ok().map(|()| token)
     }
 
@@ -178,11 +180,16 @@
             return;
         };
         let sent = connection.stream.sent_bytes > 0;
+        let unreached = connection.is_unreached(self.now_ms);
         let peer = connection.peer.clone();
         let purpose = self.outbound.close(token, self.poll.registry());
         // Connections can fall silent without a reset, several at once: the next call must not
         // wait on another silent one.
         self.outbound.close_idle(&peer, self.poll.registry());
+        match &peer {
+            Peer::Upstream(upstream) if unreached => self.upstream_unreachable(upstream),
+            _ => {}
+        }
         if let Some(Purpose::Call(tag)) = purpose {
             let outcome = match sent {
                 true => CallOutcome::Unknown,
--- a/crates/entry/src/daemon.rs
+++ b/crates/entry/src/daemon.rs
@@ -319,6 +319,9 @@
         for token in self.outbound.sweep(self.now_ms, self.poll.registry()) {
             self.call_broken(token);
         }
+        for (token, key) in self.outbound.unestablished(self.now_ms) {
+            self.connection_failed(token, key);
+        }
         self.call_alarm_ms = self.outbound.next_call_until_ms().unwrap_or(u64::MAX);
         let limits = self.directory.configuration().limits;
         let over: Vec<Token> = self
--- a/crates/entry/src/feeds.rs
+++ b/crates/entry/src/feeds.rs
@@ -450,6 +450,7 @@
         self.news.lay_over(now_ms, &mut self.directory, &name);
         match change {
             DirectoryChange::None => {}
+            DirectoryChange::Left if record.value.is_none() => self.upstream_left(&name, "gone"),
             DirectoryChange::Left => self.upstream_left(&name, "leaving"),
             DirectoryChange::Came => {
                 self.sharing.note_came();
--- a/crates/entry/src/ordering.rs
+++ b/crates/entry/src/ordering.rs
@@ -84,6 +84,15 @@
     /// Takes in the demand of a VM. Only the holder of the lease gets any.
     pub fn note_demand(&mut self, now_ms: u64, vm: &VmName, run: u64, rows: Vec<DemandRow>) {
         let urgent = rows.iter().any(|row| row.missing > 0);
+        for row in rows.iter().filter(|row| row.missing > 0) {
+            let wanted = WantedModel {
+                model: row.model.clone(),
+                adapter: row.adapter.clone(),
+            };
+            for planner in self.planners.values_mut() {
+                planner.look_at(now_ms, &wanted);
+            }
+        }
         self.demand.note(now_ms, vm, run, rows);
         if urgent {
             self.next_plan_ms = self.next_plan_ms.min(now_ms);
@@ -255,6 +264,8 @@
 
     fn sync_planners(&mut self) {
         let directory = &self.directory;
+        let dispatcher = &self.dispatcher;
+        let now_ms = self.now_ms;
         let planners = &mut self.ordering.planners;
         planners.retain(|service, _| directory.service(service).is_some());
         for (name, service) in &directory.configuration().services {
@@ -264,7 +275,7 @@
                     .or_insert_with(|| {
                         Planner::new(PlannerOptions::default(), name.clone(), spec.clone())
                     })
-                    .sync(directory);
+                    .sync(directory, |name| dispatcher.is_unreachable(now_ms, name));
             }
         }
     }
--- a/crates/entry/src/outbound.rs
+++ b/crates/entry/src/outbound.rs
@@ -25,6 +25,10 @@
 /// on a connection which the other end closes at the same moment may be lost.
 const DEFAULT_IDLE_MS: u64 = 4_000;
 
+/// How long a connection may take to be established. Within a region a packet takes a few
+/// milliseconds; a machine without power does not answer at all.
+const CONNECT_MS: u64 = 600;
+
 /// How much earlier than the other end this VM closes an idle connection.
 const IDLE_MARGIN_MS: u64 = 1_000;
 
@@ -87,6 +91,8 @@
     ended: Option<ReadEnd>,
     idle_ms: u64,
     idle_until_ms: u64,
+    /// Until when the connection has to be established.
+    connect_until_ms: Option<u64>,
     /// When the call in progress is given up; callers' requests have deadlines of their own.
     pub call_until_ms: Option<u64>,
 }
@@ -112,6 +118,15 @@
         }
     }
 
+    /// Returns whether the other end was not there. One that resets a connection is there, and has
+    /// only as many as it accepts.
+    pub fn is_unreached(&self, now_ms: u64) -> bool {
+        let late = self
+            .connect_until_ms
+            .is_some_and(|until_ms| until_ms <= now_ms);
+        self.stream.refused || (late && self.stream.sent_bytes == 0)
+    }
+
     /// Returns whether reading stopped because the buffer is full.
     pub fn is_full(&self) -> bool {
         self.input.len() >= READ_LIMIT_BYTES
@@ -223,6 +238,7 @@
     /// Opens a connection.
     pub fn open(
         &mut self,
+        now_ms: u64,
         peer: Peer,
         address: SocketAddr,
         registry: &Registry,
@@ -242,6 +258,7 @@
             ended: None,
             idle_ms: DEFAULT_IDLE_MS,
             idle_until_ms: 0,
+            connect_until_ms: Some(now_ms + CONNECT_MS),
             call_until_ms: None,
         };
         self.connections.insert(token, connection);
@@ -254,6 +271,7 @@
             return;
         };
         connection.call_until_ms = None;
+        connection.connect_until_ms = None;
         connection.paused = false;
         if !connection.is_reusable() {
             self.close(token, registry);
@@ -303,6 +321,23 @@
             .collect()
     }
 
+    /// Returns the connections for callers' requests that were not established in time.
+    pub fn unestablished(&mut self, now_ms: u64) -> Vec<(Token, u64)> {
+        let mut late = Vec::new();
+        for (token, connection) in &mut self.connections {
+            let Some(until_ms) = connection.connect_until_ms else {
+                continue;
+            };
+            // The first byte leaves only once the connection stands.
+            if connection.stream.sent_bytes > 0 {
+                connection.connect_until_ms = None;
+            } else if let (true, Purpose::Relay(key)) = (until_ms <= now_ms, &connection.purpose) {
+                late.push((*token, *key));
+            }
+        }
+        late
+    }
+
     /// Returns when the first call in progress is given up.
     pub fn next_call_until_ms(&self) -> Option<u64> {
         self.connections
--- a/crates/entry/src/stream.rs
+++ b/crates/entry/src/stream.rs
@@ -34,6 +34,8 @@
     written: usize,
     /// Bytes that the kernel has taken so far.
     pub sent_bytes: u64,
+    /// Whether nobody listens at the other end.
+    pub refused: bool,
 }
 
 impl Stream {
@@ -47,6 +49,7 @@
             unwritten: Vec::new(),
             written: 0,
             sent_bytes: 0,
+            refused: false,
         })
     }
 
@@ -76,7 +79,10 @@
                 }
                 Err(error) if error.kind() == io::ErrorKind::Interrupted => {}
                 Err(error) if is_not_yet(&error) => return true,
-                Err(_) => return false,
+                Err(error) => {
+                    self.refused |= error.kind() == io::ErrorKind::ConnectionRefused;
+                    return false;
+                }
             }
         }
         self.unwritten.clear();
@@ -94,7 +100,10 @@
                 Ok(count) => buffer.extend_from_slice(&bytes[..count]),
                 Err(error) if error.kind() == io::ErrorKind::Interrupted => {}
                 Err(error) if is_not_yet(&error) => return ReadEnd::Drained,
-                Err(_) => return ReadEnd::Broken,
+                Err(error) => {
+                    self.refused |= error.kind() == io::ErrorKind::ConnectionRefused;
+                    return ReadEnd::Broken;
+                }
             }
         }
         ReadEnd::Limit
--- a/crates/holder/src/ledger.rs
+++ b/crates/holder/src/ledger.rs
@@ -52,6 +52,8 @@
     pub(crate) hold_until_ms: u64,
     /// Whether it is told nothing now for that reason.
     pub(crate) on_hold: bool,
+    /// When its report was last read because VMs miss what it holds.
+    pub(crate) looked_at_ms: u64,
     /// Whether it has seen a higher fencing token: another VM gives orders.
     pub(crate) outranked: bool,
     /// Consecutive reports that failed.
@@ -78,6 +80,7 @@
             conflicts: 0,
             hold_until_ms: 0,
             on_hold: false,
+            looked_at_ms: 0,
             outranked: false,
             failed_reports: 0,
             serving: true,
--- a/crates/holder/src/planner.rs
+++ b/crates/holder/src/planner.rs
@@ -25,6 +25,9 @@
 /// How long a model is not loaded again after an engine could not load it.
 const HELD_BACK_MS: u64 = 2_000;
 
+/// The time between two looks at an engine because VMs miss what it holds.
+const LOOK_EVERY_MS: u64 = 600;
+
 /// Waiting requests, as a share of an engine's places, from which another replica of a model that is
 /// resident is worth a load from the weight store, which keeps the engine from other orders for some
 /// 6 s. Without this bound the mean
@@ -141,8 +144,8 @@
         &self.engines
     }
 
-    /// Takes in the directory and a changed catalogue.
-    pub fn sync(&mut self, directory: &Directory) {
+    /// Takes in the directory, a changed catalogue and which engines can't be reached.
+    pub fn sync(&mut self, directory: &Directory, is_unreachable: impl Fn(&UpstreamName) -> bool) {
         let spec = directory
             .service(&self.service)
             .and_then(|service| service.engine.as_ref());
@@ -157,7 +160,7 @@
         self.engines
             .retain(|engine| directory.upstream(&engine.name).is_some());
         for engine in &mut self.engines {
-            engine.serving = serving.contains_key(&engine.name);
+            engine.serving = serving.contains_key(&engine.name) && !is_unreachable(&engine.name);
             if let Some(entry) = serving.get(&engine.name) {
                 engine
                     .residence
@@ -252,6 +255,19 @@
             .collect()
     }
 
+    /// Has the reports read of the engines that hold what a VM says is missing. If the VM can't
+    /// reach them, this one probably can't either, and will then load the model elsewhere.
+    pub fn look_at(&mut self, now_ms: u64, wanted: &WantedModel) {
+        let places = self
+            .engines
+            .iter_mut()
+            .filter(|it| it.residence.serves(wanted));
+        for engine in places.filter(|it| it.looked_at_ms + LOOK_EVERY_MS <= now_ms) {
+            engine.looked_at_ms = now_ms;
+            engine.report_due_ms = Some(engine.report_due_ms.map_or(now_ms, |due| due.min(now_ms)));
+        }
+    }
+
     /// Takes in the outcome of an order.
     pub fn order_ended(
         &mut self,
--- a/crates/holder/tests/model_placement.rs
+++ b/crates/holder/tests/model_placement.rs
@@ -237,3 +237,27 @@
     }
     assert_eq!(world.replicas("m2"), 1);
 }
+
+/// A model whose only engine can't be reached is loaded elsewhere before the list says so.
+#[test]
+fn unreachable_engine_is_replaced() {
+    let mut world = World::new(6, &[&["m2"], &["m3"]]);
+    world
+        .engine(1)
+        .residence
+        .on_disk
+        .insert(ModelName::from("m2"));
+    let mut entry = world
+        .directory
+        .upstream(&UpstreamName::from("e1"))
+        .cloned()
+        .expect("listed");
+    entry.revision += 1;
+    entry.residence.on_disk.insert(ModelName::from("m2"));
+    world.directory.note_entry(entry);
+    world.run(20);
+    world.unreachable.push(UpstreamName::from("e0"));
+    world.want("m2", None, 1);
+    world.run(900);
+    assert_eq!(world.replicas("m2"), 2);
+}
--- a/crates/holder/tests/support/mod.rs
+++ b/crates/holder/tests/support/mod.rs
@@ -289,6 +289,8 @@
     /// Orders given, as time, engine and order.
     pub orders: Vec<(u64, UpstreamName, OrderKind)>,
     pub outcomes: HashMap<OrderOutcome, u32>,
+    /// Engines that can't be reached.
+    pub unreachable: Vec<UpstreamName>,
     spec: EngineSpec,
     answers: Vec<(u64, Answer)>,
     arrived: u64,
@@ -349,6 +351,7 @@
             told: Vec::new(),
             orders: Vec::new(),
             outcomes: HashMap::new(),
+            unreachable: Vec::new(),
             spec,
             answers: Vec::new(),
             arrived: 0,
@@ -400,7 +403,9 @@
                 self.carry_out(actions);
             }
             if self.now_ms.is_multiple_of(10) {
-                self.planner.sync(&self.directory);
+                let unreachable = &self.unreachable;
+                self.planner
+                    .sync(&self.directory, |name| unreachable.contains(name));
                 let actions = self.planner.plan(self.now_ms, &self.demand);
                 self.carry_out(actions);
             }
