Planner: adapters on their way take places and can't give way

Change: adapters on their way in the last report are not chosen to give way, and the report is read again soon.

--- a/crates/holder/src/adapters.rs
+++ b/crates/holder/src/adapters.rs
@@ -76,6 +76,12 @@
                 .iter()
                 .map(move |adapter| (&resident.model, adapter))
         })
+        .filter(|(model, adapter)| {
+            let is_coming = |(coming_model, coming): &(ModelName, ModelName)| {
+                coming_model == *model && coming == *adapter
+            };
+            !engine.coming.iter().any(is_coming)
+        })
         .filter(|(model, adapter)| {
             let wanted = WantedModel {
                 model: (*model).clone(),
--- a/crates/holder/src/following.rs
+++ b/crates/holder/src/following.rs
@@ -126,6 +126,9 @@
         }
         self.orders_taken = Some(report.orders_taken);
         self.take_residence(&report);
+        if !self.coming.is_empty() {
+            self.report_due_ms = Some(now_ms + options.report_lag_ms);
+        }
         let failed = self
             .in_progress
             .take()
@@ -144,6 +147,7 @@
         for (model, adapter) in &report.coming {
             residence.note_adapter(model, adapter);
         }
+        self.coming.clone_from(&report.coming);
         self.residence = residence;
     }
 
--- a/crates/holder/src/ledger.rs
+++ b/crates/holder/src/ledger.rs
@@ -54,6 +54,8 @@
     pub(crate) on_hold: bool,
     /// When its report was last read because VMs miss what it holds.
     pub(crate) looked_at_ms: u64,
+    /// Adapters that were on their way in its last report. They take places and can't give way.
+    pub(crate) coming: Vec<(ModelName, ModelName)>,
     /// Whether it has seen a higher fencing token: another VM gives orders.
     pub(crate) outranked: bool,
     /// Consecutive reports that failed.
@@ -81,6 +83,7 @@
             hold_until_ms: 0,
             on_hold: false,
             looked_at_ms: 0,
+            coming: Vec::new(),
             outranked: false,
             failed_reports: 0,
             serving: true,
--- a/crates/holder/tests/adapter_places.rs
+++ b/crates/holder/tests/adapter_places.rs
@@ -94,3 +94,18 @@
         .count();
     assert_eq!(adapters, 0);
 }
+
+/// Symptom: a new giver of orders crashes an engine with its first adapter order. Sequence: the
+/// giver before had ordered adapters that are still on their way; the report does not list them
+/// among the engine's own. Cause: adapters on their way take places already.
+#[test]
+fn adapters_on_their_way_take_places() {
+    let mut world = World::new(1, &[&["m0"]]);
+    for adapter in ["a6", "a7", "a8", "a9"] {
+        world.engine(0).bring("m0", adapter, 60_000);
+    }
+    world.run(20);
+    world.want("m0", Some("a1"), 1);
+    world.run(300);
+    assert_eq!(world.overcommitted(), []);
+}
--- a/crates/holder/tests/support/mod.rs
+++ b/crates/holder/tests/support/mod.rs
@@ -122,6 +122,12 @@
         }
     }
 
+    /// Has an adapter on its way, by an order of somebody else's.
+    pub fn bring(&mut self, model: &str, adapter: &str, arrives_ms: u64) {
+        let names = (ModelName::from(model), ModelName::from(adapter));
+        self.coming.push((names.0, names.1, arrives_ms));
+    }
+
     fn advance(&mut self, now_ms: u64, spec: &EngineSpec) {
         if let Some(done) = self.running.take_if(|running| running.done_ms <= now_ms) {
             self.finish(done.kind);
