--- a/crates/entry/src/lib.rs
+++ b/crates/entry/src/lib.rs
@@ -2,9 +2,9 @@
 //!
 //! One thread serves everything over one readiness loop: callers, upstreams, the platform's store
 //! and the other VMs. Nothing in it blocks, and the number of threads does not grow with the
-//! connections. The decisions are made by other crates: `apricotdale-dispatch` for requests and
-//! `apricotdale-holder` for orders to engines. What is said on each connection is decided by the
-//! codecs ([`CallerCodec`], [`StoreCodec`], [`EngineCodec`]), one set for each platform.
+//! connections. The decisions are made by other crates: `dispatch` for requests and `holder` for
+//! orders to engines. What is said on each connection is decided by the codecs ([`CallerCodec`],
+//! [`StoreCodec`], [`EngineCodec`]), one set for each platform.
 
 #![forbid(unsafe_code)]
 #![warn(missing_docs)]
