Planner: loads from the weight store keep its rate

Change: loads that begin within 5 s are bounded by the rate and two more. The test failed before (30 loads in a window that allows 4). No effect is expected: both sites allow far more than they load.

--- a/crates/holder/src/options.rs
+++ b/crates/holder/src/options.rs
@@ -6,6 +6,11 @@
     /// Loads from the weight store at once. Beyond four each takes longer in proportion, so that
     /// more at once only delay the first.
     pub store_loads: usize,
+    /// The time over which the operators count loads that begin from the weight store.
+    pub store_window_ms: u64,
+    /// Loads that may begin in it beyond the rate that the store allows. The operators bear three
+    /// and a tenth of the rate; one is left for a load of the giver before.
+    pub store_spare_loads: f64,
     /// The share of the engines that stays idle while models that nobody has asked for are
     /// fetched. An engine carries out one order at a time, and such a fetch takes seconds, in which
     /// a model that somebody waits for could not be loaded there.
@@ -30,6 +35,8 @@
     fn default() -> Self {
         Self {
             store_loads: 4,
+            store_window_ms: 5_000,
+            store_spare_loads: 2.0,
             idle_share: 0.5,
             unload_check_ms: 40,
             conflict_pause_ms: 60,
--- a/crates/holder/src/planner.rs
+++ b/crates/holder/src/planner.rs
@@ -46,6 +46,8 @@
     engines: Vec<EngineLedger>,
     /// Models for which a load failed, with the time until which it is not tried again.
     held_back: HashMap<ModelName, u64>,
+    /// When loads from the weight store were ordered, within the operators' window.
+    store_loads_ms: Vec<u64>,
 }
 
 impl Planner {
@@ -57,6 +59,7 @@
             spec,
             engines: Vec::new(),
             held_back: HashMap::new(),
+            store_loads_ms: Vec::new(),
         }
     }
 
@@ -117,7 +120,7 @@
         self.read_reports(now_ms, &mut actions);
         self.plan_adapters(&totals, &mut actions);
         self.plan_models(now_ms, &totals);
-        self.give_next(&mut actions);
+        self.give_next(now_ms, &mut actions);
         actions
     }
 
@@ -296,6 +299,9 @@
 
     fn plan_models(&mut self, now_ms: u64, totals: &HashMap<WantedModel, ModelDemand>) {
         self.held_back.retain(|_, until_ms| *until_ms > now_ms);
+        let window_ms = self.options.store_window_ms;
+        self.store_loads_ms
+            .retain(|at_ms| at_ms + window_ms > now_ms);
         // Each placement changes what the next one may use, so the look is taken anew.
         while let Some((index, steps)) = self.next_placement(totals) {
             self.engines[index].next.extend(steps);
@@ -320,7 +326,7 @@
             .map(|model| (model, placer.missing_value(model)))
             .collect();
         wanted.sort_by(|left, right| right.1.total_cmp(&left.1).then_with(|| left.0.cmp(right.0)));
-        let store_is_free = placer.store_loads() < self.options.store_loads;
+        let store_is_free = self.store_is_free(&placer);
         wanted
             .iter()
             .filter(|(model, value)| {
@@ -371,7 +377,18 @@
             .find(|placement| placement.steps.len() == 1)
     }
 
-    fn give_next(&mut self, actions: &mut Vec<PlannerAction>) {
+    /// Returns whether another load from the weight store may be planned.
+    fn store_is_free(&self, placer: &Placer<'_>) -> bool {
+        let window_s = self.options.store_window_ms as f64 / 1_000.0;
+        let most = self.spec.store_loads_per_s * window_s + self.options.store_spare_loads;
+        let planned = self.engines.iter().filter(|engine| {
+            engine.in_progress.is_none() && engine.awaiting.is_none() && engine.loads_from_store()
+        });
+        let begun = self.store_loads_ms.len() + planned.count();
+        placer.store_loads() < self.options.store_loads && (begun as f64) < most
+    }
+
+    fn give_next(&mut self, now_ms: u64, actions: &mut Vec<PlannerAction>) {
         for engine in &mut self.engines {
             if !engine.takes_orders() {
                 continue;
@@ -383,7 +400,12 @@
                 Some(OrderKind::LoadModel(model)) if !engine.fits(&self.spec, &model) => {
                     engine.next.clear();
                 }
-                Some(kind) => give(engine, kind, actions),
+                Some(kind) => {
+                    if is_load(&kind) && engine.residence.tier(kind.model()) == Tier::Store {
+                        self.store_loads_ms.push(now_ms);
+                    }
+                    give(engine, kind, actions);
+                }
                 None => {}
             }
         }
--- a/crates/holder/tests/model_placement.rs
+++ b/crates/holder/tests/model_placement.rs
@@ -224,3 +224,40 @@
     world.run(900);
     assert_eq!(world.replicas("m2"), 2);
 }
+
+/// Symptom: the weight store is asked for more than it allows. Sequence: loads are short, so that
+/// the bound on loads at once lets many begin one after the other. Cause: nothing counted how many
+/// began in the operators' window.
+#[test]
+fn store_loads_keep_the_rate() {
+    let engines: Vec<&[&str]> = vec![&["m0"]; 12];
+    let mut spec = support::spec(40);
+    spec.store_loads_per_s = 0.4;
+    for model in spec.models.values_mut() {
+        model.store_load_ms = 100;
+    }
+    let mut world = World::with_spec(support::no_prefetch(), spec, &engines);
+    world.run(20);
+    for _ in 0..50 {
+        for model in 4..30 {
+            world.want(&format!("m{model}"), None, 1);
+        }
+        world.run(200);
+    }
+    let begun: Vec<u64> = world
+        .orders
+        .iter()
+        .filter(|(.., kind)| matches!(kind, OrderKind::LoadModel(_)))
+        .map(|(at_ms, ..)| *at_ms)
+        .collect();
+    let most = begun
+        .iter()
+        .map(|from| {
+            begun
+                .iter()
+                .filter(|at| (*from..from + 5_000).contains(*at))
+                .count()
+        })
+        .max();
+    assert!(most.is_some_and(|most| (2..=5).contains(&most)), "{most:?}");
+}
--- a/crates/holder/tests/support/mod.rs
+++ b/crates/holder/tests/support/mod.rs
@@ -36,6 +36,14 @@
 /// How long a call takes to arrive, and its answer to come back.
 const CALL_MS: u64 = 2;
 
+/// Returns options by which nothing is fetched that nobody asked for.
+pub fn no_prefetch() -> PlannerOptions {
+    PlannerOptions {
+        idle_share: 1.0,
+        ..PlannerOptions::default()
+    }
+}
+
 /// Returns a catalogue of equal models; the first two have adapters.
 pub fn spec(models: usize) -> EngineSpec {
     let model = |index: usize| {
@@ -87,17 +95,17 @@
     /// Returns a world whose engines hold the given models, and in which nothing is fetched that
     /// nobody asked for.
     pub fn new(models: usize, engines: &[&[&str]]) -> Self {
-        let options = PlannerOptions {
-            idle_share: 1.0,
-            ..PlannerOptions::default()
-        };
-        Self::with_options(options, models, engines)
+        Self::with_options(no_prefetch(), models, engines)
     }
 
     /// Returns a world with a planner of these options.
     pub fn with_options(options: PlannerOptions, models: usize, engines: &[&[&str]]) -> Self {
+        Self::with_spec(options, spec(models), engines)
+    }
+
+    /// Returns a world with a catalogue.
+    pub fn with_spec(options: PlannerOptions, spec: EngineSpec, engines: &[&[&str]]) -> Self {
         let service = GroupName::from("s");
-        let spec = spec(models);
         let mut directory = Directory::new(DirectoryOptions::default());
         let group = Service {
             name: service.clone(),
