--- a/crates/holder/tests/model_placement.rs
+++ b/crates/holder/tests/model_placement.rs
@@ -176,11 +176,7 @@
         .on_disk
         .insert(ModelName::from("m2"));
     world.run(20);
-    for _ in 0..40 {
-        world.want("m2", None, 0);
-        world.demand_running("m2", 7);
-        world.run(200);
-    }
+    world.press("m2", 7, 0, 8_000);
     assert_eq!(world.replicas("m2"), 2);
 }
 
@@ -192,11 +188,7 @@
 fn busy_model_without_further_copies() {
     let mut world = World::new(6, &[&["m2"], &["m3"]]);
     world.run(20);
-    for _ in 0..60 {
-        world.want("m2", None, 0);
-        world.demand_crowded("m2", 7, 9);
-        world.run(200);
-    }
+    world.press("m2", 7, 9, 12_000);
     assert_eq!(world.replicas("m2"), 2);
 }
 
@@ -205,11 +197,7 @@
 fn second_replica_is_not_fetched_from_afar() {
     let mut world = World::new(6, &[&["m2"], &["m3"]]);
     world.run(20);
-    for _ in 0..60 {
-        world.want("m2", None, 0);
-        world.demand_running("m2", 7);
-        world.run(200);
-    }
+    world.press("m2", 7, 0, 12_000);
     assert_eq!(world.replicas("m2"), 1);
 }
 
--- a/crates/holder/tests/support/mod.rs
+++ b/crates/holder/tests/support/mod.rs
@@ -282,6 +282,17 @@
 }
 
 impl World {
+    /// Keeps a model in demand for some seconds: requests in progress, and some that found its
+    /// engines full.
+    pub fn press(&mut self, model: &str, running: u32, crowded: u32, for_ms: u64) {
+        let until_ms = self.now_ms + for_ms;
+        while self.now_ms < until_ms {
+            self.want(model, None, 0);
+            self.demand_crowded(model, running, crowded);
+            self.run(200);
+        }
+    }
+
     /// Tells that one VM has requests in progress on a model.
     pub fn demand_running(&mut self, model: &str, running: u32) {
         self.demand_crowded(model, running, 0);
