Stand-ins: callers and entry VMs move to the stand-ins, for tests, demonstration and soak

The process tests of platform/ had their own callers and their own start of a VM. The demonstration and the soak need the same, so they move to crates/standins/src/platform (calling.rs, vm.rs), where errors are values; the tests keep their short forms in platform/tests/support. Ruled out: a crate of its own, because the callers speak the wire, whose names stay in platform/ and the stand-ins.

--- /dev/null
+++ b/crates/standins/src/platform/calling.rs
@@ -0,0 +1,283 @@
+//! Callers of entry VMs.
+
+use std::io;
+use std::io::Read;
+use std::io::Write;
+use std::net::Shutdown;
+use std::net::SocketAddr;
+use std::net::TcpStream;
+use std::time::Duration;
+
+use apricotdale_http1::BodyDecoder;
+use apricotdale_http1::ResponseHead;
+use apricotdale_http1::parse_response_head;
+
+use crate::platform::serving::ID;
+
+/// The host that callers name, which the routes of [`crate::platform::Site`] have.
+pub const HOST: &str = "site.example";
+
+/// The largest head of an answer that a caller reads.
+const HEAD_BYTES: usize = 64 * 1024;
+
+/// `Ask` is a request of a caller.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct Ask {
+    /// The method.
+    pub method: &'static str,
+    /// The path with the query.
+    pub target: String,
+    /// The identity of this try.
+    pub id: String,
+    /// Headers besides the host, the identity and the length.
+    pub headers: Vec<(String, String)>,
+    /// The body.
+    pub body: Vec<u8>,
+}
+
+impl Ask {
+    /// Returns a request without headers of its own and without a body.
+    pub fn new(method: &'static str, target: &str, id: &str) -> Self {
+        Self {
+            method,
+            target: target.to_owned(),
+            id: id.to_owned(),
+            headers: Vec::new(),
+            body: Vec::new(),
+        }
+    }
+
+    /// Returns a call to the plain service that may run once.
+    pub fn book(id: &str) -> Self {
+        Self::new("POST", "/book/slot?n=1", id).with_body(b"{\"slot\":1}")
+    }
+
+    /// Returns a call to the plain service that may be repeated.
+    pub fn look(id: &str) -> Self {
+        Self::new("GET", "/look/shelf", id)
+    }
+
+    /// Returns a stream that may be resumed.
+    pub fn quick(id: &str, model: &str) -> Self {
+        Self::stream("/quick/1f", id, model)
+    }
+
+    /// Returns a stream that may run once.
+    pub fn patient(id: &str, model: &str) -> Self {
+        Self::stream("/patient/2f", id, model)
+    }
+
+    fn stream(target: &str, id: &str, model: &str) -> Self {
+        Self::new("POST", target, id)
+            .with("Apricotdale-Model", model)
+            .with("Apricotdale-Token-Count", "100,30")
+            .with("Apricotdale-Prompt-Prefix", "5c1e07a2:80,e4402b7d:20")
+            .with_body(b"prompt")
+    }
+
+    /// Returns the request with another header.
+    pub fn with(mut self, name: &str, value: &str) -> Self {
+        self.headers.push((name.to_owned(), value.to_owned()));
+        self
+    }
+
+    /// Returns the request with how long its caller will wait.
+    pub fn waiting_ms(self, patience_ms: u64) -> Self {
+        self.with("Apricotdale-Request-Deadline", &patience_ms.to_string())
+    }
+
+    /// Returns the request with a body.
+    pub fn with_body(mut self, body: &[u8]) -> Self {
+        self.body = body.to_vec();
+        self
+    }
+
+    /// Returns the request's bytes.
+    pub fn bytes(&self) -> Vec<u8> {
+        let mut text = format!(
+            "{} {} HTTP/1.1\r\nHost: {HOST}\r\n{ID}: {}\r\n",
+            self.method, self.target, self.id
+        );
+        for (name, value) in &self.headers {
+            text.push_str(&format!("{name}: {value}\r\n"));
+        }
+        if !self.body.is_empty() {
+            text.push_str(&format!("Content-Length: {}\r\n", self.body.len()));
+        }
+        text.push_str("\r\n");
+        let mut bytes = text.into_bytes();
+        bytes.extend_from_slice(&self.body);
+        bytes
+    }
+}
+
+/// `Answer` is what a caller gets.
+#[derive(Clone, Debug, Default)]
+pub struct Answer {
+    /// The head; none if the connection ended before it.
+    pub head: Option<ResponseHead>,
+    /// The body as far as it came.
+    pub body: Vec<u8>,
+    /// Whether the answer came to its end as its head announced.
+    pub whole: bool,
+}
+
+impl Answer {
+    /// Returns the status; 0 if there was no answer.
+    pub fn status(&self) -> u16 {
+        self.head.as_ref().map_or(0, |head| head.status)
+    }
+
+    /// Returns whether the answer is a whole success.
+    pub fn is_success(&self) -> bool {
+        self.whole && (200..300).contains(&self.status())
+    }
+
+    /// Returns the value of a header.
+    pub fn header(&self, name: &str) -> Option<String> {
+        self.head
+            .as_ref()
+            .and_then(|head| head.headers.text(name))
+            .map(str::to_owned)
+    }
+
+    /// Returns the identity of the request that the answer names.
+    pub fn id(&self) -> Option<String> {
+        self.header(ID)
+    }
+
+    /// Returns whether the connection ends after the answer.
+    pub fn closes(&self) -> bool {
+        self.head
+            .as_ref()
+            .is_none_or(|head| !self.whole || head.headers.has_token("Connection", "close"))
+    }
+
+    /// Returns the body as text.
+    pub fn text(&self) -> String {
+        String::from_utf8_lossy(&self.body).into_owned()
+    }
+
+    /// Returns the ids of the events in the body, in order.
+    pub fn event_ids(&self) -> Vec<u64> {
+        let text = self.text();
+        let ids = text.lines().filter_map(|line| line.strip_prefix("id: "));
+        ids.filter_map(|id| id.parse().ok()).collect()
+    }
+}
+
+/// `Caller` is a caller's connection to a VM.
+#[derive(Debug)]
+pub struct Caller {
+    stream: TcpStream,
+    pending: Vec<u8>,
+}
+
+impl Caller {
+    /// Opens a connection on which reads end after a time.
+    ///
+    /// # Errors
+    ///
+    /// Any of connecting.
+    pub fn connect(address: SocketAddr, patience: Duration) -> io::Result<Self> {
+        let stream = TcpStream::connect_timeout(&address, patience)?;
+        stream.set_read_timeout(Some(patience))?;
+        stream.set_write_timeout(Some(patience))?;
+        stream.set_nodelay(true)?;
+        Ok(Self {
+            stream,
+            pending: Vec::new(),
+        })
+    }
+
+    /// Sends bytes.
+    ///
+    /// # Errors
+    ///
+    /// Any of writing.
+    pub fn send(&mut self, bytes: &[u8]) -> io::Result<()> {
+        self.stream.write_all(bytes)
+    }
+
+    /// Sends a request and reads its answer.
+    ///
+    /// # Errors
+    ///
+    /// Any of writing, and those of [`Caller::answer`].
+    pub fn ask(&mut self, request: &Ask) -> io::Result<Answer> {
+        self.send(&request.bytes())?;
+        self.answer()
+    }
+
+    /// Reads the next answer, as far as it comes.
+    ///
+    /// # Errors
+    ///
+    /// `InvalidData` for bytes that are no answer in HTTP.
+    pub fn answer(&mut self) -> io::Result<Answer> {
+        let no_answer = |error| io::Error::new(io::ErrorKind::InvalidData, format!("{error}"));
+        let mut answer = Answer::default();
+        let mut decoder: Option<BodyDecoder> = None;
+        loop {
+            if decoder.is_none() {
+                let parsed = parse_response_head(&self.pending, HEAD_BYTES, false);
+                if let Some((head, length)) = parsed.map_err(no_answer)? {
+                    self.pending.drain(..length);
+                    decoder = Some(BodyDecoder::new(head.body));
+                    answer.head = Some(head);
+                }
+            }
+            if let Some(decoder) = &mut decoder {
+                let progress = decoder
+                    .decode(&self.pending, &mut answer.body)
+                    .map_err(no_answer)?;
+                self.pending.drain(..progress.consumed);
+                if decoder.is_whole() {
+                    answer.whole = true;
+                    return Ok(answer);
+                }
+            }
+            let mut bytes = [0_u8; 4096];
+            match self.stream.read(&mut bytes) {
+                Ok(0) | Err(_) => return Ok(answer),
+                Ok(count) => self.pending.extend_from_slice(&bytes[..count]),
+            }
+        }
+    }
+
+    /// Returns whether the VM ends the connection before it sends anything more.
+    pub fn is_ended(&mut self) -> bool {
+        !matches!(self.stream.read(&mut [0_u8; 64]), Ok(1..))
+    }
+
+    /// Returns whether the VM has ended the connection, without waiting for it to.
+    pub fn has_ended(&self) -> bool {
+        if self.stream.set_nonblocking(true).is_err() {
+            return true;
+        }
+        let peeked = self.stream.peek(&mut [0]);
+        let restored = self.stream.set_nonblocking(false).is_ok();
+        match peeked {
+            Ok(count) => count == 0 || !restored,
+            Err(error) => error.kind() != io::ErrorKind::WouldBlock || !restored,
+        }
+    }
+
+    /// Leaves: both directions end.
+    pub fn leave(self) {
+        // A connection that the VM ended first can't be shut down any more.
+        let _ = self.stream.shutdown(Shutdown::Both);
+    }
+}
+
+/// Sends a bare GET request on a connection of its own.
+///
+/// # Errors
+///
+/// Any of connecting and writing, and those of [`Caller::answer`].
+pub fn get(address: SocketAddr, target: &str, patience: Duration) -> io::Result<Answer> {
+    let mut caller = Caller::connect(address, patience)?;
+    let request = format!("GET {target} HTTP/1.1\r\nHost: x\r\nConnection: close\r\n\r\n");
+    caller.send(request.as_bytes())?;
+    caller.answer()
+}
--- a/crates/standins/src/platform/mod.rs
+++ b/crates/standins/src/platform/mod.rs
@@ -1,6 +1,7 @@
-//! Stand-ins for the users' platform: its store, its model engines and its plain services, on the
-//! wire that `platform/` translates.
+//! Stand-ins for the users' platform: its store, its model engines, its plain services and its
+//! callers, on the wire that `platform/` translates; and entry VMs as real processes before them.
 
+mod calling;
 mod engine;
 mod orders;
 mod service;
@@ -8,7 +9,13 @@
 mod site;
 mod store;
 mod topics;
+mod vm;
 
+pub use calling::Answer;
+pub use calling::Ask;
+pub use calling::Caller;
+pub use calling::HOST;
+pub use calling::get;
 pub use engine::EngineEffects;
 pub use engine::EngineOptions;
 pub use engine::PlatformEngine;
@@ -20,3 +27,5 @@
 pub use site::SiteOptions;
 pub use store::PlatformStore;
 pub use store::StoreFault;
+pub use vm::VmOptions;
+pub use vm::VmProcess;
