Demo: entry VMs before the stand-ins of the users' platform

`make demo` showed the own interface only. `launcher entry-demo` starts a store with a door for each VM, three engines, a service and three entry VMs, and shows a stream through each VM, a model that no engine holds, lost answers of calls that may and may not be repeated, a killed giver of orders, the store away, a planned stop, and what the engines were told. Steps and checks of both demonstrations stand once (checks.rs).

A first try counted loads and asked for a rare model after the giver's death; a prefetch had loaded it already, so that the second giver had nothing to order. It asks for an adapter now.

--- a/Makefile
+++ b/Makefile
@@ -21,6 +21,7 @@
 
 demo: setup build
 	$(BIN_DIR)/launcher demo
+	$(BIN_DIR)/launcher entry-demo
 
 up: build
 	@exec $(BIN_DIR)/launcher up
--- a/crates/launcher/src/demo.rs
+++ b/crates/launcher/src/demo.rs
@@ -10,6 +10,7 @@
 use crate::caller;
 use crate::caller::CallerRequest;
 use crate::caller::PendingAnswer;
+use crate::checks::Checks;
 use crate::cluster::Cluster;
 use crate::cluster::LOG;
 use crate::cluster::Vm;
@@ -37,9 +38,7 @@
 /// `Demo` runs the demonstration and keeps what did not hold.
 pub struct Demo<'a> {
     cluster: Cluster,
-    out: &'a mut dyn Write,
-    held: usize,
-    broken: Vec<String>,
+    checks: Checks<'a>,
 }
 
 impl<'a> Demo<'a> {
@@ -47,9 +46,7 @@
     pub fn new(cluster: Cluster, out: &'a mut dyn Write) -> Self {
         Self {
             cluster,
-            out,
-            held: 0,
-            broken: Vec::new(),
+            checks: Checks::new(out),
         }
     }
 
@@ -66,36 +63,28 @@
         self.repeated_call()?;
         self.drain_and_kill()?;
         self.memory()?;
-        self.step("Stopping all processes")?;
+        self.checks.step("Stopping all processes")?;
         self.cluster.stop();
-        writeln!(
-            self.out,
-            "\n{} checks held, {} did not",
-            self.held,
-            self.broken.len()
-        )?;
-        for broken in &self.broken {
-            writeln!(self.out, "  did not hold: {broken}")?;
-        }
-        Ok(self.broken.is_empty())
+        self.checks.finish()
     }
 
     fn configure(&mut self) -> Result<()> {
-        self.step("Publishing classes, models and a service at one VM")?;
+        self.checks
+            .step("Publishing classes, models and a service at one VM")?;
         let vms = self.cluster.vm_names();
         let outcome = self.cluster.publish(&vms[0], sample::edits())?;
         let PublishOutcome::Accepted { version } = outcome else {
             return Err(Error::failed("publishing", format!("{outcome:?}")));
         };
         let in_force = self.cluster.wait_in_force(version);
-        self.check(
+        self.checks.check(
             format!("version {version} is in force on all VMs"),
             in_force.is_ok(),
         )
     }
 
     fn cold_burst(&mut self, model: &str) -> Result<()> {
-        self.step(&format!(
+        self.checks.step(&format!(
             "A burst of requests at all VMs for {model}, which is not loaded"
         ))?;
         let vms = self.running();
@@ -108,23 +97,23 @@
             .collect();
         let whole = self.count_whole(&answers)?;
         let sent = answers.len();
-        self.check(
+        self.checks.check(
             format!("{whole} of {sent} requests answered whole"),
             whole == sent,
         )?;
         let (decided, loads) = self.settled_loads(model)?;
-        self.check(
+        self.checks.check(
             format!("{decided} loads decided, {loads} carried out by the engines"),
             loads == decided && decided > 0,
         )
     }
 
     fn streams(&mut self) -> Result<()> {
-        self.step("A streamed answer through each VM")?;
+        self.checks.step("A streamed answer through each VM")?;
         for vm in self.running() {
             let request = CallerRequest::completion(sample::SLOT_PLANNER, SHORT_TOKENS, true);
             let outcome = caller::send(vm.addresses.callers, request).wait_end(ANSWER_LIMIT)?;
-            self.check(
+            self.checks.check(
                 format!("through {}: {outcome}", vm.name),
                 is_whole_stream(&outcome),
             )?;
@@ -133,7 +122,8 @@
     }
 
     fn repeated_call(&mut self) -> Result<()> {
-        self.step("A booking sent twice, at two VMs, under one idempotency key")?;
+        self.checks
+            .step("A booking sent twice, at two VMs, under one idempotency key")?;
         let vms = self.running();
         let body = Some("{\"lathe\":\"hall-b\"}".to_owned());
         let request = CallerRequest::service_call(sample::BOOKING, "POST", "/book", body);
@@ -145,15 +135,17 @@
             second.wait_end(ANSWER_LIMIT)?,
         ];
         for (vm, outcome) in vms.iter().zip(&outcomes) {
-            writeln!(self.out, "      at {}: {outcome}", vm.name)?;
+            self.checks.note(&format!("at {}: {outcome}", vm.name))?;
         }
         let answered = outcomes.iter().any(Outcome::is_whole);
         let calls = self.calls("POST /book")?;
-        self.check(format!("{calls} booking made"), calls == 1 && answered)
+        self.checks
+            .check(format!("{calls} booking made"), calls == 1 && answered)
     }
 
     fn drain_and_kill(&mut self) -> Result<()> {
-        self.step("One VM stops as planned and one is killed, with streams under way on both")?;
+        self.checks
+            .step("One VM stops as planned and one is killed, with streams under way on both")?;
         let vms = self.running();
         let [drained, killed, other] = [&vms[1], &vms[2], &vms[0]];
         let request = CallerRequest::completion(sample::SLOT_PLANNER, LONG_TOKENS, true);
@@ -161,44 +153,45 @@
         let on_killed = caller::send(killed.addresses.callers, request);
         let begun = on_drained.wait_events(1, ANSWER_LIMIT)? > 0
             && on_killed.wait_events(1, ANSWER_LIMIT)? > 0;
-        self.check("both streams have begun".to_owned(), begun)?;
+        self.checks
+            .check("both streams have begun".to_owned(), begun)?;
         self.cluster.terminate(&drained.name)?;
         self.cluster.kill(&killed.name)?;
         let cut = on_killed.wait_end(ANSWER_LIMIT)?;
-        self.check(
+        self.checks.check(
             format!("the killed VM's stream: {cut}"),
             matches!(cut, Outcome::Cut { .. }),
         )?;
         let request = CallerRequest::completion(sample::SLOT_PLANNER, SHORT_TOKENS, false);
         let elsewhere = caller::call(other.addresses.callers, &request);
-        self.check(
+        self.checks.check(
             format!("a request at {}: {elsewhere}", other.name),
             elsewhere.is_whole(),
         )?;
         let whole = on_drained.wait_end(ANSWER_LIMIT)?;
-        self.check(
+        self.checks.check(
             format!("the stopping VM's stream: {whole}"),
             is_whole_stream(&whole),
         )?;
         let exit = self.cluster.wait_exit(&drained.name, POLL_LIMIT)?;
-        self.check(
+        self.checks.check(
             format!("{} ended with {exit:?}", drained.name),
             exit == Exit::Code(0),
         )?;
         let exit = self.cluster.poll_exit(&killed.name)?;
-        self.check(
+        self.checks.check(
             format!("{} was killed", killed.name),
             exit == Some(Exit::Killed(SIGKILL)),
         )
     }
 
     fn memory(&mut self) -> Result<()> {
-        self.step("The engines' own counts")?;
+        self.checks.step("The engines' own counts")?;
         let mut overcommitted = 0;
         for (_, engine) in self.cluster.engines() {
             overcommitted += engine.effects::<EngineEffects>()?.overcommitted;
         }
-        self.check(
+        self.checks.check(
             format!("memory overcommitted {overcommitted} times"),
             overcommitted == 0,
         )
@@ -218,7 +211,7 @@
             *kinds.entry(outcome.to_string()).or_default() += 1;
         }
         for (kind, count) in kinds {
-            writeln!(self.out, "      {count} x {kind}")?;
+            self.checks.note(&format!("{count} x {kind}"))?;
         }
         Ok(whole)
     }
@@ -261,21 +254,6 @@
         }
         Ok(calls)
     }
-
-    fn step(&mut self, text: &str) -> Result<()> {
-        writeln!(self.out, "\n{text}")?;
-        Ok(())
-    }
-
-    fn check(&mut self, text: String, holds: bool) -> Result<()> {
-        let word = if holds { "ok  " } else { "FAIL" };
-        writeln!(self.out, "  {word} {text}")?;
-        match holds {
-            true => self.held += 1,
-            false => self.broken.push(text),
-        }
-        Ok(())
-    }
 }
 
 fn is_whole_stream(outcome: &Outcome) -> bool {
--- a/crates/launcher/src/lib.rs
+++ b/crates/launcher/src/lib.rs
@@ -7,8 +7,10 @@
 
 pub mod answer;
 pub mod caller;
+pub mod checks;
 pub mod cluster;
 pub mod demo;
+pub mod entry_demo;
 pub mod errors;
 pub mod health;
 pub mod interrupts;
--- a/crates/launcher/src/main.rs
+++ b/crates/launcher/src/main.rs
@@ -16,6 +16,7 @@
 use apricotdale_launcher::cluster::Cluster;
 use apricotdale_launcher::cluster::options::ClusterOptions;
 use apricotdale_launcher::demo::Demo;
+use apricotdale_launcher::entry_demo::EntryDemo;
 use apricotdale_launcher::interrupts::Interrupts;
 use apricotdale_launcher::sample;
 
@@ -33,6 +34,9 @@
         #[bpaf(argument("DIR"))]
         logs: Option<PathBuf>,
     },
+    /// Show the same on the users' platform: entry VMs before its stand-ins
+    #[bpaf(command("entry-demo"))]
+    EntryDemo,
     /// Start a cluster and leave it running until SIGINT or SIGTERM
     #[bpaf(command("up"))]
     Up {
@@ -48,6 +52,7 @@
 fn main() -> ExitCode {
     let result = match command().run() {
         Command::Demo { logs } => demo(logs),
+        Command::EntryDemo => EntryDemo::start(&mut io::stdout()).and_then(EntryDemo::run),
         Command::Up { logs, vms } => up(logs, vms).map(|()| true),
     };
     match result {
--- a/crates/launcher/src/programs.rs
+++ b/crates/launcher/src/programs.rs
@@ -12,6 +12,8 @@
 pub enum Program {
     /// The daemon.
     Daemon,
+    /// The daemon of an entry VM on the users' platform.
+    Entry,
     /// The operators' command.
     Control,
     /// The stand-in of the append-only log.
@@ -31,6 +33,7 @@
     pub fn file_name(self) -> &'static str {
         match self {
             Self::Daemon => "apricotdaled",
+            Self::Entry => "apricotdale-entry",
             Self::Control => "apricotctl",
             Self::Log => "standin-log",
             Self::Engine => "standin-engine",
--- a/crates/standins/src/platform/service.rs
+++ b/crates/standins/src/platform/service.rs
@@ -51,6 +51,11 @@
         self.answers.push_fault(fault);
     }
 
+    /// Takes back the faults that are still to come.
+    pub fn clear_faults(&self) {
+        self.answers.clear_faults();
+    }
+
     /// Returns the requests that ran, in order.
     pub fn runs(&self) -> Vec<RunSeen> {
         self.answers.runs.lock().clone()
--- a/crates/standins/src/platform/serving.rs
+++ b/crates/standins/src/platform/serving.rs
@@ -104,6 +104,10 @@
         self.faults.lock().push_back(fault);
     }
 
+    pub fn clear_faults(&self) {
+        self.faults.lock().clear();
+    }
+
     /// Returns the answer that refuses a request which is not for this upstream.
     pub fn misdirected(&self, request: &Request) -> Option<Reply> {
         let meant = request.header(MEANT)?;
