--- /dev/null
+++ b/crates/soak/src/asking.rs
@@ -0,0 +1,223 @@
+//! Callers that go on asking.
+
+use std::collections::HashMap;
+use std::net::SocketAddr;
+use std::sync::Arc;
+use std::sync::atomic::AtomicBool;
+use std::sync::atomic::AtomicU64;
+use std::sync::atomic::Ordering;
+use std::thread;
+use std::time::Duration;
+
+use apricotdale_standins::platform::Answer;
+use apricotdale_standins::platform::Ask;
+use apricotdale_standins::platform::Caller;
+use parking_lot::Mutex;
+use rand::RngExt;
+use rand::SeedableRng;
+use rand_chacha::ChaCha8Rng;
+
+use crate::clock::Clock;
+use crate::record::Attempt;
+use crate::record::Ending;
+use crate::record::Kind;
+use crate::vms::Vms;
+
+/// How long a caller waits for its answer.
+pub(crate) const PATIENCE_MS: u64 = 3_000;
+
+/// How much longer a caller reads, to see an answer that comes too late.
+const OVERTIME_MS: u64 = 2_500;
+
+/// How long a new connection may take.
+const CONNECT_PATIENCE: Duration = Duration::from_millis(1_000);
+
+/// The pause after a connection that could not be opened.
+const UNSENT_PAUSE: Duration = Duration::from_millis(30);
+
+/// One in so many callers leaves before its answer.
+const LEAVES_ONE_IN: u32 = 25;
+
+/// One in so many callers goes on with another VM on another connection.
+const MOVES_ONE_IN: u32 = 12;
+
+/// The models that callers name.
+pub(crate) const MODELS: [&str; 4] = ["m0", "m1", "m2", "m3"];
+
+/// What the callers share.
+pub(crate) struct Asking {
+    pub clock: Clock,
+    pub vms: Arc<Vms>,
+    pub attempts: Mutex<Vec<Attempt>>,
+    /// What was sent under each identity.
+    pub sent: Mutex<HashMap<String, Ask>>,
+    pub stopped: AtomicBool,
+    next_id: AtomicU64,
+    /// Events of a whole stream.
+    events: u64,
+}
+
+impl Asking {
+    pub fn new(clock: Clock, vms: Arc<Vms>, events: u64) -> Self {
+        Self {
+            clock,
+            vms,
+            attempts: Mutex::default(),
+            sent: Mutex::default(),
+            stopped: AtomicBool::new(false),
+            next_id: AtomicU64::new(1),
+            events,
+        }
+    }
+
+    /// Asks until the soak ends, on a connection that is kept as long as it stands.
+    pub fn go_on(&self, seed: u64) {
+        let mut random = ChaCha8Rng::seed_from_u64(seed);
+        let mut kept: Option<(usize, SocketAddr, Caller)> = None;
+        while !self.stopped.load(Ordering::Acquire) {
+            if random.random_ratio(1, MOVES_ONE_IN) {
+                kept = None;
+            }
+            let vm = match &kept {
+                Some((vm, ..)) => *vm,
+                None => random.random_range(0..self.vms.len()),
+            };
+            let kind = draw_kind(&mut random);
+            let leaves = random.random_ratio(1, LEAVES_ONE_IN);
+            let leaves_after_ms = leaves.then(|| random.random_range(1..60));
+            let request = self.request(kind, &mut random);
+            let connection = kept.take().map(|(_, address, caller)| (address, caller));
+            let (attempt, connection) =
+                self.attempt(vm, kind, &request, connection, leaves_after_ms);
+            if attempt.ending == Ending::Unsent {
+                thread::sleep(UNSENT_PAUSE);
+            }
+            self.attempts.lock().push(attempt);
+            kept = connection.map(|(address, caller)| (vm, address, caller));
+            thread::sleep(Duration::from_millis(random.random_range(2..40)));
+        }
+    }
+
+    /// Sends one request and returns what became of it, and the connection if it can be kept.
+    pub fn attempt(
+        &self,
+        vm: usize,
+        kind: Kind,
+        request: &Ask,
+        kept: Option<(SocketAddr, Caller)>,
+        leaves_after_ms: Option<u64>,
+    ) -> (Attempt, Option<(SocketAddr, Caller)>) {
+        let sent_ms = self.clock.now_ms();
+        let attempt = |ending| Attempt {
+            id: request.id.clone(),
+            kind,
+            vm,
+            sent_ms,
+            ended_ms: self.clock.now_ms(),
+            patience_ms: PATIENCE_MS,
+            ending,
+        };
+        let Some((address, mut caller)) = self.connection(vm, kept) else {
+            return (attempt(Ending::Unsent), None);
+        };
+        if caller.send(&request.bytes()).is_err() {
+            return (attempt(Ending::Unsent), None);
+        }
+        if let Some(after_ms) = leaves_after_ms {
+            thread::sleep(Duration::from_millis(after_ms));
+            caller.leave();
+            return (attempt(Ending::Left), None);
+        }
+        match caller.answer() {
+            Ok(answer) if answer.head.is_none() => (attempt(Ending::Unanswered), None),
+            Ok(answer) => {
+                let keeps = !answer.closes();
+                let ending = self.ending(kind, request, &answer);
+                (attempt(ending), keeps.then_some((address, caller)))
+            }
+            Err(_) => (attempt(not_http()), None),
+        }
+    }
+
+    /// Returns the kept connection if it still stands, or else a new one.
+    fn connection(
+        &self,
+        vm: usize,
+        kept: Option<(SocketAddr, Caller)>,
+    ) -> Option<(SocketAddr, Caller)> {
+        if let Some((address, caller)) = kept.filter(|(_, caller)| !caller.has_ended()) {
+            return Some((address, caller));
+        }
+        let address = self.vms.callers(vm)?;
+        let caller = Caller::connect(address, CONNECT_PATIENCE).ok()?;
+        caller
+            .set_patience(Duration::from_millis(PATIENCE_MS + OVERTIME_MS))
+            .ok()?;
+        Some((address, caller))
+    }
+
+    /// Returns a request of its own identity, by which its answer can be told from any other.
+    pub fn request(&self, kind: Kind, random: &mut ChaCha8Rng) -> Ask {
+        let id = format!("a-{}", self.next_id.fetch_add(1, Ordering::Relaxed));
+        let model = MODELS[random.random_range(0..MODELS.len())];
+        let request = match kind {
+            Kind::Look => Ask::new("GET", &format!("/look/shelf?r={id}"), &id),
+            Kind::Book => Ask::new("POST", &format!("/book/slot?r={id}"), &id)
+                .with_body(format!("{{\"booking\":\"{id}\"}}").as_bytes()),
+            Kind::Quick if random.random_ratio(1, 4) => {
+                let adapter = random.random_range(1..4);
+                Ask::quick(&id, &format!("m0/a{adapter}"))
+            }
+            Kind::Quick => Ask::quick(&id, "m0"),
+            Kind::Patient => Ask::patient(&id, model),
+        };
+        let request = request.waiting_ms(PATIENCE_MS);
+        self.sent.lock().insert(id, request.clone());
+        request
+    }
+
+    fn ending(&self, kind: Kind, request: &Ask, answer: &Answer) -> Ending {
+        let own_body = match kind.is_stream() {
+            true => {
+                let ids = answer.event_ids();
+                let expected: Vec<u64> = (1..=self.events).collect();
+                match answer.whole {
+                    true => ids == expected,
+                    false => expected.starts_with(&ids),
+                }
+            }
+            false => {
+                let expected = format!("{} {}", request.method, request.target);
+                match answer.whole {
+                    true => answer.text() == expected,
+                    false => expected.starts_with(&answer.text()),
+                }
+            }
+        };
+        Ending::Answered {
+            status: answer.status(),
+            whole: answer.whole,
+            id: answer.id(),
+            own_body,
+        }
+    }
+}
+
+/// Returns the ending of an attempt that was answered with bytes that are no HTTP.
+fn not_http() -> Ending {
+    Ending::Answered {
+        status: 200,
+        whole: false,
+        id: None,
+        own_body: false,
+    }
+}
+
+fn draw_kind(random: &mut ChaCha8Rng) -> Kind {
+    match random.random_range(0..10) {
+        0..=2 => Kind::Look,
+        3..=5 => Kind::Book,
+        6 | 7 => Kind::Quick,
+        _ => Kind::Patient,
+    }
+}
--- /dev/null
+++ b/crates/soak/src/checks.rs
@@ -0,0 +1,353 @@
+//! Which promises were broken, from what callers and upstreams saw.
+
+use std::collections::BTreeMap;
+use std::collections::BTreeSet;
+use std::fmt;
+
+use crate::record::Attempt;
+use crate::record::Ending;
+use crate::record::Kind;
+use crate::record::Place;
+use crate::record::Record;
+
+/// How long before a moment a VM must have been undisturbed for a promise with a time to hold. The
+/// users' rules give 3 to 4 s.
+const CALM_BEFORE_MS: u64 = 3_000;
+
+/// How long a leaving upstream may still get requests.
+const DRAIN_MS: u64 = 2_000;
+
+/// How long a configuration may take to be in force.
+const CONFIGURATION_MS: u64 = 2_000;
+
+/// How long a planned stop may take.
+const STOP_MS: u64 = 8_000;
+
+/// How far a promise with a time may be missed here: a machine that also runs other things wakes
+/// processes late.
+const SLACK_MS: u64 = 1_000;
+
+/// Statuses that promise that the request has not run and will not.
+const NOT_RUN: [u16; 4] = [408, 421, 429, 503];
+
+/// `Promise` is what the soak checks.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Hash, PartialOrd, Ord)]
+pub enum Promise {
+    /// A request that may run once runs at most once.
+    RunsOnce,
+    /// A refusal that says "not run" is true.
+    TrueRefusal,
+    /// A caller gets its own whole answer.
+    OwnAnswer,
+    /// Upstreams run only what callers sent, as they sent it.
+    AskedFor,
+    /// One VM at a time gives orders.
+    OneGiver,
+    /// No engine is told to hold more than it can.
+    FitsMemory,
+    /// Each request has its final answer in time.
+    InTime,
+    /// A leaving upstream gets no new requests.
+    Drained,
+    /// A configuration is in force in time.
+    InForce,
+    /// A planned stop ends in time and cuts nothing.
+    PlannedStop,
+    /// After the last trouble every VM serves every kind of request.
+    Recovers,
+    /// No process ends by itself.
+    StaysUp,
+}
+
+impl Promise {
+    /// Returns the word for reports.
+    pub fn as_str(self) -> &'static str {
+        match self {
+            Self::RunsOnce => "runs once",
+            Self::TrueRefusal => "true refusal",
+            Self::OwnAnswer => "own answer",
+            Self::AskedFor => "asked for",
+            Self::OneGiver => "one giver",
+            Self::FitsMemory => "fits memory",
+            Self::InTime => "in time",
+            Self::Drained => "drained",
+            Self::InForce => "in force",
+            Self::PlannedStop => "planned stop",
+            Self::Recovers => "recovers",
+            Self::StaysUp => "stays up",
+        }
+    }
+}
+
+/// `Violation` is a broken promise.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct Violation {
+    /// The promise.
+    pub promise: Promise,
+    /// What was seen.
+    pub detail: String,
+}
+
+impl fmt::Display for Violation {
+    fn fmt(&self, formatter: &mut fmt::Formatter<'_>) -> fmt::Result {
+        write!(formatter, "{}: {}", self.promise.as_str(), self.detail)
+    }
+}
+
+/// Returns the promises that were broken.
+pub fn check(record: &Record) -> Vec<Violation> {
+    let checker = Checker::new(record);
+    let mut found = Vec::new();
+    checker.runs(&mut found);
+    checker.answers(&mut found);
+    checker.orders(&mut found);
+    checker.times(&mut found);
+    checker.drains(&mut found);
+    checker.configurations(&mut found);
+    checker.stops(&mut found);
+    checker.recovery(&mut found);
+    found
+}
+
+struct Checker<'a> {
+    record: &'a Record,
+    attempts: BTreeMap<&'a str, &'a Attempt>,
+    run_counts: BTreeMap<&'a str, usize>,
+}
+
+impl<'a> Checker<'a> {
+    fn new(record: &'a Record) -> Self {
+        let all = record.attempts.iter().chain(&record.last_attempts);
+        let attempts = all.map(|attempt| (attempt.id.as_str(), attempt)).collect();
+        let mut run_counts = BTreeMap::new();
+        for run in &record.runs {
+            *run_counts.entry(run.id.as_str()).or_default() += 1;
+        }
+        Self {
+            record,
+            attempts,
+            run_counts,
+        }
+    }
+
+    fn ran(&self, id: &str) -> usize {
+        self.run_counts.get(id).copied().unwrap_or_default()
+    }
+
+    fn runs(&self, found: &mut Vec<Violation>) {
+        for run in &self.record.runs {
+            let known = self.attempts.contains_key(run.id.as_str())
+                || self.record.other_ids.contains(&run.id);
+            if !known || !run.unchanged {
+                let detail = format!("{} at {}: known {known}", run.id, run.upstream);
+                found.push(violation(Promise::AskedFor, detail));
+            }
+        }
+        for attempt in self.attempts.values().filter(|it| !it.kind.is_repeatable()) {
+            let ran = self.ran(&attempt.id);
+            if ran > 1 {
+                let detail = format!("{} ran {ran} times", attempt.id);
+                found.push(violation(Promise::RunsOnce, detail));
+            }
+            if ran > 0 && NOT_RUN.contains(&attempt.status()) {
+                let detail = format!("{} got {} and ran", attempt.id, attempt.status());
+                found.push(violation(Promise::TrueRefusal, detail));
+            }
+        }
+    }
+
+    fn answers(&self, found: &mut Vec<Violation>) {
+        for attempt in self.attempts.values() {
+            let Ending::Answered {
+                status,
+                whole,
+                id,
+                own_body,
+            } = &attempt.ending
+            else {
+                continue;
+            };
+            let is_success = (200..300).contains(status);
+            let is_own = id.as_ref().is_none_or(|id| *id == attempt.id);
+            let is_named = !is_success || id.is_some();
+            let is_body = !is_success || *own_body;
+            if !is_own || !is_named || !is_body {
+                let detail = format!(
+                    "{} got {status}, whole {whole}, id {id:?}, own body {own_body}",
+                    attempt.id
+                );
+                found.push(violation(Promise::OwnAnswer, detail));
+            }
+        }
+    }
+
+    fn orders(&self, found: &mut Vec<Violation>) {
+        let mut holders: BTreeMap<u64, BTreeSet<&str>> = BTreeMap::new();
+        for (engine, effects) in &self.record.engines {
+            if effects.overcommitted > 0 {
+                let detail = format!("{engine}: {} times", effects.overcommitted);
+                found.push(violation(Promise::FitsMemory, detail));
+            }
+            if !effects.holders.is_sorted_by_key(|(fence, _)| *fence) {
+                let detail = format!("{engine} obeyed {:?}", effects.holders);
+                found.push(violation(Promise::OneGiver, detail));
+            }
+            for (fence, holder) in &effects.holders {
+                holders.entry(*fence).or_default().insert(holder);
+            }
+        }
+        for (fence, names) in holders.iter().filter(|(_, names)| names.len() > 1) {
+            let detail = format!("fence {fence} was used by {names:?}");
+            found.push(violation(Promise::OneGiver, detail));
+        }
+    }
+
+    fn times(&self, found: &mut Vec<Violation>) {
+        for attempt in &self.record.attempts {
+            let calm_from_ms = attempt.sent_ms.saturating_sub(CALM_BEFORE_MS);
+            if self.disturbs_vm(attempt.vm, calm_from_ms, attempt.ended_ms) {
+                continue;
+            }
+            let took_ms = attempt.ended_ms - attempt.sent_ms;
+            let is_late = took_ms > attempt.patience_ms + SLACK_MS;
+            let is_lost = attempt.ending == Ending::Unanswered && !attempt.kind.is_stream();
+            if is_late || is_lost {
+                let detail = format!(
+                    "{} at vm{}, sent at {} ms: {:?} after {took_ms} ms of {}",
+                    attempt.id, attempt.vm, attempt.sent_ms, attempt.ending, attempt.patience_ms
+                );
+                found.push(violation(Promise::InTime, detail));
+            }
+        }
+    }
+
+    fn drains(&self, found: &mut Vec<Violation>) {
+        for drain in &self.record.drains {
+            let from_ms = drain.at_ms + DRAIN_MS + SLACK_MS;
+            let late = self
+                .record
+                .runs
+                .iter()
+                .filter(|run| run.upstream == drain.upstream && run.at_ms > from_ms);
+            for run in late {
+                let Some(attempt) = self.attempts.get(run.id.as_str()) else {
+                    continue;
+                };
+                let calm_from_ms = drain.at_ms.saturating_sub(CALM_BEFORE_MS);
+                let is_sent_later = attempt.sent_ms > from_ms;
+                if is_sent_later
+                    && !self.disturbs_vm(attempt.vm, calm_from_ms, run.at_ms)
+                    && !self.disturbs_store(calm_from_ms, run.at_ms)
+                {
+                    let detail = format!(
+                        "{} reached {} {} ms after its leaving",
+                        run.id,
+                        run.upstream,
+                        run.at_ms - drain.at_ms
+                    );
+                    found.push(violation(Promise::Drained, detail));
+                }
+            }
+        }
+    }
+
+    fn configurations(&self, found: &mut Vec<Violation>) {
+        for probe in &self.record.probes {
+            let calm_from_ms = probe.acknowledged_ms.saturating_sub(CALM_BEFORE_MS);
+            let is_due = probe.sent_ms > probe.acknowledged_ms + CONFIGURATION_MS;
+            if !is_due
+                || self.disturbs_vm(probe.vm, calm_from_ms, probe.sent_ms)
+                || self.disturbs_store(calm_from_ms, probe.sent_ms)
+            {
+                continue;
+            }
+            // A call on a new route may still fail for an upstream's sake.
+            let is_right = match probe.exists {
+                true => probe.status != 404,
+                false => probe.status == 404,
+            };
+            if !is_right {
+                let detail = format!(
+                    "vm{} answered {} {} ms after the change, route there: {}",
+                    probe.vm,
+                    probe.status,
+                    probe.sent_ms - probe.acknowledged_ms,
+                    probe.exists
+                );
+                found.push(violation(Promise::InForce, detail));
+            }
+        }
+    }
+
+    fn stops(&self, found: &mut Vec<Violation>) {
+        for stop in &self.record.stops {
+            let until_ms = stop.at_ms + STOP_MS + SLACK_MS;
+            let is_disturbed = self.record.disturbances.iter().any(|it| {
+                it.place == Place::Vm(stop.vm)
+                    && it.what != "stop"
+                    && it.from_ms <= until_ms
+                    && it.until_ms + CALM_BEFORE_MS >= stop.at_ms
+            });
+            if is_disturbed {
+                continue;
+            }
+            match stop.ended {
+                Some((ended_ms, Some(0))) if ended_ms <= until_ms => {}
+                ended => {
+                    let detail = format!("vm{} told at {} ms: {ended:?}", stop.vm, stop.at_ms);
+                    found.push(violation(Promise::PlannedStop, detail));
+                }
+            }
+            let ended_ms = stop.ended.map_or(until_ms, |(at_ms, _)| at_ms);
+            for attempt in self.record.attempts.iter().filter(|it| it.vm == stop.vm) {
+                let around = attempt.sent_ms <= ended_ms && attempt.ended_ms >= stop.at_ms;
+                let is_cut = attempt.ending == Ending::Unanswered && self.ran(&attempt.id) > 0;
+                if around && is_cut && !attempt.kind.is_stream() {
+                    let detail = format!("{} ran and was not answered", attempt.id);
+                    found.push(violation(Promise::PlannedStop, detail));
+                }
+            }
+        }
+        for end in &self.record.own_ends {
+            found.push(violation(Promise::StaysUp, end.clone()));
+        }
+    }
+
+    fn recovery(&self, found: &mut Vec<Violation>) {
+        let mut served: BTreeMap<(usize, Kind), bool> = BTreeMap::new();
+        for attempt in &self.record.last_attempts {
+            let is_served = matches!(
+                attempt.ending,
+                Ending::Answered {
+                    status: 200,
+                    whole: true,
+                    ..
+                }
+            );
+            *served.entry((attempt.vm, attempt.kind)).or_default() |= is_served;
+        }
+        for ((vm, kind), _) in served.iter().filter(|(_, served)| !**served) {
+            let detail = format!("vm{vm} serves no {}", kind.as_str());
+            found.push(violation(Promise::Recovers, detail));
+        }
+    }
+
+    fn disturbs_vm(&self, vm: usize, from_ms: u64, until_ms: u64) -> bool {
+        self.disturbs(&Place::Vm(vm), from_ms, until_ms)
+    }
+
+    fn disturbs_store(&self, from_ms: u64, until_ms: u64) -> bool {
+        self.disturbs(&Place::Store, from_ms, until_ms)
+    }
+
+    fn disturbs(&self, place: &Place, from_ms: u64, until_ms: u64) -> bool {
+        self.record
+            .disturbances
+            .iter()
+            .any(|it| it.place == *place && it.from_ms <= until_ms && it.until_ms >= from_ms)
+    }
+}
+
+fn violation(promise: Promise, detail: String) -> Violation {
+    Violation { promise, detail }
+}
--- /dev/null
+++ b/crates/soak/src/lib.rs
@@ -0,0 +1,44 @@
+//! A randomized soak of entry VMs.
+//!
+//! Real processes of `apricotdale-entry` run on loopback before the stand-ins of the platform. A
+//! seeded [`Plan`] has processes killed, paused, stopped and restarted, links delayed, cut,
+//! silenced and reset by proxies, the store and the engines misbehave and the configuration change,
+//! in series and overlapping, while callers go on asking. What callers and upstreams saw is a
+//! [`Record`], from which [`check`] tells which promises were broken.
+
+#![forbid(unsafe_code)]
+#![warn(missing_docs)]
+
+mod asking;
+mod checks;
+mod clock;
+mod errors;
+mod plan;
+mod proxy;
+mod record;
+mod soak;
+mod vms;
+mod world;
+
+pub use checks::Promise;
+pub use checks::Violation;
+pub use checks::check;
+pub use errors::Error;
+pub use errors::Result;
+pub use plan::Plan;
+pub use plan::Planned;
+pub use plan::Trouble;
+pub use proxy::LinkFault;
+pub use proxy::Proxy;
+pub use record::Attempt;
+pub use record::ConfigurationProbe;
+pub use record::Disturbance;
+pub use record::Drain;
+pub use record::Ending;
+pub use record::Kind;
+pub use record::Place;
+pub use record::Record;
+pub use record::Run;
+pub use record::StopSeen;
+pub use soak::Soak;
+pub use soak::SoakOptions;
--- /dev/null
+++ b/crates/soak/src/main.rs
@@ -0,0 +1,173 @@
+//! The command `soak`.
+
+#![forbid(unsafe_code)]
+
+use std::collections::BTreeMap;
+use std::io;
+use std::io::Write;
+use std::path::Path;
+use std::path::PathBuf;
+use std::process::ExitCode;
+use std::sync::atomic::AtomicU64;
+use std::sync::atomic::Ordering;
+use std::thread;
+
+use bpaf::Bpaf;
+
+use apricotdale_soak::Error;
+use apricotdale_soak::Record;
+use apricotdale_soak::Result;
+use apricotdale_soak::Soak;
+use apricotdale_soak::SoakOptions;
+use apricotdale_soak::Violation;
+use apricotdale_soak::check;
+
+/// The most soaks at once.
+const MOST_AT_ONCE: usize = 8;
+
+/// Runs entry VMs on loopback under random troubles and checks the promises
+#[derive(Clone, Debug, Bpaf)]
+#[bpaf(options)]
+struct Arguments {
+    /// The first seed
+    #[bpaf(argument("SEED"), fallback(1), display_fallback)]
+    seed: u64,
+    /// How many seeds
+    #[bpaf(argument("N"), fallback(1), display_fallback)]
+    seeds: u64,
+    /// How many soaks at once, 8 at the most
+    #[bpaf(argument("N"), fallback(2), display_fallback)]
+    at_once: usize,
+    /// Seconds of troubles in each
+    #[bpaf(argument("S"), fallback(12), display_fallback)]
+    seconds: u64,
+    /// VMs in each
+    #[bpaf(argument("N"), fallback(3), display_fallback)]
+    vms: usize,
+    /// Directory for plans, VMs' logs and what was seen
+    #[bpaf(argument("DIR"))]
+    logs: Option<PathBuf>,
+}
+
+fn main() -> ExitCode {
+    let arguments = arguments().run();
+    match soak(&arguments) {
+        Ok(0) => ExitCode::SUCCESS,
+        Ok(_) => ExitCode::FAILURE,
+        Err(error) => {
+            eprintln!("soak: {error}");
+            ExitCode::FAILURE
+        }
+    }
+}
+
+/// Carries the seeds out and returns how many broke a promise.
+fn soak(arguments: &Arguments) -> Result<u64> {
+    let program = program()?;
+    let next = AtomicU64::new(arguments.seed);
+    let broken = AtomicU64::new(0);
+    let end = arguments.seed + arguments.seeds;
+    let workers = arguments.at_once.clamp(1, MOST_AT_ONCE);
+    let outcome: Result<()> = thread::scope(|scope| {
+        let work = || -> Result<()> {
+            loop {
+                let seed = next.fetch_add(1, Ordering::Relaxed);
+                if seed >= end {
+                    return Ok(());
+                }
+                if !soak_one(arguments, &program, seed)? {
+                    broken.fetch_add(1, Ordering::Relaxed);
+                }
+            }
+        };
+        let workers: Vec<_> = (0..workers).map(|_| scope.spawn(work)).collect();
+        workers
+            .into_iter()
+            .try_for_each(|worker| worker.join().unwrap_or(Ok(())))
+    });
+    outcome?;
+    let broken = broken.load(Ordering::Relaxed);
+    println!("{} seeds, {broken} with a broken promise", arguments.seeds);
+    Ok(broken)
+}
+
+fn soak_one(arguments: &Arguments, program: &Path, seed: u64) -> Result<bool> {
+    let mut options = SoakOptions::new(program, seed);
+    options.length_ms = arguments.seconds * 1_000;
+    options.vms = arguments.vms.max(1);
+    let soak = Soak::carry_out(&options)?;
+    let violations = check(&soak.record);
+    if let Some(dir) = &arguments.logs {
+        write_logs(&dir.join(format!("seed-{seed}")), &soak, &violations).map_err(|source| {
+            Error::Io {
+                action: "writing logs",
+                source,
+            }
+        })?;
+    }
+    println!("seed {seed}: {}", summary(&soak.record, &violations));
+    for violation in &violations {
+        println!("  seed {seed} broke {violation}");
+    }
+    Ok(violations.is_empty())
+}
+
+fn summary(record: &Record, violations: &[Violation]) -> String {
+    let mut statuses: BTreeMap<u16, usize> = BTreeMap::new();
+    for attempt in &record.attempts {
+        *statuses.entry(attempt.status()).or_default() += 1;
+    }
+    let orders: usize = record.engines.iter().map(|(_, it)| it.holders.len()).sum();
+    format!(
+        "{} troubles, {} requests by status {statuses:?}, {} runs, {orders} orders, {} broken",
+        record.disturbances.len(),
+        record.attempts.len(),
+        record.runs.len(),
+        violations.len()
+    )
+}
+
+fn write_logs(dir: &Path, soak: &Soak, violations: &[Violation]) -> io::Result<()> {
+    std::fs::create_dir_all(dir)?;
+    let mut file = std::fs::File::create(dir.join("soak.txt"))?;
+    for violation in violations {
+        writeln!(file, "broken: {violation}")?;
+    }
+    for planned in &soak.plan.troubles {
+        writeln!(file, "planned: {planned:?}")?;
+    }
+    for disturbance in &soak.record.disturbances {
+        writeln!(file, "carried out: {disturbance:?}")?;
+    }
+    for attempt in soak
+        .record
+        .attempts
+        .iter()
+        .chain(&soak.record.last_attempts)
+    {
+        writeln!(file, "{attempt:?}")?;
+    }
+    for run in &soak.record.runs {
+        writeln!(file, "{run:?}")?;
+    }
+    for (engine, effects) in &soak.record.engines {
+        writeln!(file, "{engine}: {effects:?}")?;
+    }
+    for (vm, lines) in &soak.lines {
+        std::fs::write(dir.join(format!("vm{vm}.log")), lines.join("\n") + "\n")?;
+    }
+    Ok(())
+}
+
+/// Returns the VMs' program, which lies beside this one.
+fn program() -> Result<PathBuf> {
+    let running = std::env::current_exe().map_err(|source| Error::Io {
+        action: "finding the programs",
+        source,
+    })?;
+    let path = running.with_file_name("apricotdale-entry");
+    match path.is_file() {
+        true => Ok(path),
+        false => Err(Error::MissingProgram(path)),
+    }
+}
--- /dev/null
+++ b/crates/soak/src/plan.rs
@@ -0,0 +1,304 @@
+//! Which troubles come when, drawn from a seed.
+
+use rand::RngExt;
+use rand::SeedableRng;
+use rand_chacha::ChaCha8Rng;
+
+use apricotdale_standins::platform::AnswerFault;
+use apricotdale_standins::platform::StoreFault;
+
+use crate::proxy::LinkFault;
+
+/// The time before the first trouble, in which the VMs begin to serve.
+const LEAD_MS: u64 = 1_500;
+
+/// The time after the last trouble, in which its effects pass.
+const REST_MS: u64 = 3_500;
+
+/// The mean time between the beginnings of two troubles.
+const GAP_MS: u64 = 900;
+
+/// `Trouble` is something that is done to the VMs from outside, or that their surroundings do.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub enum Trouble {
+    /// A VM's process is killed, and started again after a time.
+    Kill {
+        /// The VM.
+        vm: usize,
+        /// The time.
+        down_ms: u64,
+    },
+    /// Every VM's process is killed, and started again after a time.
+    KillAll {
+        /// The time.
+        down_ms: u64,
+    },
+    /// A VM's process stands still for a time.
+    Pause {
+        /// The VM.
+        vm: usize,
+        /// The time.
+        for_ms: u64,
+    },
+    /// A VM is told to stop as planned, and is started again when it has ended.
+    Stop {
+        /// The VM.
+        vm: usize,
+    },
+    /// A VM is told to read its settings again.
+    Reload {
+        /// The VM.
+        vm: usize,
+    },
+    /// The store treats the calls of some VMs badly for a time.
+    Store {
+        /// The VM, or all.
+        vm: Option<usize>,
+        /// How.
+        fault: StoreFault,
+        /// The time.
+        for_ms: u64,
+    },
+    /// The store deletes its history; the newest record of each key stays.
+    Forget,
+    /// A VM's link to the store is spoiled for a time.
+    StoreLink {
+        /// The VM.
+        vm: usize,
+        /// How.
+        fault: LinkFault,
+        /// The time.
+        for_ms: u64,
+    },
+    /// An upstream's link is spoiled for a time.
+    UpstreamLink {
+        /// The number of the upstream.
+        upstream: usize,
+        /// How.
+        fault: LinkFault,
+        /// The time.
+        for_ms: u64,
+    },
+    /// The open connections to an upstream are reset.
+    Reset {
+        /// The number of the upstream.
+        upstream: usize,
+    },
+    /// The open connections of a VM to the store fall silent for good.
+    Silence {
+        /// The VM.
+        vm: usize,
+    },
+    /// An upstream spoils its next answers.
+    Answers {
+        /// The number of the upstream.
+        upstream: usize,
+        /// How.
+        fault: AnswerFault,
+        /// How many.
+        count: u32,
+    },
+    /// An engine carries its next orders out late, or loses the answers to them.
+    Orders {
+        /// The number of the engine.
+        engine: usize,
+        /// After how long it carries them out; at once with a lost answer if none.
+        late_ms: Option<u64>,
+        /// How many.
+        count: u32,
+    },
+    /// An engine's process dies. Its entry goes later, and another run of it joins at the same
+    /// address.
+    EngineDies {
+        /// The number of the engine.
+        engine: usize,
+    },
+    /// An engine leaves as planned, and another joins.
+    EngineLeaves {
+        /// The number of the engine.
+        engine: usize,
+    },
+    /// The operators write a configuration with another route in place of the one before.
+    Configure,
+}
+
+/// `Planned` is a trouble with its time.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct Planned {
+    /// When it begins.
+    pub at_ms: u64,
+    /// What it is.
+    pub trouble: Trouble,
+}
+
+/// `Plan` is what happens in one soak.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct Plan {
+    /// The troubles in order of time.
+    pub troubles: Vec<Planned>,
+    /// When the last one must have ended.
+    pub calm_from_ms: u64,
+    /// When the soak ends.
+    pub end_ms: u64,
+}
+
+impl Plan {
+    /// Draws a plan for a number of VMs, engines and other upstreams. The numbers of the other
+    /// upstreams follow those of the engines.
+    pub fn draw(seed: u64, length_ms: u64, vms: usize, engines: usize, upstreams: usize) -> Self {
+        let mut draw = Draw {
+            random: ChaCha8Rng::seed_from_u64(seed),
+            vms,
+            engines,
+            upstreams,
+        };
+        let calm_from_ms = length_ms.saturating_sub(REST_MS).max(LEAD_MS);
+        let mut troubles = Vec::new();
+        let mut at_ms = LEAD_MS;
+        while at_ms < calm_from_ms {
+            let trouble = draw.trouble(calm_from_ms - at_ms);
+            troubles.push(Planned { at_ms, trouble });
+            // Some come at the same moment, so that they overlap.
+            if draw.random.random_ratio(2, 3) {
+                at_ms += draw.random.random_range(GAP_MS / 3..GAP_MS * 2);
+            }
+        }
+        Self {
+            troubles,
+            calm_from_ms,
+            end_ms: calm_from_ms + REST_MS,
+        }
+    }
+}
+
+struct Draw {
+    random: ChaCha8Rng,
+    vms: usize,
+    engines: usize,
+    upstreams: usize,
+}
+
+impl Draw {
+    fn trouble(&mut self, left_ms: u64) -> Trouble {
+        let for_ms = self.random.random_range(200..3_000).min(left_ms);
+        match self.random.random_range(0..24) {
+            0 | 1 => Trouble::Kill {
+                vm: self.vm(),
+                down_ms: for_ms / 2,
+            },
+            2 => Trouble::KillAll {
+                down_ms: for_ms / 4,
+            },
+            3 | 4 => Trouble::Pause {
+                vm: self.vm(),
+                for_ms,
+            },
+            5 | 6 => Trouble::Stop { vm: self.vm() },
+            7 => Trouble::Reload { vm: self.vm() },
+            8..=10 => Trouble::Store {
+                vm: self.some_vm(),
+                fault: self.store_fault(),
+                for_ms,
+            },
+            11 => Trouble::Forget,
+            12 | 13 => Trouble::StoreLink {
+                vm: self.vm(),
+                fault: self.link_fault(),
+                for_ms,
+            },
+            14 | 15 => Trouble::UpstreamLink {
+                upstream: self.upstream(),
+                fault: self.link_fault(),
+                for_ms,
+            },
+            16 => Trouble::Reset {
+                upstream: self.upstream(),
+            },
+            17 => Trouble::Silence { vm: self.vm() },
+            18 | 19 => Trouble::Answers {
+                upstream: self.upstream(),
+                fault: self.answer_fault(),
+                count: self.random.random_range(1..6),
+            },
+            20 => {
+                let late_ms = self.random.random_range(100..2_500);
+                Trouble::Orders {
+                    engine: self.engine(),
+                    late_ms: self.random.random_bool(0.5).then_some(late_ms),
+                    count: self.random.random_range(1..4),
+                }
+            }
+            21 => Trouble::EngineDies {
+                engine: self.engine(),
+            },
+            22 => Trouble::EngineLeaves {
+                engine: self.engine(),
+            },
+            _ => Trouble::Configure,
+        }
+    }
+
+    fn vm(&mut self) -> usize {
+        self.random.random_range(0..self.vms)
+    }
+
+    fn some_vm(&mut self) -> Option<usize> {
+        let vm = self.vm();
+        self.random.random_bool(0.5).then_some(vm)
+    }
+
+    fn engine(&mut self) -> usize {
+        self.random.random_range(0..self.engines)
+    }
+
+    fn upstream(&mut self) -> usize {
+        self.random.random_range(0..self.upstreams)
+    }
+
+    fn store_fault(&mut self) -> StoreFault {
+        match self.random.random_range(0..7) {
+            0 => StoreFault::Busy,
+            1 => StoreFault::Limited,
+            2 => StoreFault::Reset,
+            3 => StoreFault::Silent,
+            4 => StoreFault::LostAnswer,
+            5 => StoreFault::Late {
+                after_ms: self.random.random_range(100..1_500),
+            },
+            _ => StoreFault::Slow {
+                by_ms: self.random.random_range(50..600),
+            },
+        }
+    }
+
+    fn link_fault(&mut self) -> LinkFault {
+        match self.random.random_range(0..5) {
+            0 => LinkFault::Delayed {
+                by_ms: self.random.random_range(20..300),
+            },
+            1 => LinkFault::Refused,
+            2 => LinkFault::CutToServer,
+            3 => LinkFault::CutToClient,
+            _ => LinkFault::Cut,
+        }
+    }
+
+    fn answer_fault(&mut self) -> AnswerFault {
+        match self.random.random_range(0..12) {
+            0 => AnswerFault::TurnedAway,
+            1 => AnswerFault::Failed,
+            2 => AnswerFault::LostAnswer,
+            3 => AnswerFault::Mute,
+            4 => AnswerFault::CutAfter {
+                events: self.random.random_range(0..4),
+            },
+            5 => AnswerFault::Unsigned,
+            6 => AnswerFault::CrossedFirst,
+            7 => AnswerFault::ExtraAfter,
+            8 => AnswerFault::Unframed,
+            9 => AnswerFault::UnframedCut,
+            10 => AnswerFault::Garbage,
+            _ => AnswerFault::Encoded,
+        }
+    }
+}
--- /dev/null
+++ b/crates/soak/src/record.rs
@@ -0,0 +1,191 @@
+//! What callers and upstreams saw during a soak.
+
+use std::collections::BTreeSet;
+
+use apricotdale_standins::platform::EngineEffects;
+
+/// `Kind` is what a request asks for, and so what may become of it.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Hash, PartialOrd, Ord)]
+pub enum Kind {
+    /// A call that may be repeated.
+    Look,
+    /// A call that may run once.
+    Book,
+    /// A stream that may be resumed.
+    Quick,
+    /// A stream that may run once.
+    Patient,
+}
+
+impl Kind {
+    /// Every kind.
+    pub const ALL: [Self; 4] = [Self::Look, Self::Book, Self::Quick, Self::Patient];
+
+    /// Returns whether a request may run more than once.
+    pub fn is_repeatable(self) -> bool {
+        matches!(self, Self::Look | Self::Quick)
+    }
+
+    /// Returns whether the answer is a stream of events.
+    pub fn is_stream(self) -> bool {
+        matches!(self, Self::Quick | Self::Patient)
+    }
+
+    /// Returns the word for reports.
+    pub fn as_str(self) -> &'static str {
+        match self {
+            Self::Look => "look",
+            Self::Book => "book",
+            Self::Quick => "quick",
+            Self::Patient => "patient",
+        }
+    }
+}
+
+/// `Ending` is how an attempt ended for its caller.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub enum Ending {
+    /// An answer came.
+    Answered {
+        /// Its status.
+        status: u16,
+        /// Whether it came to its end as its head announced.
+        whole: bool,
+        /// The request that it names.
+        id: Option<String>,
+        /// Whether the body is what an upstream gives for the request, as far as it came.
+        own_body: bool,
+    },
+    /// The connection ended, or nothing came within the caller's patience.
+    Unanswered,
+    /// The connection could not be opened, or broke before the request was written.
+    Unsent,
+    /// The caller left before an answer.
+    Left,
+}
+
+/// `Attempt` is one request of a caller.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct Attempt {
+    /// Its identity.
+    pub id: String,
+    /// What it asks for.
+    pub kind: Kind,
+    /// The VM that it was sent to.
+    pub vm: usize,
+    /// When it was sent.
+    pub sent_ms: u64,
+    /// When its ending was known.
+    pub ended_ms: u64,
+    /// How long the caller waits.
+    pub patience_ms: u64,
+    /// How it ended.
+    pub ending: Ending,
+}
+
+impl Attempt {
+    /// Returns the status of its answer; 0 if there was none.
+    pub fn status(&self) -> u16 {
+        match self.ending {
+            Ending::Answered { status, .. } => status,
+            _ => 0,
+        }
+    }
+}
+
+/// `Run` is a request as an upstream got it.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct Run {
+    /// Its identity.
+    pub id: String,
+    /// The upstream.
+    pub upstream: String,
+    /// When it came.
+    pub at_ms: u64,
+    /// Whether method, target and body are those of the request with this identity.
+    pub unchanged: bool,
+}
+
+/// `Place` is what a disturbance concerns.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub enum Place {
+    /// One VM's process, or its link to the store.
+    Vm(usize),
+    /// The store as all VMs see it.
+    Store,
+    /// Upstreams, their links and their answers.
+    Upstreams,
+}
+
+/// `Disturbance` is a trouble as it was carried out.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct Disturbance {
+    /// What was done.
+    pub what: String,
+    /// What it concerns.
+    pub place: Place,
+    /// When it began.
+    pub from_ms: u64,
+    /// When it ended.
+    pub until_ms: u64,
+}
+
+/// `Drain` is an upstream's leaving as the store has acknowledged it.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct Drain {
+    /// The upstream.
+    pub upstream: String,
+    /// When.
+    pub at_ms: u64,
+}
+
+/// `ConfigurationProbe` is a question about the newest configuration.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct ConfigurationProbe {
+    /// The VM that was asked.
+    pub vm: usize,
+    /// When the configuration was acknowledged.
+    pub acknowledged_ms: u64,
+    /// When the VM was asked.
+    pub sent_ms: u64,
+    /// Whether the route is part of the configuration.
+    pub exists: bool,
+    /// The status of the answer; 0 if there was none.
+    pub status: u16,
+}
+
+/// `StopSeen` is a planned stop of a VM.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct StopSeen {
+    /// The VM.
+    pub vm: usize,
+    /// When it was told.
+    pub at_ms: u64,
+    /// When its process had ended by itself, with its code; none if it did not in time.
+    pub ended: Option<(u64, Option<i32>)>,
+}
+
+/// `Record` is everything that was seen.
+#[derive(Clone, Debug, Default, PartialEq, Eq)]
+pub struct Record {
+    /// The callers' attempts.
+    pub attempts: Vec<Attempt>,
+    /// The attempts after the last trouble, which every VM should serve.
+    pub last_attempts: Vec<Attempt>,
+    /// What upstreams ran.
+    pub runs: Vec<Run>,
+    /// Identities of questions that the soak asked besides the callers.
+    pub other_ids: BTreeSet<String>,
+    /// What engines were told, by engine.
+    pub engines: Vec<(String, EngineEffects)>,
+    /// The troubles.
+    pub disturbances: Vec<Disturbance>,
+    /// Upstreams that left.
+    pub drains: Vec<Drain>,
+    /// Questions about configurations.
+    pub probes: Vec<ConfigurationProbe>,
+    /// Planned stops.
+    pub stops: Vec<StopSeen>,
+    /// VMs whose process ended by itself, with what is known of it.
+    pub own_ends: Vec<String>,
+}
--- /dev/null
+++ b/crates/soak/src/soak.rs
@@ -0,0 +1,198 @@
+//! One soak, from its start to its record.
+
+use std::path::PathBuf;
+use std::sync::Arc;
+use std::sync::atomic::Ordering;
+use std::thread;
+use std::thread::JoinHandle;
+use std::time::Duration;
+
+use rand::SeedableRng;
+use rand_chacha::ChaCha8Rng;
+
+use crate::asking::Asking;
+use crate::clock::Clock;
+use crate::errors::Error;
+use crate::errors::Result;
+use crate::plan::Plan;
+use crate::record::Attempt;
+use crate::record::Ending;
+use crate::record::Kind;
+use crate::record::Record;
+use crate::world::World;
+
+/// How long the VMs may take to get ready at the start.
+const READY_MS: u64 = 20_000;
+
+/// How long after the last trouble the VMs may take to serve everything again.
+const RECOVERY_MS: u64 = 12_000;
+
+/// The pause between two questions whether a VM serves a kind of request again.
+const RECOVERY_PAUSE: Duration = Duration::from_millis(100);
+
+/// `SoakOptions` is the size of a soak.
+#[derive(Clone, Debug)]
+pub struct SoakOptions {
+    /// The VMs' program.
+    pub program: PathBuf,
+    /// The seed of the plan and of the callers.
+    pub seed: u64,
+    /// How long troubles come.
+    pub length_ms: u64,
+    /// VMs.
+    pub vms: usize,
+    /// Model engines.
+    pub engines: usize,
+    /// Callers at once.
+    pub callers: usize,
+}
+
+impl SoakOptions {
+    /// Returns a soak of the usual size: 3 VMs, 3 engines, 12 callers, 12 s.
+    pub fn new(program: impl Into<PathBuf>, seed: u64) -> Self {
+        Self {
+            program: program.into(),
+            seed,
+            length_ms: 12_000,
+            vms: 3,
+            engines: 3,
+            callers: 12,
+        }
+    }
+
+    /// Returns what will happen.
+    pub fn plan(&self) -> Plan {
+        let upstreams = self.engines + 2;
+        Plan::draw(self.seed, self.length_ms, self.vms, self.engines, upstreams)
+    }
+}
+
+/// `Soak` is a soak that was carried out.
+pub struct Soak {
+    /// What was planned.
+    pub plan: Plan,
+    /// What was seen.
+    pub record: Record,
+    /// The log lines of each VM.
+    pub lines: Vec<(usize, Vec<String>)>,
+}
+
+impl Soak {
+    /// Carries a soak out.
+    ///
+    /// # Errors
+    ///
+    /// [`Error::Io`] if something can't be started, [`Error::NotReady`].
+    pub fn carry_out(options: &SoakOptions) -> Result<Self> {
+        if !options.program.is_file() {
+            return Err(Error::MissingProgram(options.program.clone()));
+        }
+        let clock = Clock::start();
+        let world = World::start(clock, options.program.clone(), options.vms, options.engines)
+            .map_err(Error::doing("starting the stand-ins and the VMs"))?;
+        let world = Arc::new(world);
+        if !world.vms.wait_ready(Duration::from_millis(READY_MS)) {
+            return Err(Error::NotReady(READY_MS));
+        }
+        let asking = Arc::new(Asking::new(
+            clock,
+            world.vms.clone(),
+            World::stream_events(),
+        ));
+        let callers = start_callers(options, &asking);
+        let plan = options.plan();
+        carry_out_plan(clock, &world, &plan);
+        thread::sleep(Duration::from_millis(1_000));
+        asking.stopped.store(true, Ordering::Release);
+        join(callers);
+        let last_attempts = recover(options, &asking);
+        let record = take_record(&world, &asking, last_attempts);
+        Ok(Self {
+            plan,
+            record,
+            lines: world.vms.lines(),
+        })
+    }
+}
+
+fn start_callers(options: &SoakOptions, asking: &Arc<Asking>) -> Vec<JoinHandle<()>> {
+    (0..options.callers as u64)
+        .map(|caller| {
+            let asking = asking.clone();
+            let seed = options.seed.wrapping_mul(1_000).wrapping_add(caller);
+            thread::spawn(move || asking.go_on(seed))
+        })
+        .collect()
+}
+
+/// Carries the troubles out, each in a thread of its own, and waits until all are over.
+fn carry_out_plan(clock: Clock, world: &Arc<World>, plan: &Plan) {
+    let began_ms = clock.now_ms();
+    let mut running = Vec::new();
+    for planned in &plan.troubles {
+        clock.wait_until(began_ms + planned.at_ms);
+        let ends = world.vms.own_ends();
+        world.events.lock().own_ends.extend(ends);
+        let (world, trouble) = (world.clone(), planned.trouble.clone());
+        running.push(thread::spawn(move || world.carry_out(&trouble)));
+    }
+    join(running);
+    clock.wait_until(began_ms + plan.end_ms);
+}
+
+fn join(threads: Vec<JoinHandle<()>>) {
+    for thread in threads {
+        // A panic has been printed by its thread; the soak tells what it saw without it.
+        let _ = thread.join();
+    }
+}
+
+/// Asks every VM for every kind of request until it is served or the time is over.
+fn recover(options: &SoakOptions, asking: &Asking) -> Vec<Attempt> {
+    let mut random = ChaCha8Rng::seed_from_u64(options.seed);
+    let mut attempts = Vec::new();
+    let until_ms = asking.clock.now_ms() + RECOVERY_MS;
+    for vm in 0..options.vms {
+        for kind in Kind::ALL {
+            loop {
+                let request = asking.request(kind, &mut random);
+                let (attempt, _) = asking.attempt(vm, kind, &request, None, None);
+                let is_served = matches!(
+                    attempt.ending,
+                    Ending::Answered {
+                        status: 200,
+                        whole: true,
+                        ..
+                    }
+                );
+                attempts.push(attempt);
+                if is_served || asking.clock.now_ms() > until_ms {
+                    break;
+                }
+                thread::sleep(RECOVERY_PAUSE);
+            }
+        }
+    }
+    attempts
+}
+
+fn take_record(world: &World, asking: &Asking, last_attempts: Vec<Attempt>) -> Record {
+    let ends = world.vms.own_ends();
+    let mut events = world.events.lock();
+    events.own_ends.extend(ends);
+    events.own_ends.sort();
+    events.own_ends.dedup();
+    let sent = asking.sent.lock();
+    Record {
+        attempts: asking.attempts.lock().clone(),
+        last_attempts,
+        runs: world.runs(|id| sent.get(id).cloned()),
+        other_ids: events.probe_ids.iter().cloned().collect(),
+        engines: world.effects(),
+        disturbances: events.disturbances.clone(),
+        drains: events.drains.clone(),
+        probes: events.probes.clone(),
+        stops: events.stops.clone(),
+        own_ends: events.own_ends.clone(),
+    }
+}
--- a/crates/standins/src/platform/calling.rs
+++ b/crates/standins/src/platform/calling.rs
@@ -190,6 +190,15 @@
         })
     }
 
+    /// Sets how long a read of an answer may take.
+    ///
+    /// # Errors
+    ///
+    /// Any of the socket.
+    pub fn set_patience(&self, patience: Duration) -> io::Result<()> {
+        self.stream.set_read_timeout(Some(patience))
+    }
+
     /// Sends bytes.
     ///
     /// # Errors
@@ -281,3 +290,8 @@
     caller.send(request.as_bytes())?;
     caller.answer()
 }
+
+/// Returns whether a VM that is asked as the balancer does takes callers.
+pub fn is_ready(address: SocketAddr, patience: Duration) -> bool {
+    get(address, "/api/ready", patience).is_ok_and(|answer| answer.status() == 200)
+}
--- a/crates/standins/src/platform/engine.rs
+++ b/crates/standins/src/platform/engine.rs
@@ -113,6 +113,11 @@
         }
     }
 
+    /// Returns the run's identity.
+    pub fn name(&self) -> &str {
+        &self.options.instance
+    }
+
     /// Writes the engine's entry, at its start with its address.
     pub fn announce(&self, address: Option<SocketAddr>) {
         let mut entry = self.entry.lock();
--- a/crates/standins/src/platform/mod.rs
+++ b/crates/standins/src/platform/mod.rs
@@ -16,6 +16,7 @@
 pub use calling::Caller;
 pub use calling::HOST;
 pub use calling::get;
+pub use calling::is_ready;
 pub use engine::EngineEffects;
 pub use engine::EngineOptions;
 pub use engine::PlatformEngine;
--- a/crates/standins/src/platform/service.rs
+++ b/crates/standins/src/platform/service.rs
@@ -3,6 +3,8 @@
 use std::collections::HashMap;
 use std::net::SocketAddr;
 use std::sync::Arc;
+use std::sync::atomic::AtomicU64;
+use std::sync::atomic::Ordering;
 
 use serde_json::json;
 
@@ -19,6 +21,7 @@
     instance: String,
     service: String,
     answers: Answers,
+    revision: AtomicU64,
     store: PlatformStore,
 }
 
@@ -29,15 +32,23 @@
             instance: instance.to_owned(),
             service: service.to_owned(),
             answers: Answers::new(instance),
+            revision: AtomicU64::new(0),
             store,
         }
     }
 
+    /// Returns the instance's identity.
+    pub fn name(&self) -> &str {
+        &self.instance
+    }
+
     /// Writes the instance's entry.
     pub fn announce(&self, address: SocketAddr) {
+        let revision = self.revision.fetch_add(1, Ordering::Relaxed) + 1;
         let entry = json!({
             "service": self.service, "address": address.to_string(), "zone": "zone-a",
-            "version": "v1", "slots": 6, "state": "ready", "cold_remaining_ms": 0, "sequence": 1,
+            "version": "v1", "slots": 6, "state": "ready", "cold_remaining_ms": 0,
+            "sequence": revision,
         });
         self.store.put(
             "keyed.servers",
--- a/crates/standins/src/platform/serving.rs
+++ b/crates/standins/src/platform/serving.rs
@@ -4,6 +4,7 @@
 use std::collections::VecDeque;
 use std::thread;
 use std::time::Duration;
+use std::time::Instant;
 
 use parking_lot::Mutex;
 use serde_json::json;
@@ -67,6 +68,8 @@
     pub headers: Vec<(String, String)>,
     /// The body.
     pub body: Vec<u8>,
+    /// When it came.
+    pub at: Instant,
 }
 
 impl RunSeen {
@@ -132,6 +135,7 @@
                 target: request.target(),
                 headers: request.headers().to_vec(),
                 body: request.body.clone(),
+                at: Instant::now(),
             });
         }
         fault
@@ -209,7 +213,10 @@
         let cut_after = match fault {
             None => None,
             Some(AnswerFault::CutAfter { events }) => Some(events),
-            Some(fault) => return self.whole(request, Some(fault), "data: x\n\n"),
+            Some(fault) => {
+                let body: String = (first..=count).map(event_text).collect();
+                return self.whole(request, Some(fault), &body);
+            }
         };
         let produce = move |writer: &mut EventWriter| {
             for (sent, event) in (first..=count).enumerate() {
@@ -217,8 +224,7 @@
                     let _ = writer.send_bytes(format!("id: {event}\nda").as_bytes());
                     return StreamEnd::Broken;
                 }
-                let text = format!("id: {event}\ndata: piece {event}\n\n");
-                if writer.send_bytes(text.as_bytes()).is_err() || writer.caller().is_gone() {
+                if writer.send_bytes(event_text(event).as_bytes()).is_err() || writer.caller().is_gone() {
                     return StreamEnd::Broken;
                 }
                 thread::sleep(Duration::from_millis(gap_ms));
@@ -244,6 +250,10 @@
     }
 }
 
+fn event_text(event: u64) -> String {
+    format!("id: {event}\ndata: piece {event}\n\n")
+}
+
 fn id_of(request: &Request) -> &str {
     request.header(ID).unwrap_or_default()
 }
--- a/crates/standins/src/platform/site.rs
+++ b/crates/standins/src/platform/site.rs
@@ -1,6 +1,8 @@
 //! A small deployment: a store, engines and plain services on loopback.
 
 use std::io;
+use std::net::IpAddr;
+use std::net::Ipv4Addr;
 use std::net::SocketAddr;
 use std::sync::Arc;
 
@@ -13,6 +15,8 @@
 use crate::platform::service::PlatformService;
 use crate::platform::store::PlatformStore;
 
+const LOOPBACK: SocketAddr = SocketAddr::new(IpAddr::V4(Ipv4Addr::LOCALHOST), 0);
+
 /// `SiteOptions` is what a site is made of.
 #[derive(Clone, Debug)]
 pub struct SiteOptions {
@@ -26,6 +30,9 @@
     pub doors: usize,
     /// How long the longest request may take.
     pub timeout_ms: u64,
+    /// Whether upstreams announce the addresses that they listen on. Otherwise whoever starts the
+    /// site announces others, such as those of proxies in front of them.
+    pub announces: bool,
 }
 
 impl Default for SiteOptions {
@@ -41,6 +48,7 @@
             models: (0..4).map(|index| format!("m{index}")).collect(),
             doors: 1,
             timeout_ms: 3_000,
+            announces: true,
         }
     }
 }
@@ -51,12 +59,19 @@
     pub doors: Vec<PlatformStore>,
     /// Their addresses.
     pub door_addresses: Vec<SocketAddr>,
-    /// The engines.
+    /// The engines, those that were stopped too.
     pub engines: Vec<Arc<PlatformEngine>>,
+    /// Where the engines listen.
+    pub engine_addresses: Vec<SocketAddr>,
     /// The plain service's instances.
     pub services: Vec<Arc<PlatformService>>,
+    /// Where they listen.
+    pub service_addresses: Vec<SocketAddr>,
+    store: PlatformStore,
     options: SiteOptions,
     servers: Vec<Server>,
+    /// None for an engine that was stopped.
+    engine_servers: Vec<Option<Server>>,
 }
 
 impl Site {
@@ -66,35 +81,40 @@
     ///
     /// Any of listening on loopback.
     pub fn start(options: SiteOptions) -> io::Result<Self> {
-        let loopback = SocketAddr::from(([127, 0, 0, 1], 0));
-        let store = PlatformStore::default();
         let mut site = Self {
             doors: Vec::new(),
             door_addresses: Vec::new(),
             engines: Vec::new(),
+            engine_addresses: Vec::new(),
             services: Vec::new(),
+            service_addresses: Vec::new(),
+            store: PlatformStore::default(),
             options: options.clone(),
             servers: Vec::new(),
+            engine_servers: Vec::new(),
         };
         for _ in 0..options.doors.max(1) {
-            let door = store.door();
-            let server = Server::start(loopback, Arc::new(door.clone()))?;
+            let door = site.store.door();
+            let server = Server::start(LOOPBACK, Arc::new(door.clone()))?;
             site.door_addresses.push(server.address());
             site.doors.push(door);
             site.servers.push(server);
         }
         for engine in &options.engines {
-            let engine = Arc::new(PlatformEngine::new(engine.clone(), store.clone()));
-            let server = Server::start(loopback, engine.clone())?;
-            engine.announce(Some(server.address()));
-            site.engines.push(engine);
-            site.servers.push(server);
+            let index = site.start_engine(engine.clone())?;
+            if options.announces {
+                site.engines[index].announce(Some(site.engine_addresses[index]));
+            }
         }
         for index in 0..options.instances {
             let name = format!("p-{index}");
-            let service = Arc::new(PlatformService::new(&name, "plain", store.clone()));
-            let server = Server::start(loopback, service.clone())?;
-            service.announce(server.address());
+            let service = PlatformService::new(&name, "plain", site.store.clone());
+            let service = Arc::new(service);
+            let server = Server::start(LOOPBACK, service.clone())?;
+            if options.announces {
+                service.announce(server.address());
+            }
+            site.service_addresses.push(server.address());
             site.services.push(service);
             site.servers.push(server);
         }
@@ -102,25 +122,72 @@
         Ok(site)
     }
 
+    /// Starts another engine, which does not announce itself yet, and returns its index.
+    ///
+    /// # Errors
+    ///
+    /// Any of listening on loopback.
+    pub fn start_engine(&mut self, options: EngineOptions) -> io::Result<usize> {
+        let engine = Arc::new(PlatformEngine::new(options, self.store.clone()));
+        let server = Server::start(LOOPBACK, engine.clone())?;
+        self.engine_addresses.push(server.address());
+        self.engine_servers.push(Some(server));
+        self.engines.push(engine);
+        Ok(self.engines.len() - 1)
+    }
+
+    /// Ends an engine's process: every connection breaks, and nothing is announced.
+    pub fn stop_engine(&mut self, index: usize) {
+        if let Some(server) = self.engine_servers.get_mut(index).and_then(Option::take) {
+            server.stop();
+        }
+    }
+
     /// Returns the routes of the first configuration: quick and patient streams, of which the
     /// first may be resumed, and calls that may and may not be repeated.
     pub fn routes(&self) -> Vec<Value> {
-        let route = |name: &str, prefix: &str, kind: &str, service: &str, attempts: u32| {
-            json!({
-                "name": name, "host": "site.example", "path_prefix": prefix, "kind": kind,
-                "timeout_ms": self.options.timeout_ms, "target_latency_ms": 300, "priority": 0,
-                "service": service, "attempts": attempts, "sticky_sessions": true,
-                "resumable": prefix == "/quick/", "gap_target_ms": 400,
-            })
-        };
         vec![
-            route("quick", "/quick/", "streaming", "llm", 2),
-            route("patient", "/patient/", "streaming", "llm", 1),
-            route("book", "/book/", "unsafe", "plain", 1),
-            route("look", "/look/", "safe", "plain", 2),
+            self.route("quick", "/quick/", "streaming", "llm", 2),
+            self.route("patient", "/patient/", "streaming", "llm", 1),
+            self.route("book", "/book/", "unsafe", "plain", 1),
+            self.route("look", "/look/", "safe", "plain", 2),
         ]
     }
 
+    fn route(&self, name: &str, prefix: &str, kind: &str, service: &str, attempts: u32) -> Value {
+        json!({
+            "name": name, "host": "site.example", "path_prefix": prefix, "kind": kind,
+            "timeout_ms": self.options.timeout_ms, "target_latency_ms": 300, "priority": 0,
+            "service": service, "attempts": attempts, "sticky_sessions": true,
+            "resumable": prefix == "/quick/", "gap_target_ms": 400,
+        })
+    }
+
+    /// Writes a configuration that has, besides the first routes, one of its own version.
+    pub fn configure_with_extra(&self, version: u64) {
+        let mut routes = self.routes();
+        routes.push(self.route("extra", &Self::extra_prefix(version), "safe", "plain", 2));
+        self.configure(version, &routes);
+    }
+
+    /// Returns the path of the route that a version adds.
+    pub fn extra_prefix(version: u64) -> String {
+        format!("/extra-{version}/")
+    }
+
+    /// Deletes the history of the topics that the operators, the upstreams and the VMs write. The
+    /// newest record of each key stays.
+    pub fn forget_history(&self) {
+        for topic in [
+            "keyed.op",
+            "keyed.servers",
+            "keyed.entry-vms",
+            "order-lease",
+        ] {
+            self.store.forget(topic);
+        }
+    }
+
     /// Writes a configuration.
     pub fn configure(&self, version: u64, routes: &[Value]) {
         let models: Vec<Value> = self
@@ -157,5 +224,8 @@
         for server in self.servers {
             server.stop();
         }
+        for server in self.engine_servers.into_iter().flatten() {
+            server.stop();
+        }
     }
 }
--- a/crates/standins/src/platform/vm.rs
+++ b/crates/standins/src/platform/vm.rs
@@ -25,6 +25,7 @@
 use tempfile::NamedTempFile;
 
 use crate::platform::calling::get;
+use crate::platform::calling::is_ready;
 
 /// How long a process may take to open its sockets.
 const START_PATIENCE: Duration = Duration::from_secs(20);
@@ -136,7 +137,7 @@
 
     /// Returns whether the VM takes callers.
     pub fn is_ready(&self, patience: Duration) -> bool {
-        get(self.ready, "/api/ready", patience).is_ok_and(|answer| answer.status() == 200)
+        is_ready(self.ready, patience)
     }
 
     /// Returns the metrics.
