Repeats: the VMs' parts add up to the operators' bound, whatever their number

Ruled out: too few VMs known (all had read the store's entries).

Change: a VM's part is worked out from the number of VMs that the store's entries and greetings have told (100 before that) and from the operators' window, which is a setting now. A request that no upstream has run is no longer refused when the repeats are used up: it waits for one as long as its time allows.

--- a/crates/dispatch/src/dispatcher.rs
+++ b/crates/dispatch/src/dispatcher.rs
@@ -37,6 +37,21 @@
 use crate::job::WaitReason;
 use crate::suspension::Suspensions;
 
+/// VMs among which the repeats are shared before the other VMs are known: more than there are.
+const UNKNOWN_VMS: u32 = 100;
+
+/// The part of the spare repeats that the VMs may have saved together.
+const SAVED_SHARE: f64 = 0.5;
+
+/// The part of the spare repeats that time alone earns within the operators' window.
+const TIMED_SHARE: f64 = 0.4;
+
+/// The part of the allowed repeats of each request that it earns.
+const EARNED_SHARE: f64 = 0.95;
+
+/// Saved repeats up to which time alone earns more.
+const IDLE_SAVED: f64 = 2.0;
+
 /// `DispatcherOptions` are the dispatcher's limits.
 #[derive(Clone, Debug, PartialEq)]
 pub struct DispatcherOptions {
@@ -48,6 +63,8 @@
     pub repeats_per_request: f64,
     /// Repeats that all VMs together may add beyond that within the window.
     pub spare_repeats: f64,
+    /// The operators' window for counting repeats.
+    pub repeats_window_ms: u64,
     /// VMs among which the repeats are shared.
     pub vms: u32,
     /// How much of an engine's places requests may take before more wait at the VM. Above one,
@@ -67,7 +84,8 @@
             own_zone,
             repeats_per_request: 0.2,
             spare_repeats: 50.0,
-            vms: 9,
+            repeats_window_ms: 10_000,
+            vms: UNKNOWN_VMS,
             engine_fill: 1.0,
             service_fill: 1.6,
             least_left_ms: 60,
@@ -88,19 +106,7 @@
 impl Dispatcher {
     /// Returns a dispatcher that knows nothing of the upstreams yet.
     pub fn new(options: DispatcherOptions) -> Self {
-        let vms = f64::from(options.vms.max(1));
-        let retries = BudgetedRetry::new(RetryOptions {
-            seed: options.seed,
-            max_tries: 6,
-            base_pause_ms: 8,
-            max_pause_ms: 100,
-            min_left_ms: options.least_left_ms,
-            // Three quarters of what the operators allow: the VMs do not count together.
-            earned_per_first_try: options.repeats_per_request * 0.75,
-            max_saved: (options.spare_repeats * 0.6 / vms).max(2.0),
-            earned_per_s: 0.5,
-            idle_saved: 2.0,
-        });
+        let retries = BudgetedRetry::new(retry_options(&options));
         Self {
             options,
             routing: HashMap::new(),
@@ -111,6 +117,14 @@
         }
     }
 
+    /// Takes in how many VMs share the repeats.
+    pub fn set_vms(&mut self, vms: u32) {
+        if vms != self.options.vms {
+            self.options.vms = vms;
+            self.retries.set_options(retry_options(&self.options));
+        }
+    }
+
     /// Notes that a request asks to be sent for the first time.
     pub fn arrived(&mut self, now_ms: u64, job: &Job) {
         self.retries.first_try(now_ms, &job.service);
@@ -154,11 +168,21 @@
         };
         let chosen = self.policy(&job.service).choose(now_ms, &request, &free);
         match chosen {
+            Some(_) if job.owes_repeat && !self.may_repeat(now_ms, job) => {
+                Verdict::Wait(WaitReason::Budget)
+            }
             Some(place) => Verdict::Send(free[place].upstream.clone()),
             None => Verdict::Wait(WaitReason::Crowded),
         }
     }
 
+    /// Takes a repeat from the budget for a request that has not run, if there is one.
+    fn may_repeat(&mut self, now_ms: u64, job: &Job) -> bool {
+        let request = repeat_of(now_ms, job, true, false);
+        let decision = self.retries.decide(now_ms, &request);
+        matches!(decision, RetryDecision::RetryAfterMs(_))
+    }
+
     /// Notes that a request was sent.
     pub fn sent(&mut self, now_ms: u64, job: &Job, upstream: &UpstreamName) {
         self.crowding.entry(upstream.clone()).or_default().sent();
@@ -272,19 +296,13 @@
         if !failed.is_not_run() && job.runs >= job.attempts {
             return Attempt::GiveUp;
         }
-        let decision = self.retries.decide(
-            now_ms,
-            &RetryRequest {
-                group: job.service.clone(),
-                idempotent: job.kind.is_repeatable(),
-                certainly_not_run: failed.is_not_run() && job.runs == 0,
-                answer_begun: answer_begun && !job.kind.is_repeatable(),
-                tries: job.tried.len() as u32,
-                left_ms: job.deadline_ms.saturating_sub(now_ms),
-            },
-        );
-        match decision {
+        let certainly_not_run = failed.is_not_run() && job.runs == 0;
+        let begun = answer_begun && !job.kind.is_repeatable();
+        let request = repeat_of(now_ms, job, certainly_not_run, begun);
+        match self.retries.decide(now_ms, &request) {
             RetryDecision::RetryAfterMs(pause_ms) => Attempt::AgainAfterMs(pause_ms),
+            // Nothing is lost by waiting: the request has not run and is not given up.
+            RetryDecision::BudgetSpent if certainly_not_run => Attempt::OnceAllowed,
             _ => Attempt::GiveUp,
         }
     }
@@ -354,6 +372,26 @@
     }
 }
 
+/// Returns this VM's part of the repeats. The VMs do not count together, so the parts must add up
+/// to less than the operators allow, whichever VMs need them: with the parts of nine VMs, 71 VMs
+/// broke the operators' bound while engines turned many requests away.
+fn retry_options(options: &DispatcherOptions) -> RetryOptions {
+    let vms = f64::from(options.vms.max(1));
+    let window_s = options.repeats_window_ms as f64 / 1_000.0;
+    let max_saved = (options.spare_repeats * SAVED_SHARE / vms).max(1.0);
+    RetryOptions {
+        seed: options.seed,
+        max_tries: 6,
+        base_pause_ms: 8,
+        max_pause_ms: 100,
+        min_left_ms: options.least_left_ms,
+        earned_per_first_try: options.repeats_per_request * EARNED_SHARE,
+        max_saved,
+        earned_per_s: options.spare_repeats * TIMED_SHARE / vms / window_s,
+        idle_saved: max_saved.min(IDLE_SAVED),
+    }
+}
+
 /// Deployments change within seconds here, so outcomes weigh for seconds and ejections are short.
 fn routing_options(options: &DispatcherOptions) -> RoutingOptions {
     RoutingOptions {
@@ -379,6 +417,18 @@
     }
 }
 
+/// Returns what the retry policy is asked for a request that failed.
+fn repeat_of(now_ms: u64, job: &Job, certainly_not_run: bool, answer_begun: bool) -> RetryRequest {
+    RetryRequest {
+        group: job.service.clone(),
+        idempotent: job.kind.is_repeatable(),
+        certainly_not_run,
+        answer_begun,
+        tries: job.tried.len() as u32,
+        left_ms: job.deadline_ms.saturating_sub(now_ms),
+    }
+}
+
 fn can_run(upstream: &Upstream, job: &Job) -> bool {
     match &job.wanted {
         Some(wanted) => upstream.residence.serves(wanted),
--- a/crates/dispatch/src/job.rs
+++ b/crates/dispatch/src/job.rs
@@ -33,6 +33,8 @@
     pub tried: Vec<UpstreamName>,
     /// Sends after which it may have run.
     pub runs: u32,
+    /// Whether its next send is a repeat that the budget has not allowed yet.
+    pub owes_repeat: bool,
 }
 
 /// `WaitReason` is why a request can't be sent now.
@@ -42,6 +44,8 @@
     Missing,
     /// All upstreams that could run it are full.
     Crowded,
+    /// The budget has no repeat for it.
+    Budget,
 }
 
 /// `Verdict` is what is decided of a request.
@@ -93,6 +97,8 @@
 pub enum Attempt {
     /// Send it again after a pause.
     AgainAfterMs(u64),
+    /// Send it again once the budget has a repeat for it.
+    OnceAllowed,
     /// Answer with what there is.
     GiveUp,
 }
--- a/crates/dispatch/tests/support/mod.rs
+++ b/crates/dispatch/tests/support/mod.rs
@@ -114,6 +114,7 @@
         expected_run_ms: 500,
         tried: Vec::new(),
         runs: 0,
+        owes_repeat: false,
     }
 }
 
--- a/crates/entry/src/answering.rs
+++ b/crates/entry/src/answering.rs
@@ -261,7 +261,7 @@
                 self.pause(key, pause_ms);
                 true
             }
-            Attempt::GiveUp => false,
+            Attempt::OnceAllowed | Attempt::GiveUp => false,
         }
     }
 
--- a/crates/entry/src/daemon.rs
+++ b/crates/entry/src/daemon.rs
@@ -137,6 +137,7 @@
         let mut options = DispatcherOptions::new(run, settings.zone.clone());
         options.repeats_per_request = settings.repeats_per_request;
         options.spare_repeats = settings.spare_repeats;
+        options.repeats_window_ms = settings.repeats_window_ms;
         Ok(Self {
             ordering: Ordering::new(&settings, run),
             peers: Peers::new(settings.vm.clone(), settings.peers, run, socket),
@@ -315,6 +316,9 @@
     /// Drops connections whose time is over.
     fn sweep(&mut self) {
         self.next_sweep_ms = self.now_ms + SWEEP_MS;
+        if let Some(vms) = self.peers.vms() {
+            self.dispatcher.set_vms(vms);
+        }
         self.call_alarm_ms = u64::MAX;
         for token in self.outbound.sweep(self.now_ms, self.poll.registry()) {
             self.call_broken(token);
--- a/crates/entry/src/failing.rs
+++ b/crates/entry/src/failing.rs
@@ -17,6 +17,10 @@
 /// When a refused caller should come back: engines turn requests away for moments.
 const RETRY_AFTER_MS: u64 = 300;
 
+/// The time between two looks whether the budget has a repeat for a request. Requests earn one each
+/// few milliseconds where many come.
+pub(crate) const BUDGET_PAUSE_MS: u64 = 50;
+
 impl Daemon {
     /// Notes the end of a try with the routing policy.
     pub(crate) fn end_try(&mut self, key: u64, outcome: UpstreamOutcome) {
@@ -107,6 +111,10 @@
                 request.events.drop_unfinished();
                 self.pause(key, pause_ms);
             }
+            Attempt::OnceAllowed => {
+                request.job.owes_repeat = true;
+                self.pause(key, BUDGET_PAUSE_MS);
+            }
             Attempt::GiveUp => self.give_up(key, failed),
         }
     }
--- a/crates/entry/src/peers.rs
+++ b/crates/entry/src/peers.rs
@@ -63,6 +63,8 @@
     own: VmRecord,
     socket: UdpSocket,
     known: HashMap<VmName, Known>,
+    /// Whether the store's entries of the VMs were read.
+    has_records: bool,
     holder: Option<(VmName, SocketAddr, u64)>,
     arrived: HashMap<WantedModel, u64>,
     next_demand_ms: u64,
@@ -77,6 +79,7 @@
             own: VmRecord { vm, address, run },
             socket,
             known: HashMap::new(),
+            has_records: false,
             holder: None,
             arrived: HashMap::new(),
             next_demand_ms: 0,
@@ -108,6 +111,7 @@
                 heard_ms: 0,
             });
         }
+        self.has_records = true;
         self.next_greeting_ms = 0;
     }
 
@@ -128,6 +132,12 @@
             .min(self.next_greeting_ms)
     }
 
+    /// Returns how many VMs there are with this one, as far as the store and greetings have told;
+    /// none before the store has. VMs that are gone without a word still count.
+    pub fn vms(&self) -> Option<u32> {
+        self.has_records.then(|| self.known.len() as u32 + 1)
+    }
+
     /// Returns this VM's place among those that were heard of lately, by name.
     pub fn place(&self, now_ms: u64) -> u64 {
         let alive = self
--- a/crates/entry/src/serving.rs
+++ b/crates/entry/src/serving.rs
@@ -20,6 +20,7 @@
 use crate::active::Phase;
 use crate::codec::ForwardFields;
 use crate::daemon::Daemon;
+use crate::failing::BUDGET_PAUSE_MS;
 use crate::outbound::Peer;
 use crate::outbound::Purpose;
 
@@ -134,6 +135,7 @@
             expected_run_ms,
             tried: Vec::new(),
             runs: 0,
+            owes_repeat: false,
         }
     }
 
@@ -180,6 +182,7 @@
             .decide(self.now_ms, &self.directory, &request.job)
         {
             Verdict::Send(upstream) => self.send(key, upstream),
+            Verdict::Wait(WaitReason::Budget) => self.pause(key, BUDGET_PAUSE_MS),
             Verdict::Wait(reason) => {
                 let news = request.phase != Phase::Waiting(reason);
                 request.phase = Phase::Waiting(reason);
@@ -220,6 +223,7 @@
             .callers
             .forward(&request.head, &request.body, &fields);
         request.job.tried.push(name.clone());
+        request.job.owes_repeat = false;
         request.answer = None;
         request.held.clear();
         request.phase = Phase::Sent {
--- a/crates/entry/src/settings.rs
+++ b/crates/entry/src/settings.rs
@@ -44,6 +44,8 @@
     pub repeats_per_request: f64,
     /// Repeats that all VMs together may add beyond that.
     pub spare_repeats: f64,
+    /// The operators' window for counting repeats.
+    pub repeats_window_ms: u64,
     /// What is logged.
     pub log_level: LogLevel,
 }
@@ -81,6 +83,7 @@
             order_pause_ms: number(ini, "bounds", "order_pause_ms", 0..=60_000)?,
             repeats_per_request: share(ini, "bounds", "repeats_per_request")?,
             spare_repeats: number(ini, "bounds", "spare_repeats", 0..=100_000)? as f64,
+            repeats_window_ms: number(ini, "bounds", "repeats_window_ms", 1_000..=600_000)?,
             log_level: parsed(
                 ini,
                 "log",
--- a/crates/entry/tests/bad_settings.rs
+++ b/crates/entry/tests/bad_settings.rs
@@ -12,7 +12,7 @@
     [peers]\nlisten = 127.0.0.1:3\n[metrics]\nlisten = 127.0.0.1:4\n\
     [store]\naddress = 127.0.0.1:5\n\
     [bounds]\nstop_ms = 8000\nengines_check_fences = true\norder_pause_ms = 3000\nrepeats_per_request = 0.2\n\
-    spare_repeats = 58\n[log]\nlevel = info\n";
+    spare_repeats = 58\nrepeats_window_ms = 10000\n[log]\nlevel = info\n";
 
 fn read(text: &str) -> apricotdale_entry::Result<Settings> {
     let mut file = NamedTempFile::new().expect("a temporary file");
--- a/crates/routing/src/budgeted_retry.rs
+++ b/crates/routing/src/budgeted_retry.rs
@@ -66,6 +66,14 @@
         }
     }
 
+    /// Replaces the tunables. What a group has saved beyond the new most is lost.
+    pub fn set_options(&mut self, options: RetryOptions) {
+        for budget in self.budgets.values_mut() {
+            budget.saved = budget.saved.min(options.max_saved);
+        }
+        self.options = options;
+    }
+
     fn budget(&mut self, now_ms: u64, group: &GroupName) -> &mut Budget {
         let fresh = Budget {
             saved: self.options.max_saved,
--- a/crates/standins/src/platform/serving.rs
+++ b/crates/standins/src/platform/serving.rs
@@ -224,7 +224,9 @@
                     let _ = writer.send_bytes(format!("id: {event}\nda").as_bytes());
                     return StreamEnd::Broken;
                 }
-                if writer.send_bytes(event_text(event).as_bytes()).is_err() || writer.caller().is_gone() {
+                if writer.send_bytes(event_text(event).as_bytes()).is_err()
+                    || writer.caller().is_gone()
+                {
                     return StreamEnd::Broken;
                 }
                 thread::sleep(Duration::from_millis(gap_ms));
