Loads that are not done when expected are taken back

A third of the engines there are 1.3 times slower, and the weight store gives one load at a time its full speed, so that four at once took 53 s and not 13. Requests were sent, turned away, and sent again, because the giver of orders answered the VMs' demand with the word that the model is there. Ruled out: stale entries of the list, and unloads that VMs had not heard of (4 of 2,635 cases).

Change: a VM that is turned away tells the giver, which takes the claim back, expects the load a tenth of its time later and learns how slow the engine is. A load from the weight store is told when a report shows it. How many of them run at once is found: two at first, one more after each that ended in time, half as many after one that did not. A copy that was evicted is noticed by the same answers.

--- a/crates/entry/src/messages.rs
+++ b/crates/entry/src/messages.rs
@@ -3,6 +3,7 @@
 use std::net::SocketAddr;
 
 use apricotdale_core::names::ModelName;
+use apricotdale_core::names::UpstreamName;
 use apricotdale_core::names::VmName;
 use apricotdale_holder::DemandRow;
 use apricotdale_holder::ResidenceNews;
@@ -49,6 +50,11 @@
     },
     /// What engines hold.
     News(Vec<ResidenceNews>),
+    /// An engine turned a request away because it does not hold the model.
+    TurnedAway {
+        engine: UpstreamName,
+        model: ModelName,
+    },
 }
 
 /// Returns the bytes of a message.
--- a/crates/entry/src/ordering.rs
+++ b/crates/entry/src/ordering.rs
@@ -3,6 +3,7 @@
 use std::collections::HashMap;
 
 use apricotdale_core::names::GroupName;
+use apricotdale_core::names::ModelName;
 use apricotdale_core::names::UpstreamName;
 use apricotdale_core::names::VmName;
 use apricotdale_fleet::WantedModel;
@@ -389,6 +390,23 @@
         self.carry_out(actions);
     }
 
+    /// Takes in that an engine turned a request away because it does not hold a model.
+    pub(crate) fn engine_lacks(&mut self, engine: &UpstreamName, model: &ModelName) {
+        let now_ms = self.now_ms;
+        let mut actions = Vec::new();
+        for planner in self.ordering.planners.values_mut() {
+            actions.extend(planner.note_turned_away(now_ms, engine, model));
+        }
+        if !actions.is_empty() {
+            log::info!(
+                engine = engine.to_string(), model = model.to_string();
+                "load not done when expected"
+            );
+            self.ordering.next_plan_ms = now_ms;
+            self.carry_out(actions);
+        }
+    }
+
     /// Takes in an engine's report.
     pub(crate) fn report_ended(&mut self, engine: &UpstreamName, outcome: CallOutcome) {
         let now_ms = self.now_ms;
--- a/crates/entry/src/peers.rs
+++ b/crates/entry/src/peers.rs
@@ -9,6 +9,8 @@
 use std::io;
 use std::net::SocketAddr;
 
+use apricotdale_core::names::ModelName;
+use apricotdale_core::names::UpstreamName;
 use apricotdale_core::names::VmName;
 use apricotdale_dispatch::LoadForecast;
 use apricotdale_dispatch::WaitReason;
@@ -282,6 +284,21 @@
                 self.take_forecasts(forecasts);
             }
             PeerMessage::News(news) => self.take_news(news),
+            PeerMessage::TurnedAway { engine, model } => self.engine_lacks(&engine, &model),
+        }
+    }
+
+    /// Tells the giver of orders that an engine does not hold a model. Without this it would go on
+    /// telling all VMs that the engine does.
+    pub(crate) fn tell_turned_away(&mut self, engine: &UpstreamName, model: &ModelName) {
+        if self.ordering.held_lease_end(self.now_ms).is_some() {
+            self.engine_lacks(engine, model);
+        } else if let Some((_, address, _)) = self.peers.holder {
+            let message = PeerMessage::TurnedAway {
+                engine: engine.clone(),
+                model: model.clone(),
+            };
+            self.peers.send(address, &message);
         }
     }
 
--- a/crates/fleet/src/residence.rs
+++ b/crates/fleet/src/residence.rs
@@ -77,6 +77,12 @@
         self.on_disk.insert(model.clone());
     }
 
+    /// Notes that no copy of a model's weights is at hand any more.
+    pub fn note_copy_gone(&mut self, model: &ModelName) {
+        self.in_memory.remove(model);
+        self.on_disk.remove(model);
+    }
+
     /// Notes that a model, with its adapters, is no longer there.
     pub fn note_unloaded(&mut self, model: &ModelName) {
         self.models.retain(|resident| &resident.model != model);
--- a/crates/holder/src/following.rs
+++ b/crates/holder/src/following.rs
@@ -13,6 +13,17 @@
 use crate::orders::OrderKind;
 use crate::orders::OrderOutcome;
 
+/// `ReportEffect` is what a report has changed besides the ledger.
+#[derive(Debug, Default)]
+pub(crate) struct ReportEffect {
+    /// A model whose load failed.
+    pub failed: Option<ModelName>,
+    /// The order that it shows to have ended.
+    pub ended: Option<InProgress>,
+    /// What to tell the other VMs.
+    pub told: Option<PlannerAction>,
+}
+
 impl EngineLedger {
     /// Takes in the outcome of an order. Returns what to tell the other VMs.
     pub(crate) fn note_outcome(
@@ -30,12 +41,20 @@
             OrderOutcome::Accepted => {
                 self.count_order(now_ms);
                 let tier = self.residence.tier(kind.model());
-                let done_ms = now_ms + expected_ms(&kind, tier);
+                let configured_ms = expected_ms(&kind, tier);
+                let factor = if is_load(&kind) {
+                    self.load_factor
+                } else {
+                    1.0
+                };
+                self.unconfirmed = None;
                 self.in_progress = Some(InProgress {
                     kind,
                     tier,
                     since_ms: now_ms,
-                    done_ms,
+                    configured_ms,
+                    overdue: false,
+                    done_ms: now_ms + (configured_ms as f64 * factor) as u64,
                 });
                 None
             }
@@ -87,7 +106,7 @@
         self.report_due_ms = Some(at_ms);
     }
 
-    /// Takes in a report, or that none could be had. Returns a model whose load failed.
+    /// Takes in a report, or that none could be had.
     ///
     /// What a report shows of the models and adapters lags, its count of orders does not. A report
     /// that was asked for soon after an order was carried out may show the adapters from before
@@ -100,13 +119,14 @@
         now_ms: u64,
         options: &PlannerOptions,
         report: Option<EngineReport>,
-    ) -> Option<ModelName> {
+        store_load_ms: impl Fn(&ModelName) -> u64,
+    ) -> ReportEffect {
         let asked_ms = self.reading_since_ms.take().unwrap_or(now_ms);
         let Some(report) = report else {
             self.failed_reports += 1;
             let pause_ms = options.report_every_ms << self.failed_reports.min(4);
             self.report_due_ms = Some(now_ms + pause_ms);
-            return None;
+            return ReportEffect::default();
         };
         self.failed_reports = 0;
         self.report_due_ms = None;
@@ -117,28 +137,36 @@
         let must_know = self.orders_taken.is_none();
         if self.awaiting.is_some() || asked_ms < good_from_ms {
             self.report_due_ms = must_know.then_some(good_from_ms.max(now_ms));
-            return None;
+            return ReportEffect::default();
         }
         if report.busy {
             self.orders_taken = None;
             self.report_due_ms = Some(now_ms + options.report_every_ms);
-            return None;
+            return ReportEffect {
+                told: self.note_still_busy(now_ms, asked_ms, options, &report, store_load_ms),
+                ..ReportEffect::default()
+            };
         }
         self.orders_taken = Some(report.orders_taken);
+        self.unconfirmed = None;
         self.take_residence(&report);
         if !self.coming.is_empty() {
             self.report_due_ms = Some(now_ms + options.report_lag_ms);
         }
-        let failed = self
-            .in_progress
-            .take()
-            .map(|order| order.kind)
+        let ended = self.in_progress.take();
+        let failed = ended
+            .as_ref()
+            .map(|order| &order.kind)
             .filter(|kind| is_load(kind) && self.residence.model(kind.model()).is_none())
             .map(|kind| kind.model().clone());
         if failed.is_some() {
             self.next.clear();
         }
-        failed
+        ReportEffect {
+            failed,
+            ended,
+            told: None,
+        }
     }
 
     fn take_residence(&mut self, report: &EngineReport) {
--- a/crates/holder/src/ledger.rs
+++ b/crates/holder/src/ledger.rs
@@ -19,6 +19,10 @@
     pub tier: Tier,
     /// When it was accepted.
     pub since_ms: u64,
+    /// How long it takes by the configuration.
+    pub configured_ms: u64,
+    /// Whether it has taken clearly longer.
+    pub overdue: bool,
     /// When it is expected to be done.
     pub done_ms: u64,
 }
@@ -62,6 +66,10 @@
     pub(crate) failed_reports: u32,
     /// Whether it takes new work.
     pub(crate) serving: bool,
+    /// The load that was last taken as done, until a report confirms it.
+    pub(crate) unconfirmed: Option<InProgress>,
+    /// How much longer than configured its loads take.
+    pub(crate) load_factor: f64,
     /// Adapters in the order of their last use, the latest last.
     pub(crate) adapter_uses: Vec<(ModelName, ModelName)>,
 }
@@ -87,6 +95,8 @@
             outranked: false,
             failed_reports: 0,
             serving: true,
+            unconfirmed: None,
+            load_factor: 1.0,
             adapter_uses: Vec::new(),
         }
     }
--- a/crates/holder/src/lib.rs
+++ b/crates/holder/src/lib.rs
@@ -18,6 +18,8 @@
 mod orders;
 mod placing;
 mod planner;
+mod store_limit;
+mod unconfirmed;
 
 pub use actions::PlannerAction;
 pub use actions::ResidenceNews;
--- a/crates/holder/src/options.rs
+++ b/crates/holder/src/options.rs
@@ -3,9 +3,6 @@
 /// `PlannerOptions` are the planner's limits and times.
 #[derive(Clone, Copy, Debug, PartialEq)]
 pub struct PlannerOptions {
-    /// Loads from the weight store at once. Beyond four each takes longer in proportion, so that
-    /// more at once only delay the first.
-    pub store_loads: usize,
     /// The time over which the operators count loads that begin from the weight store.
     pub store_window_ms: u64,
     /// Loads that may begin in it beyond the rate that the store allows. The operators bear three
@@ -34,7 +31,6 @@
 impl Default for PlannerOptions {
     fn default() -> Self {
         Self {
-            store_loads: 4,
             store_window_ms: 5_000,
             store_spare_loads: 2.0,
             idle_share: 0.5,
--- a/crates/holder/src/planner.rs
+++ b/crates/holder/src/planner.rs
@@ -16,12 +16,14 @@
 use crate::demand::DemandBook;
 use crate::demand::ModelDemand;
 use crate::ledger::EngineLedger;
+use crate::ledger::InProgress;
 use crate::ledger::is_load;
 use crate::options::PlannerOptions;
 use crate::orders::EngineReport;
 use crate::orders::OrderKind;
 use crate::orders::OrderOutcome;
 use crate::placing::Placer;
+use crate::store_limit::StoreLimit;
 
 /// How long a model is not loaded again after an engine could not load it.
 const HELD_BACK_MS: u64 = 2_000;
@@ -48,6 +50,8 @@
     held_back: HashMap<ModelName, u64>,
     /// When loads from the weight store were ordered, within the operators' window.
     store_loads_ms: Vec<u64>,
+    /// How many of them run at once.
+    store_limit: StoreLimit,
 }
 
 impl Planner {
@@ -60,6 +64,7 @@
             engines: Vec::new(),
             held_back: HashMap::new(),
             store_loads_ms: Vec::new(),
+            store_limit: StoreLimit::default(),
         }
     }
 
@@ -159,7 +164,9 @@
             .iter()
             .filter(|engine| engine.will_hold(model))
             .map(|engine| match &engine.in_progress {
-                Some(order) if is_load(&order.kind) && order.kind.model() == model => order.done_ms,
+                Some(order) if is_load(&order.kind) && order.kind.model() == model => {
+                    self.end_ms(order)
+                }
                 _ => {
                     let kind = OrderKind::LoadModel(model.clone());
                     let tier = engine.residence.tier(model);
@@ -169,6 +176,20 @@
             .min()
     }
 
+    /// Returns when a load in progress will be done. One that is overdue shares the weight store
+    /// with others, which are then all slower in proportion.
+    fn end_ms(&self, order: &InProgress) -> u64 {
+        match order.overdue {
+            true => {
+                let at_once = self.store_loads_in_progress().max(2) as u64;
+                order
+                    .done_ms
+                    .max(order.since_ms + order.configured_ms * at_once)
+            }
+            false => order.done_ms,
+        }
+    }
+
     /// Returns which engines can run what a VM says is missing: the VM has not heard of it.
     pub fn known_places(&self, wanted: &WantedModel) -> Vec<ResidenceNews> {
         self.engines
@@ -232,26 +253,65 @@
         report: Option<EngineReport>,
     ) -> Vec<PlannerAction> {
         let options = self.options;
+        let spec = &self.spec;
         let Some(engine) = self.engines.iter_mut().find(|engine| &engine.name == name) else {
             return Vec::new();
         };
         let before = engine.residence.models.clone();
-        if let Some(failed) = engine.note_report(now_ms, &options, report) {
+        let effect =
+            engine.note_report(now_ms, &options, report, |model| store_load_ms(spec, model));
+        let actions = match effect.told {
+            // It tells the only difference.
+            Some(told) => vec![told],
+            None => differences(&engine.name, &before, &engine.residence.models),
+        };
+        if let Some(failed) = effect.failed {
             self.held_back.insert(failed, now_ms + HELD_BACK_MS);
         }
-        differences(&engine.name, &before, &engine.residence.models)
+        if let Some(ended) = effect.ended.filter(|it| it.tier == Tier::Store) {
+            let at_once = self.store_loads_in_progress() + 1;
+            let took_ms = now_ms.saturating_sub(ended.since_ms);
+            self.store_limit
+                .note_ended(took_ms, ended.configured_ms, at_once);
+        }
+        actions
+    }
+
+    /// Takes in that an engine turned a request away because it does not hold the model.
+    pub fn note_turned_away(
+        &mut self,
+        now_ms: u64,
+        name: &UpstreamName,
+        model: &ModelName,
+    ) -> Vec<PlannerAction> {
+        let load = OrderKind::LoadModel(model.clone());
+        let store_load_ms = store_load_ms(&self.spec, model);
+        self.engines
+            .iter_mut()
+            .filter(|engine| &engine.name == name)
+            .filter_map(|engine| engine.note_turned_away(now_ms, &load, store_load_ms))
+            .collect()
+    }
+
+    fn store_loads_in_progress(&self) -> usize {
+        self.engines.iter().filter(|it| it.awaits_report()).count()
     }
 
     /// Orders whose time is over: an adapter and a load are taken as done, and so told, because a
     /// request that comes too early is only turned away; a report confirms it later.
     fn finish_orders(&mut self, now_ms: u64, actions: &mut Vec<PlannerAction>) {
         for engine in &mut self.engines {
+            if engine.awaits_report() {
+                engine.look_for_end_if_due(now_ms, &self.options, &mut self.store_limit);
+                continue;
+            }
             let Some(order) = engine.in_progress.take_if(|order| order.done_ms <= now_ms) else {
                 continue;
             };
             actions.push(engine.note_done(&order.kind));
             if order.kind.is_of_model() {
                 engine.report_due_ms = Some(now_ms + self.options.report_lag_ms);
+                engine.note_unconfirmed(order);
             }
         }
     }
@@ -385,7 +445,7 @@
             engine.in_progress.is_none() && engine.awaiting.is_none() && engine.loads_from_store()
         });
         let begun = self.store_loads_ms.len() + planned.count();
-        placer.store_loads() < self.options.store_loads && (begun as f64) < most
+        placer.store_loads() < self.store_limit.loads() && (begun as f64) < most
     }
 
     fn give_next(&mut self, now_ms: u64, actions: &mut Vec<PlannerAction>) {
@@ -412,6 +472,12 @@
     }
 }
 
+fn store_load_ms(spec: &EngineSpec, model: &ModelName) -> u64 {
+    spec.models
+        .get(model)
+        .map_or(0, |model| model.store_load_ms)
+}
+
 fn give(engine: &mut EngineLedger, kind: OrderKind, actions: &mut Vec<PlannerAction>) {
     let Some(orders_before) = engine.orders_taken else {
         return;
--- a/crates/holder/tests/support/mod.rs
+++ b/crates/holder/tests/support/mod.rs
@@ -86,6 +86,12 @@
     pub outcomes: HashMap<OrderOutcome, u32>,
     /// Engines that can't be reached.
     pub unreachable: Vec<UpstreamName>,
+    /// The most loads from the weight store at once.
+    pub most_store_loads: usize,
+    /// How often a request came to an engine that was said to hold its model and did not.
+    pub turned_away: u32,
+    /// Models that requests wait for, each of which is sent as soon as an engine is said to hold it.
+    pub waiting: Vec<&'static str>,
     spec: EngineSpec,
     answers: Vec<(u64, Answer)>,
     arrived: u64,
@@ -147,6 +153,9 @@
             orders: Vec::new(),
             outcomes: HashMap::new(),
             unreachable: Vec::new(),
+            most_store_loads: 0,
+            turned_away: 0,
+            waiting: Vec::new(),
             spec,
             answers: Vec::new(),
             arrived: 0,
@@ -208,6 +217,9 @@
                 };
                 self.carry_out(actions);
             }
+            self.send_waiting();
+            let store_loads = self.engines.values().filter(|it| it.loads_from_store());
+            self.most_store_loads = self.most_store_loads.max(store_loads.count());
             if self.now_ms.is_multiple_of(10) {
                 let unreachable = &self.unreachable;
                 self.planner
@@ -218,6 +230,35 @@
         }
     }
 
+    /// Sends each waiting request to the engines that were last said to hold its model.
+    fn send_waiting(&mut self) {
+        for model in self.waiting.clone() {
+            for engine in self.said_to_hold(model) {
+                let holds = self.engines[&engine].residence.model(&model.into());
+                if holds.is_some() {
+                    self.waiting.retain(|it| *it != model);
+                    continue;
+                }
+                self.turned_away += 1;
+                let model = ModelName::from(model);
+                let now_ms = self.now_ms;
+                let actions = self.planner.note_turned_away(now_ms, &engine, &model);
+                self.carry_out(actions);
+            }
+        }
+    }
+
+    fn said_to_hold(&self, model: &str) -> Vec<UpstreamName> {
+        let mut holding: HashMap<&str, bool> = HashMap::new();
+        for (engine, told, adapter, present) in &self.told {
+            if told == model && adapter.is_none() {
+                holding.insert(engine, *present);
+            }
+        }
+        let held = holding.into_iter().filter(|(_, present)| *present);
+        held.map(|(engine, _)| UpstreamName::from(engine)).collect()
+    }
+
     fn carry_out(&mut self, actions: Vec<PlannerAction>) {
         for action in actions {
             match action {
