--- a/Makefile
+++ b/Makefile
@@ -7,7 +7,7 @@
 # Arguments for the test programs, such as `--exact --skip NAME`.
 TEST_ARGS ?=
 
-.PHONY: setup build release test demo up scenarios lint policy slopes bench
+.PHONY: setup build release test demo up scenarios soak lint policy slopes bench
 
 setup:
 	scripts/setup
@@ -29,6 +29,12 @@
 scenarios: build
 	$(BIN_DIR)/scenario run scenarios/*.scenario
 
+# Arguments for the soak, such as `--seed 100 --seeds 50 --logs DIR`.
+SOAK_ARGS ?= --seeds 4
+
+soak: build
+	$(BIN_DIR)/soak $(SOAK_ARGS)
+
 lint:
 	scripts/wire-names
 	$(CARGO) fmt --all --check
--- a/crates/soak/src/lib.rs
+++ b/crates/soak/src/lib.rs
@@ -42,3 +42,4 @@
 pub use record::StopSeen;
 pub use soak::Soak;
 pub use soak::SoakOptions;
+pub use soak::entry_program;
--- a/crates/soak/src/main.rs
+++ b/crates/soak/src/main.rs
@@ -21,6 +21,7 @@
 use apricotdale_soak::SoakOptions;
 use apricotdale_soak::Violation;
 use apricotdale_soak::check;
+use apricotdale_soak::entry_program;
 
 /// The most soaks at once.
 const MOST_AT_ONCE: usize = 8;
@@ -63,7 +64,7 @@
 
 /// Carries the seeds out and returns how many broke a promise.
 fn soak(arguments: &Arguments) -> Result<u64> {
-    let program = program()?;
+    let program = entry_program()?;
     let next = AtomicU64::new(arguments.seed);
     let broken = AtomicU64::new(0);
     let end = arguments.seed + arguments.seeds;
@@ -158,16 +159,3 @@
     }
     Ok(())
 }
-
-/// Returns the VMs' program, which lies beside this one.
-fn program() -> Result<PathBuf> {
-    let running = std::env::current_exe().map_err(|source| Error::Io {
-        action: "finding the programs",
-        source,
-    })?;
-    let path = running.with_file_name("apricotdale-entry");
-    match path.is_file() {
-        true => Ok(path),
-        false => Err(Error::MissingProgram(path)),
-    }
-}
--- a/crates/soak/src/soak.rs
+++ b/crates/soak/src/soak.rs
@@ -1,5 +1,6 @@
 //! One soak, from its start to its record.
 
+use std::path::Path;
 use std::path::PathBuf;
 use std::sync::Arc;
 use std::sync::atomic::Ordering;
@@ -21,6 +22,9 @@
 use crate::record::Record;
 use crate::world::World;
 
+/// The file name of the VMs' program.
+const ENTRY_PROGRAM: &str = "apricotdale-entry";
+
 /// How long the VMs may take to get ready at the start.
 const READY_MS: u64 = 20_000;
 
@@ -67,6 +71,25 @@
     }
 }
 
+/// Returns the VMs' program, which lies beside the running one. Cargo puts test programs one level
+/// below it.
+///
+/// # Errors
+///
+/// [`Error::MissingProgram`] if it has not been built.
+pub fn entry_program() -> Result<PathBuf> {
+    let running = std::env::current_exe().map_err(Error::doing("finding the programs"))?;
+    let beside = running.with_file_name(ENTRY_PROGRAM);
+    let above = running
+        .parent()
+        .and_then(Path::parent)
+        .map(|dir| dir.join(ENTRY_PROGRAM));
+    std::iter::once(beside.clone())
+        .chain(above)
+        .find(|path| path.is_file())
+        .ok_or(Error::MissingProgram(beside))
+}
+
 /// `Soak` is a soak that was carried out.
 pub struct Soak {
     /// What was planned.
--- /dev/null
+++ b/crates/soak/tests/plan_seeds.rs
@@ -0,0 +1,53 @@
+//! Plans come from their seeds alone.
+
+use std::collections::BTreeSet;
+use std::mem::discriminant;
+
+use apricotdale_soak::Plan;
+
+const LENGTH_MS: u64 = 12_000;
+
+fn plan(seed: u64) -> Plan {
+    Plan::draw(seed, LENGTH_MS, 3, 3, 5)
+}
+
+#[test]
+fn same_seed_same_plan() {
+    for seed in 0..50 {
+        assert_eq!(plan(seed), plan(seed));
+    }
+    assert_ne!(plan(1), plan(2));
+}
+
+#[test]
+fn troubles_come_in_order_and_end() {
+    for seed in 0..200 {
+        let plan = plan(seed);
+        assert!(!plan.troubles.is_empty());
+        assert!(plan.troubles.is_sorted_by_key(|planned| planned.at_ms));
+        assert!(plan.troubles.iter().all(|it| it.at_ms < plan.calm_from_ms));
+        assert_eq!(plan.end_ms, LENGTH_MS);
+    }
+}
+
+#[test]
+fn some_come_at_once() {
+    let overlapping = (0..200).filter(|seed| {
+        let troubles = plan(*seed).troubles;
+        troubles
+            .windows(2)
+            .any(|pair| pair[0].at_ms == pair[1].at_ms)
+    });
+    assert!(overlapping.count() > 100);
+}
+
+#[test]
+fn every_kind_comes() {
+    let mut kinds = BTreeSet::new();
+    for seed in 0..200 {
+        for planned in plan(seed).troubles {
+            kinds.insert(format!("{:?}", discriminant(&planned.trouble)));
+        }
+    }
+    assert_eq!(kinds.len(), 16);
+}
--- /dev/null
+++ b/crates/soak/tests/promise_checks.rs
@@ -0,0 +1,233 @@
+//! Each broken promise is found in a record that shows it, and none in a sound one.
+
+use apricotdale_soak::Attempt;
+use apricotdale_soak::ConfigurationProbe;
+use apricotdale_soak::Disturbance;
+use apricotdale_soak::Drain;
+use apricotdale_soak::Ending;
+use apricotdale_soak::Kind;
+use apricotdale_soak::Place;
+use apricotdale_soak::Promise;
+use apricotdale_soak::Record;
+use apricotdale_soak::Run;
+use apricotdale_soak::StopSeen;
+use apricotdale_soak::check;
+use apricotdale_standins::platform::EngineEffects;
+use rstest::rstest;
+
+fn attempt(id: &str, kind: Kind, status: u16) -> Attempt {
+    Attempt {
+        id: id.to_owned(),
+        kind,
+        vm: 0,
+        sent_ms: 10_000,
+        ended_ms: 10_050,
+        patience_ms: 3_000,
+        ending: Ending::Answered {
+            status,
+            whole: true,
+            id: Some(id.to_owned()),
+            own_body: true,
+        },
+    }
+}
+
+fn run(id: &str) -> Run {
+    Run {
+        id: id.to_owned(),
+        upstream: "p-0".to_owned(),
+        at_ms: 10_010,
+        unchanged: true,
+    }
+}
+
+fn effects(holders: &[(u64, &str)]) -> (String, EngineEffects) {
+    let effects = EngineEffects {
+        loads: 0,
+        refused: 0,
+        overcommitted: 0,
+        holders: holders
+            .iter()
+            .map(|(fence, holder)| (*fence, (*holder).to_owned()))
+            .collect(),
+    };
+    ("i-0".to_owned(), effects)
+}
+
+fn disturbance(place: Place, from_ms: u64, until_ms: u64) -> Disturbance {
+    Disturbance {
+        what: "kill".to_owned(),
+        place,
+        from_ms,
+        until_ms,
+    }
+}
+
+fn sound() -> Record {
+    Record {
+        attempts: vec![attempt("a", Kind::Book, 200), attempt("b", Kind::Book, 503)],
+        last_attempts: vec![attempt("c", Kind::Look, 200)],
+        runs: vec![run("a"), run("c"), run("c")],
+        engines: vec![effects(&[(1, "vm0"), (1, "vm0"), (4, "vm1")])],
+        drains: vec![Drain {
+            upstream: "i-9".to_owned(),
+            at_ms: 9_000,
+        }],
+        stops: vec![StopSeen {
+            vm: 2,
+            at_ms: 9_000,
+            ended: Some((12_000, Some(0))),
+        }],
+        ..Record::default()
+    }
+}
+
+fn promises(record: &Record) -> Vec<Promise> {
+    check(record).into_iter().map(|it| it.promise).collect()
+}
+
+#[test]
+fn sound_record() {
+    assert_eq!(promises(&sound()), Vec::new());
+}
+
+#[test]
+fn second_run() {
+    let mut record = sound();
+    record.runs.push(run("a"));
+    assert_eq!(promises(&record), vec![Promise::RunsOnce]);
+}
+
+#[test]
+fn refused_and_run() {
+    let mut record = sound();
+    record.runs.push(run("b"));
+    assert_eq!(promises(&record), vec![Promise::TrueRefusal]);
+}
+
+#[rstest]
+#[case::of_nobody("x", true)]
+#[case::changed("a", false)]
+fn run_not_asked_for(#[case] id: &str, #[case] unchanged: bool) {
+    let mut record = sound();
+    record.runs.retain(|it| it.id != id);
+    record.runs.push(Run {
+        unchanged,
+        ..run(id)
+    });
+    assert_eq!(promises(&record), vec![Promise::AskedFor]);
+}
+
+#[rstest]
+#[case::of_another(Some("z"), true)]
+#[case::of_nobody(None, true)]
+#[case::other_body(Some("a"), false)]
+fn wrong_answer(#[case] id: Option<&str>, #[case] own_body: bool) {
+    let mut record = sound();
+    record.attempts[0].ending = Ending::Answered {
+        status: 200,
+        whole: true,
+        id: id.map(str::to_owned),
+        own_body,
+    };
+    assert_eq!(promises(&record), vec![Promise::OwnAnswer]);
+}
+
+#[rstest]
+#[case::lower_fence(&[(4, "vm1"), (1, "vm0")])]
+#[case::shared_fence(&[(1, "vm0"), (1, "vm1")])]
+fn two_givers(#[case] holders: &[(u64, &str)]) {
+    let mut record = sound();
+    record.engines = vec![effects(holders)];
+    assert_eq!(promises(&record), vec![Promise::OneGiver]);
+}
+
+#[test]
+fn too_much_memory() {
+    let mut record = sound();
+    record.engines[0].1.overcommitted = 1;
+    assert_eq!(promises(&record), vec![Promise::FitsMemory]);
+}
+
+#[rstest]
+#[case::late(Ending::Answered { status: 504, whole: true, id: None, own_body: true }, 15_000)]
+#[case::lost(Ending::Unanswered, 10_050)]
+fn no_answer_in_time(#[case] ending: Ending, #[case] ended_ms: u64) {
+    let mut record = sound();
+    record.attempts[1].ending = ending;
+    record.attempts[1].ended_ms = ended_ms;
+    assert_eq!(promises(&record), vec![Promise::InTime]);
+    // A VM that was killed meanwhile owes no answer.
+    record.disturbances = vec![disturbance(Place::Vm(0), 9_000, 9_500)];
+    assert_eq!(promises(&record), Vec::new());
+    // The store's troubles excuse nothing.
+    record.disturbances = vec![disturbance(Place::Store, 9_000, 20_000)];
+    assert_eq!(promises(&record), vec![Promise::InTime]);
+}
+
+#[test]
+fn request_after_leaving() {
+    let mut record = sound();
+    record.drains[0].upstream = "p-0".to_owned();
+    record.drains[0].at_ms = 6_000;
+    assert!(promises(&record).contains(&Promise::Drained));
+    record.disturbances = vec![disturbance(Place::Store, 5_000, 6_500)];
+    assert_eq!(promises(&record), Vec::new());
+}
+
+#[rstest]
+#[case::not_there_yet(true, 404)]
+#[case::still_there(false, 200)]
+fn old_configuration(#[case] exists: bool, #[case] status: u16) {
+    let mut record = sound();
+    record.probes = vec![ConfigurationProbe {
+        vm: 1,
+        acknowledged_ms: 5_000,
+        sent_ms: 7_300,
+        exists,
+        status,
+    }];
+    assert_eq!(promises(&record), vec![Promise::InForce]);
+    record.probes[0].sent_ms = 6_900;
+    assert_eq!(promises(&record), Vec::new());
+}
+
+#[rstest]
+#[case::never(None)]
+#[case::late(Some((19_000, Some(0))))]
+#[case::failed(Some((12_000, Some(1))))]
+#[case::by_signal(Some((12_000, None)))]
+fn bad_stop(#[case] ended: Option<(u64, Option<i32>)>) {
+    let mut record = sound();
+    record.stops[0].ended = ended;
+    assert_eq!(promises(&record), vec![Promise::PlannedStop]);
+}
+
+#[test]
+fn call_cut_by_a_stop() {
+    let mut record = sound();
+    record.attempts[0].vm = 2;
+    record.attempts[0].ending = Ending::Unanswered;
+    record.disturbances = vec![Disturbance {
+        what: "stop".to_owned(),
+        ..disturbance(Place::Vm(2), 9_000, 12_000)
+    }];
+    assert_eq!(promises(&record), vec![Promise::PlannedStop]);
+}
+
+#[test]
+fn no_recovery() {
+    let mut record = sound();
+    record.last_attempts = vec![attempt("c", Kind::Look, 503), attempt("d", Kind::Look, 503)];
+    record.runs.retain(|it| it.id != "c");
+    assert_eq!(promises(&record), vec![Promise::Recovers]);
+    record.last_attempts.push(attempt("e", Kind::Look, 200));
+    assert_eq!(promises(&record), Vec::new());
+}
+
+#[test]
+fn process_that_ended() {
+    let mut record = sound();
+    record.own_ends = vec!["vm1: exit status: 101".to_owned()];
+    assert_eq!(promises(&record), vec![Promise::StaysUp]);
+}
--- /dev/null
+++ b/crates/soak/tests/short_soak.rs
@@ -0,0 +1,21 @@
+//! Short soaks with fixed seeds. Longer ones, with fresh seeds, are run by hand.
+
+use apricotdale_soak::Soak;
+use apricotdale_soak::SoakOptions;
+use apricotdale_soak::check;
+use apricotdale_soak::entry_program;
+use rstest::rstest;
+
+#[rstest]
+#[case::kills_and_pauses(1)]
+#[case::many_at_once(3)]
+fn promises_are_kept(#[case] seed: u64) {
+    let options = SoakOptions {
+        length_ms: 7_000,
+        ..SoakOptions::new(entry_program().expect("the program is built"), seed)
+    };
+    let soak = Soak::carry_out(&options).expect("the soak can be carried out");
+    let violations = check(&soak.record);
+    assert!(violations.is_empty(), "{violations:#?}\n{:#?}", soak.plan);
+    assert!(soak.record.attempts.len() > 200);
+}
