Log: a VM that stood still says so

An operator who looks for the cause of late requests found nothing in the log of a VM that had been suspended or had lost its processor. The loop writes a line and counts when it wakes up 0.3 s later than asked for, with the requests in progress and the giver of orders it knew.

--- a/crates/entry/src/daemon.rs
+++ b/crates/entry/src/daemon.rs
@@ -60,6 +60,10 @@
 /// The longest sleep of the loop.
 const MAX_SLEEP_MS: u64 = 250;
 
+/// How much later than asked for the loop must wake up for a line about it: three quarters of the
+/// tightest target of the users' deployments, so that a pause which makes a request late is told.
+const STOOD_STILL_MS: u64 = 300;
+
 /// Callers' connections at the most, beside those to upstreams. A VM has 3,900 descriptors for
 /// sockets.
 const MAX_CALLERS: usize = 3_000;
@@ -192,7 +196,7 @@
                 Err(error) if error.kind() == io::ErrorKind::Interrupted => {}
                 Err(error) => return Err(error.into()),
             }
-            self.now_ms = now_ms();
+            self.note_wake_up(sleep_ms);
             let ready: Vec<(Token, bool)> = events
                 .iter()
                 .map(|event| (event.token(), event.is_writable()))
@@ -206,6 +210,20 @@
         Ok(())
     }
 
+    /// Reads the clock after a sleep. A VM that was suspended, or whose processor was taken away,
+    /// explains requests that are late without a cause of their own, so it says so.
+    fn note_wake_up(&mut self, sleep_ms: u64) {
+        let before_ms = std::mem::replace(&mut self.now_ms, now_ms());
+        let late_ms = self.now_ms.saturating_sub(before_ms + sleep_ms);
+        if late_ms >= STOOD_STILL_MS {
+            self.metrics.stood_still();
+            log::warn!(
+                late_ms, requests = self.active.len(), orders_by = self.peers.holder_text();
+                "this VM stood still"
+            );
+        }
+    }
+
     /// Does what is due, whether or not something was received.
     fn work(&mut self) {
         self.due_requests();
--- a/crates/entry/src/metrics.rs
+++ b/crates/entry/src/metrics.rs
@@ -29,6 +29,7 @@
     calls: Family<CallLabels, Counter>,
     orders: Family<CallLabels, Counter>,
     takeovers: Counter,
+    stood_still: Counter,
     first_answer_ms: Histogram,
     wait_ms: Histogram,
     gap_ms: Histogram,
@@ -53,6 +54,7 @@
             calls: Family::default(),
             orders: Family::default(),
             takeovers: Counter::default(),
+            stood_still: Counter::default(),
             first_answer_ms: Histogram::new(buckets()),
             wait_ms: Histogram::new(buckets()),
             gap_ms: Histogram::new(buckets()),
@@ -95,6 +97,11 @@
             "Leases taken by this VM",
             self.takeovers.clone(),
         );
+        registry.register(
+            "stood_still",
+            "Times that this VM stood still",
+            self.stood_still.clone(),
+        );
         registry.register(
             "first_answer_ms",
             "From arrival to the first part of the answer",
@@ -177,6 +184,11 @@
         self.takeovers.inc();
     }
 
+    /// Counts that this VM stood still.
+    pub fn stood_still(&self) {
+        self.stood_still.inc();
+    }
+
     /// Notes the time to the first part of an answer.
     pub fn first_answer(&self, took_ms: u64) {
         self.first_answer_ms.observe(took_ms as f64);
