--- a/crates/holder/tests/support/mod.rs
+++ b/crates/holder/tests/support/mod.rs
@@ -36,6 +36,9 @@
 /// How long a call takes to arrive, and its answer to come back.
 const CALL_MS: u64 = 2;
 
+/// How long an answer is awaited that does not come.
+const TIMEOUT_MS: u64 = 600;
+
 /// Returns options by which nothing is fetched that nobody asked for.
 pub fn no_prefetch() -> PlannerOptions {
     PlannerOptions {
@@ -69,7 +72,8 @@
 
 enum Answer {
     Order(UpstreamName, OrderOutcome),
-    Report(UpstreamName, EngineReport),
+    /// None if none came.
+    Report(UpstreamName, Option<EngineReport>),
 }
 
 /// `World` runs a planner against engines.
@@ -212,7 +216,7 @@
                         self.planner.order_ended(self.now_ms, &name, outcome)
                     }
                     Answer::Report(name, report) => {
-                        self.planner.report_ended(self.now_ms, &name, Some(report))
+                        self.planner.report_ended(self.now_ms, &name, report)
                     }
                 };
                 self.carry_out(actions);
@@ -272,9 +276,12 @@
                     self.order(engine, kind, orders_before);
                 }
                 PlannerAction::Report { engine } => {
-                    let report = self.engines[&engine].report();
-                    self.answers
-                        .push((self.now_ms + CALL_MS, Answer::Report(engine, report)));
+                    let (report, after_ms) = match &self.engines[&engine] {
+                        dark if dark.dark => (None, TIMEOUT_MS),
+                        engine => (Some(engine.report()), CALL_MS),
+                    };
+                    let answer = Answer::Report(engine, report);
+                    self.answers.push((self.now_ms + after_ms, answer));
                 }
                 PlannerAction::Tell(news) => self.told.push((
                     news.engine.to_string(),
@@ -289,6 +296,7 @@
     fn order(&mut self, name: UpstreamName, kind: OrderKind, before: u64) {
         let engine = self.engines.get_mut(&name).expect("the engine exists");
         let (outcome, after_ms) = match engine.fault.take() {
+            _ if engine.dark => (OrderOutcome::Unknown, TIMEOUT_MS),
             None => (engine.take(self.now_ms, &self.spec, kind, before), CALL_MS),
             Some(OrderFault::LostAnswer) => {
                 engine.take(self.now_ms, &self.spec, kind, before);
