--- a/crates/holder/src/following.rs
+++ b/crates/holder/src/following.rs
@@ -68,7 +68,6 @@
                 None
             }
             OrderOutcome::NotSent | OrderOutcome::Unknown | OrderOutcome::Refused => {
-                self.unanswered += u32::from(outcome != OrderOutcome::Refused);
                 self.next.clear();
                 self.ask_again(now_ms + options.report_lag_ms);
                 None
@@ -124,12 +123,12 @@
     ) -> ReportEffect {
         let asked_ms = self.reading_since_ms.take().unwrap_or(now_ms);
         let Some(report) = report else {
-            self.unanswered += 1;
-            let pause_ms = options.report_every_ms << self.unanswered.min(4);
+            self.failed_reports += 1;
+            let pause_ms = options.report_every_ms << self.failed_reports.min(4);
             self.report_due_ms = Some(now_ms + pause_ms);
             return ReportEffect::default();
         };
-        self.unanswered = 0;
+        self.failed_reports = 0;
         self.report_due_ms = None;
         if report.orders_taken != self.count_since.0 {
             self.count_since = (report.orders_taken, asked_ms);
--- a/crates/holder/src/ledger.rs
+++ b/crates/holder/src/ledger.rs
@@ -62,8 +62,8 @@
     pub(crate) coming: Vec<(ModelName, ModelName)>,
     /// Whether it has seen a higher fencing token: another VM gives orders.
     pub(crate) outranked: bool,
-    /// Orders and reports in a row that brought no answer.
-    pub(crate) unanswered: u32,
+    /// Consecutive reports that failed.
+    pub(crate) failed_reports: u32,
     /// Whether it takes new work.
     pub(crate) serving: bool,
     /// The load that was last taken as done, until a report confirms it.
@@ -93,7 +93,7 @@
             looked_at_ms: 0,
             coming: Vec::new(),
             outranked: false,
-            unanswered: 0,
+            failed_reports: 0,
             serving: true,
             unconfirmed: None,
             load_factor: 1.0,
@@ -116,13 +116,6 @@
             && self.awaiting.is_none()
     }
 
-    /// Returns whether a load from its own copies could be ordered here within a moment. An engine
-    /// that has gone dark stays on the list for seconds, and one that fetches weights from the weight
-    /// store takes no orders for as long.
-    pub(crate) fn can_load_soon(&self) -> bool {
-        self.serving && self.unanswered == 0 && !self.loads_from_store()
-    }
-
     /// Returns whether a load of this model is in progress or planned here.
     pub(crate) fn will_hold(&self, model: &ModelName) -> bool {
         let load = OrderKind::LoadModel(model.clone());
--- a/crates/holder/src/placing.rs
+++ b/crates/holder/src/placing.rs
@@ -120,23 +120,10 @@
     pub fn is_at_hand(&self, model: &ModelName) -> bool {
         self.engines.iter().any(|engine| {
             let holds = engine.residence.model(model).is_some() || engine.will_hold(model);
-            engine.can_load_soon() && !holds && engine.residence.tier(model) != Tier::Store
+            engine.serving && !holds && engine.residence.tier(model) != Tier::Store
         })
     }
 
-    /// Returns how many engines have a model's weights, loaded or as a copy.
-    pub fn copies(&self, model: &ModelName) -> usize {
-        self.engines
-            .iter()
-            .filter(|engine| engine.serving && engine.unanswered == 0)
-            .filter(|engine| {
-                engine.residence.model(model).is_some()
-                    || engine.will_hold(model)
-                    || engine.residence.tier(model) != Tier::Store
-            })
-            .count()
-    }
-
     /// Chooses the engine for a load: the one that is done soonest, and of these the one that gives
     /// up least for it. `most_value` bounds what may be given up.
     pub fn place(&self, model: &ModelName, from_store: bool, most_value: f64) -> Option<Placement> {
--- a/crates/holder/src/planner.rs
+++ b/crates/holder/src/planner.rs
@@ -22,7 +22,6 @@
 use crate::orders::EngineReport;
 use crate::orders::OrderKind;
 use crate::orders::OrderOutcome;
-use crate::placing::Placement;
 use crate::placing::Placer;
 use crate::store_limit::StoreLimit;
 
@@ -39,16 +38,6 @@
 /// waited for took the engines that rare models needed.
 const CROWD_FOR_STORE_LOAD: f64 = 0.5;
 
-/// Engines that should have the weights of a busy model, loaded or as a copy. In the users'
-/// deployments up to five of eighteen engines are lost within seconds.
-const SAFE_COPIES: usize = 5;
-
-/// Requests a second from which a model counts as busy.
-const BUSY_PER_S: f64 = 5.0;
-
-/// What may give way to another copy of a busy model, as a part of its requests a second.
-const SAFE_COPY_VALUE: f64 = 0.05;
-
 /// `Planner` is what the holder of the lease runs. A VM that takes the lease starts an empty one,
 /// which reads a report of every engine before it gives the engine an order.
 #[derive(Debug)]
@@ -414,32 +403,13 @@
                 far.find_map(|(model, value)| placer.place(model, true, value * 0.8))
                     .filter(|_| store_is_free)
             })
-            .or_else(|| self.safeguard(&placer).filter(|_| store_is_free))
             .or_else(|| self.prefetch(&placer).filter(|_| store_is_free))
             .map(|placement| (placement.engine, placement.steps))
     }
 
-    /// Chooses a busy model whose weights are on too few engines. When these are lost together, every
-    /// request for it waits for the weight store.
-    fn safeguard(&self, placer: &Placer<'_>) -> Option<Placement> {
-        let most_copies = SAFE_COPIES.min(self.engines.len() / 2);
-        let mut busy: Vec<(&ModelName, f64)> = self
-            .spec
-            .models
-            .keys()
-            .map(|model| (model, placer.demand(model).per_s))
-            .filter(|(_, per_s)| *per_s >= BUSY_PER_S)
-            .filter(|(model, _)| !self.held_back.contains_key(*model))
-            .filter(|(model, _)| placer.copies(model) < most_copies)
-            .collect();
-        busy.sort_by(|left, right| right.1.total_cmp(&left.1).then_with(|| left.0.cmp(right.0)));
-        busy.into_iter()
-            .find_map(|(model, per_s)| placer.place(model, true, per_s * SAFE_COPY_VALUE))
-    }
-
     /// Chooses a model that nobody has asked for yet: a first load takes too long to begin it only
     /// when the first request waits. Only room that nothing else uses is given to it.
-    fn prefetch(&self, placer: &Placer<'_>) -> Option<Placement> {
+    fn prefetch(&self, placer: &Placer<'_>) -> Option<crate::placing::Placement> {
         let idle = self
             .engines
             .iter()
--- a/crates/holder/tests/support/engine.rs
+++ b/crates/holder/tests/support/engine.rs
@@ -59,8 +59,6 @@
     pub loads: Vec<(ModelName, bool)>,
     /// How much longer than configured its loads take.
     pub load_factor: f64,
-    /// Whether it answers nothing.
-    pub dark: bool,
 }
 
 impl FakeEngine {
@@ -80,7 +78,6 @@
             history: VecDeque::new(),
             loads: Vec::new(),
             load_factor: 1.0,
-            dark: false,
         }
     }
 
--- a/crates/holder/tests/support/mod.rs
+++ b/crates/holder/tests/support/mod.rs
@@ -36,9 +36,6 @@
 /// How long a call takes to arrive, and its answer to come back.
 const CALL_MS: u64 = 2;
 
-/// How long an answer is awaited that does not come.
-const TIMEOUT_MS: u64 = 600;
-
 /// Returns options by which nothing is fetched that nobody asked for.
 pub fn no_prefetch() -> PlannerOptions {
     PlannerOptions {
@@ -72,8 +69,7 @@
 
 enum Answer {
     Order(UpstreamName, OrderOutcome),
-    /// None if none came.
-    Report(UpstreamName, Option<EngineReport>),
+    Report(UpstreamName, EngineReport),
 }
 
 /// `World` runs a planner against engines.
@@ -216,7 +212,7 @@
                         self.planner.order_ended(self.now_ms, &name, outcome)
                     }
                     Answer::Report(name, report) => {
-                        self.planner.report_ended(self.now_ms, &name, report)
+                        self.planner.report_ended(self.now_ms, &name, Some(report))
                     }
                 };
                 self.carry_out(actions);
@@ -276,12 +272,9 @@
                     self.order(engine, kind, orders_before);
                 }
                 PlannerAction::Report { engine } => {
-                    let (report, after_ms) = match &self.engines[&engine] {
-                        dark if dark.dark => (None, TIMEOUT_MS),
-                        engine => (Some(engine.report()), CALL_MS),
-                    };
-                    let answer = Answer::Report(engine, report);
-                    self.answers.push((self.now_ms + after_ms, answer));
+                    let report = self.engines[&engine].report();
+                    self.answers
+                        .push((self.now_ms + CALL_MS, Answer::Report(engine, report)));
                 }
                 PlannerAction::Tell(news) => self.told.push((
                     news.engine.to_string(),
@@ -296,7 +289,6 @@
     fn order(&mut self, name: UpstreamName, kind: OrderKind, before: u64) {
         let engine = self.engines.get_mut(&name).expect("the engine exists");
         let (outcome, after_ms) = match engine.fault.take() {
-            _ if engine.dark => (OrderOutcome::Unknown, TIMEOUT_MS),
             None => (engine.take(self.now_ms, &self.spec, kind, before), CALL_MS),
             Some(OrderFault::LostAnswer) => {
                 engine.take(self.now_ms, &self.spec, kind, before);
