Soak: a success must carry an upstream's signature

An unsigned answer may be anybody's; the check saw only identity and body. A record with an unsigned success breaks the promise now, and none did before.

--- a/crates/soak/src/asking.rs
+++ b/crates/soak/src/asking.rs
@@ -198,6 +198,7 @@
             status: answer.status(),
             whole: answer.whole,
             id: answer.id(),
+            signed: answer.is_signed(),
             own_body,
         }
     }
@@ -209,6 +210,7 @@
         status: 200,
         whole: false,
         id: None,
+        signed: false,
         own_body: false,
     }
 }
--- a/crates/soak/src/checks.rs
+++ b/crates/soak/src/checks.rs
@@ -162,6 +162,7 @@
                 status,
                 whole,
                 id,
+                signed,
                 own_body,
             } = &attempt.ending
             else {
@@ -169,11 +170,11 @@
             };
             let is_success = (200..300).contains(status);
             let is_own = id.as_ref().is_none_or(|id| *id == attempt.id);
-            let is_named = !is_success || id.is_some();
+            let is_named = !is_success || (id.is_some() && *signed);
             let is_body = !is_success || *own_body;
             if !is_own || !is_named || !is_body {
                 let detail = format!(
-                    "{} got {status}, whole {whole}, id {id:?}, own body {own_body}",
+                    "{} got {status}, whole {whole}, id {id:?}, signed {signed}, own body {own_body}",
                     attempt.id
                 );
                 found.push(violation(Promise::OwnAnswer, detail));
--- a/crates/soak/src/record.rs
+++ b/crates/soak/src/record.rs
@@ -53,6 +53,8 @@
         whole: bool,
         /// The request that it names.
         id: Option<String>,
+        /// Whether it carries an upstream's signature.
+        signed: bool,
         /// Whether the body is what an upstream gives for the request, as far as it came.
         own_body: bool,
     },
--- a/crates/soak/tests/promise_checks.rs
+++ b/crates/soak/tests/promise_checks.rs
@@ -27,6 +27,7 @@
             status,
             whole: true,
             id: Some(id.to_owned()),
+            signed: true,
             own_body: true,
         },
     }
@@ -119,15 +120,17 @@
 }
 
 #[rstest]
-#[case::of_another(Some("z"), true)]
-#[case::of_nobody(None, true)]
-#[case::other_body(Some("a"), false)]
-fn wrong_answer(#[case] id: Option<&str>, #[case] own_body: bool) {
+#[case::of_another(Some("z"), true, true)]
+#[case::of_nobody(None, true, true)]
+#[case::unsigned(Some("a"), false, true)]
+#[case::other_body(Some("a"), true, false)]
+fn wrong_answer(#[case] id: Option<&str>, #[case] signed: bool, #[case] own_body: bool) {
     let mut record = sound();
     record.attempts[0].ending = Ending::Answered {
         status: 200,
         whole: true,
         id: id.map(str::to_owned),
+        signed,
         own_body,
     };
     assert_eq!(promises(&record), vec![Promise::OwnAnswer]);
@@ -150,7 +153,7 @@
 }
 
 #[rstest]
-#[case::late(Ending::Answered { status: 504, whole: true, id: None, own_body: true }, 15_000)]
+#[case::late(Ending::Answered { status: 504, whole: true, id: None, signed: false, own_body: true }, 15_000)]
 #[case::lost(Ending::Unanswered, 10_050)]
 fn no_answer_in_time(#[case] ending: Ending, #[case] ended_ms: u64) {
     let mut record = sound();
--- a/crates/standins/src/platform/calling.rs
+++ b/crates/standins/src/platform/calling.rs
@@ -13,6 +13,7 @@
 use apricotdale_http1::parse_response_head;
 
 use crate::platform::serving::ID;
+use crate::platform::serving::SIGNATURE;
 
 /// The host that callers name, which the routes of [`crate::platform::Site`] have.
 pub const HOST: &str = "site.example";
@@ -146,6 +147,11 @@
         self.header(ID)
     }
 
+    /// Returns whether the answer carries an upstream's signature.
+    pub fn is_signed(&self) -> bool {
+        self.header(SIGNATURE).is_some()
+    }
+
     /// Returns whether the connection ends after the answer.
     pub fn closes(&self) -> bool {
         self.head
--- a/crates/standins/src/platform/serving.rs
+++ b/crates/standins/src/platform/serving.rs
@@ -17,7 +17,7 @@
 use crate::http::StreamEnd;
 
 pub(crate) const ID: &str = "Apricotdale-Request-Id";
-const SIGNATURE: &str = "Apricotdale-Response-Signature";
+pub(crate) const SIGNATURE: &str = "Apricotdale-Response-Signature";
 const NOT_RUN: &str = "Apricotdale-Not-Executed";
 const INSTANCE: &str = "Apricotdale-Instance-Id";
 const MEANT: &str = "Apricotdale-Expect-Instance";
