Split: peers and telling, planner, choosing and foreseeing, the dispatcher's options

The other VMs as state (peers.rs) stand apart from what is told between them (telling.rs); choosing the next load (choosing.rs) and foreseeing when models are there (foreseeing.rs) apart from following orders (planner.rs); the dispatcher's limits (options.rs) apart from its verdicts.

--- a/crates/dispatch/src/lib.rs
+++ b/crates/dispatch/src/lib.rs
@@ -12,11 +12,11 @@
 mod dispatcher;
 mod forecast;
 mod job;
+mod options;
 mod suspension;
 
 pub use crowding::LoadSample;
 pub use dispatcher::Dispatcher;
-pub use dispatcher::DispatcherOptions;
 pub use forecast::LoadForecast;
 pub use job::Attempt;
 pub use job::FailedTry;
@@ -24,3 +24,4 @@
 pub use job::Urgency;
 pub use job::Verdict;
 pub use job::WaitReason;
+pub use options::DispatcherOptions;
--- a/crates/entry/src/lib.rs
+++ b/crates/entry/src/lib.rs
@@ -33,6 +33,7 @@
 mod sharing;
 mod stopping;
 mod stream;
+mod telling;
 
 pub use apricotdale_dispatch::LoadSample;
 pub use codec::AnswerFields;
--- /dev/null
+++ b/crates/entry/src/telling.rs
@@ -0,0 +1,291 @@
+//! Messages between VMs.
+//!
+//! VMs send each other small datagrams. Each message tells a state and not a change of it, so a
+//! lost one is made good by the next, and nothing waits for an answer. The VM that gives orders
+//! tells all others that it is there, what it foresees and what engines hold; the others tell it
+//! their demand. So the messages grow with the VMs, not with their square.
+
+use std::collections::HashMap;
+use std::io;
+use std::net::SocketAddr;
+
+use apricotdale_core::names::ModelName;
+use apricotdale_core::names::UpstreamName;
+use apricotdale_dispatch::LoadForecast;
+use apricotdale_dispatch::WaitReason;
+use apricotdale_fleet::DirectoryChange;
+use apricotdale_fleet::WantedModel;
+use apricotdale_holder::DemandRow;
+use apricotdale_holder::ResidenceNews;
+
+use crate::active::Phase;
+use crate::daemon::Daemon;
+use crate::messages::ForecastRow;
+use crate::messages::PeerMessage;
+use crate::messages::VmRecord;
+use crate::peers::GREETING_MS;
+use crate::peers::ROWS_A_DATAGRAM;
+use crate::sharing::Freshness;
+
+/// Time between two tellings of the demand while requests wait.
+const DEMAND_WAITING_MS: u64 = 200;
+
+/// The same while none wait.
+const DEMAND_CALM_MS: u64 = 700;
+
+/// Time between two beats of the VM that gives orders.
+const BEAT_MS: u64 = 400;
+
+impl Daemon {
+    /// Takes in the messages of other VMs.
+    pub(crate) fn receive_peers(&mut self) {
+        let mut bytes = [0_u8; 64 * 1024];
+        loop {
+            match self.peers.receive(&mut bytes) {
+                Ok((length, from)) => match postcard::from_bytes(&bytes[..length]) {
+                    Ok(message) => self.take_message(from, message),
+                    Err(error) => {
+                        self.metrics.failed_try("bad_peer_message");
+                        log::warn!(
+                            from = from.to_string(), reason = error.to_string();
+                            "message of a VM not understood"
+                        );
+                    }
+                },
+                Err(error) if error.kind() == io::ErrorKind::Interrupted => {}
+                Err(_) => return,
+            }
+        }
+    }
+
+    fn take_message(&mut self, from: SocketAddr, message: PeerMessage) {
+        let now_ms = self.now_ms;
+        match message {
+            PeerMessage::Greeting(record) => {
+                let is_new = !self.peers.knows(&record.vm);
+                self.peers.note_heard(now_ms, &record);
+                if is_new {
+                    let greeting = PeerMessage::Greeting(self.peers.own.clone());
+                    self.peers.send(record.address, &greeting);
+                }
+            }
+            PeerMessage::Goodbye(vm) => {
+                self.peers.forget(&vm);
+                if self
+                    .peers
+                    .holder
+                    .as_ref()
+                    .is_some_and(|(holder, ..)| *holder == vm)
+                {
+                    self.peers.holder = None;
+                }
+            }
+            PeerMessage::Demand { vm, run, rows } => {
+                let record = VmRecord {
+                    vm: vm.clone(),
+                    address: from,
+                    run,
+                };
+                self.peers.note_heard(now_ms, &record);
+                for part in self.ordering.missed_news(&rows).chunks(ROWS_A_DATAGRAM / 2) {
+                    self.peers.send(from, &PeerMessage::News(part.to_vec()));
+                }
+                self.ordering.note_demand(now_ms, &vm, run, rows);
+            }
+            PeerMessage::Beat {
+                from,
+                lease_end,
+                forecasts,
+                fresh,
+            } => {
+                self.peers.note_heard(now_ms, &from);
+                if self.ordering.is_outdated(lease_end) {
+                    return;
+                }
+                self.ordering.note_lease_end(now_ms, lease_end);
+                if self
+                    .peers
+                    .holder
+                    .as_ref()
+                    .is_none_or(|(holder, ..)| *holder != from.vm)
+                {
+                    log::info!(holder = from.vm.to_string(), lease_end; "another VM gives orders");
+                }
+                self.take_freshness(&from, &fresh);
+                self.peers.holder = Some((from.vm, from.address, now_ms));
+                self.take_forecasts(forecasts);
+            }
+            PeerMessage::News(news) => self.take_news(news),
+            PeerMessage::TurnedAway { engine, model } => self.engine_lacks(&engine, &model),
+        }
+    }
+
+    /// Tells the giver of orders that an engine does not hold a model. Without this it would go on
+    /// telling all VMs that the engine does.
+    pub(crate) fn tell_turned_away(&mut self, engine: &UpstreamName, model: &ModelName) {
+        if self.ordering.held_lease_end(self.now_ms).is_some() {
+            self.engine_lacks(engine, model);
+        } else if let Some((_, address, _)) = self.peers.holder {
+            let message = PeerMessage::TurnedAway {
+                engine: engine.clone(),
+                model: model.clone(),
+            };
+            self.peers.send(address, &message);
+        }
+    }
+
+    /// Takes in what the giver of orders has read.
+    fn take_freshness(&mut self, giver: &VmRecord, fresh: &Freshness) {
+        let now_ms = self.now_ms;
+        if self.sharing.hear(now_ms, &giver.vm, giver.run, fresh) {
+            self.feeds.read_list_soon(now_ms);
+        }
+        for name in &fresh.left {
+            if self.directory.note_leaving(name) == DirectoryChange::Left {
+                self.upstream_left(name, "told_by_another_vm");
+            }
+        }
+    }
+
+    /// Returns what this VM has read, for the others.
+    fn freshness(&mut self) -> Freshness {
+        let now_ms = self.now_ms;
+        Freshness {
+            configuration: self.directory.version(),
+            configuration_age_ms: self.feeds.configuration_age_ms(now_ms),
+            list_age_ms: self.feeds.list_age_ms(now_ms),
+            came: self.sharing.came(),
+            left: self.sharing.left(now_ms),
+        }
+    }
+
+    fn take_forecasts(&mut self, forecasts: Vec<ForecastRow>) {
+        let now_ms = self.now_ms;
+        for row in forecasts {
+            let ready_ms = row.ready_in_ms.map(|in_ms| now_ms + in_ms);
+            self.dispatcher
+                .note_forecast(now_ms, row.model, LoadForecast { ready_ms });
+        }
+        self.look_again = true;
+    }
+
+    pub(crate) fn take_news(&mut self, news: Vec<ResidenceNews>) {
+        for news in news {
+            self.look_again |= self.news.note(self.now_ms, &mut self.directory, news);
+        }
+    }
+
+    /// Sends what is due.
+    pub(crate) fn advance_peers(&mut self) {
+        let now_ms = self.now_ms;
+        if now_ms >= self.peers.next_greeting_ms {
+            self.peers.next_greeting_ms = u64::MAX;
+            let greeting = PeerMessage::Greeting(self.peers.own.clone());
+            self.peers.send_all(&greeting);
+        }
+        if now_ms >= self.peers.next_beat_ms {
+            self.peers.next_beat_ms = now_ms + BEAT_MS;
+            self.send_beat();
+        }
+        if now_ms >= self.peers.next_demand_ms {
+            self.tell_demand();
+        }
+    }
+
+    fn send_beat(&mut self) {
+        let now_ms = self.now_ms;
+        let Some(lease_end) = self.ordering.held_lease_end(now_ms) else {
+            let silent = self
+                .peers
+                .holder
+                .as_ref()
+                .is_none_or(|(.., heard_ms)| now_ms.saturating_sub(*heard_ms) > GREETING_MS);
+            if silent && self.peers.next_greeting_ms == u64::MAX {
+                self.peers.next_greeting_ms = now_ms + GREETING_MS;
+            }
+            return;
+        };
+        self.peers.holder = Some((self.peers.own.vm.clone(), self.peers.own.address, now_ms));
+        let rows = self.ordering.forecasts(now_ms);
+        let from = self.peers.own.clone();
+        let mut parts: Vec<Vec<ForecastRow>> = rows
+            .chunks(ROWS_A_DATAGRAM)
+            .map(<[ForecastRow]>::to_vec)
+            .collect();
+        if parts.is_empty() {
+            parts.push(Vec::new());
+        }
+        self.sharing.lead();
+        let fresh = self.freshness();
+        for forecasts in parts {
+            let beat = PeerMessage::Beat {
+                from: from.clone(),
+                lease_end,
+                forecasts,
+                fresh: fresh.clone(),
+            };
+            self.peers.send_all(&beat);
+        }
+        self.take_forecasts(rows);
+    }
+
+    fn tell_demand(&mut self) {
+        let now_ms = self.now_ms;
+        let rows = self.demand_rows();
+        let waits = rows.iter().any(|row| row.missing + row.crowded > 0);
+        let pause_ms = if waits {
+            DEMAND_WAITING_MS
+        } else {
+            DEMAND_CALM_MS
+        };
+        self.peers.next_demand_ms = now_ms + pause_ms;
+        self.peers.last_demand_ms = now_ms;
+        let (vm, run) = (self.peers.own.vm.clone(), self.peers.own.run);
+        if self.ordering.held_lease_end(now_ms).is_some() {
+            self.ordering.note_demand(now_ms, &vm, run, rows);
+            return;
+        }
+        let Some((_, address, _)) = self.peers.holder else {
+            return;
+        };
+        for rows in rows.chunks(ROWS_A_DATAGRAM) {
+            let message = PeerMessage::Demand {
+                vm: vm.clone(),
+                run,
+                rows: rows.to_vec(),
+            };
+            self.peers.send(address, &message);
+        }
+    }
+
+    /// Returns the demand for every model that was ever asked for here.
+    fn demand_rows(&self) -> Vec<DemandRow> {
+        let mut rows: HashMap<&WantedModel, DemandRow> = self
+            .peers
+            .arrived
+            .iter()
+            .map(|(wanted, arrived)| {
+                let row = DemandRow {
+                    model: wanted.model.clone(),
+                    adapter: wanted.adapter.clone(),
+                    missing: 0,
+                    crowded: 0,
+                    running: 0,
+                    arrived: *arrived,
+                };
+                (wanted, row)
+            })
+            .collect();
+        for (_, request) in self.active.iter() {
+            let Some(row) = request.job.wanted.as_ref().and_then(|it| rows.get_mut(it)) else {
+                continue;
+            };
+            match request.phase {
+                Phase::Waiting(WaitReason::Missing) => row.missing += 1,
+                Phase::Waiting(WaitReason::Crowded) => row.crowded += 1,
+                _ => row.running += 1,
+            }
+        }
+        rows.into_values().collect()
+    }
+}
--- a/crates/holder/src/lib.rs
+++ b/crates/holder/src/lib.rs
@@ -10,8 +10,10 @@
 
 mod actions;
 mod adapters;
+mod choosing;
 mod demand;
 mod following;
+mod foreseeing;
 mod lease;
 mod ledger;
 mod options;
--- a/crates/holder/src/planner.rs
+++ b/crates/holder/src/planner.rs
@@ -16,13 +16,11 @@
 use crate::demand::DemandBook;
 use crate::demand::ModelDemand;
 use crate::ledger::EngineLedger;
-use crate::ledger::InProgress;
 use crate::ledger::is_load;
 use crate::options::PlannerOptions;
 use crate::orders::EngineReport;
 use crate::orders::OrderKind;
 use crate::orders::OrderOutcome;
-use crate::placing::Placer;
 use crate::store_limit::StoreLimit;
 
 /// How long a model is not loaded again after an engine could not load it.
@@ -31,27 +29,20 @@
 /// The time between two looks at an engine because VMs miss what it holds.
 const LOOK_EVERY_MS: u64 = 600;
 
-/// Waiting requests, as a share of an engine's places, from which another replica of a model that is
-/// resident is worth a load from the weight store, which keeps the engine from other orders for some
-/// 6 s. Without this bound the mean
-/// worth fell from 0.78 to 0.74 where engines are many and small: second replicas that nobody
-/// waited for took the engines that rare models needed.
-const CROWD_FOR_STORE_LOAD: f64 = 0.5;
-
 /// `Planner` is what the holder of the lease runs. A VM that takes the lease starts an empty one,
 /// which reads a report of every engine before it gives the engine an order.
 #[derive(Debug)]
 pub struct Planner {
-    options: PlannerOptions,
+    pub(crate) options: PlannerOptions,
     service: GroupName,
-    spec: EngineSpec,
-    engines: Vec<EngineLedger>,
+    pub(crate) spec: EngineSpec,
+    pub(crate) engines: Vec<EngineLedger>,
     /// Models for which a load failed, with the time until which it is not tried again.
-    held_back: HashMap<ModelName, u64>,
+    pub(crate) held_back: HashMap<ModelName, u64>,
     /// When loads from the weight store were ordered, within the operators' window.
-    store_loads_ms: Vec<u64>,
+    pub(crate) store_loads_ms: Vec<u64>,
     /// How many of them run at once.
-    store_limit: StoreLimit,
+    pub(crate) store_limit: StoreLimit,
 }
 
 impl Planner {
@@ -146,50 +137,6 @@
             .min()
     }
 
-    /// Returns when each model that requests wait for can run; none where its load has no date.
-    pub fn forecasts(&self, now_ms: u64, demand: &DemandBook) -> Vec<(ModelName, Option<u64>)> {
-        let totals = demand.totals(now_ms);
-        let placer = Placer::new(&self.spec, &self.engines, &totals);
-        self.spec
-            .models
-            .keys()
-            .filter(|model| placer.demand(model).missing > 0)
-            .map(|model| (model.clone(), self.ready_ms(now_ms, model)))
-            .collect()
-    }
-
-    /// Returns when a load of a model that is in progress or planned will be done.
-    fn ready_ms(&self, now_ms: u64, model: &ModelName) -> Option<u64> {
-        self.engines
-            .iter()
-            .filter(|engine| engine.will_hold(model))
-            .map(|engine| match &engine.in_progress {
-                Some(order) if is_load(&order.kind) && order.kind.model() == model => {
-                    self.end_ms(order)
-                }
-                _ => {
-                    let kind = OrderKind::LoadModel(model.clone());
-                    let tier = engine.residence.tier(model);
-                    now_ms + expected_ms(&self.options, &self.spec, &kind, tier)
-                }
-            })
-            .min()
-    }
-
-    /// Returns when a load in progress will be done. One that is overdue shares the weight store
-    /// with others, which are then all slower in proportion.
-    fn end_ms(&self, order: &InProgress) -> u64 {
-        match order.overdue {
-            true => {
-                let at_once = self.store_loads_in_progress().max(2) as u64;
-                order
-                    .done_ms
-                    .max(order.since_ms + order.configured_ms * at_once)
-            }
-            false => order.done_ms,
-        }
-    }
-
     /// Returns which engines can run what a VM says is missing: the VM has not heard of it.
     pub fn known_places(&self, wanted: &WantedModel) -> Vec<ResidenceNews> {
         self.engines
@@ -293,7 +240,8 @@
             .collect()
     }
 
-    fn store_loads_in_progress(&self) -> usize {
+    /// Returns how many loads from the weight store are in progress.
+    pub(crate) fn store_loads_in_progress(&self) -> usize {
         self.engines.iter().filter(|it| it.awaits_report()).count()
     }
 
@@ -357,97 +305,6 @@
         }
     }
 
-    fn plan_models(&mut self, now_ms: u64, totals: &HashMap<WantedModel, ModelDemand>) {
-        self.held_back.retain(|_, until_ms| *until_ms > now_ms);
-        let window_ms = self.options.store_window_ms;
-        self.store_loads_ms
-            .retain(|at_ms| at_ms + window_ms > now_ms);
-        // Each placement changes what the next one may use, so the look is taken anew.
-        while let Some((index, steps)) = self.next_placement(totals) {
-            self.engines[index].next.extend(steps);
-        }
-    }
-
-    fn next_placement(
-        &self,
-        totals: &HashMap<WantedModel, ModelDemand>,
-    ) -> Option<(usize, Vec<OrderKind>)> {
-        let placer = Placer::new(&self.spec, &self.engines, totals);
-        let mut wanted: Vec<(&ModelName, f64)> = self
-            .spec
-            .models
-            .keys()
-            .filter(|model| !self.held_back.contains_key(*model))
-            .filter(|model| {
-                let demand = placer.demand(model);
-                demand.missing + demand.crowded > 0 || demand.per_s > 0.0
-            })
-            .filter(|model| placer.replicas(model) < placer.wanted_replicas(model))
-            .map(|model| (model, placer.missing_value(model)))
-            .collect();
-        wanted.sort_by(|left, right| right.1.total_cmp(&left.1).then_with(|| left.0.cmp(right.0)));
-        let store_is_free = self.store_is_free(&placer);
-        wanted
-            .iter()
-            .filter(|(model, value)| {
-                placer.replicas(model) > 0 || *value > 1.0 || placer.is_at_hand(model)
-            })
-            .find_map(|(model, value)| placer.place(model, false, value * 0.8))
-            .or_else(|| {
-                let crowd = CROWD_FOR_STORE_LOAD * f64::from(self.spec.slots);
-                let mut far = wanted.iter().filter(|(model, _)| {
-                    let is_pressed = placer.replicas(model) == 0
-                        || f64::from(placer.demand(model).crowded) >= crowd;
-                    is_pressed && !placer.is_at_hand(model)
-                });
-                far.find_map(|(model, value)| placer.place(model, true, value * 0.8))
-                    .filter(|_| store_is_free)
-            })
-            .or_else(|| self.prefetch(&placer).filter(|_| store_is_free))
-            .map(|placement| (placement.engine, placement.steps))
-    }
-
-    /// Chooses a model that nobody has asked for yet: a first load takes too long to begin it only
-    /// when the first request waits. Only room that nothing else uses is given to it.
-    fn prefetch(&self, placer: &Placer<'_>) -> Option<crate::placing::Placement> {
-        let idle = self
-            .engines
-            .iter()
-            .filter(|engine| engine.is_idle())
-            .count();
-        if idle as f64 <= self.options.idle_share * self.engines.len() as f64 {
-            return None;
-        }
-        let mut unseen: Vec<&ModelName> = self
-            .spec
-            .models
-            .keys()
-            .filter(|model| placer.replicas(model) == 0 && !placer.is_at_hand(model))
-            .filter(|model| !self.held_back.contains_key(*model))
-            .collect();
-        unseen.sort_by(|left, right| {
-            let size_mb = |model: &ModelName| self.spec.models[model].size_mb;
-            size_mb(left)
-                .total_cmp(&size_mb(right))
-                .then_with(|| left.cmp(right))
-        });
-        unseen
-            .into_iter()
-            .filter_map(|model| placer.place(model, true, 0.0))
-            .find(|placement| placement.steps.len() == 1)
-    }
-
-    /// Returns whether another load from the weight store may be planned.
-    fn store_is_free(&self, placer: &Placer<'_>) -> bool {
-        let window_s = self.options.store_window_ms as f64 / 1_000.0;
-        let most = self.spec.store_loads_per_s * window_s + self.options.store_spare_loads;
-        let planned = self.engines.iter().filter(|engine| {
-            engine.in_progress.is_none() && engine.awaiting.is_none() && engine.loads_from_store()
-        });
-        let begun = self.store_loads_ms.len() + planned.count();
-        placer.store_loads() < self.store_limit.loads() && (begun as f64) < most
-    }
-
     fn give_next(&mut self, now_ms: u64, actions: &mut Vec<PlannerAction>) {
         for engine in &mut self.engines {
             if !engine.takes_orders() {
@@ -527,7 +384,13 @@
     gone.chain(came).collect()
 }
 
-fn expected_ms(options: &PlannerOptions, spec: &EngineSpec, kind: &OrderKind, tier: Tier) -> u64 {
+/// Returns how long an order takes by the configuration.
+pub(crate) fn expected_ms(
+    options: &PlannerOptions,
+    spec: &EngineSpec,
+    kind: &OrderKind,
+    tier: Tier,
+) -> u64 {
     let load_ms = |model: &ModelName| {
         spec.models
             .get(model)
