--- a/crates/soak/src/checks.rs
+++ b/crates/soak/src/checks.rs
@@ -302,9 +302,15 @@
             let ended_ms = stop.ended.map_or(until_ms, |(at_ms, _)| at_ms);
             for attempt in self.record.attempts.iter().filter(|it| it.vm == stop.vm) {
                 let around = attempt.sent_ms <= ended_ms && attempt.ended_ms >= stop.at_ms;
-                let is_cut = attempt.ending == Ending::Unanswered && self.ran(&attempt.id) > 0;
-                if around && is_cut && !attempt.kind.is_stream() {
-                    let detail = format!("{} ran and was not answered", attempt.id);
+                let has_end = !matches!(
+                    attempt.ending,
+                    Ending::Unanswered | Ending::Answered { whole: false, .. }
+                );
+                // A stream may also break off because its engine did.
+                let is_excused = attempt.kind.is_stream()
+                    && self.disturbs(&Place::Upstreams, 0, attempt.ended_ms);
+                if around && !has_end && self.ran(&attempt.id) > 0 && !is_excused {
+                    let detail = format!("{} ran and was cut", attempt.id);
                     found.push(violation(Promise::PlannedStop, detail));
                 }
             }
--- a/crates/soak/src/main.rs
+++ b/crates/soak/src/main.rs
@@ -45,6 +45,8 @@
     /// VMs in each
     #[bpaf(argument("N"), fallback(3), display_fallback)]
     vms: usize,
+    /// Print what each seed would do, and do nothing
+    plan_only: bool,
     /// Directory for plans, VMs' logs and what was seen
     #[bpaf(argument("DIR"))]
     logs: Option<PathBuf>,
@@ -52,6 +54,10 @@
 
 fn main() -> ExitCode {
     let arguments = arguments().run();
+    if arguments.plan_only {
+        print_plans(&arguments);
+        return ExitCode::SUCCESS;
+    }
     match soak(&arguments) {
         Ok(0) => ExitCode::SUCCESS,
         Ok(_) => ExitCode::FAILURE,
@@ -92,11 +98,24 @@
     Ok(broken)
 }
 
+fn print_plans(arguments: &Arguments) {
+    for seed in arguments.seed..arguments.seed + arguments.seeds {
+        for planned in options(arguments, Path::new(""), seed).plan().troubles {
+            println!("seed {seed}, {} ms: {:?}", planned.at_ms, planned.trouble);
+        }
+    }
+}
+
+fn options(arguments: &Arguments, program: &Path, seed: u64) -> SoakOptions {
+    SoakOptions {
+        length_ms: arguments.seconds * 1_000,
+        vms: arguments.vms.max(1),
+        ..SoakOptions::new(program, seed)
+    }
+}
+
 fn soak_one(arguments: &Arguments, program: &Path, seed: u64) -> Result<bool> {
-    let mut options = SoakOptions::new(program, seed);
-    options.length_ms = arguments.seconds * 1_000;
-    options.vms = arguments.vms.max(1);
-    let soak = Soak::carry_out(&options)?;
+    let soak = Soak::carry_out(&options(arguments, program, seed))?;
     let violations = check(&soak.record);
     if let Some(dir) = &arguments.logs {
         write_logs(&dir.join(format!("seed-{seed}")), &soak, &violations).map_err(|source| {
--- a/crates/soak/src/world.rs
+++ b/crates/soak/src/world.rs
@@ -43,6 +43,12 @@
 /// How long a planned stop is waited for.
 const STOP_PATIENCE: Duration = Duration::from_millis(10_000);
 
+/// How long the plain service works on a call, so that some are in progress at each trouble.
+const WORK_MS: u64 = 40;
+
+/// The time between two events of a stream, for the same reason.
+const GAP_MS: u64 = 20;
+
 /// Instances of the plain service.
 const INSTANCES: usize = 2;
 
@@ -83,6 +89,7 @@
         instance: name,
         models: models.iter().map(ToString::to_string).collect(),
         on_disk: MODELS.iter().map(ToString::to_string).collect(),
+        gap_ms: GAP_MS,
         ..EngineOptions::default()
     }
 }
@@ -98,6 +105,7 @@
         let mut site = Site::start(SiteOptions {
             engines: Vec::new(),
             instances: INSTANCES,
+            work_ms: WORK_MS,
             models: MODELS.iter().map(ToString::to_string).collect(),
             doors: vms,
             timeout_ms: 2 * PATIENCE_MS,
--- a/crates/standins/src/platform/service.rs
+++ b/crates/standins/src/platform/service.rs
@@ -5,6 +5,8 @@
 use std::sync::Arc;
 use std::sync::atomic::AtomicU64;
 use std::sync::atomic::Ordering;
+use std::thread;
+use std::time::Duration;
 
 use serde_json::json;
 
@@ -20,17 +22,19 @@
 pub struct PlatformService {
     instance: String,
     service: String,
+    work_ms: u64,
     answers: Answers,
     revision: AtomicU64,
     store: PlatformStore,
 }
 
 impl PlatformService {
-    /// Returns an instance that writes its entry into a store.
-    pub fn new(instance: &str, service: &str, store: PlatformStore) -> Self {
+    /// Returns an instance that works on each request for a time and writes its entry into a store.
+    pub fn new(instance: &str, service: &str, work_ms: u64, store: PlatformStore) -> Self {
         Self {
             instance: instance.to_owned(),
             service: service.to_owned(),
+            work_ms,
             answers: Answers::new(instance),
             revision: AtomicU64::new(0),
             store,
@@ -89,6 +93,7 @@
             return reply;
         }
         let fault = self.answers.begin(request);
+        thread::sleep(Duration::from_millis(self.work_ms));
         let body = format!("{} {}", request.method, request.target());
         self.answers.whole(request, fault, &body)
     }
--- a/crates/standins/src/platform/site.rs
+++ b/crates/standins/src/platform/site.rs
@@ -24,6 +24,8 @@
     pub engines: Vec<EngineOptions>,
     /// Instances of the plain service.
     pub instances: usize,
+    /// How long the plain service works on a request.
+    pub work_ms: u64,
     /// The engines' models.
     pub models: Vec<String>,
     /// Doors to the store.
@@ -45,6 +47,7 @@
         Self {
             engines: vec![engine(0, &["m0"]), engine(1, &["m0", "m1"])],
             instances: 2,
+            work_ms: 0,
             models: (0..4).map(|index| format!("m{index}")).collect(),
             doors: 1,
             timeout_ms: 3_000,
@@ -108,7 +111,7 @@
         }
         for index in 0..options.instances {
             let name = format!("p-{index}");
-            let service = PlatformService::new(&name, "plain", site.store.clone());
+            let service = PlatformService::new(&name, "plain", options.work_ms, site.store.clone());
             let service = Arc::new(service);
             let server = Server::start(LOOPBACK, service.clone())?;
             if options.announces {
