Soak: a leaving engine goes on for 5 s, so that a request which comes too late is seen

Cause: engines stopped 2.6 s after their word, before the check begins at 3 s; and the check asked for an undisturbed store up to the late request, which with a trouble a second is never so. It asks for that until 2 s after the word now, as the users' rule does.

--- a/crates/soak/src/checks.rs
+++ b/crates/soak/src/checks.rs
@@ -238,7 +238,7 @@
                 let is_sent_later = attempt.sent_ms > from_ms;
                 if is_sent_later
                     && !self.disturbs_vm(attempt.vm, calm_from_ms, run.at_ms)
-                    && !self.disturbs_store(calm_from_ms, run.at_ms)
+                    && !self.disturbs_store(calm_from_ms, drain.at_ms + DRAIN_MS)
                 {
                     let detail = format!(
                         "{} reached {} {} ms after its leaving",
--- a/crates/soak/src/world.rs
+++ b/crates/soak/src/world.rs
@@ -34,8 +34,9 @@
 /// How long the entry of a dead engine stays: three of its heartbeats.
 const LAPSE_MS: u64 = 1_500;
 
-/// How long an engine goes on after it said that it leaves.
-const LEAVE_MS: u64 = 2_600;
+/// How long an engine goes on after it said that it leaves: long enough that a request which comes too
+/// late is served and seen.
+const LEAVE_MS: u64 = 5_000;
 
 /// When a changed configuration is asked for: a little after it must be in force.
 const PROBE_AFTER_MS: u64 = 2_300;
