Stand-ins: groups of the store

Members that share the partitions of topics: evenly, handed over once the former holder has seen the newest generation, left, or lapsed; offsets kept; commits only from the holder.

--- a/crates/standins/src/platform/mod.rs
+++ b/crates/standins/src/platform/mod.rs
@@ -3,6 +3,7 @@
 
 mod calling;
 mod engine;
+mod groups;
 mod orders;
 mod service;
 mod serving;
--- a/crates/standins/src/platform/store.rs
+++ b/crates/standins/src/platform/store.rs
@@ -16,6 +16,10 @@
 use crate::http::Raw;
 use crate::http::Reply;
 use crate::http::Request;
+use crate::platform::groups::Commit;
+use crate::platform::groups::Group;
+use crate::platform::groups::Join;
+use crate::platform::groups::Leave;
 use crate::platform::topics::Appended;
 use crate::platform::topics::Condition;
 use crate::platform::topics::Partition;
@@ -55,6 +59,7 @@
 struct Shared {
     topics: Mutex<HashMap<(String, u64), Partition>>,
     changed: Condvar,
+    groups: Mutex<HashMap<String, Group>>,
 }
 
 /// `PlatformStore` is one door to a store. Doors share the topics, and each has a fault of its own,
@@ -144,6 +149,10 @@
             ("GET", "/api/log-read") => self.serve_read(request),
             ("GET", "/api/log-newest") => self.serve_newest(request),
             ("POST", "/api/log-trim") => self.serve_trim(request),
+            ("POST", "/api/log-join") => self.serve_join(request),
+            ("POST", "/api/log-leave") => self.serve_leave(request),
+            ("POST", "/api/log-commit") => self.serve_commit(request),
+            ("GET", "/api/log-owners") => self.serve_owners(request),
             _ => Reply::not_found(),
         }
     }
@@ -220,6 +229,62 @@
     }
 }
 
+impl PlatformStore {
+    fn serve_join(&self, request: &Request) -> Reply {
+        let join: Join = match request.json() {
+            Ok(join) => join,
+            Err(reply) => return reply,
+        };
+        let mut groups = self.shared.groups.lock();
+        let group = groups.entry(join.group.clone()).or_default();
+        let (generation, owned) = group.join(Instant::now(), &join);
+        let parts: Vec<_> = owned
+            .iter()
+            .map(|it| json!([it.topic, it.part, it.offset]))
+            .collect();
+        Reply::json(
+            200,
+            &json!({"generation": generation, "ttl_ms": join.ttl_ms, "parts": parts}),
+        )
+    }
+
+    fn serve_leave(&self, request: &Request) -> Reply {
+        let leave: Leave = match request.json() {
+            Ok(leave) => leave,
+            Err(reply) => return reply,
+        };
+        if let Some(group) = self.shared.groups.lock().get_mut(&leave.group) {
+            group.leave(&leave.member);
+        }
+        Reply::ok()
+    }
+
+    fn serve_commit(&self, request: &Request) -> Reply {
+        let commit: Commit = match request.json() {
+            Ok(commit) => commit,
+            Err(reply) => return reply,
+        };
+        let mut groups = self.shared.groups.lock();
+        let group = groups.entry(commit.group.clone()).or_default();
+        match group.commit(Instant::now(), &commit) {
+            true => Reply::ok(),
+            false => Reply::json(409, &json!({})),
+        }
+    }
+
+    fn serve_owners(&self, request: &Request) -> Reply {
+        let name = request.query_text("group").unwrap_or_default();
+        let groups = self.shared.groups.lock();
+        let owned = groups.get(name.as_ref()).map(Group::owners);
+        let rows: Vec<_> = owned
+            .unwrap_or_default()
+            .iter()
+            .map(|it| json!([it.topic, it.part, it.member, it.offset]))
+            .collect();
+        Reply::json(200, &json!({"parts": rows}))
+    }
+}
+
 impl Handler for PlatformStore {
     fn handle(self: Arc<Self>, request: &Request) -> Reply {
         *self.calls.lock().entry(request.path.clone()).or_default() += 1;
