Refusals of requests that ran out of time say when to come back

Cause: since requests that upstreams turn away wait for repeats, they may end by their time and not by giving up, and these two refusals (at the deadline, and too little time for a send) had no such time. Ruled out: a refusal that was not true (the request ran nowhere).

Change: both carry 300 ms where the request has run nowhere.

Test: refusal_at_the_deadline_is_true has twelve callers use the repeats up; it and refusal_is_true fail without the change (seen) and passed five times of five with it.

--- a/crates/dispatch/src/dispatcher.rs
+++ b/crates/dispatch/src/dispatcher.rs
@@ -36,6 +36,10 @@
 use crate::options::routing_options;
 use crate::suspension::Suspensions;
 
+/// When a caller should come back whose request found no free upstream in its time: they are full for
+/// moments.
+const LATE_RETRY_AFTER_MS: u64 = 300;
+
 /// `Dispatcher` decides for one VM where requests go.
 pub struct Dispatcher {
     options: DispatcherOptions,
@@ -308,8 +312,9 @@
     fn late(&self, job: &Job) -> Refusal {
         let detail = "no upstream was free in time".to_owned();
         let mut refusal = Refusal::not_run(RefusalReason::DeadlineTooShort, detail);
-        if job.runs > 0 {
-            refusal.ran = Ran::Unknown;
+        match job.runs {
+            0 => refusal = refusal.retry_after(LATE_RETRY_AFTER_MS),
+            _ => refusal.ran = Ran::Unknown,
         }
         refusal
     }
--- a/crates/entry/src/ending.rs
+++ b/crates/entry/src/ending.rs
@@ -11,6 +11,7 @@
 
 use crate::active::Phase;
 use crate::daemon::Daemon;
+use crate::failing::RETRY_AFTER_MS;
 
 impl Daemon {
     /// Refuses an active request.
@@ -120,7 +121,10 @@
             false => RefusalReason::DeadlineTooShort,
         };
         let mut refusal = Refusal::not_run(reason, "the time is over");
-        refusal.ran = ran;
+        match ran {
+            Ran::NotRun => refusal = refusal.retry_after(RETRY_AFTER_MS),
+            _ => refusal.ran = ran,
+        }
         self.cancel_try(key);
         self.refuse(key, &refusal);
     }
--- a/crates/entry/src/failing.rs
+++ b/crates/entry/src/failing.rs
@@ -15,7 +15,7 @@
 use crate::outbound::Peer;
 
 /// When a refused caller should come back: engines turn requests away for moments.
-const RETRY_AFTER_MS: u64 = 300;
+pub(crate) const RETRY_AFTER_MS: u64 = 300;
 
 /// The time between two looks whether the budget has a repeat for a request. Requests earn one each
 /// few milliseconds where many come.
