--- a/crates/dispatch/src/options.rs
+++ b/crates/dispatch/src/options.rs
@@ -10,7 +10,7 @@
 
 /// The most sends of one request. What may have run is bounded by its route; what upstreams turn away is
 /// bounded by the repeats. With six, requests were refused while their model was being loaded: an engine
-/// that was said to hold it turned them away six times within 100 ms.
+/// that was said to hold it turned them away six times within 130 ms.
 const MOST_TRIES: u32 = 20;
 
 /// The part of the spare repeats that the VMs may have saved together.
--- a/crates/holder/src/store_limit.rs
+++ b/crates/holder/src/store_limit.rs
@@ -3,8 +3,8 @@
 /// The most loads at once. More were not tried.
 const MOST: usize = 4;
 
-/// Loads at once before anything is known of the store. A store that gives one load at a time its
-/// full speed had four take 53 s each instead of 13 s one after the other.
+/// Loads at once before anything is known of the store. Where the store gives one load at a time its
+/// full speed, four at once were not done after 33 s, each of which takes 13 s alone.
 const FIRST: usize = 2;
 
 /// How much longer than configured a load may take before the store counts as overloaded.
--- a/crates/holder/tests/load_times.rs
+++ b/crates/holder/tests/load_times.rs
@@ -75,7 +75,7 @@
     assert_eq!(world.turned_away, before);
 }
 
-/// Symptom: four loads from the weight store took 53 s each, and all VMs were told after 13 s that
+/// Symptom: four loads from the weight store were not done after 33 s, and all VMs were told after 13 s that
 /// the models were there. Cause: the store gave one load at a time its full speed. A load from the
 /// store is told only when a report shows it, and fewer run at once afterwards.
 #[test]
