Engines that start again under their name; entries of other writers

Cause: whatever is kept of an engine was kept by its name, and a name now outlives a run. A later run's entry with a lower revision was dropped as old; what the former run held, its orders, its load and its requests counted on. An entry with an unknown state counted as serving, one with missing fields as empty, and one bad record or value ended a whole read, again at each try. A key was put into a query as it stood. Ruled out: a check of the start in each room; there are eleven that keep something by name. Change: an upstream's name is that of one run (instance and start), so all that is kept by it ends with the run; the instance is used only on the wire. Directory: a later start ends the run before it, an earlier one changes nothing, also after the later is gone; a report that tells a later start is believed while the list can't be read. Requests at a process that has ended end once they have been silent for 0.5 s. Entries need every field that each upstream writes, of its type; what is not understood names nobody to send to, is counted, told once a key, and ends the use of the run that stood there until its own entry is back, so that readers of each change and of the newest only agree. Tests: foreign_entries on the code before: 13 of its 26 cases failed (unknown state, born of another type, missing zone, version, slots, state, sequence or warm-up, a bad value in a page, a key in a query); upstream_restarts (fleet) needs the new fields; upstream_restarts (platform) with the start ignored: request_of_a_former_run_ends failed (no answer in 20 s), later_run_gets_orders passed, because an order that meets another count reads a report anyhow.

--- a/crates/core/src/names.rs
+++ b/crates/core/src/names.rs
@@ -71,6 +71,11 @@
     /// `UpstreamName` is the name of a model engine or of one instance of a plain service.
     UpstreamName
 }
+name_type! {
+    /// `InstanceName` is the name under which the platform knows an upstream. An upstream may start
+    /// again under it; each of its runs has an [`UpstreamName`] of its own.
+    InstanceName
+}
 name_type! {
     /// `GroupName` is the name of a group of equal upstreams, such as `planner-lm`.
     GroupName
--- a/crates/dispatch/tests/support/mod.rs
+++ b/crates/dispatch/tests/support/mod.rs
@@ -6,6 +6,7 @@
 use std::sync::Arc;
 
 use apricotdale_core::names::GroupName;
+use apricotdale_core::names::InstanceName;
 use apricotdale_core::names::ModelName;
 use apricotdale_core::names::UpstreamName;
 use apricotdale_core::names::ZoneName;
@@ -81,6 +82,8 @@
     }
     Upstream {
         name: UpstreamName::from(name),
+        instance: InstanceName::from(name),
+        born_ms: 0,
         service: GroupName::from(service),
         address: "127.0.0.1:1".parse().expect("an address"),
         zone: ZoneName::from(zone),
--- a/crates/entry/src/answering.rs
+++ b/crates/entry/src/answering.rs
@@ -38,6 +38,7 @@
 impl Daemon {
     /// Goes on with the answer to a caller's request.
     pub(crate) fn advance_relay(&mut self, token: Token, key: u64, stands: bool) {
+        let now_ms = self.now_ms;
         loop {
             let too_full = self.caller_is_behind(key);
             let Some(connection) = self.outbound.get_mut(token) else {
@@ -58,7 +59,7 @@
                         return;
                     }
                 }
-                Part::Wait if connection.is_full() => connection.read(),
+                Part::Wait if connection.is_full() => connection.read(now_ms),
                 Part::Wait if stands => return,
                 Part::Wait | Part::Failed => {
                     self.connection_failed(token, key);
@@ -78,13 +79,14 @@
 
     /// Reads an answer that nobody waits for to its end.
     pub(crate) fn advance_drain(&mut self, token: Token) {
+        let now_ms = self.now_ms;
         loop {
             let Some(connection) = self.outbound.get_mut(token) else {
                 return;
             };
             match connection.next_part() {
                 Part::Head(_) | Part::Body(_) => {}
-                Part::Wait if connection.is_full() => connection.read(),
+                Part::Wait if connection.is_full() => connection.read(now_ms),
                 Part::Wait => return,
                 Part::End => {
                     self.outbound
@@ -148,10 +150,11 @@
             return;
         };
         let upstream = upstream.clone();
-        let is_other = fields
-            .answered_by
-            .as_ref()
-            .is_some_and(|other| *other != upstream);
+        let known = self.directory.upstream(&upstream);
+        let is_other = match (&fields.answered_by, known) {
+            (Some(other), Some(known)) => *other != known.instance,
+            _ => false,
+        };
         match (is_other, &request.job.wanted) {
             (true, _) => {
                 self.directory.note_vanished(self.now_ms, &upstream, false);
--- a/crates/entry/src/calling.rs
+++ b/crates/entry/src/calling.rs
@@ -110,7 +110,7 @@
         let Some(connection) = self.outbound.get_mut(token) else {
             return;
         };
-        connection.begin(Purpose::Call(tag), bytes, false);
+        connection.begin(now_ms, Purpose::Call(tag), bytes, false);
         connection.call_until_ms = Some(now_ms + timeout_ms);
         self.call_alarm_ms = self.call_alarm_ms.min(now_ms + timeout_ms);
         if !connection.stream.flush() {
--- a/crates/entry/src/codec.rs
+++ b/crates/entry/src/codec.rs
@@ -2,8 +2,8 @@
 
 use std::fmt;
 
+use apricotdale_core::names::InstanceName;
 use apricotdale_core::names::RequestId;
-use apricotdale_core::names::UpstreamName;
 use apricotdale_core::refusal::Refusal;
 use apricotdale_dispatch::LoadSample;
 use apricotdale_fleet::Configuration;
@@ -44,7 +44,7 @@
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub struct ForwardFields {
     /// The upstream that is meant; another one at its address must not run the request.
-    pub upstream: UpstreamName,
+    pub instance: InstanceName,
     /// The time that is left for the request.
     pub left_ms: u64,
     /// The last event that the caller has, if the stream is resumed.
@@ -69,7 +69,7 @@
     /// The upstream's load.
     pub load: Option<LoadSample>,
     /// The upstream that answered, if it says so.
-    pub answered_by: Option<UpstreamName>,
+    pub answered_by: Option<InstanceName>,
     /// How long the connection may stay idle.
     pub idle_ms: Option<u64>,
 }
@@ -238,7 +238,7 @@
     fn order_answer(&self, order: &OrderKind, status: u16, body: &[u8]) -> OrderOutcome;
 
     /// Returns the call that reads an engine's report.
-    fn report(&self, engine: &UpstreamName) -> Vec<u8>;
+    fn report(&self, instance: &InstanceName) -> Vec<u8>;
 
     /// Decodes its answer.
     ///
--- a/crates/entry/src/daemon.rs
+++ b/crates/entry/src/daemon.rs
@@ -7,6 +7,7 @@
 use std::os::unix::net::UnixStream as StdUnixStream;
 use std::time::Duration;
 
+use apricotdale_core::names::UpstreamName;
 use apricotdale_core::names::VmName;
 use apricotdale_dispatch::Dispatcher;
 use apricotdale_dispatch::DispatcherOptions;
@@ -86,6 +87,8 @@
     pub(crate) directory: Directory,
     pub(crate) dispatcher: Dispatcher,
     pub(crate) news: NewsBoard,
+    /// Runs of upstreams that are over and at which requests seem to be in progress.
+    pub(crate) former_runs: Vec<UpstreamName>,
     pub(crate) feeds: Feeds,
     pub(crate) ordering: Ordering,
     pub(crate) peers: Peers,
@@ -158,6 +161,7 @@
             directory: Directory::new(DirectoryOptions::default()),
             dispatcher: Dispatcher::new(options),
             news: NewsBoard::default(),
+            former_runs: Vec::new(),
             feeds: Feeds::default(),
             sharing: Sharing::default(),
             stopping: Stopping::default(),
@@ -310,12 +314,13 @@
 
     /// Goes on with a connection that this VM opened.
     fn advance_outbound(&mut self, token: Token, writable: bool) {
+        let now_ms = self.now_ms;
         let Some(connection) = self.outbound.get_mut(token) else {
             return;
         };
         let stands = !writable || connection.stream.flush();
         if !connection.paused {
-            connection.read();
+            connection.read(now_ms);
         }
         match connection.purpose.clone() {
             Purpose::Idle => {
@@ -361,6 +366,7 @@
         if self.stopping.takes_nobody(self.now_ms) {
             self.listeners.remove(&CALLERS);
         }
+        self.end_former_runs();
         for name in self.directory.expire(self.now_ms) {
             self.upstream_left(&name, "lapsed");
         }
--- a/crates/entry/src/metrics.rs
+++ b/crates/entry/src/metrics.rs
@@ -30,6 +30,7 @@
     orders: Family<CallLabels, Counter>,
     takeovers: Counter,
     stood_still: Counter,
+    foreign_entries: Counter,
     first_answer_ms: Histogram,
     wait_ms: Histogram,
     gap_ms: Histogram,
@@ -55,6 +56,7 @@
             orders: Family::default(),
             takeovers: Counter::default(),
             stood_still: Counter::default(),
+            foreign_entries: Counter::default(),
             first_answer_ms: Histogram::new(buckets()),
             wait_ms: Histogram::new(buckets()),
             gap_ms: Histogram::new(buckets()),
@@ -102,6 +104,11 @@
             "Times that this VM stood still",
             self.stood_still.clone(),
         );
+        registry.register(
+            "foreign_entries",
+            "Entries of the list that name nobody to send to",
+            self.foreign_entries.clone(),
+        );
         registry.register(
             "first_answer_ms",
             "From arrival to the first part of the answer",
@@ -184,6 +191,11 @@
         self.takeovers.inc();
     }
 
+    /// Counts an entry of the list that names nobody to send to.
+    pub fn foreign_entry(&self) {
+        self.foreign_entries.inc();
+    }
+
     /// Counts that this VM stood still.
     pub fn stood_still(&self) {
         self.stood_still.inc();
--- a/crates/entry/src/ordering.rs
+++ b/crates/entry/src/ordering.rs
@@ -6,9 +6,11 @@
 use apricotdale_core::names::ModelName;
 use apricotdale_core::names::UpstreamName;
 use apricotdale_core::names::VmName;
+use apricotdale_fleet::DirectoryChange;
 use apricotdale_fleet::WantedModel;
 use apricotdale_holder::DemandBook;
 use apricotdale_holder::DemandRow;
+use apricotdale_holder::EngineReport;
 use apricotdale_holder::Lease;
 use apricotdale_holder::LeaseAction;
 use apricotdale_holder::LeaseAnswer;
@@ -310,6 +312,7 @@
             return;
         };
         let address = upstream.address;
+        let instance = upstream.instance.clone();
         log::info!(
             engine = engine.to_string(), order = kind.as_str(), model = kind.model().to_string(),
             fence, orders_before;
@@ -317,6 +320,7 @@
         );
         let order = Order {
             engine: engine.clone(),
+            instance,
             address,
             kind: kind.clone(),
             holder: self.settings.vm.clone(),
@@ -335,15 +339,12 @@
     }
 
     fn read_report(&mut self, engine: UpstreamName) {
-        let Some(address) = self
-            .directory
-            .upstream(&engine)
-            .map(|upstream| upstream.address)
-        else {
+        let Some(upstream) = self.directory.upstream(&engine) else {
             self.report_ended(&engine, CallOutcome::NotSent);
             return;
         };
-        let bytes = self.codecs.engines.report(&engine);
+        let address = upstream.address;
+        let bytes = self.codecs.engines.report(&upstream.instance);
         let peer = Peer::Upstream(engine.clone());
         self.call(
             peer,
@@ -407,12 +408,36 @@
         }
     }
 
+    /// Returns whether a report comes from another run of the engine than the one that was asked.
+    fn is_of_other_run(&self, engine: &UpstreamName, report: &EngineReport) -> bool {
+        self.directory
+            .upstream(engine)
+            .is_some_and(|known| known.born_ms > 0 && report.born_ms > known.born_ms)
+    }
+
+    /// Takes in that an engine has started again, as its report tells before the list does. What
+    /// was known of its former run would give wrong orders: it holds nothing of it.
+    fn engine_restarted(&mut self, former: &UpstreamName, report: EngineReport) {
+        let change = self
+            .directory
+            .note_restart(former, report.born_ms, report.residence);
+        if matches!(change, DirectoryChange::Restarted { .. }) {
+            self.sharing.note_came();
+            self.upstream_left(former, "restarted");
+            self.ordering.next_plan_ms = self.now_ms;
+        }
+    }
+
     /// Takes in an engine's report.
     pub(crate) fn report_ended(&mut self, engine: &UpstreamName, outcome: CallOutcome) {
         let now_ms = self.now_ms;
         let report = match outcome {
             CallOutcome::Answered { status, body } => {
                 match self.codecs.engines.report_answer(status, &body) {
+                    Ok(report) if self.is_of_other_run(engine, &report) => {
+                        self.engine_restarted(engine, report);
+                        return;
+                    }
                     Ok(report) => Some(report),
                     Err(error) => {
                         log::warn!(
--- a/crates/entry/src/outbound.rs
+++ b/crates/entry/src/outbound.rs
@@ -89,6 +89,8 @@
     to_head: bool,
     keeps: bool,
     ended: Option<ReadEnd>,
+    /// When bytes last came, or the exchange began.
+    pub heard_ms: u64,
     idle_ms: u64,
     idle_until_ms: u64,
     /// Until when the connection has to be established.
@@ -99,8 +101,9 @@
 
 impl Outbound {
     /// Begins an exchange: writes a whole request.
-    pub fn begin(&mut self, purpose: Purpose, bytes: &[u8], to_head: bool) {
+    pub fn begin(&mut self, now_ms: u64, purpose: Purpose, bytes: &[u8], to_head: bool) {
         self.purpose = purpose;
+        self.heard_ms = now_ms;
         self.parse = Parse::Head;
         self.to_head = to_head;
         self.keeps = true;
@@ -109,9 +112,13 @@
     }
 
     /// Reads what is there.
-    pub fn read(&mut self) {
+    pub fn read(&mut self, now_ms: u64) {
         if self.ended.is_none() {
+            let before = self.input.len();
             let end = self.stream.read(&mut self.input, READ_LIMIT_BYTES);
+            if self.input.len() > before {
+                self.heard_ms = now_ms;
+            }
             if matches!(end, ReadEnd::Closed | ReadEnd::Broken) {
                 self.ended = Some(end);
             }
@@ -256,6 +263,7 @@
             to_head: false,
             keeps: true,
             ended: None,
+            heard_ms: now_ms,
             idle_ms: DEFAULT_IDLE_MS,
             idle_until_ms: 0,
             connect_until_ms: Some(now_ms + CONNECT_MS),
@@ -338,6 +346,19 @@
         late
     }
 
+    /// Returns the connections to a peer on which callers' requests are in progress and nothing has
+    /// come since a time.
+    pub fn silent_relays(&self, peer: &Peer, since_ms: u64) -> Vec<(Token, u64)> {
+        self.connections
+            .iter()
+            .filter(|(_, it)| it.peer == *peer && it.heard_ms <= since_ms)
+            .filter_map(|(token, it)| match it.purpose {
+                Purpose::Relay(key) => Some((*token, key)),
+                _ => None,
+            })
+            .collect()
+    }
+
     /// Returns when the first call in progress is given up.
     pub fn next_call_until_ms(&self) -> Option<u64> {
         self.connections
--- a/crates/entry/src/serving.rs
+++ b/crates/entry/src/serving.rs
@@ -200,6 +200,7 @@
             return;
         };
         let address = upstream.address;
+        let instance = upstream.instance.clone();
         let peer = Peer::Upstream(name.clone());
         let Some(token) = self.connect(&peer, address) else {
             log::warn!(upstream = name.to_string(); "no connection can be opened");
@@ -213,7 +214,7 @@
             self.metrics.waited(now_ms - request.job.arrived_ms);
         }
         let fields = ForwardFields {
-            upstream: name.clone(),
+            instance,
             left_ms: request.job.deadline_ms.saturating_sub(now_ms),
             last_event: request.events.last_id().or(request.serving.last_event),
             rank: request.job.rank,
@@ -235,7 +236,7 @@
         let to_head = request.head.method.eq_ignore_ascii_case("HEAD");
         self.dispatcher.sent(now_ms, &request.job, &name);
         if let Some(connection) = self.outbound.get_mut(token) {
-            connection.begin(Purpose::Relay(key), &bytes, to_head);
+            connection.begin(now_ms, Purpose::Relay(key), &bytes, to_head);
             let stands = connection.stream.flush();
             if !stands {
                 self.advance_relay(token, key, false);
--- a/crates/fleet/src/directory.rs
+++ b/crates/fleet/src/directory.rs
@@ -5,6 +5,7 @@
 use std::sync::Arc;
 
 use apricotdale_core::names::GroupName;
+use apricotdale_core::names::InstanceName;
 use apricotdale_core::names::UpstreamName;
 
 use crate::configuration::Configuration;
@@ -12,9 +13,11 @@
 use crate::configuration::Service;
 use crate::errors::Error;
 use crate::errors::Result;
+use crate::residence::Residence;
 use crate::routes::RouteTable;
 use crate::upstream::Upstream;
 use crate::upstream::UpstreamPhase;
+use crate::upstream::run_name;
 
 /// `DirectoryOptions` are the directory's times.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
@@ -33,7 +36,7 @@
 }
 
 /// `DirectoryChange` is what a fact changed.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+#[derive(Clone, Debug, PartialEq, Eq)]
 pub enum DirectoryChange {
     /// Nothing that matters.
     None,
@@ -41,10 +44,32 @@
     Came,
     /// An upstream no longer takes new work, or is gone.
     Left,
+    /// An instance has started again; its former run is over, with all that it had of requests.
+    Restarted {
+        /// The former run.
+        former: UpstreamName,
+    },
     /// What an upstream holds has changed.
     Residence,
 }
 
+/// `GoneRun` is what is remembered of a run that is over.
+#[derive(Clone, Copy, Debug)]
+struct GoneRun {
+    /// Its last revision. An entry that was written before the end can still be read later; it must
+    /// not bring the run back.
+    revision: u64,
+    /// Whether its instance has started again.
+    restarted: bool,
+}
+
+/// `NewestRun` is the latest run of an instance that is known.
+#[derive(Clone, Debug)]
+struct NewestRun {
+    born_ms: u64,
+    name: UpstreamName,
+}
+
 /// `Directory` keeps the newest configuration and the upstreams.
 ///
 /// It never goes back: an older configuration, and an older entry of an upstream, change nothing.
@@ -56,9 +81,10 @@
     upstreams: HashMap<UpstreamName, Upstream>,
     /// Upstreams whose entries vanished around an outage, with the time until which they are used.
     lapsed: HashMap<UpstreamName, u64>,
-    /// The last revision of each upstream that is gone. An entry that was written before the end
-    /// can still be read later; it must not bring the upstream back.
-    gone: HashMap<UpstreamName, u64>,
+    gone: HashMap<UpstreamName, GoneRun>,
+    /// The latest run of each instance, also of those that are gone: an entry of an earlier run can
+    /// be read after it.
+    runs: HashMap<InstanceName, NewestRun>,
     listed: bool,
 }
 
@@ -124,16 +150,22 @@
         self.configuration.services.get(name)
     }
 
-    /// Takes in an entry of the list.
+    /// Takes in an entry of the list. One of an earlier run than the latest that is known changes
+    /// nothing, and one of a later run ends the run before it.
     pub fn note_entry(&mut self, entry: Upstream) -> DirectoryChange {
+        let newest = self.runs.get(&entry.instance);
+        if newest.is_some_and(|newest| entry.born_ms < newest.born_ms) {
+            return DirectoryChange::None;
+        }
         match self.gone.get(&entry.name) {
-            Some(last) if entry.revision <= *last => return DirectoryChange::None,
+            Some(last) if last.restarted || entry.revision <= last.revision => {
+                return DirectoryChange::None;
+            }
             _ => self.gone.remove(&entry.name),
         };
         self.lapsed.remove(&entry.name);
         let Some(known) = self.upstreams.get_mut(&entry.name) else {
-            self.upstreams.insert(entry.name.clone(), entry);
-            return DirectoryChange::Came;
+            return self.begin_run(entry);
         };
         if entry.revision < known.revision {
             return DirectoryChange::None;
@@ -154,6 +186,82 @@
         change
     }
 
+    /// Takes in a run that is not known yet.
+    fn begin_run(&mut self, entry: Upstream) -> DirectoryChange {
+        let newest = NewestRun {
+            born_ms: entry.born_ms,
+            name: entry.name.clone(),
+        };
+        let former = self.runs.insert(entry.instance.clone(), newest);
+        let former = former.map(|former| former.name);
+        let former = former.filter(|former| *former != entry.name);
+        self.upstreams.insert(entry.name.clone(), entry);
+        match former {
+            Some(former) if self.end_run(&former) => DirectoryChange::Restarted { former },
+            _ => DirectoryChange::Came,
+        }
+    }
+
+    /// Ends a run whose instance has started again. Returns whether it was still known.
+    fn end_run(&mut self, former: &UpstreamName) -> bool {
+        let was_known = self.upstreams.contains_key(former);
+        self.remove(former);
+        if let Some(gone) = self.gone.get_mut(former) {
+            gone.restarted = true;
+        }
+        was_known
+    }
+
+    /// Takes in that an upstream says of itself that it started later than the run that is known:
+    /// its entry in the list is still the one of the former run. The later run is taken from what
+    /// the upstream says it holds, at the address at which it answered.
+    pub fn note_restart(
+        &mut self,
+        former: &UpstreamName,
+        born_ms: u64,
+        residence: Residence,
+    ) -> DirectoryChange {
+        match self.upstreams.get(former) {
+            Some(known) if known.born_ms > 0 && born_ms > known.born_ms => {
+                let entry = Upstream {
+                    name: run_name(&known.instance, born_ms),
+                    born_ms,
+                    phase: UpstreamPhase::Serving,
+                    leaves_in_ms: None,
+                    revision: 0,
+                    residence,
+                    ..known.clone()
+                };
+                self.note_entry(entry)
+            }
+            _ => DirectoryChange::None,
+        }
+    }
+
+    /// Returns the latest run of an instance that is known, unless it is gone.
+    pub fn run_of(&self, instance: &InstanceName) -> Option<&UpstreamName> {
+        let name = &self.runs.get(instance)?.name;
+        self.upstreams.contains_key(name).then_some(name)
+    }
+
+    /// Returns whether a run is over because its instance has started again: whatever it had of
+    /// requests has ended.
+    pub fn has_restarted(&self, name: &UpstreamName) -> bool {
+        self.gone.get(name).is_some_and(|gone| gone.restarted)
+    }
+
+    /// Takes in an entry that is none of the upstream's own: another writer has put it there. It
+    /// names nobody to send to, so the run that stood there is not used until its own entry is back.
+    pub fn note_foreign(&mut self, instance: &InstanceName) -> DirectoryChange {
+        match self.run_of(instance).cloned() {
+            Some(name) => {
+                self.remove(&name);
+                DirectoryChange::Left
+            }
+            None => DirectoryChange::None,
+        }
+    }
+
     /// Takes in that an upstream takes no new work any more, as another VM has read.
     pub fn note_leaving(&mut self, name: &UpstreamName) -> DirectoryChange {
         match self.upstreams.get_mut(name) {
@@ -188,19 +296,21 @@
         }
     }
 
-    /// Takes in a whole list. Upstreams that it does not name have vanished.
+    /// Takes in a whole list. Upstreams that it does not name have vanished. Returns those that take
+    /// no new work any more, former runs among them.
     pub fn note_listing(
         &mut self,
         now_ms: u64,
         entries: Vec<Upstream>,
         outage: bool,
     ) -> Vec<UpstreamName> {
-        let named: HashSet<UpstreamName> = entries.iter().map(|entry| entry.name.clone()).collect();
+        let named: HashSet<InstanceName> =
+            entries.iter().map(|entry| entry.instance.clone()).collect();
         let missing: Vec<UpstreamName> = self
             .upstreams
-            .keys()
-            .filter(|name| !named.contains(name))
-            .cloned()
+            .values()
+            .filter(|upstream| !named.contains(&upstream.instance))
+            .map(|upstream| upstream.name.clone())
             .collect();
         let mut left = Vec::new();
         for name in missing {
@@ -210,8 +320,10 @@
         }
         for entry in entries {
             let name = entry.name.clone();
-            if self.note_entry(entry) == DirectoryChange::Left {
-                left.push(name);
+            match self.note_entry(entry) {
+                DirectoryChange::Left => left.push(name),
+                DirectoryChange::Restarted { former } => left.push(former),
+                _ => {}
             }
         }
         self.listed = true;
@@ -257,7 +369,11 @@
     fn remove(&mut self, name: &UpstreamName) {
         self.lapsed.remove(name);
         if let Some(known) = self.upstreams.remove(name) {
-            self.gone.insert(name.clone(), known.revision);
+            let gone = GoneRun {
+                revision: known.revision,
+                restarted: false,
+            };
+            self.gone.insert(name.clone(), gone);
         }
     }
 }
--- a/crates/fleet/src/lib.rs
+++ b/crates/fleet/src/lib.rs
@@ -38,3 +38,4 @@
 pub use routes::RouteTable;
 pub use upstream::Upstream;
 pub use upstream::UpstreamPhase;
+pub use upstream::run_name;
--- a/crates/fleet/src/upstream.rs
+++ b/crates/fleet/src/upstream.rs
@@ -3,6 +3,7 @@
 use std::net::SocketAddr;
 
 use apricotdale_core::names::GroupName;
+use apricotdale_core::names::InstanceName;
 use apricotdale_core::names::UpstreamName;
 use apricotdale_core::names::ZoneName;
 
@@ -17,11 +18,26 @@
     Leaving,
 }
 
+/// Returns the name of one run of an instance. A restart under the same instance has another name,
+/// so whatever is kept by an upstream's name ends with the run: what it held, what it was told to
+/// do, how loaded and how trusted it was. Without a time of start (0) the instance is the run.
+pub fn run_name(instance: &InstanceName, born_ms: u64) -> UpstreamName {
+    match born_ms {
+        0 => UpstreamName::from(instance.as_str()),
+        _ => UpstreamName::from(format!("{instance}@{born_ms}")),
+    }
+}
+
 /// `Upstream` is one run of one upstream process.
 #[derive(Clone, Debug, PartialEq)]
 pub struct Upstream {
-    /// The identity of this run; a restart has another.
+    /// The identity of this run ([`run_name`]).
     pub name: UpstreamName,
+    /// The name under which the platform knows it, and under which it may start again.
+    pub instance: InstanceName,
+    /// When this run started, in Unix milliseconds by the upstream's clock; 0 if it is not told. A
+    /// larger one is a later run.
+    pub born_ms: u64,
     /// Its service.
     pub service: GroupName,
     /// Where it serves. Another upstream may use the address later.
--- a/crates/fleet/tests/directory_entries.rs
+++ b/crates/fleet/tests/directory_entries.rs
@@ -1,6 +1,7 @@
 //! Entries of upstreams: what is learned, what is not taken back, and lapses around outages.
 
 use apricotdale_core::names::GroupName;
+use apricotdale_core::names::InstanceName;
 use apricotdale_core::names::ModelName;
 use apricotdale_core::names::UpstreamName;
 use apricotdale_core::names::ZoneName;
@@ -24,6 +25,8 @@
 fn entry(name: &str, revision: u64) -> Upstream {
     Upstream {
         name: UpstreamName::from(name),
+        instance: InstanceName::from(name),
+        born_ms: 0,
         service: GroupName::from("s"),
         address: "127.0.0.1:1".parse().expect("an address"),
         zone: ZoneName::from("a"),
--- a/crates/holder/src/orders.rs
+++ b/crates/holder/src/orders.rs
@@ -2,6 +2,7 @@
 
 use std::net::SocketAddr;
 
+use apricotdale_core::names::InstanceName;
 use apricotdale_core::names::ModelName;
 use apricotdale_core::names::UpstreamName;
 use apricotdale_core::names::VmName;
@@ -58,8 +59,10 @@
 /// `Order` is one order to one run of an engine.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub struct Order {
-    /// The engine.
+    /// The run of the engine that is meant.
     pub engine: UpstreamName,
+    /// The engine as the platform names it.
+    pub instance: InstanceName,
     /// Where it serves.
     pub address: SocketAddr,
     /// What to do.
@@ -116,6 +119,8 @@
 /// `EngineReport` is what an engine says of itself. It lags by some hundred milliseconds.
 #[derive(Clone, Debug, Default, PartialEq, Eq)]
 pub struct EngineReport {
+    /// When the run that reports has started; 0 if it does not say.
+    pub born_ms: u64,
     /// What it holds.
     pub residence: Residence,
     /// Adapters on their way, by model. They take places already.
--- a/crates/holder/tests/support/engine.rs
+++ b/crates/holder/tests/support/engine.rs
@@ -239,6 +239,7 @@
     pub fn report(&self) -> EngineReport {
         let past = self.history.front().expect("it has been advanced");
         EngineReport {
+            born_ms: 0,
             residence: past.residence.clone(),
             coming: past.coming.clone(),
             busy: past.busy,
--- a/crates/holder/tests/support/mod.rs
+++ b/crates/holder/tests/support/mod.rs
@@ -9,6 +9,7 @@
 use std::sync::Arc;
 
 use apricotdale_core::names::GroupName;
+use apricotdale_core::names::InstanceName;
 use apricotdale_core::names::ModelName;
 use apricotdale_core::names::UpstreamName;
 use apricotdale_core::names::VmName;
@@ -131,6 +132,8 @@
             let fake = FakeEngine::new(models);
             directory.note_entry(Upstream {
                 name: name.clone(),
+                instance: InstanceName::from(name.as_str()),
+                born_ms: 0,
                 service: service.clone(),
                 address: "127.0.0.1:1".parse().expect("an address"),
                 zone: ZoneName::from("a"),
--- a/crates/standins/src/platform/engine.rs
+++ b/crates/standins/src/platform/engine.rs
@@ -21,10 +21,16 @@
 use crate::platform::serving::RunSeen;
 use crate::platform::store::PlatformStore;
 
+/// When the first run of each engine starts, in Unix milliseconds.
+const FIRST_BORN_MS: u64 = 1_700_000_000_000;
+
+/// How much later each further run starts.
+const NEXT_BORN_MS: u64 = 1_000;
+
 /// `EngineOptions` is what an engine is like.
 #[derive(Clone, Debug)]
 pub struct EngineOptions {
-    /// The run's identity.
+    /// The identity under which it starts, also again.
     pub instance: String,
     /// The service.
     pub service: String,
@@ -82,7 +88,7 @@
     pub holders: Vec<(u64, String)>,
 }
 
-/// `PlatformEngine` is one run of a model engine.
+/// `PlatformEngine` is a model engine. It can start again under its identity.
 pub struct PlatformEngine {
     options: EngineOptions,
     holdings: Mutex<Holdings>,
@@ -98,6 +104,14 @@
     revision: u64,
     draining: bool,
     gone: bool,
+    /// How often the engine has started again.
+    restarts: u64,
+}
+
+impl Entry {
+    fn born_ms(&self) -> u64 {
+        FIRST_BORN_MS + self.restarts * NEXT_BORN_MS
+    }
 }
 
 impl PlatformEngine {
@@ -135,11 +149,40 @@
         value["state"] = json!(if entry.draining { "draining" } else { "ready" });
         value["cold_remaining_ms"] = json!(0);
         value["sequence"] = json!(entry.revision);
+        value["born"] = json!(entry.born_ms());
         let bytes = value.to_string().into_bytes();
         self.store
             .put("keyed.servers", &self.options.instance, &bytes);
     }
 
+    /// Starts the engine again under its identity: it holds only what is on its disk, and counts
+    /// from the beginning. What the run before had of requests stays without an answer. The entry
+    /// is written with the next [`PlatformEngine::announce`].
+    pub fn restart(&self) {
+        let mut entry = self.entry.lock();
+        entry.restarts += 1;
+        entry.revision = 0;
+        entry.draining = false;
+        self.holdings.lock().restart();
+    }
+
+    /// Returns the bytes of the engine's entry as it was last written.
+    pub fn entry(&self) -> Option<Vec<u8>> {
+        self.store.newest("keyed.servers", &self.options.instance)
+    }
+
+    /// Writes other bytes where the engine's entry stands.
+    pub fn overwrite_entry(&self, bytes: &[u8]) {
+        self.store
+            .put("keyed.servers", &self.options.instance, bytes);
+    }
+
+    fn report(&self) -> Reply {
+        let mut report = self.holdings.lock().describe();
+        report["born"] = json!(self.entry.lock().born_ms());
+        Reply::json(200, &report)
+    }
+
     /// Reports that the engine leaves.
     pub fn drain(&self) {
         self.entry.lock().draining = true;
@@ -246,7 +289,7 @@
             return reply;
         }
         match (request.method.as_str(), request.path.as_str()) {
-            ("GET", "/api/report") => Reply::json(200, &self.holdings.lock().describe()),
+            ("GET", "/api/report") => self.report(),
             ("POST", "/api/order") => self.take_order(request),
             _ => self.serve(request),
         }
--- a/crates/standins/src/platform/orders.rs
+++ b/crates/standins/src/platform/orders.rs
@@ -84,6 +84,14 @@
         }
     }
 
+    /// Forgets what a restart forgets: what was loaded, the orders, their count and the fences.
+    pub fn restart(&mut self) {
+        self.models.clear();
+        self.running = None;
+        self.taken = 0;
+        self.highest_fence = 0;
+    }
+
     /// Finishes an order whose time is over. Returns whether something changed.
     pub fn advance(&mut self) -> bool {
         let Some(done) = self
