Silent engines are asked; dark ones are left by all VMs

Ruled out: a shorter time to connect alone; most sends use kept connections. Change: SilenceWatch (dispatch) counts the time since anything came from an engine with requests in progress. After 250 ms (500 ms while nothing has come yet) the VM asks it for its report on a connection of its own; without an answer in 150 ms it is dark: no requests for 2 s, what can go on elsewhere does, the other VMs are told, and it is asked each 300 ms until it answers. A VM that hears nobody blames nobody; one that stood still starts to count anew; an engine that was heard here is not dark on another's word. The planner takes dark engines as not serving. Tests: silent_engines (the search space of the watch), dark_engines on processes: without the watch a stream waits for its caller's patience and the other VM is never told.

--- a/crates/dispatch/src/dispatcher.rs
+++ b/crates/dispatch/src/dispatcher.rs
@@ -208,6 +208,16 @@
         self.suspensions.note_unreachable(now_ms, upstream)
     }
 
+    /// Sends nothing to an upstream until a time. Returns whether that is news.
+    pub fn suspend(&mut self, now_ms: u64, upstream: &UpstreamName, until_ms: u64) -> bool {
+        self.suspensions.hold_until(now_ms, upstream, until_ms)
+    }
+
+    /// Sends to an upstream again.
+    pub fn resume(&mut self, upstream: &UpstreamName) {
+        self.suspensions.forget(upstream);
+    }
+
     /// Returns whether an upstream can't be reached now, as far as this VM knows.
     pub fn is_unreachable(&self, now_ms: u64, upstream: &UpstreamName) -> bool {
         self.suspensions.holds(now_ms, upstream)
--- a/crates/dispatch/src/lib.rs
+++ b/crates/dispatch/src/lib.rs
@@ -13,6 +13,7 @@
 mod forecast;
 mod job;
 mod options;
+mod silence;
 mod suspension;
 
 pub use crowding::LoadSample;
@@ -25,3 +26,5 @@
 pub use job::Verdict;
 pub use job::WaitReason;
 pub use options::DispatcherOptions;
+pub use silence::Silence;
+pub use silence::SilenceWatch;
--- a/crates/dispatch/src/suspension.rs
+++ b/crates/dispatch/src/suspension.rs
@@ -37,6 +37,18 @@
         true
     }
 
+    /// Holds an upstream back until a time. Returns whether it was not held back before.
+    pub fn hold_until(&mut self, now_ms: u64, name: &UpstreamName, until_ms: u64) -> bool {
+        let known = self.by_name.get(name).copied();
+        let held = known.is_some_and(|known| now_ms < known.until_ms);
+        let suspended = Suspended {
+            until_ms: known.map_or(until_ms, |known| known.until_ms.max(until_ms)),
+            pause_ms: known.map_or(FIRST_MS, |known| known.pause_ms),
+        };
+        self.by_name.insert(name.clone(), suspended);
+        !held
+    }
+
     /// Notes that an upstream answered, or that it is gone.
     pub fn forget(&mut self, name: &UpstreamName) {
         self.by_name.remove(name);
--- a/crates/entry/src/calling.rs
+++ b/crates/entry/src/calling.rs
@@ -38,6 +38,8 @@
     Order(UpstreamName, OrderKind),
     /// An engine's report.
     Report(UpstreamName),
+    /// An engine's report, to see whether a silent engine answers.
+    Look(UpstreamName),
 }
 
 impl CallTag {
@@ -54,6 +56,7 @@
             Self::LeaseAppend => "lease_append",
             Self::Order(..) => "order",
             Self::Report(_) => "report",
+            Self::Look(_) => "look",
         }
     }
 }
@@ -102,11 +105,29 @@
         bytes: &[u8],
         timeout_ms: u64,
     ) {
+        match self.connect(&peer, address) {
+            Some(token) => self.call_on(token, tag, bytes, timeout_ms),
+            None => self.call_ended(tag, CallOutcome::NotSent),
+        }
+    }
+
+    /// Begins a call on a connection of its own, whatever idle ones there are.
+    pub(crate) fn call_anew(
+        &mut self,
+        peer: Peer,
+        address: SocketAddr,
+        tag: CallTag,
+        bytes: &[u8],
+        timeout_ms: u64,
+    ) {
+        match self.open(&peer, address) {
+            Some(token) => self.call_on(token, tag, bytes, timeout_ms),
+            None => self.call_ended(tag, CallOutcome::NotSent),
+        }
+    }
+
+    fn call_on(&mut self, token: Token, tag: CallTag, bytes: &[u8], timeout_ms: u64) {
         let now_ms = self.now_ms;
-        let Some(token) = self.connect(&peer, address) else {
-            self.call_ended(tag, CallOutcome::NotSent);
-            return;
-        };
         let Some(connection) = self.outbound.get_mut(token) else {
             return;
         };
@@ -123,6 +144,10 @@
         if let Some(token) = self.outbound.take_idle(self.now_ms, peer) {
             return Some(token);
         }
+        self.open(peer, address)
+    }
+
+    fn open(&mut self, peer: &Peer, address: SocketAddr) -> Option<Token> {
         let token = self.new_token();
         let now_ms = self.now_ms;
         let registry = self.poll.registry();
@@ -213,6 +238,7 @@
         match tag {
             CallTag::Order(engine, kind) => self.order_ended(&engine, &kind, outcome),
             CallTag::Report(engine) => self.report_ended(&engine, outcome),
+            CallTag::Look(engine) => self.look_ended(&engine, &outcome),
             CallTag::LeaseRead | CallTag::LeaseAppend => self.lease_call_ended(&tag, outcome),
             _ => self.feed_call_ended(&tag, outcome),
         }
--- a/crates/entry/src/daemon.rs
+++ b/crates/entry/src/daemon.rs
@@ -11,6 +11,7 @@
 use apricotdale_core::names::VmName;
 use apricotdale_dispatch::Dispatcher;
 use apricotdale_dispatch::DispatcherOptions;
+use apricotdale_dispatch::SilenceWatch;
 use apricotdale_fleet::Directory;
 use apricotdale_fleet::DirectoryOptions;
 use mio::Events;
@@ -37,6 +38,7 @@
 use crate::news::NewsBoard;
 use crate::ordering::Ordering;
 use crate::outbound::OutboundPool;
+use crate::outbound::Peer;
 use crate::outbound::Purpose;
 use crate::peers::Peers;
 use crate::settings::Settings;
@@ -65,6 +67,9 @@
 /// tightest target of the users' deployments, so that a pause which makes a request late is told.
 const STOOD_STILL_MS: u64 = 300;
 
+/// How much later than asked for the loop must wake up for the silence of others to say nothing.
+const BEHIND_MS: u64 = 100;
+
 /// Callers' connections at the most, beside those to upstreams. A VM has 3,900 descriptors for
 /// sockets.
 const MAX_CALLERS: usize = 3_000;
@@ -86,6 +91,7 @@
     pub(crate) active: ActiveRequests,
     pub(crate) directory: Directory,
     pub(crate) dispatcher: Dispatcher,
+    pub(crate) watch: SilenceWatch,
     pub(crate) news: NewsBoard,
     /// Runs of upstreams that are over and at which requests seem to be in progress.
     pub(crate) former_runs: Vec<UpstreamName>,
@@ -160,6 +166,7 @@
             active: ActiveRequests::default(),
             directory: Directory::new(DirectoryOptions::default()),
             dispatcher: Dispatcher::new(options),
+            watch: SilenceWatch::default(),
             news: NewsBoard::default(),
             former_runs: Vec::new(),
             feeds: Feeds::default(),
@@ -219,6 +226,9 @@
     fn note_wake_up(&mut self, sleep_ms: u64) {
         let before_ms = std::mem::replace(&mut self.now_ms, now_ms());
         let late_ms = self.now_ms.saturating_sub(before_ms + sleep_ms);
+        if late_ms >= BEHIND_MS {
+            self.watch.stood_still(self.now_ms);
+        }
         if late_ms >= STOOD_STILL_MS {
             self.metrics.stood_still();
             log::warn!(
@@ -238,6 +248,7 @@
         self.advance_feeds();
         self.advance_ordering();
         self.advance_peers();
+        self.advance_watch();
         if self.now_ms >= self.next_sweep_ms || self.now_ms >= self.call_alarm_ms {
             self.sweep();
         }
@@ -257,6 +268,7 @@
             self.feeds.next_ms(self.now_ms, &self.sharing),
             self.ordering.next_ms(),
             self.peers.next_ms(),
+            self.watch.next_ms(),
         ]
         .into_iter()
         .min()
@@ -321,6 +333,11 @@
         let stands = !writable || connection.stream.flush();
         if !connection.paused {
             connection.read(now_ms);
+            if let (Peer::Upstream(engine), true) =
+                (&connection.peer, connection.heard_ms == now_ms)
+            {
+                self.watch.heard(now_ms, engine);
+            }
         }
         match connection.purpose.clone() {
             Purpose::Idle => {
--- a/crates/entry/src/failing.rs
+++ b/crates/entry/src/failing.rs
@@ -34,6 +34,9 @@
             ..
         } = &request.phase
         {
+            if request.job.wanted.is_some() {
+                self.watch.ended(upstream);
+            }
             let took_ms = first_byte_ms.map(|first_ms| first_ms - at_ms);
             self.dispatcher.ended(
                 self.now_ms,
--- a/crates/entry/src/feeds.rs
+++ b/crates/entry/src/feeds.rs
@@ -535,6 +535,7 @@
         }
         if self.directory.upstream(name).is_none() {
             self.dispatcher.removed(self.now_ms, name);
+            self.watch.removed(name);
         }
         self.look_again = true;
     }
--- a/crates/entry/src/lib.rs
+++ b/crates/entry/src/lib.rs
@@ -34,6 +34,7 @@
 mod stopping;
 mod stream;
 mod telling;
+mod watching;
 
 pub use apricotdale_dispatch::LoadSample;
 pub use codec::AnswerFields;
--- a/crates/entry/src/messages.rs
+++ b/crates/entry/src/messages.rs
@@ -55,6 +55,10 @@
         engine: UpstreamName,
         model: ModelName,
     },
+    /// An engine with requests in progress does not answer.
+    Dark(UpstreamName),
+    /// Such an engine answers again.
+    Lit(UpstreamName),
 }
 
 /// Returns the bytes of a message.
--- a/crates/entry/src/metrics.rs
+++ b/crates/entry/src/metrics.rs
@@ -31,6 +31,7 @@
     takeovers: Counter,
     stood_still: Counter,
     foreign_entries: Counter,
+    dark_engines: Counter,
     first_answer_ms: Histogram,
     wait_ms: Histogram,
     gap_ms: Histogram,
@@ -57,6 +58,7 @@
             takeovers: Counter::default(),
             stood_still: Counter::default(),
             foreign_entries: Counter::default(),
+            dark_engines: Counter::default(),
             first_answer_ms: Histogram::new(buckets()),
             wait_ms: Histogram::new(buckets()),
             gap_ms: Histogram::new(buckets()),
@@ -109,6 +111,11 @@
             "Entries of the list that name nobody to send to",
             self.foreign_entries.clone(),
         );
+        registry.register(
+            "dark_engines",
+            "Engines that fell silent and did not answer when they were asked",
+            self.dark_engines.clone(),
+        );
         registry.register(
             "first_answer_ms",
             "From arrival to the first part of the answer",
@@ -196,6 +203,11 @@
         self.foreign_entries.inc();
     }
 
+    /// Counts an engine that fell silent and did not answer when it was asked.
+    pub fn dark_engine(&self) {
+        self.dark_engines.inc();
+    }
+
     /// Counts that this VM stood still.
     pub fn stood_still(&self) {
         self.stood_still.inc();
--- a/crates/entry/src/serving.rs
+++ b/crates/entry/src/serving.rs
@@ -235,6 +235,9 @@
         };
         let to_head = request.head.method.eq_ignore_ascii_case("HEAD");
         self.dispatcher.sent(now_ms, &request.job, &name);
+        if request.job.wanted.is_some() {
+            self.watch.sent(now_ms, &name);
+        }
         if let Some(connection) = self.outbound.get_mut(token) {
             connection.begin(now_ms, Purpose::Relay(key), &bytes, to_head);
             let stands = connection.stream.flush();
--- a/crates/entry/src/telling.rs
+++ b/crates/entry/src/telling.rs
@@ -117,6 +117,8 @@
             }
             PeerMessage::News(news) => self.take_news(news),
             PeerMessage::TurnedAway { engine, model } => self.engine_lacks(&engine, &model),
+            PeerMessage::Dark(engine) => self.told_dark(&engine),
+            PeerMessage::Lit(engine) => self.engine_lit(&engine),
         }
     }
 
--- a/crates/standins/src/platform/engine.rs
+++ b/crates/standins/src/platform/engine.rs
@@ -4,6 +4,7 @@
 use std::collections::VecDeque;
 use std::net::SocketAddr;
 use std::sync::Arc;
+use std::sync::atomic::Ordering;
 use std::thread;
 use std::time::Duration;
 
@@ -177,6 +178,11 @@
             .put("keyed.servers", &self.options.instance, bytes);
     }
 
+    /// Sends nothing any more, on any connection, as if the engine had lost its power; or again.
+    pub fn set_dark(&self, dark: bool) {
+        self.answers.dark.store(dark, Ordering::Relaxed);
+    }
+
     fn report(&self) -> Reply {
         let mut report = self.holdings.lock().describe();
         report["born"] = json!(self.entry.lock().born_ms());
@@ -284,6 +290,10 @@
 
 impl Handler for PlatformEngine {
     fn handle(self: Arc<Self>, request: &Request) -> Reply {
+        if self.answers.dark.load(Ordering::Relaxed) {
+            request.caller.wait_gone();
+            return Reply::Lost;
+        }
         self.advance();
         if let Some(reply) = self.answers.misdirected(request) {
             return reply;
--- a/crates/standins/src/platform/serving.rs
+++ b/crates/standins/src/platform/serving.rs
@@ -2,6 +2,9 @@
 
 use std::collections::HashMap;
 use std::collections::VecDeque;
+use std::sync::Arc;
+use std::sync::atomic::AtomicBool;
+use std::sync::atomic::Ordering;
 use std::thread;
 use std::time::Duration;
 use std::time::Instant;
@@ -23,6 +26,9 @@
 const MEANT: &str = "Apricotdale-Expect-Instance";
 const LOAD: &str = "Apricotdale-Server-Load";
 
+/// The time between two looks of a stream at a dark upstream whether its client has left.
+const DARK_LOOK_MS: u64 = 5;
+
 /// `AnswerFault` is how an answer is spoiled.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum AnswerFault {
@@ -91,6 +97,8 @@
     pub runs: Mutex<Vec<RunSeen>>,
     /// Requests whose client left while they ran.
     pub left: Mutex<Vec<String>>,
+    /// Whether nothing is sent, as if the upstream had lost its power.
+    pub dark: Arc<AtomicBool>,
 }
 
 impl Answers {
@@ -100,6 +108,7 @@
             faults: Mutex::default(),
             runs: Mutex::default(),
             left: Mutex::default(),
+            dark: Arc::default(),
         }
     }
 
@@ -218,12 +227,19 @@
                 return self.whole(request, Some(fault), &body);
             }
         };
+        let dark = self.dark.clone();
         let produce = move |writer: &mut EventWriter| {
             for (sent, event) in (first..=count).enumerate() {
                 if cut_after == Some(sent as u64) {
                     let _ = writer.send_bytes(format!("id: {event}\nda").as_bytes());
                     return StreamEnd::Broken;
                 }
+                while dark.load(Ordering::Relaxed) {
+                    if writer.caller().is_gone() {
+                        return StreamEnd::Broken;
+                    }
+                    thread::sleep(Duration::from_millis(DARK_LOOK_MS));
+                }
                 if writer.send_bytes(event_text(event).as_bytes()).is_err()
                     || writer.caller().is_gone()
                 {
