A restarted holder needs no pause

Ruled out: dropping the pause whenever the newest record is this VM's own. The search found it wrong at once: a VM that takes the lease from another and restarts within its own pause would give orders less than a pause after the other's last one. Change: a lease record says whether its holder could give orders when it was sent. A VM that finds its own record of a former process goes on after 250 ms if that is so, under a new fence; otherwise it waits out the whole pause. Orders of one VM are those of one holder. Tests: lease_search failed with the first form ("two holders took turns too soon").

--- a/crates/holder/src/lease.rs
+++ b/crates/holder/src/lease.rs
@@ -21,6 +21,9 @@
 //!   holder waits for a pause before its first order, counted from the last moment at which the old
 //!   one could give an order. That is known by when the old one's last record was seen, so a holder
 //!   that could not take over during an outage of the store need not wait once more after it.
+//! - All VMs lose their power at once. The VM that held the lease finds its own record when it is
+//!   back: no other VM can have given an order since, so it goes on without that pause. Its record
+//!   says whether its own pause was over by then.
 
 use apricotdale_core::names::VmName;
 use serde::Deserialize;
@@ -73,6 +76,9 @@
     pub run: u64,
     /// Whether the holder gives the lease back.
     pub released: bool,
+    /// Whether the holder could give orders when it sent this, its pause being over: the holder
+    /// before it then gave none within a pause.
+    pub settled: bool,
 }
 
 /// `LeaseAction` is the call that the lease wants made at the store. One is under way at a time.
@@ -128,7 +134,10 @@
     /// This run's own, whose append was not acknowledged.
     Own,
     /// An earlier run's of this VM. Its process has ended, or this one would not run.
-    EarlierRun,
+    EarlierRun {
+        /// Whether that run's own pause was over.
+        settled: bool,
+    },
 }
 
 /// A term is the time from taking the lease to losing it to another VM.
@@ -253,7 +262,7 @@
         let action = match self.end {
             Some((end, _)) if !self.must_read => LeaseAction::Append {
                 at: end,
-                record: self.record(false),
+                record: self.record(now_ms, false),
             },
             Some((end, _)) => LeaseAction::Read {
                 from: end.saturating_sub(1),
@@ -272,7 +281,7 @@
         self.call_sent_ms = Some(now_ms);
         Some(LeaseAction::Append {
             at: end,
-            record: self.record(true),
+            record: self.record(now_ms, true),
         })
     }
 
@@ -310,17 +319,23 @@
 
     /// Returns when this VM, which has just taken the lease, may give its first order.
     fn orders_from_ms(&self, now_ms: u64, offset: u64) -> u64 {
-        let pause_ms = self.options.pause_ms;
+        let pause_ms = match self.newest {
+            // The holder before was this VM. Its process has ended, and orders of one VM are those
+            // of one holder, so there is nobody to take turns with, unless that process itself was
+            // still waiting for the last orders of another VM.
+            Newest::EarlierRun { settled: true } => 0,
+            _ => self.options.pause_ms,
+        };
         let (_, seen_ms) = self.end.unwrap_or((offset, now_ms));
         // The last moment at which the holder before could give an order: its lease counts from
         // before its last record was seen, and one that gave it back, or has ended, gives no more.
         let last_order_ms = match self.newest {
             Newest::Others => seen_ms + self.options.duration_ms + self.options.outlast_ms,
-            Newest::Released | Newest::Own | Newest::EarlierRun => seen_ms,
+            Newest::Released | Newest::Own | Newest::EarlierRun { .. } => seen_ms,
         };
         match () {
             // Before the first record nobody has given an order that could still be under way.
-            _ if offset == 0 || pause_ms == 0 => now_ms,
+            _ if offset == 0 || self.options.pause_ms == 0 => now_ms,
             _ => now_ms.max(last_order_ms + pause_ms + self.options.late_order_ms),
         }
     }
@@ -330,7 +345,9 @@
         self.newest = match &newest {
             Some(record) if record.run == self.run && record.holder == self.vm => Newest::Own,
             Some(record) if record.released => Newest::Released,
-            Some(record) if record.holder == self.vm => Newest::EarlierRun,
+            Some(record) if record.holder == self.vm => Newest::EarlierRun {
+                settled: record.settled,
+            },
             _ => Newest::Others,
         };
         if self.end.is_none_or(|(known, _)| end > known) {
@@ -355,17 +372,18 @@
     fn takeover_ms(&self, seen_ms: u64) -> u64 {
         let stagger_ms = self.place * self.options.stagger_ms;
         match self.newest {
-            Newest::Own | Newest::EarlierRun => seen_ms,
+            Newest::Own | Newest::EarlierRun { .. } => seen_ms,
             Newest::Released => seen_ms + stagger_ms,
             Newest::Others => seen_ms + self.options.duration_ms + stagger_ms,
         }
     }
 
-    fn record(&self, released: bool) -> LeaseRecord {
+    fn record(&self, now_ms: u64, released: bool) -> LeaseRecord {
         LeaseRecord {
             holder: self.vm.clone(),
             run: self.run,
             released,
+            settled: self.term.is_some_and(|term| now_ms >= term.orders_from_ms),
         }
     }
 }
