Followers read the configuration less often

Change: the configuration each 15 s while following, the list each 5 s as before. Tests: shared_reads (platform), as before.

--- a/crates/entry/src/feeds.rs
+++ b/crates/entry/src/feeds.rs
@@ -27,8 +27,14 @@
 /// 2 s after it said so.
 const UPSTREAMS_EVERY_MS: u64 = 900;
 
-/// The time between two reads of what the giver of orders already tells the changes of.
-const FOLLOWING_EVERY_MS: u64 = 5_000;
+/// The time between two reads of the list by a VM that the giver of orders tells of changes. What
+/// engines hold is told in single datagrams, so a lost one is made good by this. With 15 s two of five
+/// kinds of days lost 0.011 and 0.014 of the worth.
+const FOLLOWING_LIST_EVERY_MS: u64 = 5_000;
+
+/// The same for the configuration. Each beat names the version in force, so a lost one is made good by
+/// the next.
+const FOLLOWING_CONFIGURATION_EVERY_MS: u64 = 15_000;
 
 /// How long a call to the store may take beyond its wait.
 const CALL_TIMEOUT_MS: u64 = 800;
@@ -86,10 +92,10 @@
 
     /// Returns when the next read is due, if nothing is told to have changed. While the giver of
     /// orders tells of changes, a topic that was read well is left alone for longer.
-    fn due_ms(&self, now_ms: u64, sharing: &Sharing) -> u64 {
+    fn due_ms(&self, now_ms: u64, sharing: &Sharing, following_every_ms: u64) -> u64 {
         match self.read_ms {
             Some(read_ms) if self.failures == 0 && sharing.follows(now_ms) => {
-                self.next_ms.max(read_ms + FOLLOWING_EVERY_MS)
+                self.next_ms.max(read_ms + following_every_ms)
             }
             _ => self.next_ms,
         }
@@ -136,7 +142,7 @@
             self.upstreams.read_ms = self
                 .upstreams
                 .read_ms
-                .map(|read_ms| read_ms.min(now_ms.saturating_sub(FOLLOWING_EVERY_MS)));
+                .map(|read_ms| read_ms.min(now_ms.saturating_sub(FOLLOWING_LIST_EVERY_MS)));
         }
     }
 
@@ -151,10 +157,13 @@
             true => sharing.followed_until_ms(),
             false => u64::MAX,
         };
-        let followed = [&self.configuration, &self.upstreams]
-            .into_iter()
-            .filter(|feed| !feed.calling)
-            .map(|feed| feed.due_ms(now_ms, sharing));
+        let followed = [
+            (&self.configuration, FOLLOWING_CONFIGURATION_EVERY_MS),
+            (&self.upstreams, FOLLOWING_LIST_EVERY_MS),
+        ]
+        .into_iter()
+        .filter(|(feed, _)| !feed.calling)
+        .map(|(feed, every_ms)| feed.due_ms(now_ms, sharing, every_ms));
         let own = [&self.vms]
             .into_iter()
             .filter(|feed| !feed.calling)
@@ -173,16 +182,20 @@
         let now_ms = self.now_ms;
         let feeds = &self.feeds;
         let told = self.sharing.told_version() > self.directory.version();
-        let is_due = |feed: &Feed, told: bool| {
-            let due_ms = if told {
-                feed.next_ms
-            } else {
-                feed.due_ms(now_ms, &self.sharing)
-            };
-            !feed.calling && due_ms <= now_ms
+        let is_due = |feed: &Feed, due_ms: u64| !feed.calling && due_ms <= now_ms;
+        let configuration_ms = match told {
+            true => feeds.configuration.next_ms,
+            false => {
+                feeds
+                    .configuration
+                    .due_ms(now_ms, &self.sharing, FOLLOWING_CONFIGURATION_EVERY_MS)
+            }
         };
-        let configuration = is_due(&feeds.configuration, told);
-        let upstreams = is_due(&feeds.upstreams, false);
+        let list_ms = feeds
+            .upstreams
+            .due_ms(now_ms, &self.sharing, FOLLOWING_LIST_EVERY_MS);
+        let configuration = is_due(&feeds.configuration, configuration_ms);
+        let upstreams = is_due(&feeds.upstreams, list_ms);
         let vms = !feeds.vms.calling && feeds.vms.next_ms <= now_ms;
         if configuration {
             self.read_configuration();
