A lease that is given back is taken at once

The store's answer to the giving back was taken for one to a renewal: the VM held the lease again, told the others so for 2 s, and they waited for it to run out. A renewal under way when the stop began kept the lease from being given back at all. Change: that answer makes nobody a holder; the others are told that the lease is free and how long before the last order was given, from which the next holder's pause counts; a stopping VM gives the lease back once its call under way has ended. Tests: giving_back_is_no_renewal fails on the code before (the VM holds the lease again). lease_search gains courses with planned stops; with a last order assumed at time 0 it fails (two holders took turns too soon).

--- a/crates/entry/src/messages.rs
+++ b/crates/entry/src/messages.rs
@@ -59,6 +59,13 @@
     Dark(UpstreamName),
     /// Such an engine answers again.
     Lit(UpstreamName),
+    /// The giver of orders has given the lease back.
+    Released {
+        /// The end of the lease's topic behind the record that does so.
+        lease_end: u64,
+        /// How long before that it had given its last order.
+        quiet_ms: u64,
+    },
 }
 
 /// Returns the bytes of a message.
--- a/crates/entry/src/ordering.rs
+++ b/crates/entry/src/ordering.rs
@@ -31,6 +31,7 @@
 use crate::codec::Topic;
 use crate::daemon::Daemon;
 use crate::messages::ForecastRow;
+use crate::messages::PeerMessage;
 use crate::outbound::Peer;
 use crate::settings::Settings;
 
@@ -119,7 +120,12 @@
 
     /// Takes in the lease's end as its holder tells it.
     pub fn note_lease_end(&mut self, now_ms: u64, end: u64) {
-        self.lease.note_end(now_ms, end, false);
+        self.lease.note_end(now_ms, end, None);
+    }
+
+    /// Takes in that the holder has given the lease back.
+    pub fn note_release(&mut self, now_ms: u64, end: u64, quiet_ms: u64) {
+        self.lease.note_end(now_ms, end, Some(quiet_ms));
     }
 
     /// Returns whether another VM's beat is of an older lease than the newest that is known.
@@ -159,7 +165,10 @@
     /// Goes on with the lease and, under it, with orders.
     pub(crate) fn advance_ordering(&mut self) {
         let now_ms = self.now_ms;
-        if !self.stopping.has_begun() && now_ms >= self.ordering.lease.next_ms() {
+        if self.stopping.has_begun() {
+            // A renewal may have been under way when the stop began.
+            self.release_lease();
+        } else if now_ms >= self.ordering.lease.next_ms() {
             let place = self.peers.place(now_ms);
             self.ordering.lease.set_place(place);
             if let Some(action) = self.ordering.lease.act(now_ms) {
@@ -204,7 +213,14 @@
                 }
             }
         };
-        self.ordering.lease.answered(self.now_ms, answer);
+        let released = self.ordering.lease.answered(self.now_ms, answer);
+        if let Some((lease_end, quiet_ms)) = released {
+            log::info!(lease_end, quiet_ms; "lease given back");
+            self.peers.send_all(&PeerMessage::Released {
+                lease_end,
+                quiet_ms,
+            });
+        }
         self.note_fence();
     }
 
@@ -313,6 +329,7 @@
         };
         let address = upstream.address;
         let instance = upstream.instance.clone();
+        self.ordering.lease.note_order(self.now_ms);
         log::info!(
             engine = engine.to_string(), order = kind.as_str(), model = kind.model().to_string(),
             fence, orders_before;
--- a/crates/entry/src/telling.rs
+++ b/crates/entry/src/telling.rs
@@ -119,6 +119,10 @@
             PeerMessage::TurnedAway { engine, model } => self.engine_lacks(&engine, &model),
             PeerMessage::Dark(engine) => self.told_dark(&engine),
             PeerMessage::Lit(engine) => self.engine_lit(&engine),
+            PeerMessage::Released {
+                lease_end,
+                quiet_ms,
+            } => self.ordering.note_release(now_ms, lease_end, quiet_ms),
         }
     }
 
--- a/crates/holder/src/lease.rs
+++ b/crates/holder/src/lease.rs
@@ -79,6 +79,8 @@
     /// Whether the holder could give orders when it sent this, its pause being over: the holder
     /// before it then gave none within a pause.
     pub settled: bool,
+    /// How long ago the holder gave its last order, in a record that gives the lease back; else 0.
+    pub quiet_ms: u64,
 }
 
 /// `LeaseAction` is the call that the lease wants made at the store. One is under way at a time.
@@ -130,7 +132,10 @@
     /// Another run's, which holds the lease until it has run out.
     Others,
     /// One that gives the lease back.
-    Released,
+    Released {
+        /// How long before the holder had given its last order.
+        quiet_ms: u64,
+    },
     /// This run's own, whose append was not acknowledged.
     Own,
     /// An earlier run's of this VM. Its process has ended, or this one would not run.
@@ -166,6 +171,10 @@
     /// When a renewal last failed because the store could not be reached.
     unreached_ms: Option<u64>,
     call_sent_ms: Option<u64>,
+    /// Whether the call under way gives the lease back. Its answer makes this VM no holder.
+    releasing: bool,
+    /// When this VM gave its last order.
+    last_order_ms: u64,
     next_call_ms: u64,
     must_read: bool,
 }
@@ -184,6 +193,8 @@
             good_until_ms: 0,
             unreached_ms: None,
             call_sent_ms: None,
+            releasing: false,
+            last_order_ms: 0,
             next_call_ms: 0,
             must_read: true,
         }
@@ -219,15 +230,20 @@
         self.end.map(|(end, _)| end)
     }
 
+    /// Notes that this VM gives an order.
+    pub fn note_order(&mut self, now_ms: u64) {
+        self.last_order_ms = now_ms;
+    }
+
     /// Takes in the end of the topic that another VM told of. A record before that end had reached
-    /// the store when the other VM sent this.
-    pub fn note_end(&mut self, now_ms: u64, end: u64, released: bool) {
+    /// the store when the other VM sent this. `released` is how long before the last order was
+    /// given, if the record gives the lease back.
+    pub fn note_end(&mut self, now_ms: u64, end: u64, released: Option<u64>) {
         if self.end.is_none_or(|(known, _)| end > known) {
             self.end = Some((end, now_ms));
-            self.newest = if released {
-                Newest::Released
-            } else {
-                Newest::Others
+            self.newest = match released {
+                Some(quiet_ms) => Newest::Released { quiet_ms },
+                None => Newest::Others,
             };
             self.must_read = false;
             self.lose();
@@ -278,6 +294,7 @@
             .end
             .filter(|_| self.is_held(now_ms) && self.call_sent_ms.is_none())?;
         self.lose();
+        self.releasing = true;
         self.call_sent_ms = Some(now_ms);
         Some(LeaseAction::Append {
             at: end,
@@ -285,11 +302,21 @@
         })
     }
 
-    /// Takes in how the call ended.
-    pub fn answered(&mut self, now_ms: u64, answer: LeaseAnswer) {
+    /// Takes in how the call ended. Returns the end of the topic to tell the other VMs with which
+    /// the lease was given back, and how long before this VM had given its last order.
+    pub fn answered(&mut self, now_ms: u64, answer: LeaseAnswer) -> Option<(u64, u64)> {
         let sent_ms = self.call_sent_ms.take().unwrap_or(now_ms);
+        let releasing = std::mem::take(&mut self.releasing);
         self.next_call_ms = now_ms + self.options.renew_every_ms / 2;
         match answer {
+            // Taken for a renewal, it would make this VM the holder again: it would go on telling
+            // the others so, and they would wait for a whole lease.
+            LeaseAnswer::Appended { offset } if releasing => {
+                let quiet_ms = sent_ms.saturating_sub(self.last_order_ms);
+                self.end = Some((offset + 1, now_ms));
+                self.newest = Newest::Released { quiet_ms };
+                return Some((offset + 1, quiet_ms));
+            }
             LeaseAnswer::Appended { offset } => self.appended(now_ms, sent_ms, offset),
             LeaseAnswer::Read { end, newest } => self.read(now_ms, end, newest),
             LeaseAnswer::EndedElsewhere { .. } => {
@@ -302,6 +329,7 @@
                 self.must_read = true;
             }
         }
+        None
     }
 
     fn appended(&mut self, now_ms: u64, sent_ms: u64, offset: u64) {
@@ -309,6 +337,11 @@
             fence: offset + 1,
             orders_from_ms: self.orders_from_ms(now_ms, offset),
         });
+        if self.term.is_none() {
+            // Until then another VM's orders count; the next holder must not take this one's
+            // silence for theirs.
+            self.last_order_ms = term.orders_from_ms;
+        }
         self.term = Some(term);
         self.good_until_ms = sent_ms + self.options.duration_ms;
         self.unreached_ms = None;
@@ -331,7 +364,8 @@
         // before its last record was seen, and one that gave it back, or has ended, gives no more.
         let last_order_ms = match self.newest {
             Newest::Others => seen_ms + self.options.duration_ms + self.options.outlast_ms,
-            Newest::Released | Newest::Own | Newest::EarlierRun { .. } => seen_ms,
+            Newest::Released { quiet_ms } => seen_ms.saturating_sub(quiet_ms),
+            Newest::Own | Newest::EarlierRun { .. } => seen_ms,
         };
         match () {
             // Before the first record nobody has given an order that could still be under way.
@@ -344,7 +378,9 @@
         self.must_read = false;
         self.newest = match &newest {
             Some(record) if record.run == self.run && record.holder == self.vm => Newest::Own,
-            Some(record) if record.released => Newest::Released,
+            Some(record) if record.released => Newest::Released {
+                quiet_ms: record.quiet_ms,
+            },
             Some(record) if record.holder == self.vm => Newest::EarlierRun {
                 settled: record.settled,
             },
@@ -373,7 +409,7 @@
         let stagger_ms = self.place * self.options.stagger_ms;
         match self.newest {
             Newest::Own | Newest::EarlierRun { .. } => seen_ms,
-            Newest::Released => seen_ms + stagger_ms,
+            Newest::Released { .. } => seen_ms + stagger_ms,
             Newest::Others => seen_ms + self.options.duration_ms + stagger_ms,
         }
     }
@@ -383,6 +419,10 @@
             holder: self.vm.clone(),
             run: self.run,
             released,
+            quiet_ms: match released {
+                true => now_ms.saturating_sub(self.last_order_ms),
+                false => 0,
+            },
             settled: self.term.is_some_and(|term| now_ms >= term.orders_from_ms),
         }
     }
--- a/crates/holder/tests/lease_search.rs
+++ b/crates/holder/tests/lease_search.rs
@@ -32,6 +32,8 @@
     Late { vm: usize, steps: u64 },
     /// A VM hears the end from another.
     Hear { vm: usize, from: usize },
+    /// A VM gives the lease back, if it has it, and does nothing more until it starts anew.
+    Stop { vm: usize },
 }
 
 fn step() -> impl Strategy<Value = Step> {
@@ -47,6 +49,14 @@
     ]
 }
 
+fn step_or_stop() -> impl Strategy<Value = Step> {
+    prop_oneof![
+        20 => step(),
+        1 => (0..VMS).prop_map(|vm| Step::Stop { vm }),
+        1 => (0..VMS).prop_map(|vm| Step::Restart { vm }),
+    ]
+}
+
 /// The store's topic, and the calls that will be carried out late.
 #[derive(Default)]
 struct Store {
@@ -92,6 +102,7 @@
     cut_until_ms: u64,
     answers_only: bool,
     late_ms: Option<u64>,
+    stopped: bool,
 }
 
 fn start(vm: usize, run: u64) -> Vm {
@@ -105,25 +116,41 @@
         cut_until_ms: 0,
         answers_only: false,
         late_ms: None,
+        stopped: false,
     }
 }
 
 impl Vm {
     fn act(&mut self, now_ms: u64, store: &mut Store) {
-        let Some(action) = self.lease.act(now_ms) else {
-            return;
+        let action = match self.stopped {
+            true => None,
+            false => self.lease.act(now_ms),
         };
-        let answer = match (self.late_ms.take(), &action) {
+        if let Some(action) = action {
+            self.call(now_ms, &action, store);
+        }
+    }
+
+    /// Gives the lease back, if it is held.
+    fn stop(&mut self, now_ms: u64, store: &mut Store) {
+        self.stopped = true;
+        if let Some(action) = self.lease.release(now_ms) {
+            self.call(now_ms, &action, store);
+        }
+    }
+
+    fn call(&mut self, now_ms: u64, action: &LeaseAction, store: &mut Store) {
+        let answer = match (self.late_ms.take(), action) {
             _ if now_ms < self.cut_until_ms && !self.answers_only => LeaseAnswer::Unknown,
             (Some(late_ms), LeaseAction::Append { at, record }) => {
                 store.late.push((now_ms + late_ms, *at, record.clone()));
                 LeaseAnswer::Unknown
             }
             _ if now_ms < self.cut_until_ms => {
-                store.call(&action);
+                store.call(action);
                 LeaseAnswer::Unknown
             }
-            _ => store.call(&action),
+            _ => store.call(action),
         };
         self.lease.answered(now_ms, answer);
     }
@@ -144,6 +171,11 @@
                 vms[vm].cut_until_ms = now_ms + steps * STEP_MS;
                 vms[vm].answers_only = after;
             }
+            Step::Stop { vm } => {
+                if now_ms >= vms[vm].frozen_until_ms {
+                    vms[vm].stop(now_ms, &mut store);
+                }
+            }
             Step::Restart { vm } => {
                 vms[vm] = start(vm, next_run);
                 next_run += 1;
@@ -153,7 +185,7 @@
                 let speaks = now_ms >= vms[from].frozen_until_ms && vms[from].lease.is_held(now_ms);
                 let end = vms[from].lease.end().filter(|_| speaks);
                 if let (Some(end), true) = (end, now_ms >= vms[vm].frozen_until_ms) {
-                    vms[vm].lease.note_end(now_ms, end, false);
+                    vms[vm].lease.note_end(now_ms, end, None);
                 }
             }
         }
@@ -161,7 +193,8 @@
         for (place, vm) in vms.iter_mut().enumerate() {
             if now_ms >= vm.frozen_until_ms {
                 vm.act(now_ms, &mut store);
-                if let Some(fence) = vm.lease.fence(now_ms) {
+                if let Some(fence) = vm.lease.fence(now_ms).filter(|_| !vm.stopped) {
+                    vm.lease.note_order(now_ms);
                     orders.push((now_ms, place, vm.run, fence));
                 }
             }
@@ -170,6 +203,33 @@
     orders
 }
 
+/// Checks what must hold of all orders.
+fn check(orders: &[(u64, usize, u64, u64)]) {
+    let mut owner: HashMap<u64, u64> = HashMap::new();
+    for (_, _, run, fence) in orders {
+        assert_eq!(
+            owner.entry(*fence).or_insert(*run),
+            run,
+            "one fence, two holders"
+        );
+    }
+    let pause_ms = LeaseOptions::default().pause_ms;
+    for pair in orders.windows(2) {
+        let ((before_ms, vm_before, run_before, fence_before), (after_ms, vm, run, fence)) =
+            (pair[0], pair[1]);
+        assert!(fence >= fence_before, "a fence went back");
+        if vm != vm_before {
+            assert!(
+                after_ms >= before_ms + pause_ms,
+                "two holders took turns too soon"
+            );
+        } else if run != run_before {
+            assert!(after_ms > before_ms, "a former process still gave orders");
+            assert!(fence > fence_before, "two processes under one fence");
+        }
+    }
+}
+
 proptest! {
     #![proptest_config(proptest::prelude::ProptestConfig {
         cases: 1_500,
@@ -184,23 +244,13 @@
     /// fence of its own and begins after its former process has ended.
     #[test]
     fn one_holder_at_a_time(steps in proptest::collection::vec(step(), 50..600)) {
-        let orders = play(&steps);
-        let mut owner: HashMap<u64, u64> = HashMap::new();
-        for (_, _, run, fence) in &orders {
-            assert_eq!(owner.entry(*fence).or_insert(*run), run, "one fence, two holders");
-        }
-        let pause_ms = LeaseOptions::default().pause_ms;
-        for pair in orders.windows(2) {
-            let ((before_ms, vm_before, run_before, fence_before), (after_ms, vm, run, fence)) =
-                (pair[0], pair[1]);
-            assert!(fence >= fence_before, "a fence went back");
-            if vm != vm_before {
-                assert!(after_ms >= before_ms + pause_ms, "two holders took turns too soon");
-            } else if run != run_before {
-                assert!(after_ms > before_ms, "a former process still gave orders");
-                assert!(fence > fence_before, "two processes under one fence");
-            }
-        }
+        check(&play(&steps));
+    }
+
+    /// The same where VMs also stop as planned and give the lease back.
+    #[test]
+    fn one_holder_with_stops(steps in proptest::collection::vec(step_or_stop(), 50..600)) {
+        check(&play(&steps));
     }
 }
 
--- a/crates/holder/tests/lease_takeover.rs
+++ b/crates/holder/tests/lease_takeover.rs
@@ -27,6 +27,7 @@
         run,
         released: false,
         settled: true,
+        quiet_ms: 0,
     }
 }
 
@@ -108,7 +109,7 @@
 fn renewals_heard_of_put_the_takeover_off() {
     let mut follower = lease("b", 2);
     read(&mut follower, 1_000, 5, Some(record("a", 1)));
-    follower.note_end(2_500, 6, false);
+    follower.note_end(2_500, 6, None);
     assert_eq!(append_at(&mut follower, 1_000 + OPTIONS.duration_ms), None);
     assert_eq!(
         append_at(&mut follower, 2_500 + OPTIONS.duration_ms),
@@ -121,7 +122,7 @@
 fn same_end_does_not_put_the_takeover_off() {
     let mut follower = lease("b", 2);
     read(&mut follower, 1_000, 5, Some(record("a", 1)));
-    follower.note_end(2_500, 5, false);
+    follower.note_end(2_500, 5, None);
     assert_eq!(
         append_at(&mut follower, 1_000 + OPTIONS.duration_ms),
         Some(5)
@@ -213,6 +214,39 @@
     assert_eq!(restarted.fence(now_ms), Some(6));
 }
 
+/// Symptom: after a planned stop of the holder nobody gives orders for five seconds. Sequence: it gives
+/// the lease back; the store's answer comes. Cause: the answer was taken for one to a renewal, so the
+/// VM went on telling the others that it holds the lease, and they waited for it to run out.
+#[test]
+fn giving_back_is_no_renewal() {
+    let mut holder = first_holder();
+    let ordered_ms = holder.next_ms() - 200;
+    holder.note_order(ordered_ms);
+    let now_ms = ordered_ms + 150;
+    assert!(holder.release(now_ms).is_some());
+    let told = holder.answered(now_ms + 5, LeaseAnswer::Appended { offset: 1 });
+    assert_eq!(told, Some((2, 150)));
+    assert!(!holder.is_held(now_ms + 5));
+    assert_eq!(holder.fence(now_ms + 5), None);
+    // Another VM that is told takes it at once, and pauses from the last order.
+    let mut follower = lease("b", 2);
+    read(&mut follower, 0, 1, Some(record("a", 1)));
+    follower.note_end(now_ms + 6, 2, Some(150));
+    let taken_ms = now_ms + 6;
+    assert_eq!(append_at(&mut follower, taken_ms), Some(2));
+    follower.answered(taken_ms, LeaseAnswer::Appended { offset: 2 });
+    let mut at_ms = taken_ms;
+    let mut offset = 3;
+    while at_ms < ordered_ms + OPTIONS.pause_ms + OPTIONS.late_order_ms {
+        assert_eq!(follower.fence(at_ms), None);
+        at_ms = follower.next_ms();
+        append_at(&mut follower, at_ms);
+        follower.answered(at_ms, LeaseAnswer::Appended { offset });
+        offset += 1;
+    }
+    assert_eq!(follower.fence(at_ms), Some(3));
+}
+
 /// The holder before could have renewed at the last moment before the outage, without this VM
 /// hearing of it: the append then meets another end, and the time counts anew from there.
 #[test]
@@ -257,7 +291,7 @@
 #[test]
 fn end_heard_of_stops_the_holder() {
     let mut lease = first_holder();
-    lease.note_end(700, 4, false);
+    lease.note_end(700, 4, None);
     assert_eq!(lease.fence(700), None);
 }
 
@@ -393,7 +427,7 @@
 #[test]
 fn other_holder_heard_of_during_an_outage() {
     let (mut lease, now_ms) = unreached_holder(4_000);
-    lease.note_end(now_ms, 9, false);
+    lease.note_end(now_ms, 9, None);
     assert_eq!(lease.fence(now_ms), None);
 }
 
