Renewals of the lease are told at once

It had not heard of the last renewal, found it when it tried to take over, and waited for a whole lease more: beats go each 0.4 s, renewals each 0.6 s, so a third of the renewals are not told when a holder is lost. Change: a beat follows each renewal.

--- a/crates/entry/src/ordering.rs
+++ b/crates/entry/src/ordering.rs
@@ -213,6 +213,11 @@
                 }
             }
         };
+        if matches!(answer, LeaseAnswer::Appended { .. }) {
+            // A VM that has not heard of the last renewal finds it when it tries to take over from
+            // a holder that is lost, and waits for a whole lease more.
+            self.peers.beat_soon();
+        }
         let released = self.ordering.lease.answered(self.now_ms, answer);
         if let Some((lease_end, quiet_ms)) = released {
             log::info!(lease_end, quiet_ms; "lease given back");
