Full engines are not dark, and requests leave a dark one only where they can go on

A full engine resets new connections, and so the question of a VM; that counted as darkness. And what may be repeated was taken from a dark engine though its route allowed no further engine or the budget had no repeat, which ends the caller's stream. Change: only a question to which nothing comes in its time shows darkness; a reset shows that somebody is there. A request is taken from a dark engine only if the retry policy sends it on; else it stays.

--- a/crates/entry/src/calling.rs
+++ b/crates/entry/src/calling.rs
@@ -206,6 +206,9 @@
         };
         let sent = connection.stream.sent_bytes > 0;
         let unreached = connection.is_unreached(self.now_ms);
+        let silent = connection
+            .call_until_ms
+            .is_some_and(|until_ms| until_ms <= self.now_ms);
         let peer = connection.peer.clone();
         let purpose = self.outbound.close(token, self.poll.registry());
         // Connections can fall silent without a reset, several at once: the next call must not
@@ -215,7 +218,11 @@
             Peer::Upstream(upstream) if unreached => self.upstream_unreachable(upstream),
             _ => {}
         }
-        if let Some(Purpose::Call(tag)) = purpose {
+        if let Some(Purpose::Call(CallTag::Look(engine))) = &purpose {
+            self.metrics
+                .call("look", if silent { "silent" } else { "reset" });
+            self.look_ended(engine, !silent);
+        } else if let Some(Purpose::Call(tag)) = purpose {
             let outcome = match sent {
                 true => CallOutcome::Unknown,
                 false => CallOutcome::NotSent,
@@ -238,7 +245,7 @@
         match tag {
             CallTag::Order(engine, kind) => self.order_ended(&engine, &kind, outcome),
             CallTag::Report(engine) => self.report_ended(&engine, outcome),
-            CallTag::Look(engine) => self.look_ended(&engine, &outcome),
+            CallTag::Look(engine) => self.look_ended(&engine, true),
             CallTag::LeaseRead | CallTag::LeaseAppend => self.lease_call_ended(&tag, outcome),
             _ => self.feed_call_ended(&tag, outcome),
         }
--- a/crates/entry/src/watching.rs
+++ b/crates/entry/src/watching.rs
@@ -1,9 +1,12 @@
 //! Engines that fall silent: they are asked, and what that shows is acted on and told.
 
 use apricotdale_core::names::UpstreamName;
+use apricotdale_core::policy::UpstreamOutcome;
+use apricotdale_dispatch::Attempt;
+use apricotdale_dispatch::FailedTry;
 use apricotdale_dispatch::Silence;
+use mio::Token;
 
-use crate::calling::CallOutcome;
 use crate::calling::CallTag;
 use crate::daemon::Daemon;
 use crate::messages::PeerMessage;
@@ -40,9 +43,10 @@
         }
     }
 
-    /// Takes in whether an engine that was silent has answered.
-    pub(crate) fn look_ended(&mut self, engine: &UpstreamName, outcome: &CallOutcome) {
-        let answered = matches!(outcome, CallOutcome::Answered { status: 200, .. });
+    /// Takes in whether anything came from an engine that was silent. One that resets a connection is
+    /// not dark: it has only as many as it accepts. Taken for dark, full engines lost the requests
+    /// that they were working on.
+    pub(crate) fn look_ended(&mut self, engine: &UpstreamName, answered: bool) {
         match self.watch.asked(self.now_ms, engine, answered) {
             Silence::None => {}
             Silence::Dark => {
@@ -76,18 +80,43 @@
         let since_ms = self.now_ms.saturating_sub(SILENT_REQUEST_MS);
         let peer = Peer::Upstream(engine.clone());
         for (token, key) in self.outbound.silent_relays(&peer, since_ms) {
-            let can_move = self
-                .active
-                .get(key)
-                .is_some_and(|request| request.job.kind.is_repeatable());
-            if can_move {
-                self.connection_failed(token, key);
-            }
+            self.move_request(token, key);
         }
         self.outbound.close_idle(&peer, self.poll.registry());
         self.look_again = true;
     }
 
+    /// Takes a request from a dark engine if it can go on at another one now. One that can't, because
+    /// it may run only once or has no repeat left, stays: the engine may come back, and an end would
+    /// be worse for the caller than a wait.
+    fn move_request(&mut self, token: Token, key: u64) {
+        let now_ms = self.now_ms;
+        let Some(request) = self.active.get(key) else {
+            return;
+        };
+        let can_go_on = !request.begun || request.events.can_resume();
+        if !request.job.kind.is_repeatable() || request.caller.is_none() || !can_go_on {
+            return;
+        }
+        let mut job = request.job.clone();
+        job.runs += 1;
+        let begun = request.begun;
+        let attempt = self
+            .dispatcher
+            .after_failure(now_ms, &job, FailedTry::Lost, begun);
+        let Attempt::AgainAfterMs(pause_ms) = attempt else {
+            return;
+        };
+        self.metrics.failed_try("dark");
+        self.end_try(key, UpstreamOutcome::Lost);
+        self.outbound.close(token, self.poll.registry());
+        if let Some(request) = self.active.get_mut(key) {
+            request.job = job;
+            request.events.drop_unfinished();
+        }
+        self.pause(key, pause_ms);
+    }
+
     /// Takes in that an engine answers again.
     pub(crate) fn engine_lit(&mut self, engine: &UpstreamName) {
         self.dispatcher.resume(engine);
--- a/crates/standins/src/platform/engine.rs
+++ b/crates/standins/src/platform/engine.rs
@@ -4,6 +4,7 @@
 use std::collections::VecDeque;
 use std::net::SocketAddr;
 use std::sync::Arc;
+use std::sync::atomic::AtomicBool;
 use std::sync::atomic::Ordering;
 use std::thread;
 use std::time::Duration;
@@ -97,6 +98,7 @@
     order_faults: Mutex<VecDeque<OrderFault>>,
     store: PlatformStore,
     entry: Mutex<Entry>,
+    full: AtomicBool,
 }
 
 #[derive(Default)]
@@ -123,6 +125,7 @@
             answers: Answers::new(&options.instance),
             order_faults: Mutex::default(),
             entry: Mutex::default(),
+            full: AtomicBool::default(),
             store,
             options,
         }
@@ -183,6 +186,12 @@
         self.answers.dark.store(dark, Ordering::Relaxed);
     }
 
+    /// Closes new connections unanswered while its streams stand still, as a full engine does.
+    pub fn set_full(&self, full: bool) {
+        self.full.store(full, Ordering::Relaxed);
+        self.answers.dark.store(full, Ordering::Relaxed);
+    }
+
     fn report(&self) -> Reply {
         let mut report = self.holdings.lock().describe();
         report["born"] = json!(self.entry.lock().born_ms());
@@ -290,6 +299,9 @@
 
 impl Handler for PlatformEngine {
     fn handle(self: Arc<Self>, request: &Request) -> Reply {
+        if self.full.load(Ordering::Relaxed) {
+            return Reply::Lost;
+        }
         if self.answers.dark.load(Ordering::Relaxed) {
             request.caller.wait_gone();
             return Reply::Lost;
