Requests leave a dark engine only to a place that takes them at once

Change: the place is chosen first, and the request is sent there in the same step; without a place it stays where it is.

--- a/crates/entry/src/watching.rs
+++ b/crates/entry/src/watching.rs
@@ -5,6 +5,7 @@
 use apricotdale_dispatch::Attempt;
 use apricotdale_dispatch::FailedTry;
 use apricotdale_dispatch::Silence;
+use apricotdale_dispatch::Verdict;
 use mio::Token;
 
 use crate::calling::CallTag;
@@ -86,9 +87,9 @@
         self.look_again = true;
     }
 
-    /// Takes a request from a dark engine if it can go on at another one now. One that can't, because
-    /// it may run only once or has no repeat left, stays: the engine may come back, and an end would
-    /// be worse for the caller than a wait.
+    /// Takes a request from a dark engine if another one takes it at once. One that can't go on, because
+    /// it may run only once, has no repeat left or finds no place, stays: the engine may come back or
+    /// may not have been dark, and an end would be worse for the caller than a wait.
     fn move_request(&mut self, token: Token, key: u64) {
         let now_ms = self.now_ms;
         let Some(request) = self.active.get(key) else {
@@ -100,13 +101,16 @@
         }
         let mut job = request.job.clone();
         job.runs += 1;
+        let Verdict::Send(place) = self.dispatcher.decide(now_ms, &self.directory, &job) else {
+            return;
+        };
         let begun = request.begun;
         let attempt = self
             .dispatcher
             .after_failure(now_ms, &job, FailedTry::Lost, begun);
-        let Attempt::AgainAfterMs(pause_ms) = attempt else {
+        if !matches!(attempt, Attempt::AgainAfterMs(_)) {
             return;
-        };
+        }
         self.metrics.failed_try("dark");
         self.end_try(key, UpstreamOutcome::Lost);
         self.outbound.close(token, self.poll.registry());
@@ -114,7 +118,7 @@
             request.job = job;
             request.events.drop_unfinished();
         }
-        self.pause(key, pause_ms);
+        self.send(key, place);
     }
 
     /// Takes in that an engine answers again.
