Requests stay at a dark engine

Ruled out: a better choice of the place; any place can fail, and the engine that was left was working. Change: a dark engine gets no new requests and the other VMs are told; what it has stays there. Tests: stream_goes_on_elsewhere expected the move, which breaks a promise to callers; in its place new_requests_go_elsewhere expects that new requests leave the engine and that the stream ends whole where it is. The three tests of streams that stay hold as they are.

--- a/crates/entry/src/serving.rs
+++ b/crates/entry/src/serving.rs
@@ -194,7 +194,7 @@
         }
     }
 
-    pub(crate) fn send(&mut self, key: u64, name: UpstreamName) {
+    fn send(&mut self, key: u64, name: UpstreamName) {
         let now_ms = self.now_ms;
         let Some(upstream) = self.directory.upstream(&name) else {
             return;
--- a/crates/entry/src/watching.rs
+++ b/crates/entry/src/watching.rs
@@ -1,12 +1,7 @@
 //! Engines that fall silent: they are asked, and what that shows is acted on and told.
 
 use apricotdale_core::names::UpstreamName;
-use apricotdale_core::policy::UpstreamOutcome;
-use apricotdale_dispatch::Attempt;
-use apricotdale_dispatch::FailedTry;
 use apricotdale_dispatch::Silence;
-use apricotdale_dispatch::Verdict;
-use mio::Token;
 
 use crate::calling::CallTag;
 use crate::daemon::Daemon;
@@ -20,9 +15,8 @@
 /// How long a dark engine gets no requests without being found dark again. It is asked each 300 ms.
 const DARK_GOOD_MS: u64 = 2_000;
 
-/// How long a request must have been silent to be taken from a dark engine, and how lately an engine
-/// must have been heard for another VM's word not to count.
-const SILENT_REQUEST_MS: u64 = 200;
+/// How lately an engine must have been heard for another VM's word not to count.
+const HEARD_MS: u64 = 200;
 
 impl Daemon {
     /// Asks the engines that have been silent for too long.
@@ -65,62 +59,26 @@
     /// here, the trouble lies between the engine and that VM.
     pub(crate) fn told_dark(&mut self, engine: &UpstreamName) {
         let heard_ms = self.watch.heard_ms(engine);
-        let heard = heard_ms.is_some_and(|at_ms| self.now_ms < at_ms + SILENT_REQUEST_MS);
+        let heard = heard_ms.is_some_and(|at_ms| self.now_ms < at_ms + HEARD_MS);
         if !heard && self.directory.upstream(engine).is_some() {
             self.engine_dark(engine, "told");
         }
     }
 
-    /// Sends nothing more to a dark engine for a while, and takes from it what can go on elsewhere.
+    /// Sends nothing more to a dark engine for a while. What it has stays there: an engine that does not
+    /// answer may be slow and at work all the same, and a request that was taken from it and then found
+    /// no place ended in the middle of its answer.
     fn engine_dark(&mut self, engine: &UpstreamName, how: &str) {
         let until_ms = self.now_ms + DARK_GOOD_MS;
         if self.dispatcher.suspend(self.now_ms, engine, until_ms) {
             self.metrics.dark_engine();
             log::info!(upstream = engine.to_string(), how; "engine is dark");
         }
-        let since_ms = self.now_ms.saturating_sub(SILENT_REQUEST_MS);
         let peer = Peer::Upstream(engine.clone());
-        for (token, key) in self.outbound.silent_relays(&peer, since_ms) {
-            self.move_request(token, key);
-        }
         self.outbound.close_idle(&peer, self.poll.registry());
         self.look_again = true;
     }
 
-    /// Takes a request from a dark engine if another one takes it at once. One that can't go on, because
-    /// it may run only once, has no repeat left or finds no place, stays: the engine may come back or
-    /// may not have been dark, and an end would be worse for the caller than a wait.
-    fn move_request(&mut self, token: Token, key: u64) {
-        let now_ms = self.now_ms;
-        let Some(request) = self.active.get(key) else {
-            return;
-        };
-        let can_go_on = !request.begun || request.events.can_resume();
-        if !request.job.kind.is_repeatable() || request.caller.is_none() || !can_go_on {
-            return;
-        }
-        let mut job = request.job.clone();
-        job.runs += 1;
-        let Verdict::Send(place) = self.dispatcher.decide(now_ms, &self.directory, &job) else {
-            return;
-        };
-        let begun = request.begun;
-        let attempt = self
-            .dispatcher
-            .after_failure(now_ms, &job, FailedTry::Lost, begun);
-        if !matches!(attempt, Attempt::AgainAfterMs(_)) {
-            return;
-        }
-        self.metrics.failed_try("dark");
-        self.end_try(key, UpstreamOutcome::Lost);
-        self.outbound.close(token, self.poll.registry());
-        if let Some(request) = self.active.get_mut(key) {
-            request.job = job;
-            request.events.drop_unfinished();
-        }
-        self.send(key, place);
-    }
-
     /// Takes in that an engine answers again.
     pub(crate) fn engine_lit(&mut self, engine: &UpstreamName) {
         self.dispatcher.resume(engine);
