Split: the list of upstreams out of the VM's feeds

Cause: feeds.rs had grown to 571 lines; half of it is what entries of the list change, not when they are read.

--- /dev/null
+++ b/crates/entry/src/feeds/listing.rs
@@ -0,0 +1,184 @@
+//! The list of upstreams: what its entries change here.
+
+use apricotdale_core::names::InstanceName;
+use apricotdale_core::names::UpstreamName;
+use apricotdale_fleet::DirectoryChange;
+use apricotdale_fleet::Upstream;
+
+use super::FOREIGN_KEYS;
+use super::RESTART_SILENT_MS;
+use super::UPSTREAMS_EVERY_MS;
+use crate::codec::DecodeError;
+use crate::codec::KeyedPage;
+use crate::codec::KeyedRecord;
+use crate::codec::LogRead;
+use crate::daemon::Daemon;
+use crate::outbound::Peer;
+
+impl Daemon {
+    pub(super) fn take_upstreams_page(&mut self, page: KeyedPage) -> u64 {
+        let now_ms = self.now_ms;
+        let feed = &mut self.feeds.upstreams;
+        feed.pages_end.get_or_insert(page.end);
+        feed.after = page.records.last().map(|record| record.key.clone());
+        feed.pages.extend(page.records);
+        if page.more {
+            return 0;
+        }
+        let records = std::mem::take(&mut feed.pages);
+        feed.from = feed.pages_end.take();
+        feed.after = None;
+        let outage = feed.had_outage(now_ms);
+        let entries: Vec<Upstream> = records
+            .iter()
+            .filter_map(|record| self.decode_upstream(record))
+            .collect();
+        let names: Vec<UpstreamName> = entries.iter().map(|entry| entry.name.clone()).collect();
+        let left = self.directory.note_listing(now_ms, entries, outage);
+        log::info!(upstreams = names.len(), left = left.len(); "list of upstreams read");
+        for name in left {
+            let reason = match self.directory.has_restarted(&name) {
+                true => "restarted",
+                false => "not_listed",
+            };
+            self.upstream_left(&name, reason);
+        }
+        for name in names {
+            self.news.lay_over(now_ms, &mut self.directory, &name);
+        }
+        self.look_again = true;
+        UPSTREAMS_EVERY_MS
+    }
+
+    pub(super) fn take_upstreams_read(&mut self, read: LogRead) -> Result<u64, DecodeError> {
+        let LogRead::Records { end, records } = read else {
+            self.feeds.upstreams.restart();
+            return Ok(0);
+        };
+        for record in &records {
+            match self.codecs.store.keyed(record) {
+                Ok(record) => self.take_upstream(&record),
+                // Others may write here too. A record without a key names nobody; the read goes on,
+                // since it would meet the same record again.
+                Err(error) => self.note_foreign_entry("", &error),
+            }
+        }
+        let from = self.feeds.upstreams.from.unwrap_or_default() + records.len() as u64;
+        self.feeds.upstreams.from = Some(from);
+        Ok(if from < end { 0 } else { UPSTREAMS_EVERY_MS })
+    }
+
+    /// Decodes an entry. One that is none of an upstream's own ends the use of the run that stood
+    /// under its key, and so is taken the same by a VM that reads every change and by one that reads
+    /// only the newest.
+    fn decode_upstream(&mut self, record: &KeyedRecord) -> Option<Upstream> {
+        let value = record.value.as_deref()?;
+        match self.codecs.store.upstream(&record.key, value) {
+            Ok(upstream) => {
+                self.feeds.foreign.remove(&record.key);
+                self.note_service(&upstream);
+                Some(upstream)
+            }
+            Err(error) => {
+                self.note_foreign_entry(&record.key, &error);
+                let instance = InstanceName::from(record.key.as_str());
+                let run = self.directory.run_of(&instance).cloned();
+                if let (DirectoryChange::Left, Some(run)) =
+                    (self.directory.note_foreign(&instance), run)
+                {
+                    self.upstream_left(&run, "entry_of_another_writer");
+                }
+                None
+            }
+        }
+    }
+
+    /// Says once of an upstream that its service is in no configuration. No route leads to it.
+    fn note_service(&mut self, upstream: &Upstream) {
+        if self.directory.version() > 0 && self.directory.service(&upstream.service).is_none() {
+            let error = DecodeError::new(format!("service {}", upstream.service));
+            self.note_foreign_entry(upstream.instance.as_str(), &error);
+        }
+    }
+
+    /// Counts an entry that names nobody to send to, and says so once for each key.
+    fn note_foreign_entry(&mut self, key: &str, error: &DecodeError) {
+        self.metrics.foreign_entry();
+        if self.feeds.foreign.len() < FOREIGN_KEYS && self.feeds.foreign.insert(key.to_owned()) {
+            log::warn!(upstream = key, reason = error.detail; "entry names nobody to send to");
+        }
+    }
+
+    fn take_upstream(&mut self, record: &KeyedRecord) {
+        let now_ms = self.now_ms;
+        let instance = InstanceName::from(record.key.as_str());
+        let before = self.directory.run_of(&instance).cloned();
+        let change = match (&record.value, &before) {
+            (None, Some(run)) => {
+                let outage = self.feeds.upstreams.had_outage(now_ms);
+                self.directory.note_vanished(now_ms, run, outage)
+            }
+            (None, None) => DirectoryChange::None,
+            (Some(_), _) => match self.decode_upstream(record) {
+                Some(upstream) => self.directory.note_entry(upstream),
+                None => DirectoryChange::None,
+            },
+        };
+        let Some(name) = self.directory.run_of(&instance).cloned().or(before) else {
+            return;
+        };
+        self.news.lay_over(now_ms, &mut self.directory, &name);
+        match change {
+            DirectoryChange::None => {}
+            DirectoryChange::Left if record.value.is_none() => self.upstream_left(&name, "gone"),
+            DirectoryChange::Left => self.upstream_left(&name, "leaving"),
+            DirectoryChange::Came => self.upstream_came(&name),
+            DirectoryChange::Restarted { former } => {
+                self.upstream_left(&former, "restarted");
+                self.upstream_came(&name);
+            }
+            DirectoryChange::Residence => self.look_again = true,
+        }
+    }
+
+    fn upstream_came(&mut self, name: &UpstreamName) {
+        self.sharing.note_came();
+        self.peers.beat_soon();
+        log::info!(upstream = name.to_string(); "upstream came");
+        self.look_again = true;
+    }
+
+    /// Stops sending to an upstream. Requests in progress there go on, unless its process has ended.
+    pub(crate) fn upstream_left(&mut self, name: &UpstreamName, reason: &str) {
+        self.sharing.note_left(self.now_ms, name);
+        self.peers.beat_soon();
+        log::info!(upstream = name.to_string(), reason; "upstream takes no new work");
+        self.outbound
+            .close_idle(&Peer::Upstream(name.clone()), self.poll.registry());
+        if self.directory.has_restarted(name) {
+            self.former_runs.push(name.clone());
+            self.end_former_runs();
+        }
+        if self.directory.upstream(name).is_none() {
+            self.dispatcher.removed(self.now_ms, name);
+            self.watch.removed(name);
+        }
+        self.look_again = true;
+    }
+
+    /// Ends requests at processes that have ended. Without this they would wait for an answer until
+    /// their deadlines where the connections fell silent with the process. Requests that reached the
+    /// new process before its entry was read are heard of, and go on.
+    pub(crate) fn end_former_runs(&mut self) {
+        let since_ms = self.now_ms.saturating_sub(RESTART_SILENT_MS);
+        for name in std::mem::take(&mut self.former_runs) {
+            let peer = Peer::Upstream(name.clone());
+            for (token, key) in self.outbound.silent_relays(&peer, since_ms) {
+                self.connection_failed(token, key);
+            }
+            if !self.outbound.silent_relays(&peer, u64::MAX).is_empty() {
+                self.former_runs.push(name);
+            }
+        }
+    }
+}
