--- a/crates/entry/src/feeds.rs
+++ b/crates/entry/src/feeds.rs
@@ -99,8 +99,13 @@
 
     /// Returns whether the list could not be read a moment ago.
     fn had_outage(&self, now_ms: u64) -> bool {
-        self.failed_ms
-            .is_some_and(|at_ms| now_ms.saturating_sub(at_ms) < OUTAGE_MS)
+        self.failed_ms_ago(now_ms)
+            .is_some_and(|ago_ms| ago_ms < OUTAGE_MS)
+    }
+
+    /// Returns how long ago a read failed; none if none did.
+    fn failed_ms_ago(&self, now_ms: u64) -> Option<u64> {
+        self.failed_ms.map(|at_ms| now_ms.saturating_sub(at_ms))
     }
 
     fn restart(&mut self) {
--- a/crates/entry/src/feeds/listing.rs
+++ b/crates/entry/src/feeds/listing.rs
@@ -34,9 +34,15 @@
             .filter_map(|record| self.decode_upstream(record))
             .collect();
         let names: Vec<UpstreamName> = entries.iter().map(|entry| entry.name.clone()).collect();
-        let left = self.directory.note_listing(now_ms, entries, outage);
-        log::info!(upstreams = names.len(), left = left.len(); "list of upstreams read");
-        for name in left {
+        let changes = self.directory.note_listing(now_ms, entries, outage);
+        log::info!(
+            upstreams = names.len(), left = changes.left.len();
+            "list of upstreams read"
+        );
+        for name in &changes.lapsed {
+            self.upstream_lapsed(name);
+        }
+        for name in changes.left {
             let reason = match self.directory.has_restarted(&name) {
                 true => "restarted",
                 false => "not_listed",
@@ -132,6 +138,7 @@
             DirectoryChange::None => {}
             DirectoryChange::Left if record.value.is_none() => self.upstream_left(&name, "gone"),
             DirectoryChange::Left => self.upstream_left(&name, "leaving"),
+            DirectoryChange::Lapsed => self.upstream_lapsed(&name),
             DirectoryChange::Came => self.upstream_came(&name),
             DirectoryChange::Restarted { former } => {
                 self.upstream_left(&former, "restarted");
@@ -148,6 +155,17 @@
         self.look_again = true;
     }
 
+    /// Tells that an upstream is used for a short time more though its entry has vanished. If it left
+    /// in fact, this line is the only trace of when that was read.
+    fn upstream_lapsed(&mut self, name: &UpstreamName) {
+        self.metrics.lapsed_upstream();
+        let failed_ms_ago = self.feeds.upstreams.failed_ms_ago(self.now_ms);
+        log::info!(
+            upstream = name.to_string(), read_failed_ms_ago = failed_ms_ago;
+            "entry vanished around an outage"
+        );
+    }
+
     /// Stops sending to an upstream. Requests in progress there go on, unless its process has ended.
     pub(crate) fn upstream_left(&mut self, name: &UpstreamName, reason: &str) {
         self.sharing.note_left(self.now_ms, name);
--- a/crates/entry/src/metrics.rs
+++ b/crates/entry/src/metrics.rs
@@ -31,6 +31,7 @@
     takeovers: Counter,
     stood_still: Counter,
     foreign_entries: Counter,
+    lapsed_upstreams: Counter,
     dark_engines: Counter,
     first_answer_ms: Histogram,
     wait_ms: Histogram,
@@ -58,6 +59,7 @@
             takeovers: Counter::default(),
             stood_still: Counter::default(),
             foreign_entries: Counter::default(),
+            lapsed_upstreams: Counter::default(),
             dark_engines: Counter::default(),
             first_answer_ms: Histogram::new(buckets()),
             wait_ms: Histogram::new(buckets()),
@@ -111,6 +113,11 @@
             "Entries of the list that name nobody to send to",
             self.foreign_entries.clone(),
         );
+        registry.register(
+            "lapsed_upstreams",
+            "Upstreams that were kept for a time though their entries had vanished",
+            self.lapsed_upstreams.clone(),
+        );
         registry.register(
             "dark_engines",
             "Engines that fell silent and did not answer when they were asked",
@@ -203,6 +210,11 @@
         self.foreign_entries.inc();
     }
 
+    /// Counts an upstream that is kept though its entry has vanished.
+    pub fn lapsed_upstream(&mut self) {
+        self.lapsed_upstreams.inc();
+    }
+
     /// Counts an engine that fell silent and did not answer when it was asked.
     pub fn dark_engine(&self) {
         self.dark_engines.inc();
--- a/crates/fleet/src/directory.rs
+++ b/crates/fleet/src/directory.rs
@@ -44,6 +44,8 @@
     Came,
     /// An upstream no longer takes new work, or is gone.
     Left,
+    /// An upstream's entry vanished around an outage; it is used for a short time more.
+    Lapsed,
     /// An instance has started again; its former run is over, with all that it had of requests.
     Restarted {
         /// The former run.
@@ -53,6 +55,15 @@
     Residence,
 }
 
+/// `ListingChanges` are the upstreams that a whole list changed.
+#[derive(Clone, Debug, Default, PartialEq, Eq)]
+pub struct ListingChanges {
+    /// Those that take no new work any more, former runs among them.
+    pub left: Vec<UpstreamName>,
+    /// Those whose entries have vanished around an outage.
+    pub lapsed: Vec<UpstreamName>,
+}
+
 /// `GoneRun` is what is remembered of a run that is over.
 #[derive(Clone, Copy, Debug)]
 struct GoneRun {
@@ -285,9 +296,12 @@
         match self.upstreams.get(name) {
             None => DirectoryChange::None,
             Some(known) if outage && known.phase == UpstreamPhase::Serving => {
+                if self.lapsed.contains_key(name) {
+                    return DirectoryChange::None;
+                }
                 let until_ms = now_ms + self.options.lapse_grace_ms;
-                self.lapsed.entry(name.clone()).or_insert(until_ms);
-                DirectoryChange::None
+                self.lapsed.insert(name.clone(), until_ms);
+                DirectoryChange::Lapsed
             }
             Some(_) => {
                 self.remove(name);
@@ -296,14 +310,13 @@
         }
     }
 
-    /// Takes in a whole list. Upstreams that it does not name have vanished. Returns those that take
-    /// no new work any more, former runs among them.
+    /// Takes in a whole list. Upstreams that it does not name have vanished.
     pub fn note_listing(
         &mut self,
         now_ms: u64,
         entries: Vec<Upstream>,
         outage: bool,
-    ) -> Vec<UpstreamName> {
+    ) -> ListingChanges {
         let named: HashSet<InstanceName> =
             entries.iter().map(|entry| entry.instance.clone()).collect();
         let missing: Vec<UpstreamName> = self
@@ -312,22 +325,24 @@
             .filter(|upstream| !named.contains(&upstream.instance))
             .map(|upstream| upstream.name.clone())
             .collect();
-        let mut left = Vec::new();
+        let mut changes = ListingChanges::default();
         for name in missing {
-            if self.note_vanished(now_ms, &name, outage) == DirectoryChange::Left {
-                left.push(name);
+            match self.note_vanished(now_ms, &name, outage) {
+                DirectoryChange::Left => changes.left.push(name),
+                DirectoryChange::Lapsed => changes.lapsed.push(name),
+                _ => {}
             }
         }
         for entry in entries {
             let name = entry.name.clone();
             match self.note_entry(entry) {
-                DirectoryChange::Left => left.push(name),
-                DirectoryChange::Restarted { former } => left.push(former),
+                DirectoryChange::Left => changes.left.push(name),
+                DirectoryChange::Restarted { former } => changes.left.push(former),
                 _ => {}
             }
         }
         self.listed = true;
-        left
+        changes
     }
 
     /// Drops the upstreams whose time after a lapse is over, and returns them.
--- a/crates/fleet/src/lib.rs
+++ b/crates/fleet/src/lib.rs
@@ -27,6 +27,7 @@
 pub use directory::Directory;
 pub use directory::DirectoryChange;
 pub use directory::DirectoryOptions;
+pub use directory::ListingChanges;
 pub use errors::Error;
 pub use errors::Result;
 pub use request::PromptPart;
--- a/crates/fleet/tests/directory_entries.rs
+++ b/crates/fleet/tests/directory_entries.rs
@@ -97,7 +97,7 @@
     let mut directory = directory();
     directory.note_entry(entry("back", 5));
     directory.note_entry(entry("gone", 5));
-    let left = directory.note_listing(1_000, Vec::new(), true);
+    let left = directory.note_listing(1_000, Vec::new(), true).left;
     assert!(left.is_empty());
     assert_eq!(serving(&directory), 2);
     directory.note_entry(entry("back", 6));
@@ -121,7 +121,7 @@
 fn listing_without_an_upstream() {
     let mut directory = directory();
     directory.note_entry(entry("e", 5));
-    let left = directory.note_listing(0, vec![entry("f", 1)], false);
+    let left = directory.note_listing(0, vec![entry("f", 1)], false).left;
     assert_eq!(left, [UpstreamName::from("e")]);
     assert!(directory.upstream(&UpstreamName::from("f")).is_some());
 }
--- a/crates/fleet/tests/upstream_restarts.rs
+++ b/crates/fleet/tests/upstream_restarts.rs
@@ -135,11 +135,15 @@
 fn restart_in_a_whole_list() {
     let mut directory = directory();
     directory.note_entry(entry(FIRST_MS, 9, &["m"]));
-    let left = directory.note_listing(0, vec![entry(SECOND_MS, 1, &[])], true);
+    let left = directory
+        .note_listing(0, vec![entry(SECOND_MS, 1, &[])], true)
+        .left;
     assert_eq!(left, [run(FIRST_MS)]);
     assert!(directory.has_restarted(&run(FIRST_MS)));
     // A list that is older than what is known takes nothing back.
-    let left = directory.note_listing(0, vec![entry(FIRST_MS, 9, &["m"])], false);
+    let left = directory
+        .note_listing(0, vec![entry(FIRST_MS, 9, &["m"])], false)
+        .left;
     assert!(left.is_empty());
     assert_eq!(serving(&directory), [run(SECOND_MS)]);
 }
