The list is whole at one moment after an outage, counted from its return

Cause: around an outage a vanished entry may be that of a live upstream whose heartbeats found no list. That allowance was made of two windows that were counted from the reads, not from the outage: any removal read within 3.5 s of a failed read was taken for a lapse, and the upstream kept for 2 s from that read on, dropped by a look each 0.25 s. An upstream that left 3.0 to 3.4 s after the store's return so got requests for up to 0.9 + 2.0 + 0.25 s; the bound is 2.0 s. Class: waits that each fit a bound, counted one after the other from what was observed instead of once from the event.

Change: the directory knows when the list is whole again: 2 s after the first read that was answered. Removals read before are kept until that moment, at which the list is read once more; later ones are final.

--- a/crates/entry/src/answering.rs
+++ b/crates/entry/src/answering.rs
@@ -157,7 +157,7 @@
         };
         match (is_other, &request.job.wanted) {
             (true, _) => {
-                self.directory.note_vanished(self.now_ms, &upstream, false);
+                self.directory.note_gone(&upstream);
                 self.upstream_left(&upstream, "address_used_by_another");
             }
             (false, Some(wanted)) => {
--- a/crates/entry/src/daemon.rs
+++ b/crates/entry/src/daemon.rs
@@ -384,9 +384,6 @@
             self.listeners.remove(&CALLERS);
         }
         self.end_former_runs();
-        for name in self.directory.expire(self.now_ms) {
-            self.upstream_left(&name, "lapsed");
-        }
     }
 }
 
--- a/crates/entry/src/feeds.rs
+++ b/crates/entry/src/feeds.rs
@@ -45,9 +45,6 @@
 /// The longest such pause. The store must be read again soon after it comes back.
 const MAX_RETRY_MS: u64 = 400;
 
-/// How long after a failed read entries that vanished may be those of live upstreams.
-const OUTAGE_MS: u64 = 3_500;
-
 /// Keys of foreign entries that are told in the log. A writer that makes new keys all the time must
 /// fill neither the log nor the memory; beyond these the entries are only counted.
 const FOREIGN_KEYS: usize = 200;
@@ -70,12 +67,15 @@
     failures: u32,
     failed_ms: Option<u64>,
     read_ms: Option<u64>,
+    /// When the topic is read in any case, however long it would be left alone otherwise.
+    look_ms: Option<u64>,
 }
 
 impl Feed {
     fn failed(&mut self, now_ms: u64) {
         self.failures += 1;
         self.failed_ms = Some(now_ms);
+        self.look_ms = None;
         let pause_ms = (RETRY_MS << (self.failures - 1).min(6)).min(MAX_RETRY_MS);
         self.next_ms = now_ms + pause_ms;
     }
@@ -89,18 +89,13 @@
     /// Returns when the next read is due, if nothing is told to have changed. While the giver of
     /// orders tells of changes, a topic that was read well is left alone for longer.
     fn due_ms(&self, now_ms: u64, sharing: &Sharing, following_every_ms: u64) -> u64 {
-        match self.read_ms {
+        let due_ms = match self.read_ms {
             Some(read_ms) if self.failures == 0 && sharing.follows(now_ms) => {
                 self.next_ms.max(read_ms + following_every_ms)
             }
             _ => self.next_ms,
-        }
-    }
-
-    /// Returns whether the list could not be read a moment ago.
-    fn had_outage(&self, now_ms: u64) -> bool {
-        self.failed_ms_ago(now_ms)
-            .is_some_and(|ago_ms| ago_ms < OUTAGE_MS)
+        };
+        self.look_ms.map_or(due_ms, |look_ms| due_ms.min(look_ms))
     }
 
     /// Returns how long ago a read failed; none if none did.
@@ -277,6 +272,7 @@
             CallOutcome::NotSent => Err(DecodeError::new("not sent")),
             CallOutcome::Unknown => Err(DecodeError::new("no answer")),
         };
+        let is_list = matches!(tag, CallTag::UpstreamsNewest | CallTag::UpstreamsRead);
         let Some(feed) = self.feed(tag) else {
             return;
         };
@@ -288,6 +284,10 @@
                 if had_failures > 0 {
                     log::info!(call = tag.as_str(), failures = had_failures; "store regained");
                 }
+                // Without a pause there is more of the list to read.
+                if is_list && pause_ms > 0 {
+                    self.list_read();
+                }
             }
             Err(error) => {
                 feed.failed(now_ms);
@@ -298,6 +298,9 @@
                         "store lost"
                     );
                 }
+                if is_list {
+                    self.directory.note_list_lost();
+                }
             }
         }
     }
@@ -329,10 +332,12 @@
             }
             CallTag::UpstreamsNewest => {
                 let page = self.codecs.store.newest_answer(status, body)?;
+                self.directory.note_list_answered(self.now_ms);
                 Ok(self.take_upstreams_page(page))
             }
             CallTag::UpstreamsRead => {
                 let read = self.codecs.store.read_answer(status, body)?;
+                self.directory.note_list_answered(self.now_ms);
                 self.take_upstreams_read(read)
             }
             CallTag::VmAppend => {
--- a/crates/entry/src/feeds/listing.rs
+++ b/crates/entry/src/feeds/listing.rs
@@ -28,13 +28,12 @@
         let records = std::mem::take(&mut feed.pages);
         feed.from = feed.pages_end.take();
         feed.after = None;
-        let outage = feed.had_outage(now_ms);
         let entries: Vec<Upstream> = records
             .iter()
             .filter_map(|record| self.decode_upstream(record))
             .collect();
         let names: Vec<UpstreamName> = entries.iter().map(|entry| entry.name.clone()).collect();
-        let changes = self.directory.note_listing(now_ms, entries, outage);
+        let changes = self.directory.note_listing(now_ms, entries);
         log::info!(
             upstreams = names.len(), left = changes.left.len();
             "list of upstreams read"
@@ -120,10 +119,7 @@
         let instance = InstanceName::from(record.key.as_str());
         let before = self.directory.run_of(&instance).cloned();
         let change = match (&record.value, &before) {
-            (None, Some(run)) => {
-                let outage = self.feeds.upstreams.had_outage(now_ms);
-                self.directory.note_vanished(now_ms, run, outage)
-            }
+            (None, Some(run)) => self.directory.note_vanished(now_ms, run),
             (None, None) => DirectoryChange::None,
             (Some(_), _) => match self.decode_upstream(record) {
                 Some(upstream) => self.directory.note_entry(upstream),
@@ -155,6 +151,15 @@
         self.look_again = true;
     }
 
+    /// Takes in that the list was read to its end, and drops upstreams that did not come back after
+    /// an outage.
+    pub(super) fn list_read(&mut self) {
+        for name in self.directory.note_list_read(self.now_ms) {
+            self.upstream_left(&name, "lapsed");
+        }
+        self.feeds.upstreams.look_ms = self.directory.list_whole_ms(self.now_ms);
+    }
+
     /// Tells that an upstream is used for a short time more though its entry has vanished. If it left
     /// in fact, this line is the only trace of when that was read.
     fn upstream_lapsed(&mut self, name: &UpstreamName) {
--- a/crates/fleet/src/directory.rs
+++ b/crates/fleet/src/directory.rs
@@ -13,6 +13,7 @@
 use crate::configuration::Service;
 use crate::errors::Error;
 use crate::errors::Result;
+use crate::list_recovery::ListRecovery;
 use crate::residence::Residence;
 use crate::routes::RouteTable;
 use crate::upstream::Upstream;
@@ -22,16 +23,16 @@
 /// `DirectoryOptions` are the directory's times.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub struct DirectoryOptions {
-    /// How long an upstream whose entry vanished around an outage of the list is still used. The
-    /// platform writes entries that lapsed during an outage again within about two seconds.
-    pub lapse_grace_ms: u64,
+    /// How long after an outage of the list a live upstream's entry may be missing. The platform
+    /// writes entries that lapsed during an outage again within about two seconds of its end; on
+    /// four deployments, all entries lapsed and every read 50 ms after the other, the last came
+    /// back after 1.75 s.
+    pub restore_ms: u64,
 }
 
 impl Default for DirectoryOptions {
     fn default() -> Self {
-        Self {
-            lapse_grace_ms: 2_000,
-        }
+        Self { restore_ms: 2_000 }
     }
 }
 
@@ -84,14 +85,14 @@
 /// `Directory` keeps the newest configuration and the upstreams.
 ///
 /// It never goes back: an older configuration, and an older entry of an upstream, change nothing.
-#[derive(Debug, Default)]
+#[derive(Debug)]
 pub struct Directory {
-    options: DirectoryOptions,
     configuration: Configuration,
     routes: RouteTable,
     upstreams: HashMap<UpstreamName, Upstream>,
-    /// Upstreams whose entries vanished around an outage, with the time until which they are used.
-    lapsed: HashMap<UpstreamName, u64>,
+    recovery: ListRecovery,
+    /// Upstreams whose entries vanished around an outage. They are used until the list is whole.
+    lapsed: HashSet<UpstreamName>,
     gone: HashMap<UpstreamName, GoneRun>,
     /// The latest run of each instance, also of those that are gone: an entry of an earlier run can
     /// be read after it.
@@ -103,8 +104,14 @@
     /// Returns an empty directory.
     pub fn new(options: DirectoryOptions) -> Self {
         Self {
-            options,
-            ..Self::default()
+            configuration: Configuration::default(),
+            routes: RouteTable::default(),
+            upstreams: HashMap::new(),
+            recovery: ListRecovery::new(options.restore_ms),
+            lapsed: HashSet::new(),
+            gone: HashMap::new(),
+            runs: HashMap::new(),
+            listed: false,
         }
     }
 
@@ -265,10 +272,7 @@
     /// names nobody to send to, so the run that stood there is not used until its own entry is back.
     pub fn note_foreign(&mut self, instance: &InstanceName) -> DirectoryChange {
         match self.run_of(instance).cloned() {
-            Some(name) => {
-                self.remove(&name);
-                DirectoryChange::Left
-            }
+            Some(name) => self.note_gone(&name),
             None => DirectoryChange::None,
         }
     }
@@ -284,39 +288,62 @@
         }
     }
 
-    /// Takes in that an upstream's entry is no longer there. Around an outage of the list
-    /// (`outage`) a live upstream's entry may have lapsed only because its heartbeats found no one;
-    /// it is then used for a short time more, in which the entry can come back.
-    pub fn note_vanished(
-        &mut self,
-        now_ms: u64,
-        name: &UpstreamName,
-        outage: bool,
-    ) -> DirectoryChange {
+    /// Takes in that a read of the list failed.
+    pub fn note_list_lost(&mut self) {
+        self.recovery.lost();
+    }
+
+    /// Takes in that a read of the list was answered, before its entries are taken in.
+    pub fn note_list_answered(&mut self, now_ms: u64) {
+        self.recovery.answered(now_ms);
+    }
+
+    /// Returns when the list is whole again after an outage; it should be read then. None if it is
+    /// whole, or can't be read.
+    pub fn list_whole_ms(&self, now_ms: u64) -> Option<u64> {
+        self.recovery.ends_ms(now_ms)
+    }
+
+    /// Takes in that the list was read to its end. Drops the upstreams whose entries have not come
+    /// back after an outage, and returns them.
+    pub fn note_list_read(&mut self, now_ms: u64) -> Vec<UpstreamName> {
+        if self.recovery.is_under_way(now_ms) {
+            return Vec::new();
+        }
+        let over: Vec<UpstreamName> = self.lapsed.drain().collect();
+        for name in &over {
+            self.remove(name);
+        }
+        over
+    }
+
+    /// Takes in that an upstream's entry is no longer there. Around an outage of the list a live
+    /// upstream's entry may have lapsed only because its heartbeats found no one; it is then used
+    /// until the list is whole again.
+    pub fn note_vanished(&mut self, now_ms: u64, name: &UpstreamName) -> DirectoryChange {
+        let is_recovering = self.recovery.is_under_way(now_ms);
         match self.upstreams.get(name) {
-            None => DirectoryChange::None,
-            Some(known) if outage && known.phase == UpstreamPhase::Serving => {
-                if self.lapsed.contains_key(name) {
-                    return DirectoryChange::None;
+            Some(known) if is_recovering && known.phase == UpstreamPhase::Serving => {
+                match self.lapsed.insert(name.clone()) {
+                    true => DirectoryChange::Lapsed,
+                    false => DirectoryChange::None,
                 }
-                let until_ms = now_ms + self.options.lapse_grace_ms;
-                self.lapsed.insert(name.clone(), until_ms);
-                DirectoryChange::Lapsed
-            }
-            Some(_) => {
-                self.remove(name);
-                DirectoryChange::Left
             }
+            _ => self.note_gone(name),
+        }
+    }
+
+    /// Takes in that an upstream is gone for certain.
+    pub fn note_gone(&mut self, name: &UpstreamName) -> DirectoryChange {
+        if !self.upstreams.contains_key(name) {
+            return DirectoryChange::None;
         }
+        self.remove(name);
+        DirectoryChange::Left
     }
 
     /// Takes in a whole list. Upstreams that it does not name have vanished.
-    pub fn note_listing(
-        &mut self,
-        now_ms: u64,
-        entries: Vec<Upstream>,
-        outage: bool,
-    ) -> ListingChanges {
+    pub fn note_listing(&mut self, now_ms: u64, entries: Vec<Upstream>) -> ListingChanges {
         let named: HashSet<InstanceName> =
             entries.iter().map(|entry| entry.instance.clone()).collect();
         let missing: Vec<UpstreamName> = self
@@ -327,7 +354,7 @@
             .collect();
         let mut changes = ListingChanges::default();
         for name in missing {
-            match self.note_vanished(now_ms, &name, outage) {
+            match self.note_vanished(now_ms, &name) {
                 DirectoryChange::Left => changes.left.push(name),
                 DirectoryChange::Lapsed => changes.lapsed.push(name),
                 _ => {}
@@ -345,20 +372,6 @@
         changes
     }
 
-    /// Drops the upstreams whose time after a lapse is over, and returns them.
-    pub fn expire(&mut self, now_ms: u64) -> Vec<UpstreamName> {
-        let over: Vec<UpstreamName> = self
-            .lapsed
-            .iter()
-            .filter(|(_, until_ms)| **until_ms <= now_ms)
-            .map(|(name, _)| name.clone())
-            .collect();
-        for name in &over {
-            self.remove(name);
-        }
-        over
-    }
-
     /// Returns an upstream.
     pub fn upstream(&self, name: &UpstreamName) -> Option<&Upstream> {
         self.upstreams.get(name)
--- a/crates/fleet/src/lib.rs
+++ b/crates/fleet/src/lib.rs
@@ -11,6 +11,7 @@
 mod configuration;
 mod directory;
 mod errors;
+mod list_recovery;
 mod request;
 mod residence;
 mod routes;
--- a/crates/fleet/tests/directory_entries.rs
+++ b/crates/fleet/tests/directory_entries.rs
@@ -14,11 +14,15 @@
 use apricotdale_fleet::Upstream;
 use apricotdale_fleet::UpstreamPhase;
 
-const GRACE_MS: u64 = 2_000;
+const RESTORE_MS: u64 = 2_000;
+
+/// When the list comes back, and when live upstreams' entries are back in it.
+const RETURN_MS: u64 = 10_000;
+const WHOLE_MS: u64 = RETURN_MS + RESTORE_MS;
 
 fn directory() -> Directory {
     Directory::new(DirectoryOptions {
-        lapse_grace_ms: GRACE_MS,
+        restore_ms: RESTORE_MS,
     })
 }
 
@@ -79,10 +83,7 @@
     let mut directory = directory();
     directory.note_entry(entry("e", 5));
     let name = UpstreamName::from("e");
-    assert_eq!(
-        directory.note_vanished(0, &name, false),
-        DirectoryChange::Left
-    );
+    assert_eq!(directory.note_vanished(0, &name), DirectoryChange::Left);
     directory.note_entry(entry("e", 5));
     assert_eq!(serving(&directory), 0);
     directory.note_entry(entry("e", 6));
@@ -97,23 +98,78 @@
     let mut directory = directory();
     directory.note_entry(entry("back", 5));
     directory.note_entry(entry("gone", 5));
-    let left = directory.note_listing(1_000, Vec::new(), true).left;
-    assert!(left.is_empty());
+    directory.note_list_lost();
+    directory.note_list_answered(RETURN_MS);
+    let changes = directory.note_listing(RETURN_MS, Vec::new());
+    assert!(changes.left.is_empty());
+    assert_eq!(changes.lapsed.len(), 2);
     assert_eq!(serving(&directory), 2);
     directory.note_entry(entry("back", 6));
-    assert!(directory.expire(1_000 + GRACE_MS - 1).is_empty());
+    assert!(directory.note_list_read(WHOLE_MS - 1).is_empty());
     assert_eq!(
-        directory.expire(1_000 + GRACE_MS),
+        directory.note_list_read(WHOLE_MS),
         [UpstreamName::from("gone")]
     );
     assert_eq!(serving(&directory), 1);
 }
 
+/// Symptom: an upstream that left gets requests for more than 2 s. Sequence: the list comes back, and
+/// when it is whole again an upstream leaves without a notice; its removal is read. Cause: the
+/// removal was taken for a lapse because a read had failed not long before.
+#[test]
+fn removal_from_a_whole_list() {
+    let mut directory = directory();
+    directory.note_entry(entry("e", 5));
+    directory.note_list_lost();
+    directory.note_list_answered(RETURN_MS);
+    directory.note_list_answered(WHOLE_MS);
+    let change = directory.note_vanished(WHOLE_MS, &UpstreamName::from("e"));
+    assert_eq!(change, DirectoryChange::Left);
+}
+
+/// Symptom and sequence as above, but the removal is read just before the list is whole. Cause: the
+/// time in which an entry can come back was counted from the read of its removal, so that reads and
+/// that time added up beyond the bound.
+#[test]
+fn removal_just_before_the_list_is_whole() {
+    let mut directory = directory();
+    directory.note_entry(entry("e", 5));
+    directory.note_list_lost();
+    directory.note_list_answered(RETURN_MS);
+    let name = UpstreamName::from("e");
+    let change = directory.note_vanished(WHOLE_MS - 1, &name);
+    assert_eq!(change, DirectoryChange::Lapsed);
+    assert_eq!(directory.list_whole_ms(WHOLE_MS - 1), Some(WHOLE_MS));
+    assert_eq!(directory.note_list_read(WHOLE_MS), [name]);
+    assert_eq!(serving(&directory), 0);
+}
+
+/// A second outage before the list is whole begins the wait anew: live upstreams could not write
+/// their entries meanwhile.
+#[test]
+fn second_outage_while_the_list_recovers() {
+    const SECOND_RETURN_MS: u64 = WHOLE_MS + 700;
+    let mut directory = directory();
+    directory.note_entry(entry("e", 5));
+    directory.note_list_lost();
+    directory.note_list_answered(RETURN_MS);
+    directory.note_vanished(RETURN_MS, &UpstreamName::from("e"));
+    directory.note_list_lost();
+    assert_eq!(directory.list_whole_ms(WHOLE_MS), None);
+    directory.note_list_answered(SECOND_RETURN_MS);
+    assert!(directory.note_list_read(SECOND_RETURN_MS).is_empty());
+    assert_eq!(serving(&directory), 1);
+    let whole_ms = SECOND_RETURN_MS + RESTORE_MS;
+    assert_eq!(directory.list_whole_ms(SECOND_RETURN_MS), Some(whole_ms));
+    assert_eq!(directory.note_list_read(whole_ms).len(), 1);
+}
+
 #[test]
 fn leaving_upstream_does_not_lapse_gently() {
     let mut directory = directory();
     directory.note_entry(leaving("e", 5));
-    let change = directory.note_vanished(0, &UpstreamName::from("e"), true);
+    directory.note_list_lost();
+    let change = directory.note_vanished(0, &UpstreamName::from("e"));
     assert_eq!(change, DirectoryChange::Left);
 }
 
@@ -121,7 +177,7 @@
 fn listing_without_an_upstream() {
     let mut directory = directory();
     directory.note_entry(entry("e", 5));
-    let left = directory.note_listing(0, vec![entry("f", 1)], false).left;
+    let left = directory.note_listing(0, vec![entry("f", 1)]).left;
     assert_eq!(left, [UpstreamName::from("e")]);
     assert!(directory.upstream(&UpstreamName::from("f")).is_some());
 }
@@ -151,7 +207,7 @@
 fn not_complete_before_list_and_configuration() {
     let mut directory = directory();
     assert!(!directory.is_complete());
-    directory.note_listing(0, Vec::new(), false);
+    directory.note_listing(0, Vec::new());
     assert!(!directory.is_complete());
     directory
         .configure(Configuration {
--- a/crates/fleet/tests/upstream_restarts.rs
+++ b/crates/fleet/tests/upstream_restarts.rs
@@ -81,7 +81,7 @@
     directory.note_entry(entry(FIRST_MS, 40, &["m"]));
     directory.note_entry(entry(SECOND_MS, 1, &[]));
     if gone {
-        directory.note_vanished(0, &run(SECOND_MS), false);
+        directory.note_vanished(0, &run(SECOND_MS));
     }
     let change = directory.note_entry(entry(FIRST_MS, 41, &["m"]));
     assert_eq!(change, DirectoryChange::None);
@@ -135,14 +135,16 @@
 fn restart_in_a_whole_list() {
     let mut directory = directory();
     directory.note_entry(entry(FIRST_MS, 9, &["m"]));
+    directory.note_list_lost();
+    directory.note_list_answered(0);
     let left = directory
-        .note_listing(0, vec![entry(SECOND_MS, 1, &[])], true)
+        .note_listing(0, vec![entry(SECOND_MS, 1, &[])])
         .left;
     assert_eq!(left, [run(FIRST_MS)]);
     assert!(directory.has_restarted(&run(FIRST_MS)));
     // A list that is older than what is known takes nothing back.
     let left = directory
-        .note_listing(0, vec![entry(FIRST_MS, 9, &["m"])], false)
+        .note_listing(0, vec![entry(FIRST_MS, 9, &["m"])])
         .left;
     assert!(left.is_empty());
     assert_eq!(serving(&directory), [run(SECOND_MS)]);
