VMs tell of missing entries apart from notices

The VM that reads the list for all tells the others which upstreams left, by name. They took each as the upstream's own notice, which is never taken back. If a live upstream's entry comes back (it had lapsed, or another writer had put its own there), the teller uses the upstream again; a VM that was told and did not read the removal itself, because it could not read or the store had dropped its history, never does.

Change: what is told carries the revision of the last entry read and whether it is final. A missing entry is taken back by a newer one; the teller stops telling once the upstream is there again.

--- a/crates/entry/src/feeds/listing.rs
+++ b/crates/entry/src/feeds/listing.rs
@@ -146,6 +146,7 @@
 
     fn upstream_came(&mut self, name: &UpstreamName) {
         self.sharing.note_came();
+        self.sharing.note_back(name);
         self.peers.beat_soon();
         log::info!(upstream = name.to_string(); "upstream came");
         self.look_again = true;
@@ -173,7 +174,9 @@
 
     /// Stops sending to an upstream. Requests in progress there go on, unless its process has ended.
     pub(crate) fn upstream_left(&mut self, name: &UpstreamName, reason: &str) {
-        self.sharing.note_left(self.now_ms, name);
+        if let Some(departure) = self.directory.departure(name) {
+            self.sharing.note_left(self.now_ms, departure);
+        }
         self.peers.beat_soon();
         log::info!(upstream = name.to_string(), reason; "upstream takes no new work");
         self.outbound
--- a/crates/entry/src/sharing.rs
+++ b/crates/entry/src/sharing.rs
@@ -9,6 +9,7 @@
 
 use apricotdale_core::names::UpstreamName;
 use apricotdale_core::names::VmName;
+use apricotdale_fleet::Departure;
 use serde::Deserialize;
 use serde::Serialize;
 
@@ -37,7 +38,7 @@
     /// How many upstreams have come in this run.
     pub came: u64,
     /// Upstreams that left within the last seconds.
-    pub left: Vec<UpstreamName>,
+    pub left: Vec<Departure>,
 }
 
 impl Freshness {
@@ -54,7 +55,7 @@
 #[derive(Debug, Default)]
 pub(crate) struct Sharing {
     came: u64,
-    left: Vec<(UpstreamName, u64)>,
+    left: Vec<(Departure, u64)>,
     followed: Option<(VmName, u64, u64)>,
     followed_until_ms: u64,
     /// The newest version that a giver told of.
@@ -67,9 +68,14 @@
         self.came += 1;
     }
 
+    /// Notes that an upstream is there again, so that its departure is not told any more.
+    pub fn note_back(&mut self, name: &UpstreamName) {
+        self.left.retain(|(left, _)| left.upstream != *name);
+    }
+
     /// Notes that an upstream left.
-    pub fn note_left(&mut self, now_ms: u64, name: &UpstreamName) {
-        self.left.push((name.clone(), now_ms + LEFT_REPEATED_MS));
+    pub fn note_left(&mut self, now_ms: u64, departure: Departure) {
+        self.left.push((departure, now_ms + LEFT_REPEATED_MS));
     }
 
     /// Returns how many upstreams have come.
@@ -78,9 +84,9 @@
     }
 
     /// Returns the upstreams that left within the last seconds.
-    pub fn left(&mut self, now_ms: u64) -> Vec<UpstreamName> {
+    pub fn left(&mut self, now_ms: u64) -> Vec<Departure> {
         self.left.retain(|(_, until_ms)| *until_ms > now_ms);
-        self.left.iter().map(|(name, _)| name.clone()).collect()
+        self.left.iter().map(|(left, _)| left.clone()).collect()
     }
 
     /// Takes in a beat of the giver. Returns whether the list should be read now.
--- a/crates/entry/src/telling.rs
+++ b/crates/entry/src/telling.rs
@@ -146,9 +146,9 @@
         if self.sharing.hear(now_ms, &giver.vm, giver.run, fresh) {
             self.feeds.read_list_soon(now_ms);
         }
-        for name in &fresh.left {
-            if self.directory.note_leaving(name) == DirectoryChange::Left {
-                self.upstream_left(name, "told_by_another_vm");
+        for departure in &fresh.left {
+            if self.directory.note_departure(departure) == DirectoryChange::Left {
+                self.upstream_left(&departure.upstream, "told_by_another_vm");
             }
         }
     }
--- a/crates/fleet/src/directory.rs
+++ b/crates/fleet/src/directory.rs
@@ -11,6 +11,8 @@
 use crate::configuration::Configuration;
 use crate::configuration::Route;
 use crate::configuration::Service;
+use crate::departure::Departure;
+use crate::departure::DepartureKind;
 use crate::errors::Error;
 use crate::errors::Result;
 use crate::list_recovery::ListRecovery;
@@ -277,13 +279,36 @@
         }
     }
 
+    /// Returns what is known of an upstream that takes no new work; none if it may, or was never
+    /// known.
+    pub fn departure(&self, name: &UpstreamName) -> Option<Departure> {
+        let (revision, kind) = match (self.upstreams.get(name), self.gone.get(name)) {
+            (Some(known), _) if known.phase == UpstreamPhase::Leaving => {
+                (known.revision, DepartureKind::Final)
+            }
+            (None, Some(gone)) if gone.restarted => (gone.revision, DepartureKind::Final),
+            (None, Some(gone)) => (gone.revision, DepartureKind::Missing),
+            _ => return None,
+        };
+        Some(Departure {
+            upstream: name.clone(),
+            revision,
+            kind,
+        })
+    }
+
     /// Takes in that an upstream takes no new work any more, as another VM has read.
-    pub fn note_leaving(&mut self, name: &UpstreamName) -> DirectoryChange {
-        match self.upstreams.get_mut(name) {
-            Some(known) if known.phase == UpstreamPhase::Serving => {
+    pub fn note_departure(&mut self, departure: &Departure) -> DirectoryChange {
+        let name = &departure.upstream;
+        match (self.upstreams.get_mut(name), departure.kind) {
+            (Some(known), DepartureKind::Final) if known.phase == UpstreamPhase::Serving => {
                 known.phase = UpstreamPhase::Leaving;
                 DirectoryChange::Left
             }
+            (Some(known), DepartureKind::Missing) if known.revision <= departure.revision => {
+                known.revision = departure.revision;
+                self.note_gone(name)
+            }
             _ => DirectoryChange::None,
         }
     }
--- a/crates/fleet/src/lib.rs
+++ b/crates/fleet/src/lib.rs
@@ -9,6 +9,7 @@
 #![warn(missing_docs)]
 
 mod configuration;
+mod departure;
 mod directory;
 mod errors;
 mod list_recovery;
@@ -25,6 +26,8 @@
 pub use configuration::RouteKind;
 pub use configuration::Service;
 pub use configuration::SplitShare;
+pub use departure::Departure;
+pub use departure::DepartureKind;
 pub use directory::Directory;
 pub use directory::DirectoryChange;
 pub use directory::DirectoryOptions;
--- a/crates/standins/src/platform/engine.rs
+++ b/crates/standins/src/platform/engine.rs
@@ -204,12 +204,19 @@
         self.announce(None);
     }
 
-    /// Removes the engine's entry for good.
+    /// Removes the engine's entry, until it [comes back](PlatformEngine::come_back).
     pub fn withdraw(&self) {
         self.entry.lock().gone = true;
         self.store.put("keyed.servers", &self.options.instance, b"");
     }
 
+    /// Writes the engine's entry again after it was removed, as a live engine does whose entry
+    /// lapsed.
+    pub fn come_back(&self) {
+        self.entry.lock().gone = false;
+        self.announce(None);
+    }
+
     /// Spoils the next answer.
     pub fn push_fault(&self, fault: AnswerFault) {
         self.answers.push_fault(fault);
