Move: what the giver shares, into the crate of plain state

Pure move of sharing.rs from crates/entry to crates/fleet, with its types made public, so that the times in it can be tested without a process.

--- a/crates/entry/src/daemon.rs
+++ b/crates/entry/src/daemon.rs
@@ -14,6 +14,7 @@
 use apricotdale_dispatch::SilenceWatch;
 use apricotdale_fleet::Directory;
 use apricotdale_fleet::DirectoryOptions;
+use apricotdale_fleet::Sharing;
 use mio::Events;
 use mio::Interest;
 use mio::Poll;
@@ -42,7 +43,6 @@
 use crate::outbound::Purpose;
 use crate::peers::Peers;
 use crate::settings::Settings;
-use crate::sharing::Sharing;
 use crate::stopping::Stopping;
 use crate::stream::Stream;
 
--- a/crates/entry/src/feeds.rs
+++ b/crates/entry/src/feeds.rs
@@ -4,6 +4,8 @@
 
 use std::collections::HashSet;
 
+use apricotdale_fleet::Sharing;
+
 use crate::calling::CallOutcome;
 use crate::calling::CallTag;
 use crate::codec::DecodeError;
@@ -13,7 +15,6 @@
 use crate::daemon::Daemon;
 use crate::messages::VmRecord;
 use crate::outbound::Peer;
-use crate::sharing::Sharing;
 
 /// How long a read of the configuration waits for a change. A connection that has fallen silent is
 /// noticed after that and a little more, within the time in which a change must be in force.
--- a/crates/entry/src/lib.rs
+++ b/crates/entry/src/lib.rs
@@ -30,7 +30,6 @@
 mod peers;
 mod serving;
 mod settings;
-mod sharing;
 mod stopping;
 mod stream;
 mod telling;
--- a/crates/entry/src/messages.rs
+++ b/crates/entry/src/messages.rs
@@ -5,13 +5,12 @@
 use apricotdale_core::names::ModelName;
 use apricotdale_core::names::UpstreamName;
 use apricotdale_core::names::VmName;
+use apricotdale_fleet::Freshness;
 use apricotdale_holder::DemandRow;
 use apricotdale_holder::ResidenceNews;
 use serde::Deserialize;
 use serde::Serialize;
 
-use crate::sharing::Freshness;
-
 /// `VmRecord` is a VM's entry in the store, by which VMs find each other.
 #[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub(crate) struct VmRecord {
--- a/crates/entry/src/telling.rs
+++ b/crates/entry/src/telling.rs
@@ -14,6 +14,7 @@
 use apricotdale_dispatch::LoadForecast;
 use apricotdale_dispatch::WaitReason;
 use apricotdale_fleet::DirectoryChange;
+use apricotdale_fleet::Freshness;
 use apricotdale_fleet::WantedModel;
 use apricotdale_holder::DemandRow;
 use apricotdale_holder::ResidenceNews;
@@ -25,7 +26,6 @@
 use crate::messages::VmRecord;
 use crate::peers::GREETING_MS;
 use crate::peers::ROWS_A_DATAGRAM;
-use crate::sharing::Freshness;
 
 /// Time between two tellings of the demand while requests wait.
 const DEMAND_WAITING_MS: u64 = 200;
--- a/crates/fleet/src/lib.rs
+++ b/crates/fleet/src/lib.rs
@@ -16,6 +16,7 @@
 mod request;
 mod residence;
 mod routes;
+mod sharing;
 mod upstream;
 
 pub use configuration::CallerLimits;
@@ -41,6 +42,8 @@
 pub use residence::ResidentModel;
 pub use residence::Tier;
 pub use routes::RouteTable;
+pub use sharing::Freshness;
+pub use sharing::Sharing;
 pub use upstream::Upstream;
 pub use upstream::UpstreamPhase;
 pub use upstream::run_name;
--- a/crates/entry/src/sharing.rs
+++ b/crates/fleet/src/sharing.rs
@@ -9,10 +9,11 @@
 
 use apricotdale_core::names::UpstreamName;
 use apricotdale_core::names::VmName;
-use apricotdale_fleet::Departure;
 use serde::Deserialize;
 use serde::Serialize;
 
+use crate::departure::Departure;
+
 /// How old the giver's list may be for others to go without reading it. The giver reads it each
 /// 0.9 s.
 const FRESH_LIST_MS: u64 = 1_300;
@@ -28,7 +29,7 @@
 
 /// `Freshness` is what a beat tells of the giver's reads.
 #[derive(Clone, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
-pub(crate) struct Freshness {
+pub struct Freshness {
     /// The version of the configuration in force.
     pub configuration: u64,
     /// How long ago the configuration was read; none if it was not.
@@ -60,8 +61,10 @@
 }
 
 /// `Sharing` is what this VM shares, as the giver, or takes from the giver.
+///
+/// Times go in with each call; nothing here reads a clock.
 #[derive(Debug, Default)]
-pub(crate) struct Sharing {
+pub struct Sharing {
     came: u64,
     left: Vec<(Departure, u64)>,
     followed: Option<(VmName, u64, u64)>,
