A list that is relied on is 1.8 s old at most

Cause, found by adding up the times: a VM takes the giver's list in place of its own reads while that list is at most 1.3 s old, and each beat counts for 0.9 s. Each is within the 2.0 s after which an upstream that left must get nothing; together they are 2.2 s. It takes a giver that can't read for a moment and is then lost.

Change: a beat counts until the list it tells of is 1.8 s old, 0.9 s at most. The usual list (0.9 s) is followed as before.

Before: list_of_a_lost_giver failed for a list of 1.3 s, passed for 0 and 0.9 s. After: passes.

--- a/crates/fleet/src/sharing.rs
+++ b/crates/fleet/src/sharing.rs
@@ -24,6 +24,11 @@
 /// How long a beat counts. Beats come each 0.4 s, so one may be lost.
 const BEAT_GOOD_MS: u64 = 900;
 
+/// How old the list that a VM relies on may grow before it reads for itself. An upstream may have
+/// left right after the giver's last read, and must get nothing 2 s later. Bounding the age of the
+/// giver's list and the time for which a beat counts, each by itself, let it grow to 2.2 s.
+const RELIED_LIST_MS: u64 = 1_800;
+
 /// How long the giver repeats that an upstream has left.
 const LEFT_REPEATED_MS: u64 = 2_500;
 
@@ -45,12 +50,13 @@
 }
 
 impl Freshness {
-    fn is_good(&self) -> bool {
-        self.list_age_ms
-            .is_some_and(|age_ms| age_ms <= FRESH_LIST_MS)
-            && self
-                .configuration_age_ms
-                .is_some_and(|age_ms| age_ms <= FRESH_CONFIGURATION_MS)
+    /// Returns for how long other VMs may go without reading for themselves; none if not at all.
+    fn good_ms(&self) -> Option<u64> {
+        let configuration_age_ms = self.configuration_age_ms?;
+        let list_age_ms = self.list_age_ms?;
+        let is_fresh =
+            list_age_ms <= FRESH_LIST_MS && configuration_age_ms <= FRESH_CONFIGURATION_MS;
+        is_fresh.then(|| BEAT_GOOD_MS.min(RELIED_LIST_MS - list_age_ms))
     }
 
     /// Returns when the giver read a list in which no live upstream was missing; none if it did not.
@@ -103,11 +109,11 @@
     /// Takes in a beat of the giver. Returns whether the list should be read now.
     pub fn hear(&mut self, now_ms: u64, giver: &VmName, run: u64, fresh: &Freshness) -> bool {
         self.told_version = self.told_version.max(fresh.configuration);
-        if !fresh.is_good() {
+        let Some(good_ms) = fresh.good_ms() else {
             self.followed_until_ms = 0;
             return false;
-        }
-        self.followed_until_ms = now_ms + BEAT_GOOD_MS;
+        };
+        self.followed_until_ms = now_ms + good_ms;
         let before = self.followed.replace((giver.clone(), run, fresh.came));
         before != self.followed
     }
