Split: departures out of the directory, feeds by job, tests by feature

Pure moves: crates/fleet/src/directory/departing.rs (how upstreams stop taking work), crates/entry/src/feeds/{feed,configuration}.rs, and the tests of the list's recovery and of told departures out of directory_entries.rs, over a shared tests/support.

--- a/crates/entry/src/feeds.rs
+++ b/crates/entry/src/feeds.rs
@@ -1,25 +1,23 @@
 //! What this VM reads from the store: the configuration and the lists.
 
+mod configuration;
+mod feed;
 mod listing;
 
 use std::collections::HashSet;
 
 use apricotdale_fleet::Sharing;
 
+use self::feed::Feed;
+use self::feed::RETRY_MS;
 use crate::calling::CallOutcome;
 use crate::calling::CallTag;
 use crate::codec::DecodeError;
-use crate::codec::KeyedRecord;
-use crate::codec::LogRead;
 use crate::codec::Topic;
 use crate::daemon::Daemon;
 use crate::messages::VmRecord;
 use crate::outbound::Peer;
 
-/// How long a read of the configuration waits for a change. A connection that has fallen silent is
-/// noticed after that and a little more, within the time in which a change must be in force.
-const CONFIGURATION_WAIT_MS: u64 = 2_000;
-
 /// The time between two reads of the upstreams' entries. One that leaves must get no new requests
 /// 2 s after it said so.
 const UPSTREAMS_EVERY_MS: u64 = 900;
@@ -40,12 +38,6 @@
 /// a call that a silent store swallowed must not hold it up for long.
 const NEWEST_TIMEOUT_MS: u64 = 900;
 
-/// The pause after a call that failed, doubled with each further one.
-const RETRY_MS: u64 = 100;
-
-/// The longest such pause. The store must be read again soon after it comes back.
-const MAX_RETRY_MS: u64 = 400;
-
 /// Keys of foreign entries that are told in the log. A writer that makes new keys all the time must
 /// fill neither the log nor the memory; beyond these the entries are only counted.
 const FOREIGN_KEYS: usize = 200;
@@ -54,64 +46,6 @@
 /// at the former process. Events of a stream come every few tens of milliseconds.
 const RESTART_SILENT_MS: u64 = 500;
 
-/// `Feed` is one topic that is read.
-#[derive(Debug, Default)]
-struct Feed {
-    /// Where the next read begins; none before the newest records were read.
-    from: Option<u64>,
-    /// Pages of newest records so far.
-    pages: Vec<KeyedRecord>,
-    pages_end: Option<u64>,
-    after: Option<String>,
-    next_ms: u64,
-    calling: bool,
-    failures: u32,
-    failed_ms: Option<u64>,
-    read_ms: Option<u64>,
-    /// When the topic is read in any case, however long it would be left alone otherwise.
-    look_ms: Option<u64>,
-}
-
-impl Feed {
-    fn failed(&mut self, now_ms: u64) {
-        self.failures += 1;
-        self.failed_ms = Some(now_ms);
-        self.look_ms = None;
-        let pause_ms = (RETRY_MS << (self.failures - 1).min(6)).min(MAX_RETRY_MS);
-        self.next_ms = now_ms + pause_ms;
-    }
-
-    fn succeeded(&mut self, now_ms: u64, pause_ms: u64) {
-        self.failures = 0;
-        self.read_ms = Some(now_ms);
-        self.next_ms = now_ms + pause_ms;
-    }
-
-    /// Returns when the next read is due, if nothing is told to have changed. While the giver of
-    /// orders tells of changes, a topic that was read well is left alone for longer.
-    fn due_ms(&self, now_ms: u64, sharing: &Sharing, following_every_ms: u64) -> u64 {
-        let due_ms = match self.read_ms {
-            Some(read_ms) if self.failures == 0 && sharing.follows(now_ms) => {
-                self.next_ms.max(read_ms + following_every_ms)
-            }
-            _ => self.next_ms,
-        };
-        self.look_ms.map_or(due_ms, |look_ms| due_ms.min(look_ms))
-    }
-
-    /// Returns how long ago a read failed; none if none did.
-    fn failed_ms_ago(&self, now_ms: u64) -> Option<u64> {
-        self.failed_ms.map(|at_ms| now_ms.saturating_sub(at_ms))
-    }
-
-    fn restart(&mut self) {
-        self.from = None;
-        self.pages.clear();
-        self.pages_end = None;
-        self.after = None;
-    }
-}
-
 /// `Feeds` are the topics that this VM reads.
 #[derive(Debug, Default)]
 pub(crate) struct Feeds {
@@ -205,29 +139,6 @@
         }
     }
 
-    fn read_configuration(&mut self) {
-        self.feeds.configuration.calling = true;
-        match self.feeds.configuration.from {
-            None => {
-                let bytes = self.codecs.store.newest(Topic::Configuration, None);
-                self.call_store(CallTag::ConfigurationNewest, &bytes, NEWEST_TIMEOUT_MS);
-            }
-            Some(from) => {
-                // A VM that is told of changes has no read waiting, so that it makes none in vain.
-                let wait_ms = match self.sharing.follows(self.now_ms) {
-                    true => 0,
-                    false => CONFIGURATION_WAIT_MS,
-                };
-                let bytes = self.codecs.store.read(Topic::Configuration, from, wait_ms);
-                self.call_store(
-                    CallTag::ConfigurationRead,
-                    &bytes,
-                    wait_ms + CALL_TIMEOUT_MS,
-                );
-            }
-        }
-    }
-
     fn read_upstreams(&mut self) {
         self.feeds.upstreams.calling = true;
         match self.feeds.upstreams.from {
@@ -362,51 +273,4 @@
             _ => Ok(RETRY_MS),
         }
     }
-
-    fn take_configuration_read(&mut self, read: LogRead) -> Result<u64, DecodeError> {
-        match read {
-            LogRead::Expired { .. } => {
-                self.feeds.configuration.restart();
-                Ok(0)
-            }
-            LogRead::Records { records, .. } => {
-                let mut keyed = Vec::new();
-                for record in &records {
-                    keyed.push(self.codecs.store.keyed(record)?);
-                }
-                self.take_configurations(&keyed);
-                let from = self.feeds.configuration.from.unwrap_or_default();
-                self.feeds.configuration.from = Some(from + records.len() as u64);
-                Ok(0)
-            }
-        }
-    }
-
-    /// Puts configurations in force. Returns whether there was one.
-    fn take_configurations(&mut self, records: &[KeyedRecord]) -> bool {
-        let mut found = false;
-        for record in records {
-            let configuration = match self.codecs.store.configuration(record) {
-                Ok(Some(configuration)) => configuration,
-                Ok(None) => continue,
-                Err(error) => {
-                    log::error!(reason = error.detail; "configuration not understood");
-                    continue;
-                }
-            };
-            found = true;
-            let version = configuration.version;
-            let before = self.directory.version();
-            match self.directory.configure(configuration) {
-                Ok(()) if version != before => {
-                    log::info!(version, before; "configuration in force");
-                    self.peers.beat_soon();
-                    self.look_again = true;
-                }
-                Ok(()) => {}
-                Err(error) => log::warn!(reason = error.to_string(); "configuration left alone"),
-            }
-        }
-        found
-    }
 }
--- /dev/null
+++ b/crates/entry/src/feeds/configuration.rs
@@ -0,0 +1,86 @@
+//! The configuration: how it is read and put in force.
+
+use super::CALL_TIMEOUT_MS;
+use super::NEWEST_TIMEOUT_MS;
+use crate::calling::CallTag;
+use crate::codec::DecodeError;
+use crate::codec::KeyedRecord;
+use crate::codec::LogRead;
+use crate::codec::Topic;
+use crate::daemon::Daemon;
+
+/// How long a read of the configuration waits for a change. A connection that has fallen silent is
+/// noticed after that and a little more, within the time in which a change must be in force.
+const CONFIGURATION_WAIT_MS: u64 = 2_000;
+
+impl Daemon {
+    pub(super) fn read_configuration(&mut self) {
+        self.feeds.configuration.calling = true;
+        match self.feeds.configuration.from {
+            None => {
+                let bytes = self.codecs.store.newest(Topic::Configuration, None);
+                self.call_store(CallTag::ConfigurationNewest, &bytes, NEWEST_TIMEOUT_MS);
+            }
+            Some(from) => {
+                // A VM that is told of changes has no read waiting, so that it makes none in vain.
+                let wait_ms = match self.sharing.follows(self.now_ms) {
+                    true => 0,
+                    false => CONFIGURATION_WAIT_MS,
+                };
+                let bytes = self.codecs.store.read(Topic::Configuration, from, wait_ms);
+                self.call_store(
+                    CallTag::ConfigurationRead,
+                    &bytes,
+                    wait_ms + CALL_TIMEOUT_MS,
+                );
+            }
+        }
+    }
+
+    pub(super) fn take_configuration_read(&mut self, read: LogRead) -> Result<u64, DecodeError> {
+        match read {
+            LogRead::Expired { .. } => {
+                self.feeds.configuration.restart();
+                Ok(0)
+            }
+            LogRead::Records { records, .. } => {
+                let mut keyed = Vec::new();
+                for record in &records {
+                    keyed.push(self.codecs.store.keyed(record)?);
+                }
+                self.take_configurations(&keyed);
+                let from = self.feeds.configuration.from.unwrap_or_default();
+                self.feeds.configuration.from = Some(from + records.len() as u64);
+                Ok(0)
+            }
+        }
+    }
+
+    /// Puts configurations in force. Returns whether there was one.
+    pub(super) fn take_configurations(&mut self, records: &[KeyedRecord]) -> bool {
+        let mut found = false;
+        for record in records {
+            let configuration = match self.codecs.store.configuration(record) {
+                Ok(Some(configuration)) => configuration,
+                Ok(None) => continue,
+                Err(error) => {
+                    log::error!(reason = error.detail; "configuration not understood");
+                    continue;
+                }
+            };
+            found = true;
+            let version = configuration.version;
+            let before = self.directory.version();
+            match self.directory.configure(configuration) {
+                Ok(()) if version != before => {
+                    log::info!(version, before; "configuration in force");
+                    self.peers.beat_soon();
+                    self.look_again = true;
+                }
+                Ok(()) => {}
+                Err(error) => log::warn!(reason = error.to_string(); "configuration left alone"),
+            }
+        }
+        found
+    }
+}
--- a/crates/fleet/src/directory.rs
+++ b/crates/fleet/src/directory.rs
@@ -1,5 +1,7 @@
 //! The newest configuration and the upstreams.
 
+mod departing;
+
 use std::collections::HashMap;
 use std::collections::HashSet;
 use std::sync::Arc;
@@ -11,8 +13,6 @@
 use crate::configuration::Configuration;
 use crate::configuration::Route;
 use crate::configuration::Service;
-use crate::departure::Departure;
-use crate::departure::DepartureKind;
 use crate::errors::Error;
 use crate::errors::Result;
 use crate::list_recovery::ListRecovery;
@@ -279,113 +279,6 @@
         self.gone.get(name).is_some_and(|gone| gone.restarted)
     }
 
-    /// Takes in an entry that is none of the upstream's own: another writer has put it there. It
-    /// names nobody to send to, so the run that stood there is not used until its own entry is back.
-    pub fn note_foreign(&mut self, instance: &InstanceName) -> DirectoryChange {
-        match self.run_of(instance).cloned() {
-            Some(name) => self.note_gone(&name),
-            None => DirectoryChange::None,
-        }
-    }
-
-    /// Returns what is known of an upstream that takes no new work; none if it may, or was never
-    /// known.
-    pub fn departure(&self, name: &UpstreamName) -> Option<Departure> {
-        let (revision, kind) = match (self.upstreams.get(name), self.gone.get(name)) {
-            (Some(known), _) if known.phase == UpstreamPhase::Leaving => {
-                (known.revision, DepartureKind::Final)
-            }
-            (None, Some(gone)) if gone.restarted => (gone.revision, DepartureKind::Final),
-            (None, Some(gone)) => (gone.revision, DepartureKind::Missing),
-            _ => return None,
-        };
-        Some(Departure {
-            upstream: name.clone(),
-            revision,
-            kind,
-        })
-    }
-
-    /// Takes in that an upstream takes no new work any more, as another VM has read.
-    pub fn note_departure(&mut self, departure: &Departure) -> DirectoryChange {
-        let name = &departure.upstream;
-        match (self.upstreams.get_mut(name), departure.kind) {
-            (Some(known), DepartureKind::Final) if known.phase == UpstreamPhase::Serving => {
-                known.phase = UpstreamPhase::Leaving;
-                DirectoryChange::Left
-            }
-            (Some(known), DepartureKind::Missing) if known.revision <= departure.revision => {
-                known.revision = departure.revision;
-                self.note_gone(name)
-            }
-            _ => DirectoryChange::None,
-        }
-    }
-
-    /// Takes in that a read of the list failed.
-    pub fn note_list_lost(&mut self) {
-        self.recovery.lost();
-    }
-
-    /// Takes in that a read of the list was answered, before its entries are taken in.
-    pub fn note_list_answered(&mut self, now_ms: u64) {
-        self.recovery.answered(now_ms);
-    }
-
-    /// Takes in that another VM, whose list is whole, read it at a moment.
-    pub fn note_list_whole(&mut self, read_ms: u64) {
-        self.recovery.whole_elsewhere(read_ms);
-    }
-
-    /// Returns whether no live upstream is missing for certain, so that other VMs may rely on it.
-    pub fn is_list_whole(&self, now_ms: u64) -> bool {
-        self.recovery.is_over(now_ms)
-    }
-
-    /// Returns when the list is whole again after an outage; it should be read then. None if it is
-    /// whole, or can't be read.
-    pub fn list_whole_ms(&self, now_ms: u64) -> Option<u64> {
-        self.recovery.ends_ms(now_ms)
-    }
-
-    /// Takes in that the list was read to its end. Drops the upstreams whose entries have not come
-    /// back after an outage, and returns them.
-    pub fn note_list_read(&mut self, now_ms: u64) -> Vec<UpstreamName> {
-        if self.recovery.is_under_way(now_ms) {
-            return Vec::new();
-        }
-        let over: Vec<UpstreamName> = self.lapsed.drain().collect();
-        for name in &over {
-            self.remove(name);
-        }
-        over
-    }
-
-    /// Takes in that an upstream's entry is no longer there. Around an outage of the list a live
-    /// upstream's entry may have lapsed only because its heartbeats found no one; it is then used
-    /// until the list is whole again.
-    pub fn note_vanished(&mut self, now_ms: u64, name: &UpstreamName) -> DirectoryChange {
-        let is_recovering = self.recovery.is_under_way(now_ms);
-        match self.upstreams.get(name) {
-            Some(known) if is_recovering && known.phase == UpstreamPhase::Serving => {
-                match self.lapsed.insert(name.clone()) {
-                    true => DirectoryChange::Lapsed,
-                    false => DirectoryChange::None,
-                }
-            }
-            _ => self.note_gone(name),
-        }
-    }
-
-    /// Takes in that an upstream is gone for certain.
-    pub fn note_gone(&mut self, name: &UpstreamName) -> DirectoryChange {
-        if !self.upstreams.contains_key(name) {
-            return DirectoryChange::None;
-        }
-        self.remove(name);
-        DirectoryChange::Left
-    }
-
     /// Takes in a whole list. Upstreams that it does not name have vanished.
     pub fn note_listing(&mut self, now_ms: u64, entries: Vec<Upstream>) -> ListingChanges {
         let named: HashSet<InstanceName> =
@@ -437,15 +330,4 @@
             &upstream.service == service && upstream.phase == UpstreamPhase::Serving
         })
     }
-
-    fn remove(&mut self, name: &UpstreamName) {
-        self.lapsed.remove(name);
-        if let Some(known) = self.upstreams.remove(name) {
-            let gone = GoneRun {
-                revision: known.revision,
-                restarted: false,
-            };
-            self.gone.insert(name.clone(), gone);
-        }
-    }
 }
--- a/crates/fleet/tests/directory_entries.rs
+++ b/crates/fleet/tests/directory_entries.rs
@@ -1,64 +1,17 @@
-//! Entries of upstreams: what is learned, what is not taken back, and lapses around outages.
+//! Entries of upstreams: what is learned and what is not taken back.
+
+mod support;
 
-use apricotdale_core::names::GroupName;
-use apricotdale_core::names::InstanceName;
 use apricotdale_core::names::ModelName;
 use apricotdale_core::names::UpstreamName;
-use apricotdale_core::names::ZoneName;
 use apricotdale_fleet::Configuration;
-use apricotdale_fleet::DepartureKind;
-use apricotdale_fleet::Directory;
 use apricotdale_fleet::DirectoryChange;
-use apricotdale_fleet::DirectoryOptions;
 use apricotdale_fleet::Error;
-use apricotdale_fleet::Residence;
-use apricotdale_fleet::Upstream;
-use apricotdale_fleet::UpstreamPhase;
-
-const LAPSE_MS: u64 = 2_000;
-const RESTORE_MS: u64 = 2_000;
-
-/// The time between two reads of the list.
-const READ_EVERY_MS: u64 = 900;
-
-/// When the list comes back, and when live upstreams' entries are back in it.
-const RETURN_MS: u64 = 10_000;
-const WHOLE_MS: u64 = RETURN_MS + RESTORE_MS;
-
-fn directory() -> Directory {
-    Directory::new(DirectoryOptions {
-        lapse_ms: LAPSE_MS,
-        restore_ms: RESTORE_MS,
-    })
-}
 
-fn entry(name: &str, revision: u64) -> Upstream {
-    Upstream {
-        name: UpstreamName::from(name),
-        instance: InstanceName::from(name),
-        born_ms: 0,
-        service: GroupName::from("s"),
-        address: "127.0.0.1:1".parse().expect("an address"),
-        zone: ZoneName::from("a"),
-        slots: 4,
-        phase: UpstreamPhase::Serving,
-        warm_up_ms: 0,
-        leaves_in_ms: None,
-        revision,
-        residence: Residence::default(),
-    }
-}
-
-fn leaving(name: &str, revision: u64) -> Upstream {
-    Upstream {
-        phase: UpstreamPhase::Leaving,
-        ..entry(name, revision)
-    }
-}
-
-fn serving(directory: &Directory) -> usize {
-    directory.serving(&GroupName::from("s")).count()
-}
+use support::directory;
+use support::entry;
+use support::leaving;
+use support::serving;
 
 #[test]
 fn entry_comes_and_changes() {
@@ -96,91 +49,6 @@
     assert_eq!(serving(&directory), 1);
 }
 
-/// Symptom: after an outage of the list all upstreams are taken as gone and every request is
-/// refused. Sequence: heartbeats find no list, entries lapse, the list comes back without them.
-/// Cause: a lapse during an outage looks like a departure.
-#[test]
-fn lapse_around_an_outage() {
-    let mut directory = directory();
-    directory.note_entry(entry("back", 5));
-    directory.note_entry(entry("gone", 5));
-    directory.note_list_lost();
-    directory.note_list_answered(RETURN_MS);
-    let changes = directory.note_listing(RETURN_MS, Vec::new());
-    assert!(changes.left.is_empty());
-    assert_eq!(changes.lapsed.len(), 2);
-    assert_eq!(serving(&directory), 2);
-    directory.note_entry(entry("back", 6));
-    assert!(directory.note_list_read(WHOLE_MS - 1).is_empty());
-    assert_eq!(
-        directory.note_list_read(WHOLE_MS),
-        [UpstreamName::from("gone")]
-    );
-    assert_eq!(serving(&directory), 1);
-}
-
-/// Symptom: an upstream that left gets requests for more than 2 s. Sequence: the list comes back, and
-/// when it is whole again an upstream leaves without a notice; its removal is read. Cause: the
-/// removal was taken for a lapse because a read had failed not long before.
-#[test]
-fn removal_from_a_whole_list() {
-    let mut directory = directory();
-    directory.note_entry(entry("e", 5));
-    directory.note_list_lost();
-    for read_ms in (RETURN_MS..WHOLE_MS).step_by(READ_EVERY_MS as usize) {
-        directory.note_list_answered(read_ms);
-    }
-    directory.note_list_answered(WHOLE_MS);
-    let change = directory.note_vanished(WHOLE_MS, &UpstreamName::from("e"));
-    assert_eq!(change, DirectoryChange::Left);
-}
-
-/// Symptom and sequence as above, but the removal is read just before the list is whole. Cause: the
-/// time in which an entry can come back was counted from the read of its removal, so that reads and
-/// that time added up beyond the bound.
-#[test]
-fn removal_just_before_the_list_is_whole() {
-    let mut directory = directory();
-    directory.note_entry(entry("e", 5));
-    directory.note_list_lost();
-    directory.note_list_answered(RETURN_MS);
-    let name = UpstreamName::from("e");
-    let change = directory.note_vanished(WHOLE_MS - 1, &name);
-    assert_eq!(change, DirectoryChange::Lapsed);
-    assert_eq!(directory.list_whole_ms(WHOLE_MS - 1), Some(WHOLE_MS));
-    assert_eq!(directory.note_list_read(WHOLE_MS), [name]);
-    assert_eq!(serving(&directory), 0);
-}
-
-/// A second outage before the list is whole begins the wait anew: live upstreams could not write
-/// their entries meanwhile.
-#[test]
-fn second_outage_while_the_list_recovers() {
-    const SECOND_RETURN_MS: u64 = WHOLE_MS + 700;
-    let mut directory = directory();
-    directory.note_entry(entry("e", 5));
-    directory.note_list_lost();
-    directory.note_list_answered(RETURN_MS);
-    directory.note_vanished(RETURN_MS, &UpstreamName::from("e"));
-    directory.note_list_lost();
-    assert_eq!(directory.list_whole_ms(WHOLE_MS), None);
-    directory.note_list_answered(SECOND_RETURN_MS);
-    assert!(directory.note_list_read(SECOND_RETURN_MS).is_empty());
-    assert_eq!(serving(&directory), 1);
-    let whole_ms = SECOND_RETURN_MS + RESTORE_MS;
-    assert_eq!(directory.list_whole_ms(SECOND_RETURN_MS), Some(whole_ms));
-    assert_eq!(directory.note_list_read(whole_ms).len(), 1);
-}
-
-#[test]
-fn leaving_upstream_does_not_lapse_gently() {
-    let mut directory = directory();
-    directory.note_entry(leaving("e", 5));
-    directory.note_list_lost();
-    let change = directory.note_vanished(0, &UpstreamName::from("e"));
-    assert_eq!(change, DirectoryChange::Left);
-}
-
 #[test]
 fn listing_without_an_upstream() {
     let mut directory = directory();
@@ -225,121 +93,3 @@
         .expect("newer");
     assert!(directory.is_complete());
 }
-
-/// Symptom: an upstream that left is kept for 2 s more. Sequence: one read of the list gets no answer
-/// and the next one brings the removal. Cause: every failed read was taken for an outage, though no
-/// entry can lapse in so short a time.
-#[test]
-fn one_lost_read_is_no_outage() {
-    const LOST_READ_MS: u64 = 800;
-    const PAUSE_MS: u64 = 100;
-    let mut directory = directory();
-    directory.note_entry(entry("e", 5));
-    directory.note_list_answered(RETURN_MS);
-    directory.note_list_lost();
-    let next_ms = RETURN_MS + READ_EVERY_MS + LOST_READ_MS + PAUSE_MS;
-    directory.note_list_answered(next_ms);
-    let change = directory.note_vanished(next_ms, &UpstreamName::from("e"));
-    assert_eq!(change, DirectoryChange::Left);
-}
-
-/// Symptom: after an outage all upstreams are taken as gone. Sequence: a VM stands still from before the
-/// outage until after it, so that no read of its own has failed. Cause: only failed reads told of an
-/// outage.
-#[test]
-fn outage_that_was_slept_through() {
-    let mut directory = directory();
-    directory.note_entry(entry("e", 5));
-    directory.note_list_answered(RETURN_MS - 2 * LAPSE_MS);
-    directory.note_list_answered(RETURN_MS);
-    let change = directory.note_vanished(RETURN_MS, &UpstreamName::from("e"));
-    assert_eq!(change, DirectoryChange::Lapsed);
-}
-
-/// Symptom: a VM that was cut off alone sends to an upstream 3 s after it is back, though the upstream
-/// left in between. Sequence: the VM can't read for seconds; another reads all the time and tells so.
-/// Cause: the VM took its own cut for an outage of the list.
-#[test]
-fn list_was_there_for_others() {
-    let mut directory = directory();
-    directory.note_entry(entry("e", 5));
-    directory.note_entry(entry("f", 5));
-    directory.note_list_answered(RETURN_MS - 2 * LAPSE_MS);
-    directory.note_list_lost();
-    // This VM reads before it is told.
-    directory.note_list_answered(RETURN_MS);
-    let change = directory.note_vanished(RETURN_MS, &UpstreamName::from("e"));
-    assert_eq!(change, DirectoryChange::Lapsed);
-    directory.note_list_whole(RETURN_MS - 300);
-    assert_eq!(
-        directory.note_list_read(RETURN_MS + 1),
-        [UpstreamName::from("e")]
-    );
-    let change = directory.note_vanished(RETURN_MS + 1, &UpstreamName::from("f"));
-    assert_eq!(change, DirectoryChange::Left);
-}
-
-/// A VM does not tell others that its list is whole while it may not be: before it has read it,
-/// while it can't, and until live upstreams are back in it, also after a start.
-#[test]
-fn whole_list_is_told_late_enough() {
-    let mut directory = directory();
-    assert!(!directory.is_list_whole(0));
-    directory.note_list_answered(RETURN_MS);
-    assert!(!directory.is_list_whole(WHOLE_MS - 1));
-    directory.note_list_answered(WHOLE_MS - 1);
-    assert!(directory.is_list_whole(WHOLE_MS));
-    directory.note_list_lost();
-    assert!(!directory.is_list_whole(WHOLE_MS));
-    let return_ms = WHOLE_MS + 2 * LAPSE_MS;
-    directory.note_list_answered(return_ms);
-    assert!(!directory.is_list_whole(return_ms + RESTORE_MS - 1));
-    assert!(directory.is_list_whole(return_ms + RESTORE_MS));
-}
-
-/// Symptom: a live upstream gets requests from one VM only. Sequence: a VM that reads for all tells that
-/// the upstream's entry is missing; the upstream writes it again; a VM that was told reads the new
-/// entry. Cause: what was told was kept as the upstream's own notice.
-#[test]
-fn told_missing_is_taken_back_by_a_newer_entry() {
-    let mut reader = directory();
-    reader.note_entry(entry("e", 5));
-    reader.note_vanished(0, &UpstreamName::from("e"));
-    let missing = reader.departure(&UpstreamName::from("e")).expect("it left");
-    assert_eq!(missing.kind, DepartureKind::Missing);
-    let mut told = directory();
-    told.note_entry(entry("e", 4));
-    assert_eq!(told.note_departure(&missing), DirectoryChange::Left);
-    // The entry that the reader knew may be read here after the telling.
-    told.note_entry(entry("e", 5));
-    assert_eq!(serving(&told), 0);
-    assert_eq!(told.note_entry(entry("e", 6)), DirectoryChange::Came);
-    assert_eq!(serving(&told), 1);
-    // The telling is repeated, and comes late.
-    assert_eq!(told.note_departure(&missing), DirectoryChange::None);
-    assert_eq!(serving(&told), 1);
-}
-
-#[test]
-fn told_notice_is_final() {
-    let mut reader = directory();
-    reader.note_entry(entry("e", 5));
-    reader.note_entry(leaving("e", 6));
-    let notice = reader.departure(&UpstreamName::from("e")).expect("it left");
-    assert_eq!(notice.kind, DepartureKind::Final);
-    let mut told = directory();
-    told.note_entry(entry("e", 5));
-    assert_eq!(told.note_departure(&notice), DirectoryChange::Left);
-    assert_eq!(told.note_departure(&notice), DirectoryChange::None);
-    told.note_entry(entry("e", 7));
-    assert_eq!(serving(&told), 0);
-}
-
-#[test]
-fn no_departure_of_a_serving_upstream() {
-    let mut directory = directory();
-    let name = UpstreamName::from("e");
-    assert_eq!(directory.departure(&name), None);
-    directory.note_entry(entry("e", 5));
-    assert_eq!(directory.departure(&name), None);
-}
--- /dev/null
+++ b/crates/fleet/tests/list_recovery.rs
@@ -0,0 +1,176 @@
+//! Missing entries around an outage of the list: which are departures, and from when on.
+
+mod support;
+
+use apricotdale_core::names::UpstreamName;
+use apricotdale_fleet::DirectoryChange;
+
+use support::LAPSE_MS;
+use support::RESTORE_MS;
+use support::directory;
+use support::entry;
+use support::leaving;
+use support::serving;
+
+/// The time between two reads of the list.
+const READ_EVERY_MS: u64 = 900;
+
+/// When the list comes back, and when live upstreams' entries are back in it.
+const RETURN_MS: u64 = 10_000;
+const WHOLE_MS: u64 = RETURN_MS + RESTORE_MS;
+
+/// Symptom: after an outage of the list all upstreams are taken as gone and every request is
+/// refused. Sequence: heartbeats find no list, entries lapse, the list comes back without them.
+/// Cause: a lapse during an outage looks like a departure.
+#[test]
+fn lapse_around_an_outage() {
+    let mut directory = directory();
+    directory.note_entry(entry("back", 5));
+    directory.note_entry(entry("gone", 5));
+    directory.note_list_lost();
+    directory.note_list_answered(RETURN_MS);
+    let changes = directory.note_listing(RETURN_MS, Vec::new());
+    assert!(changes.left.is_empty());
+    assert_eq!(changes.lapsed.len(), 2);
+    assert_eq!(serving(&directory), 2);
+    directory.note_entry(entry("back", 6));
+    assert!(directory.note_list_read(WHOLE_MS - 1).is_empty());
+    assert_eq!(
+        directory.note_list_read(WHOLE_MS),
+        [UpstreamName::from("gone")]
+    );
+    assert_eq!(serving(&directory), 1);
+}
+
+/// Symptom: an upstream that left gets requests for more than 2 s. Sequence: the list comes back, and
+/// when it is whole again an upstream leaves without a notice; its removal is read. Cause: the
+/// removal was taken for a lapse because a read had failed not long before.
+#[test]
+fn removal_from_a_whole_list() {
+    let mut directory = directory();
+    directory.note_entry(entry("e", 5));
+    directory.note_list_lost();
+    for read_ms in (RETURN_MS..WHOLE_MS).step_by(READ_EVERY_MS as usize) {
+        directory.note_list_answered(read_ms);
+    }
+    directory.note_list_answered(WHOLE_MS);
+    let change = directory.note_vanished(WHOLE_MS, &UpstreamName::from("e"));
+    assert_eq!(change, DirectoryChange::Left);
+}
+
+/// Symptom and sequence as above, but the removal is read just before the list is whole. Cause: the
+/// time in which an entry can come back was counted from the read of its removal, so that reads and
+/// that time added up beyond the bound.
+#[test]
+fn removal_just_before_the_list_is_whole() {
+    let mut directory = directory();
+    directory.note_entry(entry("e", 5));
+    directory.note_list_lost();
+    directory.note_list_answered(RETURN_MS);
+    let name = UpstreamName::from("e");
+    let change = directory.note_vanished(WHOLE_MS - 1, &name);
+    assert_eq!(change, DirectoryChange::Lapsed);
+    assert_eq!(directory.list_whole_ms(WHOLE_MS - 1), Some(WHOLE_MS));
+    assert_eq!(directory.note_list_read(WHOLE_MS), [name]);
+    assert_eq!(serving(&directory), 0);
+}
+
+/// A second outage before the list is whole begins the wait anew: live upstreams could not write
+/// their entries meanwhile.
+#[test]
+fn second_outage_while_the_list_recovers() {
+    const SECOND_RETURN_MS: u64 = WHOLE_MS + 700;
+    let mut directory = directory();
+    directory.note_entry(entry("e", 5));
+    directory.note_list_lost();
+    directory.note_list_answered(RETURN_MS);
+    directory.note_vanished(RETURN_MS, &UpstreamName::from("e"));
+    directory.note_list_lost();
+    assert_eq!(directory.list_whole_ms(WHOLE_MS), None);
+    directory.note_list_answered(SECOND_RETURN_MS);
+    assert!(directory.note_list_read(SECOND_RETURN_MS).is_empty());
+    assert_eq!(serving(&directory), 1);
+    let whole_ms = SECOND_RETURN_MS + RESTORE_MS;
+    assert_eq!(directory.list_whole_ms(SECOND_RETURN_MS), Some(whole_ms));
+    assert_eq!(directory.note_list_read(whole_ms).len(), 1);
+}
+
+#[test]
+fn leaving_upstream_does_not_lapse_gently() {
+    let mut directory = directory();
+    directory.note_entry(leaving("e", 5));
+    directory.note_list_lost();
+    let change = directory.note_vanished(0, &UpstreamName::from("e"));
+    assert_eq!(change, DirectoryChange::Left);
+}
+
+/// Symptom: an upstream that left is kept for 2 s more. Sequence: one read of the list gets no answer
+/// and the next one brings the removal. Cause: every failed read was taken for an outage, though no
+/// entry can lapse in so short a time.
+#[test]
+fn one_lost_read_is_no_outage() {
+    const LOST_READ_MS: u64 = 800;
+    const PAUSE_MS: u64 = 100;
+    let mut directory = directory();
+    directory.note_entry(entry("e", 5));
+    directory.note_list_answered(RETURN_MS);
+    directory.note_list_lost();
+    let next_ms = RETURN_MS + READ_EVERY_MS + LOST_READ_MS + PAUSE_MS;
+    directory.note_list_answered(next_ms);
+    let change = directory.note_vanished(next_ms, &UpstreamName::from("e"));
+    assert_eq!(change, DirectoryChange::Left);
+}
+
+/// Symptom: after an outage all upstreams are taken as gone. Sequence: a VM stands still from before the
+/// outage until after it, so that no read of its own has failed. Cause: only failed reads told of an
+/// outage.
+#[test]
+fn outage_that_was_slept_through() {
+    let mut directory = directory();
+    directory.note_entry(entry("e", 5));
+    directory.note_list_answered(RETURN_MS - 2 * LAPSE_MS);
+    directory.note_list_answered(RETURN_MS);
+    let change = directory.note_vanished(RETURN_MS, &UpstreamName::from("e"));
+    assert_eq!(change, DirectoryChange::Lapsed);
+}
+
+/// Symptom: a VM that was cut off alone sends to an upstream 3 s after it is back, though the upstream
+/// left in between. Sequence: the VM can't read for seconds; another reads all the time and tells so.
+/// Cause: the VM took its own cut for an outage of the list.
+#[test]
+fn list_was_there_for_others() {
+    let mut directory = directory();
+    directory.note_entry(entry("e", 5));
+    directory.note_entry(entry("f", 5));
+    directory.note_list_answered(RETURN_MS - 2 * LAPSE_MS);
+    directory.note_list_lost();
+    // This VM reads before it is told.
+    directory.note_list_answered(RETURN_MS);
+    let change = directory.note_vanished(RETURN_MS, &UpstreamName::from("e"));
+    assert_eq!(change, DirectoryChange::Lapsed);
+    directory.note_list_whole(RETURN_MS - 300);
+    assert_eq!(
+        directory.note_list_read(RETURN_MS + 1),
+        [UpstreamName::from("e")]
+    );
+    let change = directory.note_vanished(RETURN_MS + 1, &UpstreamName::from("f"));
+    assert_eq!(change, DirectoryChange::Left);
+}
+
+/// A VM does not tell others that its list is whole while it may not be: before it has read it,
+/// while it can't, and until live upstreams are back in it, also after a start.
+#[test]
+fn whole_list_is_told_late_enough() {
+    let mut directory = directory();
+    assert!(!directory.is_list_whole(0));
+    directory.note_list_answered(RETURN_MS);
+    assert!(!directory.is_list_whole(WHOLE_MS - 1));
+    directory.note_list_answered(WHOLE_MS - 1);
+    assert!(directory.is_list_whole(WHOLE_MS));
+    directory.note_list_lost();
+    assert!(!directory.is_list_whole(WHOLE_MS));
+    let return_ms = WHOLE_MS + 2 * LAPSE_MS;
+    directory.note_list_answered(return_ms);
+    assert!(!directory.is_list_whole(return_ms + RESTORE_MS - 1));
+    assert!(directory.is_list_whole(return_ms + RESTORE_MS));
+}
