--- a/crates/soak/src/plan.rs
+++ b/crates/soak/src/plan.rs
@@ -117,6 +117,8 @@
     EngineLeaves {
         /// The number of the engine.
         engine: usize,
+        /// Whether it gives notice. Otherwise its entry is removed, and it serves on for a while.
+        notice: bool,
     },
     /// The operators write a configuration with another route in place of the one before.
     Configure,
@@ -233,6 +235,7 @@
             },
             22 => Trouble::EngineLeaves {
                 engine: self.engine(),
+                notice: for_ms.is_multiple_of(2),
             },
             _ => Trouble::Configure,
         }
--- a/crates/soak/src/world.rs
+++ b/crates/soak/src/world.rs
@@ -227,7 +227,7 @@
                 count,
             } => self.spoil_orders(*engine, *late_ms, *count),
             Trouble::EngineDies { engine } => self.engine_dies(*engine),
-            Trouble::EngineLeaves { engine } => self.engine_leaves(*engine),
+            Trouble::EngineLeaves { engine, notice } => self.engine_leaves(*engine, *notice),
             Trouble::Configure => self.configure(),
         }
     }
@@ -375,7 +375,7 @@
         engines[number] = EngineSlot { index: next, proxy };
     }
 
-    fn engine_leaves(&self, number: usize) {
+    fn engine_leaves(&self, number: usize, notice: bool) {
         let old = {
             let mut engines = self.engines.lock();
             let mut site = self.site.lock();
@@ -385,7 +385,10 @@
             };
             let old = std::mem::replace(&mut engines[number], joined);
             let engine = &site.engines[old.index];
-            engine.drain();
+            match notice {
+                true => engine.drain(),
+                false => engine.withdraw(),
+            }
             let drain = Drain {
                 upstream: engine.name().to_owned(),
                 at_ms: self.clock.now_ms(),
