--- a/crates/entry/src/feeds/listing.rs
+++ b/crates/entry/src/feeds/listing.rs
@@ -146,7 +146,6 @@
 
     fn upstream_came(&mut self, name: &UpstreamName) {
         self.sharing.note_came();
-        self.sharing.note_back(name);
         self.peers.beat_soon();
         log::info!(upstream = name.to_string(); "upstream came");
         self.look_again = true;
--- a/crates/fleet/src/sharing.rs
+++ b/crates/fleet/src/sharing.rs
@@ -7,7 +7,6 @@
 //! knows grows old, every VM reads for itself again, soon enough for the bounds on configuration
 //! and on leaving upstreams.
 
-use apricotdale_core::names::UpstreamName;
 use apricotdale_core::names::VmName;
 use serde::Deserialize;
 use serde::Serialize;
@@ -85,11 +84,6 @@
         self.came += 1;
     }
 
-    /// Notes that an upstream is there again, so that its departure is not told any more.
-    pub fn note_back(&mut self, name: &UpstreamName) {
-        self.left.retain(|(left, _)| left.upstream != *name);
-    }
-
     /// Notes that an upstream left.
     pub fn note_left(&mut self, now_ms: u64, departure: Departure) {
         self.left.push((departure, now_ms + LEFT_REPEATED_MS));
