--- a/crates/fleet/src/directory/departing.rs
+++ b/crates/fleet/src/directory/departing.rs
@@ -71,7 +71,7 @@
 
     /// Returns whether no live upstream is missing for certain, so that other VMs may rely on it.
     pub fn is_list_whole(&self, now_ms: u64) -> bool {
-        self.recovery.is_over(now_ms)
+        self.recovery.is_known_whole(now_ms)
     }
 
     /// Returns when the list is whole again after an outage; it should be read then. None if it is
