--- a/crates/fleet/tests/upstream_restarts.rs
+++ b/crates/fleet/tests/upstream_restarts.rs
@@ -1,10 +1,11 @@
 //! Upstreams that start again under the name that they had.
 
+mod support;
+
 use apricotdale_core::names::GroupName;
 use apricotdale_core::names::InstanceName;
 use apricotdale_core::names::ModelName;
 use apricotdale_core::names::UpstreamName;
-use apricotdale_core::names::ZoneName;
 use apricotdale_fleet::Directory;
 use apricotdale_fleet::DirectoryChange;
 use apricotdale_fleet::DirectoryOptions;
@@ -30,17 +31,9 @@
     }
     Upstream {
         name: run_name(&instance, born_ms),
-        instance,
         born_ms,
-        service: GroupName::from("s"),
-        address: "127.0.0.1:1".parse().expect("an address"),
-        zone: ZoneName::from("a"),
-        slots: 4,
-        phase: UpstreamPhase::Serving,
-        warm_up_ms: 0,
-        leaves_in_ms: None,
-        revision,
         residence,
+        ..support::entry("e", revision)
     }
 }
 
