Settings: every bound is read as the platform may write it, whole or not

Cause: spare_repeats is 33.157 on the small twins of the large site, and was read as a whole number, so no VM started; bounds in seconds were given three zeros in the template, which would make 8.5 s to 8.5 ms. Change: numbers are read as fractions; stop_s and repeats_window_s take the place of stop_ms and repeats_window_ms; read_mb_per_s is new, for the reading of the store.

--- a/crates/entry/src/settings.rs
+++ b/crates/entry/src/settings.rs
@@ -1,6 +1,7 @@
 //! The settings of an entry VM.
 
 use std::net::SocketAddr;
+use std::ops::RangeInclusive;
 use std::path::Path;
 use std::path::PathBuf;
 use std::str::FromStr;
@@ -34,6 +35,8 @@
     pub metrics: SocketAddr,
     /// The platform's store.
     pub store: SocketAddr,
+    /// What all reads of the store share.
+    pub read_bytes_per_s: f64,
     /// How long a planned stop may take.
     pub stop_ms: u64,
     /// Whether all engines refuse an order with a lower fencing token than they have seen.
@@ -78,12 +81,14 @@
             peers: address(ini, "peers", "listen")?,
             metrics: address(ini, "metrics", "listen")?,
             store: address(ini, "store", "address")?,
-            stop_ms: number(ini, "bounds", "stop_ms", 1_000..=600_000)?,
+            stop_ms: seconds_as_ms(ini, "bounds", "stop_s", 1.0..=600.0)?,
             engines_check_fences: parsed(ini, "bounds", "engines_check_fences", "true or false")?,
-            order_pause_ms: number(ini, "bounds", "order_pause_ms", 0..=60_000)?,
-            repeats_per_request: share(ini, "bounds", "repeats_per_request")?,
-            spare_repeats: number(ini, "bounds", "spare_repeats", 0..=100_000)? as f64,
-            repeats_window_ms: number(ini, "bounds", "repeats_window_ms", 1_000..=600_000)?,
+            order_pause_ms: number(ini, "bounds", "order_pause_ms", 0.0..=60_000.0)?.ceil() as u64,
+            read_bytes_per_s: number(ini, "store", "read_mb_per_s", 0.001..=1_000_000.0)?
+                * 1_000_000.0,
+            repeats_per_request: number(ini, "bounds", "repeats_per_request", 0.0..=1.0)?,
+            spare_repeats: number(ini, "bounds", "spare_repeats", 0.0..=100_000.0)?,
+            repeats_window_ms: seconds_as_ms(ini, "bounds", "repeats_window_s", 1.0..=600.0)?,
             log_level: parsed(
                 ini,
                 "log",
@@ -120,37 +125,33 @@
     parsed(ini, section, key, "an IP address with a port")
 }
 
+/// Returns a number in a range. The platform may write each of its bounds whole or as a fraction, so
+/// that a setting which has to be whole here would keep every VM of such a deployment from starting.
 fn number(
     ini: &Ini,
     section: &'static str,
     key: &'static str,
-    range: std::ops::RangeInclusive<u64>,
-) -> Result<u64> {
-    let expected = "a whole number in its range";
-    let number = parsed(ini, section, key, expected)?;
+    range: RangeInclusive<f64>,
+) -> Result<f64> {
+    let expected = "a number in its range";
+    let number: f64 = parsed(ini, section, key, expected)?;
     if !range.contains(&number) {
-        let value = number.to_string();
         return Err(Error::BadSetting {
             section,
             key,
-            value,
+            value: number.to_string(),
             expected,
         });
     }
     Ok(number)
 }
 
-fn share(ini: &Ini, section: &'static str, key: &'static str) -> Result<f64> {
-    let expected = "a number from 0 to 1";
-    let share: f64 = parsed(ini, section, key, expected)?;
-    if !(0.0..=1.0).contains(&share) {
-        let value = share.to_string();
-        return Err(Error::BadSetting {
-            section,
-            key,
-            value,
-            expected,
-        });
-    }
-    Ok(share)
+/// Returns a duration that is given in seconds.
+fn seconds_as_ms(
+    ini: &Ini,
+    section: &'static str,
+    key: &'static str,
+    range_s: RangeInclusive<f64>,
+) -> Result<u64> {
+    Ok((number(ini, section, key, range_s)? * 1_000.0) as u64)
 }
--- a/crates/entry/tests/bad_settings.rs
+++ b/crates/entry/tests/bad_settings.rs
@@ -10,9 +10,9 @@
 const GOOD: &str = "[vm]\nname = vm-a\navailability_zone = zone-a\n\
     [callers]\nlisten = 127.0.0.1:1\nready = 127.0.0.1:2\n\
     [peers]\nlisten = 127.0.0.1:3\n[metrics]\nlisten = 127.0.0.1:4\n\
-    [store]\naddress = 127.0.0.1:5\n\
-    [bounds]\nstop_ms = 8000\nengines_check_fences = true\norder_pause_ms = 3000\nrepeats_per_request = 0.2\n\
-    spare_repeats = 58\nrepeats_window_ms = 10000\n[log]\nlevel = info\n";
+    [store]\naddress = 127.0.0.1:5\nread_mb_per_s = 80\n\
+    [bounds]\nstop_s = 8\nengines_check_fences = true\norder_pause_ms = 3000\nrepeats_per_request = 0.2\n\
+    spare_repeats = 58\nrepeats_window_s = 10\n[log]\nlevel = info\n";
 
 fn read(text: &str) -> apricotdale_entry::Result<Settings> {
     let mut file = NamedTempFile::new().expect("a temporary file");
@@ -49,9 +49,12 @@
 #[rstest]
 #[case::host_name("127.0.0.1:5", "store.example:5")]
 #[case::no_port("127.0.0.1:1", "127.0.0.1")]
-#[case::not_a_number("stop_ms = 8000", "stop_ms = soon")]
-#[case::too_short("stop_ms = 8000", "stop_ms = 10")]
+#[case::not_a_number("stop_s = 8", "stop_s = soon")]
+#[case::too_short("stop_s = 8", "stop_s = 0.01")]
 #[case::share_above_one("repeats_per_request = 0.2", "repeats_per_request = 1.5")]
+#[case::no_reads("read_mb_per_s = 80", "read_mb_per_s = 0")]
+#[case::too_many_repeats("spare_repeats = 58", "spare_repeats = 100001")]
+#[case::no_number("spare_repeats = 58", "spare_repeats = nan")]
 #[case::negative_share("repeats_per_request = 0.2", "repeats_per_request = -0.1")]
 #[case::not_a_truth("engines_check_fences = true", "engines_check_fences = maybe")]
 #[case::not_a_level("level = info", "level = loud")]
@@ -67,3 +70,54 @@
     let error = Settings::read(std::path::Path::new("nowhere/entry.ini"));
     assert!(matches!(error, Err(Error::SettingsFile { .. })));
 }
+
+/// Symptom: no VM of a deployment starts. Sequence: the platform fills in the template; one of its
+/// bounds is no whole number there, as `spare_repeats` is where a fleet is scaled. Cause: the setting
+/// was read as a whole number, and bounds in seconds were given zeros to make milliseconds of them.
+#[rstest]
+#[case::spare_repeats("spare_repeats = 58", "spare_repeats = 33.157894736842106")]
+#[case::whole_written_as_fraction("spare_repeats = 58", "spare_repeats = 58.0")]
+#[case::stop("stop_s = 8", "stop_s = 8.5")]
+#[case::window("repeats_window_s = 10", "repeats_window_s = 10.0")]
+#[case::pause("order_pause_ms = 3000", "order_pause_ms = 3000.5")]
+#[case::store("read_mb_per_s = 80", "read_mb_per_s = 4.21")]
+#[case::share("repeats_per_request = 0.2", "repeats_per_request = 0")]
+fn bound_written_as_a_fraction(#[case] from: &str, #[case] to: &str) {
+    assert!(GOOD.contains(from));
+    assert!(read(&GOOD.replace(from, to)).is_ok());
+}
+
+/// Every bound of the template that the platform fills in, with each number as a fraction.
+#[test]
+fn template_filled_with_fractions() {
+    let template = include_str!("../../../deploy/entry.ini");
+    let mut filled = template
+        .replace("{{node_name}}", "vm-a")
+        .replace("{{zone}}", "zone-a")
+        .replace("{{listen.front}}", "127.0.0.1:1")
+        .replace("{{listen.ready}}", "127.0.0.1:2")
+        .replace("{{ip}}:{{internal_ports.0}}", "127.0.0.1:3")
+        .replace("{{ip}}:9464", "127.0.0.1:4")
+        .replace("{{platform.address}}", "127.0.0.1:5")
+        .replace("{{platform.read_mb_per_s}}", "4.21")
+        .replace("{{bounds.fence_required}}", "true")
+        .replace("{{bounds.budget_ratio}}", "0.25");
+    let mut bounds = 0;
+    while let Some(begin) = filled.find("{{bounds.") {
+        let end = begin + filled[begin..].find("}}").expect("a closed placeholder") + 2;
+        let value = if filled[begin..end].ends_with("_ms}}") {
+            "2500.5"
+        } else {
+            "12.5"
+        };
+        filled.replace_range(begin..end, value);
+        bounds += 1;
+    }
+    assert!(bounds >= 5, "the template names the bounds");
+    // Comments tell of placeholders; no value holds one any more.
+    let values = filled.lines().filter(|line| !line.starts_with(';'));
+    assert!(values.into_iter().all(|line| !line.contains("{{")));
+    let settings = read(&filled).expect("good settings");
+    assert_eq!(settings.stop_ms, 12_500);
+    assert_eq!(settings.repeats_window_ms, 12_500);
+}
--- a/crates/standins/src/platform/vm.rs
+++ b/crates/standins/src/platform/vm.rs
@@ -68,10 +68,15 @@
             "[vm]\nname = {}\navailability_zone = {}\n\
              [callers]\nlisten = {}\nready = 127.0.0.1:0\n\
              [peers]\nlisten = 127.0.0.1:0\n[metrics]\nlisten = 127.0.0.1:0\n\
-             [store]\naddress = {}\n\
-             [bounds]\nstop_ms = {}\nengines_check_fences = true\norder_pause_ms = {}\n\
-             repeats_per_request = 0.2\nspare_repeats = 50\nrepeats_window_ms = 10000\n[log]\nlevel = info\n",
-            self.name, self.zone, self.callers, self.store, self.stop_ms, self.order_pause_ms
+             [store]\naddress = {}\nread_mb_per_s = 80\n\
+             [bounds]\nstop_s = {}\nengines_check_fences = true\norder_pause_ms = {}\n\
+             repeats_per_request = 0.2\nspare_repeats = 50\nrepeats_window_s = 10\n[log]\nlevel = info\n",
+            self.name,
+            self.zone,
+            self.callers,
+            self.store,
+            self.stop_ms as f64 / 1_000.0,
+            self.order_pause_ms
         )
     }
 }
