Reading that cannot collapse: few VMs read the list, the rest take it from them

Change: the giver tells entries that came, digests of who serves and of what engines hold, and keeps a small copy of the list in the store (some 170 bytes an engine), which VMs read at their start or where a digest differs. Without a giver VMs draw when they cease to rely on the last beat; the first that have read tell the rest. A store that stays lost is told each 5 s; bytes read and repairs are counted.

--- a/crates/entry/src/calling.rs
+++ b/crates/entry/src/calling.rs
@@ -26,6 +26,10 @@
     UpstreamsNewest,
     /// Changes of upstreams.
     UpstreamsRead,
+    /// The copy of the list.
+    CopyNewest,
+    /// A write of that copy.
+    CopyAppend,
     /// This VM's own entry.
     VmAppend,
     /// The other VMs' entries.
@@ -50,6 +54,8 @@
             Self::ConfigurationRead => "configuration_read",
             Self::UpstreamsNewest => "upstreams_newest",
             Self::UpstreamsRead => "upstreams_read",
+            Self::CopyNewest => "copy_newest",
+            Self::CopyAppend => "copy_append",
             Self::VmAppend => "vm_append",
             Self::VmsNewest => "vms_newest",
             Self::LeaseRead => "lease_read",
--- a/crates/entry/src/codec.rs
+++ b/crates/entry/src/codec.rs
@@ -102,6 +102,8 @@
     Upstreams,
     /// The VMs' own entries; the newest record of each key is kept.
     Vms,
+    /// The copy of the list that the giver of orders keeps.
+    ListCopy,
     /// The lease for orders.
     Lease,
 }
@@ -113,6 +115,7 @@
             Self::Configuration => "configuration",
             Self::Upstreams => "upstreams",
             Self::Vms => "vms",
+            Self::ListCopy => "list_copy",
             Self::Lease => "lease",
         }
     }
@@ -204,8 +207,8 @@
     /// Returns the call that appends one record, if the topic ends at `at` where that is given.
     fn append(&self, topic: Topic, at: Option<u64>, record: &[u8]) -> Vec<u8>;
 
-    /// Returns the call that appends one record with a key.
-    fn append_keyed(&self, topic: Topic, key: &str, value: &[u8]) -> Vec<u8>;
+    /// Returns the call that appends records with keys, all or none.
+    fn append_keyed(&self, topic: Topic, records: &[(String, Vec<u8>)]) -> Vec<u8>;
 
     /// Decodes the answer to an append.
     ///
--- a/crates/entry/src/daemon.rs
+++ b/crates/entry/src/daemon.rs
@@ -14,6 +14,7 @@
 use apricotdale_dispatch::SilenceWatch;
 use apricotdale_fleet::Directory;
 use apricotdale_fleet::DirectoryOptions;
+use apricotdale_fleet::ReadPacing;
 use apricotdale_fleet::Sharing;
 use mio::Events;
 use mio::Interest;
@@ -99,6 +100,8 @@
     pub(crate) ordering: Ordering,
     pub(crate) peers: Peers,
     pub(crate) sharing: Sharing,
+    /// When this VM reads the store, among all that do.
+    pub(crate) pacing: ReadPacing,
     pub(crate) stopping: Stopping,
     pub(crate) metrics: EntryMetrics,
     pub(crate) lines: LineBudget,
@@ -171,6 +174,7 @@
             former_runs: Vec::new(),
             feeds: Feeds::default(),
             sharing: Sharing::default(),
+            pacing: ReadPacing::new(settings.read_bytes_per_s, run),
             stopping: Stopping::default(),
             metrics: EntryMetrics::default(),
             lines: LineBudget::default(),
@@ -358,6 +362,7 @@
         self.next_sweep_ms = self.now_ms + SWEEP_MS;
         if let Some(vms) = self.peers.vms() {
             self.dispatcher.set_vms(vms);
+            self.pacing.set_vms(vms);
         }
         self.call_alarm_ms = u64::MAX;
         for token in self.outbound.sweep(self.now_ms, self.poll.registry()) {
--- a/crates/entry/src/feeds/configuration.rs
+++ b/crates/entry/src/feeds/configuration.rs
@@ -1,6 +1,7 @@
 //! The configuration: how it is read and put in force.
 
 use super::CALL_TIMEOUT_MS;
+use super::FOLLOWING_CONFIGURATION_EVERY_MS;
 use super::NEWEST_TIMEOUT_MS;
 use crate::calling::CallTag;
 use crate::codec::DecodeError;
@@ -19,7 +20,11 @@
         match self.feeds.configuration.from {
             None => {
                 let bytes = self.codecs.store.newest(Topic::Configuration, None);
-                self.call_store(CallTag::ConfigurationNewest, &bytes, NEWEST_TIMEOUT_MS);
+                let timeout_ms = self
+                    .feeds
+                    .configuration
+                    .patience_ms(&mut self.pacing, NEWEST_TIMEOUT_MS);
+                self.call_store(CallTag::ConfigurationNewest, &bytes, timeout_ms);
             }
             Some(from) => {
                 // A VM that is told of changes has no read waiting, so that it makes none in vain.
@@ -28,11 +33,11 @@
                     false => CONFIGURATION_WAIT_MS,
                 };
                 let bytes = self.codecs.store.read(Topic::Configuration, from, wait_ms);
-                self.call_store(
-                    CallTag::ConfigurationRead,
-                    &bytes,
-                    wait_ms + CALL_TIMEOUT_MS,
-                );
+                let timeout_ms = self
+                    .feeds
+                    .configuration
+                    .patience_ms(&mut self.pacing, CALL_TIMEOUT_MS);
+                self.call_store(CallTag::ConfigurationRead, &bytes, wait_ms + timeout_ms);
             }
         }
     }
@@ -49,6 +54,9 @@
                     keyed.push(self.codecs.store.keyed(record)?);
                 }
                 self.take_configurations(&keyed);
+                self.feeds
+                    .configuration
+                    .draw_phase(&mut self.pacing, FOLLOWING_CONFIGURATION_EVERY_MS);
                 let from = self.feeds.configuration.from.unwrap_or_default();
                 self.feeds.configuration.from = Some(from + records.len() as u64);
                 Ok(0)
--- /dev/null
+++ b/crates/entry/src/feeds/copy.rs
@@ -0,0 +1,205 @@
+//! The small copy of the list that the giver of orders keeps in the store.
+//!
+//! A VM that starts reads it in place of the upstreams' own entries, which are many times larger, and
+//! serves by it at once; one that has missed something is set right by it.
+
+use apricotdale_fleet::ListCopy;
+use apricotdale_fleet::ListCopyPart;
+use apricotdale_fleet::RepairSource;
+use apricotdale_fleet::Upstream;
+use apricotdale_fleet::held_digest;
+use apricotdale_fleet::listed_digest;
+
+use super::COPY_TIMEOUT_MS;
+use super::LIST_WRITE_TIMEOUT_MS;
+use crate::calling::CallTag;
+use crate::codec::DecodeError;
+use crate::codec::KeyedPage;
+use crate::codec::Topic;
+use crate::daemon::Daemon;
+use crate::messages::PeerMessage;
+
+/// The time between two writes of the copy. News of what engines hold reach the VMs by datagram; what
+/// one missed is in the copy this much later.
+const WRITE_EVERY_MS: u64 = 2_000;
+
+/// Entries in one datagram: one takes some 170 bytes.
+const ENTRIES_A_DATAGRAM: usize = 6;
+
+/// The pause after a write that failed.
+const WRITE_PAUSE_MS: u64 = 1_000;
+
+/// `CopyWriter` is what the giver of orders has written.
+#[derive(Debug, Default)]
+pub(super) struct CopyWriter {
+    written: Option<u64>,
+    next_ms: u64,
+    /// The digest that is being written.
+    writing: Option<u64>,
+}
+
+impl CopyWriter {
+    /// Forgets what was written, when another VM may have written since.
+    pub fn restart(&mut self) {
+        self.written = None;
+        self.next_ms = 0;
+    }
+}
+
+impl Daemon {
+    pub(super) fn read_copy(&mut self) {
+        self.begin_repairs(RepairSource::Copy);
+        let after = self.feeds.copy.after.clone();
+        let bytes = self.codecs.store.newest(Topic::ListCopy, after.as_deref());
+        let timeout_ms = self
+            .feeds
+            .copy
+            .patience_ms(&mut self.pacing, COPY_TIMEOUT_MS);
+        self.feeds.copy.calling = true;
+        self.call_store(CallTag::CopyNewest, &bytes, timeout_ms);
+    }
+
+    /// Notes which repairs the read that begins now is for.
+    pub(super) fn begin_repairs(&mut self, source: RepairSource) {
+        let now_ms = self.now_ms;
+        let draw_ms = self.pacing.draw_ms();
+        let mut begun = 0;
+        for repair in [&mut self.feeds.listed_repair, &mut self.feeds.held_repair] {
+            if repair.due_ms(source).is_some_and(|due_ms| due_ms <= now_ms) {
+                repair.begin(now_ms, draw_ms);
+                begun += 1;
+            }
+        }
+        if begun > 0 {
+            self.metrics.list_repair();
+        }
+    }
+
+    /// Takes in a page of the copy and returns the pause before the next read.
+    pub(super) fn take_copy_page(&mut self, page: KeyedPage) -> Result<u64, DecodeError> {
+        let feed = &mut self.feeds.copy;
+        feed.after = page.records.last().map(|record| record.key.clone());
+        feed.pages.extend(page.records);
+        if page.more {
+            return Ok(0);
+        }
+        let records = std::mem::take(&mut feed.pages);
+        feed.after = None;
+        let parts: Vec<ListCopyPart> = records
+            .iter()
+            .filter_map(|record| record.value.as_deref())
+            .map(postcard::from_bytes)
+            .collect::<Result<_, _>>()
+            .map_err(|error| DecodeError::new(format!("a copy of the list: {error}")))?;
+        self.feeds.copy_tried = true;
+        if let Some(copy) = ListCopy::from_parts(parts) {
+            self.take_copy(copy);
+        }
+        Ok(0)
+    }
+
+    fn take_copy(&mut self, copy: ListCopy) {
+        let from = self.feeds.upstreams.from;
+        let is_newer = from.is_none_or(|from| from <= copy.offset);
+        let is_begun = self.feeds.upstreams.calling || !self.feeds.upstreams.pages.is_empty();
+        if from.is_none() && !is_begun {
+            self.feeds.upstreams.from = Some(copy.offset);
+        }
+        self.feeds.upstreams.skip_to(copy.offset);
+        let was_listed = self.directory.is_listed();
+        let names: Vec<_> = copy
+            .entries
+            .iter()
+            .map(|entry| entry.name.clone())
+            .collect();
+        let changes = self
+            .directory
+            .note_copy(self.now_ms, copy.entries, is_newer);
+        if !was_listed {
+            log::info!(upstreams = names.len(), offset = copy.offset; "copy of the list read");
+        }
+        self.take_listing_changes(changes);
+        for name in names {
+            self.news.lay_over(self.now_ms, &mut self.directory, &name);
+        }
+        self.look_again = true;
+    }
+
+    /// Writes the copy, if this VM gives orders and something has changed.
+    pub(super) fn write_copy(&mut self) {
+        let now_ms = self.now_ms;
+        let Some(offset) = self.feeds.upstreams.from else {
+            return;
+        };
+        if self.feeds.copy_writer.writing.is_some() || now_ms < self.feeds.copy_writer.next_ms {
+            return;
+        }
+        self.feeds.copy_writer.next_ms = now_ms + WRITE_EVERY_MS;
+        let digest = listed_digest(&self.directory) ^ held_digest(&self.directory);
+        if self.feeds.copy_writer.written == Some(digest) {
+            return;
+        }
+        let parts = ListCopy::new(offset, &self.directory).into_parts();
+        let records: Vec<(String, Vec<u8>)> = parts
+            .iter()
+            .enumerate()
+            .map(|(index, part)| {
+                let bytes = postcard::to_stdvec(part).expect("a copy of the list can be encoded");
+                (index.to_string(), bytes)
+            })
+            .collect();
+        self.feeds.copy_writer.writing = Some(digest);
+        let call = self.codecs.store.append_keyed(Topic::ListCopy, &records);
+        self.call_store(CallTag::CopyAppend, &call, LIST_WRITE_TIMEOUT_MS);
+    }
+
+    /// Takes in the outcome of a write.
+    pub(super) fn copy_written(&mut self, is_done: bool) {
+        let now_ms = self.now_ms;
+        let writer = &mut self.feeds.copy_writer;
+        let digest = writer.writing.take();
+        match is_done {
+            true => writer.written = digest,
+            false => writer.next_ms = now_ms + WRITE_PAUSE_MS,
+        }
+    }
+
+    /// Takes in entries that another VM has read.
+    pub(crate) fn take_told_entries(&mut self, entries: Vec<Upstream>) {
+        // Before the first list there is nothing that entries could be added to.
+        if !self.directory.is_listed() {
+            return;
+        }
+        for entry in entries {
+            let instance = entry.instance.clone();
+            let before = self.directory.run_of(&instance).cloned();
+            let change = self.directory.note_told(entry);
+            self.take_entry_change(&instance, before, change, "told_by_another_vm");
+        }
+        // Whoever read them has told all VMs.
+        self.feeds.came.clear();
+    }
+
+    /// Tells the other VMs which upstreams came, and, where no giver of orders tells it, what this VM
+    /// has read. Of VMs that miss a giver the first that have read tell the rest, which then need not.
+    pub(crate) fn tell_list_read(&mut self) {
+        let now_ms = self.now_ms;
+        let came = std::mem::take(&mut self.feeds.came);
+        let leads = self.ordering.held_lease_end(now_ms).is_some();
+        if !leads && self.sharing.follows(now_ms) {
+            return;
+        }
+        let entries: Vec<Upstream> = came
+            .iter()
+            .filter_map(|name| self.directory.upstream(name).cloned())
+            .collect();
+        for part in entries.chunks(ENTRIES_A_DATAGRAM) {
+            self.peers.send_all(&PeerMessage::Entries(part.to_vec()));
+        }
+        if !leads {
+            let from = self.peers.own_record().clone();
+            let fresh = self.freshness();
+            self.peers.send_all(&PeerMessage::ListRead { from, fresh });
+        }
+    }
+}
--- a/crates/entry/src/feeds/feed.rs
+++ b/crates/entry/src/feeds/feed.rs
@@ -1,14 +1,15 @@
 //! One topic of the store that this VM reads: when, and how far it has come.
 
-use apricotdale_fleet::Sharing;
+use apricotdale_fleet::ReadPacing;
 
 use crate::codec::KeyedRecord;
 
-/// The pause after a call that failed, doubled with each further one.
-pub(super) const RETRY_MS: u64 = 100;
+/// The time between two lines about a store that stays lost. Without them a log shows one line at the
+/// beginning of an outage that lasts for the rest of the day.
+const STILL_LOST_MS: u64 = 5_000;
 
-/// The longest such pause. The store must be read again soon after it comes back.
-const MAX_RETRY_MS: u64 = 400;
+/// The least bytes that an answer is taken to have, before one was seen.
+const LEAST_ANSWER_BYTES: usize = 64 * 1024;
 
 /// `Feed` is one topic that is read.
 #[derive(Debug, Default)]
@@ -23,36 +24,88 @@
     pub calling: bool,
     pub failures: u32,
     failed_ms: Option<u64>,
+    told_lost_ms: u64,
     pub read_ms: Option<u64>,
     /// When the topic is read in any case, however long it would be left alone otherwise.
     pub look_ms: Option<u64>,
+    /// How much earlier than the longest time this VM reads what it is told of, so that VMs which
+    /// started together do not stay in step.
+    phase_ms: u64,
+    /// The largest answer so far.
+    answer_bytes: usize,
+    /// Whether the topic is to be read from the beginning once the call under way has ended.
+    restarts: bool,
 }
 
 impl Feed {
-    pub fn failed(&mut self, now_ms: u64) {
+    /// Takes in a call that failed. Returns whether the log should say so.
+    pub fn failed(&mut self, now_ms: u64, pacing: &mut ReadPacing) -> bool {
+        self.end_call();
         self.failures += 1;
         self.failed_ms = Some(now_ms);
         self.look_ms = None;
-        let pause_ms = (RETRY_MS << (self.failures - 1).min(6)).min(MAX_RETRY_MS);
-        self.next_ms = now_ms + pause_ms;
+        self.next_ms = now_ms + pacing.pause_ms(self.failures);
+        let is_told = self.failures == 1 || now_ms >= self.told_lost_ms + STILL_LOST_MS;
+        if is_told {
+            self.told_lost_ms = now_ms;
+        }
+        is_told
     }
 
+    /// Takes in a call that was answered.
     pub fn succeeded(&mut self, now_ms: u64, pause_ms: u64) {
+        self.end_call();
         self.failures = 0;
         self.read_ms = Some(now_ms);
-        self.next_ms = now_ms + pause_ms;
+        self.next_ms = now_ms.saturating_add(pause_ms);
     }
 
-    /// Returns when the next read is due, if nothing is told to have changed. While the giver of
-    /// orders tells of changes, a topic that was read well is left alone for longer.
-    pub fn due_ms(&self, now_ms: u64, sharing: &Sharing, following_every_ms: u64) -> u64 {
-        let due_ms = match self.read_ms {
-            Some(read_ms) if self.failures == 0 && sharing.follows(now_ms) => {
-                self.next_ms.max(read_ms + following_every_ms)
-            }
-            _ => self.next_ms,
-        };
-        self.look_ms.map_or(due_ms, |look_ms| due_ms.min(look_ms))
+    fn end_call(&mut self) {
+        self.calling = false;
+        if std::mem::take(&mut self.restarts) {
+            self.restart();
+        }
+    }
+
+    /// Has the topic read from the beginning. The answer to a call under way would be taken for one
+    /// to the new beginning, so its end is awaited.
+    pub fn restart_soon(&mut self) {
+        match self.calling {
+            true => self.restarts = true,
+            false => self.restart(),
+        }
+    }
+
+    /// Goes on from an offset up to which others have told what there is, unless a read is under way
+    /// whose answer counts from the former one.
+    pub fn skip_to(&mut self, offset: u64) {
+        if !self.calling && !self.restarts && self.pages.is_empty() {
+            self.from = self.from.map(|from| from.max(offset));
+        }
+    }
+
+    /// Notes the size of an answer.
+    pub fn note_answer(&mut self, bytes: usize) {
+        self.answer_bytes = self.answer_bytes.max(bytes);
+    }
+
+    /// Returns how long the next answer is awaited, which one VM alone would have within `alone_ms`.
+    pub fn patience_ms(&self, pacing: &mut ReadPacing, alone_ms: u64) -> u64 {
+        let bytes = self.answer_bytes.max(LEAST_ANSWER_BYTES);
+        pacing.patience_ms(alone_ms, bytes, self.failures)
+    }
+
+    /// Draws when this VM reads again while it is told of changes.
+    pub fn draw_phase(&mut self, pacing: &mut ReadPacing, every_ms: u64) {
+        self.phase_ms = pacing.draw_within_ms(every_ms / 4);
+    }
+
+    /// Returns when the topic is read next by a VM that is told of changes.
+    pub fn followed_due_ms(&self, every_ms: u64) -> u64 {
+        match self.read_ms {
+            Some(read_ms) => self.next_ms.max(read_ms + every_ms - self.phase_ms),
+            None => self.next_ms,
+        }
     }
 
     /// Returns how long ago a read failed; none if none did.
--- a/crates/entry/src/feeds/listing.rs
+++ b/crates/entry/src/feeds/listing.rs
@@ -3,6 +3,7 @@
 use apricotdale_core::names::InstanceName;
 use apricotdale_core::names::UpstreamName;
 use apricotdale_fleet::DirectoryChange;
+use apricotdale_fleet::ListingChanges;
 use apricotdale_fleet::Upstream;
 
 use super::FOREIGN_KEYS;
@@ -38,6 +39,16 @@
             upstreams = names.len(), left = changes.left.len();
             "list of upstreams read"
         );
+        self.take_listing_changes(changes);
+        for name in names {
+            self.news.lay_over(now_ms, &mut self.directory, &name);
+        }
+        self.look_again = true;
+        UPSTREAMS_EVERY_MS
+    }
+
+    /// Takes in which upstreams a whole list changed.
+    pub(super) fn take_listing_changes(&mut self, changes: ListingChanges) {
         for name in &changes.lapsed {
             self.upstream_lapsed(name);
         }
@@ -48,11 +59,6 @@
             };
             self.upstream_left(&name, reason);
         }
-        for name in names {
-            self.news.lay_over(now_ms, &mut self.directory, &name);
-        }
-        self.look_again = true;
-        UPSTREAMS_EVERY_MS
     }
 
     pub(super) fn take_upstreams_read(&mut self, read: LogRead) -> Result<u64, DecodeError> {
@@ -126,14 +132,29 @@
                 None => DirectoryChange::None,
             },
         };
-        let Some(name) = self.directory.run_of(&instance).cloned().or(before) else {
+        let reason = match record.value {
+            None => "gone",
+            Some(_) => "leaving",
+        };
+        self.take_entry_change(&instance, before, change, reason);
+    }
+
+    /// Takes in what one entry changed. `before` is the run that stood there before, `reason` why the
+    /// upstream takes no new work, if that is what the entry says.
+    pub(super) fn take_entry_change(
+        &mut self,
+        instance: &InstanceName,
+        before: Option<UpstreamName>,
+        change: DirectoryChange,
+        reason: &str,
+    ) {
+        let Some(name) = self.directory.run_of(instance).cloned().or(before) else {
             return;
         };
-        self.news.lay_over(now_ms, &mut self.directory, &name);
+        self.news.lay_over(self.now_ms, &mut self.directory, &name);
         match change {
             DirectoryChange::None => {}
-            DirectoryChange::Left if record.value.is_none() => self.upstream_left(&name, "gone"),
-            DirectoryChange::Left => self.upstream_left(&name, "leaving"),
+            DirectoryChange::Left => self.upstream_left(&name, reason),
             DirectoryChange::Lapsed => self.upstream_lapsed(&name),
             DirectoryChange::Came => self.upstream_came(&name),
             DirectoryChange::Restarted { former } => {
@@ -145,7 +166,7 @@
     }
 
     fn upstream_came(&mut self, name: &UpstreamName) {
-        self.sharing.note_came();
+        self.feeds.note_came(name.clone());
         self.peers.beat_soon();
         log::info!(upstream = name.to_string(); "upstream came");
         self.look_again = true;
@@ -158,6 +179,7 @@
             self.upstream_left(&name, "lapsed");
         }
         self.feeds.upstreams.look_ms = self.directory.list_whole_ms(self.now_ms);
+        self.tell_list_read();
     }
 
     /// Tells that an upstream is used for a short time more though its entry has vanished. If it left
--- a/crates/entry/src/messages.rs
+++ b/crates/entry/src/messages.rs
@@ -6,6 +6,7 @@
 use apricotdale_core::names::UpstreamName;
 use apricotdale_core::names::VmName;
 use apricotdale_fleet::Freshness;
+use apricotdale_fleet::Upstream;
 use apricotdale_holder::DemandRow;
 use apricotdale_holder::ResidenceNews;
 use serde::Deserialize;
@@ -28,7 +29,7 @@
 }
 
 /// `PeerMessage` is a message between VMs.
-#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
 pub(crate) enum PeerMessage {
     /// A VM is there.
     Greeting(VmRecord),
@@ -47,6 +48,10 @@
         forecasts: Vec<ForecastRow>,
         fresh: Freshness,
     },
+    /// What a VM has read of the list, where no giver of orders tells it.
+    ListRead { from: VmRecord, fresh: Freshness },
+    /// Entries of upstreams that came.
+    Entries(Vec<Upstream>),
     /// What engines hold.
     News(Vec<ResidenceNews>),
     /// An engine turned a request away because it does not hold the model.
--- a/crates/entry/src/metrics.rs
+++ b/crates/entry/src/metrics.rs
@@ -32,6 +32,8 @@
     stood_still: Counter,
     foreign_entries: Counter,
     lapsed_upstreams: Counter,
+    store_reads_bytes: Family<Reason, Counter>,
+    list_repairs: Counter,
     dark_engines: Counter,
     first_answer_ms: Histogram,
     wait_ms: Histogram,
@@ -60,6 +62,8 @@
             stood_still: Counter::default(),
             foreign_entries: Counter::default(),
             lapsed_upstreams: Counter::default(),
+            store_reads_bytes: Family::default(),
+            list_repairs: Counter::default(),
             dark_engines: Counter::default(),
             first_answer_ms: Histogram::new(buckets()),
             wait_ms: Histogram::new(buckets()),
@@ -118,6 +122,16 @@
             "Upstreams that were kept for a time though their entries had vanished",
             self.lapsed_upstreams.clone(),
         );
+        registry.register(
+            "store_reads_bytes",
+            "Bytes of the store's answers by call",
+            self.store_reads_bytes.clone(),
+        );
+        registry.register(
+            "list_repairs",
+            "Reads because the list differed from the one that was told of",
+            self.list_repairs.clone(),
+        );
         registry.register(
             "dark_engines",
             "Engines that fell silent and did not answer when they were asked",
@@ -215,6 +229,18 @@
         self.lapsed_upstreams.inc();
     }
 
+    /// Counts the bytes of an answer of the store.
+    pub fn store_read(&mut self, call: &str, bytes: usize) {
+        let reason = call.to_owned();
+        let counter = self.store_reads_bytes.get_or_create(&Reason { reason });
+        counter.inc_by(bytes as u64);
+    }
+
+    /// Counts a read because the list differed from the one that was told of.
+    pub fn list_repair(&mut self) {
+        self.list_repairs.inc();
+    }
+
     /// Counts an engine that fell silent and did not answer when it was asked.
     pub fn dark_engine(&self) {
         self.dark_engines.inc();
--- a/crates/entry/src/ordering.rs
+++ b/crates/entry/src/ordering.rs
@@ -255,6 +255,8 @@
             Some(fence) => {
                 self.metrics.takeover();
                 log::info!(fence, lease_end = self.ordering.lease.end(); "this VM gives orders");
+                // What other VMs told names no copies of weights, by which loads are planned.
+                self.feeds.lead(self.now_ms);
             }
             None => log::info!("this VM gives no more orders"),
         }
@@ -440,12 +442,22 @@
     /// Takes in that an engine has started again, as its report tells before the list does. What
     /// was known of its former run would give wrong orders: it holds nothing of it.
     fn engine_restarted(&mut self, former: &UpstreamName, report: EngineReport) {
+        let Some(instance) = self
+            .directory
+            .upstream(former)
+            .map(|it| it.instance.clone())
+        else {
+            return;
+        };
         let change = self
             .directory
             .note_restart(former, report.born_ms, report.residence);
         if matches!(change, DirectoryChange::Restarted { .. }) {
-            self.sharing.note_came();
+            if let Some(run) = self.directory.run_of(&instance).cloned() {
+                self.feeds.note_came(run);
+            }
             self.upstream_left(former, "restarted");
+            self.tell_list_read();
             self.ordering.next_plan_ms = self.now_ms;
         }
     }
--- a/crates/entry/src/peers.rs
+++ b/crates/entry/src/peers.rs
@@ -22,9 +22,13 @@
 /// How long a VM that was not heard of counts as there.
 const PEER_GOOD_MS: u64 = 3_000;
 
-/// Time between two greetings to all known VMs by one that does not hear the giver of orders.
+/// Time between two greetings by a VM that does not hear the giver of orders.
 pub(crate) const GREETING_MS: u64 = 1_000;
 
+/// VMs that are greeted at a time after the first greeting, in turn. When no giver is there all VMs
+/// greet: if each greeted all others, hundreds would exchange tens of thousands of datagrams a second.
+const GREETED_AT_ONCE: usize = 16;
+
 #[derive(Clone, Copy, Debug)]
 struct Known {
     address: SocketAddr,
@@ -46,6 +50,9 @@
     pub(super) last_demand_ms: u64,
     pub(super) next_beat_ms: u64,
     pub(super) next_greeting_ms: u64,
+    /// Whether all VMs were greeted, and how many were since then.
+    has_greeted: bool,
+    greeted: usize,
 }
 
 impl Peers {
@@ -61,6 +68,8 @@
             last_demand_ms: 0,
             next_beat_ms: 0,
             next_greeting_ms: u64::MAX,
+            has_greeted: false,
+            greeted: 0,
         }
     }
 
@@ -153,6 +162,22 @@
         }
     }
 
+    /// Says to other VMs that this one is there: at first to all, later to some in turn.
+    pub fn greet(&mut self) {
+        let greeting = PeerMessage::Greeting(self.own.clone());
+        if !std::mem::replace(&mut self.has_greeted, true) {
+            self.send_all(&greeting);
+            return;
+        }
+        let at_once = self.known.len().min(GREETED_AT_ONCE);
+        let turn = self.known.values().cycle().skip(self.greeted).take(at_once);
+        let addresses: Vec<SocketAddr> = turn.map(|known| known.address).collect();
+        for address in addresses {
+            self.send(address, &greeting);
+        }
+        self.greeted = (self.greeted + at_once) % self.known.len().max(1);
+    }
+
     /// Sends a message to one VM.
     pub(super) fn send(&self, address: SocketAddr, message: &PeerMessage) {
         if let Some(bytes) = encode(message) {
--- a/crates/entry/src/telling.rs
+++ b/crates/entry/src/telling.rs
@@ -16,6 +16,8 @@
 use apricotdale_fleet::DirectoryChange;
 use apricotdale_fleet::Freshness;
 use apricotdale_fleet::WantedModel;
+use apricotdale_fleet::held_digest;
+use apricotdale_fleet::listed_digest;
 use apricotdale_holder::DemandRow;
 use apricotdale_holder::ResidenceNews;
 
@@ -111,10 +113,15 @@
                 {
                     log::info!(holder = from.vm.to_string(), lease_end; "another VM gives orders");
                 }
-                self.take_freshness(&from, &fresh);
+                self.take_freshness(&fresh);
                 self.peers.holder = Some((from.vm, from.address, now_ms));
                 self.take_forecasts(forecasts);
             }
+            PeerMessage::ListRead { from, fresh } => {
+                self.peers.note_heard(now_ms, &from);
+                self.take_freshness(&fresh);
+            }
+            PeerMessage::Entries(entries) => self.take_told_entries(entries),
             PeerMessage::News(news) => self.take_news(news),
             PeerMessage::TurnedAway { engine, model } => self.engine_lacks(&engine, &model),
             PeerMessage::Dark(engine) => self.told_dark(&engine),
@@ -140,43 +147,64 @@
         }
     }
 
-    /// Takes in what the giver of orders has read.
-    fn take_freshness(&mut self, giver: &VmRecord, fresh: &Freshness) {
+    /// Takes in what another VM has read.
+    fn take_freshness(&mut self, fresh: &Freshness) {
         let now_ms = self.now_ms;
-        if self.sharing.hear(now_ms, &giver.vm, giver.run, fresh) {
-            self.feeds.read_list_soon(now_ms);
+        // The giver of orders reads for itself, so that it has something to tell.
+        if self.ordering.held_lease_end(now_ms).is_none() {
+            let draw_ms = self.pacing.draw_ms();
+            self.sharing
+                .hear(now_ms, fresh, self.pacing.spread_ms(), draw_ms);
+        }
+        if self.sharing.told_version() > self.directory.version() {
+            let at_ms = now_ms + self.pacing.draw_ms();
+            self.feeds.read_configuration_at(at_ms);
+        }
+        if let Some(read_ms) = fresh.whole_list_read_ms(now_ms) {
+            // If this VM was cut off alone, no entry has lapsed, and upstreams that it misses have
+            // left: it must not keep them for longer.
+            self.directory.note_list_whole(read_ms);
         }
-        self.take_whole_list(fresh);
         for departure in &fresh.left {
             if self.directory.note_departure(departure) == DirectoryChange::Left {
                 self.upstream_left(&departure.upstream, "told_by_another_vm");
             }
         }
+        self.compare_list(fresh);
     }
 
-    /// Takes in that the giver's list is whole. If this VM was cut off alone, no entry has lapsed,
-    /// and upstreams that it misses have left: it must not keep them for longer.
-    fn take_whole_list(&mut self, fresh: &Freshness) {
-        let now_ms = self.now_ms;
-        let Some(read_ms) = fresh.whole_list_read_ms(now_ms) else {
+    /// Compares this VM's list with the one that another VM has read.
+    fn compare_list(&mut self, fresh: &Freshness) {
+        if fresh.list_age_ms.is_none() || !self.directory.is_listed() {
             return;
-        };
-        let was_waiting = self.directory.list_whole_ms(now_ms).is_some();
-        self.directory.note_list_whole(read_ms);
-        if was_waiting {
-            self.feeds.read_list_soon(now_ms);
+        }
+        let is_same = listed_digest(&self.directory) == fresh.listed;
+        let holds_same = held_digest(&self.directory) == fresh.held;
+        let draw_ms = self.pacing.draw_ms();
+        self.feeds
+            .listed_repair
+            .heard(self.now_ms, is_same, draw_ms);
+        self.feeds
+            .held_repair
+            .heard(self.now_ms, holds_same, draw_ms);
+        let leads = self.ordering.held_lease_end(self.now_ms).is_some();
+        if let (true, false, Some(offset)) = (is_same, leads, fresh.whole_list_offset()) {
+            self.feeds.skip_list_to(offset);
+            self.directory.note_list_same();
         }
     }
 
     /// Returns what this VM has read, for the others.
-    fn freshness(&mut self) -> Freshness {
+    pub(crate) fn freshness(&mut self) -> Freshness {
         let now_ms = self.now_ms;
         Freshness {
             configuration: self.directory.version(),
             configuration_age_ms: self.feeds.configuration_age_ms(now_ms),
             list_age_ms: self.feeds.list_age_ms(now_ms),
             list_whole: self.directory.is_list_whole(now_ms),
-            came: self.sharing.came(),
+            list_offset: self.feeds.list_offset(),
+            listed: listed_digest(&self.directory),
+            held: held_digest(&self.directory),
             left: self.sharing.left(now_ms),
         }
     }
@@ -202,8 +230,7 @@
         let now_ms = self.now_ms;
         if now_ms >= self.peers.next_greeting_ms {
             self.peers.next_greeting_ms = u64::MAX;
-            let greeting = PeerMessage::Greeting(self.peers.own.clone());
-            self.peers.send_all(&greeting);
+            self.peers.greet();
         }
         if now_ms >= self.peers.next_beat_ms {
             self.peers.next_beat_ms = now_ms + BEAT_MS;
--- a/crates/fleet/src/directory.rs
+++ b/crates/fleet/src/directory.rs
@@ -109,6 +109,8 @@
     /// be read after it.
     runs: HashMap<InstanceName, NewestRun>,
     listed: bool,
+    /// Grows with each change of the configuration or of an entry.
+    changes: u64,
 }
 
 impl Directory {
@@ -123,9 +125,15 @@
             gone: HashMap::new(),
             runs: HashMap::new(),
             listed: false,
+            changes: 0,
         }
     }
 
+    /// Returns a number that grows with each change of the configuration or of an entry.
+    pub fn changes(&self) -> u64 {
+        self.changes
+    }
+
     /// Returns the version of the configuration in force; 0 before the first.
     pub fn version(&self) -> u64 {
         self.configuration.version
@@ -164,6 +172,7 @@
                 }
             }
         }
+        self.changes += 1;
         self.routes = RouteTable::new(&configuration.routes);
         self.configuration = configuration;
         Ok(())
@@ -182,6 +191,7 @@
     /// Takes in an entry of the list. One of an earlier run than the latest that is known changes
     /// nothing, and one of a later run ends the run before it.
     pub fn note_entry(&mut self, entry: Upstream) -> DirectoryChange {
+        self.changes += 1;
         let newest = self.runs.get(&entry.instance);
         if newest.is_some_and(|newest| entry.born_ms < newest.born_ms) {
             return DirectoryChange::None;
@@ -215,6 +225,44 @@
         change
     }
 
+    /// Takes in an entry as another VM tells it, without the engine's copies of weights.
+    pub fn note_told(&mut self, mut entry: Upstream) -> DirectoryChange {
+        self.keep_copies(&mut entry);
+        self.note_entry(entry)
+    }
+
+    /// Keeps what is known here of an engine's copies of weights, which other VMs do not tell.
+    fn keep_copies(&self, entry: &mut Upstream) {
+        if let Some(known) = self.upstreams.get(&entry.name) {
+            entry
+                .residence
+                .in_memory
+                .clone_from(&known.residence.in_memory);
+            entry.residence.on_disk.clone_from(&known.residence.on_disk);
+        }
+    }
+
+    /// Takes in a copy of the list that another VM has read. `is_newer` says that it was read later than
+    /// what this VM knows, so that an upstream which it does not name has left.
+    pub fn note_copy(
+        &mut self,
+        now_ms: u64,
+        mut entries: Vec<Upstream>,
+        is_newer: bool,
+    ) -> ListingChanges {
+        for entry in &mut entries {
+            self.keep_copies(entry);
+        }
+        match is_newer {
+            true => self.note_listing(now_ms, entries),
+            false => {
+                let mut changes = ListingChanges::default();
+                self.note_entries(entries, &mut changes);
+                changes
+            }
+        }
+    }
+
     /// Takes in a run that is not known yet.
     fn begin_run(&mut self, entry: Upstream) -> DirectoryChange {
         let newest = NewestRun {
@@ -297,6 +345,12 @@
                 _ => {}
             }
         }
+        self.note_entries(entries, &mut changes);
+        self.listed = true;
+        changes
+    }
+
+    fn note_entries(&mut self, entries: Vec<Upstream>, changes: &mut ListingChanges) {
         for entry in entries {
             let name = entry.name.clone();
             match self.note_entry(entry) {
@@ -305,8 +359,11 @@
                 _ => {}
             }
         }
-        self.listed = true;
-        changes
+    }
+
+    /// Returns whether a list of upstreams was read, here or by a VM whose copy this one took in.
+    pub fn is_listed(&self) -> bool {
+        self.listed
     }
 
     /// Returns an upstream.
--- a/crates/fleet/src/directory/departing.rs
+++ b/crates/fleet/src/directory/departing.rs
@@ -93,6 +93,12 @@
         over
     }
 
+    /// Takes in that this VM's list is the same as one in which no live upstream is missing: what was
+    /// kept around an outage is there.
+    pub fn note_list_same(&mut self) {
+        self.lapsed.clear();
+    }
+
     /// Takes in that an upstream's entry is no longer there. Around an outage of the list a live
     /// upstream's entry may have lapsed only because its heartbeats found no one; it is then used
     /// until the list is whole again.
@@ -119,6 +125,7 @@
     }
 
     pub(super) fn remove(&mut self, name: &UpstreamName) {
+        self.changes += 1;
         self.lapsed.remove(name);
         if let Some(known) = self.upstreams.remove(name) {
             let gone = GoneRun {
--- /dev/null
+++ b/crates/fleet/src/list_copy.rs
@@ -0,0 +1,118 @@
+//! The list of upstreams as one VM has read it, told to the others.
+//!
+//! Every upstream writes its entry anew about once a second, with all that it holds and has copies of.
+//! Read by every VM, that grows with VMs times upstreams. So a few VMs read it, and the rest take from them
+//! what they need of it: who serves, where, and what can run there.
+
+use apricotdale_core::names::UpstreamName;
+use serde::Deserialize;
+use serde::Serialize;
+use xxhash_rust::xxh3::xxh3_64;
+
+use crate::directory::Directory;
+use crate::upstream::Upstream;
+use crate::upstream::UpstreamPhase;
+
+/// Entries in one part: engines take some 170 bytes each, rarely over 400, and the store takes records
+/// of up to 256 KiB.
+const ENTRIES_A_PART: usize = 500;
+
+/// `ListCopyPart` is a part of what one VM knows of the upstreams, for the store. An engine takes some 170
+/// bytes in it, where its own entry takes thousands.
+#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
+pub struct ListCopyPart {
+    /// How far the list had been read: the offset of the next change.
+    pub offset: u64,
+    /// How many parts there are.
+    pub parts: u32,
+    /// The upstreams.
+    pub entries: Vec<Upstream>,
+}
+
+/// `ListCopy` is what one VM knows of the upstreams.
+#[derive(Clone, Debug, PartialEq)]
+pub struct ListCopy {
+    /// How far the list had been read: the offset of the next change.
+    pub offset: u64,
+    /// The upstreams.
+    pub entries: Vec<Upstream>,
+}
+
+impl ListCopy {
+    /// Returns a copy of what the directory knows.
+    pub fn new(offset: u64, directory: &Directory) -> Self {
+        Self {
+            offset,
+            entries: directory.upstreams().cloned().collect(),
+        }
+    }
+
+    /// Returns the parts in which it is stored.
+    pub fn into_parts(self) -> Vec<ListCopyPart> {
+        let part = |entries: &[Upstream]| ListCopyPart {
+            offset: self.offset,
+            parts: self.entries.len().div_ceil(ENTRIES_A_PART).max(1) as u32,
+            entries: entries.to_vec(),
+        };
+        match self.entries.is_empty() {
+            true => vec![part(&[])],
+            false => self.entries.chunks(ENTRIES_A_PART).map(part).collect(),
+        }
+    }
+
+    /// Returns the newest copy of which all parts are there. Parts of an older one stay in the store when
+    /// the newer one has fewer, and a write between two pages of a read leaves parts of both.
+    pub fn from_parts(parts: Vec<ListCopyPart>) -> Option<Self> {
+        let offset = parts.iter().map(|part| part.offset).max()?;
+        let newest: Vec<ListCopyPart> = parts
+            .into_iter()
+            .filter(|part| part.offset == offset)
+            .collect();
+        let is_whole = newest.first()?.parts as usize == newest.len();
+        is_whole.then(|| Self {
+            offset,
+            entries: newest.into_iter().flat_map(|part| part.entries).collect(),
+        })
+    }
+}
+
+/// Returns a number that two VMs share if the same upstreams take new work by what they know.
+pub fn listed_digest(directory: &Directory) -> u64 {
+    let serving = directory
+        .upstreams()
+        .filter(|upstream| upstream.phase == UpstreamPhase::Serving);
+    sum(serving.map(|upstream| digest_of_name(&upstream.name)))
+}
+
+/// Returns a number that two VMs share if engines hold the same models and adapters by what they know.
+pub fn held_digest(directory: &Directory) -> u64 {
+    let mut bytes = Vec::new();
+    let mut digest_of = |names: [&str; 3]| {
+        bytes.clear();
+        for name in names {
+            bytes.extend_from_slice(name.as_bytes());
+            bytes.push(0);
+        }
+        xxh3_64(&bytes)
+    };
+    let mut digest = 0_u64;
+    for upstream in directory.upstreams() {
+        for resident in &upstream.residence.models {
+            let (engine, model) = (upstream.name.as_str(), resident.model.as_str());
+            digest = digest.wrapping_add(digest_of([engine, model, ""]));
+            for adapter in &resident.adapters {
+                digest = digest.wrapping_add(digest_of([engine, model, adapter.as_str()]));
+            }
+        }
+    }
+    digest
+}
+
+fn digest_of_name(name: &UpstreamName) -> u64 {
+    xxh3_64(name.as_str().as_bytes())
+}
+
+/// Adds digests up, so that their order does not count.
+fn sum(digests: impl Iterator<Item = u64>) -> u64 {
+    digests.fold(0, u64::wrapping_add)
+}
--- /dev/null
+++ b/crates/fleet/src/read_pacing.rs
@@ -0,0 +1,113 @@
+//! How many VMs share the store's reads without falling into step.
+//!
+//! What one VM does at a moment, all may do at that moment: start, miss a beat, hear of a new
+//! version, come back from an outage. The store's reads share a rate, so the answers to reads in step
+//! come one behind the other. A VM that gives an answer up after a fixed time asks for it again, the
+//! store serves both, and the more VMs wait, the less of what the store sends is of use to anybody;
+//! such a collapse outlives its cause. So the time allowed for an answer grows with what the others
+//! may be reading, reads that are caused by one event are spread, and the retries of all VMs together
+//! are bounded.
+
+use xxhash_rust::xxh3::xxh3_64;
+
+/// What each VM adds to the time over which VMs spread a read that one event causes.
+const SPREAD_US_A_VM: u64 = 1_500;
+
+/// The longest such time. Half a second more would take what a VM's own read needs of the time in which
+/// a change has to be in force.
+const MAX_SPREAD_MS: u64 = 400;
+
+/// The pause after a read that failed, doubled with each further one.
+const PAUSE_MS: u64 = 100;
+
+/// The longest such pause of a small fleet. The store must be read again soon after it comes back.
+const MAX_PAUSE_MS: u64 = 400;
+
+/// What each VM adds to the longest pause, so that all VMs together retry 250 times a second at most.
+const MAX_PAUSE_MS_A_VM: u64 = 4;
+
+/// How many times as long as reads of all VMs take an answer is awaited at the most.
+const MOST_ROUNDS: u64 = 3;
+
+/// How many VMs there may be as long as that is not known: a VM that starts with all the others must
+/// not be the first to give up.
+const UNKNOWN_VMS: u32 = 300;
+
+/// `ReadPacing` tells when a VM reads and how long it waits for the answer.
+///
+/// Times go in with each call; nothing here reads a clock.
+#[derive(Clone, Debug)]
+pub struct ReadPacing {
+    read_bytes_per_s: f64,
+    vms: Option<u32>,
+    seed: u64,
+    draws: u64,
+}
+
+impl ReadPacing {
+    /// Returns the pacing of a VM. VMs must have different seeds, or they fall into step.
+    pub fn new(read_bytes_per_s: f64, seed: u64) -> Self {
+        Self {
+            read_bytes_per_s,
+            vms: None,
+            seed,
+            draws: 0,
+        }
+    }
+
+    /// Takes in how many VMs there are.
+    pub fn set_vms(&mut self, vms: u32) {
+        self.vms = Some(vms);
+    }
+
+    /// Returns the time over which all VMs spread a read that one event causes.
+    pub fn spread_ms(&self) -> u64 {
+        (u64::from(self.vms.unwrap_or(1)) * SPREAD_US_A_VM / 1_000).min(MAX_SPREAD_MS)
+    }
+
+    /// Returns this VM's share of that time, drawn anew with each call.
+    pub fn draw_ms(&mut self) -> u64 {
+        let spread_ms = self.spread_ms();
+        self.draw_within_ms(spread_ms)
+    }
+
+    /// Returns a time from none to this one, drawn anew with each call.
+    pub fn draw_within_ms(&mut self, most_ms: u64) -> u64 {
+        self.draws += 1;
+        let mut bytes = [0_u8; 16];
+        bytes[..8].copy_from_slice(&self.seed.to_le_bytes());
+        bytes[8..].copy_from_slice(&self.draws.to_le_bytes());
+        xxh3_64(&bytes) % (most_ms + 1)
+    }
+
+    /// Returns how long an answer of this size is awaited, which one VM alone would have within
+    /// `alone_ms`.
+    ///
+    /// The first time it is as long as reads of all VMs take. Later it is drawn from up to some times as
+    /// long: if the store swallowed the call, somebody has to ask again soon, and tells the others.
+    pub fn patience_ms(&mut self, alone_ms: u64, answer_bytes: usize, failures: u32) -> u64 {
+        let vms = self.vms.unwrap_or(UNKNOWN_VMS);
+        let round_s = f64::from(vms) * answer_bytes as f64 / self.read_bytes_per_s;
+        let round_ms = (round_s * 1_000.0) as u64;
+        match failures {
+            0 => alone_ms + round_ms,
+            _ => {
+                let rounds = u64::from(failures + 1).min(MOST_ROUNDS);
+                alone_ms + self.draw_within_ms(round_ms * rounds)
+            }
+        }
+    }
+
+    /// Returns the pause before the next read, after some failures in a row.
+    pub fn pause_ms(&mut self, failures: u32) -> u64 {
+        let vms = u64::from(self.vms.unwrap_or(1));
+        let most_ms = MAX_PAUSE_MS.max(vms * MAX_PAUSE_MS_A_VM);
+        let pause_ms = (PAUSE_MS << failures.saturating_sub(1).min(6)).min(most_ms);
+        // Half of it is drawn, where there are others to fall into step with.
+        let drawn_ms = self.draw_within_ms(pause_ms / 2);
+        match vms {
+            0 | 1 => pause_ms,
+            _ => pause_ms - pause_ms / 4 + drawn_ms,
+        }
+    }
+}
--- a/crates/fleet/src/residence.rs
+++ b/crates/fleet/src/residence.rs
@@ -29,13 +29,17 @@
 }
 
 /// `Residence` is what one engine holds.
-#[derive(Clone, Debug, Default, PartialEq, Eq)]
+/// VMs tell each other only what can run: where copies lie matters to the giver of orders alone, which reads
+/// it from the engine itself, and takes most of an entry's bytes.
+#[derive(Clone, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
 pub struct Residence {
     /// Models that can run now.
     pub models: Vec<ResidentModel>,
     /// Models with a copy in the host's memory.
+    #[serde(skip)]
     pub in_memory: HashSet<ModelName>,
     /// Models with a copy on the host's disk.
+    #[serde(skip)]
     pub on_disk: HashSet<ModelName>,
 }
 
@@ -45,6 +49,11 @@
         self.models.iter().find(|resident| &resident.model == model)
     }
 
+    /// Returns whether any copy of weights is known.
+    pub fn names_copies(&self) -> bool {
+        !self.in_memory.is_empty() || !self.on_disk.is_empty()
+    }
+
     /// Returns whether a request for this model and adapter can run here.
     pub fn serves(&self, wanted: &WantedModel) -> bool {
         match (self.model(&wanted.model), &wanted.adapter) {
--- a/crates/fleet/src/sharing.rs
+++ b/crates/fleet/src/sharing.rs
@@ -1,13 +1,16 @@
-//! What the giver of orders has read, shared with the other VMs.
+//! What one VM has read, shared with the others.
 //!
-//! Each VM could read the configuration and the list by itself, at some 1.6 calls a second. The
-//! giver reads them anyway, and tells in its beats how fresh they are, which version is in force,
-//! which upstreams have left and whether new ones came. A VM that hears such beats reads only what
-//! it is told has changed, and once in a while the whole. When the beats stop, or what the giver
-//! knows grows old, every VM reads for itself again, soon enough for the bounds on configuration
-//! and on leaving upstreams.
-
-use apricotdale_core::names::VmName;
+//! Each VM could read the configuration and the list by itself, at some 1.6 calls a second; with
+//! hundreds of VMs and upstreams that is more than the store sends. The giver of orders reads them
+//! anyway, and tells in its beats how fresh they are, which version is in force, which upstreams serve
+//! and which have left. A VM that hears such beats reads only what it is told has changed.
+//!
+//! When the beats stop, or what the giver knows grows old, the VMs read for themselves again, soon enough
+//! for the bounds on configuration and on leaving upstreams. They do not begin at the same moment: each
+//! draws when it ends to rely on the last beat, and the first ones tell what they have read, so that
+//! the others need not read at all. Feedback in multicast groups is suppressed the same way (Nonnenmacher and
+//! Biersack, Scalable Feedback for Large Groups, IEEE/ACM Transactions on Networking, 1999).
+
 use serde::Deserialize;
 use serde::Serialize;
 
@@ -28,7 +31,7 @@
 /// giver's list and the time for which a beat counts, each by itself, let it grow to 2.2 s.
 const RELIED_LIST_MS: u64 = 1_800;
 
-/// How long the giver repeats that an upstream has left.
+/// How long a VM repeats that an upstream has left.
 const LEFT_REPEATED_MS: u64 = 2_500;
 
 /// `Freshness` is what a beat tells of the giver's reads.
@@ -42,20 +45,33 @@
     pub list_age_ms: Option<u64>,
     /// Whether no live upstream was missing from it for certain.
     pub list_whole: bool,
-    /// How many upstreams have come in this run.
-    pub came: u64,
+    /// How far the list was read.
+    pub list_offset: u64,
+    /// Which upstreams take new work, as a digest.
+    pub listed: u64,
+    /// What engines hold, as a digest.
+    pub held: u64,
     /// Upstreams that left within the last seconds.
     pub left: Vec<Departure>,
 }
 
 impl Freshness {
-    /// Returns for how long other VMs may go without reading for themselves; none if not at all.
-    fn good_ms(&self) -> Option<u64> {
+    /// Returns for how long other VMs may go without reading for themselves, if they spread the time at
+    /// which they do; none if not at all.
+    fn good_ms(&self, spread_ms: u64) -> Option<u64> {
         let configuration_age_ms = self.configuration_age_ms?;
         let list_age_ms = self.list_age_ms?;
         let is_fresh =
             list_age_ms <= FRESH_LIST_MS && configuration_age_ms <= FRESH_CONFIGURATION_MS;
-        is_fresh.then(|| BEAT_GOOD_MS.min(RELIED_LIST_MS - list_age_ms))
+        is_fresh.then(|| (BEAT_GOOD_MS + spread_ms).min(RELIED_LIST_MS - list_age_ms))
+    }
+
+    /// Returns how far the list was read in which no live upstream was missing; none if any may be. A VM that
+    /// knows the same upstreams need not read what comes before. While some are missing it must: an
+    /// upstream that it keeps for a time would be dropped if it skipped the entry with which that one
+    /// comes back.
+    pub fn whole_list_offset(&self) -> Option<u64> {
+        self.list_whole.then_some(self.list_offset)
     }
 
     /// Returns when the giver read a list in which no live upstream was missing; none if it did not.
@@ -70,52 +86,38 @@
 /// Times go in with each call; nothing here reads a clock.
 #[derive(Debug, Default)]
 pub struct Sharing {
-    came: u64,
     left: Vec<(Departure, u64)>,
-    followed: Option<(VmName, u64, u64)>,
     followed_until_ms: u64,
     /// The newest version that a giver told of.
     told_version: u64,
 }
 
 impl Sharing {
-    /// Notes that an upstream came.
-    pub fn note_came(&mut self) {
-        self.came += 1;
-    }
-
     /// Notes that an upstream left.
     pub fn note_left(&mut self, now_ms: u64, departure: Departure) {
         self.left.push((departure, now_ms + LEFT_REPEATED_MS));
     }
 
-    /// Returns how many upstreams have come.
-    pub fn came(&self) -> u64 {
-        self.came
-    }
-
     /// Returns the upstreams that left within the last seconds.
     pub fn left(&mut self, now_ms: u64) -> Vec<Departure> {
         self.left.retain(|(_, until_ms)| *until_ms > now_ms);
         self.left.iter().map(|(left, _)| left.clone()).collect()
     }
 
-    /// Takes in a beat of the giver. Returns whether the list should be read now.
-    pub fn hear(&mut self, now_ms: u64, giver: &VmName, run: u64, fresh: &Freshness) -> bool {
+    /// Takes in what another VM has read. `draw_ms` is how much sooner than the others, at the most
+    /// `spread_ms`, this VM reads for itself when it hears no more.
+    pub fn hear(&mut self, now_ms: u64, fresh: &Freshness, spread_ms: u64, draw_ms: u64) {
         self.told_version = self.told_version.max(fresh.configuration);
-        let Some(good_ms) = fresh.good_ms() else {
-            self.followed_until_ms = 0;
-            return false;
-        };
-        self.followed_until_ms = now_ms + good_ms;
-        let before = self.followed.replace((giver.clone(), run, fresh.came));
-        before != self.followed
+        // An old word does not take back a newer one of another VM.
+        if let Some(good_ms) = fresh.good_ms(spread_ms) {
+            let until_ms = now_ms + good_ms.saturating_sub(draw_ms);
+            self.followed_until_ms = self.followed_until_ms.max(until_ms);
+        }
     }
 
     /// Ends following: this VM is the giver itself.
     pub fn lead(&mut self) {
         self.followed_until_ms = 0;
-        self.followed = None;
     }
 
     /// Returns whether this VM takes what the giver tells in place of its own reads.
--- a/crates/fleet/src/upstream.rs
+++ b/crates/fleet/src/upstream.rs
@@ -6,11 +6,13 @@
 use apricotdale_core::names::InstanceName;
 use apricotdale_core::names::UpstreamName;
 use apricotdale_core::names::ZoneName;
+use serde::Deserialize;
+use serde::Serialize;
 
 use crate::residence::Residence;
 
 /// `UpstreamPhase` is whether an upstream may receive new work.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub enum UpstreamPhase {
     /// It takes new work.
     Serving,
@@ -29,7 +31,7 @@
 }
 
 /// `Upstream` is one run of one upstream process.
-#[derive(Clone, Debug, PartialEq)]
+#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
 pub struct Upstream {
     /// The identity of this run ([`run_name`]).
     pub name: UpstreamName,
--- a/crates/holder/src/planner.rs
+++ b/crates/holder/src/planner.rs
@@ -86,7 +86,11 @@
             .retain(|engine| directory.upstream(&engine.name).is_some());
         for engine in &mut self.engines {
             engine.serving = serving.contains_key(&engine.name) && !is_unreachable(&engine.name);
-            if let Some(entry) = serving.get(&engine.name) {
+            // An entry that another VM told names no copies.
+            if let Some(entry) = serving
+                .get(&engine.name)
+                .filter(|entry| entry.residence.names_copies())
+            {
                 engine
                     .residence
                     .in_memory
