A giver on a small VM: demand as differences, rounds of planning bounded

Cause: each VM told a row for every model it was ever asked for, several times a second, and each plan went through all rows of all VMs, every model for every engine, and every missing model on every engine with the worth of its residents worked out anew; one round placed all that was wanted.

Change: OwnDemand tells what has changed, twice, and what is in progress; DemandBook goes through what is in progress; Placer counts planned orders and works an engine's residents out once; 4 placements a round, the rest in the next; after a plan twice its time passes without one. A candidate from the weight store is looked for only if the store is free.

--- a/crates/entry/src/daemon.rs
+++ b/crates/entry/src/daemon.rs
@@ -16,6 +16,7 @@
 use apricotdale_fleet::DirectoryOptions;
 use apricotdale_fleet::ReadPacing;
 use apricotdale_fleet::Sharing;
+use apricotdale_holder::OwnDemand;
 use mio::Events;
 use mio::Interest;
 use mio::Poll;
@@ -99,6 +100,7 @@
     pub(crate) feeds: Feeds,
     pub(crate) ordering: Ordering,
     pub(crate) peers: Peers,
+    pub(crate) own_demand: OwnDemand,
     pub(crate) sharing: Sharing,
     /// When this VM reads the store, among all that do.
     pub(crate) pacing: ReadPacing,
@@ -157,6 +159,7 @@
         Ok(Self {
             ordering: Ordering::new(&settings, run),
             peers: Peers::new(settings.vm.clone(), settings.peers, run, socket),
+            own_demand: OwnDemand::default(),
             poll,
             now_ms,
             run,
--- a/crates/entry/src/feeds/copy.rs
+++ b/crates/entry/src/feeds/copy.rs
@@ -85,13 +85,13 @@
         }
         let records = std::mem::take(&mut feed.pages);
         feed.after = None;
+        self.feeds.copy_tried = true;
         let parts: Vec<ListCopyPart> = records
             .iter()
             .filter_map(|record| record.value.as_deref())
             .map(postcard::from_bytes)
             .collect::<Result<_, _>>()
             .map_err(|error| DecodeError::new(format!("a copy of the list: {error}")))?;
-        self.feeds.copy_tried = true;
         if let Some(copy) = ListCopy::from_parts(parts) {
             self.take_copy(copy);
         }
--- a/crates/entry/src/feeds/vms.rs
+++ b/crates/entry/src/feeds/vms.rs
@@ -44,6 +44,7 @@
             .filter_map(|record| postcard::from_bytes(record.value.as_deref()?).ok())
             .collect();
         self.peers.note_records(vms);
+        log::info!(vms = self.peers.others(); "entries of VMs read");
         // Later ones greet.
         u64::MAX / 2
     }
--- a/crates/entry/src/metrics.rs
+++ b/crates/entry/src/metrics.rs
@@ -37,6 +37,7 @@
     dark_engines: Counter,
     first_answer_ms: Histogram,
     wait_ms: Histogram,
+    plan_ms: Histogram,
     gap_ms: Histogram,
     pub active: Gauge,
     pub callers: Gauge,
@@ -67,6 +68,7 @@
             dark_engines: Counter::default(),
             first_answer_ms: Histogram::new(buckets()),
             wait_ms: Histogram::new(buckets()),
+            plan_ms: Histogram::new(buckets()),
             gap_ms: Histogram::new(buckets()),
             active: Gauge::default(),
             callers: Gauge::default(),
@@ -142,6 +144,11 @@
             "From arrival to the first part of the answer",
             self.first_answer_ms.clone(),
         );
+        registry.register(
+            "plan_ms",
+            "How long one round of planning takes",
+            self.plan_ms.clone(),
+        );
         registry.register(
             "wait_ms",
             "From arrival to the first send",
@@ -236,6 +243,11 @@
         counter.inc_by(bytes as u64);
     }
 
+    /// Notes how long one round of planning took.
+    pub fn planned(&mut self, took_ms: u64) {
+        self.plan_ms.observe(took_ms as f64);
+    }
+
     /// Counts a read because the list differed from the one that was told of.
     pub fn list_repair(&mut self) {
         self.list_repairs.inc();
--- a/crates/entry/src/ordering.rs
+++ b/crates/entry/src/ordering.rs
@@ -1,6 +1,7 @@
 //! Giving orders to engines, while this VM holds the lease for it.
 
 use std::collections::HashMap;
+use std::time::Instant;
 
 use apricotdale_core::names::GroupName;
 use apricotdale_core::names::ModelName;
@@ -51,6 +52,10 @@
 /// The longest time between two plans: demand that faded is seen then.
 const PLAN_EVERY_MS: u64 = 100;
 
+/// How many times as long as a plan took nothing is planned after it. On a VM with a small part of a core
+/// the lease, callers and other VMs would else wait for one plan after the other.
+const REST_FOR_PLAN: u64 = 2;
+
 /// `Ordering` is this VM's part in giving orders.
 #[derive(Debug)]
 pub(crate) struct Ordering {
@@ -60,6 +65,8 @@
     planners: HashMap<GroupName, Planner>,
     fence: Option<u64>,
     next_plan_ms: u64,
+    /// Until when nothing is planned, whatever happens.
+    rest_until_ms: u64,
 }
 
 impl Ordering {
@@ -82,6 +89,7 @@
             planners: HashMap::new(),
             fence: None,
             next_plan_ms: 0,
+            rest_until_ms: 0,
         }
     }
 
@@ -153,7 +161,7 @@
     /// Returns when something is due.
     pub fn next_ms(&self) -> u64 {
         let plan_ms = if self.fence.is_some() {
-            self.next_plan_ms
+            self.next_plan_ms.max(self.rest_until_ms)
         } else {
             u64::MAX
         };
@@ -176,7 +184,8 @@
             }
         }
         self.note_fence();
-        if self.ordering.fence.is_some() && now_ms >= self.ordering.next_plan_ms {
+        let due_ms = self.ordering.next_plan_ms.max(self.ordering.rest_until_ms);
+        if self.ordering.fence.is_some() && now_ms >= due_ms {
             self.plan();
         }
     }
@@ -275,6 +284,7 @@
 
     fn plan(&mut self) {
         let now_ms = self.now_ms;
+        let begun = Instant::now();
         self.sync_planners();
         let mut actions = Vec::new();
         let mut next_ms = now_ms + PLAN_EVERY_MS;
@@ -284,6 +294,10 @@
                 next_ms = next_ms.min(due_ms);
             }
         }
+        let took_ms = begun.elapsed().as_millis() as u64;
+        self.metrics.planned(took_ms);
+        // Reports and orders that end ask for a plan at once.
+        self.ordering.rest_until_ms = now_ms + took_ms + took_ms * REST_FOR_PLAN;
         self.ordering.next_plan_ms = next_ms.max(now_ms + 1);
         self.carry_out(actions);
     }
--- a/crates/entry/src/peers.rs
+++ b/crates/entry/src/peers.rs
@@ -5,7 +5,6 @@
 use std::net::SocketAddr;
 
 use apricotdale_core::names::VmName;
-use apricotdale_fleet::WantedModel;
 use apricotdale_holder::ResidenceNews;
 use mio::net::UdpSocket;
 
@@ -45,7 +44,6 @@
     /// Whether the store's entries of the VMs were read.
     has_records: bool,
     pub(super) holder: Option<(VmName, SocketAddr, u64)>,
-    pub(super) arrived: HashMap<WantedModel, u64>,
     pub(super) next_demand_ms: u64,
     pub(super) last_demand_ms: u64,
     pub(super) next_beat_ms: u64,
@@ -63,7 +61,6 @@
             known: HashMap::new(),
             has_records: false,
             holder: None,
-            arrived: HashMap::new(),
             next_demand_ms: 0,
             last_demand_ms: 0,
             next_beat_ms: 0,
@@ -99,11 +96,6 @@
         self.next_greeting_ms = 0;
     }
 
-    /// Notes that a request for a model arrived.
-    pub fn note_arrival(&mut self, wanted: &WantedModel) {
-        *self.arrived.entry(wanted.clone()).or_default() += 1;
-    }
-
     /// Has the demand told soon: a request has begun to wait.
     pub fn tell_demand_soon(&mut self) {
         self.next_demand_ms = self.next_demand_ms.min(self.last_demand_ms + DEMAND_MIN_MS);
@@ -137,6 +129,11 @@
         self.has_records.then(|| self.known.len() as u32 + 1)
     }
 
+    /// Returns how many other VMs are known.
+    pub fn others(&self) -> usize {
+        self.known.len()
+    }
+
     /// Returns this VM's place among those that were heard of lately, by name.
     pub fn place(&self, now_ms: u64) -> u64 {
         let alive = self
--- a/crates/entry/src/serving.rs
+++ b/crates/entry/src/serving.rs
@@ -82,7 +82,7 @@
         let job = self.job(&serving, &route, service);
         self.dispatcher.arrived(self.now_ms, &job);
         if let Some(wanted) = &job.wanted {
-            self.peers.note_arrival(wanted);
+            self.own_demand.note_arrival(wanted);
         }
         let events = EventSplitter::default();
         let key = self.active.insert(Active {
--- a/crates/entry/src/telling.rs
+++ b/crates/entry/src/telling.rs
@@ -5,7 +5,6 @@
 //! tells all others that it is there, what it foresees and what engines hold; the others tell it
 //! their demand. So the messages grow with the VMs, not with their square.
 
-use std::collections::HashMap;
 use std::io;
 use std::net::SocketAddr;
 
@@ -15,10 +14,10 @@
 use apricotdale_dispatch::WaitReason;
 use apricotdale_fleet::DirectoryChange;
 use apricotdale_fleet::Freshness;
-use apricotdale_fleet::WantedModel;
 use apricotdale_fleet::held_digest;
 use apricotdale_fleet::listed_digest;
 use apricotdale_holder::DemandRow;
+use apricotdale_holder::RequestState;
 use apricotdale_holder::ResidenceNews;
 
 use crate::active::Phase;
@@ -307,34 +306,16 @@
         }
     }
 
-    /// Returns the demand for every model that was ever asked for here.
-    fn demand_rows(&self) -> Vec<DemandRow> {
-        let mut rows: HashMap<&WantedModel, DemandRow> = self
-            .peers
-            .arrived
-            .iter()
-            .map(|(wanted, arrived)| {
-                let row = DemandRow {
-                    model: wanted.model.clone(),
-                    adapter: wanted.adapter.clone(),
-                    missing: 0,
-                    crowded: 0,
-                    running: 0,
-                    arrived: *arrived,
-                };
-                (wanted, row)
-            })
-            .collect();
-        for (_, request) in self.active.iter() {
-            let Some(row) = request.job.wanted.as_ref().and_then(|it| rows.get_mut(it)) else {
-                continue;
+    /// Returns what has changed in the demand here, and what requests are in progress for.
+    fn demand_rows(&mut self) -> Vec<DemandRow> {
+        let active = self.active.iter().filter_map(|(_, request)| {
+            let state = match request.phase {
+                Phase::Waiting(WaitReason::Missing) => RequestState::Missing,
+                Phase::Waiting(WaitReason::Crowded) => RequestState::Crowded,
+                _ => RequestState::Running,
             };
-            match request.phase {
-                Phase::Waiting(WaitReason::Missing) => row.missing += 1,
-                Phase::Waiting(WaitReason::Crowded) => row.crowded += 1,
-                _ => row.running += 1,
-            }
-        }
-        rows.into_values().collect()
+            Some((request.job.wanted.as_ref()?, state))
+        });
+        self.own_demand.rows(active)
     }
 }
--- /dev/null
+++ b/crates/fleet/tests/list_copies.rs
@@ -0,0 +1,197 @@
+//! The list as one VM tells it to the others: copies, digests, and what is done where they differ.
+
+mod support;
+
+use apricotdale_core::names::ModelName;
+use apricotdale_fleet::Directory;
+use apricotdale_fleet::DirectoryChange;
+use apricotdale_fleet::ListCopy;
+use apricotdale_fleet::ListRepair;
+use apricotdale_fleet::RepairSource;
+use apricotdale_fleet::Upstream;
+use apricotdale_fleet::held_digest;
+use apricotdale_fleet::listed_digest;
+use rstest::rstest;
+
+use support::directory;
+use support::entry;
+use support::leaving;
+use support::serving;
+
+const NOW_MS: u64 = 10_000;
+
+fn listing(names: &[&str]) -> Directory {
+    let mut directory = directory();
+    let entries = names.iter().map(|name| entry(name, 1)).collect();
+    directory.note_listing(NOW_MS, entries);
+    directory
+}
+
+fn holding(name: &str, revision: u64, model: &str) -> Upstream {
+    let mut upstream = entry(name, revision);
+    upstream.residence.note_loaded(&ModelName::from(model));
+    upstream
+}
+
+fn over_the_wire(copy: ListCopy) -> Option<ListCopy> {
+    let parts = copy.into_parts().into_iter().map(|part| {
+        let bytes = postcard::to_stdvec(&part).expect("a part can be encoded");
+        assert!(
+            bytes.len() < 256 * 1024,
+            "{} bytes in a record",
+            bytes.len()
+        );
+        postcard::from_bytes(&bytes).expect("it can be decoded")
+    });
+    ListCopy::from_parts(parts.collect())
+}
+
+#[rstest]
+#[case::none(0)]
+#[case::some(134)]
+#[case::several_parts(3_000)]
+fn copy_tells_all(#[case] upstreams: usize) {
+    let names: Vec<String> = (0..upstreams).map(|index| format!("e{index}")).collect();
+    let names: Vec<&str> = names.iter().map(String::as_str).collect();
+    let read = listing(&names);
+    let copy = over_the_wire(ListCopy::new(40, &read)).expect("a whole copy");
+    let mut told = directory();
+    told.note_copy(NOW_MS, copy.entries, true);
+    assert_eq!(serving(&told), upstreams);
+    assert!(told.is_listed());
+    assert_eq!(listed_digest(&told), listed_digest(&read));
+    assert_eq!(held_digest(&told), held_digest(&read));
+}
+
+/// Symptom: a VM drops upstreams that live. Sequence: it reads the parts of a copy while another is being
+/// written, or parts of a longer one are left over. Cause: parts of two copies were taken for one.
+#[test]
+fn parts_of_two_copies_are_none() {
+    let names: Vec<String> = (0..1_100).map(|index| format!("e{index}")).collect();
+    let names: Vec<&str> = names.iter().map(String::as_str).collect();
+    let former = ListCopy::new(40, &listing(&names)).into_parts();
+    let newer = ListCopy::new(50, &listing(&names)).into_parts();
+    let mixed = vec![newer[0].clone(), newer[1].clone(), former[2].clone()];
+    assert_eq!(ListCopy::from_parts(mixed), None);
+    let shorter = ListCopy::new(60, &listing(&["a"])).into_parts();
+    let left_over = vec![shorter[0].clone(), former[1].clone(), former[2].clone()];
+    let copy = ListCopy::from_parts(left_over).expect("the newest is whole");
+    assert_eq!(copy.entries.len(), 1);
+}
+
+/// Symptom: after a change of the giver loads are planned from the weight store that an engine's own copy
+/// would serve. Cause: what another VM told took away what this one had read of the copies.
+#[test]
+fn copies_of_weights_are_not_forgotten() {
+    let mut directory = directory();
+    directory.note_listing(NOW_MS, vec![holding("e", 1, "m")]);
+    let mut told = holding("e", 2, "m");
+    told.residence.in_memory.clear();
+    told.residence.on_disk.clear();
+    directory.note_told(told.clone());
+    directory.note_copy(
+        NOW_MS,
+        vec![Upstream {
+            revision: 3,
+            ..told
+        }],
+        true,
+    );
+    let known = directory.upstreams().next().expect("it is there");
+    assert!(known.residence.in_memory.contains(&ModelName::from("m")));
+    assert!(known.residence.on_disk.contains(&ModelName::from("m")));
+}
+
+#[rstest]
+#[case::newer(true, 1)]
+#[case::older(false, 2)]
+fn upstream_that_a_copy_does_not_name(#[case] is_newer: bool, #[case] left: usize) {
+    let mut directory = listing(&["a", "b"]);
+    directory.note_copy(NOW_MS, vec![entry("a", 1)], is_newer);
+    assert_eq!(serving(&directory), left);
+}
+
+/// An upstream that left does not come back by a copy that was made before.
+#[test]
+fn old_copy_brings_nobody_back() {
+    let mut directory = listing(&["a", "b"]);
+    let gone = directory.upstreams().find(|it| it.name.as_str() == "b");
+    let gone = gone.expect("listed").name.clone();
+    directory.note_gone(&gone);
+    directory.note_entry(leaving("a", 2));
+    directory.note_copy(NOW_MS, vec![entry("a", 1), entry("b", 1)], false);
+    assert_eq!(serving(&directory), 0);
+    assert_eq!(directory.note_told(entry("b", 2)), DirectoryChange::Came);
+}
+
+#[test]
+fn digests_tell_what_differs() {
+    let mut one = listing(&["a", "b"]);
+    let mut other = listing(&["b", "a"]);
+    assert_eq!(listed_digest(&one), listed_digest(&other));
+    one.note_entry(holding("a", 2, "m"));
+    assert_eq!(listed_digest(&one), listed_digest(&other));
+    assert_ne!(held_digest(&one), held_digest(&other));
+    // Heartbeats alone make no difference.
+    other.note_entry(holding("a", 9, "m"));
+    assert_eq!(held_digest(&one), held_digest(&other));
+    other.note_entry(leaving("b", 2));
+    assert_ne!(listed_digest(&one), listed_digest(&other));
+}
+
+fn heard_differing(repair: &mut ListRepair, from_ms: u64, to_ms: u64) -> Vec<(u64, RepairSource)> {
+    let mut repairs = Vec::new();
+    for now_ms in from_ms..to_ms {
+        if now_ms % 400 == 0 {
+            repair.heard(now_ms, false, 7);
+        }
+        for source in [RepairSource::Copy, RepairSource::List] {
+            if repair.due_ms(source).is_some_and(|due_ms| due_ms <= now_ms) {
+                repair.begin(now_ms, 7);
+                repairs.push((now_ms, source));
+            }
+        }
+    }
+    repairs
+}
+
+/// A VM whose list stays another asks the copy and the list in turn, ever more seldom.
+#[test]
+fn repairs_become_seldom() {
+    let mut repair = ListRepair::of_listed();
+    let repairs = heard_differing(&mut repair, 0, 60_000);
+    let sources: Vec<RepairSource> = repairs.iter().map(|(_, source)| *source).collect();
+    assert_eq!(
+        sources[..3],
+        [RepairSource::Copy, RepairSource::List, RepairSource::Copy]
+    );
+    assert!(repairs[0].0 < 1_000, "{repairs:?}");
+    assert!(repairs.len() < 8, "{repairs:?}");
+    repair.heard(60_000, true, 7);
+    assert_eq!(repair.due_ms(RepairSource::Copy), None);
+    assert_eq!(heard_differing(&mut repair, 60_001, 62_000).len(), 1);
+}
+
+/// A message on its way is no reason to read.
+#[test]
+fn short_difference_is_left_alone() {
+    let mut repair = ListRepair::of_listed();
+    repair.heard(1_000, false, 0);
+    repair.heard(1_400, true, 0);
+    repair.heard(1_800, false, 0);
+    let due_ms = repair.due_ms(RepairSource::Copy).expect("it differs again");
+    assert!(due_ms > 2_200);
+}
+
+/// What engines hold is never read from their own entries, which are large.
+#[test]
+fn held_is_repaired_by_the_copy_alone() {
+    let mut repair = ListRepair::of_held();
+    let repairs = heard_differing(&mut repair, 0, 60_000);
+    assert!(
+        repairs
+            .iter()
+            .all(|(_, source)| *source == RepairSource::Copy)
+    );
+    assert!(repairs[0].0 >= 3_000);
+}
--- a/crates/holder/src/choosing.rs
+++ b/crates/holder/src/choosing.rs
@@ -18,6 +18,11 @@
 /// waited for took the engines that rare models needed.
 const CROWD_FOR_STORE_LOAD: f64 = 0.5;
 
+/// Placements that one round of planning makes. Each is a look at all engines: a round that places all
+/// that is wanted keeps a small VM from renewing its lease and from serving callers meanwhile. What is left
+/// follows in the next round.
+const PLACEMENTS_A_ROUND: usize = 4;
+
 impl Planner {
     /// Plans loads of models, and what gives way to them.
     pub(crate) fn plan_models(&mut self, now_ms: u64, totals: &HashMap<WantedModel, ModelDemand>) {
@@ -26,9 +31,14 @@
         self.store_loads_ms
             .retain(|at_ms| at_ms + window_ms > now_ms);
         // Each placement changes what the next one may use, so the look is taken anew.
-        while let Some((index, steps)) = self.next_placement(totals) {
+        for _ in 0..PLACEMENTS_A_ROUND {
+            let Some((index, steps)) = self.next_placement(totals) else {
+                self.is_unfinished = false;
+                return;
+            };
             self.engines[index].next.extend(steps);
         }
+        self.is_unfinished = true;
     }
 
     fn next_placement(
@@ -36,6 +46,9 @@
         totals: &HashMap<WantedModel, ModelDemand>,
     ) -> Option<(usize, Vec<OrderKind>)> {
         let placer = Placer::new(&self.spec, &self.engines, totals);
+        if !placer.has_idle_engines() {
+            return None;
+        }
         let mut wanted: Vec<(&ModelName, f64)> = self
             .spec
             .models
@@ -57,6 +70,9 @@
             })
             .find_map(|(model, value)| placer.place(model, false, value * 0.8))
             .or_else(|| {
+                if !store_is_free {
+                    return None;
+                }
                 let crowd = CROWD_FOR_STORE_LOAD * f64::from(self.spec.slots);
                 let mut far = wanted.iter().filter(|(model, _)| {
                     let is_pressed = placer.replicas(model) == 0
@@ -64,9 +80,8 @@
                     is_pressed && !placer.is_at_hand(model)
                 });
                 far.find_map(|(model, value)| placer.place(model, true, value * 0.8))
-                    .filter(|_| store_is_free)
+                    .or_else(|| self.prefetch(&placer))
             })
-            .or_else(|| self.prefetch(&placer).filter(|_| store_is_free))
             .map(|placement| (placement.engine, placement.steps))
     }
 
--- a/crates/holder/src/demand.rs
+++ b/crates/holder/src/demand.rs
@@ -48,72 +48,109 @@
     pub last_ms: u64,
 }
 
-#[derive(Clone, Debug)]
-struct Told {
-    row: DemandRow,
+/// What one run of a VM told of requests in progress, until it is told again or too old.
+#[derive(Clone, Copy, Debug)]
+struct Busy {
+    missing: u32,
+    crowded: u32,
+    running: u32,
     at_ms: u64,
 }
 
+/// How often a model is asked for, as of a moment.
+#[derive(Clone, Copy, Debug)]
+struct Rate {
+    per_s: f64,
+    at_ms: u64,
+    last_ms: u64,
+}
+
+/// What one run of a VM told.
+#[derive(Debug, Default)]
+struct VmDemand {
+    /// Requests so far.
+    arrived: HashMap<WantedModel, u64>,
+    /// What requests are in progress for. It is short: what a VM once told is not gone through for each
+    /// plan, of which there are tens a second.
+    busy: HashMap<WantedModel, Busy>,
+}
+
 /// `DemandBook` gathers what the VMs tell.
 #[derive(Debug, Default)]
 pub struct DemandBook {
-    told: HashMap<(VmName, u64), HashMap<WantedModel, Told>>,
-    rates: HashMap<WantedModel, (f64, u64, u64)>,
+    vms: HashMap<(VmName, u64), VmDemand>,
+    rates: HashMap<WantedModel, Rate>,
 }
 
 impl DemandBook {
-    /// Takes in what one run of a VM tells.
+    /// Takes in what one run of a VM tells. What it does not name is as it was.
     pub fn note(&mut self, now_ms: u64, vm: &VmName, run: u64, rows: Vec<DemandRow>) {
-        let told = self.told.entry((vm.clone(), run)).or_default();
+        let told = self.vms.entry((vm.clone(), run)).or_default();
         for row in rows {
             let wanted = WantedModel {
-                model: row.model.clone(),
-                adapter: row.adapter.clone(),
+                model: row.model,
+                adapter: row.adapter,
             };
-            let before = told.get(&wanted).map_or(0, |told| told.row.arrived);
-            let arrived = row.arrived.saturating_sub(before);
+            let before = told.arrived.insert(wanted.clone(), row.arrived);
+            let arrived = row.arrived.saturating_sub(before.unwrap_or_default());
             if arrived > 0 {
-                let (per_s, at_ms, last_ms) = self
-                    .rates
-                    .entry(wanted.clone())
-                    .or_insert((0.0, now_ms, now_ms));
-                *per_s =
-                    decayed(*per_s, *at_ms, now_ms) + arrived as f64 * 1_000.0 / RATE_WINDOW_MS;
-                *at_ms = now_ms;
-                *last_ms = now_ms;
+                let rate = self.rates.entry(wanted.clone()).or_insert(Rate {
+                    per_s: 0.0,
+                    at_ms: now_ms,
+                    last_ms: now_ms,
+                });
+                rate.per_s = decayed(rate, now_ms) + arrived as f64 * 1_000.0 / RATE_WINDOW_MS;
+                rate.at_ms = now_ms;
+                rate.last_ms = now_ms;
+            }
+            if row.missing + row.crowded + row.running == 0 {
+                told.busy.remove(&wanted);
+                continue;
             }
-            told.insert(wanted, Told { row, at_ms: now_ms });
+            let busy = Busy {
+                missing: row.missing,
+                crowded: row.crowded,
+                running: row.running,
+                at_ms: now_ms,
+            };
+            told.busy.insert(wanted, busy);
         }
+        told.busy
+            .retain(|_, busy| now_ms.saturating_sub(busy.at_ms) <= WAITING_GOOD_MS);
     }
 
     /// Returns the demand for everything that has been asked for.
     pub fn totals(&self, now_ms: u64) -> HashMap<WantedModel, ModelDemand> {
-        let mut totals: HashMap<WantedModel, ModelDemand> = HashMap::new();
-        for (wanted, (per_s, at_ms, last_ms)) in &self.rates {
-            let demand = totals.entry(wanted.clone()).or_default();
-            demand.per_s = decayed(*per_s, *at_ms, now_ms);
-            demand.last_ms = *last_ms;
+        let mut totals: HashMap<WantedModel, ModelDemand> =
+            HashMap::with_capacity(self.rates.len());
+        for (wanted, rate) in &self.rates {
+            let demand = ModelDemand {
+                per_s: decayed(rate, now_ms),
+                last_ms: rate.last_ms,
+                ..ModelDemand::default()
+            };
+            totals.insert(wanted.clone(), demand);
         }
         let fresh = self
-            .told
+            .vms
             .values()
-            .flat_map(HashMap::iter)
-            .filter(|(_, told)| now_ms.saturating_sub(told.at_ms) <= WAITING_GOOD_MS);
-        for (wanted, told) in fresh {
+            .flat_map(|vm| &vm.busy)
+            .filter(|(_, busy)| now_ms.saturating_sub(busy.at_ms) <= WAITING_GOOD_MS);
+        for (wanted, busy) in fresh {
             let demand = totals.entry(wanted.clone()).or_default();
-            demand.missing += told.row.missing;
-            demand.crowded += told.row.crowded;
-            demand.running += told.row.running;
+            demand.missing += busy.missing;
+            demand.crowded += busy.crowded;
+            demand.running += busy.running;
         }
         totals
     }
 
     /// Forgets a VM that is gone.
     pub fn forget(&mut self, vm: &VmName) {
-        self.told.retain(|(told, _), _| told != vm);
+        self.vms.retain(|(told, _), _| told != vm);
     }
 }
 
-fn decayed(per_s: f64, at_ms: u64, now_ms: u64) -> f64 {
-    per_s * (-(now_ms.saturating_sub(at_ms) as f64) / RATE_WINDOW_MS).exp()
+fn decayed(rate: &Rate, now_ms: u64) -> f64 {
+    rate.per_s * (-(now_ms.saturating_sub(rate.at_ms) as f64) / RATE_WINDOW_MS).exp()
 }
--- a/crates/holder/src/ledger.rs
+++ b/crates/holder/src/ledger.rs
@@ -120,22 +120,26 @@
 
     /// Returns whether a load of this model is in progress or planned here.
     pub(crate) fn will_hold(&self, model: &ModelName) -> bool {
-        let load = OrderKind::LoadModel(model.clone());
-        self.in_progress
-            .as_ref()
-            .is_some_and(|order| order.kind == load)
-            || self.awaiting.as_ref() == Some(&load)
-            || self.next.contains(&load)
+        self.coming_models().any(|coming| coming == model)
+    }
+
+    /// Returns the models whose load is in progress or planned here. One may be named more than once.
+    pub(crate) fn coming_models(&self) -> impl Iterator<Item = &ModelName> {
+        self.orders()
+            .filter(|kind| is_load(kind))
+            .map(OrderKind::model)
+    }
+
+    /// Returns the orders that are in progress, awaited or planned.
+    fn orders(&self) -> impl Iterator<Item = &OrderKind> {
+        let in_progress = self.in_progress.iter().map(|order| &order.kind);
+        in_progress.chain(&self.awaiting).chain(&self.next)
     }
 
     /// Returns whether an unload of this model is in progress or planned here.
     pub(crate) fn will_drop(&self, model: &ModelName) -> bool {
-        let unload = OrderKind::UnloadModel(model.clone());
-        self.in_progress
-            .as_ref()
-            .is_some_and(|order| order.kind == unload)
-            || self.awaiting.as_ref() == Some(&unload)
-            || self.next.contains(&unload)
+        self.orders()
+            .any(|kind| matches!(kind, OrderKind::UnloadModel(dropped) if dropped == model))
     }
 
     /// Returns whether a load from the weight store is in progress or planned here.
--- a/crates/holder/src/placing.rs
+++ b/crates/holder/src/placing.rs
@@ -1,6 +1,7 @@
 //! Which model is loaded on which engine, and what gives way to it.
 
 use std::collections::HashMap;
+use std::collections::HashSet;
 
 use apricotdale_core::names::ModelName;
 use apricotdale_fleet::EngineSpec;
@@ -50,6 +51,36 @@
     engines: &'a [EngineLedger],
     by_model: HashMap<ModelName, ModelDemand>,
     replicas: HashMap<ModelName, u32>,
+    idle: Vec<IdleEngine<'a>>,
+}
+
+/// An engine that can be told something new. What does not depend on the model to be placed is worked out
+/// once for each look: tens of models are tried on each of hundreds of engines.
+struct IdleEngine<'a> {
+    index: usize,
+    ledger: &'a EngineLedger,
+    free_mb: f64,
+    /// What it holds, with what each model is worth and the memory that it takes; the least worth
+    /// first.
+    residents: Vec<(&'a ModelName, f64, f64)>,
+    /// What its requests for adapters add to the cost of a place.
+    adapter_cost: f64,
+}
+
+impl IdleEngine<'_> {
+    /// Returns which models would give way to one of this size, and what they are worth.
+    fn victims(&self, size_mb: f64) -> Option<(&[(&ModelName, f64, f64)], f64)> {
+        let mut free_mb = self.free_mb;
+        let mut value = 0.0;
+        for (count, (_, worth, freed_mb)) in self.residents.iter().enumerate() {
+            if free_mb >= size_mb {
+                return Some((&self.residents[..count], value));
+            }
+            value += worth;
+            free_mb += freed_mb;
+        }
+        (free_mb >= size_mb).then_some((&self.residents, value))
+    }
 }
 
 impl<'a> Placer<'a> {
@@ -77,18 +108,52 @@
                     *replicas.entry(resident.model.clone()).or_default() += 1;
                 }
             }
-            for model in spec.models.keys().filter(|model| engine.will_hold(model)) {
+            let coming: HashSet<&ModelName> = engine.coming_models().collect();
+            for model in coming {
                 *replicas.entry(model.clone()).or_default() += 1;
             }
         }
-        Self {
+        let mut placer = Self {
             spec,
             engines,
             by_model,
             replicas,
+            idle: Vec::new(),
+        };
+        placer.idle = engines
+            .iter()
+            .enumerate()
+            .filter(|(_, engine)| engine.is_idle())
+            .map(|(index, engine)| placer.idle_engine(index, engine))
+            .collect();
+        placer
+    }
+
+    fn idle_engine(&self, index: usize, ledger: &'a EngineLedger) -> IdleEngine<'a> {
+        let mut residents: Vec<(&ModelName, f64, f64)> = ledger
+            .residence
+            .models
+            .iter()
+            .filter_map(|resident| {
+                let size_mb = self.spec.models.get(&resident.model)?.size_mb;
+                Some((&resident.model, self.value(&resident.model), size_mb))
+            })
+            .collect();
+        residents.sort_by(|left, right| left.1.total_cmp(&right.1));
+        IdleEngine {
+            index,
+            ledger,
+            free_mb: ledger.free_mb(self.spec),
+            residents,
+            adapter_cost: ADAPTER_WEIGHT * self.adapter_demand(ledger),
         }
     }
 
+    /// Returns whether any engine can be told something new.
+    pub fn has_idle_engines(&self) -> bool {
+        !self.idle.is_empty()
+    }
+
     /// Returns the demand for a model with its adapters.
     pub fn demand(&self, model: &ModelName) -> ModelDemand {
         self.by_model.get(model).copied().unwrap_or_default()
@@ -128,33 +193,28 @@
     /// up least for it. `most_value` bounds what may be given up.
     pub fn place(&self, model: &ModelName, from_store: bool, most_value: f64) -> Option<Placement> {
         let size_mb = self.spec.models.get(model)?.size_mb;
-        self.engines
+        self.idle
             .iter()
-            .enumerate()
-            .filter(|(_, engine)| engine.is_idle() && engine.residence.model(model).is_none())
-            .filter(|(_, engine)| (engine.residence.tier(model) == Tier::Store) == from_store)
-            .filter_map(|(index, engine)| {
-                let (victims, value) = self.victims(engine, size_mb)?;
-                (value <= most_value).then_some((index, engine, victims, value))
-            })
-            .min_by(|left, right| {
-                let cost = |(_, engine, victims, value): &(usize, &EngineLedger, Vec<_>, f64)| {
-                    value
-                        + VICTIM_WEIGHT * victims.len() as f64
-                        + ADAPTER_WEIGHT * self.adapter_demand(engine)
-                        + if engine.residence.tier(model) == Tier::Memory {
-                            0.0
-                        } else {
-                            0.01
-                        }
-                };
-                cost(left).total_cmp(&cost(right))
+            .filter_map(|engine| {
+                let (victims, value) = engine
+                    .victims(size_mb)
+                    .filter(|(_, value)| *value <= most_value)?;
+                let residence = &engine.ledger.residence;
+                let tier = residence.tier(model);
+                if (tier == Tier::Store) != from_store || residence.model(model).is_some() {
+                    return None;
+                }
+                let farther = if tier == Tier::Memory { 0.0 } else { 0.01 };
+                let cost =
+                    value + VICTIM_WEIGHT * victims.len() as f64 + engine.adapter_cost + farther;
+                Some((engine.index, victims, cost))
             })
-            .map(|(engine, _, victims, _)| Placement {
+            .min_by(|left, right| left.2.total_cmp(&right.2))
+            .map(|(engine, victims, _)| Placement {
                 engine,
                 steps: victims
-                    .into_iter()
-                    .map(OrderKind::UnloadModel)
+                    .iter()
+                    .map(|(victim, ..)| OrderKind::UnloadModel((*victim).clone()))
                     .chain([OrderKind::LoadModel(model.clone())])
                     .collect(),
             })
@@ -179,32 +239,6 @@
             .sum()
     }
 
-    /// Returns which models would give way to one of this size, and what they are worth.
-    fn victims(&self, engine: &EngineLedger, size_mb: f64) -> Option<(Vec<ModelName>, f64)> {
-        let mut free_mb = engine.free_mb(self.spec);
-        let mut residents: Vec<(&ModelName, f64, f64)> = engine
-            .residence
-            .models
-            .iter()
-            .filter_map(|resident| {
-                let size_mb = self.spec.models.get(&resident.model)?.size_mb;
-                Some((&resident.model, self.value(&resident.model), size_mb))
-            })
-            .collect();
-        residents.sort_by(|left, right| left.1.total_cmp(&right.1));
-        let mut victims = Vec::new();
-        let mut value = 0.0;
-        for (model, worth, freed_mb) in residents {
-            if free_mb >= size_mb {
-                break;
-            }
-            victims.push(model.clone());
-            value += worth;
-            free_mb += freed_mb;
-        }
-        (free_mb >= size_mb).then_some((victims, value))
-    }
-
     /// Returns what one replica of a model is worth: the requests a second that would miss it.
     pub fn value(&self, model: &ModelName) -> f64 {
         let demand = self.demand(model);
--- a/crates/holder/src/planner.rs
+++ b/crates/holder/src/planner.rs
@@ -1,6 +1,7 @@
 //! Decides on orders, and follows them.
 
 use std::collections::HashMap;
+use std::collections::HashSet;
 
 use apricotdale_core::names::GroupName;
 use apricotdale_core::names::ModelName;
@@ -8,6 +9,7 @@
 use apricotdale_fleet::Directory;
 use apricotdale_fleet::EngineSpec;
 use apricotdale_fleet::Tier;
+use apricotdale_fleet::UpstreamPhase;
 use apricotdale_fleet::WantedModel;
 
 use crate::actions::PlannerAction;
@@ -43,6 +45,10 @@
     pub(crate) store_loads_ms: Vec<u64>,
     /// How many of them run at once.
     pub(crate) store_limit: StoreLimit,
+    /// Whether the last round left placements for the next one.
+    pub(crate) is_unfinished: bool,
+    /// How many changes of the directory were taken in.
+    synced_changes: Option<u64>,
 }
 
 impl Planner {
@@ -56,6 +62,8 @@
             held_back: HashMap::new(),
             store_loads_ms: Vec::new(),
             store_limit: StoreLimit::default(),
+            is_unfinished: false,
+            synced_changes: None,
         }
     }
 
@@ -71,6 +79,21 @@
 
     /// Takes in the directory, a changed catalogue and which engines can't be reached.
     pub fn sync(&mut self, directory: &Directory, is_unreachable: impl Fn(&UpstreamName) -> bool) {
+        // What engines hold is looked through only when the directory has changed: hundreds of
+        // engines with dozens of copies each take longer than the rest of a round.
+        if self.synced_changes != Some(directory.changes()) {
+            self.synced_changes = Some(directory.changes());
+            self.sync_engines(directory);
+        }
+        for engine in &mut self.engines {
+            let is_serving = directory
+                .upstream(&engine.name)
+                .is_some_and(|entry| entry.phase == UpstreamPhase::Serving);
+            engine.serving = is_serving && !is_unreachable(&engine.name);
+        }
+    }
+
+    fn sync_engines(&mut self, directory: &Directory) {
         let spec = directory
             .service(&self.service)
             .and_then(|service| service.engine.as_ref());
@@ -78,17 +101,12 @@
             Some(spec) if *spec != self.spec => self.spec = spec.clone(),
             _ => {}
         }
-        let serving: HashMap<&UpstreamName, _> = directory
-            .serving(&self.service)
-            .map(|engine| (&engine.name, engine))
-            .collect();
         self.engines
             .retain(|engine| directory.upstream(&engine.name).is_some());
         for engine in &mut self.engines {
-            engine.serving = serving.contains_key(&engine.name) && !is_unreachable(&engine.name);
             // An entry that another VM told names no copies.
-            if let Some(entry) = serving
-                .get(&engine.name)
+            if let Some(entry) = directory
+                .upstream(&engine.name)
                 .filter(|entry| entry.residence.names_copies())
             {
                 engine
@@ -101,10 +119,13 @@
                     .extend(entry.residence.on_disk.iter().cloned());
             }
         }
-        for (name, entry) in serving {
-            if !self.engines.iter().any(|engine| &engine.name == name) {
-                self.engines
-                    .push(EngineLedger::new(name.clone(), entry.residence.clone()));
+        let known: HashSet<UpstreamName> = self.engines.iter().map(|it| it.name.clone()).collect();
+        for entry in directory.serving(&self.service) {
+            if !known.contains(&entry.name) {
+                self.engines.push(EngineLedger::new(
+                    entry.name.clone(),
+                    entry.residence.clone(),
+                ));
             }
         }
     }
@@ -126,6 +147,9 @@
 
     /// Returns when to plan again though nothing new was learned.
     pub fn next_ms(&self) -> Option<u64> {
+        if self.is_unfinished {
+            return Some(0);
+        }
         let done = self
             .engines
             .iter()
