Reading holds by construction: own entries by turn, the copy when it is there

Change: of more than 24 new entries VMs learn by digest and copy; a VM that ceases to be told reads the configuration without a wait and tells; beats say whether the copy names the same upstreams and how large it is, its reads are spread over what the store needs for all; the entries themselves are read by turn: at first by as many VMs as take a quarter of the store's rate, by twice as many each 0.6 s without word.

--- a/crates/entry/src/feeds.rs
+++ b/crates/entry/src/feeds.rs
@@ -3,6 +3,7 @@
 mod configuration;
 mod copy;
 mod feed;
+mod list_rate;
 mod listing;
 mod vms;
 
@@ -10,11 +11,12 @@
 
 use apricotdale_core::names::UpstreamName;
 use apricotdale_fleet::ListRepair;
-use apricotdale_fleet::RepairSource;
+use apricotdale_fleet::ReadPacing;
 use apricotdale_fleet::Sharing;
 
 use self::copy::CopyWriter;
 use self::feed::Feed;
+use self::list_rate::ListRate;
 use crate::calling::CallOutcome;
 use crate::calling::CallTag;
 use crate::codec::DecodeError;
@@ -40,6 +42,9 @@
 /// How long a write of the copy may take.
 const LIST_WRITE_TIMEOUT_MS: u64 = 1_000;
 
+/// The pause before the copy is looked for again where there was none.
+const COPY_AGAIN_MS: u64 = 1_000;
+
 /// The pause before the next read where nothing was written yet.
 const NOTHING_YET_MS: u64 = 100;
 
@@ -60,6 +65,9 @@
 pub(crate) struct Feeds {
     configuration: Feed,
     upstreams: Feed,
+    /// When this VM's turn to read the upstreams' entries comes; none while others tell of them.
+    turn_ms: Option<u64>,
+    list_rate: ListRate,
     copy: Feed,
     /// Whether the store has answered whether there is a copy. Before that the upstreams' own entries
     /// are left alone: read by all VMs that start, they hold up everything else.
@@ -67,6 +75,8 @@
     copy_writer: CopyWriter,
     /// What is to be done about a list that differs from the one this VM is told of.
     pub(crate) listed_repair: ListRepair,
+    /// The same where there is no copy that could help.
+    pub(crate) uncopied_repair: ListRepair,
     /// The same for what engines hold.
     pub(crate) held_repair: ListRepair,
     /// Upstreams that came, to be told to the other VMs.
@@ -84,10 +94,13 @@
         Self {
             configuration: Feed::default(),
             upstreams: Feed::default(),
+            turn_ms: None,
+            list_rate: ListRate::default(),
             copy: Feed::default(),
             copy_tried: false,
             copy_writer: CopyWriter::default(),
             listed_repair: ListRepair::of_listed(),
+            uncopied_repair: ListRepair::of_uncopied(),
             held_repair: ListRepair::of_held(),
             came: Vec::new(),
             vm_written: false,
@@ -127,6 +140,21 @@
         self.upstreams.skip_to(offset);
     }
 
+    /// Returns the size of the copy, if it names these upstreams; else 0.
+    pub fn copy_bytes(&self, listed: u64) -> usize {
+        self.copy_writer.bytes_if_of(listed)
+    }
+
+    /// Notes the size of the copy, as whoever writes it tells it.
+    pub fn note_copy_bytes(&mut self, bytes: usize) {
+        self.copy.note_answer(bytes);
+    }
+
+    /// Returns how many upstreams came that were not told yet.
+    pub fn came_count(&self) -> usize {
+        self.came.len()
+    }
+
     /// Notes that an upstream came, to be told with what is read next.
     pub fn note_came(&mut self, name: UpstreamName) {
         self.came.push(name);
@@ -152,31 +180,49 @@
     fn upstreams_due_ms(&self, now_ms: u64, sharing: &Sharing) -> u64 {
         let feed = &self.upstreams;
         let is_followed = sharing.follows(now_ms);
+        let turn_ms = self.turn_ms.unwrap_or(u64::MAX);
         match feed.from {
             None if !self.copy_tried => u64::MAX,
             // The pages of a list that was begun are read to their end.
-            None => feed.next_ms,
+            None if feed.after.is_some() => feed.next_ms,
+            None => feed.next_ms.max(turn_ms),
             Some(_) if is_followed => self
-                .listed_repair
-                .due_ms(RepairSource::List)
+                .uncopied_repair
+                .due_ms()
                 .map_or(u64::MAX, |due_ms| due_ms.max(feed.next_ms)),
             Some(_) => feed
                 .look_ms
-                .map_or(feed.next_ms, |look_ms| feed.next_ms.min(look_ms)),
+                .map_or(feed.next_ms, |look_ms| feed.next_ms.min(look_ms))
+                .max(turn_ms),
         }
     }
 
+    /// Notes whether others tell of the upstreams' entries. If none does, this VM's turn to read them is
+    /// drawn; the VM that gives orders reads them in any case.
+    fn note_turn(&mut self, now_ms: u64, is_followed: bool, leads: bool, pacing: &mut ReadPacing) {
+        self.turn_ms = match (is_followed, self.turn_ms) {
+            _ if leads => Some(0),
+            (true, _) => None,
+            (false, None) => Some(now_ms + pacing.turn_ms()),
+            (false, turn_ms) => turn_ms,
+        };
+    }
+
     fn copy_due_ms(&self, now_ms: u64, sharing: &Sharing) -> u64 {
         let feed = &self.copy;
         if !self.copy_tried || feed.after.is_some() {
             return feed.next_ms;
         }
+        // Who reads for all keeps a copy, or will.
+        if self.upstreams.from.is_none() && self.turn_ms.is_none() {
+            return feed.next_ms + COPY_AGAIN_MS;
+        }
         if !sharing.follows(now_ms) {
             return u64::MAX;
         }
         [&self.listed_repair, &self.held_repair]
             .into_iter()
-            .filter_map(|repair| repair.due_ms(RepairSource::Copy))
+            .filter_map(ListRepair::due_ms)
             .min()
             .map_or(u64::MAX, |due_ms| due_ms.max(feed.next_ms))
     }
@@ -209,6 +255,10 @@
     /// Makes the calls that are due.
     pub(crate) fn advance_feeds(&mut self) {
         let now_ms = self.now_ms;
+        let leads = self.ordering.fence_held();
+        let is_followed = self.sharing.follows(now_ms);
+        self.feeds
+            .note_turn(now_ms, is_followed, leads, &mut self.pacing);
         let feeds = &self.feeds;
         let is_due = |feed: &Feed, due_ms: u64| !feed.calling && due_ms <= now_ms;
         let configuration = is_due(
@@ -240,7 +290,11 @@
 
     fn read_upstreams(&mut self) {
         self.feeds.upstreams.calling = true;
-        self.begin_repairs(RepairSource::List);
+        if self.feeds.uncopied_repair.is_due(self.now_ms) {
+            let turn_ms = self.pacing.turn_ms();
+            self.feeds.uncopied_repair.begin(self.now_ms, turn_ms);
+            self.metrics.list_repair();
+        }
         let feed = &self.feeds.upstreams;
         match feed.from {
             None => {
@@ -272,6 +326,11 @@
                 if let Some(feed) = self.feed(tag) {
                     feed.note_answer(body.len());
                 }
+                if *tag == CallTag::UpstreamsRead {
+                    let rate = self.feeds.list_rate.note(now_ms, body.len());
+                    rate.into_iter()
+                        .for_each(|it| self.pacing.set_list_rate(it));
+                }
                 self.take_feed(tag, status, &body)
             }
             CallOutcome::NotSent => Err(DecodeError::new("not sent")),
@@ -302,6 +361,8 @@
         // Without a pause there is more of the list to read.
         if is_list(tag) && pause_ms > 0 {
             self.list_read();
+        } else if *tag == CallTag::ConfigurationRead && self.feeds.turn_ms.is_some() {
+            self.tell_list_read();
         }
     }
 
--- a/crates/entry/src/feeds/configuration.rs
+++ b/crates/entry/src/feeds/configuration.rs
@@ -14,6 +14,9 @@
 /// noticed after that and a little more, within the time in which a change must be in force.
 const CONFIGURATION_WAIT_MS: u64 = 2_000;
 
+/// How old a read of the configuration may be for the next one to wait for a change.
+const OLD_CONFIGURATION_MS: u64 = 2_200;
+
 impl Daemon {
     pub(super) fn read_configuration(&mut self) {
         self.feeds.configuration.calling = true;
@@ -27,8 +30,12 @@
                 self.call_store(CallTag::ConfigurationNewest, &bytes, timeout_ms);
             }
             Some(from) => {
-                // A VM that is told of changes has no read waiting, so that it makes none in vain.
-                let wait_ms = match self.sharing.follows(self.now_ms) {
+                // A VM that is told of changes has no read waiting, so that it makes none in vain. One that
+                // has just ceased to be told asks once without a wait: what it tells of the list counts
+                // for others only if it has read the configuration, too.
+                let age_ms = self.feeds.configuration_age_ms(self.now_ms);
+                let is_old = age_ms.is_none_or(|age_ms| age_ms > OLD_CONFIGURATION_MS);
+                let wait_ms = match self.sharing.follows(self.now_ms) || is_old {
                     true => 0,
                     false => CONFIGURATION_WAIT_MS,
                 };
--- a/crates/entry/src/feeds/copy.rs
+++ b/crates/entry/src/feeds/copy.rs
@@ -5,7 +5,6 @@
 
 use apricotdale_fleet::ListCopy;
 use apricotdale_fleet::ListCopyPart;
-use apricotdale_fleet::RepairSource;
 use apricotdale_fleet::Upstream;
 use apricotdale_fleet::held_digests;
 use apricotdale_fleet::listed_digest;
@@ -26,6 +25,13 @@
 /// Entries in one datagram: one takes some 170 bytes.
 const ENTRIES_A_DATAGRAM: usize = 6;
 
+/// The most entries that are told by datagram. When 3,000 upstreams came at once, each of some thirty VMs
+/// told them all to 300 others: 4 GB.
+const MOST_ENTRIES_TOLD: usize = 24;
+
+/// The same while it names other upstreams than there are. VMs that were not told wait for it.
+const LISTED_WRITE_EVERY_MS: u64 = 500;
+
 /// The pause after a write that failed.
 const WRITE_PAUSE_MS: u64 = 1_000;
 
@@ -39,6 +45,8 @@
     next_ms: u64,
     /// The digest that is being written.
     writing: Option<CopyDigest>,
+    /// The size of the copy.
+    bytes: usize,
 }
 
 impl CopyWriter {
@@ -47,11 +55,24 @@
         self.written = None;
         self.next_ms = 0;
     }
+
+    /// Returns which upstreams the copy names, as a digest; none before it is written.
+    fn listed(&self) -> Option<u64> {
+        self.written.as_ref().map(|(listed, _)| *listed)
+    }
+
+    /// Returns the size of the copy, if it names these upstreams; else 0.
+    pub fn bytes_if_of(&self, listed: u64) -> usize {
+        match self.listed() == Some(listed) {
+            true => self.bytes,
+            false => 0,
+        }
+    }
 }
 
 impl Daemon {
     pub(super) fn read_copy(&mut self) {
-        self.begin_repairs(RepairSource::Copy);
+        self.begin_repairs();
         let after = self.feeds.copy.after.clone();
         let bytes = self.codecs.store.newest(Topic::ListCopy, after.as_deref());
         let timeout_ms = self
@@ -63,12 +84,12 @@
     }
 
     /// Notes which repairs the read that begins now is for.
-    pub(super) fn begin_repairs(&mut self, source: RepairSource) {
+    fn begin_repairs(&mut self) {
         let now_ms = self.now_ms;
-        let draw_ms = self.pacing.draw_ms();
+        let draw_ms = self.pacing.draw_for_ms(self.feeds.copy.answer_bytes());
         let mut begun = 0;
         for repair in [&mut self.feeds.listed_repair, &mut self.feeds.held_repair] {
-            if repair.due_ms(source).is_some_and(|due_ms| due_ms <= now_ms) {
+            if repair.is_due(now_ms) {
                 repair.begin(now_ms, draw_ms);
                 begun += 1;
             }
@@ -138,12 +159,17 @@
         if self.feeds.copy_writer.writing.is_some() || now_ms < self.feeds.copy_writer.next_ms {
             return;
         }
-        self.feeds.copy_writer.next_ms = now_ms + WRITE_EVERY_MS;
-        let digest = (
+        let digest = Some((
             listed_digest(&self.directory),
             held_digests(&self.directory),
-        );
-        let digest = Some(digest);
+        ));
+        let lists_same =
+            self.feeds.copy_writer.listed() == digest.as_ref().map(|(listed, _)| *listed);
+        let pause_ms = match lists_same {
+            true => WRITE_EVERY_MS,
+            false => LISTED_WRITE_EVERY_MS,
+        };
+        self.feeds.copy_writer.next_ms = now_ms + pause_ms;
         if self.feeds.copy_writer.written == digest {
             return;
         }
@@ -157,6 +183,9 @@
             })
             .collect();
         self.feeds.copy_writer.writing = digest;
+        let bytes = records.iter().map(|(_, value)| value.len()).sum::<usize>();
+        // The store sends values in base64.
+        self.feeds.copy_writer.bytes = bytes * 4 / 3;
         let call = self.codecs.store.append_keyed(Topic::ListCopy, &records);
         self.call_store(CallTag::CopyAppend, &call, LIST_WRITE_TIMEOUT_MS);
     }
@@ -198,8 +227,13 @@
         if !leads && self.sharing.follows(now_ms) {
             return;
         }
+        if came.len() > MOST_ENTRIES_TOLD {
+            log::info!(upstreams = came.len(); "upstreams came");
+        }
+        // Of more, all VMs learn by the digest and the copy, which the store sends to each once.
         let entries: Vec<Upstream> = came
             .iter()
+            .filter(|_| came.len() <= MOST_ENTRIES_TOLD)
             .filter_map(|name| self.directory.upstream(name).cloned())
             .collect();
         for part in entries.chunks(ENTRIES_A_DATAGRAM) {
--- a/crates/entry/src/feeds/feed.rs
+++ b/crates/entry/src/feeds/feed.rs
@@ -89,6 +89,11 @@
         self.answer_bytes = self.answer_bytes.max(bytes);
     }
 
+    /// Returns the size of the largest answer so far.
+    pub fn answer_bytes(&self) -> usize {
+        self.answer_bytes
+    }
+
     /// Returns how long the next answer is awaited, which one VM alone would have within `alone_ms`.
     pub fn patience_ms(&self, pacing: &mut ReadPacing, alone_ms: u64) -> u64 {
         let bytes = self.answer_bytes.max(LEAST_ANSWER_BYTES);
--- a/crates/entry/src/feeds/listing.rs
+++ b/crates/entry/src/feeds/listing.rs
@@ -16,6 +16,9 @@
 use crate::daemon::Daemon;
 use crate::outbound::Peer;
 
+/// Upstreams that come with one read and have a line each in the log.
+const LINES_OF_CAME: usize = 24;
+
 impl Daemon {
     pub(super) fn take_upstreams_page(&mut self, page: KeyedPage) -> u64 {
         let now_ms = self.now_ms;
@@ -172,7 +175,10 @@
     fn upstream_came(&mut self, name: &UpstreamName) {
         self.feeds.note_came(name.clone());
         self.peers.beat_soon();
-        log::info!(upstream = name.to_string(); "upstream came");
+        // A line for each of thousands would take longer than to read them.
+        if self.feeds.came_count() <= LINES_OF_CAME {
+            log::info!(upstream = name.to_string(); "upstream came");
+        }
         self.look_again = true;
     }
 
--- a/crates/entry/src/ordering.rs
+++ b/crates/entry/src/ordering.rs
@@ -141,6 +141,11 @@
         self.lease.end().is_some_and(|end| lease_end < end)
     }
 
+    /// Returns whether this VM gives orders.
+    pub fn fence_held(&self) -> bool {
+        self.fence.is_some()
+    }
+
     /// Returns the lease's end, if this VM holds the lease.
     pub fn held_lease_end(&self, now_ms: u64) -> Option<u64> {
         self.lease.end().filter(|_| self.lease.is_held(now_ms))
--- a/crates/entry/src/telling.rs
+++ b/crates/entry/src/telling.rs
@@ -161,6 +161,9 @@
             self.sharing
                 .hear(now_ms, fresh, self.pacing.spread_ms(), draw_ms);
         }
+        if let Some(rate) = fresh.list_bytes_per_s {
+            self.pacing.set_list_rate(rate);
+        }
         if self.sharing.told_version() > self.directory.version() {
             let at_ms = now_ms + self.pacing.draw_ms();
             self.feeds.read_configuration_at(at_ms);
@@ -189,13 +192,17 @@
             .zip(&fresh.held)
             .map(|(own, told)| own == told)
             .collect();
-        let draw_ms = self.pacing.draw_ms();
-        self.feeds
+        self.feeds.note_copy_bytes(fresh.copy_bytes);
+        let has_copy = fresh.copy_bytes > 0;
+        let draw_ms = self.pacing.draw_for_ms(fresh.copy_bytes);
+        let turn_ms = self.pacing.turn_ms();
+        let now_ms = self.now_ms;
+        let feeds = &mut self.feeds;
+        feeds
             .listed_repair
-            .heard(self.now_ms, &[is_same], draw_ms);
-        self.feeds
-            .held_repair
-            .heard(self.now_ms, &holds_same, draw_ms);
+            .heard(now_ms, &[is_same || !has_copy], draw_ms);
+        feeds.uncopied_repair.heard(now_ms, &[is_same], turn_ms);
+        feeds.held_repair.heard(now_ms, &holds_same, draw_ms);
         let leads = self.ordering.held_lease_end(self.now_ms).is_some();
         if let (true, false, Some(offset)) = (is_same, leads, fresh.whole_list_offset()) {
             self.feeds.skip_list_to(offset);
@@ -206,13 +213,16 @@
     /// Returns what this VM has read, for the others.
     pub(crate) fn freshness(&mut self) -> Freshness {
         let now_ms = self.now_ms;
+        let listed = listed_digest(&self.directory);
         Freshness {
             configuration: self.directory.version(),
             configuration_age_ms: self.feeds.configuration_age_ms(now_ms),
             list_age_ms: self.feeds.list_age_ms(now_ms),
             list_whole: self.directory.is_list_whole(now_ms),
             list_offset: self.feeds.list_offset(),
-            listed: listed_digest(&self.directory),
+            list_bytes_per_s: self.pacing.list_rate(),
+            listed,
+            copy_bytes: self.feeds.copy_bytes(listed),
             held: held_digests(&self.directory),
             left: self.sharing.left(now_ms),
         }
--- a/crates/fleet/src/lib.rs
+++ b/crates/fleet/src/lib.rs
@@ -43,7 +43,6 @@
 pub use list_copy::held_digests;
 pub use list_copy::listed_digest;
 pub use list_repair::ListRepair;
-pub use list_repair::RepairSource;
 pub use read_pacing::ReadPacing;
 pub use request::PromptPart;
 pub use request::ServingRequest;
--- a/crates/fleet/src/list_repair.rs
+++ b/crates/fleet/src/list_repair.rs
@@ -4,6 +4,10 @@
 /// way. Beats come each 0.4 s.
 const LISTED_DIFFERS_MS: u64 = 500;
 
+/// How long it must differ before a VM reads the upstreams' own entries: only if whoever reads for all can't
+/// write a copy.
+const UNCOPIED_DIFFERS_MS: u64 = 6_000;
+
 /// The same for what engines hold. Orders change it many times a second, so that two VMs seldom know the
 /// same at a moment.
 const HELD_DIFFERS_MS: u64 = 3_000;
@@ -14,16 +18,6 @@
 /// How often the pause is doubled.
 const MOST_DOUBLINGS: u32 = 3;
 
-/// `RepairSource` is where a VM reads what it missed.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
-pub enum RepairSource {
-    /// The copy that the giver of orders keeps in the store, which is small.
-    Copy,
-    /// The upstreams' own entries. Only if the copy did not help: it may be old, if whoever wrote it
-    /// can't reach the store.
-    List,
-}
-
 /// `ListRepair` finds that this VM missed what it was told.
 ///
 /// What VMs tell each other may be lost. Without this a VM that missed the entry of a new upstream
@@ -31,7 +25,6 @@
 #[derive(Clone, Debug)]
 pub struct ListRepair {
     patience_ms: u64,
-    sources: &'static [RepairSource],
     /// Since when each of the digests differs.
     differs_since_ms: Vec<Option<u64>>,
     repairs: u32,
@@ -41,20 +34,24 @@
 }
 
 impl ListRepair {
-    /// Returns the repair of which upstreams serve.
+    /// Returns the repair of which upstreams serve, from the copy.
     pub fn of_listed() -> Self {
-        Self::new(LISTED_DIFFERS_MS, &[RepairSource::Copy, RepairSource::List])
+        Self::new(LISTED_DIFFERS_MS)
     }
 
-    /// Returns the repair of what engines hold. The copy tells all that VMs use of it.
+    /// Returns the repair of what engines hold, from the copy, which tells all that VMs use of it.
     pub fn of_held() -> Self {
-        Self::new(HELD_DIFFERS_MS, &[RepairSource::Copy])
+        Self::new(HELD_DIFFERS_MS)
+    }
+
+    /// Returns the repair of which upstreams serve, from their own entries.
+    pub fn of_uncopied() -> Self {
+        Self::new(UNCOPIED_DIFFERS_MS)
     }
 
-    fn new(patience_ms: u64, sources: &'static [RepairSource]) -> Self {
+    fn new(patience_ms: u64) -> Self {
         Self {
             patience_ms,
-            sources,
             differs_since_ms: Vec::new(),
             repairs: 0,
             next_ms: 0,
@@ -85,15 +82,15 @@
         self.differs_since_ms.iter().flatten().min().copied()
     }
 
-    /// Returns when a repair from a source is due; none if nothing is to be read there.
-    pub fn due_ms(&self, source: RepairSource) -> Option<u64> {
-        let since_ms = self.due_since_ms().filter(|_| self.source() == source)?;
+    /// Returns when a repair is due; none if nothing differs.
+    pub fn due_ms(&self) -> Option<u64> {
+        let since_ms = self.due_since_ms()?;
         Some((since_ms + self.patience_ms + self.draw_ms).max(self.next_ms))
     }
 
-    /// Returns where the next repair reads: after one that did not help, from the next source.
-    fn source(&self) -> RepairSource {
-        self.sources[self.repairs as usize % self.sources.len()]
+    /// Returns whether a repair is due.
+    pub fn is_due(&self, now_ms: u64) -> bool {
+        self.due_ms().is_some_and(|due_ms| due_ms <= now_ms)
     }
 
     /// Takes in that a repair begins.
--- a/crates/fleet/src/read_pacing.rs
+++ b/crates/fleet/src/read_pacing.rs
@@ -17,6 +17,9 @@
 /// a change has to be in force.
 const MAX_SPREAD_MS: u64 = 400;
 
+/// The longest time over which reads of the copy are spread.
+const MOST_COPY_SPREAD_MS: u64 = 5_000;
+
 /// The pause after a read that failed, doubled with each further one.
 const PAUSE_MS: u64 = 100;
 
@@ -29,6 +32,18 @@
 /// How many times as long as reads of all VMs take an answer is awaited at the most.
 const MOST_ROUNDS: u64 = 3;
 
+/// The share of the store's rate that the upstreams' entries may take, over all VMs that read them.
+const LIST_SHARE: f64 = 0.25;
+
+/// VMs that read the upstreams' entries at once as long as it is not known how much they are.
+const UNKNOWN_READERS: f64 = 30.0;
+
+/// The fewest VMs that read them. One might be cut off from the others.
+const FEWEST_READERS: f64 = 3.0;
+
+/// The time after which twice as many VMs read, if those before have told nothing.
+const TURN_MS: u64 = 600;
+
 /// How many VMs there may be as long as that is not known: a VM that starts with all the others must
 /// not be the first to give up.
 const UNKNOWN_VMS: u32 = 300;
@@ -40,6 +55,8 @@
 pub struct ReadPacing {
     read_bytes_per_s: f64,
     vms: Option<u32>,
+    /// What the upstreams' entries take if one VM reads them all; none before that is known.
+    list_bytes_per_s: Option<u64>,
     seed: u64,
     draws: u64,
 }
@@ -50,6 +67,7 @@
         Self {
             read_bytes_per_s,
             vms: None,
+            list_bytes_per_s: None,
             seed,
             draws: 0,
         }
@@ -60,6 +78,34 @@
         self.vms = Some(vms);
     }
 
+    /// Takes in what the upstreams' entries take if one VM reads them all.
+    pub fn set_list_rate(&mut self, bytes_per_s: u64) {
+        self.list_bytes_per_s = Some(bytes_per_s);
+    }
+
+    /// Returns what the upstreams' entries take if one VM reads them all, if that is known.
+    pub fn list_rate(&self) -> Option<u64> {
+        self.list_bytes_per_s
+    }
+
+    /// Returns after how long without word of another VM this one reads the upstreams' entries itself,
+    /// drawn anew with each call.
+    ///
+    /// Of a fleet whose reads together would be more than the store sends only some VMs begin, and tell
+    /// the others; twice as many after each turn in which nobody has told anything. If all began, none
+    /// might get an answer in time to be of use to another, and all would go on to read.
+    pub fn turn_ms(&mut self) -> u64 {
+        let readers = match self.list_bytes_per_s {
+            None => UNKNOWN_READERS,
+            Some(rate) => self.read_bytes_per_s * LIST_SHARE / rate.max(1) as f64,
+        };
+        let readers = readers.max(FEWEST_READERS);
+        let vms = f64::from(self.vms.unwrap_or(1));
+        let drawn = self.draw_within_ms(1_000) as f64 / 1_000.0;
+        let turns = (drawn * vms / readers).max(1.0).log2().ceil();
+        turns as u64 * TURN_MS
+    }
+
     /// Returns the time over which all VMs spread a read that one event causes.
     pub fn spread_ms(&self) -> u64 {
         (u64::from(self.vms.unwrap_or(1)) * SPREAD_US_A_VM / 1_000).min(MAX_SPREAD_MS)
@@ -71,6 +117,15 @@
         self.draw_within_ms(spread_ms)
     }
 
+    /// Returns this VM's share of a time over which all VMs can read an answer of this size, with half of
+    /// what the store sends.
+    pub fn draw_for_ms(&mut self, answer_bytes: usize) -> u64 {
+        let bytes = f64::from(self.vms.unwrap_or(1)) * answer_bytes as f64;
+        let round_ms = (2_000.0 * bytes / self.read_bytes_per_s) as u64;
+        let spread_ms = self.spread_ms().max(round_ms).min(MOST_COPY_SPREAD_MS);
+        self.draw_within_ms(spread_ms)
+    }
+
     /// Returns a time from none to this one, drawn anew with each call.
     pub fn draw_within_ms(&mut self, most_ms: u64) -> u64 {
         self.draws += 1;
--- a/crates/fleet/src/sharing.rs
+++ b/crates/fleet/src/sharing.rs
@@ -47,8 +47,12 @@
     pub list_whole: bool,
     /// How far the list was read.
     pub list_offset: u64,
+    /// What the upstreams' entries take if one VM reads them all; none if it is not known.
+    pub list_bytes_per_s: Option<u64>,
     /// Which upstreams take new work, as a digest.
     pub listed: u64,
+    /// The size of the copy in the store, if it names the same; 0 if there is none that does.
+    pub copy_bytes: usize,
     /// What engines hold, as digests.
     pub held: Vec<u32>,
     /// Upstreams that left within the last seconds.
--- a/crates/fleet/src/upstream.rs
+++ b/crates/fleet/src/upstream.rs
@@ -32,6 +32,7 @@
 
 /// `Upstream` is one run of one upstream process.
 #[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
+#[serde(from = "ToldUpstream", into = "ToldUpstream")]
 pub struct Upstream {
     /// The identity of this run ([`run_name`]).
     pub name: UpstreamName,
@@ -59,3 +60,57 @@
     /// What it holds; empty for a plain service.
     pub residence: Residence,
 }
+
+/// An upstream as VMs tell it to each other: without the run's name, which follows from the instance and
+/// the time of start. Copies of the list hold thousands of them, and each VM reads one at its start.
+#[derive(Serialize, Deserialize)]
+struct ToldUpstream {
+    instance: InstanceName,
+    born_ms: u64,
+    service: GroupName,
+    address: SocketAddr,
+    zone: ZoneName,
+    slots: u32,
+    phase: UpstreamPhase,
+    warm_up_ms: u64,
+    leaves_in_ms: Option<u64>,
+    revision: u64,
+    residence: Residence,
+}
+
+impl From<ToldUpstream> for Upstream {
+    fn from(told: ToldUpstream) -> Self {
+        Self {
+            name: run_name(&told.instance, told.born_ms),
+            instance: told.instance,
+            born_ms: told.born_ms,
+            service: told.service,
+            address: told.address,
+            zone: told.zone,
+            slots: told.slots,
+            phase: told.phase,
+            warm_up_ms: told.warm_up_ms,
+            leaves_in_ms: told.leaves_in_ms,
+            revision: told.revision,
+            residence: told.residence,
+        }
+    }
+}
+
+impl From<Upstream> for ToldUpstream {
+    fn from(upstream: Upstream) -> Self {
+        Self {
+            instance: upstream.instance,
+            born_ms: upstream.born_ms,
+            service: upstream.service,
+            address: upstream.address,
+            zone: upstream.zone,
+            slots: upstream.slots,
+            phase: upstream.phase,
+            warm_up_ms: upstream.warm_up_ms,
+            leaves_in_ms: upstream.leaves_in_ms,
+            revision: upstream.revision,
+            residence: upstream.residence,
+        }
+    }
+}
--- a/crates/fleet/tests/giver_sharing.rs
+++ b/crates/fleet/tests/giver_sharing.rs
@@ -22,7 +22,9 @@
         list_age_ms: Some(list_age_ms),
         list_whole: true,
         list_offset: 40,
+        list_bytes_per_s: None,
         listed: 7,
+        copy_bytes: 23_000,
         held: vec![9],
         left: Vec::new(),
     }
--- a/crates/holder/src/placing.rs
+++ b/crates/holder/src/placing.rs
@@ -54,30 +54,37 @@
     idle: Vec<IdleEngine<'a>>,
 }
 
+/// A model that an engine holds, as one that might give way.
+struct Resident<'a> {
+    model: &'a ModelName,
+    /// What its replica here is worth.
+    value: f64,
+    size_mb: f64,
+}
+
 /// An engine that can be told something new. What does not depend on the model to be placed is worked out
 /// once for each look: tens of models are tried on each of hundreds of engines.
 struct IdleEngine<'a> {
     index: usize,
     ledger: &'a EngineLedger,
     free_mb: f64,
-    /// What it holds, with what each model is worth and the memory that it takes; the least worth
-    /// first.
-    residents: Vec<(&'a ModelName, f64, f64)>,
+    /// What it holds; the least worth first.
+    residents: Vec<Resident<'a>>,
     /// What its requests for adapters add to the cost of a place.
     adapter_cost: f64,
 }
 
 impl IdleEngine<'_> {
     /// Returns which models would give way to one of this size, and what they are worth.
-    fn victims(&self, size_mb: f64) -> Option<(&[(&ModelName, f64, f64)], f64)> {
+    fn victims(&self, size_mb: f64) -> Option<(&[Resident<'_>], f64)> {
         let mut free_mb = self.free_mb;
         let mut value = 0.0;
-        for (count, (_, worth, freed_mb)) in self.residents.iter().enumerate() {
+        for (count, resident) in self.residents.iter().enumerate() {
             if free_mb >= size_mb {
                 return Some((&self.residents[..count], value));
             }
-            value += worth;
-            free_mb += freed_mb;
+            value += resident.value;
+            free_mb += resident.size_mb;
         }
         (free_mb >= size_mb).then_some((&self.residents, value))
     }
@@ -130,16 +137,20 @@
     }
 
     fn idle_engine(&self, index: usize, ledger: &'a EngineLedger) -> IdleEngine<'a> {
-        let mut residents: Vec<(&ModelName, f64, f64)> = ledger
+        let mut residents: Vec<Resident<'_>> = ledger
             .residence
             .models
             .iter()
             .filter_map(|resident| {
                 let size_mb = self.spec.models.get(&resident.model)?.size_mb;
-                Some((&resident.model, self.value(&resident.model), size_mb))
+                Some(Resident {
+                    model: &resident.model,
+                    value: self.value(&resident.model),
+                    size_mb,
+                })
             })
             .collect();
-        residents.sort_by(|left, right| left.1.total_cmp(&right.1));
+        residents.sort_by(|left, right| left.value.total_cmp(&right.value));
         IdleEngine {
             index,
             ledger,
@@ -214,7 +225,7 @@
                 engine,
                 steps: victims
                     .iter()
-                    .map(|(victim, ..)| OrderKind::UnloadModel((*victim).clone()))
+                    .map(|victim| OrderKind::UnloadModel(victim.model.clone()))
                     .chain([OrderKind::LoadModel(model.clone())])
                     .collect(),
             })
