--- a/crates/holder/benches/planning.rs
+++ b/crates/holder/benches/planning.rs
@@ -33,8 +33,6 @@
 use apricotdale_holder::PlannerOptions;
 use criterion::BatchSize;
 use criterion::Criterion;
-use criterion::criterion_group;
-use criterion::criterion_main;
 
 const VMS: u32 = 295;
 const ENGINES: u32 = 128;
@@ -200,5 +198,8 @@
     });
 }
 
-criterion_group!(benches, planning);
-criterion_main!(benches);
+fn main() {
+    let mut criterion = Criterion::default().configure_from_args();
+    planning(&mut criterion);
+    criterion.final_summary();
+}
--- a/crates/holder/tests/own_demand.rs
+++ b/crates/holder/tests/own_demand.rs
@@ -94,7 +94,7 @@
                 true => vm.rows([(&model, RequestState::Running)].into_iter()),
                 false => vm.rows(std::iter::empty()),
             };
-            if (round + index as u64) % arrives_each == 0 {
+            if (round + index as u64).is_multiple_of(arrives_each) {
                 book.note(now_ms, &VmName::from(format!("vm{index}")), 1, rows);
             }
         }
