A VM starts also where no copy can be written; refused writes are not taken for done

Change: after three looks without a copy a VM reads the list in its turn; only an append that was done counts.

--- a/crates/entry/src/feeds.rs
+++ b/crates/entry/src/feeds.rs
@@ -19,6 +19,7 @@
 use crate::calling::CallOutcome;
 use crate::calling::CallTag;
 use crate::codec::DecodeError;
+use crate::codec::StoreOutcome;
 use crate::codec::Topic;
 use crate::daemon::Daemon;
 use crate::outbound::Peer;
@@ -41,6 +42,10 @@
 /// How long a write of the copy may take.
 const LIST_WRITE_TIMEOUT_MS: u64 = 1_000;
 
+/// How often the copy is looked for before a VM that has no list reads the upstreams' entries. Whoever
+/// reads for all may not be able to write.
+const COPY_LOOKS: u32 = 3;
+
 /// The pause before the copy is looked for again where there was none.
 const COPY_AGAIN_MS: u64 = 1_000;
 
@@ -71,6 +76,11 @@
     /// Whether the store has answered whether there is a copy. Before that the upstreams' own entries
     /// are left alone: read by all VMs that start, they hold up everything else.
     copy_tried: bool,
+    /// How often there was none.
+    copy_misses: u32,
+    /// When this VM reads the upstreams' entries though others tell of them, because nobody has written a
+    /// copy; none before it has looked for one some times.
+    uncopied_turn_ms: Option<u64>,
     copy_writer: CopyWriter,
     /// What is to be done about a list that differs from the one this VM is told of.
     pub(crate) listed_repair: ListRepair,
@@ -97,6 +107,8 @@
             list_rate: ListRate::default(),
             copy: Feed::default(),
             copy_tried: false,
+            copy_misses: 0,
+            uncopied_turn_ms: None,
             copy_writer: CopyWriter::default(),
             listed_repair: ListRepair::of_listed(),
             uncopied_repair: ListRepair::of_uncopied(),
@@ -316,6 +328,14 @@
         }
     }
 
+    /// Decodes the answer to an append that has to be done. One that the store refused is tried again.
+    fn appended(&self, status: u16, body: &[u8]) -> Result<(), DecodeError> {
+        match self.codecs.store.append_answer(status, body)? {
+            StoreOutcome::Done { .. } => Ok(()),
+            _ => Err(DecodeError::new(format!("status {status}"))),
+        }
+    }
+
     /// Takes in an answer and returns the pause before the feed's next call.
     fn take_feed(&mut self, tag: &CallTag, status: u16, body: &[u8]) -> Result<u64, DecodeError> {
         match tag {
@@ -345,11 +365,11 @@
                 self.take_copy_page(page)
             }
             CallTag::CopyAppend => {
-                self.codecs.store.append_answer(status, body)?;
+                self.appended(status, body)?;
                 Ok(0)
             }
             CallTag::VmAppend => {
-                self.codecs.store.append_answer(status, body)?;
+                self.appended(status, body)?;
                 self.feeds.vm_written = true;
                 Ok(0)
             }
--- a/crates/entry/src/feeds/copy.rs
+++ b/crates/entry/src/feeds/copy.rs
@@ -9,6 +9,7 @@
 use apricotdale_fleet::held_digests;
 use apricotdale_fleet::listed_digest;
 
+use super::COPY_LOOKS;
 use super::COPY_TIMEOUT_MS;
 use super::LIST_WRITE_TIMEOUT_MS;
 use crate::calling::CallTag;
@@ -22,6 +23,9 @@
 /// one missed is in the copy this much later.
 const WRITE_EVERY_MS: u64 = 2_000;
 
+/// The same while it names other upstreams than there are. VMs that were not told wait for it.
+const LISTED_WRITE_EVERY_MS: u64 = 500;
+
 /// Entries in one datagram: one takes some 170 bytes.
 const ENTRIES_A_DATAGRAM: usize = 6;
 
@@ -29,9 +33,6 @@
 /// told them all to 300 others: 4 GB.
 const MOST_ENTRIES_TOLD: usize = 24;
 
-/// The same while it names other upstreams than there are. VMs that were not told wait for it.
-const LISTED_WRITE_EVERY_MS: u64 = 500;
-
 /// The pause after a write that failed.
 const WRITE_PAUSE_MS: u64 = 1_000;
 
@@ -116,12 +117,21 @@
             .map(postcard::from_bytes)
             .collect::<Result<_, _>>()
             .map_err(|error| DecodeError::new(format!("a copy of the list: {error}")))?;
-        if let Some(copy) = ListCopy::from_parts(parts) {
-            self.take_copy(copy);
+        match ListCopy::from_parts(parts) {
+            Some(copy) => self.take_copy(copy),
+            None => self.miss_copy(),
         }
         Ok(0)
     }
 
+    /// Notes that there was no copy.
+    fn miss_copy(&mut self) {
+        self.feeds.copy_misses += 1;
+        if self.feeds.copy_misses == COPY_LOOKS {
+            self.feeds.uncopied_turn_ms = Some(self.now_ms + self.pacing.turn_ms());
+        }
+    }
+
     fn take_copy(&mut self, copy: ListCopy) {
         let from = self.feeds.upstreams.from;
         let is_newer = from.is_none_or(|from| from <= copy.offset);
--- a/crates/entry/src/feeds/schedule.rs
+++ b/crates/entry/src/feeds/schedule.rs
@@ -28,7 +28,9 @@
             None if !self.copy_tried => u64::MAX,
             // The pages of a list that was begun are read to their end.
             None if feed.after.is_some() => feed.next_ms,
-            None => feed.next_ms.max(turn_ms),
+            None => feed
+                .next_ms
+                .max(turn_ms.min(self.uncopied_turn_ms.unwrap_or(u64::MAX))),
             Some(_) if is_followed => self
                 .uncopied_repair
                 .due_ms()
--- a/crates/standins/src/platform/store.rs
+++ b/crates/standins/src/platform/store.rs
@@ -1,6 +1,7 @@
 //! The platform's store.
 
 use std::collections::HashMap;
+use std::collections::HashSet;
 use std::sync::Arc;
 use std::thread;
 use std::time::Duration;
@@ -60,6 +61,8 @@
     topics: Mutex<HashMap<(String, u64), Partition>>,
     changed: Condvar,
     groups: Mutex<HashMap<String, Group>>,
+    /// Topics to which nothing can be appended now.
+    full: Mutex<HashSet<String>>,
 }
 
 /// `PlatformStore` is one door to a store. Doors share the topics, and each has a fault of its own,
@@ -85,6 +88,15 @@
         *self.fault.lock() = fault;
     }
 
+    /// Refuses appends to a topic, or takes them again.
+    pub fn set_full(&self, topic: &str, is_full: bool) {
+        let mut full = self.shared.full.lock();
+        match is_full {
+            true => full.insert(topic.to_owned()),
+            false => full.remove(topic),
+        };
+    }
+
     /// Returns how many calls to a path came through this door.
     pub fn calls(&self, path: &str) -> u64 {
         self.calls.lock().get(path).copied().unwrap_or_default()
@@ -162,6 +174,9 @@
         if ["keyed.op", "keyed.servers"].contains(&topic.as_str()) {
             return Reply::json(403, &json!({}));
         }
+        if self.shared.full.lock().contains(&topic) {
+            return Reply::json(503, &json!({}));
+        }
         let Some(records) = split_records(&request.body) else {
             return Reply::json(400, &json!({}));
         };
