Equal VMs keep their order by name; a list is compared only with a fresh one

Causes, by reading: speed classes by powers of two set equal VMs apart whose figures lie around one (2,060 and 2,040 us), which would have cost their takeovers 0.3 s; a giver that the store turns away goes on to tell, and its old list made every VM read the copy. Tests: equal_around_a_power_of_two and is_fresh in giver_sharing fail on the code before.

--- a/crates/entry/src/telling.rs
+++ b/crates/entry/src/telling.rs
@@ -183,7 +183,8 @@
 
     /// Compares this VM's list with the one that another VM has read.
     fn compare_list(&mut self, fresh: &Freshness) {
-        if fresh.list_age_ms.is_none() || !self.directory.is_listed() {
+        // One that can't read tells an old list for as long as it takes until another gives orders.
+        if !fresh.is_fresh() || !self.directory.is_listed() {
             return;
         }
         let is_same = listed_digest(&self.directory) == fresh.listed;
--- a/crates/fleet/src/sharing.rs
+++ b/crates/fleet/src/sharing.rs
@@ -60,6 +60,11 @@
 }
 
 impl Freshness {
+    /// Returns whether other VMs may rely on it.
+    pub fn is_fresh(&self) -> bool {
+        self.good_ms(0).is_some()
+    }
+
     /// Returns for how long other VMs may go without reading for themselves, if they spread the time at
     /// which they do; none if not at all.
     fn good_ms(&self, spread_ms: u64) -> Option<u64> {
--- a/crates/fleet/tests/giver_sharing.rs
+++ b/crates/fleet/tests/giver_sharing.rs
@@ -89,6 +89,7 @@
     let mut sharing = Sharing::default();
     hear(&mut sharing, HEARD_MS, &beat(1_301), 0, 0);
     assert!(!sharing.follows(HEARD_MS));
+    assert!(!beat(1_301).is_fresh() && beat(1_300).is_fresh());
     hear(&mut sharing, HEARD_MS, &beat(100), 0, 0);
     let until_ms = sharing.followed_until_ms();
     hear(&mut sharing, HEARD_MS + 400, &beat(1_301), 0, 0);
--- a/crates/holder/src/succession.rs
+++ b/crates/holder/src/succession.rs
@@ -20,22 +20,28 @@
 }
 
 impl Contender<'_> {
-    /// Returns a number that is the same for VMs of about the same speed, and smaller for faster ones.
-    fn speed_class(&self) -> u32 {
-        self.work_us.max(1).ilog2()
+    /// Returns whether this VM is at least twice as fast as another. Equal VMs measure figures that differ
+    /// by a few parts in a hundred, and must keep their order by name.
+    fn is_clearly_faster(&self, other: &Contender<'_>) -> bool {
+        u64::from(self.work_us) * 2 <= u64::from(other.work_us)
+    }
+
+    fn goes_before(&self, other: &Contender<'_>) -> bool {
+        match self.is_clearly_faster(other) {
+            true => true,
+            false => !other.is_clearly_faster(self) && self.vm < other.vm,
+        }
     }
 }
 
-/// Returns how many places this VM stands behind others: those that were heard of lately, the faster
-/// before the slower, then by name. If any is clearly faster, heard of or not, some places are left for
-/// such.
+/// Returns how many places this VM stands behind others: those that were heard of lately, the clearly
+/// faster before the slower, else by name. If any is clearly faster, heard of or not, some places are left
+/// for such.
 pub fn place<'a>(own: &Contender<'_>, others: impl Iterator<Item = Contender<'a>>) -> u64 {
-    let key = |it: &Contender<'_>| (it.speed_class(), it.vm.clone());
-    let own_key = key(own);
     let (mut ahead, mut any_faster) = (0, false);
     for other in others {
-        any_faster |= other.speed_class() < own_key.0;
-        ahead += u64::from(other.is_alive && key(&other) < own_key);
+        any_faster |= other.is_clearly_faster(own);
+        ahead += u64::from(other.is_alive && other.goes_before(own));
     }
     match any_faster {
         true => ahead.max(FASTER_PLACES),
--- a/crates/holder/tests/order_succession.rs
+++ b/crates/holder/tests/order_succession.rs
@@ -38,6 +38,7 @@
 #[case::slow_before_a_fast_one(("a", SLOW_US), &[("b", FAST_US, true)], 2)]
 #[case::fast_one_not_heard_of(("a", SLOW_US), &[("b", FAST_US, false)], 2)]
 #[case::fast_after_slow_ones(("z", FAST_US), &[("a", SLOW_US, true), ("b", SLOW_US, true)], 0)]
+#[case::equal_around_a_power_of_two(("a", 2_060), &[("b", 2_040, true)], 0)]
 #[case::equal_by_name(("b", SLOW_US), &[("a", 3_900, true), ("c", 3_700, true)], 1)]
 #[case::equal_ones_not_heard_of(("b", SLOW_US), &[("a", SLOW_US, false)], 0)]
 #[case::many_fast_ones(("z", SLOW_US), &[("a", FAST_US, true), ("b", FAST_US, true), ("c", FAST_US, true)], 3)]
