--- a/crates/entry/src/clock.rs
+++ b/crates/entry/src/clock.rs
@@ -17,8 +17,8 @@
 /// Steps of a fixed piece of work. On a whole core they take about 0.2 ms, on 0.12 of one 1.6 ms.
 const WORK_STEPS: u64 = 200_000;
 
-/// Returns how long a fixed piece of work takes here: how fast this VM is. What it is told of its share of a
-/// core need not be true.
+/// Returns how long a fixed piece of work takes here: how fast this VM is. What it is told of its
+/// share of a core need not be true.
 pub(crate) fn fixed_work_us(seed: u64) -> u32 {
     let begun = Instant::now();
     let mut state = seed | 1;
--- a/crates/entry/src/feeds.rs
+++ b/crates/entry/src/feeds.rs
@@ -28,22 +28,22 @@
 /// 2 s after it said so.
 const UPSTREAMS_EVERY_MS: u64 = 900;
 
-/// The time between two reads of the configuration by a VM that is told of changes. Each beat names the
-/// version in force, so a lost one is made good by the next.
+/// The time between two reads of the configuration by a VM that is told of changes. Each beat names
+/// the version in force, so a lost one is made good by the next.
 const FOLLOWING_CONFIGURATION_EVERY_MS: u64 = 30_000;
 
 /// How long a call to the store may take beyond its wait, if no other VM reads.
 const CALL_TIMEOUT_MS: u64 = 800;
 
-/// The same for the copy of the list. A VM that starts waits for it, so a call that was swallowed must not
-/// hold it up for long.
+/// The same for the copy of the list. A VM that starts waits for it, so a call that was swallowed
+/// must not hold it up for long.
 const COPY_TIMEOUT_MS: u64 = 500;
 
 /// How long a write of the copy may take.
 const LIST_WRITE_TIMEOUT_MS: u64 = 1_000;
 
-/// How often the copy is looked for before a VM that has no list reads the upstreams' entries. Whoever
-/// reads for all may not be able to write.
+/// How often the copy is looked for before a VM that has no list reads the upstreams' entries.
+/// Whoever reads for all may not be able to write.
 const COPY_LOOKS: u32 = 3;
 
 /// The pause before the copy is looked for again where there was none.
@@ -60,8 +60,8 @@
 /// fill neither the log nor the memory; beyond these the entries are only counted.
 const FOREIGN_KEYS: usize = 200;
 
-/// How long nothing has come for a request at an upstream that has started again, for it to have been
-/// at the former process. Events of a stream come every few tens of milliseconds.
+/// How long nothing has come for a request at an upstream that has started again, for it to have
+/// been at the former process. Events of a stream come every few tens of milliseconds.
 const RESTART_SILENT_MS: u64 = 500;
 
 /// `Feeds` are the topics that this VM reads.
@@ -73,13 +73,13 @@
     turn_ms: Option<u64>,
     list_rate: ListRate,
     copy: Feed,
-    /// Whether the store has answered whether there is a copy. Before that the upstreams' own entries
-    /// are left alone: read by all VMs that start, they hold up everything else.
+    /// Whether the store has answered whether there is a copy. Before that the upstreams' own
+    /// entries are left alone: read by all VMs that start, they hold up everything else.
     copy_tried: bool,
     /// How often there was none.
     copy_misses: u32,
-    /// When this VM reads the upstreams' entries though others tell of them, because nobody has written a
-    /// copy; none before it has looked for one some times.
+    /// When this VM reads the upstreams' entries though others tell of them, because nobody has
+    /// written a copy; none before it has looked for one some times.
     uncopied_turn_ms: Option<u64>,
     copy_writer: CopyWriter,
     /// What is to be done about a list that differs from the one this VM is told of.
@@ -132,8 +132,8 @@
         self.upstreams.read_ms.map(|at_ms| now_ms - at_ms)
     }
 
-    /// Has the upstreams' own entries read from the beginning, with all that engines hold, and the copy
-    /// written: this VM gives orders from now on.
+    /// Has the upstreams' own entries read from the beginning, with all that engines hold, and the
+    /// copy written: this VM gives orders from now on.
     pub fn lead(&mut self, now_ms: u64) {
         self.upstreams.restart_soon();
         self.copy_tried = true;
@@ -328,7 +328,8 @@
         }
     }
 
-    /// Decodes the answer to an append that has to be done. One that the store refused is tried again.
+    /// Decodes the answer to an append that has to be done. One that the store refused is tried
+    /// again.
     fn appended(&self, status: u16, body: &[u8]) -> Result<(), DecodeError> {
         match self.codecs.store.append_answer(status, body)? {
             StoreOutcome::Done { .. } => Ok(()),
--- a/crates/entry/src/feeds/configuration.rs
+++ b/crates/entry/src/feeds/configuration.rs
@@ -30,9 +30,9 @@
                 self.call_store(CallTag::ConfigurationNewest, &bytes, timeout_ms);
             }
             Some(from) => {
-                // A VM that is told of changes has no read waiting, so that it makes none in vain. One that
-                // has just ceased to be told asks once without a wait: what it tells of the list counts
-                // for others only if it has read the configuration, too.
+                // A VM that is told of changes has no read waiting, so that it makes none in vain.
+                // One that has just ceased to be told asks once without a wait: what it tells of
+                // the list counts for others only if it has read the configuration, too.
                 let age_ms = self.feeds.configuration_age_ms(self.now_ms);
                 let is_old = age_ms.is_none_or(|age_ms| age_ms > OLD_CONFIGURATION_MS);
                 let wait_ms = match self.sharing.follows(self.now_ms) || is_old {
--- a/crates/entry/src/feeds/copy.rs
+++ b/crates/entry/src/feeds/copy.rs
@@ -1,7 +1,7 @@
 //! The small copy of the list that the giver of orders keeps in the store.
 //!
-//! A VM that starts reads it in place of the upstreams' own entries, which are many times larger, and
-//! serves by it at once; one that has missed something is set right by it.
+//! A VM that starts reads it in place of the upstreams' own entries, which are many times larger,
+//! and serves by it at once; one that has missed something is set right by it.
 
 use apricotdale_fleet::ListCopy;
 use apricotdale_fleet::ListCopyPart;
@@ -19,8 +19,8 @@
 use crate::daemon::Daemon;
 use crate::messages::PeerMessage;
 
-/// The time between two writes of the copy. News of what engines hold reach the VMs by datagram; what
-/// one missed is in the copy this much later.
+/// The time between two writes of the copy. News of what engines hold reach the VMs by datagram;
+/// what one missed is in the copy this much later.
 const WRITE_EVERY_MS: u64 = 2_000;
 
 /// The same while it names other upstreams than there are. VMs that were not told wait for it.
@@ -29,8 +29,8 @@
 /// Entries in one datagram: one takes some 170 bytes.
 const ENTRIES_A_DATAGRAM: usize = 6;
 
-/// The most entries that are told by datagram. When 3,000 upstreams came at once, each of some thirty VMs
-/// told them all to 300 others: 4 GB.
+/// The most entries that are told by datagram. When thousands of upstreams come at once, what each
+/// VM that has read them tells to all others is more than their links carry.
 const MOST_ENTRIES_TOLD: usize = 24;
 
 /// The pause after a write that failed.
@@ -228,8 +228,9 @@
         self.feeds.came.clear();
     }
 
-    /// Tells the other VMs which upstreams came, and, where no giver of orders tells it, what this VM
-    /// has read. Of VMs that miss a giver the first that have read tell the rest, which then need not.
+    /// Tells the other VMs which upstreams came, and, where no giver of orders tells it, what this
+    /// VM has read. Of VMs that miss a giver the first that have read tell the rest, which then
+    /// need not.
     pub(crate) fn tell_list_read(&mut self) {
         let now_ms = self.now_ms;
         let came = std::mem::take(&mut self.feeds.came);
--- a/crates/entry/src/feeds/feed.rs
+++ b/crates/entry/src/feeds/feed.rs
@@ -4,8 +4,8 @@
 
 use crate::codec::KeyedRecord;
 
-/// The time between two lines about a store that stays lost. Without them a log shows one line at the
-/// beginning of an outage that lasts for the rest of the day.
+/// The time between two lines about a store that stays lost. Without them a log shows one line at
+/// the beginning of an outage that lasts for the rest of the day.
 const STILL_LOST_MS: u64 = 5_000;
 
 /// The least bytes that an answer is taken to have, before one was seen.
@@ -76,8 +76,8 @@
         }
     }
 
-    /// Goes on from an offset up to which others have told what there is, unless a read is under way
-    /// whose answer counts from the former one.
+    /// Goes on from an offset up to which others have told what there is, unless a read is under
+    /// way whose answer counts from the former one.
     pub fn skip_to(&mut self, offset: u64) {
         if !self.calling && !self.restarts && self.pages.is_empty() {
             self.from = self.from.map(|from| from.max(offset));
@@ -94,7 +94,8 @@
         self.answer_bytes
     }
 
-    /// Returns how long the next answer is awaited, which one VM alone would have within `alone_ms`.
+    /// Returns how long the next answer is awaited, which one VM alone would have within
+    /// `alone_ms`.
     pub fn patience_ms(&self, pacing: &mut ReadPacing, alone_ms: u64) -> u64 {
         let bytes = self.answer_bytes.max(LEAST_ANSWER_BYTES);
         pacing.patience_ms(alone_ms, bytes, self.failures)
--- a/crates/entry/src/feeds/list_rate.rs
+++ b/crates/entry/src/feeds/list_rate.rs
@@ -1,12 +1,15 @@
 //! How much the upstreams write to the list.
 
-/// How long reads are counted for one figure. Upstreams write each 1.2 s, a reader reads each 0.9 s.
+/// How long reads are counted for one figure. Upstreams write each 1.2 s, a reader reads each 0.9
+/// s.
 const WINDOW_MS: u64 = 3_000;
 
-/// The longest time between two reads of one count. After a longer one the first read brings a backlog.
+/// The longest time between two reads of one count. After a longer one the first read brings a
+/// backlog.
 const LONGEST_GAP_MS: u64 = 1_500;
 
-/// `ListRate` works out what the upstreams' entries take, from the reads of a VM that reads them all.
+/// `ListRate` works out what the upstreams' entries take, from the reads of a VM that reads them
+/// all.
 #[derive(Debug, Default)]
 pub(super) struct ListRate {
     since_ms: Option<u64>,
--- a/crates/entry/src/feeds/listing.rs
+++ b/crates/entry/src/feeds/listing.rs
@@ -87,8 +87,8 @@
     }
 
     /// Decodes an entry. One that is none of an upstream's own ends the use of the run that stood
-    /// under its key, and so is taken the same by a VM that reads every change and by one that reads
-    /// only the newest.
+    /// under its key, and so is taken the same by a VM that reads every change and by one that
+    /// reads only the newest.
     fn decode_upstream(&mut self, record: &KeyedRecord) -> Option<Upstream> {
         let value = record.value.as_deref()?;
         match self.codecs.store.upstream(&record.key, value) {
@@ -146,8 +146,8 @@
         self.take_entry_change(&instance, before, change, reason);
     }
 
-    /// Takes in what one entry changed. `before` is the run that stood there before, `reason` why the
-    /// upstream takes no new work, if that is what the entry says.
+    /// Takes in what one entry changed. `before` is the run that stood there before, `reason` why
+    /// the upstream takes no new work, if that is what the entry says.
     pub(super) fn take_entry_change(
         &mut self,
         instance: &InstanceName,
@@ -193,8 +193,8 @@
         self.tell_list_read();
     }
 
-    /// Tells that an upstream is used for a short time more though its entry has vanished. If it left
-    /// in fact, this line is the only trace of when that was read.
+    /// Tells that an upstream is used for a short time more though its entry has vanished. If it
+    /// left in fact, this line is the only trace of when that was read.
     fn upstream_lapsed(&mut self, name: &UpstreamName) {
         self.metrics.lapsed_upstream();
         let failed_ms_ago = self.feeds.upstreams.failed_ms_ago(self.now_ms);
@@ -204,7 +204,8 @@
         );
     }
 
-    /// Stops sending to an upstream. Requests in progress there go on, unless its process has ended.
+    /// Stops sending to an upstream. Requests in progress there go on, unless its process has
+    /// ended.
     pub(crate) fn upstream_left(&mut self, name: &UpstreamName, reason: &str) {
         if let Some(departure) = self.directory.departure(name) {
             self.sharing.note_left(self.now_ms, departure);
@@ -225,8 +226,8 @@
     }
 
     /// Ends requests at processes that have ended. Without this they would wait for an answer until
-    /// their deadlines where the connections fell silent with the process. Requests that reached the
-    /// new process before its entry was read are heard of, and go on.
+    /// their deadlines where the connections fell silent with the process. Requests that reached
+    /// the new process before its entry was read are heard of, and go on.
     pub(crate) fn end_former_runs(&mut self) {
         let since_ms = self.now_ms.saturating_sub(RESTART_SILENT_MS);
         for name in std::mem::take(&mut self.former_runs) {
--- a/crates/entry/src/feeds/schedule.rs
+++ b/crates/entry/src/feeds/schedule.rs
@@ -18,8 +18,8 @@
         feed.look_ms.map_or(due_ms, |look_ms| due_ms.min(look_ms))
     }
 
-    /// Returns when the upstreams' own entries are read. A VM that is told of changes leaves them alone,
-    /// unless the copy could not help it.
+    /// Returns when the upstreams' own entries are read. A VM that is told of changes leaves them
+    /// alone, unless the copy could not help it.
     pub(super) fn upstreams_due_ms(&self, now_ms: u64, sharing: &Sharing) -> u64 {
         let feed = &self.upstreams;
         let is_followed = sharing.follows(now_ms);
@@ -42,8 +42,8 @@
         }
     }
 
-    /// Notes whether others tell of the upstreams' entries. If none does, this VM's turn to read them is
-    /// drawn; the VM that gives orders reads them in any case.
+    /// Notes whether others tell of the upstreams' entries. If none does, this VM's turn to read
+    /// them is drawn; the VM that gives orders reads them in any case.
     pub(super) fn note_turn(
         &mut self,
         now_ms: u64,
--- a/crates/entry/src/feeds/vms.rs
+++ b/crates/entry/src/feeds/vms.rs
@@ -28,8 +28,8 @@
         self.call_store(CallTag::VmAppend, &bytes, CALL_TIMEOUT_MS);
     }
 
-    /// Takes in a page of entries. The store sends 500 at a time; without the pages that follow, VMs
-    /// beyond these would hear nothing.
+    /// Takes in a page of entries. The store sends 500 at a time; without the pages that follow,
+    /// VMs beyond these would hear nothing.
     pub(super) fn take_vms_page(&mut self, page: KeyedPage) -> u64 {
         let feed = &mut self.feeds.vms;
         feed.after = page.records.last().map(|record| record.key.clone());
--- a/crates/entry/src/ordering.rs
+++ b/crates/entry/src/ordering.rs
@@ -38,8 +38,8 @@
 /// The longest time between two plans: demand that faded is seen then.
 const PLAN_EVERY_MS: u64 = 100;
 
-/// How many times as long as a plan took nothing is planned after it. On a VM with a small part of a core
-/// the lease, callers and other VMs would else wait for one plan after the other.
+/// How many times as long as a plan took nothing is planned after it. On a VM with a small part of
+/// a core the lease, callers and other VMs would else wait for one plan after the other.
 const REST_FOR_PLAN: u64 = 2;
 
 /// `Ordering` is this VM's part in giving orders.
--- a/crates/entry/src/peers.rs
+++ b/crates/entry/src/peers.rs
@@ -29,9 +29,8 @@
 /// The shortest time between two beats, however much changes. A beat is a datagram to each VM.
 const BEAT_MIN_MS: u64 = 40;
 
-/// How long news are gathered, for each VM that they are told to. Engines take hundreds of orders a second;
-/// told one by one to 294 VMs, each with a system call of some microseconds, they take the whole of a
-/// small part of a core.
+/// How long news are gathered, for each VM that they are told to. Hundreds of orders a second, each
+/// told by itself to hundreds of VMs, take the whole of a small part of a core in system calls.
 const NEWS_PAUSE_US_A_VM: u64 = 150;
 
 /// How long a VM that was not heard of counts as there.
@@ -41,7 +40,8 @@
 pub(crate) const GREETING_MS: u64 = 1_000;
 
 /// VMs that are greeted at a time after the first greeting, in turn. When no giver is there all VMs
-/// greet: if each greeted all others, hundreds would exchange tens of thousands of datagrams a second.
+/// greet: if each greeted all others, hundreds would exchange tens of thousands of datagrams a
+/// second.
 const GREETED_AT_ONCE: usize = 16;
 
 #[derive(Clone, Copy, Debug)]
@@ -165,8 +165,8 @@
         self.known.len()
     }
 
-    /// Returns this VM's place among those that could take over the orders from the VM that last gave
-    /// them.
+    /// Returns this VM's place among those that could take over the orders from the VM that last
+    /// gave them.
     pub fn place(&self, now_ms: u64) -> u64 {
         if !self.has_records {
             return succession::unknown_place();
@@ -232,7 +232,8 @@
         self.next_beat_ms = self.next_beat_ms.min(self.last_beat_ms + BEAT_MIN_MS);
     }
 
-    /// Has news told to all VMs, at once by a small fleet and gathered for some time by a large one.
+    /// Has news told to all VMs, at once by a small fleet and gathered for some time by a large
+    /// one.
     pub fn tell_news(&mut self, now_ms: u64, news: &[ResidenceNews]) {
         for told in news {
             self.news.retain(|other| !other.is_about_the_same(told));
--- a/crates/entry/src/settings.rs
+++ b/crates/entry/src/settings.rs
@@ -125,8 +125,9 @@
     parsed(ini, section, key, "an IP address with a port")
 }
 
-/// Returns a number in a range. The platform may write each of its bounds whole or as a fraction, so
-/// that a setting which has to be whole here would keep every VM of such a deployment from starting.
+/// Returns a number in a range. The platform may write each of its bounds whole or as a fraction,
+/// so that a setting which has to be whole here would keep every VM of such a deployment from
+/// starting.
 fn number(
     ini: &Ini,
     section: &'static str,
--- a/crates/entry/src/telling.rs
+++ b/crates/entry/src/telling.rs
@@ -27,13 +27,13 @@
 use crate::peers::GREETING_MS;
 use crate::peers::ROWS_A_DATAGRAM;
 
-/// Datagrams taken in one turn of the loop. Hundreds of VMs may send more than a small part of a core takes
-/// in: read to the end, they would keep the giver from renewing its lease, and all would be told to a VM
-/// that gives no orders any more.
+/// Datagrams taken in one turn of the loop. Hundreds of VMs may send more than a small part of a
+/// core takes in: read to the end, they would keep the giver from renewing its lease, and all would
+/// be told to a VM that gives no orders any more.
 const DATAGRAMS_A_TURN: usize = 64;
 
-/// Time between two tellings of the demand while requests wait, and what each VM adds to the longest: the
-/// giver hears from all, and takes a thousand a second.
+/// Time between two tellings of the demand while requests wait, and what each VM adds to the
+/// longest: the giver hears from all, and takes a thousand a second.
 const DEMAND_WAITING_MS: u64 = 200;
 const DEMAND_WAITING_US_A_VM: u64 = 1_000;
 
--- a/crates/entry/tests/bad_settings.rs
+++ b/crates/entry/tests/bad_settings.rs
@@ -72,8 +72,9 @@
 }
 
 /// Symptom: no VM of a deployment starts. Sequence: the platform fills in the template; one of its
-/// bounds is no whole number there, as `spare_repeats` is where a fleet is scaled. Cause: the setting
-/// was read as a whole number, and bounds in seconds were given zeros to make milliseconds of them.
+/// bounds is no whole number there, as `spare_repeats` is where a fleet is scaled. Cause: the
+/// setting was read as a whole number, and bounds in seconds were given zeros to make milliseconds
+/// of them.
 #[rstest]
 #[case::spare_repeats("spare_repeats = 58", "spare_repeats = 33.157894736842106")]
 #[case::whole_written_as_fraction("spare_repeats = 58", "spare_repeats = 58.0")]
--- a/crates/fleet/src/departure.rs
+++ b/crates/fleet/src/departure.rs
@@ -22,8 +22,8 @@
     pub upstream: UpstreamName,
     /// The last revision of its entry that was read. An entry that is newer was written later.
     pub revision: u64,
-    /// How far the list had been read when the entry was missing; 0 if that is not known. It counts before
-    /// the revision: a VM that is told of the list need not have read the last one.
+    /// How far the list had been read when the entry was missing; 0 if that is not known. It counts
+    /// before the revision: a VM that is told of the list need not have read the last one.
     pub offset: u64,
     /// How it is known.
     pub kind: DepartureKind,
--- a/crates/fleet/src/directory.rs
+++ b/crates/fleet/src/directory.rs
@@ -123,7 +123,8 @@
     listed: bool,
     /// Grows with each change of the configuration or of an entry.
     changes: u64,
-    /// How far the list had been read by whoever tells what is taken in now; 0 if that is not known.
+    /// How far the list had been read by whoever tells what is taken in now; 0 if that is not
+    /// known.
     offset: u64,
     /// How far the list had been read when each upstream was last there.
     there_at: HashMap<UpstreamName, u64>,
@@ -209,9 +210,9 @@
         self.configuration.services.get(name)
     }
 
-    /// Notes how far the list had been read by whoever tells what is taken in next, this VM or another; 0
-    /// if that is not known. The list is a log, so that of two things the later one in it counts, whichever
-    /// is heard of first.
+    /// Notes how far the list had been read by whoever tells what is taken in next, this VM or
+    /// another; 0 if that is not known. The list is a log, so that of two things the later one in
+    /// it counts, whichever is heard of first.
     pub fn read_up_to(&mut self, offset: u64) {
         self.offset = offset;
     }
@@ -272,8 +273,8 @@
         }
     }
 
-    /// Takes in a copy of the list that another VM has read. `is_newer` says that it was read later than
-    /// what this VM knows, so that an upstream which it does not name has left.
+    /// Takes in a copy of the list that another VM has read. `is_newer` says that it was read later
+    /// than what this VM knows, so that an upstream which it does not name has left.
     pub fn note_copy(
         &mut self,
         now_ms: u64,
--- a/crates/fleet/src/directory/departing.rs
+++ b/crates/fleet/src/directory/departing.rs
@@ -13,7 +13,8 @@
 
 impl Directory {
     /// Takes in an entry that is none of the upstream's own: another writer has put it there. It
-    /// names nobody to send to, so the run that stood there is not used until its own entry is back.
+    /// names nobody to send to, so the run that stood there is not used until its own entry is
+    /// back.
     pub fn note_foreign(&mut self, instance: &InstanceName) -> DirectoryChange {
         match self.run_of(instance).cloned() {
             Some(name) => self.note_gone(&name),
@@ -102,8 +103,8 @@
         over
     }
 
-    /// Takes in that this VM's list is the same as one that was read up to an offset, in which no live
-    /// upstream is missing: what was kept around an outage is there.
+    /// Takes in that this VM's list is the same as one that was read up to an offset, in which no
+    /// live upstream is missing: what was kept around an outage is there.
     pub fn note_list_same(&mut self, offset: u64) {
         self.lapsed.clear();
         self.same_up_to = self.same_up_to.max(offset);
--- a/crates/fleet/src/list_copy.rs
+++ b/crates/fleet/src/list_copy.rs
@@ -1,8 +1,8 @@
 //! The list of upstreams as one VM has read it, told to the others.
 //!
-//! Every upstream writes its entry anew about once a second, with all that it holds and has copies of.
-//! Read by every VM, that grows with VMs times upstreams. So a few VMs read it, and the rest take from them
-//! what they need of it: who serves, where, and what can run there.
+//! Every upstream writes its entry anew about once a second, with all that it holds and has copies
+//! of. Read by every VM, that grows with VMs times upstreams. So a few VMs read it, and the rest
+//! take from them what they need of it: who serves, where, and what can run there.
 
 use apricotdale_core::names::UpstreamName;
 use serde::Deserialize;
@@ -16,12 +16,12 @@
 /// Groups of engines with a digest each.
 const ENGINE_GROUPS: usize = 16;
 
-/// Entries in one part: engines take some 170 bytes each, rarely over 400, and the store takes records
-/// of up to 256 KiB.
+/// Entries in one part: engines take some 170 bytes each, rarely over 400, and the store takes
+/// records of up to 256 KiB.
 const ENTRIES_A_PART: usize = 500;
 
-/// `ListCopyPart` is a part of what one VM knows of the upstreams, for the store. An engine takes some 170
-/// bytes in it, where its own entry takes thousands.
+/// `ListCopyPart` is a part of what one VM knows of the upstreams, for the store. An engine takes
+/// some 170 bytes in it, where its own entry takes thousands.
 #[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
 pub struct ListCopyPart {
     /// How far the list had been read: the offset of the next change.
@@ -63,8 +63,9 @@
         }
     }
 
-    /// Returns the newest copy of which all parts are there. Parts of an older one stay in the store when
-    /// the newer one has fewer, and a write between two pages of a read leaves parts of both.
+    /// Returns the newest copy of which all parts are there. Parts of an older one stay in the
+    /// store when the newer one has fewer, and a write between two pages of a read leaves parts of
+    /// both.
     pub fn from_parts(parts: Vec<ListCopyPart>) -> Option<Self> {
         let offset = parts.iter().map(|part| part.offset).max()?;
         let newest: Vec<ListCopyPart> = parts
@@ -87,9 +88,9 @@
     sum(serving.map(|upstream| digest_of_name(&upstream.name)))
 }
 
-/// Returns numbers that two VMs share if engines hold the same models and adapters by what they know, one for
-/// each group of engines. Orders change what engines hold all the time: of a few engines two VMs know the
-/// same at most moments, of all they seldom do.
+/// Returns numbers that two VMs share if engines hold the same models and adapters by what they
+/// know, one for each group of engines. Orders change what engines hold all the time: of a few
+/// engines two VMs know the same at most moments, of all they seldom do.
 pub fn held_digests(directory: &Directory) -> Vec<u32> {
     let mut digests = vec![0_u32; ENGINE_GROUPS];
     let mut bytes = Vec::new();
--- a/crates/fleet/src/list_repair.rs
+++ b/crates/fleet/src/list_repair.rs
@@ -1,15 +1,15 @@
 //! What a VM does whose list differs from that of the VM which reads it for all.
 
-/// How long it must differ which upstreams serve before that is taken for more than a message on its
-/// way. Beats come each 0.4 s.
+/// How long it must differ which upstreams serve before that is taken for more than a message on
+/// its way. Beats come each 0.4 s.
 const LISTED_DIFFERS_MS: u64 = 500;
 
-/// How long it must differ before a VM reads the upstreams' own entries: only if whoever reads for all can't
-/// write a copy.
+/// How long it must differ before a VM reads the upstreams' own entries: only if whoever reads for
+/// all can't write a copy.
 const UNCOPIED_DIFFERS_MS: u64 = 6_000;
 
-/// The same for what engines hold. Orders change it many times a second, so that two VMs seldom know the
-/// same at a moment.
+/// The same for what engines hold. Orders change it many times a second, so that two VMs seldom
+/// know the same at a moment.
 const HELD_DIFFERS_MS: u64 = 3_000;
 
 /// The pause after a repair, doubled with each further one that did not help.
@@ -59,8 +59,8 @@
         }
     }
 
-    /// Takes in which of the digests that were told are also this VM's. `draw_ms` spreads the repairs of
-    /// VMs that missed the same message.
+    /// Takes in which of the digests that were told are also this VM's. `draw_ms` spreads the
+    /// repairs of VMs that missed the same message.
     pub fn heard(&mut self, now_ms: u64, same: &[bool], draw_ms: u64) {
         let differed = self.due_since_ms().is_some();
         self.differs_since_ms.resize(same.len(), None);
--- a/crates/fleet/src/read_pacing.rs
+++ b/crates/fleet/src/read_pacing.rs
@@ -1,20 +1,20 @@
 //! How many VMs share the store's reads without falling into step.
 //!
 //! What one VM does at a moment, all may do at that moment: start, miss a beat, hear of a new
-//! version, come back from an outage. The store's reads share a rate, so the answers to reads in step
-//! come one behind the other. A VM that gives an answer up after a fixed time asks for it again, the
-//! store serves both, and the more VMs wait, the less of what the store sends is of use to anybody;
-//! such a collapse outlives its cause. So the time allowed for an answer grows with what the others
-//! may be reading, reads that are caused by one event are spread, and the retries of all VMs together
-//! are bounded.
+//! version, come back from an outage. The store's reads share a rate, so the answers to reads in
+//! step come one behind the other. A VM that gives an answer up after a fixed time asks for it
+//! again, the store serves both, and the more VMs wait, the less of what the store sends is of use
+//! to anybody; such a collapse outlives its cause. So the time allowed for an answer grows with
+//! what the others may be reading, reads that are caused by one event are spread, and the retries
+//! of all VMs together are bounded.
 
 use xxhash_rust::xxh3::xxh3_64;
 
 /// What each VM adds to the time over which VMs spread a read that one event causes.
 const SPREAD_US_A_VM: u64 = 1_500;
 
-/// The longest such time. Half a second more would take what a VM's own read needs of the time in which
-/// a change has to be in force.
+/// The longest such time. Half a second more would take what a VM's own read needs of the time in
+/// which a change has to be in force.
 const MAX_SPREAD_MS: u64 = 400;
 
 /// The longest time over which reads of the copy are spread.
@@ -26,7 +26,8 @@
 /// The longest such pause of a small fleet. The store must be read again soon after it comes back.
 const MAX_PAUSE_MS: u64 = 400;
 
-/// What each VM adds to the longest pause, so that all VMs together retry 250 times a second at most.
+/// What each VM adds to the longest pause, so that all VMs together retry 250 times a second at
+/// most.
 const MAX_PAUSE_MS_A_VM: u64 = 4;
 
 /// How many times as long as reads of all VMs take an answer is awaited at the most.
@@ -44,8 +45,8 @@
 /// The time after which twice as many VMs read, if those before have told nothing.
 const TURN_MS: u64 = 600;
 
-/// How many VMs there may be as long as that is not known: a VM that starts with all the others must
-/// not be the first to give up.
+/// How many VMs there may be as long as that is not known: a VM that starts with all the others
+/// must not be the first to give up.
 const UNKNOWN_VMS: u32 = 300;
 
 /// `ReadPacing` tells when a VM reads and how long it waits for the answer.
@@ -88,12 +89,13 @@
         self.list_bytes_per_s
     }
 
-    /// Returns after how long without word of another VM this one reads the upstreams' entries itself,
-    /// drawn anew with each call.
+    /// Returns after how long without word of another VM this one reads the upstreams' entries
+    /// itself, drawn anew with each call.
     ///
-    /// Of a fleet whose reads together would be more than the store sends only some VMs begin, and tell
-    /// the others; twice as many after each turn in which nobody has told anything. If all began, none
-    /// might get an answer in time to be of use to another, and all would go on to read.
+    /// Of a fleet whose reads together would be more than the store sends only some VMs begin, and
+    /// tell the others; twice as many after each turn in which nobody has told anything. If all
+    /// began, none might get an answer in time to be of use to another, and all would go on to
+    /// read.
     pub fn turn_ms(&mut self) -> u64 {
         let readers = match self.list_bytes_per_s {
             None => UNKNOWN_READERS,
@@ -117,8 +119,8 @@
         self.draw_within_ms(spread_ms)
     }
 
-    /// Returns this VM's share of a time over which all VMs can read an answer of this size, with half of
-    /// what the store sends.
+    /// Returns this VM's share of a time over which all VMs can read an answer of this size, with
+    /// half of what the store sends.
     pub fn draw_for_ms(&mut self, answer_bytes: usize) -> u64 {
         let bytes = f64::from(self.vms.unwrap_or(1)) * answer_bytes as f64;
         let round_ms = (2_000.0 * bytes / self.read_bytes_per_s) as u64;
@@ -138,8 +140,9 @@
     /// Returns how long an answer of this size is awaited, which one VM alone would have within
     /// `alone_ms`.
     ///
-    /// The first time it is as long as reads of all VMs take. Later it is drawn from up to some times as
-    /// long: if the store swallowed the call, somebody has to ask again soon, and tells the others.
+    /// The first time it is as long as reads of all VMs take. Later it is drawn from up to some
+    /// times as long: if the store swallowed the call, somebody has to ask again soon, and tells
+    /// the others.
     pub fn patience_ms(&mut self, alone_ms: u64, answer_bytes: usize, failures: u32) -> u64 {
         let vms = self.vms.unwrap_or(UNKNOWN_VMS);
         let round_s = f64::from(vms) * answer_bytes as f64 / self.read_bytes_per_s;
--- a/crates/fleet/src/residence.rs
+++ b/crates/fleet/src/residence.rs
@@ -28,9 +28,9 @@
     pub adapters: Vec<ModelName>,
 }
 
-/// `Residence` is what one engine holds.
-/// VMs tell each other only what can run: where copies lie matters to the giver of orders alone, which reads
-/// it from the engine itself, and takes most of an entry's bytes.
+/// `Residence` is what one engine holds. VMs tell each other only what can run: where copies lie
+/// matters to the giver of orders alone, which reads it from the engine itself, and takes most of
+/// an entry's bytes.
 #[derive(Clone, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
 pub struct Residence {
     /// Models that can run now.
--- a/crates/fleet/src/sharing.rs
+++ b/crates/fleet/src/sharing.rs
@@ -2,14 +2,15 @@
 //!
 //! Each VM could read the configuration and the list by itself, at some 1.6 calls a second; with
 //! hundreds of VMs and upstreams that is more than the store sends. The giver of orders reads them
-//! anyway, and tells in its beats how fresh they are, which version is in force, which upstreams serve
-//! and which have left. A VM that hears such beats reads only what it is told has changed.
+//! anyway, and tells in its beats how fresh they are, which version is in force, which upstreams
+//! serve and which have left. A VM that hears such beats reads only what it is told has changed.
 //!
-//! When the beats stop, or what the giver knows grows old, the VMs read for themselves again, soon enough
-//! for the bounds on configuration and on leaving upstreams. They do not begin at the same moment: each
-//! draws when it ends to rely on the last beat, and the first ones tell what they have read, so that
-//! the others need not read at all. Feedback in multicast groups is suppressed the same way (Nonnenmacher and
-//! Biersack, Scalable Feedback for Large Groups, IEEE/ACM Transactions on Networking, 1999).
+//! When the beats stop, or what the giver knows grows old, the VMs read for themselves again, soon
+//! enough for the bounds on configuration and on leaving upstreams. They do not begin at the same
+//! moment: each draws when it ends to rely on the last beat, and the first ones tell what they have
+//! read, so that the others need not read at all. Feedback in multicast groups is suppressed the
+//! same way (Nonnenmacher and Biersack, Scalable Feedback for Large Groups, IEEE/ACM Transactions
+//! on Networking, 1999).
 
 use serde::Deserialize;
 use serde::Serialize;
@@ -65,8 +66,8 @@
         self.good_ms(0).is_some()
     }
 
-    /// Returns for how long other VMs may go without reading for themselves, if they spread the time at
-    /// which they do; none if not at all.
+    /// Returns for how long other VMs may go without reading for themselves, if they spread the
+    /// time at which they do; none if not at all.
     fn good_ms(&self, spread_ms: u64) -> Option<u64> {
         let configuration_age_ms = self.configuration_age_ms?;
         let list_age_ms = self.list_age_ms?;
@@ -75,15 +76,16 @@
         is_fresh.then(|| (BEAT_GOOD_MS + spread_ms).min(RELIED_LIST_MS - list_age_ms))
     }
 
-    /// Returns how far the list was read in which no live upstream was missing; none if any may be. A VM that
-    /// knows the same upstreams need not read what comes before. While some are missing it must: an
-    /// upstream that it keeps for a time would be dropped if it skipped the entry with which that one
-    /// comes back.
+    /// Returns how far the list was read in which no live upstream was missing; none if any may be.
+    /// A VM that knows the same upstreams need not read what comes before. While some are missing
+    /// it must: an upstream that it keeps for a time would be dropped if it skipped the entry with
+    /// which that one comes back.
     pub fn whole_list_offset(&self) -> Option<u64> {
         self.list_whole.then_some(self.list_offset)
     }
 
-    /// Returns when the giver read a list in which no live upstream was missing; none if it did not.
+    /// Returns when the giver read a list in which no live upstream was missing; none if it did
+    /// not.
     pub fn whole_list_read_ms(&self, now_ms: u64) -> Option<u64> {
         let age_ms = self.list_age_ms.filter(|_| self.list_whole)?;
         Some(now_ms.saturating_sub(age_ms))
--- a/crates/fleet/src/upstream.rs
+++ b/crates/fleet/src/upstream.rs
@@ -61,8 +61,9 @@
     pub residence: Residence,
 }
 
-/// An upstream as VMs tell it to each other: without the run's name, which follows from the instance and
-/// the time of start. Copies of the list hold thousands of them, and each VM reads one at its start.
+/// An upstream as VMs tell it to each other: without the run's name, which follows from the
+/// instance and the time of start. Copies of the list hold thousands of them, and each VM reads one
+/// at its start.
 #[derive(Serialize, Deserialize)]
 struct ToldUpstream {
     instance: InstanceName,
--- a/crates/fleet/tests/giver_sharing.rs
+++ b/crates/fleet/tests/giver_sharing.rs
@@ -35,10 +35,10 @@
     sharing.hear(now_ms, beat, spread_ms, draw_ms);
 }
 
-/// Symptom: requests reach an upstream for up to 2.2 s after it left. Sequence: the giver can't read and
-/// its list grows old; it tells so once more and is lost; an upstream left right after the giver's
-/// last read. Cause: the age of the giver's list and the time for which its word is good were each
-/// bounded, and their sum was not.
+/// Symptom: requests reach an upstream for up to 2.2 s after it left. Sequence: the giver can't
+/// read and its list grows old; it tells so once more and is lost; an upstream left right after the
+/// giver's last read. Cause: the age of the giver's list and the time for which its word is good
+/// were each bounded, and their sum was not.
 #[rstest]
 fn list_of_a_lost_giver(
     #[values(0, 900, 1_300)] list_age_ms: u64,
@@ -68,8 +68,9 @@
     assert!(sharing.follows(HEARD_MS + 400));
 }
 
-/// Symptom: all VMs read the list in the same millisecond, and the store can't answer in time. Sequence: the
-/// giver is lost; all VMs have heard the same last beat. Cause: each relied on it for the same time.
+/// Symptom: all VMs read the list in the same millisecond, and the store can't answer in time.
+/// Sequence: the giver is lost; all VMs have heard the same last beat. Cause: each relied on it for
+/// the same time.
 #[test]
 fn vms_end_to_rely_at_different_times() {
     let ends: std::collections::BTreeSet<u64> = (0..=400)
--- a/crates/fleet/tests/list_copies.rs
+++ b/crates/fleet/tests/list_copies.rs
@@ -79,8 +79,9 @@
     assert_eq!(told, upstream);
 }
 
-/// Symptom: a VM drops upstreams that live. Sequence: it reads the parts of a copy while another is being
-/// written, or parts of a longer one are left over. Cause: parts of two copies were taken for one.
+/// Symptom: a VM drops upstreams that live. Sequence: it reads the parts of a copy while another is
+/// being written, or parts of a longer one are left over. Cause: parts of two copies were taken for
+/// one.
 #[test]
 fn parts_of_two_copies_are_none() {
     let names: Vec<String> = (0..1_100).map(|index| format!("e{index}")).collect();
@@ -95,8 +96,9 @@
     assert_eq!(copy.entries.len(), 1);
 }
 
-/// Symptom: after a change of the giver loads are planned from the weight store that an engine's own copy
-/// would serve. Cause: what another VM told took away what this one had read of the copies.
+/// Symptom: after a change of the giver loads are planned from the weight store that an engine's
+/// own copy would serve. Cause: what another VM told took away what this one had read of the
+/// copies.
 #[test]
 fn copies_of_weights_are_not_forgotten() {
     let mut directory = directory();
@@ -197,9 +199,9 @@
     assert!(due_ms > 2_200);
 }
 
-/// Symptom: each VM reads the copy every few seconds though it has missed nothing. Sequence: orders change
-/// what engines hold many times a second, and a VM hears of each a moment later. Cause: one digest over
-/// all engines differs at every moment.
+/// Symptom: each VM reads the copy every few seconds though it has missed nothing. Sequence: orders
+/// change what engines hold many times a second, and a VM hears of each a moment later. Cause: one
+/// digest over all engines differs at every moment.
 #[test]
 fn groups_that_differ_in_turn_are_left_alone() {
     let mut repair = ListRepair::of_held();
--- a/crates/fleet/tests/read_storms.rs
+++ b/crates/fleet/tests/read_storms.rs
@@ -1,15 +1,15 @@
 //! Hundreds of VMs that read a store which sends a limited number of bytes a second.
 //!
-//! Symptom: seconds after the start of traffic no VM reads anything any more, for the rest of the day.
-//! Changes of the configuration and departures of upstreams are heard of nowhere.
+//! Symptom: seconds after the start of traffic no VM reads anything any more, for the rest of the
+//! day. Changes of the configuration and departures of upstreams are heard of nowhere.
 //!
-//! Sequence: all VMs read the list in the same millisecond, each the same backlog of seconds. The answers
-//! come one behind the other. Most VMs give theirs up after a fixed time and ask for it again, while the
-//! backlog grows.
+//! Sequence: all VMs read the list in the same millisecond, each the same backlog of seconds. The
+//! answers come one behind the other. Most VMs give theirs up after a fixed time and ask for it
+//! again, while the backlog grows.
 //!
-//! Cause: the store goes on to send answers that nobody waits for. A queue that is longer than the time
-//! allowed for an answer serves nobody, and the retries keep it so, though each VM's first read would
-//! have been answered if it had waited: a metastable failure.
+//! Cause: the store goes on to send answers that nobody waits for. A queue that is longer than the
+//! time allowed for an answer serves nobody, and the retries keep it so, though each VM's first
+//! read would have been answered if it had waited: a metastable failure.
 
 use apricotdale_fleet::Freshness;
 use apricotdale_fleet::ReadPacing;
@@ -233,8 +233,8 @@
     readers.iter().filter(|(.., knows)| *knows).count()
 }
 
-/// The failure itself, in this model of the store: of 295 VMs those that were not among the first have
-/// read nothing half a minute later. With 30 VMs all have.
+/// The failure itself, in this model of the store: of 295 VMs those that were not among the first
+/// have read nothing half a minute later. With 30 VMs all have.
 #[test]
 fn former_rule_collapses() {
     assert_eq!(
@@ -245,8 +245,8 @@
     assert!(knowing < 100, "{knowing} of 295 know the list");
 }
 
-/// Loses the VM that read for all, and returns how old the list of any VM grew, and which share of what the
-/// store sends was read.
+/// Loses the VM that read for all, and returns how old the list of any VM grew, and which share of
+/// what the store sends was read.
 fn lose_giver(vms: u32, upstreams: u64) -> (u64, f64) {
     const LOST_MS: u64 = 10_000;
     const END_MS: u64 = LOST_MS + 10_000;
@@ -266,8 +266,8 @@
     )
 }
 
-/// The VM that read for all is lost. The list that a VM relies on stays young enough for the bound on
-/// upstreams that leave, a few VMs read, and the bytes are a small part of what the store sends.
+/// The VM that read for all is lost. The list that a VM relies on stays young enough for the bound
+/// on upstreams that leave, a few VMs read, and the bytes are a small part of what the store sends.
 #[rstest]
 fn lost_giver(#[values(9, 30, 100, 300, 410)] vms: u32) {
     let (oldest_ms, share) = lose_giver(vms, 1);
@@ -275,8 +275,9 @@
     assert!(share < 0.05, "{share}");
 }
 
-/// The same with twenty times as many upstreams: if all VMs read, it would be twenty times what the store sends.
-/// A VM may then rely on an older list for as long as it takes until a reader has told.
+/// The same with twenty times as many upstreams: if all VMs read, it would be twenty times what the
+/// store sends. A VM may then rely on an older list for as long as it takes until a reader has
+/// told.
 #[rstest]
 fn lost_giver_of_many_upstreams(#[values(100, 300, 410)] vms: u32) {
     let (oldest_ms, share) = lose_giver(vms, 20);
@@ -297,8 +298,8 @@
     assert!(oldest_ms < 3_000, "{oldest_ms} ms");
 }
 
-/// The store is away and comes back to VMs that all miss seconds of the list. All have it back within 2 s
-/// of its return.
+/// The store is away and comes back to VMs that all miss seconds of the list. All have it back
+/// within 2 s of its return.
 #[rstest]
 fn outage_that_ends(#[values(9, 100, 300, 410)] vms: u32, #[values(1_000, 9_000)] outage_ms: u64) {
     const LOST_MS: u64 = 10_000;
@@ -318,9 +319,9 @@
     );
 }
 
-/// All VMs start in the same millisecond, as after a loss of power, and do not know how many they are.
-/// Each reads the configuration and the copy of the list, gives no answer up, and can serve within a
-/// second.
+/// All VMs start in the same millisecond, as after a loss of power, and do not know how many they
+/// are. Each reads the configuration and the copy of the list, gives no answer up, and can serve
+/// within a second.
 #[rstest]
 fn all_start_at_once(#[values(30, 100, 300, 410)] vms: u32) {
     let mut store = Store::default();
--- a/crates/fleet/tests/told_departures.rs
+++ b/crates/fleet/tests/told_departures.rs
@@ -12,9 +12,9 @@
 use support::leaving;
 use support::serving;
 
-/// Symptom: a live upstream gets requests from one VM only. Sequence: a VM that reads for all tells that
-/// the upstream's entry is missing; the upstream writes it again; a VM that was told reads the new
-/// entry. Cause: what was told was kept as the upstream's own notice.
+/// Symptom: a live upstream gets requests from one VM only. Sequence: a VM that reads for all tells
+/// that the upstream's entry is missing; the upstream writes it again; a VM that was told reads the
+/// new entry. Cause: what was told was kept as the upstream's own notice.
 #[test]
 fn told_missing_is_taken_back_by_a_newer_entry() {
     let mut reader = directory();
@@ -59,19 +59,21 @@
     assert_eq!(directory.departure(&name), None);
 }
 
-/// How far the list was read by one VM, and then by another which finds that an upstream is missing.
+/// How far the list was read by one VM, and then by another which finds that an upstream is
+/// missing.
 const READ: u64 = 190;
 const MISSING_AT: u64 = 210;
 
-/// Symptom: a request reached an upstream 3.7 s after its entry had been removed, though all VMs had been
-/// told within 0.3 s.
+/// Symptom: a request reached an upstream 3.7 s after its entry had been removed, though all VMs
+/// had been told within 0.3 s.
 ///
-/// Sequence: the VM that reads the list for all is cut off from the store. Another one, which had been told
-/// of the list and had not read the last heartbeats, reads from where the first had come, finds the removal and
-/// tells it with the last revision that it knows. Then VMs read the copy that the first had written before
-/// the removal, with later revisions.
+/// Sequence: the VM that reads the list for all is cut off from the store. Another one, which had
+/// been told of the list and had not read the last heartbeats, reads from where the first had come,
+/// finds the removal and tells it with the last revision that it knows. Then VMs read the copy that
+/// the first had written before the removal, with later revisions.
 ///
-/// Cause: revisions decided which is later. A VM that skips what another has read does not know them.
+/// Cause: revisions decided which is later. A VM that skips what another has read does not know
+/// them.
 #[test]
 fn copy_from_before_the_removal() {
     let mut vm = directory();
@@ -88,8 +90,8 @@
     assert_eq!(vm.note_entry(entry("e", 51)), DirectoryChange::Came);
 }
 
-/// The same at a VM that had read the later revisions and is told of the removal: it must not take the
-/// removal for an old one.
+/// The same at a VM that had read the later revisions and is told of the removal: it must not take
+/// the removal for an old one.
 #[test]
 fn departure_told_with_an_old_revision() {
     let mut vm = directory();
--- a/crates/holder/benches/planning.rs
+++ b/crates/holder/benches/planning.rs
@@ -1,10 +1,12 @@
 //! How long the giver of orders plans with hundreds of VMs and engines.
 //!
-//! One look at 128 engines and 418 models, of which 40 are missing and no engine is idle or all are, with
-//! the demand of 295 VMs. A VM may have 0.12 of a core, on which a round takes eight times as long.
+//! One look at 128 engines and 418 models, of which 40 are missing and no engine is idle or all
+//! are, with the demand of 295 VMs. A VM may have 0.12 of a core, on which a round takes eight
+//! times as long.
 //!
-//! Before and after, on a whole core: totals 2.4 ms and 0.08 ms; a round with all engines idle 11.3 ms and
-//! 0.77 ms; one with none idle 3.7 ms and 0.13 ms; the look at an unchanged directory 165 us and 3 us.
+//! Before and after, on a whole core: totals 2.4 ms and 0.08 ms; a round with all engines idle 11.3
+//! ms and 0.77 ms; one with none idle 3.7 ms and 0.13 ms; the look at an unchanged directory 165 us
+//! and 3 us.
 
 use std::collections::HashMap;
 use std::hint::black_box;
--- a/crates/holder/src/choosing.rs
+++ b/crates/holder/src/choosing.rs
@@ -11,16 +11,15 @@
 use crate::placing::Placer;
 use crate::planner::Planner;
 
-/// Waiting requests, as a share of an engine's places, from which another replica of a model that is
-/// resident is worth a load from the weight store, which keeps the engine from other orders for some
-/// 6 s. Without this bound the mean
-/// worth fell from 0.78 to 0.74 where engines are many and small: second replicas that nobody
-/// waited for took the engines that rare models needed.
+/// Waiting requests, as a share of an engine's places, from which another replica of a model that
+/// is resident is worth a load from the weight store, which keeps the engine from other orders for
+/// some 6 s. Without this bound the mean worth fell from 0.78 to 0.74 where engines are many and
+/// small: second replicas that nobody waited for took the engines that rare models needed.
 const CROWD_FOR_STORE_LOAD: f64 = 0.5;
 
-/// Placements that one round of planning makes. Each is a look at all engines: a round that places all
-/// that is wanted keeps a small VM from renewing its lease and from serving callers meanwhile. What is left
-/// follows in the next round.
+/// Placements that one round of planning makes. Each is a look at all engines: a round that places
+/// all that is wanted keeps a small VM from renewing its lease and from serving callers meanwhile.
+/// What is left follows in the next round.
 const PLACEMENTS_A_ROUND: usize = 4;
 
 impl Planner {
--- a/crates/holder/src/demand.rs
+++ b/crates/holder/src/demand.rs
@@ -70,8 +70,8 @@
 struct VmDemand {
     /// Requests so far.
     arrived: HashMap<WantedModel, u64>,
-    /// What requests are in progress for. It is short: what a VM once told is not gone through for each
-    /// plan, of which there are tens a second.
+    /// What requests are in progress for. It is short: what a VM once told is not gone through for
+    /// each plan, of which there are tens a second.
     busy: HashMap<WantedModel, Busy>,
 }
 
--- a/crates/holder/src/lease.rs
+++ b/crates/holder/src/lease.rs
@@ -38,10 +38,11 @@
     /// The time between two renewals: two may fail before the lease ends.
     pub renew_every_ms: u64,
     /// How long a new holder waits after the last moment at which the holder before could give an
-    /// order, so that none is still under way. The platform's bound for two holders that take turns.
+    /// order, so that none is still under way. The platform's bound for two holders that take
+    /// turns.
     pub pause_ms: u64,
-    /// What is added to that for orders that were sent at the last moment and arrive late: as long as
-    /// a lost packet takes to be sent again.
+    /// What is added to that for orders that were sent at the last moment and arrive late: as long
+    /// as a lost packet takes to be sent again.
     pub late_order_ms: u64,
     /// What each place in the order of takeover adds to the wait, so that one VM tries first.
     pub stagger_ms: u64,
@@ -250,8 +251,8 @@
         }
     }
 
-    /// Takes in that an engine has seen a higher fencing token: another VM has taken the lease, though
-    /// this one, cut off from the store, did not learn of it there.
+    /// Takes in that an engine has seen a higher fencing token: another VM has taken the lease,
+    /// though this one, cut off from the store, did not learn of it there.
     pub fn note_outranked(&mut self, now_ms: u64) {
         self.lose();
         self.must_read = true;
--- a/crates/holder/src/ledger.rs
+++ b/crates/holder/src/ledger.rs
@@ -123,7 +123,8 @@
         self.coming_models().any(|coming| coming == model)
     }
 
-    /// Returns the models whose load is in progress or planned here. One may be named more than once.
+    /// Returns the models whose load is in progress or planned here. One may be named more than
+    /// once.
     pub(crate) fn coming_models(&self) -> impl Iterator<Item = &ModelName> {
         self.orders()
             .filter(|kind| is_load(kind))
--- a/crates/holder/src/own_demand.rs
+++ b/crates/holder/src/own_demand.rs
@@ -6,10 +6,12 @@
 
 use crate::demand::DemandRow;
 
-/// How often a row is told after it last changed. A datagram may be lost, so each change is told twice.
+/// How often a row is told after it last changed. A datagram may be lost, so each change is told
+/// twice.
 const TOLD_TIMES: u8 = 2;
 
-/// `RequestState` is what a request of a caller does now, as far as the giver of orders has to know.
+/// `RequestState` is what a request of a caller does now, as far as the giver of orders has to
+/// know.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum RequestState {
     /// It waits because no engine holds its model.
@@ -30,8 +32,8 @@
 
 /// `OwnDemand` counts a VM's requests by model, and tells what has changed.
 ///
-/// Told whole, with everything that was ever asked for, the demand of hundreds of VMs is tens of thousands
-/// of rows a second at the VM that gives orders.
+/// Told whole, with everything that was ever asked for, the demand of hundreds of VMs is tens of
+/// thousands of rows a second at the VM that gives orders.
 #[derive(Debug, Default)]
 pub struct OwnDemand {
     rows: HashMap<WantedModel, Row>,
@@ -48,8 +50,8 @@
         row.untold = TOLD_TIMES;
     }
 
-    /// Returns the rows to tell now: those with requests in progress, which count only for a short time
-    /// after they were told, and those that have changed.
+    /// Returns the rows to tell now: those with requests in progress, which count only for a short
+    /// time after they were told, and those that have changed.
     pub fn rows<'a>(
         &mut self,
         active: impl Iterator<Item = (&'a WantedModel, RequestState)>,
--- a/crates/holder/src/placing.rs
+++ b/crates/holder/src/placing.rs
@@ -62,8 +62,8 @@
     size_mb: f64,
 }
 
-/// An engine that can be told something new. What does not depend on the model to be placed is worked out
-/// once for each look: tens of models are tried on each of hundreds of engines.
+/// An engine that can be told something new. What does not depend on the model to be placed is
+/// worked out once for each look: tens of models are tried on each of hundreds of engines.
 struct IdleEngine<'a> {
     index: usize,
     ledger: &'a EngineLedger,
--- a/crates/holder/src/succession.rs
+++ b/crates/holder/src/succession.rs
@@ -1,11 +1,13 @@
 //! Which VM takes over the orders first.
 //!
-//! A giver of orders hears from all VMs and tells all. With 295 of them one on 0.12 of a core did not get to
-//! renew its lease and lost it every 5 s, while VMs with four times as much were there.
+//! A giver of orders hears from all VMs and tells all. In a large fleet one on a small part of a
+//! core does not get to renew its lease and loses it again and again; a VM that can carry it must
+//! go first.
 
 use apricotdale_core::names::VmName;
 
-/// Places that VMs which are clearly faster count for, together, where nothing was heard of them lately.
+/// Places that VMs which are clearly faster count for, together, where nothing was heard of them
+/// lately.
 const FASTER_PLACES: u64 = 2;
 
 /// `Contender` is a VM that could take over the orders.
@@ -20,8 +22,8 @@
 }
 
 impl Contender<'_> {
-    /// Returns whether this VM is at least twice as fast as another. Equal VMs measure figures that differ
-    /// by a few parts in a hundred, and must keep their order by name.
+    /// Returns whether this VM is at least twice as fast as another. Equal VMs measure figures that
+    /// differ by a few parts in a hundred, and must keep their order by name.
     fn is_clearly_faster(&self, other: &Contender<'_>) -> bool {
         u64::from(self.work_us) * 2 <= u64::from(other.work_us)
     }
@@ -34,9 +36,9 @@
     }
 }
 
-/// Returns how many places this VM stands behind others: those that were heard of lately, the clearly
-/// faster before the slower, else by name. If any is clearly faster, heard of or not, some places are left
-/// for such.
+/// Returns how many places this VM stands behind others: those that were heard of lately, the
+/// clearly faster before the slower, else by name. If any is clearly faster, heard of or not, some
+/// places are left for such.
 pub fn place<'a>(own: &Contender<'_>, others: impl Iterator<Item = Contender<'a>>) -> u64 {
     let (mut ahead, mut any_faster) = (0, false);
     for other in others {
--- a/crates/holder/tests/order_succession.rs
+++ b/crates/holder/tests/order_succession.rs
@@ -31,9 +31,10 @@
     succession::place(&own, others)
 }
 
-/// Symptom: orders stop for seconds, again and again. Sequence: the giver is cut off; the first VM by name
-/// takes over; it is one on an eighth of a core, and does not get to renew its lease beside what 294 others
-/// tell it; another such VM follows. Cause: VMs that could carry it were not preferred.
+/// Symptom: orders stop for seconds, again and again. Sequence: the giver is cut off; the first VM
+/// by name takes over; it is one on an eighth of a core, and does not get to renew its lease beside
+/// what 294 others tell it; another such VM follows. Cause: VMs that could carry it were not
+/// preferred.
 #[rstest]
 #[case::slow_before_a_fast_one(("a", SLOW_US), &[("b", FAST_US, true)], 2)]
 #[case::fast_one_not_heard_of(("a", SLOW_US), &[("b", FAST_US, false)], 2)]
--- a/crates/holder/tests/own_demand.rs
+++ b/crates/holder/tests/own_demand.rs
@@ -69,8 +69,8 @@
     assert!(quiet(&mut demand).is_empty());
 }
 
-/// What the giver of orders knows of requests and of rates is the same as if each VM told everything each
-/// time, also where every second datagram is lost.
+/// What the giver of orders knows of requests and of rates is the same as if each VM told
+/// everything each time, also where every second datagram is lost.
 #[rstest]
 #[case::none_lost(1)]
 #[case::every_second_lost(2)]
@@ -103,8 +103,8 @@
             assert_eq!(running, VMS, "one request at each VM");
         }
     }
-    // A rate is a sum over what arrived, faded by its age: all models were asked for in turn, so theirs
-    // are alike, and no arrival is missing.
+    // A rate is a sum over what arrived, faded by its age: all models were asked for in turn, so
+    // theirs are alike, and no arrival is missing.
     let totals = book.totals(1_000 + (ROUNDS + 1) * EVERY_MS);
     assert_eq!(totals.len(), MODELS as usize);
     assert!(totals.values().all(|it| it.per_s > 0.0));
--- a/crates/holder/tests/planning_rounds.rs
+++ b/crates/holder/tests/planning_rounds.rs
@@ -10,9 +10,9 @@
 /// The most placements of one round.
 const PLACEMENTS_A_ROUND: usize = 4;
 
-/// Symptom: the VM that gives orders stands still for a second, loses its lease, and takes it again a moment
-/// later. Sequence: it takes over; all engines tell what they hold at once, and many models are wanted.
-/// Cause: one round placed all of them before anything else was done.
+/// Symptom: the VM that gives orders stands still for a second, loses its lease, and takes it again
+/// a moment later. Sequence: it takes over; all engines tell what they hold at once, and many
+/// models are wanted. Cause: one round placed all of them before anything else was done.
 #[rstest]
 #[case::few(3)]
 #[case::many(40)]
