Lines of a lost send carry a fingerprint of the request

Callers send the same request again with another id and to another VM. No line told that two ids were the same request, so the hypotheses on the ended engines could not be told apart. A fingerprint of the caller's address, method, host, path and body is in `send without an answer` now; it costs a hash of the body, and only where a send is lost. Headers don't count: a stream that is resumed is the same request.

--- a/crates/entry/src/active.rs
+++ b/crates/entry/src/active.rs
@@ -2,6 +2,7 @@
 
 use std::collections::BTreeSet;
 use std::collections::HashMap;
+use std::net::IpAddr;
 use std::sync::Arc;
 
 use apricotdale_core::names::UpstreamName;
@@ -13,6 +14,8 @@
 use apricotdale_http1::EventSplitter;
 use apricotdale_http1::RequestHead;
 use apricotdale_http1::ResponseHead;
+use apricotdale_quarantine::CallerHash;
+use apricotdale_quarantine::Fingerprint;
 use mio::Token;
 
 /// `Phase` is how far a request is.
@@ -43,6 +46,8 @@
 pub(crate) struct Active {
     /// The caller's connection; none once the caller has left.
     pub caller: Option<Token>,
+    /// Where the caller comes from.
+    pub caller_address: IpAddr,
     pub head: RequestHead,
     pub body: Vec<u8>,
     pub serving: ServingRequest,
@@ -67,6 +72,25 @@
     pub first_answer_ms: Option<u64>,
 }
 
+impl Active {
+    /// Returns what tells whether another request is the same one.
+    pub fn fingerprint(&self) -> Fingerprint {
+        fingerprint(self.caller_address, &self.serving, &self.head, &self.body)
+    }
+}
+
+/// Returns what tells whether two requests are the same one.
+pub(crate) fn fingerprint(
+    caller: IpAddr,
+    serving: &ServingRequest,
+    head: &RequestHead,
+    body: &[u8],
+) -> Fingerprint {
+    let caller = CallerHash::of(caller.to_string().as_bytes());
+    let target = [serving.host.as_str(), serving.target.as_str()];
+    Fingerprint::of(caller, &head.method, &target, body)
+}
+
 /// `ActiveRequests` holds the requests in progress by key, and when each wants attention.
 #[derive(Debug, Default)]
 pub(crate) struct ActiveRequests {
--- a/crates/entry/src/caller.rs
+++ b/crates/entry/src/caller.rs
@@ -1,5 +1,7 @@
 //! Connections of callers, of the balancer's checks and of metrics readers.
 
+use std::net::IpAddr;
+
 use apricotdale_fleet::CallerLimits;
 use apricotdale_http1::BodyDecoder;
 use apricotdale_http1::BodyLength;
@@ -62,6 +64,8 @@
 pub(crate) struct Caller {
     pub stream: Stream,
     pub kind: CallerKind,
+    /// Where it comes from.
+    pub address: IpAddr,
     input: Vec<u8>,
     phase: Phase,
     /// Whether the connection ends after the answer in progress.
@@ -73,10 +77,11 @@
 
 impl Caller {
     /// Returns a new connection.
-    pub fn new(now_ms: u64, stream: Stream, kind: CallerKind) -> Self {
+    pub fn new(now_ms: u64, stream: Stream, kind: CallerKind, address: IpAddr) -> Self {
         Self {
             stream,
             kind,
+            address: address.to_canonical(),
             input: Vec::new(),
             phase: Phase::Head,
             close_after: false,
--- a/crates/entry/src/daemon.rs
+++ b/crates/entry/src/daemon.rs
@@ -313,12 +313,12 @@
             };
             let kind = *kind;
             match listener.accept() {
-                Ok((socket, _)) if self.callers.len() < MAX_CALLERS => {
+                Ok((socket, from)) if self.callers.len() < MAX_CALLERS => {
                     let token = self.new_token();
                     match Stream::accepted(socket, self.poll.registry(), token) {
                         Ok(stream) => {
-                            self.callers
-                                .insert(token, Caller::new(self.now_ms, stream, kind));
+                            let caller = Caller::new(self.now_ms, stream, kind, from.ip());
+                            self.callers.insert(token, caller);
                             self.serve_caller(token);
                         }
                         Err(error) => log::warn!(reason = error.to_string(); "connection lost"),
--- a/crates/entry/src/failing.rs
+++ b/crates/entry/src/failing.rs
@@ -140,6 +140,7 @@
         log::info!(
             request_id = request.serving.id.to_string(),
             reason = failed.as_str(),
+            fingerprint = request.fingerprint().to_string(),
             upstream = upstream_text(&request.job),
             model = model_text(&request.job),
             tries = request.job.tried.len(),
--- a/crates/entry/src/serving.rs
+++ b/crates/entry/src/serving.rs
@@ -79,6 +79,9 @@
             self.refuse_new(token, &refusal, Some(&serving.id));
             return;
         };
+        let Some(caller_address) = self.callers.get(&token).map(|caller| caller.address) else {
+            return;
+        };
         let job = self.job(&serving, &route, service);
         self.dispatcher.arrived(self.now_ms, &job);
         if let Some(wanted) = &job.wanted {
@@ -87,6 +90,7 @@
         let events = EventSplitter::default();
         let key = self.active.insert(Active {
             caller: Some(token),
+            caller_address,
             head,
             body,
             serving,
