Reproduced: a request that crashes every engine, sent to one after the other

Symptom: engine after engine ends, each with all that it was working on, while callers get 502 and broken streams. Sequence: a request crashes its engine; its caller sends it again with another id, to another VM; that VM sends it to the next engine.

The stand-in of an engine ends under a request whose body holds a marker, at once or after some events.

--- a/crates/standins/src/http/mod.rs
+++ b/crates/standins/src/http/mod.rs
@@ -20,3 +20,4 @@
 pub use request::Request;
 pub use server::Handler;
 pub use server::Server;
+pub use server::Stopper;
--- a/crates/standins/src/http/server.rs
+++ b/crates/standins/src/http/server.rs
@@ -78,9 +78,34 @@
 
     /// Stops accepting and breaks every connection, as the death of the process would.
     pub fn stop(self) {
+        self.stopper().stop();
+        self.wait();
+    }
+
+    /// Returns a handle that stops the server from one of its own handlers.
+    pub fn stopper(&self) -> Stopper {
+        Stopper {
+            address: self.address,
+            connections: self.connections.clone(),
+        }
+    }
+}
+
+/// `Stopper` ends a server without waiting for its threads.
+#[derive(Clone)]
+pub struct Stopper {
+    address: SocketAddr,
+    connections: Arc<Connections>,
+}
+
+impl Stopper {
+    /// Stops accepting and breaks every connection. Again, it does nothing.
+    pub fn stop(&self) {
         let streams = {
             let mut open = self.connections.open.lock();
-            open.stopped = true;
+            if std::mem::replace(&mut open.stopped, true) {
+                return;
+            }
             std::mem::take(&mut open.streams)
         };
         for stream in streams.values() {
@@ -89,7 +114,6 @@
         }
         // The accepting thread notices the stop only when a connection arrives.
         let _ = TcpStream::connect(self.address);
-        self.wait();
     }
 }
 
--- a/crates/standins/src/platform/engine.rs
+++ b/crates/standins/src/platform/engine.rs
@@ -8,6 +8,7 @@
 use std::sync::atomic::Ordering;
 use std::thread;
 use std::time::Duration;
+use std::time::Instant;
 
 use parking_lot::Mutex;
 use serde_json::json;
@@ -15,6 +16,7 @@
 use crate::http::Handler;
 use crate::http::Reply;
 use crate::http::Request;
+use crate::http::Stopper;
 use crate::platform::orders::Holdings;
 use crate::platform::orders::OrderFault;
 use crate::platform::orders::WireOrder;
@@ -29,6 +31,15 @@
 /// How much later each further run starts.
 const NEXT_BORN_MS: u64 = 1_000;
 
+/// `CrashTrigger` is a request under which an engine ends.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct CrashTrigger {
+    /// Bytes by which the request's body is known.
+    pub marker: Vec<u8>,
+    /// Events that are sent before the end.
+    pub after_events: u64,
+}
+
 /// `EngineOptions` is what an engine is like.
 #[derive(Clone, Debug)]
 pub struct EngineOptions {
@@ -56,6 +67,8 @@
     pub events: u64,
     /// The time between two events.
     pub gap_ms: u64,
+    /// The requests under which it ends.
+    pub crashes: Vec<CrashTrigger>,
 }
 
 impl Default for EngineOptions {
@@ -73,6 +86,7 @@
             unload_ms: 20,
             events: 6,
             gap_ms: 2,
+            crashes: Vec::new(),
         }
     }
 }
@@ -99,6 +113,9 @@
     store: PlatformStore,
     entry: Mutex<Entry>,
     full: AtomicBool,
+    /// How the engine ends by itself, once it listens.
+    stopper: Mutex<Option<Stopper>>,
+    crashed: Mutex<Option<Instant>>,
 }
 
 #[derive(Default)]
@@ -126,11 +143,31 @@
             order_faults: Mutex::default(),
             entry: Mutex::default(),
             full: AtomicBool::default(),
+            stopper: Mutex::default(),
+            crashed: Mutex::default(),
             store,
             options,
         }
     }
 
+    /// Takes in how the engine can end by itself.
+    pub(crate) fn set_stopper(&self, stopper: Stopper) {
+        *self.stopper.lock() = Some(stopper);
+    }
+
+    /// Returns when the engine ended under a request.
+    pub fn crashed(&self) -> Option<Instant> {
+        *self.crashed.lock()
+    }
+
+    /// Ends the engine as a fault of its process does: nothing more is sent or accepted.
+    pub fn crash(&self) {
+        self.crashed.lock().get_or_insert_with(Instant::now);
+        if let Some(stopper) = self.stopper.lock().clone() {
+            stopper.stop();
+        }
+    }
+
     /// Returns the run's identity.
     pub fn name(&self) -> &str {
         &self.options.instance
@@ -293,12 +330,33 @@
         }
     }
 
-    fn serve(&self, request: &Request) -> Reply {
+    fn serve(self: &Arc<Self>, request: &Request) -> Reply {
         let wanted = request.header("Apricotdale-Model").unwrap_or_default();
         if !self.holdings.lock().serves(wanted) {
             return self.answers.not_run(request, 421);
         }
         let fault = self.answers.begin(request);
+        let holds = |trigger: &&CrashTrigger| {
+            let mut windows = request.body.windows(trigger.marker.len().max(1));
+            windows.any(|window| window == trigger.marker)
+        };
+        match self.options.crashes.iter().find(holds) {
+            Some(trigger) if trigger.after_events == 0 => {
+                self.crash();
+                return Reply::Lost;
+            }
+            Some(trigger) => {
+                let engine = self.clone();
+                let end = move || engine.crash();
+                return self.answers.events_until(
+                    request,
+                    trigger.after_events,
+                    self.options.gap_ms,
+                    end,
+                );
+            }
+            None => {}
+        }
         self.answers
             .events(request, fault, self.options.events, self.options.gap_ms)
     }
--- a/crates/standins/src/platform/mod.rs
+++ b/crates/standins/src/platform/mod.rs
@@ -18,6 +18,7 @@
 pub use calling::HOST;
 pub use calling::get;
 pub use calling::is_ready;
+pub use engine::CrashTrigger;
 pub use engine::EngineEffects;
 pub use engine::EngineOptions;
 pub use engine::PlatformEngine;
--- a/crates/standins/src/platform/serving.rs
+++ b/crates/standins/src/platform/serving.rs
@@ -258,6 +258,34 @@
         .with_header(LOAD, "1,0,8")
     }
 
+    /// Returns the answer to a streaming request that stops after some events, and then does
+    /// something.
+    pub fn events_until(
+        &self,
+        request: &Request,
+        count: u64,
+        gap_ms: u64,
+        end: impl FnOnce() + Send + 'static,
+    ) -> Reply {
+        let produce = move |writer: &mut EventWriter| {
+            for event in 1..=count {
+                if writer.send_bytes(event_text(event).as_bytes()).is_err() {
+                    return StreamEnd::Broken;
+                }
+                thread::sleep(Duration::from_millis(gap_ms));
+            }
+            end();
+            StreamEnd::Broken
+        };
+        Reply::Stream(Stream {
+            headers: Vec::new(),
+            produce: Box::new(produce),
+        })
+        .with_header(ID, id_of(request))
+        .with_header(SIGNATURE, &format!("s.{}", self.instance))
+        .with_header(LOAD, "1,0,8")
+    }
+
     /// Returns how often each request ran.
     pub fn run_counts(&self) -> HashMap<String, usize> {
         let mut counts = HashMap::new();
--- a/crates/standins/src/platform/site.rs
+++ b/crates/standins/src/platform/site.rs
@@ -133,6 +133,7 @@
     pub fn start_engine(&mut self, options: EngineOptions) -> io::Result<usize> {
         let engine = Arc::new(PlatformEngine::new(options, self.store.clone()));
         let server = Server::start(LOOPBACK, engine.clone())?;
+        engine.set_stopper(server.stopper());
         self.engine_addresses.push(server.address());
         self.engine_servers.push(Some(server));
         self.engines.push(engine);
