--- a/crates/core/src/refusal.rs
+++ b/crates/core/src/refusal.rs
@@ -95,6 +95,8 @@
     UpstreamRefused = "upstream_refused", 502;
     /// The connection to the upstream was lost after the request was sent.
     UpstreamLost = "upstream_lost", 502;
+    /// Upstreams have crashed under the same request again and again.
+    CrashesUpstreams = "crashes_upstreams", 503;
     /// The upstream's answer did not come in time.
     UpstreamTimeout = "upstream_timeout", 504;
     /// The upstream's answer was cut or belongs to another request.
--- a/crates/entry/src/active.rs
+++ b/crates/entry/src/active.rs
@@ -2,7 +2,6 @@
 
 use std::collections::BTreeSet;
 use std::collections::HashMap;
-use std::net::IpAddr;
 use std::sync::Arc;
 
 use apricotdale_core::names::UpstreamName;
@@ -46,8 +45,10 @@
 pub(crate) struct Active {
     /// The caller's connection; none once the caller has left.
     pub caller: Option<Token>,
-    /// Where the caller comes from.
-    pub caller_address: IpAddr,
+    /// Stands for the caller, who is known by the address only.
+    pub caller_hash: CallerHash,
+    /// Tells whether another request is the same one.
+    pub fingerprint: Fingerprint,
     pub head: RequestHead,
     pub body: Vec<u8>,
     pub serving: ServingRequest,
@@ -72,25 +73,6 @@
     pub first_answer_ms: Option<u64>,
 }
 
-impl Active {
-    /// Returns what tells whether another request is the same one.
-    pub fn fingerprint(&self) -> Fingerprint {
-        fingerprint(self.caller_address, &self.serving, &self.head, &self.body)
-    }
-}
-
-/// Returns what tells whether two requests are the same one.
-pub(crate) fn fingerprint(
-    caller: IpAddr,
-    serving: &ServingRequest,
-    head: &RequestHead,
-    body: &[u8],
-) -> Fingerprint {
-    let caller = CallerHash::of(caller.to_string().as_bytes());
-    let target = [serving.host.as_str(), serving.target.as_str()];
-    Fingerprint::of(caller, &head.method, &target, body)
-}
-
 /// `ActiveRequests` holds the requests in progress by key, and when each wants attention.
 #[derive(Debug, Default)]
 pub(crate) struct ActiveRequests {
--- a/crates/entry/src/answering.rs
+++ b/crates/entry/src/answering.rs
@@ -280,6 +280,7 @@
             return;
         };
         let begun = request.begun;
+        let fingerprint = request.fingerprint;
         request.first_answer_ms.get_or_insert(self.now_ms);
         if let Some(caller) = request.caller {
             let mut out = Vec::with_capacity(rest.len() + 512);
@@ -296,6 +297,7 @@
             self.write_to_caller(caller, &out);
             self.finish_answer(caller);
             let how = if head.status < 400 {
+                self.note_answered(fingerprint);
                 "answered"
             } else {
                 "upstream_failed"
--- a/crates/entry/src/calling.rs
+++ b/crates/entry/src/calling.rs
@@ -44,6 +44,12 @@
     Report(UpstreamName),
     /// An engine's report, to see whether a silent engine answers.
     Look(UpstreamName),
+    /// An engine's report, to see whether an engine that broke a connection is still there.
+    Recheck(UpstreamName),
+    /// Blocked requests that are kept in the store.
+    BlocksNewest,
+    /// A write of these.
+    BlocksAppend,
 }
 
 impl CallTag {
@@ -63,6 +69,9 @@
             Self::Order(..) => "order",
             Self::Report(_) => "report",
             Self::Look(_) => "look",
+            Self::Recheck(_) => "recheck",
+            Self::BlocksNewest => "blocks_newest",
+            Self::BlocksAppend => "blocks_append",
         }
     }
 }
@@ -212,6 +221,7 @@
         };
         let sent = connection.stream.sent_bytes > 0;
         let unreached = connection.is_unreached(self.now_ms);
+        let refused = connection.stream.refused;
         let silent = connection
             .call_until_ms
             .is_some_and(|until_ms| until_ms <= self.now_ms);
@@ -221,7 +231,12 @@
         // wait on another silent one.
         self.outbound.close_idle(&peer, self.poll.registry());
         match &peer {
-            Peer::Upstream(upstream) if unreached => self.upstream_unreachable(upstream),
+            Peer::Upstream(upstream) if unreached => {
+                self.upstream_unreachable(upstream);
+                if refused {
+                    self.note_ended(upstream);
+                }
+            }
             _ => {}
         }
         if let Some(Purpose::Call(CallTag::Look(engine))) = &purpose {
@@ -252,6 +267,9 @@
             CallTag::Order(engine, kind) => self.order_ended(&engine, &kind, outcome),
             CallTag::Report(engine) => self.report_ended(&engine, outcome),
             CallTag::Look(engine) => self.look_ended(&engine, true),
+            CallTag::Recheck(upstream) => self.recheck_ended(&upstream, &outcome),
+            CallTag::BlocksNewest => self.blocks_read(outcome),
+            CallTag::BlocksAppend => self.blocks_written(outcome),
             CallTag::LeaseRead | CallTag::LeaseAppend => self.lease_call_ended(&tag, outcome),
             _ => self.feed_call_ended(&tag, outcome),
         }
--- a/crates/entry/src/codec.rs
+++ b/crates/entry/src/codec.rs
@@ -106,6 +106,9 @@
     ListCopy,
     /// The lease for orders.
     Lease,
+    /// Requests that are refused because upstreams crash under them; the newest record of each key
+    /// is kept.
+    Blocks,
 }
 
 impl Topic {
@@ -117,6 +120,7 @@
             Self::Vms => "vms",
             Self::ListCopy => "list_copy",
             Self::Lease => "lease",
+            Self::Blocks => "blocks",
         }
     }
 }
--- a/crates/entry/src/daemon.rs
+++ b/crates/entry/src/daemon.rs
@@ -34,6 +34,7 @@
 use crate::clock;
 use crate::clock::now_ms;
 use crate::codec::Codecs;
+use crate::crash_watch::CrashWatch;
 use crate::errors::Error;
 use crate::errors::Result;
 use crate::feeds::Feeds;
@@ -96,6 +97,7 @@
     pub(crate) directory: Directory,
     pub(crate) dispatcher: Dispatcher,
     pub(crate) watch: SilenceWatch,
+    pub(crate) crash_watch: CrashWatch,
     pub(crate) news: NewsBoard,
     /// Runs of upstreams that are over and at which requests seem to be in progress.
     pub(crate) former_runs: Vec<UpstreamName>,
@@ -181,6 +183,7 @@
             directory: Directory::new(DirectoryOptions::default()),
             dispatcher: Dispatcher::new(options),
             watch: SilenceWatch::default(),
+            crash_watch: CrashWatch::new(&settings),
             news: NewsBoard::default(),
             former_runs: Vec::new(),
             feeds: Feeds::default(),
@@ -249,6 +252,7 @@
         }
         if late_ms >= STOOD_STILL_MS {
             self.metrics.stood_still();
+            self.ask_for_blocks();
             log::warn!(
                 late_ms, requests = self.active.len(), orders_by = self.peers.holder_text();
                 "this VM stood still"
@@ -267,6 +271,7 @@
         self.advance_ordering();
         self.advance_peers();
         self.advance_watch();
+        self.advance_crash_watch();
         if self.now_ms >= self.next_sweep_ms || self.now_ms >= self.call_alarm_ms {
             self.sweep();
         }
@@ -287,6 +292,7 @@
             self.ordering.next_ms(),
             self.peers.next_ms(),
             self.watch.next_ms(),
+            self.crash_watch.next_ms(),
         ]
         .into_iter()
         .min()
--- a/crates/entry/src/failing.rs
+++ b/crates/entry/src/failing.rs
@@ -69,6 +69,14 @@
             .outbound
             .get_mut(token)
             .is_some_and(|it| it.is_unreached(now_ms));
+        let broken = self
+            .outbound
+            .get_mut(token)
+            .is_some_and(|it| it.is_broken());
+        let refused = self
+            .outbound
+            .get_mut(token)
+            .is_some_and(|it| it.stream.refused);
         let failed = if sent {
             FailedTry::Lost
         } else {
@@ -79,9 +87,15 @@
             if let Peer::Upstream(upstream) = &peer {
                 // Other idle connections to it have probably failed with this one.
                 self.outbound.close_idle(&peer, self.poll.registry());
+                if sent && broken {
+                    self.note_broken_send(upstream, key);
+                }
                 if unreached {
                     self.upstream_unreachable(upstream);
                 }
+                if refused {
+                    self.note_ended(upstream);
+                }
             }
         }
         self.try_failed(key, failed);
@@ -140,7 +154,7 @@
         log::info!(
             request_id = request.serving.id.to_string(),
             reason = failed.as_str(),
-            fingerprint = request.fingerprint().to_string(),
+            fingerprint = request.fingerprint.to_string(),
             upstream = upstream_text(&request.job),
             model = model_text(&request.job),
             tries = request.job.tried.len(),
--- a/crates/entry/src/lib.rs
+++ b/crates/entry/src/lib.rs
@@ -16,6 +16,7 @@
 mod clock;
 mod codec;
 mod connections;
+mod crash_watch;
 mod daemon;
 mod ending;
 mod errors;
--- a/crates/entry/src/messages.rs
+++ b/crates/entry/src/messages.rs
@@ -9,6 +9,8 @@
 use apricotdale_fleet::Upstream;
 use apricotdale_holder::DemandRow;
 use apricotdale_holder::ResidenceNews;
+use apricotdale_quarantine::BlockRow;
+use apricotdale_quarantine::CrashReport;
 use serde::Deserialize;
 use serde::Serialize;
 
@@ -71,6 +73,12 @@
         /// How long before that it had given its last order.
         quiet_ms: u64,
     },
+    /// What a VM had in progress at upstreams that crashed.
+    Crashes(Vec<CrashReport>),
+    /// Requests that are refused because upstreams crash under them.
+    Blocks(Vec<BlockRow>),
+    /// A VM that may have missed some asks for them.
+    BlocksWanted,
 }
 
 /// Returns the bytes of a message.
--- a/crates/entry/src/metrics.rs
+++ b/crates/entry/src/metrics.rs
@@ -35,6 +35,8 @@
     store_reads_bytes: Family<Reason, Counter>,
     list_repairs: Counter,
     dark_engines: Counter,
+    crashed_upstreams: Counter,
+    begun_blocks: Counter,
     first_answer_ms: Histogram,
     wait_ms: Histogram,
     plan_ms: Histogram,
@@ -43,6 +45,8 @@
     pub callers: Gauge,
     pub outbound: Gauge,
     pub dropped_lines: Gauge,
+    pub blocked: Gauge,
+    pub suspects: Gauge,
 }
 
 impl Default for EntryMetrics {
@@ -66,6 +70,8 @@
             store_reads_bytes: Family::default(),
             list_repairs: Counter::default(),
             dark_engines: Counter::default(),
+            crashed_upstreams: Counter::default(),
+            begun_blocks: Counter::default(),
             first_answer_ms: Histogram::new(buckets()),
             wait_ms: Histogram::new(buckets()),
             plan_ms: Histogram::new(buckets()),
@@ -74,6 +80,8 @@
             callers: Gauge::default(),
             outbound: Gauge::default(),
             dropped_lines: Gauge::default(),
+            blocked: Gauge::default(),
+            suspects: Gauge::default(),
         };
         metrics.register();
         metrics
@@ -139,6 +147,26 @@
             "Engines that fell silent and did not answer when they were asked",
             self.dark_engines.clone(),
         );
+        registry.register(
+            "crashed_upstreams",
+            "Upstreams that crashed with requests of this VM in progress",
+            self.crashed_upstreams.clone(),
+        );
+        registry.register(
+            "begun_blocks",
+            "Requests that this VM found to crash upstreams",
+            self.begun_blocks.clone(),
+        );
+        registry.register(
+            "blocked_requests",
+            "Requests that are refused because upstreams crash under them",
+            self.blocked.clone(),
+        );
+        registry.register(
+            "crash_suspects",
+            "Requests remembered under crashes, counted once for each crash",
+            self.suspects.clone(),
+        );
         registry.register(
             "first_answer_ms",
             "From arrival to the first part of the answer",
@@ -258,6 +286,16 @@
         self.dark_engines.inc();
     }
 
+    /// Counts an upstream that crashed with requests of this VM in progress.
+    pub fn crashed_upstream(&self) {
+        self.crashed_upstreams.inc();
+    }
+
+    /// Counts a request that this VM found to crash upstreams.
+    pub fn begun_block(&self) {
+        self.begun_blocks.inc();
+    }
+
     /// Counts that this VM stood still.
     pub fn stood_still(&self) {
         self.stood_still.inc();
--- a/crates/entry/src/outbound.rs
+++ b/crates/entry/src/outbound.rs
@@ -134,6 +134,11 @@
         self.stream.refused || (late && self.stream.sent_bytes == 0)
     }
 
+    /// Returns whether the other end closed or reset the connection.
+    pub fn is_broken(&self) -> bool {
+        self.ended.is_some()
+    }
+
     /// Returns whether reading stopped because the buffer is full.
     pub fn is_full(&self) -> bool {
         self.input.len() >= READ_LIMIT_BYTES
--- a/crates/entry/src/peers.rs
+++ b/crates/entry/src/peers.rs
@@ -9,6 +9,7 @@
 use apricotdale_holder::ResidenceNews;
 use apricotdale_holder::succession;
 use mio::net::UdpSocket;
+use xxhash_rust::xxh3::xxh3_64;
 
 use crate::messages::PeerMessage;
 use crate::messages::VmRecord;
@@ -33,6 +34,10 @@
 /// told by itself to hundreds of VMs, take the whole of a small part of a core in system calls.
 const NEWS_PAUSE_US_A_VM: u64 = 150;
 
+/// VMs, besides the one that gives orders, that are told what was in progress at upstreams that
+/// crashed. Any one of them is enough.
+const JUDGES: usize = 4;
+
 /// How long a VM that was not heard of counts as there.
 const PEER_GOOD_MS: u64 = 3_000;
 
@@ -188,6 +193,25 @@
         )
     }
 
+    /// Returns the VMs that judge which requests crash upstreams, this one among them or not: the
+    /// giver of orders, and some that all VMs choose alike from their names.
+    pub fn judges(&self) -> Vec<(VmName, SocketAddr)> {
+        let others = self.known.iter().map(|(vm, known)| (vm, known.address));
+        let mut ranked: Vec<(u64, &VmName, SocketAddr)> = others
+            .chain([(&self.own.vm, self.own.address)])
+            .map(|(vm, address)| (xxh3_64(vm.as_str().as_bytes()), vm, address))
+            .collect();
+        ranked.sort_unstable();
+        let chosen = ranked.into_iter().take(JUDGES);
+        let mut judges: Vec<(VmName, SocketAddr)> = chosen
+            .map(|(_, vm, address)| (vm.clone(), address))
+            .collect();
+        let holder = self.holder.as_ref();
+        let holder = holder.filter(|(vm, ..)| judges.iter().all(|(judge, _)| judge != vm));
+        judges.extend(holder.map(|(vm, address, _)| (vm.clone(), *address)));
+        judges
+    }
+
     /// Tells all VMs that this one stops.
     pub fn say_goodbye(&mut self) {
         self.send_all(&PeerMessage::Goodbye(self.own.vm.clone()));
--- a/crates/entry/src/serving.rs
+++ b/crates/entry/src/serving.rs
@@ -19,6 +19,8 @@
 use crate::active::Active;
 use crate::active::Phase;
 use crate::codec::ForwardFields;
+use crate::crash_watch::caller_hash;
+use crate::crash_watch::fingerprint;
 use crate::daemon::Daemon;
 use crate::failing::BUDGET_PAUSE_MS;
 use crate::outbound::Peer;
@@ -82,6 +84,11 @@
         let Some(caller_address) = self.callers.get(&token).map(|caller| caller.address) else {
             return;
         };
+        let fingerprint = fingerprint(&serving, &head, &body);
+        if let Some(refusal) = self.blocked(&fingerprint) {
+            self.refuse_new(token, &refusal, Some(&serving.id));
+            return;
+        }
         let job = self.job(&serving, &route, service);
         self.dispatcher.arrived(self.now_ms, &job);
         if let Some(wanted) = &job.wanted {
@@ -90,7 +97,8 @@
         let events = EventSplitter::default();
         let key = self.active.insert(Active {
             caller: Some(token),
-            caller_address,
+            caller_hash: caller_hash(caller_address),
+            fingerprint,
             head,
             body,
             serving,
@@ -150,6 +158,7 @@
             log::info!(
                 request_id = id.map_or("", RequestId::as_str),
                 reason = refusal.reason.as_str(),
+                detail = refusal.detail,
                 config_version = self.directory.version();
                 "request refused at arrival"
             );
--- a/crates/entry/src/settings.rs
+++ b/crates/entry/src/settings.rs
@@ -8,6 +8,7 @@
 
 use apricotdale_core::names::VmName;
 use apricotdale_core::names::ZoneName;
+use apricotdale_quarantine::Fingerprint;
 use ini::Ini;
 
 use crate::errors::Error;
@@ -49,6 +50,8 @@
     pub spare_repeats: f64,
     /// The operators' window for counting repeats.
     pub repeats_window_ms: u64,
+    /// Requests that are served though upstreams crashed under them.
+    pub exempt: Vec<Fingerprint>,
     /// What is logged.
     pub log_level: LogLevel,
 }
@@ -89,6 +92,7 @@
             repeats_per_request: number(ini, "bounds", "repeats_per_request", 0.0..=1.0)?,
             spare_repeats: number(ini, "bounds", "spare_repeats", 0.0..=100_000.0)?,
             repeats_window_ms: seconds_as_ms(ini, "bounds", "repeats_window_s", 1.0..=600.0)?,
+            exempt: fingerprints(ini)?,
             log_level: parsed(
                 ini,
                 "log",
@@ -147,6 +151,23 @@
     Ok(number)
 }
 
+/// Returns the fingerprints that the operators list, if they do.
+fn fingerprints(ini: &Ini) -> Result<Vec<Fingerprint>> {
+    let value = ini.get_from(Some("quarantine"), "exempt").unwrap_or("");
+    let items = value.split(',').map(str::trim);
+    items
+        .filter(|item| !item.is_empty())
+        .map(|item| {
+            item.parse().map_err(|_| Error::BadSetting {
+                section: "quarantine",
+                key: "exempt",
+                value: item.to_owned(),
+                expected: "fingerprints as the log tells them, separated by commas",
+            })
+        })
+        .collect()
+}
+
 /// Returns a duration that is given in seconds.
 fn seconds_as_ms(
     ini: &Ini,
--- a/crates/entry/src/stopping.rs
+++ b/crates/entry/src/stopping.rs
@@ -118,6 +118,8 @@
                 let changed = settings != self.settings;
                 self.settings.stop_ms = settings.stop_ms;
                 self.settings.store = settings.store;
+                self.crash_watch.exempt(&settings.exempt);
+                self.settings.exempt = settings.exempt;
                 self.settings.log_level = settings.log_level;
                 log::set_max_level(settings.log_level);
                 log::info!(changed; "settings read again");
--- a/crates/entry/src/telling.rs
+++ b/crates/entry/src/telling.rs
@@ -79,6 +79,7 @@
                     let greeting = PeerMessage::Greeting(self.peers.own.clone());
                     self.peers.send(record.address, &greeting);
                 }
+                self.tell_quarantine_to(record.address, &record.vm);
             }
             PeerMessage::Goodbye(vm) => {
                 self.peers.forget(&vm);
@@ -135,6 +136,9 @@
                 lease_end,
                 quiet_ms,
             } => self.ordering.note_release(now_ms, lease_end, quiet_ms),
+            PeerMessage::Crashes(reports) => self.take_crash_reports(&reports),
+            PeerMessage::Blocks(rows) => self.take_blocks(&rows),
+            PeerMessage::BlocksWanted => self.tell_blocks_to(from),
         }
     }
 
--- /dev/null
+++ b/crates/quarantine/src/blocks.rs
@@ -0,0 +1,149 @@
+//! Requests that are refused because upstreams crash under them.
+
+use std::collections::HashMap;
+
+use apricotdale_core::names::UpstreamName;
+use serde::Deserialize;
+use serde::Serialize;
+
+use crate::fingerprint::CallerHash;
+use crate::fingerprint::Fingerprint;
+use crate::options::Options;
+
+/// How much longer a block must last than the known one to be news. Clocks and messages differ by
+/// less.
+const NEWS_MS: u64 = 2_000;
+
+/// `BlockRow` is a block as VMs tell it to each other.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct BlockRow {
+    /// The request.
+    pub fingerprint: Fingerprint,
+    /// Whose it is, by which the memory is shared out.
+    pub caller: CallerHash,
+    /// How often it was blocked.
+    pub times: u32,
+    /// How much longer it is refused.
+    pub left_ms: u64,
+    /// Upstreams that crashed under it, the last ones.
+    pub upstreams: Vec<UpstreamName>,
+}
+
+/// `Block` says until when a request is refused.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub(crate) struct Block {
+    pub caller: CallerHash,
+    pub times: u32,
+    pub until_ms: u64,
+    pub upstreams: Vec<UpstreamName>,
+}
+
+impl Block {
+    /// Returns how long a block lasts that is the `times`-th of its request.
+    pub fn length_ms(times: u32, options: &Options) -> u64 {
+        let factor = 4_u64.saturating_pow(times.saturating_sub(1));
+        options
+            .block_ms
+            .saturating_mul(factor)
+            .min(options.most_block_ms)
+    }
+
+    /// Returns until when it is remembered. A request whose block has ended is blocked again by a
+    /// single crash for as long as the block was.
+    fn remembered_ms(&self, options: &Options) -> u64 {
+        self.until_ms + Self::length_ms(self.times, options)
+    }
+}
+
+/// `Blocks` holds the blocks that are in force or lately were.
+#[derive(Clone, Debug, Default)]
+pub(crate) struct Blocks {
+    by_fingerprint: HashMap<Fingerprint, Block>,
+}
+
+impl Blocks {
+    pub fn get(&self, fingerprint: &Fingerprint) -> Option<&Block> {
+        self.by_fingerprint.get(fingerprint)
+    }
+
+    /// Returns the block of a request that is refused now.
+    pub fn in_force(&self, now_ms: u64, fingerprint: &Fingerprint) -> Option<&Block> {
+        let block = self.by_fingerprint.get(fingerprint);
+        block.filter(|block| now_ms < block.until_ms)
+    }
+
+    /// Takes in a block that is told by another VM or read from the store. Returns whether it is
+    /// news.
+    pub fn note(&mut self, now_ms: u64, row: &BlockRow, options: &Options) -> bool {
+        let left_ms = row.left_ms.min(options.most_block_ms);
+        let until_ms = now_ms + left_ms;
+        let known_until_ms = self.get(&row.fingerprint).map_or(0, |block| block.until_ms);
+        if left_ms == 0 || until_ms <= known_until_ms + NEWS_MS {
+            return false;
+        }
+        let block = Block {
+            caller: row.caller,
+            times: row.times,
+            until_ms,
+            upstreams: row.upstreams.clone(),
+        };
+        self.by_fingerprint.insert(row.fingerprint, block);
+        self.bound(row.caller, options);
+        true
+    }
+
+    /// Forgets a block.
+    pub fn remove(&mut self, fingerprint: &Fingerprint) -> bool {
+        self.by_fingerprint.remove(fingerprint).is_some()
+    }
+
+    /// Forgets what is over for long enough, and returns it.
+    pub fn forget(&mut self, now_ms: u64, options: &Options) -> Vec<Fingerprint> {
+        let blocks = &mut self.by_fingerprint;
+        let over = blocks.extract_if(|_, block| block.remembered_ms(options) <= now_ms);
+        over.map(|(fingerprint, _)| fingerprint).collect()
+    }
+
+    /// Returns the blocks in force, in the order of their requests.
+    pub fn rows(&self, now_ms: u64) -> Vec<BlockRow> {
+        let mut rows: Vec<BlockRow> = self
+            .by_fingerprint
+            .iter()
+            .filter(|(_, block)| now_ms < block.until_ms)
+            .map(|(fingerprint, block)| BlockRow {
+                fingerprint: *fingerprint,
+                caller: block.caller,
+                times: block.times,
+                left_ms: block.until_ms - now_ms,
+                upstreams: block.upstreams.clone(),
+            })
+            .collect();
+        rows.sort_by_key(|row| row.fingerprint);
+        rows
+    }
+
+    /// Forgets the blocks that end first where there are too many, those of this caller where it
+    /// has too many.
+    fn bound(&mut self, caller: CallerHash, options: &Options) {
+        let own = self.by_fingerprint.values();
+        let own = own.filter(|block| block.caller == caller).count();
+        if own > options.max_blocks_a_caller {
+            self.remove_first(|block| block.caller == caller);
+        }
+        if self.by_fingerprint.len() > options.max_blocks {
+            self.remove_first(|_| true);
+        }
+    }
+
+    fn remove_first(&mut self, may_go: impl Fn(&Block) -> bool) {
+        let first = self
+            .by_fingerprint
+            .iter()
+            .filter(|(_, block)| may_go(block))
+            .min_by_key(|(_, block)| block.until_ms)
+            .map(|(fingerprint, _)| *fingerprint);
+        if let Some(fingerprint) = first {
+            self.by_fingerprint.remove(&fingerprint);
+        }
+    }
+}
--- /dev/null
+++ b/crates/quarantine/src/crashes.rs
@@ -0,0 +1,325 @@
+//! Which requests were in progress at upstreams that crashed.
+
+use std::cmp::Reverse;
+use std::collections::BTreeMap;
+use std::collections::HashMap;
+
+use apricotdale_core::names::UpstreamName;
+use serde::Deserialize;
+use serde::Serialize;
+
+use crate::fingerprint::CallerHash;
+use crate::fingerprint::Fingerprint;
+use crate::options::Options;
+
+/// `Suspect` is a request that was in progress at an upstream that crashed.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Suspect {
+    /// The request.
+    pub fingerprint: Fingerprint,
+    /// Whose it is, by which the memory is shared out.
+    pub caller: CallerHash,
+    /// How long before the crash a VM saw the same request answered; none if it did not.
+    pub served_ago_ms: Option<u64>,
+}
+
+/// `CrashReport` is what one VM had in progress at an upstream that crashed.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct CrashReport {
+    /// The run of the upstream.
+    pub upstream: UpstreamName,
+    /// How long ago it crashed.
+    pub ago_ms: u64,
+    /// The requests that were in progress there.
+    pub suspects: Vec<Suspect>,
+}
+
+#[derive(Clone, Debug)]
+struct Crash {
+    at_ms: u64,
+    /// When it was first heard of.
+    heard_ms: u64,
+    suspects: BTreeMap<Fingerprint, CallerHash>,
+}
+
+/// `CrashLog` holds the crashes of the last minutes.
+#[derive(Clone, Debug, Default)]
+pub(crate) struct CrashLog {
+    crashes: HashMap<UpstreamName, Crash>,
+    suspects_by_caller: HashMap<CallerHash, usize>,
+    suspects: usize,
+    /// When requests under crashes were last answered.
+    served: HashMap<Fingerprint, u64>,
+    /// When the requests under a crash are next to be judged.
+    pub due_ms: Option<u64>,
+}
+
+/// `Charge` is a crash under a request.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub(crate) struct Charge {
+    pub upstream: UpstreamName,
+    pub at_ms: u64,
+    /// Whether the upstream crashed by itself, and under no other request that is known to crash
+    /// upstreams.
+    pub is_unexplained: bool,
+}
+
+/// `Case` is what speaks against a request.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub(crate) struct Case {
+    pub fingerprint: Fingerprint,
+    pub caller: CallerHash,
+    /// The crashes under it in order of time.
+    pub charges: Vec<Charge>,
+}
+
+impl Case {
+    /// Returns the upstreams whose crash nothing else explains.
+    pub fn unexplained(&self) -> impl Iterator<Item = &Charge> {
+        self.charges.iter().filter(|charge| charge.is_unexplained)
+    }
+}
+
+impl CrashLog {
+    /// Takes in what a VM had in progress at an upstream that crashed. The same may come again.
+    pub fn note(&mut self, now_ms: u64, report: &CrashReport, options: &Options) {
+        let at_ms = now_ms.saturating_sub(report.ago_ms);
+        if report.ago_ms >= options.memory_ms || report.suspects.is_empty() {
+            return;
+        }
+        let crash = self
+            .crashes
+            .entry(report.upstream.clone())
+            .or_insert_with(|| Crash {
+                at_ms,
+                heard_ms: now_ms,
+                suspects: BTreeMap::new(),
+            });
+        crash.at_ms = crash.at_ms.min(at_ms);
+        let (at_ms, heard_ms) = (crash.at_ms, crash.heard_ms);
+        let mut is_new = false;
+        for suspect in &report.suspects {
+            let served_ms = suspect
+                .served_ago_ms
+                .map(|ago_ms| at_ms.saturating_sub(ago_ms));
+            if let Some(served_ms) = served_ms {
+                self.note_served(suspect.fingerprint, served_ms, options);
+            }
+            let served_ms = self.served.get(&suspect.fingerprint);
+            if served_ms.is_none_or(|served_ms| *served_ms <= at_ms) {
+                is_new |= self.add(&report.upstream, suspect);
+            }
+        }
+        if is_new {
+            let judge_ms = (heard_ms + options.settle_ms).max(now_ms);
+            self.due_ms = Some(self.due_ms.map_or(judge_ms, |due_ms| due_ms.min(judge_ms)));
+            self.bound(options);
+        }
+    }
+
+    fn add(&mut self, upstream: &UpstreamName, suspect: &Suspect) -> bool {
+        let Some(crash) = self.crashes.get_mut(upstream) else {
+            return false;
+        };
+        let before = crash.suspects.insert(suspect.fingerprint, suspect.caller);
+        if let Some(caller) = before {
+            uncount(&mut self.suspects_by_caller, caller);
+            self.suspects -= 1;
+        }
+        *self.suspects_by_caller.entry(suspect.caller).or_default() += 1;
+        self.suspects += 1;
+        before.is_none()
+    }
+
+    /// Takes in that a request was answered: the crashes before were not its doing.
+    fn note_served(&mut self, fingerprint: Fingerprint, served_ms: u64, options: &Options) {
+        if self.served.len() >= options.max_served {
+            let oldest = self.served.iter().min_by_key(|(_, at_ms)| **at_ms);
+            let oldest = oldest.map(|(fingerprint, _)| *fingerprint);
+            oldest.and_then(|oldest| self.served.remove(&oldest));
+        }
+        let known_ms = self.served.entry(fingerprint).or_insert(served_ms);
+        *known_ms = served_ms.max(*known_ms);
+        let served_ms = *known_ms;
+        self.clear_if(&fingerprint, |crash| crash.at_ms < served_ms);
+    }
+
+    /// Forgets crashes that are too old.
+    pub fn forget_before(&mut self, at_ms: u64) {
+        let old: Vec<UpstreamName> = self
+            .crashes
+            .iter()
+            .filter(|(_, crash)| crash.at_ms < at_ms)
+            .map(|(name, _)| name.clone())
+            .collect();
+        old.iter().for_each(|name| self.remove(name));
+        self.served.retain(|_, served_ms| *served_ms >= at_ms);
+    }
+
+    /// Forgets what speaks against a request.
+    pub fn clear(&mut self, fingerprint: &Fingerprint) {
+        self.clear_if(fingerprint, |_| true);
+    }
+
+    fn clear_if(&mut self, fingerprint: &Fingerprint, goes: impl Fn(&Crash) -> bool) {
+        for crash in self.crashes.values_mut().filter(|crash| goes(crash)) {
+            if let Some(caller) = crash.suspects.remove(fingerprint) {
+                uncount(&mut self.suspects_by_caller, caller);
+                self.suspects -= 1;
+            }
+        }
+    }
+
+    /// Returns when the next crash settles.
+    pub fn next_settled_ms(&self, now_ms: u64, options: &Options) -> Option<u64> {
+        let settle = self.crashes.values();
+        let settle = settle.map(|crash| crash.heard_ms + options.settle_ms);
+        settle.filter(|at_ms| *at_ms > now_ms).min()
+    }
+
+    /// Returns how many requests are remembered, counted once for each crash.
+    pub fn suspects(&self) -> usize {
+        self.suspects
+    }
+
+    /// Returns what speaks against each request under a crash that has settled. Requests that are
+    /// `guilty` explain the crashes under them.
+    pub fn cases(
+        &self,
+        now_ms: u64,
+        options: &Options,
+        guilty: impl Fn(&Fingerprint) -> bool,
+    ) -> Vec<Case> {
+        let settled: Vec<(&UpstreamName, &Crash)> = self
+            .crashes
+            .iter()
+            .filter(|(_, crash)| crash.heard_ms + options.settle_ms <= now_ms)
+            .collect();
+        let mut cases: HashMap<Fingerprint, Case> = HashMap::new();
+        for (name, crash) in &settled {
+            let is_group = self.is_group(crash, options);
+            for (suspect, caller) in &crash.suspects {
+                let case = cases.entry(*suspect).or_insert_with(|| Case {
+                    fingerprint: *suspect,
+                    caller: *caller,
+                    charges: Vec::new(),
+                });
+                let mut others = crash.suspects.keys().filter(|other| *other != suspect);
+                case.charges.push(Charge {
+                    upstream: (*name).clone(),
+                    at_ms: crash.at_ms,
+                    is_unexplained: !is_group && !others.any(&guilty),
+                });
+            }
+        }
+        let mut cases: Vec<Case> = cases.into_values().collect();
+        for case in &mut cases {
+            case.charges.sort_by_key(|charge| charge.at_ms);
+        }
+        cases.sort_by_key(|case| {
+            let counts = (case.unexplained().count(), case.charges.len());
+            (Reverse(counts), case.fingerprint)
+        });
+        cases
+    }
+
+    /// Returns whether another request was in progress at all of these upstreams when they crashed.
+    pub fn has_rival(&self, case: &Case) -> bool {
+        let crashes: Vec<&Crash> = case
+            .unexplained()
+            .filter_map(|charge| self.crashes.get(&charge.upstream))
+            .collect();
+        let Some((first, others)) = crashes.split_first() else {
+            return false;
+        };
+        let rivals = first.suspects.keys().filter(|it| **it != case.fingerprint);
+        let mut rivals =
+            rivals.filter(|it| others.iter().all(|crash| crash.suspects.contains_key(it)));
+        rivals.next().is_some()
+    }
+
+    /// Returns whether other upstreams crashed at the same moment, as those of one rack do.
+    fn is_group(&self, crash: &Crash, options: &Options) -> bool {
+        let within = |most_ms: u64| {
+            let near = |other: &&Crash| other.at_ms.abs_diff(crash.at_ms) <= most_ms;
+            self.crashes.values().filter(near).count()
+        };
+        within(options.group_ms) >= options.group_upstreams || within(options.pair_ms) >= 2
+    }
+
+    fn bound(&mut self, options: &Options) {
+        while self.crashes.len() > options.max_crashes {
+            self.remove_oldest();
+        }
+        while self.suspects > options.max_suspects {
+            let most = self
+                .suspects_by_caller
+                .iter()
+                .max_by_key(|(_, count)| **count);
+            match most.map(|(caller, _)| *caller) {
+                Some(caller) => self.remove_oldest_of(caller),
+                None => return,
+            }
+        }
+        let over: Vec<CallerHash> = self
+            .suspects_by_caller
+            .iter()
+            .filter(|(_, count)| **count > options.max_suspects_a_caller)
+            .map(|(caller, _)| *caller)
+            .collect();
+        for caller in over {
+            while self.suspects_by_caller.get(&caller).copied()
+                > Some(options.max_suspects_a_caller)
+            {
+                self.remove_oldest_of(caller);
+            }
+        }
+    }
+
+    fn remove_oldest(&mut self) {
+        let oldest = self.crashes.iter().min_by_key(|(_, crash)| crash.at_ms);
+        if let Some(name) = oldest.map(|(name, _)| name.clone()) {
+            self.remove(&name);
+        }
+    }
+
+    /// Forgets the requests of a caller under the oldest crash that has any.
+    fn remove_oldest_of(&mut self, caller: CallerHash) {
+        let has = |crash: &Crash| crash.suspects.values().any(|it| *it == caller);
+        let oldest = self
+            .crashes
+            .values_mut()
+            .filter(|crash| has(crash))
+            .min_by_key(|crash| crash.at_ms);
+        let Some(crash) = oldest else {
+            self.suspects_by_caller.remove(&caller);
+            return;
+        };
+        let before = crash.suspects.len();
+        crash.suspects.retain(|_, it| *it != caller);
+        let removed = before - crash.suspects.len();
+        self.suspects -= removed;
+        for _ in 0..removed {
+            uncount(&mut self.suspects_by_caller, caller);
+        }
+    }
+
+    fn remove(&mut self, name: &UpstreamName) {
+        let Some(crash) = self.crashes.remove(name) else {
+            return;
+        };
+        self.suspects -= crash.suspects.len();
+        for caller in crash.suspects.into_values() {
+            uncount(&mut self.suspects_by_caller, caller);
+        }
+    }
+}
+
+fn uncount(counts: &mut HashMap<CallerHash, usize>, caller: CallerHash) {
+    if let Some(count) = counts.get_mut(&caller) {
+        *count -= 1;
+        if *count == 0 {
+            counts.remove(&caller);
+        }
+    }
+}
--- a/crates/quarantine/src/fingerprint.rs
+++ b/crates/quarantine/src/fingerprint.rs
@@ -20,42 +20,37 @@
     }
 }
 
-/// `Fingerprint` is the same for two requests with the same caller, method, path and body, whatever
-/// their ids. Headers don't count, so that a stream that is resumed is the same request.
+/// `Fingerprint` is the same for two requests with the same method, path and body, whatever their
+/// ids. Other headers don't count, so that a stream that is resumed is the same request.
+///
+/// Where callers say who they are, the caller counts too. An address alone is none of that: one
+/// caller comes from several.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, Hash, PartialOrd, Ord, Serialize, Deserialize)]
-pub struct Fingerprint {
-    caller: CallerHash,
-    content: u128,
-}
+pub struct Fingerprint(u128);
 
 impl Fingerprint {
     /// Returns the fingerprint of a request. `target` is the host with the path and query.
-    pub fn of(caller: CallerHash, method: &str, target: &[&str], body: &[u8]) -> Self {
+    pub fn of(caller: Option<CallerHash>, method: &str, target: &[&str], body: &[u8]) -> Self {
         let mut hash = Xxh3::new();
         let mut part = |bytes: &[u8]| {
             // The length keeps bytes from moving from one part into the next.
             hash.update(&(bytes.len() as u64).to_le_bytes());
             hash.update(bytes);
         };
-        part(&caller.0.to_le_bytes());
+        match caller {
+            Some(caller) => part(&caller.0.to_le_bytes()),
+            None => part(&[]),
+        }
         part(method.as_bytes());
         target.iter().for_each(|text| part(text.as_bytes()));
         part(body);
-        Self {
-            caller,
-            content: hash.digest128(),
-        }
-    }
-
-    /// Returns the caller.
-    pub fn caller(&self) -> CallerHash {
-        self.caller
+        Self(hash.digest128())
     }
 }
 
 impl fmt::Display for Fingerprint {
     fn fmt(&self, formatter: &mut fmt::Formatter<'_>) -> fmt::Result {
-        write!(formatter, "{:016x}-{:032x}", self.caller.0, self.content)
+        write!(formatter, "{:032x}", self.0)
     }
 }
 
@@ -65,7 +60,7 @@
 
 impl fmt::Display for ParseFingerprintError {
     fn fmt(&self, formatter: &mut fmt::Formatter<'_>) -> fmt::Result {
-        formatter.write_str("not 16 and 32 hexadecimal digits with a hyphen between them")
+        formatter.write_str("not 32 hexadecimal digits")
     }
 }
 
@@ -75,15 +70,10 @@
     type Err = ParseFingerprintError;
 
     fn from_str(text: &str) -> Result<Self, Self::Err> {
-        let (caller, content) = text.split_once('-').ok_or(ParseFingerprintError)?;
-        if caller.len() != 16 || content.len() != 32 {
-            return Err(ParseFingerprintError);
+        let is_hex = text.len() == 32 && text.bytes().all(|byte| byte.is_ascii_hexdigit());
+        match u128::from_str_radix(text, 16) {
+            Ok(content) if is_hex => Ok(Self(content)),
+            _ => Err(ParseFingerprintError),
         }
-        let caller = u64::from_str_radix(caller, 16).map_err(|_| ParseFingerprintError)?;
-        let content = u128::from_str_radix(content, 16).map_err(|_| ParseFingerprintError)?;
-        Ok(Self {
-            caller: CallerHash(caller),
-            content,
-        })
     }
 }
--- a/crates/quarantine/src/lib.rs
+++ b/crates/quarantine/src/lib.rs
@@ -1,13 +1,26 @@
 //! Which requests crash the upstreams that run them.
 //!
-//! A [`Fingerprint`] tells whether two requests are the same one, though their ids differ. The
-//! crate is pure: facts and time go in, verdicts come out.
+//! An upstream that crashes takes all its requests with it. Most of them only stood beside the one
+//! that crashed it, but that one comes again, to another VM and under another id, and crashes the
+//! next. [`Fingerprint`] tells whether two requests are the same one. [`Quarantine`] learns which
+//! requests were in progress at which crashed upstream, and says which are refused and until when.
+//! It is pure: facts and time go in, verdicts come out.
 
 #![forbid(unsafe_code)]
 #![warn(missing_docs)]
 
+mod blocks;
+mod crashes;
 mod fingerprint;
+mod options;
+mod quarantine;
 
+pub use blocks::BlockRow;
+pub use crashes::CrashReport;
+pub use crashes::Suspect;
 pub use fingerprint::CallerHash;
 pub use fingerprint::Fingerprint;
 pub use fingerprint::ParseFingerprintError;
+pub use options::Options;
+pub use quarantine::Quarantine;
+pub use quarantine::Scope;
--- /dev/null
+++ b/crates/quarantine/tests/bounded_memory.rs
@@ -0,0 +1,119 @@
+//! What is remembered stays bounded, and one caller can't push out what is known of others.
+
+use apricotdale_core::names::UpstreamName;
+use apricotdale_quarantine::BlockRow;
+use apricotdale_quarantine::CallerHash;
+use apricotdale_quarantine::CrashReport;
+use apricotdale_quarantine::Fingerprint;
+use apricotdale_quarantine::Options;
+use apricotdale_quarantine::Quarantine;
+use apricotdale_quarantine::Scope;
+use apricotdale_quarantine::Suspect;
+
+const NOW_MS: u64 = 1_000_000;
+
+fn caller(number: u32) -> CallerHash {
+    CallerHash::of(&number.to_le_bytes())
+}
+
+fn request(caller_number: u32, number: u32) -> Fingerprint {
+    let caller = Some(caller(caller_number));
+    Fingerprint::of(caller, "POST", &["site.example"], &number.to_le_bytes())
+}
+
+fn suspect(caller_number: u32, number: u32) -> Suspect {
+    Suspect {
+        fingerprint: request(caller_number, number),
+        caller: caller(caller_number),
+        served_ago_ms: Some(1_000_000),
+    }
+}
+
+fn row(caller_number: u32, number: u32, left_ms: u64) -> BlockRow {
+    BlockRow {
+        fingerprint: request(caller_number, number),
+        caller: caller(caller_number),
+        times: 1,
+        left_ms,
+        upstreams: Vec::new(),
+    }
+}
+
+fn report(upstream: u32, suspects: Vec<Suspect>) -> CrashReport {
+    CrashReport {
+        upstream: UpstreamName::from(format!("i-{upstream}")),
+        ago_ms: 0,
+        suspects,
+    }
+}
+
+/// Guards against a caller that fills the memory with requests of its own.
+#[test]
+fn suspects_of_one_caller() {
+    let options = Options::default();
+    let mut quarantine = Quarantine::new(options.clone());
+    let mut now_ms = NOW_MS;
+    for upstream in 0..2 {
+        quarantine.note_crash(now_ms, &report(upstream, vec![suspect(7, 7)]));
+        now_ms += 1_000;
+    }
+    for upstream in 2..200 {
+        let suspects = (0..64).map(|it| suspect(8, upstream * 64 + it)).collect();
+        quarantine.note_crash(now_ms, &report(upstream, suspects));
+        now_ms += 1_000;
+    }
+    assert!(quarantine.suspects() <= options.max_suspects_a_caller + 2);
+    quarantine.note_crash(now_ms, &report(900, vec![suspect(7, 7)]));
+    quarantine.judge(now_ms + options.settle_ms, Scope::Fleet);
+    let blocked_ms = quarantine.blocked_ms(now_ms + options.settle_ms, &request(7, 7));
+    assert!(blocked_ms.is_some());
+}
+
+/// Guards against the requests of many callers that add up.
+#[test]
+fn suspects_of_all_callers() {
+    let options = Options::default();
+    let mut quarantine = Quarantine::new(options.clone());
+    for upstream in 0..500 {
+        let suspects = (0..64).map(|it| suspect(it, upstream * 64 + it)).collect();
+        quarantine.note_crash(NOW_MS + u64::from(upstream), &report(upstream, suspects));
+        assert!(quarantine.suspects() <= options.max_suspects);
+    }
+}
+
+#[test]
+fn blocks_of_one_caller() {
+    let options = Options::default();
+    let mut quarantine = Quarantine::new(options.clone());
+    quarantine.note_block(NOW_MS, &row(7, 7, 10_000));
+    for number in 0..options.max_blocks_a_caller as u32 + 100 {
+        quarantine.note_block(NOW_MS, &row(8, number, 600_000));
+    }
+    let rows = quarantine.rows(NOW_MS);
+    assert_eq!(rows.len(), options.max_blocks_a_caller + 1);
+    assert!(quarantine.blocked_ms(NOW_MS, &request(7, 7)).is_some());
+}
+
+#[test]
+fn blocks_of_all_callers() {
+    let options = Options::default();
+    let mut quarantine = Quarantine::new(options.clone());
+    for number in 0..options.max_blocks as u32 + 100 {
+        quarantine.note_block(NOW_MS, &row(number, number, 600_000));
+    }
+    assert_eq!(quarantine.rows(NOW_MS).len(), options.max_blocks);
+}
+
+/// Guards against a told block without an end.
+#[test]
+fn told_block_is_bounded() {
+    let options = Options::default();
+    let mut quarantine = Quarantine::new(options.clone());
+    let row = BlockRow {
+        times: u32::MAX,
+        ..row(1, 1, u64::MAX)
+    };
+    assert!(quarantine.note_block(NOW_MS, &row));
+    let left_ms = quarantine.blocked_ms(NOW_MS, &request(1, 1));
+    assert_eq!(left_ms, Some(options.most_block_ms));
+}
--- /dev/null
+++ b/crates/quarantine/tests/crash_verdicts.rs
@@ -0,0 +1,303 @@
+//! Which requests are blocked after which crashes.
+
+use apricotdale_core::names::UpstreamName;
+use apricotdale_quarantine::CallerHash;
+use apricotdale_quarantine::CrashReport;
+use apricotdale_quarantine::Fingerprint;
+use apricotdale_quarantine::Options;
+use apricotdale_quarantine::Quarantine;
+use apricotdale_quarantine::Scope;
+use apricotdale_quarantine::Suspect;
+
+/// The time between two crashes that have nothing to do with each other.
+const APART_MS: u64 = 1_000;
+
+fn request(number: u32) -> Fingerprint {
+    Fingerprint::of(None, "POST", &["site.example"], &number.to_le_bytes())
+}
+
+fn suspect(number: u32) -> Suspect {
+    Suspect {
+        fingerprint: request(number),
+        caller: CallerHash::of(b"caller"),
+        served_ago_ms: None,
+    }
+}
+
+/// `Fleet` is a quarantine that hears of every crash at once.
+struct Fleet {
+    quarantine: Quarantine,
+    now_ms: u64,
+    crashes: u32,
+    scope: Scope,
+}
+
+impl Fleet {
+    fn new() -> Self {
+        Self {
+            quarantine: Quarantine::new(Options::default()),
+            now_ms: 1_000_000,
+            crashes: 0,
+            scope: Scope::Fleet,
+        }
+    }
+
+    /// Has upstreams crash at one moment, each under some requests.
+    fn crash_together(&mut self, upstreams: &[&[u32]]) {
+        self.now_ms += APART_MS;
+        for requests in upstreams {
+            self.crashes += 1;
+            let report = CrashReport {
+                upstream: UpstreamName::from(format!("i-{}", self.crashes)),
+                ago_ms: 0,
+                suspects: requests.iter().copied().map(suspect).collect(),
+            };
+            self.quarantine.note_crash(self.now_ms, &report);
+        }
+        self.settle();
+    }
+
+    fn crash(&mut self, requests: &[u32]) {
+        self.crash_together(&[requests]);
+    }
+
+    fn settle(&mut self) {
+        self.now_ms += Options::default().settle_ms;
+        self.quarantine.judge(self.now_ms, self.scope);
+    }
+
+    fn is_blocked(&self, number: u32) -> bool {
+        let left_ms = self.quarantine.blocked_ms(self.now_ms, &request(number));
+        left_ms.is_some()
+    }
+}
+
+/// Guards against a request that is known to crash upstreams and still sent.
+#[test]
+fn third_crash_blocks() {
+    let mut fleet = Fleet::new();
+    for round in 0..3 {
+        assert!(!fleet.is_blocked(1));
+        fleet.crash(&[1, 10 + round, 20 + round]);
+    }
+    assert!(fleet.is_blocked(1));
+    assert!((10..13).chain(20..23).all(|it| !fleet.is_blocked(it)));
+}
+
+/// Guards against blaming a request for crashes that another one explains.
+#[test]
+fn bystander_is_free() {
+    let mut fleet = Fleet::new();
+    fleet.crash(&[1, 2]);
+    fleet.crash(&[1, 2]);
+    fleet.crash(&[1]);
+    assert!(fleet.is_blocked(1));
+    fleet.crash(&[2]);
+    assert!(!fleet.is_blocked(2));
+}
+
+/// Guards against blaming one of two requests that were at the same three upstreams.
+#[test]
+fn rivals_wait_for_a_fourth() {
+    let mut fleet = Fleet::new();
+    for _ in 0..3 {
+        fleet.crash(&[1, 2]);
+    }
+    assert!(!fleet.is_blocked(1) && !fleet.is_blocked(2));
+    fleet.crash(&[1]);
+    assert!(fleet.is_blocked(1));
+    assert!(!fleet.is_blocked(2));
+}
+
+/// Guards against two requests that shield each other.
+#[test]
+fn fifth_crash_blocks_rivals() {
+    let mut fleet = Fleet::new();
+    for _ in 0..5 {
+        fleet.crash(&[1, 2]);
+    }
+    assert!(fleet.is_blocked(1) && fleet.is_blocked(2));
+}
+
+/// Guards against blaming a request that was in three racks, zones or the like as they were lost.
+#[test]
+fn lost_groups_blame_nobody() {
+    let mut fleet = Fleet::new();
+    for round in 0..4 {
+        fleet.crash_together(&[&[1], &[10 + round], &[20 + round]]);
+    }
+    assert!(!fleet.is_blocked(1));
+}
+
+/// Guards against blaming a request where two upstreams of one machine were lost three times.
+#[test]
+fn lost_pairs_blame_nobody() {
+    let mut fleet = Fleet::new();
+    for round in 0..4 {
+        fleet.crash_together(&[&[1], &[10 + round]]);
+    }
+    assert!(!fleet.is_blocked(1));
+}
+
+/// Guards against requests that crash upstreams in step and so look like lost racks.
+#[test]
+fn crashers_in_step_are_stopped() {
+    let mut fleet = Fleet::new();
+    for _ in 0..5 {
+        fleet.crash_together(&[&[1], &[2], &[3]]);
+    }
+    assert!((1..4).all(|it| fleet.is_blocked(it)));
+}
+
+/// Guards against a second crasher that hides behind the first.
+#[test]
+fn second_crasher_is_found() {
+    let mut fleet = Fleet::new();
+    fleet.crash(&[1, 2]);
+    fleet.crash(&[1, 2]);
+    fleet.crash(&[1]);
+    assert!(fleet.is_blocked(1));
+    for _ in 0..3 {
+        assert!(!fleet.is_blocked(2));
+        fleet.crash(&[2]);
+    }
+    assert!(fleet.is_blocked(2));
+}
+
+/// Guards against counting a crash as often as it is told.
+#[test]
+fn told_again_counts_once() {
+    let mut fleet = Fleet::new();
+    let report = CrashReport {
+        upstream: UpstreamName::from("i-1"),
+        ago_ms: 0,
+        suspects: vec![suspect(1)],
+    };
+    for _ in 0..6 {
+        fleet.quarantine.note_crash(fleet.now_ms, &report);
+        fleet.settle();
+    }
+    assert!(!fleet.is_blocked(1));
+}
+
+/// Guards against judging before the other VMs' words of a crash have come.
+#[test]
+fn late_word_of_a_rival() {
+    let mut fleet = Fleet::new();
+    fleet.crash(&[1, 2]);
+    fleet.crash(&[1, 2]);
+    fleet.now_ms += APART_MS;
+    let report = |number: u32| CrashReport {
+        upstream: UpstreamName::from("i-9"),
+        ago_ms: 0,
+        suspects: vec![suspect(number)],
+    };
+    fleet.quarantine.note_crash(fleet.now_ms, &report(1));
+    fleet.quarantine.judge(fleet.now_ms, Scope::Fleet);
+    fleet.now_ms += 100;
+    fleet.quarantine.note_crash(fleet.now_ms, &report(2));
+    fleet.settle();
+    assert!(!fleet.is_blocked(1) && !fleet.is_blocked(2));
+}
+
+/// Guards against a VM that hears no other and blames by what it alone knows.
+#[test]
+fn own_requests_need_five() {
+    let mut fleet = Fleet::new();
+    fleet.scope = Scope::OwnRequests;
+    for _ in 0..4 {
+        fleet.crash(&[1]);
+    }
+    assert!(!fleet.is_blocked(1));
+    fleet.crash(&[1]);
+    assert!(fleet.is_blocked(1));
+}
+
+/// Guards against refusing a request for good whose upstreams have been mended.
+#[test]
+fn block_ends_and_returns() {
+    let options = Options::default();
+    let mut fleet = Fleet::new();
+    for _ in 0..3 {
+        fleet.crash(&[1]);
+    }
+    fleet.now_ms += options.block_ms;
+    fleet.quarantine.forget(fleet.now_ms);
+    assert!(!fleet.is_blocked(1));
+    fleet.crash(&[1]);
+    let left_ms = fleet.quarantine.blocked_ms(fleet.now_ms, &request(1));
+    assert_eq!(left_ms, Some(4 * options.block_ms));
+    fleet.now_ms += 8 * options.block_ms;
+    fleet.quarantine.forget(fleet.now_ms);
+    fleet.crash(&[1]);
+    assert!(!fleet.is_blocked(1));
+}
+
+/// Guards against crashes long ago that count together with those of today.
+#[test]
+fn old_crashes_are_forgotten() {
+    let mut fleet = Fleet::new();
+    for _ in 0..6 {
+        fleet.crash(&[1]);
+        fleet.now_ms += Options::default().memory_ms / 2;
+        fleet.quarantine.forget(fleet.now_ms);
+    }
+    assert!(!fleet.is_blocked(1));
+}
+
+/// Guards against blaming what many callers send alike and upstreams answer all the time.
+#[test]
+fn answered_request_is_clear() {
+    let mut fleet = Fleet::new();
+    for upstream in 0..8 {
+        fleet.now_ms += APART_MS;
+        let report = CrashReport {
+            upstream: UpstreamName::from(format!("i-{upstream}")),
+            ago_ms: 0,
+            suspects: vec![Suspect {
+                served_ago_ms: Some(APART_MS / 2),
+                ..suspect(1)
+            }],
+        };
+        fleet.quarantine.note_crash(fleet.now_ms, &report);
+        fleet.settle();
+    }
+    assert!(!fleet.is_blocked(1));
+}
+
+/// Guards against a request that was answered once, and crashes upstreams since they changed.
+#[test]
+fn formerly_answered_is_stopped() {
+    let mut fleet = Fleet::new();
+    let began_ms = fleet.now_ms;
+    for upstream in 0..3 {
+        fleet.now_ms += APART_MS;
+        let report = CrashReport {
+            upstream: UpstreamName::from(format!("i-{upstream}")),
+            ago_ms: 0,
+            suspects: vec![Suspect {
+                served_ago_ms: Some(fleet.now_ms - began_ms),
+                ..suspect(1)
+            }],
+        };
+        fleet.quarantine.note_crash(fleet.now_ms, &report);
+        fleet.settle();
+    }
+    assert!(fleet.is_blocked(1));
+}
+
+#[test]
+fn exempt_request_passes() {
+    let mut fleet = Fleet::new();
+    for _ in 0..3 {
+        fleet.crash(&[1]);
+    }
+    let rows = fleet.quarantine.rows(fleet.now_ms);
+    fleet.quarantine.exempt([request(1)].into());
+    assert!(!fleet.is_blocked(1));
+    assert!(!fleet.quarantine.note_block(fleet.now_ms, &rows[0]));
+    for _ in 0..6 {
+        fleet.crash(&[1]);
+    }
+    assert!(!fleet.is_blocked(1));
+}
--- a/crates/quarantine/tests/same_request.rs
+++ b/crates/quarantine/tests/same_request.rs
@@ -5,7 +5,12 @@
 use rstest::rstest;
 
 fn fingerprint(caller: &str, method: &str, target: &[&str], body: &[u8]) -> Fingerprint {
-    Fingerprint::of(CallerHash::of(caller.as_bytes()), method, target, body)
+    Fingerprint::of(
+        Some(CallerHash::of(caller.as_bytes())),
+        method,
+        target,
+        body,
+    )
 }
 
 #[test]
@@ -35,6 +40,15 @@
     );
 }
 
+/// Guards against a caller that is another one with each of its addresses.
+#[test]
+fn nameless_caller() {
+    let unnamed = || Fingerprint::of(None, "POST", &["a.example", "/x"], b"body");
+    assert_eq!(unnamed(), unnamed());
+    let named = fingerprint("10.0.0.1", "POST", &["a.example", "/x"], b"body");
+    assert_ne!(unnamed(), named);
+}
+
 #[test]
 fn text_and_back() {
     let fingerprint = fingerprint("10.0.0.1", "POST", &["a.example", "/x"], b"body");
--- a/crates/standins/src/platform/calling.rs
+++ b/crates/standins/src/platform/calling.rs
@@ -3,6 +3,7 @@
 use std::io;
 use std::io::Read;
 use std::io::Write;
+use std::net::IpAddr;
 use std::net::Shutdown;
 use std::net::SocketAddr;
 use std::net::TcpStream;
@@ -11,6 +12,9 @@
 use apricotdale_http1::BodyDecoder;
 use apricotdale_http1::ResponseHead;
 use apricotdale_http1::parse_response_head;
+use socket2::Domain;
+use socket2::Socket;
+use socket2::Type;
 
 use crate::platform::serving::ID;
 use crate::platform::serving::SIGNATURE;
@@ -186,7 +190,26 @@
     ///
     /// Any of connecting.
     pub fn connect(address: SocketAddr, patience: Duration) -> io::Result<Self> {
-        let stream = TcpStream::connect_timeout(&address, patience)?;
+        Self::over(TcpStream::connect_timeout(&address, patience)?, patience)
+    }
+
+    /// Opens a connection from an address.
+    ///
+    /// # Errors
+    ///
+    /// Any of connecting, or of an address that is not this machine's.
+    pub fn connect_from(
+        source: IpAddr,
+        address: SocketAddr,
+        patience: Duration,
+    ) -> io::Result<Self> {
+        let socket = Socket::new(Domain::for_address(address), Type::STREAM, None)?;
+        socket.bind(&SocketAddr::new(source, 0).into())?;
+        socket.connect_timeout(&address.into(), patience)?;
+        Self::over(socket.into(), patience)
+    }
+
+    fn over(stream: TcpStream, patience: Duration) -> io::Result<Self> {
         stream.set_read_timeout(Some(patience))?;
         stream.set_write_timeout(Some(patience))?;
         stream.set_nodelay(true)?;
--- a/crates/standins/src/platform/engine.rs
+++ b/crates/standins/src/platform/engine.rs
@@ -38,6 +38,8 @@
     pub marker: Vec<u8>,
     /// Events that are sent before the end.
     pub after_events: u64,
+    /// How long the request runs before its first event, or before the end where none is sent.
+    pub after_ms: u64,
 }
 
 /// `EngineOptions` is what an engine is like.
@@ -340,22 +342,12 @@
             let mut windows = request.body.windows(trigger.marker.len().max(1));
             windows.any(|window| window == trigger.marker)
         };
-        match self.options.crashes.iter().find(holds) {
-            Some(trigger) if trigger.after_events == 0 => {
-                self.crash();
-                return Reply::Lost;
-            }
-            Some(trigger) => {
-                let engine = self.clone();
-                let end = move || engine.crash();
-                return self.answers.events_until(
-                    request,
-                    trigger.after_events,
-                    self.options.gap_ms,
-                    end,
-                );
-            }
-            None => {}
+        if let Some(trigger) = self.options.crashes.iter().find(holds) {
+            thread::sleep(Duration::from_millis(trigger.after_ms));
+            let engine = self.clone();
+            let end = move || engine.crash();
+            let (events, gap_ms) = (trigger.after_events, self.options.gap_ms);
+            return self.answers.events_until(request, events, gap_ms, end);
         }
         self.answers
             .events(request, fault, self.options.events, self.options.gap_ms)
