--- a/crates/entry/src/crash_watch.rs
+++ b/crates/entry/src/crash_watch.rs
@@ -48,8 +48,12 @@
 /// process that ends resets those it had yet to accept. It doubles each time.
 const RECHECK_PAUSE_MS: u64 = 30;
 
-/// How often an upstream is asked that broke a connection.
-const RECHECKS: u32 = 5;
+/// How often an engine is asked that broke a connection.
+const ENGINE_RECHECKS: u32 = 5;
+
+/// How often a connection is opened to a plain service's instance that broke one. It is asked
+/// nothing, since it could take the question for a request.
+const SERVICE_RECHECKS: u32 = 2;
 
 /// How long a broken connection waits for a sign that its upstream has ended.
 const UNCONFIRMED_MS: u64 = 10_000;
@@ -130,11 +134,25 @@
 struct Broken {
     since_ms: u64,
     suspects: Vec<Suspect>,
-    /// How often the upstream was asked, and when it is asked again.
-    rechecks: u32,
+    is_engine: bool,
+    /// How often the upstream was asked, and when it is asked next.
+    asked: u32,
     recheck_ms: u64,
 }
 
+impl Broken {
+    fn next_recheck_ms(&self, now_ms: u64) -> u64 {
+        let most = match self.is_engine {
+            true => ENGINE_RECHECKS,
+            false => SERVICE_RECHECKS,
+        };
+        match self.asked < most {
+            true => now_ms + (RECHECK_PAUSE_MS << self.asked.saturating_sub(1)),
+            false => u64::MAX,
+        }
+    }
+}
+
 /// What this VM had in progress at an upstream that crashed.
 #[derive(Debug)]
 struct OwnReport {
@@ -293,8 +311,9 @@
         let broken = broken.or_insert_with(|| Broken {
             since_ms: now_ms,
             suspects: Vec::new(),
-            rechecks: 0,
-            recheck_ms: if is_engine { now_ms } else { u64::MAX },
+            is_engine,
+            asked: 0,
+            recheck_ms: now_ms,
         });
         if broken.suspects.len() < MAX_BROKEN {
             broken.suspects.push(suspect);
@@ -308,21 +327,24 @@
         for (upstream, broken) in &mut self.crash_watch.broken {
             if broken.recheck_ms <= now_ms {
                 broken.recheck_ms = u64::MAX;
-                broken.rechecks += 1;
-                due.push(upstream.clone());
+                broken.asked += 1;
+                due.push((upstream.clone(), broken.is_engine));
             }
         }
-        for upstream in due {
-            self.recheck(&upstream);
+        for (upstream, is_engine) in due {
+            self.recheck(&upstream, is_engine);
         }
     }
 
-    fn recheck(&mut self, upstream: &UpstreamName) {
+    fn recheck(&mut self, upstream: &UpstreamName, is_engine: bool) {
         let Some(known) = self.directory.upstream(upstream) else {
             return;
         };
         let address = known.address;
-        let bytes = self.codecs.engines.report(&known.instance);
+        let bytes = match is_engine {
+            true => self.codecs.engines.report(&known.instance),
+            false => Vec::new(),
+        };
         let peer = Peer::Upstream(upstream.clone());
         let tag = CallTag::Recheck(upstream.clone());
         self.call_anew(peer, address, tag, &bytes, RECHECK_MS);
@@ -332,11 +354,8 @@
     /// another answers in its place, it has.
     pub(crate) fn recheck_ended(&mut self, upstream: &UpstreamName, outcome: &CallOutcome) {
         let CallOutcome::Answered { status, body } = outcome else {
-            if let Some(broken) = self.crash_watch.broken.get_mut(upstream)
-                && broken.rechecks < RECHECKS
-            {
-                let pause_ms = RECHECK_PAUSE_MS << (broken.rechecks - 1);
-                broken.recheck_ms = self.now_ms + pause_ms;
+            if let Some(broken) = self.crash_watch.broken.get_mut(upstream) {
+                broken.recheck_ms = broken.next_recheck_ms(self.now_ms);
             }
             return;
         };
--- a/crates/soak/src/world.rs
+++ b/crates/soak/src/world.rs
@@ -109,6 +109,7 @@
             work_ms: WORK_MS,
             models: MODELS.iter().map(ToString::to_string).collect(),
             doors: vms,
+            service_crash: None,
             timeout_ms: 2 * PATIENCE_MS,
             announces: false,
         })?;
--- a/crates/standins/src/platform/engine.rs
+++ b/crates/standins/src/platform/engine.rs
@@ -23,6 +23,7 @@
 use crate::platform::serving::AnswerFault;
 use crate::platform::serving::Answers;
 use crate::platform::serving::RunSeen;
+use crate::platform::serving::holds;
 use crate::platform::store::PlatformStore;
 
 /// When the first run of each engine starts, in Unix milliseconds.
@@ -261,6 +262,11 @@
         self.answers.push_fault(fault);
     }
 
+    /// Takes back the faults that are still to come.
+    pub fn clear_faults(&self) {
+        self.answers.clear_faults();
+    }
+
     /// Spoils the next order.
     pub fn push_order_fault(&self, fault: OrderFault) {
         self.order_faults.lock().push_back(fault);
@@ -338,12 +344,14 @@
             return self.answers.not_run(request, 421);
         }
         let fault = self.answers.begin(request);
-        let holds = |trigger: &&CrashTrigger| {
-            let mut windows = request.body.windows(trigger.marker.len().max(1));
-            windows.any(|window| window == trigger.marker)
-        };
-        if let Some(trigger) = self.options.crashes.iter().find(holds) {
+        let crashes = self.options.crashes.iter();
+        let mut crashes = crashes.filter(|it| holds(&request.body, &it.marker));
+        if let Some(trigger) = crashes.next() {
             thread::sleep(Duration::from_millis(trigger.after_ms));
+            // A request whose connection is closed is dropped.
+            if request.caller.is_gone() {
+                return Reply::Lost;
+            }
             let engine = self.clone();
             let end = move || engine.crash();
             let (events, gap_ms) = (trigger.after_events, self.options.gap_ms);
--- a/crates/standins/src/platform/service.rs
+++ b/crates/standins/src/platform/service.rs
@@ -3,19 +3,23 @@
 use std::collections::HashMap;
 use std::net::SocketAddr;
 use std::sync::Arc;
+use std::sync::atomic::AtomicBool;
 use std::sync::atomic::AtomicU64;
 use std::sync::atomic::Ordering;
 use std::thread;
 use std::time::Duration;
 
+use parking_lot::Mutex;
 use serde_json::json;
 
 use crate::http::Handler;
 use crate::http::Reply;
 use crate::http::Request;
+use crate::http::Stopper;
 use crate::platform::serving::AnswerFault;
 use crate::platform::serving::Answers;
 use crate::platform::serving::RunSeen;
+use crate::platform::serving::holds;
 use crate::platform::store::PlatformStore;
 
 /// `PlatformService` is one run of a plain service's instance.
@@ -26,6 +30,9 @@
     answers: Answers,
     revision: AtomicU64,
     store: PlatformStore,
+    /// How the instance ends by itself under a request whose body holds these bytes.
+    crash: Mutex<Option<(Vec<u8>, Stopper)>>,
+    has_crashed: AtomicBool,
 }
 
 impl PlatformService {
@@ -38,6 +45,8 @@
             answers: Answers::new(instance),
             revision: AtomicU64::new(0),
             store,
+            crash: Mutex::default(),
+            has_crashed: AtomicBool::default(),
         }
     }
 
@@ -46,6 +55,16 @@
         &self.instance
     }
 
+    /// Has the instance end under each request whose body holds a marker.
+    pub(crate) fn crash_on(&self, marker: &[u8], stopper: Stopper) {
+        *self.crash.lock() = Some((marker.to_vec(), stopper));
+    }
+
+    /// Returns whether the instance ended under a request.
+    pub fn has_crashed(&self) -> bool {
+        self.has_crashed.load(Ordering::Relaxed)
+    }
+
     /// Writes the instance's entry.
     pub fn announce(&self, address: SocketAddr) {
         let revision = self.revision.fetch_add(1, Ordering::Relaxed) + 1;
@@ -61,6 +80,11 @@
         );
     }
 
+    /// Removes the instance's entry.
+    pub fn withdraw(&self) {
+        self.store.put("keyed.servers", &self.instance, b"");
+    }
+
     /// Spoils the next answer.
     pub fn push_fault(&self, fault: AnswerFault) {
         self.answers.push_fault(fault);
@@ -94,6 +118,14 @@
         }
         let fault = self.answers.begin(request);
         thread::sleep(Duration::from_millis(self.work_ms));
+        if let Some((marker, stopper)) = &*self.crash.lock()
+            && holds(&request.body, marker)
+            && !request.caller.is_gone()
+        {
+            self.has_crashed.store(true, Ordering::Relaxed);
+            stopper.stop();
+            return Reply::Lost;
+        }
         let body = format!("{} {}", request.method, request.target());
         self.answers.whole(request, fault, &body)
     }
--- a/crates/standins/src/platform/serving.rs
+++ b/crates/standins/src/platform/serving.rs
@@ -296,6 +296,12 @@
     }
 }
 
+/// Returns whether a body holds a marker.
+pub(crate) fn holds(body: &[u8], marker: &[u8]) -> bool {
+    let mut windows = body.windows(marker.len().max(1));
+    windows.any(|window| window == marker)
+}
+
 fn event_text(event: u64) -> String {
     format!("id: {event}\ndata: piece {event}\n\n")
 }
--- a/crates/standins/src/platform/site.rs
+++ b/crates/standins/src/platform/site.rs
@@ -30,6 +30,8 @@
     pub models: Vec<String>,
     /// Doors to the store.
     pub doors: usize,
+    /// Bytes in the body of a request under which an instance of the plain service ends.
+    pub service_crash: Option<Vec<u8>>,
     /// How long the longest request may take.
     pub timeout_ms: u64,
     /// Whether upstreams announce the addresses that they listen on. Otherwise whoever starts the
@@ -50,6 +52,7 @@
             work_ms: 0,
             models: (0..4).map(|index| format!("m{index}")).collect(),
             doors: 1,
+            service_crash: None,
             timeout_ms: 3_000,
             announces: true,
         }
@@ -117,6 +120,9 @@
             if options.announces {
                 service.announce(server.address());
             }
+            if let Some(marker) = &options.service_crash {
+                service.crash_on(marker, server.stopper());
+            }
             site.service_addresses.push(server.address());
             site.services.push(service);
             site.servers.push(server);
