Soak: callers whose requests end engines, and a promise that counts them

The engine's proxy refuses connections then, its entry lapses after three heartbeats, and another run joins at its address. Promise `stops crashers`: later than 3 s after the third engine ended under a request it reaches engines three times at most, sent by VMs that were undisturbed for 3 s.

--- a/crates/soak/src/asking.rs
+++ b/crates/soak/src/asking.rs
@@ -18,6 +18,7 @@
 use rand_chacha::ChaCha8Rng;
 
 use crate::clock::Clock;
+use crate::plan::Crasher;
 use crate::record::Attempt;
 use crate::record::Ending;
 use crate::record::Kind;
@@ -51,6 +52,8 @@
     pub attempts: Mutex<Vec<Attempt>>,
     /// What was sent under each identity.
     pub sent: Mutex<HashMap<String, Ask>>,
+    /// Identities of requests that end engines, with their bodies.
+    pub crasher_ids: Mutex<Vec<(String, String)>>,
     pub stopped: AtomicBool,
     next_id: AtomicU64,
     /// Events of a whole stream.
@@ -64,6 +67,7 @@
             vms,
             attempts: Mutex::default(),
             sent: Mutex::default(),
+            crasher_ids: Mutex::default(),
             stopped: AtomicBool::new(false),
             next_id: AtomicU64::new(1),
             events,
@@ -98,6 +102,29 @@
         }
     }
 
+    /// Sends a request that ends engines again and again until the soak ends, each time to another
+    /// VM and under another identity.
+    pub fn crash(&self, crasher: &Crasher, seed: u64) {
+        let mut random = ChaCha8Rng::seed_from_u64(seed);
+        while !self.stopped.load(Ordering::Acquire) {
+            let number = self.next_id.fetch_add(1, Ordering::Relaxed);
+            let id = format!("e-{number}");
+            let (kind, ask) = match crasher.resumable {
+                true => (Kind::Quick, Ask::quick(&id, crasher.model)),
+                false => (Kind::Patient, Ask::patient(&id, crasher.model)),
+            };
+            let request = ask
+                .with_body(crasher.body.as_bytes())
+                .waiting_ms(PATIENCE_MS);
+            self.sent.lock().insert(id.clone(), request.clone());
+            self.crasher_ids.lock().push((id, crasher.body.clone()));
+            let vm = random.random_range(0..self.vms.len());
+            let (attempt, _) = self.attempt(vm, kind, &request, None, None);
+            self.attempts.lock().push(attempt);
+            thread::sleep(Duration::from_millis(crasher.pause_ms));
+        }
+    }
+
     /// Sends one request and returns what became of it, and the connection if it can be kept.
     pub fn attempt(
         &self,
--- a/crates/soak/src/checks.rs
+++ b/crates/soak/src/checks.rs
@@ -27,6 +27,13 @@
 /// processes late.
 const SLACK_MS: u64 = 1_000;
 
+/// Engines that may end under a request before it is stopped.
+const CRASHES: usize = 3;
+
+/// How long after the last of these a VM may still send it, and how often it may be sent later.
+const STOP_CRASHER_MS: u64 = 3_000;
+const LATE_SENDS: usize = 3;
+
 /// Statuses that promise that the request has not run and will not.
 const NOT_RUN: [u16; 4] = [408, 421, 429, 503];
 
@@ -57,6 +64,8 @@
     Recovers,
     /// No process ends by itself.
     StaysUp,
+    /// A request under which three engines ended soon reaches no more.
+    StopsCrashers,
 }
 
 impl Promise {
@@ -75,6 +84,7 @@
             Self::PlannedStop => "planned stop",
             Self::Recovers => "recovers",
             Self::StaysUp => "stays up",
+            Self::StopsCrashers => "stops crashers",
         }
     }
 }
@@ -106,6 +116,7 @@
     checker.configurations(&mut found);
     checker.stops(&mut found);
     checker.recovery(&mut found);
+    checker.crashers(&mut found);
     found
 }
 
@@ -339,6 +350,39 @@
         }
     }
 
+    fn crashers(&self, found: &mut Vec<Violation>) {
+        let mut crashes: BTreeMap<&str, Vec<u64>> = BTreeMap::new();
+        for crash in &self.record.crashes {
+            crashes.entry(&crash.body).or_default().push(crash.at_ms);
+        }
+        let bodies = self.record.crasher_ids.iter();
+        let bodies: BTreeMap<&str, &str> = bodies
+            .map(|(id, body)| (id.as_str(), body.as_str()))
+            .collect();
+        for (body, times) in &mut crashes {
+            times.sort_unstable();
+            let Some(third_ms) = times.get(CRASHES - 1) else {
+                continue;
+            };
+            let late_ms = third_ms + STOP_CRASHER_MS;
+            let late = self.record.runs.iter().filter(|run| {
+                let vm = self.attempts.get(run.id.as_str()).map(|it| it.vm);
+                let calm_from_ms = run.at_ms.saturating_sub(CALM_BEFORE_MS);
+                bodies.get(run.id.as_str()) == Some(body)
+                    && run.at_ms > late_ms
+                    && vm.is_some_and(|vm| !self.disturbs_vm(vm, calm_from_ms, run.at_ms))
+            });
+            let late = late.count();
+            if late > LATE_SENDS {
+                let detail = format!(
+                    "{body} reached engines {late} times later than {late_ms} ms; {} ended",
+                    times.len()
+                );
+                found.push(violation(Promise::StopsCrashers, detail));
+            }
+        }
+    }
+
     fn disturbs_vm(&self, vm: usize, from_ms: u64, until_ms: u64) -> bool {
         self.disturbs(&Place::Vm(vm), from_ms, until_ms)
     }
--- a/crates/soak/src/plan.rs
+++ b/crates/soak/src/plan.rs
@@ -7,6 +7,7 @@
 use apricotdale_standins::platform::AnswerFault;
 use apricotdale_standins::platform::StoreFault;
 
+use crate::asking::MODELS;
 use crate::proxy::LinkFault;
 
 /// The time before the first trouble, in which the VMs begin to serve.
@@ -18,6 +19,15 @@
 /// The mean time between the beginnings of two troubles.
 const GAP_MS: u64 = 900;
 
+/// The most callers whose requests end engines.
+const MOST_CRASHERS: usize = 3;
+
+/// Sets the crashers' draws apart from those of the troubles.
+const CRASHERS_SEED: u64 = 0x6372_6173_6865_7273;
+
+/// What the bodies hold of requests that end engines at once, and after some events.
+pub(crate) const CRASH_MARKS: [&str; 2] = ["ends-engine-", "ends-engine-late-"];
+
 /// `Trouble` is something that is done to the VMs from outside, or that their surroundings do.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub enum Trouble {
@@ -133,9 +143,27 @@
     pub trouble: Trouble,
 }
 
+/// `Crasher` is a caller whose request ends each engine that runs it, and who sends it again and
+/// again.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct Crasher {
+    /// The body, the same each time.
+    pub body: String,
+    /// The model.
+    pub model: &'static str,
+    /// When it is sent first.
+    pub at_ms: u64,
+    /// The time between two sends.
+    pub pause_ms: u64,
+    /// Whether the request is a stream that may be resumed.
+    pub resumable: bool,
+}
+
 /// `Plan` is what happens in one soak.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub struct Plan {
+    /// Callers whose requests end engines.
+    pub crashers: Vec<Crasher>,
     /// The troubles in order of time.
     pub troubles: Vec<Planned>,
     /// When the last one must have ended.
@@ -166,6 +194,7 @@
             }
         }
         Self {
+            crashers: draw_crashers(seed, calm_from_ms),
             troubles,
             calm_from_ms,
             end_ms: calm_from_ms + REST_MS,
@@ -173,6 +202,22 @@
     }
 }
 
+/// Draws the crashers from a generator of their own, so that they change no plan of troubles.
+fn draw_crashers(seed: u64, calm_from_ms: u64) -> Vec<Crasher> {
+    let mut random = ChaCha8Rng::seed_from_u64(seed ^ CRASHERS_SEED);
+    let count = random.random_range(0..=MOST_CRASHERS);
+    (0..count)
+        .map(|number| Crasher {
+            // The engines end at once under the one mark and after some events under the other.
+            body: format!("{}{number}", CRASH_MARKS[random.random_range(0..2)]),
+            model: MODELS[random.random_range(0..2)],
+            at_ms: random.random_range(LEAD_MS..calm_from_ms.max(LEAD_MS + 1)),
+            pause_ms: random.random_range(50..900),
+            resumable: random.random_bool(0.5),
+        })
+        .collect()
+}
+
 struct Draw {
     random: ChaCha8Rng,
     vms: usize,
--- a/crates/soak/src/proxy.rs
+++ b/crates/soak/src/proxy.rs
@@ -12,12 +12,16 @@
 use std::sync::atomic::AtomicUsize;
 use std::sync::atomic::Ordering;
 use std::thread;
+use std::thread::JoinHandle;
 use std::time::Duration;
 use std::time::Instant;
 
 use parking_lot::Condvar;
 use parking_lot::Mutex;
+use socket2::Domain;
 use socket2::SockRef;
+use socket2::Socket;
+use socket2::Type;
 
 /// The stack of a thread that passes bytes on.
 const STACK_BYTES: usize = 128 * 1024;
@@ -25,6 +29,9 @@
 /// How often a connection on which nothing comes looks whether it is to be reset.
 const LOOK_EVERY: Duration = Duration::from_millis(100);
 
+/// Connections that may wait to be accepted.
+const BACKLOG: i32 = 128;
+
 /// `LinkFault` is what happens to bytes on their way.
 #[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
 pub enum LinkFault {
@@ -76,12 +83,17 @@
     target: Mutex<Option<SocketAddr>>,
     passages: Mutex<Vec<Arc<Passage>>>,
     stopped: AtomicBool,
+    /// Whether nobody listens.
+    down: AtomicBool,
 }
 
 /// `Proxy` passes connections on to a server.
 pub struct Proxy {
     address: SocketAddr,
     shared: Arc<Shared>,
+    accepting: Mutex<Option<JoinHandle<()>>>,
+    /// Holds the port while nobody listens.
+    held: Mutex<Option<Socket>>,
 }
 
 impl Proxy {
@@ -95,12 +107,49 @@
         let address = listener.local_addr()?;
         let shared = Arc::new(Shared::default());
         *shared.target.lock() = Some(target);
-        let accepted = shared.clone();
-        thread::Builder::new()
-            .name("proxy".to_owned())
-            .stack_size(STACK_BYTES)
-            .spawn(move || accept(&listener, &accepted))?;
-        Ok(Self { address, shared })
+        let accepting = listen(listener, shared.clone())?;
+        Ok(Self {
+            address,
+            shared,
+            accepting: Mutex::new(Some(accepting)),
+            held: Mutex::default(),
+        })
+    }
+
+    /// Listens no more and resets the open connections, as when the server's process ends.
+    pub fn go_down(&self) {
+        self.shared.down.store(true, Ordering::Release);
+        self.wake();
+        if let Some(accepting) = self.accepting.lock().take() {
+            // A panic has been printed by its thread.
+            let _ = accepting.join();
+        }
+        self.reset_open();
+        // Nobody else may take the port meanwhile.
+        *self.held.lock() = hold(self.address).ok();
+    }
+
+    /// Listens again, in front of a server.
+    ///
+    /// # Errors
+    ///
+    /// Any of listening at the same address.
+    pub fn come_up(&self, target: SocketAddr) -> io::Result<()> {
+        let held = self.held.lock().take();
+        let socket = match held {
+            Some(socket) => socket,
+            None => hold(self.address)?,
+        };
+        socket.listen(BACKLOG)?;
+        self.retarget(Some(target));
+        self.shared.down.store(false, Ordering::Release);
+        *self.accepting.lock() = Some(listen(socket.into(), self.shared.clone())?);
+        Ok(())
+    }
+
+    /// Has the accepting thread look whether it is still to accept.
+    fn wake(&self) {
+        let _ = TcpStream::connect(self.address);
     }
 
     /// Returns where clients connect.
@@ -140,11 +189,25 @@
     fn drop(&mut self) {
         self.shared.stopped.store(true, Ordering::Release);
         self.reset_open();
-        // The accepting thread notices the stop only when a connection arrives.
-        let _ = TcpStream::connect(self.address);
+        self.wake();
     }
 }
 
+/// Returns a socket at an address that does not listen: connections are refused.
+fn hold(address: SocketAddr) -> io::Result<Socket> {
+    let socket = Socket::new(Domain::for_address(address), Type::STREAM, None)?;
+    socket.set_reuse_address(true)?;
+    socket.bind(&address.into())?;
+    Ok(socket)
+}
+
+fn listen(listener: TcpListener, shared: Arc<Shared>) -> io::Result<JoinHandle<()>> {
+    thread::Builder::new()
+        .name("proxy".to_owned())
+        .stack_size(STACK_BYTES)
+        .spawn(move || accept(&listener, &shared))
+}
+
 impl Passage {
     fn is_reset(&self) -> bool {
         self.reset.load(Ordering::Acquire)
@@ -165,7 +228,7 @@
 
 fn accept(listener: &TcpListener, shared: &Arc<Shared>) {
     for client in listener.incoming().flatten() {
-        if shared.stopped.load(Ordering::Acquire) {
+        if shared.stopped.load(Ordering::Acquire) || shared.down.load(Ordering::Acquire) {
             return;
         }
         let is_refused = *shared.fault.lock() == LinkFault::Refused;
--- a/crates/soak/src/record.rs
+++ b/crates/soak/src/record.rs
@@ -108,6 +108,17 @@
     pub unchanged: bool,
 }
 
+/// `Crash` is an engine that ended under a request.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct Crash {
+    /// The request's body, by which it is the same request again.
+    pub body: String,
+    /// The engine.
+    pub upstream: String,
+    /// When it ended.
+    pub at_ms: u64,
+}
+
 /// `Place` is what a disturbance concerns.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub enum Place {
@@ -178,6 +189,10 @@
     pub runs: Vec<Run>,
     /// Identities of questions that the soak asked besides the callers.
     pub other_ids: BTreeSet<String>,
+    /// Engines that ended under requests.
+    pub crashes: Vec<Crash>,
+    /// Attempts of callers whose requests end engines, with the requests' bodies.
+    pub crasher_ids: Vec<(String, String)>,
     /// What engines were told, by engine.
     pub engines: Vec<(String, EngineEffects)>,
     /// The troubles.
--- a/crates/soak/src/soak.rs
+++ b/crates/soak/src/soak.rs
@@ -124,10 +124,14 @@
         ));
         let callers = start_callers(options, &asking);
         let plan = options.plan();
+        let crashers = start_crashers(options, &plan, &asking);
+        let mending = start_mending(&world, &asking);
         carry_out_plan(clock, &world, &plan);
         thread::sleep(Duration::from_millis(1_000));
         asking.stopped.store(true, Ordering::Release);
         join(callers);
+        join(crashers);
+        join(vec![mending]);
         let last_attempts = recover(options, &asking);
         let record = take_record(&world, &asking, last_attempts);
         Ok(Self {
@@ -138,6 +142,27 @@
     }
 }
 
+/// Starts the callers whose requests end engines, each at its time.
+fn start_crashers(options: &SoakOptions, plan: &Plan, asking: &Arc<Asking>) -> Vec<JoinHandle<()>> {
+    let began_ms = asking.clock.now_ms();
+    let crashers = plan.crashers.iter().cloned().enumerate();
+    crashers
+        .map(|(number, crasher)| {
+            let asking = asking.clone();
+            let seed = options.seed.wrapping_mul(1_000) + 900 + number as u64;
+            thread::spawn(move || {
+                asking.clock.wait_until(began_ms + crasher.at_ms);
+                asking.crash(&crasher, seed);
+            })
+        })
+        .collect()
+}
+
+fn start_mending(world: &Arc<World>, asking: &Arc<Asking>) -> JoinHandle<()> {
+    let (world, asking) = (world.clone(), asking.clone());
+    thread::spawn(move || world.mend_engines(&asking.stopped))
+}
+
 fn start_callers(options: &SoakOptions, asking: &Arc<Asking>) -> Vec<JoinHandle<()>> {
     (0..options.callers as u64)
         .map(|caller| {
@@ -211,6 +236,8 @@
         last_attempts,
         runs: world.runs(|id| sent.get(id).cloned()),
         other_ids: events.probe_ids.iter().cloned().collect(),
+        crashes: world.crashes(),
+        crasher_ids: asking.crasher_ids.lock().clone(),
         engines: world.effects(),
         disturbances: events.disturbances.clone(),
         drains: events.drains.clone(),
--- a/crates/soak/src/world.rs
+++ b/crates/soak/src/world.rs
@@ -3,11 +3,14 @@
 use std::io;
 use std::net::SocketAddr;
 use std::sync::Arc;
+use std::sync::atomic::AtomicBool;
+use std::sync::atomic::Ordering;
 use std::thread;
 use std::time::Duration;
 
 use apricotdale_standins::platform::Ask;
 use apricotdale_standins::platform::Caller;
+use apricotdale_standins::platform::CrashTrigger;
 use apricotdale_standins::platform::EngineOptions;
 use apricotdale_standins::platform::OrderFault;
 use apricotdale_standins::platform::Site;
@@ -19,10 +22,12 @@
 use crate::asking::MODELS;
 use crate::asking::PATIENCE_MS;
 use crate::clock::Clock;
+use crate::plan::CRASH_MARKS;
 use crate::plan::Trouble;
 use crate::proxy::LinkFault;
 use crate::proxy::Proxy;
 use crate::record::ConfigurationProbe;
+use crate::record::Crash;
 use crate::record::Disturbance;
 use crate::record::Drain;
 use crate::record::Place;
@@ -50,6 +55,15 @@
 /// The time between two events of a stream, for the same reason.
 const GAP_MS: u64 = 20;
 
+/// How long a request runs under which an engine ends, before its first event or before the end.
+const CRASH_MS: u64 = 60;
+
+/// Events that some of these requests get before.
+const CRASH_EVENTS: u64 = 3;
+
+/// How often engines are looked at whether they have ended by themselves.
+const MEND_LOOK_MS: u64 = 10;
+
 /// Instances of the plain service.
 const INSTANCES: usize = 2;
 
@@ -58,6 +72,15 @@
     /// Its index in the site.
     index: usize,
     proxy: Arc<Proxy>,
+    /// Whether its engine has ended and another is about to take its place.
+    is_down: bool,
+}
+
+/// Takes a slot whose engine ends now, unless it has ended already.
+fn take_down(engines: &mut [EngineSlot], number: usize) -> Option<(usize, Arc<Proxy>)> {
+    let slot = engines.get_mut(number).filter(|slot| !slot.is_down)?;
+    slot.is_down = true;
+    Some((slot.index, slot.proxy.clone()))
 }
 
 /// What happened, as the troubles tell it.
@@ -86,11 +109,19 @@
 
 /// Returns what an engine of the soak is like.
 fn engine_options(name: String, models: &[&str]) -> EngineOptions {
+    let crash = |mark: &str, after_events| CrashTrigger {
+        marker: mark.as_bytes().to_vec(),
+        after_events,
+        after_ms: CRASH_MS,
+    };
+    let [at_once, late] = CRASH_MARKS;
     EngineOptions {
         instance: name,
         models: models.iter().map(ToString::to_string).collect(),
         on_disk: MODELS.iter().map(ToString::to_string).collect(),
         gap_ms: GAP_MS,
+        // The first that matches counts.
+        crashes: vec![crash(late, CRASH_EVENTS), crash(at_once, 0)],
         ..EngineOptions::default()
     }
 }
@@ -233,6 +264,83 @@
         }
     }
 
+    /// Starts engines again that ended by themselves, until the soak ends: their entries lapse, and
+    /// other runs join at their addresses.
+    pub fn mend_engines(self: &Arc<Self>, stopped: &AtomicBool) {
+        let mut mended: Vec<usize> = Vec::new();
+        let mut mends = Vec::new();
+        while !stopped.load(Ordering::Acquire) {
+            pause(MEND_LOOK_MS);
+            let ended: Vec<usize> = {
+                let site = self.site.lock();
+                let engines = site.engines.iter().enumerate();
+                engines
+                    .filter(|(index, it)| it.crashed().is_some() && !mended.contains(index))
+                    .map(|(index, _)| index)
+                    .collect()
+            };
+            for index in ended {
+                mended.push(index);
+                let world = self.clone();
+                mends.push(thread::spawn(move || world.mend_engine(index)));
+            }
+        }
+        for mend in mends {
+            // A panic has been printed by its thread.
+            let _ = mend.join();
+        }
+    }
+
+    fn mend_engine(&self, index: usize) {
+        let from_ms = self.clock.now_ms();
+        let slot = {
+            let mut engines = self.engines.lock();
+            let number = engines.iter().position(|slot| slot.index == index);
+            number.and_then(|number| Some((number, take_down(&mut engines, number)?.1)))
+        };
+        // One that leaves or dies as planned is replaced there.
+        let Some((number, proxy)) = slot else {
+            return;
+        };
+        proxy.go_down();
+        pause(LAPSE_MS);
+        let mut engines = self.engines.lock();
+        let mut site = self.site.lock();
+        site.engines[index].withdraw();
+        let name = format!("i-{}", site.engines.len());
+        let Ok(next) = site.start_engine(engine_options(name, &[])) else {
+            return;
+        };
+        if proxy.come_up(site.engine_addresses[next]).is_err() {
+            return;
+        }
+        site.engines[next].announce(Some(proxy.address()));
+        engines[number].index = next;
+        engines[number].is_down = false;
+        self.events.lock().disturbances.push(Disturbance {
+            what: "engine crashes".to_owned(),
+            place: Place::Upstreams,
+            from_ms,
+            until_ms: self.clock.now_ms(),
+        });
+    }
+
+    /// Returns the engines that ended under requests.
+    pub fn crashes(&self) -> Vec<Crash> {
+        let site = self.site.lock();
+        let engines = site.engines.iter();
+        engines
+            .filter_map(|engine| {
+                let (at, body) = engine.crashed()?;
+                Some(Crash {
+                    body: String::from_utf8_lossy(&body).into_owned(),
+                    upstream: engine.name().to_owned(),
+                    at_ms: self.clock.at_ms(at),
+                })
+            })
+            .collect()
+    }
+
     /// Returns what the upstreams ran.
     pub fn runs(&self, sent: impl Fn(&str) -> Option<Ask>) -> Vec<Run> {
         let site = self.site.lock();
@@ -356,9 +464,8 @@
     }
 
     fn engine_dies(&self, number: usize) {
-        let (index, proxy) = {
-            let engines = self.engines.lock();
-            (engines[number].index, engines[number].proxy.clone())
+        let Some((index, proxy)) = take_down(&mut self.engines.lock(), number) else {
+            return;
         };
         proxy.retarget(None);
         proxy.reset_open();
@@ -373,12 +480,19 @@
         };
         proxy.retarget(Some(site.engine_addresses[next]));
         site.engines[next].announce(Some(proxy.address()));
-        engines[number] = EngineSlot { index: next, proxy };
+        engines[number] = EngineSlot {
+            index: next,
+            proxy,
+            is_down: false,
+        };
     }
 
     fn engine_leaves(&self, number: usize, notice: bool) {
         let old = {
             let mut engines = self.engines.lock();
+            if engines[number].is_down {
+                return;
+            }
             let mut site = self.site.lock();
             let name = format!("i-{}", site.engines.len());
             let Ok(joined) = join_engine(&mut site, engine_options(name, &[])) else {
@@ -454,7 +568,11 @@
     let index = site.start_engine(options)?;
     let proxy = Arc::new(Proxy::start(site.engine_addresses[index])?);
     site.engines[index].announce(Some(proxy.address()));
-    Ok(EngineSlot { index, proxy })
+    Ok(EngineSlot {
+        index,
+        proxy,
+        is_down: false,
+    })
 }
 
 fn pause(for_ms: u64) {
--- a/crates/soak/tests/promise_checks.rs
+++ b/crates/soak/tests/promise_checks.rs
@@ -2,6 +2,7 @@
 
 use apricotdale_soak::Attempt;
 use apricotdale_soak::ConfigurationProbe;
+use apricotdale_soak::Crash;
 use apricotdale_soak::Disturbance;
 use apricotdale_soak::Drain;
 use apricotdale_soak::Ending;
@@ -234,3 +235,42 @@
     record.own_ends = vec!["vm1: exit status: 101".to_owned()];
     assert_eq!(promises(&record), vec![Promise::StaysUp]);
 }
+
+/// Returns a record of a request under which three engines ended by 10 s, and which was sent again
+/// at some times.
+fn crashers(sent_ms: &[u64]) -> Record {
+    let mut record = sound();
+    record.crashes = [8_000, 9_000, 10_000]
+        .map(|at_ms| Crash {
+            body: "body".to_owned(),
+            upstream: format!("i-{at_ms}"),
+            at_ms,
+        })
+        .to_vec();
+    for at_ms in sent_ms {
+        let id = format!("e-{at_ms}");
+        record.attempts.push(attempt(&id, Kind::Quick, 502));
+        record.runs.push(Run {
+            at_ms: *at_ms,
+            ..run(&id)
+        });
+        record.crasher_ids.push((id, "body".to_owned()));
+    }
+    record
+}
+
+#[test]
+fn stopped_crasher_is_sound() {
+    let record = crashers(&[10_500, 11_000, 12_000, 12_900, 13_500, 14_000, 15_000]);
+    assert_eq!(promises(&record), []);
+}
+
+#[test]
+fn crasher_that_goes_on() {
+    let mut record = crashers(&[13_500, 14_000, 15_000, 16_000]);
+    assert_eq!(promises(&record), [Promise::StopsCrashers]);
+    record
+        .disturbances
+        .push(disturbance(Place::Vm(0), 12_000, 12_500));
+    assert_eq!(promises(&record), []);
+}
--- a/crates/soak/tests/proxy_faults.rs
+++ b/crates/soak/tests/proxy_faults.rs
@@ -108,3 +108,17 @@
     proxy.retarget(None);
     assert_eq!(ask(&mut connect(&proxy), PATIENCE), None);
 }
+
+#[test]
+fn nobody_listens_while_down() {
+    let proxy = echo();
+    let mut stream = connect(&proxy);
+    assert_eq!(ask(&mut stream, PATIENCE), Some(b'x'));
+    proxy.go_down();
+    assert_eq!(read(&mut stream), None);
+    let refused = TcpStream::connect(proxy.address()).expect_err("nobody listens");
+    assert_eq!(refused.kind(), std::io::ErrorKind::ConnectionRefused);
+    let other = echo();
+    proxy.come_up(other.address()).expect("it listens again");
+    assert_eq!(ask(&mut connect(&proxy), PATIENCE), Some(b'x'));
+}
--- a/crates/standins/src/platform/engine.rs
+++ b/crates/standins/src/platform/engine.rs
@@ -118,7 +118,8 @@
     full: AtomicBool,
     /// How the engine ends by itself, once it listens.
     stopper: Mutex<Option<Stopper>>,
-    crashed: Mutex<Option<Instant>>,
+    /// When the engine ended by itself, and the body of the request under which it did.
+    crashed: Mutex<Option<(Instant, Vec<u8>)>>,
 }
 
 #[derive(Default)]
@@ -158,14 +159,16 @@
         *self.stopper.lock() = Some(stopper);
     }
 
-    /// Returns when the engine ended under a request.
-    pub fn crashed(&self) -> Option<Instant> {
-        *self.crashed.lock()
+    /// Returns when the engine ended under a request, and the request's body.
+    pub fn crashed(&self) -> Option<(Instant, Vec<u8>)> {
+        self.crashed.lock().clone()
     }
 
     /// Ends the engine as a fault of its process does: nothing more is sent or accepted.
-    pub fn crash(&self) {
-        self.crashed.lock().get_or_insert_with(Instant::now);
+    fn crash(&self, body: &[u8]) {
+        self.crashed
+            .lock()
+            .get_or_insert_with(|| (Instant::now(), body.to_vec()));
         if let Some(stopper) = self.stopper.lock().clone() {
             stopper.stop();
         }
@@ -353,7 +356,8 @@
                 return Reply::Lost;
             }
             let engine = self.clone();
-            let end = move || engine.crash();
+            let body = request.body.clone();
+            let end = move || engine.crash(&body);
             let (events, gap_ms) = (trigger.after_events, self.options.gap_ms);
             return self.answers.events_until(request, events, gap_ms, end);
         }
--- a/crates/standins/src/platform/serving.rs
+++ b/crates/standins/src/platform/serving.rs
@@ -214,11 +214,7 @@
         count: u64,
         gap_ms: u64,
     ) -> Reply {
-        let first = request
-            .header("Last-Event-Id")
-            .and_then(|id| id.parse().ok())
-            .unwrap_or(0)
-            + 1;
+        let first = first_event(request);
         let cut_after = match fault {
             None => None,
             Some(AnswerFault::CutAfter { events }) => Some(events),
@@ -267,8 +263,9 @@
         gap_ms: u64,
         end: impl FnOnce() + Send + 'static,
     ) -> Reply {
+        let first = first_event(request);
         let produce = move |writer: &mut EventWriter| {
-            for event in 1..=count {
+            for event in first..first + count {
                 if writer.send_bytes(event_text(event).as_bytes()).is_err() {
                     return StreamEnd::Broken;
                 }
@@ -302,6 +299,12 @@
     windows.any(|window| window == marker)
 }
 
+/// Returns the first event that the client does not have.
+fn first_event(request: &Request) -> u64 {
+    let last = request.header("Last-Event-Id");
+    last.and_then(|id| id.parse().ok()).unwrap_or(0) + 1
+}
+
 fn event_text(event: u64) -> String {
     format!("id: {event}\ndata: piece {event}\n\n")
 }
