VMs that start find the lease's end where the store keeps only later records

After all VMs had ended, nobody gave orders any more: models that no engine held were refused with `deadline_too_short`, `orders_by` empty, for as long as the store kept any record behind the first.

Cause: a read of the lease from offset 0 is answered with 410 and the first offset that is kept, and that was taken for the end of the topic. The append there is refused, since later records follow; then the record before it is read, which is gone, too. Metrics of such a VM: 54 lease reads and 53 appends, all rejected. Where a VM that lives on tells the end, nobody needs to read; when all end at once, and the lease has been renewed since its first records went, nobody can take it. The store keeps 20 s.

A read of an expired offset is followed by one from the first offset that is kept, which ends in the newest record or in the true end.

--- a/crates/entry/src/ordering/leasing.rs
+++ b/crates/entry/src/ordering/leasing.rs
@@ -70,10 +70,7 @@
                     .and_then(|record| postcard::from_bytes::<LeaseRecord>(record).ok());
                 LeaseAnswer::Read { end, newest }
             }
-            Ok(LogRead::Expired { first }) => LeaseAnswer::Read {
-                end: first,
-                newest: None,
-            },
+            Ok(LogRead::Expired { first }) => LeaseAnswer::Expired { first },
             Err(_) => LeaseAnswer::NotDone,
         }
     }
--- a/crates/holder/src/lease.rs
+++ b/crates/holder/src/lease.rs
@@ -111,6 +111,11 @@
         /// The newest record.
         newest: Option<LeaseRecord>,
     },
+    /// The offset that was asked for is no longer kept.
+    Expired {
+        /// The first offset that is.
+        first: u64,
+    },
     /// The record was appended at this offset.
     Appended {
         /// Its offset.
@@ -178,6 +183,8 @@
     last_order_ms: u64,
     next_call_ms: u64,
     must_read: bool,
+    /// The first offset that the store keeps, where it said so to the last read.
+    first_kept: Option<u64>,
 }
 
 impl Lease {
@@ -198,6 +205,7 @@
             last_order_ms: 0,
             next_call_ms: 0,
             must_read: true,
+            first_kept: None,
         }
     }
 
@@ -279,15 +287,14 @@
             return None;
         }
         self.call_sent_ms = Some(now_ms);
+        let last = self.end.map_or(0, |(end, _)| end.saturating_sub(1));
+        let from = last.max(self.first_kept.take().unwrap_or(0));
         let action = match self.end {
             Some((end, _)) if !self.must_read => LeaseAction::Append {
                 at: end,
                 record: self.record(now_ms, false),
             },
-            Some((end, _)) => LeaseAction::Read {
-                from: end.saturating_sub(1),
-            },
-            None => LeaseAction::Read { from: 0 },
+            _ => LeaseAction::Read { from },
         };
         Some(action)
     }
@@ -323,6 +330,13 @@
             }
             LeaseAnswer::Appended { offset } => self.appended(now_ms, sent_ms, offset),
             LeaseAnswer::Read { end, newest } => self.read(now_ms, end, newest),
+            // The first kept record is not the newest, nor the end: an append there would be refused
+            // for as long as later records are kept.
+            LeaseAnswer::Expired { first } => {
+                self.must_read = true;
+                self.first_kept = Some(first);
+                self.next_call_ms = now_ms;
+            }
             LeaseAnswer::EndedElsewhere { .. } => {
                 self.must_read = true;
                 self.next_call_ms = now_ms;
--- a/crates/holder/tests/lease_takeover.rs
+++ b/crates/holder/tests/lease_takeover.rs
@@ -441,3 +441,30 @@
     assert_eq!(lease.fence(now_ms), None);
     assert!(!lease.is_held(now_ms));
 }
+
+/// Guards against taking the first record that the store keeps for the end of the topic.
+#[test]
+fn trimmed_topic_is_read_on() {
+    let mut lease = lease("vm-a", 1);
+    assert_eq!(lease.act(0), Some(LeaseAction::Read { from: 0 }));
+    lease.answered(5, LeaseAnswer::Expired { first: 40 });
+    assert_eq!(lease.act(5), Some(LeaseAction::Read { from: 40 }));
+    let newest = Some(record("vm-b", 7));
+    lease.answered(10, LeaseAnswer::Read { end: 43, newest });
+    assert_eq!(append_at(&mut lease, 10), None);
+    let takeover_ms = 10 + LeaseOptions::default().duration_ms;
+    assert_eq!(append_at(&mut lease, takeover_ms), Some(43));
+}
+
+/// Guards against asking for a record that is no longer kept again and again.
+#[test]
+fn empty_topic_with_an_end() {
+    let mut lease = lease("vm-a", 1);
+    lease.act(0);
+    lease.answered(5, LeaseAnswer::Expired { first: 40 });
+    assert_eq!(lease.act(5), Some(LeaseAction::Read { from: 40 }));
+    let (end, newest) = (40, None);
+    lease.answered(10, LeaseAnswer::Read { end, newest });
+    let takeover_ms = 10 + LeaseOptions::default().duration_ms;
+    assert_eq!(append_at(&mut lease, takeover_ms), Some(40));
+}
