--- /dev/null
+++ b/crates/entry/src/block_store.rs
@@ -0,0 +1,200 @@
+//! Blocked requests in the store, for VMs that start.
+//!
+//! Each VM reads them once. The giver of orders writes those that begin, and all that it knows when
+//! it has taken over, and drops the records of those that are over.
+
+use std::time::SystemTime;
+use std::time::UNIX_EPOCH;
+
+use apricotdale_quarantine::BlockRow;
+use apricotdale_quarantine::Fingerprint;
+use serde::Deserialize;
+use serde::Serialize;
+
+use crate::calling::CallOutcome;
+use crate::calling::CallTag;
+use crate::codec::StoreOutcome;
+use crate::codec::Topic;
+use crate::daemon::Daemon;
+
+/// The pause before the store is called again that did not answer.
+const PAUSE_MS: u64 = 1_000;
+
+/// How long a call to the store may take.
+const TIMEOUT_MS: u64 = 1_000;
+
+/// Blocks in one write, and as many that are over.
+const RECORDS_A_WRITE: usize = 200;
+
+/// Blocks that are over whose records are still to be dropped.
+const MAX_ENDED: usize = 1_000;
+
+/// `StoredBlock` is a block as the store keeps it.
+#[derive(Debug, Serialize, Deserialize)]
+struct StoredBlock {
+    row: BlockRow,
+    /// When it ends, in Unix milliseconds.
+    until_unix_ms: u64,
+}
+
+/// `BlockStore` is what this VM has read of the blocks and has yet to write.
+#[derive(Debug, Default)]
+pub(crate) struct BlockStore {
+    was_giver: bool,
+    unwritten: Vec<BlockRow>,
+    ended: Vec<Fingerprint>,
+    /// What is being written.
+    writing: (Vec<BlockRow>, Vec<Fingerprint>),
+    is_read: bool,
+    /// The key after which the next page begins.
+    after: Option<String>,
+    is_calling: bool,
+    next_ms: u64,
+}
+
+impl BlockStore {
+    /// Notes a block that begins.
+    pub fn note_begun(&mut self, row: &BlockRow) {
+        if self.was_giver {
+            self.unwritten.push(row.clone());
+        }
+    }
+
+    /// Notes requests whose blocks are over.
+    pub fn note_ended(&mut self, ended: Vec<Fingerprint>) {
+        self.ended.extend(ended);
+        self.ended.truncate(MAX_ENDED);
+    }
+
+    /// Notes whether this VM gives orders. A new giver writes all that it knows, since the one
+    /// before may not have.
+    fn note_giver(&mut self, is_giver: bool, rows: impl FnOnce() -> Vec<BlockRow>) {
+        match (is_giver, std::mem::replace(&mut self.was_giver, is_giver)) {
+            (true, false) => self.unwritten = rows(),
+            (false, _) => self.unwritten.clear(),
+            (true, true) => {}
+        }
+    }
+
+    /// Returns the records of the next write; a value that is empty drops its key. What was blocked
+    /// again comes last and stays.
+    fn next_records(&mut self) -> Vec<(String, Vec<u8>)> {
+        let rows = self.unwritten.len().min(RECORDS_A_WRITE);
+        let rows: Vec<BlockRow> = self.unwritten.drain(..rows).collect();
+        let ended = self.ended.len().min(RECORDS_A_WRITE);
+        let ended: Vec<Fingerprint> = self.ended.drain(..ended).collect();
+        let dropped = ended.iter().map(|it| (it.to_string(), Vec::new()));
+        let records = dropped.chain(rows.iter().map(stored)).collect();
+        self.writing = (rows, ended);
+        records
+    }
+}
+
+impl Daemon {
+    /// Reads the blocks from the store once, and writes them as the giver of orders.
+    pub(crate) fn advance_block_store(&mut self) {
+        let now_ms = self.now_ms;
+        let is_giver = self.ordering.held_lease_end(now_ms).is_some();
+        let watch = &self.crash_watch;
+        let store = &mut self.block_store;
+        store.note_giver(is_giver, || watch.blocks(now_ms));
+        if store.is_calling || now_ms < store.next_ms {
+            return;
+        }
+        let has_records = !store.unwritten.is_empty() || !store.ended.is_empty();
+        match store.is_read {
+            // The lists come first: without them nothing is served.
+            false if self.directory.is_complete() => self.read_blocks(),
+            true if is_giver && has_records => self.write_blocks(),
+            _ => {}
+        }
+    }
+
+    fn read_blocks(&mut self) {
+        self.block_store.is_calling = true;
+        let after = self.block_store.after.as_deref();
+        let bytes = self.codecs.store.newest(Topic::Blocks, after);
+        self.call_store(CallTag::BlocksNewest, &bytes, TIMEOUT_MS);
+    }
+
+    fn write_blocks(&mut self) {
+        let records = self.block_store.next_records();
+        self.block_store.is_calling = true;
+        let bytes = self.codecs.store.append_keyed(Topic::Blocks, &records);
+        self.call_store(CallTag::BlocksAppend, &bytes, TIMEOUT_MS);
+    }
+
+    /// Takes in a page of the blocks that the store keeps.
+    pub(crate) fn blocks_read(&mut self, outcome: CallOutcome) {
+        self.block_store.is_calling = false;
+        let page = match outcome {
+            CallOutcome::Answered { status, body } => {
+                self.metrics.store_read("blocks_newest", body.len());
+                self.codecs.store.newest_answer(status, &body).ok()
+            }
+            _ => None,
+        };
+        let Some(page) = page else {
+            self.block_store.next_ms = self.now_ms + PAUSE_MS;
+            return;
+        };
+        for record in &page.records {
+            match record.value.as_deref().and_then(restored) {
+                Some(row) if self.crash_watch.take_block(self.now_ms, &row) => {
+                    self.block_began(&row, "read");
+                }
+                Some(_) => {}
+                None => {
+                    let ended = record.key.parse().into_iter().collect();
+                    self.block_store.note_ended(ended);
+                }
+            }
+        }
+        self.block_store.after = page.records.last().map(|record| record.key.clone());
+        self.block_store.is_read = !page.more;
+    }
+
+    /// Takes in whether blocks were written.
+    pub(crate) fn blocks_written(&mut self, outcome: CallOutcome) {
+        let store = &mut self.block_store;
+        store.is_calling = false;
+        let (rows, ended) = std::mem::take(&mut store.writing);
+        let done = match outcome {
+            CallOutcome::Answered { status, body } => matches!(
+                self.codecs.store.append_answer(status, &body),
+                Ok(StoreOutcome::Done { .. })
+            ),
+            _ => false,
+        };
+        if !done {
+            store.unwritten.extend(rows);
+            store.ended.extend(ended);
+            store.next_ms = self.now_ms + PAUSE_MS;
+        }
+    }
+}
+
+fn stored(row: &BlockRow) -> (String, Vec<u8>) {
+    let block = StoredBlock {
+        row: row.clone(),
+        until_unix_ms: unix_ms() + row.left_ms,
+    };
+    let value = postcard::to_stdvec(&block).expect("a block of our own can be encoded");
+    (row.fingerprint.to_string(), value)
+}
+
+/// Returns a block as it is now, or none if it has ended or can't be read.
+fn restored(value: &[u8]) -> Option<BlockRow> {
+    let block: StoredBlock = postcard::from_bytes(value).ok()?;
+    let left_ms = block.until_unix_ms.saturating_sub(unix_ms());
+    (left_ms > 0).then_some(BlockRow {
+        // A clock that was set back must not make a block longer than it was.
+        left_ms: left_ms.min(block.row.left_ms),
+        ..block.row
+    })
+}
+
+fn unix_ms() -> u64 {
+    let since = SystemTime::now().duration_since(UNIX_EPOCH);
+    since.map_or(0, |since| since.as_millis() as u64)
+}
--- a/crates/entry/src/daemon.rs
+++ b/crates/entry/src/daemon.rs
@@ -17,6 +17,8 @@
 use apricotdale_fleet::ReadPacing;
 use apricotdale_fleet::Sharing;
 use apricotdale_holder::OwnDemand;
+use apricotdale_quarantine::CrashWatch;
+use apricotdale_quarantine::Options as QuarantineOptions;
 use mio::Events;
 use mio::Interest;
 use mio::Poll;
@@ -29,12 +31,12 @@
 use signal_hook::consts::SIGTERM;
 
 use crate::active::ActiveRequests;
+use crate::block_store::BlockStore;
 use crate::caller::Caller;
 use crate::caller::CallerKind;
 use crate::clock;
 use crate::clock::now_ms;
 use crate::codec::Codecs;
-use crate::crash_watch::CrashWatch;
 use crate::errors::Error;
 use crate::errors::Result;
 use crate::feeds::Feeds;
@@ -98,6 +100,7 @@
     pub(crate) dispatcher: Dispatcher,
     pub(crate) watch: SilenceWatch,
     pub(crate) crash_watch: CrashWatch,
+    pub(crate) block_store: BlockStore,
     pub(crate) news: NewsBoard,
     /// Runs of upstreams that are over and at which requests seem to be in progress.
     pub(crate) former_runs: Vec<UpstreamName>,
@@ -166,6 +169,8 @@
             run,
             work_us: clock::fixed_work_us(run),
         };
+        let mut crash_watch = CrashWatch::new(QuarantineOptions::default());
+        crash_watch.exempt(&settings.exempt);
         Ok(Self {
             ordering: Ordering::new(&settings, run),
             peers: Peers::new(own_record, socket),
@@ -183,7 +188,8 @@
             directory: Directory::new(DirectoryOptions::default()),
             dispatcher: Dispatcher::new(options),
             watch: SilenceWatch::default(),
-            crash_watch: CrashWatch::new(&settings),
+            crash_watch,
+            block_store: BlockStore::default(),
             news: NewsBoard::default(),
             former_runs: Vec::new(),
             feeds: Feeds::default(),
--- a/crates/entry/src/lib.rs
+++ b/crates/entry/src/lib.rs
@@ -11,6 +11,7 @@
 
 mod active;
 mod answering;
+mod block_store;
 mod caller;
 mod calling;
 mod clock;
--- a/crates/quarantine/src/crashes.rs
+++ b/crates/quarantine/src/crashes.rs
@@ -2,6 +2,7 @@
 
 use std::cmp::Reverse;
 use std::collections::BTreeMap;
+use std::collections::BTreeSet;
 use std::collections::HashMap;
 
 use apricotdale_core::names::UpstreamName;
@@ -223,19 +224,22 @@
         cases
     }
 
-    /// Returns whether another request was in progress at all of these upstreams when they crashed.
-    pub fn has_rival(&self, case: &Case) -> bool {
-        let crashes: Vec<&Crash> = case
-            .unexplained()
-            .filter_map(|charge| self.crashes.get(&charge.upstream))
+    /// Returns the most crashes under any other request that was in progress at one of these
+    /// upstreams when it crashed.
+    pub fn most_beside(&self, case: &Case) -> usize {
+        let crashes = case.unexplained();
+        let crashes = crashes.filter_map(|charge| self.crashes.get(&charge.upstream));
+        let beside: BTreeSet<&Fingerprint> = crashes
+            .flat_map(|crash| crash.suspects.keys())
+            .filter(|it| **it != case.fingerprint)
             .collect();
-        let Some((first, others)) = crashes.split_first() else {
-            return false;
-        };
-        let rivals = first.suspects.keys().filter(|it| **it != case.fingerprint);
-        let mut rivals =
-            rivals.filter(|it| others.iter().all(|crash| crash.suspects.contains_key(it)));
-        rivals.next().is_some()
+        let mut most = 0;
+        for other in beside {
+            let crashes = self.crashes.values();
+            let crashes = crashes.filter(|crash| crash.suspects.contains_key(other));
+            most = most.max(crashes.count());
+        }
+        most
     }
 
     /// Returns whether other upstreams crashed at the same moment, as those of one rack do.
--- a/crates/quarantine/src/lib.rs
+++ b/crates/quarantine/src/lib.rs
@@ -4,18 +4,23 @@
 //! that crashed it, but that one comes again, to another VM and under another id, and crashes the
 //! next. [`Fingerprint`] tells whether two requests are the same one. [`Quarantine`] learns which
 //! requests were in progress at which crashed upstream, and says which are refused and until when.
-//! It is pure: facts and time go in, verdicts come out.
+//! [`CrashWatch`] is what one of many VMs does around it: what it asks upstreams and tells the
+//! others. It is pure: facts and time go in, verdicts and messages come out.
 
 #![forbid(unsafe_code)]
 #![warn(missing_docs)]
 
+mod answered;
 mod blocks;
+mod broken;
 mod crashes;
 mod fingerprint;
 mod options;
 mod quarantine;
+mod watch;
 
 pub use blocks::BlockRow;
+pub use broken::Recheck;
 pub use crashes::CrashReport;
 pub use crashes::Suspect;
 pub use fingerprint::CallerHash;
@@ -24,3 +29,6 @@
 pub use options::Options;
 pub use quarantine::Quarantine;
 pub use quarantine::Scope;
+pub use watch::CrashWatch;
+pub use watch::Due;
+pub use watch::Role;
--- a/crates/quarantine/src/quarantine.rs
+++ b/crates/quarantine/src/quarantine.rs
@@ -29,7 +29,8 @@
 ///
 /// All requests in progress at an upstream are lost with it, so one crash says little against any
 /// of them. A request is blocked when three upstreams crashed under it, each by itself and under no
-/// other request that explains them; or when five did, whatever explains them. A run that is
+/// other request that explains them, and no request beside it was under two; when four did, and
+/// fewer under each request beside it; or when five did, whatever explains them. A run that is
 /// answered clears a request of the crashes before.
 #[derive(Clone, Debug)]
 pub struct Quarantine {
@@ -134,11 +135,17 @@
         if let Some(block) = self.blocks.get(&case.fingerprint) {
             return case.unexplained().any(|it| it.at_ms >= block.until_ms);
         }
-        let is_alone = || !self.crashes.has_rival(case);
+        let unexplained = case.unexplained().count();
         match scope {
             _ if case.charges.len() >= self.options.most_crashes => true,
-            Scope::Fleet => case.unexplained().count() >= self.options.crashes && is_alone(),
             Scope::OwnRequests => false,
+            Scope::Fleet if unexplained < self.options.crashes => false,
+            // A request that was beside it twice may come to a third crash of its own. One more
+            // crash tells them apart.
+            Scope::Fleet if unexplained == self.options.crashes => {
+                self.crashes.most_beside(case) + 1 < unexplained
+            }
+            Scope::Fleet => self.crashes.most_beside(case) < unexplained,
         }
     }
 
--- a/crates/quarantine/tests/crash_verdicts.rs
+++ b/crates/quarantine/tests/crash_verdicts.rs
@@ -91,11 +91,30 @@
     fleet.crash(&[1, 2]);
     fleet.crash(&[1, 2]);
     fleet.crash(&[1]);
+    assert!(!fleet.is_blocked(1));
+    fleet.crash(&[1]);
     assert!(fleet.is_blocked(1));
     fleet.crash(&[2]);
     assert!(!fleet.is_blocked(2));
 }
 
+/// Guards against blaming a request that was beside two others, each of which crashes upstreams.
+#[test]
+fn beside_two_crashers() {
+    let mut fleet = Fleet::new();
+    fleet.crash(&[1, 3]);
+    fleet.crash(&[2, 3]);
+    fleet.crash(&[1, 3]);
+    assert!(!fleet.is_blocked(3));
+    fleet.crash(&[2]);
+    fleet.crash(&[1]);
+    fleet.crash(&[2]);
+    assert!(!fleet.is_blocked(3));
+    fleet.crash(&[1]);
+    fleet.crash(&[2]);
+    assert!(fleet.is_blocked(1) && fleet.is_blocked(2) && !fleet.is_blocked(3));
+}
+
 /// Guards against blaming one of two requests that were at the same three upstreams.
 #[test]
 fn rivals_wait_for_a_fourth() {
@@ -156,6 +175,7 @@
     fleet.crash(&[1, 2]);
     fleet.crash(&[1, 2]);
     fleet.crash(&[1]);
+    fleet.crash(&[1]);
     assert!(fleet.is_blocked(1));
     for _ in 0..3 {
         assert!(!fleet.is_blocked(2));
