A first block is short, and an answer lifts it

What many send alike must not be refused for what happens beside it.

A request is blocked for 30 s the first time, then tried again without a resend of the VM's own: one crash more blocks it for 10 min, 40 min and so on, an answer clears it. It costs one engine more for each request that does crash them, within the three late sends of the rule.

Three in four streams of the soak are requests of their own now, as callers' are; one in four is shared.

--- a/crates/entry/src/answering.rs
+++ b/crates/entry/src/answering.rs
@@ -297,7 +297,7 @@
             self.write_to_caller(caller, &out);
             self.finish_answer(caller);
             let how = if head.status < 400 {
-                self.crash_watch.note_answered(self.now_ms, fingerprint);
+                self.note_answered(fingerprint);
                 "answered"
             } else {
                 "upstream_failed"
--- a/crates/entry/src/crash_watch.rs
+++ b/crates/entry/src/crash_watch.rs
@@ -164,7 +164,8 @@
         }
     }
 
-    /// Ends what is in progress of a request that is blocked from now on.
+    /// Ends what is in progress of a request that is blocked from now on. An answer that has begun
+    /// goes on: if it ends well, the request was blamed for what happened beside it.
     pub(crate) fn block_began(&mut self, row: &BlockRow, how: &str) {
         let upstreams: Vec<&str> = row.upstreams.iter().map(UpstreamName::as_str).collect();
         log::warn!(
@@ -179,7 +180,7 @@
         let keys: Vec<u64> = self
             .active
             .iter()
-            .filter(|(_, request)| request.fingerprint == row.fingerprint)
+            .filter(|(_, request)| !request.begun && request.fingerprint == row.fingerprint)
             .map(|(key, _)| *key)
             .collect();
         for key in keys {
@@ -207,6 +208,26 @@
         self.crash_watch.take_reports(self.now_ms, reports);
     }
 
+    /// Notes a request that was answered.
+    pub(crate) fn note_answered(&mut self, fingerprint: Fingerprint) {
+        if self.crash_watch.note_answered(self.now_ms, fingerprint) {
+            self.log_cleared(&fingerprint, "answered");
+            self.peers.send_all(&PeerMessage::Cleared(fingerprint));
+        }
+    }
+
+    /// Takes in that a blocked request was answered.
+    pub(crate) fn request_cleared(&mut self, fingerprint: &Fingerprint, how: &str) {
+        if self.crash_watch.take_cleared(fingerprint) {
+            self.log_cleared(fingerprint, how);
+        }
+    }
+
+    fn log_cleared(&mut self, fingerprint: &Fingerprint, how: &str) {
+        self.block_store.note_ended(vec![*fingerprint]);
+        log::info!(fingerprint = fingerprint.to_string(), how; "request no longer blocked");
+    }
+
     /// Takes in blocks that another VM tells of.
     pub(crate) fn take_blocks(&mut self, rows: &[BlockRow]) {
         for row in rows {
--- a/crates/entry/src/failing.rs
+++ b/crates/entry/src/failing.rs
@@ -116,7 +116,9 @@
             return;
         };
         request.job.runs += u32::from(!failed.is_not_run());
-        let can_go_on = !request.begun || request.events.can_resume();
+        // One that is tried again after a block is not sent twice before its end is judged.
+        let can_go_on = (!request.begun || request.events.can_resume())
+            && (failed.is_not_run() || !self.crash_watch.knows(&request.fingerprint));
         let attempt = match can_go_on && request.caller.is_some() {
             true => self
                 .dispatcher
--- a/crates/entry/src/messages.rs
+++ b/crates/entry/src/messages.rs
@@ -11,6 +11,7 @@
 use apricotdale_holder::ResidenceNews;
 use apricotdale_quarantine::BlockRow;
 use apricotdale_quarantine::CrashReport;
+use apricotdale_quarantine::Fingerprint;
 use serde::Deserialize;
 use serde::Serialize;
 
@@ -79,6 +80,8 @@
     Blocks(Vec<BlockRow>),
     /// A VM that may have missed some asks for them.
     BlocksWanted,
+    /// Such a request was answered all the same.
+    Cleared(Fingerprint),
 }
 
 /// Returns the bytes of a message.
--- a/crates/entry/src/telling.rs
+++ b/crates/entry/src/telling.rs
@@ -138,6 +138,7 @@
             } => self.ordering.note_release(now_ms, lease_end, quiet_ms),
             PeerMessage::Crashes(reports) => self.take_crash_reports(&reports),
             PeerMessage::Blocks(rows) => self.take_blocks(&rows),
+            PeerMessage::Cleared(fingerprint) => self.request_cleared(&fingerprint, "told"),
             PeerMessage::BlocksWanted => self.tell_blocks_to(from),
         }
     }
--- a/crates/quarantine/src/blocks.rs
+++ b/crates/quarantine/src/blocks.rs
@@ -41,17 +41,18 @@
 impl Block {
     /// Returns how long a block lasts that is the `times`-th of its request.
     pub fn length_ms(times: u32, options: &Options) -> u64 {
-        let factor = 4_u64.saturating_pow(times.saturating_sub(1));
-        options
-            .block_ms
-            .saturating_mul(factor)
-            .min(options.most_block_ms)
+        let factor = 4_u64.saturating_pow(times.saturating_sub(2));
+        match times {
+            0 | 1 => options.first_block_ms,
+            _ => options.block_ms.saturating_mul(factor),
+        }
+        .min(options.most_block_ms)
     }
 
-    /// Returns until when it is remembered. A request whose block has ended is blocked again by a
-    /// single crash for as long as the block was.
+    /// Returns until when it is remembered: a request whose block has ended is blocked again by a
+    /// single crash.
     fn remembered_ms(&self, options: &Options) -> u64 {
-        self.until_ms + Self::length_ms(self.times, options)
+        self.until_ms + Self::length_ms(self.times, options).max(options.block_ms)
     }
 }
 
--- a/crates/quarantine/src/crashes.rs
+++ b/crates/quarantine/src/crashes.rs
@@ -206,6 +206,12 @@
         }
     }
 
+    /// Returns whether a request was answered since a time, as far as reports have told.
+    pub fn is_served_since(&self, fingerprint: &Fingerprint, from_ms: u64) -> bool {
+        let served_ms = self.served.get(fingerprint);
+        served_ms.is_some_and(|served_ms| *served_ms >= from_ms)
+    }
+
     /// Returns the requests under which several upstreams crashed.
     pub fn rows(&self, now_ms: u64) -> Vec<CaseRow> {
         let mut rows: HashMap<Fingerprint, CaseRow> = HashMap::new();
--- a/crates/quarantine/src/options.rs
+++ b/crates/quarantine/src/options.rs
@@ -20,7 +20,10 @@
     pub pair_ms: u64,
     /// How long a crash is remembered.
     pub memory_ms: u64,
-    /// How long a request is blocked the first time; four times as long each further time.
+    /// How long a request is blocked the first time. Then it is tried again: it may have been
+    /// blamed for what happened beside it.
+    pub first_block_ms: u64,
+    /// How long it is blocked the second time; four times as long each further time.
     pub block_ms: u64,
     /// The longest block.
     pub most_block_ms: u64,
@@ -48,6 +51,7 @@
             group_ms: 150,
             pair_ms: 20,
             memory_ms: 600_000,
+            first_block_ms: 30_000,
             block_ms: 600_000,
             most_block_ms: 86_400_000,
             max_crashes: 512,
--- a/crates/quarantine/src/quarantine.rs
+++ b/crates/quarantine/src/quarantine.rs
@@ -101,6 +101,18 @@
         self.blocks.rows(now_ms)
     }
 
+    /// Returns whether a request is or lately was blocked.
+    pub fn knows(&self, fingerprint: &Fingerprint) -> bool {
+        self.blocks.get(fingerprint).is_some()
+    }
+
+    /// Forgets what speaks against a request, since it was answered. Returns whether it was or
+    /// lately had been blocked.
+    pub fn clear(&mut self, fingerprint: &Fingerprint) -> bool {
+        self.crashes.clear(fingerprint);
+        self.blocks.remove(fingerprint)
+    }
+
     /// Takes in which requests the operators let pass, and forgets what speaks against them.
     pub fn exempt(&mut self, fingerprints: HashSet<Fingerprint>) {
         for fingerprint in &fingerprints {
@@ -144,8 +156,12 @@
     }
 
     fn is_guilty(&self, case: &Case, scope: Scope) -> bool {
-        // After a block has ended, one more crash is enough.
-        if let Some(block) = self.blocks.get(&case.fingerprint) {
+        // After a block has ended, one more crash is enough, unless the request was answered.
+        if let Some(block) = self.blocks.get(&case.fingerprint)
+            && !self
+                .crashes
+                .is_served_since(&case.fingerprint, block.until_ms)
+        {
             return case.unexplained().any(|it| it.at_ms >= block.until_ms);
         }
         let unexplained = case.unexplained().count();
--- a/crates/quarantine/src/watch.rs
+++ b/crates/quarantine/src/watch.rs
@@ -135,9 +135,24 @@
         self.quarantine.blocked_ms(now_ms, fingerprint)
     }
 
-    /// Notes a request that was answered.
-    pub fn note_answered(&mut self, now_ms: u64, fingerprint: Fingerprint) {
+    /// Returns whether a request is or lately was blocked.
+    pub fn knows(&self, fingerprint: &Fingerprint) -> bool {
+        self.quarantine.knows(fingerprint)
+    }
+
+    /// Notes a request that was answered. Returns whether it was blocked or lately had been, and
+    /// the other VMs are to be told.
+    pub fn note_answered(&mut self, now_ms: u64, fingerprint: Fingerprint) -> bool {
         self.answered.note(now_ms, fingerprint);
+        self.knows(&fingerprint) && self.take_cleared(&fingerprint)
+    }
+
+    /// Takes in that a request was answered at another VM. Returns whether that is news.
+    pub fn take_cleared(&mut self, fingerprint: &Fingerprint) -> bool {
+        for (_, rows) in &mut self.telling {
+            rows.retain(|row| row.fingerprint != *fingerprint);
+        }
+        self.quarantine.clear(fingerprint)
     }
 
     /// Notes a request that was lost because an upstream broke its connection.
--- a/crates/soak/src/asking.rs
+++ b/crates/soak/src/asking.rs
@@ -42,6 +42,9 @@
 /// One in so many callers goes on with another VM on another connection.
 const MOVES_ONE_IN: u32 = 12;
 
+/// One in so many streams is the same as others.
+const SHARED_ONE_IN: u32 = 4;
+
 /// The models that callers name.
 pub(crate) const MODELS: [&str; 4] = ["m0", "m1", "m2", "m3"];
 
@@ -198,6 +201,12 @@
             Kind::Quick => Ask::quick(&id, "m0"),
             Kind::Patient => Ask::patient(&id, model),
         };
+        // Most streams are requests of their own; some are the same from many callers.
+        let is_own = kind.is_stream() && !random.random_ratio(1, SHARED_ONE_IN);
+        let request = match is_own {
+            true => request.with_body(format!("prompt of {id}").as_bytes()),
+            false => request,
+        };
         let request = request.waiting_ms(PATIENCE_MS);
         self.sent.lock().insert(id, request.clone());
         request
