The other interface refuses calls under which engines crash, too

`apricotdaled` decides on repeats by itself, and a call that crashes an engine was sent to the next by each try and each return of its caller. Its gateway knows a call again by organisation, path and body, and refuses it after five crashes with `crashes_upstreams`, for models and plain services. Each VM counts its own only: VMs of this interface do not tell each other of crashes, so with N of them it is five each.

An engine counts as ended when a try finds nobody there, or when the platform drops it, within ten seconds of a lost connection.

--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -18,6 +18,7 @@
 mod call_body;
 mod cancels;
 mod context;
+mod crashes;
 mod desk;
 mod endpoint;
 mod errors;
--- a/crates/gateway/src/model_flow.rs
+++ b/crates/gateway/src/model_flow.rs
@@ -21,6 +21,7 @@
 use crate::call_body::CallBody;
 use crate::context::Context;
 use crate::context::Control;
+use crate::crashes::Identity;
 use crate::model_try;
 use crate::model_try::TryEnd;
 use crate::shared::Shared;
@@ -68,6 +69,15 @@
         }
     }
 
+    /// Returns whether the connection was lost with the request in progress.
+    fn is_cut(&self) -> bool {
+        let lost = [
+            RefusalReason::UpstreamLost,
+            RefusalReason::UpstreamBadAnswer,
+        ];
+        self.ran != Ran::NotRun && lost.contains(&self.reason)
+    }
+
     pub(crate) fn refusal(&self) -> Refusal {
         let mut refusal = Refusal::not_run(self.reason, self.detail.as_str());
         refusal.ran = self.ran;
@@ -90,6 +100,7 @@
     call: &'a ModelCall,
     answer: &'a mut Answer<'b>,
     attempt: Arc<Attempt>,
+    identity: Identity,
     /// Tries within the present pass.
     tries: u32,
     first_try_noted: bool,
@@ -103,6 +114,10 @@
     call: &ModelCall,
     answer: &mut Answer<'_>,
 ) -> Result<(), Refusal> {
+    let identity = Identity::of(&context.caller, "POST", &[call.path], &call.body);
+    if let Some(refusal) = shared.crashes.refusal(shared.now_ms(), &identity) {
+        return Err(refusal);
+    }
     let attempt = Arc::new(Attempt::new());
     let mut flow = ModelFlow {
         shared,
@@ -110,6 +125,7 @@
         call,
         answer,
         attempt: attempt.clone(),
+        identity,
         tries: 0,
         first_try_noted: false,
     };
@@ -209,6 +225,18 @@
             &self.attempt,
             self.answer,
         );
+        let (outcome, is_cut) = match &end {
+            TryEnd::Answered => (UpstreamOutcome::Answered, false),
+            TryEnd::Failed(failure) => (failure.outcome, failure.is_cut()),
+            TryEnd::Stopped(_) => (UpstreamOutcome::Cancelled, false),
+        };
+        self.shared.crashes.note_try(
+            self.shared.now_ms(),
+            &candidate.upstream,
+            &self.identity,
+            outcome,
+            is_cut,
+        );
         match end {
             TryEnd::Answered => Ok(None),
             TryEnd::Failed(failure) => Ok(Some(failure)),
@@ -237,6 +265,9 @@
     /// Asks for a retry. Generation has no side effect, so a call to a model may run twice as long
     /// as the caller has seen nothing of the first run.
     fn decide_retry(&self, failure: &TryFailure) -> Option<Duration> {
+        if failure.ran != Ran::NotRun && !self.shared.crashes.may_resend(&self.identity) {
+            return None;
+        }
         let left = self.shared.left(self.context.deadline_ms);
         let request = RetryRequest {
             group: self.call.spec.group.clone(),
--- a/crates/gateway/src/service_flow.rs
+++ b/crates/gateway/src/service_flow.rs
@@ -19,6 +19,7 @@
 use crate::answer::Answer;
 use crate::attempt::Attempt;
 use crate::context::Context;
+use crate::crashes::Identity;
 use crate::service_job::JobEnd;
 use crate::service_job::Repetition;
 use crate::service_job::ServiceJob;
@@ -54,12 +55,19 @@
         let refusal = Refusal::not_run(RefusalReason::UpstreamUnavailable, detail);
         return Err(refusal.retry_after(RETRY_WITHOUT_INSTANCE_MS));
     }
+    let call = service_call(context, path, request);
+    let target = [spec.service.as_str(), path];
+    let identity = Identity::of(&context.caller, &call.method, &target, &call.body);
+    if let Some(refusal) = shared.crashes.refusal(shared.now_ms(), &identity) {
+        return Err(refusal);
+    }
     let admitted = admission::admit(shared, context, &queue)?;
     let attempt = Arc::new(Attempt::new());
     let (sender, receiver) = crossbeam_channel::bounded(1);
     let job = ServiceJob {
         shared: shared.clone(),
-        call: service_call(context, path, request),
+        call,
+        identity,
         spec,
         repetition,
         deadline_ms: context.deadline_ms,
--- a/crates/gateway/src/service_job.rs
+++ b/crates/gateway/src/service_job.rs
@@ -28,6 +28,7 @@
 use crate::admission;
 use crate::admission::Admitted;
 use crate::attempt::Attempt;
+use crate::crashes::Identity;
 use crate::in_progress::InProgressGuard;
 use crate::shared::Shared;
 use crate::trace::Step;
@@ -67,6 +68,8 @@
     pub(crate) shared: Arc<Shared>,
     pub(crate) call: ServiceCall,
     pub(crate) spec: ServiceSpec,
+    /// Tells whether another call is the same one.
+    pub(crate) identity: Identity,
     pub(crate) repetition: Repetition,
     pub(crate) deadline_ms: u64,
     pub(crate) attempt: Arc<Attempt>,
@@ -198,6 +201,7 @@
             Ok(_) => (Ran::Ran, UpstreamOutcome::Answered),
             Err(failure) => (failure.ran, failure.outcome),
         };
+        self.note_try(candidate, &result);
         self.attempt.settle(ran);
         let took_ms = self.shared.now_ms().saturating_sub(sent_ms);
         self.shared.learn_routing(RoutingEvent::Ended {
@@ -225,6 +229,9 @@
     }
 
     fn decide_retry(&self, tries: u32, failure: &CallFailure) -> Option<Duration> {
+        if failure.ran != Ran::NotRun && !self.shared.crashes.may_resend(&self.identity) {
+            return None;
+        }
         let left = self.shared.left(self.deadline_ms);
         let request = RetryRequest {
             group: self.spec.service.clone(),
@@ -237,6 +244,25 @@
         self.shared.decide_retry(&request, failure.ran, &self.trace)
     }
 
+    /// Lets the crashes of instances be held against the call. Whoever repeats it under a key is
+    /// kept to one run anyway.
+    fn note_try(&self, candidate: &Candidate, result: &Result<ServiceAnswer, CallFailure>) {
+        let (outcome, is_cut) = match result {
+            Ok(_) => (UpstreamOutcome::Answered, false),
+            Err(failure) => {
+                let is_cut = failure.reason == RefusalReason::UpstreamLost;
+                (failure.outcome, is_cut)
+            }
+        };
+        self.shared.crashes.note_try(
+            self.shared.now_ms(),
+            &candidate.upstream,
+            &self.identity,
+            outcome,
+            is_cut,
+        );
+    }
+
     fn note_failure(&self, chosen: &Option<Candidate>, failure: &CallFailure) {
         let step = Step::TryFailed {
             upstream: chosen.as_ref().map(|known| known.upstream.to_string()),
--- a/crates/gateway/src/shared.rs
+++ b/crates/gateway/src/shared.rs
@@ -31,6 +31,7 @@
 
 use crate::cancels::Cancels;
 use crate::context::Context;
+use crate::crashes::CrashGuard;
 use crate::desk::Desk;
 use crate::errors::Result;
 use crate::identity::RequestIds;
@@ -61,6 +62,7 @@
     pub(crate) in_progress: Arc<InProgress>,
     pub(crate) run_times: RunTimes,
     pub(crate) traces: Traces,
+    pub(crate) crashes: CrashGuard,
     pub(crate) draining: AtomicBool,
     routing: Mutex<Box<dyn RoutingPolicy>>,
     retry: Mutex<Box<dyn RetryPolicy>>,
@@ -86,6 +88,7 @@
             in_progress: Arc::new(InProgress::default()),
             run_times: RunTimes::new(options.expected_run_ms),
             traces: Traces::new(options.trace_requests, options.trace_steps),
+            crashes: CrashGuard::new(),
             draining: AtomicBool::new(false),
             routing: Mutex::new(parts.routing),
             retry: Mutex::new(parts.retry),
@@ -185,6 +188,9 @@
     /// Lets routing learn.
     pub(crate) fn learn_routing(&self, event: RoutingEvent) {
         let now_ms = self.now_ms();
+        if let RoutingEvent::Removed { upstream } = &event {
+            self.crashes.note_gone(now_ms, upstream);
+        }
         self.routing.lock().learn(now_ms, event);
     }
 
