A model whose load ends engines is not loaded on the next one

The planner counts engines that ended with a load of the model in progress, without having said that they leave, and not within a second of each other. After three it does not load the model for a minute, then tries once; each further end makes it four times as long, a load that ends well clears it. Requests for it are refused at once, since its forecast lies behind their deadlines.

A new giver of orders counts anew.

--- a/crates/holder/src/foreseeing.rs
+++ b/crates/holder/src/foreseeing.rs
@@ -19,10 +19,21 @@
             .models
             .keys()
             .filter(|model| placer.demand(model).missing > 0)
-            .map(|model| (model.clone(), self.ready_ms(now_ms, model)))
+            .map(|model| {
+                let ready_ms = self.ready_ms(now_ms, model);
+                (model.clone(), ready_ms.or(self.held_ready_ms(model)))
+            })
             .collect()
     }
 
+    /// Returns when a model can be there that is not loaded for a time, so that requests for it are
+    /// refused and do not wait in vain.
+    fn held_ready_ms(&self, model: &ModelName) -> Option<u64> {
+        let until_ms = self.held_back.get(model)?;
+        let spec = self.spec.models.get(model)?;
+        Some(until_ms + spec.memory_load_ms)
+    }
+
     /// Returns when a load of a model that is in progress or planned will be done.
     fn ready_ms(&self, now_ms: u64, model: &ModelName) -> Option<u64> {
         self.engines
--- a/crates/holder/src/ledger.rs
+++ b/crates/holder/src/ledger.rs
@@ -68,6 +68,8 @@
     pub(crate) failed_reports: u32,
     /// Whether it takes new work.
     pub(crate) serving: bool,
+    /// Whether it said that it leaves.
+    pub(crate) leaving: bool,
     /// The load that was last taken as done, until a report confirms it.
     pub(crate) unconfirmed: Option<InProgress>,
     /// How much longer than configured its loads take.
@@ -97,6 +99,7 @@
             outranked: false,
             failed_reports: 0,
             serving: true,
+            leaving: false,
             unconfirmed: None,
             load_factor: 1.0,
             adapter_uses: Vec::new(),
@@ -131,6 +134,14 @@
             .map(OrderKind::model)
     }
 
+    /// Returns the model that it was told to load and has not loaded yet.
+    pub(crate) fn loading(&self) -> Option<&ModelName> {
+        let in_progress = self.in_progress.iter().chain(&self.unconfirmed);
+        let kinds = in_progress.map(|order| &order.kind).chain(&self.awaiting);
+        let mut loads = kinds.filter(|kind| is_load(kind));
+        loads.next().map(OrderKind::model)
+    }
+
     /// Returns the orders that are in progress, awaited or planned.
     fn orders(&self) -> impl Iterator<Item = &OrderKind> {
         let in_progress = self.in_progress.iter().map(|order| &order.kind);
--- a/crates/holder/src/lib.rs
+++ b/crates/holder/src/lib.rs
@@ -16,6 +16,7 @@
 mod foreseeing;
 mod lease;
 mod ledger;
+mod load_crashes;
 mod options;
 mod orders;
 mod own_demand;
--- a/crates/holder/src/planner.rs
+++ b/crates/holder/src/planner.rs
@@ -19,6 +19,7 @@
 use crate::demand::ModelDemand;
 use crate::ledger::EngineLedger;
 use crate::ledger::is_load;
+use crate::load_crashes::LoadCrashes;
 use crate::options::PlannerOptions;
 use crate::orders::EngineReport;
 use crate::orders::OrderKind;
@@ -49,6 +50,9 @@
     pub(crate) is_unfinished: bool,
     /// How many changes of the directory were taken in.
     synced_changes: Option<u64>,
+    /// Models whose load was in progress at engines that ended.
+    lost_loads: Vec<ModelName>,
+    load_crashes: LoadCrashes,
 }
 
 impl Planner {
@@ -64,6 +68,8 @@
             store_limit: StoreLimit::default(),
             is_unfinished: false,
             synced_changes: None,
+            lost_loads: Vec::new(),
+            load_crashes: LoadCrashes::default(),
         }
     }
 
@@ -89,6 +95,7 @@
             let is_serving = directory
                 .upstream(&engine.name)
                 .is_some_and(|entry| entry.phase == UpstreamPhase::Serving);
+            engine.leaving |= !is_serving;
             engine.serving = is_serving && !is_unreachable(&engine.name);
         }
     }
@@ -101,8 +108,12 @@
             Some(spec) if *spec != self.spec => self.spec = spec.clone(),
             _ => {}
         }
-        self.engines
-            .retain(|engine| directory.upstream(&engine.name).is_some());
+        let gone = self
+            .engines
+            .extract_if(.., |engine| directory.upstream(&engine.name).is_none());
+        let crashed = gone.filter(|engine| !engine.leaving);
+        self.lost_loads
+            .extend(crashed.filter_map(|engine| engine.loading().cloned()));
         for engine in &mut self.engines {
             // An entry that another VM told names no copies.
             if let Some(entry) = directory
@@ -137,6 +148,7 @@
         for engine in &mut self.engines {
             engine.on_hold = engine.hold_until_ms > now_ms;
         }
+        self.hold_back_crashing_loads(now_ms);
         self.finish_orders(now_ms, &mut actions);
         self.read_reports(now_ms, &mut actions);
         self.plan_adapters(&totals, &mut actions);
@@ -243,6 +255,9 @@
         if let Some(failed) = effect.failed {
             self.held_back.insert(failed, now_ms + HELD_BACK_MS);
         }
+        if let Some(ended) = &effect.ended {
+            self.load_crashes.loaded(ended.kind.model());
+        }
         if let Some(ended) = effect.ended.filter(|it| it.tier == Tier::Store) {
             let at_once = self.store_loads_in_progress() + 1;
             let took_ms = now_ms.saturating_sub(ended.since_ms);
@@ -292,6 +307,15 @@
         }
     }
 
+    /// Loads a model no more for a time under whose load engines end, one after the other.
+    fn hold_back_crashing_loads(&mut self, now_ms: u64) {
+        for model in std::mem::take(&mut self.lost_loads) {
+            if let Some(hold_ms) = self.load_crashes.note(now_ms, &model) {
+                self.held_back.insert(model, now_ms + hold_ms);
+            }
+        }
+    }
+
     fn read_reports(&mut self, now_ms: u64, actions: &mut Vec<PlannerAction>) {
         for engine in &mut self.engines {
             let due = engine.report_due_ms.is_some_and(|due_ms| due_ms <= now_ms);
