--- a/crates/soak/src/world.rs
+++ b/crates/soak/src/world.rs
@@ -271,18 +271,18 @@
         let mut mends = Vec::new();
         while !stopped.load(Ordering::Acquire) {
             pause(MEND_LOOK_MS);
-            let ended: Vec<usize> = {
+            let ended: Vec<(usize, u64)> = {
                 let site = self.site.lock();
                 let engines = site.engines.iter().enumerate();
                 engines
-                    .filter(|(index, it)| it.crashed().is_some() && !mended.contains(index))
-                    .map(|(index, _)| index)
+                    .filter(|(index, _)| !mended.contains(index))
+                    .filter_map(|(index, it)| Some((index, self.clock.at_ms(it.crashed()?.0))))
                     .collect()
             };
-            for index in ended {
+            for (index, from_ms) in ended {
                 mended.push(index);
                 let world = self.clone();
-                mends.push(thread::spawn(move || world.mend_engine(index)));
+                mends.push(thread::spawn(move || world.mend_engine(index, from_ms)));
             }
         }
         for mend in mends {
@@ -291,8 +291,7 @@
         }
     }
 
-    fn mend_engine(&self, index: usize) {
-        let from_ms = self.clock.now_ms();
+    fn mend_engine(&self, index: usize, from_ms: u64) {
         let slot = {
             let mut engines = self.engines.lock();
             let number = engines.iter().position(|slot| slot.index == index);
