--- a/crates/quarantine/src/options.rs
+++ b/crates/quarantine/src/options.rs
@@ -48,7 +48,7 @@
             most_crashes: 5,
             settle_ms: 150,
             group_upstreams: 3,
-            group_ms: 150,
+            group_ms: 50,
             pair_ms: 20,
             memory_ms: 600_000,
             first_block_ms: 30_000,
--- a/crates/quarantine/tests/crash_verdicts.rs
+++ b/crates/quarantine/tests/crash_verdicts.rs
@@ -366,3 +366,20 @@
     }
     assert!(!fleet.is_blocked(1));
 }
+
+/// Guards against taking crashes that follow each other closely for a rack.
+#[test]
+fn quick_crasher_is_no_group() {
+    let mut fleet = Fleet::new();
+    for upstream in 0..3 {
+        fleet.now_ms += 100;
+        let report = CrashReport {
+            upstream: UpstreamName::from(format!("i-{upstream}")),
+            ago_ms: 0,
+            suspects: vec![suspect(1)],
+        };
+        fleet.quarantine.note_crash(fleet.now_ms, &report);
+    }
+    fleet.settle();
+    assert!(fleet.is_blocked(1));
+}
