--- a/crates/soak/src/lib.rs
+++ b/crates/soak/src/lib.rs
@@ -12,6 +12,7 @@
 mod asking;
 mod checks;
 mod clock;
+mod engines;
 mod errors;
 mod plan;
 mod proxy;
--- a/crates/soak/src/world.rs
+++ b/crates/soak/src/world.rs
@@ -3,14 +3,11 @@
 use std::io;
 use std::net::SocketAddr;
 use std::sync::Arc;
-use std::sync::atomic::AtomicBool;
-use std::sync::atomic::Ordering;
 use std::thread;
 use std::time::Duration;
 
 use apricotdale_standins::platform::Ask;
 use apricotdale_standins::platform::Caller;
-use apricotdale_standins::platform::CrashTrigger;
 use apricotdale_standins::platform::EngineOptions;
 use apricotdale_standins::platform::OrderFault;
 use apricotdale_standins::platform::Site;
@@ -22,12 +19,13 @@
 use crate::asking::MODELS;
 use crate::asking::PATIENCE_MS;
 use crate::clock::Clock;
-use crate::plan::CRASH_MARKS;
+use crate::engines::EngineSlot;
+use crate::engines::engine_options;
+use crate::engines::join_engine;
 use crate::plan::Trouble;
 use crate::proxy::LinkFault;
 use crate::proxy::Proxy;
 use crate::record::ConfigurationProbe;
-use crate::record::Crash;
 use crate::record::Disturbance;
 use crate::record::Drain;
 use crate::record::Place;
@@ -36,13 +34,6 @@
 use crate::vms::StopEnd;
 use crate::vms::Vms;
 
-/// How long the entry of a dead engine stays: three of its heartbeats.
-const LAPSE_MS: u64 = 1_500;
-
-/// How long an engine goes on after it said that it leaves: long enough that a request which comes too
-/// late is served and seen.
-const LEAVE_MS: u64 = 5_000;
-
 /// When a changed configuration is asked for: a little after it must be in force.
 const PROBE_AFTER_MS: u64 = 2_300;
 
@@ -52,37 +43,9 @@
 /// How long the plain service works on a call, so that some are in progress at each trouble.
 const WORK_MS: u64 = 40;
 
-/// The time between two events of a stream, for the same reason.
-const GAP_MS: u64 = 20;
-
-/// How long a request runs under which an engine ends, before its first event or before the end.
-const CRASH_MS: u64 = 60;
-
-/// Events that some of these requests get before.
-const CRASH_EVENTS: u64 = 3;
-
-/// How often engines are looked at whether they have ended by themselves.
-const MEND_LOOK_MS: u64 = 10;
-
 /// Instances of the plain service.
 const INSTANCES: usize = 2;
 
-/// An engine with the proxy through which the VMs reach it.
-struct EngineSlot {
-    /// Its index in the site.
-    index: usize,
-    proxy: Arc<Proxy>,
-    /// Whether its engine has ended and another is about to take its place.
-    is_down: bool,
-}
-
-/// Takes a slot whose engine ends now, unless it has ended already.
-fn take_down(engines: &mut [EngineSlot], number: usize) -> Option<(usize, Arc<Proxy>)> {
-    let slot = engines.get_mut(number).filter(|slot| !slot.is_down)?;
-    slot.is_down = true;
-    Some((slot.index, slot.proxy.clone()))
-}
-
 /// What happened, as the troubles tell it.
 #[derive(Default)]
 pub(crate) struct Events {
@@ -96,10 +59,10 @@
 
 /// `World` is the platform's stand-ins with proxies in front of them.
 pub(crate) struct World {
-    clock: Clock,
+    pub(crate) clock: Clock,
     pub vms: Arc<Vms>,
-    site: Mutex<Site>,
-    engines: Mutex<Vec<EngineSlot>>,
+    pub(crate) site: Mutex<Site>,
+    pub(crate) engines: Mutex<Vec<EngineSlot>>,
     services: Vec<Proxy>,
     stores: Vec<Proxy>,
     /// The version in force and the number of the route that it added.
@@ -107,25 +70,6 @@
     pub events: Mutex<Events>,
 }
 
-/// Returns what an engine of the soak is like.
-fn engine_options(name: String, models: &[&str]) -> EngineOptions {
-    let crash = |mark: &str, after_events| CrashTrigger {
-        marker: mark.as_bytes().to_vec(),
-        after_events,
-        after_ms: CRASH_MS,
-    };
-    let [at_once, late] = CRASH_MARKS;
-    EngineOptions {
-        instance: name,
-        models: models.iter().map(ToString::to_string).collect(),
-        on_disk: MODELS.iter().map(ToString::to_string).collect(),
-        gap_ms: GAP_MS,
-        // The first that matches counts.
-        crashes: vec![crash(late, CRASH_EVENTS), crash(at_once, 0)],
-        ..EngineOptions::default()
-    }
-}
-
 impl World {
     /// Starts the stand-ins, the proxies and the VMs.
     pub fn start(
@@ -264,82 +208,6 @@
         }
     }
 
-    /// Starts engines again that ended by themselves, until the soak ends: their entries lapse, and
-    /// other runs join at their addresses.
-    pub fn mend_engines(self: &Arc<Self>, stopped: &AtomicBool) {
-        let mut mended: Vec<usize> = Vec::new();
-        let mut mends = Vec::new();
-        while !stopped.load(Ordering::Acquire) {
-            pause(MEND_LOOK_MS);
-            let ended: Vec<(usize, u64)> = {
-                let site = self.site.lock();
-                let engines = site.engines.iter().enumerate();
-                engines
-                    .filter(|(index, _)| !mended.contains(index))
-                    .filter_map(|(index, it)| Some((index, self.clock.at_ms(it.crashed()?.0))))
-                    .collect()
-            };
-            for (index, from_ms) in ended {
-                mended.push(index);
-                let world = self.clone();
-                mends.push(thread::spawn(move || world.mend_engine(index, from_ms)));
-            }
-        }
-        for mend in mends {
-            // A panic has been printed by its thread.
-            let _ = mend.join();
-        }
-    }
-
-    fn mend_engine(&self, index: usize, from_ms: u64) {
-        let slot = {
-            let mut engines = self.engines.lock();
-            let number = engines.iter().position(|slot| slot.index == index);
-            number.and_then(|number| Some((number, take_down(&mut engines, number)?.1)))
-        };
-        // One that leaves or dies as planned is replaced there.
-        let Some((number, proxy)) = slot else {
-            return;
-        };
-        proxy.go_down();
-        pause(LAPSE_MS);
-        let mut engines = self.engines.lock();
-        let mut site = self.site.lock();
-        site.engines[index].withdraw();
-        let name = format!("i-{}", site.engines.len());
-        let Ok(next) = site.start_engine(engine_options(name, &[])) else {
-            return;
-        };
-        if proxy.come_up(site.engine_addresses[next]).is_err() {
-            return;
-        }
-        site.engines[next].announce(Some(proxy.address()));
-        engines[number].index = next;
-        engines[number].is_down = false;
-        self.events.lock().disturbances.push(Disturbance {
-            what: "engine crashes".to_owned(),
-            place: Place::Upstreams,
-            from_ms,
-            until_ms: self.clock.now_ms(),
-        });
-    }
-
-    /// Returns the engines that ended under requests.
-    pub fn crashes(&self) -> Vec<Crash> {
-        let site = self.site.lock();
-        let engines = site.engines.iter();
-        engines
-            .filter_map(|engine| {
-                let (at, body) = engine.crashed()?;
-                Some(Crash {
-                    body: String::from_utf8_lossy(&body).into_owned(),
-                    upstream: engine.name().to_owned(),
-                    at_ms: self.clock.at_ms(at),
-                })
-            })
-            .collect()
-    }
-
     /// Returns what the upstreams ran.
     pub fn runs(&self, sent: impl Fn(&str) -> Option<Ask>) -> Vec<Run> {
         let site = self.site.lock();
@@ -462,60 +330,6 @@
         }
     }
 
-    fn engine_dies(&self, number: usize) {
-        let Some((index, proxy)) = take_down(&mut self.engines.lock(), number) else {
-            return;
-        };
-        proxy.retarget(None);
-        proxy.reset_open();
-        self.site.lock().stop_engine(index);
-        pause(LAPSE_MS);
-        let mut engines = self.engines.lock();
-        let mut site = self.site.lock();
-        site.engines[index].withdraw();
-        let name = format!("i-{}", site.engines.len());
-        let Ok(next) = site.start_engine(engine_options(name, &[])) else {
-            return;
-        };
-        proxy.retarget(Some(site.engine_addresses[next]));
-        site.engines[next].announce(Some(proxy.address()));
-        engines[number] = EngineSlot {
-            index: next,
-            proxy,
-            is_down: false,
-        };
-    }
-
-    fn engine_leaves(&self, number: usize, notice: bool) {
-        let old = {
-            let mut engines = self.engines.lock();
-            if engines[number].is_down {
-                return;
-            }
-            let mut site = self.site.lock();
-            let name = format!("i-{}", site.engines.len());
-            let Ok(joined) = join_engine(&mut site, engine_options(name, &[])) else {
-                return;
-            };
-            let old = std::mem::replace(&mut engines[number], joined);
-            let engine = &site.engines[old.index];
-            match notice {
-                true => engine.drain(),
-                false => engine.withdraw(),
-            }
-            let drain = Drain {
-                upstream: engine.name().to_owned(),
-                at_ms: self.clock.now_ms(),
-            };
-            self.events.lock().drains.push(drain);
-            old
-        };
-        pause(LEAVE_MS);
-        let mut site = self.site.lock();
-        site.engines[old.index].withdraw();
-        site.stop_engine(old.index);
-    }
-
     /// Writes a configuration with a route of its own in place of the one before, and asks every
     /// VM for both once it must be in force.
     fn configure(&self) {
@@ -563,18 +377,7 @@
     }
 }
 
-fn join_engine(site: &mut Site, options: EngineOptions) -> io::Result<EngineSlot> {
-    let index = site.start_engine(options)?;
-    let proxy = Arc::new(Proxy::start(site.engine_addresses[index])?);
-    site.engines[index].announce(Some(proxy.address()));
-    Ok(EngineSlot {
-        index,
-        proxy,
-        is_down: false,
-    })
-}
-
-fn pause(for_ms: u64) {
+pub(crate) fn pause(for_ms: u64) {
     thread::sleep(Duration::from_millis(for_ms));
 }
 
--- a/crates/standins/src/platform/serving.rs
+++ b/crates/standins/src/platform/serving.rs
@@ -29,6 +29,9 @@
 /// The time between two looks of a stream at a dark upstream whether its client has left.
 const DARK_LOOK_MS: u64 = 5;
 
+/// What sends the events of a stream.
+type Produce = Box<dyn FnOnce(&mut EventWriter) -> StreamEnd + Send>;
+
 /// `AnswerFault` is how an answer is spoiled.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum AnswerFault {
@@ -245,13 +248,7 @@
             }
             StreamEnd::Closed
         };
-        Reply::Stream(Stream {
-            headers: Vec::new(),
-            produce: Box::new(produce),
-        })
-        .with_header(ID, id_of(request))
-        .with_header(SIGNATURE, &format!("s.{}", self.instance))
-        .with_header(LOAD, "1,0,8")
+        self.stream(request, Box::new(produce))
     }
 
     /// Returns the answer to a streaming request that stops after some events, and then does
@@ -274,9 +271,13 @@
             end();
             StreamEnd::Broken
         };
+        self.stream(request, Box::new(produce))
+    }
+
+    fn stream(&self, request: &Request, produce: Produce) -> Reply {
         Reply::Stream(Stream {
             headers: Vec::new(),
-            produce: Box::new(produce),
+            produce,
         })
         .with_header(ID, id_of(request))
         .with_header(SIGNATURE, &format!("s.{}", self.instance))
