--- a/crates/holder/src/lease.rs
+++ b/crates/holder/src/lease.rs
@@ -185,6 +185,8 @@
     must_read: bool,
     /// The first offset that the store keeps, where it said so to the last read.
     first_kept: Option<u64>,
+    /// Where the last read began.
+    read_from: u64,
 }
 
 impl Lease {
@@ -206,6 +208,7 @@
             next_call_ms: 0,
             must_read: true,
             first_kept: None,
+            read_from: 0,
         }
     }
 
@@ -289,6 +292,7 @@
         self.call_sent_ms = Some(now_ms);
         let last = self.end.map_or(0, |(end, _)| end.saturating_sub(1));
         let from = last.max(self.first_kept.take().unwrap_or(0));
+        self.read_from = from;
         let action = match self.end {
             Some((end, _)) if !self.must_read => LeaseAction::Append {
                 at: end,
@@ -335,7 +339,13 @@
             LeaseAnswer::Expired { first } => {
                 self.must_read = true;
                 self.first_kept = Some(first);
-                self.next_call_ms = now_ms;
+                if first > self.read_from {
+                    self.next_call_ms = now_ms;
+                } else {
+                    // The topic ends before what this VM knows of it.
+                    self.end = None;
+                    self.lose();
+                }
             }
             LeaseAnswer::EndedElsewhere { .. } => {
                 self.must_read = true;
--- a/crates/holder/tests/lease_takeover.rs
+++ b/crates/holder/tests/lease_takeover.rs
@@ -468,3 +468,17 @@
     let takeover_ms = 10 + LeaseOptions::default().duration_ms;
     assert_eq!(append_at(&mut lease, takeover_ms), Some(40));
 }
+
+/// Guards against asking without a pause for what the store does not have.
+#[test]
+fn topic_that_ends_earlier() {
+    let mut lease = lease("vm-a", 1);
+    read(&mut lease, 0, 50, Some(record("vm-b", 7)));
+    lease.note_outranked(10);
+    assert_eq!(lease.act(10), Some(LeaseAction::Read { from: 49 }));
+    lease.answered(15, LeaseAnswer::Expired { first: 12 });
+    assert_eq!(lease.act(16), None);
+    let pause_ms = LeaseOptions::default().renew_every_ms / 2;
+    let again = lease.act(15 + pause_ms);
+    assert_eq!(again, Some(LeaseAction::Read { from: 12 }));
+}
