A new block is not the one that a full caller loses

Where a caller had as many blocks as it may, the one that ends first went, and that was the new one: it was found again at once, without an end, and the VM stood still. Found by reading; `new_block_of_a_full_caller` hung on the code before (ended after 60 s) and passes now. What goes is another one.

--- a/crates/quarantine/src/blocks.rs
+++ b/crates/quarantine/src/blocks.rs
@@ -89,7 +89,7 @@
             upstreams: row.upstreams.clone(),
         };
         self.by_fingerprint.insert(row.fingerprint, block);
-        self.bound(row.caller, options);
+        self.bound(row, options);
         true
     }
 
@@ -123,24 +123,25 @@
         rows
     }
 
-    /// Forgets the blocks that end first where there are too many, those of this caller where it
-    /// has too many.
-    fn bound(&mut self, caller: CallerHash, options: &Options) {
+    /// Forgets the blocks that end first where a new one makes them too many, those of its caller
+    /// where that one has too many.
+    fn bound(&mut self, new: &BlockRow, options: &Options) {
         let own = self.by_fingerprint.values();
-        let own = own.filter(|block| block.caller == caller).count();
+        let own = own.filter(|block| block.caller == new.caller).count();
+        let is_other = |fingerprint: &Fingerprint| *fingerprint != new.fingerprint;
         if own > options.max_blocks_a_caller {
-            self.remove_first(|block| block.caller == caller);
+            self.remove_first(|it, block| is_other(it) && block.caller == new.caller);
         }
         if self.by_fingerprint.len() > options.max_blocks {
-            self.remove_first(|_| true);
+            self.remove_first(|it, _| is_other(it));
         }
     }
 
-    fn remove_first(&mut self, may_go: impl Fn(&Block) -> bool) {
+    fn remove_first(&mut self, may_go: impl Fn(&Fingerprint, &Block) -> bool) {
         let first = self
             .by_fingerprint
             .iter()
-            .filter(|(_, block)| may_go(block))
+            .filter(|(fingerprint, block)| may_go(fingerprint, block))
             .min_by_key(|(_, block)| block.until_ms)
             .map(|(fingerprint, _)| *fingerprint);
         if let Some(fingerprint) = first {
--- a/crates/quarantine/tests/bounded_memory.rs
+++ b/crates/quarantine/tests/bounded_memory.rs
@@ -117,3 +117,23 @@
     let left_ms = quarantine.blocked_ms(NOW_MS, &request(1, 1));
     assert_eq!(left_ms, Some(options.most_block_ms));
 }
+
+/// Guards against a new block that is dropped at once, and begun again without an end, because it is
+/// the shortest of a caller that has as many as it may.
+#[test]
+fn new_block_of_a_full_caller() {
+    let options = Options::default();
+    let mut quarantine = Quarantine::new(options.clone());
+    for number in 0..options.max_blocks_a_caller as u32 {
+        quarantine.note_block(NOW_MS, &row(8, 1_000 + number, options.most_block_ms));
+    }
+    let mut now_ms = NOW_MS;
+    for upstream in 0..3 {
+        now_ms += 1_000;
+        quarantine.note_crash(now_ms, &report(upstream, vec![suspect(8, 8)]));
+    }
+    now_ms += options.settle_ms;
+    assert_eq!(quarantine.judge(now_ms, Scope::Fleet).len(), 1);
+    assert!(quarantine.blocked_ms(now_ms, &request(8, 8)).is_some());
+    assert_eq!(quarantine.rows(now_ms).len(), options.max_blocks_a_caller);
+}
