The record of a block is not dropped with the case that led to it

The giver drops the records of requests that are no longer on the way to a block. A request left that list by being blocked, and the next crash of another dropped the block's own record. The list forgets a request when its block begins.

--- a/crates/entry/src/block_store.rs
+++ b/crates/entry/src/block_store.rs
@@ -72,6 +72,10 @@
 impl BlockStore {
     /// Notes a block that begins.
     pub fn note_begun(&mut self, row: &BlockRow) {
+        // Its record is the block's from now on, and must not be dropped with the case.
+        self.cases.remove(&row.fingerprint);
+        self.unwritten_cases
+            .retain(|case| case.fingerprint != row.fingerprint);
         if self.was_giver {
             self.unwritten.push(row.clone());
         }
@@ -107,14 +111,7 @@
             .collect();
         for fingerprint in gone {
             self.cases.remove(&fingerprint);
-            // A block that began in the meantime has taken the record's place.
-            if self
-                .unwritten
-                .iter()
-                .all(|row| row.fingerprint != fingerprint)
-            {
-                self.ended.push(fingerprint);
-            }
+            self.ended.push(fingerprint);
         }
         for row in rows.into_iter().take(RECORDS_A_WRITE) {
             let count = row.crashes.len();
