--- a/crates/entry/src/crash_watch.rs
+++ b/crates/entry/src/crash_watch.rs
@@ -246,12 +246,8 @@
         }
     }
 
-    /// Tells a VM that greets what it may not know: the blocks, from the giver of orders, and to a
-    /// judge what this VM had in progress at upstreams that crashed.
-    pub(crate) fn tell_quarantine_to(&mut self, address: SocketAddr, vm: &VmName) {
-        if self.ordering.held_lease_end(self.now_ms).is_some() {
-            self.tell_blocks_to(address);
-        }
+    /// Tells a judge that has started what this VM had in progress at upstreams that crashed.
+    pub(crate) fn tell_own_reports_to(&self, address: SocketAddr, vm: &VmName) {
         let reports = self.crash_watch.own_reports(self.now_ms);
         if !reports.is_empty() && self.peers.judges().iter().any(|(judge, _)| judge == vm) {
             self.send_reports(address, &reports);
--- a/crates/entry/src/peers.rs
+++ b/crates/entry/src/peers.rs
@@ -275,10 +275,10 @@
         }
     }
 
-    /// Notes that a VM was heard of.
-    pub(super) fn note_heard(&mut self, now_ms: u64, record: &VmRecord) {
+    /// Notes that a VM was heard of. Returns whether this is another run than was heard of before.
+    pub(super) fn note_heard(&mut self, now_ms: u64, record: &VmRecord) -> bool {
         if record.vm == self.own.vm {
-            return;
+            return false;
         }
         let known = Known {
             address: record.address,
@@ -287,9 +287,11 @@
             heard_ms: now_ms,
         };
         let before = self.known.insert(record.vm.clone(), known);
-        if before.is_none_or(|before| before.run != record.run) {
+        let is_other_run = before.is_none_or(|before| before.run != record.run);
+        if is_other_run {
             log::debug!(peer = record.vm.to_string(), run = record.run; "VM heard of");
         }
+        is_other_run
     }
 }
 
--- a/crates/entry/src/telling.rs
+++ b/crates/entry/src/telling.rs
@@ -74,12 +74,17 @@
         match message {
             PeerMessage::Greeting(record) => {
                 let is_new = !self.peers.knows(&record.vm);
-                self.peers.note_heard(now_ms, &record);
+                let is_other_run = self.peers.note_heard(now_ms, &record);
                 if is_new {
                     let greeting = PeerMessage::Greeting(self.peers.own.clone());
                     self.peers.send(record.address, &greeting);
                 }
-                self.tell_quarantine_to(record.address, &record.vm);
+                if self.ordering.held_lease_end(now_ms).is_some() {
+                    self.tell_blocks_to(record.address);
+                }
+                if is_other_run {
+                    self.tell_own_reports_to(record.address, &record.vm);
+                }
             }
             PeerMessage::Goodbye(vm) => {
                 self.peers.forget(&vm);
