The last lines of the log are written before the process ends

Lines are written by a thread of their own, and nothing waited for it at the end. The log is flushed after the last line now.

--- a/crates/entry/src/stopping.rs
+++ b/crates/entry/src/stopping.rs
@@ -150,5 +150,7 @@
             connections_opened = self.outbound.opened;
             "entry VM ends"
         );
+        // The lines are written by a thread of their own, which ends with the process.
+        log::logger().flush();
     }
 }
