Waiting requests are not refused for an engine that replay is about to know

Callers saw 502 upstream_unavailable, "no engine of the model's group takes new work", at a VM that had just joined, though the engine was there.

Cause: the policy planned on a view without the engine, whose first record was not replayed yet; whether such an engine is listed was asked after the plan, of the state as it was by then. When the record was replayed in between, the engine was known, so the refusal stood, and the next plan loaded the model there at once. Not brought about again.

Change: the view names the groups with a listed engine that replay does not know, read in one step with the state, and the policy refuses nobody of such a group. The second look in the placement loop is gone.

Test: engine_not_yet_described_keeps_requests, fails without the policy's condition (one refusal upstream_unavailable instead of none), passes with it.

--- a/crates/core/src/policy.rs
+++ b/crates/core/src/policy.rs
@@ -1,5 +1,6 @@
 //! Traits of the policies. Each implementation is pure: time and events in, decisions out.
 
+use std::collections::BTreeSet;
 use std::net::SocketAddr;
 
 use crate::engine::CacheTier;
@@ -276,6 +277,9 @@
     pub replicas: Vec<ReplicaView>,
     /// Models with demand here or with a replica.
     pub models: Vec<ModelView>,
+    /// Groups with a listed engine that the control stream has not described yet. It is not among
+    /// `engines`, and may take a model in a moment.
+    pub growing_groups: BTreeSet<GroupName>,
     /// Loads in progress at the weight store.
     pub store_active_loads: u32,
     /// Loads that may run at once at full speed.
--- a/crates/node/src/placing/fleet.rs
+++ b/crates/node/src/placing/fleet.rs
@@ -7,6 +7,7 @@
 use parking_lot::Mutex;
 
 use apricotdale_core::engine::CacheTier;
+use apricotdale_core::names::GroupName;
 use apricotdale_core::names::ModelName;
 use apricotdale_core::names::UpstreamName;
 use apricotdale_core::numbers::BootId;
@@ -99,6 +100,7 @@
                 engines: self.engines(state, &view),
                 replicas: replicas(state, now_ms, unix_ms),
                 models: models(state, &view, &mut ranks, &totals, now_ms),
+                growing_groups: growing_groups(state, &view),
                 store_active_loads: weights.map_or(0, |status| status.active_loads),
                 store_full_speed_loads: weights
                     .map_or(ASSUMED_FULL_SPEED_LOADS, |status| status.full_speed_loads),
@@ -148,6 +150,17 @@
     }
 }
 
+/// Returns the groups with a listed engine that replay does not know yet.
+fn growing_groups(state: &ControlState, view: &View) -> BTreeSet<GroupName> {
+    let unknown = view.upstreams.values().filter(|upstream| {
+        let name = UpstreamName::new(&upstream.entry.name);
+        upstream.accepts && state.engine(&name).is_none()
+    });
+    unknown
+        .map(|upstream| upstream.entry.group.clone())
+        .collect()
+}
+
 fn loading_on(state: &ControlState, engine: &UpstreamName) -> u32 {
     let replicas = state.replicas_on(engine);
     let loading =
--- a/crates/node/src/placing/placement_loop.rs
+++ b/crates/node/src/placing/placement_loop.rs
@@ -175,7 +175,6 @@
                 self.propose_load_near(&model, engine);
             }
             PlacementAction::Unload { model, engine } => self.propose_unload(&model, &engine),
-            PlacementAction::Hopeless { model, .. } if self.may_find_engine(&model) => {}
             PlacementAction::Hopeless { refusal, .. }
                 if refusal.reason == RefusalReason::DeadlineTooShort
                     && !self.parts.loads.has_evidence() => {}
@@ -190,21 +189,6 @@
             .may_load(self.parts.clock.monotonic_ms(), model)
     }
 
-    /// Returns whether an engine of the model's group is listed that replay does not know yet. The
-    /// policy can't see it, and would refuse a request that the engine may serve in a moment.
-    fn may_find_engine(&self, model: &ModelName) -> bool {
-        let view = self.parts.source.membership.view();
-        self.parts.source.replayed.read(|state| {
-            let Some(configured) = state.config().model(model) else {
-                return false;
-            };
-            let candidates = view.candidates(&configured.group);
-            candidates
-                .iter()
-                .any(|engine| state.engine(&engine.upstream).is_none())
-        })
-    }
-
     /// Proposes a load on the engine that the policy chose, or on another one of its group where an
     /// order for the model that may yet take effect stands in the way: replay rejects a second
     /// replica of a model on one engine. Without another engine the waiting requests are refused.
--- a/crates/placement/src/loading.rs
+++ b/crates/placement/src/loading.rs
@@ -204,6 +204,7 @@
             need,
             left_ms,
             mine: model.preferred_here,
+            may_gain_engine: sketch.growing_groups.contains(&model.group),
         };
         let Some(base) = &model.base else {
             return Some(itself);
@@ -393,13 +394,15 @@
         self.refuse(now_ms, want, refusal.retry_after(NO_ROOM_RETRY_MS))
     }
 
+    /// Refuses the requests that wait, unless an engine that the plan can't see yet may serve them
+    /// in a moment.
     fn refuse(&mut self, now_ms: u64, want: &Want, refusal: Refusal) -> Vec<PlacementAction> {
         let target_ms = self.tightest_target_ms;
         let record = self.records.entry(want.asked_by.model.clone()).or_default();
         let was_refused = record
             .refused_ms
             .is_some_and(|refused_ms| now_ms < refused_ms + REFUSE_AGAIN_MS);
-        if was_refused || !want.mine {
+        if was_refused || want.may_gain_engine || !want.mine {
             return Vec::new();
         }
         record.refused_ms = Some(now_ms);
--- a/crates/placement/src/restoring.rs
+++ b/crates/placement/src/restoring.rs
@@ -44,6 +44,7 @@
             need: Need::Restore,
             left_ms: f64::INFINITY,
             mine: true,
+            may_gain_engine: false,
         };
         let record = self.records.entry(want.model.model.clone()).or_default();
         record.restored_ms = Some(now_ms);
--- a/crates/placement/src/sketch.rs
+++ b/crates/placement/src/sketch.rs
@@ -1,8 +1,10 @@
 //! The fleet as it will be once everything proposed has happened.
 
 use std::collections::BTreeMap;
+use std::collections::BTreeSet;
 
 use apricotdale_core::engine::CacheTier;
+use apricotdale_core::names::GroupName;
 use apricotdale_core::names::ModelName;
 use apricotdale_core::names::UpstreamName;
 use apricotdale_core::policy::EngineView;
@@ -137,6 +139,8 @@
     pub(crate) engines: Vec<EngineSketch<'a>>,
     /// The models that the view shows.
     pub(crate) models: BTreeMap<&'a ModelName, &'a ModelView>,
+    /// The groups that may gain an engine in a moment.
+    pub(crate) growing_groups: &'a BTreeSet<GroupName>,
     indexes: BTreeMap<&'a UpstreamName, usize>,
 }
 
@@ -156,6 +160,7 @@
                 .iter()
                 .map(|view| (&view.model, view))
                 .collect(),
+            growing_groups: &fleet.growing_groups,
             indexes: fleet
                 .engines
                 .iter()
--- a/crates/placement/src/want.rs
+++ b/crates/placement/src/want.rs
@@ -33,4 +33,6 @@
     /// Whether this VM proposes it. What other VMs will propose is planned too, so that this VM
     /// leaves them their turn at the store and their memory.
     pub(crate) mine: bool,
+    /// Whether an engine of the model's group is listed that the plan can't see yet.
+    pub(crate) may_gain_engine: bool,
 }
--- a/crates/placement/tests/no_room.rs
+++ b/crates/placement/tests/no_room.rs
@@ -8,7 +8,9 @@
 use support::engine;
 use support::fleet;
 use support::learned;
+use support::loads;
 use support::model;
+use support::pair;
 use support::refusals;
 use support::replica;
 use support::waiting;
@@ -34,6 +36,18 @@
     assert_eq!(full_of_used_models(60_000), []);
 }
 
+/// Guards against a refusal because no engine is known while one is about to be.
+#[test]
+fn engine_not_yet_described_keeps_requests() {
+    let mut policy = learned();
+    let models = vec![waiting("m", 1, 60_000)];
+    let mut view = fleet(Vec::new(), models.clone(), Vec::new());
+    view.growing_groups.insert("planner-lm".into());
+    assert_eq!(refusals(&policy.plan(0, &view)), []);
+    let described = fleet(vec![engine("e1")], models, Vec::new());
+    assert_eq!(loads(&policy.plan(1, &described)), [pair("m", "e1")]);
+}
+
 #[test]
 fn group_without_engines_refuses_at_once() {
     let mut policy = learned();
--- a/crates/placement/tests/support/mod.rs
+++ b/crates/placement/tests/support/mod.rs
@@ -2,6 +2,8 @@
 
 #![allow(dead_code)]
 
+use std::collections::BTreeSet;
+
 use apricotdale_core::engine::CacheTier;
 use apricotdale_core::policy::EngineView;
 use apricotdale_core::policy::FleetView;
@@ -108,6 +110,7 @@
         engines,
         replicas,
         models,
+        growing_groups: BTreeSet::new(),
         store_active_loads: 0,
         store_full_speed_loads: 4,
         tightest_target_ms: TARGET_MS,
--- a/crates/policy-replay/src/world/placing.rs
+++ b/crates/policy-replay/src/world/placing.rs
@@ -1,5 +1,7 @@
 //! Placement in the world: the view, decisions, loads and unloads.
 
+use std::collections::BTreeSet;
+
 use apricotdale_core::engine::CacheTier;
 use apricotdale_core::names::ModelName;
 use apricotdale_core::names::UpstreamName;
@@ -313,6 +315,7 @@
                 })
                 .collect(),
             models: self.model_views(),
+            growing_groups: BTreeSet::new(),
             store_active_loads: self.store.active_loads(),
             store_full_speed_loads: self.deployment.store.full_speed_loads,
             tightest_target_ms: self.deployment.tightest_target_ms(),
