A VM that was told of the list counts an outage from what it was told

Cause: a VM that leaves reading to others had no first read of its own, and then took the list for whole at its first read unless one of its own reads had failed. After an outage that none of its reads met it took lapsed entries for departures and would have told the other VMs so. Found while tracing lapsed_upstream_is_kept_by_all, whose failures have another cause.

Change: the outage is counted from when the list was last available, read by this VM or told by another; only a VM that knows neither goes by its failed reads.

Test: first_own_read_follows_an_outage, failed before (Left instead of Lapsed), passes now.

--- a/crates/fleet/src/list_recovery.rs
+++ b/crates/fleet/src/list_recovery.rs
@@ -14,8 +14,9 @@
     restore_ms: u64,
     /// When the list was first read.
     first_ms: Option<u64>,
-    /// When the list was last available to upstreams, as far as is known.
-    available_ms: u64,
+    /// When the list was last available to upstreams, as far as this VM has read or was told; none
+    /// before that.
+    available_ms: Option<u64>,
     is_lost: bool,
     whole_from_ms: u64,
 }
@@ -28,7 +29,7 @@
             lapse_ms,
             restore_ms,
             first_ms: None,
-            available_ms: 0,
+            available_ms: None,
             is_lost: false,
             whole_from_ms: 0,
         }
@@ -42,23 +43,23 @@
     /// Takes in a read that was answered, before its entries are looked at.
     pub fn answered(&mut self, now_ms: u64) {
         let was_lost = std::mem::take(&mut self.is_lost);
-        let was_whole = self.whole_from_ms <= self.available_ms;
-        let is_outage = match self.first_ms {
+        let was_whole = self.whole_from_ms <= self.available_ms.unwrap_or_default();
+        let is_outage = match self.available_ms {
             None => was_lost,
-            Some(_) => now_ms.saturating_sub(self.available_ms) >= self.lapse_ms,
+            Some(available_ms) => now_ms.saturating_sub(available_ms) >= self.lapse_ms,
         };
         // A short outage right after a long one takes upstreams the time to come back.
         if is_outage || (was_lost && !was_whole) {
             self.whole_from_ms = now_ms + self.restore_ms;
         }
         self.first_ms.get_or_insert(now_ms);
-        self.available_ms = self.available_ms.max(now_ms);
+        self.available_ms = self.available_ms.max(Some(now_ms));
     }
 
     /// Takes in that another VM, whose list is whole, read it at a moment. Where this VM alone
     /// could not read, no entry has lapsed.
     pub fn whole_elsewhere(&mut self, read_ms: u64) {
-        self.available_ms = self.available_ms.max(read_ms);
+        self.available_ms = self.available_ms.max(Some(read_ms));
         self.whole_from_ms = self.whole_from_ms.min(read_ms);
     }
 
--- a/crates/fleet/tests/list_recovery.rs
+++ b/crates/fleet/tests/list_recovery.rs
@@ -157,6 +157,19 @@
     assert_eq!(change, DirectoryChange::Left);
 }
 
+/// Guards against a VM that has left reading to others and first reads itself after an outage, which
+/// none of its reads has met: it took lapsed entries for departures, and told the others so.
+#[test]
+fn first_own_read_follows_an_outage() {
+    let mut directory = directory();
+    directory.note_entry(entry("e", 5));
+    directory.note_list_whole(RETURN_MS - LAPSE_MS);
+    directory.note_list_answered(RETURN_MS);
+    let change = directory.note_vanished(RETURN_MS, &UpstreamName::from("e"));
+    assert_eq!(change, DirectoryChange::Lapsed);
+    assert!(!directory.is_list_whole(WHOLE_MS - 1));
+}
+
 /// A VM does not tell others that its list is whole while it may not be: before it has read it,
 /// while it can't, and until live upstreams are back in it, also after a start.
 #[test]
