--- a/crates/core/src/numbers.rs
+++ b/crates/core/src/numbers.rs
@@ -46,6 +46,46 @@
     ConfigVersion
 }
 
+/// `Position` is a place in a topic of the platform's store.
+///
+/// A store that comes back from an older copy gives offsets out again, and then counts a new era.
+/// Of two positions the one of the later era is the later one, whatever their offsets.
+#[derive(
+    Clone, Copy, Debug, Default, PartialEq, Eq, PartialOrd, Ord, Hash, Serialize, Deserialize,
+)]
+pub struct Position {
+    /// How often the store has come back from an older copy; 0 at a store that does not say so.
+    pub era: u64,
+    /// The offset within that era.
+    pub offset: u64,
+}
+
+impl Position {
+    /// Returns the position of an offset.
+    pub fn new(era: u64, offset: u64) -> Self {
+        Self { era, offset }
+    }
+
+    /// Returns the position this many records later.
+    pub fn after(self, records: u64) -> Self {
+        Self {
+            offset: self.offset + records,
+            ..self
+        }
+    }
+
+    /// Returns whether this is a place that is not known: no record has it as its end.
+    pub fn is_unknown(self) -> bool {
+        self.offset == 0
+    }
+}
+
+impl fmt::Display for Position {
+    fn fmt(&self, formatter: &mut fmt::Formatter<'_>) -> fmt::Result {
+        write!(formatter, "{}:{}", self.era, self.offset)
+    }
+}
+
 impl Offset {
     /// Returns the offset that follows this one.
     pub fn next(self) -> Self {
--- a/crates/entry/src/block_store.rs
+++ b/crates/entry/src/block_store.rs
@@ -70,6 +70,14 @@
 }
 
 impl BlockStore {
+    /// Takes in that the store came back from an older copy: what is known here is written again.
+    pub fn set_back(&mut self) {
+        self.was_giver = false;
+        if !self.is_read {
+            self.after = None;
+        }
+    }
+
     /// Notes a block that begins.
     pub fn note_begun(&mut self, row: &BlockRow) {
         // Its record is the block's from now on, and must not be dropped with the case.
--- a/crates/entry/src/calling.rs
+++ b/crates/entry/src/calling.rs
@@ -74,6 +74,38 @@
             Self::BlocksAppend => "blocks_append",
         }
     }
+
+    /// Returns whether the store answers the call.
+    pub fn is_of_store(&self) -> bool {
+        !matches!(
+            self,
+            Self::Order(..) | Self::Report(_) | Self::Look(_) | Self::Recheck(_)
+        )
+    }
+
+    /// Returns whether the call is a read that goes on from a place at which an earlier one ended.
+    /// The lease looks at its places by itself.
+    pub fn names_a_place(&self) -> bool {
+        matches!(
+            self,
+            Self::ConfigurationNewest
+                | Self::ConfigurationRead
+                | Self::UpstreamsNewest
+                | Self::UpstreamsRead
+                | Self::CopyNewest
+                | Self::VmsNewest
+                | Self::BlocksNewest
+        )
+    }
+}
+
+/// `CallAnswer` is an answer as far as it was read.
+#[derive(Clone, Debug)]
+pub(crate) struct CallAnswer {
+    pub status: u16,
+    /// The era in which the store gave it, if it said so.
+    pub era: Option<u64>,
+    pub body: Vec<u8>,
 }
 
 /// `CallOutcome` is how a call ended.
@@ -86,6 +118,8 @@
         /// The body.
         body: Vec<u8>,
     },
+    /// It named a place in a topic, and the store has come back from an older copy since.
+    SetBack,
     /// It was certainly not received.
     NotSent,
     /// It may have been received.
@@ -104,6 +138,7 @@
                 status: 500..=599, ..
             } => "unavailable",
             Self::Answered { .. } => "rejected",
+            Self::SetBack => "set_back",
             Self::NotSent => "not_sent",
             Self::Unknown => "unknown",
         }
@@ -148,6 +183,7 @@
         };
         connection.begin(now_ms, Purpose::Call(tag), bytes, false);
         connection.call_until_ms = Some(now_ms + timeout_ms);
+        connection.asked_era = self.store_era.now();
         self.call_alarm_ms = self.call_alarm_ms.min(now_ms + timeout_ms);
         if !connection.stream.flush() {
             self.call_broken(token);
@@ -181,13 +217,18 @@
             match connection.next_part() {
                 Part::Head(head) => {
                     self.note_idle(token, &head);
-                    self.call_answers.insert(token, (head.status, Vec::new()));
+                    let answer = CallAnswer {
+                        status: head.status,
+                        era: self.codecs.store.era(&head),
+                        body: Vec::new(),
+                    };
+                    self.call_answers.insert(token, answer);
                 }
                 Part::Body(bytes) => {
-                    let body = self.call_answers.get_mut(&token).map(|(_, body)| body);
-                    let too_large = body.is_none_or(|body| {
-                        body.extend_from_slice(&bytes);
-                        body.len() > ANSWER_LIMIT_BYTES
+                    let answer = self.call_answers.get_mut(&token);
+                    let too_large = answer.is_none_or(|answer| {
+                        answer.body.extend_from_slice(&bytes);
+                        answer.body.len() > ANSWER_LIMIT_BYTES
                     });
                     if too_large {
                         self.call_broken(token);
@@ -196,11 +237,13 @@
                 }
                 Part::End => {
                     let purpose = connection.purpose.clone();
+                    let asked_era = connection.asked_era;
                     let answer = self.call_answers.remove(&token);
                     self.outbound
                         .release(self.now_ms, token, self.poll.registry());
-                    if let (Purpose::Call(tag), Some((status, body))) = (purpose, answer) {
-                        self.call_ended(tag, CallOutcome::Answered { status, body });
+                    if let (Purpose::Call(tag), Some(answer)) = (purpose, answer) {
+                        let outcome = self.outcome_in_era(&tag, asked_era, answer);
+                        self.call_ended(tag, outcome);
                     }
                     return;
                 }
--- a/crates/entry/src/codec.rs
+++ b/crates/entry/src/codec.rs
@@ -181,6 +181,10 @@
 
 /// `StoreCodec` translates between the daemon and the platform's store.
 pub trait StoreCodec {
+    /// Returns how often the store has come back from an older copy, as an answer's head tells it;
+    /// none if it does not.
+    fn era(&self, head: &ResponseHead) -> Option<u64>;
+
     /// Returns the call that reads a topic from an offset, waiting for a record if there is none.
     fn read(&self, topic: Topic, from: u64, wait_ms: u64) -> Vec<u8>;
 
--- a/crates/entry/src/daemon.rs
+++ b/crates/entry/src/daemon.rs
@@ -34,6 +34,7 @@
 use crate::block_store::BlockStore;
 use crate::caller::Caller;
 use crate::caller::CallerKind;
+use crate::calling::CallAnswer;
 use crate::clock;
 use crate::clock::now_ms;
 use crate::codec::Codecs;
@@ -51,6 +52,7 @@
 use crate::peers::Peers;
 use crate::settings::Settings;
 use crate::stopping::Stopping;
+use crate::store_era::StoreEra;
 use crate::stream::Stream;
 
 const CALLERS: Token = Token(0);
@@ -109,12 +111,13 @@
     pub(crate) peers: Peers,
     pub(crate) own_demand: OwnDemand,
     pub(crate) sharing: Sharing,
+    pub(crate) store_era: StoreEra,
     /// When this VM reads the store, among all that do.
     pub(crate) pacing: ReadPacing,
     pub(crate) stopping: Stopping,
     pub(crate) metrics: EntryMetrics,
     pub(crate) lines: LineBudget,
-    pub(crate) call_answers: HashMap<Token, (u16, Vec<u8>)>,
+    pub(crate) call_answers: HashMap<Token, CallAnswer>,
     pub(crate) call_alarm_ms: u64,
     /// Callers' connections whose next request may already have come.
     pub(crate) answered: Vec<Token>,
@@ -194,6 +197,7 @@
             former_runs: Vec::new(),
             feeds: Feeds::default(),
             sharing: Sharing::default(),
+            store_era: StoreEra::default(),
             pacing: ReadPacing::new(settings.read_bytes_per_s, run),
             stopping: Stopping::default(),
             metrics: EntryMetrics::default(),
--- a/crates/entry/src/feeds.rs
+++ b/crates/entry/src/feeds.rs
@@ -11,7 +11,9 @@
 use std::collections::HashSet;
 
 use apricotdale_core::names::UpstreamName;
+use apricotdale_core::numbers::Position;
 use apricotdale_fleet::ListRepair;
+use apricotdale_fleet::ReadPacing;
 
 use self::copy::CopyWriter;
 use self::feed::Feed;
@@ -56,6 +58,9 @@
 /// a call that a silent store swallowed must not hold it up for long.
 const NEWEST_TIMEOUT_MS: u64 = 900;
 
+/// The time over which VMs write their entries again when the store came back from an older copy.
+const WRITTEN_AGAIN_MS: u64 = 2_000;
+
 /// Keys of foreign entries that are told in the log. A writer that makes new keys all the time must
 /// fill neither the log nor the memory; beyond these the entries are only counted.
 const FOREIGN_KEYS: usize = 200;
@@ -141,14 +146,32 @@
         self.copy_writer.restart();
     }
 
-    /// Returns how far the list was read; none before the first time.
-    pub fn list_offset(&self) -> u64 {
+    /// Takes in that the store came back from an older copy. The VM that gives orders reads the
+    /// list at once; a VM that is told of changes need not. What this VM has written is written
+    /// again, at a time of its own.
+    pub fn set_back(&mut self, now_ms: u64, leads: bool, pacing: &mut ReadPacing) {
+        self.configuration.restart_soon();
+        self.copy.restart_soon();
+        self.copy_writer.restart();
+        if leads {
+            self.upstreams.restart_soon();
+            self.upstreams.next_ms = now_ms;
+        }
+        if self.vm_written {
+            self.vm_written = false;
+            self.vms.restart_soon();
+            self.vms.next_ms = now_ms + pacing.draw_within_ms(WRITTEN_AGAIN_MS);
+        }
+    }
+
+    /// Returns how far the list was read; the first position before the first time.
+    pub fn list_read_to(&self) -> Position {
         self.upstreams.from.unwrap_or_default()
     }
 
-    /// Takes in that this VM knows what there is in the list up to an offset.
-    pub fn skip_list_to(&mut self, offset: u64) {
-        self.upstreams.skip_to(offset);
+    /// Takes in that this VM knows what there is in the list up to a position.
+    pub fn skip_list_to(&mut self, position: Position) {
+        self.upstreams.skip_to(position);
     }
 
     /// Returns the size of the copy, if it names these upstreams; else 0.
@@ -238,7 +261,7 @@
             self.metrics.list_repair();
         }
         let feed = &self.feeds.upstreams;
-        match feed.from {
+        match feed.place_in(self.store_era.now()) {
             None => {
                 let after = feed.after.clone();
                 let timeout_ms = feed.patience_ms(&mut self.pacing, NEWEST_TIMEOUT_MS);
@@ -247,7 +270,7 @@
             }
             Some(from) => {
                 let timeout_ms = feed.patience_ms(&mut self.pacing, CALL_TIMEOUT_MS);
-                let bytes = self.codecs.store.read(Topic::Upstreams, from, 0);
+                let bytes = self.codecs.store.read(Topic::Upstreams, from.offset, 0);
                 self.call_store(CallTag::UpstreamsRead, &bytes, timeout_ms);
             }
         }
@@ -275,6 +298,12 @@
                 }
                 self.take_feed(tag, status, &body)
             }
+            CallOutcome::SetBack => {
+                if let Some(feed) = self.feeds.feed(tag) {
+                    feed.set_back(now_ms);
+                }
+                return;
+            }
             CallOutcome::NotSent => Err(DecodeError::new("not sent")),
             CallOutcome::Unknown => Err(DecodeError::new("no answer")),
         };
@@ -344,7 +373,7 @@
                 let page = self.codecs.store.newest_answer(status, body)?;
                 let found = self.take_configurations(&page.records);
                 // Before the first configuration is written there is nothing to follow.
-                self.feeds.configuration.from = Some(page.end);
+                self.feeds.configuration.from = Some(self.store_era.position(page.end));
                 Ok(if found { 0 } else { NOTHING_YET_MS })
             }
             CallTag::ConfigurationRead => {
--- a/crates/entry/src/feeds/configuration.rs
+++ b/crates/entry/src/feeds/configuration.rs
@@ -20,7 +20,8 @@
 impl Daemon {
     pub(super) fn read_configuration(&mut self) {
         self.feeds.configuration.calling = true;
-        match self.feeds.configuration.from {
+        let era = self.store_era.now();
+        match self.feeds.configuration.place_in(era) {
             None => {
                 let bytes = self.codecs.store.newest(Topic::Configuration, None);
                 let timeout_ms = self
@@ -39,7 +40,10 @@
                     true => 0,
                     false => CONFIGURATION_WAIT_MS,
                 };
-                let bytes = self.codecs.store.read(Topic::Configuration, from, wait_ms);
+                let bytes = self
+                    .codecs
+                    .store
+                    .read(Topic::Configuration, from.offset, wait_ms);
                 let timeout_ms = self
                     .feeds
                     .configuration
@@ -65,7 +69,7 @@
                     .configuration
                     .draw_phase(&mut self.pacing, FOLLOWING_CONFIGURATION_EVERY_MS);
                 let from = self.feeds.configuration.from.unwrap_or_default();
-                self.feeds.configuration.from = Some(from + records.len() as u64);
+                self.feeds.configuration.from = Some(from.after(records.len() as u64));
                 Ok(0)
             }
         }
--- a/crates/entry/src/feeds/copy.rs
+++ b/crates/entry/src/feeds/copy.rs
@@ -3,6 +3,7 @@
 //! A VM that starts reads it in place of the upstreams' own entries, which are many times larger,
 //! and serves by it at once; one that has missed something is set right by it.
 
+use apricotdale_core::numbers::Position;
 use apricotdale_fleet::ListCopy;
 use apricotdale_fleet::ListCopyPart;
 use apricotdale_fleet::Upstream;
@@ -117,7 +118,11 @@
             .map(postcard::from_bytes)
             .collect::<Result<_, _>>()
             .map_err(|error| DecodeError::new(format!("a copy of the list: {error}")))?;
-        match ListCopy::from_parts(parts) {
+        // One from before the list was set back does not tell what is missing in it now; whoever
+        // reads for all writes another.
+        let copy =
+            ListCopy::from_parts(parts).filter(|copy| !self.store_era.is_past(copy.read_to.era));
+        match copy {
             Some(copy) => self.take_copy(copy),
             None => self.miss_copy(),
         }
@@ -134,13 +139,13 @@
 
     fn take_copy(&mut self, copy: ListCopy) {
         let from = self.feeds.upstreams.from;
-        let is_newer = from.is_none_or(|from| from <= copy.offset);
+        let is_newer = from.is_none_or(|from| from <= copy.read_to);
         let is_begun = self.feeds.upstreams.calling || !self.feeds.upstreams.pages.is_empty();
         if from.is_none() && !is_begun {
-            self.feeds.upstreams.from = Some(copy.offset);
+            self.feeds.upstreams.from = Some(copy.read_to);
         }
-        self.feeds.upstreams.skip_to(copy.offset);
-        self.directory.read_up_to(copy.offset);
+        self.feeds.upstreams.skip_to(copy.read_to);
+        self.directory.read_up_to(copy.read_to);
         let was_listed = self.directory.is_listed();
         let names: Vec<_> = copy
             .entries
@@ -151,7 +156,7 @@
             .directory
             .note_copy(self.now_ms, copy.entries, is_newer);
         if !was_listed {
-            log::info!(upstreams = names.len(), offset = copy.offset; "copy of the list read");
+            log::info!(upstreams = names.len(), read_to = copy.read_to.to_string(); "copy of the list read");
         }
         self.take_listing_changes(changes);
         for name in names {
@@ -163,7 +168,8 @@
     /// Writes the copy, if this VM gives orders and something has changed.
     pub(super) fn write_copy(&mut self) {
         let now_ms = self.now_ms;
-        let Some(offset) = self.feeds.upstreams.from else {
+        let from = self.feeds.upstreams.from;
+        let Some(read_to) = from.filter(|from| !self.store_era.is_past(from.era)) else {
             return;
         };
         if self.feeds.copy_writer.writing.is_some() || now_ms < self.feeds.copy_writer.next_ms {
@@ -183,7 +189,7 @@
         if self.feeds.copy_writer.written == digest {
             return;
         }
-        let parts = ListCopy::new(offset, &self.directory).into_parts();
+        let parts = ListCopy::new(read_to, &self.directory).into_parts();
         let records: Vec<(String, Vec<u8>)> = parts
             .iter()
             .enumerate()
@@ -212,12 +218,13 @@
     }
 
     /// Takes in entries that another VM has read.
-    pub(crate) fn take_told_entries(&mut self, offset: u64, entries: Vec<Upstream>) {
+    pub(crate) fn take_told_entries(&mut self, read_to: Position, entries: Vec<Upstream>) {
+        self.note_era(read_to.era);
         // Before the first list there is nothing that entries could be added to.
         if !self.directory.is_listed() {
             return;
         }
-        self.directory.read_up_to(offset);
+        self.directory.read_up_to(read_to);
         for entry in entries {
             let instance = entry.instance.clone();
             let before = self.directory.run_of(&instance).cloned();
@@ -249,7 +256,7 @@
             .collect();
         for part in entries.chunks(ENTRIES_A_DATAGRAM) {
             self.peers.send_all(&PeerMessage::Entries {
-                offset: self.feeds.list_offset(),
+                read_to: self.feeds.list_read_to(),
                 entries: part.to_vec(),
             });
         }
--- a/crates/entry/src/feeds/feed.rs
+++ b/crates/entry/src/feeds/feed.rs
@@ -1,5 +1,6 @@
 //! One topic of the store that this VM reads: when, and how far it has come.
 
+use apricotdale_core::numbers::Position;
 use apricotdale_fleet::ReadPacing;
 
 use crate::codec::KeyedRecord;
@@ -15,10 +16,10 @@
 #[derive(Debug, Default)]
 pub(super) struct Feed {
     /// Where the next read begins; none before the newest records were read.
-    pub from: Option<u64>,
+    pub from: Option<Position>,
     /// Pages of newest records so far.
     pub pages: Vec<KeyedRecord>,
-    pub pages_end: Option<u64>,
+    pub pages_end: Option<Position>,
     pub after: Option<String>,
     pub next_ms: u64,
     pub calling: bool,
@@ -76,14 +77,26 @@
         }
     }
 
-    /// Goes on from an offset up to which others have told what there is, unless a read is under
+    /// Goes on from a position up to which others have told what there is, unless a read is under
     /// way whose answer counts from the former one.
-    pub fn skip_to(&mut self, offset: u64) {
+    pub fn skip_to(&mut self, position: Position) {
         if !self.calling && !self.restarts && self.pages.is_empty() {
-            self.from = self.from.map(|from| from.max(offset));
+            self.from = self.from.map(|from| from.max(position));
         }
     }
 
+    /// Returns where the next read begins in an era of the store; none if that was another era.
+    pub fn place_in(&self, era: u64) -> Option<Position> {
+        self.from.filter(|from| from.era == era)
+    }
+
+    /// Takes in that a call named a place that is one of an earlier era.
+    pub fn set_back(&mut self, now_ms: u64) {
+        self.end_call();
+        self.restart();
+        self.next_ms = now_ms;
+    }
+
     /// Notes the size of an answer.
     pub fn note_answer(&mut self, bytes: usize) {
         self.answer_bytes = self.answer_bytes.max(bytes);
--- a/crates/entry/src/feeds/listing.rs
+++ b/crates/entry/src/feeds/listing.rs
@@ -23,7 +23,8 @@
     pub(super) fn take_upstreams_page(&mut self, page: KeyedPage) -> u64 {
         let now_ms = self.now_ms;
         let feed = &mut self.feeds.upstreams;
-        feed.pages_end.get_or_insert(page.end);
+        feed.pages_end
+            .get_or_insert(self.store_era.position(page.end));
         feed.after = page.records.last().map(|record| record.key.clone());
         feed.pages.extend(page.records);
         if page.more {
@@ -72,8 +73,8 @@
             return Ok(0);
         };
         let from = self.feeds.upstreams.from.unwrap_or_default();
-        for (offset, record) in (from..).zip(&records) {
-            self.directory.read_up_to(offset + 1);
+        for (index, record) in (1..).zip(&records) {
+            self.directory.read_up_to(from.after(index));
             match self.codecs.store.keyed(record) {
                 Ok(record) => self.take_upstream(&record),
                 // Others may write here too. A record without a key names nobody; the read goes on,
@@ -81,9 +82,13 @@
                 Err(error) => self.note_foreign_entry("", &error),
             }
         }
-        let from = from + records.len() as u64;
+        let from = from.after(records.len() as u64);
         self.feeds.upstreams.from = Some(from);
-        Ok(if from < end { 0 } else { UPSTREAMS_EVERY_MS })
+        Ok(if from.offset < end {
+            0
+        } else {
+            UPSTREAMS_EVERY_MS
+        })
     }
 
     /// Decodes an entry. One that is none of an upstream's own ends the use of the run that stood
@@ -185,7 +190,7 @@
     /// Takes in that the list was read to its end, and drops upstreams that did not come back after
     /// an outage.
     pub(super) fn list_read(&mut self) {
-        self.directory.read_up_to(self.feeds.list_offset());
+        self.directory.read_up_to(self.feeds.list_read_to());
         for name in self.directory.note_list_read(self.now_ms) {
             self.upstream_left(&name, "lapsed");
         }
--- a/crates/entry/src/lib.rs
+++ b/crates/entry/src/lib.rs
@@ -33,6 +33,7 @@
 mod serving;
 mod settings;
 mod stopping;
+mod store_era;
 mod stream;
 mod telling;
 mod watching;
--- a/crates/entry/src/messages.rs
+++ b/crates/entry/src/messages.rs
@@ -5,6 +5,7 @@
 use apricotdale_core::names::ModelName;
 use apricotdale_core::names::UpstreamName;
 use apricotdale_core::names::VmName;
+use apricotdale_core::numbers::Position;
 use apricotdale_fleet::Freshness;
 use apricotdale_fleet::Upstream;
 use apricotdale_holder::DemandRow;
@@ -48,14 +49,17 @@
     /// The giver of orders is there.
     Beat {
         from: VmRecord,
-        lease_end: u64,
+        lease_end: Position,
         forecasts: Vec<ForecastRow>,
         fresh: Freshness,
     },
     /// What a VM has read of the list, where no giver of orders tells it.
     ListRead { from: VmRecord, fresh: Freshness },
     /// Entries of upstreams that came, and how far the list had been read then.
-    Entries { offset: u64, entries: Vec<Upstream> },
+    Entries {
+        read_to: Position,
+        entries: Vec<Upstream>,
+    },
     /// What engines hold.
     News(Vec<ResidenceNews>),
     /// An engine turned a request away because it does not hold the model.
@@ -70,7 +74,7 @@
     /// The giver of orders has given the lease back.
     Released {
         /// The end of the lease's topic behind the record that does so.
-        lease_end: u64,
+        lease_end: Position,
         /// How long before that it had given its last order.
         quiet_ms: u64,
     },
--- a/crates/entry/src/metrics.rs
+++ b/crates/entry/src/metrics.rs
@@ -33,6 +33,8 @@
     foreign_entries: Counter,
     lapsed_upstreams: Counter,
     store_reads_bytes: Family<Reason, Counter>,
+    store_set_backs: Counter,
+    answers_of_earlier_eras: Family<Reason, Counter>,
     list_repairs: Counter,
     dark_engines: Counter,
     crashed_upstreams: Counter,
@@ -68,6 +70,8 @@
             foreign_entries: Counter::default(),
             lapsed_upstreams: Counter::default(),
             store_reads_bytes: Family::default(),
+            store_set_backs: Counter::default(),
+            answers_of_earlier_eras: Family::default(),
             list_repairs: Counter::default(),
             dark_engines: Counter::default(),
             crashed_upstreams: Counter::default(),
@@ -137,6 +141,16 @@
             "Bytes of the store's answers by call",
             self.store_reads_bytes.clone(),
         );
+        registry.register(
+            "store_set_backs",
+            "Times that the store came back from an older copy",
+            self.store_set_backs.clone(),
+        );
+        registry.register(
+            "answers_of_earlier_eras",
+            "Answers of the store from before it came back from an older copy, by call",
+            self.answers_of_earlier_eras.clone(),
+        );
         registry.register(
             "list_repairs",
             "Reads because the list differed from the one that was told of",
@@ -276,6 +290,19 @@
         self.plan_ms.observe(took_ms as f64);
     }
 
+    /// Counts that the store came back from an older copy.
+    pub fn store_set_back(&self) {
+        self.store_set_backs.inc();
+    }
+
+    /// Counts an answer of the store from before that.
+    pub fn answer_of_earlier_era(&self, call: &str) {
+        let reason = call.to_owned();
+        self.answers_of_earlier_eras
+            .get_or_create(&Reason { reason })
+            .inc();
+    }
+
     /// Counts a read because the list differed from the one that was told of.
     pub fn list_repair(&mut self) {
         self.list_repairs.inc();
--- a/crates/entry/src/ordering.rs
+++ b/crates/entry/src/ordering.rs
@@ -8,6 +8,7 @@
 
 use apricotdale_core::names::GroupName;
 use apricotdale_core::names::VmName;
+use apricotdale_core::numbers::Position;
 use apricotdale_fleet::WantedModel;
 use apricotdale_holder::DemandBook;
 use apricotdale_holder::DemandRow;
@@ -113,17 +114,17 @@
     }
 
     /// Takes in the lease's end as its holder tells it.
-    pub fn note_lease_end(&mut self, now_ms: u64, end: u64) {
+    pub fn note_lease_end(&mut self, now_ms: u64, end: Position) {
         self.lease.note_end(now_ms, end, None);
     }
 
     /// Takes in that the holder has given the lease back.
-    pub fn note_release(&mut self, now_ms: u64, end: u64, quiet_ms: u64) {
+    pub fn note_release(&mut self, now_ms: u64, end: Position, quiet_ms: u64) {
         self.lease.note_end(now_ms, end, Some(quiet_ms));
     }
 
     /// Returns whether another VM's beat is of an older lease than the newest that is known.
-    pub fn is_outdated(&self, lease_end: u64) -> bool {
+    pub fn is_outdated(&self, lease_end: Position) -> bool {
         self.lease.end().is_some_and(|end| lease_end < end)
     }
 
@@ -132,8 +133,18 @@
         self.fence.is_some()
     }
 
+    /// Takes in the era of the store.
+    pub fn note_era(&mut self, now_ms: u64, era: u64) {
+        self.lease.note_era(now_ms, era);
+    }
+
+    /// Returns the lease's end as last known.
+    pub fn lease_end(&self) -> Position {
+        self.lease.end().unwrap_or_default()
+    }
+
     /// Returns the lease's end, if this VM holds the lease.
-    pub fn held_lease_end(&self, now_ms: u64) -> Option<u64> {
+    pub fn held_lease_end(&self, now_ms: u64) -> Option<Position> {
         self.lease.end().filter(|_| self.lease.is_held(now_ms))
     }
 
--- a/crates/entry/src/ordering/engine_calls.rs
+++ b/crates/entry/src/ordering/engine_calls.rs
@@ -2,6 +2,7 @@
 
 use apricotdale_core::names::ModelName;
 use apricotdale_core::names::UpstreamName;
+use apricotdale_core::numbers::Position;
 use apricotdale_fleet::DirectoryChange;
 use apricotdale_holder::EngineReport;
 use apricotdale_holder::Order;
@@ -80,7 +81,7 @@
                 self.codecs.engines.order_answer(kind, status, &body)
             }
             CallOutcome::NotSent => OrderOutcome::NotSent,
-            CallOutcome::Unknown => OrderOutcome::Unknown,
+            CallOutcome::SetBack | CallOutcome::Unknown => OrderOutcome::Unknown,
         };
         self.metrics.order(kind.as_str(), outcome.as_str());
         log::info!(
@@ -138,7 +139,7 @@
         else {
             return;
         };
-        self.directory.read_up_to(0);
+        self.directory.read_up_to(Position::default());
         let change = self
             .directory
             .note_restart(former, report.born_ms, report.residence);
--- a/crates/entry/src/ordering/leasing.rs
+++ b/crates/entry/src/ordering/leasing.rs
@@ -23,7 +23,10 @@
             LeaseAction::Append { at, record } => {
                 let record =
                     postcard::to_stdvec(record).expect("a record of our own can be encoded");
-                let bytes = self.codecs.store.append(Topic::Lease, Some(*at), &record);
+                let bytes = self
+                    .codecs
+                    .store
+                    .append(Topic::Lease, Some(at.offset), &record);
                 self.call_store(CallTag::LeaseAppend, &bytes, LEASE_TIMEOUT_MS);
             }
         }
@@ -33,14 +36,18 @@
     pub(crate) fn lease_call_ended(&mut self, tag: &CallTag, outcome: CallOutcome) {
         let answer = match (tag, outcome) {
             (_, CallOutcome::NotSent) => LeaseAnswer::NotDone,
-            (_, CallOutcome::Unknown) => LeaseAnswer::Unknown,
+            (_, CallOutcome::Unknown | CallOutcome::SetBack) => LeaseAnswer::Unknown,
             (CallTag::LeaseRead, CallOutcome::Answered { status, body }) => {
                 self.lease_read(status, &body)
             }
             (_, CallOutcome::Answered { status, body }) => {
                 match self.codecs.store.append_answer(status, &body) {
-                    Ok(StoreOutcome::Done { offset }) => LeaseAnswer::Appended { offset },
-                    Ok(StoreOutcome::EndedElsewhere { end }) => LeaseAnswer::EndedElsewhere { end },
+                    Ok(StoreOutcome::Done { offset }) => LeaseAnswer::Appended {
+                        at: self.store_era.position(offset),
+                    },
+                    Ok(StoreOutcome::EndedElsewhere { end }) => LeaseAnswer::EndedElsewhere {
+                        end: self.store_era.position(end),
+                    },
                     Ok(StoreOutcome::NotDone) => LeaseAnswer::NotDone,
                     Err(_) => LeaseAnswer::Unknown,
                 }
@@ -53,7 +60,7 @@
         }
         let released = self.ordering.lease.answered(self.now_ms, answer);
         if let Some((lease_end, quiet_ms)) = released {
-            log::info!(lease_end, quiet_ms; "lease given back");
+            log::info!(lease_end = lease_end.to_string(), quiet_ms; "lease given back");
             self.peers.send_all(&PeerMessage::Released {
                 lease_end,
                 quiet_ms,
@@ -68,9 +75,12 @@
                 let newest = records
                     .last()
                     .and_then(|record| postcard::from_bytes::<LeaseRecord>(record).ok());
+                let end = self.store_era.position(end);
                 LeaseAnswer::Read { end, newest }
             }
-            Ok(LogRead::Expired { first }) => LeaseAnswer::Expired { first },
+            Ok(LogRead::Expired { first }) => LeaseAnswer::Expired {
+                first: self.store_era.position(first),
+            },
             Err(_) => LeaseAnswer::NotDone,
         }
     }
@@ -84,7 +94,8 @@
         match fence {
             Some(fence) => {
                 self.metrics.takeover();
-                log::info!(fence, lease_end = self.ordering.lease.end(); "this VM gives orders");
+                let lease_end = self.ordering.lease_end().to_string();
+                log::info!(fence, lease_end; "this VM gives orders");
                 // What other VMs told names no copies of weights, by which loads are planned.
                 self.feeds.lead(self.now_ms);
             }
--- a/crates/entry/src/outbound.rs
+++ b/crates/entry/src/outbound.rs
@@ -97,6 +97,8 @@
     connect_until_ms: Option<u64>,
     /// When the call in progress is given up; callers' requests have deadlines of their own.
     pub call_until_ms: Option<u64>,
+    /// The era of the store that was known when the call in progress was made.
+    pub asked_era: u64,
 }
 
 impl Outbound {
@@ -273,6 +275,7 @@
             idle_until_ms: 0,
             connect_until_ms: Some(now_ms + CONNECT_MS),
             call_until_ms: None,
+            asked_era: 0,
         };
         self.connections.insert(token, connection);
         Ok(())
--- a/crates/entry/src/telling.rs
+++ b/crates/entry/src/telling.rs
@@ -112,6 +112,7 @@
                 fresh,
             } => {
                 self.peers.note_heard(now_ms, &from);
+                self.note_era(lease_end.era);
                 if self.ordering.is_outdated(lease_end) {
                     return;
                 }
@@ -122,7 +123,8 @@
                     .as_ref()
                     .is_none_or(|(holder, ..)| *holder != from.vm)
                 {
-                    log::info!(holder = from.vm.to_string(), lease_end; "another VM gives orders");
+                    let (holder, lease_end) = (from.vm.to_string(), lease_end.to_string());
+                    log::info!(holder, lease_end; "another VM gives orders");
                 }
                 self.take_freshness(&fresh);
                 self.peers.holder = Some((from.vm, from.address, now_ms));
@@ -132,7 +134,7 @@
                 self.peers.note_heard(now_ms, &from);
                 self.take_freshness(&fresh);
             }
-            PeerMessage::Entries { offset, entries } => self.take_told_entries(offset, entries),
+            PeerMessage::Entries { read_to, entries } => self.take_told_entries(read_to, entries),
             PeerMessage::News(news) => self.take_news(news),
             PeerMessage::TurnedAway { engine, model } => self.engine_lacks(&engine, &model),
             PeerMessage::Dark(engine) => self.told_dark(&engine),
@@ -165,6 +167,11 @@
     /// Takes in what another VM has read.
     fn take_freshness(&mut self, fresh: &Freshness) {
         let now_ms = self.now_ms;
+        self.note_era(fresh.list_read_to.era);
+        // A VM that has not heard that the list was set back does not know what is missing there.
+        if self.store_era.is_past(fresh.list_read_to.era) {
+            return;
+        }
         // The giver of orders reads for itself, so that it has something to tell.
         if self.ordering.held_lease_end(now_ms).is_none() {
             let draw_ms = self.pacing.draw_ms();
@@ -215,9 +222,9 @@
         feeds.uncopied_repair.heard(now_ms, &[is_same], turn_ms);
         feeds.held_repair.heard(now_ms, &holds_same, draw_ms);
         let leads = self.ordering.held_lease_end(self.now_ms).is_some();
-        if let (true, false, Some(offset)) = (is_same, leads, fresh.whole_list_offset()) {
-            self.feeds.skip_list_to(offset);
-            self.directory.note_list_same(offset);
+        if let (true, false, Some(read_to)) = (is_same, leads, fresh.whole_list_read_to()) {
+            self.feeds.skip_list_to(read_to);
+            self.directory.note_list_same(read_to);
         }
     }
 
@@ -230,7 +237,7 @@
             configuration_age_ms: self.feeds.configuration_age_ms(now_ms),
             list_age_ms: self.feeds.list_age_ms(now_ms),
             list_whole: self.directory.is_list_whole(now_ms),
-            list_offset: self.feeds.list_offset(),
+            list_read_to: self.feeds.list_read_to(),
             list_bytes_per_s: self.pacing.list_rate(),
             listed,
             copy_bytes: self.feeds.copy_bytes(listed),
--- a/crates/fleet/src/departure.rs
+++ b/crates/fleet/src/departure.rs
@@ -1,6 +1,7 @@
 //! What VMs tell each other of upstreams that take no new work any more.
 
 use apricotdale_core::names::UpstreamName;
+use apricotdale_core::numbers::Position;
 use serde::Deserialize;
 use serde::Serialize;
 
@@ -22,9 +23,9 @@
     pub upstream: UpstreamName,
     /// The last revision of its entry that was read. An entry that is newer was written later.
     pub revision: u64,
-    /// How far the list had been read when the entry was missing; 0 if that is not known. It counts
+    /// How far the list had been read when the entry was missing, if that is known. It counts
     /// before the revision: a VM that is told of the list need not have read the last one.
-    pub offset: u64,
+    pub read_to: Position,
     /// How it is known.
     pub kind: DepartureKind,
 }
--- a/crates/fleet/src/directory.rs
+++ b/crates/fleet/src/directory.rs
@@ -9,6 +9,7 @@
 use apricotdale_core::names::GroupName;
 use apricotdale_core::names::InstanceName;
 use apricotdale_core::names::UpstreamName;
+use apricotdale_core::numbers::Position;
 
 use crate::configuration::Configuration;
 use crate::configuration::Route;
@@ -82,22 +83,29 @@
     /// Its last revision that was read. An entry that was written before the end can still be read
     /// later; it must not bring the run back.
     revision: u64,
-    /// How far the list had been read when it was gone; 0 if that is not known.
-    offset: u64,
+    /// How far the list had been read when it was gone, if that is known.
+    read_to: Position,
     /// Whether its instance has started again.
     restarted: bool,
 }
 
 impl GoneRun {
     /// Returns whether an entry of this run was written after it was gone.
-    fn is_before(&self, offset: u64, revision: u64) -> bool {
-        match (self.offset, offset) {
-            (0, _) | (_, 0) => self.revision < revision,
-            (gone, read) => gone < read,
+    fn is_before(&self, read_to: Position, revision: u64) -> bool {
+        match is_before(self.read_to, read_to) {
+            Some(is_before) => is_before,
+            None => self.revision < revision,
         }
     }
 }
 
+/// Returns whether of two places in the list the first is the earlier one; none if they can't be
+/// compared. A list that came back from an older copy holds at later places what it held before.
+fn is_before(first: Position, second: Position) -> Option<bool> {
+    let comparable = !first.is_unknown() && !second.is_unknown() && first.era == second.era;
+    comparable.then_some(first.offset < second.offset)
+}
+
 /// `NewestRun` is the latest run of an instance that is known.
 #[derive(Clone, Debug)]
 struct NewestRun {
@@ -123,13 +131,12 @@
     listed: bool,
     /// Grows with each change of the configuration or of an entry.
     changes: u64,
-    /// How far the list had been read by whoever tells what is taken in now; 0 if that is not
-    /// known.
-    offset: u64,
+    /// How far the list had been read by whoever tells what is taken in now, if that is known.
+    read_to: Position,
     /// How far the list had been read when each upstream was last there.
-    there_at: HashMap<UpstreamName, u64>,
+    there_at: HashMap<UpstreamName, Position>,
     /// Up to where the list was found to be the same as another VM's.
-    same_up_to: u64,
+    same_up_to: Position,
 }
 
 impl Directory {
@@ -145,9 +152,9 @@
             runs: HashMap::new(),
             listed: false,
             changes: 0,
-            offset: 0,
+            read_to: Position::default(),
             there_at: HashMap::new(),
-            same_up_to: 0,
+            same_up_to: Position::default(),
         }
     }
 
@@ -211,10 +218,10 @@
     }
 
     /// Notes how far the list had been read by whoever tells what is taken in next, this VM or
-    /// another; 0 if that is not known. The list is a log, so that of two things the later one in
-    /// it counts, whichever is heard of first.
-    pub fn read_up_to(&mut self, offset: u64) {
-        self.offset = offset;
+    /// another; the first position if that is not known. The list is a log, so that of two things
+    /// the later one in it counts, whichever is heard of first.
+    pub fn read_up_to(&mut self, position: Position) {
+        self.read_to = position;
     }
 
     /// Takes in an entry of the list. One of an earlier run than the latest that is known changes
@@ -226,13 +233,13 @@
             return DirectoryChange::None;
         }
         match self.gone.get(&entry.name) {
-            Some(last) if last.restarted || !last.is_before(self.offset, entry.revision) => {
+            Some(last) if last.restarted || !last.is_before(self.read_to, entry.revision) => {
                 return DirectoryChange::None;
             }
             _ => self.gone.remove(&entry.name),
         };
         let there_at = self.there_at.entry(entry.name.clone()).or_default();
-        *there_at = self.offset.max(*there_at);
+        *there_at = self.read_to.max(*there_at);
         self.lapsed.remove(&entry.name);
         let Some(known) = self.upstreams.get_mut(&entry.name) else {
             return self.begin_run(entry);
--- a/crates/fleet/src/directory/departing.rs
+++ b/crates/fleet/src/directory/departing.rs
@@ -2,10 +2,12 @@
 
 use apricotdale_core::names::InstanceName;
 use apricotdale_core::names::UpstreamName;
+use apricotdale_core::numbers::Position;
 
 use super::Directory;
 use super::DirectoryChange;
 use super::GoneRun;
+use super::is_before;
 use crate::departure::Departure;
 use crate::departure::DepartureKind;
 use crate::upstream::Upstream;
@@ -25,18 +27,19 @@
     /// Returns what is known of an upstream that takes no new work; none if it may, or was never
     /// known.
     pub fn departure(&self, name: &UpstreamName) -> Option<Departure> {
-        let (revision, offset, kind) = match (self.upstreams.get(name), self.gone.get(name)) {
+        let unknown = Position::default();
+        let (revision, read_to, kind) = match (self.upstreams.get(name), self.gone.get(name)) {
             (Some(known), _) if known.phase == UpstreamPhase::Leaving => {
-                (known.revision, 0, DepartureKind::Final)
+                (known.revision, unknown, DepartureKind::Final)
             }
-            (None, Some(gone)) if gone.restarted => (gone.revision, 0, DepartureKind::Final),
-            (None, Some(gone)) => (gone.revision, gone.offset, DepartureKind::Missing),
+            (None, Some(gone)) if gone.restarted => (gone.revision, unknown, DepartureKind::Final),
+            (None, Some(gone)) => (gone.revision, gone.read_to, DepartureKind::Missing),
             _ => return None,
         };
         Some(Departure {
             upstream: name.clone(),
             revision,
-            offset,
+            read_to,
             kind,
         })
     }
@@ -46,9 +49,9 @@
         let name = &departure.upstream;
         let there_at = self.there_at.get(name).copied().unwrap_or_default();
         let there_at = there_at.max(self.same_up_to);
-        let is_later = |known: &Upstream| match (there_at, departure.offset) {
-            (0, _) | (_, 0) => known.revision <= departure.revision,
-            (there, gone) => there < gone,
+        let is_later = |known: &Upstream| match is_before(there_at, departure.read_to) {
+            Some(is_before) => is_before,
+            None => known.revision <= departure.revision,
         };
         match (self.upstreams.get_mut(name), departure.kind) {
             (Some(known), DepartureKind::Final) if known.phase == UpstreamPhase::Serving => {
@@ -57,7 +60,7 @@
             }
             (Some(known), DepartureKind::Missing) if is_later(known) => {
                 known.revision = known.revision.max(departure.revision);
-                self.read_up_to(departure.offset);
+                self.read_up_to(departure.read_to);
                 self.note_gone(name)
             }
             _ => DirectoryChange::None,
@@ -74,6 +77,11 @@
         self.recovery.answered(now_ms);
     }
 
+    /// Takes in that the list has come back from an older copy: live upstreams may be missing.
+    pub fn note_list_set_back(&mut self, now_ms: u64) {
+        self.recovery.set_back(now_ms);
+    }
+
     /// Takes in that another VM, whose list is whole, read it at a moment.
     pub fn note_list_whole(&mut self, read_ms: u64) {
         self.recovery.whole_elsewhere(read_ms);
@@ -103,11 +111,11 @@
         over
     }
 
-    /// Takes in that this VM's list is the same as one that was read up to an offset, in which no
+    /// Takes in that this VM's list is the same as one that was read up to a position, in which no
     /// live upstream is missing: what was kept around an outage is there.
-    pub fn note_list_same(&mut self, offset: u64) {
+    pub fn note_list_same(&mut self, position: Position) {
         self.lapsed.clear();
-        self.same_up_to = self.same_up_to.max(offset);
+        self.same_up_to = self.same_up_to.max(position);
     }
 
     /// Takes in that an upstream's entry is no longer there. Around an outage of the list a live
@@ -142,7 +150,7 @@
         if let Some(known) = self.upstreams.remove(name) {
             let gone = GoneRun {
                 revision: known.revision,
-                offset: self.offset,
+                read_to: self.read_to,
                 restarted: false,
             };
             self.gone.insert(name.clone(), gone);
--- a/crates/fleet/src/list_copy.rs
+++ b/crates/fleet/src/list_copy.rs
@@ -5,6 +5,7 @@
 //! take from them what they need of it: who serves, where, and what can run there.
 
 use apricotdale_core::names::UpstreamName;
+use apricotdale_core::numbers::Position;
 use serde::Deserialize;
 use serde::Serialize;
 use xxhash_rust::xxh3::xxh3_64;
@@ -24,8 +25,8 @@
 /// some 170 bytes in it, where its own entry takes thousands.
 #[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
 pub struct ListCopyPart {
-    /// How far the list had been read: the offset of the next change.
-    pub offset: u64,
+    /// How far the list had been read: the place of the next change.
+    pub read_to: Position,
     /// How many parts there are.
     pub parts: u32,
     /// The upstreams.
@@ -35,17 +36,17 @@
 /// `ListCopy` is what one VM knows of the upstreams.
 #[derive(Clone, Debug, PartialEq)]
 pub struct ListCopy {
-    /// How far the list had been read: the offset of the next change.
-    pub offset: u64,
+    /// How far the list had been read: the place of the next change.
+    pub read_to: Position,
     /// The upstreams.
     pub entries: Vec<Upstream>,
 }
 
 impl ListCopy {
     /// Returns a copy of what the directory knows.
-    pub fn new(offset: u64, directory: &Directory) -> Self {
+    pub fn new(read_to: Position, directory: &Directory) -> Self {
         Self {
-            offset,
+            read_to,
             entries: directory.upstreams().cloned().collect(),
         }
     }
@@ -53,7 +54,7 @@
     /// Returns the parts in which it is stored.
     pub fn into_parts(self) -> Vec<ListCopyPart> {
         let part = |entries: &[Upstream]| ListCopyPart {
-            offset: self.offset,
+            read_to: self.read_to,
             parts: self.entries.len().div_ceil(ENTRIES_A_PART).max(1) as u32,
             entries: entries.to_vec(),
         };
@@ -67,14 +68,14 @@
     /// store when the newer one has fewer, and a write between two pages of a read leaves parts of
     /// both.
     pub fn from_parts(parts: Vec<ListCopyPart>) -> Option<Self> {
-        let offset = parts.iter().map(|part| part.offset).max()?;
+        let read_to = parts.iter().map(|part| part.read_to).max()?;
         let newest: Vec<ListCopyPart> = parts
             .into_iter()
-            .filter(|part| part.offset == offset)
+            .filter(|part| part.read_to == read_to)
             .collect();
         let is_whole = newest.first()?.parts as usize == newest.len();
         is_whole.then(|| Self {
-            offset,
+            read_to,
             entries: newest.into_iter().flat_map(|part| part.entries).collect(),
         })
     }
--- a/crates/fleet/src/list_recovery.rs
+++ b/crates/fleet/src/list_recovery.rs
@@ -56,6 +56,11 @@
         self.available_ms = self.available_ms.max(Some(now_ms));
     }
 
+    /// Takes in that the list has come back from an older copy, which lacks what was written since.
+    pub fn set_back(&mut self, now_ms: u64) {
+        self.whole_from_ms = now_ms + self.restore_ms;
+    }
+
     /// Takes in that another VM, whose list is whole, read it at a moment. Where this VM alone
     /// could not read, no entry has lapsed.
     pub fn whole_elsewhere(&mut self, read_ms: u64) {
--- a/crates/fleet/src/sharing.rs
+++ b/crates/fleet/src/sharing.rs
@@ -12,6 +12,7 @@
 //! same way (Nonnenmacher and Biersack, Scalable Feedback for Large Groups, IEEE/ACM Transactions
 //! on Networking, 1999).
 
+use apricotdale_core::numbers::Position;
 use serde::Deserialize;
 use serde::Serialize;
 
@@ -47,7 +48,7 @@
     /// Whether no live upstream was missing from it for certain.
     pub list_whole: bool,
     /// How far the list was read.
-    pub list_offset: u64,
+    pub list_read_to: Position,
     /// What the upstreams' entries take if one VM reads them all; none if it is not known.
     pub list_bytes_per_s: Option<u64>,
     /// Which upstreams take new work, as a digest.
@@ -80,8 +81,8 @@
     /// A VM that knows the same upstreams need not read what comes before. While some are missing
     /// it must: an upstream that it keeps for a time would be dropped if it skipped the entry with
     /// which that one comes back.
-    pub fn whole_list_offset(&self) -> Option<u64> {
-        self.list_whole.then_some(self.list_offset)
+    pub fn whole_list_read_to(&self) -> Option<Position> {
+        self.list_whole.then_some(self.list_read_to)
     }
 
     /// Returns when the giver read a list in which no live upstream was missing; none if it did
--- a/crates/fleet/tests/giver_sharing.rs
+++ b/crates/fleet/tests/giver_sharing.rs
@@ -1,6 +1,7 @@
 //! What VMs take from the giver of orders in place of their own reads, and for how long.
 
 use apricotdale_core::names::UpstreamName;
+use apricotdale_core::numbers::Position;
 use apricotdale_fleet::Departure;
 use apricotdale_fleet::DepartureKind;
 use apricotdale_fleet::Freshness;
@@ -21,7 +22,7 @@
         configuration_age_ms: Some(200),
         list_age_ms: Some(list_age_ms),
         list_whole: true,
-        list_offset: 40,
+        list_read_to: Position::new(0, 40),
         list_bytes_per_s: None,
         listed: 7,
         copy_bytes: 23_000,
@@ -104,7 +105,10 @@
     let mut told = beat(300);
     told.list_whole = list_whole;
     assert_eq!(told.whole_list_read_ms(HEARD_MS), read_ms);
-    assert_eq!(told.whole_list_offset(), read_ms.map(|_| 40));
+    assert_eq!(
+        told.whole_list_read_to(),
+        read_ms.map(|_| Position::new(0, 40))
+    );
 }
 
 #[test]
@@ -112,7 +116,7 @@
     let departure = Departure {
         upstream: UpstreamName::from("e"),
         revision: 5,
-        offset: 0,
+        read_to: Position::default(),
         kind: DepartureKind::Missing,
     };
     let mut sharing = Sharing::default();
--- a/crates/fleet/tests/list_copies.rs
+++ b/crates/fleet/tests/list_copies.rs
@@ -3,6 +3,7 @@
 mod support;
 
 use apricotdale_core::names::ModelName;
+use apricotdale_core::numbers::Position;
 use apricotdale_fleet::Directory;
 use apricotdale_fleet::DirectoryChange;
 use apricotdale_fleet::ListCopy;
@@ -53,7 +54,7 @@
     let names: Vec<String> = (0..upstreams).map(|index| format!("e{index}")).collect();
     let names: Vec<&str> = names.iter().map(String::as_str).collect();
     let read = listing(&names);
-    let copy = over_the_wire(ListCopy::new(40, &read)).expect("a whole copy");
+    let copy = over_the_wire(ListCopy::new(Position::new(0, 40), &read)).expect("a whole copy");
     let mut told = directory();
     told.note_copy(NOW_MS, copy.entries, true);
     assert_eq!(serving(&told), upstreams);
@@ -86,11 +87,11 @@
 fn parts_of_two_copies_are_none() {
     let names: Vec<String> = (0..1_100).map(|index| format!("e{index}")).collect();
     let names: Vec<&str> = names.iter().map(String::as_str).collect();
-    let former = ListCopy::new(40, &listing(&names)).into_parts();
-    let newer = ListCopy::new(50, &listing(&names)).into_parts();
+    let former = ListCopy::new(Position::new(0, 40), &listing(&names)).into_parts();
+    let newer = ListCopy::new(Position::new(0, 50), &listing(&names)).into_parts();
     let mixed = vec![newer[0].clone(), newer[1].clone(), former[2].clone()];
     assert_eq!(ListCopy::from_parts(mixed), None);
-    let shorter = ListCopy::new(60, &listing(&["a"])).into_parts();
+    let shorter = ListCopy::new(Position::new(0, 60), &listing(&["a"])).into_parts();
     let left_over = vec![shorter[0].clone(), former[1].clone(), former[2].clone()];
     let copy = ListCopy::from_parts(left_over).expect("the newest is whole");
     assert_eq!(copy.entries.len(), 1);
--- a/crates/fleet/tests/told_departures.rs
+++ b/crates/fleet/tests/told_departures.rs
@@ -3,6 +3,7 @@
 mod support;
 
 use apricotdale_core::names::UpstreamName;
+use apricotdale_core::numbers::Position;
 use apricotdale_fleet::Departure;
 use apricotdale_fleet::DepartureKind;
 use apricotdale_fleet::DirectoryChange;
@@ -61,8 +62,14 @@
 
 /// How far the list was read by one VM, and then by another which finds that an upstream is
 /// missing.
-const READ: u64 = 190;
-const MISSING_AT: u64 = 210;
+const READ: Position = Position {
+    era: 0,
+    offset: 190,
+};
+const MISSING_AT: Position = Position {
+    era: 0,
+    offset: 210,
+};
 
 /// Symptom: a request reached an upstream 3.7 s after its entry had been removed, though all VMs
 /// had been told within 0.3 s.
@@ -77,7 +84,7 @@
 #[test]
 fn copy_from_before_the_removal() {
     let mut vm = directory();
-    vm.read_up_to(10);
+    vm.read_up_to(Position::new(0, 10));
     vm.note_listing(1_000, vec![entry("e", 1), entry("other", 1)]);
     vm.note_list_same(READ);
     let name = entry("e", 1).name;
@@ -86,7 +93,7 @@
     vm.read_up_to(READ);
     vm.note_copy(1_000, vec![entry("e", 50), entry("other", 50)], false);
     assert_eq!(serving(&vm), 1);
-    vm.read_up_to(MISSING_AT + 1);
+    vm.read_up_to(MISSING_AT.after(1));
     assert_eq!(vm.note_entry(entry("e", 51)), DirectoryChange::Came);
 }
 
@@ -100,14 +107,14 @@
     let departure = Departure {
         upstream: entry("e", 1).name,
         revision: 1,
-        offset: MISSING_AT,
+        read_to: MISSING_AT,
         kind: DepartureKind::Missing,
     };
     assert_eq!(vm.note_departure(&departure), DirectoryChange::Left);
     // What was told before it left, and comes later.
     vm.read_up_to(READ);
     assert_eq!(vm.note_told(entry("e", 60)), DirectoryChange::None);
-    vm.read_up_to(MISSING_AT + 5);
+    vm.read_up_to(MISSING_AT.after(5));
     assert_eq!(vm.note_told(entry("e", 60)), DirectoryChange::Came);
     // The departure is told for seconds; the upstream is back.
     assert_eq!(vm.note_departure(&departure), DirectoryChange::None);
--- a/crates/holder/src/lease.rs
+++ b/crates/holder/src/lease.rs
@@ -2,8 +2,9 @@
 //!
 //! The lease is a topic of the store. A VM takes or renews the lease by appending a record on the
 //! condition that the topic ends where the VM last saw its end, so of several VMs that try at the
-//! same end one succeeds. The offset of the record with which a VM took the lease is the fencing
-//! token of all its orders; offsets only grow.
+//! same end one succeeds. The position of the record with which a VM took the lease is the fencing
+//! token of all its orders: its era first, since offsets go back when the store comes back from an
+//! older copy.
 //!
 //! What can go wrong, and what prevents it:
 //!
@@ -21,14 +22,29 @@
 //!   holder waits for a pause before its first order, counted from the last moment at which the old
 //!   one could give an order. That is known by when the old one's last record was seen, so a holder
 //!   that could not take over during an outage of the store need not wait once more after it.
+//! - The store comes back from an older copy, in a new era. What was acknowledged may be gone: a
+//!   takeover, a renewal, a lease given back. A topic may end by chance where a VM last saw it end.
+//!   So an append counts only if it was answered in the era in which its condition was made, and a
+//!   record that was written before the era says nothing but that somebody unknown may hold the
+//!   lease. Whoever does was acknowledged before the new era began, so its lease is over one
+//!   duration after any VM has learned of that era; until then it may renew it there.
 //! - All VMs lose their power at once. The VM that held the lease finds its own record when it is
 //!   back: no other VM can have given an order since, so it goes on without that pause. Its record
 //!   says whether its own pause was over by then.
 
 use apricotdale_core::names::VmName;
+use apricotdale_core::numbers::Position;
 use serde::Deserialize;
 use serde::Serialize;
 
+/// Bits of a fencing token that hold the offset; the era stands above them. 8,000 eras fit into the
+/// numbers that JSON readers keep exactly.
+const TOKEN_OFFSET_BITS: u32 = 40;
+
+/// How far before the end that was known the topic is read in a new era, in records. A copy that is
+/// a minute old lacks no more.
+const RECORDS_SET_BACK: u64 = 100;
+
 /// `LeaseOptions` are the lease's times.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub struct LeaseOptions {
@@ -82,6 +98,8 @@
     pub settled: bool,
     /// How long ago the holder gave its last order, in a record that gives the lease back; else 0.
     pub quiet_ms: u64,
+    /// The era of the store as the holder knew it.
+    pub era: u64,
 }
 
 /// `LeaseAction` is the call that the lease wants made at the store. One is under way at a time.
@@ -94,8 +112,8 @@
     },
     /// Append a record if the topic ends here.
     Append {
-        /// The end on which the append depends.
-        at: u64,
+        /// The end on which the append depends, in the era in which it was seen.
+        at: Position,
         /// The record.
         record: LeaseRecord,
     },
@@ -106,25 +124,25 @@
 pub enum LeaseAnswer {
     /// The topic's end, and the newest record if it is still kept.
     Read {
-        /// The offset after the newest record.
-        end: u64,
+        /// The place after the newest record.
+        end: Position,
         /// The newest record.
         newest: Option<LeaseRecord>,
     },
     /// The offset that was asked for is no longer kept.
     Expired {
-        /// The first offset that is.
-        first: u64,
+        /// The first place that is.
+        first: Position,
     },
-    /// The record was appended at this offset.
+    /// The record was appended at this place.
     Appended {
-        /// Its offset.
-        offset: u64,
+        /// Its place.
+        at: Position,
     },
     /// The topic ended elsewhere; nothing was done.
     EndedElsewhere {
-        /// The offset after the newest record.
-        end: u64,
+        /// The place after the newest record.
+        end: Position,
     },
     /// Certainly nothing was done.
     NotDone,
@@ -132,6 +150,18 @@
     Unknown,
 }
 
+impl LeaseAnswer {
+    /// Returns the era in which the store gave the answer, if it did.
+    fn era(&self) -> Option<u64> {
+        match self {
+            Self::Read { end, .. } | Self::EndedElsewhere { end } => Some(end.era),
+            Self::Expired { first } => Some(first.era),
+            Self::Appended { at } => Some(at.era),
+            Self::NotDone | Self::Unknown => None,
+        }
+    }
+}
+
 /// Whose the newest record is, as far as this VM knows.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 enum Newest {
@@ -167,7 +197,11 @@
     /// This VM's place in the order of takeover.
     place: u64,
     /// The topic's end as last seen, and when it was first seen to end there.
-    end: Option<(u64, u64)>,
+    end: Option<(Position, u64)>,
+    /// The latest era that is known.
+    era: Option<u64>,
+    /// The era in which the last renewal was acknowledged.
+    renewed_in: u64,
     newest: Newest,
     /// The term of this VM. It outlives a lease that ran out while nobody else took it: the VM may
     /// then go on with the same fencing token.
@@ -183,10 +217,12 @@
     last_order_ms: u64,
     next_call_ms: u64,
     must_read: bool,
-    /// The first offset that the store keeps, where it said so to the last read.
-    first_kept: Option<u64>,
+    /// Where the next read begins, if not at the newest record that is known.
+    read_next: Option<u64>,
     /// Where the last read began.
     read_from: u64,
+    /// The era in which the place was seen that the call under way names.
+    asked_era: Option<u64>,
 }
 
 impl Lease {
@@ -198,6 +234,8 @@
             run,
             place: 0,
             end: None,
+            era: None,
+            renewed_in: 0,
             newest: Newest::Others,
             term: None,
             good_until_ms: 0,
@@ -207,8 +245,9 @@
             last_order_ms: 0,
             next_call_ms: 0,
             must_read: true,
-            first_kept: None,
+            read_next: None,
             read_from: 0,
+            asked_era: None,
         }
     }
 
@@ -238,7 +277,7 @@
     }
 
     /// Returns the end of the topic as last seen, for other VMs.
-    pub fn end(&self) -> Option<u64> {
+    pub fn end(&self) -> Option<Position> {
         self.end.map(|(end, _)| end)
     }
 
@@ -247,10 +286,32 @@
         self.last_order_ms = now_ms;
     }
 
+    /// Takes in the era of the store, as any of its answers or another VM tells it.
+    pub fn note_era(&mut self, now_ms: u64, era: u64) {
+        let known = self.era;
+        self.era = known.max(Some(era));
+        if known.is_none_or(|known| era <= known) {
+            return;
+        }
+        self.must_read = true;
+        self.read_next = self
+            .end
+            .map(|(end, _)| end.offset.saturating_sub(RECORDS_SET_BACK));
+        self.next_call_ms = match self.is_held(now_ms) {
+            true => now_ms,
+            // The holder tells the new end soon, and then only the first of the others have read.
+            false => now_ms + self.place * self.options.stagger_ms,
+        };
+    }
+
     /// Takes in the end of the topic that another VM told of. A record before that end had reached
     /// the store when the other VM sent this. `released` is how long before the last order was
     /// given, if the record gives the lease back.
-    pub fn note_end(&mut self, now_ms: u64, end: u64, released: Option<u64>) {
+    pub fn note_end(&mut self, now_ms: u64, end: Position, released: Option<u64>) {
+        if self.is_earlier(end.era) {
+            return;
+        }
+        self.note_era(now_ms, end.era);
         if self.end.is_none_or(|(known, _)| end > known) {
             self.end = Some((end, now_ms));
             self.newest = match released {
@@ -274,7 +335,7 @@
     pub fn next_ms(&self) -> u64 {
         match self.end {
             _ if self.call_sent_ms.is_some() => u64::MAX,
-            Some((0, seen_ms)) if !self.must_read => {
+            Some((end, seen_ms)) if !self.must_read && Self::is_unused(end) => {
                 (seen_ms + self.place * self.options.stagger_ms).max(self.next_call_ms)
             }
             Some((_, seen_ms)) if !self.must_read && self.term.is_none() => {
@@ -290,15 +351,16 @@
             return None;
         }
         self.call_sent_ms = Some(now_ms);
-        let last = self.end.map_or(0, |(end, _)| end.saturating_sub(1));
-        let from = last.max(self.first_kept.take().unwrap_or(0));
-        self.read_from = from;
+        let last = self.end.map_or(0, |(end, _)| end.offset.saturating_sub(1));
+        let from = self.read_next.unwrap_or(last);
         let action = match self.end {
-            Some((end, _)) if !self.must_read => LeaseAction::Append {
-                at: end,
-                record: self.record(now_ms, false),
-            },
-            _ => LeaseAction::Read { from },
+            Some((end, _)) if !self.must_read => self.append(now_ms, end, false),
+            _ => {
+                self.read_next = None;
+                self.read_from = from;
+                self.asked_era = self.era;
+                LeaseAction::Read { from }
+            }
         };
         Some(action)
     }
@@ -311,35 +373,57 @@
         self.lose();
         self.releasing = true;
         self.call_sent_ms = Some(now_ms);
-        Some(LeaseAction::Append {
-            at: end,
-            record: self.record(now_ms, true),
-        })
+        Some(self.append(now_ms, end, true))
+    }
+
+    fn append(&mut self, now_ms: u64, at: Position, released: bool) -> LeaseAction {
+        self.asked_era = Some(at.era);
+        LeaseAction::Append {
+            at,
+            record: self.record(now_ms, at.era, released),
+        }
     }
 
     /// Takes in how the call ended. Returns the end of the topic to tell the other VMs with which
     /// the lease was given back, and how long before this VM had given its last order.
-    pub fn answered(&mut self, now_ms: u64, answer: LeaseAnswer) -> Option<(u64, u64)> {
+    pub fn answered(&mut self, now_ms: u64, answer: LeaseAnswer) -> Option<(Position, u64)> {
+        // What was done in an earlier era may be undone by now.
+        let answer = match answer.era() {
+            Some(era) if self.is_earlier(era) => LeaseAnswer::Unknown,
+            _ => answer,
+        };
         let sent_ms = self.call_sent_ms.take().unwrap_or(now_ms);
         let releasing = std::mem::take(&mut self.releasing);
         self.next_call_ms = now_ms + self.options.renew_every_ms / 2;
+        let is_set_back = answer.era() > self.asked_era && self.asked_era.is_some();
+        if let Some(era) = answer.era() {
+            self.note_era(now_ms, era);
+        }
         match answer {
+            // The topic ended by chance where it had ended in an earlier era.
+            LeaseAnswer::Appended { at } if is_set_back => {
+                self.read_again(now_ms, at.offset);
+            }
             // Taken for a renewal, it would make this VM the holder again: it would go on telling
             // the others so, and they would wait for a whole lease.
-            LeaseAnswer::Appended { offset } if releasing => {
+            LeaseAnswer::Appended { at } if releasing => {
                 let quiet_ms = sent_ms.saturating_sub(self.last_order_ms);
-                self.end = Some((offset + 1, now_ms));
+                self.end = Some((at.after(1), now_ms));
                 self.newest = Newest::Released { quiet_ms };
-                return Some((offset + 1, quiet_ms));
+                return Some((at.after(1), quiet_ms));
+            }
+            LeaseAnswer::Appended { at } => self.appended(now_ms, sent_ms, at),
+            // The place from which it was read was one of an earlier era.
+            LeaseAnswer::Read { end, newest: None } if is_set_back && end.offset > 0 => {
+                self.read_again(now_ms, end.offset - 1);
             }
-            LeaseAnswer::Appended { offset } => self.appended(now_ms, sent_ms, offset),
             LeaseAnswer::Read { end, newest } => self.read(now_ms, end, newest),
             // The first kept record is not the newest, nor the end: an append there would be refused
             // for as long as later records are kept.
             LeaseAnswer::Expired { first } => {
                 self.must_read = true;
-                self.first_kept = Some(first);
-                if first > self.read_from {
+                self.read_next = Some(first.offset);
+                if first.offset > self.read_from || first.era > self.renewed_in {
                     self.next_call_ms = now_ms;
                 } else {
                     // The topic ends before what this VM knows of it.
@@ -347,9 +431,8 @@
                     self.lose();
                 }
             }
-            LeaseAnswer::EndedElsewhere { .. } => {
-                self.must_read = true;
-                self.next_call_ms = now_ms;
+            LeaseAnswer::EndedElsewhere { end } => {
+                self.read_again(now_ms, end.offset.saturating_sub(1));
             }
             LeaseAnswer::NotDone => self.unreached_ms = Some(now_ms),
             LeaseAnswer::Unknown => {
@@ -360,11 +443,29 @@
         None
     }
 
-    fn appended(&mut self, now_ms: u64, sent_ms: u64, offset: u64) {
+    fn read_again(&mut self, now_ms: u64, from: u64) {
+        self.must_read = true;
+        self.read_next = Some(from);
+        self.next_call_ms = now_ms;
+    }
+
+    /// Returns whether a later era than this one is known.
+    fn is_earlier(&self, era: u64) -> bool {
+        self.era.is_some_and(|known| era < known)
+    }
+
+    /// Returns whether a topic that ends here tells that nobody has held the lease so far. In a
+    /// later era its records may be lost.
+    fn is_unused(end: Position) -> bool {
+        end == Position::default()
+    }
+
+    fn appended(&mut self, now_ms: u64, sent_ms: u64, at: Position) {
         let term = self.term.unwrap_or(Term {
-            fence: offset + 1,
-            orders_from_ms: self.orders_from_ms(now_ms, offset),
+            fence: (at.era << TOKEN_OFFSET_BITS) | (at.offset + 1),
+            orders_from_ms: self.orders_from_ms(now_ms, at),
         });
+        self.renewed_in = at.era;
         if self.term.is_none() {
             // Until then another VM's orders count; the next holder must not take this one's
             // silence for theirs.
@@ -373,13 +474,13 @@
         self.term = Some(term);
         self.good_until_ms = sent_ms + self.options.duration_ms;
         self.unreached_ms = None;
-        self.end = Some((offset + 1, now_ms));
+        self.end = Some((at.after(1), now_ms));
         self.newest = Newest::Own;
         self.next_call_ms = now_ms + self.options.renew_every_ms;
     }
 
     /// Returns when this VM, which has just taken the lease, may give its first order.
-    fn orders_from_ms(&self, now_ms: u64, offset: u64) -> u64 {
+    fn orders_from_ms(&self, now_ms: u64, at: Position) -> u64 {
         let pause_ms = match self.newest {
             // The holder before was this VM. Its process has ended, and orders of one VM are those
             // of one holder, so there is nobody to take turns with, unless that process itself was
@@ -387,7 +488,7 @@
             Newest::EarlierRun { settled: true } => 0,
             _ => self.options.pause_ms,
         };
-        let (_, seen_ms) = self.end.unwrap_or((offset, now_ms));
+        let (_, seen_ms) = self.end.unwrap_or((at, now_ms));
         // The last moment at which the holder before could give an order: its lease counts from
         // before its last record was seen, and one that gave it back, or has ended, gives no more.
         let last_order_ms = match self.newest {
@@ -397,14 +498,23 @@
         };
         match () {
             // Before the first record nobody has given an order that could still be under way.
-            _ if offset == 0 || self.options.pause_ms == 0 => now_ms,
+            _ if Self::is_unused(at) || self.options.pause_ms == 0 => now_ms,
             _ => now_ms.max(last_order_ms + pause_ms + self.options.late_order_ms),
         }
     }
 
-    fn read(&mut self, now_ms: u64, end: u64, newest: Option<LeaseRecord>) {
+    fn read(&mut self, now_ms: u64, end: Position, newest: Option<LeaseRecord>) {
         self.must_read = false;
+        let is_earlier = match &newest {
+            Some(record) => record.era < end.era,
+            None => self.renewed_in < end.era,
+        };
+        // Whoever wrote a record of an earlier era has not taken the lease with it, and no other VM
+        // can have done so since the last renewal, though the store may have lost that.
+        let is_kept = is_earlier && self.term.is_some() && now_ms < self.good_until_ms;
         self.newest = match &newest {
+            _ if is_kept => Newest::Own,
+            _ if is_earlier => Newest::Others,
             Some(record) if record.run == self.run && record.holder == self.vm => Newest::Own,
             Some(record) if record.released => Newest::Released {
                 quiet_ms: record.quiet_ms,
@@ -421,7 +531,7 @@
             // The append whose answer was lost was done. When it was sent is no longer known, so
             // the lease is good only from the next one.
             self.next_call_ms = now_ms;
-        } else if end > 0 {
+        } else if !Self::is_unused(end) {
             self.lose();
         }
     }
@@ -442,10 +552,11 @@
         }
     }
 
-    fn record(&self, now_ms: u64, released: bool) -> LeaseRecord {
+    fn record(&self, now_ms: u64, era: u64, released: bool) -> LeaseRecord {
         LeaseRecord {
             holder: self.vm.clone(),
             run: self.run,
+            era,
             released,
             quiet_ms: match released {
                 true => now_ms.saturating_sub(self.last_order_ms),
--- a/crates/holder/tests/lease_search.rs
+++ b/crates/holder/tests/lease_search.rs
@@ -4,6 +4,7 @@
 use std::collections::HashMap;
 
 use apricotdale_core::names::VmName;
+use apricotdale_core::numbers::Position;
 use apricotdale_holder::Lease;
 use apricotdale_holder::LeaseAction;
 use apricotdale_holder::LeaseAnswer;
@@ -17,6 +18,9 @@
 const VMS: usize = 3;
 const STEP_MS: u64 = 50;
 
+/// Steps after which orders must be given again: those of the longest freeze, a lease and a pause.
+const CALM_STEPS: usize = 300;
+
 /// What happens in one step, beside the time that passes.
 #[derive(Clone, Copy, Debug)]
 enum Step {
@@ -34,6 +38,10 @@
     Hear { vm: usize, from: usize },
     /// A VM gives the lease back, if it has it, and does nothing more until it starts anew.
     Stop { vm: usize },
+    /// The answer to a VM's next call comes some steps later.
+    Slow { vm: usize, steps: u64 },
+    /// The store is away for some steps and comes back from a copy that lacks the last records.
+    SetBack { away: u64, lost: usize },
 }
 
 fn step() -> impl Strategy<Value = Step> {
@@ -57,27 +65,57 @@
     ]
 }
 
+fn step_or_set_back() -> impl Strategy<Value = Step> {
+    prop_oneof![
+        20 => step_or_stop(),
+        2 => (0..VMS, 1..18_u64).prop_map(|(vm, steps)| Step::Slow { vm, steps }),
+        1 => (0..20_u64, 0..4_usize).prop_map(|(away, lost)| Step::SetBack { away, lost }),
+    ]
+}
+
 /// The store's topic, and the calls that will be carried out late.
 #[derive(Default)]
 struct Store {
     records: Vec<LeaseRecord>,
-    late: Vec<(u64, u64, LeaseRecord)>,
+    late: Vec<(u64, Position, LeaseRecord)>,
+    era: u64,
+    away_until_ms: u64,
 }
 
 impl Store {
-    fn append(&mut self, at: u64, record: &LeaseRecord) -> LeaseAnswer {
-        let end = self.records.len() as u64;
-        if end != at {
+    fn end(&self) -> Position {
+        Position::new(self.era, self.records.len() as u64)
+    }
+
+    /// Appends if the topic ends at the offset; the store does not know of which era it is.
+    fn append(&mut self, at: Position, record: &LeaseRecord) -> LeaseAnswer {
+        let end = self.end();
+        if end.offset != at.offset {
             return LeaseAnswer::EndedElsewhere { end };
         }
         self.records.push(record.clone());
-        LeaseAnswer::Appended { offset: at }
+        LeaseAnswer::Appended { at: end }
     }
 
-    fn call(&mut self, action: &LeaseAction) -> LeaseAnswer {
+    fn set_back(&mut self, until_ms: u64, lost: usize) {
+        self.away_until_ms = self.away_until_ms.max(until_ms);
+        let kept = self.records.len().saturating_sub(lost);
+        self.records.truncate(kept);
+        self.era += 1;
+    }
+
+    fn call(&mut self, now_ms: u64, action: &LeaseAction) -> LeaseAnswer {
+        let end = self.end();
         match action {
+            _ if now_ms < self.away_until_ms => LeaseAnswer::NotDone,
+            LeaseAction::Read { from } if *from > end.offset => LeaseAnswer::Expired {
+                first: Position::new(self.era, 0),
+            },
+            LeaseAction::Read { from } if *from == end.offset => {
+                LeaseAnswer::Read { end, newest: None }
+            }
             LeaseAction::Read { .. } => LeaseAnswer::Read {
-                end: self.records.len() as u64,
+                end,
                 newest: self.records.last().cloned(),
             },
             LeaseAction::Append { at, record } => self.append(*at, record),
@@ -85,6 +123,9 @@
     }
 
     fn carry_out_late(&mut self, now_ms: u64) {
+        if now_ms < self.away_until_ms {
+            return;
+        }
         let due: Vec<_> = self
             .late
             .extract_if(.., |(at_ms, ..)| *at_ms <= now_ms)
@@ -102,6 +143,9 @@
     cut_until_ms: u64,
     answers_only: bool,
     late_ms: Option<u64>,
+    slow_ms: Option<u64>,
+    /// An answer on its way.
+    coming: Option<(u64, LeaseAnswer)>,
     stopped: bool,
 }
 
@@ -116,12 +160,17 @@
         cut_until_ms: 0,
         answers_only: false,
         late_ms: None,
+        slow_ms: None,
+        coming: None,
         stopped: false,
     }
 }
 
 impl Vm {
     fn act(&mut self, now_ms: u64, store: &mut Store) {
+        if let Some((_, answer)) = self.coming.take_if(|(at_ms, _)| *at_ms <= now_ms) {
+            self.lease.answered(now_ms, answer);
+        }
         let action = match self.stopped {
             true => None,
             false => self.lease.act(now_ms),
@@ -147,12 +196,17 @@
                 LeaseAnswer::Unknown
             }
             _ if now_ms < self.cut_until_ms => {
-                store.call(action);
+                store.call(now_ms, action);
                 LeaseAnswer::Unknown
             }
-            _ => store.call(action),
+            _ => store.call(now_ms, action),
         };
-        self.lease.answered(now_ms, answer);
+        match self.slow_ms.take() {
+            Some(slow_ms) => self.coming = Some((now_ms + slow_ms, answer)),
+            None => {
+                self.lease.answered(now_ms, answer);
+            }
+        }
     }
 }
 
@@ -180,6 +234,8 @@
                 vms[vm] = start(vm, next_run);
                 next_run += 1;
             }
+            Step::SetBack { away, lost } => store.set_back(now_ms + away * STEP_MS, lost),
+            Step::Slow { vm, steps } => vms[vm].slow_ms = Some(steps * STEP_MS),
             Step::Late { vm, steps } => vms[vm].late_ms = Some(steps * STEP_MS),
             Step::Hear { vm, from } => {
                 let speaks = now_ms >= vms[from].frozen_until_ms && vms[from].lease.is_held(now_ms);
@@ -199,6 +255,8 @@
                 }
             }
         }
+        let holders = vms.iter().filter(|vm| vm.lease.is_held(now_ms)).count();
+        assert!(holders <= 1, "two hold the lease at {now_ms}");
     }
     orders
 }
@@ -254,6 +312,30 @@
     }
 }
 
+proptest! {
+    #![proptest_config(proptest::prelude::ProptestConfig {
+        cases: 1_500,
+        rng_seed: proptest::test_runner::RngSeed::Fixed(43),
+        failure_persistence: None,
+        ..Default::default()
+    })]
+
+    /// The same where the store also comes back from older copies. When all is calm again, orders
+    /// are given, under a fence that no engine has seen a higher one than.
+    #[test]
+    fn one_holder_with_set_backs(
+        steps in proptest::collection::vec(step_or_set_back(), 50..600)
+    ) {
+        let calm_from_ms = steps.len() as u64 * STEP_MS;
+        let restarts = (0..VMS).map(|vm| Step::Restart { vm });
+        let calm = std::iter::repeat_n(Step::Calm, CALM_STEPS);
+        let steps: Vec<Step> = steps.into_iter().chain(restarts).chain(calm).collect();
+        let orders = play(&steps);
+        check(&orders);
+        assert!(orders.last().is_some_and(|(at_ms, ..)| *at_ms > calm_from_ms), "no orders");
+    }
+}
+
 /// The search means nothing unless holders give orders and change.
 #[test]
 fn calm_steps_have_one_holder() {
--- a/crates/holder/tests/lease_takeover.rs
+++ b/crates/holder/tests/lease_takeover.rs
@@ -1,6 +1,7 @@
 //! Who holds the lease for orders: taking, renewing, losing and taking over.
 
 use apricotdale_core::names::VmName;
+use apricotdale_core::numbers::Position;
 use apricotdale_holder::Lease;
 use apricotdale_holder::LeaseAction;
 use apricotdale_holder::LeaseAnswer;
@@ -28,17 +29,28 @@
         released: false,
         settled: true,
         quiet_ms: 0,
+        era: 0,
     }
 }
 
+fn at(offset: u64) -> Position {
+    Position::new(0, offset)
+}
+
 fn read(lease: &mut Lease, now_ms: u64, end: u64, newest: Option<LeaseRecord>) {
     assert!(matches!(lease.act(now_ms), Some(LeaseAction::Read { .. })));
-    lease.answered(now_ms, LeaseAnswer::Read { end, newest });
+    lease.answered(
+        now_ms,
+        LeaseAnswer::Read {
+            end: at(end),
+            newest,
+        },
+    );
 }
 
 fn append_at(lease: &mut Lease, now_ms: u64) -> Option<u64> {
     match lease.act(now_ms) {
-        Some(LeaseAction::Append { at, .. }) => Some(at),
+        Some(LeaseAction::Append { at, .. }) => Some(at.offset),
         _ => None,
     }
 }
@@ -49,7 +61,7 @@
     read(&mut lease, 0, 0, None);
     let next_ms = lease.next_ms();
     assert_eq!(append_at(&mut lease, next_ms), Some(0));
-    lease.answered(next_ms, LeaseAnswer::Appended { offset: 0 });
+    lease.answered(next_ms, LeaseAnswer::Appended { at: at(0) });
     lease
 }
 
@@ -65,7 +77,7 @@
     for offset in 1..=20 {
         let now_ms = lease.next_ms();
         assert_eq!(append_at(&mut lease, now_ms), Some(offset));
-        lease.answered(now_ms, LeaseAnswer::Appended { offset });
+        lease.answered(now_ms, LeaseAnswer::Appended { at: at(offset) });
         assert_eq!(lease.fence(now_ms), Some(1));
     }
 }
@@ -87,7 +99,7 @@
     let mut lease = first_holder();
     let now_ms = lease.next_ms();
     append_at(&mut lease, now_ms);
-    lease.answered(now_ms + 1_500, LeaseAnswer::Appended { offset: 1 });
+    lease.answered(now_ms + 1_500, LeaseAnswer::Appended { at: at(1) });
     assert_eq!(lease.fence(now_ms + OPTIONS.duration_ms), None);
 }
 
@@ -109,7 +121,7 @@
 fn renewals_heard_of_put_the_takeover_off() {
     let mut follower = lease("b", 2);
     read(&mut follower, 1_000, 5, Some(record("a", 1)));
-    follower.note_end(2_500, 6, None);
+    follower.note_end(2_500, at(6), None);
     assert_eq!(append_at(&mut follower, 1_000 + OPTIONS.duration_ms), None);
     assert_eq!(
         append_at(&mut follower, 2_500 + OPTIONS.duration_ms),
@@ -122,7 +134,7 @@
 fn same_end_does_not_put_the_takeover_off() {
     let mut follower = lease("b", 2);
     read(&mut follower, 1_000, 5, Some(record("a", 1)));
-    follower.note_end(2_500, 5, None);
+    follower.note_end(2_500, at(5), None);
     assert_eq!(
         append_at(&mut follower, 1_000 + OPTIONS.duration_ms),
         Some(5)
@@ -138,7 +150,7 @@
     read(&mut follower, 1_000, 5, Some(record("a", 1)));
     let now_ms = 1_000 + OPTIONS.duration_ms;
     append_at(&mut follower, now_ms);
-    follower.answered(now_ms, LeaseAnswer::Appended { offset: 5 });
+    follower.answered(now_ms, LeaseAnswer::Appended { at: at(5) });
     assert!(follower.is_held(now_ms));
     assert_eq!(follower.fence(now_ms), None);
     let mut offset = 6;
@@ -147,7 +159,7 @@
         assert_eq!(follower.fence(at_ms), None);
         at_ms = follower.next_ms();
         append_at(&mut follower, at_ms);
-        follower.answered(at_ms, LeaseAnswer::Appended { offset });
+        follower.answered(at_ms, LeaseAnswer::Appended { at: at(offset) });
         offset += 1;
     }
     assert_eq!(follower.fence(at_ms), Some(6));
@@ -169,7 +181,7 @@
         at_ms = follower.next_ms();
     }
     assert_eq!(append_at(&mut follower, at_ms), Some(5));
-    follower.answered(at_ms, LeaseAnswer::Appended { offset: 5 });
+    follower.answered(at_ms, LeaseAnswer::Appended { at: at(5) });
     assert_eq!(follower.fence(at_ms), Some(6));
 }
 
@@ -182,7 +194,7 @@
     read(&mut restarted, 1_000, 5, Some(record("a", 1)));
     let at_ms = restarted.next_ms();
     assert_eq!(append_at(&mut restarted, at_ms), Some(5));
-    restarted.answered(at_ms, LeaseAnswer::Appended { offset: 5 });
+    restarted.answered(at_ms, LeaseAnswer::Appended { at: at(5) });
     let orders_ms = at_ms.max(1_000 + OPTIONS.late_order_ms);
     assert_eq!(restarted.fence(orders_ms - 1), None);
     assert_eq!(restarted.fence(orders_ms), Some(6));
@@ -201,14 +213,14 @@
     read(&mut restarted, 1_000, 5, Some(taking));
     let at_ms = restarted.next_ms();
     append_at(&mut restarted, at_ms);
-    restarted.answered(at_ms, LeaseAnswer::Appended { offset: 5 });
+    restarted.answered(at_ms, LeaseAnswer::Appended { at: at(5) });
     let mut offset = 6;
     let mut now_ms = at_ms;
     while now_ms < 1_000 + OPTIONS.pause_ms + OPTIONS.late_order_ms {
         assert_eq!(restarted.fence(now_ms), None);
         now_ms = restarted.next_ms();
         append_at(&mut restarted, now_ms);
-        restarted.answered(now_ms, LeaseAnswer::Appended { offset });
+        restarted.answered(now_ms, LeaseAnswer::Appended { at: at(offset) });
         offset += 1;
     }
     assert_eq!(restarted.fence(now_ms), Some(6));
@@ -224,24 +236,24 @@
     holder.note_order(ordered_ms);
     let now_ms = ordered_ms + 150;
     assert!(holder.release(now_ms).is_some());
-    let told = holder.answered(now_ms + 5, LeaseAnswer::Appended { offset: 1 });
-    assert_eq!(told, Some((2, 150)));
+    let told = holder.answered(now_ms + 5, LeaseAnswer::Appended { at: at(1) });
+    assert_eq!(told, Some((at(2), 150)));
     assert!(!holder.is_held(now_ms + 5));
     assert_eq!(holder.fence(now_ms + 5), None);
     // Another VM that is told takes it at once, and pauses from the last order.
     let mut follower = lease("b", 2);
     read(&mut follower, 0, 1, Some(record("a", 1)));
-    follower.note_end(now_ms + 6, 2, Some(150));
+    follower.note_end(now_ms + 6, at(2), Some(150));
     let taken_ms = now_ms + 6;
     assert_eq!(append_at(&mut follower, taken_ms), Some(2));
-    follower.answered(taken_ms, LeaseAnswer::Appended { offset: 2 });
+    follower.answered(taken_ms, LeaseAnswer::Appended { at: at(2) });
     let mut at_ms = taken_ms;
     let mut offset = 3;
     while at_ms < ordered_ms + OPTIONS.pause_ms + OPTIONS.late_order_ms {
         assert_eq!(follower.fence(at_ms), None);
         at_ms = follower.next_ms();
         append_at(&mut follower, at_ms);
-        follower.answered(at_ms, LeaseAnswer::Appended { offset });
+        follower.answered(at_ms, LeaseAnswer::Appended { at: at(offset) });
         offset += 1;
     }
     assert_eq!(follower.fence(at_ms), Some(3));
@@ -255,11 +267,11 @@
     read(&mut follower, 1_000, 5, Some(record("a", 1)));
     let late_ms = 9_000;
     append_at(&mut follower, late_ms);
-    follower.answered(late_ms, LeaseAnswer::EndedElsewhere { end: 6 });
+    follower.answered(late_ms, LeaseAnswer::EndedElsewhere { end: at(6) });
     read(&mut follower, late_ms, 6, Some(record("a", 1)));
     let now_ms = late_ms + OPTIONS.duration_ms;
     assert_eq!(append_at(&mut follower, now_ms), Some(6));
-    follower.answered(now_ms, LeaseAnswer::Appended { offset: 6 });
+    follower.answered(now_ms, LeaseAnswer::Appended { at: at(6) });
     assert_eq!(follower.fence(now_ms + OPTIONS.duration_ms - 1), None);
 }
 
@@ -268,7 +280,10 @@
     let mut follower = lease("b", 2);
     read(&mut follower, 0, 5, Some(record("a", 1)));
     append_at(&mut follower, OPTIONS.duration_ms);
-    follower.answered(OPTIONS.duration_ms, LeaseAnswer::EndedElsewhere { end: 6 });
+    follower.answered(
+        OPTIONS.duration_ms,
+        LeaseAnswer::EndedElsewhere { end: at(6) },
+    );
     assert!(!follower.is_held(OPTIONS.duration_ms));
     read(&mut follower, OPTIONS.duration_ms, 6, Some(record("c", 3)));
     assert_eq!(append_at(&mut follower, 2 * OPTIONS.duration_ms - 1), None);
@@ -282,7 +297,7 @@
     let mut lease = first_holder();
     let now_ms = lease.next_ms();
     append_at(&mut lease, now_ms);
-    lease.answered(now_ms, LeaseAnswer::EndedElsewhere { end: 9 });
+    lease.answered(now_ms, LeaseAnswer::EndedElsewhere { end: at(9) });
     read(&mut lease, now_ms, 9, Some(record("b", 2)));
     assert!(!lease.is_held(now_ms));
     assert_eq!(lease.fence(now_ms), None);
@@ -291,7 +306,7 @@
 #[test]
 fn end_heard_of_stops_the_holder() {
     let mut lease = first_holder();
-    lease.note_end(700, 4, None);
+    lease.note_end(700, at(4), None);
     assert_eq!(lease.fence(700), None);
 }
 
@@ -308,7 +323,7 @@
     }
     assert_eq!(lease.fence(now_ms), None);
     append_at(&mut lease, now_ms);
-    lease.answered(now_ms, LeaseAnswer::Appended { offset: 1 });
+    lease.answered(now_ms, LeaseAnswer::Appended { at: at(1) });
     assert_eq!(lease.fence(now_ms), Some(1));
 }
 
@@ -326,7 +341,7 @@
     read(&mut lease, now_ms, 1, Some(record("a", 1)));
     assert!(!lease.is_held(now_ms));
     assert_eq!(append_at(&mut lease, now_ms), Some(1));
-    lease.answered(now_ms, LeaseAnswer::Appended { offset: 1 });
+    lease.answered(now_ms, LeaseAnswer::Appended { at: at(1) });
     assert!(lease.is_held(now_ms));
 }
 
@@ -341,7 +356,7 @@
     let now_ms = lease.next_ms();
     assert!(now_ms < 1_000 + OPTIONS.renew_every_ms);
     assert_eq!(append_at(&mut lease, now_ms), Some(5));
-    lease.answered(now_ms, LeaseAnswer::Appended { offset: 5 });
+    lease.answered(now_ms, LeaseAnswer::Appended { at: at(5) });
     assert!(now_ms >= 1_000 + OPTIONS.late_order_ms);
     assert_eq!(lease.fence(now_ms), Some(6));
     assert!(lease.is_held(now_ms));
@@ -364,7 +379,9 @@
 fn release_ends_the_term() {
     let mut lease = first_holder();
     let action = lease.release(700);
-    assert!(matches!(action, Some(LeaseAction::Append { at: 1, record }) if record.released));
+    assert!(
+        matches!(action, Some(LeaseAction::Append { at: to, record }) if to == at(1) && record.released)
+    );
     assert_eq!(lease.fence(700), None);
 }
 
@@ -386,7 +403,7 @@
     read(&mut lease, 0, 0, None);
     let mut now_ms = lease.next_ms();
     append_at(&mut lease, now_ms);
-    lease.answered(now_ms, LeaseAnswer::Appended { offset: 0 });
+    lease.answered(now_ms, LeaseAnswer::Appended { at: at(0) });
     while lease.next_ms() < until_ms {
         now_ms = lease.next_ms();
         append_at(&mut lease, now_ms);
@@ -419,7 +436,7 @@
     let woken_ms = now_ms + 2_500;
     assert_eq!(lease.fence(woken_ms), None);
     append_at(&mut lease, woken_ms);
-    lease.answered(woken_ms, LeaseAnswer::EndedElsewhere { end: 7 });
+    lease.answered(woken_ms, LeaseAnswer::EndedElsewhere { end: at(7) });
     read(&mut lease, woken_ms, 7, Some(record("b", 2)));
     assert_eq!(lease.fence(woken_ms), None);
 }
@@ -427,7 +444,7 @@
 #[test]
 fn other_holder_heard_of_during_an_outage() {
     let (mut lease, now_ms) = unreached_holder(4_000);
-    lease.note_end(now_ms, 9, None);
+    lease.note_end(now_ms, at(9), None);
     assert_eq!(lease.fence(now_ms), None);
 }
 
@@ -447,10 +464,16 @@
 fn trimmed_topic_is_read_on() {
     let mut lease = lease("vm-a", 1);
     assert_eq!(lease.act(0), Some(LeaseAction::Read { from: 0 }));
-    lease.answered(5, LeaseAnswer::Expired { first: 40 });
+    lease.answered(5, LeaseAnswer::Expired { first: at(40) });
     assert_eq!(lease.act(5), Some(LeaseAction::Read { from: 40 }));
     let newest = Some(record("vm-b", 7));
-    lease.answered(10, LeaseAnswer::Read { end: 43, newest });
+    lease.answered(
+        10,
+        LeaseAnswer::Read {
+            end: at(43),
+            newest,
+        },
+    );
     assert_eq!(append_at(&mut lease, 10), None);
     let takeover_ms = 10 + LeaseOptions::default().duration_ms;
     assert_eq!(append_at(&mut lease, takeover_ms), Some(43));
@@ -461,10 +484,16 @@
 fn empty_topic_with_an_end() {
     let mut lease = lease("vm-a", 1);
     lease.act(0);
-    lease.answered(5, LeaseAnswer::Expired { first: 40 });
+    lease.answered(5, LeaseAnswer::Expired { first: at(40) });
     assert_eq!(lease.act(5), Some(LeaseAction::Read { from: 40 }));
     let (end, newest) = (40, None);
-    lease.answered(10, LeaseAnswer::Read { end, newest });
+    lease.answered(
+        10,
+        LeaseAnswer::Read {
+            end: at(end),
+            newest,
+        },
+    );
     let takeover_ms = 10 + LeaseOptions::default().duration_ms;
     assert_eq!(append_at(&mut lease, takeover_ms), Some(40));
 }
@@ -476,7 +505,7 @@
     read(&mut lease, 0, 50, Some(record("vm-b", 7)));
     lease.note_outranked(10);
     assert_eq!(lease.act(10), Some(LeaseAction::Read { from: 49 }));
-    lease.answered(15, LeaseAnswer::Expired { first: 12 });
+    lease.answered(15, LeaseAnswer::Expired { first: at(12) });
     assert_eq!(lease.act(16), None);
     let pause_ms = LeaseOptions::default().renew_every_ms / 2;
     let again = lease.act(15 + pause_ms);
--- a/crates/holder/tests/order_succession.rs
+++ b/crates/holder/tests/order_succession.rs
@@ -1,6 +1,7 @@
 //! Which VM takes over the orders first.
 
 use apricotdale_core::names::VmName;
+use apricotdale_core::numbers::Position;
 use apricotdale_holder::Contender;
 use apricotdale_holder::Lease;
 use apricotdale_holder::LeaseAction;
@@ -61,7 +62,7 @@
         lease.set_place(place);
         assert_eq!(lease.act(1_000), Some(LeaseAction::Read { from: 0 }));
         let nothing = LeaseAnswer::Read {
-            end: 0,
+            end: Position::default(),
             newest: None,
         };
         lease.answered(1_000, nothing);
