A VM that starts just after a set-back does not serve by an older configuration

Callers of a VM that started right after the store came back from an older copy got 404 for a route that all other VMs served.

Cause: the VM took the newest configuration in the store for the one in force.

Change: the copy of the list tells the version in force at the VM that wrote it, as beats do already. A VM that starts and knows of a newer version than its own takes no requests (503, not ready) until it has read it, 10 s at most.

--- a/crates/entry/src/feeds.rs
+++ b/crates/entry/src/feeds.rs
@@ -101,6 +101,10 @@
     vms: Feed,
     /// Keys whose entries named nobody to send to, so that each is told once.
     foreign: HashSet<String>,
+    /// When a configuration and a list were first known.
+    complete_ms: Option<u64>,
+    /// Whether this VM has taken requests, or could have.
+    takes_requests: bool,
 }
 
 impl Default for Feeds {
@@ -122,6 +126,8 @@
             vm_written: false,
             vms: Feed::default(),
             foreign: HashSet::new(),
+            complete_ms: None,
+            takes_requests: false,
         }
     }
 }
--- a/crates/entry/src/feeds/configuration.rs
+++ b/crates/entry/src/feeds/configuration.rs
@@ -17,7 +17,30 @@
 /// How old a read of the configuration may be for the next one to wait for a change.
 const OLD_CONFIGURATION_MS: u64 = 2_200;
 
+/// How long a VM that starts waits for a version of the configuration that others have in force.
+/// Operators write theirs again when the store came back from an older copy; if they do not, what
+/// there is must do.
+const NEWER_VERSION_MS: u64 = 10_000;
+
 impl Daemon {
+    /// Returns whether this VM knows enough to take requests. One that starts when the store has
+    /// just come back from an older copy reads a configuration that is in force nowhere any more.
+    pub(crate) fn takes_requests(&mut self) -> bool {
+        if self.feeds.takes_requests || !self.directory.is_complete() {
+            return self.feeds.takes_requests;
+        }
+        let (version, told) = (self.directory.version(), self.sharing.told_version());
+        let waited_ms = self.now_ms - *self.feeds.complete_ms.get_or_insert(self.now_ms);
+        if version < told && waited_ms < NEWER_VERSION_MS {
+            return false;
+        }
+        if version < told {
+            log::warn!(version, told; "takes requests with an older configuration than others have");
+        }
+        self.feeds.takes_requests = true;
+        true
+    }
+
     pub(super) fn read_configuration(&mut self) {
         self.feeds.configuration.calling = true;
         let era = self.store_era.now();
--- a/crates/entry/src/feeds/copy.rs
+++ b/crates/entry/src/feeds/copy.rs
@@ -37,8 +37,9 @@
 /// The pause after a write that failed.
 const WRITE_PAUSE_MS: u64 = 1_000;
 
-/// What tells whether a copy differs from another: who serves, and what engines hold.
-type CopyDigest = (u64, Vec<u32>);
+/// What tells whether a copy differs from another: who serves, what engines hold, and the version of
+/// the configuration.
+type CopyDigest = (u64, Vec<u32>, u64);
 
 /// `CopyWriter` is what the giver of orders has written.
 #[derive(Debug, Default)]
@@ -60,7 +61,7 @@
 
     /// Returns which upstreams the copy names, as a digest; none before it is written.
     fn listed(&self) -> Option<u64> {
-        self.written.as_ref().map(|(listed, _)| *listed)
+        self.written.as_ref().map(|(listed, ..)| *listed)
     }
 
     /// Returns the size of the copy, if it names these upstreams; else 0.
@@ -146,6 +147,7 @@
         }
         self.feeds.upstreams.skip_to(copy.read_to);
         self.directory.read_up_to(copy.read_to);
+        self.sharing.note_told_version(copy.configuration);
         let was_listed = self.directory.is_listed();
         let names: Vec<_> = copy
             .entries
@@ -178,9 +180,10 @@
         let digest = Some((
             listed_digest(&self.directory),
             held_digests(&self.directory),
+            self.directory.version(),
         ));
         let lists_same =
-            self.feeds.copy_writer.listed() == digest.as_ref().map(|(listed, _)| *listed);
+            self.feeds.copy_writer.listed() == digest.as_ref().map(|(listed, ..)| *listed);
         let pause_ms = match lists_same {
             true => WRITE_EVERY_MS,
             false => LISTED_WRITE_EVERY_MS,
--- a/crates/entry/src/serving.rs
+++ b/crates/entry/src/serving.rs
@@ -59,7 +59,7 @@
                 return;
             }
         };
-        if !self.directory.is_complete() {
+        if !self.takes_requests() {
             let detail = "this VM does not know its configuration yet";
             let refusal =
                 Refusal::not_run(RefusalReason::NotReady, detail).retry_after(RETRY_AFTER_MS);
--- a/crates/fleet/src/list_copy.rs
+++ b/crates/fleet/src/list_copy.rs
@@ -27,6 +27,8 @@
 pub struct ListCopyPart {
     /// How far the list had been read: the place of the next change.
     pub read_to: Position,
+    /// The version of the configuration in force at the VM that wrote it.
+    pub configuration: u64,
     /// How many parts there are.
     pub parts: u32,
     /// The upstreams.
@@ -38,6 +40,8 @@
 pub struct ListCopy {
     /// How far the list had been read: the place of the next change.
     pub read_to: Position,
+    /// The version of the configuration in force at the VM that wrote it.
+    pub configuration: u64,
     /// The upstreams.
     pub entries: Vec<Upstream>,
 }
@@ -47,6 +51,7 @@
     pub fn new(read_to: Position, directory: &Directory) -> Self {
         Self {
             read_to,
+            configuration: directory.version(),
             entries: directory.upstreams().cloned().collect(),
         }
     }
@@ -55,6 +60,7 @@
     pub fn into_parts(self) -> Vec<ListCopyPart> {
         let part = |entries: &[Upstream]| ListCopyPart {
             read_to: self.read_to,
+            configuration: self.configuration,
             parts: self.entries.len().div_ceil(ENTRIES_A_PART).max(1) as u32,
             entries: entries.to_vec(),
         };
@@ -73,9 +79,12 @@
             .into_iter()
             .filter(|part| part.read_to == read_to)
             .collect();
-        let is_whole = newest.first()?.parts as usize == newest.len();
+        let first = newest.first()?;
+        let configuration = first.configuration;
+        let is_whole = first.parts as usize == newest.len();
         is_whole.then(|| Self {
             read_to,
+            configuration,
             entries: newest.into_iter().flat_map(|part| part.entries).collect(),
         })
     }
--- a/crates/fleet/src/sharing.rs
+++ b/crates/fleet/src/sharing.rs
@@ -119,7 +119,7 @@
     /// Takes in what another VM has read. `draw_ms` is how much sooner than the others, at the most
     /// `spread_ms`, this VM reads for itself when it hears no more.
     pub fn hear(&mut self, now_ms: u64, fresh: &Freshness, spread_ms: u64, draw_ms: u64) {
-        self.told_version = self.told_version.max(fresh.configuration);
+        self.note_told_version(fresh.configuration);
         // An old word does not take back a newer one of another VM.
         if let Some(good_ms) = fresh.good_ms(spread_ms) {
             let until_ms = now_ms + good_ms.saturating_sub(draw_ms);
@@ -142,6 +142,11 @@
         self.followed_until_ms
     }
 
+    /// Takes in a version of the configuration that is in force at another VM.
+    pub fn note_told_version(&mut self, version: u64) {
+        self.told_version = self.told_version.max(version);
+    }
+
     /// Returns the newest version that a giver told of.
     pub fn told_version(&self) -> u64 {
         self.told_version
