--- a/crates/entry/src/serving.rs
+++ b/crates/entry/src/serving.rs
@@ -60,7 +60,10 @@
             }
         };
         if !self.takes_requests() {
-            let detail = "this VM does not know its configuration yet";
+            let detail = match self.directory.is_complete() {
+                false => "this VM does not know its configuration yet",
+                true => "this VM waits for a newer configuration, which others have in force",
+            };
             let refusal =
                 Refusal::not_run(RefusalReason::NotReady, detail).retry_after(RETRY_AFTER_MS);
             self.refuse_new(token, &refusal, Some(&serving.id));
--- a/crates/soak/src/plan.rs
+++ b/crates/soak/src/plan.rs
@@ -25,6 +25,13 @@
 /// Sets the crashers' draws apart from those of the troubles.
 const CRASHERS_SEED: u64 = 0x6372_6173_6865_7273;
 
+/// The most set-backs of the store, and the longest that one takes.
+const MOST_SET_BACKS: usize = 2;
+const SET_BACK_MS: u64 = 6_000;
+
+/// Sets their draws apart as well.
+const SET_BACKS_SEED: u64 = 0x7365_7462_6163_6b73;
+
 /// What the bodies hold of requests that end engines at once, and after some events.
 pub(crate) const CRASH_MARKS: [&str; 2] = ["ends-engine-", "ends-engine-late-"];
 
@@ -71,6 +78,16 @@
     },
     /// The store deletes its history; the newest record of each key stays.
     Forget,
+    /// The store is away for all, and comes back from an older copy. Operators and upstreams write
+    /// theirs again.
+    SetBack {
+        /// How old the copy is when the store goes away.
+        lost_ms: u64,
+        /// How long it is away.
+        away_ms: u64,
+        /// How long after its return all is written again.
+        again_ms: u64,
+    },
     /// A VM's link to the store is spoiled for a time.
     StoreLink {
         /// The VM.
@@ -193,6 +210,8 @@
                 at_ms += draw.random.random_range(GAP_MS / 3..GAP_MS * 2);
             }
         }
+        troubles.extend(draw_set_backs(seed, calm_from_ms));
+        troubles.sort_by_key(|planned| planned.at_ms);
         Self {
             crashers: draw_crashers(seed, calm_from_ms),
             troubles,
@@ -218,6 +237,25 @@
         .collect()
 }
 
+/// Draws the times at which the store comes back from an older copy, from a generator of their own
+/// as well.
+fn draw_set_backs(seed: u64, calm_from_ms: u64) -> Vec<Planned> {
+    let mut random = ChaCha8Rng::seed_from_u64(seed ^ SET_BACKS_SEED);
+    let latest_ms = calm_from_ms.saturating_sub(SET_BACK_MS);
+    let count = random.random_range(0..=MOST_SET_BACKS);
+    (0..count)
+        .filter(|_| latest_ms > LEAD_MS)
+        .map(|_| Planned {
+            at_ms: random.random_range(LEAD_MS..latest_ms),
+            trouble: Trouble::SetBack {
+                lost_ms: random.random_range(0..SET_BACK_MS / 2),
+                away_ms: random.random_range(50..SET_BACK_MS / 4),
+                again_ms: random.random_range(50..SET_BACK_MS / 4),
+            },
+        })
+        .collect()
+}
+
 struct Draw {
     random: ChaCha8Rng,
     vms: usize,
--- a/crates/soak/src/world.rs
+++ b/crates/soak/src/world.rs
@@ -136,6 +136,7 @@
             Trouble::Reload { .. } | Trouble::Configure => None,
             Trouble::Store { .. }
             | Trouble::Forget
+            | Trouble::SetBack { .. }
             | Trouble::StoreLink { .. }
             | Trouble::Silence { .. } => Some(Place::Store),
             _ => Some(Place::Upstreams),
@@ -176,6 +177,11 @@
                 self.fault_doors(*vm, StoreFault::None);
             }
             Trouble::Forget => self.forget(),
+            Trouble::SetBack {
+                lost_ms,
+                away_ms,
+                again_ms,
+            } => self.set_back(*lost_ms, *away_ms, *again_ms),
             Trouble::StoreLink { vm, fault, for_ms } => {
                 self.stores[*vm].set_fault(*fault);
                 pause(*for_ms);
@@ -294,6 +300,17 @@
         self.site.lock().forget_history();
     }
 
+    fn set_back(&self, lost_ms: u64, away_ms: u64, again_ms: u64) {
+        let copy = self.site.lock().doors[0].copy();
+        pause(lost_ms);
+        self.fault_doors(None, StoreFault::Busy);
+        pause(away_ms);
+        self.site.lock().doors[0].set_back(copy);
+        self.fault_doors(None, StoreFault::None);
+        pause(again_ms);
+        self.site.lock().write_again();
+    }
+
     fn with_proxy(&self, upstream: usize, act: impl Fn(&Proxy)) {
         let engines = self.engines.lock();
         match engines.get(upstream) {
@@ -390,6 +407,7 @@
         Trouble::Reload { .. } => "reload",
         Trouble::Store { .. } => "store",
         Trouble::Forget => "forget",
+        Trouble::SetBack { .. } => "set back",
         Trouble::StoreLink { .. } => "store link",
         Trouble::UpstreamLink { .. } => "upstream link",
         Trouble::Reset { .. } => "reset",
--- a/crates/soak/tests/plan_seeds.rs
+++ b/crates/soak/tests/plan_seeds.rs
@@ -49,5 +49,5 @@
             kinds.insert(format!("{:?}", discriminant(&planned.trouble)));
         }
     }
-    assert_eq!(kinds.len(), 16);
+    assert_eq!(kinds.len(), 17);
 }
--- a/crates/standins/src/platform/engine.rs
+++ b/crates/standins/src/platform/engine.rs
@@ -253,6 +253,16 @@
         self.store.put("keyed.servers", &self.options.instance, b"");
     }
 
+    /// Writes the engine's entry as it is now, or removes it again, in a store that came back from an
+    /// older copy.
+    pub fn write_again(&self) {
+        let gone = self.entry.lock().gone;
+        match gone {
+            true => self.withdraw(),
+            false => self.announce(None),
+        }
+    }
+
     /// Writes the engine's entry again after it was removed, as a live engine does whose entry
     /// lapsed.
     pub fn come_back(&self) {
--- a/crates/standins/src/platform/service.rs
+++ b/crates/standins/src/platform/service.rs
@@ -29,6 +29,7 @@
     work_ms: u64,
     answers: Answers,
     revision: AtomicU64,
+    address: Mutex<Option<SocketAddr>>,
     store: PlatformStore,
     /// How the instance ends by itself under a request whose body holds these bytes.
     crash: Mutex<Option<(Vec<u8>, Stopper)>>,
@@ -44,6 +45,7 @@
             work_ms,
             answers: Answers::new(instance),
             revision: AtomicU64::new(0),
+            address: Mutex::default(),
             store,
             crash: Mutex::default(),
             has_crashed: AtomicBool::default(),
@@ -65,8 +67,17 @@
         self.has_crashed.load(Ordering::Relaxed)
     }
 
+    /// Writes the instance's entry again, unless it was never written or has been removed.
+    pub fn announce_again(&self) {
+        let address = *self.address.lock();
+        if let Some(address) = address {
+            self.announce(address);
+        }
+    }
+
     /// Writes the instance's entry.
     pub fn announce(&self, address: SocketAddr) {
+        *self.address.lock() = Some(address);
         let revision = self.revision.fetch_add(1, Ordering::Relaxed) + 1;
         let entry = json!({
             "service": self.service, "address": address.to_string(), "zone": "zone-a",
@@ -82,6 +93,7 @@
 
     /// Removes the instance's entry.
     pub fn withdraw(&self) {
+        *self.address.lock() = None;
         self.store.put("keyed.servers", &self.instance, b"");
     }
 
--- a/crates/standins/src/platform/site.rs
+++ b/crates/standins/src/platform/site.rs
@@ -6,6 +6,7 @@
 use std::net::SocketAddr;
 use std::sync::Arc;
 
+use parking_lot::Mutex;
 use serde_json::Value;
 use serde_json::json;
 
@@ -74,6 +75,8 @@
     /// Where they listen.
     pub service_addresses: Vec<SocketAddr>,
     store: PlatformStore,
+    /// The last configuration that was written.
+    configuration: Mutex<Vec<u8>>,
     options: SiteOptions,
     servers: Vec<Server>,
     /// None for an engine that was stopped.
@@ -95,6 +98,7 @@
             services: Vec::new(),
             service_addresses: Vec::new(),
             store: PlatformStore::default(),
+            configuration: Mutex::default(),
             options: options.clone(),
             servers: Vec::new(),
             engine_servers: Vec::new(),
@@ -226,7 +230,20 @@
                 "header_timeout_ms": 3_000, "idle_timeout_ms": 15_000,
             },
         });
-        self.doors[0].put("keyed.op", "config", configuration.to_string().as_bytes());
+        let bytes = configuration.to_string().into_bytes();
+        self.store.put("keyed.op", "config", &bytes);
+        *self.configuration.lock() = bytes;
+    }
+
+    /// Lets the operators and all upstreams write theirs again, in a store that came back from an
+    /// older copy.
+    pub fn write_again(&self) {
+        self.store
+            .put("keyed.op", "config", &self.configuration.lock());
+        self.engines.iter().for_each(|engine| engine.write_again());
+        self.services
+            .iter()
+            .for_each(|service| service.announce_again());
     }
 
     /// Ends all servers of the site.
