A message between VMs begins with its format

Messages have no mark of their version, and places in them take two numbers now where they took one. A VM of the version before and one of this one could take each other's beats for something else, and what a beat says of the era decides which of the store's answers count.

Change: the first byte of each message is its format; another one is counted and said once for each sender, not at each datagram.

Test: other_format_is_left_alone, a beat without that byte and with an era that the store never had; on the code before no line says that it was not understood (timed out), now it is left alone and the next configuration is in force. giver_keeps_its_lease sends its greetings with the byte.

--- a/crates/entry/src/messages.rs
+++ b/crates/entry/src/messages.rs
@@ -16,6 +16,8 @@
 use serde::Deserialize;
 use serde::Serialize;
 
+use crate::codec::DecodeError;
+
 /// `VmRecord` is a VM's entry in the store, by which VMs find each other.
 #[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub(crate) struct VmRecord {
@@ -88,9 +90,13 @@
     Cleared(Fingerprint),
 }
 
+/// The first byte of each message. It changes when what follows does, so that VMs of different
+/// versions do not take each other's words for something else.
+const FORMAT: u8 = 0xa1;
+
 /// Returns the bytes of a message.
 pub(crate) fn encode(message: &PeerMessage) -> Option<Vec<u8>> {
-    match postcard::to_stdvec(message) {
+    match postcard::to_extend(message, vec![FORMAT]) {
         Ok(bytes) => Some(bytes),
         Err(error) => {
             log::error!(reason = error.to_string(); "message to a VM not encoded");
@@ -98,3 +104,13 @@
         }
     }
 }
+
+/// Returns the message that the bytes are.
+pub(crate) fn decode(bytes: &[u8]) -> Result<PeerMessage, DecodeError> {
+    match bytes.split_first() {
+        Some((&FORMAT, rest)) => {
+            postcard::from_bytes(rest).map_err(|error| DecodeError::new(error.to_string()))
+        }
+        _ => Err(DecodeError::new("another format")),
+    }
+}
--- a/crates/entry/src/peers.rs
+++ b/crates/entry/src/peers.rs
@@ -1,6 +1,7 @@
 //! The other VMs, as far as this one knows them, and the socket towards them.
 
 use std::collections::HashMap;
+use std::collections::HashSet;
 use std::io;
 use std::net::SocketAddr;
 
@@ -49,6 +50,9 @@
 /// second.
 const GREETED_AT_ONCE: usize = 16;
 
+/// Senders of messages that were not understood that have a line in the log.
+const STRANGERS: usize = 200;
+
 #[derive(Clone, Copy, Debug)]
 struct Known {
     address: SocketAddr,
@@ -79,6 +83,8 @@
     /// Whether all VMs were greeted, and how many were since then.
     has_greeted: bool,
     greeted: usize,
+    /// Senders of messages that were not understood.
+    strangers: HashSet<SocketAddr>,
 }
 
 impl Peers {
@@ -99,9 +105,15 @@
             may_have_more: false,
             has_greeted: false,
             greeted: 0,
+            strangers: HashSet::new(),
         }
     }
 
+    /// Returns whether a message of this sender was not understood for the first time.
+    pub fn is_new_stranger(&mut self, from: SocketAddr) -> bool {
+        self.strangers.len() < STRANGERS && self.strangers.insert(from)
+    }
+
     /// Returns the VM that gives orders as far as this one knows, for logs.
     pub fn holder_text(&self) -> &str {
         self.holder.as_ref().map_or("", |(vm, ..)| vm.as_str())
--- a/crates/entry/src/telling.rs
+++ b/crates/entry/src/telling.rs
@@ -21,9 +21,11 @@
 use apricotdale_holder::ResidenceNews;
 
 use crate::active::Phase;
+use crate::codec::DecodeError;
 use crate::daemon::Daemon;
 use crate::messages::ForecastRow;
 use crate::messages::PeerMessage;
+use crate::messages::decode;
 use crate::peers::GREETING_MS;
 use crate::peers::ROWS_A_DATAGRAM;
 
@@ -50,15 +52,9 @@
         self.peers.may_have_more = true;
         for _ in 0..DATAGRAMS_A_TURN {
             match self.peers.receive(&mut bytes) {
-                Ok((length, from)) => match postcard::from_bytes(&bytes[..length]) {
+                Ok((length, from)) => match decode(&bytes[..length]) {
                     Ok(message) => self.take_message(from, message),
-                    Err(error) => {
-                        self.metrics.failed_try("bad_peer_message");
-                        log::warn!(
-                            from = from.to_string(), reason = error.to_string();
-                            "message of a VM not understood"
-                        );
-                    }
+                    Err(error) => self.note_strange_message(from, &error),
                 },
                 Err(error) if error.kind() == io::ErrorKind::Interrupted => {}
                 Err(_) => {
@@ -69,6 +65,15 @@
         }
     }
 
+    /// Counts a message that is none of this version's, and says so once for each sender.
+    fn note_strange_message(&mut self, from: SocketAddr, error: &DecodeError) {
+        self.metrics.failed_try("bad_peer_message");
+        if self.peers.is_new_stranger(from) {
+            let (from, reason) = (from.to_string(), error.detail.as_str());
+            log::warn!(from, reason; "message of a VM not understood");
+        }
+    }
+
     fn take_message(&mut self, from: SocketAddr, message: PeerMessage) {
         let now_ms = self.now_ms;
         match message {
