VMs do not read each other's entries again because the store was set back

Each VM wrote its entry again, as it has to, and then read those of all others, which it knows: bytes that grow with the square of the VMs.

Change: a VM that knows the others leaves their entries alone; one that starts in a store that was ever set back reads them a second time 3 to 5 s later, for those that are written again meanwhile.

--- a/crates/entry/src/feeds.rs
+++ b/crates/entry/src/feeds.rs
@@ -98,6 +98,8 @@
     /// This VM's own entry is written first, so that of two VMs that start at once at least one
     /// finds the other.
     vm_written: bool,
+    /// Whether the other VMs' entries were read.
+    vms_read: bool,
     vms: Feed,
     /// Keys whose entries named nobody to send to, so that each is told once.
     foreign: HashSet<String>,
@@ -124,6 +126,7 @@
             held_repair: ListRepair::of_held(),
             came: Vec::new(),
             vm_written: false,
+            vms_read: false,
             vms: Feed::default(),
             foreign: HashSet::new(),
             complete_ms: None,
@@ -406,8 +409,7 @@
             }
             CallTag::VmAppend => {
                 self.appended(status, body)?;
-                self.feeds.vm_written = true;
-                Ok(0)
+                Ok(self.vm_written())
             }
             CallTag::VmsNewest => {
                 let page = self.codecs.store.newest_answer(status, body)?;
--- a/crates/entry/src/feeds/vms.rs
+++ b/crates/entry/src/feeds/vms.rs
@@ -2,12 +2,20 @@
 
 use super::CALL_TIMEOUT_MS;
 use super::NEWEST_TIMEOUT_MS;
+use super::WRITTEN_AGAIN_MS;
 use crate::calling::CallTag;
 use crate::codec::KeyedPage;
 use crate::codec::Topic;
 use crate::daemon::Daemon;
 use crate::messages::VmRecord;
 
+/// When a VM that starts reads the entries a second time: by then all others have written theirs
+/// again, if the store came back from an older copy.
+const READ_AGAIN_MS: u64 = 3_000;
+
+/// Longer than any process runs.
+const NEVER_MS: u64 = u64::MAX / 2;
+
 impl Daemon {
     pub(super) fn read_vms(&mut self) {
         self.feeds.vms.calling = true;
@@ -45,7 +53,22 @@
             .collect();
         self.peers.note_records(vms);
         log::info!(vms = self.peers.others(); "entries of VMs read");
-        // Later ones greet.
-        u64::MAX / 2
+        let is_first = !std::mem::replace(&mut self.feeds.vms_read, true);
+        match is_first && self.store_era.now() > 0 {
+            // The store may have come back a moment ago, without the entries of some.
+            true => READ_AGAIN_MS + self.pacing.draw_within_ms(WRITTEN_AGAIN_MS),
+            // Later ones greet.
+            false => NEVER_MS,
+        }
+    }
+
+    /// Returns the pause before the entries of the other VMs are read, once this VM's own is
+    /// written.
+    pub(super) fn vm_written(&mut self) -> u64 {
+        self.feeds.vm_written = true;
+        match self.feeds.vms_read {
+            true => NEVER_MS,
+            false => 0,
+        }
     }
 }
