A told end of the lease replaces the place from which it was to be read

After a new era the topic is read from 100 records before the end that was known. A beat told the new end first, and the former place stayed: the next read, whenever that was, began there and would have been of all records since.

Test: told_end_replaces_the_former, Read from 400 before, from 479 now.

--- a/crates/holder/tests/lease_set_back.rs
+++ b/crates/holder/tests/lease_set_back.rs
@@ -208,6 +208,16 @@
     assert_eq!(starting.end(), None);
 }
 
+/// Guards against a long read, much later, from where the topic ended before the set-back.
+#[test]
+fn told_end_replaces_the_former() {
+    let mut lease = reader(place(1, 500), Some(record("vm-b", 2, 1)));
+    lease.note_era(100, 2);
+    lease.note_end(200, place(2, 480), None);
+    lease.note_outranked(300);
+    assert_eq!(lease.act(300), Some(LeaseAction::Read { from: 479 }));
+}
+
 /// Guards against taking a lost topic for one that nobody has used.
 #[test]
 fn empty_topic_of_a_later_era() {
--- /dev/null
+++ b/crates/holder/tests/lease_trimmed.rs
@@ -0,0 +1,96 @@
+//! The lease when its topic no longer keeps all records.
+
+use apricotdale_core::names::VmName;
+use apricotdale_core::numbers::Position;
+use apricotdale_holder::Lease;
+use apricotdale_holder::LeaseAction;
+use apricotdale_holder::LeaseAnswer;
+use apricotdale_holder::LeaseOptions;
+use apricotdale_holder::LeaseRecord;
+
+fn lease(name: &str, run: u64) -> Lease {
+    Lease::new(LeaseOptions::default(), VmName::from(name), run)
+}
+
+fn record(name: &str, run: u64) -> LeaseRecord {
+    LeaseRecord {
+        holder: VmName::from(name),
+        run,
+        released: false,
+        settled: true,
+        quiet_ms: 0,
+        era: 0,
+    }
+}
+
+fn at(offset: u64) -> Position {
+    Position::new(0, offset)
+}
+
+fn append_at(lease: &mut Lease, now_ms: u64) -> Option<u64> {
+    match lease.act(now_ms) {
+        Some(LeaseAction::Append { at, .. }) => Some(at.offset),
+        _ => None,
+    }
+}
+
+/// Guards against taking the first record that the store keeps for the end of the topic.
+#[test]
+fn trimmed_topic_is_read_on() {
+    let mut lease = lease("vm-a", 1);
+    assert_eq!(lease.act(0), Some(LeaseAction::Read { from: 0 }));
+    lease.answered(5, LeaseAnswer::Expired { first: at(40) });
+    assert_eq!(lease.act(5), Some(LeaseAction::Read { from: 40 }));
+    let newest = Some(record("vm-b", 7));
+    lease.answered(
+        10,
+        LeaseAnswer::Read {
+            end: at(43),
+            newest,
+        },
+    );
+    assert_eq!(append_at(&mut lease, 10), None);
+    let takeover_ms = 10 + LeaseOptions::default().duration_ms;
+    assert_eq!(append_at(&mut lease, takeover_ms), Some(43));
+}
+
+/// Guards against asking for a record that is no longer kept again and again.
+#[test]
+fn empty_topic_with_an_end() {
+    let mut lease = lease("vm-a", 1);
+    lease.act(0);
+    lease.answered(5, LeaseAnswer::Expired { first: at(40) });
+    assert_eq!(lease.act(5), Some(LeaseAction::Read { from: 40 }));
+    let (end, newest) = (40, None);
+    lease.answered(
+        10,
+        LeaseAnswer::Read {
+            end: at(end),
+            newest,
+        },
+    );
+    let takeover_ms = 10 + LeaseOptions::default().duration_ms;
+    assert_eq!(append_at(&mut lease, takeover_ms), Some(40));
+}
+
+/// Guards against asking without a pause for what the store does not have.
+#[test]
+fn topic_that_ends_earlier() {
+    let mut lease = lease("vm-a", 1);
+    lease.act(0);
+    let newest = Some(record("vm-b", 7));
+    lease.answered(
+        0,
+        LeaseAnswer::Read {
+            end: at(50),
+            newest,
+        },
+    );
+    lease.note_outranked(10);
+    assert_eq!(lease.act(10), Some(LeaseAction::Read { from: 49 }));
+    lease.answered(15, LeaseAnswer::Expired { first: at(12) });
+    assert_eq!(lease.act(16), None);
+    let pause_ms = LeaseOptions::default().renew_every_ms / 2;
+    let again = lease.act(15 + pause_ms);
+    assert_eq!(again, Some(LeaseAction::Read { from: 12 }));
+}
