A copy of the list that was on its way at a set-back is written again

A VM that starts found no copy that it could use for as long as no upstream came or left, and read all entries by itself.

Cause: the giver's write, begun in the former era, was carried out in the new one. The giver took it for the copy of what it knows now, and wrote no other; but it names a place of the former era, and so counts as none.

Change: what tells whether a copy differs from another has the era in it.

--- a/crates/entry/src/feeds/copy.rs
+++ b/crates/entry/src/feeds/copy.rs
@@ -37,9 +37,18 @@
 /// The pause after a write that failed.
 const WRITE_PAUSE_MS: u64 = 1_000;
 
-/// What tells whether a copy differs from another: who serves, what engines hold, and the version of
-/// the configuration.
-type CopyDigest = (u64, Vec<u32>, u64);
+/// `CopyDigest` tells whether a copy differs from another.
+#[derive(Clone, Debug, PartialEq, Eq)]
+struct CopyDigest {
+    /// Who serves.
+    listed: u64,
+    /// What engines hold.
+    held: Vec<u32>,
+    /// The version of the configuration.
+    configuration: u64,
+    /// The era of the store. A copy that was on its way when a new one began is of no use in it.
+    era: u64,
+}
 
 /// `CopyWriter` is what the giver of orders has written.
 #[derive(Debug, Default)]
@@ -61,7 +70,7 @@
 
     /// Returns which upstreams the copy names, as a digest; none before it is written.
     fn listed(&self) -> Option<u64> {
-        self.written.as_ref().map(|(listed, ..)| *listed)
+        self.written.as_ref().map(|written| written.listed)
     }
 
     /// Returns the size of the copy, if it names these upstreams; else 0.
@@ -158,7 +167,8 @@
             .directory
             .note_copy(self.now_ms, copy.entries, is_newer);
         if !was_listed {
-            log::info!(upstreams = names.len(), read_to = copy.read_to.to_string(); "copy of the list read");
+            let read_to = copy.read_to.to_string();
+            log::info!(upstreams = names.len(), read_to; "copy of the list read");
         }
         self.take_listing_changes(changes);
         for name in names {
@@ -177,19 +187,19 @@
         if self.feeds.copy_writer.writing.is_some() || now_ms < self.feeds.copy_writer.next_ms {
             return;
         }
-        let digest = Some((
-            listed_digest(&self.directory),
-            held_digests(&self.directory),
-            self.directory.version(),
-        ));
-        let lists_same =
-            self.feeds.copy_writer.listed() == digest.as_ref().map(|(listed, ..)| *listed);
+        let digest = CopyDigest {
+            listed: listed_digest(&self.directory),
+            held: held_digests(&self.directory),
+            configuration: self.directory.version(),
+            era: read_to.era,
+        };
+        let lists_same = self.feeds.copy_writer.listed() == Some(digest.listed);
         let pause_ms = match lists_same {
             true => WRITE_EVERY_MS,
             false => LISTED_WRITE_EVERY_MS,
         };
         self.feeds.copy_writer.next_ms = now_ms + pause_ms;
-        if self.feeds.copy_writer.written == digest {
+        if self.feeds.copy_writer.written.as_ref() == Some(&digest) {
             return;
         }
         let parts = ListCopy::new(read_to, &self.directory).into_parts();
@@ -201,7 +211,7 @@
                 (index.to_string(), bytes)
             })
             .collect();
-        self.feeds.copy_writer.writing = digest;
+        self.feeds.copy_writer.writing = Some(digest);
         let bytes = records.iter().map(|(_, value)| value.len()).sum::<usize>();
         // The store sends values in base64.
         self.feeds.copy_writer.bytes = bytes * 4 / 3;
--- a/crates/standins/src/platform/store.rs
+++ b/crates/standins/src/platform/store.rs
@@ -69,6 +69,16 @@
     topics: Topics,
 }
 
+impl StoreCopy {
+    /// Returns the newest value of a key.
+    pub fn newest(&self, topic: &str, key: &str) -> Option<Vec<u8>> {
+        let partition = self.topics.get(&(topic.to_owned(), 0))?;
+        let mut newest = partition.newest(None);
+        let (_, (_, value)) = newest.find(|(name, _)| *name == key)?;
+        Some(value.clone())
+    }
+}
+
 #[derive(Default)]
 struct Shared {
     topics: Mutex<Topics>,
