--- a/crates/holder/tests/lease_set_back.rs
+++ b/crates/holder/tests/lease_set_back.rs
@@ -1,5 +1,7 @@
 //! The lease when the store comes back from an older copy.
 
+mod support;
+
 use apricotdale_core::names::VmName;
 use apricotdale_core::numbers::Position;
 use apricotdale_holder::Lease;
@@ -8,6 +10,8 @@
 use apricotdale_holder::LeaseOptions;
 use apricotdale_holder::LeaseRecord;
 
+use support::leases::record;
+
 const RUN: u64 = 1;
 
 fn options() -> LeaseOptions {
@@ -18,17 +22,6 @@
     Position::new(era, offset)
 }
 
-fn record(holder: &str, run: u64, era: u64) -> LeaseRecord {
-    LeaseRecord {
-        holder: VmName::from(holder),
-        run,
-        released: false,
-        settled: true,
-        quiet_ms: 0,
-        era,
-    }
-}
-
 /// Returns a lease whose first read at 0 found a topic that ends here.
 fn reader(end: Position, newest: Option<LeaseRecord>) -> Lease {
     let mut lease = Lease::new(options(), VmName::from("vm-a"), RUN);
--- a/crates/holder/tests/lease_takeover.rs
+++ b/crates/holder/tests/lease_takeover.rs
@@ -1,13 +1,18 @@
 //! Who holds the lease for orders: taking, renewing, losing and taking over.
 
+mod support;
+
 use apricotdale_core::names::VmName;
-use apricotdale_core::numbers::Position;
 use apricotdale_holder::Lease;
 use apricotdale_holder::LeaseAction;
 use apricotdale_holder::LeaseAnswer;
 use apricotdale_holder::LeaseOptions;
 use apricotdale_holder::LeaseRecord;
 
+use support::leases::append_at;
+use support::leases::at;
+use support::leases::record;
+
 const OPTIONS: LeaseOptions = LeaseOptions {
     duration_ms: 2_000,
     renew_every_ms: 600,
@@ -22,21 +27,6 @@
     Lease::new(OPTIONS, VmName::from(name), run)
 }
 
-fn record(name: &str, run: u64) -> LeaseRecord {
-    LeaseRecord {
-        holder: VmName::from(name),
-        run,
-        released: false,
-        settled: true,
-        quiet_ms: 0,
-        era: 0,
-    }
-}
-
-fn at(offset: u64) -> Position {
-    Position::new(0, offset)
-}
-
 fn read(lease: &mut Lease, now_ms: u64, end: u64, newest: Option<LeaseRecord>) {
     assert!(matches!(lease.act(now_ms), Some(LeaseAction::Read { .. })));
     lease.answered(
@@ -48,13 +38,6 @@
     );
 }
 
-fn append_at(lease: &mut Lease, now_ms: u64) -> Option<u64> {
-    match lease.act(now_ms) {
-        Some(LeaseAction::Append { at, .. }) => Some(at.offset),
-        _ => None,
-    }
-}
-
 /// Returns a lease that was taken at time 0 as the first of all.
 fn first_holder() -> Lease {
     let mut lease = lease("a", 1);
@@ -106,7 +89,7 @@
 #[test]
 fn follower_waits_for_the_whole_lease() {
     let mut follower = lease("b", 2);
-    read(&mut follower, 1_000, 5, Some(record("a", 1)));
+    read(&mut follower, 1_000, 5, Some(record("a", 1, 0)));
     assert_eq!(
         append_at(&mut follower, 1_000 + OPTIONS.duration_ms - 1),
         None
@@ -120,7 +103,7 @@
 #[test]
 fn renewals_heard_of_put_the_takeover_off() {
     let mut follower = lease("b", 2);
-    read(&mut follower, 1_000, 5, Some(record("a", 1)));
+    read(&mut follower, 1_000, 5, Some(record("a", 1, 0)));
     follower.note_end(2_500, at(6), None);
     assert_eq!(append_at(&mut follower, 1_000 + OPTIONS.duration_ms), None);
     assert_eq!(
@@ -133,7 +116,7 @@
 #[test]
 fn same_end_does_not_put_the_takeover_off() {
     let mut follower = lease("b", 2);
-    read(&mut follower, 1_000, 5, Some(record("a", 1)));
+    read(&mut follower, 1_000, 5, Some(record("a", 1, 0)));
     follower.note_end(2_500, at(5), None);
     assert_eq!(
         append_at(&mut follower, 1_000 + OPTIONS.duration_ms),
@@ -147,7 +130,7 @@
 #[test]
 fn new_holder_pauses() {
     let mut follower = lease("b", 2);
-    read(&mut follower, 1_000, 5, Some(record("a", 1)));
+    read(&mut follower, 1_000, 5, Some(record("a", 1, 0)));
     let now_ms = 1_000 + OPTIONS.duration_ms;
     append_at(&mut follower, now_ms);
     follower.answered(now_ms, LeaseAnswer::Appended { at: at(5) });
@@ -172,7 +155,7 @@
 #[test]
 fn no_second_pause_after_an_outage() {
     let mut follower = lease("b", 2);
-    read(&mut follower, 1_000, 5, Some(record("a", 1)));
+    read(&mut follower, 1_000, 5, Some(record("a", 1, 0)));
     let back_ms = 1_000 + OPTIONS.duration_ms + OPTIONS.pause_ms + OPTIONS.late_order_ms;
     let mut at_ms = 1_000 + OPTIONS.duration_ms;
     while at_ms < back_ms {
@@ -191,7 +174,7 @@
 #[test]
 fn restarted_holder_needs_no_pause() {
     let mut restarted = lease("a", 2);
-    read(&mut restarted, 1_000, 5, Some(record("a", 1)));
+    read(&mut restarted, 1_000, 5, Some(record("a", 1, 0)));
     let at_ms = restarted.next_ms();
     assert_eq!(append_at(&mut restarted, at_ms), Some(5));
     restarted.answered(at_ms, LeaseAnswer::Appended { at: at(5) });
@@ -208,7 +191,7 @@
     let mut restarted = lease("a", 2);
     let taking = LeaseRecord {
         settled: false,
-        ..record("a", 1)
+        ..record("a", 1, 0)
     };
     read(&mut restarted, 1_000, 5, Some(taking));
     let at_ms = restarted.next_ms();
@@ -242,7 +225,7 @@
     assert_eq!(holder.fence(now_ms + 5), None);
     // Another VM that is told takes it at once, and pauses from the last order.
     let mut follower = lease("b", 2);
-    read(&mut follower, 0, 1, Some(record("a", 1)));
+    read(&mut follower, 0, 1, Some(record("a", 1, 0)));
     follower.note_end(now_ms + 6, at(2), Some(150));
     let taken_ms = now_ms + 6;
     assert_eq!(append_at(&mut follower, taken_ms), Some(2));
@@ -264,11 +247,11 @@
 #[test]
 fn unseen_renewal_counts_anew() {
     let mut follower = lease("b", 2);
-    read(&mut follower, 1_000, 5, Some(record("a", 1)));
+    read(&mut follower, 1_000, 5, Some(record("a", 1, 0)));
     let late_ms = 9_000;
     append_at(&mut follower, late_ms);
     follower.answered(late_ms, LeaseAnswer::EndedElsewhere { end: at(6) });
-    read(&mut follower, late_ms, 6, Some(record("a", 1)));
+    read(&mut follower, late_ms, 6, Some(record("a", 1, 0)));
     let now_ms = late_ms + OPTIONS.duration_ms;
     assert_eq!(append_at(&mut follower, now_ms), Some(6));
     follower.answered(now_ms, LeaseAnswer::Appended { at: at(6) });
@@ -278,14 +261,19 @@
 #[test]
 fn loser_of_a_race_gives_no_orders() {
     let mut follower = lease("b", 2);
-    read(&mut follower, 0, 5, Some(record("a", 1)));
+    read(&mut follower, 0, 5, Some(record("a", 1, 0)));
     append_at(&mut follower, OPTIONS.duration_ms);
     follower.answered(
         OPTIONS.duration_ms,
         LeaseAnswer::EndedElsewhere { end: at(6) },
     );
     assert!(!follower.is_held(OPTIONS.duration_ms));
-    read(&mut follower, OPTIONS.duration_ms, 6, Some(record("c", 3)));
+    read(
+        &mut follower,
+        OPTIONS.duration_ms,
+        6,
+        Some(record("c", 3, 0)),
+    );
     assert_eq!(append_at(&mut follower, 2 * OPTIONS.duration_ms - 1), None);
 }
 
@@ -298,7 +286,7 @@
     let now_ms = lease.next_ms();
     append_at(&mut lease, now_ms);
     lease.answered(now_ms, LeaseAnswer::EndedElsewhere { end: at(9) });
-    read(&mut lease, now_ms, 9, Some(record("b", 2)));
+    read(&mut lease, now_ms, 9, Some(record("b", 2, 0)));
     assert!(!lease.is_held(now_ms));
     assert_eq!(lease.fence(now_ms), None);
 }
@@ -338,7 +326,7 @@
     append_at(&mut lease, now_ms);
     lease.answered(now_ms + 700, LeaseAnswer::Unknown);
     let now_ms = lease.next_ms();
-    read(&mut lease, now_ms, 1, Some(record("a", 1)));
+    read(&mut lease, now_ms, 1, Some(record("a", 1, 0)));
     assert!(!lease.is_held(now_ms));
     assert_eq!(append_at(&mut lease, now_ms), Some(1));
     lease.answered(now_ms, LeaseAnswer::Appended { at: at(1) });
@@ -352,7 +340,7 @@
 #[test]
 fn earlier_run_has_ended() {
     let mut lease = lease("a", 2);
-    read(&mut lease, 1_000, 5, Some(record("a", 1)));
+    read(&mut lease, 1_000, 5, Some(record("a", 1, 0)));
     let now_ms = lease.next_ms();
     assert!(now_ms < 1_000 + OPTIONS.renew_every_ms);
     assert_eq!(append_at(&mut lease, now_ms), Some(5));
@@ -368,7 +356,7 @@
     follower.set_place(2);
     let released = LeaseRecord {
         released: true,
-        ..record("a", 1)
+        ..record("a", 1, 0)
     };
     read(&mut follower, 0, 5, Some(released));
     assert_eq!(append_at(&mut follower, 2 * OPTIONS.stagger_ms - 1), None);
@@ -437,7 +425,7 @@
     assert_eq!(lease.fence(woken_ms), None);
     append_at(&mut lease, woken_ms);
     lease.answered(woken_ms, LeaseAnswer::EndedElsewhere { end: at(7) });
-    read(&mut lease, woken_ms, 7, Some(record("b", 2)));
+    read(&mut lease, woken_ms, 7, Some(record("b", 2, 0)));
     assert_eq!(lease.fence(woken_ms), None);
 }
 
--- a/crates/holder/tests/lease_trimmed.rs
+++ b/crates/holder/tests/lease_trimmed.rs
@@ -1,39 +1,21 @@
 //! The lease when its topic no longer keeps all records.
 
+mod support;
+
 use apricotdale_core::names::VmName;
-use apricotdale_core::numbers::Position;
 use apricotdale_holder::Lease;
 use apricotdale_holder::LeaseAction;
 use apricotdale_holder::LeaseAnswer;
 use apricotdale_holder::LeaseOptions;
-use apricotdale_holder::LeaseRecord;
+
+use support::leases::append_at;
+use support::leases::at;
+use support::leases::record;
 
 fn lease(name: &str, run: u64) -> Lease {
     Lease::new(LeaseOptions::default(), VmName::from(name), run)
 }
 
-fn record(name: &str, run: u64) -> LeaseRecord {
-    LeaseRecord {
-        holder: VmName::from(name),
-        run,
-        released: false,
-        settled: true,
-        quiet_ms: 0,
-        era: 0,
-    }
-}
-
-fn at(offset: u64) -> Position {
-    Position::new(0, offset)
-}
-
-fn append_at(lease: &mut Lease, now_ms: u64) -> Option<u64> {
-    match lease.act(now_ms) {
-        Some(LeaseAction::Append { at, .. }) => Some(at.offset),
-        _ => None,
-    }
-}
-
 /// Guards against taking the first record that the store keeps for the end of the topic.
 #[test]
 fn trimmed_topic_is_read_on() {
@@ -41,7 +23,7 @@
     assert_eq!(lease.act(0), Some(LeaseAction::Read { from: 0 }));
     lease.answered(5, LeaseAnswer::Expired { first: at(40) });
     assert_eq!(lease.act(5), Some(LeaseAction::Read { from: 40 }));
-    let newest = Some(record("vm-b", 7));
+    let newest = Some(record("vm-b", 7, 0));
     lease.answered(
         10,
         LeaseAnswer::Read {
@@ -78,7 +60,7 @@
 fn topic_that_ends_earlier() {
     let mut lease = lease("vm-a", 1);
     lease.act(0);
-    let newest = Some(record("vm-b", 7));
+    let newest = Some(record("vm-b", 7, 0));
     lease.answered(
         0,
         LeaseAnswer::Read {
--- a/crates/holder/tests/support/mod.rs
+++ b/crates/holder/tests/support/mod.rs
@@ -4,6 +4,7 @@
 #![allow(dead_code)]
 
 mod engine;
+pub mod leases;
 
 use std::collections::HashMap;
 use std::sync::Arc;
