A VM is not ready before it knows which keys are taken

Cause: apricotdaled said ready once the control stream was replayed; the claim streams catch up on their own, from the log or a peer, and a call under a known key was refused log_unavailable meanwhile. Test keys_are_known_before_ready holds the reads of the claim stream: it failed before (ready at once), passes now.

--- a/crates/node/src/assembly/common.rs
+++ b/crates/node/src/assembly/common.rs
@@ -136,6 +136,7 @@
         );
         let directory = NodeDirectory {
             replayed: Arc::clone(&replayed),
+            claim_streams: claim_streams.clone(),
             membership: Arc::clone(&membership),
             health: Arc::clone(&health),
             epoch: Arc::clone(&epoch),
--- a/crates/node/src/claims/claim_stream.rs
+++ b/crates/node/src/claims/claim_stream.rs
@@ -1,6 +1,7 @@
 //! One claim stream: its table, what waits for it, and what is to be appended.
 
 use std::collections::HashMap;
+use std::sync::atomic::AtomicBool;
 use std::sync::atomic::AtomicUsize;
 use std::sync::atomic::Ordering;
 use std::time::Duration;
@@ -54,6 +55,7 @@
     queue: Sender<ClaimRecord>,
     queued: Receiver<ClaimRecord>,
     open_ends: AtomicUsize,
+    caught_up: AtomicBool,
 }
 
 impl ClaimStream {
@@ -69,9 +71,21 @@
             queue,
             queued,
             open_ends: AtomicUsize::new(0),
+            caught_up: AtomicBool::new(false),
         }
     }
 
+    /// Returns whether the table has been replayed to the stream's end, or taken from a peer, at
+    /// least once.
+    pub fn is_caught_up(&self) -> bool {
+        self.caught_up.load(Ordering::Acquire)
+    }
+
+    /// Notes that the table is as new as can be had.
+    pub fn note_caught_up(&self) {
+        self.caught_up.store(true, Ordering::Release);
+    }
+
     /// Reads or changes the table.
     pub fn with_table<T>(&self, act: impl FnOnce(&mut ClaimTable) -> T) -> T {
         act(&mut self.table.lock())
--- a/crates/node/src/directory.rs
+++ b/crates/node/src/directory.rs
@@ -19,6 +19,7 @@
 use apricotdale_state::replicas::Stage;
 
 use crate::appender::EpochCell;
+use crate::claims::ClaimStream;
 use crate::log_health::LogHealth;
 use crate::membership_view::SharedMembership;
 use crate::replayed::Replayed;
@@ -30,6 +31,8 @@
 pub struct NodeDirectory {
     /// The replayed state.
     pub replayed: Arc<Replayed>,
+    /// The claim streams.
+    pub claim_streams: Vec<Arc<ClaimStream>>,
     /// The membership.
     pub membership: Arc<SharedMembership>,
     /// Whether the log works.
@@ -111,6 +114,10 @@
         }
         let missing = match self.replayed.is_caught_up() {
             false => "this VM has not yet learned the configuration",
+            // A call under a known key would be refused although its answer is kept.
+            true if !self.claim_streams.iter().all(|it| it.is_caught_up()) => {
+                "this VM has not yet learned which keys are taken"
+            }
             // While the log is down a VM serves what is loaded, though it has not joined. Else it
             // is about to join, and could decide on no load before that.
             true if self.epoch.get().is_none() && !self.is_log_down() => {
--- a/crates/node/tests/catch_up.rs
+++ b/crates/node/tests/catch_up.rs
@@ -3,12 +3,14 @@
 mod support;
 
 use apricotdale_core::names::StreamName;
+use apricotdale_core::names::VmName;
 use apricotdale_core::numbers::ConfigVersion;
 use apricotdale_core::numbers::Offset;
 use apricotdale_core::vm_list::VmState;
 use apricotdale_state::parts::Catalog;
 
 use support::log_fault::AppendFault;
+use support::log_fault::ReadFault;
 use support::log_fault::is_fresh_start;
 use support::node::Node;
 use support::wait_until;
@@ -126,6 +128,23 @@
     assert_eq!(cluster.world.service.effects_of("new"), 0);
 }
 
+/// Guards against a VM that takes requests before it knows which keys are taken.
+#[test]
+fn keys_are_known_before_ready() {
+    let (mut cluster, model) = start_used();
+    let vm = VmName::new("vm-2");
+    let held = cluster.world.log.fault_reads(ReadFault::Hold, move |read| {
+        read.is_by(&vm) && read.stream.as_str() == "claims-0"
+    });
+    cluster.add("vm-2");
+    let started = &cluster.nodes[2];
+    started.wait_version(cluster.version);
+    assert!(!started.caller.is_ready());
+    cluster.world.log.release(&held);
+    started.wait_ready();
+    assert_knows_all(&cluster, started, &model);
+}
+
 /// Returns how many fresh starts of the control stream were proposed.
 fn fresh_starts(world: &World) -> usize {
     let records = world.log.records("snapshots");
