--- a/crates/standins/src/platform/engine.rs
+++ b/crates/standins/src/platform/engine.rs
@@ -120,6 +120,8 @@
     stopper: Mutex<Option<Stopper>>,
     /// When the engine ended by itself, and the body of the request under which it did.
     crashed: Mutex<Option<(Instant, Vec<u8>)>>,
+    /// When requests with a marker began to run, and their bodies.
+    marked_runs: Mutex<Vec<(Instant, Vec<u8>)>>,
 }
 
 #[derive(Default)]
@@ -149,6 +151,7 @@
             full: AtomicBool::default(),
             stopper: Mutex::default(),
             crashed: Mutex::default(),
+            marked_runs: Mutex::default(),
             store,
             options,
         }
@@ -164,6 +167,11 @@
         self.crashed.lock().clone()
     }
 
+    /// Returns when requests began to run under which the engine ends, with their bodies.
+    pub fn marked_runs(&self) -> Vec<(Instant, Vec<u8>)> {
+        self.marked_runs.lock().clone()
+    }
+
     /// Ends the engine as a fault of its process does: nothing more is sent or accepted.
     fn crash(&self, body: &[u8]) {
         self.crashed
@@ -360,6 +368,8 @@
         let crashes = self.options.crashes.iter();
         let mut crashes = crashes.filter(|it| holds(&request.body, &it.marker));
         if let Some(trigger) = crashes.next() {
+            let run = (Instant::now(), request.body.clone());
+            self.marked_runs.lock().push(run);
             thread::sleep(Duration::from_millis(trigger.after_ms));
             // A request whose connection is closed is dropped.
             if request.caller.is_gone() {
