--- a/crates/entry/src/crash_watch.rs
+++ b/crates/entry/src/crash_watch.rs
@@ -326,6 +326,8 @@
         self.metrics
             .suspects
             .set(self.crash_watch.suspects() as i64);
+        let on_probation = self.crash_watch.probations().len();
+        self.metrics.on_probation.set(on_probation as i64);
     }
 }
 
--- a/crates/entry/src/metrics.rs
+++ b/crates/entry/src/metrics.rs
@@ -49,6 +49,8 @@
     pub dropped_lines: Gauge,
     pub blocked: Gauge,
     pub suspects: Gauge,
+    pub on_probation: Gauge,
+    trials: Counter,
 }
 
 impl Default for EntryMetrics {
@@ -86,6 +88,8 @@
             dropped_lines: Gauge::default(),
             blocked: Gauge::default(),
             suspects: Gauge::default(),
+            on_probation: Gauge::default(),
+            trials: Counter::default(),
         };
         metrics.register();
         metrics
@@ -181,6 +185,16 @@
             "Requests remembered under crashes, counted once for each crash",
             self.suspects.clone(),
         );
+        registry.register(
+            "requests_on_probation",
+            "Requests whose copies are sent one at a time over all VMs",
+            self.on_probation.clone(),
+        );
+        registry.register(
+            "trials",
+            "Sends of requests on probation by this VM",
+            self.trials.clone(),
+        );
         registry.register(
             "first_answer_ms",
             "From arrival to the first part of the answer",
@@ -318,6 +332,11 @@
         self.crashed_upstreams.inc();
     }
 
+    /// Counts a send of a request on probation.
+    pub fn trial(&self) {
+        self.trials.inc();
+    }
+
     /// Counts a request that this VM found to crash upstreams.
     pub fn begun_block(&self) {
         self.begun_blocks.inc();
--- a/crates/entry/src/serving.rs
+++ b/crates/entry/src/serving.rs
@@ -232,6 +232,7 @@
             Permit::Free => self.send(key, upstream),
             Permit::Trial(upstream) => {
                 request.is_trial = true;
+                self.metrics.trial();
                 self.send(key, upstream);
                 self.note_unsent_trial(key);
             }
--- a/crates/soak/src/engines.rs
+++ b/crates/soak/src/engines.rs
@@ -135,18 +135,21 @@
         });
     }
 
-    /// Returns the engines that ended under requests.
+    /// Returns the requests with which engines ended, once for each copy in progress there.
     pub fn crashes(&self) -> Vec<Crash> {
         let site = self.site.lock();
         let engines = site.engines.iter();
         engines
-            .filter_map(|engine| {
-                let (at, body) = engine.crashed()?;
-                Some(Crash {
-                    body: String::from_utf8_lossy(&body).into_owned(),
-                    upstream: engine.name().to_owned(),
-                    at_ms: self.clock.at_ms(at),
-                })
+            .filter_map(|engine| Some((engine, engine.crashed()?.0)))
+            .flat_map(|(engine, at)| {
+                engine
+                    .marked_runs()
+                    .into_iter()
+                    .map(move |(_, body)| Crash {
+                        body: String::from_utf8_lossy(&body).into_owned(),
+                        upstream: engine.name().to_owned(),
+                        at_ms: self.clock.at_ms(at),
+                    })
             })
             .collect()
     }
--- a/crates/soak/src/plan.rs
+++ b/crates/soak/src/plan.rs
@@ -22,6 +22,9 @@
 /// The most callers whose requests end engines.
 const MOST_CRASHERS: usize = 3;
 
+/// Callers of one such request at a time.
+const MOST_COPIES: usize = 6;
+
 /// Sets the crashers' draws apart from those of the troubles.
 const CRASHERS_SEED: u64 = 0x6372_6173_6865_7273;
 
@@ -174,6 +177,8 @@
     pub pause_ms: u64,
     /// Whether the request is a stream that may be resumed.
     pub resumable: bool,
+    /// How many callers send it at a time.
+    pub copies: usize,
 }
 
 /// `Plan` is what happens in one soak.
@@ -233,6 +238,7 @@
             at_ms: random.random_range(LEAD_MS..calm_from_ms.max(LEAD_MS + 1)),
             pause_ms: random.random_range(50..900),
             resumable: random.random_bool(0.5),
+            copies: random.random_range(1..=MOST_COPIES),
         })
         .collect()
 }
--- a/crates/soak/src/record.rs
+++ b/crates/soak/src/record.rs
@@ -189,7 +189,7 @@
     pub runs: Vec<Run>,
     /// Identities of questions that the soak asked besides the callers.
     pub other_ids: BTreeSet<String>,
-    /// Engines that ended under requests.
+    /// Requests with which engines ended, once for each copy.
     pub crashes: Vec<Crash>,
     /// Attempts of callers whose requests end engines, with the requests' bodies.
     pub crasher_ids: Vec<(String, String)>,
--- a/crates/soak/src/soak.rs
+++ b/crates/soak/src/soak.rs
@@ -145,8 +145,10 @@
 /// Starts the callers whose requests end engines, each at its time.
 fn start_crashers(options: &SoakOptions, plan: &Plan, asking: &Arc<Asking>) -> Vec<JoinHandle<()>> {
     let began_ms = asking.clock.now_ms();
-    let crashers = plan.crashers.iter().cloned().enumerate();
-    crashers
+    let crashers = plan.crashers.iter();
+    let copies = crashers.flat_map(|crasher| std::iter::repeat_n(crasher.clone(), crasher.copies));
+    copies
+        .enumerate()
         .map(|(number, crasher)| {
             let asking = asking.clone();
             let seed = options.seed.wrapping_mul(1_000) + 900 + number as u64;
--- a/crates/standins/src/platform/engine.rs
+++ b/crates/standins/src/platform/engine.rs
@@ -167,11 +167,19 @@
         self.crashed.lock().clone()
     }
 
-    /// Returns when requests began to run under which the engine ends, with their bodies.
+    /// Returns when requests began to run under which the engine ends, with their bodies. Those whose
+    /// callers have left do not count.
     pub fn marked_runs(&self) -> Vec<(Instant, Vec<u8>)> {
         self.marked_runs.lock().clone()
     }
 
+    fn forget_marked_run(&self, body: &[u8]) {
+        let mut runs = self.marked_runs.lock();
+        if let Some(index) = runs.iter().position(|(_, of)| of == body) {
+            runs.remove(index);
+        }
+    }
+
     /// Ends the engine as a fault of its process does: nothing more is sent or accepted.
     fn crash(&self, body: &[u8]) {
         self.crashed
@@ -373,6 +381,7 @@
             thread::sleep(Duration::from_millis(trigger.after_ms));
             // A request whose connection is closed is dropped.
             if request.caller.is_gone() {
+                self.forget_marked_run(&request.body);
                 return Reply::Lost;
             }
             let engine = self.clone();
