--- a/crates/core/src/refusal.rs
+++ b/crates/core/src/refusal.rs
@@ -65,6 +65,8 @@
     RequestTimeout = "request_timeout", 408;
     /// The VM holds as many connections as it may.
     TooManyConnections = "too_many_connections", 503;
+    /// The caller presents no key that is known.
+    UnknownKey = "unknown_key", 401;
     /// The path is not served.
     UnknownPath = "unknown_path", 404;
     /// The path is served, but not by this method.
@@ -83,6 +85,8 @@
     Overloaded = "overloaded", 429;
     /// The caller uses more than its share while others wait.
     CallerOverShare = "caller_over_share", 429;
+    /// The caller's organisation has used its limit.
+    OverLimit = "over_limit", 429;
     /// No accelerator memory can be freed for the model in time.
     NoCapacity = "no_capacity", 503;
     /// The model's load failed.
--- a/crates/entry/src/active.rs
+++ b/crates/entry/src/active.rs
@@ -13,6 +13,7 @@
 use apricotdale_http1::EventSplitter;
 use apricotdale_http1::RequestHead;
 use apricotdale_http1::ResponseHead;
+use apricotdale_organisations::Organisation;
 use apricotdale_quarantine::CallerHash;
 use apricotdale_quarantine::Fingerprint;
 use mio::Token;
@@ -53,6 +54,8 @@
     pub body: Vec<u8>,
     pub serving: ServingRequest,
     pub route: Arc<Route>,
+    /// The organisation that holds the caller's key, if requests carry one.
+    pub organisation: Option<Arc<Organisation>>,
     pub job: Job,
     pub phase: Phase,
     /// Whether it is under way as a trial of a request on probation.
--- a/crates/entry/src/codec.rs
+++ b/crates/entry/src/codec.rs
@@ -1,6 +1,7 @@
 //! What a platform's codecs translate between bytes and the product's types.
 
 use std::fmt;
+use std::sync::Arc;
 
 use apricotdale_core::names::InstanceName;
 use apricotdale_core::names::RequestId;
@@ -49,8 +50,10 @@
     pub left_ms: u64,
     /// The last event that the caller has, if the stream is resumed.
     pub last_event: Option<u64>,
-    /// The rank of the request's class; 0 goes first.
+    /// The rank of the request; 0 goes first.
     pub rank: u32,
+    /// The organisation that holds the caller's key, if the request carries one.
+    pub organisation: Option<Arc<str>>,
 }
 
 /// `AnswerFields` is what the head of an upstream's answer says.
@@ -83,6 +86,9 @@
     /// [`DecodeError`] for a request that no upstream may get.
     fn decode(&self, head: &RequestHead) -> Result<ServingRequest, DecodeError>;
 
+    /// Removes the caller's key from a request, so that it is neither kept nor passed on.
+    fn remove_key(&self, head: &mut RequestHead);
+
     /// Returns the bytes of the request as an upstream gets it.
     fn forward(&self, head: &RequestHead, body: &[u8], fields: &ForwardFields) -> Vec<u8>;
 
--- a/crates/entry/src/serving.rs
+++ b/crates/entry/src/serving.rs
@@ -14,6 +14,8 @@
 use apricotdale_fleet::ServingRequest;
 use apricotdale_http1::EventSplitter;
 use apricotdale_http1::RequestHead;
+use apricotdale_organisations::Organisation;
+use apricotdale_organisations::PresentedKey;
 use apricotdale_quarantine::Permit;
 use mio::Token;
 
@@ -51,8 +53,8 @@
 const PREFIX_TOKENS: u32 = 1_000;
 
 impl Daemon {
-    pub(crate) fn take_serving(&mut self, token: Token, head: RequestHead, body: Vec<u8>) {
-        let serving = match self.codecs.callers.decode(&head) {
+    pub(crate) fn take_serving(&mut self, token: Token, mut head: RequestHead, body: Vec<u8>) {
+        let mut serving = match self.codecs.callers.decode(&head) {
             Ok(serving) => serving,
             Err(error) => {
                 let refusal = Refusal::not_run(RefusalReason::BadRequest, error.detail);
@@ -80,6 +82,18 @@
             self.refuse_new(token, &refusal, Some(&serving.id));
             return;
         };
+        // The key is not kept in clear for as long as the request is in progress.
+        let key = std::mem::take(&mut serving.key);
+        let organisation = match self.organisation_of(&key, &route) {
+            Ok(organisation) => organisation,
+            Err(refusal) => {
+                self.refuse_new(token, &refusal, Some(&serving.id));
+                return;
+            }
+        };
+        if self.directory.configuration().organisations.is_some() {
+            self.codecs.callers.remove_key(&mut head);
+        }
         let Some(service) = route.service(draw(&serving.id)).cloned() else {
             let refusal = Refusal::not_run(RefusalReason::UnknownService, "no service");
             self.refuse_new(token, &refusal, Some(&serving.id));
@@ -93,7 +107,10 @@
             self.refuse_new(token, &refusal, Some(&serving.id));
             return;
         }
-        let job = self.job(&serving, &route, service);
+        let mut job = self.job(&serving, &route, service);
+        if let Some(rank) = organisation.as_ref().and_then(|it| it.rank) {
+            job.rank = rank;
+        }
         self.dispatcher.arrived(self.now_ms, &job);
         if let Some(wanted) = &job.wanted {
             self.own_demand.note_arrival(wanted);
@@ -107,6 +124,7 @@
             body,
             serving,
             route,
+            organisation,
             job,
             phase: Phase::Waiting(WaitReason::Crowded),
             is_trial: false,
@@ -125,6 +143,29 @@
         self.dispatch(key);
     }
 
+    /// Returns the organisation that holds the key of a request; none where none is needed.
+    fn organisation_of(
+        &self,
+        key: &PresentedKey,
+        route: &Route,
+    ) -> Result<Option<Arc<Organisation>>, Refusal> {
+        let Some(organisations) = &self.directory.configuration().organisations else {
+            return Ok(None);
+        };
+        let detail = match key {
+            PresentedKey::Given(key) => match organisations.holder(key) {
+                Some(organisation) => return Ok(Some(organisation.clone())),
+                None => "no organisation holds the key",
+            },
+            PresentedKey::Missing => "the request has no key",
+            PresentedKey::Faulty(fault) => fault.as_str(),
+        };
+        match route.public {
+            true => Ok(None),
+            false => Err(Refusal::not_run(RefusalReason::UnknownKey, detail)),
+        }
+    }
+
     fn job(&self, serving: &ServingRequest, route: &Arc<Route>, service: GroupName) -> Job {
         let now_ms = self.now_ms;
         let is_engine = self
@@ -264,6 +305,7 @@
             left_ms: request.job.deadline_ms.saturating_sub(now_ms),
             last_event: request.events.last_id().or(request.serving.last_event),
             rank: request.job.rank,
+            organisation: request.organisation.as_ref().map(|it| it.name.clone()),
         };
         let bytes = self
             .codecs
--- a/crates/fleet/src/configuration.rs
+++ b/crates/fleet/src/configuration.rs
@@ -5,6 +5,7 @@
 
 use apricotdale_core::names::GroupName;
 use apricotdale_core::names::ModelName;
+use apricotdale_organisations::Organisations;
 
 /// `RouteKind` says what is answered on a route and what may be repeated.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, Hash)]
@@ -64,6 +65,8 @@
     pub rank: u32,
     /// The services that take the requests; one, unless the route is split.
     pub shares: Vec<SplitShare>,
+    /// Whether it is served without a key.
+    pub public: bool,
 }
 
 impl Route {
@@ -169,4 +172,6 @@
     pub services: HashMap<GroupName, Arc<Service>>,
     /// What callers may send.
     pub limits: CallerLimits,
+    /// The organisations, whose keys callers must present; none if requests carry no keys.
+    pub organisations: Option<Organisations>,
 }
--- a/crates/fleet/src/request.rs
+++ b/crates/fleet/src/request.rs
@@ -2,6 +2,7 @@
 
 use apricotdale_core::names::ModelName;
 use apricotdale_core::names::RequestId;
+use apricotdale_organisations::PresentedKey;
 
 /// `WantedModel` is the model, and the adapter of it, that a request names.
 #[derive(Clone, Debug, PartialEq, Eq, Hash, PartialOrd, Ord)]
@@ -42,4 +43,14 @@
     pub parts: Vec<PromptPart>,
     /// The last event that the caller has, if it resumes a stream.
     pub last_event: Option<u64>,
+    /// The key that the caller presents.
+    pub key: PresentedKey,
+}
+
+impl ServingRequest {
+    /// Returns the tokens that the request says, prompt and output together.
+    pub fn tokens(&self) -> Option<u64> {
+        let tokens = u64::from(self.prompt_tokens) + u64::from(self.output_tokens);
+        (tokens > 0).then_some(tokens)
+    }
 }
--- a/crates/fleet/tests/route_choice.rs
+++ b/crates/fleet/tests/route_choice.rs
@@ -25,6 +25,7 @@
         attempts: 1,
         rank: 0,
         shares: shares.iter().map(share).collect(),
+        public: false,
     })
 }
 
--- a/crates/http1/src/headers.rs
+++ b/crates/http1/src/headers.rs
@@ -23,6 +23,12 @@
         self.0.push((name.into(), value.into()));
     }
 
+    /// Removes every field of a name, whatever its case.
+    pub fn remove(&mut self, name: &str) {
+        self.0
+            .retain(|(field, _)| !field.eq_ignore_ascii_case(name));
+    }
+
     /// Returns the first value of a field, whatever the case of its name.
     pub fn get(&self, name: &str) -> Option<&[u8]> {
         self.iter()
