A stream whose next engine fails does not look whole

It is a failed try now where an answer has begun: the stream goes on elsewhere or breaks. Test cut_stream_that_fails_elsewhere failed 3 of 3 before, passes 3 of 3.

--- a/crates/entry/src/answering.rs
+++ b/crates/entry/src/answering.rs
@@ -107,7 +107,13 @@
         let Some(request) = self.active.get_mut(key) else {
             return;
         };
-        let verdict = judge(&head, &fields, &request.serving.id);
+        let verdict = match judge(&head, &fields, &request.serving.id) {
+            // A failure behind events that were passed on would look like the end of the stream.
+            HeadVerdict::Take if request.begun && head.status >= 400 => {
+                HeadVerdict::Fail(FailedTry::Failed)
+            }
+            verdict => verdict,
+        };
         if let Phase::Sent {
             upstream,
             first_byte_ms,
