--- /dev/null
+++ b/crates/quota/tests/limit_search.rs
@@ -0,0 +1,440 @@
+//! Courses of load, messages, losses and changes of limits, drawn at random over many VMs.
+//!
+//! Each VM is a [`Spender`]; the first ones also keep. Datagrams are late, lost and doubled; VMs
+//! freeze, start again, are cut off and join. What is admitted in any window is counted over all.
+
+use std::collections::BTreeMap;
+use std::collections::VecDeque;
+
+use apricotdale_organisations::Limit;
+use apricotdale_quota::AccountId;
+use apricotdale_quota::Admission;
+use apricotdale_quota::Answer;
+use apricotdale_quota::Bounds;
+use apricotdale_quota::Keeper;
+use apricotdale_quota::Report;
+use apricotdale_quota::Spender;
+use proptest::prelude::*;
+use proptest::test_runner::RngSeed;
+
+const KEEPERS: usize = 4;
+const STEP_MS: u64 = 5;
+const WINDOW_MS: u64 = 8_000;
+
+/// How long a request waits for the keeper.
+const ASKED_MS: u64 = 250;
+
+/// Within this time all VMs have a new limit.
+const APPLY_MS: u64 = 1_000;
+
+const BOUNDS: Bounds = Bounds {
+    window_ms: WINDOW_MS,
+    over: 0.1,
+    slack: 110_000.0,
+};
+
+#[derive(Clone, Debug)]
+enum Message {
+    Report(usize, Report),
+    Answer(Answer),
+}
+
+/// What happens at a moment.
+#[derive(Clone, Copy, Debug)]
+enum Event {
+    /// Requests come to some VMs for a time: how many a second, and how large.
+    Load {
+        from: usize,
+        vms: usize,
+        per_s: u64,
+        units: u64,
+        for_ms: u64,
+    },
+    /// A VM's process is started again.
+    Restart { vm: usize },
+    /// All of them are.
+    RestartAll,
+    /// A VM stands still.
+    Freeze { vm: usize, for_ms: u64 },
+    /// A VM hears no other and is heard by none.
+    Cut { vm: usize, for_ms: u64 },
+    /// The limit is another from now on.
+    Limit { percent: u64 },
+}
+
+struct Vm {
+    spender: Spender,
+    keeper: Keeper,
+    inbox: Vec<(u64, Message)>,
+    frozen_until_ms: u64,
+    cut_until_ms: u64,
+    limit: (u64, f64),
+    asked: Vec<(u64, u64, u64)>,
+}
+
+#[derive(Clone, Copy, Debug)]
+struct Load {
+    from: usize,
+    vms: usize,
+    per_s: u64,
+    units: u64,
+    until_ms: u64,
+}
+
+struct Fleet {
+    now_ms: u64,
+    vms: Vec<Vm>,
+    state: u64,
+    lost_in_256: u64,
+    rate: f64,
+    next_key: u64,
+    loads: Vec<Load>,
+    /// Units that were admitted, by time of arrival.
+    admitted: BTreeMap<u64, u64>,
+    /// The limits that were in force, with the times at which they began.
+    limits: Vec<(u64, f64)>,
+    arrived: u64,
+    refused: u64,
+    asked: u64,
+    runs: u64,
+}
+
+fn account() -> AccountId {
+    AccountId::of("north")
+}
+
+fn limit(rate: f64) -> Limit {
+    Limit {
+        rate_per_s: rate,
+        burst: rate,
+    }
+}
+
+impl Fleet {
+    fn new(vms: usize, seed: u64, lost_in_256: u64, rate: f64) -> Self {
+        let mut fleet = Self {
+            now_ms: 100_000,
+            vms: Vec::new(),
+            state: seed | 1,
+            lost_in_256,
+            rate,
+            next_key: 0,
+            loads: Vec::new(),
+            admitted: BTreeMap::new(),
+            limits: vec![(0, rate)],
+            arrived: 0,
+            refused: 0,
+            asked: 0,
+            runs: 0,
+        };
+        for _ in 0..vms {
+            let vm = fleet.vm(vms);
+            fleet.vms.push(vm);
+        }
+        fleet
+    }
+
+    fn vm(&mut self, vms: usize) -> Vm {
+        self.runs += 1;
+        let mut spender = Spender::new(self.runs, BOUNDS);
+        let mut keeper = Keeper::new(self.runs, BOUNDS);
+        spender.set_vms(vms);
+        keeper.set_vms(vms);
+        let limits = [(account(), limit(self.rate))];
+        spender.set_limits(self.now_ms, limits);
+        keeper.set_limits(self.now_ms, limits);
+        Vm {
+            spender,
+            keeper,
+            inbox: Vec::new(),
+            frozen_until_ms: 0,
+            cut_until_ms: 0,
+            limit: (0, self.rate),
+            asked: Vec::new(),
+        }
+    }
+
+    fn draw(&mut self) -> u64 {
+        self.state ^= self.state << 13;
+        self.state ^= self.state >> 7;
+        self.state ^= self.state << 17;
+        self.state >> 16
+    }
+
+    fn happen(&mut self, event: Event) {
+        let (now_ms, vms) = (self.now_ms, self.vms.len());
+        match event {
+            Event::Load {
+                from,
+                vms,
+                per_s,
+                units,
+                for_ms,
+            } => self.loads.push(Load {
+                from,
+                vms,
+                per_s,
+                units,
+                until_ms: now_ms + for_ms,
+            }),
+            Event::Restart { vm } => self.vms[vm % vms] = self.vm(vms),
+            Event::RestartAll => {
+                for index in 0..vms {
+                    self.vms[index] = self.vm(vms);
+                }
+            }
+            Event::Freeze { vm, for_ms } => self.vms[vm % vms].frozen_until_ms = now_ms + for_ms,
+            Event::Cut { vm, for_ms } => self.vms[vm % vms].cut_until_ms = now_ms + for_ms,
+            Event::Limit { percent } => {
+                self.rate = self.limits[0].1 * percent as f64 / 100.0;
+                self.limits.push((now_ms, self.rate));
+                for index in 0..vms {
+                    let delay_ms = self.draw() % APPLY_MS;
+                    self.vms[index].limit = (now_ms + delay_ms, self.rate);
+                }
+            }
+        }
+    }
+
+    fn run_until(&mut self, until_ms: u64) {
+        while self.now_ms < until_ms {
+            self.now_ms += STEP_MS;
+            self.step();
+        }
+    }
+
+    fn step(&mut self) {
+        let now_ms = self.now_ms;
+        for index in 0..self.vms.len() {
+            if self.vms[index].frozen_until_ms <= now_ms {
+                self.take_limit(index);
+                self.take_messages(index);
+                self.decide_again(index);
+                self.report(index);
+            }
+        }
+        self.loads.retain(|load| now_ms < load.until_ms);
+        for load in self.loads.clone() {
+            let due = self.draw() % 1_000_000 < load.per_s * STEP_MS * 1_000 % 1_000_000;
+            let count = load.per_s * STEP_MS / 1_000 + u64::from(due);
+            for _ in 0..count {
+                let vm = (load.from + self.draw() as usize % load.vms) % self.vms.len();
+                self.arrive(vm, load.units);
+            }
+        }
+    }
+
+    fn take_limit(&mut self, index: usize) {
+        let now_ms = self.now_ms;
+        let vm = &mut self.vms[index];
+        if vm.limit.0 > 0 && vm.limit.0 <= now_ms {
+            let limits = [(account(), limit(vm.limit.1))];
+            vm.spender.set_limits(now_ms, limits);
+            vm.keeper.set_limits(now_ms, limits);
+            vm.limit.0 = 0;
+        }
+    }
+
+    fn take_messages(&mut self, index: usize) {
+        let now_ms = self.now_ms;
+        let vm = &mut self.vms[index];
+        let arrived = vm.inbox.extract_if(.., |(at_ms, _)| *at_ms <= now_ms);
+        let mut answers = Vec::new();
+        for (_, message) in arrived.collect::<Vec<_>>() {
+            match message {
+                Message::Report(from, report) => {
+                    let answer = vm.keeper.take(now_ms, &report);
+                    answers.extend(answer.map(|answer| (from, answer)));
+                }
+                Message::Answer(answer) => {
+                    vm.spender.take(now_ms, &answer);
+                }
+            }
+        }
+        for (to, answer) in answers {
+            self.send(index, to, &Message::Answer(answer));
+        }
+    }
+
+    fn decide_again(&mut self, index: usize) {
+        let now_ms = self.now_ms;
+        for (key, units, arrived_ms) in std::mem::take(&mut self.vms[index].asked) {
+            let vm = &mut self.vms[index];
+            match vm.spender.admit(now_ms, account(), key, units) {
+                Admission::Admitted => self.count(arrived_ms, units),
+                Admission::Asked if now_ms < arrived_ms + ASKED_MS => {
+                    vm.asked.push((key, units, arrived_ms));
+                }
+                Admission::Asked => {
+                    vm.spender.withdraw(account(), key);
+                    self.refused += units;
+                }
+                Admission::Refused { .. } => self.refused += units,
+            }
+        }
+    }
+
+    fn report(&mut self, index: usize) {
+        let keepers = self.vms.len().min(KEEPERS);
+        let spender = &mut self.vms[index].spender;
+        let Some(report) = spender.due(self.now_ms, keepers) else {
+            return;
+        };
+        let to = spender.choice();
+        self.send(index, to, &Message::Report(index, report));
+    }
+
+    fn arrive(&mut self, vm: usize, units: u64) {
+        if self.vms[vm].frozen_until_ms > self.now_ms {
+            return;
+        }
+        self.arrived += units;
+        self.next_key += 1;
+        let key = self.next_key;
+        match self.vms[vm]
+            .spender
+            .admit(self.now_ms, account(), key, units)
+        {
+            Admission::Admitted => self.count(self.now_ms, units),
+            Admission::Asked => {
+                self.asked += units;
+                self.vms[vm].asked.push((key, units, self.now_ms));
+            }
+            Admission::Refused { .. } => self.refused += units,
+        }
+    }
+
+    fn count(&mut self, at_ms: u64, units: u64) {
+        *self.admitted.entry(at_ms).or_default() += units;
+    }
+
+    fn send(&mut self, from: usize, to: usize, message: &Message) {
+        let is_cut = |vm: &Vm| vm.cut_until_ms > self.now_ms;
+        if from != to && (is_cut(&self.vms[from]) || is_cut(&self.vms[to])) {
+            return;
+        }
+        let draw = self.draw();
+        let delays: Vec<u64> = match draw % 256 {
+            _ if from == to => vec![0],
+            lost if lost < self.lost_in_256 => Vec::new(),
+            250.. => vec![1 + draw / 256 % 20, 1 + draw / 65_536 % 200],
+            _ => vec![1 + draw / 256 % 20],
+        };
+        for delay_ms in delays {
+            let at_ms = self.now_ms + delay_ms;
+            self.vms[to].inbox.push((at_ms, message.clone()));
+        }
+    }
+
+    /// Returns the most that was admitted in a window, as a part of what the limit in force allows.
+    fn worst_window(&self) -> f64 {
+        let mut window: VecDeque<(u64, u64)> = VecDeque::new();
+        let (mut sum, mut worst) = (0, 0.0_f64);
+        for (at_ms, units) in &self.admitted {
+            window.push_back((*at_ms, *units));
+            sum += units;
+            while window
+                .front()
+                .is_some_and(|(begun_ms, _)| begun_ms + WINDOW_MS <= *at_ms)
+            {
+                sum -= window.pop_front().map_or(0, |(_, units)| units);
+            }
+            let begun_ms = at_ms.saturating_sub(WINDOW_MS);
+            worst = worst.max(sum as f64 / self.allowed(begun_ms, *at_ms));
+        }
+        worst
+    }
+
+    /// Returns what may be admitted in a window. A lower limit binds one window after all VMs have
+    /// it.
+    fn allowed(&self, from_ms: u64, until_ms: u64) -> f64 {
+        let ends = self.limits.iter().skip(1).map(|(at_ms, _)| *at_ms);
+        let spans = self.limits.iter().zip(ends.chain([u64::MAX]));
+        let binds_ms = |end_ms: u64| end_ms.saturating_add(APPLY_MS + WINDOW_MS);
+        let in_force =
+            spans.filter(|((at_ms, _), end_ms)| *at_ms <= until_ms && binds_ms(*end_ms) >= from_ms);
+        let rate = in_force.map(|((_, rate), _)| *rate).fold(0.0, f64::max);
+        let base = rate * WINDOW_MS as f64 / 1_000.0 + rate;
+        base * (1.0 + BOUNDS.over) + BOUNDS.slack
+    }
+}
+
+fn event() -> impl Strategy<Value = Event> {
+    let load = (0..64_usize, prop_oneof![Just(1), 2..64_usize], 1..400_u64);
+    let load = (
+        load,
+        prop_oneof![4 => 200..1_500_u64, 1 => 1_500..40_000_u64],
+        200..9_000_u64,
+    );
+    prop_oneof![
+        8 => load.prop_map(|((from, vms, per_s), units, for_ms)| Event::Load {
+            from, vms, per_s, units, for_ms
+        }),
+        2 => (0..64_usize).prop_map(|vm| Event::Restart { vm }),
+        1 => Just(Event::RestartAll),
+        2 => (0..64_usize, 50..5_000_u64).prop_map(|(vm, for_ms)| Event::Freeze { vm, for_ms }),
+        2 => (0..64_usize, 50..9_000_u64).prop_map(|(vm, for_ms)| Event::Cut { vm, for_ms }),
+        1 => (10..300_u64).prop_map(|percent| Event::Limit { percent }),
+    ]
+}
+
+proptest! {
+    #![proptest_config(ProptestConfig {
+        rng_seed: RngSeed::Fixed(35),
+        failure_persistence: None,
+        ..ProptestConfig::with_cases(96)
+    })]
+
+    /// Guards against more than a limit allows, in any window, over all VMs together.
+    #[test]
+    fn no_window_exceeds_the_limit(
+        vms in prop_oneof![1..10_usize, 10..70_usize],
+        seed in any::<u64>(),
+        lost_in_256 in 0..40_u64,
+        rate in prop_oneof![2_000.0..20_000.0, 20_000.0..400_000.0],
+        course in prop::collection::vec((1..1_500_u64, event()), 5..25),
+    ) {
+        let mut fleet = Fleet::new(vms, seed, lost_in_256, rate);
+        fleet.run_until(fleet.now_ms + 3_000);
+        for (pause_ms, event) in course {
+            fleet.run_until(fleet.now_ms + pause_ms);
+            fleet.happen(event);
+        }
+        fleet.run_until(fleet.now_ms + 5_000);
+        let worst = fleet.worst_window();
+        prop_assert!(worst <= 1.0, "{worst:.3} of what is allowed");
+    }
+}
+
+/// Returns the part of what arrives that is refused, and the part for which the keeper is asked.
+fn refused(vms: usize, at: usize, rate: f64, share: f64, units: u64) -> (f64, f64) {
+    let mut fleet = Fleet::new(vms, 7, 1, rate);
+    fleet.run_until(fleet.now_ms + 4_000);
+    fleet.happen(Event::Load {
+        from: 0,
+        vms: at,
+        per_s: (rate * share / units as f64) as u64,
+        units,
+        for_ms: 20_000,
+    });
+    fleet.run_until(fleet.now_ms + 20_000);
+    let part = |units: u64| units as f64 / fleet.arrived as f64;
+    (part(fleet.refused), part(fleet.asked))
+}
+
+/// Guards against refusals below the limit, also of an organisation that is at one VM only.
+#[test]
+fn below_the_limit_nothing_is_refused() {
+    for vms in [9, 65, 295] {
+        for (name, at) in [("one VM", 1), ("all VMs", vms)] {
+            for rate in [29_000.0, 200_000.0] {
+                let (refused, asked) = refused(vms, at, rate, 0.9, 716);
+                println!(
+                    "{vms} VMs, {rate} a second, at {name}: {:.4} refused, {:.3} asked",
+                    refused, asked
+                );
+                assert!(refused <= 0.01, "{refused}");
+            }
+        }
+    }
+}
