Limits of organisations in force on entry VMs

VMs report what they spent to a keeper, which all choose alike from the VMs' names; 429 over_limit with a time to come back that spreads returns; what is refused and has not run is given back; settings [organisations] for window, tolerance, slack, fail_closed, revoke_ms; metrics by organisation, 64 at the most.

--- a/crates/dispatch/src/job.rs
+++ b/crates/dispatch/src/job.rs
@@ -72,6 +72,8 @@
     Crowded,
     /// The budget has no repeat for it.
     Budget,
+    /// Whether its organisation's limit admits it is being asked.
+    Limit,
     /// It may crash upstreams, and another copy of it is tried first.
     Suspected,
 }
--- a/crates/entry/src/active.rs
+++ b/crates/entry/src/active.rs
@@ -18,6 +18,8 @@
 use apricotdale_quarantine::Fingerprint;
 use mio::Token;
 
+use crate::limits::Charge;
+
 /// `Phase` is how far a request is.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub(crate) enum Phase {
@@ -56,6 +58,8 @@
     pub route: Arc<Route>,
     /// The organisation that holds the caller's key, if requests carry one.
     pub organisation: Option<Arc<Organisation>>,
+    /// What it counts against the limit of its organisation.
+    pub charge: Option<Charge>,
     pub job: Job,
     pub phase: Phase,
     /// Whether it is under way as a trial of a request on probation.
--- a/crates/entry/src/daemon.rs
+++ b/crates/entry/src/daemon.rs
@@ -41,6 +41,7 @@
 use crate::errors::Error;
 use crate::errors::Result;
 use crate::feeds::Feeds;
+use crate::limits::Limits;
 use crate::lines::LineBudget;
 use crate::messages::VmRecord;
 use crate::metrics::EntryMetrics;
@@ -103,6 +104,7 @@
     pub(crate) watch: SilenceWatch,
     pub(crate) crash_watch: CrashWatch,
     pub(crate) block_store: BlockStore,
+    pub(crate) limits: Limits,
     pub(crate) news: NewsBoard,
     /// Runs of upstreams that are over and at which requests seem to be in progress.
     pub(crate) former_runs: Vec<UpstreamName>,
@@ -193,6 +195,7 @@
             watch: SilenceWatch::default(),
             crash_watch,
             block_store: BlockStore::default(),
+            limits: Limits::new(run, settings.limit_bounds),
             news: NewsBoard::default(),
             former_runs: Vec::new(),
             feeds: Feeds::default(),
@@ -282,6 +285,7 @@
         self.advance_peers();
         self.advance_watch();
         self.advance_crash_watch();
+        self.advance_limits();
         if self.now_ms >= self.next_sweep_ms || self.now_ms >= self.call_alarm_ms {
             self.sweep();
         }
@@ -303,6 +307,7 @@
             self.peers.next_ms(),
             self.watch.next_ms(),
             self.crash_watch.next_ms(),
+            self.limits.next_ms(),
         ]
         .into_iter()
         .min()
@@ -393,6 +398,7 @@
         if let Some(vms) = self.peers.vms() {
             self.dispatcher.set_vms(vms);
             self.pacing.set_vms(vms);
+            self.limits.set_vms(vms as usize);
         }
         self.call_alarm_ms = u64::MAX;
         for token in self.outbound.sweep(self.now_ms, self.poll.registry()) {
--- a/crates/entry/src/ending.rs
+++ b/crates/entry/src/ending.rs
@@ -38,8 +38,15 @@
                 "request refused"
             );
         }
-        if let Some(token) = request.caller {
-            if request.begun {
+        let (caller, begun) = (request.caller, request.begun);
+        if let (Some(charge), Ran::NotRun) = (request.charge, refusal.ran) {
+            self.give_back(charge, key);
+        }
+        let Some(request) = self.active.get(key) else {
+            return;
+        };
+        if let Some(token) = caller {
+            if begun {
                 self.abort_caller(token);
             } else {
                 let close = self.closes_after(token);
@@ -100,9 +107,13 @@
                 self.deadline_passed(key);
                 continue;
             }
-            if matches!(request.phase, Phase::Pausing { until_ms } if until_ms <= self.now_ms) {
-                request.phase = Phase::Waiting(WaitReason::Crowded);
-                self.dispatch(key);
+            match request.phase {
+                Phase::Pausing { until_ms } if until_ms <= self.now_ms => {
+                    request.phase = Phase::Waiting(WaitReason::Crowded);
+                    self.dispatch(key);
+                }
+                Phase::Waiting(WaitReason::Limit) => self.dispatch(key),
+                _ => {}
             }
         }
     }
--- a/crates/entry/src/lib.rs
+++ b/crates/entry/src/lib.rs
@@ -23,6 +23,7 @@
 mod errors;
 mod failing;
 mod feeds;
+mod limits;
 mod lines;
 mod messages;
 mod metrics;
--- a/crates/entry/src/messages.rs
+++ b/crates/entry/src/messages.rs
@@ -16,6 +16,8 @@
 use apricotdale_quarantine::TrialAnswer;
 use apricotdale_quarantine::TrialAsk;
 use apricotdale_quarantine::TrialEnd;
+use apricotdale_quota::Answer;
+use apricotdale_quota::Report;
 use serde::Deserialize;
 use serde::Serialize;
 
@@ -107,11 +109,15 @@
         asker: u64,
         end: TrialEnd,
     },
+    /// What a VM has spent of the limits of organisations.
+    Spent(Report),
+    /// What the keeper of the accounts allows it.
+    Allowed(Answer),
 }
 
 /// The first byte of each message. It changes when what follows does, so that VMs of different
 /// versions do not take each other's words for something else.
-const FORMAT: u8 = 0xa2;
+const FORMAT: u8 = 0xa3;
 
 /// Returns the bytes of a message.
 pub(crate) fn encode(message: &PeerMessage) -> Option<Vec<u8>> {
--- a/crates/entry/src/metrics.rs
+++ b/crates/entry/src/metrics.rs
@@ -1,5 +1,8 @@
 //! Counters and latency histograms.
 
+use std::collections::HashSet;
+use std::sync::Arc;
+
 use prometheus_client::encoding::EncodeLabelSet;
 use prometheus_client::encoding::text::encode;
 use prometheus_client::metrics::counter::Counter;
@@ -19,6 +22,15 @@
     outcome: String,
 }
 
+#[derive(Clone, Debug, PartialEq, Eq, Hash, EncodeLabelSet)]
+struct OrganisationLabel {
+    organisation: String,
+}
+
+/// Organisations with labels of their own, and the label of all others.
+const MAX_ORGANISATIONS: usize = 64;
+const OTHER_ORGANISATIONS: &str = "other";
+
 /// `EntryMetrics` are the metrics of an entry VM. No label carries a request or a caller.
 #[derive(Debug)]
 pub(crate) struct EntryMetrics {
@@ -51,6 +63,10 @@
     pub suspects: Gauge,
     pub on_probation: Gauge,
     trials: Counter,
+    asked_keeper: Counter,
+    over_limit: Family<OrganisationLabel, Counter>,
+    /// Organisations that have labels of their own.
+    organisations: HashSet<Arc<str>>,
 }
 
 impl Default for EntryMetrics {
@@ -90,6 +106,9 @@
             suspects: Gauge::default(),
             on_probation: Gauge::default(),
             trials: Counter::default(),
+            asked_keeper: Counter::default(),
+            over_limit: Family::default(),
+            organisations: HashSet::new(),
         };
         metrics.register();
         metrics
@@ -195,6 +214,16 @@
             "Sends of requests on probation by this VM",
             self.trials.clone(),
         );
+        registry.register(
+            "asked_keeper",
+            "Requests that waited for the keeper of their organisation's limit",
+            self.asked_keeper.clone(),
+        );
+        registry.register(
+            "over_limit",
+            "Requests refused because their organisation has used its limit, by organisation",
+            self.over_limit.clone(),
+        );
         registry.register(
             "first_answer_ms",
             "From arrival to the first part of the answer",
@@ -337,6 +366,26 @@
         self.trials.inc();
     }
 
+    /// Counts a request that waits for the keeper of its organisation's limit.
+    pub fn asked_keeper(&self) {
+        self.asked_keeper.inc();
+    }
+
+    /// Counts a request that was refused because its organisation has used its limit.
+    pub fn over_limit(&mut self, organisation: &Arc<str>) {
+        let is_known = self.organisations.contains(organisation);
+        if !is_known && self.organisations.len() < MAX_ORGANISATIONS {
+            self.organisations.insert(organisation.clone());
+        }
+        let organisation = match self.organisations.contains(organisation) {
+            true => organisation.to_string(),
+            false => OTHER_ORGANISATIONS.to_owned(),
+        };
+        self.over_limit
+            .get_or_create(&OrganisationLabel { organisation })
+            .inc();
+    }
+
     /// Counts a request that this VM found to crash upstreams.
     pub fn begun_block(&self) {
         self.begun_blocks.inc();
--- a/crates/entry/src/serving.rs
+++ b/crates/entry/src/serving.rs
@@ -26,6 +26,7 @@
 use crate::crash_watch::fingerprint;
 use crate::daemon::Daemon;
 use crate::failing::BUDGET_PAUSE_MS;
+use crate::limits::charge;
 use crate::outbound::Peer;
 use crate::outbound::Purpose;
 
@@ -122,9 +123,10 @@
             fingerprint,
             head,
             body,
-            serving,
             route,
+            charge: organisation.as_ref().and_then(|it| charge(it, &serving)),
             organisation,
+            serving,
             job,
             phase: Phase::Waiting(WaitReason::Crowded),
             is_trial: false,
@@ -154,6 +156,11 @@
         };
         let detail = match key {
             PresentedKey::Given(key) => match organisations.holder(key) {
+                Some(_) if !self.knows_keys() => {
+                    let detail = "it is not known whether the key is still good";
+                    let refusal = Refusal::not_run(RefusalReason::NotReady, detail);
+                    return Err(refusal.retry_after(RETRY_AFTER_MS));
+                }
                 Some(organisation) => return Ok(Some(organisation.clone())),
                 None => "no organisation holds the key",
             },
@@ -166,6 +173,15 @@
         }
     }
 
+    /// Returns whether keys may be relied on: always, unless the operators want them refused where
+    /// this VM has not heard for a while that its configuration is the newest.
+    fn knows_keys(&self) -> bool {
+        let age_ms = self.feeds.configuration_age_ms(self.now_ms);
+        !self.settings.fail_closed
+            || self.sharing.follows(self.now_ms)
+            || age_ms.is_some_and(|age_ms| age_ms <= self.settings.revoke_ms)
+    }
+
     fn job(&self, serving: &ServingRequest, route: &Arc<Route>, service: GroupName) -> Job {
         let now_ms = self.now_ms;
         let is_engine = self
@@ -233,6 +249,9 @@
 
     /// Decides on a request and carries the verdict out.
     pub(crate) fn dispatch(&mut self, key: u64) {
+        if !self.is_within_limit(key) {
+            return;
+        }
         let Some(request) = self.active.get_mut(key) else {
             return;
         };
--- a/crates/entry/src/settings.rs
+++ b/crates/entry/src/settings.rs
@@ -9,11 +9,14 @@
 use apricotdale_core::names::VmName;
 use apricotdale_core::names::ZoneName;
 use apricotdale_quarantine::Fingerprint;
+use apricotdale_quota::Bounds;
 use ini::Ini;
 
 use crate::errors::Error;
 use crate::errors::Result;
 
+const ORGANISATIONS: &str = "organisations";
+
 /// `LogLevel` is the least severe level that is written.
 pub type LogLevel = apricotdale_telemetry::LevelFilter;
 
@@ -52,6 +55,12 @@
     pub repeats_window_ms: u64,
     /// Requests that are served though upstreams crashed under them.
     pub exempt: Vec<Fingerprint>,
+    /// How closely the limits of organisations are held.
+    pub limit_bounds: Bounds,
+    /// Whether keys are refused where it is not known whether they are still good.
+    pub fail_closed: bool,
+    /// How long a configuration is good without having been read again, where that is so.
+    pub revoke_ms: u64,
     /// What is logged.
     pub log_level: LogLevel,
 }
@@ -93,6 +102,13 @@
             spare_repeats: number(ini, "bounds", "spare_repeats", 0.0..=100_000.0)?,
             repeats_window_ms: seconds_as_ms(ini, "bounds", "repeats_window_s", 1.0..=600.0)?,
             exempt: fingerprints(ini)?,
+            limit_bounds: limit_bounds(ini)?,
+            fail_closed: match ini_text(ini, ORGANISATIONS, "fail_closed") {
+                None => false,
+                Some(_) => parsed(ini, ORGANISATIONS, "fail_closed", "true or false")?,
+            },
+            revoke_ms: (number_or(ini, ORGANISATIONS, "revoke_ms", 5_000.0, 0.0..=600_000.0)?)
+                as u64,
             log_level: parsed(
                 ini,
                 "log",
@@ -151,6 +167,43 @@
     Ok(number)
 }
 
+/// Returns a value that may be missing or empty.
+fn ini_text<'a>(ini: &'a Ini, section: &'static str, key: &'static str) -> Option<&'a str> {
+    let value = ini.get_from(Some(section), key).map(str::trim);
+    value.filter(|value| !value.is_empty())
+}
+
+/// Returns a number in a range, or another where none is given.
+fn number_or(
+    ini: &Ini,
+    section: &'static str,
+    key: &'static str,
+    default: f64,
+    range: RangeInclusive<f64>,
+) -> Result<f64> {
+    match ini_text(ini, section, key) {
+        None => Ok(default),
+        Some(_) => number(ini, section, key, range),
+    }
+}
+
+fn limit_bounds(ini: &Ini) -> Result<Bounds> {
+    let default = Bounds::default();
+    let window_s = default.window_ms as f64 / 1_000.0;
+    let window_s = number_or(
+        ini,
+        ORGANISATIONS,
+        "limit_window_s",
+        window_s,
+        1.0..=3_600.0,
+    )?;
+    Ok(Bounds {
+        window_ms: (window_s * 1_000.0) as u64,
+        over: number_or(ini, ORGANISATIONS, "limit_over", default.over, 0.0..=10.0)?,
+        slack: number_or(ini, ORGANISATIONS, "limit_slack", default.slack, 0.0..=1e12)?,
+    })
+}
+
 /// Returns the fingerprints that the operators list, if they do.
 fn fingerprints(ini: &Ini) -> Result<Vec<Fingerprint>> {
     let value = ini.get_from(Some("quarantine"), "exempt").unwrap_or("");
--- a/crates/entry/src/telling.rs
+++ b/crates/entry/src/telling.rs
@@ -163,6 +163,8 @@
             PeerMessage::TrialDecided(answer) => {
                 self.look_again |= self.crash_watch.take_trial_answer(now_ms, &answer);
             }
+            PeerMessage::Spent(report) => self.take_report(Some(from), &report),
+            PeerMessage::Allowed(answer) => self.take_allowed(&answer),
             PeerMessage::TrialOver { asker, end } => {
                 self.crash_watch.take_trial_end(now_ms, asker, &end);
             }
