Half of the operators' tolerance is used in every window

Cause of what was lost: one organisation asks 48,000 a second where its limit is 34,991 and a window with the operators' tolerance allows 57,000.

--- a/crates/quota/src/budget.rs
+++ b/crates/quota/src/budget.rs
@@ -23,7 +23,11 @@
     }
 }
 
-/// Parts of what may be used beyond the rate. With `UNTOLD` once more, for VMs that are killed before
+/// The part of what a window allows beyond the rate that may be used in every window, in favour of the
+/// callers. The rest is for what VMs do not know of each other.
+const SUSTAINED: f64 = 0.5;
+
+/// Parts of that rest. With `UNTOLD` once more, for VMs that are killed before
 /// they tell, they add up to less than one: the rest covers VMs that count each other differently for
 /// a moment.
 const BUCKET: f64 = 0.45;
@@ -40,8 +44,9 @@
 /// `Budget` is what one organisation may use, divided over the places where it is held.
 #[derive(Clone, Copy, Debug, PartialEq)]
 pub(crate) struct Budget {
+    /// The limit's rate, and the part of its tolerance that is used all the time.
     pub rate_per_ms: f64,
-    /// What may be used beyond the rate, at the most.
+    /// What may be used beyond that, at the most.
     beyond: f64,
 }
 
@@ -49,9 +54,10 @@
     pub fn new(limit: Limit, bounds: Bounds) -> Self {
         let rate_per_ms = limit.rate_per_s / 1_000.0;
         let allowed = rate_per_ms * bounds.window_ms as f64 + limit.burst;
+        let beyond = limit.burst + bounds.over * allowed + bounds.slack;
         Self {
-            rate_per_ms,
-            beyond: limit.burst + bounds.over * allowed + bounds.slack,
+            rate_per_ms: rate_per_ms + beyond * SUSTAINED / bounds.window_ms as f64,
+            beyond: beyond * (1.0 - SUSTAINED),
         }
     }
 
