Limits: reports are spread, large requests overdraw once a window

Causes: VMs that start together reported in step, and what came at once ran over the bucket; the parts of the rest did not leave room for time handed over late; a request larger than the bucket could overdraw it again and again. Change: the first report is spread by the VM's run; smaller parts; one overdraft in a window.

--- a/crates/quota/src/budget.rs
+++ b/crates/quota/src/budget.rs
@@ -30,10 +30,11 @@
 /// Parts of that rest. With `UNTOLD` once more, for VMs that are killed before
 /// they tell, they add up to less than one: the rest covers VMs that count each other differently for
 /// a moment.
-const BUCKET: f64 = 0.45;
-const UNTOLD: f64 = 0.3;
+const BUCKET: f64 = 0.35;
+const UNTOLD: f64 = 0.2;
 const GRANTED: f64 = 0.1;
 const ALONE: f64 = 0.05;
+const OVERDRAFT: f64 = 0.2;
 
 /// The part of a bucket at which a request is granted that is larger than the bucket.
 const NEARLY_FULL: f64 = 0.9;
@@ -71,20 +72,23 @@
         level >= self.beyond * UNTOLD * part
     }
 
-    /// Returns what a bucket grants of what is wanted, no less than the first request wants. One that
-    /// is larger than the bucket is paid back after it.
-    pub fn grant(&self, level: f64, part: f64, wanted: u64, first: u64) -> u64 {
+    /// Returns what a bucket grants of what is wanted, no less than the first request wants.
+    pub fn grant(&self, level: f64, wanted: u64, first: u64) -> u64 {
         match wanted {
             _ if level >= wanted as f64 => wanted,
             _ if level >= first as f64 => level as u64,
-            _ if level >= self.bucket() * part * NEARLY_FULL => first,
             _ => 0,
         }
     }
 
+    /// Returns whether a request that is larger than the bucket may be paid back after it.
+    pub fn may_overdraw(&self, level: f64, part: f64, units: u64) -> bool {
+        level >= self.bucket() * part * NEARLY_FULL && self.fits(units)
+    }
+
     /// Returns whether a request could ever be admitted.
     pub fn fits(&self, units: u64) -> bool {
-        units as f64 <= self.beyond.max(1.0)
+        units as f64 <= (self.bucket() + self.beyond * OVERDRAFT).max(1.0)
     }
 
     /// Returns what one VM may admit before it is told that the keeper knows of it.
--- a/crates/quota/src/keeper.rs
+++ b/crates/quota/src/keeper.rs
@@ -34,6 +34,8 @@
     /// What was wanted and not granted since a time.
     backlog: f64,
     backlog_ms: u64,
+    /// When the bucket was last overdrawn.
+    overdrawn_ms: u64,
 }
 
 #[derive(Clone, Debug, Default)]
@@ -83,6 +85,8 @@
                     part: 0.0,
                     backlog: 0.0,
                     backlog_ms: now_ms,
+                    // One before it may have just done so.
+                    overdrawn_ms: now_ms,
                 },
                 |before| Account {
                     budget,
@@ -169,6 +173,7 @@
             granted: 0,
             after_ms: None,
         };
+        let window_ms = self.bounds.window_ms;
         let Some(account) = self.accounts.get_mut(&spent.account) else {
             // A VM has a newer configuration. It is told to ask again.
             allowance.after_ms = (spent.wanted > 0).then_some(MIN_AFTER_MS as u32);
@@ -178,10 +183,7 @@
         if spent.wanted == 0 {
             return allowance;
         }
-        allowance.granted =
-            account
-                .budget
-                .grant(account.level, account.part, spent.wanted, spent.first);
+        allowance.granted = account.grant(now_ms, spent, window_ms);
         account.level -= allowance.granted as f64;
         let lacking = spent.wanted.saturating_sub(allowance.granted);
         if lacking > 0 {
@@ -208,6 +210,18 @@
         self.budget.bucket() * self.part
     }
 
+    /// Returns what is granted of what is wanted. The bucket is overdrawn once in a window at most.
+    fn grant(&mut self, now_ms: u64, spent: &Spent, window_ms: u64) -> u64 {
+        let granted = self.budget.grant(self.level, spent.wanted, spent.first);
+        let may_overdraw = now_ms >= self.overdrawn_ms + window_ms
+            && self.budget.may_overdraw(self.level, self.part, spent.first);
+        if granted == 0 && may_overdraw {
+            self.overdrawn_ms = now_ms;
+            return spent.first;
+        }
+        granted
+    }
+
     /// Returns after which time enough has accrued for what is wanted and for what others wanted
     /// before.
     fn after_ms(&mut self, now_ms: u64, wanted: f64) -> u32 {
--- a/crates/quota/src/spender.rs
+++ b/crates/quota/src/spender.rs
@@ -147,7 +147,9 @@
         }
         self.next_ms = match self.accounts.is_empty() {
             true => u64::MAX,
-            false => self.next_ms.min(now_ms),
+            // VMs that start together must not report together from then on.
+            false if self.last_ms == 0 => now_ms + self.run % self.report_every_ms(),
+            false => self.next_ms.min(now_ms + self.report_every_ms()),
         };
     }
 
--- a/crates/quota/tests/limit_search.rs
+++ b/crates/quota/tests/limit_search.rs
@@ -136,8 +136,9 @@
 
     fn vm(&mut self, vms: usize) -> Vm {
         self.runs += 1;
-        let mut spender = Spender::new(self.runs, BOUNDS);
-        let mut keeper = Keeper::new(self.runs, BOUNDS);
+        let run = self.runs.wrapping_mul(0x9e37_79b9_7f4a_7c15);
+        let mut spender = Spender::new(run, BOUNDS);
+        let mut keeper = Keeper::new(run, BOUNDS);
         spender.set_vms(vms);
         keeper.set_vms(vms);
         let limits = [(account(), limit(self.rate))];
