--- a/crates/standins/src/platform/site.rs
+++ b/crates/standins/src/platform/site.rs
@@ -35,6 +35,8 @@
     pub service_crash: Option<Vec<u8>>,
     /// How long the longest request may take.
     pub timeout_ms: u64,
+    /// The organisations as the configuration tells them; none if requests carry no keys.
+    pub tenants: Option<Value>,
     /// Whether upstreams announce the addresses that they listen on. Otherwise whoever starts the
     /// site announces others, such as those of proxies in front of them.
     pub announces: bool,
@@ -55,6 +57,7 @@
             doors: 1,
             service_crash: None,
             timeout_ms: 3_000,
+            tenants: None,
             announces: true,
         }
     }
@@ -204,6 +207,11 @@
 
     /// Writes a configuration.
     pub fn configure(&self, version: u64, routes: &[Value]) {
+        self.configure_with(version, routes, self.options.tenants.as_ref());
+    }
+
+    /// Writes a configuration with other organisations.
+    pub fn configure_with(&self, version: u64, routes: &[Value], tenants: Option<&Value>) {
         let models: Vec<Value> = self
             .options
             .models
@@ -215,7 +223,7 @@
                 })
             })
             .collect();
-        let configuration = json!({
+        let mut configuration = json!({
             "version": version,
             "routes": routes,
             "services": [
@@ -230,6 +238,9 @@
                 "header_timeout_ms": 3_000, "idle_timeout_ms": 15_000,
             },
         });
+        if let Some(tenants) = tenants {
+            configuration["tenants"] = tenants.clone();
+        }
         let bytes = configuration.to_string().into_bytes();
         self.store.put("keyed.op", "config", &bytes);
         *self.configuration.lock() = bytes;
