--- a/crates/soak/src/world.rs
+++ b/crates/soak/src/world.rs
@@ -79,6 +79,7 @@
         engines: usize,
     ) -> io::Result<Self> {
         let mut site = Site::start(SiteOptions {
+            tenants: None,
             engines: Vec::new(),
             instances: INSTANCES,
             work_ms: WORK_MS,
