--- a/crates/quota/src/spender.rs
+++ b/crates/quota/src/spender.rs
@@ -4,6 +4,7 @@
 use std::collections::VecDeque;
 
 use apricotdale_organisations::Limit;
+use xxhash_rust::xxh3::xxh3_64;
 
 use crate::budget::Bounds;
 use crate::budget::Budget;
@@ -25,6 +26,9 @@
 const REPORT_US_A_VM: u64 = 3_500;
 const MAX_REPORT_MS: u64 = 1_000;
 
+/// Over which time the first reports of VMs are spread that start together.
+const FIRST_REPORT_MS: u64 = 500;
+
 /// The shortest time between two reports where something is wanted, and what each VM adds.
 const URGENT_MS: u64 = 10;
 const URGENT_US_A_VM: u64 = 200;
@@ -148,7 +152,7 @@
         self.next_ms = match self.accounts.is_empty() {
             true => u64::MAX,
             // VMs that start together must not report together from then on.
-            false if self.last_ms == 0 => now_ms + self.run % self.report_every_ms(),
+            false if self.last_ms == 0 => now_ms + self.run % FIRST_REPORT_MS,
             false => self.next_ms.min(now_ms + self.report_every_ms()),
         };
     }
@@ -213,7 +217,8 @@
                 account.alone -= units as f64;
                 Admission::Admitted
             }
-            true if now_ms >= account.dry_until_ms => Admission::Asked,
+            // A VM that has just started, or whose keeper has gone, finds one within a round trip or two.
+            _ if now_ms >= account.dry_until_ms => Admission::Asked,
             _ => Admission::Refused {
                 after_ms: Some(account.come_back_ms.max(DRY_MS)),
             },
@@ -233,7 +238,7 @@
     fn take_time_ms(&mut self, now_ms: u64) -> u64 {
         let before_ms = self.handed_until_ms.replace(now_ms).unwrap_or(now_ms);
         let passed_ms = now_ms.saturating_sub(before_ms);
-        passed_ms.min(self.report_every_ms() + HANDED_SLACK_MS)
+        passed_ms.min(self.report_every_ms() * 5 / 4 + HANDED_SLACK_MS)
     }
 
     /// Gives back the units of a request that was admitted and has not run.
@@ -259,6 +264,14 @@
         self.next_ms = self.next_ms.min(soon_ms);
     }
 
+    /// Returns the time until the next report, which differs each time and by VM, so that VMs that
+    /// start together do not go on in step.
+    fn pause_ms(&self) -> u64 {
+        let every_ms = self.report_every_ms();
+        let draw = xxh3_64(&(self.run ^ self.number).to_le_bytes());
+        every_ms * 3 / 4 + draw % (every_ms / 2)
+    }
+
     fn report_every_ms(&self) -> u64 {
         (self.vms as u64 * REPORT_US_A_VM / 1_000).clamp(REPORT_MS, MAX_REPORT_MS)
     }
@@ -284,7 +297,7 @@
         self.number += 1;
         self.unanswered += 1;
         self.last_ms = now_ms;
-        self.next_ms = now_ms + self.report_every_ms();
+        self.next_ms = now_ms + self.pause_ms();
         let told = self.accounts.iter().map(|(id, account)| Spent {
             account: *id,
             units: account.spent,
