A fast VM keeps the accounts

Cause: the keeper was the first VM by the hash of its name; at 299 VMs one with 0.12 of a core, which took in 300 reports a second and answered after the 250 ms that requests wait. Change: among the VMs of the fastest class, by what they measured at their start.

--- a/crates/entry/src/limits.rs
+++ b/crates/entry/src/limits.rs
@@ -3,7 +3,6 @@
 use std::net::SocketAddr;
 
 use apricotdale_core::names::RequestId;
-use apricotdale_core::names::VmName;
 use apricotdale_core::refusal::Refusal;
 use apricotdale_core::refusal::RefusalReason;
 use apricotdale_dispatch::WaitReason;
@@ -22,9 +21,6 @@
 use crate::daemon::Daemon;
 use crate::messages::PeerMessage;
 
-/// VMs that may keep the accounts.
-const KEEPERS: usize = 4;
-
 /// How many VMs there are taken to be until the store has told it: a VM's part is small then.
 const UNKNOWN_VMS: usize = 1_000;
 
@@ -98,7 +94,7 @@
         if now_ms < self.limits.next_ms() {
             return;
         }
-        let keepers = self.keepers();
+        let keepers = self.peers.keepers();
         if let Some(report) = self.limits.spender.due(now_ms, keepers.len()) {
             let choice = self.limits.spender.choice();
             let (vm, address) = &keepers[choice];
@@ -113,13 +109,6 @@
         }
     }
 
-    /// Returns the VMs that may keep the accounts: all VMs choose alike from their names.
-    fn keepers(&self) -> Vec<(VmName, SocketAddr)> {
-        let mut keepers = self.peers.judges();
-        keepers.truncate(KEEPERS);
-        keepers
-    }
-
     fn take_over_limits(&mut self) {
         let version = Some(self.directory.version());
         if self.limits.version == version {
--- a/crates/entry/src/peers.rs
+++ b/crates/entry/src/peers.rs
@@ -39,6 +39,9 @@
 /// crashed. Any one of them is enough.
 const JUDGES: usize = 4;
 
+/// VMs that may keep the accounts of organisations: the first one, and others where it is lost.
+const KEEPERS: usize = 4;
+
 /// How long a VM that was not heard of counts as there.
 const PEER_GOOD_MS: u64 = 3_000;
 
@@ -224,6 +227,26 @@
         judges
     }
 
+    /// Returns the VMs that may keep the accounts of organisations: the fast ones, chosen alike by all
+    /// VMs from their names. A slow one can't answer hundreds of VMs in time.
+    pub fn keepers(&self) -> Vec<(VmName, SocketAddr)> {
+        let others = self.known.iter();
+        let others = others.map(|(vm, known)| (known.work_us, vm, known.address));
+        let own = (self.own.work_us, &self.own.vm, self.own.address);
+        let mut ranked: Vec<(u32, u64, &VmName, SocketAddr)> = others
+            .chain([own])
+            .map(|(work_us, vm, address)| {
+                let speed_class = work_us.max(1).ilog2();
+                (speed_class, xxh3_64(vm.as_str().as_bytes()), vm, address)
+            })
+            .collect();
+        ranked.sort_unstable();
+        let chosen = ranked.into_iter().take(KEEPERS);
+        chosen
+            .map(|(_, _, vm, address)| (vm.clone(), address))
+            .collect()
+    }
+
     /// Tells all VMs that this one stops.
     pub fn say_goodbye(&mut self) {
         self.send_all(&PeerMessage::Goodbye(self.own.vm.clone()));
