--- a/crates/entry/tests/bad_settings.rs
+++ b/crates/entry/tests/bad_settings.rs
@@ -102,6 +102,8 @@
         .replace("{{platform.address}}", "127.0.0.1:5")
         .replace("{{platform.read_mb_per_s}}", "4.21")
         .replace("{{bounds.fence_required}}", "true")
+        .replace("{{bounds.fail_closed}}", "false")
+        .replace("{{bounds.quota_over}}", "0.125")
         .replace("{{bounds.budget_ratio}}", "0.25");
     let mut bounds = 0;
     while let Some(begin) = filled.find("{{bounds.") {
@@ -114,7 +116,7 @@
         filled.replace_range(begin..end, value);
         bounds += 1;
     }
-    assert_eq!(bounds, 4, "the template names the bounds");
+    assert_eq!(bounds, 7, "the template names the bounds");
     // Comments tell of placeholders; no value holds one any more.
     let values = filled.lines().filter(|line| !line.starts_with(';'));
     assert!(values.into_iter().all(|line| !line.contains("{{")));
@@ -122,3 +124,26 @@
     assert_eq!(settings.stop_ms, 12_500);
     assert_eq!(settings.repeats_window_ms, 12_500);
 }
+
+/// Guards against a deployment without organisations, whose platform fills nothing in.
+#[test]
+fn organisations_left_empty() {
+    let empty = "[organisations]\nlimit_window_s =\nlimit_over =\nlimit_slack =\nfail_closed =\n\
+                 revoke_ms =\n";
+    let settings = read(&format!("{GOOD}{empty}")).expect("good settings");
+    assert!(!settings.fail_closed);
+    assert_eq!(settings.limit_bounds.window_ms, 8_000);
+}
+
+/// Guards against bounds of organisations that are taken for something else.
+#[rstest]
+#[case::window("limit_window_s = 0")]
+#[case::over("limit_over = -1")]
+#[case::slack("limit_slack = many")]
+#[case::closed("fail_closed = maybe")]
+#[case::revoke("revoke_ms = -5")]
+fn bad_organisations(#[case] line: &str) {
+    let error = read(&format!("{GOOD}[organisations]\n{line}\n")).expect_err("a bad setting");
+    let key = line.split(' ').next().expect("a key");
+    assert!(error.to_string().contains(key), "{error}");
+}
