--- a/crates/quarantine/tests/trials.rs
+++ b/crates/quarantine/tests/trials.rs
@@ -247,3 +247,15 @@
     assert_eq!(reports[0].suspects.len(), 1);
     assert_eq!(reports[0].suspects[0].copies, 25);
 }
+
+/// Guards against blame for crashes before an answer that a judge did not hear of: the reports of VMs
+/// that were told of it say so.
+#[test]
+fn told_answer_is_passed_on() {
+    let mut watch = CrashWatch::new(2, Options::default());
+    let popular = request("popular");
+    watch.take_cleared(DECIDES_MS, &popular);
+    lose(&mut watch, DECIDES_MS + 500, "i-1", popular, 1);
+    let reports = watch.own_reports(DECIDES_MS + 500);
+    assert_eq!(reports[0].suspects[0].served_ago_ms, Some(500));
+}
