--- a/crates/quarantine/src/lib.rs
+++ b/crates/quarantine/src/lib.rs
@@ -18,6 +18,7 @@
 mod crashes;
 mod fingerprint;
 mod options;
+mod own_reports;
 mod probation;
 mod quarantine;
 mod trials;
--- /dev/null
+++ b/crates/quarantine/src/own_reports.rs
@@ -0,0 +1,118 @@
+//! What this VM had in progress at upstreams that crashed, and when it tells it.
+
+use std::collections::VecDeque;
+
+use apricotdale_core::names::UpstreamName;
+
+use crate::crashes::CrashReport;
+use crate::crashes::Suspect;
+
+/// When a report is told after it is due first, since a datagram may be lost.
+const TELL_AGAIN_MS: [u64; 2] = [300, 1_000];
+
+/// How long the requests lost with an upstream are gathered before they are told.
+const GATHER_MS: u64 = 5;
+
+/// How long reports are kept for judges that start again.
+const KEPT_MS: u64 = 600_000;
+
+/// Reports that are kept.
+const MAX_REPORTS: usize = 64;
+
+/// Suspects in one part of a report.
+const SUSPECTS_A_PART: usize = 10;
+
+/// What was in progress at one upstream.
+#[derive(Clone, Debug)]
+struct OwnReport {
+    upstream: UpstreamName,
+    at_ms: u64,
+    suspects: Vec<Suspect>,
+    told: usize,
+    tell_ms: u64,
+}
+
+/// `OwnReports` are the reports of one VM.
+#[derive(Clone, Debug)]
+pub(crate) struct OwnReports {
+    /// The run of the VM.
+    run: u64,
+    reports: VecDeque<OwnReport>,
+}
+
+impl OwnReports {
+    /// Returns the reports of a VM that has none yet.
+    pub fn new(run: u64) -> Self {
+        Self {
+            run,
+            reports: VecDeque::new(),
+        }
+    }
+
+    /// Adds the report of an upstream that has ended.
+    pub fn push(&mut self, now_ms: u64, upstream: UpstreamName, at_ms: u64, lost: Vec<Suspect>) {
+        self.reports.push_back(OwnReport {
+            upstream,
+            at_ms,
+            suspects: lost,
+            told: 0,
+            tell_ms: now_ms + GATHER_MS,
+        });
+        if self.reports.len() > MAX_REPORTS {
+            self.reports.pop_front();
+        }
+    }
+
+    /// Adds a request to the report of an upstream, if there is one. Returns whether there is.
+    pub fn add(&mut self, now_ms: u64, upstream: &UpstreamName, suspect: Suspect) -> bool {
+        let mut reports = self.reports.iter_mut();
+        let Some(report) = reports.find(|it| it.upstream == *upstream) else {
+            return false;
+        };
+        suspect.add_to(&mut report.suspects);
+        report.told = 0;
+        report.tell_ms = now_ms + GATHER_MS;
+        true
+    }
+
+    /// Returns all reports, in parts of which some fit into a datagram.
+    pub fn parts(&self, now_ms: u64) -> Vec<CrashReport> {
+        let reports = self.reports.iter();
+        reports.flat_map(|it| it.parts(self.run, now_ms)).collect()
+    }
+
+    /// Returns the parts that are to be told now.
+    pub fn due(&mut self, now_ms: u64) -> Vec<CrashReport> {
+        let mut parts = Vec::new();
+        for report in self.reports.iter_mut().filter(|it| it.tell_ms <= now_ms) {
+            parts.extend(report.parts(self.run, now_ms));
+            let again_ms = TELL_AGAIN_MS.get(report.told);
+            report.tell_ms = again_ms.map_or(u64::MAX, |again_ms| now_ms + again_ms);
+            report.told += 1;
+        }
+        parts
+    }
+
+    /// Returns when the next report is to be told.
+    pub fn next_ms(&self) -> u64 {
+        let reports = self.reports.iter().map(|report| report.tell_ms);
+        reports.min().unwrap_or(u64::MAX)
+    }
+
+    pub fn forget(&mut self, now_ms: u64) {
+        self.reports.retain(|it| now_ms < it.at_ms + KEPT_MS);
+    }
+}
+
+impl OwnReport {
+    fn parts(&self, reporter: u64, now_ms: u64) -> impl Iterator<Item = CrashReport> {
+        self.suspects
+            .chunks(SUSPECTS_A_PART)
+            .map(move |suspects| CrashReport {
+                upstream: self.upstream.clone(),
+                ago_ms: now_ms.saturating_sub(self.at_ms),
+                reporter,
+                suspects: suspects.to_vec(),
+            })
+    }
+}
--- a/crates/quarantine/src/watch.rs
+++ b/crates/quarantine/src/watch.rs
@@ -1,7 +1,5 @@
 //! What one VM does about crashes: what it asks, tells and refuses, and when.
 
-use std::collections::VecDeque;
-
 use apricotdale_core::names::UpstreamName;
 
 use crate::answered::AnsweredLately;
@@ -14,6 +12,7 @@
 use crate::fingerprint::CallerHash;
 use crate::fingerprint::Fingerprint;
 use crate::options::Options;
+use crate::own_reports::OwnReports;
 use crate::probation::Probations;
 use crate::quarantine::Quarantine;
 use crate::quarantine::Scope;
@@ -24,28 +23,6 @@
 use crate::trials::TrialDesk;
 use crate::trials::TrialEnd;
 
-/// When a report is told after it is due first, since a datagram may be lost.
-const TELL_AGAIN_MS: [u64; 2] = [300, 1_000];
-
-/// How long the requests lost with an upstream are gathered before they are told.
-const GATHER_MS: u64 = 5;
-
-/// How long this VM's own reports are kept for judges that start again.
-const OWN_REPORTS_MS: u64 = 600_000;
-
-/// Own reports that are kept.
-const OWN_REPORTS: usize = 64;
-
-/// Suspects in one report.
-const SUSPECTS_A_REPORT: usize = 10;
-
-/// How long a request is on probation of which nothing more is heard: as long as crashes are
-/// remembered.
-const PROBATION_MS: u64 = 600_000;
-
-/// When a request on probation is told.
-const PROBATION_TOLD_MS: [u64; 3] = [0, 300, 1_500];
-
 /// When a block is told again by the VM that found it.
 const BLOCK_AGAIN_MS: [u64; 2] = [300, 1_500];
 
@@ -111,31 +88,6 @@
     pub may_go_on: bool,
 }
 
-/// What this VM had in progress at an upstream that crashed.
-#[derive(Clone, Debug)]
-struct OwnReport {
-    upstream: UpstreamName,
-    at_ms: u64,
-    suspects: Vec<Suspect>,
-    told: usize,
-    tell_ms: u64,
-    reporter: u64,
-}
-
-impl OwnReport {
-    /// Returns reports that each fit into a datagram with some others.
-    fn parts(&self, now_ms: u64) -> impl Iterator<Item = CrashReport> {
-        self.suspects
-            .chunks(SUSPECTS_A_REPORT)
-            .map(move |suspects| CrashReport {
-                upstream: self.upstream.clone(),
-                ago_ms: now_ms.saturating_sub(self.at_ms),
-                reporter: self.reporter,
-                suspects: suspects.to_vec(),
-            })
-    }
-}
-
 /// `CrashWatch` decides for one VM. It tells states and not changes, some times over, and the same
 /// may come several times, so that nothing waits for an answer.
 #[derive(Clone, Debug)]
@@ -144,15 +96,13 @@
     run: u64,
     quarantine: Quarantine,
     probations: Probations,
-    /// Requests on probation that the others are to be told, and when.
-    telling_probations: Vec<(u64, Fingerprint)>,
-    /// What had been heard of crashes when these were last looked for.
+    /// What had been heard of crashes when requests were last put on probation.
     seen_changes: u64,
     trials: TrialDesk,
     referee: Referee,
     answered: AnsweredLately,
     broken: BrokenUpstreams,
-    own: VecDeque<OwnReport>,
+    own: OwnReports,
     /// Blocks that this VM found, and when it tells them again.
     telling: Vec<(u64, Vec<BlockRow>)>,
     next_rows_ms: u64,
@@ -166,14 +116,13 @@
         Self {
             run,
             probations: Probations::default(),
-            telling_probations: Vec::new(),
             seen_changes: 0,
             trials: TrialDesk::default(),
             referee: Referee::default(),
             quarantine: Quarantine::new(options),
             answered: AnsweredLately::new(ANSWERED),
             broken: BrokenUpstreams::default(),
-            own: VecDeque::new(),
+            own: OwnReports::new(run),
             telling: Vec::new(),
             next_rows_ms: 0,
             next_row: 0,
@@ -247,9 +196,8 @@
 
     /// Takes in requests that another VM knows to be on probation.
     pub fn take_probations(&mut self, now_ms: u64, fingerprints: &[Fingerprint]) {
-        let until_ms = now_ms + PROBATION_MS;
         for fingerprint in fingerprints {
-            self.probations.add(*fingerprint, until_ms);
+            self.probations.add(now_ms, *fingerprint);
         }
     }
 
@@ -272,7 +220,6 @@
         for (_, rows) in &mut self.telling {
             rows.retain(|row| row.fingerprint != *fingerprint);
         }
-        self.telling_probations.retain(|(_, it)| it != fingerprint);
         self.trials.forget(fingerprint);
         let was_on_probation = self.probations.remove(fingerprint);
         self.quarantine.clear(fingerprint) || was_on_probation
@@ -291,14 +238,8 @@
             trials: u32::from(lost.is_trial),
             ..Suspect::new(lost.fingerprint, lost.caller)
         };
-        let mut own = self.own.iter_mut();
-        match own.find(|report| report.upstream == *upstream) {
-            Some(report) => {
-                suspect.add_to(&mut report.suspects);
-                report.told = 0;
-                report.tell_ms = now_ms + GATHER_MS;
-            }
-            None => self.broken.note(now_ms, upstream, is_engine, suspect),
+        if !self.own.add(now_ms, upstream, suspect) {
+            self.broken.note(now_ms, upstream, is_engine, suspect);
         }
     }
 
@@ -316,19 +257,10 @@
     /// no connection had broken shortly before, and it was no crash.
     pub fn note_ended(&mut self, now_ms: u64, upstream: &UpstreamName) -> Option<Vec<Suspect>> {
         let broken = self.broken.take(upstream)?;
-        let suspects = broken.suspects.clone();
-        self.own.push_back(OwnReport {
-            upstream: upstream.clone(),
-            at_ms: broken.since_ms,
-            suspects: broken.suspects,
-            told: 0,
-            tell_ms: now_ms + GATHER_MS,
-            reporter: self.run,
-        });
-        if self.own.len() > OWN_REPORTS {
-            self.own.pop_front();
-        }
-        Some(suspects)
+        let lost = broken.suspects;
+        self.own
+            .push(now_ms, upstream.clone(), broken.since_ms, lost.clone());
+        Some(lost)
     }
 
     /// Takes in what another VM had in progress at upstreams that crashed.
@@ -360,7 +292,7 @@
 
     /// Returns what this VM had in progress at upstreams that crashed, for a judge that starts.
     pub fn own_reports(&self, now_ms: u64) -> Vec<CrashReport> {
-        self.own.iter().flat_map(|it| it.parts(now_ms)).collect()
+        self.own.parts(now_ms)
     }
 
     /// Returns how many requests are remembered under crashes, counted once for each crash.
@@ -374,15 +306,18 @@
         if self.seen_changes != self.quarantine.changes() {
             return 0;
         }
-        let reports = self.own.iter().map(|report| report.tell_ms);
         let tellings = self.telling.iter().map(|(at_ms, _)| *at_ms);
-        let first = reports.chain(tellings).min().unwrap_or(u64::MAX);
-        let probations = self.telling_probations.iter().map(|(at_ms, _)| *at_ms);
-        first
-            .min(probations.min().unwrap_or(u64::MAX))
-            .min(self.quarantine.next_ms())
-            .min(self.broken.next_ms())
-            .min(self.trials.next_ms())
+        [
+            tellings.min().unwrap_or(u64::MAX),
+            self.own.next_ms(),
+            self.probations.next_ms(),
+            self.quarantine.next_ms(),
+            self.broken.next_ms(),
+            self.trials.next_ms(),
+        ]
+        .into_iter()
+        .min()
+        .unwrap_or(u64::MAX)
     }
 
     /// Returns whether [`CrashWatch::due`] may return anything.
@@ -433,19 +368,13 @@
         }
         self.seen_changes = self.quarantine.changes();
         for case in self.quarantine.cases(now_ms) {
-            if self.probations.add(case.fingerprint, now_ms + PROBATION_MS) {
-                let tellings = PROBATION_TOLD_MS.map(|ms| (now_ms + ms, case.fingerprint));
-                self.telling_probations.extend(tellings);
-            }
+            self.probations.find(now_ms, case.fingerprint);
         }
     }
 
     /// Returns the requests on probation that are to be told, by a judge.
     fn due_probations(&mut self, now_ms: u64, role: Role) -> Vec<Fingerprint> {
-        let due = self
-            .telling_probations
-            .extract_if(.., |(at_ms, _)| *at_ms <= now_ms);
-        let due: Vec<Fingerprint> = due.map(|(_, fingerprint)| fingerprint).collect();
+        let due = self.probations.due(now_ms);
         match role.judge.is_some() {
             true => due,
             false => Vec::new(),
@@ -479,13 +408,7 @@
     }
 
     fn due_reports(&mut self, now_ms: u64) -> Vec<CrashReport> {
-        let mut parts = Vec::new();
-        for report in self.own.iter_mut().filter(|it| it.tell_ms <= now_ms) {
-            parts.extend(report.parts(now_ms));
-            let again_ms = TELL_AGAIN_MS.get(report.told);
-            report.tell_ms = again_ms.map_or(u64::MAX, |again_ms| now_ms + again_ms);
-            report.told += 1;
-        }
+        let parts = self.own.due(now_ms);
         for part in &parts {
             self.quarantine.note_crash(now_ms, part);
         }
@@ -509,7 +432,7 @@
     fn forget(&mut self, now_ms: u64) -> Vec<Fingerprint> {
         self.broken.forget(now_ms);
         self.probations.forget(now_ms);
-        self.own.retain(|it| now_ms < it.at_ms + OWN_REPORTS_MS);
+        self.own.forget(now_ms);
         self.quarantine.forget(now_ms)
     }
 }
