--- /dev/null
+++ b/crates/quarantine/tests/crash_search/courses.rs
@@ -0,0 +1,148 @@
+//! What happens in a course, and how courses are drawn.
+
+use proptest::prelude::*;
+
+use crate::fleet::Fleet;
+use crate::fleet::MODELS;
+use crate::fleet::PATIENCE_MS;
+use crate::fleet::RETURNS;
+use crate::fleet::Way;
+
+/// Requests that crash engines: each has a model, which some share.
+pub const CRASHERS: u8 = 4;
+
+/// What happens at a moment.
+#[derive(Clone, Copy, Debug)]
+pub enum Event {
+    /// Copies of a request that crashes engines come to VMs, beside some other requests for the
+    /// same model.
+    Crashers {
+        which: u8,
+        vm: usize,
+        copies: u8,
+        beside: u8,
+    },
+    /// Copies of a harmless request come that many callers send alike.
+    Popular { model: usize, vm: usize, copies: u8 },
+    /// An engine ends by itself, under requests that do nothing.
+    Loss { vm: usize, requests: u8 },
+    /// The last VM's process is started again.
+    Restart,
+    /// A VM stands still.
+    Freeze { vm: usize, for_ms: u64 },
+}
+
+/// A course of events over some VMs.
+#[derive(Clone, Debug)]
+pub struct Course {
+    pub vms: usize,
+    pub seed: u64,
+    lost_in_256: u64,
+    /// The engines of each model.
+    pub engines: Vec<usize>,
+    pub load_ms: u64,
+    pub returns: u32,
+    /// Pauses, events and the VMs at which they begin.
+    pub events: Vec<(u64, Event, usize)>,
+}
+
+impl Course {
+    pub fn play(&self, way: Way) -> Fleet {
+        let mut fleet = Fleet::new(way, self.vms, self.seed, self.lost_in_256, &self.engines);
+        fleet.load_ms = self.load_ms;
+        fleet.returns = self.returns;
+        for (pause_ms, event, place) in &self.events {
+            fleet.run_until(fleet.now_ms + pause_ms);
+            fleet.happen(event.at(place % self.vms));
+        }
+        fleet.run_until(fleet.now_ms + PATIENCE_MS);
+        fleet
+    }
+}
+
+pub fn event() -> impl Strategy<Value = Event> {
+    prop_oneof![
+        6 => (0..CRASHERS, prop_oneof![3 => 1..4_u8, 1 => 4..30_u8], 0..6_u8).prop_map(
+            |(which, copies, beside)| Event::Crashers { which, vm: 0, copies, beside }
+        ),
+        3 => (0..MODELS, 1..12_u8)
+            .prop_map(|(model, copies)| Event::Popular { model, vm: 0, copies }),
+        2 => (1..20_u8).prop_map(|requests| Event::Loss { vm: 0, requests }),
+        1 => Just(Event::Restart),
+        1 => (50..4_000_u64).prop_map(|for_ms| Event::Freeze { vm: 0, for_ms }),
+    ]
+}
+
+impl Event {
+    /// Returns the event at a VM.
+    pub fn at(self, place: usize) -> Self {
+        match self {
+            Self::Crashers {
+                which,
+                copies,
+                beside,
+                ..
+            } => Self::Crashers {
+                which,
+                vm: place,
+                copies,
+                beside,
+            },
+            Self::Popular { model, copies, .. } => Self::Popular {
+                model,
+                vm: place,
+                copies,
+            },
+            Self::Loss { requests, .. } => Self::Loss {
+                vm: place,
+                requests,
+            },
+            Self::Restart => Self::Restart,
+            Self::Freeze { for_ms, .. } => Self::Freeze { vm: place, for_ms },
+        }
+    }
+}
+
+pub fn course(
+    event: impl Strategy<Value = Event>,
+    engines: impl Strategy<Value = usize>,
+    returns: u32,
+) -> impl Strategy<Value = Course> {
+    let events = prop::collection::vec((1..700_u64, event, 0..24_usize), 20..60);
+    let engines = prop::collection::vec(engines, MODELS);
+    let fleet = (1..24_usize, any::<u64>(), 0..40_u64, 0..5_000_u64);
+    (fleet, engines, events).prop_map(move |(fleet, engines, events)| {
+        let (vms, seed, lost_in_256, load_ms) = fleet;
+        Course {
+            vms,
+            seed,
+            lost_in_256,
+            engines,
+            load_ms,
+            returns,
+            events,
+        }
+    })
+}
+
+/// Returns courses of many copies, rare models and callers that come back.
+pub fn crowded_course() -> impl Strategy<Value = Course> {
+    course(event(), prop_oneof![Just(1), 2..12_usize], RETURNS)
+}
+
+/// Returns courses of single copies that meet others by chance only.
+pub fn sparse_course() -> impl Strategy<Value = Course> {
+    let event = event().prop_map(|event| match event {
+        Event::Crashers {
+            which, vm, beside, ..
+        } => Event::Crashers {
+            which,
+            vm,
+            copies: 1,
+            beside,
+        },
+        Event::Popular { .. } => Event::Restart,
+        other => other,
+    });
+    course(event, 6..12_usize, 0)
+}
--- /dev/null
+++ b/crates/quarantine/tests/crash_search/fleet.rs
@@ -0,0 +1,457 @@
+//! VMs, engines and callers on a simulated clock.
+
+use std::collections::BTreeMap;
+use std::collections::BTreeSet;
+
+use apricotdale_core::names::UpstreamName;
+use apricotdale_quarantine::CallerHash;
+use apricotdale_quarantine::CrashWatch;
+use apricotdale_quarantine::Fingerprint;
+use apricotdale_quarantine::LostRequest;
+use apricotdale_quarantine::Options;
+use apricotdale_quarantine::Permit;
+
+use crate::courses::Event;
+use crate::messages::Link;
+use crate::messages::Message;
+
+/// How long a request that crashes engines runs before the end.
+pub const RUN_MS: u64 = 60;
+
+/// How long any other request runs.
+pub const ANSWER_MS: u64 = 200;
+
+/// How long after an engine's end a VM learns that it has ended.
+pub const CONFIRM_MS: u64 = 5;
+
+/// A VM that is killed may not have told what it lost within this time.
+pub const TOLD_MS: u64 = 1_500;
+
+/// How long a caller waits for an answer, and how often it comes back.
+pub const PATIENCE_MS: u64 = 9_000;
+
+pub const RETURNS: u32 = 4;
+
+/// Within this time after the third copy that ended any number of sends is allowed, and later this
+/// many.
+pub const WINDOW_MS: u64 = 3_000;
+
+pub const STEP_MS: u64 = 5;
+
+pub const MODELS: usize = 3;
+
+pub struct Vm {
+    pub watch: CrashWatch,
+    pub frozen_until_ms: u64,
+    pub inbox: Vec<(u64, Message)>,
+    /// Since when it has run without a disturbance.
+    pub calm_ms: u64,
+}
+
+/// A caller's request, at a VM or on its way there.
+#[derive(Clone, Copy, Debug)]
+pub struct Copy {
+    pub vm: usize,
+    pub fingerprint: Fingerprint,
+    pub model: usize,
+    pub crashes: bool,
+    pub from_ms: u64,
+    pub returns: u32,
+}
+
+pub struct Running {
+    pub copy: Copy,
+    pub engine: UpstreamName,
+    pub ends_ms: u64,
+    pub is_trial: bool,
+}
+
+pub struct Engine {
+    pub name: UpstreamName,
+    pub ready_ms: u64,
+}
+
+pub struct Fleet {
+    pub now_ms: u64,
+    pub vms: Vec<Vm>,
+    pub link: Link,
+    pub engines_begun: u32,
+    /// The engines of each model.
+    pub models: Vec<Vec<Engine>>,
+    pub load_ms: u64,
+    /// How often a caller comes back.
+    pub returns: u32,
+    pub waiting: Vec<Copy>,
+    pub running: Vec<Running>,
+    /// Requests lost with an engine, and when their VM learns of its end.
+    pub ends: Vec<(u64, UpstreamName, Vec<Copy>)>,
+    /// Sends that reached engines: when, and whether by a VM that had been calm.
+    pub sends: BTreeMap<Fingerprint, Vec<(u64, bool)>>,
+    /// When copies ended with their engines, and the VMs that had sent them.
+    pub ended: BTreeMap<Fingerprint, Vec<(u64, usize)>>,
+    /// Requests that do no harm and were lost with engines.
+    pub harmless_lost: BTreeSet<Fingerprint>,
+    /// Those of them that were blocked.
+    pub harmless_blocked: BTreeSet<Fingerprint>,
+    /// How long harmless requests of which copies were lost waited for a permit.
+    pub held_back_ms: u64,
+    pub way: Way,
+}
+
+/// Ways to keep a request from crashing more engines.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Way {
+    /// Crashes are counted, and any number of copies is sent until a verdict.
+    Counted,
+    /// On probation, each VM sends one copy at a time.
+    OneAVm,
+    /// On probation, one copy is sent at a time over all VMs.
+    OneOverAll,
+}
+
+impl Way {
+    pub fn options(self) -> Options {
+        match self {
+            Self::Counted => Options {
+                probation_crashes: usize::MAX,
+                probation_copies: u32::MAX,
+                trials: u32::MAX,
+                ..Options::default()
+            },
+            _ => Options::default(),
+        }
+    }
+}
+
+pub fn request(name: &str) -> Fingerprint {
+    Fingerprint::of(None, "POST", &["site.example", name], name.as_bytes())
+}
+
+pub fn crasher(which: u8) -> Fingerprint {
+    request(&format!("crasher-{which}"))
+}
+
+pub fn run_of(vm: usize) -> u64 {
+    1 + vm as u64
+}
+
+pub fn caller() -> CallerHash {
+    CallerHash::of(b"caller")
+}
+
+impl Fleet {
+    pub fn new(way: Way, vms: usize, seed: u64, lost_in_256: u64, engines: &[usize]) -> Self {
+        let vm = |run: usize| Vm {
+            watch: CrashWatch::new(run_of(run), way.options()),
+            frozen_until_ms: 0,
+            inbox: Vec::new(),
+            calm_ms: 0,
+        };
+        let mut fleet = Self {
+            now_ms: 100_000,
+            vms: (0..vms).map(vm).collect(),
+            link: Link {
+                state: seed | 1,
+                lost_in_256,
+            },
+            engines_begun: 0,
+            models: Vec::new(),
+            load_ms: 0,
+            returns: RETURNS,
+            waiting: Vec::new(),
+            running: Vec::new(),
+            ends: Vec::new(),
+            sends: BTreeMap::new(),
+            ended: BTreeMap::new(),
+            harmless_lost: BTreeSet::new(),
+            harmless_blocked: BTreeSet::new(),
+            held_back_ms: 0,
+            way,
+        };
+        for count in engines {
+            let engines = (0..*count).map(|_| fleet.engine(0)).collect();
+            fleet.models.push(engines);
+        }
+        fleet
+    }
+
+    pub fn engine(&mut self, ready_ms: u64) -> Engine {
+        self.engines_begun += 1;
+        Engine {
+            name: UpstreamName::from(format!("i-{}", self.engines_begun)),
+            ready_ms,
+        }
+    }
+
+    pub fn arrive(&mut self, vm: usize, fingerprint: Fingerprint, model: usize, crashes: bool) {
+        self.waiting.push(Copy {
+            vm: vm % self.vms.len(),
+            fingerprint,
+            model,
+            crashes,
+            from_ms: self.now_ms,
+            returns: 0,
+        });
+    }
+
+    pub fn happen(&mut self, event: Event) {
+        let now_ms = self.now_ms;
+        match event {
+            Event::Crashers {
+                which,
+                vm,
+                copies,
+                beside,
+            } => {
+                let model = usize::from(which) % MODELS;
+                for number in 0..usize::from(copies) {
+                    self.arrive(vm + number / 4, crasher(which), model, true);
+                }
+                for number in 0..usize::from(beside) {
+                    let name = format!("beside-{now_ms}-{number}");
+                    self.arrive(vm + number, request(&name), model, false);
+                }
+            }
+            Event::Popular { model, vm, copies } => {
+                let fingerprint = request(&format!("popular-{model}"));
+                for number in 0..usize::from(copies) {
+                    self.arrive(vm + number, fingerprint, model, false);
+                }
+            }
+            Event::Loss { vm, requests } => {
+                let engine = self.engine(0).name;
+                let lost = (0..requests).map(|it| Copy {
+                    vm,
+                    fingerprint: request(&format!("lost-{}-{it}", self.engines_begun)),
+                    model: 0,
+                    crashes: false,
+                    from_ms: now_ms,
+                    returns: RETURNS,
+                });
+                self.ends.push((now_ms, engine, lost.collect()));
+            }
+            // The others keep what they were told; its own part is lost with it.
+            Event::Restart if self.vms.len() == 1 => {}
+            Event::Restart => self.restart(self.vms.len() - 1),
+            Event::Freeze { vm, for_ms } => {
+                self.vms[vm].frozen_until_ms = now_ms + for_ms;
+                self.vms[vm].calm_ms = now_ms + for_ms;
+            }
+        }
+    }
+
+    pub fn restart(&mut self, vm: usize) {
+        let now_ms = self.now_ms;
+        for (.., lost) in &mut self.ends {
+            lost.retain(|copy| copy.vm != vm);
+        }
+        self.waiting.retain(|copy| copy.vm != vm);
+        self.running.retain(|it| it.copy.vm != vm);
+        for ended in self.ended.values_mut() {
+            ended.retain(|(at_ms, of)| *of != vm || at_ms + TOLD_MS <= now_ms);
+        }
+        let mut watch = CrashWatch::new(run_of(vm), self.way.options());
+        // What the giver of orders and the others tell a VM that greets.
+        for row in self.vms[0].watch.blocks(now_ms) {
+            watch.take_block(now_ms, &row);
+        }
+        watch.take_probations(now_ms, &self.vms[0].watch.probations());
+        for other in self.vms.iter().take(vm) {
+            watch.take_reports(now_ms, &other.watch.own_reports(now_ms));
+        }
+        self.vms[vm] = Vm {
+            watch,
+            frozen_until_ms: 0,
+            inbox: Vec::new(),
+            calm_ms: now_ms,
+        };
+    }
+
+    pub fn run_until(&mut self, until_ms: u64) {
+        while self.now_ms < until_ms {
+            self.now_ms += STEP_MS;
+            self.step();
+        }
+    }
+
+    pub fn is_frozen(&self, vm: usize) -> bool {
+        self.vms[vm].frozen_until_ms > self.now_ms
+    }
+
+    pub fn step(&mut self) {
+        self.end_runs();
+        self.tell_ends();
+        for index in 0..self.vms.len() {
+            if !self.is_frozen(index) {
+                self.take_messages(index);
+                self.do_due(index);
+            }
+        }
+        self.send_waiting();
+    }
+
+    /// Ends the engines under crashers, and answers the other requests.
+    pub fn end_runs(&mut self) {
+        let now_ms = self.now_ms;
+        let crashing = |it: &&Running| it.copy.crashes && it.ends_ms <= now_ms;
+        let crashed: Vec<UpstreamName> = self
+            .running
+            .iter()
+            .filter(crashing)
+            .map(|it| it.engine.clone())
+            .collect();
+        for engine in crashed {
+            let lost = self.running.extract_if(.., |it| it.engine == engine);
+            let lost: Vec<Running> = lost.collect();
+            if lost.is_empty() {
+                continue;
+            }
+            for run in &lost {
+                if !run.copy.crashes {
+                    self.harmless_lost.insert(run.copy.fingerprint);
+                }
+                let ended = self.ended.entry(run.copy.fingerprint).or_default();
+                ended.push((now_ms, run.copy.vm));
+            }
+            self.note_losses(&engine, lost);
+            let replacement = self.engine(now_ms + self.load_ms);
+            for engines in &mut self.models {
+                if let Some(it) = engines.iter_mut().find(|it| it.name == engine) {
+                    *it = replacement;
+                    break;
+                }
+            }
+        }
+        let answered = self.running.extract_if(.., |it| it.ends_ms <= now_ms);
+        for run in answered.collect::<Vec<_>>() {
+            let watch = &mut self.vms[run.copy.vm].watch;
+            if run.is_trial {
+                watch.note_trial_over(now_ms, run.copy.fingerprint, false);
+            }
+            if watch.note_answered(now_ms, run.copy.fingerprint) {
+                self.send_all(run.copy.vm, &Message::Cleared(run.copy.fingerprint));
+            }
+        }
+    }
+
+    pub fn note_losses(&mut self, engine: &UpstreamName, lost: Vec<Running>) {
+        let now_ms = self.now_ms;
+        for run in &lost {
+            let watch = &mut self.vms[run.copy.vm].watch;
+            let request = LostRequest {
+                fingerprint: run.copy.fingerprint,
+                caller: caller(),
+                is_trial: run.is_trial,
+            };
+            watch.note_lost(now_ms, engine, true, request);
+            if run.is_trial {
+                watch.note_trial_over(now_ms, run.copy.fingerprint, true);
+            }
+        }
+        let copies: Vec<Copy> = lost.iter().map(|run| run.copy).collect();
+        for copy in copies.iter().filter(|copy| copy.returns < self.returns) {
+            let vm = self.link.draw() as usize % self.vms.len();
+            self.waiting.push(Copy {
+                vm,
+                from_ms: now_ms,
+                returns: copy.returns + 1,
+                ..*copy
+            });
+        }
+        self.ends.push((now_ms, engine.clone(), copies));
+    }
+
+    pub fn tell_ends(&mut self) {
+        let now_ms = self.now_ms;
+        let ended = self
+            .ends
+            .extract_if(.., |(at_ms, ..)| *at_ms + CONFIRM_MS <= now_ms);
+        for (_, engine, lost) in ended.collect::<Vec<_>>() {
+            for copy in lost {
+                let watch = &mut self.vms[copy.vm].watch;
+                // One that ended by itself was not noted when its requests were lost.
+                if !copy.crashes && copy.returns == RETURNS {
+                    let request = LostRequest {
+                        fingerprint: copy.fingerprint,
+                        caller: caller(),
+                        is_trial: false,
+                    };
+                    watch.note_lost(now_ms, &engine, true, request);
+                }
+                watch.note_ended(now_ms, &engine);
+            }
+        }
+    }
+
+    /// Sends what waits for an engine and may be sent.
+    pub fn send_waiting(&mut self) {
+        let now_ms = self.now_ms;
+        for copy in std::mem::take(&mut self.waiting) {
+            if self.is_frozen(copy.vm) {
+                self.waiting.push(copy);
+                continue;
+            }
+            let watch = &mut self.vms[copy.vm].watch;
+            let is_blocked = watch.blocked_ms(now_ms, &copy.fingerprint).is_some();
+            if is_blocked || now_ms >= copy.from_ms + PATIENCE_MS {
+                if is_blocked && !copy.crashes {
+                    self.harmless_blocked.insert(copy.fingerprint);
+                }
+                continue;
+            }
+            let engines = self.models[copy.model].iter();
+            let ready: Vec<&Engine> = engines.filter(|it| it.ready_ms <= now_ms).collect();
+            if ready.is_empty() || watch.holds_back(now_ms, &copy.fingerprint) {
+                if !ready.is_empty() && !copy.crashes {
+                    self.held_back_ms += STEP_MS;
+                }
+                self.waiting.push(copy);
+                continue;
+            }
+            let engine = &ready[self.link.draw() as usize % ready.len()].name;
+            let left_ms = copy.from_ms + PATIENCE_MS - now_ms;
+            match watch.permit(now_ms, copy.fingerprint, engine, left_ms) {
+                Permit::Free => self.run(copy, engine.clone(), false),
+                Permit::Trial(engine) => self.run(copy, engine, true),
+                Permit::Wait => self.waiting.push(copy),
+            }
+        }
+    }
+
+    pub fn run(&mut self, copy: Copy, engine: UpstreamName, is_trial: bool) {
+        let now_ms = self.now_ms;
+        let is_there = self.models.iter().flatten().any(|it| it.name == engine);
+        if !is_there {
+            if is_trial {
+                let watch = &mut self.vms[copy.vm].watch;
+                watch.note_trial_over(now_ms, copy.fingerprint, false);
+            }
+            self.waiting.push(copy);
+            return;
+        }
+        let is_calm = self.vms[copy.vm].calm_ms + WINDOW_MS <= now_ms;
+        let sends = self.sends.entry(copy.fingerprint).or_default();
+        sends.push((now_ms, is_calm));
+        let run_ms = if copy.crashes { RUN_MS } else { ANSWER_MS };
+        self.running.push(Running {
+            copy,
+            engine,
+            ends_ms: now_ms + run_ms,
+            is_trial,
+        });
+    }
+
+    /// Returns how often a request was sent too late after its third copy had ended.
+    pub fn late_sends(&self, which: u8) -> usize {
+        let third_ms = self.ended.get(&crasher(which)).and_then(|it| it.get(2));
+        let third_ms = third_ms.map(|(at_ms, _)| at_ms);
+        let sends = self.sends.get(&crasher(which));
+        let (Some(third_ms), Some(sends)) = (third_ms, sends) else {
+            return 0;
+        };
+        let late = sends
+            .iter()
+            .filter(|(at_ms, calm)| *at_ms > third_ms + WINDOW_MS && *calm);
+        late.count()
+    }
+}
--- /dev/null
+++ b/crates/quarantine/tests/crash_search/messages.rs
@@ -0,0 +1,139 @@
+//! Links between VMs and what they carry.
+
+use apricotdale_quarantine::BlockRow;
+use apricotdale_quarantine::CrashReport;
+use apricotdale_quarantine::Fingerprint;
+use apricotdale_quarantine::Role;
+use apricotdale_quarantine::TrialAnswer;
+use apricotdale_quarantine::TrialAsk;
+use apricotdale_quarantine::TrialEnd;
+
+use crate::fleet::Fleet;
+use crate::fleet::Way;
+use crate::fleet::run_of;
+
+/// VMs that judge.
+const JUDGES: usize = 5;
+
+#[derive(Clone, Debug)]
+pub enum Message {
+    Reports(Vec<CrashReport>),
+    Blocks(Vec<BlockRow>),
+    Probations(Vec<Fingerprint>),
+    Cleared(Fingerprint),
+    Wanted(usize, TrialAsk),
+    Decided(TrialAnswer),
+    Over(usize, TrialEnd),
+}
+
+/// Draws what becomes of datagrams.
+pub struct Link {
+    pub state: u64,
+    pub lost_in_256: u64,
+}
+
+impl Link {
+    pub fn draw(&mut self) -> u64 {
+        self.state ^= self.state << 13;
+        self.state ^= self.state >> 7;
+        self.state ^= self.state << 17;
+        self.state >> 16
+    }
+
+    /// Returns after how long each copy of a datagram arrives.
+    pub fn delays_ms(&mut self) -> Vec<u64> {
+        let draw = self.draw();
+        match draw % 256 {
+            lost if lost < self.lost_in_256 => Vec::new(),
+            250.. => vec![1 + draw / 256 % 40, 1 + draw / 65_536 % 200],
+            _ => vec![1 + draw / 256 % 40],
+        }
+    }
+}
+
+impl Fleet {
+    pub fn judges(&self) -> usize {
+        self.vms.len().min(JUDGES)
+    }
+
+    pub fn take_messages(&mut self, index: usize) {
+        let now_ms = self.now_ms;
+        let vms = self.vms.len();
+        let vm = &mut self.vms[index];
+        let arrived = vm.inbox.extract_if(.., |(at_ms, _)| *at_ms <= now_ms);
+        let mut answers = Vec::new();
+        for (_, message) in arrived.collect::<Vec<_>>() {
+            let watch = &mut vm.watch;
+            match message {
+                Message::Reports(reports) => watch.take_reports(now_ms, &reports),
+                Message::Blocks(rows) => rows.iter().for_each(|row| {
+                    watch.take_block(now_ms, row);
+                }),
+                Message::Probations(them) => watch.take_probations(now_ms, &them),
+                Message::Cleared(it) => {
+                    watch.take_cleared(now_ms, &it);
+                }
+                Message::Wanted(from, ask) => {
+                    answers.push((from, watch.take_ask(now_ms, run_of(from), &ask, vms)));
+                }
+                Message::Decided(answer) => {
+                    watch.take_trial_answer(now_ms, &answer);
+                }
+                Message::Over(from, end) => watch.take_trial_end(now_ms, run_of(from), &end),
+            }
+        }
+        for (from, answer) in answers {
+            self.send(from, &Message::Decided(answer));
+        }
+    }
+
+    pub fn do_due(&mut self, index: usize) {
+        let now_ms = self.now_ms;
+        let judges = self.judges();
+        let role = Role {
+            judge: (index < judges).then_some(index),
+            judges,
+            vms: self.vms.len(),
+            is_giver: index == 0,
+        };
+        let due = self.vms[index].watch.due(now_ms, role);
+        if !due.reports.is_empty() {
+            for judge in (0..judges).filter(|judge| *judge != index) {
+                self.send(judge, &Message::Reports(due.reports.clone()));
+            }
+        }
+        if !due.blocks.is_empty() {
+            self.send_all(index, &Message::Blocks(due.blocks));
+        }
+        if !due.probations.is_empty() {
+            self.send_all(index, &Message::Probations(due.probations));
+        }
+        for ask in due.asks {
+            if self.way == Way::OneAVm {
+                let watch = &mut self.vms[index].watch;
+                let answer = watch.take_ask(now_ms, run_of(index), &ask, 1);
+                watch.take_trial_answer(now_ms, &answer);
+                continue;
+            }
+            self.send(due.asked_judge, &Message::Wanted(index, ask));
+        }
+        for end in due.trial_ends {
+            let own = &mut self.vms[index].watch;
+            own.take_trial_end(now_ms, run_of(index), &end);
+            self.send(due.asked_judge, &Message::Over(index, end));
+        }
+    }
+
+    pub fn send(&mut self, to: usize, message: &Message) {
+        for delay_ms in self.link.delays_ms() {
+            let at_ms = self.now_ms + delay_ms;
+            self.vms[to].inbox.push((at_ms, message.clone()));
+        }
+    }
+
+    pub fn send_all(&mut self, from: usize, message: &Message) {
+        for other in (0..self.vms.len()).filter(|other| *other != from) {
+            self.send(other, message);
+        }
+    }
+}
