--- a/crates/standins/src/platform/vm.rs
+++ b/crates/standins/src/platform/vm.rs
@@ -47,6 +47,8 @@
     pub stop_ms: u64,
     /// The pause before a new giver's first order, where engines do not check fencing tokens.
     pub order_pause_ms: u64,
+    /// More lines of the settings file.
+    pub more_settings: String,
 }
 
 impl VmOptions {
@@ -60,6 +62,7 @@
             callers: SocketAddr::from(([127, 0, 0, 1], 0)),
             stop_ms: 8_000,
             order_pause_ms: 300,
+            more_settings: String::new(),
         }
     }
 
@@ -70,13 +73,14 @@
              [peers]\nlisten = 127.0.0.1:0\n[metrics]\nlisten = 127.0.0.1:0\n\
              [store]\naddress = {}\nread_mb_per_s = 80\n\
              [bounds]\nstop_s = {}\nengines_check_fences = true\norder_pause_ms = {}\n\
-             repeats_per_request = 0.2\nspare_repeats = 50\nrepeats_window_s = 10\n[log]\nlevel = info\n",
+             repeats_per_request = 0.2\nspare_repeats = 50\nrepeats_window_s = 10\n[log]\nlevel = info\n{}",
             self.name,
             self.zone,
             self.callers,
             self.store,
             self.stop_ms as f64 / 1_000.0,
-            self.order_pause_ms
+            self.order_pause_ms,
+            self.more_settings
         )
     }
 }
