--- a/crates/entry/src/answering.rs
+++ b/crates/entry/src/answering.rs
@@ -15,6 +15,7 @@
 use crate::active::Phase;
 use crate::codec::AnswerFields;
 use crate::daemon::Daemon;
+use crate::ending::upstream_text;
 use crate::outbound::Part;
 use crate::outbound::Purpose;
 
@@ -104,6 +105,7 @@
     fn answer_head(&mut self, token: Token, key: u64, head: ResponseHead) {
         let fields = self.codecs.callers.answer(&head);
         self.note_idle(token, &head);
+        self.log_second_answer(key, &head);
         let Some(request) = self.active.get_mut(key) else {
             return;
         };
@@ -147,6 +149,23 @@
         }
     }
 
+    /// Tells that an upstream answers a request of which the caller already has a part.
+    fn log_second_answer(&mut self, key: u64, head: &ResponseHead) {
+        let Some(request) = self.active.get(key).filter(|request| request.begun) else {
+            return;
+        };
+        if self.lines.take(self.now_ms, false) {
+            log::info!(
+                request_id = request.serving.id.to_string(),
+                upstream = upstream_text(&request.job),
+                status = head.status,
+                content_type = head.headers.text("Content-Type").unwrap_or_default(),
+                last_event = request.events.last_id();
+                "answer goes on at another upstream"
+            );
+        }
+    }
+
     /// Learns from an answer that says the request was sent to the wrong place.
     fn note_misdirected(&mut self, key: u64, fields: &AnswerFields) {
         let Some(request) = self.active.get(key) else {
--- a/crates/entry/src/ending.rs
+++ b/crates/entry/src/ending.rs
@@ -84,6 +84,8 @@
                 request_id = request.serving.id.to_string(),
                 reason = how,
                 route = request.route.name.to_string(),
+                status = request.answer.as_ref().map(|head| head.status),
+                last_event = request.events.last_id(),
                 tries = job.tried.len(),
                 upstream = upstream_text(job),
                 model = model_text(job),
