Large answers are read to their end

Callers of an answer of 1.5 MB got 504 at the route's timeout. Cause: a connection is read up to 128 KiB at a time; what the kernel held beyond was read on only if the buffer was still full when its bytes had been handled, which it never was, and the kernel tells of bytes once. The same for calls to the store and for a relay that was paused for a slow caller.

--- a/crates/entry/src/answering.rs
+++ b/crates/entry/src/answering.rs
@@ -60,7 +60,7 @@
                         return;
                     }
                 }
-                Part::Wait if connection.is_full() => connection.read(now_ms),
+                Part::Wait if connection.has_more() => connection.read(now_ms),
                 Part::Wait if stands => return,
                 Part::Wait | Part::Failed => {
                     self.connection_failed(token, key);
@@ -87,7 +87,7 @@
             };
             match connection.next_part() {
                 Part::Head(_) | Part::Body(_) => {}
-                Part::Wait if connection.is_full() => connection.read(now_ms),
+                Part::Wait if connection.has_more() => connection.read(now_ms),
                 Part::Wait => return,
                 Part::End => {
                     self.outbound
--- a/crates/entry/src/calling.rs
+++ b/crates/entry/src/calling.rs
@@ -210,6 +210,7 @@
 
     /// Goes on with the answer to a call.
     pub(crate) fn advance_call(&mut self, token: Token) {
+        let now_ms = self.now_ms;
         loop {
             let Some(connection) = self.outbound.get_mut(token) else {
                 return;
@@ -247,6 +248,7 @@
                     }
                     return;
                 }
+                Part::Wait if connection.has_more() => connection.read(now_ms),
                 Part::Wait => return,
                 Part::Failed => {
                     self.call_broken(token);
--- a/crates/entry/src/outbound.rs
+++ b/crates/entry/src/outbound.rs
@@ -89,6 +89,8 @@
     to_head: bool,
     keeps: bool,
     ended: Option<ReadEnd>,
+    /// Whether reading stopped at its limit: the kernel does not tell again of what it holds then.
+    has_more: bool,
     /// When bytes last came, or the exchange began.
     pub heard_ms: u64,
     idle_ms: u64,
@@ -121,6 +123,7 @@
             if self.input.len() > before {
                 self.heard_ms = now_ms;
             }
+            self.has_more = end == ReadEnd::Limit;
             if matches!(end, ReadEnd::Closed | ReadEnd::Broken) {
                 self.ended = Some(end);
             }
@@ -141,9 +144,9 @@
         self.ended.is_some()
     }
 
-    /// Returns whether reading stopped because the buffer is full.
-    pub fn is_full(&self) -> bool {
-        self.input.len() >= READ_LIMIT_BYTES
+    /// Returns whether bytes may be there that were not read because the buffer was full.
+    pub fn has_more(&self) -> bool {
+        self.has_more && self.input.len() < READ_LIMIT_BYTES
     }
 
     /// Returns the next part of the answer.
@@ -270,6 +273,7 @@
             to_head: false,
             keeps: true,
             ended: None,
+            has_more: false,
             heard_ms: now_ms,
             idle_ms: DEFAULT_IDLE_MS,
             idle_until_ms: 0,
--- a/crates/standins/src/platform/serving.rs
+++ b/crates/standins/src/platform/serving.rs
@@ -18,6 +18,7 @@
 use crate::http::Request;
 use crate::http::Stream;
 use crate::http::StreamEnd;
+use crate::platform::stream_faults::StreamFault;
 
 pub(crate) const ID: &str = "Apricotdale-Request-Id";
 pub(crate) const SIGNATURE: &str = "Apricotdale-Response-Signature";
@@ -25,10 +26,14 @@
 const INSTANCE: &str = "Apricotdale-Instance-Id";
 const MEANT: &str = "Apricotdale-Expect-Instance";
 const LOAD: &str = "Apricotdale-Server-Load";
+pub(crate) const VERSION: &str = "Apricotdale-Weight-Versions";
 
 /// The time between two looks of a stream at a dark upstream whether its client has left.
 const DARK_LOOK_MS: u64 = 5;
 
+/// The bytes of a large body: more than an entry VM holds back.
+pub const LARGE_BYTES: usize = 1_500_000;
+
 /// What sends the events of a stream.
 type Produce = Box<dyn FnOnce(&mut EventWriter) -> StreamEnd + Send>;
 
@@ -48,6 +53,19 @@
         /// Whole events before the break.
         events: u64,
     },
+    /// The stream is spoiled by what it holds.
+    Stream(StreamFault),
+    /// A request for all events is cut after some, one for the rest gets a spoiled stream.
+    CutThen {
+        /// Whole events before the break.
+        events: u64,
+        /// The stream of the rest.
+        then: StreamFault,
+    },
+    /// The body has [`LARGE_BYTES`].
+    Large,
+    /// The body is cut after [`LARGE_BYTES`].
+    LargeCut,
     /// The answer lacks its signature.
     Unsigned,
     /// Another request's answer comes first.
@@ -180,7 +198,17 @@
             })
         };
         match fault {
-            None | Some(AnswerFault::CutAfter { .. }) => raw(framed(200, ""), true),
+            None
+            | Some(
+                AnswerFault::CutAfter { .. } | AnswerFault::Stream(_) | AnswerFault::CutThen { .. },
+            ) => raw(framed(200, ""), true),
+            Some(fault @ (AnswerFault::Large | AnswerFault::LargeCut)) => {
+                let is_cut = fault == AnswerFault::LargeCut;
+                let length = LARGE_BYTES * (1 + usize::from(is_cut));
+                let body = "x".repeat(LARGE_BYTES);
+                let fields = format!("Content-Length: {length}\r\n\r\n{body}");
+                raw(head(200, &fields), !is_cut)
+            }
             Some(AnswerFault::TurnedAway) => self.not_run(request, 503),
             Some(AnswerFault::Failed) => raw(framed(500, ""), true),
             Some(AnswerFault::LostAnswer) => Reply::Lost,
@@ -218,9 +246,15 @@
         gap_ms: u64,
     ) -> Reply {
         let first = first_event(request);
+        let goes_on = first > 1;
         let cut_after = match fault {
             None => None,
             Some(AnswerFault::CutAfter { events }) => Some(events),
+            Some(AnswerFault::CutThen { events, .. }) if !goes_on => Some(events),
+            Some(AnswerFault::Stream(fault) | AnswerFault::CutThen { then: fault, .. }) => {
+                let id = id_of(request);
+                return Reply::Raw(fault.answer(id, &self.instance, first, count));
+            }
             Some(fault) => {
                 let body: String = (first..=count).map(event_text).collect();
                 return self.whole(request, Some(fault), &body);
@@ -282,6 +316,7 @@
         .with_header(ID, id_of(request))
         .with_header(SIGNATURE, &format!("s.{}", self.instance))
         .with_header(LOAD, "1,0,8")
+        .with_header(VERSION, "1")
     }
 
     /// Returns how often each request ran.
@@ -306,7 +341,8 @@
     last.and_then(|id| id.parse().ok()).unwrap_or(0) + 1
 }
 
-fn event_text(event: u64) -> String {
+/// Returns an event as a sound engine sends it.
+pub(crate) fn event_text(event: u64) -> String {
     format!("id: {event}\ndata: piece {event}\n\n")
 }
 
