An answer is written by one type that refuses parts which do not fit

Cause: nobody compared an upstream's answer with what the caller had been given; the head, the events, the held bytes and 'begun' were five fields of the request, and each place that wrote decided for itself. Change: Delivery (crates/delivery, pure) is what a caller has been given and the only writer of an answer. It checks status, content type, version of the weights and the number of each event, tells the end only behind a whole event, and breaks the connection otherwise. A misfit is a failed try with its reason in a counter and a line. A run that has to go on and ends without an event is not believed: it can't be told from one that ends at once.

--- /dev/null
+++ b/crates/delivery/tests/event_splitting.rs
@@ -0,0 +1,94 @@
+//! Whole events in a stream that arrives in pieces.
+
+use apricotdale_delivery::EventSplitter;
+use apricotdale_delivery::Piece;
+use rstest::rstest;
+
+const EVENTS: [&str; 5] = [
+    "id: 1\ndata: a\n\n",
+    "id: 2\r\ndata: b\r\n\r\n",
+    ": note\n\n",
+    "id: 3\rdata: c\r\r",
+    "id: 4\ndata: d\n\n",
+];
+
+fn pieces(splitter: &mut EventSplitter) -> Vec<Piece> {
+    std::iter::from_fn(|| splitter.next_piece()).collect()
+}
+
+fn event(text: &str) -> Piece {
+    Piece::Event(text.as_bytes().to_vec())
+}
+
+#[rstest]
+fn events_in_pieces(#[values(1, 2, 3, 5, 100)] size: usize) {
+    let stream = EVENTS.concat();
+    let mut splitter = EventSplitter::default();
+    let mut found = Vec::new();
+    for bytes in stream.as_bytes().chunks(size) {
+        splitter.push(bytes);
+        found.extend(pieces(&mut splitter));
+    }
+    let bytes: Vec<u8> = found
+        .iter()
+        .flat_map(|piece| match piece {
+            Piece::Event(bytes) => bytes.clone(),
+            other => panic!("{other:?}"),
+        })
+        .collect();
+    assert_eq!(String::from_utf8_lossy(&bytes), stream);
+    assert_eq!(found.len(), EVENTS.len());
+    assert!(!splitter.is_inside_event());
+}
+
+/// Guards against an event that comes twice in part: an upstream breaks off in its middle, and
+/// another one sends it from its beginning.
+#[test]
+fn unfinished_event_is_held_back() {
+    let mut splitter = EventSplitter::default();
+    splitter.push(b"id: 1\ndata: a\n\nid: 2\nda");
+    assert_eq!(pieces(&mut splitter), [event("id: 1\ndata: a\n\n")]);
+    assert!(splitter.is_inside_event());
+}
+
+/// Guards against a line end in two pieces that is taken for two line ends.
+#[rstest]
+#[case::blank_line("data: a\r\n\r", "\ndata: b\r\n\r\n")]
+#[case::first_line("data: a\r", "\n\r\ndata: b\r\n\r\n")]
+fn line_end_in_two_pieces(#[case] first: &str, #[case] second: &str) {
+    let mut splitter = EventSplitter::default();
+    splitter.push(first.as_bytes());
+    let mut found = pieces(&mut splitter);
+    splitter.push(second.as_bytes());
+    found.extend(pieces(&mut splitter));
+    assert_eq!(found.len(), 2, "{found:?}");
+    assert!(!splitter.is_inside_event());
+}
+
+#[test]
+fn line_feed_alone_is_no_event() {
+    let mut splitter = EventSplitter::default();
+    splitter.push(b"data: a\r\n\r");
+    assert_eq!(pieces(&mut splitter), [event("data: a\r\n\r")]);
+    splitter.push(b"\n");
+    assert!(pieces(&mut splitter).is_empty());
+    assert!(!splitter.is_inside_event());
+}
+
+#[test]
+fn oversize_event_in_parts() {
+    let mut splitter = EventSplitter::default();
+    splitter.push(&vec![b'x'; 300 * 1024]);
+    let first = pieces(&mut splitter);
+    assert!(matches!(first.as_slice(), [Piece::Beginning(part)] if part.len() == 300 * 1024));
+    assert!(splitter.is_inside_event());
+    splitter.push(b"more\n");
+    assert_eq!(pieces(&mut splitter), [Piece::More(b"more\n".to_vec())]);
+    assert!(splitter.is_inside_event(), "the blank line has not come");
+    splitter.push(b"\nid: 2\n\n");
+    assert_eq!(
+        pieces(&mut splitter),
+        [Piece::Last(b"\n".to_vec()), event("id: 2\n\n")]
+    );
+    assert!(!splitter.is_inside_event());
+}
--- a/crates/dispatch/src/job.rs
+++ b/crates/dispatch/src/job.rs
@@ -102,6 +102,8 @@
     Lost,
     /// The upstream answered that it failed.
     Failed,
+    /// Its answer does not fit behind what the caller has been given.
+    Misfit,
 }
 
 impl FailedTry {
@@ -118,6 +120,7 @@
             Self::NotSent => "not_sent",
             Self::Lost => "lost",
             Self::Failed => "failed",
+            Self::Misfit => "misfit",
         }
     }
 }
--- a/crates/entry/src/active.rs
+++ b/crates/entry/src/active.rs
@@ -5,14 +5,13 @@
 use std::sync::Arc;
 
 use apricotdale_core::names::UpstreamName;
+use apricotdale_delivery::Delivery;
 use apricotdale_dispatch::Job;
 use apricotdale_dispatch::Urgency;
 use apricotdale_dispatch::WaitReason;
 use apricotdale_fleet::Route;
 use apricotdale_fleet::ServingRequest;
-use apricotdale_http1::EventSplitter;
 use apricotdale_http1::RequestHead;
-use apricotdale_http1::ResponseHead;
 use apricotdale_organisations::Organisation;
 use apricotdale_quarantine::CallerHash;
 use apricotdale_quarantine::Fingerprint;
@@ -64,14 +63,8 @@
     pub phase: Phase,
     /// Whether it is under way as a trial of a request on probation.
     pub is_trial: bool,
-    /// The head of the answer in progress.
-    pub answer: Option<ResponseHead>,
-    /// Bytes of the answer that are held back until it is whole.
-    pub held: Vec<u8>,
-    /// Events of a stream.
-    pub events: EventSplitter,
-    /// Whether part of the answer has gone to the caller.
-    pub begun: bool,
+    /// The answer, as far as the caller has been given it.
+    pub delivery: Delivery,
     /// When it was first sent.
     pub first_sent_ms: Option<u64>,
     /// When the last part of the answer went to the caller.
@@ -154,7 +147,7 @@
         self.requests
             .iter()
             .filter(|(_, request)| !matches!(request.phase, Phase::Sent { .. }))
-            .filter(|(_, request)| request.job.runs == 0 && !request.begun)
+            .filter(|(_, request)| request.job.runs == 0 && !request.delivery.has_begun())
             .map(|(key, _)| *key)
             .collect()
     }
--- a/crates/entry/src/answering.rs
+++ b/crates/entry/src/answering.rs
@@ -2,16 +2,13 @@
 
 use apricotdale_core::names::RequestId;
 use apricotdale_core::policy::UpstreamOutcome;
+use apricotdale_delivery::Misfit;
 use apricotdale_dispatch::Attempt;
 use apricotdale_dispatch::FailedTry;
 use apricotdale_http1::ResponseHead;
-use apricotdale_http1::append_chunk;
-use apricotdale_http1::append_head_end;
-use apricotdale_http1::append_header;
-use apricotdale_http1::append_last_chunk;
-use apricotdale_http1::append_status_line;
 use mio::Token;
 
+use crate::active::Active;
 use crate::active::Phase;
 use crate::codec::AnswerFields;
 use crate::daemon::Daemon;
@@ -19,8 +16,8 @@
 use crate::outbound::Part;
 use crate::outbound::Purpose;
 
-/// The largest answer that is held back until it is whole. A larger one goes out in pieces.
-const HELD_BYTES: usize = 1024 * 1024;
+/// Room for a head beside the bytes of a part.
+const HEAD_ROOM_BYTES: usize = 512;
 
 /// Bytes that may wait for a slow caller before the upstream is no longer read.
 const UNWRITTEN_BYTES: usize = 256 * 1024;
@@ -34,6 +31,8 @@
     Skip,
     /// The try has failed.
     Fail(FailedTry),
+    /// It is the request's own, and does not fit behind what the caller has been given.
+    Misfit(Misfit),
 }
 
 impl Daemon {
@@ -54,7 +53,7 @@
             }
             match connection.next_part() {
                 Part::Head(head) => self.answer_head(token, key, head),
-                Part::Body(bytes) => self.answer_body(key, &bytes),
+                Part::Body(bytes) => self.answer_body(token, key, &bytes),
                 Part::End => {
                     if self.answer_end(token, key) {
                         return;
@@ -110,10 +109,10 @@
             return;
         };
         let verdict = match judge(&head, &fields, &request.serving.id) {
-            // A failure behind events that were passed on would look like the end of the stream.
-            HeadVerdict::Take if request.begun && head.status >= 400 => {
-                HeadVerdict::Fail(FailedTry::Failed)
-            }
+            HeadVerdict::Take => match request.delivery.head(head, fields.version) {
+                Ok(()) => HeadVerdict::Take,
+                Err(misfit) => HeadVerdict::Misfit(misfit),
+            },
             verdict => verdict,
         };
         if let Phase::Sent {
@@ -131,27 +130,57 @@
             }
         }
         match verdict {
-            HeadVerdict::Take => request.answer = Some(head),
-            HeadVerdict::Skip => {
-                request.answer = None;
-                self.metrics.failed_try("crossed_answer");
-            }
+            HeadVerdict::Take => {}
+            HeadVerdict::Skip => self.metrics.failed_try("crossed_answer"),
             HeadVerdict::Fail(failed) => {
                 if failed == FailedTry::Misdirected {
                     self.note_misdirected(key, &fields);
                 }
-                if let Some(connection) = self.outbound.get_mut(token) {
-                    connection.purpose = Purpose::Drain;
-                }
+                self.drain(token);
                 self.try_failed(key, failed);
                 self.advance_drain(token);
             }
+            HeadVerdict::Misfit(misfit) => self.answer_does_not_fit(token, key, misfit),
+        }
+    }
+
+    fn drain(&mut self, token: Token) {
+        if let Some(connection) = self.outbound.get_mut(token) {
+            connection.purpose = Purpose::Drain;
         }
     }
 
+    /// Gives up an answer that does not fit behind what the caller has been given.
+    fn answer_does_not_fit(&mut self, token: Token, key: u64, misfit: Misfit) {
+        self.metrics.misfit(misfit.as_str());
+        if let Some(request) = self.active.get(key)
+            && self.lines.take(self.now_ms, false)
+        {
+            log::warn!(
+                request_id = request.serving.id.to_string(),
+                reason = misfit.as_str(),
+                upstream = upstream_text(&request.job),
+                last_event = request.delivery.last_event(),
+                begun = request.delivery.has_begun();
+                "answer does not fit"
+            );
+        }
+        match misfit {
+            // The run has ended.
+            Misfit::Status | Misfit::Unfinished | Misfit::Empty => self.drain(token),
+            // The upstream may still work on it, and must not do so beside the next one.
+            _ => {
+                self.outbound.close(token, self.poll.registry());
+            }
+        }
+        self.try_failed(key, FailedTry::Misfit);
+        self.advance_drain(token);
+    }
+
     /// Tells that an upstream answers a request of which the caller already has a part.
     fn log_second_answer(&mut self, key: u64, head: &ResponseHead) {
-        let Some(request) = self.active.get(key).filter(|request| request.begun) else {
+        let has_begun = |request: &&Active| request.delivery.has_begun();
+        let Some(request) = self.active.get(key).filter(has_begun) else {
             return;
         };
         if self.lines.take(self.now_ms, false) {
@@ -160,7 +189,7 @@
                 upstream = upstream_text(&request.job),
                 status = head.status,
                 content_type = head.headers.text("Content-Type").unwrap_or_default(),
-                last_event = request.events.last_id();
+                last_event = request.delivery.last_event();
                 "answer goes on at another upstream"
             );
         }
@@ -195,66 +224,57 @@
         }
     }
 
-    fn answer_body(&mut self, key: u64, bytes: &[u8]) {
+    fn answer_body(&mut self, token: Token, key: u64, bytes: &[u8]) {
+        let closes = self.caller_closes(key);
         let Some(request) = self.active.get_mut(key) else {
             return;
         };
-        let Some(head) = &request.answer else {
-            return;
-        };
-        let is_events = request.job.kind.is_stream() && (200..300).contains(&head.status);
-        if is_events {
-            let events = request.events.push(bytes);
-            self.pass_on(key, &events);
-            return;
+        let had_begun = request.delivery.has_begun();
+        let mut out = Vec::with_capacity(bytes.len() + HEAD_ROOM_BYTES);
+        let fits = request.delivery.body(bytes, closes, &mut out);
+        if !out.is_empty() {
+            self.give(key, had_begun, &out);
         }
-        request.held.extend_from_slice(bytes);
-        if request.begun || request.held.len() > HELD_BYTES {
-            let held = std::mem::take(&mut request.held);
-            self.pass_on(key, &held);
+        if let Err(misfit) = fits {
+            self.answer_does_not_fit(token, key, misfit);
         }
     }
 
-    /// Passes part of an answer on, with its head before the first part.
-    fn pass_on(&mut self, key: u64, bytes: &[u8]) {
-        if bytes.is_empty() {
-            return;
-        }
+    /// Returns whether the connection of a request's caller ends after the answer.
+    fn caller_closes(&self, key: u64) -> bool {
+        let caller = self.active.get(key).and_then(|request| request.caller);
+        caller.is_some_and(|token| self.closes_after(token))
+    }
+
+    /// Writes part of an answer to the caller, if there still is one.
+    fn give(&mut self, key: u64, had_begun: bool, bytes: &[u8]) {
         let Some(request) = self.active.get_mut(key) else {
             return;
         };
         let Some(caller) = request.caller else {
             return;
         };
-        if request.begun {
+        if had_begun {
             let gap_ms = self.now_ms - request.last_part_ms;
             request.longest_gap_ms = request.longest_gap_ms.max(gap_ms);
             self.metrics.gap(gap_ms);
-        }
-        request.last_part_ms = self.now_ms;
-        let mut out = Vec::with_capacity(bytes.len() + 512);
-        if !request.begun {
-            request.begun = true;
+        } else {
             request.first_answer_ms = Some(self.now_ms);
             self.metrics
                 .first_answer(self.now_ms - request.job.arrived_ms);
-            let closes = self.closes_after(caller);
-            if let Some(head) = self.active.get(key).and_then(|it| it.answer.as_ref()) {
-                append_answer_head(&mut out, head, None, closes);
-            }
         }
-        append_chunk(&mut out, bytes);
-        self.write_to_caller(caller, &out);
+        request.last_part_ms = self.now_ms;
+        self.write_to_caller(caller, bytes);
     }
 
     /// Ends an answer. Returns whether the connection is done with.
     fn answer_end(&mut self, token: Token, key: u64) -> bool {
-        let Some(request) = self.active.get_mut(key) else {
+        let Some(request) = self.active.get(key) else {
             self.outbound
                 .release(self.now_ms, token, self.poll.registry());
             return true;
         };
-        let Some(head) = request.answer.clone() else {
+        let Some(status) = request.delivery.status() else {
             // The answer belonged to another request; this one's own may still come.
             if let Some(connection) = self.outbound.get_mut(token) {
                 connection.expect_another();
@@ -263,11 +283,19 @@
         };
         self.outbound
             .release(self.now_ms, token, self.poll.registry());
-        if head.status >= 500 && self.repeats_failure(key) {
+        if status >= 500 && self.repeats_failure(key) {
+            return true;
+        }
+        let closes = self.caller_closes(key);
+        let Some(request) = self.active.get_mut(key) else {
             return true;
+        };
+        let had_begun = request.delivery.has_begun();
+        let mut out = Vec::new();
+        match request.delivery.end(closes, &mut out) {
+            Ok(()) => self.deliver_end(key, status, had_begun, &out),
+            Err(misfit) => self.answer_does_not_fit(token, key, misfit),
         }
-        let rest = request_rest(self, key);
-        self.deliver_end(key, &head, &rest);
         true
     }
 
@@ -276,7 +304,7 @@
         let Some(request) = self.active.get_mut(key) else {
             return false;
         };
-        if request.begun || !request.job.kind.is_repeatable() {
+        if request.delivery.has_begun() || !request.job.kind.is_repeatable() {
             return false;
         }
         request.job.runs += 1;
@@ -295,8 +323,8 @@
     }
 
     /// Hands the end of an answer to the caller and ends the request.
-    fn deliver_end(&mut self, key: u64, head: &ResponseHead, rest: &[u8]) {
-        let outcome = match head.status {
+    fn deliver_end(&mut self, key: u64, status: u16, had_begun: bool, bytes: &[u8]) {
+        let outcome = match status {
             500.. => UpstreamOutcome::Lost,
             _ => UpstreamOutcome::Answered,
         };
@@ -304,24 +332,16 @@
         let Some(request) = self.active.get_mut(key) else {
             return;
         };
-        let begun = request.begun;
         let fingerprint = request.fingerprint;
         request.first_answer_ms.get_or_insert(self.now_ms);
         if let Some(caller) = request.caller {
-            let mut out = Vec::with_capacity(rest.len() + 512);
-            if begun {
-                append_chunk(&mut out, rest);
-                append_last_chunk(&mut out);
-            } else {
+            if !had_begun {
                 self.metrics
                     .first_answer(self.now_ms - request.job.arrived_ms);
-                let closes = self.closes_after(caller);
-                append_answer_head(&mut out, head, Some(rest.len()), closes);
-                out.extend_from_slice(rest);
             }
-            self.write_to_caller(caller, &out);
+            self.write_to_caller(caller, bytes);
             self.finish_answer(caller);
-            let how = if head.status < 400 {
+            let how = if status < 400 {
                 self.note_answered(fingerprint);
                 "answered"
             } else {
@@ -335,16 +355,6 @@
     }
 }
 
-/// Takes the bytes of an answer that are still held back.
-fn request_rest(daemon: &mut Daemon, key: u64) -> Vec<u8> {
-    let Some(request) = daemon.active.get_mut(key) else {
-        return Vec::new();
-    };
-    let mut rest = request.events.rest();
-    rest.append(&mut request.held);
-    rest
-}
-
 fn judge(head: &ResponseHead, fields: &AnswerFields, id: &RequestId) -> HeadVerdict {
     let success = (200..300).contains(&head.status);
     match &fields.request {
@@ -358,24 +368,3 @@
         Some(_) => HeadVerdict::Fail(FailedTry::Lost),
     }
 }
-
-/// Appends the head of an answer as the caller gets it, with a length or in chunks.
-fn append_answer_head(
-    out: &mut Vec<u8>,
-    head: &ResponseHead,
-    length_bytes: Option<usize>,
-    closes: bool,
-) {
-    append_status_line(out, head.status);
-    for (name, value) in head.headers.end_to_end() {
-        append_header(out, name, value);
-    }
-    match length_bytes {
-        Some(bytes) => append_header(out, "Content-Length", bytes.to_string().as_bytes()),
-        None => append_header(out, "Transfer-Encoding", b"chunked"),
-    }
-    if closes {
-        append_header(out, "Connection", b"close");
-    }
-    append_head_end(out);
-}
--- a/crates/entry/src/codec.rs
+++ b/crates/entry/src/codec.rs
@@ -71,12 +71,23 @@
     pub encoded: bool,
     /// The upstream's load.
     pub load: Option<LoadSample>,
+    /// The version of the model's weights that made it, if it says so.
+    pub version: Option<u64>,
     /// The upstream that answered, if it says so.
     pub answered_by: Option<InstanceName>,
     /// How long the connection may stay idle.
     pub idle_ms: Option<u64>,
 }
 
+/// `StreamFormat` is how upstreams write streams of events.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+pub struct StreamFormat {
+    /// The number of the first event, where upstreams keep to one.
+    pub first_event: Option<u64>,
+    /// The field of an event that names a new version of the model's weights.
+    pub version_field: Option<&'static str>,
+}
+
 /// `CallerCodec` translates between callers and upstreams.
 pub trait CallerCodec {
     /// Decodes a caller's request.
@@ -95,6 +106,9 @@
     /// Decodes the head of an upstream's answer.
     fn answer(&self, head: &ResponseHead) -> AnswerFields;
 
+    /// Returns how upstreams write streams of events.
+    fn stream_format(&self) -> StreamFormat;
+
     /// Returns the bytes of a whole refusal. `id` is the request's, where it is known.
     fn refusal(&self, refusal: &Refusal, id: Option<&RequestId>, close: bool) -> Vec<u8>;
 }
--- a/crates/entry/src/crash_watch.rs
+++ b/crates/entry/src/crash_watch.rs
@@ -230,7 +230,9 @@
         let keys: Vec<u64> = self
             .active
             .iter()
-            .filter(|(_, request)| !request.begun && request.fingerprint == row.fingerprint)
+            .filter(|(_, request)| {
+                !request.delivery.has_begun() && request.fingerprint == row.fingerprint
+            })
             .map(|(key, _)| *key)
             .collect();
         for key in keys {
--- a/crates/entry/src/ending.rs
+++ b/crates/entry/src/ending.rs
@@ -4,6 +4,7 @@
 use apricotdale_core::refusal::Ran;
 use apricotdale_core::refusal::Refusal;
 use apricotdale_core::refusal::RefusalReason;
+use apricotdale_delivery::Closing;
 use apricotdale_dispatch::Job;
 use apricotdale_dispatch::WaitReason;
 use apricotdale_fleet::WantedModel;
@@ -38,26 +39,34 @@
                 "request refused"
             );
         }
-        let (caller, begun) = (request.caller, request.begun);
         if let (Some(charge), Ran::NotRun) = (request.charge, refusal.ran) {
             self.give_back(charge, key);
         }
-        let Some(request) = self.active.get(key) else {
+        if let Some(token) = self.active.get(key).and_then(|request| request.caller) {
+            self.close_answer(key, token, refusal);
+        }
+        self.end_request(key, refusal.reason.as_str());
+        self.serve_again();
+    }
+
+    /// Answers with a refusal, or breaks an answer off that was begun.
+    fn close_answer(&mut self, key: u64, token: Token, refusal: &Refusal) {
+        let close = self.closes_after(token);
+        let Some(request) = self.active.get_mut(key) else {
             return;
         };
-        if let Some(token) = caller {
-            if begun {
-                self.abort_caller(token);
-            } else {
-                let close = self.closes_after(token);
-                let id = request.serving.id.clone();
-                let bytes = self.codecs.callers.refusal(refusal, Some(&id), close);
+        let id = &request.serving.id;
+        let codec = &self.codecs.callers;
+        let closing = request
+            .delivery
+            .close(|| codec.refusal(refusal, Some(id), close));
+        match closing {
+            Closing::Answer(bytes) => {
                 self.write_to_caller(token, &bytes);
                 self.finish_answer(token);
             }
+            Closing::Abort => self.abort_caller(token),
         }
-        self.end_request(key, refusal.reason.as_str());
-        self.serve_again();
     }
 
     /// Breaks a caller's connection, so that an answer that stopped midway does not look whole.
@@ -84,8 +93,8 @@
                 request_id = request.serving.id.to_string(),
                 reason = how,
                 route = request.route.name.to_string(),
-                status = request.answer.as_ref().map(|head| head.status),
-                last_event = request.events.last_id(),
+                status = request.delivery.status(),
+                last_event = request.delivery.last_event(),
                 tries = job.tried.len(),
                 upstream = upstream_text(job),
                 model = model_text(job),
--- a/crates/entry/src/failing.rs
+++ b/crates/entry/src/failing.rs
@@ -112,7 +112,7 @@
         let outcome = match failed {
             FailedTry::TurnedAway | FailedTry::Misdirected => UpstreamOutcome::Refused,
             FailedTry::NotSent => UpstreamOutcome::Unreachable,
-            FailedTry::Lost | FailedTry::Failed => UpstreamOutcome::Lost,
+            FailedTry::Lost | FailedTry::Failed | FailedTry::Misfit => UpstreamOutcome::Lost,
         };
         self.end_try(key, outcome);
         self.log_failed_try(key, failed);
@@ -121,20 +121,18 @@
             return;
         };
         request.job.runs += u32::from(!failed.is_not_run());
+        let has_begun = request.delivery.has_begun();
         // One that is tried again after a block is not sent twice before its end is judged.
-        let can_go_on = (!request.begun || request.events.can_resume())
+        let can_go_on = request.delivery.may_go_on()
             && (failed.is_not_run() || !self.crash_watch.knows(&request.fingerprint));
         let attempt = match can_go_on && request.caller.is_some() {
             true => self
                 .dispatcher
-                .after_failure(self.now_ms, &request.job, failed, request.begun),
+                .after_failure(self.now_ms, &request.job, failed, has_begun),
             false => Attempt::GiveUp,
         };
         match attempt {
-            Attempt::AgainAfterMs(pause_ms) => {
-                request.events.drop_unfinished();
-                self.pause(key, pause_ms);
-            }
+            Attempt::AgainAfterMs(pause_ms) => self.pause(key, pause_ms),
             Attempt::OnceAllowed => {
                 request.job.owes_repeat = true;
                 self.pause(key, BUDGET_PAUSE_MS);
@@ -165,7 +163,7 @@
             upstream = upstream_text(&request.job),
             model = model_text(&request.job),
             tries = request.job.tried.len(),
-            begun = request.begun,
+            begun = request.delivery.has_begun(),
             age_ms = self.now_ms - request.job.arrived_ms;
             "send without an answer"
         );
--- a/crates/entry/src/lib.rs
+++ b/crates/entry/src/lib.rs
@@ -51,6 +51,7 @@
 pub use codec::LogRead;
 pub use codec::StoreCodec;
 pub use codec::StoreOutcome;
+pub use codec::StreamFormat;
 pub use codec::Topic;
 pub use daemon::Daemon;
 pub use errors::Error;
--- a/crates/entry/src/metrics.rs
+++ b/crates/entry/src/metrics.rs
@@ -38,6 +38,7 @@
     requests: Family<Reason, Counter>,
     refusals: Family<Reason, Counter>,
     failed_tries: Family<Reason, Counter>,
+    misfits: Family<Reason, Counter>,
     calls: Family<CallLabels, Counter>,
     orders: Family<CallLabels, Counter>,
     takeovers: Counter,
@@ -81,6 +82,7 @@
             requests: Family::default(),
             refusals: Family::default(),
             failed_tries: Family::default(),
+            misfits: Family::default(),
             calls: Family::default(),
             orders: Family::default(),
             takeovers: Counter::default(),
@@ -129,6 +131,11 @@
             "Sends without an answer",
             self.failed_tries.clone(),
         );
+        registry.register(
+            "misfits",
+            "Upstreams' answers that did not fit behind what the caller had been given",
+            self.misfits.clone(),
+        );
         registry.register(
             "calls",
             "Calls to the store and engines",
@@ -279,6 +286,15 @@
             .inc();
     }
 
+    /// Counts an answer that did not fit behind what the caller had been given.
+    pub fn misfit(&self, reason: &str) {
+        self.misfits
+            .get_or_create(&Reason {
+                reason: reason.to_owned(),
+            })
+            .inc();
+    }
+
     /// Counts a send that brought no answer.
     pub fn failed_try(&self, reason: &str) {
         self.failed_tries
--- a/crates/entry/src/serving.rs
+++ b/crates/entry/src/serving.rs
@@ -7,12 +7,13 @@
 use apricotdale_core::names::UpstreamName;
 use apricotdale_core::refusal::Refusal;
 use apricotdale_core::refusal::RefusalReason;
+use apricotdale_delivery::Delivery;
+use apricotdale_delivery::Options as DeliveryOptions;
 use apricotdale_dispatch::Job;
 use apricotdale_dispatch::Verdict;
 use apricotdale_dispatch::WaitReason;
 use apricotdale_fleet::Route;
 use apricotdale_fleet::ServingRequest;
-use apricotdale_http1::EventSplitter;
 use apricotdale_http1::RequestHead;
 use apricotdale_organisations::Organisation;
 use apricotdale_organisations::PresentedKey;
@@ -116,7 +117,14 @@
         if let Some(wanted) = &job.wanted {
             self.own_demand.note_arrival(wanted);
         }
-        let events = EventSplitter::default();
+        let format = self.codecs.callers.stream_format();
+        let delivery = Delivery::new(DeliveryOptions {
+            is_stream: route.kind.is_stream(),
+            is_resumable: route.kind.is_stream() && route.kind.is_repeatable(),
+            first_event: format.first_event,
+            last_event: serving.last_event,
+            version_field: format.version_field,
+        });
         let key = self.active.insert(Active {
             caller: Some(token),
             caller_hash: caller_hash(caller_address),
@@ -130,10 +138,7 @@
             job,
             phase: Phase::Waiting(WaitReason::Crowded),
             is_trial: false,
-            answer: None,
-            held: Vec::new(),
-            events,
-            begun: false,
+            delivery,
             first_sent_ms: None,
             last_part_ms: 0,
             longest_gap_ms: 0,
@@ -322,7 +327,7 @@
         let fields = ForwardFields {
             instance,
             left_ms: request.job.deadline_ms.saturating_sub(now_ms),
-            last_event: request.events.last_id().or(request.serving.last_event),
+            last_event: request.delivery.last_event().or(request.serving.last_event),
             rank: request.job.rank,
             organisation: request.organisation.as_ref().map(|it| it.name.clone()),
         };
@@ -332,8 +337,7 @@
             .forward(&request.head, &request.body, &fields);
         request.job.tried.push(name.clone());
         request.job.owes_repeat = false;
-        request.answer = None;
-        request.held.clear();
+        request.delivery.begin_run();
         request.phase = Phase::Sent {
             connection: token,
             upstream: name.clone(),
--- a/crates/http1/src/lib.rs
+++ b/crates/http1/src/lib.rs
@@ -11,7 +11,6 @@
 mod body;
 mod encode;
 mod errors;
-mod events;
 mod head;
 mod headers;
 
@@ -25,7 +24,6 @@
 pub use encode::append_status_line;
 pub use errors::Error;
 pub use errors::Result;
-pub use events::EventSplitter;
 pub use head::BodyLength;
 pub use head::RequestHead;
 pub use head::ResponseHead;
