Test, failing: a lost read of the list where the store serves many VMs

Operators and callers would have seen: an upstream that leaves without a notice while one read of the list gets no answer is sent requests for up to 2 s more (`entry vanished around an outage`, then `takes no new work` as `lapsed`).

It is given 800 ms plus what reads of all VMs take, 64 KiB each; before a VM has read how many there are it counts with 300, 245 ms at 80 MB/s. The load only made the fault begin before the entries of VMs were read; in a fleet of 245 VMs and more it is the rule. Ruled out: a second lost call (`failures` is 1 in all), a VM that wakes up late (no such line before the verdict), a test that lifts the fault late.

The test now swallows exactly one read of the list. Before, the whole store was silent until the test had seen the line, so a test late by 0.1 s met two lost calls, which are an outage.

--- a/crates/standins/src/platform/store.rs
+++ b/crates/standins/src/platform/store.rs
@@ -96,6 +96,8 @@
 pub struct PlatformStore {
     shared: Arc<Shared>,
     fault: Arc<Mutex<StoreFault>>,
+    /// Topics of which the next read gets no answer.
+    swallowed: Arc<Mutex<HashSet<String>>>,
     calls: Arc<Mutex<HashMap<String, u64>>>,
 }
 
@@ -113,6 +115,11 @@
         *self.fault.lock() = fault;
     }
 
+    /// Leaves the next read of a topic through this door without an answer, and no other call.
+    pub fn swallow_read(&self, topic: &str) {
+        self.swallowed.lock().insert(topic.to_owned());
+    }
+
     /// Refuses appends to a topic, or takes them again.
     pub fn set_full(&self, topic: &str, is_full: bool) {
         let mut full = self.shared.full.lock();
@@ -236,6 +243,10 @@
 
     fn serve_read(&self, request: &Request) -> Reply {
         let (topic, part) = place(request);
+        if self.swallowed.lock().remove(&topic) {
+            request.caller.wait_gone();
+            return Reply::Lost;
+        }
         let from = request.query_number("from").unwrap_or_default();
         let wait_ms = request.query_number("wait_ms").unwrap_or_default();
         let until = Instant::now() + Duration::from_millis(wait_ms);
--- a/crates/standins/src/platform/vm.rs
+++ b/crates/standins/src/platform/vm.rs
@@ -47,6 +47,8 @@
     pub stop_ms: u64,
     /// The pause before a new giver's first order, where engines do not check fencing tokens.
     pub order_pause_ms: u64,
+    /// What the store sends, as the settings tell it.
+    pub read_mb_per_s: f64,
     /// More lines of the settings file.
     pub more_settings: String,
 }
@@ -62,6 +64,7 @@
             callers: SocketAddr::from(([127, 0, 0, 1], 0)),
             stop_ms: 8_000,
             order_pause_ms: 300,
+            read_mb_per_s: 80.0,
             more_settings: String::new(),
         }
     }
@@ -71,13 +74,14 @@
             "[vm]\nname = {}\navailability_zone = {}\n\
              [callers]\nlisten = {}\nready = 127.0.0.1:0\n\
              [peers]\nlisten = 127.0.0.1:0\n[metrics]\nlisten = 127.0.0.1:0\n\
-             [store]\naddress = {}\nread_mb_per_s = 80\n\
+             [store]\naddress = {}\nread_mb_per_s = {}\n\
              [bounds]\nstop_s = {}\nengines_check_fences = true\norder_pause_ms = {}\n\
              repeats_per_request = 0.2\nspare_repeats = 50\nrepeats_window_s = 10\n[log]\nlevel = info\n{}",
             self.name,
             self.zone,
             self.callers,
             self.store,
+            self.read_mb_per_s,
             self.stop_ms as f64 / 1_000.0,
             self.order_pause_ms,
             self.more_settings
