One lost read of the list is no outage, however many VMs read

Operators would have seen: an upstream that leaves without a notice while one read of the list gets no answer stays in use for 2 s more, `lapsed` in place of `gone`, in any fleet of 245 VMs and more, with larger answers in smaller ones, and at VMs that have not read yet how many there are.

Cause: a read was given up after 800 ms plus what reads of all VMs take, while the silence that counts as an outage is 2 s from answer to answer. The former grows with the fleet, the latter does not; the comment at lapse_ms counted with 800 ms.

Change: a VM that has itself read the list within the last 1.2 s gives the next read up 1.7 s after that answer at the latest; a VM that is late to begin it waits less. Few VMs are in that state, the others are told, and what they ask for is small. A VM whose list is old, or whose last read failed, waits as before. Left as it is: a VM cannot know whether the list was there while it stood still itself, so a longer gap counts as an outage (outage_that_was_slept_through).

--- a/crates/entry/src/feeds.rs
+++ b/crates/entry/src/feeds.rs
@@ -278,7 +278,8 @@
                 self.call_store(CallTag::UpstreamsNewest, &bytes, timeout_ms);
             }
             Some(from) => {
-                let timeout_ms = feed.patience_ms(&mut self.pacing, CALL_TIMEOUT_MS);
+                let timeout_ms =
+                    feed.list_patience_ms(self.now_ms, &mut self.pacing, CALL_TIMEOUT_MS);
                 let bytes = self.codecs.store.read(Topic::Upstreams, from.offset, 0);
                 self.call_store(CallTag::UpstreamsRead, &bytes, timeout_ms);
             }
--- a/crates/entry/src/feeds/feed.rs
+++ b/crates/entry/src/feeds/feed.rs
@@ -114,6 +114,13 @@
         pacing.patience_ms(alone_ms, bytes, self.failures)
     }
 
+    /// Returns the same for a read of the list that goes on where the last one ended.
+    pub fn list_patience_ms(&self, now_ms: u64, pacing: &mut ReadPacing, alone_ms: u64) -> u64 {
+        let bytes = self.answer_bytes.max(LEAST_ANSWER_BYTES);
+        let age_ms = self.read_ms.map(|at_ms| now_ms.saturating_sub(at_ms));
+        pacing.list_patience_ms(alone_ms, bytes, self.failures, age_ms)
+    }
+
     /// Draws when this VM reads again while it is told of changes.
     pub fn draw_phase(&mut self, pacing: &mut ReadPacing, every_ms: u64) {
         self.phase_ms = pacing.draw_within_ms(every_ms / 4);
--- a/crates/fleet/src/read_pacing.rs
+++ b/crates/fleet/src/read_pacing.rs
@@ -30,6 +30,14 @@
 /// most.
 const MAX_PAUSE_MS_A_VM: u64 = 4;
 
+/// How long after the last answered read of the list the next one is given up. With the pause and
+/// the read after it that is less than the time in which entries can lapse, so a VM that lost a
+/// single call need not take a removal for a lapse.
+const LIST_GIVEN_UP_MS: u64 = 1_700;
+
+/// The least time for which an answer of the list is awaited.
+const LEAST_LIST_PATIENCE_MS: u64 = 500;
+
 /// How many times as long as reads of all VMs take an answer is awaited at the most.
 const MOST_ROUNDS: u64 = 3;
 
@@ -156,6 +164,24 @@
         }
     }
 
+    /// Returns how long the answer to a read of the list is awaited that goes on where one ended
+    /// which was answered `age_ms` ago. Of VMs that have read so lately there are few, since the
+    /// others are told, and what they ask for is small; so the reads of all VMs are not waited for.
+    pub fn list_patience_ms(
+        &mut self,
+        alone_ms: u64,
+        answer_bytes: usize,
+        failures: u32,
+        age_ms: Option<u64>,
+    ) -> u64 {
+        let patience_ms = self.patience_ms(alone_ms, answer_bytes, failures);
+        let left_ms = age_ms.and_then(|age_ms| LIST_GIVEN_UP_MS.checked_sub(age_ms));
+        match left_ms {
+            Some(left_ms) if left_ms >= LEAST_LIST_PATIENCE_MS => patience_ms.min(left_ms),
+            _ => patience_ms,
+        }
+    }
+
     /// Returns the pause before the next read, after some failures in a row.
     pub fn pause_ms(&mut self, failures: u32) -> u64 {
         let vms = u64::from(self.vms.unwrap_or(1));
--- a/crates/fleet/tests/list_recovery.rs
+++ b/crates/fleet/tests/list_recovery.rs
@@ -3,7 +3,11 @@
 mod support;
 
 use apricotdale_core::names::UpstreamName;
+use apricotdale_fleet::Directory;
 use apricotdale_fleet::DirectoryChange;
+use apricotdale_fleet::DirectoryOptions;
+use apricotdale_fleet::ReadPacing;
+use rstest::rstest;
 
 use support::LAPSE_MS;
 use support::RESTORE_MS;
@@ -107,20 +111,52 @@
 /// Symptom: an upstream that left is kept for 2 s more. Sequence: one read of the list gets no answer
 /// and the next one brings the removal. Cause: every failed read was taken for an outage, though no
 /// entry can lapse in so short a time.
-#[test]
-fn one_lost_read_is_no_outage() {
+///
+/// Guards against a lost read that takes longer where many VMs read, or where the VM is late to
+/// begin it, and is then taken for an outage all the same.
+#[rstest]
+fn one_lost_read_is_no_outage(
+    #[values(None, Some(1), Some(300), Some(1_000))] vms: Option<u32>,
+    #[values(64 * 1024, 8 * 1024 * 1024)] answer_bytes: usize,
+    #[values(0, 100, 300)] late_ms: u64,
+) {
     const LOST_READ_MS: u64 = 800;
-    const PAUSE_MS: u64 = 100;
-    let mut directory = directory();
+    const ANSWER_MS: u64 = 100;
+    let mut pacing = ReadPacing::new(80e6, 1);
+    vms.into_iter().for_each(|vms| pacing.set_vms(vms));
+    let mut directory = Directory::new(DirectoryOptions::default());
     directory.note_entry(entry("e", 5));
     directory.note_list_answered(RETURN_MS);
+    let age_ms = READ_EVERY_MS + late_ms;
+    let lost_ms = age_ms + pacing.list_patience_ms(LOST_READ_MS, answer_bytes, 0, Some(age_ms));
     directory.note_list_lost();
-    let next_ms = RETURN_MS + READ_EVERY_MS + LOST_READ_MS + PAUSE_MS;
+    let next_ms = RETURN_MS + lost_ms + pacing.pause_ms(1) + ANSWER_MS;
     directory.note_list_answered(next_ms);
     let change = directory.note_vanished(next_ms, &UpstreamName::from("e"));
     assert_eq!(change, DirectoryChange::Left);
 }
 
+/// Guards against a store that is asked again before it can have answered: VMs whose list is old, or
+/// whose last read has failed, wait for as long as reads of all VMs take.
+#[rstest]
+#[case::never_read(0, None)]
+#[case::old_list(0, Some(1_300))]
+#[case::after_a_failure(1, Some(1_800))]
+fn reads_of_all_vms_are_waited_for(#[case] failures: u32, #[case] age_ms: Option<u64>) {
+    const ALONE_MS: u64 = 800;
+    const BYTES: usize = 1024 * 1024;
+    let new_pacing = || {
+        let mut pacing = ReadPacing::new(80e6, 1);
+        pacing.set_vms(300);
+        pacing
+    };
+    let patience_ms = new_pacing().list_patience_ms(ALONE_MS, BYTES, failures, age_ms);
+    assert_eq!(
+        patience_ms,
+        new_pacing().patience_ms(ALONE_MS, BYTES, failures)
+    );
+}
+
 /// Symptom: after an outage all upstreams are taken as gone. Sequence: a VM stands still from before the
 /// outage until after it, so that no read of its own has failed. Cause: only failed reads told of an
 /// outage.
--- a/crates/fleet/tests/read_storms.rs
+++ b/crates/fleet/tests/read_storms.rs
@@ -88,6 +88,8 @@
     sharing: Sharing,
     /// Up to when it knows the list.
     known_ms: u64,
+    /// When it last read the list itself.
+    read_ms: Option<u64>,
     next_ms: u64,
     failures: u32,
     reading: Option<Reading>,
@@ -102,6 +104,7 @@
             pacing,
             sharing: Sharing::default(),
             known_ms,
+            read_ms: None,
             next_ms: 0,
             failures: 0,
             reading: None,
@@ -178,6 +181,7 @@
                 if ended.is_answered {
                     vm.failures = 0;
                     vm.known_ms = now_ms;
+                    vm.read_ms = Some(now_ms);
                     vm.next_ms = now_ms + OWN_READ_EVERY_MS;
                     if !vm.sharing.follows(now_ms) {
                         self.told.push((now_ms + DATAGRAM_MS, now_ms));
@@ -198,7 +202,10 @@
             if vm.reading.is_none() && vm.next_ms.max(turn_ms) <= now_ms {
                 let backlog = (now_ms - vm.known_ms) * self.list_bytes_a_ms;
                 let bytes = backlog.min(self.list_bytes);
-                let patience_ms = vm.pacing.patience_ms(ALONE_MS, bytes as usize, vm.failures);
+                let age_ms = vm.read_ms.map(|read_ms| now_ms - read_ms);
+                let patience_ms =
+                    vm.pacing
+                        .list_patience_ms(ALONE_MS, bytes as usize, vm.failures, age_ms);
                 vm.reading = Some(Reading::begin(&mut self.store, now_ms, bytes, patience_ms));
             }
         }
