--- a/crates/standins/src/platform/serving.rs
+++ b/crates/standins/src/platform/serving.rs
@@ -22,7 +22,7 @@
 
 pub(crate) const ID: &str = "Apricotdale-Request-Id";
 pub(crate) const SIGNATURE: &str = "Apricotdale-Response-Signature";
-const NOT_RUN: &str = "Apricotdale-Not-Executed";
+pub(crate) const NOT_RUN: &str = "Apricotdale-Not-Executed";
 const INSTANCE: &str = "Apricotdale-Instance-Id";
 const MEANT: &str = "Apricotdale-Expect-Instance";
 const LOAD: &str = "Apricotdale-Server-Load";
--- a/crates/standins/src/platform/stream_faults.rs
+++ b/crates/standins/src/platform/stream_faults.rs
@@ -2,6 +2,7 @@
 
 use crate::http::Raw;
 use crate::platform::serving::ID;
+use crate::platform::serving::NOT_RUN;
 use crate::platform::serving::SIGNATURE;
 use crate::platform::serving::VERSION;
 use crate::platform::serving::event_text;
@@ -33,6 +34,8 @@
     OtherContent,
     /// It is a failure of the engine's own.
     Failed,
+    /// It is a refusal that says that nothing ran.
+    TurnedAway,
     /// It is 204, without a body.
     NoContent,
     /// It is 302, to another place.
@@ -82,6 +85,7 @@
             Self::Empty => (200, String::new(), Framing::Length),
             Self::OtherContent => (200, "{\"text\":\"whole\"}".to_owned(), Framing::Length),
             Self::Failed => (500, "{\"error\":\"failed\"}".to_owned(), Framing::Length),
+            Self::TurnedAway => (503, "{}".to_owned(), Framing::Length),
             Self::NoContent => (204, String::new(), Framing::Length),
             Self::Redirect => (302, String::new(), Framing::Length),
             Self::InterimOnly => {
@@ -99,7 +103,7 @@
             }
         };
         let content_type = match self {
-            Self::OtherContent | Self::Failed => "application/json",
+            Self::OtherContent | Self::Failed | Self::TurnedAway => "application/json",
             _ => "text/event-stream",
         };
         let version = match self {
@@ -110,6 +114,9 @@
             "HTTP/1.1 {status} Status\r\n{ID}: {id}\r\n{SIGNATURE}: s.{instance}\r\n\
              {VERSION}: {version}\r\nContent-Type: {content_type}\r\n"
         );
+        if self == Self::TurnedAway {
+            head.push_str(&format!("{NOT_RUN}: 1\r\n"));
+        }
         let keeps = match framing {
             Framing::Length if status == 204 => true,
             Framing::Length => {
