The end of a told demand is no demand

Operators would have seen: with fixed_timeout a model is loaded, and perhaps another unloaded for it, up to 1.5 s after the last request that waited for it was refused, where a load could not be decided while it waited. Callers: nothing but the place that is taken.

Cause: DemandTable keeps the line that tells the end of a demand, waiting 0 and running 0, for as long as a report counts. So the model is planned for, with the versions and replica counts that a proposal is based on, and a policy that still wants what was waited for has its load proposed. Without the line it has no such basis, as for requests of the VM's own.

Change: a line of nothing takes the told demand away.

--- a/crates/node/src/demand.rs
+++ b/crates/node/src/demand.rs
@@ -67,16 +67,19 @@
         Self::default()
     }
 
-    /// Takes in another VM's report.
+    /// Takes in another VM's report. A line without demand ends the demand that was told: kept as a
+    /// line of nothing it would have the model planned for as one that is wanted.
     pub fn note_remote(&self, now_ms: u64, vm: &VmName, models: Vec<ModelDemand>) {
         let mut tables = self.tables.lock();
         for demand in models {
             for _ in 0..demand.arrived {
                 tables.remote_arrivals.push(demand.model.clone());
             }
-            tables
-                .remote
-                .insert((vm.clone(), demand.model.clone()), (now_ms, demand));
+            let place = (vm.clone(), demand.model.clone());
+            match demand.waiting + demand.running {
+                0 => tables.remote.remove(&place),
+                _ => tables.remote.insert(place, (now_ms, demand)),
+            };
         }
     }
 
