Test, failing: a load that was proposed in an outage is decided after it

A proposal of this kind should be dropped while the log is down; but it stands in the appender's queue behind a record that must not be lost, whose append is tried each 0.1 s until it works. So it can stand there for as long as the log is down.

The test holds up such a record with a refused append, with the learned policy, which is the default.

--- a/crates/node/tests/ended_demand.rs
+++ b/crates/node/tests/ended_demand.rs
@@ -58,3 +58,36 @@
     cluster.wait_recovered(1);
     assert_eq!(world.load_orders(&model), 0);
 }
+
+/// Guards against a load that is proposed while the log takes nothing, waits behind a record that must
+/// not be lost, and is decided when the log is back and nobody waits for the model any more.
+#[test]
+fn a_load_is_not_proposed_while_none_can_be_decided() {
+    let cluster = Cluster::start_with(2, 2, true, LEARNED);
+    let world = &cluster.world;
+    let [settled, model] = cluster.two_models_preferring(1);
+    let vms = [0, 1].map(|node| cluster.nodes[node].vm.clone());
+    let [other, preferred] = vms;
+    let refused = world
+        .log
+        .fault_appends(AppendFault::Refuse, usize::MAX, move |append| {
+            append.is_load_settled() && append.is_by(&preferred)
+        });
+    world
+        .log
+        .fault_appends(AppendFault::Hold, usize::MAX, move |append| {
+            append.is_load() && append.is_by(&other)
+        });
+    let begun = cluster.nodes[1].caller.begin_complete(&settled);
+    refused.wait_hits(1);
+    let reply = cluster.nodes[0].caller.complete_within(&model, TIMEOUT_MS);
+    assert_eq!(reply.refusal(), ("deadline_passed", "not_run"));
+    wait_until("the request's end to be known", || {
+        cluster.nodes[1].waiting_for(&model) == 0
+    });
+    world.log.release(&refused);
+    cluster.wait_recovered(1);
+    assert!(world.accepted_loads(&model).is_empty());
+    assert_eq!(world.load_orders(&model), 0);
+    drop(begun);
+}
--- a/crates/node/tests/support/world.rs
+++ b/crates/node/tests/support/world.rs
@@ -299,6 +299,13 @@
         preferring.expect("a model for each VM")
     }
 
+    /// Returns two models for which a daemon is the preferred one among all.
+    pub fn two_models_preferring(&self, node: usize) -> [String; 2] {
+        let models = (0..MODELS).map(model_name);
+        let mut preferring = models.filter(|model| self.preferred(model) == node);
+        [(); 2].map(|()| preferring.next().expect("two models for each VM"))
+    }
+
     /// Returns the daemon that is the preferred one for a model among all.
     pub fn preferred(&self, model: &str) -> usize {
         let vms = self.nodes.iter().map(|node| &node.vm);
