No load is proposed while none can be decided

Operators would have seen: after an outage of the log, of whatever length, models are loaded that were waited for in it and that nobody waits for any more, and idle ones unloaded for them, at any placement policy. Callers of the models that had to go: a cold start.

Cause: placement goes on to propose in the outage. A proposal of placement is dropped when its append fails, but it has a queue in common with records that must not be lost; behind one of these, tried again until the log is back, it waits as long and is then appended. The requests it was made for were refused with log_unavailable in the same step. Ruled out by the lines: told demand that outlives its request (its end is told within 15 ms), a late report, a second VM that decides.

Change: while LogHealth says that no decision can be had, which is when the waiting requests are refused, loads and unloads of the policy are not proposed. It wants them anew 1 s later, as after a failed append. Price: a load that a peer's waiting request needs comes up to 1 s later after a single failed append of a record that must not be lost; before it came with that record's next try.

Not mended: a proposal that is queued in the milliseconds before the first failure of the record before it is noted still waits with it.

--- a/crates/node/src/placing/placement_loop.rs
+++ b/crates/node/src/placing/placement_loop.rs
@@ -161,8 +161,13 @@
         }
     }
 
+    /// Carries out what the policy wants. While no decision can be had nothing is proposed: the
+    /// proposal would wait behind records that must not be lost, and be decided when the log is
+    /// back, whoever still waits for it then. The policy wants it anew.
     fn carry_out(&mut self, action: PlacementAction) {
+        let is_down = self.parts.health.is_down(self.parts.clock.monotonic_ms());
         match action {
+            PlacementAction::Load { .. } | PlacementAction::Unload { .. } if is_down => {}
             PlacementAction::Load { model, .. } if !self.may_load(&model) => {}
             PlacementAction::Load {
                 model,
--- a/crates/node/tests/ended_demand.rs
+++ b/crates/node/tests/ended_demand.rs
@@ -79,7 +79,8 @@
             append.is_load() && append.is_by(&other)
         });
     let begun = cluster.nodes[1].caller.begin_complete(&settled);
-    refused.wait_hits(1);
+    // The outcome of the first is known when the second is tried.
+    refused.wait_hits(2);
     let reply = cluster.nodes[0].caller.complete_within(&model, TIMEOUT_MS);
     assert_eq!(reply.refusal(), ("deadline_passed", "not_run"));
     wait_until("the request's end to be known", || {
