--- a/crates/node/tests/ended_demand.rs
+++ b/crates/node/tests/ended_demand.rs
@@ -2,21 +2,34 @@
 
 mod support;
 
+use rstest::rstest;
+
 use support::log_fault::AppendFault;
 use support::wait_until;
 use support::world::Cluster;
+use support::world::FIXED_TIMEOUT;
 use support::world::LEARNED;
 
 /// How long the request in vain may wait, in milliseconds.
 const TIMEOUT_MS: u64 = 800;
 
+/// After how long a placement policy proposes anew what came to nothing, in milliseconds, with
+/// something over. A report of demand counts for longer.
+const PROPOSAL_MS: u64 = 1_100;
+
 /// Symptom: a model is loaded that nobody waits for. Sequence: a request waits at one VM, which tells
 /// the model's preferred VM; no load can be decided, and the request is refused; a moment later loads
 /// can be decided again. Cause: a VM tells others of requests that wait, and not that none does any
 /// more.
-#[test]
-fn a_request_that_was_refused_is_no_demand() {
-    let cluster = Cluster::start_with(2, 2, true, LEARNED);
+///
+/// Guards against a model that is loaded since the end of its demand was told: a report of nothing
+/// counted as demand of nothing, and a policy that wants for a while what was waited for had its
+/// load decided.
+#[rstest]
+fn a_request_that_was_refused_is_no_demand(
+    #[values(FIXED_TIMEOUT, LEARNED)] placement: &'static str,
+) {
+    let cluster = Cluster::start_with(2, 2, true, placement);
     let world = &cluster.world;
     let model = cluster.model_preferring(1);
     let preferred = cluster.nodes[1].vm.clone();
@@ -40,8 +53,42 @@
     wait_until("the request's end to be known", || {
         preferred.waiting_for(&model) == 0
     });
-    preferred.clock.set_stopped(false);
+    world.log.release(&refused);
+    preferred.clock.go_on_after(PROPOSAL_MS);
+    cluster.wait_recovered(1);
+    assert_eq!(world.load_orders(&model), 0);
+}
+
+/// Guards against a load that is proposed while the log takes nothing, waits behind a record that must
+/// not be lost, and is decided when the log is back and nobody waits for the model any more.
+#[test]
+fn a_load_is_not_proposed_while_none_can_be_decided() {
+    let cluster = Cluster::start_with(2, 2, true, LEARNED);
+    let world = &cluster.world;
+    let [settled, model] = cluster.two_models_preferring(1);
+    let vms = [0, 1].map(|node| cluster.nodes[node].vm.clone());
+    let [other, preferred] = vms;
+    let refused = world
+        .log
+        .fault_appends(AppendFault::Refuse, usize::MAX, move |append| {
+            append.is_load_settled() && append.is_by(&preferred)
+        });
+    world
+        .log
+        .fault_appends(AppendFault::Hold, usize::MAX, move |append| {
+            append.is_load() && append.is_by(&other)
+        });
+    let begun = cluster.nodes[1].caller.begin_complete(&settled);
+    // The outcome of the first is known when the second is tried.
+    refused.wait_hits(2);
+    let reply = cluster.nodes[0].caller.complete_within(&model, TIMEOUT_MS);
+    assert_eq!(reply.refusal(), ("deadline_passed", "not_run"));
+    wait_until("the request's end to be known", || {
+        cluster.nodes[1].waiting_for(&model) == 0
+    });
     world.log.release(&refused);
     cluster.wait_recovered(1);
+    assert!(world.accepted_loads(&model).is_empty());
     assert_eq!(world.load_orders(&model), 0);
+    drop(begun);
 }
