Test, failing: Delivery takes parts behind the end and behind a broken answer

nothing_behind_the_end (2 cases) and nothing_behind_the_closing (2 cases) fail: body() and end() write into an answer that was ended, or closed, while its run is kept. No owner does so today: entry VMs end the request first.

--- a/crates/delivery/tests/joined_answers.rs
+++ b/crates/delivery/tests/joined_answers.rs
@@ -245,3 +245,43 @@
     let refused = || b"refused".to_vec();
     assert_eq!(delivery.close(refused), Closing::Answer(refused()));
 }
+
+/// Hands on what an upstream still sends, and returns what the caller is given of it.
+fn push_more(delivery: &mut Delivery) -> String {
+    let mut out = Vec::new();
+    let _ = delivery.body(event(3).as_bytes(), false, &mut out);
+    let _ = delivery.end(false, &mut out);
+    String::from_utf8(out).expect("text")
+}
+
+/// Guards against parts and a second end behind the end of an answer.
+#[rstest]
+#[case::stream(true)]
+#[case::body(false)]
+fn nothing_behind_the_end(#[case] is_stream: bool) {
+    let mut delivery = Delivery::new(Options {
+        is_stream,
+        ..options()
+    });
+    delivery.head(stream_head(), None).expect("it fits");
+    take(&mut delivery, &(event(1) + &event(2))).expect("they fit");
+    delivery.end(false, &mut Vec::new()).expect("it is whole");
+    assert_eq!(push_more(&mut delivery), "");
+}
+
+/// Guards against a broken answer that goes on, or is ended as whole after all.
+#[rstest]
+#[case::begun(true, Closing::Abort)]
+#[case::refused(false, Closing::Answer(Vec::new()))]
+fn nothing_behind_the_closing(#[case] is_begun: bool, #[case] closing: Closing) {
+    let mut delivery = Delivery::new(options());
+    delivery.head(stream_head(), None).expect("it fits");
+    let first = if is_begun {
+        event(1) + &event(2)
+    } else {
+        String::new()
+    };
+    take(&mut delivery, &first).expect("they fit");
+    assert_eq!(delivery.close(Vec::new), closing);
+    assert_eq!(push_more(&mut delivery), "");
+}
