Delivery takes nothing behind the end of an answer, or behind a broken one

Cause: body() and end() looked only at the run in progress, which end() and close() leave in place, and not at what the caller has been given. Both now return Misfit::Closed for an answer that is whole or broken. Evidence: nothing_behind_the_end and nothing_behind_the_closing, 4 of 4 failed before and pass now.

--- a/crates/delivery/src/delivery.rs
+++ b/crates/delivery/src/delivery.rs
@@ -159,8 +159,11 @@
     /// # Errors
     ///
     /// [`Misfit`] for the first event that does not follow the one before. Those before it are
-    /// appended all the same.
+    /// appended all the same. [`Misfit::Closed`] behind the end of the answer.
     pub fn body(&mut self, bytes: &[u8], closes: bool, out: &mut Vec<u8>) -> Result<(), Misfit> {
+        if self.is_closed() {
+            return Err(Misfit::Closed);
+        }
         match &mut self.run {
             Run::Awaited => Ok(()),
             Run::Events(events) => {
@@ -185,8 +188,12 @@
     ///
     /// # Errors
     ///
-    /// [`Misfit::Unfinished`] and [`Misfit::Empty`]; [`Misfit::Closed`] if no head was taken in.
+    /// [`Misfit::Unfinished`] and [`Misfit::Empty`]; [`Misfit::Closed`] if no head was taken in, and
+    /// behind the end of the answer.
     pub fn end(&mut self, closes: bool, out: &mut Vec<u8>) -> Result<(), Misfit> {
+        if self.is_closed() {
+            return Err(Misfit::Closed);
+        }
         let held = match &mut self.run {
             Run::Awaited => return Err(Misfit::Closed),
             Run::Events(events) if events.splitter.is_inside_event() => {
@@ -227,6 +234,10 @@
         }
     }
 
+    fn is_closed(&self) -> bool {
+        matches!(self.given, Given::Whole | Given::Broken)
+    }
+
     /// Appends the pieces of a stream that fit.
     fn pass_events(&mut self, passed: &mut Vec<u8>) -> Result<(), Misfit> {
         let Run::Events(events) = &mut self.run else {
