Test, failing: Delivery ends an answer behind an event that did not fit

nothing_behind_a_misfit fails: body() forgets the misfit it returned, takes the next events that happen to fit, and end() tells the stream as whole though the event that did not fit is left out. join_search finds it with an owner that hands on a run behind its misfit. Entry VMs don't: they give the run up at once.

--- a/crates/delivery/tests/joined_answers.rs
+++ b/crates/delivery/tests/joined_answers.rs
@@ -285,3 +285,19 @@
     assert_eq!(delivery.close(Vec::new), closing);
     assert_eq!(push_more(&mut delivery), "");
 }
+
+/// Guards against an answer that is ended as whole, or goes on, behind an event that did not fit.
+#[test]
+fn nothing_behind_a_misfit() {
+    let mut delivery = begun(options());
+    delivery.head(stream_head(), None).expect("it fits");
+    let mut out = Vec::new();
+    let text = event(3) + &event(5);
+    let misfit = Err(Misfit::Gap);
+    assert_eq!(delivery.body(text.as_bytes(), false, &mut out), misfit);
+    out.clear();
+    assert_eq!(delivery.body(event(4).as_bytes(), false, &mut out), misfit);
+    assert_eq!(delivery.end(false, &mut out), misfit);
+    assert!(out.is_empty(), "{}", String::from_utf8_lossy(&out));
+    assert!(delivery.may_go_on());
+}
