Delivery gives nothing of a run behind an event that did not fit

Cause: the misfit was returned and forgotten. The run now keeps it: body() and end() return it until another run begins. Evidence: nothing_behind_a_misfit failed before and passes now; join_search (4,000 courses) passes.

--- a/crates/delivery/src/delivery.rs
+++ b/crates/delivery/src/delivery.rs
@@ -41,6 +41,8 @@
     Events(Events),
     /// Its body, as far as it is held back.
     Body(Vec<u8>),
+    /// One of its events did not fit.
+    Refused(Misfit),
 }
 
 #[derive(Clone, Debug, Default)]
@@ -108,7 +110,9 @@
     pub fn status(&self) -> Option<u16> {
         match self.run {
             Run::Awaited => None,
-            Run::Events(_) | Run::Body(_) => self.head.as_ref().map(|head| head.status),
+            Run::Events(_) | Run::Body(_) | Run::Refused(_) => {
+                self.head.as_ref().map(|head| head.status)
+            }
         }
     }
 
@@ -159,7 +163,7 @@
     /// # Errors
     ///
     /// [`Misfit`] for the first event that does not follow the one before. Those before it are
-    /// appended all the same. [`Misfit::Closed`] behind the end of the answer.
+    /// appended all the same, and nothing behind it. [`Misfit::Closed`] behind the end of the answer.
     pub fn body(&mut self, bytes: &[u8], closes: bool, out: &mut Vec<u8>) -> Result<(), Misfit> {
         if self.is_closed() {
             return Err(Misfit::Closed);
@@ -171,8 +175,12 @@
                 let mut passed = Vec::new();
                 let fits = self.pass_events(&mut passed);
                 self.write_part(&passed, Given::Events, closes, out);
+                if let Err(misfit) = fits {
+                    self.run = Run::Refused(misfit);
+                }
                 fits
             }
+            Run::Refused(misfit) => Err(*misfit),
             Run::Body(held) => {
                 held.extend_from_slice(bytes);
                 if self.given == Given::Body || held.len() > HELD_BYTES {
@@ -188,14 +196,15 @@
     ///
     /// # Errors
     ///
-    /// [`Misfit::Unfinished`] and [`Misfit::Empty`]; [`Misfit::Closed`] if no head was taken in, and
-    /// behind the end of the answer.
+    /// [`Misfit::Unfinished`] and [`Misfit::Empty`]; the misfit of an event before;
+    /// [`Misfit::Closed`] if no head was taken in, and behind the end of the answer.
     pub fn end(&mut self, closes: bool, out: &mut Vec<u8>) -> Result<(), Misfit> {
         if self.is_closed() {
             return Err(Misfit::Closed);
         }
         let held = match &mut self.run {
             Run::Awaited => return Err(Misfit::Closed),
+            Run::Refused(misfit) => return Err(*misfit),
             Run::Events(events) if events.splitter.is_inside_event() => {
                 return Err(Misfit::Unfinished);
             }
