Numbers of large events are read to their end

Cause: of an event that is passed on in parts only the first part was read, and the last line of it as if it were whole. FieldReader reads all parts line by line, and the place is checked once more at the last of them; what does not fit there breaks the answer, as the caller has part of the event.

--- a/crates/delivery/src/delivery.rs
+++ b/crates/delivery/src/delivery.rs
@@ -8,7 +8,7 @@
 use apricotdale_http1::append_status_line;
 
 use crate::errors::Misfit;
-use crate::event::EventFields;
+use crate::event::FieldReader;
 use crate::options::Options;
 use crate::position::Position;
 use crate::splitter::EventSplitter;
@@ -51,8 +51,8 @@
     /// Whether it goes on behind another upstream's events.
     goes_on: bool,
     has_event: bool,
-    /// The fields of an event that is passed on in parts.
-    oversize: EventFields,
+    /// The fields of the event in progress.
+    reader: FieldReader,
 }
 
 /// `Closing` is how an answer ends that no upstream ends.
@@ -255,28 +255,27 @@
         let version_field = self.options.version_field;
         let follows = events.goes_on || self.position.last_id().is_some();
         while let Some(piece) = events.splitter.next_piece() {
-            let bytes = match &piece {
-                Piece::Event(bytes) | Piece::Beginning(bytes) => {
-                    let fields = EventFields::read(bytes, version_field);
-                    let must_be_numbered = follows && !events.has_event;
-                    self.position.check(&fields, must_be_numbered)?;
-                    events.has_event |= fields.has_content;
-                    match piece {
-                        Piece::Event(_) => self.position.end_event(&fields),
-                        _ => {
-                            events.oversize = fields;
-                            self.position.begin_event();
-                        }
-                    }
-                    bytes
-                }
-                Piece::More(bytes) => bytes,
-                Piece::Last(bytes) => {
-                    self.position.end_event(&events.oversize);
-                    bytes
+            let is_first = matches!(piece, Piece::Event(_) | Piece::Beginning(_));
+            let is_last = matches!(piece, Piece::Event(_) | Piece::Last(_));
+            let (Piece::Event(bytes)
+            | Piece::Beginning(bytes)
+            | Piece::More(bytes)
+            | Piece::Last(bytes)) = piece;
+            events.reader.push(&bytes, version_field);
+            let fields = events.reader.fields();
+            if is_first || is_last {
+                let must_be_numbered = follows && !events.has_event;
+                self.position.check(&fields, must_be_numbered)?;
+                events.has_event |= fields.has_content;
+            }
+            match is_last {
+                true => {
+                    self.position.end_event(&fields);
+                    events.reader = FieldReader::default();
                 }
-            };
-            passed.extend_from_slice(bytes);
+                false => self.position.begin_event(),
+            }
+            passed.extend_from_slice(&bytes);
         }
         Ok(())
     }
