--- a/crates/adapters/tests/support/mod.rs
+++ b/crates/adapters/tests/support/mod.rs
@@ -11,6 +11,7 @@
 use std::sync::mpsc;
 use std::sync::mpsc::Receiver;
 use std::thread;
+use std::time::Duration;
 
 use socket2::Domain;
 use socket2::Socket;
@@ -23,6 +24,9 @@
 /// A timeout that no passing test waits for.
 pub const LONG_MS: u64 = 30_000;
 
+/// A bound on waits that end a broken test; no assertion depends on its length.
+pub const PATIENCE: Duration = Duration::from_secs(30);
+
 /// A timeout for tests whose server never answers.
 pub const SHORT_MS: u64 = 50;
 
