Only chunks that HTTP/1.1 has show the end of a body

Cause: is_chunked compared the end of the header's text ('unchunked') and not its last coding, and took HTTP/1.0's word for chunks, which the client then reads up to the close. Evidence: body_that_may_be_cut (other_coding) and old_protocol_has_no_chunks failed before and pass now; all tests of the crate pass.

--- a/crates/adapters/src/answer.rs
+++ b/crates/adapters/src/answer.rs
@@ -8,6 +8,7 @@
 use ureq::http::HeaderName;
 use ureq::http::Response;
 use ureq::http::StatusCode;
+use ureq::http::Version;
 use ureq::http::header::CONTENT_LENGTH;
 use ureq::http::header::CONTENT_TYPE;
 use ureq::http::header::TRANSFER_ENCODING;
@@ -62,11 +63,12 @@
     }
 }
 
+/// Returns whether the body comes in chunks. HTTP/1.0 has none, and its bodies end with their
+/// connection whatever is announced.
 fn is_chunked(response: &Response<Body>) -> bool {
-    header(response.headers(), TRANSFER_ENCODING)
-        .trim_end()
-        .to_ascii_lowercase()
-        .ends_with(CHUNKED)
+    let codings = header(response.headers(), TRANSFER_ENCODING);
+    let last = codings.rsplit(',').next().unwrap_or_default();
+    response.version() != Version::HTTP_10 && last.trim().eq_ignore_ascii_case(CHUNKED)
 }
 
 fn is_bodyless(status: StatusCode) -> bool {
