--- a/crates/gateway/tests/support/caller.rs
+++ b/crates/gateway/tests/support/caller.rs
@@ -134,6 +134,25 @@
         answer
     }
 
+    /// Returns all bytes up to the end of the connection.
+    pub fn rest(&mut self) -> Vec<u8> {
+        let mut bytes = Vec::new();
+        // A connection that is reset has ended, too.
+        let _ = self.reader.read_to_end(&mut bytes);
+        bytes
+    }
+
+    /// Returns the pieces up to the end of the answer, and how it ended.
+    pub fn pieces(&mut self) -> (Vec<String>, Piece) {
+        let mut pieces = Vec::new();
+        loop {
+            match self.piece() {
+                Piece::Data(text) => pieces.push(text),
+                end => return (pieces, end),
+            }
+        }
+    }
+
     pub fn piece(&mut self) -> Piece {
         let mut size = String::new();
         match self.reader.read_line(&mut size) {
--- a/crates/gateway/tests/support/mod.rs
+++ b/crates/gateway/tests/support/mod.rs
@@ -26,6 +26,7 @@
 use apricotdale_core::names::ZoneName;
 use apricotdale_core::policy::AdmissionPolicy;
 use apricotdale_core::policy::Candidate;
+use apricotdale_core::policy::RetryPolicy;
 use apricotdale_core::refusal::Refusal;
 use apricotdale_core::refusal::RefusalReason;
 use apricotdale_core::serving::Clock;
@@ -167,6 +168,16 @@
         options: Options,
         http: apricotdale_http::Options,
         admission: Box<dyn AdmissionPolicy>,
+    ) -> Self {
+        let retry = Box::new(CountedRetries { max_tries: 3 });
+        Self::with_policies(options, http, admission, retry)
+    }
+
+    pub fn with_policies(
+        options: Options,
+        http: apricotdale_http::Options,
+        admission: Box<dyn AdmissionPolicy>,
+        retry: Box<dyn RetryPolicy>,
     ) -> Self {
         let directory = Arc::new(FakeDirectory::default());
         let engine = Arc::new(FakeEngine::default());
@@ -185,7 +196,7 @@
             service: service.clone(),
             routing: Box::new(FirstUntried),
             admission,
-            retry: Box::new(CountedRetries { max_tries: 3 }),
+            retry,
         };
         let gateway = Arc::new(Gateway::new(options, parts).expect("a gateway"));
         let listener = TcpListener::bind("127.0.0.1:0").expect("a free port");
--- a/crates/gateway/tests/support/policies.rs
+++ b/crates/gateway/tests/support/policies.rs
@@ -60,6 +60,17 @@
     }
 }
 
+/// `BlindRetries` retries everything, also what a caller has seen a part of.
+pub struct BlindRetries;
+
+impl RetryPolicy for BlindRetries {
+    fn first_try(&mut self, _now_ms: u64, _group: &GroupName) {}
+
+    fn decide(&mut self, _now_ms: u64, _request: &RetryRequest) -> RetryDecision {
+        RetryDecision::RetryAfterMs(0)
+    }
+}
+
 /// `CapacityAdmission` starts requests in order as long as there is room, and refuses one caller.
 #[derive(Default)]
 pub struct CapacityAdmission {
