An engine's stream is one by its content type, and only 200 begins one

Cause: the adapter took a stream for one by its content type in any case of letters, the relay by status 200 and lower case; where they differed, the first event went out as a whole body. ServeHead::is_event_stream is now asked by both. Of other answers the relay passes on only what docs/PLATFORM.md has: 200, and a body of 4xx; 1xx to 3xx and other 2xx fail the try, as 5xx did.

--- a/crates/adapters/src/serving.rs
+++ b/crates/adapters/src/serving.rs
@@ -31,7 +31,6 @@
 
 const REQUEST_ID: &str = "X-Request-Id";
 const PRIORITY: &str = "X-Priority";
-const EVENT_STREAM: &str = "text/event-stream";
 const READ_BYTES: usize = 8 * 1024;
 
 impl EngineServing for HttpEngine {
@@ -51,7 +50,7 @@
         let incoming = exchange::send(&self.http, outgoing)?;
         let limit_bytes = self.options.piece_limit_bytes;
         let head = head(&incoming.response);
-        match is_event_stream(&head.content_type) {
+        match head.is_event_stream() {
             true => Ok(Box::new(StreamAnswer::new(
                 head,
                 incoming,
@@ -85,10 +84,6 @@
     }
 }
 
-fn is_event_stream(content_type: &str) -> bool {
-    content_type.to_ascii_lowercase().starts_with(EVENT_STREAM)
-}
-
 fn head(response: &Response<Body>) -> ServeHead {
     let id = response
         .headers()
--- a/crates/core/src/engine.rs
+++ b/crates/core/src/engine.rs
@@ -11,6 +11,8 @@
 use crate::numbers::BootId;
 use crate::numbers::FencingNumber;
 
+const EVENT_STREAM: &str = "text/event-stream";
+
 /// `LoadOrder` tells an engine to load a model or an adapter.
 #[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub struct LoadOrder {
@@ -208,6 +210,14 @@
     pub id: Option<RequestId>,
 }
 
+impl ServeHead {
+    /// Returns whether the answer comes event by event.
+    pub fn is_event_stream(&self) -> bool {
+        let essence = self.content_type.split(';').next().unwrap_or_default();
+        essence.trim().eq_ignore_ascii_case(EVENT_STREAM)
+    }
+}
+
 /// `ServeAnswer` is an engine's answer as it arrives.
 pub trait ServeAnswer: Send {
     /// Returns the beginning of the answer.
--- a/crates/gateway/src/relay.rs
+++ b/crates/gateway/src/relay.rs
@@ -24,7 +24,6 @@
 use crate::shared::Shared;
 use crate::trace::Step;
 
-const EVENT_STREAM: &str = "text/event-stream";
 const MODEL_NOT_LOADED: &str = "model_not_loaded";
 
 /// `Relayed` is what follows from an event of the engine.
@@ -106,14 +105,17 @@
 
     fn begin(&mut self, head: ServeHead) -> Relayed {
         self.first_byte_ms = Some(self.shared.now_ms());
+        let is_stream = head.is_event_stream();
         let shape = match head.status {
-            404 | 503 => Shape::NotRun,
-            408 | 429 | 500.. => {
+            200 if is_stream => Shape::Stream,
+            200 => Shape::Whole,
+            503 => Shape::NotRun,
+            404 if !is_stream => Shape::NotRun,
+            400..=499 if !is_stream && !matches!(head.status, 408 | 429) => Shape::Whole,
+            _ => {
                 let detail = format!("the engine answered {}", head.status);
                 return self.fail(RefusalReason::UpstreamBadAnswer, Ran::Unknown, detail);
             }
-            200 if head.content_type.starts_with(EVENT_STREAM) => Shape::Stream,
-            _ => Shape::Whole,
         };
         let is_own = match &head.id {
             Some(id) => *id == self.context.id,
