Lines of an event may end in a carriage return alone

Cause: classify looked for fields with str::lines, which knows no carriage return alone; an event whose first line is not its data had none then, counted as a comment and was left out of a stream that still ended as whole. Evidence: events_of_any_line_end (carriage_return) failed before and passes now.

--- a/crates/gateway/src/events.rs
+++ b/crates/gateway/src/events.rs
@@ -71,7 +71,7 @@
 }
 
 fn field_values<'a>(text: &'a str, field: &'a str) -> impl Iterator<Item = &'a str> {
-    text.lines().filter_map(move |line| {
+    text.split(['\n', '\r']).filter_map(move |line| {
         let value = line.strip_prefix(field)?.strip_prefix(':')?;
         Some(value.strip_prefix(' ').unwrap_or(value))
     })
