A second engine is never asked behind part of an answer, whatever the policy says

Cause: only RetryPolicy knew that an answer had begun; Answer::send_event would have appended another engine's events to it. The flow now keeps to it by itself. Delivery is not used here: it joins and checks numbered events and writes their framing, while events here carry no numbers, are never joined, and crates/http frames them.

--- a/crates/gateway/src/model_flow.rs
+++ b/crates/gateway/src/model_flow.rs
@@ -277,8 +277,11 @@
             tries: self.tries,
             left_ms: u64::try_from(left.as_millis()).unwrap_or(u64::MAX),
         };
-        self.shared
-            .decide_retry(&request, failure.ran, &self.context.trace)
+        let pause = self
+            .shared
+            .decide_retry(&request, failure.ran, &self.context.trace);
+        // Events carry no numbers: whether another run fits behind a part of this one can't be told.
+        pause.filter(|_| !self.answer.has_begun())
     }
 
     /// Ends a run that nobody waits for any more. Before a retry it is not done: the retry has the
