Tests: fresh weights where nothing was given; bodies of plain services that may be cut

join_search did not tell a position that is kept for the next run though nothing was given (a trial); with it, it is planted again. body_that_may_be_cut asks a plain service too.

--- a/crates/adapters/tests/early_closes.rs
+++ b/crates/adapters/tests/early_closes.rs
@@ -14,6 +14,8 @@
 use apricotdale_core::errors::Error;
 use apricotdale_core::errors::Result;
 use apricotdale_core::names::RequestId;
+use apricotdale_core::service::ServiceAnswer;
+use apricotdale_core::service::ServiceCall;
 use support::LONG_MS;
 use support::PATIENCE;
 use support::Server;
@@ -81,6 +83,20 @@
     }
 }
 
+fn ask_service(server: &Server) -> Result<ServiceAnswer> {
+    let call = ServiceCall {
+        id: RequestId::new("r-1"),
+        method: "POST".to_owned(),
+        path: "/slots".to_owned(),
+        content_type: "text/plain".to_owned(),
+        body: b"slot 7".to_vec(),
+        key: None,
+        timeout_ms: LONG_MS,
+    };
+    let service = http_adapters(&options_at(server.address, LONG_MS)).service;
+    service.call(server.address, &call)
+}
+
 /// Guards against a stream that counts as whole though its end mark has not come, whatever the
 /// framing of its body says.
 #[rstest]
@@ -124,11 +140,17 @@
 #[case::identity("\r\nTransfer-Encoding: identity", "half")]
 #[case::no_number("\r\nContent-Length: many", "half")]
 fn body_that_may_be_cut(#[case] framing: &str, #[case] body: &str) {
-    let (server, is_played) = closing(format!("HTTP/1.1 200 X\r\n{WHOLE}{framing}\r\n\r\n{body}"));
+    let answer = format!("HTTP/1.1 200 X\r\n{WHOLE}{framing}\r\n\r\n{body}");
+    let (server, is_played) = closing(answer.clone());
     let got = ask(&server);
     is_played.recv_timeout(PATIENCE).expect("it is played");
     assert!(got.pieces.is_empty(), "{:?}", got.pieces);
     assert!(matches!(got.end, Err(Error::Unknown(_))), "{:?}", got.end);
+
+    let (server, is_played) = closing(answer);
+    let outcome = ask_service(&server);
+    is_played.recv_timeout(PATIENCE).expect("it is played");
+    assert!(matches!(outcome, Err(Error::Unknown(_))), "{outcome:?}");
 }
 
 /// Guards against chunks that are announced in a version of the protocol that has none, so that the
--- a/crates/delivery/tests/join_search/course.rs
+++ b/crates/delivery/tests/join_search/course.rs
@@ -15,6 +15,8 @@
 
 const HEAD_LIMIT_BYTES: usize = 1024;
 
+const FRESH_VERSION: u64 = 9;
+
 pub const REFUSAL: &[u8] = b"HTTP/1.1 503 Service Unavailable\r\nContent-Length: 2\r\n\r\nno";
 
 /// `Course` is a request, and what the engines do that are asked in turn.
@@ -131,10 +133,11 @@
             Way::OversizeLateNumber => from == 1,
             _ => false,
         };
+        let begun = delivery.has_begun();
         if is_good && index > 0 {
-            run.version = None;
+            // Where nothing was given, the weights of runs before do not matter.
+            run.version = (spec.names_version && !begun).then_some(FRESH_VERSION);
         }
-        let begun = delivery.has_begun();
         let is_like_begun = played.runs.iter().all(|it| !begun || it.status == 200);
         let fits = is_good && from <= self.events && is_like_begun;
         played.should_end |= fits;
