--- a/crates/gateway/tests/half_answers.rs
+++ b/crates/gateway/tests/half_answers.rs
@@ -184,3 +184,20 @@
     let text = String::from_utf8_lossy(&bytes);
     assert!(!text.contains("[DONE]"));
 }
+
+/// Guards against a stream that is given up because its caller seems gone, and looks whole to a
+/// caller that has only ended its own side.
+#[test]
+fn half_closed_caller_sees_no_end() {
+    let bench = Bench::warm();
+    let acts = vec![stream_head(), event("a"), Act::Hold, event("b"), done()];
+    bench.engine.script(acts);
+    let mut caller = bench.caller();
+    caller.stream(&[]);
+    caller.head();
+    assert!(matches!(caller.piece(), Piece::Data(text) if text.contains("\"a\"")));
+    let held = bench.engine.wait_held();
+    caller.close_sending();
+    assert_eq!(bench.engine.wait_cancelled(), held);
+    assert_eq!(caller.pieces(), (Vec::new(), Piece::Cut));
+}
--- a/crates/gateway/tests/support/caller.rs
+++ b/crates/gateway/tests/support/caller.rs
@@ -4,6 +4,7 @@
 use std::io::BufReader;
 use std::io::Read;
 use std::io::Write;
+use std::net::Shutdown;
 use std::net::SocketAddr;
 use std::net::TcpStream;
 
@@ -134,6 +135,14 @@
         answer
     }
 
+    /// Ends the caller's side of the connection, so that it only reads from now on.
+    pub fn close_sending(&mut self) {
+        let stream = self.reader.get_mut();
+        stream
+            .shutdown(Shutdown::Write)
+            .expect("an open connection");
+    }
+
     /// Returns all bytes up to the end of the connection.
     pub fn rest(&mut self) -> Vec<u8> {
         let mut bytes = Vec::new();
