--- a/crates/delivery/src/delivery.rs
+++ b/crates/delivery/src/delivery.rs
@@ -8,7 +8,7 @@
 use apricotdale_http1::append_status_line;
 
 use crate::errors::Misfit;
-use crate::event::EventFields;
+use crate::event::FieldReader;
 use crate::options::Options;
 use crate::position::Position;
 use crate::splitter::EventSplitter;
@@ -41,6 +41,8 @@
     Events(Events),
     /// Its body, as far as it is held back.
     Body(Vec<u8>),
+    /// One of its events did not fit.
+    Refused(Misfit),
 }
 
 #[derive(Clone, Debug, Default)]
@@ -49,8 +51,8 @@
     /// Whether it goes on behind another upstream's events.
     goes_on: bool,
     has_event: bool,
-    /// The fields of an event that is passed on in parts.
-    oversize: EventFields,
+    /// The fields of the event in progress.
+    reader: FieldReader,
 }
 
 /// `Closing` is how an answer ends that no upstream ends.
@@ -108,7 +110,9 @@
     pub fn status(&self) -> Option<u16> {
         match self.run {
             Run::Awaited => None,
-            Run::Events(_) | Run::Body(_) => self.head.as_ref().map(|head| head.status),
+            Run::Events(_) | Run::Body(_) | Run::Refused(_) => {
+                self.head.as_ref().map(|head| head.status)
+            }
         }
     }
 
@@ -159,8 +163,11 @@
     /// # Errors
     ///
     /// [`Misfit`] for the first event that does not follow the one before. Those before it are
-    /// appended all the same.
+    /// appended all the same, and nothing behind it. [`Misfit::Closed`] behind the end of the answer.
     pub fn body(&mut self, bytes: &[u8], closes: bool, out: &mut Vec<u8>) -> Result<(), Misfit> {
+        if self.is_closed() {
+            return Err(Misfit::Closed);
+        }
         match &mut self.run {
             Run::Awaited => Ok(()),
             Run::Events(events) => {
@@ -168,8 +175,12 @@
                 let mut passed = Vec::new();
                 let fits = self.pass_events(&mut passed);
                 self.write_part(&passed, Given::Events, closes, out);
+                if let Err(misfit) = fits {
+                    self.run = Run::Refused(misfit);
+                }
                 fits
             }
+            Run::Refused(misfit) => Err(*misfit),
             Run::Body(held) => {
                 held.extend_from_slice(bytes);
                 if self.given == Given::Body || held.len() > HELD_BYTES {
@@ -185,10 +196,15 @@
     ///
     /// # Errors
     ///
-    /// [`Misfit::Unfinished`] and [`Misfit::Empty`]; [`Misfit::Closed`] if no head was taken in.
+    /// [`Misfit::Unfinished`] and [`Misfit::Empty`]; the misfit of an event before;
+    /// [`Misfit::Closed`] if no head was taken in, and behind the end of the answer.
     pub fn end(&mut self, closes: bool, out: &mut Vec<u8>) -> Result<(), Misfit> {
+        if self.is_closed() {
+            return Err(Misfit::Closed);
+        }
         let held = match &mut self.run {
             Run::Awaited => return Err(Misfit::Closed),
+            Run::Refused(misfit) => return Err(*misfit),
             Run::Events(events) if events.splitter.is_inside_event() => {
                 return Err(Misfit::Unfinished);
             }
@@ -227,6 +243,10 @@
         }
     }
 
+    fn is_closed(&self) -> bool {
+        matches!(self.given, Given::Whole | Given::Broken)
+    }
+
     /// Appends the pieces of a stream that fit.
     fn pass_events(&mut self, passed: &mut Vec<u8>) -> Result<(), Misfit> {
         let Run::Events(events) = &mut self.run else {
@@ -235,28 +255,27 @@
         let version_field = self.options.version_field;
         let follows = events.goes_on || self.position.last_id().is_some();
         while let Some(piece) = events.splitter.next_piece() {
-            let bytes = match &piece {
-                Piece::Event(bytes) | Piece::Beginning(bytes) => {
-                    let fields = EventFields::read(bytes, version_field);
-                    let must_be_numbered = follows && !events.has_event;
-                    self.position.check(&fields, must_be_numbered)?;
-                    events.has_event |= fields.has_content;
-                    match piece {
-                        Piece::Event(_) => self.position.end_event(&fields),
-                        _ => {
-                            events.oversize = fields;
-                            self.position.begin_event();
-                        }
-                    }
-                    bytes
-                }
-                Piece::More(bytes) => bytes,
-                Piece::Last(bytes) => {
-                    self.position.end_event(&events.oversize);
-                    bytes
+            let is_first = matches!(piece, Piece::Event(_) | Piece::Beginning(_));
+            let is_last = matches!(piece, Piece::Event(_) | Piece::Last(_));
+            let (Piece::Event(bytes)
+            | Piece::Beginning(bytes)
+            | Piece::More(bytes)
+            | Piece::Last(bytes)) = piece;
+            events.reader.push(&bytes, version_field);
+            let fields = events.reader.fields();
+            if is_first || is_last {
+                let must_be_numbered = follows && !events.has_event;
+                self.position.check(&fields, must_be_numbered)?;
+                events.has_event |= fields.has_content;
+            }
+            match is_last {
+                true => {
+                    self.position.end_event(&fields);
+                    events.reader = FieldReader::default();
                 }
-            };
-            passed.extend_from_slice(bytes);
+                false => self.position.begin_event(),
+            }
+            passed.extend_from_slice(&bytes);
         }
         Ok(())
     }
--- a/crates/delivery/tests/joined_answers.rs
+++ b/crates/delivery/tests/joined_answers.rs
@@ -245,3 +245,81 @@
     let refused = || b"refused".to_vec();
     assert_eq!(delivery.close(refused), Closing::Answer(refused()));
 }
+
+/// Hands on what an upstream still sends, and returns what the caller is given of it.
+fn push_more(delivery: &mut Delivery) -> String {
+    let mut out = Vec::new();
+    let _ = delivery.body(event(3).as_bytes(), false, &mut out);
+    let _ = delivery.end(false, &mut out);
+    String::from_utf8(out).expect("text")
+}
+
+/// Guards against parts and a second end behind the end of an answer.
+#[rstest]
+#[case::stream(true)]
+#[case::body(false)]
+fn nothing_behind_the_end(#[case] is_stream: bool) {
+    let mut delivery = Delivery::new(Options {
+        is_stream,
+        ..options()
+    });
+    delivery.head(stream_head(), None).expect("it fits");
+    take(&mut delivery, &(event(1) + &event(2))).expect("they fit");
+    delivery.end(false, &mut Vec::new()).expect("it is whole");
+    assert_eq!(push_more(&mut delivery), "");
+}
+
+/// Guards against a broken answer that goes on, or is ended as whole after all.
+#[rstest]
+#[case::begun(true, Closing::Abort)]
+#[case::refused(false, Closing::Answer(Vec::new()))]
+fn nothing_behind_the_closing(#[case] is_begun: bool, #[case] closing: Closing) {
+    let mut delivery = Delivery::new(options());
+    delivery.head(stream_head(), None).expect("it fits");
+    let first = if is_begun {
+        event(1) + &event(2)
+    } else {
+        String::new()
+    };
+    take(&mut delivery, &first).expect("they fit");
+    assert_eq!(delivery.close(Vec::new), closing);
+    assert_eq!(push_more(&mut delivery), "");
+}
+
+/// Guards against an answer that is ended as whole, or goes on, behind an event that did not fit.
+#[test]
+fn nothing_behind_a_misfit() {
+    let mut delivery = begun(options());
+    delivery.head(stream_head(), None).expect("it fits");
+    let mut out = Vec::new();
+    let text = event(3) + &event(5);
+    let misfit = Err(Misfit::Gap);
+    assert_eq!(delivery.body(text.as_bytes(), false, &mut out), misfit);
+    out.clear();
+    assert_eq!(delivery.body(event(4).as_bytes(), false, &mut out), misfit);
+    assert_eq!(delivery.end(false, &mut out), misfit);
+    assert!(out.is_empty(), "{}", String::from_utf8_lossy(&out));
+    assert!(delivery.may_go_on());
+}
+
+/// Guards against a number that comes behind what is held back of its event, or is cut there, and
+/// is not looked at.
+#[rstest]
+#[case::fits("\nid: ", "1\n\n", Ok(Some(1)))]
+#[case::gap("\n", "id: 7\n\n", Err(Misfit::Gap))]
+#[case::cut("\nid: 1", "2\n\n", Err(Misfit::Gap))]
+#[case::second_number("\nid: 1\n", "id: 0\n\n", Err(Misfit::Repeated))]
+fn late_number(
+    #[case] first: &str,
+    #[case] second: &str,
+    #[case] expected: Result<Option<u64>, Misfit>,
+) {
+    let mut delivery = Delivery::new(options());
+    delivery.head(stream_head(), None).expect("it fits");
+    let part = format!("data: {}{first}", "x".repeat(300 * 1024));
+    assert!(!take(&mut delivery, &part).expect("it fits").is_empty());
+    assert!(!delivery.may_go_on());
+    let fits = take(&mut delivery, second);
+    assert_eq!(fits.map(|_| delivery.last_event()), expected);
+    assert_eq!(delivery.may_go_on(), expected.is_ok());
+}
--- a/crates/gateway/tests/support/caller.rs
+++ b/crates/gateway/tests/support/caller.rs
@@ -4,6 +4,7 @@
 use std::io::BufReader;
 use std::io::Read;
 use std::io::Write;
+use std::net::Shutdown;
 use std::net::SocketAddr;
 use std::net::TcpStream;
 
@@ -134,6 +135,33 @@
         answer
     }
 
+    /// Ends the caller's side of the connection, so that it only reads from now on.
+    pub fn close_sending(&mut self) {
+        let stream = self.reader.get_mut();
+        stream
+            .shutdown(Shutdown::Write)
+            .expect("an open connection");
+    }
+
+    /// Returns all bytes up to the end of the connection.
+    pub fn rest(&mut self) -> Vec<u8> {
+        let mut bytes = Vec::new();
+        // A connection that is reset has ended, too.
+        let _ = self.reader.read_to_end(&mut bytes);
+        bytes
+    }
+
+    /// Returns the pieces up to the end of the answer, and how it ended.
+    pub fn pieces(&mut self) -> (Vec<String>, Piece) {
+        let mut pieces = Vec::new();
+        loop {
+            match self.piece() {
+                Piece::Data(text) => pieces.push(text),
+                end => return (pieces, end),
+            }
+        }
+    }
+
     pub fn piece(&mut self) -> Piece {
         let mut size = String::new();
         match self.reader.read_line(&mut size) {
