--- a/crates/standins/src/platform/calling.rs
+++ b/crates/standins/src/platform/calling.rs
@@ -7,6 +7,7 @@
 use std::net::Shutdown;
 use std::net::SocketAddr;
 use std::net::TcpStream;
+use std::thread;
 use std::time::Duration;
 
 use apricotdale_http1::BodyDecoder;
@@ -18,6 +19,7 @@
 
 use crate::platform::serving::ID;
 use crate::platform::serving::SIGNATURE;
+use crate::platform::serving::holds;
 
 /// The host that callers name, which the routes of [`crate::platform::Site`] have.
 pub const HOST: &str = "site.example";
@@ -181,6 +183,8 @@
 pub struct Caller {
     stream: TcpStream,
     pending: Vec<u8>,
+    /// The pause before each read of an answer.
+    read_pause: Duration,
 }
 
 impl Caller {
@@ -216,6 +220,7 @@
         Ok(Self {
             stream,
             pending: Vec::new(),
+            read_pause: Duration::ZERO,
         })
     }
 
@@ -228,6 +233,11 @@
         self.stream.set_read_timeout(Some(patience))
     }
 
+    /// Reads answers slowly from now on, as over a thin link: 4 KiB after each pause.
+    pub fn read_slowly(&mut self, pause: Duration) {
+        self.read_pause = pause;
+    }
+
     /// Sends bytes.
     ///
     /// # Errors
@@ -276,6 +286,9 @@
                 }
             }
             let mut bytes = [0_u8; 4096];
+            if !self.read_pause.is_zero() {
+                thread::sleep(self.read_pause);
+            }
             match self.stream.read(&mut bytes) {
                 Ok(0) | Err(_) => return Ok(answer),
                 Ok(count) => self.pending.extend_from_slice(&bytes[..count]),
@@ -283,6 +296,35 @@
         }
     }
 
+    /// Reads until an event of a stream has come, and keeps what was read for [`Caller::answer`].
+    ///
+    /// # Errors
+    ///
+    /// `UnexpectedEof`, with what came, if the connection ends before; any of reading.
+    pub fn wait_event(&mut self, event: u64) -> io::Result<()> {
+        let line = format!("id: {event}\n");
+        let mut bytes = [0_u8; 4096];
+        while !holds(&self.pending, line.as_bytes()) {
+            match self.stream.read(&mut bytes)? {
+                0 => {
+                    let came = String::from_utf8_lossy(&self.pending).into_owned();
+                    return Err(io::Error::new(io::ErrorKind::UnexpectedEof, came));
+                }
+                count => self.pending.extend_from_slice(&bytes[..count]),
+            }
+        }
+        Ok(())
+    }
+
+    /// Tells the VM that nothing more is sent.
+    ///
+    /// # Errors
+    ///
+    /// Any of the socket.
+    pub fn shut_write(&self) -> io::Result<()> {
+        self.stream.shutdown(Shutdown::Write)
+    }
+
     /// Returns whether the VM ends the connection before it sends anything more.
     pub fn is_ended(&mut self) -> bool {
         !matches!(self.stream.read(&mut [0_u8; 64]), Ok(1..))
--- a/crates/standins/src/platform/engine.rs
+++ b/crates/standins/src/platform/engine.rs
@@ -70,6 +70,8 @@
     pub events: u64,
     /// The time between two events.
     pub gap_ms: u64,
+    /// Bytes by which each event is made larger.
+    pub filler_bytes: usize,
     /// The requests under which it ends.
     pub crashes: Vec<CrashTrigger>,
 }
@@ -89,6 +91,7 @@
             unload_ms: 20,
             events: 6,
             gap_ms: 2,
+            filler_bytes: 0,
             crashes: Vec::new(),
         }
     }
@@ -311,11 +314,16 @@
         self.answers.run_counts()
     }
 
-    /// Returns the requests whose client left while they ran without an answer.
+    /// Returns the requests whose client left while they ran.
     pub fn left(&self) -> Vec<String> {
         self.answers.left.lock().clone()
     }
 
+    /// Returns the requests whose streams were sent to their ends.
+    pub fn streamed(&self) -> Vec<String> {
+        self.answers.streamed.lock().clone()
+    }
+
     /// Returns what the engine was told and did.
     pub fn effects(&self) -> EngineEffects {
         let holdings = self.holdings.lock();
@@ -390,8 +398,9 @@
             let (events, gap_ms) = (trigger.after_events, self.options.gap_ms);
             return self.answers.events_until(request, events, gap_ms, end);
         }
+        let (filler_bytes, gap_ms) = (self.options.filler_bytes, self.options.gap_ms);
         self.answers
-            .events(request, fault, self.options.events, self.options.gap_ms)
+            .events(request, fault, self.options.events, filler_bytes, gap_ms)
     }
 }
 
--- a/crates/standins/src/platform/serving.rs
+++ b/crates/standins/src/platform/serving.rs
@@ -66,6 +66,8 @@
     Large,
     /// The body is cut after [`LARGE_BYTES`].
     LargeCut,
+    /// Nothing follows [`LARGE_BYTES`] of the body, and the connection stays open.
+    LargeStalled,
     /// The answer lacks its signature.
     Unsigned,
     /// Another request's answer comes first.
@@ -117,7 +119,9 @@
     /// Requests that ran, in order.
     pub runs: Mutex<Vec<RunSeen>>,
     /// Requests whose client left while they ran.
-    pub left: Mutex<Vec<String>>,
+    pub left: Arc<Mutex<Vec<String>>>,
+    /// Requests whose streams were sent to their ends.
+    pub streamed: Arc<Mutex<Vec<String>>>,
     /// Whether nothing is sent, as if the upstream had lost its power.
     pub dark: Arc<AtomicBool>,
 }
@@ -128,7 +132,8 @@
             instance: instance.to_owned(),
             faults: Mutex::default(),
             runs: Mutex::default(),
-            left: Mutex::default(),
+            left: Arc::default(),
+            streamed: Arc::default(),
             dark: Arc::default(),
         }
     }
@@ -202,12 +207,14 @@
             | Some(
                 AnswerFault::CutAfter { .. } | AnswerFault::Stream(_) | AnswerFault::CutThen { .. },
             ) => raw(framed(200, ""), true),
-            Some(fault @ (AnswerFault::Large | AnswerFault::LargeCut)) => {
-                let is_cut = fault == AnswerFault::LargeCut;
-                let length = LARGE_BYTES * (1 + usize::from(is_cut));
+            Some(
+                fault @ (AnswerFault::Large | AnswerFault::LargeCut | AnswerFault::LargeStalled),
+            ) => {
+                let is_whole = fault == AnswerFault::Large;
+                let length = LARGE_BYTES * (2 - usize::from(is_whole));
                 let body = "x".repeat(LARGE_BYTES);
                 let fields = format!("Content-Length: {length}\r\n\r\n{body}");
-                raw(head(200, &fields), !is_cut)
+                raw(head(200, &fields), fault != AnswerFault::LargeCut)
             }
             Some(AnswerFault::TurnedAway) => self.not_run(request, 503),
             Some(AnswerFault::Failed) => raw(framed(500, ""), true),
@@ -243,6 +250,7 @@
         request: &Request,
         fault: Option<AnswerFault>,
         count: u64,
+        filler_bytes: usize,
         gap_ms: u64,
     ) -> Reply {
         let first = first_event(request);
@@ -261,6 +269,8 @@
             }
         };
         let dark = self.dark.clone();
+        let (left, streamed) = (self.left.clone(), self.streamed.clone());
+        let id = id_of(request).to_owned();
         let produce = move |writer: &mut EventWriter| {
             for (sent, event) in (first..=count).enumerate() {
                 if cut_after == Some(sent as u64) {
@@ -269,17 +279,19 @@
                 }
                 while dark.load(Ordering::Relaxed) {
                     if writer.caller().is_gone() {
+                        left.lock().push(id);
                         return StreamEnd::Broken;
                     }
                     thread::sleep(Duration::from_millis(DARK_LOOK_MS));
                 }
-                if writer.send_bytes(event_text(event).as_bytes()).is_err()
-                    || writer.caller().is_gone()
-                {
+                let text = filled_event_text(event, filler_bytes);
+                if writer.send_bytes(text.as_bytes()).is_err() || writer.caller().is_gone() {
+                    left.lock().push(id);
                     return StreamEnd::Broken;
                 }
                 thread::sleep(Duration::from_millis(gap_ms));
             }
+            streamed.lock().push(id);
             StreamEnd::Closed
         };
         self.stream(request, Box::new(produce))
@@ -346,6 +358,16 @@
     format!("id: {event}\ndata: piece {event}\n\n")
 }
 
+fn filled_event_text(event: u64, filler_bytes: usize) -> String {
+    match filler_bytes {
+        0 => event_text(event),
+        bytes => format!(
+            "id: {event}\ndata: piece {event}\ndata: {}\n\n",
+            "x".repeat(bytes)
+        ),
+    }
+}
+
 fn id_of(request: &Request) -> &str {
     request.header(ID).unwrap_or_default()
 }
--- a/crates/standins/src/platform/site.rs
+++ b/crates/standins/src/platform/site.rs
@@ -246,6 +246,22 @@
         *self.configuration.lock() = bytes;
     }
 
+    /// Writes the last configuration again without a service and the routes to it.
+    pub fn configure_without(&self, version: u64, service: &str) {
+        let bytes = self.configuration.lock().clone();
+        let mut configuration: Value =
+            serde_json::from_slice(&bytes).expect("the site's own configuration is JSON");
+        configuration["version"] = json!(version);
+        for (list, key) in [("routes", "service"), ("services", "name")] {
+            if let Some(list) = configuration[list].as_array_mut() {
+                list.retain(|it| it[key] != service);
+            }
+        }
+        let bytes = configuration.to_string().into_bytes();
+        self.store.put("keyed.op", "config", &bytes);
+        *self.configuration.lock() = bytes;
+    }
+
     /// Lets the operators and all upstreams write theirs again, in a store that came back from an
     /// older copy.
     pub fn write_again(&self) {
