A stream whose caller reads slowly is read on

Its engine is no longer read once 256 KiB wait for the caller. What the kernel told of meanwhile was passed over, and it tells once: when the caller had taken all, nothing read the rest, and the stream stood still until its deadline. Cause: has_more was set where a read stopped at its limit only, not where it was paused.

--- a/crates/entry/src/answering.rs
+++ b/crates/entry/src/answering.rs
@@ -48,7 +48,9 @@
                 return;
             }
             if too_full {
-                connection.paused = true;
+                if connection.pause() {
+                    self.metrics.paused_answer();
+                }
                 return;
             }
             match connection.next_part() {
--- a/crates/entry/src/metrics.rs
+++ b/crates/entry/src/metrics.rs
@@ -39,6 +39,7 @@
     refusals: Family<Reason, Counter>,
     failed_tries: Family<Reason, Counter>,
     misfits: Family<Reason, Counter>,
+    paused_answers: Counter,
     calls: Family<CallLabels, Counter>,
     orders: Family<CallLabels, Counter>,
     takeovers: Counter,
@@ -83,6 +84,7 @@
             refusals: Family::default(),
             failed_tries: Family::default(),
             misfits: Family::default(),
+            paused_answers: Counter::default(),
             calls: Family::default(),
             orders: Family::default(),
             takeovers: Counter::default(),
@@ -136,6 +138,11 @@
             "Upstreams' answers that did not fit behind what the caller had been given",
             self.misfits.clone(),
         );
+        registry.register(
+            "paused_answers",
+            "Times that an upstream was not read because a caller was slow",
+            self.paused_answers.clone(),
+        );
         registry.register(
             "calls",
             "Calls to the store and engines",
@@ -295,6 +302,11 @@
             .inc();
     }
 
+    /// Counts an upstream that is no longer read because a caller is slow.
+    pub fn paused_answer(&self) {
+        self.paused_answers.inc();
+    }
+
     /// Counts a send that brought no answer.
     pub fn failed_try(&self, reason: &str) {
         self.failed_tries
--- a/crates/entry/src/outbound.rs
+++ b/crates/entry/src/outbound.rs
@@ -89,7 +89,8 @@
     to_head: bool,
     keeps: bool,
     ended: Option<ReadEnd>,
-    /// Whether reading stopped at its limit: the kernel does not tell again of what it holds then.
+    /// Whether the kernel may hold bytes of which it does not tell again: reading stopped at its
+    /// limit, or was paused.
     has_more: bool,
     /// When bytes last came, or the exchange began.
     pub heard_ms: u64,
@@ -144,9 +145,15 @@
         self.ended.is_some()
     }
 
-    /// Returns whether bytes may be there that were not read because the buffer was full.
+    /// Stops reading until the caller has taken what was read. Returns whether it was read before.
+    pub fn pause(&mut self) -> bool {
+        self.has_more = true;
+        !std::mem::replace(&mut self.paused, true)
+    }
+
+    /// Returns whether bytes may be there of which the kernel does not tell again.
     pub fn has_more(&self) -> bool {
-        self.has_more && self.input.len() < READ_LIMIT_BYTES
+        self.has_more && self.ended.is_none() && self.input.len() < READ_LIMIT_BYTES
     }
 
     /// Returns the next part of the answer.
