The end of an answer that is read late is not cut off

A request is over once its answer is queued, though up to 384 KiB may still wait in the VM for the caller. Cause: a closing connection was dropped 1 s after the answer, an idle one 1.2 s into a planned stop, and the process ended 2.6 s into it, whatever was unwritten; the time now counts from the last write, and a stop waits for what is unwritten as it does for requests.

--- a/crates/entry/src/caller.rs
+++ b/crates/entry/src/caller.rs
@@ -70,7 +70,7 @@
     phase: Phase,
     /// Whether the connection ends after the answer in progress.
     pub close_after: bool,
-    /// When the connection was last used, or when the head in progress began.
+    /// When the connection was last used or written to, or when the head in progress began.
     since_ms: u64,
     ended: Option<ReadEnd>,
 }
@@ -190,7 +190,12 @@
 
     /// Returns whether the connection waits for a request of which nothing has come.
     pub fn is_idle(&self) -> bool {
-        matches!(self.phase, Phase::Head) && self.input.is_empty()
+        matches!(self.phase, Phase::Head) && self.input.is_empty() && !self.has_unwritten()
+    }
+
+    /// Returns whether the caller has not been sent all that it was given.
+    pub fn has_unwritten(&self) -> bool {
+        self.stream.unwritten_bytes() > 0
     }
 
     /// Ends the answer in progress. Returns whether another request may follow.
@@ -213,13 +218,18 @@
     }
 
     /// Writes what can be written. Returns whether the connection should be dropped now.
-    pub fn flush(&mut self) -> bool {
+    pub fn flush(&mut self, now_ms: u64) -> bool {
+        let sent_bytes = self.stream.sent_bytes;
         if !self.stream.flush() {
             return true;
         }
-        let written = self.stream.unwritten_bytes() == 0;
+        if self.stream.sent_bytes > sent_bytes {
+            self.since_ms = now_ms;
+        }
+        let written = !self.has_unwritten();
         match &mut self.phase {
-            Phase::Closing { shut, .. } if written && !*shut => {
+            Phase::Closing { until_ms, shut } if written && !*shut => {
+                *until_ms = now_ms + LINGER_MS;
                 *shut = true;
                 self.stream.shut_write();
                 self.ended.is_some()
@@ -233,6 +243,9 @@
     pub fn is_over(&self, now_ms: u64, limits: &CallerLimits) -> bool {
         let age_ms = now_ms.saturating_sub(self.since_ms);
         match &self.phase {
+            Phase::Head | Phase::Closing { .. } if self.has_unwritten() => {
+                age_ms > limits.idle_timeout_ms
+            }
             Phase::Head if self.input.is_empty() => age_ms > limits.idle_timeout_ms,
             Phase::Head => age_ms > limits.head_timeout_ms,
             Phase::Body { .. } => age_ms > limits.head_timeout_ms + limits.idle_timeout_ms,
--- a/crates/entry/src/connections.rs
+++ b/crates/entry/src/connections.rs
@@ -23,7 +23,7 @@
             let Some(caller) = self.callers.get_mut(&token) else {
                 return;
             };
-            if caller.flush() {
+            if caller.flush(now_ms) {
                 self.drop_caller(token, false);
                 return;
             }
@@ -168,7 +168,7 @@
         if let Some(caller) = self.callers.get_mut(&token) {
             caller.close_after |= stops && caller.kind == CallerKind::Serving;
             caller.answered(now_ms);
-            caller.flush();
+            caller.flush(now_ms);
             self.answered.push(token);
         }
     }
--- a/crates/entry/src/daemon.rs
+++ b/crates/entry/src/daemon.rs
@@ -228,7 +228,7 @@
     pub fn run(mut self) -> Result<()> {
         self.log_start();
         let mut events = Events::with_capacity(EVENTS);
-        while !self.stopping.is_done(self.now_ms, self.active.len()) {
+        while !self.is_stopped() {
             let sleep_ms = self.sleep_ms();
             match self
                 .poll
--- a/crates/entry/src/stopping.rs
+++ b/crates/entry/src/stopping.rs
@@ -4,6 +4,7 @@
 use apricotdale_core::refusal::RefusalReason;
 use apricotdale_telemetry::LogOptions;
 
+use crate::caller::Caller;
 use crate::daemon::Daemon;
 use crate::errors::Result;
 use crate::settings::Settings;
@@ -75,10 +76,10 @@
             .map(|since_ms| now_ms.saturating_sub(since_ms))
     }
 
-    /// Returns whether the process may end now.
-    pub fn is_done(self, now_ms: u64, requests: usize) -> bool {
+    /// Returns whether the process may end now. `is_busy` says whether answers are in progress.
+    fn is_done(self, now_ms: u64, is_busy: impl FnOnce() -> bool) -> bool {
         self.age_ms(now_ms).is_some_and(|age_ms| {
-            let is_empty = requests == 0 && age_ms >= STILL_SERVING_MS;
+            let is_empty = age_ms >= STILL_SERVING_MS && !is_busy();
             is_empty || age_ms >= self.stop_ms.saturating_sub(STOP_MARGIN_MS)
         })
     }
@@ -98,6 +99,14 @@
         self.peers.say_goodbye();
     }
 
+    /// Returns whether a planned stop is done.
+    pub(crate) fn is_stopped(&self) -> bool {
+        self.stopping.is_done(self.now_ms, || {
+            let mut callers = self.callers.values();
+            self.active.len() > 0 || callers.any(Caller::has_unwritten)
+        })
+    }
+
     /// Refuses the requests that still wait when a stopping process has little time left. Without
     /// this they would end with the process, unanswered.
     pub(crate) fn hand_back_waiting(&mut self) {
--- a/crates/standins/src/platform/calling.rs
+++ b/crates/standins/src/platform/calling.rs
@@ -7,7 +7,6 @@
 use std::net::Shutdown;
 use std::net::SocketAddr;
 use std::net::TcpStream;
-use std::thread;
 use std::time::Duration;
 
 use apricotdale_http1::BodyDecoder;
@@ -183,8 +182,6 @@
 pub struct Caller {
     stream: TcpStream,
     pending: Vec<u8>,
-    /// The pause before each read of an answer.
-    read_pause: Duration,
 }
 
 impl Caller {
@@ -220,7 +217,6 @@
         Ok(Self {
             stream,
             pending: Vec::new(),
-            read_pause: Duration::ZERO,
         })
     }
 
@@ -233,11 +229,6 @@
         self.stream.set_read_timeout(Some(patience))
     }
 
-    /// Reads answers slowly from now on, as over a thin link: 4 KiB after each pause.
-    pub fn read_slowly(&mut self, pause: Duration) {
-        self.read_pause = pause;
-    }
-
     /// Sends bytes.
     ///
     /// # Errors
@@ -286,9 +277,6 @@
                 }
             }
             let mut bytes = [0_u8; 4096];
-            if !self.read_pause.is_zero() {
-                thread::sleep(self.read_pause);
-            }
             match self.stream.read(&mut bytes) {
                 Ok(0) | Err(_) => return Ok(answer),
                 Ok(count) => self.pending.extend_from_slice(&bytes[..count]),
