--- a/crates/standins/src/platform/calling.rs
+++ b/crates/standins/src/platform/calling.rs
@@ -18,6 +18,7 @@
 
 use crate::platform::serving::ID;
 use crate::platform::serving::SIGNATURE;
+use crate::platform::serving::holds;
 
 /// The host that callers name, which the routes of [`crate::platform::Site`] have.
 pub const HOST: &str = "site.example";
@@ -283,6 +284,35 @@
         }
     }
 
+    /// Reads until an event of a stream has come, and keeps what was read for [`Caller::answer`].
+    ///
+    /// # Errors
+    ///
+    /// `UnexpectedEof`, with what came, if the connection ends before; any of reading.
+    pub fn wait_event(&mut self, event: u64) -> io::Result<()> {
+        let line = format!("id: {event}\n");
+        let mut bytes = [0_u8; 4096];
+        while !holds(&self.pending, line.as_bytes()) {
+            match self.stream.read(&mut bytes)? {
+                0 => {
+                    let came = String::from_utf8_lossy(&self.pending).into_owned();
+                    return Err(io::Error::new(io::ErrorKind::UnexpectedEof, came));
+                }
+                count => self.pending.extend_from_slice(&bytes[..count]),
+            }
+        }
+        Ok(())
+    }
+
+    /// Tells the VM that nothing more is sent.
+    ///
+    /// # Errors
+    ///
+    /// Any of the socket.
+    pub fn shut_write(&self) -> io::Result<()> {
+        self.stream.shutdown(Shutdown::Write)
+    }
+
     /// Returns whether the VM ends the connection before it sends anything more.
     pub fn is_ended(&mut self) -> bool {
         !matches!(self.stream.read(&mut [0_u8; 64]), Ok(1..))
