A connection whose answer did not fit at its end is used or closed

Its answer is whole by its framing, so it goes back to the idle ones; then it was marked as being drained. Such a connection is neither swept when its time is over nor closed when the other end closes it, and one that was not taken again by chance stayed open for good. Draining also leaves connections alone that have another purpose by now.

--- a/crates/entry/src/answering.rs
+++ b/crates/entry/src/answering.rs
@@ -86,6 +86,9 @@
             let Some(connection) = self.outbound.get_mut(token) else {
                 return;
             };
+            if connection.purpose != Purpose::Drain {
+                return;
+            }
             match connection.next_part() {
                 Part::Head(_) | Part::Body(_) => {}
                 Part::Wait if connection.has_more() => connection.read(now_ms),
@@ -169,7 +172,9 @@
         }
         match misfit {
             // The run has ended.
-            Misfit::Status | Misfit::Unfinished | Misfit::Empty => self.drain(token),
+            Misfit::Status => self.drain(token),
+            // The answer has ended too, and its connection was released.
+            Misfit::Unfinished | Misfit::Empty => {}
             // The upstream may still work on it, and must not do so beside the next one.
             _ => {
                 self.outbound.close(token, self.poll.registry());
