Events are split off without a copy of all that follow

At the end of a stream the line feed is passed on whose carriage return was the end of the last event. Evidence: last_line_end_in_two_pieces lost that byte of the engine's body.

--- a/crates/delivery/src/delivery.rs
+++ b/crates/delivery/src/delivery.rs
@@ -195,7 +195,7 @@
             Run::Events(events) if events.goes_on && !events.has_event => {
                 return Err(Misfit::Empty);
             }
-            Run::Events(_) => Vec::new(),
+            Run::Events(events) => events.splitter.rest().to_vec(),
             Run::Body(held) => std::mem::take(held),
         };
         match (self.given, &self.head) {
--- a/crates/delivery/src/splitter.rs
+++ b/crates/delivery/src/splitter.rs
@@ -21,6 +21,8 @@
 #[derive(Clone, Debug, Default)]
 pub struct EventSplitter {
     pending: Vec<u8>,
+    /// Where the event in progress begins in `pending`.
+    start: usize,
     /// How much of `pending` was looked at.
     scanned: usize,
     in_line: bool,
@@ -33,36 +35,44 @@
 impl EventSplitter {
     /// Takes in bytes of the stream.
     pub fn push(&mut self, bytes: &[u8]) {
+        self.pending.drain(..self.start);
+        self.scanned -= self.start;
+        self.start = 0;
         self.pending.extend_from_slice(bytes);
     }
 
     /// Returns the next piece; none if more bytes are needed.
     pub fn next_piece(&mut self) -> Option<Piece> {
         if let Some(end) = self.find_end() {
-            let rest = self.pending.split_off(end);
-            let event = std::mem::replace(&mut self.pending, rest);
-            self.scanned = 0;
+            let event = self.pending[self.start..end].to_vec();
+            self.start = end;
             return Some(match std::mem::take(&mut self.is_oversize) {
                 true => Piece::Last(event),
                 false => Piece::Event(event),
             });
         }
-        let is_passed_on = self.is_oversize && !self.pending.is_empty();
-        if !is_passed_on && self.pending.len() <= MAX_EVENT_BYTES {
+        let unfinished = &self.pending[self.start..];
+        let is_passed_on = self.is_oversize && !unfinished.is_empty();
+        if !is_passed_on && unfinished.len() <= MAX_EVENT_BYTES {
             return None;
         }
-        self.scanned = 0;
-        let part = std::mem::take(&mut self.pending);
+        let part = unfinished.to_vec();
+        self.start = self.pending.len();
         Some(match std::mem::replace(&mut self.is_oversize, true) {
             true => Piece::More(part),
             false => Piece::Beginning(part),
         })
     }
 
+    /// Returns what is left at the end of a whole stream.
+    pub fn rest(&self) -> &[u8] {
+        &self.pending[self.start..]
+    }
+
     /// Returns whether the stream is in the middle of an event.
     pub fn is_inside_event(&self) -> bool {
         // A line feed that completes a line end belongs to the event before.
-        self.is_oversize || self.pending.iter().any(|byte| *byte != b'\n')
+        self.is_oversize || self.rest().iter().any(|byte| *byte != b'\n')
     }
 
     /// Returns where the event in progress ends.
--- a/crates/delivery/tests/joined_answers.rs
+++ b/crates/delivery/tests/joined_answers.rs
@@ -245,3 +245,16 @@
     let refused = || b"refused".to_vec();
     assert_eq!(delivery.close(refused), Closing::Answer(refused()));
 }
+
+/// Guards against the last byte of a stream that is lost: the upstream sends the two bytes of its last
+/// line end apart.
+#[test]
+fn last_line_end_in_two_pieces() {
+    let mut delivery = Delivery::new(options());
+    delivery.head(stream_head(), None).expect("it fits");
+    take(&mut delivery, "id: 1\r\ndata: a\r\n\r").expect("it fits");
+    take(&mut delivery, "\n").expect("it fits");
+    let mut out = Vec::new();
+    delivery.end(false, &mut out).expect("it is whole");
+    assert_eq!(String::from_utf8_lossy(&out), "1\r\n\n\r\n0\r\n\r\n");
+}
