The number of a large event is read once its line is whole

An event of more than 256 KiB is passed on in parts. If the first part ended within the line of its number, half of the number was taken for it: a sound stream was broken as repeating an event, or went on elsewhere behind a wrong one.

--- a/crates/delivery/src/delivery.rs
+++ b/crates/delivery/src/delivery.rs
@@ -237,7 +237,7 @@
         while let Some(piece) = events.splitter.next_piece() {
             let bytes = match &piece {
                 Piece::Event(bytes) | Piece::Beginning(bytes) => {
-                    let fields = EventFields::read(bytes, version_field);
+                    let fields = EventFields::read(whole_lines(bytes), version_field);
                     let must_be_numbered = follows && !events.has_event;
                     self.position.check(&fields, must_be_numbered)?;
                     events.has_event |= fields.has_content;
@@ -274,6 +274,13 @@
     }
 }
 
+/// Returns the lines of which the end has come.
+fn whole_lines(bytes: &[u8]) -> &[u8] {
+    let is_end = |byte: &u8| matches!(byte, b'\n' | b'\r');
+    let end = bytes.iter().rposition(is_end);
+    &bytes[..end.map_or(0, |end| end + 1)]
+}
+
 fn has_events(head: &ResponseHead) -> bool {
     let content_type = head.headers.text("Content-Type").unwrap_or_default();
     let essence = content_type.split(';').next().unwrap_or_default();
--- a/crates/delivery/tests/joined_answers.rs
+++ b/crates/delivery/tests/joined_answers.rs
@@ -258,3 +258,19 @@
     delivery.end(false, &mut out).expect("it is whole");
     assert_eq!(String::from_utf8_lossy(&out), "1\r\n\n\r\n0\r\n\r\n");
 }
+
+/// Guards against a number that is read by half: an event that is too large to be held back arrives in
+/// parts, and one ends within its number.
+#[test]
+fn number_in_two_parts() {
+    let mut delivery = Delivery::new(Options {
+        last_event: Some(11),
+        ..options()
+    });
+    delivery.head(stream_head(), None).expect("it fits");
+    take(&mut delivery, &event(12)).expect("it fits");
+    let part = format!("data: {}\nid: 1", "x".repeat(300 * 1024));
+    take(&mut delivery, &part).expect("its number has not come");
+    take(&mut delivery, "3\n\n").expect("it fits");
+    assert!(!delivery.may_go_on());
+}
