A stream that may run once is served behind the event its caller has

Last-Event-Id was forwarded on such a route, but the first event was expected all the same: what the engine sent behind the caller's last event did not fit, after it had run. Its place is not judged there now, since an engine need not heed it; its numbers are.

--- a/crates/delivery/src/delivery.rs
+++ b/crates/delivery/src/delivery.rs
@@ -233,7 +233,8 @@
             return Ok(());
         };
         let version_field = self.options.version_field;
-        let follows = events.goes_on || self.position.last_id().is_some();
+        let is_resumed = self.options.is_resumable && self.position.last_id().is_some();
+        let follows = events.goes_on || is_resumed;
         while let Some(piece) = events.splitter.next_piece() {
             let bytes = match &piece {
                 Piece::Event(bytes) | Piece::Beginning(bytes) => {
--- a/crates/delivery/src/position.rs
+++ b/crates/delivery/src/position.rs
@@ -18,10 +18,15 @@
 impl Position {
     /// Returns the position before the first event.
     pub(crate) fn start(options: &Options) -> Self {
-        let last_id = options.last_event.filter(|_| options.is_resumable);
+        let next_id = match options.last_event {
+            Some(id) if options.is_resumable => id.checked_add(1),
+            // Where a stream can't be resumed, upstreams need not heed the caller's place.
+            Some(_) => None,
+            None => options.first_event,
+        };
         Self {
-            last_id,
-            next_id: last_id.map_or(options.first_event, |id| id.checked_add(1)),
+            last_id: options.last_event,
+            next_id,
             is_lost: false,
             version: None,
         }
--- a/crates/delivery/tests/joined_answers.rs
+++ b/crates/delivery/tests/joined_answers.rs
@@ -259,6 +259,23 @@
     assert_eq!(String::from_utf8_lossy(&out), "1\r\n\n\r\n0\r\n\r\n");
 }
 
+/// Guards against a caller that resumes a stream which may run once, and whose events are taken for ones
+/// that do not fit. Upstreams may or may not heed its place there.
+#[rstest]
+fn caller_resumes_what_runs_once(#[values(1, 5)] first: u64) {
+    let mut delivery = Delivery::new(Options {
+        is_resumable: false,
+        last_event: Some(4),
+        ..options()
+    });
+    assert_eq!(delivery.last_event(), Some(4));
+    delivery.head(stream_head(), None).expect("it fits");
+    take(&mut delivery, &event(first)).expect("it fits");
+    assert!(!delivery.may_go_on());
+    let skipped = event(first + 2);
+    assert_eq!(take(&mut delivery, &skipped), Err(Misfit::Gap));
+}
+
 /// Guards against a number that is read by half: an event that is too large to be held back arrives in
 /// parts, and one ends within its number.
 #[test]
--- a/crates/entry/src/serving.rs
+++ b/crates/entry/src/serving.rs
@@ -327,7 +327,7 @@
         let fields = ForwardFields {
             instance,
             left_ms: request.job.deadline_ms.saturating_sub(now_ms),
-            last_event: request.delivery.last_event().or(request.serving.last_event),
+            last_event: request.delivery.last_event(),
             rank: request.job.rank,
             organisation: request.organisation.as_ref().map(|it| it.name.clone()),
         };
