An answer that is not taken is left, not read to its end

A stream without its signature, or with another status than what was begun, was read on for nobody while the next engine was asked: the first worked on it to its end, beside the second (the users allow 400 ms). Such a connection is closed now; one on which an engine says that the request has not run is drained as before. Evidence: untaken_stream_is_given_up waited 20 s in vain, now both engines learn of it at once.

--- a/crates/entry/src/answering.rs
+++ b/crates/entry/src/answering.rs
@@ -141,7 +141,10 @@
                 if failed == FailedTry::Misdirected {
                     self.note_misdirected(key, &fields);
                 }
-                self.drain(token);
+                match failed.is_not_run() {
+                    true => self.drain(token),
+                    false => self.leave(token),
+                }
                 self.try_failed(key, failed);
                 self.advance_drain(token);
             }
@@ -155,6 +158,12 @@
         }
     }
 
+    /// Closes the connection of an upstream that may still work on a request, and must not do so
+    /// beside the next one.
+    fn leave(&mut self, token: Token) {
+        self.outbound.close(token, self.poll.registry());
+    }
+
     /// Gives up an answer that does not fit behind what the caller has been given.
     fn answer_does_not_fit(&mut self, token: Token, key: u64, misfit: Misfit) {
         self.metrics.misfit(misfit.as_str());
@@ -171,17 +180,11 @@
             );
         }
         match misfit {
-            // The run has ended.
-            Misfit::Status => self.drain(token),
-            // The answer has ended too, and its connection was released.
+            // The answer has ended, and its connection was released.
             Misfit::Unfinished | Misfit::Empty => {}
-            // The upstream may still work on it, and must not do so beside the next one.
-            _ => {
-                self.outbound.close(token, self.poll.registry());
-            }
+            _ => self.leave(token),
         }
         self.try_failed(key, FailedTry::Misfit);
-        self.advance_drain(token);
     }
 
     /// Tells that an upstream answers a request of which the caller already has a part.
--- a/crates/standins/src/platform/serving.rs
+++ b/crates/standins/src/platform/serving.rs
@@ -70,6 +70,10 @@
     LargeStalled,
     /// The answer lacks its signature.
     Unsigned,
+    /// The stream lacks its signature, and goes on.
+    UnsignedStream,
+    /// The request is turned away, not run, and the body of the answer never comes.
+    TurnedAwayStalled,
     /// Another request's answer comes first.
     CrossedFirst,
     /// Another answer follows the whole one.
@@ -163,7 +167,8 @@
     /// Returns the next fault, and notes the run unless the fault is that there is none.
     pub fn begin(&self, request: &Request) -> Option<AnswerFault> {
         let fault = self.faults.lock().pop_front();
-        if fault != Some(AnswerFault::TurnedAway) {
+        let turned_away = [AnswerFault::TurnedAway, AnswerFault::TurnedAwayStalled];
+        if fault.is_none_or(|fault| !turned_away.contains(&fault)) {
             self.runs.lock().push(RunSeen {
                 id: id_of(request).to_owned(),
                 method: request.method.clone(),
@@ -205,7 +210,10 @@
         match fault {
             None
             | Some(
-                AnswerFault::CutAfter { .. } | AnswerFault::Stream(_) | AnswerFault::CutThen { .. },
+                AnswerFault::CutAfter { .. }
+                | AnswerFault::Stream(_)
+                | AnswerFault::CutThen { .. }
+                | AnswerFault::UnsignedStream,
             ) => raw(framed(200, ""), true),
             Some(
                 fault @ (AnswerFault::Large | AnswerFault::LargeCut | AnswerFault::LargeStalled),
@@ -217,6 +225,12 @@
                 raw(head(200, &fields), fault != AnswerFault::LargeCut)
             }
             Some(AnswerFault::TurnedAway) => self.not_run(request, 503),
+            Some(AnswerFault::TurnedAwayStalled) => {
+                let text = format!(
+                    "HTTP/1.1 503 Status\r\n{ID}: {id}\r\n{NOT_RUN}: 1\r\nContent-Length: 2\r\n\r\n"
+                );
+                raw(text, true)
+            }
             Some(AnswerFault::Failed) => raw(framed(500, ""), true),
             Some(AnswerFault::LostAnswer) => Reply::Lost,
             Some(AnswerFault::Mute) => {
@@ -256,7 +270,7 @@
         let first = first_event(request);
         let goes_on = first > 1;
         let cut_after = match fault {
-            None => None,
+            None | Some(AnswerFault::UnsignedStream) => None,
             Some(AnswerFault::CutAfter { events }) => Some(events),
             Some(AnswerFault::CutThen { events, .. }) if !goes_on => Some(events),
             Some(AnswerFault::Stream(fault) | AnswerFault::CutThen { then: fault, .. }) => {
@@ -294,7 +308,10 @@
             streamed.lock().push(id);
             StreamEnd::Closed
         };
-        self.stream(request, Box::new(produce))
+        match fault {
+            Some(AnswerFault::UnsignedStream) => Self::unsigned(request, Box::new(produce)),
+            _ => self.stream(request, Box::new(produce)),
+        }
     }
 
     /// Returns the answer to a streaming request that stops after some events, and then does
@@ -320,15 +337,19 @@
         self.stream(request, Box::new(produce))
     }
 
-    fn stream(&self, request: &Request, produce: Produce) -> Reply {
+    fn unsigned(request: &Request, produce: Produce) -> Reply {
         Reply::Stream(Stream {
             headers: Vec::new(),
             produce,
         })
         .with_header(ID, id_of(request))
-        .with_header(SIGNATURE, &format!("s.{}", self.instance))
-        .with_header(LOAD, "1,0,8")
-        .with_header(VERSION, "1")
+    }
+
+    fn stream(&self, request: &Request, produce: Produce) -> Reply {
+        Self::unsigned(request, produce)
+            .with_header(SIGNATURE, &format!("s.{}", self.instance))
+            .with_header(LOAD, "1,0,8")
+            .with_header(VERSION, "1")
     }
 
     /// Returns how often each request ran.
