A connection that is drained is closed when nothing comes

The rest of an answer that is read for nobody had no time limit: an engine that turned a request away and sent no body kept the connection open for good.

--- a/crates/entry/src/outbound.rs
+++ b/crates/entry/src/outbound.rs
@@ -29,6 +29,9 @@
 /// milliseconds; a machine without power does not answer at all.
 const CONNECT_MS: u64 = 600;
 
+/// How long nothing may come of an answer that is read to its end for nobody.
+const DRAIN_MS: u64 = 1_000;
+
 /// How much earlier than the other end this VM closes an idle connection.
 const IDLE_MARGIN_MS: u64 = 1_000;
 
@@ -329,16 +332,20 @@
         }
     }
 
-    /// Closes connections that have been idle for too long and returns the calls whose time is
-    /// over.
+    /// Closes connections that have been idle for too long, or on which the rest of an answer does
+    /// not come, and returns the calls whose time is over.
     pub fn sweep(&mut self, now_ms: u64, registry: &Registry) -> Vec<Token> {
-        let idle_over: Vec<Token> = self
+        let over: Vec<Token> = self
             .connections
             .iter()
-            .filter(|(_, it)| it.purpose == Purpose::Idle && it.idle_until_ms <= now_ms)
+            .filter(|(_, it)| match it.purpose {
+                Purpose::Idle => it.idle_until_ms <= now_ms,
+                Purpose::Drain => it.heard_ms + DRAIN_MS <= now_ms,
+                Purpose::Relay(_) | Purpose::Call(_) => false,
+            })
             .map(|(token, _)| *token)
             .collect();
-        for token in idle_over {
+        for token in over {
             self.close(token, registry);
         }
         self.connections
