The refusal of a HEAD request has no body

Its caller took the body for the beginning of the next answer. Evidence: head_has_no_body, a request without a route and one for a model that is not configured (each failed before). An upstream's own answer to HEAD had none before.

--- a/crates/entry/src/caller.rs
+++ b/crates/entry/src/caller.rs
@@ -70,6 +70,8 @@
     phase: Phase,
     /// Whether the connection ends after the answer in progress.
     pub close_after: bool,
+    /// Whether the request in progress is HEAD, whose answer has no body.
+    pub to_head: bool,
     /// When the connection was last used or written to, or when the head in progress began.
     since_ms: u64,
     ended: Option<ReadEnd>,
@@ -85,6 +87,7 @@
             input: Vec::new(),
             phase: Phase::Head,
             close_after: false,
+            to_head: false,
             since_ms: now_ms,
             ended: None,
         }
@@ -166,6 +169,7 @@
         match std::mem::replace(&mut self.phase, Phase::Busy(None)) {
             Phase::Body { head, body, .. } => {
                 self.close_after |= head.close;
+                self.to_head = head.method.eq_ignore_ascii_case("HEAD");
                 Received::Request { head, body }
             }
             other => {
--- a/crates/entry/src/connections.rs
+++ b/crates/entry/src/connections.rs
@@ -14,6 +14,8 @@
 use crate::caller::Received;
 use crate::daemon::Daemon;
 
+const HEAD_END: &[u8] = b"\r\n\r\n";
+
 impl Daemon {
     /// Goes on with a caller's connection.
     pub(crate) fn serve_caller(&mut self, token: Token) {
@@ -94,6 +96,17 @@
         }
     }
 
+    /// Writes a refusal of this VM's own; the answer to HEAD has no body.
+    pub(crate) fn write_refusal(&mut self, token: Token, mut bytes: Vec<u8>) {
+        let to_head = self.callers.get(&token).is_some_and(|it| it.to_head);
+        let end = bytes.windows(HEAD_END.len()).position(|it| it == HEAD_END);
+        if let (true, Some(end)) = (to_head, end) {
+            bytes.truncate(end + HEAD_END.len());
+        }
+        self.write_to_caller(token, &bytes);
+        self.finish_answer(token);
+    }
+
     fn refuse_bytes(&mut self, token: Token, error: HttpError) {
         let reason = match error {
             HttpError::HeadTooLarge => RefusalReason::HeadTooLarge,
--- a/crates/entry/src/ending.rs
+++ b/crates/entry/src/ending.rs
@@ -61,10 +61,7 @@
             .delivery
             .close(|| codec.refusal(refusal, Some(id), close));
         match closing {
-            Closing::Answer(bytes) => {
-                self.write_to_caller(token, &bytes);
-                self.finish_answer(token);
-            }
+            Closing::Answer(bytes) => self.write_refusal(token, bytes),
             Closing::Abort => self.abort_caller(token),
         }
     }
--- a/crates/entry/src/serving.rs
+++ b/crates/entry/src/serving.rs
@@ -232,8 +232,7 @@
         }
         let close = self.closes_after(token);
         let bytes = self.codecs.callers.refusal(refusal, id, close);
-        self.write_to_caller(token, &bytes);
-        self.finish_answer(token);
+        self.write_refusal(token, bytes);
     }
 
     /// Returns whether the caller's connection ends after this answer.
