A request that may have run is not refused as not run

Where the upstream of a request was lost, and then no model was there for it, or none in time, it was answered 503 as if it had not run; what it counted against its organisation's limit was given back. Only the refusal for want of time told it.

--- a/crates/dispatch/src/dispatcher.rs
+++ b/crates/dispatch/src/dispatcher.rs
@@ -274,9 +274,7 @@
             .is_some_and(|engine| engine.models.contains_key(&wanted.model));
         if !known {
             let detail = format!("no model {} is configured", wanted.model);
-            let mut refusal = Refusal::not_run(RefusalReason::NoCapacity, detail);
-            refusal.retry_after_ms = None;
-            return Verdict::Refuse(refusal);
+            return Verdict::Refuse(refusal_of(job, RefusalReason::NoCapacity, detail));
         }
         let start_by_ms = job.deadline_ms.saturating_sub(job.expected_run_ms);
         match self
@@ -316,17 +314,24 @@
             .as_ref()
             .map_or("", |wanted| wanted.model.as_str());
         let detail = format!("{model} can't be loaded in time");
-        Refusal::not_run(RefusalReason::DeadlineTooShort, detail)
+        refusal_of(job, RefusalReason::DeadlineTooShort, detail)
     }
 
     fn late(&self, job: &Job) -> Refusal {
         let detail = "no upstream was free in time".to_owned();
-        let mut refusal = Refusal::not_run(RefusalReason::DeadlineTooShort, detail);
-        match job.runs {
-            0 => refusal = refusal.retry_after(LATE_RETRY_AFTER_MS),
-            _ => refusal.ran = Ran::Unknown,
+        let refusal = refusal_of(job, RefusalReason::DeadlineTooShort, detail);
+        match refusal.ran {
+            Ran::NotRun => refusal.retry_after(LATE_RETRY_AFTER_MS),
+            Ran::Ran | Ran::Unknown => refusal,
         }
-        refusal
+    }
+}
+
+/// Returns the refusal of a request, which says that it has not run where that is certain.
+fn refusal_of(job: &Job, reason: RefusalReason, detail: String) -> Refusal {
+    match job.runs {
+        0 => Refusal::not_run(reason, detail),
+        _ => Refusal::unknown(reason, detail),
     }
 }
 
--- a/crates/dispatch/tests/send_choice.rs
+++ b/crates/dispatch/tests/send_choice.rs
@@ -6,6 +6,8 @@
 use apricotdale_core::names::UpstreamName;
 use apricotdale_core::policy::UpstreamOutcome;
 use apricotdale_core::refusal::Ran;
+use apricotdale_core::refusal::Refusal;
+use apricotdale_dispatch::Job;
 use apricotdale_dispatch::LoadForecast;
 use apricotdale_dispatch::LoadSample;
 use apricotdale_dispatch::Verdict;
@@ -164,6 +166,33 @@
     assert!(matches!(verdict, Verdict::Refuse(refusal) if refusal.ran == Ran::NotRun));
 }
 
+/// Guards against a refusal that promises that the request has not run, after a try that may have: its
+/// upstream was lost, and nothing can take it any more.
+#[rstest]
+#[case::of_no_catalogue("other", 1_000)]
+#[case::comes_too_late("m2", 1_000)]
+#[case::can_not_come("m1", 5_800)]
+#[case::no_time_left("m0", 5_990)]
+fn refusal_after_a_run(#[case] model: &str, #[case] now_ms: u64) {
+    let directory = directory(&[("e0", "a", &["m0"])]);
+    let mut dispatcher = dispatcher();
+    let forecast = LoadForecast {
+        ready_ms: Some(5_900),
+    };
+    dispatcher.note_forecast(now_ms, ModelName::from("m2"), forecast);
+    let job = Job {
+        runs: 1,
+        ..stream(model, true)
+    };
+    let verdict = dispatcher.decide(now_ms, &directory, &job);
+    let promises =
+        |refusal: &Refusal| refusal.ran != Ran::Unknown || refusal.retry_after_ms.is_some();
+    assert!(
+        matches!(&verdict, Verdict::Refuse(refusal) if !promises(refusal)),
+        "{verdict:?}"
+    );
+}
+
 #[test]
 fn both_instances_get_calls() {
     let directory = directory(&[]);
