--- a/crates/delivery/src/delivery.rs
+++ b/crates/delivery/src/delivery.rs
@@ -211,7 +211,7 @@
             Run::Events(events) if events.goes_on && !events.has_event => {
                 return Err(Misfit::Empty);
             }
-            Run::Events(_) => Vec::new(),
+            Run::Events(events) => events.splitter.rest().to_vec(),
             Run::Body(held) => std::mem::take(held),
         };
         match (self.given, &self.head) {
@@ -253,7 +253,8 @@
             return Ok(());
         };
         let version_field = self.options.version_field;
-        let follows = events.goes_on || self.position.last_id().is_some();
+        let is_resumed = self.options.is_resumable && self.position.last_id().is_some();
+        let follows = events.goes_on || is_resumed;
         while let Some(piece) = events.splitter.next_piece() {
             let is_first = matches!(piece, Piece::Event(_) | Piece::Beginning(_));
             let is_last = matches!(piece, Piece::Event(_) | Piece::Last(_));
--- a/crates/delivery/tests/joined_answers.rs
+++ b/crates/delivery/tests/joined_answers.rs
@@ -323,3 +323,50 @@
     assert_eq!(fits.map(|_| delivery.last_event()), expected);
     assert_eq!(delivery.may_go_on(), expected.is_ok());
 }
+
+/// Guards against the last byte of a stream that is lost: the upstream sends the two bytes of its last
+/// line end apart.
+#[test]
+fn last_line_end_in_two_pieces() {
+    let mut delivery = Delivery::new(options());
+    delivery.head(stream_head(), None).expect("it fits");
+    take(&mut delivery, "id: 1\r\ndata: a\r\n\r").expect("it fits");
+    take(&mut delivery, "\n").expect("it fits");
+    let mut out = Vec::new();
+    delivery.end(false, &mut out).expect("it is whole");
+    assert_eq!(String::from_utf8_lossy(&out), "1\r\n\n\r\n0\r\n\r\n");
+}
+
+/// Guards against a caller that resumes a stream which may run once, and whose events are taken for ones
+/// that do not fit. Upstreams may or may not heed its place there.
+#[rstest]
+fn caller_resumes_what_runs_once(#[values(1, 5)] first: u64) {
+    let mut delivery = Delivery::new(Options {
+        is_resumable: false,
+        last_event: Some(4),
+        ..options()
+    });
+    assert_eq!(delivery.last_event(), Some(4));
+    delivery.head(stream_head(), None).expect("it fits");
+    take(&mut delivery, &event(first)).expect("it fits");
+    assert!(!delivery.may_go_on());
+    let skipped = event(first + 2);
+    assert_eq!(take(&mut delivery, &skipped), Err(Misfit::Gap));
+}
+
+/// Guards against a number that is read by half: an event that is too large to be held back arrives in
+/// parts, and one ends within its number.
+#[test]
+fn number_in_two_parts() {
+    let mut delivery = Delivery::new(Options {
+        last_event: Some(11),
+        ..options()
+    });
+    delivery.head(stream_head(), None).expect("it fits");
+    take(&mut delivery, &event(12)).expect("it fits");
+    let part = format!("data: {}\nid: 1", "x".repeat(300 * 1024));
+    take(&mut delivery, &part).expect("its number has not come");
+    take(&mut delivery, "3\n\n").expect("it fits");
+    assert!(delivery.may_go_on());
+    assert_eq!(delivery.last_event(), Some(13));
+}
--- a/crates/entry/src/answering.rs
+++ b/crates/entry/src/answering.rs
@@ -86,6 +86,9 @@
             let Some(connection) = self.outbound.get_mut(token) else {
                 return;
             };
+            if connection.purpose != Purpose::Drain {
+                return;
+            }
             match connection.next_part() {
                 Part::Head(_) | Part::Body(_) => {}
                 Part::Wait if connection.has_more() => connection.read(now_ms),
@@ -138,7 +141,10 @@
                 if failed == FailedTry::Misdirected {
                     self.note_misdirected(key, &fields);
                 }
-                self.drain(token);
+                match failed.is_not_run() {
+                    true => self.drain(token),
+                    false => self.leave(token),
+                }
                 self.try_failed(key, failed);
                 self.advance_drain(token);
             }
@@ -152,6 +158,12 @@
         }
     }
 
+    /// Closes the connection of an upstream that may still work on a request, and must not do so
+    /// beside the next one.
+    fn leave(&mut self, token: Token) {
+        self.outbound.close(token, self.poll.registry());
+    }
+
     /// Gives up an answer that does not fit behind what the caller has been given.
     fn answer_does_not_fit(&mut self, token: Token, key: u64, misfit: Misfit) {
         self.metrics.misfit(misfit.as_str());
@@ -168,15 +180,11 @@
             );
         }
         match misfit {
-            // The run has ended.
-            Misfit::Status | Misfit::Unfinished | Misfit::Empty => self.drain(token),
-            // The upstream may still work on it, and must not do so beside the next one.
-            _ => {
-                self.outbound.close(token, self.poll.registry());
-            }
+            // The answer has ended, and its connection was released.
+            Misfit::Unfinished | Misfit::Empty => {}
+            _ => self.leave(token),
         }
         self.try_failed(key, FailedTry::Misfit);
-        self.advance_drain(token);
     }
 
     /// Tells that an upstream answers a request of which the caller already has a part.
--- a/crates/entry/src/serving.rs
+++ b/crates/entry/src/serving.rs
@@ -232,8 +232,7 @@
         }
         let close = self.closes_after(token);
         let bytes = self.codecs.callers.refusal(refusal, id, close);
-        self.write_to_caller(token, &bytes);
-        self.finish_answer(token);
+        self.write_refusal(token, bytes);
     }
 
     /// Returns whether the caller's connection ends after this answer.
@@ -327,7 +326,7 @@
         let fields = ForwardFields {
             instance,
             left_ms: request.job.deadline_ms.saturating_sub(now_ms),
-            last_event: request.delivery.last_event().or(request.serving.last_event),
+            last_event: request.delivery.last_event(),
             rank: request.job.rank,
             organisation: request.organisation.as_ref().map(|it| it.name.clone()),
         };
