Metrics: loads from the weight store in progress, and how many may run at once

`store_loads` and `store_loads_allowed` of the giver of orders tell whether the weight store is taken.

--- a/crates/entry/src/metrics.rs
+++ b/crates/entry/src/metrics.rs
@@ -63,6 +63,8 @@
     pub blocked: Gauge,
     pub suspects: Gauge,
     pub on_probation: Gauge,
+    pub store_loads: Gauge,
+    pub store_loads_allowed: Gauge,
     trials: Counter,
     asked_keeper: Counter,
     over_limit: Family<OrganisationLabel, Counter>,
@@ -107,6 +109,8 @@
             blocked: Gauge::default(),
             suspects: Gauge::default(),
             on_probation: Gauge::default(),
+            store_loads: Gauge::default(),
+            store_loads_allowed: Gauge::default(),
             trials: Counter::default(),
             asked_keeper: Counter::default(),
             over_limit: Family::default(),
@@ -216,6 +220,16 @@
             "Requests whose copies are sent one at a time over all VMs",
             self.on_probation.clone(),
         );
+        registry.register(
+            "store_loads",
+            "Loads from the weight store that this VM has ordered and that are not done",
+            self.store_loads.clone(),
+        );
+        registry.register(
+            "store_loads_allowed",
+            "Loads from the weight store that this VM lets run at once",
+            self.store_loads_allowed.clone(),
+        );
         registry.register(
             "trials",
             "Sends of requests on probation by this VM",
--- a/crates/entry/src/ordering.rs
+++ b/crates/entry/src/ordering.rs
@@ -209,9 +209,19 @@
         // Reports and orders that end ask for a plan at once.
         self.ordering.rest_until_ms = now_ms + took_ms + took_ms * REST_FOR_PLAN;
         self.ordering.next_plan_ms = next_ms.max(now_ms + 1);
+        self.note_store_loads();
         self.carry_out(actions);
     }
 
+    /// Notes how much of the weight store the planners take.
+    pub(super) fn note_store_loads(&self) {
+        let planners = || self.ordering.planners.values();
+        let loads: usize = planners().map(Planner::store_loads_in_progress).sum();
+        let allowed: usize = planners().map(Planner::store_loads_allowed).sum();
+        self.metrics.store_loads.set(loads as i64);
+        self.metrics.store_loads_allowed.set(allowed as i64);
+    }
+
     fn sync_planners(&mut self) {
         let directory = &self.directory;
         let dispatcher = &self.dispatcher;
--- a/crates/entry/src/ordering/leasing.rs
+++ b/crates/entry/src/ordering/leasing.rs
@@ -103,6 +103,7 @@
         }
         self.ordering.fence = fence;
         self.ordering.planners.clear();
+        self.note_store_loads();
         self.ordering.next_plan_ms = self.now_ms;
     }
 
--- a/crates/holder/src/planner.rs
+++ b/crates/holder/src/planner.rs
@@ -283,8 +283,13 @@
             .collect()
     }
 
+    /// Returns how many loads from the weight store may run at once.
+    pub fn store_loads_allowed(&self) -> usize {
+        self.store_limit.loads()
+    }
+
     /// Returns how many loads from the weight store are in progress.
-    pub(crate) fn store_loads_in_progress(&self) -> usize {
+    pub fn store_loads_in_progress(&self) -> usize {
         self.engines.iter().filter(|it| it.awaits_report()).count()
     }
 
