A load that was lost with its engine takes no place at the weight store

Callers saw: all requests for a rare model refused (503 deadline_too_short, after 20 s each) for as long as they asked, once an engine had ended that held the model and was loading another one. The test bystanders_of_a_rare_model failed with [0, 0, 0] in a minute instead of passing in 14 s.

Cause: the planner left out engines out of reach where it counts replicas and copies, and not where it counts loads. The ended engine stays on the list, its load is never reported done, and so was "in progress" at the weight store until the entry went. Being late it also halved the number of loads that may run at once, to one, which was the lost one. Nothing was loaded from the store any more.

Ruled out: blocked as blamed (no block, no answer crashes_upstreams), kept for a trial that nobody ends (trials_total 0 at both VMs; the innocent ones were sent up to 7 times, not_sent).

Change: an engine that refuses connections, is dark, or has not answered two reports in a row is believed to carry out nothing. Its load takes no place at the store, tells nothing of the store's speed and is no forecast; what is planned for an engine that takes no orders is planned anew. One late report changes nothing. The operators' window of loads begun is as it was.

--- a/crates/holder/src/foreseeing.rs
+++ b/crates/holder/src/foreseeing.rs
@@ -38,7 +38,7 @@
     fn ready_ms(&self, now_ms: u64, model: &ModelName) -> Option<u64> {
         self.engines
             .iter()
-            .filter(|engine| engine.will_hold(model))
+            .filter(|engine| engine.is_reached() && engine.will_hold(model))
             .map(|engine| match &engine.in_progress {
                 Some(order) if is_load(&order.kind) && order.kind.model() == model => {
                     self.end_ms(order)
--- a/crates/holder/src/ledger.rs
+++ b/crates/holder/src/ledger.rs
@@ -10,6 +10,10 @@
 
 use crate::orders::OrderKind;
 
+/// Reports in a row that could not be had, from which on an engine counts as out of reach. One may
+/// be late where the engine or this VM is busy.
+const FAILED_REPORTS: u32 = 2;
+
 /// An order that an engine carries out.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub(crate) struct InProgress {
@@ -68,6 +72,8 @@
     pub(crate) failed_reports: u32,
     /// Whether it takes new work.
     pub(crate) serving: bool,
+    /// Whether this VM can't reach it now, as far as requests and calls to it tell.
+    pub(crate) unreachable: bool,
     /// Whether it said that it leaves.
     pub(crate) leaving: bool,
     /// The load that was last taken as done, until a report confirms it.
@@ -99,6 +105,7 @@
             outranked: false,
             failed_reports: 0,
             serving: true,
+            unreachable: false,
             leaving: false,
             unconfirmed: None,
             load_factor: 1.0,
@@ -121,6 +128,12 @@
             && self.awaiting.is_none()
     }
 
+    /// Returns whether it is believed to carry out what it was told. What an engine was about that
+    /// has ended is lost, though the engine may be listed for long.
+    pub(crate) fn is_reached(&self) -> bool {
+        !self.unreachable && self.failed_reports < FAILED_REPORTS
+    }
+
     /// Returns whether a load of this model is in progress or planned here.
     pub(crate) fn will_hold(&self, model: &ModelName) -> bool {
         self.coming_models().any(|coming| coming == model)
@@ -156,14 +169,11 @@
 
     /// Returns whether a load from the weight store is in progress or planned here.
     pub(crate) fn loads_from_store(&self) -> bool {
-        self.in_progress
-            .as_ref()
-            .is_some_and(|order| order.tier == Tier::Store && is_load(&order.kind))
-            || self
-                .next
-                .iter()
-                .chain(&self.awaiting)
-                .any(|kind| is_load(kind) && self.residence.tier(kind.model()) == Tier::Store)
+        let mut planned = self.next.iter().chain(&self.awaiting);
+        self.is_reached()
+            && (self.awaits_report()
+                || planned
+                    .any(|kind| is_load(kind) && self.residence.tier(kind.model()) == Tier::Store))
     }
 
     /// Returns the memory that models and adapters take now. What is being unloaded counts until it
--- a/crates/holder/src/planner.rs
+++ b/crates/holder/src/planner.rs
@@ -96,7 +96,12 @@
                 .upstream(&engine.name)
                 .is_some_and(|entry| entry.phase == UpstreamPhase::Serving);
             engine.leaving |= !is_serving;
-            engine.serving = is_serving && !is_unreachable(&engine.name);
+            engine.unreachable = is_unreachable(&engine.name);
+            engine.serving = is_serving && !engine.unreachable;
+            if !engine.serving {
+                // What it was not told yet is planned anew, here or elsewhere.
+                engine.next.clear();
+            }
         }
     }
 
@@ -288,9 +293,10 @@
         self.store_limit.loads()
     }
 
-    /// Returns how many loads from the weight store are in progress.
+    /// Returns how many loads from the weight store are in progress at engines in reach.
     pub fn store_loads_in_progress(&self) -> usize {
-        self.engines.iter().filter(|it| it.awaits_report()).count()
+        let reached = self.engines.iter().filter(|it| it.is_reached());
+        reached.filter(|it| it.awaits_report()).count()
     }
 
     /// Orders whose time is over: an adapter and a load are taken as done, and so told, because a
--- a/crates/holder/src/unconfirmed.rs
+++ b/crates/holder/src/unconfirmed.rs
@@ -52,11 +52,13 @@
         options: &PlannerOptions,
         store_limit: &mut StoreLimit,
     ) {
+        let is_reached = self.is_reached();
         let Some(order) = self.in_progress.as_mut().filter(|it| it.done_ms <= now_ms) else {
             return;
         };
         let took_ms = now_ms.saturating_sub(order.since_ms);
-        if !order.overdue && is_overdue(took_ms, order.configured_ms) {
+        // A load that was lost with its engine says nothing of the store.
+        if is_reached && !order.overdue && is_overdue(took_ms, order.configured_ms) {
             order.overdue = true;
             store_limit.note_overdue();
         }
