The soak mends engines until the last copy of a crasher is answered

Cause, by lines: the soak stopped starting ended engines again when the callers were told to stop. Copies of a crasher that still waited then were served, and ended engines that nobody started again, behind proxies that go on listening.

The time to recover begins after the last mend, as before; no promise is changed.

--- a/crates/soak/src/soak.rs
+++ b/crates/soak/src/soak.rs
@@ -3,6 +3,7 @@
 use std::path::Path;
 use std::path::PathBuf;
 use std::sync::Arc;
+use std::sync::atomic::AtomicBool;
 use std::sync::atomic::Ordering;
 use std::thread;
 use std::thread::JoinHandle;
@@ -125,12 +126,15 @@
         let callers = start_callers(options, &asking);
         let plan = options.plan();
         let crashers = start_crashers(options, &plan, &asking);
-        let mending = start_mending(&world, &asking);
+        let is_over = Arc::new(AtomicBool::new(false));
+        let mending = start_mending(&world, &is_over);
         carry_out_plan(clock, &world, &plan);
         thread::sleep(Duration::from_millis(1_000));
         asking.stopped.store(true, Ordering::Release);
         join(callers);
         join(crashers);
+        // Copies that wait when the callers stop may still end engines.
+        is_over.store(true, Ordering::Release);
         join(vec![mending]);
         let last_attempts = recover(options, &asking);
         let record = take_record(&world, &asking, last_attempts);
@@ -160,9 +164,9 @@
         .collect()
 }
 
-fn start_mending(world: &Arc<World>, asking: &Arc<Asking>) -> JoinHandle<()> {
-    let (world, asking) = (world.clone(), asking.clone());
-    thread::spawn(move || world.mend_engines(&asking.stopped))
+fn start_mending(world: &Arc<World>, is_over: &Arc<AtomicBool>) -> JoinHandle<()> {
+    let (world, is_over) = (world.clone(), is_over.clone());
+    thread::spawn(move || world.mend_engines(&is_over))
 }
 
 fn start_callers(options: &SoakOptions, asking: &Arc<Asking>) -> Vec<JoinHandle<()>> {
