A load whose end can't be read is not waited for

Callers would have seen: at a VM that had read of a load and not yet of its end when the log went down, no answer until their own deadline, though the model is loaded and other VMs serve it. Operators: requests that wait, and a refusal with deadline_passed, nothing that names the log.

Cause: in an outage requests for a model without a replica are refused at once, and those for one with a replica under way wait. The end of a load comes only over the log, so they wait for as long as that is down.

Change: if no read has worked for 5 s they are refused too, with log_unavailable, not run, and when to come back. A shorter outage refuses nobody who waits for a load, as before. A replica that is known as loaded is waited for as before.

--- a/crates/node/src/log_health.rs
+++ b/crates/node/src/log_health.rs
@@ -51,6 +51,12 @@
         self.read_failed_ms.load(Ordering::Relaxed) > self.read_ok_ms.load(Ordering::Relaxed)
     }
 
+    /// Returns whether reads fail, and none has worked for some time.
+    pub fn is_blind(&self, now_ms: u64, for_ms: u64) -> bool {
+        let is_long = |read_ms| now_ms.saturating_sub(read_ms) >= for_ms;
+        self.reads_fail() && self.last_read_ms().is_none_or(is_long)
+    }
+
     /// Returns the time of the last read that worked, or none before the first.
     pub fn last_read_ms(&self) -> Option<u64> {
         match self.read_ok_ms.load(Ordering::Relaxed) {
--- a/crates/node/src/placing/placement_loop.rs
+++ b/crates/node/src/placing/placement_loop.rs
@@ -43,6 +43,10 @@
 /// How long a proposal of unknown outcome keeps its model from being proposed again.
 const UNKNOWN_HOLD_MS: u64 = 3_000;
 
+/// How long requests wait for a load under way while its end can't be read, so that a short outage
+/// refuses nobody.
+const LOG_PATIENCE_MS: u64 = 5_000;
+
 /// When a caller should come back while the log is down.
 const LOG_RETRY_MS: u64 = 5_000;
 
@@ -336,7 +340,8 @@
         });
     }
 
-    /// Refuses the requests that wait for a model without any replica while no decision can be had.
+    /// Refuses the requests that wait for a model without any replica while no decision can be had,
+    /// and those that wait for a load whose end could not be read for a while.
     ///
     /// Holding them until the log comes back would let them pass their deadlines in silence; a
     /// caller that is told at once can go elsewhere.
@@ -345,20 +350,27 @@
         if !self.parts.health.is_down(now_ms) {
             return;
         }
+        let is_blind = self.parts.health.is_blind(now_ms, LOG_PATIENCE_MS);
         let waiting: BTreeSet<ModelName> = self.waiting_models();
         for model in waiting {
-            let reserved = self
-                .parts
-                .source
-                .replayed
-                .read(|state| state.replicas_of(&model).any(|one| is_coming(one.stage())));
-            if !reserved {
-                let detail = "the model is not loaded, and no load can be decided now";
-                let refusal = Refusal::not_run(RefusalReason::LogUnavailable, detail);
-                self.parts
-                    .gateway
-                    .hopeless(&model, &refusal.retry_after(LOG_RETRY_MS));
-            }
+            let (is_loaded, is_coming) = self.parts.source.replayed.read(|state| {
+                let has = |wanted: &[Stage]| {
+                    let mut replicas = state.replicas_of(&model);
+                    replicas.any(|one| wanted.contains(&one.stage()))
+                };
+                let coming = [Stage::Reserved, Stage::Loading];
+                (has(&[Stage::Loaded]), has(&coming))
+            });
+            let detail = match is_coming {
+                _ if is_loaded => continue,
+                true if !is_blind => continue,
+                true => "the model's load is under way, and its end can't be read now",
+                false => "the model is not loaded, and no load can be decided now",
+            };
+            let refusal = Refusal::not_run(RefusalReason::LogUnavailable, detail);
+            self.parts
+                .gateway
+                .hopeless(&model, &refusal.retry_after(LOG_RETRY_MS));
         }
     }
 
@@ -387,10 +399,6 @@
     }
 }
 
-fn is_coming(stage: Stage) -> bool {
-    matches!(stage, Stage::Reserved | Stage::Loading | Stage::Loaded)
-}
-
 /// Returns whether nobody expects a replica to come up although its order may yet take effect.
 pub fn is_stuck(stage: Stage) -> bool {
     matches!(stage, Stage::Revoked | Stage::Lingering)
--- a/crates/node/tests/log_outage.rs
+++ b/crates/node/tests/log_outage.rs
@@ -8,9 +8,11 @@
 use apricotdale_core::claims::ClaimRecord;
 
 use support::log_fault::AppendFault;
+use support::log_fault::ReadFault;
 use support::wait_until;
 use support::world::Cluster;
 use support::world::LEARNED;
+use support::world::engine_address;
 use support::world::model_name;
 
 /// How many reads each VM tries in a stretch of an outage.
@@ -173,3 +175,45 @@
         appends_tried_while_down(cluster) == 0
     });
 }
+
+/// How long a VM waits for the log to tell that a model is loaded, in milliseconds, with something
+/// over.
+const LOG_PATIENCE_MS: u64 = 5_500;
+
+/// Guards against a request that waits to its deadline for a load whose end nobody can tell its VM: the
+/// model is loaded, but the log went down before the VM had read so.
+#[test]
+fn a_load_whose_end_cannot_be_read_is_not_waited_for() {
+    let cluster = Cluster::start(2, 1, true);
+    let (world, vm) = (&cluster.world, cluster.nodes[1].vm.clone());
+    let model = cluster.model_preferring(0);
+    let engine = engine_address(0);
+    world.engines.hold_orders(engine, true);
+    let loading = cluster.nodes[0].caller.begin_complete(&model);
+    wait_until("the order to arrive", || world.load_orders(&model) == 1);
+    cluster.wait_replayed(1);
+    let held = world.log.fault_reads(ReadFault::Hold, move |read| {
+        read.is_by(&vm) && read.follows_control()
+    });
+    world.engines.hold_orders(engine, false);
+    loading.reply().expect_whole();
+    world.log.set_down(true);
+    world.log.release(&held);
+    let behind = &cluster.nodes[1];
+    let waiting = behind.caller.begin_complete(&model);
+    wait_until("the request to wait", || behind.waiting_for(&model) == 1);
+    // A short outage is waited out.
+    let reads = world.log.tried_reads(&behind.vm);
+    wait_until("reads to be tried", || {
+        world.log.tried_reads(&behind.vm) >= reads + READS_TRIED
+    });
+    assert!(!waiting.is_answered());
+    world.time.advance(LOG_PATIENCE_MS);
+    assert_eq!(waiting.reply().refusal(), LOG_UNAVAILABLE);
+    assert_eq!(behind.caller.complete(&model).refusal(), LOG_UNAVAILABLE);
+    cluster.nodes[0].caller.complete(&model).expect_whole();
+    world.log.set_down(false);
+    cluster.wait_recovered(1);
+    behind.caller.complete(&model).expect_whole();
+    assert_eq!(world.load_orders(&model), 1);
+}
