A planned stop's test lets the other VM read before the log goes down

a_stop_told_twice_cuts_off_no_stream failed once with first_2_Teller__Operator, log_is_down_1_true: the caller got no answer in its 30 s. The call is the last one, at the VM that goes on: it had read that the model's load is under way and not that it is done, as the log went down right after the first answer at the other VM, and waited for an end that only the log tells.

Not shown: that the one failure seen was this one.

It now waits until the other VM has read what is on the stream, as log_outage.rs does, and asks all that it asked before.

--- a/crates/node/tests/graceful_stop.rs
+++ b/crates/node/tests/graceful_stop.rs
@@ -58,6 +58,8 @@
     stopping.caller.complete(&model).expect_whole();
     world.streams.close();
     let stream = stopping.caller.stream(&model);
+    // What a VM has not read when the log goes down it can't serve.
+    cluster.wait_replayed(1);
     world.log.set_down(log_is_down);
     tell(&cluster, first);
     tell(&cluster, Teller::Operator);
