Soak: engines fail behind each other's cut streams, callers resume, own answer reads every event

A rest of fewer than three events is sound in the stand-ins, since no reader could tell some faults in it; events of other weights have words of their own.

--- a/crates/soak/src/asking.rs
+++ b/crates/soak/src/asking.rs
@@ -12,6 +12,7 @@
 use apricotdale_standins::platform::Answer;
 use apricotdale_standins::platform::Ask;
 use apricotdale_standins::platform::Caller;
+use apricotdale_standins::platform::LARGE_BYTES;
 use parking_lot::Mutex;
 use rand::RngExt;
 use rand::SeedableRng;
@@ -22,6 +23,8 @@
 use crate::record::Attempt;
 use crate::record::Ending;
 use crate::record::Kind;
+use crate::streams::BodySeen;
+use crate::streams::StreamSeen;
 use crate::vms::Vms;
 
 /// How long a caller waits for its answer.
@@ -45,6 +48,15 @@
 /// One in so many streams is the same as others.
 const SHARED_ONE_IN: u32 = 4;
 
+/// One in so many streams that broke off is resumed by its caller.
+const RESUMES_ONE_IN: u32 = 2;
+
+/// The header in which a caller names the last event that it has.
+pub(crate) const LAST_EVENT: &str = "Last-Event-Id";
+
+/// The header that names the version of a model's weights.
+const VERSION: &str = "Apricotdale-Weight-Versions";
+
 /// The models that callers name.
 pub(crate) const MODELS: [&str; 4] = ["m0", "m1", "m2", "m3"];
 
@@ -81,6 +93,7 @@
     pub fn go_on(&self, seed: u64) {
         let mut random = ChaCha8Rng::seed_from_u64(seed);
         let mut kept: Option<(usize, SocketAddr, Caller)> = None;
+        let mut rest: Option<Ask> = None;
         while !self.stopped.load(Ordering::Acquire) {
             if random.random_ratio(1, MOVES_ONE_IN) {
                 kept = None;
@@ -89,16 +102,20 @@
                 Some((vm, ..)) => *vm,
                 None => random.random_range(0..self.vms.len()),
             };
-            let kind = draw_kind(&mut random);
+            let drawn = draw_kind(&mut random);
             let leaves = random.random_ratio(1, LEAVES_ONE_IN);
             let leaves_after_ms = leaves.then(|| random.random_range(1..60));
-            let request = self.request(kind, &mut random);
+            let (kind, request) = match rest.take() {
+                Some(request) => (Kind::Quick, request),
+                None => (drawn, self.request(drawn, &mut random)),
+            };
             let connection = kept.take().map(|(_, address, caller)| (address, caller));
             let (attempt, connection) =
                 self.attempt(vm, kind, &request, connection, leaves_after_ms);
             if attempt.ending == Ending::Unsent {
                 thread::sleep(UNSENT_PAUSE);
             }
+            rest = self.rest(&attempt, &request, &mut random);
             self.attempts.lock().push(attempt);
             kept = connection.map(|(address, caller)| (vm, address, caller));
             thread::sleep(Duration::from_millis(random.random_range(2..40)));
@@ -142,6 +159,7 @@
             id: request.id.clone(),
             kind,
             vm,
+            after_event: after_event(request),
             sent_ms,
             ended_ms: self.clock.now_ms(),
             patience_ms: PATIENCE_MS,
@@ -212,22 +230,48 @@
         request
     }
 
+    /// Returns the request for the rest of a stream that broke off, if its caller resumes it.
+    fn rest(&self, attempt: &Attempt, request: &Ask, random: &mut ChaCha8Rng) -> Option<Ask> {
+        let last = match &attempt.ending {
+            Ending::Answered {
+                status: 200,
+                whole: false,
+                body: BodySeen::Stream(stream),
+                ..
+            } if attempt.kind == Kind::Quick => stream.last_id()?,
+            _ => return None,
+        };
+        if last >= self.events || !random.random_ratio(1, RESUMES_ONE_IN) {
+            return None;
+        }
+        let number = self.next_id.fetch_add(1, Ordering::Relaxed);
+        let mut rest = Ask {
+            id: format!("r-{number}"),
+            ..request.clone()
+        };
+        rest.headers.retain(|(name, _)| name != LAST_EVENT);
+        let rest = rest.with(LAST_EVENT, &last.to_string());
+        self.sent.lock().insert(rest.id.clone(), rest.clone());
+        Some(rest)
+    }
+
     fn ending(&self, kind: Kind, request: &Ask, answer: &Answer) -> Ending {
-        let own_body = match kind.is_stream() {
-            true => {
-                let ids = answer.event_ids();
-                let expected: Vec<u64> = (1..=self.events).collect();
-                match answer.whole {
-                    true => ids == expected,
-                    false => expected.starts_with(&ids),
-                }
-            }
+        let body = match kind.is_stream() {
+            true => BodySeen::Stream(StreamSeen::read(
+                &answer.text(),
+                after_event(request) + 1,
+                self.events,
+                answer.header(VERSION),
+            )),
             false => {
                 let expected = format!("{} {}", request.method, request.target);
-                match answer.whole {
+                let is_large = answer.body.len() <= LARGE_BYTES
+                    && answer.body.iter().all(|byte| *byte == b'x');
+                let own = match answer.whole {
                     true => answer.text() == expected,
-                    false => expected.starts_with(&answer.text()),
-                }
+                    false => expected.starts_with(&answer.text()) || is_large,
+                };
+                BodySeen::Plain { own }
             }
         };
         Ending::Answered {
@@ -235,11 +279,23 @@
             whole: answer.whole,
             id: answer.id(),
             signed: answer.is_signed(),
-            own_body,
+            body,
         }
     }
 }
 
+/// Returns the last event that the caller of a request has; 0 if none.
+fn after_event(request: &Ask) -> u64 {
+    let mut headers = request.headers.iter();
+    let named = headers.find(|(name, _)| name == LAST_EVENT);
+    last_event(named.map(|(_, value)| value.as_str()))
+}
+
+/// Returns the event that a header names; 0 if none.
+pub(crate) fn last_event(header: Option<&str>) -> u64 {
+    header.and_then(|id| id.parse().ok()).unwrap_or_default()
+}
+
 /// Returns the ending of an attempt that was answered with bytes that are no HTTP.
 fn not_http() -> Ending {
     Ending::Answered {
@@ -247,7 +303,7 @@
         whole: false,
         id: None,
         signed: false,
-        own_body: false,
+        body: BodySeen::Plain { own: false },
     }
 }
 
--- a/crates/soak/src/checks.rs
+++ b/crates/soak/src/checks.rs
@@ -4,11 +4,16 @@
 use std::collections::BTreeSet;
 use std::fmt;
 
+use apricotdale_standins::platform::AnswerFault;
+use apricotdale_standins::platform::StreamFault;
+
 use crate::record::Attempt;
 use crate::record::Ending;
 use crate::record::Kind;
 use crate::record::Place;
 use crate::record::Record;
+use crate::streams::BodySeen;
+use crate::streams::Flaw;
 
 /// How long before a moment a VM must have been undisturbed for a promise with a time to hold. The
 /// users' rules give 3 to 4 s.
@@ -174,7 +179,7 @@
                 whole,
                 id,
                 signed,
-                own_body,
+                body,
             } = &attempt.ending
             else {
                 continue;
@@ -182,10 +187,13 @@
             let is_success = (200..300).contains(status);
             let is_own = id.as_ref().is_none_or(|id| *id == attempt.id);
             let is_named = !is_success || (id.is_some() && *signed);
-            let is_body = !is_success || *own_body;
-            if !is_own || !is_named || !is_body {
+            let flaw = body.flaw(*whole).filter(|flaw| {
+                is_success && !(*whole && self.is_of_one_upstream(attempt, body, *flaw))
+            });
+            if !is_own || !is_named || flaw.is_some() {
                 let detail = format!(
-                    "{} got {status}, whole {whole}, id {id:?}, signed {signed}, own body {own_body}",
+                    "{} got {status}, whole {whole}, id {id:?}, signed {signed}, flaw {flaw:?} in \
+                     {body:?}",
                     attempt.id
                 );
                 found.push(violation(Promise::OwnAnswer, detail));
@@ -193,6 +201,33 @@
         }
     }
 
+    /// Returns whether an upstream alone gave a caller that resumed by itself no events, which no entry
+    /// VM can tell from the end of the stream.
+    fn is_of_one_upstream(&self, attempt: &Attempt, body: &BodySeen, flaw: Flaw) -> bool {
+        let has_events = match body {
+            BodySeen::Plain { .. } => true,
+            BodySeen::Stream(stream) => !stream.pieces.is_empty(),
+        };
+        let runs = self.record.runs.iter().filter(|it| it.id == attempt.id);
+        let mut given = runs.filter(|run| run.after_event == attempt.after_event);
+        attempt.after_event > 0
+            && !has_events
+            && given.any(|run| match run.fault {
+                Some(AnswerFault::CutThen { then, .. }) => match then {
+                    StreamFault::Empty | StreamFault::NoContent => flaw == Flaw::Short,
+                    StreamFault::OtherContent => flaw == Flaw::Foreign,
+                    _ => false,
+                },
+                _ => false,
+            })
+    }
+
+    /// Returns whether an upstream broke its large answer to an attempt off.
+    fn is_large_cut(&self, id: &str) -> bool {
+        let mut runs = self.record.runs.iter().filter(|run| run.id == id);
+        runs.any(|run| run.fault == Some(AnswerFault::LargeCut))
+    }
+
     fn orders(&self, found: &mut Vec<Violation>) {
         let mut holders: BTreeMap<u64, BTreeSet<&str>> = BTreeMap::new();
         for (engine, effects) in &self.record.engines {
@@ -317,9 +352,12 @@
                     attempt.ending,
                     Ending::Unanswered | Ending::Answered { whole: false, .. }
                 );
-                // A stream may also break off because its engine did.
-                let is_excused = attempt.kind.is_stream()
-                    && self.disturbs(&Place::Upstreams, 0, attempt.ended_ms);
+                // A stream may also break off because its engine did, a large call because its
+                // upstream did.
+                let is_excused = match attempt.kind.is_stream() {
+                    true => self.disturbs(&Place::Upstreams, 0, attempt.ended_ms),
+                    false => self.is_large_cut(&attempt.id),
+                };
                 if around && !has_end && self.ran(&attempt.id) > 0 && !is_excused {
                     let detail = format!("{} ran and was cut", attempt.id);
                     found.push(violation(Promise::PlannedStop, detail));
--- a/crates/soak/src/main.rs
+++ b/crates/soak/src/main.rs
@@ -137,12 +137,19 @@
     for attempt in &record.attempts {
         *statuses.entry(attempt.status()).or_default() += 1;
     }
+    let continued = record.continued();
+    let resumed = record.attempts.iter().filter(|it| it.after_event > 0);
     let orders: usize = record.engines.iter().map(|(_, it)| it.holders.len()).sum();
     format!(
-        "{} troubles, {} requests by status {statuses:?}, {} runs, {orders} orders, {} broken",
+        "{} troubles, {} requests by status {statuses:?}, {} runs, {orders} orders, {} streams over \
+         two engines ({} spoiled, {} whole), {} resumed by callers, {} broken",
         record.disturbances.len(),
         record.attempts.len(),
         record.runs.len(),
+        continued.streams,
+        continued.spoiled,
+        continued.whole,
+        resumed.count(),
         violations.len()
     )
 }
--- a/crates/soak/src/plan.rs
+++ b/crates/soak/src/plan.rs
@@ -6,6 +6,7 @@
 
 use apricotdale_standins::platform::AnswerFault;
 use apricotdale_standins::platform::StoreFault;
+use apricotdale_standins::platform::StreamFault;
 
 use crate::asking::MODELS;
 use crate::proxy::LinkFault;
@@ -35,6 +36,54 @@
 /// Sets their draws apart as well.
 const SET_BACKS_SEED: u64 = 0x7365_7462_6163_6b73;
 
+/// The fewest and the most times at which engines fail behind each other's streams.
+const JOINS: std::ops::RangeInclusive<usize> = 4..=8;
+
+/// Sets their draws apart as well.
+const JOINS_SEED: u64 = 0x6a6f_696e_7321_0000;
+
+/// How the rest of a stream is spoiled.
+const SPOILED_RESTS: [StreamFault; 16] = [
+    StreamFault::Skips,
+    StreamFault::Repeats,
+    StreamFault::BeginsAnew,
+    StreamFault::GoesBack,
+    StreamFault::SkipsLater,
+    StreamFault::Unnumbered,
+    StreamFault::Empty,
+    StreamFault::OtherContent,
+    StreamFault::Failed,
+    StreamFault::NoContent,
+    StreamFault::Redirect,
+    StreamFault::InterimOnly,
+    StreamFault::OtherVersion,
+    StreamFault::ClosedInside,
+    StreamFault::EndsInside,
+    StreamFault::OversizeClosedInside,
+];
+
+/// How any stream is spoiled, also one that is begun, so that it must not look whole.
+const SPOILED_STREAMS: [StreamFault; 4] = [
+    StreamFault::InterimOnly,
+    StreamFault::ClosedInside,
+    StreamFault::EndsInside,
+    StreamFault::OversizeClosedInside,
+];
+
+/// What other engines answer while one cuts its streams.
+const AFTER_CUT: [AnswerFault; 10] = [
+    AnswerFault::TurnedAway,
+    AnswerFault::Failed,
+    AnswerFault::LostAnswer,
+    AnswerFault::Mute,
+    AnswerFault::Unsigned,
+    AnswerFault::CrossedFirst,
+    AnswerFault::ExtraAfter,
+    AnswerFault::Unframed,
+    AnswerFault::UnframedCut,
+    AnswerFault::Garbage,
+];
+
 /// What the bodies hold of requests that end engines at once, and after some events.
 pub(crate) const CRASH_MARKS: [&str; 2] = ["ends-engine-", "ends-engine-late-"];
 
@@ -128,6 +177,29 @@
         /// How many.
         count: u32,
     },
+    /// Every engine spoils its next answers in the same way.
+    EnginesAnswer {
+        /// How.
+        fault: AnswerFault,
+        /// How many.
+        count: u32,
+    },
+    /// An engine cuts its next streams, and the others spoil their answers in another way.
+    CutBefore {
+        /// The number of the engine.
+        engine: usize,
+        /// Whole events before the cut.
+        events: u64,
+        /// How the others spoil theirs.
+        then: AnswerFault,
+        /// How many of each.
+        count: u32,
+    },
+    /// Every instance of the plain service breaks its next answers off after a large part.
+    LargeCuts {
+        /// How many.
+        count: u32,
+    },
     /// An engine carries its next orders out late, or loses the answers to them.
     Orders {
         /// The number of the engine.
@@ -216,6 +288,7 @@
             }
         }
         troubles.extend(draw_set_backs(seed, calm_from_ms));
+        troubles.extend(draw_joins(seed, calm_from_ms, engines));
         troubles.sort_by_key(|planned| planned.at_ms);
         Self {
             crashers: draw_crashers(seed, calm_from_ms),
@@ -262,6 +335,38 @@
         .collect()
 }
 
+/// Draws the times at which engines fail behind each other's streams, from a generator of their own as
+/// well.
+fn draw_joins(seed: u64, calm_from_ms: u64, engines: usize) -> Vec<Planned> {
+    let mut random = ChaCha8Rng::seed_from_u64(seed ^ JOINS_SEED);
+    let count = random.random_range(JOINS);
+    (0..count)
+        .map(|_| {
+            let at_ms = random.random_range(LEAD_MS..calm_from_ms.max(LEAD_MS + 1));
+            let events = random.random_range(1..4);
+            let rest = SPOILED_RESTS[random.random_range(0..SPOILED_RESTS.len())];
+            let stream = SPOILED_STREAMS[random.random_range(0..SPOILED_STREAMS.len())];
+            let other = AFTER_CUT[random.random_range(0..AFTER_CUT.len())];
+            let engine = random.random_range(0..engines.max(1));
+            let count = random.random_range(2..8);
+            let of_all = |fault| Trouble::EnginesAnswer { fault, count };
+            let trouble = match random.random_range(0..12) {
+                0..=6 => of_all(AnswerFault::CutThen { events, then: rest }),
+                7 => of_all(AnswerFault::Stream(stream)),
+                8 => of_all(AnswerFault::CutAfter { events }),
+                9 | 10 => Trouble::CutBefore {
+                    engine,
+                    events,
+                    then: other,
+                    count,
+                },
+                _ => Trouble::LargeCuts { count },
+            };
+            Planned { at_ms, trouble }
+        })
+        .collect()
+}
+
 struct Draw {
     random: ChaCha8Rng,
     vms: usize,
--- a/crates/soak/src/record.rs
+++ b/crates/soak/src/record.rs
@@ -1,9 +1,13 @@
 //! What callers and upstreams saw during a soak.
 
+use std::collections::BTreeMap;
 use std::collections::BTreeSet;
 
+use apricotdale_standins::platform::AnswerFault;
 use apricotdale_standins::platform::EngineEffects;
 
+use crate::streams::BodySeen;
+
 /// `Kind` is what a request asks for, and so what may become of it.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, Hash, PartialOrd, Ord)]
 pub enum Kind {
@@ -55,8 +59,8 @@
         id: Option<String>,
         /// Whether it carries an upstream's signature.
         signed: bool,
-        /// Whether the body is what an upstream gives for the request, as far as it came.
-        own_body: bool,
+        /// The body, as far as it came.
+        body: BodySeen,
     },
     /// The connection ended, or nothing came within the caller's patience.
     Unanswered,
@@ -75,6 +79,8 @@
     pub kind: Kind,
     /// The VM that it was sent to.
     pub vm: usize,
+    /// The last event that the caller had of an earlier attempt; 0 if it had none.
+    pub after_event: u64,
     /// When it was sent.
     pub sent_ms: u64,
     /// When its ending was known.
@@ -106,6 +112,10 @@
     pub at_ms: u64,
     /// Whether method, target and body are those of the request with this identity.
     pub unchanged: bool,
+    /// The event behind which it was to go on; 0 if it was to send all.
+    pub after_event: u64,
+    /// How its answer was spoiled, unless by its engine's end.
+    pub fault: Option<AnswerFault>,
 }
 
 /// `Crash` is an engine that ended under a request.
@@ -206,3 +216,38 @@
     /// VMs whose process ended by itself, with what is known of it.
     pub own_ends: Vec<String>,
 }
+
+/// `Continued` counts streams that went on at another upstream behind events of the one before.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+pub struct Continued {
+    /// All of them.
+    pub streams: usize,
+    /// Those whose rest was spoiled.
+    pub spoiled: usize,
+    /// Those that looked whole to their callers.
+    pub whole: usize,
+}
+
+impl Record {
+    /// Returns how many streams were played over several upstreams.
+    pub fn continued(&self) -> Continued {
+        let mut runs: BTreeMap<&str, Vec<&Run>> = BTreeMap::new();
+        for run in &self.runs {
+            runs.entry(&run.id).or_default().push(run);
+        }
+        let mut counts = Continued::default();
+        for attempt in self.attempts.iter().chain(&self.last_attempts) {
+            let runs = runs.get(attempt.id.as_str()).map_or(&[][..], Vec::as_slice);
+            let rests: Vec<&&Run> = runs
+                .iter()
+                .filter(|run| run.after_event > attempt.after_event)
+                .filter(|run| runs.iter().any(|other| other.upstream != run.upstream))
+                .collect();
+            let is_whole = matches!(attempt.ending, Ending::Answered { whole: true, .. });
+            counts.streams += usize::from(!rests.is_empty());
+            counts.spoiled += usize::from(rests.iter().any(|run| run.fault.is_some()));
+            counts.whole += usize::from(!rests.is_empty() && is_whole);
+        }
+        counts
+    }
+}
--- a/crates/standins/src/platform/serving.rs
+++ b/crates/standins/src/platform/serving.rs
@@ -34,11 +34,15 @@
 /// The bytes of a large body: more than an entry VM holds back.
 pub const LARGE_BYTES: usize = 1_500_000;
 
+/// The events that a rest has at least that is spoiled. In a shorter one, some faults would leave events
+/// that follow the ones before, and no reader could tell.
+const SPOILED_EVENTS: u64 = 3;
+
 /// What sends the events of a stream.
 type Produce = Box<dyn FnOnce(&mut EventWriter) -> StreamEnd + Send>;
 
 /// `AnswerFault` is how an answer is spoiled.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Hash, PartialOrd, Ord)]
 pub enum AnswerFault {
     /// The request is turned away, not run.
     TurnedAway,
@@ -55,7 +59,8 @@
     },
     /// The stream is spoiled by what it holds.
     Stream(StreamFault),
-    /// A request for all events is cut after some, one for the rest gets a spoiled stream.
+    /// A request for all events is cut after some, one for three or more of the rest gets a spoiled
+    /// stream.
     CutThen {
         /// Whole events before the break.
         events: u64,
@@ -97,6 +102,8 @@
     pub body: Vec<u8>,
     /// When it came.
     pub at: Instant,
+    /// How its answer was spoiled.
+    pub fault: Option<AnswerFault>,
 }
 
 impl RunSeen {
@@ -166,6 +173,7 @@
                 headers: request.headers().to_vec(),
                 body: request.body.clone(),
                 at: Instant::now(),
+                fault,
             });
         }
         fault
@@ -251,6 +259,8 @@
             None => None,
             Some(AnswerFault::CutAfter { events }) => Some(events),
             Some(AnswerFault::CutThen { events, .. }) if !goes_on => Some(events),
+            Some(AnswerFault::CutThen { .. }) if first + SPOILED_EVENTS > count + 1 => None,
+            Some(AnswerFault::Stream(_)) if first > count => None,
             Some(AnswerFault::Stream(fault) | AnswerFault::CutThen { then: fault, .. }) => {
                 let id = id_of(request);
                 return Reply::Raw(fault.answer(id, &self.instance, first, count));
--- a/crates/standins/src/platform/stream_faults.rs
+++ b/crates/standins/src/platform/stream_faults.rs
@@ -13,7 +13,7 @@
 const OVERSIZE_BYTES: usize = 300 * 1024;
 
 /// `StreamFault` is how a stream is spoiled.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Hash, PartialOrd, Ord)]
 pub enum StreamFault {
     /// It leaves out its first event.
     Skips,
@@ -90,7 +90,10 @@
                     keeps: false,
                 };
             }
-            Self::OtherVersion => (200, events(first..=last), Framing::Length),
+            Self::OtherVersion => {
+                let event = |event| format!("id: {event}\ndata: other piece {event}\n\n");
+                (200, (first..=last).map(event).collect(), Framing::Length)
+            }
             Self::ClosedInside => (200, begun, Framing::Close),
             Self::EndsInside => (200, begun, Framing::Length),
             Self::OversizeClosedInside => {
