--- a/crates/soak/tests/short_soak.rs
+++ b/crates/soak/tests/short_soak.rs
@@ -7,9 +7,9 @@
 use rstest::rstest;
 
 #[rstest]
-#[case::kills_and_pauses(1)]
-#[case::many_at_once(3)]
-fn promises_are_kept(#[case] seed: u64) {
+#[case::kills_and_pauses(1, 0)]
+#[case::many_at_once(3, 3)]
+fn promises_are_kept(#[case] seed: u64, #[case] least_spoiled_rests: usize) {
     let options = SoakOptions {
         length_ms: 7_000,
         ..SoakOptions::new(entry_program().expect("the program is built"), seed)
@@ -18,4 +18,6 @@
     let violations = check(&soak.record);
     assert!(violations.is_empty(), "{violations:#?}\n{:#?}", soak.plan);
     assert!(soak.record.attempts.len() > 200);
+    let continued = soak.record.continued();
+    assert!(continued.spoiled >= least_spoiled_rests, "{continued:?}");
 }
