--- a/crates/soak/src/checks.rs
+++ b/crates/soak/src/checks.rs
@@ -201,8 +201,8 @@
         }
     }
 
-    /// Returns whether an upstream alone gave a caller that resumed by itself no events, which no entry
-    /// VM can tell from the end of the stream.
+    /// Returns whether an upstream alone gave no events to a caller that resumed by itself, which no
+    /// entry VM can tell from the end of the stream.
     fn is_of_one_upstream(&self, attempt: &Attempt, body: &BodySeen, flaw: Flaw) -> bool {
         let has_events = match body {
             BodySeen::Plain { .. } => true,
--- a/crates/soak/src/plan.rs
+++ b/crates/soak/src/plan.rs
@@ -335,8 +335,8 @@
         .collect()
 }
 
-/// Draws the times at which engines fail behind each other's streams, from a generator of their own as
-/// well.
+/// Draws the times at which engines fail behind each other's streams, from a generator of their own
+/// as well.
 fn draw_joins(seed: u64, calm_from_ms: u64, engines: usize) -> Vec<Planned> {
     let mut random = ChaCha8Rng::seed_from_u64(seed ^ JOINS_SEED);
     let count = random.random_range(JOINS);
--- a/crates/soak/src/streams.rs
+++ b/crates/soak/src/streams.rs
@@ -110,13 +110,10 @@
         let given: BTreeSet<u64> = ids.iter().copied().collect();
         let next = ids.last().map_or(self.first, |id| id + 1);
         let is_in_order = ids.is_sorted();
+        let is_repeated = given.len() < ids.len() || ids.iter().any(|id| *id < self.first);
         match self.tail {
             _ if versions.len() > 1 => Some(Flaw::TwoVersions),
-            _ if given.len() < ids.len()
-                || given.first() < Some(&self.first) && !ids.is_empty() =>
-            {
-                Some(Flaw::Repeated)
-            }
+            _ if is_repeated => Some(Flaw::Repeated),
             _ if !is_in_order => Some(Flaw::OutOfOrder),
             _ if given.last() > Some(&self.last) => Some(Flaw::Beyond),
             _ if next - self.first > given.len() as u64 => Some(Flaw::Missing),
--- a/crates/standins/src/platform/serving.rs
+++ b/crates/standins/src/platform/serving.rs
@@ -34,8 +34,8 @@
 /// The bytes of a large body: more than an entry VM holds back.
 pub const LARGE_BYTES: usize = 1_500_000;
 
-/// The events that a rest has at least that is spoiled. In a shorter one, some faults would leave events
-/// that follow the ones before, and no reader could tell.
+/// The fewest events of a rest that is spoiled. In a shorter one, some faults would leave events that
+/// follow the ones before, and no reader could tell.
 const SPOILED_EVENTS: u64 = 3;
 
 /// What sends the events of a stream.
