--- a/crates/standins/src/platform/serving.rs
+++ b/crates/standins/src/platform/serving.rs
@@ -34,6 +34,9 @@
 /// The bytes of a large body: more than an entry VM holds back.
 pub const LARGE_BYTES: usize = 1_500_000;
 
+/// Interim answers of [`AnswerFault::ManyInterim`].
+const INTERIM_ANSWERS: usize = 100_000;
+
 /// What sends the events of a stream.
 type Produce = Box<dyn FnOnce(&mut EventWriter) -> StreamEnd + Send>;
 
@@ -68,12 +71,16 @@
     LargeCut,
     /// Nothing follows [`LARGE_BYTES`] of the body, and the connection stays open.
     LargeStalled,
+    /// The body never ends.
+    Endless,
     /// The answer lacks its signature.
     Unsigned,
     /// The stream lacks its signature, and goes on.
     UnsignedStream,
     /// The request is turned away, not run, and the body of the answer never comes.
     TurnedAwayStalled,
+    /// Interim answers without number come first.
+    ManyInterim,
     /// Another request's answer comes first.
     CrossedFirst,
     /// Another answer follows the whole one.
@@ -224,6 +231,16 @@
                 let fields = format!("Content-Length: {length}\r\n\r\n{body}");
                 raw(head(200, &fields), fault != AnswerFault::LargeCut)
             }
+            Some(AnswerFault::Endless) => Reply::Stream(Stream {
+                headers: Vec::new(),
+                produce: Box::new(|writer: &mut EventWriter| {
+                    let bytes = vec![b'x'; LARGE_BYTES];
+                    while writer.send_bytes(&bytes).is_ok() {}
+                    StreamEnd::Broken
+                }),
+            })
+            .with_header(ID, id)
+            .with_header(SIGNATURE, "s"),
             Some(AnswerFault::TurnedAway) => self.not_run(request, 503),
             Some(AnswerFault::TurnedAwayStalled) => {
                 let text = format!(
@@ -245,6 +262,10 @@
                 );
                 raw(text, true)
             }
+            Some(AnswerFault::ManyInterim) => {
+                let interim = "HTTP/1.1 103 Early\r\n\r\n".repeat(INTERIM_ANSWERS);
+                raw(interim + &framed(200, ""), true)
+            }
             Some(AnswerFault::CrossedFirst) => raw(other + &framed(200, ""), true),
             Some(AnswerFault::ExtraAfter) => raw(framed(200, "") + &other, true),
             Some(AnswerFault::Unframed) => raw(head(200, "\r\n") + body, false),
