--- a/crates/soak/src/soak.rs
+++ b/crates/soak/src/soak.rs
@@ -3,6 +3,7 @@
 use std::path::Path;
 use std::path::PathBuf;
 use std::sync::Arc;
+use std::sync::atomic::AtomicBool;
 use std::sync::atomic::Ordering;
 use std::thread;
 use std::thread::JoinHandle;
@@ -107,6 +108,15 @@
     ///
     /// [`Error::Io`] if something can't be started, [`Error::NotReady`].
     pub fn carry_out(options: &SoakOptions) -> Result<Self> {
+        Self::follow(options, options.plan())
+    }
+
+    /// Carries a soak out with a plan other than that of its seed.
+    ///
+    /// # Errors
+    ///
+    /// Those of [`Soak::carry_out`].
+    pub fn follow(options: &SoakOptions, plan: Plan) -> Result<Self> {
         if !options.program.is_file() {
             return Err(Error::MissingProgram(options.program.clone()));
         }
@@ -123,16 +133,18 @@
             World::stream_events(),
         ));
         let callers = start_callers(options, &asking);
-        let plan = options.plan();
         let crashers = start_crashers(options, &plan, &asking);
-        let mending = start_mending(&world, &asking);
+        // The callers' last requests may end engines, too.
+        let has_recovered = Arc::new(AtomicBool::new(false));
+        let mending = start_mending(&world, &has_recovered);
         carry_out_plan(clock, &world, &plan);
         thread::sleep(Duration::from_millis(1_000));
         asking.stopped.store(true, Ordering::Release);
         join(callers);
         join(crashers);
-        join(vec![mending]);
         let last_attempts = recover(options, &asking);
+        has_recovered.store(true, Ordering::Release);
+        join(vec![mending]);
         let record = take_record(&world, &asking, last_attempts);
         Ok(Self {
             plan,
@@ -160,9 +172,9 @@
         .collect()
 }
 
-fn start_mending(world: &Arc<World>, asking: &Arc<Asking>) -> JoinHandle<()> {
-    let (world, asking) = (world.clone(), asking.clone());
-    thread::spawn(move || world.mend_engines(&asking.stopped))
+fn start_mending(world: &Arc<World>, has_recovered: &Arc<AtomicBool>) -> JoinHandle<()> {
+    let (world, has_recovered) = (world.clone(), has_recovered.clone());
+    thread::spawn(move || world.mend_engines(&has_recovered))
 }
 
 fn start_callers(options: &SoakOptions, asking: &Arc<Asking>) -> Vec<JoinHandle<()>> {
--- /dev/null
+++ b/crates/soak/tests/late_crashers.rs
@@ -0,0 +1,37 @@
+//! Engines that end after the callers were told to stop.
+
+use apricotdale_soak::Crasher;
+use apricotdale_soak::Plan;
+use apricotdale_soak::Soak;
+use apricotdale_soak::SoakOptions;
+use apricotdale_soak::check;
+use apricotdale_soak::entry_program;
+
+/// Guards against engines that stay away in the recovery: the second request waits for the engine
+/// that the first one ended, and ends the next when the callers have been told to stop.
+#[test]
+fn engine_comes_back_in_the_recovery() {
+    let crasher = Crasher {
+        body: "ends-engine-0".to_owned(),
+        model: "m0",
+        at_ms: 1_900,
+        pause_ms: 50,
+        resumable: false,
+        copies: 1,
+    };
+    let plan = Plan {
+        crashers: vec![crasher],
+        troubles: Vec::new(),
+        calm_from_ms: 2_000,
+        end_ms: 2_000,
+    };
+    let options = SoakOptions {
+        vms: 1,
+        engines: 1,
+        callers: 2,
+        ..SoakOptions::new(entry_program().expect("the program is built"), 1)
+    };
+    let soak = Soak::follow(&options, plan).expect("the soak can be carried out");
+    assert!(soak.record.crashes.len() >= 2, "{:?}", soak.record.crashes);
+    assert_eq!(check(&soak.record), []);
+}
