The status line of a 401 says Unauthorized

Cause: the table of phrases had none for 401, so that entry VMs refused unknown keys with 'HTTP/1.1 401 Status'.

--- a/crates/http1/src/encode.rs
+++ b/crates/http1/src/encode.rs
@@ -52,6 +52,7 @@
         100 => "Continue",
         200 => "OK",
         400 => "Bad Request",
+        401 => "Unauthorized",
         404 => "Not Found",
         408 => "Request Timeout",
         413 => "Content Too Large",
--- a/crates/launcher/src/lib.rs
+++ b/crates/launcher/src/lib.rs
@@ -11,6 +11,7 @@
 pub mod cluster;
 pub mod demo;
 pub mod entry_demo;
+pub mod entry_up;
 pub mod errors;
 pub mod health;
 pub mod interrupts;
--- a/crates/launcher/src/main.rs
+++ b/crates/launcher/src/main.rs
@@ -17,6 +17,7 @@
 use apricotdale_launcher::cluster::options::ClusterOptions;
 use apricotdale_launcher::demo::Demo;
 use apricotdale_launcher::entry_demo::EntryDemo;
+use apricotdale_launcher::entry_up::EntryUp;
 use apricotdale_launcher::interrupts::Interrupts;
 use apricotdale_launcher::sample;
 
@@ -37,6 +38,10 @@
     /// Show the same on the users' platform: entry VMs before its stand-ins
     #[bpaf(command("entry-demo"))]
     EntryDemo,
+    /// Start an entry VM before the stand-ins of the users' platform, print its address and the
+    /// callers' keys, and leave it running until SIGINT or SIGTERM
+    #[bpaf(command("entry-up"))]
+    EntryUp,
     /// Start a cluster and leave it running until SIGINT or SIGTERM
     #[bpaf(command("up"))]
     Up {
@@ -53,6 +58,7 @@
     let result = match command().run() {
         Command::Demo { logs } => demo(logs),
         Command::EntryDemo => EntryDemo::start(&mut io::stdout()).and_then(EntryDemo::run),
+        Command::EntryUp => EntryUp::run(&mut io::stdout()).map(|()| true),
         Command::Up { logs, vms } => up(logs, vms).map(|()| true),
     };
     match result {
