A VM that is told of newer keys does not rely on its own for longer than revoke_ms

Cause: with fail_closed, knows_keys took any fresh word of another VM for a word that this VM's configuration is the newest. A VM cut off from the store alone, told that a newer version is in force, went on with the former keys for as long as it heard others. Nor did a read of its own count for what it was where the store holds an older copy. Now the time since others tell of a newer version counts, at most revoke_ms.

--- a/crates/entry/src/feeds.rs
+++ b/crates/entry/src/feeds.rs
@@ -105,6 +105,8 @@
     foreign: HashSet<String>,
     /// When a configuration and a list were first known.
     complete_ms: Option<u64>,
+    /// Since when others have told of a newer configuration than the one in force here.
+    outdated_ms: Option<u64>,
     /// Whether this VM has taken requests, or could have.
     takes_requests: bool,
 }
@@ -130,6 +132,7 @@
             vms: Feed::default(),
             foreign: HashSet::new(),
             complete_ms: None,
+            outdated_ms: None,
             takes_requests: false,
         }
     }
@@ -141,6 +144,17 @@
         self.configuration.read_ms.map(|at_ms| now_ms - at_ms)
     }
 
+    /// Returns for how long others have told of a newer configuration than the one in force here;
+    /// none if they have not.
+    pub fn outdated_for_ms(&self, now_ms: u64) -> Option<u64> {
+        self.outdated_ms.map(|since_ms| now_ms - since_ms)
+    }
+
+    /// Notes whether others have told of a newer configuration.
+    pub fn note_outdated(&mut self, now_ms: u64, is_outdated: bool) {
+        self.outdated_ms = is_outdated.then(|| self.outdated_ms.unwrap_or(now_ms));
+    }
+
     /// Returns how long ago the list was read; none before the first time.
     pub fn list_age_ms(&self, now_ms: u64) -> Option<u64> {
         self.upstreams.read_ms.map(|at_ms| now_ms - at_ms)
--- a/crates/entry/src/feeds/configuration.rs
+++ b/crates/entry/src/feeds/configuration.rs
@@ -116,6 +116,8 @@
             match self.directory.configure(configuration) {
                 Ok(()) if version != before => {
                     log::info!(version, before; "configuration in force");
+                    let is_outdated = self.sharing.told_version() > version;
+                    self.feeds.note_outdated(self.now_ms, is_outdated);
                     self.peers.beat_soon();
                     self.look_again = true;
                 }
--- a/crates/entry/src/serving.rs
+++ b/crates/entry/src/serving.rs
@@ -179,12 +179,19 @@
     }
 
     /// Returns whether keys may be relied on: always, unless the operators want them refused where
-    /// this VM has not heard for a while that its configuration is the newest.
+    /// this VM has not heard for a while that its configuration is the newest. That others have a
+    /// newer one counts, too, whoever is heard and whatever the store holds.
     fn knows_keys(&self) -> bool {
-        let age_ms = self.feeds.configuration_age_ms(self.now_ms);
-        !self.settings.fail_closed
-            || self.sharing.follows(self.now_ms)
-            || age_ms.is_some_and(|age_ms| age_ms <= self.settings.revoke_ms)
+        let is_good = |age_ms| age_ms <= self.settings.revoke_ms;
+        match self.feeds.outdated_for_ms(self.now_ms) {
+            _ if !self.settings.fail_closed => true,
+            Some(for_ms) => is_good(for_ms),
+            None if self.sharing.follows(self.now_ms) => true,
+            None => self
+                .feeds
+                .configuration_age_ms(self.now_ms)
+                .is_some_and(is_good),
+        }
     }
 
     fn job(&self, serving: &ServingRequest, route: &Arc<Route>, service: GroupName) -> Job {
--- a/crates/entry/src/telling.rs
+++ b/crates/entry/src/telling.rs
@@ -202,7 +202,9 @@
         if let Some(rate) = fresh.list_bytes_per_s {
             self.pacing.set_list_rate(rate);
         }
-        if self.sharing.told_version() > self.directory.version() {
+        let is_outdated = self.sharing.told_version() > self.directory.version();
+        self.feeds.note_outdated(now_ms, is_outdated);
+        if is_outdated {
             let at_ms = now_ms + self.pacing.draw_ms();
             self.feeds.read_configuration_at(at_ms);
         }
