A VM relies on keys for revoke_ms after the last word that its configuration is the newest

Cause: with fail_closed, a VM that other VMs tell of the configuration fell back on its own last read as soon as the words stopped, or came late once. That read may be older than revoke_ms although the last word is a second old, so that good keys were refused with 503. Now the time of the read that the last word tells of counts, too; a former key is not relied on for longer than before: at most revoke_ms after a true read.

--- a/crates/entry/src/feeds.rs
+++ b/crates/entry/src/feeds.rs
@@ -105,6 +105,8 @@
     foreign: HashSet<String>,
     /// When a configuration and a list were first known.
     complete_ms: Option<u64>,
+    /// When another VM read that the configuration in force here is the newest, as it has told.
+    current_ms: Option<u64>,
     /// Since when others have told of a newer configuration than the one in force here.
     outdated_ms: Option<u64>,
     /// Whether this VM has taken requests, or could have.
@@ -132,6 +134,7 @@
             vms: Feed::default(),
             foreign: HashSet::new(),
             complete_ms: None,
+            current_ms: None,
             outdated_ms: None,
             takes_requests: false,
         }
@@ -150,6 +153,18 @@
         self.outdated_ms.map(|since_ms| now_ms - since_ms)
     }
 
+    /// Returns how long ago this VM or another read that the configuration in force here is the
+    /// newest; none before the first time.
+    pub fn current_age_ms(&self, now_ms: u64) -> Option<u64> {
+        let read_ms = self.configuration.read_ms.max(self.current_ms);
+        read_ms.map(|at_ms| now_ms - at_ms)
+    }
+
+    /// Notes that another VM has read that the configuration in force here is the newest.
+    pub fn note_current(&mut self, read_ms: u64) {
+        self.current_ms = self.current_ms.max(Some(read_ms));
+    }
+
     /// Notes whether others have told of a newer configuration.
     pub fn note_outdated(&mut self, now_ms: u64, is_outdated: bool) {
         self.outdated_ms = is_outdated.then(|| self.outdated_ms.unwrap_or(now_ms));
--- a/crates/entry/src/serving.rs
+++ b/crates/entry/src/serving.rs
@@ -187,10 +187,7 @@
             _ if !self.settings.fail_closed => true,
             Some(for_ms) => is_good(for_ms),
             None if self.sharing.follows(self.now_ms) => true,
-            None => self
-                .feeds
-                .configuration_age_ms(self.now_ms)
-                .is_some_and(is_good),
+            None => self.feeds.current_age_ms(self.now_ms).is_some_and(is_good),
         }
     }
 
--- a/crates/entry/src/telling.rs
+++ b/crates/entry/src/telling.rs
@@ -204,6 +204,11 @@
         }
         let is_outdated = self.sharing.told_version() > self.directory.version();
         self.feeds.note_outdated(now_ms, is_outdated);
+        if fresh.configuration == self.directory.version()
+            && let Some(age_ms) = fresh.configuration_age_ms
+        {
+            self.feeds.note_current(now_ms.saturating_sub(age_ms));
+        }
         if is_outdated {
             let at_ms = now_ms + self.pacing.draw_ms();
             self.feeds.read_configuration_at(at_ms);
