A caller that resumes gets events; written bytes are dropped before all are written

Seen by the soak: a caller that resumes a stream got a JSON text or 204 as the rest of it, whole. Such an answer is a misfit now (caller_resumes_and_gets_no_events, failed before: Ok). An empty stream can't be told from one whose events the caller has, and is passed on. Read by the review: what was written to a caller stayed in memory until all was written, so one that is always a little behind kept its whole stream there. No test: on loopback it is not brought about.

--- a/crates/delivery/src/delivery.rs
+++ b/crates/delivery/src/delivery.rs
@@ -134,6 +134,10 @@
         let is_success = (200..300).contains(&head.status);
         let is_events = self.options.is_stream && is_success && has_events(&head);
         match (self.given, &self.head) {
+            // The caller has events already.
+            (Given::Nothing, _) if is_success && !is_events && self.is_resumed() => {
+                return Err(Misfit::ContentType);
+            }
             (Given::Nothing, _) => {}
             (Given::Events, _) if !self.may_go_on() => return Err(Misfit::Closed),
             (Given::Events, Some(first)) if first.status != head.status => {
@@ -243,17 +247,23 @@
         }
     }
 
+    /// Returns whether the caller has events from an earlier answer.
+    fn is_resumed(&self) -> bool {
+        let is_resumable = self.options.is_stream && self.options.is_resumable;
+        is_resumable && self.options.last_event.is_some()
+    }
+
     fn is_closed(&self) -> bool {
         matches!(self.given, Given::Whole | Given::Broken)
     }
 
     /// Appends the pieces of a stream that fit.
     fn pass_events(&mut self, passed: &mut Vec<u8>) -> Result<(), Misfit> {
+        let is_resumed = self.is_resumed();
         let Run::Events(events) = &mut self.run else {
             return Ok(());
         };
         let version_field = self.options.version_field;
-        let is_resumed = self.options.is_resumable && self.position.last_id().is_some();
         let follows = events.goes_on || is_resumed;
         while let Some(piece) = events.splitter.next_piece() {
             let is_first = matches!(piece, Piece::Event(_) | Piece::Beginning(_));
--- a/crates/delivery/tests/joined_answers.rs
+++ b/crates/delivery/tests/joined_answers.rs
@@ -154,6 +154,20 @@
     assert!(given.starts_with("HTTP/1.1 200"));
 }
 
+/// Guards against another answer that is told as the rest of a stream that a caller resumes.
+#[rstest]
+#[case::json(200, "application/json")]
+#[case::no_content(204, "text/plain")]
+fn caller_resumes_and_gets_no_events(#[case] status: u16, #[case] content_type: &str) {
+    let mut delivery = Delivery::new(Options {
+        last_event: Some(4),
+        ..options()
+    });
+    let misfit = Err(Misfit::ContentType);
+    assert_eq!(delivery.head(head(status, content_type), None), misfit);
+    assert!(delivery.may_go_on());
+}
+
 /// Guards against a join behind a place that is not known.
 #[rstest]
 #[case::unnumbered("data: a\n\n")]
--- a/crates/entry/src/stream.rs
+++ b/crates/entry/src/stream.rs
@@ -60,6 +60,11 @@
 
     /// Adds bytes to be written, without trying to.
     pub fn queue(&mut self, bytes: &[u8]) {
+        // A caller that is always a little behind must not have all that it was sent kept.
+        if self.written > self.unwritten.len() / 2 {
+            self.unwritten.drain(..self.written);
+            self.written = 0;
+        }
         self.unwritten.extend_from_slice(bytes);
     }
 
