--- a/crates/standins/src/platform/calling.rs
+++ b/crates/standins/src/platform/calling.rs
@@ -177,6 +177,12 @@
     }
 }
 
+/// The most bytes in a packet to a distant caller.
+const DISTANT_PACKET_BYTES: u32 = 536;
+
+/// The receive buffer of a distant caller.
+const DISTANT_WINDOW_BYTES: usize = 16 * 1024;
+
 /// `Caller` is a caller's connection to a VM.
 #[derive(Debug)]
 pub struct Caller {
@@ -210,6 +216,19 @@
         Self::over(socket.into(), patience)
     }
 
+    /// Opens a connection with small packets and a small window, as a distant caller has.
+    ///
+    /// # Errors
+    ///
+    /// Any of connecting.
+    pub fn connect_distant(address: SocketAddr, patience: Duration) -> io::Result<Self> {
+        let socket = Socket::new(Domain::for_address(address), Type::STREAM, None)?;
+        socket.set_tcp_mss(DISTANT_PACKET_BYTES)?;
+        socket.set_recv_buffer_size(DISTANT_WINDOW_BYTES)?;
+        socket.connect_timeout(&address.into(), patience)?;
+        Self::over(socket.into(), patience)
+    }
+
     fn over(stream: TcpStream, patience: Duration) -> io::Result<Self> {
         stream.set_read_timeout(Some(patience))?;
         stream.set_write_timeout(Some(patience))?;
@@ -284,6 +303,19 @@
         }
     }
 
+    /// Reads some bytes of an answer and drops them.
+    ///
+    /// # Errors
+    ///
+    /// Any of the socket, and the end of the connection before.
+    pub fn skip_bytes(&mut self, count: u64) -> io::Result<()> {
+        let skipped = io::copy(&mut (&mut self.stream).take(count), &mut io::sink())?;
+        match skipped == count {
+            true => Ok(()),
+            false => Err(io::ErrorKind::UnexpectedEof.into()),
+        }
+    }
+
     /// Reads until an event of a stream has come, and keeps what was read for [`Caller::answer`].
     ///
     /// # Errors
