Bytes that a slow peer has been sent are freed

Stream kept all that was written until nothing was left to write. A caller that is behind for a whole stream, with a small send buffer, had the VM hold the whole stream.

--- a/crates/entry/src/stream.rs
+++ b/crates/entry/src/stream.rs
@@ -60,6 +60,11 @@
 
     /// Adds bytes to be written, without trying to.
     pub fn queue(&mut self, bytes: &[u8]) {
+        // A peer that is always behind never has all of it written.
+        if self.written > self.unwritten_bytes() {
+            self.unwritten.drain(..self.written);
+            self.written = 0;
+        }
         self.unwritten.extend_from_slice(bytes);
     }
 
