--- a/crates/delivery/src/delivery.rs
+++ b/crates/delivery/src/delivery.rs
@@ -163,7 +163,8 @@
     /// # Errors
     ///
     /// [`Misfit`] for the first event that does not follow the one before. Those before it are
-    /// appended all the same, and nothing behind it. [`Misfit::Closed`] behind the end of the answer.
+    /// appended all the same, and nothing behind it. [`Misfit::Closed`] behind the end of the
+    /// answer.
     pub fn body(&mut self, bytes: &[u8], closes: bool, out: &mut Vec<u8>) -> Result<(), Misfit> {
         if self.is_closed() {
             return Err(Misfit::Closed);
--- a/crates/delivery/src/splitter.rs
+++ b/crates/delivery/src/splitter.rs
@@ -16,8 +16,8 @@
     Last(Vec<u8>),
 }
 
-/// `EventSplitter` finds the ends of events in a stream. Lines end as in the standard of server-sent
-/// events: with a line feed, a carriage return, or both.
+/// `EventSplitter` finds the ends of events in a stream. Lines end as in the standard of
+/// server-sent events: with a line feed, a carriage return, or both.
 #[derive(Clone, Debug, Default)]
 pub struct EventSplitter {
     pending: Vec<u8>,
--- a/crates/delivery/tests/joined_answers.rs
+++ b/crates/delivery/tests/joined_answers.rs
@@ -324,8 +324,7 @@
     assert_eq!(delivery.may_go_on(), expected.is_ok());
 }
 
-/// Guards against the last byte of a stream that is lost: the upstream sends the two bytes of its last
-/// line end apart.
+/// Guards against losing the last byte of a stream whose last line end comes in two reads.
 #[test]
 fn last_line_end_in_two_pieces() {
     let mut delivery = Delivery::new(options());
@@ -337,8 +336,8 @@
     assert_eq!(String::from_utf8_lossy(&out), "1\r\n\n\r\n0\r\n\r\n");
 }
 
-/// Guards against a caller that resumes a stream which may run once, and whose events are taken for ones
-/// that do not fit. Upstreams may or may not heed its place there.
+/// Guards against refusing the events of a stream that may run once and whose caller names a last
+/// event: upstreams need not heed it.
 #[rstest]
 fn caller_resumes_what_runs_once(#[values(1, 5)] first: u64) {
     let mut delivery = Delivery::new(Options {
@@ -354,8 +353,7 @@
     assert_eq!(take(&mut delivery, &skipped), Err(Misfit::Gap));
 }
 
-/// Guards against a number that is read by half: an event that is too large to be held back arrives in
-/// parts, and one ends within its number.
+/// Guards against reading half of a number where part of an oversize event ends within it.
 #[test]
 fn number_in_two_parts() {
     let mut delivery = Delivery::new(Options {
--- a/crates/dispatch/src/dispatcher.rs
+++ b/crates/dispatch/src/dispatcher.rs
@@ -36,8 +36,8 @@
 use crate::options::routing_options;
 use crate::suspension::Suspensions;
 
-/// When a caller should come back whose request found no free upstream in its time: they are full for
-/// moments.
+/// When a caller should come back whose request found no free upstream in time. Upstreams are full
+/// for moments only.
 const LATE_RETRY_AFTER_MS: u64 = 300;
 
 /// `Dispatcher` decides for one VM where requests go.
--- a/crates/dispatch/src/job.rs
+++ b/crates/dispatch/src/job.rs
@@ -48,14 +48,11 @@
     }
 }
 
-/// `Urgency` is the order in which waiting requests are sent: by class, then those that can still be
-/// on time, then by when the answer should have begun.
+/// `Urgency` is the order in which waiting requests are sent: by class, then those that can still
+/// be on time, then by when the answer should have begun.
 ///
-/// Where more waits than can be served, an order by target alone spends the places on requests that
-/// are late already, until all are late. After a second of twice the capacity and then nine tenths of
-/// it for 18 s, 65% of the requests were on time by target alone and 97% in this order
-/// (`tests/queue_order.rs`); over 24 paired days the mean worth rose by 0.008 and 0.007 in the users'
-/// two deployments.
+/// In an overload, an order by target alone spends the places on requests that are late already,
+/// until all are late.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
 pub struct Urgency {
     rank: u32,
--- a/crates/dispatch/tests/send_choice.rs
+++ b/crates/dispatch/tests/send_choice.rs
@@ -166,8 +166,7 @@
     assert!(matches!(verdict, Verdict::Refuse(refusal) if refusal.ran == Ran::NotRun));
 }
 
-/// Guards against a refusal that promises that the request has not run, after a try that may have: its
-/// upstream was lost, and nothing can take it any more.
+/// Guards against a refusal that says "not run" after a try that may have run.
 #[rstest]
 #[case::of_no_catalogue("other", 1_000)]
 #[case::comes_too_late("m2", 1_000)]
@@ -208,10 +207,8 @@
     assert_eq!(chosen.len(), 2);
 }
 
-/// Symptom: all requests for a model are refused for seconds after an engine crashed. Sequence: the
-/// engine stays on the list; each try is refused a connection at once; after some tries the request
-/// is given up. Cause: an engine that refuses connections was still taken as one that holds the
-/// model, so nobody loaded it elsewhere.
+/// Guards against a crashed engine that is still listed and still counts as holding its models, so
+/// that they are loaded nowhere else.
 #[test]
 fn unreachable_engine_holds_nothing() {
     let directory = directory(&[("e0", "a", &["m0"])]);
--- a/crates/entry/src/answering.rs
+++ b/crates/entry/src/answering.rs
@@ -158,8 +158,8 @@
         }
     }
 
-    /// Closes the connection of an upstream that may still work on a request, and must not do so
-    /// beside the next one.
+    /// Closes the connection of an upstream that may still work on a request, by which the upstream
+    /// learns that the request is given up.
     fn leave(&mut self, token: Token) {
         self.outbound.close(token, self.poll.registry());
     }
@@ -187,7 +187,7 @@
         self.try_failed(key, FailedTry::Misfit);
     }
 
-    /// Tells that an upstream answers a request of which the caller already has a part.
+    /// Logs that an upstream answers a request of which the caller already has a part.
     fn log_second_answer(&mut self, key: u64, head: &ResponseHead) {
         let has_begun = |request: &&Active| request.delivery.has_begun();
         let Some(request) = self.active.get(key).filter(has_begun) else {
--- a/crates/fleet/src/directory.rs
+++ b/crates/fleet/src/directory.rs
@@ -28,15 +28,11 @@
 pub struct DirectoryOptions {
     /// The shortest time without an answered read of the list, here or at another VM, in which
     /// entries can lapse. They do after three heartbeats of silence, so an outage must last for
-    /// almost two. With heartbeats of 1.2 s, 4 of some 100 entries lapsed in an outage of 1.8 s, 2
-    /// of 12 in one of 2.3 s, none in one of 1.6 s. A single read without an answer makes 1.8 s,
-    /// however many VMs read: if it counted as an outage, an upstream that leaves at that time
-    /// would be kept for 2 s more.
+    /// almost two. It is longer than a single read without an answer takes: if that counted as an
+    /// outage, an upstream that leaves at that time would be kept for `restore_ms` more.
     pub lapse_ms: u64,
     /// How long after an outage of the list a live upstream's entry may be missing. The platform
-    /// writes entries that lapsed during an outage again within about two seconds of its end; on
-    /// four deployments, all entries lapsed and every read 50 ms after the other, the last came
-    /// back after 1.75 s.
+    /// writes entries that lapsed during an outage again soon after its end.
     pub restore_ms: u64,
 }
 
--- a/crates/fleet/tests/list_recovery.rs
+++ b/crates/fleet/tests/list_recovery.rs
@@ -46,9 +46,8 @@
     assert_eq!(serving(&directory), 1);
 }
 
-/// Symptom: an upstream that left gets requests for more than 2 s. Sequence: the list comes back, and
-/// when it is whole again an upstream leaves without a notice; its removal is read. Cause: the
-/// removal was taken for a lapse because a read had failed not long before.
+/// Guards against a removal that counts as a lapse because a read failed before the list was whole
+/// again.
 #[test]
 fn removal_from_a_whole_list() {
     let mut directory = directory();
@@ -108,12 +107,8 @@
     assert_eq!(change, DirectoryChange::Left);
 }
 
-/// Symptom: an upstream that left is kept for 2 s more. Sequence: one read of the list gets no answer
-/// and the next one brings the removal. Cause: every failed read was taken for an outage, though no
-/// entry can lapse in so short a time.
-///
-/// Guards against a lost read that takes longer where many VMs read, or where the VM is late to
-/// begin it, and is then taken for an outage all the same.
+/// Guards against a single lost read that counts as an outage, also where many VMs read or the VM
+/// begins the read late. No entry can lapse in so short a time.
 #[rstest]
 fn one_lost_read_is_no_outage(
     #[values(None, Some(1), Some(300), Some(1_000))] vms: Option<u32>,
@@ -136,8 +131,8 @@
     assert_eq!(change, DirectoryChange::Left);
 }
 
-/// Guards against a store that is asked again before it can have answered: VMs whose list is old, or
-/// whose last read has failed, wait for as long as reads of all VMs take.
+/// Guards against asking the store again before it can have answered: VMs whose list is old, or
+/// whose last read failed, wait for as long as reads of all VMs take.
 #[rstest]
 #[case::never_read(0, None)]
 #[case::old_list(0, Some(1_300))]
@@ -157,9 +152,8 @@
     );
 }
 
-/// Symptom: after an outage all upstreams are taken as gone. Sequence: a VM stands still from before the
-/// outage until after it, so that no read of its own has failed. Cause: only failed reads told of an
-/// outage.
+/// Guards against an outage that goes unnoticed by a VM that stood still throughout, so that no read
+/// of its own failed and all upstreams count as gone.
 #[test]
 fn outage_that_was_slept_through() {
     let mut directory = directory();
@@ -170,9 +164,8 @@
     assert_eq!(change, DirectoryChange::Lapsed);
 }
 
-/// Symptom: a VM that was cut off alone sends to an upstream 3 s after it is back, though the upstream
-/// left in between. Sequence: the VM can't read for seconds; another reads all the time and tells so.
-/// Cause: the VM took its own cut for an outage of the list.
+/// Guards against a VM that takes its own partition for an outage of the list, while another VM reads
+/// and tells so, and keeps an upstream that has left.
 #[test]
 fn list_was_there_for_others() {
     let mut directory = directory();
@@ -193,8 +186,8 @@
     assert_eq!(change, DirectoryChange::Left);
 }
 
-/// Guards against a VM that has left reading to others and first reads itself after an outage, which
-/// none of its reads has met: it took lapsed entries for departures, and told the others so.
+/// Guards against lapsed entries that count as departures at a VM which left reading to others and
+/// made no read during the outage.
 #[test]
 fn first_own_read_follows_an_outage() {
     let mut directory = directory();
--- a/crates/gateway/src/model_flow.rs
+++ b/crates/gateway/src/model_flow.rs
@@ -280,7 +280,7 @@
         let pause = self
             .shared
             .decide_retry(&request, failure.ran, &self.context.trace);
-        // Events carry no numbers: whether another run fits behind a part of this one can't be told.
+        // Events have no numbers, so nothing shows whether another run continues this one.
         pause.filter(|_| !self.answer.has_begun())
     }
 
--- a/crates/holder/src/unconfirmed.rs
+++ b/crates/holder/src/unconfirmed.rs
@@ -3,9 +3,9 @@
 //! A load from an engine's own copies is taken as done when the configured time is over, because a
 //! report lags by a third of that time and requests wait. Engines differ in speed, though: one that
 //! loads more slowly turns the waiting requests away, and they come again and again while every VM
-//! is told that the model is there. So the first such answer takes the claim back and tells how long
-//! the engine really takes. Loads from the weight store take seconds, longer still while others run
-//! beside them; they are taken as done only when a report says so.
+//! is told that the model is there. So the first such answer takes the claim back and shows how
+//! long the engine really takes. Loads from the weight store take seconds, longer still while others
+//! run beside them; they are taken as done only when a report says so.
 
 use apricotdale_core::names::ModelName;
 use apricotdale_fleet::Tier;
@@ -21,13 +21,13 @@
 use crate::store_limit::StoreLimit;
 use crate::store_limit::is_overdue;
 
-/// The first step by which a load that is not done is expected later, as a part of its configured time.
-/// It doubles with each further one: each wrong word makes all waiting requests come in vain. Engines of
-/// the users' deployments are up to 1.3 times slower than the configuration says, which two steps reach.
+/// The first step by which a load that is not done is expected later, as a part of its configured
+/// time. It doubles with each further one: after each wrong estimate all waiting requests are sent
+/// in vain.
 const LATER_SHARE: f64 = 0.1;
 
-/// The slowest that an engine is taken to be. In a longer load the copy was gone, and the weights come
-/// from the weight store.
+/// The slowest that an engine is taken to be. In a longer load the copy was gone, and the weights
+/// come from the weight store.
 const MOST_LOAD_FACTOR: f64 = 2.0;
 
 /// How long after its expected end a load may still be taken back. Later the model was there.
--- a/crates/node/tests/ended_demand.rs
+++ b/crates/node/tests/ended_demand.rs
@@ -17,14 +17,8 @@
 /// something over. A report of demand counts for longer.
 const PROPOSAL_MS: u64 = 1_100;
 
-/// Symptom: a model is loaded that nobody waits for. Sequence: a request waits at one VM, which tells
-/// the model's preferred VM; no load can be decided, and the request is refused; a moment later loads
-/// can be decided again. Cause: a VM tells others of requests that wait, and not that none does any
-/// more.
-///
-/// Guards against a model that is loaded since the end of its demand was told: a report of nothing
-/// counted as demand of nothing, and a policy that wants for a while what was waited for had its
-/// load decided.
+/// Guards against a load that nobody waits for: the preferred VM was told of a request and not of its
+/// refusal, or a report without demand kept the model in the policy's plan.
 #[rstest]
 fn a_request_that_was_refused_is_no_demand(
     #[values(FIXED_TIMEOUT, LEARNED)] placement: &'static str,
