--- a/crates/dispatch/tests/send_choice.rs
+++ b/crates/dispatch/tests/send_choice.rs
@@ -54,8 +54,8 @@
     assert_eq!(verdict, Verdict::Send(UpstreamName::from("e0")));
 }
 
-/// Symptom: requests wait at an engine that is full while another has places. The VM sends no more
-/// than the places, and takes what the other VMs sent from the engine's report.
+/// Guards against requests that wait at a full engine while another has places: the VM sends no
+/// more than the places, less what other VMs have sent by the engine's report.
 #[rstest]
 #[case::own_requests(SLOTS, 0)]
 #[case::reported(0, SLOTS)]
--- a/crates/fleet/tests/list_recovery.rs
+++ b/crates/fleet/tests/list_recovery.rs
@@ -23,9 +23,8 @@
 const RETURN_MS: u64 = 10_000;
 const WHOLE_MS: u64 = RETURN_MS + RESTORE_MS;
 
-/// Symptom: after an outage of the list all upstreams are taken as gone and every request is
-/// refused. Sequence: heartbeats find no list, entries lapse, the list comes back without them.
-/// Cause: a lapse during an outage looks like a departure.
+/// Guards against lapses that count as departures: in an outage of the list heartbeats fail and
+/// entries lapse, and all requests were refused once the list came back without them.
 #[test]
 fn lapse_around_an_outage() {
     let mut directory = directory();
@@ -152,8 +151,8 @@
     );
 }
 
-/// Guards against an outage that goes unnoticed by a VM that stood still throughout, so that no read
-/// of its own failed and all upstreams count as gone.
+/// Guards against an outage that goes unnoticed by a VM that stood still throughout, so that no
+/// read of its own failed and all upstreams count as gone.
 #[test]
 fn outage_that_was_slept_through() {
     let mut directory = directory();
@@ -164,8 +163,8 @@
     assert_eq!(change, DirectoryChange::Lapsed);
 }
 
-/// Guards against a VM that takes its own partition for an outage of the list, while another VM reads
-/// and tells so, and keeps an upstream that has left.
+/// Guards against a VM that takes its own partition for an outage of the list, while another VM
+/// reads and tells so, and keeps an upstream that has left.
 #[test]
 fn list_was_there_for_others() {
     let mut directory = directory();
--- a/crates/fleet/tests/read_storms.rs
+++ b/crates/fleet/tests/read_storms.rs
@@ -1,15 +1,8 @@
 //! Hundreds of VMs that read a store which sends a limited number of bytes a second.
 //!
-//! Symptom: seconds after the start of traffic no VM reads anything any more, for the rest of the
-//! day. Changes of the configuration and departures of upstreams are heard of nowhere.
-//!
-//! Sequence: all VMs read the list in the same millisecond, each the same backlog of seconds. The
-//! answers come one behind the other. Most VMs give theirs up after a fixed time and ask for it
-//! again, while the backlog grows.
-//!
-//! Cause: the store goes on to send answers that nobody waits for. A queue that is longer than the
-//! time allowed for an answer serves nobody, and the retries keep it so, though each VM's first
-//! read would have been answered if it had waited: a metastable failure.
+//! Guards against a metastable failure. All VMs read the same backlog of the list at once, and the
+//! answers come one after the other. VMs that give up after a fixed time and ask again keep the
+//! store sending answers that nobody waits for, so that no VM reads anything any more.
 
 use apricotdale_fleet::Freshness;
 use apricotdale_fleet::ReadPacing;
--- a/crates/holder/src/unconfirmed.rs
+++ b/crates/holder/src/unconfirmed.rs
@@ -4,8 +4,8 @@
 //! report lags by a third of that time and requests wait. Engines differ in speed, though: one that
 //! loads more slowly turns the waiting requests away, and they come again and again while every VM
 //! is told that the model is there. So the first such answer takes the claim back and shows how
-//! long the engine really takes. Loads from the weight store take seconds, longer still while others
-//! run beside them; they are taken as done only when a report says so.
+//! long the engine really takes. Loads from the weight store take seconds, longer still while
+//! others run beside them; they are taken as done only when a report says so.
 
 use apricotdale_core::names::ModelName;
 use apricotdale_fleet::Tier;
--- a/crates/holder/tests/support/mod.rs
+++ b/crates/holder/tests/support/mod.rs
@@ -92,7 +92,8 @@
     pub most_store_loads: usize,
     /// How often a request came to an engine that was said to hold its model and did not.
     pub turned_away: u32,
-    /// Models that requests wait for. Each request is sent once an engine is said to hold its model.
+    /// Models that requests wait for. Each request is sent once an engine is said to hold its
+    /// model.
     pub waiting: Vec<&'static str>,
     spec: EngineSpec,
     answers: Vec<(u64, Answer)>,
--- a/crates/node/tests/graceful_stop.rs
+++ b/crates/node/tests/graceful_stop.rs
@@ -44,9 +44,8 @@
     wait_until("the daemon to stop", || node.status().draining);
 }
 
-/// Symptom: a planned stop cuts off an answer, or never ends. Sequence: a stream is in progress; the
-/// stop is told twice, with the log up or down. Cause: the second telling is taken for an urgent one,
-/// or the stop waits for the log.
+/// Guards against a planned stop that cuts off a stream because it was told twice, or that waits for
+/// the log and never ends.
 #[rstest]
 fn a_stop_told_twice_cuts_off_no_stream(
     #[values(Teller::Signal, Teller::Operator, Teller::List)] first: Teller,
@@ -76,8 +75,8 @@
     assert_eq!(world.load_orders(&model), 1);
 }
 
-/// Symptom: a request that waits for its model is cut off by a stop. Sequence: the stop is told while
-/// the order is on its way. Cause: only requests that run count as in progress.
+/// Guards against a stop that cuts off a request which waits for its model while the load order is on
+/// its way.
 #[test]
 fn a_stop_waits_for_a_request_that_waits_for_its_model() {
     let cluster = Cluster::start(2, 1, true);
@@ -93,9 +92,8 @@
     stopping.wait_ended();
 }
 
-/// Symptom: after a stop others have to find out from an engine what became of an order. Sequence:
-/// the order is on its way, and the request that asked for it has ended, when the stop is told.
-/// Cause: the stop waits for requests only.
+/// Guards against a stop that waits for requests only, and not for an order on its way whose request
+/// has ended.
 #[test]
 fn a_stop_waits_for_an_order_that_nobody_waits_for() {
     let cluster = Cluster::start(2, 1, true);
@@ -126,9 +124,8 @@
     assert_eq!(world.load_orders(&model), 1);
 }
 
-/// Symptom: a booking that was made is told as of unknown outcome for ever. Sequence: the booking
-/// runs while the log can't be appended to; the VM is told to stop, and the log comes back within the
-/// grace time. Cause: the stop drops the booking's end.
+/// Guards against a stop that drops the end of a booking which could not be appended, though the log
+/// comes back within the grace time.
 #[test]
 fn a_stop_waits_for_the_ends_of_calls() {
     let cluster = Cluster::start(2, 1, true);
--- a/crates/node/tests/log_outage.rs
+++ b/crates/node/tests/log_outage.rs
@@ -23,9 +23,8 @@
 
 const LOG_UNAVAILABLE: (&str, &str) = ("log_unavailable", "not_run");
 
-/// Symptom: an outage of the log takes down what needs no decision, or lets callers wait in vain.
-/// Sequence: the log goes down; a loaded model and one that is not loaded are called. Cause: a
-/// request waits for a decision that it does not need, or for one that nobody can make.
+/// Guards against a request that waits in an outage of the log for a decision that it does not need,
+/// or for one that nobody can make.
 #[test]
 fn a_loaded_model_is_served_and_another_is_refused_at_once() {
     let cluster = Cluster::start(2, 2, true);
@@ -43,8 +42,8 @@
     assert_eq!(cluster.world.load_orders(&loaded), 1);
 }
 
-/// Symptom: a cold request waits to its deadline. Sequence: the log takes no append, or answers none,
-/// while it can be read. Cause: only reads that fail are taken for an outage.
+/// Guards against a log that takes no appends, or answers none, and counts as up because it can be
+/// read: a cold request waited to its deadline.
 #[rstest]
 fn a_log_that_takes_no_append_is_down(
     #[values(AppendFault::Refuse, AppendFault::LoseRecord)] fault: AppendFault,
@@ -59,9 +58,8 @@
     cluster.wait_recovered(0);
 }
 
-/// Symptom: a caller that repeats a booking during an outage books twice, or a refusal that says
-/// "not run" is false. Sequence: one key is used before the outage and one during it; both are
-/// repeated. Cause: a key is forgotten, or a claim that was refused still runs its call later.
+/// Guards against a key that is forgotten in an outage, and a refused claim whose call runs later: a
+/// repeated booking ran twice, or "not run" was false.
 #[test]
 fn a_known_key_is_answered_and_a_new_one_is_refused_and_not_run() {
     let cluster = Cluster::start(2, 1, true);
@@ -133,9 +131,8 @@
         .count()
 }
 
-/// Symptom: the log is flooded in an outage or when it comes back, and models are loaded that nobody
-/// waits for. Sequence: cold requests are refused during an outage, and a booking ends in it. Cause:
-/// proposals pile up, refused requests count as demand for ever, or an end is appended many times.
+/// Guards against proposals that pile up in an outage, refused requests that count as demand, and an
+/// end that is appended many times.
 #[test]
 fn an_outage_ends_without_a_storm_of_appends() {
     let cluster = Cluster::start_with(3, 2, true, LEARNED);
