--- a/crates/entry/src/stream.rs
+++ b/crates/entry/src/stream.rs
@@ -60,8 +60,8 @@
 
     /// Adds bytes to be written, without trying to.
     pub fn queue(&mut self, bytes: &[u8]) {
-        // A caller that is always a little behind must not have all that it was sent kept.
-        if self.written > self.unwritten.len() / 2 {
+        // A peer that is always behind never has all of it written.
+        if self.written > self.unwritten_bytes() {
             self.unwritten.drain(..self.written);
             self.written = 0;
         }
--- a/crates/soak/src/asking.rs
+++ b/crates/soak/src/asking.rs
@@ -54,9 +54,6 @@
 /// The header in which a caller names the last event that it has.
 pub(crate) const LAST_EVENT: &str = "Last-Event-Id";
 
-/// The header that names the version of a model's weights.
-const VERSION: &str = "Apricotdale-Weight-Versions";
-
 /// The models that callers name.
 pub(crate) const MODELS: [&str; 4] = ["m0", "m1", "m2", "m3"];
 
@@ -261,7 +258,7 @@
                 &answer.text(),
                 after_event(request) + 1,
                 self.events,
-                answer.header(VERSION),
+                answer.version(),
             )),
             false => {
                 let expected = format!("{} {}", request.method, request.target);
