A connection that was paused is read before it is used again

Read by the review, not seen: an upstream that closes a connection while its answer is paused is told of once, and that was passed over; where the answer's end was read before the pause, the connection went back to the idle ones as sound, and the next request on it would be lost. No test brings it about: the end must have been read, and nothing after it.

--- a/crates/entry/src/outbound.rs
+++ b/crates/entry/src/outbound.rs
@@ -303,6 +303,10 @@
         connection.call_until_ms = None;
         connection.connect_until_ms = None;
         connection.paused = false;
+        // The other end may have closed it while it was not read.
+        if connection.has_more() {
+            connection.read(now_ms);
+        }
         if !connection.is_reusable() {
             self.close(token, registry);
             return;
