The soak has organisations with keys and limits

Callers carry keys of their organisation; some carry none, an unknown one, two, or one that was taken away, and some claim another organisation. The operators add keys, take them away and set a limit, and one organisation bursts, all drawn from a generator of its own. Checked: who may ask, organisation told, within limits, keys stay secret.

--- a/crates/soak/src/asking.rs
+++ b/crates/soak/src/asking.rs
@@ -19,10 +19,15 @@
 use rand_chacha::ChaCha8Rng;
 
 use crate::clock::Clock;
+use crate::keys::Keys;
+use crate::keys::ORGANISATIONS;
+use crate::keys::STEADY;
+use crate::plan::Burst;
 use crate::plan::Crasher;
 use crate::record::Attempt;
 use crate::record::Ending;
 use crate::record::Kind;
+use crate::record::Presented;
 use crate::streams::BodySeen;
 use crate::streams::StreamSeen;
 use crate::vms::Vms;
@@ -54,8 +59,8 @@
 /// The header in which a caller names the last event that it has.
 pub(crate) const LAST_EVENT: &str = "Last-Event-Id";
 
-/// The header that names the version of a model's weights.
-const VERSION: &str = "Apricotdale-Weight-Versions";
+/// Sets the draws of keys apart from those of the callers.
+const KEYS_SEED: u64 = 0x6b65_7973_0000_0000;
 
 /// The models that callers name.
 pub(crate) const MODELS: [&str; 4] = ["m0", "m1", "m2", "m3"];
@@ -64,6 +69,7 @@
 pub(crate) struct Asking {
     pub clock: Clock,
     pub vms: Arc<Vms>,
+    pub keys: Arc<Keys>,
     pub attempts: Mutex<Vec<Attempt>>,
     /// What was sent under each identity.
     pub sent: Mutex<HashMap<String, Ask>>,
@@ -76,10 +82,11 @@
 }
 
 impl Asking {
-    pub fn new(clock: Clock, vms: Arc<Vms>, events: u64) -> Self {
+    pub fn new(clock: Clock, vms: Arc<Vms>, keys: Arc<Keys>, events: u64) -> Self {
         Self {
             clock,
             vms,
+            keys,
             attempts: Mutex::default(),
             sent: Mutex::default(),
             crasher_ids: Mutex::default(),
@@ -89,9 +96,11 @@
         }
     }
 
-    /// Asks until the soak ends, on a connection that is kept as long as it stands.
-    pub fn go_on(&self, seed: u64) {
+    /// Asks for an organisation until the soak ends, on a connection that is kept as long as it
+    /// stands.
+    pub fn go_on(&self, organisation: usize, seed: u64) {
         let mut random = ChaCha8Rng::seed_from_u64(seed);
+        let mut key_random = ChaCha8Rng::seed_from_u64(seed ^ KEYS_SEED);
         let mut kept: Option<(usize, SocketAddr, Caller)> = None;
         let mut rest: Option<Ask> = None;
         while !self.stopped.load(Ordering::Acquire) {
@@ -110,8 +119,8 @@
                 None => (drawn, self.request(drawn, &mut random)),
             };
             let connection = kept.take().map(|(_, address, caller)| (address, caller));
-            let (attempt, connection) =
-                self.attempt(vm, kind, &request, connection, leaves_after_ms);
+            let keyed = self.keys.present(&request, organisation, &mut key_random);
+            let (attempt, connection) = self.attempt(vm, kind, &keyed, connection, leaves_after_ms);
             if attempt.ending == Ending::Unsent {
                 thread::sleep(UNSENT_PAUSE);
             }
@@ -139,18 +148,45 @@
             self.sent.lock().insert(id.clone(), request.clone());
             self.crasher_ids.lock().push((id, crasher.body.clone()));
             let vm = random.random_range(0..self.vms.len());
-            let (attempt, _) = self.attempt(vm, kind, &request, None, None);
+            let keyed = self.keys.steady(&request);
+            let (attempt, _) = self.attempt(vm, kind, &keyed, None, None);
             self.attempts.lock().push(attempt);
             thread::sleep(Duration::from_millis(crasher.pause_ms));
         }
     }
 
+    /// Sends calls of an organisation at any VM until its burst or the soak ends.
+    pub fn burst(&self, burst: &Burst, seed: u64) {
+        let mut random = ChaCha8Rng::seed_from_u64(seed);
+        let mut key_random = ChaCha8Rng::seed_from_u64(seed ^ KEYS_SEED);
+        let until_ms = self.clock.now_ms() + burst.for_ms;
+        let mut kept: Option<(usize, SocketAddr, Caller)> = None;
+        while !self.stopped.load(Ordering::Acquire) && self.clock.now_ms() < until_ms {
+            let (vm, connection) = match kept.take() {
+                Some((vm, address, caller)) => (vm, Some((address, caller))),
+                None => (random.random_range(0..self.vms.len()), None),
+            };
+            let kind = match random.random_bool(0.5) {
+                true => Kind::Look,
+                false => Kind::Book,
+            };
+            let request = self.request(kind, &mut random);
+            let keyed = self
+                .keys
+                .present(&request, burst.organisation, &mut key_random);
+            let (attempt, connection) = self.attempt(vm, kind, &keyed, connection, None);
+            self.attempts.lock().push(attempt);
+            kept = connection.map(|(address, caller)| (vm, address, caller));
+            thread::sleep(Duration::from_millis(burst.pause_ms));
+        }
+    }
+
     /// Sends one request and returns what became of it, and the connection if it can be kept.
     pub fn attempt(
         &self,
         vm: usize,
         kind: Kind,
-        request: &Ask,
+        (request, presented): &(Ask, Presented),
         kept: Option<(SocketAddr, Caller)>,
         leaves_after_ms: Option<u64>,
     ) -> (Attempt, Option<(SocketAddr, Caller)>) {
@@ -159,6 +195,7 @@
             id: request.id.clone(),
             kind,
             vm,
+            presented: *presented,
             after_event: after_event(request),
             sent_ms,
             ended_ms: self.clock.now_ms(),
@@ -261,7 +298,7 @@
                 &answer.text(),
                 after_event(request) + 1,
                 self.events,
-                answer.header(VERSION),
+                answer.weights_version(),
             )),
             false => {
                 let expected = format!("{} {}", request.method, request.target);
@@ -307,6 +344,15 @@
     }
 }
 
+/// Returns the organisation of a caller: one in four has the limited one, so that most requests are
+/// served.
+pub(crate) fn organisation_of(caller: usize) -> usize {
+    match caller % 4 {
+        3 => STEADY,
+        rest => rest % ORGANISATIONS.len(),
+    }
+}
+
 fn draw_kind(random: &mut ChaCha8Rng) -> Kind {
     match random.random_range(0..10) {
         0..=2 => Kind::Look,
--- a/crates/soak/src/checks.rs
+++ b/crates/soak/src/checks.rs
@@ -7,11 +7,16 @@
 use apricotdale_standins::platform::AnswerFault;
 use apricotdale_standins::platform::StreamFault;
 
+use crate::keys::LIMIT_WINDOW_MS;
 use crate::record::Attempt;
 use crate::record::Ending;
 use crate::record::Kind;
+use crate::record::LimitSeen;
 use crate::record::Place;
+use crate::record::Presented;
 use crate::record::Record;
+use crate::record::Run;
+use crate::record::SET_BACK;
 use crate::streams::BodySeen;
 use crate::streams::Flaw;
 
@@ -71,6 +76,15 @@
     StaysUp,
     /// A request under which three engines ended soon reaches no more.
     StopsCrashers,
+    /// Only callers with a key that an organisation holds are served, and none of them is refused
+    /// as unknown.
+    WhoMayAsk,
+    /// Upstreams are told the caller's organisation and no key.
+    OrganisationTold,
+    /// Upstreams run no more for an organisation than its limit allows.
+    WithinLimits,
+    /// No log line holds a key.
+    KeysStaySecret,
 }
 
 impl Promise {
@@ -90,6 +104,10 @@
             Self::Recovers => "recovers",
             Self::StaysUp => "stays up",
             Self::StopsCrashers => "stops crashers",
+            Self::WhoMayAsk => "who may ask",
+            Self::OrganisationTold => "organisation told",
+            Self::WithinLimits => "within limits",
+            Self::KeysStaySecret => "keys stay secret",
         }
     }
 }
@@ -122,6 +140,10 @@
     checker.stops(&mut found);
     checker.recovery(&mut found);
     checker.crashers(&mut found);
+    checker.keys(&mut found);
+    checker.organisations(&mut found);
+    checker.limits(&mut found);
+    checker.secrets(&mut found);
     found
 }
 
@@ -129,6 +151,7 @@
     record: &'a Record,
     attempts: BTreeMap<&'a str, &'a Attempt>,
     run_counts: BTreeMap<&'a str, usize>,
+    first_runs: BTreeMap<&'a str, &'a Run>,
 }
 
 impl<'a> Checker<'a> {
@@ -136,16 +159,26 @@
         let all = record.attempts.iter().chain(&record.last_attempts);
         let attempts = all.map(|attempt| (attempt.id.as_str(), attempt)).collect();
         let mut run_counts = BTreeMap::new();
+        let mut first_runs: BTreeMap<&str, &Run> = BTreeMap::new();
         for run in &record.runs {
             *run_counts.entry(run.id.as_str()).or_default() += 1;
+            let first = first_runs.entry(run.id.as_str()).or_insert(run);
+            if run.at_ms < first.at_ms {
+                *first = run;
+            }
         }
         Self {
             record,
             attempts,
             run_counts,
+            first_runs,
         }
     }
 
+    fn first_run(&self, id: &str) -> Option<&'a Run> {
+        self.first_runs.get(id).copied()
+    }
+
     fn ran(&self, id: &str) -> usize {
         self.run_counts.get(id).copied().unwrap_or_default()
     }
@@ -421,6 +454,166 @@
         }
     }
 
+    fn keys(&self, found: &mut Vec<Violation>) {
+        for attempt in self.attempts.values() {
+            let reached_ms = self.first_run(&attempt.id).map(|run| run.at_ms);
+            let is_wrong = match attempt.presented {
+                Presented::None | Presented::Unknown | Presented::Several => reached_ms.is_some(),
+                Presented::Key(key) => {
+                    self.runs_without_key(attempt, key, reached_ms)
+                        || self.is_refused_with_key(attempt, key)
+                }
+            };
+            if is_wrong {
+                let detail = format!(
+                    "{} with {:?} at vm{}, sent at {} ms: {}, reached an upstream at {reached_ms:?}",
+                    attempt.id,
+                    attempt.presented,
+                    attempt.vm,
+                    attempt.sent_ms,
+                    attempt.status()
+                );
+                found.push(violation(Promise::WhoMayAsk, detail));
+            }
+        }
+    }
+
+    /// Returns whether a request ran though its key had been taken away in time.
+    fn runs_without_key(&self, attempt: &Attempt, key: usize, reached_ms: Option<u64>) -> bool {
+        match (self.record.keys[key].left_ms, reached_ms) {
+            (Some(left_ms), Some(reached_ms)) => {
+                attempt.sent_ms > left_ms + CONFIGURATION_MS + SLACK_MS
+                    && !self.keeps_old_configuration(attempt.vm, left_ms, reached_ms)
+            }
+            _ => false,
+        }
+    }
+
+    /// Returns whether a request was refused as unknown though its key was in force.
+    fn is_refused_with_key(&self, attempt: &Attempt, key: usize) -> bool {
+        let key = &self.record.keys[key];
+        let is_held = key.leaving_ms.is_none_or(|at_ms| attempt.ended_ms < at_ms);
+        let is_known = match key.acknowledged_ms {
+            0 => true,
+            at_ms => {
+                attempt.sent_ms > at_ms + CONFIGURATION_MS + SLACK_MS
+                    && !self.keeps_old_configuration(attempt.vm, at_ms, attempt.ended_ms)
+            }
+        };
+        attempt.status() == 401 && is_held && is_known
+    }
+
+    /// Returns whether a VM may not have heard of a change until a moment.
+    fn keeps_old_configuration(&self, vm: usize, changed_ms: u64, until_ms: u64) -> bool {
+        let calm_from_ms = changed_ms.saturating_sub(CALM_BEFORE_MS);
+        self.disturbs_vm(vm, calm_from_ms, until_ms) || self.disturbs_store(calm_from_ms, until_ms)
+    }
+
+    fn organisations(&self, found: &mut Vec<Violation>) {
+        for run in &self.record.runs {
+            let attempt = self.attempts.get(run.id.as_str());
+            let is_told = match attempt.map(|attempt| attempt.presented) {
+                Some(Presented::Key(key)) => {
+                    run.organisations == [self.record.keys[key].organisation.as_str()]
+                }
+                _ => true,
+            };
+            if !is_told || run.shows_key {
+                let detail = format!(
+                    "{} reached {} for {:?}, with a key: {}",
+                    run.id, run.upstream, run.organisations, run.shows_key
+                );
+                found.push(violation(Promise::OrganisationTold, detail));
+            }
+        }
+    }
+
+    fn limits(&self, found: &mut Vec<Violation>) {
+        let limits = self.record.limits.iter();
+        let limited: BTreeSet<&str> = limits.map(|it| it.organisation.as_str()).collect();
+        for name in limited {
+            let mut times: Vec<(u64, u64)> = self
+                .attempts
+                .values()
+                .filter(|attempt| self.is_of(attempt, name))
+                .filter_map(|it| Some((it.sent_ms, self.first_run(&it.id)?.at_ms)))
+                .collect();
+            times.sort_unstable();
+            let worst = times.iter().enumerate().find_map(|(first, (from_ms, _))| {
+                let until_ms = from_ms + LIMIT_WINDOW_MS;
+                let later = times[first..].iter();
+                let ran = later.filter(|(_, at_ms)| *at_ms <= until_ms).count();
+                let most = self.most_in_window(name, *from_ms)?;
+                (ran > most).then_some((*from_ms, ran, most))
+            });
+            if let Some((from_ms, ran, most)) = worst {
+                let detail = format!("{name} ran {ran} of {most} from {from_ms} ms on");
+                found.push(violation(Promise::WithinLimits, detail));
+            }
+        }
+    }
+
+    fn is_of(&self, attempt: &Attempt, organisation: &str) -> bool {
+        match attempt.presented {
+            Presented::Key(key) => self.record.keys[key].organisation == organisation,
+            _ => false,
+        }
+    }
+
+    /// Returns the most requests in a window that any limit in force during it allows. A lower
+    /// limit binds one window after every VM could know of it.
+    fn most_in_window(&self, organisation: &str, from_ms: u64) -> Option<usize> {
+        let limits = self.record.limits.iter();
+        let limits: Vec<&LimitSeen> = limits
+            .filter(|it| it.organisation == organisation)
+            .collect();
+        let until_ms = from_ms + LIMIT_WINDOW_MS;
+        let is_set_back = self.record.disturbances.iter().any(|it| {
+            it.what == SET_BACK
+                && it.from_ms <= until_ms
+                && it.until_ms + CONFIGURATION_MS + SLACK_MS + LIMIT_WINDOW_MS >= from_ms
+        });
+        let ends = limits.iter().skip(1).map(|next| {
+            let known_ms = self.known_everywhere_ms(next.acknowledged_ms);
+            Some(known_ms + LIMIT_WINDOW_MS)
+        });
+        let in_force = limits
+            .iter()
+            .zip(ends.chain([None]))
+            .filter(|(limit, end_ms)| {
+                limit.written_ms <= until_ms
+                    && (is_set_back || end_ms.is_none_or(|end_ms| from_ms < end_ms))
+            });
+        in_force.map(|(limit, _)| limit.most_in_window).max()
+    }
+
+    /// Returns when every VM could know a configuration: what disturbs VMs or the store before
+    /// puts it off.
+    fn known_everywhere_ms(&self, acknowledged_ms: u64) -> u64 {
+        let disturbances = self.record.disturbances.iter();
+        let mut disturbances: Vec<(u64, u64)> = disturbances
+            .filter(|it| it.place != Place::Upstreams)
+            .map(|it| (it.from_ms, it.until_ms + CALM_BEFORE_MS))
+            .filter(|(_, until_ms)| *until_ms >= acknowledged_ms)
+            .collect();
+        disturbances.sort_unstable();
+        let known_ms = acknowledged_ms + CONFIGURATION_MS + SLACK_MS;
+        disturbances
+            .into_iter()
+            .fold(known_ms, |known_ms, (from_ms, until_ms)| {
+                match from_ms <= known_ms {
+                    true => known_ms.max(until_ms),
+                    false => known_ms,
+                }
+            })
+    }
+
+    fn secrets(&self, found: &mut Vec<Violation>) {
+        for line in &self.record.key_lines {
+            found.push(violation(Promise::KeysStaySecret, line.clone()));
+        }
+    }
+
     fn disturbs_vm(&self, vm: usize, from_ms: u64, until_ms: u64) -> bool {
         self.disturbs(&Place::Vm(vm), from_ms, until_ms)
     }
--- a/crates/soak/src/lib.rs
+++ b/crates/soak/src/lib.rs
@@ -3,7 +3,7 @@
 //! Real processes of `apricotdale-entry` run on loopback before the stand-ins of the platform. A
 //! seeded [`Plan`] has processes killed, paused, stopped and restarted, links delayed, cut,
 //! silenced and reset by proxies, the store and the engines misbehave and the configuration change,
-//! in series and overlapping, while callers go on asking. What callers and upstreams saw is a
+//! in series and overlapping, while callers of several organisations go on asking. What callers and upstreams saw is a
 //! [`Record`], from which [`check`] tells which promises were broken.
 
 #![forbid(unsafe_code)]
@@ -14,6 +14,7 @@
 mod clock;
 mod engines;
 mod errors;
+mod keys;
 mod plan;
 mod proxy;
 mod record;
@@ -27,6 +28,7 @@
 pub use checks::check;
 pub use errors::Error;
 pub use errors::Result;
+pub use plan::Burst;
 pub use plan::Crasher;
 pub use plan::Plan;
 pub use plan::Planned;
@@ -40,8 +42,11 @@
 pub use record::Disturbance;
 pub use record::Drain;
 pub use record::Ending;
+pub use record::KeySeen;
 pub use record::Kind;
+pub use record::LimitSeen;
 pub use record::Place;
+pub use record::Presented;
 pub use record::Record;
 pub use record::Run;
 pub use record::StopSeen;
--- a/crates/soak/src/main.rs
+++ b/crates/soak/src/main.rs
@@ -163,6 +163,15 @@
     for planned in &soak.plan.troubles {
         writeln!(file, "planned: {planned:?}")?;
     }
+    for burst in &soak.plan.bursts {
+        writeln!(file, "planned: {burst:?}")?;
+    }
+    for limit in &soak.record.limits {
+        writeln!(file, "{limit:?}")?;
+    }
+    for (number, key) in soak.record.keys.iter().enumerate() {
+        writeln!(file, "key {number}: {key:?}")?;
+    }
     for disturbance in &soak.record.disturbances {
         writeln!(file, "carried out: {disturbance:?}")?;
     }
--- a/crates/soak/src/plan.rs
+++ b/crates/soak/src/plan.rs
@@ -9,6 +9,8 @@
 use apricotdale_standins::platform::StreamFault;
 
 use crate::asking::MODELS;
+use crate::keys::LIMITED;
+use crate::keys::STEADY;
 use crate::proxy::LinkFault;
 
 /// The time before the first trouble, in which the VMs begin to serve.
@@ -42,6 +44,21 @@
 /// Sets their draws apart as well.
 const JOINS_SEED: u64 = 0x6a6f_696e_7321_0000;
 
+/// The fewest and the most changes of keys and limits.
+const KEY_CHANGES: std::ops::RangeInclusive<usize> = 3..=6;
+
+/// The fewest and the most times at which an organisation sends many times its usual.
+const BURSTS: std::ops::RangeInclusive<usize> = 1..=2;
+
+/// How long such a time is.
+const BURST_MS: std::ops::Range<u64> = 800..3_000;
+
+/// The limits that the operators set, in requests a second.
+const RATES_PER_S: [u32; 4] = [10, 15, 25, 40];
+
+/// Sets their draws apart as well.
+const ORGANISATIONS_SEED: u64 = 0x6f72_6761_6e69_7361;
+
 /// How the rest of a stream is spoiled.
 const SPOILED_RESTS: [StreamFault; 16] = [
     StreamFault::Skips,
@@ -224,6 +241,21 @@
     },
     /// The operators write a configuration with another route in place of the one before.
     Configure,
+    /// The operators give an organisation one more key.
+    KeyAdded {
+        /// The number of the organisation.
+        organisation: usize,
+    },
+    /// The operators take the oldest key of an organisation away, unless it is the only one.
+    KeyTaken {
+        /// The number of the organisation.
+        organisation: usize,
+    },
+    /// The operators set the limit of the organisation that has one.
+    Limit {
+        /// Requests a second, and the burst.
+        rate_per_s: u32,
+    },
 }
 
 /// `Planned` is a trouble with its time.
@@ -253,11 +285,28 @@
     pub copies: usize,
 }
 
+/// `Burst` is a time in which an organisation sends many times its usual.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct Burst {
+    /// The number of the organisation.
+    pub organisation: usize,
+    /// When it begins.
+    pub at_ms: u64,
+    /// How long it is.
+    pub for_ms: u64,
+    /// How many callers send.
+    pub callers: usize,
+    /// The time between two requests of each.
+    pub pause_ms: u64,
+}
+
 /// `Plan` is what happens in one soak.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub struct Plan {
     /// Callers whose requests end engines.
     pub crashers: Vec<Crasher>,
+    /// Times in which an organisation sends more.
+    pub bursts: Vec<Burst>,
     /// The troubles in order of time.
     pub troubles: Vec<Planned>,
     /// When the last one must have ended.
@@ -289,9 +338,12 @@
         }
         troubles.extend(draw_set_backs(seed, calm_from_ms));
         troubles.extend(draw_joins(seed, calm_from_ms, engines));
+        let (bursts, changes) = draw_organisations(seed, calm_from_ms);
+        troubles.extend(changes);
         troubles.sort_by_key(|planned| planned.at_ms);
         Self {
             crashers: draw_crashers(seed, calm_from_ms),
+            bursts,
             troubles,
             calm_from_ms,
             end_ms: calm_from_ms + REST_MS,
@@ -367,6 +419,39 @@
         .collect()
 }
 
+/// Draws when an organisation sends more and what the operators change about organisations, from a
+/// generator of its own as well.
+fn draw_organisations(seed: u64, calm_from_ms: u64) -> (Vec<Burst>, Vec<Planned>) {
+    let mut random = ChaCha8Rng::seed_from_u64(seed ^ ORGANISATIONS_SEED);
+    let until_ms = calm_from_ms.max(LEAD_MS + 1);
+    let bursts = (0..random.random_range(BURSTS))
+        .map(|_| {
+            let at_ms = random.random_range(LEAD_MS..until_ms);
+            Burst {
+                organisation: LIMITED,
+                at_ms,
+                for_ms: random.random_range(BURST_MS).min(until_ms - at_ms),
+                callers: random.random_range(3..7),
+                pause_ms: random.random_range(10..40),
+            }
+        })
+        .collect();
+    let changes = (0..random.random_range(KEY_CHANGES))
+        .map(|_| {
+            let at_ms = random.random_range(LEAD_MS..until_ms);
+            let organisation = random.random_range(0..STEADY);
+            let rate_per_s = RATES_PER_S[random.random_range(0..RATES_PER_S.len())];
+            let trouble = match random.random_range(0..3) {
+                0 => Trouble::KeyAdded { organisation },
+                1 => Trouble::KeyTaken { organisation },
+                _ => Trouble::Limit { rate_per_s },
+            };
+            Planned { at_ms, trouble }
+        })
+        .collect();
+    (bursts, changes)
+}
+
 struct Draw {
     random: ChaCha8Rng,
     vms: usize,
--- a/crates/soak/src/record.rs
+++ b/crates/soak/src/record.rs
@@ -8,6 +8,9 @@
 
 use crate::streams::BodySeen;
 
+/// What a disturbance is called by which the store has an older configuration.
+pub(crate) const SET_BACK: &str = "set back";
+
 /// `Kind` is what a request asks for, and so what may become of it.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, Hash, PartialOrd, Ord)]
 pub enum Kind {
@@ -70,6 +73,47 @@
     Left,
 }
 
+/// `Presented` is by which key a request says whose it is.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Presented {
+    /// It carries none.
+    None,
+    /// It carries one that no organisation ever held.
+    Unknown,
+    /// It carries two.
+    Several,
+    /// It carries the key with this index in [`Record::keys`].
+    Key(usize),
+}
+
+/// `KeySeen` is a key that the operators gave to an organisation.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct KeySeen {
+    /// The key.
+    pub secret: String,
+    /// The organisation's name.
+    pub organisation: String,
+    /// When the configuration with it was acknowledged; 0 for the first one.
+    pub acknowledged_ms: u64,
+    /// When a configuration without it began to be written.
+    pub leaving_ms: Option<u64>,
+    /// When that was acknowledged.
+    pub left_ms: Option<u64>,
+}
+
+/// `LimitSeen` is a limit that the operators gave to an organisation.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct LimitSeen {
+    /// The organisation's name.
+    pub organisation: String,
+    /// When its configuration began to be written.
+    pub written_ms: u64,
+    /// When that was acknowledged.
+    pub acknowledged_ms: u64,
+    /// The most requests in any window, with what the users' bound adds to the limit.
+    pub most_in_window: usize,
+}
+
 /// `Attempt` is one request of a caller.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub struct Attempt {
@@ -79,6 +123,8 @@
     pub kind: Kind,
     /// The VM that it was sent to.
     pub vm: usize,
+    /// By which key.
+    pub presented: Presented,
     /// The last event that the caller had of an earlier attempt; 0 if it had none.
     pub after_event: u64,
     /// When it was sent.
@@ -116,6 +162,10 @@
     pub after_event: u64,
     /// How its answer was spoiled, unless by its engine's end.
     pub fault: Option<AnswerFault>,
+    /// The organisations that the upstream was told.
+    pub organisations: Vec<String>,
+    /// Whether a key reached the upstream.
+    pub shows_key: bool,
 }
 
 /// `Crash` is an engine that ended under a request.
@@ -213,6 +263,12 @@
     pub probes: Vec<ConfigurationProbe>,
     /// Planned stops.
     pub stops: Vec<StopSeen>,
+    /// Every key that was configured.
+    pub keys: Vec<KeySeen>,
+    /// Every limit that was configured, in order.
+    pub limits: Vec<LimitSeen>,
+    /// Log lines of VMs that hold a key.
+    pub key_lines: Vec<String>,
     /// VMs whose process ended by itself, with what is known of it.
     pub own_ends: Vec<String>,
 }
--- a/crates/soak/src/soak.rs
+++ b/crates/soak/src/soak.rs
@@ -13,9 +13,11 @@
 use rand_chacha::ChaCha8Rng;
 
 use crate::asking::Asking;
+use crate::asking::organisation_of;
 use crate::clock::Clock;
 use crate::errors::Error;
 use crate::errors::Result;
+use crate::keys::KEY_MARK;
 use crate::plan::Plan;
 use crate::record::Attempt;
 use crate::record::Ending;
@@ -121,11 +123,13 @@
         let asking = Arc::new(Asking::new(
             clock,
             world.vms.clone(),
+            world.keys.clone(),
             World::stream_events(),
         ));
         let callers = start_callers(options, &asking);
         let plan = options.plan();
         let crashers = start_crashers(options, &plan, &asking);
+        let bursts = start_bursts(options, &plan, &asking);
         let is_over = Arc::new(AtomicBool::new(false));
         let mending = start_mending(&world, &is_over);
         carry_out_plan(clock, &world, &plan);
@@ -133,15 +137,17 @@
         asking.stopped.store(true, Ordering::Release);
         join(callers);
         join(crashers);
+        join(bursts);
         // Copies that wait when the callers stop may still end engines.
         is_over.store(true, Ordering::Release);
         join(vec![mending]);
         let last_attempts = recover(options, &asking);
-        let record = take_record(&world, &asking, last_attempts);
+        let lines = world.vms.lines();
+        let record = take_record(&world, &asking, last_attempts, &lines);
         Ok(Self {
             plan,
             record,
-            lines: world.vms.lines(),
+            lines,
         })
     }
 }
@@ -164,17 +170,38 @@
         .collect()
 }
 
+/// Starts the callers of each burst at its time.
+fn start_bursts(options: &SoakOptions, plan: &Plan, asking: &Arc<Asking>) -> Vec<JoinHandle<()>> {
+    let began_ms = asking.clock.now_ms();
+    let bursts = plan.bursts.iter();
+    let callers = bursts.flat_map(|burst| std::iter::repeat_n(burst.clone(), burst.callers));
+    callers
+        .enumerate()
+        .map(|(number, burst)| {
+            let asking = asking.clone();
+            let seed = options
+                .seed
+                .wrapping_mul(1_000)
+                .wrapping_add(500 + number as u64);
+            thread::spawn(move || {
+                asking.clock.wait_until(began_ms + burst.at_ms);
+                asking.burst(&burst, seed);
+            })
+        })
+        .collect()
+}
+
 fn start_mending(world: &Arc<World>, is_over: &Arc<AtomicBool>) -> JoinHandle<()> {
     let (world, is_over) = (world.clone(), is_over.clone());
     thread::spawn(move || world.mend_engines(&is_over))
 }
 
 fn start_callers(options: &SoakOptions, asking: &Arc<Asking>) -> Vec<JoinHandle<()>> {
-    (0..options.callers as u64)
+    (0..options.callers)
         .map(|caller| {
             let asking = asking.clone();
-            let seed = options.seed.wrapping_mul(1_000).wrapping_add(caller);
-            thread::spawn(move || asking.go_on(seed))
+            let seed = options.seed.wrapping_mul(1_000).wrapping_add(caller as u64);
+            thread::spawn(move || asking.go_on(organisation_of(caller), seed))
         })
         .collect()
 }
@@ -210,7 +237,8 @@
         for kind in Kind::ALL {
             loop {
                 let request = asking.request(kind, &mut random);
-                let (attempt, _) = asking.attempt(vm, kind, &request, None, None);
+                let keyed = asking.keys.steady(&request);
+                let (attempt, _) = asking.attempt(vm, kind, &keyed, None, None);
                 let is_served = matches!(
                     attempt.ending,
                     Ending::Answered {
@@ -230,7 +258,15 @@
     attempts
 }
 
-fn take_record(world: &World, asking: &Asking, last_attempts: Vec<Attempt>) -> Record {
+fn take_record(
+    world: &World,
+    asking: &Asking,
+    last_attempts: Vec<Attempt>,
+    lines: &[(usize, Vec<String>)],
+) -> Record {
+    let (keys, limits) = world.keys.seen();
+    let lines = lines.iter().flat_map(|(_, lines)| lines);
+    let key_lines = lines.filter(|line| line.contains(KEY_MARK)).cloned();
     let ends = world.vms.own_ends();
     let mut events = world.events.lock();
     events.own_ends.extend(ends);
@@ -249,6 +285,9 @@
         drains: events.drains.clone(),
         probes: events.probes.clone(),
         stops: events.stops.clone(),
+        keys,
+        limits,
+        key_lines: key_lines.collect(),
         own_ends: events.own_ends.clone(),
     }
 }
--- a/crates/soak/src/vms.rs
+++ b/crates/soak/src/vms.rs
@@ -11,6 +11,8 @@
 use nix::sys::signal::Signal;
 use parking_lot::Mutex;
 
+use crate::keys::vm_settings;
+
 /// The pause between two looks at a process that ends or gets ready.
 const LOOK_EVERY: Duration = Duration::from_millis(20);
 
@@ -74,7 +76,10 @@
     /// Kills a VM's process where one runs, and starts another.
     pub fn restart(&self, vm: usize) -> io::Result<()> {
         self.kill(vm);
-        let options = VmOptions::new(&self.program, &format!("vm{vm}"), self.stores[vm]);
+        let options = VmOptions {
+            more_settings: vm_settings(),
+            ..VmOptions::new(&self.program, &format!("vm{vm}"), self.stores[vm])
+        };
         let process = VmProcess::start(&options)?;
         let mut slot = self.slots[vm].lock();
         slot.starts += 1;
--- a/crates/soak/src/world.rs
+++ b/crates/soak/src/world.rs
@@ -11,6 +11,7 @@
 use apricotdale_standins::platform::Caller;
 use apricotdale_standins::platform::EngineOptions;
 use apricotdale_standins::platform::OrderFault;
+use apricotdale_standins::platform::Organisation;
 use apricotdale_standins::platform::Site;
 use apricotdale_standins::platform::SiteOptions;
 use apricotdale_standins::platform::StoreFault;
@@ -25,6 +26,9 @@
 use crate::engines::EngineSlot;
 use crate::engines::engine_options;
 use crate::engines::join_engine;
+use crate::keys::Change;
+use crate::keys::KEY_MARK;
+use crate::keys::Keys;
 use crate::plan::Trouble;
 use crate::proxy::LinkFault;
 use crate::proxy::Proxy;
@@ -33,6 +37,7 @@
 use crate::record::Drain;
 use crate::record::Place;
 use crate::record::Run;
+use crate::record::SET_BACK;
 use crate::record::StopSeen;
 use crate::vms::StopEnd;
 use crate::vms::Vms;
@@ -60,6 +65,13 @@
     pub own_ends: Vec<String>,
 }
 
+/// What the operators wrote last.
+struct Written {
+    version: u64,
+    /// The number of the route besides the first ones.
+    route: u64,
+}
+
 /// `World` is the platform's stand-ins with proxies in front of them.
 pub(crate) struct World {
     pub(crate) clock: Clock,
@@ -68,8 +80,8 @@
     pub(crate) engines: Mutex<Vec<EngineSlot>>,
     services: Vec<Proxy>,
     stores: Vec<Proxy>,
-    /// The version in force and the number of the route that it added.
-    version: Mutex<u64>,
+    pub keys: Arc<Keys>,
+    written: Mutex<Written>,
     pub events: Mutex<Events>,
 }
 
@@ -81,8 +93,9 @@
         vms: usize,
         engines: usize,
     ) -> io::Result<Self> {
+        let keys = Arc::new(Keys::new(clock));
         let mut site = Site::start(SiteOptions {
-            tenants: None,
+            tenants: Some(Organisation::list(&keys.organisations())),
             engines: Vec::new(),
             instances: INSTANCES,
             work_ms: WORK_MS,
@@ -117,7 +130,11 @@
             engines: Mutex::new(slots),
             services,
             stores,
-            version: Mutex::new(1),
+            keys,
+            written: Mutex::new(Written {
+                version: 1,
+                route: 1,
+            }),
             events: Mutex::default(),
         })
     }
@@ -137,7 +154,11 @@
             // Told by itself for each VM.
             Trouble::KillAll { .. } => None,
             // A VM that reads its settings again owes everything.
-            Trouble::Reload { .. } | Trouble::Configure => None,
+            Trouble::Reload { .. }
+            | Trouble::Configure
+            | Trouble::KeyAdded { .. }
+            | Trouble::KeyTaken { .. }
+            | Trouble::Limit { .. } => None,
             Trouble::Store { .. }
             | Trouble::Forget
             | Trouble::SetBack { .. }
@@ -233,6 +254,15 @@
             Trouble::EngineDies { engine } => self.engine_dies(*engine),
             Trouble::EngineLeaves { engine, notice } => self.engine_leaves(*engine, *notice),
             Trouble::Configure => self.configure(),
+            Trouble::KeyAdded { organisation } => self.change_organisations(Change::Add {
+                organisation: *organisation,
+            }),
+            Trouble::KeyTaken { organisation } => self.change_organisations(Change::Take {
+                organisation: *organisation,
+            }),
+            Trouble::Limit { rate_per_s } => self.change_organisations(Change::Limit {
+                rate_per_s: *rate_per_s,
+            }),
         }
     }
 
@@ -248,6 +278,8 @@
                     ask.method == run.method && ask.target == run.target && ask.body == run.body
                 });
                 runs.push(Run {
+                    organisations: run.organisations(),
+                    shows_key: run.holds(KEY_MARK),
                     at_ms: self.clock.at_ms(run.at),
                     after_event: last_event(run.header(LAST_EVENT)),
                     fault: run.fault,
@@ -377,28 +409,33 @@
     /// Writes a configuration with a route of its own in place of the one before, and asks every
     /// VM for both once it must be in force.
     fn configure(&self) {
-        let version = {
-            let mut version = self.version.lock();
-            *version += 1;
-            self.site.lock().configure_with_extra(*version);
-            *version
+        let route = {
+            let mut written = self.written.lock();
+            written.version += 1;
+            written.route += 1;
+            let organisations = self.keys.organisations();
+            let (version, route) = (written.version, written.route);
+            let site = self.site.lock();
+            site.configure_organisations(version, route, &organisations);
+            route
         };
         let acknowledged_ms = self.clock.now_ms();
         self.clock.wait_until(acknowledged_ms + PROBE_AFTER_MS);
         for vm in 0..self.vms.len() {
-            for (of, exists) in [(version, true), (version - 1, false)] {
+            for (of, exists) in [(route, true), (route - 1, false)] {
                 // A newer configuration may have replaced this one meanwhile.
-                if *self.version.lock() != version {
+                if self.written.lock().route != route {
                     return;
                 }
                 let sent_ms = self.clock.now_ms();
-                let id = format!("c-{version}-{vm}-{of}");
+                let id = format!("c-{route}-{vm}-{of}");
                 let target = format!("{}x", Site::extra_prefix(of));
                 let request = Ask::new("GET", &target, &id).waiting_ms(PATIENCE_MS);
+                let (request, _) = self.keys.steady(&request);
                 let status = self.ask_once(vm, &request);
                 let mut events = self.events.lock();
                 events.probe_ids.push(id);
-                if status > 0 && *self.version.lock() == version {
+                if status > 0 && self.written.lock().route == route {
                     events.probes.push(ConfigurationProbe {
                         vm,
                         acknowledged_ms,
@@ -411,6 +448,17 @@
         }
     }
 
+    /// Writes a configuration with the route in force and other keys or limits.
+    fn change_organisations(&self, change: Change) {
+        let mut written = self.written.lock();
+        written.version += 1;
+        let (version, route) = (written.version, written.route);
+        self.keys.change(change, |organisations| {
+            let site = self.site.lock();
+            site.configure_organisations(version, route, organisations);
+        });
+    }
+
     fn ask_once(&self, vm: usize, request: &Ask) -> u16 {
         let patience = Duration::from_millis(PATIENCE_MS);
         self.vms
@@ -434,7 +482,7 @@
         Trouble::Reload { .. } => "reload",
         Trouble::Store { .. } => "store",
         Trouble::Forget => "forget",
-        Trouble::SetBack { .. } => "set back",
+        Trouble::SetBack { .. } => SET_BACK,
         Trouble::StoreLink { .. } => "store link",
         Trouble::UpstreamLink { .. } => "upstream link",
         Trouble::Reset { .. } => "reset",
@@ -447,5 +495,8 @@
         Trouble::EngineDies { .. } => "engine dies",
         Trouble::EngineLeaves { .. } => "engine leaves",
         Trouble::Configure => "configure",
+        Trouble::KeyAdded { .. } => "key added",
+        Trouble::KeyTaken { .. } => "key taken",
+        Trouble::Limit { .. } => "limit",
     }
 }
--- a/crates/soak/tests/plan_seeds.rs
+++ b/crates/soak/tests/plan_seeds.rs
@@ -51,7 +51,7 @@
             kinds.insert(format!("{:?}", discriminant(&planned.trouble)));
         }
     }
-    assert_eq!(kinds.len(), 20);
+    assert_eq!(kinds.len(), 23);
 }
 
 /// Guards against ways to spoil the rest of a stream that no plan has.
--- a/crates/soak/tests/promise_checks.rs
+++ b/crates/soak/tests/promise_checks.rs
@@ -8,8 +8,11 @@
 use apricotdale_soak::Disturbance;
 use apricotdale_soak::Drain;
 use apricotdale_soak::Ending;
+use apricotdale_soak::KeySeen;
 use apricotdale_soak::Kind;
+use apricotdale_soak::LimitSeen;
 use apricotdale_soak::Place;
+use apricotdale_soak::Presented;
 use apricotdale_soak::Promise;
 use apricotdale_soak::Record;
 use apricotdale_soak::Run;
@@ -29,6 +32,7 @@
         id: id.to_owned(),
         kind,
         vm: 0,
+        presented: Presented::Key(0),
         after_event: 0,
         sent_ms: 10_000,
         ended_ms: 10_050,
@@ -51,6 +55,8 @@
         unchanged: true,
         after_event: 0,
         fault: None,
+        organisations: vec!["north".to_owned()],
+        shows_key: false,
     }
 }
 
@@ -91,10 +97,31 @@
             at_ms: 9_000,
             ended: Some((12_000, Some(0))),
         }],
+        keys: vec![key("north"), key("south")],
+        limits: vec![limit(0, 100)],
         ..Record::default()
     }
 }
 
+fn key(organisation: &str) -> KeySeen {
+    KeySeen {
+        secret: format!("{organisation}-secret-0"),
+        organisation: organisation.to_owned(),
+        acknowledged_ms: 0,
+        leaving_ms: None,
+        left_ms: None,
+    }
+}
+
+fn limit(at_ms: u64, most_in_window: usize) -> LimitSeen {
+    LimitSeen {
+        organisation: "north".to_owned(),
+        written_ms: at_ms,
+        acknowledged_ms: at_ms,
+        most_in_window,
+    }
+}
+
 fn promises(record: &Record) -> Vec<Promise> {
     check(record).into_iter().map(|it| it.promise).collect()
 }
@@ -433,3 +460,139 @@
         .push(disturbance(Place::Vm(0), 12_000, 12_500));
     assert_eq!(promises(&record), []);
 }
+
+/// Guards against a caller without a good key who is served, and nobody sees it.
+#[rstest]
+#[case::none(Presented::None)]
+#[case::unknown(Presented::Unknown)]
+#[case::several(Presented::Several)]
+fn run_without_key(#[case] presented: Presented) {
+    let mut record = sound();
+    record.attempts[0].presented = presented;
+    record.disturbances = vec![disturbance(Place::Vm(0), 0, 20_000)];
+    assert_eq!(promises(&record), vec![Promise::WhoMayAsk]);
+}
+
+/// Guards against a key that goes on after it was taken away, and nobody sees it.
+#[rstest]
+#[case::in_time(7_500, None, &[])]
+#[case::late(5_000, None, &[Promise::WhoMayAsk])]
+#[case::vm_disturbed(5_000, Some(Place::Vm(0)), &[])]
+#[case::other_vm_disturbed(5_000, Some(Place::Vm(1)), &[Promise::WhoMayAsk])]
+#[case::store_disturbed(5_000, Some(Place::Store), &[])]
+fn run_with_taken_key(
+    #[case] left_ms: u64,
+    #[case] place: Option<Place>,
+    #[case] expected: &[Promise],
+) {
+    let mut record = sound();
+    record.last_attempts.clear();
+    record.runs.truncate(1);
+    record.keys[0].leaving_ms = Some(left_ms);
+    record.keys[0].left_ms = Some(left_ms);
+    record.disturbances = place
+        .map(|it| disturbance(it, 4_000, 4_500))
+        .into_iter()
+        .collect();
+    assert_eq!(promises(&record), expected);
+}
+
+/// Guards against a good key that is refused, and nobody sees it.
+#[rstest]
+#[case::first_key(0, None, Some(Place::Vm(0)), &[Promise::WhoMayAsk])]
+#[case::new_key(9_000, None, None, &[])]
+#[case::added_key(5_000, None, None, &[Promise::WhoMayAsk])]
+#[case::added_key_disturbed(5_000, None, Some(Place::Vm(0)), &[])]
+#[case::leaving_key(0, Some(10_020), None, &[])]
+fn refused_with_key(
+    #[case] acknowledged_ms: u64,
+    #[case] leaving_ms: Option<u64>,
+    #[case] place: Option<Place>,
+    #[case] expected: &[Promise],
+) {
+    let mut record = sound();
+    record.attempts[1] = attempt("b", Kind::Book, 401);
+    record.attempts[1].presented = Presented::Key(1);
+    record.keys[1].acknowledged_ms = acknowledged_ms;
+    record.keys[1].leaving_ms = leaving_ms;
+    record.disturbances = place
+        .map(|it| disturbance(it, 4_000, 4_500))
+        .into_iter()
+        .collect();
+    assert_eq!(promises(&record), expected);
+}
+
+/// Guards against an upstream that is told another organisation or a key, and nobody sees it.
+#[rstest]
+#[case::another(&["south"], false)]
+#[case::none(&[], false)]
+#[case::two(&["north", "south"], false)]
+#[case::key(&["north"], true)]
+fn wrong_organisation(#[case] organisations: &[&str], #[case] shows_key: bool) {
+    let mut record = sound();
+    record.runs[0].organisations = organisations.iter().map(ToString::to_string).collect();
+    record.runs[0].shows_key = shows_key;
+    assert_eq!(promises(&record), vec![Promise::OrganisationTold]);
+}
+
+/// Returns a record in which an organisation has a number of requests run, 10 ms apart from 10,000
+/// ms on.
+fn used(count: u64) -> Record {
+    let mut record = sound();
+    record.attempts.clear();
+    record.runs.clear();
+    for number in 0..count {
+        let id = format!("u-{number}");
+        record.attempts.push(Attempt {
+            sent_ms: 10_000 + 10 * number,
+            ended_ms: 10_050 + 10 * number,
+            ..attempt(&id, Kind::Look, 200)
+        });
+        record.runs.push(Run {
+            at_ms: 10_010 + 10 * number,
+            ..run(&id)
+        });
+    }
+    record
+}
+
+/// Guards against an organisation that gets more than its limit, and nobody sees it.
+#[rstest]
+#[case::within(5, vec![limit(0, 5)], None, &[])]
+#[case::beyond(6, vec![limit(0, 5)], None, &[Promise::WithinLimits])]
+#[case::beyond_disturbed(6, vec![limit(0, 5)], Some(Place::Store), &[Promise::WithinLimits])]
+#[case::raised(6, vec![limit(0, 5), limit(12_000, 6)], None, &[])]
+#[case::lowered_just_now(6, vec![limit(0, 6), limit(4_000, 5)], None, &[])]
+#[case::lowered(6, vec![limit(0, 6), limit(2_500, 5)], None, &[Promise::WithinLimits])]
+#[case::lowered_disturbed(6, vec![limit(0, 6), limit(2_500, 5)], Some(Place::Vm(1)), &[])]
+fn beyond_limit(
+    #[case] count: u64,
+    #[case] limits: Vec<LimitSeen>,
+    #[case] place: Option<Place>,
+    #[case] expected: &[Promise],
+) {
+    let mut record = used(count);
+    record.limits = limits;
+    record.disturbances = place
+        .map(|it| disturbance(it, 4_000, 4_500))
+        .into_iter()
+        .collect();
+    assert_eq!(promises(&record), expected);
+}
+
+/// Guards against repeats of a request that count against its organisation's limit.
+#[test]
+fn repeat_counts_once() {
+    let mut record = used(5);
+    record.limits = vec![limit(0, 5)];
+    record.runs.push(run("u-0"));
+    assert_eq!(promises(&record), Vec::new());
+}
+
+/// Guards against a key in a log line that nobody sees.
+#[test]
+fn key_in_log() {
+    let mut record = sound();
+    record.key_lines.push("refused north-secret-0".to_owned());
+    assert_eq!(promises(&record), vec![Promise::KeysStaySecret]);
+}
--- a/crates/standins/src/platform/calling.rs
+++ b/crates/standins/src/platform/calling.rs
@@ -18,6 +18,7 @@
 
 use crate::platform::serving::ID;
 use crate::platform::serving::SIGNATURE;
+use crate::platform::serving::VERSION;
 use crate::platform::serving::holds;
 
 /// The host that callers name, which the routes of [`crate::platform::Site`] have.
@@ -152,6 +153,11 @@
         self.header(ID)
     }
 
+    /// Returns the version of the model's weights that the answer names.
+    pub fn weights_version(&self) -> Option<String> {
+        self.header(VERSION)
+    }
+
     /// Returns whether the answer carries an upstream's signature.
     pub fn is_signed(&self) -> bool {
         self.header(SIGNATURE).is_some()
--- a/crates/standins/src/platform/site.rs
+++ b/crates/standins/src/platform/site.rs
@@ -13,6 +13,7 @@
 use crate::http::Server;
 use crate::platform::engine::EngineOptions;
 use crate::platform::engine::PlatformEngine;
+use crate::platform::organisations::Organisation;
 use crate::platform::service::PlatformService;
 use crate::platform::store::PlatformStore;
 
@@ -182,14 +183,29 @@
 
     /// Writes a configuration that has, besides the first routes, one of its own version.
     pub fn configure_with_extra(&self, version: u64) {
+        self.configure(version, &self.routes_with_extra(version));
+    }
+
+    /// Writes a configuration with organisations and a numbered route besides the first ones.
+    pub fn configure_organisations(
+        &self,
+        version: u64,
+        route: u64,
+        organisations: &[Organisation],
+    ) {
+        let routes = self.routes_with_extra(route);
+        self.configure_with(version, &routes, Some(&Organisation::list(organisations)));
+    }
+
+    fn routes_with_extra(&self, number: u64) -> Vec<Value> {
         let mut routes = self.routes();
-        routes.push(self.route("extra", &Self::extra_prefix(version), "safe", "plain", 2));
-        self.configure(version, &routes);
+        routes.push(self.route("extra", &Self::extra_prefix(number), "safe", "plain", 2));
+        routes
     }
 
-    /// Returns the path of the route that a version adds.
-    pub fn extra_prefix(version: u64) -> String {
-        format!("/extra-{version}/")
+    /// Returns the path of a numbered route.
+    pub fn extra_prefix(number: u64) -> String {
+        format!("/extra-{number}/")
     }
 
     /// Deletes the history of the topics that the operators, the upstreams and the VMs write. The
