--- a/crates/soak/src/checks.rs
+++ b/crates/soak/src/checks.rs
@@ -127,6 +127,28 @@
     }
 }
 
+/// `WindowUse` is what upstreams ran for an organisation with a limit in one of its windows.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct WindowUse {
+    /// The organisation's name.
+    pub organisation: String,
+    /// When the window begins.
+    pub from_ms: u64,
+    /// Requests that were sent and reached an upstream in it.
+    pub ran: usize,
+    /// The most that are allowed in it.
+    pub most: usize,
+}
+
+/// Returns the window in which the greatest part of a limit was used, or the most beyond it; none
+/// if no organisation with a limit was served.
+pub fn fullest_window(record: &Record) -> Option<WindowUse> {
+    let windows = Checker::new(record).windows();
+    windows
+        .into_iter()
+        .max_by_key(|window| window.ran * 1_000 / window.most.max(1))
+}
+
 /// Returns the promises that were broken.
 pub fn check(record: &Record) -> Vec<Violation> {
     let checker = Checker::new(record);
@@ -529,8 +551,26 @@
     }
 
     fn limits(&self, found: &mut Vec<Violation>) {
+        let mut windows = self.windows();
+        windows.retain(|window| window.ran > window.most);
+        windows.dedup_by(|next, first| next.organisation == first.organisation);
+        for WindowUse {
+            organisation,
+            from_ms,
+            ran,
+            most,
+        } in windows
+        {
+            let detail = format!("{organisation} ran {ran} of {most} from {from_ms} ms on");
+            found.push(violation(Promise::WithinLimits, detail));
+        }
+    }
+
+    /// Returns the windows that begin with a request of an organisation with a limit, in order.
+    fn windows(&self) -> Vec<WindowUse> {
         let limits = self.record.limits.iter();
         let limited: BTreeSet<&str> = limits.map(|it| it.organisation.as_str()).collect();
+        let mut windows = Vec::new();
         for name in limited {
             let mut times: Vec<(u64, u64)> = self
                 .attempts
@@ -539,18 +579,19 @@
                 .filter_map(|it| Some((it.sent_ms, self.first_run(&it.id)?.at_ms)))
                 .collect();
             times.sort_unstable();
-            let worst = times.iter().enumerate().find_map(|(first, (from_ms, _))| {
+            for (first, (from_ms, _)) in times.iter().enumerate() {
                 let until_ms = from_ms + LIMIT_WINDOW_MS;
                 let later = times[first..].iter();
                 let ran = later.filter(|(_, at_ms)| *at_ms <= until_ms).count();
-                let most = self.most_in_window(name, *from_ms)?;
-                (ran > most).then_some((*from_ms, ran, most))
-            });
-            if let Some((from_ms, ran, most)) = worst {
-                let detail = format!("{name} ran {ran} of {most} from {from_ms} ms on");
-                found.push(violation(Promise::WithinLimits, detail));
+                windows.extend(self.most_in_window(name, *from_ms).map(|most| WindowUse {
+                    organisation: name.to_owned(),
+                    from_ms: *from_ms,
+                    ran,
+                    most,
+                }));
             }
         }
+        windows
     }
 
     fn is_of(&self, attempt: &Attempt, organisation: &str) -> bool {
--- a/crates/soak/src/lib.rs
+++ b/crates/soak/src/lib.rs
@@ -25,7 +25,9 @@
 
 pub use checks::Promise;
 pub use checks::Violation;
+pub use checks::WindowUse;
 pub use checks::check;
+pub use checks::fullest_window;
 pub use errors::Error;
 pub use errors::Result;
 pub use plan::Burst;
--- a/crates/soak/src/main.rs
+++ b/crates/soak/src/main.rs
@@ -22,6 +22,7 @@
 use apricotdale_soak::Violation;
 use apricotdale_soak::check;
 use apricotdale_soak::entry_program;
+use apricotdale_soak::fullest_window;
 
 /// The most soaks at once.
 const MOST_AT_ONCE: usize = 8;
@@ -138,11 +139,12 @@
         *statuses.entry(attempt.status()).or_default() += 1;
     }
     let continued = record.continued();
+    let fullest = fullest_window(record).map_or((0, 0), |window| (window.ran, window.most));
     let resumed = record.attempts.iter().filter(|it| it.after_event > 0);
     let orders: usize = record.engines.iter().map(|(_, it)| it.holders.len()).sum();
     format!(
         "{} troubles, {} requests by status {statuses:?}, {} runs, {orders} orders, {} streams over \
-         two engines ({} spoiled, {} whole), {} resumed by callers, {} broken",
+         two engines ({} spoiled, {} whole), {} resumed by callers, {} of {} at most in a limit's window, {} broken",
         record.disturbances.len(),
         record.attempts.len(),
         record.runs.len(),
@@ -150,6 +152,8 @@
         continued.spoiled,
         continued.whole,
         resumed.count(),
+        fullest.0,
+        fullest.1,
         violations.len()
     )
 }
--- a/crates/soak/tests/promise_checks.rs
+++ b/crates/soak/tests/promise_checks.rs
@@ -19,6 +19,7 @@
 use apricotdale_soak::StopSeen;
 use apricotdale_soak::StreamSeen;
 use apricotdale_soak::check;
+use apricotdale_soak::fullest_window;
 use apricotdale_standins::platform::AnswerFault;
 use apricotdale_standins::platform::EngineEffects;
 use apricotdale_standins::platform::StreamFault;
@@ -580,6 +581,14 @@
     assert_eq!(promises(&record), expected);
 }
 
+#[test]
+fn fullest_window_is_told() {
+    let mut record = used(3);
+    record.limits = vec![limit(0, 5)];
+    let window = fullest_window(&record).expect("a window");
+    assert_eq!((window.from_ms, window.ran, window.most), (10_000, 3, 5));
+}
+
 /// Guards against repeats of a request that count against its organisation's limit.
 #[test]
 fn repeat_counts_once() {
--- a/crates/soak/tests/short_soak.rs
+++ b/crates/soak/tests/short_soak.rs
@@ -18,6 +18,11 @@
     let violations = check(&soak.record);
     assert!(violations.is_empty(), "{violations:#?}\n{:#?}", soak.plan);
     assert!(soak.record.attempts.len() > 200);
+    // A soak in which nobody is refused a key or a limit has not played organisations.
+    for status in [401, 429] {
+        let mut attempts = soak.record.attempts.iter();
+        assert!(attempts.any(|it| it.status() == status), "no {status}");
+    }
     let continued = soak.record.continued();
     assert!(continued.spoiled >= least_spoiled_rests, "{continued:?}");
 }
