--- a/crates/soak/src/keys.rs
+++ b/crates/soak/src/keys.rs
@@ -23,7 +23,7 @@
 pub(crate) const STEADY: usize = 2;
 
 /// The limit at the start.
-const RATE_PER_S: u32 = 40;
+const RATE_PER_S: u32 = 25;
 
 /// The window in which the use of a limit is counted.
 pub(crate) const LIMIT_WINDOW_MS: u64 = 4_000;
--- a/crates/soak/src/plan.rs
+++ b/crates/soak/src/plan.rs
@@ -54,7 +54,7 @@
 const BURST_MS: std::ops::Range<u64> = 800..3_000;
 
 /// The limits that the operators set, in requests a second.
-const RATES_PER_S: [u32; 4] = [10, 15, 25, 40];
+const RATES_PER_S: [u32; 4] = [8, 12, 18, 25];
 
 /// Sets their draws apart as well.
 const ORGANISATIONS_SEED: u64 = 0x6f72_6761_6e69_7361;
