--- a/crates/soak/src/checks.rs
+++ b/crates/soak/src/checks.rs
@@ -504,8 +504,7 @@
     fn runs_without_key(&self, attempt: &Attempt, key: usize, reached_ms: Option<u64>) -> bool {
         match (self.record.keys[key].left_ms, reached_ms) {
             (Some(left_ms), Some(reached_ms)) => {
-                attempt.sent_ms > left_ms + CONFIGURATION_MS + SLACK_MS
-                    && !self.keeps_old_configuration(attempt.vm, left_ms, reached_ms)
+                attempt.sent_ms > self.known_ms(Some(attempt.vm), left_ms, reached_ms)
             }
             _ => false,
         }
@@ -517,20 +516,11 @@
         let is_held = key.leaving_ms.is_none_or(|at_ms| attempt.ended_ms < at_ms);
         let is_known = match key.acknowledged_ms {
             0 => true,
-            at_ms => {
-                attempt.sent_ms > at_ms + CONFIGURATION_MS + SLACK_MS
-                    && !self.keeps_old_configuration(attempt.vm, at_ms, attempt.ended_ms)
-            }
+            at_ms => attempt.sent_ms > self.known_ms(Some(attempt.vm), at_ms, attempt.ended_ms),
         };
         attempt.status() == 401 && is_held && is_known
     }
 
-    /// Returns whether a VM may not have heard of a change until a moment.
-    fn keeps_old_configuration(&self, vm: usize, changed_ms: u64, until_ms: u64) -> bool {
-        let calm_from_ms = changed_ms.saturating_sub(CALM_BEFORE_MS);
-        self.disturbs_vm(vm, calm_from_ms, until_ms) || self.disturbs_store(calm_from_ms, until_ms)
-    }
-
     fn organisations(&self, found: &mut Vec<Violation>) {
         for run in &self.record.runs {
             let attempt = self.attempts.get(run.id.as_str());
@@ -609,44 +599,43 @@
             .filter(|it| it.organisation == organisation)
             .collect();
         let until_ms = from_ms + LIMIT_WINDOW_MS;
-        let is_set_back = self.record.disturbances.iter().any(|it| {
-            it.what == SET_BACK
-                && it.from_ms <= until_ms
-                && it.until_ms + CONFIGURATION_MS + SLACK_MS + LIMIT_WINDOW_MS >= from_ms
-        });
         let ends = limits.iter().skip(1).map(|next| {
-            let known_ms = self.known_everywhere_ms(next.acknowledged_ms);
+            let known_ms = self.known_ms(None, next.acknowledged_ms, until_ms);
             Some(known_ms + LIMIT_WINDOW_MS)
         });
-        let in_force = limits
-            .iter()
-            .zip(ends.chain([None]))
-            .filter(|(limit, end_ms)| {
-                limit.written_ms <= until_ms
-                    && (is_set_back || end_ms.is_none_or(|end_ms| from_ms < end_ms))
-            });
+        let in_force = limits.iter().zip(ends.chain([None]));
+        let in_force = in_force.filter(|(limit, end_ms)| {
+            limit.written_ms <= until_ms && end_ms.is_none_or(|end_ms| from_ms < end_ms)
+        });
         in_force.map(|(limit, _)| limit.most_in_window).max()
     }
 
-    /// Returns when every VM could know a configuration: what disturbs VMs or the store before
-    /// puts it off.
-    fn known_everywhere_ms(&self, acknowledged_ms: u64) -> u64 {
-        let disturbances = self.record.disturbances.iter();
-        let mut disturbances: Vec<(u64, u64)> = disturbances
-            .filter(|it| it.place != Place::Upstreams)
+    /// Returns when a VM, or every VM, must know a configuration: what disturbs it or the store
+    /// before then puts that off, and a set-back of the store until a moment begins it anew.
+    fn known_ms(&self, vm: Option<usize>, acknowledged_ms: u64, until_ms: u64) -> u64 {
+        let disturbances = || self.record.disturbances.iter();
+        let begun_ms = disturbances()
+            .filter(|it| it.what == SET_BACK && it.from_ms <= until_ms)
+            .map(|it| it.until_ms)
+            .fold(acknowledged_ms, u64::max);
+        let mut delays: Vec<(u64, u64)> = disturbances()
+            .filter(|it| match it.place {
+                Place::Vm(disturbed) => vm.is_none_or(|vm| vm == disturbed),
+                Place::Store => true,
+                Place::Upstreams => false,
+            })
             .map(|it| (it.from_ms, it.until_ms + CALM_BEFORE_MS))
-            .filter(|(_, until_ms)| *until_ms >= acknowledged_ms)
+            .filter(|(_, until_ms)| *until_ms >= begun_ms)
             .collect();
-        disturbances.sort_unstable();
-        let known_ms = acknowledged_ms + CONFIGURATION_MS + SLACK_MS;
-        disturbances
-            .into_iter()
-            .fold(known_ms, |known_ms, (from_ms, until_ms)| {
-                match from_ms <= known_ms {
-                    true => known_ms.max(until_ms),
-                    false => known_ms,
-                }
-            })
+        delays.sort_unstable();
+        let known_ms = begun_ms + CONFIGURATION_MS + SLACK_MS;
+        let delays = delays.into_iter();
+        delays.fold(known_ms, |known_ms, (from_ms, until_ms)| {
+            match from_ms <= known_ms {
+                true => known_ms.max(until_ms),
+                false => known_ms,
+            }
+        })
     }
 
     fn secrets(&self, found: &mut Vec<Violation>) {
--- a/crates/soak/src/plan.rs
+++ b/crates/soak/src/plan.rs
@@ -436,12 +436,18 @@
             }
         })
         .collect();
+    let first_until_ms = LEAD_MS + (until_ms - LEAD_MS).div_ceil(2);
     let changes = (0..random.random_range(KEY_CHANGES))
-        .map(|_| {
-            let at_ms = random.random_range(LEAD_MS..until_ms);
+        .map(|number| {
+            // The first comes early enough that it must be in force before the end.
+            let at_ms = match number {
+                0 => random.random_range(LEAD_MS..first_until_ms),
+                _ => random.random_range(LEAD_MS..until_ms),
+            };
             let organisation = random.random_range(0..STEADY);
             let rate_per_s = RATES_PER_S[random.random_range(0..RATES_PER_S.len())];
             let trouble = match random.random_range(0..3) {
+                _ if number == 0 => Trouble::KeyTaken { organisation },
                 0 => Trouble::KeyAdded { organisation },
                 1 => Trouble::KeyTaken { organisation },
                 _ => Trouble::Limit { rate_per_s },
--- a/crates/soak/tests/promise_checks.rs
+++ b/crates/soak/tests/promise_checks.rs
@@ -479,6 +479,7 @@
 #[case::in_time(7_500, None, &[])]
 #[case::late(5_000, None, &[Promise::WhoMayAsk])]
 #[case::vm_disturbed(5_000, Some(Place::Vm(0)), &[])]
+#[case::vm_disturbed_later(3_000, Some(Place::Vm(0)), &[Promise::WhoMayAsk])]
 #[case::other_vm_disturbed(5_000, Some(Place::Vm(1)), &[Promise::WhoMayAsk])]
 #[case::store_disturbed(5_000, Some(Place::Store), &[])]
 fn run_with_taken_key(
@@ -492,12 +493,29 @@
     record.keys[0].leaving_ms = Some(left_ms);
     record.keys[0].left_ms = Some(left_ms);
     record.disturbances = place
-        .map(|it| disturbance(it, 4_000, 4_500))
+        .map(|it| disturbance(it, 7_000, 7_500))
         .into_iter()
         .collect();
     assert_eq!(promises(&record), expected);
 }
 
+/// Guards against a set-back of the store that is taken for a broken promise.
+#[rstest]
+#[case::just_now(8_000, &[])]
+#[case::long_ago(5_000, &[Promise::WhoMayAsk])]
+fn taken_key_after_set_back(#[case] until_ms: u64, #[case] expected: &[Promise]) {
+    let mut record = sound();
+    record.last_attempts.clear();
+    record.runs.truncate(1);
+    record.keys[0].leaving_ms = Some(3_000);
+    record.keys[0].left_ms = Some(3_000);
+    record.disturbances = vec![Disturbance {
+        what: "set back".to_owned(),
+        ..disturbance(Place::Store, 4_000, until_ms)
+    }];
+    assert_eq!(promises(&record), expected);
+}
+
 /// Guards against a good key that is refused, and nobody sees it.
 #[rstest]
 #[case::first_key(0, None, Some(Place::Vm(0)), &[Promise::WhoMayAsk])]
@@ -517,7 +535,7 @@
     record.keys[1].acknowledged_ms = acknowledged_ms;
     record.keys[1].leaving_ms = leaving_ms;
     record.disturbances = place
-        .map(|it| disturbance(it, 4_000, 4_500))
+        .map(|it| disturbance(it, 7_000, 7_500))
         .into_iter()
         .collect();
     assert_eq!(promises(&record), expected);
