Merge: the soak has organisations with keys and limits

Two sides had made organisations for the stand-ins; SiteOrganisation with a limit of requests or tokens serves both. late_crashers.rs plans no bursts.

--- a/crates/launcher/src/entry_up.rs
+++ b/crates/launcher/src/entry_up.rs
@@ -6,6 +6,7 @@
 use apricotdale_standins::platform::CrashTrigger;
 use apricotdale_standins::platform::EngineOptions;
 use apricotdale_standins::platform::Site;
+use apricotdale_standins::platform::SiteLimit;
 use apricotdale_standins::platform::SiteOptions;
 use apricotdale_standins::platform::SiteOrganisation;
 use apricotdale_standins::platform::VmOptions;
@@ -71,8 +72,8 @@
         let organisations = ORGANISATIONS.map(|(name, tokens_per_s)| SiteOrganisation {
             name: name.to_owned(),
             keys: vec![format!("{name}-{:032x}", rand::random::<u128>())],
-            tokens_per_s,
-            burst_tokens: tokens_per_s * BURST_S,
+            limit: (tokens_per_s > 0.0)
+                .then(|| SiteLimit::tokens(tokens_per_s, tokens_per_s * BURST_S)),
         });
         let engine = |index: usize| EngineOptions {
             instance: format!("i-{index}"),
--- a/crates/soak/tests/late_crashers.rs
+++ b/crates/soak/tests/late_crashers.rs
@@ -21,6 +21,7 @@
     };
     let plan = Plan {
         crashers: vec![crasher],
+        bursts: Vec::new(),
         troubles: Vec::new(),
         calm_from_ms: 2_000,
         end_ms: 2_000,
--- a/crates/standins/src/platform/mod.rs
+++ b/crates/standins/src/platform/mod.rs
@@ -25,6 +25,7 @@
 pub use engine::EngineOptions;
 pub use engine::PlatformEngine;
 pub use orders::OrderFault;
+pub use organisations::SiteLimit;
 pub use organisations::SiteOrganisation;
 pub use service::PlatformService;
 pub use serving::AnswerFault;
