Split: troubles, draws and promises of the soak; one list of spoiled rests

Change: trouble.rs and draws.rs beside plan.rs, stream_promises.rs and organisation_promises.rs beside promise_checks.rs, StreamFault::RESTS, Begun::end_engine. No check is changed.

--- /dev/null
+++ b/crates/soak/src/draws.rs
@@ -0,0 +1,357 @@
+//! What a seed draws.
+
+use std::ops::Range;
+use std::ops::RangeInclusive;
+
+use rand::RngExt;
+use rand::SeedableRng;
+use rand_chacha::ChaCha8Rng;
+
+use apricotdale_standins::platform::AnswerFault;
+use apricotdale_standins::platform::StoreFault;
+use apricotdale_standins::platform::StreamFault;
+
+use crate::asking::MODELS;
+use crate::keys::LIMITED;
+use crate::keys::STEADY;
+use crate::plan::Burst;
+use crate::plan::CRASH_MARKS;
+use crate::plan::Crasher;
+use crate::plan::Planned;
+use crate::proxy::LinkFault;
+use crate::trouble::Trouble;
+
+/// The time before the first trouble, in which the VMs begin to serve.
+pub(crate) const LEAD_MS: u64 = 1_500;
+
+/// The time after the last trouble, in which its effects pass.
+pub(crate) const REST_MS: u64 = 3_500;
+
+/// The mean time between the beginnings of two troubles.
+const GAP_MS: u64 = 900;
+
+/// The most callers whose requests end engines.
+const MOST_CRASHERS: usize = 3;
+
+/// Callers of one such request at a time.
+const MOST_COPIES: usize = 6;
+
+/// Sets the crashers' draws apart from those of the troubles.
+const CRASHERS_SEED: u64 = 0x6372_6173_6865_7273;
+
+/// The most set-backs of the store, and the longest that one takes.
+const MOST_SET_BACKS: usize = 2;
+const SET_BACK_MS: u64 = 6_000;
+
+/// Sets their draws apart as well.
+const SET_BACKS_SEED: u64 = 0x7365_7462_6163_6b73;
+
+/// The fewest and the most times at which engines fail behind each other's streams.
+const JOINS: RangeInclusive<usize> = 4..=8;
+
+/// Sets their draws apart as well.
+const JOINS_SEED: u64 = 0x6a6f_696e_7321_0000;
+
+/// The fewest and the most changes of keys and limits.
+const KEY_CHANGES: RangeInclusive<usize> = 3..=6;
+
+/// The fewest and the most times at which an organisation sends many times its usual.
+const BURSTS: RangeInclusive<usize> = 1..=2;
+
+/// How long such a time is.
+const BURST_MS: Range<u64> = 800..3_000;
+
+/// The limits that the operators set, in requests a second.
+const RATES_PER_S: [u32; 4] = [8, 12, 18, 25];
+
+/// Sets their draws apart as well.
+const ORGANISATIONS_SEED: u64 = 0x6f72_6761_6e69_7361;
+
+/// How any stream is spoiled, also one that is begun, so that it must not look whole.
+const SPOILED_STREAMS: [StreamFault; 4] = [
+    StreamFault::InterimOnly,
+    StreamFault::ClosedInside,
+    StreamFault::EndsInside,
+    StreamFault::OversizeClosedInside,
+];
+
+/// What other engines answer while one cuts its streams.
+const AFTER_CUT: [AnswerFault; 10] = [
+    AnswerFault::TurnedAway,
+    AnswerFault::Failed,
+    AnswerFault::LostAnswer,
+    AnswerFault::Mute,
+    AnswerFault::Unsigned,
+    AnswerFault::CrossedFirst,
+    AnswerFault::ExtraAfter,
+    AnswerFault::Unframed,
+    AnswerFault::UnframedCut,
+    AnswerFault::Garbage,
+];
+
+/// Draws the troubles that come by chance, one after the other.
+pub(crate) fn draw_troubles(
+    seed: u64,
+    calm_from_ms: u64,
+    vms: usize,
+    engines: usize,
+    upstreams: usize,
+) -> Vec<Planned> {
+    let mut draw = Draw {
+        random: ChaCha8Rng::seed_from_u64(seed),
+        vms,
+        engines,
+        upstreams,
+    };
+    let mut troubles = Vec::new();
+    let mut at_ms = LEAD_MS;
+    while at_ms < calm_from_ms {
+        let trouble = draw.trouble(calm_from_ms - at_ms);
+        troubles.push(Planned { at_ms, trouble });
+        // Some come at the same moment, so that they overlap.
+        if draw.random.random_ratio(2, 3) {
+            at_ms += draw.random.random_range(GAP_MS / 3..GAP_MS * 2);
+        }
+    }
+    troubles
+}
+
+/// Draws the crashers from a generator of their own, so that they change no plan of troubles.
+pub(crate) fn draw_crashers(seed: u64, calm_from_ms: u64) -> Vec<Crasher> {
+    let mut random = ChaCha8Rng::seed_from_u64(seed ^ CRASHERS_SEED);
+    let count = random.random_range(0..=MOST_CRASHERS);
+    (0..count)
+        .map(|number| Crasher {
+            // The engines end at once under the one mark and after some events under the other.
+            body: format!("{}{number}", CRASH_MARKS[random.random_range(0..2)]),
+            model: MODELS[random.random_range(0..2)],
+            at_ms: random.random_range(LEAD_MS..calm_from_ms.max(LEAD_MS + 1)),
+            pause_ms: random.random_range(50..900),
+            resumable: random.random_bool(0.5),
+            copies: random.random_range(1..=MOST_COPIES),
+        })
+        .collect()
+}
+
+/// Draws the times at which the store comes back from an older copy, from a generator of their own
+/// as well.
+pub(crate) fn draw_set_backs(seed: u64, calm_from_ms: u64) -> Vec<Planned> {
+    let mut random = ChaCha8Rng::seed_from_u64(seed ^ SET_BACKS_SEED);
+    let latest_ms = calm_from_ms.saturating_sub(SET_BACK_MS);
+    let count = random.random_range(0..=MOST_SET_BACKS);
+    (0..count)
+        .filter(|_| latest_ms > LEAD_MS)
+        .map(|_| Planned {
+            at_ms: random.random_range(LEAD_MS..latest_ms),
+            trouble: Trouble::SetBack {
+                lost_ms: random.random_range(0..SET_BACK_MS / 2),
+                away_ms: random.random_range(50..SET_BACK_MS / 4),
+                again_ms: random.random_range(50..SET_BACK_MS / 4),
+            },
+        })
+        .collect()
+}
+
+/// Draws the times at which engines fail behind each other's streams, from a generator of their own
+/// as well.
+pub(crate) fn draw_joins(seed: u64, calm_from_ms: u64, engines: usize) -> Vec<Planned> {
+    let mut random = ChaCha8Rng::seed_from_u64(seed ^ JOINS_SEED);
+    let count = random.random_range(JOINS);
+    (0..count)
+        .map(|_| {
+            let at_ms = random.random_range(LEAD_MS..calm_from_ms.max(LEAD_MS + 1));
+            let events = random.random_range(1..4);
+            let rest = StreamFault::RESTS[random.random_range(0..StreamFault::RESTS.len())];
+            let stream = SPOILED_STREAMS[random.random_range(0..SPOILED_STREAMS.len())];
+            let other = AFTER_CUT[random.random_range(0..AFTER_CUT.len())];
+            let engine = random.random_range(0..engines.max(1));
+            let count = random.random_range(2..8);
+            let of_all = |fault| Trouble::EnginesAnswer { fault, count };
+            let trouble = match random.random_range(0..12) {
+                0..=6 => of_all(AnswerFault::CutThen { events, then: rest }),
+                7 => of_all(AnswerFault::Stream(stream)),
+                8 => of_all(AnswerFault::CutAfter { events }),
+                9 | 10 => Trouble::CutBefore {
+                    engine,
+                    events,
+                    then: other,
+                    count,
+                },
+                _ => Trouble::LargeCuts { count },
+            };
+            Planned { at_ms, trouble }
+        })
+        .collect()
+}
+
+/// Draws when an organisation sends more and what the operators change about organisations, from a
+/// generator of its own as well.
+pub(crate) fn draw_organisations(seed: u64, calm_from_ms: u64) -> (Vec<Burst>, Vec<Planned>) {
+    let mut random = ChaCha8Rng::seed_from_u64(seed ^ ORGANISATIONS_SEED);
+    let until_ms = calm_from_ms.max(LEAD_MS + 1);
+    let bursts = (0..random.random_range(BURSTS))
+        .map(|_| {
+            let at_ms = random.random_range(LEAD_MS..until_ms);
+            Burst {
+                organisation: LIMITED,
+                at_ms,
+                for_ms: random.random_range(BURST_MS).min(until_ms - at_ms),
+                callers: random.random_range(3..7),
+                pause_ms: random.random_range(10..40),
+            }
+        })
+        .collect();
+    let first_until_ms = LEAD_MS + (until_ms - LEAD_MS).div_ceil(2);
+    let changes = (0..random.random_range(KEY_CHANGES))
+        .map(|number| {
+            // The first comes early enough that it must be in force before the end.
+            let at_ms = match number {
+                0 => random.random_range(LEAD_MS..first_until_ms),
+                _ => random.random_range(LEAD_MS..until_ms),
+            };
+            let organisation = random.random_range(0..STEADY);
+            let rate_per_s = RATES_PER_S[random.random_range(0..RATES_PER_S.len())];
+            let trouble = match random.random_range(0..3) {
+                _ if number == 0 => Trouble::KeyTaken { organisation },
+                0 => Trouble::KeyAdded { organisation },
+                1 => Trouble::KeyTaken { organisation },
+                _ => Trouble::Limit { rate_per_s },
+            };
+            Planned { at_ms, trouble }
+        })
+        .collect();
+    (bursts, changes)
+}
+
+struct Draw {
+    random: ChaCha8Rng,
+    vms: usize,
+    engines: usize,
+    upstreams: usize,
+}
+
+impl Draw {
+    fn trouble(&mut self, left_ms: u64) -> Trouble {
+        let for_ms = self.random.random_range(200..3_000).min(left_ms);
+        match self.random.random_range(0..24) {
+            0 | 1 => Trouble::Kill {
+                vm: self.vm(),
+                down_ms: for_ms / 2,
+            },
+            2 => Trouble::KillAll {
+                down_ms: for_ms / 4,
+            },
+            3 | 4 => Trouble::Pause {
+                vm: self.vm(),
+                for_ms,
+            },
+            5 | 6 => Trouble::Stop { vm: self.vm() },
+            7 => Trouble::Reload { vm: self.vm() },
+            8..=10 => Trouble::Store {
+                vm: self.some_vm(),
+                fault: self.store_fault(),
+                for_ms,
+            },
+            11 => Trouble::Forget,
+            12 | 13 => Trouble::StoreLink {
+                vm: self.vm(),
+                fault: self.link_fault(),
+                for_ms,
+            },
+            14 | 15 => Trouble::UpstreamLink {
+                upstream: self.upstream(),
+                fault: self.link_fault(),
+                for_ms,
+            },
+            16 => Trouble::Reset {
+                upstream: self.upstream(),
+            },
+            17 => Trouble::Silence { vm: self.vm() },
+            18 | 19 => Trouble::Answers {
+                upstream: self.upstream(),
+                fault: self.answer_fault(),
+                count: self.random.random_range(1..6),
+            },
+            20 => {
+                let late_ms = self.random.random_range(100..2_500);
+                Trouble::Orders {
+                    engine: self.engine(),
+                    late_ms: self.random.random_bool(0.5).then_some(late_ms),
+                    count: self.random.random_range(1..4),
+                }
+            }
+            21 => Trouble::EngineDies {
+                engine: self.engine(),
+            },
+            22 => Trouble::EngineLeaves {
+                engine: self.engine(),
+                notice: for_ms.is_multiple_of(2),
+            },
+            _ => Trouble::Configure,
+        }
+    }
+
+    fn vm(&mut self) -> usize {
+        self.random.random_range(0..self.vms)
+    }
+
+    fn some_vm(&mut self) -> Option<usize> {
+        let vm = self.vm();
+        self.random.random_bool(0.5).then_some(vm)
+    }
+
+    fn engine(&mut self) -> usize {
+        self.random.random_range(0..self.engines)
+    }
+
+    fn upstream(&mut self) -> usize {
+        self.random.random_range(0..self.upstreams)
+    }
+
+    fn store_fault(&mut self) -> StoreFault {
+        match self.random.random_range(0..7) {
+            0 => StoreFault::Busy,
+            1 => StoreFault::Limited,
+            2 => StoreFault::Reset,
+            3 => StoreFault::Silent,
+            4 => StoreFault::LostAnswer,
+            5 => StoreFault::Late {
+                after_ms: self.random.random_range(100..1_500),
+            },
+            _ => StoreFault::Slow {
+                by_ms: self.random.random_range(50..600),
+            },
+        }
+    }
+
+    fn link_fault(&mut self) -> LinkFault {
+        match self.random.random_range(0..5) {
+            0 => LinkFault::Delayed {
+                by_ms: self.random.random_range(20..300),
+            },
+            1 => LinkFault::Refused,
+            2 => LinkFault::CutToServer,
+            3 => LinkFault::CutToClient,
+            _ => LinkFault::Cut,
+        }
+    }
+
+    fn answer_fault(&mut self) -> AnswerFault {
+        match self.random.random_range(0..12) {
+            0 => AnswerFault::TurnedAway,
+            1 => AnswerFault::Failed,
+            2 => AnswerFault::LostAnswer,
+            3 => AnswerFault::Mute,
+            4 => AnswerFault::CutAfter {
+                events: self.random.random_range(0..4),
+            },
+            5 => AnswerFault::Unsigned,
+            6 => AnswerFault::CrossedFirst,
+            7 => AnswerFault::ExtraAfter,
+            8 => AnswerFault::Unframed,
+            9 => AnswerFault::UnframedCut,
+            10 => AnswerFault::Garbage,
+            _ => AnswerFault::Encoded,
+        }
+    }
+}
--- a/crates/soak/src/lib.rs
+++ b/crates/soak/src/lib.rs
@@ -3,8 +3,8 @@
 //! Real processes of `apricotdale-entry` run on loopback before the stand-ins of the platform. A
 //! seeded [`Plan`] has processes killed, paused, stopped and restarted, links delayed, cut,
 //! silenced and reset by proxies, the store and the engines misbehave and the configuration change,
-//! in series and overlapping, while callers of several organisations go on asking. What callers and upstreams saw is a
-//! [`Record`], from which [`check`] tells which promises were broken.
+//! in series and overlapping, while callers of several organisations go on asking. What callers and
+//! upstreams saw is a [`Record`], from which [`check`] tells which promises were broken.
 
 #![forbid(unsafe_code)]
 #![warn(missing_docs)]
@@ -12,6 +12,7 @@
 mod asking;
 mod checks;
 mod clock;
+mod draws;
 mod engines;
 mod errors;
 mod keys;
@@ -21,6 +22,7 @@
 mod record;
 mod soak;
 mod streams;
+mod trouble;
 mod vms;
 mod world;
 
@@ -35,7 +37,6 @@
 pub use plan::Crasher;
 pub use plan::Plan;
 pub use plan::Planned;
-pub use plan::Trouble;
 pub use proxy::LinkFault;
 pub use proxy::Proxy;
 pub use record::Attempt;
@@ -61,3 +62,4 @@
 pub use streams::Piece;
 pub use streams::StreamSeen;
 pub use streams::Tail;
+pub use trouble::Trouble;
--- a/crates/soak/src/world.rs
+++ b/crates/soak/src/world.rs
@@ -29,7 +29,6 @@
 use crate::keys::Change;
 use crate::keys::KEY_MARK;
 use crate::keys::Keys;
-use crate::plan::Trouble;
 use crate::proxy::LinkFault;
 use crate::proxy::Proxy;
 use crate::record::ConfigurationProbe;
@@ -37,8 +36,8 @@
 use crate::record::Drain;
 use crate::record::Place;
 use crate::record::Run;
-use crate::record::SET_BACK;
 use crate::record::StopSeen;
+use crate::trouble::Trouble;
 use crate::vms::StopEnd;
 use crate::vms::Vms;
 
@@ -147,30 +146,11 @@
     /// Carries a trouble out and returns when it is over.
     pub fn carry_out(&self, trouble: &Trouble) {
         let from_ms = self.clock.now_ms();
-        let place = match trouble {
-            Trouble::Kill { vm, .. } | Trouble::Pause { vm, .. } | Trouble::Stop { vm } => {
-                Some(Place::Vm(*vm))
-            }
-            // Told by itself for each VM.
-            Trouble::KillAll { .. } => None,
-            // A VM that reads its settings again owes everything.
-            Trouble::Reload { .. }
-            | Trouble::Configure
-            | Trouble::KeyAdded { .. }
-            | Trouble::KeyTaken { .. }
-            | Trouble::Limit { .. } => None,
-            Trouble::Store { .. }
-            | Trouble::Forget
-            | Trouble::SetBack { .. }
-            | Trouble::StoreLink { .. }
-            | Trouble::Silence { .. } => Some(Place::Store),
-            _ => Some(Place::Upstreams),
-        };
         self.act(trouble);
         let until_ms = self.clock.now_ms();
-        if let Some(place) = place {
+        if let Some(place) = trouble.place() {
             self.events.lock().disturbances.push(Disturbance {
-                what: name(trouble).to_owned(),
+                what: trouble.as_str().to_owned(),
                 place,
                 from_ms,
                 until_ms,
@@ -472,31 +452,3 @@
 pub(crate) fn pause(for_ms: u64) {
     thread::sleep(Duration::from_millis(for_ms));
 }
-
-fn name(trouble: &Trouble) -> &'static str {
-    match trouble {
-        Trouble::Kill { .. } => "kill",
-        Trouble::KillAll { .. } => "kill all",
-        Trouble::Pause { .. } => "pause",
-        Trouble::Stop { .. } => "stop",
-        Trouble::Reload { .. } => "reload",
-        Trouble::Store { .. } => "store",
-        Trouble::Forget => "forget",
-        Trouble::SetBack { .. } => SET_BACK,
-        Trouble::StoreLink { .. } => "store link",
-        Trouble::UpstreamLink { .. } => "upstream link",
-        Trouble::Reset { .. } => "reset",
-        Trouble::Silence { .. } => "silence",
-        Trouble::Answers { .. } => "answers",
-        Trouble::EnginesAnswer { .. } => "engines answer",
-        Trouble::CutBefore { .. } => "cut before",
-        Trouble::LargeCuts { .. } => "large cuts",
-        Trouble::Orders { .. } => "orders",
-        Trouble::EngineDies { .. } => "engine dies",
-        Trouble::EngineLeaves { .. } => "engine leaves",
-        Trouble::Configure => "configure",
-        Trouble::KeyAdded { .. } => "key added",
-        Trouble::KeyTaken { .. } => "key taken",
-        Trouble::Limit { .. } => "limit",
-    }
-}
--- /dev/null
+++ b/crates/soak/tests/organisation_promises.rs
@@ -0,0 +1,184 @@
+//! Records that break a promise about organisations, their keys or limits.
+
+mod support;
+
+use apricotdale_soak::Attempt;
+use apricotdale_soak::Disturbance;
+use apricotdale_soak::Kind;
+use apricotdale_soak::LimitSeen;
+use apricotdale_soak::Place;
+use apricotdale_soak::Presented;
+use apricotdale_soak::Promise;
+use apricotdale_soak::Record;
+use apricotdale_soak::Run;
+use apricotdale_soak::fullest_window;
+use rstest::rstest;
+
+use support::attempt;
+use support::disturbance;
+use support::limit;
+use support::promises;
+use support::run;
+use support::sound;
+
+/// Guards against a caller without a good key who is served, and nobody sees it.
+#[rstest]
+#[case::none(Presented::None)]
+#[case::unknown(Presented::Unknown)]
+#[case::several(Presented::Several)]
+fn run_without_key(#[case] presented: Presented) {
+    let mut record = sound();
+    record.attempts[0].presented = presented;
+    record.disturbances = vec![disturbance(Place::Vm(0), 0, 20_000)];
+    assert_eq!(promises(&record), vec![Promise::WhoMayAsk]);
+}
+
+/// Guards against a key that goes on after it was taken away, and nobody sees it.
+#[rstest]
+#[case::in_time(7_500, None, &[])]
+#[case::late(5_000, None, &[Promise::WhoMayAsk])]
+#[case::vm_disturbed(5_000, Some(Place::Vm(0)), &[])]
+#[case::vm_disturbed_later(3_000, Some(Place::Vm(0)), &[Promise::WhoMayAsk])]
+#[case::other_vm_disturbed(5_000, Some(Place::Vm(1)), &[Promise::WhoMayAsk])]
+#[case::store_disturbed(5_000, Some(Place::Store), &[])]
+fn run_with_taken_key(
+    #[case] left_ms: u64,
+    #[case] place: Option<Place>,
+    #[case] expected: &[Promise],
+) {
+    let mut record = sound();
+    record.last_attempts.clear();
+    record.runs.truncate(1);
+    record.keys[0].leaving_ms = Some(left_ms);
+    record.keys[0].left_ms = Some(left_ms);
+    record.disturbances = place
+        .map(|it| disturbance(it, 7_000, 7_500))
+        .into_iter()
+        .collect();
+    assert_eq!(promises(&record), expected);
+}
+
+/// Guards against a set-back of the store that is taken for a broken promise.
+#[rstest]
+#[case::just_now(8_000, &[])]
+#[case::long_ago(5_000, &[Promise::WhoMayAsk])]
+fn taken_key_after_set_back(#[case] until_ms: u64, #[case] expected: &[Promise]) {
+    let mut record = sound();
+    record.last_attempts.clear();
+    record.runs.truncate(1);
+    record.keys[0].leaving_ms = Some(3_000);
+    record.keys[0].left_ms = Some(3_000);
+    record.disturbances = vec![Disturbance {
+        what: "set back".to_owned(),
+        ..disturbance(Place::Store, 4_000, until_ms)
+    }];
+    assert_eq!(promises(&record), expected);
+}
+
+/// Guards against a good key that is refused, and nobody sees it.
+#[rstest]
+#[case::first_key(0, None, Some(Place::Vm(0)), &[Promise::WhoMayAsk])]
+#[case::new_key(9_000, None, None, &[])]
+#[case::added_key(5_000, None, None, &[Promise::WhoMayAsk])]
+#[case::added_key_disturbed(5_000, None, Some(Place::Vm(0)), &[])]
+#[case::leaving_key(0, Some(10_020), None, &[])]
+fn refused_with_key(
+    #[case] acknowledged_ms: u64,
+    #[case] leaving_ms: Option<u64>,
+    #[case] place: Option<Place>,
+    #[case] expected: &[Promise],
+) {
+    let mut record = sound();
+    record.attempts[1] = attempt("b", Kind::Book, 401);
+    record.attempts[1].presented = Presented::Key(1);
+    record.keys[1].acknowledged_ms = acknowledged_ms;
+    record.keys[1].leaving_ms = leaving_ms;
+    record.disturbances = place
+        .map(|it| disturbance(it, 7_000, 7_500))
+        .into_iter()
+        .collect();
+    assert_eq!(promises(&record), expected);
+}
+
+/// Guards against an upstream that is told another organisation or a key, and nobody sees it.
+#[rstest]
+#[case::another(&["south"], false)]
+#[case::none(&[], false)]
+#[case::two(&["north", "south"], false)]
+#[case::key(&["north"], true)]
+fn wrong_organisation(#[case] organisations: &[&str], #[case] shows_key: bool) {
+    let mut record = sound();
+    record.runs[0].organisations = organisations.iter().map(ToString::to_string).collect();
+    record.runs[0].shows_key = shows_key;
+    assert_eq!(promises(&record), vec![Promise::OrganisationTold]);
+}
+
+/// Returns a record in which an organisation has a number of requests run, 10 ms apart from 10,000
+/// ms on.
+fn used(count: u64) -> Record {
+    let mut record = sound();
+    record.attempts.clear();
+    record.runs.clear();
+    for number in 0..count {
+        let id = format!("u-{number}");
+        record.attempts.push(Attempt {
+            sent_ms: 10_000 + 10 * number,
+            ended_ms: 10_050 + 10 * number,
+            ..attempt(&id, Kind::Look, 200)
+        });
+        record.runs.push(Run {
+            at_ms: 10_010 + 10 * number,
+            ..run(&id)
+        });
+    }
+    record
+}
+
+/// Guards against an organisation that gets more than its limit, and nobody sees it.
+#[rstest]
+#[case::within(5, vec![limit(0, 5)], None, &[])]
+#[case::beyond(6, vec![limit(0, 5)], None, &[Promise::WithinLimits])]
+#[case::beyond_disturbed(6, vec![limit(0, 5)], Some(Place::Store), &[Promise::WithinLimits])]
+#[case::raised(6, vec![limit(0, 5), limit(12_000, 6)], None, &[])]
+#[case::lowered_just_now(6, vec![limit(0, 6), limit(4_000, 5)], None, &[])]
+#[case::lowered(6, vec![limit(0, 6), limit(2_500, 5)], None, &[Promise::WithinLimits])]
+#[case::lowered_disturbed(6, vec![limit(0, 6), limit(2_500, 5)], Some(Place::Vm(1)), &[])]
+fn beyond_limit(
+    #[case] count: u64,
+    #[case] limits: Vec<LimitSeen>,
+    #[case] place: Option<Place>,
+    #[case] expected: &[Promise],
+) {
+    let mut record = used(count);
+    record.limits = limits;
+    record.disturbances = place
+        .map(|it| disturbance(it, 4_000, 4_500))
+        .into_iter()
+        .collect();
+    assert_eq!(promises(&record), expected);
+}
+
+#[test]
+fn fullest_window_is_told() {
+    let mut record = used(3);
+    record.limits = vec![limit(0, 5)];
+    let window = fullest_window(&record).expect("a window");
+    assert_eq!((window.from_ms, window.ran, window.most), (10_000, 3, 5));
+}
+
+/// Guards against repeats of a request that count against its organisation's limit.
+#[test]
+fn repeat_counts_once() {
+    let mut record = used(5);
+    record.limits = vec![limit(0, 5)];
+    record.runs.push(run("u-0"));
+    assert_eq!(promises(&record), Vec::new());
+}
+
+/// Guards against a key in a log line that nobody sees.
+#[test]
+fn key_in_log() {
+    let mut record = sound();
+    record.key_lines.push("refused north-secret-0".to_owned());
+    assert_eq!(promises(&record), vec![Promise::KeysStaySecret]);
+}
--- a/crates/standins/src/platform/stream_faults.rs
+++ b/crates/standins/src/platform/stream_faults.rs
@@ -59,6 +59,26 @@
 }
 
 impl StreamFault {
+    /// Ways in which an engine may spoil what it sends behind another's events.
+    pub const RESTS: [Self; 16] = [
+        Self::Skips,
+        Self::Repeats,
+        Self::BeginsAnew,
+        Self::GoesBack,
+        Self::SkipsLater,
+        Self::Unnumbered,
+        Self::Empty,
+        Self::OtherContent,
+        Self::Failed,
+        Self::NoContent,
+        Self::Redirect,
+        Self::InterimOnly,
+        Self::OtherVersion,
+        Self::ClosedInside,
+        Self::EndsInside,
+        Self::OversizeClosedInside,
+    ];
+
     /// Returns the answer to a request for the events from `first` to `last`.
     pub(crate) fn answer(self, id: &str, instance: &str, first: u64, last: u64) -> Raw {
         let events =
