Entry VM: which configuration is in force, which is known, and what reads threw away

Cause: the record of the incident could not tell which version a VM ran at a moment, nor which it knew of, nor how much it had received of answers that it then gave up; only sums of bytes at the VM's link showed that. Change: gauges configuration_version, newest_configuration_version and configuration_outdated_ms, counter discarded_reads_bytes by call, and outdated_for_ms in the line "configuration in force". No decision changes.

Test: platform/tests/outdated_configuration.rs, passed.

--- a/crates/entry/src/calls.rs
+++ b/crates/entry/src/calls.rs
@@ -262,7 +262,7 @@
 
     /// Ends a call whose connection failed or that has timed out.
     pub(crate) fn call_failed(&mut self, token: Token) {
-        self.call_answers.remove(&token);
+        let received = self.call_answers.remove(&token);
         let Some(connection) = self.outbound.get_mut(token) else {
             return;
         };
@@ -291,6 +291,9 @@
                 .call("look", if timed_out { "silent" } else { "reset" });
             self.probe_ended(engine, !timed_out);
         } else if let Some(Purpose::Call(tag)) = purpose {
+            if let Some(answer) = received.filter(|_| tag.targets_store()) {
+                self.metrics.discarded_read(tag.as_str(), answer.body.len());
+            }
             let outcome = match sent {
                 true => CallOutcome::Unknown,
                 false => CallOutcome::NotSent,
--- a/crates/entry/src/connections.rs
+++ b/crates/entry/src/connections.rs
@@ -152,6 +152,7 @@
             .dropped_lines
             .set(self.log_budget.dropped_lines as i64);
         self.update_quarantine_gauges();
+        self.update_configuration_gauges();
         let text = self.metrics.render();
         self.answer_text(token, 200, &text);
     }
--- a/crates/entry/src/metrics.rs
+++ b/crates/entry/src/metrics.rs
@@ -47,6 +47,7 @@
     foreign_entries: Counter,
     lapsed_upstreams: Counter,
     store_reads_bytes: Family<Reason, Counter>,
+    discarded_reads_bytes: Family<Reason, Counter>,
     store_rollbacks: Counter,
     answers_of_earlier_eras: Family<Reason, Counter>,
     list_repairs: Counter,
@@ -66,6 +67,9 @@
     pub on_probation: Gauge,
     pub store_loads: Gauge,
     pub store_loads_allowed: Gauge,
+    pub configuration_version: Gauge,
+    pub newest_configuration_version: Gauge,
+    pub configuration_outdated_ms: Gauge,
     trials: Counter,
     waited_for_owner: Counter,
     over_limit: Family<OrganisationLabel, Counter>,
@@ -94,6 +98,7 @@
             foreign_entries: Counter::default(),
             lapsed_upstreams: Counter::default(),
             store_reads_bytes: Family::default(),
+            discarded_reads_bytes: Family::default(),
             store_rollbacks: Counter::default(),
             answers_of_earlier_eras: Family::default(),
             list_repairs: Counter::default(),
@@ -113,6 +118,9 @@
             on_probation: Gauge::default(),
             store_loads: Gauge::default(),
             store_loads_allowed: Gauge::default(),
+            configuration_version: Gauge::default(),
+            newest_configuration_version: Gauge::default(),
+            configuration_outdated_ms: Gauge::default(),
             trials: Counter::default(),
             waited_for_owner: Counter::default(),
             over_limit: Family::default(),
@@ -182,6 +190,11 @@
             "Bytes of the store's answers by call",
             self.store_reads_bytes.clone(),
         );
+        registry.register(
+            "discarded_reads_bytes",
+            "Bytes received of the store's answers that were abandoned before their end, by call",
+            self.discarded_reads_bytes.clone(),
+        );
         registry.register(
             "store_set_backs",
             "Rollbacks of the store",
@@ -237,6 +250,21 @@
             "Maximum number of loads from the weight store that this VM allows at once",
             self.store_loads_allowed.clone(),
         );
+        registry.register(
+            "configuration_version",
+            "Version of the configuration in force at this VM",
+            self.configuration_version.clone(),
+        );
+        registry.register(
+            "newest_configuration_version",
+            "Newest version of the configuration that this VM knows to be in force at any VM",
+            self.newest_configuration_version.clone(),
+        );
+        registry.register(
+            "configuration_outdated_ms",
+            "Time for which this VM has known of a newer configuration than its own",
+            self.configuration_outdated_ms.clone(),
+        );
         registry.register(
             "trials",
             "Trial runs of requests on probation by this VM",
@@ -369,6 +397,13 @@
         counter.inc_by(bytes as u64);
     }
 
+    /// Counts the received bytes of a store answer that is abandoned before its end.
+    pub fn discarded_read(&self, call: &str, bytes: usize) {
+        let reason = call.to_owned();
+        let counter = self.discarded_reads_bytes.get_or_create(&Reason { reason });
+        counter.inc_by(bytes as u64);
+    }
+
     /// Records the duration of one round of planning.
     pub fn planned(&mut self, took_ms: u64) {
         self.plan_ms.observe(took_ms as f64);
--- a/crates/entry/src/store_pollers/configuration.rs
+++ b/crates/entry/src/store_pollers/configuration.rs
@@ -50,6 +50,21 @@
         true
     }
 
+    /// Updates the metrics that show which configuration is in force and whether a newer one is
+    /// known.
+    pub(crate) fn update_configuration_gauges(&self) {
+        let version = self.directory.version();
+        let newest_version = version.max(self.sharing.announced_version());
+        let outdated_for_ms = self.store_pollers.outdated_for_ms(self.now_ms);
+        self.metrics.configuration_version.set(version as i64);
+        self.metrics
+            .newest_configuration_version
+            .set(newest_version as i64);
+        self.metrics
+            .configuration_outdated_ms
+            .set(outdated_for_ms.unwrap_or(0) as i64);
+    }
+
     pub(super) fn read_configuration(&mut self) {
         self.store_pollers.configuration.calling = true;
         let era = self.store_era.now();
@@ -125,7 +140,8 @@
             let before = self.directory.version();
             match self.directory.configure(configuration) {
                 Ok(()) if version != before => {
-                    log::info!(version, before; "configuration in force");
+                    let outdated_for_ms = self.store_pollers.outdated_for_ms(self.now_ms);
+                    log::info!(version, before, outdated_for_ms; "configuration in force");
                     let is_outdated = self.sharing.announced_version() > version;
                     self.store_pollers.record_outdated(self.now_ms, is_outdated);
                     self.peers.schedule_heartbeat();
