Test: a VM that has missed configurations, behind a slow link (fails)

What callers saw: 401 and 404 by a version 3.5 s older than the newest. The stand-in store gets a link of a limited rate (answers share it and arrive piece by piece) and keeps to the 1,024 kB of an answer, as the platform's page says. The test loses a VM's path to the store, publishes 12 configurations of 60 kB, and gives the path back over a link of 400 kB/s (several configurations do not fit into the time of a call) and of 60 kB/s (one does not).

--- a/crates/standins/src/http/mod.rs
+++ b/crates/standins/src/http/mod.rs
@@ -6,11 +6,13 @@
 //! `chunked_transfer`.
 
 mod caller;
+mod link;
 mod reply;
 mod request;
 mod server;
 
 pub use caller::Caller;
+pub use link::SlowLink;
 pub use reply::Buffered;
 pub use reply::EventWriter;
 pub use reply::Raw;
--- a/crates/standins/src/http/reply.rs
+++ b/crates/standins/src/http/reply.rs
@@ -4,11 +4,13 @@
 use std::io::Write;
 use std::net::Shutdown;
 use std::net::TcpStream;
+use std::sync::Arc;
 
 use chunked_transfer::Encoder;
 use serde::Serialize;
 
 use crate::http::caller::Caller;
+use crate::http::link::SlowLink;
 
 /// Reply to a request; it need not be a valid HTTP message.
 pub enum Reply {
@@ -20,6 +22,8 @@
     Stream(Stream),
     /// Bytes that are sent unchanged and need not be a valid answer.
     Raw(Raw),
+    /// Bytes that are sent unchanged over a slow link.
+    OverLink(Raw, Arc<SlowLink>),
 }
 
 /// Bytes that are sent unchanged.
@@ -126,11 +130,25 @@
         match &mut self {
             Self::Buffered(buffered) => buffered.headers.push(header),
             Self::Stream(stream) => stream.headers.push(header),
-            Self::Lost | Self::Raw(_) => {}
+            Self::Lost | Self::Raw(_) | Self::OverLink(..) => {}
         }
         self
     }
 
+    /// Returns this reply as one that is sent over a slow link. A stream or a lost reply is returned
+    /// unchanged.
+    pub fn over_link(self, link: Arc<SlowLink>) -> Self {
+        match self {
+            Self::Buffered(buffered) => {
+                let bytes = buffered.bytes(false);
+                let keep_alive = true;
+                Self::OverLink(Raw { bytes, keep_alive }, link)
+            }
+            Self::Raw(raw) => Self::OverLink(raw, link),
+            other => other,
+        }
+    }
+
     /// Sends the reply and returns whether the connection can carry another request.
     pub(crate) fn send(self, connection: &TcpStream, is_head: bool) -> io::Result<bool> {
         match self {
@@ -142,19 +160,27 @@
                 connection.write_all(&raw.bytes)?;
                 Ok(raw.keep_alive)
             }
+            Self::OverLink(raw, link) => {
+                link.send(connection, &raw.bytes)?;
+                Ok(raw.keep_alive)
+            }
         }
     }
 }
 
 impl Buffered {
     fn send(self, mut connection: &TcpStream, is_head: bool) -> io::Result<bool> {
+        connection.write_all(&self.bytes(is_head))?;
+        Ok(true)
+    }
+
+    fn bytes(&self, is_head: bool) -> Vec<u8> {
         let mut answer = head(self.status, "application/json", &self.headers);
         answer.extend_from_slice(format!("Content-Length: {}\r\n\r\n", self.body.len()).as_bytes());
         if !is_head {
             answer.extend_from_slice(&self.body);
         }
-        connection.write_all(&answer)?;
-        Ok(true)
+        answer
     }
 }
 
--- a/crates/standins/src/platform/site.rs
+++ b/crates/standins/src/platform/site.rs
@@ -202,6 +202,16 @@
         );
     }
 
+    /// Writes a configuration of at least `bytes` bytes, with a numbered route among many others.
+    pub fn configure_large(&self, version: u64, bytes: usize) {
+        let mut routes = self.routes_with_extra(version);
+        let route_bytes = routes.last().map_or(1, |route| route.to_string().len());
+        for index in 0..bytes / route_bytes {
+            routes.push(self.route("filler", &format!("/filler-{index}/"), "safe", "plain", 2));
+        }
+        self.configure(version, &routes);
+    }
+
     fn routes_with_extra(&self, number: u64) -> Vec<Value> {
         let mut routes = self.routes();
         routes.push(self.route("extra", &Self::extra_prefix(number), "safe", "plain", 2));
--- a/crates/standins/src/platform/store.rs
+++ b/crates/standins/src/platform/store.rs
@@ -19,6 +19,7 @@
 use crate::http::Raw;
 use crate::http::Reply;
 use crate::http::Request;
+use crate::http::SlowLink;
 use crate::platform::groups::Commit;
 use crate::platform::groups::Group;
 use crate::platform::groups::Join;
@@ -33,6 +34,10 @@
 /// Maximum number of items in a page of newest records.
 const PAGE_ITEMS: usize = 500;
 
+/// Maximum size of a read's answer in kilobytes, if the call does not limit it. A single record is
+/// always returned whole.
+const READ_ANSWER_KB: u64 = 1_024;
+
 /// Fault of the calls to one endpoint of the store.
 #[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
 pub enum StoreFault {
@@ -98,6 +103,8 @@
     fault: Arc<Mutex<StoreFault>>,
     /// Topics whose next read gets no answer.
     unanswered_reads: Arc<Mutex<HashSet<String>>>,
+    /// Link that answers are sent over; none if it has no limit.
+    link: Arc<Mutex<Option<Arc<SlowLink>>>>,
     calls: Arc<Mutex<HashMap<String, u64>>>,
 }
 
@@ -115,6 +122,11 @@
         *self.fault.lock() = fault;
     }
 
+    /// Limits the rate at which this endpoint sends its answers, over all connections.
+    pub fn set_bytes_per_s(&self, bytes_per_s: u64) {
+        *self.link.lock() = Some(Arc::new(SlowLink::new(bytes_per_s)));
+    }
+
     /// Makes the next read of a topic at this endpoint get no answer. No other call is affected.
     pub fn ignore_next_read(&self, topic: &str) {
         self.unanswered_reads.lock().insert(topic.to_owned());
@@ -258,6 +270,8 @@
                 return self.with_era(gone);
             };
             if !records.is_empty() || Instant::now() >= until {
+                let max_kb = request.query_number("max_kb").unwrap_or(READ_ANSWER_KB);
+                let records = leading_records(records, max_kb as usize * 1_024);
                 return read_reply(self.era(), partition, records);
             }
             self.shared.changed.wait_until(&mut topics, until);
@@ -357,6 +371,17 @@
 impl Handler for PlatformStore {
     fn handle(self: Arc<Self>, request: &Request) -> Reply {
         *self.calls.lock().entry(request.path.clone()).or_default() += 1;
+        let link = self.link.lock().clone();
+        let reply = self.reply_with_fault(request);
+        match link {
+            Some(link) => reply.over_link(link),
+            None => reply,
+        }
+    }
+}
+
+impl PlatformStore {
+    fn reply_with_fault(&self, request: &Request) -> Reply {
         let fault = *self.fault.lock();
         match fault {
             StoreFault::None => self.serve(request),
@@ -417,6 +442,17 @@
     Some(records)
 }
 
+/// Returns the records that fit into an answer, at least one if there are any.
+fn leading_records(records: &[Vec<u8>], max_bytes: usize) -> &[Vec<u8>] {
+    let mut bytes = 0;
+    let fitting = records.iter().take_while(|record| {
+        bytes += record.len();
+        bytes <= max_bytes
+    });
+    let count = fitting.count().max(1).min(records.len());
+    &records[..count]
+}
+
 fn read_reply(era: u64, partition: &Partition, records: &[Vec<u8>]) -> Reply {
     let mut body = partition.end().to_be_bytes().to_vec();
     body.extend_from_slice(&partition.first().to_be_bytes());
