Configuration: a VM that has missed changes reads the newest, not all of them

Callers saw 401 and 404 by an older version 3.5 s after the acknowledgement of a newer one, at VMs that had lost their path to the store for 12 s while changes went on.

Cause: each record of the topic is the whole configuration, and a VM read by position: all records since its last read, up to 1 MB an answer. On a link of 10 Mbit/s that takes 0.8 s and more, the time of a call; a call that was given up was asked again from the same position, while changes made the answer no smaller. Class: a replica of state that catches up by replaying history.

Change: a VM that has not known its configuration to be the newest for 2.2 s, by a read of its own or by the word of another VM, reads the newest record alone. The size of that answer does not depend on how many changes were missed, so the time to catch up does not either. A VM that is up to date reads changes by position as before.

--- a/crates/entry/src/store_pollers.rs
+++ b/crates/entry/src/store_pollers.rs
@@ -377,8 +377,10 @@
         };
         let failures = poller.failures;
         poller.succeeded(now_ms, pause_ms);
-        if *tag == CallTag::ConfigurationRead {
+        let reads_configuration = reads_configuration(tag);
+        if reads_configuration {
             poller.forced_read_ms = None;
+            poller.draw_read_phase(&mut self.pacing, ANNOUNCED_CONFIGURATION_INTERVAL_MS);
         }
         if failures > 0 {
             log::info!(call = tag.as_str(), failures; "store regained");
@@ -386,9 +388,7 @@
         // A pause of 0 means that more of the upstream list is to be read.
         if reads_upstream_list(tag) && pause_ms > 0 {
             self.finish_list_read();
-        } else if *tag == CallTag::ConfigurationRead
-            && self.store_pollers.scheduled_read_ms.is_some()
-        {
+        } else if reads_configuration && self.store_pollers.scheduled_read_ms.is_some() {
             self.announce_list_read();
         }
     }
@@ -472,6 +472,13 @@
     }
 }
 
+fn reads_configuration(tag: &CallTag) -> bool {
+    matches!(
+        tag,
+        CallTag::ConfigurationNewest | CallTag::ConfigurationRead
+    )
+}
+
 fn reads_upstream_list(tag: &CallTag) -> bool {
     matches!(tag, CallTag::UpstreamsNewest | CallTag::UpstreamsRead)
 }
--- a/crates/entry/src/store_pollers/configuration.rs
+++ b/crates/entry/src/store_pollers/configuration.rs
@@ -1,6 +1,5 @@
 //! Reads of the configuration, and how a new one takes effect.
 
-use super::ANNOUNCED_CONFIGURATION_INTERVAL_MS;
 use super::CALL_TIMEOUT_MS;
 use super::COMPLETE_LIST_TIMEOUT_MS;
 use crate::calls::CallTag;
@@ -18,6 +17,11 @@
 /// Age of the last read above which the next one does not wait for a change.
 const MAX_AGE_FOR_WAITING_READ_MS: u64 = 2_200;
 
+/// Time since the configuration in force was last known to be the newest, above which the newest one
+/// is read instead of the changes. Every change is a whole configuration, so the size of all that
+/// were missed has no bound, and reading them may take longer than the next ones need to arrive.
+const MAX_AGE_FOR_READING_CHANGES_MS: u64 = 2_200;
+
 /// How long a VM that starts waits for a configuration version that other VMs have in force. After
 /// a rollback of the store, operators publish their configuration again; if they do not, the one in
 /// the store is used.
@@ -65,10 +69,17 @@
             .set(outdated_for_ms.unwrap_or(0) as i64);
     }
 
+    /// Reads the configuration: its changes if this VM has missed few, the newest one otherwise.
     pub(super) fn read_configuration(&mut self) {
         self.store_pollers.configuration.calling = true;
+        let now_ms = self.now_ms;
         let era = self.store_era.now();
-        match self.store_pollers.configuration.position_in_era(era) {
+        let is_recent = self
+            .store_pollers
+            .confirmed_age_ms(now_ms)
+            .is_some_and(|age_ms| age_ms <= MAX_AGE_FOR_READING_CHANGES_MS);
+        let from = self.store_pollers.configuration.position_in_era(era);
+        match from.filter(|_| is_recent) {
             None => {
                 let bytes = self.codecs.store.newest(Topic::Configuration, None);
                 let timeout_ms = self
@@ -82,9 +93,9 @@
                 // When the announcements have just stopped it reads once without a wait: what it
                 // announces about the upstream list counts for other VMs only if it has read the
                 // configuration too.
-                let age_ms = self.store_pollers.configuration_age_ms(self.now_ms);
+                let age_ms = self.store_pollers.configuration_age_ms(now_ms);
                 let is_old = age_ms.is_none_or(|age_ms| age_ms > MAX_AGE_FOR_WAITING_READ_MS);
-                let wait_ms = match self.sharing.is_following(self.now_ms) || is_old {
+                let wait_ms = match self.sharing.is_following(now_ms) || is_old {
                     true => 0,
                     false => CONFIGURATION_WAIT_MS,
                 };
@@ -113,9 +124,6 @@
                     keyed.push(self.codecs.store.keyed(record)?);
                 }
                 self.apply_configurations(&keyed);
-                self.store_pollers
-                    .configuration
-                    .draw_read_phase(&mut self.pacing, ANNOUNCED_CONFIGURATION_INTERVAL_MS);
                 let from = self.store_pollers.configuration.from.unwrap_or_default();
                 self.store_pollers.configuration.from = Some(from.after(records.len() as u64));
                 Ok(0)
