Calls: an answer of the store that is arriving is not abandoned

Callers saw an outdated configuration for good where a VM's link does not carry one configuration in the time of a call.

Cause: the time limit of a read counted from its beginning, whatever had arrived. What was received was thrown away, and the next read had to bring all of it again; the link was full with answers that nobody used. Change: while the body of a read arrives, the call ends only after 0.5 s without a byte, 10 s after its time limit at the latest. Appends, the lease, orders and probes keep their limits. Each read thus makes progress at any rate of a link.

--- a/crates/entry/src/calls.rs
+++ b/crates/entry/src/calls.rs
@@ -15,6 +15,12 @@
 /// Size limit of an answer's body. The platform's largest page is 1 MB before it is encoded.
 const ANSWER_LIMIT_BYTES: usize = 8 * 1024 * 1024;
 
+/// Time without a further byte after which an answer that has begun to arrive is abandoned.
+const STALLED_ANSWER_TIMEOUT_MS: u64 = 500;
+
+/// Maximum time that an answer may take after its call has timed out, as long as it arrives.
+const MAX_ARRIVING_ANSWER_MS: u64 = 10_000;
+
 /// Purpose of a call, which decides who handles its outcome.
 #[derive(Clone, Debug, PartialEq, Eq, Hash)]
 pub(crate) enum CallTag {
@@ -185,6 +191,7 @@
         };
         connection.begin(now_ms, Purpose::Call(tag), bytes, false);
         connection.call_until_ms = Some(now_ms + timeout_ms);
+        connection.call_latest_ms = now_ms + timeout_ms + MAX_ARRIVING_ANSWER_MS;
         connection.request_era = self.store_era.now();
         self.next_call_timeout_ms = self.next_call_timeout_ms.min(now_ms + timeout_ms);
         if !connection.stream.flush() {
@@ -237,6 +244,7 @@
                         self.call_failed(token);
                         return;
                     }
+                    self.extend_arriving_call(token);
                 }
                 Part::End => {
                     let purpose = connection.purpose.clone();
@@ -260,6 +268,25 @@
         }
     }
 
+    /// Extends the timeout of a store read while its answer arrives. Abandoning it would discard what
+    /// has been received, and the next read would need as long again: on a slow link no read would
+    /// ever complete.
+    fn extend_arriving_call(&mut self, token: Token) {
+        let now_ms = self.now_ms;
+        let Some(connection) = self.outbound.get_mut(token) else {
+            return;
+        };
+        let is_read = matches!(
+            &connection.purpose,
+            Purpose::Call(tag) if tag.continues_from_position()
+        );
+        if let Some(until_ms) = connection.call_until_ms.filter(|_| is_read) {
+            let arriving_until_ms = now_ms + STALLED_ANSWER_TIMEOUT_MS;
+            let latest_ms = connection.call_latest_ms;
+            connection.call_until_ms = Some(until_ms.max(arriving_until_ms.min(latest_ms)));
+        }
+    }
+
     /// Ends a call whose connection failed or that has timed out.
     pub(crate) fn call_failed(&mut self, token: Token) {
         let received = self.call_answers.remove(&token);
--- a/crates/entry/src/outbound.rs
+++ b/crates/entry/src/outbound.rs
@@ -109,6 +109,8 @@
     /// Deadline of the call in progress; none for callers' requests, whose deadlines are kept
     /// elsewhere.
     pub call_until_ms: Option<u64>,
+    /// Latest time to which the deadline of the call in progress may be extended.
+    pub call_latest_ms: u64,
     /// Era of the store that was known when the call in progress began.
     pub request_era: u64,
 }
@@ -296,6 +298,7 @@
             idle_until_ms: 0,
             connect_until_ms: Some(now_ms + CONNECT_TIMEOUT_MS),
             call_until_ms: None,
+            call_latest_ms: 0,
             request_era: 0,
         };
         self.connections.insert(token, connection);
