Configuration: reads of changes are bounded in bytes

Cause: within the 2.2 s in which a VM still reads changes by position, any number of them may come, and after a failed read the same answer was asked for again: with 12 changes at once on a link of 60 kB/s one read took its whole 10 s, and 692 and 723 kB were received where some 80 are needed. Change: such a read asks for 128 kB at most; if that did not reach the end of the topic, or if a read has failed, the newest configuration is read next.

--- a/crates/entry/src/codec.rs
+++ b/crates/entry/src/codec.rs
@@ -211,8 +211,9 @@
     fn era(&self, head: &ResponseHead) -> Option<u64>;
 
     /// Encodes the call that reads a topic from an offset and waits up to `wait_ms` for a record if
-    /// there is none.
-    fn read(&self, topic: Topic, from: u64, wait_ms: u64) -> Vec<u8>;
+    /// there is none. The answer holds at most `max_kb` kilobytes of records, but at least one
+    /// record; none for the store's own limit.
+    fn read(&self, topic: Topic, from: u64, wait_ms: u64, max_kb: Option<u64>) -> Vec<u8>;
 
     /// Decodes the answer to a read from an offset.
     ///
--- a/crates/entry/src/engine_orders/order_lease.rs
+++ b/crates/entry/src/engine_orders/order_lease.rs
@@ -17,7 +17,7 @@
     pub(super) fn call_store_for_lease(&mut self, action: &LeaseAction) {
         match action {
             LeaseAction::Read { from } => {
-                let bytes = self.codecs.store.read(Topic::Lease, *from, 0);
+                let bytes = self.codecs.store.read(Topic::Lease, *from, 0, None);
                 self.call_store(CallTag::LeaseRead, &bytes, LEASE_TIMEOUT_MS);
             }
             LeaseAction::Append { at, record } => {
--- a/crates/entry/src/store_pollers.rs
+++ b/crates/entry/src/store_pollers.rs
@@ -323,7 +323,10 @@
             Some(from) => {
                 let timeout_ms =
                     poller.list_timeout_ms(self.now_ms, &mut self.pacing, CALL_TIMEOUT_MS);
-                let bytes = self.codecs.store.read(Topic::Upstreams, from.offset, 0);
+                let bytes = self
+                    .codecs
+                    .store
+                    .read(Topic::Upstreams, from.offset, 0, None);
                 self.call_store(CallTag::UpstreamsRead, &bytes, timeout_ms);
             }
         }
--- a/crates/entry/src/store_pollers/configuration.rs
+++ b/crates/entry/src/store_pollers/configuration.rs
@@ -22,6 +22,9 @@
 /// were missed has no bound, and reading them may take longer than the next ones need to arrive.
 const MAX_AGE_FOR_READING_CHANGES_MS: u64 = 2_200;
 
+/// Maximum size of an answer with changes. If more were missed, the newest one is read next.
+const MAX_CHANGES_KB: u64 = 128;
+
 /// How long a VM that starts waits for a configuration version that other VMs have in force. After
 /// a rollback of the store, operators publish their configuration again; if they do not, the one in
 /// the store is used.
@@ -78,8 +81,9 @@
             .store_pollers
             .confirmed_age_ms(now_ms)
             .is_some_and(|age_ms| age_ms <= MAX_AGE_FOR_READING_CHANGES_MS);
-        let from = self.store_pollers.configuration.position_in_era(era);
-        match from.filter(|_| is_recent) {
+        let poller = &self.store_pollers.configuration;
+        let from = poller.position_in_era(era);
+        match from.filter(|_| is_recent && poller.failures == 0) {
             None => {
                 let bytes = self.codecs.store.newest(Topic::Configuration, None);
                 let timeout_ms = self
@@ -99,10 +103,12 @@
                     true => 0,
                     false => CONFIGURATION_WAIT_MS,
                 };
-                let bytes = self
-                    .codecs
-                    .store
-                    .read(Topic::Configuration, from.offset, wait_ms);
+                let bytes = self.codecs.store.read(
+                    Topic::Configuration,
+                    from.offset,
+                    wait_ms,
+                    Some(MAX_CHANGES_KB),
+                );
                 let timeout_ms = self
                     .store_pollers
                     .configuration
@@ -118,14 +124,18 @@
                 self.store_pollers.configuration.restart();
                 Ok(0)
             }
-            LogRead::Records { records, .. } => {
+            LogRead::Records { end, records } => {
                 let mut keyed = Vec::new();
                 for record in &records {
                     keyed.push(self.codecs.store.keyed(record)?);
                 }
                 self.apply_configurations(&keyed);
                 let from = self.store_pollers.configuration.from.unwrap_or_default();
-                self.store_pollers.configuration.from = Some(from.after(records.len() as u64));
+                let from = from.after(records.len() as u64);
+                self.store_pollers.configuration.from = Some(from);
+                if from.offset < end {
+                    self.store_pollers.configuration.restart();
+                }
                 Ok(0)
             }
         }
