Sharing of reads: the age of the configuration that VMs rely on is bounded as a whole

The upstream list has had one bound for both since its own incident. Change: one bound of 1.8 s for both, and reads of the configuration wait 0.9 s for a change, as the list is read, so that heartbeats stay fresh.

Test: silent_configuration_read in crates/fleet/tests/read_sharing.rs, 7 of its 12 cases failed before, none now; relied_until_next now varies the age of the configuration, too. Cost: one VM makes 1.1 waiting reads a second in place of 0.5.

--- a/crates/entry/src/store_pollers/configuration.rs
+++ b/crates/entry/src/store_pollers/configuration.rs
@@ -9,13 +9,12 @@
 use crate::codec::Topic;
 use crate::daemon::Daemon;
 
-/// How long a read of the configuration waits at the store for a change. A connection that has
-/// fallen silent is noticed little later than that, within the time in which a change must take
-/// effect.
-const CONFIGURATION_WAIT_MS: u64 = 2_000;
+/// How long a read of the configuration waits at the store for a change. Other VMs rely on the last
+/// answer of a read that has fallen silent, so a longer wait delays a change at all of them.
+const CONFIGURATION_WAIT_MS: u64 = 900;
 
 /// Age of the last read above which the next one does not wait for a change.
-const MAX_AGE_FOR_WAITING_READ_MS: u64 = 2_200;
+const MAX_AGE_FOR_WAITING_READ_MS: u64 = 1_100;
 
 /// Time since the configuration in force was last known to be the newest, above which the newest one
 /// is read instead of the changes. Every change is a whole configuration, so the size of all that
--- a/crates/fleet/src/read_sharing.rs
+++ b/crates/fleet/src/read_sharing.rs
@@ -18,21 +18,18 @@
 
 use crate::departure::Departure;
 
-/// Maximum age of the lease holder's upstream list at which others may go without reading it. The
-/// lease holder reads it every 0.9 s.
-const MAX_FRESH_LIST_AGE_MS: u64 = 1_300;
-
-/// Maximum age of the lease holder's configuration at which others may go without reading it. The
-/// lease holder's reads wait up to 2 s for a change and end then.
-const MAX_FRESH_CONFIGURATION_AGE_MS: u64 = 2_300;
+/// Maximum age of the lease holder's reads at which others may go without their own. The lease holder
+/// reads the upstream list every 0.9 s, and its reads of the configuration wait as long for a change.
+const MAX_FRESH_AGE_MS: u64 = 1_300;
 
 /// Validity of a heartbeat. Heartbeats are sent every 0.4 s, so one may be lost.
 const HEARTBEAT_TTL_MS: u64 = 900;
 
-/// Age at which a VM reads the upstream list itself instead of relying on another VM's. An upstream
-/// may leave right after the lease holder's last read, and must receive nothing 2 s later. Separate
-/// bounds on the age of the lease holder's list and on the validity of a heartbeat allowed 2.2 s.
-const MAX_RELIED_LIST_AGE_MS: u64 = 1_800;
+/// Age at which a VM reads for itself instead of relying on another VM's read. An upstream may leave,
+/// or a configuration may be acknowledged, right after the lease holder's last read, and both must
+/// take effect within 2 s. Separate bounds on the age of the read and on the validity of a heartbeat
+/// would add up to more.
+const MAX_RELIED_AGE_MS: u64 = 1_800;
 
 /// Time for which a VM repeats the announcement of a departure.
 const DEPARTURE_REPEAT_MS: u64 = 2_500;
@@ -72,11 +69,9 @@
     /// Returns for how long another VM may go without reading for itself, if the VMs spread their
     /// reads over `spread_ms`; `None` if the reads are too old to rely on.
     fn ttl_ms(&self, spread_ms: u64) -> Option<u64> {
-        let configuration_age_ms = self.configuration_age_ms?;
-        let list_age_ms = self.list_age_ms?;
-        let is_fresh = list_age_ms <= MAX_FRESH_LIST_AGE_MS
-            && configuration_age_ms <= MAX_FRESH_CONFIGURATION_AGE_MS;
-        is_fresh.then(|| (HEARTBEAT_TTL_MS + spread_ms).min(MAX_RELIED_LIST_AGE_MS - list_age_ms))
+        let age_ms = self.configuration_age_ms?.max(self.list_age_ms?);
+        let is_fresh = age_ms <= MAX_FRESH_AGE_MS;
+        is_fresh.then(|| (HEARTBEAT_TTL_MS + spread_ms).min(MAX_RELIED_AGE_MS - age_ms))
     }
 
     /// Returns the position up to which a complete upstream list was read; `None` while live
--- a/crates/fleet/tests/read_sharing.rs
+++ b/crates/fleet/tests/read_sharing.rs
@@ -11,7 +11,10 @@
 /// Maximum time from an upstream's leave notice to the last request that reaches it.
 const LEAVING_BOUND_MS: u64 = 2_000;
 
-/// Part of that time for a VM's own read of the upstream list and for the request's way.
+/// Maximum time from the acknowledgement of a configuration until it is in force.
+const CHANGE_BOUND_MS: u64 = 2_000;
+
+/// Part of these times for a VM's own read of the upstream list and for the request's way.
 const OWN_READ_MS: u64 = 100;
 
 const RECEIVED_MS: u64 = 50_000;
@@ -66,12 +69,40 @@
     }
 }
 
-/// While the lease holder reads the upstream list at its usual interval, a VM need not read the
-/// list itself between two heartbeats, whatever jitter its own reads have.
+/// Guards against a configuration that takes effect more than 2 s after its acknowledgement. The
+/// lease holder's read has fallen silent, a change was acknowledged right after its last answer, and
+/// the other VMs still rely on its heartbeats.
 #[rstest]
-fn relied_until_next(#[values(0, 950)] list_age_ms: u64) {
+fn silent_configuration_read(
+    #[values(0, 950, 1_300, 2_300)] configuration_age_ms: u64,
+    #[values(0, 13, 400)] spread_ms: u64,
+) {
+    for jitter_ms in [0, spread_ms / 2, spread_ms] {
+        let mut sharing = ReadSharing::default();
+        let heartbeat = Freshness {
+            configuration_age_ms: Some(configuration_age_ms),
+            ..heartbeat(0)
+        };
+        handle_heartbeat(&mut sharing, RECEIVED_MS, &heartbeat, spread_ms, jitter_ms);
+        let last_read_ms = RECEIVED_MS - configuration_age_ms;
+        let relied_until_ms = sharing.following_until_ms();
+        assert!(relied_until_ms.saturating_sub(last_read_ms) + OWN_READ_MS <= CHANGE_BOUND_MS);
+    }
+}
+
+/// While the lease holder reads at its usual intervals, a VM need not read between two heartbeats,
+/// whatever jitter its own reads have.
+#[rstest]
+fn relied_until_next(
+    #[values(0, 950)] list_age_ms: u64,
+    #[values(0, 950)] configuration_age_ms: u64,
+) {
     let mut sharing = ReadSharing::default();
-    handle_heartbeat(&mut sharing, RECEIVED_MS, &heartbeat(list_age_ms), 400, 400);
+    let heartbeat = Freshness {
+        configuration_age_ms: Some(configuration_age_ms),
+        ..heartbeat(list_age_ms)
+    };
+    handle_heartbeat(&mut sharing, RECEIVED_MS, &heartbeat, 400, 400);
     assert!(sharing.is_following(RECEIVED_MS + 400));
 }
 
