--- a/crates/entry/src/store_pollers/configuration.rs
+++ b/crates/entry/src/store_pollers/configuration.rs
@@ -1,5 +1,7 @@
 //! Reads of the configuration, and how a new one takes effect.
 
+use apricotdale_fleet::ConfigurationRead;
+
 use super::CALL_TIMEOUT_MS;
 use super::COMPLETE_LIST_TIMEOUT_MS;
 use crate::calls::CallTag;
@@ -16,14 +18,6 @@
 /// Age of the last read above which the next one does not wait for a change.
 const MAX_AGE_FOR_WAITING_READ_MS: u64 = 1_100;
 
-/// Time since the configuration in force was last known to be the newest, above which the newest one
-/// is read instead of the changes. Every change is a whole configuration, so the size of all that
-/// were missed has no bound, and reading them may take longer than the next ones need to arrive.
-const MAX_AGE_FOR_READING_CHANGES_MS: u64 = 2_200;
-
-/// Maximum size of an answer with changes. If more were missed, the newest one is read next.
-const MAX_CHANGES_KB: u64 = 128;
-
 /// How long a VM that starts waits for a configuration version that other VMs have in force. After
 /// a rollback of the store, operators publish their configuration again; if they do not, the one in
 /// the store is used.
@@ -76,13 +70,11 @@
         self.store_pollers.configuration.calling = true;
         let now_ms = self.now_ms;
         let era = self.store_era.now();
-        let is_recent = self
-            .store_pollers
-            .confirmed_age_ms(now_ms)
-            .is_some_and(|age_ms| age_ms <= MAX_AGE_FOR_READING_CHANGES_MS);
+        let confirmed_age_ms = self.store_pollers.confirmed_age_ms(now_ms);
         let poller = &self.store_pollers.configuration;
         let from = poller.position_in_era(era);
-        match from.filter(|_| is_recent && poller.failures == 0) {
+        let read = ConfigurationRead::next(confirmed_age_ms, poller.failures);
+        match from.filter(|_| read == ConfigurationRead::Changes) {
             None => {
                 let bytes = self.codecs.store.newest(Topic::Configuration, None);
                 let timeout_ms = self
@@ -106,7 +98,7 @@
                     Topic::Configuration,
                     from.offset,
                     wait_ms,
-                    Some(MAX_CHANGES_KB),
+                    Some(ConfigurationRead::MAX_CHANGES_KB),
                 );
                 let timeout_ms = self
                     .store_pollers
--- a/crates/fleet/src/lib.rs
+++ b/crates/fleet/src/lib.rs
@@ -9,6 +9,7 @@
 #![warn(missing_docs)]
 
 mod configuration;
+mod configuration_read;
 mod departure;
 mod directory;
 mod errors;
@@ -30,6 +31,7 @@
 pub use configuration::RouteKind;
 pub use configuration::Service;
 pub use configuration::SplitShare;
+pub use configuration_read::ConfigurationRead;
 pub use departure::Departure;
 pub use departure::DepartureKind;
 pub use directory::Directory;
