--- a/crates/standins/src/platform/answers.rs
+++ b/crates/standins/src/platform/answers.rs
@@ -26,6 +26,7 @@
 const INSTANCE: &str = "Apricotdale-Instance-Id";
 const EXPECTED_INSTANCE: &str = "Apricotdale-Expect-Instance";
 const LOAD: &str = "Apricotdale-Server-Load";
+const RATE_LIMIT: &str = "Server-Limit";
 pub(crate) const VERSION: &str = "Apricotdale-Weight-Versions";
 
 /// Interval at which a stream of an unresponsive upstream checks whether its client is connected.
@@ -142,6 +143,8 @@
     pub streamed: Arc<Mutex<Vec<String>>>,
     /// Whether nothing is sent, as if the upstream had lost its power.
     pub unresponsive: Arc<AtomicBool>,
+    /// Rate limit that the answers to requests state; none if they state none.
+    pub rate_limit: Mutex<Option<String>>,
 }
 
 impl Answers {
@@ -153,6 +156,15 @@
             left: Arc::default(),
             streamed: Arc::default(),
             unresponsive: Arc::default(),
+            rate_limit: Mutex::default(),
+        }
+    }
+
+    /// Returns a reply that states the rate limit, if there is one.
+    fn with_rate_limit(&self, reply: Reply) -> Reply {
+        match self.rate_limit.lock().as_deref() {
+            Some(rate_limit) => reply.with_header(RATE_LIMIT, rate_limit),
+            None => reply,
         }
     }
 
@@ -172,10 +184,11 @@
 
     /// Returns an answer which says that the request was not run.
     pub fn not_run(&self, request: &Request, status: u16) -> Reply {
-        Reply::json(status, &json!({}))
+        let reply = Reply::json(status, &json!({}))
             .with_header(ID, id_of(request))
             .with_header(NOT_RUN, "1")
-            .with_header(INSTANCE, &self.instance)
+            .with_header(INSTANCE, &self.instance);
+        self.with_rate_limit(reply)
     }
 
     /// Takes the next fault, and records the request as run unless the fault rejects it.
@@ -204,10 +217,14 @@
         body: &str,
     ) -> Reply {
         let id = id_of(request);
+        let rate_limit = match self.rate_limit.lock().as_deref() {
+            Some(rate_limit) => format!("{RATE_LIMIT}: {rate_limit}\r\n"),
+            None => String::new(),
+        };
         let head = |status: u16, fields: &str| {
             format!(
                 "HTTP/1.1 {status} Status\r\n{ID}: {id}\r\n{SIGNATURE}: s.{}\r\n{LOAD}: 1,0,8\r\n\
-                 {fields}",
+                 {rate_limit}{fields}",
                 self.instance
             )
         };
@@ -383,10 +400,11 @@
     }
 
     fn stream(&self, request: &Request, produce: Produce) -> Reply {
-        Self::unsigned(request, produce)
+        let reply = Self::unsigned(request, produce)
             .with_header(SIGNATURE, &format!("s.{}", self.instance))
             .with_header(LOAD, "1,0,8")
-            .with_header(VERSION, "1")
+            .with_header(VERSION, "1");
+        self.with_rate_limit(reply)
     }
 
     /// Returns how often each request ran.
--- a/crates/standins/src/platform/engine.rs
+++ b/crates/standins/src/platform/engine.rs
@@ -242,6 +242,11 @@
             .put("keyed.servers", &self.options.instance, bytes);
     }
 
+    /// Sets the text of the rate limit that the answers to requests state; none to state none.
+    pub fn set_rate_limit(&self, rate_limit: Option<&str>) {
+        *self.answers.rate_limit.lock() = rate_limit.map(str::to_owned);
+    }
+
     /// Stops or resumes sending on all connections, as if the engine had lost its power.
     pub fn set_unresponsive(&self, unresponsive: bool) {
         self.answers
