--- a/crates/core/src/refusal.rs
+++ b/crates/core/src/refusal.rs
@@ -95,6 +95,8 @@
     LogUnavailable = "log_unavailable", 503;
     /// No upstream for the request is reachable.
     UpstreamUnavailable = "upstream_unavailable", 502;
+    /// All upstreams for the request state a rate limit that is used up.
+    UpstreamLimited = "upstream_limited", 503;
     /// The upstream refused the request before running it.
     UpstreamRefused = "upstream_refused", 502;
     /// The connection to the upstream was lost after the request was sent.
--- a/crates/dispatch/src/dispatcher.rs
+++ b/crates/dispatch/src/dispatcher.rs
@@ -32,6 +32,7 @@
 use crate::options::DispatcherOptions;
 use crate::options::retry_options;
 use crate::options::routing_options;
+use crate::stated_limits::StatedLimits;
 use crate::suspension::Suspensions;
 use crate::upstream_load::LoadSample;
 use crate::upstream_load::UpstreamLoad;
@@ -40,6 +41,9 @@
 /// only for moments.
 const LATE_RETRY_AFTER_MS: u64 = 300;
 
+/// How long a request waits for a load to be planned if all engines with its model are used up.
+const LOAD_PLANNING_MS: u64 = 500;
+
 /// Decides for one VM to which upstream a request is sent, and when.
 pub struct Dispatcher {
     options: DispatcherOptions,
@@ -48,6 +52,7 @@
     loads: HashMap<UpstreamName, UpstreamLoad>,
     forecasts: Forecasts,
     suspensions: Suspensions,
+    stated_limits: StatedLimits,
 }
 
 impl Dispatcher {
@@ -55,6 +60,7 @@
     pub fn new(options: DispatcherOptions) -> Self {
         let retries = BudgetedRetry::new(retry_options(&options));
         Self {
+            stated_limits: StatedLimits::new(options.seed),
             options,
             routing: HashMap::new(),
             retries,
@@ -101,11 +107,10 @@
         if capable.is_empty() {
             return self.decide_without_upstream(now_ms, directory, job);
         }
-        let free: Vec<Candidate> = capable
-            .iter()
-            .filter(|upstream| self.has_room(now_ms, directory, upstream))
-            .map(|upstream| candidate(upstream))
-            .collect();
+        let free = match self.preferred(now_ms, &capable) {
+            Some(preferred) => self.free_candidates(now_ms, directory, &preferred),
+            None => return self.decide_used_up(now_ms, directory, job, &capable),
+        };
         if free.is_empty() {
             return DispatchDecision::Wait(WaitReason::Full);
         }
@@ -123,6 +128,86 @@
         }
     }
 
+    /// Returns the upstreams among which one is chosen, by the rate limits that they state; `None` if
+    /// all are limited and used up. Limited upstreams follow the others, except one that has not been
+    /// heard of for long.
+    fn preferred<'a>(
+        &self,
+        now_ms: u64,
+        capable: &[&'a Upstream],
+    ) -> Option<Vec<Vec<&'a Upstream>>> {
+        let limits = &self.stated_limits;
+        let (limited, open): (Vec<&Upstream>, Vec<&Upstream>) = capable
+            .iter()
+            .partition(|upstream| limits.limit(&upstream.name).is_some());
+        let available: Vec<&Upstream> = limited
+            .into_iter()
+            .filter(|upstream| !limits.is_used_up(now_ms, &upstream.name))
+            .collect();
+        if open.is_empty() && available.is_empty() {
+            return None;
+        }
+        let due = available
+            .iter()
+            .filter(|upstream| limits.is_check_due(now_ms, &upstream.name))
+            .take(1)
+            .copied()
+            .collect();
+        Some(vec![due, open, available])
+    }
+
+    /// Returns the candidates of the first group in which an upstream has room.
+    fn free_candidates(
+        &self,
+        now_ms: u64,
+        directory: &Directory,
+        groups: &[Vec<&Upstream>],
+    ) -> Vec<Candidate> {
+        let free = groups.iter().map(|group| {
+            let free = group
+                .iter()
+                .filter(|upstream| self.has_room(now_ms, directory, upstream));
+            free.map(|upstream| candidate(upstream)).collect()
+        });
+        free.into_iter()
+            .find(|free: &Vec<Candidate>| !free.is_empty())
+            .unwrap_or_default()
+    }
+
+    /// Decides on a request for which every upstream states a rate limit that is used up. It waits
+    /// for another engine to load its model if that is expected in time, and is refused otherwise.
+    fn decide_used_up(
+        &self,
+        now_ms: u64,
+        directory: &Directory,
+        job: &Job,
+        capable: &[&Upstream],
+    ) -> DispatchDecision {
+        let without_upstream = match &job.wanted {
+            Some(_) => self.decide_without_upstream(now_ms, directory, job),
+            None => DispatchDecision::Wait(WaitReason::Full),
+        };
+        let is_planned = self.forecast_in_ms(now_ms, job).is_some();
+        let may_be_planned = job.wanted.is_some() && now_ms < job.arrived_ms + LOAD_PLANNING_MS;
+        match without_upstream {
+            DispatchDecision::Wait(reason) if is_planned || may_be_planned => {
+                DispatchDecision::Wait(reason)
+            }
+            _ => {
+                let limits = capable.iter().map(|upstream| &upstream.name);
+                let retry_after_ms = limits
+                    .map(|name| self.stated_limits.retry_after_ms(name))
+                    .min();
+                let detail = "all upstreams for the request state a rate limit that is used up";
+                let refusal = refusal_of(job, RefusalReason::UpstreamLimited, detail.to_owned());
+                DispatchDecision::Refuse(match refusal.ran {
+                    Ran::NotRun => refusal.retry_after(retry_after_ms.unwrap_or_default()),
+                    Ran::Ran | Ran::Unknown => refusal,
+                })
+            }
+        }
+    }
+
     /// Spends a retry from the budget for a request that has not run. Returns `false` if none is
     /// left.
     fn spend_retry(&mut self, now_ms: u64, job: &Job) -> bool {
@@ -195,6 +280,7 @@
     pub fn removed(&mut self, now_ms: u64, upstream: &UpstreamName) {
         self.loads.remove(upstream);
         self.suspensions.forget(upstream);
+        self.stated_limits.forget(upstream);
         for policy in self.routing.values_mut() {
             policy.learn(
                 now_ms,
@@ -226,6 +312,16 @@
         self.suspensions.is_suspended(now_ms, upstream)
     }
 
+    /// Returns the rate limits that upstreams state.
+    pub fn stated_limits(&self) -> &StatedLimits {
+        &self.stated_limits
+    }
+
+    /// Returns the rate limits that upstreams state, for recording.
+    pub fn stated_limits_mut(&mut self) -> &mut StatedLimits {
+        &mut self.stated_limits
+    }
+
     /// Records when a model that no engine holds is expected to be loaded.
     pub fn record_forecast(&mut self, now_ms: u64, model: ModelName, forecast: LoadForecast) {
         self.forecasts.record(now_ms, model, forecast);
--- a/crates/dispatch/src/job.rs
+++ b/crates/dispatch/src/job.rs
@@ -71,6 +71,8 @@
     Budget,
     /// The rate limit of its organisation is being checked.
     Limit,
+    /// A permit is requested for an upstream that states a rate limit.
+    Permit,
     /// The request is suspected of crashing upstreams, and a trial of the same request is in
     /// progress.
     Suspected,
--- a/crates/dispatch/src/lib.rs
+++ b/crates/dispatch/src/lib.rs
@@ -14,6 +14,7 @@
 mod job;
 mod liveness;
 mod options;
+mod stated_limits;
 mod suspension;
 mod upstream_load;
 
@@ -28,4 +29,8 @@
 pub use liveness::LivenessMonitor;
 pub use liveness::ProbeOutcome;
 pub use options::DispatcherOptions;
+pub use stated_limits::LimitChange;
+pub use stated_limits::RateLimit;
+pub use stated_limits::StatedLimit;
+pub use stated_limits::StatedLimits;
 pub use upstream_load::LoadSample;
--- a/crates/entry/src/calls.rs
+++ b/crates/entry/src/calls.rs
@@ -7,6 +7,7 @@
 use apricotdale_http1::ResponseHead;
 use mio::Token;
 
+use crate::codec::LimitField;
 use crate::daemon::Daemon;
 use crate::outbound::Part;
 use crate::outbound::Peer;
@@ -332,6 +333,11 @@
     /// Applies the idle time that the other end states for the connection.
     pub(crate) fn record_idle_time(&mut self, token: Token, head: &ResponseHead) {
         let fields = self.codecs.callers.answer(head);
+        let peer = self.outbound.get_mut(token).map(|it| it.peer.clone());
+        if let (LimitField::Stated(_), Some(Peer::Upstream(upstream))) = (&fields.rate_limit, &peer)
+        {
+            self.record_stated_limit(upstream, None, &fields.rate_limit);
+        }
         if let (Some(idle_ms), Some(connection)) = (fields.idle_ms, self.outbound.get_mut(token)) {
             connection.set_idle_time(idle_ms);
         }
--- a/crates/entry/src/codec.rs
+++ b/crates/entry/src/codec.rs
@@ -8,6 +8,7 @@
 use apricotdale_core::names::RequestId;
 use apricotdale_core::refusal::Refusal;
 use apricotdale_dispatch::LoadSample;
+use apricotdale_dispatch::RateLimit;
 use apricotdale_fleet::Configuration;
 use apricotdale_fleet::ServingRequest;
 use apricotdale_fleet::Upstream;
@@ -58,6 +59,18 @@
     pub organisation: Option<Arc<str>>,
 }
 
+/// Rate limit in the head of an upstream's answer.
+#[derive(Clone, Debug, Default, PartialEq, Eq)]
+pub enum LimitField {
+    /// The answer states no limit.
+    #[default]
+    Absent,
+    /// The answer states a limit.
+    Stated(RateLimit),
+    /// The answer states something that is no limit.
+    Invalid(String),
+}
+
 /// Contents of the head of an upstream's answer.
 #[derive(Clone, Debug, Default, PartialEq, Eq)]
 pub struct AnswerFields {
@@ -80,6 +93,8 @@
     pub answered_by: Option<InstanceName>,
     /// How long the upstream keeps an idle connection; none if not stated.
     pub idle_ms: Option<u64>,
+    /// Requests per second that the upstream takes from all VMs together.
+    pub rate_limit: LimitField,
 }
 
 /// Format of the event streams that upstreams write.
--- a/crates/entry/src/daemon.rs
+++ b/crates/entry/src/daemon.rs
@@ -55,6 +55,7 @@
 use crate::store_era::StoreEra;
 use crate::store_pollers::StorePollers;
 use crate::stream::Stream;
+use crate::upstream_permits::UpstreamPermits;
 
 /// Tokens of the event loop: three listeners, the socket for messages of other VMs, and two pipes
 /// that signals are written to. Tokens of connections follow.
@@ -111,6 +112,7 @@
     pub(crate) crash_watch: CrashWatch,
     pub(crate) block_store: BlockStore,
     pub(crate) limits: Limits,
+    pub(crate) upstream_permits: UpstreamPermits,
     pub(crate) residence_updates: ResidenceUpdates,
     /// Ended incarnations of upstreams at which requests still appear to be in progress.
     pub(crate) ended_incarnations: Vec<UpstreamName>,
@@ -206,6 +208,7 @@
             crash_watch,
             block_store: BlockStore::default(),
             limits: Limits::new(incarnation, settings.limit_bounds),
+            upstream_permits: UpstreamPermits::new(incarnation),
             residence_updates: ResidenceUpdates::default(),
             ended_incarnations: Vec::new(),
             store_pollers: StorePollers::default(),
@@ -296,6 +299,7 @@
         self.advance_watch();
         self.advance_crash_watch();
         self.advance_limits();
+        self.advance_upstream_permits();
         if self.now_ms >= self.next_sweep_ms || self.now_ms >= self.next_call_timeout_ms {
             self.sweep();
         }
@@ -318,6 +322,7 @@
             self.watch.next_ms(),
             self.crash_watch.next_ms(),
             self.limits.next_ms(),
+            self.upstream_permits.next_ms(),
         ]
         .into_iter()
         .min()
@@ -412,6 +417,7 @@
             self.dispatcher.set_vms(vms);
             self.pacing.set_vms(vms);
             self.limits.set_vms(vms as usize);
+            self.upstream_permits.set_vms(vms as usize);
         }
         self.next_call_timeout_ms = u64::MAX;
         for token in self.outbound.sweep(self.now_ms, self.poll.registry()) {
--- a/crates/entry/src/engine_orders.rs
+++ b/crates/entry/src/engine_orders.rs
@@ -244,12 +244,12 @@
         planners.retain(|service, _| directory.service(service).is_some());
         for (name, service) in &directory.configuration().services {
             if let Some(spec) = &service.engine {
-                planners
-                    .entry(name.clone())
-                    .or_insert_with(|| {
-                        Planner::new(PlannerOptions::default(), name.clone(), spec.clone())
-                    })
-                    .sync(directory, |name| dispatcher.is_unreachable(now_ms, name));
+                let planner = planners.entry(name.clone()).or_insert_with(|| {
+                    Planner::new(PlannerOptions::default(), name.clone(), spec.clone())
+                });
+                planner.sync(directory, |name| dispatcher.is_unreachable(now_ms, name));
+                let limits = dispatcher.stated_limits();
+                planner.set_limited(|name| limits.limit(name).is_some());
             }
         }
     }
--- a/crates/entry/src/lib.rs
+++ b/crates/entry/src/lib.rs
@@ -39,8 +39,10 @@
 mod store_pollers;
 mod stream;
 mod upstream_answers;
+mod upstream_permits;
 
 pub use apricotdale_dispatch::LoadSample;
+pub use apricotdale_dispatch::RateLimit;
 pub use codec::AnswerFields;
 pub use codec::CallerCodec;
 pub use codec::Codecs;
@@ -49,6 +51,7 @@
 pub use codec::ForwardFields;
 pub use codec::KeyedPage;
 pub use codec::KeyedRecord;
+pub use codec::LimitField;
 pub use codec::LogRead;
 pub use codec::StoreCodec;
 pub use codec::StoreOutcome;
--- a/crates/entry/src/limits.rs
+++ b/crates/entry/src/limits.rs
@@ -220,7 +220,7 @@
 
 /// Returns the factor on a request's retry delay, in thousandths. It differs between requests, so
 /// that callers who are refused together do not retry together.
-fn retry_factor_permille(id: &RequestId) -> u64 {
+pub(crate) fn retry_factor_permille(id: &RequestId) -> u64 {
     MIN_RETRY_FACTOR_PERMILLE
         + xxhash_rust::xxh3::xxh3_64(id.as_str().as_bytes()) % RETRY_FACTOR_RANGE_PERMILLE
 }
--- a/crates/entry/src/messages.rs
+++ b/crates/entry/src/messages.rs
@@ -6,6 +6,7 @@
 use apricotdale_core::names::UpstreamName;
 use apricotdale_core::names::VmName;
 use apricotdale_core::numbers::Position;
+use apricotdale_dispatch::StatedLimit;
 use apricotdale_fleet::Freshness;
 use apricotdale_fleet::Upstream;
 use apricotdale_holder::DemandRow;
@@ -113,6 +114,13 @@
     QuotaReport(Report),
     /// Quota owner's answer to a report: the units that it grants.
     QuotaAnswer(Answer),
+    /// Rate limits that upstreams have stated.
+    StatedLimits(Vec<StatedLimit>),
+    /// Requests that a VM has sent and wants to send to upstreams with rate limits, for the owner of
+    /// the permits.
+    PermitReport(Report),
+    /// Owner's answer to a report: the permits that it grants.
+    PermitAnswer(Answer),
 }
 
 /// First byte of each message. It changes with the format of what follows, so that VMs of different
--- a/crates/entry/src/metrics.rs
+++ b/crates/entry/src/metrics.rs
@@ -67,11 +67,13 @@
     pub on_probation: Gauge,
     pub store_loads: Gauge,
     pub store_loads_allowed: Gauge,
+    pub limited_upstreams: Gauge,
     pub configuration_version: Gauge,
     pub newest_configuration_version: Gauge,
     pub configuration_outdated_ms: Gauge,
     trials: Counter,
     waited_for_owner: Counter,
+    permits: Family<Reason, Counter>,
     over_limit: Family<OrganisationLabel, Counter>,
     /// Organisations that have labels of their own.
     organisations: HashSet<Arc<str>>,
@@ -118,11 +120,13 @@
             on_probation: Gauge::default(),
             store_loads: Gauge::default(),
             store_loads_allowed: Gauge::default(),
+            limited_upstreams: Gauge::default(),
             configuration_version: Gauge::default(),
             newest_configuration_version: Gauge::default(),
             configuration_outdated_ms: Gauge::default(),
             trials: Counter::default(),
             waited_for_owner: Counter::default(),
+            permits: Family::default(),
             over_limit: Family::default(),
             organisations: HashSet::new(),
         };
@@ -250,6 +254,16 @@
             "Maximum number of loads from the weight store that this VM allows at once",
             self.store_loads_allowed.clone(),
         );
+        registry.register(
+            "limited_upstreams",
+            "Upstreams that state a rate limit",
+            self.limited_upstreams.clone(),
+        );
+        registry.register(
+            "upstream_permits",
+            "Permits for upstreams that state a rate limit, by what became of the request for one",
+            self.permits.clone(),
+        );
         registry.register(
             "configuration_version",
             "Version of the configuration in force at this VM",
@@ -447,6 +461,12 @@
         self.waited_for_owner.inc();
     }
 
+    /// Counts a permit for an upstream that states a rate limit, as requested, granted or denied.
+    pub fn permit(&self, outcome: &str) {
+        let reason = outcome.to_owned();
+        self.permits.get_or_create(&Reason { reason }).inc();
+    }
+
     /// Counts a request that was refused because of its organisation's limit.
     pub fn over_limit(&mut self, organisation: &Arc<str>) {
         let is_known = self.organisations.contains(organisation);
--- a/crates/entry/src/peer_exchange.rs
+++ b/crates/entry/src/peer_exchange.rs
@@ -177,6 +177,9 @@
             }
             PeerMessage::QuotaReport(report) => self.handle_quota_report(Some(from), &report),
             PeerMessage::QuotaAnswer(answer) => self.apply_quota_answer(&answer),
+            PeerMessage::StatedLimits(limits) => self.apply_announced_limits(&limits),
+            PeerMessage::PermitReport(report) => self.handle_permit_report(Some(from), &report),
+            PeerMessage::PermitAnswer(answer) => self.apply_permit_answer(&answer),
             PeerMessage::TrialOver { asker, end } => {
                 self.crash_watch.record_peer_trial_end(now_ms, asker, &end);
             }
--- a/crates/entry/src/request_dispatch.rs
+++ b/crates/entry/src/request_dispatch.rs
@@ -28,6 +28,7 @@
 use crate::daemon::Daemon;
 use crate::failed_attempts::BUDGET_PAUSE_MS;
 use crate::limits::charge;
+use crate::limits::retry_factor_permille;
 use crate::outbound::Peer;
 use crate::outbound::Purpose;
 
@@ -310,10 +311,23 @@
                     self.peers.schedule_demand_report();
                 }
             }
-            DispatchDecision::Refuse(refusal) => self.refuse(key, &refusal),
+            DispatchDecision::Refuse(refusal) => self.refuse_undispatched(key, refusal),
         }
     }
 
+    /// Refuses a request that the dispatcher does not send. Callers who are refused because of the
+    /// same rate limit are told to retry at different times.
+    fn refuse_undispatched(&mut self, key: u64, mut refusal: Refusal) {
+        if let (RefusalReason::UpstreamLimited, Some(request)) =
+            (refusal.reason, self.active.get(key))
+        {
+            let factor_permille = retry_factor_permille(&request.serving.id);
+            let retry_after_ms = refusal.retry_after_ms.map(|it| it.max(RETRY_AFTER_MS));
+            refusal.retry_after_ms = retry_after_ms.map(|it| it * factor_permille / 1_000);
+        }
+        self.refuse(key, &refusal);
+    }
+
     /// Sends a request, unless it is on probation and another copy of it may be in progress.
     fn send_if_permitted(&mut self, key: u64, upstream: UpstreamName) {
         let now_ms = self.now_ms;
@@ -337,6 +351,9 @@
 
     fn send(&mut self, key: u64, name: UpstreamName) {
         let now_ms = self.now_ms;
+        if !self.has_upstream_permit(key, &name) {
+            return;
+        }
         let Some(upstream) = self.directory.upstream(&name) else {
             return;
         };
--- a/crates/entry/src/request_ends.rs
+++ b/crates/entry/src/request_ends.rs
@@ -82,6 +82,7 @@
         let Some(request) = self.active.remove(key) else {
             return;
         };
+        self.upstream_permits.withdraw(key);
         self.metrics.ended(how);
         let job = &request.job;
         let good = how == "answered";
@@ -120,7 +121,7 @@
                     request.phase = Phase::Waiting(WaitReason::Full);
                     self.dispatch(key);
                 }
-                Phase::Waiting(WaitReason::Limit) => self.dispatch(key),
+                Phase::Waiting(WaitReason::Limit | WaitReason::Permit) => self.dispatch(key),
                 _ => {}
             }
         }
--- a/crates/entry/src/settings.rs
+++ b/crates/entry/src/settings.rs
@@ -202,6 +202,7 @@
         window_ms: (window_s * 1_000.0) as u64,
         over: number_or(ini, ORGANISATIONS, "limit_over", default.over, 0.0..=10.0)?,
         slack: number_or(ini, ORGANISATIONS, "limit_slack", default.slack, 0.0..=1e12)?,
+        ..default
     })
 }
 
--- a/crates/entry/src/store_pollers/upstream_list.rs
+++ b/crates/entry/src/store_pollers/upstream_list.rs
@@ -238,6 +238,7 @@
         if self.directory.upstream(name).is_none() {
             self.handle_upstream_end(name);
             self.dispatcher.removed(self.now_ms, name);
+            self.apply_stated_limits();
             self.watch.removed(name);
         }
         self.redispatch_needed = true;
--- a/crates/entry/src/upstream_answers.rs
+++ b/crates/entry/src/upstream_answers.rs
@@ -114,6 +114,8 @@
         let Some(request) = self.active.get_mut(key) else {
             return;
         };
+        let is_success = (200..300).contains(&head.status);
+        let mut stated = None;
         let verdict = match classify_head(&head, &fields, &request.serving.id) {
             HeadVerdict::Deliver => match request.delivery.head(head, fields.version) {
                 Ok(()) => HeadVerdict::Deliver,
@@ -123,18 +125,25 @@
         };
         if let Phase::Sent {
             upstream,
+            at_ms,
             first_byte_ms,
             ..
         } = &mut request.phase
         {
             if verdict != HeadVerdict::Skip {
                 first_byte_ms.get_or_insert(self.now_ms);
+                stated = Some((upstream.clone(), *at_ms));
             }
             if let Some(sample) = fields.load {
                 self.dispatcher
                     .reported(self.now_ms, &request.job.service, upstream, sample);
             }
         }
+        if let Some((upstream, sent_ms)) = stated {
+            // A refusal or a failure need not repeat what the upstream states in its answers.
+            let ends = is_success && verdict == HeadVerdict::Deliver;
+            self.record_stated_limit(&upstream, ends.then_some(sent_ms), &fields.rate_limit);
+        }
         match verdict {
             HeadVerdict::Deliver => {}
             HeadVerdict::Skip => self.metrics.failed_attempt("crossed_answer"),
--- /dev/null
+++ b/crates/entry/src/upstream_permits.rs
@@ -0,0 +1,396 @@
+//! Rate limits that upstreams state: how all VMs learn of them, and the permits by which all VMs
+//! together keep to them.
+
+use std::collections::HashMap;
+use std::collections::HashSet;
+use std::net::SocketAddr;
+
+use apricotdale_core::names::UpstreamName;
+use apricotdale_dispatch::LimitChange;
+use apricotdale_dispatch::RateLimit;
+use apricotdale_dispatch::StatedLimit;
+use apricotdale_dispatch::WaitReason;
+use apricotdale_organisations::Limit;
+use apricotdale_quota::AccountId;
+use apricotdale_quota::Admission;
+use apricotdale_quota::Answer;
+use apricotdale_quota::Bounds;
+use apricotdale_quota::QuotaClient;
+use apricotdale_quota::QuotaOwner;
+use apricotdale_quota::Report;
+
+use crate::active::Phase;
+use crate::codec::LimitField;
+use crate::daemon::Daemon;
+use crate::messages::PeerMessage;
+use crate::peers::ROWS_PER_DATAGRAM;
+
+/// Tolerance of the upstreams' limits. None of it is used regularly: it covers what VMs do not know
+/// of each other.
+const PERMIT_BOUNDS: Bounds = Bounds {
+    window_ms: 4_000,
+    over: 0.5,
+    slack: 5.0,
+    sustained_share: 0.0,
+};
+
+/// Lowest rate at which permits accrue. Without any request an upstream that states a limit of 0
+/// could not state that it has ended.
+const MIN_PERMITS_PER_S: f64 = 0.1;
+
+/// Number of VMs assumed until the store's entries have been read. It is large, so that this VM's
+/// share of a limit is small until then.
+const ASSUMED_VMS: usize = 1_000;
+
+/// How long a request waits for a permit before another upstream is tried.
+const PERMIT_TIMEOUT_MS: u64 = 100;
+
+/// Minimum time between two announcements of changes by one VM.
+const ANNOUNCEMENT_INTERVAL_MS: u64 = 50;
+
+/// Time between two messages with which a VM informs the lease holder of repeated statements.
+const REFRESH_INTERVAL_MS: u64 = 500;
+
+/// Time between two announcements of all statements by the lease holder, which make up for lost
+/// messages and inform VMs that have started.
+const TABLE_INTERVAL_MS: u64 = 1_000;
+
+/// Time between two removals of VMs that no longer report to the owner of the permits.
+const FORGET_INTERVAL_MS: u64 = 10_000;
+
+/// Maximum number of invalid statements that are logged.
+const MAX_LOGGED_STATEMENTS: usize = 200;
+
+/// Outcome of asking for a permit.
+enum PermitOutcome {
+    Granted,
+    /// The owner of the permits is being asked.
+    Pending {
+        until_ms: u64,
+    },
+    Denied {
+        retry_after_ms: u64,
+    },
+}
+
+/// Request that asks for a permit.
+#[derive(Clone, Copy, Debug)]
+struct PendingRequest {
+    account: AccountId,
+    since_ms: u64,
+}
+
+/// Permits for upstreams that state a rate limit: those of this VM's requests, and as their owner
+/// those of all VMs.
+#[derive(Debug)]
+pub(crate) struct UpstreamPermits {
+    client: QuotaClient,
+    owner: QuotaOwner,
+    pending: HashMap<u64, PendingRequest>,
+    next_announcement_ms: u64,
+    next_refresh_ms: u64,
+    next_table_ms: u64,
+    next_forget_ms: u64,
+    /// When an upstream whose permits are used up may be asked for again; none without one.
+    available_ms: Option<u64>,
+    logged_statements: HashSet<String>,
+}
+
+impl UpstreamPermits {
+    pub fn new(incarnation: u64) -> Self {
+        let mut permits = Self {
+            client: QuotaClient::new(incarnation, PERMIT_BOUNDS),
+            owner: QuotaOwner::new(incarnation, PERMIT_BOUNDS),
+            pending: HashMap::new(),
+            next_announcement_ms: 0,
+            next_refresh_ms: u64::MAX,
+            next_table_ms: u64::MAX,
+            next_forget_ms: 0,
+            available_ms: None,
+            logged_statements: HashSet::new(),
+        };
+        permits.set_vms(ASSUMED_VMS);
+        permits
+    }
+
+    /// Sets the number of VMs that share the limits.
+    pub fn set_vms(&mut self, vms: usize) {
+        self.client.set_vms(vms);
+        self.owner.set_vms(vms);
+    }
+
+    /// Returns when the next message or retry is due.
+    pub fn next_ms(&self) -> u64 {
+        [
+            self.client.next_ms(),
+            self.next_refresh_ms,
+            self.next_table_ms,
+            self.available_ms.unwrap_or(u64::MAX),
+        ]
+        .into_iter()
+        .min()
+        .unwrap_or(u64::MAX)
+    }
+
+    fn set_limits(&mut self, now_ms: u64, limits: &[(AccountId, Limit)]) {
+        self.client.set_limits(now_ms, limits.iter().copied());
+        self.owner.set_limits(now_ms, limits.iter().copied());
+        if limits.is_empty() {
+            return;
+        }
+        // The first refresh and table are sent at once.
+        for next_ms in [&mut self.next_refresh_ms, &mut self.next_table_ms] {
+            if *next_ms == u64::MAX {
+                *next_ms = now_ms;
+            }
+        }
+    }
+
+    /// Asks for a permit to send a request to an upstream.
+    fn request(&mut self, now_ms: u64, key: u64, upstream: &UpstreamName) -> PermitOutcome {
+        let account = AccountId::of(upstream.as_str());
+        if self
+            .pending
+            .get(&key)
+            .is_some_and(|it| it.account != account)
+        {
+            self.withdraw(key);
+        }
+        match self.client.admit(now_ms, account, key, 1) {
+            Admission::Admitted => {
+                self.pending.remove(&key);
+                PermitOutcome::Granted
+            }
+            Admission::Pending => {
+                let pending = self.pending.entry(key).or_insert(PendingRequest {
+                    account,
+                    since_ms: now_ms,
+                });
+                let until_ms = pending.since_ms + PERMIT_TIMEOUT_MS;
+                if now_ms < until_ms {
+                    return PermitOutcome::Pending { until_ms };
+                }
+                self.withdraw(key);
+                PermitOutcome::Denied {
+                    retry_after_ms: PERMIT_TIMEOUT_MS,
+                }
+            }
+            Admission::Refused { retry_after_ms } => {
+                self.pending.remove(&key);
+                PermitOutcome::Denied {
+                    retry_after_ms: retry_after_ms.unwrap_or(PERMIT_TIMEOUT_MS),
+                }
+            }
+        }
+    }
+
+    /// Withdraws what a request has asked for and does not need any more.
+    pub fn withdraw(&mut self, key: u64) {
+        if let Some(pending) = self.pending.remove(&key) {
+            self.client.withdraw(pending.account, key);
+        }
+    }
+}
+
+impl Daemon {
+    /// Records what an answer states about the rate limit of its upstream. `sent_ms` is when the
+    /// request was sent; none if the answer can't end a stated limit.
+    pub(crate) fn record_stated_limit(
+        &mut self,
+        upstream: &UpstreamName,
+        sent_ms: Option<u64>,
+        field: &LimitField,
+    ) {
+        let (limit, sent_ms) = match (field, sent_ms) {
+            (LimitField::Stated(limit), sent_ms) => (Some(*limit), sent_ms.unwrap_or(self.now_ms)),
+            (LimitField::Absent, Some(sent_ms)) => (None, sent_ms),
+            (LimitField::Absent, None) => return,
+            (LimitField::Invalid(text), _) => {
+                self.log_invalid_limit(upstream, text, "is no rate");
+                return;
+            }
+        };
+        if let Some(limit) = limit.filter(|limit| !limit.is_binding()) {
+            let text = limit.per_s().to_string();
+            self.log_invalid_limit(upstream, &text, "binds nobody");
+        }
+        let limits = self.dispatcher.stated_limits_mut();
+        let change = limits.record_answer(self.now_ms, sent_ms, upstream, limit);
+        self.handle_limit_change(upstream, change, "answered");
+    }
+
+    fn log_invalid_limit(&mut self, upstream: &UpstreamName, text: &str, reason: &str) {
+        let logged = &mut self.upstream_permits.logged_statements;
+        let statement = format!("{upstream} {text}");
+        if logged.len() < MAX_LOGGED_STATEMENTS && logged.insert(statement) {
+            log::warn!(upstream = upstream.to_string(), limit = text, reason; "rate limit ignored");
+        }
+    }
+
+    /// Applies the rate limits that another VM has announced.
+    pub(crate) fn apply_announced_limits(&mut self, announced: &[StatedLimit]) {
+        for limit in announced {
+            // The statement of an upstream that has left would never be dropped.
+            if self.directory.upstream(&limit.upstream).is_none() {
+                continue;
+            }
+            let limits = self.dispatcher.stated_limits_mut();
+            let change = limits.apply(self.now_ms, limit);
+            self.handle_limit_change(&limit.upstream, change, "told");
+        }
+    }
+
+    fn handle_limit_change(&mut self, upstream: &UpstreamName, change: LimitChange, how: &str) {
+        let upstream = upstream.to_string();
+        match change {
+            LimitChange::None => return,
+            LimitChange::Stated(limit) => {
+                log::info!(upstream, per_s = limit.per_s(), how; "upstream states a rate limit")
+            }
+            LimitChange::Ended => {
+                log::info!(upstream, how; "upstream no longer states a rate limit")
+            }
+        }
+        self.apply_stated_limits();
+        self.redispatch_needed = true;
+    }
+
+    /// Applies the stated limits to the permits.
+    pub(crate) fn apply_stated_limits(&mut self) {
+        let limits = self.dispatcher.stated_limits().limits();
+        let limits: Vec<(AccountId, Limit)> = limits
+            .map(|(upstream, limit)| (AccountId::of(upstream.as_str()), permit_limit(limit)))
+            .collect();
+        self.metrics.limited_upstreams.set(limits.len() as i64);
+        self.upstream_permits.set_limits(self.now_ms, &limits);
+    }
+
+    /// Returns whether a request may be sent to an upstream within the rate limit that the upstream
+    /// states. If not, the request waits for a permit or for another upstream.
+    pub(crate) fn has_upstream_permit(&mut self, key: u64, upstream: &UpstreamName) -> bool {
+        let now_ms = self.now_ms;
+        if self.dispatcher.stated_limits().limit(upstream).is_none() {
+            self.upstream_permits.withdraw(key);
+            return true;
+        }
+        let Some(request) = self.active.get_mut(key) else {
+            return false;
+        };
+        match self.upstream_permits.request(now_ms, key, upstream) {
+            PermitOutcome::Granted => {
+                self.metrics.permit("granted");
+                return true;
+            }
+            PermitOutcome::Pending { until_ms } => {
+                if request.phase != Phase::Waiting(WaitReason::Permit) {
+                    self.metrics.permit("requested");
+                }
+                self.active.wake_at(until_ms, key);
+            }
+            PermitOutcome::Denied { retry_after_ms } => {
+                self.metrics.permit("denied");
+                let limits = self.dispatcher.stated_limits_mut();
+                limits.record_denial(now_ms, upstream, retry_after_ms);
+                self.redispatch_needed = true;
+            }
+        }
+        if let Some(request) = self.active.get_mut(key) {
+            request.phase = Phase::Waiting(WaitReason::Permit);
+        }
+        false
+    }
+
+    /// Sends the announcements and reports that are due.
+    pub(crate) fn advance_upstream_permits(&mut self) {
+        let now_ms = self.now_ms;
+        let permits = &mut self.upstream_permits;
+        let limits = self.dispatcher.stated_limits();
+        if permits.available_ms.is_some_and(|at_ms| at_ms <= now_ms) {
+            self.redispatch_needed = true;
+        }
+        permits.available_ms = limits.next_available_ms(now_ms);
+        self.announce_stated_limits();
+        if now_ms < self.upstream_permits.client.next_ms() {
+            return;
+        }
+        let owners = self.peers.quota_owners();
+        let client = &mut self.upstream_permits.client;
+        if let Some(report) = client.due_report(now_ms, owners.len()) {
+            let (vm, address) = &owners[client.owner_rank()];
+            match *vm == self.peers.own_record().vm {
+                true => self.handle_permit_report(None, &report),
+                false => self
+                    .peers
+                    .send(*address, &PeerMessage::PermitReport(report)),
+            }
+        }
+        if now_ms >= self.upstream_permits.next_forget_ms {
+            self.upstream_permits.next_forget_ms = now_ms + FORGET_INTERVAL_MS;
+            self.upstream_permits.owner.remove_inactive(now_ms);
+        }
+    }
+
+    /// Announces changes to all VMs at once. Repeated statements go to the lease holder, which
+    /// announces all of them now and then.
+    fn announce_stated_limits(&mut self) {
+        let now_ms = self.now_ms;
+        let limits = self.dispatcher.stated_limits_mut();
+        if limits.has_unannounced() && now_ms >= self.upstream_permits.next_announcement_ms {
+            self.upstream_permits.next_announcement_ms = now_ms + ANNOUNCEMENT_INTERVAL_MS;
+            let changed = limits.take_unannounced(now_ms);
+            self.send_stated_limits(None, &changed);
+        }
+        if now_ms >= self.upstream_permits.next_refresh_ms {
+            let refreshed = self.dispatcher.stated_limits_mut().take_refreshed(now_ms);
+            let holder = self.peers.lease_holder.as_ref();
+            let address = holder.map(|(_, address, _)| *address);
+            let holds_lease = self.engine_orders.held_lease_end(now_ms).is_some();
+            if let (Some(address), false) = (address, holds_lease) {
+                self.send_stated_limits(Some(address), &refreshed);
+            }
+            self.upstream_permits.next_refresh_ms = now_ms + REFRESH_INTERVAL_MS;
+        }
+        if now_ms >= self.upstream_permits.next_table_ms {
+            if self.engine_orders.held_lease_end(now_ms).is_some() {
+                let all = self.dispatcher.stated_limits_mut().announcements(now_ms);
+                self.send_stated_limits(None, &all);
+            }
+            self.upstream_permits.next_table_ms = now_ms + TABLE_INTERVAL_MS;
+        }
+    }
+
+    /// Sends statements to one VM, or to all.
+    fn send_stated_limits(&mut self, to: Option<SocketAddr>, limits: &[StatedLimit]) {
+        for rows in limits.chunks(ROWS_PER_DATAGRAM) {
+            let message = PeerMessage::StatedLimits(rows.to_vec());
+            match to {
+                Some(address) => self.peers.send(address, &message),
+                None => self.peers.send_all(&message),
+            }
+        }
+    }
+
+    /// Handles a VM's report as the owner of the permits. `from` is the sender; none for this VM
+    /// itself.
+    pub(crate) fn handle_permit_report(&mut self, from: Option<SocketAddr>, report: &Report) {
+        let Some(answer) = self.upstream_permits.owner.handle(self.now_ms, report) else {
+            return;
+        };
+        match from {
+            Some(from) => self.peers.send(from, &PeerMessage::PermitAnswer(answer)),
+            None => self.apply_permit_answer(&answer),
+        }
+    }
+
+    /// Applies the permits that their owner has granted.
+    pub(crate) fn apply_permit_answer(&mut self, answer: &Answer) {
+        self.redispatch_needed |= self.upstream_permits.client.handle(self.now_ms, answer);
+    }
+}
+
+fn permit_limit(limit: RateLimit) -> Limit {
+    Limit {
+        rate_per_s: limit.per_s().max(MIN_PERMITS_PER_S),
+        burst: 0.0,
+    }
+}
--- a/crates/holder/src/adapter_orders.rs
+++ b/crates/holder/src/adapter_orders.rs
@@ -29,7 +29,7 @@
     };
     if engines
         .iter()
-        .any(|engine| engine.serving && engine.residence.serves(&wanted))
+        .any(|engine| engine.serving && !engine.limited && engine.residence.serves(&wanted))
     {
         return None;
     }
@@ -46,7 +46,7 @@
     let (index, engine) = engines
         .iter()
         .enumerate()
-        .filter(|(_, engine)| engine.takes_orders())
+        .filter(|(_, engine)| engine.takes_orders() && !engine.limited)
         .filter(|(_, engine)| engine.residence.model(model).is_some() && !engine.will_unload(model))
         .min_by_key(|(_, engine)| (engine.residence.adapters(), engine.residence.models.len()))?;
     let adapter_mb = spec.models.get(model)?.adapter_mb;
--- a/crates/holder/src/engine_ledger.rs
+++ b/crates/holder/src/engine_ledger.rs
@@ -75,6 +75,9 @@
     pub(crate) serving: bool,
     /// Whether requests and calls from this VM show that it can't reach the engine.
     pub(crate) unreachable: bool,
+    /// Whether the engine states a rate limit, so that it is neither given more work nor relied on
+    /// for its models.
+    pub(crate) limited: bool,
     /// Whether the engine has announced that it leaves.
     pub(crate) leaving: bool,
     /// Last load that counted as done without a report; none once a report has confirmed it.
@@ -107,6 +110,7 @@
             failed_reports: 0,
             serving: true,
             unreachable: false,
+            limited: false,
             leaving: false,
             unconfirmed: None,
             load_factor: 1.0,
--- a/crates/holder/src/placement.rs
+++ b/crates/holder/src/placement.rs
@@ -113,7 +113,10 @@
             sum.last_arrival_ms = sum.last_arrival_ms.max(demand.last_arrival_ms);
         }
         let mut replicas: HashMap<ModelName, u32> = HashMap::new();
-        for engine in engines.iter().filter(|engine| engine.serving) {
+        for engine in engines
+            .iter()
+            .filter(|engine| engine.serving && !engine.limited)
+        {
             for resident in &engine.residence.models {
                 if !engine.will_unload(&resident.model) {
                     *replicas.entry(resident.model.clone()).or_default() += 1;
@@ -134,7 +137,7 @@
         snapshot.idle = engines
             .iter()
             .enumerate()
-            .filter(|(_, engine)| engine.is_idle())
+            .filter(|(_, engine)| engine.is_idle() && !engine.limited)
             .map(|(index, engine)| snapshot.idle_engine(index, engine))
             .collect();
         snapshot
@@ -202,7 +205,8 @@
     pub fn is_cached_elsewhere(&self, model: &ModelName) -> bool {
         self.engines.iter().any(|engine| {
             let holds = engine.residence.model(model).is_some() || engine.will_load(model);
-            engine.serving && !holds && engine.residence.tier(model) != Tier::Store
+            let may_load = engine.serving && !engine.limited;
+            may_load && !holds && engine.residence.tier(model) != Tier::Store
         })
     }
 
--- a/crates/holder/src/planner.rs
+++ b/crates/holder/src/planner.rs
@@ -109,6 +109,14 @@
         }
     }
 
+    /// Updates which engines state a rate limit. Their models are loaded elsewhere if requested, and
+    /// nothing more is loaded on them.
+    pub fn set_limited(&mut self, is_limited: impl Fn(&UpstreamName) -> bool) {
+        for engine in &mut self.engines {
+            engine.limited = is_limited(&engine.name);
+        }
+    }
+
     fn sync_engines(&mut self, directory: &Directory) {
         let spec = directory
             .service(&self.service)
@@ -194,7 +202,7 @@
     pub fn known_replicas(&self, wanted: &WantedModel) -> Vec<ResidenceUpdate> {
         self.engines
             .iter()
-            .filter(|engine| engine.serving && engine.residence.serves(wanted))
+            .filter(|engine| engine.serving && !engine.limited && engine.residence.serves(wanted))
             .filter(|engine| !engine.will_unload(&wanted.model))
             .map(|engine| ResidenceUpdate {
                 engine: engine.name.clone(),
@@ -211,7 +219,7 @@
         let places = self
             .engines
             .iter_mut()
-            .filter(|it| it.residence.serves(wanted));
+            .filter(|it| !it.limited && it.residence.serves(wanted));
         for engine in places.filter(|it| it.probed_at_ms + PROBE_INTERVAL_MS <= now_ms) {
             engine.probed_at_ms = now_ms;
             engine.report_due_ms = Some(engine.report_due_ms.map_or(now_ms, |due| due.min(now_ms)));
--- a/crates/holder/tests/support/mod.rs
+++ b/crates/holder/tests/support/mod.rs
@@ -88,6 +88,8 @@
     pub outcomes: HashMap<OrderOutcome, u32>,
     /// Engines that can't be reached.
     pub unreachable: Vec<UpstreamName>,
+    /// Engines that state a rate limit.
+    pub limited: Vec<UpstreamName>,
     /// Maximum number of concurrent loads from the weight store.
     pub max_store_loads: usize,
     /// Number of requests sent to an engine that was announced to hold their model and did not.
@@ -157,6 +159,7 @@
             orders: Vec::new(),
             outcomes: HashMap::new(),
             unreachable: Vec::new(),
+            limited: Vec::new(),
             max_store_loads: 0,
             rejected: 0,
             waiting: Vec::new(),
@@ -228,6 +231,8 @@
                 let unreachable = &self.unreachable;
                 self.planner
                     .sync(&self.directory, |name| unreachable.contains(name));
+                let limited = &self.limited;
+                self.planner.set_limited(|name| limited.contains(name));
                 let actions = self.planner.plan(self.now_ms, &self.demand);
                 self.carry_out(actions);
             }
--- a/crates/quota/src/budget.rs
+++ b/crates/quota/src/budget.rs
@@ -11,6 +11,9 @@
     pub over: f64,
     /// Tolerated excess in units, in addition to `over`.
     pub slack: f64,
+    /// Share of the excess, from 0 to 1, that may be used in every window, in favour of the callers.
+    /// The remainder covers what VMs do not know of each other.
+    pub sustained_share: f64,
 }
 
 impl Default for Bounds {
@@ -19,15 +22,12 @@
             window_ms: 8_000,
             over: 0.1,
             slack: 0.0,
+            sustained_share: 0.5,
         }
     }
 }
 
-/// Share of the excess that may be used in every window, in favour of the callers. The remainder
-/// covers what VMs do not know of each other.
-const SUSTAINED_SHARE: f64 = 0.5;
-
-/// Shares of that remainder. Together with a second `UNREPORTED_SHARE`, for VMs that are killed
+/// Shares of the excess that is not used in every window. Together with a second `UNREPORTED_SHARE`, for VMs that are killed
 /// before they report, they add up to less than 1. What is left covers VMs that briefly assume
 /// different numbers of VMs.
 const BUCKET_SHARE: f64 = 0.35;
@@ -57,8 +57,8 @@
         let allowed = rate_per_ms * bounds.window_ms as f64 + limit.burst;
         let excess = limit.burst + bounds.over * allowed + bounds.slack;
         Self {
-            rate_per_ms: rate_per_ms + excess * SUSTAINED_SHARE / bounds.window_ms as f64,
-            excess: excess * (1.0 - SUSTAINED_SHARE),
+            rate_per_ms: rate_per_ms + excess * bounds.sustained_share / bounds.window_ms as f64,
+            excess: excess * (1.0 - bounds.sustained_share),
         }
     }
 
--- a/crates/quota/tests/limit_search.rs
+++ b/crates/quota/tests/limit_search.rs
@@ -20,7 +20,6 @@
 
 const OWNER_CANDIDATES: usize = 4;
 const STEP_MS: u64 = 5;
-const WINDOW_MS: u64 = 8_000;
 
 /// Maximum time for which a request waits for an answer of the owner.
 const PENDING_TIMEOUT_MS: u64 = 250;
@@ -28,12 +27,45 @@
 /// Time within which all VMs apply a new limit.
 const LIMIT_ROLLOUT_MS: u64 = 1_000;
 
-const BOUNDS: Bounds = Bounds {
-    window_ms: WINDOW_MS,
-    over: 0.1,
-    slack: 110_000.0,
+/// Limits of organisations, counted in tokens, with a burst of one second.
+const TOKENS: Rules = Rules {
+    bounds: Bounds {
+        window_ms: 8_000,
+        over: 0.1,
+        slack: 110_000.0,
+        sustained_share: 0.5,
+    },
+    burst_s: 1.0,
 };
 
+/// Limits that upstreams state, counted in requests, without a burst.
+const UPSTREAM_REQUESTS: Rules = Rules {
+    bounds: Bounds {
+        window_ms: 4_000,
+        over: 0.5,
+        slack: 5.0,
+        sustained_share: 0.0,
+    },
+    burst_s: 0.0,
+};
+
+/// How limits are counted and enforced.
+#[derive(Clone, Copy, Debug)]
+struct Rules {
+    bounds: Bounds,
+    /// Burst of each limit, as the time in which its rate yields as much.
+    burst_s: f64,
+}
+
+impl Rules {
+    fn limit(&self, rate: f64) -> Limit {
+        Limit {
+            rate_per_s: rate,
+            burst: rate * self.burst_s,
+        }
+    }
+}
+
 #[derive(Clone, Debug)]
 enum Message {
     Report(usize, Report),
@@ -83,6 +115,7 @@
 }
 
 struct Fleet {
+    rules: Rules,
     now_ms: u64,
     vms: Vec<Vm>,
     state: u64,
@@ -104,16 +137,10 @@
     AccountId::of("north")
 }
 
-fn limit(rate: f64) -> Limit {
-    Limit {
-        rate_per_s: rate,
-        burst: rate,
-    }
-}
-
 impl Fleet {
-    fn new(vms: usize, seed: u64, lost_in_256: u64, rate: f64) -> Self {
+    fn new(rules: Rules, vms: usize, seed: u64, lost_in_256: u64, rate: f64) -> Self {
         let mut fleet = Self {
+            rules,
             now_ms: 100_000,
             vms: Vec::new(),
             state: seed | 1,
@@ -138,11 +165,11 @@
     fn vm(&mut self, vms: usize) -> Vm {
         self.incarnations += 1;
         let incarnation = self.incarnations.wrapping_mul(0x9e37_79b9_7f4a_7c15);
-        let mut client = QuotaClient::new(incarnation, BOUNDS);
-        let mut owner = QuotaOwner::new(incarnation, BOUNDS);
+        let mut client = QuotaClient::new(incarnation, self.rules.bounds);
+        let mut owner = QuotaOwner::new(incarnation, self.rules.bounds);
         client.set_vms(vms);
         owner.set_vms(vms);
-        let limits = [(account(), limit(self.rate))];
+        let limits = [(account(), self.rules.limit(self.rate))];
         client.set_limits(self.now_ms, limits);
         owner.set_limits(self.now_ms, limits);
         Vm {
@@ -229,10 +256,10 @@
     }
 
     fn apply_limit(&mut self, index: usize) {
-        let now_ms = self.now_ms;
+        let (now_ms, rules) = (self.now_ms, self.rules);
         let vm = &mut self.vms[index];
         if vm.limit.0 > 0 && vm.limit.0 <= now_ms {
-            let limits = [(account(), limit(vm.limit.1))];
+            let limits = [(account(), rules.limit(vm.limit.1))];
             vm.client.set_limits(now_ms, limits);
             vm.owner.set_limits(now_ms, limits);
             vm.limit.0 = 0;
@@ -332,6 +359,7 @@
 
     /// Returns the maximum of the units admitted in a window, as a share of what the limit allows.
     fn worst_window(&self) -> f64 {
+        let window_ms = self.rules.bounds.window_ms;
         let mut window: VecDeque<(u64, u64)> = VecDeque::new();
         let (mut sum, mut worst) = (0, 0.0_f64);
         for (at_ms, units) in &self.admitted {
@@ -339,11 +367,11 @@
             sum += units;
             while window
                 .front()
-                .is_some_and(|(begun_ms, _)| begun_ms + WINDOW_MS <= *at_ms)
+                .is_some_and(|(begun_ms, _)| begun_ms + window_ms <= *at_ms)
             {
                 sum -= window.pop_front().map_or(0, |(_, units)| units);
             }
-            let begun_ms = at_ms.saturating_sub(WINDOW_MS);
+            let begun_ms = at_ms.saturating_sub(window_ms);
             worst = worst.max(sum as f64 / self.allowed(begun_ms, *at_ms));
         }
         worst
@@ -354,22 +382,20 @@
     fn allowed(&self, from_ms: u64, until_ms: u64) -> f64 {
         let ends = self.limits.iter().skip(1).map(|(at_ms, _)| *at_ms);
         let spans = self.limits.iter().zip(ends.chain([u64::MAX]));
-        let binds_ms = |end_ms: u64| end_ms.saturating_add(LIMIT_ROLLOUT_MS + WINDOW_MS);
+        let Rules { bounds, burst_s } = self.rules;
+        let window_ms = bounds.window_ms;
+        let binds_ms = |end_ms: u64| end_ms.saturating_add(LIMIT_ROLLOUT_MS + window_ms);
         let in_force =
             spans.filter(|((at_ms, _), end_ms)| *at_ms <= until_ms && binds_ms(*end_ms) >= from_ms);
         let rate = in_force.map(|((_, rate), _)| *rate).fold(0.0, f64::max);
-        let base = rate * WINDOW_MS as f64 / 1_000.0 + rate;
-        base * (1.0 + BOUNDS.over) + BOUNDS.slack
+        let base = rate * window_ms as f64 / 1_000.0 + rate * burst_s;
+        base * (1.0 + bounds.over) + bounds.slack
     }
 }
 
-fn event() -> impl Strategy<Value = Event> {
+fn event(units: impl Strategy<Value = u64>) -> impl Strategy<Value = Event> {
     let load = (0..64_usize, prop_oneof![Just(1), 2..64_usize], 1..400_u64);
-    let load = (
-        load,
-        prop_oneof![4 => 200..1_500_u64, 1 => 1_500..40_000_u64],
-        200..9_000_u64,
-    );
+    let load = (load, units, 200..9_000_u64);
     prop_oneof![
         8 => load.prop_map(|((from, vms, per_s), units, for_ms)| Event::Load {
             from, vms, per_s, units, for_ms
@@ -382,6 +408,22 @@
     ]
 }
 
+fn tokens() -> impl Strategy<Value = u64> {
+    prop_oneof![4 => 200..1_500_u64, 1 => 1_500..40_000_u64]
+}
+
+/// Plays a sequence of events. Returns the maximum of what was admitted in a window, as a share of
+/// what the limit allows.
+fn play(mut fleet: Fleet, course: Vec<(u64, Event)>) -> f64 {
+    fleet.run_until(fleet.now_ms + 3_000);
+    for (pause_ms, event) in course {
+        fleet.run_until(fleet.now_ms + pause_ms);
+        fleet.apply(event);
+    }
+    fleet.run_until(fleet.now_ms + 5_000);
+    fleet.worst_window()
+}
+
 proptest! {
     #![proptest_config(ProptestConfig {
         rng_seed: RngSeed::Fixed(35),
@@ -396,23 +438,30 @@
         seed in any::<u64>(),
         lost_in_256 in 0..40_u64,
         rate in prop_oneof![2_000.0..20_000.0, 20_000.0..400_000.0],
-        course in prop::collection::vec((1..1_500_u64, event()), 5..25),
+        course in prop::collection::vec((1..1_500_u64, event(tokens())), 5..25),
     ) {
-        let mut fleet = Fleet::new(vms, seed, lost_in_256, rate);
-        fleet.run_until(fleet.now_ms + 3_000);
-        for (pause_ms, event) in course {
-            fleet.run_until(fleet.now_ms + pause_ms);
-            fleet.apply(event);
-        }
-        fleet.run_until(fleet.now_ms + 5_000);
-        let worst = fleet.worst_window();
+        let worst = play(Fleet::new(TOKENS, vms, seed, lost_in_256, rate), course);
+        prop_assert!(worst <= 1.0, "{worst:.3} of what is allowed");
+    }
+
+    /// Guards against more requests from all VMs together to an upstream than its stated limit
+    /// tolerates in a window.
+    #[test]
+    fn upstream_limit_holds(
+        vms in prop_oneof![1..10_usize, 10..70_usize],
+        seed in any::<u64>(),
+        lost_in_256 in 0..40_u64,
+        rate in prop_oneof![0.1..2.0, 2.0..40.0],
+        course in prop::collection::vec((1..1_500_u64, event(Just(1))), 5..25),
+    ) {
+        let worst = play(Fleet::new(UPSTREAM_REQUESTS, vms, seed, lost_in_256, rate), course);
         prop_assert!(worst <= 1.0, "{worst:.3} of what is allowed");
     }
 }
 
 /// Returns the shares of the arriving units that are refused and that await the owner's answer.
 fn refused(vms: usize, at: usize, rate: f64, share: f64, units: u64) -> (f64, f64) {
-    let mut fleet = Fleet::new(vms, 7, 1, rate);
+    let mut fleet = Fleet::new(TOKENS, vms, 7, 1, rate);
     fleet.run_until(fleet.now_ms + 4_000);
     fleet.apply(Event::Load {
         from: 0,
@@ -429,6 +478,33 @@
     )
 }
 
+/// Guards against an upstream's limit that is hardly used, because no VM gets a permit for a whole
+/// request.
+#[test]
+fn upstream_limit_used() {
+    for vms in [3, 9, 65] {
+        for rate in [0.5, 1.0, 4.2, 20.0] {
+            let mut fleet = Fleet::new(UPSTREAM_REQUESTS, vms, 7, 1, rate);
+            fleet.run_until(fleet.now_ms + 4_000);
+            fleet.apply(Event::Load {
+                from: 0,
+                vms,
+                per_s: 60,
+                units: 1,
+                for_ms: 40_000,
+            });
+            fleet.run_until(fleet.now_ms + 40_000);
+            let admitted: u64 = fleet.admitted.values().sum();
+            let used = admitted as f64 / (rate * 40.0);
+            println!("{vms} VMs, {rate} a second: {used:.3} used");
+            assert!(
+                used >= 0.5,
+                "{used:.3} of the limit used by {vms} VMs at {rate}"
+            );
+        }
+    }
+}
+
 /// Guards against refusals below the limit, also if an organisation uses a single VM.
 #[test]
 fn admitted_below_limit() {
--- a/crates/quota/tests/owner_rules.rs
+++ b/crates/quota/tests/owner_rules.rs
@@ -19,6 +19,7 @@
     window_ms: 8_000,
     over: 0.1,
     slack: 8_000.0,
+    sustained_share: 0.5,
 };
 
 /// More than the bucket, which is 0.35 of the remaining excess, and less than may be overdrawn.
--- a/crates/standins/src/platform/service.rs
+++ b/crates/standins/src/platform/service.rs
@@ -97,6 +97,11 @@
         self.store.put("keyed.servers", &self.instance, b"");
     }
 
+    /// Sets the text of the rate limit that the answers state; none to state none.
+    pub fn set_rate_limit(&self, rate_limit: Option<&str>) {
+        *self.answers.rate_limit.lock() = rate_limit.map(str::to_owned);
+    }
+
     /// Adds a fault to the queue of faults, each of which applies to one answer.
     pub fn push_fault(&self, fault: AnswerFault) {
         self.answers.push_fault(fault);
