Soak: engines state rate limits, and all VMs together must keep to them

Cause: no random run had engines that state limits. The stand-ins state the limit in spoiled streams, too.

--- a/crates/soak/src/checks.rs
+++ b/crates/soak/src/checks.rs
@@ -79,6 +79,8 @@
     OrganisationForwarded,
     /// Upstreams run no more requests of an organisation than its limit allows.
     WithinLimits,
+    /// All VMs together send an upstream no more requests than the rate limit that it states allows.
+    WithinStatedLimits,
     /// No log line of a VM contains a key.
     KeysStaySecret,
 }
@@ -103,6 +105,7 @@
             Self::ValidKeyRequired => "who may ask",
             Self::OrganisationForwarded => "organisation told",
             Self::WithinLimits => "within limits",
+            Self::WithinStatedLimits => "within stated limits",
             Self::KeysStaySecret => "keys stay secret",
         }
     }
@@ -139,6 +142,7 @@
     checker.check_keys(&mut found);
     checker.check_organisations(&mut found);
     checker.check_limits(&mut found);
+    checker.check_stated_limits(&mut found);
     checker.check_secrets(&mut found);
     found
 }
@@ -452,7 +456,7 @@
         }
     }
 
-    fn disturbs_vm(&self, vm: usize, from_ms: u64, until_ms: u64) -> bool {
+    pub fn disturbs_vm(&self, vm: usize, from_ms: u64, until_ms: u64) -> bool {
         self.disturbs(&Place::Vm(vm), from_ms, until_ms)
     }
 
--- a/crates/soak/src/draws.rs
+++ b/crates/soak/src/draws.rs
@@ -55,6 +55,18 @@
 /// Mask that gives the draws of continuation faults a seed of their own.
 const CONTINUATION_SEED_MASK: u64 = 0x6a6f_696e_7321_0000;
 
+/// Number of rate limits that engines state.
+const STATED_LIMIT_COUNT: RangeInclusive<usize> = 1..=2;
+
+/// Rate limits that engines state, in thousandths of a request per second.
+const STATED_LIMITS_MILLI_PER_S: [u32; 5] = [0, 500, 1_000, 2_000, 4_500];
+
+/// Duration of a statement: longer than the time after which it binds.
+const STATED_LIMIT_MS: Range<u64> = 4_000..8_000;
+
+/// Mask that gives the draws of stated limits a seed of their own.
+const STATED_LIMIT_SEED_MASK: u64 = 0x7374_6174_6564_6c69;
+
 /// Number of changes of keys and limits.
 const ORGANISATION_CHANGE_COUNT: RangeInclusive<usize> = 3..=6;
 
@@ -192,6 +204,27 @@
         .collect()
 }
 
+/// Draws the rate limits that engines state.
+pub(crate) fn draw_stated_limits(seed: u64, calm_from_ms: u64, engines: usize) -> Vec<Planned> {
+    let mut random = ChaCha8Rng::seed_from_u64(seed ^ STATED_LIMIT_SEED_MASK);
+    let half_ms = WARM_UP_MS + calm_from_ms.saturating_sub(WARM_UP_MS).div_ceil(2);
+    (0..random.random_range(STATED_LIMIT_COUNT))
+        .map(|_| {
+            let limits = STATED_LIMITS_MILLI_PER_S;
+            let at_ms = random.random_range(WARM_UP_MS..half_ms.max(WARM_UP_MS + 1));
+            let for_ms = random.random_range(STATED_LIMIT_MS);
+            Planned {
+                at_ms,
+                trouble: Trouble::StatedLimit {
+                    engine: random.random_range(0..engines.max(1)),
+                    milli_per_s: limits[random.random_range(0..limits.len())],
+                    for_ms: for_ms.min(calm_from_ms.saturating_sub(at_ms)),
+                },
+            }
+        })
+        .collect()
+}
+
 /// Draws the bursts of an organisation and the operators' changes of keys and limits.
 pub(crate) fn draw_organisation_events(seed: u64, calm_from_ms: u64) -> (Vec<Burst>, Vec<Planned>) {
     let mut random = ChaCha8Rng::seed_from_u64(seed ^ ORGANISATION_SEED_MASK);
--- a/crates/soak/src/engines.rs
+++ b/crates/soak/src/engines.rs
@@ -16,6 +16,7 @@
 use crate::record::Disturbance;
 use crate::record::Drain;
 use crate::record::Place;
+use crate::record::StatedLimitSeen;
 use crate::workload::MODELS;
 use crate::world::World;
 use crate::world::pause;
@@ -189,6 +190,26 @@
         Ok(())
     }
 
+    /// Has an engine state a rate limit for a time, even if another engine replaces it meanwhile.
+    pub(crate) fn state_limit(&self, number: usize, milli_per_s: u32, for_ms: u64) {
+        let per_s = f64::from(milli_per_s) / 1_000.0;
+        let engine = {
+            let engines = self.engines.lock();
+            self.site.lock().engines[engines[number].index].clone()
+        };
+        let from_ms = self.clock.now_ms();
+        engine.set_rate_limit(Some(&per_s.to_string()));
+        pause(for_ms);
+        let until_ms = self.clock.now_ms();
+        engine.set_rate_limit(None);
+        self.events.lock().stated_limits.push(StatedLimitSeen {
+            upstream: engine.name().to_owned(),
+            milli_per_s,
+            from_ms,
+            until_ms,
+        });
+    }
+
     pub(crate) fn engine_leaves(&self, number: usize, notice: bool) {
         let old = {
             let mut engines = self.engines.lock();
--- a/crates/soak/src/fault.rs
+++ b/crates/soak/src/fault.rs
@@ -145,6 +145,15 @@
         /// serving for a while.
         notice: bool,
     },
+    /// Has an engine state a rate limit in its answers for a time.
+    StatedLimit {
+        /// Index of the engine in the soak's list.
+        engine: usize,
+        /// Limit in thousandths of a request per second.
+        milli_per_s: u32,
+        /// Duration of the statement.
+        for_ms: u64,
+    },
     /// Has the operators write a configuration with a new route in place of the previous one.
     Configure,
     /// Has the operators add a key to an organisation.
@@ -187,6 +196,7 @@
             Self::Orders { .. } => "orders",
             Self::EngineDies { .. } => "engine dies",
             Self::EngineLeaves { .. } => "engine leaves",
+            Self::StatedLimit { .. } => "stated limit",
             Self::Configure => "configure",
             Self::KeyAdded { .. } => "key added",
             Self::KeyTaken { .. } => "key taken",
@@ -203,6 +213,7 @@
             }
             Self::KillAll { .. }
             | Self::Reload { .. }
+            | Self::StatedLimit { .. }
             | Self::Configure
             | Self::KeyAdded { .. }
             | Self::KeyTaken { .. }
--- a/crates/soak/src/main.rs
+++ b/crates/soak/src/main.rs
@@ -22,6 +22,7 @@
 use apricotdale_soak::Violation;
 use apricotdale_soak::check;
 use apricotdale_soak::entry_program;
+use apricotdale_soak::fullest_stated_window;
 use apricotdale_soak::fullest_window;
 
 /// Upper bound of soaks that run in parallel, whatever `--at-once` asks for.
@@ -143,12 +144,13 @@
     }
     let continued = record.continued();
     let fullest = fullest_window(record).map_or((0, 0), |window| (window.ran, window.most));
+    let stated = fullest_stated_window(record).map_or((0, 0), |window| (window.ran, window.most));
     let resumed = record.attempts.iter().filter(|it| it.after_event > 0);
     let orders: usize = record.engines.iter().map(|(_, it)| it.holders.len()).sum();
     format!(
         "{} faults, {} requests by status {statuses:?}, {} runs, {orders} orders, {} streams over \
          two engines ({} faulty, {} complete), {} resumed by callers, {} of {} requests in the \
-         fullest window of a limit, {} violations",
+         fullest window of a limit, {} of {} in that of a stated limit, {} violations",
         record.disturbances.len(),
         record.attempts.len(),
         record.runs.len(),
@@ -158,6 +160,8 @@
         resumed.count(),
         fullest.0,
         fullest.1,
+        stated.0,
+        stated.1,
         violations.len()
     )
 }
@@ -177,6 +181,9 @@
     for limit in &soak.record.limits {
         writeln!(file, "{limit:?}")?;
     }
+    for limit in &soak.record.stated_limits {
+        writeln!(file, "{limit:?}")?;
+    }
     for (number, key) in soak.record.keys.iter().enumerate() {
         writeln!(file, "key {number}: {key:?}")?;
     }
--- a/crates/soak/src/plan.rs
+++ b/crates/soak/src/plan.rs
@@ -7,6 +7,7 @@
 use crate::draws::draw_organisation_events;
 use crate::draws::draw_random_faults;
 use crate::draws::draw_rollbacks;
+use crate::draws::draw_stated_limits;
 use crate::fault::Trouble;
 
 /// Prefixes of the bodies of requests that crash engines: before the first event of the answer, and
@@ -77,6 +78,7 @@
         let mut faults = draw_random_faults(seed, calm_from_ms, vms, engines, upstreams);
         faults.extend(draw_rollbacks(seed, calm_from_ms));
         faults.extend(draw_continuation_faults(seed, calm_from_ms, engines));
+        faults.extend(draw_stated_limits(seed, calm_from_ms, engines));
         let (bursts, changes) = draw_organisation_events(seed, calm_from_ms);
         faults.extend(changes);
         faults.sort_by_key(|planned| planned.at_ms);
--- a/crates/soak/src/record.rs
+++ b/crates/soak/src/record.rs
@@ -116,6 +116,19 @@
     pub most_in_window: usize,
 }
 
+/// Rate limit that an engine stated in its answers for a time.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct StatedLimitSeen {
+    /// Name of the engine.
+    pub upstream: String,
+    /// Limit in thousandths of a request per second.
+    pub milli_per_s: u32,
+    /// Time of the first answer that may state it.
+    pub from_ms: u64,
+    /// Time of the last answer that may state it.
+    pub until_ms: u64,
+}
+
 /// One request as a caller sent it.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub struct Attempt {
@@ -270,6 +283,8 @@
     pub keys: Vec<KeySeen>,
     /// Every limit that was configured, in order of its configuration.
     pub limits: Vec<LimitSeen>,
+    /// Rate limits that engines stated.
+    pub stated_limits: Vec<StatedLimitSeen>,
     /// Log lines of VMs that contain a caller's key.
     pub key_lines: Vec<String>,
     /// One line for each VM whose process exited or failed to start unexpectedly, with the reason.
--- a/crates/soak/src/soak.rs
+++ b/crates/soak/src/soak.rs
@@ -302,6 +302,7 @@
         drains: events.drains.clone(),
         probes: events.probes.clone(),
         stops: events.stops.clone(),
+        stated_limits: events.stated_limits.clone(),
         keys,
         limits,
         key_lines: key_lines.collect(),
--- a/crates/soak/src/world.rs
+++ b/crates/soak/src/world.rs
@@ -33,6 +33,7 @@
 use crate::record::Drain;
 use crate::record::Place;
 use crate::record::Run;
+use crate::record::StatedLimitSeen;
 use crate::record::StopSeen;
 use crate::vms::StopOutcome;
 use crate::vms::Vms;
@@ -61,6 +62,7 @@
     pub probes: Vec<ConfigurationProbe>,
     pub probe_ids: Vec<String>,
     pub stops: Vec<StopSeen>,
+    pub stated_limits: Vec<StatedLimitSeen>,
     pub unexpected_exits: Vec<String>,
 }
 
@@ -234,6 +236,11 @@
             } => self.queue_order_faults(*engine, *late_ms, *count),
             Trouble::EngineDies { engine } => self.engine_dies(*engine),
             Trouble::EngineLeaves { engine, notice } => self.engine_leaves(*engine, *notice),
+            Trouble::StatedLimit {
+                engine,
+                milli_per_s,
+                for_ms,
+            } => self.state_limit(*engine, *milli_per_s, *for_ms),
             Trouble::Configure => self.configure(),
             Trouble::KeyAdded { organisation } => {
                 self.change_organisations(OrganisationChange::Add {
--- a/crates/standins/src/platform/answers.rs
+++ b/crates/standins/src/platform/answers.rs
@@ -168,6 +168,14 @@
         }
     }
 
+    /// Returns the header line that states the rate limit; empty if there is none.
+    fn rate_limit_line(&self) -> String {
+        match self.rate_limit.lock().as_deref() {
+            Some(rate_limit) => format!("{RATE_LIMIT}: {rate_limit}\r\n"),
+            None => String::new(),
+        }
+    }
+
     pub fn push_fault(&self, fault: AnswerFault) {
         self.faults.lock().push_back(fault);
     }
@@ -217,10 +225,7 @@
         body: &str,
     ) -> Reply {
         let id = id_of(request);
-        let rate_limit = match self.rate_limit.lock().as_deref() {
-            Some(rate_limit) => format!("{RATE_LIMIT}: {rate_limit}\r\n"),
-            None => String::new(),
-        };
+        let rate_limit = self.rate_limit_line();
         let head = |status: u16, fields: &str| {
             format!(
                 "HTTP/1.1 {status} Status\r\n{ID}: {id}\r\n{SIGNATURE}: s.{}\r\n{LOAD}: 1,0,8\r\n\
@@ -328,7 +333,8 @@
             Some(AnswerFault::Stream(_)) if first > count => None,
             Some(AnswerFault::Stream(fault) | AnswerFault::CutThen { then: fault, .. }) => {
                 let id = id_of(request);
-                return Reply::Raw(fault.answer(id, &self.instance, first, count));
+                let fields = self.rate_limit_line();
+                return Reply::Raw(fault.answer(id, &self.instance, &fields, first, count));
             }
             Some(fault) => {
                 let body: String = (first..=count).map(event_text).collect();
--- a/crates/standins/src/platform/stream_faults.rs
+++ b/crates/standins/src/platform/stream_faults.rs
@@ -79,8 +79,16 @@
         Self::OversizeClosedInside,
     ];
 
-    /// Returns the answer to a request for the events from `first` to `last`.
-    pub(crate) fn answer(self, id: &str, instance: &str, first: u64, last: u64) -> Raw {
+    /// Returns the answer to a request for the events from `first` to `last`. `fields` are further
+    /// header lines.
+    pub(crate) fn answer(
+        self,
+        id: &str,
+        instance: &str,
+        fields: &str,
+        first: u64,
+        last: u64,
+    ) -> Raw {
         let events =
             |events: std::ops::RangeInclusive<u64>| -> String { events.map(event_text).collect() };
         let begun = format!("{}id: {}\ndata: pie", event_text(first), first + 1);
@@ -135,7 +143,7 @@
         };
         let mut head = format!(
             "HTTP/1.1 {status} Status\r\n{ID}: {id}\r\n{SIGNATURE}: s.{instance}\r\n\
-             {VERSION}: {version}\r\nContent-Type: {content_type}\r\n"
+             {VERSION}: {version}\r\nContent-Type: {content_type}\r\n{fields}"
         );
         if self == Self::TurnedAway {
             head.push_str(&format!("{NOT_RUN}: 1\r\n"));
