--- a/crates/launcher/src/entry_up.rs
+++ b/crates/launcher/src/entry_up.rs
@@ -32,6 +32,11 @@
 /// Time for which such a request runs before the crash.
 const CRASH_AFTER_MS: u64 = 100;
 
+/// Text in the body of a request from which on an instance of the service states a rate limit, and
+/// the limit.
+const LIMIT_MARKER: &[u8] = b"in-need";
+const STATED_LIMIT: &str = "0.2";
+
 /// Organisations with their limits in tokens per second; 0 for one without a limit.
 const ORGANISATIONS: [(&str, f64); 2] = [("north", 0.0), ("south", 1_000.0)];
 
@@ -90,6 +95,7 @@
             engines: (0..ENGINE_COUNT).map(engine).collect(),
             timeout_ms: 10_000,
             tenants: Some(SiteOrganisation::list(&organisations)),
+            service_limit: Some((LIMIT_MARKER.to_vec(), STATED_LIMIT.to_owned())),
             ..SiteOptions::default()
         })?;
         let vm = VmProcess::start(&VmOptions::new(&program, "vm0", site.store_addresses[0]))?;
--- a/crates/soak/src/world.rs
+++ b/crates/soak/src/world.rs
@@ -104,6 +104,7 @@
             models: MODELS.iter().map(ToString::to_string).collect(),
             store_endpoints: vms,
             service_crash: None,
+            service_limit: None,
             timeout_ms: 2 * CALLER_TIMEOUT_MS,
             announces: false,
         })?;
--- a/crates/standins/src/platform/service.rs
+++ b/crates/standins/src/platform/service.rs
@@ -34,6 +34,8 @@
     /// Marker in the bodies of requests that make the instance crash, and the handle for it.
     crash: Mutex<Option<(Vec<u8>, Stopper)>>,
     has_crashed: AtomicBool,
+    /// Marker in the bodies of requests from which on the answers state a rate limit, and the limit.
+    limit_trigger: Mutex<Option<(Vec<u8>, String)>>,
 }
 
 impl PlatformService {
@@ -49,6 +51,7 @@
             store,
             crash: Mutex::default(),
             has_crashed: AtomicBool::default(),
+            limit_trigger: Mutex::default(),
         }
     }
 
@@ -62,6 +65,11 @@
         *self.crash.lock() = Some((marker.to_vec(), stopper));
     }
 
+    /// Makes the instance state a rate limit from the first request on whose body contains a marker.
+    pub(crate) fn state_limit_on(&self, marker: &[u8], rate_limit: &str) {
+        *self.limit_trigger.lock() = Some((marker.to_vec(), rate_limit.to_owned()));
+    }
+
     /// Returns whether a request made the instance crash.
     pub fn has_crashed(&self) -> bool {
         self.has_crashed.load(Ordering::Relaxed)
@@ -143,6 +151,11 @@
             stopper.stop();
             return Reply::Lost;
         }
+        if let Some((marker, rate_limit)) = &*self.limit_trigger.lock()
+            && contains(&request.body, marker)
+        {
+            self.set_rate_limit(Some(rate_limit));
+        }
         let body = format!("{} {}", request.method, request.target());
         self.answers.unstreamed_answer(request, fault, &body)
     }
--- a/crates/standins/src/platform/site.rs
+++ b/crates/standins/src/platform/site.rs
@@ -35,6 +35,9 @@
     /// Marker in the bodies of requests that make an instance of the plain service crash; absent if
     /// none does.
     pub service_crash: Option<Vec<u8>>,
+    /// Marker in the bodies of requests from which on an instance of the plain service states a rate
+    /// limit, and the limit; absent if none does.
+    pub service_limit: Option<(Vec<u8>, String)>,
     /// Timeout of every route, in milliseconds.
     pub timeout_ms: u64,
     /// Organisations in the form of the configuration; absent if requests carry no API keys.
@@ -58,6 +61,7 @@
             models: (0..4).map(|index| format!("m{index}")).collect(),
             store_endpoints: 1,
             service_crash: None,
+            service_limit: None,
             timeout_ms: 3_000,
             tenants: None,
             announces: true,
@@ -132,6 +136,9 @@
             if let Some(marker) = &options.service_crash {
                 service.crash_on(marker, server.stopper());
             }
+            if let Some((marker, rate_limit)) = &options.service_limit {
+                service.state_limit_on(marker, rate_limit);
+            }
             site.service_addresses.push(server.address());
             site.services.push(service);
             site.servers.push(server);
