Start: a VM is ready once it has read the other VMs' entries

Cause, by the logs of a failure: the VM was ready before it had read the other VMs' entries; the store was lost at that moment, so it announced itself to nobody and got no heartbeat from then on. Load only widens the window. Change: readiness waits for the first read of these entries, 1 s at most; it is a call to the same store that has just answered two others.

--- a/crates/entry/src/store_pollers/configuration.rs
+++ b/crates/entry/src/store_pollers/configuration.rs
@@ -18,6 +18,10 @@
 /// Age of the last read above which the next one does not wait for a change.
 const MAX_AGE_FOR_WAITING_READ_MS: u64 = 1_100;
 
+/// How long a VM that starts waits for the other VMs' entries. Without them it announces itself to
+/// nobody, and if the store becomes unreachable then, it learns nothing from other VMs either.
+const OTHER_VMS_WAIT_MS: u64 = 1_000;
+
 /// How long a VM that starts waits for a configuration version that other VMs have in force. After
 /// a rollback of the store, operators publish their configuration again; if they do not, the one in
 /// the store is used.
@@ -37,6 +41,9 @@
                 .store_pollers
                 .first_complete_ms
                 .get_or_insert(self.now_ms);
+        if !self.store_pollers.other_entries_read && waited_ms < OTHER_VMS_WAIT_MS {
+            return false;
+        }
         if version < announced && waited_ms < NEWER_VERSION_WAIT_MS {
             return false;
         }
