Start after a rollback: a VM that finds no other VM waits until entries are read anew

What callers saw: a VM that starts right after the store came back from an older copy served with that copy's keys, because no other VM had written its entry again, so nobody could tell it of a newer configuration (start_before_the_others_are_back, red since it was written). Cause: VMs write their entries again within 2 s of a rollback; a VM that starts reads the entries anew after 3 to 5 s for that reason, and took requests meanwhile. Change: with an era above 0 and no other VM known, readiness waits for that second read, 6 s at most. Any entry or hello of another VM ends the wait.

--- a/crates/entry/src/store_pollers.rs
+++ b/crates/entry/src/store_pollers.rs
@@ -102,6 +102,8 @@
     own_entry_written: bool,
     /// Whether the other VMs' entries have been read.
     other_entries_read: bool,
+    /// Whether the entries are to be reread, since some may be missing after a rollback.
+    awaits_reread: bool,
     vms: TopicPoller,
     /// Keys of entries that are no valid upstream's and have been logged, so that each is logged
     /// once.
@@ -135,6 +137,7 @@
             arrived_upstreams: Vec::new(),
             own_entry_written: false,
             other_entries_read: false,
+            awaits_reread: false,
             vms: TopicPoller::default(),
             foreign_keys: HashSet::new(),
             first_complete_ms: None,
--- a/crates/entry/src/store_pollers/configuration.rs
+++ b/crates/entry/src/store_pollers/configuration.rs
@@ -22,6 +22,11 @@
 /// nobody, and if the store becomes unreachable then, it learns nothing from other VMs either.
 const OTHER_VMS_WAIT_MS: u64 = 1_000;
 
+/// How long a VM that starts after a rollback of the store and finds no other VM's entry waits until
+/// it has reread the entries. The others may have a newer configuration in force and not have
+/// rewritten their entries yet.
+const REREAD_WAIT_MS: u64 = 6_000;
+
 /// How long a VM that starts waits for a configuration version that other VMs have in force. After
 /// a rollback of the store, operators publish their configuration again; if they do not, the one in
 /// the store is used.
@@ -44,6 +49,10 @@
         if !self.store_pollers.other_entries_read && waited_ms < OTHER_VMS_WAIT_MS {
             return false;
         }
+        let may_lack_entries = self.store_pollers.awaits_reread && self.peers.others() == 0;
+        if may_lack_entries && waited_ms < REREAD_WAIT_MS {
+            return false;
+        }
         if version < announced && waited_ms < NEWER_VERSION_WAIT_MS {
             return false;
         }
--- a/crates/entry/src/store_pollers/vm_entries.rs
+++ b/crates/entry/src/store_pollers/vm_entries.rs
@@ -54,7 +54,8 @@
         self.peers.add_store_entries(vms);
         log::info!(vms = self.peers.others(); "entries of VMs read");
         let is_first = !std::mem::replace(&mut self.store_pollers.other_entries_read, true);
-        match is_first && self.store_era.now() > 0 {
+        self.store_pollers.awaits_reread = is_first && self.store_era.now() > 0;
+        match self.store_pollers.awaits_reread {
             // The store may have been rolled back a moment ago and lack some entries.
             true => REREAD_DELAY_MS + self.pacing.random_up_to_ms(REWRITE_SPREAD_MS),
             // VMs that start later announce themselves with a hello.
