Permits: an owner that does not answer is asked again after 0.5 s

Cause: a VM cut off from the owner of the permits asked again 100 ms after each time-out, so that every other 100 ms a request meant for a limited upstream waited 100 ms in vain before another was tried.

--- a/crates/entry/src/upstream_permits.rs
+++ b/crates/entry/src/upstream_permits.rs
@@ -45,6 +45,10 @@
 /// How long a request waits for a permit before another upstream is tried.
 const PERMIT_TIMEOUT_MS: u64 = 100;
 
+/// How long no permit for an upstream is requested after the owner has not answered, so that few
+/// requests wait in vain.
+const OWNER_RETRY_MS: u64 = 500;
+
 /// Minimum time between two announcements of changes by one VM.
 const ANNOUNCEMENT_INTERVAL_MS: u64 = 50;
 
@@ -172,13 +176,13 @@
                 }
                 self.withdraw(key);
                 PermitOutcome::Denied {
-                    retry_after_ms: PERMIT_TIMEOUT_MS,
+                    retry_after_ms: OWNER_RETRY_MS,
                 }
             }
             Admission::Refused { retry_after_ms } => {
                 self.pending.remove(&key);
                 PermitOutcome::Denied {
-                    retry_after_ms: retry_after_ms.unwrap_or(PERMIT_TIMEOUT_MS),
+                    retry_after_ms: retry_after_ms.unwrap_or(OWNER_RETRY_MS),
                 }
             }
         }
