Soak: crashes that only killed VMs knew of are counted anew

The check counted from the crashes before the kill. No VM has a disk, and one engine's crash is no verdict to be stored, so what the VMs knew at 5.3 s was nowhere else: the case is allowed.

Change: if all VMs are killed before the request had to be blocked, the check counts the crashes after that. It stays as strict if they are killed later, if not all are, and for the crashes that follow; four cases of records say so.

--- a/crates/soak/src/checks.rs
+++ b/crates/soak/src/checks.rs
@@ -9,6 +9,7 @@
 
 use crate::record::Attempt;
 use crate::record::Ending;
+use crate::record::KILL_ALL;
 use crate::record::Kind;
 use crate::record::Place;
 use crate::record::Record;
@@ -434,10 +435,9 @@
             .collect();
         for (body, times) in &mut crashes {
             times.sort_unstable();
-            let Some(third_ms) = times.get(CRASHES_BEFORE_BLOCK - 1) else {
+            let Some(late_ms) = self.block_deadline_ms(times) else {
                 continue;
             };
-            let late_ms = third_ms + BLOCK_DEADLINE_MS;
             let late = self.record.runs.iter().filter(|run| {
                 let vm = self.attempts.get(run.id.as_str()).map(|it| it.vm);
                 let undisturbed_from_ms = run.at_ms.saturating_sub(UNDISTURBED_MS);
@@ -456,6 +456,24 @@
         }
     }
 
+    /// Returns when a request must be blocked whose copies crashed engines at these times; none if
+    /// too few did. VMs that are all killed before the request had to be blocked know nothing of the
+    /// crashes, and count anew.
+    fn block_deadline_ms(&self, crashes_ms: &[u64]) -> Option<u64> {
+        let mut since_ms = 0;
+        loop {
+            let mut counted = crashes_ms.iter().filter(|at_ms| **at_ms >= since_ms);
+            let deadline_ms = counted.nth(CRASHES_BEFORE_BLOCK - 1)? + BLOCK_DEADLINE_MS;
+            let killed = self.record.disturbances.iter().find(|it| {
+                it.what == KILL_ALL && it.from_ms >= since_ms && it.from_ms < deadline_ms
+            });
+            match killed {
+                Some(killed) => since_ms = killed.until_ms,
+                None => return Some(deadline_ms),
+            }
+        }
+    }
+
     pub fn disturbs_vm(&self, vm: usize, from_ms: u64, until_ms: u64) -> bool {
         self.disturbs(&Place::Vm(vm), from_ms, until_ms)
     }
--- a/crates/soak/src/fault.rs
+++ b/crates/soak/src/fault.rs
@@ -4,6 +4,7 @@
 use apricotdale_standins::platform::StoreFault;
 
 use crate::proxy::LinkFault;
+use crate::record::KILL_ALL;
 use crate::record::Place;
 use crate::record::ROLLBACK;
 
@@ -178,7 +179,7 @@
     pub(crate) fn as_str(&self) -> &'static str {
         match self {
             Self::Kill { .. } => "kill",
-            Self::KillAll { .. } => "kill all",
+            Self::KillAll { .. } => KILL_ALL,
             Self::Pause { .. } => "pause",
             Self::Stop { .. } => "stop",
             Self::Reload { .. } => "reload",
--- a/crates/soak/src/record.rs
+++ b/crates/soak/src/record.rs
@@ -12,6 +12,9 @@
 /// Name of the disturbance after which the store may hold an older configuration.
 pub(crate) const ROLLBACK: &str = "set back";
 
+/// Name of the disturbance in which every VM's process is killed.
+pub(crate) const KILL_ALL: &str = "kill all";
+
 /// Kind of a request, which decides what may happen to it.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, Hash, PartialOrd, Ord)]
 pub enum Kind {
--- a/crates/soak/src/world.rs
+++ b/crates/soak/src/world.rs
@@ -31,6 +31,7 @@
 use crate::record::ConfigurationProbe;
 use crate::record::Disturbance;
 use crate::record::Drain;
+use crate::record::KILL_ALL;
 use crate::record::Place;
 use crate::record::Run;
 use crate::record::StatedLimitSeen;
@@ -314,7 +315,7 @@
         let until_ms = self.clock.now_ms();
         for vm in 0..self.vms.len() {
             self.events.lock().disturbances.push(Disturbance {
-                what: "kill all".to_owned(),
+                what: KILL_ALL.to_owned(),
                 place: Place::Vm(vm),
                 from_ms,
                 until_ms,
--- a/crates/soak/tests/invariant_checks.rs
+++ b/crates/soak/tests/invariant_checks.rs
@@ -226,6 +226,27 @@
     assert_eq!(broken_invariants(&record), []);
 }
 
+/// Guards against a check that blames VMs which were all killed before a request had to be blocked,
+/// and that excuses VMs which were killed later, or not all.
+#[rstest]
+#[case::before_third_crash("kill all", 9_500, true)]
+#[case::before_deadline("kill all", 12_900, true)]
+#[case::after_deadline("kill all", 13_100, false)]
+#[case::single_vm("kill", 12_900, false)]
+fn crasher_after_kills(#[case] what: &str, #[case] at_ms: u64, #[case] is_excused: bool) {
+    let mut record = crasher_record(&[18_000, 18_100, 18_200, 18_300]);
+    record.stops.clear();
+    record.disturbances = vec![Disturbance {
+        what: what.to_owned(),
+        ..disturbance(Place::Vm(0), at_ms, at_ms + 200)
+    }];
+    let expected: &[Invariant] = match is_excused {
+        true => &[],
+        false => &[Invariant::StopsCrashers],
+    };
+    assert_eq!(broken_invariants(&record), expected);
+}
+
 #[test]
 fn crasher_not_blocked() {
     let mut record = crasher_record(&[13_500, 14_000, 15_000, 16_000]);
