--- a/crates/dispatch/src/dispatcher.rs
+++ b/crates/dispatch/src/dispatcher.rs
@@ -137,6 +137,9 @@
         capable: &[&'a Upstream],
     ) -> Option<Vec<Vec<&'a Upstream>>> {
         let limits = &self.stated_limits;
+        if !limits.is_any() {
+            return Some(vec![capable.to_vec()]);
+        }
         let (limited, open): (Vec<&Upstream>, Vec<&Upstream>) = capable
             .iter()
             .partition(|upstream| limits.limit(&upstream.name).is_some());
--- a/crates/dispatch/src/stated_limits.rs
+++ b/crates/dispatch/src/stated_limits.rs
@@ -113,9 +113,10 @@
     ) -> LimitChange {
         let limit = limit.filter(|limit| limit.is_binding());
         let known = self.by_upstream.get(upstream);
-        match (limit, known) {
+        let stated = known.filter(|known| known.limit.is_some());
+        match (limit, stated) {
             (None, None) => return LimitChange::None,
-            (None, Some(known)) if sent_ms < known.answered_ms => return LimitChange::None,
+            (None, Some(stated)) if sent_ms < stated.answered_ms => return LimitChange::None,
             _ => {}
         }
         let change = self.update(upstream, limit, now_ms);
@@ -173,6 +174,11 @@
         self.by_upstream.get(upstream)?.limit
     }
 
+    /// Returns whether any upstream states a limit.
+    pub fn is_any(&self) -> bool {
+        self.limits().next().is_some()
+    }
+
     /// Returns the upstreams that state a limit.
     pub fn limits(&self) -> impl Iterator<Item = (&UpstreamName, RateLimit)> {
         let statements = self.by_upstream.iter();
--- a/crates/entry/src/calls.rs
+++ b/crates/entry/src/calls.rs
@@ -7,7 +7,6 @@
 use apricotdale_http1::ResponseHead;
 use mio::Token;
 
-use crate::codec::LimitField;
 use crate::daemon::Daemon;
 use crate::outbound::Part;
 use crate::outbound::Peer;
@@ -228,6 +227,7 @@
             match connection.next_part() {
                 Part::Head(head) => {
                     self.record_idle_time(token, &head);
+                    self.record_limit_of_call(token, &head);
                     let answer = CallAnswer {
                         status: head.status,
                         era: self.codecs.store.era(&head),
@@ -333,16 +333,21 @@
     /// Applies the idle time that the other end states for the connection.
     pub(crate) fn record_idle_time(&mut self, token: Token, head: &ResponseHead) {
         let fields = self.codecs.callers.answer(head);
-        let peer = self.outbound.get_mut(token).map(|it| it.peer.clone());
-        if let (LimitField::Stated(_), Some(Peer::Upstream(upstream))) = (&fields.rate_limit, &peer)
-        {
-            self.record_stated_limit(upstream, None, &fields.rate_limit);
-        }
         if let (Some(idle_ms), Some(connection)) = (fields.idle_ms, self.outbound.get_mut(token)) {
             connection.set_idle_time(idle_ms);
         }
     }
 
+    /// Records the rate limit that an engine states in the answer to a call. Such answers need not
+    /// repeat it, so one without a limit ends none.
+    fn record_limit_of_call(&mut self, token: Token, head: &ResponseHead) {
+        let peer = self.outbound.get_mut(token).map(|it| it.peer.clone());
+        if let Some(Peer::Upstream(upstream)) = peer {
+            let fields = self.codecs.callers.answer(head);
+            self.record_stated_limit(&upstream, None, &fields.rate_limit);
+        }
+    }
+
     /// Passes a call's outcome to the part of the daemon that made the call.
     fn finish_call(&mut self, tag: CallTag, outcome: CallOutcome) {
         self.metrics.call(tag.as_str(), outcome.as_str());
--- a/crates/entry/src/request_dispatch.rs
+++ b/crates/entry/src/request_dispatch.rs
@@ -305,6 +305,7 @@
             DispatchDecision::Send(upstream) => self.send_if_permitted(key, upstream),
             DispatchDecision::Wait(WaitReason::Budget) => self.pause_request(key, BUDGET_PAUSE_MS),
             DispatchDecision::Wait(reason) => {
+                self.upstream_permits.withdraw(key);
                 let is_change = request.phase != Phase::Waiting(reason);
                 request.phase = Phase::Waiting(reason);
                 if is_change && reason == WaitReason::Missing {
--- a/crates/entry/src/upstream_permits.rs
+++ b/crates/entry/src/upstream_permits.rs
@@ -248,9 +248,11 @@
         let upstream = upstream.to_string();
         match change {
             LimitChange::None => return,
-            LimitChange::Stated(limit) => {
+            // An upstream may state another limit in each answer.
+            LimitChange::Stated(limit) if self.log_budget.try_take(self.now_ms, false) => {
                 log::info!(upstream, per_s = limit.per_s(), how; "upstream states a rate limit")
             }
+            LimitChange::Stated(_) => {}
             LimitChange::Ended => {
                 log::info!(upstream, how; "upstream no longer states a rate limit")
             }
