--- a/crates/entry/src/metrics.rs
+++ b/crates/entry/src/metrics.rs
@@ -333,28 +333,16 @@
 
     /// Counts a request by how it ended.
     pub fn ended(&self, how: &str) {
-        self.requests
-            .get_or_create(&Reason {
-                reason: how.to_owned(),
-            })
-            .inc();
+        count(&self.requests, how);
     }
 
     pub fn refused(&self, reason: &str) {
-        self.refusals
-            .get_or_create(&Reason {
-                reason: reason.to_owned(),
-            })
-            .inc();
+        count(&self.refusals, reason);
     }
 
     /// Counts an answer that could not continue what the caller had received.
     pub fn mismatch(&self, reason: &str) {
-        self.mismatches
-            .get_or_create(&Reason {
-                reason: reason.to_owned(),
-            })
-            .inc();
+        count(&self.mismatches, reason);
     }
 
     /// Counts a pause of reading from an upstream because a caller is slow.
@@ -364,29 +352,17 @@
 
     /// Counts a failed attempt.
     pub fn failed_attempt(&self, reason: &str) {
-        self.failed_attempts
-            .get_or_create(&Reason {
-                reason: reason.to_owned(),
-            })
-            .inc();
+        count(&self.failed_attempts, reason);
     }
 
     /// Counts a call by its outcome.
     pub fn call(&self, call: &str, outcome: &str) {
-        let labels = CallLabels {
-            call: call.to_owned(),
-            outcome: outcome.to_owned(),
-        };
-        self.calls.get_or_create(&labels).inc();
+        count_outcome(&self.calls, call, outcome);
     }
 
     /// Counts an order by its outcome.
     pub fn order(&self, kind: &str, outcome: &str) {
-        let labels = CallLabels {
-            call: kind.to_owned(),
-            outcome: outcome.to_owned(),
-        };
-        self.orders.get_or_create(&labels).inc();
+        count_outcome(&self.orders, kind, outcome);
     }
 
     /// Counts a takeover of the lease by this VM.
@@ -406,16 +382,12 @@
 
     /// Counts the bytes of a store answer.
     pub fn store_read(&mut self, call: &str, bytes: usize) {
-        let reason = call.to_owned();
-        let counter = self.store_reads_bytes.get_or_create(&Reason { reason });
-        counter.inc_by(bytes as u64);
+        count_by(&self.store_reads_bytes, call, bytes as u64);
     }
 
     /// Counts the received bytes of a store answer that is abandoned before its end.
     pub fn discarded_read(&self, call: &str, bytes: usize) {
-        let reason = call.to_owned();
-        let counter = self.discarded_reads_bytes.get_or_create(&Reason { reason });
-        counter.inc_by(bytes as u64);
+        count_by(&self.discarded_reads_bytes, call, bytes as u64);
     }
 
     /// Records the duration of one round of planning.
@@ -430,10 +402,7 @@
 
     /// Counts a store answer that is from before a rollback.
     pub fn answer_of_earlier_era(&self, call: &str) {
-        let reason = call.to_owned();
-        self.answers_of_earlier_eras
-            .get_or_create(&Reason { reason })
-            .inc();
+        count(&self.answers_of_earlier_eras, call);
     }
 
     /// Counts a read of the upstream list because it differed from the announced one.
@@ -463,8 +432,7 @@
 
     /// Counts a permit for an upstream that states a rate limit, as requested, granted or denied.
     pub fn permit(&self, outcome: &str) {
-        let reason = outcome.to_owned();
-        self.permits.get_or_create(&Reason { reason }).inc();
+        count(&self.permits, outcome);
     }
 
     /// Counts a request that was refused because of its organisation's limit.
@@ -477,9 +445,8 @@
             true => organisation.to_string(),
             false => OTHER_ORGANISATIONS.to_owned(),
         };
-        self.over_limit
-            .get_or_create(&OrganisationLabel { organisation })
-            .inc();
+        let label = OrganisationLabel { organisation };
+        self.over_limit.get_or_create(&label).inc();
     }
 
     /// Counts a request that this VM judged to crash upstreams.
@@ -514,3 +481,20 @@
         text
     }
 }
+
+fn count(family: &Family<Reason, Counter>, reason: &str) {
+    count_by(family, reason, 1);
+}
+
+fn count_by(family: &Family<Reason, Counter>, reason: &str, by: u64) {
+    let reason = reason.to_owned();
+    family.get_or_create(&Reason { reason }).inc_by(by);
+}
+
+fn count_outcome(family: &Family<CallLabels, Counter>, call: &str, outcome: &str) {
+    let labels = CallLabels {
+        call: call.to_owned(),
+        outcome: outcome.to_owned(),
+    };
+    family.get_or_create(&labels).inc();
+}
