--- a/crates/dispatch/src/dispatcher.rs
+++ b/crates/dispatch/src/dispatcher.rs
@@ -129,8 +129,8 @@
     }
 
     /// Returns the upstreams among which one is chosen, by the rate limits that they state; `None` if
-    /// all are limited and used up. Limited upstreams follow the others, except one that has not been
-    /// heard of for long.
+    /// all are limited and used up. Limited upstreams follow the others, except one whose limit is due
+    /// for a check.
     fn preferred<'a>(
         &self,
         now_ms: u64,
--- a/crates/dispatch/src/stated_limits.rs
+++ b/crates/dispatch/src/stated_limits.rs
@@ -6,11 +6,11 @@
 use serde::Deserialize;
 use serde::Serialize;
 
-/// Rate from which a stated limit binds nobody.
+/// Rate from which a stated limit is ignored.
 const MAX_BINDING_PER_S: f64 = 100_000.0;
 
 /// Time since the last known answer of a limited upstream after which a VM sends it a request even if
-/// others are free. An upstream that nobody asks can't state that its limit has ended.
+/// others are free. An upstream that gets no requests can't state that its limit has ended.
 const CHECK_INTERVAL_MS: u64 = 1_000;
 
 /// Time over which the VMs spread these requests.
--- a/crates/dispatch/tests/stated_limits.rs
+++ b/crates/dispatch/tests/stated_limits.rs
@@ -64,7 +64,7 @@
     assert_eq!(RateLimit::from_per_s(per_s).map(RateLimit::per_s), expected);
 }
 
-/// Guards against treating an upstream with an absurdly high limit as one in need.
+/// Guards against treating an upstream with an absurdly high limit as a limited one.
 #[test]
 fn high_limit_ignored() {
     let mut limits = StatedLimits::new(0);
--- a/crates/entry/src/store_pollers/configuration.rs
+++ b/crates/entry/src/store_pollers/configuration.rs
@@ -19,7 +19,7 @@
 const MAX_AGE_FOR_WAITING_READ_MS: u64 = 1_100;
 
 /// How long a VM that starts waits for the other VMs' entries. Without them it announces itself to
-/// nobody, and if the store becomes unreachable then, it learns nothing from other VMs either.
+/// no other VM, and if the store becomes unreachable then, it learns nothing from other VMs either.
 const OTHER_VMS_WAIT_MS: u64 = 1_000;
 
 /// How long a VM that starts after a rollback of the store and finds no other VM's entry waits until
--- a/crates/holder/tests/limited_engines.rs
+++ b/crates/holder/tests/limited_engines.rs
@@ -20,7 +20,7 @@
     loads.map(|(_, engine, _)| engine.clone()).collect()
 }
 
-/// Guards against a model of which only engines in need hold replicas, so that most of its requests
+/// Guards against a model of which only limited engines hold replicas, so that most of its requests
 /// are refused for as long as the need lasts.
 #[test]
 fn model_loaded_elsewhere() {
@@ -35,7 +35,7 @@
     assert_eq!(loads(&world, "m0"), [UpstreamName::from("e1")]);
 }
 
-/// Guards against an engine in need that is ordered to load more models, or to unload one for them.
+/// Guards against a limited engine that is ordered to load more models, or to unload one for them.
 #[test]
 fn nothing_loaded_there() {
     let mut world = World::new(4, &[&["m0"], &["m1"]]);
