Quota: a client without limits does not wake the VM

Cause: QuotaClient::new said that a report was due at 0, though no limit is known and none would be sent. The permits' client, whose limits come only from upstreams, kept each VM awake every millisecond; the organisations' client was spared by the limits of the first configuration. Change: without limits no report is due, as the documentation of next_ms says.

Test: idle_without_limits failed before (0, wanted u64::MAX).

--- a/crates/quota/src/client.rs
+++ b/crates/quota/src/client.rs
@@ -126,7 +126,7 @@
             last_report_number: 0,
             last_answered_number: 0,
             unanswered_reports: 0,
-            next_report_ms: 0,
+            next_report_ms: u64::MAX,
             last_report_ms: 0,
         }
     }
--- a/crates/quota/tests/owner_rules.rs
+++ b/crates/quota/tests/owner_rules.rs
@@ -37,6 +37,17 @@
     [(account(), limit)]
 }
 
+/// Guards against a VM that wakes every millisecond for a report that it does not send.
+#[test]
+fn idle_without_limits() {
+    let mut client = QuotaClient::new(1, BOUNDS);
+    assert_eq!(client.next_ms(), u64::MAX);
+    client.set_limits(START_MS, limits());
+    assert!(client.next_ms() < START_MS + 1_000);
+    client.set_limits(START_MS, []);
+    assert_eq!(client.next_ms(), u64::MAX);
+}
+
 fn owner(vms: usize) -> QuotaOwner {
     let mut owner = QuotaOwner::new(OWNER_INCARNATION, BOUNDS);
     owner.set_vms(vms);
