Start after a rollback: a VM serves by a configuration that it knows to be in force

Callers of VMs that started together after the store came back from an older copy got 200 with a revoked key, and would have been served by old routes.

Cause: a VM was ready as soon as it knew any other VM, after 6 s in any case, and at once if its read of the entries took over 1 s.

Change: ConfigurationEvidence, a type without sockets or clock. Evidence is a read in a store that was never rolled back, a configuration written in this era, or the statement of a VM that has evidence. Evidence over 2.2 s old when a rollback becomes known does not count. The wait begins when the VM could serve and not with its first request.

Why it works: a statement goes back, through VMs that knew, to a read within 2.2 s before the rollback, so that it covers each change that the bounds call in force; silence, presence and a read of the copy count for nothing.

--- a/crates/entry/src/daemon.rs
+++ b/crates/entry/src/daemon.rs
@@ -12,8 +12,10 @@
 use apricotdale_dispatch::Dispatcher;
 use apricotdale_dispatch::DispatcherOptions;
 use apricotdale_dispatch::LivenessMonitor;
+use apricotdale_fleet::ConfigurationEvidence;
 use apricotdale_fleet::Directory;
 use apricotdale_fleet::DirectoryOptions;
+use apricotdale_fleet::EvidenceOptions;
 use apricotdale_fleet::ReadPacing;
 use apricotdale_fleet::ReadSharing;
 use apricotdale_holder::LocalDemand;
@@ -124,6 +126,9 @@
     /// What other VMs announce about the store's content, and what this VM announces.
     pub(crate) sharing: ReadSharing,
     pub(crate) store_era: StoreEra,
+    /// What is known about which configuration is in force.
+    pub(crate) configuration_evidence: ConfigurationEvidence,
+    pub(crate) next_configuration_query_ms: u64,
     /// Schedule of this VM's store reads among all VMs that read.
     pub(crate) pacing: ReadPacing,
     pub(crate) planned_stop: PlannedStop,
@@ -214,6 +219,8 @@
             store_pollers: StorePollers::default(),
             sharing: ReadSharing::default(),
             store_era: StoreEra::default(),
+            configuration_evidence: ConfigurationEvidence::new(EvidenceOptions::default()),
+            next_configuration_query_ms: 0,
             pacing: ReadPacing::new(settings.read_bytes_per_s, incarnation),
             planned_stop: PlannedStop::default(),
             metrics: EntryMetrics::default(),
@@ -294,6 +301,9 @@
             self.serve_caller(token);
         }
         self.advance_pollers();
+        // The wait of a VM that starts begins as soon as it could serve, and not with the first
+        // request.
+        self.readiness();
         self.advance_engine_orders();
         self.advance_peers();
         self.advance_watch();
--- a/crates/entry/src/lib.rs
+++ b/crates/entry/src/lib.rs
@@ -16,6 +16,7 @@
 mod calls;
 mod clock;
 mod codec;
+mod configuration_query;
 mod connections;
 mod crash_watch;
 mod daemon;
--- a/crates/entry/src/messages.rs
+++ b/crates/entry/src/messages.rs
@@ -121,6 +121,20 @@
     PermitReport(Report),
     /// Owner's answer to a report: the permits that it grants.
     PermitAnswer(Answer),
+    /// Asks which configuration is in force.
+    ConfigurationQuery {
+        from: VmRecord,
+        /// Era of the store as the sender knows it.
+        era: u64,
+    },
+    /// States which configuration is in force.
+    ConfigurationInForce {
+        /// Era of the store as the sender knows it.
+        era: u64,
+        version: u64,
+        /// Age of the sender's evidence.
+        age_ms: u64,
+    },
 }
 
 /// First byte of each message. It changes with the format of what follows, so that VMs of different
--- a/crates/entry/src/metrics.rs
+++ b/crates/entry/src/metrics.rs
@@ -71,6 +71,8 @@
     pub configuration_version: Gauge,
     pub newest_configuration_version: Gauge,
     pub configuration_outdated_ms: Gauge,
+    pub configuration_unconfirmed: Gauge,
+    unconfirmed_starts: Counter,
     trials: Counter,
     waited_for_owner: Counter,
     permits: Family<Reason, Counter>,
@@ -124,6 +126,8 @@
             configuration_version: Gauge::default(),
             newest_configuration_version: Gauge::default(),
             configuration_outdated_ms: Gauge::default(),
+            configuration_unconfirmed: Gauge::default(),
+            unconfirmed_starts: Counter::default(),
             trials: Counter::default(),
             waited_for_owner: Counter::default(),
             permits: Family::default(),
@@ -279,6 +283,16 @@
             "Time for which this VM has known of a newer configuration than its own",
             self.configuration_outdated_ms.clone(),
         );
+        registry.register(
+            "configuration_unconfirmed",
+            "1 while nothing shows which configuration is in force",
+            self.configuration_unconfirmed.clone(),
+        );
+        registry.register(
+            "unconfirmed_starts",
+            "Starts without evidence that the configuration is in force",
+            self.unconfirmed_starts.clone(),
+        );
         registry.register(
             "trials",
             "Trial runs of requests on probation by this VM",
@@ -454,6 +468,11 @@
         self.new_blocks.inc();
     }
 
+    /// Counts a start of this VM without evidence that its configuration is in force.
+    pub fn started_unconfirmed(&self) {
+        self.unconfirmed_starts.inc();
+    }
+
     /// Counts a pause of this process.
     pub fn process_paused(&self) {
         self.process_pauses.inc();
--- a/crates/entry/src/peer_exchange.rs
+++ b/crates/entry/src/peer_exchange.rs
@@ -180,6 +180,14 @@
             PeerMessage::StatedLimits(limits) => self.apply_announced_limits(&limits),
             PeerMessage::PermitReport(report) => self.handle_permit_report(Some(from), &report),
             PeerMessage::PermitAnswer(answer) => self.apply_permit_answer(&answer),
+            PeerMessage::ConfigurationQuery { from: asker, era } => {
+                self.answer_configuration_query(from, &asker, era);
+            }
+            PeerMessage::ConfigurationInForce {
+                era,
+                version,
+                age_ms,
+            } => self.apply_stated_configuration(era, version, age_ms),
             PeerMessage::TrialOver { asker, end } => {
                 self.crash_watch.record_peer_trial_end(now_ms, asker, &end);
             }
@@ -217,18 +225,14 @@
         if let Some(rate) = fresh.list_bytes_per_s {
             self.pacing.set_list_rate(rate);
         }
-        let is_outdated = self.sharing.announced_version() > self.directory.version();
-        self.store_pollers.record_outdated(now_ms, is_outdated);
-        if fresh.configuration == self.directory.version()
-            && let Some(age_ms) = fresh.configuration_age_ms
-        {
-            self.store_pollers
-                .record_confirmation(now_ms.saturating_sub(age_ms));
-        }
-        if is_outdated {
-            let at_ms = now_ms + self.pacing.jitter_ms();
-            self.store_pollers.read_configuration_at(at_ms);
+        if let Some(age_ms) = fresh.configuration_age_ms {
+            self.record_stated_version(fresh.configuration, age_ms);
+            if fresh.configuration == self.directory.version() {
+                self.store_pollers
+                    .record_confirmation(now_ms.saturating_sub(age_ms));
+            }
         }
+        self.check_for_newer_version();
         if let Some(read_ms) = fresh.complete_list_read_ms(now_ms) {
             // If only this VM was cut off, no entry has lapsed, and the upstreams that it misses
             // have left: it must not keep them any longer.
@@ -242,6 +246,17 @@
         self.compare_upstream_list(fresh);
     }
 
+    /// Schedules a read of the configuration if other VMs have announced a newer one.
+    pub(crate) fn check_for_newer_version(&mut self) {
+        let now_ms = self.now_ms;
+        let is_outdated = self.sharing.announced_version() > self.directory.version();
+        self.store_pollers.record_outdated(now_ms, is_outdated);
+        if is_outdated {
+            let at_ms = now_ms + self.pacing.jitter_ms();
+            self.store_pollers.read_configuration_at(at_ms);
+        }
+    }
+
     /// Compares this VM's list with the one that another VM has read, and schedules repairs.
     fn compare_upstream_list(&mut self, fresh: &Freshness) {
         // A holder that can't read announces an old list until another VM takes over the lease.
@@ -284,7 +299,7 @@
         let now_ms = self.now_ms;
         let listed = serving_digest(&self.directory);
         Freshness {
-            configuration: self.directory.version(),
+            configuration: self.known_version(),
             configuration_age_ms: self.store_pollers.configuration_age_ms(now_ms),
             list_age_ms: self.store_pollers.list_age_ms(now_ms),
             list_complete: self.directory.is_list_complete(now_ms),
--- a/crates/entry/src/peers.rs
+++ b/crates/entry/src/peers.rs
@@ -95,8 +95,8 @@
     pub may_have_more: bool,
     /// Whether the first hello has been sent to all VMs.
     has_sent_first_hello: bool,
-    /// Index of the known VM that the next hello begins with.
-    hello_offset: usize,
+    /// Index of the known VM that the next message in rotation begins with.
+    rotation_offset: usize,
     /// Senders of undecodable messages that have been logged.
     undecodable_senders: HashSet<SocketAddr>,
 }
@@ -118,7 +118,7 @@
             next_hello_ms: u64::MAX,
             may_have_more: false,
             has_sent_first_hello: false,
-            hello_offset: 0,
+            rotation_offset: 0,
             undecodable_senders: HashSet::new(),
         }
     }
@@ -290,18 +290,23 @@
             self.send_all(&hello);
             return;
         }
-        let at_once = self.known.len().min(HELLO_BATCH_VMS);
+        self.send_to_next(HELLO_BATCH_VMS, &hello);
+    }
+
+    /// Sends a message to the next known VMs in rotation.
+    pub fn send_to_next(&mut self, max_vms: usize, message: &PeerMessage) {
+        let at_once = self.known.len().min(max_vms);
         let recipients = self
             .known
             .values()
             .cycle()
-            .skip(self.hello_offset)
+            .skip(self.rotation_offset)
             .take(at_once);
         let addresses: Vec<SocketAddr> = recipients.map(|known| known.address).collect();
         for address in addresses {
-            self.send(address, &hello);
+            self.send(address, message);
         }
-        self.hello_offset = (self.hello_offset + at_once) % self.known.len().max(1);
+        self.rotation_offset = (self.rotation_offset + at_once) % self.known.len().max(1);
     }
 
     pub(super) fn send(&self, address: SocketAddr, message: &PeerMessage) {
--- a/crates/entry/src/request_dispatch.rs
+++ b/crates/entry/src/request_dispatch.rs
@@ -12,6 +12,8 @@
 use apricotdale_dispatch::DispatchDecision;
 use apricotdale_dispatch::Job;
 use apricotdale_dispatch::WaitReason;
+use apricotdale_fleet::AwaitedEvidence;
+use apricotdale_fleet::Readiness;
 use apricotdale_fleet::Route;
 use apricotdale_fleet::ServingRequest;
 use apricotdale_http1::RequestHead;
@@ -49,6 +51,10 @@
 /// for short moments only.
 const RETRY_AFTER_MS: u64 = 250;
 
+/// Retry delay stated by a VM that waits for evidence of which configuration is in force. It comes
+/// from a VM or an operator that is not there yet.
+const EVIDENCE_RETRY_AFTER_MS: u64 = 1_000;
+
 /// Maximum number of prompt parts that select the engine which probably has the prefix cached.
 const MAX_PREFIX_PARTS: usize = 2;
 
@@ -71,13 +77,27 @@
                 return;
             }
         };
-        if !self.is_ready_for_requests() {
-            let detail = match self.directory.is_complete() {
-                false => "this VM does not know its configuration yet",
-                true => "this VM waits for a newer configuration, which others have in force",
+        if let Readiness::Waiting(awaited) = self.readiness() {
+            let (detail, retry_after_ms) = match awaited {
+                AwaitedEvidence::State => (
+                    "this VM does not know its configuration yet",
+                    RETRY_AFTER_MS,
+                ),
+                AwaitedEvidence::OtherVms => {
+                    ("this VM does not know the other VMs yet", RETRY_AFTER_MS)
+                }
+                AwaitedEvidence::NewerVersion => (
+                    "this VM waits for a newer configuration, which others have in force",
+                    EVIDENCE_RETRY_AFTER_MS,
+                ),
+                AwaitedEvidence::Confirmation => (
+                    "the store was rolled back, and this VM does not know yet which configuration \
+                     is in force",
+                    EVIDENCE_RETRY_AFTER_MS,
+                ),
             };
             let refusal =
-                Refusal::not_run(RefusalReason::NotReady, detail).retry_after(RETRY_AFTER_MS);
+                Refusal::not_run(RefusalReason::NotReady, detail).retry_after(retry_after_ms);
             self.refuse_new(token, &refusal, Some(&serving.id));
             return;
         }
--- a/crates/entry/src/store_era.rs
+++ b/crates/entry/src/store_era.rs
@@ -83,6 +83,7 @@
             "store came back from an older copy"
         );
         self.directory.record_list_rollback(now_ms);
+        self.configuration_evidence.record_rollback(now_ms);
         let holds_lease = self.engine_orders.held_lease_end(now_ms).is_some();
         self.store_pollers
             .handle_rollback(now_ms, holds_lease, &mut self.pacing);
--- a/crates/entry/src/store_pollers.rs
+++ b/crates/entry/src/store_pollers.rs
@@ -102,21 +102,15 @@
     own_entry_written: bool,
     /// Whether the other VMs' entries have been read.
     other_entries_read: bool,
-    /// Whether the entries are to be reread, since some may be missing after a rollback.
-    awaits_reread: bool,
     vms: TopicPoller,
     /// Keys of entries that are no valid upstream's and have been logged, so that each is logged
     /// once.
     foreign_keys: HashSet<String>,
-    /// When a configuration and an upstream list were first known; none before that.
-    first_complete_ms: Option<u64>,
     /// When another VM, by its own account, read that the configuration in force here is the
     /// newest.
     confirmed_ms: Option<u64>,
     /// Since when other VMs have announced a newer configuration than the one in force here.
     outdated_ms: Option<u64>,
-    /// Whether this VM has become ready for requests; it stays so.
-    is_ready_for_requests: bool,
 }
 
 impl Default for StorePollers {
@@ -137,13 +131,10 @@
             arrived_upstreams: Vec::new(),
             own_entry_written: false,
             other_entries_read: false,
-            awaits_reread: false,
             vms: TopicPoller::default(),
             foreign_keys: HashSet::new(),
-            first_complete_ms: None,
             confirmed_ms: None,
             outdated_ms: None,
-            is_ready_for_requests: false,
         }
     }
 }
@@ -301,6 +292,8 @@
         if vms {
             self.read_vms();
         }
+        self.schedule_entries_reread();
+        self.send_due_configuration_query();
         if self.engine_orders.held_lease_end(now_ms).is_some() {
             self.write_snapshot();
         }
@@ -438,7 +431,7 @@
         match tag {
             CallTag::ConfigurationNewest => {
                 let page = self.codecs.store.newest_answer(status, body)?;
-                let found = self.apply_configurations(&page.records);
+                let found = self.apply_configurations(&page.records, false);
                 // Before the first configuration is written there is no position to continue from.
                 self.store_pollers.configuration.from = Some(self.store_era.position(page.end));
                 Ok(if found { 0 } else { EMPTY_TOPIC_RETRY_MS })
--- a/crates/entry/src/store_pollers/configuration.rs
+++ b/crates/entry/src/store_pollers/configuration.rs
@@ -1,6 +1,8 @@
 //! Reads of the configuration, and how a new one takes effect.
 
 use apricotdale_fleet::ConfigurationRead;
+use apricotdale_fleet::ReadVersion;
+use apricotdale_fleet::Readiness;
 
 use super::CALL_TIMEOUT_MS;
 use super::COMPLETE_LIST_TIMEOUT_MS;
@@ -18,52 +20,53 @@
 /// Age of the last read above which the next one does not wait for a change.
 const MAX_AGE_FOR_WAITING_READ_MS: u64 = 1_100;
 
-/// How long a VM that starts waits for the other VMs' entries. Without them it announces itself to
-/// no other VM, and if the store becomes unreachable then, it learns nothing from other VMs either.
-const OTHER_VMS_WAIT_MS: u64 = 1_000;
-
-/// How long a VM that starts after a rollback of the store and finds no other VM's entry waits until
-/// it has reread the entries. The others may have a newer configuration in force and not have
-/// rewritten their entries yet.
-const REREAD_WAIT_MS: u64 = 6_000;
-
-/// How long a VM that starts waits for a configuration version that other VMs have in force. After
-/// a rollback of the store, operators publish their configuration again; if they do not, the one in
-/// the store is used.
-const NEWER_VERSION_WAIT_MS: u64 = 10_000;
-
 impl Daemon {
-    /// Returns whether this VM is ready for requests. A VM that starts right after a rollback of
-    /// the store reads a configuration that is no longer in force anywhere, and waits for the newer
-    /// one.
+    /// Returns whether this VM is ready for requests. A VM that starts after a rollback of the store
+    /// may read a configuration that is no longer in force anywhere.
     pub(crate) fn is_ready_for_requests(&mut self) -> bool {
-        if self.store_pollers.is_ready_for_requests || !self.directory.is_complete() {
-            return self.store_pollers.is_ready_for_requests;
-        }
+        matches!(
+            self.readiness(),
+            Readiness::Ready | Readiness::ReadyUnconfirmed
+        )
+    }
+
+    /// Returns whether this VM serves requests, or what it waits for.
+    pub(crate) fn readiness(&mut self) -> Readiness {
+        let was_ready = self.configuration_evidence.is_ready();
         let (version, announced) = (self.directory.version(), self.sharing.announced_version());
-        let waited_ms = self.now_ms
-            - *self
-                .store_pollers
-                .first_complete_ms
-                .get_or_insert(self.now_ms);
-        if !self.store_pollers.other_entries_read && waited_ms < OTHER_VMS_WAIT_MS {
-            return false;
-        }
-        let may_lack_entries = self.store_pollers.awaits_reread && self.peers.others() == 0;
-        if may_lack_entries && waited_ms < REREAD_WAIT_MS {
-            return false;
-        }
-        if version < announced && waited_ms < NEWER_VERSION_WAIT_MS {
-            return false;
-        }
-        if version < announced {
+        let readiness = self.configuration_evidence.readiness(
+            self.now_ms,
+            self.directory.is_complete(),
+            version,
+            announced,
+        );
+        if readiness == Readiness::ReadyUnconfirmed && !was_ready {
+            self.metrics.started_unconfirmed();
             log::warn!(
-                version, told = announced;
-                "serving with an older configuration than other VMs have in force"
+                version, told = announced, era = self.store_era.now();
+                "serving with a configuration that may be older than the one in force"
             );
         }
-        self.store_pollers.is_ready_for_requests = true;
-        true
+        readiness
+    }
+
+    /// Returns the version of the configuration that is known to be in force, here or at other VMs;
+    /// 0 for none.
+    pub(crate) fn known_version(&self) -> u64 {
+        match self.configuration_evidence.is_known(self.now_ms) {
+            true => self
+                .directory
+                .version()
+                .max(self.sharing.announced_version()),
+            false => 0,
+        }
+    }
+
+    /// Records that a VM with evidence has stated the version in force; 0 states nothing.
+    pub(crate) fn record_stated_version(&mut self, version: u64, age_ms: u64) {
+        self.sharing.record_announced_version(version);
+        self.configuration_evidence
+            .record_statement(self.now_ms, version, age_ms);
     }
 
     /// Updates the metrics that show which configuration is in force and whether a newer one is
@@ -79,6 +82,10 @@
         self.metrics
             .configuration_outdated_ms
             .set(outdated_for_ms.unwrap_or(0) as i64);
+        let is_known = self.configuration_evidence.is_known(self.now_ms);
+        self.metrics
+            .configuration_unconfirmed
+            .set(i64::from(!is_known));
     }
 
     /// Reads the configuration: its changes if this VM has missed few, the newest one otherwise.
@@ -136,7 +143,7 @@
                 for record in &records {
                     keyed.push(self.codecs.store.keyed(record)?);
                 }
-                self.apply_configurations(&keyed);
+                self.apply_configurations(&keyed, true);
                 let from = self.store_pollers.configuration.from.unwrap_or_default();
                 let from = from.after(records.len() as u64);
                 self.store_pollers.configuration.from = Some(from);
@@ -148,9 +155,14 @@
         }
     }
 
-    /// Puts configurations in force. Returns whether the records contained any.
-    pub(super) fn apply_configurations(&mut self, records: &[KeyedRecord]) -> bool {
-        let mut found = false;
+    /// Puts configurations in force. `are_changes` tells that they were written after an earlier
+    /// read of this VM in the same era. Returns whether the records contained any.
+    pub(super) fn apply_configurations(
+        &mut self,
+        records: &[KeyedRecord],
+        are_changes: bool,
+    ) -> bool {
+        let mut newest_read = None;
         for record in records {
             let configuration = match self.codecs.store.configuration(record) {
                 Ok(Some(configuration)) => configuration,
@@ -160,8 +172,8 @@
                     continue;
                 }
             };
-            found = true;
             let version = configuration.version;
+            newest_read = newest_read.max(Some(version));
             let before = self.directory.version();
             match self.directory.configure(configuration) {
                 Ok(()) if version != before => {
@@ -176,6 +188,12 @@
                 Err(error) => log::warn!(reason = error.to_string(); "configuration left alone"),
             }
         }
-        found
+        let read = ReadVersion {
+            era: self.store_era.now(),
+            version: newest_read.unwrap_or_default(),
+            is_change: are_changes && newest_read.is_some(),
+        };
+        self.configuration_evidence.record_read(self.now_ms, read);
+        newest_read.is_some()
     }
 }
--- a/crates/entry/src/store_pollers/list_snapshot.rs
+++ b/crates/entry/src/store_pollers/list_snapshot.rs
@@ -46,7 +46,7 @@
     listed: u64,
     /// Digests of what engines hold.
     held: Vec<u32>,
-    /// Version of the configuration.
+    /// Version of the configuration that is known to be in force; 0 for none.
     configuration: u64,
     /// Era of the store. A snapshot whose write was in progress when a new era began may be lost.
     era: u64,
@@ -168,8 +168,7 @@
         }
         self.store_pollers.upstreams.skip_to(snapshot.read_to);
         self.directory.set_read_position(snapshot.read_to);
-        self.sharing
-            .record_announced_version(snapshot.configuration);
+        self.record_stated_version(snapshot.configuration, 0);
         let was_listed = self.directory.is_listed();
         let names: Vec<_> = snapshot
             .entries
@@ -206,7 +205,7 @@
         let digest = SnapshotDigest {
             listed: serving_digest(&self.directory),
             held: residence_digests(&self.directory),
-            configuration: self.directory.version(),
+            configuration: self.known_version(),
             era: read_to.era,
         };
         let is_same_listing = self.store_pollers.snapshot_writer.listed() == Some(digest.listed);
@@ -218,7 +217,11 @@
         if self.store_pollers.snapshot_writer.written.as_ref() == Some(&digest) {
             return;
         }
-        let parts = ListSnapshot::new(read_to, &self.directory).into_parts();
+        let snapshot = ListSnapshot {
+            configuration: digest.configuration,
+            ..ListSnapshot::new(read_to, &self.directory)
+        };
+        let parts = snapshot.into_parts();
         let records: Vec<(String, Vec<u8>)> = parts
             .iter()
             .enumerate()
--- a/crates/entry/src/store_pollers/vm_entries.rs
+++ b/crates/entry/src/store_pollers/vm_entries.rs
@@ -9,8 +9,8 @@
 use crate::daemon::Daemon;
 use crate::messages::VmRecord;
 
-/// Pause before a VM that starts rereads the entries. By then all other VMs have rewritten theirs
-/// if the store was rolled back.
+/// Pause before the entries are reread in a store that was rolled back. By then all other VMs that
+/// reach the store have rewritten theirs.
 const REREAD_DELAY_MS: u64 = 3_000;
 
 /// Time that no process reaches. It stands for a read that is not scheduled.
@@ -53,16 +53,33 @@
             .collect();
         self.peers.add_store_entries(vms);
         log::info!(vms = self.peers.others(); "entries of VMs read");
+        self.configuration_evidence.record_other_vms();
         let is_first = !std::mem::replace(&mut self.store_pollers.other_entries_read, true);
-        self.store_pollers.awaits_reread = is_first && self.store_era.now() > 0;
-        match self.store_pollers.awaits_reread {
+        match is_first && self.store_era.now() > 0 {
             // The store may have been rolled back a moment ago and lack some entries.
-            true => REREAD_DELAY_MS + self.pacing.random_up_to_ms(REWRITE_SPREAD_MS),
+            true => self.reread_pause_ms(),
             // VMs that start later announce themselves with a hello.
             false => NEVER_MS,
         }
     }
 
+    /// Schedules a reread of the entries while this VM starts and hears of nobody who knows which
+    /// configuration is in force. The entries of those who know may be missing after a rollback.
+    pub(super) fn schedule_entries_reread(&mut self) {
+        let is_scheduled = self.store_pollers.vms.next_ms < NEVER_MS;
+        if self.store_era.now() == 0 || is_scheduled {
+            return;
+        }
+        let is_starting = !self.configuration_evidence.is_ready();
+        if is_starting && !self.configuration_evidence.is_known(self.now_ms) {
+            self.store_pollers.vms.next_ms = self.now_ms + self.reread_pause_ms();
+        }
+    }
+
+    fn reread_pause_ms(&mut self) -> u64 {
+        REREAD_DELAY_MS + self.pacing.random_up_to_ms(REWRITE_SPREAD_MS)
+    }
+
     /// Records that this VM's entry is written. Returns the pause before the other VMs' entries are
     /// read.
     pub(super) fn record_own_entry_written(&mut self) -> u64 {
--- a/crates/fleet/src/lib.rs
+++ b/crates/fleet/src/lib.rs
@@ -9,6 +9,7 @@
 #![warn(missing_docs)]
 
 mod configuration;
+mod configuration_evidence;
 mod configuration_read;
 mod departure;
 mod directory;
@@ -31,6 +32,11 @@
 pub use configuration::RouteKind;
 pub use configuration::Service;
 pub use configuration::SplitShare;
+pub use configuration_evidence::AwaitedEvidence;
+pub use configuration_evidence::ConfigurationEvidence;
+pub use configuration_evidence::EvidenceOptions;
+pub use configuration_evidence::ReadVersion;
+pub use configuration_evidence::Readiness;
 pub use configuration_read::ConfigurationRead;
 pub use departure::Departure;
 pub use departure::DepartureKind;
--- a/crates/fleet/src/list_snapshot.rs
+++ b/crates/fleet/src/list_snapshot.rs
@@ -28,7 +28,7 @@
 pub struct ListSnapshotPart {
     /// Position up to which the upstream list had been read: that of the next change.
     pub read_to: Position,
-    /// Version of the configuration in force at the VM that wrote the snapshot.
+    /// Version of the configuration in force; 0 if the VM that wrote the snapshot does not know it.
     pub configuration: u64,
     /// Number of parts of the snapshot, at least 1.
     pub parts: u32,
@@ -41,14 +41,14 @@
 pub struct ListSnapshot {
     /// Position up to which the upstream list had been read: that of the next change.
     pub read_to: Position,
-    /// Version of the configuration in force at the VM that wrote the snapshot.
+    /// Version of the configuration in force; 0 if the VM that wrote the snapshot does not know it.
     pub configuration: u64,
     /// All upstreams known to that VM, including leaving ones.
     pub entries: Vec<Upstream>,
 }
 
 impl ListSnapshot {
-    /// Returns a snapshot of the directory's upstreams.
+    /// Returns a snapshot of the directory's upstreams, with the directory's configuration in force.
     pub fn new(read_to: Position, directory: &Directory) -> Self {
         Self {
             read_to,
--- a/crates/fleet/src/read_sharing.rs
+++ b/crates/fleet/src/read_sharing.rs
@@ -37,7 +37,7 @@
 /// State of the lease holder's reads, as sent in its heartbeats.
 #[derive(Clone, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
 pub struct Freshness {
-    /// Version of the configuration in force; 0 before the first.
+    /// Version of the configuration in force; 0 if the sender does not know it.
     pub configuration: u64,
     /// Age of the configuration read in milliseconds; `None` if it was never read.
     pub configuration_age_ms: Option<u64>,
--- a/crates/standins/src/platform/store.rs
+++ b/crates/standins/src/platform/store.rs
@@ -103,6 +103,8 @@
     fault: Arc<Mutex<StoreFault>>,
     /// Topics whose next read gets no answer.
     unanswered_reads: Arc<Mutex<HashSet<String>>>,
+    /// Topics whose newest records can't be read, since such reads get no answer.
+    unanswered_newest: Arc<Mutex<HashSet<String>>>,
     /// Link that answers are sent over; none if it has no limit.
     link: Arc<Mutex<Option<Arc<SlowLink>>>>,
     calls: Arc<Mutex<HashMap<String, u64>>>,
@@ -132,6 +134,11 @@
         self.unanswered_reads.lock().insert(topic.to_owned());
     }
 
+    /// Makes all reads of a topic's newest records at this endpoint get no answer.
+    pub fn ignore_newest(&self, topic: &str) {
+        self.unanswered_newest.lock().insert(topic.to_owned());
+    }
+
     /// Refuses appends to a topic, or accepts them again.
     pub fn set_full(&self, topic: &str, is_full: bool) {
         let mut full = self.shared.full.lock();
@@ -281,6 +288,10 @@
     fn serve_newest(&self, request: &Request) -> Reply {
         let (topic, part) = topic_and_part(request);
         let after = request.query_text("after");
+        if self.unanswered_newest.lock().contains(&topic) {
+            request.caller.wait_until_disconnected();
+            return Reply::Lost;
+        }
         let topics = self.shared.topics.lock();
         let Some(partition) = topics.get(&(topic, part)) else {
             let nothing = json!({"items": [], "more": false, "end": 0});
