VM entries: a VM that hears of no lease holder after a rollback reads them again

Callers would have passed the limits of their organisations: two VMs that never find each other each keep accounts alone.

Cause: vm-a's entry is lost in a rollback while vm-a is cut off. vm-b starts, reads the entries twice within 5 s and finds none; vm-a returns, writes its entry and reads nobody's. A VM that starts announces itself to those that it has read, so neither ever learns of the other.

Change: in a later era than 0, a VM that has heard of no lease holder for 4 s reads the entries again each 3 to 5 s. It works since the lease is agreed in the store: whoever does not hear its holder lacks an entry. In era 0 nothing changes.

Not measured: the reads of hundreds of VMs while nobody holds the lease.

--- a/crates/entry/src/peers.rs
+++ b/crates/entry/src/peers.rs
@@ -136,6 +136,13 @@
             .map_or("", |(vm, ..)| vm.as_str())
     }
 
+    /// Returns the time since the last heartbeat of the lease holder, which may be this VM; the age
+    /// of the clock if there was none.
+    pub fn lease_holder_silence_ms(&self, now_ms: u64) -> u64 {
+        let heartbeat_ms = self.lease_holder.as_ref().map_or(0, |(.., at_ms)| *at_ms);
+        now_ms.saturating_sub(heartbeat_ms)
+    }
+
     /// Returns this VM's entry in the store.
     pub fn own_record(&self) -> &VmRecord {
         &self.own
--- a/crates/entry/src/store_pollers/vm_entries.rs
+++ b/crates/entry/src/store_pollers/vm_entries.rs
@@ -13,6 +13,10 @@
 /// reach the store have rewritten theirs.
 const REREAD_DELAY_MS: u64 = 3_000;
 
+/// Silence of the lease holder after which the entry of another VM may be missing, so that neither
+/// knows the other. A takeover takes less.
+const LEASE_HOLDER_SILENCE_MS: u64 = 4_000;
+
 /// Time that no process reaches. It stands for a read that is not scheduled.
 const NEVER_MS: u64 = u64::MAX / 2;
 
@@ -63,15 +67,18 @@
         }
     }
 
-    /// Schedules a reread of the entries while this VM starts and hears of nobody who knows which
-    /// configuration is in force. The entries of those who know may be missing after a rollback.
+    /// Schedules a reread of the entries while some may have been missing after a rollback: this VM
+    /// hears of no lease holder, or it starts and hears of nobody who knows which configuration is
+    /// in force.
     pub(super) fn schedule_entries_reread(&mut self) {
         let is_scheduled = self.store_pollers.vms.next_ms < NEVER_MS;
         if self.store_era.now() == 0 || is_scheduled {
             return;
         }
         let is_starting = !self.configuration_evidence.is_ready();
-        if is_starting && !self.configuration_evidence.is_known(self.now_ms) {
+        let lacks_evidence = is_starting && !self.configuration_evidence.is_known(self.now_ms);
+        let silence_ms = self.peers.lease_holder_silence_ms(self.now_ms);
+        if lacks_evidence || silence_ms > LEASE_HOLDER_SILENCE_MS {
             self.store_pollers.vms.next_ms = self.now_ms + self.reread_pause_ms();
         }
     }
