Keys: a read of an older copy confirms nothing that was too old before the rollback

Callers got 200 with a revoked key where operators had set fail_closed.

Cause: vm-b is cut off from the store, version 2 revokes a key, and the VMs that have read it end. vm-b refuses all keys after revoke_ms. The store comes back from a copy with version 1; vm-b reads it, and each successful read counted as a confirmation, so it served the key again.

Tried first: the age counts on from before the rollback, so that an outage shorter than revoke_ms ends in refusals, too; not kept, as it refuses good keys for nothing.

--- a/crates/entry/src/request_dispatch.rs
+++ b/crates/entry/src/request_dispatch.rs
@@ -228,6 +228,15 @@
         match self.store_pollers.outdated_for_ms(self.now_ms) {
             _ if !self.settings.fail_closed => true,
             Some(for_ms) => is_good(for_ms),
+            // What is read after a rollback confirms nothing that was too old before it.
+            None if !self.configuration_evidence.is_known(self.now_ms)
+                && !self
+                    .configuration_evidence
+                    .age_at_rollback_ms()
+                    .is_some_and(is_good) =>
+            {
+                false
+            }
             None if self.sharing.is_following(self.now_ms) => true,
             None => self
                 .store_pollers
--- a/crates/fleet/src/configuration_evidence.rs
+++ b/crates/fleet/src/configuration_evidence.rs
@@ -79,6 +79,8 @@
     has_evidence: bool,
     /// Time up to which the evidence holds; `None` before the first.
     evidence_ms: Option<u64>,
+    /// Age of the evidence when the last rollback became known.
+    age_at_rollback_ms: Option<u64>,
     /// Era and version of the first read in that era.
     first_read: Option<(u64, u64)>,
     /// Whether the other VMs' entries have been read.
@@ -129,8 +131,9 @@
 
     /// Records that the store was rolled back.
     pub fn record_rollback(&mut self, now_ms: u64) {
+        self.age_at_rollback_ms = self.age_ms(now_ms);
         let is_recent = self
-            .age_ms(now_ms)
+            .age_at_rollback_ms
             .is_some_and(|age_ms| age_ms <= self.options.max_age_ms);
         self.has_evidence = self.is_known(now_ms) && is_recent;
         self.waiting_since_ms = self.waiting_since_ms.map(|_| now_ms);
@@ -151,6 +154,12 @@
         self.evidence_ms.map(|at_ms| now_ms.saturating_sub(at_ms))
     }
 
+    /// Returns the age, in milliseconds, that the evidence had when the last rollback became known;
+    /// `None` without a rollback, or without evidence before it.
+    pub fn age_at_rollback_ms(&self) -> Option<u64> {
+        self.age_at_rollback_ms
+    }
+
     /// Returns whether the VM serves requests. `version` is that of its configuration, and
     /// `announced_version` the newest that any VM has stated. A VM that has served goes on.
     pub fn readiness(
