Scenarios: each step of a run is printed with the seconds since its start

stop_mid_load took 18.4 s in place of 2.4 in one run, and what was printed could not tell which step had waited. Change: the time stands before each step, in the transcript of a failed test, too.

--- a/crates/scenario/src/run/mod.rs
+++ b/crates/scenario/src/run/mod.rs
@@ -9,6 +9,7 @@
 
 use std::io::Write;
 use std::path::PathBuf;
+use std::time::Instant;
 
 use crate::ast::Scenario;
 use crate::ast::Step;
@@ -42,7 +43,8 @@
     },
 }
 
-/// Runs a scenario and writes each step and its result to the transcript. `prepare` receives the
+/// Runs a scenario and writes each step, with the seconds since the start of the run, and its result
+/// to the transcript. `prepare` receives the
 /// set of child processes before the first one starts, so that a signal handler can end them all.
 ///
 /// # Errors
@@ -55,17 +57,19 @@
     prepare: impl Fn(&Processes),
 ) -> Result<Verdict> {
     check(scenario)?;
+    let started_at = Instant::now();
     let mut execution = Execution::new(options.clone());
     for step in &scenario.steps {
         let line = step.position.line;
-        writeln!(transcript, "{line:>4}  {}", step.text)?;
+        let elapsed_s = started_at.elapsed().as_secs_f64();
+        writeln!(transcript, "{elapsed_s:>6.1}  {line:>4}  {}", step.text)?;
         transcript.flush()?;
         match execution.step(&step.statement, &prepare) {
-            Ok(Some(note)) => writeln!(transcript, "      {note}")?,
+            Ok(Some(note)) => writeln!(transcript, "              {note}")?,
             Ok(None) => {}
             Err(Error::Io(error)) => return Err(Error::Io(error)),
             Err(error) => {
-                writeln!(transcript, "      FAILED: {error}")?;
+                writeln!(transcript, "              FAILED: {error}")?;
                 execution.describe(transcript)?;
                 return Ok(Verdict::Failed {
                     step: Box::new(step.clone()),
