--- a/crates/entry/src/lib.rs
+++ b/crates/entry/src/lib.rs
@@ -28,6 +28,7 @@
 mod limits;
 mod log_budget;
 mod messages;
+mod metric_labels;
 mod metrics;
 mod outbound;
 mod peer_exchange;
--- /dev/null
+++ b/crates/entry/src/metric_labels.rs
@@ -0,0 +1,19 @@
+//! Labels of an entry VM's metrics.
+
+use prometheus_client::encoding::EncodeLabelSet;
+
+#[derive(Clone, Debug, PartialEq, Eq, Hash, EncodeLabelSet)]
+pub(crate) struct Reason {
+    pub reason: String,
+}
+
+#[derive(Clone, Debug, PartialEq, Eq, Hash, EncodeLabelSet)]
+pub(crate) struct CallLabels {
+    pub call: String,
+    pub outcome: String,
+}
+
+#[derive(Clone, Debug, PartialEq, Eq, Hash, EncodeLabelSet)]
+pub(crate) struct OrganisationLabel {
+    pub organisation: String,
+}
--- a/crates/entry/src/metrics.rs
+++ b/crates/entry/src/metrics.rs
@@ -3,7 +3,6 @@
 use std::collections::HashSet;
 use std::sync::Arc;
 
-use prometheus_client::encoding::EncodeLabelSet;
 use prometheus_client::encoding::text::encode;
 use prometheus_client::metrics::counter::Counter;
 use prometheus_client::metrics::family::Family;
@@ -11,21 +10,9 @@
 use prometheus_client::metrics::histogram::Histogram;
 use prometheus_client::registry::Registry;
 
-#[derive(Clone, Debug, PartialEq, Eq, Hash, EncodeLabelSet)]
-struct Reason {
-    reason: String,
-}
-
-#[derive(Clone, Debug, PartialEq, Eq, Hash, EncodeLabelSet)]
-struct CallLabels {
-    call: String,
-    outcome: String,
-}
-
-#[derive(Clone, Debug, PartialEq, Eq, Hash, EncodeLabelSet)]
-struct OrganisationLabel {
-    organisation: String,
-}
+use crate::metric_labels::CallLabels;
+use crate::metric_labels::OrganisationLabel;
+use crate::metric_labels::Reason;
 
 /// Maximum number of organisations with labels of their own, and the label of all others.
 const MAX_ORGANISATIONS: usize = 64;
--- a/crates/entry/src/request_dispatch.rs
+++ b/crates/entry/src/request_dispatch.rs
@@ -62,6 +62,26 @@
 /// faster than the queue at a preferred engine moves.
 const MIN_PREFIX_TOKENS: u32 = 1_000;
 
+/// Returns the refusal of a request by a VM that does not serve yet.
+fn not_ready_refusal(awaited: AwaitedEvidence) -> Refusal {
+    let (detail, retry_after_ms) = match awaited {
+        AwaitedEvidence::State => (
+            "this VM does not know its configuration yet",
+            RETRY_AFTER_MS,
+        ),
+        AwaitedEvidence::OtherVms => ("this VM does not know the other VMs yet", RETRY_AFTER_MS),
+        AwaitedEvidence::NewerVersion => (
+            "this VM waits for a newer configuration, which others have in force",
+            EVIDENCE_RETRY_AFTER_MS,
+        ),
+        AwaitedEvidence::Confirmation => (
+            "the store was rolled back, and this VM does not know which configuration is in force",
+            EVIDENCE_RETRY_AFTER_MS,
+        ),
+    };
+    Refusal::not_run(RefusalReason::NotReady, detail).retry_after(retry_after_ms)
+}
+
 impl Daemon {
     pub(crate) fn handle_serving_request(
         &mut self,
@@ -78,27 +98,7 @@
             }
         };
         if let Readiness::Waiting(awaited) = self.readiness() {
-            let (detail, retry_after_ms) = match awaited {
-                AwaitedEvidence::State => (
-                    "this VM does not know its configuration yet",
-                    RETRY_AFTER_MS,
-                ),
-                AwaitedEvidence::OtherVms => {
-                    ("this VM does not know the other VMs yet", RETRY_AFTER_MS)
-                }
-                AwaitedEvidence::NewerVersion => (
-                    "this VM waits for a newer configuration, which others have in force",
-                    EVIDENCE_RETRY_AFTER_MS,
-                ),
-                AwaitedEvidence::Confirmation => (
-                    "the store was rolled back, and this VM does not know yet which configuration \
-                     is in force",
-                    EVIDENCE_RETRY_AFTER_MS,
-                ),
-            };
-            let refusal =
-                Refusal::not_run(RefusalReason::NotReady, detail).retry_after(retry_after_ms);
-            self.refuse_new(token, &refusal, Some(&serving.id));
+            self.refuse_new(token, &not_ready_refusal(awaited), Some(&serving.id));
             return;
         }
         let Some(route) = self
@@ -225,18 +225,16 @@
     /// against it, regardless of messages of other VMs and of what the store contains.
     fn can_rely_on_keys(&self) -> bool {
         let is_good = |age_ms| age_ms <= self.settings.revoke_ms;
+        // What is read after a rollback confirms nothing that was too old before it.
+        let was_outdated = !self.configuration_evidence.is_known(self.now_ms)
+            && !self
+                .configuration_evidence
+                .age_at_rollback_ms()
+                .is_some_and(is_good);
         match self.store_pollers.outdated_for_ms(self.now_ms) {
             _ if !self.settings.fail_closed => true,
             Some(for_ms) => is_good(for_ms),
-            // What is read after a rollback confirms nothing that was too old before it.
-            None if !self.configuration_evidence.is_known(self.now_ms)
-                && !self
-                    .configuration_evidence
-                    .age_at_rollback_ms()
-                    .is_some_and(is_good) =>
-            {
-                false
-            }
+            None if was_outdated => false,
             None if self.sharing.is_following(self.now_ms) => true,
             None => self
                 .store_pollers
