Upstream connections: failures are counted by kind

Cause: the record of RECOVER does not tell a VM without a path from engines that are down. path_failures counts refused, not established, reset, closed and silent connections of one VM, so that a VM which alone has them stands out.

--- a/crates/entry/src/calls.rs
+++ b/crates/entry/src/calls.rs
@@ -291,6 +291,7 @@
     /// Ends a call whose connection failed or that has timed out.
     pub(crate) fn call_failed(&mut self, token: Token) {
         let received = self.call_answers.remove(&token);
+        self.count_path_failure(token);
         let Some(connection) = self.outbound.get_mut(token) else {
             return;
         };
--- a/crates/entry/src/failed_attempts.rs
+++ b/crates/entry/src/failed_attempts.rs
@@ -87,6 +87,7 @@
         } else {
             FailedAttempt::NotSent
         };
+        self.count_path_failure(token);
         if let Some(peer) = self.outbound.get_mut(token).map(|it| it.peer.clone()) {
             self.outbound.close(token, self.poll.registry());
             if let Peer::Upstream(upstream) = &peer {
@@ -106,6 +107,16 @@
         self.handle_failed_attempt(key, failed);
     }
 
+    /// Counts the failure of a connection, if it leads to an upstream.
+    pub(crate) fn count_path_failure(&mut self, token: Token) {
+        let now_ms = self.now_ms;
+        if let Some(connection) = self.outbound.get_mut(token)
+            && matches!(connection.peer, Peer::Upstream(_))
+        {
+            self.metrics.path_failure(connection.failure_kind(now_ms));
+        }
+    }
+
     /// Retries or ends a request whose attempt has failed.
     pub(crate) fn handle_failed_attempt(&mut self, key: u64, failed: FailedAttempt) {
         self.metrics.failed_attempt(failed.as_str());
--- a/crates/entry/src/metrics.rs
+++ b/crates/entry/src/metrics.rs
@@ -25,6 +25,7 @@
     requests: Family<Reason, Counter>,
     refusals: Family<Reason, Counter>,
     failed_attempts: Family<Reason, Counter>,
+    path_failures: Family<Reason, Counter>,
     mismatches: Family<Reason, Counter>,
     paused_answers: Counter,
     calls: Family<CallLabels, Counter>,
@@ -80,6 +81,7 @@
             requests: Family::default(),
             refusals: Family::default(),
             failed_attempts: Family::default(),
+            path_failures: Family::default(),
             mismatches: Family::default(),
             paused_answers: Counter::default(),
             calls: Family::default(),
@@ -140,6 +142,11 @@
             "Failed attempts by reason",
             self.failed_attempts.clone(),
         );
+        registry.register(
+            "path_failures",
+            "Failed connections of this VM to upstreams by kind",
+            self.path_failures.clone(),
+        );
         registry.register(
             "misfits",
             "Upstreams' answers that could not continue what the caller had received",
@@ -356,6 +363,11 @@
         count(&self.failed_attempts, reason);
     }
 
+    /// Counts a failed connection of this VM to an upstream.
+    pub fn path_failure(&self, kind: &str) {
+        count(&self.path_failures, kind);
+    }
+
     /// Counts a call by its outcome.
     pub fn call(&self, call: &str, outcome: &str) {
         count_outcome(&self.calls, call, outcome);
--- a/crates/entry/src/outbound.rs
+++ b/crates/entry/src/outbound.rs
@@ -151,6 +151,17 @@
         self.stream.refused || (late && self.stream.sent_bytes == 0)
     }
 
+    /// Returns in which way the connection failed, for metrics.
+    pub fn failure_kind(&self, now_ms: u64) -> &'static str {
+        match self.ended {
+            _ if self.stream.refused => "refused",
+            _ if self.is_unreachable(now_ms) => "not_established",
+            Some(ReadEnd::Broken) => "reset",
+            Some(_) => "closed",
+            None => "silent",
+        }
+    }
+
     /// Returns whether the other end closed or reset the connection.
     pub fn is_broken(&self) -> bool {
         self.ended.is_some()
