Stand-ins: the proxy, with faults for single clients; a VM's source address is a setting

So that a test or soak cuts one VM off from upstreams that others reach: on loopback the VMs get addresses of their own, and the proxy, moved here from the soak, tells clients by them. [vm] address sets the source of a VM's connections; left out, the system chooses as before.

--- a/crates/entry/src/daemon.rs
+++ b/crates/entry/src/daemon.rs
@@ -205,7 +205,7 @@
             hangup_signals,
             next_token: FIRST_CONNECTION_TOKEN,
             callers: HashMap::new(),
-            outbound: OutboundPool::default(),
+            outbound: OutboundPool::new(settings.address),
             active: ActiveRequests::default(),
             directory: Directory::new(DirectoryOptions::default()),
             dispatcher: Dispatcher::new(options),
--- a/crates/entry/src/outbound.rs
+++ b/crates/entry/src/outbound.rs
@@ -2,6 +2,7 @@
 
 use std::collections::HashMap;
 use std::io;
+use std::net::IpAddr;
 use std::net::SocketAddr;
 
 use apricotdale_core::names::UpstreamName;
@@ -258,11 +259,21 @@
     connections: HashMap<Token, Outbound>,
     /// Connections that are ready for another exchange, the most recently used last.
     idle: HashMap<Peer, Vec<Token>>,
+    /// Source address of the connections; none if the system chooses it.
+    source: Option<IpAddr>,
     /// Connections opened so far.
     pub opened: u64,
 }
 
 impl OutboundPool {
+    /// Returns an empty pool whose connections come from a source address, if one is given.
+    pub fn new(source: Option<IpAddr>) -> Self {
+        Self {
+            source,
+            ..Self::default()
+        }
+    }
+
     pub fn get_mut(&mut self, token: Token) -> Option<&mut Outbound> {
         self.connections.get_mut(&token)
     }
@@ -291,7 +302,7 @@
         registry: &Registry,
         token: Token,
     ) -> io::Result<()> {
-        let stream = Stream::connect(address, registry, token)?;
+        let stream = Stream::connect(self.source, address, registry, token)?;
         self.opened += 1;
         let connection = Outbound {
             stream,
--- a/crates/entry/src/settings.rs
+++ b/crates/entry/src/settings.rs
@@ -1,5 +1,6 @@
 //! Settings of an entry VM.
 
+use std::net::IpAddr;
 use std::net::SocketAddr;
 use std::ops::RangeInclusive;
 use std::path::Path;
@@ -29,6 +30,8 @@
     pub vm: VmName,
     /// Availability zone of the VM.
     pub zone: ZoneName,
+    /// Source address of the connections that this VM opens; none if the system chooses it.
+    pub address: Option<IpAddr>,
     /// Listening address for callers.
     pub callers: SocketAddr,
     /// Listening address for the balancer's readiness checks.
@@ -90,6 +93,10 @@
             path: path.to_owned(),
             vm: VmName::from(text(ini, "vm", "name")?),
             zone: ZoneName::from(text(ini, "vm", "availability_zone")?),
+            address: match ini_text(ini, "vm", "address") {
+                None => None,
+                Some(_) => Some(parsed(ini, "vm", "address", "an IP address")?),
+            },
             callers: address(ini, "callers", "listen")?,
             ready: address(ini, "callers", "ready")?,
             peers: address(ini, "peers", "listen")?,
--- a/crates/entry/src/stream.rs
+++ b/crates/entry/src/stream.rs
@@ -3,12 +3,16 @@
 use std::io;
 use std::io::Read;
 use std::io::Write;
+use std::net::IpAddr;
 use std::net::SocketAddr;
 
 use mio::Interest;
 use mio::Registry;
 use mio::Token;
 use mio::net::TcpStream;
+use socket2::Domain;
+use socket2::Socket;
+use socket2::Type;
 
 /// Maximum number of bytes read by one system call.
 const READ_CHUNK_BYTES: usize = 16 * 1024;
@@ -54,9 +58,19 @@
         })
     }
 
-    /// Starts opening a connection. Queued bytes are sent once it is established.
-    pub fn connect(address: SocketAddr, registry: &Registry, token: Token) -> io::Result<Self> {
-        Self::accepted(TcpStream::connect(address)?, registry, token)
+    /// Starts opening a connection, from a source address if one is given. Queued bytes are sent
+    /// once it is established.
+    pub fn connect(
+        source: Option<IpAddr>,
+        address: SocketAddr,
+        registry: &Registry,
+        token: Token,
+    ) -> io::Result<Self> {
+        let socket = match source {
+            None => TcpStream::connect(address)?,
+            Some(source) => connect_from(source, address)?,
+        };
+        Self::accepted(socket, registry, token)
     }
 
     /// Appends bytes to the write buffer without writing them.
@@ -133,6 +147,16 @@
     }
 }
 
+fn connect_from(source: IpAddr, address: SocketAddr) -> io::Result<TcpStream> {
+    let socket = Socket::new(Domain::for_address(address), Type::STREAM, None)?;
+    socket.set_nonblocking(true)?;
+    socket.bind(&SocketAddr::new(source, 0).into())?;
+    match socket.connect(&address.into()) {
+        Err(error) if error.raw_os_error() != Some(libc::EINPROGRESS) => Err(error),
+        _ => Ok(TcpStream::from_std(socket.into())),
+    }
+}
+
 /// Returns whether an operation should be retried later. Until a connection is established, the
 /// kernel may report that it is not connected.
 fn should_retry_later(error: &io::Error) -> bool {
--- a/crates/soak/src/draws.rs
+++ b/crates/soak/src/draws.rs
@@ -11,6 +11,7 @@
 use apricotdale_standins::platform::AnswerFault;
 use apricotdale_standins::platform::StoreFault;
 use apricotdale_standins::platform::StreamFault;
+use apricotdale_standins::proxy::LinkFault;
 
 use crate::fault::Trouble;
 use crate::keys::LIMITED_ORGANISATION;
@@ -19,7 +20,6 @@
 use crate::plan::CRASH_MARKS;
 use crate::plan::Crasher;
 use crate::plan::Planned;
-use crate::proxy::LinkFault;
 use crate::workload::MODELS;
 
 /// Time before the first fault, in which the VMs begin to serve.
--- a/crates/soak/src/engines.rs
+++ b/crates/soak/src/engines.rs
@@ -9,9 +9,9 @@
 use apricotdale_standins::platform::CrashTrigger;
 use apricotdale_standins::platform::EngineOptions;
 use apricotdale_standins::platform::Site;
+use apricotdale_standins::proxy::Proxy;
 
 use crate::plan::CRASH_MARKS;
-use crate::proxy::Proxy;
 use crate::record::Crash;
 use crate::record::Disturbance;
 use crate::record::Drain;
--- a/crates/soak/src/fault.rs
+++ b/crates/soak/src/fault.rs
@@ -2,8 +2,8 @@
 
 use apricotdale_standins::platform::AnswerFault;
 use apricotdale_standins::platform::StoreFault;
+use apricotdale_standins::proxy::LinkFault;
 
-use crate::proxy::LinkFault;
 use crate::record::KILL_ALL;
 use crate::record::Place;
 use crate::record::ROLLBACK;
--- a/crates/soak/src/world.rs
+++ b/crates/soak/src/world.rs
@@ -15,6 +15,8 @@
 use apricotdale_standins::platform::SiteOrganisation;
 use apricotdale_standins::platform::SiteRequest;
 use apricotdale_standins::platform::StoreFault;
+use apricotdale_standins::proxy::LinkFault;
+use apricotdale_standins::proxy::Proxy;
 use nix::sys::signal::Signal;
 use parking_lot::Mutex;
 
@@ -26,8 +28,6 @@
 use crate::keys::KEY_MARK;
 use crate::keys::Keys;
 use crate::keys::OrganisationChange;
-use crate::proxy::LinkFault;
-use crate::proxy::Proxy;
 use crate::record::ConfigurationProbe;
 use crate::record::Disturbance;
 use crate::record::Drain;
--- a/crates/standins/src/lib.rs
+++ b/crates/standins/src/lib.rs
@@ -10,6 +10,7 @@
 //! - [`service`] is one instance of a plain service,
 //! - [`weights`] is the weight store,
 //! - [`vm_list`] is the list of VMs, which is published with a lag,
+//! - [`proxy`] stands between processes and injects faults into their connections,
 //! - [`platform`] is the users' platform: its store, engines, plain services and callers, and entry
 //!   VMs as processes in front of them.
 
@@ -25,6 +26,7 @@
 pub mod log;
 pub mod platform;
 pub mod program;
+pub mod proxy;
 pub mod rate_limit;
 pub mod service;
 pub mod vm_list;
--- a/crates/standins/src/platform/vm.rs
+++ b/crates/standins/src/platform/vm.rs
@@ -4,6 +4,8 @@
 use std::io::BufRead;
 use std::io::BufReader;
 use std::io::Write;
+use std::net::IpAddr;
+use std::net::Ipv4Addr;
 use std::net::SocketAddr;
 use std::path::Path;
 use std::path::PathBuf;
@@ -39,10 +41,12 @@
     pub name: String,
     /// Availability zone of the VM, as its settings state it.
     pub zone: String,
+    /// Address of the VM's interface: it listens there, and its connections come from there.
+    pub address: IpAddr,
     /// Address of the store's endpoint.
     pub store: SocketAddr,
-    /// Address on which callers connect; with port 0 the system chooses one.
-    pub callers: SocketAddr,
+    /// Address on which callers connect; none for a port that the system chooses.
+    pub callers: Option<SocketAddr>,
     /// Maximum duration of a planned stop, in milliseconds.
     pub stop_ms: u64,
     /// Pause in milliseconds before the first order of a new lease holder, for engines that don't
@@ -61,8 +65,9 @@
             program: program.into(),
             name: name.to_owned(),
             zone: "zone-a".to_owned(),
+            address: IpAddr::V4(Ipv4Addr::LOCALHOST),
             store,
-            callers: SocketAddr::from(([127, 0, 0, 1], 0)),
+            callers: None,
             stop_ms: 8_000,
             order_pause_ms: 300,
             read_mb_per_s: 80.0,
@@ -71,16 +76,18 @@
     }
 
     fn settings(&self) -> String {
+        let any = SocketAddr::new(self.address, 0);
         format!(
-            "[vm]\nname = {}\navailability_zone = {}\n\
-             [callers]\nlisten = {}\nready = 127.0.0.1:0\n\
-             [peers]\nlisten = 127.0.0.1:0\n[metrics]\nlisten = 127.0.0.1:0\n\
+            "[vm]\nname = {}\navailability_zone = {}\naddress = {}\n\
+             [callers]\nlisten = {}\nready = {any}\n\
+             [peers]\nlisten = {any}\n[metrics]\nlisten = {any}\n\
              [store]\naddress = {}\nread_mb_per_s = {}\n\
              [bounds]\nstop_s = {}\nengines_check_fences = true\norder_pause_ms = {}\n\
              repeats_per_request = 0.2\nspare_repeats = 50\nrepeats_window_s = 10\n[log]\nlevel = info\n{}",
             self.name,
             self.zone,
-            self.callers,
+            self.address,
+            self.callers.unwrap_or(any),
             self.store,
             self.read_mb_per_s,
             self.stop_ms as f64 / 1_000.0,
--- a/crates/soak/src/proxy.rs
+++ b/crates/standins/src/proxy.rs
@@ -1,8 +1,10 @@
 //! TCP proxy on loopback that injects faults into the connections through it.
 
+use std::collections::HashMap;
 use std::io;
 use std::io::Read;
 use std::io::Write;
+use std::net::IpAddr;
 use std::net::Shutdown;
 use std::net::SocketAddr;
 use std::net::TcpListener;
@@ -72,13 +74,29 @@
     reset: AtomicBool,
     /// Number of directions that have not ended.
     directions: AtomicUsize,
+    /// Address of the client, by which faults of single clients apply.
+    client_address: Option<IpAddr>,
     client: TcpStream,
     server: TcpStream,
 }
 
+/// Fault of all connections, and those of the connections of single clients.
+#[derive(Default)]
+struct LinkFaults {
+    of_all: LinkFault,
+    by_client: HashMap<IpAddr, LinkFault>,
+}
+
+impl LinkFaults {
+    fn of(&self, client: Option<IpAddr>) -> LinkFault {
+        let own = client.and_then(|client| self.by_client.get(&client));
+        own.copied().unwrap_or(self.of_all)
+    }
+}
+
 #[derive(Default)]
 struct Shared {
-    fault: Mutex<LinkFault>,
+    faults: Mutex<LinkFaults>,
     changed: Condvar,
     target: Mutex<Option<SocketAddr>>,
     connections: Mutex<Vec<Arc<ProxiedConnection>>>,
@@ -165,7 +183,34 @@
     /// Sets what happens to bytes from now on. Bytes that were held back are forwarded when the
     /// fault ends.
     pub fn set_fault(&self, fault: LinkFault) {
-        *self.shared.fault.lock() = fault;
+        self.shared.faults.lock().of_all = fault;
+        self.shared.changed.notify_all();
+    }
+
+    /// Sets what happens to the bytes of one client's connections from now on, regardless of the
+    /// fault of all connections.
+    pub fn set_client_fault(&self, client: IpAddr, fault: LinkFault) {
+        self.shared.faults.lock().by_client.insert(client, fault);
+        self.shared.changed.notify_all();
+    }
+
+    /// Ends the fault of one client's connections.
+    pub fn clear_client_fault(&self, client: IpAddr) {
+        self.shared.faults.lock().by_client.remove(&client);
+        self.shared.changed.notify_all();
+    }
+
+    /// Resets the open connections of one client.
+    pub fn reset_client(&self, client: IpAddr) {
+        let mut connections = self.shared.connections.lock();
+        connections.retain(|connection| {
+            let is_other = connection.client_address != Some(client);
+            if !is_other {
+                connection.reset.store(true, Ordering::Release);
+                connection.close();
+            }
+            is_other
+        });
         self.shared.changed.notify_all();
     }
 
@@ -233,7 +278,8 @@
         if shared.stopped.load(Ordering::Acquire) || shared.down.load(Ordering::Acquire) {
             return;
         }
-        let is_refused = *shared.fault.lock() == LinkFault::Refused;
+        let from = client.peer_addr().ok().map(|address| address.ip());
+        let is_refused = shared.faults.lock().of(from) == LinkFault::Refused;
         let target = *shared.target.lock();
         let server = target
             .filter(|_| !is_refused)
@@ -260,6 +306,7 @@
         silent: AtomicBool::new(false),
         reset: AtomicBool::new(false),
         directions: AtomicUsize::new(2),
+        client_address: client.peer_addr().ok().map(|address| address.ip()),
         client,
         server,
     });
@@ -315,15 +362,16 @@
 }
 
 fn wait_while_faulty(connection: &ProxiedConnection, shared: &Shared, to_server: bool) {
-    let mut fault = shared.fault.lock();
-    if let LinkFault::Delayed { by_ms } = *fault {
+    let client = connection.client_address;
+    let mut faults = shared.faults.lock();
+    if let LinkFault::Delayed { by_ms } = faults.of(client) {
         let until = Instant::now() + Duration::from_millis(by_ms);
         while !connection.is_reset() && Instant::now() < until {
-            shared.changed.wait_until(&mut fault, until);
+            shared.changed.wait_until(&mut faults, until);
         }
     }
-    while fault.blocks(to_server) && !connection.is_reset() {
-        shared.changed.wait_for(&mut fault, RESET_POLL_INTERVAL);
+    while faults.of(client).blocks(to_server) && !connection.is_reset() {
+        shared.changed.wait_for(&mut faults, RESET_POLL_INTERVAL);
     }
 }
 
--- a/crates/soak/tests/proxy_faults.rs
+++ b/crates/standins/tests/proxy_faults.rs
@@ -8,8 +8,8 @@
 use std::thread;
 use std::time::Duration;
 
-use apricotdale_soak::LinkFault;
-use apricotdale_soak::Proxy;
+use apricotdale_standins::proxy::LinkFault;
+use apricotdale_standins::proxy::Proxy;
 use rstest::rstest;
 
 /// Time within which an expected byte must arrive.
