Upstreams without a path: connections are relayed through a VM that has one

Cause: whether an upstream is reached is a property of the pair of VM and upstream, and was kept as one of the upstream. Class: a VM judges an upstream, for itself and for all, by its own path.

A VM whose connection or probe fails asks other VMs which of these upstreams they reach; those answer by bytes of the last 250 ms or by a probe of their own. Connections are then opened through one of them, which connects to the upstream directly and passes bytes on unseen: the VM of the caller keeps all decisions, so that request ids, deadlines, attempts, budgets, keys and limits are as before, and no request is relayed twice. Nothing of a request leaves before the relay says that the upstream was reached; an end that the relay did not announce is a lost answer, never a complete one. Reading pauses while the other side is behind, a caller that leaves ends both halves, a relay that stops says so. Lost paths are probed and used again within a second.

What another VM can't reach is probed by each VM for itself before it is suspended (EngineUnresponsive names a pair). Failures of a lost path are not held against the upstream, nor is a refused connection a crash while another VM reaches it. Plain services are watched for silence too, by their health check.

Test: cut_vm_serves (two cases) and sound_vm_unaffected failed before, pass now.

--- a/crates/dispatch/src/dispatcher.rs
+++ b/crates/dispatch/src/dispatcher.rs
@@ -284,14 +284,7 @@
         self.loads.remove(upstream);
         self.suspensions.forget(upstream);
         self.stated_limits.forget(upstream);
-        for policy in self.routing.values_mut() {
-            policy.learn(
-                now_ms,
-                RoutingEvent::Removed {
-                    upstream: upstream.clone(),
-                },
-            );
-        }
+        self.forgive(now_ms, upstream);
     }
 
     /// Records that an upstream refused a connection and suspends it for a while. Returns whether
@@ -310,6 +303,28 @@
         self.suspensions.forget(upstream);
     }
 
+    /// Drops what is held against an upstream, because its failures were those of this VM's path.
+    pub fn forgive(&mut self, now_ms: u64, upstream: &UpstreamName) {
+        for policy in self.routing.values_mut() {
+            policy.learn(
+                now_ms,
+                RoutingEvent::Removed {
+                    upstream: upstream.clone(),
+                },
+            );
+        }
+    }
+
+    /// Returns the upstreams that could run a request, whether or not they are reached and free.
+    pub fn capable<'a>(
+        &self,
+        directory: &'a Directory,
+        job: &'a Job,
+    ) -> impl Iterator<Item = &'a Upstream> {
+        let serving = directory.serving(&job.service);
+        serving.filter(|upstream| can_run(upstream, job))
+    }
+
     /// Returns whether this VM sends an upstream nothing now because it is suspended.
     pub fn is_unreachable(&self, now_ms: u64, upstream: &UpstreamName) -> bool {
         self.suspensions.is_suspended(now_ms, upstream)
--- a/crates/dispatch/src/liveness.rs
+++ b/crates/dispatch/src/liveness.rs
@@ -108,12 +108,6 @@
         }
     }
 
-    /// Returns when data last came from an engine, or `None` if no request is in progress there.
-    pub fn heard_ms(&self, engine: &UpstreamName) -> Option<u64> {
-        let state = self.by_name.get(engine)?;
-        (state.in_progress > 0).then_some(state.last_data_ms)
-    }
-
     /// Returns whether an engine is unresponsive according to this VM's probes.
     pub fn is_unresponsive(&self, engine: &UpstreamName) -> bool {
         self.by_name
--- a/crates/dispatch/tests/support/mod.rs
+++ b/crates/dispatch/tests/support/mod.rs
@@ -55,6 +55,7 @@
             Arc::new(Service {
                 name,
                 max_connections: 100,
+                health_path: None,
                 engine,
             }),
         )
--- a/crates/entry/src/calls.rs
+++ b/crates/entry/src/calls.rs
@@ -3,6 +3,7 @@
 use std::net::SocketAddr;
 
 use apricotdale_core::names::UpstreamName;
+use apricotdale_core::names::VmName;
 use apricotdale_holder::OrderKind;
 use apricotdale_http1::ResponseHead;
 use mio::Token;
@@ -50,6 +51,8 @@
     Report(UpstreamName),
     /// Probes an engine from which nothing has come for too long, by reading its report.
     Probe(UpstreamName),
+    /// Probes the direct path to an upstream, in the same ways.
+    PathProbe(UpstreamName),
     /// Probes an upstream that broke a connection, by reading an engine's report or only
     /// connecting.
     UpstreamProbe(UpstreamName),
@@ -76,6 +79,7 @@
             Self::Order(..) => "order",
             Self::Report(_) => "report",
             Self::Probe(_) => "look",
+            Self::PathProbe(_) => "path_probe",
             Self::UpstreamProbe(_) => "recheck",
             Self::BlocksNewest => "blocks_newest",
             Self::BlocksAppend => "blocks_append",
@@ -86,7 +90,11 @@
     pub fn targets_store(&self) -> bool {
         !matches!(
             self,
-            Self::Order(..) | Self::Report(_) | Self::Probe(_) | Self::UpstreamProbe(_)
+            Self::Order(..)
+                | Self::Report(_)
+                | Self::Probe(_)
+                | Self::PathProbe(_)
+                | Self::UpstreamProbe(_)
         )
     }
 
@@ -169,6 +177,38 @@
         }
     }
 
+    /// Begins a call on a direct connection. An engine counts orders as those of the VM that they come
+    /// from.
+    pub(crate) fn call_directly(
+        &mut self,
+        peer: Peer,
+        address: SocketAddr,
+        tag: CallTag,
+        bytes: &[u8],
+        timeout_ms: u64,
+    ) {
+        let idle = self.outbound.take_idle_direct(self.now_ms, &peer);
+        match idle.or_else(|| self.open_by_way(&peer, address, None)) {
+            Some(token) => self.call_on(token, tag, bytes, timeout_ms),
+            None => self.finish_call(tag, CallOutcome::NotSent),
+        }
+    }
+
+    /// Begins a call on a new direct connection, even if there are idle ones.
+    pub(crate) fn call_on_direct_connection(
+        &mut self,
+        peer: Peer,
+        address: SocketAddr,
+        tag: CallTag,
+        bytes: &[u8],
+        timeout_ms: u64,
+    ) {
+        match self.open_by_way(&peer, address, None) {
+            Some(token) => self.call_on(token, tag, bytes, timeout_ms),
+            None => self.finish_call(tag, CallOutcome::NotSent),
+        }
+    }
+
     /// Begins a call on a new connection, even if there are idle ones.
     pub(crate) fn call_on_new_connection(
         &mut self,
@@ -195,6 +235,7 @@
         connection.request_era = self.store_era.now();
         self.next_call_timeout_ms = self.next_call_timeout_ms.min(now_ms + timeout_ms);
         if !connection.stream.flush() {
+            connection.record_write_failure();
             self.call_failed(token);
         }
     }
@@ -207,13 +248,31 @@
         self.open(peer, address)
     }
 
+    /// Opens a connection: directly, or through another VM while the direct path is lost.
     fn open(&mut self, peer: &Peer, address: SocketAddr) -> Option<Token> {
+        let relay = match peer {
+            Peer::Store => None,
+            Peer::Upstream(upstream) => self.paths.relay(self.now_ms, upstream),
+        };
+        let relay = relay.and_then(|vm| Some((self.peers.address_of(&vm)?, vm)));
+        match relay {
+            Some((relay_address, vm)) => self.open_by_way(peer, relay_address, Some(vm)),
+            None => self.open_by_way(peer, address, None),
+        }
+    }
+
+    fn open_by_way(
+        &mut self,
+        peer: &Peer,
+        address: SocketAddr,
+        relay: Option<VmName>,
+    ) -> Option<Token> {
         let token = self.new_token();
         let now_ms = self.now_ms;
         let registry = self.poll.registry();
         let opened = self
             .outbound
-            .open(now_ms, peer.clone(), address, registry, token);
+            .open(now_ms, peer.clone(), address, relay, registry, token);
         opened.ok().map(|()| token)
     }
 
@@ -250,16 +309,27 @@
                 Part::End => {
                     let purpose = connection.purpose.clone();
                     let request_era = connection.request_era;
+                    let is_direct = connection.relayed_by.is_none();
+                    let opened_ms = connection.opened_ms;
                     let answer = self.call_answers.remove(&token);
                     self.outbound
                         .release(self.now_ms, token, self.poll.registry());
+                    if let (
+                        true,
+                        Purpose::Call(CallTag::Probe(upstream) | CallTag::PathProbe(upstream)),
+                    ) = (is_direct, &purpose)
+                    {
+                        self.path_probe_ended(opened_ms, upstream, Ok(()));
+                    }
                     if let (Purpose::Call(tag), Some(answer)) = (purpose, answer) {
                         let outcome = self.era_checked_outcome(&tag, request_era, answer);
                         self.finish_call(tag, outcome);
                     }
                     return;
                 }
-                Part::Wait if connection.has_more() => connection.read(now_ms),
+                Part::Wait if connection.has_more() => {
+                    connection.read(now_ms);
+                }
                 Part::Wait => return,
                 Part::Failed => {
                     self.call_failed(token);
@@ -291,13 +361,17 @@
     /// Ends a call whose connection failed or that has timed out.
     pub(crate) fn call_failed(&mut self, token: Token) {
         let received = self.call_answers.remove(&token);
-        self.count_path_failure(token);
+        self.record_failed_connection(token);
         let Some(connection) = self.outbound.get_mut(token) else {
             return;
         };
-        let sent = connection.stream.sent_bytes > 0;
-        let unreachable = connection.is_unreachable(self.now_ms);
-        let refused = connection.stream.refused;
+        let sent = connection.has_sent();
+        let is_direct = connection.relayed_by.is_none();
+        let opened_ms = connection.opened_ms;
+        let unreachable = is_direct && connection.is_unreachable(self.now_ms);
+        let refused = is_direct && connection.stream.refused;
+        let has_only_connected = connection.has_only_connected();
+        let probe_failure = connection.probe_failure(self.now_ms);
         let timed_out = connection
             .call_until_ms
             .is_some_and(|until_ms| until_ms <= self.now_ms);
@@ -305,20 +379,36 @@
         let purpose = self.outbound.close(token, self.poll.registry());
         // Several connections to a peer can fall silent together without a reset: the next call
         // must not wait on another silent one.
-        self.outbound.close_idle(&peer, self.poll.registry());
+        if !refused {
+            self.outbound
+                .close_idle_by_way(&peer, !is_direct, self.poll.registry());
+        }
         match &peer {
             Peer::Upstream(upstream) if unreachable => {
                 self.handle_unreachable_upstream(upstream);
                 if refused {
-                    self.handle_upstream_end(upstream);
+                    self.suspect_upstream_end(upstream);
                 }
             }
             _ => {}
         }
-        if let Some(Purpose::Call(CallTag::Probe(engine))) = &purpose {
-            self.metrics
-                .call("look", if timed_out { "silent" } else { "reset" });
-            self.probe_ended(engine, !timed_out);
+        if let Some(Purpose::Call(CallTag::Probe(upstream) | CallTag::PathProbe(upstream))) =
+            &purpose
+        {
+            let outcome = match has_only_connected {
+                true => Ok(()),
+                false => Err(probe_failure),
+            };
+            let is_path_probe = matches!(purpose, Some(Purpose::Call(CallTag::PathProbe(_))));
+            if is_direct {
+                self.path_probe_ended(opened_ms, upstream, outcome);
+            }
+            if !is_path_probe {
+                let is_silent = timed_out && outcome.is_err();
+                self.metrics
+                    .call("look", if is_silent { "silent" } else { "reset" });
+                self.probe_ended(upstream, !is_silent);
+            }
         } else if let Some(Purpose::Call(tag)) = purpose {
             if let Some(answer) = received.filter(|_| tag.targets_store()) {
                 self.metrics.discarded_read(tag.as_str(), answer.body.len());
@@ -355,7 +445,8 @@
         match tag {
             CallTag::Order(engine, kind) => self.order_ended(&engine, &kind, outcome),
             CallTag::Report(engine) => self.report_ended(&engine, outcome),
-            CallTag::Probe(engine) => self.probe_ended(&engine, true),
+            CallTag::Probe(upstream) => self.probe_ended(&upstream, true),
+            CallTag::PathProbe(_) => {}
             CallTag::UpstreamProbe(upstream) => self.handle_crash_probe(&upstream, &outcome),
             CallTag::BlocksNewest => self.handle_blocks_page(outcome),
             CallTag::BlocksAppend => self.finish_blocks_write(outcome),
--- a/crates/entry/src/codec.rs
+++ b/crates/entry/src/codec.rs
@@ -291,6 +291,9 @@
     /// Decodes the answer to an order.
     fn order_answer(&self, order: &OrderKind, status: u16, body: &[u8]) -> OrderOutcome;
 
+    /// Encodes the call that asks the upstream with this instance name whether it is healthy.
+    fn health(&self, path: &str, instance: &InstanceName) -> Vec<u8>;
+
     /// Encodes the call that reads the report of the engine with this instance name.
     fn report(&self, instance: &InstanceName) -> Vec<u8>;
 
--- a/crates/entry/src/connections.rs
+++ b/crates/entry/src/connections.rs
@@ -153,6 +153,7 @@
             .set(self.log_budget.dropped_lines as i64);
         self.update_quarantine_gauges();
         self.update_configuration_gauges();
+        self.update_path_gauges();
         let text = self.metrics.render();
         self.answer_text(token, 200, &text);
     }
--- a/crates/entry/src/daemon.rs
+++ b/crates/entry/src/daemon.rs
@@ -19,6 +19,8 @@
 use apricotdale_fleet::ReadPacing;
 use apricotdale_fleet::ReadSharing;
 use apricotdale_holder::LocalDemand;
+use apricotdale_paths::Options as PathOptions;
+use apricotdale_paths::Paths;
 use apricotdale_quarantine::CrashWatch;
 use apricotdale_quarantine::Options as QuarantineOptions;
 use mio::Events;
@@ -37,6 +39,7 @@
 use crate::caller::Caller;
 use crate::caller::CallerKind;
 use crate::calls::CallAnswer;
+use crate::calls::CallTag;
 use crate::clock;
 use crate::clock::now_ms;
 use crate::codec::Codecs;
@@ -46,29 +49,36 @@
 use crate::lifecycle::PlannedStop;
 use crate::limits::Limits;
 use crate::log_budget::LogBudget;
+use crate::loop_load::LoopLoad;
 use crate::messages::VmRecord;
 use crate::metrics::EntryMetrics;
 use crate::outbound::OutboundPool;
 use crate::outbound::Peer;
 use crate::outbound::Purpose;
 use crate::peers::Peers;
+use crate::relay::RelayedConnections;
 use crate::residence_updates::ResidenceUpdates;
 use crate::settings::Settings;
 use crate::store_era::StoreEra;
 use crate::store_pollers::StorePollers;
 use crate::stream::Stream;
+use crate::upstream_paths::PathWork;
 use crate::upstream_permits::UpstreamPermits;
 
-/// Tokens of the event loop: three listeners, the socket for messages of other VMs, and two pipes
-/// that signals are written to. Tokens of connections follow.
+/// Tokens of the event loop: three listeners, the socket for messages of other VMs, two pipes that
+/// signals are written to, and the listener for connections to relay. Tokens of connections follow.
 const CALLERS: Token = Token(0);
 const READY: Token = Token(1);
 const METRICS: Token = Token(2);
 const PEERS: Token = Token(3);
 const STOP: Token = Token(4);
 const HANGUP: Token = Token(5);
+const RELAY: Token = Token(6);
 const FIRST_CONNECTION_TOKEN: usize = 16;
 
+/// Number of ports that are tried for messages of other VMs if the system chooses one.
+const PEER_PORT_ATTEMPTS: u32 = 16;
+
 /// Maximum number of readiness events that one iteration of the loop handles.
 const MAX_EVENTS: usize = 512;
 
@@ -111,6 +121,12 @@
     pub(crate) dispatcher: Dispatcher,
     /// Watches engines with requests in progress for silence, and decides when they are probed.
     pub(crate) watch: LivenessMonitor,
+    /// Which upstreams this VM reaches itself, and which through another VM.
+    pub(crate) paths: Paths,
+    pub(crate) path_work: PathWork,
+    pub(crate) relay_listener: TcpListener,
+    pub(crate) relayed: RelayedConnections,
+    pub(crate) loop_load: LoopLoad,
     pub(crate) crash_watch: CrashWatch,
     pub(crate) block_store: BlockStore,
     pub(crate) limits: Limits,
@@ -170,15 +186,12 @@
                 .register(&mut listener, token, Interest::READABLE)?;
             listeners.insert(token, (listener, kind));
         }
-        let peers = settings.peers;
-        let listen_error = |source| Error::Listen {
-            address: peers,
-            source,
-        };
-        let mut socket = UdpSocket::bind(peers).map_err(listen_error)?;
+        let (mut socket, mut relay_listener) = bind_for_peers(settings.peers)?;
         settings.peers = socket.local_addr()?;
         poll.registry()
             .register(&mut socket, PEERS, Interest::READABLE)?;
+        poll.registry()
+            .register(&mut relay_listener, RELAY, Interest::READABLE)?;
         let stop_signals = signal_pipe(&poll, STOP, &[SIGTERM, SIGINT])?;
         let hangup_signals = signal_pipe(&poll, HANGUP, &[SIGHUP])?;
         let mut options = DispatcherOptions::new(incarnation, settings.zone.clone());
@@ -210,6 +223,11 @@
             directory: Directory::new(DirectoryOptions::default()),
             dispatcher: Dispatcher::new(options),
             watch: LivenessMonitor::default(),
+            paths: Paths::new(PathOptions::new(incarnation, settings.zone.clone())),
+            path_work: PathWork::default(),
+            relay_listener,
+            relayed: RelayedConnections::default(),
+            loop_load: LoopLoad::default(),
             crash_watch,
             block_store: BlockStore::default(),
             limits: Limits::new(incarnation, settings.limit_bounds),
@@ -258,6 +276,7 @@
                 Err(error) if error.kind() == io::ErrorKind::Interrupted => {}
                 Err(error) => return Err(error.into()),
             }
+            self.loop_load.begin_work();
             self.check_for_pause(sleep_ms);
             let ready: Vec<(Token, bool)> = events
                 .iter()
@@ -270,6 +289,7 @@
                 self.receive_peer_messages();
             }
             self.work();
+            self.loop_load.end_work();
         }
         self.log_end();
         Ok(())
@@ -282,6 +302,7 @@
         let late_ms = self.now_ms.saturating_sub(slept_from_ms + sleep_ms);
         if late_ms >= SHORTEST_PAUSE_MS {
             self.watch.process_paused(self.now_ms);
+            self.paths.process_paused(self.now_ms);
         }
         if late_ms >= LOGGED_PAUSE_MS {
             self.metrics.process_paused();
@@ -307,6 +328,8 @@
         self.advance_engine_orders();
         self.advance_peers();
         self.advance_watch();
+        self.advance_paths();
+        self.advance_all_relayed();
         self.advance_crash_watch();
         self.advance_limits();
         self.advance_upstream_permits();
@@ -330,6 +353,8 @@
             self.engine_orders.next_ms(),
             self.peers.next_ms(),
             self.watch.next_ms(),
+            self.next_path_work_ms(),
+            self.relayed.next_ms(),
             self.crash_watch.next_ms(),
             self.limits.next_ms(),
             self.upstream_permits.next_ms(),
@@ -344,10 +369,12 @@
         match token {
             CALLERS | READY | METRICS => self.accept(token),
             PEERS => self.receive_peer_messages(),
+            RELAY => self.accept_relays(),
             STOP if drain_pipe(&mut self.stop_signals) => self.begin_stop(),
             HANGUP if drain_pipe(&mut self.hangup_signals) => self.reload(),
             STOP | HANGUP => {}
             token if self.callers.contains_key(&token) => self.serve_caller(token),
+            token if self.relayed.contains(token) => self.advance_relayed(token),
             token => self.handle_outbound_event(token, writable),
         }
     }
@@ -359,7 +386,7 @@
             };
             let kind = *kind;
             match listener.accept() {
-                Ok((socket, from)) if self.callers.len() < MAX_CALLERS => {
+                Ok((socket, from)) if self.callers.len() + 2 * self.relayed.len() < MAX_CALLERS => {
                     let token = self.new_token();
                     match Stream::accepted(socket, self.poll.registry(), token) {
                         Ok(stream) => {
@@ -385,6 +412,21 @@
         }
     }
 
+    /// Accepts connections of other VMs that want them relayed.
+    fn accept_relays(&mut self) {
+        loop {
+            match self.relay_listener.accept() {
+                Ok((socket, from)) => self.accept_relayed(socket, from.ip()),
+                Err(error) if error.kind() == io::ErrorKind::Interrupted => {}
+                Err(error) if error.kind() == io::ErrorKind::WouldBlock => return,
+                Err(error) => {
+                    log::warn!(reason = error.to_string(); "connection can't be accepted");
+                    return;
+                }
+            }
+        }
+    }
+
     pub(crate) fn new_token(&mut self) -> Token {
         let token = Token(self.next_token);
         self.next_token += 1;
@@ -399,13 +441,17 @@
         };
         let is_open = !writable || connection.stream.flush();
         if !connection.paused {
-            connection.read(now_ms);
-            if let (Peer::Upstream(engine), true) =
-                (&connection.peer, connection.last_received_ms == now_ms)
-            {
-                self.watch.heard(now_ms, engine);
+            let has_received = connection.read(now_ms);
+            if !is_open {
+                connection.record_write_failure();
+            }
+            if let (Peer::Upstream(upstream), true) = (connection.peer.clone(), has_received) {
+                self.record_received(token, &upstream);
             }
         }
+        let Some(connection) = self.outbound.get_mut(token) else {
+            return;
+        };
         match connection.purpose.clone() {
             Purpose::Idle => {
                 // An idle connection that is readable was closed or carries bytes of no request.
@@ -414,6 +460,10 @@
                 }
             }
             Purpose::Call(_) if !is_open => self.call_failed(token),
+            Purpose::Call(CallTag::Probe(_) | CallTag::PathProbe(_)) => {
+                self.shorten_connect_probe(token);
+                self.advance_call(token);
+            }
             Purpose::Call(_) => self.advance_call(token),
             Purpose::Proxy(key) => self.advance_proxied_answer(token, key, is_open),
             Purpose::Drain => self.advance_drain(token),
@@ -457,6 +507,25 @@
     }
 }
 
+/// Returns the socket for messages of other VMs and the listener for connections to relay, which have
+/// the same address. Port 0 stands for any port that is free for both.
+fn bind_for_peers(address: SocketAddr) -> Result<(UdpSocket, TcpListener)> {
+    let listen_error = |source| Error::Listen { address, source };
+    let mut attempts = match address.port() {
+        0 => PEER_PORT_ATTEMPTS,
+        _ => 1,
+    };
+    loop {
+        attempts -= 1;
+        let listener = TcpListener::bind(address).map_err(listen_error)?;
+        match UdpSocket::bind(listener.local_addr()?) {
+            Ok(socket) => return Ok((socket, listener)),
+            Err(error) if attempts == 0 => return Err(listen_error(error)),
+            Err(_) => {}
+        }
+    }
+}
+
 fn bind(address: SocketAddr) -> Result<TcpListener> {
     TcpListener::bind(address).map_err(|source| Error::Listen { address, source })
 }
--- a/crates/entry/src/engine_orders/engine_calls.rs
+++ b/crates/entry/src/engine_orders/engine_calls.rs
@@ -43,7 +43,7 @@
         };
         let bytes = self.codecs.engines.order(&order);
         let peer = Peer::Upstream(engine.clone());
-        self.call(
+        self.call_directly(
             peer,
             address,
             CallTag::Order(engine, kind),
--- a/crates/entry/src/engine_probes.rs
+++ b/crates/entry/src/engine_probes.rs
@@ -8,18 +8,10 @@
 use crate::messages::PeerMessage;
 use crate::outbound::Peer;
 
-/// Time limit for the answer to a probe. An engine answers within a round trip and the opening of a
-/// connection, about 5 ms, regardless of its work.
-const PROBE_TIMEOUT_MS: u64 = 150;
-
 /// How long an unresponsive engine receives no requests unless another probe fails. Probes are
 /// repeated every 300 ms.
 const SUSPENSION_MS: u64 = 2_000;
 
-/// How recently an engine must have sent bytes to this VM for another VM's failed probe to be
-/// ignored.
-const RECENTLY_RECEIVED_MS: u64 = 200;
-
 impl Daemon {
     /// Probes the engines that have been silent for too long.
     pub(crate) fn advance_watch(&mut self) {
@@ -30,7 +22,7 @@
             match self.directory.upstream(&engine) {
                 Some(upstream) => {
                     let address = upstream.address;
-                    let bytes = self.codecs.engines.report(&upstream.instance);
+                    let (bytes, timeout_ms) = self.path_probe(upstream);
                     let peer = Peer::Upstream(engine.clone());
                     // An idle connection may be broken without a reset while the engine is
                     // responsive.
@@ -39,7 +31,7 @@
                         address,
                         CallTag::Probe(engine),
                         &bytes,
-                        PROBE_TIMEOUT_MS,
+                        timeout_ms,
                     );
                 }
                 None => self.watch.removed(&engine),
@@ -66,22 +58,14 @@
         }
     }
 
-    /// Handles another VM's failed probe. If this VM has recently received bytes from the engine,
-    /// the fault lies between the engine and that VM.
-    pub(crate) fn handle_peer_probe_failure(&mut self, engine: &UpstreamName) {
-        let last_received_ms = self.watch.heard_ms(engine);
-        let received_recently =
-            last_received_ms.is_some_and(|at_ms| self.now_ms < at_ms + RECENTLY_RECEIVED_MS);
-        if !received_recently && self.directory.upstream(engine).is_some() {
-            self.suspend_engine(engine, "told");
-        }
-    }
-
     /// Sends no more requests to an unresponsive engine for a while. Requests in progress stay
     /// there: an engine that does not answer may be slow and still at work. When requests were
     /// moved away from such engines and then found no free slot, they ended in the middle of their
     /// answers.
-    fn suspend_engine(&mut self, engine: &UpstreamName, how: &str) {
+    pub(crate) fn suspend_engine(&mut self, engine: &UpstreamName, how: &str) {
+        if self.paths.is_relayed(engine) {
+            return;
+        }
         let until_ms = self.now_ms + SUSPENSION_MS;
         if self.dispatcher.suspend(self.now_ms, engine, until_ms) {
             self.metrics.unresponsive_engine();
--- a/crates/entry/src/failed_attempts.rs
+++ b/crates/entry/src/failed_attempts.rs
@@ -34,9 +34,7 @@
             ..
         } = &request.phase
         {
-            if request.job.wanted.is_some() {
-                self.watch.ended(upstream);
-            }
+            self.watch.ended(upstream);
             let took_ms = first_byte_ms.map(|first_ms| first_ms - at_ms);
             self.dispatcher.ended(
                 self.now_ms,
@@ -65,15 +63,16 @@
     }
 
     pub(crate) fn handle_failed_connection(&mut self, token: Token, key: u64) {
-        let sent = self
+        let sent = self.outbound.get_mut(token).is_some_and(|it| it.has_sent());
+        let now_ms = self.now_ms;
+        let is_direct = self
             .outbound
             .get_mut(token)
-            .is_some_and(|it| it.stream.sent_bytes > 0);
-        let now_ms = self.now_ms;
+            .is_some_and(|it| it.relayed_by.is_none());
         let unreachable = self
             .outbound
             .get_mut(token)
-            .is_some_and(|it| it.is_unreachable(now_ms));
+            .is_some_and(|it| it.is_unreachable(now_ms) && it.relayed_by.is_none());
         let broken = self
             .outbound
             .get_mut(token)
@@ -81,18 +80,21 @@
         let refused = self
             .outbound
             .get_mut(token)
-            .is_some_and(|it| it.stream.refused);
+            .is_some_and(|it| it.stream.refused && it.relayed_by.is_none());
         let failed = if sent {
             FailedAttempt::Lost
         } else {
             FailedAttempt::NotSent
         };
-        self.count_path_failure(token);
+        self.record_failed_connection(token);
         if let Some(peer) = self.outbound.get_mut(token).map(|it| it.peer.clone()) {
             self.outbound.close(token, self.poll.registry());
             if let Peer::Upstream(upstream) = &peer {
-                // Other idle connections to the upstream have probably failed too.
-                self.outbound.close_idle(&peer, self.poll.registry());
+                // Other idle connections have probably failed too, unless only new ones are refused.
+                if !refused {
+                    self.outbound
+                        .close_idle_by_way(&peer, !is_direct, self.poll.registry());
+                }
                 if sent && broken {
                     self.record_lost_request(upstream, key);
                 }
@@ -100,23 +102,13 @@
                     self.handle_unreachable_upstream(upstream);
                 }
                 if refused {
-                    self.handle_upstream_end(upstream);
+                    self.suspect_upstream_end(upstream);
                 }
             }
         }
         self.handle_failed_attempt(key, failed);
     }
 
-    /// Counts the failure of a connection, if it leads to an upstream.
-    pub(crate) fn count_path_failure(&mut self, token: Token) {
-        let now_ms = self.now_ms;
-        if let Some(connection) = self.outbound.get_mut(token)
-            && matches!(connection.peer, Peer::Upstream(_))
-        {
-            self.metrics.path_failure(connection.failure_kind(now_ms));
-        }
-    }
-
     /// Retries or ends a request whose attempt has failed.
     pub(crate) fn handle_failed_attempt(&mut self, key: u64, failed: FailedAttempt) {
         self.metrics.failed_attempt(failed.as_str());
@@ -157,6 +149,9 @@
 
     /// Handles that an upstream refused a connection or did not accept one in time.
     pub(crate) fn handle_unreachable_upstream(&mut self, upstream: &UpstreamName) {
+        if self.paths.is_relayed(upstream) {
+            return;
+        }
         if self.dispatcher.record_unreachable(self.now_ms, upstream) {
             log::info!(upstream = upstream.to_string(); "upstream is unreachable");
             self.redispatch_needed = true;
--- a/crates/entry/src/lifecycle.rs
+++ b/crates/entry/src/lifecycle.rs
@@ -99,13 +99,14 @@
         log::info!(requests = self.active.len(); "planned stop begins");
         self.release_lease();
         self.peers.send_goodbye();
+        self.announce_relay_stop();
     }
 
     /// Returns whether a planned stop is complete.
     pub(crate) fn is_stopped(&self) -> bool {
         self.planned_stop.is_done(self.now_ms, || {
             let mut callers = self.callers.values();
-            self.active.len() > 0 || callers.any(Caller::has_unwritten)
+            self.active.len() > 0 || self.relayed.len() > 0 || callers.any(Caller::has_unwritten)
         })
     }
 
--- a/crates/entry/src/messages.rs
+++ b/crates/entry/src/messages.rs
@@ -11,6 +11,7 @@
 use apricotdale_fleet::Upstream;
 use apricotdale_holder::DemandRow;
 use apricotdale_holder::ResidenceUpdate;
+use apricotdale_paths::PathAnswer;
 use apricotdale_quarantine::BlockRow;
 use apricotdale_quarantine::CrashReport;
 use apricotdale_quarantine::Fingerprint;
@@ -75,9 +76,9 @@
         engine: UpstreamName,
         model: ModelName,
     },
-    /// An engine with requests in progress does not answer.
+    /// An upstream with requests in progress does not answer the sender. It may answer others.
     EngineUnresponsive(UpstreamName),
-    /// An engine that did not answer does so again.
+    /// An upstream that did not answer the sender does so again.
     EngineResponsive(UpstreamName),
     /// The lease holder has released the lease.
     Released {
@@ -135,6 +136,13 @@
         /// Age of the sender's evidence.
         age_ms: u64,
     },
+    /// Asks which of these upstreams a VM reaches, since the sender does not.
+    PathQuery {
+        from: VmRecord,
+        upstreams: Vec<UpstreamName>,
+    },
+    /// States which upstreams the sender reaches.
+    PathAnswer { from: VmRecord, answer: PathAnswer },
 }
 
 /// First byte of each message. It changes with the format of what follows, so that VMs of different
--- a/crates/entry/src/metrics.rs
+++ b/crates/entry/src/metrics.rs
@@ -56,6 +56,10 @@
     pub store_loads: Gauge,
     pub store_loads_allowed: Gauge,
     pub limited_upstreams: Gauge,
+    pub lost_paths: Gauge,
+    pub relayed_paths: Gauge,
+    pub relayed_connections: Gauge,
+    relays: Family<Reason, Counter>,
     pub configuration_version: Gauge,
     pub newest_configuration_version: Gauge,
     pub configuration_outdated_ms: Gauge,
@@ -112,6 +116,10 @@
             store_loads: Gauge::default(),
             store_loads_allowed: Gauge::default(),
             limited_upstreams: Gauge::default(),
+            lost_paths: Gauge::default(),
+            relayed_paths: Gauge::default(),
+            relayed_connections: Gauge::default(),
+            relays: Family::default(),
             configuration_version: Gauge::default(),
             newest_configuration_version: Gauge::default(),
             configuration_outdated_ms: Gauge::default(),
@@ -257,6 +265,26 @@
             "Upstreams that state a rate limit",
             self.limited_upstreams.clone(),
         );
+        registry.register(
+            "lost_paths",
+            "Upstreams that this VM does not reach directly",
+            self.lost_paths.clone(),
+        );
+        registry.register(
+            "relayed_paths",
+            "Upstreams of these that this VM reaches through another VM",
+            self.relayed_paths.clone(),
+        );
+        registry.register(
+            "relayed_connections",
+            "Connections that this VM relays for others",
+            self.relayed_connections.clone(),
+        );
+        registry.register(
+            "relays",
+            "Connections that other VMs wanted relayed, by what became of them",
+            self.relays.clone(),
+        );
         registry.register(
             "upstream_permits",
             "Permits for upstreams that state a rate limit, by what became of the request for one",
@@ -368,6 +396,11 @@
         count(&self.path_failures, kind);
     }
 
+    /// Counts a connection that another VM wants relayed, by what became of it.
+    pub fn relay(&self, outcome: &str) {
+        count(&self.relays, outcome);
+    }
+
     /// Counts a call by its outcome.
     pub fn call(&self, call: &str, outcome: &str) {
         count_outcome(&self.calls, call, outcome);
--- a/crates/entry/src/outbound.rs
+++ b/crates/entry/src/outbound.rs
@@ -6,9 +6,14 @@
 use std::net::SocketAddr;
 
 use apricotdale_core::names::UpstreamName;
+use apricotdale_core::names::VmName;
 use apricotdale_http1::BodyDecoder;
 use apricotdale_http1::ResponseHead;
 use apricotdale_http1::parse_response_head;
+use apricotdale_paths::PathFailure;
+use apricotdale_paths::RelayPhase;
+use apricotdale_paths::RelayReader;
+use apricotdale_paths::relay_request;
 use mio::Registry;
 use mio::Token;
 
@@ -81,12 +86,47 @@
     Failed,
 }
 
+/// Connection that another VM relays.
+#[derive(Debug)]
+pub(crate) struct RelayedBy {
+    pub vm: VmName,
+    reader: RelayReader,
+    /// Bytes of the first exchange, which are sent once the relay has reached the upstream: until
+    /// then the upstream certainly has none of them.
+    held_back: Vec<u8>,
+    /// Bytes as received, before they are decoded.
+    received: Vec<u8>,
+}
+
+/// How a connection to an upstream failed, and on which part of the way.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub(crate) enum FailedPath {
+    /// The direct path does not take new connections.
+    Direct(PathFailure),
+    /// An open direct connection was reset.
+    DirectBroken,
+    /// The VM that relays was not reached, or was lost.
+    Relay(VmName),
+    /// The VM that relays did not reach the upstream.
+    RelayToUpstream(VmName),
+    /// The upstream broke the connection, as far as is known.
+    Upstream,
+}
+
 /// One connection that this VM opened, and the exchange on it.
 #[derive(Debug)]
 pub(crate) struct Outbound {
     pub stream: Stream,
     pub peer: Peer,
     pub purpose: Purpose,
+    /// VM that relays the connection; none if it leads to the peer directly.
+    pub relayed_by: Option<RelayedBy>,
+    /// When opening the connection began.
+    pub opened_ms: u64,
+    /// Whether no byte has been received yet.
+    is_new: bool,
+    /// Whether the call in progress sends nothing and only opens the connection.
+    is_connect_only: bool,
     /// Whether reading waits until the caller has taken the bytes read so far.
     pub paused: bool,
     input: Vec<u8>,
@@ -124,16 +164,88 @@
         self.parse = Parse::Head;
         self.is_head_request = is_head_request;
         self.keep_alive = true;
+        self.is_connect_only = bytes.is_empty();
         self.stream.sent_bytes = 0;
-        self.stream.queue(bytes);
+        match &mut self.relayed_by {
+            Some(relay) if relay.reader.phase() == RelayPhase::Opening => {
+                relay.held_back = bytes.to_vec();
+            }
+            _ => self.stream.queue(bytes),
+        }
+    }
+
+    /// Records that writing has failed. What has been received until then is still read.
+    pub fn record_write_failure(&mut self) {
+        self.ended.get_or_insert(ReadEnd::Broken);
+    }
+
+    /// Returns whether the peer may have received bytes of the exchange.
+    pub fn has_sent(&self) -> bool {
+        let is_opening = self.relayed_by.as_ref().is_some_and(|relay| {
+            matches!(
+                relay.reader.phase(),
+                RelayPhase::Opening | RelayPhase::NotReached
+            )
+        });
+        !is_opening && self.stream.sent_bytes > 0
     }
 
-    /// Reads the available bytes, up to the limit.
-    pub fn read(&mut self, now_ms: u64) {
+    /// Returns whether the first bytes have been received that ever came on the connection, and
+    /// remembers that they have.
+    pub fn take_newness(&mut self) -> bool {
+        std::mem::replace(&mut self.is_new, false)
+    }
+
+    /// Returns how a probe on the connection failed.
+    pub fn probe_failure(&self, now_ms: u64) -> PathFailure {
+        match self.failed_path(now_ms) {
+            FailedPath::Direct(failure) => failure,
+            FailedPath::DirectBroken => PathFailure::Reset,
+            _ if !self.has_sent() && self.relayed_by.is_none() => PathFailure::NotEstablished,
+            _ => PathFailure::Silent,
+        }
+    }
+
+    /// Returns whether a call that only opens the connection has done so.
+    pub fn has_only_connected(&self) -> bool {
+        self.is_connect_only
+            && self.ended.is_none()
+            && self.stream.connection_state().is_ok_and(|it| it)
+    }
+
+    /// Returns how and where the connection failed.
+    pub fn failed_path(&self, now_ms: u64) -> FailedPath {
+        let late = self
+            .connect_until_ms
+            .is_some_and(|until_ms| until_ms <= now_ms);
+        match &self.relayed_by {
+            Some(relay) => match relay.reader.phase() {
+                RelayPhase::Opening => FailedPath::Relay(relay.vm.clone()),
+                RelayPhase::NotReached => FailedPath::RelayToUpstream(relay.vm.clone()),
+                RelayPhase::Open if self.ended.is_some() => FailedPath::Relay(relay.vm.clone()),
+                RelayPhase::Open | RelayPhase::Closed | RelayPhase::Broken => FailedPath::Upstream,
+            },
+            None if self.stream.refused => FailedPath::Direct(PathFailure::Refused),
+            None if late && !self.has_sent() => FailedPath::Direct(PathFailure::NotEstablished),
+            None if self.ended == Some(ReadEnd::Broken) && self.is_new => {
+                FailedPath::Direct(PathFailure::Reset)
+            }
+            None if self.ended == Some(ReadEnd::Broken) => FailedPath::DirectBroken,
+            None => FailedPath::Upstream,
+        }
+    }
+
+    /// Reads the available bytes, up to the limit. Returns whether any came.
+    pub fn read(&mut self, now_ms: u64) -> bool {
+        let mut has_received = false;
         if self.ended.is_none() {
             let before = self.input.len();
-            let end = self.stream.read(&mut self.input, READ_LIMIT_BYTES);
-            if self.input.len() > before {
+            let end = match &mut self.relayed_by {
+                None => self.stream.read(&mut self.input, READ_LIMIT_BYTES),
+                Some(_) => self.read_relayed(),
+            };
+            has_received = self.input.len() > before;
+            if has_received {
                 self.last_received_ms = now_ms;
             }
             self.has_more = end == ReadEnd::Limit;
@@ -141,6 +253,32 @@
                 self.ended = Some(end);
             }
         }
+        has_received
+    }
+
+    /// Reads from the VM that relays, and decodes what it passes on.
+    fn read_relayed(&mut self) -> ReadEnd {
+        let Some(relay) = &mut self.relayed_by else {
+            return ReadEnd::Drained;
+        };
+        let limit_bytes = READ_LIMIT_BYTES.saturating_sub(self.input.len());
+        let end = self.stream.read(&mut relay.received, limit_bytes);
+        let was_opening = relay.reader.phase() == RelayPhase::Opening;
+        let decoded = relay.reader.read(&relay.received, &mut self.input);
+        relay.received.clear();
+        if was_opening && relay.reader.phase() == RelayPhase::Open {
+            self.stream.sent_bytes = 0;
+            self.stream.queue(&std::mem::take(&mut relay.held_back));
+            self.stream.flush();
+        }
+        match (decoded, relay.reader.phase()) {
+            (Err(_), _) => ReadEnd::Broken,
+            (Ok(()), RelayPhase::Closed) => ReadEnd::Closed,
+            (Ok(()), RelayPhase::NotReached | RelayPhase::Broken) => ReadEnd::Broken,
+            // An end that the relay has not announced is none of the upstream's.
+            (Ok(()), _) if end == ReadEnd::Closed => ReadEnd::Broken,
+            _ => end,
+        }
     }
 
     /// Returns whether the other end was unreachable. One that resets a connection is reachable,
@@ -149,7 +287,7 @@
         let late = self
             .connect_until_ms
             .is_some_and(|until_ms| until_ms <= now_ms);
-        self.stream.refused || (late && self.stream.sent_bytes == 0)
+        self.stream.refused || (late && !self.has_sent())
     }
 
     /// Returns in which way the connection failed, for metrics.
@@ -228,7 +366,11 @@
 
     /// Returns whether an idle connection was closed or has received bytes of no request.
     pub fn is_unusable_when_idle(&self) -> bool {
-        self.ended.is_some() || !self.input.is_empty()
+        let is_leaving = self
+            .relayed_by
+            .as_ref()
+            .is_some_and(|relay| relay.reader.is_leaving());
+        is_leaving || self.ended.is_some() || !self.input.is_empty()
     }
 
     /// Expects another answer, since the last one belonged to another request.
@@ -250,6 +392,10 @@
             && self.input.is_empty()
             && self.stream.unwritten_bytes() == 0
             && matches!(self.parse, Parse::Complete)
+            && !self
+                .relayed_by
+                .as_ref()
+                .is_some_and(|relay| relay.reader.is_leaving())
     }
 }
 
@@ -278,6 +424,18 @@
         self.connections.get_mut(&token)
     }
 
+    /// Takes an idle direct connection to a peer out of the pool; none if there is no usable one.
+    pub fn take_idle_direct(&mut self, now_ms: u64, peer: &Peer) -> Option<Token> {
+        let connections = &self.connections;
+        let idle = self.idle.get_mut(peer)?;
+        let index = idle.iter().rposition(|token| {
+            connections.get(token).is_some_and(|it| {
+                it.relayed_by.is_none() && it.ended.is_none() && it.idle_until_ms > now_ms
+            })
+        })?;
+        Some(idle.remove(index))
+    }
+
     /// Takes an idle connection to a peer out of the pool; none if there is no usable one.
     pub fn take_idle(&mut self, now_ms: u64, peer: &Peer) -> Option<Token> {
         let idle = self.idle.get_mut(peer)?;
@@ -293,21 +451,38 @@
         None
     }
 
-    /// Starts opening a connection.
+    /// Starts opening a connection to a peer, or to the VM that relays it.
     pub fn open(
         &mut self,
         now_ms: u64,
         peer: Peer,
         address: SocketAddr,
+        relay: Option<VmName>,
         registry: &Registry,
         token: Token,
     ) -> io::Result<()> {
-        let stream = Stream::connect(self.source, address, registry, token)?;
+        let mut stream = Stream::connect(self.source, address, registry, token)?;
+        let relayed_by = match (relay, &peer) {
+            (Some(vm), Peer::Upstream(upstream)) => {
+                stream.queue(&relay_request(upstream));
+                Some(RelayedBy {
+                    vm,
+                    reader: RelayReader::default(),
+                    held_back: Vec::new(),
+                    received: Vec::new(),
+                })
+            }
+            _ => None,
+        };
         self.opened += 1;
         let connection = Outbound {
             stream,
             peer,
             purpose: Purpose::Idle,
+            relayed_by,
+            opened_ms: now_ms,
+            is_new: true,
+            is_connect_only: false,
             paused: false,
             input: Vec::new(),
             parse: Parse::Complete,
@@ -369,6 +544,17 @@
         }
     }
 
+    /// Closes the idle connections to a peer that are relayed, or those that are not.
+    pub fn close_idle_by_way(&mut self, peer: &Peer, relayed: bool, registry: &Registry) {
+        let idle = self.idle.get(peer).cloned().unwrap_or_default();
+        for token in idle {
+            let connection = self.connections.get(&token);
+            if connection.is_some_and(|it| it.relayed_by.is_some() == relayed) {
+                self.close(token, registry);
+            }
+        }
+    }
+
     /// Closes connections that have been idle for too long or that stalled while draining, and
     /// returns the connections whose calls have timed out.
     pub fn sweep(&mut self, now_ms: u64, registry: &Registry) -> Vec<Token> {
@@ -401,7 +587,7 @@
                 continue;
             };
             // The first byte is sent only once the connection is established.
-            if connection.stream.sent_bytes > 0 {
+            if connection.has_sent() {
                 connection.connect_until_ms = None;
             } else if let (true, Purpose::Proxy(key)) = (until_ms <= now_ms, &connection.purpose) {
                 late.push((*token, *key));
@@ -410,6 +596,17 @@
         late
     }
 
+    /// Returns the direct connections to a peer that proxy callers' requests and have received
+    /// nothing since a time, with the requests' keys.
+    pub fn silent_direct_requests(&self, peer: &Peer, since_ms: u64) -> Vec<(Token, u64)> {
+        let mut silent = self.silent_proxied_requests(peer, since_ms);
+        silent.retain(|(token, _)| {
+            let connection = self.connections.get(token);
+            connection.is_some_and(|it| it.relayed_by.is_none())
+        });
+        silent
+    }
+
     /// Returns the connections to a peer that proxy callers' requests and have received nothing
     /// since a time, with the requests' keys.
     pub fn silent_proxied_requests(&self, peer: &Peer, since_ms: u64) -> Vec<(Token, u64)> {
--- a/crates/entry/src/peer_exchange.rs
+++ b/crates/entry/src/peer_exchange.rs
@@ -95,6 +95,7 @@
             }
             PeerMessage::Goodbye(vm) => {
                 self.peers.forget(&vm);
+                self.paths.forget_vm(now_ms, &vm);
                 if self
                     .peers
                     .lease_holder
@@ -154,7 +155,7 @@
                 self.handle_missing_model(&engine, &model)
             }
             PeerMessage::EngineUnresponsive(engine) => self.handle_peer_probe_failure(&engine),
-            PeerMessage::EngineResponsive(engine) => self.resume_engine(&engine),
+            PeerMessage::EngineResponsive(engine) => self.handle_peer_probe_success(&engine),
             PeerMessage::Released {
                 lease_end,
                 quiet_ms,
@@ -188,6 +189,8 @@
                 version,
                 age_ms,
             } => self.apply_stated_configuration(era, version, age_ms),
+            PeerMessage::PathQuery { from, upstreams } => self.handle_path_query(from, &upstreams),
+            PeerMessage::PathAnswer { from, answer } => self.apply_path_answer(from, answer),
             PeerMessage::TrialOver { asker, end } => {
                 self.crash_watch.record_peer_trial_end(now_ms, asker, &end);
             }
--- a/crates/entry/src/peers.rs
+++ b/crates/entry/src/peers.rs
@@ -3,6 +3,7 @@
 use std::collections::HashMap;
 use std::collections::HashSet;
 use std::io;
+use std::net::IpAddr;
 use std::net::SocketAddr;
 
 use apricotdale_core::names::VmName;
@@ -184,6 +185,17 @@
         self.known.contains_key(vm)
     }
 
+    /// Returns the address of another VM: for datagrams, and for connections that it relays.
+    pub fn address_of(&self, vm: &VmName) -> Option<SocketAddr> {
+        self.known.get(vm).map(|known| known.address)
+    }
+
+    /// Returns whether a known VM has this IP address.
+    pub fn knows_address(&self, address: IpAddr) -> bool {
+        let mut known = self.known.values();
+        known.any(|known| known.address.ip() == address)
+    }
+
     /// Removes a VM that stops.
     pub(super) fn forget(&mut self, vm: &VmName) {
         self.known.remove(vm);
--- a/crates/entry/src/request_dispatch.rs
+++ b/crates/entry/src/request_dispatch.rs
@@ -333,6 +333,13 @@
             DispatchDecision::Wait(WaitReason::Budget) => self.pause_request(key, BUDGET_PAUSE_MS),
             DispatchDecision::Wait(reason) => {
                 self.upstream_permits.withdraw(key);
+                if let Some(refusal) = self.no_room_refusal(key) {
+                    self.refuse(key, &refusal);
+                    return;
+                }
+                let Some(request) = self.active.get_mut(key) else {
+                    return;
+                };
                 let is_change = request.phase != Phase::Waiting(reason);
                 request.phase = Phase::Waiting(reason);
                 if is_change && reason == WaitReason::Missing {
@@ -421,13 +428,12 @@
         };
         let is_head_request = request.head.method.eq_ignore_ascii_case("HEAD");
         self.dispatcher.sent(now_ms, &request.job, &name);
-        if request.job.wanted.is_some() {
-            self.watch.sent(now_ms, &name);
-        }
+        self.watch.sent(now_ms, &name);
         if let Some(connection) = self.outbound.get_mut(token) {
             connection.begin(now_ms, Purpose::Proxy(key), &bytes, is_head_request);
             let is_open = connection.stream.flush();
             if !is_open {
+                connection.record_write_failure();
                 self.advance_proxied_answer(token, key, false);
             }
         }
--- a/crates/entry/src/stream.rs
+++ b/crates/entry/src/stream.rs
@@ -131,6 +131,22 @@
         ReadEnd::Limit
     }
 
+    /// Returns whether the connection has been established.
+    ///
+    /// # Errors
+    ///
+    /// The error with which opening it failed.
+    pub fn connection_state(&self) -> io::Result<bool> {
+        if let Some(error) = self.socket.take_error()? {
+            return Err(error);
+        }
+        match self.socket.peer_addr() {
+            Ok(_) => Ok(true),
+            Err(error) if error.kind() == io::ErrorKind::NotConnected => Ok(false),
+            Err(error) => Err(error),
+        }
+    }
+
     /// Shuts down the write half, which tells the other end that no more bytes follow.
     pub fn close_write_half(&self) {
         let _ = self.socket.shutdown(std::net::Shutdown::Write);
--- a/crates/entry/src/upstream_answers.rs
+++ b/crates/entry/src/upstream_answers.rs
@@ -62,7 +62,9 @@
                         return;
                     }
                 }
-                Part::Wait if connection.has_more() => connection.read(now_ms),
+                Part::Wait if connection.has_more() => {
+                    connection.read(now_ms);
+                }
                 Part::Wait if is_open => return,
                 Part::Wait | Part::Failed => {
                     self.handle_failed_connection(token, key);
@@ -92,7 +94,9 @@
             }
             match connection.next_part() {
                 Part::Head(_) | Part::Body(_) => {}
-                Part::Wait if connection.has_more() => connection.read(now_ms),
+                Part::Wait if connection.has_more() => {
+                    connection.read(now_ms);
+                }
                 Part::Wait => return,
                 Part::End => {
                     self.outbound
--- a/crates/fleet/src/configuration.rs
+++ b/crates/fleet/src/configuration.rs
@@ -133,6 +133,8 @@
     pub name: GroupName,
     /// Maximum number of connections that one upstream accepts, from all VMs together.
     pub max_connections: u32,
+    /// Path at which an upstream says whether it is healthy; `None` if it has none.
+    pub health_path: Option<Arc<str>>,
     /// Properties of the service's model engines; `None` for a service without engines.
     pub engine: Option<EngineSpec>,
 }
--- a/crates/holder/benches/planning.rs
+++ b/crates/holder/benches/planning.rs
@@ -94,6 +94,7 @@
     let group = Service {
         name: service(),
         max_connections: 1_900,
+        health_path: None,
         engine: Some(spec()),
     };
     let configuration = Configuration {
--- a/crates/holder/tests/support/mod.rs
+++ b/crates/holder/tests/support/mod.rs
@@ -120,6 +120,7 @@
         let group = Service {
             name: service.clone(),
             max_connections: 100,
+            health_path: None,
             engine: Some(spec.clone()),
         };
         directory
--- a/crates/standins/src/platform/service.rs
+++ b/crates/standins/src/platform/service.rs
@@ -22,6 +22,9 @@
 use crate::platform::answers::contains;
 use crate::platform::store::PlatformStore;
 
+/// Path of the health check in the site's configuration.
+const HEALTH_PATH: &str = "/health";
+
 /// One instance of a plain service.
 pub struct PlatformService {
     instance: String,
@@ -141,6 +144,9 @@
         if let Some(reply) = self.answers.misdirected(request) {
             return reply;
         }
+        if (request.method.as_str(), request.path.as_str()) == ("GET", HEALTH_PATH) {
+            return Reply::json(200, &json!({}));
+        }
         let fault = self.answers.begin(request);
         thread::sleep(Duration::from_millis(self.work_ms));
         if let Some((marker, stopper)) = &*self.crash.lock()
