Order lease: a VM that reaches far fewer engines than another leaves the lease to it

No model that was not resident was loaded for anybody while the lease holder was cut off from the engines (17 orders in 12 s, none accepted), because it reached the store and renewed. It now gives the lease back as at a planned stop, with the time of its last order, and takes none until its paths are back; if no VM reaches more, it stays. Engines without a path get no orders, and orders are never relayed, since engines count them as those of the machine they come from.

Test: cut_holder_replaced (two cases) failed before, passes now.

--- a/crates/entry/src/engine_orders.rs
+++ b/crates/entry/src/engine_orders.rs
@@ -57,6 +57,8 @@
     next_plan_ms: u64,
     /// Earliest time of the next round of planning, even if events ask for one sooner.
     no_plan_before_ms: u64,
+    /// Whether this VM leaves the lease to others, which reach more engines.
+    abstains: bool,
 }
 
 impl EngineOrders {
@@ -80,6 +82,7 @@
             fence: None,
             next_plan_ms: 0,
             no_plan_before_ms: 0,
+            abstains: false,
         }
     }
 
@@ -178,7 +181,10 @@
         } else {
             u64::MAX
         };
-        self.lease.next_ms().min(plan_ms)
+        match self.abstains {
+            true => plan_ms,
+            false => self.lease.next_ms().min(plan_ms),
+        }
     }
 }
 
@@ -186,8 +192,12 @@
     /// Renews or acquires the lease when due and, while this VM holds it, plans orders.
     pub(crate) fn advance_engine_orders(&mut self) {
         let now_ms = self.now_ms;
-        if self.planned_stop.has_begun() {
-            // A renewal may have been in progress when the stop began.
+        let is_behind = self.paths.is_behind(now_ms);
+        if std::mem::replace(&mut self.engine_orders.abstains, is_behind) != is_behind {
+            log::info!(is_behind; "other VMs reach more engines");
+        }
+        if self.planned_stop.has_begun() || is_behind {
+            // A renewal may have been in progress when the stop or the cut began.
             self.release_lease();
         } else if now_ms >= self.engine_orders.lease.next_ms() {
             let rank = self.peers.takeover_rank(now_ms);
@@ -239,6 +249,7 @@
     fn sync_planners(&mut self) {
         let directory = &self.directory;
         let dispatcher = &self.dispatcher;
+        let paths = &self.paths;
         let now_ms = self.now_ms;
         let planners = &mut self.engine_orders.planners;
         planners.retain(|service, _| directory.service(service).is_some());
@@ -247,7 +258,9 @@
                 let planner = planners.entry(name.clone()).or_insert_with(|| {
                     Planner::new(PlannerOptions::default(), name.clone(), spec.clone())
                 });
-                planner.sync(directory, |name| dispatcher.is_unreachable(now_ms, name));
+                planner.sync(directory, |name| {
+                    paths.is_lost(name) || dispatcher.is_unreachable(now_ms, name)
+                });
                 let limits = dispatcher.stated_limits();
                 planner.set_limited(|name| limits.limit(name).is_some());
             }
