--- a/crates/soak/src/checks.rs
+++ b/crates/soak/src/checks.rs
@@ -82,6 +82,8 @@
     WithinLimits,
     /// All VMs together send an upstream no more requests than the rate limit that it states allows.
     WithinStatedLimits,
+    /// A VM that is cut off from all upstreams serves through others.
+    ServesThroughOthers,
     /// No log line of a VM contains a key.
     KeysStaySecret,
 }
@@ -107,6 +109,7 @@
             Self::OrganisationForwarded => "organisation told",
             Self::WithinLimits => "within limits",
             Self::WithinStatedLimits => "within stated limits",
+            Self::ServesThroughOthers => "serves through others",
             Self::KeysStaySecret => "keys stay secret",
         }
     }
@@ -144,6 +147,7 @@
     checker.check_organisations(&mut found);
     checker.check_limits(&mut found);
     checker.check_stated_limits(&mut found);
+    checker.check_path_cuts(&mut found);
     checker.check_secrets(&mut found);
     found
 }
--- a/crates/soak/src/draws.rs
+++ b/crates/soak/src/draws.rs
@@ -13,6 +13,7 @@
 use apricotdale_standins::platform::StreamFault;
 use apricotdale_standins::proxy::LinkFault;
 
+use crate::fault::PathCut;
 use crate::fault::Trouble;
 use crate::keys::LIMITED_ORGANISATION;
 use crate::keys::STABLE_ORGANISATION;
@@ -67,6 +68,13 @@
 /// Mask that gives the draws of stated limits a seed of their own.
 const STATED_LIMIT_SEED_MASK: u64 = 0x7374_6174_6564_6c69;
 
+/// Number of cuts of VMs from all upstreams, and their duration.
+const PATH_CUT_COUNT: RangeInclusive<usize> = 0..=2;
+const PATH_CUT_MS: Range<u64> = 500..7_000;
+
+/// Mask that gives the draws of these cuts a seed of their own.
+const PATH_CUT_SEED_MASK: u64 = 0x7061_7468_5f63_7574;
+
 /// Number of changes of keys and limits.
 const ORGANISATION_CHANGE_COUNT: RangeInclusive<usize> = 3..=6;
 
@@ -225,6 +233,27 @@
         .collect()
 }
 
+/// Draws the cuts of VMs from all upstreams.
+pub(crate) fn draw_path_cuts(seed: u64, calm_from_ms: u64, vms: usize) -> Vec<Planned> {
+    let mut random = ChaCha8Rng::seed_from_u64(seed ^ PATH_CUT_SEED_MASK);
+    let ways = [PathCut::Silent, PathCut::Reset, PathCut::NewRefused];
+    (0..random.random_range(PATH_CUT_COUNT))
+        .map(|_| {
+            let at_ms = random.random_range(WARM_UP_MS..calm_from_ms.max(WARM_UP_MS + 1));
+            let for_ms = random.random_range(PATH_CUT_MS);
+            Planned {
+                at_ms,
+                trouble: Trouble::PathsCut {
+                    first_vm: random.random_range(0..vms.max(1)),
+                    vms: random.random_range(1..=vms.max(1)),
+                    way: ways[random.random_range(0..ways.len())],
+                    for_ms: for_ms.min(calm_from_ms.saturating_sub(at_ms)),
+                },
+            }
+        })
+        .collect()
+}
+
 /// Draws the bursts of an organisation and the operators' changes of keys and limits.
 pub(crate) fn draw_organisation_events(seed: u64, calm_from_ms: u64) -> (Vec<Burst>, Vec<Planned>) {
     let mut random = ChaCha8Rng::seed_from_u64(seed ^ ORGANISATION_SEED_MASK);
--- a/crates/soak/src/fault.rs
+++ b/crates/soak/src/fault.rs
@@ -5,9 +5,21 @@
 use apricotdale_standins::proxy::LinkFault;
 
 use crate::record::KILL_ALL;
+use crate::record::PATHS_CUT;
 use crate::record::Place;
 use crate::record::ROLLBACK;
 
+/// How a cut between a VM and an upstream shows at the VM.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum PathCut {
+    /// Nothing arrives any more, and no connection is closed.
+    Silent,
+    /// Connections are reset, new ones too.
+    Reset,
+    /// New connections are reset, and open ones go on.
+    NewRefused,
+}
+
 /// Fault or planned operation to which the VMs or their surroundings are exposed.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub enum Trouble {
@@ -79,6 +91,17 @@
         /// Duration of the fault.
         for_ms: u64,
     },
+    /// Cuts some VMs off from all upstreams for a time.
+    PathsCut {
+        /// Number of the first of these VMs; the others follow it.
+        first_vm: usize,
+        /// Number of VMs.
+        vms: usize,
+        /// How the cut shows at them.
+        way: PathCut,
+        /// Duration of the fault.
+        for_ms: u64,
+    },
     /// Resets the open connections to an upstream.
     Reset {
         /// Index of the upstream: engines first, then instances of the plain service.
@@ -188,6 +211,7 @@
             Self::SetBack { .. } => ROLLBACK,
             Self::StoreLink { .. } => "store link",
             Self::UpstreamLink { .. } => "upstream link",
+            Self::PathsCut { .. } => PATHS_CUT,
             Self::Reset { .. } => "reset",
             Self::Silence { .. } => "silence",
             Self::Answers { .. } => "answers",
@@ -225,6 +249,7 @@
             | Self::StoreLink { .. }
             | Self::Silence { .. } => Some(Place::Store),
             Self::UpstreamLink { .. }
+            | Self::PathsCut { .. }
             | Self::Reset { .. }
             | Self::Answers { .. }
             | Self::EnginesAnswer { .. }
--- a/crates/soak/src/main.rs
+++ b/crates/soak/src/main.rs
@@ -184,6 +184,9 @@
     for limit in &soak.record.stated_limits {
         writeln!(file, "{limit:?}")?;
     }
+    for cut in &soak.record.path_cuts {
+        writeln!(file, "{cut:?}")?;
+    }
     for (number, key) in soak.record.keys.iter().enumerate() {
         writeln!(file, "key {number}: {key:?}")?;
     }
--- a/crates/soak/src/record.rs
+++ b/crates/soak/src/record.rs
@@ -15,6 +15,9 @@
 /// Name of the disturbance in which every VM's process is killed.
 pub(crate) const KILL_ALL: &str = "kill all";
 
+/// Name of the disturbance in which VMs are cut off from all upstreams.
+pub(crate) const PATHS_CUT: &str = "paths cut";
+
 /// Kind of a request, which decides what may happen to it.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, Hash, PartialOrd, Ord)]
 pub enum Kind {
@@ -221,6 +224,19 @@
     pub until_ms: u64,
 }
 
+/// Cut of some VMs from all upstreams, while callers, the store and the other VMs reach them.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct PathCutSeen {
+    /// Numbers of the VMs that were cut off.
+    pub vms: Vec<usize>,
+    /// Number of all VMs.
+    pub of_vms: usize,
+    /// Time when the cut began.
+    pub from_ms: u64,
+    /// Time when the cut ended.
+    pub until_ms: u64,
+}
+
 /// Planned departure of an upstream.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub struct Drain {
@@ -288,6 +304,8 @@
     pub limits: Vec<LimitSeen>,
     /// Rate limits that engines stated.
     pub stated_limits: Vec<StatedLimitSeen>,
+    /// Cuts of VMs from all upstreams.
+    pub path_cuts: Vec<PathCutSeen>,
     /// Log lines of VMs that contain a caller's key.
     pub key_lines: Vec<String>,
     /// One line for each VM whose process exited or failed to start unexpectedly, with the reason.
--- a/crates/soak/src/soak.rs
+++ b/crates/soak/src/soak.rs
@@ -303,6 +303,7 @@
         probes: events.probes.clone(),
         stops: events.stops.clone(),
         stated_limits: events.stated_limits.clone(),
+        path_cuts: events.path_cuts.clone(),
         keys,
         limits,
         key_lines: key_lines.collect(),
--- a/crates/soak/src/vms.rs
+++ b/crates/soak/src/vms.rs
@@ -1,6 +1,8 @@
 //! Processes of the entry VMs: start, signals, ends and log lines.
 
 use std::io;
+use std::net::IpAddr;
+use std::net::Ipv4Addr;
 use std::net::SocketAddr;
 use std::path::PathBuf;
 use std::time::Duration;
@@ -19,6 +21,17 @@
 /// Timeout of one readiness request.
 const READY_TIMEOUT: Duration = Duration::from_secs(2);
 
+/// Returns the loopback address of a VM, by which the proxies tell it from others.
+pub(crate) fn vm_address(vm: usize) -> IpAddr {
+    let number = vm as u16 + 256;
+    IpAddr::V4(Ipv4Addr::new(
+        127,
+        0,
+        (number / 200) as u8,
+        (number % 200) as u8 + 1,
+    ))
+}
+
 /// Outcome of a planned stop of a process.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub(crate) enum StopOutcome {
@@ -78,6 +91,7 @@
         self.kill(vm);
         let options = VmOptions {
             more_settings: vm_settings(),
+            address: vm_address(vm),
             ..VmOptions::new(&self.program, &format!("vm{vm}"), self.store_addresses[vm])
         };
         let process = VmProcess::start(&options)?;
