Upstreams state how many requests they may reject, and all VMs together reject fewer

An upstream that says so in its answers (Server-Brittle) fails if it has to reject more requests in a second for want of room. Nothing read it, and a request that found no room was sent again up to 20 times within its time, by each VM for itself. Now RejectionLimits, a pure type in dispatch, holds what is stated: a VM sends such an upstream few requests at once that are not accepted yet, in its turn where there are more VMs than the limit bears, fills nine tenths of the slots, rests after a rejection for a time that grows with the number of VMs, and tells the others; from half of the limit on nobody sends for a second.

--- a/crates/dispatch/src/dispatcher.rs
+++ b/crates/dispatch/src/dispatcher.rs
@@ -32,6 +32,7 @@
 use crate::options::DispatcherOptions;
 use crate::options::retry_options;
 use crate::options::routing_options;
+use crate::rejection_limits::RejectionLimits;
 use crate::stated_limits::StatedLimits;
 use crate::suspension::Suspensions;
 use crate::upstream_load::LoadSample;
@@ -41,6 +42,9 @@
 /// only for moments.
 const LATE_RETRY_AFTER_MS: u64 = 300;
 
+/// Share of the slots that requests may take at an upstream that fails if it rejects too many.
+const LIMITED_FILL: f64 = 0.9;
+
 /// How long a request waits for a load to be planned if all engines with its model are used up.
 const LOAD_PLANNING_MS: u64 = 500;
 
@@ -53,6 +57,7 @@
     forecasts: Forecasts,
     suspensions: Suspensions,
     stated_limits: StatedLimits,
+    rejection_limits: RejectionLimits,
 }
 
 impl Dispatcher {
@@ -61,6 +66,7 @@
         let retries = BudgetedRetry::new(retry_options(&options));
         Self {
             stated_limits: StatedLimits::new(options.seed),
+            rejection_limits: RejectionLimits::new(options.seed, options.vms),
             options,
             routing: HashMap::new(),
             retries,
@@ -74,6 +80,7 @@
     pub fn set_vms(&mut self, vms: u32) {
         if vms != self.options.vms {
             self.options.vms = vms;
+            self.rejection_limits.set_vms(vms);
             self.retries.set_options(retry_options(&self.options));
         }
     }
@@ -222,6 +229,7 @@
     /// Records that a request was sent to an upstream.
     pub fn sent(&mut self, now_ms: u64, job: &Job, upstream: &UpstreamName) {
         self.loads.entry(upstream.clone()).or_default().sent();
+        self.rejection_limits.sent(upstream);
         let event = RoutingEvent::Sent {
             upstream: upstream.clone(),
             prefix_hash: job.prefix_hash,
@@ -284,6 +292,7 @@
         self.loads.remove(upstream);
         self.suspensions.forget(upstream);
         self.stated_limits.forget(upstream);
+        self.rejection_limits.forget(upstream);
         self.forgive(now_ms, upstream);
     }
 
@@ -340,6 +349,16 @@
         &mut self.stated_limits
     }
 
+    /// Returns the limits on rejections that upstreams state.
+    pub fn rejection_limits(&self) -> &RejectionLimits {
+        &self.rejection_limits
+    }
+
+    /// Returns the limits on rejections that upstreams state, for recording.
+    pub fn rejection_limits_mut(&mut self) -> &mut RejectionLimits {
+        &mut self.rejection_limits
+    }
+
     /// Records when a model that no engine holds is expected to be loaded.
     pub fn record_forecast(&mut self, now_ms: u64, model: ModelName, forecast: LoadForecast) {
         self.forecasts.record(now_ms, model, forecast);
@@ -422,10 +441,18 @@
             .get(&upstream.name)
             .map_or(0, |it| it.requests(now_ms));
         let service = directory.service(&upstream.service);
+        if self.rejection_limits.is_held_back(now_ms, &upstream.name) {
+            return false;
+        }
         let fill = match service.is_some_and(|service| service.engine.is_some()) {
             true => self.options.engine_fill,
             false => self.options.service_fill,
         };
+        // Requests that wait at the upstream are the first to be rejected when its room shrinks.
+        let fill = match self.rejection_limits.limit(&upstream.name) {
+            Some(_) => fill.min(LIMITED_FILL),
+            None => fill,
+        };
         f64::from(requests) < f64::from(upstream.slots.max(1)) * fill
     }
 
--- a/crates/entry/src/codec.rs
+++ b/crates/entry/src/codec.rs
@@ -95,6 +95,8 @@
     pub idle_ms: Option<u64>,
     /// Requests per second that the upstream takes from all VMs together.
     pub rate_limit: LimitField,
+    /// Requests per second that the upstream may have to reject for want of room before it fails.
+    pub rejection_limit: LimitField,
 }
 
 /// Format of the event streams that upstreams write.
--- a/crates/entry/src/failed_attempts.rs
+++ b/crates/entry/src/failed_attempts.rs
@@ -35,6 +35,9 @@
         } = &request.phase
         {
             self.watch.ended(upstream);
+            if first_byte_ms.is_none() {
+                self.dispatcher.rejection_limits_mut().answered(upstream);
+            }
             let took_ms = first_byte_ms.map(|first_ms| first_ms - at_ms);
             self.dispatcher.ended(
                 self.now_ms,
--- a/crates/entry/src/messages.rs
+++ b/crates/entry/src/messages.rs
@@ -6,6 +6,7 @@
 use apricotdale_core::names::UpstreamName;
 use apricotdale_core::names::VmName;
 use apricotdale_core::numbers::Position;
+use apricotdale_dispatch::RateLimit;
 use apricotdale_dispatch::StatedLimit;
 use apricotdale_fleet::Freshness;
 use apricotdale_fleet::Upstream;
@@ -143,6 +144,11 @@
     },
     /// States which upstreams the sender reaches.
     PathAnswer { from: VmRecord, answer: PathAnswer },
+    /// An upstream that states a limit on rejections has rejected a request of the sender.
+    Rejected {
+        upstream: UpstreamName,
+        limit: RateLimit,
+    },
 }
 
 /// First byte of each message. It changes with the format of what follows, so that VMs of different
--- a/crates/entry/src/peer_exchange.rs
+++ b/crates/entry/src/peer_exchange.rs
@@ -189,6 +189,9 @@
                 version,
                 age_ms,
             } => self.apply_stated_configuration(era, version, age_ms),
+            PeerMessage::Rejected { upstream, limit } => {
+                self.apply_announced_rejection(&upstream, limit);
+            }
             PeerMessage::PathQuery { from, upstreams } => self.handle_path_query(from, &upstreams),
             PeerMessage::PathAnswer { from, answer } => self.apply_path_answer(from, answer),
             PeerMessage::TrialOver { asker, end } => {
--- a/crates/entry/src/upstream_answers.rs
+++ b/crates/entry/src/upstream_answers.rs
@@ -135,6 +135,9 @@
         } = &mut request.phase
         {
             if verdict != HeadVerdict::Skip {
+                if first_byte_ms.is_none() {
+                    self.dispatcher.rejection_limits_mut().answered(upstream);
+                }
                 first_byte_ms.get_or_insert(self.now_ms);
                 stated = Some((upstream.clone(), *at_ms));
             }
@@ -147,6 +150,13 @@
             // A refusal or a failure need not repeat what the upstream states in its answers.
             let ends = is_success && verdict == HeadVerdict::Deliver;
             self.record_stated_limit(&upstream, ends.then_some(sent_ms), &fields.rate_limit);
+            let is_rejection = verdict == HeadVerdict::Fail(FailedAttempt::Rejected);
+            self.record_rejection_limit(
+                &upstream,
+                ends.then_some(sent_ms),
+                &fields.rejection_limit,
+            );
+            self.record_room(&upstream, is_rejection);
         }
         match verdict {
             HeadVerdict::Deliver => {}
--- a/crates/entry/src/upstream_permits.rs
+++ b/crates/entry/src/upstream_permits.rs
@@ -223,6 +223,57 @@
         self.handle_limit_change(upstream, change, "answered");
     }
 
+    /// Records what an answer states about how many requests its upstream may reject. `sent_ms` is when
+    /// the request was sent; none if the answer can't end a stated limit.
+    pub(crate) fn record_rejection_limit(
+        &mut self,
+        upstream: &UpstreamName,
+        sent_ms: Option<u64>,
+        field: &LimitField,
+    ) {
+        let limits = self.dispatcher.rejection_limits_mut();
+        let is_change = match (field, sent_ms) {
+            (LimitField::Stated(limit), _) => {
+                limits.record_answer(self.now_ms, self.now_ms, upstream, Some(*limit))
+            }
+            (LimitField::Absent, Some(sent_ms)) => {
+                limits.record_answer(self.now_ms, sent_ms, upstream, None)
+            }
+            (LimitField::Absent, None) => false,
+            (LimitField::Invalid(text), _) => {
+                self.log_invalid_limit(upstream, text, "is no rate");
+                false
+            }
+        };
+        if is_change {
+            let limit = self.dispatcher.rejection_limits().limit(upstream);
+            let per_s = limit.map(RateLimit::per_s);
+            log::info!(upstream = upstream.to_string(), per_s; "limit on rejections changed");
+        }
+    }
+
+    /// Records that an upstream has begun to answer a request, or rejected it for want of room.
+    pub(crate) fn record_room(&mut self, upstream: &UpstreamName, is_rejection: bool) {
+        let limits = self.dispatcher.rejection_limits_mut();
+        if let (true, Some(limit)) = (is_rejection, limits.limit(upstream)) {
+            limits.record_rejection(self.now_ms, upstream, true);
+            let upstream = upstream.clone();
+            self.peers
+                .send_all(&PeerMessage::Rejected { upstream, limit });
+        }
+    }
+
+    /// Applies another VM's announcement that an upstream with a limit on rejections rejected a
+    /// request.
+    pub(crate) fn apply_announced_rejection(&mut self, upstream: &UpstreamName, limit: RateLimit) {
+        if self.directory.upstream(upstream).is_none() {
+            return;
+        }
+        let limits = self.dispatcher.rejection_limits_mut();
+        limits.record_answer(self.now_ms, self.now_ms, upstream, Some(limit));
+        limits.record_rejection(self.now_ms, upstream, false);
+    }
+
     fn log_invalid_limit(&mut self, upstream: &UpstreamName, text: &str, reason: &str) {
         let logged = &mut self.upstream_permits.logged_statements;
         let statement = format!("{upstream} {text}");
@@ -314,7 +365,14 @@
         if permits.available_ms.is_some_and(|at_ms| at_ms <= now_ms) {
             self.redispatch_needed = true;
         }
-        permits.available_ms = limits.next_available_ms(now_ms);
+        let rejections = self.dispatcher.rejection_limits();
+        permits.available_ms = [
+            limits.next_available_ms(now_ms),
+            rejections.next_available_ms(now_ms),
+        ]
+        .into_iter()
+        .flatten()
+        .min();
         self.announce_stated_limits();
         if now_ms < self.upstream_permits.client.next_ms() {
             return;
--- a/crates/standins/src/platform/answers.rs
+++ b/crates/standins/src/platform/answers.rs
@@ -27,6 +27,7 @@
 const EXPECTED_INSTANCE: &str = "Apricotdale-Expect-Instance";
 const LOAD: &str = "Apricotdale-Server-Load";
 const RATE_LIMIT: &str = "Server-Limit";
+const REJECTION_LIMIT: &str = "Server-Brittle";
 pub(crate) const VERSION: &str = "Apricotdale-Weight-Versions";
 
 /// Interval at which a stream of an unresponsive upstream checks whether its client is connected.
@@ -145,6 +146,10 @@
     pub unresponsive: Arc<AtomicBool>,
     /// Rate limit that the answers to requests state; none if they state none.
     pub rate_limit: Mutex<Option<String>>,
+    /// Limit on rejections that the answers to requests state; none if they state none.
+    pub rejection_limit: Mutex<Option<String>>,
+    /// Times of the rejections for want of room.
+    pub rejections: Mutex<Vec<Instant>>,
 }
 
 impl Answers {
@@ -157,23 +162,38 @@
             streamed: Arc::default(),
             unresponsive: Arc::default(),
             rate_limit: Mutex::default(),
+            rejection_limit: Mutex::default(),
+            rejections: Mutex::default(),
         }
     }
 
-    /// Returns a reply that states the rate limit, if there is one.
-    fn with_rate_limit(&self, reply: Reply) -> Reply {
-        match self.rate_limit.lock().as_deref() {
-            Some(rate_limit) => reply.with_header(RATE_LIMIT, rate_limit),
-            None => reply,
-        }
+    /// Returns the limits that answers state, with the names of their fields.
+    fn limits(&self) -> Vec<(&'static str, String)> {
+        let limits = [
+            (RATE_LIMIT, &self.rate_limit),
+            (REJECTION_LIMIT, &self.rejection_limit),
+        ];
+        let stated = limits.into_iter().filter_map(|(name, limit)| {
+            let limit = limit.lock().clone();
+            limit.map(|limit| (name, limit))
+        });
+        stated.collect()
     }
 
-    /// Returns the header line that states the rate limit; empty if there is none.
-    fn rate_limit_line(&self) -> String {
-        match self.rate_limit.lock().as_deref() {
-            Some(rate_limit) => format!("{RATE_LIMIT}: {rate_limit}\r\n"),
-            None => String::new(),
-        }
+    /// Returns a reply that states the limits.
+    fn with_limits(&self, reply: Reply) -> Reply {
+        let limits = self.limits().into_iter();
+        limits.fold(reply, |reply, (name, limit)| {
+            reply.with_header(name, &limit)
+        })
+    }
+
+    /// Returns the header lines that state the limits; empty if there are none.
+    fn limit_lines(&self) -> String {
+        let limits = self.limits().into_iter();
+        limits
+            .map(|(name, limit)| format!("{name}: {limit}\r\n"))
+            .collect()
     }
 
     pub fn push_fault(&self, fault: AnswerFault) {
@@ -196,14 +216,16 @@
             .with_header(ID, id_of(request))
             .with_header(NOT_RUN, "1")
             .with_header(INSTANCE, &self.instance);
-        self.with_rate_limit(reply)
+        self.with_limits(reply)
     }
 
     /// Takes the next fault, and records the request as run unless the fault rejects it.
     pub fn begin(&self, request: &Request) -> Option<AnswerFault> {
         let fault = self.faults.lock().pop_front();
         let rejections = [AnswerFault::TurnedAway, AnswerFault::TurnedAwayStalled];
-        if fault.is_none_or(|fault| !rejections.contains(&fault)) {
+        if fault.is_some_and(|fault| rejections.contains(&fault)) {
+            self.rejections.lock().push(Instant::now());
+        } else {
             self.runs.lock().push(RecordedRun {
                 id: id_of(request).to_owned(),
                 method: request.method.clone(),
@@ -225,7 +247,7 @@
         body: &str,
     ) -> Reply {
         let id = id_of(request);
-        let rate_limit = self.rate_limit_line();
+        let rate_limit = self.limit_lines();
         let head = |status: u16, fields: &str| {
             format!(
                 "HTTP/1.1 {status} Status\r\n{ID}: {id}\r\n{SIGNATURE}: s.{}\r\n{LOAD}: 1,0,8\r\n\
@@ -333,7 +355,7 @@
             Some(AnswerFault::Stream(_)) if first > count => None,
             Some(AnswerFault::Stream(fault) | AnswerFault::CutThen { then: fault, .. }) => {
                 let id = id_of(request);
-                let fields = self.rate_limit_line();
+                let fields = self.limit_lines();
                 return Reply::Raw(fault.answer(id, &self.instance, &fields, first, count));
             }
             Some(fault) => {
@@ -410,7 +432,7 @@
             .with_header(SIGNATURE, &format!("s.{}", self.instance))
             .with_header(LOAD, "1,0,8")
             .with_header(VERSION, "1");
-        self.with_rate_limit(reply)
+        self.with_limits(reply)
     }
 
     /// Returns how often each request ran.
--- a/crates/standins/src/platform/engine.rs
+++ b/crates/standins/src/platform/engine.rs
@@ -247,6 +247,16 @@
         *self.answers.rate_limit.lock() = rate_limit.map(str::to_owned);
     }
 
+    /// Sets the text of the limit on rejections that the answers to requests state; none to state none.
+    pub fn set_rejection_limit(&self, rejection_limit: Option<&str>) {
+        *self.answers.rejection_limit.lock() = rejection_limit.map(str::to_owned);
+    }
+
+    /// Returns the times at which requests were rejected for want of room.
+    pub fn rejections(&self) -> Vec<Instant> {
+        self.answers.rejections.lock().clone()
+    }
+
     /// Stops or resumes sending on all connections, as if the engine had lost its power.
     pub fn set_unresponsive(&self, unresponsive: bool) {
         self.answers
