--- a/crates/paths/src/options.rs
+++ b/crates/paths/src/options.rs
@@ -18,9 +18,9 @@
     pub max_answer_age_ms: u64,
     /// Time between two queries while other VMs reach what this VM does not.
     pub query_interval_ms: u64,
-    /// First and longest time between two queries while no other VM reaches it either.
+    /// First time between two queries while no other VM reaches it either. It doubles.
     pub first_query_pause_ms: u64,
-    /// See `first_query_pause_ms`.
+    /// Longest time between two such queries.
     pub max_query_pause_ms: u64,
     /// Time between two turns in which lost paths are probed, a part of them each time. A success
     /// has the others probed at once.
@@ -31,9 +31,10 @@
     pub max_probe_pause_ms: u64,
     /// Time for which a restored path must hold to count as steady again.
     pub steady_ms: u64,
-    /// First and longest pause between two probes of one upstream that other VMs ask for.
+    /// First pause between two probes of one upstream that other VMs ask for. It doubles while they
+    /// fail.
     pub asked_probe_pause_ms: u64,
-    /// See `asked_probe_pause_ms`.
+    /// Longest such pause.
     pub max_asked_probe_pause_ms: u64,
     /// Number of other upstreams that are probed when the first path is lost that another VM has.
     pub sample_probes: usize,
