Soak: cuts without other faults; a statement that another replaces ends with it

The later statement now replaces the earlier one in the answers and in the record; both are judged as long as they are stated.

--- a/crates/soak/src/engines.rs
+++ b/crates/soak/src/engines.rs
@@ -198,10 +198,23 @@
             self.site.lock().engines[engines[number].index].clone()
         };
         let from_ms = self.clock.now_ms();
+        let mut starts = self.limit_starts.lock();
+        starts.insert(engine.name().to_owned(), from_ms);
+        drop(starts);
         engine.set_rate_limit(Some(&per_s.to_string()));
         pause(for_ms);
-        let until_ms = self.clock.now_ms();
-        engine.set_rate_limit(None);
+        // A later statement of the same engine has replaced this one, and ends by itself.
+        let mut starts = self.limit_starts.lock();
+        let newest_ms = starts.get(engine.name()).copied();
+        let until_ms = match newest_ms.filter(|start_ms| *start_ms != from_ms) {
+            Some(replaced_ms) => replaced_ms,
+            None => {
+                engine.set_rate_limit(None);
+                starts.remove(engine.name());
+                self.clock.now_ms()
+            }
+        };
+        drop(starts);
         self.events.lock().stated_limits.push(StatedLimitSeen {
             upstream: engine.name().to_owned(),
             milli_per_s,
--- a/crates/soak/src/lib.rs
+++ b/crates/soak/src/lib.rs
@@ -37,6 +37,7 @@
 pub use fault::Trouble;
 pub use organisation_invariants::WindowUse;
 pub use organisation_invariants::fullest_window;
+pub use path_cut_invariants::served_through_others;
 pub use plan::Burst;
 pub use plan::Crasher;
 pub use plan::Plan;
--- a/crates/soak/src/path_cut_invariants.rs
+++ b/crates/soak/src/path_cut_invariants.rs
@@ -7,6 +7,7 @@
 use crate::record::Attempt;
 use crate::record::PATHS_CUT;
 use crate::record::PathCutSeen;
+use crate::record::Record;
 
 /// Time from the begin of a cut from which the VM must serve.
 const GRACE_MS: u64 = 3_000;
@@ -18,14 +19,25 @@
 const MIN_JUDGED: usize = 12;
 const MIN_SERVED_PERCENT: usize = 66;
 
-impl Checker<'_> {
+/// Returns how many requests at VMs that were cut off count for the promise, and how many of them
+/// were served.
+pub fn served_through_others(record: &Record) -> (usize, usize) {
+    let checker = Checker::new(record);
+    let judged = record.path_cuts.iter().flat_map(|cut| checker.judged(cut));
+    let judged: Vec<&Attempt> = judged.collect();
+    (judged.len(), served(&judged))
+}
+
+fn served(judged: &[&Attempt]) -> usize {
+    let served = judged.iter().filter(|it| (200..500).contains(&it.status()));
+    served.count()
+}
+
+impl<'a> Checker<'a> {
     pub(crate) fn check_path_cuts(&self, found: &mut Vec<Violation>) {
         for cut in &self.record.path_cuts {
             let judged = self.judged(cut);
-            let served = judged
-                .iter()
-                .filter(|it| (200..500).contains(&it.status()))
-                .count();
+            let served = served(&judged);
             if judged.len() >= MIN_JUDGED && served * 100 < judged.len() * MIN_SERVED_PERCENT {
                 let detail = format!(
                     "VMs {:?}, cut off from {} to {} ms, served {served} of {}",
@@ -40,7 +52,7 @@
     }
 
     /// Returns the requests at VMs that were cut off by this cut alone while others were not.
-    fn judged(&self, cut: &PathCutSeen) -> Vec<&Attempt> {
+    fn judged(&self, cut: &PathCutSeen) -> Vec<&'a Attempt> {
         if cut.vms.len() >= cut.of_vms {
             return Vec::new();
         }
--- a/crates/soak/src/world.rs
+++ b/crates/soak/src/world.rs
@@ -1,5 +1,6 @@
 //! Platform around the VMs: stand-ins behind proxies, and the injection of faults into them.
 
+use std::collections::HashMap;
 use std::io;
 use std::net::SocketAddr;
 use std::sync::Arc;
@@ -89,6 +90,8 @@
     stores: Vec<Proxy>,
     pub keys: Arc<Keys>,
     written: Mutex<WrittenConfiguration>,
+    /// Time from which each engine's present rate limit is stated.
+    pub limit_starts: Mutex<HashMap<String, u64>>,
     pub events: Mutex<Events>,
 }
 
@@ -143,6 +146,7 @@
                 version: 1,
                 route: 1,
             }),
+            limit_starts: Mutex::default(),
             events: Mutex::default(),
         })
     }
