--- a/crates/entry/src/calls.rs
+++ b/crates/entry/src/calls.rs
@@ -446,7 +446,8 @@
             CallTag::Order(engine, kind) => self.order_ended(&engine, &kind, outcome),
             CallTag::Report(engine) => self.report_ended(&engine, outcome),
             CallTag::Probe(upstream) => self.probe_ended(&upstream, true),
-            CallTag::PathProbe(_) => {}
+            // Otherwise the outcome is recorded where the connection ends.
+            CallTag::PathProbe(upstream) => self.paths.abandon_probe(&upstream),
             CallTag::UpstreamProbe(upstream) => self.handle_crash_probe(&upstream, &outcome),
             CallTag::BlocksNewest => self.handle_blocks_page(outcome),
             CallTag::BlocksAppend => self.finish_blocks_write(outcome),
--- a/crates/entry/src/upstream_paths.rs
+++ b/crates/entry/src/upstream_paths.rs
@@ -38,10 +38,14 @@
 /// connections does so within a round trip.
 const ACCEPTED_AFTER_MS: u64 = 40;
 
-/// Time after a refused connection in which another VM may say that it reaches the upstream. An
-/// upstream that none reaches by then has ended.
+/// Time between two checks whether an upstream that refused a connection has ended, which it has if no
+/// other VM reaches it by then.
 const END_CONFIRMATION_MS: u64 = 120;
 
+/// Time after which an upstream has not ended that another VM still reaches. What the other VM last
+/// said may be from before the end.
+const MAX_END_CONFIRMATION_MS: u64 = 2_000;
+
 /// What each known VM adds to the time over which probes are spread that all VMs start because of
 /// one message.
 const DOUBT_SPREAD_US_PER_VM: u64 = 1_000;
@@ -50,12 +54,18 @@
 /// next attempt probably reaches another VM.
 const NO_ROOM_RETRY_AFTER_MS: u64 = 200;
 
+/// Upstream that refused a connection, and has ended unless another VM reaches it.
+#[derive(Debug)]
+struct SuspectedEnd {
+    upstream: UpstreamName,
+    since_ms: u64,
+    next_check_ms: u64,
+}
+
 /// What this VM still has to do about paths.
 #[derive(Debug, Default)]
 pub(crate) struct PathWork {
-    /// Upstreams that refused a connection, with the time at which they count as ended unless
-    /// another VM reaches them.
-    suspected_ends: Vec<(UpstreamName, u64)>,
+    suspected_ends: Vec<SuspectedEnd>,
     /// Upstreams that another VM has said not to reach, until this VM knows better.
     doubted: HashSet<UpstreamName>,
     /// Upstreams that this VM reaches, to be told to VMs that asked.
@@ -64,7 +74,7 @@
 
 impl PathWork {
     fn next_ms(&self) -> u64 {
-        let ends = self.suspected_ends.iter().map(|(_, at_ms)| *at_ms);
+        let ends = self.suspected_ends.iter().map(|it| it.next_check_ms);
         ends.min().unwrap_or(u64::MAX)
     }
 }
@@ -126,20 +136,30 @@
         let pending = &mut self.path_work.suspected_ends;
         if others == 0 {
             self.handle_upstream_end(upstream);
-        } else if pending.iter().all(|(name, _)| name != upstream) {
-            pending.push((upstream.clone(), self.now_ms + END_CONFIRMATION_MS));
+        } else if pending.iter().all(|it| it.upstream != *upstream) {
+            pending.push(SuspectedEnd {
+                upstream: upstream.clone(),
+                since_ms: self.now_ms,
+                next_check_ms: self.now_ms + END_CONFIRMATION_MS,
+            });
         }
     }
 
     fn confirm_upstream_ends(&mut self) {
         let now_ms = self.now_ms;
-        let pending = std::mem::take(&mut self.path_work.suspected_ends);
-        let (due, later) = pending.into_iter().partition(|(_, at_ms)| *at_ms <= now_ms);
-        self.path_work.suspected_ends = later;
-        let due: Vec<(UpstreamName, u64)> = due;
-        for (upstream, _) in due {
-            if self.paths.is_lost(&upstream) && !self.paths.is_relayed(&upstream) {
-                self.handle_upstream_end(&upstream);
+        for mut suspected in std::mem::take(&mut self.path_work.suspected_ends) {
+            let upstream = &suspected.upstream;
+            let is_relayed = self.paths.is_relayed(upstream);
+            match self.paths.is_lost(upstream) {
+                true if now_ms < suspected.next_check_ms => {
+                    self.path_work.suspected_ends.push(suspected);
+                }
+                true if !is_relayed => self.handle_upstream_end(upstream),
+                true if now_ms < suspected.since_ms + MAX_END_CONFIRMATION_MS => {
+                    suspected.next_check_ms = now_ms + END_CONFIRMATION_MS;
+                    self.path_work.suspected_ends.push(suspected);
+                }
+                _ => {}
             }
         }
     }
--- a/crates/paths/src/paths.rs
+++ b/crates/paths/src/paths.rs
@@ -232,6 +232,13 @@
         }
     }
 
+    /// Records that a probe has ended, which was perhaps not even begun.
+    pub fn abandon_probe(&mut self, upstream: &UpstreamName) {
+        if let Some(path) = self.by_name.get_mut(upstream) {
+            path.probe_in_progress = false;
+        }
+    }
+
     /// Records another VM's question, and returns those of the upstreams that this VM is known to
     /// reach. The others are probed if that has not just been done, and the VM is told later.
     pub fn record_query(
