--- a/crates/entry/src/calls.rs
+++ b/crates/entry/src/calls.rs
@@ -171,10 +171,8 @@
         bytes: &[u8],
         timeout_ms: u64,
     ) {
-        match self.connect(&peer, address) {
-            Some(token) => self.call_on(token, tag, bytes, timeout_ms),
-            None => self.finish_call(tag, CallOutcome::NotSent),
-        }
+        let connection = self.connect(&peer, address);
+        self.call_on_opened(connection, tag, bytes, timeout_ms);
     }
 
     /// Begins a call on a direct connection. An engine counts orders as those of the VM that they come
@@ -188,10 +186,8 @@
         timeout_ms: u64,
     ) {
         let idle = self.outbound.take_idle_direct(self.now_ms, &peer);
-        match idle.or_else(|| self.open_by_way(&peer, address, None)) {
-            Some(token) => self.call_on(token, tag, bytes, timeout_ms),
-            None => self.finish_call(tag, CallOutcome::NotSent),
-        }
+        let connection = idle.or_else(|| self.open_by_way(&peer, address, None));
+        self.call_on_opened(connection, tag, bytes, timeout_ms);
     }
 
     /// Begins a call on a new direct connection, even if there are idle ones.
@@ -203,10 +199,8 @@
         bytes: &[u8],
         timeout_ms: u64,
     ) {
-        match self.open_by_way(&peer, address, None) {
-            Some(token) => self.call_on(token, tag, bytes, timeout_ms),
-            None => self.finish_call(tag, CallOutcome::NotSent),
-        }
+        let connection = self.open_by_way(&peer, address, None);
+        self.call_on_opened(connection, tag, bytes, timeout_ms);
     }
 
     /// Begins a call on a new connection, even if there are idle ones.
@@ -218,7 +212,19 @@
         bytes: &[u8],
         timeout_ms: u64,
     ) {
-        match self.open(&peer, address) {
+        let connection = self.open(&peer, address);
+        self.call_on_opened(connection, tag, bytes, timeout_ms);
+    }
+
+    /// Begins a call on a connection, or ends it at once if none could be opened.
+    fn call_on_opened(
+        &mut self,
+        connection: Option<Token>,
+        tag: CallTag,
+        bytes: &[u8],
+        timeout_ms: u64,
+    ) {
+        match connection {
             Some(token) => self.call_on(token, tag, bytes, timeout_ms),
             None => self.finish_call(tag, CallOutcome::NotSent),
         }
