--- a/crates/dispatch/src/dispatcher.rs
+++ b/crates/dispatch/src/dispatcher.rs
@@ -9,7 +9,6 @@
 use apricotdale_core::policy::Candidate;
 use apricotdale_core::policy::RetryDecision;
 use apricotdale_core::policy::RetryPolicy;
-use apricotdale_core::policy::RetryRequest;
 use apricotdale_core::policy::RouteRequest;
 use apricotdale_core::policy::RoutingEvent;
 use apricotdale_core::policy::RoutingPolicy;
@@ -29,6 +28,8 @@
 use crate::job::Job;
 use crate::job::RetryAction;
 use crate::job::WaitReason;
+use crate::job::refusal_of;
+use crate::job::retry_request;
 use crate::options::DispatcherOptions;
 use crate::options::retry_options;
 use crate::options::routing_options;
@@ -482,31 +483,6 @@
     }
 }
 
-/// Returns a refusal that says "not run" only if the request certainly did not run.
-fn refusal_of(job: &Job, reason: RefusalReason, detail: String) -> Refusal {
-    match job.runs {
-        0 => Refusal::not_run(reason, detail),
-        _ => Refusal::unknown(reason, detail),
-    }
-}
-
-/// Returns the question to the retry policy for a request whose send failed.
-fn retry_request(
-    now_ms: u64,
-    job: &Job,
-    certainly_not_run: bool,
-    answer_begun: bool,
-) -> RetryRequest {
-    RetryRequest {
-        group: job.service.clone(),
-        idempotent: job.kind.is_repeatable(),
-        certainly_not_run,
-        answer_begun,
-        tries: job.tried.len() as u32,
-        left_ms: job.deadline_ms.saturating_sub(now_ms),
-    }
-}
-
 fn can_run(upstream: &Upstream, job: &Job) -> bool {
     match &job.wanted {
         Some(wanted) => upstream.residence.serves(wanted),
--- a/crates/dispatch/src/job.rs
+++ b/crates/dispatch/src/job.rs
@@ -2,7 +2,9 @@
 
 use apricotdale_core::names::GroupName;
 use apricotdale_core::names::UpstreamName;
+use apricotdale_core::policy::RetryRequest;
 use apricotdale_core::refusal::Refusal;
+use apricotdale_core::refusal::RefusalReason;
 use apricotdale_fleet::RouteKind;
 use apricotdale_fleet::WantedModel;
 
@@ -135,3 +137,28 @@
     /// Don't send it again; answer the caller.
     GiveUp,
 }
+
+/// Returns a refusal that says "not run" only if the request certainly did not run.
+pub(crate) fn refusal_of(job: &Job, reason: RefusalReason, detail: String) -> Refusal {
+    match job.runs {
+        0 => Refusal::not_run(reason, detail),
+        _ => Refusal::unknown(reason, detail),
+    }
+}
+
+/// Returns the question to the retry policy for a request whose send failed.
+pub(crate) fn retry_request(
+    now_ms: u64,
+    job: &Job,
+    certainly_not_run: bool,
+    answer_begun: bool,
+) -> RetryRequest {
+    RetryRequest {
+        group: job.service.clone(),
+        idempotent: job.kind.is_repeatable(),
+        certainly_not_run,
+        answer_begun,
+        tries: job.tried.len() as u32,
+        left_ms: job.deadline_ms.saturating_sub(now_ms),
+    }
+}
--- a/crates/entry/src/daemon.rs
+++ b/crates/entry/src/daemon.rs
@@ -1,10 +1,9 @@
 //! State of the daemon and its readiness loop.
 
+mod sockets;
+
 use std::collections::HashMap;
 use std::io;
-use std::io::Read;
-use std::net::SocketAddr;
-use std::os::unix::net::UnixStream as StdUnixStream;
 use std::time::Duration;
 
 use apricotdale_core::names::UpstreamName;
@@ -28,12 +27,16 @@
 use mio::Poll;
 use mio::Token;
 use mio::net::TcpListener;
-use mio::net::UdpSocket;
 use mio::net::UnixStream;
 use signal_hook::consts::SIGHUP;
 use signal_hook::consts::SIGINT;
 use signal_hook::consts::SIGTERM;
 
+use self::sockets::bind;
+use self::sockets::bind_for_peers;
+use self::sockets::drain_pipe;
+use self::sockets::random_incarnation;
+use self::sockets::signal_pipe;
 use crate::active::ActiveRequests;
 use crate::block_store::BlockStore;
 use crate::caller::Caller;
@@ -44,7 +47,6 @@
 use crate::clock::now_ms;
 use crate::codec::Codecs;
 use crate::engine_orders::EngineOrders;
-use crate::errors::Error;
 use crate::errors::Result;
 use crate::lifecycle::PlannedStop;
 use crate::limits::Limits;
@@ -76,9 +78,6 @@
 const RELAY: Token = Token(6);
 const FIRST_CONNECTION_TOKEN: usize = 16;
 
-/// Number of ports that are tried for messages of other VMs if the system chooses one.
-const PEER_PORT_ATTEMPTS: u32 = 16;
-
 /// Maximum number of readiness events that one iteration of the loop handles.
 const MAX_EVENTS: usize = 512;
 
@@ -166,7 +165,7 @@
     ///
     /// # Errors
     ///
-    /// [`Error::Listen`] if an address can't be bound, [`Error::Loop`] for any other I/O error.
+    /// [`crate::Error::Listen`] if an address can't be bound, [`crate::Error::Loop`] for any other I/O error.
     pub fn new(mut settings: Settings, codecs: Codecs) -> Result<Self> {
         let poll = Poll::new()?;
         let now_ms = now_ms();
@@ -262,7 +261,7 @@
     ///
     /// # Errors
     ///
-    /// [`Error::Loop`] if the kernel's readiness interface fails.
+    /// [`crate::Error::Loop`] if the kernel's readiness interface fails.
     pub fn run(mut self) -> Result<()> {
         self.log_start();
         let mut events = Events::with_capacity(MAX_EVENTS);
@@ -412,21 +411,6 @@
         }
     }
 
-    /// Accepts connections of other VMs that want them relayed.
-    fn accept_relays(&mut self) {
-        loop {
-            match self.relay_listener.accept() {
-                Ok((socket, from)) => self.accept_relayed(socket, from.ip()),
-                Err(error) if error.kind() == io::ErrorKind::Interrupted => {}
-                Err(error) if error.kind() == io::ErrorKind::WouldBlock => return,
-                Err(error) => {
-                    log::warn!(reason = error.to_string(); "connection can't be accepted");
-                    return;
-                }
-            }
-        }
-    }
-
     pub(crate) fn new_token(&mut self) -> Token {
         let token = Token(self.next_token);
         self.next_token += 1;
@@ -506,59 +490,3 @@
         self.end_requests_at_ended_incarnations();
     }
 }
-
-/// Returns the socket for messages of other VMs and the listener for connections to relay, which have
-/// the same address. Port 0 stands for any port that is free for both.
-fn bind_for_peers(address: SocketAddr) -> Result<(UdpSocket, TcpListener)> {
-    let listen_error = |source| Error::Listen { address, source };
-    let mut attempts = match address.port() {
-        0 => PEER_PORT_ATTEMPTS,
-        _ => 1,
-    };
-    loop {
-        attempts -= 1;
-        let listener = TcpListener::bind(address).map_err(listen_error)?;
-        match UdpSocket::bind(listener.local_addr()?) {
-            Ok(socket) => return Ok((socket, listener)),
-            Err(error) if attempts == 0 => return Err(listen_error(error)),
-            Err(_) => {}
-        }
-    }
-}
-
-fn bind(address: SocketAddr) -> Result<TcpListener> {
-    TcpListener::bind(address).map_err(|source| Error::Listen { address, source })
-}
-
-/// Returns a pipe into which each of these signals writes a byte, so that it wakes up the loop.
-fn signal_pipe(poll: &Poll, token: Token, signals: &[i32]) -> Result<UnixStream> {
-    let (read, write) = StdUnixStream::pair()?;
-    read.set_nonblocking(true)?;
-    write.set_nonblocking(true)?;
-    for signal in signals {
-        signal_hook::low_level::pipe::register(*signal, write.try_clone()?)?;
-    }
-    let mut read = UnixStream::from_std(read);
-    poll.registry()
-        .register(&mut read, token, Interest::READABLE)?;
-    Ok(read)
-}
-
-/// Empties a pipe. Returns whether it contained anything.
-fn drain_pipe(pipe: &mut UnixStream) -> bool {
-    let mut bytes = [0_u8; 64];
-    let mut any = false;
-    while matches!(pipe.read(&mut bytes), Ok(1..)) {
-        any = true;
-    }
-    any
-}
-
-/// Returns a random number, by which incarnations of the process differ.
-fn random_incarnation() -> u64 {
-    use std::hash::BuildHasher;
-    use std::hash::Hasher;
-    std::collections::hash_map::RandomState::new()
-        .build_hasher()
-        .finish()
-}
--- a/crates/entry/src/relay.rs
+++ b/crates/entry/src/relay.rs
@@ -7,6 +7,7 @@
 
 use std::collections::HashMap;
 use std::collections::HashSet;
+use std::io;
 use std::net::IpAddr;
 
 use apricotdale_core::names::UpstreamName;
@@ -122,8 +123,23 @@
             && self.loop_load.permille() < MAX_LOAD_PERMILLE
     }
 
+    /// Accepts connections of other VMs that want them relayed.
+    pub(crate) fn accept_relays(&mut self) {
+        loop {
+            match self.relay_listener.accept() {
+                Ok((socket, from)) => self.accept_relayed(socket, from.ip()),
+                Err(error) if error.kind() == io::ErrorKind::Interrupted => {}
+                Err(error) if error.kind() == io::ErrorKind::WouldBlock => return,
+                Err(error) => {
+                    log::warn!(reason = error.to_string(); "connection can't be accepted");
+                    return;
+                }
+            }
+        }
+    }
+
     /// Accepts a connection of a VM that wants it relayed. Others than known VMs are not served.
-    pub(crate) fn accept_relayed(&mut self, socket: TcpStream, from: IpAddr) {
+    fn accept_relayed(&mut self, socket: TcpStream, from: IpAddr) {
         if !self.peers.knows_address(from) || self.relayed.len() >= MAX_RELAYED {
             self.metrics.relay("rejected");
             return;
