Incident of prompt parts: the lines tell the parts of lost requests

The lines could not tell what the requests on lost engines share: send without an answer gives a fingerprint of the whole request and its model, and no part of the prompt.

--- a/crates/entry/src/failed_attempts.rs
+++ b/crates/entry/src/failed_attempts.rs
@@ -12,6 +12,7 @@
 use crate::daemon::Daemon;
 use crate::outbound::Peer;
 use crate::request_ends::model_text;
+use crate::request_ends::parts_text;
 use crate::request_ends::upstream_text;
 
 /// Retry delay stated to a refused caller. Engines reject requests for short moments only.
@@ -172,6 +173,7 @@
             request_id = request.serving.id.to_string(),
             reason = failed.as_str(),
             fingerprint = request.fingerprint.to_string(),
+            parts = parts_text(&request.serving.parts),
             upstream = upstream_text(&request.job),
             model = model_text(&request.job),
             tries = request.job.tried.len(),
--- a/crates/entry/src/request_ends.rs
+++ b/crates/entry/src/request_ends.rs
@@ -7,6 +7,7 @@
 use apricotdale_delivery::Closing;
 use apricotdale_dispatch::Job;
 use apricotdale_dispatch::WaitReason;
+use apricotdale_fleet::PromptPart;
 use apricotdale_fleet::WantedModel;
 use mio::Token;
 
@@ -14,6 +15,9 @@
 use crate::daemon::Daemon;
 use crate::failed_attempts::RETRY_AFTER_MS;
 
+/// Maximum number of prompt parts in one log line.
+const MAX_LOGGED_PARTS: usize = 16;
+
 impl Daemon {
     /// Refuses an active request.
     pub(crate) fn refuse(&mut self, key: u64, refusal: &Refusal) {
@@ -150,6 +154,13 @@
     }
 }
 
+/// Returns the IDs of the first parts of a request's prompt, for logs.
+pub(crate) fn parts_text(parts: &[PromptPart]) -> String {
+    let ids = parts.iter().take(MAX_LOGGED_PARTS);
+    let ids: Vec<String> = ids.map(|part| format!("{:x}", part.id)).collect();
+    ids.join(" ")
+}
+
 /// Returns the model and adapter that a request names, for logs; empty if it names none.
 pub(crate) fn model_text(job: &Job) -> String {
     match &job.wanted {
