--- a/crates/launcher/src/entry_up.rs
+++ b/crates/launcher/src/entry_up.rs
@@ -3,6 +3,7 @@
 use std::io::Write;
 use std::time::Duration;
 
+use apricotdale_standins::platform::CrashMarker;
 use apricotdale_standins::platform::CrashTrigger;
 use apricotdale_standins::platform::EngineOptions;
 use apricotdale_standins::platform::Site;
@@ -85,7 +86,7 @@
             instance: format!("i-{index}"),
             models: vec!["m0".to_owned()],
             crashes: vec![CrashTrigger {
-                marker: CRASH_MARKER.to_vec(),
+                marker: CrashMarker::Body(CRASH_MARKER.to_vec()),
                 after_events: 0,
                 after_ms: CRASH_AFTER_MS,
             }],
--- a/crates/soak/src/engines.rs
+++ b/crates/soak/src/engines.rs
@@ -6,6 +6,7 @@
 use std::sync::atomic::Ordering;
 use std::thread;
 
+use apricotdale_standins::platform::CrashMarker;
 use apricotdale_standins::platform::CrashTrigger;
 use apricotdale_standins::platform::EngineOptions;
 use apricotdale_standins::platform::Site;
@@ -63,7 +64,7 @@
 /// Returns the options of an engine of the soak that loads `models` at its start.
 pub(crate) fn engine_options(name: String, models: &[&str]) -> EngineOptions {
     let crash = |mark: &str, after_events| CrashTrigger {
-        marker: mark.as_bytes().to_vec(),
+        marker: CrashMarker::Body(mark.as_bytes().to_vec()),
         after_events,
         after_ms: CRASH_DELAY_MS,
     };
--- a/crates/standins/src/platform/engine.rs
+++ b/crates/standins/src/platform/engine.rs
@@ -32,11 +32,44 @@
 /// Time between the starts of two incarnations, in milliseconds.
 const RESTART_INTERVAL_MS: u64 = 1_000;
 
+/// What marks a request that makes an engine crash.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub enum CrashMarker {
+    /// Bytes in the request's body.
+    Body(Vec<u8>),
+    /// Part of the prompt that is not its last.
+    PromptPart {
+        /// ID of the part, in hexadecimal digits.
+        id: String,
+        /// Model that crashes on it; `None` for all models.
+        model: Option<String>,
+    },
+}
+
+impl CrashMarker {
+    fn matches(&self, request: &Request) -> bool {
+        match self {
+            Self::Body(bytes) => contains(&request.body, bytes),
+            Self::PromptPart { id, model } => {
+                let parts = request.header("Apricotdale-Prompt-Prefix");
+                let (shared, _) = parts
+                    .unwrap_or_default()
+                    .rsplit_once(',')
+                    .unwrap_or_default();
+                let mut ids = shared.split(',').filter_map(|part| part.split(':').next());
+                let wanted = request.header("Apricotdale-Model").unwrap_or_default();
+                let wanted = wanted.split('/').next();
+                ids.any(|it| it == id) && model.as_deref().is_none_or(|it| Some(it) == wanted)
+            }
+        }
+    }
+}
+
 /// Request that makes an engine crash.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub struct CrashTrigger {
-    /// Bytes that mark the request's body.
-    pub marker: Vec<u8>,
+    /// What marks the request.
+    pub marker: CrashMarker,
     /// Number of events that are sent before the crash.
     pub after_events: u64,
     /// Milliseconds from the start of the request to its first event, or to the crash without one.
@@ -397,7 +430,7 @@
         }
         let fault = self.answers.begin(request);
         let crashes = self.options.crashes.iter();
-        let mut crashes = crashes.filter(|it| contains(&request.body, &it.marker));
+        let mut crashes = crashes.filter(|it| it.marker.matches(request));
         if let Some(trigger) = crashes.next() {
             let run = (Instant::now(), request.body.clone());
             self.marked_runs.lock().push(run);
--- a/crates/standins/src/platform/mod.rs
+++ b/crates/standins/src/platform/mod.rs
@@ -23,6 +23,7 @@
 pub use caller::SiteRequest;
 pub use caller::get;
 pub use caller::is_ready;
+pub use engine::CrashMarker;
 pub use engine::CrashTrigger;
 pub use engine::EngineEffects;
 pub use engine::EngineOptions;
