--- a/crates/core/src/refusal.rs
+++ b/crates/core/src/refusal.rs
@@ -101,8 +101,12 @@
     UpstreamRefused = "upstream_refused", 502;
     /// The connection to the upstream was lost after the request was sent.
     UpstreamLost = "upstream_lost", 502;
-    /// Upstreams have crashed repeatedly while running the same request.
+    /// Upstreams have crashed repeatedly while running the same request, or requests with the same
+    /// part of a prompt.
     CrashesUpstreams = "crashes_upstreams", 503;
+    /// Upstreams have crashed under the request or a part of it, and such requests are tried one at
+    /// a time.
+    OnProbation = "on_probation", 503;
     /// The upstream's answer did not come in time.
     UpstreamTimeout = "upstream_timeout", 504;
     /// The upstream's answer ended early, is malformed or belongs to another request.
--- a/crates/entry/src/active.rs
+++ b/crates/entry/src/active.rs
@@ -14,7 +14,7 @@
 use apricotdale_http1::RequestHead;
 use apricotdale_organisations::Organisation;
 use apricotdale_quarantine::CallerHash;
-use apricotdale_quarantine::Fingerprint;
+use apricotdale_quarantine::RequestFeatures;
 use mio::Token;
 
 use crate::limits::Charge;
@@ -49,8 +49,8 @@
     pub caller: Option<Token>,
     /// Identifies the caller, who is known by the address only.
     pub caller_hash: CallerHash,
-    /// Identifies the request: duplicates have the same fingerprint.
-    pub fingerprint: Fingerprint,
+    /// Identify the request, of which duplicates have the same, and its prompt parts.
+    pub features: RequestFeatures,
     pub head: RequestHead,
     pub body: Vec<u8>,
     pub serving: ServingRequest,
@@ -61,8 +61,8 @@
     pub charge: Option<Charge>,
     pub job: Job,
     pub phase: Phase,
-    /// Whether it is being sent as the trial run of a request on probation.
-    pub is_trial: bool,
+    /// Number of the trial run as which it is being sent; none if it is not on probation.
+    pub trial: Option<u64>,
     /// State of the answer as delivered to the caller so far.
     pub delivery: Delivery,
     /// When the request was first sent; none before that.
--- a/crates/entry/src/block_store.rs
+++ b/crates/entry/src/block_store.rs
@@ -35,15 +35,19 @@
 /// Stored state of a request, under its fingerprint as key.
 #[derive(Debug, Serialize, Deserialize)]
 enum Record {
-    /// The request is blocked.
+    /// Placeholder for a variant of earlier versions, whose records are deleted.
+    ObsoleteBlock,
+    /// Placeholder for a variant of earlier versions, whose records are deleted.
+    Obsolete,
+    /// Placeholder for a variant of earlier versions, whose records are deleted.
+    ObsoleteCase,
+    /// The request, or the prompt parts, are blocked.
     Block {
         row: BlockRow,
         /// End of the block, in Unix milliseconds.
         until_unix_ms: u64,
     },
-    /// Placeholder for a variant of earlier versions, whose records are deleted.
-    Obsolete,
-    /// The request is on probation, since so many copies of it were lost in crashes.
+    /// The request or the prompt part is on probation, since so much was lost in crashes.
     Case {
         row: CaseRow,
         /// When the record was written, in Unix milliseconds.
@@ -222,7 +226,7 @@
                     let reports = row.reports(later_ms);
                     self.crash_watch.record_reports(self.now_ms, &reports);
                 }
-                Ok(Record::Obsolete) | Err(_) => {
+                Ok(Record::ObsoleteBlock | Record::Obsolete | Record::ObsoleteCase) | Err(_) => {
                     let ended = record.key.parse().into_iter().collect();
                     self.block_store.record_ended_blocks(ended);
                 }
--- a/crates/entry/src/crash_watch.rs
+++ b/crates/entry/src/crash_watch.rs
@@ -9,6 +9,7 @@
 use std::net::IpAddr;
 use std::net::SocketAddr;
 
+use apricotdale_core::names::GroupName;
 use apricotdale_core::names::UpstreamName;
 use apricotdale_core::names::VmName;
 use apricotdale_core::refusal::Refusal;
@@ -16,11 +17,15 @@
 use apricotdale_fleet::ServingRequest;
 use apricotdale_fleet::UpstreamPhase;
 use apricotdale_http1::RequestHead;
+use apricotdale_quarantine::AnsweredRow;
 use apricotdale_quarantine::BlockRow;
 use apricotdale_quarantine::CallerHash;
+use apricotdale_quarantine::Cleared;
 use apricotdale_quarantine::CrashReport;
 use apricotdale_quarantine::Fingerprint;
 use apricotdale_quarantine::LostRequest;
+use apricotdale_quarantine::ProbationRow;
+use apricotdale_quarantine::RequestFeatures;
 use apricotdale_quarantine::Role;
 use apricotdale_quarantine::TrialQuery;
 use apricotdale_quarantine::UpstreamProbe;
@@ -36,13 +41,13 @@
 /// nobody listens, which shows within one round trip.
 const PROBE_TIMEOUT_MS: u64 = 300;
 
-/// Maximum number of reports in one datagram; each contains at most ten requests.
-const REPORTS_PER_DATAGRAM: usize = 4;
+/// Maximum number of reports in one datagram; each contains at most four requests.
+const REPORTS_PER_DATAGRAM: usize = 2;
 
 /// Maximum number of blocks in one datagram.
 const BLOCKS_PER_DATAGRAM: usize = 10;
 
-/// Maximum number of requests on probation in one datagram.
+/// Maximum number of requests and parts on probation, or of answers to them, in one datagram.
 const PROBATIONS_PER_DATAGRAM: usize = 30;
 
 /// Maximum number of fingerprints in one log line.
@@ -50,11 +55,11 @@
 
 impl Daemon {
     /// Returns the refusal of a blocked request; none if the request may be sent.
-    pub(crate) fn block_refusal(&self, fingerprint: &Fingerprint) -> Option<Refusal> {
-        let left_ms = self.crash_watch.blocked_ms(self.now_ms, fingerprint)?;
-        let detail = blocked_detail(fingerprint);
+    pub(crate) fn block_refusal(&self, request: &RequestFeatures) -> Option<Refusal> {
+        let block = self.crash_watch.block(self.now_ms, request)?;
+        let detail = blocked_detail(&block);
         let refusal = Refusal::not_run(RefusalReason::CrashesUpstreams, detail);
-        Some(refusal.retry_after(left_ms))
+        Some(refusal.retry_after(block.left_ms))
     }
 
     /// Records a request that was lost because an upstream broke its connection.
@@ -76,9 +81,9 @@
             upstream,
             request.job.wanted.is_some(),
             LostRequest {
-                fingerprint: request.fingerprint,
+                features: request.features.clone(),
                 caller: request.caller_hash,
-                is_trial: request.is_trial,
+                is_trial: request.trial.is_some(),
             },
         );
     }
@@ -161,9 +166,9 @@
         if let Some((vm, address)) = judges.get(due.trial_judge) {
             let is_other = *vm != own;
             let asker = self.incarnation;
-            for ask in due.trial_queries {
+            for query in due.trial_queries {
                 self.peers
-                    .send(*address, &PeerMessage::TrialRequested { asker, ask });
+                    .send(*address, &PeerMessage::TrialRequested { asker, query });
             }
             for end in due.trial_ends.into_iter().filter(|_| is_other) {
                 self.peers
@@ -171,9 +176,14 @@
             }
         }
         for part in due.probations.chunks(PROBATIONS_PER_DATAGRAM) {
-            log::info!(fingerprints = texts_of(part); "requests on probation");
+            let fingerprints = texts_of(part.iter().map(|row| &row.fingerprint));
+            log::info!(fingerprints; "requests on probation");
             self.peers.send_all(&PeerMessage::Probations(part.to_vec()));
         }
+        for feature in due.cleared {
+            self.record_ended_probation(&feature, "explained");
+            self.peers.send_all(&PeerMessage::Cleared(feature));
+        }
         if !due.reports.is_empty() {
             for (_, address) in judges.into_iter().filter(|(vm, _)| *vm != own) {
                 self.send_reports(address, &due.reports);
@@ -201,10 +211,11 @@
         let Some(request) = self.active.get_mut(key) else {
             return;
         };
-        let is_sent = matches!(request.phase, Phase::Sent { .. });
-        if !is_sent && std::mem::take(&mut request.is_trial) {
+        if !matches!(request.phase, Phase::Sent { .. })
+            && let Some(number) = request.trial.take()
+        {
             self.crash_watch
-                .record_trial_end(self.now_ms, request.fingerprint, false);
+                .record_trial_end(self.now_ms, number, false);
         }
     }
 
@@ -221,6 +232,7 @@
         let upstreams: Vec<&str> = row.upstreams.iter().map(UpstreamName::as_str).collect();
         log::warn!(
             fingerprint = row.fingerprint.to_string(),
+            features = texts_of(&row.features),
             upstreams = upstreams.join(" "),
             times = row.times,
             left_ms = row.left_ms,
@@ -232,7 +244,11 @@
             .active
             .iter()
             .filter(|(_, request)| {
-                !request.delivery.has_begun() && request.fingerprint == row.fingerprint
+                !request.delivery.has_begun()
+                    && self
+                        .crash_watch
+                        .block(self.now_ms, &request.features)
+                        .is_some()
             })
             .map(|(key, _)| *key)
             .collect();
@@ -246,7 +262,7 @@
             return;
         };
         let is_sent = matches!(request.phase, Phase::Sent { .. });
-        let detail = blocked_detail(&row.fingerprint);
+        let detail = blocked_detail(row);
         let reason = RefusalReason::CrashesUpstreams;
         let refusal = match is_sent || request.job.runs > 0 {
             true => Refusal::unknown(reason, detail),
@@ -261,19 +277,68 @@
         self.crash_watch.record_reports(self.now_ms, reports);
     }
 
-    /// Records that a request was answered. If it was blocked or on probation, all VMs are
-    /// informed.
-    pub(crate) fn record_answered(&mut self, fingerprint: Fingerprint) {
-        if self.crash_watch.record_answered(self.now_ms, fingerprint) {
-            self.record_cleared(&fingerprint, "answered");
-            self.peers.send_all(&PeerMessage::Cleared(fingerprint));
+    /// Records that the answer to a request was completed. If the request or a part of it was
+    /// blocked or on probation, the other VMs are informed.
+    pub(crate) fn record_answered(&mut self, request: &RequestFeatures) {
+        let cleared = self.crash_watch.record_answered(self.now_ms, request);
+        self.apply_cleared(&cleared, "answered");
+        if cleared.reported.is_empty() {
+            return;
+        }
+        for (_, address) in self.peers.judges() {
+            self.send_answers(address, &cleared.reported);
+        }
+    }
+
+    /// Applies the announcement that a request or part was answered at another VM.
+    pub(crate) fn handle_cleared_request(&mut self, feature: &Fingerprint, how: &str) {
+        let cleared = self.crash_watch.record_cleared(self.now_ms, feature);
+        self.apply_lifted_blocks(&cleared, how);
+    }
+
+    /// Handles another VM's announcement of what it has put on probation, and reports to it what
+    /// this VM knows to be answered since.
+    pub(crate) fn handle_probations(&mut self, from: SocketAddr, rows: &[ProbationRow]) {
+        let answered = self.crash_watch.record_probations(self.now_ms, rows);
+        self.send_answers(from, &answered);
+    }
+
+    /// Handles the answers that another VM reports to this one as a judge.
+    pub(crate) fn handle_peer_answers(&mut self, rows: &[AnsweredRow]) {
+        let cleared = self.crash_watch.record_peer_answers(self.now_ms, rows);
+        self.apply_cleared(&cleared, "answered elsewhere");
+    }
+
+    /// Applies what an answer has cleared, and announces it to all VMs.
+    fn apply_cleared(&mut self, cleared: &Cleared, how: &str) {
+        self.apply_lifted_blocks(cleared, how);
+        for feature in &cleared.announced {
+            self.peers.send_all(&PeerMessage::Cleared(*feature));
         }
     }
 
-    /// Handles the announcement that a blocked request was answered after all.
-    pub(crate) fn handle_cleared_request(&mut self, fingerprint: &Fingerprint, how: &str) {
-        if self.crash_watch.record_cleared(self.now_ms, fingerprint) {
-            self.record_cleared(fingerprint, how);
+    fn apply_lifted_blocks(&mut self, cleared: &Cleared, how: &str) {
+        let reported = cleared.reported.iter().map(|row| &row.fingerprint);
+        for feature in cleared.announced.iter().chain(reported) {
+            self.record_ended_probation(feature, how);
+        }
+        self.block_store
+            .record_ended_blocks(cleared.lifted.ended.clone());
+        for row in &cleared.lifted.remaining {
+            self.apply_new_block(row, how);
+        }
+    }
+
+    fn record_ended_probation(&mut self, feature: &Fingerprint, how: &str) {
+        self.block_store.record_ended_blocks(vec![*feature]);
+        self.redispatch_needed = true;
+        log::info!(fingerprint = feature.to_string(), how; "request no longer blocked");
+    }
+
+    fn send_answers(&self, address: SocketAddr, rows: &[AnsweredRow]) {
+        for part in rows.chunks(PROBATIONS_PER_DATAGRAM) {
+            self.peers
+                .send(address, &PeerMessage::Answered(part.to_vec()));
         }
     }
 
@@ -281,7 +346,7 @@
     pub(crate) fn send_probations_to(&self, address: SocketAddr) {
         for part in self
             .crash_watch
-            .probations()
+            .probations(self.now_ms)
             .chunks(PROBATIONS_PER_DATAGRAM)
         {
             self.peers
@@ -289,12 +354,6 @@
         }
     }
 
-    fn record_cleared(&mut self, fingerprint: &Fingerprint, how: &str) {
-        self.block_store.record_ended_blocks(vec![*fingerprint]);
-        self.redispatch_needed = true;
-        log::info!(fingerprint = fingerprint.to_string(), how; "request no longer blocked");
-    }
-
     /// Applies blocks that another VM has announced.
     pub(crate) fn apply_announced_blocks(&mut self, rows: &[BlockRow]) {
         for row in rows {
@@ -334,7 +393,7 @@
         self.metrics
             .suspects
             .set(self.crash_watch.suspects() as i64);
-        let on_probation = self.crash_watch.probations().len();
+        let on_probation = self.crash_watch.probations(self.now_ms).len();
         self.metrics.on_probation.set(on_probation as i64);
     }
 }
@@ -347,21 +406,31 @@
     }
 }
 
-/// Returns the fingerprint of a request. Equal fingerprints mean the same request.
-pub(crate) fn fingerprint(
+/// Returns the fingerprints of a request and of its prompt parts. Equal ones mean the same request
+/// or part.
+pub(crate) fn request_features(
     serving: &ServingRequest,
+    service: &GroupName,
     head: &RequestHead,
     body: &[u8],
-) -> Fingerprint {
+) -> RequestFeatures {
     let target = [serving.host.as_str(), serving.target.as_str()];
-    Fingerprint::of(None, &head.method, &target, body)
+    let fingerprint = Fingerprint::of(None, &head.method, &target, body);
+    let Some(wanted) = &serving.model else {
+        return fingerprint.into();
+    };
+    let parts: Vec<u64> = serving.parts.iter().map(|part| part.id).collect();
+    RequestFeatures::new(fingerprint, service.as_str(), wanted.model.as_str(), &parts)
 }
 
-fn texts_of(fingerprints: &[Fingerprint]) -> String {
-    let texts: Vec<String> = fingerprints.iter().map(ToString::to_string).collect();
+fn texts_of<'a>(fingerprints: impl IntoIterator<Item = &'a Fingerprint>) -> String {
+    let texts: Vec<String> = fingerprints.into_iter().map(ToString::to_string).collect();
     texts.join(" ")
 }
 
-fn blocked_detail(fingerprint: &Fingerprint) -> String {
-    format!("upstreams crashed under request {fingerprint}")
+fn blocked_detail(block: &BlockRow) -> String {
+    match block.features.as_slice() {
+        [only] => format!("upstreams crashed under {only}"),
+        features => format!("upstreams crashed under all of {}", texts_of(features)),
+    }
 }
--- a/crates/entry/src/failed_attempts.rs
+++ b/crates/entry/src/failed_attempts.rs
@@ -47,10 +47,10 @@
                 outcome,
                 took_ms,
             );
-            if std::mem::take(&mut request.is_trial) {
+            if let Some(number) = request.trial.take() {
                 let is_lost = outcome == UpstreamOutcome::Lost;
                 self.crash_watch
-                    .record_trial_end(self.now_ms, request.fingerprint, is_lost);
+                    .record_trial_end(self.now_ms, number, is_lost);
             }
         }
     }
@@ -123,6 +123,7 @@
                 UpstreamOutcome::Lost
             }
         };
+        let was_trial = self.active.get(key).is_some_and(|it| it.trial.is_some());
         self.end_attempt(key, outcome);
         self.log_failed_attempt(key, failed);
         self.redispatch_needed = true;
@@ -131,10 +132,10 @@
         };
         request.job.runs += u32::from(!failed.is_not_run());
         let has_begun = request.delivery.has_begun();
-        // A request that was blocked before and is sent again gets no second attempt until this one
+        // A trial run, or a request that was blocked before, gets no second attempt until this one
         // has been judged.
-        let may_retry = request.delivery.may_continue()
-            && (failed.is_not_run() || !self.crash_watch.knows(&request.fingerprint));
+        let is_suspect = was_trial || self.crash_watch.knows(&request.features);
+        let may_retry = request.delivery.may_continue() && (failed.is_not_run() || !is_suspect);
         let decision = match may_retry && request.caller.is_some() {
             true => self
                 .dispatcher
@@ -172,7 +173,7 @@
         log::info!(
             request_id = request.serving.id.to_string(),
             reason = failed.as_str(),
-            fingerprint = request.fingerprint.to_string(),
+            fingerprint = request.features.request.to_string(),
             parts = parts_text(&request.serving.parts),
             upstream = upstream_text(&request.job),
             model = model_text(&request.job),
--- a/crates/entry/src/messages.rs
+++ b/crates/entry/src/messages.rs
@@ -13,9 +13,11 @@
 use apricotdale_holder::DemandRow;
 use apricotdale_holder::ResidenceUpdate;
 use apricotdale_paths::PathAnswer;
+use apricotdale_quarantine::AnsweredRow;
 use apricotdale_quarantine::BlockRow;
 use apricotdale_quarantine::CrashReport;
 use apricotdale_quarantine::Fingerprint;
+use apricotdale_quarantine::ProbationRow;
 use apricotdale_quarantine::TrialAnswer;
 use apricotdale_quarantine::TrialEnd;
 use apricotdale_quarantine::TrialQuery;
@@ -88,30 +90,22 @@
         /// How long before the release the holder sent its last order.
         quiet_ms: u64,
     },
-    /// Requests that a VM had in progress at crashed upstreams.
-    Crashes(Vec<CrashReport>),
-    /// Requests that are refused because upstreams crash under them.
-    Blocks(Vec<BlockRow>),
+    /// Placeholder for a variant of earlier versions, which is ignored.
+    ObsoleteCrashes,
+    /// Placeholder for a variant of earlier versions, which is ignored.
+    ObsoleteBlocks,
     /// Asks the lease holder for the blocks in force, of which the sender may have missed some.
     BlocksRequested,
-    /// A blocked request, or one on probation, was answered after all.
+    /// A request or prompt part that was blocked or on probation was answered after all.
     Cleared(Fingerprint),
-    /// Requests on probation, of which only one copy at a time is sent.
-    Probations(Vec<Fingerprint>),
-    /// Asks a judge whether the sender may send a request on probation.
-    TrialRequested {
-        /// Incarnation of the VM that asks.
-        asker: u64,
-        ask: TrialQuery,
-    },
-    /// A judge's answer to the question whether a request may be sent.
-    TrialDecided(TrialAnswer),
-    /// A permitted send of a request on probation has ended.
-    TrialOver {
-        /// Incarnation of the VM that had asked.
-        asker: u64,
-        end: TrialEnd,
-    },
+    /// Placeholder for a variant of earlier versions, which is ignored.
+    ObsoleteProbations,
+    /// Placeholder for a variant of earlier versions, which is ignored.
+    ObsoleteTrialRequested,
+    /// Placeholder for a variant of earlier versions, which is ignored.
+    ObsoleteTrialDecided,
+    /// Placeholder for a variant of earlier versions, which is ignored.
+    ObsoleteTrialOver,
     /// Units of organisations' limits that a VM has used and wants, for the quota owner.
     QuotaReport(Report),
     /// Quota owner's answer to a report: the units that it grants.
@@ -149,6 +143,28 @@
         upstream: UpstreamName,
         limit: RateLimit,
     },
+    /// Requests that a VM had in progress at crashed upstreams, with their prompt parts.
+    Crashes(Vec<CrashReport>),
+    /// Requests and prompt parts that are refused because upstreams crash under them.
+    Blocks(Vec<BlockRow>),
+    /// Requests and prompt parts on probation, of which only one request at a time is sent.
+    Probations(Vec<ProbationRow>),
+    /// Answers to requests that are on probation, or to requests with such parts, for a judge.
+    Answered(Vec<AnsweredRow>),
+    /// Asks a judge whether the sender may send a request on probation.
+    TrialRequested {
+        /// Incarnation of the VM that asks.
+        asker: u64,
+        query: TrialQuery,
+    },
+    /// A judge's answer to the question whether a request may be sent.
+    TrialDecided(TrialAnswer),
+    /// A permitted send of a request on probation has ended.
+    TrialOver {
+        /// Incarnation of the VM that had asked.
+        asker: u64,
+        end: TrialEnd,
+    },
 }
 
 /// First byte of each message. It changes with the format of what follows, so that VMs of different
--- a/crates/entry/src/peer_exchange.rs
+++ b/crates/entry/src/peer_exchange.rs
@@ -169,10 +169,9 @@
                 self.send_blocks_to(from);
                 self.send_probations_to(from);
             }
-            PeerMessage::Probations(fingerprints) => {
-                self.crash_watch.record_probations(now_ms, &fingerprints);
-            }
-            PeerMessage::TrialRequested { asker, ask } => self.decide_trial(from, asker, &ask),
+            PeerMessage::Probations(rows) => self.handle_probations(from, &rows),
+            PeerMessage::Answered(rows) => self.handle_peer_answers(&rows),
+            PeerMessage::TrialRequested { asker, query } => self.decide_trial(from, asker, &query),
             PeerMessage::TrialDecided(answer) => {
                 self.redispatch_needed |= self.crash_watch.record_trial_answer(now_ms, &answer);
             }
@@ -197,6 +196,12 @@
             PeerMessage::TrialOver { asker, end } => {
                 self.crash_watch.record_peer_trial_end(now_ms, asker, &end);
             }
+            PeerMessage::ObsoleteCrashes
+            | PeerMessage::ObsoleteBlocks
+            | PeerMessage::ObsoleteProbations
+            | PeerMessage::ObsoleteTrialRequested
+            | PeerMessage::ObsoleteTrialDecided
+            | PeerMessage::ObsoleteTrialOver => {}
         }
     }
 
--- a/crates/entry/src/request_dispatch.rs
+++ b/crates/entry/src/request_dispatch.rs
@@ -26,7 +26,7 @@
 use crate::active::Phase;
 use crate::codec::ForwardFields;
 use crate::crash_watch::caller_hash;
-use crate::crash_watch::fingerprint;
+use crate::crash_watch::request_features;
 use crate::daemon::Daemon;
 use crate::failed_attempts::BUDGET_PAUSE_MS;
 use crate::limits::charge;
@@ -55,6 +55,14 @@
 /// from a VM or an operator that is not there yet.
 const EVIDENCE_RETRY_AFTER_MS: u64 = 1_000;
 
+/// Minimum time for which a request on probation waits for its trial run. A judge that has just
+/// started allows none for a shorter time.
+const MIN_TRIAL_WAIT_MS: u64 = 2_000;
+
+/// Retry delay stated to a caller whose request waited for its trial run in vain. A trial run takes
+/// about as long as an answer.
+const PROBATION_RETRY_AFTER_MS: u64 = 1_000;
+
 /// Maximum number of prompt parts that select the engine which probably has the prefix cached.
 const MAX_PREFIX_PARTS: usize = 2;
 
@@ -132,8 +140,8 @@
         let Some(caller_address) = self.callers.get(&token).map(|caller| caller.address) else {
             return;
         };
-        let fingerprint = fingerprint(&serving, &head, &body);
-        if let Some(refusal) = self.block_refusal(&fingerprint) {
+        let features = request_features(&serving, &service, &head, &body);
+        if let Some(refusal) = self.block_refusal(&features) {
             self.refuse_new(token, &refusal, Some(&serving.id));
             return;
         }
@@ -156,7 +164,7 @@
         let key = self.active.insert(ActiveRequest {
             caller: Some(token),
             caller_hash: caller_hash(caller_address),
-            fingerprint,
+            features,
             head,
             body,
             route,
@@ -165,7 +173,7 @@
             serving,
             job,
             phase: Phase::Waiting(WaitReason::Full),
-            is_trial: false,
+            trial: None,
             delivery,
             first_sent_ms: None,
             last_part_ms: 0,
@@ -318,11 +326,8 @@
         let Some(request) = self.active.get_mut(key) else {
             return;
         };
-        if self
-            .crash_watch
-            .must_wait(self.now_ms, &request.fingerprint)
-        {
-            request.phase = Phase::Waiting(WaitReason::Suspected);
+        if self.crash_watch.must_wait(self.now_ms, &request.features) {
+            self.wait_for_trial(key);
             return;
         }
         match self
@@ -370,18 +375,39 @@
             return;
         };
         let left_ms = request.job.deadline_ms.saturating_sub(now_ms);
-        let fingerprint = request.fingerprint;
         let watch = &mut self.crash_watch;
-        match watch.permit(now_ms, fingerprint, &upstream, left_ms) {
+        match watch.permit(now_ms, &request.features, &upstream, left_ms) {
             Permit::Free => self.send(key, upstream),
-            Permit::Trial(upstream) => {
-                request.is_trial = true;
+            Permit::Trial { upstream, number } => {
+                request.trial = Some(number);
                 self.metrics.trial();
                 self.send(key, upstream);
                 self.end_unsent_trial(key);
             }
-            Permit::Wait => request.phase = Phase::Waiting(WaitReason::Suspected),
+            Permit::Wait => self.wait_for_trial(key),
+        }
+    }
+
+    /// Lets a request wait while another trial run is in progress, for as long as an answer can be
+    /// in time. Then it is refused, since nothing tells how many trial runs are ahead of it.
+    fn wait_for_trial(&mut self, key: u64) {
+        let Some(request) = self.active.get_mut(key) else {
+            return;
+        };
+        let job = &request.job;
+        let until_ms = job.target_ms.max(job.arrived_ms + MIN_TRIAL_WAIT_MS);
+        if self.now_ms < until_ms {
+            request.phase = Phase::Waiting(WaitReason::Suspected);
+            self.active.wake_at(until_ms, key);
+            return;
         }
+        let detail = "upstreams crashed under such requests, of which one at a time is tried";
+        let refusal = match job.runs {
+            0 => Refusal::not_run(RefusalReason::OnProbation, detail)
+                .retry_after(PROBATION_RETRY_AFTER_MS),
+            _ => Refusal::unknown(RefusalReason::OnProbation, detail),
+        };
+        self.refuse(key, &refusal);
     }
 
     fn send(&mut self, key: u64, name: UpstreamName) {
--- a/crates/entry/src/request_ends.rs
+++ b/crates/entry/src/request_ends.rs
@@ -125,7 +125,9 @@
                     request.phase = Phase::Waiting(WaitReason::Full);
                     self.dispatch(key);
                 }
-                Phase::Waiting(WaitReason::Limit | WaitReason::Permit) => self.dispatch(key),
+                Phase::Waiting(WaitReason::Limit | WaitReason::Permit | WaitReason::Suspected) => {
+                    self.dispatch(key)
+                }
                 _ => {}
             }
         }
--- a/crates/entry/src/upstream_answers.rs
+++ b/crates/entry/src/upstream_answers.rs
@@ -374,7 +374,7 @@
         let Some(request) = self.active.get_mut(key) else {
             return;
         };
-        let fingerprint = request.fingerprint;
+        let features = request.features.clone();
         request.first_answer_ms.get_or_insert(self.now_ms);
         if let Some(caller) = request.caller {
             if !had_begun {
@@ -384,7 +384,7 @@
             self.write_to_caller(caller, bytes);
             self.finish_answer(caller);
             let how = if status < 400 {
-                self.record_answered(fingerprint);
+                self.record_answered(&features);
                 "answered"
             } else {
                 "upstream_failed"
--- a/crates/gateway/src/crashes.rs
+++ b/crates/gateway/src/crashes.rs
@@ -59,15 +59,15 @@
                 );
             }
         }
-        let left_ms = watch.blocked_ms(now_ms, &crash_key.fingerprint)?;
+        let block = watch.block(now_ms, &crash_key.fingerprint.into())?;
         let detail = format!("upstreams crashed under request {}", crash_key.fingerprint);
         let refusal = Refusal::not_run(RefusalReason::CrashesUpstreams, detail);
-        Some(refusal.retry_after(left_ms))
+        Some(refusal.retry_after(block.left_ms))
     }
 
     /// Returns whether a request may be retried after an attempt that may have run.
     pub(crate) fn may_retry(&self, crash_key: &CrashKey) -> bool {
-        !self.watch.lock().knows(&crash_key.fingerprint)
+        !self.watch.lock().knows(&crash_key.fingerprint.into())
     }
 
     /// Records how an attempt ended. With `connection_lost`, the request was in progress when the
@@ -85,11 +85,11 @@
         match outcome {
             UpstreamOutcome::Answered => {
                 watch.record_alive(upstream);
-                watch.record_answered(now_ms, fingerprint);
+                watch.record_answered(now_ms, &fingerprint.into());
             }
             UpstreamOutcome::Lost if connection_lost => {
                 let lost = LostRequest {
-                    fingerprint,
+                    features: fingerprint.into(),
                     caller: crash_key.caller,
                     is_trial: false,
                 };
--- a/crates/quarantine/src/crash_watch.rs
+++ b/crates/quarantine/src/crash_watch.rs
@@ -4,9 +4,8 @@
 use apricotdale_core::names::UpstreamName;
 
 use crate::blocks::BlockRow;
-use crate::crashes::CaseRow;
-use crate::crashes::CrashReport;
-use crate::crashes::Suspect;
+use crate::blocks::LiftedBlocks;
+use crate::features::RequestFeatures;
 use crate::fingerprint::CallerHash;
 use crate::fingerprint::Fingerprint;
 use crate::local_reports::LocalReports;
@@ -15,6 +14,12 @@
 use crate::quarantine::Quarantine;
 use crate::quarantine::Scope;
 use crate::recent_answers::RecentAnswers;
+use crate::reports::AnsweredRow;
+use crate::reports::CaseRow;
+use crate::reports::CrashReport;
+use crate::reports::ProbationRow;
+use crate::reports::Suspect;
+use crate::reports::SuspectPart;
 use crate::trials::Permit;
 use crate::trials::TrialAnswer;
 use crate::trials::TrialClient;
@@ -36,7 +41,7 @@
 /// Interval at which old records are removed.
 const FORGET_INTERVAL_MS: u64 = 1_000;
 
-/// Number of answered requests that this VM remembers.
+/// Number of answered requests, and of their parts, that this VM remembers.
 const MAX_RECENT_ANSWERS: usize = 2_048;
 
 /// Role of a VM among the others.
@@ -54,10 +59,10 @@
 }
 
 /// Request that was lost because an upstream broke its connection.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+#[derive(Clone, Debug, PartialEq, Eq)]
 pub struct LostRequest {
-    /// Fingerprint of the request.
-    pub fingerprint: Fingerprint,
+    /// The request and its prompt parts.
+    pub features: RequestFeatures,
     /// Caller of the request.
     pub caller: CallerHash,
     /// Whether it was sent as a trial run.
@@ -75,10 +80,12 @@
     pub blocks: Vec<BlockRow>,
     /// Blocks that begin now by this VM's decision.
     pub new_blocks: Vec<BlockRow>,
-    /// Requests whose blocks have ended and are no longer remembered.
+    /// Blocks that have ended and are no longer remembered.
     pub ended: Vec<Fingerprint>,
-    /// Requests on probation to announce to all VMs.
-    pub probations: Vec<Fingerprint>,
+    /// Requests and parts on probation to announce to all VMs.
+    pub probations: Vec<ProbationRow>,
+    /// Parts that are no longer on probation, to announce to all VMs.
+    pub cleared: Vec<Fingerprint>,
     /// Questions about trial runs to send to the judge that is asked.
     pub trial_queries: Vec<TrialQuery>,
     /// Ends of trial runs to send to the judge that is asked.
@@ -89,6 +96,25 @@
     pub may_continue: bool,
 }
 
+/// Changes at a VM after a request was answered, and whom it has to inform.
+#[derive(Clone, Debug, Default, PartialEq, Eq)]
+pub struct Cleared {
+    /// Features that were on probation or blocked, to announce to all VMs.
+    pub announced: Vec<Fingerprint>,
+    /// Answers to send to the judges, which announce what they clear. All VMs answer requests with
+    /// a popular part at the same time.
+    pub reported: Vec<AnsweredRow>,
+    /// Blocks that have ended or changed.
+    pub lifted: LiftedBlocks,
+}
+
+impl Cleared {
+    /// Returns whether the request or a part of it was on probation or blocked.
+    pub fn is_change(&self) -> bool {
+        !self.announced.is_empty() || !self.reported.is_empty()
+    }
+}
+
 /// Detection of crashing requests at one VM. It sends states instead of changes, repeats them, and
 /// may receive the same several times, so that nothing waits for an acknowledgement.
 #[derive(Clone, Debug)]
@@ -102,6 +128,8 @@
     trial_client: TrialClient,
     trial_coordinator: TrialCoordinator,
     answered: RecentAnswers,
+    /// Answers to requests with the same parts.
+    answered_parts: RecentAnswers,
     unconfirmed: UnconfirmedCrashes,
     local_reports: LocalReports,
     /// Blocks that this VM found, and when it sends them again.
@@ -109,6 +137,7 @@
     next_blocks_ms: u64,
     next_block: usize,
     next_forget_ms: u64,
+    is_judge: bool,
 }
 
 impl CrashWatch {
@@ -122,12 +151,14 @@
             trial_coordinator: TrialCoordinator::default(),
             quarantine: Quarantine::new(options),
             answered: RecentAnswers::new(MAX_RECENT_ANSWERS),
+            answered_parts: RecentAnswers::new(MAX_RECENT_ANSWERS),
             unconfirmed: UnconfirmedCrashes::default(),
             local_reports: LocalReports::new(incarnation),
             announcements: Vec::new(),
             next_blocks_ms: 0,
             next_block: 0,
             next_forget_ms: 0,
+            is_judge: false,
         }
     }
 
@@ -137,46 +168,53 @@
             .exempt(fingerprints.iter().copied().collect());
     }
 
-    /// Returns for how long a request is still refused, or `None` if it is not blocked.
-    pub fn blocked_ms(&self, now_ms: u64, fingerprint: &Fingerprint) -> Option<u64> {
-        self.quarantine.blocked_ms(now_ms, fingerprint)
+    /// Returns the block due to which a request is refused, or `None` if it is not.
+    pub fn block(&self, now_ms: u64, request: &RequestFeatures) -> Option<BlockRow> {
+        self.quarantine.block(now_ms, request)
     }
 
-    /// Returns whether a request is on probation, is blocked, or was blocked recently.
-    pub fn knows(&self, fingerprint: &Fingerprint) -> bool {
-        self.quarantine.knows(fingerprint) || self.probations.contains(fingerprint)
+    /// Returns whether a request is on probation itself, is blocked, or was blocked recently.
+    pub fn knows(&self, request: &RequestFeatures) -> bool {
+        self.quarantine.knows(request) || self.probations.contains(&request.request)
     }
 
-    fn is_on_probation(&self, now_ms: u64, fingerprint: &Fingerprint) -> bool {
-        self.probations.contains(fingerprint) || self.quarantine.is_after_block(now_ms, fingerprint)
+    /// Returns what of a request is on probation: it has to be sent as a trial run.
+    fn features_on_probation(&self, now_ms: u64, request: &RequestFeatures) -> Vec<Fingerprint> {
+        let mut features = self.probations.features_of(request);
+        features.extend(self.quarantine.features_after_block(now_ms, request));
+        features.sort_unstable();
+        features.dedup();
+        features
     }
 
     /// Returns whether a request on probation has to wait for a judge or for a trial run in
     /// progress.
-    pub fn must_wait(&self, now_ms: u64, fingerprint: &Fingerprint) -> bool {
-        self.trial_client.must_wait(fingerprint) && self.is_on_probation(now_ms, fingerprint)
+    pub fn must_wait(&self, now_ms: u64, request: &RequestFeatures) -> bool {
+        let features = self.features_on_probation(now_ms, request);
+        !features.is_empty() && self.trial_client.must_wait(&features)
     }
 
     /// Decides whether a request may be sent to an upstream, and schedules a question to a judge if
-    /// it is on probation. `left_ms` is the time that its run may take.
+    /// it is on probation, or a part of it. `left_ms` is the time that its run may take.
     pub fn permit(
         &mut self,
         now_ms: u64,
-        fingerprint: Fingerprint,
+        request: &RequestFeatures,
         upstream: &UpstreamName,
         left_ms: u64,
     ) -> Permit {
-        match self.is_on_probation(now_ms, &fingerprint) {
-            true => self
+        let features = self.features_on_probation(now_ms, request);
+        match features.is_empty() {
+            true => Permit::Free,
+            false => self
                 .trial_client
-                .permit(now_ms, fingerprint, upstream, left_ms),
-            false => Permit::Free,
+                .permit(now_ms, features, upstream, left_ms),
         }
     }
 
     /// Records that a trial run of this VM has ended.
-    pub fn record_trial_end(&mut self, now_ms: u64, fingerprint: Fingerprint, is_lost: bool) {
-        self.trial_client.end_trial(now_ms, fingerprint, is_lost);
+    pub fn record_trial_end(&mut self, now_ms: u64, number: u64, is_lost: bool) {
+        self.trial_client.end_trial(now_ms, number, is_lost);
     }
 
     /// Decides, as a judge, whether another VM may send a trial run.
@@ -188,7 +226,6 @@
         vms: usize,
     ) -> TrialAnswer {
         TrialAnswer {
-            fingerprint: query.fingerprint,
             number: query.number,
             after_ms: self.trial_coordinator.decide(now_ms, asker, query, vms),
         }
@@ -204,36 +241,105 @@
         self.trial_coordinator.end_grant(now_ms, asker, end);
     }
 
-    /// Records requests that another VM has put on probation.
-    pub fn record_probations(&mut self, now_ms: u64, fingerprints: &[Fingerprint]) {
-        for fingerprint in fingerprints {
-            self.probations.add(now_ms, *fingerprint);
+    /// Records requests and parts that another VM has put on probation. Returns those that this VM
+    /// knows to be answered since, to report to that VM; they are not put on probation.
+    pub fn record_probations(&mut self, now_ms: u64, rows: &[ProbationRow]) -> Vec<AnsweredRow> {
+        let mut answered = Vec::new();
+        for row in rows {
+            match self.answered_ago_ms(now_ms, &row.fingerprint) {
+                Some(ago_ms) if ago_ms < row.ago_ms => answered.push(AnsweredRow {
+                    fingerprint: row.fingerprint,
+                    ago_ms,
+                }),
+                _ => {
+                    let since_ms = now_ms.saturating_sub(row.ago_ms);
+                    self.probations.add(now_ms, row.fingerprint, since_ms);
+                }
+            }
         }
+        answered
+    }
+
+    /// Records, as a judge, answers that another VM has seen. Returns what is cleared by them, to
+    /// announce to all VMs.
+    pub fn record_peer_answers(&mut self, now_ms: u64, rows: &[AnsweredRow]) -> Cleared {
+        let mut cleared = Cleared::default();
+        for row in rows {
+            self.quarantine.record_answered(now_ms, row);
+            if self.is_suspect(&row.fingerprint) && !self.is_case(now_ms, &row.fingerprint) {
+                self.clear(now_ms, &row.fingerprint, &mut cleared.lifted);
+                cleared.announced.push(row.fingerprint);
+            }
+        }
+        cleared
+    }
+
+    fn is_case(&self, now_ms: u64, feature: &Fingerprint) -> bool {
+        let cases = self.quarantine.cases(now_ms);
+        cases.iter().any(|case| case.row.fingerprint == *feature)
+    }
+
+    /// Returns whether a request or part is on probation or blocked, also recently.
+    fn is_suspect(&self, feature: &Fingerprint) -> bool {
+        self.probations.contains(feature) || self.quarantine.has_blocked(feature)
     }
 
-    /// Returns the requests on probation.
-    pub fn probations(&self) -> Vec<Fingerprint> {
-        self.probations.all().copied().collect()
+    fn answered_ago_ms(&self, now_ms: u64, feature: &Fingerprint) -> Option<u64> {
+        let ago_ms = [&self.answered_parts, &self.answered].map(|it| it.ago_ms(now_ms, feature));
+        ago_ms.into_iter().flatten().min()
     }
 
-    /// Records that a request was answered at this VM. Returns whether it was on probation or
-    /// blocked, also recently, so that this VM has to inform the other VMs.
-    pub fn record_answered(&mut self, now_ms: u64, fingerprint: Fingerprint) -> bool {
-        self.answered.record(now_ms, fingerprint);
-        self.knows(&fingerprint) && self.record_cleared(now_ms, &fingerprint)
+    /// Returns the requests and parts on probation.
+    pub fn probations(&self, now_ms: u64) -> Vec<ProbationRow> {
+        self.probations.rows(now_ms)
     }
 
-    /// Records that a request was answered at another VM. Returns whether it was on probation or
-    /// blocked. Later crash reports of this VM pass the answer on to judges that have not received
-    /// it.
-    pub fn record_cleared(&mut self, now_ms: u64, fingerprint: &Fingerprint) -> bool {
-        self.answered.record(now_ms, *fingerprint);
+    /// Records that the answer to a request was completed at this VM.
+    pub fn record_answered(&mut self, now_ms: u64, request: &RequestFeatures) -> Cleared {
+        self.answered.record(now_ms, request.request);
+        for part in request.parts.iter() {
+            self.answered_parts.record(now_ms, *part);
+        }
+        let mut cleared = Cleared::default();
+        for feature in request.all().filter(|it| self.is_suspect(it)) {
+            match self.is_judge || *feature == request.request {
+                true => cleared.announced.push(*feature),
+                false => cleared.reported.push(AnsweredRow {
+                    fingerprint: *feature,
+                    ago_ms: 0,
+                }),
+            }
+        }
+        let features: Vec<Fingerprint> = request.all().copied().collect();
+        for feature in features {
+            if self.is_suspect(&feature) {
+                self.clear(now_ms, &feature, &mut cleared.lifted);
+            }
+        }
+        cleared
+    }
+
+    /// Records that a request or part was answered at another VM. Later crash reports of this VM
+    /// pass the answer on to judges that have not received it.
+    pub fn record_cleared(&mut self, now_ms: u64, feature: &Fingerprint) -> Cleared {
+        self.answered.record(now_ms, *feature);
+        let mut cleared = Cleared::default();
+        if self.is_suspect(feature) {
+            cleared.announced.push(*feature);
+        }
+        self.clear(now_ms, feature, &mut cleared.lifted);
+        cleared
+    }
+
+    fn clear(&mut self, now_ms: u64, feature: &Fingerprint, lifted: &mut LiftedBlocks) {
         for (_, rows) in &mut self.announcements {
-            rows.retain(|row| row.fingerprint != *fingerprint);
+            rows.retain(|row| !row.features.contains(feature));
         }
-        self.trial_client.forget(fingerprint);
-        let was_on_probation = self.probations.remove(fingerprint);
-        self.quarantine.clear(fingerprint) || was_on_probation
+        self.trial_client.forget(now_ms, feature);
+        self.probations.remove(feature);
+        let changed = self.quarantine.clear(now_ms, feature);
+        lifted.ended.extend(changed.ended);
+        lifted.remaining.extend(changed.remaining);
     }
 
     /// Records a request that was lost because an upstream broke its connection.
@@ -244,12 +350,17 @@
         is_engine: bool,
         lost: LostRequest,
     ) {
+        let parts = lost.features.parts.iter().map(|part| SuspectPart {
+            fingerprint: *part,
+            answered_ago_ms: self.answered_ago_ms(now_ms, part),
+        });
         let suspect = Suspect {
-            answered_ago_ms: self.answered.ago_ms(now_ms, &lost.fingerprint),
+            answered_ago_ms: self.answered_ago_ms(now_ms, &lost.features.request),
+            parts: parts.collect(),
             trials: u32::from(lost.is_trial),
-            ..Suspect::new(lost.fingerprint, lost.caller)
+            ..Suspect::new(lost.features.request, lost.caller)
         };
-        if !self.local_reports.add(now_ms, upstream, suspect) {
+        if !self.local_reports.add(now_ms, upstream, suspect.clone()) {
             self.unconfirmed
                 .record(now_ms, upstream, is_engine, suspect);
         }
@@ -293,9 +404,12 @@
         self.quarantine.rows(now_ms)
     }
 
-    /// Returns the crash cases of requests that meet the limits for probation and are not blocked.
+    /// Returns the crash cases of requests and parts that meet the limits for probation and are not
+    /// blocked, as they are to be stored.
     pub fn cases(&self, now_ms: u64) -> Vec<CaseRow> {
-        self.quarantine.cases(now_ms)
+        let cases = self.quarantine.cases(now_ms).into_iter();
+        let cases = cases.filter(|case| !case.is_of_one_request);
+        cases.map(|case| case.row).collect()
     }
 
     /// Returns a number that grows with each report that adds to a crash.
@@ -349,7 +463,8 @@
             Some(_) => Scope::Fleet,
             None => Scope::LocalVm,
         };
-        if role.judge.is_some() {
+        self.is_judge = role.judge.is_some();
+        if self.is_judge {
             self.trial_coordinator.become_judge(now_ms);
         }
         self.begin_probations(now_ms);
@@ -358,6 +473,7 @@
         due.new_blocks = self.quarantine.judge(now_ms, scope);
         due.blocks.extend(due.new_blocks.iter().cloned());
         if !due.new_blocks.is_empty() {
+            due.cleared = self.release_explained_parts(now_ms);
             let again =
                 BLOCK_RESEND_DELAYS_MS.map(|after_ms| (now_ms + after_ms, due.new_blocks.clone()));
             self.announcements.extend(again);
@@ -377,19 +493,32 @@
         due
     }
 
-    /// Puts requests on probation of which enough was lost.
+    /// Puts requests and parts on probation of which enough was lost.
     fn begin_probations(&mut self, now_ms: u64) {
         if self.seen_changes == self.quarantine.changes() {
             return;
         }
         self.seen_changes = self.quarantine.changes();
         for case in self.quarantine.cases(now_ms) {
-            self.probations.begin_probation(now_ms, case.fingerprint);
+            self.probations
+                .begin_probation(now_ms, case.row.fingerprint, case.since_ms);
+        }
+    }
+
+    /// Ends the probation of parts whose crashes a new block explains. Those among the features of
+    /// a block remain on probation.
+    fn release_explained_parts(&mut self, now_ms: u64) -> Vec<Fingerprint> {
+        let mut released = self.quarantine.explained_parts();
+        released.retain(|it| self.probations.contains(it) && !self.quarantine.has_blocked(it));
+        let mut lifted = LiftedBlocks::default();
+        for feature in &released {
+            self.clear(now_ms, feature, &mut lifted);
         }
+        released
     }
 
-    /// Returns the requests on probation that a judge has to announce now.
-    fn due_probations(&mut self, now_ms: u64, role: Role) -> Vec<Fingerprint> {
+    /// Returns what a judge has to announce now to be on probation.
+    fn due_probations(&mut self, now_ms: u64, role: Role) -> Vec<ProbationRow> {
         let due = self.probations.due(now_ms);
         match role.judge.is_some() {
             true => due,
--- a/crates/quarantine/src/fingerprint.rs
+++ b/crates/quarantine/src/fingerprint.rs
@@ -46,6 +46,32 @@
         part(body);
         Self(hash.digest128())
     }
+
+    /// Returns the fingerprint of a prompt part in requests to a service, for one of its models or
+    /// for all. Its last 16 digits are the ID of the part, so that operators recognize it.
+    pub(crate) fn of_part(service: &str, model: Option<&str>, part: u64) -> Self {
+        let mut hash = Xxh3::new();
+        hash.update(service.as_bytes());
+        if let Some(model) = model {
+            hash.update(&[0]);
+            hash.update(model.as_bytes());
+        }
+        Self(u128::from(hash.digest()) << 64 | u128::from(part))
+    }
+
+    /// Returns the fingerprint of requests that have all of some features.
+    pub(crate) fn of_all(features: &[Self]) -> Self {
+        match features {
+            [feature] => *feature,
+            _ => {
+                let mut hash = Xxh3::new();
+                for feature in features {
+                    hash.update(&feature.0.to_le_bytes());
+                }
+                Self(hash.digest128())
+            }
+        }
+    }
 }
 
 impl fmt::Display for Fingerprint {
--- a/crates/quarantine/src/lib.rs
+++ b/crates/quarantine/src/lib.rs
@@ -16,32 +16,41 @@
 #![warn(missing_docs)]
 
 mod blocks;
+mod cases;
 mod crash_watch;
 mod crashes;
+mod features;
 mod fingerprint;
 mod local_reports;
 mod options;
 mod probation;
 mod quarantine;
 mod recent_answers;
+mod reports;
 mod trials;
 mod unconfirmed_crashes;
 
 pub use blocks::BlockRow;
+pub use blocks::LiftedBlocks;
+pub use crash_watch::Cleared;
 pub use crash_watch::CrashWatch;
 pub use crash_watch::Due;
 pub use crash_watch::LostRequest;
 pub use crash_watch::Role;
-pub use crashes::CaseCrash;
-pub use crashes::CaseRow;
-pub use crashes::CrashReport;
-pub use crashes::Suspect;
+pub use features::RequestFeatures;
 pub use fingerprint::CallerHash;
 pub use fingerprint::Fingerprint;
 pub use fingerprint::ParseFingerprintError;
 pub use options::Options;
 pub use quarantine::Quarantine;
 pub use quarantine::Scope;
+pub use reports::AnsweredRow;
+pub use reports::CaseCrash;
+pub use reports::CaseRow;
+pub use reports::CrashReport;
+pub use reports::ProbationRow;
+pub use reports::Suspect;
+pub use reports::SuspectPart;
 pub use trials::Permit;
 pub use trials::TrialAnswer;
 pub use trials::TrialEnd;
--- a/crates/quarantine/src/local_reports.rs
+++ b/crates/quarantine/src/local_reports.rs
@@ -4,8 +4,8 @@
 
 use apricotdale_core::names::UpstreamName;
 
-use crate::crashes::CrashReport;
-use crate::crashes::Suspect;
+use crate::reports::CrashReport;
+use crate::reports::Suspect;
 
 /// Delays after which a report is sent again, since a datagram may be lost.
 const RESEND_DELAYS_MS: [u64; 2] = [300, 1_000];
@@ -20,7 +20,7 @@
 const MAX_REPORTS: usize = 64;
 
 /// Maximum number of suspect requests in one part of a report.
-const SUSPECTS_PER_PART: usize = 10;
+const SUSPECTS_PER_PART: usize = 4;
 
 /// This VM's requests that were in progress at one upstream.
 #[derive(Clone, Debug)]
--- a/crates/quarantine/src/quarantine.rs
+++ b/crates/quarantine/src/quarantine.rs
@@ -1,16 +1,22 @@
-//! Decision on which requests are blocked.
+//! Decision on which requests and prompt parts are blocked.
 
+use std::collections::HashMap;
 use std::collections::HashSet;
 
 use crate::blocks::Block;
 use crate::blocks::BlockRow;
 use crate::blocks::Blocks;
-use crate::crashes::CaseRow;
-use crate::crashes::CrashCase;
+use crate::blocks::LiftedBlocks;
+use crate::cases::CrashCase;
+use crate::crashes::Crash;
 use crate::crashes::CrashLog;
-use crate::crashes::CrashReport;
+use crate::features::RequestFeatures;
+use crate::fingerprint::CallerHash;
 use crate::fingerprint::Fingerprint;
 use crate::options::Options;
+use crate::reports::AnsweredRow;
+use crate::reports::CaseRow;
+use crate::reports::CrashReport;
 
 /// Maximum number of crashed upstreams that a block names.
 const NAMED_UPSTREAMS: usize = 5;
@@ -25,25 +31,50 @@
     LocalVm,
 }
 
-/// Finds requests that crash the upstreams that run them, and decides until when they are refused.
+/// Case that meets the limits for probation.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct ProbationCase {
+    /// The request or part, and its crashes.
+    pub row: CaseRow,
+    /// Time since which a complete answer ends the probation.
+    pub since_ms: u64,
+    /// Whether it is a part with which only one request was lost. The case of that request tells
+    /// all about it.
+    pub is_of_one_request: bool,
+}
+
+/// Finds requests that crash the upstreams that run them, and prompt parts that do so in each
+/// request, and decides until when they are refused.
 ///
 /// All requests in progress at an upstream are lost when it crashes, so that a single crash says
 /// little about any of them. A request is blocked in any of these cases:
 ///
 /// - Three upstreams crashed under it, none of them in a group or under another request that
-///   explains the crash, and no other request there was under two crashes.
-/// - The same with four upstreams, and each other request there was under fewer crashes.
+///   explains the crash, and no other request or part there was under two crashes.
+/// - The same with four upstreams, and each other request or part there was under fewer crashes.
 /// - Five upstreams crashed under it, whatever else explains the crashes.
 /// - Two of its trial runs were lost.
 ///
-/// A request under which less was lost, but more than happens by chance, is on probation: see
-/// [`Quarantine::cases`]. An answered run clears a request of all earlier crashes.
+/// A part is under every crash if it is popular. It is blocked if, since a request with it was last
+/// answered,
+///
+/// - three upstreams crashed under it, none of them in a group or under a request or part that
+///   explains the crash, and a trial run with it was lost; or
+/// - two trial runs with it were lost that nothing else explains.
+///
+/// Parts that all lost requests have in common can't be distinguished by their crashes. Then
+/// requests with all of these parts are refused, and those with some of them are trial runs. A
+/// block ends for each part that is answered.
+///
+/// A request or part under which less was lost, but more than happens by chance, is on probation:
+/// see [`Quarantine::cases`]. A complete answer clears the request and its parts of all earlier
+/// crashes.
 #[derive(Clone, Debug)]
 pub struct Quarantine {
     options: Options,
     crashes: CrashLog,
     blocks: Blocks,
-    /// Requests that operators have exempted from blocks.
+    /// Requests, parts and blocks that operators have exempted.
     exempt: HashSet<Fingerprint>,
 }
 
@@ -64,13 +95,21 @@
         report
             .suspects
             .retain(|it| !self.exempt.contains(&it.fingerprint));
+        for suspect in &mut report.suspects {
+            suspect
+                .parts
+                .retain(|it| !self.exempt.contains(&it.fingerprint));
+        }
         self.crashes.record(now_ms, &report, &self.options);
     }
 
     /// Records a block that was received from another VM or read from the store. Returns whether it
     /// is new or longer than the known one.
     pub fn record_block(&mut self, now_ms: u64, row: &BlockRow) -> bool {
-        !self.exempt.contains(&row.fingerprint) && self.blocks.record(now_ms, row, &self.options)
+        let is_exempt = |it: &Fingerprint| self.exempt.contains(it);
+        !is_exempt(&row.fingerprint)
+            && !row.features.iter().any(is_exempt)
+            && self.blocks.record(now_ms, row, &self.options)
     }
 
     /// Returns when [`Quarantine::judge`] is due, or `u64::MAX` if it is not.
@@ -86,19 +125,22 @@
         // Crashes that have not settled yet are judged later, together with the earlier ones.
         self.crashes.due_ms = None;
         let mut new_blocks = Vec::new();
-        while let Some(case) = self.next_case_to_block(now_ms, scope) {
-            let row = self.new_block(&case);
-            self.blocks.record(now_ms, &row, &self.options);
+        while let Some(row) = self.next_block(now_ms, scope) {
+            if !self.blocks.record(now_ms, &row, &self.options) {
+                break;
+            }
             new_blocks.push(row);
         }
         self.crashes.due_ms = self.crashes.next_settled_ms(now_ms, &self.options);
         new_blocks
     }
 
-    /// Returns for how long a request is still refused, or `None` if it is not blocked.
-    pub fn blocked_ms(&self, now_ms: u64, fingerprint: &Fingerprint) -> Option<u64> {
-        let block = self.blocks.in_force(now_ms, fingerprint)?;
-        Some(block.until_ms - now_ms)
+    /// Returns the block due to which a request is refused, or `None` if it is not.
+    pub fn block(&self, now_ms: u64, request: &RequestFeatures) -> Option<BlockRow> {
+        match self.exempt.contains(&request.request) {
+            true => None,
+            false => self.blocks.in_force(now_ms, request),
+        }
     }
 
     /// Returns the blocks in force.
@@ -107,46 +149,88 @@
     }
 
     /// Returns whether a request is blocked or was blocked recently.
-    pub fn knows(&self, fingerprint: &Fingerprint) -> bool {
-        self.blocks.get(fingerprint).is_some()
+    pub fn knows(&self, request: &RequestFeatures) -> bool {
+        self.blocks.matching(request).next().is_some()
+    }
+
+    /// Returns whether a request or part is among the features of a block, in force or recent.
+    pub fn has_blocked(&self, feature: &Fingerprint) -> bool {
+        self.blocks.contains(feature)
     }
 
-    /// Removes the crashes and the block of a request because it was answered. Returns whether
-    /// there was a block, in force or recent.
-    pub fn clear(&mut self, fingerprint: &Fingerprint) -> bool {
-        self.crashes.clear(fingerprint);
-        self.blocks.remove(fingerprint)
+    /// Removes the crashes and the blocks of a request or part because it was answered. Returns the
+    /// blocks that have changed.
+    pub fn clear(&mut self, now_ms: u64, feature: &Fingerprint) -> LiftedBlocks {
+        self.crashes
+            .record_answered(*feature, now_ms, &self.options);
+        self.crashes.clear(feature);
+        self.blocks.lift(now_ms, feature)
     }
 
-    /// Replaces the set of exempt requests, and removes their crashes and blocks.
+    /// Records an answer that another VM has seen. It clears the request or part of crashes before.
+    pub fn record_answered(&mut self, now_ms: u64, row: &AnsweredRow) {
+        let answered_ms = now_ms.saturating_sub(row.ago_ms);
+        self.crashes
+            .record_answered(row.fingerprint, answered_ms, &self.options);
+    }
+
+    /// Replaces the set of exempt requests, parts and blocks, and removes their crashes and blocks.
     pub fn exempt(&mut self, fingerprints: HashSet<Fingerprint>) {
         for fingerprint in &fingerprints {
-            self.blocks.remove(fingerprint);
+            self.blocks.lift(u64::MAX, fingerprint);
             self.crashes.clear(fingerprint);
         }
         self.exempt = fingerprints;
     }
 
-    /// Removes crashes and blocks that are too old. Returns the requests whose blocks were removed.
+    /// Removes crashes and blocks that are too old. Returns the identities of the removed blocks.
     pub fn forget(&mut self, now_ms: u64) -> Vec<Fingerprint> {
         let from_ms = now_ms.saturating_sub(self.options.crash_ttl_ms);
         self.crashes.forget_before(from_ms);
         self.blocks.forget(now_ms, &self.options)
     }
 
-    /// Returns whether a request was blocked recently and its block has ended, so that it may be
-    /// sent again.
-    pub fn is_after_block(&self, now_ms: u64, fingerprint: &Fingerprint) -> bool {
-        let block = self.blocks.get(fingerprint);
-        block.is_some_and(|block| block.until_ms <= now_ms)
+    /// Returns the features of blocks that have ended recently and that a request matches. It may be
+    /// sent again, as a trial run.
+    pub fn features_after_block(&self, now_ms: u64, request: &RequestFeatures) -> Vec<Fingerprint> {
+        let blocks = self.blocks.matching(request);
+        let ended = blocks.filter(|block| block.until_ms <= now_ms);
+        ended.flat_map(|block| block.features.clone()).collect()
+    }
+
+    /// Returns the cases of requests and parts that meet the limits for probation and were not
+    /// blocked recently.
+    pub fn cases(&self, now_ms: u64) -> Vec<ProbationCase> {
+        let cases = self.crashes.cases(|_| true, &self.options, &self.blocks);
+        let requests: HashSet<Fingerprint> = cases
+            .iter()
+            .filter(|case| !case.is_part)
+            .map(|case| case.feature)
+            .collect();
+        cases
+            .iter()
+            .filter(|case| !self.blocks.covers(&[case.feature]))
+            .filter_map(|case| {
+                let since_ms = case.probation_since_ms(&self.options)?;
+                let mut common = case.common.iter();
+                Some(ProbationCase {
+                    row: case.row(now_ms),
+                    since_ms,
+                    is_of_one_request: case.is_part && common.any(|it| requests.contains(it)),
+                })
+            })
+            .collect()
     }
 
-    /// Returns the crash cases of requests that meet the limits for probation and were not blocked
-    /// recently.
-    pub fn cases(&self, now_ms: u64) -> Vec<CaseRow> {
-        let mut rows = self.crashes.rows(now_ms, &self.options);
-        rows.retain(|row| self.blocks.get(&row.fingerprint).is_none());
-        rows
+    /// Returns the parts whose crashes are all explained by requests or parts that are blocked, or
+    /// were recently.
+    pub fn explained_parts(&self) -> Vec<Fingerprint> {
+        let cases = self.crashes.cases(|_| true, &self.options, &self.blocks);
+        cases
+            .into_iter()
+            .filter(|case| case.is_part && case.crashes.iter().all(|it| it.is_explained))
+            .map(|case| case.feature)
+            .collect()
     }
 
     /// Returns a number that grows with each report that adds to a crash.
@@ -159,46 +243,93 @@
         self.crashes.suspects()
     }
 
-    fn next_case_to_block(&self, now_ms: u64, scope: Scope) -> Option<CrashCase> {
-        let explains_crash = |it: &Fingerprint| self.blocks.get(it).is_some();
-        let cases = self.crashes.cases(now_ms, &self.options, explains_crash);
-        cases
-            .into_iter()
-            .filter(|case| self.blocks.in_force(now_ms, &case.fingerprint).is_none())
-            .find(|case| self.should_block(case, scope))
-    }
-
-    fn should_block(&self, case: &CrashCase, scope: Scope) -> bool {
-        // After a block has ended, one more crash is enough, unless the request was answered.
-        if let Some(block) = self.blocks.get(&case.fingerprint)
-            && !self
-                .crashes
-                .is_answered_since(&case.fingerprint, block.until_ms)
+    /// Returns the next block that the settled crashes lead to.
+    fn next_block(&self, now_ms: u64, scope: Scope) -> Option<BlockRow> {
+        let is_settled = |crash: &Crash| crash.first_report_ms + self.options.settle_ms <= now_ms;
+        let cases = self.crashes.cases(is_settled, &self.options, &self.blocks);
+        if let Some(block) = self
+            .blocks
+            .ended(now_ms)
+            .find(|it| self.is_confirmed(it, is_settled))
         {
-            return case.unexplained().any(|it| it.at_ms >= block.until_ms);
+            return Some(self.new_block(block.features.clone(), block.caller, &cases));
         }
+        let counts: HashMap<Fingerprint, usize> = cases
+            .iter()
+            .map(|case| (case.feature, case.crashes.len()))
+            .collect();
+        let requests: HashSet<Fingerprint> = cases
+            .iter()
+            .filter(|case| !case.is_part)
+            .map(|case| case.feature)
+            .collect();
+        let (case, features) = cases
+            .iter()
+            .map(|case| (case, case.blocked_features(&requests)))
+            .filter(|(_, features)| !features.is_empty() && !self.blocks.covers(features))
+            .find(|(case, _)| self.should_block(case, scope, &counts))?;
+        Some(self.new_block(features, case.caller, &cases))
+    }
+
+    /// Returns whether an upstream crashed under a block's request after the block had ended. One
+    /// such crash is enough, unless the request was answered.
+    fn is_confirmed(&self, block: &Block, is_settled: impl Fn(&Crash) -> bool) -> bool {
+        let is_answered = |it: &Fingerprint| self.crashes.is_answered_since(it, block.until_ms);
+        let crashes = self.crashes.crashes.values();
+        let mut crashes = crashes
+            .filter(|crash| crash.at_ms >= block.until_ms && is_settled(crash))
+            .filter(|crash| !self.crashes.is_in_group(crash, &self.options));
+        !block.features.iter().any(is_answered)
+            && crashes.any(|crash| {
+                let requests = crash.suspects.iter().map(|(it, loss)| loss.features(*it));
+                let (own, others): (Vec<_>, Vec<_>) = requests.partition(|it| block.matches(it));
+                !own.is_empty() && !others.iter().any(|it| self.knows(it))
+            })
+    }
+
+    fn should_block(
+        &self,
+        case: &CrashCase,
+        scope: Scope,
+        crash_counts: &HashMap<Fingerprint, usize>,
+    ) -> bool {
         let unexplained = case.unexplained().count();
+        let beside = || self.crashes.max_beside(case, crash_counts);
+        let options = &self.options;
         match scope {
-            _ if case.trials() >= self.options.lost_trials => true,
-            _ if case.crashes.len() >= self.options.total_crashes => true,
+            _ if case.is_part && case.unexplained_trials() >= options.lost_trials => true,
+            Scope::Fleet if case.is_part => {
+                unexplained >= options.unexplained_crashes && case.unexplained_trials() > 0
+            }
+            Scope::LocalVm if case.is_part => false,
+            _ if case.trials() >= options.lost_trials => true,
+            _ if case.crashes.len() >= options.total_crashes => true,
             Scope::LocalVm => false,
-            Scope::Fleet if unexplained < self.options.unexplained_crashes => false,
+            Scope::Fleet if unexplained < options.unexplained_crashes => false,
             // Another request that was in progress at two of the three crashes may be in progress
             // at a third one later. One more crash distinguishes the two requests.
-            Scope::Fleet if unexplained == self.options.unexplained_crashes => {
-                self.crashes.max_beside(case) + 1 < unexplained
+            Scope::Fleet if unexplained == options.unexplained_crashes => {
+                beside() + 1 < unexplained
             }
-            Scope::Fleet => self.crashes.max_beside(case) < unexplained,
+            Scope::Fleet => beside() < unexplained,
         }
     }
 
-    fn new_block(&self, case: &CrashCase) -> BlockRow {
-        let previous = self.blocks.get(&case.fingerprint);
-        let times = previous.map_or(0, |block| block.times) + 1;
-        let last = case.crashes.iter().rev().take(NAMED_UPSTREAMS);
+    fn new_block(
+        &self,
+        mut features: Vec<Fingerprint>,
+        caller: CallerHash,
+        cases: &[CrashCase],
+    ) -> BlockRow {
+        features.sort_unstable();
+        let times = self.blocks.times(&features) + 1;
+        let crashes = cases.iter().find(|case| case.feature == features[0]);
+        let crashes = crashes.map_or(&[][..], |case| &case.crashes);
+        let last = crashes.iter().rev().take(NAMED_UPSTREAMS);
         BlockRow {
-            fingerprint: case.fingerprint,
-            caller: case.caller,
+            fingerprint: Fingerprint::of_all(&features),
+            features,
+            caller,
             times,
             left_ms: Block::length_ms(times, &self.options),
             upstreams: last.map(|crash| crash.upstream.clone()).collect(),
--- a/crates/quarantine/src/trials.rs
+++ b/crates/quarantine/src/trials.rs
@@ -1,9 +1,9 @@
 //! Trial runs of requests on probation, one at a time over all VMs.
 //!
-//! A VM asks a judge before it sends a request on probation. [`TrialCoordinator`] is the judge's
-//! side: it allows one trial run of a request at a time, and one at each upstream, so that of two
-//! suspect requests each is lost with an upstream of its own. [`TrialClient`] is the side of the VM
-//! that asks. If no judge answers, a VM decides by itself.
+//! A VM asks a judge before it sends a request that is on probation, or of which a part is.
+//! [`TrialCoordinator`] is the judge's side: it allows one trial run of a request or part at a time,
+//! and one at each upstream, so that of two suspect requests each is lost with an upstream of its
+//! own. [`TrialClient`] is the side of the VM that asks. If no judge answers, a VM decides by itself.
 
 use std::collections::BTreeMap;
 
@@ -49,8 +49,8 @@
 /// Question of a VM to a judge whether it may send a request on probation.
 #[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub struct TrialQuery {
-    /// Fingerprint of the request.
-    pub fingerprint: Fingerprint,
+    /// What is on probation: the request, parts of its prompt, or both, sorted.
+    pub features: Vec<Fingerprint>,
     /// Upstream to which it would be sent.
     pub upstream: UpstreamName,
     /// Number of the trial run, unique at the VM that asks.
@@ -62,8 +62,6 @@
 /// Judge's answer to a [`TrialQuery`].
 #[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub struct TrialAnswer {
-    /// Fingerprint of the request.
-    pub fingerprint: Fingerprint,
     /// Number of the trial run at the VM that asked.
     pub number: u64,
     /// Time after which to ask again, or `None` if the trial run may be sent.
@@ -73,8 +71,6 @@
 /// Message to the judge that a trial run has ended.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub struct TrialEnd {
-    /// Fingerprint of the request.
-    pub fingerprint: Fingerprint,
     /// Number of the trial run at the VM that had asked.
     pub number: u64,
     /// Whether the trial run was lost with its connection.
@@ -86,8 +82,13 @@
 pub enum Permit {
     /// The request may be sent: it is not on probation.
     Free,
-    /// The request may be sent to this upstream, as a trial run.
-    Trial(UpstreamName),
+    /// The request may be sent as a trial run.
+    Trial {
+        /// Upstream to send it to.
+        upstream: UpstreamName,
+        /// Number of the trial run at this VM.
+        number: u64,
+    },
     /// The request must wait, because another trial run is in progress or a judge has yet to
     /// answer.
     Wait,
@@ -96,10 +97,9 @@
 /// Trial run that a judge has allowed.
 #[derive(Clone, Debug)]
 struct Grant {
+    features: Vec<Fingerprint>,
     /// Upstream of the trial run, or `None` once it was lost.
     upstream: Option<UpstreamName>,
-    asker: u64,
-    number: u64,
     until_ms: u64,
 }
 
@@ -108,7 +108,8 @@
 pub(crate) struct TrialCoordinator {
     /// Time at which this VM became a judge, or `None` if it has not.
     since_ms: Option<u64>,
-    grants: BTreeMap<Fingerprint, Grant>,
+    /// Trial runs by the VM that asked and its number of the trial run.
+    grants: BTreeMap<(u64, u64), Grant>,
 }
 
 impl TrialCoordinator {
@@ -132,37 +133,36 @@
             return Some(pause_ms.max(begin_ms - now_ms));
         }
         self.grants.retain(|_, grant| now_ms < grant.until_ms);
-        if let Some(grant) = self.grants.get(&query.fingerprint) {
-            let is_same = (grant.asker, grant.number) == (asker, query.number);
-            return (!is_same).then_some(pause_ms);
+        if self.grants.contains_key(&(asker, query.number)) {
+            return None;
         }
-        let is_taken = |grant: &Grant| grant.upstream.as_ref() == Some(&query.upstream);
+        let is_taken = |grant: &Grant| {
+            grant.upstream.as_ref() == Some(&query.upstream)
+                || grant.features.iter().any(|it| query.features.contains(it))
+        };
         if self.grants.len() >= MAX_TRIALS || self.grants.values().any(is_taken) {
             return Some(pause_ms);
         }
         let grant = Grant {
+            features: query.features.clone(),
             upstream: Some(query.upstream.clone()),
-            asker,
-            number: query.number,
             until_ms: now_ms + query.left_ms + GRANT_SLACK_MS,
         };
-        self.grants.insert(query.fingerprint, grant);
+        self.grants.insert((asker, query.number), grant);
         None
     }
 
     /// Records the end of a trial run.
     pub fn end_grant(&mut self, now_ms: u64, asker: u64, end: &TrialEnd) {
-        let Some(grant) = self.grants.get_mut(&end.fingerprint) else {
+        let key = (asker, end.number);
+        let Some(grant) = self.grants.get_mut(&key).filter(|it| it.upstream.is_some()) else {
             return;
         };
-        if (grant.asker, grant.number) != (asker, end.number) || grant.upstream.is_none() {
-            return;
-        }
         if end.is_lost {
             grant.upstream = None;
             grant.until_ms = now_ms + LOST_PAUSE_MS;
         } else {
-            self.grants.remove(&end.fingerprint);
+            self.grants.remove(&key);
         }
     }
 }
@@ -187,6 +187,17 @@
     },
 }
 
+impl TrialState {
+    /// Returns the number of the trial run that a judge has allowed or may have allowed.
+    fn number(&self) -> Option<u64> {
+        match self {
+            Self::Queried { query, .. } | Self::Allowed { query, .. } => Some(query.number),
+            Self::Sent { number } => Some(*number),
+            Self::Denied { .. } => None,
+        }
+    }
+}
+
 /// Messages that are due and what else has changed.
 #[derive(Clone, Debug, Default)]
 pub(crate) struct DueTrials {
@@ -201,7 +212,8 @@
 /// Asks judges for the trial runs of one VM.
 #[derive(Clone, Debug, Default)]
 pub(crate) struct TrialClient {
-    states: BTreeMap<Fingerprint, TrialState>,
+    /// States by the features on probation of the request that is to be sent.
+    states: BTreeMap<Vec<Fingerprint>, TrialState>,
     next_number: u64,
     /// Ends of trial runs that are to be sent to the judge, and when.
     ends: Vec<(u64, TrialEnd)>,
@@ -216,9 +228,10 @@
         self.judge
     }
 
-    /// Returns whether a request has to wait for a judge or for a trial run in progress.
-    pub fn must_wait(&self, fingerprint: &Fingerprint) -> bool {
-        let state = self.states.get(fingerprint);
+    /// Returns whether a request with these features on probation has to wait for a judge or for a
+    /// trial run in progress.
+    pub fn must_wait(&self, features: &[Fingerprint]) -> bool {
+        let state = self.states.get(features);
         state.is_some_and(|state| !matches!(state, TrialState::Allowed { .. }))
     }
 
@@ -227,21 +240,20 @@
     pub fn permit(
         &mut self,
         now_ms: u64,
-        fingerprint: Fingerprint,
+        features: Vec<Fingerprint>,
         upstream: &UpstreamName,
         left_ms: u64,
     ) -> Permit {
-        match self.states.get(&fingerprint) {
+        match self.states.get(&features) {
             Some(TrialState::Allowed { query, .. }) => {
-                let permit = Permit::Trial(query.upstream.clone());
-                let number = query.number;
-                self.states.insert(fingerprint, TrialState::Sent { number });
-                permit
+                let (upstream, number) = (query.upstream.clone(), query.number);
+                self.states.insert(features, TrialState::Sent { number });
+                Permit::Trial { upstream, number }
             }
             None if self.states.len() < MAX_TRIALS => {
                 self.next_number += 1;
                 let query = TrialQuery {
-                    fingerprint,
+                    features: features.clone(),
                     upstream: upstream.clone(),
                     number: self.next_number,
                     left_ms,
@@ -251,7 +263,7 @@
                     queries_sent: 0,
                     next_ms: now_ms,
                 };
-                self.states.insert(fingerprint, state);
+                self.states.insert(features, state);
                 Permit::Wait
             }
             _ => Permit::Wait,
@@ -260,18 +272,25 @@
 
     /// Records the answer of a judge. Returns whether a trial run may be sent.
     pub fn record_answer(&mut self, now_ms: u64, answer: &TrialAnswer) -> bool {
-        let Some(state) = self.states.get_mut(&answer.fingerprint) else {
-            return false;
-        };
-        let TrialState::Queried { query, .. } = state else {
+        let queried = self.states.values_mut().find_map(|state| match state {
+            TrialState::Queried { query, .. } if query.number == answer.number => {
+                Some((query.clone(), state))
+            }
+            _ => None,
+        });
+        let Some((query, state)) = queried else {
+            let is_known = self
+                .states
+                .values()
+                .any(|it| it.number() == Some(answer.number));
+            if answer.after_ms.is_none() && !is_known {
+                self.schedule_unused_end(now_ms, answer.number);
+            }
             return false;
         };
-        if query.number != answer.number {
-            return false;
-        }
         *state = match answer.after_ms {
             None => TrialState::Allowed {
-                query: query.clone(),
+                query,
                 until_ms: now_ms + UNUSED_TRIAL_TTL_MS,
             },
             Some(after_ms) => TrialState::Denied {
@@ -281,29 +300,37 @@
         answer.after_ms.is_none()
     }
 
-    /// Records that the trial run of a request has ended.
-    pub fn end_trial(&mut self, now_ms: u64, fingerprint: Fingerprint, is_lost: bool) {
-        if let Some(TrialState::Sent { number }) = self.states.get(&fingerprint) {
-            let end = TrialEnd {
-                fingerprint,
-                number: *number,
-                is_lost,
-            };
-            self.schedule_end(now_ms, end);
+    /// Records that a trial run has ended.
+    pub fn end_trial(&mut self, now_ms: u64, number: u64, is_lost: bool) {
+        let mut states = self.states.values_mut();
+        let sent = states.find(|it| matches!(it, TrialState::Sent { number: it } if *it == number));
+        if let Some(state) = sent {
             // The judge has to receive the end of this trial run before it is asked for the next.
-            let until_ms = now_ms + MIN_PAUSE_MS;
-            self.states
-                .insert(fingerprint, TrialState::Denied { until_ms });
+            *state = TrialState::Denied {
+                until_ms: now_ms + MIN_PAUSE_MS,
+            };
+            self.schedule_end(now_ms, TrialEnd { number, is_lost });
         }
     }
 
-    /// Removes the state of a request that is no longer on probation.
-    pub fn forget(&mut self, fingerprint: &Fingerprint) {
-        if !matches!(self.states.get(fingerprint), Some(TrialState::Sent { .. })) {
-            self.states.remove(fingerprint);
+    /// Removes the states of requests with a feature that is no longer on probation. Trial runs in
+    /// progress continue.
+    pub fn forget(&mut self, now_ms: u64, feature: &Fingerprint) {
+        let forgotten = self.states.extract_if(.., |features, state| {
+            features.contains(feature) && !matches!(state, TrialState::Sent { .. })
+        });
+        let forgotten: Vec<u64> = forgotten.filter_map(|(_, state)| state.number()).collect();
+        for number in forgotten {
+            self.schedule_unused_end(now_ms, number);
         }
     }
 
+    /// Schedules the end of a trial run that a judge has allowed, or may have, and that is not sent.
+    fn schedule_unused_end(&mut self, now_ms: u64, number: u64) {
+        let is_lost = false;
+        self.schedule_end(now_ms, TrialEnd { number, is_lost });
+    }
+
     fn schedule_end(&mut self, now_ms: u64, end: TrialEnd) {
         self.ends.push((now_ms, end));
         self.ends.push((now_ms + RESEND_END_MS, end));
@@ -357,18 +384,14 @@
                 false
             }
             TrialState::Allowed { query, until_ms } if *until_ms <= now_ms => {
-                unused.push(TrialEnd {
-                    fingerprint: query.fingerprint,
-                    number: query.number,
-                    is_lost: false,
-                });
+                unused.push(query.number);
                 due.may_continue = true;
                 false
             }
             _ => true,
         });
-        for end in unused {
-            self.schedule_end(now_ms, end);
+        for number in unused {
+            self.schedule_unused_end(now_ms, number);
         }
         let ends = self.ends.extract_if(.., |(at_ms, _)| *at_ms <= now_ms);
         due.ends.extend(ends.map(|(_, end)| end));
--- a/crates/quarantine/src/unconfirmed_crashes.rs
+++ b/crates/quarantine/src/unconfirmed_crashes.rs
@@ -4,7 +4,7 @@
 
 use apricotdale_core::names::UpstreamName;
 
-use crate::crashes::Suspect;
+use crate::reports::Suspect;
 
 /// Pause before the second probe of an upstream that neither answered nor refused the connection: a
 /// process that ends resets connections that it had yet to accept. It doubles each time.
--- a/crates/quarantine/tests/block_decisions.rs
+++ b/crates/quarantine/tests/block_decisions.rs
@@ -64,7 +64,10 @@
     }
 
     fn is_blocked(&self, number: u32) -> bool {
-        let left_ms = self.quarantine.blocked_ms(self.now_ms, &request(number));
+        let left_ms = self
+            .quarantine
+            .block(self.now_ms, &request(number).into())
+            .map(|it| it.left_ms);
         left_ms.is_some()
     }
 }
@@ -247,7 +250,10 @@
         4 * options.block_ms,
         16 * options.block_ms,
     ] {
-        let left_ms = fleet.quarantine.blocked_ms(fleet.now_ms, &request(1));
+        let left_ms = fleet
+            .quarantine
+            .block(fleet.now_ms, &request(1).into())
+            .map(|it| it.left_ms);
         assert_eq!(left_ms, Some(length_ms));
         fleet.now_ms += length_ms;
         fleet.quarantine.forget(fleet.now_ms);
@@ -292,7 +298,13 @@
     for _ in 0..3 {
         fleet.crash(&[1]);
     }
-    assert!(fleet.quarantine.clear(&request(1)));
+    assert!(
+        !fleet
+            .quarantine
+            .clear(fleet.now_ms, &request(1))
+            .ended
+            .is_empty()
+    );
     assert!(!fleet.is_blocked(1));
     fleet.crash(&[1]);
     fleet.crash(&[1]);
--- a/crates/quarantine/tests/bounded_memory.rs
+++ b/crates/quarantine/tests/bounded_memory.rs
@@ -31,6 +31,7 @@
 fn row(caller_number: u32, number: u32, left_ms: u64) -> BlockRow {
     BlockRow {
         fingerprint: request(caller_number, number),
+        features: vec![request(caller_number, number)],
         caller: caller(caller_number),
         times: 1,
         left_ms,
@@ -65,7 +66,7 @@
     assert!(quarantine.suspects() <= options.max_suspects_per_caller + 2);
     quarantine.record_crash(now_ms, &report(900, vec![suspect(7, 7)]));
     quarantine.judge(now_ms + options.settle_ms, Scope::Fleet);
-    let blocked_ms = quarantine.blocked_ms(now_ms + options.settle_ms, &request(7, 7));
+    let blocked_ms = quarantine.block(now_ms + options.settle_ms, &request(7, 7).into());
     assert!(blocked_ms.is_some());
 }
 
@@ -91,7 +92,7 @@
     }
     let rows = quarantine.rows(NOW_MS);
     assert_eq!(rows.len(), options.max_blocks_per_caller + 1);
-    assert!(quarantine.blocked_ms(NOW_MS, &request(7, 7)).is_some());
+    assert!(quarantine.block(NOW_MS, &request(7, 7).into()).is_some());
 }
 
 #[test]
@@ -114,7 +115,8 @@
         ..row(1, 1, u64::MAX)
     };
     assert!(quarantine.record_block(NOW_MS, &row));
-    let left_ms = quarantine.blocked_ms(NOW_MS, &request(1, 1));
+    let block = quarantine.block(NOW_MS, &request(1, 1).into());
+    let left_ms = block.map(|block| block.left_ms);
     assert_eq!(left_ms, Some(options.max_block_ms));
 }
 
@@ -134,6 +136,6 @@
     }
     now_ms += options.settle_ms;
     assert_eq!(quarantine.judge(now_ms, Scope::Fleet).len(), 1);
-    assert!(quarantine.blocked_ms(now_ms, &request(8, 8)).is_some());
+    assert!(quarantine.block(now_ms, &request(8, 8).into()).is_some());
     assert_eq!(quarantine.rows(now_ms).len(), options.max_blocks_per_caller);
 }
--- a/crates/quarantine/tests/crash_search/courses.rs
+++ b/crates/quarantine/tests/crash_search/courses.rs
@@ -1,5 +1,7 @@
 //! Random courses of events.
 
+use std::ops::Range;
+
 use proptest::prelude::*;
 
 use crate::fleet::CALLER_TIMEOUT_MS;
@@ -23,6 +25,15 @@
     },
     /// Copies of a harmless request arrive that many callers send alike.
     Popular { model: usize, vm: usize, copies: u8 },
+    /// A request of its own arrives with a part that crashes engines.
+    BadPart { which: u8, vm: usize, model: usize },
+    /// Requests of their own arrive with harmless parts, of which crashing requests have some, too.
+    SoundParts {
+        kind: u8,
+        vm: usize,
+        model: usize,
+        copies: u8,
+    },
     /// An engine ends by itself, with harmless requests in progress.
     Loss { vm: usize, requests: u8 },
     /// The last VM's process is restarted.
@@ -92,6 +103,22 @@
                 vm: vm_index,
                 copies,
             },
+            Self::BadPart { which, model, .. } => Self::BadPart {
+                which,
+                vm: vm_index,
+                model,
+            },
+            Self::SoundParts {
+                kind,
+                model,
+                copies,
+                ..
+            } => Self::SoundParts {
+                kind,
+                vm: vm_index,
+                model,
+                copies,
+            },
             Self::Loss { requests, .. } => Self::Loss {
                 vm: vm_index,
                 requests,
@@ -109,8 +136,9 @@
     event: impl Strategy<Value = Event>,
     engines: impl Strategy<Value = usize>,
     retries: u32,
+    lengths: Range<usize>,
 ) -> impl Strategy<Value = Course> {
-    let events = prop::collection::vec((1..700_u64, event, 0..24_usize), 20..60);
+    let events = prop::collection::vec((1..700_u64, event, 0..24_usize), lengths);
     let engines = prop::collection::vec(engines, MODELS);
     let fleet = (1..24_usize, any::<u64>(), 0..40_u64, 0..5_000_u64);
     (fleet, engines, events).prop_map(move |(fleet, engines, events)| {
@@ -129,7 +157,12 @@
 
 /// Returns courses with many copies, models with few engines, and callers that retry.
 pub fn dense_course() -> impl Strategy<Value = Course> {
-    course(event(), prop_oneof![Just(1), 2..12_usize], MAX_RETRIES)
+    course(
+        event(),
+        prop_oneof![Just(1), 2..12_usize],
+        MAX_RETRIES,
+        20..60,
+    )
 }
 
 /// Returns courses with single copies, whose requests meet others only by chance.
@@ -149,5 +182,5 @@
         Event::Popular { .. } => Event::Restart,
         other => other,
     });
-    course(event, 6..12_usize, 0)
+    course(event, 6..12_usize, 0, 20..60)
 }
--- a/crates/quarantine/tests/crash_search/fleet.rs
+++ b/crates/quarantine/tests/crash_search/fleet.rs
@@ -10,6 +10,7 @@
 use apricotdale_quarantine::LostRequest;
 use apricotdale_quarantine::Options;
 use apricotdale_quarantine::Permit;
+use apricotdale_quarantine::RequestFeatures;
 
 use crate::courses::Event;
 use crate::messages::Link;
@@ -48,10 +49,13 @@
 }
 
 /// Caller's request, at a VM or on its way there.
-#[derive(Clone, Copy, Debug)]
+#[derive(Clone, Debug)]
 pub struct RequestCopy {
     pub vm: usize,
     pub fingerprint: Fingerprint,
+    pub features: RequestFeatures,
+    /// Crashing part of its prompt.
+    pub bad_part: Option<u8>,
     pub model: usize,
     pub crashes: bool,
     pub from_ms: u64,
@@ -62,7 +66,7 @@
     pub copy: RequestCopy,
     pub engine: UpstreamName,
     pub ends_ms: u64,
-    pub is_trial: bool,
+    pub trial: Option<u64>,
 }
 
 pub struct Engine {
@@ -88,6 +92,12 @@
     pub sends: BTreeMap<Fingerprint, Vec<(u64, bool)>>,
     /// Times at which copies were lost with their engines, and the VMs that had sent them.
     pub ended: BTreeMap<Fingerprint, Vec<(u64, usize)>>,
+    /// Sends of requests with a crashing part, as in `sends`.
+    pub part_sends: BTreeMap<u8, Vec<(u64, bool)>>,
+    /// Times at which engines crashed under a part.
+    pub part_crashes: BTreeMap<u8, Vec<u64>>,
+    /// Arrivals of harmless requests with prompt parts, and when they were first sent.
+    pub sound: BTreeMap<Fingerprint, (u64, Option<u64>)>,
     /// Harmless requests that were lost with engines.
     pub harmless_lost: BTreeSet<Fingerprint>,
     /// Harmless requests that were blocked.
@@ -162,6 +172,9 @@
             ends: Vec::new(),
             sends: BTreeMap::new(),
             ended: BTreeMap::new(),
+            part_sends: BTreeMap::new(),
+            part_crashes: BTreeMap::new(),
+            sound: BTreeMap::new(),
             harmless_lost: BTreeSet::new(),
             harmless_blocked: BTreeSet::new(),
             waited_ms: 0,
@@ -183,9 +196,22 @@
     }
 
     pub fn arrive(&mut self, vm: usize, fingerprint: Fingerprint, model: usize, crashes: bool) {
+        self.arrive_with_parts(vm, fingerprint.into(), model, crashes, None);
+    }
+
+    pub fn arrive_with_parts(
+        &mut self,
+        vm: usize,
+        features: RequestFeatures,
+        model: usize,
+        crashes: bool,
+        bad_part: Option<u8>,
+    ) {
         self.waiting.push(RequestCopy {
             vm: vm % self.vms.len(),
-            fingerprint,
+            fingerprint: features.request,
+            features,
+            bad_part,
             model,
             crashes,
             from_ms: self.now_ms,
@@ -222,6 +248,8 @@
                 let lost = (0..requests).map(|it| RequestCopy {
                     vm,
                     fingerprint: request(&format!("lost-{}-{it}", self.engines_started)),
+                    features: request(&format!("lost-{}-{it}", self.engines_started)).into(),
+                    bad_part: None,
                     model: 0,
                     crashes: false,
                     from_ms: now_ms,
@@ -229,6 +257,17 @@
                 });
                 self.ends.push((now_ms, engine, lost.collect()));
             }
+            Event::BadPart { which, vm, model } => self.arrive_with_bad_part(which, vm, model),
+            Event::SoundParts {
+                kind,
+                vm,
+                model,
+                copies,
+            } => {
+                for number in 0..usize::from(copies) {
+                    self.arrive_with_sound_parts(kind, vm + number, model);
+                }
+            }
             // The other VMs keep what they received; what only the last VM holds is lost with it.
             Event::Restart if self.vms.len() == 1 => {}
             Event::Restart => self.restart(self.vms.len() - 1),
@@ -254,7 +293,7 @@
         for row in self.vms[0].watch.blocks(now_ms) {
             watch.record_block(now_ms, &row);
         }
-        watch.record_probations(now_ms, &self.vms[0].watch.probations());
+        watch.record_probations(now_ms, &self.vms[0].watch.probations(now_ms));
         for other in self.vms.iter().take(vm) {
             watch.record_reports(now_ms, &other.watch.local_reports(now_ms));
         }
@@ -305,6 +344,14 @@
             if lost.is_empty() {
                 continue;
             }
+            let parts: BTreeSet<u8> = lost
+                .iter()
+                .filter(|it| it.copy.crashes && it.ends_ms <= now_ms)
+                .filter_map(|it| it.copy.bad_part)
+                .collect();
+            for part in parts {
+                self.part_crashes.entry(part).or_default().push(now_ms);
+            }
             for run in &lost {
                 if !run.copy.crashes {
                     self.harmless_lost.insert(run.copy.fingerprint);
@@ -324,11 +371,17 @@
         let answered = self.running.extract_if(.., |it| it.ends_ms <= now_ms);
         for run in answered.collect::<Vec<_>>() {
             let watch = &mut self.vms[run.copy.vm].watch;
-            if run.is_trial {
-                watch.record_trial_end(now_ms, run.copy.fingerprint, false);
+            if let Some(number) = run.trial {
+                watch.record_trial_end(now_ms, number, false);
+            }
+            let cleared = watch.record_answered(now_ms, &run.copy.features);
+            for feature in cleared.announced {
+                self.send_all(run.copy.vm, &Message::Cleared(feature));
             }
-            if watch.record_answered(now_ms, run.copy.fingerprint) {
-                self.send_all(run.copy.vm, &Message::Cleared(run.copy.fingerprint));
+            if !cleared.reported.is_empty() {
+                for judge in 0..self.judges() {
+                    self.send(judge, &Message::Answered(cleared.reported.clone()));
+                }
             }
         }
     }
@@ -338,23 +391,23 @@
         for run in &lost {
             let watch = &mut self.vms[run.copy.vm].watch;
             let request = LostRequest {
-                fingerprint: run.copy.fingerprint,
+                features: run.copy.features.clone(),
                 caller: caller(),
-                is_trial: run.is_trial,
+                is_trial: run.trial.is_some(),
             };
             watch.record_lost(now_ms, engine, true, request);
-            if run.is_trial {
-                watch.record_trial_end(now_ms, run.copy.fingerprint, true);
+            if let Some(number) = run.trial {
+                watch.record_trial_end(now_ms, number, true);
             }
         }
-        let copies: Vec<RequestCopy> = lost.iter().map(|run| run.copy).collect();
+        let copies: Vec<RequestCopy> = lost.iter().map(|run| run.copy.clone()).collect();
         for copy in copies.iter().filter(|copy| copy.retries < self.retries) {
             let vm = self.link.draw() as usize % self.vms.len();
             self.waiting.push(RequestCopy {
                 vm,
                 from_ms: now_ms,
                 retries: copy.retries + 1,
-                ..*copy
+                ..copy.clone()
             });
         }
         self.ends.push((now_ms, engine.clone(), copies));
@@ -371,7 +424,7 @@
                 // An engine that ended by itself was not recorded when its requests were lost.
                 if !copy.crashes && copy.retries == MAX_RETRIES {
                     let request = LostRequest {
-                        fingerprint: copy.fingerprint,
+                        features: copy.features.clone(),
                         caller: caller(),
                         is_trial: false,
                     };
@@ -391,7 +444,7 @@
                 continue;
             }
             let watch = &mut self.vms[copy.vm].watch;
-            let is_blocked = watch.blocked_ms(now_ms, &copy.fingerprint).is_some();
+            let is_blocked = watch.block(now_ms, &copy.features).is_some();
             if is_blocked || now_ms >= copy.from_ms + CALLER_TIMEOUT_MS {
                 if is_blocked && !copy.crashes {
                     self.harmless_blocked.insert(copy.fingerprint);
@@ -400,7 +453,7 @@
             }
             let engines = self.models[copy.model].iter();
             let ready: Vec<&Engine> = engines.filter(|it| it.ready_ms <= now_ms).collect();
-            if ready.is_empty() || watch.must_wait(now_ms, &copy.fingerprint) {
+            if ready.is_empty() || watch.must_wait(now_ms, &copy.features) {
                 if !ready.is_empty() && !copy.crashes {
                     self.waited_ms += STEP_MS;
                 }
@@ -409,21 +462,21 @@
             }
             let engine = &ready[self.link.draw() as usize % ready.len()].name;
             let left_ms = copy.from_ms + CALLER_TIMEOUT_MS - now_ms;
-            match watch.permit(now_ms, copy.fingerprint, engine, left_ms) {
-                Permit::Free => self.run(copy, engine.clone(), false),
-                Permit::Trial(engine) => self.run(copy, engine, true),
+            match watch.permit(now_ms, &copy.features, engine, left_ms) {
+                Permit::Free => self.run(copy, engine.clone(), None),
+                Permit::Trial { upstream, number } => self.run(copy, upstream, Some(number)),
                 Permit::Wait => self.waiting.push(copy),
             }
         }
     }
 
-    pub fn run(&mut self, copy: RequestCopy, engine: UpstreamName, is_trial: bool) {
+    pub fn run(&mut self, copy: RequestCopy, engine: UpstreamName, trial: Option<u64>) {
         let now_ms = self.now_ms;
         let is_there = self.models.iter().flatten().any(|it| it.name == engine);
         if !is_there {
-            if is_trial {
+            if let Some(number) = trial {
                 let watch = &mut self.vms[copy.vm].watch;
-                watch.record_trial_end(now_ms, copy.fingerprint, false);
+                watch.record_trial_end(now_ms, number, false);
             }
             self.waiting.push(copy);
             return;
@@ -431,12 +484,19 @@
         let is_undisturbed = self.vms[copy.vm].undisturbed_since_ms + WINDOW_MS <= now_ms;
         let sends = self.sends.entry(copy.fingerprint).or_default();
         sends.push((now_ms, is_undisturbed));
+        if let Some(part) = copy.bad_part.filter(|_| copy.crashes) {
+            let sends = self.part_sends.entry(part).or_default();
+            sends.push((now_ms, is_undisturbed));
+        }
+        if let Some((_, sent_ms)) = self.sound.get_mut(&copy.fingerprint) {
+            sent_ms.get_or_insert(now_ms);
+        }
         let run_ms = if copy.crashes { RUN_MS } else { ANSWER_MS };
         self.running.push(Running {
             copy,
             engine,
             ends_ms: now_ms + run_ms,
-            is_trial,
+            trial,
         });
     }
 
--- a/crates/quarantine/tests/crash_search/main.rs
+++ b/crates/quarantine/tests/crash_search/main.rs
@@ -9,6 +9,7 @@
 mod courses;
 mod fleet;
 mod messages;
+mod parts;
 
 use std::collections::BTreeSet;
 
--- a/crates/quarantine/tests/crash_search/messages.rs
+++ b/crates/quarantine/tests/crash_search/messages.rs
@@ -1,8 +1,10 @@
 //! Links between VMs, and the messages that they carry.
 
+use apricotdale_quarantine::AnsweredRow;
 use apricotdale_quarantine::BlockRow;
 use apricotdale_quarantine::CrashReport;
 use apricotdale_quarantine::Fingerprint;
+use apricotdale_quarantine::ProbationRow;
 use apricotdale_quarantine::Role;
 use apricotdale_quarantine::TrialAnswer;
 use apricotdale_quarantine::TrialEnd;
@@ -19,7 +21,8 @@
 pub enum Message {
     Reports(Vec<CrashReport>),
     Blocks(Vec<BlockRow>),
-    Probations(Vec<Fingerprint>),
+    Probations(usize, Vec<ProbationRow>),
+    Answered(Vec<AnsweredRow>),
     Cleared(Fingerprint),
     TrialAsked(usize, TrialQuery),
     TrialDecided(TrialAnswer),
@@ -62,6 +65,7 @@
         let vm = &mut self.vms[index];
         let arrived = vm.inbox.extract_if(.., |(at_ms, _)| *at_ms <= now_ms);
         let mut answers = Vec::new();
+        let mut cleared = Vec::new();
         for (_, message) in arrived.collect::<Vec<_>>() {
             let watch = &mut vm.watch;
             match message {
@@ -69,15 +73,21 @@
                 Message::Blocks(rows) => rows.iter().for_each(|row| {
                     watch.record_block(now_ms, row);
                 }),
-                Message::Probations(them) => watch.record_probations(now_ms, &them),
+                Message::Probations(from, rows) => {
+                    let answered = watch.record_probations(now_ms, &rows);
+                    if !answered.is_empty() {
+                        answers.push((from, Message::Answered(answered)));
+                    }
+                }
+                Message::Answered(rows) => {
+                    cleared.extend(watch.record_peer_answers(now_ms, &rows).announced);
+                }
                 Message::Cleared(it) => {
                     watch.record_cleared(now_ms, &it);
                 }
                 Message::TrialAsked(from, query) => {
-                    answers.push((
-                        from,
-                        watch.decide_trial(now_ms, incarnation_of(from), &query, vms),
-                    ));
+                    let answer = watch.decide_trial(now_ms, incarnation_of(from), &query, vms);
+                    answers.push((from, Message::TrialDecided(answer)));
                 }
                 Message::TrialDecided(answer) => {
                     watch.record_trial_answer(now_ms, &answer);
@@ -88,7 +98,10 @@
             }
         }
         for (from, answer) in answers {
-            self.send(from, &Message::TrialDecided(answer));
+            self.send(from, &answer);
+        }
+        for feature in cleared {
+            self.send_all(index, &Message::Cleared(feature));
         }
     }
 
@@ -111,7 +124,10 @@
             self.send_all(index, &Message::Blocks(due.blocks));
         }
         if !due.probations.is_empty() {
-            self.send_all(index, &Message::Probations(due.probations));
+            self.send_all(index, &Message::Probations(index, due.probations));
+        }
+        for feature in due.cleared {
+            self.send_all(index, &Message::Cleared(feature));
         }
         for query in due.trial_queries {
             if self.policy == Policy::OnePerVm {
--- a/crates/quarantine/tests/trial_runs.rs
+++ b/crates/quarantine/tests/trial_runs.rs
@@ -26,6 +26,13 @@
     UpstreamName::from(name.to_owned())
 }
 
+fn trial(name: &str, number: u64) -> Permit {
+    Permit::Trial {
+        upstream: upstream(name),
+        number,
+    }
+}
+
 fn judge_of(vms: usize) -> Role {
     Role {
         judge: Some(0),
@@ -48,7 +55,7 @@
 fn lose(watch: &mut CrashWatch, now_ms: u64, name: &str, fingerprint: Fingerprint, copies: u32) {
     for _ in 0..copies {
         let lost = LostRequest {
-            fingerprint,
+            features: fingerprint.into(),
             caller: CallerHash::of(b"caller"),
             is_trial: false,
         };
@@ -67,7 +74,7 @@
 
 fn query(fingerprint: Fingerprint, at: &str, number: u64) -> TrialQuery {
     TrialQuery {
-        fingerprint,
+        features: vec![fingerprint],
         upstream: upstream(at),
         number,
         left_ms: LEFT_MS,
@@ -81,22 +88,25 @@
     let bad = request("bad");
     lose(&mut watch, DECIDES_MS, "i-1", bad, 2);
     assert_eq!(
-        watch.permit(DECIDES_MS, bad, &upstream("i-2"), LEFT_MS),
+        watch.permit(DECIDES_MS, &bad.into(), &upstream("i-2"), LEFT_MS),
         Permit::Free
     );
     lose(&mut watch, DECIDES_MS, "i-2", bad, 1);
     let now_ms = DECIDES_MS + 20;
     assert_eq!(
-        watch.permit(now_ms, bad, &upstream("i-3"), LEFT_MS),
+        watch.permit(now_ms, &bad.into(), &upstream("i-3"), LEFT_MS),
         Permit::Wait
     );
     assert!(watch.due(now_ms, judge_of(1)).may_continue);
-    assert!(!watch.must_wait(now_ms, &bad));
-    let trial = Permit::Trial(upstream("i-3"));
-    assert_eq!(watch.permit(now_ms, bad, &upstream("i-4"), LEFT_MS), trial);
-    assert!(watch.must_wait(now_ms, &bad));
+    assert!(!watch.must_wait(now_ms, &bad.into()));
+    let trial = trial("i-3", 1);
+    assert_eq!(
+        watch.permit(now_ms, &bad.into(), &upstream("i-4"), LEFT_MS),
+        trial
+    );
+    assert!(watch.must_wait(now_ms, &bad.into()));
     assert_eq!(
-        watch.permit(now_ms, bad, &upstream("i-4"), LEFT_MS),
+        watch.permit(now_ms, &bad.into(), &upstream("i-4"), LEFT_MS),
         Permit::Wait
     );
 }
@@ -109,16 +119,16 @@
     lose(&mut watch, DECIDES_MS, "i-1", popular, 5);
     let now_ms = DECIDES_MS + 20;
     assert_eq!(
-        watch.permit(now_ms, popular, &upstream("i-2"), LEFT_MS),
+        watch.permit(now_ms, &popular.into(), &upstream("i-2"), LEFT_MS),
         Permit::Wait
     );
-    assert!(watch.record_answered(now_ms, popular));
-    assert!(!watch.must_wait(now_ms, &popular));
+    assert!(watch.record_answered(now_ms, &popular.into()).is_change());
+    assert!(!watch.must_wait(now_ms, &popular.into()));
     assert_eq!(
-        watch.permit(now_ms, popular, &upstream("i-2"), LEFT_MS),
+        watch.permit(now_ms, &popular.into(), &upstream("i-2"), LEFT_MS),
         Permit::Free
     );
-    assert!(watch.probations().is_empty());
+    assert!(watch.probations(DECIDES_MS).is_empty());
 }
 
 /// Guards against two trial runs at a time, of one request or at one upstream.
@@ -168,12 +178,12 @@
     lose(&mut watch, DECIDES_MS, "i-1", bad, 3);
     let began_ms = DECIDES_MS + 20;
     assert_eq!(
-        watch.permit(began_ms, bad, &upstream("i-2"), LEFT_MS),
+        watch.permit(began_ms, &bad.into(), &upstream("i-2"), LEFT_MS),
         Permit::Wait
     );
     let mut asked_judges = Vec::new();
     let mut now_ms = began_ms;
-    while watch.must_wait(now_ms, &bad) {
+    while watch.must_wait(now_ms, &bad.into()) {
         let Due {
             trial_queries,
             trial_judge,
@@ -184,8 +194,11 @@
         assert!(now_ms < began_ms + 2_000);
     }
     assert!(asked_judges.contains(&0) && asked_judges.contains(&1));
-    let trial = Permit::Trial(upstream("i-2"));
-    assert_eq!(watch.permit(now_ms, bad, &upstream("i-2"), LEFT_MS), trial);
+    let trial = trial("i-2", 1);
+    assert_eq!(
+        watch.permit(now_ms, &bad.into(), &upstream("i-2"), LEFT_MS),
+        trial
+    );
 }
 
 /// Guards against further trial runs after two of them were lost in crashes.
@@ -197,31 +210,34 @@
     let mut now_ms = DECIDES_MS + 1_000;
     for (number, name) in ["i-1", "i-2"].into_iter().enumerate() {
         assert_eq!(
-            watch.blocked_ms(now_ms, &bad),
+            watch.block(now_ms, &bad.into()),
             None,
             "after {number} trials"
         );
         let at = upstream(name);
-        assert_eq!(watch.permit(now_ms, bad, &at, LEFT_MS), Permit::Wait);
+        assert_eq!(
+            watch.permit(now_ms, &bad.into(), &at, LEFT_MS),
+            Permit::Wait
+        );
         watch.due(now_ms, judge_of(1));
         assert_eq!(
-            watch.permit(now_ms, bad, &at, LEFT_MS),
-            Permit::Trial(at.clone())
+            watch.permit(now_ms, &bad.into(), &at, LEFT_MS),
+            trial(name, number as u64 + 1)
         );
         let lost = LostRequest {
-            fingerprint: bad,
+            features: bad.into(),
             caller: CallerHash::of(b"caller"),
             is_trial: true,
         };
         watch.record_lost(now_ms, &at, true, lost);
-        watch.record_trial_end(now_ms, bad, true);
+        watch.record_trial_end(now_ms, number as u64 + 1, true);
         watch.record_ended(now_ms, &at);
         for _ in 0..200 {
             now_ms += 5;
             watch.due(now_ms, judge_of(1));
         }
     }
-    assert!(watch.blocked_ms(now_ms, &bad).is_some());
+    assert!(watch.block(now_ms, &bad.into()).is_some());
 }
 
 /// Guards against counting the copies of one VM as often as they are reported.
@@ -236,7 +252,7 @@
         judge.record_reports(now_ms, &other.local_reports(now_ms));
         judge.due(now_ms, judge_of(9));
     }
-    assert!(judge.probations().is_empty());
+    assert!(judge.probations(DECIDES_MS).is_empty());
 }
 
 /// Guards against a report that carries only some of many copies.
