Soak: parts of prompts that crash engines, in requests of which no two are alike

Up to two of them a seed, from a generator of its own, and the invariant stops crashers counts engines for them: five, then at most three later than 3 s.

--- a/crates/soak/src/checks.rs
+++ b/crates/soak/src/checks.rs
@@ -9,7 +9,6 @@
 
 use crate::record::Attempt;
 use crate::record::Ending;
-use crate::record::KILL_ALL;
 use crate::record::Kind;
 use crate::record::Place;
 use crate::record::Record;
@@ -33,15 +32,6 @@
 /// Tolerance of every deadline: a machine that runs other programs too wakes processes late.
 pub(crate) const SCHEDULING_SLACK_MS: u64 = 1_000;
 
-/// Number of engines that may crash under the same request before VMs must block it.
-const CRASHES_BEFORE_BLOCK: usize = 3;
-
-/// Time after the last of these crashes within which VMs may still send the request.
-const BLOCK_DEADLINE_MS: u64 = 3_000;
-
-/// Number of sends of such a request that are tolerated later.
-const MAX_LATE_SENDS: usize = 3;
-
 /// HTTP statuses that state that the request has not run and will not run.
 const NOT_RUN_STATUSES: [u16; 4] = [408, 421, 429, 503];
 
@@ -72,7 +62,7 @@
     Recovers,
     /// No process of a VM exits unless it is killed or stopped.
     StaysUp,
-    /// A request under which `CRASHES_BEFORE_BLOCK` engines crashed is soon sent to no more.
+    /// A request, or a part of prompts, under which some engines crashed is soon sent to no more.
     StopsCrashers,
     /// Only callers with one configured key are served, and none of them gets status 401.
     ValidKeyRequired,
@@ -428,56 +418,6 @@
         }
     }
 
-    fn check_crashers(&self, found: &mut Vec<Violation>) {
-        let mut crashes: BTreeMap<&str, Vec<u64>> = BTreeMap::new();
-        for crash in &self.record.crashes {
-            crashes.entry(&crash.body).or_default().push(crash.at_ms);
-        }
-        let bodies = self.record.crasher_ids.iter();
-        let bodies: BTreeMap<&str, &str> = bodies
-            .map(|(id, body)| (id.as_str(), body.as_str()))
-            .collect();
-        for (body, times) in &mut crashes {
-            times.sort_unstable();
-            let Some(late_ms) = self.block_deadline_ms(times) else {
-                continue;
-            };
-            let late = self.record.runs.iter().filter(|run| {
-                let vm = self.attempts.get(run.id.as_str()).map(|it| it.vm);
-                let undisturbed_from_ms = run.at_ms.saturating_sub(UNDISTURBED_MS);
-                bodies.get(run.id.as_str()) == Some(body)
-                    && run.at_ms > late_ms
-                    && vm.is_some_and(|vm| !self.disturbs_vm(vm, undisturbed_from_ms, run.at_ms))
-            });
-            let late_sends = late.count();
-            if late_sends > MAX_LATE_SENDS {
-                let detail = format!(
-                    "{body} reached engines {late_sends} times later than {late_ms} ms; {} crashed",
-                    times.len()
-                );
-                found.push(violation(Invariant::StopsCrashers, detail));
-            }
-        }
-    }
-
-    /// Returns when a request must be blocked whose copies crashed engines at these times; none if
-    /// too few did. VMs that are all killed before the request had to be blocked know nothing of the
-    /// crashes, and count anew.
-    fn block_deadline_ms(&self, crashes_ms: &[u64]) -> Option<u64> {
-        let mut since_ms = 0;
-        loop {
-            let mut counted = crashes_ms.iter().filter(|at_ms| **at_ms >= since_ms);
-            let deadline_ms = counted.nth(CRASHES_BEFORE_BLOCK - 1)? + BLOCK_DEADLINE_MS;
-            let killed = self.record.disturbances.iter().find(|it| {
-                it.what == KILL_ALL && it.from_ms >= since_ms && it.from_ms < deadline_ms
-            });
-            match killed {
-                Some(killed) => since_ms = killed.until_ms,
-                None => return Some(deadline_ms),
-            }
-        }
-    }
-
     pub fn disturbs_vm(&self, vm: usize, from_ms: u64, until_ms: u64) -> bool {
         self.disturbs(&Place::Vm(vm), from_ms, until_ms)
     }
--- a/crates/soak/src/draws.rs
+++ b/crates/soak/src/draws.rs
@@ -19,6 +19,7 @@
 use crate::keys::STABLE_ORGANISATION;
 use crate::plan::Burst;
 use crate::plan::CRASH_MARKS;
+use crate::plan::CRASH_PARTS;
 use crate::plan::Crasher;
 use crate::plan::Planned;
 use crate::workload::MODELS;
@@ -41,6 +42,9 @@
 /// Mask that gives the draws of crashers a seed of their own.
 const CRASHER_SEED_MASK: u64 = 0x6372_6173_6865_7273;
 
+/// Mask that gives the draws of crashing parts a seed of their own.
+const PART_CRASHER_SEED_MASK: u64 = 0x7061_7274_6372_6173;
+
 /// Upper bound of rollbacks of the store.
 const MAX_ROLLBACKS: usize = 2;
 
@@ -158,6 +162,25 @@
         .collect()
 }
 
+/// Draws the callers whose requests have a part that crashes engines, and are otherwise all
+/// different.
+pub(crate) fn draw_part_crashers(seed: u64, calm_from_ms: u64) -> Vec<Crasher> {
+    let mut random = ChaCha8Rng::seed_from_u64(seed ^ PART_CRASHER_SEED_MASK);
+    let parts = CRASH_PARTS.iter().filter(|_| random.random_bool(0.5));
+    let parts: Vec<&str> = parts.copied().collect();
+    parts
+        .into_iter()
+        .map(|part| Crasher {
+            body: part.to_owned(),
+            model: MODELS[random.random_range(0..2)],
+            at_ms: random.random_range(WARM_UP_MS..calm_from_ms.max(WARM_UP_MS + 1)),
+            pause_ms: random.random_range(50..900),
+            resumable: random.random_bool(0.5),
+            copies: random.random_range(1..=MAX_COPIES),
+        })
+        .collect()
+}
+
 /// Draws the rollbacks of the store to an older copy; none if the plan is too short for one.
 pub(crate) fn draw_rollbacks(seed: u64, calm_from_ms: u64) -> Vec<Planned> {
     let mut random = ChaCha8Rng::seed_from_u64(seed ^ ROLLBACK_SEED_MASK);
--- a/crates/soak/src/engines.rs
+++ b/crates/soak/src/engines.rs
@@ -13,6 +13,7 @@
 use apricotdale_standins::proxy::Proxy;
 
 use crate::plan::CRASH_MARKS;
+use crate::plan::CRASH_PARTS;
 use crate::record::Crash;
 use crate::record::Disturbance;
 use crate::record::Drain;
@@ -68,14 +69,28 @@
         after_events,
         after_ms: CRASH_DELAY_MS,
     };
+    let part_crash = |id: &str, after_events| CrashTrigger {
+        marker: CrashMarker::PromptPart {
+            id: id.to_owned(),
+            model: None,
+        },
+        after_events,
+        after_ms: CRASH_DELAY_MS,
+    };
     let [at_once, late] = CRASH_MARKS;
+    let [part_at_once, part_late] = CRASH_PARTS;
     EngineOptions {
         instance: name,
         models: models.iter().map(ToString::to_string).collect(),
         on_disk: MODELS.iter().map(ToString::to_string).collect(),
         gap_ms: EVENT_INTERVAL_MS,
         // The first mark that matches decides: the late one begins with the other.
-        crashes: vec![crash(late, EVENTS_BEFORE_CRASH), crash(at_once, 0)],
+        crashes: vec![
+            crash(late, EVENTS_BEFORE_CRASH),
+            crash(at_once, 0),
+            part_crash(part_late, EVENTS_BEFORE_CRASH),
+            part_crash(part_at_once, 0),
+        ],
         ..EngineOptions::default()
     }
 }
@@ -91,6 +106,12 @@
     })
 }
 
+/// Returns what requests have in common that crash engines: their body, or the part of the prompt
+/// with which it begins.
+fn cause_of(body: &str) -> String {
+    body.split(' ').next().unwrap_or(body).to_owned()
+}
+
 impl World {
     /// Replaces engines that crash until `is_finished` is set: their entries expire, and new
     /// incarnations join at their addresses.
@@ -157,7 +178,7 @@
                     .marked_runs()
                     .into_iter()
                     .map(move |(_, body)| Crash {
-                        body: String::from_utf8_lossy(&body).into_owned(),
+                        body: cause_of(&String::from_utf8_lossy(&body)),
                         upstream: engine.name().to_owned(),
                         at_ms: self.clock.at_ms(at),
                     })
--- a/crates/soak/src/lib.rs
+++ b/crates/soak/src/lib.rs
@@ -12,6 +12,7 @@
 
 mod checks;
 mod clock;
+mod crasher_invariants;
 mod draws;
 mod engines;
 mod errors;
--- a/crates/soak/src/plan.rs
+++ b/crates/soak/src/plan.rs
@@ -5,6 +5,7 @@
 use crate::draws::draw_continuation_faults;
 use crate::draws::draw_crashers;
 use crate::draws::draw_organisation_events;
+use crate::draws::draw_part_crashers;
 use crate::draws::draw_path_cuts;
 use crate::draws::draw_random_faults;
 use crate::draws::draw_rollbacks;
@@ -15,6 +16,9 @@
 /// after some events.
 pub(crate) const CRASH_MARKS: [&str; 2] = ["ends-engine-", "ends-engine-late-"];
 
+/// Parts of prompts that crash engines: before the first event of the answer, and after some events.
+pub(crate) const CRASH_PARTS: [&str; 2] = ["c0de0", "c0de1a7e"];
+
 /// One planned fault.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub struct Planned {
@@ -27,7 +31,8 @@
 /// Callers that send a request again and again which crashes every engine that runs it.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub struct Crasher {
-    /// Body of the request, the same for each send and each caller.
+    /// Body of the request, the same for each send and each caller. If it is one of the crashing
+    /// parts of prompts, the requests have that part, and bodies of their own that begin with it.
     pub body: String,
     /// Model that the request names.
     pub model: &'static str,
@@ -56,6 +61,13 @@
     pub pause_ms: u64,
 }
 
+impl Crasher {
+    /// Returns the part of the prompt that crashes engines; none if the request as a whole does.
+    pub fn part(&self) -> Option<&str> {
+        Some(self.body.as_str()).filter(|body| CRASH_PARTS.contains(body))
+    }
+}
+
 /// Everything that is done to the VMs in one soak, in milliseconds after its start.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub struct Plan {
@@ -84,8 +96,10 @@
         let (bursts, changes) = draw_organisation_events(seed, calm_from_ms);
         faults.extend(changes);
         faults.sort_by_key(|planned| planned.at_ms);
+        let mut crashers = draw_crashers(seed, calm_from_ms);
+        crashers.extend(draw_part_crashers(seed, calm_from_ms));
         Self {
-            crashers: draw_crashers(seed, calm_from_ms),
+            crashers,
             bursts,
             faults,
             calm_from_ms,
--- a/crates/soak/src/record.rs
+++ b/crates/soak/src/record.rs
@@ -192,7 +192,8 @@
 /// Crash of an engine while it ran a request that crashes engines.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub struct Crash {
-    /// Body of the request, which identifies the same request across sends.
+    /// Body of the request, which identifies the same request across sends, or the part of its
+    /// prompt that crashes engines.
     pub body: String,
     /// Name of the engine.
     pub upstream: String,
@@ -286,7 +287,7 @@
     pub other_ids: BTreeSet<String>,
     /// Requests that were running when an engine crashed, one for each concurrent copy.
     pub crashes: Vec<Crash>,
-    /// Request IDs and bodies of the requests that crash engines.
+    /// Request IDs and bodies, or parts of prompts, of the requests that crash engines.
     pub crasher_ids: Vec<(String, String)>,
     /// Effects of orders on each engine, by the engine's name.
     pub engines: Vec<(String, EngineEffects)>,
--- a/crates/soak/src/workload.rs
+++ b/crates/soak/src/workload.rs
@@ -143,9 +143,17 @@
                 true => (Kind::Quick, SiteRequest::quick(&id, crasher.model)),
                 false => (Kind::Patient, SiteRequest::patient(&id, crasher.model)),
             };
-            let request = ask
-                .with_body(crasher.body.as_bytes())
-                .with_timeout_ms(CALLER_TIMEOUT_MS);
+            let request = match crasher.part() {
+                Some(part) => {
+                    let mut ask = ask.with_body(format!("{part} {id}").as_bytes());
+                    ask.headers.retain(|(name, _)| name != PARTS_HEADER);
+                    // The first part is that of all harmless streams.
+                    let parts = format!("5c1e07a2:60,{part}:20,{number:x}:20");
+                    ask.with(PARTS_HEADER, &parts)
+                }
+                None => ask.with_body(crasher.body.as_bytes()),
+            };
+            let request = request.with_timeout_ms(CALLER_TIMEOUT_MS);
             self.sent.lock().insert(id.clone(), request.clone());
             self.crasher_ids.lock().push((id, crasher.body.clone()));
             let vm = random.random_range(0..self.vms.len());
@@ -332,6 +340,9 @@
     }
 }
 
+/// Header that lists the parts of a prompt.
+const PARTS_HEADER: &str = "Apricotdale-Prompt-Prefix";
+
 /// Returns the last event ID that a request says its caller has; 0 if it names none.
 fn after_event(request: &SiteRequest) -> u64 {
     let mut headers = request.headers.iter();
--- a/crates/soak/tests/invariant_checks.rs
+++ b/crates/soak/tests/invariant_checks.rs
@@ -247,6 +247,37 @@
     assert_eq!(broken_invariants(&record), expected);
 }
 
+/// Returns a record of a part under which five engines have crashed by 10 s, some with several
+/// requests, and of requests with it that were sent at the given times.
+fn crashing_part_record(sent_ms: &[u64]) -> Record {
+    const PART: &str = "c0de0";
+    let mut record = crasher_record(sent_ms);
+    record.crashes = [6_000, 6_000, 7_000, 8_000, 9_000, 10_000]
+        .map(|at_ms| Crash {
+            body: PART.to_owned(),
+            upstream: format!("i-{at_ms}"),
+            at_ms,
+        })
+        .to_vec();
+    for (_, body) in &mut record.crasher_ids {
+        *body = PART.to_owned();
+    }
+    record
+}
+
+/// Guards against a check that overlooks requests which share nothing but a crashing part, and one
+/// that counts the requests lost with an engine instead of the engines.
+#[rstest]
+#[case::in_time(&[12_500, 12_600, 12_700, 12_800, 13_500, 14_000, 15_000], true)]
+#[case::late(&[13_500, 14_000, 15_000, 16_000], false)]
+fn crashing_part(#[case] sent_ms: &[u64], #[case] is_valid: bool) {
+    let expected: &[Invariant] = match is_valid {
+        true => &[],
+        false => &[Invariant::StopsCrashers],
+    };
+    assert_eq!(broken_invariants(&crashing_part_record(sent_ms)), expected);
+}
+
 #[test]
 fn crasher_not_blocked() {
     let mut record = crasher_record(&[13_500, 14_000, 15_000, 16_000]);
