Prompt parts: answers of others reach the judges with the replies, a request lost twice is not sent again, docs

Now VMs reply to an announcement with their last answer to another request for the same model or service, the judge decides again on such a reply, and a request that was lost twice pauses for 50 ms and is refused while it is on probation.

The types that a watch takes and returns have a file of their own.

--- a/crates/entry/src/failed_attempts.rs
+++ b/crates/entry/src/failed_attempts.rs
@@ -22,6 +22,9 @@
 /// budget grows by one retry every few milliseconds.
 pub(crate) const BUDGET_PAUSE_MS: u64 = 50;
 
+/// Pause of a request that was lost twice, in which it shows whether both upstreams crashed.
+const LOST_AGAIN_PAUSE_MS: u64 = 50;
+
 impl Daemon {
     /// Reports the end of an attempt to the routing policy and the watches.
     pub(crate) fn end_attempt(&mut self, key: u64, outcome: UpstreamOutcome) {
@@ -143,7 +146,15 @@
             false => RetryAction::GiveUp,
         };
         match decision {
-            RetryAction::AfterMs(pause_ms) => self.pause_request(key, pause_ms),
+            RetryAction::AfterMs(pause_ms) => {
+                let is_lost_again = failed == FailedAttempt::Lost && request.job.runs > 1;
+                let min_pause_ms = if is_lost_again {
+                    LOST_AGAIN_PAUSE_MS
+                } else {
+                    0
+                };
+                self.pause_request(key, pause_ms.max(min_pause_ms));
+            }
             RetryAction::OnceBudgetAllows => {
                 request.job.awaits_retry_budget = true;
                 self.pause_request(key, BUDGET_PAUSE_MS);
--- a/crates/entry/src/request_dispatch.rs
+++ b/crates/entry/src/request_dispatch.rs
@@ -59,6 +59,9 @@
 /// started allows none for a shorter time.
 const MIN_TRIAL_WAIT_MS: u64 = 2_000;
 
+/// Number of times that a request may have run which waits for a trial run.
+const MAX_RUNS_ON_PROBATION: u32 = 2;
+
 /// Retry delay stated to a caller whose request waited for its trial run in vain. A trial run takes
 /// about as long as an answer.
 const PROBATION_RETRY_AFTER_MS: u64 = 1_000;
@@ -389,14 +392,15 @@
     }
 
     /// Lets a request wait while another trial run is in progress, for as long as an answer can be
-    /// in time. Then it is refused, since nothing tells how many trial runs are ahead of it.
+    /// in time. Then it is refused, since nothing tells how many trial runs are ahead of it. One that
+    /// was lost twice is refused at once: it is not sent to a third upstream.
     fn wait_for_trial(&mut self, key: u64) {
         let Some(request) = self.active.get_mut(key) else {
             return;
         };
         let job = &request.job;
         let until_ms = job.target_ms.max(job.arrived_ms + MIN_TRIAL_WAIT_MS);
-        if self.now_ms < until_ms {
+        if self.now_ms < until_ms && job.runs < MAX_RUNS_ON_PROBATION {
             request.phase = Phase::Waiting(WaitReason::Suspected);
             self.active.wake_at(until_ms, key);
             return;
--- a/crates/quarantine/src/crash_watch.rs
+++ b/crates/quarantine/src/crash_watch.rs
@@ -6,7 +6,6 @@
 use crate::blocks::BlockRow;
 use crate::blocks::LiftedBlocks;
 use crate::features::RequestFeatures;
-use crate::fingerprint::CallerHash;
 use crate::fingerprint::Fingerprint;
 use crate::local_reports::LocalReports;
 use crate::options::Options;
@@ -27,7 +26,10 @@
 use crate::trials::TrialEnd;
 use crate::trials::TrialQuery;
 use crate::unconfirmed_crashes::UnconfirmedCrashes;
-use crate::unconfirmed_crashes::UpstreamProbe;
+use crate::vm_messages::Cleared;
+use crate::vm_messages::Due;
+use crate::vm_messages::LostRequest;
+use crate::vm_messages::Role;
 
 /// Delays after which the VM that found a block sends it again.
 const BLOCK_RESEND_DELAYS_MS: [u64; 2] = [300, 1_500];
@@ -44,77 +46,6 @@
 /// Number of answered requests, and of their parts, that this VM remembers.
 const MAX_RECENT_ANSWERS: usize = 2_048;
 
-/// Role of a VM among the others.
-#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
-pub struct Role {
-    /// Index of the VM among the judges, to which the others send their crash reports, or `None` if
-    /// it is not a judge.
-    pub judge: Option<usize>,
-    /// Number of judges among the VMs.
-    pub judges: usize,
-    /// Number of VMs, including this one.
-    pub vms: usize,
-    /// Whether it holds the order lease, and therefore repeats the blocks for all.
-    pub is_lease_holder: bool,
-}
-
-/// Request that was lost because an upstream broke its connection.
-#[derive(Clone, Debug, PartialEq, Eq)]
-pub struct LostRequest {
-    /// The request and its prompt parts.
-    pub features: RequestFeatures,
-    /// Caller of the request.
-    pub caller: CallerHash,
-    /// Whether it was sent as a trial run.
-    pub is_trial: bool,
-}
-
-/// Messages and probes that a VM has to send now, and blocks that have changed.
-#[derive(Clone, Debug, Default, PartialEq, Eq)]
-pub struct Due {
-    /// Upstreams to probe.
-    pub probes: Vec<UpstreamProbe>,
-    /// Crash reports to send to the judges.
-    pub reports: Vec<CrashReport>,
-    /// Blocks to send to all VMs.
-    pub blocks: Vec<BlockRow>,
-    /// Blocks that begin now by this VM's decision.
-    pub new_blocks: Vec<BlockRow>,
-    /// Blocks that have ended and are no longer remembered.
-    pub ended: Vec<Fingerprint>,
-    /// Requests and parts on probation to announce to all VMs.
-    pub probations: Vec<ProbationRow>,
-    /// Parts that are no longer on probation, to announce to all VMs.
-    pub cleared: Vec<Fingerprint>,
-    /// Questions about trial runs to send to the judge that is asked.
-    pub trial_queries: Vec<TrialQuery>,
-    /// Ends of trial runs to send to the judge that is asked.
-    pub trial_ends: Vec<TrialEnd>,
-    /// Index of the judge that is asked, among the judges.
-    pub trial_judge: usize,
-    /// Whether requests that had to wait may be sent now.
-    pub may_continue: bool,
-}
-
-/// Changes at a VM after a request was answered, and whom it has to inform.
-#[derive(Clone, Debug, Default, PartialEq, Eq)]
-pub struct Cleared {
-    /// Features that were on probation or blocked, to announce to all VMs.
-    pub announced: Vec<Fingerprint>,
-    /// Answers to send to the judges, which announce what they clear. All VMs answer requests with
-    /// a popular part at the same time.
-    pub reported: Vec<AnsweredRow>,
-    /// Blocks that have ended or changed.
-    pub lifted: LiftedBlocks,
-}
-
-impl Cleared {
-    /// Returns whether the request or a part of it was on probation or blocked.
-    pub fn is_change(&self) -> bool {
-        !self.announced.is_empty() || !self.reported.is_empty()
-    }
-}
-
 /// Detection of crashing requests at one VM. It sends states instead of changes, repeats them, and
 /// may receive the same several times, so that nothing waits for an acknowledgement.
 #[derive(Clone, Debug)]
@@ -252,6 +183,8 @@
                 ago_ms,
             }));
             if ago_ms.is_none_or(|ago_ms| ago_ms >= row.ago_ms) {
+                // That others were answered meanwhile tells against the part.
+                answered.extend(self.quarantine.last_answer(now_ms, &row.fingerprint));
                 let since_ms = now_ms.saturating_sub(row.ago_ms);
                 self.probations.add(now_ms, row.fingerprint, since_ms);
             }
--- a/crates/quarantine/src/quarantine.rs
+++ b/crates/quarantine/src/quarantine.rs
@@ -22,10 +22,6 @@
 /// Maximum number of models and services whose answers are counted.
 const MAX_SCOPES: usize = 1_024;
 
-/// Number of answers to other requests for the same model or service from which on it tells against
-/// a part that no request with it was answered meanwhile.
-const TELLING_ANSWERS: usize = 3;
-
 /// Maximum number of crashed upstreams that a block names.
 const NAMED_UPSTREAMS: usize = 5;
 
@@ -68,8 +64,8 @@
 ///
 /// - three upstreams crashed under it, none of them in a group or under a request or part that
 ///   explains the crash, and a trial run was lost of a request that was not lost before and of
-///   which nothing else is under suspicion; three such runs if hardly any other request was answered
-///   since the first of these crashes; or
+///   which nothing else is under suspicion; three such runs if no other request for the same model
+///   or service was answered since the first of these crashes; or
 /// - at least two such trial runs were lost, in groups, too; or
 /// - six trial runs with it were lost that no known part explains.
 ///
@@ -87,9 +83,9 @@
     blocks: Blocks,
     /// Requests, parts and blocks that operators have exempted.
     exempt: HashSet<Fingerprint>,
-    /// Times of the last known answers to requests with any parts, the oldest first, for each model
-    /// and for each service.
-    last_answers_ms: BTreeMap<u64, [u64; TELLING_ANSWERS]>,
+    /// Last known answer to a request with any part, and that part, for each model and for each
+    /// service.
+    last_answers: BTreeMap<u64, (u64, Fingerprint)>,
 }
 
 impl Quarantine {
@@ -100,7 +96,7 @@
             crashes: CrashLog::default(),
             blocks: Blocks::default(),
             exempt: HashSet::new(),
-            last_answers_ms: BTreeMap::new(),
+            last_answers: BTreeMap::new(),
         }
     }
 
@@ -184,20 +180,31 @@
 
     /// Records that a request with a part was answered.
     pub fn record_part_answer(&mut self, answered_ms: u64, part: &Fingerprint) {
-        if self.last_answers_ms.len() >= MAX_SCOPES {
-            self.last_answers_ms.clear();
+        if self.last_answers.len() >= MAX_SCOPES {
+            self.last_answers.clear();
         }
-        let times_ms = self.last_answers_ms.entry(part.scope()).or_default();
-        if answered_ms > times_ms[0] && !times_ms.contains(&answered_ms) {
-            times_ms[0] = answered_ms;
-            times_ms.sort_unstable();
+        let answer = (answered_ms, *part);
+        let last = self.last_answers.entry(part.scope()).or_insert(answer);
+        if answered_ms > last.0 {
+            *last = answer;
         }
     }
 
+    /// Returns the last known answer to a request for the same model or service as a part.
+    pub fn last_answer(&self, now_ms: u64, part: &Fingerprint) -> Option<AnsweredRow> {
+        let (answered_ms, fingerprint) = self.last_answers.get(&part.scope())?;
+        Some(AnsweredRow {
+            fingerprint: *fingerprint,
+            ago_ms: now_ms.saturating_sub(*answered_ms),
+        })
+    }
+
     /// Records an answer that another VM has seen. It clears the request or part of crashes before.
     pub fn record_answered(&mut self, now_ms: u64, row: &AnsweredRow) {
         let answered_ms = now_ms.saturating_sub(row.ago_ms);
         self.record_part_answer(answered_ms, &row.fingerprint);
+        // The answer may tell against a part that is under suspicion.
+        self.crashes.due_ms = Some(self.crashes.due_ms.unwrap_or(now_ms).min(now_ms));
         self.crashes
             .record_answered(row.fingerprint, answered_ms, &self.options);
     }
@@ -353,9 +360,9 @@
     fn should_block_part(&self, case: &CrashCase) -> bool {
         let options = &self.options;
         let first_ms = case.crashes.first().map_or(0, |crash| crash.at_ms);
-        // While hardly anything is answered, the lack of answers tells nothing about the part.
-        let answers_ms = self.last_answers_ms.get(&case.feature.scope());
-        let needed = match answers_ms.is_some_and(|it| it[0] > first_ms) {
+        // While nothing else is answered, the lack of answers tells nothing about the part.
+        let last = self.last_answers.get(&case.feature.scope());
+        let needed = match last.is_some_and(|(answered_ms, _)| *answered_ms > first_ms) {
             true => 1,
             false => options.indecisive_trials,
         };
--- a/crates/soak/src/workload.rs
+++ b/crates/soak/src/workload.rs
@@ -145,11 +145,10 @@
             };
             let request = match crasher.part() {
                 Some(part) => {
-                    let mut ask = ask.with_body(format!("{part} {id}").as_bytes());
-                    ask.headers.retain(|(name, _)| name != PARTS_HEADER);
+                    let ask = ask.with_body(format!("{part} {id}").as_bytes());
                     // The first part is that of all harmless streams.
                     let parts = format!("5c1e07a2:60,{part}:20,{number:x}:20");
-                    ask.with(PARTS_HEADER, &parts)
+                    ask.with_parts(&parts)
                 }
                 None => ask.with_body(crasher.body.as_bytes()),
             };
@@ -340,9 +339,6 @@
     }
 }
 
-/// Header that lists the parts of a prompt.
-const PARTS_HEADER: &str = "Apricotdale-Prompt-Prefix";
-
 /// Returns the last event ID that a request says its caller has; 0 if it names none.
 fn after_event(request: &SiteRequest) -> u64 {
     let mut headers = request.headers.iter();
--- a/crates/standins/src/platform/caller.rs
+++ b/crates/standins/src/platform/caller.rs
@@ -27,6 +27,9 @@
 /// Maximum size of the head of an answer that a caller reads.
 const MAX_HEAD_BYTES: usize = 64 * 1024;
 
+/// Header that lists the parts of a prompt.
+const PARTS: &str = "Apricotdale-Prompt-Prefix";
+
 /// Request of a caller.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub struct SiteRequest {
@@ -78,7 +81,7 @@
         Self::new("POST", target, id)
             .with("Apricotdale-Model", model)
             .with("Apricotdale-Token-Count", "100,30")
-            .with("Apricotdale-Prompt-Prefix", "5c1e07a2:80,e4402b7d:20")
+            .with(PARTS, "5c1e07a2:80,e4402b7d:20")
             .with_body(b"prompt")
     }
 
@@ -88,6 +91,13 @@
         self
     }
 
+    /// Returns the request with these parts of its prompt, as `ID:TOKENS` pairs separated by commas,
+    /// in place of its own.
+    pub fn with_parts(mut self, parts: &str) -> Self {
+        self.headers.retain(|(name, _)| name != PARTS);
+        self.with(PARTS, parts)
+    }
+
     /// Returns the request with its caller's timeout.
     pub fn with_timeout_ms(self, timeout_ms: u64) -> Self {
         self.with("Apricotdale-Request-Deadline", &timeout_ms.to_string())
