Judges: an answer that is no news is not judged again

Read in the code, as a newcomer: each of up to 294 replies to an announcement had the judge compute all crash cases, and decide again, whether it told anything new or not. Now only an answer later than the known one does, of which a random order of n replies has some ln n.

--- a/crates/quarantine/src/crash_watch.rs
+++ b/crates/quarantine/src/crash_watch.rs
@@ -197,8 +197,11 @@
     pub fn record_peer_answers(&mut self, now_ms: u64, rows: &[AnsweredRow]) -> Cleared {
         let mut cleared = Cleared::default();
         for row in rows {
-            self.quarantine.record_answered(now_ms, row);
-            if self.is_suspect(&row.fingerprint) && !self.is_case(now_ms, &row.fingerprint) {
+            let is_later = self.quarantine.record_answered(now_ms, row);
+            if is_later
+                && self.is_suspect(&row.fingerprint)
+                && !self.is_case(now_ms, &row.fingerprint)
+            {
                 self.clear(now_ms, &row.fingerprint, &mut cleared.lifted);
                 cleared.announced.push(row.fingerprint);
             }
--- a/crates/quarantine/src/crashes.rs
+++ b/crates/quarantine/src/crashes.rs
@@ -149,10 +149,16 @@
     }
 
     /// Records that a request, or one with a part, was answered, which clears it of earlier crashes.
-    pub fn record_answered(&mut self, feature: Fingerprint, answered_ms: u64, options: &Options) {
+    /// Returns whether the answer is later than the known one.
+    pub fn record_answered(
+        &mut self,
+        feature: Fingerprint,
+        answered_ms: u64,
+        options: &Options,
+    ) -> bool {
         let known_ms = self.last_answers.get(&feature).copied().unwrap_or(0);
         if answered_ms <= known_ms {
-            return;
+            return false;
         }
         if known_ms == 0 && self.last_answers.len() >= options.max_answered {
             let oldest = self.last_answers.iter().min_by_key(|(_, at_ms)| **at_ms);
@@ -164,6 +170,7 @@
         self.clear_if(&feature, |crash| {
             (known_ms..answered_ms).contains(&crash.at_ms)
         });
+        true
     }
 
     /// Removes crashes and answers from before a time.
--- a/crates/quarantine/src/quarantine.rs
+++ b/crates/quarantine/src/quarantine.rs
@@ -178,16 +178,19 @@
         self.blocks.lift(now_ms, feature)
     }
 
-    /// Records that a request with a part was answered.
-    pub fn record_part_answer(&mut self, answered_ms: u64, part: &Fingerprint) {
+    /// Records that a request with a part was answered. Returns whether it is the last known answer
+    /// for its model or service.
+    pub fn record_part_answer(&mut self, answered_ms: u64, part: &Fingerprint) -> bool {
         if self.last_answers.len() >= MAX_SCOPES {
             self.last_answers.clear();
         }
-        let answer = (answered_ms, *part);
-        let last = self.last_answers.entry(part.scope()).or_insert(answer);
-        if answered_ms > last.0 {
-            *last = answer;
+        let last = self.last_answers.entry(part.scope());
+        let last = last.or_insert((0, *part));
+        let is_last = answered_ms > last.0;
+        if is_last {
+            *last = (answered_ms, *part);
         }
+        is_last
     }
 
     /// Returns the last known answer to a request for the same model or service as a part.
@@ -200,13 +203,17 @@
     }
 
     /// Records an answer that another VM has seen. It clears the request or part of crashes before.
-    pub fn record_answered(&mut self, now_ms: u64, row: &AnsweredRow) {
+    /// Returns whether it is later than the known one.
+    pub fn record_answered(&mut self, now_ms: u64, row: &AnsweredRow) -> bool {
         let answered_ms = now_ms.saturating_sub(row.ago_ms);
-        self.record_part_answer(answered_ms, &row.fingerprint);
-        // The answer may tell against a part that is under suspicion.
-        self.crashes.due_ms = Some(self.crashes.due_ms.unwrap_or(now_ms).min(now_ms));
-        self.crashes
+        let is_later = self
+            .crashes
             .record_answered(row.fingerprint, answered_ms, &self.options);
+        if self.record_part_answer(answered_ms, &row.fingerprint) {
+            // The answer may tell against a part that is under suspicion.
+            self.crashes.due_ms = Some(self.crashes.due_ms.unwrap_or(now_ms).min(now_ms));
+        }
+        is_later
     }
 
     /// Replaces the set of exempt requests, parts and blocks, and removes their crashes and blocks.
