--- a/crates/quarantine/tests/crash_search/courses.rs
+++ b/crates/quarantine/tests/crash_search/courses.rs
@@ -8,7 +8,7 @@
 use crate::fleet::Fleet;
 use crate::fleet::MAX_RETRIES;
 use crate::fleet::MODELS;
-use crate::fleet::Policy;
+use crate::policies::Policy;
 
 /// Number of requests that crash engines. Each needs one model, which other ones may share.
 pub const CRASHERS: u8 = 4;
--- a/crates/quarantine/tests/crash_search/fleet.rs
+++ b/crates/quarantine/tests/crash_search/fleet.rs
@@ -4,17 +4,20 @@
 use std::collections::BTreeSet;
 
 use apricotdale_core::names::UpstreamName;
-use apricotdale_quarantine::CallerHash;
 use apricotdale_quarantine::CrashWatch;
 use apricotdale_quarantine::Fingerprint;
 use apricotdale_quarantine::LostRequest;
-use apricotdale_quarantine::Options;
 use apricotdale_quarantine::Permit;
 use apricotdale_quarantine::RequestFeatures;
 
 use crate::courses::Event;
 use crate::messages::Link;
 use crate::messages::Message;
+use crate::policies::Policy;
+use crate::policies::caller;
+use crate::policies::crasher;
+use crate::policies::incarnation_of;
+use crate::policies::request;
 
 /// Run time of a crashing request until it crashes its engine.
 pub const RUN_MS: u64 = 60;
@@ -116,47 +119,6 @@
     pub policy: Policy,
 }
 
-/// Strategies that keep a request from crashing more engines.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
-pub enum Policy {
-    /// Crashes are counted, and any number of copies is sent until a request is blocked.
-    CountOnly,
-    /// Each VM sends one copy of a request on probation at a time.
-    OnePerVm,
-    /// One copy of a request on probation is sent at a time over all VMs.
-    OnePerFleet,
-}
-
-impl Policy {
-    pub fn options(self) -> Options {
-        match self {
-            Self::CountOnly => Options {
-                probation_crashes: usize::MAX,
-                probation_copies: u32::MAX,
-                lost_trials: u32::MAX,
-                ..Options::default()
-            },
-            _ => Options::default(),
-        }
-    }
-}
-
-pub fn request(name: &str) -> Fingerprint {
-    Fingerprint::of(None, "POST", &["site.example", name], name.as_bytes())
-}
-
-pub fn crasher(which: u8) -> Fingerprint {
-    request(&format!("crasher-{which}"))
-}
-
-pub fn incarnation_of(vm: usize) -> u64 {
-    1 + vm as u64
-}
-
-pub fn caller() -> CallerHash {
-    CallerHash::of(b"caller")
-}
-
 impl Fleet {
     pub fn new(policy: Policy, vms: usize, seed: u64, lost_in_256: u64, engines: &[usize]) -> Self {
         let vm = |run: usize| Vm {
--- a/crates/quarantine/tests/crash_search/main.rs
+++ b/crates/quarantine/tests/crash_search/main.rs
@@ -10,6 +10,7 @@
 mod fleet;
 mod messages;
 mod parts;
+mod policies;
 
 use std::collections::BTreeSet;
 
@@ -23,8 +24,8 @@
 use crate::courses::dense_course;
 use crate::courses::sparse_course;
 use crate::fleet::Fleet;
-use crate::fleet::Policy;
-use crate::fleet::crasher;
+use crate::policies::Policy;
+use crate::policies::crasher;
 
 const MAX_LATE_SENDS: usize = 3;
 
--- a/crates/quarantine/tests/crash_search/messages.rs
+++ b/crates/quarantine/tests/crash_search/messages.rs
@@ -11,8 +11,8 @@
 use apricotdale_quarantine::TrialQuery;
 
 use crate::fleet::Fleet;
-use crate::fleet::Policy;
-use crate::fleet::incarnation_of;
+use crate::policies::Policy;
+use crate::policies::incarnation_of;
 
 /// Number of VMs that are judges.
 const MAX_JUDGES: usize = 5;
--- a/crates/quarantine/tests/crash_search/parts.rs
+++ b/crates/quarantine/tests/crash_search/parts.rs
@@ -13,10 +13,10 @@
 use crate::fleet::Fleet;
 use crate::fleet::MAX_RETRIES;
 use crate::fleet::MODELS;
-use crate::fleet::Policy;
 use crate::fleet::SoundArrival;
 use crate::fleet::WINDOW_MS;
-use crate::fleet::request;
+use crate::policies::Policy;
+use crate::policies::request;
 
 /// Number of crashing parts.
 const BAD_PARTS: u8 = 3;
