--- a/crates/quarantine/tests/part_decisions.rs
+++ b/crates/quarantine/tests/part_decisions.rs
@@ -220,7 +220,12 @@
     let mut vm = OneVm::start();
     for number in 0..2 {
         vm.crash(&request(&format!("bad-{number}"), &[BAD, OWN]), &[]);
+        vm.crash(
+            &request(&format!("beside-{number}"), &[COMPANION, OWN]),
+            &[],
+        );
     }
+    // What is on probation of the other requests is the same, or more.
     assert!(vm.send(&request("trial", &[BAD, OWN])).is_some());
     for parts in [
         &[BAD, OWN][..],
