--- a/crates/core/src/lib.rs
+++ b/crates/core/src/lib.rs
@@ -4,6 +4,7 @@
 //! contains:
 //!
 //! - names and numbers that are used everywhere ([`names`], [`numbers`]),
+//! - what is known about the process that began a stream ([`origin`]),
 //! - the records of the control stream and of the claim streams ([`control`], [`claims`],
 //!   [`config`]),
 //! - the reasons for refusing a request ([`refusal`]),
@@ -24,6 +25,7 @@
 pub mod log;
 pub mod names;
 pub mod numbers;
+pub mod origin;
 pub mod peer;
 pub mod policy;
 pub mod refusal;
--- a/crates/core/src/names.rs
+++ b/crates/core/src/names.rs
@@ -100,3 +100,8 @@
     /// Name of a stream of the platform's log.
     StreamName
 }
+name_type! {
+    /// Version of the software that an upstream runs, as opposed to the version of a model's
+    /// weights.
+    SoftwareVersion
+}
--- a/crates/dispatch/tests/support/mod.rs
+++ b/crates/dispatch/tests/support/mod.rs
@@ -88,6 +88,7 @@
         service: GroupName::from(service),
         address: "127.0.0.1:1".parse().expect("an address"),
         zone: ZoneName::from(zone),
+        version: None,
         slots: SLOTS,
         phase: UpstreamPhase::Serving,
         warm_up_ms: 0,
--- a/crates/entry/src/active.rs
+++ b/crates/entry/src/active.rs
@@ -5,6 +5,7 @@
 use std::sync::Arc;
 
 use apricotdale_core::names::UpstreamName;
+use apricotdale_core::origin::Origin;
 use apricotdale_delivery::Delivery;
 use apricotdale_dispatch::Job;
 use apricotdale_dispatch::Urgency;
@@ -35,6 +36,8 @@
         connection: Token,
         /// Upstream that it was sent to.
         upstream: UpstreamName,
+        /// Origin of what that upstream writes, as known when the request was sent.
+        origin: Origin,
         /// When this attempt was sent.
         at_ms: u64,
         /// When its answer began; none before that.
--- a/crates/entry/src/failed_attempts.rs
+++ b/crates/entry/src/failed_attempts.rs
@@ -13,6 +13,7 @@
 use crate::outbound::Peer;
 use crate::request_ends::model_text;
 use crate::request_ends::parts_text;
+use crate::request_ends::sent_software;
 use crate::request_ends::upstream_text;
 
 /// Retry delay stated to a refused caller. Engines reject requests for short moments only.
@@ -187,6 +188,7 @@
             fingerprint = request.features.request.to_string(),
             parts = parts_text(&request.serving.parts),
             upstream = upstream_text(&request.job),
+            software = sent_software(request),
             model = model_text(&request.job),
             tries = request.job.tried.len(),
             begun = request.delivery.has_begun(),
--- a/crates/entry/src/messages.rs
+++ b/crates/entry/src/messages.rs
@@ -10,6 +10,8 @@
 use apricotdale_dispatch::StatedLimit;
 use apricotdale_fleet::Freshness;
 use apricotdale_fleet::Upstream;
+use apricotdale_fleet::append_versions;
+use apricotdale_fleet::set_versions;
 use apricotdale_holder::DemandRow;
 use apricotdale_holder::ResidenceUpdate;
 use apricotdale_paths::PathAnswer;
@@ -68,6 +70,7 @@
     /// What a VM has read of the upstream list, sent while no lease holder announces it.
     ListRead { from: VmRecord, fresh: Freshness },
     /// Entries of new upstreams, and the position up to which the upstream list had been read then.
+    /// The software versions follow behind the message.
     Entries {
         read_to: Position,
         entries: Vec<Upstream>,
@@ -173,7 +176,14 @@
 
 /// Encodes a message; none if that fails, which is logged.
 pub(crate) fn encode(message: &PeerMessage) -> Option<Vec<u8>> {
-    match postcard::to_extend(message, vec![FORMAT]) {
+    let encoded = postcard::to_extend(message, vec![FORMAT]);
+    let encoded = match message {
+        PeerMessage::Entries { entries, .. } => {
+            encoded.and_then(|bytes| append_versions(bytes, entries))
+        }
+        _ => encoded,
+    };
+    match encoded {
         Ok(bytes) => Some(bytes),
         Err(error) => {
             log::error!(reason = error.to_string(); "message to a VM can't be encoded");
@@ -186,7 +196,12 @@
 pub(crate) fn decode(bytes: &[u8]) -> Result<PeerMessage, DecodeError> {
     match bytes.split_first() {
         Some((&FORMAT, content)) => {
-            postcard::from_bytes(content).map_err(|error| DecodeError::new(error.to_string()))
+            let (mut message, rest) = postcard::take_from_bytes(content)
+                .map_err(|error| DecodeError::new(error.to_string()))?;
+            if let PeerMessage::Entries { entries, .. } = &mut message {
+                set_versions(entries, rest);
+            }
+            Ok(message)
         }
         _ => Err(DecodeError::new("another format")),
     }
--- a/crates/entry/src/request_dispatch.rs
+++ b/crates/entry/src/request_dispatch.rs
@@ -424,6 +424,7 @@
         };
         let address = upstream.address;
         let instance = upstream.instance.clone();
+        let origin = upstream.origin();
         let peer = Peer::Upstream(name.clone());
         let Some(token) = self.connect(&peer, address) else {
             log::warn!(upstream = name.to_string(); "connection to upstream can't be opened");
@@ -453,6 +454,7 @@
         request.phase = Phase::Sent {
             connection: token,
             upstream: name.clone(),
+            origin,
             at_ms: now_ms,
             first_byte_ms: None,
         };
--- a/crates/entry/src/request_ends.rs
+++ b/crates/entry/src/request_ends.rs
@@ -1,5 +1,7 @@
 //! Final answers that this VM gives itself, and the end of requests.
 
+use apricotdale_core::names::RequestId;
+use apricotdale_core::names::SoftwareVersion;
 use apricotdale_core::names::UpstreamName;
 use apricotdale_core::refusal::Ran;
 use apricotdale_core::refusal::Refusal;
@@ -11,6 +13,7 @@
 use apricotdale_fleet::WantedModel;
 use mio::Token;
 
+use crate::active::ActiveRequest;
 use crate::active::Phase;
 use crate::daemon::Daemon;
 use crate::failed_attempts::RETRY_AFTER_MS;
@@ -93,6 +96,8 @@
         if self.log_budget.try_take(self.now_ms, good) {
             log::info!(
                 request_id = request.serving.id.to_string(),
+                resumes = request.serving.resumes.as_ref().map_or("", RequestId::as_str),
+                software = sent_software(&request),
                 reason = how,
                 route = request.route.name.to_string(),
                 status = request.delivery.status(),
@@ -156,6 +161,15 @@
     }
 }
 
+/// Returns the software version of the upstream that a request was sent to, for logs; empty if it is
+/// unknown.
+pub(crate) fn sent_software(request: &ActiveRequest) -> &str {
+    match &request.phase {
+        Phase::Sent { origin, .. } => origin.version.as_ref().map_or("", SoftwareVersion::as_str),
+        _ => "",
+    }
+}
+
 /// Returns the IDs of the first parts of a request's prompt, for logs.
 pub(crate) fn parts_text(parts: &[PromptPart]) -> String {
     let ids = parts.iter().take(MAX_LOGGED_PARTS);
--- a/crates/entry/src/store_pollers/list_snapshot.rs
+++ b/crates/entry/src/store_pollers/list_snapshot.rs
@@ -135,7 +135,7 @@
         let parts: Vec<ListSnapshotPart> = records
             .iter()
             .filter_map(|record| record.value.as_deref())
-            .map(postcard::from_bytes)
+            .map(ListSnapshotPart::from_bytes)
             .collect::<Result<_, _>>()
             .map_err(|error| DecodeError::new(format!("list snapshot: {error}")))?;
         // A snapshot from before a rollback does not show what the upstream list lacks now; the
@@ -226,7 +226,7 @@
             .iter()
             .enumerate()
             .map(|(index, part)| {
-                let bytes = postcard::to_stdvec(part).expect("list snapshot can be encoded");
+                let bytes = part.to_bytes().expect("list snapshot can be encoded");
                 (index.to_string(), bytes)
             })
             .collect();
--- a/crates/entry/src/upstream_answers.rs
+++ b/crates/entry/src/upstream_answers.rs
@@ -14,6 +14,7 @@
 use crate::daemon::Daemon;
 use crate::outbound::Part;
 use crate::outbound::Purpose;
+use crate::request_ends::sent_software;
 use crate::request_ends::upstream_text;
 
 /// Space reserved for an answer's head in addition to the bytes of a part.
@@ -200,6 +201,7 @@
                 request_id = request.serving.id.to_string(),
                 reason = mismatch.as_str(),
                 upstream = upstream_text(&request.job),
+                software = sent_software(request),
                 last_event = request.delivery.last_event(),
                 begun = request.delivery.has_begun();
                 "answer can't continue the delivered part"
@@ -223,6 +225,8 @@
             log::info!(
                 request_id = request.serving.id.to_string(),
                 upstream = upstream_text(&request.job),
+                software = sent_software(request),
+                resumes = request.serving.resumes.as_ref().map_or("", RequestId::as_str),
                 status = head.status,
                 content_type = head.headers.text("Content-Type").unwrap_or_default(),
                 last_event = request.delivery.last_event();
--- a/crates/fleet/src/directory.rs
+++ b/crates/fleet/src/directory.rs
@@ -261,12 +261,18 @@
             _ if known.residence != entry.residence => DirectoryChange::Residence,
             _ => DirectoryChange::None,
         };
+        // A copy of the entry by another VM may lack the version of the incarnation.
+        let version = entry.version.clone().or_else(|| known.version.clone());
         // A leave notice is final: an entry that was written before it may be read after it.
         let phase = match known.phase {
             UpstreamPhase::Leaving => UpstreamPhase::Leaving,
             UpstreamPhase::Serving => entry.phase,
         };
-        *known = Upstream { phase, ..entry };
+        *known = Upstream {
+            phase,
+            version,
+            ..entry
+        };
         change
     }
 
@@ -348,6 +354,8 @@
                 let entry = Upstream {
                     name: incarnation_name(&known.instance, born_ms),
                     born_ms,
+                    // The instance may have restarted with other software.
+                    version: None,
                     phase: UpstreamPhase::Serving,
                     leaves_in_ms: None,
                     revision: 0,
--- a/crates/fleet/src/list_snapshot.rs
+++ b/crates/fleet/src/list_snapshot.rs
@@ -12,6 +12,9 @@
 use xxhash_rust::xxh3::xxh3_64;
 
 use crate::directory::Directory;
+use crate::entry_versions::decode_with_rest;
+use crate::entry_versions::encode_with_versions;
+use crate::entry_versions::set_versions;
 use crate::upstream::Upstream;
 use crate::upstream::UpstreamPhase;
 
@@ -36,6 +39,28 @@
     pub entries: Vec<Upstream>,
 }
 
+impl ListSnapshotPart {
+    /// Encodes the part as it is stored.
+    ///
+    /// # Errors
+    ///
+    /// Those of the encoder, if the part can't be encoded.
+    pub fn to_bytes(&self) -> postcard::Result<Vec<u8>> {
+        encode_with_versions(self, &self.entries)
+    }
+
+    /// Decodes a stored part.
+    ///
+    /// # Errors
+    ///
+    /// Those of the decoder, if the bytes are no such part.
+    pub fn from_bytes(bytes: &[u8]) -> postcard::Result<Self> {
+        let (mut part, rest): (Self, &[u8]) = decode_with_rest(bytes)?;
+        set_versions(&mut part.entries, rest);
+        Ok(part)
+    }
+}
+
 /// One VM's state of all upstreams at a position of the upstream list.
 #[derive(Clone, Debug, PartialEq)]
 pub struct ListSnapshot {
--- a/crates/fleet/src/request.rs
+++ b/crates/fleet/src/request.rs
@@ -43,6 +43,8 @@
     pub parts: Vec<PromptPart>,
     /// ID of the last event that the caller received, if it resumes a stream.
     pub last_event: Option<u64>,
+    /// Request that brought the first event, if the caller names it as it resumes a stream.
+    pub resumes: Option<RequestId>,
     /// API key that the caller presents, if any.
     pub key: PresentedKey,
 }
--- a/crates/fleet/src/upstream.rs
+++ b/crates/fleet/src/upstream.rs
@@ -4,8 +4,10 @@
 
 use apricotdale_core::names::GroupName;
 use apricotdale_core::names::InstanceName;
+use apricotdale_core::names::SoftwareVersion;
 use apricotdale_core::names::UpstreamName;
 use apricotdale_core::names::ZoneName;
+use apricotdale_core::origin::Origin;
 use serde::Deserialize;
 use serde::Serialize;
 
@@ -47,6 +49,8 @@
     pub address: SocketAddr,
     /// Availability zone that it runs in.
     pub zone: ZoneName,
+    /// Version of the software that it runs; `None` if unknown.
+    pub version: Option<SoftwareVersion>,
     /// Number of requests that it runs at once.
     pub slots: u32,
     /// Whether it accepts new work.
@@ -61,8 +65,20 @@
     pub residence: Residence,
 }
 
+impl Upstream {
+    /// Returns the origin of the streams that it begins.
+    pub fn origin(&self) -> Origin {
+        Origin {
+            service: self.service.clone(),
+            version: self.version.clone(),
+            upstream: Some(self.name.clone()),
+        }
+    }
+}
+
 /// Encoded form of an upstream in messages between VMs, without the incarnation name, which follows
-/// from the instance and the start time. List snapshots contain thousands of them, and each VM
+/// from the instance and the start time, and without the software version, which earlier releases
+/// do not know: [`crate::append_versions`] adds the versions behind the message. List snapshots contain thousands of them, and each VM
 /// reads one at its start.
 #[derive(Serialize, Deserialize)]
 struct ToldUpstream {
@@ -88,6 +104,7 @@
             service: encoded.service,
             address: encoded.address,
             zone: encoded.zone,
+            version: None,
             slots: encoded.slots,
             phase: encoded.phase,
             warm_up_ms: encoded.warm_up_ms,
--- a/crates/fleet/tests/support/mod.rs
+++ b/crates/fleet/tests/support/mod.rs
@@ -31,6 +31,7 @@
         service: GroupName::from("s"),
         address: "127.0.0.1:1".parse().expect("an address"),
         zone: ZoneName::from("a"),
+        version: None,
         slots: 4,
         phase: UpstreamPhase::Serving,
         warm_up_ms: 0,
--- a/crates/holder/benches/planning.rs
+++ b/crates/holder/benches/planning.rs
@@ -114,6 +114,7 @@
             service: service(),
             address: "127.0.0.1:1".parse().expect("an address"),
             zone: ZoneName::from("a"),
+            version: None,
             slots: 16,
             phase: UpstreamPhase::Serving,
             warm_up_ms: 0,
--- a/crates/holder/tests/support/mod.rs
+++ b/crates/holder/tests/support/mod.rs
@@ -141,6 +141,7 @@
                 service: service.clone(),
                 address: "127.0.0.1:1".parse().expect("an address"),
                 zone: ZoneName::from("a"),
+                version: None,
                 slots: spec.slots,
                 phase: UpstreamPhase::Serving,
                 warm_up_ms: 0,
