Stand-ins: engines have a software version, which their events tell

The rule that a stream goes on only at the software version that began it had no stand-in: every entry said v1, and all events looked alike.

EngineOptions has the version, set_version changes it for a restart or in place, and events of other versions than v1 name it in their text; the text of v1 is as before. Callers can resume with Resumes, show the complete events that have arrived, and tests read the versions that wrote a text.

--- a/crates/standins/src/platform/answers.rs
+++ b/crates/standins/src/platform/answers.rs
@@ -18,6 +18,8 @@
 use crate::http::Request;
 use crate::http::Stream;
 use crate::http::StreamEnd;
+use crate::platform::event_texts::DEFAULT_SOFTWARE_VERSION;
+use crate::platform::event_texts::EventTexts;
 use crate::platform::stream_faults::StreamFault;
 
 pub(crate) const ID: &str = "Apricotdale-Request-Id";
@@ -150,6 +152,8 @@
     pub rejection_limit: Mutex<Option<String>>,
     /// Times of the rejections for want of room.
     pub rejections: Mutex<Vec<Instant>>,
+    /// Version of the upstream's software, which events that begin from now on tell.
+    pub software_version: Mutex<String>,
 }
 
 impl Answers {
@@ -164,6 +168,7 @@
             rate_limit: Mutex::default(),
             rejection_limit: Mutex::default(),
             rejections: Mutex::default(),
+            software_version: Mutex::new(DEFAULT_SOFTWARE_VERSION.to_owned()),
         }
     }
 
@@ -347,6 +352,7 @@
     ) -> Reply {
         let first = first_event(request);
         let continues = first > 1;
+        let texts = EventTexts::new(&self.software_version.lock());
         let cut_after = match fault {
             None | Some(AnswerFault::UnsignedStream) => None,
             Some(AnswerFault::CutAfter { events }) => Some(events),
@@ -356,10 +362,10 @@
             Some(AnswerFault::Stream(fault) | AnswerFault::CutThen { then: fault, .. }) => {
                 let id = id_of(request);
                 let fields = self.limit_lines();
-                return Reply::Raw(fault.answer(id, &self.instance, &fields, first, count));
+                return Reply::Raw(fault.answer(id, &self.instance, &fields, &texts, first, count));
             }
             Some(fault) => {
-                let body: String = (first..=count).map(event_text).collect();
+                let body: String = (first..=count).map(|event| texts.event(event)).collect();
                 return self.unstreamed_answer(request, Some(fault), &body);
             }
         };
@@ -379,7 +385,7 @@
                     }
                     thread::sleep(Duration::from_millis(CLIENT_POLL_INTERVAL_MS));
                 }
-                let text = filled_event_text(event, filler_bytes);
+                let text = texts.filled_event(event, filler_bytes);
                 if writer.send_bytes(text.as_bytes()).is_err() || writer.caller().is_disconnected()
                 {
                     left.lock().push(id);
@@ -406,9 +412,10 @@
         end: impl FnOnce() + Send + 'static,
     ) -> Reply {
         let first = first_event(request);
+        let texts = EventTexts::new(&self.software_version.lock());
         let produce = move |writer: &mut EventWriter| {
             for event in first..first + count {
-                if writer.send_bytes(event_text(event).as_bytes()).is_err() {
+                if writer.send_bytes(texts.event(event).as_bytes()).is_err() {
                     return StreamEnd::Broken;
                 }
                 thread::sleep(Duration::from_millis(gap_ms));
@@ -457,21 +464,6 @@
     last.and_then(|id| id.parse().ok()).unwrap_or(0) + 1
 }
 
-/// Returns the text of an event without faults.
-pub(crate) fn event_text(event: u64) -> String {
-    format!("id: {event}\ndata: piece {event}\n\n")
-}
-
-fn filled_event_text(event: u64, filler_bytes: usize) -> String {
-    match filler_bytes {
-        0 => event_text(event),
-        bytes => format!(
-            "id: {event}\ndata: piece {event}\ndata: {}\n\n",
-            "x".repeat(bytes)
-        ),
-    }
-}
-
 fn id_of(request: &Request) -> &str {
     request.header(ID).unwrap_or_default()
 }
--- a/crates/standins/src/platform/caller.rs
+++ b/crates/standins/src/platform/caller.rs
@@ -91,6 +91,13 @@
         self
     }
 
+    /// Returns the request as one that resumes a stream after its event `last_event`. `first_id` is
+    /// the identity of the attempt that brought the first event.
+    pub fn resuming(self, first_id: &str, last_event: u64) -> Self {
+        self.with("Resumes", first_id)
+            .with("Last-Event-Id", &last_event.to_string())
+    }
+
     /// Returns the request with these parts of its prompt, as `ID:TOKENS` pairs separated by commas,
     /// in place of its own.
     pub fn with_parts(mut self, parts: &str) -> Self {
@@ -352,6 +359,19 @@
         Ok(())
     }
 
+    /// Returns the complete events that have arrived and that [`Caller::answer`] has not returned.
+    pub fn received_events(&self) -> String {
+        let parsed = parse_response_head(&self.pending, MAX_HEAD_BYTES, false);
+        let mut body = Vec::new();
+        if let Ok(Some((head, length))) = parsed {
+            // What precedes bytes that can't be decoded has arrived all the same.
+            let _ = BodyDecoder::new(head.body).decode(&self.pending[length..], &mut body);
+        }
+        let mut text = String::from_utf8_lossy(&body).into_owned();
+        text.truncate(text.rfind("\n\n").map_or(0, |index| index + 2));
+        text
+    }
+
     /// Shuts down the sending direction of the connection.
     ///
     /// # Errors
--- a/crates/standins/src/platform/engine.rs
+++ b/crates/standins/src/platform/engine.rs
@@ -21,6 +21,7 @@
 use crate::platform::answers::Answers;
 use crate::platform::answers::RecordedRun;
 use crate::platform::answers::contains;
+use crate::platform::event_texts::DEFAULT_SOFTWARE_VERSION;
 use crate::platform::orders::Holdings;
 use crate::platform::orders::OrderFault;
 use crate::platform::orders::WireOrder;
@@ -85,6 +86,8 @@
     pub service: String,
     /// Availability zone that the engine announces.
     pub zone: String,
+    /// Version of the engine's software at its start.
+    pub version: String,
     /// Models that are loaded at the start.
     pub models: Vec<String>,
     /// Models whose weights are on the engine's disk at the start.
@@ -115,6 +118,7 @@
             instance: "i-0".to_owned(),
             service: "llm".to_owned(),
             zone: "zone-a".to_owned(),
+            version: DEFAULT_SOFTWARE_VERSION.to_owned(),
             models: Vec::new(),
             on_disk: Vec::new(),
             model_slots: 3,
@@ -178,9 +182,11 @@
 impl PlatformEngine {
     /// Returns an engine that writes its entry to a store.
     pub fn new(options: EngineOptions, store: PlatformStore) -> Self {
+        let answers = Answers::new(&options.instance);
+        *answers.software_version.lock() = options.version.clone();
         Self {
             holdings: Mutex::new(Holdings::new(options.clone())),
-            answers: Answers::new(&options.instance),
+            answers,
             order_faults: Mutex::default(),
             entry: Mutex::default(),
             full: AtomicBool::default(),
@@ -242,7 +248,7 @@
         value["service"] = json!(self.options.service);
         value["address"] = json!(address.to_string());
         value["zone"] = json!(self.options.zone);
-        value["version"] = json!("v1");
+        value["version"] = json!(*self.answers.software_version.lock());
         value["slots"] = json!(8);
         value["state"] = json!(if entry.draining { "draining" } else { "ready" });
         value["cold_remaining_ms"] = json!(0);
@@ -264,6 +270,18 @@
         self.holdings.lock().restart();
     }
 
+    /// Sets the version of the engine's software, for an engine that is to restart at it or whose
+    /// entry is to change in place. Streams that have begun stay at theirs. The entry is written
+    /// with the next [`PlatformEngine::announce`].
+    pub fn set_version(&self, version: &str) {
+        *self.answers.software_version.lock() = version.to_owned();
+    }
+
+    /// Returns the version of the engine's software.
+    pub fn version(&self) -> String {
+        self.answers.software_version.lock().clone()
+    }
+
     /// Returns the engine's entry as it was last written.
     pub fn entry(&self) -> Option<Vec<u8>> {
         self.store.newest("keyed.servers", &self.options.instance)
--- a/crates/standins/src/platform/mod.rs
+++ b/crates/standins/src/platform/mod.rs
@@ -4,6 +4,7 @@
 mod answers;
 mod caller;
 mod engine;
+mod event_texts;
 mod groups;
 mod orders;
 mod organisations;
@@ -28,6 +29,8 @@
 pub use engine::EngineEffects;
 pub use engine::EngineOptions;
 pub use engine::PlatformEngine;
+pub use event_texts::DEFAULT_SOFTWARE_VERSION;
+pub use event_texts::writing_versions;
 pub use orders::OrderFault;
 pub use organisations::SiteLimit;
 pub use organisations::SiteOrganisation;
--- a/crates/standins/src/platform/stream_faults.rs
+++ b/crates/standins/src/platform/stream_faults.rs
@@ -5,7 +5,7 @@
 use crate::platform::answers::NOT_RUN;
 use crate::platform::answers::SIGNATURE;
 use crate::platform::answers::VERSION;
-use crate::platform::answers::event_text;
+use crate::platform::event_texts::EventTexts;
 
 /// Version of the weights that [`StreamFault::OtherVersion`] names.
 const OTHER_VERSION: u64 = 2;
@@ -86,12 +86,14 @@
         id: &str,
         instance: &str,
         fields: &str,
+        texts: &EventTexts,
         first: u64,
         last: u64,
     ) -> Raw {
-        let events =
-            |events: std::ops::RangeInclusive<u64>| -> String { events.map(event_text).collect() };
-        let begun = format!("{}id: {}\ndata: pie", event_text(first), first + 1);
+        let events = |events: std::ops::RangeInclusive<u64>| -> String {
+            events.map(|event| texts.event(event)).collect()
+        };
+        let begun = format!("{}id: {}\ndata: pie", texts.event(first), first + 1);
         let (status, body, framing) = match self {
             Self::Skips => (200, events(first + 1..=last), Framing::Length),
             Self::Repeats => (200, events(first - 1..=last), Framing::Length),
@@ -107,7 +109,7 @@
                 Framing::Length,
             ),
             Self::Unnumbered => {
-                let event = |event| format!("data: piece {event}\n\n");
+                let event = |event| format!("data: {}\n\n", texts.words(event));
                 (200, (first..=last).map(event).collect(), Framing::Length)
             }
             Self::Empty => (200, String::new(), Framing::Length),
@@ -123,7 +125,7 @@
                 };
             }
             Self::OtherVersion => {
-                let event = |event| format!("id: {event}\ndata: other piece {event}\n\n");
+                let event = |event| format!("id: {event}\ndata: other {}\n\n", texts.words(event));
                 (200, (first..=last).map(event).collect(), Framing::Length)
             }
             Self::ClosedInside => (200, begun, Framing::Close),
