Streams of two software versions: which version may continue a stream, decided without I/O

What callers saw: a stream that broke off went on at whatever engine was free, also of another software version, in one answer and over a caller's tries.

The decision on its own, before the daemon: an origin is service, version and incarnation of the process that wrote a stream's first events, and accepts only the same version; an unknown version equals that of the same incarnation only, and one that changed under an answer accepts nothing.

Nothing uses it yet. Ranks of rendezvous hashing compute each score once.

--- a/crates/core/src/origin.rs
+++ b/crates/core/src/origin.rs
@@ -33,15 +33,19 @@
     }
 
     /// Returns this origin, corrected by what is known of the same incarnation now. If its version
-    /// is not the same any more, nothing tells which of the two writes the answer in progress.
+    /// is not the same any more, nothing tells which of the two writes the answer in progress, and
+    /// the origin accepts none.
     pub fn corrected(&self, now: Option<&Self>) -> Self {
-        let version = match (&self.version, now.and_then(|now| now.version.as_ref())) {
-            (Some(before), Some(now)) if before != now => None,
-            (before, now) => before.as_ref().or(now).cloned(),
-        };
-        Self {
-            version,
-            ..self.clone()
+        match (&self.version, now.and_then(|now| now.version.as_ref())) {
+            (Some(before), Some(now)) if before != now => Self {
+                service: self.service.clone(),
+                version: None,
+                upstream: None,
+            },
+            (before, now) => Self {
+                version: before.as_ref().or(now).cloned(),
+                ..self.clone()
+            },
         }
     }
 }
--- a/crates/core/src/rendezvous.rs
+++ b/crates/core/src/rendezvous.rs
@@ -1,5 +1,6 @@
 //! Rendezvous hashing, which chooses the VM that prefers to do work that any VM may do.
 
+use std::cmp::Reverse;
 use std::hash::Hash;
 use std::hash::Hasher;
 
@@ -27,7 +28,7 @@
     K: Hash + ?Sized,
 {
     let mut ranked: Vec<&C> = candidates.into_iter().collect();
-    ranked.sort_by(|left, right| (score(*right, key), *right).cmp(&(score(*left, key), *left)));
+    ranked.sort_by_cached_key(|candidate| Reverse((score(*candidate, key), *candidate)));
     ranked
 }
 
--- /dev/null
+++ b/crates/origins/src/table.rs
@@ -0,0 +1,146 @@
+//! Origins of streams that callers may resume.
+
+use std::collections::HashMap;
+use std::collections::VecDeque;
+
+use apricotdale_core::origin::Origin;
+use serde::Deserialize;
+use serde::Serialize;
+
+use crate::stream_id::StreamId;
+
+/// Limits of an [`OriginTable`].
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct TableOptions {
+    /// Time for which an origin is kept, in milliseconds. A caller resumes a stream only within the
+    /// time for which it waits for the answer.
+    pub lifetime_ms: u64,
+    /// Largest number of origins. The oldest one is dropped first.
+    pub max_streams: usize,
+}
+
+impl Default for TableOptions {
+    fn default() -> Self {
+        Self {
+            lifetime_ms: 10_000,
+            max_streams: 40_000,
+        }
+    }
+}
+
+/// Origin of one stream.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct StreamOrigin {
+    /// Identity of the stream.
+    pub stream: StreamId,
+    /// Origin of its first event.
+    pub origin: Origin,
+}
+
+#[derive(Clone, Debug)]
+struct Kept {
+    at_ms: u64,
+    /// `None` if origins that exclude each other were stated.
+    origin: Option<Origin>,
+}
+
+/// Origins of the streams that this VM began or was told of.
+#[derive(Debug, Default)]
+pub struct OriginTable {
+    options: TableOptions,
+    by_stream: HashMap<StreamId, Kept>,
+    /// Streams in the order in which they were recorded, with the time. A stream that was recorded
+    /// again occurs more than once.
+    order: VecDeque<(u64, StreamId)>,
+    dropped: u64,
+}
+
+impl OriginTable {
+    /// Returns an empty table.
+    pub fn new(options: TableOptions) -> Self {
+        Self {
+            options,
+            ..Self::default()
+        }
+    }
+
+    /// Sets the time for which an origin is kept, in milliseconds.
+    pub fn set_lifetime_ms(&mut self, lifetime_ms: u64) {
+        self.options.lifetime_ms = lifetime_ms;
+    }
+
+    /// Returns the time for which an origin is kept, in milliseconds.
+    pub fn lifetime_ms(&self) -> u64 {
+        self.options.lifetime_ms
+    }
+
+    /// Records the origin of a stream. If it excludes the one that is known, the stream has no
+    /// origin any more: nothing tells which of the two brought the first event.
+    pub fn record(&mut self, now_ms: u64, stated: StreamOrigin) {
+        self.drop_expired(now_ms);
+        let origin = match self.by_stream.get(&stated.stream) {
+            None => Some(stated.origin),
+            Some(Kept {
+                origin: Some(known),
+                ..
+            }) if known.accepts(&stated.origin) => Some(known.clone()),
+            Some(_) => None,
+        };
+        let kept = Kept {
+            at_ms: now_ms,
+            origin,
+        };
+        self.by_stream.insert(stated.stream, kept);
+        self.order.push_back((now_ms, stated.stream));
+        let max_streams = self.options.max_streams;
+        while self.by_stream.len() > max_streams || self.order.len() > 2 * max_streams {
+            self.dropped += u64::from(self.drop_oldest());
+        }
+    }
+
+    /// Returns what is known of a stream; `None` if the table does not have it.
+    pub fn get(&self, now_ms: u64, stream: StreamId) -> Option<Option<&Origin>> {
+        let kept = self.by_stream.get(&stream)?;
+        let is_valid = now_ms.saturating_sub(kept.at_ms) <= self.options.lifetime_ms;
+        is_valid.then_some(kept.origin.as_ref())
+    }
+
+    /// Returns the number of streams.
+    pub fn len(&self) -> usize {
+        self.by_stream.len()
+    }
+
+    /// Returns whether the table has no streams.
+    pub fn is_empty(&self) -> bool {
+        self.by_stream.is_empty()
+    }
+
+    /// Returns the number of streams that were dropped before the end of their time.
+    pub fn dropped(&self) -> u64 {
+        self.dropped
+    }
+
+    fn drop_expired(&mut self, now_ms: u64) {
+        let lifetime_ms = self.options.lifetime_ms;
+        let is_expired = |(at_ms, _): &(u64, StreamId)| now_ms.saturating_sub(*at_ms) > lifetime_ms;
+        while self.order.front().is_some_and(is_expired) {
+            self.drop_oldest();
+        }
+    }
+
+    /// Removes the first record of the order. Returns whether its stream is dropped with it, which
+    /// it is unless it was recorded again later.
+    fn drop_oldest(&mut self) -> bool {
+        let Some((at_ms, stream)) = self.order.pop_front() else {
+            return false;
+        };
+        let is_last = self
+            .by_stream
+            .get(&stream)
+            .is_some_and(|kept| kept.at_ms == at_ms);
+        if is_last {
+            self.by_stream.remove(&stream);
+        }
+        is_last
+    }
+}
--- /dev/null
+++ b/crates/origins/src/versions.rs
@@ -0,0 +1,127 @@
+//! Software versions of services over time.
+
+use std::collections::HashMap;
+
+use apricotdale_core::names::GroupName;
+use apricotdale_core::names::SoftwareVersion;
+use apricotdale_core::names::UpstreamName;
+use apricotdale_core::origin::Origin;
+
+/// Versions of a service that can have begun a stream.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub enum KnownVersions {
+    /// This VM has not observed the service for long enough.
+    Unknown,
+    /// Only one version.
+    One(SoftwareVersion),
+    /// More than one version, or upstreams whose version is not known.
+    Several,
+}
+
+/// Software versions that this VM has seen in the upstream list, by service, and when.
+#[derive(Debug, Default)]
+pub struct VersionHistory {
+    /// Time since which the upstream list has been followed without a gap.
+    complete_since_ms: Option<u64>,
+    /// Whether the versions before that time were taken over from a VM that knew them.
+    is_restored: bool,
+    /// When each version was last seen.
+    by_service: HashMap<GroupName, HashMap<SoftwareVersion, u64>>,
+    /// Upstreams whose version has never been known, with their service and when they were last
+    /// seen; `None` stands for all those of another VM.
+    unknown: HashMap<Option<UpstreamName>, (GroupName, u64)>,
+}
+
+impl VersionHistory {
+    /// Records that the upstream of an origin is listed. Once its version is known, so is that of
+    /// all streams that it began before.
+    pub fn record(&mut self, now_ms: u64, origin: &Origin) {
+        let Some(version) = &origin.version else {
+            let seen = (origin.service.clone(), now_ms);
+            self.unknown.insert(origin.upstream.clone(), seen);
+            return;
+        };
+        if origin.upstream.is_some() {
+            self.unknown.remove(&origin.upstream);
+        }
+        let by_version = match self.by_service.get_mut(&origin.service) {
+            Some(by_version) => by_version,
+            None => self.by_service.entry(origin.service.clone()).or_default(),
+        };
+        by_version.insert(version.clone(), now_ms);
+    }
+
+    /// Records that the upstream list is followed from now on, unless it was before.
+    pub fn record_followed(&mut self, now_ms: u64) {
+        self.complete_since_ms.get_or_insert(now_ms);
+    }
+
+    /// Records that upstreams may have come and gone unseen.
+    pub fn record_gap(&mut self) {
+        self.complete_since_ms = None;
+        self.is_restored = false;
+    }
+
+    /// Takes over the versions that were recent at a VM which had seen all of them.
+    pub fn restore<'a>(
+        &mut self,
+        now_ms: u64,
+        recent: impl IntoIterator<Item = (&'a GroupName, Option<&'a SoftwareVersion>)>,
+    ) {
+        for (service, version) in recent {
+            let origin = Origin {
+                service: service.clone(),
+                version: version.cloned(),
+                upstream: None,
+            };
+            self.record(now_ms, &origin);
+        }
+        self.complete_since_ms = Some(now_ms);
+        self.is_restored = true;
+    }
+
+    /// Returns whether all versions within a time in milliseconds are known.
+    pub fn is_complete(&self, now_ms: u64, lifetime_ms: u64) -> bool {
+        let is_within = |since_ms: u64| now_ms.saturating_sub(since_ms) >= lifetime_ms;
+        self.complete_since_ms
+            .is_some_and(|since_ms| self.is_restored || is_within(since_ms))
+    }
+
+    /// Returns the services with the versions that are kept.
+    pub fn iter(&self) -> impl Iterator<Item = (&GroupName, Option<&SoftwareVersion>)> {
+        let known = self.by_service.iter().flat_map(|(service, by_version)| {
+            by_version
+                .keys()
+                .map(move |version| (service, Some(version)))
+        });
+        known.chain(self.unknown.values().map(|(service, _)| (service, None)))
+    }
+
+    /// Drops versions that have not been listed within a time in milliseconds.
+    pub fn drop_older(&mut self, now_ms: u64, lifetime_ms: u64) {
+        let is_recent = |seen_ms: u64| now_ms.saturating_sub(seen_ms) <= lifetime_ms;
+        self.unknown.retain(|_, (_, seen_ms)| is_recent(*seen_ms));
+        for by_version in self.by_service.values_mut() {
+            by_version.retain(|_, seen_ms| is_recent(*seen_ms));
+        }
+        self.by_service
+            .retain(|_, by_version| !by_version.is_empty());
+    }
+
+    /// Returns the versions of a service that can have begun a stream within a time in
+    /// milliseconds.
+    pub fn versions(&self, now_ms: u64, service: &GroupName, lifetime_ms: u64) -> KnownVersions {
+        let is_recent = |seen_ms: u64| now_ms.saturating_sub(seen_ms) <= lifetime_ms;
+        let seen = self.by_service.get(service).into_iter().flatten();
+        let mut recent = seen.filter(|(_, seen_ms)| is_recent(**seen_ms));
+        let mut unknown = self.unknown.values();
+        let is_any_unknown = unknown.any(|(of, seen_ms)| of == service && is_recent(*seen_ms));
+        let is_complete = self.is_complete(now_ms, lifetime_ms);
+        match (recent.next(), recent.next()) {
+            _ if is_any_unknown => KnownVersions::Several,
+            (Some((version, _)), None) if is_complete => KnownVersions::One(version.clone()),
+            (Some(_), None) | (None, _) => KnownVersions::Unknown,
+            (Some(_), Some(_)) => KnownVersions::Several,
+        }
+    }
+}
