--- a/crates/origins/src/resumption.rs
+++ b/crates/origins/src/resumption.rs
@@ -17,8 +17,9 @@
 /// Time after which the holders that have not answered are asked again, in milliseconds.
 const REPEAT_INTERVAL_MS: u64 = 130;
 
-/// Number of statements of the same origin that suffice before all holders have answered.
-const SUFFICIENT_STATEMENTS: usize = 2;
+/// Number of VMs, with the one that decides, whose records of a stream suffice to resume it while
+/// others have not answered. One record may be that of another request with the same ID.
+const CONFIRMING_RECORDS: usize = 2;
 
 /// Question to a VM that may keep the origin of a stream.
 #[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
@@ -134,8 +135,13 @@
 
     /// Returns whether a record of the stream is known.
     pub fn is_recorded(&self) -> bool {
+        self.records() > 0
+    }
+
+    fn records(&self) -> usize {
         self.evidence()
-            .any(|evidence| matches!(evidence, Evidence::Origin(_)))
+            .filter(|evidence| matches!(evidence, Evidence::Origin(_)))
+            .count()
     }
 
     /// Records the answer of a VM. Answers of VMs that were not asked are ignored.
@@ -156,20 +162,14 @@
             Evidence::Origin(origin) => known.as_ref().is_some_and(|known| !known.accepts(origin)),
             _ => false,
         });
-        let statements = self
-            .evidence()
-            .filter(|evidence| matches!(evidence, Evidence::Origin(_)))
-            .count();
         let until_ms = self.began_ms + ANSWER_TIMEOUT_MS;
         let is_open = self.answers.values().any(Option::is_none) && now_ms < until_ms;
+        let is_confirmed = self.records() >= CONFIRMING_RECORDS;
         match known {
             _ if is_conflict => ResumptionStep::Refuse(OriginUnknown::Conflict),
-            Some(origin) if !is_open || statements >= SUFFICIENT_STATEMENTS => {
-                ResumptionStep::Resume(origin)
-            }
+            Some(origin) if is_confirmed || !is_open => ResumptionStep::Resume(origin),
             _ if is_open => self.ask(now_ms, until_ms),
-            Some(origin) => ResumptionStep::Resume(origin),
-            None => self.decide_by_versions(),
+            _ => self.decide_by_versions(),
         }
     }
 
@@ -191,8 +191,12 @@
         }
     }
 
-    /// Decides on a stream that no VM knows, by the versions that can have begun it.
+    /// Decides on a stream that no VM knows, by the versions that can have begun it. A VM that
+    /// reaches none of the others does not know what they have begun.
     fn decide_by_versions(&self) -> ResumptionStep {
+        if !self.answers.is_empty() && self.answers.values().all(Option::is_none) {
+            return ResumptionStep::Refuse(OriginUnknown::NoEvidence);
+        }
         let mut only: Option<&Origin> = None;
         for evidence in self.evidence() {
             match (evidence, only) {
--- a/crates/origins/src/table.rs
+++ b/crates/origins/src/table.rs
@@ -1,6 +1,7 @@
 //! Origins of streams that callers may resume.
 
 use std::collections::HashMap;
+use std::collections::HashSet;
 use std::collections::VecDeque;
 
 use apricotdale_core::origin::Origin;
@@ -9,6 +10,10 @@
 
 use crate::stream_id::StreamId;
 
+/// Largest number of records, as a multiple of the largest number of streams. Each resumption of a
+/// stream, and each repeated statement, is a record of its own.
+const MAX_RECORDS_PER_STREAM: usize = 2;
+
 /// Limits of an [`OriginTable`].
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub struct TableOptions {
@@ -90,10 +95,15 @@
             at_ms: now_ms,
             origin,
         };
-        self.by_stream.insert(stated.stream, kept);
-        self.order.push_back((now_ms, stated.stream));
-        let max_streams = self.options.max_streams;
-        while self.by_stream.len() > max_streams || self.order.len() > 2 * max_streams {
+        let former = self.by_stream.insert(stated.stream, kept);
+        if former.is_none_or(|former| former.at_ms != now_ms) {
+            self.order.push_back((now_ms, stated.stream));
+        }
+        let max_records = self
+            .options
+            .max_streams
+            .saturating_mul(MAX_RECORDS_PER_STREAM);
+        while self.by_stream.len() > self.options.max_streams || self.order.len() > max_records {
             self.dropped += u64::from(self.drop_oldest());
         }
     }
@@ -105,6 +115,18 @@
         is_valid.then_some(kept.origin.as_ref())
     }
 
+    /// Returns the newest streams whose origin is known, at most `count`.
+    pub fn newest(&self, count: usize) -> Vec<StreamOrigin> {
+        let streams = self.order.iter().rev().map(|(_, stream)| *stream);
+        let mut seen = HashSet::new();
+        let streams = streams.filter(|stream| seen.insert(*stream)).take(count);
+        let origins = streams.filter_map(|stream| {
+            let origin = self.by_stream.get(&stream)?.origin.clone()?;
+            Some(StreamOrigin { stream, origin })
+        });
+        origins.collect()
+    }
+
     /// Returns the number of streams.
     pub fn len(&self) -> usize {
         self.by_stream.len()
--- a/crates/origins/src/versions.rs
+++ b/crates/origins/src/versions.rs
@@ -7,6 +7,11 @@
 use apricotdale_core::names::UpstreamName;
 use apricotdale_core::origin::Origin;
 
+/// Time for which versions are remembered, as a multiple of the time for which an origin is kept.
+/// A caller may resume a stream after its record has expired: attempts that brought no event did
+/// not renew it.
+const REMEMBERED_LIFETIMES: u64 = 3;
+
 /// Versions of a service that can have begun a stream.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub enum KnownVersions {
@@ -27,9 +32,9 @@
     is_restored: bool,
     /// When each version was last seen.
     by_service: HashMap<GroupName, HashMap<SoftwareVersion, u64>>,
-    /// Upstreams whose version has never been known, with their service and when they were last
-    /// seen; `None` stands for all those of another VM.
-    unknown: HashMap<Option<UpstreamName>, (GroupName, u64)>,
+    /// When upstreams whose version has never been known were last seen, by service and name; `None`
+    /// stands for all those of the VM whose versions were taken over.
+    unknown: HashMap<(GroupName, Option<UpstreamName>), u64>,
 }
 
 impl VersionHistory {
@@ -37,12 +42,13 @@
     /// all streams that it began before.
     pub fn record(&mut self, now_ms: u64, origin: &Origin) {
         let Some(version) = &origin.version else {
-            let seen = (origin.service.clone(), now_ms);
-            self.unknown.insert(origin.upstream.clone(), seen);
+            let key = (origin.service.clone(), origin.upstream.clone());
+            self.unknown.insert(key, now_ms);
             return;
         };
-        if origin.upstream.is_some() {
-            self.unknown.remove(&origin.upstream);
+        if !self.unknown.is_empty() && origin.upstream.is_some() {
+            let key = (origin.service.clone(), origin.upstream.clone());
+            self.unknown.remove(&key);
         }
         let by_version = match self.by_service.get_mut(&origin.service) {
             Some(by_version) => by_version,
@@ -80,11 +86,13 @@
         self.is_restored = true;
     }
 
-    /// Returns whether all versions within a time in milliseconds are known.
+    /// Returns whether all versions are known that can have begun a stream which a caller resumes
+    /// now. `lifetime_ms` is the time for which origins are kept, in milliseconds.
     pub fn is_complete(&self, now_ms: u64, lifetime_ms: u64) -> bool {
-        let is_within = |since_ms: u64| now_ms.saturating_sub(since_ms) >= lifetime_ms;
+        let remembered_ms = lifetime_ms * REMEMBERED_LIFETIMES;
+        let is_long = |since_ms: u64| now_ms.saturating_sub(since_ms) >= remembered_ms;
         self.complete_since_ms
-            .is_some_and(|since_ms| self.is_restored || is_within(since_ms))
+            .is_some_and(|since_ms| self.is_restored || is_long(since_ms))
     }
 
     /// Returns the services with the versions that are kept.
@@ -94,13 +102,15 @@
                 .keys()
                 .map(move |version| (service, Some(version)))
         });
-        known.chain(self.unknown.values().map(|(service, _)| (service, None)))
+        known.chain(self.unknown.keys().map(|(service, _)| (service, None)))
     }
 
-    /// Drops versions that have not been listed within a time in milliseconds.
+    /// Drops versions that can't have begun a stream any more. `lifetime_ms` is the time for which
+    /// origins are kept, in milliseconds.
     pub fn drop_older(&mut self, now_ms: u64, lifetime_ms: u64) {
-        let is_recent = |seen_ms: u64| now_ms.saturating_sub(seen_ms) <= lifetime_ms;
-        self.unknown.retain(|_, (_, seen_ms)| is_recent(*seen_ms));
+        let remembered_ms = lifetime_ms * REMEMBERED_LIFETIMES;
+        let is_recent = |seen_ms: u64| now_ms.saturating_sub(seen_ms) <= remembered_ms;
+        self.unknown.retain(|_, seen_ms| is_recent(*seen_ms));
         for by_version in self.by_service.values_mut() {
             by_version.retain(|_, seen_ms| is_recent(*seen_ms));
         }
@@ -108,14 +118,15 @@
             .retain(|_, by_version| !by_version.is_empty());
     }
 
-    /// Returns the versions of a service that can have begun a stream within a time in
-    /// milliseconds.
+    /// Returns the versions of a service that can have begun a stream that a caller resumes now.
+    /// `lifetime_ms` is the time for which origins are kept, in milliseconds.
     pub fn versions(&self, now_ms: u64, service: &GroupName, lifetime_ms: u64) -> KnownVersions {
-        let is_recent = |seen_ms: u64| now_ms.saturating_sub(seen_ms) <= lifetime_ms;
+        let remembered_ms = lifetime_ms * REMEMBERED_LIFETIMES;
+        let is_recent = |seen_ms: u64| now_ms.saturating_sub(seen_ms) <= remembered_ms;
         let seen = self.by_service.get(service).into_iter().flatten();
         let mut recent = seen.filter(|(_, seen_ms)| is_recent(**seen_ms));
-        let mut unknown = self.unknown.values();
-        let is_any_unknown = unknown.any(|(of, seen_ms)| of == service && is_recent(*seen_ms));
+        let mut unknown = self.unknown.iter();
+        let is_any_unknown = unknown.any(|((of, _), seen_ms)| of == service && is_recent(*seen_ms));
         let is_complete = self.is_complete(now_ms, lifetime_ms);
         match (recent.next(), recent.next()) {
             _ if is_any_unknown => KnownVersions::Several,
