--- a/crates/core/src/refusal.rs
+++ b/crates/core/src/refusal.rs
@@ -107,6 +107,10 @@
     /// Upstreams have crashed under the request or a part of it, and such requests are tried one at
     /// a time.
     OnProbation = "on_probation", 503;
+    /// It is not known which software version began the stream that the request resumes.
+    OriginUnknown = "origin_unknown", 503;
+    /// No upstream that may serve the request runs the software version that began the stream.
+    VersionGone = "version_gone", 503;
     /// The upstream's answer did not come in time.
     UpstreamTimeout = "upstream_timeout", 504;
     /// The upstream's answer ended early, is malformed or belongs to another request.
--- a/crates/delivery/src/delivery.rs
+++ b/crates/delivery/src/delivery.rs
@@ -1,5 +1,6 @@
 //! The answer to one request, written to the caller part by part.
 
+use apricotdale_core::origin::Origin;
 use apricotdale_http1::ResponseHead;
 use apricotdale_http1::append_chunk;
 use apricotdale_http1::append_head_end;
@@ -9,6 +10,7 @@
 
 use crate::errors::ContinuationMismatch;
 use crate::event::FieldReader;
+use crate::options::AnswerSource;
 use crate::options::Options;
 use crate::position::Position;
 use crate::splitter::EventSplitter;
@@ -54,6 +56,8 @@
     has_event: bool,
     /// Fields of the event in progress.
     reader: FieldReader,
+    /// Process that writes the events.
+    origin: Option<Origin>,
 }
 
 /// End of an answer that no upstream completes.
@@ -109,6 +113,27 @@
         self.position.last_id()
     }
 
+    /// Returns the origin of the events that the caller has; `None` if it has none. Only upstreams
+    /// that it accepts may continue the stream.
+    pub fn origin(&self) -> Option<&Origin> {
+        self.position.origin()
+    }
+
+    /// Sets the origin of the events that the caller has from an earlier answer. To be called before
+    /// the first answer.
+    pub fn set_origin(&mut self, origin: Origin) {
+        self.options.origin = Some(origin);
+        self.position = Position::start(&self.options);
+    }
+
+    /// Adds what has become known about the origin of the events that the caller has.
+    pub fn complete_origin(&mut self, origin: Origin) {
+        if self.options.origin.is_some() {
+            self.options.origin = Some(origin.clone());
+        }
+        self.position.complete_origin(origin);
+    }
+
     /// Returns the status of the answer in progress, or `None` until its head has arrived.
     pub fn status(&self) -> Option<u16> {
         match self.answer {
@@ -128,8 +153,7 @@
         }
     }
 
-    /// Handles the head of the upstream's answer and the version of the model's weights that it
-    /// names.
+    /// Handles the head of an answer from a source.
     ///
     /// # Errors
     ///
@@ -138,7 +162,7 @@
     pub fn head(
         &mut self,
         head: ResponseHead,
-        version: Option<u64>,
+        source: &AnswerSource,
     ) -> Result<(), ContinuationMismatch> {
         let is_success = (200..300).contains(&head.status);
         let is_events = self.options.is_stream && is_success && is_event_stream(&head);
@@ -160,10 +184,14 @@
                 return Err(ContinuationMismatch::Closed);
             }
         }
-        self.position.set_version(version)?;
+        if is_events {
+            self.position.check_origin(&source.origin)?;
+        }
+        self.position.set_version(source.weights)?;
         self.answer = match is_events {
             true => UpstreamAnswer::Events(Events {
                 continues: self.delivered == Delivered::Events,
+                origin: Some(source.origin.clone()),
                 ..Events::default()
             }),
             false => UpstreamAnswer::Body(Vec::new()),
@@ -319,6 +347,13 @@
         if let (Delivered::Nothing, Some(head)) = (self.delivered, &self.head) {
             append_answer_head(out, head, None, closes);
         }
+        if let UpstreamAnswer::Events(Events {
+            origin: Some(origin),
+            ..
+        }) = &self.answer
+        {
+            self.position.begin(origin);
+        }
         self.delivered = delivered;
         append_chunk(out, part);
     }
--- a/crates/delivery/src/errors.rs
+++ b/crates/delivery/src/errors.rs
@@ -11,6 +11,8 @@
     ContentType,
     /// The upstream's answer was computed with another version of the model's weights.
     Version,
+    /// The upstream runs another version of the software, or one that is not known to be the same.
+    Software,
     /// Events are missing before an event of the upstream's answer.
     Gap,
     /// The caller has already received an event of the upstream's answer.
@@ -32,6 +34,7 @@
             Self::Status => "status",
             Self::ContentType => "content_type",
             Self::Version => "version",
+            Self::Software => "software",
             Self::Gap => "gap",
             Self::Repeated => "repeated",
             Self::Unnumbered => "unnumbered",
--- a/crates/delivery/src/lib.rs
+++ b/crates/delivery/src/lib.rs
@@ -20,6 +20,7 @@
 pub use delivery::Closing;
 pub use delivery::Delivery;
 pub use errors::ContinuationMismatch;
+pub use options::AnswerSource;
 pub use options::Options;
 pub use splitter::EventSplitter;
 pub use splitter::Piece;
--- a/crates/delivery/src/position.rs
+++ b/crates/delivery/src/position.rs
@@ -1,12 +1,16 @@
-//! Position up to which a caller has received an event stream.
+//! Position up to which a caller has received an event stream, and the origin of its events.
+
+use apricotdale_core::origin::Origin;
 
 use crate::errors::ContinuationMismatch;
 use crate::event::EventFields;
 use crate::options::Options;
 
 /// Position in a stream whose event IDs are consecutive numbers.
-#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+#[derive(Clone, Debug, Default, PartialEq, Eq)]
 pub(crate) struct Position {
+    /// Origin of the events that the caller has; `None` if it has none, or if it is unknown.
+    origin: Option<Origin>,
     /// ID of the last complete event that the caller has received.
     last_id: Option<u64>,
     /// ID that the next event must have, or `None` if any ID is accepted.
@@ -27,6 +31,7 @@
             None => options.first_event,
         };
         Self {
+            origin: options.origin.clone(),
             last_id: options.last_event,
             next_id,
             is_unknown: false,
@@ -39,6 +44,31 @@
         self.last_id
     }
 
+    /// Returns the origin of the events that the caller has; `None` before the first one.
+    pub(crate) fn origin(&self) -> Option<&Origin> {
+        self.origin.as_ref()
+    }
+
+    /// Records that the caller receives events of this origin, which the first one settles.
+    pub(crate) fn begin(&mut self, origin: &Origin) {
+        self.origin.get_or_insert_with(|| origin.clone());
+    }
+
+    /// Adds what has become known about the origin.
+    pub(crate) fn complete_origin(&mut self, origin: Origin) {
+        if self.origin.is_some() {
+            self.origin = Some(origin);
+        }
+    }
+
+    /// Checks that events of this origin may follow.
+    pub(crate) fn check_origin(&self, origin: &Origin) -> Result<(), ContinuationMismatch> {
+        match &self.origin {
+            Some(known) if !known.accepts(origin) => Err(ContinuationMismatch::Software),
+            _ => Ok(()),
+        }
+    }
+
     /// Returns whether the next event's ID is known.
     pub(crate) fn is_known(&self) -> bool {
         self.next_id.is_some() && !self.is_unknown
--- a/crates/delivery/tests/answer_search/course.rs
+++ b/crates/delivery/tests/answer_search/course.rs
@@ -1,5 +1,6 @@
 //! One request, the engines' answers to it, and what the caller receives.
 
+use apricotdale_delivery::AnswerSource;
 use apricotdale_delivery::Closing;
 use apricotdale_delivery::ContinuationMismatch;
 use apricotdale_delivery::Delivery;
@@ -11,7 +12,9 @@
 use crate::runs::Fault;
 use crate::runs::Run;
 use crate::runs::RunSpec;
+use crate::runs::Writer;
 use crate::runs::run_spec;
+use crate::runs::writer;
 
 const HEAD_LIMIT_BYTES: usize = 1024;
 
@@ -23,6 +26,8 @@
 #[derive(Clone, Debug)]
 pub struct Course {
     pub options: Options,
+    /// What wrote the events that the caller has from an earlier answer, if that is known.
+    pub earlier: Option<Writer>,
     /// Number of events of the complete answer.
     pub events: u64,
     pub runs: Vec<RunSpec>,
@@ -43,6 +48,8 @@
     /// Runs in order, also those whose answer was not used.
     pub runs: Vec<Run>,
     pub mismatches: Vec<Option<ContinuationMismatch>>,
+    /// What wrote the first part that the caller has, of this or of an earlier answer.
+    pub begun_by: Option<Writer>,
     /// Run whose answer ended the delivery as complete.
     pub ended_by: Option<usize>,
     pub is_refused: bool,
@@ -59,13 +66,16 @@
         prop::option::weighted(0.2, 1_u64..4),
     );
     let runs = prop::collection::vec(run_spec(), 1..4);
-    (options, 1_u64..7, runs).prop_map(|(options, events, runs)| Course {
+    let earlier = prop::option::weighted(0.7, writer());
+    (options, earlier, 1_u64..7, runs).prop_map(|(options, earlier, events, runs)| Course {
+        earlier: earlier.filter(|_| options.3.is_some()),
         options: Options {
             is_stream: options.0,
             is_resumable: options.1,
             first_event: options.2.then_some(1),
             last_event: options.3,
             version_field: Some("weights"),
+            ..Options::default()
         },
         events,
         runs,
@@ -83,11 +93,18 @@
     parsed.expect("a head").expect("a complete head").0
 }
 
+fn source(run: &Run) -> AnswerSource {
+    AnswerSource {
+        origin: run.writer.origin(),
+        weights: run.version,
+    }
+}
+
 /// Passes parts of an answer to a delivery that must send nothing of them.
 fn push_after_end(delivery: &mut Delivery, run: &Run, out: &mut Vec<u8>) {
     let _ = delivery.body(b"id: 1\ndata: 9/1\n\n", false, out);
     let _ = delivery.end(false, out);
-    let _ = delivery.head(head(run), run.version);
+    let _ = delivery.head(head(run), &source(run));
     let _ = delivery.body(b"id: 2\ndata: 9/2\n\n", false, out);
     let _ = delivery.end(false, out);
 }
@@ -95,7 +112,13 @@
 impl Course {
     pub fn play(&self, sizing: PieceSizes) -> Outcome {
         let mut delivery = Delivery::new(self.options.clone());
-        let mut outcome = Outcome::default();
+        if let Some(earlier) = self.earlier {
+            delivery.set_origin(earlier.origin());
+        }
+        let mut outcome = Outcome {
+            begun_by: self.earlier,
+            ..Outcome::default()
+        };
         for (index, spec) in self.runs.iter().enumerate() {
             if outcome.ended_by.is_some() || !delivery.may_continue() {
                 break;
@@ -145,11 +168,16 @@
             run.version = (spec.names_version && !begun).then_some(FRESH_VERSION);
         }
         let same_status = outcome.runs.iter().all(|it| !begun || it.status == 200);
-        let fits = is_good && from <= self.events && same_status;
+        let follows = |begun_by: Writer| begun_by.may_be_followed_by(spec.writer);
+        let same_software = !self.options.is_stream || outcome.begun_by.is_none_or(follows);
+        let fits = is_good && from <= self.events && same_status && same_software;
         outcome.should_end |= fits;
         outcome.runs.push(run.clone());
         let mismatch = self.deliver_run(delivery, spec, &run, sizing, outcome);
         outcome.mismatches.push(mismatch);
+        if !begun && delivery.has_begun() {
+            outcome.begun_by.get_or_insert(spec.writer);
+        }
     }
 
     /// Passes an engine's answer to the delivery, as the delivery's owner does.
@@ -170,7 +198,7 @@
         if spec.fault == Fault::NotRun {
             return None;
         }
-        if let Err(mismatch) = delivery.head(head(run), run.version) {
+        if let Err(mismatch) = delivery.head(head(run), &source(run)) {
             if spec.ignores_mismatch {
                 let _ = delivery.body(&run.body, closes, out);
                 let _ = delivery.end(closes, out);
--- a/crates/delivery/tests/answer_search/main.rs
+++ b/crates/delivery/tests/answer_search/main.rs
@@ -1,7 +1,8 @@
 //! Random search over runs of one request on up to three engines, checked from the caller's side.
 //!
 //! Engines break off, fail, refuse, answer another request, send wrong event IDs, and end in the
-//! middle of an event. Bodies arrive in pieces of any size. The caller knows nothing of
+//! middle of an event. They run two versions of the software, which may be unknown. Bodies arrive in
+//! pieces of any size. The caller knows nothing of
 //! [`Delivery`](apricotdale_delivery::Delivery): it parses the bytes that it receives.
 
 mod caller;
@@ -29,7 +30,7 @@
 use crate::runs::Run;
 
 /// Number of courses in which the reached cases are counted.
-const COUNTED_COURSES: usize = 2_000;
+const COUNTED_COURSES: usize = 4_000;
 
 const EVENT_STREAM: &str = "text/event-stream";
 
@@ -83,12 +84,20 @@
         (None, None) => course.options.first_event,
     };
     let mut version = None;
+    let mut first_writer = course.earlier;
     let mut before: Option<&Event> = None;
     for event in &stream.events {
         let index = event.run();
         let run = outcome.runs.get(index);
         let run = run.ok_or_else(|| TestCaseError::fail("event of an unknown run"))?;
         let is_join = before.is_some_and(|before| before.run() != index);
+        let begun_by = *first_writer.get_or_insert(run.writer);
+        prop_assert!(
+            begun_by.may_be_followed_by(run.writer),
+            "{:?} continues a stream of {:?}",
+            run.writer,
+            begun_by
+        );
         if is_join || (before.is_none() && resumes_at.is_some()) {
             prop_assert!(event.event_id().is_some(), "resumes without an event ID");
         }
@@ -172,7 +181,7 @@
     #![proptest_config(ProptestConfig {
         rng_seed: RngSeed::Fixed(47),
         failure_persistence: None,
-        ..ProptestConfig::with_cases(4_000)
+        ..ProptestConfig::with_cases(6_000)
     })]
 
     /// Guards against an answer whose parts don't continue each other, or that ends too early.
@@ -193,6 +202,7 @@
     let strategy = course();
     let mut mismatches: HashMap<ContinuationMismatch, usize> = HashMap::new();
     let (mut joined, mut joined_complete, mut aborted, mut refused) = (0, 0, 0, 0);
+    let (mut other_process, mut unknown_version) = (0, 0);
     for _ in 0..COUNTED_COURSES {
         let course = strategy.new_tree(&mut runner).expect("a course").current();
         let outcome = course.play(PieceSizes::Random);
@@ -207,6 +217,11 @@
         let is_event = |event: &&Event| event.fields.contains_key("data");
         let runs: Vec<usize> = events.iter().filter(is_event).map(Event::run).collect();
         let is_joined = runs.first() != runs.last();
+        if let (true, Some(first), Some(last)) = (is_joined, runs.first(), runs.last()) {
+            let writers = [first, last].map(|run| outcome.runs[*run].writer);
+            other_process += usize::from(writers[0].process != writers[1].process);
+            unknown_version += usize::from(!writers[0].is_known);
+        }
         joined += usize::from(is_joined);
         joined_complete += usize::from(is_joined && outcome.ended_by.is_some());
         aborted += usize::from(outcome.is_aborted);
@@ -214,12 +229,21 @@
     }
     println!("{mismatches:?}");
     println!("joined {joined}, complete {joined_complete}, aborted {aborted}, refused {refused}");
-    let reached = [joined, joined_complete, aborted, refused];
+    println!("joined by another process {other_process}, of unknown version {unknown_version}");
+    let reached = [
+        joined,
+        joined_complete,
+        aborted,
+        refused,
+        other_process,
+        unknown_version,
+    ];
     assert!(reached.iter().all(|count| *count > 20), "{reached:?}");
     let expected = [
         ContinuationMismatch::Status,
         ContinuationMismatch::ContentType,
         ContinuationMismatch::Version,
+        ContinuationMismatch::Software,
         ContinuationMismatch::Gap,
         ContinuationMismatch::Repeated,
         ContinuationMismatch::Unnumbered,
--- a/crates/delivery/tests/answer_search/runs.rs
+++ b/crates/delivery/tests/answer_search/runs.rs
@@ -1,5 +1,9 @@
 //! Runs of a request on an engine, and their answers.
 
+use apricotdale_core::names::GroupName;
+use apricotdale_core::names::SoftwareVersion;
+use apricotdale_core::names::UpstreamName;
+use apricotdale_core::origin::Origin;
 use proptest::prelude::*;
 
 /// Above the largest event that is buffered.
@@ -57,9 +61,46 @@
     }
 }
 
+/// Process that writes a run. Of several processes, each pair has a version of the software.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct Writer {
+    pub process: usize,
+    /// Whether the version of the process is known.
+    pub is_known: bool,
+}
+
+impl Writer {
+    fn version(self) -> usize {
+        self.process / 2
+    }
+
+    /// Returns whether a stream that this process began may go on at another one.
+    pub fn may_be_followed_by(self, next: Self) -> bool {
+        let is_known = self.is_known && next.is_known;
+        self.process == next.process || (is_known && self.version() == next.version())
+    }
+
+    pub fn origin(self) -> Origin {
+        let version = self.is_known.then(|| format!("v{}", self.version()));
+        Origin {
+            service: GroupName::from("llm"),
+            version: version.map(SoftwareVersion::from),
+            upstream: Some(UpstreamName::from(format!("i-{}", self.process))),
+        }
+    }
+}
+
+pub fn writer() -> impl Strategy<Value = Writer> {
+    // Most processes are of one version, so that most answers can be continued.
+    let process = prop_oneof![6 => Just(0_usize), 2 => Just(1), 1 => 2_usize..4];
+    let writer = (process, prop::bool::weighted(0.8));
+    writer.prop_map(|(process, is_known)| Writer { process, is_known })
+}
+
 /// Behaviour of one run, whatever event it has to resume after.
 #[derive(Clone, Debug)]
 pub struct RunSpec {
+    pub writer: Writer,
     pub fault: Fault,
     /// Number of correct events before the fault.
     pub correct_events: usize,
@@ -92,6 +133,7 @@
     );
     let piece_sizes = prop::collection::vec(1_usize..40, 1..5);
     (
+        writer(),
         fault(),
         0_usize..5,
         1_usize..30,
@@ -100,7 +142,8 @@
         piece_sizes,
     )
         .prop_map(
-            |(fault, correct_events, inside, line_end, flags, piece_sizes)| RunSpec {
+            |(writer, fault, correct_events, inside, line_end, flags, piece_sizes)| RunSpec {
+                writer,
                 fault,
                 correct_events,
                 inside,
@@ -149,6 +192,7 @@
 /// One engine's answer.
 #[derive(Clone, Debug)]
 pub struct Run {
+    pub writer: Writer,
     pub status: u16,
     pub content_type: &'static str,
     pub version: Option<u64>,
@@ -166,6 +210,7 @@
             _ => spec.names_version.then_some(VERSION),
         };
         let run = Self {
+            writer: spec.writer,
             status: 200,
             content_type: EVENT_STREAM,
             version,
@@ -229,6 +274,7 @@
             _ => 200,
         };
         Self {
+            writer: spec.writer,
             status,
             content_type: "text/plain",
             version: spec.names_version.then_some(VERSION),
--- a/crates/delivery/tests/continued_answers.rs
+++ b/crates/delivery/tests/continued_answers.rs
@@ -1,5 +1,10 @@
 //! Answers that may continue the part of an answer that a caller has received.
 
+use apricotdale_core::names::GroupName;
+use apricotdale_core::names::SoftwareVersion;
+use apricotdale_core::names::UpstreamName;
+use apricotdale_core::origin::Origin;
+use apricotdale_delivery::AnswerSource;
 use apricotdale_delivery::Closing;
 use apricotdale_delivery::ContinuationMismatch;
 use apricotdale_delivery::Delivery;
@@ -15,8 +20,23 @@
         is_stream: true,
         is_resumable: true,
         first_event: Some(1),
-        last_event: None,
         version_field: Some(VERSION_FIELD),
+        ..Options::default()
+    }
+}
+
+fn origin(version: Option<&str>, upstream: &str) -> Origin {
+    Origin {
+        service: GroupName::from("llm"),
+        version: version.map(SoftwareVersion::from),
+        upstream: Some(UpstreamName::from(upstream)),
+    }
+}
+
+fn source(weights: Option<u64>) -> AnswerSource {
+    AnswerSource {
+        origin: origin(Some("v1"), "i-0"),
+        weights,
     }
 }
 
@@ -43,7 +63,9 @@
 /// Returns the delivery of a stream of which the caller has received two events.
 fn begun_stream(options: Options) -> Delivery {
     let mut delivery = Delivery::new(options);
-    delivery.head(stream_head(), Some(7)).expect("no mismatch");
+    delivery
+        .head(stream_head(), &source(Some(7)))
+        .expect("no mismatch");
     push_body(&mut delivery, &(event(1) + &event(2) + "id: 3\nda")).expect("no mismatch");
     delivery.begin_next_answer();
     delivery
@@ -55,7 +77,9 @@
     assert!(delivery.may_continue());
     assert_eq!(delivery.last_event(), Some(2));
     assert_eq!(delivery.status(), None);
-    delivery.head(stream_head(), Some(7)).expect("no mismatch");
+    delivery
+        .head(stream_head(), &source(Some(7)))
+        .expect("no mismatch");
     let mut out = Vec::new();
     let body = event(3) + &event(4);
     delivery
@@ -79,7 +103,7 @@
     #[case] mismatch: ContinuationMismatch,
 ) {
     let mut delivery = begun_stream(options());
-    assert_eq!(delivery.head(head, version), Err(mismatch));
+    assert_eq!(delivery.head(head, &source(version)), Err(mismatch));
     let mut out = Vec::new();
     assert_eq!(
         delivery.end(false, &mut out),
@@ -98,7 +122,9 @@
 #[case::last_id_counts("id: 3\nid: 4\ndata: piece 3\n\n".to_owned(), ContinuationMismatch::Gap)]
 fn mismatched_events(#[case] second: String, #[case] mismatch: ContinuationMismatch) {
     let mut delivery = begun_stream(options());
-    delivery.head(stream_head(), None).expect("no mismatch");
+    delivery
+        .head(stream_head(), &source(None))
+        .expect("no mismatch");
     assert_eq!(push_body(&mut delivery, &second), Err(mismatch));
 }
 
@@ -110,7 +136,9 @@
 #[case::without_blank_line("id: 3\ndata: piece 3\n", ContinuationMismatch::Unfinished)]
 fn mismatched_ends(#[case] second: &str, #[case] mismatch: ContinuationMismatch) {
     let mut delivery = begun_stream(options());
-    delivery.head(stream_head(), None).expect("no mismatch");
+    delivery
+        .head(stream_head(), &source(None))
+        .expect("no mismatch");
     push_body(&mut delivery, second).expect("no mismatch yet");
     let mut out = Vec::new();
     assert_eq!(delivery.end(false, &mut out), Err(mismatch));
@@ -122,7 +150,9 @@
 #[test]
 fn events_before_mismatch() {
     let mut delivery = begun_stream(options());
-    delivery.head(stream_head(), None).expect("no mismatch");
+    delivery
+        .head(stream_head(), &source(None))
+        .expect("no mismatch");
     let mut out = Vec::new();
     let text = event(3) + &event(5);
     assert_eq!(
@@ -146,13 +176,17 @@
     });
     for _ in 0..2 {
         assert_eq!(delivery.last_event(), Some(4));
-        delivery.head(stream_head(), None).expect("no mismatch");
+        delivery
+            .head(stream_head(), &source(None))
+            .expect("no mismatch");
         assert_eq!(push_body(&mut delivery, &event(first)), Err(mismatch));
         assert!(!delivery.has_begun());
         assert!(delivery.may_continue());
         delivery.begin_next_answer();
     }
-    delivery.head(stream_head(), None).expect("no mismatch");
+    delivery
+        .head(stream_head(), &source(None))
+        .expect("no mismatch");
     let delivered = push_body(&mut delivery, &event(5)).expect("no mismatch");
     assert!(delivered.starts_with("HTTP/1.1 200"));
 }
@@ -167,7 +201,10 @@
         ..options()
     });
     let mismatch = Err(ContinuationMismatch::ContentType);
-    assert_eq!(delivery.head(head(status, content_type), None), mismatch);
+    assert_eq!(
+        delivery.head(head(status, content_type), &source(None)),
+        mismatch
+    );
     assert!(delivery.may_continue());
 }
 
@@ -177,13 +214,15 @@
 #[case::unnumbered_later("id: 1\ndata: a\n\ndata: b\n\n")]
 fn unknown_position(#[case] first: &str) {
     let mut delivery = Delivery::new(options());
-    delivery.head(stream_head(), None).expect("no mismatch");
+    delivery
+        .head(stream_head(), &source(None))
+        .expect("no mismatch");
     push_body(&mut delivery, first).expect("the first answer");
     assert!(delivery.has_begun());
     assert!(!delivery.may_continue());
     delivery.begin_next_answer();
     assert_eq!(
-        delivery.head(stream_head(), None),
+        delivery.head(stream_head(), &source(None)),
         Err(ContinuationMismatch::Closed)
     );
 }
@@ -201,7 +240,9 @@
 #[test]
 fn partial_oversized_event() {
     let mut delivery = Delivery::new(options());
-    delivery.head(stream_head(), None).expect("no mismatch");
+    delivery
+        .head(stream_head(), &source(None))
+        .expect("no mismatch");
     let part = format!("id: 1\ndata: {}", "x".repeat(300 * 1024));
     assert!(
         !push_body(&mut delivery, &part)
@@ -225,11 +266,13 @@
 #[case::as_begun(Some(7), Err(ContinuationMismatch::Version))]
 fn version_change(#[case] next: Option<u64>, #[case] expected: Result<(), ContinuationMismatch>) {
     let mut delivery = begun_stream(options());
-    delivery.head(stream_head(), Some(7)).expect("no mismatch");
+    delivery
+        .head(stream_head(), &source(Some(7)))
+        .expect("no mismatch");
     let event = format!("{VERSION_FIELD}: 8\nid: 3\ndata: c\n\n");
     push_body(&mut delivery, &event).expect("no mismatch");
     delivery.begin_next_answer();
-    assert_eq!(delivery.head(stream_head(), next), expected);
+    assert_eq!(delivery.head(stream_head(), &source(next)), expected);
 }
 
 /// Guards against a body that consists of two upstreams' parts.
@@ -237,7 +280,9 @@
 fn large_body() {
     let text_head = || head(200, "text/plain");
     let mut delivery = Delivery::new(Options::default());
-    delivery.head(text_head(), None).expect("no mismatch");
+    delivery
+        .head(text_head(), &source(None))
+        .expect("no mismatch");
     let part = "x".repeat(1_100_000);
     assert!(
         !push_body(&mut delivery, &part)
@@ -247,7 +292,7 @@
     assert!(!delivery.may_continue());
     delivery.begin_next_answer();
     assert_eq!(
-        delivery.head(text_head(), None),
+        delivery.head(text_head(), &source(None)),
         Err(ContinuationMismatch::Closed)
     );
 }
@@ -256,13 +301,13 @@
 fn buffered_body_dropped() {
     let mut delivery = Delivery::new(Options::default());
     delivery
-        .head(head(200, "text/plain"), None)
+        .head(head(200, "text/plain"), &source(None))
         .expect("no mismatch");
     assert_eq!(push_body(&mut delivery, "half an"), Ok(String::new()));
     assert!(!delivery.has_begun());
     delivery.begin_next_answer();
     delivery
-        .head(head(201, "text/plain"), None)
+        .head(head(201, "text/plain"), &source(None))
         .expect("no mismatch");
     push_body(&mut delivery, "whole").expect("no mismatch");
     let mut out = Vec::new();
@@ -275,7 +320,9 @@
 #[test]
 fn refusal_before_delivery() {
     let mut delivery = Delivery::new(options());
-    delivery.head(stream_head(), None).expect("no mismatch");
+    delivery
+        .head(stream_head(), &source(None))
+        .expect("no mismatch");
     let refused = || b"refused".to_vec();
     assert_eq!(delivery.close(refused), Closing::Answer(refused()));
 }
@@ -297,7 +344,9 @@
         is_stream,
         ..options()
     });
-    delivery.head(stream_head(), None).expect("no mismatch");
+    delivery
+        .head(stream_head(), &source(None))
+        .expect("no mismatch");
     push_body(&mut delivery, &(event(1) + &event(2))).expect("no mismatch");
     delivery
         .end(false, &mut Vec::new())
@@ -311,7 +360,9 @@
 #[case::refused(false, Closing::Answer(Vec::new()))]
 fn nothing_after_close(#[case] is_begun: bool, #[case] closing: Closing) {
     let mut delivery = Delivery::new(options());
-    delivery.head(stream_head(), None).expect("no mismatch");
+    delivery
+        .head(stream_head(), &source(None))
+        .expect("no mismatch");
     let first = if is_begun {
         event(1) + &event(2)
     } else {
@@ -326,7 +377,9 @@
 #[test]
 fn nothing_after_mismatch() {
     let mut delivery = begun_stream(options());
-    delivery.head(stream_head(), None).expect("no mismatch");
+    delivery
+        .head(stream_head(), &source(None))
+        .expect("no mismatch");
     let mut out = Vec::new();
     let text = event(3) + &event(5);
     let mismatch = Err(ContinuationMismatch::Gap);
@@ -354,7 +407,9 @@
     #[case] expected: Result<Option<u64>, ContinuationMismatch>,
 ) {
     let mut delivery = Delivery::new(options());
-    delivery.head(stream_head(), None).expect("no mismatch");
+    delivery
+        .head(stream_head(), &source(None))
+        .expect("no mismatch");
     let part = format!("data: {}{first}", "x".repeat(300 * 1024));
     assert!(
         !push_body(&mut delivery, &part)
@@ -371,7 +426,9 @@
 #[test]
 fn split_last_line_end() {
     let mut delivery = Delivery::new(options());
-    delivery.head(stream_head(), None).expect("no mismatch");
+    delivery
+        .head(stream_head(), &source(None))
+        .expect("no mismatch");
     push_body(&mut delivery, "id: 1\r\ndata: a\r\n\r").expect("no mismatch");
     push_body(&mut delivery, "\n").expect("no mismatch");
     let mut out = Vec::new();
@@ -389,7 +446,9 @@
         ..options()
     });
     assert_eq!(delivery.last_event(), Some(4));
-    delivery.head(stream_head(), None).expect("no mismatch");
+    delivery
+        .head(stream_head(), &source(None))
+        .expect("no mismatch");
     push_body(&mut delivery, &event(first)).expect("no mismatch");
     assert!(!delivery.may_continue());
     let skipped = event(first + 2);
@@ -406,7 +465,9 @@
         last_event: Some(11),
         ..options()
     });
-    delivery.head(stream_head(), None).expect("no mismatch");
+    delivery
+        .head(stream_head(), &source(None))
+        .expect("no mismatch");
     push_body(&mut delivery, &event(12)).expect("no mismatch");
     let part = format!("data: {}\nid: 1", "x".repeat(300 * 1024));
     push_body(&mut delivery, &part).expect("no event ID yet");
--- a/crates/dispatch/src/dispatcher.rs
+++ b/crates/dispatch/src/dispatcher.rs
@@ -21,6 +21,10 @@
 use apricotdale_routing::BudgetedRetry;
 use apricotdale_routing::CorrectedLoad;
 
+use crate::eligibility::RoomByVersion;
+use crate::eligibility::can_run;
+use crate::eligibility::candidate;
+use crate::eligibility::continuation_refusal;
 use crate::forecast::Forecasts;
 use crate::forecast::LoadForecast;
 use crate::job::DispatchDecision;
@@ -116,7 +120,7 @@
             return self.decide_without_upstream(now_ms, directory, job);
         }
         let free = match self.preferred(now_ms, &capable) {
-            Some(preferred) => self.free_candidates(now_ms, directory, &preferred),
+            Some(preferred) => self.free_candidates(now_ms, directory, job, &preferred),
             None => return self.decide_used_up(now_ms, directory, job, &capable),
         };
         if free.is_empty() {
@@ -172,12 +176,14 @@
         &self,
         now_ms: u64,
         directory: &Directory,
+        job: &Job,
         groups: &[Vec<&Upstream>],
     ) -> Vec<Candidate> {
+        let room = RoomByVersion::new(directory, job);
         let free = groups.iter().map(|group| {
             let free = group
                 .iter()
-                .filter(|upstream| self.has_room(now_ms, directory, upstream));
+                .filter(|upstream| self.has_room(now_ms, directory, upstream, &room));
             free.map(|upstream| candidate(upstream)).collect()
         });
         free.into_iter()
@@ -411,6 +417,9 @@
         directory: &Directory,
         job: &Job,
     ) -> DispatchDecision {
+        if let Some(refusal) = continuation_refusal(directory, job) {
+            return DispatchDecision::Refuse(refusal);
+        }
         let Some(wanted) = &job.wanted else {
             return DispatchDecision::Wait(WaitReason::Full);
         };
@@ -436,7 +445,13 @@
         }
     }
 
-    fn has_room(&self, now_ms: u64, directory: &Directory, upstream: &Upstream) -> bool {
+    fn has_room(
+        &self,
+        now_ms: u64,
+        directory: &Directory,
+        upstream: &Upstream,
+        room: &RoomByVersion<'_>,
+    ) -> bool {
         let requests = self
             .loads
             .get(&upstream.name)
@@ -449,12 +464,13 @@
             true => self.options.engine_fill,
             false => self.options.service_fill,
         };
+        let slots = f64::from(upstream.slots.max(1));
         // Requests that wait at the upstream are the first to be rejected when its room shrinks.
-        let fill = match self.rejection_limits.limit(&upstream.name) {
-            Some(_) => fill.min(LIMITED_FILL),
-            None => fill,
+        let max_requests = match self.rejection_limits.limit(&upstream.name) {
+            Some(_) => slots * fill.min(LIMITED_FILL),
+            None => room.max_requests(upstream, slots * fill),
         };
-        f64::from(requests) < f64::from(upstream.slots.max(1)) * fill
+        f64::from(requests) < max_requests
     }
 
     fn policy(&mut self, service: &GroupName) -> &mut CorrectedLoad {
@@ -482,18 +498,3 @@
         }
     }
 }
-
-fn can_run(upstream: &Upstream, job: &Job) -> bool {
-    match &job.wanted {
-        Some(wanted) => upstream.residence.serves(wanted),
-        None => true,
-    }
-}
-
-fn candidate(upstream: &Upstream) -> Candidate {
-    Candidate {
-        upstream: upstream.name.clone(),
-        address: upstream.address,
-        zone: upstream.zone.clone(),
-    }
-}
--- a/crates/dispatch/src/job.rs
+++ b/crates/dispatch/src/job.rs
@@ -2,6 +2,7 @@
 
 use apricotdale_core::names::GroupName;
 use apricotdale_core::names::UpstreamName;
+use apricotdale_core::origin::Origin;
 use apricotdale_core::policy::RetryRequest;
 use apricotdale_core::refusal::Refusal;
 use apricotdale_core::refusal::RefusalReason;
@@ -15,6 +16,9 @@
     pub service: GroupName,
     /// Model that is needed, or `None` for a plain service.
     pub wanted: Option<WantedModel>,
+    /// Origin of the events that its caller has, which the upstream must continue; `None` if the
+    /// caller has none.
+    pub origin: Option<Origin>,
     /// Kind of its route: whether the answer is a stream, and whether the request may run twice.
     pub kind: RouteKind,
     /// Rank of its request class; rank 0 is sent first.
@@ -44,13 +48,15 @@
     pub fn urgency(&self, now_ms: u64) -> Urgency {
         Urgency {
             rank: self.rank,
+            is_new: self.origin.is_none(),
             is_late: self.target_ms < now_ms,
             target_ms: self.target_ms,
         }
     }
 }
 
-/// Sort key of waiting requests: by class rank, then those that can still begin by their target
+/// Sort key of waiting requests: by class rank, then those that continue a stream, as few upstreams
+/// may be able to and its caller has begun to read, then those that can still begin by their target
 /// time, then by target time.
 ///
 /// Under overload, an order by target time alone spends the slots on requests that are already
@@ -58,6 +64,7 @@
 #[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
 pub struct Urgency {
     rank: u32,
+    is_new: bool,
     is_late: bool,
     target_ms: u64,
 }
@@ -73,6 +80,8 @@
     Budget,
     /// The rate limit of its organisation is being checked.
     Limit,
+    /// The origin of the stream that it resumes is being asked for.
+    Origin,
     /// A permit is requested for an upstream that states a rate limit.
     Permit,
     /// The request is suspected of crashing upstreams, and a trial of the same request is in
--- a/crates/dispatch/src/lib.rs
+++ b/crates/dispatch/src/lib.rs
@@ -10,6 +10,7 @@
 #![warn(missing_docs)]
 
 mod dispatcher;
+mod eligibility;
 mod forecast;
 mod job;
 mod liveness;
--- a/crates/dispatch/tests/support/mod.rs
+++ b/crates/dispatch/tests/support/mod.rs
@@ -105,6 +105,7 @@
 pub fn stream(model: &str, resumable: bool) -> Job {
     Job {
         service: GroupName::from("llm"),
+        origin: None,
         wanted: Some(WantedModel {
             model: ModelName::from(model),
             adapter: None,
@@ -126,6 +127,7 @@
 pub fn call(kind: RouteKind) -> Job {
     Job {
         service: GroupName::from("plain"),
+        origin: None,
         wanted: None,
         kind,
         ..stream("m0", false)
--- a/crates/entry/src/active.rs
+++ b/crates/entry/src/active.rs
@@ -19,6 +19,7 @@
 use mio::Token;
 
 use crate::limits::Charge;
+use crate::stream_origins::StreamInProgress;
 
 /// Progress of a request.
 #[derive(Clone, Debug, PartialEq, Eq)]
@@ -64,6 +65,8 @@
     pub charge: Option<Charge>,
     pub job: Job,
     pub phase: Phase,
+    /// Stream that it begins or resumes; none if no other upstream may continue it.
+    pub stream: Option<StreamInProgress>,
     /// Number of the trial run as which it is being sent; none if it is not on probation.
     pub trial: Option<u64>,
     /// State of the answer as delivered to the caller so far.
--- a/crates/entry/src/connections.rs
+++ b/crates/entry/src/connections.rs
@@ -70,6 +70,7 @@
             return;
         };
         let request = caller.request();
+        self.tell_origins();
         caller.stream.close(self.poll.registry(), false);
         if let Some(key) = request {
             self.caller_left(key, left);
--- a/crates/entry/src/daemon.rs
+++ b/crates/entry/src/daemon.rs
@@ -64,6 +64,7 @@
 use crate::store_era::StoreEra;
 use crate::store_pollers::StorePollers;
 use crate::stream::Stream;
+use crate::stream_origins::StreamOrigins;
 use crate::upstream_paths::PathWork;
 use crate::upstream_permits::UpstreamPermits;
 
@@ -130,6 +131,7 @@
     pub(crate) block_store: BlockStore,
     pub(crate) limits: Limits,
     pub(crate) upstream_permits: UpstreamPermits,
+    pub(crate) stream_origins: StreamOrigins,
     pub(crate) residence_updates: ResidenceUpdates,
     /// Ended incarnations of upstreams at which requests still appear to be in progress.
     pub(crate) ended_incarnations: Vec<UpstreamName>,
@@ -231,6 +233,7 @@
             block_store: BlockStore::default(),
             limits: Limits::new(incarnation, settings.limit_bounds),
             upstream_permits: UpstreamPermits::new(incarnation),
+            stream_origins: StreamOrigins::default(),
             residence_updates: ResidenceUpdates::default(),
             ended_incarnations: Vec::new(),
             store_pollers: StorePollers::default(),
@@ -306,6 +309,7 @@
         if late_ms >= LOGGED_PAUSE_MS {
             self.metrics.process_paused();
             self.request_blocks();
+            self.stream_origins.record_gap();
             log::warn!(
                 late_ms, requests = self.active.len(), orders_by = self.peers.lease_holder_text();
                 "this VM stood still"
@@ -332,6 +336,7 @@
         self.advance_crash_watch();
         self.advance_limits();
         self.advance_upstream_permits();
+        self.advance_stream_origins();
         if self.now_ms >= self.next_sweep_ms || self.now_ms >= self.next_call_timeout_ms {
             self.sweep();
         }
@@ -357,6 +362,7 @@
             self.crash_watch.next_ms(),
             self.limits.next_ms(),
             self.upstream_permits.next_ms(),
+            self.stream_origins.next_ms(),
         ]
         .into_iter()
         .min()
@@ -488,5 +494,6 @@
             self.listeners.remove(&CALLERS);
         }
         self.end_requests_at_ended_incarnations();
+        self.update_stream_origins();
     }
 }
--- a/crates/entry/src/failed_attempts.rs
+++ b/crates/entry/src/failed_attempts.rs
@@ -15,6 +15,7 @@
 use crate::request_ends::parts_text;
 use crate::request_ends::sent_software;
 use crate::request_ends::upstream_text;
+use crate::stream_origins::software_text;
 
 /// Retry delay stated to a refused caller. Engines reject requests for short moments only.
 pub(crate) const RETRY_AFTER_MS: u64 = 300;
@@ -189,6 +190,7 @@
             parts = parts_text(&request.serving.parts),
             upstream = upstream_text(&request.job),
             software = sent_software(request),
+            begun_by = request.delivery.origin().map_or("", software_text),
             model = model_text(&request.job),
             tries = request.job.tried.len(),
             begun = request.delivery.has_begun(),
--- a/crates/entry/src/lifecycle.rs
+++ b/crates/entry/src/lifecycle.rs
@@ -98,6 +98,7 @@
         self.planned_stop.stop_ms = self.settings.stop_ms;
         log::info!(requests = self.active.len(); "planned stop begins");
         self.release_lease();
+        self.hand_over_origins();
         self.peers.send_goodbye();
         self.announce_relay_stop();
     }
--- a/crates/entry/src/limits.rs
+++ b/crates/entry/src/limits.rs
@@ -155,7 +155,9 @@
             return true;
         };
         let client = &mut self.limits.client;
-        let owner_deadline_ms = request.job.arrived_ms + OWNER_TIMEOUT_MS;
+        let found_ms = request.stream.as_ref().and_then(|stream| stream.found_ms);
+        let asked_ms = found_ms.unwrap_or(request.job.arrived_ms);
+        let owner_deadline_ms = asked_ms + OWNER_TIMEOUT_MS;
         match client.admit(now_ms, charge.account, key, charge.units) {
             Admission::Admitted => {
                 request.charge = Some(Charge {
--- a/crates/entry/src/messages.rs
+++ b/crates/entry/src/messages.rs
@@ -14,6 +14,9 @@
 use apricotdale_fleet::set_versions;
 use apricotdale_holder::DemandRow;
 use apricotdale_holder::ResidenceUpdate;
+use apricotdale_origins::OriginAnswer;
+use apricotdale_origins::OriginQuery;
+use apricotdale_origins::StreamOrigin;
 use apricotdale_paths::PathAnswer;
 use apricotdale_quarantine::AnsweredRow;
 use apricotdale_quarantine::BlockRow;
@@ -168,6 +171,12 @@
         asker: u64,
         end: TrialEnd,
     },
+    /// Origins of streams that the sender began.
+    StreamOrigins(Vec<StreamOrigin>),
+    /// Asks for the origin of a stream.
+    OriginQuery(OriginQuery),
+    /// What the sender knows of the origin of a stream.
+    OriginAnswer(OriginAnswer),
 }
 
 /// First byte of each message. It changes with the format of what follows, so that VMs of different
@@ -181,6 +190,9 @@
         PeerMessage::Entries { entries, .. } => {
             encoded.and_then(|bytes| append_versions(bytes, entries))
         }
+        PeerMessage::Heartbeat { fresh, .. } | PeerMessage::ListRead { fresh, .. } => {
+            encoded.and_then(|bytes| postcard::to_extend(&fresh.versions, bytes))
+        }
         _ => encoded,
     };
     match encoded {
@@ -198,8 +210,14 @@
         Some((&FORMAT, content)) => {
             let (mut message, rest) = postcard::take_from_bytes(content)
                 .map_err(|error| DecodeError::new(error.to_string()))?;
-            if let PeerMessage::Entries { entries, .. } = &mut message {
-                set_versions(entries, rest);
+            match &mut message {
+                PeerMessage::Entries { entries, .. } => {
+                    set_versions(entries, rest);
+                }
+                PeerMessage::Heartbeat { fresh, .. } | PeerMessage::ListRead { fresh, .. } => {
+                    fresh.versions = postcard::from_bytes(rest).unwrap_or_default();
+                }
+                _ => {}
             }
             Ok(message)
         }
--- a/crates/entry/src/metrics.rs
+++ b/crates/entry/src/metrics.rs
@@ -70,6 +70,9 @@
     trials: Counter,
     waited_for_owner: Counter,
     permits: Family<Reason, Counter>,
+    resumptions: Family<Reason, Counter>,
+    pub stream_origins: Gauge,
+    pub dropped_origins: Gauge,
     over_limit: Family<OrganisationLabel, Counter>,
     /// Organisations that have labels of their own.
     organisations: HashSet<Arc<str>>,
@@ -130,6 +133,9 @@
             trials: Counter::default(),
             waited_for_owner: Counter::default(),
             permits: Family::default(),
+            resumptions: Family::default(),
+            stream_origins: Gauge::default(),
+            dropped_origins: Gauge::default(),
             over_limit: Family::default(),
             organisations: HashSet::new(),
         };
@@ -253,6 +259,11 @@
         count(&self.permits, outcome);
     }
 
+    /// Counts a stream that its caller resumes, by how its origin was found or why it was not.
+    pub fn resumption(&self, evidence: &str) {
+        count(&self.resumptions, evidence);
+    }
+
     /// Counts a request that was refused because of its organisation's limit.
     pub fn over_limit(&mut self, organisation: &Arc<str>) {
         let is_known = self.organisations.contains(organisation);
--- a/crates/entry/src/metrics/registration.rs
+++ b/crates/entry/src/metrics/registration.rs
@@ -27,6 +27,21 @@
             "Upstreams' answers that could not continue what the caller had received",
             self.mismatches.clone(),
         );
+        registry.register(
+            "resumptions",
+            "Streams that callers resume, by how their origin was found or why it was not",
+            self.resumptions.clone(),
+        );
+        registry.register(
+            "stream_origins",
+            "Origins of streams that this VM keeps",
+            self.stream_origins.clone(),
+        );
+        registry.register(
+            "dropped_stream_origins",
+            "Origins of streams that were dropped early for want of room",
+            self.dropped_origins.clone(),
+        );
         registry.register(
             "paused_answers",
             "Pauses of reading from an upstream because a caller was slow",
--- a/crates/entry/src/peer_exchange.rs
+++ b/crates/entry/src/peer_exchange.rs
@@ -16,6 +16,7 @@
 use apricotdale_fleet::Freshness;
 use apricotdale_fleet::residence_digests;
 use apricotdale_fleet::serving_digest;
+use apricotdale_fleet::versions_digest;
 use apricotdale_holder::DemandRow;
 use apricotdale_holder::RequestState;
 use apricotdale_holder::ResidenceUpdate;
@@ -196,6 +197,9 @@
             PeerMessage::TrialOver { asker, end } => {
                 self.crash_watch.record_peer_trial_end(now_ms, asker, &end);
             }
+            PeerMessage::StreamOrigins(origins) => self.record_told_origins(from, origins),
+            PeerMessage::OriginQuery(query) => self.answer_origin_query(from, &query),
+            PeerMessage::OriginAnswer(answer) => self.apply_origin_answer(from, &answer),
             PeerMessage::ObsoleteCrashes
             | PeerMessage::ObsoleteBlocks
             | PeerMessage::ObsoleteProbations
@@ -275,6 +279,10 @@
             return;
         }
         let is_same = serving_digest(&self.directory) == fresh.listed;
+        let own_versions = versions_digest(&self.directory);
+        let has_same_versions = fresh
+            .versions
+            .is_none_or(|versions| versions == own_versions);
         let holds_same: Vec<bool> = residence_digests(&self.directory)
             .iter()
             .zip(&fresh.held)
@@ -288,7 +296,7 @@
         let store_pollers = &mut self.store_pollers;
         store_pollers.listing_repair.record_comparison(
             now_ms,
-            &[is_same || !has_snapshot],
+            &[(is_same && has_same_versions) || !has_snapshot],
             draw_ms,
         );
         store_pollers
@@ -320,6 +328,7 @@
             snapshot_bytes: self.store_pollers.snapshot_bytes(listed),
             held: residence_digests(&self.directory),
             left: self.sharing.left(now_ms),
+            versions: Some(versions_digest(&self.directory)),
         }
     }
 
--- a/crates/entry/src/peers.rs
+++ b/crates/entry/src/peers.rs
@@ -190,6 +190,11 @@
         self.known.get(vm).map(|known| known.address)
     }
 
+    /// Returns the names of the other VMs that are known.
+    pub fn names(&self) -> impl Iterator<Item = &VmName> {
+        self.known.keys()
+    }
+
     /// Returns whether a known VM has this IP address.
     pub fn knows_address(&self, address: IpAddr) -> bool {
         let mut known = self.known.values();
--- a/crates/entry/src/request_dispatch.rs
+++ b/crates/entry/src/request_dispatch.rs
@@ -33,6 +33,7 @@
 use crate::limits::retry_factor_permille;
 use crate::outbound::Peer;
 use crate::outbound::Purpose;
+use crate::prefix_hash::prefix_hash;
 
 /// Time before a request's deadline at which it gets its final answer, so that the answer arrives
 /// in time.
@@ -66,13 +67,6 @@
 /// about as long as an answer.
 const PROBATION_RETRY_AFTER_MS: u64 = 1_000;
 
-/// Maximum number of prompt parts that select the engine which probably has the prefix cached.
-const MAX_PREFIX_PARTS: usize = 2;
-
-/// Minimum length of a shared prompt prefix for prefix affinity. A shorter prefix is computed
-/// faster than the queue at a preferred engine moves.
-const MIN_PREFIX_TOKENS: u32 = 1_000;
-
 /// Returns the refusal of a request by a VM that does not serve yet.
 fn not_ready_refusal(awaited: AwaitedEvidence) -> Refusal {
     let (detail, retry_after_ms) = match awaited {
@@ -163,7 +157,9 @@
             first_event: format.first_event,
             last_event: serving.last_event,
             version_field: format.version_field,
+            ..DeliveryOptions::default()
         });
+        let stream = self.stream_of(&serving, &route, organisation.as_deref());
         let key = self.active.insert(ActiveRequest {
             caller: Some(token),
             caller_hash: caller_hash(caller_address),
@@ -176,6 +172,7 @@
             serving,
             job,
             phase: Phase::Waiting(WaitReason::Full),
+            stream,
             trial: None,
             delivery,
             first_sent_ms: None,
@@ -274,6 +271,7 @@
         Job {
             service,
             wanted: serving.model.clone().filter(|_| is_engine),
+            origin: None,
             kind: route.kind,
             rank: route.rank,
             arrived_ms: now_ms,
@@ -323,12 +321,14 @@
 
     /// Decides whether a request is sent, waits or is refused, and does so.
     pub(crate) fn dispatch(&mut self, key: u64) {
-        if !self.admit_within_limit(key) {
+        if !self.has_stream_origin(key) || !self.admit_within_limit(key) {
             return;
         }
+        self.complete_origin(key);
         let Some(request) = self.active.get_mut(key) else {
             return;
         };
+        request.job.origin = request.delivery.origin().cloned();
         if self.crash_watch.must_wait(self.now_ms, &request.features) {
             self.wait_for_trial(key);
             return;
@@ -381,6 +381,17 @@
         let watch = &mut self.crash_watch;
         match watch.permit(now_ms, &request.features, &upstream, left_ms) {
             Permit::Free => self.send(key, upstream),
+            Permit::Trial { upstream, number }
+                if !self
+                    .dispatcher
+                    .capable(&self.directory, &request.job)
+                    .any(|it| it.name == upstream) =>
+            {
+                // It was granted for another request with the same part.
+                request.trial = Some(number);
+                self.end_unsent_trial(key);
+                self.wait_for_trial(key);
+            }
             Permit::Trial { upstream, number } => {
                 request.trial = Some(number);
                 self.metrics.trial();
@@ -476,21 +487,3 @@
 fn request_hash(id: &RequestId) -> u64 {
     xxhash_rust::xxh3::xxh3_64(id.as_str().as_bytes())
 }
-
-fn prefix_hash(serving: &ServingRequest) -> Option<u64> {
-    let wanted = serving.model.as_ref()?;
-    let shared = &serving.parts[..serving.parts.len().saturating_sub(1).min(MAX_PREFIX_PARTS)];
-    let tokens: u32 = shared.iter().map(|part| part.tokens).sum();
-    if tokens < MIN_PREFIX_TOKENS {
-        return None;
-    }
-    let mut bytes = wanted.model.as_str().as_bytes().to_vec();
-    bytes.extend(
-        wanted
-            .adapter
-            .iter()
-            .flat_map(|adapter| adapter.as_str().bytes()),
-    );
-    bytes.extend(shared.iter().flat_map(|part| part.id.to_le_bytes()));
-    Some(xxhash_rust::xxh3::xxh3_64(&bytes))
-}
--- a/crates/entry/src/request_ends.rs
+++ b/crates/entry/src/request_ends.rs
@@ -1,7 +1,6 @@
 //! Final answers that this VM gives itself, and the end of requests.
 
 use apricotdale_core::names::RequestId;
-use apricotdale_core::names::SoftwareVersion;
 use apricotdale_core::names::UpstreamName;
 use apricotdale_core::refusal::Ran;
 use apricotdale_core::refusal::Refusal;
@@ -17,6 +16,7 @@
 use crate::active::Phase;
 use crate::daemon::Daemon;
 use crate::failed_attempts::RETRY_AFTER_MS;
+use crate::stream_origins::software_text;
 
 /// Maximum number of prompt parts in one log line.
 const MAX_LOGGED_PARTS: usize = 16;
@@ -75,6 +75,8 @@
 
     /// Resets a caller's connection, so that an answer that stopped midway does not look complete.
     pub(crate) fn abort_caller(&mut self, token: Token) {
+        // The caller may resume the stream at another VM at once.
+        self.tell_origins();
         if let Some(caller) = self.callers.remove(&token) {
             caller.stream.close(self.poll.registry(), true);
         }
@@ -98,6 +100,7 @@
                 request_id = request.serving.id.to_string(),
                 resumes = request.serving.resumes.as_ref().map_or("", RequestId::as_str),
                 software = sent_software(&request),
+                begun_by = request.delivery.origin().map_or("", software_text),
                 reason = how,
                 route = request.route.name.to_string(),
                 status = request.delivery.status(),
@@ -130,9 +133,12 @@
                     request.phase = Phase::Waiting(WaitReason::Full);
                     self.dispatch(key);
                 }
-                Phase::Waiting(WaitReason::Limit | WaitReason::Permit | WaitReason::Suspected) => {
-                    self.dispatch(key)
-                }
+                Phase::Waiting(
+                    WaitReason::Limit
+                    | WaitReason::Permit
+                    | WaitReason::Suspected
+                    | WaitReason::Origin,
+                ) => self.dispatch(key),
                 _ => {}
             }
         }
@@ -165,7 +171,7 @@
 /// unknown.
 pub(crate) fn sent_software(request: &ActiveRequest) -> &str {
     match &request.phase {
-        Phase::Sent { origin, .. } => origin.version.as_ref().map_or("", SoftwareVersion::as_str),
+        Phase::Sent { origin, .. } => software_text(origin),
         _ => "",
     }
 }
--- a/crates/entry/src/store_pollers.rs
+++ b/crates/entry/src/store_pollers.rs
@@ -83,6 +83,9 @@
     /// Whether the store has answered if a snapshot exists. Before that the upstreams' own entries
     /// are not read: reads of them by all VMs that start would delay all other store calls.
     snapshot_checked: bool,
+    /// Whether this VM has read the snapshot, or that there is none. It writes none before, as it
+    /// would replace what the former lease holder knew of the time before this VM started.
+    snapshot_read: bool,
     /// Number of reads that found no snapshot.
     snapshot_misses: u32,
     /// When this VM reads the upstreams' entries although other VMs announce them, because nobody
@@ -122,6 +125,7 @@
             list_rate: ListRate::default(),
             list_snapshot: TopicPoller::default(),
             snapshot_checked: false,
+            snapshot_read: false,
             snapshot_misses: 0,
             no_snapshot_read_ms: None,
             snapshot_writer: SnapshotWriter::default(),
--- a/crates/entry/src/store_pollers/list_snapshot.rs
+++ b/crates/entry/src/store_pollers/list_snapshot.rs
@@ -7,9 +7,11 @@
 use apricotdale_core::numbers::Position;
 use apricotdale_fleet::ListSnapshot;
 use apricotdale_fleet::ListSnapshotPart;
+use apricotdale_fleet::RecentVersions;
 use apricotdale_fleet::Upstream;
 use apricotdale_fleet::residence_digests;
 use apricotdale_fleet::serving_digest;
+use apricotdale_fleet::versions_digest;
 
 use super::MAX_SNAPSHOT_MISSES;
 use super::SNAPSHOT_TIMEOUT_MS;
@@ -36,6 +38,9 @@
 /// together, each VM that has read them would send all others more than their links carry.
 const MAX_ANNOUNCED_ENTRIES: usize = 24;
 
+/// Number of failed reads after which the snapshot is written unread, as other VMs wait for one.
+const MAX_READ_FAILURES: u32 = 3;
+
 /// Pause after a failed write.
 const WRITE_RETRY_MS: u64 = 1_000;
 
@@ -48,6 +53,10 @@
     held: Vec<u32>,
     /// Version of the configuration that is known to be in force; 0 for none.
     configuration: u64,
+    /// Digest of the software versions of the upstreams that serve.
+    versions: u64,
+    /// Versions that services ran lately.
+    recent_versions: RecentVersions,
     /// Era of the store. A snapshot whose write was in progress when a new era began may be lost.
     era: u64,
 }
@@ -132,6 +141,15 @@
         let records = std::mem::take(&mut poller.pages);
         poller.after = None;
         self.store_pollers.snapshot_checked = true;
+        let is_first_read = !std::mem::replace(&mut self.store_pollers.snapshot_read, true);
+        if is_first_read && records.is_empty() && self.store_era.now() == 0 {
+            // Without a snapshot, no VM has served before this one, and no stream has begun.
+            let recent = RecentVersions {
+                is_complete: true,
+                ..RecentVersions::default()
+            };
+            self.stream_origins.restore_versions(self.now_ms, &recent);
+        }
         let parts: Vec<ListSnapshotPart> = records
             .iter()
             .filter_map(|record| record.value.as_deref())
@@ -142,6 +160,10 @@
         // lease holder writes another one.
         let snapshot = ListSnapshot::from_parts(parts)
             .filter(|snapshot| !self.store_era.is_past(snapshot.read_to.era));
+        if let (true, Some(snapshot)) = (is_first_read, &snapshot) {
+            self.stream_origins
+                .restore_versions(self.now_ms, &snapshot.recent_versions);
+        }
         match snapshot {
             Some(snapshot) => self.apply_snapshot(snapshot),
             None => self.record_missing_snapshot(),
@@ -197,7 +219,10 @@
         let Some(read_to) = from.filter(|from| !self.store_era.is_past(from.era)) else {
             return;
         };
-        if self.store_pollers.snapshot_writer.writing.is_some()
+        let poller = &self.store_pollers.list_snapshot;
+        let may_be_read = !self.store_pollers.snapshot_read && poller.failures < MAX_READ_FAILURES;
+        if may_be_read
+            || self.store_pollers.snapshot_writer.writing.is_some()
             || now_ms < self.store_pollers.snapshot_writer.next_ms
         {
             return;
@@ -206,6 +231,8 @@
             listed: serving_digest(&self.directory),
             held: residence_digests(&self.directory),
             configuration: self.known_version(),
+            versions: versions_digest(&self.directory),
+            recent_versions: self.stream_origins.recent_versions(now_ms),
             era: read_to.era,
         };
         let is_same_listing = self.store_pollers.snapshot_writer.listed() == Some(digest.listed);
@@ -219,6 +246,7 @@
         }
         let snapshot = ListSnapshot {
             configuration: digest.configuration,
+            recent_versions: digest.recent_versions.clone(),
             ..ListSnapshot::new(read_to, &self.directory)
         };
         let parts = snapshot.into_parts();
--- a/crates/entry/src/store_pollers/schedule.rs
+++ b/crates/entry/src/store_pollers/schedule.rs
@@ -66,7 +66,7 @@
 
     pub(super) fn snapshot_due_ms(&self, now_ms: u64, sharing: &ReadSharing) -> u64 {
         let poller = &self.list_snapshot;
-        if !self.snapshot_checked || poller.after.is_some() {
+        if !self.snapshot_checked || !self.snapshot_read || poller.after.is_some() {
             return poller.next_ms;
         }
         // The VM that reads for all others has written a snapshot or is about to.
--- a/crates/entry/src/store_pollers/upstream_list.rs
+++ b/crates/entry/src/store_pollers/upstream_list.rs
@@ -140,6 +140,10 @@
         let now_ms = self.now_ms;
         let instance = InstanceName::from(record.key.as_str());
         let before = self.directory.current_incarnation(&instance).cloned();
+        let known = before
+            .as_ref()
+            .and_then(|name| self.directory.upstream(name));
+        let version = known.and_then(|known| known.version.clone());
         let change = match (&record.value, &before) {
             (None, Some(incarnation)) => self.directory.record_missing_entry(now_ms, incarnation),
             (None, None) => DirectoryChange::None,
@@ -148,6 +152,13 @@
                 None => DirectoryChange::None,
             },
         };
+        let known = before
+            .as_ref()
+            .and_then(|name| self.directory.upstream(name));
+        if let Some(known) = known.filter(|known| known.version != version) {
+            // The entry of a running upstream names other software than before.
+            self.store_pollers.queue_arrival(known.name.clone());
+        }
         let reason = match record.value {
             None => "gone",
             Some(_) => "leaving",
--- a/crates/entry/src/upstream_answers.rs
+++ b/crates/entry/src/upstream_answers.rs
@@ -2,9 +2,11 @@
 
 use apricotdale_core::names::RequestId;
 use apricotdale_core::policy::UpstreamOutcome;
+use apricotdale_delivery::AnswerSource;
 use apricotdale_delivery::ContinuationMismatch;
 use apricotdale_dispatch::FailedAttempt;
 use apricotdale_dispatch::RetryAction;
+use apricotdale_fleet::Upstream;
 use apricotdale_http1::ResponseHead;
 use mio::Token;
 
@@ -16,6 +18,7 @@
 use crate::outbound::Purpose;
 use crate::request_ends::sent_software;
 use crate::request_ends::upstream_text;
+use crate::stream_origins::software_text;
 
 /// Space reserved for an answer's head in addition to the bytes of a part.
 const HEAD_RESERVE_BYTES: usize = 512;
@@ -122,10 +125,25 @@
         let is_success = (200..300).contains(&head.status);
         let mut stated = None;
         let verdict = match classify_head(&head, &fields, &request.serving.id) {
-            HeadVerdict::Deliver => match request.delivery.head(head, fields.version) {
-                Ok(()) => HeadVerdict::Deliver,
-                Err(mismatch) => HeadVerdict::ContinuationMismatch(mismatch),
-            },
+            HeadVerdict::Deliver => {
+                let fits = match &request.phase {
+                    Phase::Sent {
+                        upstream, origin, ..
+                    } => {
+                        let now = self.directory.upstream(upstream).map(Upstream::origin);
+                        let source = AnswerSource {
+                            origin: origin.corrected(now.as_ref()),
+                            weights: fields.version,
+                        };
+                        request.delivery.head(head, &source)
+                    }
+                    _ => Err(ContinuationMismatch::Closed),
+                };
+                match fits {
+                    Ok(()) => HeadVerdict::Deliver,
+                    Err(mismatch) => HeadVerdict::ContinuationMismatch(mismatch),
+                }
+            }
             verdict => verdict,
         };
         if let Phase::Sent {
@@ -202,6 +220,7 @@
                 reason = mismatch.as_str(),
                 upstream = upstream_text(&request.job),
                 software = sent_software(request),
+                begun_by = request.delivery.origin().map_or("", software_text),
                 last_event = request.delivery.last_event(),
                 begun = request.delivery.has_begun();
                 "answer can't continue the delivered part"
@@ -225,10 +244,11 @@
             log::info!(
                 request_id = request.serving.id.to_string(),
                 upstream = upstream_text(&request.job),
-                software = sent_software(request),
-                resumes = request.serving.resumes.as_ref().map_or("", RequestId::as_str),
                 status = head.status,
                 content_type = head.headers.text("Content-Type").unwrap_or_default(),
+                software = sent_software(request),
+                begun_by = request.delivery.origin().map_or("", software_text),
+                resumes = request.serving.resumes.as_ref().map_or("", RequestId::as_str),
                 last_event = request.delivery.last_event();
                 "answer resumed at another upstream"
             );
@@ -310,6 +330,9 @@
         }
         request.last_part_ms = self.now_ms;
         self.write_to_caller(caller, bytes);
+        if !had_begun {
+            self.record_stream_origin(key);
+        }
     }
 
     /// Handles the end of an answer. Returns whether the request is done with the connection.
--- a/crates/fleet/src/directory.rs
+++ b/crates/fleet/src/directory.rs
@@ -261,8 +261,11 @@
             _ if known.residence != entry.residence => DirectoryChange::Residence,
             _ => DirectoryChange::None,
         };
-        // A copy of the entry by another VM may lack the version of the incarnation.
-        let version = entry.version.clone().or_else(|| known.version.clone());
+        // A copy of the entry by another VM may lack the version of the incarnation. If the start
+        // time is not reported, a later entry may be that of a restarted process.
+        let is_same_process = entry.born_ms > 0 || entry.revision == known.revision;
+        let known_version = known.version.as_ref().filter(|_| is_same_process);
+        let version = entry.version.as_ref().or(known_version).cloned();
         // A leave notice is final: an entry that was written before it may be read after it.
         let phase = match known.phase {
             UpstreamPhase::Leaving => UpstreamPhase::Leaving,
--- a/crates/fleet/src/list_snapshot.rs
+++ b/crates/fleet/src/list_snapshot.rs
@@ -12,8 +12,8 @@
 use xxhash_rust::xxh3::xxh3_64;
 
 use crate::directory::Directory;
-use crate::entry_versions::decode_with_rest;
-use crate::entry_versions::encode_with_versions;
+use crate::entry_versions::RecentVersions;
+use crate::entry_versions::append_versions;
 use crate::entry_versions::set_versions;
 use crate::upstream::Upstream;
 use crate::upstream::UpstreamPhase;
@@ -37,6 +37,9 @@
     pub parts: u32,
     /// Upstreams whose entries this part contains; each upstream is in one part only.
     pub entries: Vec<Upstream>,
+    /// Versions that services ran lately. Like those of the entries, they follow behind the part.
+    #[serde(skip)]
+    pub recent_versions: RecentVersions,
 }
 
 impl ListSnapshotPart {
@@ -46,7 +49,8 @@
     ///
     /// Those of the encoder, if the part can't be encoded.
     pub fn to_bytes(&self) -> postcard::Result<Vec<u8>> {
-        encode_with_versions(self, &self.entries)
+        let bytes = append_versions(postcard::to_stdvec(self)?, &self.entries)?;
+        postcard::to_extend(&self.recent_versions, bytes)
     }
 
     /// Decodes a stored part.
@@ -55,8 +59,9 @@
     ///
     /// Those of the decoder, if the bytes are no such part.
     pub fn from_bytes(bytes: &[u8]) -> postcard::Result<Self> {
-        let (mut part, rest): (Self, &[u8]) = decode_with_rest(bytes)?;
-        set_versions(&mut part.entries, rest);
+        let (mut part, rest): (Self, &[u8]) = postcard::take_from_bytes(bytes)?;
+        let rest = set_versions(&mut part.entries, rest);
+        part.recent_versions = postcard::from_bytes(rest).unwrap_or_default();
         Ok(part)
     }
 }
@@ -70,6 +75,8 @@
     pub configuration: u64,
     /// All upstreams known to that VM, including leaving ones.
     pub entries: Vec<Upstream>,
+    /// Versions that services ran lately, as that VM knows them.
+    pub recent_versions: RecentVersions,
 }
 
 impl ListSnapshot {
@@ -79,6 +86,7 @@
             read_to,
             configuration: directory.version(),
             entries: directory.upstreams().cloned().collect(),
+            recent_versions: RecentVersions::default(),
         }
     }
 
@@ -89,6 +97,7 @@
             configuration: self.configuration,
             parts: self.entries.len().div_ceil(ENTRIES_PER_PART).max(1) as u32,
             entries: entries.to_vec(),
+            recent_versions: self.recent_versions.clone(),
         };
         match self.entries.is_empty() {
             true => vec![part(&[])],
@@ -107,11 +116,13 @@
             .collect();
         let first = newest.first()?;
         let configuration = first.configuration;
+        let recent_versions = first.recent_versions.clone();
         let is_complete = first.parts as usize == newest.len();
         is_complete.then(|| Self {
             read_to,
             configuration,
             entries: newest.into_iter().flat_map(|part| part.entries).collect(),
+            recent_versions,
         })
     }
 }
@@ -124,6 +135,18 @@
     sum(serving.map(|upstream| name_digest(&upstream.name)))
 }
 
+/// Returns a digest of the software versions of the upstreams that accept new work, which two VMs
+/// that know the same ones share.
+pub fn versions_digest(directory: &Directory) -> u64 {
+    let serving = directory
+        .upstreams()
+        .filter(|upstream| upstream.phase == UpstreamPhase::Serving);
+    sum(serving.map(|upstream| {
+        let version = upstream.version.as_ref().map_or("", |it| it.as_str());
+        xxh3_64(format!("{}\0{version}", upstream.name).as_bytes())
+    }))
+}
+
 /// Returns digests of the models and adapters resident on engines, one for each group of engines,
 /// which two VMs with the same state share. Orders change residences all the time: for a small
 /// group two VMs agree at most moments, for all engines together they seldom do.
--- a/crates/fleet/src/read_sharing.rs
+++ b/crates/fleet/src/read_sharing.rs
@@ -58,6 +58,11 @@
     pub held: Vec<u32>,
     /// Upstreams that left within the last seconds.
     pub left: Vec<Departure>,
+    /// Digest of the software versions of the upstreams that accept new work
+    /// ([`versions_digest`](crate::versions_digest)); `None` from an earlier release. It follows
+    /// behind the message.
+    #[serde(skip)]
+    pub versions: Option<u64>,
 }
 
 impl Freshness {
--- a/crates/fleet/src/upstream.rs
+++ b/crates/fleet/src/upstream.rs
@@ -78,8 +78,8 @@
 
 /// Encoded form of an upstream in messages between VMs, without the incarnation name, which follows
 /// from the instance and the start time, and without the software version, which earlier releases
-/// do not know: [`crate::append_versions`] adds the versions behind the message. List snapshots contain thousands of them, and each VM
-/// reads one at its start.
+/// do not know: [`crate::append_versions`] adds the versions behind the message. List snapshots
+/// contain thousands of them, and each VM reads one at its start.
 #[derive(Serialize, Deserialize)]
 struct ToldUpstream {
     instance: InstanceName,
--- a/crates/fleet/tests/read_sharing.rs
+++ b/crates/fleet/tests/read_sharing.rs
@@ -31,6 +31,7 @@
         snapshot_bytes: 23_000,
         held: vec![9],
         left: Vec::new(),
+        versions: None,
     }
 }
 
