--- a/crates/soak/src/lib.rs
+++ b/crates/soak/src/lib.rs
@@ -20,6 +20,7 @@
 mod keys;
 mod organisation_invariants;
 mod path_cut_invariants;
+mod path_cuts;
 mod plan;
 mod record;
 mod soak;
--- a/crates/soak/src/world.rs
+++ b/crates/soak/src/world.rs
@@ -25,7 +25,6 @@
 use crate::engines::EngineSlot;
 use crate::engines::engine_options;
 use crate::engines::join_engine;
-use crate::fault::PathCut;
 use crate::fault::Trouble;
 use crate::keys::KEY_MARK;
 use crate::keys::Keys;
@@ -41,7 +40,6 @@
 use crate::record::StopSeen;
 use crate::vms::StopOutcome;
 use crate::vms::Vms;
-use crate::vms::vm_address;
 use crate::workload::CALLER_TIMEOUT_MS;
 use crate::workload::LAST_EVENT_HEADER;
 use crate::workload::MODELS;
@@ -86,7 +84,7 @@
     pub vms: Arc<Vms>,
     pub(crate) site: Mutex<Site>,
     pub(crate) engines: Mutex<Vec<EngineSlot>>,
-    services: Vec<Proxy>,
+    pub(crate) services: Vec<Proxy>,
     stores: Vec<Proxy>,
     pub keys: Arc<Keys>,
     written: Mutex<WrittenConfiguration>,
@@ -376,45 +374,6 @@
         self.site.lock().rewrite_entries();
     }
 
-    /// Cuts VMs off from all upstreams for a time.
-    fn cut_paths(&self, first_vm: usize, vms: usize, way: PathCut, for_ms: u64) {
-        let of_vms = self.vms.len();
-        let cut: Vec<usize> = (0..vms).map(|it| (first_vm + it) % of_vms).collect();
-        let from_ms = self.clock.now_ms();
-        for address in cut.iter().map(|vm| vm_address(*vm)) {
-            self.for_each_proxy(|proxy| {
-                match way {
-                    PathCut::Silent => proxy.set_client_fault(address, LinkFault::Cut),
-                    PathCut::Reset | PathCut::NewRefused => {
-                        proxy.set_client_fault(address, LinkFault::Refused);
-                    }
-                }
-                if way == PathCut::Reset {
-                    proxy.reset_client(address);
-                }
-            });
-        }
-        pause(for_ms);
-        let until_ms = self.clock.now_ms();
-        for address in cut.iter().map(|vm| vm_address(*vm)) {
-            self.for_each_proxy(|proxy| proxy.clear_client_fault(address));
-        }
-        self.events.lock().path_cuts.push(PathCutSeen {
-            vms: cut,
-            of_vms,
-            from_ms,
-            until_ms,
-        });
-    }
-
-    fn for_each_proxy(&self, apply: impl Fn(&Proxy)) {
-        self.engines
-            .lock()
-            .iter()
-            .for_each(|slot| apply(&slot.proxy));
-        self.services.iter().for_each(apply);
-    }
-
     fn with_proxy(&self, upstream: usize, apply: impl Fn(&Proxy)) {
         let engines = self.engines.lock();
         match engines.get(upstream) {
