Soak: releases of the engines' software, callers that leave streams and resume them elsewhere

Nothing in the soak ran two software versions side by side, and its callers did not name the attempt that they resume.

A trouble 'release' restarts the engines one after another with another version, drawn by a mask of its own; other draws stay. Callers leave one in three resumable streams after some events and resume it at another VM with Resumes and Last-Event-Id, three attempts at most. Two invariants: no stream holds events of two software versions; streams that callers resume while two engines of their version serve go on at least half as often as new ones begin, from 12 on.

--- a/crates/soak/src/checks.rs
+++ b/crates/soak/src/checks.rs
@@ -74,6 +74,11 @@
     WithinStatedLimits,
     /// A VM that is cut off from all upstreams serves through others.
     ServesThroughOthers,
+    /// A stream holds events that one version of the engines' software wrote, over all attempts of
+    /// its caller.
+    OneSoftwareVersion,
+    /// Streams that callers resume go on at least half as often as new ones begin.
+    ResumedStreamsServed,
     /// No log line of a VM contains a key.
     KeysStaySecret,
 }
@@ -100,6 +105,8 @@
             Self::WithinLimits => "within limits",
             Self::WithinStatedLimits => "within stated limits",
             Self::ServesThroughOthers => "serves through others",
+            Self::OneSoftwareVersion => "one software version",
+            Self::ResumedStreamsServed => "resumed streams served",
             Self::KeysStaySecret => "keys stay secret",
         }
     }
@@ -138,6 +145,7 @@
     checker.check_limits(&mut found);
     checker.check_stated_limits(&mut found);
     checker.check_path_cuts(&mut found);
+    checker.check_software_versions(&mut found);
     checker.check_secrets(&mut found);
     found
 }
@@ -378,10 +386,11 @@
             let ended_ms = stop.ended.map_or(until_ms, |(at_ms, _)| at_ms);
             for attempt in self.record.attempts.iter().filter(|it| it.vm == stop.vm) {
                 let overlaps_stop = attempt.sent_ms <= ended_ms && attempt.ended_ms >= stop.at_ms;
-                let is_complete = !matches!(
-                    attempt.ending,
-                    Ending::Unanswered | Ending::Answered { whole: false, .. }
-                );
+                let is_complete = attempt.left_after_event.is_some()
+                    || !matches!(
+                        attempt.ending,
+                        Ending::Unanswered | Ending::Answered { whole: false, .. }
+                    );
                 // A stream may also break off because of its engine, and a large answer because of
                 // its upstream.
                 let is_excused = match attempt.kind.is_stream() {
@@ -422,7 +431,7 @@
         self.disturbs(&Place::Vm(vm), from_ms, until_ms)
     }
 
-    fn disturbs_store(&self, from_ms: u64, until_ms: u64) -> bool {
+    pub fn disturbs_store(&self, from_ms: u64, until_ms: u64) -> bool {
         self.disturbs(&Place::Store, from_ms, until_ms)
     }
 
--- a/crates/soak/src/draws.rs
+++ b/crates/soak/src/draws.rs
@@ -22,6 +22,7 @@
 use crate::plan::CRASH_PARTS;
 use crate::plan::Crasher;
 use crate::plan::Planned;
+use crate::streams::software_versions;
 use crate::workload::MODELS;
 
 /// Time before the first fault, in which the VMs begin to serve.
@@ -79,6 +80,18 @@
 /// Mask that gives the draws of these cuts a seed of their own.
 const PATH_CUT_SEED_MASK: u64 = 0x7061_7468_5f63_7574;
 
+/// Number of releases of engines' software.
+const RELEASE_COUNT: RangeInclusive<usize> = 1..=2;
+
+/// Time from an engine's leave notice to its end in a release, from there to its restart, and from
+/// there to the next engine.
+const RELEASE_DRAIN_MS: Range<u64> = 50..800;
+const RELEASE_DOWN_MS: Range<u64> = 50..700;
+const RELEASE_INTERVAL_MS: Range<u64> = 0..1_800;
+
+/// Mask that gives the draws of releases a seed of their own.
+const RELEASE_SEED_MASK: u64 = 0x7265_6c65_6173_6573;
+
 /// Number of changes of keys and limits.
 const ORGANISATION_CHANGE_COUNT: RangeInclusive<usize> = 3..=6;
 
@@ -277,6 +290,34 @@
         .collect()
 }
 
+/// Draws the releases of engines' software.
+pub(crate) fn draw_releases(seed: u64, calm_from_ms: u64, engines: usize) -> Vec<Planned> {
+    let mut random = ChaCha8Rng::seed_from_u64(seed ^ RELEASE_SEED_MASK);
+    let versions = software_versions();
+    let half_ms = WARM_UP_MS + calm_from_ms.saturating_sub(WARM_UP_MS).div_ceil(2);
+    (0..random.random_range(RELEASE_COUNT))
+        .map(|number| {
+            let drains = random.random_bool(0.5);
+            let drain_ms = random.random_range(RELEASE_DRAIN_MS);
+            // All engines run the first version at the start.
+            let software = match number {
+                0 => versions[1],
+                _ => versions[random.random_range(0..versions.len())],
+            };
+            Planned {
+                at_ms: random.random_range(WARM_UP_MS..half_ms.max(WARM_UP_MS + 1)),
+                trouble: Trouble::Release {
+                    first_engine: random.random_range(0..engines.max(1)),
+                    software,
+                    drain_ms: if drains { drain_ms } else { 0 },
+                    down_ms: random.random_range(RELEASE_DOWN_MS),
+                    interval_ms: random.random_range(RELEASE_INTERVAL_MS),
+                },
+            }
+        })
+        .collect()
+}
+
 /// Draws the bursts of an organisation and the operators' changes of keys and limits.
 pub(crate) fn draw_organisation_events(seed: u64, calm_from_ms: u64) -> (Vec<Burst>, Vec<Planned>) {
     let mut random = ChaCha8Rng::seed_from_u64(seed ^ ORGANISATION_SEED_MASK);
--- a/crates/soak/src/engines.rs
+++ b/crates/soak/src/engines.rs
@@ -9,6 +9,7 @@
 use apricotdale_standins::platform::CrashMarker;
 use apricotdale_standins::platform::CrashTrigger;
 use apricotdale_standins::platform::EngineOptions;
+use apricotdale_standins::platform::PlatformEngine;
 use apricotdale_standins::platform::Site;
 use apricotdale_standins::proxy::Proxy;
 
@@ -17,6 +18,7 @@
 use crate::record::Crash;
 use crate::record::Disturbance;
 use crate::record::Drain;
+use crate::record::EngineTime;
 use crate::record::Place;
 use crate::record::StatedLimitSeen;
 use crate::workload::MODELS;
@@ -56,7 +58,7 @@
 
 /// Marks the engine of a slot as ended and returns its index and its proxy; none if it had been
 /// marked already.
-fn mark_down(engines: &mut [EngineSlot], number: usize) -> Option<(usize, Arc<Proxy>)> {
+pub(crate) fn mark_down(engines: &mut [EngineSlot], number: usize) -> Option<(usize, Arc<Proxy>)> {
     let slot = engines.get_mut(number).filter(|slot| !slot.is_down)?;
     slot.is_down = true;
     Some((slot.index, slot.proxy.clone()))
@@ -106,6 +108,16 @@
     })
 }
 
+/// Returns the time of an engine that serves from now on.
+pub(crate) fn engine_time(engine: &PlatformEngine, from_ms: u64) -> EngineTime {
+    EngineTime {
+        upstream: engine.name().to_owned(),
+        software: engine.version(),
+        from_ms,
+        until_ms: None,
+    }
+}
+
 /// Returns what requests have in common that crash engines: their body, or the part of the prompt
 /// with which it begins.
 fn cause_of(body: &str) -> String {
@@ -156,6 +168,7 @@
             return;
         };
         proxy.go_down();
+        self.record_end(index, from_ms);
         if self.replace(number, index, &proxy).is_err() {
             return;
         }
@@ -191,6 +204,7 @@
             return;
         };
         proxy.go_down();
+        self.record_end(index, self.clock.now_ms());
         self.site.lock().stop_engine(index);
         // An engine that can't be replaced stays down.
         let _ = self.replace(number, index, &proxy);
@@ -200,18 +214,47 @@
     /// its address.
     fn replace(&self, number: usize, index: usize, proxy: &Proxy) -> io::Result<()> {
         pause(ENTRY_TTL_MS);
+        let software = self.site.lock().engines[index].version();
+        self.start_successor(number, index, proxy, &software)
+    }
+
+    /// Starts the engine that follows one which has ended, at its address.
+    pub(crate) fn start_successor(
+        &self,
+        number: usize,
+        index: usize,
+        proxy: &Proxy,
+        software: &str,
+    ) -> io::Result<()> {
         let mut engines = self.engines.lock();
         let mut site = self.site.lock();
         site.engines[index].withdraw();
         let name = format!("i-{}", site.engines.len());
-        let next = site.start_engine(engine_options(name, &[]))?;
+        let options = EngineOptions {
+            version: software.to_owned(),
+            ..engine_options(name, &[])
+        };
+        let next = site.start_engine(options)?;
+        let engine = site.engines[next].clone();
         proxy.come_up(site.engine_addresses[next])?;
-        site.engines[next].announce(Some(proxy.address()));
+        engine.announce(Some(proxy.address()));
         engines[number].index = next;
         engines[number].is_down = false;
+        let time = engine_time(&engine, self.clock.now_ms());
+        self.events.lock().engine_times.push(time);
         Ok(())
     }
 
+    /// Records that an engine no longer serves.
+    pub(crate) fn record_end(&self, index: usize, at_ms: u64) {
+        let name = self.site.lock().engines[index].name().to_owned();
+        let mut events = self.events.lock();
+        let mut times = events.engine_times.iter_mut();
+        if let Some(time) = times.find(|it| it.upstream == name && it.until_ms.is_none()) {
+            time.until_ms = Some(at_ms);
+        }
+    }
+
     /// Has an engine state a rate limit for a time, even if another engine replaces it meanwhile.
     pub(crate) fn state_limit(&self, number: usize, milli_per_s: u32, for_ms: u64) {
         let per_s = f64::from(milli_per_s) / 1_000.0;
@@ -253,11 +296,16 @@
             }
             let mut site = self.site.lock();
             let name = format!("i-{}", site.engines.len());
-            let Ok(joined) = join_engine(&mut site, engine_options(name, &[])) else {
+            let options = EngineOptions {
+                version: site.engines[engines[number].index].version(),
+                ..engine_options(name, &[])
+            };
+            let Ok(joined) = join_engine(&mut site, options) else {
                 return;
             };
             let old = std::mem::replace(&mut engines[number], joined);
             let engine = &site.engines[old.index];
+            let time = engine_time(&site.engines[engines[number].index], self.clock.now_ms());
             match notice {
                 true => engine.drain(),
                 false => engine.withdraw(),
@@ -266,9 +314,12 @@
                 upstream: engine.name().to_owned(),
                 at_ms: self.clock.now_ms(),
             };
-            self.events.lock().drains.push(drain);
+            let mut events = self.events.lock();
+            events.drains.push(drain);
+            events.engine_times.push(time);
             old
         };
+        self.record_end(old.index, self.clock.now_ms());
         pause(LEAVING_ENGINE_MS);
         let mut site = self.site.lock();
         site.engines[old.index].withdraw();
--- a/crates/soak/src/fault.rs
+++ b/crates/soak/src/fault.rs
@@ -169,6 +169,20 @@
         /// serving for a while.
         notice: bool,
     },
+    /// Ends the engines one after another, and starts new incarnations at their addresses with a
+    /// version of their software.
+    Release {
+        /// Index in the soak's list of the engine with which it begins; the others follow.
+        first_engine: usize,
+        /// Version of the software.
+        software: &'static str,
+        /// Time from an engine's leave notice to its end; 0 if it gives none.
+        drain_ms: u64,
+        /// Time from the end of an engine to its restart.
+        down_ms: u64,
+        /// Time from the restart of an engine to the leave notice or the end of the next.
+        interval_ms: u64,
+    },
     /// Has an engine state a rate limit in its answers for a time.
     StatedLimit {
         /// Index of the engine in the soak's list.
@@ -221,6 +235,7 @@
             Self::Orders { .. } => "orders",
             Self::EngineDies { .. } => "engine dies",
             Self::EngineLeaves { .. } => "engine leaves",
+            Self::Release { .. } => "release",
             Self::StatedLimit { .. } => "stated limit",
             Self::Configure => "configure",
             Self::KeyAdded { .. } => "key added",
@@ -257,7 +272,8 @@
             | Self::LargeCuts { .. }
             | Self::Orders { .. }
             | Self::EngineDies { .. }
-            | Self::EngineLeaves { .. } => Some(Place::Upstreams),
+            | Self::EngineLeaves { .. }
+            | Self::Release { .. } => Some(Place::Upstreams),
         }
     }
 }
--- a/crates/soak/src/main.rs
+++ b/crates/soak/src/main.rs
@@ -24,6 +24,7 @@
 use apricotdale_soak::entry_program;
 use apricotdale_soak::fullest_stated_window;
 use apricotdale_soak::fullest_window;
+use apricotdale_soak::resumed_share;
 
 /// Upper bound of soaks that run in parallel, whatever `--at-once` asks for.
 const MAX_PARALLEL_SOAKS: usize = 8;
@@ -146,10 +147,13 @@
     let fullest = fullest_window(record).map_or((0, 0), |window| (window.ran, window.most));
     let stated = fullest_stated_window(record).map_or((0, 0), |window| (window.ran, window.most));
     let resumed = record.attempts.iter().filter(|it| it.after_event > 0);
+    let share = resumed_share(record);
     let orders: usize = record.engines.iter().map(|(_, it)| it.holders.len()).sum();
     format!(
         "{} faults, {} requests by status {statuses:?}, {} runs, {orders} orders, {} streams over \
-         two engines ({} faulty, {} complete), {} resumed by callers, {} of {} requests in the \
+         two engines ({} faulty, {} complete), {} resumed by callers ({} of \
+         {} went on where two engines of their software version served, {} of {} new ones began), \
+         {} of {} requests in the \
          fullest window of a limit, {} of {} in that of a stated limit, {} violations",
         record.disturbances.len(),
         record.attempts.len(),
@@ -158,6 +162,10 @@
         continued.faulty,
         continued.whole,
         resumed.count(),
+        share.went_on,
+        share.resumed,
+        share.begun,
+        share.new,
         fullest.0,
         fullest.1,
         stated.0,
@@ -187,6 +195,9 @@
     for cut in &soak.record.path_cuts {
         writeln!(file, "{cut:?}")?;
     }
+    for time in &soak.record.engine_times {
+        writeln!(file, "{time:?}")?;
+    }
     for (number, key) in soak.record.keys.iter().enumerate() {
         writeln!(file, "key {number}: {key:?}")?;
     }
--- a/crates/soak/src/plan.rs
+++ b/crates/soak/src/plan.rs
@@ -8,6 +8,7 @@
 use crate::draws::draw_part_crashers;
 use crate::draws::draw_path_cuts;
 use crate::draws::draw_random_faults;
+use crate::draws::draw_releases;
 use crate::draws::draw_rollbacks;
 use crate::draws::draw_stated_limits;
 use crate::fault::Trouble;
@@ -93,6 +94,7 @@
         faults.extend(draw_continuation_faults(seed, calm_from_ms, engines));
         faults.extend(draw_stated_limits(seed, calm_from_ms, engines));
         faults.extend(draw_path_cuts(seed, calm_from_ms, vms));
+        faults.extend(draw_releases(seed, calm_from_ms, engines));
         let (bursts, changes) = draw_organisation_events(seed, calm_from_ms);
         faults.extend(changes);
         faults.sort_by_key(|planned| planned.at_ms);
--- a/crates/soak/src/record.rs
+++ b/crates/soak/src/record.rs
@@ -8,6 +8,7 @@
 use apricotdale_standins::platform::EngineEffects;
 
 use crate::streams::BodySeen;
+use crate::streams::StreamSeen;
 
 /// Name of the disturbance after which the store may hold an older configuration.
 pub(crate) const ROLLBACK: &str = "set back";
@@ -148,6 +149,11 @@
     pub presented: Presented,
     /// Last event ID that the caller had from an earlier attempt; 0 if it had none.
     pub after_event: u64,
+    /// Request ID of the attempt that brought the first event of the stream; none for an attempt
+    /// that resumes no stream.
+    pub resumes: Option<String>,
+    /// Event after which the caller closed the connection; none if the caller read on.
+    pub left_after_event: Option<u64>,
     /// Time when it was sent.
     pub sent_ms: u64,
     /// Time when its outcome was known.
@@ -166,6 +172,36 @@
             _ => 0,
         }
     }
+
+    /// Returns the stream that the attempt is part of: the request ID of its first attempt.
+    pub fn stream(&self) -> &str {
+        self.resumes.as_deref().unwrap_or(&self.id)
+    }
+
+    /// Returns the events that a success brought, as far as they came; none if it brought none.
+    pub fn events(&self) -> Option<&StreamSeen> {
+        match &self.ending {
+            Ending::Answered {
+                status: 200,
+                body: BodySeen::Stream(stream),
+                ..
+            } => Some(stream).filter(|stream| stream.last_id().is_some()),
+            _ => None,
+        }
+    }
+}
+
+/// Time for which an engine served.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct EngineTime {
+    /// Name of the engine.
+    pub upstream: String,
+    /// Version of its software.
+    pub software: String,
+    /// Time when it wrote its first entry.
+    pub from_ms: u64,
+    /// Time when it began to leave, or ended; none if it serves to the end.
+    pub until_ms: Option<u64>,
 }
 
 /// One execution of a request, as the upstream received it.
@@ -293,6 +329,8 @@
     pub engines: Vec<(String, EngineEffects)>,
     /// Faults as they were carried out.
     pub disturbances: Vec<Disturbance>,
+    /// Times for which engines served.
+    pub engine_times: Vec<EngineTime>,
     /// Planned departures of upstreams.
     pub drains: Vec<Drain>,
     /// Probes of configurations.
--- /dev/null
+++ b/crates/soak/src/releases.rs
@@ -0,0 +1,58 @@
+//! Releases of the engines' software.
+
+use std::sync::Arc;
+
+use apricotdale_standins::proxy::Proxy;
+
+use crate::engines::mark_down;
+use crate::fault::Trouble;
+use crate::world::World;
+use crate::world::pause;
+
+impl World {
+    /// Restarts the engines one after another with a version of their software. Engines that are
+    /// replaced meanwhile by another fault keep theirs.
+    pub(crate) fn release(&self, release: &Trouble) {
+        let Trouble::Release {
+            first_engine,
+            software,
+            drain_ms,
+            down_ms,
+            interval_ms,
+        } = release
+        else {
+            return;
+        };
+        let engines = self.engines.lock().len();
+        for number in (0..engines).map(|step| (first_engine + step) % engines) {
+            if let Some((index, proxy)) = self.end_for_release(number, *drain_ms) {
+                pause(*down_ms);
+                // An engine that can't be replaced stays down.
+                let _ = self.start_successor(number, index, &proxy, software);
+            }
+            pause(*interval_ms);
+        }
+    }
+
+    /// Ends the engine of a slot and returns its index and its proxy; none if it has ended or left
+    /// by itself.
+    fn end_for_release(&self, number: usize, drain_ms: u64) -> Option<(usize, Arc<Proxy>)> {
+        let index = self.engines.lock()[number].index;
+        if drain_ms > 0 {
+            self.site.lock().engines[index].drain();
+            self.record_end(index, self.clock.now_ms());
+            pause(drain_ms);
+        }
+        let (index, proxy) = {
+            let mut engines = self.engines.lock();
+            if engines[number].index != index {
+                return None;
+            }
+            mark_down(&mut engines, number)?
+        };
+        proxy.go_down();
+        self.record_end(index, self.clock.now_ms());
+        self.site.lock().stop_engine(index);
+        Some((index, proxy))
+    }
+}
--- a/crates/soak/src/soak.rs
+++ b/crates/soak/src/soak.rs
@@ -299,6 +299,7 @@
         crasher_ids: workload.crasher_ids.lock().clone(),
         engines: world.effects(),
         disturbances: events.disturbances.clone(),
+        engine_times: events.engine_times.clone(),
         drains: events.drains.clone(),
         probes: events.probes.clone(),
         stops: events.stops.clone(),
--- a/crates/soak/src/streams.rs
+++ b/crates/soak/src/streams.rs
@@ -5,6 +5,14 @@
 /// Versions of weights that the engines name, each with the text of its events.
 const TEXT_BY_VERSION: [(&str, &str); 2] = [("1", "piece"), ("2", "other piece")];
 
+/// Versions of their software that engines run, each with the end of the text of its events.
+const SUFFIX_BY_SOFTWARE: [(&str, &str); 3] = [("v1", ""), ("v2", " of v2"), ("v3", " of v3")];
+
+/// Returns the versions of their software that engines run.
+pub(crate) fn software_versions() -> [&'static str; SUFFIX_BY_SOFTWARE.len()] {
+    SUFFIX_BY_SOFTWARE.map(|(version, _)| version)
+}
+
 /// Complete event of a stream.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum Piece {
@@ -14,6 +22,8 @@
         id: u64,
         /// Version of the weights that produced the event, known by its text.
         version: &'static str,
+        /// Version of the software that wrote the event, known by its text.
+        software: &'static str,
     },
     /// Text that no engine sends as an event.
     Foreign,
@@ -93,12 +103,23 @@
         }
     }
 
+    /// Returns the versions of the software that wrote the complete events.
+    pub fn software_versions(&self) -> BTreeSet<&'static str> {
+        let pieces = self.pieces.iter();
+        pieces
+            .filter_map(|piece| match piece {
+                Piece::Event { software, .. } => Some(*software),
+                Piece::Foreign => None,
+            })
+            .collect()
+    }
+
     /// Returns the flaw of the stream, if any, given whether it looks complete to the caller.
     pub fn flaw(&self, whole: bool) -> Option<Flaw> {
         let mut ids = Vec::new();
         let mut versions: BTreeSet<&str> = BTreeSet::new();
         for piece in &self.pieces {
-            let Piece::Event { id, version } = piece else {
+            let Piece::Event { id, version, .. } = piece else {
                 return Some(Flaw::Foreign);
             };
             ids.push(*id);
@@ -148,23 +169,36 @@
     }
 }
 
+/// Returns the data that engines write in an event, with the versions of the weights and of the
+/// software.
+fn data_of_event(id: u64) -> impl Iterator<Item = (&'static str, &'static str, String)> {
+    TEXT_BY_VERSION
+        .into_iter()
+        .flat_map(move |(version, words)| {
+            SUFFIX_BY_SOFTWARE
+                .into_iter()
+                .map(move |(software, suffix)| (version, software, format!("{words} {id}{suffix}")))
+        })
+}
+
 fn parse_piece(block: &str) -> Piece {
-    let event = |(version, words): (&'static str, &str)| {
+    let event = || {
         let (id, data) = block.strip_prefix("id: ")?.split_once('\n')?;
-        let id: u64 = id.parse().ok()?;
-        (data == format!("data: {words} {id}")).then_some(Piece::Event { id, version })
+        let (id, data) = (id.parse().ok()?, data.strip_prefix("data: ")?);
+        let (version, software, _) = data_of_event(id).find(|(.., text)| text == data)?;
+        Some(Piece::Event {
+            id,
+            version,
+            software,
+        })
     };
-    TEXT_BY_VERSION
-        .into_iter()
-        .find_map(event)
-        .unwrap_or(Piece::Foreign)
+    event().unwrap_or(Piece::Foreign)
 }
 
 /// Classifies the bytes after the last complete event; `next` is the ID of the event that is due.
 fn classify_tail(remainder: &str, next: u64) -> Tail {
-    let is_event = TEXT_BY_VERSION
-        .iter()
-        .any(|(_, words)| format!("id: {next}\ndata: {words} {next}\n").starts_with(remainder));
+    let is_event = data_of_event(next)
+        .any(|(.., text)| format!("id: {next}\ndata: {text}\n").starts_with(remainder));
     // Engines fill an event that is too large to be buffered with one letter.
     let is_oversize = remainder
         .strip_prefix(&format!("id: {next}\ndata: "))
--- a/crates/soak/src/workload.rs
+++ b/crates/soak/src/workload.rs
@@ -55,6 +55,22 @@
 /// One in this many streams that broke off is resumed by its caller.
 const RESUME_ONE_IN: u32 = 2;
 
+/// One in this many resumable streams is left by its caller after some events, and resumed at
+/// another VM.
+const LEAVE_STREAM_ONE_IN: u32 = 3;
+
+/// One in this many resumptions that brought no event is sent again.
+const RESUME_AGAIN_ONE_IN: u32 = 2;
+
+/// Upper bound of the attempts of one stream.
+const MAX_TRIES: u32 = 3;
+
+/// Request header that names the attempt which brought the first event of a stream.
+const RESUMES_HEADER: &str = "Resumes";
+
+/// Mask that gives the draws of callers who leave and resume streams a seed of their own.
+const LEAVE_SEED_MASK: u64 = 0x6c65_6176_6573_0000;
+
 /// Request header that names the last event ID which the caller has.
 pub(crate) const LAST_EVENT_HEADER: &str = "Last-Event-Id";
 
@@ -64,6 +80,22 @@
 /// Models that callers name.
 pub(crate) const MODELS: [&str; 4] = ["m0", "m1", "m2", "m3"];
 
+/// When a caller closes its connection.
+#[derive(Clone, Copy, Debug)]
+pub(crate) enum Leaving {
+    AfterMs(u64),
+    AfterEvent(u64),
+}
+
+/// Next attempt of a stream whose caller resumes it.
+struct Resumption {
+    request: SiteRequest,
+    /// Number of attempts before this one.
+    tries: u32,
+    /// VM that the caller left; none if it may resume there.
+    left_vm: Option<usize>,
+}
+
 /// State that the callers share, with what they sent and observed.
 pub(crate) struct Workload {
     pub clock: Clock,
@@ -100,8 +132,9 @@
     pub fn run_caller(&self, organisation: usize, seed: u64) {
         let mut random = ChaCha8Rng::seed_from_u64(seed);
         let mut key_random = ChaCha8Rng::seed_from_u64(seed ^ KEY_SEED_MASK);
+        let mut leave_random = ChaCha8Rng::seed_from_u64(seed ^ LEAVE_SEED_MASK);
         let mut kept: Option<(usize, SocketAddr, Caller)> = None;
-        let mut resumption: Option<SiteRequest> = None;
+        let mut resumption: Option<Resumption> = None;
         while !self.stopped.load(Ordering::Acquire) {
             if random.random_ratio(1, CHANGE_VM_ONE_IN) {
                 kept = None;
@@ -113,19 +146,37 @@
             let drawn = draw_kind(&mut random);
             let leaves = random.random_ratio(1, DISCONNECT_ONE_IN);
             let leaves_after_ms = leaves.then(|| random.random_range(1..60));
-            let (kind, request) = match resumption.take() {
-                Some(request) => (Kind::Quick, request),
-                None => (drawn, self.new_request(drawn, &mut random)),
+            let (kind, request, tries, left_vm) = match resumption.take() {
+                Some(it) => (Kind::Quick, it.request, it.tries, it.left_vm),
+                None => (drawn, self.new_request(drawn, &mut random), 0, None),
+            };
+            let vm = match left_vm {
+                Some(left_vm) => {
+                    kept = None;
+                    let step = leave_random.random_range(1..self.vms.len().max(2));
+                    (left_vm + step) % self.vms.len()
+                }
+                None => vm,
+            };
+            let leaving = match leaves_after_ms {
+                Some(after_ms) => Some(Leaving::AfterMs(after_ms)),
+                None => self.draw_leaving(kind, &request, tries, &mut leave_random),
             };
             let connection = kept.take().map(|(_, address, caller)| (address, caller));
             let keyed = self
                 .keys
                 .with_drawn_key(&request, organisation, &mut key_random);
-            let (attempt, connection) = self.attempt(vm, kind, &keyed, connection, leaves_after_ms);
+            let (attempt, connection) = self.attempt(vm, kind, &keyed, connection, leaving);
             if attempt.ending == Ending::Unsent {
                 thread::sleep(CONNECT_RETRY_PAUSE);
             }
-            resumption = self.resumption(&attempt, &request, &mut random);
+            resumption = self
+                .resumption_request(&attempt, &request, tries, &mut random, &mut leave_random)
+                .map(|request| Resumption {
+                    request,
+                    tries: tries + 1,
+                    left_vm: attempt.left_after_event.map(|_| vm),
+                });
             self.attempts.lock().push(attempt);
             kept = connection.map(|(address, caller)| (vm, address, caller));
             thread::sleep(Duration::from_millis(random.random_range(2..40)));
@@ -196,7 +247,7 @@
         kind: Kind,
         (request, presented): &(SiteRequest, Presented),
         kept: Option<(SocketAddr, Caller)>,
-        leaves_after_ms: Option<u64>,
+        leaving: Option<Leaving>,
     ) -> (Attempt, Option<(SocketAddr, Caller)>) {
         let sent_ms = self.clock.now_ms();
         let attempt = |ending| Attempt {
@@ -205,6 +256,8 @@
             vm,
             presented: *presented,
             after_event: after_event(request),
+            resumes: header(request, RESUMES_HEADER).map(str::to_owned),
+            left_after_event: None,
             sent_ms,
             ended_ms: self.clock.now_ms(),
             patience_ms: CALLER_TIMEOUT_MS,
@@ -216,12 +269,28 @@
         if caller.send(&request.bytes()).is_err() {
             return (attempt(Ending::Unsent), None);
         }
-        if let Some(after_ms) = leaves_after_ms {
+        if let Some(Leaving::AfterMs(after_ms)) = leaving {
             thread::sleep(Duration::from_millis(after_ms));
             caller.leave();
             return (attempt(Ending::Left), None);
         }
-        match caller.answer() {
+        let leaves_after = match leaving {
+            Some(Leaving::AfterEvent(event)) => event,
+            _ => u64::MAX,
+        };
+        let has_left = |body: &[u8]| {
+            leaves_after < u64::MAX && self.last_event_in(request, body) >= Some(leaves_after)
+        };
+        match caller.answer_until(has_left) {
+            Ok(answer) if !answer.complete && has_left(&answer.body) => {
+                caller.leave();
+                let ending = self.ending(kind, request, &answer);
+                let attempt = Attempt {
+                    left_after_event: Some(leaves_after),
+                    ..attempt(ending)
+                };
+                (attempt, None)
+            }
             Ok(answer) if answer.head.is_none() => (attempt(Ending::Unanswered), None),
             Ok(answer) => {
                 let is_reusable = !answer.closes();
@@ -278,38 +347,71 @@
         request
     }
 
-    /// Returns the request for the remainder of a stream that broke off, if its caller resumes it.
-    fn resumption(
+    /// Returns after which event the caller of a stream leaves, if it does.
+    fn draw_leaving(
+        &self,
+        kind: Kind,
+        request: &SiteRequest,
+        tries: u32,
+        random: &mut ChaCha8Rng,
+    ) -> Option<Leaving> {
+        let after = after_event(request) + random.random_range(1..4);
+        let leaves = random.random_ratio(1, LEAVE_STREAM_ONE_IN)
+            && kind == Kind::Quick
+            && tries + 1 < MAX_TRIES
+            && after < self.events;
+        leaves.then_some(Leaving::AfterEvent(after))
+    }
+
+    /// Returns the request for the remainder of a stream that broke off or was left, if its caller
+    /// resumes it.
+    fn resumption_request(
         &self,
         attempt: &Attempt,
         request: &SiteRequest,
+        tries: u32,
         random: &mut ChaCha8Rng,
+        leave_random: &mut ChaCha8Rng,
     ) -> Option<SiteRequest> {
-        let last = match &attempt.ending {
+        let is_whole = matches!(
+            attempt.ending,
             Ending::Answered {
                 status: 200,
-                whole: false,
-                body: BodySeen::Stream(stream),
+                whole: true,
                 ..
-            } if attempt.kind == Kind::Quick => stream.last_id()?,
-            _ => return None,
-        };
-        if last >= self.events || !random.random_ratio(1, RESUME_ONE_IN) {
-            return None;
-        }
+            }
+        );
+        let received = attempt.events().and_then(StreamSeen::last_id);
+        let last = match received {
+            _ if attempt.kind != Kind::Quick || is_whole || tries + 1 >= MAX_TRIES => None,
+            Some(last) if attempt.left_after_event.is_some() => Some(last),
+            Some(last) if last >= self.events => None,
+            Some(last) => random.random_ratio(1, RESUME_ONE_IN).then_some(last),
+            None if attempt.after_event == 0 => None,
+            None => leave_random
+                .random_ratio(1, RESUME_AGAIN_ONE_IN)
+                .then_some(attempt.after_event),
+        }?;
         let number = self.next_id.fetch_add(1, Ordering::Relaxed);
+        let first_id = attempt.stream().to_owned();
         let mut resumed = SiteRequest {
             id: format!("r-{number}"),
             ..request.clone()
         };
         resumed
             .headers
-            .retain(|(name, _)| name != LAST_EVENT_HEADER);
-        let resumed = resumed.with(LAST_EVENT_HEADER, &last.to_string());
+            .retain(|(name, _)| name != LAST_EVENT_HEADER && name != RESUMES_HEADER);
+        let resumed = resumed.resuming(&first_id, last);
         self.sent.lock().insert(resumed.id.clone(), resumed.clone());
         Some(resumed)
     }
 
+    /// Returns the ID of the last complete event in the body of an answer to a request.
+    fn last_event_in(&self, request: &SiteRequest, body: &[u8]) -> Option<u64> {
+        let text = String::from_utf8_lossy(body);
+        StreamSeen::read(&text, after_event(request) + 1, self.events, None).last_id()
+    }
+
     fn ending(&self, kind: Kind, request: &SiteRequest, answer: &Answer) -> Ending {
         let body = match kind.is_stream() {
             true => BodySeen::Stream(StreamSeen::read(
@@ -341,9 +443,13 @@
 
 /// Returns the last event ID that a request says its caller has; 0 if it names none.
 fn after_event(request: &SiteRequest) -> u64 {
+    last_event(header(request, LAST_EVENT_HEADER))
+}
+
+fn header<'a>(request: &'a SiteRequest, name: &str) -> Option<&'a str> {
     let mut headers = request.headers.iter();
-    let named = headers.find(|(name, _)| name == LAST_EVENT_HEADER);
-    last_event(named.map(|(_, value)| value.as_str()))
+    let named = headers.find(|(field, _)| field == name);
+    named.map(|(_, value)| value.as_str())
 }
 
 /// Parses the last event ID from a header value; 0 if it is absent or no number.
--- a/crates/soak/src/world.rs
+++ b/crates/soak/src/world.rs
@@ -24,6 +24,7 @@
 use crate::clock::Clock;
 use crate::engines::EngineSlot;
 use crate::engines::engine_options;
+use crate::engines::engine_time;
 use crate::engines::join_engine;
 use crate::fault::Trouble;
 use crate::keys::KEY_MARK;
@@ -32,6 +33,7 @@
 use crate::record::ConfigurationProbe;
 use crate::record::Disturbance;
 use crate::record::Drain;
+use crate::record::EngineTime;
 use crate::record::KILL_ALL;
 use crate::record::PathCutSeen;
 use crate::record::Place;
@@ -62,6 +64,7 @@
 pub(crate) struct Events {
     pub disturbances: Vec<Disturbance>,
     pub drains: Vec<Drain>,
+    pub engine_times: Vec<EngineTime>,
     pub probes: Vec<ConfigurationProbe>,
     pub probe_ids: Vec<String>,
     pub stops: Vec<StopSeen>,
@@ -132,6 +135,14 @@
         }
         let addresses: Vec<SocketAddr> = stores.iter().map(Proxy::address).collect();
         let vms = Arc::new(Vms::start(program, addresses)?);
+        let engine_times = site
+            .engines
+            .iter()
+            .map(|it| engine_time(it, clock.now_ms()));
+        let events = Events {
+            engine_times: engine_times.collect(),
+            ..Events::default()
+        };
         Ok(Self {
             clock,
             vms,
@@ -145,7 +156,7 @@
                 route: 1,
             }),
             limit_starts: Mutex::default(),
-            events: Mutex::default(),
+            events: Mutex::new(events),
         })
     }
 
@@ -255,6 +266,7 @@
                 milli_per_s,
                 for_ms,
             } => self.state_limit(*engine, *milli_per_s, *for_ms),
+            Trouble::Release { .. } => self.release(trouble),
             Trouble::Configure => self.configure(),
             Trouble::KeyAdded { organisation } => {
                 self.change_organisations(OrganisationChange::Add {
--- a/crates/soak/tests/support/mod.rs
+++ b/crates/soak/tests/support/mod.rs
@@ -29,6 +29,8 @@
         vm: 0,
         presented: Presented::Key(0),
         after_event: 0,
+        resumes: None,
+        left_after_event: None,
         sent_ms: 10_000,
         ended_ms: 10_050,
         patience_ms: 3_000,
--- a/crates/standins/src/platform/caller.rs
+++ b/crates/standins/src/platform/caller.rs
@@ -296,6 +296,16 @@
     ///
     /// `InvalidData` for bytes that are no HTTP answer.
     pub fn answer(&mut self) -> io::Result<Answer> {
+        self.answer_until(|_| false)
+    }
+
+    /// Reads the next answer as [`Caller::answer`] does, but only until its body suffices. Then the
+    /// connection can't be used for another answer.
+    ///
+    /// # Errors
+    ///
+    /// Those of [`Caller::answer`].
+    pub fn answer_until(&mut self, suffices: impl Fn(&[u8]) -> bool) -> io::Result<Answer> {
         let no_answer = |error| io::Error::new(io::ErrorKind::InvalidData, format!("{error}"));
         let mut answer = Answer::default();
         let mut decoder: Option<BodyDecoder> = None;
@@ -318,6 +328,9 @@
                     return Ok(answer);
                 }
             }
+            if suffices(&answer.body) {
+                return Ok(answer);
+            }
             let mut bytes = [0_u8; 4096];
             match self.stream.read(&mut bytes) {
                 Ok(0) | Err(_) => return Ok(answer),
