Soak: engines of a release leave before they end

Half of the releases ended engines without a departure. Planned departures have a notice or the removal of the entry, after which engines serve on.

Engines leave with a notice or by the removal of their entries, and end 0.5 to 1.5 s later.

--- a/crates/soak/src/draws.rs
+++ b/crates/soak/src/draws.rs
@@ -83,11 +83,11 @@
 /// Number of releases of engines' software.
 const RELEASE_COUNT: RangeInclusive<usize> = 1..=2;
 
-/// Time from an engine's leave notice to its end in a release, from there to its restart, and from
+/// Time from the begin of an engine's departure to its end in a release, from there to its restart, and from
 /// there to the next engine.
-const RELEASE_DRAIN_MS: Range<u64> = 50..800;
-const RELEASE_DOWN_MS: Range<u64> = 50..700;
-const RELEASE_INTERVAL_MS: Range<u64> = 0..1_800;
+const RELEASE_DRAIN_MS: Range<u64> = 500..1_500;
+const RELEASE_DOWN_MS: Range<u64> = 50..500;
+const RELEASE_INTERVAL_MS: Range<u64> = 0..1_200;
 
 /// Mask that gives the draws of releases a seed of their own.
 const RELEASE_SEED_MASK: u64 = 0x7265_6c65_6173_6573;
@@ -297,8 +297,6 @@
     let half_ms = WARM_UP_MS + calm_from_ms.saturating_sub(WARM_UP_MS).div_ceil(2);
     (0..random.random_range(RELEASE_COUNT))
         .map(|number| {
-            let drains = random.random_bool(0.5);
-            let drain_ms = random.random_range(RELEASE_DRAIN_MS);
             // All engines run the first version at the start.
             let software = match number {
                 0 => versions[1],
@@ -309,7 +307,8 @@
                 trouble: Trouble::Release {
                     first_engine: random.random_range(0..engines.max(1)),
                     software,
-                    drain_ms: if drains { drain_ms } else { 0 },
+                    notice: random.random_bool(0.5),
+                    drain_ms: random.random_range(RELEASE_DRAIN_MS),
                     down_ms: random.random_range(RELEASE_DOWN_MS),
                     interval_ms: random.random_range(RELEASE_INTERVAL_MS),
                 },
--- a/crates/soak/src/engines.rs
+++ b/crates/soak/src/engines.rs
@@ -53,7 +53,7 @@
     pub index: usize,
     pub proxy: Arc<Proxy>,
     /// Whether the engine has ended and its successor has not joined yet.
-    is_down: bool,
+    pub is_down: bool,
 }
 
 /// Marks the engine of a slot as ended and returns its index and its proxy; none if it had been
--- a/crates/soak/src/fault.rs
+++ b/crates/soak/src/fault.rs
@@ -176,7 +176,9 @@
         first_engine: usize,
         /// Version of the software.
         software: &'static str,
-        /// Time from an engine's leave notice to its end; 0 if it gives none.
+        /// Whether engines send leave notices. Otherwise their entries are removed.
+        notice: bool,
+        /// Time from there to an engine's end.
         drain_ms: u64,
         /// Time from the end of an engine to its restart.
         down_ms: u64,
--- a/crates/soak/src/releases.rs
+++ b/crates/soak/src/releases.rs
@@ -16,6 +16,7 @@
         let Trouble::Release {
             first_engine,
             software,
+            notice,
             drain_ms,
             down_ms,
             interval_ms,
@@ -25,7 +26,7 @@
         };
         let engines = self.engines.lock().len();
         for number in (0..engines).map(|step| (first_engine + step) % engines) {
-            if let Some((index, proxy)) = self.end_for_release(number, *drain_ms) {
+            if let Some((index, proxy)) = self.end_for_release(number, *notice, *drain_ms) {
                 pause(*down_ms);
                 // An engine that can't be replaced stays down.
                 let _ = self.start_successor(number, index, &proxy, software);
@@ -36,13 +37,24 @@
 
     /// Ends the engine of a slot and returns its index and its proxy; none if it has ended or left
     /// by itself.
-    fn end_for_release(&self, number: usize, drain_ms: u64) -> Option<(usize, Arc<Proxy>)> {
-        let index = self.engines.lock()[number].index;
-        if drain_ms > 0 {
-            self.site.lock().engines[index].drain();
-            self.record_end(index, self.clock.now_ms());
-            pause(drain_ms);
+    fn end_for_release(
+        &self,
+        number: usize,
+        notice: bool,
+        drain_ms: u64,
+    ) -> Option<(usize, Arc<Proxy>)> {
+        let index = {
+            let engines = self.engines.lock();
+            let slot = engines.get(number).filter(|slot| !slot.is_down)?;
+            slot.index
+        };
+        let engine = self.site.lock().engines[index].clone();
+        match notice {
+            true => engine.drain(),
+            false => engine.withdraw(),
         }
+        self.record_end(index, self.clock.now_ms());
+        pause(drain_ms);
         let (index, proxy) = {
             let mut engines = self.engines.lock();
             if engines[number].index != index {
@@ -51,7 +63,6 @@
             mark_down(&mut engines, number)?
         };
         proxy.go_down();
-        self.record_end(index, self.clock.now_ms());
         self.site.lock().stop_engine(index);
         Some((index, proxy))
     }
