Soak: faults of continued streams are kept until they have spoiled a continuation

Cause: these faults lay in a queue of each engine. Each such request took a fault that its crash then hid, and each engine took its queue with it. Until 5.4 s one engine serves at a time: what is cut there has no second engine, and the engines that come later have no faults.

Change: as many faults as each engine gets are also kept in one place for all engines. Such a fault cuts streams that may be resumed until one of them has gone on at another engine and was spoiled there; only that uses it up. Faults of the engine's own come first, as before. A request that crashes its engine uses up none, and is no longer recorded with a fault that nobody saw. What is left when callers stop is dropped: recovery begins after the last fault.

--- a/crates/soak/src/fault.rs
+++ b/crates/soak/src/fault.rs
@@ -121,11 +121,12 @@
         /// Number of answers that are affected.
         count: u32,
     },
-    /// Has every engine send its next answers with the same fault.
+    /// Has every engine send its next answers with the same fault. A fault that spoils continued
+    /// streams is also kept until it has spoiled as many of them at whichever engines serve.
     EnginesAnswer {
         /// Fault of the answers.
         fault: AnswerFault,
-        /// Number of answers that are affected.
+        /// Number of answers of each engine that are affected.
         count: u32,
     },
     /// Has one engine cut its next streams, and the others send their next answers with another
--- a/crates/soak/src/soak.rs
+++ b/crates/soak/src/soak.rs
@@ -145,6 +145,7 @@
         inject_planned_faults(clock, &world, &plan);
         thread::sleep(Duration::from_millis(1_000));
         workload.stopped.store(true, Ordering::Release);
+        world.clear_shared_faults();
         join(callers);
         join(crashers);
         join(bursts);
--- a/crates/soak/src/world.rs
+++ b/crates/soak/src/world.rs
@@ -238,6 +238,10 @@
             } => self.queue_answer_faults(*upstream, *fault, *count),
             Trouble::EnginesAnswer { fault, count } => {
                 self.queue_engine_faults(*count, |_| *fault);
+                if matches!(fault, AnswerFault::CutThen { .. }) {
+                    let site = self.site.lock();
+                    (0..*count).for_each(|_| site.push_shared_fault(*fault));
+                }
             }
             Trouble::CutBefore {
                 engine,
@@ -416,6 +420,11 @@
         }
     }
 
+    /// Drops the faults that have not spoiled a continuation yet.
+    pub fn clear_shared_faults(&self) {
+        self.site.lock().clear_shared_faults();
+    }
+
     fn queue_order_faults(&self, engine: usize, late_ms: Option<u64>, count: u32) {
         let fault = match late_ms {
             Some(after_ms) => OrderFault::Late { after_ms },
--- a/crates/standins/src/platform/answers.rs
+++ b/crates/standins/src/platform/answers.rs
@@ -20,6 +20,8 @@
 use crate::http::StreamEnd;
 use crate::platform::event_texts::DEFAULT_SOFTWARE_VERSION;
 use crate::platform::event_texts::EventTexts;
+use crate::platform::shared_faults::SharedFaults;
+use crate::platform::site::RESUMABLE_PREFIX;
 use crate::platform::stream_faults::StreamFault;
 
 pub(crate) const ID: &str = "Apricotdale-Request-Id";
@@ -138,6 +140,7 @@
 pub(crate) struct Answers {
     instance: String,
     faults: Mutex<VecDeque<AnswerFault>>,
+    shared_faults: Arc<Mutex<SharedFaults>>,
     /// Requests that ran, in order.
     pub runs: Mutex<Vec<RecordedRun>>,
     /// Requests whose client disconnected while they ran.
@@ -161,6 +164,7 @@
         Self {
             instance: instance.to_owned(),
             faults: Mutex::default(),
+            shared_faults: Arc::default(),
             runs: Mutex::default(),
             left: Arc::default(),
             streamed: Arc::default(),
@@ -172,6 +176,14 @@
         }
     }
 
+    /// Returns the answers with faults that they share with those of other upstreams.
+    pub fn with_shared_faults(self, shared_faults: Arc<Mutex<SharedFaults>>) -> Self {
+        Self {
+            shared_faults,
+            ..self
+        }
+    }
+
     /// Returns the limits that answers state, with the names of their fields.
     fn limits(&self) -> Vec<(&'static str, String)> {
         let limits = [
@@ -226,24 +238,37 @@
 
     /// Takes the next fault, and records the request as run unless the fault rejects it.
     pub fn begin(&self, request: &Request) -> Option<AnswerFault> {
-        let fault = self.faults.lock().pop_front();
+        let own = self.faults.lock().pop_front();
+        let fault = own.or_else(|| self.shared_fault(request));
         let rejections = [AnswerFault::TurnedAway, AnswerFault::TurnedAwayStalled];
         if fault.is_some_and(|fault| rejections.contains(&fault)) {
             self.rejections.lock().push(Instant::now());
         } else {
-            self.runs.lock().push(RecordedRun {
-                id: id_of(request).to_owned(),
-                method: request.method.clone(),
-                target: request.target(),
-                headers: request.headers().to_vec(),
-                body: request.body.clone(),
-                at: Instant::now(),
-                fault,
-            });
+            self.record_run(request, fault);
         }
         fault
     }
 
+    fn shared_fault(&self, request: &Request) -> Option<AnswerFault> {
+        let is_resumable = request.path.starts_with(RESUMABLE_PREFIX);
+        let mut shared_faults = self.shared_faults.lock();
+        is_resumable
+            .then(|| shared_faults.next(id_of(request), first_event(request), &self.instance))?
+    }
+
+    /// Records the request as run.
+    pub fn record_run(&self, request: &Request, fault: Option<AnswerFault>) {
+        self.runs.lock().push(RecordedRun {
+            id: id_of(request).to_owned(),
+            method: request.method.clone(),
+            target: request.target(),
+            headers: request.headers().to_vec(),
+            body: request.body.clone(),
+            at: Instant::now(),
+            fault,
+        });
+    }
+
     /// Returns the answer to a request that is not streamed.
     pub fn unstreamed_answer(
         &self,
--- a/crates/standins/src/platform/engine.rs
+++ b/crates/standins/src/platform/engine.rs
@@ -25,6 +25,7 @@
 use crate::platform::orders::Holdings;
 use crate::platform::orders::OrderFault;
 use crate::platform::orders::WireOrder;
+use crate::platform::shared_faults::SharedFaults;
 use crate::platform::store::PlatformStore;
 
 /// Start of the first incarnation of each engine, in Unix milliseconds.
@@ -180,9 +181,13 @@
 }
 
 impl PlatformEngine {
-    /// Returns an engine that writes its entry to a store.
-    pub fn new(options: EngineOptions, store: PlatformStore) -> Self {
-        let answers = Answers::new(&options.instance);
+    /// Returns an engine that writes its entry to a store and shares faults with other engines.
+    pub(crate) fn new(
+        options: EngineOptions,
+        store: PlatformStore,
+        shared_faults: Arc<Mutex<SharedFaults>>,
+    ) -> Self {
+        let answers = Answers::new(&options.instance).with_shared_faults(shared_faults);
         *answers.software_version.lock() = options.version.clone();
         Self {
             holdings: Mutex::new(Holdings::new(options.clone())),
@@ -446,10 +451,10 @@
         if !self.holdings.lock().serves(wanted) {
             return self.answers.not_run(request, 421);
         }
-        let fault = self.answers.begin(request);
-        let crashes = self.options.crashes.iter();
-        let mut crashes = crashes.filter(|it| it.marker.matches(request));
-        if let Some(trigger) = crashes.next() {
+        let mut crashes = self.options.crashes.iter();
+        if let Some(trigger) = crashes.find(|it| it.marker.matches(request)) {
+            // The answer breaks off in the crash, so no other fault is used up on it.
+            self.answers.record_run(request, None);
             let run = (Instant::now(), request.body.clone());
             self.marked_runs.lock().push(run);
             thread::sleep(Duration::from_millis(trigger.after_ms));
@@ -464,6 +469,7 @@
             let (events, gap_ms) = (trigger.after_events, self.options.gap_ms);
             return self.answers.events_until(request, events, gap_ms, end);
         }
+        let fault = self.answers.begin(request);
         let (filler_bytes, gap_ms) = (self.options.filler_bytes, self.options.gap_ms);
         self.answers
             .events(request, fault, self.options.events, filler_bytes, gap_ms)
--- a/crates/standins/src/platform/mod.rs
+++ b/crates/standins/src/platform/mod.rs
@@ -9,6 +9,7 @@
 mod orders;
 mod organisations;
 mod service;
+mod shared_faults;
 mod site;
 mod store;
 mod stream_faults;
--- a/crates/standins/src/platform/site.rs
+++ b/crates/standins/src/platform/site.rs
@@ -11,12 +11,17 @@
 use serde_json::json;
 
 use crate::http::Server;
+use crate::platform::answers::AnswerFault;
 use crate::platform::engine::EngineOptions;
 use crate::platform::engine::PlatformEngine;
 use crate::platform::organisations::SiteOrganisation;
 use crate::platform::service::PlatformService;
+use crate::platform::shared_faults::SharedFaults;
 use crate::platform::store::PlatformStore;
 
+/// Prefix of the streams that may be resumed.
+pub(crate) const RESUMABLE_PREFIX: &str = "/quick/";
+
 const LOOPBACK: SocketAddr = SocketAddr::new(IpAddr::V4(Ipv4Addr::LOCALHOST), 0);
 
 /// Options with which a site is started.
@@ -84,6 +89,7 @@
     /// Addresses that the instances listen on, in the same order.
     pub service_addresses: Vec<SocketAddr>,
     store: PlatformStore,
+    shared_faults: Arc<Mutex<SharedFaults>>,
     /// Configuration that was written last.
     configuration: Mutex<Vec<u8>>,
     options: SiteOptions,
@@ -107,6 +113,7 @@
             services: Vec::new(),
             service_addresses: Vec::new(),
             store: PlatformStore::default(),
+            shared_faults: Arc::default(),
             configuration: Mutex::default(),
             options: options.clone(),
             servers: Vec::new(),
@@ -153,7 +160,8 @@
     ///
     /// Errors of listening on loopback.
     pub fn start_engine(&mut self, options: EngineOptions) -> io::Result<usize> {
-        let engine = Arc::new(PlatformEngine::new(options, self.store.clone()));
+        let (store, faults) = (self.store.clone(), self.shared_faults.clone());
+        let engine = Arc::new(PlatformEngine::new(options, store, faults));
         let server = Server::start(LOOPBACK, engine.clone())?;
         engine.set_stopper(server.stopper());
         self.engine_addresses.push(server.address());
@@ -162,6 +170,17 @@
         Ok(self.engines.len() - 1)
     }
 
+    /// Adds a fault that spoils the next continuation of a stream, at whichever engine has no faults
+    /// of its own left. Until then, it breaks off each stream that may be resumed.
+    pub fn push_shared_fault(&self, fault: AnswerFault) {
+        self.shared_faults.lock().push(fault);
+    }
+
+    /// Removes the shared faults that have not spoiled a continuation yet.
+    pub fn clear_shared_faults(&self) {
+        self.shared_faults.lock().clear();
+    }
+
     /// Ends an engine's process: every connection breaks, and its entry stays as it is.
     pub fn stop_engine(&mut self, index: usize) {
         if let Some(server) = self.engine_servers.get_mut(index).and_then(Option::take) {
@@ -173,7 +192,7 @@
     /// and calls that may not be retried and that may.
     pub fn routes(&self) -> Vec<Value> {
         vec![
-            self.route("quick", "/quick/", "streaming", "llm", 2),
+            self.route("quick", RESUMABLE_PREFIX, "streaming", "llm", 2),
             self.route("patient", "/patient/", "streaming", "llm", 1),
             self.route("book", "/book/", "unsafe", "plain", 1),
             self.route("look", "/look/", "safe", "plain", 2),
@@ -185,7 +204,7 @@
             "name": name, "host": "site.example", "path_prefix": prefix, "kind": kind,
             "timeout_ms": self.options.timeout_ms, "target_latency_ms": 300, "priority": 0,
             "service": service, "attempts": attempts, "sticky_sessions": true,
-            "resumable": prefix == "/quick/", "gap_target_ms": 400,
+            "resumable": prefix == RESUMABLE_PREFIX, "gap_target_ms": 400,
         })
     }
 
