Answers tell whether an upstream leaves or asks for rest; both are logged and counted

The record could not tell which answers stated what: neither field was read. The codec reads both, from every answer of an upstream (to requests, to calls, read for nobody); a line names the upstream, where it was stated and for how long, a counter their number. Nothing is decided by them yet.

--- a/crates/entry/src/codec.rs
+++ b/crates/entry/src/codec.rs
@@ -71,6 +71,18 @@
     Invalid(String),
 }
 
+/// Rest in the head of an upstream's answer: time in which it wants no request from this VM.
+#[derive(Clone, Debug, Default, PartialEq, Eq)]
+pub enum RestField {
+    /// The answer asks for no rest.
+    #[default]
+    Absent,
+    /// The answer asks for this many milliseconds of rest.
+    Stated(u64),
+    /// The answer states something that is no time.
+    Invalid(String),
+}
+
 /// Contents of the head of an upstream's answer.
 #[derive(Clone, Debug, Default, PartialEq, Eq)]
 pub struct AnswerFields {
@@ -97,6 +109,10 @@
     pub rate_limit: LimitField,
     /// Requests per second that the upstream may have to reject for want of room before it fails.
     pub rejection_limit: LimitField,
+    /// Whether the upstream states that it leaves.
+    pub leaving: bool,
+    /// Rest that the upstream asks for.
+    pub rest: RestField,
 }
 
 /// Format of the event streams that upstreams write.
--- a/crates/entry/src/lib.rs
+++ b/crates/entry/src/lib.rs
@@ -45,6 +45,7 @@
 mod stream;
 mod stream_origins;
 mod upstream_answers;
+mod upstream_notices;
 mod upstream_paths;
 mod upstream_permits;
 
@@ -60,6 +61,7 @@
 pub use codec::KeyedRecord;
 pub use codec::LimitField;
 pub use codec::LogRead;
+pub use codec::RestField;
 pub use codec::StoreCodec;
 pub use codec::StoreOutcome;
 pub use codec::StreamFormat;
--- a/crates/entry/src/metrics.rs
+++ b/crates/entry/src/metrics.rs
@@ -42,6 +42,7 @@
     answers_of_earlier_eras: Family<Reason, Counter>,
     list_repairs: Counter,
     unresponsive_engines: Counter,
+    notices: Family<Reason, Counter>,
     crashed_upstreams: Counter,
     new_blocks: Counter,
     first_answer_ms: Histogram,
@@ -105,6 +106,7 @@
             answers_of_earlier_eras: Family::default(),
             list_repairs: Counter::default(),
             unresponsive_engines: Counter::default(),
+            notices: Family::default(),
             crashed_upstreams: Counter::default(),
             new_blocks: Counter::default(),
             first_answer_ms: Histogram::new(buckets()),
@@ -234,6 +236,11 @@
         self.list_repairs.inc();
     }
 
+    /// Counts an answer in which an upstream states that it leaves or wants rest.
+    pub fn notice(&self, kind: &str) {
+        count(&self.notices, kind);
+    }
+
     /// Counts an engine that became unresponsive.
     pub fn unresponsive_engine(&self) {
         self.unresponsive_engines.inc();
--- a/crates/entry/src/metrics/registration.rs
+++ b/crates/entry/src/metrics/registration.rs
@@ -107,6 +107,11 @@
             "Engines that became unresponsive",
             self.unresponsive_engines.clone(),
         );
+        registry.register(
+            "upstream_notices",
+            "Answers in which upstreams state that they leave or want rest",
+            self.notices.clone(),
+        );
         registry.register(
             "crashed_upstreams",
             "Upstreams that crashed while requests of this VM were in progress there",
--- a/crates/entry/src/upstream_answers.rs
+++ b/crates/entry/src/upstream_answers.rs
@@ -59,7 +59,10 @@
                 return;
             }
             match connection.next_part() {
-                Part::Head(head) => self.handle_answer_head(token, key, head),
+                Part::Head(head) => {
+                    self.handle_notices(token, &head);
+                    self.handle_answer_head(token, key, head);
+                }
                 Part::Body(bytes) => self.handle_answer_body(token, key, &bytes),
                 Part::End => {
                     if self.handle_answer_end(token, key) {
@@ -97,7 +100,8 @@
                 return;
             }
             match connection.next_part() {
-                Part::Head(_) | Part::Body(_) => {}
+                Part::Head(head) => self.handle_notices(token, &head),
+                Part::Body(_) => {}
                 Part::Wait if connection.has_more() => {
                     connection.read(now_ms);
                 }
--- /dev/null
+++ b/crates/entry/src/upstream_notices.rs
@@ -0,0 +1,62 @@
+//! What upstreams state about themselves in their answers: that they leave, or that they want no
+//! request for some time.
+
+use apricotdale_core::names::UpstreamName;
+use apricotdale_http1::ResponseHead;
+use mio::Token;
+
+use crate::codec::RestField;
+use crate::daemon::Daemon;
+use crate::outbound::Peer;
+use crate::outbound::Purpose;
+
+impl Daemon {
+    /// Handles what an upstream states in the head of any answer: to a request, to a call of this VM,
+    /// or one that is read for nobody.
+    pub(crate) fn handle_notices(&mut self, token: Token, head: &ResponseHead) {
+        let Some(connection) = self.outbound.get_mut(token) else {
+            return;
+        };
+        let Peer::Upstream(upstream) = connection.peer.clone() else {
+            return;
+        };
+        let source = match &connection.purpose {
+            Purpose::Proxy(_) => "answer",
+            Purpose::Call(tag) => tag.as_str(),
+            Purpose::Drain | Purpose::Idle => "abandoned",
+        };
+        let fields = self.codecs.callers.answer(head);
+        if fields.leaving {
+            self.metrics.notice("leaving");
+            self.log_leave_notice(&upstream, source, head.status);
+        }
+        match fields.rest {
+            RestField::Absent => {}
+            RestField::Stated(rest_ms) => {
+                self.metrics.notice("rest");
+                self.log_rest(&upstream, source, rest_ms);
+            }
+            RestField::Invalid(text) => {
+                self.metrics.notice("invalid_rest");
+                if self.log_budget.try_take(self.now_ms, false) {
+                    log::warn!(upstream = upstream.to_string(), text; "rest ignored");
+                }
+            }
+        }
+    }
+
+    fn log_leave_notice(&mut self, upstream: &UpstreamName, source: &str, status: u16) {
+        if self.log_budget.try_take(self.now_ms, false) {
+            log::info!(
+                upstream = upstream.to_string(), source, status;
+                "upstream states that it leaves"
+            );
+        }
+    }
+
+    fn log_rest(&mut self, upstream: &UpstreamName, source: &str, rest_ms: u64) {
+        if self.log_budget.try_take(self.now_ms, false) {
+            log::info!(upstream = upstream.to_string(), source, rest_ms; "upstream asks for rest");
+        }
+    }
+}
