--- a/crates/standins/src/platform/answers.rs
+++ b/crates/standins/src/platform/answers.rs
@@ -20,6 +20,8 @@
 use crate::http::StreamEnd;
 use crate::platform::event_texts::DEFAULT_SOFTWARE_VERSION;
 use crate::platform::event_texts::EventTexts;
+use crate::platform::notices::LEAVING;
+use crate::platform::notices::Notices;
 use crate::platform::shared_faults::SharedFaults;
 use crate::platform::site::RESUMABLE_PREFIX;
 use crate::platform::stream_faults::StreamFault;
@@ -153,6 +155,7 @@
     pub rate_limit: Mutex<Option<String>>,
     /// Limit on rejections that the answers to requests state; none if they state none.
     pub rejection_limit: Mutex<Option<String>>,
+    pub notices: Notices,
     /// Times of the rejections for want of room.
     pub rejections: Mutex<Vec<Instant>>,
     /// Version of the upstream's software, which events that begin from now on tell.
@@ -171,6 +174,7 @@
             unresponsive: Arc::default(),
             rate_limit: Mutex::default(),
             rejection_limit: Mutex::default(),
+            notices: Notices::default(),
             rejections: Mutex::default(),
             software_version: Mutex::new(DEFAULT_SOFTWARE_VERSION.to_owned()),
         }
@@ -184,11 +188,12 @@
         }
     }
 
-    /// Returns the limits that answers state, with the names of their fields.
+    /// Returns what answers state about the upstream, with the names of the fields.
     fn limits(&self) -> Vec<(&'static str, String)> {
         let limits = [
             (RATE_LIMIT, &self.rate_limit),
             (REJECTION_LIMIT, &self.rejection_limit),
+            (LEAVING, &self.notices.leaving),
         ];
         let stated = limits.into_iter().filter_map(|(name, limit)| {
             let limit = limit.lock().clone();
@@ -233,6 +238,10 @@
             .with_header(ID, id_of(request))
             .with_header(NOT_RUN, "1")
             .with_header(INSTANCE, &self.instance);
+        let reply = match status {
+            503 => self.notices.with_retry_after(reply),
+            _ => reply,
+        };
         self.with_limits(reply)
     }
 
--- a/crates/standins/src/platform/engine.rs
+++ b/crates/standins/src/platform/engine.rs
@@ -22,6 +22,7 @@
 use crate::platform::answers::RecordedRun;
 use crate::platform::answers::contains;
 use crate::platform::event_texts::DEFAULT_SOFTWARE_VERSION;
+use crate::platform::notices::Notices;
 use crate::platform::orders::Holdings;
 use crate::platform::orders::OrderFault;
 use crate::platform::orders::WireOrder;
@@ -308,6 +309,10 @@
         *self.answers.rejection_limit.lock() = rejection_limit.map(str::to_owned);
     }
 
+    pub(crate) fn notices(&self) -> &Notices {
+        &self.answers.notices
+    }
+
     /// Returns the times at which requests were rejected for want of room.
     pub fn rejections(&self) -> Vec<Instant> {
         self.answers.rejections.lock().clone()
@@ -485,13 +490,15 @@
             request.caller.wait_until_disconnected();
             return Reply::Lost;
         }
+        let notices = &self.answers.notices;
+        notices.record_arrival(request);
         self.advance();
         if let Some(reply) = self.answers.misdirected(request) {
             return reply;
         }
         match (request.method.as_str(), request.path.as_str()) {
-            ("GET", "/api/report") => self.report(),
-            ("POST", "/api/order") => self.receive_order(request),
+            ("GET", "/api/report") => notices.with_leaving(self.report()),
+            ("POST", "/api/order") => notices.with_leaving(self.receive_order(request)),
             _ => self.serve(request),
         }
     }
--- /dev/null
+++ b/crates/standins/src/platform/notices.rs
@@ -0,0 +1,91 @@
+//! What an upstream states about itself in its answers, and the record of what reaches it.
+
+use std::time::Instant;
+
+use parking_lot::Mutex;
+
+use crate::http::Reply;
+use crate::http::Request;
+use crate::platform::answers::ID;
+use crate::platform::engine::PlatformEngine;
+use crate::platform::service::PlatformService;
+
+pub(crate) const LEAVING: &str = "Server-Leaving";
+const RETRY_AFTER: &str = "Retry-After";
+
+/// Request, order or report call that reached an upstream.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct Arrival {
+    /// Identity of the request; empty for calls of a VM.
+    pub id: String,
+    /// Path with the query.
+    pub target: String,
+    /// Time at which it arrived.
+    pub at: Instant,
+}
+
+/// Notices of one upstream, and the record of what reaches it.
+#[derive(Debug, Default)]
+pub(crate) struct Notices {
+    /// Text by which all answers state that the upstream leaves; absent if they don't.
+    pub leaving: Mutex<Option<String>>,
+    /// Texts of the time that a rejection states, one header each.
+    pub retry_after: Mutex<Vec<String>>,
+    pub arrivals: Mutex<Vec<Arrival>>,
+}
+
+impl Notices {
+    pub fn record_arrival(&self, request: &Request) {
+        self.arrivals.lock().push(Arrival {
+            id: request.header(ID).unwrap_or_default().to_owned(),
+            target: request.target(),
+            at: Instant::now(),
+        });
+    }
+
+    /// Returns a reply that states whether the upstream leaves.
+    pub fn with_leaving(&self, reply: Reply) -> Reply {
+        let leaving = self.leaving.lock().clone();
+        match leaving {
+            Some(text) => reply.with_header(LEAVING, &text),
+            None => reply,
+        }
+    }
+
+    /// Returns a rejection that states when another request is wanted.
+    pub fn with_retry_after(&self, reply: Reply) -> Reply {
+        let texts = self.retry_after.lock().clone();
+        texts
+            .iter()
+            .fold(reply, |reply, text| reply.with_header(RETRY_AFTER, text))
+    }
+}
+
+impl PlatformEngine {
+    /// Sets the text by which all answers state that the engine leaves; none to state nothing.
+    pub fn set_leaving(&self, leaving: Option<&str>) {
+        *self.notices().leaving.lock() = leaving.map(str::to_owned);
+    }
+
+    /// Sets the times that rejections state, one header each.
+    pub fn set_retry_after(&self, texts: &[&str]) {
+        *self.notices().retry_after.lock() = texts.iter().map(ToString::to_string).collect();
+    }
+
+    /// Returns what has reached the engine, in order.
+    pub fn arrivals(&self) -> Vec<Arrival> {
+        self.notices().arrivals.lock().clone()
+    }
+}
+
+impl PlatformService {
+    /// Sets the text by which all answers state that the instance leaves; none to state nothing.
+    pub fn set_leaving(&self, leaving: Option<&str>) {
+        *self.notices().leaving.lock() = leaving.map(str::to_owned);
+    }
+
+    /// Returns what has reached the instance, in order.
+    pub fn arrivals(&self) -> Vec<Arrival> {
+        self.notices().arrivals.lock().clone()
+    }
+}
--- a/crates/standins/src/platform/service.rs
+++ b/crates/standins/src/platform/service.rs
@@ -20,6 +20,7 @@
 use crate::platform::answers::Answers;
 use crate::platform::answers::RecordedRun;
 use crate::platform::answers::contains;
+use crate::platform::notices::Notices;
 use crate::platform::store::PlatformStore;
 
 /// Path of the health check in the site's configuration.
@@ -113,6 +114,10 @@
         *self.answers.rate_limit.lock() = rate_limit.map(str::to_owned);
     }
 
+    pub(crate) fn notices(&self) -> &Notices {
+        &self.answers.notices
+    }
+
     /// Adds a fault to the queue of faults, each of which applies to one answer.
     pub fn push_fault(&self, fault: AnswerFault) {
         self.answers.push_fault(fault);
@@ -141,6 +146,7 @@
 
 impl Handler for PlatformService {
     fn handle(self: Arc<Self>, request: &Request) -> Reply {
+        self.answers.notices.record_arrival(request);
         if let Some(reply) = self.answers.misdirected(request) {
             return reply;
         }
