An engine that states in an answer that it leaves gets nothing more from this VM, and the others are told

Cause: the statement stood in every answer and nobody read it. The list was the only source, and it was silent. Why this works: the notice is read from the head of every answer of an upstream (to requests, calls, read for nobody) and attributed to the incarnation that the exchange was addressed to, or to the one that a 421 names. It takes the way of a notice in the list: phase Leaving, idle connections closed, waiting requests decided again, a Final departure to the other VMs. Two holes of that way are closed: a leaving incarnation whose entry was removed and written again was used again, and a Final departure of an incarnation not known yet was forgotten.

The decisions for requests that nobody can take moved to dispatch/src/unserved.rs. Not tested over processes: a 421 of another engine that leaves.

--- a/crates/core/src/refusal.rs
+++ b/crates/core/src/refusal.rs
@@ -97,6 +97,8 @@
     UpstreamUnavailable = "upstream_unavailable", 502;
     /// All upstreams for the request state a rate limit that is used up.
     UpstreamLimited = "upstream_limited", 503;
+    /// All upstreams of the service have stated that they leave.
+    UpstreamLeaving = "upstream_leaving", 503;
     /// The upstream refused the request before running it.
     UpstreamRefused = "upstream_refused", 502;
     /// The connection to the upstream was lost after the request was sent.
--- a/crates/dispatch/src/dispatcher.rs
+++ b/crates/dispatch/src/dispatcher.rs
@@ -13,9 +13,6 @@
 use apricotdale_core::policy::RoutingEvent;
 use apricotdale_core::policy::RoutingPolicy;
 use apricotdale_core::policy::UpstreamOutcome;
-use apricotdale_core::refusal::Ran;
-use apricotdale_core::refusal::Refusal;
-use apricotdale_core::refusal::RefusalReason;
 use apricotdale_fleet::Directory;
 use apricotdale_fleet::Upstream;
 use apricotdale_routing::BudgetedRetry;
@@ -24,7 +21,6 @@
 use crate::eligibility::RoomByVersion;
 use crate::eligibility::can_run;
 use crate::eligibility::candidate;
-use crate::eligibility::continuation_refusal;
 use crate::forecast::Forecasts;
 use crate::forecast::LoadForecast;
 use crate::job::DispatchDecision;
@@ -32,7 +28,6 @@
 use crate::job::Job;
 use crate::job::RetryAction;
 use crate::job::WaitReason;
-use crate::job::refusal_of;
 use crate::job::retry_request;
 use crate::options::DispatcherOptions;
 use crate::options::retry_options;
@@ -43,25 +38,18 @@
 use crate::upstream_load::LoadSample;
 use crate::upstream_load::UpstreamLoad;
 
-/// `Retry-After` of a request that found no free upstream before its deadline. Upstreams are full
-/// only for moments.
-const LATE_RETRY_AFTER_MS: u64 = 300;
-
 /// Share of the slots that requests may take at an upstream that fails if it rejects too many.
 const LIMITED_FILL: f64 = 0.9;
 
-/// How long a request waits for a load to be planned if all engines with its model are used up.
-const LOAD_PLANNING_MS: u64 = 500;
-
 /// Decides for one VM to which upstream a request is sent, and when.
 pub struct Dispatcher {
     options: DispatcherOptions,
     routing: HashMap<GroupName, CorrectedLoad>,
     retries: BudgetedRetry,
     loads: HashMap<UpstreamName, UpstreamLoad>,
-    forecasts: Forecasts,
+    pub(crate) forecasts: Forecasts,
     suspensions: Suspensions,
-    stated_limits: StatedLimits,
+    pub(crate) stated_limits: StatedLimits,
     rejection_limits: RejectionLimits,
 }
 
@@ -191,40 +179,6 @@
             .unwrap_or_default()
     }
 
-    /// Decides on a request for which every upstream states a rate limit that is used up. It waits
-    /// for another engine to load its model if that is expected in time, and is refused otherwise.
-    fn decide_used_up(
-        &self,
-        now_ms: u64,
-        directory: &Directory,
-        job: &Job,
-        capable: &[&Upstream],
-    ) -> DispatchDecision {
-        let without_upstream = match &job.wanted {
-            Some(_) => self.decide_without_upstream(now_ms, directory, job),
-            None => DispatchDecision::Wait(WaitReason::Full),
-        };
-        let is_planned = self.forecast_in_ms(now_ms, job).is_some();
-        let may_be_planned = job.wanted.is_some() && now_ms < job.arrived_ms + LOAD_PLANNING_MS;
-        match without_upstream {
-            DispatchDecision::Wait(reason) if is_planned || may_be_planned => {
-                DispatchDecision::Wait(reason)
-            }
-            _ => {
-                let limits = capable.iter().map(|upstream| &upstream.name);
-                let retry_after_ms = limits
-                    .map(|name| self.stated_limits.retry_after_ms(name))
-                    .min();
-                let detail = "all upstreams for the request state a rate limit that is used up";
-                let refusal = refusal_of(job, RefusalReason::UpstreamLimited, detail.to_owned());
-                DispatchDecision::Refuse(match refusal.ran {
-                    Ran::NotRun => refusal.retry_after(retry_after_ms.unwrap_or_default()),
-                    Ran::Ran | Ran::Unknown => refusal,
-                })
-            }
-        }
-    }
-
     /// Spends a retry from the budget for a request that has not run. Returns `false` if none is
     /// left.
     fn spend_retry(&mut self, now_ms: u64, job: &Job) -> bool {
@@ -411,40 +365,6 @@
         }
     }
 
-    fn decide_without_upstream(
-        &self,
-        now_ms: u64,
-        directory: &Directory,
-        job: &Job,
-    ) -> DispatchDecision {
-        if let Some(refusal) = continuation_refusal(directory, job) {
-            return DispatchDecision::Refuse(refusal);
-        }
-        let Some(wanted) = &job.wanted else {
-            return DispatchDecision::Wait(WaitReason::Full);
-        };
-        let known = directory
-            .service(&job.service)
-            .and_then(|service| service.engine.as_ref())
-            .is_some_and(|engine| engine.models.contains_key(&wanted.model));
-        if !known {
-            let detail = format!("no model {} is configured", wanted.model);
-            return DispatchDecision::Refuse(refusal_of(job, RefusalReason::NoCapacity, detail));
-        }
-        let start_by_ms = job.deadline_ms.saturating_sub(job.expected_run_ms);
-        match self
-            .forecasts
-            .get(now_ms, &wanted.model)
-            .and_then(|forecast| forecast.ready_ms)
-        {
-            Some(ready_ms) if ready_ms > start_by_ms => {
-                DispatchDecision::Refuse(self.load_too_late_refusal(job))
-            }
-            _ if now_ms > start_by_ms => DispatchDecision::Refuse(self.load_too_late_refusal(job)),
-            _ => DispatchDecision::Wait(WaitReason::Missing),
-        }
-    }
-
     fn has_room(
         &self,
         now_ms: u64,
@@ -479,22 +399,4 @@
             .entry(service.clone())
             .or_insert_with(|| CorrectedLoad::new(routing_options(options)))
     }
-
-    fn load_too_late_refusal(&self, job: &Job) -> Refusal {
-        let model = job
-            .wanted
-            .as_ref()
-            .map_or("", |wanted| wanted.model.as_str());
-        let detail = format!("{model} can't be loaded in time");
-        refusal_of(job, RefusalReason::DeadlineTooShort, detail)
-    }
-
-    fn deadline_refusal(&self, job: &Job) -> Refusal {
-        let detail = "no upstream was free in time".to_owned();
-        let refusal = refusal_of(job, RefusalReason::DeadlineTooShort, detail);
-        match refusal.ran {
-            Ran::NotRun => refusal.retry_after(LATE_RETRY_AFTER_MS),
-            Ran::Ran | Ran::Unknown => refusal,
-        }
-    }
 }
--- a/crates/dispatch/src/lib.rs
+++ b/crates/dispatch/src/lib.rs
@@ -18,6 +18,7 @@
 mod rejection_limits;
 mod stated_limits;
 mod suspension;
+mod unserved;
 mod upstream_load;
 
 pub use dispatcher::Dispatcher;
--- a/crates/entry/src/upstream_notices.rs
+++ b/crates/entry/src/upstream_notices.rs
@@ -1,7 +1,9 @@
 //! What upstreams state about themselves in their answers: that they leave, or that they want no
 //! request for some time.
 
+use apricotdale_core::names::InstanceName;
 use apricotdale_core::names::UpstreamName;
+use apricotdale_fleet::DirectoryChange;
 use apricotdale_http1::ResponseHead;
 use mio::Token;
 
@@ -28,7 +30,9 @@
         let fields = self.codecs.callers.answer(head);
         if fields.leaving {
             self.metrics.notice("leaving");
-            self.log_leave_notice(&upstream, source, head.status);
+            if let Some(upstream) = self.answering(&upstream, fields.answered_by.as_ref()) {
+                self.handle_leave_notice(&upstream, source, head.status);
+            }
         }
         match fields.rest {
             RestField::Absent => {}
@@ -45,12 +49,34 @@
         }
     }
 
-    fn log_leave_notice(&mut self, upstream: &UpstreamName, source: &str, status: u16) {
-        if self.log_budget.try_take(self.now_ms, false) {
+    /// Returns the upstream that gave an answer: the one that the exchange is addressed to, or the one
+    /// that states to have it instead, if that is known at the same address. A former process of an
+    /// instance may still answer at another address and does not speak for the present one.
+    fn answering(
+        &self,
+        addressed: &UpstreamName,
+        answered_by: Option<&InstanceName>,
+    ) -> Option<UpstreamName> {
+        let known = self.directory.upstream(addressed)?;
+        match answered_by {
+            Some(other) if *other != known.instance => {
+                let current = self.directory.current_incarnation(other)?;
+                let other = self.directory.upstream(current)?;
+                (other.address == known.address).then(|| current.clone())
+            }
+            _ => Some(addressed.clone()),
+        }
+    }
+
+    /// Stops sending to an upstream that states that it leaves, here and at the other VMs. The store
+    /// may be out of service, and they have no other news then.
+    fn handle_leave_notice(&mut self, upstream: &UpstreamName, source: &str, status: u16) {
+        if self.directory.record_leave_notice(upstream) == DirectoryChange::Left {
             log::info!(
                 upstream = upstream.to_string(), source, status;
                 "upstream states that it leaves"
             );
+            self.stop_sending_to(upstream, "stated_in_answer");
         }
     }
 
--- a/crates/fleet/src/directory.rs
+++ b/crates/fleet/src/directory.rs
@@ -89,9 +89,16 @@
     read_to: Position,
     /// Whether the instance has restarted, which makes the end final.
     restarted: bool,
+    /// Whether the incarnation gave notice that it leaves, which makes the end final too: an entry
+    /// that is read later was written by a process that does not accept requests any more.
+    gave_notice: bool,
 }
 
 impl EndedIncarnation {
+    fn is_final(&self) -> bool {
+        self.restarted || self.gave_notice
+    }
+
     /// Returns whether an entry of this incarnation was written after its end.
     fn is_before(&self, read_to: Position, revision: u64) -> bool {
         match is_before(self.read_to, read_to) {
@@ -240,7 +247,7 @@
             return DirectoryChange::None;
         }
         match self.ended.get(&entry.name) {
-            Some(last) if last.restarted || !last.is_before(self.read_to, entry.revision) => {
+            Some(last) if last.is_final() || !last.is_before(self.read_to, entry.revision) => {
                 return DirectoryChange::None;
             }
             _ => self.ended.remove(&entry.name),
--- a/crates/fleet/src/directory/departures.rs
+++ b/crates/fleet/src/directory/departures.rs
@@ -1,6 +1,7 @@
 //! How upstreams stop accepting new work: by their own notice, by a missing entry, or as announced
 //! by other VMs.
 
+use apricotdale_core::names::GroupName;
 use apricotdale_core::names::InstanceName;
 use apricotdale_core::names::UpstreamName;
 use apricotdale_core::numbers::Position;
@@ -32,7 +33,7 @@
             (Some(known), _) if known.phase == UpstreamPhase::Leaving => {
                 (known.revision, unknown, DepartureKind::Final)
             }
-            (None, Some(ended)) if ended.restarted => {
+            (None, Some(ended)) if ended.is_final() => {
                 (ended.revision, unknown, DepartureKind::Final)
             }
             (None, Some(ended)) => (ended.revision, ended.read_to, DepartureKind::Missing),
@@ -46,6 +47,28 @@
         })
     }
 
+    /// Records an upstream's own notice that it leaves. It is final, whatever its entry says.
+    pub fn record_leave_notice(&mut self, name: &UpstreamName) -> DirectoryChange {
+        match self.upstreams.get_mut(name) {
+            Some(known) if known.phase == UpstreamPhase::Serving => {
+                self.changes += 1;
+                known.phase = UpstreamPhase::Leaving;
+                DirectoryChange::Left
+            }
+            _ => DirectoryChange::None,
+        }
+    }
+
+    /// Returns whether a service has upstreams and all of them leave.
+    pub fn is_leaving(&self, service: &GroupName) -> bool {
+        let mut upstreams = self.upstreams.values().filter(|it| &it.service == service);
+        let mut is_any = false;
+        upstreams.all(|it| {
+            is_any = true;
+            it.phase == UpstreamPhase::Leaving
+        }) && is_any
+    }
+
     /// Records a departure announced by another VM.
     pub fn record_departure(&mut self, departure: &Departure) -> DirectoryChange {
         let name = &departure.upstream;
@@ -60,6 +83,11 @@
                 known.phase = UpstreamPhase::Leaving;
                 DirectoryChange::Left
             }
+            // The entry of an upstream that is not known yet may be read later.
+            (None, DepartureKind::Final) => {
+                self.record_unknown_end(departure);
+                DirectoryChange::None
+            }
             (Some(known), DepartureKind::Missing) if is_later(known) => {
                 known.revision = known.revision.max(departure.revision);
                 self.set_read_position(departure.read_to);
@@ -69,6 +97,17 @@
         }
     }
 
+    fn record_unknown_end(&mut self, departure: &Departure) {
+        let ended = self.ended.entry(departure.upstream.clone());
+        let ended = ended.or_insert(EndedIncarnation {
+            revision: departure.revision,
+            read_to: departure.read_to,
+            restarted: false,
+            gave_notice: true,
+        });
+        ended.gave_notice = true;
+    }
+
     /// Records that a read of the upstream list failed.
     pub fn record_list_failure(&mut self) {
         self.recovery.record_failure();
@@ -156,6 +195,7 @@
                 revision: known.revision,
                 read_to: self.read_to,
                 restarted: false,
+                gave_notice: known.phase == UpstreamPhase::Leaving,
             };
             self.ended.insert(name.clone(), ended);
         }
