Tests of stated departures and rests: what an engine states does not race with its reports or with the test

Two faults of the tests, not of the code. Reports and orders state it in the case for them only. And the time of a rejection was cleared before the rejection was written, so most cases stated none; the times are queued with the rejections now.

--- a/crates/standins/src/platform/notices.rs
+++ b/crates/standins/src/platform/notices.rs
@@ -1,11 +1,13 @@
 //! What an upstream states about itself in its answers, and the record of what reaches it.
 
+use std::collections::VecDeque;
 use std::time::Instant;
 
 use parking_lot::Mutex;
 
 use crate::http::Reply;
 use crate::http::Request;
+use crate::platform::answers::AnswerFault;
 use crate::platform::answers::ID;
 use crate::platform::engine::PlatformEngine;
 use crate::platform::service::PlatformService;
@@ -27,10 +29,12 @@
 /// Notices of one upstream, and the record of what reaches it.
 #[derive(Debug, Default)]
 pub(crate) struct Notices {
-    /// Text by which all answers state that the upstream leaves; absent if they don't.
+    /// Text by which answers to requests state that the upstream leaves; absent if they don't.
     pub leaving: Mutex<Option<String>>,
-    /// Texts of the time that a rejection states, one header each.
-    pub retry_after: Mutex<Vec<String>>,
+    /// The same in the answers to reports and orders.
+    pub leaving_in_calls: Mutex<Option<String>>,
+    /// Texts of the times that the next rejections state, one header each.
+    pub retry_after: Mutex<VecDeque<Vec<String>>>,
     pub arrivals: Mutex<Vec<Arrival>>,
 }
 
@@ -43,9 +47,9 @@
         });
     }
 
-    /// Returns a reply that states whether the upstream leaves.
+    /// Returns the answer to a report or an order, which states whether the upstream leaves.
     pub fn with_leaving(&self, reply: Reply) -> Reply {
-        let leaving = self.leaving.lock().clone();
+        let leaving = self.leaving_in_calls.lock().clone();
         match leaving {
             Some(text) => reply.with_header(LEAVING, &text),
             None => reply,
@@ -54,7 +58,7 @@
 
     /// Returns a rejection that states when another request is wanted.
     pub fn with_retry_after(&self, reply: Reply) -> Reply {
-        let texts = self.retry_after.lock().clone();
+        let texts = self.retry_after.lock().pop_front().unwrap_or_default();
         texts
             .iter()
             .fold(reply, |reply, text| reply.with_header(RETRY_AFTER, text))
@@ -62,14 +66,23 @@
 }
 
 impl PlatformEngine {
-    /// Sets the text by which all answers state that the engine leaves; none to state nothing.
+    /// Sets the text by which answers to requests state that the engine leaves; none to state nothing.
     pub fn set_leaving(&self, leaving: Option<&str>) {
         *self.notices().leaving.lock() = leaving.map(str::to_owned);
     }
 
-    /// Sets the times that rejections state, one header each.
-    pub fn set_retry_after(&self, texts: &[&str]) {
-        *self.notices().retry_after.lock() = texts.iter().map(ToString::to_string).collect();
+    /// Sets the text by which answers to reports and orders state that the engine leaves; none to
+    /// state nothing. A VM reads reports all the time, and would learn of it before any request.
+    pub fn set_leaving_in_calls(&self, leaving: Option<&str>) {
+        *self.notices().leaving_in_calls.lock() = leaving.map(str::to_owned);
+    }
+
+    /// Makes the engine reject the next request that has no fault yet, and state these times, one
+    /// header each.
+    pub fn ask_for_rest(&self, texts: &[&str]) {
+        let texts = texts.iter().map(ToString::to_string).collect();
+        self.notices().retry_after.lock().push_back(texts);
+        self.push_fault(AnswerFault::TurnedAway);
     }
 
     /// Returns what has reached the engine, in order.
