An engine that asks for rest gets nothing from this VM until it ends, and then one request first

What callers and engines saw: an engine that had rejected a request with 503 and asked for 3 s of rest got 3 and 4 more from the same VM in that time, and 13 to 17 a second in all, which it rejected; their callers were served elsewhere, later. Cause: the time stood in the rejection and nobody read it. A suspension would not have helped: any answer of a request that was still in progress lifts it, and so does a probe. Why this works: what keeps a VM from sending is one type, Availability. A suspension is a guess and lifted as before; a rest is a statement and ends by time, a later end, or the end of the incarnation only. Requests, retries, trial runs, orders and reports skip the upstream, probes only open a connection, the planner counts the engine as not serving; the VM that relays is told and bound too. After the rest one request is sent, two more for each that is accepted. Requests for which all upstreams rest wait if that is in time, and are refused at once otherwise (upstream_resting, Retry-After is the rest that remains). A request that was rejected with a time goes to another upstream without a pause.

--- a/crates/core/src/refusal.rs
+++ b/crates/core/src/refusal.rs
@@ -99,6 +99,8 @@
     UpstreamLimited = "upstream_limited", 503;
     /// All upstreams of the service have stated that they leave.
     UpstreamLeaving = "upstream_leaving", 503;
+    /// All upstreams for the request have asked for rest that ends too late.
+    UpstreamResting = "upstream_resting", 503;
     /// The upstream refused the request before running it.
     UpstreamRefused = "upstream_refused", 502;
     /// The connection to the upstream was lost after the request was sent.
--- a/crates/dispatch/src/dispatcher.rs
+++ b/crates/dispatch/src/dispatcher.rs
@@ -18,6 +18,7 @@
 use apricotdale_routing::BudgetedRetry;
 use apricotdale_routing::CorrectedLoad;
 
+use crate::availability::Availability;
 use crate::eligibility::RoomByVersion;
 use crate::eligibility::can_run;
 use crate::eligibility::candidate;
@@ -34,7 +35,6 @@
 use crate::options::routing_options;
 use crate::rejection_limits::RejectionLimits;
 use crate::stated_limits::StatedLimits;
-use crate::suspension::Suspensions;
 use crate::upstream_load::LoadSample;
 use crate::upstream_load::UpstreamLoad;
 
@@ -48,7 +48,7 @@
     retries: BudgetedRetry,
     loads: HashMap<UpstreamName, UpstreamLoad>,
     pub(crate) forecasts: Forecasts,
-    suspensions: Suspensions,
+    pub(crate) availability: Availability,
     pub(crate) stated_limits: StatedLimits,
     rejection_limits: RejectionLimits,
 }
@@ -59,13 +59,13 @@
         let retries = BudgetedRetry::new(retry_options(&options));
         Self {
             stated_limits: StatedLimits::new(options.seed),
+            availability: Availability::new(options.seed),
             rejection_limits: RejectionLimits::new(options.seed, options.vms),
             options,
             routing: HashMap::new(),
             retries,
             loads: HashMap::new(),
             forecasts: Forecasts::default(),
-            suspensions: Suspensions::default(),
         }
     }
 
@@ -93,9 +93,18 @@
             .serving(&job.service)
             .filter(|upstream| can_run(upstream, job))
             .collect();
+        let awake: Vec<&Upstream> = capable
+            .iter()
+            .filter(|upstream| !self.availability.is_resting(now_ms, &upstream.name))
+            .copied()
+            .collect();
+        if awake.is_empty() && !capable.is_empty() {
+            return self.decide_at_rest(now_ms, job, &capable);
+        }
+        let capable = awake;
         let reachable: Vec<&Upstream> = capable
             .iter()
-            .filter(|upstream| !self.suspensions.is_suspended(now_ms, &upstream.name))
+            .filter(|upstream| !self.availability.is_suspended(now_ms, &upstream.name))
             .copied()
             .collect();
         // A plain service is tried even if no instance is reachable, because no other instance can
@@ -191,6 +200,7 @@
     pub fn sent(&mut self, now_ms: u64, job: &Job, upstream: &UpstreamName) {
         self.loads.entry(upstream.clone()).or_default().sent();
         self.rejection_limits.sent(upstream);
+        self.availability.sent(now_ms, upstream);
         let event = RoutingEvent::Sent {
             upstream: upstream.clone(),
             prefix_hash: job.prefix_hash,
@@ -212,7 +222,7 @@
             load.ended();
         }
         if outcome == UpstreamOutcome::Answered {
-            self.suspensions.forget(upstream);
+            self.availability.resume(upstream);
         }
         let event = RoutingEvent::Ended {
             upstream: upstream.clone(),
@@ -251,7 +261,7 @@
     /// Records that an upstream has left the fleet, and drops its state.
     pub fn removed(&mut self, now_ms: u64, upstream: &UpstreamName) {
         self.loads.remove(upstream);
-        self.suspensions.forget(upstream);
+        self.availability.forget(upstream);
         self.stated_limits.forget(upstream);
         self.rejection_limits.forget(upstream);
         self.forgive(now_ms, upstream);
@@ -260,17 +270,17 @@
     /// Records that an upstream refused a connection and suspends it for a while. Returns whether
     /// it was not suspended before.
     pub fn record_unreachable(&mut self, now_ms: u64, upstream: &UpstreamName) -> bool {
-        self.suspensions.record_unreachable(now_ms, upstream)
+        self.availability.record_unreachable(now_ms, upstream)
     }
 
     /// Suspends an upstream until a time. Returns whether it was not suspended before.
     pub fn suspend(&mut self, now_ms: u64, upstream: &UpstreamName, until_ms: u64) -> bool {
-        self.suspensions.suspend_until(now_ms, upstream, until_ms)
+        self.availability.suspend_until(now_ms, upstream, until_ms)
     }
 
-    /// Ends the suspension of an upstream.
+    /// Ends the suspension of an upstream. A rest that it has asked for goes on.
     pub fn resume(&mut self, upstream: &UpstreamName) {
-        self.suspensions.forget(upstream);
+        self.availability.resume(upstream);
     }
 
     /// Drops what is held against an upstream, because its failures were those of this VM's path.
@@ -297,7 +307,7 @@
 
     /// Returns whether this VM sends an upstream nothing now because it is suspended.
     pub fn is_unreachable(&self, now_ms: u64, upstream: &UpstreamName) -> bool {
-        self.suspensions.is_suspended(now_ms, upstream)
+        self.availability.is_suspended(now_ms, upstream)
     }
 
     /// Returns the rate limits that upstreams state.
@@ -377,7 +387,9 @@
             .get(&upstream.name)
             .map_or(0, |it| it.requests(now_ms));
         let service = directory.service(&upstream.service);
-        if self.rejection_limits.is_held_back(now_ms, &upstream.name) {
+        if self.rejection_limits.is_held_back(now_ms, &upstream.name)
+            || !self.availability.may_send(now_ms, &upstream.name)
+        {
             return false;
         }
         let fill = match service.is_some_and(|service| service.engine.is_some()) {
--- a/crates/dispatch/src/lib.rs
+++ b/crates/dispatch/src/lib.rs
@@ -9,6 +9,7 @@
 #![forbid(unsafe_code)]
 #![warn(missing_docs)]
 
+mod availability;
 mod dispatcher;
 mod eligibility;
 mod forecast;
@@ -16,8 +17,8 @@
 mod liveness;
 mod options;
 mod rejection_limits;
+mod rests;
 mod stated_limits;
-mod suspension;
 mod unserved;
 mod upstream_load;
 
--- a/crates/dispatch/src/unserved.rs
+++ b/crates/dispatch/src/unserved.rs
@@ -56,6 +56,29 @@
         }
     }
 
+    /// Decides on a request for which every upstream is at rest. It waits for the end of the first
+    /// rest, or for a load on another engine, if it can then be answered in time; a retry would not
+    /// come earlier. It is refused otherwise.
+    pub(crate) fn decide_at_rest(
+        &self,
+        now_ms: u64,
+        job: &Job,
+        capable: &[&Upstream],
+    ) -> DispatchDecision {
+        let ends = capable
+            .iter()
+            .filter_map(|upstream| self.availability.rest_end_ms(now_ms, &upstream.name));
+        let end_ms = ends.min().unwrap_or(now_ms);
+        let load_ms = self.forecast_in_ms(now_ms, job).map(|in_ms| now_ms + in_ms);
+        let start_ms = load_ms.map_or(end_ms, |load_ms| load_ms.min(end_ms));
+        if start_ms + job.expected_run_ms <= job.deadline_ms {
+            return DispatchDecision::Wait(WaitReason::Full);
+        }
+        let detail = "all upstreams for the request have asked for rest".to_owned();
+        let refusal = refusal_of(job, RefusalReason::UpstreamResting, detail);
+        DispatchDecision::Refuse(retry_after(refusal, start_ms - now_ms))
+    }
+
     pub(crate) fn decide_without_upstream(
         &self,
         now_ms: u64,
--- a/crates/entry/src/crash_watch.rs
+++ b/crates/entry/src/crash_watch.rs
@@ -96,8 +96,10 @@
         };
         let address = known.address;
         let bytes = match recheck.is_engine {
-            true => self.codecs.engines.report(&known.instance),
-            false => Vec::new(),
+            true if !self.dispatcher.is_resting(self.now_ms, &known.name) => {
+                self.codecs.engines.report(&known.instance)
+            }
+            _ => Vec::new(),
         };
         let peer = Peer::Upstream(recheck.upstream.clone());
         let tag = CallTag::UpstreamProbe(recheck.upstream.clone());
--- a/crates/entry/src/engine_orders.rs
+++ b/crates/entry/src/engine_orders.rs
@@ -259,7 +259,9 @@
                     Planner::new(PlannerOptions::default(), name.clone(), spec.clone())
                 });
                 planner.sync(directory, |name| {
-                    paths.is_lost(name) || dispatcher.is_unreachable(now_ms, name)
+                    paths.is_lost(name)
+                        || dispatcher.is_unreachable(now_ms, name)
+                        || dispatcher.is_resting(now_ms, name)
                 });
                 let limits = dispatcher.stated_limits();
                 planner.set_limited(|name| limits.limit(name).is_some());
--- a/crates/entry/src/engine_orders/engine_calls.rs
+++ b/crates/entry/src/engine_orders/engine_calls.rs
@@ -19,7 +19,7 @@
 impl Daemon {
     pub(super) fn send_order(&mut self, engine: UpstreamName, kind: OrderKind, orders_before: u64) {
         let fence = self.engine_orders.lease.fence(self.now_ms);
-        let upstream = self.directory.upstream(&engine);
+        let upstream = self.wakeful(&engine);
         let (Some(fence), Some(upstream)) = (fence, upstream) else {
             self.report_order_outcome(&engine, OrderOutcome::NotSent);
             return;
@@ -53,7 +53,7 @@
     }
 
     pub(super) fn read_report(&mut self, engine: UpstreamName) {
-        let Some(upstream) = self.directory.upstream(&engine) else {
+        let Some(upstream) = self.wakeful(&engine) else {
             self.report_ended(&engine, CallOutcome::NotSent);
             return;
         };
--- a/crates/entry/src/failed_attempts.rs
+++ b/crates/entry/src/failed_attempts.rs
@@ -150,12 +150,16 @@
         match decision {
             RetryAction::AfterMs(pause_ms) => {
                 let is_lost_again = failed == FailedAttempt::Lost && request.job.runs > 1;
-                let min_pause_ms = if is_lost_again {
-                    LOST_AGAIN_PAUSE_MS
-                } else {
-                    0
+                let rejected_by = request.job.tried.last();
+                let is_resting = failed == FailedAttempt::Rejected
+                    && rejected_by.is_some_and(|it| self.dispatcher.is_resting(self.now_ms, it));
+                let pause_ms = match () {
+                    _ if is_lost_again => pause_ms.max(LOST_AGAIN_PAUSE_MS),
+                    // It goes to another upstream, which is not known to be short of room.
+                    _ if is_resting => 0,
+                    _ => pause_ms,
                 };
-                self.pause_request(key, pause_ms.max(min_pause_ms));
+                self.pause_request(key, pause_ms);
             }
             RetryAction::OnceBudgetAllows => {
                 request.job.awaits_retry_budget = true;
--- a/crates/entry/src/messages.rs
+++ b/crates/entry/src/messages.rs
@@ -177,6 +177,11 @@
     OriginQuery(OriginQuery),
     /// What the sender knows of the origin of a stream.
     OriginAnswer(OriginAnswer),
+    /// An upstream that the receiver relays connections to has asked for rest.
+    RestStated {
+        upstream: UpstreamName,
+        rest_ms: u64,
+    },
 }
 
 /// First byte of each message. It changes with the format of what follows, so that VMs of different
--- a/crates/entry/src/metrics/registration.rs
+++ b/crates/entry/src/metrics/registration.rs
@@ -152,6 +152,11 @@
             "Upstreams that state a rate limit",
             self.limited_upstreams.clone(),
         );
+        registry.register(
+            "resting_upstreams",
+            "Upstreams that have asked for rest that has not ended",
+            self.resting_upstreams.clone(),
+        );
         registry.register(
             "lost_paths",
             "Upstreams that this VM does not reach directly",
--- a/crates/entry/src/peer_exchange.rs
+++ b/crates/entry/src/peer_exchange.rs
@@ -192,6 +192,9 @@
             PeerMessage::Rejected { upstream, limit } => {
                 self.apply_announced_rejection(&upstream, limit);
             }
+            PeerMessage::RestStated { upstream, rest_ms } => {
+                self.begin_rest(&upstream, "relayed", rest_ms);
+            }
             PeerMessage::PathQuery { from, upstreams } => self.handle_path_query(from, &upstreams),
             PeerMessage::PathAnswer { from, answer } => self.apply_path_answer(from, answer),
             PeerMessage::TrialOver { asker, end } => {
--- a/crates/entry/src/relay.rs
+++ b/crates/entry/src/relay.rs
@@ -198,7 +198,7 @@
         let upstream = self.directory.upstream(name);
         let serving = upstream.filter(|it| it.phase == UpstreamPhase::Serving);
         let address = serving
-            .filter(|_| self.has_room_to_relay())
+            .filter(|_| self.has_room_to_relay() && !self.dispatcher.is_resting(self.now_ms, name))
             .map(|upstream| upstream.address);
         let far = self.new_token();
         let registry = self.poll.registry();
--- a/crates/entry/src/request_dispatch.rs
+++ b/crates/entry/src/request_dispatch.rs
@@ -16,6 +16,7 @@
 use apricotdale_fleet::Readiness;
 use apricotdale_fleet::Route;
 use apricotdale_fleet::ServingRequest;
+use apricotdale_fleet::UpstreamPhase;
 use apricotdale_http1::RequestHead;
 use apricotdale_organisations::Organisation;
 use apricotdale_organisations::PresentedKey;
@@ -358,13 +359,17 @@
         }
     }
 
-    /// Refuses a request that the dispatcher does not send. Callers who are refused because of the
-    /// same rate limit are told to retry at different times.
+    /// Refuses a request that the dispatcher does not send. Callers refused because of the same rate
+    /// limit or rest are told to retry at different times, not before the rest ends.
     fn refuse_undispatched(&mut self, key: u64, mut refusal: Refusal) {
-        if let (RefusalReason::UpstreamLimited, Some(request)) =
-            (refusal.reason, self.active.get(key))
-        {
-            let factor_permille = retry_factor_permille(&request.serving.id);
+        let request = self.active.get(key);
+        let factor_permille = request.map_or(1_000, |it| retry_factor_permille(&it.serving.id));
+        let factor_permille = match refusal.reason {
+            RefusalReason::UpstreamLimited => factor_permille,
+            RefusalReason::UpstreamResting => 1_000 + factor_permille / 8,
+            _ => 1_000,
+        };
+        if factor_permille != 1_000 {
             let retry_after_ms = refusal.retry_after_ms.map(|it| it.max(RETRY_AFTER_MS));
             refusal.retry_after_ms = retry_after_ms.map(|it| it * factor_permille / 1_000);
         }
@@ -430,7 +435,8 @@
         if !self.has_upstream_permit(key, &name) {
             return;
         }
-        let Some(upstream) = self.directory.upstream(&name) else {
+        let upstream = self.wakeful(&name);
+        let Some(upstream) = upstream.filter(|it| it.phase == UpstreamPhase::Serving) else {
             return;
         };
         let address = upstream.address;
--- a/crates/entry/src/upstream_answers.rs
+++ b/crates/entry/src/upstream_answers.rs
@@ -161,6 +161,9 @@
                 if first_byte_ms.is_none() {
                     self.dispatcher.rejection_limits_mut().answered(upstream);
                 }
+                if is_success && verdict == HeadVerdict::Deliver {
+                    self.dispatcher.accepted(upstream, *at_ms);
+                }
                 first_byte_ms.get_or_insert(self.now_ms);
                 stated = Some((upstream.clone(), *at_ms));
             }
--- a/crates/entry/src/upstream_notices.rs
+++ b/crates/entry/src/upstream_notices.rs
@@ -4,11 +4,13 @@
 use apricotdale_core::names::InstanceName;
 use apricotdale_core::names::UpstreamName;
 use apricotdale_fleet::DirectoryChange;
+use apricotdale_fleet::Upstream;
 use apricotdale_http1::ResponseHead;
 use mio::Token;
 
 use crate::codec::RestField;
 use crate::daemon::Daemon;
+use crate::messages::PeerMessage;
 use crate::outbound::Peer;
 use crate::outbound::Purpose;
 
@@ -22,6 +24,7 @@
         let Peer::Upstream(upstream) = connection.peer.clone() else {
             return;
         };
+        let relay = connection.relayed_by.as_ref().map(|it| it.vm.clone());
         let source = match &connection.purpose {
             Purpose::Proxy(_) => "answer",
             Purpose::Call(tag) => tag.as_str(),
@@ -38,7 +41,12 @@
             RestField::Absent => {}
             RestField::Stated(rest_ms) => {
                 self.metrics.notice("rest");
-                self.log_rest(&upstream, source, rest_ms);
+                if let Some(relay) = relay.and_then(|vm| self.peers.address_of(&vm)) {
+                    let upstream = upstream.clone();
+                    let message = PeerMessage::RestStated { upstream, rest_ms };
+                    self.peers.send(relay, &message);
+                }
+                self.begin_rest(&upstream, source, rest_ms);
             }
             RestField::Invalid(text) => {
                 self.metrics.notice("invalid_rest");
@@ -80,9 +88,22 @@
         }
     }
 
-    fn log_rest(&mut self, upstream: &UpstreamName, source: &str, rest_ms: u64) {
-        if self.log_budget.try_take(self.now_ms, false) {
+    /// Sends an upstream nothing for the time that it asks for. An upstream that is reached through
+    /// another VM has seen the request come from there, and both VMs are bound.
+    pub(crate) fn begin_rest(&mut self, upstream: &UpstreamName, source: &str, rest_ms: u64) {
+        if self.directory.upstream(upstream).is_none() {
+            return;
+        }
+        let end_ms = self.dispatcher.record_rest(self.now_ms, upstream, rest_ms);
+        if end_ms.is_some() && self.log_budget.try_take(self.now_ms, false) {
             log::info!(upstream = upstream.to_string(), source, rest_ms; "upstream asks for rest");
         }
+        self.redispatch_needed |= end_ms.is_some();
+    }
+
+    /// Returns an upstream unless it is in the rest that it has asked for.
+    pub(crate) fn wakeful(&self, upstream: &UpstreamName) -> Option<&Upstream> {
+        let known = self.directory.upstream(upstream);
+        known.filter(|_| !self.dispatcher.is_resting(self.now_ms, upstream))
     }
 }
--- a/crates/entry/src/upstream_paths.rs
+++ b/crates/entry/src/upstream_paths.rs
@@ -230,13 +230,17 @@
 
     /// Returns what a probe of an upstream sends, and the time limit for the answer. Any answer shows
     /// that the upstream is reached. Where a plain service has no health check, a connection is only
-    /// opened, since an instance could take the probe for a request.
+    /// opened, since an instance could take the probe for a request; so it is at an upstream that has
+    /// asked for rest.
     pub(crate) fn path_probe(&self, upstream: &Upstream) -> (Vec<u8>, u64) {
         let service = self.directory.service(&upstream.service);
         let is_engine = service.is_some_and(|service| service.engine.is_some());
         let health_path = service.and_then(|service| service.health_path.as_deref());
         let codec = &self.codecs.engines;
         match health_path {
+            _ if self.dispatcher.is_resting(self.now_ms, &upstream.name) => {
+                (Vec::new(), SERVICE_PROBE_TIMEOUT_MS)
+            }
             _ if is_engine => (codec.report(&upstream.instance), ENGINE_PROBE_TIMEOUT_MS),
             Some(path) => (
                 codec.health(path, &upstream.instance),
@@ -422,6 +426,8 @@
 
     pub(crate) fn update_path_gauges(&mut self) {
         let (lost, relayed) = self.paths.counts();
+        let resting = self.dispatcher.resting(self.now_ms);
+        self.metrics.resting_upstreams.set(resting as i64);
         self.metrics.lost_paths.set(lost as i64);
         self.metrics.relayed_paths.set(relayed as i64);
         self.metrics
--- a/crates/entry/src/upstream_permits.rs
+++ b/crates/entry/src/upstream_permits.rs
@@ -369,6 +369,7 @@
         permits.available_ms = [
             limits.next_available_ms(now_ms),
             rejections.next_available_ms(now_ms),
+            self.dispatcher.next_rest_change_ms(now_ms),
         ]
         .into_iter()
         .flatten()
