--- a/crates/launcher/src/entry_up.rs
+++ b/crates/launcher/src/entry_up.rs
@@ -38,6 +38,14 @@
 const LIMIT_MARKER: &[u8] = b"in-need";
 const STATED_LIMIT: &str = "0.2";
 
+/// Text in the body of a request that an instance of the service rejects, and the rest in seconds that
+/// it asks for. It exceeds the timeout of the routes.
+const REST_MARKER: &[u8] = b"tired";
+const STATED_REST: &str = "12";
+
+/// Text in the body of a request from which on an instance of the service states that it leaves.
+const LEAVE_MARKER: &[u8] = b"farewell";
+
 /// Organisations with their limits in tokens per second; 0 for one without a limit.
 const ORGANISATIONS: [(&str, f64); 2] = [("north", 0.0), ("south", 1_000.0)];
 
@@ -99,6 +107,10 @@
             service_limit: Some((LIMIT_MARKER.to_vec(), STATED_LIMIT.to_owned())),
             ..SiteOptions::default()
         })?;
+        for service in &site.services {
+            service.ask_for_rest_on(REST_MARKER, STATED_REST);
+            service.leave_on(LEAVE_MARKER);
+        }
         let vm = VmProcess::start(&VmOptions::new(&program, "vm0", site.store_addresses[0]))?;
         poll_until("the VM is ready", MAX_POLLS, || {
             Ok(vm.is_ready(ANSWER_TIMEOUT).then_some(()))
--- a/crates/standins/src/platform/notices.rs
+++ b/crates/standins/src/platform/notices.rs
@@ -9,6 +9,7 @@
 use crate::http::Request;
 use crate::platform::answers::AnswerFault;
 use crate::platform::answers::ID;
+use crate::platform::answers::contains;
 use crate::platform::engine::PlatformEngine;
 use crate::platform::service::PlatformService;
 
@@ -36,6 +37,10 @@
     /// Texts of the times that the next rejections state, one header each.
     pub retry_after: Mutex<VecDeque<Vec<String>>>,
     pub arrivals: Mutex<Vec<Arrival>>,
+    /// Marker in the bodies of requests that are rejected, and the time that the rejection states.
+    pub rest_trigger: Mutex<Option<(Vec<u8>, String)>>,
+    /// Marker in the bodies of requests from which on the upstream states that it leaves.
+    pub leave_trigger: Mutex<Option<Vec<u8>>>,
 }
 
 impl Notices {
@@ -47,6 +52,23 @@
         });
     }
 
+    /// Applies the triggers that a request matches. Returns whether it is to be rejected.
+    pub fn apply_triggers(&self, request: &Request) -> bool {
+        let leaves = self.leave_trigger.lock();
+        if leaves
+            .as_ref()
+            .is_some_and(|it| contains(&request.body, it))
+        {
+            *self.leaving.lock() = Some("1".to_owned());
+        }
+        let rests = self.rest_trigger.lock();
+        let Some((_, text)) = rests.as_ref().filter(|it| contains(&request.body, &it.0)) else {
+            return false;
+        };
+        self.retry_after.lock().push_back(vec![text.clone()]);
+        true
+    }
+
     /// Returns the answer to a report or an order, which states whether the upstream leaves.
     pub fn with_leaving(&self, reply: Reply) -> Reply {
         let leaving = self.leaving_in_calls.lock().clone();
@@ -101,4 +123,14 @@
     pub fn arrivals(&self) -> Vec<Arrival> {
         self.notices().arrivals.lock().clone()
     }
+
+    /// Makes the instance reject each request whose body contains a marker, and state a time.
+    pub fn ask_for_rest_on(&self, marker: &[u8], text: &str) {
+        *self.notices().rest_trigger.lock() = Some((marker.to_vec(), text.to_owned()));
+    }
+
+    /// Makes the instance state that it leaves from the first request on whose body contains a marker.
+    pub fn leave_on(&self, marker: &[u8]) {
+        *self.notices().leave_trigger.lock() = Some(marker.to_vec());
+    }
 }
--- a/crates/standins/src/platform/service.rs
+++ b/crates/standins/src/platform/service.rs
@@ -153,6 +153,9 @@
         if (request.method.as_str(), request.path.as_str()) == ("GET", HEALTH_PATH) {
             return Reply::json(200, &json!({}));
         }
+        if self.answers.notices.apply_triggers(request) {
+            return self.answers.not_run(request, 503);
+        }
         let fault = self.answers.begin(request);
         thread::sleep(Duration::from_millis(self.work_ms));
         if let Some((marker, stopper)) = &*self.crash.lock()
