A VM that reads that an engine leaves tells the others itself

What was seen: relayed_notice_binds_both failed: the VM that relays never took the engine for leaving, within 20 s. Cause: departures travel in the lease holder's heartbeats, so only what the lease holder read itself was told. Why this works: the VM that reads the statement sends the final departure to all VMs at once; the lease holder, which gets it too, repeats it as before.

--- a/crates/entry/src/messages.rs
+++ b/crates/entry/src/messages.rs
@@ -8,6 +8,7 @@
 use apricotdale_core::numbers::Position;
 use apricotdale_dispatch::RateLimit;
 use apricotdale_dispatch::StatedLimit;
+use apricotdale_fleet::Departure;
 use apricotdale_fleet::Freshness;
 use apricotdale_fleet::Upstream;
 use apricotdale_fleet::append_versions;
@@ -177,6 +178,8 @@
     OriginQuery(OriginQuery),
     /// What the sender knows of the origin of a stream.
     OriginAnswer(OriginAnswer),
+    /// An upstream has stated to the sender that it leaves. The lease holder repeats it.
+    LeaveStated(Departure),
     /// An upstream that the receiver relays connections to has asked for rest.
     RestStated {
         upstream: UpstreamName,
--- a/crates/entry/src/peer_exchange.rs
+++ b/crates/entry/src/peer_exchange.rs
@@ -12,7 +12,6 @@
 use apricotdale_core::names::UpstreamName;
 use apricotdale_dispatch::LoadForecast;
 use apricotdale_dispatch::WaitReason;
-use apricotdale_fleet::DirectoryChange;
 use apricotdale_fleet::Freshness;
 use apricotdale_fleet::residence_digests;
 use apricotdale_fleet::serving_digest;
@@ -192,6 +191,7 @@
             PeerMessage::Rejected { upstream, limit } => {
                 self.apply_announced_rejection(&upstream, limit);
             }
+            PeerMessage::LeaveStated(departure) => self.apply_departure(&departure),
             PeerMessage::RestStated { upstream, rest_ms } => {
                 self.begin_rest(&upstream, "relayed", rest_ms);
             }
@@ -257,9 +257,7 @@
             self.directory.record_complete_list(read_ms);
         }
         for departure in &fresh.left {
-            if self.directory.record_departure(departure) == DirectoryChange::Left {
-                self.stop_sending_to(&departure.upstream, "told_by_another_vm");
-            }
+            self.apply_departure(departure);
         }
         self.compare_upstream_list(fresh);
     }
--- a/crates/entry/src/upstream_notices.rs
+++ b/crates/entry/src/upstream_notices.rs
@@ -3,6 +3,7 @@
 
 use apricotdale_core::names::InstanceName;
 use apricotdale_core::names::UpstreamName;
+use apricotdale_fleet::Departure;
 use apricotdale_fleet::DirectoryChange;
 use apricotdale_fleet::Upstream;
 use apricotdale_http1::ResponseHead;
@@ -85,6 +86,16 @@
                 "upstream states that it leaves"
             );
             self.stop_sending_to(upstream, "stated_in_answer");
+            if let Some(departure) = self.directory.departure(upstream) {
+                self.peers.send_all(&PeerMessage::LeaveStated(departure));
+            }
+        }
+    }
+
+    /// Stops sending to an upstream whose departure another VM announces.
+    pub(crate) fn apply_departure(&mut self, departure: &Departure) {
+        if self.directory.record_departure(departure) == DirectoryChange::Left {
+            self.stop_sending_to(&departure.upstream, "told_by_another_vm");
         }
     }
 
