A VM whose upstream rests tells the VMs that it relays for to leave their open connections

Cause: a relay opened no new connections to a resting upstream, and passed on what came on the open ones. Why this works: the notice that a stopping VM gives on its relayed connections, that they must not be used for another exchange, is given on those to the upstream when its rest begins; a new one is not opened.

--- a/crates/entry/src/relay.rs
+++ b/crates/entry/src/relay.rs
@@ -345,8 +345,18 @@
     /// Tells the other VMs that their connections must not be used for another exchange, since this
     /// VM stops.
     pub(crate) fn announce_relay_stop(&mut self) {
+        self.announce_last_exchanges(|_| true);
+    }
+
+    /// Tells the other VMs that their connections to an upstream must not be used for another exchange.
+    pub(crate) fn announce_relay_end(&mut self, upstream: &UpstreamName) {
+        self.announce_last_exchanges(|far| far == upstream);
+    }
+
+    fn announce_last_exchanges(&mut self, is_concerned: impl Fn(&UpstreamName) -> bool) {
         for relayed in self.relayed.by_near.values_mut() {
-            if relayed.phase == Phase::Open {
+            let upstream = relayed.far.as_ref().map(|(_, upstream, _)| upstream);
+            if relayed.phase == Phase::Open && upstream.is_some_and(&is_concerned) {
                 relayed.near.queue(&RelayNotice::Leaving.bytes());
                 relayed.near.flush();
             }
--- a/crates/entry/src/upstream_notices.rs
+++ b/crates/entry/src/upstream_notices.rs
@@ -109,7 +109,10 @@
         if end_ms.is_some() && self.log_budget.try_take(self.now_ms, false) {
             log::info!(upstream = upstream.to_string(), source, rest_ms; "upstream asks for rest");
         }
-        self.redispatch_needed |= end_ms.is_some();
+        if end_ms.is_some() {
+            self.announce_relay_end(upstream);
+            self.redispatch_needed = true;
+        }
     }
 
     /// Returns an upstream unless it is in the rest that it has asked for.
