--- a/crates/entry/src/request_dispatch.rs
+++ b/crates/entry/src/request_dispatch.rs
@@ -367,12 +367,10 @@
         let factor_permille = match refusal.reason {
             RefusalReason::UpstreamLimited => factor_permille,
             RefusalReason::UpstreamResting => 1_000 + factor_permille / 8,
-            _ => 1_000,
+            _ => return self.refuse(key, &refusal),
         };
-        if factor_permille != 1_000 {
-            let retry_after_ms = refusal.retry_after_ms.map(|it| it.max(RETRY_AFTER_MS));
-            refusal.retry_after_ms = retry_after_ms.map(|it| it * factor_permille / 1_000);
-        }
+        let retry_after_ms = refusal.retry_after_ms.map(|it| it.max(RETRY_AFTER_MS));
+        refusal.retry_after_ms = retry_after_ms.map(|it| it * factor_permille / 1_000);
         self.refuse(key, &refusal);
     }
 
