Soak: faults of answers that no request has met end with the plan

'recovers' asks for service after the last fault, but engines kept faults queued for their next answers. The queues are emptied before the recovery; the check is as it was.

--- a/crates/soak/src/engines.rs
+++ b/crates/soak/src/engines.rs
@@ -199,6 +199,15 @@
             .collect()
     }
 
+    /// Drops the faults of answers that no request has met.
+    pub fn drop_queued_faults(&self) {
+        let site = self.site.lock();
+        site.engines.iter().for_each(|engine| engine.clear_faults());
+        site.services
+            .iter()
+            .for_each(|service| service.clear_faults());
+    }
+
     pub(crate) fn engine_dies(&self, number: usize) {
         let Some((index, proxy)) = mark_down(&mut self.engines.lock(), number) else {
             return;
--- a/crates/soak/src/soak.rs
+++ b/crates/soak/src/soak.rs
@@ -149,6 +149,7 @@
         join(callers);
         join(crashers);
         join(bursts);
+        world.drop_queued_faults();
         let last_attempts = recover(options, &workload);
         has_recovered.store(true, Ordering::Release);
         join(vec![restarts]);
