Soak: a release reaches engines that have ended by themselves

A release left out an engine that was down when its turn came, and its successor had the old version. The slot now holds the version with which a successor starts.

--- a/crates/soak/src/engines.rs
+++ b/crates/soak/src/engines.rs
@@ -52,6 +52,8 @@
     /// Index of the current engine among all engines that the site has started.
     pub index: usize,
     pub proxy: Arc<Proxy>,
+    /// Version of the software with which a successor starts.
+    pub software: String,
     /// Whether the engine has ended and its successor has not joined yet.
     pub is_down: bool,
 }
@@ -98,12 +100,14 @@
 }
 
 pub(crate) fn join_engine(site: &mut Site, options: EngineOptions) -> io::Result<EngineSlot> {
+    let software = options.version.clone();
     let index = site.start_engine(options)?;
     let proxy = Arc::new(Proxy::start(site.engine_addresses[index])?);
     site.engines[index].announce(Some(proxy.address()));
     Ok(EngineSlot {
         index,
         proxy,
+        software,
         is_down: false,
     })
 }
@@ -223,8 +227,7 @@
     /// its address.
     fn replace(&self, number: usize, index: usize, proxy: &Proxy) -> io::Result<()> {
         pause(ENTRY_TTL_MS);
-        let software = self.site.lock().engines[index].version();
-        self.start_successor(number, index, proxy, &software)
+        self.start_successor(number, index, proxy)
     }
 
     /// Starts the engine that follows one which has ended, at its address.
@@ -233,14 +236,13 @@
         number: usize,
         index: usize,
         proxy: &Proxy,
-        software: &str,
     ) -> io::Result<()> {
         let mut engines = self.engines.lock();
         let mut site = self.site.lock();
         site.engines[index].withdraw();
         let name = format!("i-{}", site.engines.len());
         let options = EngineOptions {
-            version: software.to_owned(),
+            version: engines[number].software.clone(),
             ..engine_options(name, &[])
         };
         let next = site.start_engine(options)?;
@@ -306,7 +308,7 @@
             let mut site = self.site.lock();
             let name = format!("i-{}", site.engines.len());
             let options = EngineOptions {
-                version: site.engines[engines[number].index].version(),
+                version: engines[number].software.clone(),
                 ..engine_options(name, &[])
             };
             let Ok(joined) = join_engine(&mut site, options) else {
--- a/crates/soak/src/releases.rs
+++ b/crates/soak/src/releases.rs
@@ -10,8 +10,8 @@
 use crate::world::pause;
 
 impl World {
-    /// Restarts the engines one after another with a version of their software. Engines that are
-    /// replaced meanwhile by another fault keep theirs.
+    /// Restarts the engines one after another with a version of their software. An engine that
+    /// has ended or left by itself when its turn comes is replaced by one with that version.
     pub(crate) fn release(&self, release: &Trouble) {
         let Trouble::Release {
             first_engine,
@@ -26,10 +26,11 @@
         };
         let engines = self.engines.lock().len();
         for number in (0..engines).map(|step| (first_engine + step) % engines) {
-            if let Some((index, proxy)) = self.end_for_release(number, *notice, *drain_ms) {
+            if let Some((index, proxy)) = self.end_for_release(number, software, *notice, *drain_ms)
+            {
                 pause(*down_ms);
                 // An engine that can't be replaced stays down.
-                let _ = self.start_successor(number, index, &proxy, software);
+                let _ = self.start_successor(number, index, &proxy);
             }
             pause(*interval_ms);
         }
@@ -40,13 +41,18 @@
     fn end_for_release(
         &self,
         number: usize,
+        software: &str,
         notice: bool,
         drain_ms: u64,
     ) -> Option<(usize, Arc<Proxy>)> {
         let index = {
-            let engines = self.engines.lock();
-            let slot = engines.get(number).filter(|slot| !slot.is_down)?;
-            slot.index
+            let mut engines = self.engines.lock();
+            let slot = engines.get_mut(number)?;
+            slot.software = software.to_owned();
+            match slot.is_down {
+                true => return None,
+                false => slot.index,
+            }
         };
         let engine = self.site.lock().engines[index].clone();
         match notice {
