--- a/crates/soak/tests/short_soak.rs
+++ b/crates/soak/tests/short_soak.rs
@@ -1,11 +1,17 @@
 //! Short soaks with fixed seeds. Longer soaks with other seeds are run with the program `soak`.
 
+use std::collections::BTreeSet;
+
+use apricotdale_soak::Attempt;
 use apricotdale_soak::Soak;
 use apricotdale_soak::SoakOptions;
 use apricotdale_soak::check;
 use apricotdale_soak::entry_program;
 use rstest::rstest;
 
+/// Attempts to resume a stream that a soak must have.
+const MIN_RESUMED: usize = 10;
+
 #[rstest]
 #[case::kills_and_pauses(1, 0)]
 #[case::many_at_once(3, 3)]
@@ -23,6 +29,13 @@
         let mut attempts = soak.record.attempts.iter();
         assert!(attempts.any(|it| it.status() == status), "no {status}");
     }
+    // Without these, streams of two software versions could not have been mixed up.
+    let events = soak.record.attempts.iter().filter_map(Attempt::events);
+    let versions: BTreeSet<&str> = events.flat_map(|it| it.software_versions()).collect();
+    assert!(versions.len() > 1, "only {versions:?} served");
+    let resumed = soak.record.attempts.iter().filter(|it| it.after_event > 0);
+    let resumed = resumed.count();
+    assert!(resumed >= MIN_RESUMED, "{resumed} resumed");
     let continued = soak.record.continued();
     assert!(
         continued.faulty >= min_faulty_continuations,
