Streams of two software versions: resumptions have a file of their own, and states their names

A stream's search is unneeded, open or found; what the table records of a stream is an origin or a conflict.

--- a/crates/entry/src/active.rs
+++ b/crates/entry/src/active.rs
@@ -19,7 +19,7 @@
 use mio::Token;
 
 use crate::limits::Charge;
-use crate::stream_origins::StreamInProgress;
+use crate::stream_resumption::StreamInProgress;
 
 /// Progress of a request.
 #[derive(Clone, Debug, PartialEq, Eq)]
--- a/crates/entry/src/failed_attempts.rs
+++ b/crates/entry/src/failed_attempts.rs
@@ -15,7 +15,7 @@
 use crate::request_ends::parts_text;
 use crate::request_ends::sent_software;
 use crate::request_ends::upstream_text;
-use crate::stream_origins::software_text;
+use crate::stream_resumption::software_text;
 
 /// Retry delay stated to a refused caller. Engines reject requests for short moments only.
 pub(crate) const RETRY_AFTER_MS: u64 = 300;
--- a/crates/entry/src/lib.rs
+++ b/crates/entry/src/lib.rs
@@ -44,6 +44,7 @@
 mod store_pollers;
 mod stream;
 mod stream_origins;
+mod stream_resumption;
 mod upstream_answers;
 mod upstream_notices;
 mod upstream_paths;
--- a/crates/entry/src/limits.rs
+++ b/crates/entry/src/limits.rs
@@ -20,6 +20,7 @@
 use crate::active::Phase;
 use crate::daemon::Daemon;
 use crate::messages::PeerMessage;
+use crate::stream_resumption::StreamInProgress;
 
 /// Number of VMs assumed until the store's entries have been read. It is large, so that this VM's
 /// share of a limit is small until then.
@@ -155,7 +156,7 @@
             return true;
         };
         let client = &mut self.limits.client;
-        let found_ms = request.stream.as_ref().and_then(|stream| stream.found_ms);
+        let found_ms = request.stream.as_ref().and_then(StreamInProgress::found_ms);
         let asked_ms = found_ms.unwrap_or(request.job.arrived_ms);
         let owner_deadline_ms = asked_ms + OWNER_TIMEOUT_MS;
         match client.admit(now_ms, charge.account, key, charge.units) {
--- a/crates/entry/src/request_ends.rs
+++ b/crates/entry/src/request_ends.rs
@@ -16,7 +16,7 @@
 use crate::active::Phase;
 use crate::daemon::Daemon;
 use crate::failed_attempts::RETRY_AFTER_MS;
-use crate::stream_origins::software_text;
+use crate::stream_resumption::software_text;
 
 /// Maximum number of prompt parts in one log line.
 const MAX_LOGGED_PARTS: usize = 16;
--- a/crates/entry/src/upstream_answers.rs
+++ b/crates/entry/src/upstream_answers.rs
@@ -18,7 +18,7 @@
 use crate::outbound::Purpose;
 use crate::request_ends::sent_software;
 use crate::request_ends::upstream_text;
-use crate::stream_origins::software_text;
+use crate::stream_resumption::software_text;
 
 /// Space reserved for an answer's head in addition to the bytes of a part.
 const HEAD_RESERVE_BYTES: usize = 512;
--- a/crates/origins/src/lib.rs
+++ b/crates/origins/src/lib.rs
@@ -29,6 +29,7 @@
 pub use resumption::ResumptionStep;
 pub use stream_id::StreamId;
 pub use table::OriginTable;
+pub use table::Recorded;
 pub use table::StreamOrigin;
 pub use table::TableOptions;
 pub use versions::KnownVersions;
--- a/crates/origins/src/table.rs
+++ b/crates/origins/src/table.rs
@@ -42,11 +42,19 @@
     pub origin: Origin,
 }
 
+/// What is recorded of a stream.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub enum Recorded {
+    /// Its origin.
+    Origin(Origin),
+    /// Origins that exclude each other: nothing tells which of them brought the first event.
+    Conflict,
+}
+
 #[derive(Clone, Debug)]
 struct Kept {
     at_ms: u64,
-    /// `None` if origins that exclude each other were stated.
-    origin: Option<Origin>,
+    recorded: Recorded,
 }
 
 /// Origins of the streams that this VM began or was told of.
@@ -79,21 +87,20 @@
         self.options.lifetime_ms
     }
 
-    /// Records the origin of a stream. If it excludes the one that is known, the stream has no
-    /// origin any more: nothing tells which of the two brought the first event.
+    /// Records the origin of a stream. If it excludes the one that is known, the stream has none.
     pub fn record(&mut self, now_ms: u64, stated: StreamOrigin) {
         self.drop_expired(now_ms);
-        let origin = match self.by_stream.get(&stated.stream) {
-            None => Some(stated.origin),
-            Some(Kept {
-                origin: Some(known),
-                ..
-            }) if known.accepts(&stated.origin) => Some(known.clone()),
-            Some(_) => None,
+        let known = self.by_stream.get(&stated.stream);
+        let recorded = match known.map(|kept| &kept.recorded) {
+            None => Recorded::Origin(stated.origin),
+            Some(Recorded::Origin(known)) if known.accepts(&stated.origin) => {
+                Recorded::Origin(known.clone())
+            }
+            Some(_) => Recorded::Conflict,
         };
         let kept = Kept {
             at_ms: now_ms,
-            origin,
+            recorded,
         };
         let former = self.by_stream.insert(stated.stream, kept);
         if former.is_none_or(|former| former.at_ms != now_ms) {
@@ -108,11 +115,11 @@
         }
     }
 
-    /// Returns what is known of a stream; `None` if the table does not have it.
-    pub fn get(&self, now_ms: u64, stream: StreamId) -> Option<Option<&Origin>> {
+    /// Returns what is recorded of a stream; `None` if the table does not have it.
+    pub fn get(&self, now_ms: u64, stream: StreamId) -> Option<&Recorded> {
         let kept = self.by_stream.get(&stream)?;
         let is_valid = now_ms.saturating_sub(kept.at_ms) <= self.options.lifetime_ms;
-        is_valid.then_some(kept.origin.as_ref())
+        is_valid.then_some(&kept.recorded)
     }
 
     /// Returns the newest streams whose origin is known, at most `count`.
@@ -120,9 +127,12 @@
         let streams = self.order.iter().rev().map(|(_, stream)| *stream);
         let mut seen = HashSet::new();
         let streams = streams.filter(|stream| seen.insert(*stream)).take(count);
-        let origins = streams.filter_map(|stream| {
-            let origin = self.by_stream.get(&stream)?.origin.clone()?;
-            Some(StreamOrigin { stream, origin })
+        let origins = streams.filter_map(|stream| match &self.by_stream.get(&stream)?.recorded {
+            Recorded::Origin(origin) => Some(StreamOrigin {
+                stream,
+                origin: origin.clone(),
+            }),
+            Recorded::Conflict => None,
         });
         origins.collect()
     }
--- a/crates/origins/tests/origin_search/vm.rs
+++ b/crates/origins/tests/origin_search/vm.rs
@@ -12,6 +12,7 @@
 use apricotdale_origins::Evidence;
 use apricotdale_origins::OriginTable;
 use apricotdale_origins::OriginUnknown;
+use apricotdale_origins::Recorded;
 use apricotdale_origins::Resumption;
 use apricotdale_origins::ResumptionStep;
 use apricotdale_origins::StreamId;
@@ -219,8 +220,8 @@
 
     pub fn evidence(&self, now_ms: u64, stream: StreamId, services: &[GroupName]) -> Evidence {
         match self.table.get(now_ms, stream) {
-            Some(Some(origin)) => Evidence::Origin(origin.clone()),
-            Some(None) => Evidence::Conflict,
+            Some(Recorded::Origin(origin)) => Evidence::Origin(origin.clone()),
+            Some(Recorded::Conflict) => Evidence::Conflict,
             None => Evidence::of_versions(services.iter().map(|service| {
                 let versions = self.versions.versions(now_ms, service, LIFETIME_MS);
                 (service.clone(), versions)
@@ -229,7 +230,10 @@
     }
 
     pub fn record(&mut self, now_ms: u64, stated: StreamOrigin) {
-        let is_known = matches!(self.table.get(now_ms, stated.stream), Some(Some(_)));
+        let is_known = matches!(
+            self.table.get(now_ms, stated.stream),
+            Some(Recorded::Origin(_))
+        );
         if !(self.planted == Some(Planted::FirstStatementWins) && is_known) {
             self.table.record(now_ms, stated);
         }
