Soak: the short one has six engines, so that streams go on during a release

Cause: a stream goes on only at the software version that began it, and the short soak is one release from end to end. Change: six engines. Seeds, length, bounds and checks as before.

--- a/crates/soak/tests/short_soak.rs
+++ b/crates/soak/tests/short_soak.rs
@@ -9,6 +9,10 @@
 use apricotdale_soak::entry_program;
 use rstest::rstest;
 
+/// Engines of a soak. In a release, several of each software version must serve for a while, or no
+/// stream goes on at another engine.
+const ENGINES: usize = 6;
+
 /// Attempts to resume a stream that a soak must have.
 const MIN_RESUMED: usize = 10;
 
@@ -18,6 +22,7 @@
 fn invariants_hold(#[case] seed: u64, #[case] min_faulty_continuations: usize) {
     let options = SoakOptions {
         length_ms: 7_000,
+        engines: ENGINES,
         ..SoakOptions::new(entry_program().expect("the program is built"), seed)
     };
     let soak = Soak::carry_out(&options).expect("the soak can be carried out");
