Soak: engines that state in their answers that they leave

Cause: no trouble and no promise of the soak covered what engines state about themselves. Change: trouble "stated leave", one or two a seed, drawn from a seed of its own; promise "drained as stated", judged by the requests that reach engines. Stand-ins record from which address a request came and whether it was answered with 421; the proxies connect from the address of a VM that has its own.

--- a/crates/soak/src/checks.rs
+++ b/crates/soak/src/checks.rs
@@ -21,7 +21,7 @@
 pub(crate) const UNDISTURBED_MS: u64 = 3_000;
 
 /// Time after its leave notice within which an upstream may still get new requests.
-const DRAIN_DEADLINE_MS: u64 = 2_000;
+pub(crate) const DRAIN_DEADLINE_MS: u64 = 2_000;
 
 /// Time within which a configuration must be in force once the store has acknowledged it.
 pub(crate) const CONFIGURATION_DEADLINE_MS: u64 = 2_000;
@@ -72,6 +72,8 @@
     WithinLimits,
     /// All VMs together send an upstream no more requests than the rate limit that it states allows.
     WithinStatedLimits,
+    /// A VM that passed on that an engine leaves soon sends it nothing more.
+    DrainedAsStated,
     /// A VM that is cut off from all upstreams serves through others.
     ServesThroughOthers,
     /// A stream holds events that one version of the engines' software wrote, over all attempts of
@@ -104,6 +106,7 @@
             Self::OrganisationForwarded => "organisation told",
             Self::WithinLimits => "within limits",
             Self::WithinStatedLimits => "within stated limits",
+            Self::DrainedAsStated => "drained as stated",
             Self::ServesThroughOthers => "serves through others",
             Self::OneSoftwareVersion => "one software version",
             Self::ResumedStreamsServed => "resumed streams served",
@@ -144,6 +147,7 @@
     checker.check_organisations(&mut found);
     checker.check_limits(&mut found);
     checker.check_stated_limits(&mut found);
+    checker.check_stated_leaves(&mut found);
     checker.check_path_cuts(&mut found);
     checker.check_software_versions(&mut found);
     checker.check_secrets(&mut found);
@@ -183,7 +187,7 @@
         self.first_runs.get(id).copied()
     }
 
-    fn run_count(&self, id: &str) -> usize {
+    pub fn run_count(&self, id: &str) -> usize {
         self.run_counts.get(id).copied().unwrap_or_default()
     }
 
--- a/crates/soak/src/engines.rs
+++ b/crates/soak/src/engines.rs
@@ -300,6 +300,21 @@
     }
 
     pub(crate) fn engine_leaves(&self, number: usize, notice: bool) {
+        let depart = |engine: &PlatformEngine| {
+            match notice {
+                true => engine.drain(),
+                false => engine.withdraw(),
+            }
+            self.events.lock().drains.push(Drain {
+                upstream: engine.name().to_owned(),
+                at_ms: self.clock.now_ms(),
+            });
+        };
+        self.leave(number, LEAVING_ENGINE_MS, depart);
+    }
+
+    /// Has another engine join, calls `depart` with the one that leaves, and ends that one later.
+    pub(crate) fn leave(&self, number: usize, after_ms: u64, depart: impl FnOnce(&PlatformEngine)) {
         let old = {
             let mut engines = self.engines.lock();
             if engines[number].is_down {
@@ -315,23 +330,13 @@
                 return;
             };
             let old = std::mem::replace(&mut engines[number], joined);
-            let engine = &site.engines[old.index];
             let time = engine_time(&site.engines[engines[number].index], self.clock.now_ms());
-            match notice {
-                true => engine.drain(),
-                false => engine.withdraw(),
-            }
-            let drain = Drain {
-                upstream: engine.name().to_owned(),
-                at_ms: self.clock.now_ms(),
-            };
-            let mut events = self.events.lock();
-            events.drains.push(drain);
-            events.engine_times.push(time);
+            depart(&site.engines[old.index]);
+            self.events.lock().engine_times.push(time);
             old
         };
         self.record_end(old.index, self.clock.now_ms());
-        pause(LEAVING_ENGINE_MS);
+        pause(after_ms);
         let mut site = self.site.lock();
         site.engines[old.index].withdraw();
         site.stop_engine(old.index);
--- a/crates/soak/src/fault.rs
+++ b/crates/soak/src/fault.rs
@@ -8,6 +8,7 @@
 use crate::record::PATHS_CUT;
 use crate::record::Place;
 use crate::record::ROLLBACK;
+use crate::record::UPSTREAM_LINK;
 
 /// How a cut between a VM and an upstream shows at the VM.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
@@ -195,6 +196,16 @@
         /// Duration of the statement.
         for_ms: u64,
     },
+    /// Has an engine state in all its answers that it leaves, while its entry stays as it is, and
+    /// another join. The engine ends later.
+    StatedLeave {
+        /// Index of the engine in the soak's list.
+        engine: usize,
+        /// Whether the answers to reports and orders state it, too.
+        calls: bool,
+        /// Time from the first statement to the engine's end.
+        for_ms: u64,
+    },
     /// Has the operators write a configuration with a new route in place of the previous one.
     Configure,
     /// Has the operators add a key to an organisation.
@@ -227,7 +238,7 @@
             Self::Forget => "forget",
             Self::SetBack { .. } => ROLLBACK,
             Self::StoreLink { .. } => "store link",
-            Self::UpstreamLink { .. } => "upstream link",
+            Self::UpstreamLink { .. } => UPSTREAM_LINK,
             Self::PathsCut { .. } => PATHS_CUT,
             Self::Reset { .. } => "reset",
             Self::Silence { .. } => "silence",
@@ -240,6 +251,7 @@
             Self::EngineLeaves { .. } => "engine leaves",
             Self::Release { .. } => "release",
             Self::StatedLimit { .. } => "stated limit",
+            Self::StatedLeave { .. } => "stated leave",
             Self::Configure => "configure",
             Self::KeyAdded { .. } => "key added",
             Self::KeyTaken { .. } => "key taken",
@@ -276,7 +288,8 @@
             | Self::Orders { .. }
             | Self::EngineDies { .. }
             | Self::EngineLeaves { .. }
-            | Self::Release { .. } => Some(Place::Upstreams),
+            | Self::Release { .. }
+            | Self::StatedLeave { .. } => Some(Place::Upstreams),
         }
     }
 }
--- a/crates/soak/src/main.rs
+++ b/crates/soak/src/main.rs
@@ -24,6 +24,7 @@
 use apricotdale_soak::entry_program;
 use apricotdale_soak::fullest_stated_window;
 use apricotdale_soak::fullest_window;
+use apricotdale_soak::judged_leaves;
 use apricotdale_soak::resumed_share;
 
 /// Upper bound of soaks that run in parallel, whatever `--at-once` asks for.
@@ -154,7 +155,8 @@
          two engines ({} faulty, {} complete), {} resumed by callers ({} of \
          {} went on where two engines of their software version served, {} of {} new ones began), \
          {} of {} requests in the \
-         fullest window of a limit, {} of {} in that of a stated limit, {} violations",
+         fullest window of a limit, {} of {} in that of a stated limit, {} VMs told that an engine \
+         leaves, {} violations",
         record.disturbances.len(),
         record.attempts.len(),
         record.runs.len(),
@@ -170,6 +172,7 @@
         fullest.1,
         stated.0,
         stated.1,
+        judged_leaves(record),
         violations.len()
     )
 }
@@ -192,6 +195,9 @@
     for limit in &soak.record.stated_limits {
         writeln!(file, "{limit:?}")?;
     }
+    for leave in &soak.record.stated_leaves {
+        writeln!(file, "{leave:?}")?;
+    }
     for cut in &soak.record.path_cuts {
         writeln!(file, "{cut:?}")?;
     }
@@ -215,6 +221,9 @@
     for run in &soak.record.runs {
         writeln!(file, "{run:?}")?;
     }
+    for arrival in &soak.record.arrivals {
+        writeln!(file, "{arrival:?}")?;
+    }
     for (engine, effects) in &soak.record.engines {
         writeln!(file, "{engine}: {effects:?}")?;
     }
--- /dev/null
+++ b/crates/soak/src/notice_draws.rs
@@ -0,0 +1,46 @@
+//! Random draws of what engines state about themselves in their answers.
+
+use std::ops::Range;
+use std::ops::RangeInclusive;
+
+use rand::RngExt;
+use rand::SeedableRng;
+use rand_chacha::ChaCha8Rng;
+
+use crate::draws::WARM_UP_MS;
+use crate::fault::Trouble;
+use crate::plan::Planned;
+
+/// Number of engines that state that they leave.
+const STATED_LEAVE_COUNT: RangeInclusive<usize> = 1..=2;
+
+/// Time from the first statement to the engine's end: longer than the time after which it binds.
+const STATED_LEAVE_MS: Range<u64> = 4_000..7_000;
+
+/// Mask that gives the draws of these engines a seed of their own.
+const STATED_LEAVE_SEED_MASK: u64 = 0x6c65_6176_655f_7361;
+
+/// Draws the engines that state that they leave.
+pub(crate) fn draw_stated_leaves(seed: u64, calm_from_ms: u64, engines: usize) -> Vec<Planned> {
+    let mut random = ChaCha8Rng::seed_from_u64(seed ^ STATED_LEAVE_SEED_MASK);
+    (0..random.random_range(STATED_LEAVE_COUNT))
+        .map(|_| {
+            let at_ms = random.random_range(WARM_UP_MS..first_half_end_ms(calm_from_ms));
+            let for_ms = random.random_range(STATED_LEAVE_MS);
+            Planned {
+                at_ms,
+                trouble: Trouble::StatedLeave {
+                    engine: random.random_range(0..engines.max(1)),
+                    calls: random.random_ratio(1, 3),
+                    for_ms: for_ms.min(calm_from_ms.saturating_sub(at_ms)),
+                },
+            }
+        })
+        .collect()
+}
+
+/// Returns the end of the first half of the time in which faults start.
+fn first_half_end_ms(calm_from_ms: u64) -> u64 {
+    let half_ms = calm_from_ms.saturating_sub(WARM_UP_MS).div_ceil(2);
+    WARM_UP_MS + half_ms.max(1)
+}
--- a/crates/soak/src/record.rs
+++ b/crates/soak/src/record.rs
@@ -19,6 +19,9 @@
 /// Name of the disturbance in which VMs are cut off from all upstreams.
 pub(crate) const PATHS_CUT: &str = "paths cut";
 
+/// Name of a disturbance of the link of all VMs to an upstream.
+pub(crate) const UPSTREAM_LINK: &str = "upstream link";
+
 /// Kind of a request, which decides what may happen to it.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, Hash, PartialOrd, Ord)]
 pub enum Kind {
@@ -136,6 +139,30 @@
     pub until_ms: u64,
 }
 
+/// Engine that stated in its answers that it leaves, while its entry did not say so.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct StatedLeaveSeen {
+    /// Name of the engine.
+    pub upstream: String,
+    /// Time from which all its answers state it.
+    pub from_ms: u64,
+}
+
+/// Request of a caller that reached an engine, whether or not it ran.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct ArrivalSeen {
+    /// Request ID.
+    pub id: String,
+    /// Name of the engine.
+    pub upstream: String,
+    /// Number of the VM from whose address it came; none if the address is no VM's.
+    pub vm: Option<usize>,
+    /// Time when it reached the engine.
+    pub at_ms: u64,
+    /// Whether the engine answered that the request was not meant for it.
+    pub is_misdirected: bool,
+}
+
 /// One request as a caller sent it.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub struct Attempt {
@@ -343,6 +370,10 @@
     pub limits: Vec<LimitSeen>,
     /// Rate limits that engines stated.
     pub stated_limits: Vec<StatedLimitSeen>,
+    /// Engines that stated in their answers that they leave.
+    pub stated_leaves: Vec<StatedLeaveSeen>,
+    /// Requests of callers that reached engines.
+    pub arrivals: Vec<ArrivalSeen>,
     /// Cuts of VMs from all upstreams.
     pub path_cuts: Vec<PathCutSeen>,
     /// Log lines of VMs that contain a caller's key.
--- a/crates/soak/src/soak.rs
+++ b/crates/soak/src/soak.rs
@@ -306,6 +306,8 @@
         probes: events.probes.clone(),
         stops: events.stops.clone(),
         stated_limits: events.stated_limits.clone(),
+        stated_leaves: events.stated_leaves.clone(),
+        arrivals: world.arrivals(),
         path_cuts: events.path_cuts.clone(),
         keys,
         limits,
--- a/crates/soak/src/world.rs
+++ b/crates/soak/src/world.rs
@@ -27,7 +27,6 @@
 use crate::engines::engine_time;
 use crate::engines::join_engine;
 use crate::fault::Trouble;
-use crate::keys::KEY_MARK;
 use crate::keys::Keys;
 use crate::keys::OrganisationChange;
 use crate::record::ConfigurationProbe;
@@ -37,15 +36,13 @@
 use crate::record::KILL_ALL;
 use crate::record::PathCutSeen;
 use crate::record::Place;
-use crate::record::Run;
+use crate::record::StatedLeaveSeen;
 use crate::record::StatedLimitSeen;
 use crate::record::StopSeen;
 use crate::vms::StopOutcome;
 use crate::vms::Vms;
 use crate::workload::CALLER_TIMEOUT_MS;
-use crate::workload::LAST_EVENT_HEADER;
 use crate::workload::MODELS;
-use crate::workload::last_event;
 
 /// Time from the acknowledgement of a configuration to its probes: just after its deadline.
 const PROBE_AFTER_MS: u64 = 2_300;
@@ -69,6 +66,7 @@
     pub probe_ids: Vec<String>,
     pub stops: Vec<StopSeen>,
     pub stated_limits: Vec<StatedLimitSeen>,
+    pub stated_leaves: Vec<StatedLeaveSeen>,
     pub path_cuts: Vec<PathCutSeen>,
     pub unexpected_exits: Vec<String>,
 }
@@ -271,6 +269,11 @@
                 for_ms,
             } => self.state_limit(*engine, *milli_per_s, *for_ms),
             Trouble::Release { .. } => self.release(trouble),
+            Trouble::StatedLeave {
+                engine,
+                calls,
+                for_ms,
+            } => self.state_leave(*engine, *calls, *for_ms),
             Trouble::Configure => self.configure(),
             Trouble::KeyAdded { organisation } => {
                 self.change_organisations(OrganisationChange::Add {
@@ -288,42 +291,6 @@
         }
     }
 
-    /// Returns the executions of requests at all upstreams. `sent` returns the request that callers
-    /// sent under an ID.
-    pub fn runs(&self, sent: impl Fn(&str) -> Option<SiteRequest>) -> Vec<Run> {
-        let site = self.site.lock();
-        let engines = site.engines.iter().map(|it| (it.name(), it.runs()));
-        let services = site.services.iter().map(|it| (it.name(), it.runs()));
-        let mut runs = Vec::new();
-        for (upstream, seen) in engines.chain(services) {
-            for run in seen {
-                let unchanged = sent(&run.id).is_none_or(|ask| {
-                    ask.method == run.method && ask.target == run.target && ask.body == run.body
-                });
-                runs.push(Run {
-                    organisations: run.organisations(),
-                    shows_key: run.holds(KEY_MARK),
-                    at_ms: self.clock.at_ms(run.at),
-                    after_event: last_event(run.header(LAST_EVENT_HEADER)),
-                    fault: run.fault,
-                    id: run.id,
-                    upstream: upstream.to_owned(),
-                    unchanged,
-                });
-            }
-        }
-        runs
-    }
-
-    /// Returns the effects of orders on each engine, by the engine's name.
-    pub fn effects(&self) -> Vec<(String, apricotdale_standins::platform::EngineEffects)> {
-        let site = self.site.lock();
-        let engines = site.engines.iter();
-        engines
-            .map(|engine| (engine.name().to_owned(), engine.effects()))
-            .collect()
-    }
-
     fn restart_vm(&self, vm: usize) {
         if let Err(error) = self.vms.restart(vm) {
             let exit = format!("vm{vm} did not start: {error}");
--- a/crates/soak/tests/short_soak.rs
+++ b/crates/soak/tests/short_soak.rs
@@ -29,6 +29,10 @@
     let violations = check(&soak.record);
     assert!(violations.is_empty(), "{violations:#?}\n{:#?}", soak.plan);
     assert!(soak.record.attempts.len() > 200);
+    // Requests from an unknown address would escape the promises about engines' notices.
+    let unknown = soak.record.arrivals.iter().filter(|it| it.vm.is_none());
+    assert_eq!(unknown.count(), 0);
+    assert!(soak.record.arrivals.len() > 100);
     // A soak without a refused key or an exceeded limit has not exercised organisations.
     for status in [401, 429] {
         let mut attempts = soak.record.attempts.iter();
--- /dev/null
+++ b/crates/soak/tests/told_vms.rs
@@ -0,0 +1,39 @@
+//! VMs that engines tell something about themselves, without other faults.
+
+use apricotdale_soak::Plan;
+use apricotdale_soak::Planned;
+use apricotdale_soak::Soak;
+use apricotdale_soak::SoakOptions;
+use apricotdale_soak::Trouble;
+use apricotdale_soak::check;
+use apricotdale_soak::entry_program;
+use apricotdale_soak::judged_leaves;
+
+/// Carries out a soak with one trouble and nothing else.
+fn soak(trouble: Trouble) -> Soak {
+    let options = SoakOptions::new(entry_program().expect("the program is built"), 1);
+    let plan = Plan {
+        crashers: Vec::new(),
+        bursts: Vec::new(),
+        faults: vec![Planned {
+            at_ms: 1_500,
+            trouble,
+        }],
+        calm_from_ms: 6_000,
+        end_ms: 6_500,
+    };
+    Soak::carry_out_plan(&options, plan).expect("the soak can be carried out")
+}
+
+/// Guards against requests to an engine that has stated to a VM that it leaves.
+#[test]
+fn leaving_engine_spared() {
+    let soak = soak(Trouble::StatedLeave {
+        engine: 0,
+        calls: false,
+        for_ms: 4_500,
+    });
+    let violations = check(&soak.record);
+    assert!(violations.is_empty(), "{violations:#?}");
+    assert!(judged_leaves(&soak.record) > 0);
+}
--- a/crates/standins/src/http/caller.rs
+++ b/crates/standins/src/http/caller.rs
@@ -1,6 +1,7 @@
 //! Connection to the client of a request.
 
 use std::io;
+use std::net::IpAddr;
 use std::net::TcpStream;
 
 /// Client of a request. It must only be queried from the thread that handles the request, since a
@@ -8,11 +9,17 @@
 #[derive(Debug)]
 pub struct Caller {
     stream: TcpStream,
+    address: Option<IpAddr>,
 }
 
 impl Caller {
-    pub(crate) fn new(stream: TcpStream) -> Self {
-        Self { stream }
+    pub(crate) fn new(stream: TcpStream, address: Option<IpAddr>) -> Self {
+        Self { stream, address }
+    }
+
+    /// Returns the address of the client; none if the connection ended before it could be read.
+    pub fn address(&self) -> Option<IpAddr> {
+        self.address
     }
 
     /// Waits until the client closes the connection or sends more bytes.
--- a/crates/standins/src/http/reply.rs
+++ b/crates/standins/src/http/reply.rs
@@ -191,7 +191,7 @@
         connection.write_all(&answer)?;
         let mut writer = EventWriter {
             encoder: Encoder::with_flush_after_write(connection.try_clone()?),
-            caller: Caller::new(connection.try_clone()?),
+            caller: Caller::new(connection.try_clone()?, None),
         };
         let end = (self.produce)(&mut writer);
         if end == StreamEnd::Broken {
--- a/crates/standins/src/http/request.rs
+++ b/crates/standins/src/http/request.rs
@@ -37,10 +37,13 @@
 impl Request {
     /// Reads the next request of a connection, or none if the connection ended before it began.
     pub(crate) fn read(reader: &mut BufReader<TcpStream>) -> io::Result<Option<Self>> {
+        // Once the client has reset the connection, its address can't be read any more.
+        let address = reader.get_ref().peer_addr().ok();
         let Some(head) = read_head(reader)? else {
             return Ok(None);
         };
-        let mut request = parse_head(&head, Caller::new(reader.get_ref().try_clone()?))?;
+        let caller = Caller::new(reader.get_ref().try_clone()?, address.map(|it| it.ip()));
+        let mut request = parse_head(&head, caller)?;
         if request.header("Expect").is_some() {
             reader
                 .get_ref()
--- a/crates/standins/src/platform/answers.rs
+++ b/crates/standins/src/platform/answers.rs
@@ -238,10 +238,7 @@
             .with_header(ID, id_of(request))
             .with_header(NOT_RUN, "1")
             .with_header(INSTANCE, &self.instance);
-        let reply = match status {
-            503 => self.notices.with_retry_after(reply),
-            _ => reply,
-        };
+        let reply = self.notices.refusal(id_of(request), status, reply);
         self.with_limits(reply)
     }
 
--- a/crates/standins/src/platform/notices.rs
+++ b/crates/standins/src/platform/notices.rs
@@ -1,6 +1,7 @@
 //! What an upstream states about itself in its answers, and the record of what reaches it.
 
 use std::collections::VecDeque;
+use std::net::IpAddr;
 use std::time::Instant;
 
 use parking_lot::Mutex;
@@ -23,6 +24,10 @@
     pub id: String,
     /// Path with the query.
     pub target: String,
+    /// Address that it came from; none if the connection has ended.
+    pub from: Option<IpAddr>,
+    /// Whether the answer was that the request was not meant for this upstream.
+    pub is_misdirected: bool,
     /// Time at which it arrived.
     pub at: Instant,
 }
@@ -48,10 +53,31 @@
         self.arrivals.lock().push(Arrival {
             id: request.header(ID).unwrap_or_default().to_owned(),
             target: request.target(),
+            from: request.caller.address(),
+            is_misdirected: false,
             at: Instant::now(),
         });
     }
 
+    /// Returns the answer that refuses a request, with the time that a rejection states, and records
+    /// that a request was not meant for this upstream.
+    pub fn refusal(&self, id: &str, status: u16, reply: Reply) -> Reply {
+        match status {
+            421 => self.mark_misdirected(id),
+            503 => return self.with_retry_after(reply),
+            _ => {}
+        }
+        reply
+    }
+
+    /// Records that the newest arrival of a request was not meant for this upstream.
+    fn mark_misdirected(&self, id: &str) {
+        let mut arrivals = self.arrivals.lock();
+        if let Some(arrival) = arrivals.iter_mut().rfind(|it| it.id == id) {
+            arrival.is_misdirected = true;
+        }
+    }
+
     /// Applies the triggers that a request matches. Returns whether it is to be rejected.
     pub fn apply_triggers(&self, request: &Request) -> bool {
         let leaves = self.leave_trigger.lock();
@@ -79,7 +105,7 @@
     }
 
     /// Returns a rejection that states when another request is wanted.
-    pub fn with_retry_after(&self, reply: Reply) -> Reply {
+    fn with_retry_after(&self, reply: Reply) -> Reply {
         let texts = self.retry_after.lock().pop_front().unwrap_or_default();
         texts
             .iter()
--- a/crates/standins/src/proxy.rs
+++ b/crates/standins/src/proxy.rs
@@ -5,6 +5,7 @@
 use std::io::Read;
 use std::io::Write;
 use std::net::IpAddr;
+use std::net::Ipv4Addr;
 use std::net::Shutdown;
 use std::net::SocketAddr;
 use std::net::TcpListener;
@@ -121,7 +122,7 @@
     ///
     /// Any error of listening on loopback or starting the thread.
     pub fn start(target: SocketAddr) -> io::Result<Self> {
-        let listener = TcpListener::bind((std::net::Ipv4Addr::LOCALHOST, 0))?;
+        let listener = TcpListener::bind((Ipv4Addr::LOCALHOST, 0))?;
         let address = listener.local_addr()?;
         let shared = Arc::new(Shared::default());
         *shared.target.lock() = Some(target);
@@ -239,6 +240,19 @@
     }
 }
 
+/// Connects to the server from the client's address if it is one that stands for a single client, so
+/// that the server can tell clients apart as well.
+fn connect_from(client: Option<IpAddr>, target: SocketAddr) -> io::Result<TcpStream> {
+    let own = client.filter(|it| it.is_loopback() && *it != IpAddr::V4(Ipv4Addr::LOCALHOST));
+    let Some(own) = own.filter(|it| it.is_ipv4() == target.is_ipv4()) else {
+        return TcpStream::connect(target);
+    };
+    let socket = Socket::new(Domain::for_address(target), Type::STREAM, None)?;
+    socket.bind(&SocketAddr::new(own, 0).into())?;
+    socket.connect(&target.into())?;
+    Ok(socket.into())
+}
+
 /// Returns a socket bound to an address that does not listen, so that connections are refused.
 fn bind_without_listening(address: SocketAddr) -> io::Result<Socket> {
     let socket = Socket::new(Domain::for_address(address), Type::STREAM, None)?;
@@ -283,7 +297,7 @@
         let target = *shared.target.lock();
         let server = target
             .filter(|_| !is_refused)
-            .and_then(|target| TcpStream::connect(target).ok());
+            .and_then(|target| connect_from(from, target).ok());
         let Some(server) = server else {
             let _ = SockRef::from(&client).set_linger(Some(Duration::ZERO));
             continue;
