--- a/crates/standins/src/platform/mod.rs
+++ b/crates/standins/src/platform/mod.rs
@@ -3,6 +3,7 @@
 
 mod answers;
 mod caller;
+mod crashes;
 mod engine;
 mod event_texts;
 mod groups;
@@ -26,8 +27,8 @@
 pub use caller::SiteRequest;
 pub use caller::get;
 pub use caller::is_ready;
-pub use engine::CrashMarker;
-pub use engine::CrashTrigger;
+pub use crashes::CrashMarker;
+pub use crashes::CrashTrigger;
 pub use engine::EngineEffects;
 pub use engine::EngineOptions;
 pub use engine::PlatformEngine;
