Soak: engines that ask for rest

Cause: no trouble and no promise of the soak covered rests that engines state. Change: trouble "rest", one or two a seed, drawn from a seed of its own; promise "rest kept", judged by the requests that reach the engine from each VM's address. Both troubles take the next engine if the drawn one has ended. tests/told_vms.rs plays it alone, too.

--- a/crates/soak/src/checks.rs
+++ b/crates/soak/src/checks.rs
@@ -74,6 +74,8 @@
     WithinStatedLimits,
     /// A VM that passed on that an engine leaves soon sends it nothing more.
     DrainedAsStated,
+    /// An engine that asked a VM for rest gets two requests from it at most until the rest ends.
+    RestKept,
     /// A VM that is cut off from all upstreams serves through others.
     ServesThroughOthers,
     /// A stream holds events that one version of the engines' software wrote, over all attempts of
@@ -107,6 +109,7 @@
             Self::WithinLimits => "within limits",
             Self::WithinStatedLimits => "within stated limits",
             Self::DrainedAsStated => "drained as stated",
+            Self::RestKept => "rest kept",
             Self::ServesThroughOthers => "serves through others",
             Self::OneSoftwareVersion => "one software version",
             Self::ResumedStreamsServed => "resumed streams served",
@@ -148,6 +151,7 @@
     checker.check_limits(&mut found);
     checker.check_stated_limits(&mut found);
     checker.check_stated_leaves(&mut found);
+    checker.check_rests(&mut found);
     checker.check_path_cuts(&mut found);
     checker.check_software_versions(&mut found);
     checker.check_secrets(&mut found);
--- a/crates/soak/src/fault.rs
+++ b/crates/soak/src/fault.rs
@@ -7,6 +7,7 @@
 use crate::record::KILL_ALL;
 use crate::record::PATHS_CUT;
 use crate::record::Place;
+use crate::record::RESET;
 use crate::record::ROLLBACK;
 use crate::record::UPSTREAM_LINK;
 
@@ -206,6 +207,15 @@
         /// Time from the first statement to the engine's end.
         for_ms: u64,
     },
+    /// Has an engine reject all requests for a time, and state for how long it wants none.
+    Rest {
+        /// Index of the engine in the soak's list.
+        engine: usize,
+        /// Seconds that each rejection states.
+        seconds: u64,
+        /// Time for which requests are rejected.
+        for_ms: u64,
+    },
     /// Has the operators write a configuration with a new route in place of the previous one.
     Configure,
     /// Has the operators add a key to an organisation.
@@ -240,7 +250,7 @@
             Self::StoreLink { .. } => "store link",
             Self::UpstreamLink { .. } => UPSTREAM_LINK,
             Self::PathsCut { .. } => PATHS_CUT,
-            Self::Reset { .. } => "reset",
+            Self::Reset { .. } => RESET,
             Self::Silence { .. } => "silence",
             Self::Answers { .. } => "answers",
             Self::EnginesAnswer { .. } => "engines answer",
@@ -252,6 +262,7 @@
             Self::Release { .. } => "release",
             Self::StatedLimit { .. } => "stated limit",
             Self::StatedLeave { .. } => "stated leave",
+            Self::Rest { .. } => "rest",
             Self::Configure => "configure",
             Self::KeyAdded { .. } => "key added",
             Self::KeyTaken { .. } => "key taken",
@@ -289,7 +300,8 @@
             | Self::EngineDies { .. }
             | Self::EngineLeaves { .. }
             | Self::Release { .. }
-            | Self::StatedLeave { .. } => Some(Place::Upstreams),
+            | Self::StatedLeave { .. }
+            | Self::Rest { .. } => Some(Place::Upstreams),
         }
     }
 }
--- a/crates/soak/src/main.rs
+++ b/crates/soak/src/main.rs
@@ -22,6 +22,7 @@
 use apricotdale_soak::Violation;
 use apricotdale_soak::check;
 use apricotdale_soak::entry_program;
+use apricotdale_soak::fullest_rest;
 use apricotdale_soak::fullest_stated_window;
 use apricotdale_soak::fullest_window;
 use apricotdale_soak::judged_leaves;
@@ -149,6 +150,7 @@
     let stated = fullest_stated_window(record).map_or((0, 0), |window| (window.ran, window.most));
     let resumed = record.attempts.iter().filter(|it| it.after_event > 0);
     let share = resumed_share(record);
+    let rest = fullest_rest(record);
     let orders: usize = record.engines.iter().map(|(_, it)| it.holders.len()).sum();
     format!(
         "{} faults, {} requests by status {statuses:?}, {} runs, {orders} orders, {} streams over \
@@ -156,7 +158,7 @@
          {} went on where two engines of their software version served, {} of {} new ones began), \
          {} of {} requests in the \
          fullest window of a limit, {} of {} in that of a stated limit, {} VMs told that an engine \
-         leaves, {} violations",
+         leaves, {} of 2 requests in the fullest of {} rests, {} violations",
         record.disturbances.len(),
         record.attempts.len(),
         record.runs.len(),
@@ -173,6 +175,8 @@
         stated.0,
         stated.1,
         judged_leaves(record),
+        rest.most,
+        rest.judged,
         violations.len()
     )
 }
@@ -198,6 +202,9 @@
     for leave in &soak.record.stated_leaves {
         writeln!(file, "{leave:?}")?;
     }
+    for rest in &soak.record.rests {
+        writeln!(file, "{rest:?}")?;
+    }
     for cut in &soak.record.path_cuts {
         writeln!(file, "{cut:?}")?;
     }
--- a/crates/soak/src/notice_draws.rs
+++ b/crates/soak/src/notice_draws.rs
@@ -20,6 +20,14 @@
 /// Mask that gives the draws of these engines a seed of their own.
 const STATED_LEAVE_SEED_MASK: u64 = 0x6c65_6176_655f_7361;
 
+/// Number of engines that ask for rest, the seconds that they state, and the time for which they do.
+const REST_COUNT: RangeInclusive<usize> = 1..=2;
+const REST_SECONDS: RangeInclusive<u64> = 1..=3;
+const REST_MS: Range<u64> = 500..4_000;
+
+/// Mask that gives the draws of these engines a seed of their own.
+const REST_SEED_MASK: u64 = 0x7265_7374_5f73_6561;
+
 /// Draws the engines that state that they leave.
 pub(crate) fn draw_stated_leaves(seed: u64, calm_from_ms: u64, engines: usize) -> Vec<Planned> {
     let mut random = ChaCha8Rng::seed_from_u64(seed ^ STATED_LEAVE_SEED_MASK);
@@ -39,6 +47,25 @@
         .collect()
 }
 
+/// Draws the engines that ask for rest.
+pub(crate) fn draw_rests(seed: u64, calm_from_ms: u64, engines: usize) -> Vec<Planned> {
+    let mut random = ChaCha8Rng::seed_from_u64(seed ^ REST_SEED_MASK);
+    (0..random.random_range(REST_COUNT))
+        .map(|_| {
+            let at_ms = random.random_range(WARM_UP_MS..first_half_end_ms(calm_from_ms));
+            let for_ms = random.random_range(REST_MS);
+            Planned {
+                at_ms,
+                trouble: Trouble::Rest {
+                    engine: random.random_range(0..engines.max(1)),
+                    seconds: random.random_range(REST_SECONDS),
+                    for_ms: for_ms.min(calm_from_ms.saturating_sub(at_ms)),
+                },
+            }
+        })
+        .collect()
+}
+
 /// Returns the end of the first half of the time in which faults start.
 fn first_half_end_ms(calm_from_ms: u64) -> u64 {
     let half_ms = calm_from_ms.saturating_sub(WARM_UP_MS).div_ceil(2);
--- a/crates/soak/src/notice_invariants.rs
+++ b/crates/soak/src/notice_invariants.rs
@@ -113,7 +113,7 @@
     }
 
     /// Returns whether links of a VM to upstreams may have held bytes back at some time.
-    fn disturbs_links(&self, vm: usize, from_ms: u64, until_ms: u64) -> bool {
+    pub fn disturbs_links(&self, vm: usize, from_ms: u64, until_ms: u64) -> bool {
         let overlaps = |begin_ms, end_ms| begin_ms <= until_ms && end_ms >= from_ms;
         let mut disturbances = self.record.disturbances.iter();
         let mut cuts = self.record.path_cuts.iter();
--- a/crates/soak/src/notices.rs
+++ b/crates/soak/src/notices.rs
@@ -4,6 +4,7 @@
 
 use crate::record::StatedLeaveSeen;
 use crate::world::World;
+use crate::world::pause;
 
 /// Text by which an engine states that it leaves.
 const LEAVING: &str = "1";
@@ -30,4 +31,17 @@
         let mut slots = (0..engines.len()).map(|step| (number + step) % engines.len());
         slots.find(|it| !engines[*it].is_down).unwrap_or(number)
     }
+
+    /// Has an engine reject requests and ask for rest for a time, even if another engine replaces it
+    /// meanwhile.
+    pub(crate) fn rest(&self, number: usize, seconds: u64, for_ms: u64) {
+        let number = self.serving_slot(number);
+        let engine = {
+            let engines = self.engines.lock();
+            self.site.lock().engines[engines[number].index].clone()
+        };
+        engine.set_resting(Some(seconds));
+        pause(for_ms);
+        engine.set_resting(None);
+    }
 }
--- a/crates/soak/src/observed.rs
+++ b/crates/soak/src/observed.rs
@@ -1,10 +1,13 @@
 //! What upstreams saw of the VMs.
 
+use std::net::IpAddr;
+
 use apricotdale_standins::platform::EngineEffects;
 use apricotdale_standins::platform::SiteRequest;
 
 use crate::keys::KEY_MARK;
 use crate::record::ArrivalSeen;
+use crate::record::RestSeen;
 use crate::record::Run;
 use crate::vms::vm_address;
 use crate::workload::LAST_EVENT_HEADER;
@@ -56,7 +59,7 @@
             let requests = engine.arrivals().into_iter().filter(|it| !it.id.is_empty());
             arrivals.extend(requests.map(|it| ArrivalSeen {
                 upstream: engine.name().to_owned(),
-                vm: (0..self.vms.len()).find(|vm| Some(vm_address(*vm)) == it.from),
+                vm: self.vm_at(it.from),
                 at_ms: self.clock.at_ms(it.at),
                 is_misdirected: it.is_misdirected,
                 id: it.id,
@@ -64,4 +67,24 @@
         }
         arrivals
     }
+
+    /// Returns the answers by which engines asked for rest, with the VM that each went to.
+    pub fn rests(&self) -> Vec<RestSeen> {
+        let site = self.site.lock();
+        let mut rests = Vec::new();
+        for engine in &site.engines {
+            rests.extend(engine.rest_answers().into_iter().map(|it| RestSeen {
+                upstream: engine.name().to_owned(),
+                vm: self.vm_at(it.from),
+                at_ms: self.clock.at_ms(it.at),
+                rest_ms: it.seconds * 1_000,
+                id: it.id,
+            }));
+        }
+        rests
+    }
+
+    fn vm_at(&self, address: Option<IpAddr>) -> Option<usize> {
+        (0..self.vms.len()).find(|vm| Some(vm_address(*vm)) == address)
+    }
 }
--- a/crates/soak/src/plan.rs
+++ b/crates/soak/src/plan.rs
@@ -12,6 +12,7 @@
 use crate::draws::draw_rollbacks;
 use crate::draws::draw_stated_limits;
 use crate::fault::Trouble;
+use crate::notice_draws::draw_rests;
 use crate::notice_draws::draw_stated_leaves;
 
 /// Prefixes of the bodies of requests that crash engines: before the first event of the answer, and
@@ -97,6 +98,7 @@
         faults.extend(draw_path_cuts(seed, calm_from_ms, vms));
         faults.extend(draw_releases(seed, calm_from_ms, engines));
         faults.extend(draw_stated_leaves(seed, calm_from_ms, engines));
+        faults.extend(draw_rests(seed, calm_from_ms, engines));
         let (bursts, changes) = draw_organisation_events(seed, calm_from_ms);
         faults.extend(changes);
         faults.sort_by_key(|planned| planned.at_ms);
--- a/crates/soak/src/record.rs
+++ b/crates/soak/src/record.rs
@@ -22,6 +22,9 @@
 /// Name of a disturbance of the link of all VMs to an upstream.
 pub(crate) const UPSTREAM_LINK: &str = "upstream link";
 
+/// Name of a reset of the open connections to an upstream.
+pub(crate) const RESET: &str = "reset";
+
 /// Kind of a request, which decides what may happen to it.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, Hash, PartialOrd, Ord)]
 pub enum Kind {
@@ -148,6 +151,21 @@
     pub from_ms: u64,
 }
 
+/// Answer by which an engine asked a VM for rest.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct RestSeen {
+    /// Request ID.
+    pub id: String,
+    /// Name of the engine.
+    pub upstream: String,
+    /// Number of the VM from whose address the request came; none if the address is no VM's.
+    pub vm: Option<usize>,
+    /// Time of the answer.
+    pub at_ms: u64,
+    /// Time of rest that it stated.
+    pub rest_ms: u64,
+}
+
 /// Request of a caller that reached an engine, whether or not it ran.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub struct ArrivalSeen {
@@ -372,6 +390,8 @@
     pub stated_limits: Vec<StatedLimitSeen>,
     /// Engines that stated in their answers that they leave.
     pub stated_leaves: Vec<StatedLeaveSeen>,
+    /// Answers by which engines asked for rest.
+    pub rests: Vec<RestSeen>,
     /// Requests of callers that reached engines.
     pub arrivals: Vec<ArrivalSeen>,
     /// Cuts of VMs from all upstreams.
--- a/crates/soak/src/soak.rs
+++ b/crates/soak/src/soak.rs
@@ -307,6 +307,7 @@
         stops: events.stops.clone(),
         stated_limits: events.stated_limits.clone(),
         stated_leaves: events.stated_leaves.clone(),
+        rests: world.rests(),
         arrivals: world.arrivals(),
         path_cuts: events.path_cuts.clone(),
         keys,
--- a/crates/soak/src/world.rs
+++ b/crates/soak/src/world.rs
@@ -274,6 +274,11 @@
                 calls,
                 for_ms,
             } => self.state_leave(*engine, *calls, *for_ms),
+            Trouble::Rest {
+                engine,
+                seconds,
+                for_ms,
+            } => self.rest(*engine, *seconds, *for_ms),
             Trouble::Configure => self.configure(),
             Trouble::KeyAdded { organisation } => {
                 self.change_organisations(OrganisationChange::Add {
--- a/crates/soak/tests/told_vms.rs
+++ b/crates/soak/tests/told_vms.rs
@@ -7,6 +7,7 @@
 use apricotdale_soak::Trouble;
 use apricotdale_soak::check;
 use apricotdale_soak::entry_program;
+use apricotdale_soak::fullest_rest;
 use apricotdale_soak::judged_leaves;
 
 /// Carries out a soak with one trouble and nothing else.
@@ -37,3 +38,17 @@
     assert!(violations.is_empty(), "{violations:#?}");
     assert!(judged_leaves(&soak.record) > 0);
 }
+
+/// Guards against requests to an engine that has asked a VM for rest.
+#[test]
+fn resting_engine_spared() {
+    let soak = soak(Trouble::Rest {
+        engine: 0,
+        seconds: 2,
+        for_ms: 3_000,
+    });
+    let violations = check(&soak.record);
+    assert!(violations.is_empty(), "{violations:#?}");
+    let rest = fullest_rest(&soak.record);
+    assert!(rest.judged > 0, "{rest:?}");
+}
--- a/crates/standins/src/platform/engine.rs
+++ b/crates/standins/src/platform/engine.rs
@@ -412,6 +412,9 @@
         if !self.holdings.lock().serves(wanted) {
             return self.answers.not_run(request, 421);
         }
+        if self.notices().rejects_for_rest(request) {
+            return self.answers.not_run(request, 503);
+        }
         let mut crashes = self.options.crashes.iter();
         if let Some(trigger) = crashes.find(|it| it.marker.matches(request)) {
             // The answer breaks off in the crash, so no other fault is used up on it.
--- a/crates/standins/src/platform/mod.rs
+++ b/crates/standins/src/platform/mod.rs
@@ -35,6 +35,7 @@
 pub use event_texts::DEFAULT_SOFTWARE_VERSION;
 pub use event_texts::writing_versions;
 pub use notices::Arrival;
+pub use notices::RestAnswer;
 pub use orders::OrderFault;
 pub use organisations::SiteLimit;
 pub use organisations::SiteOrganisation;
--- a/crates/standins/src/platform/notices.rs
+++ b/crates/standins/src/platform/notices.rs
@@ -32,6 +32,19 @@
     pub at: Instant,
 }
 
+/// Rejection of a request that stated a time for which none is wanted.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct RestAnswer {
+    /// Identity of the request.
+    pub id: String,
+    /// Address that it came from; none if the connection ended before it could be read.
+    pub from: Option<IpAddr>,
+    /// Time at which it was rejected.
+    pub at: Instant,
+    /// Seconds that were stated.
+    pub seconds: u64,
+}
+
 /// Notices of one upstream, and the record of what reaches it.
 #[derive(Debug, Default)]
 pub(crate) struct Notices {
@@ -41,6 +54,9 @@
     pub leaving_in_calls: Mutex<Option<String>>,
     /// Texts of the times that the next rejections state, one header each.
     pub retry_after: Mutex<VecDeque<Vec<String>>>,
+    /// Seconds that the rejections of all requests state; absent if they are not rejected.
+    pub rest_seconds: Mutex<Option<u64>>,
+    pub rest_answers: Mutex<Vec<RestAnswer>>,
     pub arrivals: Mutex<Vec<Arrival>>,
     /// Marker in the bodies of requests that are rejected, and the time that the rejection states.
     pub rest_trigger: Mutex<Option<(Vec<u8>, String)>>,
@@ -95,6 +111,22 @@
         true
     }
 
+    /// Returns whether the upstream rejects a request because it rests, and records that it does.
+    pub fn rejects_for_rest(&self, request: &Request) -> bool {
+        let Some(seconds) = *self.rest_seconds.lock() else {
+            return false;
+        };
+        let text = seconds.to_string();
+        self.retry_after.lock().push_back(vec![text]);
+        self.rest_answers.lock().push(RestAnswer {
+            id: request.header(ID).unwrap_or_default().to_owned(),
+            from: request.caller.address(),
+            at: Instant::now(),
+            seconds,
+        });
+        true
+    }
+
     /// Returns the answer to a report or an order, which states whether the upstream leaves.
     pub fn with_leaving(&self, reply: Reply) -> Reply {
         let leaving = self.leaving_in_calls.lock().clone();
@@ -133,6 +165,16 @@
         self.push_fault(AnswerFault::TurnedAway);
     }
 
+    /// Makes the engine reject all requests and state these seconds of rest; none to reject none.
+    pub fn set_resting(&self, seconds: Option<u64>) {
+        *self.notices().rest_seconds.lock() = seconds;
+    }
+
+    /// Returns the rejections of [`PlatformEngine::set_resting`], in order.
+    pub fn rest_answers(&self) -> Vec<RestAnswer> {
+        self.notices().rest_answers.lock().clone()
+    }
+
     /// Returns what has reached the engine, in order.
     pub fn arrivals(&self) -> Vec<Arrival> {
         self.notices().arrivals.lock().clone()
