Streams of two software versions: decisions and updates do not walk the whole list

Cause: each decision counted the versions of all upstreams of the service three times over, each VM recorded all listed upstreams four times a second, and digests of versions were formatted. Change: versions are counted among the upstreams that hold the model; the list is recorded once a second and each new upstream at once; digests are hashed without formatting.

--- a/crates/dispatch/src/dispatcher.rs
+++ b/crates/dispatch/src/dispatcher.rs
@@ -22,6 +22,8 @@
 use crate::eligibility::RoomByVersion;
 use crate::eligibility::can_run;
 use crate::eligibility::candidate;
+use crate::eligibility::holds_model;
+use crate::eligibility::may_continue;
 use crate::forecast::Forecasts;
 use crate::forecast::LoadForecast;
 use crate::job::DispatchDecision;
@@ -89,9 +91,14 @@
         if left_ms < self.options.least_left_ms {
             return DispatchDecision::Refuse(self.deadline_refusal(job));
         }
-        let capable: Vec<&Upstream> = directory
+        let holding: Vec<&Upstream> = directory
             .serving(&job.service)
-            .filter(|upstream| can_run(upstream, job))
+            .filter(|upstream| holds_model(upstream, job))
+            .collect();
+        let room = RoomByVersion::new(job, &holding);
+        let capable: Vec<&Upstream> = holding
+            .into_iter()
+            .filter(|upstream| may_continue(upstream, job))
             .collect();
         let awake: Vec<&Upstream> = capable
             .iter()
@@ -117,7 +124,7 @@
             return self.decide_without_upstream(now_ms, directory, job);
         }
         let free = match self.preferred(now_ms, &capable) {
-            Some(preferred) => self.free_candidates(now_ms, directory, job, &preferred),
+            Some(preferred) => self.free_candidates(now_ms, directory, &room, &preferred),
             None => return self.decide_used_up(now_ms, directory, job, &capable),
         };
         if free.is_empty() {
@@ -173,14 +180,13 @@
         &self,
         now_ms: u64,
         directory: &Directory,
-        job: &Job,
+        room: &RoomByVersion<'_>,
         groups: &[Vec<&Upstream>],
     ) -> Vec<Candidate> {
-        let room = RoomByVersion::new(directory, job);
         let free = groups.iter().map(|group| {
             let free = group
                 .iter()
-                .filter(|upstream| self.has_room(now_ms, directory, upstream, &room));
+                .filter(|upstream| self.has_room(now_ms, directory, upstream, room));
             free.map(|upstream| candidate(upstream)).collect()
         });
         free.into_iter()
--- a/crates/dispatch/src/eligibility.rs
+++ b/crates/dispatch/src/eligibility.rs
@@ -17,28 +17,26 @@
 const CONTINUATION_FACTOR: f64 = 1.25;
 
 /// Share of the slots, at least one, that new requests leave free at an upstream whose version fewer
-/// upstreams run than another one. They are for streams that only this version can continue.
+/// upstreams with the model run than another one. They are for streams that only this version can continue.
 const RESERVED_SHARE: f64 = 0.15;
 
 /// Smallest number of slots of which one is left free.
 const MIN_SHARED_SLOTS: u32 = 4;
 
-/// Room at the upstreams of a service for one request, by the versions that they run.
+/// Room for one request at the upstreams that hold its model, by the versions that they run.
 pub(crate) struct RoomByVersion<'a> {
     is_new: bool,
-    /// Number of serving upstreams by version; empty if all run the same one.
+    /// Number of these upstreams by version; empty if all run the same one.
     by_version: HashMap<Option<&'a SoftwareVersion>, usize>,
     /// Largest of these numbers.
     largest: usize,
 }
 
 impl<'a> RoomByVersion<'a> {
-    pub(crate) fn new(directory: &'a Directory, job: &'a Job) -> Self {
-        let versions = || {
-            directory
-                .serving(&job.service)
-                .map(|it| it.version.as_ref())
-        };
+    /// Returns the room for a request. `holding` are the upstreams that hold its model, of all
+    /// versions.
+    pub(crate) fn new(job: &Job, holding: &[&'a Upstream]) -> Self {
+        let versions = || holding.iter().map(|it| it.version.as_ref());
         let mut by_version = HashMap::new();
         let first = versions().next();
         if versions().any(|version| Some(version) != first) {
@@ -70,11 +68,15 @@
 
 /// Returns whether an upstream can run a request, whether or not it is reached and free.
 pub(crate) fn can_run(upstream: &Upstream, job: &Job) -> bool {
-    let holds_model = match &job.wanted {
+    holds_model(upstream, job) && may_continue(upstream, job)
+}
+
+/// Returns whether an upstream holds the model of a request, if that needs one.
+pub(crate) fn holds_model(upstream: &Upstream, job: &Job) -> bool {
+    match &job.wanted {
         Some(wanted) => upstream.residence.serves(wanted),
         None => true,
-    };
-    holds_model && may_continue(upstream, job)
+    }
 }
 
 /// Returns an upstream as the routing policy sees it.
@@ -87,7 +89,7 @@
 }
 
 /// Returns whether an upstream may continue what the caller of a request has.
-fn may_continue(upstream: &Upstream, job: &Job) -> bool {
+pub(crate) fn may_continue(upstream: &Upstream, job: &Job) -> bool {
     job.origin
         .as_ref()
         .is_none_or(|origin| origin.accepts(&upstream.origin()))
--- a/crates/entry/src/store_pollers/upstream_list.rs
+++ b/crates/entry/src/store_pollers/upstream_list.rs
@@ -200,6 +200,7 @@
 
     fn handle_new_upstream(&mut self, name: &UpstreamName) {
         self.store_pollers.queue_arrival(name.clone());
+        self.record_listed_version(name);
         self.peers.schedule_heartbeat();
         // With thousands of upstreams, a line for each would take longer than reading them.
         if self.store_pollers.pending_arrivals() <= MAX_ARRIVAL_LINES {
--- a/crates/entry/src/stream_origins.rs
+++ b/crates/entry/src/stream_origins.rs
@@ -6,6 +6,7 @@
 use std::net::SocketAddr;
 
 use apricotdale_core::names::GroupName;
+use apricotdale_core::names::UpstreamName;
 use apricotdale_core::names::VmName;
 use apricotdale_fleet::RecentVersions;
 use apricotdale_origins::Evidence;
@@ -41,6 +42,9 @@
 const LIFETIME_TIMEOUTS: u64 = 2;
 const MIN_LIFETIME_MS: u64 = 10_000;
 
+/// Time between two updates of the known versions from the whole list.
+const UPDATE_INTERVAL_MS: u64 = 1_000;
+
 /// Age of the upstream list from which on upstreams may have come and gone unseen.
 const MAX_LIST_AGE_MS: u64 = 2_500;
 
@@ -55,6 +59,7 @@
     waiting: HashMap<StreamId, Vec<u64>>,
     /// Version of the configuration that the lifetime comes from; none before the first.
     configuration: Option<u64>,
+    next_update_ms: u64,
 }
 
 impl Default for StreamOrigins {
@@ -66,6 +71,7 @@
             next_tell_ms: u64::MAX,
             waiting: HashMap::new(),
             configuration: None,
+            next_update_ms: 0,
         }
     }
 }
@@ -217,6 +223,14 @@
         self.peers.send(from, &PeerMessage::OriginAnswer(answer));
     }
 
+    /// Records the software version of an upstream that has just been listed.
+    pub(crate) fn record_listed_version(&mut self, name: &UpstreamName) {
+        if let Some(upstream) = self.directory.upstream(name) {
+            let origin = upstream.origin();
+            self.stream_origins.versions.record(self.now_ms, &origin);
+        }
+    }
+
     /// Records the software versions of the listed upstreams, also of leaving ones, which still write.
     pub(crate) fn record_listed_versions(&mut self) {
         let versions = &mut self.stream_origins.versions;
@@ -228,6 +242,10 @@
     /// Updates the versions of services that are known, and drops what has expired.
     pub(crate) fn update_stream_origins(&mut self) {
         let now_ms = self.now_ms;
+        if now_ms < self.stream_origins.next_update_ms {
+            return;
+        }
+        self.stream_origins.next_update_ms = now_ms + UPDATE_INTERVAL_MS;
         self.record_listed_versions();
         let version = Some(self.directory.version());
         let origins = &mut self.stream_origins;
--- a/crates/fleet/src/list_snapshot.rs
+++ b/crates/fleet/src/list_snapshot.rs
@@ -10,6 +10,7 @@
 use serde::Deserialize;
 use serde::Serialize;
 use xxhash_rust::xxh3::xxh3_64;
+use xxhash_rust::xxh3::xxh3_64_with_seed;
 
 use crate::directory::Directory;
 use crate::entry_versions::RecentVersions;
@@ -143,7 +144,7 @@
         .filter(|upstream| upstream.phase == UpstreamPhase::Serving);
     sum(serving.map(|upstream| {
         let version = upstream.version.as_ref().map_or("", |it| it.as_str());
-        xxh3_64(format!("{}\0{version}", upstream.name).as_bytes())
+        xxh3_64_with_seed(version.as_bytes(), name_digest(&upstream.name))
     }))
 }
 
--- a/crates/origins/src/versions.rs
+++ b/crates/origins/src/versions.rs
@@ -54,7 +54,12 @@
             Some(by_version) => by_version,
             None => self.by_service.entry(origin.service.clone()).or_default(),
         };
-        by_version.insert(version.clone(), now_ms);
+        match by_version.get_mut(version) {
+            Some(seen_ms) => *seen_ms = now_ms,
+            None => {
+                by_version.insert(version.clone(), now_ms);
+            }
+        }
     }
 
     /// Records that the upstream list is followed from now on, unless it was before.
