--- a/crates/delivery/src/delivery.rs
+++ b/crates/delivery/src/delivery.rs
@@ -119,8 +119,8 @@
         self.position.origin()
     }
 
-    /// Sets the origin of the events that the caller has from an earlier answer. To be called before
-    /// the first answer.
+    /// Sets the origin of the events that the caller has from an earlier answer. To be called
+    /// before the first answer.
     pub fn set_origin(&mut self, origin: Origin) {
         self.options.origin = Some(origin);
         self.position = Position::start(&self.options);
--- a/crates/delivery/tests/answer_search/main.rs
+++ b/crates/delivery/tests/answer_search/main.rs
@@ -1,9 +1,9 @@
 //! Random search over runs of one request on up to three engines, checked from the caller's side.
 //!
 //! Engines break off, fail, refuse, answer another request, send wrong event IDs, and end in the
-//! middle of an event. They run two versions of the software, which may be unknown. Bodies arrive in
-//! pieces of any size. The caller knows nothing of
-//! [`Delivery`](apricotdale_delivery::Delivery): it parses the bytes that it receives.
+//! middle of an event. They run two versions of the software, which may be unknown. Bodies arrive
+//! in pieces of any size. The caller knows nothing of [`Delivery`](apricotdale_delivery::Delivery):
+//! it parses the bytes that it receives.
 
 mod caller;
 mod course;
--- a/crates/dispatch/src/availability.rs
+++ b/crates/dispatch/src/availability.rs
@@ -1,9 +1,10 @@
 //! When upstreams receive nothing, or less than they have room for: after failures to reach them,
 //! and in the rest that they have asked for.
 //!
-//! A suspension is a guess of this VM, and whatever shows that the upstream is reached lifts it. A rest
-//! is the upstream's own statement: only time ends it, or the end of the incarnation. An answer that
-//! says less was sent to an earlier request, and a probe shows only that the upstream runs.
+//! A suspension is a guess of this VM, and whatever shows that the upstream is reached lifts it. A
+//! rest is the upstream's own statement: only time ends it, or the end of the incarnation. An
+//! answer that says less was sent to an earlier request, and a probe shows only that the upstream
+//! runs.
 
 use std::collections::HashMap;
 
@@ -19,7 +20,8 @@
 /// Longest rest that is believed.
 const MAX_REST_MS: u64 = 300_000;
 
-/// Share of a rest by which VMs stay away for longer, each by another time, and the longest such time.
+/// Share of a rest by which VMs stay away for longer, each by another time, and the longest such
+/// time.
 const MAX_SPREAD_SHARE_PERMILLE: u64 = 100;
 const MAX_SPREAD_MS: u64 = 500;
 
@@ -27,7 +29,8 @@
 /// answer has come.
 const RETURN_INTERVAL_MS: u64 = 500;
 
-/// Number of requests that may be sent in addition for each that the upstream accepts after its rest.
+/// Number of requests that may be sent in addition for each that the upstream accepts after its
+/// rest.
 const SENDS_PER_ACCEPTED: u32 = 2;
 
 /// Number of allowed sends from which an upstream that has rested is used like any other.
@@ -169,8 +172,8 @@
         }
     }
 
-    /// Records that an upstream accepted a request that was sent at `sent_ms`. Only one that was sent
-    /// after the rest shows that the upstream accepts requests again.
+    /// Records that an upstream accepted a request that was sent at `sent_ms`. Only one that was
+    /// sent after the rest shows that the upstream accepts requests again.
     pub fn accepted(&mut self, name: &UpstreamName, sent_ms: u64) {
         let Some(rest) = self.rests.get_mut(name) else {
             return;
--- a/crates/dispatch/src/eligibility.rs
+++ b/crates/dispatch/src/eligibility.rs
@@ -16,8 +16,9 @@
 /// upstreams that can continue it may be few, and start a waiting request once a slot is free.
 const CONTINUATION_FACTOR: f64 = 1.25;
 
-/// Share of the slots, at least one, that new requests leave free at an upstream whose version fewer
-/// upstreams with the model run than another one. They are for streams that only this version can continue.
+/// Share of the slots, at least one, that new requests leave free at an upstream whose version
+/// fewer upstreams with the model run than another one. They are for streams that only this version
+/// can continue.
 const RESERVED_SHARE: f64 = 0.15;
 
 /// Smallest number of slots of which one is left free.
--- a/crates/dispatch/src/rests.rs
+++ b/crates/dispatch/src/rests.rs
@@ -21,14 +21,14 @@
         self.availability.is_resting(now_ms, upstream)
     }
 
-    /// Records that an upstream accepted a request that was sent at `sent_ms`. After a rest it gets more
-    /// requests as it accepts them.
+    /// Records that an upstream accepted a request that was sent at `sent_ms`. After a rest it gets
+    /// more requests as it accepts them.
     pub fn accepted(&mut self, upstream: &UpstreamName, sent_ms: u64) {
         self.availability.accepted(upstream, sent_ms);
     }
 
-    /// Returns when requests may next be sent that are held back by a rest; `None` if there is no such
-    /// time.
+    /// Returns when requests may next be sent that are held back by a rest; `None` if there is no
+    /// such time.
     pub fn next_rest_change_ms(&self, now_ms: u64) -> Option<u64> {
         self.availability.next_change_ms(now_ms)
     }
--- a/crates/dispatch/src/unserved.rs
+++ b/crates/dispatch/src/unserved.rs
@@ -20,7 +20,8 @@
 /// How long a request waits for a load to be planned if all engines with its model are used up.
 const LOAD_PLANNING_MS: u64 = 500;
 
-/// `Retry-After` of a request to a service of which all upstreams leave. Others have to start first.
+/// `Retry-After` of a request to a service of which all upstreams leave. Others have to start
+/// first.
 const LEAVING_RETRY_AFTER_MS: u64 = 1_000;
 
 impl Dispatcher {
--- a/crates/entry/src/relay.rs
+++ b/crates/entry/src/relay.rs
@@ -348,7 +348,8 @@
         self.announce_last_exchanges(|_| true);
     }
 
-    /// Tells the other VMs that their connections to an upstream must not be used for another exchange.
+    /// Tells the other VMs that their connections to an upstream must not be used for another
+    /// exchange.
     pub(crate) fn announce_relay_end(&mut self, upstream: &UpstreamName) {
         self.announce_last_exchanges(|far| far == upstream);
     }
--- a/crates/entry/src/request_dispatch.rs
+++ b/crates/entry/src/request_dispatch.rs
@@ -359,8 +359,8 @@
         }
     }
 
-    /// Refuses a request that the dispatcher does not send. Callers refused because of the same rate
-    /// limit or rest are told to retry at different times, not before the rest ends.
+    /// Refuses a request that the dispatcher does not send. Callers refused because of the same
+    /// rate limit or rest are told to retry at different times, not before the rest ends.
     fn refuse_undispatched(&mut self, key: u64, mut refusal: Refusal) {
         let request = self.active.get(key);
         let factor_permille = request.map_or(1_000, |it| retry_factor_permille(&it.serving.id));
--- a/crates/entry/src/request_ends.rs
+++ b/crates/entry/src/request_ends.rs
@@ -167,8 +167,8 @@
     }
 }
 
-/// Returns the software version of the upstream that a request was sent to, for logs; empty if it is
-/// unknown.
+/// Returns the software version of the upstream that a request was sent to, for logs; empty if it
+/// is unknown.
 pub(crate) fn sent_software(request: &ActiveRequest) -> &str {
     match &request.phase {
         Phase::Sent { origin, .. } => software_text(origin),
--- a/crates/entry/src/stream_origins.rs
+++ b/crates/entry/src/stream_origins.rs
@@ -1,5 +1,5 @@
-//! Origins of streams: what this VM keeps, tells other VMs of the streams that it begins, and answers
-//! to their queries.
+//! Origins of streams: what this VM keeps, tells other VMs of the streams that it begins, and
+//! answers to their queries.
 
 use std::collections::BTreeMap;
 use std::collections::HashMap;
@@ -231,7 +231,8 @@
         }
     }
 
-    /// Records the software versions of the listed upstreams, also of leaving ones, which still write.
+    /// Records the software versions of the listed upstreams, also of leaving ones, which still
+    /// write.
     pub(crate) fn record_listed_versions(&mut self) {
         let versions = &mut self.stream_origins.versions;
         for upstream in self.directory.upstreams() {
--- a/crates/entry/src/stream_resumption.rs
+++ b/crates/entry/src/stream_resumption.rs
@@ -1,4 +1,5 @@
-//! Streams that callers resume: the search for the process that began one, and what follows from it.
+//! Streams that callers resume: the search for the process that began one, and what follows from
+//! it.
 
 use std::net::SocketAddr;
 
@@ -217,8 +218,8 @@
         !is_other_service || self.is_allowed_at_service(key)
     }
 
-    /// Applies to a request what depends on its service, which is not the one that was drawn for it.
-    /// Returns whether the request may be sent there.
+    /// Applies to a request what depends on its service, which is not the one that was drawn for
+    /// it. Returns whether the request may be sent there.
     fn is_allowed_at_service(&mut self, key: u64) -> bool {
         let Some(request) = self.active.get_mut(key) else {
             return false;
@@ -253,7 +254,8 @@
         }
     }
 
-    /// Completes the origin of the events that a request's caller has, for the choice of an upstream.
+    /// Completes the origin of the events that a request's caller has, for the choice of an
+    /// upstream.
     pub(crate) fn complete_origin(&mut self, key: u64) {
         let request = self.active.get(key);
         let origin = request.and_then(|request| request.delivery.origin());
--- a/crates/entry/src/upstream_notices.rs
+++ b/crates/entry/src/upstream_notices.rs
@@ -16,8 +16,8 @@
 use crate::outbound::Purpose;
 
 impl Daemon {
-    /// Handles what an upstream states in the head of any answer: to a request, to a call of this VM,
-    /// or one that is read for nobody.
+    /// Handles what an upstream states in the head of any answer: to a request, to a call of this
+    /// VM, or one that is read for nobody.
     pub(crate) fn handle_notices(&mut self, token: Token, head: &ResponseHead) {
         let Some(connection) = self.outbound.get_mut(token) else {
             return;
@@ -58,9 +58,9 @@
         }
     }
 
-    /// Returns the upstream that gave an answer: the one that the exchange is addressed to, or the one
-    /// that states to have it instead, if that is known at the same address. A former process of an
-    /// instance may still answer at another address and does not speak for the present one.
+    /// Returns the upstream that gave an answer: the one that the exchange is addressed to, or the
+    /// one that states to have it instead, if that is known at the same address. A former process
+    /// of an instance may still answer at another address and does not speak for the present one.
     fn answering(
         &self,
         addressed: &UpstreamName,
@@ -77,8 +77,8 @@
         }
     }
 
-    /// Stops sending to an upstream that states that it leaves, here and at the other VMs. The store
-    /// may be out of service, and they have no other news then.
+    /// Stops sending to an upstream that states that it leaves, here and at the other VMs. The
+    /// store may be out of service, and they have no other news then.
     fn handle_leave_notice(&mut self, upstream: &UpstreamName, source: &str, status: u16) {
         if self.directory.record_leave_notice(upstream) == DirectoryChange::Left {
             log::info!(
--- a/crates/entry/src/upstream_paths.rs
+++ b/crates/entry/src/upstream_paths.rs
@@ -228,10 +228,10 @@
         self.call_on_direct_connection(peer, address, tag, &bytes, timeout_ms);
     }
 
-    /// Returns what a probe of an upstream sends, and the time limit for the answer. Any answer shows
-    /// that the upstream is reached. Where a plain service has no health check, a connection is only
-    /// opened, since an instance could take the probe for a request; so it is at an upstream that has
-    /// asked for rest.
+    /// Returns what a probe of an upstream sends, and the time limit for the answer. Any answer
+    /// shows that the upstream is reached. Where a plain service has no health check, a connection
+    /// is only opened, since an instance could take the probe for a request; so it is at an
+    /// upstream that has asked for rest.
     pub(crate) fn path_probe(&self, upstream: &Upstream) -> (Vec<u8>, u64) {
         let service = self.directory.service(&upstream.service);
         let is_engine = service.is_some_and(|service| service.engine.is_some());
--- a/crates/fleet/src/entry_versions.rs
+++ b/crates/fleet/src/entry_versions.rs
@@ -29,9 +29,9 @@
     postcard::to_extend(&versions, bytes)
 }
 
-/// Sets the versions of the entries of a message from the bytes behind it, and returns the bytes that
-/// follow the versions. There are none behind a message of an earlier release, whose entries then
-/// have unknown versions.
+/// Sets the versions of the entries of a message from the bytes behind it, and returns the bytes
+/// that follow the versions. There are none behind a message of an earlier release, whose entries
+/// then have unknown versions.
 pub fn set_versions<'a>(entries: &mut [Upstream], rest: &'a [u8]) -> &'a [u8] {
     let decoded: postcard::Result<(Vec<Option<SoftwareVersion>>, &[u8])> =
         postcard::take_from_bytes(rest);
--- a/crates/launcher/src/entry_up.rs
+++ b/crates/launcher/src/entry_up.rs
@@ -38,8 +38,8 @@
 const LIMIT_MARKER: &[u8] = b"in-need";
 const STATED_LIMIT: &str = "0.2";
 
-/// Text in the body of a request that an instance of the service rejects, and the rest in seconds that
-/// it asks for. It exceeds the timeout of the routes.
+/// Text in the body of a request that an instance of the service rejects, and the rest in seconds
+/// that it asks for. It exceeds the timeout of the routes.
 const REST_MARKER: &[u8] = b"tired";
 const STATED_REST: &str = "12";
 
--- a/crates/origins/src/versions.rs
+++ b/crates/origins/src/versions.rs
@@ -32,8 +32,8 @@
     is_restored: bool,
     /// When each version was last seen.
     by_service: HashMap<GroupName, HashMap<SoftwareVersion, u64>>,
-    /// When upstreams whose version has never been known were last seen, by service and name; `None`
-    /// stands for all those of the VM whose versions were taken over.
+    /// When upstreams whose version has never been known were last seen, by service and name;
+    /// `None` stands for all those of the VM whose versions were taken over.
     unknown: HashMap<(GroupName, Option<UpstreamName>), u64>,
 }
 
--- a/crates/origins/tests/origin_search/main.rs
+++ b/crates/origins/tests/origin_search/main.rs
@@ -32,8 +32,8 @@
 
 /// Number of courses of each kind, unless the environment names another one.
 const COURSES: u64 = 300;
-/// Number of courses with a planted fault, as a multiple of those without: some faults act only in a
-/// few courses.
+/// Number of courses with a planted fault, as a multiple of those without: some faults act only in
+/// a few courses.
 const PLANTED_COURSES: u64 = 3;
 
 const COURSES_VARIABLE: &str = "ORIGIN_COURSES";
--- a/crates/soak/src/draws.rs
+++ b/crates/soak/src/draws.rs
@@ -83,8 +83,8 @@
 /// Number of releases of engines' software.
 const RELEASE_COUNT: RangeInclusive<usize> = 1..=2;
 
-/// Time from the begin of an engine's departure to its end in a release, from there to its restart, and from
-/// there to the next engine.
+/// Time from the begin of an engine's departure to its end in a release, from there to its restart,
+/// and from there to the next engine.
 const RELEASE_DRAIN_MS: Range<u64> = 500..1_500;
 const RELEASE_DOWN_MS: Range<u64> = 50..500;
 const RELEASE_INTERVAL_MS: Range<u64> = 0..1_200;
--- a/crates/soak/src/notice_draws.rs
+++ b/crates/soak/src/notice_draws.rs
@@ -20,7 +20,8 @@
 /// Mask that gives the draws of these engines a seed of their own.
 const STATED_LEAVE_SEED_MASK: u64 = 0x6c65_6176_655f_7361;
 
-/// Number of engines that ask for rest, the seconds that they state, and the time for which they do.
+/// Number of engines that ask for rest, the seconds that they state, and the time for which they
+/// do.
 const REST_COUNT: RangeInclusive<usize> = 1..=2;
 const REST_SECONDS: RangeInclusive<u64> = 1..=3;
 const REST_MS: Range<u64> = 500..4_000;
--- a/crates/soak/src/notices.rs
+++ b/crates/soak/src/notices.rs
@@ -32,8 +32,8 @@
         slots.find(|it| !engines[*it].is_down).unwrap_or(number)
     }
 
-    /// Has an engine reject requests and ask for rest for a time, even if another engine replaces it
-    /// meanwhile.
+    /// Has an engine reject requests and ask for rest for a time, even if another engine replaces
+    /// it meanwhile.
     pub(crate) fn rest(&self, number: usize, seconds: u64, for_ms: u64) {
         let number = self.serving_slot(number);
         let engine = {
--- a/crates/soak/tests/rest_records.rs
+++ b/crates/soak/tests/rest_records.rs
@@ -51,8 +51,8 @@
     }
 }
 
-/// Guards against a check that misses requests in a rest, or that reports those that were under way,
-/// came after it, or came from another VM.
+/// Guards against a check that misses requests in a rest, or that reports those that were under
+/// way, came after it, or came from another VM.
 #[rstest]
 #[case::two(0, &[600, 700], false)]
 #[case::three(0, &[501, 700, 1_999], true)]
--- a/crates/soak/tests/stated_leave_records.rs
+++ b/crates/soak/tests/stated_leave_records.rs
@@ -39,7 +39,8 @@
     });
 }
 
-/// Returns a record in which VM 0 passes on that an engine leaves, and a VM sends it another request.
+/// Returns a record in which VM 0 passes on that an engine leaves, and a VM sends it another
+/// request.
 fn record(later_vm: usize, later_ms: u64) -> Record {
     let mut record = valid_record();
     record.stated_leaves = vec![StatedLeaveSeen {
--- a/crates/standins/src/platform/notices.rs
+++ b/crates/standins/src/platform/notices.rs
@@ -75,8 +75,8 @@
         });
     }
 
-    /// Returns the answer that refuses a request, with the time that a rejection states, and records
-    /// that a request was not meant for this upstream.
+    /// Returns the answer that refuses a request, with the time that a rejection states, and
+    /// records that a request was not meant for this upstream.
     pub fn refusal(&self, id: &str, status: u16, reply: Reply) -> Reply {
         match status {
             421 => self.mark_misdirected(id),
@@ -146,7 +146,8 @@
 }
 
 impl PlatformEngine {
-    /// Sets the text by which answers to requests state that the engine leaves; none to state nothing.
+    /// Sets the text by which answers to requests state that the engine leaves; none to state
+    /// nothing.
     pub fn set_leaving(&self, leaving: Option<&str>) {
         *self.notices().leaving.lock() = leaving.map(str::to_owned);
     }
@@ -197,7 +198,8 @@
         *self.notices().rest_trigger.lock() = Some((marker.to_vec(), text.to_owned()));
     }
 
-    /// Makes the instance state that it leaves from the first request on whose body contains a marker.
+    /// Makes the instance state that it leaves from the first request on whose body contains a
+    /// marker.
     pub fn leave_on(&self, marker: &[u8]) {
         *self.notices().leave_trigger.lock() = Some(marker.to_vec());
     }
--- a/crates/standins/src/platform/site.rs
+++ b/crates/standins/src/platform/site.rs
@@ -170,8 +170,8 @@
         Ok(self.engines.len() - 1)
     }
 
-    /// Adds a fault that spoils the next continuation of a stream, at whichever engine has no faults
-    /// of its own left. Until then, it breaks off each stream that may be resumed.
+    /// Adds a fault that spoils the next continuation of a stream, at whichever engine has no
+    /// faults of its own left. Until then, it breaks off each stream that may be resumed.
     pub fn push_shared_fault(&self, fault: AnswerFault) {
         self.shared_faults.lock().push(fault);
     }
--- a/crates/standins/src/proxy.rs
+++ b/crates/standins/src/proxy.rs
@@ -240,8 +240,8 @@
     }
 }
 
-/// Connects to the server from the client's address if it is one that stands for a single client, so
-/// that the server can tell clients apart as well.
+/// Connects to the server from the client's address if it is one that stands for a single client,
+/// so that the server can tell clients apart as well.
 fn connect_from(client: Option<IpAddr>, target: SocketAddr) -> io::Result<TcpStream> {
     let own = client.filter(|it| it.is_loopback() && *it != IpAddr::V4(Ipv4Addr::LOCALHOST));
     let Some(own) = own.filter(|it| it.is_ipv4() == target.is_ipv4()) else {
