--- a/crates/node/tests/support/mod.rs
+++ b/crates/node/tests/support/mod.rs
@@ -17,7 +17,6 @@
 pub mod switch;
 pub mod world;
 
-use std::thread;
 use std::time::Duration;
 use std::time::Instant;
 
@@ -33,8 +32,9 @@
 #[track_caller]
 pub fn wait_until(what: &str, condition: impl Fn() -> bool) {
     let deadline = Instant::now() + WAIT_TIMEOUT;
+    let polls = crossbeam_channel::tick(POLL_PAUSE);
     while !condition() {
         assert!(Instant::now() < deadline, "waited in vain for {what}");
-        thread::sleep(POLL_PAUSE);
+        polls.recv().expect("the ticker runs");
     }
 }
