--- a/crates/standins/src/platform/answers.rs
+++ b/crates/standins/src/platform/answers.rs
@@ -30,6 +30,7 @@
 pub(crate) const SIGNATURE: &str = "Apricotdale-Response-Signature";
 pub(crate) const NOT_RUN: &str = "Apricotdale-Not-Executed";
 const INSTANCE: &str = "Apricotdale-Instance-Id";
+const TIME_LEFT_MS: &str = "Apricotdale-Request-Deadline";
 const EXPECTED_INSTANCE: &str = "Apricotdale-Expect-Instance";
 const LOAD: &str = "Apricotdale-Server-Load";
 const RATE_LIMIT: &str = "Server-Limit";
@@ -372,7 +373,8 @@
     }
 
     /// Returns the answer to a streaming request: the events after the last one that the client
-    /// has, up to the event with number `count`.
+    /// has, up to the event with number `count`. It breaks off when the time that the request
+    /// states is over.
     pub fn events(
         &self,
         request: &Request,
@@ -403,8 +405,12 @@
         let unresponsive = self.unresponsive.clone();
         let (left, streamed) = (self.left.clone(), self.streamed.clone());
         let id = id_of(request).to_owned();
+        let until = time_left(request).map(|time_left| Instant::now() + time_left);
         let produce = move |writer: &mut EventWriter| {
             for (sent, event) in (first..=count).enumerate() {
+                if until.is_some_and(|until| until <= Instant::now()) {
+                    return StreamEnd::Broken;
+                }
                 if cut_after == Some(sent as u64) {
                     let _ = writer.send_bytes(format!("id: {event}\nda").as_bytes());
                     return StreamEnd::Broken;
@@ -495,6 +501,12 @@
     last.and_then(|id| id.parse().ok()).unwrap_or(0) + 1
 }
 
+/// Returns how long the client waits for the answer; none if the request does not state it.
+fn time_left(request: &Request) -> Option<Duration> {
+    let left_ms = request.header(TIME_LEFT_MS)?.parse().ok()?;
+    Some(Duration::from_millis(left_ms))
+}
+
 fn id_of(request: &Request) -> &str {
     request.header(ID).unwrap_or_default()
 }
