A longer time-out of a route reaches the requests in progress

Callers saw streams break off in their middle, and calls answered 504, at a time-out that a change of the configuration had already raised: the deadline was computed once, from the version in force at the arrival, and the engine was told the same time, at which it stops by itself.

Deadline (crates/dispatch) holds the rule in one place. A longer time-out counts from the arrival, a shorter one leaves a request what it was promised, and neither goes beyond the time for which the caller waits. When a configuration takes effect, the deadlines of all requests in progress and their wake-ups follow; a request whose route is gone keeps its own. The upstream of a stream is given the caller's own time, because it ends its work at that time and could not be told of another; at the deadline the VM closes the connection. Other answers keep the shorter time, since a refusal replaces them and nobody should work on them after it.

--- a/crates/dispatch/src/lib.rs
+++ b/crates/dispatch/src/lib.rs
@@ -10,6 +10,7 @@
 #![warn(missing_docs)]
 
 mod availability;
+mod deadline;
 mod dispatcher;
 mod eligibility;
 mod forecast;
@@ -22,6 +23,7 @@
 mod unserved;
 mod upstream_load;
 
+pub use deadline::Deadline;
 pub use dispatcher::Dispatcher;
 pub use forecast::LoadForecast;
 pub use job::DispatchDecision;
--- a/crates/entry/src/active.rs
+++ b/crates/entry/src/active.rs
@@ -7,6 +7,7 @@
 use apricotdale_core::names::UpstreamName;
 use apricotdale_core::origin::Origin;
 use apricotdale_delivery::Delivery;
+use apricotdale_dispatch::Deadline;
 use apricotdale_dispatch::Job;
 use apricotdale_dispatch::Urgency;
 use apricotdale_dispatch::WaitReason;
@@ -64,6 +65,8 @@
     /// Cost that counts against the limit of its organisation; none without a limit.
     pub charge: Option<Charge>,
     pub job: Job,
+    /// Time limits that the deadline of its job is derived from.
+    pub deadline: Deadline,
     pub phase: Phase,
     /// Stream that it begins or resumes; none if no other upstream may continue it.
     pub stream: Option<StreamInProgress>,
@@ -115,6 +118,21 @@
         Some(request)
     }
 
+    /// Applies a function to the deadline of each request, and moves its wake-up with it.
+    pub fn update_deadlines(&mut self, update: impl Fn(&ActiveRequest, &mut Deadline)) {
+        for (key, request) in &mut self.requests {
+            let mut deadline = request.deadline;
+            update(request, &mut deadline);
+            if deadline == request.deadline {
+                continue;
+            }
+            self.wake_ups.remove(&(request.job.deadline_ms, *key));
+            request.deadline = deadline;
+            request.job.deadline_ms = deadline.answer_by_ms();
+            self.wake_ups.insert((request.job.deadline_ms, *key));
+        }
+    }
+
     /// Schedules a wake-up of a request in addition to its deadline.
     pub fn wake_at(&mut self, at_ms: u64, key: u64) {
         self.wake_ups.insert((at_ms, key));
--- a/crates/entry/src/request_dispatch.rs
+++ b/crates/entry/src/request_dispatch.rs
@@ -9,6 +9,7 @@
 use apricotdale_core::refusal::RefusalReason;
 use apricotdale_delivery::Delivery;
 use apricotdale_delivery::Options as DeliveryOptions;
+use apricotdale_dispatch::Deadline;
 use apricotdale_dispatch::DispatchDecision;
 use apricotdale_dispatch::Job;
 use apricotdale_dispatch::WaitReason;
@@ -36,10 +37,6 @@
 use crate::outbound::Purpose;
 use crate::prefix_hash::prefix_hash;
 
-/// Time before a request's deadline at which it gets its final answer, so that the answer arrives
-/// in time.
-const ANSWER_MARGIN_MS: u64 = 30;
-
 /// Expected time until the first event of an engine that is not full.
 const EXPECTED_FIRST_EVENT_DELAY_MS: u64 = 250;
 
@@ -143,7 +140,8 @@
             self.refuse_new(token, &refusal, Some(&serving.id));
             return;
         }
-        let mut job = self.new_job(&serving, &route, service);
+        let deadline = Deadline::new(self.now_ms, serving.answer_timeout_ms, route.timeout_ms);
+        let mut job = self.new_job(&serving, &route, service, deadline);
         if let Some(rank) = organisation.as_ref().and_then(|it| it.rank) {
             job.rank = rank;
         }
@@ -172,6 +170,7 @@
             organisation,
             serving,
             job,
+            deadline,
             phase: Phase::Waiting(WaitReason::Full),
             stream,
             trial: None,
@@ -252,16 +251,18 @@
         }
     }
 
-    fn new_job(&self, serving: &ServingRequest, route: &Arc<Route>, service: GroupName) -> Job {
+    fn new_job(
+        &self,
+        serving: &ServingRequest,
+        route: &Arc<Route>,
+        service: GroupName,
+        deadline: Deadline,
+    ) -> Job {
         let now_ms = self.now_ms;
         let is_engine = self
             .directory
             .service(&service)
             .is_some_and(|it| it.engine.is_some());
-        let answer_timeout_ms = serving
-            .answer_timeout_ms
-            .unwrap_or(route.timeout_ms)
-            .min(route.timeout_ms);
         let expected_run_ms = match is_engine {
             true => {
                 EXPECTED_FIRST_EVENT_DELAY_MS
@@ -277,7 +278,7 @@
             rank: route.rank,
             arrived_ms: now_ms,
             target_ms: now_ms + route.target_ms,
-            deadline_ms: now_ms + answer_timeout_ms.saturating_sub(ANSWER_MARGIN_MS),
+            deadline_ms: deadline.answer_by_ms(),
             attempts: route.attempts.max(1),
             prefix_hash: prefix_hash(serving),
             expected_run_ms,
@@ -454,7 +455,9 @@
         }
         let fields = ForwardFields {
             instance,
-            left_ms: request.job.deadline_ms.saturating_sub(now_ms),
+            left_ms: request
+                .deadline
+                .upstream_left_ms(now_ms, request.job.kind.is_stream()),
             last_event: request.delivery.last_event(),
             rank: request.job.rank,
             organisation: request.organisation.as_ref().map(|it| it.name.clone()),
--- a/crates/entry/src/store_pollers/configuration.rs
+++ b/crates/entry/src/store_pollers/configuration.rs
@@ -155,6 +155,17 @@
         }
     }
 
+    /// Applies the time-outs of a new configuration to the requests in progress. A request whose
+    /// route is gone keeps its deadline.
+    fn extend_deadlines(&mut self) {
+        let directory = &self.directory;
+        self.active.update_deadlines(|request, deadline| {
+            if let Some(route) = directory.route(&request.serving.host, &request.serving.target) {
+                deadline.apply_route_timeout(route.timeout_ms);
+            }
+        });
+    }
+
     /// Puts configurations in force. `are_changes` tells that they were written after an earlier
     /// read of this VM in the same era. Returns whether the records contained any.
     pub(super) fn apply_configurations(
@@ -182,6 +193,7 @@
                     let is_outdated = self.sharing.announced_version() > version;
                     self.store_pollers.record_outdated(self.now_ms, is_outdated);
                     self.peers.schedule_heartbeat();
+                    self.extend_deadlines();
                     self.redispatch_needed = true;
                 }
                 Ok(()) => {}
