Unanswered requests are recorded at one place, with a reason

Cause: a caller's connection could end with a request unanswered in four places, some of which left no line, and none told the configuration at the request's arrival or how long its upstream had been silent. Change: Daemon::close_caller is the only place that removes a caller's connection, and records what ends by it: the request in progress, and an earlier answer with unwritten bytes. The process's end records its own. Each has a reason and what decided it; the counter apricotdale_unanswered_requests by reason always counts, the line "request ended without a complete answer" is within the log's budget. Not recorded: unwritten bytes of refusals of requests that never became active.

--- a/crates/entry/src/active.rs
+++ b/crates/entry/src/active.rs
@@ -79,6 +79,10 @@
     pub longest_gap_ms: u64,
     /// When the first part of the answer was delivered to the caller; none before that.
     pub first_answer_ms: Option<u64>,
+    /// Version of the configuration in force when the request arrived.
+    pub arrived_version: u64,
+    /// When an upstream's last byte came or the request was last sent; none before that.
+    pub last_received_ms: Option<u64>,
 }
 
 /// Requests in progress by key, and the times at which they need attention.
--- a/crates/entry/src/caller.rs
+++ b/crates/entry/src/caller.rs
@@ -11,6 +11,7 @@
 
 use crate::stream::ReadEnd;
 use crate::stream::Stream;
+use crate::unanswered::RequestTrace;
 
 /// Maximum number of bytes read while a request is answered. Reading then serves only to notice
 /// that the caller has left.
@@ -82,6 +83,9 @@
     since_ms: u64,
     /// How reading ended; none while the caller has not closed the connection.
     ended: Option<ReadEnd>,
+    /// Last request with a final answer of which bytes have yet to be written; none if there is
+    /// none.
+    undelivered: Option<RequestTrace>,
 }
 
 impl Caller {
@@ -97,6 +101,7 @@
             is_head_request: false,
             since_ms: now_ms,
             ended: None,
+            undelivered: None,
         }
     }
 
@@ -210,6 +215,19 @@
         self.stream.unwritten_bytes() > 0
     }
 
+    /// Keeps the trace of a request with a final answer until the answer is written.
+    pub fn watch_delivery(&mut self, trace: RequestTrace) {
+        if self.has_unwritten() {
+            self.undelivered = Some(trace);
+        }
+    }
+
+    /// Returns the trace of the last request with a final answer, if bytes of it have yet to be
+    /// written.
+    pub fn undelivered(&self) -> Option<&RequestTrace> {
+        self.undelivered.as_ref().filter(|_| self.has_unwritten())
+    }
+
     /// Completes the answer in progress. Returns whether another request may follow.
     pub fn answered(&mut self, now_ms: u64) -> bool {
         self.since_ms = now_ms;
@@ -240,6 +258,9 @@
             self.since_ms = now_ms;
         }
         let written = !self.has_unwritten();
+        if written {
+            self.undelivered = None;
+        }
         match &mut self.phase {
             Phase::Closing {
                 until_ms,
--- a/crates/entry/src/connections.rs
+++ b/crates/entry/src/connections.rs
@@ -13,6 +13,7 @@
 use crate::caller::CallerKind;
 use crate::caller::Received;
 use crate::daemon::Daemon;
+use crate::unanswered::UnansweredReason;
 
 const HEAD_END: &[u8] = b"\r\n\r\n";
 
@@ -26,7 +27,7 @@
                 return;
             };
             if caller.flush(now_ms) {
-                self.drop_caller(token, false);
+                self.drop_caller(token, UnansweredReason::WriteFailed);
                 return;
             }
             self.resume_reading(token);
@@ -37,7 +38,7 @@
                 Received::Request { head, body } => self.handle_request(token, head, body),
                 Received::Refused(error) => self.refuse_invalid_bytes(token, error),
                 Received::Left => {
-                    self.drop_caller(token, true);
+                    self.drop_caller(token, UnansweredReason::CallerLeft);
                     return;
                 }
                 Received::Nothing => return,
@@ -63,17 +64,28 @@
         }
     }
 
+    /// Drops the callers' connections that have timed out, and the idle ones late in a planned stop.
+    pub(crate) fn drop_timed_out_callers(&mut self) {
+        let limits = self.directory.configuration().limits;
+        let timed_out: Vec<Token> = self
+            .callers
+            .iter()
+            .filter(|(_, caller)| {
+                let stops = caller.is_idle() && self.planned_stop.closes_idle(self.now_ms);
+                stops || caller.is_timed_out(self.now_ms, &limits)
+            })
+            .map(|(token, _)| *token)
+            .collect();
+        for token in timed_out {
+            self.drop_caller(token, UnansweredReason::NotTaken);
+        }
+    }
+
     /// Drops a caller's connection. Its request is cancelled if it may be retried or streams; one
     /// that may run only once continues to its end.
-    pub(crate) fn drop_caller(&mut self, token: Token, left: bool) {
-        let Some(caller) = self.callers.remove(&token) else {
-            return;
-        };
-        let request = caller.request();
-        self.tell_origins();
-        caller.stream.close(self.poll.registry(), false);
-        if let Some(key) = request {
-            self.caller_left(key, left);
+    pub(crate) fn drop_caller(&mut self, token: Token, reason: UnansweredReason) {
+        if let Some(key) = self.close_caller(token, reason, false) {
+            self.caller_left(key, reason == UnansweredReason::CallerLeft);
         }
     }
 
--- a/crates/entry/src/crash_watch.rs
+++ b/crates/entry/src/crash_watch.rs
@@ -36,6 +36,7 @@
 use crate::daemon::Daemon;
 use crate::messages::PeerMessage;
 use crate::outbound::Peer;
+use crate::unanswered::UnansweredReason;
 
 /// Time limit for the probe of an upstream that broke a connection. Where a process has ended
 /// nobody listens, which shows within one round trip.
@@ -271,7 +272,7 @@
             false => Refusal::not_run(reason, detail).retry_after(row.left_ms),
         };
         self.cancel_attempt(key);
-        self.refuse(key, &refusal);
+        self.refuse(key, &refusal, UnansweredReason::Blocked);
     }
 
     /// Handles another VM's reports of requests in progress at crashed upstreams.
--- a/crates/entry/src/daemon.rs
+++ b/crates/entry/src/daemon.rs
@@ -477,19 +477,7 @@
             self.handle_failed_connection(token, key);
         }
         self.next_call_timeout_ms = self.outbound.next_call_until_ms().unwrap_or(u64::MAX);
-        let limits = self.directory.configuration().limits;
-        let timed_out: Vec<Token> = self
-            .callers
-            .iter()
-            .filter(|(_, caller)| {
-                let stops = caller.is_idle() && self.planned_stop.closes_idle(self.now_ms);
-                stops || caller.is_timed_out(self.now_ms, &limits)
-            })
-            .map(|(token, _)| *token)
-            .collect();
-        for token in timed_out {
-            self.drop_caller(token, false);
-        }
+        self.drop_timed_out_callers();
         if self.planned_stop.refuses_connections(self.now_ms) {
             self.listeners.remove(&CALLERS);
         }
--- a/crates/entry/src/failed_attempts.rs
+++ b/crates/entry/src/failed_attempts.rs
@@ -16,6 +16,7 @@
 use crate::request_ends::sent_software;
 use crate::request_ends::upstream_text;
 use crate::stream_resumption::software_text;
+use crate::unanswered::UnansweredReason;
 
 /// Retry delay stated to a refused caller. Engines reject requests for short moments only.
 pub(crate) const RETRY_AFTER_MS: u64 = 300;
@@ -141,6 +142,11 @@
         // has been judged.
         let is_suspect = was_trial || self.crash_watch.knows(&request.features);
         let may_retry = request.delivery.may_continue() && (failed.is_not_run() || !is_suspect);
+        let unanswered = match () {
+            _ if !request.delivery.may_continue() => UnansweredReason::NotContinuable,
+            _ if !may_retry => UnansweredReason::SuspectedAfterFailure,
+            _ => UnansweredReason::RetryDenied,
+        };
         let decision = match may_retry && request.caller.is_some() {
             true => self
                 .dispatcher
@@ -165,7 +171,7 @@
                 request.job.awaits_retry_budget = true;
                 self.pause_request(key, BUDGET_PAUSE_MS);
             }
-            RetryAction::GiveUp => self.refuse_after_failures(key, failed),
+            RetryAction::GiveUp => self.refuse_after_failures(key, failed, unanswered),
         }
     }
 
@@ -211,7 +217,12 @@
         }
     }
 
-    fn refuse_after_failures(&mut self, key: u64, failed: FailedAttempt) {
+    fn refuse_after_failures(
+        &mut self,
+        key: u64,
+        failed: FailedAttempt,
+        unanswered: UnansweredReason,
+    ) {
         let Some(request) = self.active.get_mut(key) else {
             return;
         };
@@ -229,6 +240,6 @@
                 "the upstream's answer was lost",
             ),
         };
-        self.refuse(key, &refusal);
+        self.refuse(key, &refusal, unanswered);
     }
 }
--- a/crates/entry/src/lib.rs
+++ b/crates/entry/src/lib.rs
@@ -45,6 +45,7 @@
 mod stream;
 mod stream_origins;
 mod stream_resumption;
+mod unanswered;
 mod upstream_answers;
 mod upstream_notices;
 mod upstream_paths;
--- a/crates/entry/src/lifecycle.rs
+++ b/crates/entry/src/lifecycle.rs
@@ -8,6 +8,7 @@
 use crate::daemon::Daemon;
 use crate::errors::Result;
 use crate::settings::Settings;
+use crate::unanswered::UnansweredReason;
 
 /// How long a stopping VM still accepts connections. The balancer checks readiness once a second
 /// and sends no new connections after two failed checks.
@@ -120,7 +121,7 @@
         for key in self.active.never_sent() {
             let refusal = Refusal::not_run(RefusalReason::Draining, "this VM stops")
                 .retry_after(STOP_RETRY_AFTER_MS);
-            self.refuse(key, &refusal);
+            self.refuse(key, &refusal, UnansweredReason::PlannedStop);
         }
     }
 
@@ -156,7 +157,8 @@
         );
     }
 
-    pub(crate) fn log_end(&self) {
+    pub(crate) fn log_end(&mut self) {
+        self.record_unanswered_at_end();
         log::info!(
             requests = self.active.len(),
             dropped_lines = self.log_budget.dropped_lines,
--- a/crates/entry/src/limits.rs
+++ b/crates/entry/src/limits.rs
@@ -21,6 +21,7 @@
 use crate::daemon::Daemon;
 use crate::messages::PeerMessage;
 use crate::stream_resumption::StreamInProgress;
+use crate::unanswered::UnansweredReason;
 
 /// Number of VMs assumed until the store's entries have been read. It is large, so that this VM's
 /// share of a limit is small until then.
@@ -209,7 +210,7 @@
             }
         };
         self.metrics.over_limit(&name);
-        self.refuse(key, &refusal);
+        self.refuse(key, &refusal, UnansweredReason::OverLimit);
     }
 
     /// Refunds the cost of a request that was refused and has not run.
--- a/crates/entry/src/metrics.rs
+++ b/crates/entry/src/metrics.rs
@@ -26,6 +26,7 @@
     registry: Registry,
     requests: Family<Reason, Counter>,
     refusals: Family<Reason, Counter>,
+    unanswered: Family<Reason, Counter>,
     failed_attempts: Family<Reason, Counter>,
     path_failures: Family<Reason, Counter>,
     mismatches: Family<Reason, Counter>,
@@ -91,6 +92,7 @@
             registry: Registry::with_prefix("apricotdale"),
             requests: Family::default(),
             refusals: Family::default(),
+            unanswered: Family::default(),
             failed_attempts: Family::default(),
             path_failures: Family::default(),
             mismatches: Family::default(),
@@ -158,6 +160,11 @@
         count(&self.refusals, reason);
     }
 
+    /// Counts a request that was read whole and ends without a complete answer.
+    pub fn unanswered(&self, reason: &str) {
+        count(&self.unanswered, reason);
+    }
+
     /// Counts an answer that could not continue what the caller had received.
     pub fn mismatch(&self, reason: &str) {
         count(&self.mismatches, reason);
--- a/crates/entry/src/metrics/registration.rs
+++ b/crates/entry/src/metrics/registration.rs
@@ -12,6 +12,11 @@
             self.requests.clone(),
         );
         registry.register("refusals", "Refusals by reason", self.refusals.clone());
+        registry.register(
+            "unanswered_requests",
+            "Requests that ended without a complete answer, by reason",
+            self.unanswered.clone(),
+        );
         registry.register(
             "failed_tries",
             "Failed attempts by reason",
--- a/crates/entry/src/request_dispatch.rs
+++ b/crates/entry/src/request_dispatch.rs
@@ -35,6 +35,7 @@
 use crate::outbound::Peer;
 use crate::outbound::Purpose;
 use crate::prefix_hash::prefix_hash;
+use crate::unanswered::UnansweredReason;
 
 /// Time before a request's deadline at which it gets its final answer, so that the answer arrives
 /// in time.
@@ -180,6 +181,8 @@
             last_part_ms: 0,
             longest_gap_ms: 0,
             first_answer_ms: None,
+            arrived_version: self.directory.version(),
+            last_received_ms: None,
         });
         if let Some(caller) = self.callers.get_mut(&token) {
             caller.set_request(key);
@@ -343,7 +346,7 @@
             DispatchDecision::Wait(reason) => {
                 self.upstream_permits.withdraw(key);
                 if let Some(refusal) = self.no_room_refusal(key) {
-                    self.refuse(key, &refusal);
+                    self.refuse(key, &refusal, UnansweredReason::NotDispatched);
                     return;
                 }
                 let Some(request) = self.active.get_mut(key) else {
@@ -367,11 +370,11 @@
         let factor_permille = match refusal.reason {
             RefusalReason::UpstreamLimited => factor_permille,
             RefusalReason::UpstreamResting => 1_000 + factor_permille / 8,
-            _ => return self.refuse(key, &refusal),
+            _ => return self.refuse(key, &refusal, UnansweredReason::NotDispatched),
         };
         let retry_after_ms = refusal.retry_after_ms.map(|it| it.max(RETRY_AFTER_MS));
         refusal.retry_after_ms = retry_after_ms.map(|it| it * factor_permille / 1_000);
-        self.refuse(key, &refusal);
+        self.refuse(key, &refusal, UnansweredReason::NotDispatched);
     }
 
     /// Sends a request, unless it is on probation and another copy of it may be in progress.
@@ -425,7 +428,7 @@
                 .retry_after(PROBATION_RETRY_AFTER_MS),
             _ => Refusal::unknown(RefusalReason::OnProbation, detail),
         };
-        self.refuse(key, &refusal);
+        self.refuse(key, &refusal, UnansweredReason::OnProbation);
     }
 
     fn send(&mut self, key: u64, name: UpstreamName) {
@@ -463,6 +466,7 @@
             .codecs
             .callers
             .forward(&request.head, &request.body, &fields);
+        request.last_received_ms = Some(now_ms);
         request.job.tried.push(name.clone());
         request.job.awaits_retry_budget = false;
         request.delivery.begin_next_answer();
--- a/crates/entry/src/request_ends.rs
+++ b/crates/entry/src/request_ends.rs
@@ -17,13 +17,16 @@
 use crate::daemon::Daemon;
 use crate::failed_attempts::RETRY_AFTER_MS;
 use crate::stream_resumption::software_text;
+use crate::unanswered::RequestTrace;
+use crate::unanswered::UnansweredReason;
 
 /// Maximum number of prompt parts in one log line.
 const MAX_LOGGED_PARTS: usize = 16;
 
 impl Daemon {
-    /// Refuses an active request.
-    pub(crate) fn refuse(&mut self, key: u64, refusal: &Refusal) {
+    /// Refuses an active request. `unanswered` tells why it ends without a complete answer if its
+    /// answer has begun.
+    pub(crate) fn refuse(&mut self, key: u64, refusal: &Refusal, unanswered: UnansweredReason) {
         self.metrics.refused(refusal.reason.as_str());
         let Some(request) = self.active.get(key) else {
             return;
@@ -50,14 +53,20 @@
             self.refund(charge, key);
         }
         if let Some(token) = self.active.get(key).and_then(|request| request.caller) {
-            self.refuse_or_abort(key, token, refusal);
+            self.refuse_or_abort(key, token, refusal, unanswered);
         }
         self.end_request(key, refusal.reason.as_str());
         self.schedule_redispatch();
     }
 
     /// Answers with a refusal, or aborts an answer that has begun.
-    fn refuse_or_abort(&mut self, key: u64, token: Token, refusal: &Refusal) {
+    fn refuse_or_abort(
+        &mut self,
+        key: u64,
+        token: Token,
+        refusal: &Refusal,
+        unanswered: UnansweredReason,
+    ) {
         let close = self.closes_after(token);
         let Some(request) = self.active.get_mut(key) else {
             return;
@@ -69,16 +78,10 @@
             .close(|| codec.refusal(refusal, Some(id), close));
         match closing {
             Closing::Answer(bytes) => self.write_refusal(token, bytes),
-            Closing::Abort => self.abort_caller(token),
-        }
-    }
-
-    /// Resets a caller's connection, so that an answer that stopped midway does not look complete.
-    pub(crate) fn abort_caller(&mut self, token: Token) {
-        // The caller may resume the stream at another VM at once.
-        self.tell_origins();
-        if let Some(caller) = self.callers.remove(&token) {
-            caller.stream.close(self.poll.registry(), true);
+            // A reset, so that an answer that stopped midway does not look complete.
+            Closing::Abort => {
+                self.close_caller(token, unanswered, true);
+            }
         }
     }
 
@@ -92,6 +95,12 @@
             return;
         };
         self.upstream_permits.withdraw(key);
+        let caller = request
+            .caller
+            .and_then(|token| self.callers.get_mut(&token));
+        if let Some(caller) = caller {
+            caller.watch_delivery(RequestTrace::new(&request));
+        }
         self.metrics.ended(how);
         let job = &request.job;
         let good = how == "answered";
@@ -163,7 +172,7 @@
             _ => refusal.ran = ran,
         }
         self.cancel_attempt(key);
-        self.refuse(key, &refusal);
+        self.refuse(key, &refusal, UnansweredReason::DeadlinePassed);
     }
 }
 
--- a/crates/entry/src/stream_resumption.rs
+++ b/crates/entry/src/stream_resumption.rs
@@ -28,6 +28,7 @@
 use crate::daemon::Daemon;
 use crate::messages::PeerMessage;
 use crate::stream_origins::MAX_QUERIED_SERVICES;
+use crate::unanswered::UnansweredReason;
 
 /// Stream that a request begins or resumes.
 #[derive(Debug)]
@@ -192,7 +193,7 @@
         if !shares.any(|share| share.service == origin.service && share.weight > 0) {
             let detail = "the route no longer leads to the service that began the stream";
             let refusal = Refusal::not_run(RefusalReason::VersionGone, detail);
-            self.refuse(key, &refusal);
+            self.refuse(key, &refusal, UnansweredReason::OriginRefused);
             return false;
         }
         let evidence = if is_recorded {
@@ -234,7 +235,7 @@
         request.features = features.clone();
         match self.block_refusal(&features) {
             Some(refusal) => {
-                self.refuse(key, &refusal);
+                self.refuse(key, &refusal, UnansweredReason::Blocked);
                 false
             }
             None => true,
@@ -279,7 +280,8 @@
             }
             OriginUnknown::Conflict => "two software versions are said to have begun the stream",
         };
-        self.refuse(key, &Refusal::not_run(RefusalReason::OriginUnknown, detail));
+        let refusal = Refusal::not_run(RefusalReason::OriginUnknown, detail);
+        self.refuse(key, &refusal, UnansweredReason::OriginRefused);
     }
 
     /// Applies another VM's answer to a query.
--- a/crates/entry/src/upstream_answers.rs
+++ b/crates/entry/src/upstream_answers.rs
@@ -52,6 +52,9 @@
             if connection.purpose != Purpose::Proxy(key) {
                 return;
             }
+            if let Some(request) = self.active.get_mut(key) {
+                request.last_received_ms = Some(connection.last_received_ms);
+            }
             if is_slow {
                 if connection.pause() {
                     self.metrics.paused_answer();
