Stand-ins: a sound upstream may fall silent for a time and go on

Cause: `set_unresponsive` was the only silence of an upstream, and it does two things: it loses for good the requests that arrive meanwhile (the pages' connections that go silent for good) and pauses the streams in progress. A sound upstream that sends nothing for a second and then answers everything could not be played, nor a silence at a named point of an answer.

Change: `set_unresponsive` says what it does and does it as before; the tests that use it are unchanged. `be_silent` (engine and plain service) sends nothing for a time; streams, requests, orders, reports and health checks that arrived meanwhile go on or are answered afterwards, and are recorded at the time they arrived. `AnswerFault::Silent` pauses one answer before its head, behind it, between events, inside an event or in the middle of another body, and completes it.

--- a/crates/standins/src/http/mod.rs
+++ b/crates/standins/src/http/mod.rs
@@ -15,6 +15,7 @@
 pub use link::SlowLink;
 pub use reply::Buffered;
 pub use reply::EventWriter;
+pub use reply::Paused;
 pub use reply::Raw;
 pub use reply::Reply;
 pub use reply::Stream;
--- a/crates/standins/src/http/reply.rs
+++ b/crates/standins/src/http/reply.rs
@@ -5,6 +5,8 @@
 use std::net::Shutdown;
 use std::net::TcpStream;
 use std::sync::Arc;
+use std::thread;
+use std::time::Duration;
 
 use chunked_transfer::Encoder;
 use serde::Serialize;
@@ -22,6 +24,8 @@
     Stream(Stream),
     /// Bytes that are sent unchanged and need not be a valid answer.
     Raw(Raw),
+    /// Bytes that are sent unchanged, with a pause between two parts.
+    Paused(Paused),
     /// Bytes that are sent unchanged over a slow link.
     OverLink(Raw, Arc<SlowLink>),
 }
@@ -35,6 +39,17 @@
     pub keep_alive: bool,
 }
 
+/// Bytes that are sent unchanged, with a pause. The connection stays open for more requests.
+#[derive(Clone, Debug)]
+pub struct Paused {
+    /// Bytes that are sent before the pause.
+    pub before: Vec<u8>,
+    /// Time between the two parts.
+    pub pause: Duration,
+    /// Bytes that are sent after the pause.
+    pub after: Vec<u8>,
+}
+
 /// Answer whose body is known in advance.
 #[derive(Clone, Debug)]
 pub struct Buffered {
@@ -130,7 +145,7 @@
         match &mut self {
             Self::Buffered(buffered) => buffered.headers.push(header),
             Self::Stream(stream) => stream.headers.push(header),
-            Self::Lost | Self::Raw(_) | Self::OverLink(..) => {}
+            Self::Lost | Self::Raw(_) | Self::Paused(_) | Self::OverLink(..) => {}
         }
         self
     }
@@ -160,6 +175,13 @@
                 connection.write_all(&raw.bytes)?;
                 Ok(raw.keep_alive)
             }
+            Self::Paused(paused) => {
+                let mut connection = connection;
+                connection.write_all(&paused.before)?;
+                thread::sleep(paused.pause);
+                connection.write_all(&paused.after)?;
+                Ok(true)
+            }
             Self::OverLink(raw, link) => {
                 link.send(connection, &raw.bytes)?;
                 Ok(raw.keep_alive)
--- a/crates/standins/src/http/request.rs
+++ b/crates/standins/src/http/request.rs
@@ -7,6 +7,7 @@
 use std::io::Read;
 use std::io::Write;
 use std::net::TcpStream;
+use std::time::Instant;
 
 use percent_encoding::percent_decode_str;
 use serde::de::DeserializeOwned;
@@ -30,6 +31,8 @@
     pub body: Vec<u8>,
     /// Client that sent the request.
     pub caller: Caller,
+    /// Time at which it had been read.
+    pub read_at: Instant,
     query: String,
     headers: Vec<(String, String)>,
 }
@@ -50,6 +53,7 @@
                 .write_all(b"HTTP/1.1 100 Continue\r\n\r\n")?;
         }
         request.body = request.read_body(reader)?;
+        request.read_at = Instant::now();
         Ok(Some(request))
     }
 
@@ -191,6 +195,7 @@
         path: path.to_owned(),
         body: Vec::new(),
         caller,
+        read_at: Instant::now(),
         query: query.to_owned(),
         headers: parsed.headers.iter().map(owned_header).collect(),
     })
--- /dev/null
+++ b/crates/standins/src/platform/answer_faults.rs
@@ -0,0 +1,69 @@
+//! Faults of the answers of the platform's upstreams.
+
+#[cfg(doc)]
+use crate::platform::answers::LARGE_BYTES;
+use crate::platform::silence::SilencePoint;
+use crate::platform::stream_faults::StreamFault;
+
+/// Fault of an answer.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Hash, PartialOrd, Ord)]
+pub enum AnswerFault {
+    /// The request is rejected before it runs.
+    TurnedAway,
+    /// The request runs and fails.
+    Failed,
+    /// The request runs, and its answer is lost.
+    LostAnswer,
+    /// The request runs, and no answer is ever sent.
+    Mute,
+    /// The stream breaks after some events, in the middle of the next one.
+    CutAfter {
+        /// Number of complete events before the break.
+        events: u64,
+    },
+    /// The stream has a fault in its contents.
+    Stream(StreamFault),
+    /// A request for all events is cut after some. A request for a remainder of three or more
+    /// events gets a stream with a fault.
+    CutThen {
+        /// Number of complete events before the break.
+        events: u64,
+        /// Fault of the remainder's stream.
+        then: StreamFault,
+    },
+    /// The upstream sends nothing for a time at one point of the answer, and then completes it.
+    Silent {
+        /// Point of the answer.
+        at: SilencePoint,
+        /// Duration in milliseconds.
+        for_ms: u64,
+    },
+    /// The body has [`LARGE_BYTES`] bytes.
+    Large,
+    /// The body is cut after [`LARGE_BYTES`] bytes.
+    LargeCut,
+    /// Nothing follows [`LARGE_BYTES`] bytes of the body, and the connection stays open.
+    LargeStalled,
+    /// The body never ends.
+    Endless,
+    /// The answer lacks its signature.
+    Unsigned,
+    /// The stream lacks its signature but is otherwise sent as usual.
+    UnsignedStream,
+    /// The request is rejected before it runs, and the body of the answer is never sent.
+    TurnedAwayStalled,
+    /// A large number of interim answers precede the answer.
+    ManyInterim,
+    /// Another request's answer precedes the answer.
+    CrossedFirst,
+    /// Another answer follows the complete one.
+    ExtraAfter,
+    /// The answer has no length and ends with its connection.
+    Unframed,
+    /// The answer names a length, and its connection is closed before that.
+    UnframedCut,
+    /// The bytes are not a valid HTTP answer.
+    Garbage,
+    /// The body has a content encoding.
+    Encoded,
+}
--- a/crates/standins/src/platform/answers.rs
+++ b/crates/standins/src/platform/answers.rs
@@ -18,13 +18,15 @@
 use crate::http::Request;
 use crate::http::Stream;
 use crate::http::StreamEnd;
+use crate::platform::answer_faults::AnswerFault;
 use crate::platform::event_texts::DEFAULT_SOFTWARE_VERSION;
 use crate::platform::event_texts::EventTexts;
 use crate::platform::notices::LEAVING;
 use crate::platform::notices::Notices;
 use crate::platform::shared_faults::SharedFaults;
+use crate::platform::silence::Silence;
+use crate::platform::silence::StreamPause;
 use crate::platform::site::RESUMABLE_PREFIX;
-use crate::platform::stream_faults::StreamFault;
 
 pub(crate) const ID: &str = "Apricotdale-Request-Id";
 pub(crate) const SIGNATURE: &str = "Apricotdale-Response-Signature";
@@ -52,62 +54,6 @@
 /// Function that sends the events of a stream.
 type Produce = Box<dyn FnOnce(&mut EventWriter) -> StreamEnd + Send>;
 
-/// Fault of an answer.
-#[derive(Clone, Copy, Debug, PartialEq, Eq, Hash, PartialOrd, Ord)]
-pub enum AnswerFault {
-    /// The request is rejected before it runs.
-    TurnedAway,
-    /// The request runs and fails.
-    Failed,
-    /// The request runs, and its answer is lost.
-    LostAnswer,
-    /// The request runs, and no answer is ever sent.
-    Mute,
-    /// The stream breaks after some events, in the middle of the next one.
-    CutAfter {
-        /// Number of complete events before the break.
-        events: u64,
-    },
-    /// The stream has a fault in its contents.
-    Stream(StreamFault),
-    /// A request for all events is cut after some. A request for a remainder of three or more
-    /// events gets a stream with a fault.
-    CutThen {
-        /// Number of complete events before the break.
-        events: u64,
-        /// Fault of the remainder's stream.
-        then: StreamFault,
-    },
-    /// The body has [`LARGE_BYTES`] bytes.
-    Large,
-    /// The body is cut after [`LARGE_BYTES`] bytes.
-    LargeCut,
-    /// Nothing follows [`LARGE_BYTES`] bytes of the body, and the connection stays open.
-    LargeStalled,
-    /// The body never ends.
-    Endless,
-    /// The answer lacks its signature.
-    Unsigned,
-    /// The stream lacks its signature but is otherwise sent as usual.
-    UnsignedStream,
-    /// The request is rejected before it runs, and the body of the answer is never sent.
-    TurnedAwayStalled,
-    /// A large number of interim answers precede the answer.
-    ManyInterim,
-    /// Another request's answer precedes the answer.
-    CrossedFirst,
-    /// Another answer follows the complete one.
-    ExtraAfter,
-    /// The answer has no length and ends with its connection.
-    Unframed,
-    /// The answer names a length, and its connection is closed before that.
-    UnframedCut,
-    /// The bytes are not a valid HTTP answer.
-    Garbage,
-    /// The body has a content encoding.
-    Encoded,
-}
-
 /// Request that ran, as the upstream received it.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub struct RecordedRun {
@@ -149,8 +95,10 @@
     pub left: Arc<Mutex<Vec<String>>>,
     /// Requests whose streams were sent completely.
     pub streamed: Arc<Mutex<Vec<String>>>,
-    /// Whether nothing is sent, as if the upstream had lost its power.
+    /// Whether requests that arrive are never answered and streams pause.
     pub unresponsive: Arc<AtomicBool>,
+    /// Time for which nothing is sent, though everything is answered afterwards.
+    pub silence: Silence,
     /// Rate limit that the answers to requests state; none if they state none.
     pub rate_limit: Mutex<Option<String>>,
     /// Limit on rejections that the answers to requests state; none if they state none.
@@ -172,6 +120,7 @@
             left: Arc::default(),
             streamed: Arc::default(),
             unresponsive: Arc::default(),
+            silence: Silence::default(),
             rate_limit: Mutex::default(),
             rejection_limit: Mutex::default(),
             notices: Notices::default(),
@@ -270,7 +219,7 @@
             target: request.target(),
             headers: request.headers().to_vec(),
             body: request.body.clone(),
-            at: Instant::now(),
+            at: request.read_at,
             fault,
         });
     }
@@ -334,6 +283,7 @@
             })
             .with_header(ID, id)
             .with_header(SIGNATURE, "s"),
+            Some(AnswerFault::Silent { at, for_ms }) => at.unstreamed(&framed(200, ""), for_ms),
             Some(AnswerFault::TurnedAway) => self.not_run(request, 503),
             Some(AnswerFault::TurnedAwayStalled) => {
                 let text = format!(
@@ -385,7 +335,7 @@
         let continues = first > 1;
         let texts = EventTexts::new(&self.software_version.lock());
         let cut_after = match fault {
-            None | Some(AnswerFault::UnsignedStream) => None,
+            None | Some(AnswerFault::UnsignedStream | AnswerFault::Silent { .. }) => None,
             Some(AnswerFault::CutAfter { events }) => Some(events),
             Some(AnswerFault::CutThen { events, .. }) if !continues => Some(events),
             Some(AnswerFault::CutThen { .. }) if first + MIN_FAULTY_EVENTS > count + 1 => None,
@@ -400,7 +350,9 @@
                 return self.unstreamed_answer(request, Some(fault), &body);
             }
         };
-        let unresponsive = self.unresponsive.clone();
+        let pause = StreamPause::of(fault, (count + 1).saturating_sub(first));
+        pause.wait_before_head();
+        let (unresponsive, silence) = (self.unresponsive.clone(), self.silence.clone());
         let (left, streamed) = (self.left.clone(), self.streamed.clone());
         let id = id_of(request).to_owned();
         let produce = move |writer: &mut EventWriter| {
@@ -416,9 +368,10 @@
                     }
                     thread::sleep(Duration::from_millis(CLIENT_POLL_INTERVAL_MS));
                 }
+                silence.wait();
                 let text = texts.filled_event(event, filler_bytes);
-                if writer.send_bytes(text.as_bytes()).is_err() || writer.caller().is_disconnected()
-                {
+                let result = pause.send(writer, sent as u64, text.as_bytes());
+                if result.is_err() || writer.caller().is_disconnected() {
                     left.lock().push(id);
                     return StreamEnd::Broken;
                 }
@@ -444,8 +397,10 @@
     ) -> Reply {
         let first = first_event(request);
         let texts = EventTexts::new(&self.software_version.lock());
+        let silence = self.silence.clone();
         let produce = move |writer: &mut EventWriter| {
             for event in first..first + count {
+                silence.wait();
                 if writer.send_bytes(texts.event(event).as_bytes()).is_err() {
                     return StreamEnd::Broken;
                 }
--- a/crates/standins/src/platform/engine.rs
+++ b/crates/standins/src/platform/engine.rs
@@ -17,7 +17,7 @@
 use crate::http::Reply;
 use crate::http::Request;
 use crate::http::Stopper;
-use crate::platform::answers::AnswerFault;
+use crate::platform::answer_faults::AnswerFault;
 use crate::platform::answers::Answers;
 use crate::platform::answers::RecordedRun;
 use crate::platform::crashes::CrashTrigger;
@@ -274,13 +274,21 @@
         self.answers.rejections.lock().clone()
     }
 
-    /// Stops or resumes sending on all connections, as if the engine had lost its power.
+    /// Makes the engine lose the requests that arrive from now on, or answer new ones again. Those
+    /// that it has lost are never answered, and their connections stay open. Streams in progress
+    /// pause meanwhile.
     pub fn set_unresponsive(&self, unresponsive: bool) {
         self.answers
             .unresponsive
             .store(unresponsive, Ordering::Relaxed);
     }
 
+    /// Makes the engine send nothing for a time and then go on where it stopped: streams continue,
+    /// and requests, orders and report calls that arrived meanwhile are answered.
+    pub fn be_silent(&self, duration: Duration) {
+        self.answers.silence.begin(duration);
+    }
+
     /// Makes the engine close new connections unanswered and pause its streams, as a full one does.
     pub fn set_full(&self, full: bool) {
         self.full.store(full, Ordering::Relaxed);
@@ -438,19 +446,9 @@
         self.answers
             .events(request, fault, self.options.events, filler_bytes, gap_ms)
     }
-}
 
-impl Handler for PlatformEngine {
-    fn handle(self: Arc<Self>, request: &Request) -> Reply {
-        if self.full.load(Ordering::Relaxed) {
-            return Reply::Lost;
-        }
-        if self.answers.unresponsive.load(Ordering::Relaxed) {
-            request.caller.wait_until_disconnected();
-            return Reply::Lost;
-        }
+    fn answer(self: &Arc<Self>, request: &Request) -> Reply {
         let notices = &self.answers.notices;
-        notices.record_arrival(request);
         self.advance();
         if let Some(reply) = self.answers.misdirected(request) {
             return reply;
@@ -462,3 +460,20 @@
         }
     }
 }
+
+impl Handler for PlatformEngine {
+    fn handle(self: Arc<Self>, request: &Request) -> Reply {
+        if self.full.load(Ordering::Relaxed) {
+            return Reply::Lost;
+        }
+        if self.answers.unresponsive.load(Ordering::Relaxed) {
+            request.caller.wait_until_disconnected();
+            return Reply::Lost;
+        }
+        self.answers.notices.record_arrival(request);
+        self.answers.silence.wait();
+        let reply = self.answer(request);
+        self.answers.silence.wait();
+        reply
+    }
+}
--- a/crates/standins/src/platform/mod.rs
+++ b/crates/standins/src/platform/mod.rs
@@ -1,6 +1,7 @@
 //! Stand-ins for the users' platform: its store, model engines, plain services and callers, with
 //! the wire format that `platform/` translates, and entry VMs as real processes in front of them.
 
+mod answer_faults;
 mod answers;
 mod caller;
 mod crashes;
@@ -12,13 +13,14 @@
 mod organisations;
 mod service;
 mod shared_faults;
+mod silence;
 mod site;
 mod store;
 mod stream_faults;
 mod topics;
 mod vm;
 
-pub use answers::AnswerFault;
+pub use answer_faults::AnswerFault;
 pub use answers::LARGE_BYTES;
 pub use answers::RecordedRun;
 pub use caller::Answer;
@@ -40,6 +42,7 @@
 pub use organisations::SiteLimit;
 pub use organisations::SiteOrganisation;
 pub use service::PlatformService;
+pub use silence::SilencePoint;
 pub use site::Site;
 pub use site::SiteOptions;
 pub use store::PlatformStore;
--- a/crates/standins/src/platform/notices.rs
+++ b/crates/standins/src/platform/notices.rs
@@ -8,7 +8,7 @@
 
 use crate::http::Reply;
 use crate::http::Request;
-use crate::platform::answers::AnswerFault;
+use crate::platform::answer_faults::AnswerFault;
 use crate::platform::answers::ID;
 use crate::platform::answers::contains;
 use crate::platform::engine::PlatformEngine;
--- a/crates/standins/src/platform/service.rs
+++ b/crates/standins/src/platform/service.rs
@@ -16,7 +16,7 @@
 use crate::http::Reply;
 use crate::http::Request;
 use crate::http::Stopper;
-use crate::platform::answers::AnswerFault;
+use crate::platform::answer_faults::AnswerFault;
 use crate::platform::answers::Answers;
 use crate::platform::answers::RecordedRun;
 use crate::platform::answers::contains;
@@ -114,6 +114,12 @@
         *self.answers.rate_limit.lock() = rate_limit.map(str::to_owned);
     }
 
+    /// Makes the instance send nothing for a time and then go on where it stopped: requests and
+    /// health checks that arrived meanwhile are answered.
+    pub fn be_silent(&self, duration: Duration) {
+        self.answers.silence.begin(duration);
+    }
+
     pub(crate) fn notices(&self) -> &Notices {
         &self.answers.notices
     }
@@ -142,11 +148,8 @@
     pub fn left(&self) -> Vec<String> {
         self.answers.left.lock().clone()
     }
-}
 
-impl Handler for PlatformService {
-    fn handle(self: Arc<Self>, request: &Request) -> Reply {
-        self.answers.notices.record_arrival(request);
+    fn answer(&self, request: &Request) -> Reply {
         if let Some(reply) = self.answers.misdirected(request) {
             return reply;
         }
@@ -175,3 +178,13 @@
         self.answers.unstreamed_answer(request, fault, &body)
     }
 }
+
+impl Handler for PlatformService {
+    fn handle(self: Arc<Self>, request: &Request) -> Reply {
+        self.answers.notices.record_arrival(request);
+        self.answers.silence.wait();
+        let reply = self.answer(request);
+        self.answers.silence.wait();
+        reply
+    }
+}
--- a/crates/standins/src/platform/shared_faults.rs
+++ b/crates/standins/src/platform/shared_faults.rs
@@ -4,7 +4,7 @@
 use std::collections::HashMap;
 use std::collections::VecDeque;
 
-use crate::platform::answers::AnswerFault;
+use crate::platform::answer_faults::AnswerFault;
 
 /// Faults for streams that are continued at another upstream than the one that broke them off. A
 /// fault breaks streams off until it has spoiled a continuation, so none is lost while only one
--- a/crates/standins/src/platform/site.rs
+++ b/crates/standins/src/platform/site.rs
@@ -11,7 +11,7 @@
 use serde_json::json;
 
 use crate::http::Server;
-use crate::platform::answers::AnswerFault;
+use crate::platform::answer_faults::AnswerFault;
 use crate::platform::engine::EngineOptions;
 use crate::platform::engine::PlatformEngine;
 use crate::platform::organisations::SiteOrganisation;
