Retries: a request that may run again waits for the budget after a send that reached nothing

Cause: a request that had run elsewhere (its connection broke, or it was moved) and whose next send certainly was not run (connection not established in time, rejected) was given up as soon as the retry budget was spent, with its time left. Only requests that had run nowhere waited. Change: after a send that was not run, a request that may run again waits for the budget. One that may run only once and has run still ends at once, and so does one whose answer was lost.

--- a/crates/dispatch/src/dispatcher.rs
+++ b/crates/dispatch/src/dispatcher.rs
@@ -374,9 +374,9 @@
         let request = retry_request(now_ms, job, certainly_not_run, begun);
         match self.retries.decide(now_ms, &request) {
             RetryDecision::RetryAfterMs(pause_ms) => RetryAction::AfterMs(pause_ms),
-            // Waiting costs nothing: the request has not run, and may be sent once budget is
-            // earned.
-            RetryDecision::BudgetSpent if certainly_not_run => RetryAction::OnceBudgetAllows,
+            // Waiting costs nothing: nothing was lost in this attempt, and the request may be sent
+            // once budget is earned.
+            RetryDecision::BudgetSpent if failed.is_not_run() => RetryAction::OnceBudgetAllows,
             _ => RetryAction::GiveUp,
         }
     }
--- a/crates/dispatch/tests/retry_limits.rs
+++ b/crates/dispatch/tests/retry_limits.rs
@@ -191,3 +191,27 @@
         .find(|it| !matches!(it, RetryAction::AfterMs(_)));
     assert_eq!(first_spent, Some(RetryAction::GiveUp));
 }
+
+/// Guards against ending a request that may run again, ran elsewhere before and then reached no
+/// upstream, though time is left. Nothing was lost in the attempt that failed, so it waits for the
+/// retry budget. One that may run only once ends, since it may not be sent again.
+#[rstest]
+#[case::call(RouteKind::Idempotent, RetryAction::OnceBudgetAllows)]
+#[case::stream(RouteKind::Stream { resumable: true }, RetryAction::OnceBudgetAllows)]
+#[case::runs_once(RouteKind::NonIdempotent, RetryAction::GiveUp)]
+fn unsent_retry_waits(
+    #[values(FailedAttempt::NotSent, FailedAttempt::Rejected)] failed: FailedAttempt,
+    #[case] kind: RouteKind,
+    #[case] expected: RetryAction,
+) {
+    let mut dispatcher = dispatcher();
+    let job = Job {
+        runs: 1,
+        ..sent_job(call(kind), failed)
+    };
+    let attempts = std::iter::repeat_with(|| dispatcher.after_failure(2_000, &job, failed, false));
+    let first_spent = attempts
+        .take(100)
+        .find(|it| !matches!(it, RetryAction::AfterMs(_)));
+    assert_eq!(first_spent, Some(expected));
+}
