A connection closes after an answer only if the answer's head said so

Cause: a planned stop closed a caller's connection after each answer that ended, also after one whose head had been written before the stop and had not said "Connection: close". The caller's next request was read in the closing phase and dropped without an answer. Change: whether the connection closes is decided when an answer's head is written, and kept (Daemon::decide_close). A connection that was not told stays open; its next answer says so, and one that stays idle is closed 1.2 s after the stop began, as before, without reading from it.

--- a/crates/entry/src/connections.rs
+++ b/crates/entry/src/connections.rs
@@ -194,12 +194,29 @@
         }
     }
 
+    /// Returns whether the caller's connection closes after an answer whose head is written now.
+    pub(crate) fn closes_after(&self, token: Token) -> bool {
+        self.planned_stop.has_begun()
+            || self
+                .callers
+                .get(&token)
+                .is_some_and(|caller| caller.close_after)
+    }
+
+    /// Decides whether the caller's connection closes after the answer whose head is written now,
+    /// and returns the decision. A caller that was not told may send another request.
+    pub(crate) fn decide_close(&mut self, token: Token) -> bool {
+        let closes = self.closes_after(token);
+        if let Some(caller) = self.callers.get_mut(&token) {
+            caller.close_after = closes;
+        }
+        closes
+    }
+
     /// Completes an answer on a caller's connection.
     pub(crate) fn finish_answer(&mut self, token: Token) {
         let now_ms = self.now_ms;
-        let is_stopping = self.planned_stop.has_begun();
         if let Some(caller) = self.callers.get_mut(&token) {
-            caller.close_after |= is_stopping && caller.kind == CallerKind::Serving;
             caller.answered(now_ms);
             caller.flush(now_ms);
             self.answered.push(token);
--- a/crates/entry/src/request_dispatch.rs
+++ b/crates/entry/src/request_dispatch.rs
@@ -302,20 +302,11 @@
                 "request refused at arrival"
             );
         }
-        let close = self.closes_after(token);
+        let close = self.decide_close(token);
         let bytes = self.codecs.callers.refusal(refusal, id, close);
         self.write_refusal(token, bytes);
     }
 
-    /// Returns whether the caller's connection closes after the answer in progress.
-    pub(crate) fn closes_after(&self, token: Token) -> bool {
-        self.planned_stop.has_begun()
-            || self
-                .callers
-                .get(&token)
-                .is_some_and(|caller| caller.close_after)
-    }
-
     /// Retries the dispatch of every waiting request.
     pub(crate) fn dispatch_waiting(&mut self) {
         for key in self.active.waiting(self.now_ms) {
--- a/crates/entry/src/request_ends.rs
+++ b/crates/entry/src/request_ends.rs
@@ -67,7 +67,7 @@
         refusal: &Refusal,
         unanswered: UnansweredReason,
     ) {
-        let close = self.closes_after(token);
+        let close = self.decide_close(token);
         let Some(request) = self.active.get_mut(key) else {
             return;
         };
--- a/crates/entry/src/upstream_answers.rs
+++ b/crates/entry/src/upstream_answers.rs
@@ -341,6 +341,7 @@
         request.last_part_ms = self.now_ms;
         self.write_to_caller(caller, bytes);
         if !had_begun {
+            self.decide_close(caller);
             self.record_stream_origin(key);
         }
     }
@@ -417,6 +418,7 @@
             if !had_begun {
                 self.metrics
                     .first_answer(self.now_ms - request.job.arrived_ms);
+                self.decide_close(caller);
             }
             self.write_to_caller(caller, bytes);
             self.finish_answer(caller);
