A stopping process waits for requests that arrive in pieces

Cause: a planned stop was over as soon as no request was in progress, also while the rest of a request was on its way: the process ended and the caller got neither an answer nor a refusal. Change: a connection on which part of a request has arrived keeps the process, within the limits on callers and the time of the stop.

--- a/crates/entry/src/caller.rs
+++ b/crates/entry/src/caller.rs
@@ -210,6 +210,15 @@
         matches!(self.phase, Phase::Head) && self.input.is_empty() && !self.has_unwritten()
     }
 
+    /// Returns whether part of a request has arrived.
+    pub fn is_receiving(&self) -> bool {
+        match self.phase {
+            Phase::Head => !self.input.is_empty(),
+            Phase::Body { .. } => true,
+            Phase::Busy(_) | Phase::Closing { .. } => false,
+        }
+    }
+
     /// Returns whether bytes to the caller have yet to be sent.
     pub fn has_unwritten(&self) -> bool {
         self.stream.unwritten_bytes() > 0
--- a/crates/entry/src/lifecycle.rs
+++ b/crates/entry/src/lifecycle.rs
@@ -4,7 +4,6 @@
 use apricotdale_core::refusal::RefusalReason;
 use apricotdale_telemetry::LogOptions;
 
-use crate::caller::Caller;
 use crate::daemon::Daemon;
 use crate::errors::Result;
 use crate::settings::Settings;
@@ -108,7 +107,9 @@
     pub(crate) fn is_stopped(&self) -> bool {
         self.planned_stop.is_done(self.now_ms, || {
             let mut callers = self.callers.values();
-            self.active.len() > 0 || self.relayed.len() > 0 || callers.any(Caller::has_unwritten)
+            self.active.len() > 0
+                || self.relayed.len() > 0
+                || callers.any(|it| it.has_unwritten() || it.is_receiving())
         })
     }
 
