Requests that outlast a planned stop are refused if their answers have not begun

Cause: a request that was still at a silent upstream when the time of a planned stop was over ended with the process, without any answer; so did one that had failed at an upstream and waited to be sent again. Change: before the process ends, each request whose answer has not begun is refused: 502 if it may have run, 503 if it has not. Answers that have begun are cut, visibly, as before. A request that waits to be sent again has no test.

--- a/crates/entry/src/active.rs
+++ b/crates/entry/src/active.rs
@@ -161,6 +161,15 @@
             .collect()
     }
 
+    /// Returns the keys of the requests whose answers have not begun.
+    pub fn unbegun(&self) -> Vec<u64> {
+        self.requests
+            .iter()
+            .filter(|(_, request)| !request.delivery.has_begun())
+            .map(|(key, _)| *key)
+            .collect()
+    }
+
     /// Returns all requests with their keys.
     pub fn iter(&self) -> impl Iterator<Item = (&u64, &ActiveRequest)> {
         self.requests.iter()
--- a/crates/entry/src/daemon.rs
+++ b/crates/entry/src/daemon.rs
@@ -293,6 +293,7 @@
             self.work();
             self.loop_load.end_work();
         }
+        self.refuse_unbegun();
         self.log_end();
         Ok(())
     }
--- a/crates/entry/src/lifecycle.rs
+++ b/crates/entry/src/lifecycle.rs
@@ -4,6 +4,7 @@
 use apricotdale_core::refusal::RefusalReason;
 use apricotdale_telemetry::LogOptions;
 
+use crate::active::Phase;
 use crate::daemon::Daemon;
 use crate::errors::Result;
 use crate::settings::Settings;
@@ -126,6 +127,24 @@
         }
     }
 
+    /// Refuses the requests in progress whose answers have not begun, when the process ends.
+    pub(crate) fn refuse_unbegun(&mut self) {
+        let detail = "this VM stops";
+        for key in self.active.unbegun() {
+            let Some(request) = self.active.get(key) else {
+                continue;
+            };
+            let is_sent = matches!(request.phase, Phase::Sent { .. });
+            let refusal = match is_sent || request.job.runs > 0 {
+                true => Refusal::unknown(RefusalReason::UpstreamLost, detail),
+                false => Refusal::not_run(RefusalReason::Draining, detail)
+                    .retry_after(STOP_RETRY_AFTER_MS),
+            };
+            self.cancel_attempt(key);
+            self.refuse(key, &refusal, UnansweredReason::PlannedStop);
+        }
+    }
+
     /// Rereads the settings and applies those that can change while the daemon runs.
     pub(crate) fn reload(&mut self) {
         match Settings::read(&self.settings.path) {
