Limits on callers that a change lowers apply to what begins after it

Cause: connections were judged by the limits now in force. A lowered idle limit cut an answer that had ended at its engine and whose last bytes the caller had not read yet, closed a connection that its caller might still use, and closed one on which a request arrived in pieces, as lowered time-outs of heads and bodies did; a lowered size refused a request of which the head had come. Change: a connection keeps the limits that were in force when its last request began to arrive (or when it was opened), unless those in force now are larger (CallerLimits::loosened_by). Measured: lowered_limits 4 cases failed before (three ended without an answer, one 413) and pass now. The cut answer (slow_callers::late_read_lowered_limit: two events and the end missing) was shown with the mend taken out (planted, reverted; the four cases failed again), and passes with it; slow_callers 13 of 13, many_connections 1 of 1, key_headers 4 of 4, unanswered_requests 5 of 5. Each one run.

--- a/crates/entry/src/caller.rs
+++ b/crates/entry/src/caller.rs
@@ -74,6 +74,10 @@
     pub address: IpAddr,
     input: Vec<u8>,
     phase: Phase,
+    /// Limits that were in force when the last request began to arrive, or the connection opened.
+    limits: CallerLimits,
+    /// Whether no byte of the next request has arrived.
+    awaits_request: bool,
     /// Whether the connection closes after the answer in progress.
     pub close_after: bool,
     /// Whether the request in progress is HEAD, whose answer has no body.
@@ -90,13 +94,21 @@
 
 impl Caller {
     /// Returns an idle connection.
-    pub fn new(now_ms: u64, stream: Stream, kind: CallerKind, address: IpAddr) -> Self {
+    pub fn new(
+        now_ms: u64,
+        stream: Stream,
+        kind: CallerKind,
+        address: IpAddr,
+        limits: CallerLimits,
+    ) -> Self {
         Self {
             stream,
             kind,
             address: address.to_canonical(),
             input: Vec::new(),
             phase: Phase::Head,
+            limits,
+            awaits_request: true,
             close_after: false,
             is_head_request: false,
             since_ms: now_ms,
@@ -105,9 +117,11 @@
         }
     }
 
-    /// Reads the available bytes and returns what has been received.
-    pub fn receive(&mut self, now_ms: u64, limits: &CallerLimits) -> Received {
+    /// Reads the available bytes and returns what has been received. `in_force` are the limits for
+    /// requests that begin to arrive now.
+    pub fn receive(&mut self, now_ms: u64, in_force: &CallerLimits) -> Received {
         loop {
+            let limits = self.limits.loosened_by(in_force);
             let read_limit_bytes = match &self.phase {
                 Phase::Head => limits.head_bytes + READ_AHEAD_BYTES,
                 _ => READ_AHEAD_BYTES,
@@ -123,7 +137,13 @@
             if was_empty && !self.input.is_empty() && matches!(self.phase, Phase::Head) {
                 self.since_ms = now_ms;
             }
-            match self.advance(limits) {
+            let begins = self.awaits_request && !self.input.is_empty();
+            if begins && matches!(self.phase, Phase::Head) {
+                self.awaits_request = false;
+                self.limits = *in_force;
+            }
+            let limits = self.limits.loosened_by(in_force);
+            match self.advance(&limits) {
                 Received::Nothing
                     if end == ReadEnd::Limit && self.input.len() < read_limit_bytes => {}
                 Received::Nothing if self.ended.is_some() => return Received::Left,
@@ -245,6 +265,7 @@
             return false;
         }
         self.phase = Phase::Head;
+        self.awaits_request = true;
         true
     }
 
@@ -288,8 +309,10 @@
         }
     }
 
-    /// Returns whether the connection has timed out.
-    pub fn is_timed_out(&self, now_ms: u64, limits: &CallerLimits) -> bool {
+    /// Returns whether the connection has timed out. `in_force` are the limits for requests that
+    /// begin to arrive now; an earlier one keeps its own if they are larger.
+    pub fn is_timed_out(&self, now_ms: u64, in_force: &CallerLimits) -> bool {
+        let limits = self.limits.loosened_by(in_force);
         let age_ms = now_ms.saturating_sub(self.since_ms);
         match &self.phase {
             Phase::Head | Phase::Closing { .. } if self.has_unwritten() => {
--- a/crates/entry/src/daemon.rs
+++ b/crates/entry/src/daemon.rs
@@ -396,7 +396,8 @@
                     let token = self.new_token();
                     match Stream::accepted(socket, self.poll.registry(), token) {
                         Ok(stream) => {
-                            let caller = Caller::new(self.now_ms, stream, kind, from.ip());
+                            let limits = self.directory.configuration().limits;
+                            let caller = Caller::new(self.now_ms, stream, kind, from.ip(), limits);
                             self.callers.insert(token, caller);
                             self.serve_caller(token);
                         }
--- a/crates/fleet/src/configuration.rs
+++ b/crates/fleet/src/configuration.rs
@@ -152,6 +152,19 @@
     pub idle_timeout_ms: u64,
 }
 
+impl CallerLimits {
+    /// Returns the limits on what began under these limits, now that others are in force: the
+    /// larger of each.
+    pub fn loosened_by(&self, in_force: &Self) -> Self {
+        Self {
+            head_bytes: self.head_bytes.max(in_force.head_bytes),
+            body_bytes: self.body_bytes.max(in_force.body_bytes),
+            head_timeout_ms: self.head_timeout_ms.max(in_force.head_timeout_ms),
+            idle_timeout_ms: self.idle_timeout_ms.max(in_force.idle_timeout_ms),
+        }
+    }
+}
+
 impl Default for CallerLimits {
     /// Returns the limits that apply until a configuration is known: those of the users'
     /// deployments.
