A request that arrives too slowly is refused with 408

Cause: a connection on which a head or a body took longer than its limits was closed without a word, after part of the request had been read. Its caller had no promise that the request had not run. Change: such a request gets 408 and "Connection: close", which promises that it has not run.

--- a/crates/entry/src/connections.rs
+++ b/crates/entry/src/connections.rs
@@ -10,6 +10,7 @@
 use mio::Token;
 
 use crate::active::Phase;
+use crate::caller::Caller;
 use crate::caller::CallerKind;
 use crate::caller::Received;
 use crate::daemon::Daemon;
@@ -77,10 +78,23 @@
             .map(|(token, _)| *token)
             .collect();
         for token in timed_out {
-            self.drop_caller(token, UnansweredReason::NotTaken);
+            let is_receiving = self.callers.get(&token).is_some_and(Caller::is_receiving);
+            match is_receiving {
+                true => self.refuse_late_request(token),
+                false => self.drop_caller(token, UnansweredReason::NotTaken),
+            }
         }
     }
 
+    /// Refuses a request of which only a part has arrived in time. Its caller may send it again, also
+    /// if it may run only once.
+    fn refuse_late_request(&mut self, token: Token) {
+        let detail = "the request did not arrive in time";
+        let refusal = Refusal::not_run(RefusalReason::RequestTimeout, detail);
+        self.refuse_connection(token, refusal);
+        self.answered.push(token);
+    }
+
     /// Drops a caller's connection. Its request is cancelled if it may be retried or streams; one
     /// that may run only once continues to its end.
     pub(crate) fn drop_caller(&mut self, token: Token, reason: UnansweredReason) {
