--- a/crates/entry/src/connections.rs
+++ b/crates/entry/src/connections.rs
@@ -10,6 +10,7 @@
 use mio::Token;
 
 use crate::active::Phase;
+use crate::caller::Caller;
 use crate::caller::CallerKind;
 use crate::caller::Received;
 use crate::daemon::Daemon;
@@ -77,10 +78,23 @@
             .map(|(token, _)| *token)
             .collect();
         for token in timed_out {
-            self.drop_caller(token, UnansweredReason::NotTaken);
+            let is_receiving = self.callers.get(&token).is_some_and(Caller::is_receiving);
+            match is_receiving {
+                true => self.refuse_late_request(token),
+                false => self.drop_caller(token, UnansweredReason::NotTaken),
+            }
         }
     }
 
+    /// Refuses a request of which only a part has arrived in time. Its caller may send it again, also
+    /// if it may run only once.
+    fn refuse_late_request(&mut self, token: Token) {
+        let detail = "the request did not arrive in time";
+        let refusal = Refusal::not_run(RefusalReason::RequestTimeout, detail);
+        self.refuse_connection(token, refusal);
+        self.answered.push(token);
+    }
+
     /// Drops a caller's connection. Its request is cancelled if it may be retried or streams; one
     /// that may run only once continues to its end.
     pub(crate) fn drop_caller(&mut self, token: Token, reason: UnansweredReason) {
@@ -194,12 +208,29 @@
         }
     }
 
+    /// Returns whether the caller's connection closes after an answer whose head is written now.
+    pub(crate) fn closes_after(&self, token: Token) -> bool {
+        self.planned_stop.has_begun()
+            || self
+                .callers
+                .get(&token)
+                .is_some_and(|caller| caller.close_after)
+    }
+
+    /// Decides whether the caller's connection closes after the answer whose head is written now,
+    /// and returns the decision. A caller that was not told may send another request.
+    pub(crate) fn decide_close(&mut self, token: Token) -> bool {
+        let closes = self.closes_after(token);
+        if let Some(caller) = self.callers.get_mut(&token) {
+            caller.close_after = closes;
+        }
+        closes
+    }
+
     /// Completes an answer on a caller's connection.
     pub(crate) fn finish_answer(&mut self, token: Token) {
         let now_ms = self.now_ms;
-        let is_stopping = self.planned_stop.has_begun();
         if let Some(caller) = self.callers.get_mut(&token) {
-            caller.close_after |= is_stopping && caller.kind == CallerKind::Serving;
             caller.answered(now_ms);
             caller.flush(now_ms);
             self.answered.push(token);
--- a/crates/entry/src/daemon.rs
+++ b/crates/entry/src/daemon.rs
@@ -293,6 +293,7 @@
             self.work();
             self.loop_load.end_work();
         }
+        self.refuse_unbegun();
         self.log_end();
         Ok(())
     }
@@ -395,7 +396,8 @@
                     let token = self.new_token();
                     match Stream::accepted(socket, self.poll.registry(), token) {
                         Ok(stream) => {
-                            let caller = Caller::new(self.now_ms, stream, kind, from.ip());
+                            let limits = self.directory.configuration().limits;
+                            let caller = Caller::new(self.now_ms, stream, kind, from.ip(), limits);
                             self.callers.insert(token, caller);
                             self.serve_caller(token);
                         }
--- a/crates/entry/src/lifecycle.rs
+++ b/crates/entry/src/lifecycle.rs
@@ -4,7 +4,7 @@
 use apricotdale_core::refusal::RefusalReason;
 use apricotdale_telemetry::LogOptions;
 
-use crate::caller::Caller;
+use crate::active::Phase;
 use crate::daemon::Daemon;
 use crate::errors::Result;
 use crate::settings::Settings;
@@ -108,7 +108,9 @@
     pub(crate) fn is_stopped(&self) -> bool {
         self.planned_stop.is_done(self.now_ms, || {
             let mut callers = self.callers.values();
-            self.active.len() > 0 || self.relayed.len() > 0 || callers.any(Caller::has_unwritten)
+            self.active.len() > 0
+                || self.relayed.len() > 0
+                || callers.any(|it| it.has_unwritten() || it.is_receiving())
         })
     }
 
@@ -125,6 +127,24 @@
         }
     }
 
+    /// Refuses the requests in progress whose answers have not begun, when the process ends.
+    pub(crate) fn refuse_unbegun(&mut self) {
+        let detail = "this VM stops";
+        for key in self.active.unbegun() {
+            let Some(request) = self.active.get(key) else {
+                continue;
+            };
+            let is_sent = matches!(request.phase, Phase::Sent { .. });
+            let refusal = match is_sent || request.job.runs > 0 {
+                true => Refusal::unknown(RefusalReason::UpstreamLost, detail),
+                false => Refusal::not_run(RefusalReason::Draining, detail)
+                    .retry_after(STOP_RETRY_AFTER_MS),
+            };
+            self.cancel_attempt(key);
+            self.refuse(key, &refusal, UnansweredReason::PlannedStop);
+        }
+    }
+
     /// Rereads the settings and applies those that can change while the daemon runs.
     pub(crate) fn reload(&mut self) {
         match Settings::read(&self.settings.path) {
