Silence: requests on connections that died without a reset are moved to another one

Cause: liveness.rs judges the engine alone. On a connection that falls silent for good while its engine answers probes, a request that may be repeated waited until its deadline, with attempts left and another engine idle. Requests that may run once stay. A connection that waits for a slow caller is not silent. The stand-ins get a stream that falls silent in its middle.

--- a/crates/dispatch/src/dispatcher.rs
+++ b/crates/dispatch/src/dispatcher.rs
@@ -36,6 +36,7 @@
 use crate::options::retry_options;
 use crate::options::routing_options;
 use crate::rejection_limits::RejectionLimits;
+use crate::silence::SilentConnections;
 use crate::stated_limits::StatedLimits;
 use crate::upstream_load::LoadSample;
 use crate::upstream_load::UpstreamLoad;
@@ -53,6 +54,7 @@
     pub(crate) availability: Availability,
     pub(crate) stated_limits: StatedLimits,
     rejection_limits: RejectionLimits,
+    pub(crate) silent_connections: SilentConnections,
 }
 
 impl Dispatcher {
@@ -68,6 +70,7 @@
             retries,
             loads: HashMap::new(),
             forecasts: Forecasts::default(),
+            silent_connections: SilentConnections::default(),
         }
     }
 
@@ -196,7 +199,7 @@
 
     /// Spends a retry from the budget for a request that has not run. Returns `false` if none is
     /// left.
-    fn spend_retry(&mut self, now_ms: u64, job: &Job) -> bool {
+    pub(crate) fn spend_retry(&mut self, now_ms: u64, job: &Job) -> bool {
         let request = retry_request(now_ms, job, true, false);
         let decision = self.retries.decide(now_ms, &request);
         matches!(decision, RetryDecision::RetryAfterMs(_))
@@ -381,6 +384,18 @@
         }
     }
 
+    /// Returns whether an upstream has as many requests as it can run at once, or more.
+    pub(crate) fn is_full(
+        &self,
+        now_ms: u64,
+        directory: &Directory,
+        upstream: &UpstreamName,
+    ) -> bool {
+        let requests = self.loads.get(upstream).map_or(0, |it| it.requests(now_ms));
+        let known = directory.upstream(upstream);
+        known.is_some_and(|known| requests >= known.slots.max(1))
+    }
+
     fn has_room(
         &self,
         now_ms: u64,
--- a/crates/dispatch/src/liveness.rs
+++ b/crates/dispatch/src/liveness.rs
@@ -10,7 +10,7 @@
 //!
 //! Missing data alone proves nothing: a long prompt, a full batch or a lost packet also delay an
 //! event. An engine that answers the probe is therefore not suspended, however long its requests
-//! wait.
+//! wait. Whether their connections are dead is judged for each connection, in `silence.rs`.
 
 use std::collections::HashMap;
 
@@ -47,6 +47,8 @@
     last_data_ms: u64,
     /// Whether data has come since the first request in progress was sent.
     has_sent_data: bool,
+    /// Time of the last data on any connection; none if none ever came.
+    heard_ms: Option<u64>,
     /// Time until which it is not probed.
     next_probe_ms: u64,
     probe_in_progress: bool,
@@ -86,9 +88,16 @@
         if let Some(state) = self.by_name.get_mut(engine) {
             state.last_data_ms = now_ms;
             state.has_sent_data = true;
+            state.heard_ms = Some(now_ms);
         }
     }
 
+    /// Returns when data last came from an engine on any connection, that of a probe included;
+    /// `None` if none ever came.
+    pub fn last_heard_ms(&self, engine: &UpstreamName) -> Option<u64> {
+        self.by_name.get(engine)?.heard_ms
+    }
+
     /// Records that a request at an engine is no longer in progress.
     pub fn ended(&mut self, engine: &UpstreamName) {
         if let Some(state) = self.by_name.get_mut(engine) {
--- a/crates/entry/src/connections.rs
+++ b/crates/entry/src/connections.rs
@@ -57,7 +57,7 @@
         let was_paused = self
             .outbound
             .get_mut(connection)
-            .is_some_and(|it| std::mem::take(&mut it.paused));
+            .is_some_and(|it| it.resume(self.now_ms));
         if was_paused {
             self.advance_proxied_answer(connection, key, true);
         }
--- a/crates/entry/src/daemon.rs
+++ b/crates/entry/src/daemon.rs
@@ -493,7 +493,7 @@
         if self.planned_stop.refuses_connections(self.now_ms) {
             self.listeners.remove(&CALLERS);
         }
-        self.end_requests_at_ended_incarnations();
+        self.check_silent_requests();
         self.update_stream_origins();
     }
 }
--- a/crates/entry/src/lib.rs
+++ b/crates/entry/src/lib.rs
@@ -38,6 +38,7 @@
 mod relay;
 mod request_dispatch;
 mod request_ends;
+mod request_moves;
 mod residence_updates;
 mod settings;
 mod store_era;
--- a/crates/entry/src/outbound.rs
+++ b/crates/entry/src/outbound.rs
@@ -137,6 +137,8 @@
     has_more: bool,
     /// When bytes last arrived or the exchange began.
     pub last_received_ms: u64,
+    /// Time without data before the last bytes of the exchange in progress.
+    pub last_wait_ms: u64,
     /// How long the connection may stay idle.
     idle_ms: u64,
     idle_until_ms: u64,
@@ -156,6 +158,7 @@
     pub fn begin(&mut self, now_ms: u64, purpose: Purpose, bytes: &[u8], is_head_request: bool) {
         self.purpose = purpose;
         self.last_received_ms = now_ms;
+        self.last_wait_ms = 0;
         self.parse = Parse::Head;
         self.is_head_request = is_head_request;
         self.keep_alive = true;
@@ -241,6 +244,7 @@
             };
             has_received = self.input.len() > before;
             if has_received {
+                self.last_wait_ms = now_ms.saturating_sub(self.last_received_ms);
                 self.last_received_ms = now_ms;
             }
             self.has_more = end == ReadEnd::Limit;
@@ -308,6 +312,16 @@
         !std::mem::replace(&mut self.paused, true)
     }
 
+    /// Resumes reading, from which time on the other end counts as silent if nothing comes. Returns
+    /// whether reading was paused.
+    pub fn resume(&mut self, now_ms: u64) -> bool {
+        let was_paused = std::mem::take(&mut self.paused);
+        if was_paused {
+            self.last_received_ms = now_ms;
+        }
+        was_paused
+    }
+
     /// Returns whether bytes may be unread for which no readiness event will come.
     pub fn has_more(&self) -> bool {
         self.has_more && self.ended.is_none() && self.input.len() < READ_LIMIT_BYTES
--- a/crates/entry/src/outbound/pool.rs
+++ b/crates/entry/src/outbound/pool.rs
@@ -113,6 +113,7 @@
             ended: None,
             has_more: false,
             last_received_ms: now_ms,
+            last_wait_ms: 0,
             idle_ms: DEFAULT_IDLE_MS,
             idle_until_ms: 0,
             connect_until_ms: Some(now_ms + CONNECT_TIMEOUT_MS),
@@ -221,25 +222,39 @@
     /// Returns the direct connections to a peer that proxy callers' requests and have received
     /// nothing since a time, with the requests' keys.
     pub fn silent_direct_requests(&self, peer: &Peer, since_ms: u64) -> Vec<(Token, u64)> {
-        let mut silent = self.silent_proxied_requests(peer, since_ms);
-        silent.retain(|(token, _)| {
-            let connection = self.connections.get(token);
-            connection.is_some_and(|it| it.relayed_by.is_none())
-        });
-        silent
+        let is_direct = |it: &Outbound| it.peer == *peer && it.relayed_by.is_none();
+        let silent = self.silent(since_ms, is_direct);
+        silent.map(|(token, key, _)| (token, key)).collect()
     }
 
     /// Returns the connections to a peer that proxy callers' requests and have received nothing
     /// since a time, with the requests' keys.
     pub fn silent_proxied_requests(&self, peer: &Peer, since_ms: u64) -> Vec<(Token, u64)> {
-        self.connections
-            .iter()
-            .filter(|(_, it)| it.peer == *peer && it.last_received_ms <= since_ms)
-            .filter_map(|(token, it)| match it.purpose {
-                Purpose::Proxy(key) => Some((*token, key)),
-                _ => None,
-            })
-            .collect()
+        let silent = self.silent(since_ms, |it| it.peer == *peer);
+        silent.map(|(token, key, _)| (token, key)).collect()
+    }
+
+    /// Returns all connections that proxy callers' requests and have received nothing since a time,
+    /// with the requests' keys and the times of their last data.
+    pub fn silent_requests(&self, since_ms: u64) -> Vec<(Token, u64, u64)> {
+        self.silent(since_ms, |_| true).collect()
+    }
+
+    /// A connection whose caller is slow is not read, and so not silent.
+    fn silent(
+        &self,
+        since_ms: u64,
+        is_concerned: impl Fn(&Outbound) -> bool,
+    ) -> impl Iterator<Item = (Token, u64, u64)> {
+        let connections = self.connections.iter();
+        connections.filter_map(move |(token, it)| match it.purpose {
+            Purpose::Proxy(key)
+                if !it.paused && it.last_received_ms <= since_ms && is_concerned(it) =>
+            {
+                Some((*token, key, it.last_received_ms))
+            }
+            _ => None,
+        })
     }
 
     /// Returns the earliest deadline of the calls in progress.
--- a/crates/entry/src/request_dispatch.rs
+++ b/crates/entry/src/request_dispatch.rs
@@ -428,7 +428,7 @@
         self.refuse(key, &refusal);
     }
 
-    fn send(&mut self, key: u64, name: UpstreamName) {
+    pub(crate) fn send(&mut self, key: u64, name: UpstreamName) {
         let now_ms = self.now_ms;
         if !self.has_upstream_permit(key, &name) {
             return;
--- /dev/null
+++ b/crates/entry/src/request_moves.rs
@@ -0,0 +1,147 @@
+//! Requests whose connections have fallen silent, and their moves to other upstreams.
+//!
+//! Silence is a guess, and a guess never ends a request. A move is decided as a whole before
+//! anything is closed: only if another upstream takes the request now is the attempt in progress
+//! cancelled. Otherwise the request stays where it is.
+
+use apricotdale_core::names::UpstreamName;
+use apricotdale_core::policy::UpstreamOutcome;
+use apricotdale_dispatch::Dispatcher;
+use apricotdale_dispatch::Silence;
+use apricotdale_dispatch::WaitReason;
+use mio::Token;
+
+use crate::active::Phase;
+use crate::daemon::Daemon;
+use crate::outbound::Peer;
+
+/// Evidence on which a request is moved.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub(crate) enum MoveReason {
+    /// Its connection brings nothing, while its upstream is heard on others.
+    DeadConnection,
+}
+
+impl MoveReason {
+    /// Returns the name used in logs.
+    fn as_str(self) -> &'static str {
+        match self {
+            Self::DeadConnection => "dead_connection",
+        }
+    }
+}
+
+impl Daemon {
+    /// Checks the requests whose connections have brought nothing for long.
+    pub(crate) fn check_silent_requests(&mut self) {
+        self.end_requests_at_ended_incarnations();
+        for (token, key) in self.doubted_requests() {
+            self.move_request(token, key, MoveReason::DeadConnection);
+        }
+    }
+
+    fn doubted_requests(&mut self) -> Vec<(Token, u64)> {
+        let since_ms = self.now_ms.saturating_sub(Dispatcher::least_silence_ms());
+        let silent = self.outbound.silent_requests(since_ms);
+        let silences: Vec<Silence<'_>> = silent
+            .iter()
+            .filter_map(|(_, key, since_ms)| {
+                let request = self.active.get(*key)?;
+                let Phase::Sent { upstream, .. } = &request.phase else {
+                    return None;
+                };
+                Some(Silence {
+                    key: *key,
+                    job: &request.job,
+                    upstream,
+                    since_ms: *since_ms,
+                    has_begun: request.delivery.has_begun(),
+                })
+            })
+            .collect();
+        let (now_ms, directory) = (self.now_ms, &self.directory);
+        let doubted = self
+            .dispatcher
+            .doubted(now_ms, directory, &silences, &self.watch);
+        let doubted = silent.iter().filter(|(_, key, _)| doubted.contains(key));
+        doubted.map(|(token, key, _)| (*token, *key)).collect()
+    }
+
+    /// Sends a request in progress to an upstream that takes it now, and cancels the attempt in
+    /// progress. Leaves the request as it is if there is none. Returns whether it was moved.
+    pub(crate) fn move_request(&mut self, token: Token, key: u64, reason: MoveReason) -> bool {
+        self.complete_origin(key);
+        let now_ms = self.now_ms;
+        let Some(request) = self.active.get_mut(key) else {
+            return false;
+        };
+        let from = match &request.phase {
+            Phase::Sent {
+                connection,
+                upstream,
+                ..
+            } if *connection == token => upstream.clone(),
+            _ => return false,
+        };
+        request.job.origin = request.delivery.origin().cloned();
+        // A request that is suspected of crashing upstreams is sent only as a trial run.
+        let is_suspect = request.trial.is_some() || self.crash_watch.knows(&request.features);
+        let may_continue =
+            request.caller.is_some() && request.delivery.may_continue() && !is_suspect;
+        let target =
+            self.dispatcher
+                .decide_move(now_ms, &self.directory, &request.job, may_continue);
+        let Some(to) = target else {
+            return false;
+        };
+        self.log_move(key, &from, &to, reason);
+        self.metrics.failed_attempt("moved");
+        self.end_attempt(key, UpstreamOutcome::Cancelled);
+        self.outbound.close(token, self.poll.registry());
+        // Connections that were opened as early as this one may be dead as well.
+        self.outbound
+            .close_idle(&Peer::Upstream(from), self.poll.registry());
+        if let Some(request) = self.active.get_mut(key) {
+            request.job.runs += 1;
+            request.phase = Phase::Waiting(WaitReason::Full);
+        }
+        self.send(key, to);
+        self.redispatch_needed = true;
+        true
+    }
+
+    fn log_move(&mut self, key: u64, from: &UpstreamName, to: &UpstreamName, reason: MoveReason) {
+        let Some(request) = self.active.get(key) else {
+            return;
+        };
+        if self.log_budget.try_take(self.now_ms, false) {
+            log::info!(
+                request_id = request.serving.id.to_string(),
+                reason = reason.as_str(),
+                from = from.to_string(),
+                upstream = to.to_string(),
+                tries = request.job.tried.len(),
+                begun = request.delivery.has_begun(),
+                last_event = request.delivery.last_event(),
+                age_ms = self.now_ms - request.job.arrived_ms;
+                "request moved from a silent connection"
+            );
+        }
+    }
+
+    /// Records for how long an upstream sent nothing before the part of an answer that has just
+    /// come.
+    pub(crate) fn record_wait(&mut self, key: u64, had_begun: bool) {
+        let Some(request) = self.active.get(key) else {
+            return;
+        };
+        let Phase::Sent { connection, .. } = &request.phase else {
+            return;
+        };
+        let connection = self.outbound.get_mut(*connection);
+        if let Some(waited_ms) = connection.map(|it| it.last_wait_ms) {
+            self.dispatcher
+                .record_wait(self.now_ms, &request.job, had_begun, waited_ms);
+        }
+    }
+}
--- a/crates/entry/src/upstream_answers.rs
+++ b/crates/entry/src/upstream_answers.rs
@@ -320,6 +320,7 @@
 
     /// Writes part of an answer to the caller, unless the caller has left.
     fn deliver(&mut self, key: u64, had_begun: bool, bytes: &[u8]) {
+        self.record_wait(key, had_begun);
         let Some(request) = self.active.get_mut(key) else {
             return;
         };
@@ -404,6 +405,7 @@
             500.. => UpstreamOutcome::Lost,
             _ => UpstreamOutcome::Answered,
         };
+        self.record_wait(key, had_begun);
         self.end_attempt(key, outcome);
         let Some(request) = self.active.get_mut(key) else {
             return;
--- a/crates/standins/src/platform/answers.rs
+++ b/crates/standins/src/platform/answers.rs
@@ -63,6 +63,11 @@
     LostAnswer,
     /// The request runs, and no answer is ever sent.
     Mute,
+    /// The stream sends nothing more after some events, and its connection stays open.
+    MuteAfter {
+        /// Number of events before the silence.
+        events: u64,
+    },
     /// The stream breaks after some events, in the middle of the next one.
     CutAfter {
         /// Number of complete events before the break.
@@ -311,6 +316,7 @@
             None
             | Some(
                 AnswerFault::CutAfter { .. }
+                | AnswerFault::MuteAfter { .. }
                 | AnswerFault::Stream(_)
                 | AnswerFault::CutThen { .. }
                 | AnswerFault::UnsignedStream,
@@ -385,7 +391,7 @@
         let continues = first > 1;
         let texts = EventTexts::new(&self.software_version.lock());
         let cut_after = match fault {
-            None | Some(AnswerFault::UnsignedStream) => None,
+            None | Some(AnswerFault::UnsignedStream | AnswerFault::MuteAfter { .. }) => None,
             Some(AnswerFault::CutAfter { events }) => Some(events),
             Some(AnswerFault::CutThen { events, .. }) if !continues => Some(events),
             Some(AnswerFault::CutThen { .. }) if first + MIN_FAULTY_EVENTS > count + 1 => None,
@@ -400,6 +406,10 @@
                 return self.unstreamed_answer(request, Some(fault), &body);
             }
         };
+        let mute_after = match fault {
+            Some(AnswerFault::MuteAfter { events }) => Some(events),
+            _ => None,
+        };
         let unresponsive = self.unresponsive.clone();
         let (left, streamed) = (self.left.clone(), self.streamed.clone());
         let id = id_of(request).to_owned();
@@ -409,7 +419,8 @@
                     let _ = writer.send_bytes(format!("id: {event}\nda").as_bytes());
                     return StreamEnd::Broken;
                 }
-                while unresponsive.load(Ordering::Relaxed) {
+                let is_mute = mute_after.is_some_and(|events| events <= sent as u64);
+                while is_mute || unresponsive.load(Ordering::Relaxed) {
                     if writer.caller().is_disconnected() {
                         left.lock().push(id);
                         return StreamEnd::Broken;
