Silence: a move from a lost path or an ended process is decided before anything is closed

Cause: when the path to an engine was lost and another VM reached it, and when a newer incarnation of an engine was listed, silent requests were failed first (after 150 and 500 ms) and then sent again or not. With the retry budget spent, no room or no attempt left, answers broke off in the middle, on a guess: an engine that was silent for a second, or a request that had reached the new process. Change: both ask decide_move first. From a lost path nothing is taken that no upstream takes now. At an ended incarnation a request that can't be moved ends only after a silence that no sound process keeps (the patience of silence.rs), since it may be at the new process. The stand-in VMs take the retry budget as an option.

--- a/crates/entry/src/outbound/pool.rs
+++ b/crates/entry/src/outbound/pool.rs
@@ -228,10 +228,9 @@
     }
 
     /// Returns the connections to a peer that proxy callers' requests and have received nothing
-    /// since a time, with the requests' keys.
-    pub fn silent_proxied_requests(&self, peer: &Peer, since_ms: u64) -> Vec<(Token, u64)> {
-        let silent = self.silent(since_ms, |it| it.peer == *peer);
-        silent.map(|(token, key, _)| (token, key)).collect()
+    /// since a time, with the requests' keys and the times of their last data.
+    pub fn silent_proxied_requests(&self, peer: &Peer, since_ms: u64) -> Vec<(Token, u64, u64)> {
+        self.silent(since_ms, |it| it.peer == *peer).collect()
     }
 
     /// Returns all connections that proxy callers' requests and have received nothing since a time,
@@ -240,6 +239,12 @@
         self.silent(since_ms, |_| true).collect()
     }
 
+    /// Returns whether a connection to a peer proxies a caller's request.
+    pub fn has_requests(&self, peer: &Peer) -> bool {
+        let mut connections = self.connections.values();
+        connections.any(|it| it.peer == *peer && matches!(it.purpose, Purpose::Proxy(_)))
+    }
+
     /// A connection whose caller is slow is not read, and so not silent.
     fn silent(
         &self,
--- a/crates/entry/src/request_moves.rs
+++ b/crates/entry/src/request_moves.rs
@@ -15,11 +15,19 @@
 use crate::daemon::Daemon;
 use crate::outbound::Peer;
 
+/// Silence after which a request that may run again leaves a process that has ended. A request that
+/// reached the new process before its entry was read has received data by then, or waits there.
+const RESTART_SILENCE_MS: u64 = 500;
+
 /// Evidence on which a request is moved.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub(crate) enum MoveReason {
     /// Its connection brings nothing, while its upstream is heard on others.
     DeadConnection,
+    /// The direct path to its upstream is lost, and another VM reaches the upstream.
+    LostPath,
+    /// The process that it was sent to has ended.
+    Restarted,
 }
 
 impl MoveReason {
@@ -27,6 +35,8 @@
     fn as_str(self) -> &'static str {
         match self {
             Self::DeadConnection => "dead_connection",
+            Self::LostPath => "lost_path",
+            Self::Restarted => "restarted",
         }
     }
 }
@@ -144,4 +154,41 @@
                 .record_wait(self.now_ms, &request.job, had_begun, waited_ms);
         }
     }
+
+    /// Moves or ends requests at processes that have ended. Where the connections fell silent with
+    /// the process, these requests would otherwise wait for an answer until their deadlines. A
+    /// request that can't be moved is ended only after a silence that no sound process keeps, as it
+    /// may have reached the new process before the entry of that was read.
+    pub(crate) fn end_requests_at_ended_incarnations(&mut self) {
+        let now_ms = self.now_ms;
+        for name in std::mem::take(&mut self.ended_incarnations) {
+            let peer = Peer::Upstream(name.clone());
+            let since_ms = now_ms.saturating_sub(RESTART_SILENCE_MS);
+            for (token, key, since_ms) in self.outbound.silent_proxied_requests(&peer, since_ms) {
+                let patience_ms = self.patience_ms(key, &name, since_ms);
+                let is_moved = self.move_request(token, key, MoveReason::Restarted);
+                if !is_moved && now_ms >= since_ms + patience_ms {
+                    self.handle_failed_connection(token, key);
+                }
+            }
+            if self.outbound.has_requests(&peer) {
+                self.ended_incarnations.push(name);
+            }
+        }
+    }
+
+    fn patience_ms(&mut self, key: u64, upstream: &UpstreamName, since_ms: u64) -> u64 {
+        let Some(request) = self.active.get(key) else {
+            return 0;
+        };
+        let silence = Silence {
+            key,
+            job: &request.job,
+            upstream,
+            since_ms,
+            has_begun: request.delivery.has_begun(),
+        };
+        self.dispatcher
+            .patience_ms(self.now_ms, &self.directory, &silence)
+    }
 }
--- a/crates/entry/src/store_pollers.rs
+++ b/crates/entry/src/store_pollers.rs
@@ -67,10 +67,6 @@
 /// must fill neither the log nor the memory; entries beyond this number are only counted.
 const MAX_LOGGED_FOREIGN_KEYS: usize = 200;
 
-/// Silence after which a request at a restarted upstream is known to have been at the former
-/// process. Events of a stream arrive every few tens of milliseconds.
-const RESTART_SILENCE_MS: u64 = 500;
-
 /// Reading state of all topics, and what this VM knows about how current they are.
 #[derive(Debug)]
 pub(crate) struct StorePollers {
--- a/crates/entry/src/store_pollers/upstream_list.rs
+++ b/crates/entry/src/store_pollers/upstream_list.rs
@@ -7,7 +7,6 @@
 use apricotdale_fleet::Upstream;
 
 use super::MAX_LOGGED_FOREIGN_KEYS;
-use super::RESTART_SILENCE_MS;
 use super::UPSTREAMS_INTERVAL_MS;
 use crate::codec::DecodeError;
 use crate::codec::KeyedPage;
@@ -256,24 +255,4 @@
         }
         self.redispatch_needed = true;
     }
-
-    /// Ends requests at processes that have ended. Where the connections fell silent with the
-    /// process, these requests would otherwise wait for an answer until their deadlines. Requests
-    /// that reached the new process before its entry was read receive bytes and continue.
-    pub(crate) fn end_requests_at_ended_incarnations(&mut self) {
-        let since_ms = self.now_ms.saturating_sub(RESTART_SILENCE_MS);
-        for name in std::mem::take(&mut self.ended_incarnations) {
-            let peer = Peer::Upstream(name.clone());
-            for (token, key) in self.outbound.silent_proxied_requests(&peer, since_ms) {
-                self.handle_failed_connection(token, key);
-            }
-            if !self
-                .outbound
-                .silent_proxied_requests(&peer, u64::MAX)
-                .is_empty()
-            {
-                self.ended_incarnations.push(name);
-            }
-        }
-    }
 }
--- a/crates/entry/src/upstream_paths.rs
+++ b/crates/entry/src/upstream_paths.rs
@@ -19,6 +19,7 @@
 use crate::messages::VmRecord;
 use crate::outbound::FailedPath;
 use crate::outbound::Peer;
+use crate::request_moves::MoveReason;
 
 /// Number of VMs that are asked at once which upstreams they reach.
 const ASKED_VMS: usize = 8;
@@ -376,8 +377,7 @@
     }
 
     /// Resumes sending to an upstream that another VM reaches. What failed on this VM's path is not
-    /// held against it. Requests that wait there for bytes that can't come are sent again if they may
-    /// be.
+    /// held against it. Requests that wait there for bytes that can't come are moved if they may be.
     fn handle_relayed_path(&mut self, upstream: &UpstreamName) {
         log::info!(upstream = upstream.to_string(); "connections to upstream are relayed");
         self.dispatcher.resume(upstream);
@@ -386,12 +386,7 @@
         let since_ms = self.now_ms.saturating_sub(ENGINE_PROBE_TIMEOUT_MS);
         let peer = Peer::Upstream(upstream.clone());
         for (token, key) in self.outbound.silent_direct_requests(&peer, since_ms) {
-            let may_move = self.active.get(key).is_some_and(|request| {
-                request.job.kind.is_repeatable() && request.job.runs + 1 < request.job.attempts
-            });
-            if may_move {
-                self.handle_failed_connection(token, key);
-            }
+            self.move_request(token, key, MoveReason::LostPath);
         }
     }
 
--- a/crates/standins/src/platform/vm.rs
+++ b/crates/standins/src/platform/vm.rs
@@ -54,6 +54,8 @@
     pub order_pause_ms: u64,
     /// Rate in megabytes a second at which the store sends reads, as the VM's settings state it.
     pub read_mb_per_s: f64,
+    /// Retries that all VMs together may add per request, and beyond that within the window.
+    pub repeats: (f64, u32),
     /// Further lines of the settings file.
     pub more_settings: String,
 }
@@ -71,6 +73,7 @@
             stop_ms: 8_000,
             order_pause_ms: 300,
             read_mb_per_s: 80.0,
+            repeats: (0.2, 50),
             more_settings: String::new(),
         }
     }
@@ -83,7 +86,7 @@
              [peers]\nlisten = {any}\n[metrics]\nlisten = {any}\n\
              [store]\naddress = {}\nread_mb_per_s = {}\n\
              [bounds]\nstop_s = {}\nengines_check_fences = true\norder_pause_ms = {}\n\
-             repeats_per_request = 0.2\nspare_repeats = 50\nrepeats_window_s = 10\n[log]\nlevel = info\n{}",
+             repeats_per_request = {}\nspare_repeats = {}\nrepeats_window_s = 10\n[log]\nlevel = info\n{}",
             self.name,
             self.zone,
             self.address,
@@ -92,6 +95,8 @@
             self.read_mb_per_s,
             self.stop_ms as f64 / 1_000.0,
             self.order_pause_ms,
+            self.repeats.0,
+            self.repeats.1,
             self.more_settings
         )
     }
