--- a/crates/dispatch/tests/request_deadlines.rs
+++ b/crates/dispatch/tests/request_deadlines.rs
@@ -45,7 +45,7 @@
     fn new(seed: u64, planted: Planted) -> Self {
         let mut random = ChaCha8Rng::seed_from_u64(seed);
         let timeout_ms = random.random_range(0..4_000);
-        let caller_timeout_ms = (seed % 3 > 0).then(|| random.random_range(0..6_000));
+        let caller_timeout_ms = (!seed.is_multiple_of(3)).then(|| random.random_range(0..6_000));
         Self {
             planted,
             caller_timeout_ms,
--- a/crates/standins/src/platform/answer_faults.rs
+++ b/crates/standins/src/platform/answer_faults.rs
@@ -16,6 +16,11 @@
     LostAnswer,
     /// The request runs, and no answer is ever sent.
     Mute,
+    /// The stream sends nothing more after some events, and its connection stays open.
+    MuteAfter {
+        /// Number of events before the silence.
+        events: u64,
+    },
     /// The stream breaks after some events, in the middle of the next one.
     CutAfter {
         /// Number of complete events before the break.
--- a/crates/standins/src/platform/answers.rs
+++ b/crates/standins/src/platform/answers.rs
@@ -261,6 +261,7 @@
             None
             | Some(
                 AnswerFault::CutAfter { .. }
+                | AnswerFault::MuteAfter { .. }
                 | AnswerFault::Stream(_)
                 | AnswerFault::CutThen { .. }
                 | AnswerFault::UnsignedStream,
@@ -337,7 +338,12 @@
         let continues = first > 1;
         let texts = EventTexts::new(&self.software_version.lock());
         let cut_after = match fault {
-            None | Some(AnswerFault::UnsignedStream | AnswerFault::Silent { .. }) => None,
+            None
+            | Some(
+                AnswerFault::UnsignedStream
+                | AnswerFault::Silent { .. }
+                | AnswerFault::MuteAfter { .. },
+            ) => None,
             Some(AnswerFault::CutAfter { events }) => Some(events),
             Some(AnswerFault::CutThen { events, .. }) if !continues => Some(events),
             Some(AnswerFault::CutThen { .. }) if first + MIN_FAULTY_EVENTS > count + 1 => None,
@@ -352,6 +358,10 @@
                 return self.unstreamed_answer(request, Some(fault), &body);
             }
         };
+        let mute_after = match fault {
+            Some(AnswerFault::MuteAfter { events }) => Some(events),
+            _ => None,
+        };
         let pause = StreamPause::of(fault, (count + 1).saturating_sub(first));
         pause.wait_before_head();
         let (unresponsive, silence) = (self.unresponsive.clone(), self.silence.clone());
@@ -367,7 +377,8 @@
                     let _ = writer.send_bytes(format!("id: {event}\nda").as_bytes());
                     return StreamEnd::Broken;
                 }
-                while unresponsive.load(Ordering::Relaxed) {
+                let is_mute = mute_after.is_some_and(|events| events <= sent as u64);
+                while is_mute || unresponsive.load(Ordering::Relaxed) {
                     if writer.caller().is_disconnected() {
                         left.lock().push(id);
                         return StreamEnd::Broken;
