Upstreams of calls, too, are given all the time for which the caller waits

A service stops at that time and answers 504. Closing the connection at the deadline ends the work of a call as it does that of a stream, so both are told the caller's own time now.

The same time goes into the question for a trial run: a trial that was granted for the older deadline could have run beside a second one after a lengthening. A wake-up is no longer removed with the older deadline, as the request may have asked for the same time for another reason.

--- a/crates/dispatch/src/deadline.rs
+++ b/crates/dispatch/src/deadline.rs
@@ -4,7 +4,7 @@
 /// arrives in time.
 const ANSWER_MARGIN_MS: u64 = 30;
 
-/// Minimum time that the upstream of a stream is given if the caller states none.
+/// Minimum time that an upstream is given if the caller states none.
 const MIN_UNSTATED_WAIT_MS: u64 = 60_000;
 
 /// Deadline of one request.
@@ -46,19 +46,15 @@
         self.route_timeout_ms = self.route_timeout_ms.max(route_timeout_ms);
     }
 
-    /// Returns the time in milliseconds that an upstream is given for the request from now on.
-    ///
-    /// The upstream of a stream is given all the time for which the caller waits: it stops by
-    /// itself when its time is over, so that a longer time-out could not reach a stream in progress.
-    /// At the deadline this VM closes the connection. Any other answer can be replaced by a refusal,
-    /// after which no upstream should work on it.
-    pub fn upstream_left_ms(&self, now_ms: u64, is_stream: bool) -> u64 {
+    /// Returns the time in milliseconds that an upstream is given for the request from now on: all
+    /// the time for which the caller waits. An upstream stops by itself when its time is over, so
+    /// that a longer time-out of the route could not reach a request that is in progress there. At
+    /// the deadline this VM closes the connection, which ends the upstream's work.
+    pub fn upstream_left_ms(&self, now_ms: u64) -> u64 {
         let unstated_wait_ms = self.route_timeout_ms.max(MIN_UNSTATED_WAIT_MS);
         let wait_ms = self.caller_timeout_ms.unwrap_or(unstated_wait_ms);
-        let until_ms = match is_stream {
-            true => self.arrived_ms.saturating_add(wait_ms),
-            false => self.answer_by_ms(),
-        };
-        until_ms.saturating_sub(now_ms)
+        self.arrived_ms
+            .saturating_add(wait_ms)
+            .saturating_sub(now_ms)
     }
 }
--- a/crates/entry/src/active.rs
+++ b/crates/entry/src/active.rs
@@ -122,7 +122,7 @@
         Some(request)
     }
 
-    /// Applies a function to the deadline of each request, and moves its wake-up with it.
+    /// Applies a function to the deadline of each request, and schedules its wake-up.
     pub fn update_deadlines(&mut self, update: impl Fn(&ActiveRequest, &mut Deadline)) {
         for (key, request) in &mut self.requests {
             let mut deadline = request.deadline;
@@ -130,7 +130,7 @@
             if deadline == request.deadline {
                 continue;
             }
-            self.wake_ups.remove(&(request.job.deadline_ms, *key));
+            // The earlier wake-up stays, since the request may also have asked for it.
             request.deadline = deadline;
             request.job.deadline_ms = deadline.answer_by_ms();
             self.wake_ups.insert((request.job.deadline_ms, *key));
--- a/crates/entry/src/request_dispatch.rs
+++ b/crates/entry/src/request_dispatch.rs
@@ -375,7 +375,8 @@
         let Some(request) = self.active.get_mut(key) else {
             return;
         };
-        let left_ms = request.job.deadline_ms.saturating_sub(now_ms);
+        // The upstream may work on it for so long, even if the deadline is extended meanwhile.
+        let left_ms = request.deadline.upstream_left_ms(now_ms);
         let watch = &mut self.crash_watch;
         match watch.permit(now_ms, &request.features, &upstream, left_ms) {
             Permit::Free => self.send(key, upstream),
@@ -449,9 +450,7 @@
         }
         let fields = ForwardFields {
             instance,
-            left_ms: request
-                .deadline
-                .upstream_left_ms(now_ms, request.job.kind.is_stream()),
+            left_ms: request.deadline.upstream_left_ms(now_ms),
             last_event: request.delivery.last_event(),
             rank: request.job.rank,
             organisation: request.organisation.as_ref().map(|it| it.name.clone()),
--- a/crates/entry/src/store_pollers/configuration.rs
+++ b/crates/entry/src/store_pollers/configuration.rs
@@ -155,8 +155,8 @@
         }
     }
 
-    /// Applies the time-outs of a new configuration to the requests in progress. A request whose
-    /// route is gone keeps its deadline.
+    /// Applies the time-outs of a new configuration to the requests in progress. A request that no
+    /// route matches any more keeps its deadline.
     fn extend_deadlines(&mut self) {
         let directory = &self.directory;
         self.active.update_deadlines(|request, deadline| {
--- a/crates/standins/src/platform/answers.rs
+++ b/crates/standins/src/platform/answers.rs
@@ -192,6 +192,13 @@
         self.with_limits(reply)
     }
 
+    /// Returns the answer to a request whose time is over while it runs.
+    pub fn out_of_time(&self, request: &Request) -> Reply {
+        Reply::json(504, &json!({}))
+            .with_header(ID, id_of(request))
+            .with_header(SIGNATURE, &format!("s.{}", self.instance))
+    }
+
     /// Takes the next fault, and records the request as run unless the fault rejects it.
     pub fn begin(&self, request: &Request) -> Option<AnswerFault> {
         let own = self.faults.lock().pop_front();
@@ -468,7 +475,7 @@
 }
 
 /// Returns how long the client waits for the answer; none if the request does not state it.
-fn time_left(request: &Request) -> Option<Duration> {
+pub(crate) fn time_left(request: &Request) -> Option<Duration> {
     let left_ms = request.header(TIME_LEFT_MS)?.parse().ok()?;
     Some(Duration::from_millis(left_ms))
 }
