Requests read behind an answer that closes the connection are refused

Cause: requests that a caller had sent ahead were read while an earlier one was answered, and dropped without an answer if that answer closed the connection, as answers during a planned stop do. Change: they get 503, not run, with "Connection: close", behind that answer. What arrives after the connection's write half is closed gets nothing, as the answer before has said. Measured: kept_connections::requests_behind_last failed before (no answer) and passes now; kept_connections 3 of 3, planned_stop 7 of 7, slow_callers 13 of 13, request_path 16 of 16, faulty_answers 33 of 33. Each one run. Not covered: requests sent ahead on a connection that is reset because its answer is cut.

--- a/crates/entry/src/caller.rs
+++ b/crates/entry/src/caller.rs
@@ -269,6 +269,18 @@
         true
     }
 
+    /// Removes the next request from the received bytes and returns its head, if all of it has
+    /// arrived.
+    pub fn take_next_request(&mut self, limits: &CallerLimits) -> Option<RequestHead> {
+        let parsed = parse_request_head(&self.input, limits.head_bytes);
+        let (head, length) = parsed.ok().flatten()?;
+        let mut decoder = BodyDecoder::new(head.body);
+        let progress = decoder.decode(&self.input[length..], &mut Vec::new());
+        let progress = progress.ok().filter(|it| it.is_complete)?;
+        self.input.drain(..length + progress.consumed);
+        Some(head)
+    }
+
     /// Begins to close the connection.
     pub fn begin_close(&mut self, now_ms: u64) {
         self.phase = Phase::Closing {
--- a/crates/entry/src/connections.rs
+++ b/crates/entry/src/connections.rs
@@ -129,9 +129,8 @@
             .callers
             .get(&token)
             .is_some_and(|it| it.is_head_request);
-        let end = bytes.windows(HEAD_END.len()).position(|it| it == HEAD_END);
-        if let (true, Some(end)) = (is_head_request, end) {
-            bytes.truncate(end + HEAD_END.len());
+        if is_head_request {
+            remove_body(&mut bytes);
         }
         self.write_to_caller(token, &bytes);
         self.finish_answer(token);
@@ -227,13 +226,35 @@
         closes
     }
 
-    /// Completes an answer on a caller's connection.
+    /// Completes an answer on a caller's connection. If the connection closes, further requests that
+    /// have been read are refused.
     pub(crate) fn finish_answer(&mut self, token: Token) {
         let now_ms = self.now_ms;
-        if let Some(caller) = self.callers.get_mut(&token) {
-            caller.answered(now_ms);
-            caller.flush(now_ms);
-            self.answered.push(token);
+        let limits = self.directory.configuration().limits;
+        let Some(caller) = self.callers.get_mut(&token) else {
+            return;
+        };
+        if !caller.answered(now_ms) {
+            while let Some(head) = caller.take_next_request(&limits) {
+                let id = self.codecs.callers.decode(&head).ok().map(|it| it.id);
+                let detail = "the connection closes after the answer before";
+                let refusal = Refusal::not_run(RefusalReason::Draining, detail);
+                self.metrics.refused(refusal.reason.as_str());
+                let mut bytes = self.codecs.callers.refusal(&refusal, id.as_ref(), true);
+                if head.method.eq_ignore_ascii_case("HEAD") {
+                    remove_body(&mut bytes);
+                }
+                caller.stream.queue(&bytes);
+            }
         }
+        caller.flush(now_ms);
+        self.answered.push(token);
+    }
+}
+
+fn remove_body(answer: &mut Vec<u8>) {
+    let end = answer.windows(HEAD_END.len()).position(|it| it == HEAD_END);
+    if let Some(end) = end {
+        answer.truncate(end + HEAD_END.len());
     }
 }
