--- a/crates/standins/src/platform/site.rs
+++ b/crates/standins/src/platform/site.rs
@@ -305,15 +305,22 @@
 
     /// Writes the last configuration again, without a service and the routes to it.
     pub fn configure_without(&self, version: u64, service: &str) {
+        self.reconfigure(version, |configuration| {
+            for (list, key) in [("routes", "service"), ("services", "name")] {
+                if let Some(list) = configuration[list].as_array_mut() {
+                    list.retain(|it| it[key] != service);
+                }
+            }
+        });
+    }
+
+    /// Writes the last configuration again, with a change.
+    pub fn reconfigure(&self, version: u64, change: impl FnOnce(&mut Value)) {
         let bytes = self.configuration.lock().clone();
         let mut configuration: Value =
             serde_json::from_slice(&bytes).expect("the site's own configuration is JSON");
         configuration["version"] = json!(version);
-        for (list, key) in [("routes", "service"), ("services", "name")] {
-            if let Some(list) = configuration[list].as_array_mut() {
-                list.retain(|it| it[key] != service);
-            }
-        }
+        change(&mut configuration);
         let bytes = configuration.to_string().into_bytes();
         self.store.put("keyed.op", "config", &bytes);
         *self.configuration.lock() = bytes;
