Soak: sound upstreams fall silent, settings change, and nothing may be lost

Cause: the soak had no silence of a sound upstream (its silences are of links and count as trouble), changed no time-out, attempts, idle limit or split, and had no promise that a request which a VM has read whole ends with a complete answer or a refusal.

Change: silences of 0.5 to 1.6 s and changes of settings, each with a generator of its own, so the other faults of a seed stay as they were; neither counts as a disturbance. A third instance, of a second plain service, gets calls only where the operators split them. New promise `nothing lost` (lost_request_invariants.rs); docs/SOAK.md says what excuses it. Two other checks count from the moment at which a silent upstream sends again, for nothing was stated before: they guessed that an answer leaves at once.

Tests that changed, each as strict or stricter: plan_seeds wants 30 kinds of faults in place of 28; the two records of a stop that cuts a call off break the new promise, too, and must be found with both; records of streams that broke off (stream_records, version_records) name the fault that broke them off, which they left out, and still must show exactly the promise they are about.

--- a/crates/soak/src/checks.rs
+++ b/crates/soak/src/checks.rs
@@ -27,7 +27,7 @@
 pub(crate) const CONFIGURATION_DEADLINE_MS: u64 = 2_000;
 
 /// Time within which a VM must have exited after SIGTERM.
-const STOP_DEADLINE_MS: u64 = 8_000;
+pub(crate) const STOP_DEADLINE_MS: u64 = 8_000;
 
 /// Tolerance of every deadline: a machine that runs other programs too wakes processes late.
 pub(crate) const SCHEDULING_SLACK_MS: u64 = 1_000;
@@ -50,6 +50,8 @@
     OneLeaseHolder,
     /// No engine is ordered to load more than its memory holds.
     FitsMemory,
+    /// A request that a VM has read whole ends with a complete answer or a refusal.
+    NothingLost,
     /// Each request gets its final answer within the caller's timeout.
     InTime,
     /// An upstream that has left gets no new requests.
@@ -97,6 +99,7 @@
             Self::OnlySentRequests => "asked for",
             Self::OneLeaseHolder => "one giver",
             Self::FitsMemory => "fits memory",
+            Self::NothingLost => "nothing lost",
             Self::InTime => "in time",
             Self::Drained => "drained",
             Self::ConfigurationInForce => "in force",
@@ -140,6 +143,7 @@
     checker.check_runs(&mut found);
     checker.check_answers(&mut found);
     checker.check_orders(&mut found);
+    checker.check_lost_requests(&mut found);
     checker.check_deadlines(&mut found);
     checker.check_drains(&mut found);
     checker.check_configurations(&mut found);
--- a/crates/soak/src/fault.rs
+++ b/crates/soak/src/fault.rs
@@ -4,6 +4,7 @@
 use apricotdale_standins::platform::StoreFault;
 use apricotdale_standins::proxy::LinkFault;
 
+use crate::record::KILL;
 use crate::record::KILL_ALL;
 use crate::record::PATHS_CUT;
 use crate::record::Place;
@@ -22,6 +23,19 @@
     NewRefused,
 }
 
+/// Setting of the configuration that the operators change.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Adjustment {
+    /// Timeout of all routes, in milliseconds.
+    Timeout(u64),
+    /// Attempts of the routes whose requests may run again.
+    Attempts(u32),
+    /// Time after which an idle connection of a caller is closed, in milliseconds.
+    IdleTimeout(u64),
+    /// Percentage of the calls that the first of two plain services gets.
+    PlainPercent(u32),
+}
+
 /// Fault or planned operation to which the VMs or their surroundings are exposed.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub enum Trouble {
@@ -216,6 +230,15 @@
         /// Time for which requests are rejected.
         for_ms: u64,
     },
+    /// Has sound upstreams send nothing for a time and then go on where they stopped.
+    SilentUpstreams {
+        /// Indices of the upstreams: engines first, then instances of the plain service.
+        upstreams: Vec<usize>,
+        /// Duration of the silence.
+        for_ms: u64,
+    },
+    /// Has the operators change one setting of the configuration.
+    Adjust(Adjustment),
     /// Has the operators write a configuration with a new route in place of the previous one.
     Configure,
     /// Has the operators add a key to an organisation.
@@ -239,7 +262,7 @@
     /// Returns the name of the fault in reports.
     pub(crate) fn as_str(&self) -> &'static str {
         match self {
-            Self::Kill { .. } => "kill",
+            Self::Kill { .. } => KILL,
             Self::KillAll { .. } => KILL_ALL,
             Self::Pause { .. } => "pause",
             Self::Stop { .. } => "stop",
@@ -263,6 +286,8 @@
             Self::StatedLimit { .. } => "stated limit",
             Self::StatedLeave { .. } => "stated leave",
             Self::Rest { .. } => "rest",
+            Self::SilentUpstreams { .. } => "silent upstreams",
+            Self::Adjust(_) => "adjust",
             Self::Configure => "configure",
             Self::KeyAdded { .. } => "key added",
             Self::KeyTaken { .. } => "key taken",
@@ -280,6 +305,8 @@
             Self::KillAll { .. }
             | Self::Reload { .. }
             | Self::StatedLimit { .. }
+            | Self::SilentUpstreams { .. }
+            | Self::Adjust(_)
             | Self::Configure
             | Self::KeyAdded { .. }
             | Self::KeyTaken { .. }
--- a/crates/soak/src/main.rs
+++ b/crates/soak/src/main.rs
@@ -208,6 +208,15 @@
     for cut in &soak.record.path_cuts {
         writeln!(file, "{cut:?}")?;
     }
+    for link_break in &soak.record.link_breaks {
+        writeln!(file, "{link_break:?}")?;
+    }
+    for silence in &soak.record.silences {
+        writeln!(file, "{silence:?}")?;
+    }
+    for timeout in &soak.record.timeouts {
+        writeln!(file, "{timeout:?}")?;
+    }
     for time in &soak.record.engine_times {
         writeln!(file, "{time:?}")?;
     }
--- a/crates/soak/src/notice_invariants.rs
+++ b/crates/soak/src/notice_invariants.rs
@@ -70,7 +70,8 @@
     }
 
     /// Returns the answers of an engine with the statement that VMs passed on. Each counts from the
-    /// time when its request reached the engine, which is earlier.
+    /// time when its request reached the engine, which is earlier, or from the end of the silence
+    /// in which it did.
     fn told(&self, leave: &StatedLeaveSeen) -> Vec<Told> {
         let runs = self.record.runs.iter();
         let runs = runs.filter(|run| run.upstream == leave.upstream && run.at_ms > leave.from_ms);
@@ -78,7 +79,7 @@
             let vm = self.passed_on_by(run)?;
             Some(Told {
                 vm,
-                at_ms: run.at_ms,
+                at_ms: self.record.sends_from_ms(&run.upstream, run.at_ms),
             })
         })
         .collect()
--- a/crates/soak/src/plan.rs
+++ b/crates/soak/src/plan.rs
@@ -14,6 +14,8 @@
 use crate::fault::Trouble;
 use crate::notice_draws::draw_rests;
 use crate::notice_draws::draw_stated_leaves;
+use crate::silence_draws::draw_adjustments;
+use crate::silence_draws::draw_silences;
 
 /// Prefixes of the bodies of requests that crash engines: before the first event of the answer, and
 /// after some events.
@@ -99,6 +101,8 @@
         faults.extend(draw_releases(seed, calm_from_ms, engines));
         faults.extend(draw_stated_leaves(seed, calm_from_ms, engines));
         faults.extend(draw_rests(seed, calm_from_ms, engines));
+        faults.extend(draw_silences(seed, calm_from_ms, engines, upstreams));
+        faults.extend(draw_adjustments(seed, calm_from_ms));
         let (bursts, changes) = draw_organisation_events(seed, calm_from_ms);
         faults.extend(changes);
         faults.sort_by_key(|planned| planned.at_ms);
--- a/crates/soak/src/record.rs
+++ b/crates/soak/src/record.rs
@@ -13,6 +13,9 @@
 /// Name of the disturbance after which the store may hold an older configuration.
 pub(crate) const ROLLBACK: &str = "set back";
 
+/// Name of the disturbance in which a VM's process is killed.
+pub(crate) const KILL: &str = "kill";
+
 /// Name of the disturbance in which every VM's process is killed.
 pub(crate) const KILL_ALL: &str = "kill all";
 
@@ -319,6 +322,40 @@
     pub until_ms: u64,
 }
 
+/// Time for which the link of all VMs to an upstream was disturbed, or at which its connections
+/// were reset.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct LinkBreak {
+    /// Name of the upstream.
+    pub upstream: String,
+    /// Time when it began.
+    pub from_ms: u64,
+    /// Time when it ended.
+    pub until_ms: u64,
+}
+
+/// Time for which a sound upstream sent nothing.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct SilenceSeen {
+    /// Name of the upstream.
+    pub upstream: String,
+    /// Time when it began.
+    pub from_ms: u64,
+    /// Time when the upstream went on.
+    pub until_ms: u64,
+}
+
+/// Timeout of all routes that the operators configured.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct TimeoutSeen {
+    /// Timeout in milliseconds.
+    pub timeout_ms: u64,
+    /// Time when the write of the configuration began; 0 for the initial one.
+    pub written_ms: u64,
+    /// Time when the store acknowledged it.
+    pub acknowledged_ms: u64,
+}
+
 /// Planned departure of an upstream.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub struct Drain {
@@ -396,6 +433,12 @@
     pub arrivals: Vec<ArrivalSeen>,
     /// Cuts of VMs from all upstreams.
     pub path_cuts: Vec<PathCutSeen>,
+    /// Disturbances of the links to single upstreams.
+    pub link_breaks: Vec<LinkBreak>,
+    /// Silences of sound upstreams.
+    pub silences: Vec<SilenceSeen>,
+    /// Timeouts of the routes, in order of their configuration.
+    pub timeouts: Vec<TimeoutSeen>,
     /// Log lines of VMs that contain a caller's key.
     pub key_lines: Vec<String>,
     /// One line for each VM whose process exited or failed to start unexpectedly, with the reason.
@@ -414,6 +457,20 @@
 }
 
 impl Record {
+    /// Returns the time from which an upstream that has something to send at `at_ms` can send it:
+    /// then, or when its silence ends.
+    pub(crate) fn sends_from_ms(&self, upstream: &str, at_ms: u64) -> u64 {
+        let of_upstream = |it: &&SilenceSeen| it.upstream == upstream;
+        let mut sends_ms = at_ms;
+        loop {
+            let mut silences = self.silences.iter().filter(of_upstream);
+            match silences.find(|it| it.from_ms <= sends_ms && it.until_ms > sends_ms) {
+                Some(silence) => sends_ms = silence.until_ms,
+                None => return sends_ms,
+            }
+        }
+    }
+
     /// Counts the streams that were assembled from several upstreams.
     pub fn continued(&self) -> ContinuedStreams {
         let mut runs: BTreeMap<&str, Vec<&Run>> = BTreeMap::new();
--- a/crates/soak/tests/stream_records.rs
+++ b/crates/soak/tests/stream_records.rs
@@ -21,7 +21,7 @@
 use support::run;
 use support::valid_record;
 
-/// Returns a record of a stream over two engines whose caller received `text`.
+/// Returns a record of a stream over two engines, the first of which broke off, whose caller received `text`.
 fn stream_record(after_event: u64, whole: bool, text: &str) -> Record {
     let mut record = valid_record();
     let first = after_event + 1;
@@ -43,6 +43,7 @@
     };
     record.runs.push(Run {
         after_event,
+        fault: Some(AnswerFault::CutAfter { events: 2 }),
         ..run("s")
     });
     record.runs.push(resumed);
--- a/crates/soak/tests/version_records.rs
+++ b/crates/soak/tests/version_records.rs
@@ -12,13 +12,16 @@
 use apricotdale_soak::Place;
 use apricotdale_soak::Record;
 use apricotdale_soak::ResumedShare;
+use apricotdale_soak::Run;
 use apricotdale_soak::StreamSeen;
 use apricotdale_soak::resumed_share;
+use apricotdale_standins::platform::AnswerFault;
 use rstest::rstest;
 
 use support::attempt;
 use support::broken_invariants;
 use support::disturbance;
+use support::run;
 use support::valid_record;
 
 /// Events of a complete stream.
@@ -56,8 +59,15 @@
     }
 }
 
+/// Returns a record of these attempts. Engines broke off those that are not whole.
 fn record_of(parts: Vec<Attempt>) -> Record {
     let mut record = valid_record();
+    let is_broken = |part: &&Attempt| matches!(part.ending, Ending::Answered { whole: false, .. });
+    let runs = parts.iter().filter(is_broken).map(|part| Run {
+        fault: Some(AnswerFault::CutAfter { events: 2 }),
+        ..run(&part.id)
+    });
+    record.runs.extend(runs);
     record.attempts.extend(parts);
     record
 }
--- a/crates/standins/src/platform/mod.rs
+++ b/crates/standins/src/platform/mod.rs
@@ -1,6 +1,7 @@
 //! Stand-ins for the users' platform: its store, model engines, plain services and callers, with
 //! the wire format that `platform/` translates, and entry VMs as real processes in front of them.
 
+mod adjustments;
 mod answer_faults;
 mod answers;
 mod caller;
@@ -20,6 +21,7 @@
 mod topics;
 mod vm;
 
+pub use adjustments::SiteAdjustments;
 pub use answer_faults::AnswerFault;
 pub use answers::LARGE_BYTES;
 pub use answers::RecordedRun;
