Silence: a route that is to answer late gets twice its target time before a connection is doubted

Cause: until a wait had been observed at a service, its first requests were doubted after 1.7 s, also on routes whose target time is longer than that. Change: before the answer begins, the target time of the route counts like an observed wait. Not measured: a service that takes over 1.7 s though its target is short; its first requests may be moved once, until the first of them is answered.

--- a/crates/dispatch/src/silence.rs
+++ b/crates/dispatch/src/silence.rs
@@ -108,8 +108,8 @@
     }
 
     /// Returns for how long a connection may bring nothing before it is doubted, in milliseconds.
-    /// The time grows with the waits that were observed at the service, with the expected run time
-    /// of a request that is answered at its end, where the upstream is full, and with each run.
+    /// The time grows with the waits that were observed at the service, with the time until the
+    /// first answer that is expected of the route, where the upstream is full, and with each run.
     pub fn patience_ms(
         &mut self,
         now_ms: u64,
@@ -123,9 +123,11 @@
             wait.advance(now_ms);
             wait.current_ms.max(wait.former_ms)
         });
+        let target_ms = job.target_ms.saturating_sub(job.arrived_ms);
         let expected_ms = match job.kind.is_stream() {
-            true => 0,
-            false => job.expected_run_ms,
+            _ if silence.has_begun => 0,
+            true => target_ms,
+            false => job.expected_run_ms.max(target_ms),
         };
         let patience_ms = LEAST_SILENCE_MS.max(longest_ms.max(expected_ms) * WAIT_FACTOR);
         let factor = match self.is_full(now_ms, directory, silence.upstream) {
--- a/crates/dispatch/tests/silent_connections.rs
+++ b/crates/dispatch/tests/silent_connections.rs
@@ -196,6 +196,20 @@
     assert_eq!(fixture.patience_ms(SENT_MS), 3_400);
 }
 
+/// Guards against moving requests of a route that is known to answer late, before any wait there
+/// has been observed.
+#[rstest]
+#[case::stream(RouteKind::Stream { resumable: true }, false, 2_400)]
+#[case::call(RouteKind::Idempotent, false, 2_400)]
+#[case::begun(RouteKind::Stream { resumable: true }, true, 1_700)]
+fn late_target(#[case] kind: RouteKind, #[case] has_begun: bool, #[case] expected_ms: u64) {
+    let mut fixture = fixture();
+    fixture.job.kind = kind;
+    fixture.job.target_ms = fixture.job.arrived_ms + 1_200;
+    fixture.has_begun = has_begun;
+    assert_eq!(fixture.patience_ms(SENT_MS), expected_ms);
+}
+
 /// A call is answered at its end.
 #[test]
 fn long_call() {
