Quarantine: a stored part case counts once, for its own part

Cause: the store's case of a part is recorded like a lost request whose fingerprint is the part and which has that part. It was counted twice for the part, once more for each other part in its row, and in addition to the requests that the VM knew: one lost trial run counted up to four times, and two reached the limit of six ambiguous ones.

Change: such a row counts for the case of its own part only, and the larger of its numbers and those of the known requests applies. It has no trial run of its own that tells one part from another.

stored_trials_counted_once failed before (block found, cases not those of the VM that stored them) and passes; the crate's tests pass (one run).

--- a/crates/quarantine/src/cases.rs
+++ b/crates/quarantine/src/cases.rs
@@ -209,7 +209,8 @@
     let mut counts: HashMap<Fingerprint, u32> = HashMap::new();
     for judged in crashes {
         let trials = judged.crash.suspects.iter();
-        let trials = trials.filter(|(_, loss)| loss.copies().trials > 0);
+        let trials = trials
+            .filter(|(request, loss)| loss.copies().trials > 0 && !loss.is_stored_part(request));
         for (request, loss) in trials.filter(|(request, _)| !judged.has_blocked_parts(request)) {
             let is_first = cases
                 .get(request)
@@ -227,6 +228,12 @@
 }
 
 impl LostCopies {
+    /// Returns whether this is what the store holds about a part, and no request. It counts for the
+    /// case of that part only, since each of the other parts has a stored case of its own.
+    fn is_stored_part(&self, feature: &Fingerprint) -> bool {
+        self.parts.binary_search(feature).is_ok()
+    }
+
     pub(crate) fn features(&self, request: Fingerprint) -> RequestFeatures {
         RequestFeatures {
             request,
@@ -251,12 +258,18 @@
         crashes.sort_by_key(|it| it.crash.at_ms);
         let mut cases: HashMap<Fingerprint, CrashCase> = HashMap::new();
         for judged in &crashes {
-            for (request, loss) in &judged.crash.suspects {
+            let suspects = judged.crash.suspects.iter();
+            let (stored, requests): (Vec<_>, Vec<_>) =
+                suspects.partition(|(feature, loss)| loss.is_stored_part(feature));
+            for (request, loss) in requests {
                 let features = loss.features(*request);
                 for feature in features.all() {
                     self.add_to_case(&mut cases, judged, &features, feature, loss);
                 }
             }
+            for (part, loss) in stored {
+                self.add_to_case(&mut cases, judged, &loss.features(*part), part, loss);
+            }
         }
         for (feature, count) in distinct_trials(&crashes, &cases, options) {
             if let Some(case) = cases.get_mut(&feature) {
@@ -317,6 +330,14 @@
             false => copies.trials,
         };
         match case.crashes.last_mut() {
+            // The requests that are known may be among those of the stored case.
+            Some(last)
+                if last.upstream == *judged.upstream && loss.is_stored_part(&features.request) =>
+            {
+                last.copies = last.copies.max(copies.all);
+                last.trials = last.trials.max(copies.trials);
+                last.unmatched_trials = last.unmatched_trials.max(unmatched_trials);
+            }
             Some(last) if last.upstream == *judged.upstream => {
                 last.copies += copies.all;
                 last.trials += copies.trials;
--- a/crates/quarantine/tests/part_decisions.rs
+++ b/crates/quarantine/tests/part_decisions.rs
@@ -288,6 +288,35 @@
     assert_eq!(next.send(&request("sound", &[FIRST, OTHER, OWN])), None);
 }
 
+/// Guards against counting a lost trial run once for each stored case with the part, so that a VM
+/// that starts blocks what the others do not.
+#[test]
+fn stored_trials_counted_once() {
+    let mut vm = OneVm::start();
+    for number in 0..4 {
+        vm.crash(&request(&format!("w-{number}"), &[FIRST, OWN]), &[]);
+    }
+    let sound = request("sound", &[FIRST, OWN]);
+    assert!(!vm.is_blocked(&sound));
+    let mut next = OneVm::start();
+    next.now_ms = vm.now_ms;
+    for row in vm.watch.blocks(vm.now_ms) {
+        next.watch.record_block(next.now_ms, &row);
+    }
+    for row in vm.watch.cases(vm.now_ms) {
+        next.watch.record_reports(next.now_ms, &row.reports(0));
+    }
+    let [known, read] = [&vm, &next].map(|it| {
+        let mut rows = it.watch.cases(it.now_ms);
+        rows.sort_by_key(|row| row.fingerprint);
+        rows
+    });
+    assert_eq!(read, known);
+    let blocks = next.run_for(500);
+    assert!(blocks.is_empty(), "{blocks:?}");
+    assert!(!next.is_blocked(&sound));
+}
+
 /// Guards against a judge that keeps a part on probation although another VM saw it answered.
 #[test]
 fn answered_elsewhere() {
