Quarantine: a lost trial run does not tell a part from a rarer one beside it

Cause: a lost trial run counted against the first part although the request had the rarer one, too, if the rarer one had fewer crashes, or its crashes began later.

Change: a part explains the lost trial runs of another one if all lost requests with it have the other one, not the reverse, and it is on probation: under two crashes at different times without an answer between them. A model's variant of the same part is not rarer.

extra_crash_of_first_part and trials_with_rare_part failed before and pass.

--- a/crates/quarantine/src/cases.rs
+++ b/crates/quarantine/src/cases.rs
@@ -123,12 +123,25 @@
     /// Returns whether this part, and not the one of another case, may be the cause of all crashes
     /// since the other one was last answered. Parts that all lost requests share are no others.
     fn explains_as_much(&self, other: &Self, options: &Options) -> bool {
+        let moments = self.moments(options).len();
+        if self.is_rarer_than(other) {
+            // The other part is under each of these crashes, so that its further ones tell nothing.
+            return moments >= options.probation_crashes;
+        }
         let from_ms = |case: &Self| case.crashes.first().map(|crash| crash.at_ms);
         // The crash of the trial run itself counts, too.
-        let is_suspect = self.moments(options).len() > options.probation_crashes;
+        let is_suspect = moments > options.probation_crashes;
         is_suspect && !other.common.contains(&self.feature) && from_ms(self) <= from_ms(other)
     }
 
+    /// Returns whether all lost requests with this part have that of another case, but not the
+    /// reverse. The same part for a single model is not rarer.
+    fn is_rarer_than(&self, other: &Self) -> bool {
+        self.common.contains(&other.feature)
+            && !other.common.contains(&self.feature)
+            && !self.feature.is_same_part(&other.feature)
+    }
+
     /// Returns the case as it is stored.
     pub fn row(&self, now_ms: u64) -> CaseRow {
         let crashes = self.crashes.iter().map(|crash| CaseCrash {
--- a/crates/quarantine/src/fingerprint.rs
+++ b/crates/quarantine/src/fingerprint.rs
@@ -65,6 +65,12 @@
         (self.0 >> 64) as u64
     }
 
+    /// Returns whether two fingerprints of parts are of the same part, for different models or for
+    /// all.
+    pub(crate) fn is_same_part(&self, other: &Self) -> bool {
+        self.0 as u64 == other.0 as u64
+    }
+
     /// Returns the fingerprint of requests that have all of some features.
     pub(crate) fn of_all(features: &[Self]) -> Self {
         match features {
--- a/crates/quarantine/tests/part_decisions.rs
+++ b/crates/quarantine/tests/part_decisions.rs
@@ -288,6 +288,39 @@
     assert_eq!(next.send(&request("sound", &[FIRST, OTHER, OWN])), None);
 }
 
+/// Guards against blaming the first part, which all requests have, for a rarer one beside it,
+/// because an engine also ended under the first part alone.
+#[test]
+fn extra_crash_of_first_part() {
+    let mut vm = OneVm::start();
+    vm.crash(&request("beside", &[FIRST, OWN]), &[]);
+    for number in 0..2 {
+        vm.crash(&request(&format!("bad-{number}"), &[FIRST, BAD, OWN]), &[]);
+    }
+    vm.answer(&request("elsewhere", &[OTHER, OWN]));
+    vm.crash(&request("bad-2", &[FIRST, BAD, OWN]), &[]);
+    assert!(vm.is_blocked(&request("new", &[FIRST, BAD, OWN])));
+    let sound = request("sound", &[FIRST, OWN]);
+    assert!(!vm.is_blocked(&sound));
+    vm.answer(&sound);
+    assert_eq!(vm.send(&request("next", &[FIRST, OWN])), None);
+    assert!(vm.is_blocked(&request("alone", &[BAD, OWN])));
+}
+
+/// Guards against blaming the first part for trial runs that were lost with a rarer part, of which
+/// too few are known to block it.
+#[test]
+fn trials_with_rare_part() {
+    let mut vm = OneVm::start();
+    for name in ["w-0", "w-1"] {
+        vm.crash(&request(name, &[FIRST, OWN]), &[]);
+    }
+    vm.crash(&request("bad-0", &[FIRST, BAD, OWN]), &[]);
+    vm.crash(&request("w-2", &[FIRST, OWN]), &[]);
+    vm.crash(&request("bad-1", &[FIRST, BAD, OWN]), &[]);
+    assert!(!vm.is_blocked(&request("sound", &[FIRST, OWN])));
+}
+
 /// Guards against counting a lost trial run once for each stored case with the part, so that a VM
 /// that starts blocks what the others do not.
 #[test]
