--- a/crates/quarantine/tests/crash_search/fleet.rs
+++ b/crates/quarantine/tests/crash_search/fleet.rs
@@ -265,6 +265,10 @@
             ended.retain(|(at_ms, of)| *of != vm || at_ms + REPORT_MS <= now_ms);
         }
         let mut watch = CrashWatch::new(incarnation_of(vm), self.policy.options());
+        // What the lease holder has stored.
+        for row in self.vms[0].watch.cases(now_ms) {
+            watch.record_reports(now_ms, &row.reports(0));
+        }
         // What the lease holder and the other VMs send to a VM that says hello.
         for row in self.vms[0].watch.blocks(now_ms) {
             watch.record_block(now_ms, &row);
