--- a/crates/quarantine/src/cases.rs
+++ b/crates/quarantine/src/cases.rs
@@ -25,9 +25,6 @@
     /// Whether a request was in progress there that is known to crash upstreams, and that this
     /// feature does not account for.
     pub is_explained: bool,
-    /// Whether another request was in progress there that was blocked for as many crashes as tell a
-    /// request from others.
-    pub is_beside_crasher: bool,
     /// Whether other upstreams crashed at the same time, as those of one rack do.
     pub is_in_group: bool,
     /// Number of copies that were lost.
@@ -68,11 +65,6 @@
         self.crashes.iter().filter(|crash| crash.is_unexplained())
     }
 
-    /// Returns the crashes that neither anything else nor a crashing request explains.
-    pub fn unclaimed(&self) -> impl Iterator<Item = &CaseEvent> {
-        self.unexplained().filter(|crash| !crash.is_beside_crasher)
-    }
-
     /// Returns the number of lost trial runs.
     pub fn trials(&self) -> u32 {
         self.crashes.iter().map(|crash| crash.trials).sum()
@@ -178,8 +170,6 @@
     is_in_group: bool,
     /// Requests that match known blocks, with the features that account for the crash.
     known: Vec<(Fingerprint, Vec<Fingerprint>)>,
-    /// Requests that were blocked for their own crashes, and not at once for those of a part.
-    crashers: Vec<Fingerprint>,
 }
 
 impl<'a> JudgedCrash<'a> {
@@ -191,15 +181,9 @@
         options: &Options,
     ) -> Self {
         let mut known = Vec::new();
-        let mut crashers = Vec::new();
         for (request, loss) in &crash.suspects {
             let features = loss.features(*request);
             for block in blocks.matching(&features) {
-                if block.features == [*request]
-                    && block.upstreams.len() >= options.unexplained_crashes
-                {
-                    crashers.push(*request);
-                }
                 // A blocked request was blamed as a whole, so that each of its parts may be the
                 // cause.
                 let accounts_for = match block.features.as_slice() {
@@ -214,7 +198,6 @@
             crash,
             is_in_group: log.is_in_group(crash, options),
             known,
-            crashers,
         }
     }
 
@@ -377,7 +360,6 @@
                 upstream: judged.upstream.clone(),
                 at_ms: judged.crash.at_ms,
                 is_explained,
-                is_beside_crasher: judged.crashers.iter().any(|it| it != feature),
                 is_in_group: judged.is_in_group,
                 copies: copies.all,
                 trials: copies.trials,
--- a/crates/quarantine/src/quarantine.rs
+++ b/crates/quarantine/src/quarantine.rs
@@ -62,8 +62,8 @@
 /// A part is under every crash if it is popular, so that crashes alone tell nothing about it. It is
 /// blocked if, since a request with it was last answered,
 ///
-/// - three upstreams crashed under it, none of them in a group, under a request or part that
-///   explains the crash or under a request that is blocked for three crashes, and a trial run was lost of a request that was not lost before and of
+/// - three upstreams crashed under it, none of them in a group or under a request or part that
+///   explains the crash, and a trial run was lost of a request that was not lost before and of
 ///   which nothing else is under suspicion; three such runs if no other request for the same model
 ///   or service was answered since the first of these crashes; or
 /// - at least two such trial runs were lost, in groups, too; or
@@ -373,7 +373,7 @@
             true => 1,
             false => options.indecisive_trials,
         };
-        let has_crashes = case.unclaimed().count() >= options.unexplained_crashes;
+        let has_crashes = case.unexplained().count() >= options.unexplained_crashes;
         let distinct = case.distinct_trials;
         distinct >= needed && (has_crashes || distinct >= options.lost_trials)
             || case.unexplained_trials() >= options.ambiguous_trials
--- a/crates/quarantine/tests/part_decisions.rs
+++ b/crates/quarantine/tests/part_decisions.rs
@@ -321,21 +321,6 @@
     assert!(!vm.is_blocked(&request("sound", &[FIRST, OWN])));
 }
 
-/// Guards against blaming the first part for engines that a blocked request has crashed, as soon as
-/// another request crashes one.
-#[test]
-fn crashes_of_blocked_request() {
-    let mut vm = OneVm::start();
-    let crasher = request("crasher", &[FIRST, OWN]);
-    for _ in 0..3 {
-        vm.crash(&crasher, &[]);
-    }
-    assert!(vm.is_blocked(&crasher));
-    vm.answer(&request("elsewhere", &[OTHER, OWN]));
-    vm.crash(&request("another", &[FIRST, OWN]), &[]);
-    assert!(!vm.is_blocked(&request("sound", &[FIRST, OWN])));
-}
-
 /// Guards against counting a lost trial run once for each stored case with the part, so that a VM
 /// that starts blocks what the others do not.
 #[test]
