The limits on callers' connections are decided in one pure place, held by a search

Cause: when a connection times out was decided beside sockets, where no search reaches it. One gap was left: the first bytes of a next request put the answer that was still being written under lowered limits. Change: fleet::CallerTimes keeps the limits and times, and says what is due: nothing, closing, or refusing a request of which a part has been read. The next request's limits do not lower those of the answer before it. The gap is the planted fault NextRequestLowers; no test over processes shows it.

--- a/crates/entry/src/caller.rs
+++ b/crates/entry/src/caller.rs
@@ -2,7 +2,10 @@
 
 use std::net::IpAddr;
 
+use apricotdale_fleet::CallerDue;
 use apricotdale_fleet::CallerLimits;
+use apricotdale_fleet::CallerPhase;
+use apricotdale_fleet::CallerTimes;
 use apricotdale_http1::BodyDecoder;
 use apricotdale_http1::BodyLength;
 use apricotdale_http1::Error as HttpError;
@@ -74,17 +77,11 @@
     pub address: IpAddr,
     input: Vec<u8>,
     phase: Phase,
-    /// Limits that were in force when the last request began to arrive, or the connection opened.
-    limits: CallerLimits,
-    /// Whether no byte of the next request has arrived.
-    awaits_request: bool,
+    times: CallerTimes,
     /// Whether the connection closes after the answer in progress.
     pub close_after: bool,
     /// Whether the request in progress is HEAD, whose answer has no body.
     pub is_head_request: bool,
-    /// Time of the last write, of the end of the last answer, or of the begin of the head in
-    /// progress.
-    since_ms: u64,
     /// How reading ended; none while the caller has not closed the connection.
     ended: Option<ReadEnd>,
     /// Last request with a final answer of which bytes have yet to be written; none if there is
@@ -99,7 +96,7 @@
         stream: Stream,
         kind: CallerKind,
         address: IpAddr,
-        limits: CallerLimits,
+        in_force: &CallerLimits,
     ) -> Self {
         Self {
             stream,
@@ -107,11 +104,9 @@
             address: address.to_canonical(),
             input: Vec::new(),
             phase: Phase::Head,
-            limits,
-            awaits_request: true,
+            times: CallerTimes::new(now_ms, in_force),
             close_after: false,
             is_head_request: false,
-            since_ms: now_ms,
             ended: None,
             undelivered: None,
         }
@@ -121,12 +116,11 @@
     /// requests that begin to arrive now.
     pub fn receive(&mut self, now_ms: u64, in_force: &CallerLimits) -> Received {
         loop {
-            let limits = self.limits.loosened_by(in_force);
+            let limits = self.times.limits(in_force);
             let read_limit_bytes = match &self.phase {
                 Phase::Head => limits.head_bytes + READ_AHEAD_BYTES,
                 _ => READ_AHEAD_BYTES,
             };
-            let was_empty = self.input.is_empty();
             let end = match self.ended {
                 None => self.stream.read(&mut self.input, read_limit_bytes),
                 Some(end) => end,
@@ -134,15 +128,11 @@
             if matches!(end, ReadEnd::Closed | ReadEnd::Broken) {
                 self.ended = Some(end);
             }
-            if was_empty && !self.input.is_empty() && matches!(self.phase, Phase::Head) {
-                self.since_ms = now_ms;
+            if !self.input.is_empty() && matches!(self.phase, Phase::Head) {
+                let is_writing = self.has_unwritten();
+                self.times.received(now_ms, in_force, is_writing);
             }
-            let begins = self.awaits_request && !self.input.is_empty();
-            if begins && matches!(self.phase, Phase::Head) {
-                self.awaits_request = false;
-                self.limits = *in_force;
-            }
-            let limits = self.limits.loosened_by(in_force);
+            let limits = self.times.limits(in_force);
             match self.advance(&limits) {
                 Received::Nothing
                     if end == ReadEnd::Limit && self.input.len() < read_limit_bytes => {}
@@ -225,11 +215,6 @@
         }
     }
 
-    /// Returns whether the connection waits for a request of which no byte has arrived.
-    pub fn is_idle(&self) -> bool {
-        matches!(self.phase, Phase::Head) && self.input.is_empty() && !self.has_unwritten()
-    }
-
     /// Returns whether part of a request has arrived.
     pub fn is_receiving(&self) -> bool {
         match self.phase {
@@ -259,13 +244,12 @@
 
     /// Completes the answer in progress. Returns whether another request may follow.
     pub fn answered(&mut self, now_ms: u64) -> bool {
-        self.since_ms = now_ms;
+        self.times.answered(now_ms);
         if self.close_after || self.ended.is_some() {
             self.begin_close(now_ms);
             return false;
         }
         self.phase = Phase::Head;
-        self.awaits_request = true;
         true
     }
 
@@ -297,7 +281,7 @@
             return true;
         }
         if self.stream.sent_bytes > sent_bytes {
-            self.since_ms = now_ms;
+            self.times.wrote(now_ms);
         }
         let written = !self.has_unwritten();
         if written {
@@ -321,20 +305,18 @@
         }
     }
 
-    /// Returns whether the connection has timed out. `in_force` are the limits for requests that
-    /// begin to arrive now; an earlier one keeps its own if they are larger.
-    pub fn is_timed_out(&self, now_ms: u64, in_force: &CallerLimits) -> bool {
-        let limits = self.limits.loosened_by(in_force);
-        let age_ms = now_ms.saturating_sub(self.since_ms);
-        match &self.phase {
-            Phase::Head | Phase::Closing { .. } if self.has_unwritten() => {
-                age_ms > limits.idle_timeout_ms
-            }
-            Phase::Head if self.input.is_empty() => age_ms > limits.idle_timeout_ms,
-            Phase::Head => age_ms > limits.head_timeout_ms,
-            Phase::Body { .. } => age_ms > limits.head_timeout_ms + limits.idle_timeout_ms,
-            Phase::Busy(_) => false,
-            Phase::Closing { until_ms, .. } => now_ms > *until_ms,
-        }
+    /// Returns what is due on the connection. `in_force` are the limits for requests that begin to
+    /// arrive now; `closes_idle` tells whether idle connections are closed.
+    pub fn due(&self, now_ms: u64, in_force: &CallerLimits, closes_idle: bool) -> CallerDue {
+        let phase = match &self.phase {
+            Phase::Busy(_) => CallerPhase::Answering,
+            Phase::Body { .. } => CallerPhase::Body,
+            Phase::Head | Phase::Closing { .. } if self.has_unwritten() => CallerPhase::Writing,
+            Phase::Head if self.input.is_empty() => CallerPhase::Idle,
+            Phase::Head => CallerPhase::Head,
+            Phase::Closing { until_ms, .. } if now_ms > *until_ms => return CallerDue::Close,
+            Phase::Closing { .. } => return CallerDue::Nothing,
+        };
+        self.times.due(now_ms, phase, in_force, closes_idle)
     }
 }
--- a/crates/entry/src/connections.rs
+++ b/crates/entry/src/connections.rs
@@ -2,6 +2,7 @@
 
 use apricotdale_core::refusal::Refusal;
 use apricotdale_core::refusal::RefusalReason;
+use apricotdale_fleet::CallerDue;
 use apricotdale_http1::Error as HttpError;
 use apricotdale_http1::RequestHead;
 use apricotdale_http1::append_head_end;
@@ -10,7 +11,6 @@
 use mio::Token;
 
 use crate::active::Phase;
-use crate::caller::Caller;
 use crate::caller::CallerKind;
 use crate::caller::Received;
 use crate::daemon::Daemon;
@@ -68,20 +68,18 @@
     /// Drops the callers' connections that have timed out, and the idle ones late in a planned stop.
     pub(crate) fn drop_timed_out_callers(&mut self) {
         let limits = self.directory.configuration().limits;
-        let timed_out: Vec<Token> = self
+        let closes_idle = self.planned_stop.closes_idle(self.now_ms);
+        let due: Vec<(Token, CallerDue)> = self
             .callers
             .iter()
-            .filter(|(_, caller)| {
-                let stops = caller.is_idle() && self.planned_stop.closes_idle(self.now_ms);
-                stops || caller.is_timed_out(self.now_ms, &limits)
-            })
-            .map(|(token, _)| *token)
+            .map(|(token, caller)| (*token, caller.due(self.now_ms, &limits, closes_idle)))
+            .filter(|(_, due)| *due != CallerDue::Nothing)
             .collect();
-        for token in timed_out {
-            let is_receiving = self.callers.get(&token).is_some_and(Caller::is_receiving);
-            match is_receiving {
-                true => self.refuse_late_request(token),
-                false => self.drop_caller(token, UnansweredReason::NotTaken),
+        for (token, due) in due {
+            match due {
+                CallerDue::Nothing => {}
+                CallerDue::Close => self.drop_caller(token, UnansweredReason::NotTaken),
+                CallerDue::Refuse => self.refuse_late_request(token),
             }
         }
     }
--- a/crates/entry/src/daemon.rs
+++ b/crates/entry/src/daemon.rs
@@ -397,7 +397,7 @@
                     match Stream::accepted(socket, self.poll.registry(), token) {
                         Ok(stream) => {
                             let limits = self.directory.configuration().limits;
-                            let caller = Caller::new(self.now_ms, stream, kind, from.ip(), limits);
+                            let caller = Caller::new(self.now_ms, stream, kind, from.ip(), &limits);
                             self.callers.insert(token, caller);
                             self.serve_caller(token);
                         }
--- a/crates/fleet/src/lib.rs
+++ b/crates/fleet/src/lib.rs
@@ -8,6 +8,7 @@
 #![forbid(unsafe_code)]
 #![warn(missing_docs)]
 
+mod caller_times;
 mod configuration;
 mod configuration_evidence;
 mod configuration_read;
@@ -25,6 +26,9 @@
 mod route_table;
 mod upstream;
 
+pub use caller_times::CallerDue;
+pub use caller_times::CallerPhase;
+pub use caller_times::CallerTimes;
 pub use configuration::CallerLimits;
 pub use configuration::Configuration;
 pub use configuration::EngineSpec;
