Tests: the search over silences passes clippy

Cause: two remainders were written in a form that clippy of the workspace rejects. Change: is_multiple_of. Nothing else changes.

--- a/crates/dispatch/tests/silence_search.rs
+++ b/crates/dispatch/tests/silence_search.rs
@@ -262,7 +262,7 @@
             self.disturb();
             self.receive();
             self.probe();
-            if self.now_ms % SWEEP_MS == 0 {
+            if self.now_ms.is_multiple_of(SWEEP_MS) {
                 self.sweep();
                 self.check_dead();
                 self.check_budget();
--- a/crates/dispatch/tests/support/silence_world.rs
+++ b/crates/dispatch/tests/support/silence_world.rs
@@ -125,7 +125,7 @@
 
 impl Search {
     pub fn new(seed: u64, planted: Planted) -> Self {
-        let is_ample = seed % 2 == 0;
+        let is_ample = seed.is_multiple_of(2);
         let repeats = match is_ample {
             true => AMPLE_REPEATS,
             false => FEW_REPEATS,
