Quarantine: crashes under a rarer part on probation do not tell against a part that others share

Callers got 503 for all streams of a model.

Change: only crashes without a rarer part on probation count for the three crashes and for the six ambiguous trial runs. The rarer part reaches both limits by itself.

--- a/crates/quarantine/src/cases.rs
+++ b/crates/quarantine/src/cases.rs
@@ -123,23 +123,40 @@
     /// Returns whether this part, and not the one of another case, may be the cause of all crashes
     /// since the other one was last answered. Parts that all lost requests share are no others.
     fn explains_as_much(&self, other: &Self, options: &Options) -> bool {
-        let moments = self.moments(options).len();
-        if self.is_rarer_than(other) {
-            // The other part is under each of these crashes, so that its further ones tell nothing.
-            return moments >= options.probation_crashes;
-        }
         let from_ms = |case: &Self| case.crashes.first().map(|crash| crash.at_ms);
         // The crash of the trial run itself counts, too.
-        let is_suspect = moments > options.probation_crashes;
-        is_suspect && !other.common.contains(&self.feature) && from_ms(self) <= from_ms(other)
+        let is_suspect = self.moments(options).len() > options.probation_crashes;
+        self.is_rarer_suspect(other, options)
+            || is_suspect
+                && !other.common.contains(&self.feature)
+                && from_ms(self) <= from_ms(other)
     }
 
-    /// Returns whether all lost requests with this part have that of another case, but not the
-    /// reverse. The same part for a single model is not rarer.
-    fn is_rarer_than(&self, other: &Self) -> bool {
-        self.common.contains(&other.feature)
+    /// Returns whether this part is on probation and all lost requests with it have that of another
+    /// case, but not the reverse. The other part is under all crashes that this one causes, so that
+    /// further ones of it tell nothing. The same part for a single model is not rarer.
+    fn is_rarer_suspect(&self, other: &Self, options: &Options) -> bool {
+        self.is_part
+            && self.common.contains(&other.feature)
             && !other.common.contains(&self.feature)
             && !self.feature.is_same_part(&other.feature)
+            && self.moments(options).len() >= options.probation_crashes
+    }
+
+    /// Returns the crashes without a known explanation that were under no rarer part on probation.
+    pub fn telling_crashes<'a>(
+        &'a self,
+        cases: &'a [Self],
+        options: &Options,
+    ) -> impl Iterator<Item = &'a CaseEvent> {
+        let rarer = cases.iter();
+        let rarer = rarer.filter(|it| it.is_rarer_suspect(self, options));
+        let claimed: HashSet<&UpstreamName> = rarer
+            .flat_map(|it| &it.crashes)
+            .map(|crash| &crash.upstream)
+            .collect();
+        let crashes = self.crashes.iter().filter(|crash| !crash.is_explained);
+        crashes.filter(move |crash| !claimed.contains(&crash.upstream))
     }
 
     /// Returns the case as it is stored.
--- a/crates/quarantine/src/quarantine.rs
+++ b/crates/quarantine/src/quarantine.rs
@@ -8,6 +8,7 @@
 use crate::blocks::BlockRow;
 use crate::blocks::Blocks;
 use crate::blocks::LiftedBlocks;
+use crate::cases::CaseEvent;
 use crate::cases::CrashCase;
 use crate::crashes::Crash;
 use crate::crashes::CrashLog;
@@ -62,12 +63,12 @@
 /// A part is under every crash if it is popular, so that crashes alone tell nothing about it. It is
 /// blocked if, since a request with it was last answered,
 ///
-/// - three upstreams crashed under it, none of them in a group or under a request or part that
-///   explains the crash, and a trial run was lost of a request that was not lost before and of
-///   which nothing else is under suspicion; three such runs if no other request for the same model
-///   or service was answered since the first of these crashes; or
+/// - three upstreams crashed under it, none of them in a group, under a request or part that
+///   explains the crash or under a rarer part on probation, and a trial run was lost of a request
+///   that was not lost before and of which nothing else is under suspicion; three such runs if no
+///   other request for the same model or service was answered since the first of these crashes; or
 /// - at least two such trial runs were lost, in groups, too; or
-/// - six trial runs with it were lost that no known part explains.
+/// - six trial runs with it were lost that no known part, and no rarer one on probation, explains.
 ///
 /// Parts that all lost requests have in common can't be distinguished by their crashes. Then
 /// requests with all of these parts are refused, and those with some of them are trial runs. A
@@ -314,7 +315,10 @@
             .iter()
             .map(|case| (case, case.blocked_features(&requests)))
             .filter(|(_, features)| !features.is_empty() && !self.blocks.covers(features))
-            .find(|(case, _)| self.should_block(case, scope, &counts, &suspect_parts))?;
+            .find(|(case, _)| match case.is_part {
+                true => self.should_block_part(case, &cases),
+                false => self.should_block(case, scope, &counts, &suspect_parts),
+            })?;
         Some(self.new_block(features, case.caller, &cases))
     }
 
@@ -345,7 +349,6 @@
         let beside = || self.crashes.max_beside(case, crash_counts);
         let options = &self.options;
         match scope {
-            _ if case.is_part => self.should_block_part(case),
             _ if case.trials() >= options.lost_trials => true,
             // The request or the part is the cause. If it is the part, the request must not crash
             // another upstream.
@@ -364,7 +367,7 @@
         }
     }
 
-    fn should_block_part(&self, case: &CrashCase) -> bool {
+    fn should_block_part(&self, case: &CrashCase, cases: &[CrashCase]) -> bool {
         let options = &self.options;
         let first_ms = case.crashes.first().map_or(0, |crash| crash.at_ms);
         // While nothing else is answered, the lack of answers tells nothing about the part.
@@ -373,10 +376,15 @@
             true => 1,
             false => options.indecisive_trials,
         };
-        let has_crashes = case.unexplained().count() >= options.unexplained_crashes;
         let distinct = case.distinct_trials;
-        distinct >= needed && (has_crashes || distinct >= options.lost_trials)
-            || case.unexplained_trials() >= options.ambiguous_trials
+        if distinct >= needed && distinct >= options.lost_trials {
+            return true;
+        }
+        let telling: Vec<&CaseEvent> = case.telling_crashes(cases, options).collect();
+        let unexplained = telling.iter().filter(|crash| crash.is_unexplained());
+        let trials: u32 = telling.iter().map(|crash| crash.unmatched_trials).sum();
+        distinct >= needed && unexplained.count() >= options.unexplained_crashes
+            || trials >= options.ambiguous_trials
     }
 
     fn new_block(
