Requests read behind one whose answer is cut are recorded, too

Cause: requests that a caller had sent ahead are lost with a connection that is reset, or with the process, and left no trace. Change: each is counted and logged as behind_another, unless the caller itself has left. They can't be refused behind an answer that is cut; nothing was passed on.

--- a/crates/entry/src/unanswered.rs
+++ b/crates/entry/src/unanswered.rs
@@ -8,6 +8,7 @@
 
 use crate::active::ActiveRequest;
 use crate::active::Phase;
+use crate::caller::Caller;
 use crate::daemon::Daemon;
 
 /// Why a request ends without a complete answer.
@@ -41,6 +42,8 @@
     NotTaken,
     /// The process ended.
     ProcessEnded,
+    /// The request was read behind another, and the connection ended with that one.
+    BehindAnother,
 }
 
 impl UnansweredReason {
@@ -61,9 +64,15 @@
             Self::WriteFailed => "write_failed",
             Self::NotTaken => "not_taken",
             Self::ProcessEnded => "process_ended",
+            Self::BehindAnother => "behind_another",
         }
     }
 
+    /// Returns whether the caller ended its connection.
+    fn is_callers_doing(self) -> bool {
+        matches!(self, Self::CallerLeft | Self::WriteFailed)
+    }
+
     /// Returns the name of what decided it, for logs.
     fn decided_by(self) -> &'static str {
         match self {
@@ -78,6 +87,7 @@
             Self::CallerLeft | Self::WriteFailed => "caller",
             Self::NotTaken => "sweep",
             Self::ProcessEnded => "process_end",
+            Self::BehindAnother => "request_before",
         }
     }
 }
@@ -120,6 +130,21 @@
     }
 }
 
+/// Returns the trace of a request that has been read and was not begun.
+fn trace_of_unbegun(id: RequestId, now_ms: u64, version: u64) -> RequestTrace {
+    RequestTrace {
+        id,
+        route: "".into(),
+        upstream: None,
+        phase: "received",
+        arrived_ms: now_ms,
+        arrived_version: version,
+        last_received_ms: None,
+        has_begun: false,
+        attempts: 0,
+    }
+}
+
 impl Daemon {
     /// Closes a caller's connection, and records the requests that end by it without a complete
     /// answer: the one in progress, and an earlier one whose answer has unwritten bytes. With
@@ -130,21 +155,40 @@
         reason: UnansweredReason,
         abort: bool,
     ) -> Option<u64> {
-        let caller = self.callers.remove(&token)?;
+        let mut caller = self.callers.remove(&token)?;
         let key = caller.request();
         if let Some(trace) = caller.undelivered() {
             self.record_unanswered(trace, reason);
         }
         if let Some(request) = key.and_then(|key| self.active.get(key)) {
             self.record_unanswered(&RequestTrace::new(request), reason);
+            // What a caller that has left had sent ahead, nobody waits for.
+            if !reason.is_callers_doing() {
+                self.record_behind(&mut caller);
+            }
         }
         self.tell_origins();
         caller.stream.close(self.poll.registry(), abort);
         key
     }
 
+    /// Records the requests that have been read behind the one in progress.
+    fn record_behind(&mut self, caller: &mut Caller) {
+        let limits = self.directory.configuration().limits;
+        while let Some(head) = caller.take_next_request(&limits) {
+            if let Ok(serving) = self.codecs.callers.decode(&head) {
+                let trace = trace_of_unbegun(serving.id, self.now_ms, self.directory.version());
+                self.record_unanswered(&trace, UnansweredReason::BehindAnother);
+            }
+        }
+    }
+
     /// Records the requests that end with the process.
     pub(crate) fn record_unanswered_at_end(&mut self) {
+        let mut callers = std::mem::take(&mut self.callers);
+        let answering = callers.values_mut().filter(|it| it.request().is_some());
+        answering.for_each(|caller| self.record_behind(caller));
+        self.callers = callers;
         let undelivered = self.callers.values().filter_map(|it| it.undelivered());
         let active = self.active.iter().map(|(_, request)| request);
         let in_progress = active.filter(|it| it.caller.is_some());
