--- a/crates/dispatch/src/lib.rs
+++ b/crates/dispatch/src/lib.rs
@@ -10,6 +10,7 @@
 #![warn(missing_docs)]
 
 mod availability;
+mod deadline;
 mod dispatcher;
 mod eligibility;
 mod forecast;
@@ -18,10 +19,12 @@
 mod options;
 mod rejection_limits;
 mod rests;
+mod silence;
 mod stated_limits;
 mod unserved;
 mod upstream_load;
 
+pub use deadline::Deadline;
 pub use dispatcher::Dispatcher;
 pub use forecast::LoadForecast;
 pub use job::DispatchDecision;
@@ -34,6 +37,7 @@
 pub use liveness::ProbeOutcome;
 pub use options::DispatcherOptions;
 pub use rejection_limits::RejectionLimits;
+pub use silence::Silence;
 pub use stated_limits::LimitChange;
 pub use stated_limits::RateLimit;
 pub use stated_limits::StatedLimit;
--- a/crates/entry/src/request_dispatch.rs
+++ b/crates/entry/src/request_dispatch.rs
@@ -9,6 +9,7 @@
 use apricotdale_core::refusal::RefusalReason;
 use apricotdale_delivery::Delivery;
 use apricotdale_delivery::Options as DeliveryOptions;
+use apricotdale_dispatch::Deadline;
 use apricotdale_dispatch::DispatchDecision;
 use apricotdale_dispatch::Job;
 use apricotdale_dispatch::WaitReason;
@@ -37,10 +38,6 @@
 use crate::prefix_hash::prefix_hash;
 use crate::unanswered::UnansweredReason;
 
-/// Time before a request's deadline at which it gets its final answer, so that the answer arrives
-/// in time.
-const ANSWER_MARGIN_MS: u64 = 30;
-
 /// Expected time until the first event of an engine that is not full.
 const EXPECTED_FIRST_EVENT_DELAY_MS: u64 = 250;
 
@@ -144,7 +141,8 @@
             self.refuse_new(token, &refusal, Some(&serving.id));
             return;
         }
-        let mut job = self.new_job(&serving, &route, service);
+        let deadline = Deadline::new(self.now_ms, serving.answer_timeout_ms, route.timeout_ms);
+        let mut job = self.new_job(&serving, &route, service, deadline);
         if let Some(rank) = organisation.as_ref().and_then(|it| it.rank) {
             job.rank = rank;
         }
@@ -173,6 +171,7 @@
             organisation,
             serving,
             job,
+            deadline,
             phase: Phase::Waiting(WaitReason::Full),
             stream,
             trial: None,
@@ -255,16 +254,18 @@
         }
     }
 
-    fn new_job(&self, serving: &ServingRequest, route: &Arc<Route>, service: GroupName) -> Job {
+    fn new_job(
+        &self,
+        serving: &ServingRequest,
+        route: &Arc<Route>,
+        service: GroupName,
+        deadline: Deadline,
+    ) -> Job {
         let now_ms = self.now_ms;
         let is_engine = self
             .directory
             .service(&service)
             .is_some_and(|it| it.engine.is_some());
-        let answer_timeout_ms = serving
-            .answer_timeout_ms
-            .unwrap_or(route.timeout_ms)
-            .min(route.timeout_ms);
         let expected_run_ms = match is_engine {
             true => {
                 EXPECTED_FIRST_EVENT_DELAY_MS
@@ -280,7 +281,7 @@
             rank: route.rank,
             arrived_ms: now_ms,
             target_ms: now_ms + route.target_ms,
-            deadline_ms: now_ms + answer_timeout_ms.saturating_sub(ANSWER_MARGIN_MS),
+            deadline_ms: deadline.answer_by_ms(),
             attempts: route.attempts.max(1),
             prefix_hash: prefix_hash(serving),
             expected_run_ms,
@@ -374,7 +375,8 @@
         let Some(request) = self.active.get_mut(key) else {
             return;
         };
-        let left_ms = request.job.deadline_ms.saturating_sub(now_ms);
+        // The upstream may work on it for so long, even if the deadline is extended meanwhile.
+        let left_ms = request.deadline.upstream_left_ms(now_ms);
         let watch = &mut self.crash_watch;
         match watch.permit(now_ms, &request.features, &upstream, left_ms) {
             Permit::Free => self.send(key, upstream),
@@ -422,7 +424,7 @@
         self.refuse(key, &refusal, UnansweredReason::OnProbation);
     }
 
-    fn send(&mut self, key: u64, name: UpstreamName) {
+    pub(crate) fn send(&mut self, key: u64, name: UpstreamName) {
         let now_ms = self.now_ms;
         if !self.has_upstream_permit(key, &name) {
             return;
@@ -448,7 +450,7 @@
         }
         let fields = ForwardFields {
             instance,
-            left_ms: request.job.deadline_ms.saturating_sub(now_ms),
+            left_ms: request.deadline.upstream_left_ms(now_ms),
             last_event: request.delivery.last_event(),
             rank: request.job.rank,
             organisation: request.organisation.as_ref().map(|it| it.name.clone()),
--- a/crates/quarantine/src/cases.rs
+++ b/crates/quarantine/src/cases.rs
@@ -126,7 +126,37 @@
         let from_ms = |case: &Self| case.crashes.first().map(|crash| crash.at_ms);
         // The crash of the trial run itself counts, too.
         let is_suspect = self.moments(options).len() > options.probation_crashes;
-        is_suspect && !other.common.contains(&self.feature) && from_ms(self) <= from_ms(other)
+        self.is_rarer_suspect(other, options)
+            || is_suspect
+                && !other.common.contains(&self.feature)
+                && from_ms(self) <= from_ms(other)
+    }
+
+    /// Returns whether this part is on probation and all lost requests with it have that of another
+    /// case, but not the reverse. The other part is under all crashes that this one causes, so that
+    /// further ones of it tell nothing. The same part for a single model is not rarer.
+    fn is_rarer_suspect(&self, other: &Self, options: &Options) -> bool {
+        self.is_part
+            && self.common.contains(&other.feature)
+            && !other.common.contains(&self.feature)
+            && !self.feature.is_same_part(&other.feature)
+            && self.moments(options).len() >= options.probation_crashes
+    }
+
+    /// Returns the crashes without a known explanation that were under no rarer part on probation.
+    pub fn telling_crashes<'a>(
+        &'a self,
+        cases: &'a [Self],
+        options: &Options,
+    ) -> impl Iterator<Item = &'a CaseEvent> {
+        let rarer = cases.iter();
+        let rarer = rarer.filter(|it| it.is_rarer_suspect(self, options));
+        let claimed: HashSet<&UpstreamName> = rarer
+            .flat_map(|it| &it.crashes)
+            .map(|crash| &crash.upstream)
+            .collect();
+        let crashes = self.crashes.iter().filter(|crash| !crash.is_explained);
+        crashes.filter(move |crash| !claimed.contains(&crash.upstream))
     }
 
     /// Returns the case as it is stored.
@@ -209,7 +239,8 @@
     let mut counts: HashMap<Fingerprint, u32> = HashMap::new();
     for judged in crashes {
         let trials = judged.crash.suspects.iter();
-        let trials = trials.filter(|(_, loss)| loss.copies().trials > 0);
+        let trials = trials
+            .filter(|(request, loss)| loss.copies().trials > 0 && !loss.is_stored_part(request));
         for (request, loss) in trials.filter(|(request, _)| !judged.has_blocked_parts(request)) {
             let is_first = cases
                 .get(request)
@@ -227,6 +258,12 @@
 }
 
 impl LostCopies {
+    /// Returns whether this is what the store holds about a part, and no request. It counts for the
+    /// case of that part only, since each of the other parts has a stored case of its own.
+    fn is_stored_part(&self, feature: &Fingerprint) -> bool {
+        self.parts.binary_search(feature).is_ok()
+    }
+
     pub(crate) fn features(&self, request: Fingerprint) -> RequestFeatures {
         RequestFeatures {
             request,
@@ -251,12 +288,18 @@
         crashes.sort_by_key(|it| it.crash.at_ms);
         let mut cases: HashMap<Fingerprint, CrashCase> = HashMap::new();
         for judged in &crashes {
-            for (request, loss) in &judged.crash.suspects {
+            let suspects = judged.crash.suspects.iter();
+            let (stored, requests): (Vec<_>, Vec<_>) =
+                suspects.partition(|(feature, loss)| loss.is_stored_part(feature));
+            for (request, loss) in requests {
                 let features = loss.features(*request);
                 for feature in features.all() {
                     self.add_to_case(&mut cases, judged, &features, feature, loss);
                 }
             }
+            for (part, loss) in stored {
+                self.add_to_case(&mut cases, judged, &loss.features(*part), part, loss);
+            }
         }
         for (feature, count) in distinct_trials(&crashes, &cases, options) {
             if let Some(case) = cases.get_mut(&feature) {
@@ -317,6 +360,14 @@
             false => copies.trials,
         };
         match case.crashes.last_mut() {
+            // The requests that are known may be among those of the stored case.
+            Some(last)
+                if last.upstream == *judged.upstream && loss.is_stored_part(&features.request) =>
+            {
+                last.copies = last.copies.max(copies.all);
+                last.trials = last.trials.max(copies.trials);
+                last.unmatched_trials = last.unmatched_trials.max(unmatched_trials);
+            }
             Some(last) if last.upstream == *judged.upstream => {
                 last.copies += copies.all;
                 last.trials += copies.trials;
