--- a/crates/soak/src/engines.rs
+++ b/crates/soak/src/engines.rs
@@ -173,6 +173,7 @@
         };
         proxy.go_down();
         self.record_end(index, from_ms);
+        self.record_break(&self.site.lock().engines[index], from_ms);
         if self.replace(number, index, &proxy).is_err() {
             return;
         }
@@ -216,8 +217,10 @@
         let Some((index, proxy)) = mark_down(&mut self.engines.lock(), number) else {
             return;
         };
+        let at_ms = self.clock.now_ms();
+        self.record_break(&self.site.lock().engines[index], at_ms);
         proxy.go_down();
-        self.record_end(index, self.clock.now_ms());
+        self.record_end(index, at_ms);
         self.site.lock().stop_engine(index);
         // An engine that can't be replaced stays down.
         let _ = self.replace(number, index, &proxy);
@@ -339,6 +342,7 @@
         pause(after_ms);
         let mut site = self.site.lock();
         site.engines[old.index].withdraw();
+        self.record_break(&site.engines[old.index], self.clock.now_ms());
         site.stop_engine(old.index);
     }
 }
--- a/crates/soak/src/lost_request_invariants.rs
+++ b/crates/soak/src/lost_request_invariants.rs
@@ -129,15 +129,13 @@
     }
 
     fn is_run_broken_off(&self, attempt: &Attempt, run: &Run) -> bool {
-        let mut links = self.record.link_breaks.iter();
-        let mut engines = self.record.engine_times.iter();
+        let mut breaks = self.record.link_breaks.iter();
+        let mut crashes = self.record.crashes.iter();
         run.fault.is_some()
-            || links
+            || crashes
+                .any(|it| it.upstream == run.upstream && overlaps(attempt, it.at_ms, it.at_ms))
+            || breaks
                 .any(|it| it.upstream == run.upstream && overlaps(attempt, it.from_ms, it.until_ms))
-            || engines.any(|it| {
-                let ended_ms = it.until_ms.unwrap_or(u64::MAX);
-                it.upstream == run.upstream && ended_ms <= attempt.ended_ms
-            })
     }
 }
 
--- a/crates/soak/src/record.rs
+++ b/crates/soak/src/record.rs
@@ -323,7 +323,7 @@
 }
 
 /// Time for which the link of all VMs to an upstream was disturbed, or at which its connections
-/// were reset.
+/// were reset or the upstream itself ended.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub struct LinkBreak {
     /// Name of the upstream.
@@ -433,7 +433,7 @@
     pub arrivals: Vec<ArrivalSeen>,
     /// Cuts of VMs from all upstreams.
     pub path_cuts: Vec<PathCutSeen>,
-    /// Disturbances of the links to single upstreams.
+    /// Disturbances of the links to single upstreams, and ends of upstreams.
     pub link_breaks: Vec<LinkBreak>,
     /// Silences of sound upstreams.
     pub silences: Vec<SilenceSeen>,
--- a/crates/soak/src/releases.rs
+++ b/crates/soak/src/releases.rs
@@ -68,6 +68,7 @@
             }
             mark_down(&mut engines, number)?
         };
+        self.record_break(&engine, self.clock.now_ms());
         proxy.go_down();
         self.site.lock().stop_engine(index);
         Some((index, proxy))
--- a/crates/soak/src/silences.rs
+++ b/crates/soak/src/silences.rs
@@ -1,7 +1,9 @@
-//! Silences of sound upstreams, and disturbances of links to single upstreams.
+//! Silences of sound upstreams, and what breaks connections to single upstreams.
 
 use std::time::Duration;
 
+use apricotdale_standins::platform::PlatformEngine;
+
 use crate::record::LinkBreak;
 use crate::record::SilenceSeen;
 use crate::world::SERVICE_INSTANCES;
@@ -39,6 +41,15 @@
         pause(for_ms);
     }
 
+    /// Records that an engine ends, whose connections break.
+    pub(crate) fn record_break(&self, engine: &PlatformEngine, at_ms: u64) {
+        self.events.lock().link_breaks.push(LinkBreak {
+            upstream: engine.name().to_owned(),
+            from_ms: at_ms,
+            until_ms: at_ms,
+        });
+    }
+
     /// Records that the link to an upstream was disturbed from `from_ms` until now.
     pub(crate) fn record_link_break(&self, upstream: usize, from_ms: u64) {
         let name = {
--- a/crates/soak/tests/lost_request_records.rs
+++ b/crates/soak/tests/lost_request_records.rs
@@ -4,6 +4,7 @@
 
 use apricotdale_soak::ArrivalSeen;
 use apricotdale_soak::Attempt;
+use apricotdale_soak::Crash;
 use apricotdale_soak::Disturbance;
 use apricotdale_soak::Ending;
 use apricotdale_soak::EngineTime;
@@ -220,25 +221,44 @@
     assert_eq!(lost(&record), is_lost);
 }
 
-/// Guards against engines that excuse what they don't break off.
+/// Guards against an engine that excuses a cut before its end, because it has begun to leave.
+#[test]
+fn leaving_engine() {
+    let mut record = record(End::InAnswer);
+    record.engine_times = vec![EngineTime {
+        upstream: UPSTREAM.to_owned(),
+        software: "v1".to_owned(),
+        from_ms: 0,
+        until_ms: Some(SENT_MS - 500),
+    }];
+    assert!(lost(&record));
+    record.link_breaks = vec![LinkBreak {
+        upstream: UPSTREAM.to_owned(),
+        from_ms: ENDED_MS + 1,
+        until_ms: ENDED_MS + 1,
+    }];
+    assert!(lost(&record));
+    record.link_breaks[0].from_ms = ENDED_MS;
+    assert!(!lost(&record));
+}
+
+/// Guards against a crash that excuses other engines' requests, or those that it does not end.
 #[rstest]
-#[case::ended(End::InAnswer, UPSTREAM, Some(ENDED_MS), false)]
-#[case::no_head(End::BeforeHead, UPSTREAM, Some(ENDED_MS), true)]
-#[case::later(End::InAnswer, UPSTREAM, Some(ENDED_MS + 1), true)]
-#[case::serving(End::InAnswer, UPSTREAM, None, true)]
-#[case::other(End::InAnswer, "i-2", Some(ENDED_MS), true)]
-fn engine_ended(
+#[case::own(End::InAnswer, UPSTREAM, ENDED_MS, false)]
+#[case::no_head(End::BeforeHead, UPSTREAM, ENDED_MS, true)]
+#[case::other(End::InAnswer, "i-2", ENDED_MS, true)]
+#[case::later(End::InAnswer, UPSTREAM, ENDED_MS + 1, true)]
+fn engine_crashed(
     #[case] end: End,
     #[case] upstream: &str,
-    #[case] until_ms: Option<u64>,
+    #[case] at_ms: u64,
     #[case] is_lost: bool,
 ) {
     let mut record = record(end);
-    record.engine_times = vec![EngineTime {
+    record.crashes = vec![Crash {
+        body: "ends-engine-1".to_owned(),
         upstream: upstream.to_owned(),
-        software: "v1".to_owned(),
-        from_ms: 0,
-        until_ms,
+        at_ms,
     }];
     assert_eq!(lost(&record), is_lost);
 }
