Quarantine: a part whose crashes a block explains is not told as answered

With an answer to other requests one lost trial run suffices to block a part, three without; it blocked the first part of all streams.

Cause: a judge that ends the probation of a part because a block explains its crashes sent the message that a part was answered. Each VM recorded an answer, and told it to judges that asked. The judge recorded one, too, and forgot the part's crashes.

Change: a message of its own, ProbationEnded (the last of PeerMessage, which VMs of an earlier version don't read), ends the probation and the waiting, and nothing else.

--- a/crates/entry/src/crash_watch.rs
+++ b/crates/entry/src/crash_watch.rs
@@ -182,9 +182,9 @@
             log::info!(fingerprints; "requests on probation");
             self.peers.send_all(&PeerMessage::Probations(part.to_vec()));
         }
-        for feature in due.cleared {
-            self.record_ended_probation(&feature, "explained");
-            self.peers.send_all(&PeerMessage::Cleared(feature));
+        for part in due.released {
+            self.record_ended_probation(&part, "explained");
+            self.peers.send_all(&PeerMessage::ProbationEnded(part));
         }
         if !due.reports.is_empty() {
             for (_, address) in judges.into_iter().filter(|(vm, _)| *vm != own) {
@@ -298,6 +298,13 @@
         self.apply_lifted_blocks(&cleared, how);
     }
 
+    /// Handles the announcement that a part is no longer on probation since a block explains the
+    /// crashes.
+    pub(crate) fn handle_ended_probation(&mut self, part: &Fingerprint) {
+        self.crash_watch.record_released(self.now_ms, part);
+        self.record_ended_probation(part, "explained elsewhere");
+    }
+
     /// Handles another VM's announcement of what it has put on probation, and reports to it what
     /// this VM knows to be answered since.
     pub(crate) fn handle_probations(&mut self, from: SocketAddr, rows: &[ProbationRow]) {
--- a/crates/entry/src/messages.rs
+++ b/crates/entry/src/messages.rs
@@ -185,6 +185,9 @@
         upstream: UpstreamName,
         rest_ms: u64,
     },
+    /// A prompt part is no longer on probation although it was not answered: a block explains the
+    /// crashes.
+    ProbationEnded(Fingerprint),
 }
 
 /// First byte of each message. It changes with the format of what follows, so that VMs of different
--- a/crates/entry/src/peer_exchange.rs
+++ b/crates/entry/src/peer_exchange.rs
@@ -165,6 +165,7 @@
             PeerMessage::Crashes(reports) => self.handle_crash_reports(&reports),
             PeerMessage::Blocks(rows) => self.apply_announced_blocks(&rows),
             PeerMessage::Cleared(fingerprint) => self.handle_cleared_request(&fingerprint, "told"),
+            PeerMessage::ProbationEnded(part) => self.handle_ended_probation(&part),
             PeerMessage::BlocksRequested => {
                 self.send_blocks_to(from);
                 self.send_probations_to(from);
--- a/crates/quarantine/src/crash_watch.rs
+++ b/crates/quarantine/src/crash_watch.rs
@@ -6,7 +6,6 @@
 use apricotdale_core::names::UpstreamName;
 
 use crate::blocks::BlockRow;
-use crate::blocks::LiftedBlocks;
 use crate::features::RequestFeatures;
 use crate::fingerprint::Fingerprint;
 use crate::local_reports::LocalReports;
@@ -304,7 +303,7 @@
         due.new_blocks = self.quarantine.judge(now_ms, scope);
         due.blocks.extend(due.new_blocks.iter().cloned());
         if !due.new_blocks.is_empty() {
-            due.cleared = self.release_explained_parts(now_ms);
+            due.released = self.release_explained_parts(now_ms);
             let again =
                 BLOCK_RESEND_DELAYS_MS.map(|after_ms| (now_ms + after_ms, due.new_blocks.clone()));
             self.announcements.extend(again);
@@ -351,13 +350,23 @@
     fn release_explained_parts(&mut self, now_ms: u64) -> Vec<Fingerprint> {
         let mut released = self.quarantine.explained_parts();
         released.retain(|it| self.probations.contains(it) && !self.quarantine.has_blocked(it));
-        let mut lifted = LiftedBlocks::default();
         for feature in &released {
-            self.clear(now_ms, feature, &mut lifted);
+            self.release(now_ms, feature);
         }
         released
     }
 
+    fn release(&mut self, now_ms: u64, feature: &Fingerprint) {
+        self.trial_client.forget(now_ms, feature);
+        self.probations.remove(feature);
+    }
+
+    /// Records that another VM has ended the probation of a part whose crashes a block explains. That
+    /// is no answer to the part.
+    pub fn record_released(&mut self, now_ms: u64, part: &Fingerprint) {
+        self.release(now_ms, part);
+    }
+
     /// Returns what a judge has to announce now to be on probation.
     fn due_probations(&mut self, now_ms: u64, role: Role) -> Vec<ProbationRow> {
         let due = self.probations.due(now_ms);
--- a/crates/quarantine/src/vm_messages.rs
+++ b/crates/quarantine/src/vm_messages.rs
@@ -52,8 +52,9 @@
     pub ended: Vec<Fingerprint>,
     /// Requests and parts on probation to announce to all VMs.
     pub probations: Vec<ProbationRow>,
-    /// Parts that are no longer on probation, to announce to all VMs.
-    pub cleared: Vec<Fingerprint>,
+    /// Parts that are no longer on probation although they were not answered, to announce to all
+    /// VMs.
+    pub released: Vec<Fingerprint>,
     /// Questions about trial runs to send to the judge that is asked.
     pub trial_queries: Vec<TrialQuery>,
     /// Ends of trial runs to send to the judge that is asked.
--- a/crates/quarantine/tests/crash_search/messages.rs
+++ b/crates/quarantine/tests/crash_search/messages.rs
@@ -24,6 +24,7 @@
     Probations(usize, Vec<ProbationRow>),
     Answered(Vec<AnsweredRow>),
     Cleared(Fingerprint),
+    ProbationEnded(Fingerprint),
     TrialAsked(usize, TrialQuery),
     TrialDecided(TrialAnswer),
     TrialEnded(usize, TrialEnd),
@@ -85,6 +86,7 @@
                 Message::Cleared(it) => {
                     watch.record_cleared(now_ms, &it);
                 }
+                Message::ProbationEnded(it) => watch.record_released(now_ms, &it),
                 Message::TrialAsked(from, query) => {
                     let answer = watch.decide_trial(now_ms, incarnation_of(from), &query, vms);
                     answers.push((from, Message::TrialDecided(answer)));
@@ -126,8 +128,8 @@
         if !due.probations.is_empty() {
             self.send_all(index, &Message::Probations(index, due.probations));
         }
-        for feature in due.cleared {
-            self.send_all(index, &Message::Cleared(feature));
+        for part in due.released {
+            self.send_all(index, &Message::ProbationEnded(part));
         }
         for query in due.trial_queries {
             if self.policy == Policy::OnePerVm {
--- a/crates/quarantine/tests/part_decisions.rs
+++ b/crates/quarantine/tests/part_decisions.rs
@@ -8,6 +8,7 @@
 use apricotdale_quarantine::Fingerprint;
 use apricotdale_quarantine::Options;
 use apricotdale_quarantine::Permit;
+use apricotdale_quarantine::ProbationRow;
 use apricotdale_quarantine::RequestFeatures;
 
 use support::BAD;
@@ -244,3 +245,34 @@
     assert!(cleared.is_change());
     assert_eq!(judge.send(&request("next", &[COMPANION, OWN])), None);
 }
+
+/// Guards against telling a part that a block explains as one that was answered, which makes the
+/// lack of answers to other parts look like evidence.
+#[test]
+fn explained_is_no_answer() {
+    let mut judge = OneVm::start();
+    let beside = request("beside", &[COMPANION, OWN]);
+    for number in 0..3 {
+        let bad = request(&format!("bad-{number}"), &[BAD, OWN]);
+        judge.crash(&bad, std::slice::from_ref(&beside));
+        judge.answer(&request(&format!("answered-{number}"), &[OTHER, OWN]));
+    }
+    assert!(judge.is_blocked(&request("new", &[BAD, OWN])));
+    let rows: Vec<ProbationRow> = beside.parts.iter().map(|part| row(*part)).collect();
+    assert!(
+        rows.iter()
+            .all(|it| judge.released.contains(&it.fingerprint))
+    );
+    let mut other = CrashWatch::new(2, Options::default());
+    for part in &judge.released {
+        other.record_released(judge.now_ms, part);
+    }
+    assert_eq!(other.record_probations(judge.now_ms, &rows), []);
+}
+
+fn row(fingerprint: Fingerprint) -> ProbationRow {
+    ProbationRow {
+        fingerprint,
+        ago_ms: 1_000,
+    }
+}
--- a/crates/quarantine/tests/support/mod.rs
+++ b/crates/quarantine/tests/support/mod.rs
@@ -43,6 +43,8 @@
     pub watch: CrashWatch,
     pub now_ms: u64,
     pub engines: u32,
+    /// Parts whose probation ended without an answer.
+    pub released: Vec<Fingerprint>,
 }
 
 impl OneVm {
@@ -53,6 +55,7 @@
             watch,
             now_ms: DECIDES_MS,
             engines: 0,
+            released: Vec::new(),
         }
     }
 
@@ -77,7 +80,9 @@
         let mut blocks = Vec::new();
         for _ in 0..for_ms / 5 {
             self.now_ms += 5;
-            blocks.extend(self.watch.due(self.now_ms, ONLY_JUDGE).new_blocks);
+            let due = self.watch.due(self.now_ms, ONLY_JUDGE);
+            self.released.extend(due.released);
+            blocks.extend(due.new_blocks);
         }
         blocks
     }
