--- a/crates/quarantine/src/cases.rs
+++ b/crates/quarantine/src/cases.rs
@@ -201,6 +201,12 @@
         for (request, loss) in &crash.suspects {
             let features = loss.features(*request);
             for block in blocks.matching(&features) {
+                // A request that was blocked at once, since a part of it was under suspicion, may
+                // have been lost beside the cause.
+                let is_of_request = block.features == [*request];
+                if is_of_request && block.upstreams.len() < options.unexplained_crashes {
+                    continue;
+                }
                 // A blocked request was blamed as a whole, so that each of its parts may be the
                 // cause.
                 let accounts_for = match block.features.as_slice() {
--- a/crates/quarantine/tests/part_decisions.rs
+++ b/crates/quarantine/tests/part_decisions.rs
@@ -200,6 +200,20 @@
     assert!(!vm.is_blocked(&request("sound", &[FIRST, OWN])));
 }
 
+/// Guards against a harmless request that explains away the crashes of a part, since it was blocked
+/// at once when its trial run was lost beside requests with the part.
+#[test]
+fn blocked_at_once_explains_nothing() {
+    let mut vm = OneVm::start();
+    let harmless = request("harmless", &[FIRST, OWN]);
+    vm.crash(&harmless, &[harmless.clone(), harmless.clone()]);
+    vm.crash(&harmless, &[request("bad-0", &[FIRST, BAD, OWN])]);
+    assert!(vm.is_blocked(&harmless));
+    vm.answer(&request("elsewhere", &[OTHER, OWN]));
+    vm.crash(&request("bad-1", &[FIRST, BAD, OWN]), &[]);
+    assert!(!vm.is_blocked(&request("sound", &[FIRST, OWN])));
+}
+
 /// Guards against counting a lost trial run once for each stored case with the part, so that a VM
 /// that starts blocks what the others do not.
 #[test]
