Quarantine: one end of an upstream counts as one lost trial run against a part

It had ended, its entry was still there, and until the end was noticed several requests on probation were sent to it as trial runs, one after the other: six of them lost with one engine reached the limit that is meant for six engines.

Change: trial runs lost with one upstream count once, for the ambiguous ones and for those that tell a part from others.

trials_at_one_upstream failed before and passes.

--- a/crates/quarantine/src/cases.rs
+++ b/crates/quarantine/src/cases.rs
@@ -52,8 +52,9 @@
     pub common: Vec<Fingerprint>,
     /// Whether a request with the feature was answered within the time that is remembered.
     pub was_answered: bool,
-    /// Number of lost trial runs that tell this feature from others: the request was lost for the
-    /// first time, and nothing else of it that not all lost requests share was under suspicion.
+    /// Number of upstreams with a lost trial run that tells this feature from others: the request
+    /// was lost for the first time, and nothing else of it that not all lost requests share was
+    /// under suspicion.
     pub distinct_trials: u32,
     /// Crashes in order of time.
     pub crashes: Vec<CaseEvent>,
@@ -70,10 +71,10 @@
         self.crashes.iter().map(|crash| crash.trials).sum()
     }
 
-    /// Returns the number of lost trial runs that no known block explains.
-    pub fn unexplained_trials(&self) -> u32 {
+    /// Returns the number of crashes with a lost trial run that no known block explains.
+    pub fn unexplained_trials(&self) -> usize {
         let crashes = self.crashes.iter().filter(|crash| !crash.is_explained);
-        crashes.map(|crash| crash.unmatched_trials).sum()
+        crashes.filter(|crash| crash.unmatched_trials > 0).count()
     }
 
     /// Returns the features that a block of this case consists of: the request if all crashes were
@@ -244,6 +245,8 @@
 ) -> HashMap<Fingerprint, u32> {
     let mut counts: HashMap<Fingerprint, u32> = HashMap::new();
     for judged in crashes {
+        // All requests at an upstream are lost together, so that its end counts once.
+        let mut told: HashSet<Fingerprint> = HashSet::new();
         let trials = judged.crash.suspects.iter();
         let trials = trials
             .filter(|(request, loss)| loss.copies().trials > 0 && !loss.is_stored_part(request));
@@ -255,10 +258,13 @@
             for case in parts.iter().filter(|_| is_first) {
                 let mut others = parts.iter();
                 if !others.any(|other| other.explains_as_much(case, options)) {
-                    *counts.entry(case.feature).or_default() += 1;
+                    told.insert(case.feature);
                 }
             }
         }
+        for feature in told {
+            *counts.entry(feature).or_default() += 1;
+        }
     }
     counts
 }
--- a/crates/quarantine/src/options.rs
+++ b/crates/quarantine/src/options.rs
@@ -19,9 +19,9 @@
     /// Trial runs that must be lost of requests with nothing but a part under suspicion before the
     /// part is blocked, if the lack of answers does not tell that it is the cause.
     pub indecisive_trials: u32,
-    /// Lost trial runs with a part from which on it is blocked even if other parts of these
-    /// requests are under suspicion, too.
-    pub ambiguous_trials: u32,
+    /// Upstreams with a lost trial run with a part from which on it is blocked even if other parts of
+    /// these requests are under suspicion, too.
+    pub ambiguous_trials: usize,
     /// Time from the first report of a crash until its requests are judged, in which the reports of
     /// all VMs arrive.
     pub settle_ms: u64,
--- a/crates/quarantine/src/quarantine.rs
+++ b/crates/quarantine/src/quarantine.rs
@@ -68,7 +68,7 @@
 ///   that was not lost before and of which nothing else is under suspicion; three such runs if no
 ///   other request for the same model or service was answered since the first of these crashes; or
 /// - at least two such trial runs were lost, in groups, too; or
-/// - six trial runs with it were lost that no known part, and no rarer one on probation, explains.
+/// - trial runs with it were lost with six upstreams that no known part, and no rarer one on probation, explains.
 ///
 /// Parts that all lost requests have in common can't be distinguished by their crashes. Then
 /// requests with all of these parts are refused, and those with some of them are trial runs. A
@@ -382,9 +382,9 @@
         }
         let telling: Vec<&CaseEvent> = case.telling_crashes(cases, options).collect();
         let unexplained = telling.iter().filter(|crash| crash.is_unexplained());
-        let trials: u32 = telling.iter().map(|crash| crash.unmatched_trials).sum();
+        let trials = telling.iter().filter(|crash| crash.unmatched_trials > 0);
         distinct >= needed && unexplained.count() >= options.unexplained_crashes
-            || trials >= options.ambiguous_trials
+            || trials.count() >= options.ambiguous_trials
     }
 
     fn new_block(
--- a/crates/quarantine/tests/part_decisions.rs
+++ b/crates/quarantine/tests/part_decisions.rs
@@ -4,8 +4,10 @@
 
 use apricotdale_core::names::UpstreamName;
 use apricotdale_quarantine::BlockRow;
+use apricotdale_quarantine::CallerHash;
 use apricotdale_quarantine::CrashWatch;
 use apricotdale_quarantine::Fingerprint;
+use apricotdale_quarantine::LostRequest;
 use apricotdale_quarantine::Options;
 use apricotdale_quarantine::Permit;
 use apricotdale_quarantine::ProbationRow;
@@ -214,6 +216,26 @@
     assert!(!vm.is_blocked(&request("sound", &[FIRST, OWN])));
 }
 
+/// Guards against blaming a part for one upstream, to which several requests on probation are sent
+/// as trial runs until its end is noticed.
+#[test]
+fn trials_at_one_upstream() {
+    let mut vm = OneVm::start();
+    vm.answer(&request("answered", &[OTHER, OWN]));
+    let upstream = UpstreamName::from("e-reset".to_owned());
+    for number in 0..8 {
+        let lost = LostRequest {
+            features: request(&format!("lost-{number}"), &[FIRST, OWN]),
+            caller: CallerHash::of(b"caller"),
+            is_trial: true,
+        };
+        vm.watch.record_lost(vm.now_ms, &upstream, true, lost);
+    }
+    vm.watch.record_ended(vm.now_ms, &upstream);
+    let blocks = vm.run_for(600);
+    assert!(blocks.is_empty(), "{blocks:?}");
+}
+
 /// Guards against counting a lost trial run once for each stored case with the part, so that a VM
 /// that starts blocks what the others do not.
 #[test]
