--- a/crates/quarantine/tests/part_decisions.rs
+++ b/crates/quarantine/tests/part_decisions.rs
@@ -4,10 +4,13 @@
 
 use apricotdale_core::names::UpstreamName;
 use apricotdale_quarantine::BlockRow;
+use apricotdale_quarantine::CallerHash;
 use apricotdale_quarantine::CrashWatch;
 use apricotdale_quarantine::Fingerprint;
+use apricotdale_quarantine::LostRequest;
 use apricotdale_quarantine::Options;
 use apricotdale_quarantine::Permit;
+use apricotdale_quarantine::ProbationRow;
 use apricotdale_quarantine::RequestFeatures;
 
 use support::BAD;
@@ -199,6 +202,40 @@
     assert!(!vm.is_blocked(&request("sound", &[FIRST, OWN])));
 }
 
+/// Guards against a harmless request that explains away the crashes of a part, since it was blocked
+/// at once when its trial run was lost beside requests with the part.
+#[test]
+fn blocked_at_once_explains_nothing() {
+    let mut vm = OneVm::start();
+    let harmless = request("harmless", &[FIRST, OWN]);
+    vm.crash(&harmless, &[harmless.clone(), harmless.clone()]);
+    vm.crash(&harmless, &[request("bad-0", &[FIRST, BAD, OWN])]);
+    assert!(vm.is_blocked(&harmless));
+    vm.answer(&request("elsewhere", &[OTHER, OWN]));
+    vm.crash(&request("bad-1", &[FIRST, BAD, OWN]), &[]);
+    assert!(!vm.is_blocked(&request("sound", &[FIRST, OWN])));
+}
+
+/// Guards against blaming a part for one upstream, to which several requests on probation are sent
+/// as trial runs until its end is noticed.
+#[test]
+fn trials_at_one_upstream() {
+    let mut vm = OneVm::start();
+    vm.answer(&request("answered", &[OTHER, OWN]));
+    let upstream = UpstreamName::from("e-reset".to_owned());
+    for number in 0..8 {
+        let lost = LostRequest {
+            features: request(&format!("lost-{number}"), &[FIRST, OWN]),
+            caller: CallerHash::of(b"caller"),
+            is_trial: true,
+        };
+        vm.watch.record_lost(vm.now_ms, &upstream, true, lost);
+    }
+    vm.watch.record_ended(vm.now_ms, &upstream);
+    let blocks = vm.run_for(600);
+    assert!(blocks.is_empty(), "{blocks:?}");
+}
+
 /// Guards against counting a lost trial run once for each stored case with the part, so that a VM
 /// that starts blocks what the others do not.
 #[test]
@@ -244,3 +281,34 @@
     assert!(cleared.is_change());
     assert_eq!(judge.send(&request("next", &[COMPANION, OWN])), None);
 }
+
+/// Guards against telling a part that a block explains as one that was answered, which makes the
+/// lack of answers to other parts look like evidence.
+#[test]
+fn explained_is_no_answer() {
+    let mut judge = OneVm::start();
+    let beside = request("beside", &[COMPANION, OWN]);
+    for number in 0..3 {
+        let bad = request(&format!("bad-{number}"), &[BAD, OWN]);
+        judge.crash(&bad, std::slice::from_ref(&beside));
+        judge.answer(&request(&format!("answered-{number}"), &[OTHER, OWN]));
+    }
+    assert!(judge.is_blocked(&request("new", &[BAD, OWN])));
+    let rows: Vec<ProbationRow> = beside.parts.iter().map(|part| row(*part)).collect();
+    assert!(
+        rows.iter()
+            .all(|it| judge.released.contains(&it.fingerprint))
+    );
+    let mut other = CrashWatch::new(2, Options::default());
+    for part in &judge.released {
+        other.record_released(judge.now_ms, part);
+    }
+    assert_eq!(other.record_probations(judge.now_ms, &rows), []);
+}
+
+fn row(fingerprint: Fingerprint) -> ProbationRow {
+    ProbationRow {
+        fingerprint,
+        ago_ms: 1_000,
+    }
+}
