--- a/crates/soak/src/fault.rs
+++ b/crates/soak/src/fault.rs
@@ -7,6 +7,7 @@
 use crate::record::KILL;
 use crate::record::KILL_ALL;
 use crate::record::PATHS_CUT;
+use crate::record::PAUSE;
 use crate::record::Place;
 use crate::record::RESET;
 use crate::record::ROLLBACK;
@@ -264,7 +265,7 @@
         match self {
             Self::Kill { .. } => KILL,
             Self::KillAll { .. } => KILL_ALL,
-            Self::Pause { .. } => "pause",
+            Self::Pause { .. } => PAUSE,
             Self::Stop { .. } => "stop",
             Self::Reload { .. } => "reload",
             Self::Store { .. } => "store",
--- a/crates/soak/src/lost_request_invariants.rs
+++ b/crates/soak/src/lost_request_invariants.rs
@@ -12,6 +12,7 @@
 use crate::record::Ending;
 use crate::record::KILL;
 use crate::record::KILL_ALL;
+use crate::record::PAUSE;
 use crate::record::Place;
 use crate::record::Run;
 use crate::record::TimeoutSeen;
@@ -63,7 +64,21 @@
         let mut arrivals = self.record.arrivals.iter();
         self.run_count(&attempt.id) == 0
             && !arrivals.any(|it| it.id == attempt.id)
-            && attempt.ended_ms <= attempt.sent_ms + CROSSED_MS
+            && attempt.ended_ms <= self.readable_from_ms(attempt) + CROSSED_MS
+    }
+
+    /// Returns the time from which the VM may have read a request: when it was sent, or when the
+    /// pause of the VM's process ends in which it was.
+    fn readable_from_ms(&self, attempt: &Attempt) -> u64 {
+        let disturbances = self.record.disturbances.iter();
+        let pauses = disturbances.filter(|it| {
+            it.place == Place::Vm(attempt.vm)
+                && it.what == PAUSE
+                && it.from_ms <= attempt.sent_ms
+                && it.until_ms > attempt.sent_ms
+        });
+        let ends_ms = pauses.map(|it| it.until_ms);
+        ends_ms.max().unwrap_or(attempt.sent_ms)
     }
 
     /// Returns whether the VM was killed while the request was in progress, or did not end its stop
--- a/crates/soak/src/record.rs
+++ b/crates/soak/src/record.rs
@@ -16,6 +16,9 @@
 /// Name of the disturbance in which a VM's process is killed.
 pub(crate) const KILL: &str = "kill";
 
+/// Name of the disturbance in which a VM's process is paused.
+pub(crate) const PAUSE: &str = "pause";
+
 /// Name of the disturbance in which every VM's process is killed.
 pub(crate) const KILL_ALL: &str = "kill all";
 
--- a/crates/soak/tests/lost_request_records.rs
+++ b/crates/soak/tests/lost_request_records.rs
@@ -142,6 +142,29 @@
     assert_eq!(lost(&record), is_lost);
 }
 
+/// Guards against judging a VM by requests that came in a pause of its process and that it could not
+/// read, and against a pause that excuses others.
+#[rstest]
+#[case::in_pause(SENT_MS - 100, 0, 1_400, false)]
+#[case::other_vm(SENT_MS - 100, 1, 1_400, true)]
+#[case::after_pause(SENT_MS - 100, 0, 1_501, true)]
+#[case::read_before(SENT_MS + 1, 0, 1_400, true)]
+fn sent_in_pause(
+    #[case] from_ms: u64,
+    #[case] vm: usize,
+    #[case] took_ms: u64,
+    #[case] is_lost: bool,
+) {
+    let mut record = record(End::BeforeHead);
+    record.runs.retain(|it| it.id != "lost");
+    lost_attempt(&mut record).ended_ms = SENT_MS + took_ms;
+    record.disturbances = vec![Disturbance {
+        what: "pause".to_owned(),
+        ..disturbance(Place::Vm(vm), from_ms, SENT_MS + 1_000)
+    }];
+    assert_eq!(lost(&record), is_lost);
+}
+
 fn named(what: &str, place: Place) -> Disturbance {
     Disturbance {
         what: what.to_owned(),
