Stand-ins: the client's address is that of its accept, so that a reset leaves no arrival unknown

The stand-ins read the address of a connection when its thread began to read, and a client that has reset it by then has none, while its request is still read.

The address is taken from accept.

--- a/crates/standins/src/http/caller.rs
+++ b/crates/standins/src/http/caller.rs
@@ -17,7 +17,7 @@
         Self { stream, address }
     }
 
-    /// Returns the address of the client; none if the connection ended before it could be read.
+    /// Returns the address of the client; none for the answer to no request.
     pub fn address(&self) -> Option<IpAddr> {
         self.address
     }
--- a/crates/standins/src/http/request.rs
+++ b/crates/standins/src/http/request.rs
@@ -6,6 +6,7 @@
 use std::io::BufReader;
 use std::io::Read;
 use std::io::Write;
+use std::net::IpAddr;
 use std::net::TcpStream;
 use std::time::Instant;
 
@@ -38,14 +39,16 @@
 }
 
 impl Request {
-    /// Reads the next request of a connection, or none if the connection ended before it began.
-    pub(crate) fn read(reader: &mut BufReader<TcpStream>) -> io::Result<Option<Self>> {
-        // Once the client has reset the connection, its address can't be read any more.
-        let address = reader.get_ref().peer_addr().ok();
+    /// Reads the next request of a client's connection, or none if the connection ended before it
+    /// began. Once the client has reset the connection, its address can't be read any more.
+    pub(crate) fn read(
+        reader: &mut BufReader<TcpStream>,
+        client: IpAddr,
+    ) -> io::Result<Option<Self>> {
         let Some(head) = read_head(reader)? else {
             return Ok(None);
         };
-        let caller = Caller::new(reader.get_ref().try_clone()?, address.map(|it| it.ip()));
+        let caller = Caller::new(reader.get_ref().try_clone()?, Some(client));
         let mut request = parse_head(&head, caller)?;
         if request.header("Expect").is_some() {
             reader
--- a/crates/standins/src/http/server.rs
+++ b/crates/standins/src/http/server.rs
@@ -3,6 +3,7 @@
 use std::collections::BTreeMap;
 use std::io;
 use std::io::BufReader;
+use std::net::IpAddr;
 use std::net::Shutdown;
 use std::net::SocketAddr;
 use std::net::TcpListener;
@@ -140,12 +141,15 @@
 }
 
 fn accept(listener: &TcpListener, handler: &Arc<dyn Handler>, connections: &Arc<Connections>) {
-    for stream in listener.incoming() {
+    loop {
+        let accepted = listener.accept();
         if connections.is_stopped() {
             return;
         }
         // The client disconnected before its connection was accepted.
-        let Ok(stream) = stream else { continue };
+        let Ok((stream, from)) = accepted else {
+            continue;
+        };
         let Some(id) = connections.add(&stream) else {
             continue;
         };
@@ -157,7 +161,7 @@
             .spawn(move || {
                 // An error means that the client disconnected or sent no valid HTTP. Either way the
                 // connection ends.
-                let _ = serve(&stream, &handler);
+                let _ = serve(&stream, from.ip(), &handler);
                 served.remove(id);
                 let _ = stream.shutdown(Shutdown::Both);
             });
@@ -167,10 +171,10 @@
     }
 }
 
-fn serve(stream: &TcpStream, handler: &Arc<dyn Handler>) -> io::Result<()> {
+fn serve(stream: &TcpStream, from: IpAddr, handler: &Arc<dyn Handler>) -> io::Result<()> {
     stream.set_nodelay(true)?;
     let mut reader = BufReader::new(stream.try_clone()?);
-    while let Some(request) = Request::read(&mut reader)? {
+    while let Some(request) = Request::read(&mut reader, from)? {
         let reply = handler.clone().handle(&request);
         let reusable = reply.send(stream, request.method == "HEAD")?;
         if !reusable || !request.keeps_alive() {
