Quarantine: a trial run lost beside a rarer part on probation does not tell against a shared part

Change: a trial run tells against a part only if no request with a rarer part on probation was in progress at that upstream.

--- a/crates/quarantine/src/cases.rs
+++ b/crates/quarantine/src/cases.rs
@@ -53,8 +53,8 @@
     /// Whether a request with the feature was answered within the time that is remembered.
     pub was_answered: bool,
     /// Number of upstreams with a lost trial run that tells this feature from others: the request
-    /// was lost for the first time, and nothing else of it that not all lost requests share was
-    /// under suspicion.
+    /// was lost for the first time, nothing else of it that not all lost requests share was under
+    /// suspicion, and no request with a rarer part on probation was in progress there.
     pub distinct_trials: u32,
     /// Crashes in order of time.
     pub crashes: Vec<CaseEvent>,
@@ -127,10 +127,7 @@
         let from_ms = |case: &Self| case.crashes.first().map(|crash| crash.at_ms);
         // The crash of the trial run itself counts, too.
         let is_suspect = self.moments(options).len() > options.probation_crashes;
-        self.is_rarer_suspect(other, options)
-            || is_suspect
-                && !other.common.contains(&self.feature)
-                && from_ms(self) <= from_ms(other)
+        is_suspect && !other.common.contains(&self.feature) && from_ms(self) <= from_ms(other)
     }
 
     /// Returns whether this part is on probation and all lost requests with it have that of another
@@ -247,6 +244,16 @@
     for judged in crashes {
         // All requests at an upstream are lost together, so that its end counts once.
         let mut told: HashSet<Fingerprint> = HashSet::new();
+        let beside: HashSet<&Fingerprint> = judged
+            .crash
+            .suspects
+            .values()
+            .flat_map(|it| &it.parts)
+            .collect();
+        let is_claimed = |case: &CrashCase| {
+            let mut beside = beside.iter().filter_map(|it| cases.get(*it));
+            beside.any(|other| other.is_rarer_suspect(case, options))
+        };
         let trials = judged.crash.suspects.iter();
         let trials = trials
             .filter(|(request, loss)| loss.copies().trials > 0 && !loss.is_stored_part(request));
@@ -257,7 +264,7 @@
             let parts: Vec<&CrashCase> = loss.parts.iter().filter_map(|it| cases.get(it)).collect();
             for case in parts.iter().filter(|_| is_first) {
                 let mut others = parts.iter();
-                if !others.any(|other| other.explains_as_much(case, options)) {
+                if !others.any(|other| other.explains_as_much(case, options)) && !is_claimed(case) {
                     told.insert(case.feature);
                 }
             }
--- a/crates/quarantine/tests/part_decisions.rs
+++ b/crates/quarantine/tests/part_decisions.rs
@@ -236,6 +236,24 @@
     assert!(blocks.is_empty(), "{blocks:?}");
 }
 
+/// Guards against blaming the first part for trial runs that were lost with other requests with a
+/// rarer part, which were in progress beside them.
+#[test]
+fn trials_beside_rare_part() {
+    let mut vm = OneVm::start();
+    let bad = |number: u32| request(&format!("bad-{number}"), &[FIRST, BAD, OWN]);
+    vm.crash(&bad(0), &[]);
+    vm.crash(&bad(1), &[]);
+    vm.answer(&request("elsewhere", &[OTHER, OWN]));
+    for number in 2..5 {
+        vm.crash(
+            &request(&format!("beside-{number}"), &[FIRST, OWN]),
+            &[bad(number)],
+        );
+    }
+    assert!(!vm.is_blocked(&request("sound", &[FIRST, OWN])));
+}
+
 /// Guards against counting a lost trial run once for each stored case with the part, so that a VM
 /// that starts blocks what the others do not.
 #[test]
