Quarantine: the last crash of a blocked request is not taken for its first one

Change: a request that is blocked for other upstreams, too, was lost before. Blocks name them.

earlier_crashes_named_by_block failed before and passes.

--- a/crates/quarantine/src/cases.rs
+++ b/crates/quarantine/src/cases.rs
@@ -185,6 +185,8 @@
     is_in_group: bool,
     /// Requests that match known blocks, with the features that account for the crash.
     known: Vec<(Fingerprint, Vec<Fingerprint>)>,
+    /// Requests that were lost with other upstreams, too, according to their blocks.
+    lost_elsewhere: HashSet<Fingerprint>,
 }
 
 impl<'a> JudgedCrash<'a> {
@@ -196,12 +198,16 @@
         options: &Options,
     ) -> Self {
         let mut known = Vec::new();
+        let mut lost_elsewhere = HashSet::new();
         for (request, loss) in &crash.suspects {
             let features = loss.features(*request);
             for block in blocks.matching(&features) {
                 // A request that was blocked at once, since a part of it was under suspicion, may
                 // have been lost beside the cause.
                 let is_of_request = block.features == [*request];
+                if is_of_request && block.upstreams.iter().any(|it| it != upstream) {
+                    lost_elsewhere.insert(*request);
+                }
                 if is_of_request && block.upstreams.len() < options.unexplained_crashes {
                     continue;
                 }
@@ -219,6 +225,7 @@
             crash,
             is_in_group: log.is_in_group(crash, options),
             known,
+            lost_elsewhere,
         }
     }
 
@@ -260,7 +267,8 @@
         for (request, loss) in trials.filter(|(request, _)| !judged.has_blocked_parts(request)) {
             let is_first = cases
                 .get(request)
-                .is_some_and(|case| case.crashes.len() == 1);
+                .is_some_and(|case| case.crashes.len() == 1)
+                && !judged.lost_elsewhere.contains(request);
             let parts: Vec<&CrashCase> = loss.parts.iter().filter_map(|it| cases.get(it)).collect();
             for case in parts.iter().filter(|_| is_first) {
                 let mut others = parts.iter();
--- a/crates/quarantine/tests/part_decisions.rs
+++ b/crates/quarantine/tests/part_decisions.rs
@@ -5,6 +5,7 @@
 use apricotdale_core::names::UpstreamName;
 use apricotdale_quarantine::BlockRow;
 use apricotdale_quarantine::CallerHash;
+use apricotdale_quarantine::CrashReport;
 use apricotdale_quarantine::CrashWatch;
 use apricotdale_quarantine::Fingerprint;
 use apricotdale_quarantine::LostRequest;
@@ -12,6 +13,7 @@
 use apricotdale_quarantine::Permit;
 use apricotdale_quarantine::ProbationRow;
 use apricotdale_quarantine::RequestFeatures;
+use apricotdale_quarantine::Suspect;
 
 use support::BAD;
 use support::COMPANION;
@@ -254,6 +256,40 @@
     assert!(!vm.is_blocked(&request("sound", &[FIRST, OWN])));
 }
 
+/// Guards against a VM that starts and takes the last crash of a blocked request for its first one,
+/// which would tell against a part.
+#[test]
+fn earlier_crashes_named_by_block() {
+    let mut next = OneVm::start();
+    next.answer(&request("elsewhere", &[OTHER, OWN]));
+    for name in ["w-0", "w-1", "w-2"] {
+        let crasher = request(name, &[FIRST, OWN]);
+        let upstream = |number: u32| UpstreamName::from(format!("e-{name}-{number}"));
+        let block = BlockRow {
+            fingerprint: crasher.request,
+            features: vec![crasher.request],
+            caller: CallerHash::of(b"caller"),
+            times: 1,
+            left_ms: 20_000,
+            upstreams: vec![upstream(2), upstream(1)],
+        };
+        next.watch.record_block(next.now_ms, &block);
+        let lost = Suspect {
+            trials: 1,
+            ..Suspect::new(crasher, CallerHash::of(b"caller"))
+        };
+        let report = CrashReport {
+            upstream: upstream(2),
+            ago_ms: 0,
+            reporter: 2,
+            suspects: vec![lost],
+        };
+        next.watch.record_reports(next.now_ms, &[report]);
+        next.run_for(600);
+    }
+    assert!(!next.is_blocked(&request("sound", &[FIRST, OWN])));
+}
+
 /// Guards against counting a lost trial run once for each stored case with the part, so that a VM
 /// that starts blocks what the others do not.
 #[test]
