Observability: rejections by upstreams with a limit on them, by whether the limit was known at the send

Cause: the logs and metrics could not tell whether an upstream had to reject too much because VMs did not know its limit, or because those that knew it sent too much.

Change: the counter limited_rejections by limit_known and limit_unknown, the gauge rejection_limited_upstreams, and a line for each such rejection with the time since the send.

--- a/crates/dispatch/src/rejection_limits.rs
+++ b/crates/dispatch/src/rejection_limits.rs
@@ -29,6 +29,8 @@
 #[derive(Debug)]
 struct Limited {
     limit: RateLimit,
+    /// When this VM first knew the limit.
+    known_since_ms: u64,
     /// When the newest known answer that states the limit arrived.
     stated_ms: u64,
     /// Times of the rejections at any VM, as far as they are known.
@@ -84,6 +86,7 @@
             .entry(upstream.clone())
             .or_insert_with(|| Limited {
                 limit,
+                known_since_ms: now_ms,
                 stated_ms: now_ms,
                 rejected_ms: VecDeque::new(),
                 rest_until_ms: 0,
@@ -162,6 +165,17 @@
         self.by_upstream.get(upstream).map(|limited| limited.limit)
     }
 
+    /// Returns the number of upstreams with a limit.
+    pub fn count(&self) -> usize {
+        self.by_upstream.len()
+    }
+
+    /// Returns whether this VM knew the limit of an upstream at a time.
+    pub fn was_known(&self, upstream: &UpstreamName, at_ms: u64) -> bool {
+        let limited = self.by_upstream.get(upstream);
+        limited.is_some_and(|limited| limited.known_since_ms <= at_ms)
+    }
+
     /// Returns when the next rest ends or the next turn begins; `None` if nothing is held back.
     pub fn next_available_ms(&self, now_ms: u64) -> Option<u64> {
         let limited = self.by_upstream.values();
--- a/crates/entry/src/metrics.rs
+++ b/crates/entry/src/metrics.rs
@@ -60,6 +60,7 @@
     pub store_loads: Gauge,
     pub store_loads_allowed: Gauge,
     pub limited_upstreams: Gauge,
+    pub rejection_limited_upstreams: Gauge,
     pub resting_upstreams: Gauge,
     pub lost_paths: Gauge,
     pub relayed_paths: Gauge,
@@ -73,6 +74,7 @@
     trials: Counter,
     waited_for_owner: Counter,
     permits: Family<Reason, Counter>,
+    limited_rejections: Family<Reason, Counter>,
     resumptions: Family<Reason, Counter>,
     pub stream_origins: Gauge,
     pub dropped_origins: Gauge,
@@ -126,6 +128,7 @@
             store_loads: Gauge::default(),
             store_loads_allowed: Gauge::default(),
             limited_upstreams: Gauge::default(),
+            rejection_limited_upstreams: Gauge::default(),
             resting_upstreams: Gauge::default(),
             lost_paths: Gauge::default(),
             relayed_paths: Gauge::default(),
@@ -139,6 +142,7 @@
             trials: Counter::default(),
             waited_for_owner: Counter::default(),
             permits: Family::default(),
+            limited_rejections: Family::default(),
             resumptions: Family::default(),
             stream_origins: Gauge::default(),
             dropped_origins: Gauge::default(),
@@ -270,6 +274,16 @@
         self.waited_for_owner.inc();
     }
 
+    /// Counts a request that an upstream with a limit on rejections rejected, by whether this VM knew
+    /// the limit when it sent the request.
+    pub fn limited_rejection(&self, was_known: bool) {
+        let reason = match was_known {
+            true => "limit_known",
+            false => "limit_unknown",
+        };
+        count(&self.limited_rejections, reason);
+    }
+
     /// Counts a permit for an upstream that states a rate limit, as requested, granted or denied.
     pub fn permit(&self, outcome: &str) {
         count(&self.permits, outcome);
--- a/crates/entry/src/metrics/registration.rs
+++ b/crates/entry/src/metrics/registration.rs
@@ -157,6 +157,11 @@
             "Upstreams that state a rate limit",
             self.limited_upstreams.clone(),
         );
+        registry.register(
+            "rejection_limited_upstreams",
+            "Upstreams with a known limit on how many requests they may reject",
+            self.rejection_limited_upstreams.clone(),
+        );
         registry.register(
             "resting_upstreams",
             "Upstreams that have asked for rest that has not ended",
@@ -187,6 +192,12 @@
             "Permits for upstreams that state a rate limit, by what became of the request for one",
             self.permits.clone(),
         );
+        registry.register(
+            "limited_rejections",
+            "Requests rejected by upstreams with a limit on rejections, by whether this VM knew the \
+             limit at the send",
+            self.limited_rejections.clone(),
+        );
         registry.register(
             "configuration_version",
             "Version of the configuration in force at this VM",
--- a/crates/entry/src/upstream_answers.rs
+++ b/crates/entry/src/upstream_answers.rs
@@ -185,7 +185,7 @@
                 ends.then_some(sent_ms),
                 &fields.rejection_limit,
             );
-            self.record_room(&upstream, is_rejection);
+            self.record_room(&upstream, sent_ms, is_rejection);
         }
         match verdict {
             HeadVerdict::Deliver => {}
--- a/crates/entry/src/upstream_permits.rs
+++ b/crates/entry/src/upstream_permits.rs
@@ -253,9 +253,24 @@
     }
 
     /// Records that an upstream has begun to answer a request, or rejected it for want of room.
-    pub(crate) fn record_room(&mut self, upstream: &UpstreamName, is_rejection: bool) {
+    /// `sent_ms` is when the request was sent.
+    pub(crate) fn record_room(
+        &mut self,
+        upstream: &UpstreamName,
+        sent_ms: u64,
+        is_rejection: bool,
+    ) {
         let limits = self.dispatcher.rejection_limits_mut();
         if let (true, Some(limit)) = (is_rejection, limits.limit(upstream)) {
+            let was_known = limits.was_known(upstream, sent_ms);
+            self.metrics.limited_rejection(was_known);
+            if self.log_budget.try_take(self.now_ms, false) {
+                log::info!(
+                    upstream = upstream.to_string(), per_s = limit.per_s(), was_known,
+                    sent_ms_ago = self.now_ms.saturating_sub(sent_ms);
+                    "upstream with a limit on rejections rejected a request"
+                );
+            }
             limits.record_rejection(self.now_ms, upstream, true);
             let upstream = upstream.clone();
             self.peers
