Quota: a VM that returns to an owner is counted from the beginning

Cause: a VM that changes its owner counts its usage and ceded time from 0. When it comes back, the owner still has the totals of before: it took the difference for usage that was given back and raised the bucket by as much as the VM had used.

Change: a report names its number at which the VM last changed to the owner, behind the message as earlier releases do not know it; a new number resets what the owner has of the VM.

Measured: returning_vm grants 1,000 of units that are used up without the reset, none with it.

--- a/crates/entry/src/messages.rs
+++ b/crates/entry/src/messages.rs
@@ -204,6 +204,9 @@
         PeerMessage::Heartbeat { fresh, .. } | PeerMessage::ListRead { fresh, .. } => {
             encoded.and_then(|bytes| postcard::to_extend(&fresh.versions, bytes))
         }
+        PeerMessage::PermitReport(report) | PeerMessage::QuotaReport(report) => {
+            encoded.and_then(|bytes| postcard::to_extend(&report.extra, bytes))
+        }
         _ => encoded,
     };
     match encoded {
@@ -228,6 +231,9 @@
                 PeerMessage::Heartbeat { fresh, .. } | PeerMessage::ListRead { fresh, .. } => {
                     fresh.versions = postcard::from_bytes(rest).unwrap_or_default();
                 }
+                PeerMessage::PermitReport(report) | PeerMessage::QuotaReport(report) => {
+                    report.extra = postcard::from_bytes(rest).unwrap_or_default();
+                }
                 _ => {}
             }
             Ok(message)
--- a/crates/quota/src/client.rs
+++ b/crates/quota/src/client.rs
@@ -12,6 +12,7 @@
 use crate::message::AccountUsage;
 use crate::message::Answer;
 use crate::message::Report;
+use crate::message::ReportExtra;
 
 /// Time since the last answer after which an owner no longer counts as live.
 const ANSWER_TTL_MS: u64 = 1_500;
@@ -99,6 +100,8 @@
     ceded_ms: u64,
     /// Number of the last report; 0 before the first.
     last_report_number: u64,
+    /// Number of the first report to the current owner.
+    joined_number: u64,
     /// Highest number of a report that was answered; 0 before the first answer.
     last_answered_number: u64,
     /// Number of reports since the last answer, or since the last choice of an owner candidate.
@@ -124,6 +127,7 @@
             accounted_until_ms: None,
             ceded_ms: 0,
             last_report_number: 0,
+            joined_number: 0,
             last_answered_number: 0,
             unanswered_reports: 0,
             next_report_ms: u64::MAX,
@@ -337,6 +341,9 @@
                 Some(_) => usages.collect(),
                 None => Vec::new(),
             },
+            extra: ReportExtra {
+                joined: self.joined_number,
+            },
         })
     }
 
@@ -394,6 +401,7 @@
     fn start_with_owner(&mut self, owner: u64) {
         self.owner = Some(owner);
         self.ceded_ms = 0;
+        self.joined_number = self.last_report_number + 1;
         for account in self.accounts.values_mut() {
             // Units that the former owner has not acknowledged are reported again.
             account.spent -= account.acknowledged;
--- a/crates/quota/src/lib.rs
+++ b/crates/quota/src/lib.rs
@@ -29,4 +29,5 @@
 pub use message::Allowance;
 pub use message::Answer;
 pub use message::Report;
+pub use message::ReportExtra;
 pub use owner::QuotaOwner;
--- a/crates/quota/src/message.rs
+++ b/crates/quota/src/message.rs
@@ -50,6 +50,17 @@
     pub ceded_ms: u64,
     /// Accounts with changed usage or pending requests.
     pub usages: Vec<AccountUsage>,
+    /// What reports of earlier releases lack; it is encoded separately.
+    #[serde(skip)]
+    pub extra: ReportExtra,
+}
+
+/// Part of a report that earlier releases don't send.
+#[derive(Clone, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
+pub struct ReportExtra {
+    /// Number of the first report to this owner since the VM last changed to it, from which on usage
+    /// and ceded time are counted; 0 if that is not known.
+    pub joined: u64,
 }
 
 /// Answer of an owner for one account.
--- a/crates/quota/src/owner.rs
+++ b/crates/quota/src/owner.rs
@@ -49,6 +49,8 @@
     /// Total time ceded, as of the newest report.
     ceded_ms: u64,
     usages: BTreeMap<AccountId, i64>,
+    /// Number of the VM's first report since it last changed to this owner.
+    joined: u64,
 }
 
 /// Token buckets of all organisations that have a limit.
@@ -138,6 +140,13 @@
             if report.number <= member.number {
                 return None;
             }
+            if member.joined != report.extra.joined {
+                // The VM counts from the beginning since it has reported to another owner.
+                *member = Member {
+                    joined: report.extra.joined,
+                    ..Member::default()
+                };
+            }
             member.number = report.number;
             member.last_received_ms = now_ms;
             let ceded_ms = report.ceded_ms.saturating_sub(member.ceded_ms);
--- a/crates/quota/tests/owner_rules.rs
+++ b/crates/quota/tests/owner_rules.rs
@@ -9,6 +9,7 @@
 use apricotdale_quota::QuotaClient;
 use apricotdale_quota::QuotaOwner;
 use apricotdale_quota::Report;
+use apricotdale_quota::ReportExtra;
 
 const START_MS: u64 = 100_000;
 const RATE_PER_S: f64 = 1_000.0;
@@ -67,6 +68,7 @@
             wanted,
             oldest: wanted,
         }],
+        extra: ReportExtra::default(),
     }
 }
 
@@ -218,3 +220,38 @@
     assert!(f64::from(admitted) <= 2.0 * share, "{admitted}");
     assert!(admitted > 0);
 }
+
+/// Guards against units that are counted back when a VM returns from another owner, as it counts its
+/// usage from the beginning then.
+#[test]
+fn returning_vm() {
+    let joined = |report: Report, joined: u64| Report {
+        extra: ReportExtra {
+            joined,
+            ..ReportExtra::default()
+        },
+        ..report
+    };
+    let used = |number: u64, units: i64| {
+        let mut report = report(1, number, 20_000, 0);
+        report.usages[0].units = units;
+        report
+    };
+    let mut owner = owner(1);
+    let last = fill(&mut owner, 1);
+    owner.handle(START_MS, &joined(used(last + 1, 0), 1));
+    owner.handle(START_MS, &joined(used(last + 2, 3_000), 1));
+    let returned = |report: Report| {
+        joined(
+            Report {
+                ceded_ms: 0,
+                ..report
+            },
+            last + 3,
+        )
+    };
+    owner.handle(START_MS, &returned(used(last + 3, 0)));
+    let want = returned(report(1, last + 4, 0, 1_000));
+    let answer = owner.handle(START_MS, &want).expect("an answer");
+    assert_eq!(granted(&answer), 0, "3,000 of 3,465 units are used");
+}
