--- a/crates/dispatch/src/dispatcher.rs
+++ b/crates/dispatch/src/dispatcher.rs
@@ -38,12 +38,10 @@
 use crate::rejection_limits::RejectionLimits;
 use crate::silence::SilentConnections;
 use crate::stated_limits::StatedLimits;
+use crate::upstream_load::LIMITED_FILL;
 use crate::upstream_load::LoadSample;
 use crate::upstream_load::UpstreamLoad;
 
-/// Share of the slots that requests may take at an upstream that fails if it rejects too many.
-const LIMITED_FILL: f64 = 0.9;
-
 /// Decides for one VM to which upstream a request is sent, and when.
 pub struct Dispatcher {
     options: DispatcherOptions,
@@ -64,7 +62,7 @@
         Self {
             stated_limits: StatedLimits::new(options.seed),
             availability: Availability::new(options.seed),
-            rejection_limits: RejectionLimits::new(options.seed, options.vms),
+            rejection_limits: RejectionLimits::new(options.seed),
             options,
             routing: HashMap::new(),
             retries,
@@ -78,7 +76,6 @@
     pub fn set_vms(&mut self, vms: u32) {
         if vms != self.options.vms {
             self.options.vms = vms;
-            self.rejection_limits.set_vms(vms);
             self.retries.set_options(retry_options(&self.options));
         }
     }
@@ -208,7 +205,6 @@
     /// Records that a request was sent to an upstream.
     pub fn sent(&mut self, now_ms: u64, job: &Job, upstream: &UpstreamName) {
         self.loads.entry(upstream.clone()).or_default().sent();
-        self.rejection_limits.sent(upstream);
         self.availability.sent(now_ms, upstream);
         let event = RoutingEvent::Sent {
             upstream: upstream.clone(),
@@ -418,8 +414,10 @@
             false => self.options.service_fill,
         };
         let slots = f64::from(upstream.slots.max(1));
-        // Requests that wait at the upstream are the first to be rejected when its room shrinks.
-        let max_requests = match self.rejection_limits.limit(&upstream.name) {
+        let max_requests = match self
+            .rejection_limits
+            .limit(&upstream.service, &upstream.name)
+        {
             Some(_) => slots * fill.min(LIMITED_FILL),
             None => room.max_requests(upstream, slots * fill),
         };
--- a/crates/dispatch/src/lib.rs
+++ b/crates/dispatch/src/lib.rs
@@ -21,6 +21,7 @@
 mod rests;
 mod silence;
 mod stated_limits;
+mod statements;
 mod unserved;
 mod upstream_load;
 
@@ -37,6 +38,7 @@
 pub use liveness::ProbeOutcome;
 pub use options::DispatcherOptions;
 pub use rejection_limits::RejectionLimits;
+pub use rejection_limits::StatedRejectionLimit;
 pub use silence::Silence;
 pub use stated_limits::LimitChange;
 pub use stated_limits::RateLimit;
--- a/crates/dispatch/src/rejection_limits.rs
+++ b/crates/dispatch/src/rejection_limits.rs
@@ -1,190 +1,324 @@
 //! Limits that upstreams state on how many requests per second they reject for want of room.
 //!
-//! An upstream with such a limit fails if it has to reject more. All VMs together keep below the
-//! limit: each sends such an upstream few requests at once that it has not accepted yet, rests after
-//! a rejection, and counts the rejections that other VMs announce.
+//! An upstream with such a limit fails if it has to reject more. The upstreams of a service state the
+//! limit at the same time, so that it holds for all of them: also for one that has just started or
+//! that this VM has not heard of, until its own answer shows otherwise. Each request to such an
+//! upstream needs a permit of the VMs' common owner, which counts until the request is accepted.
 
 use std::collections::BTreeMap;
-use std::collections::VecDeque;
 
+use apricotdale_core::names::GroupName;
 use apricotdale_core::names::UpstreamName;
+use serde::Deserialize;
+use serde::Serialize;
 
+use crate::stated_limits::LimitChange;
 use crate::stated_limits::RateLimit;
+use crate::stated_limits::StatedLimit;
+use crate::statements::Statements;
 
-/// Time over which rejections are counted, as the limit is stated per second.
-const WINDOW_MS: u64 = 1_000;
+/// Bounds of the time for which a VM sends nothing to an upstream that has rejected a request, since
+/// its room may be taken for that long.
+const MIN_REST_MS: u64 = 150;
+const REST_SPREAD_MS: u64 = 150;
 
-/// Share of the limit that all VMs together use, if each is rejected as often as it may be. The rest
-/// is for requests that were under way when the first rejections became known.
-const USED_SHARE: f64 = 0.5;
-
-/// Time for which a part of the VMs may send to such an upstream if there are more VMs than it may
-/// reject requests. It is longer than a rejection takes to become known.
-const TURN_MS: u64 = 20;
-
-/// Bounds of the time for which a VM sends nothing after a rejection.
-const MIN_REST_MS: f64 = 150.0;
-const MAX_REST_MS: f64 = 3_000.0;
+/// What a service or one of its upstreams states, as one VM announces it to the others.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct StatedRejectionLimit {
+    /// Service of the upstream.
+    pub service: GroupName,
+    /// Incarnation of the upstream; `None` for what holds for the service.
+    pub upstream: Option<UpstreamName>,
+    /// Stated limit; `None` if the upstream answers without one.
+    pub limit: Option<RateLimit>,
+    /// Time in milliseconds since the answer that stated it arrived.
+    pub age_ms: u64,
+    /// Time in milliseconds since an upstream of the service first stated a limit.
+    pub stated_for_ms: u64,
+}
 
-#[derive(Debug)]
-struct Limited {
+/// Limit that holds for the upstreams of a service.
+#[derive(Clone, Copy, Debug)]
+struct ServiceLimit {
     limit: RateLimit,
-    /// When this VM first knew the limit.
-    known_since_ms: u64,
-    /// When the newest known answer that states the limit arrived.
+    /// When the newest known answer that states it arrived at a VM.
     stated_ms: u64,
-    /// Times of the rejections at any VM, as far as they are known.
-    rejected_ms: VecDeque<u64>,
-    rest_until_ms: u64,
-    /// Requests of this VM that were sent and are neither accepted nor rejected yet.
-    unanswered: u32,
+    /// When the first one arrived, and when this VM learnt of it.
+    since_ms: u64,
+    learnt_ms: u64,
 }
 
 /// Limits on rejections that upstreams have stated to any VM.
 #[derive(Debug, Default)]
 pub struct RejectionLimits {
-    by_upstream: BTreeMap<UpstreamName, Limited>,
-    /// Number of VMs among which the limits are divided.
-    vms: u32,
-    /// Share of the spread by which this VM rests longer than others after the same rejections.
-    phase: f64,
+    statements: Statements,
+    by_service: BTreeMap<GroupName, ServiceLimit>,
+    service_of: BTreeMap<UpstreamName, GroupName>,
+    held_back_until_ms: BTreeMap<UpstreamName, u64>,
+    /// Part of a rest by which this VM's differ from other VMs'.
+    rest_phase_ms: u64,
 }
 
 impl RejectionLimits {
-    /// Returns an empty table for a number of VMs. VMs with different seeds send again at different
-    /// times.
-    pub fn new(seed: u64, vms: u32) -> Self {
+    /// Returns an empty table. VMs with different seeds rest for different times.
+    pub fn new(seed: u64) -> Self {
         Self {
-            by_upstream: BTreeMap::new(),
-            vms,
-            phase: (seed % 1_000) as f64 / 1_000.0,
+            rest_phase_ms: seed % REST_SPREAD_MS,
+            ..Self::default()
         }
     }
 
-    /// Sets the number of VMs among which the limits are divided.
-    pub fn set_vms(&mut self, vms: u32) {
-        self.vms = vms;
-    }
-
-    /// Records an answer to a request that was sent at `sent_ms`. An answer without a limit ends the
-    /// stated one if the request was sent after that arrived. Returns whether a limit begins or ends.
+    /// Records an answer to a request that was sent at `sent_ms`. Returns whether a limit begins,
+    /// changes or ends, for the upstream or for its service.
     pub fn record_answer(
         &mut self,
         now_ms: u64,
         sent_ms: u64,
+        service: &GroupName,
         upstream: &UpstreamName,
         limit: Option<RateLimit>,
     ) -> bool {
-        let Some(limit) = limit.filter(|limit| limit.is_binding()) else {
-            let known = self.by_upstream.get(upstream);
-            let ends = known.is_some_and(|known| sent_ms >= known.stated_ms);
-            return ends && self.by_upstream.remove(upstream).is_some();
+        let limit = limit.filter(|limit| limit.is_binding());
+        let change = self
+            .statements
+            .record_answer(now_ms, sent_ms, upstream, limit);
+        let is_change = change != LimitChange::None;
+        match (limit, self.by_service.get(service)) {
+            (Some(limit), _) => {
+                self.set_service_of(upstream, service);
+                self.record_service_limit(now_ms, service, limit, now_ms, now_ms) || is_change
+            }
+            // An answer that was under way when the first statement arrived shows nothing.
+            (None, Some(of_service))
+                if self.statements.limit(upstream).is_none()
+                    && sent_ms >= of_service.since_ms
+                    && !self.has_answered_since(upstream, of_service.since_ms) =>
+            {
+                self.set_service_of(upstream, service);
+                self.statements.record_unlimited(now_ms, upstream);
+                self.end_unless_stated(service);
+                true
+            }
+            (None, _) => {
+                if is_change {
+                    self.end_unless_stated(service);
+                }
+                is_change
+            }
+        }
+    }
+
+    /// Applies what another VM has announced. `is_listed` tells whether this VM knows the upstream;
+    /// what another one has stated counts for the service alone. Returns whether a limit begins,
+    /// changes or ends.
+    pub fn apply(
+        &mut self,
+        now_ms: u64,
+        announced: &StatedRejectionLimit,
+        is_listed: bool,
+    ) -> bool {
+        let service = &announced.service;
+        let stated_ms = now_ms.saturating_sub(announced.age_ms);
+        let mut is_change = false;
+        if let Some(limit) = announced.limit {
+            let since_ms = now_ms.saturating_sub(announced.stated_for_ms);
+            is_change |= self.record_service_limit(now_ms, service, limit, stated_ms, since_ms);
+        }
+        let Some(upstream) = announced.upstream.as_ref().filter(|_| is_listed) else {
+            return is_change;
         };
-        let is_new = !self.by_upstream.contains_key(upstream);
-        let known = self
-            .by_upstream
-            .entry(upstream.clone())
-            .or_insert_with(|| Limited {
+        let is_news = announced.limit.is_some() || self.by_service.contains_key(service);
+        if is_news {
+            let row = StatedLimit {
+                upstream: upstream.clone(),
+                limit: announced.limit,
+                age_ms: announced.age_ms,
+            };
+            let before = self.limit(service, upstream);
+            self.statements.apply(now_ms, &row);
+            self.set_service_of(upstream, service);
+            let is_changed = self.limit(service, upstream) != before;
+            is_change |= is_changed;
+            if is_changed && announced.limit.is_none() {
+                self.end_unless_stated(service);
+            }
+        }
+        is_change
+    }
+
+    /// Records what holds for a service. Returns whether it is new or has changed.
+    fn record_service_limit(
+        &mut self,
+        now_ms: u64,
+        service: &GroupName,
+        limit: RateLimit,
+        stated_ms: u64,
+        since_ms: u64,
+    ) -> bool {
+        let Some(known) = self.by_service.get_mut(service) else {
+            if self.is_contradicted(service, stated_ms) {
+                return false;
+            }
+            let known = ServiceLimit {
                 limit,
-                known_since_ms: now_ms,
-                stated_ms: now_ms,
-                rejected_ms: VecDeque::new(),
-                rest_until_ms: 0,
-                unanswered: 0,
-            });
-        known.limit = limit;
-        known.stated_ms = now_ms;
-        is_new
-    }
-
-    /// Records that an upstream rejected a request of this VM, or one of another VM that announced
-    /// it.
-    pub fn record_rejection(&mut self, now_ms: u64, upstream: &UpstreamName, is_own: bool) {
-        let vms = f64::from(self.vms.max(1));
-        let Some(limited) = self.by_upstream.get_mut(upstream) else {
-            return;
+                stated_ms,
+                since_ms,
+                learnt_ms: now_ms,
+            };
+            self.by_service.insert(service.clone(), known);
+            return true;
         };
-        limited.rejected_ms.push_back(now_ms);
-        let used_per_s = (limited.limit.per_s() * USED_SHARE).max(f64::MIN_POSITIVE);
-        let rest_ms = (vms * WINDOW_MS as f64 / used_per_s).clamp(MIN_REST_MS, MAX_REST_MS);
-        if is_own {
-            limited.rest_until_ms = limited.rest_until_ms.max(now_ms + rest_ms as u64);
+        known.since_ms = known.since_ms.min(since_ms);
+        if stated_ms < known.stated_ms {
+            return false;
         }
-        let is_recent = |at_ms: &u64| now_ms.saturating_sub(*at_ms) < WINDOW_MS;
-        limited.rejected_ms.retain(is_recent);
-        if limited.rejected_ms.len() as f64 >= used_per_s {
-            // Nobody sends until fewer rejections count, and then one VM after the other.
-            let until_ms = now_ms + WINDOW_MS + (self.phase * rest_ms) as u64;
-            limited.rest_until_ms = limited.rest_until_ms.max(until_ms);
+        known.stated_ms = stated_ms;
+        std::mem::replace(&mut known.limit, limit) != limit
+    }
+
+    /// Ends the limit of a service of which no upstream states one, while one answers without it.
+    fn end_unless_stated(&mut self, service: &GroupName) {
+        let Some(since_ms) = self.by_service.get(service).map(|it| it.since_ms) else {
+            return;
+        };
+        let members = self.service_of.iter().filter(|(_, of)| *of == service);
+        let mut answers = members.filter(|(upstream, _)| {
+            self.statements.limit(upstream).is_some() || self.has_answered_since(upstream, since_ms)
+        });
+        let is_any_known = answers.clone().next().is_some();
+        let is_stated = answers.any(|(upstream, _)| self.statements.limit(upstream).is_some());
+        if is_any_known && !is_stated {
+            self.by_service.remove(service);
         }
     }
 
-    /// Records that a request of this VM was sent to an upstream.
-    pub fn sent(&mut self, upstream: &UpstreamName) {
-        if let Some(limited) = self.by_upstream.get_mut(upstream) {
-            limited.unanswered += 1;
+    /// Returns whether an upstream of a service has answered without a limit after a time. What was
+    /// stated before may be announced again by VMs that do not know that it has ended.
+    fn is_contradicted(&self, service: &GroupName, stated_ms: u64) -> bool {
+        let mut members = self.service_of.iter().filter(|(_, of)| *of == service);
+        members.any(|(upstream, _)| {
+            self.statements.limit(upstream).is_none()
+                && self.has_answered_since(upstream, stated_ms + 1)
+        })
+    }
+
+    fn has_answered_since(&self, upstream: &UpstreamName, since_ms: u64) -> bool {
+        let answered_ms = self.statements.answered_ms(upstream);
+        answered_ms.is_some_and(|answered_ms| answered_ms >= since_ms)
+    }
+
+    fn set_service_of(&mut self, upstream: &UpstreamName, service: &GroupName) {
+        if !self.service_of.contains_key(upstream) {
+            self.service_of.insert(upstream.clone(), service.clone());
         }
     }
 
-    /// Records that an upstream has accepted or rejected a request of this VM, or that its attempt
-    /// ended without either.
-    pub fn answered(&mut self, upstream: &UpstreamName) {
-        if let Some(limited) = self.by_upstream.get_mut(upstream) {
-            limited.unanswered = limited.unanswered.saturating_sub(1);
+    /// Returns the limit of an upstream: the one that it states, or that of its service unless it has
+    /// answered without one.
+    pub fn limit(&self, service: &GroupName, upstream: &UpstreamName) -> Option<RateLimit> {
+        let of_service = self.by_service.get(service);
+        match self.statements.limit(upstream) {
+            Some(limit) => Some(limit),
+            None => of_service
+                .filter(|it| !self.has_answered_since(upstream, it.since_ms))
+                .map(|it| it.limit),
         }
     }
 
-    /// Returns whether this VM sends an upstream nothing now, because of rejections or because
-    /// requests are under way that may be rejected.
-    pub fn is_held_back(&self, now_ms: u64, upstream: &UpstreamName) -> bool {
-        let vms = f64::from(self.vms.max(1));
-        self.by_upstream.get(upstream).is_some_and(|limited| {
-            let at_once = (limited.limit.per_s() * USED_SHARE / vms).max(1.0);
-            now_ms < limited.rest_until_ms
-                || f64::from(limited.unanswered) >= at_once
-                || self.turn_ms(now_ms, limited) > now_ms
-        })
+    /// Returns when an upstream of a service first stated a limit; `None` without one.
+    pub fn stated_since_ms(&self, service: &GroupName) -> Option<u64> {
+        self.by_service.get(service).map(|it| it.since_ms)
     }
 
-    /// Returns when this VM has its turn at an upstream, now or later. Otherwise all VMs could send
-    /// before the first rejection is known.
-    fn turn_ms(&self, now_ms: u64, limited: &Limited) -> u64 {
-        let at_once = (limited.limit.per_s() * USED_SHARE).max(1.0);
-        let turns = (f64::from(self.vms.max(1)) / at_once).ceil() as u64;
-        let own = (self.phase * turns as f64) as u64;
-        let turn = now_ms / TURN_MS;
-        let wait = (own + turns - turn % turns) % turns;
-        match wait {
-            0 => now_ms,
-            _ => (turn + wait) * TURN_MS,
-        }
+    /// Returns whether this VM knew of a limit of a service at a time.
+    pub fn was_known(&self, service: &GroupName, at_ms: u64) -> bool {
+        let of_service = self.by_service.get(service);
+        of_service.is_some_and(|it| it.learnt_ms <= at_ms)
+    }
+
+    /// Returns whether any service has a limit.
+    pub fn is_any(&self) -> bool {
+        !self.by_service.is_empty()
     }
 
-    /// Returns the limit of an upstream; `None` if it states none.
-    pub fn limit(&self, upstream: &UpstreamName) -> Option<RateLimit> {
-        self.by_upstream.get(upstream).map(|limited| limited.limit)
+    /// Records that an upstream has rejected a request of this VM or of another one. Nothing is sent
+    /// to it for a moment.
+    pub fn record_rejection(&mut self, now_ms: u64, upstream: &UpstreamName) {
+        self.hold_back(upstream, now_ms + MIN_REST_MS + self.rest_phase_ms);
     }
 
-    /// Returns the number of upstreams with a limit.
-    pub fn count(&self) -> usize {
-        self.by_upstream.len()
+    /// Holds requests to an upstream back until a time.
+    pub fn hold_back(&mut self, upstream: &UpstreamName, until_ms: u64) {
+        let held_back = self.held_back_until_ms.entry(upstream.clone());
+        let held_back_until_ms = held_back.or_default();
+        *held_back_until_ms = until_ms.max(*held_back_until_ms);
     }
 
-    /// Returns whether this VM knew the limit of an upstream at a time.
-    pub fn was_known(&self, upstream: &UpstreamName, at_ms: u64) -> bool {
-        let limited = self.by_upstream.get(upstream);
-        limited.is_some_and(|limited| limited.known_since_ms <= at_ms)
+    /// Returns whether this VM sends an upstream nothing now.
+    pub fn is_held_back(&self, now_ms: u64, upstream: &UpstreamName) -> bool {
+        let until_ms = self.held_back_until_ms.get(upstream);
+        until_ms.is_some_and(|until_ms| now_ms < *until_ms)
     }
 
-    /// Returns when the next rest ends or the next turn begins; `None` if nothing is held back.
+    /// Returns when an upstream next gets requests again; `None` if nothing is held back.
     pub fn next_available_ms(&self, now_ms: u64) -> Option<u64> {
-        let limited = self.by_upstream.values();
-        let times = limited.map(|it| self.turn_ms(now_ms.max(it.rest_until_ms), it));
-        times.filter(|at_ms| *at_ms > now_ms).min()
+        let times = self.held_back_until_ms.values();
+        times.filter(|until_ms| **until_ms > now_ms).min().copied()
     }
 
-    /// Drops what an upstream has stated that is gone.
+    /// Drops what an upstream has stated that is gone. The limit of its service stays in force.
     pub fn forget(&mut self, upstream: &UpstreamName) {
-        self.by_upstream.remove(upstream);
+        self.statements.forget(upstream);
+        self.service_of.remove(upstream);
+        self.held_back_until_ms.remove(upstream);
+    }
+
+    /// Returns whether the other VMs have yet to receive a change.
+    pub fn has_unannounced(&self) -> bool {
+        self.statements.has_unannounced()
+    }
+
+    /// Returns the changes that the other VMs have yet to receive, as announced now.
+    pub fn take_unannounced(&mut self, now_ms: u64) -> Vec<StatedRejectionLimit> {
+        let statements = self.statements.take_unannounced(now_ms);
+        self.rows(now_ms, statements)
+    }
+
+    /// Returns the statements of upstreams that have answered here since the last call.
+    pub fn take_refreshed(&mut self, now_ms: u64) -> Vec<StatedRejectionLimit> {
+        let statements = self.statements.take_refreshed(now_ms);
+        self.rows(now_ms, statements)
+    }
+
+    /// Returns all limits of services and all statements of their upstreams.
+    pub fn announcements(&mut self, now_ms: u64) -> Vec<StatedRejectionLimit> {
+        let of_services = self.by_service.iter();
+        let mut rows: Vec<StatedRejectionLimit> = of_services
+            .map(|(service, it)| StatedRejectionLimit {
+                service: service.clone(),
+                upstream: None,
+                limit: Some(it.limit),
+                age_ms: now_ms.saturating_sub(it.stated_ms),
+                stated_for_ms: now_ms.saturating_sub(it.since_ms),
+            })
+            .collect();
+        let statements = self.statements.all(now_ms);
+        rows.extend(self.rows(now_ms, statements));
+        rows
+    }
+
+    fn rows(&self, now_ms: u64, statements: Vec<StatedLimit>) -> Vec<StatedRejectionLimit> {
+        let rows = statements.into_iter().filter_map(|it| {
+            let service = self.service_of.get(&it.upstream)?.clone();
+            let since_ms = self.by_service.get(&service).map(|it| it.since_ms);
+            Some(StatedRejectionLimit {
+                service,
+                upstream: Some(it.upstream),
+                limit: it.limit,
+                age_ms: it.age_ms,
+                stated_for_ms: since_ms.map_or(0, |since_ms| now_ms.saturating_sub(since_ms)),
+            })
+        });
+        rows.collect()
     }
 }
--- a/crates/dispatch/src/stated_limits.rs
+++ b/crates/dispatch/src/stated_limits.rs
@@ -6,6 +6,8 @@
 use serde::Deserialize;
 use serde::Serialize;
 
+use crate::statements::Statements;
+
 /// Rate from which a stated limit is ignored.
 const MAX_BINDING_PER_S: f64 = 100_000.0;
 
@@ -68,18 +70,12 @@
     Ended,
 }
 
+/// Permits of a limited upstream that are used up.
 #[derive(Clone, Copy, Debug)]
-struct Statement {
-    limit: Option<RateLimit>,
-    /// When the newest known answer arrived at a VM.
-    answered_ms: u64,
+struct UsedUp {
     /// Time until which no permit is requested, and the time after which callers may retry.
-    used_up_until_ms: u64,
+    until_ms: u64,
     retry_after_ms: u64,
-    /// Whether the other VMs have yet to receive the present limit.
-    is_unannounced: bool,
-    /// Whether an answer arrived here since the statement was last announced.
-    is_refreshed: bool,
 }
 
 /// Limits that upstreams have stated to any VM.
@@ -88,7 +84,8 @@
 /// without stating one, or is removed.
 #[derive(Debug, Default)]
 pub struct StatedLimits {
-    by_upstream: BTreeMap<UpstreamName, Statement>,
+    statements: Statements,
+    used_up: BTreeMap<UpstreamName, UsedUp>,
     check_phase_ms: u64,
 }
 
@@ -96,7 +93,8 @@
     /// Returns an empty table. VMs with different seeds send their checks at different times.
     pub fn new(seed: u64) -> Self {
         Self {
-            by_upstream: BTreeMap::new(),
+            statements: Statements::default(),
+            used_up: BTreeMap::new(),
             check_phase_ms: seed % CHECK_SPREAD_MS,
         }
     }
@@ -112,66 +110,28 @@
         limit: Option<RateLimit>,
     ) -> LimitChange {
         let limit = limit.filter(|limit| limit.is_binding());
-        let known = self.by_upstream.get(upstream);
-        let stated = known.filter(|known| known.limit.is_some());
-        match (limit, stated) {
-            (None, None) => return LimitChange::None,
-            (None, Some(stated)) if sent_ms < stated.answered_ms => return LimitChange::None,
-            _ => {}
-        }
-        let change = self.update(upstream, limit, now_ms);
-        if let Some(statement) = self.by_upstream.get_mut(upstream) {
-            statement.is_unannounced |= change != LimitChange::None;
-            statement.is_refreshed = true;
-        }
-        change
+        self.statements
+            .record_answer(now_ms, sent_ms, upstream, limit)
     }
 
     /// Applies what another VM has announced, unless something newer is known.
     pub fn apply(&mut self, now_ms: u64, announced: &StatedLimit) -> LimitChange {
-        let answered_ms = now_ms.saturating_sub(announced.age_ms);
-        let known = self.by_upstream.get(&announced.upstream);
-        let is_older = known.is_some_and(|known| answered_ms <= known.answered_ms);
-        match is_older || (known.is_none() && announced.limit.is_none()) {
-            true => LimitChange::None,
-            false => self.update(&announced.upstream, announced.limit, answered_ms),
-        }
-    }
-
-    fn update(
-        &mut self,
-        upstream: &UpstreamName,
-        limit: Option<RateLimit>,
-        answered_ms: u64,
-    ) -> LimitChange {
-        let statement = self
-            .by_upstream
-            .entry(upstream.clone())
-            .or_insert(Statement {
-                limit: None,
-                answered_ms,
-                used_up_until_ms: 0,
-                retry_after_ms: 0,
-                is_unannounced: false,
-                is_refreshed: false,
-            });
-        statement.answered_ms = answered_ms;
-        let before = std::mem::replace(&mut statement.limit, limit);
-        match (before, limit) {
-            (before, limit) if before == limit => LimitChange::None,
-            (_, Some(limit)) => LimitChange::Stated(limit),
-            (_, None) => LimitChange::Ended,
+        let is_news = self.statements.is_known(&announced.upstream) || announced.limit.is_some();
+        match is_news {
+            true => self.statements.apply(now_ms, announced),
+            false => LimitChange::None,
         }
     }
 
     /// Drops what an upstream has stated that is gone.
     pub fn forget(&mut self, upstream: &UpstreamName) {
-        self.by_upstream.remove(upstream);
+        self.statements.forget(upstream);
+        self.used_up.remove(upstream);
     }
 
     /// Returns the limit of an upstream; `None` if it states none.
     pub fn limit(&self, upstream: &UpstreamName) -> Option<RateLimit> {
-        self.by_upstream.get(upstream)?.limit
+        self.statements.limit(upstream)
     }
 
     /// Returns whether any upstream states a limit.
@@ -181,80 +141,67 @@
 
     /// Returns the upstreams that state a limit.
     pub fn limits(&self) -> impl Iterator<Item = (&UpstreamName, RateLimit)> {
-        let statements = self.by_upstream.iter();
-        statements.filter_map(|(upstream, it)| Some((upstream, it.limit?)))
+        self.statements.limits()
     }
 
     /// Records that a permit for an upstream was denied. `retry_after_ms` is the time after which
     /// enough permits have accrued.
     pub fn record_denial(&mut self, now_ms: u64, upstream: &UpstreamName, retry_after_ms: u64) {
-        if let Some(statement) = self.by_upstream.get_mut(upstream) {
-            statement.used_up_until_ms = now_ms + retry_after_ms.min(MAX_USED_UP_MS);
-            statement.retry_after_ms = retry_after_ms;
+        if self.statements.is_known(upstream) {
+            let used_up = UsedUp {
+                until_ms: now_ms + retry_after_ms.min(MAX_USED_UP_MS),
+                retry_after_ms,
+            };
+            self.used_up.insert(upstream.clone(), used_up);
         }
     }
 
     /// Returns whether permits for an upstream are used up now.
     pub fn is_used_up(&self, now_ms: u64, upstream: &UpstreamName) -> bool {
-        let statement = self.by_upstream.get(upstream);
-        statement.is_some_and(|it| it.limit.is_some() && now_ms < it.used_up_until_ms)
+        let used_up = self.used_up.get(upstream);
+        used_up.is_some_and(|it| now_ms < it.until_ms) && self.limit(upstream).is_some()
     }
 
     /// Returns when permits for an upstream that is used up may next be requested; `None` if there is
     /// no such upstream.
     pub fn next_available_ms(&self, now_ms: u64) -> Option<u64> {
-        let statements = self.by_upstream.values();
-        let used_up = statements.filter(|it| it.limit.is_some() && now_ms < it.used_up_until_ms);
-        used_up.map(|it| it.used_up_until_ms).min()
+        let used_up = self.used_up.iter();
+        let used_up = used_up.filter(|(upstream, _)| self.is_used_up(now_ms, upstream));
+        used_up.map(|(_, it)| it.until_ms).min()
     }
 
     /// Returns the time after which callers of an upstream may retry.
     pub fn retry_after_ms(&self, upstream: &UpstreamName) -> u64 {
-        let statement = self.by_upstream.get(upstream);
-        statement.map_or(0, |it| it.retry_after_ms)
+        let used_up = self.used_up.get(upstream);
+        used_up.map_or(0, |it| it.retry_after_ms)
     }
 
     /// Returns whether a limited upstream has not answered for so long that a request should find
     /// out whether it still states its limit.
     pub fn is_check_due(&self, now_ms: u64, upstream: &UpstreamName) -> bool {
         let due_ms = CHECK_INTERVAL_MS + self.check_phase_ms;
-        let statement = self.by_upstream.get(upstream);
-        statement.is_some_and(|it| it.limit.is_some() && it.answered_ms + due_ms <= now_ms)
+        let answered_ms = self.statements.answered_ms(upstream);
+        self.limit(upstream).is_some()
+            && answered_ms.is_some_and(|answered_ms| answered_ms + due_ms <= now_ms)
     }
 
     /// Returns whether the other VMs have yet to receive a change.
     pub fn has_unannounced(&self) -> bool {
-        self.by_upstream.values().any(|it| it.is_unannounced)
+        self.statements.has_unannounced()
     }
 
     /// Returns the changes that the other VMs have yet to receive, as announced now.
     pub fn take_unannounced(&mut self, now_ms: u64) -> Vec<StatedLimit> {
-        self.take(now_ms, |it| std::mem::take(&mut it.is_unannounced))
+        self.statements.take_unannounced(now_ms)
     }
 
     /// Returns the statements of upstreams that have answered here since the last call.
     pub fn take_refreshed(&mut self, now_ms: u64) -> Vec<StatedLimit> {
-        self.take(now_ms, |it| std::mem::take(&mut it.is_refreshed))
+        self.statements.take_refreshed(now_ms)
     }
 
     /// Returns all statements, ended ones too, since a VM may have missed that they ended.
     pub fn announcements(&mut self, now_ms: u64) -> Vec<StatedLimit> {
-        self.take(now_ms, |_| true)
-    }
-
-    fn take(
-        &mut self,
-        now_ms: u64,
-        mut is_taken: impl FnMut(&mut Statement) -> bool,
-    ) -> Vec<StatedLimit> {
-        let statements = self.by_upstream.iter_mut();
-        let taken = statements.filter_map(|(upstream, it)| is_taken(it).then_some((upstream, it)));
-        taken
-            .map(|(upstream, it)| StatedLimit {
-                upstream: upstream.clone(),
-                limit: it.limit,
-                age_ms: now_ms.saturating_sub(it.answered_ms),
-            })
-            .collect()
+        self.statements.all(now_ms)
     }
 }
--- a/crates/dispatch/src/upstream_load.rs
+++ b/crates/dispatch/src/upstream_load.rs
@@ -15,6 +15,18 @@
     pub slots: u32,
 }
 
+/// Share of the slots that requests may take at an upstream that fails if it rejects too many.
+/// Requests that wait there are the first to be rejected when its room shrinks.
+pub(crate) const LIMITED_FILL: f64 = 0.9;
+
+impl LoadSample {
+    /// Returns how many further requests an upstream with a limit on rejections is sent.
+    pub fn limited_room(&self) -> u32 {
+        let most = (f64::from(self.slots) * LIMITED_FILL) as u32;
+        most.saturating_sub(self.running + self.waiting)
+    }
+}
+
 /// Estimated load of one upstream: its last report, corrected by what this VM has sent there and
 /// seen end since.
 #[derive(Clone, Copy, Debug, Default)]
--- a/crates/dispatch/tests/rejection_limits.rs
+++ b/crates/dispatch/tests/rejection_limits.rs
@@ -1,140 +1,51 @@
 //! Limits that upstreams state on how many requests they reject per second.
 
-use std::collections::BTreeMap;
-use std::collections::VecDeque;
+mod support;
 
+use apricotdale_core::names::GroupName;
 use apricotdale_core::names::UpstreamName;
 use apricotdale_dispatch::RateLimit;
 use apricotdale_dispatch::RejectionLimits;
-use rand::RngExt;
-use rand::SeedableRng;
-use rand_chacha::ChaCha8Rng;
+use proptest::prelude::*;
+use proptest::test_runner::RngSeed;
 use rstest::rstest;
 
-/// Time for a message from a VM to the upstream or to another VM.
-const WAY_MS: u64 = 2;
+use support::rejecting_fleet::BINDING_MS;
+use support::rejecting_fleet::Event;
+use support::rejecting_fleet::Fleet;
+use support::rejecting_fleet::Options;
+use support::rejecting_fleet::Planted;
+use support::rejecting_fleet::RUN_MS;
+use support::rejecting_fleet::SLOTS;
 
-/// Time from the arrival of a request to its first byte, and to its end.
-const FIRST_BYTE_MS: u64 = 20;
-const RUN_MS: u64 = 200;
-
-const SLOTS: usize = 24;
-
-/// Time for which a VM relies on the load in an answer.
-const LOAD_VALID_MS: u64 = 100;
-
-/// Time from which the limit binds after it was first stated, as the operators state it.
-const BINDING_MS: u64 = 3_000;
+fn service() -> GroupName {
+    GroupName::from("llm")
+}
 
-fn upstream() -> UpstreamName {
-    UpstreamName::from("i-0")
+fn upstream(index: usize) -> UpstreamName {
+    UpstreamName::from(format!("i-{index}").as_str())
 }
 
 fn limit(per_s: f64) -> RateLimit {
     RateLimit::from_per_s(per_s).expect("a rate")
 }
 
-fn table(seed: u64, vms: u32, per_s: f64) -> RejectionLimits {
-    let mut table = RejectionLimits::new(seed, vms);
-    assert!(table.record_answer(0, 0, &upstream(), Some(limit(per_s))));
-    table
-}
-
-enum Event {
-    Arrives {
-        vm: usize,
-    },
-    /// The answer tells how many requests ran.
-    Accepted {
-        vm: usize,
-        running: usize,
-    },
-    Rejected {
-        vm: usize,
-        running: usize,
-    },
-    Told {
-        vm: usize,
-    },
-    Ends,
-}
-
-/// Returns the most rejections in any second, and the number of requests that ran, if each VM of many
-/// has more requests than the upstream has room for. One message between VMs in ten is lost.
-fn most_rejected(seed: u64, vms: usize, per_s: f64) -> (usize, usize) {
-    let mut random = ChaCha8Rng::seed_from_u64(seed);
-    let mut tables: Vec<RejectionLimits> = (0..vms)
-        .map(|_| table(random.random(), vms as u32, per_s))
-        .collect();
-    let mut events: BTreeMap<(u64, u64), Event> = BTreeMap::new();
-    let mut next_event = 0;
-    let mut known = vec![(0, 0); vms];
-    let (mut running, mut ran) = (0, 0);
-    let mut rejected: VecDeque<u64> = VecDeque::new();
-    let mut most = 0;
-    for now_ms in 0..20_000_u64 {
-        let mut later: Vec<(u64, Event)> = Vec::new();
-        while let Some(entry) = events.first_entry().filter(|it| it.key().0 <= now_ms) {
-            match entry.remove() {
-                Event::Arrives { vm } if running < SLOTS => {
-                    running += 1;
-                    ran += 1;
-                    later.push((FIRST_BYTE_MS + WAY_MS, Event::Accepted { vm, running }));
-                    later.push((RUN_MS, Event::Ends));
-                }
-                Event::Arrives { vm } => {
-                    rejected.push_back(now_ms);
-                    later.push((WAY_MS, Event::Rejected { vm, running }));
-                }
-                Event::Accepted { vm, running } => {
-                    tables[vm].answered(&upstream());
-                    known[vm] = (running, now_ms);
-                }
-                Event::Rejected { vm, running } => {
-                    known[vm] = (running, now_ms);
-                    tables[vm].answered(&upstream());
-                    tables[vm].record_rejection(now_ms, &upstream(), true);
-                    let others = (0..vms).filter(|other| *other != vm);
-                    for other in others.filter(|_| !random.random_ratio(1, 10)) {
-                        later.push((WAY_MS, Event::Told { vm: other }));
-                    }
-                }
-                Event::Told { vm } => tables[vm].record_rejection(now_ms, &upstream(), false),
-                Event::Ends => running -= 1,
-            }
-        }
-        for (vm, table) in tables.iter_mut().enumerate() {
-            let wants = random.random_ratio(1, 10);
-            let (running, at_ms) = known[vm];
-            let is_full = running * 10 >= SLOTS * 9 && now_ms < at_ms + LOAD_VALID_MS;
-            if wants && !is_full && !table.is_held_back(now_ms, &upstream()) {
-                table.sent(&upstream());
-                later.push((WAY_MS, Event::Arrives { vm }));
-            }
-        }
-        for (after_ms, event) in later {
-            events.insert((now_ms + after_ms.max(1), next_event), event);
-            next_event += 1;
-        }
-        while rejected
-            .front()
-            .is_some_and(|at_ms| at_ms + 1_000 <= now_ms)
-        {
-            rejected.pop_front();
-        }
-        if now_ms >= BINDING_MS {
-            most = most.max(rejected.len());
-        }
-    }
-    (most, ran)
-}
-
 /// Guards against many VMs that together have an upstream reject more than it bears, and against VMs
 /// that leave its room unused.
 #[rstest]
 fn limit_kept(#[values(3, 9, 30)] vms: usize, #[values(5.0, 10.0, 30.0)] per_s: f64) {
     for seed in 0..6 {
-        let (most, ran) = most_rejected(seed, vms, per_s);
+        let options = Options {
+            seed,
+            vms,
+            upstreams: 1,
+            per_s,
+            lost_one_in: 10,
+            planted: Planted::Nothing,
+        };
+        let mut fleet = Fleet::new(options, 0);
+        fleet.run_until(20_000, 10);
+        let (most, ran) = (fleet.most_rejected(), fleet.ran);
         assert!(
             most as f64 <= per_s,
             "seed {seed}: {most} of {per_s} rejected in a second"
@@ -144,24 +55,184 @@
     }
 }
 
+fn event() -> impl Strategy<Value = Event> {
+    prop_oneof![
+        3 => (0..64_usize).prop_map(|vm| Event::RestartVm { vm }),
+        1 => Just(Event::RestartAllVms),
+        2 => (0..64_usize, 50..3_000_u64).prop_map(|(vm, for_ms)| Event::PauseVm { vm, for_ms }),
+        2 => (0..64_usize, 50..5_000_u64)
+            .prop_map(|(vm, for_ms)| Event::PartitionVm { vm, for_ms }),
+        4 => (0..8_usize, 500..3_000_u64)
+            .prop_map(|(upstream, down_ms)| Event::RestartUpstream { upstream, down_ms }),
+        1 => Just(Event::Join),
+        4 => (0..8_usize, 0..=SLOTS)
+            .prop_map(|(upstream, slots)| Event::Room { upstream, slots }),
+        2 => (0..8_usize, 200..3_000_u64)
+            .prop_map(|(upstream, for_ms)| Event::LateRejections { upstream, for_ms }),
+    ]
+}
+
+/// Plays a course of events and returns the most rejections of an upstream in a second.
+fn play(options: Options, course: &[(u64, Event)], one_in_ms: u32) -> usize {
+    let mut fleet = Fleet::new(options, 500);
+    let mut at_ms = BINDING_MS;
+    fleet.run_until(at_ms, one_in_ms);
+    for (pause_ms, event) in course {
+        at_ms += pause_ms;
+        fleet.run_until(at_ms, one_in_ms);
+        fleet.apply(*event);
+    }
+    fleet.run_until(at_ms + 3_000, one_in_ms);
+    fleet.most_rejected()
+}
+
+proptest! {
+    #![proptest_config(ProptestConfig {
+        rng_seed: RngSeed::Fixed(63),
+        failure_persistence: None,
+        ..ProptestConfig::with_cases(48)
+    })]
+
+    /// Guards against VMs that restart, are cut off or stand still, and upstreams that restart, join
+    /// or lose room, by which an upstream has to reject more than it states.
+    #[test]
+    fn limit_holds(
+        vms in prop_oneof![2..10_usize, 10..64_usize],
+        upstreams in 1..5_usize,
+        per_s in prop_oneof![Just(1.0), Just(3.0), Just(4.0), Just(6.0), 2.0..40.0],
+        seed in any::<u64>(),
+        lost_one_in in 8..200_u32,
+        one_in_ms in 5..200_u32,
+        course in prop::collection::vec((1..900_u64, event()), 4..16),
+    ) {
+        let options = Options {
+            seed,
+            vms,
+            upstreams,
+            per_s,
+            lost_one_in,
+            planted: Planted::Nothing,
+        };
+        let most = play(options, &course, one_in_ms);
+        prop_assert!(most as f64 <= per_s, "{most} of {per_s} rejected in a second");
+    }
+}
+
+/// Guards against a search that does not find the faults that it is there for.
+#[rstest]
+#[case::nothing_told(Planted::NothingTold, 3_000)]
+#[case::no_wait_at_start(Planted::NoWaitAtStart, 5)]
+#[case::not_inherited(Planted::NotInherited, 20)]
+#[case::rejections_refunded(Planted::RejectionsRefunded, 20)]
+fn planted_faults_found(#[case] planted: Planted, #[case] one_in_ms: u32) {
+    let full = Event::Room {
+        upstream: 0,
+        slots: 0,
+    };
+    let restart = Event::RestartUpstream {
+        upstream: 0,
+        down_ms: 1_000,
+    };
+    let mut course = vec![(1, full), (2_000, restart), (2_000, restart)];
+    course.extend((0..25).map(|vm| (1, Event::RestartVm { vm })));
+    let most = |planted| {
+        let options = Options {
+            seed: 7,
+            vms: 60,
+            upstreams: 1,
+            per_s: 4.0,
+            lost_one_in: 50,
+            planted,
+        };
+        play(options, &course, one_in_ms)
+    };
+    assert!(most(Planted::Nothing) <= 4);
+    assert!(most(planted) > 4, "{planted:?} is not found");
+}
+
 /// Guards against a rest that does not end, and against one that ends at once.
 #[test]
 fn rest_after_rejection() {
-    let mut table = table(1, 9, 10.0);
-    table.record_rejection(1_000, &upstream(), true);
-    assert!(table.is_held_back(1_001, &upstream()));
+    let mut table = RejectionLimits::new(1);
+    table.record_answer(0, 0, &service(), &upstream(0), Some(limit(10.0)));
+    table.record_rejection(1_000, &upstream(0));
+    assert!(table.is_held_back(1_001, &upstream(0)));
     let end_ms = table.next_available_ms(1_001).expect("a rest");
-    assert!(!table.is_held_back(end_ms, &upstream()));
+    assert!(!table.is_held_back(end_ms, &upstream(0)));
 }
 
 /// Guards against a limit that outlasts its statement, and against one that an older answer ends.
 #[test]
 fn limit_ends() {
-    let mut table = table(1, 9, 10.0);
-    assert!(!table.record_answer(500, 500, &upstream(), Some(limit(10.0))));
-    assert!(!table.record_answer(600, 400, &upstream(), None));
-    assert!(table.limit(&upstream()).is_some());
-    assert!(table.record_answer(700, 600, &upstream(), None));
-    assert!(table.limit(&upstream()).is_none());
-    assert!(!table.is_held_back(701, &upstream()));
+    let (service, of) = (service(), upstream(0));
+    let mut table = RejectionLimits::new(1);
+    assert!(table.record_answer(0, 0, &service, &of, Some(limit(10.0))));
+    assert!(!table.record_answer(500, 500, &service, &of, Some(limit(10.0))));
+    assert!(!table.record_answer(600, 400, &service, &of, None));
+    assert!(table.limit(&service, &of).is_some());
+    assert!(table.record_answer(700, 600, &service, &of, None));
+    assert!(table.limit(&service, &of).is_none());
+    assert!(table.limit(&service, &upstream(1)).is_none());
+}
+
+/// Guards against an upstream that has just started, of which nobody knows that it states the limit
+/// of its service, and against one that goes on to count as limited once it answers without.
+#[test]
+fn limit_inherited() {
+    let mut table = RejectionLimits::new(1);
+    table.record_answer(0, 0, &service(), &upstream(0), Some(limit(10.0)));
+    assert_eq!(table.limit(&service(), &upstream(1)), Some(limit(10.0)));
+    table.forget(&upstream(0));
+    assert_eq!(table.limit(&service(), &upstream(1)), Some(limit(10.0)));
+    assert!(
+        table
+            .limit(&GroupName::from("plain"), &upstream(1))
+            .is_none()
+    );
+    assert!(table.record_answer(900, 800, &service(), &upstream(1), None));
+    assert!(table.limit(&service(), &upstream(1)).is_none());
+    assert!(table.limit(&service(), &upstream(2)).is_none());
+}
+
+/// Guards against an answer that was sent before the first statement of a service and is taken for
+/// one that shows that its upstream states none.
+#[test]
+fn overtaken_answer() {
+    let mut table = RejectionLimits::new(1);
+    table.record_answer(500, 480, &service(), &upstream(0), Some(limit(10.0)));
+    assert!(!table.record_answer(520, 490, &service(), &upstream(1), None));
+    assert!(table.limit(&service(), &upstream(1)).is_some());
+}
+
+/// Guards against an upstream that answered without a limit before its service stated one, and is
+/// not taken for limited as long as it gets no request.
+#[test]
+fn earlier_unlimited_answer() {
+    let mut table = RejectionLimits::new(1);
+    table.record_answer(0, 0, &service(), &upstream(0), Some(limit(10.0)));
+    table.record_answer(100, 90, &service(), &upstream(1), None);
+    table.record_answer(200, 190, &service(), &upstream(0), None);
+    table.record_answer(9_000, 8_990, &service(), &upstream(0), Some(limit(10.0)));
+    assert!(table.limit(&service(), &upstream(1)).is_some());
+}
+
+/// Guards against a VM that has started and is told nothing of a service whose upstreams have all
+/// ended, and against an ended limit that an older announcement puts back in force.
+#[test]
+fn limits_announced() {
+    let mut told = RejectionLimits::new(1);
+    told.record_answer(0, 0, &service(), &upstream(0), Some(limit(10.0)));
+    told.forget(&upstream(0));
+    let rows = told.announcements(2_000);
+    let mut started = RejectionLimits::new(2);
+    for row in &rows {
+        assert!(started.apply(70_000, row, false));
+    }
+    assert_eq!(started.limit(&service(), &upstream(3)), Some(limit(10.0)));
+    assert_eq!(started.stated_since_ms(&service()), Some(68_000));
+    assert!(started.record_answer(71_000, 70_500, &service(), &upstream(3), None));
+    for row in &rows {
+        assert!(!started.apply(71_500, row, false));
+    }
+    assert!(started.limit(&service(), &upstream(4)).is_none());
 }
--- a/crates/dispatch/tests/support/mod.rs
+++ b/crates/dispatch/tests/support/mod.rs
@@ -2,6 +2,7 @@
 
 #![allow(dead_code)]
 
+pub mod rejecting_fleet;
 pub mod silence_world;
 
 use std::collections::HashMap;
--- a/crates/entry/src/failed_attempts.rs
+++ b/crates/entry/src/failed_attempts.rs
@@ -41,10 +41,8 @@
             ..
         } = &request.phase
         {
+            let sent_ms = *at_ms;
             self.watch.ended(upstream);
-            if first_byte_ms.is_none() {
-                self.dispatcher.rejection_limits_mut().answered(upstream);
-            }
             let took_ms = first_byte_ms.map(|first_ms| first_ms - at_ms);
             self.dispatcher.ended(
                 self.now_ms,
@@ -58,6 +56,7 @@
                 self.crash_watch
                     .record_trial_end(self.now_ms, number, is_lost);
             }
+            self.end_rejection_permit(key, sent_ms);
         }
     }
 
--- a/crates/entry/src/lib.rs
+++ b/crates/entry/src/lib.rs
@@ -35,6 +35,7 @@
 mod peer_exchange;
 mod peers;
 mod prefix_hash;
+mod rejection_permits;
 mod relay;
 mod request_dispatch;
 mod request_ends;
--- a/crates/entry/src/messages.rs
+++ b/crates/entry/src/messages.rs
@@ -8,6 +8,7 @@
 use apricotdale_core::numbers::Position;
 use apricotdale_dispatch::RateLimit;
 use apricotdale_dispatch::StatedLimit;
+use apricotdale_dispatch::StatedRejectionLimit;
 use apricotdale_fleet::Departure;
 use apricotdale_fleet::Freshness;
 use apricotdale_fleet::Upstream;
@@ -117,10 +118,14 @@
     QuotaReport(Report),
     /// Quota owner's answer to a report: the units that it grants.
     QuotaAnswer(Answer),
-    /// Rate limits that upstreams have stated.
-    StatedLimits(Vec<StatedLimit>),
+    /// Limits that upstreams have stated. Those on rejections follow behind the message.
+    StatedLimits {
+        limits: Vec<StatedLimit>,
+        #[serde(skip)]
+        rejection_limits: Vec<StatedRejectionLimit>,
+    },
     /// Requests that a VM has sent and wants to send to upstreams with rate limits, for the owner of
-    /// the permits.
+    /// the permits. The room of upstreams follows behind the message.
     PermitReport(Report),
     /// Owner's answer to a report: the permits that it grants.
     PermitAnswer(Answer),
@@ -188,6 +193,9 @@
     /// A prompt part is no longer on probation although it was not answered: a block explains the
     /// crashes.
     ProbationEnded(Fingerprint),
+    /// Asks what upstreams have stated, since the sender has started. Few VMs answer the first
+    /// question, and all the next ones.
+    StatedLimitsRequested { is_first: bool },
 }
 
 /// First byte of each message. It changes with the format of what follows, so that VMs of different
@@ -204,6 +212,9 @@
         PeerMessage::Heartbeat { fresh, .. } | PeerMessage::ListRead { fresh, .. } => {
             encoded.and_then(|bytes| postcard::to_extend(&fresh.versions, bytes))
         }
+        PeerMessage::StatedLimits {
+            rejection_limits, ..
+        } => encoded.and_then(|bytes| postcard::to_extend(rejection_limits, bytes)),
         PeerMessage::PermitReport(report) | PeerMessage::QuotaReport(report) => {
             encoded.and_then(|bytes| postcard::to_extend(&report.extra, bytes))
         }
@@ -231,6 +242,11 @@
                 PeerMessage::Heartbeat { fresh, .. } | PeerMessage::ListRead { fresh, .. } => {
                     fresh.versions = postcard::from_bytes(rest).unwrap_or_default();
                 }
+                PeerMessage::StatedLimits {
+                    rejection_limits, ..
+                } => {
+                    *rejection_limits = postcard::from_bytes(rest).unwrap_or_default();
+                }
                 PeerMessage::PermitReport(report) | PeerMessage::QuotaReport(report) => {
                     report.extra = postcard::from_bytes(rest).unwrap_or_default();
                 }
--- a/crates/entry/src/peer_exchange.rs
+++ b/crates/entry/src/peer_exchange.rs
@@ -178,7 +178,13 @@
             }
             PeerMessage::QuotaReport(report) => self.handle_quota_report(Some(from), &report),
             PeerMessage::QuotaAnswer(answer) => self.apply_quota_answer(&answer),
-            PeerMessage::StatedLimits(limits) => self.apply_announced_limits(&limits),
+            PeerMessage::StatedLimits {
+                limits,
+                rejection_limits,
+            } => {
+                self.apply_announced_limits(&limits);
+                self.apply_announced_rejection_limits(&rejection_limits);
+            }
             PeerMessage::PermitReport(report) => self.handle_permit_report(Some(from), &report),
             PeerMessage::PermitAnswer(answer) => self.apply_permit_answer(&answer),
             PeerMessage::ConfigurationQuery { from: asker, era } => {
@@ -204,6 +210,9 @@
             PeerMessage::StreamOrigins(origins) => self.record_told_origins(from, origins),
             PeerMessage::OriginQuery(query) => self.answer_origin_query(from, &query),
             PeerMessage::OriginAnswer(answer) => self.apply_origin_answer(from, &answer),
+            PeerMessage::StatedLimitsRequested { is_first } => {
+                self.answer_stated_limits_request(from, is_first)
+            }
             PeerMessage::ObsoleteCrashes
             | PeerMessage::ObsoleteBlocks
             | PeerMessage::ObsoleteProbations
--- /dev/null
+++ b/crates/entry/src/rejection_permits.rs
@@ -0,0 +1,310 @@
+//! Limits on rejections that upstreams state: how all VMs learn of them, and the permits by which all
+//! VMs together keep to them.
+
+use apricotdale_core::names::GroupName;
+use apricotdale_core::names::UpstreamName;
+use apricotdale_dispatch::RateLimit;
+use apricotdale_dispatch::StatedRejectionLimit;
+use apricotdale_dispatch::WaitReason;
+use apricotdale_quota::AccountId;
+use apricotdale_quota::AccountRule;
+
+use crate::active::Phase;
+use crate::codec::LimitField;
+use crate::daemon::Daemon;
+use crate::messages::PeerMessage;
+use crate::upstream_permits::PermitOutcome;
+
+/// Maximum time for which a VM that has started waits for what upstreams have stated to others.
+const START_TIMEOUT_MS: u64 = 300;
+
+/// Time between two checks whether a VM that has started may send requests, and between two questions
+/// to the other VMs.
+const START_CHECK_MS: u64 = 20;
+const QUESTION_INTERVAL_MS: u64 = 100;
+
+/// Maximum time for which an upstream is passed over after a permit for it was denied. Permits are
+/// refunded as soon as requests are accepted.
+const MAX_DENIED_MS: u64 = 60;
+
+/// Time after which an upstream that has not rejected a request has taken it in. The permit of a
+/// request that is abandoned earlier is not refunded.
+const TAKEN_IN_MS: u64 = 500;
+
+/// Whether a VM that has started knows what upstreams have stated to others.
+#[derive(Debug, Default)]
+pub(crate) struct StartGate {
+    is_told: bool,
+    /// When it stops waiting; none before the first question or request.
+    until_ms: Option<u64>,
+    next_question_ms: u64,
+}
+
+impl StartGate {
+    /// Returns whether the VM has been told, or has waited long enough.
+    pub fn is_told(&self) -> bool {
+        self.is_told
+    }
+
+    /// Returns when the next question is due.
+    pub fn next_ms(&self) -> u64 {
+        match self.until_ms {
+            Some(_) if !self.is_told => self.next_question_ms,
+            _ => u64::MAX,
+        }
+    }
+
+    /// Returns whether the VM need not wait any longer.
+    fn is_open(&mut self, now_ms: u64, vms: Option<u32>) -> bool {
+        let until_ms = *self.until_ms.get_or_insert(now_ms + START_TIMEOUT_MS);
+        self.is_told |= vms == Some(1) || now_ms >= until_ms;
+        self.is_told
+    }
+}
+
+impl Daemon {
+    /// Returns whether this VM may send requests, or lets one wait until it knows what upstreams have
+    /// stated to other VMs.
+    pub(crate) fn knows_stated_limits(&mut self, key: u64) -> bool {
+        let now_ms = self.now_ms;
+        if self
+            .upstream_permits
+            .start
+            .is_open(now_ms, self.peers.vms())
+        {
+            return true;
+        }
+        if let Some(request) = self.active.get_mut(key) {
+            request.phase = Phase::Waiting(WaitReason::Permit);
+            self.active.wake_at(now_ms + START_CHECK_MS, key);
+        }
+        false
+    }
+
+    /// Asks the other VMs what upstreams have stated to them, until one answers.
+    pub(crate) fn ask_for_stated_limits(&mut self) {
+        let (now_ms, vms) = (self.now_ms, self.peers.vms());
+        let start = &mut self.upstream_permits.start;
+        let is_due = now_ms >= start.next_question_ms && vms.is_some();
+        if start.is_told || !is_due || start.is_open(now_ms, vms) {
+            return;
+        }
+        let is_first = start.next_question_ms == 0;
+        start.next_question_ms = now_ms + QUESTION_INTERVAL_MS;
+        let question = PeerMessage::StatedLimitsRequested { is_first };
+        self.peers.send_all(&question);
+    }
+
+    /// Applies the limits on rejections that another VM has announced.
+    pub(crate) fn apply_announced_rejection_limits(&mut self, announced: &[StatedRejectionLimit]) {
+        self.redispatch_needed |= !self.upstream_permits.start.is_told;
+        self.upstream_permits.start.is_told = true;
+        for row in announced {
+            let is_listed = match &row.upstream {
+                Some(upstream) => self.directory.upstream(upstream).is_some(),
+                None => false,
+            };
+            let limits = self.dispatcher.rejection_limits_mut();
+            if limits.apply(self.now_ms, row, is_listed) {
+                self.handle_rejection_limit_change(&row.service, row.upstream.as_ref(), "told");
+            }
+        }
+    }
+
+    /// Records what an answer states about how many requests its upstream may reject. `sent_ms` is when
+    /// the request was sent; none if the answer can't end a stated limit.
+    pub(crate) fn record_rejection_limit(
+        &mut self,
+        upstream: &UpstreamName,
+        sent_ms: Option<u64>,
+        field: &LimitField,
+    ) {
+        let (limit, sent_ms) = match (field, sent_ms) {
+            (LimitField::Stated(limit), _) => (Some(*limit), self.now_ms),
+            (LimitField::Absent, Some(sent_ms)) => (None, sent_ms),
+            (LimitField::Absent, None) => return,
+            (LimitField::Invalid(text), _) => {
+                self.log_invalid_limit(upstream, text, "is no rate");
+                return;
+            }
+        };
+        let Some(service) = self
+            .directory
+            .upstream(upstream)
+            .map(|it| it.service.clone())
+        else {
+            return;
+        };
+        let limits = self.dispatcher.rejection_limits_mut();
+        if limits.record_answer(self.now_ms, sent_ms, &service, upstream, limit) {
+            self.handle_rejection_limit_change(&service, Some(upstream), "answered");
+        }
+    }
+
+    fn handle_rejection_limit_change(
+        &mut self,
+        service: &GroupName,
+        upstream: Option<&UpstreamName>,
+        how: &str,
+    ) {
+        if self.log_budget.try_take(self.now_ms, false) {
+            let limits = self.dispatcher.rejection_limits();
+            let limit = upstream.and_then(|upstream| limits.limit(service, upstream));
+            let per_s = limit.map(RateLimit::per_s);
+            let upstream = upstream.map_or_else(String::new, UpstreamName::to_string);
+            let service = service.to_string();
+            log::info!(service, upstream, per_s, how; "limit on rejections changed");
+        }
+        self.upstream_permits.are_rules_outdated = true;
+        self.redispatch_needed = true;
+    }
+
+    /// Returns the accounts of the upstreams for which a limit on rejections holds.
+    pub(crate) fn rejection_rules(&self) -> Vec<(AccountId, AccountRule)> {
+        let limits = self.dispatcher.rejection_limits();
+        if !limits.is_any() {
+            self.metrics.rejection_limited_upstreams.set(0);
+            return Vec::new();
+        }
+        let limited = self.directory.upstreams().filter_map(|upstream| {
+            let limit = limits.limit(&upstream.service, &upstream.name)?;
+            let rule = AccountRule::AtRisk {
+                max_per_s: limit.per_s(),
+                since_ms: limits.stated_since_ms(&upstream.service)?,
+            };
+            Some((account(&upstream.name), rule))
+        });
+        let rules: Vec<(AccountId, AccountRule)> = limited.collect();
+        let count = rules.len() as i64;
+        self.metrics.rejection_limited_upstreams.set(count);
+        rules
+    }
+
+    /// Returns whether a request may be sent to an upstream that may have to reject it. If not, the
+    /// request waits for a permit or for another upstream.
+    pub(crate) fn has_rejection_permit(&mut self, key: u64, upstream: &UpstreamName) -> bool {
+        let now_ms = self.now_ms;
+        let account = account(upstream);
+        if self.upstream_permits.at_risk.get(&key) == Some(&account) {
+            return true;
+        }
+        self.refund_rejection_permit(key);
+        let limits = self.dispatcher.rejection_limits();
+        let service = self.directory.upstream(upstream).map(|it| &it.service);
+        if service.is_none_or(|service| limits.limit(service, upstream).is_none()) {
+            return true;
+        }
+        if self.upstream_permits.are_rules_outdated {
+            self.apply_stated_limits();
+        }
+        let outcome = self.upstream_permits.request(now_ms, key, account);
+        match outcome {
+            PermitOutcome::Granted => {
+                self.upstream_permits.at_risk.insert(key, account);
+            }
+            PermitOutcome::Denied { retry_after_ms } => {
+                let until_ms = now_ms + retry_after_ms.min(MAX_DENIED_MS);
+                let limits = self.dispatcher.rejection_limits_mut();
+                limits.hold_back(upstream, until_ms);
+            }
+            PermitOutcome::Pending { .. } => {}
+        }
+        self.handle_permit_outcome(key, &outcome)
+    }
+
+    /// Refunds the permit of a request that its upstream has accepted, or that was not sent.
+    pub(crate) fn refund_rejection_permit(&mut self, key: u64) {
+        let permits = &mut self.upstream_permits;
+        if let Some(account) = permits.at_risk.remove(&key) {
+            self.redispatch_needed |= permits.client.refund(self.now_ms, account);
+        }
+    }
+
+    /// Ends the permit of a request whose attempt has ended without an answer.
+    pub(crate) fn end_rejection_permit(&mut self, key: u64, sent_ms: u64) {
+        match self.now_ms >= sent_ms + TAKEN_IN_MS {
+            true => self.refund_rejection_permit(key),
+            false => drop(self.upstream_permits.at_risk.remove(&key)),
+        }
+    }
+
+    /// Records how many further requests an upstream accepts, for the owner of the permits.
+    pub(crate) fn record_upstream_room(&mut self, upstream: &UpstreamName, requests: u32) {
+        if self.dispatcher.rejection_limits().is_any() {
+            let client = &mut self.upstream_permits.client;
+            client.record_room(self.now_ms, account(upstream), requests);
+        }
+    }
+
+    /// Records that an upstream has begun to answer a request, or rejected it for want of room.
+    /// `sent_ms` is when the request was sent.
+    pub(crate) fn record_acceptance(
+        &mut self,
+        key: u64,
+        upstream: &UpstreamName,
+        sent_ms: u64,
+        is_rejection: bool,
+    ) {
+        if !is_rejection {
+            self.refund_rejection_permit(key);
+            return;
+        }
+        let had_permit = self.upstream_permits.at_risk.remove(&key).is_some();
+        let Some(service) = self
+            .directory
+            .upstream(upstream)
+            .map(|it| it.service.clone())
+        else {
+            return;
+        };
+        let limits = self.dispatcher.rejection_limits_mut();
+        let Some(limit) = limits.limit(&service, upstream) else {
+            return;
+        };
+        limits.record_rejection(self.now_ms, upstream);
+        let was_known = limits.was_known(&service, sent_ms);
+        self.metrics.limited_rejection(was_known);
+        if self.log_budget.try_take(self.now_ms, false) {
+            log::info!(
+                upstream = upstream.to_string(), per_s = limit.per_s(), was_known, had_permit,
+                sent_ms_ago = self.now_ms.saturating_sub(sent_ms);
+                "upstream with a limit on rejections rejected a request"
+            );
+        }
+        let upstream = upstream.clone();
+        self.peers
+            .send_all(&PeerMessage::Rejected { upstream, limit });
+    }
+
+    /// Applies another VM's announcement that an upstream with a limit on rejections rejected a
+    /// request.
+    pub(crate) fn apply_announced_rejection(&mut self, upstream: &UpstreamName, limit: RateLimit) {
+        let service = self
+            .directory
+            .upstream(upstream)
+            .map(|it| it.service.clone());
+        let Some(service) = service else {
+            return;
+        };
+        let (now_ms, limit) = (self.now_ms, Some(limit));
+        let limits = self.dispatcher.rejection_limits_mut();
+        limits.record_rejection(now_ms, upstream);
+        if limits.record_answer(now_ms, now_ms, &service, upstream, limit) {
+            self.handle_rejection_limit_change(&service, Some(upstream), "told");
+        }
+    }
+
+    /// Applies the limit of a service to an upstream of it that is new to this VM.
+    pub(crate) fn apply_rejection_limit_to(&mut self, upstream: &UpstreamName) {
+        let limits = self.dispatcher.rejection_limits();
+        let service = self.directory.upstream(upstream).map(|it| &it.service);
+        if service.is_some_and(|service| limits.limit(service, upstream).is_some()) {
+            self.upstream_permits.are_rules_outdated = true;
+        }
+    }
+}
+
+/// Returns the account of the requests to an upstream that it has not accepted yet.
+fn account(upstream: &UpstreamName) -> AccountId {
+    AccountId::of(&format!("rejections/{upstream}"))
+}
--- a/crates/entry/src/request_dispatch.rs
+++ b/crates/entry/src/request_dispatch.rs
@@ -317,7 +317,10 @@
 
     /// Decides whether a request is sent, waits or is refused, and does so.
     pub(crate) fn dispatch(&mut self, key: u64) {
-        if !self.has_stream_origin(key) || !self.admit_within_limit(key) {
+        if !self.knows_stated_limits(key)
+            || !self.has_stream_origin(key)
+            || !self.admit_within_limit(key)
+        {
             return;
         }
         self.complete_origin(key);
@@ -431,6 +434,7 @@
         }
         let upstream = self.wakeful(&name);
         let Some(upstream) = upstream.filter(|it| it.phase == UpstreamPhase::Serving) else {
+            self.refund_rejection_permit(key);
             return;
         };
         let address = upstream.address;
@@ -439,6 +443,7 @@
         let peer = Peer::Upstream(name.clone());
         let Some(token) = self.connect(&peer, address) else {
             log::warn!(upstream = name.to_string(); "connection to upstream can't be opened");
+            self.refund_rejection_permit(key);
             return;
         };
         let Some(request) = self.active.get_mut(key) else {
--- a/crates/entry/src/store_pollers/upstream_list.rs
+++ b/crates/entry/src/store_pollers/upstream_list.rs
@@ -201,6 +201,7 @@
         self.store_pollers.queue_arrival(name.clone());
         self.record_listed_version(name);
         self.peers.schedule_heartbeat();
+        self.apply_rejection_limit_to(name);
         // With thousands of upstreams, a line for each would take longer than reading them.
         if self.store_pollers.pending_arrivals() <= MAX_ARRIVAL_LINES {
             log::info!(upstream = name.to_string(); "upstream came");
--- a/crates/entry/src/upstream_answers.rs
+++ b/crates/entry/src/upstream_answers.rs
@@ -161,9 +161,6 @@
         } = &mut request.phase
         {
             if verdict != HeadVerdict::Skip {
-                if first_byte_ms.is_none() {
-                    self.dispatcher.rejection_limits_mut().answered(upstream);
-                }
                 if is_success && verdict == HeadVerdict::Deliver {
                     self.dispatcher.accepted(upstream, *at_ms);
                 }
@@ -185,7 +182,13 @@
                 ends.then_some(sent_ms),
                 &fields.rejection_limit,
             );
-            self.record_room(&upstream, sent_ms, is_rejection);
+            let room = match fields.load {
+                _ if is_rejection => 0,
+                Some(sample) => sample.limited_room(),
+                None => u32::MAX,
+            };
+            self.record_upstream_room(&upstream, room);
+            self.record_acceptance(key, &upstream, sent_ms, is_rejection);
         }
         match verdict {
             HeadVerdict::Deliver => {}
--- a/crates/entry/src/upstream_paths.rs
+++ b/crates/entry/src/upstream_paths.rs
@@ -423,10 +423,6 @@
         let (lost, relayed) = self.paths.counts();
         let resting = self.dispatcher.resting(self.now_ms);
         self.metrics.resting_upstreams.set(resting as i64);
-        let rejection_limited = self.dispatcher.rejection_limits().count();
-        self.metrics
-            .rejection_limited_upstreams
-            .set(rejection_limited as i64);
         self.metrics.lost_paths.set(lost as i64);
         self.metrics.relayed_paths.set(relayed as i64);
         self.metrics
--- a/crates/entry/src/upstream_permits.rs
+++ b/crates/entry/src/upstream_permits.rs
@@ -9,9 +9,11 @@
 use apricotdale_dispatch::LimitChange;
 use apricotdale_dispatch::RateLimit;
 use apricotdale_dispatch::StatedLimit;
+use apricotdale_dispatch::StatedRejectionLimit;
 use apricotdale_dispatch::WaitReason;
 use apricotdale_organisations::Limit;
 use apricotdale_quota::AccountId;
+use apricotdale_quota::AccountRule;
 use apricotdale_quota::Admission;
 use apricotdale_quota::Answer;
 use apricotdale_quota::Bounds;
@@ -24,6 +26,7 @@
 use crate::daemon::Daemon;
 use crate::messages::PeerMessage;
 use crate::peers::ROWS_PER_DATAGRAM;
+use crate::rejection_permits::StartGate;
 
 /// Tolerance of the upstreams' limits. None of it is used regularly: it covers what VMs do not know
 /// of each other.
@@ -66,7 +69,7 @@
 const MAX_LOGGED_STATEMENTS: usize = 200;
 
 /// Outcome of asking for a permit.
-enum PermitOutcome {
+pub(crate) enum PermitOutcome {
     Granted,
     /// The owner of the permits is being asked.
     Pending {
@@ -88,9 +91,14 @@
 /// those of all VMs.
 #[derive(Debug)]
 pub(crate) struct UpstreamPermits {
-    client: QuotaClient,
+    pub(crate) client: QuotaClient,
     owner: QuotaOwner,
     pending: HashMap<u64, PendingRequest>,
+    /// Accounts of the permits of sent requests that no upstream has accepted yet, by request key.
+    pub(crate) at_risk: HashMap<u64, AccountId>,
+    pub(crate) start: StartGate,
+    /// Whether limits on rejections have changed since the accounts were set.
+    pub(crate) are_rules_outdated: bool,
     next_announcement_ms: u64,
     next_refresh_ms: u64,
     next_table_ms: u64,
@@ -106,6 +114,9 @@
             client: QuotaClient::new(incarnation, PERMIT_BOUNDS),
             owner: QuotaOwner::new(incarnation, PERMIT_BOUNDS),
             pending: HashMap::new(),
+            at_risk: HashMap::new(),
+            start: StartGate::default(),
+            are_rules_outdated: false,
             next_announcement_ms: 0,
             next_refresh_ms: u64::MAX,
             next_table_ms: u64::MAX,
@@ -127,6 +138,7 @@
     pub fn next_ms(&self) -> u64 {
         [
             self.client.next_ms(),
+            self.start.next_ms(),
             self.next_refresh_ms,
             self.next_table_ms,
             self.available_ms.unwrap_or(u64::MAX),
@@ -136,10 +148,10 @@
         .unwrap_or(u64::MAX)
     }
 
-    fn set_limits(&mut self, now_ms: u64, limits: &[(AccountId, Limit)]) {
-        self.client.set_limits(now_ms, limits.iter().copied());
-        self.owner.set_limits(now_ms, limits.iter().copied());
-        if limits.is_empty() {
+    fn set_rules(&mut self, now_ms: u64, rules: &[(AccountId, AccountRule)]) {
+        self.client.set_accounts(now_ms, rules.iter().copied());
+        self.owner.set_accounts(now_ms, rules.iter().copied());
+        if rules.is_empty() {
             return;
         }
         // The first refresh and table are sent at once.
@@ -150,9 +162,8 @@
         }
     }
 
-    /// Asks for a permit to send a request to an upstream.
-    fn request(&mut self, now_ms: u64, key: u64, upstream: &UpstreamName) -> PermitOutcome {
-        let account = AccountId::of(upstream.as_str());
+    /// Asks an account for a permit to send a request.
+    pub fn request(&mut self, now_ms: u64, key: u64, account: AccountId) -> PermitOutcome {
         if self
             .pending
             .get(&key)
@@ -223,73 +234,7 @@
         self.handle_limit_change(upstream, change, "answered");
     }
 
-    /// Records what an answer states about how many requests its upstream may reject. `sent_ms` is when
-    /// the request was sent; none if the answer can't end a stated limit.
-    pub(crate) fn record_rejection_limit(
-        &mut self,
-        upstream: &UpstreamName,
-        sent_ms: Option<u64>,
-        field: &LimitField,
-    ) {
-        let limits = self.dispatcher.rejection_limits_mut();
-        let is_change = match (field, sent_ms) {
-            (LimitField::Stated(limit), _) => {
-                limits.record_answer(self.now_ms, self.now_ms, upstream, Some(*limit))
-            }
-            (LimitField::Absent, Some(sent_ms)) => {
-                limits.record_answer(self.now_ms, sent_ms, upstream, None)
-            }
-            (LimitField::Absent, None) => false,
-            (LimitField::Invalid(text), _) => {
-                self.log_invalid_limit(upstream, text, "is no rate");
-                false
-            }
-        };
-        if is_change {
-            let limit = self.dispatcher.rejection_limits().limit(upstream);
-            let per_s = limit.map(RateLimit::per_s);
-            log::info!(upstream = upstream.to_string(), per_s; "limit on rejections changed");
-        }
-    }
-
-    /// Records that an upstream has begun to answer a request, or rejected it for want of room.
-    /// `sent_ms` is when the request was sent.
-    pub(crate) fn record_room(
-        &mut self,
-        upstream: &UpstreamName,
-        sent_ms: u64,
-        is_rejection: bool,
-    ) {
-        let limits = self.dispatcher.rejection_limits_mut();
-        if let (true, Some(limit)) = (is_rejection, limits.limit(upstream)) {
-            let was_known = limits.was_known(upstream, sent_ms);
-            self.metrics.limited_rejection(was_known);
-            if self.log_budget.try_take(self.now_ms, false) {
-                log::info!(
-                    upstream = upstream.to_string(), per_s = limit.per_s(), was_known,
-                    sent_ms_ago = self.now_ms.saturating_sub(sent_ms);
-                    "upstream with a limit on rejections rejected a request"
-                );
-            }
-            limits.record_rejection(self.now_ms, upstream, true);
-            let upstream = upstream.clone();
-            self.peers
-                .send_all(&PeerMessage::Rejected { upstream, limit });
-        }
-    }
-
-    /// Applies another VM's announcement that an upstream with a limit on rejections rejected a
-    /// request.
-    pub(crate) fn apply_announced_rejection(&mut self, upstream: &UpstreamName, limit: RateLimit) {
-        if self.directory.upstream(upstream).is_none() {
-            return;
-        }
-        let limits = self.dispatcher.rejection_limits_mut();
-        limits.record_answer(self.now_ms, self.now_ms, upstream, Some(limit));
-        limits.record_rejection(self.now_ms, upstream, false);
-    }
-
-    fn log_invalid_limit(&mut self, upstream: &UpstreamName, text: &str, reason: &str) {
+    pub(crate) fn log_invalid_limit(&mut self, upstream: &UpstreamName, text: &str, reason: &str) {
         let logged = &mut self.upstream_permits.logged_statements;
         let statement = format!("{upstream} {text}");
         if logged.len() < MAX_LOGGED_STATEMENTS && logged.insert(statement) {
@@ -329,26 +274,49 @@
 
     /// Applies the stated limits to the permits.
     pub(crate) fn apply_stated_limits(&mut self) {
+        self.upstream_permits.are_rules_outdated = false;
         let limits = self.dispatcher.stated_limits().limits();
-        let limits: Vec<(AccountId, Limit)> = limits
-            .map(|(upstream, limit)| (AccountId::of(upstream.as_str()), permit_limit(limit)))
+        let mut rules: Vec<(AccountId, AccountRule)> = limits
+            .map(|(upstream, limit)| {
+                let account = AccountId::of(upstream.as_str());
+                (account, AccountRule::Usage(permit_limit(limit)))
+            })
             .collect();
-        self.metrics.limited_upstreams.set(limits.len() as i64);
-        self.upstream_permits.set_limits(self.now_ms, &limits);
+        self.metrics.limited_upstreams.set(rules.len() as i64);
+        rules.extend(self.rejection_rules());
+        self.upstream_permits.set_rules(self.now_ms, &rules);
     }
 
-    /// Returns whether a request may be sent to an upstream within the rate limit that the upstream
-    /// states. If not, the request waits for a permit or for another upstream.
+    /// Returns whether a request may be sent to an upstream within the limits that hold for it. If not,
+    /// the request waits for a permit or for another upstream.
     pub(crate) fn has_upstream_permit(&mut self, key: u64, upstream: &UpstreamName) -> bool {
-        let now_ms = self.now_ms;
-        if self.dispatcher.stated_limits().limit(upstream).is_none() {
+        let has_limit = self.dispatcher.stated_limits().limit(upstream).is_some();
+        if !self.has_rejection_permit(key, upstream) {
+            return false;
+        }
+        if !has_limit {
             self.upstream_permits.withdraw(key);
             return true;
         }
+        let account = AccountId::of(upstream.as_str());
+        let outcome = self.upstream_permits.request(self.now_ms, key, account);
+        if let PermitOutcome::Denied { retry_after_ms } = outcome {
+            let limits = self.dispatcher.stated_limits_mut();
+            limits.record_denial(self.now_ms, upstream, retry_after_ms);
+        }
+        let is_granted = self.handle_permit_outcome(key, &outcome);
+        if !is_granted {
+            self.refund_rejection_permit(key);
+        }
+        is_granted
+    }
+
+    /// Lets a request wait that was not granted a permit. Returns whether it was.
+    pub(crate) fn handle_permit_outcome(&mut self, key: u64, outcome: &PermitOutcome) -> bool {
         let Some(request) = self.active.get_mut(key) else {
             return false;
         };
-        match self.upstream_permits.request(now_ms, key, upstream) {
+        match outcome {
             PermitOutcome::Granted => {
                 self.metrics.permit("granted");
                 return true;
@@ -357,24 +325,25 @@
                 if request.phase != Phase::Waiting(WaitReason::Permit) {
                     self.metrics.permit("requested");
                 }
-                self.active.wake_at(until_ms, key);
+                request.phase = Phase::Waiting(WaitReason::Permit);
+                self.active.wake_at(*until_ms, key);
             }
-            PermitOutcome::Denied { retry_after_ms } => {
+            PermitOutcome::Denied { .. } => {
                 self.metrics.permit("denied");
-                let limits = self.dispatcher.stated_limits_mut();
-                limits.record_denial(now_ms, upstream, retry_after_ms);
+                request.phase = Phase::Waiting(WaitReason::Permit);
                 self.redispatch_needed = true;
             }
         }
-        if let Some(request) = self.active.get_mut(key) {
-            request.phase = Phase::Waiting(WaitReason::Permit);
-        }
         false
     }
 
     /// Sends the announcements and reports that are due.
     pub(crate) fn advance_upstream_permits(&mut self) {
         let now_ms = self.now_ms;
+        self.ask_for_stated_limits();
+        if self.upstream_permits.are_rules_outdated {
+            self.apply_stated_limits();
+        }
         let permits = &mut self.upstream_permits;
         let limits = self.dispatcher.stated_limits();
         if permits.available_ms.is_some_and(|at_ms| at_ms <= now_ms) {
@@ -414,35 +383,83 @@
     /// announces all of them now and then.
     fn announce_stated_limits(&mut self) {
         let now_ms = self.now_ms;
-        let limits = self.dispatcher.stated_limits_mut();
-        if limits.has_unannounced() && now_ms >= self.upstream_permits.next_announcement_ms {
+        let has_unannounced = self.dispatcher.stated_limits().has_unannounced()
+            || self.dispatcher.rejection_limits().has_unannounced();
+        if has_unannounced && now_ms >= self.upstream_permits.next_announcement_ms {
             self.upstream_permits.next_announcement_ms = now_ms + ANNOUNCEMENT_INTERVAL_MS;
-            let changed = limits.take_unannounced(now_ms);
-            self.send_stated_limits(None, &changed);
+            let changed = self.dispatcher.stated_limits_mut().take_unannounced(now_ms);
+            let of_rejections = self.dispatcher.rejection_limits_mut();
+            let of_rejections = of_rejections.take_unannounced(now_ms);
+            self.send_stated_limits(None, &changed, &of_rejections);
         }
         if now_ms >= self.upstream_permits.next_refresh_ms {
             let refreshed = self.dispatcher.stated_limits_mut().take_refreshed(now_ms);
+            let of_rejections = self.dispatcher.rejection_limits_mut();
+            let of_rejections = of_rejections.take_refreshed(now_ms);
             let holder = self.peers.lease_holder.as_ref();
             let address = holder.map(|(_, address, _)| *address);
             let holds_lease = self.engine_orders.held_lease_end(now_ms).is_some();
             if let (Some(address), false) = (address, holds_lease) {
-                self.send_stated_limits(Some(address), &refreshed);
+                self.send_stated_limits(Some(address), &refreshed, &of_rejections);
             }
             self.upstream_permits.next_refresh_ms = now_ms + REFRESH_INTERVAL_MS;
         }
         if now_ms >= self.upstream_permits.next_table_ms {
             if self.engine_orders.held_lease_end(now_ms).is_some() {
-                let all = self.dispatcher.stated_limits_mut().announcements(now_ms);
-                self.send_stated_limits(None, &all);
+                self.send_all_stated_limits(None);
             }
             self.upstream_permits.next_table_ms = now_ms + TABLE_INTERVAL_MS;
         }
     }
 
+    fn send_all_stated_limits(&mut self, to: Option<SocketAddr>) {
+        let all = self
+            .dispatcher
+            .stated_limits_mut()
+            .announcements(self.now_ms);
+        let of_rejections = self.dispatcher.rejection_limits_mut();
+        let of_rejections = of_rejections.announcements(self.now_ms);
+        self.send_stated_limits(to, &all, &of_rejections);
+    }
+
+    /// Sends a VM that has started everything that upstreams have stated, even if that is nothing:
+    /// it sends no request before it knows. The lease holder and the candidates for the owner of the
+    /// permits answer first; they may have restarted too.
+    pub(crate) fn answer_stated_limits_request(&mut self, from: SocketAddr, is_first: bool) {
+        // A VM that has just started itself knows nothing.
+        if !self.upstream_permits.start.is_told() {
+            return;
+        }
+        let own = &self.peers.own_record().vm;
+        let is_candidate = self.peers.quota_owners().iter().any(|(vm, _)| vm == own);
+        if !is_first || is_candidate || self.engine_orders.held_lease_end(self.now_ms).is_some() {
+            self.send_all_stated_limits(Some(from));
+            let end = PeerMessage::StatedLimits {
+                limits: Vec::new(),
+                rejection_limits: Vec::new(),
+            };
+            self.peers.send(from, &end);
+        }
+    }
+
     /// Sends statements to one VM, or to all.
-    fn send_stated_limits(&mut self, to: Option<SocketAddr>, limits: &[StatedLimit]) {
-        for rows in limits.chunks(ROWS_PER_DATAGRAM) {
-            let message = PeerMessage::StatedLimits(rows.to_vec());
+    fn send_stated_limits(
+        &mut self,
+        to: Option<SocketAddr>,
+        limits: &[StatedLimit],
+        rejection_limits: &[StatedRejectionLimit],
+    ) {
+        let limits = limits
+            .chunks(ROWS_PER_DATAGRAM)
+            .map(|rows| (rows, [].as_slice()));
+        let rejection_limits = rejection_limits.chunks(ROWS_PER_DATAGRAM);
+        for (limits, rejection_limits) in
+            limits.chain(rejection_limits.map(|rows| ([].as_slice(), rows)))
+        {
+            let message = PeerMessage::StatedLimits {
+                limits: limits.to_vec(),
+                rejection_limits: rejection_limits.to_vec(),
+            };
             match to {
                 Some(address) => self.peers.send(address, &message),
                 None => self.peers.send_all(&message),
--- a/crates/quota/src/budget.rs
+++ b/crates/quota/src/budget.rs
@@ -27,6 +27,42 @@
     }
 }
 
+/// What the units of an account count.
+#[derive(Clone, Copy, Debug, PartialEq)]
+pub enum AccountRule {
+    /// Usage: every admitted unit counts.
+    Usage(Limit),
+    /// Risk: an admitted unit counts unless it is refunded.
+    AtRisk {
+        /// Maximum number of units in a second that are not refunded.
+        max_per_s: f64,
+        /// When the account came into being. Soon after that no former owner has granted units of it.
+        since_ms: u64,
+    },
+}
+
+impl From<Limit> for AccountRule {
+    fn from(limit: Limit) -> Self {
+        Self::Usage(limit)
+    }
+}
+
+/// Shares of the units at risk in a second. The bucket bounds what awaits its refund at once, the rate
+/// what replaces units that were not refunded; the remainder covers grants that are used late.
+const AT_RISK_BUCKET_SHARE: f64 = 0.7;
+const AT_RISK_RATE_SHARE: f64 = 0.25;
+
+/// Minimum rate in units per second at which units at risk are replaced. Without any the account of an
+/// upstream that tolerates no rejection would stay empty once a unit was lost.
+const MIN_AT_RISK_PER_S: f64 = 0.1;
+
+/// Share of the VMs that must report to an owner for its bucket to hold a whole unit in any case. Two
+/// owners never have it at the same time.
+const MAJORITY: f64 = 0.5;
+
+/// Time for which a granted unit at risk is valid.
+const AT_RISK_GRANT_TTL_MS: u64 = 200;
+
 /// Shares of the excess that is not used in every window. Together with a second `UNREPORTED_SHARE`, for VMs that are killed
 /// before they report, they add up to less than 1. What is left covers VMs that briefly assume
 /// different numbers of VMs.
@@ -49,28 +85,56 @@
     pub rate_per_ms: f64,
     /// Maximum number of units that may be used in excess of that rate.
     excess: f64,
+    /// Capacity of the bucket of units at risk; `None` for usage.
+    at_risk_bucket: Option<f64>,
 }
 
 impl Budget {
-    pub fn new(limit: Limit, bounds: Bounds) -> Self {
+    pub fn new(rule: AccountRule, bounds: Bounds) -> Self {
+        match rule {
+            AccountRule::Usage(limit) => Self::of_usage(limit, bounds),
+            AccountRule::AtRisk { max_per_s, .. } => Self {
+                rate_per_ms: (max_per_s * AT_RISK_RATE_SHARE).max(MIN_AT_RISK_PER_S) / 1_000.0,
+                excess: 0.0,
+                at_risk_bucket: Some((max_per_s * AT_RISK_BUCKET_SHARE).max(1.0)),
+            },
+        }
+    }
+
+    fn of_usage(limit: Limit, bounds: Bounds) -> Self {
         let rate_per_ms = limit.rate_per_s / 1_000.0;
         let allowed = rate_per_ms * bounds.window_ms as f64 + limit.burst;
         let excess = limit.burst + bounds.over * allowed + bounds.slack;
         Self {
             rate_per_ms: rate_per_ms + excess * bounds.sustained_share / bounds.window_ms as f64,
             excess: excess * (1.0 - bounds.sustained_share),
+            at_risk_bucket: None,
         }
     }
 
-    /// Returns the capacity of the owner's bucket.
+    /// Returns whether units count unless they are refunded, so that each one needs a grant.
+    pub fn is_at_risk(&self) -> bool {
+        self.at_risk_bucket.is_some()
+    }
+
+    /// Returns the capacity of the owner's bucket if all VMs report to it.
     pub fn bucket(&self) -> f64 {
-        self.excess * BUCKET_SHARE
+        self.at_risk_bucket.unwrap_or(self.excess * BUCKET_SHARE)
+    }
+
+    /// Returns the capacity of the bucket of an owner that a share of the VMs reports to.
+    pub fn bucket_of_share(&self, share: f64) -> f64 {
+        let bucket = self.bucket() * share;
+        match self.is_at_risk() && share > MAJORITY {
+            true => bucket.max(1.0),
+            false => bucket,
+        }
     }
 
     /// Returns whether the level covers all that a share of the VMs may have admitted and not
     /// reported.
     pub fn has_headroom(&self, level: f64, share: f64) -> bool {
-        level >= self.excess * UNREPORTED_SHARE * share
+        !self.is_at_risk() && level >= self.excess * UNREPORTED_SHARE * share
     }
 
     /// Returns how many of the wanted units are granted: all, or what the level covers if that
@@ -85,7 +149,9 @@
 
     /// Returns whether a request larger than the bucket may be granted and paid for afterwards.
     pub fn may_overdraw(&self, level: f64, share: f64, units: u64) -> bool {
-        level >= self.bucket() * share * MIN_OVERDRAFT_FILL && self.fits(units)
+        !self.is_at_risk()
+            && level >= self.bucket() * share * MIN_OVERDRAFT_FILL
+            && self.fits(units)
     }
 
     /// Returns whether a request of this size can be admitted at all.
@@ -105,6 +171,9 @@
 
     /// Returns how long a grant is valid.
     pub fn grant_ttl_ms(&self) -> u64 {
+        if self.is_at_risk() {
+            return AT_RISK_GRANT_TTL_MS;
+        }
         let ms = self.excess * GRANT_SHARE / self.rate_per_ms;
         (ms as u64).min(MAX_GRANT_TTL_MS)
     }
--- a/crates/quota/src/client.rs
+++ b/crates/quota/src/client.rs
@@ -6,9 +6,11 @@
 use apricotdale_organisations::Limit;
 use xxhash_rust::xxh3::xxh3_64;
 
+use crate::budget::AccountRule;
 use crate::budget::Bounds;
 use crate::budget::Budget;
 use crate::message::AccountId;
+use crate::message::AccountRoom;
 use crate::message::AccountUsage;
 use crate::message::Answer;
 use crate::message::Report;
@@ -40,9 +42,18 @@
 /// Maximum time for which no units are requested after the owner denied some.
 const DENIAL_TTL_MS: u64 = 120;
 
+/// The same for units at risk, which are refunded within milliseconds. It grows with the number of
+/// VMs, so that the owner can handle all reports.
+const MIN_AT_RISK_DENIAL_MS: u64 = 20;
+const AT_RISK_DENIAL_US_PER_VM: u64 = 400;
+
 /// Number of consecutive reports without an answer after which the next candidate is asked.
 const MAX_UNANSWERED_REPORTS: u32 = 3;
 
+/// The same with accounts of units at risk. These need an owner of most VMs, and more reports, of which
+/// more are lost.
+const MAX_UNANSWERED_AT_RISK: u32 = 6;
+
 /// Time after which a VM returns from another candidate to the first one.
 const FALLBACK_OWNER_MS: u64 = 10_000;
 
@@ -73,11 +84,15 @@
     is_near_limit: bool,
     /// Granted units with the time at which they expire, oldest first.
     granted: VecDeque<(u64, u64)>,
+    /// Units at risk that the owner has granted since this VM reports to it.
+    granted_total: u64,
     /// Time until which no units are requested, and the time after which callers may retry.
     denied_until_ms: u64,
     retry_after_ms: u64,
     /// Level of the bucket that this VM uses while it has no live owner.
     local_level: f64,
+    /// Room of the upstream that has not been reported yet, and when an answer showed it.
+    unreported_room: Option<(u32, u64)>,
 }
 
 /// Admission of the requests of one VM.
@@ -135,15 +150,25 @@
         }
     }
 
-    /// Replaces the limits in force. Accounts that remain keep their state.
+    /// Replaces the accounts by those of these limits on usage. Accounts that remain keep their state.
     pub fn set_limits(
         &mut self,
         now_ms: u64,
         limits: impl IntoIterator<Item = (AccountId, Limit)>,
+    ) {
+        let limits = limits.into_iter();
+        self.set_accounts(now_ms, limits.map(|(id, limit)| (id, limit.into())));
+    }
+
+    /// Replaces the accounts and their rules. Accounts that remain keep their state.
+    pub fn set_accounts(
+        &mut self,
+        now_ms: u64,
+        rules: impl IntoIterator<Item = (AccountId, AccountRule)>,
     ) {
         let mut before = std::mem::take(&mut self.accounts);
-        for (id, limit) in limits {
-            let budget = Budget::new(limit, self.bounds);
+        for (id, rule) in rules {
+            let budget = Budget::new(rule, self.bounds);
             let account = match before.remove(&id) {
                 Some(before) => Account { budget, ..before },
                 None => Account {
@@ -154,9 +179,11 @@
                     // True until an owner states otherwise.
                     is_near_limit: true,
                     granted: VecDeque::new(),
+                    granted_total: 0,
                     denied_until_ms: 0,
                     retry_after_ms: 0,
                     local_level: 0.0,
+                    unreported_room: None,
                 },
             };
             self.accounts.insert(id, account);
@@ -235,6 +262,9 @@
             // A VM that has just started, or whose owner has failed, finds one within a round trip
             // or two.
             _ if now_ms >= account.denied_until_ms => Admission::Pending,
+            _ if account.budget.is_at_risk() => Admission::Refused {
+                retry_after_ms: Some(account.denied_until_ms - now_ms),
+            },
             _ => Admission::Refused {
                 retry_after_ms: Some(account.retry_after_ms.max(DENIAL_TTL_MS)),
             },
@@ -265,6 +295,30 @@
         }
     }
 
+    /// Refunds a unit at risk and reports it soon, since other VMs may wait for it. Returns whether a
+    /// pending request of this VM can use it instead.
+    pub fn refund(&mut self, now_ms: u64, id: AccountId) -> bool {
+        let Some(account) = self.accounts.get_mut(&id) else {
+            return false;
+        };
+        if !account.pending.is_empty() {
+            let until_ms = now_ms + account.budget.grant_ttl_ms();
+            account.granted.push_back((1, until_ms));
+            return true;
+        }
+        account.spent -= 1;
+        self.report_soon(now_ms);
+        false
+    }
+
+    /// Records how many further requests the upstream of an account accepts, for the next report.
+    pub fn record_room(&mut self, now_ms: u64, id: AccountId, requests: u32) {
+        if let Some(account) = self.accounts.get_mut(&id) {
+            account.unreported_room = Some((requests, now_ms));
+            self.report_soon(now_ms);
+        }
+    }
+
     /// Removes a pending request that no longer waits.
     pub fn withdraw(&mut self, id: AccountId, key: u64) {
         if let Some(account) = self.accounts.get_mut(&id) {
@@ -322,6 +376,9 @@
         self.unanswered_reports += 1;
         self.last_report_ms = now_ms;
         self.next_report_ms = now_ms + self.jittered_interval_ms();
+        for account in self.accounts.values_mut() {
+            account.drop_expired_grants(now_ms);
+        }
         let all_usages = self.accounts.iter().map(|(id, account)| AccountUsage {
             account: *id,
             units: account.spent,
@@ -332,31 +389,47 @@
             it.wanted > 0 || it.units != self.accounts[&it.account].acknowledged
         };
         let usages = all_usages.filter(has_changed);
+        let usages = match owner {
+            Some(_) => usages.collect(),
+            None => Vec::new(),
+        };
+        let accounts = self.accounts.iter_mut();
+        let rooms = accounts.filter_map(|(id, account)| {
+            let (requests, at_ms) = account.unreported_room.take()?;
+            Some(AccountRoom {
+                account: *id,
+                requests,
+                age_ms: now_ms.saturating_sub(at_ms) as u32,
+            })
+        });
         Some(Report {
             vm: self.incarnation,
             number: self.last_report_number,
             owner,
             ceded_ms: self.ceded_ms,
-            usages: match owner {
-                Some(_) => usages.collect(),
-                None => Vec::new(),
-            },
+            usages,
             extra: ReportExtra {
                 joined: self.joined_number,
+                rooms: rooms.collect(),
             },
         })
     }
 
     fn select_owner(&mut self, now_ms: u64, candidates: usize) {
+        let has_at_risk = self.accounts.values().any(|it| it.budget.is_at_risk());
+        let max_unanswered = match has_at_risk {
+            true => MAX_UNANSWERED_AT_RISK,
+            false => MAX_UNANSWERED_REPORTS,
+        };
         let fallback_ended = self.owner_rank > 0 && now_ms >= self.fallback_until_ms;
         let before = self.owner_rank;
         if self.owner_rank >= candidates || fallback_ended {
             self.owner_rank = 0;
-        } else if self.unanswered_reports >= MAX_UNANSWERED_REPORTS {
+        } else if self.unanswered_reports >= max_unanswered {
             self.owner_rank = (self.owner_rank + 1) % candidates;
             self.fallback_until_ms = now_ms + FALLBACK_OWNER_MS;
         }
-        if self.owner_rank != before || self.unanswered_reports >= MAX_UNANSWERED_REPORTS {
+        if self.owner_rank != before || self.unanswered_reports >= max_unanswered {
             self.unanswered_reports = 0;
             self.owner = None;
         }
@@ -375,21 +448,32 @@
             self.next_report_ms = self.next_report_ms.min(now_ms);
         }
         for (id, account) in &mut self.accounts {
-            account.is_near_limit = answer.near_limit.binary_search(id).is_ok();
+            account.is_near_limit =
+                account.budget.is_at_risk() || answer.near_limit.binary_search(id).is_ok();
         }
         let mut may_decide = false;
+        let at_risk_denial_ms = self.vms as u64 * AT_RISK_DENIAL_US_PER_VM / 1_000;
         for allowance in &answer.allowances {
             let Some(account) = self.accounts.get_mut(&allowance.account) else {
                 continue;
             };
             account.acknowledged = allowance.acknowledged;
-            if allowance.granted > 0 {
+            let granted = match account.budget.is_at_risk() {
+                true => allowance.granted.saturating_sub(account.granted_total),
+                false => allowance.granted,
+            };
+            if granted > 0 {
+                account.granted_total += granted;
                 let until_ms = now_ms + account.budget.grant_ttl_ms();
-                account.granted.push_back((allowance.granted, until_ms));
+                account.granted.push_back((granted, until_ms));
                 may_decide = true;
             }
             if let Some(retry_after_ms) = allowance.retry_after_ms {
-                account.denied_until_ms = now_ms + u64::from(retry_after_ms).min(DENIAL_TTL_MS);
+                let ttl_ms = match account.budget.is_at_risk() {
+                    true => MIN_AT_RISK_DENIAL_MS.max(at_risk_denial_ms),
+                    false => u64::from(retry_after_ms).min(DENIAL_TTL_MS),
+                };
+                account.denied_until_ms = now_ms + ttl_ms;
                 account.retry_after_ms = u64::from(retry_after_ms);
                 may_decide = true;
             }
@@ -406,6 +490,7 @@
             // Units that the former owner has not acknowledged are reported again.
             account.spent -= account.acknowledged;
             account.acknowledged = 0;
+            account.granted_total = 0;
             account.local_level = 0.0;
         }
     }
@@ -421,9 +506,22 @@
         pending.saturating_sub(valid)
     }
 
+    /// Drops the grants that are no longer valid. Units at risk that were not used are refunded.
+    fn drop_expired_grants(&mut self, now_ms: u64) {
+        let expired = self
+            .granted
+            .iter()
+            .filter(|(_, until_ms)| *until_ms <= now_ms);
+        let expired: u64 = expired.map(|(units, _)| units).sum();
+        if self.budget.is_at_risk() {
+            self.spent -= expired as i64;
+        }
+        self.granted.retain(|(_, until_ms)| now_ms < *until_ms);
+    }
+
     /// Uses granted units if there are enough for the request.
     fn use_grants(&mut self, now_ms: u64, units: u64) -> bool {
-        self.granted.retain(|(_, until_ms)| now_ms < *until_ms);
+        self.drop_expired_grants(now_ms);
         let valid: u64 = self.granted.iter().map(|(granted, _)| granted).sum();
         if valid < units || units == 0 {
             return units == 0;
--- a/crates/quota/src/lib.rs
+++ b/crates/quota/src/lib.rs
@@ -8,6 +8,10 @@
 //! The units that accrue belong to the VMs in equal shares, and an owner only counts the shares of
 //! the VMs that report to it. A VM without a live owner uses its own share. So the VMs need not
 //! agree on the owner, and the loss of an owner loses no more than the units that it has granted.
+//! Accounts of units [at risk](AccountRule::AtRisk) count what was admitted until it is refunded. They
+//! bound how many requests may fail in some way within a second, by how many are sent before it is
+//! known that earlier ones have not failed.
+//!
 //! Nothing here reads a clock or sends: callers pass the time, events and messages, and get
 //! decisions and messages.
 //!
@@ -21,10 +25,12 @@
 mod message;
 mod owner;
 
+pub use budget::AccountRule;
 pub use budget::Bounds;
 pub use client::Admission;
 pub use client::QuotaClient;
 pub use message::AccountId;
+pub use message::AccountRoom;
 pub use message::AccountUsage;
 pub use message::Allowance;
 pub use message::Answer;
--- a/crates/quota/src/message.rs
+++ b/crates/quota/src/message.rs
@@ -61,6 +61,19 @@
     /// Number of the first report to this owner since the VM last changed to it, from which on usage
     /// and ceded time are counted; 0 if that is not known.
     pub joined: u64,
+    /// Room of upstreams with accounts of units at risk.
+    pub rooms: Vec<AccountRoom>,
+}
+
+/// Room of the upstream that an account of units at risk stands for, as an answer showed it.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct AccountRoom {
+    /// Account of the upstream.
+    pub account: AccountId,
+    /// Number of further requests that the upstream accepts.
+    pub requests: u32,
+    /// Time in milliseconds since the answer arrived.
+    pub age_ms: u32,
 }
 
 /// Answer of an owner for one account.
@@ -70,7 +83,8 @@
     pub account: AccountId,
     /// Total number of units that the owner has recorded for the VM.
     pub acknowledged: i64,
-    /// Number of units granted in addition to earlier grants; 0 if none.
+    /// Number of units granted in addition to earlier grants; 0 if none. Units at risk are counted from
+    /// the first report on, so that the next answer makes up for a lost one.
     pub granted: u64,
     /// Time in milliseconds after which to ask again; `None` if all wanted units were granted.
     pub retry_after_ms: Option<u32>,
--- a/crates/quota/src/owner.rs
+++ b/crates/quota/src/owner.rs
@@ -4,6 +4,7 @@
 
 use apricotdale_organisations::Limit;
 
+use crate::budget::AccountRule;
 use crate::budget::Bounds;
 use crate::budget::Budget;
 use crate::message::AccountId;
@@ -25,6 +26,13 @@
 const MIN_RETRY_AFTER_MS: f64 = 150.0;
 const MAX_RETRY_AFTER_MS: f64 = 4_000.0;
 
+/// Time for which the stated room of an upstream is relied on. After that one request finds out.
+const ROOM_TTL_MS: u64 = 200;
+
+/// Time after an account of units at risk has come into being in which its bucket is that of an owner
+/// of all VMs, since most of them have yet to report.
+const NEW_ACCOUNT_MS: u64 = 1_500;
+
 #[derive(Clone, Copy, Debug)]
 struct Account {
     budget: Budget,
@@ -38,6 +46,10 @@
     backlog_ms: u64,
     /// Time of the last overdraft of the bucket.
     overdrawn_ms: u64,
+    /// Until when an account of units at risk counts as new.
+    new_until_ms: u64,
+    /// Further requests that the upstream accepts, and when that was known; `None` if nothing is.
+    room: Option<(u64, u64)>,
 }
 
 #[derive(Clone, Debug, Default)]
@@ -51,6 +63,8 @@
     usages: BTreeMap<AccountId, i64>,
     /// Number of the VM's first report since it last changed to this owner.
     joined: u64,
+    /// Units at risk granted since then.
+    granted: BTreeMap<AccountId, u64>,
 }
 
 /// Token buckets of all organisations that have a limit.
@@ -77,24 +91,43 @@
         }
     }
 
-    /// Replaces the limits in force. Accounts that remain keep their state.
+    /// Replaces the accounts by those of these limits on usage. Accounts that remain keep their state.
     pub fn set_limits(
         &mut self,
         now_ms: u64,
         limits: impl IntoIterator<Item = (AccountId, Limit)>,
+    ) {
+        let limits = limits.into_iter();
+        self.set_accounts(now_ms, limits.map(|(id, limit)| (id, limit.into())));
+    }
+
+    /// Replaces the accounts and their rules. Accounts that remain keep their state.
+    pub fn set_accounts(
+        &mut self,
+        now_ms: u64,
+        rules: impl IntoIterator<Item = (AccountId, AccountRule)>,
     ) {
         let mut before = std::mem::take(&mut self.accounts);
-        for (id, limit) in limits {
-            let budget = Budget::new(limit, self.bounds);
+        for (id, rule) in rules {
+            let budget = Budget::new(rule, self.bounds);
+            let new_until_ms = match rule {
+                AccountRule::Usage(_) => 0,
+                AccountRule::AtRisk { since_ms, .. } => since_ms + NEW_ACCOUNT_MS,
+            };
             let account = before.remove(&id).map_or(
                 Account {
                     budget,
-                    level: 0.0,
+                    level: match now_ms < new_until_ms {
+                        true => budget.bucket(),
+                        false => 0.0,
+                    },
                     share: 0.0,
                     backlog: 0.0,
                     backlog_ms: now_ms,
                     // A former owner may have overdrawn the bucket just now.
                     overdrawn_ms: now_ms,
+                    new_until_ms,
+                    room: None,
                 },
                 |before| Account {
                     budget,
@@ -128,7 +161,7 @@
         for account in self.accounts.values_mut() {
             let level = account.level + account.budget.rate_per_ms * share_ms;
             account.share = share;
-            account.level = level.min(account.bucket());
+            account.level = level.min(account.bucket(now_ms));
         }
     }
 
@@ -153,6 +186,12 @@
             member.ceded_ms = report.ceded_ms;
             self.accrue(now_ms, ceded_ms);
         }
+        for room in &report.extra.rooms {
+            if let Some(account) = self.accounts.get_mut(&room.account) {
+                let at_ms = now_ms.saturating_sub(room.age_ms.into());
+                account.record_room(room.requests.into(), at_ms);
+            }
+        }
         let allowances = match is_member {
             true => report
                 .usages
@@ -168,7 +207,8 @@
         };
         let has_headroom = |it: &Account| it.budget.has_headroom(it.level, it.share + asking_share);
         let accounts = self.accounts.iter();
-        let near_limit = accounts.filter(|(_, it)| !has_headroom(it));
+        // VMs need a grant for each unit at risk, whatever the level.
+        let near_limit = accounts.filter(|(_, it)| !it.budget.is_at_risk() && !has_headroom(it));
         Some(Answer {
             owner: self.incarnation,
             number: report.number,
@@ -194,12 +234,21 @@
             allowance.retry_after_ms = (usage.wanted > 0).then_some(MIN_RETRY_AFTER_MS as u32);
             return allowance;
         };
-        account.level = (account.level - more as f64).min(account.bucket());
+        account.level = (account.level - more as f64).min(account.bucket(now_ms));
         if usage.wanted == 0 {
             return allowance;
         }
         allowance.granted = account.grant(now_ms, usage, window_ms);
         account.level -= allowance.granted as f64;
+        if account.budget.is_at_risk() {
+            let total = member.granted.entry(usage.account).or_default();
+            *total += allowance.granted;
+            let missing_units = usage.wanted.saturating_sub(allowance.granted);
+            allowance.granted = *total;
+            let is_missing = missing_units > 0;
+            allowance.retry_after_ms = is_missing.then_some(MIN_RETRY_AFTER_MS as u32);
+            return allowance;
+        }
         let missing_units = usage.wanted.saturating_sub(allowance.granted);
         if missing_units > 0 {
             allowance.retry_after_ms = Some(account.retry_after_ms(now_ms, missing_units as f64));
@@ -221,14 +270,22 @@
 }
 
 impl Account {
-    fn bucket(&self) -> f64 {
-        self.budget.bucket() * self.share
+    fn bucket(&self, now_ms: u64) -> f64 {
+        match now_ms < self.new_until_ms {
+            true => self.budget.bucket(),
+            false => self.budget.bucket_of_share(self.share),
+        }
     }
 
     /// Returns how many of the wanted units are granted. Overdraws the bucket at most once in a
     /// window.
     fn grant(&mut self, now_ms: u64, usage: &AccountUsage, window_ms: u64) -> u64 {
-        let granted = self.budget.grant(self.level, usage.wanted, usage.oldest);
+        let wanted = usage.wanted.min(self.available_room(now_ms));
+        let granted = match wanted >= usage.oldest {
+            true => self.budget.grant(self.level, wanted, usage.oldest),
+            false => 0,
+        };
+        self.use_room(now_ms, granted);
         let may_overdraw = now_ms >= self.overdrawn_ms + window_ms
             && self
                 .budget
@@ -240,6 +297,35 @@
         granted
     }
 
+    /// Records how many further requests the upstream accepts. Those that were granted and are not
+    /// accepted yet may not have reached it by then.
+    fn record_room(&mut self, requests: u64, at_ms: u64) {
+        if self.room.is_none_or(|(_, known_ms)| known_ms <= at_ms) {
+            let unaccepted = (self.budget.bucket() - self.level).max(0.0) as u64;
+            self.room = Some((requests.saturating_sub(unaccepted), at_ms));
+        }
+    }
+
+    fn available_room(&self, now_ms: u64) -> u64 {
+        match self.room {
+            None => u64::MAX,
+            Some((requests, at_ms)) if now_ms < at_ms + ROOM_TTL_MS => requests,
+            Some(_) => 1,
+        }
+    }
+
+    fn use_room(&mut self, now_ms: u64, granted: u64) {
+        let available = self.available_room(now_ms);
+        if let Some((requests, at_ms)) = &mut self.room
+            && granted > 0
+        {
+            if now_ms >= *at_ms + ROOM_TTL_MS {
+                *at_ms = now_ms;
+            }
+            *requests = available - granted;
+        }
+    }
+
     /// Returns the time after which enough units have accrued for the wanted ones and for those
     /// denied to others before.
     fn retry_after_ms(&mut self, now_ms: u64, wanted: f64) -> u32 {
--- a/crates/quota/tests/owner_rules.rs
+++ b/crates/quota/tests/owner_rules.rs
@@ -2,6 +2,8 @@
 
 use apricotdale_organisations::Limit;
 use apricotdale_quota::AccountId;
+use apricotdale_quota::AccountRoom;
+use apricotdale_quota::AccountRule;
 use apricotdale_quota::AccountUsage;
 use apricotdale_quota::Admission;
 use apricotdale_quota::Answer;
@@ -255,3 +257,109 @@
     let answer = owner.handle(START_MS, &want).expect("an answer");
     assert_eq!(granted(&answer), 0, "3,000 of 3,465 units are used");
 }
+
+/// Units at risk of which 4 fit into the bucket, of an account that is not new.
+const AT_RISK: AccountRule = AccountRule::AtRisk {
+    max_per_s: 6.0,
+    since_ms: 0,
+};
+
+/// Returns an owner of units at risk with a full bucket, and the number of the VM's last report.
+fn at_risk_owner() -> (QuotaOwner, u64) {
+    let mut owner = QuotaOwner::new(OWNER_INCARNATION, BOUNDS);
+    owner.set_accounts(START_MS, [(account(), AT_RISK)]);
+    let last = fill(&mut owner, 1);
+    (owner, last)
+}
+
+/// Returns the report of a VM with requests that are admitted one by one.
+fn wants(number: u64, wanted: u64) -> Report {
+    let mut report = report(1, number, 20_000, wanted);
+    report.usages[0].oldest = 1;
+    report
+}
+
+/// Returns a client of an owner that has answered, with an account of units at risk.
+fn at_risk_client() -> QuotaClient {
+    let mut client = QuotaClient::new(1, BOUNDS);
+    client.set_accounts(START_MS, [(account(), AT_RISK)]);
+    let hello = client.due_report(START_MS + 1_000, 1).expect("a report");
+    client.handle(START_MS + 1_000, &grant(&hello));
+    client
+}
+
+/// Guards against more units at risk than the bucket holds, and against a refund that does not allow
+/// further ones.
+#[test]
+fn refund_allows_more() {
+    let (mut owner, last) = at_risk_owner();
+    let answer = owner.handle(START_MS, &wants(last + 1, 9));
+    assert_eq!(granted(&answer.expect("an answer")), 4);
+    let answer = owner.handle(START_MS, &wants(last + 2, 9));
+    assert_eq!(
+        granted(&answer.expect("an answer")),
+        4,
+        "no more than before"
+    );
+    let mut refund = wants(last + 3, 9);
+    refund.usages[0].units = -2;
+    let answer = owner.handle(START_MS, &refund);
+    assert_eq!(granted(&answer.expect("an answer")), 6);
+}
+
+/// Guards against a lost answer whose grants are lost with it, and against grants that count twice.
+#[test]
+fn lost_grant_repeated() {
+    let mut client = at_risk_client();
+    let now_ms = START_MS + 1_100;
+    assert_eq!(client.admit(now_ms, account(), 1, 1), Admission::Pending);
+    let want = client.due_report(now_ms, 1).expect("a report");
+    assert!(client.handle(now_ms, &grant(&want)));
+    assert_eq!(client.admit(now_ms, account(), 1, 1), Admission::Admitted);
+    assert_eq!(client.admit(now_ms, account(), 2, 1), Admission::Pending);
+    let later_ms = now_ms + 100;
+    let want = client.due_report(later_ms, 1).expect("a report");
+    let mut answer = grant(&want);
+    answer.allowances[0].granted = 1;
+    client.handle(later_ms, &answer);
+    assert_eq!(client.admit(later_ms, account(), 2, 1), Admission::Pending);
+    let want = client.due_report(later_ms + 100, 1).expect("a report");
+    let mut answer = grant(&want);
+    answer.allowances[0].granted = 2;
+    client.handle(later_ms + 100, &answer);
+    let admission = client.admit(later_ms + 100, account(), 2, 1);
+    assert_eq!(admission, Admission::Admitted);
+}
+
+/// Guards against grants for more requests than an upstream has room for, and against room that is
+/// relied on for good.
+#[test]
+fn room_bounds_grants() {
+    let (mut owner, last) = at_risk_owner();
+    let mut full = wants(last + 1, 3);
+    full.extra.rooms = vec![AccountRoom {
+        account: account(),
+        requests: 0,
+        age_ms: 0,
+    }];
+    let answer = owner.handle(START_MS, &full);
+    assert_eq!(granted(&answer.expect("an answer")), 0);
+    let later_ms = START_MS + 500;
+    let answer = owner.handle(later_ms, &wants(last + 2, 3));
+    assert_eq!(granted(&answer.expect("an answer")), 1, "one finds out");
+    let answer = owner.handle(later_ms, &wants(last + 3, 3));
+    assert_eq!(granted(&answer.expect("an answer")), 1, "no further one");
+}
+
+/// Guards against units that were granted for a request that left, and never come back.
+#[test]
+fn unused_grant_refunded() {
+    let mut client = at_risk_client();
+    let now_ms = START_MS + 1_100;
+    assert_eq!(client.admit(now_ms, account(), 1, 1), Admission::Pending);
+    let want = client.due_report(now_ms, 1).expect("a report");
+    client.withdraw(account(), 1);
+    client.handle(now_ms, &grant(&want));
+    let report = client.due_report(now_ms + 1_000, 1).expect("a report");
+    assert_eq!(report.usages[0].units, -1);
+}
