LIMIT: the end of a service's limit is told, also when the upstream that ended it has left

Cause: the VM knew the limit from an engine that still stated it, the others did not know that engine and ended the limit by the answer of another. Both engines left. The VM went on to ask for permits, the owner denied them as it had no such account, and nothing told the VM.

Change: the end of a service's limit is kept and announced like its statement, the newer of both counts; when an upstream leaves, what the others are known to answer decides; a VM that is denied a permit asks its owner for what upstreams have stated, once a second.

--- a/crates/dispatch/src/dispatcher.rs
+++ b/crates/dispatch/src/dispatcher.rs
@@ -268,7 +268,7 @@
         self.loads.remove(upstream);
         self.availability.forget(upstream);
         self.stated_limits.forget(upstream);
-        self.rejection_limits.forget(upstream);
+        self.rejection_limits.forget(now_ms, upstream);
         self.forgive(now_ms, upstream);
     }
 
--- a/crates/dispatch/src/rejection_limits.rs
+++ b/crates/dispatch/src/rejection_limits.rs
@@ -29,9 +29,9 @@
     pub service: GroupName,
     /// Incarnation of the upstream; `None` for what holds for the service.
     pub upstream: Option<UpstreamName>,
-    /// Stated limit; `None` if the upstream answers without one.
+    /// Stated limit; `None` if the upstream answers without one, or if that of the service has ended.
     pub limit: Option<RateLimit>,
-    /// Time in milliseconds since the answer that stated it arrived.
+    /// Time in milliseconds since the answer that stated or ended it arrived.
     pub age_ms: u64,
     /// Time in milliseconds since an upstream of the service first stated a limit.
     pub stated_for_ms: u64,
@@ -40,8 +40,9 @@
 /// Limit that holds for the upstreams of a service.
 #[derive(Clone, Copy, Debug)]
 struct ServiceLimit {
-    limit: RateLimit,
-    /// When the newest known answer that states it arrived at a VM.
+    /// `None` once it has ended, which other VMs may not know yet.
+    limit: Option<RateLimit>,
+    /// When the newest known answer that states or ends it arrived at a VM.
     stated_ms: u64,
     /// When the first one arrived, and when this VM learnt of it.
     since_ms: u64,
@@ -83,10 +84,10 @@
             .statements
             .record_answer(now_ms, sent_ms, upstream, limit);
         let is_change = change != LimitChange::None;
-        match (limit, self.by_service.get(service)) {
+        match (limit, self.in_force(service)) {
             (Some(limit), _) => {
                 self.set_service_of(upstream, service);
-                self.record_service_limit(now_ms, service, limit, now_ms, now_ms) || is_change
+                self.record_service_limit(now_ms, service, Some(limit), now_ms, now_ms) || is_change
             }
             // An answer that was under way when the first statement arrived shows nothing.
             (None, Some(of_service))
@@ -96,12 +97,12 @@
             {
                 self.set_service_of(upstream, service);
                 self.statements.record_unlimited(now_ms, upstream);
-                self.end_unless_stated(service);
+                self.end_unless_stated(now_ms, service);
                 true
             }
             (None, _) => {
                 if is_change {
-                    self.end_unless_stated(service);
+                    self.end_unless_stated(now_ms, service);
                 }
                 is_change
             }
@@ -120,15 +121,15 @@
         let service = &announced.service;
         let stated_ms = now_ms.saturating_sub(announced.age_ms);
         let mut is_change = false;
-        if let Some(limit) = announced.limit {
+        if announced.limit.is_some() || announced.upstream.is_none() {
             let since_ms = now_ms.saturating_sub(announced.stated_for_ms);
+            let limit = announced.limit;
             is_change |= self.record_service_limit(now_ms, service, limit, stated_ms, since_ms);
         }
         let Some(upstream) = announced.upstream.as_ref().filter(|_| is_listed) else {
             return is_change;
         };
-        let is_news = announced.limit.is_some() || self.by_service.contains_key(service);
-        if is_news {
+        if announced.limit.is_some() || self.in_force(service).is_some() {
             let row = StatedLimit {
                 upstream: upstream.clone(),
                 limit: announced.limit,
@@ -140,66 +141,82 @@
             let is_changed = self.limit(service, upstream) != before;
             is_change |= is_changed;
             if is_changed && announced.limit.is_none() {
-                self.end_unless_stated(service);
+                self.end_unless_stated(stated_ms, service);
             }
         }
         is_change
     }
 
+    fn in_force(&self, service: &GroupName) -> Option<&ServiceLimit> {
+        let of_service = self.by_service.get(service);
+        of_service.filter(|it| it.limit.is_some())
+    }
+
     /// Records what holds for a service. Returns whether it is new or has changed.
     fn record_service_limit(
         &mut self,
         now_ms: u64,
         service: &GroupName,
-        limit: RateLimit,
+        limit: Option<RateLimit>,
         stated_ms: u64,
         since_ms: u64,
     ) -> bool {
-        let Some(known) = self.by_service.get_mut(service) else {
-            if self.is_contradicted(service, stated_ms) {
-                return false;
+        let known = self.by_service.get(service).copied();
+        let new = ServiceLimit {
+            limit,
+            stated_ms,
+            since_ms,
+            learnt_ms: now_ms,
+        };
+        let (recorded, is_change) = match known {
+            None => (new, limit.is_some()),
+            // What was stated before may be announced again by VMs that do not know that it has ended.
+            Some(known) if stated_ms < known.stated_ms => {
+                let is_in_force = known.limit.is_some() && limit.is_some();
+                let since_ms = match is_in_force {
+                    true => known.since_ms.min(since_ms),
+                    false => known.since_ms,
+                };
+                (ServiceLimit { since_ms, ..known }, false)
+            }
+            Some(known) if known.limit.is_some() && limit.is_some() => {
+                let recorded = ServiceLimit {
+                    since_ms: known.since_ms.min(since_ms),
+                    learnt_ms: known.learnt_ms,
+                    ..new
+                };
+                (recorded, known.limit != limit)
+            }
+            Some(known) => {
+                let recorded = ServiceLimit {
+                    since_ms: since_ms.max(known.stated_ms),
+                    ..new
+                };
+                (recorded, known.limit != limit)
             }
-            let known = ServiceLimit {
-                limit,
-                stated_ms,
-                since_ms,
-                learnt_ms: now_ms,
-            };
-            self.by_service.insert(service.clone(), known);
-            return true;
         };
-        known.since_ms = known.since_ms.min(since_ms);
-        if stated_ms < known.stated_ms {
-            return false;
-        }
-        known.stated_ms = stated_ms;
-        std::mem::replace(&mut known.limit, limit) != limit
+        self.by_service.insert(service.clone(), recorded);
+        is_change
     }
 
-    /// Ends the limit of a service of which no upstream states one, while one answers without it.
-    fn end_unless_stated(&mut self, service: &GroupName) {
-        let Some(since_ms) = self.by_service.get(service).map(|it| it.since_ms) else {
+    /// Ends the limit of a service of which no upstream states one, while one has answered without it.
+    fn end_unless_stated(&mut self, ended_ms: u64, service: &GroupName) {
+        let Some(since_ms) = self.in_force(service).map(|it| it.since_ms) else {
             return;
         };
         let members = self.service_of.iter().filter(|(_, of)| *of == service);
-        let mut answers = members.filter(|(upstream, _)| {
-            self.statements.limit(upstream).is_some() || self.has_answered_since(upstream, since_ms)
-        });
-        let is_any_known = answers.clone().next().is_some();
-        let is_stated = answers.any(|(upstream, _)| self.statements.limit(upstream).is_some());
-        if is_any_known && !is_stated {
-            self.by_service.remove(service);
+        let (mut is_stated, mut is_answered) = (false, false);
+        for (upstream, _) in members {
+            is_stated |= self.statements.limit(upstream).is_some();
+            is_answered |= self.has_answered_since(upstream, since_ms);
+        }
+        if let Some(of_service) = self.by_service.get_mut(service)
+            && is_answered
+            && !is_stated
+        {
+            of_service.limit = None;
+            of_service.stated_ms = ended_ms.max(of_service.stated_ms);
         }
-    }
-
-    /// Returns whether an upstream of a service has answered without a limit after a time. What was
-    /// stated before may be announced again by VMs that do not know that it has ended.
-    fn is_contradicted(&self, service: &GroupName, stated_ms: u64) -> bool {
-        let mut members = self.service_of.iter().filter(|(_, of)| *of == service);
-        members.any(|(upstream, _)| {
-            self.statements.limit(upstream).is_none()
-                && self.has_answered_since(upstream, stated_ms + 1)
-        })
     }
 
     fn has_answered_since(&self, upstream: &UpstreamName, since_ms: u64) -> bool {
@@ -216,29 +233,28 @@
     /// Returns the limit of an upstream: the one that it states, or that of its service unless it has
     /// answered without one.
     pub fn limit(&self, service: &GroupName, upstream: &UpstreamName) -> Option<RateLimit> {
-        let of_service = self.by_service.get(service);
-        match self.statements.limit(upstream) {
-            Some(limit) => Some(limit),
-            None => of_service
-                .filter(|it| !self.has_answered_since(upstream, it.since_ms))
-                .map(|it| it.limit),
-        }
+        let inherited = || {
+            let of_service = self.in_force(service)?;
+            let has_answered = self.has_answered_since(upstream, of_service.since_ms);
+            of_service.limit.filter(|_| !has_answered)
+        };
+        self.statements.limit(upstream).or_else(inherited)
     }
 
     /// Returns when an upstream of a service first stated a limit; `None` without one.
     pub fn stated_since_ms(&self, service: &GroupName) -> Option<u64> {
-        self.by_service.get(service).map(|it| it.since_ms)
+        self.in_force(service).map(|it| it.since_ms)
     }
 
     /// Returns whether this VM knew of a limit of a service at a time.
     pub fn was_known(&self, service: &GroupName, at_ms: u64) -> bool {
-        let of_service = self.by_service.get(service);
+        let of_service = self.in_force(service);
         of_service.is_some_and(|it| it.learnt_ms <= at_ms)
     }
 
     /// Returns whether any service has a limit.
     pub fn is_any(&self) -> bool {
-        !self.by_service.is_empty()
+        self.by_service.values().any(|it| it.limit.is_some())
     }
 
     /// Records that an upstream has rejected a request of this VM or of another one. Nothing is sent
@@ -266,11 +282,14 @@
         times.filter(|until_ms| **until_ms > now_ms).min().copied()
     }
 
-    /// Drops what an upstream has stated that is gone. The limit of its service stays in force.
-    pub fn forget(&mut self, upstream: &UpstreamName) {
+    /// Drops what an upstream has stated that is gone. The limit of its service stays in force unless
+    /// others are known to state none.
+    pub fn forget(&mut self, now_ms: u64, upstream: &UpstreamName) {
         self.statements.forget(upstream);
-        self.service_of.remove(upstream);
         self.held_back_until_ms.remove(upstream);
+        if let Some(service) = self.service_of.remove(upstream) {
+            self.end_unless_stated(now_ms, &service);
+        }
     }
 
     /// Returns whether the other VMs have yet to receive a change.
@@ -297,7 +316,7 @@
             .map(|(service, it)| StatedRejectionLimit {
                 service: service.clone(),
                 upstream: None,
-                limit: Some(it.limit),
+                limit: it.limit,
                 age_ms: now_ms.saturating_sub(it.stated_ms),
                 stated_for_ms: now_ms.saturating_sub(it.since_ms),
             })
--- a/crates/dispatch/tests/rejection_limits.rs
+++ b/crates/dispatch/tests/rejection_limits.rs
@@ -182,7 +182,7 @@
     let mut table = RejectionLimits::new(1);
     table.record_answer(0, 0, &service(), &upstream(0), Some(limit(10.0)));
     assert_eq!(table.limit(&service(), &upstream(1)), Some(limit(10.0)));
-    table.forget(&upstream(0));
+    table.forget(500, &upstream(0));
     assert_eq!(table.limit(&service(), &upstream(1)), Some(limit(10.0)));
     assert!(
         table
@@ -222,7 +222,7 @@
 fn limits_announced() {
     let mut told = RejectionLimits::new(1);
     told.record_answer(0, 0, &service(), &upstream(0), Some(limit(10.0)));
-    told.forget(&upstream(0));
+    told.forget(500, &upstream(0));
     let rows = told.announcements(2_000);
     let mut started = RejectionLimits::new(2);
     for row in &rows {
@@ -236,3 +236,37 @@
     }
     assert!(started.limit(&service(), &upstream(4)).is_none());
 }
+
+/// Guards against a VM that goes on to take a service for limited after all its upstreams that are
+/// known to state a limit have left, while others answer without one.
+#[test]
+fn last_stating_upstream_leaves() {
+    let mut table = RejectionLimits::new(1);
+    table.record_answer(0, 0, &service(), &upstream(0), Some(limit(10.0)));
+    table.record_answer(900, 800, &service(), &upstream(1), None);
+    assert!(table.limit(&service(), &upstream(2)).is_some());
+    table.forget(1_000, &upstream(0));
+    assert!(table.limit(&service(), &upstream(2)).is_none());
+}
+
+/// Guards against a VM that is not told that a limit has ended, since the upstream whose answer ended
+/// it has left, and gets no permit from an owner that knows it.
+#[test]
+fn end_announced() {
+    let mut told = RejectionLimits::new(1);
+    let mut late = RejectionLimits::new(2);
+    for table in [&mut told, &mut late] {
+        table.record_answer(0, 0, &service(), &upstream(0), Some(limit(10.0)));
+    }
+    told.record_answer(900, 800, &service(), &upstream(0), None);
+    told.forget(1_000, &upstream(0));
+    late.forget(1_000, &upstream(0));
+    assert!(late.limit(&service(), &upstream(1)).is_some());
+    for row in told.announcements(2_000) {
+        late.apply(2_000, &row, false);
+    }
+    assert!(late.limit(&service(), &upstream(1)).is_none());
+    // Another statement begins a new limit.
+    assert!(late.record_answer(3_000, 2_900, &service(), &upstream(1), Some(limit(4.0))));
+    assert_eq!(late.stated_since_ms(&service()), Some(3_000));
+}
--- a/crates/dispatch/tests/support/rejecting_fleet.rs
+++ b/crates/dispatch/tests/support/rejecting_fleet.rs
@@ -472,7 +472,8 @@
                 for former in 0..new {
                     let former = Upstream::name(upstream, former);
                     self.vms[vm].listed.remove(&former);
-                    self.vms[vm].limits.forget(&former);
+                    let clock_ms = self.now_ms + self.vms[vm].clock_offset_ms;
+                    self.vms[vm].limits.forget(clock_ms, &former);
                 }
                 self.vms[vm].listed.insert(Upstream::name(upstream, new));
                 if self.options.planted == Planted::NotInherited {
--- a/crates/entry/src/rejection_permits.rs
+++ b/crates/entry/src/rejection_permits.rs
@@ -23,6 +23,9 @@
 const START_CHECK_MS: u64 = 20;
 const QUESTION_INTERVAL_MS: u64 = 100;
 
+/// Time between two questions to the owner of the permits for what upstreams have stated.
+const OWNER_QUESTION_INTERVAL_MS: u64 = 1_000;
+
 /// Maximum time for which an upstream is passed over after a permit for it was denied. Permits are
 /// refunded as soon as requests are accepted.
 const MAX_DENIED_MS: u64 = 60;
@@ -206,12 +209,28 @@
                 let until_ms = now_ms + retry_after_ms.min(MAX_DENIED_MS);
                 let limits = self.dispatcher.rejection_limits_mut();
                 limits.hold_back(upstream, until_ms);
+                self.ask_owner_for_stated_limits();
             }
             PermitOutcome::Pending { .. } => {}
         }
         self.handle_permit_outcome(key, &outcome)
     }
 
+    /// Asks the owner of the permits, which has denied one, for what upstreams have stated: the limit may
+    /// have ended, and the owner denies what it has no account for.
+    fn ask_owner_for_stated_limits(&mut self) {
+        let permits = &mut self.upstream_permits;
+        if self.now_ms < permits.next_owner_question_ms {
+            return;
+        }
+        permits.next_owner_question_ms = self.now_ms + OWNER_QUESTION_INTERVAL_MS;
+        let rank = permits.client.owner_rank();
+        if let Some((_, address)) = self.peers.quota_owners().get(rank) {
+            let question = PeerMessage::StatedLimitsRequested { is_first: false };
+            self.peers.send(*address, &question);
+        }
+    }
+
     /// Refunds the permit of a request that its upstream has accepted, or that was not sent.
     pub(crate) fn refund_rejection_permit(&mut self, key: u64) {
         let permits = &mut self.upstream_permits;
--- a/crates/entry/src/upstream_permits.rs
+++ b/crates/entry/src/upstream_permits.rs
@@ -97,6 +97,7 @@
     /// Accounts of the permits of sent requests that no upstream has accepted yet, by request key.
     pub(crate) at_risk: HashMap<u64, AccountId>,
     pub(crate) start: StartGate,
+    pub(crate) next_owner_question_ms: u64,
     /// Whether limits on rejections have changed since the accounts were set.
     pub(crate) are_rules_outdated: bool,
     next_announcement_ms: u64,
@@ -116,6 +117,7 @@
             pending: HashMap::new(),
             at_risk: HashMap::new(),
             start: StartGate::default(),
+            next_owner_question_ms: 0,
             are_rules_outdated: false,
             next_announcement_ms: 0,
             next_refresh_ms: u64::MAX,
