--- a/crates/soak/src/checks.rs
+++ b/crates/soak/src/checks.rs
@@ -78,6 +78,8 @@
     DrainedAsStated,
     /// An engine that asked a VM for rest gets two requests from it at most until the rest ends.
     RestKept,
+    /// Engines that state how many requests they may reject do not fail under more.
+    OutlastsRejections,
     /// A VM that is cut off from all upstreams serves through others.
     ServesThroughOthers,
     /// A stream holds events that one version of the engines' software wrote, over all attempts of
@@ -113,6 +115,7 @@
             Self::WithinStatedLimits => "within stated limits",
             Self::DrainedAsStated => "drained as stated",
             Self::RestKept => "rest kept",
+            Self::OutlastsRejections => "outlasts rejections",
             Self::ServesThroughOthers => "serves through others",
             Self::OneSoftwareVersion => "one software version",
             Self::ResumedStreamsServed => "resumed streams served",
@@ -156,6 +159,7 @@
     checker.check_stated_limits(&mut found);
     checker.check_stated_leaves(&mut found);
     checker.check_rests(&mut found);
+    checker.check_room_failures(&mut found);
     checker.check_path_cuts(&mut found);
     checker.check_software_versions(&mut found);
     checker.check_secrets(&mut found);
--- a/crates/soak/src/fault.rs
+++ b/crates/soak/src/fault.rs
@@ -231,6 +231,15 @@
         /// Time for which requests are rejected.
         for_ms: u64,
     },
+    /// Has all engines state how many requests a second they may reject, and lose room later.
+    SmallRoom {
+        /// Number of requests that each engine runs at once from then on.
+        slots: usize,
+        /// Rejections in a second above which an engine fails.
+        max_rejections: usize,
+        /// Duration of the statement.
+        for_ms: u64,
+    },
     /// Has sound upstreams send nothing for a time and then go on where they stopped.
     SilentUpstreams {
         /// Indices of the upstreams: engines first, then instances of the plain service.
@@ -287,6 +296,7 @@
             Self::StatedLimit { .. } => "stated limit",
             Self::StatedLeave { .. } => "stated leave",
             Self::Rest { .. } => "rest",
+            Self::SmallRoom { .. } => "small room",
             Self::SilentUpstreams { .. } => "silent upstreams",
             Self::Adjust(_) => "adjust",
             Self::Configure => "configure",
@@ -306,6 +316,7 @@
             Self::KillAll { .. }
             | Self::Reload { .. }
             | Self::StatedLimit { .. }
+            | Self::SmallRoom { .. }
             | Self::SilentUpstreams { .. }
             | Self::Adjust(_)
             | Self::Configure
--- a/crates/soak/src/notice_draws.rs
+++ b/crates/soak/src/notice_draws.rs
@@ -29,6 +29,28 @@
 /// Mask that gives the draws of these engines a seed of their own.
 const REST_SEED_MASK: u64 = 0x7265_7374_5f73_6561;
 
+/// Slots to which engines with a limit on rejections shrink, their limits, and the time for which they
+/// state these.
+const SMALL_ROOM_SLOTS: RangeInclusive<usize> = 1..=4;
+const MAX_REJECTIONS: RangeInclusive<usize> = 2..=8;
+const SMALL_ROOM_MS: Range<u64> = 5_000..9_000;
+
+/// Mask that gives the draws of these engines a seed of their own.
+const SMALL_ROOM_SEED_MASK: u64 = 0x726f_6f6d_5f73_6d6c;
+
+/// Draws the time in which all engines state a limit on rejections.
+pub(crate) fn draw_small_room(seed: u64, calm_from_ms: u64) -> Vec<Planned> {
+    let mut random = ChaCha8Rng::seed_from_u64(seed ^ SMALL_ROOM_SEED_MASK);
+    let at_ms = random.random_range(WARM_UP_MS..first_half_end_ms(calm_from_ms));
+    let for_ms = random.random_range(SMALL_ROOM_MS);
+    let trouble = Trouble::SmallRoom {
+        slots: random.random_range(SMALL_ROOM_SLOTS),
+        max_rejections: random.random_range(MAX_REJECTIONS),
+        for_ms: for_ms.min(calm_from_ms.saturating_sub(at_ms)),
+    };
+    vec![Planned { at_ms, trouble }]
+}
+
 /// Draws the engines that state that they leave.
 pub(crate) fn draw_stated_leaves(seed: u64, calm_from_ms: u64, engines: usize) -> Vec<Planned> {
     let mut random = ChaCha8Rng::seed_from_u64(seed ^ STATED_LEAVE_SEED_MASK);
--- a/crates/soak/src/observed.rs
+++ b/crates/soak/src/observed.rs
@@ -7,8 +7,8 @@
 
 use crate::keys::KEY_MARK;
 use crate::record::ArrivalSeen;
-use crate::record::RestSeen;
 use crate::record::Run;
+use crate::rest_invariants::RestSeen;
 use crate::vms::vm_address;
 use crate::workload::LAST_EVENT_HEADER;
 use crate::workload::last_event;
--- a/crates/soak/src/plan.rs
+++ b/crates/soak/src/plan.rs
@@ -13,6 +13,7 @@
 use crate::draws::draw_stated_limits;
 use crate::fault::Trouble;
 use crate::notice_draws::draw_rests;
+use crate::notice_draws::draw_small_room;
 use crate::notice_draws::draw_stated_leaves;
 use crate::silence_draws::draw_adjustments;
 use crate::silence_draws::draw_silences;
@@ -101,6 +102,7 @@
         faults.extend(draw_releases(seed, calm_from_ms, engines));
         faults.extend(draw_stated_leaves(seed, calm_from_ms, engines));
         faults.extend(draw_rests(seed, calm_from_ms, engines));
+        faults.extend(draw_small_room(seed, calm_from_ms));
         faults.extend(draw_silences(seed, calm_from_ms, engines, upstreams));
         faults.extend(draw_adjustments(seed, calm_from_ms));
         let (bursts, changes) = draw_organisation_events(seed, calm_from_ms);
--- a/crates/soak/src/record.rs
+++ b/crates/soak/src/record.rs
@@ -7,6 +7,8 @@
 use apricotdale_standins::platform::AnswerFault;
 use apricotdale_standins::platform::EngineEffects;
 
+use crate::rest_invariants::RestSeen;
+use crate::room_invariants::RoomFailureSeen;
 use crate::streams::BodySeen;
 use crate::streams::StreamSeen;
 
@@ -157,21 +159,6 @@
     pub from_ms: u64,
 }
 
-/// Answer by which an engine asked a VM for rest.
-#[derive(Clone, Debug, PartialEq, Eq)]
-pub struct RestSeen {
-    /// Request ID.
-    pub id: String,
-    /// Name of the engine.
-    pub upstream: String,
-    /// Number of the VM from whose address the request came; none if the address is no VM's.
-    pub vm: Option<usize>,
-    /// Time of the answer.
-    pub at_ms: u64,
-    /// Time of rest that it stated.
-    pub rest_ms: u64,
-}
-
 /// Request of a caller that reached an engine, whether or not it ran.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub struct ArrivalSeen {
@@ -432,6 +419,8 @@
     pub stated_leaves: Vec<StatedLeaveSeen>,
     /// Answers by which engines asked for rest.
     pub rests: Vec<RestSeen>,
+    /// Failures of engines under the requests that they had to reject.
+    pub room_failures: Vec<RoomFailureSeen>,
     /// Requests of callers that reached engines.
     pub arrivals: Vec<ArrivalSeen>,
     /// Cuts of VMs from all upstreams.
--- a/crates/soak/src/rest_invariants.rs
+++ b/crates/soak/src/rest_invariants.rs
@@ -6,7 +6,6 @@
 use crate::checks::violation;
 use crate::record::RESET;
 use crate::record::Record;
-use crate::record::RestSeen;
 
 /// Time after an answer that asks for rest in which requests that were under way still arrive.
 const UNDER_WAY_MS: u64 = 500;
@@ -14,6 +13,21 @@
 /// Number of requests that may reach the engine from the VM from then until the rest ends.
 const MAX_IN_REST: usize = 2;
 
+/// Answer by which an engine asked a VM for rest.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct RestSeen {
+    /// Request ID.
+    pub id: String,
+    /// Name of the engine.
+    pub upstream: String,
+    /// Number of the VM from whose address the request came; none if the address is no VM's.
+    pub vm: Option<usize>,
+    /// Time of the answer.
+    pub at_ms: u64,
+    /// Time of rest that it stated.
+    pub rest_ms: u64,
+}
+
 /// Rests that are judged, and the greatest number of requests that reached an engine in one.
 #[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
 pub struct FullestRest {
--- /dev/null
+++ b/crates/soak/src/rooms.rs
@@ -0,0 +1,61 @@
+//! Engines that state how many requests they may reject, and lose room.
+
+use apricotdale_standins::platform::RoomOptions;
+
+use crate::room_invariants::RoomFailureSeen;
+use crate::world::World;
+use crate::world::pause;
+
+/// Slots that the engines state.
+const STATED_SLOTS: usize = 8;
+
+/// Time after the first statement from which engines may have less room.
+const NOTICE_MS: u64 = 3_000;
+
+/// Time between two updates of engines that have joined meanwhile.
+const UPDATE_MS: u64 = 100;
+
+impl World {
+    /// Has all engines, also those that join, state a limit on rejections for a time, and lose room
+    /// after a notice.
+    pub(crate) fn shrink_room(&self, slots: usize, max_rejections: usize, for_ms: u64) {
+        let room = |slots| RoomOptions {
+            stated_slots: STATED_SLOTS,
+            slots,
+            max_rejections,
+            down: None,
+        };
+        let limit = max_rejections.to_string();
+        let mut passed_ms = 0;
+        while passed_ms < for_ms {
+            let slots = match passed_ms < NOTICE_MS {
+                true => STATED_SLOTS,
+                false => slots,
+            };
+            for engine in &self.site.lock().engines {
+                engine.set_rejection_limit(Some(&limit));
+                engine.set_room(Some(room(slots)));
+            }
+            pause(UPDATE_MS);
+            passed_ms += UPDATE_MS;
+        }
+        for engine in &self.site.lock().engines {
+            engine.set_rejection_limit(None);
+            engine.set_room(None);
+        }
+    }
+
+    /// Returns the failures of engines under the requests that they had to reject.
+    pub(crate) fn room_failures(&self) -> Vec<RoomFailureSeen> {
+        let site = self.site.lock();
+        let failures = site.engines.iter().flat_map(|engine| {
+            let failures = engine.failures().into_iter();
+            failures.map(|failure| RoomFailureSeen {
+                upstream: engine.name().to_owned(),
+                at_ms: self.clock.at_ms(failure.at),
+                rejected: failure.rejected,
+            })
+        });
+        failures.collect()
+    }
+}
--- a/crates/soak/src/soak.rs
+++ b/crates/soak/src/soak.rs
@@ -308,6 +308,7 @@
         stated_limits: events.stated_limits.clone(),
         stated_leaves: events.stated_leaves.clone(),
         rests: world.rests(),
+        room_failures: world.room_failures(),
         arrivals: world.arrivals(),
         path_cuts: events.path_cuts.clone(),
         link_breaks: events.link_breaks.clone(),
--- a/crates/soak/src/world.rs
+++ b/crates/soak/src/world.rs
@@ -292,6 +292,11 @@
                 seconds,
                 for_ms,
             } => self.rest(*engine, *seconds, *for_ms),
+            Trouble::SmallRoom {
+                slots,
+                max_rejections,
+                for_ms,
+            } => self.shrink_room(*slots, *max_rejections, *for_ms),
             Trouble::SilentUpstreams { upstreams, for_ms } => self.fall_silent(upstreams, *for_ms),
             Trouble::Adjust(adjustment) => self.adjust(*adjustment),
             Trouble::Configure => self.configure(),
--- a/crates/standins/src/platform/answers.rs
+++ b/crates/standins/src/platform/answers.rs
@@ -23,6 +23,7 @@
 use crate::platform::event_texts::EventTexts;
 use crate::platform::notices::LEAVING;
 use crate::platform::notices::Notices;
+use crate::platform::room::Room;
 use crate::platform::shared_faults::SharedFaults;
 use crate::platform::silence::Silence;
 use crate::platform::silence::StreamPause;
@@ -105,6 +106,7 @@
     /// Limit on rejections that the answers to requests state; none if they state none.
     pub rejection_limit: Mutex<Option<String>>,
     pub notices: Notices,
+    pub room: Arc<Room>,
     /// Times of the rejections for want of room.
     pub rejections: Mutex<Vec<Instant>>,
     /// Version of the upstream's software, which events that begin from now on tell.
@@ -125,6 +127,7 @@
             rate_limit: Mutex::default(),
             rejection_limit: Mutex::default(),
             notices: Notices::default(),
+            room: Arc::default(),
             rejections: Mutex::default(),
             software_version: Mutex::new(DEFAULT_SOFTWARE_VERSION.to_owned()),
         }
@@ -188,6 +191,10 @@
             .with_header(ID, id_of(request))
             .with_header(NOT_RUN, "1")
             .with_header(INSTANCE, &self.instance);
+        let reply = match status {
+            503 => reply.with_header(LOAD, &self.room.load_text()),
+            _ => reply,
+        };
         let reply = self.notices.refusal(id_of(request), status, reply);
         self.with_limits(reply)
     }
@@ -243,9 +250,10 @@
         let rate_limit = self.limit_lines();
         let head = |status: u16, fields: &str| {
             format!(
-                "HTTP/1.1 {status} Status\r\n{ID}: {id}\r\n{SIGNATURE}: s.{}\r\n{LOAD}: 1,0,8\r\n\
+                "HTTP/1.1 {status} Status\r\n{ID}: {id}\r\n{SIGNATURE}: s.{}\r\n{LOAD}: {}\r\n\
                  {rate_limit}{fields}",
-                self.instance
+                self.instance,
+                self.room.load_text()
             )
         };
         let framed = |status: u16, fields: &str| {
@@ -447,7 +455,7 @@
     fn stream(&self, request: &Request, produce: Produce) -> Reply {
         let reply = Self::unsigned(request, produce)
             .with_header(SIGNATURE, &format!("s.{}", self.instance))
-            .with_header(LOAD, "1,0,8")
+            .with_header(LOAD, &self.room.load_text())
             .with_header(VERSION, "1");
         self.with_limits(reply)
     }
@@ -480,6 +488,6 @@
     Some(Duration::from_millis(left_ms))
 }
 
-fn id_of(request: &Request) -> &str {
+pub(crate) fn id_of(request: &Request) -> &str {
     request.header(ID).unwrap_or_default()
 }
--- a/crates/standins/src/platform/engine.rs
+++ b/crates/standins/src/platform/engine.rs
@@ -20,12 +20,16 @@
 use crate::platform::answer_faults::AnswerFault;
 use crate::platform::answers::Answers;
 use crate::platform::answers::RecordedRun;
+use crate::platform::answers::id_of;
 use crate::platform::crashes::CrashTrigger;
 use crate::platform::event_texts::DEFAULT_SOFTWARE_VERSION;
 use crate::platform::notices::Notices;
 use crate::platform::orders::Holdings;
 use crate::platform::orders::OrderFault;
 use crate::platform::orders::WireOrder;
+use crate::platform::room::Entrance;
+use crate::platform::room::RoomFailure;
+use crate::platform::room::RoomOptions;
 use crate::platform::shared_faults::SharedFaults;
 use crate::platform::store::PlatformStore;
 
@@ -211,7 +215,7 @@
         value["address"] = json!(address.to_string());
         value["zone"] = json!(self.options.zone);
         value["version"] = json!(*self.answers.software_version.lock());
-        value["slots"] = json!(8);
+        value["slots"] = json!(self.answers.room.stated_slots());
         value["state"] = json!(if entry.draining { "draining" } else { "ready" });
         value["cold_remaining_ms"] = json!(0);
         value["sequence"] = json!(entry.revision);
@@ -274,6 +278,28 @@
         self.answers.rejections.lock().clone()
     }
 
+    /// Bounds the requests that the engine runs at once, and the rejections that it bears; none to
+    /// bound neither. The entry is written with the next [`PlatformEngine::announce`].
+    pub fn set_room(&self, room: Option<RoomOptions>) {
+        self.answers.room.set(room);
+    }
+
+    /// Returns the failures of the engine under the requests that it had to reject.
+    pub fn failures(&self) -> Vec<RoomFailure> {
+        self.answers.room.failures()
+    }
+
+    /// Makes the engine fail as if it had rejected too many requests.
+    fn fail(self: &Arc<Self>, down: Duration) {
+        let engine = self.clone();
+        thread::spawn(move || {
+            thread::sleep(down);
+            engine.restart();
+            engine.answers.room.recover();
+            engine.announce(None);
+        });
+    }
+
     /// Makes the engine lose the requests that arrive from now on, or answer new ones again. Those
     /// that it has lost are never answered, and their connections stay open. Streams in progress
     /// pause meanwhile.
@@ -415,6 +441,22 @@
         }
     }
 
+    /// Serves a request within the engine's room.
+    fn serve_within_room(self: &Arc<Self>, request: &Request) -> Reply {
+        match self.answers.room.enter(id_of(request)) {
+            Entrance::Place(place) => place.kept_by(self.serve(request)),
+            Entrance::Rejected => {
+                self.answers.rejections.lock().push(Instant::now());
+                self.answers.not_run(request, 503)
+            }
+            Entrance::Failed { down } => {
+                self.fail(down);
+                Reply::Lost
+            }
+            Entrance::Lost => Reply::Lost,
+        }
+    }
+
     fn serve(self: &Arc<Self>, request: &Request) -> Reply {
         let wanted = request.header("Apricotdale-Model").unwrap_or_default();
         if !self.holdings.lock().serves(wanted) {
@@ -456,14 +498,14 @@
         match (request.method.as_str(), request.path.as_str()) {
             ("GET", "/api/report") => notices.with_leaving(self.report()),
             ("POST", "/api/order") => notices.with_leaving(self.receive_order(request)),
-            _ => self.serve(request),
+            _ => self.serve_within_room(request),
         }
     }
 }
 
 impl Handler for PlatformEngine {
     fn handle(self: Arc<Self>, request: &Request) -> Reply {
-        if self.full.load(Ordering::Relaxed) {
+        if self.full.load(Ordering::Relaxed) || self.answers.room.is_down() {
             return Reply::Lost;
         }
         if self.answers.unresponsive.load(Ordering::Relaxed) {
