A request is not sent again to the upstream whose answer was unusable while another may take it

Callers saw: a request that may be repeated failed within 30 ms, both attempts at an engine that answers what is no answer, though waiting some ms for a place at the other engine would have served it: 7 of 16 at once.

Cause: the second attempt went where room was, and the engine that had just failed it had most.

Change: a request remembers the upstreams whose answers were lost or unusable. Others are awaited as long as twice the expected run is left. Stand-ins: answers that go on without end and never become complete, at a named pace.

--- a/crates/dispatch/src/dispatcher.rs
+++ b/crates/dispatch/src/dispatcher.rs
@@ -24,6 +24,7 @@
 use crate::eligibility::candidate;
 use crate::eligibility::holds_model;
 use crate::eligibility::may_continue;
+use crate::eligibility::without_unusable;
 use crate::forecast::Forecasts;
 use crate::forecast::LoadForecast;
 use crate::job::DispatchDecision;
@@ -123,6 +124,7 @@
         if capable.is_empty() {
             return self.decide_without_upstream(now_ms, directory, job);
         }
+        let capable = without_unusable(now_ms, job, capable);
         let free = match self.preferred(now_ms, &capable) {
             Some(preferred) => self.free_candidates(now_ms, directory, &room, &preferred),
             None => return self.decide_used_up(now_ms, directory, job, &capable),
--- a/crates/dispatch/src/eligibility.rs
+++ b/crates/dispatch/src/eligibility.rs
@@ -24,6 +24,10 @@
 /// Smallest number of slots of which one is left free.
 const MIN_SHARED_SLOTS: u32 = 4;
 
+/// Number of expected run times that a request must have left to wait for another upstream than one
+/// whose answer was unusable.
+const AWAITED_RUNS: u64 = 2;
+
 /// Room for one request at the upstreams that hold its model, by the versions that they run.
 pub(crate) struct RoomByVersion<'a> {
     is_new: bool,
@@ -80,6 +84,25 @@
     }
 }
 
+/// Returns the upstreams without those whose answers to the request were unusable, if there are others
+/// and an answer of theirs can be awaited: they may be full for a moment.
+pub(crate) fn without_unusable<'a>(
+    now_ms: u64,
+    job: &Job,
+    capable: Vec<&'a Upstream>,
+) -> Vec<&'a Upstream> {
+    let left_ms = job.deadline_ms.saturating_sub(now_ms);
+    if job.unusable.is_empty() || left_ms < AWAITED_RUNS * job.expected_run_ms {
+        return capable;
+    }
+    let usable = |upstream: &&&Upstream| !job.unusable.contains(&upstream.name);
+    let others: Vec<&Upstream> = capable.iter().filter(usable).copied().collect();
+    match others.is_empty() {
+        true => capable,
+        false => others,
+    }
+}
+
 /// Returns an upstream as the routing policy sees it.
 pub(crate) fn candidate(upstream: &Upstream) -> Candidate {
     Candidate {
--- a/crates/dispatch/src/job.rs
+++ b/crates/dispatch/src/job.rs
@@ -37,6 +37,8 @@
     pub expected_run_ms: u64,
     /// Upstreams that it was sent to, in order.
     pub tried: Vec<UpstreamName>,
+    /// Upstreams whose answers were unusable. It is sent there again only if no other can take it.
+    pub unusable: Vec<UpstreamName>,
     /// Number of sends after which it may have run.
     pub runs: u32,
     /// Whether its next send is a retry for which the budget has not been charged yet.
--- a/crates/dispatch/tests/send_decisions.rs
+++ b/crates/dispatch/tests/send_decisions.rs
@@ -250,3 +250,26 @@
     let verdict = dispatcher.decide(1_001, &directory, &call(RouteKind::Idempotent));
     assert!(matches!(verdict, DispatchDecision::Send(_)));
 }
+
+/// Guards against a second attempt at the upstream whose answer was unusable while the other one is
+/// full for a moment, and against a request that waits for that one until it is too late.
+#[test]
+fn unusable_upstream_avoided() {
+    let directory = directory(&[("e0", "a", &["m0"]), ("e1", "a", &["m0"])]);
+    let mut dispatcher = dispatcher();
+    let job = Job {
+        unusable: vec!["e0".into()],
+        tried: vec!["e0".into()],
+        runs: 1,
+        ..stream("m0", true)
+    };
+    let send = |to: &str| DispatchDecision::Send(to.into());
+    assert_eq!(dispatcher.decide(1_000, &directory, &job), send("e1"));
+    for _ in 0..SLOTS {
+        dispatcher.sent(1_000, &stream("m0", true), &"e1".into());
+    }
+    let wait = DispatchDecision::Wait(WaitReason::Full);
+    assert_eq!(dispatcher.decide(1_000, &directory, &job), wait);
+    let late_ms = job.deadline_ms - job.expected_run_ms;
+    assert_eq!(dispatcher.decide(late_ms, &directory, &job), send("e0"));
+}
--- a/crates/dispatch/tests/support/mod.rs
+++ b/crates/dispatch/tests/support/mod.rs
@@ -122,6 +122,7 @@
         prefix_hash: None,
         expected_run_ms: 500,
         tried: Vec::new(),
+        unusable: Vec::new(),
         runs: 0,
         awaits_retry_budget: false,
     }
--- a/crates/entry/src/failed_attempts.rs
+++ b/crates/entry/src/failed_attempts.rs
@@ -136,6 +136,15 @@
             return;
         };
         request.job.runs += u32::from(!failed.is_not_run());
+        if matches!(
+            failed,
+            FailedAttempt::Lost | FailedAttempt::ContinuationMismatch
+        ) {
+            request
+                .job
+                .unusable
+                .extend(request.job.tried.last().cloned());
+        }
         let has_begun = request.delivery.has_begun();
         // A trial run, or a request that was blocked before, gets no second attempt until this one
         // has been judged.
--- a/crates/entry/src/request_dispatch.rs
+++ b/crates/entry/src/request_dispatch.rs
@@ -286,6 +286,7 @@
             prefix_hash: prefix_hash(serving),
             expected_run_ms,
             tried: Vec::new(),
+            unusable: Vec::new(),
             runs: 0,
             awaits_retry_budget: false,
         }
--- a/crates/standins/src/http/mod.rs
+++ b/crates/standins/src/http/mod.rs
@@ -14,6 +14,7 @@
 pub use caller::Caller;
 pub use link::SlowLink;
 pub use reply::Buffered;
+pub use reply::Endless;
 pub use reply::EventWriter;
 pub use reply::Paused;
 pub use reply::Raw;
--- a/crates/standins/src/http/reply.rs
+++ b/crates/standins/src/http/reply.rs
@@ -26,6 +26,8 @@
     Raw(Raw),
     /// Bytes that are sent unchanged, with a pause between two parts.
     Paused(Paused),
+    /// Bytes that go on without end, until the client closes the connection.
+    Endless(Endless),
     /// Bytes that are sent unchanged over a slow link.
     OverLink(Raw, Arc<SlowLink>),
 }
@@ -50,6 +52,17 @@
     pub after: Vec<u8>,
 }
 
+/// Bytes that are sent unchanged and go on until the client closes the connection.
+#[derive(Clone, Debug)]
+pub struct Endless {
+    /// Bytes that are sent once.
+    pub before: Vec<u8>,
+    /// Bytes that are sent again and again.
+    pub repeated: Vec<u8>,
+    /// Time between two repetitions.
+    pub gap: Duration,
+}
+
 /// Answer whose body is known in advance.
 #[derive(Clone, Debug)]
 pub struct Buffered {
@@ -145,7 +158,8 @@
         match &mut self {
             Self::Buffered(buffered) => buffered.headers.push(header),
             Self::Stream(stream) => stream.headers.push(header),
-            Self::Lost | Self::Raw(_) | Self::Paused(_) | Self::OverLink(..) => {}
+            Self::Lost | Self::Raw(_) | Self::Paused(_) | Self::Endless(_) | Self::OverLink(..) => {
+            }
         }
         self
     }
@@ -182,6 +196,14 @@
                 connection.write_all(&paused.after)?;
                 Ok(true)
             }
+            Self::Endless(endless) => {
+                let mut connection = connection;
+                connection.write_all(&endless.before)?;
+                loop {
+                    connection.write_all(&endless.repeated)?;
+                    thread::sleep(endless.gap);
+                }
+            }
             Self::OverLink(raw, link) => {
                 link.send(connection, &raw.bytes)?;
                 Ok(raw.keep_alive)
--- a/crates/standins/src/platform/answer_faults.rs
+++ b/crates/standins/src/platform/answer_faults.rs
@@ -2,6 +2,7 @@
 
 #[cfg(doc)]
 use crate::platform::answers::LARGE_BYTES;
+use crate::platform::endless::EndlessPart;
 use crate::platform::silence::SilencePoint;
 use crate::platform::stream_faults::StreamFault;
 
@@ -51,6 +52,13 @@
     LargeStalled,
     /// The body never ends.
     Endless,
+    /// Bytes come without end, of an answer or of none.
+    EndlessPart {
+        /// What comes again and again.
+        part: EndlessPart,
+        /// Time between two repetitions in milliseconds.
+        gap_ms: u64,
+    },
     /// The answer lacks its signature.
     Unsigned,
     /// The stream lacks its signature but is otherwise sent as usual.
--- a/crates/standins/src/platform/answers.rs
+++ b/crates/standins/src/platform/answers.rs
@@ -300,6 +300,7 @@
             })
             .with_header(ID, id)
             .with_header(SIGNATURE, "s"),
+            Some(AnswerFault::EndlessPart { part, gap_ms }) => part.reply(&head(200, ""), gap_ms),
             Some(AnswerFault::Silent { at, for_ms }) => at.unstreamed(&framed(200, ""), for_ms),
             Some(AnswerFault::TurnedAway) => self.not_run(request, 503),
             Some(AnswerFault::TurnedAwayStalled) => {
