An answer that does not get on is doubted, whatever bytes come

Callers saw: a request that may be repeated stayed for 2,971 ms, to its end, at an engine that sent a head without end (16 bytes each 100 ms, a header line or an interim answer each 100 ms), or a body without an event, while the other engine was idle.

Cause: progress was measured in bytes, not in the answer. A connection from which bytes come was never doubted.

Change: a connection records when its answer last got on: its head is complete, a part of the body came, of a stream an event that the caller gets. Doubts and observed waits go by that. A request that leaves such an upstream counts as its failure (reason no_progress), and is not sent there again. What may run once stays, as before, and ends honestly with its time.

Measured: sent_elsewhere fails before for header_line, header_lines, interim_answers, comments and plain_body (504 or no answer), and passes, four requests within 2.7 s. 64 cases of silent_upstreams, and cut_paths, dead_connections, slow_callers, upstream_restarts, timeout_changes pass.

--- a/crates/dispatch/src/silence.rs
+++ b/crates/dispatch/src/silence.rs
@@ -49,7 +49,8 @@
     pub job: &'a Job,
     /// Upstream that it was sent to.
     pub upstream: &'a UpstreamName,
-    /// Time of the last data on its connection, or of the send if none came since.
+    /// When its answer last got on, or of the send if it has not since. Bytes that belong to no part of
+    /// an answer are no progress.
     pub since_ms: u64,
     /// Whether its caller has a part of the answer.
     pub has_begun: bool,
--- a/crates/entry/src/outbound.rs
+++ b/crates/entry/src/outbound.rs
@@ -137,8 +137,11 @@
     has_more: bool,
     /// When bytes last arrived or the exchange began.
     pub last_received_ms: u64,
-    /// Time without data before the last bytes of the exchange in progress.
-    pub last_wait_ms: u64,
+    /// When the answer last got on, or the exchange began. Bytes alone are no progress: they may go on
+    /// without ever becoming an answer.
+    pub last_progress_ms: u64,
+    /// Longest time without progress since it was last taken.
+    longest_wait_ms: u64,
     /// How long the connection may stay idle.
     idle_ms: u64,
     idle_until_ms: u64,
@@ -158,7 +161,8 @@
     pub fn begin(&mut self, now_ms: u64, purpose: Purpose, bytes: &[u8], is_head_request: bool) {
         self.purpose = purpose;
         self.last_received_ms = now_ms;
-        self.last_wait_ms = 0;
+        self.last_progress_ms = now_ms;
+        self.longest_wait_ms = 0;
         self.parse = Parse::Head;
         self.is_head_request = is_head_request;
         self.keep_alive = true;
@@ -244,7 +248,6 @@
             };
             has_received = self.input.len() > before;
             if has_received {
-                self.last_wait_ms = now_ms.saturating_sub(self.last_received_ms);
                 self.last_received_ms = now_ms;
             }
             self.has_more = end == ReadEnd::Limit;
@@ -318,10 +321,29 @@
         let was_paused = std::mem::take(&mut self.paused);
         if was_paused {
             self.last_received_ms = now_ms;
+            self.last_progress_ms = now_ms;
         }
         was_paused
     }
 
+    /// Records that the answer in progress got on: its head is complete, or a part of its body is one
+    /// that the caller can use.
+    pub fn record_progress(&mut self, now_ms: u64) {
+        let waited_ms = now_ms.saturating_sub(self.last_progress_ms);
+        self.longest_wait_ms = self.longest_wait_ms.max(waited_ms);
+        self.last_progress_ms = now_ms;
+    }
+
+    /// Returns the longest time without progress since the last call.
+    pub fn take_longest_wait_ms(&mut self) -> u64 {
+        std::mem::take(&mut self.longest_wait_ms)
+    }
+
+    /// Returns whether bytes have come since the answer last got on.
+    pub fn has_received_in_vain(&self) -> bool {
+        self.last_received_ms > self.last_progress_ms
+    }
+
     /// Returns whether bytes may be unread for which no readiness event will come.
     pub fn has_more(&self) -> bool {
         self.has_more && self.ended.is_none() && self.input.len() < READ_LIMIT_BYTES
--- a/crates/entry/src/outbound/pool.rs
+++ b/crates/entry/src/outbound/pool.rs
@@ -113,7 +113,8 @@
             ended: None,
             has_more: false,
             last_received_ms: now_ms,
-            last_wait_ms: 0,
+            last_progress_ms: now_ms,
+            longest_wait_ms: 0,
             idle_ms: DEFAULT_IDLE_MS,
             idle_until_ms: 0,
             connect_until_ms: Some(now_ms + CONNECT_TIMEOUT_MS),
@@ -233,10 +234,17 @@
         self.silent(since_ms, |it| it.peer == *peer).collect()
     }
 
-    /// Returns all connections that proxy callers' requests and have received nothing since a time,
-    /// with the requests' keys and the times of their last data.
-    pub fn silent_requests(&self, since_ms: u64) -> Vec<(Token, u64, u64)> {
-        self.silent(since_ms, |_| true).collect()
+    /// Returns all connections that proxy callers' requests and whose answers have not got on since a
+    /// time, with the requests' keys and the times at which they last did.
+    pub fn stalled_requests(&self, since_ms: u64) -> Vec<(Token, u64, u64)> {
+        let connections = self.connections.iter();
+        let stalled = connections.filter_map(|(token, it)| match it.purpose {
+            Purpose::Proxy(key) if !it.paused && it.last_progress_ms <= since_ms => {
+                Some((*token, key, it.last_progress_ms))
+            }
+            _ => None,
+        });
+        stalled.collect()
     }
 
     /// Returns whether a connection to a peer proxies a caller's request.
--- a/crates/entry/src/request_moves.rs
+++ b/crates/entry/src/request_moves.rs
@@ -24,6 +24,8 @@
 pub(crate) enum MoveReason {
     /// Its connection brings nothing, while its upstream is heard on others.
     DeadConnection,
+    /// Its connection brings bytes that never become an answer.
+    NoProgress,
     /// The direct path to its upstream is lost, and another VM reaches the upstream.
     LostPath,
     /// The process that it was sent to has ended.
@@ -35,6 +37,7 @@
     fn as_str(self) -> &'static str {
         match self {
             Self::DeadConnection => "dead_connection",
+            Self::NoProgress => "no_progress",
             Self::LostPath => "lost_path",
             Self::Restarted => "restarted",
         }
@@ -42,17 +45,22 @@
 }
 
 impl Daemon {
-    /// Checks the requests whose connections have brought nothing for long.
+    /// Checks the requests whose answers have not got on for long.
     pub(crate) fn check_silent_requests(&mut self) {
         self.end_requests_at_ended_incarnations();
         for (token, key) in self.doubted_requests() {
-            self.move_request(token, key, MoveReason::DeadConnection);
+            let connection = self.outbound.get_mut(token);
+            let reason = match connection.is_some_and(|it| it.has_received_in_vain()) {
+                true => MoveReason::NoProgress,
+                false => MoveReason::DeadConnection,
+            };
+            self.move_request(token, key, reason);
         }
     }
 
     fn doubted_requests(&mut self) -> Vec<(Token, u64)> {
         let since_ms = self.now_ms.saturating_sub(Dispatcher::least_silence_ms());
-        let silent = self.outbound.silent_requests(since_ms);
+        let silent = self.outbound.stalled_requests(since_ms);
         let silences: Vec<Silence<'_>> = silent
             .iter()
             .filter_map(|(_, key, since_ms)| {
@@ -106,12 +114,18 @@
         };
         self.log_move(key, &from, &to, reason);
         self.metrics.failed_attempt("moved");
-        self.end_attempt(key, UpstreamOutcome::Cancelled);
+        // An upstream whose answer does not get on has failed, one that is silent may be sound.
+        let outcome = match reason {
+            MoveReason::NoProgress => UpstreamOutcome::Lost,
+            _ => UpstreamOutcome::Cancelled,
+        };
+        self.end_attempt(key, outcome);
         self.outbound.close(token, self.poll.registry());
         // Connections that were opened as early as this one may be dead as well.
         self.outbound
-            .close_idle(&Peer::Upstream(from), self.poll.registry());
+            .close_idle(&Peer::Upstream(from.clone()), self.poll.registry());
         if let Some(request) = self.active.get_mut(key) {
+            request.job.unusable.push(from);
             request.job.runs += 1;
             request.phase = Phase::Waiting(WaitReason::Full);
         }
@@ -134,13 +148,12 @@
                 begun = request.delivery.has_begun(),
                 last_event = request.delivery.last_event(),
                 age_ms = self.now_ms - request.job.arrived_ms;
-                "request moved from a silent connection"
+                "request moved from a stalled connection"
             );
         }
     }
 
-    /// Records for how long an upstream sent nothing before the part of an answer that has just
-    /// come.
+    /// Records for how long an answer did not get on before the part that has just come.
     pub(crate) fn record_wait(&mut self, key: u64, had_begun: bool) {
         let Some(request) = self.active.get(key) else {
             return;
@@ -149,7 +162,7 @@
             return;
         };
         let connection = self.outbound.get_mut(*connection);
-        if let Some(waited_ms) = connection.map(|it| it.last_wait_ms) {
+        if let Some(waited_ms) = connection.map(|it| it.take_longest_wait_ms()) {
             self.dispatcher
                 .record_wait(self.now_ms, &request.job, had_begun, waited_ms);
         }
--- a/crates/entry/src/upstream_answers.rs
+++ b/crates/entry/src/upstream_answers.rs
@@ -161,6 +161,9 @@
         } = &mut request.phase
         {
             if verdict != HeadVerdict::Skip {
+                if let Some(connection) = self.outbound.get_mut(token) {
+                    connection.record_progress(self.now_ms);
+                }
                 if is_success && verdict == HeadVerdict::Deliver {
                     self.dispatcher.accepted(upstream, *at_ms);
                 }
@@ -310,6 +313,11 @@
         let had_begun = request.delivery.has_begun();
         let mut out = Vec::with_capacity(bytes.len() + HEAD_RESERVE_BYTES);
         let fits = request.delivery.body(bytes, closes, &mut out);
+        // Of a stream only events that the caller gets count.
+        let is_progress = !out.is_empty() || !request.route.kind.is_stream();
+        if let Some(connection) = self.outbound.get_mut(token).filter(|_| is_progress) {
+            connection.record_progress(self.now_ms);
+        }
         if !out.is_empty() {
             self.deliver(key, had_begun, &out);
         }
@@ -357,6 +365,9 @@
                 .release(self.now_ms, token, self.poll.registry());
             return true;
         };
+        if let Some(connection) = self.outbound.get_mut(token) {
+            connection.record_progress(self.now_ms);
+        }
         let Some(status) = request.delivery.status() else {
             // The answer belonged to another request; this request's own may still come.
             if let Some(connection) = self.outbound.get_mut(token) {
