LIMIT: a request is not moved to an upstream whose limit on rejections makes it wait for a permit

Callers would see: a request that an upstream works on is taken away, its connection closed, and then waits for a permit at another VM, perhaps to its end.

Cause: decide_move asked for rate limits alone.

Change: it asks for limits on rejections, too, and does not choose the upstream that the request leaves.

Measured: rejection_limited_upstreams fails before and passes.

--- a/crates/dispatch/src/silence.rs
+++ b/crates/dispatch/src/silence.rs
@@ -197,17 +197,19 @@
         if !may_run_again || !may_continue {
             return None;
         }
-        let moved = Job {
+        let mut moved = Job {
             runs: job.runs + 1,
             awaits_retry_budget: false,
             ..job.clone()
         };
+        moved.unusable.extend(job.tried.last().cloned());
         let upstream = match self.decide(now_ms, directory, &moved) {
             DispatchDecision::Send(upstream) => upstream,
             DispatchDecision::Wait(_) | DispatchDecision::Refuse(_) => return None,
         };
         // It would have to wait for a permit.
-        let is_limited = self.stated_limits.limit(&upstream).is_some();
+        let rejection_limit = self.rejection_limits().limit(&job.service, &upstream);
+        let is_limited = rejection_limit.is_some() || self.stated_limits.limit(&upstream).is_some();
         (!is_limited && self.spend_retry(now_ms, &moved)).then_some(upstream)
     }
 }
--- a/crates/dispatch/tests/silent_connections.rs
+++ b/crates/dispatch/tests/silent_connections.rs
@@ -290,6 +290,18 @@
     assert_eq!(fixture.target(&job), None);
 }
 
+/// Guards against taking a request from its place to have it wait for a permit of an upstream with a
+/// limit on rejections.
+#[test]
+fn rejection_limited_upstreams() {
+    let mut fixture = fixture();
+    let job = fixture.job.clone();
+    let limits = fixture.dispatcher.rejection_limits_mut();
+    let limit = RateLimit::from_per_s(5.0);
+    limits.record_answer(SENT_MS, SENT_MS, &job.service, &"e0".into(), limit);
+    assert_eq!(fixture.target(&job), None);
+}
+
 #[test]
 fn budget_spent() {
     let mut fixture = fixture();
