Soak: upstreams that answer without end, at a drawn pace

Change: one to three upstreams a seed answer one to three requests with garbage, an endless header line, header lines, interim answers, a body that is no stream of events, a chunk size or comments, each 1 to 200 ms; from a generator of its own. The promises that bind them are those that there were: in time, nothing lost, own answer, runs once, stays up.

--- a/crates/soak/src/plan.rs
+++ b/crates/soak/src/plan.rs
@@ -16,6 +16,7 @@
 use crate::notice_draws::draw_small_room;
 use crate::notice_draws::draw_stated_leaves;
 use crate::silence_draws::draw_adjustments;
+use crate::silence_draws::draw_endless_answers;
 use crate::silence_draws::draw_silences;
 
 /// Prefixes of the bodies of requests that crash engines: before the first event of the answer, and
@@ -104,6 +105,7 @@
         faults.extend(draw_rests(seed, calm_from_ms, engines));
         faults.extend(draw_small_room(seed, calm_from_ms));
         faults.extend(draw_silences(seed, calm_from_ms, engines, upstreams));
+        faults.extend(draw_endless_answers(seed, calm_from_ms, upstreams));
         faults.extend(draw_adjustments(seed, calm_from_ms));
         let (bursts, changes) = draw_organisation_events(seed, calm_from_ms);
         faults.extend(changes);
--- a/crates/soak/src/silence_draws.rs
+++ b/crates/soak/src/silence_draws.rs
@@ -2,6 +2,8 @@
 
 use std::ops::RangeInclusive;
 
+use apricotdale_standins::platform::AnswerFault;
+use apricotdale_standins::platform::EndlessPart;
 use rand::RngExt;
 use rand::SeedableRng;
 use rand::seq::IndexedRandom;
@@ -32,6 +34,23 @@
 const PLAIN_PERCENTS: [u32; 4] = [10, 50, 90, 100];
 const RATES_PER_S: [u32; 3] = [12, 18, 25];
 
+/// Number of upstreams that answer without end, the answers of each, and the pace.
+const ENDLESS_COUNT: RangeInclusive<usize> = 1..=3;
+const ENDLESS_ANSWERS: RangeInclusive<u32> = 1..=3;
+const ENDLESS_GAP_MS: RangeInclusive<u64> = 1..=200;
+const ENDLESS_PARTS: [EndlessPart; 7] = [
+    EndlessPart::Garbage,
+    EndlessPart::HeaderLine,
+    EndlessPart::HeaderLines,
+    EndlessPart::InterimAnswers,
+    EndlessPart::PlainBody,
+    EndlessPart::ChunkSize,
+    EndlessPart::Comments,
+];
+
+/// Mask that gives the draws of these answers a seed of their own.
+const ENDLESS_SEED_MASK: u64 = 0x656e_646c_6573_7361;
+
 /// Mask that gives the draws of these changes a seed of their own.
 const ADJUSTMENT_SEED_MASK: u64 = 0x6164_6a75_7374_6564;
 
@@ -70,6 +89,24 @@
     silences
 }
 
+/// Draws the upstreams that answer without end.
+pub(crate) fn draw_endless_answers(seed: u64, calm_from_ms: u64, upstreams: usize) -> Vec<Planned> {
+    let mut random = ChaCha8Rng::seed_from_u64(seed ^ ENDLESS_SEED_MASK);
+    (0..random.random_range(ENDLESS_COUNT))
+        .map(|_| Planned {
+            at_ms: random.random_range(WARM_UP_MS..calm_from_ms.max(WARM_UP_MS + 1)),
+            trouble: Trouble::Answers {
+                upstream: random.random_range(0..upstreams.max(1)),
+                fault: AnswerFault::EndlessPart {
+                    part: ENDLESS_PARTS[random.random_range(0..ENDLESS_PARTS.len())],
+                    gap_ms: random.random_range(ENDLESS_GAP_MS),
+                },
+                count: random.random_range(ENDLESS_ANSWERS),
+            },
+        })
+        .collect()
+}
+
 /// Draws the operators' changes of settings and, in the same series, of the limit of requests.
 pub(crate) fn draw_adjustments(seed: u64, calm_from_ms: u64) -> Vec<Planned> {
     let mut random = ChaCha8Rng::seed_from_u64(seed ^ ADJUSTMENT_SEED_MASK);
