LIMIT: a VM that is denied a permit also tells its owner what upstreams have stated

Cause: an owner denies permits of an account that it does not have. It had been asked whether a limit has ended, but not told of one that it has missed: the VM alone knows an upstream's statement if its announcement was lost and the upstream has not answered since.

Change: the denied VM exchanges with its owner, once a second.

Measured: by reading; no test has its own announcement lost and the lease holder's table too.

--- a/crates/entry/src/rejection_permits.rs
+++ b/crates/entry/src/rejection_permits.rs
@@ -209,25 +209,28 @@
                 let until_ms = now_ms + retry_after_ms.min(MAX_DENIED_MS);
                 let limits = self.dispatcher.rejection_limits_mut();
                 limits.hold_back(upstream, until_ms);
-                self.ask_owner_for_stated_limits();
+                self.exchange_limits_with_owner();
             }
             PermitOutcome::Pending { .. } => {}
         }
         self.handle_permit_outcome(key, &outcome)
     }
 
-    /// Asks the owner of the permits, which has denied one, for what upstreams have stated: the limit may
-    /// have ended, and the owner denies what it has no account for.
-    fn ask_owner_for_stated_limits(&mut self) {
+    /// Exchanges what upstreams have stated with the owner of the permits, which has denied one: it
+    /// denies what it has no account for, since the limit has ended or the owner has not heard of it.
+    fn exchange_limits_with_owner(&mut self) {
         let permits = &mut self.upstream_permits;
         if self.now_ms < permits.next_owner_question_ms {
             return;
         }
         permits.next_owner_question_ms = self.now_ms + OWNER_QUESTION_INTERVAL_MS;
         let rank = permits.client.owner_rank();
-        if let Some((_, address)) = self.peers.quota_owners().get(rank) {
+        let own = &self.peers.own_record().vm;
+        let owners = self.peers.quota_owners();
+        if let Some((_, address)) = owners.get(rank).filter(|(vm, _)| vm != own) {
             let question = PeerMessage::StatedLimitsRequested { is_first: false };
             self.peers.send(*address, &question);
+            self.send_all_stated_limits(Some(*address));
         }
     }
 
--- a/crates/entry/src/upstream_permits.rs
+++ b/crates/entry/src/upstream_permits.rs
@@ -414,7 +414,8 @@
         }
     }
 
-    fn send_all_stated_limits(&mut self, to: Option<SocketAddr>) {
+    /// Sends everything that upstreams have stated to one VM, or to all.
+    pub(crate) fn send_all_stated_limits(&mut self, to: Option<SocketAddr>) {
         let all = self
             .dispatcher
             .stated_limits_mut()
