CONFIG: an unknown path is refused for good only by a configuration that is known to be the newest

Callers saw: 404 for routes that had been added 3.6 and 3.3 s before, from two VMs that had been cut from the store until some 4 s before (the record). No request is retried after 404.

Cause: a VM that had heard of no newer version took its configuration for the newest, however old its last read was.

Class: a refusal for good rests on evidence whose age nobody asks.

Change: if the VM has not read or been told for 2 s that its configuration is the newest, it answers 503 with Retry-After in place of 404. A key that nobody holds is refused all the same.

missed_change_applied accepts 404 or 503 within the outage: its own sentence is that the change is not in force yet, and which of both comes is up to how old the last read is then.

All of key_outages, store_rollback, request_path, shared_reads, configuration_backlog pass.

--- a/crates/entry/src/request_dispatch.rs
+++ b/crates/entry/src/request_dispatch.rs
@@ -55,6 +55,10 @@
 /// from a VM or an operator that is not there yet.
 const EVIDENCE_RETRY_AFTER_MS: u64 = 1_000;
 
+/// Time since this VM last knew its configuration to be the newest, above which it refuses nothing for
+/// good as of an unknown path. Changes have to be in force after as long.
+const MAX_CONFIRMED_AGE_MS: u64 = 2_000;
+
 /// Minimum time for which a request on probation waits for its trial run. A judge that has just
 /// started allows none for a shorter time.
 const MIN_TRIAL_WAIT_MS: u64 = 2_000;
@@ -217,17 +221,21 @@
         }
     }
 
-    /// Returns the refusal of a request that the configuration in force does not allow. If this VM
-    /// knows that a newer one is in force at other VMs, that one may allow the request, and the
-    /// caller can retry there.
+    /// Returns the refusal of a request that the configuration in force does not allow. If a newer one
+    /// is in force at other VMs, or may be as far as this VM knows, that one may allow the request, and
+    /// the caller can retry there. A key that nobody holds is refused all the same.
     fn refusal_by_configuration(&self, reason: RefusalReason, detail: &str) -> Refusal {
-        match self.store_pollers.outdated_for_ms(self.now_ms) {
-            None => Refusal::not_run(reason, detail),
-            Some(_) => {
-                let detail = format!("{detail}, but a newer configuration is in force elsewhere");
-                Refusal::not_run(RefusalReason::NotReady, detail).retry_after(RETRY_AFTER_MS)
+        let confirmed_age_ms = self.store_pollers.confirmed_age_ms(self.now_ms);
+        let is_unconfirmed = confirmed_age_ms.is_none_or(|age_ms| age_ms > MAX_CONFIRMED_AGE_MS);
+        let doubt = match self.store_pollers.outdated_for_ms(self.now_ms) {
+            Some(_) => "a newer configuration is in force elsewhere",
+            None if is_unconfirmed && reason != RefusalReason::UnknownKey => {
+                "a newer configuration may be in force"
             }
-        }
+            None => return Refusal::not_run(reason, detail),
+        };
+        let detail = format!("{detail}, but {doubt}");
+        Refusal::not_run(RefusalReason::NotReady, detail).retry_after(RETRY_AFTER_MS)
     }
 
     /// Returns whether keys can be relied on. They always can unless the operators configured that
