LIMIT: what is told with a rejection is not announced again by each VM that hears it

Callers would see: nothing; the VMs as many datagrams as there are pairs of them, each time that a rejection is the first word of a limit.

Cause: a told rejection was recorded as an answer of the VM's own, and changes by own answers are announced.

Change: it is applied as told, like any announcement.

Measured: told_limit_not_announced holds the rule of the table; the daemon's use of it by reading.

--- a/crates/dispatch/tests/rejection_limits.rs
+++ b/crates/dispatch/tests/rejection_limits.rs
@@ -294,3 +294,18 @@
     assert!(late.record_answer(3_000, 2_900, &service(), &upstream(1), Some(limit(4.0))));
     assert_eq!(late.stated_since_ms(&service()), Some(3_000));
 }
+
+/// Guards against VMs that each announce again what one of them has announced, as many messages as
+/// there are pairs of VMs.
+#[test]
+fn told_limit_not_announced() {
+    let mut answered = RejectionLimits::new(1);
+    answered.record_answer(0, 0, &service(), &upstream(0), Some(limit(10.0)));
+    assert!(answered.has_unannounced());
+    let mut told = RejectionLimits::new(2);
+    for row in answered.take_unannounced(5) {
+        assert!(told.apply(5, &row, true));
+    }
+    assert!(told.limit(&service(), &upstream(0)).is_some());
+    assert!(!told.has_unannounced());
+}
--- a/crates/entry/src/rejection_permits.rs
+++ b/crates/entry/src/rejection_permits.rs
@@ -308,11 +308,18 @@
         let Some(service) = service else {
             return;
         };
-        let (now_ms, limit) = (self.now_ms, Some(limit));
         let limits = self.dispatcher.rejection_limits_mut();
-        limits.record_rejection(now_ms, upstream);
-        if limits.record_answer(now_ms, now_ms, &service, upstream, limit) {
-            self.handle_rejection_limit_change(&service, Some(upstream), "told");
+        limits.record_rejection(self.now_ms, upstream);
+        // The sender announces the limit itself; a record as an own answer would be announced again.
+        let row = StatedRejectionLimit {
+            service,
+            upstream: Some(upstream.clone()),
+            limit: Some(limit),
+            age_ms: 0,
+            stated_for_ms: 0,
+        };
+        if limits.apply(self.now_ms, &row, true) {
+            self.handle_rejection_limit_change(&row.service, Some(upstream), "told");
         }
     }
 
