Demand by engine: VMs report details, the lease holder announces the loads of engines

Cause: with more VMs than an engine has slots, each VM hears of an engine's load only in its own few answers, and the lease holder knows requests by model, not where they run, when they have to start and how many answers are late.

Change: the datagram Demand carries a DemandDetail, and the heartbeat the EngineLoads, both behind the message, so that earlier releases skip them. The dispatcher counts the announced requests where they are newer than the engine's own statement.

--- a/crates/dispatch/src/dispatcher.rs
+++ b/crates/dispatch/src/dispatcher.rs
@@ -265,6 +265,27 @@
         self.policy(service).learn(now_ms, event);
     }
 
+    /// Records the requests of all VMs at an upstream, as the lease holder announces them; none if the
+    /// upstream is not announced as busy.
+    pub fn record_shared_load(
+        &mut self,
+        now_ms: u64,
+        upstream: &UpstreamName,
+        requests: Option<u32>,
+    ) {
+        match requests {
+            Some(requests) => {
+                let load = self.loads.entry(upstream.clone()).or_default();
+                load.record_shared(now_ms, requests);
+            }
+            None => {
+                if let Some(load) = self.loads.get_mut(upstream) {
+                    load.forget_shared();
+                }
+            }
+        }
+    }
+
     /// Records that an upstream has left the fleet, and drops its state.
     pub fn removed(&mut self, now_ms: u64, upstream: &UpstreamName) {
         self.loads.remove(upstream);
--- a/crates/dispatch/src/upstream_load.rs
+++ b/crates/dispatch/src/upstream_load.rs
@@ -35,6 +35,9 @@
     local_requests: u32,
     /// Last report, with the value of `local_requests` and the time when it arrived.
     report: Option<(LoadSample, u32, u64)>,
+    /// Requests of all VMs as the lease holder last announced them, with the value of
+    /// `local_requests` and the time when that arrived.
+    shared: Option<(u32, u32, u64)>,
 }
 
 impl UpstreamLoad {
@@ -54,11 +57,26 @@
         self.report = Some((sample, self.local_requests, now_ms));
     }
 
+    /// Records the requests of all VMs that the lease holder announces.
+    pub(crate) fn record_shared(&mut self, now_ms: u64, requests: u32) {
+        self.shared = Some((requests, self.local_requests, now_ms));
+    }
+
+    /// Forgets the announced requests. An engine that is not announced is not busy.
+    pub(crate) fn forget_shared(&mut self) {
+        self.shared = None;
+    }
+
     /// Returns the estimated number of requests at the upstream, from all VMs.
     pub(crate) fn requests(&self, now_ms: u64) -> u32 {
-        match self.report {
-            Some((sample, local_then, at_ms)) if now_ms.saturating_sub(at_ms) < REPORT_TTL_MS => {
-                (sample.running + sample.waiting + self.local_requests)
+        let report = self
+            .report
+            .map(|(sample, local, at_ms)| (sample.running + sample.waiting, local, at_ms));
+        let newest = report.into_iter().chain(self.shared);
+        let newest = newest.max_by_key(|(.., at_ms)| *at_ms);
+        match newest {
+            Some((requests, local_then, at_ms)) if now_ms.saturating_sub(at_ms) < REPORT_TTL_MS => {
+                (requests + self.local_requests)
                     .saturating_sub(local_then)
                     .max(self.local_requests)
             }
--- a/crates/entry/src/daemon.rs
+++ b/crates/entry/src/daemon.rs
@@ -17,6 +17,7 @@
 use apricotdale_fleet::EvidenceOptions;
 use apricotdale_fleet::ReadPacing;
 use apricotdale_fleet::ReadSharing;
+use apricotdale_holder::LocalAnswers;
 use apricotdale_holder::LocalDemand;
 use apricotdale_paths::Options as PathOptions;
 use apricotdale_paths::Paths;
@@ -140,6 +141,7 @@
     pub(crate) peers: Peers,
     /// Demand of this VM's requests, for reports to the lease holder.
     pub(crate) local_demand: LocalDemand,
+    pub(crate) local_answers: LocalAnswers,
     /// What other VMs announce about the store's content, and what this VM announces.
     pub(crate) sharing: ReadSharing,
     pub(crate) store_era: StoreEra,
@@ -211,6 +213,7 @@
             engine_orders: EngineOrders::new(&settings, incarnation),
             peers: Peers::new(own_record, socket),
             local_demand: LocalDemand::default(),
+            local_answers: LocalAnswers::default(),
             poll,
             now_ms,
             incarnation,
--- a/crates/entry/src/engine_orders.rs
+++ b/crates/entry/src/engine_orders.rs
@@ -10,8 +10,10 @@
 use apricotdale_core::names::VmName;
 use apricotdale_core::numbers::Position;
 use apricotdale_fleet::WantedModel;
+use apricotdale_holder::DemandDetail;
 use apricotdale_holder::DemandRow;
 use apricotdale_holder::DemandTable;
+use apricotdale_holder::EngineKey;
 use apricotdale_holder::Lease;
 use apricotdale_holder::LeaseOptions;
 use apricotdale_holder::Planner;
@@ -110,6 +112,28 @@
         }
     }
 
+    /// Records the details of the demand that a VM reports.
+    pub fn record_detail(
+        &mut self,
+        now_ms: u64,
+        vm: &VmName,
+        incarnation: u64,
+        detail: &DemandDetail,
+    ) {
+        self.demand.note_detail(now_ms, vm, incarnation, detail);
+    }
+
+    /// Returns the requests in progress by engine, over all VMs.
+    pub fn engine_requests(&mut self, now_ms: u64) -> HashMap<EngineKey, u32> {
+        self.demand.sum_uses(now_ms);
+        self.demand.engine_requests()
+    }
+
+    /// Returns an engine's lasting speed in percent of the mean; 100 if it is not known.
+    pub fn speed_percent(&self, _engine: EngineKey) -> u16 {
+        100
+    }
+
     /// Returns the residence updates that a VM must have missed, given that it reports these models
     /// as missing.
     pub fn missed_residence_updates(&self, rows: &[DemandRow]) -> Vec<ResidenceUpdate> {
--- a/crates/entry/src/lib.rs
+++ b/crates/entry/src/lib.rs
@@ -20,6 +20,7 @@
 mod connections;
 mod crash_watch;
 mod daemon;
+mod demand_reports;
 mod engine_orders;
 mod engine_probes;
 mod errors;
--- a/crates/entry/src/messages.rs
+++ b/crates/entry/src/messages.rs
@@ -14,7 +14,9 @@
 use apricotdale_fleet::Upstream;
 use apricotdale_fleet::append_versions;
 use apricotdale_fleet::set_versions;
+use apricotdale_holder::DemandDetail;
 use apricotdale_holder::DemandRow;
+use apricotdale_holder::EngineLoads;
 use apricotdale_holder::ResidenceUpdate;
 use apricotdale_origins::OriginAnswer;
 use apricotdale_origins::OriginQuery;
@@ -60,17 +62,21 @@
     Hello(VmRecord),
     /// Announces that a VM stops.
     Goodbye(VmName),
-    /// A VM's demand, for the lease holder.
+    /// A VM's demand, for the lease holder. Its details follow behind the message.
     Demand {
         from: VmRecord,
         rows: Vec<DemandRow>,
+        #[serde(skip)]
+        detail: Option<DemandDetail>,
     },
-    /// Heartbeat of the lease holder.
+    /// Heartbeat of the lease holder. The loads of engines follow behind the message.
     Heartbeat {
         from: VmRecord,
         lease_end: Position,
         forecasts: Vec<ForecastRow>,
         fresh: Freshness,
+        #[serde(skip)]
+        loads: Option<EngineLoads>,
     },
     /// What a VM has read of the upstream list, sent while no lease holder announces it.
     ListRead { from: VmRecord, fresh: Freshness },
@@ -209,9 +215,15 @@
         PeerMessage::Entries { entries, .. } => {
             encoded.and_then(|bytes| append_versions(bytes, entries))
         }
-        PeerMessage::Heartbeat { fresh, .. } | PeerMessage::ListRead { fresh, .. } => {
+        PeerMessage::Heartbeat { fresh, loads, .. } => encoded
+            .and_then(|bytes| postcard::to_extend(&fresh.versions, bytes))
+            .and_then(|bytes| append(loads.as_ref(), bytes)),
+        PeerMessage::ListRead { fresh, .. } => {
             encoded.and_then(|bytes| postcard::to_extend(&fresh.versions, bytes))
         }
+        PeerMessage::Demand { detail, .. } => {
+            encoded.and_then(|bytes| append(detail.as_ref(), bytes))
+        }
         PeerMessage::StatedLimits {
             rejection_limits, ..
         } => encoded.and_then(|bytes| postcard::to_extend(rejection_limits, bytes)),
@@ -229,6 +241,14 @@
     }
 }
 
+/// Appends what follows behind a message, if there is anything.
+fn append<T: Serialize>(value: Option<&T>, bytes: Vec<u8>) -> postcard::Result<Vec<u8>> {
+    match value {
+        Some(value) => postcard::to_extend(value, bytes),
+        None => Ok(bytes),
+    }
+}
+
 /// Decodes a datagram; fails if its format is another version's or its content is malformed.
 pub(crate) fn decode(bytes: &[u8]) -> Result<PeerMessage, DecodeError> {
     match bytes.split_first() {
@@ -239,9 +259,16 @@
                 PeerMessage::Entries { entries, .. } => {
                     set_versions(entries, rest);
                 }
-                PeerMessage::Heartbeat { fresh, .. } | PeerMessage::ListRead { fresh, .. } => {
+                PeerMessage::Heartbeat { fresh, loads, .. } => {
+                    if let Ok((versions, rest)) = postcard::take_from_bytes(rest) {
+                        fresh.versions = versions;
+                        *loads = postcard::from_bytes(rest).ok();
+                    }
+                }
+                PeerMessage::ListRead { fresh, .. } => {
                     fresh.versions = postcard::from_bytes(rest).unwrap_or_default();
                 }
+                PeerMessage::Demand { detail, .. } => *detail = postcard::from_bytes(rest).ok(),
                 PeerMessage::StatedLimits {
                     rejection_limits, ..
                 } => {
--- a/crates/entry/src/peer_exchange.rs
+++ b/crates/entry/src/peer_exchange.rs
@@ -105,7 +105,11 @@
                     self.peers.lease_holder = None;
                 }
             }
-            PeerMessage::Demand { from: record, rows } => {
+            PeerMessage::Demand {
+                from: record,
+                rows,
+                detail,
+            } => {
                 self.peers.record_sender(now_ms, &record);
                 for part in self
                     .engine_orders
@@ -117,12 +121,21 @@
                 }
                 self.engine_orders
                     .record_demand(now_ms, &record.vm, record.incarnation, rows);
+                if let Some(detail) = detail {
+                    self.engine_orders.record_detail(
+                        now_ms,
+                        &record.vm,
+                        record.incarnation,
+                        &detail,
+                    );
+                }
             }
             PeerMessage::Heartbeat {
                 from,
                 lease_end,
                 forecasts,
                 fresh,
+                loads,
             } => {
                 self.peers.record_sender(now_ms, &from);
                 self.handle_era(lease_end.era);
@@ -142,6 +155,9 @@
                 self.apply_freshness(&fresh);
                 self.peers.lease_holder = Some((from.vm, from.address, now_ms));
                 self.apply_forecasts(forecasts);
+                if let Some(loads) = loads {
+                    self.apply_engine_loads(&loads);
+                }
             }
             PeerMessage::ListRead { from, fresh } => {
                 self.peers.record_sender(now_ms, &from);
@@ -408,12 +424,17 @@
         }
         self.sharing.lead();
         let fresh = self.freshness();
+        let mut loads = self.engine_loads();
+        if let Some(loads) = &loads {
+            self.apply_engine_loads(loads);
+        }
         for forecasts in parts {
             let heartbeat = PeerMessage::Heartbeat {
                 from: from.clone(),
                 lease_end,
                 forecasts,
                 fresh: fresh.clone(),
+                loads: loads.take(),
             };
             self.peers.send_all(&heartbeat);
         }
@@ -438,9 +459,14 @@
         self.peers.next_demand_ms = now_ms + pause_ms;
         self.peers.last_demand_ms = now_ms;
         let from = self.peers.own.clone();
+        let mut detail = self.demand_detail();
         if self.engine_orders.held_lease_end(now_ms).is_some() {
             self.engine_orders
                 .record_demand(now_ms, &from.vm, from.incarnation, rows);
+            if let Some(detail) = detail {
+                self.engine_orders
+                    .record_detail(now_ms, &from.vm, from.incarnation, &detail);
+            }
             return;
         }
         let Some((_, address, _)) = self.peers.lease_holder else {
@@ -450,6 +476,7 @@
             let message = PeerMessage::Demand {
                 from: from.clone(),
                 rows: rows.to_vec(),
+                detail: detail.take(),
             };
             self.peers.send(address, &message);
         }
--- a/crates/entry/src/request_ends.rs
+++ b/crates/entry/src/request_ends.rs
@@ -102,8 +102,11 @@
             caller.watch_delivery(RequestTrace::new(&request));
         }
         self.metrics.ended(how);
-        let job = &request.job;
         let good = how == "answered";
+        if good {
+            self.record_pace(&request);
+        }
+        let job = &request.job;
         if self.log_budget.try_take(self.now_ms, good) {
             log::info!(
                 request_id = request.serving.id.to_string(),
--- a/crates/entry/src/upstream_answers.rs
+++ b/crates/entry/src/upstream_answers.rs
@@ -353,6 +353,7 @@
         request.last_part_ms = self.now_ms;
         self.write_to_caller(caller, bytes);
         if !had_begun {
+            self.record_begun_answer(key);
             self.decide_close(caller);
             self.record_stream_origin(key);
         }
--- a/crates/holder/src/demand.rs
+++ b/crates/holder/src/demand.rs
@@ -8,6 +8,10 @@
 use serde::Deserialize;
 use serde::Serialize;
 
+use crate::demand_detail::DemandDetail;
+use crate::demand_detail::EngineKey;
+use crate::demand_detail::ModelKey;
+
 /// How long a VM's counts of waiting and running requests stay valid unless the VM repeats them.
 /// VMs with such requests announce their counts every 200 ms.
 const REQUEST_COUNTS_TTL_MS: u64 = 1_000;
@@ -46,6 +50,11 @@
     pub requests_per_s: f64,
     /// Time at which a request last arrived.
     pub last_arrival_ms: u64,
+    /// Time by which the earliest waiting request has to start to be answered by its target; none if
+    /// none waits or no VM has told.
+    pub start_by_ms: Option<u64>,
+    /// Share of the recent answers that began after their target; 0 if none is known.
+    pub late_share: f64,
 }
 
 /// Requests of one process of a VM at one time.
@@ -73,6 +82,23 @@
     /// Models and adapters with waiting or running requests. Kept apart from `arrived` because it
     /// stays short, and planning iterates over it tens of times a second.
     active: HashMap<WantedModel, RequestCounts>,
+    /// Requests in progress by engine and model, as of `detail_at_ms`.
+    uses: HashMap<(EngineKey, ModelKey), u32>,
+    /// Time by which the earliest waiting request for each model has to start.
+    starts_by_ms: HashMap<ModelKey, u64>,
+    /// Number of waiting requests by rank.
+    waiting_by_rank: HashMap<u8, u32>,
+    detail_at_ms: u64,
+    /// Answers since the process started, and late ones among them.
+    answers: HashMap<ModelKey, (u32, u32)>,
+}
+
+/// Moving counts of a model's answers.
+#[derive(Clone, Copy, Debug, Default)]
+struct RecentAnswers {
+    answered: f64,
+    late: f64,
+    at_ms: u64,
 }
 
 /// Demand of all VMs, as announced by each of them.
@@ -80,6 +106,10 @@
 pub struct DemandTable {
     vms: HashMap<(VmName, u64), VmDemand>,
     rates: HashMap<WantedModel, Rate>,
+    answers: HashMap<ModelKey, RecentAnswers>,
+    /// Requests in progress over all VMs, by engine and model.
+    uses: HashMap<(EngineKey, ModelKey), u32>,
+    has_details: bool,
 }
 
 impl DemandTable {
@@ -122,6 +152,91 @@
             .retain(|_, active| now_ms.saturating_sub(active.at_ms) <= REQUEST_COUNTS_TTL_MS);
     }
 
+    /// Records the details that one process of a VM reports. They replace those of its last report,
+    /// except for the counts of answers that it has not repeated.
+    pub fn note_detail(
+        &mut self,
+        now_ms: u64,
+        vm: &VmName,
+        incarnation: u64,
+        detail: &DemandDetail,
+    ) {
+        self.has_details = true;
+        let vm_demand = self.vms.entry((vm.clone(), incarnation)).or_default();
+        vm_demand.detail_at_ms = now_ms;
+        vm_demand.uses.clear();
+        for it in &detail.uses {
+            *vm_demand.uses.entry((it.engine, it.model)).or_default() += u32::from(it.requests);
+        }
+        vm_demand.starts_by_ms.clear();
+        vm_demand.waiting_by_rank.clear();
+        for wait in &detail.waits {
+            let start_by_ms = now_ms + u64::from(wait.start_in_ms);
+            vm_demand.starts_by_ms.insert(wait.model, start_by_ms);
+            for (rank, requests) in &wait.by_rank {
+                *vm_demand.waiting_by_rank.entry(*rank).or_default() += u32::from(*requests);
+            }
+        }
+        for row in &detail.answers {
+            let before = vm_demand
+                .answers
+                .insert(row.model, (row.answered, row.late));
+            let (answered, late) = before.unwrap_or_default();
+            let answered = row.answered.saturating_sub(answered);
+            let late = row.late.saturating_sub(late).min(answered);
+            let recent = self.answers.entry(row.model).or_default();
+            *recent = recent.decayed(now_ms);
+            recent.answered += f64::from(answered);
+            recent.late += f64::from(late);
+        }
+    }
+
+    /// Adds up the requests in progress of all VMs, which [`Self::requests_at`] and
+    /// [`Self::engine_requests`] return from then on.
+    pub fn sum_uses(&mut self, now_ms: u64) {
+        self.uses.clear();
+        for vm in self.vms.values() {
+            if now_ms.saturating_sub(vm.detail_at_ms) > REQUEST_COUNTS_TTL_MS {
+                continue;
+            }
+            for (key, requests) in &vm.uses {
+                *self.uses.entry(*key).or_default() += requests;
+            }
+        }
+    }
+
+    /// Returns whether VMs report details of their demand.
+    pub fn has_details(&self) -> bool {
+        self.has_details
+    }
+
+    /// Returns the requests in progress for a model at an engine, as last added up.
+    pub fn requests_at(&self, engine: EngineKey, model: ModelKey) -> u32 {
+        self.uses.get(&(engine, model)).copied().unwrap_or_default()
+    }
+
+    /// Returns the requests in progress by engine, as last added up.
+    pub fn engine_requests(&self) -> HashMap<EngineKey, u32> {
+        let mut requests: HashMap<EngineKey, u32> = HashMap::new();
+        for ((engine, _), count) in &self.uses {
+            *requests.entry(*engine).or_default() += count;
+        }
+        requests
+    }
+
+    /// Returns the number of waiting requests by rank, over all VMs.
+    pub fn waiting_by_rank(&self, now_ms: u64) -> HashMap<u8, u32> {
+        let mut waiting: HashMap<u8, u32> = HashMap::new();
+        for vm in self.vms.values() {
+            if now_ms.saturating_sub(vm.detail_at_ms) <= REQUEST_COUNTS_TTL_MS {
+                for (rank, requests) in &vm.waiting_by_rank {
+                    *waiting.entry(*rank).or_default() += requests;
+                }
+            }
+        }
+        waiting
+    }
+
     /// Returns the demand for each model and adapter that has ever been requested.
     pub fn totals(&self, now_ms: u64) -> HashMap<WantedModel, ModelDemand> {
         let mut totals: HashMap<WantedModel, ModelDemand> =
@@ -145,15 +260,49 @@
             demand.waiting_for_slot += active.waiting_for_slot;
             demand.running += active.running;
         }
+        if self.has_details {
+            self.add_details(now_ms, &mut totals);
+        }
         totals
     }
 
+    fn add_details(&self, now_ms: u64, totals: &mut HashMap<WantedModel, ModelDemand>) {
+        let mut starts_by_ms: HashMap<ModelKey, u64> = HashMap::new();
+        for vm in self.vms.values() {
+            if now_ms.saturating_sub(vm.detail_at_ms) > REQUEST_COUNTS_TTL_MS {
+                continue;
+            }
+            for (model, start_by_ms) in &vm.starts_by_ms {
+                let earliest = starts_by_ms.entry(*model).or_insert(*start_by_ms);
+                *earliest = (*earliest).min(*start_by_ms);
+            }
+        }
+        for (wanted, demand) in totals {
+            let model = ModelKey::of(&wanted.model);
+            demand.start_by_ms = starts_by_ms.get(&model).copied();
+            let recent = self.answers.get(&model).copied().unwrap_or_default();
+            let recent = recent.decayed(now_ms);
+            demand.late_share = recent.late / recent.answered.max(1.0);
+        }
+    }
+
     /// Removes the counts of a VM that has left the fleet.
     pub fn forget(&mut self, vm: &VmName) {
         self.vms.retain(|(other, _), _| other != vm);
     }
 }
 
+impl RecentAnswers {
+    fn decayed(self, now_ms: u64) -> Self {
+        let factor = (-(now_ms.saturating_sub(self.at_ms) as f64) / RATE_WINDOW_MS).exp();
+        Self {
+            answered: self.answered * factor,
+            late: self.late * factor,
+            at_ms: now_ms,
+        }
+    }
+}
+
 fn decayed_rate(rate: &Rate, now_ms: u64) -> f64 {
     rate.requests_per_s * (-(now_ms.saturating_sub(rate.at_ms) as f64) / RATE_WINDOW_MS).exp()
 }
