Planner of engines shared by many models, in work

Cause: an engine's swaps are chosen without knowing which requests run where.

Change: eviction by combinations with running requests by engine, turns, replica factor, backup copies, learnt time of unloads, a log line on the state of placement.

--- a/crates/entry/src/demand_reports.rs
+++ b/crates/entry/src/demand_reports.rs
@@ -21,10 +21,32 @@
 /// a request has to start before its target.
 const FIRST_EVENT_MS: u64 = 100;
 
+/// Duration of a load from cached weights that a waiting request still needs, as a lower bound.
+const LOAD_MS: u64 = 400;
+
+/// This VM's requests that wait for one model.
+struct LocalWait {
+    /// Earliest target.
+    target_ms: u64,
+    /// Number of requests that can still be answered by their target.
+    on_time: u16,
+    by_rank: BTreeMap<u8, u16>,
+}
+
+impl LocalWait {
+    fn new(target_ms: u64) -> Self {
+        Self {
+            target_ms,
+            on_time: 0,
+            by_rank: BTreeMap::new(),
+        }
+    }
+}
+
 impl Daemon {
     /// Returns whether VMs report details of their demand: with fewer VMs than an engine has slots,
     /// each VM hears of an engine's load in its own answers.
-    fn reports_detail(&self) -> bool {
+    pub(crate) fn reports_detail(&self) -> bool {
         let vms = self.peers.others() as u32 + 1;
         let services = self.directory.configuration().services.values();
         let mut engines = services.filter_map(|service| service.engine.as_ref());
@@ -38,7 +60,7 @@
         }
         let now_ms = self.now_ms;
         let mut uses: BTreeMap<(EngineKey, ModelKey), u16> = BTreeMap::new();
-        let mut waits: BTreeMap<ModelKey, (u64, BTreeMap<u8, u16>)> = BTreeMap::new();
+        let mut waits: BTreeMap<ModelKey, LocalWait> = BTreeMap::new();
         for (_, request) in self.active.iter() {
             let Some(wanted) = &request.job.wanted else {
                 continue;
@@ -50,11 +72,13 @@
                     *requests = requests.saturating_add(1);
                 }
                 Phase::Waiting(WaitReason::Missing | WaitReason::Full) => {
-                    let (target_ms, by_rank) =
-                        waits.entry(model).or_insert((u64::MAX, BTreeMap::new()));
-                    *target_ms = (*target_ms).min(request.job.target_ms);
+                    let target_ms = request.job.target_ms;
+                    let wait = waits.entry(model).or_insert(LocalWait::new(target_ms));
+                    wait.target_ms = wait.target_ms.min(target_ms);
+                    let is_on_time = target_ms > now_ms + FIRST_EVENT_MS + LOAD_MS;
+                    wait.on_time = wait.on_time.saturating_add(u16::from(is_on_time));
                     let rank = u8::try_from(request.job.rank).unwrap_or(u8::MAX);
-                    let requests = by_rank.entry(rank).or_default();
+                    let requests = wait.by_rank.entry(rank).or_default();
                     *requests = requests.saturating_add(1);
                 }
                 _ => {}
@@ -68,12 +92,13 @@
                 model,
                 requests,
             });
-        let waits = waits.into_iter().map(|(model, (target_ms, by_rank))| {
-            let start_in_ms = target_ms.saturating_sub(now_ms + FIRST_EVENT_MS);
+        let waits = waits.into_iter().map(|(model, wait)| {
+            let start_in_ms = wait.target_ms.saturating_sub(now_ms + FIRST_EVENT_MS);
             ModelWait {
                 model,
                 start_in_ms: u32::try_from(start_in_ms).unwrap_or(u32::MAX),
-                by_rank: by_rank.into_iter().collect(),
+                on_time: wait.on_time,
+                by_rank: wait.by_rank.into_iter().collect(),
             }
         });
         Some(DemandDetail {
--- a/crates/entry/src/engine_orders.rs
+++ b/crates/entry/src/engine_orders.rs
@@ -42,6 +42,9 @@
 /// periodic round notices it.
 const MAX_PLAN_INTERVAL_MS: u64 = 100;
 
+/// Time between two log lines on the state of placement.
+const SUMMARY_INTERVAL_MS: u64 = 1_000;
+
 /// Minimum pause after a round of planning, as a multiple of the time that the round took. On a VM
 /// with a small share of a core, the lease, callers and other VMs would otherwise wait for one
 /// round after the other.
@@ -57,6 +60,7 @@
     /// Fencing token of the lease; none unless this VM may send orders.
     fence: Option<u64>,
     next_plan_ms: u64,
+    next_summary_ms: u64,
     /// Earliest time of the next round of planning, even if events ask for one sooner.
     no_plan_before_ms: u64,
     /// Whether this VM leaves the lease to others, which reach more engines.
@@ -83,6 +87,7 @@
             planners: HashMap::new(),
             fence: None,
             next_plan_ms: 0,
+            next_summary_ms: 0,
             no_plan_before_ms: 0,
             abstains: false,
         }
@@ -244,6 +249,7 @@
         let now_ms = self.now_ms;
         let begun = Instant::now();
         self.sync_planners();
+        self.engine_orders.demand.sum_uses(now_ms);
         let mut actions = Vec::new();
         let mut next_ms = now_ms + MAX_PLAN_INTERVAL_MS;
         for planner in self.engine_orders.planners.values_mut() {
@@ -258,9 +264,28 @@
         self.engine_orders.no_plan_before_ms = now_ms + took_ms + took_ms * PLAN_PAUSE_FACTOR;
         self.engine_orders.next_plan_ms = next_ms.max(now_ms + 1);
         self.update_store_load_gauges();
+        if now_ms >= self.engine_orders.next_summary_ms {
+            self.engine_orders.next_summary_ms = now_ms + SUMMARY_INTERVAL_MS;
+            self.log_placement();
+        }
         self.execute_actions(actions);
     }
 
+    /// Logs the state of placement of each service with engines.
+    fn log_placement(&self) {
+        for planner in self.engine_orders.planners.values() {
+            let it = planner.placement_summary(self.now_ms, &self.engine_orders.demand);
+            log::info!(
+                service = planner.service().to_string(), serving = it.serving, idle = it.idle,
+                replicas = it.replicas, surplus = it.surplus, resident = it.resident,
+                requested = it.requested, missing = it.missing, wanted_more = it.wanted_more,
+                single_copies = it.single_copies, free_gb = it.free_mb / 1_000.0,
+                store_loads = it.store_loads, store_loads_allowed = planner.store_loads_allowed();
+                "placement of models"
+            );
+        }
+    }
+
     /// Updates the gauges of loads from the weight store.
     pub(super) fn update_store_load_gauges(&self) {
         let planners = || self.engine_orders.planners.values();
@@ -301,8 +326,9 @@
                     engine,
                     kind,
                     orders_before,
+                    tier,
                 } => {
-                    self.send_order(engine, kind, orders_before);
+                    self.send_order(engine, kind, orders_before, tier);
                 }
                 PlannerAction::Report { engine } => self.read_report(engine),
                 PlannerAction::Announce(update) => updates.push(update),
--- a/crates/entry/src/engine_orders/engine_calls.rs
+++ b/crates/entry/src/engine_orders/engine_calls.rs
@@ -4,6 +4,7 @@
 use apricotdale_core::names::UpstreamName;
 use apricotdale_core::numbers::Position;
 use apricotdale_fleet::DirectoryChange;
+use apricotdale_fleet::Tier;
 use apricotdale_holder::EngineReport;
 use apricotdale_holder::Order;
 use apricotdale_holder::OrderKind;
@@ -17,7 +18,13 @@
 use crate::outbound::Peer;
 
 impl Daemon {
-    pub(super) fn send_order(&mut self, engine: UpstreamName, kind: OrderKind, orders_before: u64) {
+    pub(super) fn send_order(
+        &mut self,
+        engine: UpstreamName,
+        kind: OrderKind,
+        orders_before: u64,
+        tier: Option<Tier>,
+    ) {
         let fence = self.engine_orders.lease.fence(self.now_ms);
         let upstream = self.wakeful(&engine);
         let (Some(fence), Some(upstream)) = (fence, upstream) else {
@@ -29,7 +36,7 @@
         self.engine_orders.lease.note_order(self.now_ms);
         log::info!(
             engine = engine.to_string(), order = kind.as_str(), model = kind.model().to_string(),
-            fence, orders_before;
+            source = tier.map_or("", Tier::as_str), fence, orders_before;
             "order sent to engine"
         );
         let order = Order {
--- a/crates/entry/src/peer_exchange.rs
+++ b/crates/entry/src/peer_exchange.rs
@@ -43,6 +43,10 @@
 /// Time between two demand reports while no requests wait.
 const IDLE_DEMAND_INTERVAL_MS: u64 = 700;
 
+/// Time between two demand reports while no requests wait, where VMs report the requests by engine.
+/// A request is in progress for about as long.
+const DETAIL_INTERVAL_MS: u64 = 350;
+
 /// Time between two heartbeats of the lease holder.
 const HEARTBEAT_INTERVAL_MS: u64 = 400;
 
@@ -451,10 +455,10 @@
         let waiting_ms = BUSY_DEMAND_INTERVAL_MS
             .max(by_fleet_ms)
             .min(IDLE_DEMAND_INTERVAL_MS);
-        let pause_ms = if has_waiting_requests {
-            waiting_ms
-        } else {
-            IDLE_DEMAND_INTERVAL_MS
+        let pause_ms = match has_waiting_requests {
+            true => waiting_ms,
+            false if self.reports_detail() => DETAIL_INTERVAL_MS.max(waiting_ms),
+            false => IDLE_DEMAND_INTERVAL_MS,
         };
         self.peers.next_demand_ms = now_ms + pause_ms;
         self.peers.last_demand_ms = now_ms;
--- a/crates/fleet/src/residence.rs
+++ b/crates/fleet/src/residence.rs
@@ -19,6 +19,17 @@
     Store,
 }
 
+impl Tier {
+    /// Returns the name used in logs.
+    pub fn as_str(self) -> &'static str {
+        match self {
+            Self::Memory => "memory",
+            Self::Disk => "disk",
+            Self::Store => "store",
+        }
+    }
+}
+
 /// Model that an engine can run without loading it.
 #[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub struct ResidentModel {
--- a/crates/holder/src/actions.rs
+++ b/crates/holder/src/actions.rs
@@ -2,6 +2,7 @@
 
 use apricotdale_core::names::ModelName;
 use apricotdale_core::names::UpstreamName;
+use apricotdale_fleet::Tier;
 use serde::Deserialize;
 use serde::Serialize;
 
@@ -40,6 +41,8 @@
         kind: OrderKind,
         /// Number of orders that the engine must have taken before this one.
         orders_before: u64,
+        /// Source of the weights, for a load of a model.
+        tier: Option<Tier>,
     },
     /// Read an engine's report, and pass it to [`Planner::report_ended`].
     ///
--- a/crates/holder/src/demand.rs
+++ b/crates/holder/src/demand.rs
@@ -50,6 +50,9 @@
     pub requests_per_s: f64,
     /// Time at which a request last arrived.
     pub last_arrival_ms: u64,
+    /// Number of waiting requests, for the model or an adapter of it, that can still be answered by
+    /// their target.
+    pub on_time: u32,
     /// Time by which the earliest waiting request has to start to be answered by its target; none if
     /// none waits or no VM has told.
     pub start_by_ms: Option<u64>,
@@ -84,8 +87,9 @@
     active: HashMap<WantedModel, RequestCounts>,
     /// Requests in progress by engine and model, as of `detail_at_ms`.
     uses: HashMap<(EngineKey, ModelKey), u32>,
-    /// Time by which the earliest waiting request for each model has to start.
-    starts_by_ms: HashMap<ModelKey, u64>,
+    /// Number of waiting requests for each model that can still be answered by their target, and the
+    /// time by which the earliest of them has to start.
+    on_time: HashMap<ModelKey, (u32, u64)>,
     /// Number of waiting requests by rank.
     waiting_by_rank: HashMap<u8, u32>,
     detail_at_ms: u64,
@@ -168,11 +172,12 @@
         for it in &detail.uses {
             *vm_demand.uses.entry((it.engine, it.model)).or_default() += u32::from(it.requests);
         }
-        vm_demand.starts_by_ms.clear();
+        vm_demand.on_time.clear();
         vm_demand.waiting_by_rank.clear();
         for wait in &detail.waits {
             let start_by_ms = now_ms + u64::from(wait.start_in_ms);
-            vm_demand.starts_by_ms.insert(wait.model, start_by_ms);
+            let on_time = u32::from(wait.on_time);
+            vm_demand.on_time.insert(wait.model, (on_time, start_by_ms));
             for (rank, requests) in &wait.by_rank {
                 *vm_demand.waiting_by_rank.entry(*rank).or_default() += u32::from(*requests);
             }
@@ -211,8 +216,9 @@
     }
 
     /// Returns the requests in progress for a model at an engine, as last added up.
-    pub fn requests_at(&self, engine: EngineKey, model: ModelKey) -> u32 {
-        self.uses.get(&(engine, model)).copied().unwrap_or_default()
+    pub fn requests_at(&self, engine: EngineKey, model: &ModelName) -> u32 {
+        let key = (engine, ModelKey::of(model));
+        self.uses.get(&key).copied().unwrap_or_default()
     }
 
     /// Returns the requests in progress by engine, as last added up.
@@ -267,19 +273,21 @@
     }
 
     fn add_details(&self, now_ms: u64, totals: &mut HashMap<WantedModel, ModelDemand>) {
-        let mut starts_by_ms: HashMap<ModelKey, u64> = HashMap::new();
+        let mut on_time: HashMap<ModelKey, (u32, u64)> = HashMap::new();
         for vm in self.vms.values() {
             if now_ms.saturating_sub(vm.detail_at_ms) > REQUEST_COUNTS_TTL_MS {
                 continue;
             }
-            for (model, start_by_ms) in &vm.starts_by_ms {
-                let earliest = starts_by_ms.entry(*model).or_insert(*start_by_ms);
-                *earliest = (*earliest).min(*start_by_ms);
+            for (model, (requests, start_by_ms)) in &vm.on_time {
+                let sum = on_time.entry(*model).or_insert((0, u64::MAX));
+                *sum = (sum.0 + requests, sum.1.min(*start_by_ms));
             }
         }
         for (wanted, demand) in totals {
             let model = ModelKey::of(&wanted.model);
-            demand.start_by_ms = starts_by_ms.get(&model).copied();
+            let waiting = on_time.get(&model);
+            demand.on_time = waiting.map_or(0, |(requests, _)| *requests);
+            demand.start_by_ms = waiting.map(|(_, start_by_ms)| *start_by_ms);
             let recent = self.answers.get(&model).copied().unwrap_or_default();
             let recent = recent.decayed(now_ms);
             demand.late_share = recent.late / recent.answered.max(1.0);
--- a/crates/holder/src/demand_detail.rs
+++ b/crates/holder/src/demand_detail.rs
@@ -71,6 +71,8 @@
     pub model: ModelKey,
     /// Time in milliseconds in which the earliest of them has to start to be answered by its target.
     pub start_in_ms: u32,
+    /// Number of requests that can still be answered by their target if the model is loaded at once.
+    pub on_time: u16,
     /// Number of requests by rank, in order of rank.
     pub by_rank: Vec<(u8, u16)>,
 }
--- a/crates/holder/src/engine_ledger.rs
+++ b/crates/holder/src/engine_ledger.rs
@@ -1,5 +1,6 @@
 //! The lease holder's record of one engine.
 
+use std::collections::HashMap;
 use std::collections::VecDeque;
 
 use apricotdale_core::names::ModelName;
@@ -8,6 +9,7 @@
 use apricotdale_fleet::Residence;
 use apricotdale_fleet::Tier;
 
+use crate::demand_detail::EngineKey;
 use crate::orders::OrderKind;
 
 /// Number of failed report reads in a row after which an engine counts as unreachable. One read may
@@ -39,6 +41,14 @@
 pub struct EngineLedger {
     /// Name of the engine.
     pub name: UpstreamName,
+    /// Identity of the engine in the details that VMs report.
+    pub(crate) key: EngineKey,
+    /// Times at which the resident models were loaded, as far as this holder has ordered it.
+    pub(crate) loaded_ms: HashMap<ModelName, u64>,
+    /// Number of requests that ran on the model when its unload was sent.
+    pub(crate) unload_runs: u32,
+    /// Whether the last order was an unload without running requests.
+    pub(crate) follows_unload: bool,
     /// What the engine holds, according to reports and accepted orders.
     pub residence: Residence,
     /// Number of orders that the engine has taken; none until a report has shown it.
@@ -92,7 +102,11 @@
     /// Returns the state of an engine of which only the entry in the VM list is known.
     pub fn new(name: UpstreamName, residence: Residence) -> Self {
         Self {
+            key: EngineKey::of(&name),
             name,
+            loaded_ms: HashMap::new(),
+            unload_runs: 0,
+            follows_unload: false,
             residence,
             orders_taken: None,
             in_progress: None,
@@ -118,6 +132,16 @@
         }
     }
 
+    /// Records when the load of a model has ended.
+    pub(crate) fn record_load_end(&mut self, now_ms: u64, kind: &OrderKind) {
+        if is_load(kind) {
+            let residence = &self.residence;
+            self.loaded_ms
+                .retain(|model, _| residence.model(model).is_some());
+            self.loaded_ms.insert(kind.model().clone(), now_ms);
+        }
+    }
+
     /// Returns whether new orders for models can be planned for the engine.
     pub(crate) fn is_idle(&self) -> bool {
         self.takes_orders() && self.next.is_empty()
--- a/crates/holder/src/load_forecast.rs
+++ b/crates/holder/src/load_forecast.rs
@@ -15,7 +15,7 @@
     /// if its load is not planned yet.
     pub fn forecasts(&self, now_ms: u64, demand: &DemandTable) -> Vec<(ModelName, Option<u64>)> {
         let totals = demand.totals(now_ms);
-        let snapshot = FleetSnapshot::new(&self.spec, &self.engines, &totals);
+        let snapshot = FleetSnapshot::new(&self.spec, &self.engines, &totals, None);
         self.spec
             .models
             .keys()
--- a/crates/holder/src/order_effects.rs
+++ b/crates/holder/src/order_effects.rs
@@ -41,7 +41,11 @@
             OrderOutcome::Accepted => {
                 self.record_taken_order(now_ms);
                 let tier = self.residence.tier(kind.model());
-                let configured_ms = expected_ms(&kind, tier);
+                let drain_ms = match &kind {
+                    OrderKind::UnloadModel(_) if self.unload_runs > 0 => options.drain_ms,
+                    _ => 0,
+                };
+                let configured_ms = expected_ms(&kind, tier) + drain_ms;
                 let factor = if is_load(&kind) {
                     self.load_factor
                 } else {
--- a/crates/holder/src/placement.rs
+++ b/crates/holder/src/placement.rs
@@ -7,7 +7,14 @@
 use apricotdale_fleet::EngineSpec;
 use apricotdale_fleet::Tier;
 use apricotdale_fleet::WantedModel;
+use apricotdale_placement::EvictionCandidate;
+use apricotdale_placement::EvictionChoices;
+use apricotdale_placement::EvictionOptions;
+use apricotdale_placement::ModelLoad;
+use apricotdale_placement::ReplicaFactor;
+use apricotdale_placement::is_in_turn;
 
+use crate::demand::DemandTable;
 use crate::demand::ModelDemand;
 use crate::engine_ledger::EngineLedger;
 use crate::orders::OrderKind;
@@ -28,6 +35,9 @@
 /// certain, and soon misses its deadline.
 const WAITING_REQUEST_VALUE: f64 = 4.0;
 
+/// The same for a waiting request whose target has passed, or can't be met by a load any more.
+const LATE_REQUEST_VALUE: f64 = 1.0;
+
 /// Amount that each evicted model adds to the cost of a placement, because its unload takes time.
 const EVICTION_COST: f64 = 0.05;
 
@@ -38,6 +48,9 @@
 /// demand.
 const ADAPTER_MODEL_COST: f64 = 0.005;
 
+/// Amount that each model cached on an engine adds to the cost of a load from the weight store there.
+const BLOCKED_MODEL_COST: f64 = 0.05;
+
 /// Load of a model on an engine, with the evictions that free memory for it.
 #[derive(Clone, Debug, PartialEq)]
 pub(crate) struct Placement {
@@ -47,9 +60,23 @@
     pub steps: Vec<OrderKind>,
 }
 
+/// What is known where VMs report their requests by engine.
+#[derive(Clone, Copy, Debug)]
+pub(crate) struct KnownUses<'a> {
+    /// Requests by engine and model.
+    pub demand: &'a DemandTable,
+    /// Time of the snapshot.
+    pub now_ms: u64,
+    /// Factors on the numbers of replicas.
+    pub factors: &'a HashMap<ModelName, ReplicaFactor>,
+}
+
 /// Snapshot of the fleet from which placements are chosen.
 pub(crate) struct FleetSnapshot<'a> {
     spec: &'a EngineSpec,
+    /// None if VMs don't report their requests by engine.
+    uses: Option<KnownUses<'a>>,
+    smallest_model_mb: f64,
     engines: &'a [EngineLedger],
     by_model: HashMap<ModelName, ModelDemand>,
     replicas: HashMap<ModelName, u32>,
@@ -73,24 +100,35 @@
     free_mb: f64,
     /// Resident models, the least valuable first.
     residents: Vec<Resident<'a>>,
+    /// Combinations of the residents that can be evicted; none if VMs don't report their requests by
+    /// engine.
+    choices: Option<EvictionChoices>,
     /// Amount that requests for adapters on the engine add to the cost of a placement.
     adapter_cost: f64,
 }
 
 impl IdleEngine<'_> {
-    /// Returns the models to evict for a model of this size, and the sum of their values. Returns
-    /// none if the model does not fit even then.
-    fn victims(&self, size_mb: f64) -> Option<(&[Resident<'_>], f64)> {
+    /// Returns the models to evict for a model of this size, and the cost of evicting them. Returns
+    /// none if the model does not fit even then, or if their value is above `max_value`.
+    fn victims(&self, size_mb: f64, max_value: f64) -> Option<(Vec<&ModelName>, f64)> {
+        if let Some(choices) = &self.choices {
+            let (eviction, cost) = choices.cheapest(size_mb, max_value)?;
+            let victims = eviction.victims().map(|index| self.residents[index].model);
+            return Some((victims.collect(), cost));
+        }
         let mut free_mb = self.free_mb;
         let mut value = 0.0;
-        for (count, resident) in self.residents.iter().enumerate() {
+        let mut victims = Vec::new();
+        for resident in &self.residents {
             if free_mb >= size_mb {
-                return Some((&self.residents[..count], value));
+                break;
             }
             value += resident.value;
             free_mb += resident.size_mb;
+            victims.push(resident.model);
         }
-        (free_mb >= size_mb).then_some((&self.residents, value))
+        let cost = value + EVICTION_COST * victims.len() as f64;
+        (free_mb >= size_mb && value <= max_value).then_some((victims, cost))
     }
 }
 
@@ -100,6 +138,7 @@
         spec: &'a EngineSpec,
         engines: &'a [EngineLedger],
         totals: &HashMap<WantedModel, ModelDemand>,
+        uses: Option<KnownUses<'a>>,
     ) -> Self {
         let mut by_model: HashMap<ModelName, ModelDemand> = HashMap::new();
         for (wanted, demand) in totals {
@@ -111,6 +150,10 @@
             sum.running += demand.running;
             sum.requests_per_s += demand.requests_per_s;
             sum.last_arrival_ms = sum.last_arrival_ms.max(demand.last_arrival_ms);
+            // These are of the model with all its adapters.
+            sum.on_time = demand.on_time;
+            sum.start_by_ms = demand.start_by_ms;
+            sum.late_share = demand.late_share;
         }
         let mut replicas: HashMap<ModelName, u32> = HashMap::new();
         for engine in engines
@@ -127,8 +170,11 @@
                 *replicas.entry(model.clone()).or_default() += 1;
             }
         }
+        let sizes_mb = spec.models.values().map(|model| model.size_mb);
         let mut snapshot = Self {
             spec,
+            uses,
+            smallest_model_mb: sizes_mb.fold(f64::INFINITY, f64::min),
             engines,
             by_model,
             replicas,
@@ -158,15 +204,38 @@
             })
             .collect();
         residents.sort_by(|left, right| left.value.total_cmp(&right.value));
+        let free_mb = ledger.free_mb(self.spec);
+        let choices = self.uses.map(|uses| {
+            let candidates = residents.iter().map(|it| EvictionCandidate {
+                keep_value: it.value,
+                size_mb: it.size_mb,
+                running: uses.demand.requests_at(ledger.key, it.model),
+                in_turn: is_in_turn(uses.now_ms, ledger.loaded_ms.get(it.model).copied()),
+            });
+            let candidates: Vec<EvictionCandidate> = candidates.collect();
+            let options = EvictionOptions::default();
+            EvictionChoices::new(&candidates, free_mb, self.smallest_model_mb, options)
+        });
         IdleEngine {
             index,
             ledger,
-            free_mb: ledger.free_mb(self.spec),
+            free_mb,
             residents,
+            choices,
             adapter_cost: ADAPTER_DEMAND_COST * self.adapter_demand(ledger),
         }
     }
 
+    /// Returns the engines.
+    pub fn engines(&self) -> &[EngineLedger] {
+        self.engines
+    }
+
+    /// Returns the configuration of the engines.
+    pub fn spec(&self) -> &EngineSpec {
+        self.spec
+    }
+
     /// Returns whether new orders can be planned for any engine.
     pub fn has_idle_engines(&self) -> bool {
         !self.idle.is_empty()
@@ -188,10 +257,37 @@
         let active_requests = f64::from(demand.running + demand.waiting_for_slot);
         let by_load =
             (active_requests / (f64::from(self.spec.slots) * REPLICA_SLOT_SHARE)).ceil() as u32;
+        let factor = self.uses.and_then(|uses| uses.factors.get(model));
+        let by_load = (f64::from(by_load) * factor.map_or(1.0, ReplicaFactor::get)).ceil() as u32;
         let spare = u32::from(demand.requests_per_s > SECOND_REPLICA_REQUESTS_PER_S);
         by_load.max(1 + spare).min(self.engines.len() as u32)
     }
 
+    /// Returns the loads of the models that are requested, for the numbers of their replicas.
+    pub fn model_loads(&self) -> Vec<(ModelName, ModelLoad)> {
+        let loads = self.by_model.iter().map(|(model, demand)| {
+            let load = ModelLoad {
+                active_requests: demand.running + demand.waiting_for_slot,
+                replicas: self.replicas(model),
+                slots: self.spec.slots,
+                late_share: demand.late_share,
+            };
+            (model.clone(), load)
+        });
+        loads.collect()
+    }
+
+    /// Returns the number of engines that hold a model, load it or have its weights cached.
+    pub fn copies(&self, model: &ModelName) -> usize {
+        let has_copy = |engine: &&EngineLedger| {
+            let may_load = engine.serving && !engine.limited;
+            let is_cached = engine.residence.tier(model) != Tier::Store;
+            may_load && (is_cached || engine.residence.model(model).is_some())
+                || engine.will_load(model)
+        };
+        self.engines.iter().filter(has_copy).count()
+    }
+
     /// Returns the number of loads from the weight store that are in progress or planned.
     pub fn store_loads(&self) -> usize {
         self.engines
@@ -226,17 +322,19 @@
         self.idle
             .iter()
             .filter_map(|engine| {
-                let (victims, value) = engine
-                    .victims(size_mb)
-                    .filter(|(_, value)| *value <= max_evicted_value)?;
                 let residence = &engine.ledger.residence;
                 let tier = residence.tier(model);
                 if (tier == Tier::Store) != from_store || residence.model(model).is_some() {
                     return None;
                 }
+                let (victims, cost) = engine.victims(size_mb, max_evicted_value)?;
                 let disk_cost = if tier == Tier::Memory { 0.0 } else { 0.01 };
-                let cost =
-                    value + EVICTION_COST * victims.len() as f64 + engine.adapter_cost + disk_cost;
+                // A long load keeps the engine from loading the models that it has cached.
+                let blocked_cost = match (self.uses, tier) {
+                    (Some(_), Tier::Store) => BLOCKED_MODEL_COST * residence.on_disk.len() as f64,
+                    _ => 0.0,
+                };
+                let cost = cost + engine.adapter_cost + disk_cost + blocked_cost;
                 Some((engine.index, victims, cost))
             })
             .min_by(|left, right| left.2.total_cmp(&right.2))
@@ -244,7 +342,7 @@
                 engine,
                 steps: victims
                     .iter()
-                    .map(|victim| OrderKind::UnloadModel(victim.model.clone()))
+                    .map(|victim| OrderKind::UnloadModel((*victim).clone()))
                     .chain([OrderKind::LoadModel(model.clone())])
                     .collect(),
             })
@@ -278,14 +376,28 @@
         if replicas > self.wanted_replicas(model) {
             return 0.01 * demand.requests_per_s / f64::from(replicas);
         }
-        demand.requests_per_s
-            + RUNNING_REQUEST_VALUE * f64::from(demand.running)
-            + WAITING_REQUEST_VALUE * f64::from(demand.waiting_for_load + demand.waiting_for_slot)
+        let running_value = match self.uses {
+            // The requests that run at the engine itself are counted apart.
+            Some(_) => 0.0,
+            None => RUNNING_REQUEST_VALUE * f64::from(demand.running),
+        };
+        let waiting = demand.waiting_for_load + demand.waiting_for_slot;
+        demand.requests_per_s + running_value + self.waiting_value(&demand, waiting)
+    }
+
+    /// Returns the value of serving waiting requests. Those that are late already are worth less, so
+    /// that a load serves as many as possible in time.
+    fn waiting_value(&self, demand: &ModelDemand, waiting: u32) -> f64 {
+        let on_time = match self.uses {
+            Some(_) => demand.on_time.min(waiting),
+            None => waiting,
+        };
+        WAITING_REQUEST_VALUE * f64::from(on_time) + LATE_REQUEST_VALUE * f64::from(waiting - on_time)
     }
 
     /// Returns the value of loading a replica of a model.
     pub fn load_value(&self, model: &ModelName) -> f64 {
         let demand = self.demand(model);
-        demand.requests_per_s + WAITING_REQUEST_VALUE * f64::from(demand.waiting_for_load)
+        demand.requests_per_s + self.waiting_value(&demand, demand.waiting_for_load)
     }
 }
--- a/crates/holder/src/planner.rs
+++ b/crates/holder/src/planner.rs
@@ -11,6 +11,7 @@
 use apricotdale_fleet::Tier;
 use apricotdale_fleet::UpstreamPhase;
 use apricotdale_fleet::WantedModel;
+use apricotdale_placement::ReplicaFactor;
 
 use crate::actions::PlannerAction;
 use crate::actions::ResidenceUpdate;
@@ -25,6 +26,7 @@
 use crate::orders::OrderKind;
 use crate::orders::OrderOutcome;
 use crate::store_load_limit::StoreLoadLimit;
+use crate::unload_time::UnloadTime;
 
 /// How long a model is not loaded again after an engine failed to load it.
 const FAILED_LOAD_SUSPENSION_MS: u64 = 2_000;
@@ -56,6 +58,11 @@
     /// Models whose load was in progress on engines that have crashed since the last round.
     crashed_loads: Vec<ModelName>,
     load_crashes: LoadCrashes,
+    /// Whether VMs report the requests by engine.
+    knows_uses: bool,
+    unload_time: UnloadTime,
+    /// Factors on the numbers of replicas, by the lateness of the models' answers.
+    pub(crate) replica_factors: HashMap<ModelName, ReplicaFactor>,
 }
 
 impl Planner {
@@ -73,6 +80,9 @@
             synced_changes: None,
             crashed_loads: Vec::new(),
             load_crashes: LoadCrashes::default(),
+            knows_uses: false,
+            unload_time: UnloadTime::new(options.unload_check_ms),
+            replica_factors: HashMap::new(),
         }
     }
 
@@ -161,6 +171,7 @@
     /// Runs a planning round and returns the actions to carry out now.
     pub fn plan(&mut self, now_ms: u64, demand: &DemandTable) -> Vec<PlannerAction> {
         let totals = demand.totals(now_ms);
+        self.knows_uses = demand.has_details();
         let mut actions = Vec::new();
         for engine in &mut self.engines {
             engine.in_conflict_pause = engine.conflict_pause_until_ms > now_ms;
@@ -169,8 +180,8 @@
         self.complete_due_orders(now_ms, &mut actions);
         self.request_due_reports(now_ms, &mut actions);
         self.order_adapters(&totals, &mut actions);
-        self.plan_model_loads(now_ms, &totals);
-        self.send_next_orders(now_ms, &mut actions);
+        self.plan_model_loads(now_ms, demand, &totals);
+        self.send_next_orders(now_ms, demand, &mut actions);
         actions
     }
 
@@ -233,7 +244,11 @@
         name: &UpstreamName,
         outcome: OrderOutcome,
     ) -> Vec<PlannerAction> {
-        let options = self.options;
+        let mut options = self.options;
+        if self.knows_uses {
+            options.conflict_pause_ms = options.known_conflict_pause_ms;
+            options.unload_check_ms = self.unload_time.get_ms();
+        }
         let spec = &self.spec;
         let Some(engine) = self.engines.iter_mut().find(|engine| &engine.name == name) else {
             return Vec::new();
@@ -241,6 +256,16 @@
         let Some(kind) = engine.unanswered.take() else {
             return Vec::new();
         };
+        if std::mem::take(&mut engine.follows_unload) && kind.is_model_order() {
+            match outcome {
+                OrderOutcome::Accepted => self.unload_time.record(false),
+                OrderOutcome::Conflict => self.unload_time.record(true),
+                _ => {}
+            }
+        }
+        let is_unload = matches!(kind, OrderKind::UnloadModel(_));
+        engine.follows_unload =
+            is_unload && outcome == OrderOutcome::Accepted && engine.unload_runs == 0;
         if outcome == OrderOutcome::Refused {
             self.suspended_loads
                 .insert(kind.model().clone(), now_ms + FAILED_LOAD_SUSPENSION_MS);
@@ -279,6 +304,7 @@
                 .insert(failed, now_ms + FAILED_LOAD_SUSPENSION_MS);
         }
         if let Some(ended) = &effect.ended {
+            engine.record_load_end(now_ms, &ended.kind);
             self.load_crashes.clear(ended.kind.model());
         }
         if let Some(ended) = effect.ended.filter(|it| it.tier == Tier::Store) {
@@ -334,6 +360,7 @@
                 continue;
             };
             actions.push(engine.record_done(&order.kind));
+            engine.record_load_end(now_ms, &order.kind);
             if order.kind.is_model_order() {
                 engine.report_due_ms = Some(now_ms + self.options.report_lag_ms);
                 engine.record_unconfirmed(order);
@@ -393,7 +420,12 @@
         }
     }
 
-    fn send_next_orders(&mut self, now_ms: u64, actions: &mut Vec<PlannerAction>) {
+    fn send_next_orders(
+        &mut self,
+        now_ms: u64,
+        demand: &DemandTable,
+        actions: &mut Vec<PlannerAction>,
+    ) {
         for engine in &mut self.engines {
             if !engine.takes_orders() {
                 continue;
@@ -409,9 +441,10 @@
                     if is_load(&kind) && engine.residence.tier(kind.model()) == Tier::Store {
                         self.store_loads_ms.push(now_ms);
                     }
+                    engine.unload_runs = demand.requests_at(engine.key, kind.model());
                     send_order(engine, kind, actions);
                 }
-                None => {}
+                None => engine.follows_unload = false,
             }
         }
     }
@@ -439,6 +472,7 @@
     engine.unanswered = Some(kind.clone());
     actions.push(PlannerAction::Order {
         engine: engine.name.clone(),
+        tier: is_load(&kind).then(|| engine.residence.tier(kind.model())),
         kind,
         orders_before,
     });
--- a/crates/holder/tests/demand_details.rs
+++ b/crates/holder/tests/demand_details.rs
@@ -87,7 +87,10 @@
         table.note_detail(0, &VmName::from("vm-1"), 1, &in_use(*requests));
     }
     table.sum_uses(0);
-    assert_eq!(table.requests_at(engine(), model()), expected);
+    assert_eq!(
+        table.requests_at(engine(), &ModelName::from("m1")),
+        expected
+    );
 }
 
 /// Guards against requests of VMs that are gone, which would keep an engine full forever.
@@ -111,6 +114,7 @@
             waits: vec![ModelWait {
                 model: model(),
                 start_in_ms,
+                on_time: 1,
                 by_rank: vec![(0, 1)],
             }],
             ..DemandDetail::default()
@@ -118,6 +122,7 @@
         table.note_detail(100, &VmName::from(vm), 1, &detail);
     }
     assert_eq!(start_by_ms(&table, 200), Some(400));
+    assert_eq!(table.totals(200).values().map(|it| it.on_time).sum::<u32>(), 3);
     assert_eq!(table.waiting_by_rank(200).get(&0), Some(&3));
     assert_eq!(start_by_ms(&table, 1_200), None);
 }
--- a/crates/holder/tests/support/mod.rs
+++ b/crates/holder/tests/support/mod.rs
@@ -277,6 +277,7 @@
                     engine,
                     kind,
                     orders_before,
+                    ..
                 } => {
                     self.orders
                         .push((self.now_ms, engine.clone(), kind.clone()));
