Dispatch: each VM sends its share of the room at a busy engine

Cause: 2,000 of 3,000 requests that were sent to an engine with 18 or more in progress (12 slots) were late; VMs that see the same announcement all fill the same room.

Change: an announced engine is sent a VM's share of its room until the next announcement; requests that are late already leave the room of a busy engine to others.

--- a/crates/dispatch/src/lib.rs
+++ b/crates/dispatch/src/lib.rs
@@ -19,6 +19,7 @@
 mod options;
 mod rejection_limits;
 mod rests;
+mod shared_load;
 mod silence;
 mod stated_limits;
 mod statements;
--- a/crates/entry/src/demand_reports.rs
+++ b/crates/entry/src/demand_reports.rs
@@ -141,7 +141,7 @@
             let row = rows.get(&EngineKey::of(&upstream.name));
             let requests = row.map(|row| u32::from(row.requests));
             self.dispatcher
-                .record_shared_load(now_ms, &upstream.name, requests);
+                .record_shared_load(now_ms, upstream, requests);
         }
         self.redispatch_needed = true;
     }
--- a/crates/holder/src/placement.rs
+++ b/crates/holder/src/placement.rs
@@ -392,7 +392,8 @@
             Some(_) => demand.on_time.min(waiting),
             None => waiting,
         };
-        WAITING_REQUEST_VALUE * f64::from(on_time) + LATE_REQUEST_VALUE * f64::from(waiting - on_time)
+        WAITING_REQUEST_VALUE * f64::from(on_time)
+            + LATE_REQUEST_VALUE * f64::from(waiting - on_time)
     }
 
     /// Returns the value of loading a replica of a model.
--- a/crates/holder/src/planner.rs
+++ b/crates/holder/src/planner.rs
@@ -171,7 +171,10 @@
     /// Runs a planning round and returns the actions to carry out now.
     pub fn plan(&mut self, now_ms: u64, demand: &DemandTable) -> Vec<PlannerAction> {
         let totals = demand.totals(now_ms);
-        self.knows_uses = demand.has_details();
+        if demand.has_details() && !self.knows_uses {
+            self.knows_uses = true;
+            self.store_load_limit.start_shared();
+        }
         let mut actions = Vec::new();
         for engine in &mut self.engines {
             engine.in_conflict_pause = engine.conflict_pause_until_ms > now_ms;
--- a/crates/holder/src/store_load_limit.rs
+++ b/crates/holder/src/store_load_limit.rs
@@ -7,6 +7,10 @@
 /// not ended after 33 s, while each takes 13 s alone.
 const INITIAL_LOADS: usize = 2;
 
+/// Initial limit where VMs report the requests by engine. Wide fleets cold-start many models, and a load
+/// at half of the speed of the store is of use to nobody; the second one waits at most for the first.
+const INITIAL_SHARED_LOADS: usize = 1;
+
 /// Share by which a load may exceed its configured duration before the store counts as overloaded.
 const OVERDUE_SHARE: f64 = 0.25;
 
@@ -27,6 +31,11 @@
 }
 
 impl StoreLoadLimit {
+    /// Lowers the limit to that of a fleet whose VMs report the requests by engine.
+    pub fn start_shared(&mut self) {
+        self.loads = self.loads.min(INITIAL_SHARED_LOADS);
+    }
+
     /// Returns the maximum number of concurrent loads.
     pub fn loads(self) -> usize {
         self.loads
