Routing: weights by the upstreams' speeds

Cause: routing treats upstreams of a group as equally fast. VMs that hear little of an engine send a slow one as much as a fast one, and first answers wait in its queue.

Change: UpstreamSpeeds keeps the lasting speed and the work time that an upstream states, which returns to the usual one over 600 ms. CorrectedLoad::choose_by_speed multiplies the weights of the candidates by both.

--- a/crates/routing/src/corrected_load.rs
+++ b/crates/routing/src/corrected_load.rs
@@ -14,6 +14,7 @@
 use crate::group::Group;
 use crate::options::Options;
 use crate::prefix_history::PrefixHistory;
+use crate::upstream_speeds::UpstreamSpeeds;
 
 /// Routing policy that corrects delayed load reports and combines them with random choice.
 ///
@@ -44,6 +45,29 @@
         }
     }
 
+    /// Returns the index of the chosen candidate, with the weights multiplied by the upstreams'
+    /// speeds; `None` if no candidate should be used now.
+    pub fn choose_by_speed(
+        &mut self,
+        now_ms: u64,
+        request: &RouteRequest,
+        candidates: &[Candidate],
+        speeds: &UpstreamSpeeds,
+    ) -> Option<usize> {
+        if let Some(probe) = self.probe(now_ms, request, candidates) {
+            return Some(probe);
+        }
+        let usable = self.usable(request, candidates);
+        let weighted = self.weighted_candidates(now_ms, candidates, &usable, speeds);
+        let drawn = self.draw(weighted.clone());
+        let best = self.least_used(candidates, &drawn)?;
+        let Some(prefix_hash) = request.prefix_hash else {
+            return Some(best.index);
+        };
+        let cached = self.probably_cached(now_ms, prefix_hash, candidates, &weighted);
+        Some(self.prefer_cached(best, cached, candidates))
+    }
+
     /// Returns the indices of the best class of candidates: not tried and in service, else not
     /// tried, else in service, else all. If no candidate is in service, an ejected one may still
     /// answer, while a refusal never does.
@@ -95,6 +119,7 @@
         now_ms: u64,
         candidates: &[Candidate],
         usable: &[usize],
+        speeds: &UpstreamSpeeds,
     ) -> Vec<WeightedCandidate> {
         let load = self.group.load();
         let weighted_candidates = |&index: &usize| {
@@ -103,10 +128,12 @@
                 true => 1.0,
                 false => self.options.other_zone_weight,
             };
-            let weight = self.group.weight(now_ms, &candidate.upstream, load);
+            let speed = speeds.factor(now_ms, &candidate.upstream);
+            let weight = self.group.weight(now_ms, &candidate.upstream, load) * speed;
             WeightedCandidate {
                 index,
                 weight,
+                speed,
                 draw_weight: weight * zone,
             }
         };
@@ -133,7 +160,11 @@
     /// Returns the drawn candidate with the fewest requests of this VM for its weight. Only these
     /// requests are known as of now. Among equal candidates the first one drawn is chosen, and the
     /// draw follows the weights.
-    fn least_used(&self, candidates: &[Candidate], drawn: &[WeightedCandidate]) -> Option<usize> {
+    fn least_used(
+        &self,
+        candidates: &[Candidate],
+        drawn: &[WeightedCandidate],
+    ) -> Option<WeightedCandidate> {
         let used = |candidate: &&WeightedCandidate| {
             let upstream = &candidates[candidate.index];
             let zone = match self.is_in_own_zone(upstream) {
@@ -145,7 +176,7 @@
         let least = drawn
             .iter()
             .min_by(|left, right| used(left).total_cmp(&used(right)));
-        least.map(|candidate| candidate.index)
+        least.copied()
     }
 
     /// Returns the usable candidates that have probably cached the prefix: those to which this VM
@@ -184,29 +215,38 @@
     /// the prefix or if those that have are too busy, and else the least used of these.
     fn prefer_cached(
         &self,
-        best: usize,
+        best: WeightedCandidate,
         cached: Vec<WeightedCandidate>,
         candidates: &[Candidate],
     ) -> usize {
-        if cached.iter().any(|candidate| candidate.index == best) {
-            return best;
+        if cached.iter().any(|candidate| candidate.index == best.index) {
+            return best.index;
         }
         let load = self.group.load();
-        let pressure = |index: usize| self.group.pressure(&candidates[index].upstream, load);
-        let max_pressure = pressure(best) + self.options.affinity_pressure;
+        // A slow upstream takes longer to serve the requests that it has.
+        let pressure = |candidate: &WeightedCandidate| {
+            let upstream = &candidates[candidate.index].upstream;
+            self.group.pressure(upstream, load) / candidate.speed
+        };
+        let max_pressure = pressure(&best) + self.options.affinity_pressure;
         let not_too_busy = cached
             .into_iter()
-            .filter(|candidate| pressure(candidate.index) <= max_pressure);
+            .filter(|candidate| pressure(candidate) <= max_pressure);
         let not_too_busy: Vec<WeightedCandidate> = not_too_busy.collect();
-        self.least_used(candidates, &not_too_busy).unwrap_or(best)
+        self.least_used(candidates, &not_too_busy)
+            .map_or(best.index, |candidate| candidate.index)
     }
 }
 
-/// Candidate with the weight of its load and the weight with which it is drawn.
+/// Candidate with its weights.
 #[derive(Clone, Copy, Debug)]
 struct WeightedCandidate {
     index: usize,
+    /// Weight of its load and its speed.
     weight: f64,
+    /// Factor of its speed in the weight.
+    speed: f64,
+    /// Weight with which it is drawn.
     draw_weight: f64,
 }
 
@@ -240,17 +280,6 @@
         request: &RouteRequest,
         candidates: &[Candidate],
     ) -> Option<usize> {
-        if let Some(probe) = self.probe(now_ms, request, candidates) {
-            return Some(probe);
-        }
-        let usable = self.usable(request, candidates);
-        let weighted = self.weighted_candidates(now_ms, candidates, &usable);
-        let drawn = self.draw(weighted.clone());
-        let best = self.least_used(candidates, &drawn)?;
-        let Some(prefix_hash) = request.prefix_hash else {
-            return Some(best);
-        };
-        let cached = self.probably_cached(now_ms, prefix_hash, candidates, &weighted);
-        Some(self.prefer_cached(best, cached, candidates))
+        self.choose_by_speed(now_ms, request, candidates, &UpstreamSpeeds::default())
     }
 }
--- a/crates/routing/src/lib.rs
+++ b/crates/routing/src/lib.rs
@@ -22,6 +22,7 @@
 mod prefix_history;
 mod registry;
 mod residence_time;
+mod upstream_speeds;
 
 pub use budgeted_retry::BudgetedRetry;
 pub use corrected_load::CorrectedLoad;
@@ -36,3 +37,4 @@
 pub use registry::ROUTING_POLICIES;
 pub use registry::retry_policy;
 pub use registry::routing_policy;
+pub use upstream_speeds::UpstreamSpeeds;
--- a/crates/routing/tests/support/mod.rs
+++ b/crates/routing/tests/support/mod.rs
@@ -2,6 +2,8 @@
 
 #![allow(dead_code)]
 
+pub mod uneven_fleet;
+
 use std::cmp::Reverse;
 use std::collections::BinaryHeap;
 use std::collections::VecDeque;
