Dispatch: lasting and stated speeds of engines

Cause: the fourth figure of the load statement was not read, and no speed reached the routing policy.

Dispatcher::record_speed records an engine's lasting speed, which is kept until another one is recorded or the engine is removed. Literals of LoadSample in two test files name the new field.

--- a/crates/dispatch/src/dispatcher.rs
+++ b/crates/dispatch/src/dispatcher.rs
@@ -17,6 +17,7 @@
 use apricotdale_fleet::Upstream;
 use apricotdale_routing::BudgetedRetry;
 use apricotdale_routing::CorrectedLoad;
+use apricotdale_routing::UpstreamSpeeds;
 
 use crate::availability::Availability;
 use crate::eligibility::RoomByVersion;
@@ -49,6 +50,7 @@
     routing: HashMap<GroupName, CorrectedLoad>,
     retries: BudgetedRetry,
     loads: HashMap<UpstreamName, UpstreamLoad>,
+    speeds: UpstreamSpeeds,
     pub(crate) forecasts: Forecasts,
     pub(crate) availability: Availability,
     pub(crate) stated_limits: StatedLimits,
@@ -68,6 +70,7 @@
             routing: HashMap::new(),
             retries,
             loads: HashMap::new(),
+            speeds: UpstreamSpeeds::default(),
             forecasts: Forecasts::default(),
             silent_connections: SilentConnections::default(),
         }
@@ -136,7 +139,8 @@
             prefix_hash: job.prefix_hash,
             tried: job.tried.clone(),
         };
-        let chosen = self.policy(&job.service).choose(now_ms, &request, &free);
+        let policy = policy(&mut self.routing, &self.options, &job.service);
+        let chosen = policy.choose_by_speed(now_ms, &request, &free, &self.speeds);
         match chosen {
             Some(_) if job.awaits_retry_budget && !self.spend_retry(now_ms, job) => {
                 DispatchDecision::Wait(WaitReason::Budget)
@@ -251,6 +255,8 @@
             .entry(upstream.clone())
             .or_default()
             .reported(now_ms, sample);
+        self.speeds
+            .record_work(now_ms, upstream, sample.work_percent);
         let report = LoadReport {
             as_of_ms: now_ms,
             running: sample.running,
@@ -265,9 +271,17 @@
         self.policy(service).learn(now_ms, event);
     }
 
+    /// Records the lasting speed of an upstream, in percent of the mean, as the lease holder has
+    /// learned it from the streams of all VMs. It holds until another one is recorded or the
+    /// upstream is removed; 100 ends it.
+    pub fn record_speed(&mut self, upstream: &UpstreamName, speed_percent: u32) {
+        self.speeds.record_lasting(upstream, speed_percent);
+    }
+
     /// Records that an upstream has left the fleet, and drops its state.
     pub fn removed(&mut self, now_ms: u64, upstream: &UpstreamName) {
         self.loads.remove(upstream);
+        self.speeds.forget(upstream);
         self.availability.forget(upstream);
         self.stated_limits.forget(upstream);
         self.rejection_limits.forget(now_ms, upstream);
@@ -427,9 +441,16 @@
     }
 
     fn policy(&mut self, service: &GroupName) -> &mut CorrectedLoad {
-        let options = &self.options;
-        self.routing
-            .entry(service.clone())
-            .or_insert_with(|| CorrectedLoad::new(routing_options(options)))
+        policy(&mut self.routing, &self.options, service)
     }
 }
+
+fn policy<'a>(
+    routing: &'a mut HashMap<GroupName, CorrectedLoad>,
+    options: &DispatcherOptions,
+    service: &GroupName,
+) -> &'a mut CorrectedLoad {
+    routing
+        .entry(service.clone())
+        .or_insert_with(|| CorrectedLoad::new(routing_options(options)))
+}
--- a/crates/dispatch/src/upstream_load.rs
+++ b/crates/dispatch/src/upstream_load.rs
@@ -13,6 +13,9 @@
     pub waiting: u32,
     /// Requests that the upstream can run at once.
     pub slots: u32,
+    /// How long work takes at the upstream at this moment, in percent of the usual time; 100 if it
+    /// does not state that.
+    pub work_percent: u32,
 }
 
 /// Share of the slots that requests may take at an upstream that fails if it rejects too many.
--- a/crates/dispatch/tests/send_decisions.rs
+++ b/crates/dispatch/tests/send_decisions.rs
@@ -70,6 +70,7 @@
             running: others,
             waiting: 0,
             slots: SLOTS,
+            work_percent: 100,
         };
         dispatcher.reported(1_000, &job.service, &engine, sample);
     }
@@ -104,6 +105,7 @@
         running: SLOTS,
         waiting: 9,
         slots: SLOTS,
+        work_percent: 100,
     };
     dispatcher.reported(1_000, &job.service, &engine, sample);
     assert_eq!(
--- a/crates/dispatch/tests/stated_limits.rs
+++ b/crates/dispatch/tests/stated_limits.rs
@@ -157,6 +157,7 @@
         running: SLOTS * 2,
         waiting: SLOTS,
         slots: SLOTS,
+        work_percent: 100,
     };
     let job = stream("m0", false);
     dispatcher.reported(NOW_MS, &job.service, &UpstreamName::from("e1"), full);
