Placement: learned speeds of engines

Cause: a VM sees too few streams of an engine to know how fast it is; the lease holder hears of all.

Change: EngineSpeeds learns speeds from events and their time, by engine and model. The time elsewhere is corrected by the speeds of the engines there. Speeds are bounded, return to 100 with the age of what they were learned from, and are dropped with the engine's run.

--- a/crates/placement/src/lib.rs
+++ b/crates/placement/src/lib.rs
@@ -11,6 +11,7 @@
 #![warn(missing_docs)]
 
 mod checkpoint_restore;
+mod engine_speed;
 mod fixed_timeout;
 mod gap_histogram;
 mod learned_placement;
@@ -30,6 +31,7 @@
 mod unload_tracker;
 mod wanted_replica;
 
+pub use engine_speed::EngineSpeeds;
 pub use fixed_timeout::FixedTimeout;
 pub use learned_placement::LearnedPlacement;
 pub use options::Options;
