--- a/crates/standins/src/platform/answers.rs
+++ b/crates/standins/src/platform/answers.rs
@@ -19,6 +19,8 @@
 use crate::http::Stream;
 use crate::http::StreamEnd;
 use crate::platform::answer_faults::AnswerFault;
+use crate::platform::engine_pace::EnginePace;
+use crate::platform::engine_pace::RunningPace;
 use crate::platform::event_texts::DEFAULT_SOFTWARE_VERSION;
 use crate::platform::event_texts::EventTexts;
 use crate::platform::notices::LEAVING;
@@ -107,6 +109,7 @@
     pub rejection_limit: Mutex<Option<String>>,
     pub notices: Notices,
     pub room: Arc<Room>,
+    pace: RunningPace,
     /// Times of the rejections for want of room.
     pub rejections: Mutex<Vec<Instant>>,
     /// Version of the upstream's software, which events that begin from now on tell.
@@ -128,6 +131,7 @@
             rejection_limit: Mutex::default(),
             notices: Notices::default(),
             room: Arc::default(),
+            pace: RunningPace::new(None),
             rejections: Mutex::default(),
             software_version: Mutex::new(DEFAULT_SOFTWARE_VERSION.to_owned()),
         }
@@ -141,6 +145,19 @@
         }
     }
 
+    /// Returns the answers of an engine that works at a pace.
+    pub fn with_pace(self, pace: Option<EnginePace>) -> Self {
+        Self {
+            pace: RunningPace::new(pace),
+            ..self
+        }
+    }
+
+    /// Returns the load that answers state.
+    fn load_text(&self) -> String {
+        self.pace.with_work(self.room.load_text())
+    }
+
     /// Returns what answers state about the upstream, with the names of the fields.
     fn limits(&self) -> Vec<(&'static str, String)> {
         let limits = [
@@ -192,7 +209,7 @@
             .with_header(NOT_RUN, "1")
             .with_header(INSTANCE, &self.instance);
         let reply = match status {
-            503 => reply.with_header(LOAD, &self.room.load_text()),
+            503 => reply.with_header(LOAD, &self.load_text()),
             _ => reply,
         };
         let reply = self.notices.refusal(id_of(request), status, reply);
@@ -253,7 +270,7 @@
                 "HTTP/1.1 {status} Status\r\n{ID}: {id}\r\n{SIGNATURE}: s.{}\r\n{LOAD}: {}\r\n\
                  {rate_limit}{fields}",
                 self.instance,
-                self.room.load_text()
+                self.load_text()
             )
         };
         let framed = |status: u16, fields: &str| {
@@ -380,6 +397,8 @@
         };
         let pause = StreamPause::of(fault, (count + 1).saturating_sub(first));
         pause.wait_before_head();
+        let pace = self.pace;
+        thread::sleep(pace.first_event_time());
         let (unresponsive, silence) = (self.unresponsive.clone(), self.silence.clone());
         let (left, streamed) = (self.left.clone(), self.streamed.clone());
         let id = id_of(request).to_owned();
@@ -408,7 +427,7 @@
                     left.lock().push(id);
                     return StreamEnd::Broken;
                 }
-                thread::sleep(Duration::from_millis(gap_ms));
+                thread::sleep(pace.work_time(gap_ms));
             }
             streamed.lock().push(id);
             StreamEnd::Closed
@@ -431,13 +450,14 @@
         let first = first_event(request);
         let texts = EventTexts::new(&self.software_version.lock());
         let silence = self.silence.clone();
+        let pace = self.pace;
         let produce = move |writer: &mut EventWriter| {
             for event in first..first + count {
                 silence.wait();
                 if writer.send_bytes(texts.event(event).as_bytes()).is_err() {
                     return StreamEnd::Broken;
                 }
-                thread::sleep(Duration::from_millis(gap_ms));
+                thread::sleep(pace.work_time(gap_ms));
             }
             end();
             StreamEnd::Broken
@@ -456,7 +476,7 @@
     fn stream(&self, request: &Request, produce: Produce) -> Reply {
         let reply = Self::unsigned(request, produce)
             .with_header(SIGNATURE, &format!("s.{}", self.instance))
-            .with_header(LOAD, &self.room.load_text())
+            .with_header(LOAD, &self.load_text())
             .with_header(VERSION, "1");
         self.with_limits(reply)
     }
--- a/crates/standins/src/platform/engine.rs
+++ b/crates/standins/src/platform/engine.rs
@@ -22,6 +22,7 @@
 use crate::platform::answers::RecordedRun;
 use crate::platform::answers::id_of;
 use crate::platform::crashes::CrashTrigger;
+use crate::platform::engine_pace::EnginePace;
 use crate::platform::event_texts::DEFAULT_SOFTWARE_VERSION;
 use crate::platform::notices::Notices;
 use crate::platform::orders::Holdings;
@@ -72,6 +73,8 @@
     pub filler_bytes: usize,
     /// Requests that make the engine crash.
     pub crashes: Vec<CrashTrigger>,
+    /// How fast the engine works; none for the usual speed, which is not stated.
+    pub pace: Option<EnginePace>,
 }
 
 impl Default for EngineOptions {
@@ -92,6 +95,7 @@
             gap_ms: 2,
             filler_bytes: 0,
             crashes: Vec::new(),
+            pace: None,
         }
     }
 }
@@ -148,7 +152,9 @@
         store: PlatformStore,
         shared_faults: Arc<Mutex<SharedFaults>>,
     ) -> Self {
-        let answers = Answers::new(&options.instance).with_shared_faults(shared_faults);
+        let answers = Answers::new(&options.instance)
+            .with_shared_faults(shared_faults)
+            .with_pace(options.pace);
         *answers.software_version.lock() = options.version.clone();
         Self {
             holdings: Mutex::new(Holdings::new(options.clone())),
