Holder: lasting speeds of engines from the streams of all VMs; placement prefers fast engines

Cause: routing and placement know no engine's lasting speed.

Change: the lease holder learns speeds from the paces that VMs report, announces those that differ, and places models with much demand on fast engines.

--- a/crates/entry/src/demand_reports.rs
+++ b/crates/entry/src/demand_reports.rs
@@ -21,6 +21,9 @@
 /// a request has to start before its target.
 const FIRST_EVENT_MS: u64 = 100;
 
+/// Difference from the mean speed up to which an engine's speed is not announced.
+const MAX_USUAL_DEVIATION_PERCENT: u16 = 10;
+
 /// Duration of a load from cached weights that a waiting request still needs, as a lower bound.
 const LOAD_MS: u64 = 400;
 
@@ -121,7 +124,7 @@
             let count = requests.get(&engine).copied().unwrap_or_default();
             let speed_percent = self.engine_orders.speed_percent(engine);
             let is_busy = count * 2 >= upstream.slots.max(1);
-            if is_busy || speed_percent.abs_diff(100) > 10 {
+            if is_busy || speed_percent.abs_diff(100) > MAX_USUAL_DEVIATION_PERCENT {
                 rows.push(EngineLoad {
                     engine,
                     requests: u16::try_from(count).unwrap_or(u16::MAX),
@@ -140,8 +143,12 @@
         for upstream in self.directory.upstreams() {
             let row = rows.get(&EngineKey::of(&upstream.name));
             let requests = row.map(|row| u32::from(row.requests));
+            let requests = requests.filter(|requests| requests * 2 >= upstream.slots.max(1));
             self.dispatcher
                 .record_shared_load(now_ms, upstream, requests);
+            let speed_percent = row.map_or(100, |row| row.speed_percent);
+            self.dispatcher
+                .record_speed(&upstream.name, u32::from(speed_percent));
         }
         self.redispatch_needed = true;
     }
--- a/crates/entry/src/engine_orders.rs
+++ b/crates/entry/src/engine_orders.rs
@@ -16,10 +16,12 @@
 use apricotdale_holder::EngineKey;
 use apricotdale_holder::Lease;
 use apricotdale_holder::LeaseOptions;
+use apricotdale_holder::ModelKey;
 use apricotdale_holder::Planner;
 use apricotdale_holder::PlannerAction;
 use apricotdale_holder::PlannerOptions;
 use apricotdale_holder::ResidenceUpdate;
+use apricotdale_placement::EngineSpeeds;
 
 use crate::daemon::Daemon;
 use crate::messages::ForecastRow;
@@ -42,6 +44,9 @@
 /// periodic round notices it.
 const MAX_PLAN_INTERVAL_MS: u64 = 100;
 
+/// Time between two updates of the engines' lasting speeds.
+const SPEEDS_INTERVAL_MS: u64 = 2_000;
+
 /// Time between two log lines on the state of placement.
 const SUMMARY_INTERVAL_MS: u64 = 1_000;
 
@@ -55,6 +60,9 @@
 pub(crate) struct EngineOrders {
     lease: Lease,
     demand: DemandTable,
+    /// Lasting speeds of the engines, learnt from the streams of all VMs.
+    speeds: EngineSpeeds<EngineKey, ModelKey>,
+    next_speeds_ms: u64,
     /// One planner for each engine service; empty unless this VM holds the lease.
     planners: HashMap<GroupName, Planner>,
     /// Fencing token of the lease; none unless this VM may send orders.
@@ -84,6 +92,8 @@
         Self {
             lease: Lease::new(options, settings.vm.clone(), incarnation),
             demand: DemandTable::default(),
+            speeds: EngineSpeeds::default(),
+            next_speeds_ms: 0,
             planners: HashMap::new(),
             fence: None,
             next_plan_ms: 0,
@@ -126,6 +136,18 @@
         detail: &DemandDetail,
     ) {
         self.demand.note_detail(now_ms, vm, incarnation, detail);
+        for pace in &detail.paces {
+            self.speeds
+                .record(now_ms, pace.engine, pace.model, pace.events, pace.took_ms);
+        }
+    }
+
+    /// Updates the lasting speeds of the engines.
+    fn update_speeds(&mut self, now_ms: u64) {
+        if now_ms >= self.next_speeds_ms {
+            self.next_speeds_ms = now_ms + SPEEDS_INTERVAL_MS;
+            self.speeds.update(now_ms);
+        }
     }
 
     /// Returns the requests in progress by engine, over all VMs.
@@ -135,8 +157,8 @@
     }
 
     /// Returns an engine's lasting speed in percent of the mean; 100 if it is not known.
-    pub fn speed_percent(&self, _engine: EngineKey) -> u16 {
-        100
+    pub fn speed_percent(&self, engine: EngineKey) -> u16 {
+        u16::try_from(self.speeds.speed_percent(&engine)).unwrap_or(u16::MAX)
     }
 
     /// Returns the residence updates that a VM must have missed, given that it reports these models
@@ -248,6 +270,7 @@
     fn plan(&mut self) {
         let now_ms = self.now_ms;
         let begun = Instant::now();
+        self.engine_orders.update_speeds(now_ms);
         self.sync_planners();
         self.engine_orders.demand.sum_uses(now_ms);
         let mut actions = Vec::new();
@@ -300,7 +323,9 @@
         let dispatcher = &self.dispatcher;
         let paths = &self.paths;
         let now_ms = self.now_ms;
-        let planners = &mut self.engine_orders.planners;
+        let EngineOrders {
+            planners, speeds, ..
+        } = &mut self.engine_orders;
         planners.retain(|service, _| directory.service(service).is_some());
         for (name, service) in &directory.configuration().services {
             if let Some(spec) = &service.engine {
@@ -314,6 +339,7 @@
                 });
                 let limits = dispatcher.stated_limits();
                 planner.set_limited(|name| limits.limit(name).is_some());
+                planner.set_speeds(|engine| speeds.speed_percent(&engine));
             }
         }
     }
--- a/crates/holder/src/engine_ledger.rs
+++ b/crates/holder/src/engine_ledger.rs
@@ -43,6 +43,8 @@
     pub name: UpstreamName,
     /// Identity of the engine in the details that VMs report.
     pub(crate) key: EngineKey,
+    /// Lasting speed in percent of the mean.
+    pub(crate) speed_percent: u32,
     /// Times at which the resident models were loaded, as far as this holder has ordered it.
     pub(crate) loaded_ms: HashMap<ModelName, u64>,
     /// Number of requests that ran on the model when its unload was sent.
@@ -104,6 +106,7 @@
         Self {
             key: EngineKey::of(&name),
             name,
+            speed_percent: 100,
             loaded_ms: HashMap::new(),
             unload_runs: 0,
             follows_unload: false,
--- a/crates/holder/src/placement.rs
+++ b/crates/holder/src/placement.rs
@@ -51,6 +51,10 @@
 /// Amount that each model cached on an engine adds to the cost of a load from the weight store there.
 const BLOCKED_MODEL_COST: f64 = 0.05;
 
+/// Amount that each request per second for the model adds to the cost of a load on an engine of half the
+/// mean speed.
+const SLOW_ENGINE_COST: f64 = 0.05;
+
 /// Load of a model on an engine, with the evictions that free memory for it.
 #[derive(Clone, Debug, PartialEq)]
 pub(crate) struct Placement {
@@ -319,6 +323,7 @@
         max_evicted_value: f64,
     ) -> Option<Placement> {
         let size_mb = self.spec.models.get(model)?.size_mb;
+        let requests_per_s = self.demand(model).requests_per_s;
         self.idle
             .iter()
             .filter_map(|engine| {
@@ -334,7 +339,9 @@
                     (Some(_), Tier::Store) => BLOCKED_MODEL_COST * residence.on_disk.len() as f64,
                     _ => 0.0,
                 };
-                let cost = cost + engine.adapter_cost + disk_cost + blocked_cost;
+                let slowness = 100.0 / f64::from(engine.ledger.speed_percent) - 1.0;
+                let slow_cost = SLOW_ENGINE_COST * requests_per_s * slowness.max(0.0);
+                let cost = cost + engine.adapter_cost + disk_cost + blocked_cost + slow_cost;
                 Some((engine.index, victims, cost))
             })
             .min_by(|left, right| left.2.total_cmp(&right.2))
--- a/crates/holder/src/planner.rs
+++ b/crates/holder/src/planner.rs
@@ -18,6 +18,7 @@
 use crate::adapter_orders::adapter_order;
 use crate::demand::DemandTable;
 use crate::demand::ModelDemand;
+use crate::demand_detail::EngineKey;
 use crate::engine_ledger::EngineLedger;
 use crate::engine_ledger::is_load;
 use crate::load_crashes::LoadCrashes;
@@ -127,6 +128,13 @@
         }
     }
 
+    /// Updates the lasting speeds of the engines, in percent of the mean.
+    pub fn set_speeds(&mut self, speed_percent: impl Fn(EngineKey) -> u32) {
+        for engine in &mut self.engines {
+            engine.speed_percent = speed_percent(engine.key).max(1);
+        }
+    }
+
     fn sync_engines(&mut self, directory: &Directory) {
         let spec = directory
             .service(&self.service)
--- a/crates/placement/src/lib.rs
+++ b/crates/placement/src/lib.rs
@@ -14,6 +14,7 @@
 #![warn(missing_docs)]
 
 mod checkpoint_restore;
+mod engine_speed;
 mod eviction;
 mod fixed_timeout;
 mod gap_histogram;
@@ -36,6 +37,7 @@
 mod unload_tracker;
 mod wanted_replica;
 
+pub use engine_speed::EngineSpeeds;
 pub use eviction::Eviction;
 pub use eviction::EvictionCandidate;
 pub use eviction::EvictionChoices;
