Dispatch: the time for a response head counts from the send

Cause: heads that trickle (a header line, header lines or interim responses without end) are no progress, yet the patience with them was doubled at a full upstream and grew with the waits of its service, as for requests that queue there. The requests that trickle fill the upstream themselves: 8 of 16 repeatable requests sent at once got 504 after 4 s while another engine was idle.

Change: a silence says what has come of the head. With part of a head the patience is the least one, counted from the send; with interim responses that go on, the doubling at a full upstream does not apply. The 400 ms of confirmation stay, so that a head that begins late has time to come whole. Requests that run once are never moved, as before.

--- a/crates/dispatch/src/lib.rs
+++ b/crates/dispatch/src/lib.rs
@@ -39,6 +39,7 @@
 pub use options::DispatcherOptions;
 pub use rejection_limits::RejectionLimits;
 pub use rejection_limits::StatedRejectionLimit;
+pub use silence::HeadProgress;
 pub use silence::Silence;
 pub use stated_limits::LimitChange;
 pub use stated_limits::RateLimit;
--- a/crates/dispatch/src/silence.rs
+++ b/crates/dispatch/src/silence.rs
@@ -40,6 +40,17 @@
 /// others from being sent again.
 const MAX_WAIT_MS: u64 = 5_000;
 
+/// What a connection has brought of a response head that is not complete.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum HeadProgress {
+    /// Nothing but what came with or shortly after the send: the request may wait at its upstream.
+    None,
+    /// Interim responses that go on, without a byte of the final head.
+    Interim,
+    /// Part of a head. Sound upstreams send it whole once they have begun with a request.
+    Partial,
+}
+
 /// Request in progress whose connection has brought nothing for a while.
 #[derive(Clone, Debug)]
 pub struct Silence<'a> {
@@ -54,6 +65,8 @@
     pub since_ms: u64,
     /// Whether its caller has a part of the answer.
     pub has_begun: bool,
+    /// What has come of the response head since the send.
+    pub head: HeadProgress,
 }
 
 /// Evidence against the connection of one request.
@@ -111,6 +124,8 @@
     /// Returns for how long a connection may bring nothing before it is doubted, in milliseconds.
     /// The time grows with the waits that were observed at the service, with the time until the
     /// first answer that is expected of the route, where the upstream is full, and with each run.
+    /// An upstream that has begun with the head lets the request wait no longer, so that none of the
+    /// time for waiting is added: the time for the head counts from the send, not from its last byte.
     pub fn patience_ms(
         &mut self,
         now_ms: u64,
@@ -130,10 +145,14 @@
             true => target_ms,
             false => job.expected_run_ms.max(target_ms),
         };
-        let patience_ms = LEAST_SILENCE_MS.max(longest_ms.max(expected_ms) * WAIT_FACTOR);
-        let factor = match self.is_full(now_ms, directory, silence.upstream) {
-            true => FULL_FACTOR,
-            false => 1,
+        let waiting_ms = LEAST_SILENCE_MS.max(longest_ms.max(expected_ms) * WAIT_FACTOR);
+        let (patience_ms, factor) = match silence.head {
+            HeadProgress::Partial => (LEAST_SILENCE_MS, 1),
+            HeadProgress::Interim => (waiting_ms, 1),
+            HeadProgress::None if self.is_full(now_ms, directory, silence.upstream) => {
+                (waiting_ms, FULL_FACTOR)
+            }
+            HeadProgress::None => (waiting_ms, 1),
         };
         patience_ms * factor * u64::from(1 + job.runs)
     }
--- a/crates/dispatch/tests/silence_search.rs
+++ b/crates/dispatch/tests/silence_search.rs
@@ -8,6 +8,7 @@
 use apricotdale_dispatch::DispatchDecision;
 use apricotdale_dispatch::Dispatcher;
 use apricotdale_dispatch::FailedAttempt;
+use apricotdale_dispatch::HeadProgress;
 use apricotdale_dispatch::RetryAction;
 use apricotdale_dispatch::Silence;
 use apricotdale_fleet::RouteKind;
@@ -139,6 +140,7 @@
                 upstream: &names[attempt.engine],
                 since_ms: attempt.since_ms,
                 has_begun: request.has_begun,
+                head: HeadProgress::None,
             })
         });
         let silences: Vec<Silence<'_>> = silent.collect();
--- a/crates/dispatch/tests/silent_connections.rs
+++ b/crates/dispatch/tests/silent_connections.rs
@@ -6,6 +6,7 @@
 use apricotdale_core::names::UpstreamName;
 use apricotdale_core::origin::Origin;
 use apricotdale_dispatch::Dispatcher;
+use apricotdale_dispatch::HeadProgress;
 use apricotdale_dispatch::Job;
 use apricotdale_dispatch::LivenessMonitor;
 use apricotdale_dispatch::RateLimit;
@@ -31,6 +32,7 @@
     monitor: LivenessMonitor,
     job: Job,
     has_begun: bool,
+    head: HeadProgress,
 }
 
 fn name() -> UpstreamName {
@@ -55,6 +57,7 @@
         monitor,
         job,
         has_begun: false,
+        head: HeadProgress::None,
     }
 }
 
@@ -66,6 +69,7 @@
             upstream,
             since_ms: SENT_MS,
             has_begun: self.has_begun,
+            head: self.head,
         }
     }
 
@@ -162,6 +166,37 @@
     assert_eq!(doubted_ms, Some(SENT_MS + 2 * 1_700 + 400));
 }
 
+/// Guards against requests that stay at an engine because it is full of them, or because answers there
+/// began late before, although it has begun with a head that does not end.
+#[rstest]
+#[case::part_of_head(HeadProgress::Partial, 1_700 + 400)]
+#[case::interim_responses(HeadProgress::Interim, 2_400 + 400)]
+fn unfinished_heads(#[case] head: HeadProgress, #[case] expected_ms: u64) {
+    let mut fixture = fixture();
+    for _ in 1..SLOTS {
+        let job = fixture.job.clone();
+        fixture.dispatcher.sent(SENT_MS, &job, &name());
+    }
+    let job = fixture.job.clone();
+    fixture.dispatcher.record_wait(1_000, &job, false, 1_200);
+    fixture.head = head;
+    let doubted_ms = fixture.doubted_ms(10_000);
+    assert_eq!(doubted_ms, Some(SENT_MS + expected_ms));
+}
+
+/// Guards against moving a request whose full engine has just begun with its head, after a queue that
+/// was longer than a head may take.
+#[test]
+fn head_begins_late() {
+    let mut fixture = fixture();
+    let begun_ms = SENT_MS + 2_500;
+    fixture.head = HeadProgress::Partial;
+    fixture.monitor.heard(begun_ms, &name());
+    assert!(!fixture.is_doubted(begun_ms));
+    assert!(!fixture.is_doubted(begun_ms + 399));
+    assert!(fixture.is_doubted(begun_ms + 400));
+}
+
 /// Guards against moving requests of a service that is slow to answer, and against waiting for long
 /// because it once was.
 #[test]
--- a/crates/entry/src/outbound.rs
+++ b/crates/entry/src/outbound.rs
@@ -4,6 +4,7 @@
 
 use apricotdale_core::names::UpstreamName;
 use apricotdale_core::names::VmName;
+use apricotdale_dispatch::HeadProgress;
 use apricotdale_http1::BodyDecoder;
 use apricotdale_http1::ResponseHead;
 use apricotdale_http1::parse_response_head;
@@ -36,6 +37,10 @@
 /// How much earlier than the other end this VM closes an idle connection.
 const IDLE_MARGIN_MS: u64 = 1_000;
 
+/// Time since the send after which an interim response is one of many. Before that it may acknowledge
+/// a request that then waits at its upstream.
+const INTERIM_AFTER_MS: u64 = 1_000;
+
 /// The other end of a connection.
 #[derive(Clone, Debug, PartialEq, Eq, Hash)]
 pub(crate) enum Peer {
@@ -344,6 +349,16 @@
         self.last_received_ms > self.last_progress_ms
     }
 
+    /// Returns what has come of a response head that is not complete.
+    pub fn head_progress(&self) -> HeadProgress {
+        let goes_on = self.last_received_ms >= self.last_progress_ms + INTERIM_AFTER_MS;
+        match self.parse {
+            Parse::Head if !self.input.is_empty() => HeadProgress::Partial,
+            Parse::Head if goes_on => HeadProgress::Interim,
+            _ => HeadProgress::None,
+        }
+    }
+
     /// Returns whether bytes may be unread for which no readiness event will come.
     pub fn has_more(&self) -> bool {
         self.has_more && self.ended.is_none() && self.input.len() < READ_LIMIT_BYTES
--- a/crates/entry/src/request_moves.rs
+++ b/crates/entry/src/request_moves.rs
@@ -7,6 +7,7 @@
 use apricotdale_core::names::UpstreamName;
 use apricotdale_core::policy::UpstreamOutcome;
 use apricotdale_dispatch::Dispatcher;
+use apricotdale_dispatch::HeadProgress;
 use apricotdale_dispatch::Silence;
 use apricotdale_dispatch::WaitReason;
 use mio::Token;
@@ -63,8 +64,9 @@
         let silent = self.outbound.stalled_requests(since_ms);
         let silences: Vec<Silence<'_>> = silent
             .iter()
-            .filter_map(|(_, key, since_ms)| {
+            .filter_map(|(token, key, since_ms)| {
                 let request = self.active.get(*key)?;
+                let head = self.outbound.get_mut(*token)?.head_progress();
                 let Phase::Sent { upstream, .. } = &request.phase else {
                     return None;
                 };
@@ -74,6 +76,7 @@
                     upstream,
                     since_ms: *since_ms,
                     has_begun: request.delivery.has_begun(),
+                    head,
                 })
             })
             .collect();
@@ -200,6 +203,7 @@
             upstream,
             since_ms,
             has_begun: request.delivery.has_begun(),
+            head: HeadProgress::None,
         };
         self.dispatcher
             .patience_ms(self.now_ms, &self.directory, &silence)
