Entry: a VM that has started sends one request to an engine it knows nothing of

The gate of a VM that starts opened after 300 ms without knowledge. And, found in the failing runs, where all VMs had been told within 2 ms: a VM that is told the limit of a service before it has read the list of upstreams made no accounts for the upstreams that the list then brought, and an account that does not exist admits everything (8 requests at once with "permits").

Change: accounts are made again after each complete list. The gate only ends the wait: 300 ms, or 1.5 s while a VM is heard that has not just started and so will answer. From then on each upstream whose statements are not known has one request in progress, the others go elsewhere or wait. An answer, or another VM, confirms what it states. An attempt that shows nothing is followed by 1 s without requests there. The VM goes on asking, and counts as told once another VM has ended its answer or all upstreams that it reaches have answered. A message of changes alone no longer counts as an answer.

--- a/crates/dispatch/src/lib.rs
+++ b/crates/dispatch/src/lib.rs
@@ -10,6 +10,7 @@
 #![warn(missing_docs)]
 
 mod availability;
+mod confirmations;
 mod deadline;
 mod dispatcher;
 mod eligibility;
--- a/crates/dispatch/src/rejection_limits.rs
+++ b/crates/dispatch/src/rejection_limits.rs
@@ -12,6 +12,7 @@
 use serde::Deserialize;
 use serde::Serialize;
 
+use crate::confirmations::Confirmations;
 use crate::stated_limits::LimitChange;
 use crate::stated_limits::RateLimit;
 use crate::stated_limits::StatedLimit;
@@ -22,6 +23,10 @@
 const MIN_REST_MS: u64 = 150;
 const REST_SPREAD_MS: u64 = 150;
 
+/// Time for which a VM that has started sends nothing to an upstream whose first request has ended
+/// without showing what it states. The request may have been one of too many rejections.
+const UNCONFIRMED_REST_MS: u64 = 1_000;
+
 /// What a service or one of its upstreams states, as one VM announces it to the others.
 #[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub struct StatedRejectionLimit {
@@ -53,6 +58,7 @@
 #[derive(Debug, Default)]
 pub struct RejectionLimits {
     statements: Statements,
+    confirmations: Confirmations,
     by_service: BTreeMap<GroupName, ServiceLimit>,
     service_of: BTreeMap<UpstreamName, GroupName>,
     held_back_until_ms: BTreeMap<UpstreamName, u64>,
@@ -79,6 +85,7 @@
         upstream: &UpstreamName,
         limit: Option<RateLimit>,
     ) -> bool {
+        self.confirmations.confirm(upstream);
         let limit = limit.filter(|limit| limit.is_binding());
         let change = self
             .statements
@@ -129,6 +136,7 @@
         let Some(upstream) = announced.upstream.as_ref().filter(|_| is_listed) else {
             return is_change;
         };
+        self.confirmations.confirm(upstream);
         if announced.limit.is_some() || self.in_force(service).is_some() {
             let row = StatedLimit {
                 upstream: upstream.clone(),
@@ -274,6 +282,55 @@
     pub fn is_held_back(&self, now_ms: u64, upstream: &UpstreamName) -> bool {
         let until_ms = self.held_back_until_ms.get(upstream);
         until_ms.is_some_and(|until_ms| now_ms < *until_ms)
+            || self.confirmations.is_awaited(upstream)
+    }
+
+    /// Returns whether this VM knows what all upstreams state. Others can rely on it.
+    pub fn is_complete(&self) -> bool {
+        self.confirmations.is_complete
+    }
+
+    /// Records that this VM knows what all upstreams state.
+    pub fn complete(&mut self) {
+        self.confirmations.complete();
+    }
+
+    /// Returns whether it is known what an upstream states, from its answers or from other VMs.
+    pub fn is_confirmed(&self, service: &GroupName, upstream: &UpstreamName) -> bool {
+        self.confirmations.is_confirmed(upstream) || self.limit(service, upstream).is_some()
+    }
+
+    /// Returns whether an upstream has a request in progress whose answer shows what it states.
+    pub fn is_awaited(&self, upstream: &UpstreamName) -> bool {
+        self.confirmations.is_awaited(upstream)
+    }
+
+    /// Records that an upstream has answered, with a statement that can't be read.
+    pub fn confirm(&mut self, upstream: &UpstreamName) {
+        self.confirmations.confirm(upstream);
+    }
+
+    /// Records that an upstream is sent a request. If it is not known what the upstream states, it gets
+    /// no other one until the answer shows it.
+    pub fn begin_check(&mut self, service: &GroupName, upstream: &UpstreamName) {
+        if !self.is_confirmed(service, upstream) {
+            self.confirmations.begin(upstream);
+        }
+    }
+
+    /// Records that a request to an upstream is no longer in progress. `may_be_rejected` is whether it
+    /// may have been rejected without a statement. Returns whether the upstream awaits another one.
+    pub fn end_check(
+        &mut self,
+        now_ms: u64,
+        upstream: &UpstreamName,
+        may_be_rejected: bool,
+    ) -> bool {
+        let is_unconfirmed = self.confirmations.end(upstream);
+        if is_unconfirmed && may_be_rejected {
+            self.hold_back(upstream, now_ms + UNCONFIRMED_REST_MS);
+        }
+        is_unconfirmed
     }
 
     /// Returns when an upstream next gets requests again; `None` if nothing is held back.
@@ -286,6 +343,7 @@
     /// others are known to state none.
     pub fn forget(&mut self, now_ms: u64, upstream: &UpstreamName) {
         self.statements.forget(upstream);
+        self.confirmations.forget(upstream);
         self.held_back_until_ms.remove(upstream);
         if let Some(service) = self.service_of.remove(upstream) {
             self.end_unless_stated(now_ms, &service);
--- a/crates/entry/src/failed_attempts.rs
+++ b/crates/entry/src/failed_attempts.rs
@@ -42,12 +42,13 @@
         } = &request.phase
         {
             let sent_ms = *at_ms;
-            self.watch.ended(upstream);
+            let upstream = upstream.clone();
+            self.watch.ended(&upstream);
             let took_ms = first_byte_ms.map(|first_ms| first_ms - at_ms);
             self.dispatcher.ended(
                 self.now_ms,
                 &request.job.service,
-                upstream,
+                &upstream,
                 outcome,
                 took_ms,
             );
@@ -57,6 +58,7 @@
                     .record_trial_end(self.now_ms, number, is_lost);
             }
             self.end_rejection_permit(key, sent_ms);
+            self.end_statement_check(&upstream, outcome);
         }
     }
 
--- a/crates/entry/src/peers.rs
+++ b/crates/entry/src/peers.rs
@@ -190,6 +190,12 @@
         self.known.get(vm).map(|known| known.address)
     }
 
+    /// Returns whether a VM other than these has been heard since a time.
+    pub fn is_heard_since(&self, since_ms: u64, without: &HashSet<SocketAddr>) -> bool {
+        let mut known = self.known.values();
+        known.any(|known| known.last_received_ms > since_ms && !without.contains(&known.address))
+    }
+
     /// Returns the names of the other VMs that are known.
     pub fn names(&self) -> impl Iterator<Item = &VmName> {
         self.known.keys()
--- a/crates/entry/src/rejection_permits.rs
+++ b/crates/entry/src/rejection_permits.rs
@@ -1,11 +1,16 @@
 //! Limits on rejections that upstreams state: how all VMs learn of them, and the permits by which all
 //! VMs together keep to them.
 
+use std::collections::HashSet;
+use std::net::SocketAddr;
+
 use apricotdale_core::names::GroupName;
 use apricotdale_core::names::UpstreamName;
+use apricotdale_core::policy::UpstreamOutcome;
 use apricotdale_dispatch::RateLimit;
 use apricotdale_dispatch::StatedRejectionLimit;
 use apricotdale_dispatch::WaitReason;
+use apricotdale_fleet::UpstreamPhase;
 use apricotdale_quota::AccountId;
 use apricotdale_quota::AccountRule;
 
@@ -15,13 +20,24 @@
 use crate::messages::PeerMessage;
 use crate::upstream_permits::PermitOutcome;
 
-/// Maximum time for which a VM that has started waits for what upstreams have stated to others.
-const START_TIMEOUT_MS: u64 = 300;
+/// Time for which a VM that has started waits for what upstreams have stated to others, before it sends
+/// each upstream one request to find out. Others answer within milliseconds.
+const TOLD_WAIT_MS: u64 = 300;
+
+/// The same while another VM is heard that has not just started: it will answer, if late. Earlier
+/// releases can't, which bounds the time.
+const MAX_TOLD_WAIT_MS: u64 = 1_500;
+
+/// Time since its last message up to which another VM counts as one that will answer. The lease holder
+/// sends heartbeats every 400 ms.
+const HEARD_MS: u64 = 1_000;
 
 /// Time between two checks whether a VM that has started may send requests, and between two questions
-/// to the other VMs.
+/// to the other VMs: to all at first, then to some, then to some more rarely.
 const START_CHECK_MS: u64 = 20;
 const QUESTION_INTERVAL_MS: u64 = 100;
+const LATE_QUESTION_INTERVAL_MS: u64 = 1_000;
+const LATE_QUESTION_VMS: usize = 32;
 
 /// Time between two questions to the owner of the permits for what upstreams have stated.
 const OWNER_QUESTION_INTERVAL_MS: u64 = 1_000;
@@ -34,47 +50,52 @@
 /// request that is abandoned earlier is not refunded.
 const TAKEN_IN_MS: u64 = 500;
 
-/// Whether a VM that has started knows what upstreams have stated to others.
+/// Questions of a VM that has started, and how long its requests wait for the answer.
 #[derive(Debug, Default)]
 pub(crate) struct StartGate {
     is_told: bool,
-    /// When it stops waiting; none before the first question or request.
-    until_ms: Option<u64>,
+    /// When it began to wait; none before the first question or request.
+    since_ms: Option<u64>,
     next_question_ms: u64,
+    /// Other VMs that have asked the same, and so can't answer.
+    asking: HashSet<SocketAddr>,
+    /// Whether the message in progress has rows on rate limits.
+    has_rate_rows: bool,
 }
 
 impl StartGate {
-    /// Returns whether the VM has been told, or has waited long enough.
-    pub fn is_told(&self) -> bool {
-        self.is_told
-    }
-
     /// Returns when the next question is due.
     pub fn next_ms(&self) -> u64 {
-        match self.until_ms {
+        match self.since_ms {
             Some(_) if !self.is_told => self.next_question_ms,
             _ => u64::MAX,
         }
     }
 
-    /// Returns whether the VM need not wait any longer.
-    fn is_open(&mut self, now_ms: u64, vms: Option<u32>) -> bool {
-        let until_ms = *self.until_ms.get_or_insert(now_ms + START_TIMEOUT_MS);
-        self.is_told |= vms == Some(1) || now_ms >= until_ms;
-        self.is_told
+    /// Records that another VM has asked, which has just started too.
+    pub fn record_question(&mut self, from: SocketAddr) {
+        self.asking.insert(from);
+    }
+
+    /// Records how many rows on rate limits a message has. One without any rows ends an answer.
+    pub fn record_rate_rows(&mut self, rows: usize) {
+        self.has_rate_rows = rows > 0;
     }
 }
 
 impl Daemon {
-    /// Returns whether this VM may send requests, or lets one wait until it knows what upstreams have
-    /// stated to other VMs.
+    /// Returns whether this VM may send requests, if only one to each upstream whose statements are
+    /// not known. Otherwise lets one wait for other VMs' answers.
     pub(crate) fn knows_stated_limits(&mut self, key: u64) -> bool {
         let now_ms = self.now_ms;
-        if self
-            .upstream_permits
-            .start
-            .is_open(now_ms, self.peers.vms())
-        {
+        if self.is_told() {
+            return true;
+        }
+        let start = &mut self.upstream_permits.start;
+        let waited_ms = now_ms - *start.since_ms.get_or_insert(now_ms);
+        let heard_from_ms = now_ms.saturating_sub(HEARD_MS);
+        let is_answer_likely = || self.peers.is_heard_since(heard_from_ms, &start.asking);
+        if waited_ms >= MAX_TOLD_WAIT_MS || (waited_ms >= TOLD_WAIT_MS && !is_answer_likely()) {
             return true;
         }
         if let Some(request) = self.active.get_mut(key) {
@@ -84,24 +105,107 @@
         false
     }
 
-    /// Asks the other VMs what upstreams have stated to them, until one answers.
-    pub(crate) fn ask_for_stated_limits(&mut self) {
-        let (now_ms, vms) = (self.now_ms, self.peers.vms());
+    /// Returns whether this VM knows what all upstreams state. One that is alone knows what there is
+    /// to know.
+    pub(crate) fn is_told(&mut self) -> bool {
+        if !self.upstream_permits.start.is_told && self.peers.vms() == Some(1) {
+            self.record_told("alone");
+        }
+        self.upstream_permits.start.is_told
+    }
+
+    fn record_told(&mut self, how: &str) {
         let start = &mut self.upstream_permits.start;
-        let is_due = now_ms >= start.next_question_ms && vms.is_some();
-        if start.is_told || !is_due || start.is_open(now_ms, vms) {
+        if std::mem::replace(&mut start.is_told, true) {
+            return;
+        }
+        let waited_ms = start.since_ms.map_or(0, |it| self.now_ms - it);
+        log::info!(how, waited_ms; "statements on rejections known");
+        start.asking.clear();
+        self.dispatcher.rejection_limits_mut().complete();
+        self.redispatch_needed = true;
+    }
+
+    /// Asks the other VMs what upstreams have stated to them, until one answers or the upstreams
+    /// themselves have.
+    pub(crate) fn ask_for_stated_limits(&mut self) {
+        let now_ms = self.now_ms;
+        let start = &self.upstream_permits.start;
+        let is_due = now_ms >= start.next_question_ms && self.peers.vms().is_some();
+        if start.is_told || !is_due || self.is_told() {
             return;
         }
+        if self.has_asked_all_upstreams() {
+            self.record_told("answered");
+            return;
+        }
+        let start = &mut self.upstream_permits.start;
         let is_first = start.next_question_ms == 0;
-        start.next_question_ms = now_ms + QUESTION_INTERVAL_MS;
+        let waited_ms = now_ms - *start.since_ms.get_or_insert(now_ms);
+        let interval_ms = match waited_ms {
+            ..MAX_TOLD_WAIT_MS => QUESTION_INTERVAL_MS,
+            _ => LATE_QUESTION_INTERVAL_MS,
+        };
+        start.next_question_ms = now_ms + interval_ms;
         let question = PeerMessage::StatedLimitsRequested { is_first };
-        self.peers.send_all(&question);
+        match waited_ms {
+            ..TOLD_WAIT_MS => self.peers.send_all(&question),
+            _ => self.peers.send_to_next(LATE_QUESTION_VMS, &question),
+        }
+    }
+
+    /// Returns whether all upstreams that can be asked have answered this VM.
+    fn has_asked_all_upstreams(&self) -> bool {
+        let limits = self.dispatcher.rejection_limits();
+        let mut serving = self
+            .directory
+            .upstreams()
+            .filter(|it| it.phase == UpstreamPhase::Serving)
+            .filter(|it| !self.dispatcher.is_unreachable(self.now_ms, &it.name))
+            .peekable();
+        self.directory.is_listed()
+            && serving.peek().is_some()
+            && serving.all(|it| limits.is_confirmed(&it.service, &it.name))
+    }
+
+    /// Returns whether a request may be sent to an upstream as far as it is known what that states.
+    fn may_check_statement(&mut self, key: u64, upstream: &UpstreamName) -> bool {
+        let limits = self.dispatcher.rejection_limits();
+        let is_checked = limits.is_complete() || !limits.is_awaited(upstream);
+        if let Some(request) = self.active.get_mut(key).filter(|_| !is_checked) {
+            request.phase = Phase::Waiting(WaitReason::Permit);
+        }
+        is_checked
+    }
+
+    /// Records that an upstream is sent a request: the only one, if it is not known what it states.
+    pub(crate) fn begin_statement_check(&mut self, upstream: &UpstreamName) {
+        let service = self.directory.upstream(upstream).map(|it| &it.service);
+        if let Some(service) = service {
+            let limits = self.dispatcher.rejection_limits_mut();
+            limits.begin_check(service, upstream);
+        }
+    }
+
+    /// Records that an attempt at an upstream has ended.
+    pub(crate) fn end_statement_check(
+        &mut self,
+        upstream: &UpstreamName,
+        outcome: UpstreamOutcome,
+    ) {
+        let may_be_rejected = !matches!(
+            outcome,
+            UpstreamOutcome::Answered | UpstreamOutcome::Unreachable
+        );
+        let limits = self.dispatcher.rejection_limits_mut();
+        self.redispatch_needed |= limits.end_check(self.now_ms, upstream, may_be_rejected);
     }
 
     /// Applies the limits on rejections that another VM has announced.
     pub(crate) fn apply_announced_rejection_limits(&mut self, announced: &[StatedRejectionLimit]) {
-        self.redispatch_needed |= !self.upstream_permits.start.is_told;
-        self.upstream_permits.start.is_told = true;
+        if announced.is_empty() && !self.upstream_permits.start.has_rate_rows {
+            self.record_told("told");
+        }
         for row in announced {
             let is_listed = match &row.upstream {
                 Some(upstream) => self.directory.upstream(upstream).is_some(),
@@ -122,11 +226,14 @@
         sent_ms: Option<u64>,
         field: &LimitField,
     ) {
+        let is_complete = self.dispatcher.rejection_limits().is_complete();
+        self.redispatch_needed |= !is_complete;
         let (limit, sent_ms) = match (field, sent_ms) {
             (LimitField::Stated(limit), _) => (Some(*limit), self.now_ms),
             (LimitField::Absent, Some(sent_ms)) => (None, sent_ms),
             (LimitField::Absent, None) => return,
             (LimitField::Invalid(text), _) => {
+                self.dispatcher.rejection_limits_mut().confirm(upstream);
                 self.log_invalid_limit(upstream, text, "is no rate");
                 return;
             }
@@ -187,6 +294,9 @@
     /// request waits for a permit or for another upstream.
     pub(crate) fn has_rejection_permit(&mut self, key: u64, upstream: &UpstreamName) -> bool {
         let now_ms = self.now_ms;
+        if !self.may_check_statement(key, upstream) {
+            return false;
+        }
         let account = account(upstream);
         if self.upstream_permits.at_risk.get(&key) == Some(&account) {
             return true;
--- a/crates/entry/src/request_dispatch.rs
+++ b/crates/entry/src/request_dispatch.rs
@@ -487,6 +487,7 @@
         let is_head_request = request.head.method.eq_ignore_ascii_case("HEAD");
         self.dispatcher.sent(now_ms, &request.job, &name);
         self.watch.sent(now_ms, &name);
+        self.begin_statement_check(&name);
         if let Some(connection) = self.outbound.get_mut(token) {
             connection.begin(now_ms, Purpose::Proxy(key), &bytes, is_head_request);
             let is_open = connection.stream.flush();
--- a/crates/entry/src/store_pollers/upstream_list.rs
+++ b/crates/entry/src/store_pollers/upstream_list.rs
@@ -56,6 +56,8 @@
 
     /// Handles the changes that a complete upstream list made to the directory.
     pub(super) fn handle_listing_changes(&mut self, changes: ListingChanges) {
+        // Other VMs may have told the limit of a service before this one knew any upstream of it.
+        self.upstream_permits.are_rules_outdated = true;
         for name in &changes.lapsed {
             self.handle_lapsed_entry(name);
         }
--- a/crates/entry/src/upstream_permits.rs
+++ b/crates/entry/src/upstream_permits.rs
@@ -246,6 +246,8 @@
 
     /// Applies the rate limits that another VM has announced.
     pub(crate) fn apply_announced_limits(&mut self, announced: &[StatedLimit]) {
+        let start = &mut self.upstream_permits.start;
+        start.record_rate_rows(announced.len());
         for limit in announced {
             // The statement of an upstream that has left would never be dropped.
             if self.directory.upstream(&limit.upstream).is_none() {
@@ -430,7 +432,8 @@
     /// permits answer first; they may have restarted too.
     pub(crate) fn answer_stated_limits_request(&mut self, from: SocketAddr, is_first: bool) {
         // A VM that has just started itself knows nothing.
-        if !self.upstream_permits.start.is_told() {
+        if !self.is_told() {
+            self.upstream_permits.start.record_question(from);
             return;
         }
         let own = &self.peers.own_record().vm;
