Quota: units of a limit go by rank, then age, and denied requests get a turn

Cause: within its limit an organisation's requests were admitted in order of arrival, long ones hardly ever once the limit was exceeded, and callers that came back after a 429 were refused again.

Change: RankOrder divides what is left of an account once requests of more than one rank have asked within 10 s: what more urgent ranks want soon is kept from the less urgent, a tenth of what accrues is kept for these, and a denied request gets a turn: its units are collected one turn behind the other, and its Retry-After is when they are there, unchanged by the factor that spreads other returns. Reports list the pending requests by rank (ReportExtra::wants), answers the denied ones (Answer::turns); both are last in their messages and default if absent, so that messages.rs stays as it is. A VM uses grants by rank, lets requests wait for the next report during a denial, and divides its own share alike without an owner. The order only withholds units. A counter by rank: over_limit_by_rank.

One rank: the same units at the same times. limit_search takes in ranks, returns and earlier releases: 96 courses, none over the bound. Tests of apricotdale-quota, and rejection_limits and statement_checks of apricotdale-dispatch, pass.

--- a/crates/dispatch/tests/support/rejecting_fleet.rs
+++ b/crates/dispatch/tests/support/rejecting_fleet.rs
@@ -731,6 +731,7 @@
                     vm.limits.hold_back(&name, clock_ms + denied_ms);
                     return;
                 }
+                Admission::Deferred { .. } => unreachable!("units at risk have no ranks"),
             }
         }
         *vm.own.entry(name.clone()).or_default() += 1;
--- a/crates/entry/src/limits.rs
+++ b/crates/entry/src/limits.rs
@@ -9,6 +9,7 @@
 use apricotdale_fleet::ServingRequest;
 use apricotdale_organisations::Limit;
 use apricotdale_organisations::Organisation;
+use apricotdale_quarantine::RequestFeatures;
 use apricotdale_quota::AccountId;
 use apricotdale_quota::Admission;
 use apricotdale_quota::Answer;
@@ -16,6 +17,7 @@
 use apricotdale_quota::QuotaClient;
 use apricotdale_quota::QuotaOwner;
 use apricotdale_quota::Report;
+use apricotdale_quota::WantedUnits;
 
 use crate::active::Phase;
 use crate::daemon::Daemon;
@@ -42,6 +44,8 @@
 pub(crate) struct Charge {
     account: AccountId,
     units: u64,
+    /// Identifies the request when its caller sends it again.
+    tag: u32,
     is_admitted: bool,
 }
 
@@ -80,11 +84,17 @@
 }
 
 /// Returns the cost of a request; none if its organisation has no limit.
-pub(crate) fn charge(organisation: &Organisation, serving: &ServingRequest) -> Option<Charge> {
+pub(crate) fn charge(
+    organisation: &Organisation,
+    serving: &ServingRequest,
+    features: &RequestFeatures,
+) -> Option<Charge> {
     organisation.limit?;
+    let fingerprint = features.request.to_string();
     Some(Charge {
         account: AccountId::of(&organisation.name),
         units: organisation.unit.cost(serving.tokens()),
+        tag: xxhash_rust::xxh3::xxh3_64(fingerprint.as_bytes()) as u32,
         is_admitted: false,
     })
 }
@@ -160,7 +170,12 @@
         let found_ms = request.stream.as_ref().and_then(StreamInProgress::found_ms);
         let asked_ms = found_ms.unwrap_or(request.job.arrived_ms);
         let owner_deadline_ms = asked_ms + OWNER_TIMEOUT_MS;
-        match client.admit(now_ms, charge.account, key, charge.units) {
+        let wanted = WantedUnits {
+            rank: request.job.rank,
+            units: charge.units,
+            tag: charge.tag,
+        };
+        match client.admit_by_rank(now_ms, charge.account, key, wanted) {
             Admission::Admitted => {
                 request.charge = Some(Charge {
                     is_admitted: true,
@@ -178,17 +193,23 @@
             }
             Admission::Pending => {
                 client.withdraw(charge.account, key);
-                self.refuse_over_limit(key, Some(OWNER_TIMEOUT_MS));
+                self.refuse_over_limit(key, Some(OWNER_TIMEOUT_MS), false);
                 false
             }
             Admission::Refused { retry_after_ms } => {
-                self.refuse_over_limit(key, retry_after_ms);
+                self.refuse_over_limit(key, retry_after_ms, false);
+                false
+            }
+            Admission::Deferred { retry_after_ms } => {
+                self.refuse_over_limit(key, Some(retry_after_ms), true);
                 false
             }
         }
     }
 
-    fn refuse_over_limit(&mut self, key: u64, retry_after_ms: Option<u64>) {
+    /// Refuses a request that is over the limit. With `has_turn` units are kept for it at the time of
+    /// its return, which is then told as it is. Other returns are spread.
+    fn refuse_over_limit(&mut self, key: u64, retry_after_ms: Option<u64>, has_turn: bool) {
         let Some(request) = self.active.get(key) else {
             return;
         };
@@ -197,7 +218,11 @@
         };
         let name = organisation.name.clone();
         let rate = organisation.limit.map_or(0.0, |limit| limit.rate_per_s);
-        let retry_factor_permille = retry_factor_permille(&request.serving.id);
+        let retry_factor_permille = match has_turn {
+            true => 1_000,
+            false => retry_factor_permille(&request.serving.id),
+        };
+        let rank = request.job.rank;
         let refusal = match retry_after_ms {
             Some(retry_after_ms) => {
                 let detail = format!("{name} has used its limit of {rate:.0} a second");
@@ -209,7 +234,7 @@
                 Refusal::not_run(RefusalReason::OverLimit, detail)
             }
         };
-        self.metrics.over_limit(&name);
+        self.metrics.over_limit(&name, rank, has_turn);
         self.refuse(key, &refusal, UnansweredReason::OverLimit);
     }
 
--- a/crates/entry/src/metric_labels.rs
+++ b/crates/entry/src/metric_labels.rs
@@ -17,3 +17,10 @@
 pub(crate) struct OrganisationLabel {
     pub organisation: String,
 }
+
+#[derive(Clone, Debug, PartialEq, Eq, Hash, EncodeLabelSet)]
+pub(crate) struct RankLabels {
+    pub rank: u32,
+    /// Whether units are kept for the request's return.
+    pub has_turn: String,
+}
--- a/crates/entry/src/metrics.rs
+++ b/crates/entry/src/metrics.rs
@@ -14,10 +14,14 @@
 
 use crate::metric_labels::CallLabels;
 use crate::metric_labels::OrganisationLabel;
+use crate::metric_labels::RankLabels;
 use crate::metric_labels::Reason;
 
 /// Maximum number of organisations with labels of their own, and the label of all others.
 const MAX_ORGANISATIONS: usize = 64;
+
+/// Largest rank with a label of its own. Less urgent ones count under it.
+const MAX_RANK_LABEL: u32 = 15;
 const OTHER_ORGANISATIONS: &str = "other";
 
 /// Metrics of an entry VM. No label identifies a request or a caller.
@@ -79,6 +83,7 @@
     pub stream_origins: Gauge,
     pub dropped_origins: Gauge,
     over_limit: Family<OrganisationLabel, Counter>,
+    over_limit_by_rank: Family<RankLabels, Counter>,
     /// Organisations that have labels of their own.
     organisations: HashSet<Arc<str>>,
 }
@@ -147,6 +152,7 @@
             stream_origins: Gauge::default(),
             dropped_origins: Gauge::default(),
             over_limit: Family::default(),
+            over_limit_by_rank: Family::default(),
             organisations: HashSet::new(),
         };
         metrics.register();
@@ -294,8 +300,14 @@
         count(&self.resumptions, evidence);
     }
 
-    /// Counts a request that was refused because of its organisation's limit.
-    pub fn over_limit(&mut self, organisation: &Arc<str>) {
+    /// Counts a request that was refused because of its organisation's limit. `has_turn` is whether
+    /// units are kept for its return.
+    pub fn over_limit(&mut self, organisation: &Arc<str>, rank: u32, has_turn: bool) {
+        let labels = RankLabels {
+            rank: rank.min(MAX_RANK_LABEL),
+            has_turn: has_turn.to_string(),
+        };
+        self.over_limit_by_rank.get_or_create(&labels).inc();
         let is_known = self.organisations.contains(organisation);
         if !is_known && self.organisations.len() < MAX_ORGANISATIONS {
             self.organisations.insert(organisation.clone());
--- a/crates/entry/src/metrics/registration.rs
+++ b/crates/entry/src/metrics/registration.rs
@@ -238,6 +238,11 @@
             "Requests refused because of their organisation's limit, by organisation",
             self.over_limit.clone(),
         );
+        registry.register(
+            "over_limit_by_rank",
+            "Requests refused because of their organisation's limit, by rank, and whether they were given a turn",
+            self.over_limit_by_rank.clone(),
+        );
         registry.register(
             "first_answer_ms",
             "Time from arrival to the first part of the answer",
--- a/crates/entry/src/request_dispatch.rs
+++ b/crates/entry/src/request_dispatch.rs
@@ -164,6 +164,9 @@
             ..DeliveryOptions::default()
         });
         let stream = self.stream_of(&serving, &route, organisation.as_deref());
+        let charge = organisation
+            .as_ref()
+            .and_then(|it| charge(it, &serving, &features));
         let key = self.active.insert(ActiveRequest {
             caller: Some(token),
             caller_hash: caller_hash(caller_address),
@@ -171,7 +174,7 @@
             head,
             body,
             route,
-            charge: organisation.as_ref().and_then(|it| charge(it, &serving)),
+            charge,
             organisation,
             serving,
             job,
--- a/crates/entry/src/upstream_permits.rs
+++ b/crates/entry/src/upstream_permits.rs
@@ -198,6 +198,10 @@
                     retry_after_ms: retry_after_ms.unwrap_or(OWNER_RETRY_MS),
                 }
             }
+            Admission::Deferred { retry_after_ms } => {
+                self.pending.remove(&key);
+                PermitOutcome::Denied { retry_after_ms }
+            }
         }
     }
 
--- a/crates/quota/src/client.rs
+++ b/crates/quota/src/client.rs
@@ -12,10 +12,17 @@
 use crate::budget::Budget;
 use crate::message::AccountId;
 use crate::message::AccountRoom;
+use crate::message::AccountTurns;
 use crate::message::AccountUsage;
+use crate::message::AccountWants;
 use crate::message::Answer;
+use crate::message::DeniedRequest;
+use crate::message::MAX_LISTED_REQUESTS;
 use crate::message::Report;
 use crate::message::ReportExtra;
+use crate::message::WantedUnits;
+use crate::rank_order::BucketState;
+use crate::rank_order::RankOrder;
 
 /// Time since the last answer after which an owner no longer counts as live.
 const ANSWER_TTL_MS: u64 = 1_500;
@@ -48,6 +55,9 @@
 const MIN_AT_RISK_DENIAL_MS: u64 = 20;
 const AT_RISK_DENIAL_US_PER_VM: u64 = 400;
 
+/// Time since an answer by rank for which requests that are denied wait for the next answer by rank.
+const RANKED_TTL_MS: u64 = 2_000;
+
 /// Number of consecutive reports without an answer after which the next candidate is asked.
 const MAX_UNANSWERED_REPORTS: u32 = 3;
 
@@ -71,6 +81,11 @@
         /// than the limit ever allows.
         retry_after_ms: Option<u64>,
     },
+    /// The limit is exhausted, and units are kept for the request's return.
+    Deferred {
+        /// Time in milliseconds after which the request is admitted.
+        retry_after_ms: u64,
+    },
 }
 
 #[derive(Clone, Debug)]
@@ -80,8 +95,8 @@
     /// owner has acknowledged.
     spent: i64,
     acknowledged: i64,
-    /// Units of the requests that await an answer of the owner, by request key.
-    pending: BTreeMap<u64, u64>,
+    /// Requests that await an answer of the owner, by request key.
+    pending: BTreeMap<u64, WantedUnits>,
     is_near_limit: bool,
     /// Granted units with the time at which they expire, oldest first.
     granted: VecDeque<(u64, u64)>,
@@ -90,8 +105,15 @@
     /// Time until which no units are requested, and the time after which callers may retry.
     denied_until_ms: u64,
     retry_after_ms: u64,
-    /// Level of the bucket that this VM uses while it has no live owner.
+    /// Most urgent rank to which units were denied. More urgent requests ask all the same.
+    denied_rank: u32,
+    /// Until when the owner counts as one that divides the units of the account by rank, and the
+    /// requests that its last answer denied.
+    ranked_until_ms: u64,
+    denied: Vec<DeniedRequest>,
+    /// Level of the bucket that this VM uses while it has no live owner, and its division.
     local_level: f64,
+    local_order: RankOrder,
     /// Room of the upstream that has not been reported yet, and when an answer showed it.
     unreported_room: Option<(u32, u64)>,
 }
@@ -186,7 +208,11 @@
                     granted_total: 0,
                     denied_until_ms: 0,
                     retry_after_ms: 0,
+                    denied_rank: 0,
+                    ranked_until_ms: 0,
+                    denied: Vec::new(),
                     local_level: 0.0,
+                    local_order: RankOrder::default(),
                     unreported_room: None,
                 },
             };
@@ -220,24 +246,46 @@
         self.owner.is_some() && now_ms < self.last_received_ms + ANSWER_TTL_MS
     }
 
-    /// Decides on a request that counts `units`. `key` identifies the request: a pending one is to
-    /// be decided again with the same key after the next answer. Accounts without a limit admit
-    /// all.
+    /// Decides on a request of the most urgent rank that counts `units`. See
+    /// [`QuotaClient::admit_by_rank`].
     pub fn admit(&mut self, now_ms: u64, id: AccountId, key: u64, units: u64) -> Admission {
-        let admission = self.decide(now_ms, id, units);
-        if let Some(account) = self.accounts.get_mut(&id) {
-            match admission {
-                Admission::Pending => account.pending.insert(key, units),
-                _ => account.pending.remove(&key),
-            };
-        }
-        if admission == Admission::Pending {
-            self.report_soon(now_ms);
+        let wanted = WantedUnits {
+            rank: 0,
+            units,
+            tag: 0,
+        };
+        self.admit_by_rank(now_ms, id, key, wanted)
+    }
+
+    /// Decides on a request that wants units. `key` identifies the request, and is larger for later
+    /// ones: a pending one is to be decided again with the same key after the next answer. Accounts
+    /// without a limit admit all.
+    pub fn admit_by_rank(
+        &mut self,
+        now_ms: u64,
+        id: AccountId,
+        key: u64,
+        wanted: WantedUnits,
+    ) -> Admission {
+        let admission = self.decide(now_ms, id, key, wanted);
+        let Some(account) = self.accounts.get_mut(&id) else {
+            return admission;
+        };
+        match admission {
+            Admission::Pending => {
+                account.pending.insert(key, wanted);
+                match account.is_denied(now_ms, wanted.rank) {
+                    true => self.next_report_ms = self.next_report_ms.min(account.denied_until_ms),
+                    false => self.report_soon(now_ms),
+                }
+            }
+            _ => drop(account.pending.remove(&key)),
         }
         admission
     }
 
-    fn decide(&mut self, now_ms: u64, id: AccountId, units: u64) -> Admission {
+    fn decide(&mut self, now_ms: u64, id: AccountId, key: u64, wanted: WantedUnits) -> Admission {
+        let WantedUnits { rank, units, .. } = wanted;
         let has_live_owner = self.has_live_owner(now_ms);
         if !has_live_owner {
             self.accrue_local(now_ms);
@@ -251,7 +299,17 @@
                 retry_after_ms: None,
             };
         }
-        if account.use_grants(now_ms, units) {
+        if let Some(denied) = account.take_denial(wanted) {
+            let retry_after_ms = denied.retry_after_ms.into();
+            return match denied.has_turn {
+                true => Admission::Deferred { retry_after_ms },
+                false => Admission::Refused {
+                    retry_after_ms: Some(retry_after_ms),
+                },
+            };
+        }
+        let ahead_units = account.ahead_units(now_ms, key, rank);
+        if account.use_grants(now_ms, units, ahead_units) {
             return Admission::Admitted;
         }
         let unreported = account.spent - account.acknowledged;
@@ -265,16 +323,15 @@
                 }
                 Admission::Admitted
             }
-            false if account.local_level >= units as f64 => {
-                account.local_level -= units as f64;
-                Admission::Admitted
-            }
+            false if account.use_local(now_ms, vms, key, wanted) => Admission::Admitted,
             // A VM that has just started, or whose owner has failed, finds one within a round trip
             // or two.
-            _ if now_ms >= account.denied_until_ms => Admission::Pending,
+            _ if !account.is_denied(now_ms, rank) => Admission::Pending,
             _ if account.budget.is_at_risk() => Admission::Refused {
                 retry_after_ms: Some(account.denied_until_ms - now_ms),
             },
+            // The owner decides by rank on all that have come until the denial ends.
+            _ if now_ms < account.ranked_until_ms => Admission::Pending,
             _ => Admission::Refused {
                 retry_after_ms: Some(account.retry_after_ms.max(DENIAL_TTL_MS)),
             },
@@ -285,9 +342,10 @@
     fn accrue_local(&mut self, now_ms: u64) {
         let passed_ms = self.claim_elapsed_ms(now_ms) as f64;
         for account in self.accounts.values_mut() {
-            let grown =
-                account.local_level + passed_ms * account.budget.rate_per_ms / self.vms as f64;
-            account.local_level = grown.min(account.budget.local_bucket(self.vms));
+            let accrued = passed_ms * account.budget.rate_per_ms / self.vms as f64;
+            let capacity = account.budget.local_bucket(self.vms);
+            account.local_order.accrue(now_ms, accrued, capacity);
+            account.local_level = (account.local_level + accrued).min(capacity);
         }
     }
 
@@ -393,16 +451,25 @@
             account: *id,
             units: account.spent,
             wanted: account.wanted(now_ms),
-            oldest: account.pending.values().next().copied().unwrap_or(0),
+            oldest: account.by_rank().next().map_or(0, |it| it.units),
         });
         let has_changed = |it: &AccountUsage| {
             it.wanted > 0 || it.units != self.accounts[&it.account].acknowledged
         };
         let usages = all_usages.filter(has_changed);
-        let usages = match owner {
+        let usages: Vec<AccountUsage> = match owner {
             Some(_) => usages.collect(),
             None => Vec::new(),
         };
+        let wants = usages.iter().filter_map(|usage: &AccountUsage| {
+            let account = &self.accounts[&usage.account];
+            let is_listed = usage.wanted > 0 && !account.budget.is_at_risk();
+            is_listed.then(|| AccountWants {
+                account: usage.account,
+                requests: account.wanted_requests(now_ms),
+            })
+        });
+        let wants: Vec<AccountWants> = wants.collect();
         let accounts = self.accounts.iter_mut();
         let rooms = accounts.filter_map(|(id, account)| {
             let (requests, at_ms) = account.unreported_room.take()?;
@@ -421,6 +488,7 @@
             extra: ReportExtra {
                 joined: self.joined_number,
                 rooms: rooms.collect(),
+                wants,
             },
         })
     }
@@ -460,6 +528,7 @@
             self.next_report_ms = self.next_report_ms.min(now_ms);
         }
         for (id, account) in &mut self.accounts {
+            account.denied.clear();
             account.is_near_limit =
                 account.budget.is_at_risk() || answer.near_limit.binary_search(id).is_ok();
         }
@@ -486,10 +555,20 @@
                     false => u64::from(retry_after_ms).min(DENIAL_TTL_MS),
                 };
                 account.denied_until_ms = now_ms + ttl_ms;
+                account.denied_rank = account.first_denied_rank(now_ms);
                 account.retry_after_ms = u64::from(retry_after_ms);
                 may_decide = true;
             }
         }
+        for AccountTurns { account, denied } in &answer.turns {
+            let Some(account) = self.accounts.get_mut(account) else {
+                continue;
+            };
+            let ranks = denied.iter().map(|it| it.wanted.rank);
+            account.denied_rank = ranks.min().unwrap_or(account.denied_rank);
+            account.ranked_until_ms = now_ms + RANKED_TTL_MS;
+            account.denied.clone_from(denied);
+        }
         may_decide
     }
 
@@ -505,18 +584,100 @@
             account.acknowledged = 0;
             account.granted_total = 0;
             account.local_level = 0.0;
+            account.ranked_until_ms = 0;
         }
     }
 }
 
 impl Account {
-    /// Returns the units of pending requests beyond those granted.
-    fn wanted(&self, now_ms: u64) -> u64 {
+    /// Returns the units of the valid grants.
+    fn valid_units(&self, now_ms: u64) -> u64 {
         let granted = self.granted.iter();
         let valid = granted.filter(|(_, until_ms)| now_ms < *until_ms);
-        let valid: u64 = valid.map(|(granted, _)| granted).sum();
-        let pending: u64 = self.pending.values().sum();
-        pending.saturating_sub(valid)
+        valid.map(|(granted, _)| granted).sum()
+    }
+
+    /// Returns the units of pending requests beyond those granted.
+    fn wanted(&self, now_ms: u64) -> u64 {
+        let pending = self.pending.values();
+        let pending: u64 = pending.map(|it| it.units).sum();
+        pending.saturating_sub(self.valid_units(now_ms))
+    }
+
+    /// Returns the pending requests, the most urgent rank first, then the oldest.
+    fn by_rank(&self) -> impl Iterator<Item = WantedUnits> {
+        let mut pending: Vec<(u64, WantedUnits)> =
+            self.pending.iter().map(|(key, it)| (*key, *it)).collect();
+        pending.sort_by_key(|(key, it)| (it.rank, *key));
+        pending.into_iter().map(|(_, it)| it)
+    }
+
+    /// Returns the pending requests that the valid grants do not cover, in their order.
+    fn wanted_requests(&self, now_ms: u64) -> Vec<WantedUnits> {
+        let mut granted = self.valid_units(now_ms);
+        let wanted = self.by_rank().filter(|it| {
+            let is_covered = it.units <= granted;
+            granted -= it.units.min(granted);
+            !is_covered
+        });
+        wanted.take(MAX_LISTED_REQUESTS).collect()
+    }
+
+    /// Returns the rank of the first request that the valid grants do not cover.
+    fn first_denied_rank(&self, now_ms: u64) -> u32 {
+        let wanted = self.wanted_requests(now_ms);
+        wanted.first().map_or(0, |it| it.rank)
+    }
+
+    /// Returns the units of pending requests before one: those of more urgent ranks and, where the
+    /// owner decides by rank, older ones of its rank.
+    fn ahead_units(&self, now_ms: u64, key: u64, rank: u32) -> u64 {
+        let is_ranked = now_ms < self.ranked_until_ms;
+        let pending = self.pending.iter();
+        let ahead = pending.filter(|(other, it)| {
+            it.rank < rank || (is_ranked && it.rank == rank && **other < key)
+        });
+        ahead.map(|(_, it)| it.units).sum()
+    }
+
+    /// Returns whether units were denied to requests of this rank a moment ago.
+    fn is_denied(&self, now_ms: u64, rank: u32) -> bool {
+        now_ms < self.denied_until_ms && rank >= self.denied_rank
+    }
+
+    /// Takes the owner's denial of a request out of its last answer.
+    fn take_denial(&mut self, wanted: WantedUnits) -> Option<DeniedRequest> {
+        let mut denied = self.denied.iter();
+        let index = denied.position(|it| it.wanted == wanted)?;
+        Some(self.denied.remove(index))
+    }
+
+    /// Uses units of the local bucket if there are enough, in the order of ranks.
+    fn use_local(&mut self, now_ms: u64, vms: usize, key: u64, wanted: WantedUnits) -> bool {
+        let units = wanted.units;
+        if !self.pending.contains_key(&key) {
+            self.local_order.record(now_ms, wanted.rank, units);
+        }
+        let bucket = BucketState {
+            now_ms,
+            level: self.local_level,
+            capacity: self.budget.local_bucket(vms),
+            rate_per_ms: self.budget.rate_per_ms / vms as f64,
+        };
+        let is_granted = match self.local_order.is_mixed(now_ms) {
+            true => {
+                let claim = self.local_order.claim(&bucket, &wanted);
+                if let Some(claim) = claim {
+                    self.local_order.take(&wanted, claim);
+                }
+                claim.is_some()
+            }
+            false => self.local_level >= units as f64,
+        };
+        if is_granted {
+            self.local_level -= units as f64;
+        }
+        is_granted
     }
 
     /// Drops the grants that are no longer valid. Units at risk that were not used are refunded.
@@ -532,11 +693,11 @@
         self.granted.retain(|(_, until_ms)| now_ms < *until_ms);
     }
 
-    /// Uses granted units if there are enough for the request.
-    fn use_grants(&mut self, now_ms: u64, units: u64) -> bool {
+    /// Uses granted units if there are enough for the request and for those ahead of it.
+    fn use_grants(&mut self, now_ms: u64, units: u64, ahead_units: u64) -> bool {
         self.drop_expired_grants(now_ms);
         let valid: u64 = self.granted.iter().map(|(granted, _)| granted).sum();
-        if valid < units || units == 0 {
+        if valid < units.saturating_add(ahead_units) || units == 0 {
             return units == 0;
         }
         let mut left = units;
--- a/crates/quota/src/lib.rs
+++ b/crates/quota/src/lib.rs
@@ -12,6 +12,9 @@
 //! bound how many requests may fail in some way within a second, by how many are sent before it is
 //! known that earlier ones have not failed.
 //!
+//! Near its limit, an account whose requests are of several ranks grants its units by rank, then age:
+//! `rank_order.rs`.
+//!
 //! Nothing here reads a clock or sends: callers pass the time, events and messages, and get
 //! decisions and messages.
 //!
@@ -24,6 +27,7 @@
 mod client;
 mod message;
 mod owner;
+mod rank_order;
 
 pub use budget::AccountRule;
 pub use budget::Bounds;
@@ -31,9 +35,14 @@
 pub use client::QuotaClient;
 pub use message::AccountId;
 pub use message::AccountRoom;
+pub use message::AccountTurns;
 pub use message::AccountUsage;
+pub use message::AccountWants;
 pub use message::Allowance;
 pub use message::Answer;
+pub use message::DeniedRequest;
+pub use message::MAX_LISTED_REQUESTS;
 pub use message::Report;
 pub use message::ReportExtra;
+pub use message::WantedUnits;
 pub use owner::QuotaOwner;
--- a/crates/quota/src/message.rs
+++ b/crates/quota/src/message.rs
@@ -3,11 +3,12 @@
 use std::fmt;
 
 use serde::Deserialize;
+use serde::Deserializer;
 use serde::Serialize;
 use xxhash_rust::xxh3::xxh3_64;
 
 /// Identity of an organisation in messages: a hash of its name.
-#[derive(Clone, Copy, PartialEq, Eq, Hash, PartialOrd, Ord, Serialize, Deserialize)]
+#[derive(Clone, Copy, Default, PartialEq, Eq, Hash, PartialOrd, Ord, Serialize, Deserialize)]
 pub struct AccountId(u64);
 
 impl AccountId {
@@ -63,6 +64,45 @@
     pub joined: u64,
     /// Room of upstreams with accounts of units at risk.
     pub rooms: Vec<AccountRoom>,
+    /// Units that pending requests want, by rank; absent in reports of earlier releases.
+    #[serde(deserialize_with = "or_default")]
+    pub wants: Vec<AccountWants>,
+}
+
+/// Units that the pending requests of one VM want from one account.
+#[derive(Clone, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
+pub struct AccountWants {
+    /// Account that they want units of.
+    pub account: AccountId,
+    /// Requests beyond the units granted, the most urgent rank first, then the oldest. Not more than
+    /// [`MAX_LISTED_REQUESTS`]; the others follow in the next report.
+    pub requests: Vec<WantedUnits>,
+}
+
+/// Units that one pending request wants.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct WantedUnits {
+    /// Rank of its request class; rank 0 is the most urgent one.
+    pub rank: u32,
+    /// Number of units.
+    pub units: u64,
+    /// Identifies the request when its caller sends it again; 0 if that is not known.
+    pub tag: u32,
+}
+
+/// Maximum number of requests of one account in a report. Each takes about eight bytes.
+pub const MAX_LISTED_REQUESTS: usize = 48;
+
+/// Rank of the requests of VMs that state none: they run an earlier release.
+pub(crate) const UNKNOWN_RANK: u32 = u32::MAX;
+
+/// Reads the last part of a message, or returns its default where the message ends before.
+fn or_default<'de, D, T>(deserializer: D) -> Result<T, D::Error>
+where
+    D: Deserializer<'de>,
+    T: Deserialize<'de> + Default,
+{
+    Ok(T::deserialize(deserializer).unwrap_or_default())
 }
 
 /// Room of the upstream that an account of units at risk stands for, as an answer showed it.
@@ -101,4 +141,27 @@
     pub allowances: Vec<Allowance>,
     /// Sorted accounts without headroom, for which a VM may use granted units only.
     pub near_limit: Vec<AccountId>,
+    /// Accounts whose units are divided by rank; absent in answers of earlier releases.
+    #[serde(deserialize_with = "or_default")]
+    pub turns: Vec<AccountTurns>,
+}
+
+/// Requests of one account that were listed in a report and get no units now. The others got theirs.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct AccountTurns {
+    /// Account whose units are divided by rank.
+    pub account: AccountId,
+    /// Denied requests, in the order of the report.
+    pub denied: Vec<DeniedRequest>,
+}
+
+/// Request that gets no units now.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct DeniedRequest {
+    /// The request as listed in the report.
+    pub wanted: WantedUnits,
+    /// Time in milliseconds after which its caller may retry.
+    pub retry_after_ms: u32,
+    /// Whether units are kept for it then.
+    pub has_turn: bool,
 }
--- a/crates/quota/src/owner.rs
+++ b/crates/quota/src/owner.rs
@@ -8,10 +8,16 @@
 use crate::budget::Bounds;
 use crate::budget::Budget;
 use crate::message::AccountId;
+use crate::message::AccountTurns;
 use crate::message::AccountUsage;
 use crate::message::Allowance;
 use crate::message::Answer;
+use crate::message::DeniedRequest;
 use crate::message::Report;
+use crate::message::UNKNOWN_RANK;
+use crate::message::WantedUnits;
+use crate::rank_order::BucketState;
+use crate::rank_order::RankOrder;
 
 /// Time since its last report after which a VM no longer counts as a member.
 const MEMBER_TTL_MS: u64 = 2_000;
@@ -33,7 +39,7 @@
 /// of all VMs, since most of them have yet to report.
 const NEW_ACCOUNT_MS: u64 = 1_500;
 
-#[derive(Clone, Copy, Debug)]
+#[derive(Clone, Debug)]
 struct Account {
     budget: Budget,
     /// Units in the bucket; negative if VMs have used more than accrued.
@@ -50,6 +56,7 @@
     new_until_ms: u64,
     /// Further requests that the upstream accepts, and when that was known; `None` if nothing is.
     room: Option<(u64, u64)>,
+    order: RankOrder,
 }
 
 #[derive(Clone, Debug, Default)]
@@ -128,6 +135,7 @@
                     overdrawn_ms: now_ms,
                     new_until_ms,
                     room: None,
+                    order: RankOrder::default(),
                 },
                 |before| Account {
                     budget,
@@ -159,9 +167,11 @@
         let share_ms = ceded_ms as f64 / self.vms as f64;
         let share = self.share(now_ms);
         for account in self.accounts.values_mut() {
-            let level = account.level + account.budget.rate_per_ms * share_ms;
+            let accrued = account.budget.rate_per_ms * share_ms;
             account.share = share;
-            account.level = level.min(account.bucket(now_ms));
+            let capacity = account.bucket(now_ms);
+            account.order.accrue(now_ms, accrued, capacity);
+            account.level = (account.level + accrued).min(capacity);
         }
     }
 
@@ -192,20 +202,25 @@
                 account.record_room(room.requests.into(), at_ms);
             }
         }
-        let allowances = match is_member {
-            true => report
-                .usages
-                .iter()
-                .map(|usage| self.record_usage(now_ms, report.vm, usage))
-                .collect(),
-            false => Vec::new(),
-        };
+        let mut turns = Vec::new();
+        let usages = report.usages.iter().filter(|_| is_member);
+        let allowances = usages
+            .map(|usage| {
+                let mut wants = report.extra.wants.iter();
+                let wants = wants.find(|it| it.account == usage.account);
+                let wants = wants.map(|it| it.requests.as_slice());
+                self.record_usage(now_ms, report.vm, usage, wants, &mut turns)
+            })
+            .collect();
         // A VM that asks whether there is an owner is not a member yet, but admits by this answer.
         let asking_share = match is_member {
             true => 0.0,
             false => 1.0 / self.vms as f64,
         };
-        let has_headroom = |it: &Account| it.budget.has_headroom(it.level, it.share + asking_share);
+        let has_headroom = |it: &Account| {
+            let level = it.level - it.order.kept(&it.bucket_state(now_ms));
+            it.budget.has_headroom(level, it.share + asking_share)
+        };
         let accounts = self.accounts.iter();
         // VMs need a grant for each unit at risk, whatever the level.
         let near_limit = accounts.filter(|(_, it)| !it.budget.is_at_risk() && !has_headroom(it));
@@ -214,10 +229,20 @@
             number: report.number,
             allowances,
             near_limit: near_limit.map(|(id, _)| *id).collect(),
+            turns,
         })
     }
 
-    fn record_usage(&mut self, now_ms: u64, vm: u64, usage: &AccountUsage) -> Allowance {
+    /// Records what a VM has used, and grants what its pending requests want: by rank if requests of
+    /// several ranks have come lately. `wants` are the requests; `None` if the VM does not list them.
+    fn record_usage(
+        &mut self,
+        now_ms: u64,
+        vm: u64,
+        usage: &AccountUsage,
+        wants: Option<&[WantedUnits]>,
+        turns: &mut Vec<AccountTurns>,
+    ) -> Allowance {
         let member = self.members.entry(vm).or_default();
         let recorded = member.usages.entry(usage.account).or_default();
         let more = usage.units - *recorded;
@@ -238,6 +263,22 @@
         if usage.wanted == 0 {
             return allowance;
         }
+        if !account.budget.is_at_risk() {
+            let unlisted = unlisted_requests(usage);
+            let requests = wants.unwrap_or(&unlisted);
+            for it in requests {
+                account.order.record(now_ms, it.rank, it.units);
+            }
+            if account.order.is_mixed(now_ms) {
+                let (granted, denied) = account.grant_by_rank(now_ms, requests, window_ms);
+                let retries = denied.iter().map(|it| it.retry_after_ms);
+                allowance.granted = granted;
+                allowance.retry_after_ms = retries.min();
+                let account = usage.account;
+                turns.extend(wants.map(|_| AccountTurns { account, denied }));
+                return allowance;
+            }
+        }
         allowance.granted = account.grant(now_ms, usage, window_ms);
         account.level -= allowance.granted as f64;
         if account.budget.is_at_risk() {
@@ -269,6 +310,20 @@
     }
 }
 
+/// Returns the requests of a VM that does not list them: the oldest one, and the others as one.
+fn unlisted_requests(usage: &AccountUsage) -> Vec<WantedUnits> {
+    let oldest = usage.oldest.min(usage.wanted);
+    let requests = [oldest, usage.wanted - oldest].into_iter();
+    requests
+        .filter(|units| *units > 0)
+        .map(|units| WantedUnits {
+            rank: UNKNOWN_RANK,
+            units,
+            tag: 0,
+        })
+        .collect()
+}
+
 impl Account {
     fn bucket(&self, now_ms: u64) -> f64 {
         match now_ms < self.new_until_ms {
@@ -277,6 +332,53 @@
         }
     }
 
+    fn bucket_state(&self, now_ms: u64) -> BucketState {
+        BucketState {
+            now_ms,
+            level: self.level,
+            capacity: self.bucket(now_ms),
+            rate_per_ms: self.budget.rate_per_ms * self.share,
+        }
+    }
+
+    /// Grants units to requests by rank, and takes them from the bucket. Returns how many, and the
+    /// requests that get none.
+    fn grant_by_rank(
+        &mut self,
+        now_ms: u64,
+        requests: &[WantedUnits],
+        window_ms: u64,
+    ) -> (u64, Vec<DeniedRequest>) {
+        let mut granted = 0;
+        let mut denied = Vec::new();
+        for wanted in requests {
+            let bucket = self.bucket_state(now_ms);
+            let units = wanted.units;
+            let claim = self.order.claim(&bucket, wanted);
+            let may_overdraw = now_ms >= self.overdrawn_ms + window_ms
+                && units as f64 > bucket.capacity
+                && self.budget.may_overdraw(self.level, self.share, units);
+            if let Some(claim) = claim {
+                self.order.take(wanted, claim);
+                self.level -= units as f64;
+                granted += units;
+            } else if may_overdraw {
+                self.overdrawn_ms = now_ms;
+                self.order.end_turn(wanted);
+                self.level -= units as f64;
+                granted += units;
+            } else {
+                let (retry_after_ms, has_turn) = self.order.promise(&bucket, wanted);
+                denied.push(DeniedRequest {
+                    wanted: *wanted,
+                    retry_after_ms: retry_after_ms as u32,
+                    has_turn,
+                });
+            }
+        }
+        (granted, denied)
+    }
+
     /// Returns how many of the wanted units are granted. Overdraws the bucket at most once in a
     /// window.
     fn grant(&mut self, now_ms: u64, usage: &AccountUsage, window_ms: u64) -> u64 {
--- a/crates/quota/tests/limit_search.rs
+++ b/crates/quota/tests/limit_search.rs
@@ -12,10 +12,10 @@
 
 fn event(units: impl Strategy<Value = u64>) -> impl Strategy<Value = Event> {
     let load = (0..64_usize, prop_oneof![Just(1), 2..64_usize], 1..400_u64);
-    let load = (load, units, 200..9_000_u64);
+    let load = (load, 0..4_u32, units, 200..9_000_u64);
     prop_oneof![
-        8 => load.prop_map(|((from, vms, per_s), units, for_ms)| Event::Load {
-            from, vms, per_s, units, for_ms
+        8 => load.prop_map(|((from, vms, per_s), rank, units, for_ms)| Event::Load {
+            from, vms, per_s, rank, units, for_ms
         }),
         2 => (0..64_usize).prop_map(|vm| Event::Restart { vm }),
         1 => Just(Event::RestartAll),
@@ -48,16 +48,24 @@
         ..ProptestConfig::with_cases(96)
     })]
 
-    /// Guards against more admitted units than a limit allows in a window, over all VMs together.
+    /// Guards against more admitted units than a limit allows in a window, over all VMs together: with
+    /// requests of several ranks, callers that come back when they are told to, and VMs of a release
+    /// that knows no ranks.
     #[test]
     fn limit_holds(
         vms in prop_oneof![1..10_usize, 10..70_usize],
         seed in any::<u64>(),
         lost_in_256 in 0..40_u64,
         rate in prop_oneof![2_000.0..20_000.0, 20_000.0..400_000.0],
+        old_vms in prop_oneof![3 => Just(0..0), 1 => (0..3_usize).prop_map(|end| 0..end),
+            1 => (0..70_usize).prop_map(|start| start..70)],
+        do_callers_return in any::<bool>(),
         course in prop::collection::vec((1..1_500_u64, event(tokens())), 5..25),
     ) {
-        let worst = play(Fleet::new(TOKENS, vms, seed, lost_in_256, rate), course);
+        let mut fleet = Fleet::new(TOKENS, vms, seed, lost_in_256, rate);
+        fleet.old_vms = old_vms;
+        fleet.do_callers_return = do_callers_return;
+        let worst = play(fleet, course);
         prop_assert!(worst <= 1.0, "{worst:.3} of what is allowed");
     }
 
@@ -84,6 +92,7 @@
         from: 0,
         vms: at,
         per_s: (rate * share / units as f64) as u64,
+        rank: 0,
         units,
         for_ms: 20_000,
     });
@@ -107,6 +116,7 @@
                 from: 0,
                 vms,
                 per_s: 60,
+                rank: 0,
                 units: 1,
                 for_ms: 40_000,
             });
--- a/crates/quota/tests/owner_rules.rs
+++ b/crates/quota/tests/owner_rules.rs
@@ -185,6 +185,7 @@
         number: report.number,
         allowances: allowances.collect(),
         near_limit: vec![account()],
+        turns: Vec::new(),
     }
 }
 
--- a/crates/quota/tests/support/mod.rs
+++ b/crates/quota/tests/support/mod.rs
@@ -4,6 +4,8 @@
 //! duplicated; VMs pause, restart and are partitioned. Admitted units are counted over all VMs in
 //! every window.
 
+#![allow(dead_code)]
+
 use std::collections::BTreeMap;
 use std::collections::VecDeque;
 
@@ -15,6 +17,7 @@
 use apricotdale_quota::QuotaClient;
 use apricotdale_quota::QuotaOwner;
 use apricotdale_quota::Report;
+use apricotdale_quota::WantedUnits;
 
 const OWNER_CANDIDATES: usize = 4;
 const STEP_MS: u64 = 5;
@@ -73,11 +76,12 @@
 /// Event at a moment of the sequence.
 #[derive(Clone, Copy, Debug)]
 pub enum Event {
-    /// Requests arrive at some VMs for a time, with a rate per second and a size.
+    /// Requests arrive at some VMs for a time, with a rate per second, a rank and a size.
     Load {
         from: usize,
         vms: usize,
         per_s: u64,
+        rank: u32,
         units: u64,
         for_ms: u64,
     },
@@ -100,7 +104,9 @@
     paused_until_ms: u64,
     partitioned_until_ms: u64,
     limit: (u64, f64),
-    pending: Vec<(u64, u64, u64)>,
+    pending: Vec<Request>,
+    /// Whether it runs a release that knows no ranks.
+    is_old: bool,
 }
 
 #[derive(Clone, Copy, Debug)]
@@ -108,10 +114,34 @@
     from: usize,
     vms: usize,
     per_s: u64,
+    rank: u32,
     units: u64,
     until_ms: u64,
 }
 
+/// A request that waits for the owner, or whose caller comes back.
+#[derive(Clone, Copy, Debug)]
+struct Request {
+    key: u64,
+    rank: u32,
+    units: u64,
+    /// The same when its caller comes back.
+    tag: u32,
+    arrived_ms: u64,
+    is_return: bool,
+}
+
+/// What became of the requests of one rank and size.
+#[derive(Clone, Copy, Debug, Default)]
+pub struct Outcome {
+    pub arrived: u64,
+    pub admitted: u64,
+    /// Requests that were told when to come back, that came, and that were admitted then.
+    pub deferred: u64,
+    pub returned: u64,
+    pub let_in: u64,
+}
+
 pub struct Fleet {
     rules: Rules,
     pub now_ms: u64,
@@ -129,12 +159,25 @@
     pub refused: u64,
     pub pending: u64,
     incarnations: u64,
+    /// Requests by rank and size.
+    pub outcomes: BTreeMap<(u32, u64), Outcome>,
+    /// Whether callers come back when they are told to.
+    pub do_callers_return: bool,
+    returns: Vec<(u64, Request)>,
+    /// VMs that run a release that knows no ranks.
+    pub old_vms: std::ops::Range<usize>,
 }
 
 fn account() -> AccountId {
     AccountId::of("north")
 }
 
+/// Returns a report as an earlier release sends it, and reads it.
+fn without_wants(mut report: Report) -> Report {
+    report.extra.wants.clear();
+    report
+}
+
 impl Fleet {
     pub fn new(rules: Rules, vms: usize, seed: u64, lost_in_256: u64, rate: f64) -> Self {
         let mut fleet = Self {
@@ -152,6 +195,10 @@
             refused: 0,
             pending: 0,
             incarnations: 0,
+            outcomes: BTreeMap::new(),
+            do_callers_return: false,
+            returns: Vec::new(),
+            old_vms: 0..0,
         };
         for _ in 0..vms {
             let vm = fleet.vm(vms);
@@ -178,6 +225,7 @@
             partitioned_until_ms: 0,
             limit: (0, self.rate),
             pending: Vec::new(),
+            is_old: false,
         }
     }
 
@@ -195,12 +243,14 @@
                 from,
                 vms,
                 per_s,
+                rank,
                 units,
                 for_ms,
             } => self.loads.push(Load {
                 from,
                 vms,
                 per_s,
+                rank,
                 units,
                 until_ms: now_ms + for_ms,
             }),
@@ -235,6 +285,7 @@
     fn step(&mut self) {
         let now_ms = self.now_ms;
         for index in 0..self.vms.len() {
+            self.vms[index].is_old = self.old_vms.contains(&index);
             if self.vms[index].paused_until_ms <= now_ms {
                 self.apply_limit(index);
                 self.handle_messages(index);
@@ -248,9 +299,14 @@
             let count = load.per_s * STEP_MS / 1_000 + u64::from(rounds_up);
             for _ in 0..count {
                 let vm = (load.from + self.random() as usize % load.vms) % self.vms.len();
-                self.arrive(vm, load.units);
+                self.arrive(vm, load.rank, load.units, None);
             }
         }
+        let returns = self.returns.extract_if(.., |(at_ms, _)| *at_ms <= now_ms);
+        for (_, request) in returns.collect::<Vec<_>>() {
+            let vm = self.random() as usize % self.vms.len();
+            self.arrive(vm, request.rank, request.units, Some(request));
+        }
     }
 
     fn apply_limit(&mut self, index: usize) {
@@ -272,33 +328,80 @@
         for (_, message) in arrived.collect::<Vec<_>>() {
             match message {
                 Message::Report(from, report) => {
+                    let report = match vm.is_old {
+                        true => without_wants(report),
+                        false => report,
+                    };
                     let answer = vm.owner.handle(now_ms, &report);
                     answers.extend(answer.map(|answer| (from, answer)));
                 }
-                Message::Answer(answer) => {
+                Message::Answer(mut answer) => {
+                    if vm.is_old {
+                        answer.turns.clear();
+                    }
                     vm.client.handle(now_ms, &answer);
                 }
             }
         }
-        for (to, answer) in answers {
+        let is_old = self.vms[index].is_old;
+        for (to, mut answer) in answers {
+            if is_old {
+                answer.turns.clear();
+            }
             self.send(index, to, &Message::Answer(answer));
         }
     }
 
     fn retry_pending(&mut self, index: usize) {
         let now_ms = self.now_ms;
-        for (key, units, arrived_ms) in std::mem::take(&mut self.vms[index].pending) {
-            let vm = &mut self.vms[index];
-            match vm.client.admit(now_ms, account(), key, units) {
-                Admission::Admitted => self.count(arrived_ms, units),
-                Admission::Pending if now_ms < arrived_ms + PENDING_TIMEOUT_MS => {
-                    vm.pending.push((key, units, arrived_ms));
-                }
-                Admission::Pending => {
-                    vm.client.withdraw(account(), key);
-                    self.refused += units;
+        let mut pending = std::mem::take(&mut self.vms[index].pending);
+        pending.sort_by_key(|it| (it.rank, it.key));
+        for request in pending {
+            self.decide(
+                index,
+                request,
+                now_ms < request.arrived_ms + PENDING_TIMEOUT_MS,
+            );
+        }
+    }
+
+    /// Decides on a request, which may wait for the owner or not any longer.
+    fn decide(&mut self, index: usize, request: Request, may_wait: bool) {
+        let now_ms = self.now_ms;
+        let Request {
+            key,
+            rank,
+            units,
+            tag,
+            ..
+        } = request;
+        let vm = &mut self.vms[index];
+        let outcome = self.outcomes.entry((rank, units)).or_default();
+        let admission = match vm.is_old {
+            true => vm.client.admit(now_ms, account(), key, units),
+            false => {
+                let wanted = WantedUnits { rank, units, tag };
+                vm.client.admit_by_rank(now_ms, account(), key, wanted)
+            }
+        };
+        match admission {
+            Admission::Admitted => {
+                outcome.admitted += 1;
+                outcome.let_in += u64::from(request.is_return);
+                self.count(request.arrived_ms, units);
+            }
+            Admission::Pending if may_wait => vm.pending.push(request),
+            Admission::Pending => {
+                vm.client.withdraw(account(), key);
+                self.refused += units;
+            }
+            Admission::Refused { .. } => self.refused += units,
+            Admission::Deferred { retry_after_ms } => {
+                outcome.deferred += 1;
+                self.refused += units;
+                if self.do_callers_return && !request.is_return {
+                    self.returns.push((now_ms + retry_after_ms, request));
                 }
-                Admission::Refused { .. } => self.refused += units,
             }
         }
     }
@@ -310,26 +413,38 @@
             return;
         };
         let to = client.owner_rank();
+        let report = match self.vms[index].is_old {
+            true => without_wants(report),
+            false => report,
+        };
         self.send(index, to, &Message::Report(index, report));
     }
 
-    fn arrive(&mut self, vm: usize, units: u64) {
+    fn arrive(&mut self, vm: usize, rank: u32, units: u64, former: Option<Request>) {
         if self.vms[vm].paused_until_ms > self.now_ms {
             return;
         }
-        self.arrived += units;
         self.next_key += 1;
-        let key = self.next_key;
-        match self.vms[vm]
-            .client
-            .admit(self.now_ms, account(), key, units)
-        {
-            Admission::Admitted => self.count(self.now_ms, units),
-            Admission::Pending => {
-                self.pending += units;
-                self.vms[vm].pending.push((key, units, self.now_ms));
+        let outcome = self.outcomes.entry((rank, units)).or_default();
+        match former.is_some() {
+            true => outcome.returned += 1,
+            false => {
+                self.arrived += units;
+                outcome.arrived += 1;
             }
-            Admission::Refused { .. } => self.refused += units,
+        }
+        let request = Request {
+            key: self.next_key,
+            rank,
+            units,
+            tag: former.map_or(self.next_key as u32, |it| it.tag),
+            arrived_ms: self.now_ms,
+            is_return: former.is_some(),
+        };
+        let before = self.vms[vm].pending.len();
+        self.decide(vm, request, true);
+        if self.vms[vm].pending.len() > before {
+            self.pending += units;
         }
     }
 
