Quota: requests without a rank are not listed by rank

Cause: permits of upstreams asked with rank 0, so that beside VMs of an earlier release their accounts would have been divided, with these as the least urgent.

Change: such requests have no rank, as those of earlier releases, and are not listed. What is ahead of a request is added up only when there are grants.

--- a/crates/quota/src/client.rs
+++ b/crates/quota/src/client.rs
@@ -20,6 +20,7 @@
 use crate::message::MAX_LISTED_REQUESTS;
 use crate::message::Report;
 use crate::message::ReportExtra;
+use crate::message::UNKNOWN_RANK;
 use crate::message::WantedUnits;
 use crate::rank_order::BucketState;
 use crate::rank_order::RankOrder;
@@ -246,11 +247,11 @@
         self.owner.is_some() && now_ms < self.last_received_ms + ANSWER_TTL_MS
     }
 
-    /// Decides on a request of the most urgent rank that counts `units`. See
+    /// Decides on a request that counts `units`, of an account whose requests have no ranks. See
     /// [`QuotaClient::admit_by_rank`].
     pub fn admit(&mut self, now_ms: u64, id: AccountId, key: u64, units: u64) -> Admission {
         let wanted = WantedUnits {
-            rank: 0,
+            rank: UNKNOWN_RANK,
             units,
             tag: 0,
         };
@@ -308,8 +309,7 @@
                 },
             };
         }
-        let ahead_units = account.ahead_units(now_ms, key, rank);
-        if account.use_grants(now_ms, units, ahead_units) {
+        if account.use_grants(now_ms, key, rank, units) {
             return Admission::Admitted;
         }
         let unreported = account.spent - account.acknowledged;
@@ -463,7 +463,8 @@
         };
         let wants = usages.iter().filter_map(|usage: &AccountUsage| {
             let account = &self.accounts[&usage.account];
-            let is_listed = usage.wanted > 0 && !account.budget.is_at_risk();
+            let mut pending = account.pending.values();
+            let is_listed = usage.wanted > 0 && pending.any(|it| it.rank != UNKNOWN_RANK);
             is_listed.then(|| AccountWants {
                 account: usage.account,
                 requests: account.wanted_requests(now_ms),
@@ -694,12 +695,15 @@
     }
 
     /// Uses granted units if there are enough for the request and for those ahead of it.
-    fn use_grants(&mut self, now_ms: u64, units: u64, ahead_units: u64) -> bool {
+    fn use_grants(&mut self, now_ms: u64, key: u64, rank: u32, units: u64) -> bool {
         self.drop_expired_grants(now_ms);
         let valid: u64 = self.granted.iter().map(|(granted, _)| granted).sum();
-        if valid < units.saturating_add(ahead_units) || units == 0 {
+        if valid < units || units == 0 {
             return units == 0;
         }
+        if valid - units < self.ahead_units(now_ms, key, rank) {
+            return false;
+        }
         let mut left = units;
         while left > 0 {
             let Some((granted, until_ms)) = self.granted.pop_front() else {
--- a/crates/quota/src/message.rs
+++ b/crates/quota/src/message.rs
@@ -93,7 +93,7 @@
 /// Maximum number of requests of one account in a report. Each takes about eight bytes.
 pub const MAX_LISTED_REQUESTS: usize = 48;
 
-/// Rank of the requests of VMs that state none: they run an earlier release.
+/// Rank of requests without one: of accounts that have none, and of VMs of an earlier release.
 pub(crate) const UNKNOWN_RANK: u32 = u32::MAX;
 
 /// Reads the last part of a message, or returns its default where the message ends before.
--- a/crates/quota/tests/rank_order.rs
+++ b/crates/quota/tests/rank_order.rs
@@ -7,6 +7,7 @@
 use apricotdale_quota::Admission;
 use apricotdale_quota::Bounds;
 use apricotdale_quota::QuotaClient;
+use apricotdale_quota::QuotaOwner;
 use apricotdale_quota::WantedUnits;
 use rstest::rstest;
 
@@ -162,6 +163,28 @@
     assert!(urgent > least_urgent);
 }
 
+/// Guards against accounts without ranks, as those of upstreams, that are divided between VMs of this
+/// release and of earlier ones.
+#[test]
+fn no_ranks_listed() {
+    let account = AccountId::of("upstream");
+    let limit = Limit {
+        rate_per_s: 10.0,
+        burst: 0.0,
+    };
+    let mut client = QuotaClient::new(1, Bounds::default());
+    let mut owner = QuotaOwner::new(2, Bounds::default());
+    client.set_limits(0, [(account, limit)]);
+    owner.set_limits(0, [(account, limit)]);
+    let hello = client.due_report(1_000, 1).expect("a first report");
+    let answer = owner.handle(1_000, &hello).expect("an answer");
+    client.handle(1_000, &answer);
+    assert_eq!(client.admit(1_000, account, 1, 1), Admission::Pending);
+    let report = client.due_report(1_020, 1).expect("a report that asks");
+    assert_eq!(report.usages[0].wanted, 1);
+    assert!(report.extra.wants.is_empty());
+}
+
 /// Guards against ranks that are forgotten for good when their owner is lost.
 #[test]
 fn owner_lost() {
