--- a/crates/dispatch/src/lib.rs
+++ b/crates/dispatch/src/lib.rs
@@ -10,6 +10,7 @@
 #![warn(missing_docs)]
 
 mod availability;
+mod confirmations;
 mod deadline;
 mod dispatcher;
 mod eligibility;
@@ -40,6 +41,7 @@
 pub use options::DispatcherOptions;
 pub use rejection_limits::RejectionLimits;
 pub use rejection_limits::StatedRejectionLimit;
+pub use silence::HeadProgress;
 pub use silence::Silence;
 pub use stated_limits::LimitChange;
 pub use stated_limits::RateLimit;
--- a/crates/entry/src/request_dispatch.rs
+++ b/crates/entry/src/request_dispatch.rs
@@ -164,6 +164,9 @@
             ..DeliveryOptions::default()
         });
         let stream = self.stream_of(&serving, &route, organisation.as_deref());
+        let charge = organisation
+            .as_ref()
+            .and_then(|it| charge(it, &serving, &features));
         let key = self.active.insert(ActiveRequest {
             caller: Some(token),
             caller_hash: caller_hash(caller_address),
@@ -171,7 +174,7 @@
             head,
             body,
             route,
-            charge: organisation.as_ref().and_then(|it| charge(it, &serving)),
+            charge,
             organisation,
             serving,
             job,
@@ -487,6 +490,7 @@
         let is_head_request = request.head.method.eq_ignore_ascii_case("HEAD");
         self.dispatcher.sent(now_ms, &request.job, &name);
         self.watch.sent(now_ms, &name);
+        self.begin_statement_check(&name);
         if let Some(connection) = self.outbound.get_mut(token) {
             connection.begin(now_ms, Purpose::Proxy(key), &bytes, is_head_request);
             let is_open = connection.stream.flush();
