Entry: refuse arrivals by the announced shares of the ranks

Cause: a VM admits by its own queue only; what the lease holder computes for all has to reach the decision on each arrival.

Change: handle_serving_request asks the shares once, after the organisation's rank is known and before the request is registered, and refuses with `overloaded` and a retry time. Only requests of engine services take part; a resumed stream was admitted before. A refused request counts as demand for its model and is neither charged to its organisation nor earns a retry.

No test over processes yet: no message carries rows.

--- a/crates/entry/src/daemon.rs
+++ b/crates/entry/src/daemon.rs
@@ -58,6 +58,7 @@
 use crate::outbound::Peer;
 use crate::outbound::Purpose;
 use crate::peers::Peers;
+use crate::rank_admission::RankGate;
 use crate::relay::RelayedConnections;
 use crate::residence_updates::ResidenceUpdates;
 use crate::settings::Settings;
@@ -130,6 +131,8 @@
     pub(crate) crash_watch: CrashWatch,
     pub(crate) block_store: BlockStore,
     pub(crate) limits: Limits,
+    /// Admission of arrivals by rank, as the lease holder announces it.
+    pub(crate) rank_gate: RankGate,
     pub(crate) upstream_permits: UpstreamPermits,
     pub(crate) stream_origins: StreamOrigins,
     pub(crate) residence_updates: ResidenceUpdates,
@@ -232,6 +235,7 @@
             crash_watch,
             block_store: BlockStore::default(),
             limits: Limits::new(incarnation, settings.limit_bounds),
+            rank_gate: RankGate::default(),
             upstream_permits: UpstreamPermits::new(incarnation),
             stream_origins: StreamOrigins::default(),
             residence_updates: ResidenceUpdates::default(),
@@ -336,6 +340,7 @@
         self.advance_all_relayed();
         self.advance_crash_watch();
         self.advance_limits();
+        self.advance_rank_gate();
         self.advance_upstream_permits();
         self.advance_stream_origins();
         if self.now_ms >= self.next_sweep_ms || self.now_ms >= self.next_call_timeout_ms {
--- a/crates/entry/src/lib.rs
+++ b/crates/entry/src/lib.rs
@@ -35,6 +35,7 @@
 mod peer_exchange;
 mod peers;
 mod prefix_hash;
+mod rank_admission;
 mod rejection_permits;
 mod relay;
 mod request_dispatch;
--- a/crates/entry/src/metric_labels.rs
+++ b/crates/entry/src/metric_labels.rs
@@ -17,3 +17,8 @@
 pub(crate) struct OrganisationLabel {
     pub organisation: String,
 }
+
+#[derive(Clone, Debug, PartialEq, Eq, Hash, EncodeLabelSet)]
+pub(crate) struct RankLabel {
+    pub rank: String,
+}
--- a/crates/entry/src/metrics.rs
+++ b/crates/entry/src/metrics.rs
@@ -14,12 +14,17 @@
 
 use crate::metric_labels::CallLabels;
 use crate::metric_labels::OrganisationLabel;
+use crate::metric_labels::RankLabel;
 use crate::metric_labels::Reason;
 
 /// Maximum number of organisations with labels of their own, and the label of all others.
 const MAX_ORGANISATIONS: usize = 64;
 const OTHER_ORGANISATIONS: &str = "other";
 
+/// Maximum number of ranks with labels of their own, and the label of the less urgent ones.
+const MAX_RANKS: u8 = 16;
+const OTHER_RANKS: &str = "other";
+
 /// Metrics of an entry VM. No label identifies a request or a caller.
 #[derive(Debug)]
 pub(crate) struct EntryMetrics {
@@ -79,6 +84,8 @@
     pub stream_origins: Gauge,
     pub dropped_origins: Gauge,
     over_limit: Family<OrganisationLabel, Counter>,
+    rank_refusals: Family<RankLabel, Counter>,
+    pub lowest_rank_permille: Gauge,
     /// Organisations that have labels of their own.
     organisations: HashSet<Arc<str>>,
 }
@@ -147,6 +154,8 @@
             stream_origins: Gauge::default(),
             dropped_origins: Gauge::default(),
             over_limit: Family::default(),
+            rank_refusals: Family::default(),
+            lowest_rank_permille: Gauge::default(),
             organisations: HashSet::new(),
         };
         metrics.register();
@@ -308,6 +317,15 @@
         self.over_limit.get_or_create(&label).inc();
     }
 
+    /// Counts a request that was refused because its rank's share was used up.
+    pub fn rank_refusal(&self, rank: u8) {
+        let rank = match rank < MAX_RANKS {
+            true => rank.to_string(),
+            false => OTHER_RANKS.to_owned(),
+        };
+        self.rank_refusals.get_or_create(&RankLabel { rank }).inc();
+    }
+
     /// Counts a request that this VM judged to crash upstreams.
     pub fn new_block(&self) {
         self.new_blocks.inc();
--- a/crates/entry/src/metrics/registration.rs
+++ b/crates/entry/src/metrics/registration.rs
@@ -238,6 +238,16 @@
             "Requests refused because of their organisation's limit, by organisation",
             self.over_limit.clone(),
         );
+        registry.register(
+            "rank_refusals",
+            "Requests refused because the share of their rank was used up, by rank",
+            self.rank_refusals.clone(),
+        );
+        registry.register(
+            "lowest_rank_permille",
+            "Lowest share of a rank that is admitted, in thousandths",
+            self.lowest_rank_permille.clone(),
+        );
         registry.register(
             "first_answer_ms",
             "Time from arrival to the first part of the answer",
--- a/crates/entry/src/request_dispatch.rs
+++ b/crates/entry/src/request_dispatch.rs
@@ -150,10 +150,15 @@
         if let Some(rank) = organisation.as_ref().and_then(|it| it.rank) {
             job.rank = rank;
         }
-        self.dispatcher.arrived(self.now_ms, &job);
+        // Requests that are refused by rank count as demand for the model, too.
         if let Some(wanted) = &job.wanted {
             self.local_demand.record_arrival(wanted);
         }
+        if let Some(refusal) = self.rank_refusal(&serving, &job) {
+            self.refuse_new(token, &refusal, Some(&serving.id));
+            return;
+        }
+        self.dispatcher.arrived(self.now_ms, &job);
         let format = self.codecs.callers.stream_format();
         let delivery = Delivery::new(DeliveryOptions {
             is_stream: route.kind.is_stream(),
@@ -270,10 +275,7 @@
         deadline: Deadline,
     ) -> Job {
         let now_ms = self.now_ms;
-        let is_engine = self
-            .directory
-            .service(&service)
-            .is_some_and(|it| it.engine.is_some());
+        let is_engine = self.is_engine_service(&service);
         let expected_run_ms = match is_engine {
             true => {
                 EXPECTED_FIRST_EVENT_DELAY_MS
@@ -300,6 +302,13 @@
         }
     }
 
+    /// Returns whether the upstreams of a service are engines.
+    pub(crate) fn is_engine_service(&self, service: &GroupName) -> bool {
+        self.directory
+            .service(service)
+            .is_some_and(|it| it.engine.is_some())
+    }
+
     /// Refuses a request before it is registered as active.
     fn refuse_new(&mut self, token: Token, refusal: &Refusal, id: Option<&RequestId>) {
         self.metrics.refused(refusal.reason.as_str());
@@ -499,6 +508,6 @@
 }
 
 /// Returns a hash of the request's ID, evenly distributed over all values.
-fn request_hash(id: &RequestId) -> u64 {
+pub(crate) fn request_hash(id: &RequestId) -> u64 {
     xxhash_rust::xxh3::xxh3_64(id.as_str().as_bytes())
 }
