--- a/crates/admission/src/rank_pressure.rs
+++ b/crates/admission/src/rank_pressure.rs
@@ -33,10 +33,14 @@
 /// slots busy.
 const TARGET_PRESSURE: f64 = 1.1;
 
-/// Time in which the requests above the target pressure are worked off. With reports that lag by
-/// 1 s and heartbeats of 400 ms, a correction below about 2.7 times the lag overshoots.
+/// Time in which the requests above the target pressure are worked off. Reports lag by up to 1 s and
+/// heartbeats come every 400 ms; a correction faster than about three times that lag overshoots.
 const CORRECTION_S: f64 = 4.0;
 
+/// Time in which free slots are filled up to the target pressure. It is shorter, since a pressure
+/// that falls below [`FREE_PRESSURE_PERMILLE`] admits the whole demand until the next report.
+const FILL_S: f64 = 2.0;
+
 /// Lower limit of the admitted part of the capacity while a backlog is worked off. It leaves the
 /// most urgent rank four times the floor of the others.
 const MIN_BUDGET_FACTOR: f64 = 0.5;
@@ -149,7 +153,8 @@
         let offered: Vec<f64> = self.rates.values().map(|it| it.arrivals_per_s).collect();
         let is_free = pressure_permille < FREE_PRESSURE_PERMILLE || offered.len() < 2;
         let room = TARGET_PRESSURE * f64::from(capacity.slots) - requests;
-        let budget_per_s = capacity_per_s + room / CORRECTION_S;
+        let correction_s = if room > 0.0 { FILL_S } else { CORRECTION_S };
+        let budget_per_s = capacity_per_s + room / correction_s;
         let budget_per_s = budget_per_s.max(MIN_BUDGET_FACTOR * capacity_per_s);
         let admitted = match is_free {
             true => offered.clone(),
--- a/crates/admission/src/rank_shares.rs
+++ b/crates/admission/src/rank_shares.rs
@@ -9,14 +9,17 @@
 /// Share that admits every request.
 pub(crate) const ALL_PERMILLE: u16 = 1_000;
 
-/// Shortest retry time. A retry that comes after the next heartbeat is drawn anew.
-const MIN_RETRY_MS: u32 = 1_000;
+/// Shortest retry time. With a shorter one, retries meet VMs that still hold the announcement by
+/// which they were refused, and are refused again.
+const MIN_RETRY_MS: u32 = 1_500;
 
 /// Longest retry time that is stated, whatever the backlog.
 const MAX_RETRY_MS: u32 = 30_000;
 
-/// Number of successive draws in which the same backlog gives different retry times.
-const DRAWS: u32 = 16;
+/// Number of announcements in which the same backlog gives different retry times. At one every
+/// 400 ms they take longer than the longest retry time with its spread. With 16, many third tries
+/// met the draw by which their first had been refused.
+const DRAWS: u32 = 256;
 
 /// Shares of one service, computed by the lease holder.
 #[derive(Clone, Debug, PartialEq, Eq)]
--- a/crates/admission/tests/support/mod.rs
+++ b/crates/admission/tests/support/mod.rs
@@ -2,6 +2,8 @@
 
 #![allow(dead_code)]
 
+pub mod rank_fleet;
+
 use std::cmp::Reverse;
 use std::collections::BTreeMap;
 use std::collections::BinaryHeap;
