--- a/crates/entry/src/lib.rs
+++ b/crates/entry/src/lib.rs
@@ -36,6 +36,7 @@
 mod peer_exchange;
 mod peers;
 mod prefix_hash;
+mod rank_admission;
 mod rejection_permits;
 mod relay;
 mod request_dispatch;
--- a/crates/entry/src/metric_labels.rs
+++ b/crates/entry/src/metric_labels.rs
@@ -24,3 +24,8 @@
     /// Whether units are kept for the request's return.
     pub has_turn: String,
 }
+
+#[derive(Clone, Debug, PartialEq, Eq, Hash, EncodeLabelSet)]
+pub(crate) struct RankLabel {
+    pub rank: String,
+}
