--- a/crates/holder/src/demand.rs
+++ b/crates/holder/src/demand.rs
@@ -11,6 +11,7 @@
 use crate::demand_detail::DemandDetail;
 use crate::demand_detail::EngineKey;
 use crate::demand_detail::ModelKey;
+use crate::learned_state::LearnedState;
 
 /// How long a VM's counts of waiting and running requests stay valid unless the VM repeats them.
 /// VMs with such requests announce their counts every 200 ms.
@@ -18,7 +19,10 @@
 
 /// Time constant of the moving average of arrivals. Demand shifts within about 5 s; with 8 s the
 /// rates still favoured the models that used to be active, and the mean score was 0.01 lower.
-const RATE_WINDOW_MS: f64 = 4_000.0;
+pub(crate) const RATE_WINDOW_MS: f64 = 4_000.0;
+
+/// Time after which restored rates have decayed to less than a thousandth.
+const RESTORED_RATES_TTL_MS: u64 = 30_000;
 
 /// Demand of one VM for one model, or for one adapter of that model.
 #[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
@@ -106,6 +110,9 @@
 pub struct DemandTable {
     vms: HashMap<(VmName, u64), VmDemand>,
     rates: HashMap<WantedModel, Rate>,
+    /// Rates of a former lease holder. They count where VMs have reported less.
+    restored: HashMap<WantedModel, Rate>,
+    restored_ms: u64,
     answers: HashMap<ModelKey, RecentAnswers>,
     /// Requests in progress over all VMs, by engine and model.
     uses: HashMap<(EngineKey, ModelKey), u32>,
@@ -116,6 +123,9 @@
     /// Records an announcement of one process of a VM. Models and adapters that `rows` does not
     /// name are unchanged.
     pub fn note(&mut self, now_ms: u64, vm: &VmName, incarnation: u64, rows: Vec<DemandRow>) {
+        if now_ms.saturating_sub(self.restored_ms) > RESTORED_RATES_TTL_MS {
+            self.restored.clear();
+        }
         let vm_demand = self.vms.entry((vm.clone(), incarnation)).or_default();
         for row in rows {
             let wanted = WantedModel {
@@ -237,6 +247,37 @@
         waiting
     }
 
+    /// Takes over the rates that a former lease holder has recorded. They decay as if their
+    /// requests had arrived until now, and a model counts with the rate that VMs have reported as
+    /// soon as that is higher.
+    pub fn restore(&mut self, now_ms: u64, state: &LearnedState) {
+        self.restored_ms = now_ms;
+        let rates = state.rates().map(|(wanted, requests_per_s)| {
+            let rate = Rate {
+                requests_per_s,
+                at_ms: now_ms,
+                last_arrival_ms: now_ms,
+            };
+            (wanted, rate)
+        });
+        self.restored = rates.collect();
+    }
+
+    /// Returns the requests per second of each model and adapter.
+    pub fn rates(&self, now_ms: u64) -> HashMap<WantedModel, f64> {
+        let mut rates: HashMap<WantedModel, f64> = HashMap::with_capacity(self.rates.len());
+        for (wanted, rate) in self.rates.iter().chain(&self.restored) {
+            let requests_per_s = decayed_rate(rate, now_ms);
+            match rates.get_mut(wanted) {
+                Some(known) => *known = known.max(requests_per_s),
+                None => {
+                    rates.insert(wanted.clone(), requests_per_s);
+                }
+            }
+        }
+        rates
+    }
+
     /// Returns the demand for each model and adapter that has ever been requested.
     pub fn totals(&self, now_ms: u64) -> HashMap<WantedModel, ModelDemand> {
         let mut totals: HashMap<WantedModel, ModelDemand> =
@@ -249,6 +290,11 @@
             };
             totals.insert(wanted.clone(), demand);
         }
+        for (wanted, rate) in &self.restored {
+            let demand = totals.entry(wanted.clone()).or_default();
+            demand.requests_per_s = demand.requests_per_s.max(decayed_rate(rate, now_ms));
+            demand.last_arrival_ms = demand.last_arrival_ms.max(rate.last_arrival_ms);
+        }
         let fresh = self
             .vms
             .values()
