Lease holder: writes what it has learned, and the next holder restores it

Cause: after a restart of all VMs the lease holder knows no rates by model and evicts models in demand.

Change: the holder writes its LearnedState under a key of its own in the topic of the VMs' entries, in fleets with more VMs than an engine has slots. A new holder takes it from the entries that it read at its start, or reads it once. Releases that do not know the key can't decode the record as an entry.

--- a/crates/entry/src/block_store.rs
+++ b/crates/entry/src/block_store.rs
@@ -5,8 +5,6 @@
 //! persisted, all VMs that start together would let each of them crash three more upstreams.
 
 use std::collections::HashMap;
-use std::time::SystemTime;
-use std::time::UNIX_EPOCH;
 
 use apricotdale_quarantine::BlockRow;
 use apricotdale_quarantine::CaseRow;
@@ -16,6 +14,7 @@
 
 use crate::calls::CallOutcome;
 use crate::calls::CallTag;
+use crate::clock::unix_ms;
 use crate::codec::StoreOutcome;
 use crate::codec::Topic;
 use crate::daemon::Daemon;
@@ -294,8 +293,3 @@
 fn encode(record: &Record) -> Vec<u8> {
     postcard::to_stdvec(record).expect("a locally built record can be encoded")
 }
-
-fn unix_ms() -> u64 {
-    let since = SystemTime::now().duration_since(UNIX_EPOCH);
-    since.map_or(0, |since| since.as_millis() as u64)
-}
--- a/crates/entry/src/calls.rs
+++ b/crates/entry/src/calls.rs
@@ -60,6 +60,10 @@
     BlocksNewest,
     /// Writes the blocked requests.
     BlocksAppend,
+    /// Reads a page of the topic that holds the learned state.
+    LearnedNewest,
+    /// Writes the learned state.
+    LearnedAppend,
 }
 
 impl CallTag {
@@ -83,6 +87,8 @@
             Self::UpstreamProbe(_) => "recheck",
             Self::BlocksNewest => "blocks_newest",
             Self::BlocksAppend => "blocks_append",
+            Self::LearnedNewest => "learned_newest",
+            Self::LearnedAppend => "learned_append",
         }
     }
 
@@ -110,6 +116,7 @@
                 | Self::SnapshotNewest
                 | Self::VmsNewest
                 | Self::BlocksNewest
+                | Self::LearnedNewest
         )
     }
 }
@@ -458,6 +465,8 @@
             CallTag::UpstreamProbe(upstream) => self.handle_crash_probe(&upstream, &outcome),
             CallTag::BlocksNewest => self.handle_blocks_page(outcome),
             CallTag::BlocksAppend => self.finish_blocks_write(outcome),
+            CallTag::LearnedNewest => self.handle_learned_page(outcome),
+            CallTag::LearnedAppend => self.finish_learned_write(outcome),
             CallTag::LeaseRead | CallTag::LeaseAppend => self.lease_call_ended(&tag, outcome),
             _ => self.finish_poll(&tag, outcome),
         }
--- a/crates/entry/src/clock.rs
+++ b/crates/entry/src/clock.rs
@@ -2,6 +2,8 @@
 
 use std::hint::black_box;
 use std::time::Instant;
+use std::time::SystemTime;
+use std::time::UNIX_EPOCH;
 
 use nix::time::ClockId;
 use nix::time::clock_gettime;
@@ -14,6 +16,13 @@
     time.tv_sec() as u64 * 1_000 + time.tv_nsec() as u64 / 1_000_000
 }
 
+/// Returns Unix milliseconds of the VM's clock, for records that other VMs read. The clock may be set
+/// forward and back.
+pub(crate) fn unix_ms() -> u64 {
+    let since = SystemTime::now().duration_since(UNIX_EPOCH);
+    since.map_or(0, |since| since.as_millis() as u64)
+}
+
 /// Steps of the fixed amount of work. They take about 0.2 ms on a full core and 1.6 ms on 0.12 of
 /// a core.
 const WORK_STEPS: u64 = 200_000;
--- a/crates/entry/src/daemon.rs
+++ b/crates/entry/src/daemon.rs
@@ -49,6 +49,7 @@
 use crate::codec::Codecs;
 use crate::engine_orders::EngineOrders;
 use crate::errors::Result;
+use crate::learned_store::LearnedStore;
 use crate::lifecycle::PlannedStop;
 use crate::limits::Limits;
 use crate::log_budget::LogBudget;
@@ -138,6 +139,7 @@
     pub(crate) ended_incarnations: Vec<UpstreamName>,
     pub(crate) store_pollers: StorePollers,
     pub(crate) engine_orders: EngineOrders,
+    pub(crate) learned_store: LearnedStore,
     pub(crate) peers: Peers,
     /// Demand of this VM's requests, for reports to the lease holder.
     pub(crate) local_demand: LocalDemand,
@@ -211,6 +213,7 @@
         crash_watch.exempt(&settings.exempt);
         Ok(Self {
             engine_orders: EngineOrders::new(&settings, incarnation),
+            learned_store: LearnedStore::default(),
             peers: Peers::new(own_record, socket),
             local_demand: LocalDemand::default(),
             local_answers: LocalAnswers::default(),
@@ -333,6 +336,7 @@
         // request.
         self.readiness();
         self.advance_engine_orders();
+        self.advance_learned_store();
         self.advance_peers();
         self.advance_watch();
         self.advance_paths();
--- a/crates/entry/src/demand_reports.rs
+++ b/crates/entry/src/demand_reports.rs
@@ -24,7 +24,7 @@
 impl Daemon {
     /// Returns whether VMs report details of their demand: with fewer VMs than an engine has slots,
     /// each VM hears of an engine's load in its own answers.
-    fn reports_detail(&self) -> bool {
+    pub(crate) fn reports_detail(&self) -> bool {
         let vms = self.peers.others() as u32 + 1;
         let services = self.directory.configuration().services.values();
         let mut engines = services.filter_map(|service| service.engine.as_ref());
--- a/crates/entry/src/engine_orders.rs
+++ b/crates/entry/src/engine_orders.rs
@@ -14,6 +14,7 @@
 use apricotdale_holder::DemandRow;
 use apricotdale_holder::DemandTable;
 use apricotdale_holder::EngineKey;
+use apricotdale_holder::LearnedState;
 use apricotdale_holder::Lease;
 use apricotdale_holder::LeaseOptions;
 use apricotdale_holder::Planner;
@@ -52,6 +53,8 @@
 pub(crate) struct EngineOrders {
     lease: Lease,
     demand: DemandTable,
+    /// Lasting speeds of engines in percent of the mean, as far as they are known.
+    speeds: HashMap<EngineKey, u16>,
     /// One planner for each engine service; empty unless this VM holds the lease.
     planners: HashMap<GroupName, Planner>,
     /// Fencing token of the lease; none unless this VM may send orders.
@@ -80,6 +83,7 @@
         Self {
             lease: Lease::new(options, settings.vm.clone(), incarnation),
             demand: DemandTable::default(),
+            speeds: HashMap::new(),
             planners: HashMap::new(),
             fence: None,
             next_plan_ms: 0,
@@ -130,8 +134,26 @@
     }
 
     /// Returns an engine's lasting speed in percent of the mean; 100 if it is not known.
-    pub fn speed_percent(&self, _engine: EngineKey) -> u16 {
-        100
+    pub fn speed_percent(&self, engine: EngineKey) -> u16 {
+        self.speeds.get(&engine).copied().unwrap_or(100)
+    }
+
+    /// Returns what this VM has learned from reports, as it is recorded for the next lease holder.
+    pub fn learned_state(&self, now_ms: u64, now_unix_ms: u64, era: u64) -> LearnedState {
+        let speeds = self
+            .speeds
+            .iter()
+            .map(|(engine, percent)| (*engine, *percent));
+        let rates = self.demand.rates(now_ms);
+        LearnedState::new(now_unix_ms, era, rates, speeds.collect())
+    }
+
+    /// Takes over what a former lease holder has learned. It is a hint, which reports replace.
+    pub fn restore(&mut self, now_ms: u64, state: &LearnedState) {
+        self.demand.restore(now_ms, state);
+        for (engine, percent) in state.speeds() {
+            self.speeds.entry(*engine).or_insert(*percent);
+        }
     }
 
     /// Returns the residence updates that a VM must have missed, given that it reports these models
--- a/crates/entry/src/engine_orders/order_lease.rs
+++ b/crates/entry/src/engine_orders/order_lease.rs
@@ -98,8 +98,12 @@
                 log::info!(fence, lease_end; "this VM gives orders");
                 // Entries announced by other VMs omit copies of weights, which planning needs.
                 self.store_pollers.prepare_for_lease(self.now_ms);
+                self.learned_store.begin_term(self.now_ms);
+            }
+            None => {
+                log::info!("this VM gives no more orders");
+                self.learned_store.end_term();
             }
-            None => log::info!("this VM gives no more orders"),
         }
         self.engine_orders.fence = fence;
         self.engine_orders.planners.clear();
--- a/crates/entry/src/metrics.rs
+++ b/crates/entry/src/metrics.rs
@@ -40,6 +40,8 @@
     store_reads_bytes: Family<Reason, Counter>,
     discarded_reads_bytes: Family<Reason, Counter>,
     store_rollbacks: Counter,
+    learned_states: Family<Reason, Counter>,
+    learned_state_writes: Family<Reason, Counter>,
     answers_of_earlier_eras: Family<Reason, Counter>,
     list_repairs: Counter,
     unresponsive_engines: Counter,
@@ -108,6 +110,8 @@
             store_reads_bytes: Family::default(),
             discarded_reads_bytes: Family::default(),
             store_rollbacks: Counter::default(),
+            learned_states: Family::default(),
+            learned_state_writes: Family::default(),
             answers_of_earlier_eras: Family::default(),
             list_repairs: Counter::default(),
             unresponsive_engines: Counter::default(),
@@ -239,6 +243,17 @@
         self.store_rollbacks.inc();
     }
 
+    /// Counts a term as lease holder by whether the learned state of the former holder was restored,
+    /// or why it was not.
+    pub fn learned_state(&self, outcome: &str) {
+        count(&self.learned_states, outcome);
+    }
+
+    /// Counts a write of the learned state by its outcome.
+    pub fn learned_state_write(&self, outcome: &str) {
+        count(&self.learned_state_writes, outcome);
+    }
+
     /// Counts a store answer that is from before a rollback.
     pub fn answer_of_earlier_era(&self, call: &str) {
         count(&self.answers_of_earlier_eras, call);
--- a/crates/entry/src/metrics/registration.rs
+++ b/crates/entry/src/metrics/registration.rs
@@ -97,6 +97,17 @@
             "Rollbacks of the store",
             self.store_rollbacks.clone(),
         );
+        registry.register(
+            "learned_states",
+            "Terms as lease holder, by whether the former holder's learned state was restored or why \
+             not",
+            self.learned_states.clone(),
+        );
+        registry.register(
+            "learned_state_writes",
+            "Writes of the learned state by outcome",
+            self.learned_state_writes.clone(),
+        );
         registry.register(
             "answers_of_earlier_eras",
             "Store answers from before a rollback, by call",
--- a/crates/entry/src/store_era.rs
+++ b/crates/entry/src/store_era.rs
@@ -88,6 +88,7 @@
         self.store_pollers
             .handle_rollback(now_ms, holds_lease, &mut self.pacing);
         self.block_store.handle_rollback();
+        self.learned_store.handle_rollback();
         self.redispatch_needed = true;
     }
 }
--- a/crates/entry/src/store_pollers/vm_entries.rs
+++ b/crates/entry/src/store_pollers/vm_entries.rs
@@ -49,8 +49,10 @@
         if page.more {
             return 0;
         }
-        let records = std::mem::take(&mut poller.pages);
+        let mut records = std::mem::take(&mut poller.pages);
         poller.after = None;
+        self.learned_store
+            .take_from_entries(self.now_ms, &mut records);
         let vms: Vec<VmRecord> = records
             .iter()
             .filter_map(|record| postcard::from_bytes(record.value.as_deref()?).ok())
--- a/crates/holder/src/learned_state.rs
+++ b/crates/holder/src/learned_state.rs
@@ -198,10 +198,8 @@
         if head[1] != NO_VM_ENTRY || head[2..] != checksum(content).to_le_bytes() {
             return Err(IgnoredRecord::Malformed);
         }
-        let state: Self = match postcard::take_from_bytes(content) {
-            Ok((state, [])) => state,
-            _ => return Err(IgnoredRecord::Malformed),
-        };
+        // A later release may append fields, which this one skips.
+        let state: Self = postcard::from_bytes(content).map_err(|_| IgnoredRecord::Malformed)?;
         if state.era != era {
             return Err(IgnoredRecord::OtherEra(state.era));
         }
@@ -220,6 +218,11 @@
         now_unix_ms.saturating_sub(self.written_unix_ms)
     }
 
+    /// Returns the era of the store in which the record was written.
+    pub fn era(&self) -> u64 {
+        self.era
+    }
+
     /// Returns the number of models and adapters with a rate.
     pub fn models(&self) -> usize {
         self.rates.len()
