--- a/crates/entry/src/engine_orders.rs
+++ b/crates/entry/src/engine_orders.rs
@@ -1,6 +1,7 @@
 //! Orders to engines, which this VM sends while it holds the order lease.
 
 mod engine_calls;
+mod known_speeds;
 mod order_lease;
 
 use std::collections::HashMap;
@@ -14,15 +15,15 @@
 use apricotdale_holder::DemandRow;
 use apricotdale_holder::DemandTable;
 use apricotdale_holder::EngineKey;
+use apricotdale_holder::LearnedState;
 use apricotdale_holder::Lease;
 use apricotdale_holder::LeaseOptions;
-use apricotdale_holder::ModelKey;
 use apricotdale_holder::Planner;
 use apricotdale_holder::PlannerAction;
 use apricotdale_holder::PlannerOptions;
 use apricotdale_holder::ResidenceUpdate;
-use apricotdale_placement::EngineSpeeds;
 
+use self::known_speeds::KnownSpeeds;
 use crate::daemon::Daemon;
 use crate::messages::ForecastRow;
 use crate::settings::Settings;
@@ -44,9 +45,6 @@
 /// periodic round notices it.
 const MAX_PLAN_INTERVAL_MS: u64 = 100;
 
-/// Time between two updates of the engines' lasting speeds.
-const SPEEDS_INTERVAL_MS: u64 = 2_000;
-
 /// Time between two log lines on the state of placement.
 const SUMMARY_INTERVAL_MS: u64 = 1_000;
 
@@ -60,9 +58,7 @@
 pub(crate) struct EngineOrders {
     lease: Lease,
     demand: DemandTable,
-    /// Lasting speeds of the engines, learnt from the streams of all VMs.
-    speeds: EngineSpeeds<EngineKey, ModelKey>,
-    next_speeds_ms: u64,
+    speeds: KnownSpeeds,
     /// One planner for each engine service; empty unless this VM holds the lease.
     planners: HashMap<GroupName, Planner>,
     /// Fencing token of the lease; none unless this VM may send orders.
@@ -92,8 +88,7 @@
         Self {
             lease: Lease::new(options, settings.vm.clone(), incarnation),
             demand: DemandTable::default(),
-            speeds: EngineSpeeds::default(),
-            next_speeds_ms: 0,
+            speeds: KnownSpeeds::default(),
             planners: HashMap::new(),
             fence: None,
             next_plan_ms: 0,
@@ -137,16 +132,7 @@
     ) {
         self.demand.note_detail(now_ms, vm, incarnation, detail);
         for pace in &detail.paces {
-            self.speeds
-                .record(now_ms, pace.engine, pace.model, pace.events, pace.took_ms);
-        }
-    }
-
-    /// Updates the lasting speeds of the engines.
-    fn update_speeds(&mut self, now_ms: u64) {
-        if now_ms >= self.next_speeds_ms {
-            self.next_speeds_ms = now_ms + SPEEDS_INTERVAL_MS;
-            self.speeds.update(now_ms);
+            self.speeds.record(now_ms, pace);
         }
     }
 
@@ -158,7 +144,23 @@
 
     /// Returns an engine's lasting speed in percent of the mean; 100 if it is not known.
     pub fn speed_percent(&self, engine: EngineKey) -> u16 {
-        u16::try_from(self.speeds.speed_percent(&engine)).unwrap_or(u16::MAX)
+        self.speeds.percent(engine)
+    }
+
+    /// Returns what this VM has learned from reports, as it is recorded for the next lease holder.
+    pub fn learned_state(&self, now_ms: u64, now_unix_ms: u64, era: u64) -> LearnedState {
+        let engines = self.planners.values().flat_map(Planner::engines);
+        let speeds = engines.map(|it| EngineKey::of(&it.name));
+        let speeds = speeds.map(|engine| (engine, self.speed_percent(engine)));
+        let speeds = speeds.filter(|(_, percent)| *percent != 100);
+        let rates = self.demand.rates(now_ms);
+        LearnedState::new(now_unix_ms, era, rates, speeds.collect())
+    }
+
+    /// Takes over what a former lease holder has learned. It is a hint, which reports replace.
+    pub fn restore(&mut self, now_ms: u64, state: &LearnedState) {
+        self.demand.restore(now_ms, state);
+        self.speeds.restore(state.speeds());
     }
 
     /// Returns the residence updates that a VM must have missed, given that it reports these models
@@ -270,7 +272,7 @@
     fn plan(&mut self) {
         let now_ms = self.now_ms;
         let begun = Instant::now();
-        self.engine_orders.update_speeds(now_ms);
+        self.engine_orders.speeds.update(now_ms);
         self.sync_planners();
         self.engine_orders.demand.sum_uses(now_ms);
         let mut actions = Vec::new();
@@ -339,7 +341,7 @@
                 });
                 let limits = dispatcher.stated_limits();
                 planner.set_limited(|name| limits.limit(name).is_some());
-                planner.set_speeds(|engine| speeds.speed_percent(&engine));
+                planner.set_speeds(|engine| u32::from(speeds.percent(engine)));
             }
         }
     }
