Heartbeats carry speeds and shares of ranks; the share of a busy engine's room is dropped

VMs report arrivals and ends by service and rank, from which the holder computes the shares of ranks. Replicas by lateness only for models of the most urgent rank.

--- a/crates/dispatch/src/dispatcher.rs
+++ b/crates/dispatch/src/dispatcher.rs
@@ -38,8 +38,6 @@
 use crate::options::retry_options;
 use crate::options::routing_options;
 use crate::rejection_limits::RejectionLimits;
-use crate::shared_load::Announcement;
-use crate::shared_load::SharedLoad;
 use crate::silence::SilentConnections;
 use crate::stated_limits::StatedLimits;
 use crate::upstream_load::LIMITED_FILL;
@@ -130,9 +128,8 @@
             return self.decide_without_upstream(now_ms, directory, job);
         }
         let capable = without_unusable(now_ms, job, capable);
-        let is_late = now_ms > job.target_ms && job.origin.is_none();
         let free = match self.preferred(now_ms, &capable) {
-            Some(preferred) => self.free_candidates(now_ms, directory, &room, &preferred, is_late),
+            Some(preferred) => self.free_candidates(now_ms, directory, &room, &preferred),
             None => return self.decide_used_up(now_ms, directory, job, &capable),
         };
         if free.is_empty() {
@@ -191,12 +188,11 @@
         directory: &Directory,
         room: &RoomByVersion<'_>,
         groups: &[Vec<&Upstream>],
-        is_late: bool,
     ) -> Vec<Candidate> {
         let free = groups.iter().map(|group| {
             let free = group
                 .iter()
-                .filter(|upstream| self.has_room(now_ms, directory, upstream, room, is_late));
+                .filter(|upstream| self.has_room(now_ms, directory, upstream, room));
             free.map(|upstream| candidate(upstream)).collect()
         });
         free.into_iter()
@@ -275,36 +271,6 @@
         self.policy(service).learn(now_ms, event);
     }
 
-    /// Records the requests of all VMs at an upstream, as the lease holder announces them; none if the
-    /// upstream is not announced as busy. Until the next announcement, this VM sends no more than its
-    /// share of the room there. That also holds for the first announcement without the upstream, or all
-    /// VMs would send at once what has waited for it.
-    pub fn record_shared_load(&mut self, now_ms: u64, upstream: &Upstream, requests: Option<u32>) {
-        let load = self.loads.get(&upstream.name);
-        let was_busy = load.is_some_and(|it| it.is_announced_busy());
-        let shared = match requests {
-            None if !was_busy => None,
-            _ => Some(SharedLoad::new(
-                now_ms,
-                self.options.seed,
-                &Announcement {
-                    upstream: &upstream.name,
-                    requests,
-                    slots: upstream.slots,
-                    vms: self.options.vms,
-                },
-            )),
-        };
-        match self.loads.get_mut(&upstream.name) {
-            Some(load) => load.record_shared(shared),
-            None if shared.is_none() => {}
-            None => {
-                let load = self.loads.entry(upstream.name.clone()).or_default();
-                load.record_shared(shared);
-            }
-        }
-    }
-
     /// Records the lasting speed of an upstream, in percent of the mean, as the lease holder has
     /// learned it from the streams of all VMs. It holds until another one is recorded or the
     /// upstream is removed; 100 ends it.
@@ -448,13 +414,11 @@
         directory: &Directory,
         upstream: &Upstream,
         room: &RoomByVersion<'_>,
-        is_late: bool,
     ) -> bool {
-        let load = self.loads.get(&upstream.name);
-        let requests = load.map_or(0, |it| it.requests(now_ms));
-        if load.and_then(|it| it.may_send(now_ms, is_late)) == Some(false) {
-            return false;
-        }
+        let requests = self
+            .loads
+            .get(&upstream.name)
+            .map_or(0, |it| it.requests(now_ms));
         let service = directory.service(&upstream.service);
         if self.rejection_limits.is_held_back(now_ms, &upstream.name)
             || !self.availability.may_send(now_ms, &upstream.name)
--- a/crates/dispatch/src/lib.rs
+++ b/crates/dispatch/src/lib.rs
@@ -20,7 +20,6 @@
 mod options;
 mod rejection_limits;
 mod rests;
-mod shared_load;
 mod silence;
 mod stated_limits;
 mod statements;
--- a/crates/dispatch/src/upstream_load.rs
+++ b/crates/dispatch/src/upstream_load.rs
@@ -1,7 +1,5 @@
 //! Estimate of how many requests an upstream has between its own load reports.
 
-use crate::shared_load::SharedLoad;
-
 /// Age from which a load report is ignored. After that, requests of other VMs that it counted may
 /// have ended, and only this VM's own requests are counted.
 const REPORT_TTL_MS: u64 = 1_500;
@@ -40,23 +38,15 @@
     local_requests: u32,
     /// Last report, with the value of `local_requests` and the time when it arrived.
     report: Option<(LoadSample, u32, u64)>,
-    /// Load of the upstream as last announced; none if it was not announced as busy.
-    shared: Option<SharedLoad>,
 }
 
 impl UpstreamLoad {
     pub(crate) fn sent(&mut self) {
         self.local_requests += 1;
-        if let Some(shared) = &mut self.shared {
-            shared.record_sent();
-        }
     }
 
     pub(crate) fn ended(&mut self) {
         self.local_requests = self.local_requests.saturating_sub(1);
-        if let Some(shared) = &mut self.shared {
-            shared.record_ended();
-        }
     }
 
     pub(crate) fn local_requests(&self) -> u32 {
@@ -67,22 +57,6 @@
         self.report = Some((sample, self.local_requests, now_ms));
     }
 
-    /// Records the load that the lease holder announces; none if the upstream is not busy.
-    pub(crate) fn record_shared(&mut self, shared: Option<SharedLoad>) {
-        self.shared = shared;
-    }
-
-    /// Returns whether the last announcement named the upstream as busy.
-    pub(crate) fn is_announced_busy(&self) -> bool {
-        self.shared.is_some_and(|shared| shared.is_busy())
-    }
-
-    /// Returns whether this VM's share of the room at a busy upstream allows to send a request; `None`
-    /// if the upstream was not announced as busy.
-    pub(crate) fn may_send(&self, now_ms: u64, is_late: bool) -> Option<bool> {
-        self.shared?.may_send(now_ms, is_late)
-    }
-
     /// Returns the estimated number of requests at the upstream, from all VMs.
     pub(crate) fn requests(&self, now_ms: u64) -> u32 {
         match self.report {
--- a/crates/entry/src/daemon.rs
+++ b/crates/entry/src/daemon.rs
@@ -17,8 +17,8 @@
 use apricotdale_fleet::EvidenceOptions;
 use apricotdale_fleet::ReadPacing;
 use apricotdale_fleet::ReadSharing;
-use apricotdale_holder::LocalAnswers;
 use apricotdale_holder::LocalDemand;
+use apricotdale_holder::LocalDetail;
 use apricotdale_paths::Options as PathOptions;
 use apricotdale_paths::Paths;
 use apricotdale_quarantine::CrashWatch;
@@ -146,7 +146,7 @@
     pub(crate) peers: Peers,
     /// Demand of this VM's requests, for reports to the lease holder.
     pub(crate) local_demand: LocalDemand,
-    pub(crate) local_answers: LocalAnswers,
+    pub(crate) local_detail: LocalDetail,
     /// What other VMs announce about the store's content, and what this VM announces.
     pub(crate) sharing: ReadSharing,
     pub(crate) store_era: StoreEra,
@@ -219,7 +219,7 @@
             learned_store: LearnedStore::default(),
             peers: Peers::new(own_record, socket),
             local_demand: LocalDemand::default(),
-            local_answers: LocalAnswers::default(),
+            local_detail: LocalDetail::default(),
             poll,
             now_ms,
             incarnation,
--- a/crates/entry/src/demand_reports.rs
+++ b/crates/entry/src/demand_reports.rs
@@ -1,54 +1,29 @@
-//! Details of this VM's demand for the lease holder, and the loads of engines that the holder announces.
+//! Details of this VM's demand for the lease holder, and what the holder announces from those of all VMs.
 
 use std::collections::BTreeMap;
 
+use apricotdale_admission::service_key;
+use apricotdale_core::names::GroupName;
 use apricotdale_core::names::ModelName;
 use apricotdale_core::names::UpstreamName;
-use apricotdale_dispatch::WaitReason;
+use apricotdale_dispatch::Job;
 use apricotdale_holder::DemandDetail;
 use apricotdale_holder::EngineKey;
-use apricotdale_holder::EngineLoad;
-use apricotdale_holder::EngineLoads;
+use apricotdale_holder::EngineSpeedRow;
 use apricotdale_holder::EngineUse;
 use apricotdale_holder::ModelKey;
-use apricotdale_holder::ModelWait;
 
 use crate::active::ActiveRequest;
 use crate::active::Phase;
 use crate::daemon::Daemon;
+use crate::messages::HeartbeatDetail;
 
-/// Expected time from the send of a request to the first event of an engine that is not full, by which
-/// a request has to start before its target.
-const FIRST_EVENT_MS: u64 = 100;
-
-/// Difference from the mean speed up to which an engine's speed is not announced.
+/// Difference from the mean speed, in percent, up to which an engine's speed is not announced.
 const MAX_USUAL_DEVIATION_PERCENT: u16 = 10;
 
-/// Duration of a load from cached weights that a waiting request still needs, as a lower bound.
-const LOAD_MS: u64 = 400;
-
-/// This VM's requests that wait for one model.
-struct LocalWait {
-    /// Earliest target.
-    target_ms: u64,
-    /// Number of requests that can still be answered by their target.
-    on_time: u16,
-    by_rank: BTreeMap<u8, u16>,
-}
-
-impl LocalWait {
-    fn new(target_ms: u64) -> Self {
-        Self {
-            target_ms,
-            on_time: 0,
-            by_rank: BTreeMap::new(),
-        }
-    }
-}
-
 impl Daemon {
     /// Returns whether VMs report details of their demand: with fewer VMs than an engine has slots,
-    /// each VM hears of an engine's load in its own answers.
+    /// each VM hears of an engine's load and speed in its own answers.
     pub(crate) fn reports_detail(&self) -> bool {
         let vms = self.peers.others() as u32 + 1;
         let services = self.directory.configuration().services.values();
@@ -61,33 +36,26 @@
         if !self.reports_detail() {
             return None;
         }
-        let now_ms = self.now_ms;
         let mut uses: BTreeMap<(EngineKey, ModelKey), u16> = BTreeMap::new();
-        let mut waits: BTreeMap<ModelKey, LocalWait> = BTreeMap::new();
+        let mut in_progress: BTreeMap<u32, u16> = BTreeMap::new();
+        let mut waiting: BTreeMap<(u32, u8), u16> = BTreeMap::new();
         for (_, request) in self.active.iter() {
             let Some(wanted) = &request.job.wanted else {
                 continue;
             };
-            let model = ModelKey::of(&wanted.model);
+            let service = service_key(&request.job.service);
             match &request.phase {
                 Phase::Sent { upstream, .. } => {
-                    let requests = uses.entry((EngineKey::of(upstream), model)).or_default();
-                    *requests = requests.saturating_add(1);
+                    let key = (EngineKey::of(upstream), ModelKey::of(&wanted.model));
+                    increment(uses.entry(key).or_default());
+                    increment(in_progress.entry(service).or_default());
                 }
-                Phase::Waiting(WaitReason::Missing | WaitReason::Full) => {
-                    let target_ms = request.job.target_ms;
-                    let wait = waits.entry(model).or_insert(LocalWait::new(target_ms));
-                    wait.target_ms = wait.target_ms.min(target_ms);
-                    let is_on_time = target_ms > now_ms + FIRST_EVENT_MS + LOAD_MS;
-                    wait.on_time = wait.on_time.saturating_add(u16::from(is_on_time));
-                    let rank = u8::try_from(request.job.rank).unwrap_or(u8::MAX);
-                    let requests = wait.by_rank.entry(rank).or_default();
-                    *requests = requests.saturating_add(1);
+                Phase::Waiting(_) | Phase::Pausing { .. } => {
+                    let key = (service, rank_of(&request.job));
+                    increment(waiting.entry(key).or_default());
                 }
-                _ => {}
             }
         }
-        let (answers, paces) = self.local_answers.take();
         let uses = uses
             .into_iter()
             .map(|((engine, model), requests)| EngineUse {
@@ -95,85 +63,108 @@
                 model,
                 requests,
             });
-        let waits = waits.into_iter().map(|(model, wait)| {
-            let start_in_ms = wait.target_ms.saturating_sub(now_ms + FIRST_EVENT_MS);
-            ModelWait {
-                model,
-                start_in_ms: u32::try_from(start_in_ms).unwrap_or(u32::MAX),
-                on_time: wait.on_time,
-                by_rank: wait.by_rank.into_iter().collect(),
-            }
-        });
-        Some(DemandDetail {
-            uses: uses.collect(),
-            waits: waits.collect(),
-            answers,
-            paces,
-        })
+        let detail = self
+            .local_detail
+            .take(uses.collect(), &in_progress, &waiting);
+        Some(detail)
     }
 
-    /// Returns the loads of engines to announce; none if VMs don't report details.
-    pub(crate) fn engine_loads(&mut self) -> Option<EngineLoads> {
+    /// Returns what this VM announces as the lease holder; none if VMs don't report details.
+    pub(crate) fn heartbeat_detail(&mut self) -> Option<HeartbeatDetail> {
         if !self.reports_detail() {
             return None;
         }
-        let requests = self.engine_orders.engine_requests(self.now_ms);
-        let mut rows = Vec::new();
-        for upstream in self.directory.upstreams() {
+        let speeds = self.directory.upstreams().filter_map(|upstream| {
             let engine = EngineKey::of(&upstream.name);
-            let count = requests.get(&engine).copied().unwrap_or_default();
-            let speed_percent = self.engine_orders.speed_percent(engine);
-            let is_busy = count * 2 >= upstream.slots.max(1);
-            if is_busy || speed_percent.abs_diff(100) > MAX_USUAL_DEVIATION_PERCENT {
-                rows.push(EngineLoad {
-                    engine,
-                    requests: u16::try_from(count).unwrap_or(u16::MAX),
-                    speed_percent,
-                });
-            }
-        }
-        Some(EngineLoads::new(rows))
+            let percent = self.engine_orders.speed_percent(engine);
+            let is_uneven = percent.abs_diff(100) > MAX_USUAL_DEVIATION_PERCENT;
+            is_uneven.then_some(EngineSpeedRow { engine, percent })
+        });
+        let speeds = EngineSpeedRow::most_uneven(speeds.collect());
+        let services = self.directory.configuration().services.iter();
+        let engine_services = services.filter(|(_, service)| service.engine.is_some());
+        let slots: Vec<(GroupName, u32)> = engine_services
+            .map(|(name, _)| {
+                let serving = self.directory.serving(name);
+                (name.clone(), serving.map(|upstream| upstream.slots).sum())
+            })
+            .collect();
+        let now_ms = self.now_ms;
+        let rank_shares = slots.into_iter().flat_map(|(service, slots)| {
+            let key = service_key(&service);
+            self.engine_orders.rank_shares(now_ms, key, slots)
+        });
+        Some(HeartbeatDetail {
+            rank_shares: rank_shares.collect(),
+            speeds,
+        })
     }
 
-    /// Applies the loads that the lease holder announces.
-    pub(crate) fn apply_engine_loads(&mut self, loads: &EngineLoads) {
-        let now_ms = self.now_ms;
-        let rows: BTreeMap<EngineKey, &EngineLoad> =
-            loads.rows.iter().map(|row| (row.engine, row)).collect();
+    /// Applies what the lease holder announces.
+    pub(crate) fn apply_heartbeat_detail(&mut self, detail: HeartbeatDetail) {
+        let percents: BTreeMap<EngineKey, u16> = detail
+            .speeds
+            .iter()
+            .map(|row| (row.engine, row.percent))
+            .collect();
         for upstream in self.directory.upstreams() {
-            let row = rows.get(&EngineKey::of(&upstream.name));
-            let requests = row.map(|row| u32::from(row.requests));
-            let requests = requests.filter(|requests| requests * 2 >= upstream.slots.max(1));
+            let percent = percents.get(&EngineKey::of(&upstream.name));
+            let percent = percent.copied().unwrap_or(100);
             self.dispatcher
-                .record_shared_load(now_ms, upstream, requests);
-            let speed_percent = row.map_or(100, |row| row.speed_percent);
-            self.dispatcher
-                .record_speed(&upstream.name, u32::from(speed_percent));
+                .record_speed(&upstream.name, u32::from(percent));
         }
-        self.redispatch_needed = true;
+        self.metrics.uneven_engines.set(detail.speeds.len() as i64);
+        self.apply_rank_shares(detail.rank_shares);
     }
 
-    /// Records that the answer to a request begins now, for the reports to the lease holder.
+    /// Records the arrival of a request for an engine, for the reports to the lease holder.
+    pub(crate) fn record_engine_arrival(&mut self, job: &Job) {
+        if job.wanted.is_some() {
+            let service = service_key(&job.service);
+            self.local_detail.record_arrival(service, rank_of(job));
+        }
+    }
+
+    /// Records that the answer to a request begins now.
     pub(crate) fn record_begun_answer(&mut self, key: u64) {
         let Some(request) = self.active.get(key) else {
             return;
         };
-        if let Some(wanted) = &request.job.wanted {
-            let is_late = self.now_ms > request.job.target_ms;
-            self.local_answers.record_answer(&wanted.model, is_late);
+        let job = &request.job;
+        if let Some(wanted) = &job.wanted {
+            let is_late = self.now_ms > job.target_ms;
+            self.local_detail
+                .record_answer(&wanted.model, rank_of(job), is_late);
         }
     }
 
-    /// Records the pace of a stream that has ended, unless parts of it came from several upstreams.
-    pub(crate) fn record_pace(&mut self, request: &ActiveRequest) {
-        let Some((engine, model, events, took_ms)) = pace(request) else {
+    /// Records how long an answered request took at its engine, and the pace of its stream unless parts
+    /// of it came from several engines.
+    pub(crate) fn record_engine_end(&mut self, request: &ActiveRequest) {
+        let Some(sent_ms) = request
+            .first_sent_ms
+            .filter(|_| request.job.wanted.is_some())
+        else {
             return;
         };
-        self.local_answers
-            .record_stream(engine, model, events, took_ms);
+        let service = service_key(&request.job.service);
+        let took_ms = self.now_ms.saturating_sub(sent_ms);
+        self.local_detail.record_end(service, took_ms);
+        if let Some((engine, model, events, took_ms)) = pace(request) {
+            self.local_detail
+                .record_stream(engine, model, events, took_ms);
+        }
     }
 }
 
+fn rank_of(job: &Job) -> u8 {
+    u8::try_from(job.rank).unwrap_or(u8::MAX)
+}
+
+fn increment(requests: &mut u16) {
+    *requests = requests.saturating_add(1);
+}
+
 /// Returns the engine and model of a stream from one engine, its events after the first one and the
 /// time that they took.
 fn pace(request: &ActiveRequest) -> Option<(&UpstreamName, &ModelName, u32, u64)> {
--- a/crates/entry/src/engine_orders.rs
+++ b/crates/entry/src/engine_orders.rs
@@ -3,10 +3,12 @@
 mod engine_calls;
 mod known_speeds;
 mod order_lease;
+mod rank_reports;
 
 use std::collections::HashMap;
 use std::time::Instant;
 
+use apricotdale_admission::RankShareRow;
 use apricotdale_core::names::GroupName;
 use apricotdale_core::names::VmName;
 use apricotdale_core::numbers::Position;
@@ -24,6 +26,7 @@
 use apricotdale_holder::ResidenceUpdate;
 
 use self::known_speeds::KnownSpeeds;
+use self::rank_reports::RankReports;
 use crate::daemon::Daemon;
 use crate::messages::ForecastRow;
 use crate::settings::Settings;
@@ -46,7 +49,7 @@
 const MAX_PLAN_INTERVAL_MS: u64 = 100;
 
 /// Time between two log lines on the state of placement.
-const SUMMARY_INTERVAL_MS: u64 = 1_000;
+const SUMMARY_INTERVAL_MS: u64 = 5_000;
 
 /// Minimum pause after a round of planning, as a multiple of the time that the round took. On a VM
 /// with a small share of a core, the lease, callers and other VMs would otherwise wait for one
@@ -59,6 +62,7 @@
     lease: Lease,
     demand: DemandTable,
     speeds: KnownSpeeds,
+    rank_reports: RankReports,
     /// One planner for each engine service; empty unless this VM holds the lease.
     planners: HashMap<GroupName, Planner>,
     /// Fencing token of the lease; none unless this VM may send orders.
@@ -89,6 +93,7 @@
             lease: Lease::new(options, settings.vm.clone(), incarnation),
             demand: DemandTable::default(),
             speeds: KnownSpeeds::default(),
+            rank_reports: RankReports::default(),
             planners: HashMap::new(),
             fence: None,
             next_plan_ms: 0,
@@ -134,12 +139,14 @@
         for pace in &detail.paces {
             self.speeds.record(now_ms, pace);
         }
+        for service in &detail.services {
+            self.rank_reports.record(now_ms, vm, incarnation, service);
+        }
     }
 
-    /// Returns the requests in progress by engine, over all VMs.
-    pub fn engine_requests(&mut self, now_ms: u64) -> HashMap<EngineKey, u32> {
-        self.demand.sum_uses(now_ms);
-        self.demand.engine_requests()
+    /// Returns the shares of the ranks of a service that has this number of slots.
+    pub fn rank_shares(&mut self, now_ms: u64, service: u32, slots: u32) -> Vec<RankShareRow> {
+        self.rank_reports.shares(now_ms, service, slots)
     }
 
     /// Returns an engine's lasting speed in percent of the mean; 100 if it is not known.
--- a/crates/entry/src/messages.rs
+++ b/crates/entry/src/messages.rs
@@ -2,6 +2,7 @@
 
 use std::net::SocketAddr;
 
+use apricotdale_admission::RankShareRow;
 use apricotdale_core::names::ModelName;
 use apricotdale_core::names::UpstreamName;
 use apricotdale_core::names::VmName;
@@ -16,7 +17,7 @@
 use apricotdale_fleet::set_versions;
 use apricotdale_holder::DemandDetail;
 use apricotdale_holder::DemandRow;
-use apricotdale_holder::EngineLoads;
+use apricotdale_holder::EngineSpeedRow;
 use apricotdale_holder::ResidenceUpdate;
 use apricotdale_origins::OriginAnswer;
 use apricotdale_origins::OriginQuery;
@@ -55,6 +56,15 @@
     pub ready_in_ms: Option<u64>,
 }
 
+/// What the lease holder announces where VMs report details of their demand.
+#[derive(Clone, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
+pub(crate) struct HeartbeatDetail {
+    /// Lasting speeds of the engines whose speed differs. The others have the mean speed.
+    pub speeds: Vec<EngineSpeedRow>,
+    /// Shares of the ranks that are admitted, of the services where they bind.
+    pub rank_shares: Vec<RankShareRow>,
+}
+
 /// A datagram from one VM to another.
 #[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
 pub(crate) enum PeerMessage {
@@ -69,14 +79,14 @@
         #[serde(skip)]
         detail: Option<DemandDetail>,
     },
-    /// Heartbeat of the lease holder. The loads of engines follow behind the message.
+    /// Heartbeat of the lease holder. Its details follow behind the message.
     Heartbeat {
         from: VmRecord,
         lease_end: Position,
         forecasts: Vec<ForecastRow>,
         fresh: Freshness,
         #[serde(skip)]
-        loads: Option<EngineLoads>,
+        detail: Option<HeartbeatDetail>,
     },
     /// What a VM has read of the upstream list, sent while no lease holder announces it.
     ListRead { from: VmRecord, fresh: Freshness },
@@ -215,9 +225,9 @@
         PeerMessage::Entries { entries, .. } => {
             encoded.and_then(|bytes| append_versions(bytes, entries))
         }
-        PeerMessage::Heartbeat { fresh, loads, .. } => encoded
+        PeerMessage::Heartbeat { fresh, detail, .. } => encoded
             .and_then(|bytes| postcard::to_extend(&fresh.versions, bytes))
-            .and_then(|bytes| append(loads.as_ref(), bytes)),
+            .and_then(|bytes| append(detail.as_ref(), bytes)),
         PeerMessage::ListRead { fresh, .. } => {
             encoded.and_then(|bytes| postcard::to_extend(&fresh.versions, bytes))
         }
@@ -259,10 +269,10 @@
                 PeerMessage::Entries { entries, .. } => {
                     set_versions(entries, rest);
                 }
-                PeerMessage::Heartbeat { fresh, loads, .. } => {
+                PeerMessage::Heartbeat { fresh, detail, .. } => {
                     if let Ok((versions, rest)) = postcard::take_from_bytes(rest) {
                         fresh.versions = versions;
-                        *loads = postcard::from_bytes(rest).ok();
+                        *detail = postcard::from_bytes(rest).ok();
                     }
                 }
                 PeerMessage::ListRead { fresh, .. } => {
--- a/crates/entry/src/metrics.rs
+++ b/crates/entry/src/metrics.rs
@@ -93,6 +93,7 @@
     over_limit_by_rank: Family<RankLabels, Counter>,
     rank_refusals: Family<RankLabel, Counter>,
     pub lowest_rank_permille: Gauge,
+    pub uneven_engines: Gauge,
     /// Organisations that have labels of their own.
     organisations: HashSet<Arc<str>>,
 }
@@ -166,6 +167,7 @@
             over_limit_by_rank: Family::default(),
             rank_refusals: Family::default(),
             lowest_rank_permille: Gauge::default(),
+            uneven_engines: Gauge::default(),
             organisations: HashSet::new(),
         };
         metrics.register();
--- a/crates/entry/src/metrics/registration.rs
+++ b/crates/entry/src/metrics/registration.rs
@@ -264,6 +264,11 @@
             "Lowest share of a rank that is admitted, in thousandths",
             self.lowest_rank_permille.clone(),
         );
+        registry.register(
+            "uneven_engines",
+            "Engines whose lasting speed differs from the mean, as the lease holder announces them",
+            self.uneven_engines.clone(),
+        );
         registry.register(
             "first_answer_ms",
             "Time from arrival to the first part of the answer",
--- a/crates/entry/src/peer_exchange.rs
+++ b/crates/entry/src/peer_exchange.rs
@@ -139,7 +139,7 @@
                 lease_end,
                 forecasts,
                 fresh,
-                loads,
+                detail,
             } => {
                 self.peers.record_sender(now_ms, &from);
                 self.handle_era(lease_end.era);
@@ -159,8 +159,8 @@
                 self.apply_freshness(&fresh);
                 self.peers.lease_holder = Some((from.vm, from.address, now_ms));
                 self.apply_forecasts(forecasts);
-                if let Some(loads) = loads {
-                    self.apply_engine_loads(&loads);
+                if let Some(detail) = detail {
+                    self.apply_heartbeat_detail(detail);
                 }
             }
             PeerMessage::ListRead { from, fresh } => {
@@ -428,9 +428,9 @@
         }
         self.sharing.lead();
         let fresh = self.freshness();
-        let mut loads = self.engine_loads();
-        if let Some(loads) = &loads {
-            self.apply_engine_loads(loads);
+        let mut detail = self.heartbeat_detail();
+        if let Some(detail) = detail.clone() {
+            self.apply_heartbeat_detail(detail);
         }
         for forecasts in parts {
             let heartbeat = PeerMessage::Heartbeat {
@@ -438,7 +438,7 @@
                 lease_end,
                 forecasts,
                 fresh: fresh.clone(),
-                loads: loads.take(),
+                detail: detail.take(),
             };
             self.peers.send_all(&heartbeat);
         }
--- a/crates/entry/src/request_dispatch.rs
+++ b/crates/entry/src/request_dispatch.rs
@@ -150,6 +150,7 @@
         if let Some(rank) = organisation.as_ref().and_then(|it| it.rank) {
             job.rank = rank;
         }
+        self.record_engine_arrival(&job);
         // Requests that are refused by rank count as demand for the model, too.
         if let Some(wanted) = &job.wanted {
             self.local_demand.record_arrival(wanted);
--- a/crates/entry/src/request_ends.rs
+++ b/crates/entry/src/request_ends.rs
@@ -104,7 +104,7 @@
         self.metrics.ended(how);
         let good = how == "answered";
         if good {
-            self.record_pace(&request);
+            self.record_engine_end(&request);
         }
         let job = &request.job;
         if self.log_budget.try_take(self.now_ms, good) {
--- a/crates/holder/src/demand.rs
+++ b/crates/holder/src/demand.rs
@@ -54,14 +54,10 @@
     pub requests_per_s: f64,
     /// Time at which a request last arrived.
     pub last_arrival_ms: u64,
-    /// Number of waiting requests, for the model or an adapter of it, that can still be answered by
-    /// their target.
-    pub on_time: u32,
-    /// Time by which the earliest waiting request has to start to be answered by its target; none if
-    /// none waits or no VM has told.
-    pub start_by_ms: Option<u64>,
     /// Share of the recent answers that began after their target; 0 if none is known.
     pub late_share: f64,
+    /// Most urgent rank of the answered requests; none if none is known.
+    pub rank: Option<u8>,
 }
 
 /// Requests of one process of a VM at one time.
@@ -91,11 +87,6 @@
     active: HashMap<WantedModel, RequestCounts>,
     /// Requests in progress by engine and model, as of `detail_at_ms`.
     uses: HashMap<(EngineKey, ModelKey), u32>,
-    /// Number of waiting requests for each model that can still be answered by their target, and the
-    /// time by which the earliest of them has to start.
-    on_time: HashMap<ModelKey, (u32, u64)>,
-    /// Number of waiting requests by rank.
-    waiting_by_rank: HashMap<u8, u32>,
     detail_at_ms: u64,
     /// Answers since the process started, and late ones among them.
     answers: HashMap<ModelKey, (u32, u32)>,
@@ -106,6 +97,7 @@
 struct RecentAnswers {
     answered: f64,
     late: f64,
+    rank: Option<u8>,
     at_ms: u64,
 }
 
@@ -182,16 +174,6 @@
         for it in &detail.uses {
             *vm_demand.uses.entry((it.engine, it.model)).or_default() += u32::from(it.requests);
         }
-        vm_demand.on_time.clear();
-        vm_demand.waiting_by_rank.clear();
-        for wait in &detail.waits {
-            let start_by_ms = now_ms + u64::from(wait.start_in_ms);
-            let on_time = u32::from(wait.on_time);
-            vm_demand.on_time.insert(wait.model, (on_time, start_by_ms));
-            for (rank, requests) in &wait.by_rank {
-                *vm_demand.waiting_by_rank.entry(*rank).or_default() += u32::from(*requests);
-            }
-        }
         for row in &detail.answers {
             let before = vm_demand
                 .answers
@@ -203,6 +185,7 @@
             *recent = recent.decayed(now_ms);
             recent.answered += f64::from(answered);
             recent.late += f64::from(late);
+            recent.rank = Some(recent.rank.map_or(row.rank, |rank| rank.min(row.rank)));
         }
     }
 
@@ -240,19 +223,6 @@
         requests
     }
 
-    /// Returns the number of waiting requests by rank, over all VMs.
-    pub fn waiting_by_rank(&self, now_ms: u64) -> HashMap<u8, u32> {
-        let mut waiting: HashMap<u8, u32> = HashMap::new();
-        for vm in self.vms.values() {
-            if now_ms.saturating_sub(vm.detail_at_ms) <= REQUEST_COUNTS_TTL_MS {
-                for (rank, requests) in &vm.waiting_by_rank {
-                    *waiting.entry(*rank).or_default() += requests;
-                }
-            }
-        }
-        waiting
-    }
-
     /// Takes over the rates that a former lease holder has recorded. They decay as if their
     /// requests had arrived until now, and a model counts with the rate that VMs have reported as
     /// soon as that is higher.
@@ -319,24 +289,12 @@
     }
 
     fn add_details(&self, now_ms: u64, totals: &mut HashMap<WantedModel, ModelDemand>) {
-        let mut on_time: HashMap<ModelKey, (u32, u64)> = HashMap::new();
-        for vm in self.vms.values() {
-            if now_ms.saturating_sub(vm.detail_at_ms) > REQUEST_COUNTS_TTL_MS {
-                continue;
-            }
-            for (model, (requests, start_by_ms)) in &vm.on_time {
-                let sum = on_time.entry(*model).or_insert((0, u64::MAX));
-                *sum = (sum.0 + requests, sum.1.min(*start_by_ms));
-            }
-        }
         for (wanted, demand) in totals {
             let model = ModelKey::of(&wanted.model);
-            let waiting = on_time.get(&model);
-            demand.on_time = waiting.map_or(0, |(requests, _)| *requests);
-            demand.start_by_ms = waiting.map(|(_, start_by_ms)| *start_by_ms);
             let recent = self.answers.get(&model).copied().unwrap_or_default();
             let recent = recent.decayed(now_ms);
             demand.late_share = recent.late / recent.answered.max(1.0);
+            demand.rank = recent.rank;
         }
     }
 
@@ -352,6 +310,7 @@
         Self {
             answered: self.answered * factor,
             late: self.late * factor,
+            rank: self.rank,
             at_ms: now_ms,
         }
     }
--- a/crates/holder/src/demand_detail.rs
+++ b/crates/holder/src/demand_detail.rs
@@ -1,5 +1,5 @@
-//! Details of demand by engine, which VMs report to the lease holder, and the load of engines, which
-//! the holder announces.
+//! Details of demand, which VMs report to the lease holder, and speeds of engines, which the holder
+//! announces.
 
 use std::cmp::Reverse;
 use std::collections::BTreeMap;
@@ -14,9 +14,9 @@
 /// Number of announcements of a model's answer counts after each change. Datagrams may be lost.
 const ANNOUNCEMENTS_PER_CHANGE: u8 = 2;
 
-/// Maximum number of engines whose load is announced. A row takes about nine bytes, and all rows have
+/// Maximum number of engines whose speed is announced. A row takes about seven bytes, and all rows have
 /// to fit into one datagram.
-const MAX_LOAD_ROWS: usize = 80;
+const MAX_SPEED_ROWS: usize = 100;
 
 /// Identity of an engine in messages: a hash of its name. Two engines with the same hash share their
 /// counts, which are hints.
@@ -64,19 +64,6 @@
     pub requests: u16,
 }
 
-/// Requests of one VM that wait for one model.
-#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
-pub struct ModelWait {
-    /// Model that they need, or the base model of their adapter.
-    pub model: ModelKey,
-    /// Time in milliseconds in which the earliest of them has to start to be answered by its target.
-    pub start_in_ms: u32,
-    /// Number of requests that can still be answered by their target if the model is loaded at once.
-    pub on_time: u16,
-    /// Number of requests by rank, in order of rank.
-    pub by_rank: Vec<(u8, u16)>,
-}
-
 /// Answers of one model that one VM has delivered since its process started.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub struct ModelAnswers {
@@ -86,6 +73,8 @@
     pub answered: u32,
     /// Number of answers that began after their target.
     pub late: u32,
+    /// Most urgent rank of the requests that were answered.
+    pub rank: u8,
 }
 
 /// Pace at which one engine has written streams of one model.
@@ -101,67 +90,116 @@
     pub took_ms: u32,
 }
 
+/// Requests of one rank that one VM has received for one service.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct RankUse {
+    /// Rank; 0 is the most urgent.
+    pub rank: u8,
+    /// Number of requests that have arrived since the VM's process started, including refused ones.
+    pub arrived: u32,
+    /// Number of requests that wait to be sent.
+    pub waiting: u16,
+}
+
+/// Requests of one VM for one service with engines.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct ServiceUse {
+    /// Key of the service.
+    pub service: u32,
+    /// Number of requests that engines are working on.
+    pub in_progress: u16,
+    /// Number of requests that have ended at engines since the VM's process started.
+    pub ended: u32,
+    /// Time in milliseconds that these have taken.
+    pub ended_ms: u64,
+    /// Requests by rank, in order of rank.
+    pub ranks: Vec<RankUse>,
+}
+
 /// Details of one VM's demand. Those of earlier releases have none.
 #[derive(Clone, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
 pub struct DemandDetail {
     /// All requests in progress, by engine and model.
     pub uses: Vec<EngineUse>,
-    /// All waiting requests, by model.
-    pub waits: Vec<ModelWait>,
     /// Answers of the models whose counts have changed.
     pub answers: Vec<ModelAnswers>,
     /// Paces of the streams that have ended since the last report.
     pub paces: Vec<EnginePace>,
+    /// All services that have been requested.
+    pub services: Vec<ServiceUse>,
 }
 
-/// Load of one engine over all VMs.
+/// Lasting speed of one engine, as the lease holder announces it.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
-pub struct EngineLoad {
+pub struct EngineSpeedRow {
     /// Engine.
     pub engine: EngineKey,
-    /// Requests in progress there, as all VMs have reported them.
-    pub requests: u16,
     /// Lasting speed in percent of the mean of the engines.
-    pub speed_percent: u16,
+    pub percent: u16,
 }
 
-/// Loads of the engines that are busy or whose speed differs, as the lease holder announces them.
-#[derive(Clone, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
-pub struct EngineLoads {
-    /// Loads by engine. An engine that is not listed is less than half full and of usual speed.
-    pub rows: Vec<EngineLoad>,
-}
-
-impl EngineLoads {
-    /// Returns the loads to announce, the busiest engines first if there are too many.
-    pub fn new(mut rows: Vec<EngineLoad>) -> Self {
-        rows.sort_unstable_by_key(|row| (Reverse(row.requests), row.engine));
-        rows.truncate(MAX_LOAD_ROWS);
-        Self { rows }
+impl EngineSpeedRow {
+    /// Returns the speeds to announce: those that differ most, if there are too many.
+    pub fn most_uneven(mut rows: Vec<Self>) -> Vec<Self> {
+        let evenness = |row: &Self| Reverse(row.percent.abs_diff(100));
+        rows.sort_unstable_by_key(|row| (evenness(row), row.engine));
+        rows.truncate(MAX_SPEED_ROWS);
+        rows
     }
 }
 
 /// Counts of a model's answers on one VM, with the number of announcements that are still due.
-#[derive(Clone, Copy, Debug, Default)]
+#[derive(Clone, Copy, Debug)]
 struct AnswerCounts {
     answered: u32,
     late: u32,
+    rank: u8,
     announcements_left: u8,
 }
 
-/// Collects the answers and paces of one VM for its next report.
+/// Counts of one service's requests on one VM.
+#[derive(Clone, Debug, Default)]
+struct ServiceCounts {
+    arrived: BTreeMap<u8, u32>,
+    ended: u32,
+    ended_ms: u64,
+}
+
+/// Collects the arrivals, answers and paces of one VM for its next report.
 #[derive(Debug, Default)]
-pub struct LocalAnswers {
-    counts: BTreeMap<ModelKey, AnswerCounts>,
+pub struct LocalDetail {
+    answers: BTreeMap<ModelKey, AnswerCounts>,
     paces: BTreeMap<(EngineKey, ModelKey), (u32, u32)>,
+    services: BTreeMap<u32, ServiceCounts>,
 }
 
-impl LocalAnswers {
+impl LocalDetail {
+    /// Records that a request for a service has arrived.
+    pub fn record_arrival(&mut self, service: u32, rank: u8) {
+        let counts = self.services.entry(service).or_default();
+        let arrived = counts.arrived.entry(rank).or_default();
+        *arrived = arrived.wrapping_add(1);
+    }
+
+    /// Records that a request has ended at an engine after this time.
+    pub fn record_end(&mut self, service: u32, took_ms: u64) {
+        let counts = self.services.entry(service).or_default();
+        counts.ended = counts.ended.wrapping_add(1);
+        counts.ended_ms += took_ms;
+    }
+
     /// Records that an answer has begun.
-    pub fn record_answer(&mut self, model: &ModelName, is_late: bool) {
-        let counts = self.counts.entry(ModelKey::of(model)).or_default();
+    pub fn record_answer(&mut self, model: &ModelName, rank: u8, is_late: bool) {
+        let counts = self.answers.entry(ModelKey::of(model));
+        let counts = counts.or_insert(AnswerCounts {
+            answered: 0,
+            late: 0,
+            rank,
+            announcements_left: 0,
+        });
         counts.answered = counts.answered.wrapping_add(1);
         counts.late = counts.late.wrapping_add(u32::from(is_late));
+        counts.rank = counts.rank.min(rank);
         counts.announcements_left = ANNOUNCEMENTS_PER_CHANGE;
     }
 
@@ -179,16 +217,24 @@
         *all_ms = all_ms.saturating_add(u32::try_from(took_ms).unwrap_or(u32::MAX));
     }
 
-    /// Returns the answers whose counts have changed, and the paces since the last call.
-    pub fn take(&mut self) -> (Vec<ModelAnswers>, Vec<EnginePace>) {
+    /// Returns the details to report, with the requests that the caller has counted: those in progress
+    /// by engine and model, those in progress by service, and those that wait by service and rank. The
+    /// paces are returned once.
+    pub fn take(
+        &mut self,
+        uses: Vec<EngineUse>,
+        in_progress: &BTreeMap<u32, u16>,
+        waiting: &BTreeMap<(u32, u8), u16>,
+    ) -> DemandDetail {
         let mut answers = Vec::new();
-        for (model, counts) in &mut self.counts {
+        for (model, counts) in &mut self.answers {
             if counts.announcements_left > 0 {
                 counts.announcements_left -= 1;
                 answers.push(ModelAnswers {
                     model: *model,
                     answered: counts.answered,
                     late: counts.late,
+                    rank: counts.rank,
                 });
             }
         }
@@ -201,6 +247,25 @@
                 events,
                 took_ms,
             });
-        (answers, paces.collect())
+        let services = self.services.iter().map(|(service, counts)| {
+            let ranks = counts.arrived.iter().map(|(rank, arrived)| RankUse {
+                rank: *rank,
+                arrived: *arrived,
+                waiting: waiting.get(&(*service, *rank)).copied().unwrap_or_default(),
+            });
+            ServiceUse {
+                service: *service,
+                in_progress: in_progress.get(service).copied().unwrap_or_default(),
+                ended: counts.ended,
+                ended_ms: counts.ended_ms,
+                ranks: ranks.collect(),
+            }
+        });
+        DemandDetail {
+            uses,
+            answers,
+            paces: paces.collect(),
+            services: services.collect(),
+        }
     }
 }
--- a/crates/holder/src/load_selection.rs
+++ b/crates/holder/src/load_selection.rs
@@ -65,7 +65,7 @@
         totals: &HashMap<WantedModel, ModelDemand>,
     ) {
         let mut factors = std::mem::take(&mut self.replica_factors);
-        for (model, load) in self.snapshot(now_ms, demand, totals).model_loads() {
+        for (model, load) in self.snapshot(now_ms, demand, totals).urgent_model_loads() {
             factors.entry(model).or_default().update(now_ms, &load);
         }
         factors.retain(|_, factor| *factor != ReplicaFactor::default());
--- a/crates/holder/src/options.rs
+++ b/crates/holder/src/options.rs
@@ -18,11 +18,6 @@
     /// Pause after an order that conflicted with another one in progress. An unload is in progress
     /// until the last request on its model has ended.
     pub conflict_pause_ms: u64,
-    /// The same pause where VMs report the requests by engine. The unloads that take long are then
-    /// known, and are awaited before the next order.
-    pub known_conflict_pause_ms: u64,
-    /// Time in which the requests on a model that is being unloaded are expected to end.
-    pub drain_ms: u64,
     /// Arriving requests per second from which the weights of a model should be cached on two engines,
     /// so that the loss of one does not make the model unavailable for the time of a load from the
     /// weight store.
@@ -46,8 +41,6 @@
             idle_share: 0.5,
             unload_check_ms: 40,
             conflict_pause_ms: 60,
-            known_conflict_pause_ms: 150,
-            drain_ms: 400,
             backup_requests_per_s: 2.0,
             max_conflicts: 12,
             report_interval_ms: 150,
--- a/crates/holder/src/order_effects.rs
+++ b/crates/holder/src/order_effects.rs
@@ -41,11 +41,7 @@
             OrderOutcome::Accepted => {
                 self.record_taken_order(now_ms);
                 let tier = self.residence.tier(kind.model());
-                let drain_ms = match &kind {
-                    OrderKind::UnloadModel(_) if self.unload_runs > 0 => options.drain_ms,
-                    _ => 0,
-                };
-                let configured_ms = expected_ms(&kind, tier) + drain_ms;
+                let configured_ms = expected_ms(&kind, tier);
                 let factor = if is_load(&kind) {
                     self.load_factor
                 } else {
--- a/crates/holder/src/placement.rs
+++ b/crates/holder/src/placement.rs
@@ -35,9 +35,6 @@
 /// certain, and soon misses its deadline.
 const WAITING_REQUEST_VALUE: f64 = 4.0;
 
-/// The same for a waiting request whose target has passed, or can't be met by a load any more.
-const LATE_REQUEST_VALUE: f64 = 1.0;
-
 /// Amount that each evicted model adds to the cost of a placement, because its unload takes time.
 const EVICTION_COST: f64 = 0.05;
 
@@ -154,10 +151,9 @@
             sum.running += demand.running;
             sum.requests_per_s += demand.requests_per_s;
             sum.last_arrival_ms = sum.last_arrival_ms.max(demand.last_arrival_ms);
-            // These are of the model with all its adapters.
-            sum.on_time = demand.on_time;
-            sum.start_by_ms = demand.start_by_ms;
+            // These two are of the model with all its adapters.
             sum.late_share = demand.late_share;
+            sum.rank = demand.rank;
         }
         let mut replicas: HashMap<ModelName, u32> = HashMap::new();
         for engine in engines
@@ -267,9 +263,16 @@
         by_load.max(1 + spare).min(self.engines.len() as u32)
     }
 
-    /// Returns the loads of the models that are requested, for the numbers of their replicas.
-    pub fn model_loads(&self) -> Vec<(ModelName, ModelLoad)> {
-        let loads = self.by_model.iter().map(|(model, demand)| {
+    /// Returns the loads of the models with requests of the most urgent rank, for the numbers of their
+    /// replicas. Replicas beyond what the load calls for take the memory of other models, which is not
+    /// theirs to take for less urgent requests.
+    pub fn urgent_model_loads(&self) -> Vec<(ModelName, ModelLoad)> {
+        let ranks = self.by_model.values().filter_map(|demand| demand.rank);
+        let most_urgent = ranks.min();
+        let urgent = self.by_model.iter();
+        let urgent =
+            urgent.filter(|(_, demand)| demand.rank.is_some() && demand.rank == most_urgent);
+        let loads = urgent.map(|(model, demand)| {
             let load = ModelLoad {
                 active_requests: demand.running + demand.waiting_for_slot,
                 replicas: self.replicas(model),
@@ -389,23 +392,12 @@
             None => RUNNING_REQUEST_VALUE * f64::from(demand.running),
         };
         let waiting = demand.waiting_for_load + demand.waiting_for_slot;
-        demand.requests_per_s + running_value + self.waiting_value(&demand, waiting)
-    }
-
-    /// Returns the value of serving waiting requests. Those that are late already are worth less, so
-    /// that a load serves as many as possible in time.
-    fn waiting_value(&self, demand: &ModelDemand, waiting: u32) -> f64 {
-        let on_time = match self.uses {
-            Some(_) => demand.on_time.min(waiting),
-            None => waiting,
-        };
-        WAITING_REQUEST_VALUE * f64::from(on_time)
-            + LATE_REQUEST_VALUE * f64::from(waiting - on_time)
+        demand.requests_per_s + running_value + WAITING_REQUEST_VALUE * f64::from(waiting)
     }
 
     /// Returns the value of loading a replica of a model.
     pub fn load_value(&self, model: &ModelName) -> f64 {
         let demand = self.demand(model);
-        demand.requests_per_s + self.waiting_value(&demand, demand.waiting_for_load)
+        demand.requests_per_s + WAITING_REQUEST_VALUE * f64::from(demand.waiting_for_load)
     }
 }
--- a/crates/holder/src/planner.rs
+++ b/crates/holder/src/planner.rs
@@ -257,7 +257,6 @@
     ) -> Vec<PlannerAction> {
         let mut options = self.options;
         if self.knows_uses {
-            options.conflict_pause_ms = options.known_conflict_pause_ms;
             options.unload_check_ms = self.unload_time.get_ms();
         }
         let spec = &self.spec;
