Stand-in engines: an unload waits for running requests, loads from the host's memory

Cause: at users' engines an unload ends the requests running on the model first; the stand-in unloaded after 20 ms whatever ran, and sent its streams on.

Change: an unload lasts until the requests on its model have ended; new requests on the model get 421 and other orders 409 meanwhile (the 409 was there before). Unloaded models stay in the host's memory, as many as the options say (none by default), with a load time of their own. The engine records when models were listed and orders accepted. A site may have ranks: none by default.

--- a/crates/soak/src/world.rs
+++ b/crates/soak/src/world.rs
@@ -115,6 +115,7 @@
             service_limit: None,
             timeout_ms: FIRST_TIMEOUT_MS,
             announces: false,
+            ..SiteOptions::default()
         })?;
         let mut slots = Vec::new();
         for number in 0..engines {
--- a/crates/standins/src/platform/caller.rs
+++ b/crates/standins/src/platform/caller.rs
@@ -20,6 +20,7 @@
 use crate::platform::answers::SIGNATURE;
 use crate::platform::answers::VERSION;
 use crate::platform::answers::contains;
+use crate::platform::site::RARE_PREFIX;
 
 /// Host that callers name and that the routes of [`crate::platform::Site`] have.
 pub const HOST: &str = "site.example";
@@ -30,6 +31,9 @@
 /// Header that lists the parts of a prompt.
 const PARTS: &str = "Apricotdale-Prompt-Prefix";
 
+/// Header that names a model, or an adapter after a slash.
+const MODEL: &str = "Apricotdale-Model";
+
 /// Request of a caller.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub struct SiteRequest {
@@ -77,9 +81,21 @@
         Self::stream("/patient/2f", id, model)
     }
 
+    /// Returns a streaming request for a rarely used model, at a site with ranks.
+    pub fn rare(id: &str, model: &str) -> Self {
+        Self::stream(&format!("{RARE_PREFIX}3f"), id, model)
+    }
+
+    /// Returns the model that the request names, or an adapter after a slash; none if it names none.
+    pub fn model(&self) -> Option<&str> {
+        let mut headers = self.headers.iter();
+        let named = headers.find(|(name, _)| name == MODEL);
+        named.map(|(_, model)| model.as_str())
+    }
+
     fn stream(target: &str, id: &str, model: &str) -> Self {
         Self::new("POST", target, id)
-            .with("Apricotdale-Model", model)
+            .with(MODEL, model)
             .with("Apricotdale-Token-Count", "100,30")
             .with(PARTS, "5c1e07a2:80,e4402b7d:20")
             .with_body(b"prompt")
--- a/crates/standins/src/platform/engine.rs
+++ b/crates/standins/src/platform/engine.rs
@@ -2,7 +2,6 @@
 
 use std::collections::HashMap;
 use std::collections::VecDeque;
-use std::net::SocketAddr;
 use std::sync::Arc;
 use std::sync::atomic::AtomicBool;
 use std::sync::atomic::Ordering;
@@ -22,10 +21,12 @@
 use crate::platform::answers::RecordedRun;
 use crate::platform::answers::id_of;
 use crate::platform::crashes::CrashTrigger;
+use crate::platform::engine_entry::Entry;
 use crate::platform::event_texts::DEFAULT_SOFTWARE_VERSION;
 use crate::platform::notices::Notices;
 use crate::platform::orders::Holdings;
 use crate::platform::orders::OrderFault;
+use crate::platform::orders::Residence;
 use crate::platform::orders::WireOrder;
 use crate::platform::room::Entrance;
 use crate::platform::room::RoomFailure;
@@ -33,12 +34,6 @@
 use crate::platform::shared_faults::SharedFaults;
 use crate::platform::store::PlatformStore;
 
-/// Start of the first incarnation of each engine, in Unix milliseconds.
-const FIRST_START_MS: u64 = 1_700_000_000_000;
-
-/// Time between the starts of two incarnations, in milliseconds.
-const RESTART_INTERVAL_MS: u64 = 1_000;
-
 /// Options with which an engine is started.
 #[derive(Clone, Debug)]
 pub struct EngineOptions {
@@ -62,7 +57,12 @@
     pub store_load_ms: u64,
     /// Duration of a load from the disk, in milliseconds.
     pub disk_load_ms: u64,
-    /// Duration of an unload, in milliseconds.
+    /// Duration of a load from the host's memory, in milliseconds.
+    pub memory_load_ms: u64,
+    /// Number of unloaded models whose weights stay in the host's memory; those unloaded first are
+    /// dropped first.
+    pub memory_copies: usize,
+    /// Minimum duration of an unload, in milliseconds. It lasts longer if requests run on the model.
     pub unload_ms: u64,
     /// Number of events of a complete stream.
     pub events: u64,
@@ -87,6 +87,8 @@
             adapter_slots: 4,
             store_load_ms: 400,
             disk_load_ms: 60,
+            memory_load_ms: 60,
+            memory_copies: 0,
             unload_ms: 20,
             events: 6,
             gap_ms: 2,
@@ -111,12 +113,12 @@
 
 /// Model engine, which can restart under its identity.
 pub struct PlatformEngine {
-    options: EngineOptions,
-    holdings: Mutex<Holdings>,
-    answers: Answers,
+    pub(super) options: EngineOptions,
+    pub(super) holdings: Mutex<Holdings>,
+    pub(super) answers: Answers,
     order_faults: Mutex<VecDeque<OrderFault>>,
-    store: PlatformStore,
-    entry: Mutex<Entry>,
+    pub(super) store: PlatformStore,
+    pub(super) entry: Mutex<Entry>,
     full: AtomicBool,
     /// Handle that ends the engine's server in a crash; absent until it listens.
     stopper: Mutex<Option<Stopper>>,
@@ -126,21 +128,6 @@
     marked_runs: Mutex<Vec<(Instant, Vec<u8>)>>,
 }
 
-#[derive(Default)]
-struct Entry {
-    address: Option<SocketAddr>,
-    revision: u64,
-    draining: bool,
-    gone: bool,
-    restarts: u64,
-}
-
-impl Entry {
-    fn started_ms(&self) -> u64 {
-        FIRST_START_MS + self.restarts * RESTART_INTERVAL_MS
-    }
-}
-
 impl PlatformEngine {
     /// Returns an engine that writes its entry to a store and shares faults with other engines.
     pub(crate) fn new(
@@ -202,40 +189,6 @@
         &self.options.instance
     }
 
-    /// Writes the engine's entry. The address is given at the start and kept for later calls.
-    pub fn announce(&self, address: Option<SocketAddr>) {
-        let mut entry = self.entry.lock();
-        entry.address = address.or(entry.address);
-        entry.revision += 1;
-        let Some(address) = entry.address.filter(|_| !entry.gone) else {
-            return;
-        };
-        let mut value = self.holdings.lock().describe();
-        value["service"] = json!(self.options.service);
-        value["address"] = json!(address.to_string());
-        value["zone"] = json!(self.options.zone);
-        value["version"] = json!(*self.answers.software_version.lock());
-        value["slots"] = json!(self.answers.room.stated_slots());
-        value["state"] = json!(if entry.draining { "draining" } else { "ready" });
-        value["cold_remaining_ms"] = json!(0);
-        value["sequence"] = json!(entry.revision);
-        value["born"] = json!(entry.started_ms());
-        let bytes = value.to_string().into_bytes();
-        self.store
-            .put("keyed.servers", &self.options.instance, &bytes);
-    }
-
-    /// Restarts the engine under its identity: only the models on its disk remain, and it counts
-    /// from the beginning. Requests of the previous incarnation stay unanswered. The entry is
-    /// written with the next [`PlatformEngine::announce`].
-    pub fn restart(&self) {
-        let mut entry = self.entry.lock();
-        entry.restarts += 1;
-        entry.revision = 0;
-        entry.draining = false;
-        self.holdings.lock().restart();
-    }
-
     /// Sets the version of the engine's software, for an engine that is to restart at it or whose
     /// entry is to change in place. Streams that have begun stay at theirs. The entry is written
     /// with the next [`PlatformEngine::announce`].
@@ -248,17 +201,6 @@
         self.answers.software_version.lock().clone()
     }
 
-    /// Returns the engine's entry as it was last written.
-    pub fn entry(&self) -> Option<Vec<u8>> {
-        self.store.newest("keyed.servers", &self.options.instance)
-    }
-
-    /// Replaces the engine's entry by other bytes.
-    pub fn overwrite_entry(&self, bytes: &[u8]) {
-        self.store
-            .put("keyed.servers", &self.options.instance, bytes);
-    }
-
     /// Sets the text of the rate limit that the answers to requests state; none to state none.
     pub fn set_rate_limit(&self, rate_limit: Option<&str>) {
         *self.answers.rate_limit.lock() = rate_limit.map(str::to_owned);
@@ -327,34 +269,6 @@
         Reply::json(200, &report)
     }
 
-    /// Writes an entry which says that the engine is draining.
-    pub fn drain(&self) {
-        self.entry.lock().draining = true;
-        self.announce(None);
-    }
-
-    /// Removes the engine's entry until [`PlatformEngine::restore_entry`].
-    pub fn withdraw(&self) {
-        self.entry.lock().gone = true;
-        self.store.put("keyed.servers", &self.options.instance, b"");
-    }
-
-    /// Writes the engine's entry as it is now, or removes it again, after a rollback of the store.
-    pub fn rewrite_entry(&self) {
-        let gone = self.entry.lock().gone;
-        match gone {
-            true => self.withdraw(),
-            false => self.announce(None),
-        }
-    }
-
-    /// Writes the engine's entry again after its removal, as a running engine does whose entry
-    /// expired.
-    pub fn restore_entry(&self) {
-        self.entry.lock().gone = false;
-        self.announce(None);
-    }
-
     /// Adds a fault to the queue of faults, each of which applies to one answer.
     pub fn push_fault(&self, fault: AnswerFault) {
         self.answers.push_fault(fault);
@@ -401,6 +315,16 @@
         }
     }
 
+    /// Returns when each order was accepted, and the lease holder that gave it, in order.
+    pub fn order_times(&self) -> Vec<(Instant, String)> {
+        self.holdings.lock().order_times.clone()
+    }
+
+    /// Returns the times for which the engine listed models as loaded, in order of their start.
+    pub fn residences(&self) -> Vec<Residence> {
+        self.holdings.lock().residences.clone()
+    }
+
     /// Returns whether the engine can serve a model, or an adapter after a slash.
     pub fn serves(&self, wanted: &str) -> bool {
         let mut holdings = self.holdings.lock();
@@ -459,9 +383,14 @@
 
     fn serve(self: &Arc<Self>, request: &Request) -> Reply {
         let wanted = request.header("Apricotdale-Model").unwrap_or_default();
-        if !self.holdings.lock().serves(wanted) {
+        let Some(running) = self.holdings.lock().begin_request(wanted) else {
             return self.answers.not_run(request, 421);
-        }
+        };
+        running.kept_by(self.serve_loaded(request))
+    }
+
+    /// Serves a request whose model is loaded.
+    fn serve_loaded(self: &Arc<Self>, request: &Request) -> Reply {
         if self.notices().rejects_for_rest(request) {
             return self.answers.not_run(request, 503);
         }
--- a/crates/standins/src/platform/orders.rs
+++ b/crates/standins/src/platform/orders.rs
@@ -2,6 +2,8 @@
 
 use std::collections::HashMap;
 use std::collections::HashSet;
+use std::collections::VecDeque;
+use std::sync::Arc;
 use std::time::Duration;
 use std::time::Instant;
 
@@ -10,6 +12,8 @@
 use serde_json::json;
 
 use crate::platform::engine::EngineOptions;
+use crate::platform::running_requests::RunningRequest;
+use crate::platform::running_requests::RunningRequests;
 
 /// Fault of the next order.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
@@ -35,10 +39,24 @@
     pub fencing_token: u64,
 }
 
+/// Time for which an engine listed a model as loaded.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct Residence {
+    /// Name of the model.
+    pub model: String,
+    /// Time at which the load was accepted; the engine's start for models loaded since then.
+    pub ordered: Instant,
+    /// Time from which the engine listed the model.
+    pub from: Instant,
+    /// Time at which its unload was accepted, or the engine restarted; absent while it is loaded.
+    pub until: Option<Instant>,
+}
+
 #[derive(Clone, Debug)]
 struct OrderInProgress {
     load: bool,
     model: String,
+    accepted: Instant,
     until: Instant,
 }
 
@@ -49,6 +67,9 @@
     /// Models that can serve, with their adapters.
     pub models: HashMap<String, HashSet<String>>,
     on_disk: HashSet<String>,
+    /// Unloaded models whose weights are in the host's memory, in order of their unloads.
+    in_memory: VecDeque<String>,
+    running: Arc<RunningRequests>,
     in_progress: Option<OrderInProgress>,
     accepted: u64,
     highest_fence: u64,
@@ -57,11 +78,26 @@
     pub loads: u64,
     /// Fencing token and lease holder of each order that was accepted, in order.
     pub holders: Vec<(u64, String)>,
+    /// Time and lease holder of each order that was accepted, in order.
+    pub order_times: Vec<(Instant, String)>,
+    /// Times for which models were listed as loaded, in order of their start.
+    pub residences: Vec<Residence>,
 }
 
 impl Holdings {
     pub fn new(options: EngineOptions) -> Self {
+        let now = Instant::now();
+        let residence = |model: &String| Residence {
+            model: model.clone(),
+            ordered: now,
+            from: now,
+            until: None,
+        };
         Self {
+            residences: options.models.iter().map(residence).collect(),
+            order_times: Vec::new(),
+            in_memory: VecDeque::new(),
+            running: Arc::default(),
             models: options
                 .models
                 .iter()
@@ -87,29 +123,54 @@
     /// Drops what a restart loses: loaded models, orders, their count and the fencing token.
     pub fn restart(&mut self) {
         self.models.clear();
+        self.in_memory.clear();
+        // Requests of the previous incarnation delay no unload of this one.
+        self.running = Arc::default();
+        let residences = self.residences.iter_mut();
+        residences.for_each(|it| it.until = it.until.or_else(|| Some(Instant::now())));
         self.in_progress = None;
         self.accepted = 0;
         self.highest_fence = 0;
     }
 
-    /// Completes the order in progress once its time has passed. Returns whether it did so.
+    /// Completes the order in progress once its time has passed and, for an unload, the requests on
+    /// the model have ended. Returns whether it did so.
     pub fn advance(&mut self) -> bool {
-        let Some(done) = self
-            .in_progress
-            .take_if(|in_progress| in_progress.until <= Instant::now())
-        else {
+        let running = &self.running;
+        let Some(done) = self.in_progress.take_if(|in_progress| {
+            in_progress.until <= Instant::now()
+                && (in_progress.load || running.count(&in_progress.model) == 0)
+        }) else {
             return false;
         };
-        if done.load {
-            self.loads += 1;
-            self.on_disk.insert(done.model.clone());
-            self.models.insert(done.model, HashSet::new());
-        } else {
-            self.models.remove(&done.model);
+        match done.load {
+            true => self.complete_load(done),
+            false => self.complete_unload(done.model),
         }
         true
     }
 
+    fn complete_load(&mut self, done: OrderInProgress) {
+        self.loads += 1;
+        self.on_disk.insert(done.model.clone());
+        self.in_memory.retain(|model| *model != done.model);
+        self.residences.push(Residence {
+            model: done.model.clone(),
+            ordered: done.accepted,
+            from: Instant::now(),
+            until: None,
+        });
+        self.models.insert(done.model, HashSet::new());
+    }
+
+    fn complete_unload(&mut self, model: String) {
+        self.models.remove(&model);
+        self.in_memory.push_back(model);
+        while self.in_memory.len() > self.options.memory_copies {
+            self.in_memory.pop_front();
+        }
+    }
+
     /// Accepts or refuses an order and returns the status of its answer.
     pub fn handle_order(&mut self, order: &WireOrder) -> u16 {
         self.advance();
@@ -137,6 +198,8 @@
             self.accepted += 1;
             self.holders
                 .push((order.fencing_token, order.holder.clone()));
+            self.order_times
+                .push((Instant::now(), order.holder.clone()));
         }
         status
     }
@@ -149,6 +212,7 @@
             self.overcommitted += 1;
         }
         let took_ms = match self.on_disk.contains(model) {
+            _ if self.in_memory.iter().any(|it| it == model) => self.options.memory_load_ms,
             true => self.options.disk_load_ms,
             false => self.options.store_load_ms,
         };
@@ -160,16 +224,21 @@
         if !self.models.contains_key(model) {
             return 200;
         }
+        let mut residences = self.residences.iter_mut();
+        if let Some(residence) = residences.find(|it| it.model == model && it.until.is_none()) {
+            residence.until = Some(Instant::now());
+        }
         self.run(false, model, self.options.unload_ms);
         202
     }
 
     fn run(&mut self, load: bool, model: &str, took_ms: u64) {
-        let until = Instant::now() + Duration::from_millis(took_ms);
+        let accepted = Instant::now();
         self.in_progress = Some(OrderInProgress {
             load,
             model: model.to_owned(),
-            until,
+            accepted,
+            until: accepted + Duration::from_millis(took_ms),
         });
     }
 
@@ -194,6 +263,15 @@
         200
     }
 
+    /// Begins a request on a model, or an adapter after a slash, which delays the model's unload
+    /// until it ends. None if that can't serve, or if the model is being unloaded.
+    pub fn begin_request(&self, wanted: &str) -> Option<RunningRequest> {
+        let model = wanted.split('/').next().unwrap_or(wanted);
+        let mut orders = self.in_progress.iter();
+        let is_leaving = orders.any(|order| !order.load && order.model == model);
+        (self.serves(wanted) && !is_leaving).then(|| self.running.begin(model))
+    }
+
     /// Returns whether a model, or an adapter after a slash, can serve.
     pub fn serves(&self, wanted: &str) -> bool {
         match wanted.split_once('/') {
@@ -222,7 +300,7 @@
             "kv_used": 0,
             "kv_total": 1,
             "handles": 0,
-            "at_hand": {"in_memory": [], "on_disk": self.on_disk},
+            "at_hand": {"in_memory": self.in_memory, "on_disk": self.on_disk},
         })
     }
 }
--- a/crates/standins/src/platform/site.rs
+++ b/crates/standins/src/platform/site.rs
@@ -24,6 +24,12 @@
 /// Prefix of the streams that may be resumed.
 pub(crate) const RESUMABLE_PREFIX: &str = "/quick/";
 
+/// Prefix of the streams that run once.
+const ONCE_PREFIX: &str = "/patient/";
+
+/// Prefix of the streams of rarely used models, which a site with ranks has.
+pub(crate) const RARE_PREFIX: &str = "/rare/";
+
 const LOOPBACK: SocketAddr = SocketAddr::new(IpAddr::V4(Ipv4Addr::LOCALHOST), 0);
 
 /// Options with which a site is started.
@@ -39,6 +45,14 @@
     pub work_ms: u64,
     /// Names of the models that the engines may load.
     pub models: Vec<String>,
+    /// Duration of a load from an engine's disk that the configuration states, in milliseconds.
+    pub disk_load_ms: u64,
+    /// Duration of a load from the memory of an engine's host that the configuration states, in
+    /// milliseconds.
+    pub memory_load_ms: u64,
+    /// Whether streams that run once have rank 1, and a further route for streams of rarely used
+    /// models has rank 2. Otherwise all routes have rank 0.
+    pub has_ranks: bool,
     /// Number of endpoints of the store, at least one; each has its own address and fault.
     pub store_endpoints: usize,
     /// Marker in the bodies of requests that make an instance of the plain service crash; absent if
@@ -69,6 +83,9 @@
             spare_instances: 0,
             work_ms: 0,
             models: (0..4).map(|index| format!("m{index}")).collect(),
+            disk_load_ms: 60,
+            memory_load_ms: 60,
+            has_ranks: false,
             store_endpoints: 1,
             service_crash: None,
             service_limit: None,
@@ -203,18 +220,35 @@
     /// Returns the routes of the first configuration: streams that may be resumed and that may not,
     /// and calls that may not be retried and that may.
     pub fn routes(&self) -> Vec<Value> {
-        vec![
+        let mut routes = vec![
             self.route("quick", RESUMABLE_PREFIX, "streaming", "llm", 2),
-            self.route("patient", "/patient/", "streaming", "llm", 1),
+            self.route("patient", ONCE_PREFIX, "streaming", "llm", 1),
             self.route("book", "/book/", "unsafe", "plain", 1),
             self.route("look", "/look/", "safe", "plain", 2),
-        ]
+        ];
+        if self.options.has_ranks {
+            routes.push(self.route("rare", RARE_PREFIX, "streaming", "llm", 1));
+        }
+        routes
+    }
+
+    /// Returns the rank that requests with a target have at a site with ranks; 0 is the most urgent.
+    pub fn rank(target: &str) -> u32 {
+        match target {
+            target if target.starts_with(RARE_PREFIX) => 2,
+            target if target.starts_with(ONCE_PREFIX) => 1,
+            _ => 0,
+        }
     }
 
     fn route(&self, name: &str, prefix: &str, kind: &str, service: &str, attempts: u32) -> Value {
+        let rank = match self.options.has_ranks {
+            true => Self::rank(prefix),
+            false => 0,
+        };
         json!({
             "name": name, "host": "site.example", "path_prefix": prefix, "kind": kind,
-            "timeout_ms": self.options.timeout_ms, "target_latency_ms": 300, "priority": 0,
+            "timeout_ms": self.options.timeout_ms, "target_latency_ms": 300, "priority": rank,
             "service": service, "attempts": attempts, "sticky_sessions": true,
             "resumable": prefix == RESUMABLE_PREFIX, "gap_target_ms": 400,
         })
@@ -281,14 +315,17 @@
 
     /// Writes a configuration with the given organisations.
     pub fn configure_with(&self, version: u64, routes: &[Value], tenants: Option<&Value>) {
+        let seconds = |load_ms: u64| load_ms as f64 / 1_000.0;
+        let warm_s = seconds(self.options.memory_load_ms);
+        let disk_s = seconds(self.options.disk_load_ms);
         let models: Vec<Value> = self
             .options
             .models
             .iter()
             .map(|name| {
                 json!({
-                    "name": name, "weights_mb": 60_000.0, "load_s": 0.4, "warm_s": 0.06,
-                    "disk_s": 0.06, "adapters": 4, "adapter_mb": 60.0,
+                    "name": name, "weights_mb": 60_000.0, "load_s": 0.4, "warm_s": warm_s,
+                    "disk_s": disk_s, "adapters": 4, "adapter_mb": 60.0,
                 })
             })
             .collect();
