Soak: ranks, an organisation above its limit, models asked for in turn, three invariants

Change: streams that run once have rank 1, those of 16 rarely used models rank 2; the catalogue of 20 is more than six engines hold, loads take 400 ms from disk and 250 ms from memory. Two faults, drawn from generators of their own and last: an organisation sends three to six times its limit, and callers ask for the rare models in turn. Attempts record model, rank and the reason of a refusal.

--- a/crates/soak/src/checks.rs
+++ b/crates/soak/src/checks.rs
@@ -13,6 +13,7 @@
 use crate::record::Place;
 use crate::record::Record;
 use crate::record::Run;
+use crate::record::STOP;
 use crate::streams::BodySeen;
 use crate::streams::Flaw;
 
@@ -89,6 +90,12 @@
     ResumedStreamsServed,
     /// No log line of a VM contains a key.
     KeysStaySecret,
+    /// A loaded model of a ready engine gets requests again soon after the loss of a lease holder.
+    EnginesReopen,
+    /// No model is loaded, unloaded and loaded again at an engine within its turn.
+    TurnsKept,
+    /// No request is refused for want of room while a less urgent later one is sent.
+    UrgentFirst,
 }
 
 impl Invariant {
@@ -120,6 +127,9 @@
             Self::OneSoftwareVersion => "one software version",
             Self::ResumedStreamsServed => "resumed streams served",
             Self::KeysStaySecret => "keys stay secret",
+            Self::EnginesReopen => "engines reopen",
+            Self::TurnsKept => "turns kept",
+            Self::UrgentFirst => "urgent first",
         }
     }
 }
@@ -163,6 +173,9 @@
     checker.check_path_cuts(&mut found);
     checker.check_software_versions(&mut found);
     checker.check_secrets(&mut found);
+    checker.check_reopenings(&mut found);
+    checker.check_turns(&mut found);
+    checker.check_urgency(&mut found);
     found
 }
 
@@ -384,7 +397,7 @@
             let until_ms = stop.at_ms + STOP_DEADLINE_MS + SCHEDULING_SLACK_MS;
             let is_disturbed = self.record.disturbances.iter().any(|it| {
                 it.place == Place::Vm(stop.vm)
-                    && it.what != "stop"
+                    && it.what != STOP
                     && it.from_ms <= until_ms
                     && it.until_ms + UNDISTURBED_MS >= stop.at_ms
             });
--- a/crates/soak/src/engines.rs
+++ b/crates/soak/src/engines.rs
@@ -21,7 +21,7 @@
 use crate::record::EngineTime;
 use crate::record::Place;
 use crate::record::StatedLimitSeen;
-use crate::workload::MODELS;
+use crate::workload::all_models;
 use crate::world::World;
 use crate::world::pause;
 
@@ -36,6 +36,13 @@
 /// running when it is recorded.
 const EVENT_INTERVAL_MS: u64 = 20;
 
+/// Duration of a load of a model from an engine's disk, and from the memory of its host.
+pub(crate) const DISK_LOAD_MS: u64 = 400;
+pub(crate) const MEMORY_LOAD_MS: u64 = 250;
+
+/// Number of unloaded models whose weights stay in the memory of an engine's host.
+const MEMORY_COPIES: usize = 4;
+
 /// Time for which a request that crashes engines runs before its first event, or before the crash
 /// if no event is sent.
 const CRASH_DELAY_MS: u64 = 60;
@@ -86,7 +93,10 @@
     EngineOptions {
         instance: name,
         models: models.iter().map(ToString::to_string).collect(),
-        on_disk: MODELS.iter().map(ToString::to_string).collect(),
+        on_disk: all_models().map(str::to_owned).collect(),
+        disk_load_ms: DISK_LOAD_MS,
+        memory_load_ms: MEMORY_LOAD_MS,
+        memory_copies: MEMORY_COPIES,
         gap_ms: EVENT_INTERVAL_MS,
         // The first mark that matches decides: the late one begins with the other.
         crashes: vec![
--- a/crates/soak/src/fault.rs
+++ b/crates/soak/src/fault.rs
@@ -11,6 +11,7 @@
 use crate::record::Place;
 use crate::record::RESET;
 use crate::record::ROLLBACK;
+use crate::record::STOP;
 use crate::record::UPSTREAM_LINK;
 
 /// How a cut between a VM and an upstream shows at the VM.
@@ -266,6 +267,23 @@
         /// Rate in requests per second; the allowed burst is the same number of requests.
         rate_per_s: u32,
     },
+    /// Has callers of the organisation with a limit send several times its first limit, all kinds of
+    /// requests.
+    OverLimit {
+        /// Multiple of the limit.
+        times: u32,
+        /// Number of additional callers.
+        callers: usize,
+        /// Duration of the load.
+        for_ms: u64,
+    },
+    /// Has callers ask for more models than the engines hold, one after another.
+    ModelsInTurn {
+        /// Number of additional callers.
+        callers: usize,
+        /// Duration of the load.
+        for_ms: u64,
+    },
 }
 
 impl Trouble {
@@ -275,7 +293,7 @@
             Self::Kill { .. } => KILL,
             Self::KillAll { .. } => KILL_ALL,
             Self::Pause { .. } => PAUSE,
-            Self::Stop { .. } => "stop",
+            Self::Stop { .. } => STOP,
             Self::Reload { .. } => "reload",
             Self::Store { .. } => "store",
             Self::Forget => "forget",
@@ -303,6 +321,8 @@
             Self::KeyAdded { .. } => "key added",
             Self::KeyTaken { .. } => "key taken",
             Self::Limit { .. } => "limit",
+            Self::OverLimit { .. } => "over limit",
+            Self::ModelsInTurn { .. } => "models in turn",
         }
     }
 
@@ -322,7 +342,9 @@
             | Self::Configure
             | Self::KeyAdded { .. }
             | Self::KeyTaken { .. }
-            | Self::Limit { .. } => None,
+            | Self::Limit { .. }
+            | Self::OverLimit { .. }
+            | Self::ModelsInTurn { .. } => None,
             Self::Store { .. }
             | Self::Forget
             | Self::SetBack { .. }
--- a/crates/soak/src/keys.rs
+++ b/crates/soak/src/keys.rs
@@ -24,7 +24,7 @@
 pub(crate) const STABLE_ORGANISATION: usize = 2;
 
 /// Limit in the initial configuration, in requests per second.
-const INITIAL_RATE_PER_S: u32 = 25;
+pub(crate) const INITIAL_RATE_PER_S: u32 = 25;
 
 /// Window in which the requests of an organisation are counted against its limit.
 pub(crate) const LIMIT_WINDOW_MS: u64 = 4_000;
--- a/crates/soak/src/lib.rs
+++ b/crates/soak/src/lib.rs
@@ -10,15 +10,20 @@
 #![forbid(unsafe_code)]
 #![warn(missing_docs)]
 
+mod bodies;
 mod checks;
 mod clock;
 mod configurations;
+mod continued_streams;
 mod crasher_invariants;
 mod draws;
 mod engines;
 mod errors;
 mod fault;
 mod keys;
+mod load_draws;
+mod load_invariants;
+mod loads;
 mod lost_request_invariants;
 mod notice_draws;
 mod notice_invariants;
@@ -46,11 +51,15 @@
 pub use checks::Invariant;
 pub use checks::Violation;
 pub use checks::check;
+pub use continued_streams::ContinuedStreams;
 pub use errors::Error;
 pub use errors::Result;
 pub use fault::Adjustment;
 pub use fault::PathCut;
 pub use fault::Trouble;
+pub use load_invariants::LoadCoverage;
+pub use load_invariants::ResidenceSeen;
+pub use load_invariants::load_coverage;
 pub use notice_invariants::judged_leaves;
 pub use organisation_invariants::WindowUse;
 pub use organisation_invariants::fullest_window;
@@ -62,7 +71,6 @@
 pub use record::ArrivalSeen;
 pub use record::Attempt;
 pub use record::ConfigurationProbe;
-pub use record::ContinuedStreams;
 pub use record::Crash;
 pub use record::Disturbance;
 pub use record::Drain;
--- a/crates/soak/src/main.rs
+++ b/crates/soak/src/main.rs
@@ -26,6 +26,7 @@
 use apricotdale_soak::fullest_stated_window;
 use apricotdale_soak::fullest_window;
 use apricotdale_soak::judged_leaves;
+use apricotdale_soak::load_coverage;
 use apricotdale_soak::resumed_share;
 
 /// Upper bound of soaks that run in parallel, whatever `--at-once` asks for.
@@ -151,6 +152,7 @@
     let resumed = record.attempts.iter().filter(|it| it.after_event > 0);
     let share = resumed_share(record);
     let rest = fullest_rest(record);
+    let loads = load_coverage(record);
     let orders: usize = record.engines.iter().map(|(_, it)| it.holders.len()).sum();
     format!(
         "{} faults, {} requests by status {statuses:?}, {} runs, {orders} orders, {} streams over \
@@ -158,7 +160,8 @@
          {} went on where two engines of their software version served, {} of {} new ones began), \
          {} of {} requests in the \
          fullest window of a limit, {} of {} in that of a stated limit, {} VMs told that an engine \
-         leaves, {} of 2 requests in the fullest of {} rests, {} violations",
+         leaves, {} of 2 requests in the fullest of {} rests, {} losses of a lease holder, {} judged \
+         refusals for want of room, {} models loaded again (soonest after {:?} ms), {} violations",
         record.disturbances.len(),
         record.attempts.len(),
         record.runs.len(),
@@ -177,6 +180,10 @@
         judged_leaves(record),
         rest.most,
         rest.judged,
+        loads.losses,
+        loads.judged_refusals,
+        loads.swaps,
+        loads.shortest_swap_ms,
         violations.len()
     )
 }
@@ -240,6 +247,9 @@
     for arrival in &soak.record.arrivals {
         writeln!(file, "{arrival:?}")?;
     }
+    for residence in &soak.record.residences {
+        writeln!(file, "{residence:?}")?;
+    }
     for (engine, effects) in &soak.record.engines {
         writeln!(file, "{engine}: {effects:?}")?;
     }
--- a/crates/soak/src/notice_draws.rs
+++ b/crates/soak/src/notice_draws.rs
@@ -90,7 +90,7 @@
 }
 
 /// Returns the end of the first half of the time in which faults start.
-fn first_half_end_ms(calm_from_ms: u64) -> u64 {
+pub(crate) fn first_half_end_ms(calm_from_ms: u64) -> u64 {
     let half_ms = calm_from_ms.saturating_sub(WARM_UP_MS).div_ceil(2);
     WARM_UP_MS + half_ms.max(1)
 }
--- a/crates/soak/src/observed.rs
+++ b/crates/soak/src/observed.rs
@@ -6,6 +6,7 @@
 use apricotdale_standins::platform::SiteRequest;
 
 use crate::keys::KEY_MARK;
+use crate::load_invariants::ResidenceSeen;
 use crate::record::ArrivalSeen;
 use crate::record::Run;
 use crate::rest_invariants::RestSeen;
@@ -51,6 +52,33 @@
             .collect()
     }
 
+    /// Returns the times for which engines listed models as loaded.
+    pub fn residences(&self) -> Vec<ResidenceSeen> {
+        let site = self.site.lock();
+        let mut residences = Vec::new();
+        for engine in &site.engines {
+            residences.extend(engine.residences().into_iter().map(|it| ResidenceSeen {
+                upstream: engine.name().to_owned(),
+                model: it.model,
+                ordered_ms: self.clock.at_ms(it.ordered),
+                from_ms: self.clock.at_ms(it.from),
+                until_ms: it.until.map(|until| self.clock.at_ms(until)),
+            }));
+        }
+        residences
+    }
+
+    /// Returns when engines accepted orders, and from which lease holder, in order of time.
+    pub fn order_times(&self) -> Vec<(u64, String)> {
+        let site = self.site.lock();
+        let orders = site.engines.iter().flat_map(|it| it.order_times());
+        let mut orders: Vec<(u64, String)> = orders
+            .map(|(at, holder)| (self.clock.at_ms(at), holder))
+            .collect();
+        orders.sort();
+        orders
+    }
+
     /// Returns the requests of callers that reached engines, with the VM that each came from.
     pub fn arrivals(&self) -> Vec<ArrivalSeen> {
         let site = self.site.lock();
--- a/crates/soak/src/plan.rs
+++ b/crates/soak/src/plan.rs
@@ -12,6 +12,8 @@
 use crate::draws::draw_rollbacks;
 use crate::draws::draw_stated_limits;
 use crate::fault::Trouble;
+use crate::load_draws::draw_models_in_turn;
+use crate::load_draws::draw_over_limit;
 use crate::notice_draws::draw_rests;
 use crate::notice_draws::draw_small_room;
 use crate::notice_draws::draw_stated_leaves;
@@ -109,6 +111,8 @@
         faults.extend(draw_adjustments(seed, calm_from_ms));
         let (bursts, changes) = draw_organisation_events(seed, calm_from_ms);
         faults.extend(changes);
+        faults.extend(draw_over_limit(seed, calm_from_ms));
+        faults.extend(draw_models_in_turn(seed, calm_from_ms));
         faults.sort_by_key(|planned| planned.at_ms);
         let mut crashers = draw_crashers(seed, calm_from_ms);
         crashers.extend(draw_part_crashers(seed, calm_from_ms));
--- a/crates/soak/src/record.rs
+++ b/crates/soak/src/record.rs
@@ -1,12 +1,13 @@
 //! Record of what callers and upstreams observed during a soak. All times are milliseconds since
 //! the start of the soak.
 
-use std::collections::BTreeMap;
 use std::collections::BTreeSet;
+use std::sync::Arc;
 
 use apricotdale_standins::platform::AnswerFault;
 use apricotdale_standins::platform::EngineEffects;
 
+use crate::load_invariants::ResidenceSeen;
 use crate::rest_invariants::RestSeen;
 use crate::room_invariants::RoomFailureSeen;
 use crate::streams::BodySeen;
@@ -21,6 +22,9 @@
 /// Name of the disturbance in which a VM's process is paused.
 pub(crate) const PAUSE: &str = "pause";
 
+/// Name of the disturbance in which a VM is stopped as planned.
+pub(crate) const STOP: &str = "stop";
+
 /// Name of the disturbance in which every VM's process is killed.
 pub(crate) const KILL_ALL: &str = "kill all";
 
@@ -198,6 +202,14 @@
     pub ended_ms: u64,
     /// Timeout that the caller names in the request, in milliseconds.
     pub patience_ms: u64,
+    /// Model that the request names, or an adapter after a slash; none for calls.
+    pub model: Option<Arc<str>>,
+    /// Rank of the request; 0 is the most urgent.
+    pub rank: u32,
+    /// Whether no other request has the same body, except resumptions of the same stream.
+    pub has_own_body: bool,
+    /// Reason that a refusal of the VM states; none for other answers.
+    pub refusal: Option<String>,
     /// Outcome for the caller.
     pub ending: Ending,
 }
@@ -423,6 +435,10 @@
     pub room_failures: Vec<RoomFailureSeen>,
     /// Requests of callers that reached engines.
     pub arrivals: Vec<ArrivalSeen>,
+    /// Times for which engines listed models as loaded.
+    pub residences: Vec<ResidenceSeen>,
+    /// When engines accepted orders, and the name of the lease holder, in order.
+    pub order_times: Vec<(u64, String)>,
     /// Cuts of VMs from all upstreams.
     pub path_cuts: Vec<PathCutSeen>,
     /// Disturbances of the links to single upstreams, and ends of upstreams.
@@ -437,17 +453,6 @@
     pub unexpected_exits: Vec<String>,
 }
 
-/// Counts of streams that a VM resumed at another upstream after events of an earlier one.
-#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
-pub struct ContinuedStreams {
-    /// Number of such streams.
-    pub streams: usize,
-    /// Streams whose remainder was sent with a fault.
-    pub faulty: usize,
-    /// Streams that looked complete to their callers.
-    pub whole: usize,
-}
-
 impl Record {
     /// Returns the time from which an upstream that has something to send at `at_ms` can send it:
     /// then, or when its silence ends.
@@ -462,26 +467,4 @@
             }
         }
     }
-
-    /// Counts the streams that were assembled from several upstreams.
-    pub fn continued(&self) -> ContinuedStreams {
-        let mut runs: BTreeMap<&str, Vec<&Run>> = BTreeMap::new();
-        for run in &self.runs {
-            runs.entry(&run.id).or_default().push(run);
-        }
-        let mut counts = ContinuedStreams::default();
-        for attempt in self.attempts.iter().chain(&self.last_attempts) {
-            let runs = runs.get(attempt.id.as_str()).map_or(&[][..], Vec::as_slice);
-            let resumed_runs: Vec<&&Run> = runs
-                .iter()
-                .filter(|run| run.after_event > attempt.after_event)
-                .filter(|run| runs.iter().any(|other| other.upstream != run.upstream))
-                .collect();
-            let is_whole = matches!(attempt.ending, Ending::Answered { whole: true, .. });
-            counts.streams += usize::from(!resumed_runs.is_empty());
-            counts.faulty += usize::from(resumed_runs.iter().any(|run| run.fault.is_some()));
-            counts.whole += usize::from(!resumed_runs.is_empty() && is_whole);
-        }
-        counts
-    }
 }
--- a/crates/soak/src/soak.rs
+++ b/crates/soak/src/soak.rs
@@ -142,7 +142,7 @@
         // them, too.
         let has_recovered = Arc::new(AtomicBool::new(false));
         let restarts = start_engine_restarts(&world, &has_recovered);
-        inject_planned_faults(clock, &world, &plan);
+        inject_planned_faults(options.seed, &world, &workload, &plan);
         thread::sleep(Duration::from_millis(1_000));
         workload.stopped.store(true, Ordering::Release);
         world.clear_shared_faults();
@@ -226,15 +226,24 @@
 }
 
 /// Injects the planned faults, each in a thread of its own, and waits until all have ended.
-fn inject_planned_faults(clock: Clock, world: &Arc<World>, plan: &Plan) {
+fn inject_planned_faults(seed: u64, world: &Arc<World>, workload: &Arc<Workload>, plan: &Plan) {
+    let clock = workload.clock;
     let began_ms = clock.now_ms();
     let mut running = Vec::new();
-    for planned in &plan.faults {
+    for (number, planned) in plan.faults.iter().enumerate() {
         clock.wait_until(began_ms + planned.at_ms);
         let ends = world.vms.unexpected_exits();
         world.events.lock().unexpected_exits.extend(ends);
-        let (world, trouble) = (world.clone(), planned.trouble.clone());
-        running.push(thread::spawn(move || world.carry_out(&trouble)));
+        let (world, workload) = (world.clone(), workload.clone());
+        let trouble = planned.trouble.clone();
+        let load_seed = seed
+            .wrapping_mul(1_000_000)
+            .wrapping_add(1_000 * number as u64);
+        running.push(thread::spawn(move || {
+            if !workload.send_load(&trouble, load_seed) {
+                world.carry_out(&trouble);
+            }
+        }));
     }
     join(running);
     clock.wait_until(began_ms + plan.end_ms);
@@ -310,6 +319,8 @@
         rests: world.rests(),
         room_failures: world.room_failures(),
         arrivals: world.arrivals(),
+        residences: world.residences(),
+        order_times: world.order_times(),
         path_cuts: events.path_cuts.clone(),
         link_breaks: events.link_breaks.clone(),
         silences: events.silences.clone(),
--- a/crates/soak/src/workload.rs
+++ b/crates/soak/src/workload.rs
@@ -12,17 +12,20 @@
 use apricotdale_standins::platform::Answer;
 use apricotdale_standins::platform::Caller;
 use apricotdale_standins::platform::LARGE_BYTES;
+use apricotdale_standins::platform::Site;
 use apricotdale_standins::platform::SiteRequest;
 use parking_lot::Mutex;
 use rand::RngExt;
 use rand::SeedableRng;
 use rand_chacha::ChaCha8Rng;
 
+use crate::bodies::has_own_body;
+use crate::bodies::own_body;
+use crate::bodies::refusal_reason;
 use crate::clock::Clock;
 use crate::keys::Keys;
 use crate::keys::ORGANISATIONS;
 use crate::keys::STABLE_ORGANISATION;
-use crate::plan::Burst;
 use crate::plan::Crasher;
 use crate::record::Attempt;
 use crate::record::Ending;
@@ -75,11 +78,23 @@
 pub(crate) const LAST_EVENT_HEADER: &str = "Last-Event-Id";
 
 /// Mask that gives the draws of keys a seed of their own.
-const KEY_SEED_MASK: u64 = 0x6b65_7973_0000_0000;
+pub(crate) const KEY_SEED_MASK: u64 = 0x6b65_7973_0000_0000;
 
 /// Models that callers name.
 pub(crate) const MODELS: [&str; 4] = ["m0", "m1", "m2", "m3"];
 
+/// Rarely used models, which callers ask for in turn. With [`MODELS`] they are more than six engines
+/// of three models each hold.
+pub(crate) const MODELS_IN_TURN: [&str; 16] = [
+    "t0", "t1", "t2", "t3", "t4", "t5", "t6", "t7", "t8", "t9", "t10", "t11", "t12", "t13", "t14",
+    "t15",
+];
+
+/// Returns all models that callers name.
+pub(crate) fn all_models() -> impl Iterator<Item = &'static str> {
+    MODELS.into_iter().chain(MODELS_IN_TURN)
+}
+
 /// When a caller closes its connection.
 #[derive(Clone, Copy, Debug)]
 pub(crate) enum Leaving {
@@ -214,32 +229,6 @@
         }
     }
 
-    /// Sends calls of an organisation to VMs drawn at random until the burst or the workload ends.
-    pub fn run_burst(&self, burst: &Burst, seed: u64) {
-        let mut random = ChaCha8Rng::seed_from_u64(seed);
-        let mut key_random = ChaCha8Rng::seed_from_u64(seed ^ KEY_SEED_MASK);
-        let until_ms = self.clock.now_ms() + burst.for_ms;
-        let mut kept: Option<(usize, SocketAddr, Caller)> = None;
-        while !self.stopped.load(Ordering::Acquire) && self.clock.now_ms() < until_ms {
-            let (vm, connection) = match kept.take() {
-                Some((vm, address, caller)) => (vm, Some((address, caller))),
-                None => (random.random_range(0..self.vms.len()), None),
-            };
-            let kind = match random.random_bool(0.5) {
-                true => Kind::Look,
-                false => Kind::Book,
-            };
-            let request = self.new_request(kind, &mut random);
-            let keyed = self
-                .keys
-                .with_drawn_key(&request, burst.organisation, &mut key_random);
-            let (attempt, connection) = self.attempt(vm, kind, &keyed, connection, None);
-            self.attempts.lock().push(attempt);
-            kept = connection.map(|(address, caller)| (vm, address, caller));
-            thread::sleep(Duration::from_millis(burst.pause_ms));
-        }
-    }
-
     /// Sends one request and returns its outcome, and the connection if it can be reused.
     pub fn attempt(
         &self,
@@ -261,6 +250,10 @@
             sent_ms,
             ended_ms: self.clock.now_ms(),
             patience_ms: CALLER_TIMEOUT_MS,
+            model: request.model().map(Arc::from),
+            rank: Site::rank(&request.target),
+            has_own_body: has_own_body(request),
+            refusal: None,
             ending,
         };
         let Some((address, mut caller)) = self.connection(vm, kept) else {
@@ -294,8 +287,11 @@
             Ok(answer) if answer.head.is_none() => (attempt(Ending::Unanswered), None),
             Ok(answer) => {
                 let is_reusable = !answer.closes();
-                let ending = self.ending(kind, request, &answer);
-                (attempt(ending), is_reusable.then_some((address, caller)))
+                let attempt = Attempt {
+                    refusal: refusal_reason(&answer),
+                    ..attempt(self.ending(kind, request, &answer))
+                };
+                (attempt, is_reusable.then_some((address, caller)))
             }
             Err(_) => (attempt(unparsable_answer()), None),
         }
@@ -323,7 +319,7 @@
 
     /// Returns a request with a new ID, from which its answer is recognised.
     pub fn new_request(&self, kind: Kind, random: &mut ChaCha8Rng) -> SiteRequest {
-        let id = format!("a-{}", self.next_id.fetch_add(1, Ordering::Relaxed));
+        let id = self.new_id();
         let model = MODELS[random.random_range(0..MODELS.len())];
         let request = match kind {
             Kind::Look => SiteRequest::new("GET", &format!("/look/shelf?r={id}"), &id),
@@ -337,9 +333,9 @@
             Kind::Patient => SiteRequest::patient(&id, model),
         };
         // Most streams have a body of their own; some have the same body as those of other callers.
-        let has_own_body = kind.is_stream() && !random.random_ratio(1, SHARED_PROMPT_ONE_IN);
-        let request = match has_own_body {
-            true => request.with_body(format!("prompt of {id}").as_bytes()),
+        let is_unique = kind.is_stream() && !random.random_ratio(1, SHARED_PROMPT_ONE_IN);
+        let request = match is_unique {
+            true => request.with_body(own_body(&id).as_bytes()),
             false => request,
         };
         let request = request.with_timeout_ms(CALLER_TIMEOUT_MS);
@@ -347,6 +343,10 @@
         request
     }
 
+    pub fn new_id(&self) -> String {
+        format!("a-{}", self.next_id.fetch_add(1, Ordering::Relaxed))
+    }
+
     /// Returns after which event the caller of a stream leaves, if it does.
     fn draw_leaving(
         &self,
@@ -477,7 +477,7 @@
     }
 }
 
-fn draw_kind(random: &mut ChaCha8Rng) -> Kind {
+pub(crate) fn draw_kind(random: &mut ChaCha8Rng) -> Kind {
     match random.random_range(0..10) {
         0..=2 => Kind::Look,
         3..=5 => Kind::Book,
--- a/crates/soak/src/world.rs
+++ b/crates/soak/src/world.rs
@@ -23,7 +23,9 @@
 use crate::clock::Clock;
 use crate::configurations::FIRST_TIMEOUT_MS;
 use crate::configurations::WrittenConfiguration;
+use crate::engines::DISK_LOAD_MS;
 use crate::engines::EngineSlot;
+use crate::engines::MEMORY_LOAD_MS;
 use crate::engines::engine_options;
 use crate::engines::engine_time;
 use crate::engines::join_engine;
@@ -47,6 +49,7 @@
 use crate::vms::StopOutcome;
 use crate::vms::Vms;
 use crate::workload::MODELS;
+use crate::workload::all_models;
 
 /// Time for which the exit of a stopped VM is awaited.
 const STOP_TIMEOUT: Duration = Duration::from_millis(10_000);
@@ -109,13 +112,15 @@
             instances: SERVICE_INSTANCES,
             spare_instances: SPARE_INSTANCES,
             work_ms: SERVICE_WORK_MS,
-            models: MODELS.iter().map(ToString::to_string).collect(),
+            models: all_models().map(str::to_owned).collect(),
+            disk_load_ms: DISK_LOAD_MS,
+            memory_load_ms: MEMORY_LOAD_MS,
+            has_ranks: true,
             store_endpoints: vms,
             service_crash: None,
             service_limit: None,
             timeout_ms: FIRST_TIMEOUT_MS,
             announces: false,
-            ..SiteOptions::default()
         })?;
         let mut slots = Vec::new();
         for number in 0..engines {
@@ -311,6 +316,8 @@
                     organisation: *organisation,
                 })
             }
+            // These consist of requests, which the workload sends.
+            Trouble::OverLimit { .. } | Trouble::ModelsInTurn { .. } => {}
             Trouble::Limit { rate_per_s } => self.change_organisations(OrganisationChange::Limit {
                 rate_per_s: *rate_per_s,
             }),
--- a/crates/soak/tests/plan_seeds.rs
+++ b/crates/soak/tests/plan_seeds.rs
@@ -49,7 +49,7 @@
             kinds.insert(format!("{:?}", discriminant(&planned.trouble)));
         }
     }
-    assert_eq!(kinds.len(), 31);
+    assert_eq!(kinds.len(), 33);
 }
 
 /// Guards against faults of a stream's remainder that no plan contains.
--- a/crates/soak/tests/support/mod.rs
+++ b/crates/soak/tests/support/mod.rs
@@ -34,6 +34,10 @@
         sent_ms: 10_000,
         ended_ms: 10_050,
         patience_ms: 3_000,
+        model: None,
+        rank: 0,
+        has_own_body: true,
+        refusal: None,
         ending: Ending::Answered {
             status,
             whole: true,
