Soak: urgent first judges rejected requests, too; a course with few slots

Cause: the check passed over refused requests that an engine had rejected for want of room, and the courses had too few of them: engines with eight slots were never full.

Change: a refused request is judged if no engine ran it. A soak can start with engines that run and state few slots (SoakOptions::slots), and urgent_first plays 160 callers on three engines of one slot.

--- a/crates/soak/src/load_invariants.rs
+++ b/crates/soak/src/load_invariants.rs
@@ -179,7 +179,7 @@
         losses_ms
     }
 
-    /// Returns the refusals for want of room of requests that undisturbed VMs sent nowhere.
+    /// Returns the refusals for want of room of requests that no engine ran, at undisturbed VMs.
     fn judged_refusals(&self) -> impl Iterator<Item = &Attempt> {
         let attempts = self.record.attempts.iter();
         attempts.filter(|it| {
@@ -187,7 +187,7 @@
             let from_ms = it.sent_ms.saturating_sub(UNDISTURBED_MS);
             WANT_OF_ROOM.contains(&reason)
                 && self.is_comparable(it)
-                && !self.has_arrived(&it.id)
+                && self.run_count(&it.id) == 0
                 && !self.disturbs_vm(it.vm, from_ms, it.ended_ms)
                 && !self.disturbs_links(it.vm, from_ms, it.ended_ms)
         })
@@ -205,10 +205,6 @@
             && !crashers.any(|(id, _)| *id == attempt.id)
     }
 
-    fn has_arrived(&self, id: &str) -> bool {
-        self.record.arrivals.iter().any(|it| it.id == id)
-    }
-
     /// Returns whether a request came later to the VM that refused another, was less urgent, named
     /// the same model, and was sent before the refusal.
     fn overtakes(&self, arrival: &ArrivalSeen, refused: &Attempt) -> bool {
--- a/crates/soak/src/rooms.rs
+++ b/crates/soak/src/rooms.rs
@@ -45,6 +45,19 @@
         }
     }
 
+    /// Has the engines of the start run a number of requests at once, and state that.
+    pub(crate) fn limit_slots(&self, slots: usize) {
+        for engine in &self.site.lock().engines {
+            engine.set_room(Some(RoomOptions {
+                stated_slots: slots,
+                slots,
+                max_rejections: usize::MAX,
+                down: None,
+            }));
+            engine.announce(None);
+        }
+    }
+
     /// Returns the failures of engines under the requests that they had to reject.
     pub(crate) fn room_failures(&self) -> Vec<RoomFailureSeen> {
         let site = self.site.lock();
--- a/crates/soak/src/soak.rs
+++ b/crates/soak/src/soak.rs
@@ -51,6 +51,9 @@
     pub engines: usize,
     /// Number of concurrent callers, besides those of bursts and crashers.
     pub callers: usize,
+    /// Number of requests that each engine runs at once, as its answers state; none for more than
+    /// callers send.
+    pub slots: Option<usize>,
 }
 
 impl SoakOptions {
@@ -63,6 +66,7 @@
             vms: 3,
             engines: 3,
             callers: 12,
+            slots: None,
         }
     }
 
@@ -125,6 +129,9 @@
         let clock = Clock::start();
         let world = World::start(clock, options.program.clone(), options.vms, options.engines)
             .map_err(Error::io_while("starting the stand-ins and the VMs"))?;
+        if let Some(slots) = options.slots {
+            world.limit_slots(slots);
+        }
         let world = Arc::new(world);
         if !world.vms.wait_ready(Duration::from_millis(READY_MS)) {
             return Err(Error::NotReady(READY_MS));
--- a/crates/soak/tests/load_records.rs
+++ b/crates/soak/tests/load_records.rs
@@ -222,6 +222,17 @@
     assert_eq!(load_coverage(&record).judged_refusals, 1);
 }
 
+/// Guards against a check that passes over requests which an engine rejected for want of room.
+#[test]
+fn rejected_request_overtaken() {
+    let mut record = overtaking_record("deadline_too_short");
+    record.arrivals.push(ArrivalSeen {
+        id: "r".to_owned(),
+        ..record.arrivals[0].clone()
+    });
+    assert_eq!(broken_invariants(&record), [Invariant::UrgentFirst]);
+}
+
 /// Guards against a check that compares requests of the same rank, of other models or at other VMs,
 /// requests that came earlier or were sent after the refusal, or refusals for other reasons.
 #[rstest]
@@ -232,7 +243,7 @@
 #[case::came_earlier(|it: &mut Record| it.attempts[3].sent_ms = SENT_MS - 100)]
 #[case::sent_after_refusal(|it: &mut Record| it.arrivals[0].at_ms = REFUSED_MS + 1)]
 #[case::over_limit(|it: &mut Record| it.attempts[2].refusal = Some("over_limit".to_owned()))]
-#[case::sent_before(|it: &mut Record| it.arrivals[0].id = "r".to_owned())]
+#[case::ran(|it: &mut Record| it.runs.push(run("r")))]
 #[case::resumes(|it: &mut Record| it.attempts[2].after_event = 3)]
 #[case::copy_of_others(|it: &mut Record| it.attempts[2].has_own_body = false)]
 #[case::crasher(|it: &mut Record| it.crasher_ids.push(("r".to_owned(), "body".to_owned())))]
--- a/crates/soak/tests/models_in_turn.rs
+++ b/crates/soak/tests/models_in_turn.rs
@@ -53,6 +53,29 @@
     assert!(loads.swaps > 0, "{loads:?}");
 }
 
+/// Guards against requests that are refused for want of room while less urgent ones that came later
+/// are sent. Streams come faster than the engines answer them.
+#[test]
+fn urgent_first() {
+    let options = SoakOptions {
+        callers: 160,
+        slots: Some(1),
+        ..SoakOptions::new(entry_program().expect("the program is built"), 3)
+    };
+    let plan = Plan {
+        crashers: Vec::new(),
+        bursts: Vec::new(),
+        faults: Vec::new(),
+        calm_from_ms: 7_000,
+        end_ms: 7_500,
+    };
+    let soak = Soak::carry_out_plan(&options, plan).expect("the soak can be carried out");
+    let violations = check(&soak.record);
+    let loads = load_coverage(&soak.record);
+    assert!(violations.is_empty(), "{violations:#?}, {loads:?}");
+    assert!(loads.judged_refusals > 0, "{loads:?}");
+}
+
 /// Guards against engines that stay closed for a model after the loss of the lease holder. Whether
 /// turns are kept, also without such losses, is up to the other test.
 #[test]
