--- a/crates/holder/src/load_selection.rs
+++ b/crates/holder/src/load_selection.rs
@@ -80,10 +80,9 @@
     ) -> FleetSnapshot<'a> {
         let uses = demand.has_details().then_some(KnownUses {
             demand,
-            now_ms,
             factors: &self.replica_factors,
         });
-        FleetSnapshot::new(&self.spec, &self.engines, totals, uses)
+        FleetSnapshot::new(now_ms, &self.spec, &self.engines, totals, uses)
     }
 
     /// Returns the state of placement, for logs and metrics.
--- a/crates/holder/src/placement.rs
+++ b/crates/holder/src/placement.rs
@@ -66,14 +66,13 @@
 pub(crate) struct KnownUses<'a> {
     /// Requests by engine and model.
     pub demand: &'a DemandTable,
-    /// Time of the snapshot.
-    pub now_ms: u64,
     /// Factors on the numbers of replicas.
     pub factors: &'a HashMap<ModelName, ReplicaFactor>,
 }
 
 /// Snapshot of the fleet from which placements are chosen.
 pub(crate) struct FleetSnapshot<'a> {
+    now_ms: u64,
     spec: &'a EngineSpec,
     /// None if VMs don't report their requests by engine.
     uses: Option<KnownUses<'a>>,
@@ -90,6 +89,8 @@
     /// Value of keeping the model's replica on the engine.
     value: f64,
     size_mb: f64,
+    /// Whether its turn on the engine has not ended.
+    in_turn: bool,
 }
 
 /// Engine for which new orders can be planned. Everything that does not depend on the model to be
@@ -120,7 +121,7 @@
         let mut free_mb = self.free_mb;
         let mut value = 0.0;
         let mut victims = Vec::new();
-        for resident in &self.residents {
+        for resident in self.residents.iter().filter(|it| !it.in_turn) {
             if free_mb >= size_mb {
                 break;
             }
@@ -136,6 +137,7 @@
 impl<'a> FleetSnapshot<'a> {
     /// Takes a snapshot of the fleet.
     pub fn new(
+        now_ms: u64,
         spec: &'a EngineSpec,
         engines: &'a [EngineLedger],
         totals: &HashMap<WantedModel, ModelDemand>,
@@ -172,6 +174,7 @@
         }
         let sizes_mb = spec.models.values().map(|model| model.size_mb);
         let mut snapshot = Self {
+            now_ms,
             spec,
             uses,
             smallest_model_mb: sizes_mb.fold(f64::INFINITY, f64::min),
@@ -200,6 +203,10 @@
                     model: &resident.model,
                     value: self.value(&resident.model),
                     size_mb,
+                    in_turn: is_in_turn(
+                        self.now_ms,
+                        ledger.loaded_ms.get(&resident.model).copied(),
+                    ),
                 })
             })
             .collect();
@@ -210,7 +217,7 @@
                 keep_value: it.value,
                 size_mb: it.size_mb,
                 running: uses.demand.requests_at(ledger.key, it.model),
-                in_turn: is_in_turn(uses.now_ms, ledger.loaded_ms.get(it.model).copied()),
+                in_turn: it.in_turn,
             });
             let candidates: Vec<EvictionCandidate> = candidates.collect();
             let options = EvictionOptions::default();
--- a/crates/routing/src/group.rs
+++ b/crates/routing/src/group.rs
@@ -1,7 +1,7 @@
 //! Upstreams of one group, compared with each other.
 
+use std::collections::BTreeMap;
 use std::collections::BTreeSet;
-use std::collections::HashMap;
 
 use apricotdale_core::engine::LoadReport;
 use apricotdale_core::names::UpstreamName;
@@ -41,7 +41,8 @@
 #[derive(Debug)]
 pub(crate) struct Group {
     options: Options,
-    upstreams: HashMap<UpstreamName, Upstream>,
+    /// Ordered, so that sums over them are the same in each run of a seeded test.
+    upstreams: BTreeMap<UpstreamName, Upstream>,
     out_of_service: BTreeSet<UpstreamName>,
     residence_time: ResidenceTime,
     reported: u32,
@@ -59,7 +60,7 @@
                 options.outliers.half_life_ms,
             ),
             options,
-            upstreams: HashMap::new(),
+            upstreams: BTreeMap::new(),
             out_of_service: BTreeSet::new(),
             reported: 0,
             sum_total: 0.0,
--- a/crates/soak/src/soak.rs
+++ b/crates/soak/src/soak.rs
@@ -51,6 +51,9 @@
     pub engines: usize,
     /// Number of concurrent callers, besides those of bursts and crashers.
     pub callers: usize,
+    /// Number of requests that each engine runs at once, as its answers state; none for more than
+    /// callers send.
+    pub slots: Option<usize>,
 }
 
 impl SoakOptions {
@@ -63,6 +66,7 @@
             vms: 3,
             engines: 3,
             callers: 12,
+            slots: None,
         }
     }
 
@@ -125,6 +129,9 @@
         let clock = Clock::start();
         let world = World::start(clock, options.program.clone(), options.vms, options.engines)
             .map_err(Error::io_while("starting the stand-ins and the VMs"))?;
+        if let Some(slots) = options.slots {
+            world.limit_slots(slots);
+        }
         let world = Arc::new(world);
         if !world.vms.wait_ready(Duration::from_millis(READY_MS)) {
             return Err(Error::NotReady(READY_MS));
@@ -142,7 +149,7 @@
         // them, too.
         let has_recovered = Arc::new(AtomicBool::new(false));
         let restarts = start_engine_restarts(&world, &has_recovered);
-        inject_planned_faults(clock, &world, &plan);
+        inject_planned_faults(options.seed, &world, &workload, &plan);
         thread::sleep(Duration::from_millis(1_000));
         workload.stopped.store(true, Ordering::Release);
         world.clear_shared_faults();
@@ -226,15 +233,24 @@
 }
 
 /// Injects the planned faults, each in a thread of its own, and waits until all have ended.
-fn inject_planned_faults(clock: Clock, world: &Arc<World>, plan: &Plan) {
+fn inject_planned_faults(seed: u64, world: &Arc<World>, workload: &Arc<Workload>, plan: &Plan) {
+    let clock = workload.clock;
     let began_ms = clock.now_ms();
     let mut running = Vec::new();
-    for planned in &plan.faults {
+    for (number, planned) in plan.faults.iter().enumerate() {
         clock.wait_until(began_ms + planned.at_ms);
         let ends = world.vms.unexpected_exits();
         world.events.lock().unexpected_exits.extend(ends);
-        let (world, trouble) = (world.clone(), planned.trouble.clone());
-        running.push(thread::spawn(move || world.carry_out(&trouble)));
+        let (world, workload) = (world.clone(), workload.clone());
+        let trouble = planned.trouble.clone();
+        let load_seed = seed
+            .wrapping_mul(1_000_000)
+            .wrapping_add(1_000 * number as u64);
+        running.push(thread::spawn(move || {
+            if !workload.send_load(&trouble, load_seed) {
+                world.carry_out(&trouble);
+            }
+        }));
     }
     join(running);
     clock.wait_until(began_ms + plan.end_ms);
@@ -310,6 +326,8 @@
         rests: world.rests(),
         room_failures: world.room_failures(),
         arrivals: world.arrivals(),
+        residences: world.residences(),
+        order_times: world.order_times(),
         path_cuts: events.path_cuts.clone(),
         link_breaks: events.link_breaks.clone(),
         silences: events.silences.clone(),
