--- a/crates/holder/tests/support/mod.rs
+++ b/crates/holder/tests/support/mod.rs
@@ -374,3 +374,12 @@
             .note(self.now_ms, &VmName::from("other"), 2, vec![row]);
     }
 }
+
+impl World {
+    /// Returns the configured duration of a load of a model from an engine's disk or memory, whichever is
+    /// longer.
+    pub fn planner_load_ms(&self, model: &ModelName) -> u64 {
+        let spec = &self.spec.models[model];
+        spec.disk_load_ms.max(spec.memory_load_ms)
+    }
+}
