--- a/crates/entry/src/engine_orders/rank_reports.rs
+++ b/crates/entry/src/engine_orders/rank_reports.rs
@@ -13,6 +13,9 @@
 /// Time that a request is assumed to occupy a slot until requests have ended.
 const ASSUMED_OCCUPIED_MS: f64 = 500.0;
 
+/// Time for which the last report of a VM is kept to compare the next one with.
+const REPORT_RETENTION_MS: u64 = 10_000;
+
 /// Number of recently ended requests over which that time is averaged.
 const AVERAGED_REQUESTS: f64 = 500.0;
 
@@ -91,6 +94,9 @@
             slots,
             occupied_ms: demand.occupied_ms.unwrap_or(ASSUMED_OCCUPIED_MS),
         };
+        demand
+            .vms
+            .retain(|_, report| now_ms < report.at_ms + REPORT_RETENTION_MS);
         let shares = demand.pressure.shares(now_ms, capacity);
         shares.map_or_else(Vec::new, |shares| shares.rows(service))
     }
--- a/crates/holder/src/load_selection.rs
+++ b/crates/holder/src/load_selection.rs
@@ -4,7 +4,6 @@
 
 use apricotdale_core::names::ModelName;
 use apricotdale_fleet::WantedModel;
-use apricotdale_placement::ReplicaFactor;
 
 use crate::demand::DemandTable;
 use crate::demand::ModelDemand;
@@ -64,12 +63,15 @@
         demand: &DemandTable,
         totals: &HashMap<WantedModel, ModelDemand>,
     ) {
-        let mut factors = std::mem::take(&mut self.replica_factors);
-        for (model, load) in self.snapshot(now_ms, demand, totals).urgent_model_loads() {
-            factors.entry(model).or_default().update(now_ms, &load);
-        }
-        factors.retain(|_, factor| *factor != ReplicaFactor::default());
-        self.replica_factors = factors;
+        let loads = self.snapshot(now_ms, demand, totals).urgent_model_loads();
+        // A model that is no longer asked for urgently loses its factor.
+        let mut before = std::mem::take(&mut self.replica_factors);
+        let factors = loads.into_iter().map(|(model, load)| {
+            let mut factor = before.remove(&model).unwrap_or_default();
+            factor.update(now_ms, &load);
+            (model, factor)
+        });
+        self.replica_factors = factors.collect();
     }
 
     fn snapshot<'a>(
