Lease holder: evictions computed for the engines in question; fewer questions and smaller heartbeats

By reading: all combinations of evictions were computed for each idle engine several times a round; VMs that start together asked 32 others each second for statements that nobody has; speeds of engines were sent with each heartbeat.

Change: combinations are computed once for an engine that comes into question; factors on replicas each 500 ms; questions that only upstreams can answer go to four VMs each 10 s; speeds each 2 s; only requests that wait for room count as waiting.

Measured: holder, admission, rank_admission, rejection_limits, learned_state and slow_engines pass.

--- a/crates/entry/src/demand_reports.rs
+++ b/crates/entry/src/demand_reports.rs
@@ -7,6 +7,7 @@
 use apricotdale_core::names::ModelName;
 use apricotdale_core::names::UpstreamName;
 use apricotdale_dispatch::Job;
+use apricotdale_dispatch::WaitReason;
 use apricotdale_holder::DemandDetail;
 use apricotdale_holder::EngineKey;
 use apricotdale_holder::EngineSpeedRow;
@@ -18,6 +19,10 @@
 use crate::daemon::Daemon;
 use crate::messages::HeartbeatDetail;
 
+/// Time between two heartbeats with the speeds of engines. Speeds are learnt over tens of seconds, and
+/// the link of the lease holder may be narrow.
+const SPEED_ROWS_INTERVAL_MS: u64 = 2_000;
+
 /// Difference from the mean speed, in percent, up to which an engine's speed is not announced.
 const MAX_USUAL_DEVIATION_PERCENT: u16 = 10;
 
@@ -50,10 +55,12 @@
                     increment(uses.entry(key).or_default());
                     increment(in_progress.entry(service).or_default());
                 }
-                Phase::Waiting(_) | Phase::Pausing { .. } => {
+                // Requests that wait for a load don't show that engines are full.
+                Phase::Waiting(WaitReason::Full) => {
                     let key = (service, rank_of(&request.job));
                     increment(waiting.entry(key).or_default());
                 }
+                _ => {}
             }
         }
         let uses = uses
@@ -74,13 +81,11 @@
         if !self.reports_detail() {
             return None;
         }
-        let speeds = self.directory.upstreams().filter_map(|upstream| {
-            let engine = EngineKey::of(&upstream.name);
-            let percent = self.engine_orders.speed_percent(engine);
-            let is_uneven = percent.abs_diff(100) > MAX_USUAL_DEVIATION_PERCENT;
-            is_uneven.then_some(EngineSpeedRow { engine, percent })
+        let is_due = self.now_ms >= self.engine_orders.next_speed_rows_ms;
+        let speeds = is_due.then(|| {
+            self.engine_orders.next_speed_rows_ms = self.now_ms + SPEED_ROWS_INTERVAL_MS;
+            self.speed_rows()
         });
-        let speeds = EngineSpeedRow::most_uneven(speeds.collect());
         let services = self.directory.configuration().services.iter();
         let engine_services = services.filter(|(_, service)| service.engine.is_some());
         let slots: Vec<(GroupName, u32)> = engine_services
@@ -100,21 +105,34 @@
         })
     }
 
+    fn speed_rows(&self) -> Vec<EngineSpeedRow> {
+        let rows = self.directory.upstreams().filter_map(|upstream| {
+            let engine = EngineKey::of(&upstream.name);
+            let percent = self.engine_orders.speed_percent(engine);
+            let is_uneven = percent.abs_diff(100) > MAX_USUAL_DEVIATION_PERCENT;
+            is_uneven.then_some(EngineSpeedRow { engine, percent })
+        });
+        EngineSpeedRow::most_uneven(rows.collect())
+    }
+
     /// Applies what the lease holder announces.
     pub(crate) fn apply_heartbeat_detail(&mut self, detail: HeartbeatDetail) {
-        let percents: BTreeMap<EngineKey, u16> = detail
-            .speeds
-            .iter()
-            .map(|row| (row.engine, row.percent))
-            .collect();
+        if let Some(speeds) = detail.speeds {
+            self.apply_speeds(&speeds);
+        }
+        self.apply_rank_shares(detail.rank_shares);
+    }
+
+    fn apply_speeds(&mut self, speeds: &[EngineSpeedRow]) {
+        let percents: BTreeMap<EngineKey, u16> =
+            speeds.iter().map(|row| (row.engine, row.percent)).collect();
         for upstream in self.directory.upstreams() {
             let percent = percents.get(&EngineKey::of(&upstream.name));
             let percent = percent.copied().unwrap_or(100);
             self.dispatcher
                 .record_speed(&upstream.name, u32::from(percent));
         }
-        self.metrics.uneven_engines.set(detail.speeds.len() as i64);
-        self.apply_rank_shares(detail.rank_shares);
+        self.metrics.uneven_engines.set(speeds.len() as i64);
     }
 
     /// Records the arrival of a request for an engine, for the reports to the lease holder.
--- a/crates/entry/src/engine_orders.rs
+++ b/crates/entry/src/engine_orders.rs
@@ -69,6 +69,8 @@
     fence: Option<u64>,
     next_plan_ms: u64,
     next_summary_ms: u64,
+    /// When the next heartbeat with the speeds of engines is due.
+    pub(crate) next_speed_rows_ms: u64,
     /// Earliest time of the next round of planning, even if events ask for one sooner.
     no_plan_before_ms: u64,
     /// Whether this VM leaves the lease to others, which reach more engines.
@@ -98,6 +100,7 @@
             fence: None,
             next_plan_ms: 0,
             next_summary_ms: 0,
+            next_speed_rows_ms: 0,
             no_plan_before_ms: 0,
             abstains: false,
         }
--- a/crates/entry/src/messages.rs
+++ b/crates/entry/src/messages.rs
@@ -59,8 +59,9 @@
 /// What the lease holder announces where VMs report details of their demand.
 #[derive(Clone, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
 pub(crate) struct HeartbeatDetail {
-    /// Lasting speeds of the engines whose speed differs. The others have the mean speed.
-    pub speeds: Vec<EngineSpeedRow>,
+    /// Lasting speeds of the engines whose speed differs, in some of the heartbeats. The others have the
+    /// mean speed.
+    pub speeds: Option<Vec<EngineSpeedRow>>,
     /// Shares of the ranks that are admitted, of the services where they bind.
     pub rank_shares: Vec<RankShareRow>,
 }
--- a/crates/entry/src/rejection_permits.rs
+++ b/crates/entry/src/rejection_permits.rs
@@ -39,6 +39,11 @@
 const LATE_QUESTION_INTERVAL_MS: u64 = 1_000;
 const LATE_QUESTION_VMS: usize = 32;
 
+/// The same while all VMs that are heard ask themselves, as after a start of the whole fleet: then only
+/// the upstreams can answer.
+const VAIN_QUESTION_INTERVAL_MS: u64 = 10_000;
+const VAIN_QUESTION_VMS: usize = 4;
+
 /// Time between two questions to the owner of the permits for what upstreams have stated.
 const OWNER_QUESTION_INTERVAL_MS: u64 = 1_000;
 
@@ -139,17 +144,23 @@
             self.record_told("answered");
             return;
         }
+        let heard_from_ms = now_ms.saturating_sub(HEARD_MS);
+        let asking = &self.upstream_permits.start.asking;
+        let is_answer_likely = self.peers.is_heard_since(heard_from_ms, asking);
         let start = &mut self.upstream_permits.start;
         let is_first = start.next_question_ms == 0;
         let waited_ms = now_ms - *start.since_ms.get_or_insert(now_ms);
         let interval_ms = match waited_ms {
             ..MAX_TOLD_WAIT_MS => QUESTION_INTERVAL_MS,
-            _ => LATE_QUESTION_INTERVAL_MS,
+            _ if is_answer_likely => LATE_QUESTION_INTERVAL_MS,
+            _ => VAIN_QUESTION_INTERVAL_MS,
         };
         start.next_question_ms = now_ms + interval_ms;
         let question = PeerMessage::StatedLimitsRequested { is_first };
+        let is_vain = waited_ms >= MAX_TOLD_WAIT_MS && !is_answer_likely;
         match waited_ms {
             ..TOLD_WAIT_MS => self.peers.send_all(&question),
+            _ if is_vain => self.peers.send_to_next(VAIN_QUESTION_VMS, &question),
             _ => self.peers.send_to_next(LATE_QUESTION_VMS, &question),
         }
     }
--- a/crates/holder/src/load_selection.rs
+++ b/crates/holder/src/load_selection.rs
@@ -29,6 +29,9 @@
 /// Share of a model's value up to which the models that are evicted for it may be worth.
 const MAX_EVICTED_SHARE: f64 = 0.8;
 
+/// Time between two updates of the factors on the numbers of replicas, which change at most once a second.
+const FACTORS_INTERVAL_MS: u64 = 500;
+
 impl Planner {
     /// Plans loads of models, and the unloads that free memory for them.
     pub(crate) fn plan_model_loads(
@@ -42,7 +45,8 @@
         let window_ms = self.options.store_window_ms;
         self.store_loads_ms
             .retain(|at_ms| at_ms + window_ms > now_ms);
-        if demand.has_details() {
+        if demand.has_details() && now_ms >= self.next_factors_ms {
+            self.next_factors_ms = now_ms + FACTORS_INTERVAL_MS;
             self.update_replica_factors(now_ms, demand, totals);
         }
         // Each placement changes what the next one may use, so the snapshot is rebuilt each time.
--- a/crates/holder/src/placement.rs
+++ b/crates/holder/src/placement.rs
@@ -1,5 +1,6 @@
 //! Choice of the engine that loads a model, and of the models that are evicted for it.
 
+use std::cell::OnceCell;
 use std::collections::HashMap;
 use std::collections::HashSet;
 
@@ -102,9 +103,9 @@
     free_mb: f64,
     /// Resident models, the least valuable first.
     residents: Vec<Resident<'a>>,
-    /// Combinations of the residents that can be evicted; none if VMs don't report their requests by
-    /// engine.
-    choices: Option<EvictionChoices>,
+    /// Combinations of the residents that can be evicted, computed for the few engines that come into
+    /// question for a load.
+    choices: OnceCell<EvictionChoices>,
     /// Amount that requests for adapters on the engine add to the cost of a placement.
     adapter_cost: f64,
 }
@@ -112,8 +113,16 @@
 impl IdleEngine<'_> {
     /// Returns the models to evict for a model of this size, and the cost of evicting them. Returns
     /// none if the model does not fit even then, or if their value is above `max_value`.
-    fn victims(&self, size_mb: f64, max_value: f64) -> Option<(Vec<&ModelName>, f64)> {
-        if let Some(choices) = &self.choices {
+    fn victims(
+        &self,
+        fleet: &FleetSnapshot<'_>,
+        size_mb: f64,
+        max_value: f64,
+    ) -> Option<(Vec<&ModelName>, f64)> {
+        if let Some(uses) = fleet.uses {
+            let choices = self
+                .choices
+                .get_or_init(|| self.eviction_choices(uses.demand, fleet.smallest_model_mb));
             let (eviction, cost) = choices.cheapest(size_mb, max_value)?;
             let victims = eviction.victims().map(|index| self.residents[index].model);
             return Some((victims.collect(), cost));
@@ -134,6 +143,20 @@
     }
 }
 
+impl IdleEngine<'_> {
+    fn eviction_choices(&self, demand: &DemandTable, smallest_model_mb: f64) -> EvictionChoices {
+        let candidates = self.residents.iter().map(|it| EvictionCandidate {
+            keep_value: it.value,
+            size_mb: it.size_mb,
+            running: demand.requests_at(self.ledger.key, it.model),
+            in_turn: it.in_turn,
+        });
+        let candidates: Vec<EvictionCandidate> = candidates.collect();
+        let options = EvictionOptions::default();
+        EvictionChoices::new(&candidates, self.free_mb, smallest_model_mb, options)
+    }
+}
+
 impl<'a> FleetSnapshot<'a> {
     /// Takes a snapshot of the fleet.
     pub fn new(
@@ -212,23 +235,12 @@
             .collect();
         residents.sort_by(|left, right| left.value.total_cmp(&right.value));
         let free_mb = ledger.free_mb(self.spec);
-        let choices = self.uses.map(|uses| {
-            let candidates = residents.iter().map(|it| EvictionCandidate {
-                keep_value: it.value,
-                size_mb: it.size_mb,
-                running: uses.demand.requests_at(ledger.key, it.model),
-                in_turn: it.in_turn,
-            });
-            let candidates: Vec<EvictionCandidate> = candidates.collect();
-            let options = EvictionOptions::default();
-            EvictionChoices::new(&candidates, free_mb, self.smallest_model_mb, options)
-        });
         IdleEngine {
             index,
             ledger,
             free_mb,
             residents,
-            choices,
+            choices: OnceCell::new(),
             adapter_cost: ADAPTER_DEMAND_COST * self.adapter_demand(ledger),
         }
     }
@@ -342,7 +354,7 @@
                 if (tier == Tier::Store) != from_store || residence.model(model).is_some() {
                     return None;
                 }
-                let (victims, cost) = engine.victims(size_mb, max_evicted_value)?;
+                let (victims, cost) = engine.victims(self, size_mb, max_evicted_value)?;
                 let disk_cost = if tier == Tier::Memory { 0.0 } else { 0.01 };
                 // A long load keeps the engine from loading the models that it has cached.
                 let blocked_cost = match (self.uses, tier) {
--- a/crates/holder/src/planner.rs
+++ b/crates/holder/src/planner.rs
@@ -64,6 +64,7 @@
     unload_time: UnloadTime,
     /// Factors on the numbers of replicas, by the lateness of the models' answers.
     pub(crate) replica_factors: HashMap<ModelName, ReplicaFactor>,
+    pub(crate) next_factors_ms: u64,
 }
 
 impl Planner {
@@ -84,6 +85,7 @@
             knows_uses: false,
             unload_time: UnloadTime::new(options.unload_check_ms),
             replica_factors: HashMap::new(),
+            next_factors_ms: 0,
         }
     }
 
