Observability: health checks that upstreams reject, with the limit that is known

Cause: a health check that an upstream rejected for want of room ended as a call 'look' or 'path_probe' with outcome 'unavailable'.

Change: the counter rejected_checks by whether a limit was known, and a line with the upstream and the call.

--- a/crates/entry/src/calls.rs
+++ b/crates/entry/src/calls.rs
@@ -300,6 +300,7 @@
                 Part::Head(head) => {
                     self.record_idle_time(token, &head);
                     self.record_limit_of_call(token, &head);
+                    self.record_rejected_check(token, &head);
                     self.handle_notices(token, &head);
                     let answer = CallAnswer {
                         status: head.status,
--- a/crates/entry/src/lib.rs
+++ b/crates/entry/src/lib.rs
@@ -25,6 +25,7 @@
 mod engine_probes;
 mod errors;
 mod failed_attempts;
+mod health_checks;
 mod learned_store;
 mod lifecycle;
 mod limits;
--- a/crates/entry/src/metrics.rs
+++ b/crates/entry/src/metrics.rs
@@ -86,6 +86,7 @@
     waited_for_owner: Counter,
     permits: Family<Reason, Counter>,
     limited_rejections: Family<Reason, Counter>,
+    rejected_checks: Family<Reason, Counter>,
     resumptions: Family<Reason, Counter>,
     pub stream_origins: Gauge,
     pub dropped_origins: Gauge,
@@ -160,6 +161,7 @@
             waited_for_owner: Counter::default(),
             permits: Family::default(),
             limited_rejections: Family::default(),
+            rejected_checks: Family::default(),
             resumptions: Family::default(),
             stream_origins: Gauge::default(),
             dropped_origins: Gauge::default(),
@@ -316,6 +318,16 @@
         count(&self.limited_rejections, reason);
     }
 
+    /// Counts a health check that an upstream rejected, by whether it was known to have a limit on
+    /// rejections.
+    pub fn rejected_check(&self, has_limit: bool) {
+        let reason = match has_limit {
+            true => "limited",
+            false => "unlimited",
+        };
+        count(&self.rejected_checks, reason);
+    }
+
     /// Counts a permit for an upstream that states a rate limit, as requested, granted or denied.
     pub fn permit(&self, outcome: &str) {
         count(&self.permits, outcome);
--- a/crates/entry/src/metrics/registration.rs
+++ b/crates/entry/src/metrics/registration.rs
@@ -209,6 +209,11 @@
              limit at the send",
             self.limited_rejections.clone(),
         );
+        registry.register(
+            "rejected_checks",
+            "Health checks that upstreams rejected, by whether they were known to have a limit on rejections",
+            self.rejected_checks.clone(),
+        );
         registry.register(
             "configuration_version",
             "Version of the configuration in force at this VM",
