Tests: instances of a plain service fall under health checks that no permit counts

Cause: no stand-in counted health checks. A plain instance had no room, and an engine's report passes it by. Per the users' protocol a health check waits for a slot, or is rejected, like any other request.

The soak tells rejections by what and by whom, judges health checks, too, and counts failures by service.

Health checks begin with one VM's unanswered probe, told to all, of which each probes for itself within 60 ms.

--- a/crates/soak/src/lib.rs
+++ b/crates/soak/src/lib.rs
@@ -93,6 +93,7 @@
 pub use rest_invariants::FullestRest;
 pub use rest_invariants::RestSeen;
 pub use rest_invariants::fullest_rest;
+pub use room_invariants::RejectionSeen;
 pub use room_invariants::RoomFailureSeen;
 pub use soak::Soak;
 pub use soak::SoakOptions;
--- a/crates/soak/src/observed.rs
+++ b/crates/soak/src/observed.rs
@@ -112,7 +112,8 @@
         rests
     }
 
-    fn vm_at(&self, address: Option<IpAddr>) -> Option<usize> {
+    /// Returns the VM with an address.
+    pub(crate) fn vm_at(&self, address: Option<IpAddr>) -> Option<usize> {
         (0..self.vms.len()).find(|vm| Some(vm_address(*vm)) == address)
     }
 }
--- a/crates/soak/src/rooms.rs
+++ b/crates/soak/src/rooms.rs
@@ -1,7 +1,9 @@
 //! Engines that state how many requests they may reject, and lose room.
 
 use apricotdale_standins::platform::RoomOptions;
+use apricotdale_standins::platform::RoomRejection;
 
+use crate::room_invariants::RejectionSeen;
 use crate::room_invariants::RoomFailureSeen;
 use crate::world::World;
 use crate::world::pause;
@@ -58,17 +60,30 @@
         }
     }
 
-    /// Returns the failures of engines under the requests that they had to reject.
+    /// Returns the failures of upstreams under what they had to reject.
     pub(crate) fn room_failures(&self) -> Vec<RoomFailureSeen> {
         let site = self.site.lock();
-        let failures = site.engines.iter().flat_map(|engine| {
-            let failures = engine.failures().into_iter();
-            failures.map(|failure| RoomFailureSeen {
-                upstream: engine.name().to_owned(),
+        let engines = site.engines.iter();
+        let of_engines = engines.map(|it| ("llm", it.name().to_owned(), it.failures()));
+        let services = site.services.iter();
+        let of_services = services.map(|it| (it.service(), it.name().to_owned(), it.failures()));
+        let mut seen = Vec::new();
+        for (service, upstream, failures) in of_engines.chain(of_services) {
+            seen.extend(failures.into_iter().map(|failure| RoomFailureSeen {
+                service: service.to_owned(),
+                upstream: upstream.clone(),
                 at_ms: self.clock.at_ms(failure.at),
-                rejected: failure.rejected,
-            })
+                rejected: self.rejections_seen(failure.rejected),
+            }));
+        }
+        seen
+    }
+
+    fn rejections_seen(&self, rejected: Vec<RoomRejection>) -> Vec<RejectionSeen> {
+        let rejected = rejected.into_iter().map(|it| RejectionSeen {
+            vm: self.vm_at(it.from),
+            id: it.id,
         });
-        failures.collect()
+        rejected.collect()
     }
 }
--- a/crates/soak/tests/room_records.rs
+++ b/crates/soak/tests/room_records.rs
@@ -6,6 +6,7 @@
 use apricotdale_soak::Invariant;
 use apricotdale_soak::Place;
 use apricotdale_soak::Record;
+use apricotdale_soak::RejectionSeen;
 use apricotdale_soak::RoomFailureSeen;
 use rstest::rstest;
 
@@ -20,9 +21,13 @@
     let id = record.attempts[0].id.clone();
     record.attempts[0].vm = 0;
     let failure = |index: usize| RoomFailureSeen {
+        service: "llm".to_owned(),
         upstream: format!("i-{index}"),
         at_ms: FAILED_MS,
-        rejected: vec![id.clone()],
+        rejected: vec![RejectionSeen {
+            id: id.clone(),
+            vm: None,
+        }],
     };
     record.room_failures = (0..failures).map(failure).collect();
     record
@@ -53,3 +58,24 @@
     });
     assert_eq!(broken_invariants(&record), []);
 }
+
+/// Guards against a check that overlooks failures under health checks, which no caller has sent, and one
+/// that adds up the failures of several services.
+#[rstest]
+#[case::one_service(["plain", "plain", "plain"], true)]
+#[case::two_services(["llm", "plain", "plain"], false)]
+fn rejected_checks(#[case] services: [&str; 3], #[case] broken: bool) {
+    let mut record = record(3);
+    for (failure, service) in record.room_failures.iter_mut().zip(services) {
+        failure.service = service.to_owned();
+        failure.rejected = vec![RejectionSeen {
+            id: String::new(),
+            vm: Some(0),
+        }];
+    }
+    let expected: &[Invariant] = match broken {
+        true => &[Invariant::OutlastsRejections],
+        false => &[],
+    };
+    assert_eq!(broken_invariants(&record), expected);
+}
--- a/crates/standins/src/platform/answers.rs
+++ b/crates/standins/src/platform/answers.rs
@@ -216,6 +216,14 @@
         self.with_limits(reply)
     }
 
+    /// Returns the answer to a health check, which states what other answers state.
+    pub fn healthy(&self) -> Reply {
+        let reply = Reply::json(200, &json!({}))
+            .with_header(INSTANCE, &self.instance)
+            .with_header(LOAD, &self.load_text());
+        self.with_limits(reply)
+    }
+
     /// Returns the answer to a request whose time is over while it runs.
     pub fn out_of_time(&self, request: &Request) -> Reply {
         Reply::json(504, &json!({}))
--- a/crates/standins/src/platform/engine.rs
+++ b/crates/standins/src/platform/engine.rs
@@ -19,7 +19,6 @@
 use crate::platform::answer_faults::AnswerFault;
 use crate::platform::answers::Answers;
 use crate::platform::answers::RecordedRun;
-use crate::platform::answers::id_of;
 use crate::platform::crashes::CrashTrigger;
 use crate::platform::engine_entry::Entry;
 use crate::platform::engine_pace::EnginePace;
@@ -373,7 +372,7 @@
 
     /// Serves a request within the engine's room.
     fn serve_within_room(self: &Arc<Self>, request: &Request) -> Reply {
-        match self.answers.room.enter(id_of(request)) {
+        match self.answers.room.enter(request) {
             Entrance::Place(place) => place.kept_by(self.serve(request)),
             Entrance::Rejected => {
                 self.answers.rejections.lock().push(Instant::now());
--- a/crates/standins/src/platform/engine_entry.rs
+++ b/crates/standins/src/platform/engine_entry.rs
@@ -9,6 +9,9 @@
 /// Start of the first incarnation of each engine, in Unix milliseconds.
 const FIRST_START_MS: u64 = 1_700_000_000_000;
 
+/// Slots that the entry states unless the engine's room is set.
+const SLOTS: usize = 8;
+
 /// Time between the starts of two incarnations, in milliseconds.
 const RESTART_INTERVAL_MS: u64 = 1_000;
 
@@ -41,7 +44,7 @@
         value["address"] = json!(address.to_string());
         value["zone"] = json!(self.options.zone);
         value["version"] = json!(*self.answers.software_version.lock());
-        value["slots"] = json!(self.answers.room.stated_slots());
+        value["slots"] = json!(self.answers.room.stated_slots(SLOTS));
         value["state"] = json!(if entry.draining { "draining" } else { "ready" });
         value["cold_remaining_ms"] = json!(0);
         value["sequence"] = json!(entry.revision);
--- a/crates/standins/src/platform/mod.rs
+++ b/crates/standins/src/platform/mod.rs
@@ -54,6 +54,7 @@
 pub use organisations::SiteOrganisation;
 pub use room::RoomFailure;
 pub use room::RoomOptions;
+pub use room::RoomRejection;
 pub use service::PlatformService;
 pub use silence::SilencePoint;
 pub use site::Site;
--- a/crates/standins/src/platform/room.rs
+++ b/crates/standins/src/platform/room.rs
@@ -1,6 +1,7 @@
 //! Room of an upstream, which fails if it has to reject too many requests.
 
 use std::collections::VecDeque;
+use std::net::IpAddr;
 use std::sync::Arc;
 use std::time::Duration;
 use std::time::Instant;
@@ -8,10 +9,11 @@
 use parking_lot::Mutex;
 
 use crate::http::Reply;
+use crate::http::Request;
 use crate::http::Stream;
+use crate::platform::answers::id_of;
 
-/// Slots and load that an upstream without a set room states.
-const DEFAULT_SLOTS: usize = 8;
+/// Load that an upstream without a set room states.
 const DEFAULT_LOAD: &str = "1,0,8";
 
 /// Time over which rejections are counted.
@@ -30,20 +32,29 @@
     pub down: Option<Duration>,
 }
 
+/// Request or health check that an upstream rejected for want of room.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct RoomRejection {
+    /// ID of the request; empty for a health check.
+    pub id: String,
+    /// Address that it came from.
+    pub from: Option<IpAddr>,
+}
+
 /// Failure of an upstream under the requests that it had to reject.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub struct RoomFailure {
     /// Time of the failure.
     pub at: Instant,
-    /// IDs of the requests that it rejected in the second before.
-    pub rejected: Vec<String>,
+    /// What it rejected in the second before.
+    pub rejected: Vec<RoomRejection>,
 }
 
 #[derive(Debug, Default)]
 struct State {
     options: Option<RoomOptions>,
     running: usize,
-    recent_rejections: VecDeque<(Instant, String)>,
+    recent_rejections: VecDeque<(Instant, RoomRejection)>,
     is_down: bool,
     failures: Vec<RoomFailure>,
 }
@@ -96,10 +107,10 @@
         self.0.lock().options = options;
     }
 
-    /// Returns the slots that the upstream states.
-    pub fn stated_slots(&self) -> usize {
+    /// Returns the slots that the upstream states; `unset` if its room has not been set.
+    pub fn stated_slots(&self, unset: usize) -> usize {
         let options = self.0.lock().options;
-        options.map_or(DEFAULT_SLOTS, |options| options.stated_slots)
+        options.map_or(unset, |options| options.stated_slots)
     }
 
     /// Returns the load that answers state.
@@ -111,8 +122,8 @@
         }
     }
 
-    /// Takes a place for a request, if there is one.
-    pub fn enter(self: &Arc<Self>, id: &str) -> Entrance {
+    /// Takes a place for a request or health check, if there is one.
+    pub fn enter(self: &Arc<Self>, request: &Request) -> Entrance {
         let mut state = self.0.lock();
         let Some(options) = state.options else {
             state.running += 1;
@@ -126,7 +137,11 @@
             return Entrance::Place(Place(self.clone()));
         }
         let now = Instant::now();
-        state.recent_rejections.push_back((now, id.to_owned()));
+        let rejection = RoomRejection {
+            id: id_of(request).to_owned(),
+            from: request.caller.address(),
+        };
+        state.recent_rejections.push_back((now, rejection));
         state
             .recent_rejections
             .retain(|(at, _)| now.duration_since(*at) < WINDOW);
@@ -136,7 +151,7 @@
         let rejected = std::mem::take(&mut state.recent_rejections).into_iter();
         let failure = RoomFailure {
             at: now,
-            rejected: rejected.map(|(_, id)| id).collect(),
+            rejected: rejected.map(|(_, it)| it).collect(),
         };
         state.failures.push(failure);
         state.is_down = options.down.is_some();
@@ -151,6 +166,11 @@
         self.0.lock().is_down
     }
 
+    /// Has the upstream fail for another reason.
+    pub fn fail(&self) {
+        self.0.lock().is_down = true;
+    }
+
     /// Ends a failure.
     pub fn recover(&self) {
         self.0.lock().is_down = false;
--- a/crates/standins/src/platform/service.rs
+++ b/crates/standins/src/platform/service.rs
@@ -8,6 +8,7 @@
 use std::sync::atomic::Ordering;
 use std::thread;
 use std::time::Duration;
+use std::time::Instant;
 
 use parking_lot::Mutex;
 use serde_json::json;
@@ -22,11 +23,17 @@
 use crate::platform::answers::contains;
 use crate::platform::answers::time_left;
 use crate::platform::notices::Notices;
+use crate::platform::room::Entrance;
+use crate::platform::room::RoomFailure;
+use crate::platform::room::RoomOptions;
 use crate::platform::store::PlatformStore;
 
 /// Path of the health check in the site's configuration.
 const HEALTH_PATH: &str = "/health";
 
+/// Slots that the entry states unless the instance's room is set.
+const SLOTS: usize = 6;
+
 /// One instance of a plain service.
 pub struct PlatformService {
     instance: String,
@@ -41,6 +48,7 @@
     has_crashed: AtomicBool,
     /// Marker in the bodies of requests from which on the answers state a rate limit, and the limit.
     limit_trigger: Mutex<Option<(Vec<u8>, String)>>,
+    health_checks: Mutex<Vec<Instant>>,
 }
 
 impl PlatformService {
@@ -57,6 +65,7 @@
             crash: Mutex::default(),
             has_crashed: AtomicBool::default(),
             limit_trigger: Mutex::default(),
+            health_checks: Mutex::default(),
         }
     }
 
@@ -65,6 +74,11 @@
         &self.instance
     }
 
+    /// Returns the name of the service.
+    pub fn service(&self) -> &str {
+        &self.service
+    }
+
     /// Makes the instance crash at each request whose body contains a marker.
     pub(crate) fn crash_on(&self, marker: &[u8], stopper: Stopper) {
         *self.crash.lock() = Some((marker.to_vec(), stopper));
@@ -94,7 +108,7 @@
         let revision = self.revision.fetch_add(1, Ordering::Relaxed) + 1;
         let entry = json!({
             "service": self.service, "address": address.to_string(), "zone": "zone-a",
-            "version": "v1", "slots": 6, "state": "ready", "cold_remaining_ms": 0,
+            "version": "v1", "slots": self.answers.room.stated_slots(SLOTS), "state": "ready", "cold_remaining_ms": 0,
             "sequence": revision,
         });
         self.store.put(
@@ -115,6 +129,44 @@
         *self.answers.rate_limit.lock() = rate_limit.map(str::to_owned);
     }
 
+    /// Sets the text of the limit on rejections that the answers state; none to state none.
+    pub fn set_rejection_limit(&self, rejection_limit: Option<&str>) {
+        *self.answers.rejection_limit.lock() = rejection_limit.map(str::to_owned);
+    }
+
+    /// Bounds the requests and health checks that the instance answers at once, and the rejections
+    /// that it bears; none to bound neither.
+    pub fn set_room(&self, room: Option<RoomOptions>) {
+        self.answers.room.set(room);
+    }
+
+    /// Returns the failures of the instance under what it had to reject.
+    pub fn failures(&self) -> Vec<RoomFailure> {
+        self.answers.room.failures()
+    }
+
+    /// Returns the times at which requests and health checks were rejected for want of room.
+    pub fn rejections(&self) -> Vec<Instant> {
+        self.answers.rejections.lock().clone()
+    }
+
+    /// Returns the times at which health checks were answered or rejected.
+    pub fn health_checks(&self) -> Vec<Instant> {
+        self.health_checks.lock().clone()
+    }
+
+    /// Makes the instance fail as if it had rejected too much: it closes connections without an
+    /// answer, and is back after a time.
+    pub fn fail(self: &Arc<Self>, down: Duration) {
+        self.answers.room.fail();
+        let instance = self.clone();
+        thread::spawn(move || {
+            thread::sleep(down);
+            instance.answers.room.recover();
+            instance.rewrite_entry();
+        });
+    }
+
     /// Makes the instance send nothing for a time and then go on where it stopped: requests and
     /// health checks that arrived meanwhile are answered.
     pub fn be_silent(&self, duration: Duration) {
@@ -150,12 +202,31 @@
         self.answers.left.lock().clone()
     }
 
-    fn answer(&self, request: &Request) -> Reply {
+    /// Answers a request or health check within the instance's room.
+    fn answer_within_room(self: &Arc<Self>, request: &Request) -> Reply {
         if let Some(reply) = self.answers.misdirected(request) {
             return reply;
         }
-        if (request.method.as_str(), request.path.as_str()) == ("GET", HEALTH_PATH) {
-            return Reply::json(200, &json!({}));
+        if is_health_check(request) {
+            self.health_checks.lock().push(Instant::now());
+        }
+        match self.answers.room.enter(request) {
+            Entrance::Place(place) => place.kept_by(self.answer(request)),
+            Entrance::Rejected => {
+                self.answers.rejections.lock().push(Instant::now());
+                self.answers.not_run(request, 503)
+            }
+            Entrance::Failed { down } => {
+                self.fail(down);
+                Reply::Lost
+            }
+            Entrance::Lost => Reply::Lost,
+        }
+    }
+
+    fn answer(&self, request: &Request) -> Reply {
+        if is_health_check(request) {
+            return self.answers.healthy();
         }
         if self.answers.notices.apply_triggers(request) {
             return self.answers.not_run(request, 503);
@@ -187,10 +258,17 @@
 
 impl Handler for PlatformService {
     fn handle(self: Arc<Self>, request: &Request) -> Reply {
+        if self.answers.room.is_down() {
+            return Reply::Lost;
+        }
         self.answers.notices.record_arrival(request);
         self.answers.silence.wait();
-        let reply = self.answer(request);
+        let reply = self.answer_within_room(request);
         self.answers.silence.wait();
         reply
     }
 }
+
+fn is_health_check(request: &Request) -> bool {
+    (request.method.as_str(), request.path.as_str()) == ("GET", HEALTH_PATH)
+}
