LIMIT: units at risk that are in flight are not replaced by what accrues

Cause: what accrues in the account of a limit on rejections (0.25 N a second) filled the bucket although granted units were still in flight. While an upstream is silent none is settled: after three seconds 0.7 N and 0.75 N may be under way, and are rejected at once. Besides, a request that was abandoned 500 ms after its send was refunded on the ground that its upstream had taken it in, which a silent one has not. Class: an account settled by time, not by evidence.

Change: VMs report their units in flight, and the owner fills the bucket up to what they leave (ReportExtra::in_flight, None in reports of earlier releases, whose units are not counted). A unit is settled by a rejection or a lost connection; an abandoned request's is refunded if its upstream has sent something 500 ms after the send or later, and settled otherwise once it sends something, is gone, or 4 s after the send.

--- a/crates/dispatch/src/liveness.rs
+++ b/crates/dispatch/src/liveness.rs
@@ -83,6 +83,13 @@
         state.in_progress += 1;
     }
 
+    /// Has data from an engine recorded even if no request was sent to it.
+    pub fn track(&mut self, engine: &UpstreamName) {
+        if !self.by_name.contains_key(engine) {
+            self.by_name.insert(engine.clone(), EngineState::default());
+        }
+    }
+
     /// Records that data came from an engine.
     pub fn heard(&mut self, now_ms: u64, engine: &UpstreamName) {
         if let Some(state) = self.by_name.get_mut(engine) {
@@ -124,17 +131,27 @@
             .is_some_and(|it| it.is_unresponsive)
     }
 
+    /// Returns whether an engine with requests in progress has sent nothing since a time.
+    pub fn is_silent_since(&self, engine: &UpstreamName, since_ms: u64) -> bool {
+        let state = self.by_name.get(engine);
+        let is_heard = |state: &EngineState| state.heard_ms.is_some_and(|it| it >= since_ms);
+        state.is_some_and(|state| state.in_progress > 0 && !is_heard(state))
+    }
+
     /// Returns the engines to probe now. Each is returned once until its probe is reported to
     /// [`LivenessMonitor::record_probe`].
     pub fn due(&mut self, now_ms: u64) -> Vec<UpstreamName> {
-        self.by_name
+        let mut due: Vec<UpstreamName> = self
+            .by_name
             .iter_mut()
             .filter(|(_, state)| state.due_ms().is_some_and(|due_ms| due_ms <= now_ms))
             .map(|(name, state)| {
                 state.probe_in_progress = true;
                 name.clone()
             })
-            .collect()
+            .collect();
+        due.sort_unstable();
+        due
     }
 
     /// Returns when the next engine is to be probed, or `u64::MAX` if none is.
@@ -171,6 +188,15 @@
         ProbeOutcome::Unresponsive
     }
 
+    /// Records that a probe has shown nothing, or that what it would show is already known. The engine
+    /// is not probed again before a time.
+    pub fn defer_probe(&mut self, engine: &UpstreamName, until_ms: u64) {
+        if let Some(state) = self.by_name.get_mut(engine) {
+            state.probe_in_progress = false;
+            state.next_probe_ms = until_ms;
+        }
+    }
+
     /// Returns whether no data comes from most engines at which this VM has requests.
     fn is_cut_off(&self, now_ms: u64) -> bool {
         let busy = self.by_name.values().filter(|it| it.in_progress > 0);
--- a/crates/entry/src/failed_attempts.rs
+++ b/crates/entry/src/failed_attempts.rs
@@ -57,7 +57,8 @@
                 self.crash_watch
                     .record_trial_end(self.now_ms, number, is_lost);
             }
-            self.end_rejection_permit(key, sent_ms);
+            let was_abandoned = outcome == UpstreamOutcome::Cancelled;
+            self.end_rejection_permit(key, &upstream, sent_ms, was_abandoned);
             self.end_statement_check(&upstream, outcome);
         }
     }
--- a/crates/entry/src/lib.rs
+++ b/crates/entry/src/lib.rs
@@ -52,6 +52,7 @@
 mod stream_origins;
 mod stream_resumption;
 mod unanswered;
+mod unsettled_permits;
 mod upstream_answers;
 mod upstream_notices;
 mod upstream_paths;
--- a/crates/entry/src/rejection_permits.rs
+++ b/crates/entry/src/rejection_permits.rs
@@ -51,10 +51,6 @@
 /// refunded as soon as requests are accepted.
 const MAX_DENIED_MS: u64 = 60;
 
-/// Time after which an upstream that has not rejected a request has taken it in. The permit of a
-/// request that is abandoned earlier is not refunded.
-const TAKEN_IN_MS: u64 = 500;
-
 /// Questions of a VM that has started, and how long its requests wait for the answer.
 #[derive(Debug, Default)]
 pub(crate) struct StartGate {
@@ -363,14 +359,6 @@
         }
     }
 
-    /// Ends the permit of a request whose attempt has ended without an answer.
-    pub(crate) fn end_rejection_permit(&mut self, key: u64, sent_ms: u64) {
-        match self.now_ms >= sent_ms + TAKEN_IN_MS {
-            true => self.refund_rejection_permit(key),
-            false => drop(self.upstream_permits.at_risk.remove(&key)),
-        }
-    }
-
     /// Records how many further requests an upstream accepts, for the owner of the permits.
     pub(crate) fn record_upstream_room(&mut self, upstream: &UpstreamName, requests: u32) {
         if self.dispatcher.rejection_limits().is_any() {
@@ -392,7 +380,8 @@
             self.refund_rejection_permit(key);
             return;
         }
-        let had_permit = self.upstream_permits.at_risk.remove(&key).is_some();
+        let had_permit = self.upstream_permits.at_risk.contains_key(&key);
+        self.settle_rejection_permit(key);
         let Some(service) = self
             .directory
             .upstream(upstream)
@@ -400,11 +389,10 @@
         else {
             return;
         };
-        let limits = self.dispatcher.rejection_limits_mut();
+        let limits = self.dispatcher.rejection_limits();
         let Some(limit) = limits.limit(&service, upstream) else {
             return;
         };
-        limits.record_rejection(self.now_ms, upstream);
         let was_known = limits.was_known(&service, sent_ms);
         self.metrics.limited_rejection(was_known);
         if self.log_budget.try_take(self.now_ms, false) {
@@ -414,6 +402,13 @@
                 "upstream with a limit on rejections rejected a request"
             );
         }
+        self.announce_rejection(upstream, limit);
+    }
+
+    /// Sends an upstream that has rejected something nothing for a moment, and has the other VMs do so.
+    pub(crate) fn announce_rejection(&mut self, upstream: &UpstreamName, limit: RateLimit) {
+        let limits = self.dispatcher.rejection_limits_mut();
+        limits.record_rejection(self.now_ms, upstream);
         let upstream = upstream.clone();
         self.peers
             .send_all(&PeerMessage::Rejected { upstream, limit });
@@ -455,6 +450,6 @@
 }
 
 /// Returns the account of the requests to an upstream that it has not accepted yet.
-fn account(upstream: &UpstreamName) -> AccountId {
+pub(crate) fn account(upstream: &UpstreamName) -> AccountId {
     AccountId::of(&format!("rejections/{upstream}"))
 }
--- a/crates/entry/src/upstream_permits.rs
+++ b/crates/entry/src/upstream_permits.rs
@@ -27,6 +27,7 @@
 use crate::messages::PeerMessage;
 use crate::peers::ROWS_PER_DATAGRAM;
 use crate::rejection_permits::StartGate;
+use crate::unsettled_permits::UnsettledPermit;
 
 /// Tolerance of the upstreams' limits. None of it is used regularly: it covers what VMs do not know
 /// of each other.
@@ -96,6 +97,7 @@
     pending: HashMap<u64, PendingRequest>,
     /// Accounts of the permits of sent requests that no upstream has accepted yet, by request key.
     pub(crate) at_risk: HashMap<u64, AccountId>,
+    pub(crate) unsettled: Vec<UnsettledPermit>,
     pub(crate) start: StartGate,
     pub(crate) next_owner_question_ms: u64,
     /// Whether limits on rejections have changed since the accounts were set.
@@ -116,6 +118,7 @@
             owner: QuotaOwner::new(incarnation, PERMIT_BOUNDS),
             pending: HashMap::new(),
             at_risk: HashMap::new(),
+            unsettled: Vec::new(),
             start: StartGate::default(),
             next_owner_question_ms: 0,
             are_rules_outdated: false,
@@ -138,7 +141,9 @@
 
     /// Returns when the next message or retry is due.
     pub fn next_ms(&self) -> u64 {
+        let unsettled = self.unsettled.iter().map(UnsettledPermit::until_ms);
         [
+            unsettled.min().unwrap_or(u64::MAX),
             self.client.next_ms(),
             self.start.next_ms(),
             self.next_refresh_ms,
@@ -349,6 +354,7 @@
     pub(crate) fn advance_upstream_permits(&mut self) {
         let now_ms = self.now_ms;
         self.ask_for_stated_limits();
+        self.settle_abandoned_permits();
         if self.upstream_permits.are_rules_outdated {
             self.apply_stated_limits();
         }
--- a/crates/quota/src/client.rs
+++ b/crates/quota/src/client.rs
@@ -11,6 +11,7 @@
 use crate::budget::Bounds;
 use crate::budget::Budget;
 use crate::message::AccountId;
+use crate::message::AccountInFlight;
 use crate::message::AccountRoom;
 use crate::message::AccountTurns;
 use crate::message::AccountUsage;
@@ -103,6 +104,10 @@
     granted: VecDeque<(u64, u64)>,
     /// Units at risk that the owner has granted since this VM reports to it.
     granted_total: u64,
+    /// Units at risk of requests that were sent and are not settled.
+    in_flight: u64,
+    /// What was last reported of them, with the number of the report; `None` if nothing was.
+    reported_in_flight: Option<(AccountInFlight, u64)>,
     /// Time until which no units are requested, and the time after which callers may retry.
     denied_until_ms: u64,
     retry_after_ms: u64,
@@ -207,6 +212,8 @@
                     is_near_limit: true,
                     granted: VecDeque::new(),
                     granted_total: 0,
+                    in_flight: 0,
+                    reported_in_flight: None,
                     denied_until_ms: 0,
                     retry_after_ms: 0,
                     denied_rank: 0,
@@ -310,6 +317,9 @@
             };
         }
         if account.use_grants(now_ms, key, rank, units) {
+            if account.budget.is_at_risk() {
+                account.in_flight += units;
+            }
             return Admission::Admitted;
         }
         let unreported = account.spent - account.acknowledged;
@@ -369,6 +379,7 @@
         let Some(account) = self.accounts.get_mut(&id) else {
             return false;
         };
+        account.in_flight = account.in_flight.saturating_sub(1);
         if !account.pending.is_empty() {
             let until_ms = now_ms + account.budget.grant_ttl_ms();
             account.granted.push_back((1, until_ms));
@@ -379,6 +390,13 @@
         false
     }
 
+    /// Records that a unit at risk will not be refunded, since its request was rejected or lost.
+    pub fn settle(&mut self, id: AccountId) {
+        if let Some(account) = self.accounts.get_mut(&id) {
+            account.in_flight = account.in_flight.saturating_sub(1);
+        }
+    }
+
     /// Records how many further requests the upstream of an account accepts, for the next report.
     pub fn record_room(&mut self, now_ms: u64, id: AccountId, requests: u32) {
         if let Some(account) = self.accounts.get_mut(&id) {
@@ -480,6 +498,11 @@
                 age_ms: now_ms.saturating_sub(at_ms) as u32,
             })
         });
+        let rooms = rooms.collect();
+        let in_flight = match owner {
+            Some(_) => self.changed_in_flight(now_ms),
+            None => Vec::new(),
+        };
         Some(Report {
             vm: self.incarnation,
             number: self.last_report_number,
@@ -488,12 +511,36 @@
             usages,
             extra: ReportExtra {
                 joined: self.joined_number,
-                rooms: rooms.collect(),
+                rooms,
                 wants,
+                in_flight: Some(in_flight),
             },
         })
     }
 
+    /// Returns the units in flight that the owner does not know yet.
+    fn changed_in_flight(&mut self, now_ms: u64) -> Vec<AccountInFlight> {
+        let (number, answered_number) = (self.last_report_number, self.last_answered_number);
+        let mut changed = Vec::new();
+        for (id, account) in &mut self.accounts {
+            let units = account.in_flight + account.valid_units(now_ms);
+            let row = AccountInFlight {
+                account: *id,
+                units: units.try_into().unwrap_or(u32::MAX),
+                granted: account.granted_total,
+            };
+            let is_known = match account.reported_in_flight {
+                Some((reported, at)) => reported == row && at <= answered_number,
+                None => row.units == 0 && row.granted == 0,
+            };
+            if account.budget.is_at_risk() && !is_known {
+                account.reported_in_flight = Some((row, number));
+                changed.push(row);
+            }
+        }
+        changed
+    }
+
     fn select_owner(&mut self, now_ms: u64, candidates: usize) {
         let has_at_risk = self.accounts.values().any(|it| it.budget.is_at_risk());
         let max_unanswered = match has_at_risk {
@@ -584,6 +631,7 @@
             account.spent -= account.acknowledged;
             account.acknowledged = 0;
             account.granted_total = 0;
+            account.reported_in_flight = None;
             account.local_level = 0.0;
             account.ranked_until_ms = 0;
         }
--- a/crates/quota/src/lib.rs
+++ b/crates/quota/src/lib.rs
@@ -34,6 +34,7 @@
 pub use client::Admission;
 pub use client::QuotaClient;
 pub use message::AccountId;
+pub use message::AccountInFlight;
 pub use message::AccountRoom;
 pub use message::AccountTurns;
 pub use message::AccountUsage;
--- a/crates/quota/src/message.rs
+++ b/crates/quota/src/message.rs
@@ -67,6 +67,21 @@
     /// Units that pending requests want, by rank; absent in reports of earlier releases.
     #[serde(deserialize_with = "or_default")]
     pub wants: Vec<AccountWants>,
+    /// Units at risk that are neither refunded nor lost, where that has changed; `None` in reports of
+    /// earlier releases.
+    #[serde(deserialize_with = "or_default")]
+    pub in_flight: Option<Vec<AccountInFlight>>,
+}
+
+/// Units at risk of one VM and account whose requests have not been answered.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct AccountInFlight {
+    /// Account of the units.
+    pub account: AccountId,
+    /// Number of units, granted ones that wait for their use included.
+    pub units: u32,
+    /// Total number of granted units that the VM has received from this owner.
+    pub granted: u64,
 }
 
 /// Units that the pending requests of one VM want from one account.
--- a/crates/quota/src/owner.rs
+++ b/crates/quota/src/owner.rs
@@ -8,6 +8,7 @@
 use crate::budget::Bounds;
 use crate::budget::Budget;
 use crate::message::AccountId;
+use crate::message::AccountInFlight;
 use crate::message::AccountTurns;
 use crate::message::AccountUsage;
 use crate::message::Allowance;
@@ -25,6 +26,9 @@
 /// Time since its last report for which a VM's reported usage is kept.
 const MEMBER_RETENTION_MS: u64 = 60_000;
 
+/// Time between two removals of the units in flight of VMs that no longer report.
+const EXPIRY_INTERVAL_MS: u64 = 250;
+
 /// Time over which denied units are added up.
 const BACKLOG_WINDOW_MS: u64 = 500;
 
@@ -44,6 +48,8 @@
     budget: Budget,
     /// Units in the bucket; negative if VMs have used more than accrued.
     level: f64,
+    /// Units at risk of the VMs that are neither refunded nor lost.
+    in_flight: u64,
     /// Share of all VMs that report to this owner, from 0 to 1.
     share: f64,
     /// Units denied since `backlog_ms`.
@@ -72,6 +78,8 @@
     joined: u64,
     /// Units at risk granted since then.
     granted: BTreeMap<AccountId, u64>,
+    /// Units at risk that are neither refunded nor lost; `None` of a VM that does not report them.
+    in_flight: Option<BTreeMap<AccountId, u64>>,
 }
 
 /// Token buckets of all organisations that have a limit.
@@ -83,6 +91,8 @@
     members: BTreeMap<u64, Member>,
     /// Number of VMs in the fleet, at least 1.
     vms: usize,
+    /// When units in flight of VMs that no longer report are next dropped.
+    next_expiry_ms: u64,
 }
 
 impl QuotaOwner {
@@ -95,6 +105,7 @@
             accounts: BTreeMap::new(),
             members: BTreeMap::new(),
             vms: 1,
+            next_expiry_ms: 0,
         }
     }
 
@@ -128,6 +139,7 @@
                         true => budget.bucket(),
                         false => 0.0,
                     },
+                    in_flight: 0,
                     share: 0.0,
                     backlog: 0.0,
                     backlog_ms: now_ms,
@@ -171,7 +183,7 @@
             account.share = share;
             let capacity = account.bucket(now_ms);
             account.order.accrue(now_ms, accrued, capacity);
-            account.level = (account.level + accrued).min(capacity);
+            account.raise(now_ms, accrued);
         }
     }
 
@@ -185,6 +197,7 @@
             }
             if member.joined != report.extra.joined {
                 // The VM counts from the beginning since it has reported to another owner.
+                remove_in_flight(&mut self.accounts, member);
                 *member = Member {
                     joined: report.extra.joined,
                     ..Member::default()
@@ -194,6 +207,13 @@
             member.last_received_ms = now_ms;
             let ceded_ms = report.ceded_ms.saturating_sub(member.ceded_ms);
             member.ceded_ms = report.ceded_ms;
+            for row in report.extra.in_flight.iter().flatten() {
+                record_in_flight(&mut self.accounts, member, row);
+            }
+            if report.extra.in_flight.is_some() {
+                member.in_flight.get_or_insert_default();
+            }
+            self.expire_in_flight(now_ms);
             self.accrue(now_ms, ceded_ms);
         }
         for room in &report.extra.rooms {
@@ -259,7 +279,7 @@
             allowance.retry_after_ms = (usage.wanted > 0).then_some(MIN_RETRY_AFTER_MS as u32);
             return allowance;
         };
-        account.level = (account.level - more as f64).min(account.bucket(now_ms));
+        account.raise(now_ms, -more as f64);
         if usage.wanted == 0 {
             return allowance;
         }
@@ -284,6 +304,10 @@
         if account.budget.is_at_risk() {
             let total = member.granted.entry(usage.account).or_default();
             *total += allowance.granted;
+            if let Some(in_flight) = &mut member.in_flight {
+                *in_flight.entry(usage.account).or_default() += allowance.granted;
+                account.in_flight += allowance.granted;
+            }
             let missing_units = usage.wanted.saturating_sub(allowance.granted);
             allowance.granted = *total;
             let is_missing = missing_units > 0;
@@ -297,6 +321,19 @@
         allowance
     }
 
+    /// Drops the units in flight of VMs that no longer report.
+    fn expire_in_flight(&mut self, now_ms: u64) {
+        if now_ms < self.next_expiry_ms {
+            return;
+        }
+        self.next_expiry_ms = now_ms + EXPIRY_INTERVAL_MS;
+        for member in self.members.values_mut() {
+            if now_ms >= member.last_received_ms + MEMBER_TTL_MS {
+                remove_in_flight(&mut self.accounts, member);
+            }
+        }
+    }
+
     /// Removes the state of VMs that have not reported for a minute.
     pub fn remove_inactive(&mut self, now_ms: u64) {
         self.members
@@ -310,6 +347,29 @@
     }
 }
 
+/// Records the units in flight of a VM, with those that it has been granted and has not received yet.
+fn record_in_flight(
+    accounts: &mut BTreeMap<AccountId, Account>,
+    member: &mut Member,
+    row: &AccountInFlight,
+) {
+    let granted = member.granted.get(&row.account).copied().unwrap_or(0);
+    let units = u64::from(row.units) + granted.saturating_sub(row.granted);
+    let in_flight = member.in_flight.get_or_insert_default();
+    let before = in_flight.insert(row.account, units).unwrap_or(0);
+    if let Some(account) = accounts.get_mut(&row.account) {
+        account.in_flight = (account.in_flight + units).saturating_sub(before);
+    }
+}
+
+fn remove_in_flight(accounts: &mut BTreeMap<AccountId, Account>, member: &mut Member) {
+    for (id, units) in member.in_flight.take().unwrap_or_default() {
+        if let Some(account) = accounts.get_mut(&id) {
+            account.in_flight = account.in_flight.saturating_sub(units);
+        }
+    }
+}
+
 /// Returns the requests of a VM that does not list them: the oldest one, and the others as one.
 fn unlisted_requests(usage: &AccountUsage) -> Vec<WantedUnits> {
     let oldest = usage.oldest.min(usage.wanted);
@@ -332,6 +392,19 @@
         }
     }
 
+    /// Adds units to the bucket, or takes some if `units` is negative. What accrues replaces units that
+    /// were lost: those in flight may all be rejected at once, after a silence of the upstream, and count
+    /// until then.
+    fn raise(&mut self, now_ms: u64, units: f64) {
+        let capacity = self.bucket(now_ms);
+        let free = match self.budget.is_at_risk() {
+            true => capacity - self.in_flight as f64,
+            false => capacity,
+        };
+        let level = self.level + units;
+        self.level = level.min(free.max(self.level)).min(capacity);
+    }
+
     fn bucket_state(&self, now_ms: u64) -> BucketState {
         BucketState {
             now_ms,
--- a/crates/quota/tests/message_parts.rs
+++ b/crates/quota/tests/message_parts.rs
@@ -51,6 +51,7 @@
             account: account(),
             requests: vec![wanted(9_190); MAX_LISTED_REQUESTS],
         }],
+        in_flight: Some(Vec::new()),
     }
 }
 
@@ -83,6 +84,7 @@
     let read: ReportExtra = postcard::from_bytes(&bytes).expect("decodes");
     let expected = ReportExtra {
         wants: Vec::new(),
+        in_flight: None,
         ..extra()
     };
     assert_eq!(read, expected);
--- a/crates/quota/tests/owner_rules.rs
+++ b/crates/quota/tests/owner_rules.rs
@@ -12,6 +12,7 @@
 use apricotdale_quota::QuotaOwner;
 use apricotdale_quota::Report;
 use apricotdale_quota::ReportExtra;
+use rstest::rstest;
 
 const START_MS: u64 = 100_000;
 const RATE_PER_S: f64 = 1_000.0;
@@ -404,3 +405,48 @@
     }
     assert_eq!(admitted, 4, "as many as the bucket holds");
 }
+
+/// Guards against units that accrue for requests which are still in flight, as at an upstream that is
+/// silent: it may reject the old and the new ones at once.
+#[rstest]
+#[case::in_flight(None)]
+#[case::rejected(Some(false))]
+#[case::accepted(Some(true))]
+fn in_flight_not_replaced(#[case] is_accepted: Option<bool>) {
+    const BUCKET: usize = 4;
+    let (mut owner, _) = at_risk_owner();
+    let mut client = QuotaClient::new(2, BOUNDS);
+    client.set_accounts(START_MS, [(account(), AT_RISK)]);
+    let mut now_ms = START_MS + 1_000;
+    let mut admit_all = |client: &mut QuotaClient, keys: std::ops::Range<u64>, from_ms: u64| {
+        now_ms = now_ms.max(from_ms);
+        let mut admitted = 0;
+        for key in keys {
+            let is_at_once = client.admit(now_ms, account(), key, 1) == Admission::Admitted;
+            now_ms += 400;
+            let report = client.due_report(now_ms, 1).expect("a report");
+            let answer = owner.handle(now_ms, &report).expect("an answer");
+            client.handle(now_ms, &answer);
+            let is_admitted =
+                is_at_once || client.admit(now_ms, account(), key, 1) == Admission::Admitted;
+            admitted += usize::from(is_admitted);
+            client.withdraw(account(), key);
+        }
+        admitted
+    };
+    admit_all(&mut client, 0..1, START_MS);
+    assert_eq!(admit_all(&mut client, 1..8, START_MS), BUCKET);
+    let later_ms = START_MS + 4_000;
+    for _ in 0..BUCKET {
+        match is_accepted {
+            Some(true) => drop(client.refund(later_ms, account())),
+            Some(false) => client.settle(account()),
+            None => {}
+        }
+    }
+    let admitted = admit_all(&mut client, 10..40, later_ms);
+    match is_accepted {
+        Some(_) => assert_eq!(admitted, BUCKET),
+        None => assert_eq!(admitted, 0),
+    }
+}
