LIMIT: VMs share health checks, and each one needs the permits of a request

Callers saw: small services (three instances) fell again and again while their instances rejected too much.

Cause: a health check takes room, or is rejected, like a request, and no permit counted it. One VM's check that was not answered in 600 ms was told to all, and each VM checked for itself within 60 ms (60 VMs: 60 checks), again each 250 to 300 ms. What had been silent got all of them when it went on, rejected them, fell, and met the next round when it was back: a loop that feeds itself and grows with the fleet. Class: a send that no account knows; and N observers that probe one suspect.

Change: a VM whose requests at such an upstream are silent asks another VM, which all choose alike, instead of checking; that VM checks once for all (HealthChecks, pure). An unresponsive upstream is checked by other VMs in turn, with growing pauses, until it answers, and all are told each outcome. A check needs the permits for limits on rejections and rate limits, nothing is sent at rest or before the VM knows which limits hold. Rejected checks are told like rejected requests, and statements in their answers are read.

--- a/crates/entry/src/active.rs
+++ b/crates/entry/src/active.rs
@@ -107,6 +107,12 @@
         key
     }
 
+    /// Returns a key that no request has or will have.
+    pub fn reserve_key(&mut self) -> u64 {
+        self.next_key += 1;
+        self.next_key - 1
+    }
+
     pub fn get(&self, key: u64) -> Option<&ActiveRequest> {
         self.requests.get(&key)
     }
--- a/crates/entry/src/calls.rs
+++ b/crates/entry/src/calls.rs
@@ -9,6 +9,7 @@
 use mio::Token;
 
 use crate::daemon::Daemon;
+use crate::health_checks::HealthCheck;
 use crate::outbound::Part;
 use crate::outbound::Peer;
 use crate::outbound::Purpose;
@@ -53,6 +54,8 @@
     Probe(UpstreamName),
     /// Probes the direct path to an upstream, in the same ways.
     PathProbe(UpstreamName),
+    /// Checks the health of an upstream that answers like a request.
+    HealthCheck(HealthCheck),
     /// Probes an upstream that broke a connection, by reading an engine's report or only
     /// connecting.
     UpstreamProbe(UpstreamName),
@@ -84,6 +87,7 @@
             Self::Report(_) => "report",
             Self::Probe(_) => "look",
             Self::PathProbe(_) => "path_probe",
+            Self::HealthCheck(_) => "health_check",
             Self::UpstreamProbe(_) => "recheck",
             Self::BlocksNewest => "blocks_newest",
             Self::BlocksAppend => "blocks_append",
@@ -100,6 +104,7 @@
                 | Self::Report(_)
                 | Self::Probe(_)
                 | Self::PathProbe(_)
+                | Self::HealthCheck(_)
                 | Self::UpstreamProbe(_)
         )
     }
@@ -329,12 +334,13 @@
                     let answer = self.call_answers.remove(&token);
                     self.outbound
                         .release(self.now_ms, token, self.poll.registry());
-                    if let (
-                        true,
-                        Purpose::Call(CallTag::Probe(upstream) | CallTag::PathProbe(upstream)),
-                    ) = (is_direct, &purpose)
-                    {
-                        self.path_probe_ended(opened_ms, upstream, Ok(()));
+                    match &purpose {
+                        Purpose::Call(
+                            CallTag::Probe(upstream)
+                            | CallTag::PathProbe(upstream)
+                            | CallTag::HealthCheck(HealthCheck { upstream, .. }),
+                        ) if is_direct => self.path_probe_ended(opened_ms, upstream, Ok(())),
+                        _ => {}
                     }
                     if let (Purpose::Call(tag), Some(answer)) = (purpose, answer) {
                         let outcome = self.era_checked_outcome(&tag, request_era, answer);
@@ -424,6 +430,13 @@
                     .call("look", if is_silent { "silent" } else { "reset" });
                 self.probe_ended(upstream, !is_silent);
             }
+        } else if let Some(Purpose::Call(CallTag::HealthCheck(check))) = &purpose {
+            self.metrics
+                .call("health_check", if timed_out { "silent" } else { "reset" });
+            if Self::is_path_failure(check, probe_failure) {
+                self.path_probe_ended(opened_ms, &check.upstream, Err(probe_failure));
+            }
+            self.health_check_failed(check, sent.then_some(opened_ms), timed_out);
         } else if let Some(Purpose::Call(tag)) = purpose {
             if let Some(answer) = received.filter(|_| tag.targets_store()) {
                 self.metrics.discarded_read(tag.as_str(), answer.body.len());
@@ -444,13 +457,14 @@
         }
     }
 
-    /// Records the rate limit that an engine states in the answer to a call. Such answers need not
-    /// repeat it, so one without a limit ends none.
+    /// Records the limits that an upstream states in the answer to a call. Such answers need not repeat
+    /// them, so one without a limit ends none.
     fn record_limit_of_call(&mut self, token: Token, head: &ResponseHead) {
         let peer = self.outbound.get_mut(token).map(|it| it.peer.clone());
         if let Some(Peer::Upstream(upstream)) = peer {
             let fields = self.codecs.callers.answer(head);
             self.record_stated_limit(&upstream, None, &fields.rate_limit);
+            self.record_rejection_limit(&upstream, None, &fields.rejection_limit);
         }
     }
 
@@ -463,6 +477,7 @@
             CallTag::Probe(upstream) => self.probe_ended(&upstream, true),
             // Otherwise the outcome is recorded where the connection ends.
             CallTag::PathProbe(upstream) => self.paths.abandon_probe(&upstream),
+            CallTag::HealthCheck(check) => self.health_check_ended(&check, &outcome),
             CallTag::UpstreamProbe(upstream) => self.handle_crash_probe(&upstream, &outcome),
             CallTag::BlocksNewest => self.handle_blocks_page(outcome),
             CallTag::BlocksAppend => self.finish_blocks_write(outcome),
--- a/crates/entry/src/daemon.rs
+++ b/crates/entry/src/daemon.rs
@@ -49,6 +49,7 @@
 use crate::codec::Codecs;
 use crate::engine_orders::EngineOrders;
 use crate::errors::Result;
+use crate::health_checks::CheckWork;
 use crate::learned_store::LearnedStore;
 use crate::lifecycle::PlannedStop;
 use crate::limits::Limits;
@@ -124,6 +125,7 @@
     pub(crate) dispatcher: Dispatcher,
     /// Watches engines with requests in progress for silence, and decides when they are probed.
     pub(crate) watch: LivenessMonitor,
+    pub(crate) health_checks: CheckWork,
     /// Which upstreams this VM reaches itself, and which through another VM.
     pub(crate) paths: Paths,
     pub(crate) path_work: PathWork,
@@ -233,6 +235,7 @@
             directory: Directory::new(DirectoryOptions::default()),
             dispatcher: Dispatcher::new(options),
             watch: LivenessMonitor::default(),
+            health_checks: CheckWork::default(),
             paths: Paths::new(PathOptions::new(incarnation, settings.zone.clone())),
             path_work: PathWork::default(),
             relay_listener,
@@ -344,6 +347,7 @@
         self.advance_peers();
         self.advance_watch();
         self.advance_paths();
+        self.advance_health_checks();
         self.advance_all_relayed();
         self.advance_crash_watch();
         self.advance_limits();
@@ -371,6 +375,7 @@
             self.peers.next_ms(),
             self.watch.next_ms(),
             self.next_path_work_ms(),
+            self.health_checks.next_ms(),
             self.relayed.next_ms(),
             self.crash_watch.next_ms(),
             self.limits.next_ms(),
--- a/crates/entry/src/engine_probes.rs
+++ b/crates/entry/src/engine_probes.rs
@@ -20,6 +20,7 @@
         }
         for engine in self.watch.due(self.now_ms) {
             match self.directory.upstream(&engine) {
+                Some(upstream) if self.check_takes_room(upstream) => self.ask_for_check(&engine),
                 Some(upstream) => {
                     let address = upstream.address;
                     let (bytes, timeout_ms) = self.path_probe(upstream);
--- a/crates/entry/src/messages.rs
+++ b/crates/entry/src/messages.rs
@@ -213,6 +213,11 @@
     /// Asks what upstreams have stated, since the sender has started. Few VMs answer the first
     /// question, and all the next ones.
     StatedLimitsRequested { is_first: bool },
+    /// Asks whether an upstream is responsive at which the sender's requests are silent.
+    HealthCheckRequested {
+        from: VmName,
+        upstream: UpstreamName,
+    },
 }
 
 /// First byte of each message. It changes with the format of what follows, so that VMs of different
--- a/crates/entry/src/peer_exchange.rs
+++ b/crates/entry/src/peer_exchange.rs
@@ -176,6 +176,9 @@
             }
             PeerMessage::EngineUnresponsive(engine) => self.handle_peer_probe_failure(&engine),
             PeerMessage::EngineResponsive(engine) => self.handle_peer_probe_success(&engine),
+            PeerMessage::HealthCheckRequested { from, upstream } => {
+                self.handle_check_request(&from, &upstream)
+            }
             PeerMessage::Released {
                 lease_end,
                 quiet_ms,
--- a/crates/entry/src/peers.rs
+++ b/crates/entry/src/peers.rs
@@ -6,6 +6,7 @@
 use std::net::IpAddr;
 use std::net::SocketAddr;
 
+use apricotdale_core::names::UpstreamName;
 use apricotdale_core::names::VmName;
 use apricotdale_holder::ResidenceUpdate;
 use apricotdale_holder::TakeoverCandidate;
@@ -47,6 +48,9 @@
 /// lost.
 const OWNER_CANDIDATES: usize = 4;
 
+/// Number of VMs that check an upstream in turn.
+const MAX_CHECKERS: usize = 4;
+
 /// How long a VM counts as alive after its last message.
 const PEER_TIMEOUT_MS: u64 = 3_000;
 
@@ -297,6 +301,16 @@
             .collect()
     }
 
+    /// Returns the other VMs that check an upstream, in the order in which they are asked. All VMs choose
+    /// them alike by hashes of the names.
+    pub fn checkers(&self, upstream: &UpstreamName) -> Vec<VmName> {
+        let hash = |vm: &VmName| xxh3_64(format!("{vm} {upstream}").as_bytes());
+        let mut ranked: Vec<(u64, &VmName)> = self.known.keys().map(|vm| (hash(vm), vm)).collect();
+        ranked.sort_unstable();
+        let chosen = ranked.into_iter().take(MAX_CHECKERS);
+        chosen.map(|(_, vm)| vm.clone()).collect()
+    }
+
     /// Announces to all VMs that this one stops.
     pub fn send_goodbye(&mut self) {
         self.send_all(&PeerMessage::Goodbye(self.own.vm.clone()));
--- a/crates/entry/src/store_pollers/upstream_list.rs
+++ b/crates/entry/src/store_pollers/upstream_list.rs
@@ -254,6 +254,7 @@
             self.dispatcher.removed(self.now_ms, name);
             self.apply_stated_limits();
             self.watch.removed(name);
+            self.health_checks.removed(name);
             self.paths.removed(name);
         }
         self.redispatch_needed = true;
--- a/crates/entry/src/upstream_paths.rs
+++ b/crates/entry/src/upstream_paths.rs
@@ -15,6 +15,7 @@
 
 use crate::calls::CallTag;
 use crate::daemon::Daemon;
+use crate::health_checks::CheckPurpose;
 use crate::messages::PeerMessage;
 use crate::messages::VmRecord;
 use crate::outbound::FailedPath;
@@ -31,9 +32,8 @@
 /// of a connection, about 5 ms, regardless of its work.
 const ENGINE_PROBE_TIMEOUT_MS: u64 = 150;
 
-/// Time limit for the answer to a probe of an instance of a plain service, where the probe may have
-/// to wait for a slot.
-const SERVICE_PROBE_TIMEOUT_MS: u64 = 600;
+/// Time limit for opening a connection as a probe.
+const CONNECTION_PROBE_TIMEOUT_MS: u64 = 600;
 
 /// Time after which a connection that was only opened counts as accepted: a host that resets new
 /// connections does so within a round trip.
@@ -168,7 +168,8 @@
     /// Handles another VM's failed probe of an upstream. It shows that VM's path; this VM probes for
     /// itself.
     pub(crate) fn handle_peer_probe_failure(&mut self, upstream: &UpstreamName) {
-        if self.directory.upstream(upstream).is_none() {
+        if self.handle_check_result(upstream, false) || self.directory.upstream(upstream).is_none()
+        {
             return;
         }
         let spread_ms = self.peers.others() as u64 * DOUBT_SPREAD_US_PER_VM / 1_000;
@@ -180,6 +181,9 @@
     /// Handles another VM's statement that an upstream answers again, which this VM checks if it
     /// sends the upstream nothing.
     pub(crate) fn handle_peer_probe_success(&mut self, upstream: &UpstreamName) {
+        if self.handle_check_result(upstream, true) {
+            return;
+        }
         if self.dispatcher.is_unreachable(self.now_ms, upstream) {
             self.paths.record_doubt(self.now_ms, upstream, 0);
         }
@@ -217,7 +221,23 @@
             .compare(self.now_ms, engines.map(|upstream| &upstream.name));
     }
 
+    /// Probes the direct path to an upstream. One that has taken connections without answering is only
+    /// shown to be reached by an answer.
     fn probe_path(&mut self, upstream: &UpstreamName) {
+        let takes_room = self
+            .directory
+            .upstream(upstream)
+            .is_some_and(|it| self.check_takes_room(it));
+        match self.paths.lost_failure(upstream) {
+            Some(PathFailure::Silent) if takes_room => {
+                self.begin_health_check(upstream, CheckPurpose::Path);
+            }
+            _ => self.probe_connection(upstream),
+        }
+    }
+
+    /// Probes the direct path to an upstream without taking room there.
+    pub(crate) fn probe_connection(&mut self, upstream: &UpstreamName) {
         let Some(known) = self.directory.upstream(upstream) else {
             self.paths.removed(upstream);
             return;
@@ -230,24 +250,18 @@
     }
 
     /// Returns what a probe of an upstream sends, and the time limit for the answer. Any answer
-    /// shows that the upstream is reached. Where a plain service has no health check, a connection
-    /// is only opened, since an instance could take the probe for a request; so it is at an
-    /// upstream that has asked for rest.
+    /// shows that the upstream is reached. At an instance of a plain service, which answers health
+    /// checks like requests, and at an upstream that has asked for rest, a connection is only opened.
     pub(crate) fn path_probe(&self, upstream: &Upstream) -> (Vec<u8>, u64) {
         let service = self.directory.service(&upstream.service);
         let is_engine = service.is_some_and(|service| service.engine.is_some());
-        let health_path = service.and_then(|service| service.health_path.as_deref());
-        let codec = &self.codecs.engines;
-        match health_path {
-            _ if self.dispatcher.is_resting(self.now_ms, &upstream.name) => {
-                (Vec::new(), SERVICE_PROBE_TIMEOUT_MS)
+        let is_resting = self.dispatcher.is_resting(self.now_ms, &upstream.name);
+        match is_engine && !is_resting {
+            true => {
+                let report = self.codecs.engines.report(&upstream.instance);
+                (report, ENGINE_PROBE_TIMEOUT_MS)
             }
-            _ if is_engine => (codec.report(&upstream.instance), ENGINE_PROBE_TIMEOUT_MS),
-            Some(path) => (
-                codec.health(path, &upstream.instance),
-                SERVICE_PROBE_TIMEOUT_MS,
-            ),
-            None => (Vec::new(), SERVICE_PROBE_TIMEOUT_MS),
+            false => (Vec::new(), CONNECTION_PROBE_TIMEOUT_MS),
         }
     }
 
--- a/crates/paths/src/paths.rs
+++ b/crates/paths/src/paths.rs
@@ -331,6 +331,12 @@
                 .is_some_and(|path| path.lost.is_some())
     }
 
+    /// Returns how the direct path to an upstream was lost; `None` if it is not.
+    pub fn lost_failure(&self, upstream: &UpstreamName) -> Option<PathFailure> {
+        let path = self.by_name.get(upstream)?;
+        path.lost.map(|lost| lost.failure)
+    }
+
     /// Returns whether connections to an upstream are relayed.
     pub fn is_relayed(&self, upstream: &UpstreamName) -> bool {
         self.lost > 0
