Soak: instances with a limit on rejections, and silences while upstreams have little room

Cause: the promise 'outlasts rejections' was judged for engines alone, whose reports take no room, and no silence was sure to fall into that time.

--- a/crates/soak/src/notice_draws.rs
+++ b/crates/soak/src/notice_draws.rs
@@ -10,6 +10,7 @@
 use crate::draws::WARM_UP_MS;
 use crate::fault::Trouble;
 use crate::plan::Planned;
+use crate::rooms::ROOM_NOTICE_MS;
 
 /// Number of engines that state that they leave.
 const STATED_LEAVE_COUNT: RangeInclusive<usize> = 1..=2;
@@ -29,7 +30,7 @@
 /// Mask that gives the draws of these engines a seed of their own.
 const REST_SEED_MASK: u64 = 0x7265_7374_5f73_6561;
 
-/// Slots to which engines with a limit on rejections shrink, their limits, and the time for which they
+/// Slots to which upstreams with a limit on rejections shrink, their limits, and the time for which they
 /// state these.
 const SMALL_ROOM_SLOTS: RangeInclusive<usize> = 1..=4;
 const MAX_REJECTIONS: RangeInclusive<usize> = 2..=8;
@@ -38,8 +39,21 @@
 /// Mask that gives the draws of these engines a seed of their own.
 const SMALL_ROOM_SEED_MASK: u64 = 0x726f_6f6d_5f73_6d6c;
 
-/// Draws the time in which all engines state a limit on rejections.
-pub(crate) fn draw_small_room(seed: u64, calm_from_ms: u64) -> Vec<Planned> {
+/// Silences of upstreams that have lost room, and their lengths.
+const SMALL_ROOM_SILENCE_COUNT: RangeInclusive<usize> = 1..=2;
+const SMALL_ROOM_SILENCE_MS: Range<u64> = 800..2_000;
+
+/// Mask that gives the draws of these silences a seed of their own.
+const SMALL_ROOM_SILENCE_SEED_MASK: u64 = 0x726f_6f6d_5f73_696c;
+
+/// Draws the time in which all upstreams state a limit on rejections, and silences of all of them, or of
+/// all instances of the service, once they have less room. The engines have the lower indices.
+pub(crate) fn draw_small_room(
+    seed: u64,
+    calm_from_ms: u64,
+    engines: usize,
+    upstreams: usize,
+) -> Vec<Planned> {
     let mut random = ChaCha8Rng::seed_from_u64(seed ^ SMALL_ROOM_SEED_MASK);
     let at_ms = random.random_range(WARM_UP_MS..first_half_end_ms(calm_from_ms));
     let for_ms = random.random_range(SMALL_ROOM_MS);
@@ -48,7 +62,26 @@
         max_rejections: random.random_range(MAX_REJECTIONS),
         for_ms: for_ms.min(calm_from_ms.saturating_sub(at_ms)),
     };
-    vec![Planned { at_ms, trouble }]
+    let mut planned = vec![Planned { at_ms, trouble }];
+    let mut random = ChaCha8Rng::seed_from_u64(seed ^ SMALL_ROOM_SILENCE_SEED_MASK);
+    for _ in 0..random.random_range(SMALL_ROOM_SILENCE_COUNT) {
+        let first = match random.random_bool(0.5) {
+            true => 0,
+            false => engines,
+        };
+        let at_ms = at_ms + random.random_range(ROOM_NOTICE_MS..SMALL_ROOM_MS.end);
+        let for_ms = random.random_range(SMALL_ROOM_SILENCE_MS);
+        if at_ms < calm_from_ms {
+            planned.push(Planned {
+                at_ms,
+                trouble: Trouble::SilentUpstreams {
+                    upstreams: (first..upstreams).collect(),
+                    for_ms,
+                },
+            });
+        }
+    }
+    planned
 }
 
 /// Draws the engines that state that they leave.
--- a/crates/soak/src/plan.rs
+++ b/crates/soak/src/plan.rs
@@ -105,7 +105,7 @@
         faults.extend(draw_releases(seed, calm_from_ms, engines));
         faults.extend(draw_stated_leaves(seed, calm_from_ms, engines));
         faults.extend(draw_rests(seed, calm_from_ms, engines));
-        faults.extend(draw_small_room(seed, calm_from_ms));
+        faults.extend(draw_small_room(seed, calm_from_ms, engines, upstreams));
         faults.extend(draw_silences(seed, calm_from_ms, engines, upstreams));
         faults.extend(draw_endless_answers(seed, calm_from_ms, upstreams));
         faults.extend(draw_adjustments(seed, calm_from_ms));
--- a/crates/soak/src/rooms.rs
+++ b/crates/soak/src/rooms.rs
@@ -1,4 +1,4 @@
-//! Engines that state how many requests they may reject, and lose room.
+//! Upstreams that state how many requests they may reject, and lose room.
 
 use apricotdale_standins::platform::RoomOptions;
 use apricotdale_standins::platform::RoomRejection;
@@ -8,17 +8,17 @@
 use crate::world::World;
 use crate::world::pause;
 
-/// Slots that the engines state.
+/// Slots that the upstreams state.
 const STATED_SLOTS: usize = 8;
 
-/// Time after the first statement from which engines may have less room.
-const NOTICE_MS: u64 = 3_000;
+/// Time after the first statement from which upstreams may have less room.
+pub(crate) const ROOM_NOTICE_MS: u64 = 3_000;
 
 /// Time between two updates of engines that have joined meanwhile.
 const UPDATE_MS: u64 = 100;
 
 impl World {
-    /// Has all engines, also those that join, state a limit on rejections for a time, and lose room
+    /// Has all upstreams, also those that join, state a limit on rejections for a time, and lose room
     /// after a notice.
     pub(crate) fn shrink_room(&self, slots: usize, max_rejections: usize, for_ms: u64) {
         let room = |slots| RoomOptions {
@@ -30,21 +30,32 @@
         let limit = max_rejections.to_string();
         let mut passed_ms = 0;
         while passed_ms < for_ms {
-            let slots = match passed_ms < NOTICE_MS {
+            let slots = match passed_ms < ROOM_NOTICE_MS {
                 true => STATED_SLOTS,
                 false => slots,
             };
-            for engine in &self.site.lock().engines {
+            let site = self.site.lock();
+            for engine in &site.engines {
                 engine.set_rejection_limit(Some(&limit));
                 engine.set_room(Some(room(slots)));
             }
+            for service in &site.services {
+                service.set_rejection_limit(Some(&limit));
+                service.set_room(Some(room(slots)));
+            }
+            drop(site);
             pause(UPDATE_MS);
             passed_ms += UPDATE_MS;
         }
-        for engine in &self.site.lock().engines {
+        let site = self.site.lock();
+        for engine in &site.engines {
             engine.set_rejection_limit(None);
             engine.set_room(None);
         }
+        for service in &site.services {
+            service.set_rejection_limit(None);
+            service.set_room(None);
+        }
     }
 
     /// Has the engines of the start run a number of requests at once, and state that.
