Permits: units in flight end with the VM's reports and with their requests

Cause: units at risk that are in flight keep the bucket low until they are settled. By reading, two kinds never were: those granted to a VM that is then told that the limit has ended, and reports the account no more, and those of a request that ends unnoticed.

Change: a VM repeats its units in flight each second, and the owner drops what has not been repeated for 3 s; a VM settles every 10 s the permits whose requests or checks are no more.

--- a/crates/dispatch/tests/support/rejecting_fleet.rs
+++ b/crates/dispatch/tests/support/rejecting_fleet.rs
@@ -245,7 +245,7 @@
     next_key: u64,
     next_run: u64,
     stated_from_ms: u64,
-    /// When the first answer with the limit was sent; `None` before.
+    /// When the first answer with the limit reached a VM; `None` before.
     first_stated_ms: Option<u64>,
     /// Requests that ran.
     pub ran: usize,
@@ -629,9 +629,6 @@
             };
             return self.schedule(silent_until_ms - now_ms, arrives);
         }
-        if limit.is_some() {
-            self.first_stated_ms.get_or_insert(now_ms);
-        }
         let upstream = &mut self.upstreams[index];
         upstream.arrived_ms.push_back(now_ms);
         let rests = now_ms < upstream.rest_until_ms;
@@ -696,6 +693,9 @@
         if !self.record_response(index, key, name) {
             return;
         }
+        if limit.is_some() && sent_ms >= self.stated_from_ms {
+            self.first_stated_ms.get_or_insert(self.now_ms);
+        }
         let (now_ms, planted) = (self.now_ms, self.options.planted);
         let vm = &mut self.vms[index];
         let clock_ms = now_ms + vm.clock_offset_ms;
--- a/crates/entry/src/health_checks.rs
+++ b/crates/entry/src/health_checks.rs
@@ -4,6 +4,7 @@
 //! is granted, only a connection is opened.
 
 use std::collections::BTreeMap;
+use std::collections::BTreeSet;
 use std::collections::HashMap;
 
 use apricotdale_core::names::UpstreamName;
@@ -57,6 +58,8 @@
 #[derive(Debug, Default)]
 pub(crate) struct CheckWork {
     shared: HealthChecks,
+    /// Keys of the checks that wait for a permit or are in progress.
+    keys: BTreeSet<u64>,
     /// Checks that wait for a permit, and until when.
     pending: BTreeMap<u64, (HealthCheck, u64)>,
     /// How often in a row upstreams answered checks while this VM's requests there were silent.
@@ -70,6 +73,11 @@
         pending.min().unwrap_or(u64::MAX).min(self.shared.next_ms())
     }
 
+    /// Returns whether a check has a key and has not ended.
+    pub fn is_active(&self, key: u64) -> bool {
+        self.keys.contains(&key)
+    }
+
     /// Records that an upstream has left the fleet.
     pub fn removed(&mut self, upstream: &UpstreamName) {
         self.shared.removed(upstream);
@@ -173,6 +181,7 @@
             purpose,
             key: self.active.reserve_key(),
         };
+        self.health_checks.keys.insert(check.key);
         match self.may_check(&check) {
             true => {
                 let key = check.key;
@@ -258,6 +267,7 @@
 
     /// Gives up a check that may not be sent now. A path is probed by a connection instead.
     fn abandon_check(&mut self, check: &HealthCheck) {
+        self.health_checks.keys.remove(&check.key);
         match check.purpose {
             CheckPurpose::Liveness => self.finish_check(&check.upstream, None),
             CheckPurpose::Path => self.probe_connection(&check.upstream),
@@ -267,6 +277,7 @@
     /// Handles the end of a check whose connection did not fail.
     pub(crate) fn health_check_ended(&mut self, check: &HealthCheck, outcome: &CallOutcome) {
         let is_answered = matches!(outcome, CallOutcome::Answered { .. });
+        self.health_checks.keys.remove(&check.key);
         self.refund_rejection_permit(check.key);
         match check.purpose {
             CheckPurpose::Liveness => {
@@ -284,6 +295,7 @@
         sent_ms: Option<u64>,
         timed_out: bool,
     ) {
+        self.health_checks.keys.remove(&check.key);
         match sent_ms {
             None => self.refund_rejection_permit(check.key),
             Some(sent_ms) => {
--- a/crates/entry/src/unsettled_permits.rs
+++ b/crates/entry/src/unsettled_permits.rs
@@ -65,6 +65,18 @@
         }
     }
 
+    /// Settles the permits of requests and health checks that have ended unnoticed, which would count as
+    /// in flight for good.
+    pub(crate) fn settle_orphaned_permits(&mut self) {
+        let at_risk = self.upstream_permits.at_risk.keys();
+        let is_orphaned =
+            |key: &&u64| self.active.get(**key).is_none() && !self.health_checks.is_active(**key);
+        let orphaned: Vec<u64> = at_risk.filter(is_orphaned).copied().collect();
+        orphaned
+            .into_iter()
+            .for_each(|it| self.settle_rejection_permit(it));
+    }
+
     /// Settles the permits of what was abandoned at upstreams that have sent something since, or are
     /// gone.
     pub(crate) fn settle_abandoned_permits(&mut self) {
--- a/crates/entry/src/upstream_permits.rs
+++ b/crates/entry/src/upstream_permits.rs
@@ -390,6 +390,7 @@
         if now_ms >= self.upstream_permits.next_forget_ms {
             self.upstream_permits.next_forget_ms = now_ms + FORGET_INTERVAL_MS;
             self.upstream_permits.owner.remove_inactive(now_ms);
+            self.settle_orphaned_permits();
         }
     }
 
--- a/crates/quota/src/client.rs
+++ b/crates/quota/src/client.rs
@@ -67,6 +67,10 @@
 /// more are lost.
 const MAX_UNANSWERED_AT_RISK: u32 = 6;
 
+/// Time after which units in flight are reported again although they have not changed. The owner
+/// forgets them otherwise.
+const IN_FLIGHT_REPEAT_MS: u64 = 1_000;
+
 /// Time after which a VM returns from another candidate to the first one.
 const FALLBACK_OWNER_MS: u64 = 10_000;
 
@@ -106,8 +110,9 @@
     granted_total: u64,
     /// Units at risk of requests that were sent and are not settled.
     in_flight: u64,
-    /// What was last reported of them, with the number of the report; `None` if nothing was.
-    reported_in_flight: Option<(AccountInFlight, u64)>,
+    /// What was last reported of them, with the number and the time of the report; `None` if nothing
+    /// was.
+    reported_in_flight: Option<(AccountInFlight, u64, u64)>,
     /// Time until which no units are requested, and the time after which callers may retry.
     denied_until_ms: u64,
     retry_after_ms: u64,
@@ -530,11 +535,14 @@
                 granted: account.granted_total,
             };
             let is_known = match account.reported_in_flight {
-                Some((reported, at)) => reported == row && at <= answered_number,
+                Some((reported, at, at_ms)) => {
+                    let is_fresh = row.units == 0 || now_ms < at_ms + IN_FLIGHT_REPEAT_MS;
+                    reported == row && at <= answered_number && is_fresh
+                }
                 None => row.units == 0 && row.granted == 0,
             };
             if account.budget.is_at_risk() && !is_known {
-                account.reported_in_flight = Some((row, number));
+                account.reported_in_flight = Some((row, number, now_ms));
                 changed.push(row);
             }
         }
--- a/crates/quota/src/owner.rs
+++ b/crates/quota/src/owner.rs
@@ -26,7 +26,10 @@
 /// Time since its last report for which a VM's reported usage is kept.
 const MEMBER_RETENTION_MS: u64 = 60_000;
 
-/// Time between two removals of the units in flight of VMs that no longer report.
+/// Time for which units in flight count after a VM last reported them. VMs repeat them each second.
+const IN_FLIGHT_TTL_MS: u64 = 3_000;
+
+/// Time between two removals of the units in flight that VMs no longer report.
 const EXPIRY_INTERVAL_MS: u64 = 250;
 
 /// Time over which denied units are added up.
@@ -78,8 +81,9 @@
     joined: u64,
     /// Units at risk granted since then.
     granted: BTreeMap<AccountId, u64>,
-    /// Units at risk that are neither refunded nor lost; `None` of a VM that does not report them.
-    in_flight: Option<BTreeMap<AccountId, u64>>,
+    /// Units at risk that are neither refunded nor lost, and when that was known; `None` of a VM that
+    /// does not report them.
+    in_flight: Option<BTreeMap<AccountId, (u64, u64)>>,
 }
 
 /// Token buckets of all organisations that have a limit.
@@ -208,7 +212,7 @@
             let ceded_ms = report.ceded_ms.saturating_sub(member.ceded_ms);
             member.ceded_ms = report.ceded_ms;
             for row in report.extra.in_flight.iter().flatten() {
-                record_in_flight(&mut self.accounts, member, row);
+                record_in_flight(now_ms, &mut self.accounts, member, row);
             }
             if report.extra.in_flight.is_some() {
                 member.in_flight.get_or_insert_default();
@@ -305,7 +309,9 @@
             let total = member.granted.entry(usage.account).or_default();
             *total += allowance.granted;
             if let Some(in_flight) = &mut member.in_flight {
-                *in_flight.entry(usage.account).or_default() += allowance.granted;
+                let (units, at_ms) = in_flight.entry(usage.account).or_default();
+                *units += allowance.granted;
+                *at_ms = now_ms;
                 account.in_flight += allowance.granted;
             }
             let missing_units = usage.wanted.saturating_sub(allowance.granted);
@@ -321,16 +327,24 @@
         allowance
     }
 
-    /// Drops the units in flight of VMs that no longer report.
+    /// Drops the units in flight that VMs no longer report.
     fn expire_in_flight(&mut self, now_ms: u64) {
         if now_ms < self.next_expiry_ms {
             return;
         }
         self.next_expiry_ms = now_ms + EXPIRY_INTERVAL_MS;
-        for member in self.members.values_mut() {
-            if now_ms >= member.last_received_ms + MEMBER_TTL_MS {
-                remove_in_flight(&mut self.accounts, member);
-            }
+        for in_flight in self
+            .members
+            .values_mut()
+            .filter_map(|it| it.in_flight.as_mut())
+        {
+            in_flight.retain(|id, (units, at_ms)| {
+                let is_kept = *units > 0 && now_ms < *at_ms + IN_FLIGHT_TTL_MS;
+                if let Some(account) = self.accounts.get_mut(id).filter(|_| !is_kept) {
+                    account.in_flight = account.in_flight.saturating_sub(*units);
+                }
+                is_kept
+            });
         }
     }
 
@@ -349,6 +363,7 @@
 
 /// Records the units in flight of a VM, with those that it has been granted and has not received yet.
 fn record_in_flight(
+    now_ms: u64,
     accounts: &mut BTreeMap<AccountId, Account>,
     member: &mut Member,
     row: &AccountInFlight,
@@ -356,14 +371,15 @@
     let granted = member.granted.get(&row.account).copied().unwrap_or(0);
     let units = u64::from(row.units) + granted.saturating_sub(row.granted);
     let in_flight = member.in_flight.get_or_insert_default();
-    let before = in_flight.insert(row.account, units).unwrap_or(0);
+    let before = in_flight.insert(row.account, (units, now_ms));
+    let before = before.map_or(0, |(units, _)| units);
     if let Some(account) = accounts.get_mut(&row.account) {
         account.in_flight = (account.in_flight + units).saturating_sub(before);
     }
 }
 
 fn remove_in_flight(accounts: &mut BTreeMap<AccountId, Account>, member: &mut Member) {
-    for (id, units) in member.in_flight.take().unwrap_or_default() {
+    for (id, (units, _)) in member.in_flight.take().unwrap_or_default() {
         if let Some(account) = accounts.get_mut(&id) {
             account.in_flight = account.in_flight.saturating_sub(units);
         }
--- a/crates/quota/tests/owner_rules.rs
+++ b/crates/quota/tests/owner_rules.rs
@@ -450,3 +450,28 @@
         None => assert_eq!(admitted, 0),
     }
 }
+
+/// Guards against units in flight that count for good because a VM no longer reports them, as one that
+/// has been told that the limit has ended.
+#[test]
+fn unreported_in_flight_ends() {
+    let (mut owner, last) = at_risk_owner();
+    let reporting = |mut report: Report| {
+        report.extra.in_flight = Some(Vec::new());
+        report
+    };
+    owner.handle(START_MS, &reporting(wants(last + 1, 0)));
+    let answer = owner.handle(START_MS, &reporting(wants(last + 2, 9)));
+    assert_eq!(granted(&answer.expect("an answer")), 4);
+    let mut number = last + 2;
+    let mut handle_at = |at_ms: u64, wanted: u64| {
+        number += 1;
+        let mut report = reporting(wants(number, wanted));
+        report.ceded_ms = 20_000 + at_ms - START_MS;
+        let answer = owner.handle(at_ms, &report).expect("an answer");
+        granted(&answer)
+    };
+    assert_eq!(handle_at(START_MS + 2_500, 9), 4, "no more than before");
+    handle_at(START_MS + 4_000, 0);
+    assert!(handle_at(START_MS + 6_000, 9) > 4);
+}
