Membership: an entry that is read again replaces what is known of a VM that was never heard

Cause: entries of the store were only added for unknown VMs. After all VMs were killed while the store came back from an older copy, each had read the other's entry of its former process, sent its messages to an address where nobody is, and kept it when it read the entries again, each 3 to 5 s. Such a VM hears no lease holder, no permits and no end of a limit. Class: a record that is never replaced by a newer one.

Change: an entry replaces what is known until the VM itself has been heard; what it says of itself is newer than its entry may be.

Measured: store_rollback::former_entries_replaced failed before (20 s of waiting), 14 of 14 of its file pass after.

--- a/crates/entry/src/peers.rs
+++ b/crates/entry/src/peers.rs
@@ -159,12 +159,17 @@
             .into_iter()
             .filter(|record| record.vm != self.own.vm)
         {
-            self.known.entry(record.vm).or_insert(KnownVm {
+            let listed = KnownVm {
                 address: record.address,
                 incarnation: record.incarnation,
                 work_us: record.work_us,
                 last_received_ms: 0,
-            });
+            };
+            let known = self.known.entry(record.vm).or_insert(listed);
+            // What a VM has said of itself is newer than its entry may be.
+            if known.last_received_ms == 0 {
+                *known = listed;
+            }
         }
         self.has_records = true;
         self.next_hello_ms = 0;
