--- a/crates/entry/src/connections.rs
+++ b/crates/entry/src/connections.rs
@@ -1,5 +1,7 @@
 //! Callers' connections: receiving requests, writing answers and closing.
 
+use std::io;
+
 use apricotdale_core::refusal::Refusal;
 use apricotdale_core::refusal::RefusalReason;
 use apricotdale_fleet::CallerDue;
@@ -11,11 +13,17 @@
 use mio::Token;
 
 use crate::active::Phase;
+use crate::caller::Caller;
 use crate::caller::CallerKind;
 use crate::caller::Received;
 use crate::daemon::Daemon;
+use crate::stream::Stream;
 use crate::unanswered::UnansweredReason;
 
+/// Maximum number of callers' connections, besides those to upstreams. A VM has 3,900 descriptors
+/// for sockets.
+const MAX_CALLERS: usize = 3_000;
+
 const HEAD_END: &[u8] = b"\r\n\r\n";
 
 impl Daemon {
@@ -248,6 +256,40 @@
         caller.flush(now_ms);
         self.answered.push(token);
     }
+
+    pub(crate) fn accept(&mut self, token: Token) {
+        loop {
+            let Some((listener, kind)) = self.listeners.get(&token) else {
+                return;
+            };
+            let kind = *kind;
+            match listener.accept() {
+                Ok((socket, from)) if self.callers.len() + 2 * self.relayed.len() < MAX_CALLERS => {
+                    let token = self.new_token();
+                    match Stream::accepted(socket, self.poll.registry(), token) {
+                        Ok(stream) => {
+                            let limits = self.directory.configuration().limits;
+                            let caller = Caller::new(self.now_ms, stream, kind, from.ip(), &limits);
+                            self.callers.insert(token, caller);
+                            self.serve_caller(token);
+                        }
+                        Err(error) => {
+                            log::warn!(reason = error.to_string(); "accepted connection can't be registered")
+                        }
+                    }
+                }
+                // The connection is closed without reading a request, so that the caller retries
+                // elsewhere.
+                Ok(_) => self.metrics.refused("too_many_connections"),
+                Err(error) if error.kind() == io::ErrorKind::WouldBlock => return,
+                Err(error) if error.kind() == io::ErrorKind::Interrupted => {}
+                Err(error) => {
+                    log::warn!(reason = error.to_string(); "connection can't be accepted");
+                    return;
+                }
+            }
+        }
+    }
 }
 
 fn remove_body(answer: &mut Vec<u8>) {
--- a/crates/entry/src/daemon.rs
+++ b/crates/entry/src/daemon.rs
@@ -67,7 +67,6 @@
 use crate::settings::Settings;
 use crate::store_era::StoreEra;
 use crate::store_pollers::StorePollers;
-use crate::stream::Stream;
 use crate::stream_origins::StreamOrigins;
 use crate::upstream_paths::PathWork;
 use crate::upstream_permits::UpstreamPermits;
@@ -100,10 +99,6 @@
 /// paused.
 const SHORTEST_PAUSE_MS: u64 = 100;
 
-/// Maximum number of callers' connections, besides those to upstreams. A VM has 3,900 descriptors
-/// for sockets.
-const MAX_CALLERS: usize = 3_000;
-
 /// Daemon of an entry VM.
 pub struct Daemon {
     pub(crate) settings: Settings,
@@ -114,7 +109,7 @@
     /// Random number of this incarnation of the process, which tells its messages from earlier
     /// ones.
     pub(crate) incarnation: u64,
-    listeners: HashMap<Token, (TcpListener, CallerKind)>,
+    pub(crate) listeners: HashMap<Token, (TcpListener, CallerKind)>,
     stop_signals: UnixStream,
     hangup_signals: UnixStream,
     next_token: usize,
@@ -402,40 +397,6 @@
         }
     }
 
-    fn accept(&mut self, token: Token) {
-        loop {
-            let Some((listener, kind)) = self.listeners.get(&token) else {
-                return;
-            };
-            let kind = *kind;
-            match listener.accept() {
-                Ok((socket, from)) if self.callers.len() + 2 * self.relayed.len() < MAX_CALLERS => {
-                    let token = self.new_token();
-                    match Stream::accepted(socket, self.poll.registry(), token) {
-                        Ok(stream) => {
-                            let limits = self.directory.configuration().limits;
-                            let caller = Caller::new(self.now_ms, stream, kind, from.ip(), &limits);
-                            self.callers.insert(token, caller);
-                            self.serve_caller(token);
-                        }
-                        Err(error) => {
-                            log::warn!(reason = error.to_string(); "accepted connection can't be registered")
-                        }
-                    }
-                }
-                // The connection is closed without reading a request, so that the caller retries
-                // elsewhere.
-                Ok(_) => self.metrics.refused("too_many_connections"),
-                Err(error) if error.kind() == io::ErrorKind::WouldBlock => return,
-                Err(error) if error.kind() == io::ErrorKind::Interrupted => {}
-                Err(error) => {
-                    log::warn!(reason = error.to_string(); "connection can't be accepted");
-                    return;
-                }
-            }
-        }
-    }
-
     pub(crate) fn new_token(&mut self) -> Token {
         let token = Token(self.next_token);
         self.next_token += 1;
--- a/crates/entry/src/demand_reports.rs
+++ b/crates/entry/src/demand_reports.rs
@@ -9,15 +9,32 @@
 use apricotdale_dispatch::Job;
 use apricotdale_dispatch::WaitReason;
 use apricotdale_holder::DemandDetail;
+use apricotdale_holder::DemandRow;
 use apricotdale_holder::EngineKey;
 use apricotdale_holder::EngineSpeedRow;
 use apricotdale_holder::EngineUse;
 use apricotdale_holder::ModelKey;
+use apricotdale_holder::RequestState;
 
 use crate::active::ActiveRequest;
 use crate::active::Phase;
 use crate::daemon::Daemon;
 use crate::messages::HeartbeatDetail;
+use crate::messages::PeerMessage;
+use crate::peers::ROWS_PER_DATAGRAM;
+
+/// Time between two demand reports while requests wait: at least the first, and for each known VM
+/// the second, since the lease holder receives all reports and can handle about a thousand a
+/// second.
+const BUSY_DEMAND_INTERVAL_MS: u64 = 200;
+const BUSY_DEMAND_INTERVAL_US_PER_VM: u64 = 1_000;
+
+/// Time between two demand reports while no requests wait.
+const IDLE_DEMAND_INTERVAL_MS: u64 = 700;
+
+/// Time between two demand reports while no requests wait, where VMs report the requests by engine.
+/// A request is in progress for about as long.
+const DETAIL_INTERVAL_MS: u64 = 350;
 
 /// Time between two heartbeats with the speeds of engines. Speeds are learnt over tens of seconds, and
 /// the link of the lease holder may be narrow.
@@ -173,6 +190,61 @@
                 .record_stream(engine, model, events, took_ms);
         }
     }
+
+    pub(crate) fn send_demand(&mut self) {
+        let now_ms = self.now_ms;
+        let rows = self.changed_demand();
+        let has_waiting_requests = rows
+            .iter()
+            .any(|row| row.waiting_for_load + row.waiting_for_slot > 0);
+        let by_fleet_ms = self.peers.others() as u64 * BUSY_DEMAND_INTERVAL_US_PER_VM / 1_000;
+        let waiting_ms = BUSY_DEMAND_INTERVAL_MS
+            .max(by_fleet_ms)
+            .min(IDLE_DEMAND_INTERVAL_MS);
+        let pause_ms = match has_waiting_requests {
+            true => waiting_ms,
+            false if self.reports_detail() => DETAIL_INTERVAL_MS.max(waiting_ms),
+            false => IDLE_DEMAND_INTERVAL_MS,
+        };
+        self.peers.next_demand_ms = now_ms + pause_ms;
+        self.peers.last_demand_ms = now_ms;
+        let from = self.peers.own.clone();
+        let mut detail = self.demand_detail();
+        if self.engine_orders.held_lease_end(now_ms).is_some() {
+            self.engine_orders
+                .record_demand(now_ms, &from.vm, from.incarnation, rows);
+            if let Some(detail) = detail {
+                self.engine_orders
+                    .record_detail(now_ms, &from.vm, from.incarnation, &detail);
+            }
+            return;
+        }
+        let Some((_, address, _)) = self.peers.lease_holder else {
+            return;
+        };
+        for rows in rows.chunks(ROWS_PER_DATAGRAM) {
+            let message = PeerMessage::Demand {
+                from: from.clone(),
+                rows: rows.to_vec(),
+                detail: detail.take(),
+            };
+            self.peers.send(address, &message);
+        }
+    }
+
+    /// Returns the demand rows of models whose demand has changed or that requests in progress
+    /// need.
+    pub(crate) fn changed_demand(&mut self) -> Vec<DemandRow> {
+        let active = self.active.iter().filter_map(|(_, request)| {
+            let state = match request.phase {
+                Phase::Waiting(WaitReason::Missing) => RequestState::Missing,
+                Phase::Waiting(WaitReason::Full) => RequestState::Full,
+                _ => RequestState::Running,
+            };
+            Some((request.job.wanted.as_ref()?, state))
+        });
+        self.local_demand.rows(active)
+    }
 }
 
 fn rank_of(job: &Job) -> u8 {
--- a/crates/entry/src/lib.rs
+++ b/crates/entry/src/lib.rs
@@ -13,6 +13,7 @@
 mod active;
 mod block_store;
 mod caller;
+mod caller_organisations;
 mod calls;
 mod clock;
 mod codec;
@@ -46,6 +47,7 @@
 mod request_moves;
 mod residence_updates;
 mod settings;
+mod stated_limit_exchange;
 mod store_era;
 mod store_pollers;
 mod stream;
