--- a/crates/quota/src/client.rs
+++ b/crates/quota/src/client.rs
@@ -1,29 +1,23 @@
 //! Quota client: admission of requests on one VM.
 
+mod account;
+mod reports;
+
 use std::collections::BTreeMap;
 use std::collections::BTreeSet;
 use std::collections::VecDeque;
 
 use apricotdale_organisations::Limit;
-use xxhash_rust::xxh3::xxh3_64;
 
+use self::account::Account;
 use crate::budget::AccountRule;
 use crate::budget::Bounds;
 use crate::budget::Budget;
 use crate::message::AccountId;
-use crate::message::AccountInFlight;
-use crate::message::AccountRoom;
 use crate::message::AccountTurns;
-use crate::message::AccountUsage;
-use crate::message::AccountWants;
 use crate::message::Answer;
-use crate::message::DeniedRequest;
-use crate::message::MAX_LISTED_REQUESTS;
-use crate::message::Report;
-use crate::message::ReportExtra;
 use crate::message::UNKNOWN_RANK;
 use crate::message::WantedUnits;
-use crate::rank_order::BucketState;
 use crate::rank_order::RankOrder;
 
 /// Time since the last answer after which an owner no longer counts as live.
@@ -33,22 +27,9 @@
 /// forfeited, so that it is not used in a later window.
 const CEDED_SLACK_MS: u64 = 250;
 
-/// Interval between two reports. It grows with the number of VMs, so that the owner can handle all
-/// reports.
-const MIN_REPORT_INTERVAL_MS: u64 = 250;
-const REPORT_INTERVAL_US_PER_VM: u64 = 3_500;
-const MAX_REPORT_INTERVAL_MS: u64 = 1_000;
-
 /// Time over which the first reports of VMs that start together are spread.
 const FIRST_REPORT_SPREAD_MS: u64 = 500;
 
-/// Minimum interval between two reports that ask for units. It grows with the number of VMs.
-const MIN_URGENT_INTERVAL_MS: u64 = 10;
-const URGENT_INTERVAL_US_PER_VM: u64 = 200;
-
-/// Time for which an answer is awaited before an urgent report is repeated.
-const ANSWER_TIMEOUT_MS: u64 = 100;
-
 /// Maximum time for which no units are requested after the owner denied some.
 const DENIAL_TTL_MS: u64 = 120;
 
@@ -60,20 +41,6 @@
 /// Time since an answer by rank for which requests that are denied wait for the next answer by rank.
 const RANKED_TTL_MS: u64 = 2_000;
 
-/// Number of consecutive reports without an answer after which the next candidate is asked.
-const MAX_UNANSWERED_REPORTS: u32 = 3;
-
-/// The same with accounts of units at risk. These need an owner of most VMs, and more reports, of which
-/// more are lost.
-const MAX_UNANSWERED_AT_RISK: u32 = 6;
-
-/// Time after which units in flight are reported again although they have not changed. The owner
-/// forgets them otherwise.
-const IN_FLIGHT_REPEAT_MS: u64 = 1_000;
-
-/// Time after which a VM returns from another candidate to the first one.
-const FALLBACK_OWNER_MS: u64 = 10_000;
-
 /// Decision on a request.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum Admission {
@@ -94,41 +61,6 @@
     },
 }
 
-#[derive(Clone, Debug)]
-struct Account {
-    budget: Budget,
-    /// Units used without a grant since this VM reports to its owner, and how many of them the
-    /// owner has acknowledged.
-    spent: i64,
-    acknowledged: i64,
-    /// Requests that await an answer of the owner, by request key.
-    pending: BTreeMap<u64, WantedUnits>,
-    is_near_limit: bool,
-    /// Granted units with the time at which they expire, oldest first.
-    granted: VecDeque<(u64, u64)>,
-    /// Units at risk that the owner has granted since this VM reports to it.
-    granted_total: u64,
-    /// Units at risk of requests that were sent and are not settled.
-    in_flight: u64,
-    /// What was last reported of them, with the number and the time of the report; `None` if nothing
-    /// was.
-    reported_in_flight: Option<(AccountInFlight, u64, u64)>,
-    /// Time until which no units are requested, and the time after which callers may retry.
-    denied_until_ms: u64,
-    retry_after_ms: u64,
-    /// Most urgent rank to which units were denied. More urgent requests ask all the same.
-    denied_rank: u32,
-    /// Until when the owner counts as one that divides the units of the account by rank, and the
-    /// requests that its last answer denied.
-    ranked_until_ms: u64,
-    denied: Vec<DeniedRequest>,
-    /// Level of the bucket that this VM uses while it has no live owner, and its division.
-    local_level: f64,
-    local_order: RankOrder,
-    /// Room of the upstream that has not been reported yet, and when an answer showed it.
-    unreported_room: Option<(u32, u64)>,
-}
-
 /// Admission of the requests of one VM.
 #[derive(Clone, Debug)]
 pub struct QuotaClient {
@@ -417,158 +349,6 @@
         }
     }
 
-    fn report_soon(&mut self, now_ms: u64) {
-        let min_delay_ms = match self.unanswered_reports {
-            0 => MIN_URGENT_INTERVAL_MS.max(self.vms as u64 * URGENT_INTERVAL_US_PER_VM / 1_000),
-            _ => ANSWER_TIMEOUT_MS,
-        };
-        let soon_ms = now_ms.max(self.last_report_ms + min_delay_ms);
-        self.next_report_ms = self.next_report_ms.min(soon_ms);
-    }
-
-    /// Returns the time until the next report, with jitter that depends on the VM and the report,
-    /// so that VMs which start together do not stay synchronous.
-    fn jittered_interval_ms(&self) -> u64 {
-        let interval_ms = self.report_interval_ms();
-        let hash = xxh3_64(&(self.incarnation ^ self.last_report_number).to_le_bytes());
-        interval_ms * 3 / 4 + hash % (interval_ms / 2)
-    }
-
-    fn report_interval_ms(&self) -> u64 {
-        (self.vms as u64 * REPORT_INTERVAL_US_PER_VM / 1_000)
-            .clamp(MIN_REPORT_INTERVAL_MS, MAX_REPORT_INTERVAL_MS)
-    }
-
-    /// Returns when a report is due; `u64::MAX` without limits.
-    pub fn next_ms(&self) -> u64 {
-        self.next_report_ms
-    }
-
-    /// Returns the report if it is due. Its recipient is the VM with rank
-    /// [`QuotaClient::owner_rank`] among `candidates` VMs, which the call may change.
-    pub fn due_report(&mut self, now_ms: u64, candidates: usize) -> Option<Report> {
-        if now_ms < self.next_report_ms || self.accounts.is_empty() || candidates == 0 {
-            return None;
-        }
-        self.select_owner(now_ms, candidates);
-        let owner = self
-            .owner
-            .filter(|_| now_ms < self.last_received_ms + ANSWER_TTL_MS);
-        match owner {
-            None => self.owner = None,
-            // While a report is unacknowledged no further time is ceded, which bounds what can be
-            // lost.
-            Some(_) if self.unanswered_reports == 0 => {
-                self.ceded_ms += self.claim_elapsed_ms(now_ms)
-            }
-            Some(_) => {}
-        }
-        self.last_report_number += 1;
-        self.unanswered_reports += 1;
-        self.last_report_ms = now_ms;
-        self.next_report_ms = now_ms + self.jittered_interval_ms();
-        for account in self.accounts.values_mut() {
-            account.drop_expired_grants(now_ms);
-        }
-        let all_usages = self.accounts.iter().map(|(id, account)| AccountUsage {
-            account: *id,
-            units: account.spent,
-            wanted: account.wanted(now_ms),
-            oldest: account.by_rank().next().map_or(0, |it| it.units),
-        });
-        let has_changed = |it: &AccountUsage| {
-            it.wanted > 0 || it.units != self.accounts[&it.account].acknowledged
-        };
-        let usages = all_usages.filter(has_changed);
-        let usages: Vec<AccountUsage> = match owner {
-            Some(_) => usages.collect(),
-            None => Vec::new(),
-        };
-        let wants = usages.iter().filter_map(|usage: &AccountUsage| {
-            let account = &self.accounts[&usage.account];
-            let mut pending = account.pending.values();
-            let is_listed = usage.wanted > 0 && pending.any(|it| it.rank != UNKNOWN_RANK);
-            is_listed.then(|| AccountWants {
-                account: usage.account,
-                requests: account.wanted_requests(now_ms),
-            })
-        });
-        let wants: Vec<AccountWants> = wants.collect();
-        let accounts = self.accounts.iter_mut();
-        let rooms = accounts.filter_map(|(id, account)| {
-            let (requests, at_ms) = account.unreported_room.take()?;
-            Some(AccountRoom {
-                account: *id,
-                requests,
-                age_ms: now_ms.saturating_sub(at_ms) as u32,
-            })
-        });
-        let rooms = rooms.collect();
-        let in_flight = match owner {
-            Some(_) => self.changed_in_flight(now_ms),
-            None => Vec::new(),
-        };
-        Some(Report {
-            vm: self.incarnation,
-            number: self.last_report_number,
-            owner,
-            ceded_ms: self.ceded_ms,
-            usages,
-            extra: ReportExtra {
-                joined: self.joined_number,
-                rooms,
-                wants,
-                in_flight: Some(in_flight),
-            },
-        })
-    }
-
-    /// Returns the units in flight that the owner does not know yet.
-    fn changed_in_flight(&mut self, now_ms: u64) -> Vec<AccountInFlight> {
-        let (number, answered_number) = (self.last_report_number, self.last_answered_number);
-        let mut changed = Vec::new();
-        for (id, account) in &mut self.accounts {
-            let units = account.in_flight + account.valid_units(now_ms);
-            let row = AccountInFlight {
-                account: *id,
-                units: units.try_into().unwrap_or(u32::MAX),
-                granted: account.granted_total,
-            };
-            let is_known = match account.reported_in_flight {
-                Some((reported, at, at_ms)) => {
-                    let is_fresh = row.units == 0 || now_ms < at_ms + IN_FLIGHT_REPEAT_MS;
-                    reported == row && at <= answered_number && is_fresh
-                }
-                None => row.units == 0 && row.granted == 0,
-            };
-            if account.budget.is_at_risk() && !is_known {
-                account.reported_in_flight = Some((row, number, now_ms));
-                changed.push(row);
-            }
-        }
-        changed
-    }
-
-    fn select_owner(&mut self, now_ms: u64, candidates: usize) {
-        let has_at_risk = self.accounts.values().any(|it| it.budget.is_at_risk());
-        let max_unanswered = match has_at_risk {
-            true => MAX_UNANSWERED_AT_RISK,
-            false => MAX_UNANSWERED_REPORTS,
-        };
-        let fallback_ended = self.owner_rank > 0 && now_ms >= self.fallback_until_ms;
-        let before = self.owner_rank;
-        if self.owner_rank >= candidates || fallback_ended {
-            self.owner_rank = 0;
-        } else if self.unanswered_reports >= max_unanswered {
-            self.owner_rank = (self.owner_rank + 1) % candidates;
-            self.fallback_until_ms = now_ms + FALLBACK_OWNER_MS;
-        }
-        if self.owner_rank != before || self.unanswered_reports >= max_unanswered {
-            self.unanswered_reports = 0;
-            self.owner = None;
-        }
-    }
-
     /// Handles an answer of an owner. Returns whether pending requests are to be decided again.
     pub fn handle(&mut self, now_ms: u64, answer: &Answer) -> bool {
         let is_new =
@@ -645,131 +425,3 @@
         }
     }
 }
-
-impl Account {
-    /// Returns the units of the valid grants.
-    fn valid_units(&self, now_ms: u64) -> u64 {
-        let granted = self.granted.iter();
-        let valid = granted.filter(|(_, until_ms)| now_ms < *until_ms);
-        valid.map(|(granted, _)| granted).sum()
-    }
-
-    /// Returns the units of pending requests beyond those granted.
-    fn wanted(&self, now_ms: u64) -> u64 {
-        let pending = self.pending.values();
-        let pending: u64 = pending.map(|it| it.units).sum();
-        pending.saturating_sub(self.valid_units(now_ms))
-    }
-
-    /// Returns the pending requests, the most urgent rank first, then the oldest.
-    fn by_rank(&self) -> impl Iterator<Item = WantedUnits> {
-        let mut pending: Vec<(u64, WantedUnits)> =
-            self.pending.iter().map(|(key, it)| (*key, *it)).collect();
-        pending.sort_by_key(|(key, it)| (it.rank, *key));
-        pending.into_iter().map(|(_, it)| it)
-    }
-
-    /// Returns the pending requests that the valid grants do not cover, in their order.
-    fn wanted_requests(&self, now_ms: u64) -> Vec<WantedUnits> {
-        let mut granted = self.valid_units(now_ms);
-        let wanted = self.by_rank().filter(|it| {
-            let is_covered = it.units <= granted;
-            granted -= it.units.min(granted);
-            !is_covered
-        });
-        wanted.take(MAX_LISTED_REQUESTS).collect()
-    }
-
-    /// Returns the rank of the first request that the valid grants do not cover.
-    fn first_denied_rank(&self, now_ms: u64) -> u32 {
-        let wanted = self.wanted_requests(now_ms);
-        wanted.first().map_or(0, |it| it.rank)
-    }
-
-    /// Returns the units of pending requests before one: those of more urgent ranks and, where the
-    /// owner decides by rank, older ones of its rank.
-    fn ahead_units(&self, now_ms: u64, key: u64, rank: u32) -> u64 {
-        let is_ranked = now_ms < self.ranked_until_ms;
-        let pending = self.pending.iter();
-        let ahead = pending.filter(|(other, it)| {
-            it.rank < rank || (is_ranked && it.rank == rank && **other < key)
-        });
-        ahead.map(|(_, it)| it.units).sum()
-    }
-
-    /// Returns whether units were denied to requests of this rank a moment ago.
-    fn is_denied(&self, now_ms: u64, rank: u32) -> bool {
-        now_ms < self.denied_until_ms && rank >= self.denied_rank
-    }
-
-    /// Takes the owner's denial of a request out of its last answer.
-    fn take_denial(&mut self, wanted: WantedUnits) -> Option<DeniedRequest> {
-        let mut denied = self.denied.iter();
-        let index = denied.position(|it| it.wanted == wanted)?;
-        Some(self.denied.remove(index))
-    }
-
-    /// Uses units of the local bucket if there are enough, in the order of ranks.
-    fn use_local(&mut self, now_ms: u64, vms: usize, key: u64, wanted: WantedUnits) -> bool {
-        let units = wanted.units;
-        if !self.pending.contains_key(&key) {
-            self.local_order.record(now_ms, wanted.rank, units);
-        }
-        let bucket = BucketState {
-            now_ms,
-            level: self.local_level,
-            capacity: self.budget.local_bucket(vms),
-            rate_per_ms: self.budget.rate_per_ms / vms as f64,
-        };
-        let is_granted = match self.local_order.is_mixed(now_ms) {
-            true => {
-                let claim = self.local_order.claim(&bucket, &wanted);
-                if let Some(claim) = claim {
-                    self.local_order.take(&wanted, claim);
-                }
-                claim.is_some()
-            }
-            false => self.local_level >= units as f64,
-        };
-        if is_granted {
-            self.local_level -= units as f64;
-        }
-        is_granted
-    }
-
-    /// Drops the grants that are no longer valid. Units at risk that were not used are refunded.
-    fn drop_expired_grants(&mut self, now_ms: u64) {
-        let expired = self
-            .granted
-            .iter()
-            .filter(|(_, until_ms)| *until_ms <= now_ms);
-        let expired: u64 = expired.map(|(units, _)| units).sum();
-        if self.budget.is_at_risk() {
-            self.spent -= expired as i64;
-        }
-        self.granted.retain(|(_, until_ms)| now_ms < *until_ms);
-    }
-
-    /// Uses granted units if there are enough for the request and for those ahead of it.
-    fn use_grants(&mut self, now_ms: u64, key: u64, rank: u32, units: u64) -> bool {
-        self.drop_expired_grants(now_ms);
-        let valid: u64 = self.granted.iter().map(|(granted, _)| granted).sum();
-        if valid < units || units == 0 {
-            return units == 0;
-        }
-        if valid - units < self.ahead_units(now_ms, key, rank) {
-            return false;
-        }
-        let mut left = units;
-        while left > 0 {
-            let Some((granted, until_ms)) = self.granted.pop_front() else {
-                break;
-            };
-            if granted > left {
-                self.granted.push_front((granted - left, until_ms));
-            }
-            left = left.saturating_sub(granted);
-        }
-        true
-    }
-}
