--- a/crates/dispatch/tests/support/rejecting_fleet/checks.rs
+++ b/crates/dispatch/tests/support/rejecting_fleet/checks.rs
@@ -97,7 +97,6 @@
         chosen.map(vm_name).collect()
     }
 
-    /// Records that a VM has sent a request.
     pub fn record_request(&mut self, index: usize, key: u64, name: &UpstreamName) {
         let vm = &mut self.vms[index];
         let clock_ms = self.now_ms + vm.clock_offset_ms;
@@ -121,7 +120,6 @@
         is_awaited
     }
 
-    /// Ends the requests whose callers have left.
     fn abandon_requests(&mut self, index: usize) {
         let now_ms = self.now_ms;
         let is_refunded = self.options.planted == Planted::AbandonedRefunded;
@@ -369,7 +367,6 @@
             .for_each(|it| self.run_check_step(index, it));
     }
 
-    /// Handles another VM's verdict.
     pub fn hear_verdict(&mut self, index: usize, name: &UpstreamName, is_responsive: bool) {
         let vm = &mut self.vms[index];
         let clock_ms = self.now_ms + vm.clock_offset_ms;
@@ -386,7 +383,6 @@
         self.apply_verdict(index, name, is_responsive, asked_ms);
     }
 
-    /// Handles another VM's question.
     pub fn hear_question(&mut self, index: usize, from: usize, name: &UpstreamName) {
         let vm = &mut self.vms[index];
         let clock_ms = self.now_ms + vm.clock_offset_ms;
--- a/crates/entry/src/health_checks.rs
+++ b/crates/entry/src/health_checks.rs
@@ -67,7 +67,6 @@
 }
 
 impl CheckWork {
-    /// Returns when something is due next.
     pub fn next_ms(&self) -> u64 {
         let pending = self.pending.values().map(|(_, until_ms)| *until_ms);
         pending.min().unwrap_or(u64::MAX).min(self.shared.next_ms())
@@ -126,7 +125,6 @@
         step.into_iter().for_each(|it| self.run_check_step(it));
     }
 
-    /// Handles another VM's question whether an upstream is responsive.
     pub(crate) fn handle_check_request(&mut self, asker: &VmName, upstream: &UpstreamName) {
         if self.check_takes_room_at(upstream) {
             let checks = &mut self.health_checks.shared;
@@ -427,7 +425,6 @@
         }
     }
 
-    /// Returns the limit on rejections of an upstream.
     fn rejection_limit_of(&self, upstream: &UpstreamName) -> Option<RateLimit> {
         let service = &self.directory.upstream(upstream)?.service;
         self.dispatcher.rejection_limits().limit(service, upstream)
--- a/crates/routing/tests/uneven_fleets.rs
+++ b/crates/routing/tests/uneven_fleets.rs
@@ -80,6 +80,16 @@
     assert!((shares[0] - 50.0).abs() < 2.5, "{shares:?}");
 }
 
+/// Returns the 99th percentile of the answers, with the speeds known and without.
+fn late_answers_ms(fleet: UnevenFleet) -> (u64, u64) {
+    let without = UnevenFleet {
+        known: UNKNOWN,
+        ..fleet
+    };
+    let percentiles = [fleet, without].map(|it| simulate(it).percentile_ms(99));
+    (percentiles[0], percentiles[1])
+}
+
 /// Guards against first answers that wait in the queues of slow engines: VMs that hear little of an
 /// engine send it as much as the fast ones, and it works on less.
 #[rstest]
@@ -94,12 +104,7 @@
         uneven: true,
         seed,
     };
-    let with_ms = simulate(fleet).percentile_ms(99);
-    let without_ms = simulate(UnevenFleet {
-        known: UNKNOWN,
-        ..fleet
-    })
-    .percentile_ms(99);
+    let (with_ms, without_ms) = late_answers_ms(fleet);
     assert!(10 * with_ms <= 9 * without_ms, "{with_ms} {without_ms}");
 }
 
@@ -114,12 +119,7 @@
         uneven: true,
         seed,
     };
-    let with_ms = simulate(fleet).percentile_ms(99);
-    let without_ms = simulate(UnevenFleet {
-        known: UNKNOWN,
-        ..fleet
-    })
-    .percentile_ms(99);
+    let (with_ms, without_ms) = late_answers_ms(fleet);
     assert!(100 * with_ms <= 105 * without_ms, "{with_ms} {without_ms}");
 }
 
--- a/crates/standins/src/platform/engine.rs
+++ b/crates/standins/src/platform/engine.rs
@@ -28,7 +28,6 @@
 use crate::platform::orders::OrderFault;
 use crate::platform::orders::Residence;
 use crate::platform::orders::WireOrder;
-use crate::platform::room::Entrance;
 use crate::platform::room::RoomFailure;
 use crate::platform::room::RoomOptions;
 use crate::platform::shared_faults::SharedFaults;
@@ -372,18 +371,9 @@
 
     /// Serves a request within the engine's room.
     fn serve_within_room(self: &Arc<Self>, request: &Request) -> Reply {
-        match self.answers.room.enter(request) {
-            Entrance::Place(place) => place.kept_by(self.serve(request)),
-            Entrance::Rejected => {
-                self.answers.rejections.lock().push(Instant::now());
-                self.answers.not_run(request, 503)
-            }
-            Entrance::Failed { down } => {
-                self.fail(down);
-                Reply::Lost
-            }
-            Entrance::Lost => Reply::Lost,
-        }
+        let serve = || self.serve(request);
+        self.answers
+            .within_room(request, serve, |down| self.fail(down))
     }
 
     fn serve(self: &Arc<Self>, request: &Request) -> Reply {
--- a/crates/standins/src/platform/room.rs
+++ b/crates/standins/src/platform/room.rs
@@ -11,6 +11,7 @@
 use crate::http::Reply;
 use crate::http::Request;
 use crate::http::Stream;
+use crate::platform::answers::Answers;
 use crate::platform::answers::id_of;
 
 /// Load that an upstream without a set room states.
@@ -102,6 +103,30 @@
     }
 }
 
+impl Answers {
+    /// Answers a request or health check if there is room for it, rejects it otherwise, and has the
+    /// upstream fail if that is one rejection too many.
+    pub fn within_room(
+        &self,
+        request: &Request,
+        answer: impl FnOnce() -> Reply,
+        fail: impl FnOnce(Duration),
+    ) -> Reply {
+        match self.room.enter(request) {
+            Entrance::Place(place) => place.kept_by(answer()),
+            Entrance::Rejected => {
+                self.rejections.lock().push(Instant::now());
+                self.not_run(request, 503)
+            }
+            Entrance::Failed { down } => {
+                fail(down);
+                Reply::Lost
+            }
+            Entrance::Lost => Reply::Lost,
+        }
+    }
+}
+
 impl Room {
     pub fn set(&self, options: Option<RoomOptions>) {
         self.0.lock().options = options;
--- a/crates/standins/src/platform/service.rs
+++ b/crates/standins/src/platform/service.rs
@@ -23,7 +23,6 @@
 use crate::platform::answers::contains;
 use crate::platform::answers::time_left;
 use crate::platform::notices::Notices;
-use crate::platform::room::Entrance;
 use crate::platform::room::RoomFailure;
 use crate::platform::room::RoomOptions;
 use crate::platform::store::PlatformStore;
@@ -210,18 +209,9 @@
         if is_health_check(request) {
             self.health_checks.lock().push(Instant::now());
         }
-        match self.answers.room.enter(request) {
-            Entrance::Place(place) => place.kept_by(self.answer(request)),
-            Entrance::Rejected => {
-                self.answers.rejections.lock().push(Instant::now());
-                self.answers.not_run(request, 503)
-            }
-            Entrance::Failed { down } => {
-                self.fail(down);
-                Reply::Lost
-            }
-            Entrance::Lost => Reply::Lost,
-        }
+        let answer = || self.answer(request);
+        self.answers
+            .within_room(request, answer, |down| self.fail(down))
     }
 
     fn answer(&self, request: &Request) -> Reply {
