--- a/review/standins/src/deployment.rs
+++ b/review/standins/src/deployment.rs
@@ -25,12 +25,13 @@
 }
 
 /// Starts a store with a number of endpoints and a configuration with one service of engines,
-/// `llm`, and one plain service, `plain`. Neither has an upstream yet.
-pub fn start_site(store_endpoints: usize) -> io::Result<Arc<Site>> {
+/// `llm`, for a number of models, and one plain service, `plain`. Neither has an upstream yet.
+pub fn start_site(store_endpoints: usize, models: usize) -> io::Result<Arc<Site>> {
     let site = Site::start(SiteOptions {
         engines: Vec::new(),
         instances: 0,
         store_endpoints,
+        models: (0..models).map(|index| format!("m{index}")).collect(),
         timeout_ms: 4_000,
         ..SiteOptions::default()
     })?;
