Review: a rejection without an identity is believed

A booking that may run once runs at two instances after the late copy of a health check's rejection, which has no identity.

--- a/review/standins/src/upstream.rs
+++ b/review/standins/src/upstream.rs
@@ -42,6 +42,17 @@
         self.header(name("id"))
     }
 
+    /// Returns a request without an identity that arrived on the same connection.
+    pub fn without_id(other: &Self) -> Self {
+        Self {
+            method: String::new(),
+            target: String::new(),
+            body: Vec::new(),
+            connection: other.connection,
+            headers: Vec::new(),
+        }
+    }
+
     /// Returns whether the request is a health check.
     pub fn is_health_check(&self) -> bool {
         self.method == "GET" && self.target == HEALTH_PATH
