Review: a stopping VM takes another stream on a kept connection

After SIGTERM a VM takes a client's next stream on a connection whose answer had begun before, more than 3 s after SIGTERM, and resets it as it ends.

--- a/review/standins/src/engine.rs
+++ b/review/standins/src/engine.rs
@@ -7,6 +7,7 @@
 use std::net::TcpStream;
 use std::sync::Arc;
 use std::sync::Mutex;
+use std::thread;
 use std::time::Duration;
 use std::time::Instant;
 
@@ -241,6 +242,36 @@
     }
 }
 
+impl Engine {
+    /// Writes the answer to a stream that runs, event by event.
+    pub fn write_stream(
+        &self,
+        arrived: &Arrived,
+        stream: &mut TcpStream,
+        events: u32,
+        gap: Duration,
+    ) -> io::Result<()> {
+        let head = format!(
+            "HTTP/1.1 200 OK\r\n{}: {}\r\n{}: s.{}\r\n{}: 0,0,{}\r\n{}: 1\r\n\
+             Content-Type: text/event-stream\r\nTransfer-Encoding: chunked\r\n\r\n",
+            name("id"),
+            arrived.id(),
+            name("signature"),
+            self.answers.instance,
+            name("load"),
+            self.answers.slots,
+            name("versions")
+        );
+        stream.write_all(head.as_bytes())?;
+        for event in 1..=events {
+            thread::sleep(gap);
+            let text = format!("id: {event}\ndata: x\n\n");
+            stream.write_all(format!("{:x}\r\n{text}\r\n", text.len()).as_bytes())?;
+        }
+        stream.write_all(b"0\r\n\r\n")
+    }
+}
+
 /// Returns the value of a field of a flat JSON object, without quotes; empty without one.
 fn field(text: &str, key: &str) -> String {
     let found = text.split_once(&format!("\"{key}\":"));
--- a/review/standins/src/main.rs
+++ b/review/standins/src/main.rs
@@ -7,6 +7,7 @@
 mod flood;
 mod held_order;
 mod late_rejection;
+mod late_reuse;
 mod nameless_rejection;
 mod names;
 mod proxy;
@@ -31,6 +32,7 @@
     let record = Arc::new(Record::new());
     let held = match case.as_str() {
         "nameless-rejection" => nameless_rejection::run(&record),
+        "late-reuse" => late_reuse::run(&record),
         "late-rejection" => late_rejection::run(&record),
         "extra-load" => extra_load::run(&record),
         "flood" => flood::run(&record),
--- a/review/standins/src/vm.rs
+++ b/review/standins/src/vm.rs
@@ -124,6 +124,16 @@
         Ok(vm)
     }
 
+    /// Sends SIGTERM to the process.
+    pub fn terminate(&self) -> io::Result<()> {
+        let id = self.process.id().to_string();
+        let sent = Command::new("kill").args(["-TERM", &id]).status()?;
+        match sent.success() {
+            true => Ok(()),
+            false => Err(io::Error::other("SIGTERM was not sent")),
+        }
+    }
+
     /// Returns the log lines that contain a text.
     pub fn lines_with(&self, text: &str) -> Vec<String> {
         let lines = self.lines.lock().expect("no writer panics");
