Review: the stand-ins of the two cases state their load as it is

Claim: none new; both stand-ins said that nothing ran while requests did.

Done: the load header has the numbers of running and waiting requests.

--- a/review/standins/src/engine.rs
+++ b/review/standins/src/engine.rs
@@ -243,16 +243,17 @@
 }
 
 impl Engine {
-    /// Writes the answer to a stream that runs, event by event.
+    /// Writes the answer to a stream that runs, event by event. `running` counts it, too.
     pub fn write_stream(
         &self,
         arrived: &Arrived,
         stream: &mut TcpStream,
+        running: u32,
         events: u32,
         gap: Duration,
     ) -> io::Result<()> {
         let head = format!(
-            "HTTP/1.1 200 OK\r\n{}: {}\r\n{}: s.{}\r\n{}: 0,0,{}\r\n{}: 1\r\n\
+            "HTTP/1.1 200 OK\r\n{}: {}\r\n{}: s.{}\r\n{}: {running},0,{}\r\n{}: 1\r\n\
              Content-Type: text/event-stream\r\nTransfer-Encoding: chunked\r\n\r\n",
             name("id"),
             arrived.id(),
--- a/review/standins/src/late_reuse.rs
+++ b/review/standins/src/late_reuse.rs
@@ -6,6 +6,8 @@
 use std::net::TcpStream;
 use std::sync::Arc;
 use std::sync::Mutex;
+use std::sync::atomic::AtomicU32;
+use std::sync::atomic::Ordering;
 use std::thread;
 use std::thread::JoinHandle;
 use std::time::Duration;
@@ -72,9 +74,11 @@
             holdings: holdings.clone(),
             record: record.clone(),
         };
+        let running = AtomicU32::new(0);
         let instance = engine.answers.instance.clone();
-        let serve =
-            move |arrived: &Arrived, stream: &mut TcpStream| serve(&engine, arrived, stream);
+        let serve = move |arrived: &Arrived, stream: &mut TcpStream| {
+            serve(&engine, &running, arrived, stream)
+        };
         let address = upstream::start(Arc::new(serve))?;
         deployment::announce(&site, "llm", &instance, address, SLOTS, move || {
             let mut holdings = holdings.lock().expect("no holder panics");
@@ -117,7 +121,12 @@
     Ok(late_losses == 0)
 }
 
-fn serve(engine: &Engine, arrived: &Arrived, stream: &mut TcpStream) -> io::Result<()> {
+fn serve(
+    engine: &Engine,
+    running: &AtomicU32,
+    arrived: &Arrived,
+    stream: &mut TcpStream,
+) -> io::Result<()> {
     if engine.serve_call(arrived, stream)? {
         return Ok(());
     }
@@ -128,7 +137,14 @@
     engine
         .record
         .add(&format!("{instance}: runs {}", arrived.id()));
-    let written = engine.write_stream(arrived, stream, EVENTS, EVENT_GAP);
+    let written = engine.write_stream(
+        arrived,
+        stream,
+        running.fetch_add(1, Ordering::Relaxed) + 1,
+        EVENTS,
+        EVENT_GAP,
+    );
+    running.fetch_sub(1, Ordering::Relaxed);
     if written.is_err() {
         engine.record.add(&format!(
             "{instance}: the connection of {} is closed before its end",
--- a/review/standins/src/nameless_rejection.rs
+++ b/review/standins/src/nameless_rejection.rs
@@ -115,11 +115,17 @@
                     true => LONG_WORK,
                     false => WORK,
                 });
-                self.answers.success(arrived, "", "booked")
+                Vec::new()
             }
         };
-        self.end();
+        let (running, waiting) = self.end();
         self.count_answer();
+        let answer = match answer.is_empty() {
+            true => self
+                .answers
+                .success_with_load(arrived, running, waiting, "booked"),
+            false => answer,
+        };
         stream.write_all(&answer)
     }
 
@@ -150,9 +156,12 @@
         true
     }
 
-    fn end(&self) {
-        self.state.lock().expect("no holder panics").running -= 1;
+    /// Ends a request and returns the numbers of those that run and wait.
+    fn end(&self) -> (u32, u32) {
+        let mut state = self.state.lock().expect("no holder panics");
+        state.running -= 1;
         self.freed.notify_one();
+        (state.running, state.waiting)
     }
 
     fn count_answer(&self) {
--- a/review/standins/src/upstream.rs
+++ b/review/standins/src/upstream.rs
@@ -149,6 +149,28 @@
         .into_bytes()
     }
 
+    /// Returns the answer to a request that ran, with the numbers of those that run and wait now.
+    pub fn success_with_load(
+        &self,
+        arrived: &Arrived,
+        running: u32,
+        waiting: u32,
+        body: &str,
+    ) -> Vec<u8> {
+        format!(
+            "HTTP/1.1 200 OK\r\n{}: {}\r\n{}: s.{}\r\n{}: {running},{waiting},{}\r\n\
+             Content-Length: {}\r\n\r\n{body}",
+            name("id"),
+            arrived.id(),
+            name("signature"),
+            self.instance,
+            name("load"),
+            self.slots,
+            body.len()
+        )
+        .into_bytes()
+    }
+
     /// Returns the answer which says that a request was not run. It echoes the identity if the
     /// request has one.
     pub fn not_run(&self, arrived: &Arrived, status: u16) -> Vec<u8> {
