Planned stop: the connection closes with an answer that began before

Cause: whether a connection closes was decided where the head of an answer is written. A request whose body came slowly was passed on as late as it was complete.

Change: where idle connections are closed already, the connection closes with the answer, in order; what was sent ahead is refused as not run. Requests that are complete 3 s after SIGTERM or later are refused as not run.

--- a/crates/entry/src/connections.rs
+++ b/crates/entry/src/connections.rs
@@ -237,9 +237,12 @@
     pub(crate) fn finish_answer(&mut self, token: Token) {
         let now_ms = self.now_ms;
         let limits = self.directory.configuration().limits;
+        let closes = self.planned_stop.closes_idle(now_ms);
         let Some(caller) = self.callers.get_mut(&token) else {
             return;
         };
+        // The head of a long answer may have been written before the stop, without announcing it.
+        caller.close_after |= closes;
         if !caller.answered(now_ms) {
             while let Some(head) = caller.take_next_request(&limits) {
                 let id = self.codecs.callers.decode(&head).ok().map(|it| it.id);
--- a/crates/entry/src/lifecycle.rs
+++ b/crates/entry/src/lifecycle.rs
@@ -14,11 +14,16 @@
 /// and sends no new connections after two failed checks.
 const ACCEPTING_MS: u64 = 2_600;
 
-/// How long callers may reuse their connections after a planned stop has begun. After that an idle
-/// connection is closed, so that the next request goes to another VM: a caller that reuses its
-/// connection every second would otherwise still send requests when the process has to end.
+/// How long callers may reuse their connections after a planned stop has begun. After that a
+/// connection is closed when it is idle or its answer ends, so that the next request goes to another
+/// VM: a caller that reuses its connection would otherwise still send requests when the process has
+/// to end.
 const CONNECTION_REUSE_MS: u64 = 1_200;
 
+/// How long a stopping VM still serves requests that arrive on open connections. One on a connection
+/// that was accepted last has arrived by then. A later one might not end before the process does.
+const SERVING_MS: u64 = 3_000;
+
 /// Reserve of the time for a stop, so that the process ends by itself before it is killed.
 const STOP_MARGIN_MS: u64 = 300;
 
@@ -39,7 +44,7 @@
 const REFUSE_WAITING_MS: u64 = 1_500;
 
 /// Retry delay stated to the callers of the requests that a stopping VM refuses.
-const STOP_RETRY_AFTER_MS: u64 = 50;
+pub(crate) const STOP_RETRY_AFTER_MS: u64 = 50;
 
 /// State of a planned stop.
 #[derive(Clone, Copy, Debug, Default)]
@@ -56,7 +61,8 @@
         self.since_ms.is_some()
     }
 
-    /// Returns whether callers' idle connections are to be closed.
+    /// Returns whether callers' connections are to be closed once they are idle, and after the answer
+    /// in progress.
     pub fn closes_idle(self, now_ms: u64) -> bool {
         self.age_ms(now_ms)
             .is_some_and(|age_ms| age_ms >= CONNECTION_REUSE_MS)
@@ -68,6 +74,12 @@
             .is_some_and(|age_ms| age_ms >= ACCEPTING_MS)
     }
 
+    /// Returns whether requests that arrive now are to be refused.
+    pub fn refuses_requests(self, now_ms: u64) -> bool {
+        self.age_ms(now_ms)
+            .is_some_and(|age_ms| age_ms >= SERVING_MS)
+    }
+
     /// Returns whether waiting requests are to be refused.
     fn refuses_waiting(self, now_ms: u64) -> bool {
         let at_ms = self.stop_ms.saturating_sub(REFUSE_WAITING_MS);
--- a/crates/entry/src/request_dispatch.rs
+++ b/crates/entry/src/request_dispatch.rs
@@ -29,6 +29,7 @@
 use crate::crash_watch::request_features;
 use crate::daemon::Daemon;
 use crate::failed_attempts::BUDGET_PAUSE_MS;
+use crate::lifecycle::STOP_RETRY_AFTER_MS;
 use crate::limits::charge;
 use crate::limits::retry_factor_permille;
 use crate::outbound::Peer;
@@ -99,6 +100,12 @@
                 return;
             }
         };
+        if self.planned_stop.refuses_requests(self.now_ms) {
+            let refusal = Refusal::not_run(RefusalReason::Draining, "this VM stops")
+                .retry_after(STOP_RETRY_AFTER_MS);
+            self.refuse_new(token, &refusal, Some(&serving.id));
+            return;
+        }
         if let Readiness::Waiting(awaited) = self.readiness() {
             self.refuse_new(token, &not_ready_refusal(awaited), Some(&serving.id));
             return;
