Requests are never sent twice over one connection

Cause: an upstream's late copy of a rejection bears the ID of the request, not of the attempt. The next attempt could go over the same kept connection, where the copy was taken for its answer: the attempt counted as not run while the upstream ran it.

Change: a request goes over a connection that has not carried it before, direct or relayed. If the upstream has no other idle connection of this VM, a new one takes the place of the used one, so their number does not grow. A copy can only come over the connection of the answer that it copies, where all other requests have other IDs. Stand-ins can send an answer with a given status once more, late.

--- a/crates/entry/src/active.rs
+++ b/crates/entry/src/active.rs
@@ -86,6 +86,8 @@
     pub arrived_version: u64,
     /// When an upstream's last byte came or the request was last sent; none before that.
     pub last_received_ms: Option<u64>,
+    /// Connections over which it has been sent.
+    pub connections: Vec<Token>,
 }
 
 /// Requests in progress by key, and the times at which they need attention.
--- a/crates/entry/src/calls.rs
+++ b/crates/entry/src/calls.rs
@@ -258,11 +258,28 @@
         }
     }
 
-    /// Returns a connection to a peer that is ready for a request; none if none can be opened.
-    pub(crate) fn connect(&mut self, peer: &Peer, address: SocketAddr) -> Option<Token> {
-        if let Some(token) = self.outbound.take_idle(self.now_ms, peer) {
+    /// Returns a connection to a peer that is ready for a call; none if none can be opened.
+    fn connect(&mut self, peer: &Peer, address: SocketAddr) -> Option<Token> {
+        self.connect_afresh(peer, address, &[])
+    }
+
+    /// Returns a connection to a peer that is ready for a request and none of those over which the
+    /// request was sent before; none if none can be opened.
+    ///
+    /// A late copy of the answer to an earlier attempt bears the same request ID. It can only come over
+    /// the connection of that attempt.
+    pub(crate) fn connect_afresh(
+        &mut self,
+        peer: &Peer,
+        address: SocketAddr,
+        used: &[Token],
+    ) -> Option<Token> {
+        if let Some(token) = self.outbound.take_idle(self.now_ms, peer, used) {
             return Some(token);
         }
+        // The new connection takes the place of the old one, as upstreams limit connections.
+        self.outbound
+            .close_one_idle(peer, used, self.poll.registry());
         self.open(peer, address)
     }
 
--- a/crates/entry/src/outbound/pool.rs
+++ b/crates/entry/src/outbound/pool.rs
@@ -48,29 +48,38 @@
 
     /// Takes an idle direct connection to a peer out of the pool; none if there is no usable one.
     pub fn take_idle_direct(&mut self, now_ms: u64, peer: &Peer) -> Option<Token> {
+        self.take_idle_where(now_ms, peer, |_, it| it.relayed_by.is_none())
+    }
+
+    /// Takes an idle connection to a peer out of the pool that is none of `used`; none if there is no
+    /// usable one.
+    pub fn take_idle(&mut self, now_ms: u64, peer: &Peer, used: &[Token]) -> Option<Token> {
+        self.take_idle_where(now_ms, peer, |token, _| !used.contains(&token))
+    }
+
+    fn take_idle_where(
+        &mut self,
+        now_ms: u64,
+        peer: &Peer,
+        suits: impl Fn(Token, &Outbound) -> bool,
+    ) -> Option<Token> {
         let connections = &self.connections;
         let idle = self.idle.get_mut(peer)?;
         let index = idle.iter().rposition(|token| {
             connections.get(token).is_some_and(|it| {
-                it.relayed_by.is_none() && it.ended.is_none() && it.idle_until_ms > now_ms
+                it.ended.is_none() && it.idle_until_ms > now_ms && suits(*token, it)
             })
         })?;
         Some(idle.remove(index))
     }
 
-    /// Takes an idle connection to a peer out of the pool; none if there is no usable one.
-    pub fn take_idle(&mut self, now_ms: u64, peer: &Peer) -> Option<Token> {
-        let idle = self.idle.get_mut(peer)?;
-        while let Some(token) = idle.pop() {
-            let fit = self
-                .connections
-                .get(&token)
-                .is_some_and(|it| it.ended.is_none() && it.idle_until_ms > now_ms);
-            if fit {
-                return Some(token);
-            }
+    /// Closes one of the given connections that leads to a peer and is idle, if there is one.
+    pub fn close_one_idle(&mut self, peer: &Peer, tokens: &[Token], registry: &Registry) {
+        let idle = self.idle.get(peer).into_iter().flatten();
+        let found = idle.copied().find(|token| tokens.contains(token));
+        if let Some(token) = found {
+            self.close(token, registry);
         }
-        None
     }
 
     /// Starts opening a connection to a peer, or to the VM that relays it.
--- a/crates/entry/src/request_dispatch.rs
+++ b/crates/entry/src/request_dispatch.rs
@@ -196,6 +196,7 @@
             first_answer_ms: None,
             arrived_version: self.directory.version(),
             last_received_ms: None,
+            connections: Vec::new(),
         });
         if let Some(caller) = self.callers.get_mut(&token) {
             caller.set_request(key);
@@ -395,7 +396,9 @@
         let instance = upstream.instance.clone();
         let origin = upstream.origin();
         let peer = Peer::Upstream(name.clone());
-        let Some(token) = self.connect(&peer, address) else {
+        let request = self.active.get(key);
+        let used = request.map_or_else(Vec::new, |it| it.connections.clone());
+        let Some(token) = self.connect_afresh(&peer, address, &used) else {
             log::warn!(upstream = name.to_string(); "connection to upstream can't be opened");
             self.refund_rejection_permit(key);
             return;
@@ -420,6 +423,7 @@
             .forward(&request.head, &request.body, &fields);
         request.last_received_ms = Some(now_ms);
         request.job.tried.push(name.clone());
+        request.connections.push(token);
         request.job.awaits_retry_budget = false;
         request.delivery.begin_next_answer();
         request.phase = Phase::Sent {
--- a/crates/standins/src/http/mod.rs
+++ b/crates/standins/src/http/mod.rs
@@ -13,6 +13,7 @@
 
 pub use caller::Caller;
 pub use link::SlowLink;
+pub use reply::AfterPrevious;
 pub use reply::Buffered;
 pub use reply::Endless;
 pub use reply::EventWriter;
--- a/crates/standins/src/http/reply.rs
+++ b/crates/standins/src/http/reply.rs
@@ -30,6 +30,16 @@
     Endless(Endless),
     /// Bytes that are sent unchanged over a slow link.
     OverLink(Raw, Arc<SlowLink>),
+    /// A reply before which the connection's previous one is sent once more.
+    AfterPrevious(AfterPrevious),
+}
+
+/// Reply before which the connection's previous one is sent once more.
+pub struct AfterPrevious {
+    /// Statuses of the previous replies that are sent once more.
+    pub statuses: Vec<u16>,
+    /// Reply to the request.
+    pub reply: Box<Reply>,
 }
 
 /// Bytes that are sent unchanged.
@@ -158,6 +168,10 @@
         match &mut self {
             Self::Buffered(buffered) => buffered.headers.push(header),
             Self::Stream(stream) => stream.headers.push(header),
+            Self::AfterPrevious(after) => {
+                let reply = std::mem::replace(&mut *after.reply, Self::Lost);
+                *after.reply = reply.with_header(name, value);
+            }
             Self::Lost | Self::Raw(_) | Self::Paused(_) | Self::Endless(_) | Self::OverLink(..) => {
             }
         }
@@ -178,9 +192,36 @@
         }
     }
 
-    /// Sends the reply and returns whether the connection can carry another request.
-    pub(crate) fn send(self, connection: &TcpStream, is_head: bool) -> io::Result<bool> {
+    /// Returns the bytes of the reply if its body is known in advance.
+    pub(crate) fn bytes(&self, is_head: bool) -> Option<Vec<u8>> {
         match self {
+            Self::Buffered(buffered) => Some(buffered.bytes(is_head)),
+            Self::Raw(raw) | Self::OverLink(raw, _) => Some(raw.bytes.clone()),
+            Self::AfterPrevious(after) => after.reply.bytes(is_head),
+            Self::Lost | Self::Stream(_) | Self::Paused(_) | Self::Endless(_) => None,
+        }
+    }
+
+    /// Sends the reply and returns whether the connection can carry another request. `previous` are
+    /// the bytes of the connection's previous reply, if its body was known in advance.
+    pub(crate) fn send(
+        self,
+        connection: &TcpStream,
+        is_head: bool,
+        previous: Option<&[u8]>,
+    ) -> io::Result<bool> {
+        match self {
+            Self::AfterPrevious(after) => {
+                let is_repeated = |bytes: &&[u8]| {
+                    let status = status_of(bytes);
+                    status.is_some_and(|it| after.statuses.contains(&it))
+                };
+                if let Some(bytes) = previous.filter(is_repeated) {
+                    let mut connection = connection;
+                    connection.write_all(bytes)?;
+                }
+                after.reply.send(connection, is_head, None)
+            }
             Self::Buffered(buffered) => buffered.send(connection, is_head),
             Self::Stream(stream) => stream.send(connection),
             Self::Lost => Ok(false),
@@ -247,6 +288,12 @@
     }
 }
 
+/// Returns the status of a reply.
+fn status_of(bytes: &[u8]) -> Option<u16> {
+    let line = bytes.strip_prefix(b"HTTP/1.1 ")?;
+    std::str::from_utf8(line.get(..3)?).ok()?.parse().ok()
+}
+
 fn head(status: u16, content_type: &str, headers: &[(String, String)]) -> Vec<u8> {
     let mut head = format!(
         "HTTP/1.1 {status} {}\r\nContent-Type: {content_type}\r\n",
--- a/crates/standins/src/http/server.rs
+++ b/crates/standins/src/http/server.rs
@@ -174,9 +174,13 @@
 fn serve(stream: &TcpStream, from: IpAddr, handler: &Arc<dyn Handler>) -> io::Result<()> {
     stream.set_nodelay(true)?;
     let mut reader = BufReader::new(stream.try_clone()?);
+    let mut previous = None;
     while let Some(request) = Request::read(&mut reader, from)? {
         let reply = handler.clone().handle(&request);
-        let reusable = reply.send(stream, request.method == "HEAD")?;
+        let is_head = request.method == "HEAD";
+        let bytes = reply.bytes(is_head);
+        let reusable = reply.send(stream, is_head, previous.as_deref())?;
+        previous = bytes;
         if !reusable || !request.keeps_alive() {
             return Ok(());
         }
--- a/crates/standins/src/platform/answer_faults.rs
+++ b/crates/standins/src/platform/answer_faults.rs
@@ -69,6 +69,11 @@
     ManyInterim,
     /// Another request's answer precedes the answer.
     CrossedFirst,
+    /// A rejection without the ID of a request precedes the answer.
+    NamelessFirst {
+        /// Status of the rejection.
+        status: u16,
+    },
     /// Another answer follows the complete one.
     ExtraAfter,
     /// The answer has no length and ends with its connection.
--- a/crates/standins/src/platform/answers.rs
+++ b/crates/standins/src/platform/answers.rs
@@ -12,6 +12,7 @@
 use parking_lot::Mutex;
 use serde_json::json;
 
+use crate::http::AfterPrevious;
 use crate::http::EventWriter;
 use crate::http::Raw;
 use crate::http::Reply;
@@ -112,6 +113,9 @@
     pace: RunningPace,
     /// Times of the rejections for want of room.
     pub rejections: Mutex<Vec<Instant>>,
+    /// Statuses of the answers that are sent once more, late: before the next answer on their
+    /// connection.
+    pub repeated_statuses: Mutex<Vec<u16>>,
     /// Version of the upstream's software, which events that begin from now on tell.
     pub software_version: Mutex<String>,
 }
@@ -133,6 +137,7 @@
             room: Arc::default(),
             pace: RunningPace::new(None),
             rejections: Mutex::default(),
+            repeated_statuses: Mutex::default(),
             software_version: Mutex::new(DEFAULT_SOFTWARE_VERSION.to_owned()),
         }
     }
@@ -196,6 +201,18 @@
         self.faults.lock().clear();
     }
 
+    /// Returns an answer before which the previous one on its connection may be sent once more.
+    pub fn after_previous(&self, reply: Reply) -> Reply {
+        let statuses = self.repeated_statuses.lock().clone();
+        match statuses.is_empty() {
+            true => reply,
+            false => Reply::AfterPrevious(AfterPrevious {
+                statuses,
+                reply: Box::new(reply),
+            }),
+        }
+    }
+
     /// Returns the answer that refuses a request meant for another upstream, or none.
     pub fn misdirected(&self, request: &Request) -> Option<Reply> {
         let expected = request.header(EXPECTED_INSTANCE)?;
@@ -352,6 +369,12 @@
                 let interim = "HTTP/1.1 103 Early\r\n\r\n".repeat(INTERIM_ANSWERS);
                 raw(interim + &framed(200, ""), true)
             }
+            Some(AnswerFault::NamelessFirst { status }) => {
+                let nameless = format!(
+                    "HTTP/1.1 {status} Status\r\n{NOT_RUN}: 1\r\nContent-Length: 0\r\n\r\n"
+                );
+                raw(nameless + &framed(200, ""), true)
+            }
             Some(AnswerFault::CrossedFirst) => raw(other + &framed(200, ""), true),
             Some(AnswerFault::ExtraAfter) => raw(framed(200, "") + &other, true),
             Some(AnswerFault::Unframed) => raw(head(200, "\r\n") + body, false),
--- a/crates/standins/src/platform/engine.rs
+++ b/crates/standins/src/platform/engine.rs
@@ -278,6 +278,12 @@
         self.answers.push_fault(fault);
     }
 
+    /// Makes the engine send its answers with these statuses once more, late: before the next answer
+    /// on their connection.
+    pub fn repeat_answers(&self, statuses: &[u16]) {
+        *self.answers.repeated_statuses.lock() = statuses.to_vec();
+    }
+
     /// Removes the faults that have not been applied yet.
     pub fn clear_faults(&self) {
         self.answers.clear_faults();
@@ -440,6 +446,6 @@
         self.answers.silence.wait();
         let reply = self.answer(request);
         self.answers.silence.wait();
-        reply
+        self.answers.after_previous(reply)
     }
 }
--- a/crates/standins/src/platform/service.rs
+++ b/crates/standins/src/platform/service.rs
@@ -181,6 +181,12 @@
         self.answers.push_fault(fault);
     }
 
+    /// Makes the instance send its answers with these statuses once more, late: before the next answer
+    /// on their connection.
+    pub fn repeat_answers(&self, statuses: &[u16]) {
+        *self.answers.repeated_statuses.lock() = statuses.to_vec();
+    }
+
     /// Removes the faults that have not been applied yet.
     pub fn clear_faults(&self) {
         self.answers.clear_faults();
@@ -255,7 +261,7 @@
         self.answers.silence.wait();
         let reply = self.answer_within_room(request);
         self.answers.silence.wait();
-        reply
+        self.answers.after_previous(reply)
     }
 }
 
