Answers without a request ID are never those to requests

Cause: the check of an answer asked whether it says "not run" before it asked whether it has an ID. A health check has none, so the late copy of its rejection, over the pooled connection of the check, counted as that of a booking.

Change: over a connection that has carried a call of the VM itself, an answer without an ID is skipped and the request's own is awaited; over any other it counts as lost.

--- a/crates/entry/src/outbound.rs
+++ b/crates/entry/src/outbound.rs
@@ -125,6 +125,8 @@
     pub opened_ms: u64,
     /// Whether no byte has been received yet.
     is_new: bool,
+    /// Whether it has carried a call of this VM, whose answer has no request ID.
+    has_carried_call: bool,
     /// Whether the call in progress sends nothing and only opens the connection.
     is_connect_only: bool,
     /// Whether reading waits until the caller has taken the bytes read so far.
@@ -164,6 +166,7 @@
 impl Outbound {
     /// Begins an exchange by writing a complete request.
     pub fn begin(&mut self, now_ms: u64, purpose: Purpose, bytes: &[u8], is_head_request: bool) {
+        self.has_carried_call |= matches!(purpose, Purpose::Call(_));
         self.purpose = purpose;
         self.last_received_ms = now_ms;
         self.last_progress_ms = now_ms;
@@ -197,6 +200,11 @@
         !is_opening && self.stream.sent_bytes > 0
     }
 
+    /// Returns whether an answer without a request ID may be a late copy of that to a call.
+    pub fn has_carried_call(&self) -> bool {
+        self.has_carried_call
+    }
+
     /// Returns whether the first bytes have been received that ever came on the connection, and
     /// remembers that they have.
     pub fn take_newness(&mut self) -> bool {
--- a/crates/entry/src/outbound/pool.rs
+++ b/crates/entry/src/outbound/pool.rs
@@ -113,6 +113,7 @@
             relayed_by,
             opened_ms: now_ms,
             is_new: true,
+            has_carried_call: false,
             is_connect_only: false,
             paused: false,
             input: Vec::new(),
--- a/crates/entry/src/upstream_answers.rs
+++ b/crates/entry/src/upstream_answers.rs
@@ -131,7 +131,9 @@
         };
         let is_success = (200..300).contains(&head.status);
         let mut stated = None;
-        let verdict = match classify_head(&head, &fields, &request.serving.id) {
+        let connection = self.outbound.get_mut(token);
+        let has_carried_call = connection.is_some_and(|it| it.has_carried_call());
+        let verdict = match classify_head(&head, &fields, &request.serving.id, has_carried_call) {
             HeadVerdict::Deliver => {
                 let fits = match &request.phase {
                     Phase::Sent {
@@ -453,14 +455,22 @@
     }
 }
 
-fn classify_head(head: &ResponseHead, fields: &AnswerFields, id: &RequestId) -> HeadVerdict {
+/// Judges an answer by its head. `has_carried_call` tells whether the connection has carried a call,
+/// whose answer has no ID and may come once more.
+fn classify_head(
+    head: &ResponseHead,
+    fields: &AnswerFields,
+    id: &RequestId,
+    has_carried_call: bool,
+) -> HeadVerdict {
     let success = (200..300).contains(&head.status);
     match &fields.request {
         Some(other) if other != id => HeadVerdict::Skip,
-        _ if fields.misdirected => HeadVerdict::Fail(FailedAttempt::Misdirected),
-        _ if fields.not_run => HeadVerdict::Fail(FailedAttempt::Rejected),
-        // Without the request's ID or the upstream's signature the answer may come from anywhere.
+        None if has_carried_call => HeadVerdict::Skip,
+        // Without an ID, nothing shows that the answer is that to this request.
         None => HeadVerdict::Fail(FailedAttempt::Lost),
+        Some(_) if fields.misdirected => HeadVerdict::Fail(FailedAttempt::Misdirected),
+        Some(_) if fields.not_run => HeadVerdict::Fail(FailedAttempt::Rejected),
         Some(_) if !fields.signed || fields.encoded => HeadVerdict::Fail(FailedAttempt::Lost),
         Some(_) if success || head.status >= 400 => HeadVerdict::Deliver,
         Some(_) => HeadVerdict::Fail(FailedAttempt::Lost),
