Versions from a copy of the list count once its changes since are read

Callers of another system saw: after all VMs had been killed, streams that they took up were joined from two software versions, without a sign of it. It can happen here.

Cause: a VM that starts takes the versions that can have begun a stream from the copy of the upstream list in the store, and believed it as of now, however old it was. Versions that came and went since were not seen if the changes since the copy were deleted, or not read yet; and without a copy the VM took itself for the first one, although others had served.

Change: versions taken over count once all changes since the copy have been read, or the VM follows others that read. Deleted changes, or a list read without its changes, end that. Without a copy, no VM may have started twice by the VMs' entries.

--- a/crates/entry/src/store_pollers.rs
+++ b/crates/entry/src/store_pollers.rs
@@ -82,6 +82,10 @@
     /// Whether this VM has read the snapshot, or that there is none. It writes none before, as it
     /// would replace what the former lease holder knew of the time before this VM started.
     snapshot_read: bool,
+    /// Whether the first read of the snapshot found none.
+    has_no_snapshot: bool,
+    /// Whether no VM had started more than once when the VMs' entries were first read.
+    is_first_start: bool,
     /// Number of reads that found no snapshot.
     snapshot_misses: u32,
     /// When this VM reads the upstreams' entries although other VMs announce them, because nobody
@@ -122,6 +126,8 @@
             list_snapshot: TopicPoller::default(),
             snapshot_checked: false,
             snapshot_read: false,
+            has_no_snapshot: false,
+            is_first_start: false,
             snapshot_misses: 0,
             no_snapshot_read_ms: None,
             snapshot_writer: SnapshotWriter::default(),
--- a/crates/entry/src/store_pollers/list_snapshot.rs
+++ b/crates/entry/src/store_pollers/list_snapshot.rs
@@ -142,13 +142,9 @@
         poller.after = None;
         self.store_pollers.snapshot_checked = true;
         let is_first_read = !std::mem::replace(&mut self.store_pollers.snapshot_read, true);
-        if is_first_read && records.is_empty() && self.store_era.now() == 0 {
-            // Without a snapshot, no VM has served before this one, and no stream has begun.
-            let recent = RecentVersions {
-                is_complete: true,
-                ..RecentVersions::default()
-            };
-            self.stream_origins.restore_versions(self.now_ms, &recent);
+        if is_first_read && records.is_empty() {
+            self.store_pollers.has_no_snapshot = true;
+            self.record_if_first_vm();
         }
         let parts: Vec<ListSnapshotPart> = records
             .iter()
@@ -171,6 +167,15 @@
         Ok(0)
     }
 
+    /// Records that no stream has begun if neither a snapshot nor the VMs' entries show that a VM has
+    /// served before.
+    pub(super) fn record_if_first_vm(&mut self) {
+        let pollers = &self.store_pollers;
+        if pollers.has_no_snapshot && pollers.is_first_start && self.store_era.now() == 0 {
+            self.stream_origins.record_first_vm(self.now_ms);
+        }
+    }
+
     /// Counts a read that found no snapshot.
     fn record_missing_snapshot(&mut self) {
         self.store_pollers.snapshot_misses += 1;
--- a/crates/entry/src/store_pollers/upstream_list.rs
+++ b/crates/entry/src/store_pollers/upstream_list.rs
@@ -33,6 +33,7 @@
         let records = std::mem::take(&mut poller.pages);
         poller.from = poller.pages_end.take();
         poller.after = None;
+        self.stream_origins.record_changes_skipped();
         let entries: Vec<Upstream> = records
             .iter()
             .filter_map(|record| self.decode_upstream(record))
@@ -72,6 +73,8 @@
 
     pub(super) fn handle_upstreams_read(&mut self, read: LogRead) -> Result<u64, DecodeError> {
         let LogRead::Records { end, records } = read else {
+            // Upstreams may have come and gone in the deleted records.
+            self.stream_origins.record_gap();
             self.store_pollers.upstreams.restart();
             return Ok(0);
         };
@@ -87,11 +90,13 @@
         }
         let from = from.after(records.len() as u64);
         self.store_pollers.upstreams.from = Some(from);
-        Ok(if from.offset < end {
-            0
-        } else {
-            UPSTREAMS_INTERVAL_MS
-        })
+        match from.offset < end {
+            true => Ok(0),
+            false => {
+                self.stream_origins.record_changes_read(self.now_ms);
+                Ok(UPSTREAMS_INTERVAL_MS)
+            }
+        }
     }
 
     /// Decodes an entry. An invalid entry ends the use of the incarnation that had an entry under
--- a/crates/entry/src/store_pollers/vm_entries.rs
+++ b/crates/entry/src/store_pollers/vm_entries.rs
@@ -51,6 +51,8 @@
         }
         let mut records = std::mem::take(&mut poller.pages);
         poller.after = None;
+        // A VM that starts again writes the same key once more.
+        let is_first_start = page.end == records.len() as u64;
         self.learned_store
             .take_from_entries(self.now_ms, &mut records);
         let vms: Vec<VmRecord> = records
@@ -61,6 +63,10 @@
         log::info!(vms = self.peers.others(); "entries of VMs read");
         self.configuration_evidence.record_other_vms();
         let is_first = !std::mem::replace(&mut self.store_pollers.other_entries_read, true);
+        if is_first {
+            self.store_pollers.is_first_start = is_first_start;
+            self.record_if_first_vm();
+        }
         match is_first && self.store_era.now() > 0 {
             // The store may have been rolled back a moment ago and lack some entries.
             true => self.reread_pause_ms(),
--- a/crates/entry/src/stream_origins.rs
+++ b/crates/entry/src/stream_origins.rs
@@ -100,6 +100,22 @@
         }
     }
 
+    /// Records that no VM has served before this one, so that no stream has begun.
+    pub fn record_first_vm(&mut self, now_ms: u64) {
+        self.versions.restore(now_ms, []);
+        self.versions.record_changes_read(now_ms);
+    }
+
+    /// Records that all changes of the upstream list have been read.
+    pub fn record_changes_read(&mut self, now_ms: u64) {
+        self.versions.record_changes_read(now_ms);
+    }
+
+    /// Records that the upstream list was read without its changes.
+    pub fn record_changes_skipped(&mut self) {
+        self.versions.record_changes_skipped();
+    }
+
     /// Takes over the versions that services ran before this VM started.
     pub fn restore_versions(&mut self, now_ms: u64, recent: &RecentVersions) {
         if recent.is_complete {
@@ -267,8 +283,12 @@
         let is_followed = is_read || self.sharing.is_following(now_ms);
         match is_followed {
             _ if !self.directory.is_listed() => {}
-            true => origins.versions.record_followed(now_ms),
-            false => origins.versions.record_gap(),
+            true if is_read => origins.versions.record_followed(now_ms),
+            true => {
+                origins.versions.record_followed(now_ms);
+                origins.versions.record_changes_read(now_ms);
+            }
+            false => origins.versions.record_not_followed(),
         }
         let lifetime_ms = origins.table.lifetime_ms();
         origins.versions.drop_older(now_ms, lifetime_ms);
--- a/crates/origins/src/versions.rs
+++ b/crates/origins/src/versions.rs
@@ -23,13 +23,24 @@
     Several,
 }
 
+/// Versions from before this VM followed the upstream list.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+enum Former {
+    /// They are not known.
+    #[default]
+    Unknown,
+    /// They were taken over from a VM that knew them. What has come since is not known yet.
+    Unconfirmed,
+    /// They are known.
+    Known,
+}
+
 /// Software versions that this VM has seen in the upstream list, by service, and when.
 #[derive(Debug, Default)]
 pub struct VersionHistory {
     /// Time since which the upstream list has been followed without a gap.
     complete_since_ms: Option<u64>,
-    /// Whether the versions before that time were taken over from a VM that knew them.
-    is_restored: bool,
+    former: Former,
     /// When each version was last seen.
     by_service: HashMap<GroupName, HashMap<SoftwareVersion, u64>>,
     /// When upstreams whose version has never been known were last seen, by service and name;
@@ -70,10 +81,35 @@
     /// Records that upstreams may have come and gone unseen.
     pub fn record_gap(&mut self) {
         self.complete_since_ms = None;
-        self.is_restored = false;
+        self.former = Former::Unknown;
+    }
+
+    /// Records that this VM follows the upstream list no longer, or not yet. Versions that were taken
+    /// over remain unconfirmed.
+    pub fn record_not_followed(&mut self) {
+        self.complete_since_ms = None;
+        if self.former == Former::Known {
+            self.former = Former::Unknown;
+        }
+    }
+
+    /// Records that all changes of the upstream list have been read since the versions were taken over.
+    pub fn record_changes_read(&mut self, now_ms: u64) {
+        if self.former == Former::Unconfirmed {
+            self.former = Former::Known;
+            self.complete_since_ms = Some(now_ms);
+        }
+    }
+
+    /// Records that the upstream list was read without its changes, of which some may have been undone.
+    pub fn record_changes_skipped(&mut self) {
+        if self.former == Former::Unconfirmed {
+            self.former = Former::Unknown;
+        }
     }
 
-    /// Takes over the versions that were recent at a VM which had seen all of them.
+    /// Takes over the versions that were recent at a VM which had seen all of them. They count once the
+    /// changes since then have been read.
     pub fn restore<'a>(
         &mut self,
         now_ms: u64,
@@ -87,8 +123,7 @@
             };
             self.record(now_ms, &origin);
         }
-        self.complete_since_ms = Some(now_ms);
-        self.is_restored = true;
+        self.former = Former::Unconfirmed;
     }
 
     /// Returns whether all versions are known that can have begun a stream which a caller resumes
@@ -97,7 +132,7 @@
         let remembered_ms = lifetime_ms * REMEMBERED_LIFETIMES;
         let is_long = |since_ms: u64| now_ms.saturating_sub(since_ms) >= remembered_ms;
         self.complete_since_ms
-            .is_some_and(|since_ms| self.is_restored || is_long(since_ms))
+            .is_some_and(|since_ms| self.former == Former::Known || is_long(since_ms))
     }
 
     /// Returns the services with the versions that are kept.
--- a/crates/origins/tests/late_resumptions.rs
+++ b/crates/origins/tests/late_resumptions.rs
@@ -73,3 +73,43 @@
     let versions = history.versions(BEGIN_MS + 31_000, &service, LIFETIME_MS);
     assert_eq!(versions, KnownVersions::Unknown);
 }
+
+/// What a VM that has taken over versions learns of the changes since then.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+enum Changes {
+    Unread,
+    Read,
+    Skipped,
+    Lost,
+}
+
+/// Guards against a VM that takes the versions of another one for all that there were, although some
+/// may have come and gone since.
+#[rstest]
+#[case::unread(Changes::Unread, false)]
+#[case::read(Changes::Read, true)]
+#[case::skipped(Changes::Skipped, false)]
+#[case::lost(Changes::Lost, false)]
+fn restored_versions(#[case] changes: Changes, #[case] is_one: bool) {
+    let service = GroupName::from("llm");
+    let version = SoftwareVersion::from("v1");
+    let mut history = VersionHistory::default();
+    history.restore(BEGIN_MS, [(&service, Some(&version))]);
+    history.record_not_followed();
+    match changes {
+        Changes::Unread => {}
+        Changes::Read => history.record_changes_read(BEGIN_MS),
+        Changes::Skipped => history.record_changes_skipped(),
+        Changes::Lost => history.record_gap(),
+    }
+    history.record_followed(BEGIN_MS);
+    if changes != Changes::Unread {
+        history.record_changes_read(BEGIN_MS);
+    }
+    let expected = match is_one {
+        true => KnownVersions::One(version.clone()),
+        false => KnownVersions::Unknown,
+    };
+    let versions = history.versions(BEGIN_MS, &service, LIFETIME_MS);
+    assert_eq!(versions, expected);
+}
