Load statements of any size leave the process running

Cause: the load in a head was recorded before it was known whose answer it is; an upstream far below the mean got an infinite weight, from which no draw can be made; the sum of running and waiting overflowed.

Change: the load in an answer to another request is not recorded, the logarithm of a weight is bounded, and numbers of requests add up without overflow.

--- a/crates/dispatch/src/upstream_load.rs
+++ b/crates/dispatch/src/upstream_load.rs
@@ -26,7 +26,12 @@
     /// Returns how many further requests an upstream with a limit on rejections is sent.
     pub fn limited_room(&self) -> u32 {
         let most = (f64::from(self.slots) * LIMITED_FILL) as u32;
-        most.saturating_sub(self.running + self.waiting)
+        most.saturating_sub(self.requests())
+    }
+
+    /// Returns the number of requests at the upstream.
+    fn requests(&self) -> u32 {
+        self.running.saturating_add(self.waiting)
     }
 }
 
@@ -61,9 +66,8 @@
     pub(crate) fn requests(&self, now_ms: u64) -> u32 {
         match self.report {
             Some((sample, local_then, at_ms)) if now_ms.saturating_sub(at_ms) < REPORT_TTL_MS => {
-                (sample.running + sample.waiting + self.local_requests)
-                    .saturating_sub(local_then)
-                    .max(self.local_requests)
+                let now = sample.requests().saturating_add(self.local_requests);
+                now.saturating_sub(local_then).max(self.local_requests)
             }
             _ => self.local_requests,
         }
--- a/crates/entry/src/upstream_answers.rs
+++ b/crates/entry/src/upstream_answers.rs
@@ -172,7 +172,7 @@
                 first_byte_ms.get_or_insert(self.now_ms);
                 stated = Some((upstream.clone(), *at_ms));
             }
-            if let Some(sample) = fields.load {
+            if let Some(sample) = fields.load.filter(|_| verdict != HeadVerdict::Skip) {
                 self.dispatcher
                     .reported(self.now_ms, &request.job.service, upstream, sample);
             }
--- a/crates/routing/src/load_estimate.rs
+++ b/crates/routing/src/load_estimate.rs
@@ -9,6 +9,10 @@
 /// not shift the weights.
 const MIN_REFERENCE_PRESSURE: f64 = 0.25;
 
+/// Largest distance of a weight from that of an upstream at the mean, as a logarithm. Sums of weights
+/// within it are finite, whatever an upstream states.
+const MAX_LOG_WEIGHT: f64 = 100.0;
+
 /// Last report of one upstream, its weight, and this VM's requests there.
 ///
 /// A report shows the requests of all VMs as of some seconds ago. This VM knows how many of them
@@ -120,7 +124,8 @@
         let age_ms = now_ms.saturating_sub(report.local_as_of_ms) as f64;
         let recency = (-age_ms / group.residence_ms).exp();
         let recent_shift = options.fresh_gain * recency * (report.total - group.mean_total);
-        slots * (self.log_weight - recent_shift).exp()
+        let log_weight = self.log_weight - recent_shift;
+        slots * log_weight.clamp(-MAX_LOG_WEIGHT, MAX_LOG_WEIGHT).exp()
     }
 
     fn slots(&self, options: &Options) -> u32 {
--- a/crates/standins/src/platform/answer_faults.rs
+++ b/crates/standins/src/platform/answer_faults.rs
@@ -74,6 +74,8 @@
         /// Status of the rejection.
         status: u16,
     },
+    /// The answer states a load that no upstream can have.
+    HugeLoad,
     /// Another answer follows the complete one.
     ExtraAfter,
     /// The answer has no length and ends with its connection.
--- a/crates/standins/src/platform/answers.rs
+++ b/crates/standins/src/platform/answers.rs
@@ -382,6 +382,11 @@
                 format!("{}Content-Length: 9999\r\n\r\n{body}", head(200, "")),
                 false,
             ),
+            Some(AnswerFault::HugeLoad) => {
+                let huge = format!("{LOAD}: {max},{max},1", max = u32::MAX);
+                let own = format!("{LOAD}: {}", self.load_text());
+                raw(framed(200, "").replace(&own, &huge), true)
+            }
             Some(AnswerFault::CutHead { framing, bytes }) => {
                 let mut head = head(200, framing);
                 head.truncate(bytes);
