Soak: rejections that come twice

The generator that was missing: no stand-in of the soak repeated a rejection, so its checks "runs once" and "true refusal" never met one.

--- a/crates/soak/src/main.rs
+++ b/crates/soak/src/main.rs
@@ -51,6 +51,8 @@
     /// Number of VMs in each soak
     #[bpaf(argument("N"), fallback(3), display_fallback)]
     vms: usize,
+    /// Have upstreams send each rejection once more, late
+    repeat_rejections: bool,
     /// Print the faults planned for each seed without running a soak
     plan_only: bool,
     /// Directory for the plans, the VMs' logs and what callers and upstreams observed
@@ -119,6 +121,7 @@
     SoakOptions {
         length_ms: arguments.seconds * 1_000,
         vms: arguments.vms.max(1),
+        repeats_rejections: arguments.repeat_rejections,
         ..SoakOptions::new(program, seed)
     }
 }
--- a/crates/soak/src/soak.rs
+++ b/crates/soak/src/soak.rs
@@ -54,6 +54,8 @@
     /// Number of requests that each engine runs at once, as its answers state; none for more than
     /// callers send.
     pub slots: Option<usize>,
+    /// Whether upstreams send each rejection once more, before the next answer on its connection.
+    pub repeats_rejections: bool,
 }
 
 impl SoakOptions {
@@ -67,6 +69,7 @@
             engines: 3,
             callers: 12,
             slots: None,
+            repeats_rejections: false,
         }
     }
 
@@ -129,6 +132,9 @@
         let clock = Clock::start();
         let world = World::start(clock, options.program.clone(), options.vms, options.engines)
             .map_err(Error::io_while("starting the stand-ins and the VMs"))?;
+        if options.repeats_rejections {
+            world.repeat_rejections();
+        }
         if let Some(slots) = options.slots {
             world.limit_slots(slots);
         }
--- a/crates/soak/src/world.rs
+++ b/crates/soak/src/world.rs
@@ -81,6 +81,9 @@
     pub unexpected_exits: Vec<String>,
 }
 
+/// Statuses with which upstreams reject requests.
+const REJECTIONS: [u16; 2] = [421, 503];
+
 /// Everything around the callers: the VMs, and the platform's stand-ins with the proxies in front
 /// of them.
 pub(crate) struct World {
@@ -411,6 +414,11 @@
         }
     }
 
+    /// Makes all upstreams send each rejection once more, before the next answer on its connection.
+    pub fn repeat_rejections(&self) {
+        self.site.lock().repeat_answers(&REJECTIONS);
+    }
+
     /// Queues a fault for each of the next `count` answers of every engine; `fault` returns that of
     /// the engine with a number.
     fn queue_engine_faults(&self, count: u32, fault: impl Fn(usize) -> AnswerFault) {
--- a/crates/standins/src/platform/site.rs
+++ b/crates/standins/src/platform/site.rs
@@ -116,6 +116,8 @@
     configuration: Mutex<Vec<u8>>,
     adjustments: Mutex<SiteAdjustments>,
     options: SiteOptions,
+    /// Statuses of the answers that upstreams send once more, late.
+    repeated_statuses: Vec<u16>,
     servers: Vec<Server>,
     /// Servers of the engines; none for an engine that was stopped.
     engine_servers: Vec<Option<Server>>,
@@ -140,6 +142,7 @@
             configuration: Mutex::default(),
             adjustments: Mutex::default(),
             options: options.clone(),
+            repeated_statuses: Vec::new(),
             servers: Vec::new(),
             engine_servers: Vec::new(),
         };
@@ -193,12 +196,25 @@
         let engine = Arc::new(PlatformEngine::new(options, store, faults));
         let server = Server::start(LOOPBACK, engine.clone())?;
         engine.set_stopper(server.stopper());
+        engine.repeat_answers(&self.repeated_statuses);
         self.engine_addresses.push(server.address());
         self.engine_servers.push(Some(server));
         self.engines.push(engine);
         Ok(self.engines.len() - 1)
     }
 
+    /// Makes all upstreams, also those that start later, send their answers with these statuses once
+    /// more, late: before the next answer on their connection.
+    pub fn repeat_answers(&mut self, statuses: &[u16]) {
+        self.repeated_statuses = statuses.to_vec();
+        self.engines
+            .iter()
+            .for_each(|it| it.repeat_answers(statuses));
+        self.services
+            .iter()
+            .for_each(|it| it.repeat_answers(statuses));
+    }
+
     /// Adds a fault that spoils the next continuation of a stream, at whichever engine has no
     /// faults of its own left. Until then, it breaks off each stream that may be resumed.
     pub fn push_shared_fault(&self, fault: AnswerFault) {
