--- a/crates/entry/src/calls.rs
+++ b/crates/entry/src/calls.rs
@@ -260,7 +260,7 @@
 
     /// Returns a connection to a peer that is ready for a call; none if none can be opened.
     fn connect(&mut self, peer: &Peer, address: SocketAddr) -> Option<Token> {
-        self.connect_afresh(peer, address, &[])
+        self.connect_excluding(peer, address, &[])
     }
 
     /// Returns a connection to a peer that is ready for a request and none of those over which the
@@ -268,7 +268,7 @@
     ///
     /// A late copy of the answer to an earlier attempt bears the same request ID. It can only come over
     /// the connection of that attempt.
-    pub(crate) fn connect_afresh(
+    pub(crate) fn connect_excluding(
         &mut self,
         peer: &Peer,
         address: SocketAddr,
--- a/crates/entry/src/request_dispatch.rs
+++ b/crates/entry/src/request_dispatch.rs
@@ -398,7 +398,7 @@
         let peer = Peer::Upstream(name.clone());
         let request = self.active.get(key);
         let used = request.map_or_else(Vec::new, |it| it.connections.clone());
-        let Some(token) = self.connect_afresh(&peer, address, &used) else {
+        let Some(token) = self.connect_excluding(&peer, address, &used) else {
             log::warn!(upstream = name.to_string(); "connection to upstream can't be opened");
             self.refund_rejection_permit(key);
             return;
--- a/crates/standins/src/platform/answer_faults.rs
+++ b/crates/standins/src/platform/answer_faults.rs
@@ -70,7 +70,7 @@
     /// Another request's answer precedes the answer.
     CrossedFirst,
     /// A rejection without the ID of a request precedes the answer.
-    NamelessFirst {
+    UnidentifiedFirst {
         /// Status of the rejection.
         status: u16,
     },
--- a/crates/standins/src/platform/answers.rs
+++ b/crates/standins/src/platform/answers.rs
@@ -369,11 +369,11 @@
                 let interim = "HTTP/1.1 103 Early\r\n\r\n".repeat(INTERIM_ANSWERS);
                 raw(interim + &framed(200, ""), true)
             }
-            Some(AnswerFault::NamelessFirst { status }) => {
-                let nameless = format!(
+            Some(AnswerFault::UnidentifiedFirst { status }) => {
+                let rejection = format!(
                     "HTTP/1.1 {status} Status\r\n{NOT_RUN}: 1\r\nContent-Length: 0\r\n\r\n"
                 );
-                raw(nameless + &framed(200, ""), true)
+                raw(rejection + &framed(200, ""), true)
             }
             Some(AnswerFault::CrossedFirst) => raw(other + &framed(200, ""), true),
             Some(AnswerFault::ExtraAfter) => raw(framed(200, "") + &other, true),
