--- a/crates/entry/src/lib.rs
+++ b/crates/entry/src/lib.rs
@@ -36,6 +36,7 @@
 mod metric_labels;
 mod metrics;
 mod outbound;
+mod peer_connections;
 mod peer_exchange;
 mod peers;
 mod prefix_hash;
--- a/crates/standins/src/platform/answers.rs
+++ b/crates/standins/src/platform/answers.rs
@@ -14,7 +14,6 @@
 
 use crate::http::AfterPrevious;
 use crate::http::EventWriter;
-use crate::http::Raw;
 use crate::http::Reply;
 use crate::http::Request;
 use crate::http::Stream;
@@ -38,7 +37,7 @@
 const INSTANCE: &str = "Apricotdale-Instance-Id";
 const TIME_LEFT_MS: &str = "Apricotdale-Request-Deadline";
 const EXPECTED_INSTANCE: &str = "Apricotdale-Expect-Instance";
-const LOAD: &str = "Apricotdale-Server-Load";
+pub(crate) const LOAD: &str = "Apricotdale-Server-Load";
 const RATE_LIMIT: &str = "Server-Limit";
 const REJECTION_LIMIT: &str = "Server-Brittle";
 pub(crate) const VERSION: &str = "Apricotdale-Weight-Versions";
@@ -53,9 +52,6 @@
 /// leave only events that continue the ones before, and no reader could detect the fault.
 const MIN_FAULTY_EVENTS: u64 = 3;
 
-/// Number of interim answers of [`AnswerFault::ManyInterim`].
-const INTERIM_ANSWERS: usize = 100_000;
-
 /// Function that sends the events of a stream.
 type Produce = Box<dyn FnOnce(&mut EventWriter) -> StreamEnd + Send>;
 
@@ -91,7 +87,7 @@
 /// Answers of one upstream, and the record of the requests that ran.
 #[derive(Debug)]
 pub(crate) struct Answers {
-    instance: String,
+    pub instance: String,
     faults: Mutex<VecDeque<AnswerFault>>,
     shared_faults: Arc<Mutex<SharedFaults>>,
     /// Requests that ran, in order.
@@ -159,7 +155,7 @@
     }
 
     /// Returns the load that answers state.
-    fn load_text(&self) -> String {
+    pub fn load_text(&self) -> String {
         self.pace.with_work(self.room.load_text())
     }
 
@@ -186,7 +182,7 @@
     }
 
     /// Returns the header lines that state the limits; empty if there are none.
-    fn limit_lines(&self) -> String {
+    pub fn limit_lines(&self) -> String {
         let limits = self.limits().into_iter();
         limits
             .map(|(name, limit)| format!("{name}: {limit}\r\n"))
@@ -281,122 +277,6 @@
         });
     }
 
-    /// Returns the answer to a request that is not streamed.
-    pub fn unstreamed_answer(
-        &self,
-        request: &Request,
-        fault: Option<AnswerFault>,
-        body: &str,
-    ) -> Reply {
-        let id = id_of(request);
-        let rate_limit = self.limit_lines();
-        let head = |status: u16, fields: &str| {
-            format!(
-                "HTTP/1.1 {status} Status\r\n{ID}: {id}\r\n{SIGNATURE}: s.{}\r\n{LOAD}: {}\r\n\
-                 {rate_limit}{fields}",
-                self.instance,
-                self.load_text()
-            )
-        };
-        let framed = |status: u16, fields: &str| {
-            format!(
-                "{}Content-Length: {}\r\n\r\n{body}",
-                head(status, fields),
-                body.len()
-            )
-        };
-        let other = format!(
-            "HTTP/1.1 200 OK\r\n{ID}: other-{id}\r\n{SIGNATURE}: s\r\nContent-Length: 5\r\n\r\nother"
-        );
-        let raw = |text: String, keep_alive| {
-            Reply::Raw(Raw {
-                bytes: text.into_bytes(),
-                keep_alive,
-            })
-        };
-        match fault {
-            None
-            | Some(
-                AnswerFault::CutAfter { .. }
-                | AnswerFault::MuteAfter { .. }
-                | AnswerFault::Stream(_)
-                | AnswerFault::CutThen { .. }
-                | AnswerFault::UnsignedStream,
-            ) => raw(framed(200, ""), true),
-            Some(
-                fault @ (AnswerFault::Large | AnswerFault::LargeCut | AnswerFault::LargeStalled),
-            ) => {
-                let is_complete = fault == AnswerFault::Large;
-                let length = LARGE_BYTES * (2 - usize::from(is_complete));
-                let body = "x".repeat(LARGE_BYTES);
-                let fields = format!("Content-Length: {length}\r\n\r\n{body}");
-                raw(head(200, &fields), fault != AnswerFault::LargeCut)
-            }
-            Some(AnswerFault::Endless) => Reply::Stream(Stream {
-                headers: Vec::new(),
-                produce: Box::new(|writer: &mut EventWriter| {
-                    let bytes = vec![b'x'; LARGE_BYTES];
-                    while writer.send_bytes(&bytes).is_ok() {}
-                    StreamEnd::Broken
-                }),
-            })
-            .with_header(ID, id)
-            .with_header(SIGNATURE, "s"),
-            Some(AnswerFault::EndlessPart { part, gap_ms }) => part.reply(&head(200, ""), gap_ms),
-            Some(AnswerFault::Silent { at, for_ms }) => at.unstreamed(&framed(200, ""), for_ms),
-            Some(AnswerFault::TurnedAway) => self.not_run(request, 503),
-            Some(AnswerFault::TurnedAwayStalled) => {
-                let text = format!(
-                    "HTTP/1.1 503 Status\r\n{ID}: {id}\r\n{NOT_RUN}: 1\r\nContent-Length: 2\r\n\r\n"
-                );
-                raw(text, true)
-            }
-            Some(AnswerFault::Failed) => raw(framed(500, ""), true),
-            Some(AnswerFault::LostAnswer) => Reply::Lost,
-            Some(AnswerFault::Mute) => {
-                request.caller.wait_until_disconnected();
-                self.left.lock().push(id.to_owned());
-                Reply::Lost
-            }
-            Some(AnswerFault::Unsigned) => {
-                let length = body.len();
-                let text = format!(
-                    "HTTP/1.1 200 OK\r\n{ID}: {id}\r\nContent-Length: {length}\r\n\r\n{body}"
-                );
-                raw(text, true)
-            }
-            Some(AnswerFault::ManyInterim) => {
-                let interim = "HTTP/1.1 103 Early\r\n\r\n".repeat(INTERIM_ANSWERS);
-                raw(interim + &framed(200, ""), true)
-            }
-            Some(AnswerFault::UnidentifiedFirst { status }) => {
-                let rejection = format!(
-                    "HTTP/1.1 {status} Status\r\n{NOT_RUN}: 1\r\nContent-Length: 0\r\n\r\n"
-                );
-                raw(rejection + &framed(200, ""), true)
-            }
-            Some(AnswerFault::CrossedFirst) => raw(other + &framed(200, ""), true),
-            Some(AnswerFault::ExtraAfter) => raw(framed(200, "") + &other, true),
-            Some(AnswerFault::Unframed) => raw(head(200, "\r\n") + body, false),
-            Some(AnswerFault::UnframedCut) => raw(
-                format!("{}Content-Length: 9999\r\n\r\n{body}", head(200, "")),
-                false,
-            ),
-            Some(AnswerFault::HugeLoad) => {
-                let huge = format!("{LOAD}: {max},{max},1", max = u32::MAX);
-                let own = format!("{LOAD}: {}", self.load_text());
-                raw(framed(200, "").replace(&own, &huge), true)
-            }
-            Some(AnswerFault::CutHead { framing, bytes }) => {
-                let mut head = head(200, framing);
-                head.truncate(bytes);
-                raw(head, false)
-            }
-            Some(AnswerFault::Garbage) => raw("\u{1}\u{2}garbage\r\n\r\n".to_owned(), false),
-            Some(AnswerFault::Encoded) => raw(framed(200, "Content-Encoding: gzip\r\n"), true),
-        }
-    }
-
     /// Returns the answer to a streaming request: the events after the last one that the client
     /// has, up to the event with number `count`. It breaks off when the time that the request
     /// states is over.
--- a/crates/standins/src/platform/mod.rs
+++ b/crates/standins/src/platform/mod.rs
@@ -15,6 +15,7 @@
 mod notices;
 mod orders;
 mod organisations;
+mod plain_answers;
 mod room;
 mod running_requests;
 mod service;
