Tests that fail without the mechanism they are named for, and what stood twice

A deleted place in the list ends nothing by itself any more: the read anew that follows does, and no test told the two apart.

--- a/crates/entry/src/store_pollers/upstream_list.rs
+++ b/crates/entry/src/store_pollers/upstream_list.rs
@@ -73,8 +73,6 @@
 
     pub(super) fn handle_upstreams_read(&mut self, read: LogRead) -> Result<u64, DecodeError> {
         let LogRead::Records { end, records } = read else {
-            // Upstreams may have come and gone in the deleted records.
-            self.stream_origins.record_gap();
             self.store_pollers.upstreams.restart();
             return Ok(0);
         };
--- a/crates/standins/src/http/server.rs
+++ b/crates/standins/src/http/server.rs
@@ -71,6 +71,11 @@
         self.address
     }
 
+    /// Returns the number of open connections.
+    pub fn open_connections(&self) -> usize {
+        self.connections.open.lock().streams.len()
+    }
+
     /// Waits until the server is stopped.
     pub fn wait(self) {
         // A panic in the accepting thread has already been printed by that thread.
--- a/crates/standins/src/platform/answer_faults.rs
+++ b/crates/standins/src/platform/answer_faults.rs
@@ -76,6 +76,12 @@
     },
     /// The answer states a load that no upstream can have.
     HugeLoad,
+    /// Another request's answer, which states a load that no upstream can have, precedes the answer
+    /// by a pause.
+    HugeLoadFirst {
+        /// Duration in milliseconds.
+        pause_ms: u64,
+    },
     /// Another answer follows the complete one.
     ExtraAfter,
     /// The answer has no length and ends with its connection.
--- a/crates/standins/src/platform/plain_answers.rs
+++ b/crates/standins/src/platform/plain_answers.rs
@@ -1,6 +1,9 @@
 //! Answers to requests that are not streamed, with and without faults.
 
+use std::time::Duration;
+
 use crate::http::EventWriter;
+use crate::http::Paused;
 use crate::http::Raw;
 use crate::http::Reply;
 use crate::http::Request;
@@ -120,8 +123,15 @@
                 format!("{}Content-Length: 9999\r\n\r\n{body}", head(200, "")),
                 false,
             ),
+            Some(AnswerFault::HugeLoadFirst { pause_ms }) => Reply::Paused(Paused {
+                before: other
+                    .replacen(ID, &format!("{}\r\n{ID}", huge_load()), 1)
+                    .into_bytes(),
+                pause: Duration::from_millis(pause_ms),
+                after: framed(200, "").into_bytes(),
+            }),
             Some(AnswerFault::HugeLoad) => {
-                let huge = format!("{LOAD}: {max},{max},1", max = u32::MAX);
+                let huge = huge_load();
                 let own = format!("{LOAD}: {}", self.load_text());
                 raw(framed(200, "").replace(&own, &huge), true)
             }
@@ -135,3 +145,8 @@
         }
     }
 }
+
+/// Returns the header line of a load that no upstream can have.
+fn huge_load() -> String {
+    format!("{LOAD}: {max},{max},1", max = u32::MAX)
+}
--- a/crates/standins/src/platform/site.rs
+++ b/crates/standins/src/platform/site.rs
@@ -215,6 +215,12 @@
             .for_each(|it| it.repeat_answers(statuses));
     }
 
+    /// Returns the number of open connections at an instance of the plain service.
+    pub fn service_connections(&self, index: usize) -> usize {
+        // The servers of the store's endpoints come first.
+        self.servers[self.store_endpoints.len() + index].open_connections()
+    }
+
     /// Adds a fault that spoils the next continuation of a stream, at whichever engine has no
     /// faults of its own left. Until then, it breaks off each stream that may be resumed.
     pub fn push_shared_fault(&self, fault: AnswerFault) {
