Exchanges that are given up are closed with a reset

Cause: a call that had timed out was closed in an orderly way, after which the kernel goes on sending what the other end has not received. Requests whose callers had their final answer, and relayed ones, ran later in the same way.

The stand-ins' proxy can hold back what follows an order, and loses what it holds if the sender resets.

--- a/crates/entry/src/outbound.rs
+++ b/crates/entry/src/outbound.rs
@@ -200,6 +200,11 @@
         !is_opening && self.stream.sent_bytes > 0
     }
 
+    /// Returns whether the request of an exchange in progress has been written, in part or whole.
+    pub fn is_exchanging(&self) -> bool {
+        self.stream.sent_bytes > 0 && !matches!(self.parse, Parse::Complete)
+    }
+
     /// Returns whether an answer without a request ID may be a late copy of that to a call.
     pub fn has_carried_call(&self) -> bool {
         self.has_carried_call
--- a/crates/entry/src/outbound/pool.rs
+++ b/crates/entry/src/outbound/pool.rs
@@ -162,15 +162,27 @@
     }
 
     /// Closes a connection and returns what it was used for; none if there is no such connection.
+    ///
+    /// An exchange in progress is abandoned with a reset. After an orderly close the kernel would go
+    /// on sending a request that the other end has not received yet, for minutes.
     pub fn close(&mut self, token: Token, registry: &Registry) -> Option<Purpose> {
         let connection = self.connections.remove(&token)?;
         if let Some(idle) = self.idle.get_mut(&connection.peer) {
             idle.retain(|idle| *idle != token);
         }
-        connection.stream.close(registry, false);
+        let abort = connection.is_exchanging();
+        connection.stream.close(registry, abort);
         Some(connection.purpose)
     }
 
+    /// Closes all connections.
+    pub fn close_all(&mut self, registry: &Registry) {
+        let tokens: Vec<Token> = self.connections.keys().copied().collect();
+        for token in tokens {
+            self.close(token, registry);
+        }
+    }
+
     /// Closes the idle connections to a peer.
     pub fn close_idle(&mut self, peer: &Peer, registry: &Registry) {
         for token in self.idle.remove(peer).unwrap_or_default() {
--- a/crates/entry/src/relay.rs
+++ b/crates/entry/src/relay.rs
@@ -102,6 +102,7 @@
         self.near_by_far.get(&token).copied().unwrap_or(token)
     }
 
+    /// Closes both sides, with `abort` by resets.
     fn remove(&mut self, near: Token, registry: &Registry, abort: bool) {
         let Some(relayed) = self.by_near.remove(&near) else {
             return;
@@ -109,7 +110,7 @@
         self.unfinished.remove(&near);
         if let Some((far, _, stream)) = relayed.far {
             self.near_by_far.remove(&far);
-            stream.close(registry, false);
+            stream.close(registry, abort);
         }
         relayed.near.close(registry, abort);
     }
@@ -273,20 +274,18 @@
         };
         let mut up = Vec::new();
         let mut down = Vec::new();
-        let mut has_left = !relayed.near.flush();
-        let mut far_end = match far.flush() {
-            true => ReadEnd::Drained,
-            false => ReadEnd::Broken,
-        };
-        if !has_left && far.unwritten_bytes() < MAX_UNSENT_BYTES {
-            let end = relayed.near.read(&mut up, MAX_UNSENT_BYTES);
-            has_left = matches!(end, ReadEnd::Closed | ReadEnd::Broken);
-            if end == ReadEnd::Limit {
+        let mut near_end = flushed(&mut relayed.near);
+        let mut far_end = flushed(far);
+        if near_end == ReadEnd::Drained && far.unwritten_bytes() < MAX_UNSENT_BYTES {
+            near_end = relayed.near.read(&mut up, MAX_UNSENT_BYTES);
+            if near_end == ReadEnd::Limit {
                 self.relayed.unfinished.insert(near);
             }
-            far.queue(&up);
-            if !far.flush() {
-                far_end = ReadEnd::Broken;
+            if near_end != ReadEnd::Broken {
+                far.queue(&up);
+                if !far.flush() {
+                    far_end = ReadEnd::Broken;
+                }
             }
         }
         if far_end == ReadEnd::Drained && relayed.near.unwritten_bytes() < MAX_UNSENT_BYTES {
@@ -299,15 +298,19 @@
             let mut frames = Vec::with_capacity(down.len() + 8);
             append_relay_data(&mut frames, &down);
             relayed.near.queue(&frames);
-            has_left |= !relayed.near.flush();
+            if !relayed.near.flush() {
+                near_end = ReadEnd::Broken;
+            }
             let upstream = upstream.clone();
             self.paths.record_received(now_ms, &upstream, None);
         }
-        match far_end {
-            _ if has_left => self.relayed.remove(near, self.poll.registry(), false),
-            ReadEnd::Closed => self.close_relayed(near, RelayNotice::Closed),
-            ReadEnd::Broken => self.close_relayed(near, RelayNotice::Broken),
-            ReadEnd::Drained | ReadEnd::Limit => {}
+        match (near_end, far_end) {
+            (ReadEnd::Closed, _) => self.relayed.remove(near, self.poll.registry(), false),
+            // The other VM has abandoned a request, which must not reach the upstream any more.
+            (ReadEnd::Broken, _) => self.relayed.remove(near, self.poll.registry(), true),
+            (_, ReadEnd::Closed) => self.close_relayed(near, RelayNotice::Closed),
+            (_, ReadEnd::Broken) => self.close_relayed(near, RelayNotice::Broken),
+            _ => {}
         }
     }
 
@@ -364,3 +367,11 @@
         }
     }
 }
+
+/// Writes what waits for a side, and returns how that ended.
+fn flushed(stream: &mut Stream) -> ReadEnd {
+    match stream.flush() {
+        true => ReadEnd::Drained,
+        false => ReadEnd::Broken,
+    }
+}
--- a/crates/standins/src/proxy.rs
+++ b/crates/standins/src/proxy.rs
@@ -54,12 +54,21 @@
     CutToClient,
     /// Bytes in both directions are held back until the fault ends.
     Cut,
+    /// Bytes towards the server are held back until the fault ends, from those on that contain a text.
+    CutFrom {
+        /// Text of which the bytes of one read contain the whole.
+        text: &'static str,
+    },
 }
 
 impl LinkFault {
-    fn blocks(self, to_server: bool) -> bool {
+    fn blocks(self, to_server: bool, bytes: &[u8]) -> bool {
         match self {
             Self::Cut => true,
+            Self::CutFrom { text } => {
+                let mut windows = bytes.windows(text.len());
+                to_server && windows.any(|it| it == text.as_bytes())
+            }
             Self::CutToServer => to_server,
             Self::CutToClient => !to_server,
             _ => false,
@@ -101,6 +110,8 @@
     changed: Condvar,
     target: Mutex<Option<SocketAddr>>,
     connections: Mutex<Vec<Arc<ProxiedConnection>>>,
+    /// Number of pieces and ends that are held back.
+    held: AtomicUsize,
     stopped: AtomicBool,
     /// Whether the proxy does not listen.
     down: AtomicBool,
@@ -201,6 +212,11 @@
         self.shared.changed.notify_all();
     }
 
+    /// Returns whether anything is held back.
+    pub fn holds_bytes(&self) -> bool {
+        self.shared.held.load(Ordering::Acquire) > 0
+    }
+
     /// Resets the open connections of one client.
     pub fn reset_client(&self, client: IpAddr) {
         let mut connections = self.shared.connections.lock();
@@ -363,19 +379,50 @@
         if connection.silent.load(Ordering::Acquire) {
             continue;
         }
-        wait_while_faulty(connection, shared, to_server);
-        if !connection.is_reset() && to.write_all(&bytes[..count]).is_err() {
-            connection.reset.store(true, Ordering::Release);
-        }
+        hold_while_faulty(connection, shared, to_server, &bytes[..count], || {
+            if to.write_all(&bytes[..count]).is_err() {
+                connection.reset.store(true, Ordering::Release);
+            }
+        });
     }
     if !connection.is_reset() && !connection.silent.load(Ordering::Acquire) {
-        wait_while_faulty(connection, shared, to_server);
-        // The other direction may continue: a client can close its side and still read.
-        let _ = to.shutdown(Shutdown::Write);
+        hold_while_faulty(connection, shared, to_server, &[], || {
+            // The other direction may continue: a client can close its side and still read.
+            let _ = to.shutdown(Shutdown::Write);
+        });
+    }
+}
+
+/// Forwards a piece or an end once no fault holds it back. What was held back is lost if its sender
+/// has reset the connection meanwhile.
+fn hold_while_faulty(
+    connection: &ProxiedConnection,
+    shared: &Shared,
+    to_server: bool,
+    bytes: &[u8],
+    forward: impl FnOnce(),
+) {
+    let from = match to_server {
+        true => &connection.client,
+        false => &connection.server,
+    };
+    shared.held.fetch_add(1, Ordering::AcqRel);
+    wait_while_faulty(connection, shared, to_server, bytes);
+    if !matches!(from.take_error(), Ok(None)) {
+        connection.reset.store(true, Ordering::Release);
+    }
+    if !connection.is_reset() {
+        forward();
     }
+    shared.held.fetch_sub(1, Ordering::AcqRel);
 }
 
-fn wait_while_faulty(connection: &ProxiedConnection, shared: &Shared, to_server: bool) {
+fn wait_while_faulty(
+    connection: &ProxiedConnection,
+    shared: &Shared,
+    to_server: bool,
+    bytes: &[u8],
+) {
     let client = connection.client_address;
     let mut faults = shared.faults.lock();
     if let LinkFault::Delayed { by_ms } = faults.of(client) {
@@ -384,7 +431,7 @@
             shared.changed.wait_until(&mut faults, until);
         }
     }
-    while faults.of(client).blocks(to_server) && !connection.is_reset() {
+    while faults.of(client).blocks(to_server, bytes) && !connection.is_reset() {
         shared.changed.wait_for(&mut faults, RESET_POLL_INTERVAL);
     }
 }
