A status that promises "not run" is passed on only if the upstream says so

Seen, while looking for further causes of the users' REFUSED: an upstream that runs a booking and answers 503, signed, without the statement that it has not run, has the caller told 503, a promise on which it sends the booking again.

Cause: whether an answer is passed on was asked of its identity and signature, never of what its status tells the caller.

Change: if a request may run only once, 408, 429 or 503 without the statement counts as lost, and the caller is told 502.

That users' upstreams answer so is not known.

--- a/crates/entry/src/upstream_answers.rs
+++ b/crates/entry/src/upstream_answers.rs
@@ -133,7 +133,12 @@
         let mut stated = None;
         let connection = self.outbound.get_mut(token);
         let has_carried_call = connection.is_some_and(|it| it.has_carried_call());
-        let verdict = match classify_head(&head, &fields, &request.serving.id, has_carried_call) {
+        let expected = ExpectedAnswer {
+            id: &request.serving.id,
+            may_run_again: request.job.kind.is_repeatable(),
+            has_carried_call,
+        };
+        let verdict = match expected.classify(&head, &fields) {
             HeadVerdict::Deliver => {
                 let fits = match &request.phase {
                     Phase::Sent {
@@ -455,24 +460,38 @@
     }
 }
 
-/// Judges an answer by its head. `has_carried_call` tells whether the connection has carried a call,
-/// whose answer has no ID and may come once more.
-fn classify_head(
-    head: &ResponseHead,
-    fields: &AnswerFields,
-    id: &RequestId,
+/// The answer that a request awaits on its connection.
+#[derive(Clone, Copy, Debug)]
+struct ExpectedAnswer<'a> {
+    id: &'a RequestId,
+    may_run_again: bool,
+    /// Whether the connection has carried a call, whose answer has no ID and may come once more.
     has_carried_call: bool,
-) -> HeadVerdict {
-    let success = (200..300).contains(&head.status);
-    match &fields.request {
-        Some(other) if other != id => HeadVerdict::Skip,
-        None if has_carried_call => HeadVerdict::Skip,
-        // Without an ID, nothing shows that the answer is that to this request.
-        None => HeadVerdict::Fail(FailedAttempt::Lost),
-        Some(_) if fields.misdirected => HeadVerdict::Fail(FailedAttempt::Misdirected),
-        Some(_) if fields.not_run => HeadVerdict::Fail(FailedAttempt::Rejected),
-        Some(_) if !fields.signed || fields.encoded => HeadVerdict::Fail(FailedAttempt::Lost),
-        Some(_) if success || head.status >= 400 => HeadVerdict::Deliver,
-        Some(_) => HeadVerdict::Fail(FailedAttempt::Lost),
+}
+
+impl ExpectedAnswer<'_> {
+    /// Judges an answer by its head.
+    fn classify(&self, head: &ResponseHead, fields: &AnswerFields) -> HeadVerdict {
+        let success = (200..300).contains(&head.status);
+        match &fields.request {
+            Some(other) if other != self.id => HeadVerdict::Skip,
+            None if self.has_carried_call => HeadVerdict::Skip,
+            // Without an ID, nothing shows that the answer is that to this request.
+            None => HeadVerdict::Fail(FailedAttempt::Lost),
+            Some(_) if fields.misdirected => HeadVerdict::Fail(FailedAttempt::Misdirected),
+            Some(_) if fields.not_run => HeadVerdict::Fail(FailedAttempt::Rejected),
+            Some(_) if !fields.signed || fields.encoded => HeadVerdict::Fail(FailedAttempt::Lost),
+            // Passed on, the status would promise what the upstream does not state.
+            Some(_) if promises_not_run(head.status) && !self.may_run_again => {
+                HeadVerdict::Fail(FailedAttempt::Lost)
+            }
+            Some(_) if success || head.status >= 400 => HeadVerdict::Deliver,
+            Some(_) => HeadVerdict::Fail(FailedAttempt::Lost),
+        }
     }
 }
+
+/// Returns whether callers take a status for the promise that their request has not run.
+fn promises_not_run(status: u16) -> bool {
+    matches!(status, 408 | 421 | 429 | 503)
+}
--- a/crates/standins/src/platform/answer_faults.rs
+++ b/crates/standins/src/platform/answer_faults.rs
@@ -13,6 +13,11 @@
     TurnedAway,
     /// The request runs and fails.
     Failed,
+    /// The request runs, and the answer has the status of a rejection without saying that it is one.
+    FailedWith {
+        /// Status of the answer.
+        status: u16,
+    },
     /// The request runs, and its answer is lost.
     LostAnswer,
     /// The request runs, and no answer is ever sent.
--- a/crates/standins/src/platform/plain_answers.rs
+++ b/crates/standins/src/platform/plain_answers.rs
@@ -93,6 +93,7 @@
                 raw(text, true)
             }
             Some(AnswerFault::Failed) => raw(framed(500, ""), true),
+            Some(AnswerFault::FailedWith { status }) => raw(framed(status, ""), true),
             Some(AnswerFault::LostAnswer) => Reply::Lost,
             Some(AnswerFault::Mute) => {
                 request.caller.wait_until_disconnected();
