One upstream's bytes no longer keep the loop from everybody else

Cause: the loops that read an answer went on while bytes came at least as fast as they were parsed, and each interim response moved the rest of the buffer to its front.

Change: a connection is read for 256 KB in an iteration of the loop and goes on in the next one; interim responses leave the buffer at once.

--- a/crates/entry/src/calls.rs
+++ b/crates/entry/src/calls.rs
@@ -259,7 +259,6 @@
 
     /// Continues receiving the answer to a call.
     pub(crate) fn advance_call(&mut self, token: Token) {
-        let now_ms = self.now_ms;
         loop {
             let Some(connection) = self.outbound.get_mut(token) else {
                 return;
@@ -312,7 +311,9 @@
                     return;
                 }
                 Part::Wait if connection.has_more() => {
-                    connection.read(now_ms);
+                    if !self.read_further(token) {
+                        return;
+                    }
                 }
                 Part::Wait => return,
                 Part::Failed => {
--- a/crates/entry/src/daemon.rs
+++ b/crates/entry/src/daemon.rs
@@ -159,6 +159,8 @@
     pub(crate) call_answers: HashMap<Token, CallAnswer>,
     /// Earliest deadline of the calls in progress.
     pub(crate) next_call_timeout_ms: u64,
+    /// Connections that have had their share of reading in this iteration and may have unread bytes.
+    pub(crate) unread: Vec<Token>,
     /// Callers' connections whose answer has ended and whose next request may already be there.
     pub(crate) answered: Vec<Token>,
     /// Whether dispatch of the waiting requests should be retried in this iteration.
@@ -255,6 +257,7 @@
             log_budget: LogBudget::default(),
             call_answers: HashMap::new(),
             next_call_timeout_ms: u64::MAX,
+            unread: Vec::new(),
             answered: Vec::new(),
             redispatch_needed: false,
             next_sweep_ms: now_ms,
@@ -288,9 +291,11 @@
             }
             self.loop_load.begin_work();
             self.check_for_pause(sleep_ms);
+            let unread = std::mem::take(&mut self.unread);
             let ready: Vec<(Token, bool)> = events
                 .iter()
                 .map(|event| (event.token(), event.is_writable()))
+                .chain(unread.into_iter().map(|token| (token, false)))
                 .collect();
             for (token, writable) in ready {
                 self.dispatch_event(token, writable);
@@ -359,7 +364,8 @@
     }
 
     fn sleep_ms(&self) -> u64 {
-        if !self.answered.is_empty() || self.redispatch_needed || self.peers.may_have_more {
+        let has_work = !self.answered.is_empty() || !self.unread.is_empty();
+        if has_work || self.redispatch_needed || self.peers.may_have_more {
             return 0;
         }
         let next_ms = [
@@ -410,6 +416,7 @@
         let Some(connection) = self.outbound.get_mut(token) else {
             return;
         };
+        connection.begin_iteration();
         let is_open = !writable || connection.stream.flush();
         if !connection.paused {
             let has_received = connection.read(now_ms);
@@ -441,6 +448,20 @@
         }
     }
 
+    /// Reads more of an answer. Returns whether it has been read; otherwise the connection has had its
+    /// share, and is continued in the next iteration of the loop.
+    pub(crate) fn read_further(&mut self, token: Token) -> bool {
+        let Some(connection) = self.outbound.get_mut(token) else {
+            return false;
+        };
+        if connection.has_had_share() {
+            self.unread.push(token);
+            return false;
+        }
+        connection.read(self.now_ms);
+        true
+    }
+
     /// Drops connections that have timed out and applies the current number of VMs.
     fn sweep(&mut self) {
         self.next_sweep_ms = self.now_ms + SWEEP_INTERVAL_MS;
--- a/crates/entry/src/outbound.rs
+++ b/crates/entry/src/outbound.rs
@@ -23,6 +23,10 @@
 /// Maximum number of bytes of an answer that are read before they are handled.
 const READ_LIMIT_BYTES: usize = 128 * 1024;
 
+/// Maximum number of bytes that a connection receives in one iteration of the loop, in addition to
+/// the last read. An upstream that sends as fast as it is read must not keep the VM from others.
+const ITERATION_LIMIT_BYTES: usize = 256 * 1024;
+
 /// How long an idle connection is kept if the other end states no limit. The time is short because
 /// a request sent on a connection that the other end closes at the same moment may be lost.
 const DEFAULT_IDLE_MS: u64 = 4_000;
@@ -142,6 +146,8 @@
     /// Whether bytes may be unread for which no readiness event will come, because reading stopped
     /// at its limit or was paused.
     has_more: bool,
+    /// Number of bytes received in this iteration of the loop.
+    iteration_bytes: usize,
     /// When bytes last arrived or the exchange began.
     pub last_received_ms: u64,
     /// When the answer last got on, or the exchange began. Bytes alone are no progress: they may go on
@@ -255,6 +261,16 @@
         }
     }
 
+    /// Begins another iteration of the loop, in which the connection has its full share of reading.
+    pub fn begin_iteration(&mut self) {
+        self.iteration_bytes = 0;
+    }
+
+    /// Returns whether the connection has had its share of reading in this iteration of the loop.
+    pub fn has_had_share(&self) -> bool {
+        self.iteration_bytes >= ITERATION_LIMIT_BYTES
+    }
+
     /// Reads the available bytes, up to the limit. Returns whether any came.
     pub fn read(&mut self, now_ms: u64) -> bool {
         let mut has_received = false;
@@ -265,6 +281,7 @@
                 Some(_) => self.read_relayed(),
             };
             has_received = self.input.len() > before;
+            self.iteration_bytes += self.input.len() - before;
             if has_received {
                 self.last_received_ms = now_ms;
             }
@@ -401,21 +418,27 @@
     }
 
     fn next_head(&mut self) -> Part {
-        match parse_response_head(&self.input, HEAD_LIMIT_BYTES, self.is_head_request) {
-            Ok(Some((head, length))) => {
-                self.input.drain(..length);
-                // Interim answers precede the final one.
-                if head.status < 200 {
-                    return self.next_head();
+        let mut consumed = 0;
+        let part = loop {
+            let input = &self.input[consumed..];
+            match parse_response_head(input, HEAD_LIMIT_BYTES, self.is_head_request) {
+                Ok(Some((head, length))) => {
+                    consumed += length;
+                    // Interim answers precede the final one.
+                    if head.status < 200 {
+                        continue;
+                    }
+                    self.keep_alive = !head.close;
+                    self.parse = Parse::Body(BodyDecoder::new(head.body));
+                    break Part::Head(head);
                 }
-                self.keep_alive = !head.close;
-                self.parse = Parse::Body(BodyDecoder::new(head.body));
-                Part::Head(head)
+                Ok(None) if self.ended.is_some() => break Part::Failed,
+                Ok(None) => break Part::Wait,
+                Err(_) => break Part::Failed,
             }
-            Ok(None) if self.ended.is_some() => Part::Failed,
-            Ok(None) => Part::Wait,
-            Err(_) => Part::Failed,
-        }
+        };
+        self.input.drain(..consumed);
+        part
     }
 
     fn end(&mut self) -> Part {
--- a/crates/entry/src/outbound/pool.rs
+++ b/crates/entry/src/outbound/pool.rs
@@ -122,6 +122,7 @@
             keep_alive: true,
             ended: None,
             has_more: false,
+            iteration_bytes: 0,
             last_received_ms: now_ms,
             last_progress_ms: now_ms,
             longest_wait_ms: 0,
--- a/crates/entry/src/upstream_answers.rs
+++ b/crates/entry/src/upstream_answers.rs
@@ -43,7 +43,6 @@
     /// Continues receiving the answer to a caller's request. `is_open` is false if writing the
     /// request failed.
     pub(crate) fn advance_proxied_answer(&mut self, token: Token, key: u64, is_open: bool) {
-        let now_ms = self.now_ms;
         loop {
             let is_slow = self.is_caller_slow(key);
             let Some(connection) = self.outbound.get_mut(token) else {
@@ -73,7 +72,9 @@
                     }
                 }
                 Part::Wait if connection.has_more() => {
-                    connection.read(now_ms);
+                    if !self.read_further(token) {
+                        return;
+                    }
                 }
                 Part::Wait if is_open => return,
                 Part::Wait | Part::Failed => {
@@ -94,7 +95,6 @@
 
     /// Continues reading an abandoned answer to its end.
     pub(crate) fn advance_drain(&mut self, token: Token) {
-        let now_ms = self.now_ms;
         loop {
             let Some(connection) = self.outbound.get_mut(token) else {
                 return;
@@ -106,7 +106,9 @@
                 Part::Head(head) => self.handle_notices(token, &head),
                 Part::Body(_) => {}
                 Part::Wait if connection.has_more() => {
-                    connection.read(now_ms);
+                    if !self.read_further(token) {
+                        return;
+                    }
                 }
                 Part::Wait => return,
                 Part::End => {
--- a/crates/standins/src/platform/endless.rs
+++ b/crates/standins/src/platform/endless.rs
@@ -8,6 +8,9 @@
 /// Number of bytes by which a line or a body grows at a time.
 const GROWTH_BYTES: usize = 16;
 
+/// Number of repetitions that are written at once if there is no time between them.
+const FLOOD_REPETITIONS: usize = 2_000;
+
 /// What an upstream sends again and again.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, Hash, PartialOrd, Ord)]
 pub enum EndlessPart {
@@ -43,9 +46,13 @@
             Self::ChunkSize => (events, "0".to_owned()),
             Self::Comments => (events, chunk(":zz\n")),
         };
+        let repetitions = match gap_ms {
+            0 => FLOOD_REPETITIONS,
+            _ => 1,
+        };
         Reply::Endless(Endless {
             before: before.into_bytes(),
-            repeated: repeated.into_bytes(),
+            repeated: repeated.repeat(repetitions).into_bytes(),
             gap: Duration::from_millis(gap_ms),
         })
     }
