Soak: two threads no longer wait for each other's locks

Cause, from the stacks of its threads: the thread that probes a configuration held the events and waited for the written configuration, `adjust` held that and waited for the events; all others waited for one of the two. It has been there since the probes compare routes.

Change: whether the configuration is the newest is asked before the events are locked.

There is no test: the threads have to meet within microseconds.

--- a/crates/soak/src/configurations.rs
+++ b/crates/soak/src/configurations.rs
@@ -68,9 +68,11 @@
                     SiteRequest::new("GET", &target, &id).with_timeout_ms(CALLER_TIMEOUT_MS);
                 let (request, _) = self.keys.with_stable_key(&request);
                 let status = self.send_probe(vm, &request);
+                // Not locked together with the events: `adjust` locks them in the other order.
+                let is_newest = self.written.lock().route == route;
                 let mut events = self.events.lock();
                 events.probe_ids.push(id);
-                if status > 0 && self.written.lock().route == route {
+                if status > 0 && is_newest {
                     events.probes.push(ConfigurationProbe {
                         vm,
                         acknowledged_ms,
