Stand-ins: a proxy loses only what it holds back

Cause, my own of: the proxy asked for an error of the sender before each piece, and lost the last pieces of an upstream that resets its connection right after them. So fewer streams had begun when they were cut.

Change: only what a fault has held back is lost.

--- a/crates/standins/src/proxy.rs
+++ b/crates/standins/src/proxy.rs
@@ -407,8 +407,8 @@
         false => &connection.server,
     };
     shared.held.fetch_add(1, Ordering::AcqRel);
-    wait_while_faulty(connection, shared, to_server, bytes);
-    if !matches!(from.take_error(), Ok(None)) {
+    let is_held = wait_while_faulty(connection, shared, to_server, bytes);
+    if is_held && !matches!(from.take_error(), Ok(None)) {
         connection.reset.store(true, Ordering::Release);
     }
     if !connection.is_reset() {
@@ -417,12 +417,13 @@
     shared.held.fetch_sub(1, Ordering::AcqRel);
 }
 
+/// Waits as long as a fault delays bytes or holds them back. Returns whether one held them back.
 fn wait_while_faulty(
     connection: &ProxiedConnection,
     shared: &Shared,
     to_server: bool,
     bytes: &[u8],
-) {
+) -> bool {
     let client = connection.client_address;
     let mut faults = shared.faults.lock();
     if let LinkFault::Delayed { by_ms } = faults.of(client) {
@@ -431,9 +432,12 @@
             shared.changed.wait_until(&mut faults, until);
         }
     }
+    let mut is_held = false;
     while faults.of(client).blocks(to_server, bytes) && !connection.is_reset() {
+        is_held = true;
         shared.changed.wait_for(&mut faults, RESET_POLL_INTERVAL);
     }
+    is_held
 }
 
 fn is_timeout(error: &io::Error) -> bool {
