--- a/crates/holder/src/actions.rs
+++ b/crates/holder/src/actions.rs
@@ -2,6 +2,7 @@
 
 use apricotdale_core::names::ModelName;
 use apricotdale_core::names::UpstreamName;
+use apricotdale_fleet::ResidentModel;
 use apricotdale_fleet::Tier;
 use serde::Deserialize;
 use serde::Serialize;
@@ -54,3 +55,31 @@
     /// Announce a change of what an engine holds to the other VMs.
     Announce(ResidenceUpdate),
 }
+
+/// Returns the updates by which one list of resident models becomes another.
+pub(crate) fn residence_changes(
+    engine: &UpstreamName,
+    before: &[ResidentModel],
+    after: &[ResidentModel],
+) -> Vec<PlannerAction> {
+    let update = |model: &ModelName, present| {
+        PlannerAction::Announce(ResidenceUpdate {
+            engine: engine.clone(),
+            model: model.clone(),
+            adapter: None,
+            present,
+        })
+    };
+    let has = |list: &[ResidentModel], model: &ModelName| {
+        list.iter().any(|resident| &resident.model == model)
+    };
+    let removed = before
+        .iter()
+        .filter(|it| !has(after, &it.model))
+        .map(|it| update(&it.model, false));
+    let added = after
+        .iter()
+        .filter(|it| !has(before, &it.model))
+        .map(|it| update(&it.model, true));
+    removed.chain(added).collect()
+}
--- a/crates/holder/src/lib.rs
+++ b/crates/holder/src/lib.rs
@@ -22,6 +22,7 @@
 mod load_selection;
 mod local_demand;
 mod options;
+mod order_durations;
 mod order_effects;
 mod orders;
 mod placement;
--- a/crates/holder/src/load_forecast.rs
+++ b/crates/holder/src/load_forecast.rs
@@ -5,10 +5,10 @@
 use crate::demand::DemandTable;
 use crate::engine_ledger::OrderInProgress;
 use crate::engine_ledger::is_load;
+use crate::order_durations::expected_ms;
 use crate::orders::OrderKind;
 use crate::placement::FleetSnapshot;
 use crate::planner::Planner;
-use crate::planner::expected_ms;
 
 impl Planner {
     /// Returns the time at which each model that requests wait for is expected to be loaded; none
--- a/crates/holder/src/planner.rs
+++ b/crates/holder/src/planner.rs
@@ -15,6 +15,7 @@
 
 use crate::actions::PlannerAction;
 use crate::actions::ResidenceUpdate;
+use crate::actions::residence_changes;
 use crate::adapter_orders::adapter_order;
 use crate::demand::DemandTable;
 use crate::demand::ModelDemand;
@@ -23,6 +24,8 @@
 use crate::engine_ledger::is_load;
 use crate::load_crashes::LoadCrashes;
 use crate::options::PlannerOptions;
+use crate::order_durations::expected_ms;
+use crate::order_durations::store_load_ms;
 use crate::orders::EngineReport;
 use crate::orders::OrderKind;
 use crate::orders::OrderOutcome;
@@ -462,12 +465,6 @@
     }
 }
 
-fn store_load_ms(spec: &EngineSpec, model: &ModelName) -> u64 {
-    spec.models
-        .get(model)
-        .map_or(0, |model| model.store_load_ms)
-}
-
 fn send_order(engine: &mut EngineLedger, kind: OrderKind, actions: &mut Vec<PlannerAction>) {
     let Some(orders_before) = engine.orders_taken else {
         return;
@@ -489,54 +486,3 @@
         orders_before,
     });
 }
-
-/// Returns the updates by which one list of resident models becomes another.
-fn residence_changes(
-    engine: &UpstreamName,
-    before: &[apricotdale_fleet::ResidentModel],
-    after: &[apricotdale_fleet::ResidentModel],
-) -> Vec<PlannerAction> {
-    let update = |model: &ModelName, present| {
-        PlannerAction::Announce(ResidenceUpdate {
-            engine: engine.clone(),
-            model: model.clone(),
-            adapter: None,
-            present,
-        })
-    };
-    let has = |list: &[apricotdale_fleet::ResidentModel], model: &ModelName| {
-        list.iter().any(|resident| &resident.model == model)
-    };
-    let removed = before
-        .iter()
-        .filter(|it| !has(after, &it.model))
-        .map(|it| update(&it.model, false));
-    let added = after
-        .iter()
-        .filter(|it| !has(before, &it.model))
-        .map(|it| update(&it.model, true));
-    removed.chain(added).collect()
-}
-
-/// Returns the configured duration of an order.
-pub(crate) fn expected_ms(
-    options: &PlannerOptions,
-    spec: &EngineSpec,
-    kind: &OrderKind,
-    tier: Tier,
-) -> u64 {
-    let load_ms = |model: &ModelName| {
-        spec.models
-            .get(model)
-            .map_or(options.report_interval_ms, |model| match tier {
-                Tier::Memory => model.memory_load_ms,
-                Tier::Disk => model.disk_load_ms,
-                Tier::Store => model.store_load_ms,
-            })
-    };
-    match kind {
-        OrderKind::LoadModel(model) => load_ms(model) + 10,
-        OrderKind::UnloadModel(_) => options.unload_check_ms,
-        OrderKind::LoadAdapter { .. } | OrderKind::UnloadAdapter { .. } => options.adapter_ms,
-    }
-}
--- a/crates/quota/tests/limit_search.rs
+++ b/crates/quota/tests/limit_search.rs
@@ -7,8 +7,8 @@
 
 use support::Event;
 use support::Fleet;
-use support::TOKENS;
-use support::UPSTREAM_REQUESTS;
+use support::rules::TOKENS;
+use support::rules::UPSTREAM_REQUESTS;
 
 fn event(units: impl Strategy<Value = u64>) -> impl Strategy<Value = Event> {
     let load = (0..64_usize, prop_oneof![Just(1), 2..64_usize], 1..400_u64);
--- a/crates/quota/tests/rank_order.rs
+++ b/crates/quota/tests/rank_order.rs
@@ -14,7 +14,7 @@
 use support::Event;
 use support::Fleet;
 use support::Outcome;
-use support::TOKENS;
+use support::rules::TOKENS;
 
 const VMS: usize = 20;
 const RATE: f64 = 30_000.0;
--- a/crates/quota/tests/support/mod.rs
+++ b/crates/quota/tests/support/mod.rs
@@ -6,19 +6,21 @@
 
 #![allow(dead_code)]
 
+pub mod rules;
+
 use std::collections::BTreeMap;
 use std::collections::VecDeque;
 
-use apricotdale_organisations::Limit;
 use apricotdale_quota::AccountId;
 use apricotdale_quota::Admission;
 use apricotdale_quota::Answer;
-use apricotdale_quota::Bounds;
 use apricotdale_quota::QuotaClient;
 use apricotdale_quota::QuotaOwner;
 use apricotdale_quota::Report;
 use apricotdale_quota::WantedUnits;
 
+use rules::Rules;
+
 const OWNER_CANDIDATES: usize = 4;
 const STEP_MS: u64 = 5;
 
@@ -28,45 +30,6 @@
 /// Time within which all VMs apply a new limit.
 const LIMIT_ROLLOUT_MS: u64 = 1_000;
 
-/// Limits of organisations, counted in tokens, with a burst of one second.
-pub const TOKENS: Rules = Rules {
-    bounds: Bounds {
-        window_ms: 8_000,
-        over: 0.1,
-        slack: 110_000.0,
-        sustained_share: 0.5,
-    },
-    burst_s: 1.0,
-};
-
-/// Limits that upstreams state, counted in requests, without a burst.
-pub const UPSTREAM_REQUESTS: Rules = Rules {
-    bounds: Bounds {
-        window_ms: 4_000,
-        over: 0.5,
-        slack: 5.0,
-        sustained_share: 0.0,
-    },
-    burst_s: 0.0,
-};
-
-/// How limits are counted and enforced.
-#[derive(Clone, Copy, Debug)]
-pub struct Rules {
-    bounds: Bounds,
-    /// Burst of each limit, as the time in which its rate yields as much.
-    burst_s: f64,
-}
-
-impl Rules {
-    fn limit(&self, rate: f64) -> Limit {
-        Limit {
-            rate_per_s: rate,
-            burst: rate * self.burst_s,
-        }
-    }
-}
-
 #[derive(Clone, Debug)]
 enum Message {
     Report(usize, Report),
