--- a/crates/standins/src/platform/caller.rs
+++ b/crates/standins/src/platform/caller.rs
@@ -348,13 +348,24 @@
                 return Ok(answer);
             }
             let mut bytes = [0_u8; 4096];
-            match self.stream.read(&mut bytes) {
+            match self.read(&mut bytes) {
                 Ok(0) | Err(_) => return Ok(answer),
                 Ok(count) => self.pending.extend_from_slice(&bytes[..count]),
             }
         }
     }
 
+    /// Reads what has arrived, or waits for it. A signal interrupts a read that has a timeout, which is
+    /// no end of the connection.
+    fn read(&mut self, bytes: &mut [u8]) -> io::Result<usize> {
+        loop {
+            match self.stream.read(bytes) {
+                Err(error) if error.kind() == io::ErrorKind::Interrupted => {}
+                read => return read,
+            }
+        }
+    }
+
     /// Reads bytes of an answer and drops them.
     ///
     /// # Errors
@@ -377,7 +388,7 @@
         let line = format!("id: {event}\n");
         let mut bytes = [0_u8; 4096];
         while !contains(&self.pending, line.as_bytes()) {
-            match self.stream.read(&mut bytes)? {
+            match self.read(&mut bytes)? {
                 0 => {
                     let received = String::from_utf8_lossy(&self.pending).into_owned();
                     return Err(io::Error::new(io::ErrorKind::UnexpectedEof, received));
@@ -412,7 +423,7 @@
 
     /// Reads once, and returns whether the connection ends or fails before more bytes arrive.
     pub fn ends_without_data(&mut self) -> bool {
-        !matches!(self.stream.read(&mut [0_u8; 64]), Ok(1..))
+        !matches!(self.read(&mut [0_u8; 64]), Ok(1..))
     }
 
     /// Returns whether the VM has closed the connection, without waiting.
