--- a/crates/entry/src/daemon.rs
+++ b/crates/entry/src/daemon.rs
@@ -307,7 +307,6 @@
             self.loop_load.end_work();
         }
         self.refuse_unbegun();
-        self.outbound.close_all(self.poll.registry());
         self.log_end();
         Ok(())
     }
--- a/crates/entry/src/outbound/pool.rs
+++ b/crates/entry/src/outbound/pool.rs
@@ -176,14 +176,6 @@
         Some(connection.purpose)
     }
 
-    /// Closes all connections.
-    pub fn close_all(&mut self, registry: &Registry) {
-        let tokens: Vec<Token> = self.connections.keys().copied().collect();
-        for token in tokens {
-            self.close(token, registry);
-        }
-    }
-
     /// Closes the idle connections to a peer.
     pub fn close_idle(&mut self, peer: &Peer, registry: &Registry) {
         for token in self.idle.remove(peer).unwrap_or_default() {
