Stand-ins: a proxy knows the address of a client that has reset its connection

Cause: the proxy asked for the client's address after it had accepted the connection. A VM that has given up an exchange resets it since, and a connection that is reset before it is accepted has no address any more; the proxy then connected to the upstream from another one.

Change: the address is that which the system returns with the connection.

Measured: reset_clients proxied_address_kept failed without the change (127.0.0.1 among the 127.0.0.9) and passes; proxy_faults 9 of 9.

--- a/crates/standins/src/proxy.rs
+++ b/crates/standins/src/proxy.rs
@@ -85,7 +85,7 @@
     /// Number of directions that have not ended.
     directions: AtomicUsize,
     /// Address of the client, by which faults of single clients apply.
-    client_address: Option<IpAddr>,
+    client_address: IpAddr,
     client: TcpStream,
     server: TcpStream,
 }
@@ -98,8 +98,8 @@
 }
 
 impl LinkFaults {
-    fn of(&self, client: Option<IpAddr>) -> LinkFault {
-        let own = client.and_then(|client| self.by_client.get(&client));
+    fn of(&self, client: IpAddr) -> LinkFault {
+        let own = self.by_client.get(&client);
         own.copied().unwrap_or(self.of_all)
     }
 }
@@ -221,7 +221,7 @@
     pub fn reset_client(&self, client: IpAddr) {
         let mut connections = self.shared.connections.lock();
         connections.retain(|connection| {
-            let is_other = connection.client_address != Some(client);
+            let is_other = connection.client_address != client;
             if !is_other {
                 connection.reset.store(true, Ordering::Release);
                 connection.close();
@@ -258,13 +258,13 @@
 
 /// Connects to the server from the client's address if it is one that stands for a single client,
 /// so that the server can tell clients apart as well.
-fn connect_from(client: Option<IpAddr>, target: SocketAddr) -> io::Result<TcpStream> {
-    let own = client.filter(|it| it.is_loopback() && *it != IpAddr::V4(Ipv4Addr::LOCALHOST));
-    let Some(own) = own.filter(|it| it.is_ipv4() == target.is_ipv4()) else {
+fn connect_from(client: IpAddr, target: SocketAddr) -> io::Result<TcpStream> {
+    let has_own_address = client.is_loopback() && client != IpAddr::V4(Ipv4Addr::LOCALHOST);
+    if !has_own_address || client.is_ipv4() != target.is_ipv4() {
         return TcpStream::connect(target);
-    };
+    }
     let socket = Socket::new(Domain::for_address(target), Type::STREAM, None)?;
-    socket.bind(&SocketAddr::new(own, 0).into())?;
+    socket.bind(&SocketAddr::new(client, 0).into())?;
     socket.connect(&target.into())?;
     Ok(socket.into())
 }
@@ -304,11 +304,16 @@
 }
 
 fn accept(listener: &TcpListener, shared: &Arc<Shared>) {
-    for client in listener.incoming().flatten() {
+    loop {
+        let accepted = listener.accept();
         if shared.stopped.load(Ordering::Acquire) || shared.down.load(Ordering::Acquire) {
             return;
         }
-        let from = client.peer_addr().ok().map(|address| address.ip());
+        let Ok((client, from)) = accepted else {
+            continue;
+        };
+        // A client that has reset its connection already has no address any more.
+        let from = from.ip();
         let is_refused = shared.faults.lock().of(from) == LinkFault::Refused;
         let target = *shared.target.lock();
         let server = target
@@ -319,12 +324,13 @@
             continue;
         };
         // A connection for which no thread can be started is dropped, as by an overloaded server.
-        let _ = forward_connection(client, server, shared);
+        let _ = forward_connection(client, from, server, shared);
     }
 }
 
 fn forward_connection(
     client: TcpStream,
+    client_address: IpAddr,
     server: TcpStream,
     shared: &Arc<Shared>,
 ) -> io::Result<()> {
@@ -336,7 +342,7 @@
         silent: AtomicBool::new(false),
         reset: AtomicBool::new(false),
         directions: AtomicUsize::new(2),
-        client_address: client.peer_addr().ok().map(|address| address.ip()),
+        client_address,
         client,
         server,
     });
