Probes: what counts is data since the probe began, not since a request was sent

Seen, while tracing checks_shared: a VM had an instance checked that did not answer, all others were told so and sent it nothing, and the VM that had asked went on to send requests there.

Cause: an unanswered probe showed nothing if the upstream was not silent at that moment, and the time of silence begins with the first request in progress. Callers that leave and others that come during the probe (600 ms) began it anew.

Change: an unanswered probe counts unless data has come since the probe began, or the process was paused.

--- a/crates/dispatch/src/liveness.rs
+++ b/crates/dispatch/src/liveness.rs
@@ -52,6 +52,8 @@
     /// Time until which it is not probed.
     next_probe_ms: u64,
     probe_in_progress: bool,
+    /// Whether data has come, or may have come unseen, since the last probe began.
+    has_data_since_probe: bool,
     is_unresponsive: bool,
 }
 
@@ -95,6 +97,7 @@
         if let Some(state) = self.by_name.get_mut(engine) {
             state.last_data_ms = now_ms;
             state.has_sent_data = true;
+            state.has_data_since_probe = true;
             state.heard_ms = Some(now_ms);
         }
     }
@@ -121,6 +124,7 @@
     pub fn process_paused(&mut self, now_ms: u64) {
         for state in self.by_name.values_mut() {
             state.last_data_ms = now_ms;
+            state.has_data_since_probe = true;
         }
     }
 
@@ -147,6 +151,7 @@
             .filter(|(_, state)| state.due_ms().is_some_and(|due_ms| due_ms <= now_ms))
             .map(|(name, state)| {
                 state.probe_in_progress = true;
+                state.has_data_since_probe = false;
                 name.clone()
             })
             .collect();
@@ -181,7 +186,7 @@
         }
         state.next_probe_ms = now_ms + REPROBE_PAUSE_MS;
         // Data came while the probe was in progress: a packet was lost, the engine is responsive.
-        if vm_is_cut_off || !state.is_silent(now_ms) {
+        if vm_is_cut_off || state.has_data_since_probe {
             return ProbeOutcome::None;
         }
         state.is_unresponsive = true;
--- a/crates/dispatch/tests/engine_probes.rs
+++ b/crates/dispatch/tests/engine_probes.rs
@@ -131,3 +131,33 @@
         ProbeOutcome::None
     );
 }
+
+/// Guards against requests to an engine that has just not answered its probe. Its requests had been given
+/// up meanwhile and others were sent, and the time since the first of these counted as that without
+/// data.
+#[test]
+fn resent_request() {
+    let mut watch = LivenessMonitor::default();
+    watch.sent(SENT_MS, &name(0));
+    assert_eq!(watch.due(SENT_MS + 500), [name(0)]);
+    watch.ended(&name(0));
+    watch.sent(SENT_MS + 600, &name(0));
+    assert_eq!(
+        watch.record_probe(SENT_MS + 650, &name(0), false),
+        ProbeOutcome::Unresponsive
+    );
+}
+
+/// Guards against judging an engine by a probe during which the VM's process was paused, so that an answer
+/// may have come without being read.
+#[test]
+fn pause_during_probe() {
+    let mut watch = LivenessMonitor::default();
+    watch.sent(SENT_MS, &name(0));
+    assert_eq!(watch.due(SENT_MS + 500), [name(0)]);
+    watch.process_paused(SENT_MS + 2_000);
+    assert_eq!(
+        watch.record_probe(SENT_MS + 2_000, &name(0), false),
+        ProbeOutcome::None
+    );
+}
