Health checks: a suspension outlasts the outcome of the next check

The VMs that had asked ask again after 1.5 s and know the outcome 2.1 s after the first one; the suspension ended after 2.0 s. The same comes if the VM that was asked to repeat the check is lost.

Change: an instance whose check was not answered gets no requests for 3 s (2 s), the time for which it counts as unresponsive already, unless another check is answered. The model of the limits' tests uses the same constant.

--- a/crates/dispatch/src/health_checks.rs
+++ b/crates/dispatch/src/health_checks.rs
@@ -30,8 +30,10 @@
 /// Time for which what a check has shown answers further questions.
 const RESULT_VALID_MS: u64 = 250;
 
-/// Time for which an upstream that did not answer its check counts as unresponsive.
-const UNRESPONSIVE_MS: u64 = 3_000;
+/// Time for which an upstream that did not answer its check counts as unresponsive, unless another check
+/// shows otherwise. The outcome of the next check is known before that, even if the VM that was to
+/// repeat it is lost and those that have asked ask again.
+pub const UNRESPONSIVE_MS: u64 = 3_000;
 
 /// What has to be done about health checks.
 #[derive(Clone, Debug, PartialEq, Eq)]
--- a/crates/dispatch/tests/support/rejecting_fleet/checks.rs
+++ b/crates/dispatch/tests/support/rejecting_fleet/checks.rs
@@ -12,6 +12,7 @@
 use apricotdale_dispatch::HealthChecks;
 use apricotdale_dispatch::LivenessMonitor;
 use apricotdale_dispatch::ProbeOutcome;
+use apricotdale_dispatch::UNRESPONSIVE_MS;
 use apricotdale_quota::AccountId;
 use apricotdale_quota::Admission;
 use rand::RngExt;
@@ -33,7 +34,6 @@
 /// has sent nothing since.
 const MAX_UNSETTLED_MS: u64 = 4_000;
 
-const SUSPENSION_MS: u64 = 2_000;
 const VERDICT_PAUSE_MS: u64 = 1_500;
 const MAX_CHECKERS: usize = 4;
 
@@ -420,7 +420,7 @@
         };
         watch.defer_probe(name, clock_ms + VERDICT_PAUSE_MS);
         if is_confirmed {
-            let until_ms = now_ms + SUSPENSION_MS;
+            let until_ms = now_ms + UNRESPONSIVE_MS;
             vm.checks.suspended_until_ms.insert(name.clone(), until_ms);
         }
     }
--- a/crates/entry/src/engine_probes.rs
+++ b/crates/entry/src/engine_probes.rs
@@ -10,7 +10,7 @@
 
 /// How long an unresponsive engine receives no requests unless another probe fails. Probes are
 /// repeated every 300 ms.
-const SUSPENSION_MS: u64 = 2_000;
+pub(crate) const SUSPENSION_MS: u64 = 2_000;
 
 impl Daemon {
     /// Probes the engines that have been silent for too long.
@@ -49,7 +49,7 @@
             ProbeOutcome::Unresponsive => {
                 self.peers
                     .send_all(&PeerMessage::EngineUnresponsive(engine.clone()));
-                self.suspend_engine(engine, "asked");
+                self.suspend_engine(engine, SUSPENSION_MS, "asked");
             }
             ProbeOutcome::Responsive => {
                 self.peers
@@ -63,11 +63,11 @@
     /// there: an engine that does not answer may be slow and still at work. When requests were
     /// moved away from such engines and then found no free slot, they ended in the middle of their
     /// answers.
-    pub(crate) fn suspend_engine(&mut self, engine: &UpstreamName, how: &str) {
+    pub(crate) fn suspend_engine(&mut self, engine: &UpstreamName, for_ms: u64, how: &str) {
         if self.paths.is_relayed(engine) {
             return;
         }
-        let until_ms = self.now_ms + SUSPENSION_MS;
+        let until_ms = self.now_ms + for_ms;
         if self.dispatcher.suspend(self.now_ms, engine, until_ms) {
             self.metrics.unresponsive_engine();
             log::info!(upstream = engine.to_string(), how; "engine is dark");
--- a/crates/entry/src/health_checks.rs
+++ b/crates/entry/src/health_checks.rs
@@ -14,6 +14,7 @@
 use apricotdale_dispatch::HealthChecks;
 use apricotdale_dispatch::ProbeOutcome;
 use apricotdale_dispatch::RateLimit;
+use apricotdale_dispatch::UNRESPONSIVE_MS;
 use apricotdale_fleet::Upstream;
 use apricotdale_http1::ResponseHead;
 use apricotdale_paths::PathFailure;
@@ -391,7 +392,7 @@
         self.health_checks.contradictions.remove(upstream);
         self.watch.defer_probe(upstream, now_ms + RESULT_PAUSE_MS);
         if is_confirmed {
-            self.suspend_engine(upstream, how);
+            self.suspend_engine(upstream, UNRESPONSIVE_MS, how);
         }
     }
 
--- a/crates/entry/src/upstream_paths.rs
+++ b/crates/entry/src/upstream_paths.rs
@@ -15,6 +15,7 @@
 
 use crate::calls::CallTag;
 use crate::daemon::Daemon;
+use crate::engine_probes::SUSPENSION_MS;
 use crate::health_checks::CheckPurpose;
 use crate::messages::PeerMessage;
 use crate::messages::VmRecord;
@@ -296,7 +297,7 @@
         let was_doubted = self.path_work.doubted.remove(upstream);
         match outcome {
             Err(PathFailure::Silent | PathFailure::NotEstablished) if was_doubted => {
-                self.suspend_engine(upstream, "told");
+                self.suspend_engine(upstream, SUSPENSION_MS, "told");
             }
             Ok(()) if self.dispatcher.is_unreachable(self.now_ms, upstream) => {
                 self.resume_engine(upstream);
