Probes: data at the beginning of a long probe excuses no silence after it

Cause: since an unanswered probe showed nothing if any data had come since it began. A health check of which another VM is asked may last 1.4 s and longer, and the upstream may have fallen silent after that data; the VM would ask again 2 s later only.

Change: both count, that data has come since the probe began and that the upstream is not silent now, as before.

--- a/crates/dispatch/src/liveness.rs
+++ b/crates/dispatch/src/liveness.rs
@@ -186,7 +186,8 @@
         }
         state.next_probe_ms = now_ms + REPROBE_PAUSE_MS;
         // Data came while the probe was in progress: a packet was lost, the engine is responsive.
-        if vm_is_cut_off || state.has_data_since_probe {
+        let has_just_sent = state.has_data_since_probe && !state.is_silent(now_ms);
+        if vm_is_cut_off || has_just_sent {
             return ProbeOutcome::None;
         }
         state.is_unresponsive = true;
--- a/crates/dispatch/tests/engine_probes.rs
+++ b/crates/dispatch/tests/engine_probes.rs
@@ -161,3 +161,16 @@
         ProbeOutcome::None
     );
 }
+
+/// Guards against an engine that passes for responsive because of data at the beginning of a long probe.
+#[test]
+fn silent_since_event() {
+    let mut watch = LivenessMonitor::default();
+    watch.sent(SENT_MS, &name(0));
+    assert_eq!(watch.due(SENT_MS + 500), [name(0)]);
+    watch.heard(SENT_MS + 550, &name(0));
+    assert_eq!(
+        watch.record_probe(SENT_MS + 1_900, &name(0), false),
+        ProbeOutcome::Unresponsive
+    );
+}
