Stand-ins: an engine that crashes under a resumed stream sends nothing behind its last event

Cause, from the request's ID: it makes engines crash after three events, may be resumed, and the third engine that it went on at was asked for what follows event 6. The stand-in sent three events then, too. The product passed on what it was sent; it does not know how many events a stream has.

Change: such a stream ends with its last event, as others do, before the engine crashes.

--- a/crates/standins/src/platform/answers.rs
+++ b/crates/standins/src/platform/answers.rs
@@ -419,7 +419,7 @@
 }
 
 /// Returns the number of the first event that the client does not have.
-fn first_event(request: &Request) -> u64 {
+pub(crate) fn first_event(request: &Request) -> u64 {
     let last = request.header("Last-Event-Id");
     last.and_then(|id| id.parse().ok()).unwrap_or(0) + 1
 }
--- a/crates/standins/src/platform/engine.rs
+++ b/crates/standins/src/platform/engine.rs
@@ -19,6 +19,7 @@
 use crate::platform::answer_faults::AnswerFault;
 use crate::platform::answers::Answers;
 use crate::platform::answers::RecordedRun;
+use crate::platform::answers::first_event;
 use crate::platform::crashes::CrashTrigger;
 use crate::platform::engine_entry::Entry;
 use crate::platform::engine_pace::EnginePace;
@@ -410,7 +411,8 @@
             let engine = self.clone();
             let body = request.body.clone();
             let end = move || engine.crash(&body);
-            let (events, gap_ms) = (trigger.after_events, self.options.gap_ms);
+            let left = (self.options.events + 1).saturating_sub(first_event(request));
+            let (events, gap_ms) = (trigger.after_events.min(left), self.options.gap_ms);
             return self.answers.events_until(request, events, gap_ms, end);
         }
         let fault = self.answers.begin(request);
