--- a/crates/dispatch/src/health_checks.rs
+++ b/crates/dispatch/src/health_checks.rs
@@ -30,15 +30,18 @@
 /// Time for which what a check has shown answers further questions.
 const RESULT_VALID_MS: u64 = 250;
 
+/// Reserve for a datagram by which a VM asks for a check or tells of its outcome.
+const DATAGRAM_MS: u64 = 100;
+
 /// Time after an unanswered check in which the VMs that have asked leave the next one to the VM that
 /// repeats it. The outcome of that is known by then.
-pub const RECHECK_WAIT_MS: u64 = MAX_RECHECK_PAUSE_MS + HEALTH_CHECK_TIMEOUT_MS + 200;
+pub const RECHECK_WAIT_MS: u64 = MAX_RECHECK_PAUSE_MS + HEALTH_CHECK_TIMEOUT_MS + 2 * DATAGRAM_MS;
 
 /// Time for which an upstream that did not answer its check counts as unresponsive, unless another check
-/// shows otherwise. Where the VM that was to repeat the check is lost, and then the first one that is
-/// asked again, the outcome of the next check is known by then.
+/// shows otherwise. It covers that the VM which was to repeat the check is lost, and then the first one
+/// that is asked again.
 pub const UNRESPONSIVE_MS: u64 =
-    RECHECK_WAIT_MS + CHECKER_TIMEOUT_MS + HEALTH_CHECK_TIMEOUT_MS + 100;
+    RECHECK_WAIT_MS + CHECKER_TIMEOUT_MS + HEALTH_CHECK_TIMEOUT_MS + DATAGRAM_MS;
 
 /// What has to be done about health checks.
 #[derive(Clone, Debug, PartialEq, Eq)]
