--- a/review/standins-2/src/bin/same_name.rs
+++ b/review/standins-2/src/bin/same_name.rs
@@ -155,23 +155,30 @@
             record.say(&format!("holders: {holders:?}"));
             holders.len() > 1
         }
+        // Orders to one engine are judged.
         Some(removed) => {
-            let last = all.iter().filter(|(at, _)| *at < removed).next_back();
-            let next = all.iter().find(|(at, _)| *at >= removed);
-            match (last, next) {
-                (Some((last, by)), Some((next, then))) => {
+            let mut soonest = Duration::MAX;
+            for engine in &site.engines {
+                let orders = engine.order_times();
+                let last = orders.iter().rfind(|(at, _)| *at < removed);
+                let next = orders.iter().find(|(at, _)| *at >= removed);
+                if let (Some((last, by)), Some((next, then))) = (last, next) {
                     let gap = next.duration_since(*last);
+                    soonest = soonest.min(gap);
                     record.say(&format!(
-                        "last order of 127.0.0.11 ({by}) at {:.3} s, next order ({then}) at {:.3} s: {} ms later; lease_ms is {}",
+                        "engine {}: last order of 127.0.0.11 ({by}) at {:.3} s, next order ({then}) at {:.3} s, {} ms later; lease_ms is {}",
+                        engine.name(),
                         record.seconds(*last),
                         record.seconds(*next),
                         gap.as_millis(),
                         LEASE.as_millis()
                     ));
-                    gap < LEASE
                 }
-                _ => give_up("no order after the disruption"),
             }
+            if soonest == Duration::MAX {
+                give_up("no order after the disruption");
+            }
+            soonest < LEASE
         }
     };
     drop(replacement);
