--- a/review/standins-2/src/bin/early_reset.rs
+++ b/review/standins-2/src/bin/early_reset.rs
@@ -43,8 +43,8 @@
 const BODY_BYTES: usize = 1_000_000;
 
 /// Size of the engine's answer, and of the part that it sends before it has read the body.
-const ANSWER_BYTES: usize = 40_000;
-const FIRST_BYTES: usize = 16_000;
+const ANSWER_BYTES: usize = 800;
+const FIRST_BYTES: usize = 300;
 
 /// Packets and window of an engine's connections.
 const SEGMENT_BYTES: u32 = 1_448;
