Outbound: an answer without a length whose connection was reset is not complete

Cause: the failed write takes the connection's error, so that the read that follows sees an orderly close, and `record_write_failure` kept the close that the read had recorded. Three more ways to the same: a connection that is not read for a slow caller never recorded the failed write; an upstream that closes its sending direction before the reset (a crash with an empty receive buffer) was believed at once, although the request was still being written; a VM that relays reported that close as an orderly one.

Change: a stream remembers that a write has failed, or that a reset followed the close, and then reports the connection as broken. An answer that ends with its connection is complete once the request has been written: the outcome of that write tells a half-close from a crash. A relay reports a close in the middle of the request as broken. Answers with a length or in chunks are decided by their framing, as before.

Not covered: the upstream closes first, the kernel has already taken all of the request, and the reset arrives after the close was read. The number of unacknowledged bytes would show it, and can't be read without unsafe code.

Evidence: `early_answers` with a stand-in that answers before it reads the body.

--- a/crates/entry/src/outbound.rs
+++ b/crates/entry/src/outbound.rs
@@ -190,9 +190,10 @@
         }
     }
 
-    /// Records that writing has failed. What has been received until then is still read.
+    /// Records that writing has failed, also after an orderly close by the other end: bytes of the
+    /// request that arrive after that close are answered with a reset.
     pub fn record_write_failure(&mut self) {
-        self.ended.get_or_insert(ReadEnd::Broken);
+        self.ended = Some(ReadEnd::Broken);
     }
 
     /// Returns whether the peer may have received bytes of the exchange.
@@ -408,6 +409,11 @@
                 match self.ended {
                     _ if !body.is_empty() => Part::Body(body),
                     _ if progress.is_complete => self.end(),
+                    // Whether writing the rest of the request fails shows whether the other end has
+                    // closed only its sending direction, or the connection has broken.
+                    Some(ReadEnd::Closed) if at_close && self.stream.unwritten_bytes() > 0 => {
+                        Part::Wait
+                    }
                     Some(ReadEnd::Closed) if at_close => self.end(),
                     Some(_) => Part::Failed,
                     None => Part::Wait,
--- a/crates/entry/src/relay.rs
+++ b/crates/entry/src/relay.rs
@@ -293,6 +293,10 @@
             if far_end == ReadEnd::Limit {
                 self.relayed.unfinished.insert(near);
             }
+            // The rest of the request can't follow, so the upstream's close may not look orderly.
+            if far_end == ReadEnd::Closed && far.unwritten_bytes() > 0 {
+                far_end = ReadEnd::Broken;
+            }
         }
         if !down.is_empty() {
             let mut frames = Vec::with_capacity(down.len() + 8);
--- a/crates/entry/src/stream.rs
+++ b/crates/entry/src/stream.rs
@@ -41,6 +41,9 @@
     pub sent_bytes: u64,
     /// Whether the connection was refused, since nobody listens at the address.
     pub refused: bool,
+    /// Whether a write has failed. The kernel reports an error once, and the next read looks like an
+    /// orderly close.
+    has_write_failed: bool,
 }
 
 impl Stream {
@@ -55,6 +58,7 @@
             written: 0,
             sent_bytes: 0,
             refused: false,
+            has_write_failed: false,
         })
     }
 
@@ -94,7 +98,10 @@
     pub fn flush(&mut self) -> bool {
         while self.written < self.unwritten.len() {
             match self.socket.write(&self.unwritten[self.written..]) {
-                Ok(0) => return false,
+                Ok(0) => {
+                    self.has_write_failed = true;
+                    return false;
+                }
                 Ok(count) => {
                     self.written += count;
                     self.sent_bytes += count as u64;
@@ -103,6 +110,7 @@
                 Err(error) if should_retry_later(&error) => return true,
                 Err(error) => {
                     self.refused |= error.kind() == io::ErrorKind::ConnectionRefused;
+                    self.has_write_failed = true;
                     return false;
                 }
             }
@@ -118,6 +126,7 @@
         let mut bytes = [0_u8; READ_CHUNK_BYTES];
         while buffer.len() < limit_bytes {
             match self.socket.read(&mut bytes) {
+                Ok(0) if self.has_failed() => return ReadEnd::Broken,
                 Ok(0) => return ReadEnd::Closed,
                 Ok(count) => buffer.extend_from_slice(&bytes[..count]),
                 Err(error) if error.kind() == io::ErrorKind::Interrupted => {}
@@ -131,6 +140,12 @@
         ReadEnd::Limit
     }
 
+    /// Returns whether the connection is broken although reading ended in an orderly way: writing has
+    /// failed, or a reset followed the other end's close.
+    fn has_failed(&self) -> bool {
+        self.has_write_failed || !matches!(self.socket.take_error(), Ok(None))
+    }
+
     /// Returns whether the connection has been established.
     ///
     /// # Errors
--- a/crates/standins/src/http/mod.rs
+++ b/crates/standins/src/http/mod.rs
@@ -6,12 +6,15 @@
 //! `chunked_transfer`.
 
 mod caller;
+mod early;
 mod link;
 mod reply;
 mod request;
 mod server;
 
 pub use caller::Caller;
+pub use early::EarlyAnswer;
+pub use early::EarlyEnd;
 pub use link::SlowLink;
 pub use reply::AfterPrevious;
 pub use reply::Buffered;
--- a/crates/standins/src/http/request.rs
+++ b/crates/standins/src/http/request.rs
@@ -39,9 +39,9 @@
 }
 
 impl Request {
-    /// Reads the next request of a client's connection, or none if the connection ended before it
-    /// began. Once the client has reset the connection, its address can't be read any more.
-    pub(crate) fn read(
+    /// Reads the head of the next request of a client's connection, or none if the connection ended
+    /// before it began. Once the client has reset the connection, its address can't be read any more.
+    pub(crate) fn read_head(
         reader: &mut BufReader<TcpStream>,
         client: IpAddr,
     ) -> io::Result<Option<Self>> {
@@ -49,15 +49,19 @@
             return Ok(None);
         };
         let caller = Caller::new(reader.get_ref().try_clone()?, Some(client));
-        let mut request = parse_head(&head, caller)?;
-        if request.header("Expect").is_some() {
+        parse_head(&head, caller).map(Some)
+    }
+
+    /// Reads the body, which completes the request.
+    pub(crate) fn read_body(&mut self, reader: &mut BufReader<TcpStream>) -> io::Result<()> {
+        if self.header("Expect").is_some() {
             reader
                 .get_ref()
                 .write_all(b"HTTP/1.1 100 Continue\r\n\r\n")?;
         }
-        request.body = request.read_body(reader)?;
-        request.read_at = Instant::now();
-        Ok(Some(request))
+        self.body = self.body_bytes(reader)?;
+        self.read_at = Instant::now();
+        Ok(())
     }
 
     /// Returns the value of the first header of a name in any case, or none without one.
@@ -136,7 +140,7 @@
             .is_none_or(|value| !value.eq_ignore_ascii_case("close"))
     }
 
-    fn read_body(&self, reader: &mut BufReader<TcpStream>) -> io::Result<Vec<u8>> {
+    fn body_bytes(&self, reader: &mut BufReader<TcpStream>) -> io::Result<Vec<u8>> {
         let mut body = Vec::new();
         if self.header("Transfer-Encoding").is_some() {
             chunked_transfer::Decoder::new(reader)
--- a/crates/standins/src/http/server.rs
+++ b/crates/standins/src/http/server.rs
@@ -14,6 +14,8 @@
 
 use parking_lot::Mutex;
 
+use crate::http::early;
+use crate::http::early::EarlyAnswer;
 use crate::http::reply::Reply;
 use crate::http::request::Request;
 
@@ -23,6 +25,12 @@
 pub trait Handler: Send + Sync {
     /// Returns the reply to a request.
     fn handle(self: Arc<Self>, request: &Request) -> Reply;
+
+    /// Returns the answer that is sent before the body of a request is read; none to read it first.
+    /// The connection ends with such an answer.
+    fn answer_early(&self, _request: &Request) -> Option<EarlyAnswer> {
+        None
+    }
 }
 
 /// HTTP server that accepts connections on one address until it is stopped.
@@ -168,7 +176,9 @@
                 // connection ends.
                 let _ = serve(&stream, from.ip(), &handler);
                 served.remove(id);
-                let _ = stream.shutdown(Shutdown::Both);
+                if !early::resets_at_close(&stream) {
+                    let _ = stream.shutdown(Shutdown::Both);
+                }
             });
         if spawned.is_err() {
             connections.remove(id);
@@ -180,7 +190,11 @@
     stream.set_nodelay(true)?;
     let mut reader = BufReader::new(stream.try_clone()?);
     let mut previous = None;
-    while let Some(request) = Request::read(&mut reader, from)? {
+    while let Some(mut request) = Request::read_head(&mut reader, from)? {
+        if let Some(answer) = handler.answer_early(&request) {
+            return answer.send(&request, &mut reader);
+        }
+        request.read_body(&mut reader)?;
         let reply = handler.clone().handle(&request);
         let is_head = request.method == "HEAD";
         let bytes = reply.bytes(is_head);
--- a/crates/standins/src/platform/answer_faults.rs
+++ b/crates/standins/src/platform/answer_faults.rs
@@ -1,5 +1,6 @@
 //! Faults of the answers of the platform's upstreams.
 
+use crate::http::EarlyEnd;
 #[cfg(doc)]
 use crate::platform::answers::LARGE_BYTES;
 use crate::platform::endless::EndlessPart;
@@ -91,6 +92,13 @@
     ExtraAfter,
     /// The answer has no length and ends with its connection.
     Unframed,
+    /// The answer has no length and begins before the request's body has been read.
+    EarlyUnframed {
+        /// How the connection ends.
+        end: EarlyEnd,
+        /// Number of bytes that precede the usual body.
+        filler_bytes: usize,
+    },
     /// The answer names a length, and its connection is closed before that.
     UnframedCut,
     /// The connection is closed in the middle of the answer's head.
--- a/crates/standins/src/platform/answers.rs
+++ b/crates/standins/src/platform/answers.rs
@@ -2,6 +2,7 @@
 
 use std::collections::HashMap;
 use std::collections::VecDeque;
+use std::ops::RangeInclusive;
 use std::sync::Arc;
 use std::sync::atomic::AtomicBool;
 use std::sync::atomic::Ordering;
@@ -13,6 +14,7 @@
 use serde_json::json;
 
 use crate::http::AfterPrevious;
+use crate::http::EarlyAnswer;
 use crate::http::EventWriter;
 use crate::http::Reply;
 use crate::http::Request;
@@ -257,6 +259,33 @@
         fault
     }
 
+    /// Takes the next fault if it is an answer before the request's body has been read, records the
+    /// request as run, and returns the answer. Of the body's parts the first is sent early.
+    pub fn begin_early(
+        &self,
+        request: &Request,
+        content_type: &str,
+        [first, rest]: [&str; 2],
+    ) -> Option<EarlyAnswer> {
+        let mut faults = self.faults.lock();
+        let fault = faults.front().copied();
+        let Some(AnswerFault::EarlyUnframed { end, filler_bytes }) = fault else {
+            return None;
+        };
+        faults.pop_front();
+        self.record_run(request, fault);
+        let head = format!(
+            "HTTP/1.1 200 OK\r\n{ID}: {}\r\n{SIGNATURE}: s.{}\r\nContent-Type: {content_type}\r\n\r\n",
+            id_of(request),
+            self.instance
+        );
+        Some(EarlyAnswer {
+            first: (head + &"x".repeat(filler_bytes) + first).into_bytes(),
+            rest: rest.as_bytes().to_vec(),
+            end,
+        })
+    }
+
     fn shared_fault(&self, request: &Request) -> Option<AnswerFault> {
         let is_resumable = request.path.starts_with(RESUMABLE_PREFIX);
         let mut shared_faults = self.shared_faults.lock();
@@ -359,6 +388,13 @@
         }
     }
 
+    /// Returns the text of all events from the first on, in two parts.
+    pub fn halves_of_events(&self, count: u64) -> (String, String) {
+        let texts = EventTexts::new(&self.software_version.lock());
+        let text = |events: RangeInclusive<u64>| events.map(|event| texts.event(event)).collect();
+        (text(1..=count / 2), text(count / 2 + 1..=count))
+    }
+
     /// Returns the answer to a streaming request that sends `count` events, then calls a function
     /// and breaks.
     pub fn events_until(
--- a/crates/standins/src/platform/engine.rs
+++ b/crates/standins/src/platform/engine.rs
@@ -12,6 +12,7 @@
 use parking_lot::Mutex;
 use serde_json::json;
 
+use crate::http::EarlyAnswer;
 use crate::http::Handler;
 use crate::http::Reply;
 use crate::http::Request;
@@ -450,4 +451,11 @@
         self.answers.silence.wait();
         self.answers.after_previous(reply)
     }
+
+    fn answer_early(&self, request: &Request) -> Option<EarlyAnswer> {
+        request.header("Apricotdale-Model")?;
+        let (first, rest) = self.answers.halves_of_events(self.options.events);
+        self.answers
+            .begin_early(request, "text/event-stream", [&first, &rest])
+    }
 }
--- a/crates/standins/src/platform/plain_answers.rs
+++ b/crates/standins/src/platform/plain_answers.rs
@@ -62,6 +62,7 @@
                 | AnswerFault::MuteAfter { .. }
                 | AnswerFault::Stream(_)
                 | AnswerFault::CutThen { .. }
+                | AnswerFault::EarlyUnframed { .. }
                 | AnswerFault::UnsignedStream,
             ) => raw(framed(200, ""), true),
             Some(
--- a/crates/standins/src/platform/service.rs
+++ b/crates/standins/src/platform/service.rs
@@ -13,6 +13,7 @@
 use parking_lot::Mutex;
 use serde_json::json;
 
+use crate::http::EarlyAnswer;
 use crate::http::Handler;
 use crate::http::Reply;
 use crate::http::Request;
@@ -247,7 +248,7 @@
         {
             self.set_rate_limit(Some(rate_limit));
         }
-        let body = format!("{} {}", request.method, request.target());
+        let body = body_text(request);
         self.answers.unstreamed_answer(request, fault, &body)
     }
 }
@@ -263,6 +264,20 @@
         self.answers.silence.wait();
         self.answers.after_previous(reply)
     }
+
+    fn answer_early(&self, request: &Request) -> Option<EarlyAnswer> {
+        if is_health_check(request) {
+            return None;
+        }
+        let body = body_text(request);
+        let (first, rest) = body.split_at(body.len() / 2);
+        self.answers
+            .begin_early(request, "text/plain", [first, rest])
+    }
+}
+
+fn body_text(request: &Request) -> String {
+    format!("{} {}", request.method, request.target())
 }
 
 fn is_health_check(request: &Request) -> bool {
