Http1: a status outside 100 to 599 makes a response malformed; 101 is a failure

What callers saw: an upstream's answer of status 000, 001 or 099 was skipped like an interim response, so that its body, if that was itself an answer with the request's identity and signature, reached the caller as a complete 200; a bare head of status 000 was awaited until the caller's time was over (504); 600 and 999 were passed on.

Cause: `parse_response_head` took any three digits as a status, and whatever was below 200 as interim.

Change: such a head is malformed, wherever responses are parsed, so that the attempt fails at once and a request that may be repeated goes elsewhere. 101 is in the range, but no request asks for another protocol: what follows it is no answer, either.

--- a/crates/entry/src/outbound.rs
+++ b/crates/entry/src/outbound.rs
@@ -45,6 +45,9 @@
 /// a request that then waits at its upstream.
 const INTERIM_AFTER_MS: u64 = 1_000;
 
+/// Status of a response behind which the connection carries another protocol.
+const SWITCHING_PROTOCOLS: u16 = 101;
+
 /// The other end of a connection.
 #[derive(Clone, Debug, PartialEq, Eq, Hash)]
 pub(crate) enum Peer {
@@ -430,6 +433,10 @@
             match parse_response_head(input, HEAD_LIMIT_BYTES, self.is_head_request) {
                 Ok(Some((head, length))) => {
                     consumed += length;
+                    // No request asks for another protocol.
+                    if head.status == SWITCHING_PROTOCOLS {
+                        break Part::Failed;
+                    }
                     // Interim answers precede the final one.
                     if head.status < 200 {
                         continue;
--- a/crates/http1/src/head.rs
+++ b/crates/http1/src/head.rs
@@ -1,5 +1,7 @@
 //! Parsing of request and response heads.
 
+use std::ops::RangeInclusive;
+
 use crate::errors::Error;
 use crate::errors::Result;
 use crate::headers::Headers;
@@ -7,6 +9,9 @@
 /// Maximum number of fields in one head. A head with more is rejected as too large.
 const MAX_FIELDS: usize = 100;
 
+/// Statuses that the protocol defines. Others are no status of a response.
+const STATUSES: RangeInclusive<u16> = 100..=599;
+
 /// Framing of a body: how its end is found.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum BodyLength {
@@ -87,7 +92,8 @@
 ///
 /// # Errors
 ///
-/// The same as [`parse_request_head`].
+/// The same as [`parse_request_head`], and [`Error::MalformedHead`] for a status that the protocol
+/// does not define.
 pub fn parse_response_head(
     input: &[u8],
     limit_bytes: usize,
@@ -100,6 +106,9 @@
     };
     let headers = copy_fields(response.headers);
     let status = response.code.unwrap_or_default();
+    if !STATUSES.contains(&status) {
+        return Err(Error::MalformedHead);
+    }
     let version = response.version.unwrap_or(1);
     let framing = framing(&headers)?;
     let body = match framing {
--- a/crates/http1/tests/response_heads.rs
+++ b/crates/http1/tests/response_heads.rs
@@ -1,6 +1,7 @@
 //! Parsing of response heads.
 
 use apricotdale_http1::BodyLength;
+use apricotdale_http1::Error;
 use apricotdale_http1::parse_response_head;
 use rstest::rstest;
 
@@ -49,6 +50,28 @@
     assert!(parse_response_head(b"\x00\x01garbage\r\n\r\n", 1_000, false).is_err());
 }
 
+/// Guards against a response with a status outside the protocol's range, which would be taken for an
+/// interim or a final one.
+#[rstest]
+fn invalid_status(#[values("000", "001", "099", "600", "999")] code: &str) {
+    let text = format!("HTTP/1.1 {code} Status\r\nContent-Length: 5\r\n\r\n");
+    for is_head_request in [false, true] {
+        let parsed = parse_response_head(text.as_bytes(), 1_000, is_head_request);
+        assert_eq!(parsed, Err(Error::MalformedHead));
+    }
+}
+
+#[rstest]
+#[case("100", 100)]
+#[case("599", 599)]
+fn valid_status(#[case] code: &str, #[case] expected: u16) {
+    let text = format!("HTTP/1.1 {code} Status\r\nContent-Length: 5\r\n\r\n");
+    let (head, _) = parse_response_head(text.as_bytes(), 1_000, false)
+        .expect("valid")
+        .expect("complete");
+    assert_eq!(head.status, expected);
+}
+
 /// Guards against a response that looks whole although its connection ended in the middle of its head.
 #[rstest]
 #[case::length("HTTP/1.1 200 OK\r\nServer: a\r\nContent-Length: 5\r\n\r\n")]
--- a/crates/standins/src/platform/answer_faults.rs
+++ b/crates/standins/src/platform/answer_faults.rs
@@ -7,6 +7,19 @@
 use crate::platform::silence::SilencePoint;
 use crate::platform::stream_faults::StreamFault;
 
+/// What a wrong status stands in.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Hash, PartialOrd, Ord)]
+pub enum StatusPlace {
+    /// The usual answer.
+    Answer,
+    /// An answer whose body is the usual answer, with its head.
+    AroundAnswer,
+    /// A head without fields. Nothing follows, and the connection stays open.
+    Alone,
+    /// A head without fields, behind which the usual answer follows.
+    BeforeAnswer,
+}
+
 /// Fault of an answer.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, Hash, PartialOrd, Ord)]
 pub enum AnswerFault {
@@ -110,6 +123,13 @@
     },
     /// The bytes are not a valid HTTP answer.
     Garbage,
+    /// The answer's status is not that of a final answer.
+    WrongStatus {
+        /// The three digits of the status.
+        code: &'static str,
+        /// What the status stands in.
+        place: StatusPlace,
+    },
     /// The body has a content encoding.
     Encoded,
 }
--- a/crates/standins/src/platform/mod.rs
+++ b/crates/standins/src/platform/mod.rs
@@ -29,6 +29,7 @@
 
 pub use adjustments::SiteAdjustments;
 pub use answer_faults::AnswerFault;
+pub use answer_faults::StatusPlace;
 pub use answers::LARGE_BYTES;
 pub use answers::RecordedRun;
 pub use caller::Answer;
--- a/crates/standins/src/platform/plain_answers.rs
+++ b/crates/standins/src/platform/plain_answers.rs
@@ -10,6 +10,7 @@
 use crate::http::Stream;
 use crate::http::StreamEnd;
 use crate::platform::answer_faults::AnswerFault;
+use crate::platform::answer_faults::StatusPlace;
 use crate::platform::answers::Answers;
 use crate::platform::answers::ID;
 use crate::platform::answers::LARGE_BYTES;
@@ -142,12 +143,32 @@
                 head.truncate(bytes);
                 raw(head, false)
             }
+            Some(AnswerFault::WrongStatus { code, place }) => {
+                raw(place.answer(code, &framed(200, "")), true)
+            }
             Some(AnswerFault::Garbage) => raw("\u{1}\u{2}garbage\r\n\r\n".to_owned(), false),
             Some(AnswerFault::Encoded) => raw(framed(200, "Content-Encoding: gzip\r\n"), true),
         }
     }
 }
 
+impl StatusPlace {
+    /// Returns the answer with a wrong status, made of the usual one.
+    fn answer(self, code: &str, usual: &str) -> String {
+        match self {
+            Self::Answer => usual.replacen("200", code, 1),
+            Self::AroundAnswer => {
+                format!(
+                    "HTTP/1.1 {code} Status\r\nContent-Length: {}\r\n\r\n{usual}",
+                    usual.len()
+                )
+            }
+            Self::Alone => format!("HTTP/1.1 {code} Status\r\n\r\n"),
+            Self::BeforeAnswer => format!("HTTP/1.1 {code} Status\r\n\r\n{usual}"),
+        }
+    }
+}
+
 /// Returns the header line of a load that no upstream can have.
 fn huge_load() -> String {
     format!("{LOAD}: {max},{max},1", max = u32::MAX)
