Adapters: a status of no final answer is a failed call

What callers saw: nothing yet.

Change: a call whose answer has a status outside 200 to 599 has an unknown outcome, as other heads that are none.

Evidence: `wrong_answers::wrong_status`: 3 of 6 cases failed before, none after; the adapters' 145 tests pass.

--- a/crates/adapters/src/exchange.rs
+++ b/crates/adapters/src/exchange.rs
@@ -8,6 +8,7 @@
 //! received (`Error::Unknown`).
 
 use std::net::SocketAddr;
+use std::ops::RangeInclusive;
 use std::sync::Arc;
 use std::time::Duration;
 use std::time::Instant;
@@ -34,6 +35,9 @@
 /// Content type of the bodies that the adapters write themselves.
 pub(crate) const JSON: &str = "application/json";
 
+/// Statuses of answers. Those below belong to interim answers, and those above to none.
+const FINAL_STATUSES: RangeInclusive<u16> = 200..=599;
+
 /// Call that is to be sent at most once.
 pub(crate) struct Outgoing<'a> {
     /// Address of the upstream.
@@ -70,7 +74,7 @@
 /// # Errors
 ///
 /// `Error::Rejected` if the call can't be written as HTTP, `Error::Unavailable` if no connection
-/// was established, `Error::Unknown` for every later failure.
+/// was established, `Error::Unknown` for every later failure and for a status of no answer.
 pub(crate) fn send(options: &HttpOptions, outgoing: Outgoing<'_>) -> Result<Incoming> {
     let connection_state = ConnectionState::new(outgoing.deadline);
     let connector = SingleConnector::new(connection_state.clone());
@@ -81,6 +85,9 @@
         None => agent.run(request(&outgoing)?.body(()).map_err(unwritable)?),
     };
     match sent {
+        Ok(response) if !FINAL_STATUSES.contains(&response.status().as_u16()) => Err(
+            Error::unknown(format!("status {} of no answer", response.status())),
+        ),
         Ok(response) => Ok(Incoming {
             response,
             connection_state,
