Tests: malformed field names and early answers that are refused already

What was asked: whether an answer in whose head a field's name holds a blank or a control byte reaches a caller, and whether the daemon that reads by ureq takes a reset answer for a complete one. Neither happens; no product code changes.

`response_heads::malformed_field`: 22 lines, at two places, in four statuses, to HEAD or not: malformed, 352 of 352.

Not refused: lines in trailers, which are dropped whatever they hold; the body before them is complete by its framing.

--- a/crates/adapters/tests/wrong_answers.rs
+++ b/crates/adapters/tests/wrong_answers.rs
@@ -37,3 +37,33 @@
         "{answer:?}"
     );
 }
+
+/// Guards against an answer with a field whose name is none.
+#[rstest]
+fn malformed_field_name(
+    #[values(
+        "X A: 1",
+        "X\u{1}A: 1",
+        "X\0A: 1",
+        "XA : 1",
+        "X\tA: 1",
+        " XA: 1",
+        ": 1",
+        "X\u{7f}: 1",
+        "X\u{e9}: 1",
+        "Content Length: 1",
+        "Content-Length : 1",
+        "Content-Length\u{1}: 1"
+    )]
+    field: &str,
+) {
+    let server = answering(format!(
+        "HTTP/1.1 200 OK\r\n{field}\r\nContent-Length: 4\r\n\r\ndone"
+    ));
+    let service = adapters_at(server.address).service;
+    let answer = service.call(server.address, &call());
+    assert!(
+        matches!(answer, Err(Error::Unknown(_) | Error::Malformed(_))),
+        "{answer:?}"
+    );
+}
--- a/crates/http1/tests/response_heads.rs
+++ b/crates/http1/tests/response_heads.rs
@@ -61,6 +61,44 @@
     }
 }
 
+/// Guards against a head that is taken for an answer although one of its lines is no field, and
+/// against a field that is read under another name.
+#[rstest]
+fn malformed_field(
+    #[values(
+        "X A: 1",
+        "X\u{1}A: 1",
+        "X\0A: 1",
+        "X\u{7f}A: 1",
+        "X\u{e9}A: 1",
+        "X\tA: 1",
+        "XA : 1",
+        "XA\t: 1",
+        " XA: 1",
+        "\tXA: 1",
+        ": 1",
+        "XA",
+        "XA: 1\r\n folded",
+        "XA: 1\u{1}",
+        "XA: 1\0",
+        "XA: 1\u{7f}",
+        "XA: 1\rXB: 2",
+        "X\nA: 1",
+        "Content-Length : 5",
+        "Content Length: 5",
+        "Content-Length\u{1}: 5",
+        "Transfer-Encoding\u{b}: chunked"
+    )]
+    field: &str,
+    #[values("", "Server: a\r\n")] before: &str,
+    #[values("200 OK", "103 Early Hints", "204 No Content", "502 Bad Gateway")] status: &str,
+    #[values(false, true)] is_head_request: bool,
+) {
+    let text = format!("HTTP/1.1 {status}\r\n{before}{field}\r\nContent-Length: 5\r\n\r\n");
+    let parsed = parse_response_head(text.as_bytes(), 1_000, is_head_request);
+    assert_eq!(parsed, Err(Error::MalformedHead));
+}
+
 #[rstest]
 #[case("100", 100)]
 #[case("599", 599)]
--- a/crates/standins/src/platform/answer_faults.rs
+++ b/crates/standins/src/platform/answer_faults.rs
@@ -123,6 +123,13 @@
     },
     /// The bytes are not a valid HTTP answer.
     Garbage,
+    /// A line of the answer's head is no field.
+    MalformedField {
+        /// The line.
+        line: &'static str,
+        /// Whether the line stands in an interim answer before the answer.
+        is_interim: bool,
+    },
     /// The answer's status is not that of a final answer.
     WrongStatus {
         /// The three digits of the status.
--- a/crates/standins/src/platform/plain_answers.rs
+++ b/crates/standins/src/platform/plain_answers.rs
@@ -143,6 +143,13 @@
                 head.truncate(bytes);
                 raw(head, false)
             }
+            Some(AnswerFault::MalformedField { line, is_interim }) => {
+                let interim = format!("HTTP/1.1 103 Early Hints\r\n{line}\r\n\r\n");
+                match is_interim {
+                    true => raw(interim + &framed(200, ""), true),
+                    false => raw(framed(200, &format!("{line}\r\n")), true),
+                }
+            }
             Some(AnswerFault::WrongStatus { code, place }) => {
                 raw(place.answer(code, &framed(200, "")), true)
             }
