Entry: answers in progress share a bound on what is buffered of them

What operators of such systems saw: an engine sent bytes without end, the machine kept them and ran out of memory, and other clients' requests ended with it.

Change: an answer may buffer its share of 32 MB among the requests in progress, between 16 KB and the former bounds, which hold as long as few are in progress. Beyond its share an answer is passed on in parts, and reading pauses for a slow caller, as for large answers before.

`limited_event` and `limited_body` show the two buffers alone.

--- a/crates/delivery/src/delivery.rs
+++ b/crates/delivery/src/delivery.rs
@@ -16,7 +16,8 @@
 use crate::splitter::EventSplitter;
 use crate::splitter::Piece;
 
-/// Largest body that is buffered until it is complete. A larger one is sent in parts.
+/// Largest body that is buffered until it is complete, without another limit. A larger one is sent in
+/// parts.
 const MAX_BUFFERED_BYTES: usize = 1024 * 1024;
 
 const EVENT_STREAM: &str = "text/event-stream";
@@ -79,6 +80,8 @@
     /// Head of the answer that the caller receives, or of the one buffered for it.
     head: Option<ResponseHead>,
     answer: UpstreamAnswer,
+    /// Largest body that is buffered until it is complete.
+    max_buffered_bytes: usize,
 }
 
 impl Delivery {
@@ -89,10 +92,17 @@
             position: Position::start(&options),
             head: None,
             answer: UpstreamAnswer::Awaited,
+            max_buffered_bytes: MAX_BUFFERED_BYTES,
             options,
         }
     }
 
+    /// Sets how many bytes of an incomplete body, or of an incomplete event, are buffered at most, up
+    /// to the defaults. What is buffered beyond that is passed on with the next part.
+    pub fn limit_buffer(&mut self, bytes: usize) {
+        self.max_buffered_bytes = bytes.min(MAX_BUFFERED_BYTES);
+    }
+
     /// Returns whether the caller has received any part.
     pub fn has_begun(&self) -> bool {
         self.delivered != Delivered::Nothing
@@ -222,6 +232,7 @@
         match &mut self.answer {
             UpstreamAnswer::Awaited => Ok(()),
             UpstreamAnswer::Events(events) => {
+                events.splitter.limit_buffer(self.max_buffered_bytes);
                 events.splitter.push(bytes);
                 let mut forwarded = Vec::new();
                 let result = self.forward_events(&mut forwarded);
@@ -234,7 +245,7 @@
             UpstreamAnswer::Mismatched(mismatch) => Err(*mismatch),
             UpstreamAnswer::Body(buffered) => {
                 buffered.extend_from_slice(bytes);
-                if self.delivered == Delivered::Body || buffered.len() > MAX_BUFFERED_BYTES {
+                if self.delivered == Delivered::Body || buffered.len() > self.max_buffered_bytes {
                     let part = std::mem::take(buffered);
                     self.write_part(&part, Delivered::Body, closes, out);
                 }
--- a/crates/delivery/src/splitter.rs
+++ b/crates/delivery/src/splitter.rs
@@ -1,6 +1,7 @@
 //! Splitting of a byte stream into server-sent events.
 
-/// Largest event that is buffered until it is complete. A larger one is passed on in parts.
+/// Largest event that is buffered until it is complete, without another limit. A larger one is
+/// passed on in parts.
 const MAX_BUFFERED_EVENT_BYTES: usize = 256 * 1024;
 
 /// Next piece of a stream: an event, or part of one that is too large to buffer.
@@ -18,9 +19,11 @@
 
 /// Finds the ends of events in a stream that arrives in pieces. As in the standard of server-sent
 /// events, a line ends with a line feed, a carriage return, or both.
-#[derive(Clone, Debug, Default)]
+#[derive(Clone, Debug)]
 pub struct EventSplitter {
     pending: Vec<u8>,
+    /// Largest event that is buffered until it is complete.
+    max_buffered_bytes: usize,
     /// Start of the event in progress in `pending`.
     start: usize,
     /// Number of bytes of `pending` that were scanned for the event's end.
@@ -34,7 +37,26 @@
     is_oversized: bool,
 }
 
+impl Default for EventSplitter {
+    fn default() -> Self {
+        Self {
+            pending: Vec::new(),
+            max_buffered_bytes: MAX_BUFFERED_EVENT_BYTES,
+            start: 0,
+            scanned: 0,
+            in_line: false,
+            after_return: false,
+            is_oversized: false,
+        }
+    }
+}
+
 impl EventSplitter {
+    /// Sets how many bytes of an incomplete event are buffered at most, up to the default.
+    pub fn limit_buffer(&mut self, bytes: usize) {
+        self.max_buffered_bytes = bytes.min(MAX_BUFFERED_EVENT_BYTES);
+    }
+
     /// Adds bytes of the stream.
     pub fn push(&mut self, bytes: &[u8]) {
         self.pending.drain(..self.start);
@@ -55,7 +77,7 @@
         }
         let unfinished = &self.pending[self.start..];
         let has_more = self.is_oversized && !unfinished.is_empty();
-        if !has_more && unfinished.len() <= MAX_BUFFERED_EVENT_BYTES {
+        if !has_more && unfinished.len() <= self.max_buffered_bytes {
             return None;
         }
         let part = unfinished.to_vec();
--- a/crates/delivery/tests/continued_answers.rs
+++ b/crates/delivery/tests/continued_answers.rs
@@ -475,3 +475,20 @@
     assert!(delivery.may_continue());
     assert_eq!(delivery.last_event(), Some(13));
 }
+
+/// Guards against a body without end that is buffered beyond the share of its answer.
+#[test]
+fn limited_body() {
+    let mut delivery = Delivery::new(options());
+    delivery.limit_buffer(4);
+    delivery
+        .head(head(200, "application/json"), &source(None))
+        .expect("no mismatch");
+    assert_eq!(push_body(&mut delivery, "1234"), Ok(String::new()));
+    assert!(!delivery.has_begun());
+    let part = push_body(&mut delivery, "5").expect("no mismatch");
+    assert!(part.ends_with("\r\n\r\n5\r\n12345\r\n"), "{part}");
+    let mut out = Vec::new();
+    delivery.end(false, &mut out).expect("a complete answer");
+    assert_eq!(out, b"0\r\n\r\n");
+}
--- a/crates/delivery/tests/event_splitting.rs
+++ b/crates/delivery/tests/event_splitting.rs
@@ -92,3 +92,19 @@
     );
     assert!(!splitter.is_inside_event());
 }
+
+/// Guards against an event without end that is buffered beyond the share of its stream.
+#[test]
+fn limited_event() {
+    let mut splitter = EventSplitter::default();
+    splitter.limit_buffer(8);
+    splitter.push(b"data: 12");
+    assert!(pieces(&mut splitter).is_empty());
+    splitter.push(b"3");
+    assert_eq!(
+        pieces(&mut splitter),
+        [Piece::Beginning(b"data: 123".to_vec())]
+    );
+    splitter.push(b"4\n\n");
+    assert_eq!(pieces(&mut splitter), [Piece::Last(b"4\n\n".to_vec())]);
+}
--- a/crates/entry/src/lib.rs
+++ b/crates/entry/src/lib.rs
@@ -11,6 +11,7 @@
 #![warn(missing_docs)]
 
 mod active;
+mod answer_buffers;
 mod block_store;
 mod caller;
 mod caller_organisations;
--- a/crates/entry/src/upstream_answers.rs
+++ b/crates/entry/src/upstream_answers.rs
@@ -23,9 +23,6 @@
 /// Space reserved for an answer's head in addition to the bytes of a part.
 const HEAD_RESERVE_BYTES: usize = 512;
 
-/// Maximum number of unsent bytes to a slow caller before reading from the upstream pauses.
-const MAX_UNSENT_BYTES: usize = 256 * 1024;
-
 /// How an answer is handled, judged by its head.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 enum HeadVerdict {
@@ -85,14 +82,6 @@
         }
     }
 
-    fn is_caller_slow(&self, key: u64) -> bool {
-        self.active
-            .get(key)
-            .and_then(|request| request.caller)
-            .and_then(|token| self.callers.get(&token))
-            .is_some_and(|caller| caller.stream.unwritten_bytes() > MAX_UNSENT_BYTES)
-    }
-
     /// Continues reading an abandoned answer to its end.
     pub(crate) fn advance_drain(&mut self, token: Token) {
         loop {
@@ -316,9 +305,11 @@
 
     fn handle_answer_body(&mut self, token: Token, key: u64, bytes: &[u8]) {
         let closes = self.caller_connection_closes(key);
+        let share_bytes = self.answer_share_bytes();
         let Some(request) = self.active.get_mut(key) else {
             return;
         };
+        request.delivery.limit_buffer(share_bytes);
         let had_begun = request.delivery.has_begun();
         let mut out = Vec::with_capacity(bytes.len() + HEAD_RESERVE_BYTES);
         let fits = request.delivery.body(bytes, closes, &mut out);
--- a/crates/standins/src/platform/endless.rs
+++ b/crates/standins/src/platform/endless.rs
@@ -28,6 +28,8 @@
     ChunkSize,
     /// Comments of a stream of events.
     Comments,
+    /// More of one event.
+    Event,
 }
 
 impl EndlessPart {
@@ -45,6 +47,7 @@
             Self::PlainBody => (format!("{head}{chunked}"), chunk(&growth)),
             Self::ChunkSize => (events, "0".to_owned()),
             Self::Comments => (events, chunk(":zz\n")),
+            Self::Event => (format!("{events}{}", chunk("data: ")), chunk(&growth)),
         };
         let repetitions = match gap_ms {
             0 => FLOOD_REPETITIONS,
