Outbound: an answer that is only drained is bounded in time and bytes

What operators of such systems saw: an engine sent bytes without end until the caller closed. Here, an upstream that rejected a request (503, 429 or 421 with the statement that it has not run) and sent a body without end was read until it stopped by itself; the request was sent again meanwhile, so that several such connections were read at once.

Cause: an answer whose body nobody awaits is read to its end so that the connection can be reused, and only a second of silence ended that.

Change: such an answer is left a second after its head, or after 64 KB of its body.

--- a/crates/entry/src/outbound.rs
+++ b/crates/entry/src/outbound.rs
@@ -1,5 +1,6 @@
 //! Connections that this VM opens to upstreams and to the store.
 
+mod drain;
 mod pool;
 
 use apricotdale_core::names::UpstreamName;
@@ -12,6 +13,7 @@
 use apricotdale_paths::RelayPhase;
 use apricotdale_paths::RelayReader;
 
+use self::drain::Drain;
 pub(crate) use self::pool::OutboundPool;
 use crate::calls::CallTag;
 use crate::stream::ReadEnd;
@@ -35,9 +37,6 @@
 /// machine without power does not answer at all.
 const CONNECT_TIMEOUT_MS: u64 = 600;
 
-/// Time limit for the next bytes of an answer that is read to its end only to reuse the connection.
-const DRAIN_TIMEOUT_MS: u64 = 1_000;
-
 /// How much earlier than the other end this VM closes an idle connection.
 const IDLE_MARGIN_MS: u64 = 1_000;
 
@@ -161,6 +160,7 @@
     /// How long the connection may stay idle.
     idle_ms: u64,
     idle_until_ms: u64,
+    drain: Drain,
     /// Deadline for establishing the connection; none once it is established.
     connect_until_ms: Option<u64>,
     /// Deadline of the call in progress; none for callers' requests, whose deadlines are kept
--- a/crates/entry/src/outbound/pool.rs
+++ b/crates/entry/src/outbound/pool.rs
@@ -13,7 +13,7 @@
 
 use super::CONNECT_TIMEOUT_MS;
 use super::DEFAULT_IDLE_MS;
-use super::DRAIN_TIMEOUT_MS;
+use super::Drain;
 use super::Outbound;
 use super::Parse;
 use super::Peer;
@@ -128,6 +128,7 @@
             longest_wait_ms: 0,
             idle_ms: DEFAULT_IDLE_MS,
             idle_until_ms: 0,
+            drain: Drain::default(),
             connect_until_ms: Some(now_ms + CONNECT_TIMEOUT_MS),
             call_until_ms: None,
             call_latest_ms: 0,
@@ -194,7 +195,7 @@
         }
     }
 
-    /// Closes connections that have been idle for too long or that stalled while draining, and
+    /// Closes connections that have been idle for too long or are drained for too long, and
     /// returns the connections whose calls have timed out.
     pub fn sweep(&mut self, now_ms: u64, registry: &Registry) -> Vec<Token> {
         let timed_out: Vec<Token> = self
@@ -202,7 +203,7 @@
             .iter()
             .filter(|(_, it)| match it.purpose {
                 Purpose::Idle => it.idle_until_ms <= now_ms,
-                Purpose::Drain => it.last_received_ms + DRAIN_TIMEOUT_MS <= now_ms,
+                Purpose::Drain => it.is_drained_too_long(now_ms),
                 Purpose::Proxy(_) | Purpose::Call(_) => false,
             })
             .map(|(token, _)| *token)
--- a/crates/entry/src/upstream_answers.rs
+++ b/crates/entry/src/upstream_answers.rs
@@ -93,7 +93,7 @@
             }
             match connection.next_part() {
                 Part::Head(head) => self.handle_notices(token, &head),
-                Part::Body(_) => {}
+                Part::Body(bytes) if connection.record_drained(bytes.len()) => {}
                 Part::Wait if connection.has_more() => {
                     if !self.read_further(token) {
                         return;
@@ -105,7 +105,7 @@
                         .release(self.now_ms, token, self.poll.registry());
                     return;
                 }
-                Part::Failed => {
+                Part::Body(_) | Part::Failed => {
                     self.outbound.close(token, self.poll.registry());
                     return;
                 }
@@ -213,7 +213,7 @@
 
     fn drain_answer(&mut self, token: Token) {
         if let Some(connection) = self.outbound.get_mut(token) {
-            connection.purpose = Purpose::Drain;
+            connection.begin_drain(self.now_ms);
         }
     }
 
--- a/crates/standins/src/platform/answer_faults.rs
+++ b/crates/standins/src/platform/answer_faults.rs
@@ -84,6 +84,11 @@
     UnsignedStream,
     /// The request is rejected before it runs, and the body of the answer is never sent.
     TurnedAwayStalled,
+    /// The request is rejected before it runs, and the body of the answer never ends.
+    TurnedAwayEndless {
+        /// Status of the rejection.
+        status: u16,
+    },
     /// A large number of interim answers precede the answer.
     ManyInterim,
     /// Another request's answer precedes the answer.
--- a/crates/standins/src/platform/answers.rs
+++ b/crates/standins/src/platform/answers.rs
@@ -250,8 +250,15 @@
     pub fn begin(&self, request: &Request) -> Option<AnswerFault> {
         let own = self.faults.lock().pop_front();
         let fault = own.or_else(|| self.shared_fault(request));
-        let rejections = [AnswerFault::TurnedAway, AnswerFault::TurnedAwayStalled];
-        if fault.is_some_and(|fault| rejections.contains(&fault)) {
+        let is_rejection = matches!(
+            fault,
+            Some(
+                AnswerFault::TurnedAway
+                    | AnswerFault::TurnedAwayStalled
+                    | AnswerFault::TurnedAwayEndless { .. }
+            )
+        );
+        if is_rejection {
             self.rejections.lock().push(Instant::now());
         } else {
             self.record_run(request, fault);
--- a/crates/standins/src/platform/plain_answers.rs
+++ b/crates/standins/src/platform/plain_answers.rs
@@ -18,6 +18,7 @@
 use crate::platform::answers::NOT_RUN;
 use crate::platform::answers::SIGNATURE;
 use crate::platform::answers::id_of;
+use crate::platform::endless::EndlessPart;
 
 /// Number of interim answers of [`AnswerFault::ManyInterim`].
 const INTERIM_ANSWERS: usize = 100_000;
@@ -94,6 +95,10 @@
                 );
                 raw(text, true)
             }
+            Some(AnswerFault::TurnedAwayEndless { status }) => {
+                let head = format!("HTTP/1.1 {status} Status\r\n{ID}: {id}\r\n{NOT_RUN}: 1\r\n");
+                EndlessPart::PlainBody.reply(&head, 0)
+            }
             Some(AnswerFault::Failed) => raw(framed(500, ""), true),
             Some(AnswerFault::FailedWith { status }) => raw(framed(status, ""), true),
             Some(AnswerFault::LostAnswer) => Reply::Lost,
