Planned stop: no request is sent to an upstream in its second half

What callers saw on systems of this kind: requests that came late in a planned stop were taken, passed on and cut at its end, among them ones that may run only once. Here, with a stop of 8 s: a request that waited for a place was passed on until 6.5 s and cut at 7.7 s in the middle of its answer. With a shorter stop: requests that arrived were served until 3 s whatever its length, so that a stop of 4 s left them 0.7 s.

Cause: both bounds were constants, the one from the begin and the other from the end of the stop, and neither left time for an answer.

Change: requests are passed on in the first half of the stop only, and requests that arrive are served for 3 s as before if that is less. The others get a 503 with Retry-After, having run nowhere, and have time left for another VM.

Evidence: `late_place_refused` and `short_stop_refuses` (stop of 4 s, streams of 2.3 and 2 s) failed before with a 200 that broke off, and pass now; the other ten of `planned_stop` hold before and after.

--- a/crates/entry/src/lifecycle.rs
+++ b/crates/entry/src/lifecycle.rs
@@ -20,8 +20,9 @@
 /// to end.
 const CONNECTION_REUSE_MS: u64 = 1_200;
 
-/// How long a stopping VM still serves requests that arrive on open connections. One on a connection
-/// that was accepted last has arrived by then. A later one might not end before the process does.
+/// How long a stopping VM still serves requests that arrive on open connections, at most. One on a
+/// connection that was accepted last has arrived by then. A later one might not end before the
+/// process does.
 const SERVING_MS: u64 = 3_000;
 
 /// Reserve of the time for a stop, so that the process ends by itself before it is killed.
@@ -39,10 +40,6 @@
     Ok(())
 }
 
-/// How long before the end of a planned stop the requests that still wait are refused, so that
-/// their callers can retry at another VM.
-const REFUSE_WAITING_MS: u64 = 1_500;
-
 /// Retry delay stated to the callers of the requests that a stopping VM refuses.
 pub(crate) const STOP_RETRY_AFTER_MS: u64 = 50;
 
@@ -77,13 +74,20 @@
     /// Returns whether requests that arrive now are to be refused.
     pub fn refuses_requests(self, now_ms: u64) -> bool {
         self.age_ms(now_ms)
-            .is_some_and(|age_ms| age_ms >= SERVING_MS)
+            .is_some_and(|age_ms| age_ms >= SERVING_MS.min(self.sending_ms()))
     }
 
-    /// Returns whether waiting requests are to be refused.
+    /// Returns whether waiting requests are to be refused, so that their callers can retry at another
+    /// VM.
     fn refuses_waiting(self, now_ms: u64) -> bool {
-        let at_ms = self.stop_ms.saturating_sub(REFUSE_WAITING_MS);
-        self.age_ms(now_ms).is_some_and(|age_ms| age_ms >= at_ms)
+        self.age_ms(now_ms)
+            .is_some_and(|age_ms| age_ms >= self.sending_ms())
+    }
+
+    /// Returns how long requests are still sent to upstreams. The rest of the stop is for their
+    /// answers.
+    fn sending_ms(self) -> u64 {
+        self.stop_ms / 2
     }
 
     fn age_ms(self, now_ms: u64) -> Option<u64> {
@@ -126,8 +130,8 @@
         })
     }
 
-    /// Refuses the requests that still wait when little time is left for a planned stop. They would
-    /// otherwise end with the process, unanswered.
+    /// Refuses the requests that still wait when half of the time for a planned stop is over. They
+    /// would otherwise end with the process, unanswered or in the middle of their answers.
     pub(crate) fn refuse_waiting_for_stop(&mut self) {
         if !self.planned_stop.refuses_waiting(self.now_ms) {
             return;
