List copy: the versions written beside a list hold all versions of that list

What callers saw: all VMs were killed soon after their start, the engines of one version left and those of another joined while they were away, and callers who resumed got events of two versions in one stream (ORDER).

Cause: the history of versions is filled from the list once a second, and the copy of the list took it as it was: written soon after a start it held no version, or only the one that had come since, and called itself complete. VMs that start believe it.

Change: the copy's writer records the listed versions first, as the resumption of a stream and the answer to another VM's query do already.

Evidence: `rejoined_streams::vms_restarted`, case first_copy: 8 of 8 streams joined in 3 of 3 runs before, none and 8 of 8 refused in 3 of 3 after; the other four cases hold before and after.

--- a/crates/entry/src/store_pollers/list_snapshot.rs
+++ b/crates/entry/src/store_pollers/list_snapshot.rs
@@ -232,6 +232,8 @@
         {
             return;
         }
+        // The history must hold every version of the list that is written beside it.
+        self.record_listed_versions();
         let digest = SnapshotDigest {
             listed: serving_digest(&self.directory),
             held: residence_digests(&self.directory),
