Origins: a VM that knows nothing confirms no version while others are silent

What callers saw on systems of this kind: during a release one machine was out of step; streams that had begun at engines of the new version through other machines broke, were resumed at it and went on at the former version (ORDER).

Looked at here: a VM that reaches none of the others, or one that is in step, refuses. It went on by its own list, which may be as old as 2.5 to 3.5 s, if the only VM that answered knew nothing: one that has just started or stood still.

Change: while a VM that was asked is silent, another one has to state which versions there were. If all answer and none knows the stream, the list of the VM itself decides as before.

Test changed: `unreached_holders::only_version` expected a resumption where one VM of four answers that it knows nothing. The case was wrong: such an answer shows that a VM is reached, not that either of them has seen what the silent ones began. It now expects the refusal; `unknowing_vms` adds what may still be resumed.

On real processes the case was not played.

--- a/crates/origins/src/resumption.rs
+++ b/crates/origins/src/resumption.rs
@@ -191,10 +191,14 @@
         }
     }
 
-    /// Decides on a stream that no VM knows, by the versions that can have begun it. A VM that
-    /// reaches none of the others does not know what they have begun.
+    /// Decides on a stream that no VM knows, by the versions that can have begun it. A VM that is out
+    /// of step does not know what those have begun that do not answer, so that another VM has to
+    /// state the versions, too.
     fn decide_by_versions(&self) -> ResumptionStep {
-        if !self.answers.is_empty() && self.answers.values().all(Option::is_none) {
+        let is_any_silent = self.answers.values().any(Option::is_none);
+        let mut answers = self.answers.values().flatten();
+        let is_stated = answers.any(|answer| *answer != Evidence::Nothing);
+        if is_any_silent && !is_stated {
             return ResumptionStep::Refuse(OriginUnknown::NoEvidence);
         }
         let mut only: Option<&Origin> = None;
--- a/crates/origins/tests/unreached_holders.rs
+++ b/crates/origins/tests/unreached_holders.rs
@@ -25,7 +25,7 @@
 /// another VM began a stream with: its list lacks an engine that has just come.
 #[rstest]
 #[case::nobody_answers(4, None, false)]
-#[case::one_answers(4, Some(Evidence::Nothing), true)]
+#[case::one_knows_nothing(4, Some(Evidence::Nothing), false)]
 #[case::one_agrees(4, Some(Evidence::OnlyOrigin(only())), true)]
 #[case::one_contradicts(4, Some(Evidence::SeveralVersions), false)]
 #[case::only_vm(0, None, true)]
@@ -35,7 +35,7 @@
         .collect();
     let mut search = Resumption::new(BEGIN_MS, Evidence::OnlyOrigin(only()), names.clone());
     let reason = match &answer {
-        None => OriginUnknown::NoEvidence,
+        None | Some(Evidence::Nothing) => OriginUnknown::NoEvidence,
         Some(_) => OriginUnknown::SeveralVersions,
     };
     if let Some(evidence) = answer {
@@ -48,3 +48,26 @@
     assert_eq!(search.decide(AFTER_TIMEOUT_MS), expected);
     assert!(!search.is_recorded());
 }
+
+/// Guards against a VM out of step that takes the answers of VMs which know nothing for a confirmation
+/// of its own list, while the one that began the stream is silent, and against refusing a stream that
+/// no VM can have begun at another version.
+#[rstest]
+#[case::one_silent(&[Some(Evidence::Nothing), Some(Evidence::Nothing), None], false)]
+#[case::one_confirms(&[Some(Evidence::Nothing), Some(Evidence::OnlyOrigin(only())), None], true)]
+#[case::none_silent(&[Some(Evidence::Nothing), Some(Evidence::Nothing)], true)]
+fn unknowing_vms(#[case] answers: &[Option<Evidence>], #[case] resumes: bool) {
+    let names = (0..answers.len()).map(|it| VmName::from(format!("vm-{it}")));
+    let names: Vec<VmName> = names.collect();
+    let mut search = Resumption::new(BEGIN_MS, Evidence::OnlyOrigin(only()), names.clone());
+    for (name, answer) in names.iter().zip(answers) {
+        if let Some(evidence) = answer {
+            search.record_answer(name, evidence.clone());
+        }
+    }
+    let expected = match resumes {
+        true => ResumptionStep::Resume(only()),
+        false => ResumptionStep::Refuse(OriginUnknown::NoEvidence),
+    };
+    assert_eq!(search.decide(AFTER_TIMEOUT_MS), expected);
+}
