--- a/crates/adapters/src/exchange.rs
+++ b/crates/adapters/src/exchange.rs
@@ -35,7 +35,7 @@
 /// Content type of the bodies that the adapters write themselves.
 pub(crate) const JSON: &str = "application/json";
 
-/// Statuses of answers. Those below belong to interim answers, and those above to none.
+/// Statuses of final answers.
 const FINAL_STATUSES: RangeInclusive<u16> = 200..=599;
 
 /// Call that is to be sent at most once.
@@ -74,7 +74,8 @@
 /// # Errors
 ///
 /// `Error::Rejected` if the call can't be written as HTTP, `Error::Unavailable` if no connection
-/// was established, `Error::Unknown` for every later failure and for a status of no answer.
+/// was established, `Error::Unknown` for every later failure and for a status that no
+/// final answer has.
 pub(crate) fn send(options: &HttpOptions, outgoing: Outgoing<'_>) -> Result<Incoming> {
     let connection_state = ConnectionState::new(outgoing.deadline);
     let connector = SingleConnector::new(connection_state.clone());
@@ -86,7 +87,7 @@
     };
     match sent {
         Ok(response) if !FINAL_STATUSES.contains(&response.status().as_u16()) => Err(
-            Error::unknown(format!("status {} of no answer", response.status())),
+            Error::unknown(format!("the answer has status {}", response.status())),
         ),
         Ok(response) => Ok(Incoming {
             response,
--- a/crates/entry/src/answer_buffers.rs
+++ b/crates/entry/src/answer_buffers.rs
@@ -1,20 +1,19 @@
-//! How much of answers in progress this VM holds, all together.
+//! Bounds on what this VM buffers of all answers in progress.
 
 use crate::daemon::Daemon;
 
-/// Number of bytes of all answers in progress that are buffered until they are complete or their
-/// callers take them. Faulty upstreams may send without end to all callers at once.
+/// Total of what is buffered of answers until they are complete or their callers take them. Faulty
+/// upstreams may send without end to all callers at once.
 const TOTAL_BYTES: usize = 32 * 1024 * 1024;
 
-/// Share of an answer among very many.
+/// Minimum share of one answer, however many are in progress.
 const MIN_SHARE_BYTES: usize = 16 * 1024;
 
 /// Maximum number of unsent bytes to a slow caller before reading from the upstream pauses.
 const MAX_UNSENT_BYTES: usize = 256 * 1024;
 
 impl Daemon {
-    /// Returns how many bytes of one answer are buffered at most, so that all of them stay within the
-    /// total.
+    /// Returns how many bytes of one answer may be buffered: its share of the total.
     pub(crate) fn answer_share_bytes(&self) -> usize {
         let share_bytes = TOTAL_BYTES / self.active.len().max(1);
         share_bytes.max(MIN_SHARE_BYTES)
--- a/crates/entry/src/relay.rs
+++ b/crates/entry/src/relay.rs
@@ -293,7 +293,7 @@
             if far_end == ReadEnd::Limit {
                 self.relayed.unfinished.insert(near);
             }
-            // The rest of the request can't follow, so the upstream's close may not look orderly.
+            // The upstream has not taken the whole request, so this is no orderly end of an answer.
             if far_end == ReadEnd::Closed && far.unwritten_bytes() > 0 {
                 far_end = ReadEnd::Broken;
             }
