Outbound: what is read of a body, and the space of buffers, follow an answer's share

Cause: the shares bounded what was held, not the space of the buffers that held it. A connection read 128 KB at once whatever its share, so that parts and buffers were that large; buffers grew by doubling; and a connection that waited for a slow caller kept the space of its input and of the event in progress.

Change: a body is read up to the share of its answer, a head up to the bound for heads. A part that is passed on takes its buffer along, a large part is added to the unwritten bytes without doubling them, and a connection that is paused gives its input's space back. Reading has a file of its own.

--- a/crates/delivery/src/splitter.rs
+++ b/crates/delivery/src/splitter.rs
@@ -80,8 +80,9 @@
         if !has_more && unfinished.len() <= self.max_buffered_bytes {
             return None;
         }
-        let part = unfinished.to_vec();
-        self.start = self.pending.len();
+        let mut part = std::mem::take(&mut self.pending);
+        part.drain(..self.start);
+        (self.start, self.scanned) = (0, 0);
         Some(match std::mem::replace(&mut self.is_oversized, true) {
             true => Piece::More(part),
             false => Piece::Beginning(part),
--- a/crates/entry/src/daemon.rs
+++ b/crates/entry/src/daemon.rs
@@ -412,13 +412,14 @@
     /// Continues a connection that this VM opened, after an event on it.
     fn handle_outbound_event(&mut self, token: Token, writable: bool) {
         let now_ms = self.now_ms;
+        let share_bytes = self.answer_share_bytes();
         let Some(connection) = self.outbound.get_mut(token) else {
             return;
         };
         connection.begin_iteration();
         let is_open = !writable || connection.stream.flush();
         if !connection.paused {
-            let has_received = connection.read(now_ms);
+            let has_received = connection.read(now_ms, share_bytes);
             if !is_open {
                 connection.record_write_failure();
             }
@@ -450,6 +451,7 @@
     /// Reads more of an answer. Returns whether it has been read; otherwise the connection has had its
     /// share, and is continued in the next iteration of the loop.
     pub(crate) fn read_further(&mut self, token: Token) -> bool {
+        let share_bytes = self.answer_share_bytes();
         let Some(connection) = self.outbound.get_mut(token) else {
             return false;
         };
@@ -457,7 +459,7 @@
             self.unread.push(token);
             return false;
         }
-        connection.read(self.now_ms);
+        connection.read(self.now_ms, share_bytes);
         true
     }
 
--- a/crates/entry/src/outbound.rs
+++ b/crates/entry/src/outbound.rs
@@ -2,6 +2,7 @@
 
 mod drain;
 mod pool;
+mod reading;
 
 use apricotdale_core::names::UpstreamName;
 use apricotdale_core::names::VmName;
@@ -22,13 +23,6 @@
 /// Size limit of an answer's head.
 const HEAD_LIMIT_BYTES: usize = 64 * 1024;
 
-/// Maximum number of bytes of an answer that are read before they are handled.
-const READ_LIMIT_BYTES: usize = 128 * 1024;
-
-/// Maximum number of bytes that a connection receives in one iteration of the loop, in addition to
-/// the last read. An upstream that sends as fast as it is read must not keep the VM from others.
-const ITERATION_LIMIT_BYTES: usize = 256 * 1024;
-
 /// How long an idle connection is kept if the other end states no limit. The time is short because
 /// a request sent on a connection that the other end closes at the same moment may be lost.
 const DEFAULT_IDLE_MS: u64 = 4_000;
@@ -265,63 +259,6 @@
         }
     }
 
-    /// Begins another iteration of the loop, in which the connection has its full share of reading.
-    pub fn begin_iteration(&mut self) {
-        self.iteration_bytes = 0;
-    }
-
-    /// Returns whether the connection has had its share of reading in this iteration of the loop.
-    pub fn has_had_share(&self) -> bool {
-        self.iteration_bytes >= ITERATION_LIMIT_BYTES
-    }
-
-    /// Reads the available bytes, up to the limit. Returns whether any came.
-    pub fn read(&mut self, now_ms: u64) -> bool {
-        let mut has_received = false;
-        if self.ended.is_none() {
-            let before = self.input.len();
-            let end = match &mut self.relayed_by {
-                None => self.stream.read(&mut self.input, READ_LIMIT_BYTES),
-                Some(_) => self.read_relayed(),
-            };
-            has_received = self.input.len() > before;
-            self.iteration_bytes += self.input.len() - before;
-            if has_received {
-                self.last_received_ms = now_ms;
-            }
-            self.has_more = end == ReadEnd::Limit;
-            if matches!(end, ReadEnd::Closed | ReadEnd::Broken) {
-                self.ended = Some(end);
-            }
-        }
-        has_received
-    }
-
-    /// Reads from the VM that relays, and decodes what it passes on.
-    fn read_relayed(&mut self) -> ReadEnd {
-        let Some(relay) = &mut self.relayed_by else {
-            return ReadEnd::Drained;
-        };
-        let limit_bytes = READ_LIMIT_BYTES.saturating_sub(self.input.len());
-        let end = self.stream.read(&mut relay.received, limit_bytes);
-        let was_opening = relay.reader.phase() == RelayPhase::Opening;
-        let decoded = relay.reader.read(&relay.received, &mut self.input);
-        relay.received.clear();
-        if was_opening && relay.reader.phase() == RelayPhase::Open {
-            self.stream.sent_bytes = 0;
-            self.stream.queue(&std::mem::take(&mut relay.held_back));
-            self.stream.flush();
-        }
-        match (decoded, relay.reader.phase()) {
-            (Err(_), _) => ReadEnd::Broken,
-            (Ok(()), RelayPhase::Closed) => ReadEnd::Closed,
-            (Ok(()), RelayPhase::NotReached | RelayPhase::Broken) => ReadEnd::Broken,
-            // An end that the relay has not announced is none of the upstream's.
-            (Ok(()), _) if end == ReadEnd::Closed => ReadEnd::Broken,
-            _ => end,
-        }
-    }
-
     /// Returns whether the other end was unreachable. One that resets a connection is reachable,
     /// and has reached its limit of connections.
     pub fn is_unreachable(&self, now_ms: u64) -> bool {
@@ -351,6 +288,7 @@
     /// active before.
     pub fn pause(&mut self) -> bool {
         self.has_more = true;
+        self.input.shrink_to_fit();
         !std::mem::replace(&mut self.paused, true)
     }
 
@@ -393,11 +331,6 @@
         }
     }
 
-    /// Returns whether bytes may be unread for which no readiness event will come.
-    pub fn has_more(&self) -> bool {
-        self.has_more && self.ended.is_none() && self.input.len() < READ_LIMIT_BYTES
-    }
-
     /// Parses the next part of the answer from the bytes read so far.
     pub fn next_part(&mut self) -> Part {
         match &mut self.parse {
--- a/crates/entry/src/outbound/pool.rs
+++ b/crates/entry/src/outbound/pool.rs
@@ -149,7 +149,7 @@
         connection.paused = false;
         // The other end may have closed the connection while it was not read.
         if connection.has_more() {
-            connection.read(now_ms);
+            connection.read(now_ms, usize::MAX);
         }
         if !connection.is_reusable() {
             self.close(token, registry);
--- a/crates/entry/src/stream.rs
+++ b/crates/entry/src/stream.rs
@@ -85,6 +85,10 @@
             self.unwritten.drain(..self.written);
             self.written = 0;
         }
+        // A large part would double the space of a buffer that may never grow again.
+        if bytes.len() >= READ_CHUNK_BYTES {
+            self.unwritten.reserve_exact(bytes.len());
+        }
         self.unwritten.extend_from_slice(bytes);
     }
 
