Fleet: an entry's slots are bounded, and a service's capacity can't overflow

What was seen: another writer left an entry with slots in an engines' service. In a build with overflow checks the VM that gives orders ended, as did each VM that took over; in a release build the sum wrapped, so that all engines counted for a capacity of almost nothing. An entry with a thousand million slots counted for more than the whole service.

Cause: the number of slots was checked for its type alone, and `heartbeat_detail` added up whatever the entries state.

Change: an entry with more slots than an address has ports is another writer's: it is counted and named as such, also if its key is an engine's. The capacity of a service counts each engine for no more than the configuration says, as the planner does, and saturates.

--- a/crates/entry/src/demand_reports.rs
+++ b/crates/entry/src/demand_reports.rs
@@ -104,12 +104,9 @@
             self.speed_rows()
         });
         let services = self.directory.configuration().services.iter();
-        let engine_services = services.filter(|(_, service)| service.engine.is_some());
-        let slots: Vec<(GroupName, u32)> = engine_services
-            .map(|(name, _)| {
-                let serving = self.directory.serving(name);
-                (name.clone(), serving.map(|upstream| upstream.slots).sum())
-            })
+        let engines = services.filter_map(|(name, service)| Some((name, service.engine.as_ref()?)));
+        let slots: Vec<(GroupName, u32)> = engines
+            .map(|(name, engine)| (name.clone(), self.directory.capacity(name, engine.slots)))
             .collect();
         let now_ms = self.now_ms;
         let rank_shares = slots.into_iter().flat_map(|(service, slots)| {
--- a/crates/entry/src/store_pollers/upstream_list.rs
+++ b/crates/entry/src/store_pollers/upstream_list.rs
@@ -102,7 +102,12 @@
     /// reach the same result.
     fn decode_upstream(&mut self, record: &KeyedRecord) -> Option<Upstream> {
         let value = record.value.as_deref()?;
-        match self.codecs.store.upstream(&record.key, value) {
+        let decoded = self.codecs.store.upstream(&record.key, value);
+        let checked = decoded.and_then(|upstream| match upstream.check() {
+            Ok(()) => Ok(upstream),
+            Err(error) => Err(DecodeError::new(error.to_string())),
+        });
+        match checked {
             Ok(upstream) => {
                 self.store_pollers.foreign_keys.remove(&record.key);
                 self.check_service(&upstream);
--- a/crates/fleet/src/directory.rs
+++ b/crates/fleet/src/directory.rs
@@ -451,4 +451,12 @@
             &upstream.service == service && upstream.phase == UpstreamPhase::Serving
         })
     }
+
+    /// Returns the number of requests that the upstreams of a service run at once. Each counts for at
+    /// most `configured_slots`, whatever its entry states.
+    pub fn capacity(&self, service: &GroupName, configured_slots: u32) -> u32 {
+        self.serving(service).fold(0, |sum, upstream| {
+            sum.saturating_add(upstream.slots.min(configured_slots))
+        })
+    }
 }
--- a/crates/fleet/src/errors.rs
+++ b/crates/fleet/src/errors.rs
@@ -1,4 +1,4 @@
-//! Reasons for which a configuration is rejected.
+//! Reasons for which a configuration or an entry of the upstream list is rejected.
 
 use thiserror::Error as ThisError;
 
@@ -25,3 +25,11 @@
 
 /// `Result` with this crate's [`Error`].
 pub type Result<T> = std::result::Result<T, Error>;
+
+/// Reason for which an entry of the upstream list can't be an upstream's.
+#[derive(Clone, Debug, PartialEq, Eq, ThisError)]
+pub enum InvalidEntry {
+    /// The number of slots is above any upstream's.
+    #[error("{0} slots are too many")]
+    Slots(u32),
+}
--- /dev/null
+++ b/crates/fleet/tests/entry_bounds.rs
@@ -0,0 +1,49 @@
+//! Entries that another writer left among the upstreams': what no upstream can state.
+
+mod support;
+
+use apricotdale_core::names::GroupName;
+use apricotdale_fleet::InvalidEntry;
+use apricotdale_fleet::Upstream;
+use rstest::rstest;
+
+use support::directory;
+use support::entry;
+
+#[test]
+fn usual_entry() {
+    assert_eq!(entry("e", 1).check(), Ok(()));
+}
+
+/// Guards against one entry that counts for more than all engines of its service.
+#[rstest]
+#[case::at_type_limit(u32::MAX, false)]
+#[case::thousand_million(1_000_000_000, false)]
+#[case::a_connection_each(65_535, true)]
+fn slots_bounded(#[case] slots: u32, #[case] is_valid: bool) {
+    let entry = Upstream {
+        slots,
+        ..entry("e", 1)
+    };
+    let expected = match is_valid {
+        true => Ok(()),
+        false => Err(InvalidEntry::Slots(slots)),
+    };
+    assert_eq!(entry.check(), expected);
+}
+
+/// Guards against a sum of slots that overflows, and against an entry that states more slots than
+/// its service's engines are configured with.
+#[rstest]
+#[case::entry_above_configuration(24, 8, 12)]
+#[case::overflow(u32::MAX, u32::MAX, u32::MAX)]
+fn capacity_bounded(#[case] slots: u32, #[case] configured_slots: u32, #[case] expected: u32) {
+    let mut directory = directory();
+    directory.record_entry(entry("usual", 1));
+    directory.record_entry(Upstream {
+        slots,
+        ..entry("odd", 1)
+    });
+    let capacity = directory.capacity(&GroupName::from("s"), configured_slots);
+    assert_eq!(capacity, expected);
+}
