Fleet: a start that lies in the future is no upstream's

What was seen: an entry under the key of a running engine stated the start. VMs that read it never used that engine again, although its own entry was back seconds later. An engine's report with such a start had the same cause the other way round: the engine stayed in use as that later incarnation, and its notice that it drains was ignored.

Cause: the latest start of an instance is kept for good, and was checked for its type alone.

Entries that VMs tell each other, one by one or in the copy of the list, are checked as well, since a VM of an earlier release may have accepted them.

--- a/crates/entry/src/crash_watch.rs
+++ b/crates/entry/src/crash_watch.rs
@@ -115,7 +115,7 @@
             return;
         };
         let born_ms = self.directory.upstream(upstream).map(|it| it.born_ms);
-        let report = self.codecs.engines.report_answer(*status, body);
+        let report = self.decode_report(*status, body);
         match report {
             Ok(report) if born_ms.is_some_and(|born_ms| report.born_ms <= born_ms) => {
                 self.crash_watch.record_alive(upstream);
--- a/crates/entry/src/engine_orders/engine_calls.rs
+++ b/crates/entry/src/engine_orders/engine_calls.rs
@@ -5,6 +5,7 @@
 use apricotdale_core::numbers::Position;
 use apricotdale_fleet::DirectoryChange;
 use apricotdale_fleet::Tier;
+use apricotdale_fleet::check_start;
 use apricotdale_holder::EngineReport;
 use apricotdale_holder::Order;
 use apricotdale_holder::OrderKind;
@@ -14,6 +15,8 @@
 use super::REPORT_TIMEOUT_MS;
 use crate::calls::CallOutcome;
 use crate::calls::CallTag;
+use crate::clock::unix_ms;
+use crate::codec::DecodeError;
 use crate::daemon::Daemon;
 use crate::outbound::Peer;
 
@@ -129,6 +132,22 @@
         }
     }
 
+    /// Decodes an engine's report.
+    ///
+    /// # Errors
+    ///
+    /// [`DecodeError`] if the answer is no report, or states a start in the future.
+    pub(crate) fn decode_report(
+        &self,
+        status: u16,
+        body: &[u8],
+    ) -> Result<EngineReport, DecodeError> {
+        let report = self.codecs.engines.report_answer(status, body)?;
+        check_start(report.born_ms, unix_ms())
+            .map_err(|error| DecodeError::new(error.to_string()))?;
+        Ok(report)
+    }
+
     /// Returns whether a report comes from a later incarnation of the engine than the one
     /// addressed.
     fn is_from_later_incarnation(&self, engine: &UpstreamName, report: &EngineReport) -> bool {
@@ -166,22 +185,20 @@
     pub(crate) fn report_ended(&mut self, engine: &UpstreamName, outcome: CallOutcome) {
         let now_ms = self.now_ms;
         let report = match outcome {
-            CallOutcome::Answered { status, body } => {
-                match self.codecs.engines.report_answer(status, &body) {
-                    Ok(report) if self.is_from_later_incarnation(engine, &report) => {
-                        self.handle_engine_restart(engine, report);
-                        return;
-                    }
-                    Ok(report) => Some(report),
-                    Err(error) => {
-                        log::warn!(
-                            engine = engine.to_string(), reason = error.detail;
-                            "engine report can't be decoded"
-                        );
-                        None
-                    }
+            CallOutcome::Answered { status, body } => match self.decode_report(status, &body) {
+                Ok(report) if self.is_from_later_incarnation(engine, &report) => {
+                    self.handle_engine_restart(engine, report);
+                    return;
                 }
-            }
+                Ok(report) => Some(report),
+                Err(error) => {
+                    log::warn!(
+                        engine = engine.to_string(), reason = error.detail;
+                        "engine report can't be decoded"
+                    );
+                    None
+                }
+            },
             _ => None,
         };
         let mut actions = Vec::new();
--- a/crates/entry/src/store_pollers/list_snapshot.rs
+++ b/crates/entry/src/store_pollers/list_snapshot.rs
@@ -185,7 +185,8 @@
         }
     }
 
-    fn apply_snapshot(&mut self, snapshot: ListSnapshot) {
+    fn apply_snapshot(&mut self, mut snapshot: ListSnapshot) {
+        snapshot.entries = self.valid_entries(snapshot.entries);
         let from = self.store_pollers.upstreams.from;
         let is_newer = from.is_none_or(|from| from <= snapshot.read_to);
         let is_begun =
@@ -294,6 +295,7 @@
         if !self.directory.is_listed() {
             return;
         }
+        let entries = self.valid_entries(entries);
         self.directory.set_read_position(read_to);
         for entry in entries {
             let instance = entry.instance.clone();
--- a/crates/entry/src/store_pollers/upstream_list.rs
+++ b/crates/entry/src/store_pollers/upstream_list.rs
@@ -8,6 +8,7 @@
 
 use super::MAX_LOGGED_FOREIGN_KEYS;
 use super::UPSTREAMS_INTERVAL_MS;
+use crate::clock::unix_ms;
 use crate::codec::DecodeError;
 use crate::codec::KeyedPage;
 use crate::codec::KeyedRecord;
@@ -103,7 +104,7 @@
     fn decode_upstream(&mut self, record: &KeyedRecord) -> Option<Upstream> {
         let value = record.value.as_deref()?;
         let decoded = self.codecs.store.upstream(&record.key, value);
-        let checked = decoded.and_then(|upstream| match upstream.check() {
+        let checked = decoded.and_then(|upstream| match upstream.check(unix_ms()) {
             Ok(()) => Ok(upstream),
             Err(error) => Err(DecodeError::new(error.to_string())),
         });
@@ -127,6 +128,21 @@
         }
     }
 
+    /// Returns the entries of another VM's list that can be upstreams'. A VM of an earlier release may
+    /// have accepted others.
+    pub(super) fn valid_entries(&mut self, mut entries: Vec<Upstream>) -> Vec<Upstream> {
+        let now_unix_ms = unix_ms();
+        entries.retain(|entry| match entry.check(now_unix_ms) {
+            Ok(()) => true,
+            Err(error) => {
+                let error = DecodeError::new(error.to_string());
+                self.record_foreign_entry(entry.instance.as_str(), &error);
+                false
+            }
+        });
+        entries
+    }
+
     /// Logs once that an upstream's service is in no configuration, so that no route leads to it.
     fn check_service(&mut self, upstream: &Upstream) {
         if self.directory.version() > 0 && self.directory.service(&upstream.service).is_none() {
--- a/crates/fleet/src/entry_bounds.rs
+++ b/crates/fleet/src/entry_bounds.rs
@@ -10,16 +10,34 @@
 /// address has no more ports.
 const MAX_SLOTS: u32 = 65_535;
 
+/// How far the start of an upstream may lie ahead of the VM's clock, in milliseconds. Clocks differ by
+/// less.
+const MAX_START_LEAD_MS: u64 = 24 * 60 * 60 * 1_000;
+
+/// Checks that an upstream can have started at `born_ms`. A later start replaces an earlier one for
+/// good, so that an impossible one would hide the upstream's own entry.
+///
+/// # Errors
+///
+/// [`InvalidEntry::Start`] if the start lies too far ahead of `now_unix_ms`.
+pub fn check_start(born_ms: u64, now_unix_ms: u64) -> Result<(), InvalidEntry> {
+    match born_ms > now_unix_ms.saturating_add(MAX_START_LEAD_MS) {
+        true => Err(InvalidEntry::Start(born_ms)),
+        false => Ok(()),
+    }
+}
+
 impl Upstream {
-    /// Checks that the entry states nothing that no upstream can state.
+    /// Checks that the entry states nothing that no upstream can state. `now_unix_ms` is the VM's
+    /// clock in Unix milliseconds.
     ///
     /// # Errors
     ///
     /// [`InvalidEntry`] with the first field that is out of bounds.
-    pub fn check(&self) -> Result<(), InvalidEntry> {
+    pub fn check(&self, now_unix_ms: u64) -> Result<(), InvalidEntry> {
         match () {
             _ if self.slots > MAX_SLOTS => Err(InvalidEntry::Slots(self.slots)),
-            _ => Ok(()),
+            _ => check_start(self.born_ms, now_unix_ms),
         }
     }
 }
--- a/crates/fleet/src/errors.rs
+++ b/crates/fleet/src/errors.rs
@@ -32,4 +32,7 @@
     /// The number of slots is above any upstream's.
     #[error("{0} slots are too many")]
     Slots(u32),
+    /// The start, in Unix milliseconds, lies in the future.
+    #[error("start {0} lies in the future")]
+    Start(u64),
 }
--- a/crates/fleet/src/lib.rs
+++ b/crates/fleet/src/lib.rs
@@ -50,6 +50,7 @@
 pub use directory::DirectoryChange;
 pub use directory::DirectoryOptions;
 pub use directory::ListingChanges;
+pub use entry_bounds::check_start;
 pub use entry_versions::RecentVersions;
 pub use entry_versions::append_versions;
 pub use entry_versions::set_versions;
--- a/crates/fleet/tests/entry_bounds.rs
+++ b/crates/fleet/tests/entry_bounds.rs
@@ -10,9 +10,32 @@
 use support::directory;
 use support::entry;
 
+const NOW_UNIX_MS: u64 = 1_800_000_000_000;
+
+const HOUR_MS: u64 = 3_600_000;
+
 #[test]
 fn usual_entry() {
-    assert_eq!(entry("e", 1).check(), Ok(()));
+    assert_eq!(entry("e", 1).check(NOW_UNIX_MS), Ok(()));
+}
+
+/// Guards against an entry under an upstream's key that hides the upstream's own for good, since it
+/// states a later start.
+#[rstest]
+#[case::at_type_limit(u64::MAX, false)]
+#[case::in_microseconds(NOW_UNIX_MS * 1_000, false)]
+#[case::two_days_ahead(NOW_UNIX_MS + 48 * HOUR_MS, false)]
+#[case::clock_ahead(NOW_UNIX_MS + HOUR_MS, true)]
+fn start_bounded(#[case] born_ms: u64, #[case] is_valid: bool) {
+    let entry = Upstream {
+        born_ms,
+        ..entry("e", 1)
+    };
+    let expected = match is_valid {
+        true => Ok(()),
+        false => Err(InvalidEntry::Start(born_ms)),
+    };
+    assert_eq!(entry.check(NOW_UNIX_MS), expected);
 }
 
 /// Guards against one entry that counts for more than all engines of its service.
@@ -29,7 +52,7 @@
         true => Ok(()),
         false => Err(InvalidEntry::Slots(slots)),
     };
-    assert_eq!(entry.check(), expected);
+    assert_eq!(entry.check(NOW_UNIX_MS), expected);
 }
 
 /// Guards against a sum of slots that overflows, and against an entry that states more slots than
--- a/crates/standins/src/platform/engine.rs
+++ b/crates/standins/src/platform/engine.rs
@@ -271,7 +271,7 @@
 
     fn report(&self) -> Reply {
         let mut report = self.holdings.lock().describe();
-        report["born"] = json!(self.entry.lock().started_ms());
+        report["born"] = json!(self.entry.lock().reported_start_ms());
         Reply::json(200, &report)
     }
 
--- a/crates/standins/src/platform/engine_entry.rs
+++ b/crates/standins/src/platform/engine_entry.rs
@@ -22,12 +22,18 @@
     draining: bool,
     gone: bool,
     restarts: u64,
+    /// Start that reports state in place of the engine's own; absent to state its own.
+    reported_start_ms: Option<u64>,
 }
 
 impl Entry {
     pub fn started_ms(&self) -> u64 {
         FIRST_START_MS + self.restarts * RESTART_INTERVAL_MS
     }
+
+    pub fn reported_start_ms(&self) -> u64 {
+        self.reported_start_ms.unwrap_or_else(|| self.started_ms())
+    }
 }
 
 impl PlatformEngine {
@@ -65,6 +71,11 @@
         self.holdings.lock().restart();
     }
 
+    /// Sets the start that the engine's reports state, in Unix milliseconds; none for its own.
+    pub fn set_reported_start(&self, start_ms: Option<u64>) {
+        self.entry.lock().reported_start_ms = start_ms;
+    }
+
     /// Returns the engine's entry as it was last written.
     pub fn entry(&self) -> Option<Vec<u8>> {
         self.store.newest("keyed.servers", &self.options.instance)
