Fleet: an address at which no host can listen is no upstream's

The unspecified address leads to the VM itself.

Cause: an address was checked for its form alone.

Change: an entry whose address has no port, or is unspecified, a group's or the broadcast address, is another writer's.

--- a/crates/fleet/src/entry_bounds.rs
+++ b/crates/fleet/src/entry_bounds.rs
@@ -3,6 +3,10 @@
 //! Other programs may write to the list. A value outside these bounds is no upstream's, and would
 //! otherwise be added to other upstreams' values, kept as the latest one, or sent to an upstream.
 
+use std::net::IpAddr;
+use std::net::Ipv4Addr;
+use std::net::SocketAddr;
+
 use crate::errors::InvalidEntry;
 use crate::upstream::Upstream;
 
@@ -37,7 +41,16 @@
     pub fn check(&self, now_unix_ms: u64) -> Result<(), InvalidEntry> {
         match () {
             _ if self.slots > MAX_SLOTS => Err(InvalidEntry::Slots(self.slots)),
+            _ if !is_host(self.address) => Err(InvalidEntry::Address(self.address)),
             _ => check_start(self.born_ms, now_unix_ms),
         }
     }
 }
+
+/// Returns whether a single host can listen at an address. The unspecified address would lead back
+/// to the VM itself.
+fn is_host(address: SocketAddr) -> bool {
+    let ip = address.ip().to_canonical();
+    let is_broadcast = ip == IpAddr::V4(Ipv4Addr::BROADCAST);
+    address.port() > 0 && !ip.is_unspecified() && !ip.is_multicast() && !is_broadcast
+}
--- a/crates/fleet/src/errors.rs
+++ b/crates/fleet/src/errors.rs
@@ -1,5 +1,7 @@
 //! Reasons for which a configuration or an entry of the upstream list is rejected.
 
+use std::net::SocketAddr;
+
 use thiserror::Error as ThisError;
 
 /// Reason for which the directory rejects a configuration.
@@ -32,6 +34,9 @@
     /// The number of slots is above any upstream's.
     #[error("{0} slots are too many")]
     Slots(u32),
+    /// No single host can listen at the address.
+    #[error("no host can listen at {0}")]
+    Address(SocketAddr),
     /// The start, in Unix milliseconds, lies in the future.
     #[error("start {0} lies in the future")]
     Start(u64),
--- a/crates/fleet/tests/entry_bounds.rs
+++ b/crates/fleet/tests/entry_bounds.rs
@@ -2,6 +2,8 @@
 
 mod support;
 
+use std::net::SocketAddr;
+
 use apricotdale_core::names::GroupName;
 use apricotdale_fleet::InvalidEntry;
 use apricotdale_fleet::Upstream;
@@ -55,6 +57,31 @@
     assert_eq!(entry.check(NOW_UNIX_MS), expected);
 }
 
+/// Guards against requests that wait for a connection to an address at which nobody can listen, or
+/// that a VM sends to itself.
+#[rstest]
+#[case::no_port("10.0.0.1:0", false)]
+#[case::unspecified("0.0.0.0:80", false)]
+#[case::unspecified_v6("[::]:80", false)]
+#[case::broadcast("255.255.255.255:9", false)]
+#[case::multicast("224.0.0.1:9", false)]
+#[case::multicast_v6("[ff02::1]:9", false)]
+#[case::mapped_multicast("[::ffff:224.0.0.1]:9", false)]
+#[case::host("10.0.0.1:80", true)]
+#[case::host_v6("[fd00::1]:80", true)]
+fn address_bounded(#[case] address: &str, #[case] is_valid: bool) {
+    let address: SocketAddr = address.parse().expect("an address");
+    let entry = Upstream {
+        address,
+        ..entry("e", 1)
+    };
+    let expected = match is_valid {
+        true => Ok(()),
+        false => Err(InvalidEntry::Address(address)),
+    };
+    assert_eq!(entry.check(NOW_UNIX_MS), expected);
+}
+
 /// Guards against a sum of slots that overflows, and against an entry that states more slots than
 /// its service's engines are configured with.
 #[rstest]
